--- /dev/null
+++ b/finchcart/control.py
@@ -0,0 +1,509 @@
+"""All decisions of a node: what it takes, runs and turns away.
+
+How it is called (types and the port: finchcart/interface.py; why: docs/design.md). A front makes one
+`Control(port, settings, seed)` for each node and calls `start(now)`. `arrive(now, ...)` takes an RPC that was
+read and returns its handle; what happens to it later is a call on the handle: `ended`, `gone`, `at_call`,
+`call_ended`. On the control: `wake` (a timer, with gauges) and `drain`. The module answers through the port,
+inside these calls. Times are whole microseconds; the only clock is the `now` that is handed in.
+
+Reading order: Histogram, Method, Rpc (one RPC's life), Control (intake, hold, calls, sweep, drain).
+"""
+
+from bisect import insort
+from heapq import heappop, heappush
+from math import log2
+from random import Random
+
+from finchcart.interface import Outcome, Port
+
+MS, SECOND = 1_000, 1_000_000
+SWEEP = 40 * MS  # between looks at what is due, at the gauges and at the loop
+HELD, RUNNING, STANDING, CALLING, SHARING, OVER = range(6)  # STANDING: at a call not made yet
+BUSY_SHARE = 0.9  # the loop cuts while more of the cores than this are busy
+
+
+class Histogram:
+    """Sixteen coarse bins, two to the octave from `low` up; halved when full, so that old samples fade."""
+
+    def __init__(self, low, prior, full=40):
+        self.low, self.full, self.bins = low, full, [0.0] * 16
+        self.add(prior)
+
+    def add(self, value):
+        self.bins[max(0, min(15, int(2 * log2(max(value, 1e-9) / self.low))))] += 1
+        if sum(self.bins) >= self.full:
+            self.bins = [count / 2 for count in self.bins]
+        weighed = sum(count * 2 ** (k / 2) for k, count in enumerate(self.bins))
+        self.mean = 1.19 * self.low * weighed / sum(self.bins)
+
+    def quantile(self, part):
+        left = part * sum(self.bins)
+        for k, count in enumerate(self.bins):
+            left -= count
+            if left <= 0:
+                break
+        return self.low * 2 ** ((k + 1) / 2)
+
+
+class Method:
+    """What is told and learned of one method. Run times leave calls out; with hints they are per hinted unit."""
+
+    def __init__(self, settings, n, cold):
+        get = lambda name, default: settings.get(f"methods.{n}.{name}", default)
+        per = lambda name: (settings.get(name) if isinstance(settings.get(name), tuple) else
+                            (settings.get(name, 0),) * (n + 1))[n]
+        self.kind, self.criticality = get("kind", "non_idempotent"), get("criticality", 1)
+        self.deadline = get("deadline", 5 * SECOND)
+        self.target, self.window = get("latency_target", self.deadline), get("window", 0)
+        self.late_worth, self.poorer = get("late_worth", 0), per("method_poorer")
+        self.tokened = self.kind == "tokened"
+        self.repeatable = self.kind == "idempotent"
+        # Before anything is measured: a run takes a sixth of the latency target, a hint means what it says.
+        self.run_time = Histogram(self.target / 96, self.target / 6 * cold)
+        self.per_hint = Histogram(1 / 16, cold)
+        self.whole = Histogram(self.target / 32, self.target / 4 * cold)  # start to end, calls included
+        self.share, self.band = 1.0, 0
+
+    def expect(self, hint):
+        """Time on a core that a run is expected to need here."""
+        return hint * self.per_hint.mean if hint else self.run_time.mean
+
+    def learn(self, hint, time):
+        self.run_time.add(time)
+        if hint:
+            self.per_hint.add(time / hint)
+
+
+class Rpc:
+    """The handle of one RPC."""
+
+    __slots__ = ("control", "index", "method", "kb", "hint", "place", "tenant", "reached", "due", "want", "expect",
+                 "key", "state", "started", "answered", "ran", "is_gone", "call_time", "call_from", "calls",
+                 "kept_until", "failed", "again", "subject")
+
+    def ended(self, now, outcome, spent):
+        """A run or a share is over; where it was ok or an error, its answer has gone out."""
+        control = self.control
+        if self.state == OVER:
+            return
+        if self.state != SHARING:
+            if outcome is Outcome.OK:
+                self.method.learn(self.hint, max(1, spent - self.call_time))
+                self.method.whole.add(max(1, spent))
+            self.failed = outcome is not Outcome.OK
+        if outcome in (Outcome.STOPPED, Outcome.MOOT) and not self.answered and not self.is_gone:
+            control.port.abort(self.index)  # it may have run: an answer is owed, and never a pushback
+        self.answered = True
+        control.finish(now, self)
+        control.fill(now)
+
+    def gone(self, now):
+        """The caller has given up: nothing is owed. Held ones are dropped; running ones free their core if they can."""
+        if self.state == OVER or self.is_gone:
+            return
+        self.is_gone = True
+        control = self.control
+        if self.state in (HELD, SHARING):
+            if self.state == HELD:
+                control.held.remove((self.key, self.index, self))
+            control.finish(now, self)
+        elif self.state == RUNNING and control.can_stop and self.method.repeatable and not self.answered:
+            control.port.stop(self.index)
+
+    def at_call(self, now):
+        """The run stands at a call."""
+        if self.state != RUNNING:
+            return
+        self.state, self.call_from = STANDING, now
+        self.control.on_core -= 1
+        if not (self.answered or self.is_gone):
+            self.control.standing.append(self)
+            self.control.make_calls(now)
+        self.control.fill(now)
+
+    def call_ended(self, now, outcome, spent):
+        """The call came back: after ok the run goes on by itself, else it stands where it stood."""
+        if self.state != CALLING:
+            return
+        control = self.control
+        control.end_call(now, self, outcome)
+        if outcome is Outcome.OK:
+            control.call_times.add(max(1, spent))
+            self.call_time += now - self.call_from
+            self.state = RUNNING
+            control.on_core += 1
+        elif not (self.answered or self.is_gone):
+            # Guards against a second effect: a call is repeated only where the method may run again, or where
+            # the outcome proves that it never ran. One repeat; a dependency that fails is not pressed harder.
+            self.calls += 1
+            if self.calls < 2 and (self.method.repeatable or outcome.never_ran):
+                control.standing.append(self)
+            elif self.method.poorer > 0:
+                control.skip(now, self)
+            else:
+                control.give_up(now, self)
+        control.make_calls(now)
+        control.fill(now)
+
+
+class Control:
+    """The decisions of one node."""
+
+    def __init__(self, port: Port, settings, seed):
+        get = settings.get
+        self.port, self.settings = port, settings
+        self.random = Random(seed).random
+        self.cores = get("cores", 1)
+        self.cold = bool(get("fresh_start", False))
+        cold_start = get("cold_start", 1) if self.cold else 1
+        self.methods, self.names = [], {}
+        for n in range(get("methods.count", 0)):
+            self.methods.append(Method(settings, n, 1 / max(cold_start, 0.1)))
+            self.names[get(f"methods.{n}.name", str(n))] = self.methods[n]
+        worths = sorted({m.criticality for m in self.methods})
+        for m in self.methods:
+            m.band = worths.index(m.criticality)
+        self.bands = len(worths)
+        self.can_stop, self.by_work = get("can_stop", False), get("worth_by", "request") == "work"
+        self.memory, self.factor, self.entry = get("memory_kb", 1e12), get("run_factor", 1), get("entry_kb", 0)
+        self.tick, self.slack = get("tick", MS), get("slack", 0)
+        self.calls_limit, self.calls_window = get("calls_limit", 1e9), get("calls_window", 5 * SECOND)
+        self.call_times = Histogram(2 * MS, 30 * MS)
+        self.live, self.held, self.standing, self.table = {}, [], [], []
+        self.kb, self.on_core, self.running, self.in_call = 0.0, 0, 0, 0
+        self.lingering, self.credit, self.credit_at = [], 0.0, 0
+        self.limit, self.slow, self.late = float(self.cores), 1.0, 0
+        self.core_use, self.now_level, self.good, self.bad_since = 0.0, 0.0, True, 0
+        self.kill_at = self.grace_end = None
+        self.sealed = self.swept = False
+        self.tenants = {}
+        for n in range(get("tenants.count", 0)):
+            quota = get(f"tenants.{n}.quota", 0) / max(1, get("servers", 1))
+            self.tenants[get(f"tenants.{n}.name")] = [0.0, quota]
+
+    def start(self, now):
+        self.began = self.next_wake = self.credit_at = now
+        self.port.health(True, True)
+        self.port.idle_limit(min(self.settings.get("idle_max", 30 * SECOND), 8 * SECOND))
+        self.port.wake_in(SWEEP, "sweep")
+        self.next_wake = now + SWEEP
+
+    # ---- room: memory, the crowd on the cores
+
+    def margin(self):
+        """How long before it is due an RPC is answered: a few ticks, and twice what stalls were seen to cost."""
+        return 2 * self.tick + SWEEP + 20 * MS + min(2 * self.late, SECOND)
+
+    def warmth(self, now):
+        """Fraction of the full speed, on the slowest ramp that is allowed."""
+        if not self.cold:
+            return 1.0
+        start, whole = self.settings.get("cold_start", 1), max(1, self.settings.get("cold", 1))
+        return min(1.0, start + (1 - start) * (now - self.began) / whole)
+
+    def crowd(self, now):
+        """The running RPCs that the node survives: each may come back from a call at any time, so all count."""
+        return self.cores * (1 + (self.settings.get("crowd", 4) - 1) * self.warmth(now))
+
+    def run_cost(self, rpc):
+        return rpc.kb * (self.factor - 1)
+
+    # ---- intake
+
+    def arrive(self, now, index, method, kb, *, expires=0, waited=0, place=None, hint=0, again=False,
+               tenant=None, subject=None, repeats=None):
+        """An RPC has been read. `waited`: since it reached the machine; `repeats`: the index of what it repeats,
+        or -1 where that one is no longer known here."""
+        rpc = Rpc()
+        m = self.names[method]
+        rpc.control, rpc.index, rpc.method, rpc.kb, rpc.hint, rpc.place = self, index, m, kb, hint, place
+        rpc.tenant, rpc.again, rpc.subject, rpc.reached = tenant, again, subject, now - waited
+        rpc.due = expires or rpc.reached + m.deadline
+        rpc.want = min(rpc.due, rpc.reached + m.target)
+        rpc.expect = m.expect(hint)
+        rpc.state, rpc.answered, rpc.ran, rpc.is_gone, rpc.failed = HELD, False, False, False, False
+        rpc.started = rpc.call_time = rpc.call_from = rpc.calls = rpc.kept_until = 0
+        worth = m.criticality if self.by_work else m.criticality / m.run_time.mean
+        rpc.key = (-worth, rpc.want - rpc.expect)
+        self.live[index] = rpc
+        self.kb += kb
+        if tenant in self.tenants:
+            self.tenants[tenant][0] += 1
+        first = self.live.get(repeats)
+        if repeats is not None and not (first and not first.ran and first.state == OVER):
+            # Guards against a second effect: a repeat never runs; it shares what its first try came to.
+            if first and first.state == OVER and first.failed:
+                self.give_up(now, rpc)
+            else:
+                rpc.state = SHARING
+                self.port.share(index)
+            return rpc
+        wait = self.ahead(rpc.key) / self.limit
+        if self.refuses(now, rpc, wait):
+            left = rpc.want - now
+            self.push_back(now, rpc, wait, last=rpc.expect > left)
+            return rpc
+        if m.tokened:
+            self.remember(now, rpc, m.window)
+        insort(self.held, (rpc.key, index, rpc))
+        self.fill(now)
+        return rpc
+
+    def refuses(self, now, rpc, wait):
+        """Whether an arrival is pushed back."""
+        m = rpc.method
+        if self.sealed or (self.grace_end is not None and rpc.reached > self.grace_end):
+            return True
+        table = self.entry if m.tokened else 0
+        if self.kb + table > 0.9 * self.memory:
+            return True
+        if rpc.due - self.margin() <= now:
+            return True
+        if self.on_core * 2 < self.cores and not self.held:
+            return False  # idle cores: take it, or a node that once was slow would never learn that it no longer is
+        if self.place_in_band(rpc) < 1 - m.share:
+            return True
+        return now + wait + rpc.expect * self.slow > rpc.want
+
+    def place_in_band(self, rpc):
+        """Where it stands among its like: by user where that is told (the same on every node), else by chance."""
+        if rpc.place is None:
+            return self.random()
+        return rpc.place * self.bands - rpc.method.band
+
+    def ahead(self, key):
+        """Work on cores that comes before an RPC with this key."""
+        work = sum(max(0, r.expect * self.slow / 2) for r in self.live.values() if r.state == RUNNING)
+        if self.on_core < self.limit:
+            work *= self.on_core / self.limit / 2
+        for other, _, rpc in self.held:
+            if other > key:
+                break
+            work += rpc.expect * self.slow
+        return work
+
+    def push_back(self, now, rpc, wait, last):
+        """It never ran: say so at once, and when to come back."""
+        advice = int(min(self.settings.get("advice_max", 0), max(wait, 100 * MS)))
+        self.port.push_back(rpc.index, advice, last)
+        self.over(now, rpc)
+
+    def give_up(self, now, rpc):
+        """Aborts: the answer goes out; a run goes on to its end, or is stopped where that is allowed."""
+        if not rpc.answered and not rpc.is_gone:
+            self.port.abort(rpc.index)
+        rpc.answered = True
+        if rpc.state in (HELD, SHARING):
+            self.over(now, rpc)
+        elif rpc.state == RUNNING and self.can_stop and rpc.method.repeatable:
+            self.port.stop(rpc.index)
+
+    # ---- the table
+
+    def remember(self, now, rpc, window):
+        """Counted from when it reached the machine, and a little longer than its window."""
+        rpc.kept_until = rpc.reached + window + 200 * MS
+        self.port.remember(rpc.index, rpc.kept_until - now)
+        self.kb += self.entry
+        heappush(self.table, (rpc.kept_until + 2 * self.tick, rpc.index, rpc))
+
+    def forget(self, rpc):
+        if rpc.kept_until:
+            self.port.forget(rpc.index)
+            self.kb -= self.entry
+            rpc.kept_until = 0
+
+    # ---- the hold and the cores
+
+    def fill(self, now):
+        """Runs what is held, in order, while there is room."""
+        room = min(0.8 * self.crowd(now), 4 * self.cores)
+        held = self.held
+        while held and self.on_core < self.limit and self.running < room:
+            rpc = held[0][2]
+            if now + rpc.expect * self.slow * 0.6 > rpc.want and self.on_core * 2 >= self.cores:
+                del held[0]
+                self.push_back(now, rpc, 0, last=True)  # it can't be in time any more, here or elsewhere
+                continue
+            if self.kb + self.run_cost(rpc) > 0.85 * self.memory:
+                break
+            del held[0]
+            rpc.state, rpc.ran, rpc.started = RUNNING, True, now
+            self.kb += self.run_cost(rpc)
+            self.on_core += 1
+            self.running += 1
+            self.port.run(rpc.index)
+
+    def finish(self, now, rpc):
+        """The RPC's run or wait is over; its memory is free."""
+        if rpc.state in (RUNNING, STANDING, CALLING):
+            self.running -= 1
+            self.kb -= self.run_cost(rpc)
+            if rpc.state == RUNNING:
+                self.on_core -= 1
+            elif rpc.state == CALLING:
+                self.end_call(now, rpc, Outcome.TIMEOUT)
+            elif rpc in self.standing:
+                self.standing.remove(rpc)
+        self.over(now, rpc)
+
+    def over(self, now, rpc):
+        rpc.state, rpc.answered = OVER, True
+        self.kb -= rpc.kb
+        if not rpc.ran:
+            self.forget(rpc)
+        if not rpc.kept_until:
+            del self.live[rpc.index]
+            self.port.release(rpc.index)
+
+    # ---- calls to the shared dependency
+
+    def make_calls(self, now):
+        """Makes the calls that runs stand at, as far as the node's share of the dependency allows; one that
+        can't be made in time is skipped where a poorer answer is worth something."""
+        self.credit = min(self.credit + 0.8 * self.calls_limit * (now - self.credit_at),
+                          0.2 * self.calls_limit * self.calls_window)
+        self.credit_at = now
+        while self.lingering and self.lingering[0] <= now:
+            self.lingering.pop(0)
+        cap = max(1, int(0.5 * self.calls_limit))
+        waiting, self.standing = self.standing, []
+        for rpc in waiting:
+            left = rpc.want - now
+            if rpc.method.poorer > 0 and left < 1.5 * self.call_times.mean + rpc.expect * self.slow / 4:
+                self.skip(now, rpc)
+            elif self.credit > 0 and self.in_call + len(self.lingering) < cap:
+                worst = self.calls_limit * self.calls_window / cap
+                limit = rpc.due - now - self.margin()
+                if rpc.method.poorer > 0:
+                    limit = min(limit, max(left / 2, self.call_times.quantile(0.95)))
+                rpc.state, self.in_call = CALLING, self.in_call + 1
+                rpc.call_from, rpc.key = now, now
+                self.port.call(rpc.index, max(self.tick, int(min(limit, worst))))
+            else:
+                self.standing.append(rpc)
+
+    def end_call(self, now, rpc, outcome):
+        self.in_call -= 1
+        self.credit -= now - rpc.key
+        rpc.state = STANDING
+        if outcome in (Outcome.TIMEOUT, Outcome.BROKEN_OFF):
+            linger = self.settings.get("calls_linger", 200 * MS)
+            self.lingering.append(now + linger)
+            self.credit -= linger
+
+    def skip(self, now, rpc):
+        self.port.skip(rpc.index)
+        rpc.call_time += now - rpc.call_from
+        rpc.state = RUNNING
+        self.on_core += 1
+
+    # ---- the sweep
+
+    def wake(self, now, name, gauges):
+        """Looks at what is due, at the gauges, and turns the loop once."""
+        # Guards against stalls: answers are given earlier by twice the lateness that timers lately had.
+        self.late = max(now - self.next_wake - 2 * self.tick, self.late * 63 // 64, 0)
+        self.core_use = gauges.get("core_use", min(1.0, self.on_core / self.cores))
+        while self.table and self.table[0][0] <= now:
+            rpc = heappop(self.table)[2]
+            if rpc.kept_until:
+                rpc.kept_until = 0
+                self.kb -= self.entry
+                if rpc.state == OVER:
+                    del self.live[rpc.index]
+                    self.port.release(rpc.index)
+        self.sweep(now)
+        self.loop(now)
+        self.make_calls(now)
+        self.fill(now)
+        self.port.wake_in(SWEEP, name)
+        self.next_wake = now + SWEEP
+
+    def sweep(self, now):
+        due_by, spent, expected = now + self.margin(), 0, 0
+        stop_by = None if self.kill_at is None else self.kill_at - self.margin() - 50 * MS
+        for rpc in list(self.live.values()):
+            if rpc.state == OVER or rpc.answered:
+                continue
+            due = rpc.due
+            if self.sealed:
+                due = min(due, max(self.grace_end, rpc.started) + int(2 * rpc.method.whole.quantile(0.9)))
+            if due <= due_by or (stop_by is not None and stop_by <= now):
+                if rpc.state == HELD:
+                    self.held.remove((rpc.key, rpc.index, rpc))
+                    self.push_back(now, rpc, 0, last=due <= due_by)
+                else:
+                    self.give_up(now, rpc)
+            elif rpc.state == HELD and now + rpc.expect * self.slow * 0.6 > rpc.want:
+                self.held.remove((rpc.key, rpc.index, rpc))
+                self.push_back(now, rpc, 0, last=True)
+            elif rpc.state == RUNNING:
+                if self.can_stop and rpc.method.repeatable and not rpc.method.late_worth and now > rpc.want:
+                    self.give_up(now, rpc)  # worth nothing any more: its core is free for others
+                    continue
+                spent += now - rpc.started - rpc.call_time
+                expected += rpc.expect
+        # Guards against slowed machines, whatever slows them: runs that last longer than learned stretch all
+        # that is expected of the others, before any of them has ended.
+        age = spent / expected if expected else 0
+        self.slow = max(1.0, age * 0.8, min(self.slow, 8) * 0.97)
+
+    def loop(self, now):
+        """The response-time loop, the running limit, the level and health."""
+        busy = max(self.core_use, min(1.0, self.on_core / self.cores))
+        for m in self.methods:
+            worth = m.criticality if self.by_work else m.criticality / m.run_time.mean
+            latency = self.ahead((-worth, now + m.target)) / self.limit + m.run_time.mean * self.slow
+            over = latency / (0.8 * m.target)
+            if busy > BUSY_SHARE and over > 1:
+                m.share = max(0.05, m.share * max(0.8, 1 / over))
+            else:
+                m.share = min(1.0, m.share + 0.03)
+        if self.held and self.core_use < BUSY_SHARE and self.on_core >= self.limit - 1:
+            self.limit = min(self.limit + self.cores / 4, 0.4 * self.crowd(now))
+        elif self.core_use > 0.95:
+            self.limit = max(self.cores, self.limit * 0.95)
+        if self.settings.get("told") == "level":
+            self.set_level()
+        if self.grace_end is not None and not self.sealed and now >= self.grace_end:
+            self.sealed = True
+            self.port.idle_limit(10 * MS)
+            self.port.log(f"drain: grace over, {self.running} running {len(self.held)} held")
+        self.set_health(now)
+
+    def set_level(self):
+        """Tells callers what would be pushed back here: the cut of the lowest band, of the next if that is shut."""
+        level = 0.0
+        for band in range(self.bands):
+            share = max(m.share for m in self.methods if m.band == band)
+            level = (band + 1 - share) / self.bands
+            if share > 0.06:
+                break
+        if abs(level - self.now_level) > 0.02 or (level == 0) != (self.now_level == 0):
+            self.port.level(level)
+            self.now_level = level
+
+    def set_health(self, now):
+        """Bad while draining, or for a few seconds while runs take too much of the latency target here."""
+        if self.kill_at is not None:
+            return
+        worst = max((m.run_time.mean * self.slow / m.target for m in self.methods), default=0)
+        if self.good and worst > 0.5 and now - self.bad_since > 4 * SECOND:
+            self.good, self.bad_since = False, now
+            self.port.health(False, True)
+            self.port.log(f"health bad: runs take {worst:.2f} of the latency target, slow {self.slow:.1f}")
+        elif not self.good and (worst < 0.3 or now - self.bad_since > 4 * SECOND):
+            self.good, self.bad_since = True, now
+            self.port.health(True, True)
+            self.port.log(f"health good: runs take {worst:.2f} of the latency target")
+
+    # ---- drain
+
+    def drain(self, now, kill_at):
+        """The notice to leave. Health is bad from here on; service goes on until the grace ends."""
+        if self.kill_at is None:
+            self.grace_end = now + self.settings.get("grace", 0)
+            self.port.health(False, True)
+        self.kill_at = min(kill_at, self.kill_at or kill_at)
+        self.port.log(f"drain: {self.running} running {len(self.held)} held, kill in {self.kill_at - now} us")
