Tell a slowed node by core time over finished work, not by single long runs

Now the core time of the last second or two is set against the expected work that ended in it. It should hold against any slowing (a neighbour, a sick machine, a slow tier); it is late by about a second, and pauses read as slowness for as long.

--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -25,7 +25,7 @@
 class Histogram:
     """Sixteen coarse bins, two to the octave from `low` up; halved when full, so that old samples fade."""
 
-    def __init__(self, low, prior, full=40):
+    def __init__(self, low, prior, full=120):
         self.low, self.full, self.bins = low, full, [0.0] * 16
         self.add(prior)
 
@@ -87,6 +87,7 @@
         if self.state == OVER:
             return
         if self.state != SHARING:
+            control.done += self.expect
             if outcome is Outcome.OK:
                 self.method.learn(self.hint, max(1, spent - self.call_time))
                 self.method.whole.add(max(1, spent))
@@ -173,16 +174,17 @@
         self.kb, self.on_core, self.running, self.in_call = 0.0, 0, 0, 0
         self.lingering, self.credit, self.credit_at = [], 0.0, 0
         self.limit, self.slow, self.late = float(self.cores), 1.0, 0
+        self.spent, self.done = 0.0, 0.0  # core time and expected work of the last second or two
         self.core_use, self.now_level, self.good, self.bad_since = 0.0, 0.0, True, 0
         self.kill_at = self.grace_end = None
-        self.sealed = self.swept = False
+        self.sealed, self.swept = False, 0
         self.tenants = {}
         for n in range(get("tenants.count", 0)):
             quota = get(f"tenants.{n}.quota", 0) / max(1, get("servers", 1))
             self.tenants[get(f"tenants.{n}.name")] = [0.0, quota]
 
     def start(self, now):
-        self.began = self.next_wake = self.credit_at = now
+        self.began = self.swept = self.credit_at = now
         self.port.health(True, True)
         self.port.idle_limit(min(self.settings.get("idle_max", 30 * SECOND), 8 * SECOND))
         self.port.wake_in(SWEEP, "sweep")
@@ -201,6 +203,9 @@
         start, whole = self.settings.get("cold_start", 1), max(1, self.settings.get("cold", 1))
         return min(1.0, start + (1 - start) * (now - self.began) / whole)
 
+    def warming(self, now):
+        return self.warmth(now) < 1
+
     def crowd(self, now):
         """The running RPCs that the node survives: each may come back from a call at any time, so all count."""
         return self.cores * (1 + (self.settings.get("crowd", 4) - 1) * self.warmth(now))
@@ -421,7 +426,7 @@
         self.next_wake = now + SWEEP
 
     def sweep(self, now):
-        due_by, spent, expected = now + self.margin(), 0, 0
+        due_by = now + self.margin()
         stop_by = None if self.kill_at is None else self.kill_at - self.margin() - 50 * MS
         for rpc in list(self.live.values()):
             if rpc.state == OVER or rpc.answered:
@@ -441,13 +446,13 @@
             elif rpc.state == RUNNING:
                 if self.can_stop and rpc.method.repeatable and not rpc.method.late_worth and now > rpc.want:
                     self.give_up(now, rpc)  # worth nothing any more: its core is free for others
-                    continue
-                spent += now - rpc.started - rpc.call_time
-                expected += rpc.expect
-        # Guards against slowed machines, whatever slows them: runs that last longer than learned stretch all
-        # that is expected of the others, before any of them has ended.
-        age = spent / expected if expected else 0
-        self.slow = max(1.0, age * 0.8, min(self.slow, 8) * 0.97)
+        # Guards against slowed machines, whatever slows them: the core time that the expected work of what ended
+        # lately has taken. Sums, not single runs: one long run is no sign. Idle nodes stay near 1.
+        self.spent = self.spent * 0.975 + self.on_core * (now - self.swept)
+        self.done *= 0.975
+        self.swept = now
+        usual = self.cores * sum(m.run_time.mean for m in self.methods) / max(1, len(self.methods))
+        self.slow = max(0.3, min(16.0, (self.spent + usual) / (self.done + usual)))
 
     def loop(self, now):
         """The response-time loop, the running limit, the level and health."""
@@ -489,11 +494,11 @@
         if self.kill_at is not None:
             return
         worst = max((m.run_time.mean * self.slow / m.target for m in self.methods), default=0)
-        if self.good and worst > 0.5 and now - self.bad_since > 4 * SECOND:
+        if self.good and worst > 0.7 and not self.warming(now) and now - self.bad_since > 4 * SECOND:
             self.good, self.bad_since = False, now
             self.port.health(False, True)
             self.port.log(f"health bad: runs take {worst:.2f} of the latency target, slow {self.slow:.1f}")
-        elif not self.good and (worst < 0.3 or now - self.bad_since > 4 * SECOND):
+        elif not self.good and (worst < 0.4 or now - self.bad_since > 4 * SECOND):
             self.good, self.bad_since = True, now
             self.port.health(True, True)
             self.port.log(f"health good: runs take {worst:.2f} of the latency target")
