Push back what is too large for this node without advice, and size it by weighted hints

Kept: where callers do not try elsewhere it can hurt, so idle cores take all but what is well over the time left.

--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -29,8 +29,8 @@
         self.low, self.full, self.bins = low, full, [0.0] * 16
         self.add(prior)
 
-    def add(self, value):
-        self.bins[max(0, min(15, int(2 * log2(max(value, 1e-9) / self.low))))] += 1
+    def add(self, value, weight=1.0):
+        self.bins[max(0, min(15, int(2 * log2(max(value, 1e-9) / self.low))))] += weight
         if sum(self.bins) >= self.full:
             self.bins = [count / 2 for count in self.bins]
         weighed = sum(count * 2 ** (k / 2) for k, count in enumerate(self.bins))
@@ -71,7 +71,7 @@
     def learn(self, hint, time):
         self.run_time.add(time)
         if hint:
-            self.per_hint.add(time / hint)
+            self.per_hint.add(time / hint, 6 * hint / self.target)  # by size: the mean is time over hints
 
 
 class Rpc:
@@ -245,8 +245,9 @@
             return rpc
         wait = self.ahead(rpc.key) / self.limit
         if self.refuses(now, rpc, wait):
-            left = rpc.want - now
-            self.push_back(now, rpc, wait, last=rpc.expect > left)
+            # What is too large for the time left here may fit on a faster node: no advice, and only what fits
+            # nowhere is told not to try elsewhere.
+            self.push_back(now, rpc, wait, last=rpc.expect * 0.4 > rpc.want - now)
             return rpc
         if m.tokened:
             self.remember(now, rpc, m.window)
@@ -264,7 +265,8 @@
             return True
         if rpc.due - self.margin() <= now:
             return True
-        if self.on_core * 2 < self.cores and not self.held:
+        if self.on_core * 2 < self.cores and not self.held and (
+                rpc.expect < 1.2 * (rpc.want - now) or not rpc.hint or self.random() < 0.1):
             return False  # idle cores: take it, or a node that once was slow would never learn that it no longer is
         if self.place_in_band(rpc) < 1 - m.share:
             return True
@@ -289,7 +291,7 @@
 
     def push_back(self, now, rpc, wait, last):
         """It never ran: say so at once, and when to come back."""
-        advice = int(min(self.settings.get("advice_max", 0), max(wait, 100 * MS)))
+        advice = int(min(self.settings.get("advice_max", 0), wait)) if wait > 50 * MS else 0
         self.port.push_back(rpc.index, advice, last)
         self.over(now, rpc)
 
