--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -62,7 +62,7 @@
         self.run_time = Histogram(self.target / 96, self.target / 6 * cold)
         self.per_hint = Histogram(1 / 16, cold)
         self.whole = Histogram(self.target / 32, self.target / 4 * cold)  # start to end, calls included
-        self.share, self.band = 1.0, 0
+        self.share, self.band, self.over = 1.0, 0, 0.0
 
     def expect(self, hint):
         """Time on a core that a run is expected to need here."""
@@ -229,8 +229,7 @@
         rpc.expect = m.expect(hint)
         rpc.state, rpc.answered, rpc.ran, rpc.is_gone, rpc.failed = HELD, False, False, False, False
         rpc.started = rpc.call_time = rpc.call_from = rpc.calls = rpc.kept_until = 0
-        worth = m.criticality if self.by_work else m.criticality / m.run_time.mean
-        rpc.key = (-worth, rpc.want - rpc.expect)
+        rpc.key = (-self.worth(m), rpc.want - rpc.expect)
         self.live[index] = rpc
         self.kb += kb
         self.unread += (waited - self.unread) / 8
@@ -257,6 +256,10 @@
         self.fill(now)
         return rpc
 
+    def worth(self, m):
+        """Criticality for the work it takes: the order of the hold and of the cuts."""
+        return m.criticality if self.by_work else m.criticality / m.run_time.mean
+
     def refuses(self, now, rpc, wait):
         """Whether an arrival is pushed back."""
         m = rpc.method
@@ -462,16 +465,19 @@
     def loop(self, now):
         """The response-time loop, the running limit, the level and health."""
         busy = max(self.core_use, min(1.0, self.on_core / self.cores))
-        for m in self.methods:
-            worth = m.criticality if self.by_work else m.criticality / m.run_time.mean
+        pressure, order = 0.0, sorted(self.methods, key=self.worth, reverse=True)
+        for m in order:
             # Guards against a line before the hold: where reading is dear, RPCs lose their time unread, out of
             # the order of the hold; only the level and advice keep them away, so the loop must see that wait.
-            latency = self.unread + self.ahead((-worth, now + m.target)) / self.limit + m.run_time.mean * self.slow
-            over = latency / (0.8 * m.target)
-            if busy > BUSY_SHARE and over > 1:
-                m.share = max(0.05, m.share * max(0.8, 1 / over))
+            latency = self.unread + self.ahead((-self.worth(m), now + m.target)) / self.limit
+            pressure = m.over = max(pressure, (latency + m.run_time.mean * self.slow) / (0.8 * m.target))
+        below = 0.0  # the largest share among less critical methods: those go first, also for the others' sake
+        for m in reversed(order):
+            if busy > BUSY_SHARE and m.over > 1 and below < 0.1:
+                m.share = max(0.05, m.share * max(0.8, 1 / m.over))
             else:
                 m.share = min(1.0, m.share + 0.03)
+            below = max(below, m.share)
         if self.held and self.core_use < BUSY_SHARE and self.on_core >= self.limit - 1:
             self.limit = min(self.limit + self.cores / 4, 0.4 * self.crowd(now))
         elif self.core_use > 0.95:
