--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -465,19 +465,21 @@
     def loop(self, now):
         """The response-time loop, the running limit, the level and health."""
         busy = max(self.core_use, min(1.0, self.on_core / self.cores))
-        pressure, order = 0.0, sorted(self.methods, key=self.worth, reverse=True)
-        for m in order:
+        for m in self.methods:
             # Guards against a line before the hold: where reading is dear, RPCs lose their time unread, out of
             # the order of the hold; only the level and advice keep them away, so the loop must see that wait.
             latency = self.unread + self.ahead((-self.worth(m), now + m.target)) / self.limit
-            pressure = m.over = max(pressure, (latency + m.run_time.mean * self.slow) / (0.8 * m.target))
-        below = 0.0  # the largest share among less critical methods: those go first, also for the others' sake
-        for m in reversed(order):
-            if busy > BUSY_SHARE and m.over > 1 and below < 0.1:
-                m.share = max(0.05, m.share * max(0.8, 1 / m.over))
+            m.over = (latency + m.run_time.mean * self.slow) / (0.8 * m.target)
+        for m in self.methods:
+            # The less critical are cut first, also for the others' sake; the more critical once those are shut.
+            mine = self.worth(m)
+            above = max((o.over for o in self.methods if self.worth(o) > mine), default=0)
+            below = max((o.share for o in self.methods if self.worth(o) < mine), default=0)
+            over = max(m.over, above)
+            if busy > BUSY_SHARE and over > 1 and below < 0.1:
+                m.share = max(0.05, m.share * max(0.95, 1 / over))
             else:
-                m.share = min(1.0, m.share + 0.03)
-            below = max(below, m.share)
+                m.share = min(1.0, m.share + 0.015)
         if self.held and self.core_use < BUSY_SHARE and self.on_core >= self.limit - 1:
             self.limit = min(self.limit + self.cores / 4, 0.4 * self.crowd(now))
         elif self.core_use > 0.95:
