--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -172,7 +172,7 @@
         self.call_times = Histogram(2 * MS, 30 * MS)
         self.live, self.held, self.standing, self.table = {}, [], [], []
         self.kb, self.on_core, self.running, self.in_call = 0.0, 0, 0, 0
-        self.lingering, self.credit, self.credit_at = [], 0.0, 0
+        self.lingering, self.credit, self.credit_at = [], 0.2 * self.calls_limit * self.calls_window, 0
         self.limit, self.slow, self.late = float(self.cores), 1.0, 0
         self.unread = 0.0  # lately lost before RPCs were read
         self.spent, self.done = 0.0, 0.0  # core time and expected work of the last second or two
@@ -197,6 +197,10 @@
         """How long before it is due an RPC is answered: a few ticks, and twice what stalls were seen to cost."""
         return 2 * self.tick + SWEEP + 20 * MS + min(2 * self.late, SECOND)
 
+    def too_late(self, now, rpc):
+        """Whether its answer is owed before the next sweep: what it is due, or the kill."""
+        return now >= min(rpc.due, self.kill_at - 50 * MS if self.kill_at else rpc.due) - self.margin()
+
     def warmth(self, now):
         """Fraction of the full speed, on the slowest ramp that is allowed."""
         if not self.cold:
@@ -238,7 +242,7 @@
         first = self.live.get(repeats)
         if repeats is not None and not (first and not first.ran and first.state == OVER):
             # Guards against a second effect: a repeat never runs; it shares what its first try came to.
-            if first and first.state == OVER and first.failed:
+            if (first and first.state == OVER and first.failed) or self.too_late(now, rpc):
                 self.give_up(now, rpc)
             else:
                 rpc.state = SHARING
@@ -263,13 +267,12 @@
     def refuses(self, now, rpc, wait):
         """Whether an arrival is pushed back."""
         m = rpc.method
-        if self.sealed or (self.grace_end is not None and rpc.reached > self.grace_end):
+        if self.sealed or self.too_late(now, rpc) or (
+                self.grace_end is not None and rpc.reached > self.grace_end):
             return True
         table = self.entry if m.tokened else 0
         if self.kb + table > 0.9 * self.memory:
             return True
-        if rpc.due - self.margin() <= now:
-            return True
         if self.on_core * 2 < self.cores and not self.held and (
                 rpc.expect < 1.2 * (rpc.want - now) or not rpc.hint or self.random() < 0.1):
             return False  # idle cores: take it, or a node that once was slow would never learn that it no longer is
@@ -433,18 +436,14 @@
         self.next_wake = now + SWEEP
 
     def sweep(self, now):
-        due_by = now + self.margin()
-        stop_by = None if self.kill_at is None else self.kill_at - self.margin() - 50 * MS
         for rpc in list(self.live.values()):
             if rpc.state == OVER or rpc.answered:
                 continue
-            due = rpc.due
-            if self.sealed:
-                due = min(due, max(self.grace_end, rpc.started) + int(2 * rpc.method.whole.quantile(0.9)))
-            if due <= due_by or (stop_by is not None and stop_by <= now):
+            wait_over = self.sealed and now > max(self.grace_end, rpc.started) + 2 * rpc.method.whole.quantile(0.9)
+            if wait_over or self.too_late(now, rpc):
                 if rpc.state == HELD:
                     self.held.remove((rpc.key, rpc.index, rpc))
-                    self.push_back(now, rpc, 0, last=due <= due_by)
+                    self.push_back(now, rpc, 0, last=False)
                 else:
                     self.give_up(now, rpc)
             elif rpc.state == HELD and now + rpc.expect * self.slow * 0.6 > rpc.want:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,138 @@
+"""Seeded random runs with the rules checked after every step, beside a few plain cases."""
+
+import random
+
+import pytest
+
+from finchcart.interface import Outcome
+from tests.harness import MS, Node, draw_settings
+
+PLAIN = {
+    "cores": 2, "tick": 2 * MS, "grace": 1000 * MS, "slack": 60 * MS, "memory_kb": 20_000, "run_factor": 4,
+    "entry_kb": 1, "crowd": 6, "crowd_window": 2000 * MS, "fresh_start": False, "can_stop": False, "told": "level",
+    "worth_by": "work", "advice_max": 1000 * MS, "tells_deadline": False, "calls_limit": 4.0,
+    "calls_window": 5000 * MS, "method_calls": (True, True), "method_poorer": (0.5, 0.0), "methods.count": 2,
+    "methods.0.name": "m0", "methods.0.kind": "idempotent", "methods.0.criticality": 1,
+    "methods.0.latency_target": 1000 * MS, "methods.0.deadline": 3000 * MS, "methods.0.window": 0,
+    "methods.1.name": "m1", "methods.1.kind": "tokened", "methods.1.criticality": 3,
+    "methods.1.latency_target": 1000 * MS, "methods.1.deadline": 3000 * MS, "methods.1.window": 5000 * MS,
+}
+
+
+def one_step(node, rng, load):
+    tokened = [i for i, r in node.rpcs.items() if r["kind"] == "tokened" and i == r["first"]]
+    for _ in range(rng.choice((0, 0, 1, 2, load))):
+        n = rng.randrange(node.settings["methods.count"])
+        first = rng.choice(tokened[-20:]) if tokened and rng.random() < 0.3 else None
+        if first is not None:
+            n = node.rpcs[first]["n"]
+        node.arrive(n, first, waited=rng.choice((0, 0, 50, 400)) * MS, left=rng.randint(1, 3000) * MS,
+                    kb=rng.uniform(1, 60), place=rng.choice((None, rng.random())), again=rng.random() < 0.2,
+                    hint=rng.choice((0, 100 * MS)), tenant=rng.choice((None, "a", "b")))
+    for index in node.of("running"):
+        r = node.rpcs[index]
+        chance = rng.random()
+        if r["stopped"] or (chance < 0.03 and (r["answers"] or r["gone"])):
+            node.end(index, Outcome.STOPPED if r["stopped"] else Outcome.OK)
+        elif chance < 0.05:
+            node.end(index, rng.choice((Outcome.OK, Outcome.OK, Outcome.ERROR)))
+        elif chance < 0.12 and node.settings["method_calls"][r["n"]]:
+            r.update(state="standing", calls=0, never_ran=False)
+            r["handle"].at_call(node.now)
+    for index in node.of("calling"):
+        r = node.rpcs[index]
+        timed_out = node.now - r["since"] >= r["limit"]
+        if timed_out or rng.random() < 0.2:
+            how = Outcome.TIMEOUT if timed_out else rng.choice(
+                (Outcome.OK, Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.UNREACHED, Outcome.BROKEN_OFF))
+            r.update(state="running" if how is Outcome.OK else "standing", never_ran=how.never_ran)
+            r["handle"].call_ended(node.now, how, node.now - r["since"])
+    for index in node.of("standing", "calling"):
+        if node.rpcs[index]["answers"] or node.rpcs[index]["gone"]:
+            node.end(index, Outcome.STOPPED)
+    for index in node.of("sharing"):
+        first = node.rpcs[node.rpcs[index]["first"]]
+        if first["state"] == "over" and rng.random() < 0.5:
+            node.end(index, Outcome.OK if first["ran"] else Outcome.ERROR)
+    for index in node.of("held", "running", "sharing"):
+        if rng.random() < 0.005 and not node.rpcs[index]["gone"]:
+            r = node.rpcs[index]
+            r.update(gone=True, state=r["state"] if r["state"] == "running" else "over")
+            r["handle"].gone(node.now)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_rules_hold_in_random_runs(seed):
+    rng = random.Random(seed)
+    node = Node(draw_settings(rng), seed)
+    load, drain_at = rng.choice((2, 6, 40)), rng.randint(150, 650)
+    for step in range(700):
+        node.step(node.settings["tick"] * rng.randint(1, 4), stalled=rng.random() < 0.01)
+        node.check()
+        if node.kill and node.now >= node.kill:
+            break
+        one_step(node, rng, load)
+        if step in (drain_at, drain_at + 20):
+            node.kill = node.kill or node.now + rng.randint(300, 5000) * MS
+            node.drained = node.drained or node.now
+            node.control.drain(node.now, node.kill)
+    assert node.count > 100
+
+
+def test_a_repeat_shares_and_never_runs():
+    node = Node(PLAIN)
+    first = node.arrive(1)
+    again = node.arrive(1, first)  # in the same batch
+    assert (node.rpcs[first]["state"], node.rpcs[again]["state"]) == ("running", "sharing")
+    node.step(50 * MS)
+    node.end(first, Outcome.ERROR)
+    third = node.arrive(1, first)
+    assert node.rpcs[third]["answers"] and not node.rpcs[third]["ran"]
+
+
+def test_late_running_work_is_aborted_before_it_is_due():
+    node = Node(PLAIN)
+    index = node.arrive(0)
+    for _ in range(1500):
+        node.step(2 * MS)
+        node.check()
+    assert node.rpcs[index]["answers"] and node.rpcs[index]["state"] == "running"
+
+
+def test_a_failed_call_is_repeated_only_after_proof():
+    node = Node(PLAIN)
+    for outcome, state in ((Outcome.UNREACHED, "calling"), (Outcome.BROKEN_OFF, "standing")):
+        index = node.arrive(1)
+        r = node.rpcs[index]
+        r["state"] = "standing"
+        r["handle"].at_call(node.now)
+        r.update(state="standing", never_ran=outcome.never_ran)
+        r["handle"].call_ended(node.now, outcome, 1)
+        assert r["state"] == state
+
+
+def test_one_long_run_does_not_make_a_node_slow():
+    """Guards against flapping health: run times vary, and a single long one is no sign."""
+    node = Node(PLAIN)
+    node.arrive(0, left=None)
+    for step in range(60):
+        node.step(10 * MS)
+        if step % 8 == 0:
+            node.arrive(0)
+        for index in node.of("running")[1:]:
+            if node.now - node.rpcs[index]["since"] >= 150 * MS:
+                node.end(index)
+    assert node.control.slow < 2 and not any("health bad" in line for line in node.lines)
+
+
+def test_what_waits_unread_cuts_the_less_critical_first():
+    node = Node(PLAIN)
+    for _ in range(300):
+        node.step(10 * MS)
+        for n in (0, 1):
+            node.arrive(n, waited=800 * MS)
+        for index in node.of("running"):
+            if node.now - node.rpcs[index]["since"] >= 150 * MS:
+                node.end(index)
+    low, high = node.control.methods
+    assert low.share < 0.2 and low.share < high.share
