Let the running limit follow what wants a core now, not the averaged gauge

Symptom: from the start many pushbacks, health bad on every node with runs at 0.75 of the latency target, some nodes idle. Cause: the gauge of busy cores tells of half a second ago, so a limit that grew on it let 19 RPCs onto 6 cores, runs slowed threefold, the node called itself slow, left the list, and the others got its load. Told from a slowed machine: all nodes at once, up to 28 wanting a core in the gauge, and slowness gone with the crowd. Change: the limit grows only while fewer than the cores want one at this moment, to twice the cores at most.

--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -176,7 +176,7 @@
         self.limit, self.slow, self.late = float(self.cores), 1.0, 0
         self.unread = 0.0  # lately lost before RPCs were read
         self.spent, self.done = 0.0, 0.0  # core time and expected work of the last second or two
-        self.core_use, self.now_level, self.good, self.bad_since = 0.0, 0.0, True, 0
+        self.core_use, self.wanting, self.now_level, self.good, self.bad_since = 0.0, 0, 0.0, True, 0
         self.kill_at = self.grace_end = None
         self.sealed, self.swept = False, 0
         self.tenants = {}
@@ -420,6 +420,7 @@
         # Guards against stalls: answers are given earlier by twice the lateness that timers lately had.
         self.late = max(now - self.next_wake - 2 * self.tick, self.late * 63 // 64, 0)
         self.core_use = gauges.get("core_use", min(1.0, self.on_core / self.cores))
+        self.wanting = gauges.get("on_cores", self.on_core)
         while self.table and self.table[0][0] <= now:
             rpc = heappop(self.table)[2]
             if rpc.kept_until:
@@ -479,10 +480,12 @@
                 m.share = max(0.05, m.share * max(0.95, 1 / over))
             else:
                 m.share = min(1.0, m.share + 0.015)
-        if self.held and self.core_use < BUSY_SHARE and self.on_core >= self.limit - 1:
-            self.limit = min(self.limit + self.cores / 4, 0.4 * self.crowd(now))
-        elif self.core_use > 0.95:
-            self.limit = max(self.cores, self.limit * 0.95)
+        # Guards against a crowd that the averaged gauge brings on: it tells of half a second ago, so the limit
+        # follows what wants a core at this moment.
+        if self.held and self.wanting < self.cores and self.on_core >= self.limit - 1:
+            self.limit = min(self.limit + self.cores / 4, 2 * self.cores, 0.4 * self.crowd(now))
+        elif self.wanting > self.cores:
+            self.limit = max(self.cores, self.limit * 0.9)
         if self.settings.get("told") == "level":
             self.set_level()
         if self.grace_end is not None and not self.sealed and now >= self.grace_end:
