--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -29,8 +29,8 @@
         self.low, self.full, self.bins = low, full, [0.0] * 16
         self.add(prior)
 
-    def add(self, value, weight=1.0):
-        self.bins[max(0, min(15, int(2 * log2(max(value, 1e-9) / self.low))))] += weight
+    def add(self, value):
+        self.bins[max(0, min(15, int(2 * log2(max(value, 1e-9) / self.low))))] += 1
         if sum(self.bins) >= self.full:
             self.bins = [count / 2 for count in self.bins]
         weighed = sum(count * 2 ** (k / 2) for k, count in enumerate(self.bins))
@@ -58,20 +58,29 @@
         self.late_worth, self.poorer = get("late_worth", 0), per("method_poorer")
         self.tokened = self.kind == "tokened"
         self.repeatable = self.kind == "idempotent"
-        # Before anything is measured: a run takes a sixth of the latency target, a hint means what it says.
+        # Before anything is measured: a run takes a sixth of the latency target, and hints are half believed.
         self.run_time = Histogram(self.target / 96, self.target / 6 * cold)
-        self.per_hint = Histogram(1 / 16, cold)
+        self.hinted = [[Histogram(self.target / 96, self.target / 24), Histogram(self.target / 96, self.target / 12 * cold)],
+                       [Histogram(self.target / 96, self.target / 3), Histogram(self.target / 96, self.target / 4 * cold)]]
         self.whole = Histogram(self.target / 32, self.target / 4 * cold)  # start to end, calls included
         self.share, self.band, self.over = 1.0, 0, 0.0
 
     def expect(self, hint):
-        """Time on a core that a run is expected to need here."""
-        return hint * self.per_hint.mean if hint else self.run_time.mean
+        """Time on a core that a run is expected to need here. Hints may be rough: what runs with small and with
+        large hints took lately tells how far a hint is to be believed (a power of it, through these two)."""
+        if not hint:
+            return self.run_time.mean
+        (hint_1, time_1), (hint_2, time_2) = ((hints.mean, times.mean) for hints, times in self.hinted)
+        power = max(0.0, min(1.0, log2(time_2 / time_1) / max(0.5, log2(hint_2 / hint_1))))
+        return time_1 * (hint / hint_1) ** power
 
     def learn(self, hint, time):
         self.run_time.add(time)
         if hint:
-            self.per_hint.add(time / hint, 6 * hint / self.target)  # by size: the mean is time over hints
+            (hints_1, _), (hints_2, _) = self.hinted
+            hints, times = self.hinted[hint * hint > hints_1.mean * hints_2.mean]
+            hints.add(hint)
+            times.add(time)
 
 
 class Rpc:
