--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -46,7 +46,7 @@
 
 
 class Method:
-    """What is told and learned of one method. Run times leave calls out; with hints they are per hinted unit."""
+    """What is told and learned of one method. Run times leave calls out."""
 
     def __init__(self, settings, n, cold):
         get = lambda name, default: settings.get(f"methods.{n}.{name}", default)
@@ -60,14 +60,15 @@
         self.repeatable = self.kind == "idempotent"
         # Before anything is measured: a run takes a sixth of the latency target, and hints are half believed.
         self.run_time = Histogram(self.target / 96, self.target / 6 * cold)
-        self.hinted = [[Histogram(self.target / 96, self.target / 24), Histogram(self.target / 96, self.target / 12 * cold)],
-                       [Histogram(self.target / 96, self.target / 3), Histogram(self.target / 96, self.target / 4 * cold)]]
+        low = self.target / 96  # hints and run times, of small hints and of large ones
+        self.hinted = [[Histogram(low, self.target / 24), Histogram(low, self.target / 12 * cold)],
+                       [Histogram(low, self.target / 3), Histogram(low, self.target / 4 * cold)]]
         self.whole = Histogram(self.target / 32, self.target / 4 * cold)  # start to end, calls included
         self.share, self.band, self.over = 1.0, 0, 0.0
 
     def expect(self, hint):
-        """Time on a core that a run is expected to need here. Hints may be rough: what runs with small and with
-        large hints took lately tells how far a hint is to be believed (a power of it, through these two)."""
+        """Time on a core that a run is expected to need here. Hints may be rough: what runs with small and
+        with large ones took lately tells how far they can be believed (a power of them, through these two)."""
         if not hint:
             return self.run_time.mean
         (hint_1, time_1), (hint_2, time_2) = ((hints.mean, times.mean) for hints, times in self.hinted)
@@ -86,9 +87,9 @@
 class Rpc:
     """The handle of one RPC."""
 
-    __slots__ = ("control", "index", "method", "kb", "hint", "place", "tenant", "reached", "due", "want", "expect",
-                 "key", "state", "started", "answered", "ran", "is_gone", "call_time", "call_from", "calls",
-                 "kept_until", "failed", "again", "subject")
+    __slots__ = ("control", "index", "method", "kb", "hint", "place", "reached", "due", "want",
+                 "expect", "key", "state", "started", "answered", "ran", "is_gone", "call_time", "call_from", "calls",
+                 "kept_until", "failed")
 
     def ended(self, now, outcome, spent):
         """A run or a share is over; where it was ok or an error, its answer has gone out."""
@@ -108,7 +109,7 @@
         control.fill(now)
 
     def gone(self, now):
-        """The caller has given up: nothing is owed. Held ones are dropped; running ones free their core if they can."""
+        """The caller has given up: nothing is owed. Held ones are dropped, running ones stopped if they can be."""
         if self.state == OVER or self.is_gone:
             return
         self.is_gone = True
@@ -175,8 +176,9 @@
             m.band = worths.index(m.criticality)
         self.bands = len(worths)
         self.can_stop, self.by_work = get("can_stop", False), get("worth_by", "request") == "work"
-        self.memory, self.factor, self.entry = get("memory_kb", 1e12), get("run_factor", 1), get("entry_kb", 0)
-        self.tick, self.slack = get("tick", MS), get("slack", 0)
+        self.memory, self.factor = get("memory_kb", 1e12), get("run_factor", 1)
+        self.entry = get("entry_kb", 0)
+        self.tick = get("tick", MS)
         self.calls_limit, self.calls_window = get("calls_limit", 1e9), get("calls_window", 5 * SECOND)
         self.call_times = Histogram(2 * MS, 30 * MS)
         self.live, self.held, self.standing, self.table = {}, [], [], []
@@ -188,10 +190,6 @@
         self.core_use, self.wanting, self.now_level, self.good, self.bad_since = 0.0, 0, 0.0, True, 0
         self.kill_at = self.grace_end = None
         self.sealed, self.swept = False, 0
-        self.tenants = {}
-        for n in range(get("tenants.count", 0)):
-            quota = get(f"tenants.{n}.quota", 0) / max(1, get("servers", 1))
-            self.tenants[get(f"tenants.{n}.name")] = [0.0, quota]
 
     def start(self, now):
         self.began = self.swept = self.credit_at = now
@@ -203,12 +201,13 @@
     # ---- room: memory, the crowd on the cores
 
     def margin(self):
-        """How long before it is due an RPC is answered: a few ticks, and twice what stalls were seen to cost."""
+        """How long before it is due an RPC is answered: a few ticks, and twice what stalls lately cost."""
         return 2 * self.tick + SWEEP + 20 * MS + min(2 * self.late, SECOND)
 
     def too_late(self, now, rpc):
         """Whether its answer is owed before the next sweep: what it is due, or the kill."""
-        return now >= min(rpc.due, self.kill_at - 50 * MS if self.kill_at else rpc.due) - self.margin()
+        end = rpc.due if self.kill_at is None else min(rpc.due, self.kill_at - 50 * MS)
+        return now >= end - self.margin()
 
     def warmth(self, now):
         """Fraction of the full speed, on the slowest ramp that is allowed."""
@@ -217,11 +216,8 @@
         start, whole = self.settings.get("cold_start", 1), max(1, self.settings.get("cold", 1))
         return min(1.0, start + (1 - start) * (now - self.began) / whole)
 
-    def warming(self, now):
-        return self.warmth(now) < 1
-
     def crowd(self, now):
-        """The running RPCs that the node survives: each may come back from a call at any time, so all count."""
+        """The running RPCs that the node survives; those at calls may come back at any time and count."""
         return self.cores * (1 + (self.settings.get("crowd", 4) - 1) * self.warmth(now))
 
     def run_cost(self, rpc):
@@ -229,14 +225,13 @@
 
     # ---- intake
 
-    def arrive(self, now, index, method, kb, *, expires=0, waited=0, place=None, hint=0, again=False,
-               tenant=None, subject=None, repeats=None):
-        """An RPC has been read. `waited`: since it reached the machine; `repeats`: the index of what it repeats,
-        or -1 where that one is no longer known here."""
+    def arrive(self, now, index, method, kb, *, expires=0, waited=0, place=None, hint=0, repeats=None):
+        """An RPC has been read. `waited`: since it reached the machine; `repeats`: the index of what it
+        repeats, or -1 where that one is no longer known here."""
         rpc = Rpc()
         m = self.names[method]
         rpc.control, rpc.index, rpc.method, rpc.kb, rpc.hint, rpc.place = self, index, m, kb, hint, place
-        rpc.tenant, rpc.again, rpc.subject, rpc.reached = tenant, again, subject, now - waited
+        rpc.reached = now - waited
         rpc.due = expires or rpc.reached + m.deadline
         rpc.want = min(rpc.due, rpc.reached + m.target)
         rpc.expect = m.expect(hint)
@@ -246,12 +241,11 @@
         self.live[index] = rpc
         self.kb += kb
         self.unread += (waited - self.unread) / 8
-        if tenant in self.tenants:
-            self.tenants[tenant][0] += 1
         first = self.live.get(repeats)
         if repeats is not None and not (first and not first.ran and first.state == OVER):
             # Guards against a second effect: a repeat never runs; it shares what its first try came to.
-            if (first and first.state == OVER and first.failed) or self.too_late(now, rpc):
+            full = self.kb > 0.95 * self.memory
+            if full or (first and first.state == OVER and first.failed) or self.too_late(now, rpc):
                 self.give_up(now, rpc)
             else:
                 rpc.state = SHARING
@@ -279,25 +273,24 @@
         if self.sealed or self.too_late(now, rpc) or (
                 self.grace_end is not None and rpc.reached > self.grace_end):
             return True
-        table = self.entry if m.tokened else 0
-        if self.kb + table > 0.9 * self.memory:
+        if self.kb + self.entry * m.tokened > 0.9 * self.memory:
             return True
         if self.on_core * 2 < self.cores and not self.held and (
                 rpc.expect < 1.2 * (rpc.want - now) or not rpc.hint or self.random() < 0.1):
-            return False  # idle cores: take it, or a node that once was slow would never learn that it no longer is
+            return False  # idle cores: else a node that once was slow would never learn that it no longer is
         if self.place_in_band(rpc) < 1 - m.share:
             return True
         return now + wait + rpc.expect * self.slow > rpc.want
 
     def place_in_band(self, rpc):
-        """Where it stands among its like: by user where that is told (the same on every node), else by chance."""
+        """Where it stands among its like: by user where told, the same on every node; else by chance."""
         if rpc.place is None:
             return self.random()
         return rpc.place * self.bands - rpc.method.band
 
     def ahead(self, key):
         """Work on cores that comes before an RPC with this key."""
-        work = sum(max(0, r.expect * self.slow / 2) for r in self.live.values() if r.state == RUNNING)
+        work = sum(r.expect * self.slow / 2 for r in self.live.values() if r.state == RUNNING)
         if self.on_core < self.limit:
             work *= self.on_core / self.limit / 2
         for other, _, rpc in self.held:
@@ -449,8 +442,8 @@
         for rpc in list(self.live.values()):
             if rpc.state == OVER or rpc.answered:
                 continue
-            wait_over = self.sealed and now > max(self.grace_end, rpc.started) + 2 * rpc.method.whole.quantile(0.9)
-            if wait_over or self.too_late(now, rpc):
+            begun = max(self.grace_end or 0, rpc.started)
+            if (self.sealed and now > begun + 2 * rpc.method.whole.quantile(0.9)) or self.too_late(now, rpc):
                 if rpc.state == HELD:
                     self.held.remove((rpc.key, rpc.index, rpc))
                     self.push_back(now, rpc, 0, last=False)
@@ -462,8 +455,8 @@
             elif rpc.state == RUNNING:
                 if self.can_stop and rpc.method.repeatable and not rpc.method.late_worth and now > rpc.want:
                     self.give_up(now, rpc)  # worth nothing any more: its core is free for others
-        # Guards against slowed machines, whatever slows them: the core time that the expected work of what ended
-        # lately has taken. Sums, not single runs: one long run is no sign. Idle nodes stay near 1.
+        # Guards against slowed machines, whatever slows them: the core time that the expected work of what
+        # ended lately has taken. Sums, not single runs: one long run is no sign. Idle nodes stay near 1.
         self.spent = self.spent * 0.975 + self.on_core * (now - self.swept)
         self.done *= 0.975
         self.swept = now
@@ -475,12 +468,12 @@
         """The response-time loop, the running limit, the level and health."""
         busy = max(self.core_use, min(1.0, self.on_core / self.cores))
         for m in self.methods:
-            # Guards against a line before the hold: where reading is dear, RPCs lose their time unread, out of
-            # the order of the hold; only the level and advice keep them away, so the loop must see that wait.
+            # Guards against a line before the hold: where reading is dear, RPCs lose their time unread, out
+            # of its order; only the level and advice keep them away, so the loop must see that wait.
             latency = self.unread + self.ahead((-self.worth(m), now + m.target)) / self.limit
             m.over = (latency + m.run_time.mean * self.slow) / (0.8 * m.target)
         for m in self.methods:
-            # The less critical are cut first, also for the others' sake; the more critical once those are shut.
+            # The less critical are cut first, also for the others' sake; the more critical when those are shut.
             mine = self.worth(m)
             above = max((o.over for o in self.methods if self.worth(o) > mine), default=0)
             below = max((o.share for o in self.methods if self.worth(o) < mine), default=0)
@@ -489,8 +482,8 @@
                 m.share = max(0.05, m.share * max(0.95, 1 / over))
             else:
                 m.share = min(1.0, m.share + 0.015)
-        # Guards against a crowd that the averaged gauge brings on: it tells of half a second ago, so the limit
-        # follows what wants a core at this moment.
+        # Guards against a crowd that the averaged gauge brings on: it tells of half a second ago, so the
+        # limit follows what wants a core at this moment.
         if self.held and self.wanting < self.cores and self.on_core >= self.limit - 1:
             self.limit = min(self.limit + self.cores / 4, 2 * self.cores, 0.4 * self.crowd(now))
         elif self.wanting > self.cores:
@@ -504,7 +497,7 @@
         self.set_health(now)
 
     def set_level(self):
-        """Tells callers what would be pushed back here: the cut of the lowest band, of the next if that is shut."""
+        """Tells callers what is cut here: of the lowest band, and of the next one up when that is shut."""
         level = 0.0
         for band in range(self.bands):
             share = max(m.share for m in self.methods if m.band == band)
@@ -520,7 +513,7 @@
         if self.kill_at is not None:
             return
         worst = max((m.run_time.mean * self.slow / m.target for m in self.methods), default=0)
-        if self.good and worst > 0.7 and not self.warming(now) and now - self.bad_since > 4 * SECOND:
+        if self.good and worst > 0.7 and self.warmth(now) == 1 and now - self.bad_since > 4 * SECOND:
             self.good, self.bad_since = False, now
             self.port.health(False, True)
             self.port.log(f"health bad: runs take {worst:.2f} of the latency target, slow {self.slow:.1f}")
--- a/finchcart/interface.py
+++ b/finchcart/interface.py
@@ -12,8 +12,8 @@
 - `grace` (served after the drain notice), `slack`, `crowd` (running RPCs a core survived), `crowd_window`,
   `cold`, `cold_start`, `fresh_start`
 - `calls_limit`, `calls_window`, `calls_linger`, `method_calls`, `method_poorer` (worth of an answer without calls)
-- `told` (`level`, `credit`, `weight` or `silent`), `tells_deadline`, `advice_max`, `idle_max`, `fresh`
-- `worth_by` (`work` or `request`), `over_share_worth`, `tenants.count`, `tenants.N.name`, `.quota`
+- `told` (`level`, `credit`, `weight` or `silent`), `tells_deadline`, `advice_max`, `idle_max`
+- `worth_by` (`work` or `request`)
 """
 
 from enum import Enum
--- a/finchcart/wirehost.py
+++ b/finchcart/wirehost.py
@@ -104,8 +104,7 @@
         rpc = self.control.arrive(
             now, index, fields["profile"], fields["footprint"],
             expires=fields.get("expires", 0), waited=fields.get("backlogTime", 0),
-            place=fields.get("place"), hint=fields.get("estimate", 0), again=fields.get("againByClient", False),
-            tenant=fields.get("org"), subject=fields.get("item"),
+            place=fields.get("place"), hint=fields.get("estimate", 0),
             repeats=None if repeats is None else self.rpcs.get(repeats, (-1, None))[0],
         )
         if call in self.rpcs:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -31,9 +31,6 @@
     names = range(out["methods.count"])
     out["method_calls"] = tuple(calls and rng.random() < 0.7 for _ in names)
     out["method_poorer"] = tuple(rng.choice((0.0, 0.4)) for _ in names)
-    if rng.random() < 0.4:
-        out.update({"tenants.count": 2, "tenants.0.name": "a", "tenants.0.quota": 5.0, "tenants.1.name": "b",
-                    "tenants.1.quota": 50.0, "servers": 3})
     return out
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -27,8 +27,8 @@
         if first is not None:
             n = node.rpcs[first]["n"]
         node.arrive(n, first, waited=rng.choice((0, 0, 50, 400)) * MS, left=rng.randint(1, 3000) * MS,
-                    kb=rng.uniform(1, 60), place=rng.choice((None, rng.random())), again=rng.random() < 0.2,
-                    hint=rng.choice((0, 100 * MS)), tenant=rng.choice((None, "a", "b")))
+                    kb=rng.uniform(1, 60), place=rng.choice((None, rng.random())),
+                    hint=rng.choice((0, 100 * MS)))
     for index in node.of("running"):
         r = node.rpcs[index]
         chance = rng.random()
