--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -185,7 +185,7 @@
         self.kb, self.on_core, self.running, self.in_call = 0.0, 0, 0, 0
         self.lingering, self.credit, self.credit_at = [], 0.2 * self.calls_limit * self.calls_window, 0
         self.limit, self.slow, self.late = float(self.cores), 1.0, 0
-        self.unread = 0.0  # lately lost before RPCs were read
+        self.unread, self.further = 0.0, 0.0  # time lately lost before reading; part of further tries
         self.spent, self.done = 0.0, 0.0  # core time and expected work of the last second or two
         self.core_use, self.wanting, self.now_level, self.good, self.bad_since = 0.0, 0, 0.0, True, 0
         self.kill_at = self.grace_end = None
@@ -225,7 +225,8 @@
 
     # ---- intake
 
-    def arrive(self, now, index, method, kb, *, expires=0, waited=0, place=None, hint=0, repeats=None):
+    def arrive(self, now, index, method, kb, *, expires=0, waited=0, place=None, hint=0, again=False,
+               repeats=None):
         """An RPC has been read. `waited`: since it reached the machine; `repeats`: the index of what it
         repeats, or -1 where that one is no longer known here."""
         rpc = Rpc()
@@ -241,6 +242,7 @@
         self.live[index] = rpc
         self.kb += kb
         self.unread += (waited - self.unread) / 8
+        self.further += (again - self.further) / 32
         first = self.live.get(repeats)
         if repeats is not None and not (first and not first.ran and first.state == OVER):
             # Guards against a second effect: a repeat never runs; it shares what its first try came to.
@@ -253,9 +255,11 @@
             return rpc
         wait = self.ahead(rpc.key) / self.limit
         if self.refuses(now, rpc, wait):
-            # What is too large for the time left here may fit on a faster node: no advice, and only what fits
-            # nowhere is told not to try elsewhere.
-            self.push_back(now, rpc, wait, last=rpc.expect * 0.4 > rpc.want - now)
+            # What is too large for the time left may fit on a faster node, and what is too much for this node
+            # on another: only what fits nowhere is told not to try elsewhere. Guards against a full fleet that
+            # reads the same RPCs over and over: further tries, while this node cuts too, mean that others do.
+            last = rpc.expect * 0.4 > rpc.want - now or (m.share < 1 and self.further > 0.2)
+            self.push_back(now, rpc, wait, last)
             return rpc
         if m.tokened:
             self.remember(now, rpc, m.window)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -136,3 +136,18 @@
                 node.end(index)
     low, high = node.control.methods
     assert low.share < 0.2 and low.share < high.share
+
+
+def test_a_full_fleet_is_told_by_further_tries():
+    """Guards against a full fleet that reads the same RPCs on one node after another."""
+    node = Node(PLAIN)
+    lasts = []
+    node.push_back = lambda index, wait, last: (lasts.append(last), node.rpcs[index].update(state="over", answers=1))
+    for again in (False, True):
+        for _ in range(200):
+            node.step(10 * MS)
+            node.arrive(0, again=again, waited=800 * MS)
+            for index in node.of("running"):
+                if node.now - node.rpcs[index]["since"] >= 300 * MS:
+                    node.end(index)
+        assert lasts and lasts[-1] is again
