--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -475,7 +475,7 @@
             # Guards against a line before the hold: where reading is dear, RPCs lose their time unread, out
             # of its order; only the level and advice keep them away, so the loop must see that wait.
             latency = self.unread + self.ahead((-self.worth(m), now + m.target)) / self.limit
-            m.over = (latency + m.run_time.mean * self.slow) / (0.8 * m.target)
+            m.over = (latency + m.run_time.mean * self.slow) / (0.6 * m.target)
         for m in self.methods:
             # The less critical are cut first, also for the others' sake; the more critical when those are shut.
             mine = self.worth(m)
