--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -147,7 +147,8 @@
             # Guards against a second effect: a call is repeated only where the method may run again, or where
             # the outcome proves that it never ran. One repeat; a dependency that fails is not pressed harder.
             self.calls += 1
-            if self.calls < 2 and (self.method.repeatable or outcome.never_ran):
+            timed_out = outcome is Outcome.TIMEOUT and self.method.poorer > 0
+            if self.calls < 2 and (self.method.repeatable or outcome.never_ran) and not timed_out:
                 control.standing.append(self)
             elif self.method.poorer > 0:
                 control.skip(now, self)
@@ -391,13 +392,13 @@
         waiting, self.standing = self.standing, []
         for rpc in waiting:
             left = rpc.want - now
-            if rpc.method.poorer > 0 and left < 1.5 * self.call_times.mean + rpc.expect * self.slow / 4:
+            if rpc.method.poorer > 0 and left < 1.5 * self.call_times.mean + 0.6 * rpc.expect * self.slow:
                 self.skip(now, rpc)
             elif self.credit > 0 and self.in_call + len(self.lingering) < cap:
                 worst = self.calls_limit * self.calls_window / cap
                 limit = rpc.due - now - self.margin()
                 if rpc.method.poorer > 0:
-                    limit = min(limit, max(left / 2, self.call_times.quantile(0.95)))
+                    limit = min(limit, max(left - rpc.expect * self.slow, self.call_times.quantile(0.95)))
                 rpc.state, self.in_call = CALLING, self.in_call + 1
                 rpc.call_from, rpc.key = now, now
                 self.port.call(rpc.index, max(self.tick, int(min(limit, worst))))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -151,3 +151,17 @@
                 if node.now - node.rpcs[index]["since"] >= 300 * MS:
                     node.end(index)
         assert lasts and lasts[-1] is again
+
+
+def test_a_slow_dependency_leaves_time_for_a_poorer_answer():
+    """Guards against runs that spend all their time at calls: after a time-out the call is skipped, in time."""
+    node = Node(PLAIN)
+    index = node.arrive(0)
+    r = node.rpcs[index]
+    r["state"] = "standing"
+    r["handle"].at_call(node.now)
+    assert r["state"] == "calling" and r["limit"] < 900 * MS
+    node.step(r["limit"])
+    r.update(state="standing", calls=1)
+    r["handle"].call_ended(node.now, Outcome.TIMEOUT, r["limit"])
+    assert r["state"] == "running" and not r["answers"]
