What a slow node gives back from its hold may try elsewhere, unless it fits nowhere

Cause: RPCs that can't be in time in the hold of a slow or hung node were told not to try elsewhere, though on a quicker node they still would be; the mark is now set in one place, by the same two conditions as on arrival.

--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -256,11 +256,7 @@
             return rpc
         wait = self.ahead(rpc.key) / self.limit
         if self.refuses(now, rpc, wait):
-            # What is too large for the time left may fit on a faster node, and what is too much for this node
-            # on another: only what fits nowhere is told not to try elsewhere. Guards against a full fleet that
-            # reads the same RPCs over and over: further tries, while this node cuts too, mean that others do.
-            last = rpc.expect * 0.4 > rpc.want - now or (m.share < 1 and self.further > 0.2)
-            self.push_back(now, rpc, wait, last)
+            self.push_back(now, rpc, wait)
             return rpc
         if m.tokened:
             self.remember(now, rpc, m.window)
@@ -304,8 +300,13 @@
             work += rpc.expect * self.slow
         return work
 
-    def push_back(self, now, rpc, wait, last):
+    def push_back(self, now, rpc, wait=0):
         """It never ran: say so at once, and when to come back."""
+        # What is too large for the time left may fit on a faster node, and what is too much for this node on
+        # another: only what fits nowhere is told not to try elsewhere. Guards against a full fleet that reads
+        # the same RPCs over and over: further tries, while this node cuts too, mean that others do.
+        full = rpc.method.share < 1 and self.further > 0.2 and self.kill_at is None
+        last = full or rpc.expect * 0.4 > rpc.want - now
         advice = int(min(self.settings.get("advice_max", 0), wait)) if wait > 50 * MS else 0
         self.port.push_back(rpc.index, advice, last)
         self.over(now, rpc)
@@ -345,7 +346,7 @@
             rpc = held[0][2]
             if now + rpc.expect * self.slow * 0.6 > rpc.want and self.on_core * 2 >= self.cores:
                 del held[0]
-                self.push_back(now, rpc, 0, last=True)  # it can't be in time any more, here or elsewhere
+                self.push_back(now, rpc)  # it can't be in time any more
                 continue
             if self.kb + self.run_cost(rpc) > 0.85 * self.memory:
                 break
@@ -451,12 +452,12 @@
             if (self.sealed and now > begun + 2 * rpc.method.whole.quantile(0.9)) or self.too_late(now, rpc):
                 if rpc.state == HELD:
                     self.held.remove((rpc.key, rpc.index, rpc))
-                    self.push_back(now, rpc, 0, last=False)
+                    self.push_back(now, rpc)
                 else:
                     self.give_up(now, rpc)
             elif rpc.state == HELD and now + rpc.expect * self.slow * 0.6 > rpc.want:
                 self.held.remove((rpc.key, rpc.index, rpc))
-                self.push_back(now, rpc, 0, last=True)
+                self.push_back(now, rpc)
             elif rpc.state == RUNNING:
                 if self.can_stop and rpc.method.repeatable and not rpc.method.late_worth and now > rpc.want:
                     self.give_up(now, rpc)  # worth nothing any more: its core is free for others
