Waiting for a call's turn is call time; RPCs past their target are stopped at calls too

Cause: the wait for a call's turn was counted as core time, so runs looked longer and the node slower whenever calls queued.

--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -89,7 +89,7 @@
 
     __slots__ = ("control", "index", "method", "kb", "hint", "place", "reached", "due", "want",
                  "expect", "key", "state", "started", "answered", "ran", "is_gone", "call_time", "call_from", "calls",
-                 "kept_until", "failed")
+                 "called", "kept_until", "failed")
 
     def ended(self, now, outcome, spent):
         """A run or a share is over; where it was ok or an error, its answer has gone out."""
@@ -400,15 +400,14 @@
                 limit = rpc.due - now - self.margin()
                 if rpc.method.poorer > 0:
                     limit = min(limit, max(left - rpc.expect * self.slow, self.call_times.quantile(0.95)))
-                rpc.state, self.in_call = CALLING, self.in_call + 1
-                rpc.call_from, rpc.key = now, now
+                rpc.state, rpc.called, self.in_call = CALLING, now, self.in_call + 1
                 self.port.call(rpc.index, max(self.tick, int(min(limit, worst))))
             else:
                 self.standing.append(rpc)
 
     def end_call(self, now, rpc, outcome):
         self.in_call -= 1
-        self.credit -= now - rpc.key
+        self.credit -= now - rpc.called
         rpc.state = STANDING
         if outcome in (Outcome.TIMEOUT, Outcome.BROKEN_OFF):
             linger = self.settings.get("calls_linger", 200 * MS)
@@ -458,11 +457,11 @@
             elif rpc.state == HELD and now + rpc.expect * self.slow * 0.6 > rpc.want:
                 self.held.remove((rpc.key, rpc.index, rpc))
                 self.push_back(now, rpc)
-            elif rpc.state == RUNNING:
-                if self.can_stop and rpc.method.repeatable and not rpc.method.late_worth and now > rpc.want:
+            elif rpc.state in (RUNNING, STANDING) and now > rpc.want:
+                if self.can_stop and rpc.method.repeatable and not rpc.method.late_worth:
                     self.give_up(now, rpc)  # worth nothing any more: its core is free for others
-        # Guards against slowed machines, whatever slows them: the core time that the expected work of what
-        # ended lately has taken. Sums, not single runs: one long run is no sign. Idle nodes stay near 1.
+        # Guards against slowed machines, whatever slows them: core time spent over the expected work that
+        # ended lately. Sums: one long run is no sign. Idle nodes stay near 1.
         self.spent = self.spent * 0.975 + self.on_core * (now - self.swept)
         self.done *= 0.975
         self.swept = now
