--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -68,7 +68,7 @@
 
     def expect(self, hint):
         """Time on a core that a run is expected to need here. Hints may be rough: what runs with small and
-        with large ones took lately tells how far they can be believed (a power of them, through these two)."""
+        with large ones took lately tells how far they can be believed: a power through these two."""
         if not hint:
             return self.run_time.mean
         (hint_1, time_1), (hint_2, time_2) = ((hints.mean, times.mean) for hints, times in self.hinted)
@@ -88,8 +88,8 @@
     """The handle of one RPC."""
 
     __slots__ = ("control", "index", "method", "kb", "hint", "place", "reached", "due", "want",
-                 "expect", "key", "state", "started", "answered", "ran", "is_gone", "call_time", "call_from", "calls",
-                 "called", "kept_until", "failed")
+                 "expect", "key", "state", "started", "answered", "ran", "is_gone", "call_time", "call_from",
+                 "calls", "called", "kept_until", "failed")
 
     def ended(self, now, outcome, spent):
         """A run or a share is over; where it was ok or an error, its answer has gone out."""
@@ -109,7 +109,7 @@
         control.fill(now)
 
     def gone(self, now):
-        """The caller has given up: nothing is owed. Held ones are dropped, running ones stopped if they can be."""
+        """The caller gave up: nothing is owed. Held ones are dropped, running ones stopped if allowed."""
         if self.state == OVER or self.is_gone:
             return
         self.is_gone = True
@@ -478,7 +478,7 @@
             latency = self.unread + self.ahead((-self.worth(m), now + m.target)) / self.limit
             m.over = (latency + m.run_time.mean * self.slow) / (0.6 * m.target)
         for m in self.methods:
-            # The less critical are cut first, also for the others' sake; the more critical when those are shut.
+            # The less critical are cut first, also for the others' sake; the more critical after those.
             mine = self.worth(m)
             above = max((o.over for o in self.methods if self.worth(o) > mine), default=0)
             below = max((o.share for o in self.methods if self.worth(o) < mine), default=0)
--- a/finchcart/interface.py
+++ b/finchcart/interface.py
@@ -9,8 +9,8 @@
 - `methods.count`, `methods.N.name`, `.kind` (`idempotent`, `tokened`, `non_idempotent`), `.criticality`,
   `.latency_target`, `.deadline`, `.window`, `.late_worth`; `method_poorer` (worth of an answer without calls)
 - `cores`, `memory_kb`, `run_factor`, `entry_kb`, `tick`, `can_stop` (running work can be stopped)
-- `grace` (served after the drain notice), `crowd` (running RPCs a core survives), `fresh_start`, `cold_start`,
-  `cold` (a fresh start begins at this part of its speed and is warm after this time)
+- `grace` (served after the drain notice), `crowd` (running RPCs a core survives), `fresh_start`,
+  `cold_start`, `cold` (a fresh start begins at this part of its speed and is warm after this time)
 - `calls_limit`, `calls_window`, `calls_linger` (the node's share of the shared dependency)
 - `told` (`level`, or another: not used), `advice_max`, `idle_max`, `worth_by` (`work` or `request`)
 """
--- a/finchcart/wire.py
+++ b/finchcart/wire.py
@@ -16,15 +16,17 @@
     "contract.stopSendingWithin": "grace", "familyInfo.callerIdle": "idle_max",
     "familyInfo.callsOut": "calls_limit", "familyInfo.callsOver": "calls_window",
     "familyInfo.classCalls": "method_calls", "familyInfo.cores": "cores", "familyInfo.fresh": "fresh",
-    "familyInfo.freshStart": "fresh_start", "familyInfo.kbPerKey": "entry_kb", "familyInfo.linger": "calls_linger",
+    "familyInfo.freshStart": "fresh_start", "familyInfo.kbPerKey": "entry_kb",
+    "familyInfo.linger": "calls_linger",
     "familyInfo.memoryKb": "memory_kb", "familyInfo.passesDeadline": "tells_deadline",
     "familyInfo.preemption": "can_stop", "familyInfo.runFactor": "run_factor", "familyInfo.say": "told",
     "familyInfo.worthWithout": "method_poorer", "limits.maxRetryAfter": "advice_max",
     "services.count": "methods.count", "tenants.count": "tenants.count",
 }
 ITEMS = {
-    "services": ("methods", {"name": "name", "deadline": "deadline", "effect": "kind", "target": "latency_target",
-                             "lateWorth": "late_worth", "window": "window", "worth": "criticality"}),
+    "services": ("methods", {"name": "name", "deadline": "deadline", "effect": "kind",
+                             "target": "latency_target", "lateWorth": "late_worth",
+                             "window": "window", "worth": "criticality"}),
     "tenants": ("tenants", {"name": "name", "quotaPerS": "quota", "portion": "portion"}),
 }
 
@@ -54,7 +56,8 @@
 
 
 def _gauges(text):
-    return {name: float(value) for name, _, value in (part.partition(":") for part in text.split(",") if part)}
+    parts = (part.partition(":") for part in text.split(",") if part)
+    return {name: float(value) for name, _, value in parts}
 
 
 def _outcome(text):
--- a/finchcart/wirehost.py
+++ b/finchcart/wirehost.py
@@ -157,7 +157,8 @@
         traceback.print_exc()
         if who in nodes:
             nodes[who].failed = True
-        out.append(wire.write("BROKEN", who, what=f"{type(error).__name__}: {error}"[:120].replace("\n", " ")))
+        text = f"{type(error).__name__}: {error}"[:120].replace("\n", " ")
+        out.append(wire.write("BROKEN", who, what=text))
 
 
 def main():
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -15,10 +15,12 @@
     calls = rng.random() < 0.6
     out = {
         "cores": rng.randint(1, 8), "tick": rng.choice((1, 2, 5)) * MS, "grace": rng.randint(0, 2500) * MS,
-        "slack": 60 * MS, "memory_kb": memory, "run_factor": rng.choice((1, 4, 16)), "entry_kb": rng.choice((1, 90)),
+        "slack": 60 * MS, "memory_kb": memory, "run_factor": rng.choice((1, 4, 16)),
+        "entry_kb": rng.choice((1, 90)),
         "crowd": rng.choice((3, 6, 8)), "crowd_window": 2000 * MS, "fresh_start": rng.random() < 0.4,
         "cold_start": 0.2, "cold": 9000 * MS, "can_stop": rng.random() < 0.5,
-        "told": rng.choice(("level", "credit", "weight", "silent")), "worth_by": rng.choice(("work", "request")),
+        "told": rng.choice(("level", "credit", "weight", "silent")),
+        "worth_by": rng.choice(("work", "request")),
         "advice_max": 1000 * MS, "methods.count": rng.randint(1, 4), "tells_deadline": rng.random() < 0.5,
     }
     if calls:
@@ -57,12 +59,15 @@
         r = self.rpc(index)
         assert r["state"] == "held" and not r["ran"], "run twice"
         if self.drained is not None:
-            assert r["reached"] <= self.drained + self.settings["grace"], "drain: ran what came past the grace"
+            in_grace = r["reached"] <= self.drained + self.settings["grace"]
+            assert in_grace, "drain: ran what came past the grace"
         if r["kind"] == "tokened":
             for other in self.rpcs.values():
                 same = other["first"] == r["first"] and other is not r
-                assert not (same and other["ran"] and other["reached"] + r["window"] > r["reached"]), "effect twice"
-            assert self.entries.get(r["first"], (0, 0))[0] >= r["reached"] + r["window"], "not remembered long enough"
+                within = other["reached"] + r["window"] > r["reached"]
+                assert not (same and other["ran"] and within), "effect twice"
+            kept = self.entries.get(r["first"], (0, 0))[0]
+            assert kept >= r["reached"] + r["window"], "not remembered long enough"
         r.update(state="running", ran=True, since=self.now)
 
     def stop(self, index):
@@ -142,16 +147,18 @@
             kept = self.entries.get(first)
             if kept and kept[0] > reached:
                 repeats = -1 if kept[1] in self.released else kept[1]
-            elif any(r["first"] == first and r["state"] not in ("over", "sharing") for r in self.open.values()):
+            elif any(r["first"] == first and r["state"] not in ("over", "sharing")
+                     for r in self.open.values()):
                 raise AssertionError("a held or running tokened RPC has no entry")
         self.rpcs[index] = dict(
-            n=n, kind=get("kind"), window=get("window"), first=index if first is None else first, state="held",
-            reached=reached, due=max(self.now, expires or reached + get("deadline")) + self.settings["slack"],
+            n=n, kind=get("kind"), window=get("window"), first=index if first is None else first,
+            state="held", reached=reached,
+            due=max(self.now, expires or reached + get("deadline")) + self.settings["slack"],
             ran=False, answers=0, repeat=repeats is not None, calls=0, never_ran=False, kb=kb, gone=False,
             stopped=False, since=0, limit=0, late=0)
         self.open[index] = self.rpcs[index]
-        handle = self.control.arrive(self.now, index, f"m{n}", kb, expires=expires, waited=waited, repeats=repeats,
-                                     **more)
+        handle = self.control.arrive(self.now, index, f"m{n}", kb, expires=expires, waited=waited,
+                                     repeats=repeats, **more)
         self.rpcs[index]["handle"] = handle
         return index
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,7 +9,8 @@
 
 PLAIN = {
     "cores": 2, "tick": 2 * MS, "grace": 1000 * MS, "slack": 60 * MS, "memory_kb": 20_000, "run_factor": 4,
-    "entry_kb": 1, "crowd": 6, "crowd_window": 2000 * MS, "fresh_start": False, "can_stop": False, "told": "level",
+    "entry_kb": 1, "crowd": 6, "crowd_window": 2000 * MS, "fresh_start": False, "can_stop": False,
+    "told": "level",
     "worth_by": "work", "advice_max": 1000 * MS, "tells_deadline": False, "calls_limit": 4.0,
     "calls_window": 5000 * MS, "method_calls": (True, True), "method_poorer": (0.5, 0.0), "methods.count": 2,
     "methods.0.name": "m0", "methods.0.kind": "idempotent", "methods.0.criticality": 1,
@@ -142,7 +143,8 @@
     """Guards against a full fleet that reads the same RPCs on one node after another."""
     node = Node(PLAIN)
     lasts = []
-    node.push_back = lambda index, wait, last: (lasts.append(last), node.rpcs[index].update(state="over", answers=1))
+    node.push_back = lambda index, wait, last: (
+        lasts.append(last), node.rpcs[index].update(state="over", answers=1))
     for again in (False, True):
         for _ in range(200):
             node.step(10 * MS)
@@ -154,7 +156,7 @@
 
 
 def test_a_slow_dependency_leaves_time_for_a_poorer_answer():
-    """Guards against runs that spend all their time at calls: after a time-out the call is skipped, in time."""
+    """Guards against runs that spend all their time at calls: after a time-out it is skipped, in time."""
     node = Node(PLAIN)
     index = node.arrive(0)
     r = node.rpcs[index]
