--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -19,7 +19,7 @@
 MS, SECOND = 1_000, 1_000_000
 SWEEP = 40 * MS  # between looks at what is due, at the gauges and at the loop
 HELD, RUNNING, STANDING, CALLING, SHARING, OVER = range(6)  # STANDING: at a call not made yet
-BUSY_SHARE = 0.9  # the loop cuts while more of the cores than this are busy
+CUT_ABOVE = 0.9  # the loop cuts while more of the cores than this are busy
 
 
 class Histogram:
@@ -483,7 +483,7 @@
             above = max((o.over for o in self.methods if self.worth(o) > mine), default=0)
             below = max((o.share for o in self.methods if self.worth(o) < mine), default=0)
             over = max(m.over, above)
-            if busy > BUSY_SHARE and over > 1 and below < 0.1:
+            if busy > CUT_ABOVE and over > 1 and below < 0.1:
                 m.share = max(0.05, m.share * max(0.95, 1 / over))
             else:
                 m.share = min(1.0, m.share + 0.015)
