--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -50,19 +50,19 @@
 
     def __init__(self, settings, n, cold):
         get = lambda name, default: settings.get(f"methods.{n}.{name}", default)
-        per = lambda name: (settings.get(name) if isinstance(settings.get(name), tuple) else
-                            (settings.get(name, 0),) * (n + 1))[n]
-        self.kind, self.criticality = get("kind", "non_idempotent"), get("criticality", 1)
+        poorer = settings.get("method_poorer", 0)
+        kind, self.criticality = get("kind", "non_idempotent"), get("criticality", 1)
         self.deadline = get("deadline", 5 * SECOND)
         self.target, self.window = get("latency_target", self.deadline), get("window", 0)
-        self.late_worth, self.poorer = get("late_worth", 0), per("method_poorer")
-        self.tokened = self.kind == "tokened"
-        self.repeatable = self.kind == "idempotent"
+        self.poorer = poorer[n] if isinstance(poorer, tuple) else poorer
+        self.tokened, self.repeatable = kind == "tokened", kind == "idempotent"
+        self.stoppable = self.repeatable and settings.get("can_stop", False)
+        self.lost_when_late = self.stoppable and not get("late_worth", 0)
         # Before anything is measured: a run takes a sixth of the latency target, and hints are half believed.
-        self.run_time = Histogram(self.target / 96, self.target / 6 * cold)
-        low = self.target / 96  # hints and run times, of small hints and of large ones
-        self.hinted = [[Histogram(low, self.target / 24), Histogram(low, self.target / 12 * cold)],
-                       [Histogram(low, self.target / 3), Histogram(low, self.target / 4 * cold)]]
+        low = self.target / 96
+        self.run_time = Histogram(low, self.target / 6 * cold)
+        self.hinted = [[Histogram(low, self.target / 24), Histogram(low, self.target / 12 * cold)],  # small
+                       [Histogram(low, self.target / 3), Histogram(low, self.target / 4 * cold)]]  # large
         self.whole = Histogram(self.target / 32, self.target / 4 * cold)  # start to end, calls included
         self.share, self.band, self.over = 1.0, 0, 0.0
 
@@ -116,9 +116,9 @@
         control = self.control
         if self.state in (HELD, SHARING):
             if self.state == HELD:
-                control.held.remove((self.key, self.index, self))
+                control.unhold(self)
             control.finish(now, self)
-        elif self.state == RUNNING and control.can_stop and self.method.repeatable and not self.answered:
+        elif self.state == RUNNING and self.method.stoppable and not self.answered:
             control.port.stop(self.index)
 
     def at_call(self, now):
@@ -140,9 +140,7 @@
         control.end_call(now, self, outcome)
         if outcome is Outcome.OK:
             control.call_times.add(max(1, spent))
-            self.call_time += now - self.call_from
-            self.state = RUNNING
-            control.on_core += 1
+            control.resume(now, self)
         elif not (self.answered or self.is_gone):
             # Guards against a second effect: a call is repeated only where the method may run again, or where
             # the outcome proves that it never ran. One repeat; a dependency that fails is not pressed harder.
@@ -176,10 +174,9 @@
         for m in self.methods:
             m.band = worths.index(m.criticality)
         self.bands = len(worths)
-        self.can_stop, self.by_work = get("can_stop", False), get("worth_by", "request") == "work"
+        self.by_work = get("worth_by", "request") == "work"
         self.memory, self.factor = get("memory_kb", 1e12), get("run_factor", 1)
-        self.entry = get("entry_kb", 0)
-        self.tick = get("tick", MS)
+        self.entry, self.tick = get("entry_kb", 0), get("tick", MS)
         self.calls_limit, self.calls_window = get("calls_limit", 1e9), get("calls_window", 5 * SECOND)
         self.call_times = Histogram(2 * MS, 30 * MS)
         self.live, self.held, self.standing, self.table = {}, [], [], []
@@ -189,8 +186,7 @@
         self.unread, self.further = 0.0, 0.0  # time lately lost before reading; part of further tries
         self.spent, self.done = 0.0, 0.0  # core time and expected work of the last second or two
         self.core_use, self.wanting, self.now_level, self.good, self.bad_since = 0.0, 0, 0.0, True, 0
-        self.kill_at = self.grace_end = None
-        self.sealed, self.swept = False, 0
+        self.kill_at, self.grace_end, self.sealed, self.swept = None, None, False, 0
 
     def start(self, now):
         self.began = self.swept = self.credit_at = now
@@ -259,7 +255,7 @@
             self.push_back(now, rpc, wait)
             return rpc
         if m.tokened:
-            self.remember(now, rpc, m.window)
+            self.remember(now, rpc)
         insort(self.held, (rpc.key, index, rpc))
         self.fill(now)
         return rpc
@@ -318,14 +314,14 @@
         rpc.answered = True
         if rpc.state in (HELD, SHARING):
             self.over(now, rpc)
-        elif rpc.state == RUNNING and self.can_stop and rpc.method.repeatable:
+        elif rpc.state == RUNNING and rpc.method.stoppable:
             self.port.stop(rpc.index)
 
     # ---- the table
 
-    def remember(self, now, rpc, window):
+    def remember(self, now, rpc):
         """Counted from when it reached the machine, and a little longer than its window."""
-        rpc.kept_until = rpc.reached + window + 200 * MS
+        rpc.kept_until = rpc.reached + rpc.method.window + 200 * MS
         self.port.remember(rpc.index, rpc.kept_until - now)
         self.kb += self.entry
         heappush(self.table, (rpc.kept_until + 2 * self.tick, rpc.index, rpc))
@@ -340,13 +336,12 @@
 
     def fill(self, now):
         """Runs what is held, in order, while there is room."""
-        room = min(0.8 * self.crowd(now), 4 * self.cores)
-        held = self.held
+        held, room = self.held, min(0.8 * self.crowd(now), 4 * self.cores)
         while held and self.on_core < self.limit and self.running < room:
             rpc = held[0][2]
-            if now + rpc.expect * self.slow * 0.6 > rpc.want and self.on_core * 2 >= self.cores:
+            if self.out_of_time(now, rpc) and self.on_core * 2 >= self.cores:
                 del held[0]
-                self.push_back(now, rpc)  # it can't be in time any more
+                self.push_back(now, rpc)
                 continue
             if self.kb + self.run_cost(rpc) > 0.85 * self.memory:
                 break
@@ -357,6 +352,13 @@
             self.running += 1
             self.port.run(rpc.index)
 
+    def out_of_time(self, now, rpc):
+        """Whether a held RPC can't be in time any more."""
+        return now + rpc.expect * self.slow * 0.6 > rpc.want
+
+    def unhold(self, rpc):
+        self.held.remove((rpc.key, rpc.index, rpc))
+
     def finish(self, now, rpc):
         """The RPC's run or wait is over; its memory is free."""
         if rpc.state in (RUNNING, STANDING, CALLING):
@@ -376,8 +378,11 @@
         if not rpc.ran:
             self.forget(rpc)
         if not rpc.kept_until:
-            del self.live[rpc.index]
-            self.port.release(rpc.index)
+            self.let_go(rpc)
+
+    def let_go(self, rpc):
+        del self.live[rpc.index]
+        self.port.release(rpc.index)
 
     # ---- calls to the shared dependency
 
@@ -416,6 +421,9 @@
 
     def skip(self, now, rpc):
         self.port.skip(rpc.index)
+        self.resume(now, rpc)
+
+    def resume(self, now, rpc):
         rpc.call_time += now - rpc.call_from
         rpc.state = RUNNING
         self.on_core += 1
@@ -434,8 +442,7 @@
                 rpc.kept_until = 0
                 self.kb -= self.entry
                 if rpc.state == OVER:
-                    del self.live[rpc.index]
-                    self.port.release(rpc.index)
+                    self.let_go(rpc)
         self.sweep(now)
         self.loop(now)
         self.make_calls(now)
@@ -448,18 +455,16 @@
             if rpc.state == OVER or rpc.answered:
                 continue
             begun = max(self.grace_end or 0, rpc.started)
-            if (self.sealed and now > begun + 2 * rpc.method.whole.quantile(0.9)) or self.too_late(now, rpc):
-                if rpc.state == HELD:
-                    self.held.remove((rpc.key, rpc.index, rpc))
+            ends = self.too_late(now, rpc) or (
+                self.sealed and now > begun + 2 * rpc.method.whole.quantile(0.9))
+            if rpc.state == HELD:
+                if ends or self.out_of_time(now, rpc):
+                    self.unhold(rpc)
                     self.push_back(now, rpc)
-                else:
-                    self.give_up(now, rpc)
-            elif rpc.state == HELD and now + rpc.expect * self.slow * 0.6 > rpc.want:
-                self.held.remove((rpc.key, rpc.index, rpc))
-                self.push_back(now, rpc)
-            elif rpc.state in (RUNNING, STANDING) and now > rpc.want:
-                if self.can_stop and rpc.method.repeatable and not rpc.method.late_worth:
-                    self.give_up(now, rpc)  # worth nothing any more: its core is free for others
+            elif ends:
+                self.give_up(now, rpc)
+            elif rpc.state in (RUNNING, STANDING) and now > rpc.want and rpc.method.lost_when_late:
+                self.give_up(now, rpc)  # worth nothing any more: its core is free for others
         # Guards against slowed machines, whatever slows them: core time spent over the expected work that
         # ended lately. Sums: one long run is no sign. Idle nodes stay near 1.
         self.spent = self.spent * 0.975 + self.on_core * (now - self.swept)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -1,7 +1,5 @@
 """A port that records what the module does and checks the four rules as it goes."""
 
-import random
-
 from finchcart.control import Control
 from finchcart.interface import Outcome
 
@@ -41,12 +39,10 @@
 
     def __init__(self, settings, seed=1, now=10_000_000):
         self.settings, self.now, self.get = settings, now, settings.get
-        self.rng = random.Random(seed)
         self.rpcs, self.open, self.timers, self.lines, self.entries = {}, {}, [], [], {}
         self.drained = self.kill = None
         self.count, self.released = 0, set()
         self.crowd_sum = self.calls_sum = 0.0
-        self.last = now
         self.control = Control(self, settings, seed)
         self.control.start(now)
 
@@ -171,6 +167,11 @@
         assert state in ("running", "sharing", "standing", "calling")
         assert r["answers"] or r["gone"], "lost: ended without an answer"
 
+    def end_older(self, age, skip=0):
+        for index in self.of("running")[skip:]:
+            if self.now - self.rpcs[index]["since"] >= age:
+                self.end(index)
+
     def of(self, *states):
         return [i for i, r in self.open.items() if r["state"] in states]
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -120,9 +120,7 @@
         node.step(10 * MS)
         if step % 8 == 0:
             node.arrive(0)
-        for index in node.of("running")[1:]:
-            if node.now - node.rpcs[index]["since"] >= 150 * MS:
-                node.end(index)
+        node.end_older(150 * MS, skip=1)
     assert node.control.slow < 2 and not any("health bad" in line for line in node.lines)
 
 
@@ -132,9 +130,7 @@
         node.step(10 * MS)
         for n in (0, 1):
             node.arrive(n, waited=800 * MS)
-        for index in node.of("running"):
-            if node.now - node.rpcs[index]["since"] >= 150 * MS:
-                node.end(index)
+        node.end_older(150 * MS)
     low, high = node.control.methods
     assert low.share < 0.2 and low.share < high.share
 
@@ -149,9 +145,7 @@
         for _ in range(200):
             node.step(10 * MS)
             node.arrive(0, again=again, waited=500 * MS)
-            for index in node.of("running"):
-                if node.now - node.rpcs[index]["since"] >= 300 * MS:
-                    node.end(index)
+            node.end_older(300 * MS)
         assert lasts and lasts[-1] is again
 
 
