Least idle time unless callers soon come again; health no longer bad for slowness

Cause: with 750 to 1,000 dispatchers each pair meets once in minutes; connections kept for 8 s filled the tables, which cost a quarter of the cores when full, and callers got no connection. And health told bad from sums over a second, which on two cores one long run turns: a tenth of the fleet was off the list at any time, by chance.

--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -20,6 +20,7 @@
 SWEEP = 40 * MS  # between looks at what is due, at the gauges and at the loop
 HELD, RUNNING, STANDING, CALLING, SHARING, OVER = range(6)  # STANDING: at a call not made yet
 CUT_ABOVE = 0.9  # the loop cuts while more of the cores than this are busy
+IDLE = 10 * MS, 8 * SECOND  # least and longest that an idle connection is kept
 
 
 class Histogram:
@@ -184,14 +185,15 @@
         self.lingering, self.credit, self.credit_at = [], 0.2 * self.calls_limit * self.calls_window, 0
         self.limit, self.slow, self.late = float(self.cores), 1.0, 0
         self.unread, self.further = 0.0, 0.0  # time lately lost before reading; part of further tries
+        self.seen, self.returns, self.keeping = {}, 0.0, 0  # when callers came; part that soon come again
         self.spent, self.done = 0.0, 0.0  # core time and expected work of the last second or two
-        self.core_use, self.wanting, self.now_level, self.good, self.bad_since = 0.0, 0, 0.0, True, 0
+        self.core_use, self.wanting, self.now_level = 0.0, 0, 0.0
         self.kill_at, self.grace_end, self.sealed, self.swept = None, None, False, 0
 
     def start(self, now):
         self.began = self.swept = self.credit_at = now
         self.port.health(True, True)
-        self.port.idle_limit(min(self.settings.get("idle_max", 30 * SECOND), 8 * SECOND))
+        self.port.idle_limit(IDLE[0])
         self.port.wake_in(SWEEP, "sweep")
         self.next_wake = now + SWEEP
 
@@ -223,9 +225,12 @@
     # ---- intake
 
     def arrive(self, now, index, method, kb, *, expires=0, waited=0, place=None, hint=0, again=False,
-               repeats=None):
+               repeats=None, caller=None):
         """An RPC has been read. `waited`: since it reached the machine; `repeats`: the index of what it
         repeats, or -1 where that one is no longer known here."""
+        before, self.seen[caller] = self.seen.get(caller), now
+        if before or now - self.began > IDLE[1]:
+            self.returns += ((before or 0) + IDLE[1] > now) / 16 - self.returns / 16
         rpc = Rpc()
         m = self.names[method]
         rpc.control, rpc.index, rpc.method, rpc.kb, rpc.hint, rpc.place = self, index, m, kb, hint, place
@@ -475,7 +480,7 @@
         self.slow = max(0.3, min(16.0, (self.spent + usual) / (self.done + usual)))
 
     def loop(self, now):
-        """The response-time loop, the running limit, the level and health."""
+        """The response-time loop, the running limit, the level and the idle limit."""
         busy = max(self.core_use, min(1.0, self.on_core / self.cores))
         for m in self.methods:
             # Guards against a line before the hold: where reading is dear, RPCs lose their time unread, out
@@ -502,9 +507,14 @@
             self.set_level()
         if self.grace_end is not None and not self.sealed and now >= self.grace_end:
             self.sealed = True
-            self.port.idle_limit(10 * MS)
+            self.port.idle_limit(IDLE[0])
             self.port.log(f"drain: grace over, {self.running} running {len(self.held)} held")
-        self.set_health(now)
+        elif not self.sealed and not 0.6 < self.returns < 0.75 and self.keeping != (self.returns > 0.6):
+            # Guards against full tables: among many callers that seldom come again, idle connections cost
+            # more of the cores than new ones do, and shut others out.
+            self.keeping = int(self.returns > 0.6)
+            self.port.idle_limit(min(self.settings.get("idle_max", IDLE[1]), IDLE[self.keeping]))
+            self.port.log(f"idle limit {IDLE[self.keeping] // MS} ms: {self.returns:.2f} soon come again")
 
     def set_level(self):
         """Tells callers what is cut here: of the lowest band, and of the next one up when that is shut."""
@@ -518,20 +528,6 @@
             self.port.level(level)
             self.now_level = level
 
-    def set_health(self, now):
-        """Bad while draining, or for a few seconds while runs take too much of the latency target here."""
-        if self.kill_at is not None:
-            return
-        worst = max((m.run_time.mean * self.slow / m.target for m in self.methods), default=0)
-        if self.good and worst > 0.7 and self.warmth(now) == 1 and now - self.bad_since > 4 * SECOND:
-            self.good, self.bad_since = False, now
-            self.port.health(False, True)
-            self.port.log(f"health bad: runs take {worst:.2f} of the latency target, slow {self.slow:.1f}")
-        elif not self.good and (worst < 0.4 or now - self.bad_since > 4 * SECOND):
-            self.good, self.bad_since = True, now
-            self.port.health(True, True)
-            self.port.log(f"health good: runs take {worst:.2f} of the latency target")
-
     # ---- drain
 
     def drain(self, now, kill_at):
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -122,6 +122,7 @@
 
     def idle_limit(self, keep):
         assert keep >= 10 * MS
+        self.idle = keep
 
     def wake_in(self, delay, name):
         self.timers.append((self.now + delay, name))
