Advice only where callers come again; recover faster; no cut beside a free core

Cause: at full size a dispatcher meets a node once in minutes, so advice kept no one away and only delayed the client's next try past its latency target. The loop's share recovered at one pace however empty the node was, and with two cores 'less than half busy' meant an empty node: RPCs were turned away beside a free core.

--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -277,9 +277,9 @@
             return True
         if self.kb + self.entry * m.tokened > 0.9 * self.memory:
             return True
-        if self.on_core * 2 < self.cores and not self.held and (
+        if self.on_core < self.cores and not self.held and (
                 rpc.expect < 1.2 * (rpc.want - now) or not rpc.hint or self.random() < 0.1):
-            return False  # idle cores: else a node that once was slow would never learn that it no longer is
+            return False  # a free core, nothing waits: else a node once slow would never learn that it is not
         if self.place_in_band(rpc) < 1 - m.share:
             return True
         return now + wait + rpc.expect * self.slow > rpc.want
@@ -303,12 +303,13 @@
 
     def push_back(self, now, rpc, wait=0):
         """It never ran: say so at once, and when to come back."""
-        # What is too large for the time left may fit on a faster node, and what is too much for this node on
-        # another: only what fits nowhere is told not to try elsewhere. Guards against a full fleet that reads
-        # the same RPCs over and over: further tries, while this node cuts too, mean that others do.
+        # What is too large or too much for this node may fit on another: only what fits nowhere is told not
+        # to try elsewhere. Guards against a full fleet that reads the same RPCs over and over: further tries,
+        # while this node cuts too, mean that others do.
         full = rpc.method.share < 1 and self.further > 0.2 and self.kill_at is None
         last = full or rpc.expect * 0.4 > rpc.want - now
-        advice = int(min(self.settings.get("advice_max", 0), wait)) if wait > 50 * MS else 0
+        # Advice keeps a caller away from this node; where none comes again soon it only delays the client.
+        advice = int(min(self.settings.get("advice_max", 0), wait)) if wait > 50 * MS and self.keeping else 0
         self.port.push_back(rpc.index, advice, last)
         self.over(now, rpc)
 
@@ -496,7 +497,7 @@
             if busy > CUT_ABOVE and over > 1 and below < 0.1:
                 m.share = max(0.05, m.share * max(0.95, 1 / over))
             else:
-                m.share = min(1.0, m.share + 0.015)
+                m.share = min(1.0, m.share + 0.015 / max(0.2, over))
         # Guards against a crowd that the averaged gauge brings on: it tells of half a second ago, so the
         # limit follows what wants a core at this moment.
         if self.held and self.wanting < self.cores and self.on_core >= self.limit - 1:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -173,3 +173,25 @@
                 node.arrive(0, caller=step // 10 % callers)
             node.end_older(100 * MS)
         assert node.idle == keep and len(node.lines) <= 1
+
+
+def test_nothing_is_cut_while_a_core_is_free_and_nothing_waits():
+    """Guards against two-core nodes that turn RPCs away beside an idle core."""
+    node = Node(PLAIN)
+    for method in node.control.methods:
+        method.share = 0.0
+    states = [node.rpcs[node.arrive(0)]["state"] for _ in range(3)]
+    assert states == ["running", "running", "over"]
+
+
+def test_advice_goes_only_to_callers_that_soon_come_again():
+    """Guards against advice that reaches no caller in time and only delays the client's next try."""
+    for callers, advised in ((3, True), (5000, False)):
+        node, waits = Node(PLAIN), []
+        node.push_back = lambda index, wait, last: (
+            waits.append(wait), node.rpcs[index].update(state="over", answers=1))
+        for step in range(2000):
+            node.step(10 * MS)
+            node.arrive(0, caller=step % callers)
+            node.end_older(300 * MS)
+        assert any(waits[-50:]) is advised
