--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -306,7 +306,7 @@
         # What is too large or too much for this node may fit on another: only what fits nowhere is told not
         # to try elsewhere. Guards against a full fleet that reads the same RPCs over and over: further tries,
         # while this node cuts too, mean that others do.
-        full = rpc.method.share < 1 and self.further > 0.2 and self.kill_at is None
+        full = rpc.method.share < 1 and self.further > 0.05 and self.kill_at is None
         last = full or rpc.expect * 0.4 > rpc.want - now
         # Advice keeps a caller away from this node; where none comes again soon it only delays the client.
         advice = int(min(self.settings.get("advice_max", 0), wait)) if wait > 50 * MS and self.keeping else 0
