--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -185,7 +185,7 @@
         self.lingering, self.credit, self.credit_at = [], 0.2 * self.calls_limit * self.calls_window, 0
         self.limit, self.slow, self.late = float(self.cores), 1.0, 0
         self.unread, self.further = 0.0, 0.0  # time lately lost before reading; part of further tries
-        self.seen, self.returns, self.keeping = {}, 0.0, 0  # when callers came; part that soon come again
+        self.seen, self.returns, self.keeping = {}, 0.0, False  # when callers came; part that soon come again
         self.spent, self.done = 0.0, 0.0  # core time and expected work of the last second or two
         self.core_use, self.wanting, self.now_level = 0.0, 0, 0.0
         self.kill_at, self.grace_end, self.sealed, self.swept = None, None, False, 0
@@ -309,7 +309,7 @@
         full = rpc.method.share < 1 and self.further > 0.05 and self.kill_at is None
         last = full or rpc.expect * 0.4 > rpc.want - now
         # Advice keeps a caller away from this node; where none comes again soon it only delays the client.
-        advice = int(min(self.settings.get("advice_max", 0), wait)) if wait > 50 * MS and self.keeping else 0
+        advice = int(min(self.settings.get("advice_max", 0), wait)) if wait > 50 * MS and self.returns > 0.6 else 0
         self.port.push_back(rpc.index, advice, last)
         self.over(now, rpc)
 
@@ -510,12 +510,14 @@
             self.sealed = True
             self.port.idle_limit(IDLE[0])
             self.port.log(f"drain: grace over, {self.running} running {len(self.held)} held")
-        elif not self.sealed and not 0.6 < self.returns < 0.75 and self.keeping != (self.returns > 0.6):
-            # Guards against full tables: among many callers that seldom come again, idle connections cost
-            # more of the cores than new ones do, and shut others out.
-            self.keeping = int(self.returns > 0.6)
-            self.port.idle_limit(min(self.settings.get("idle_max", IDLE[1]), IDLE[self.keeping]))
-            self.port.log(f"idle limit {IDLE[self.keeping] // MS} ms: {self.returns:.2f} soon come again")
+        # Guards against full tables: callers that seldom come again cost more of the cores by idle connections
+        # than by new ones. But where RPCs lose their time unread, a full table turns away at the least cost.
+        lost = self.unread / min((m.target for m in self.methods), default=SECOND)
+        keep = self.returns > 0.75 or lost > 0.2 or self.keeping and (self.returns > 0.6 or lost > 0.04)
+        if not self.sealed and keep != self.keeping:
+            self.keeping = keep
+            self.port.idle_limit(min(self.settings.get("idle_max", IDLE[1]), IDLE[keep]))
+            self.port.log(f"idle limit {IDLE[keep] // MS} ms: {self.returns:.2f} return, {lost:.2f} unread")
 
     def set_level(self):
         """Tells callers what is cut here: of the lowest band, and of the next one up when that is shut."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -175,6 +175,17 @@
         assert node.idle == keep and len(node.lines) <= 1
 
 
+def test_a_full_table_turns_away_what_would_wait_unread():
+    """Guards against storms of new connections and reads that leave no cores for runs."""
+    node = Node(PLAIN)
+    for waited, keep in ((500, 8000 * MS), (10, 10 * MS)):
+        for step in range(600):
+            node.step(10 * MS)
+            node.arrive(0, caller=step + waited * 1000, waited=waited * MS)
+            node.end_older(100 * MS)
+        assert node.idle == keep
+
+
 def test_nothing_is_cut_while_a_core_is_free_and_nothing_waits():
     """Guards against two-core nodes that turn RPCs away beside an idle core."""
     node = Node(PLAIN)
