--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -236,7 +236,8 @@
         rpc.control, rpc.index, rpc.method, rpc.kb, rpc.hint, rpc.place = self, index, m, kb, hint, place
         rpc.reached = now - waited
         rpc.due = expires or rpc.reached + m.deadline
-        rpc.want = min(rpc.due, rpc.reached + m.target)
+        # How old a further try is, is not told. Guards against runs that end too late for anyone.
+        rpc.want = min(rpc.due, rpc.reached + m.target // (2 if again else 1))
         rpc.expect = m.expect(hint)
         rpc.state, rpc.answered, rpc.ran, rpc.is_gone, rpc.failed = HELD, False, False, False, False
         rpc.started = rpc.call_time = rpc.call_from = rpc.calls = rpc.kept_until = 0
@@ -272,17 +273,14 @@
     def refuses(self, now, rpc, wait):
         """Whether an arrival is pushed back."""
         m = rpc.method
-        if self.sealed or self.too_late(now, rpc) or (
-                self.grace_end is not None and rpc.reached > self.grace_end):
-            return True
-        if self.kb + self.entry * m.tokened > 0.9 * self.memory:
+        after_grace = self.grace_end is not None and rpc.reached > self.grace_end
+        full = self.kb + self.entry * m.tokened > 0.9 * self.memory
+        if self.sealed or after_grace or full or self.too_late(now, rpc):
             return True
         if self.on_core < self.cores and not self.held and (
                 rpc.expect < 1.2 * (rpc.want - now) or not rpc.hint or self.random() < 0.1):
             return False  # a free core, nothing waits: else a node once slow would never learn that it is not
-        if self.place_in_band(rpc) < 1 - m.share:
-            return True
-        return now + wait + rpc.expect * self.slow > rpc.want
+        return self.place_in_band(rpc) < 1 - m.share or now + wait + rpc.expect * self.slow > rpc.want
 
     def place_in_band(self, rpc):
         """Where it stands among its like: by user where told, the same on every node; else by chance."""
@@ -309,7 +307,8 @@
         full = rpc.method.share < 1 and self.further > 0.05 and self.kill_at is None
         last = full or rpc.expect * 0.4 > rpc.want - now
         # Advice keeps a caller away from this node; where none comes again soon it only delays the client.
-        advice = int(min(self.settings.get("advice_max", 0), wait)) if wait > 50 * MS and self.returns > 0.6 else 0
+        heard = wait > 50 * MS and self.returns > 0.6
+        advice = int(min(self.settings.get("advice_max", 0), wait)) if heard else 0
         self.port.push_back(rpc.index, advice, last)
         self.over(now, rpc)
 
@@ -510,8 +509,8 @@
             self.sealed = True
             self.port.idle_limit(IDLE[0])
             self.port.log(f"drain: grace over, {self.running} running {len(self.held)} held")
-        # Guards against full tables: callers that seldom come again cost more of the cores by idle connections
-        # than by new ones. But where RPCs lose their time unread, a full table turns away at the least cost.
+        # Guards against full tables: callers that seldom come again cost more by idle connections than by new
+        # ones. But where RPCs lose their time unread, a full table turns away at the least cost.
         lost = self.unread / min((m.target for m in self.methods), default=SECOND)
         keep = self.returns > 0.75 or lost > 0.2 or self.keeping and (self.returns > 0.6 or lost > 0.04)
         if not self.sealed and keep != self.keeping:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -186,6 +186,15 @@
         assert node.idle == keep
 
 
+def test_a_further_try_has_less_time_left():
+    """Guards against runs for RPCs whose latency target passed while other nodes pushed them back."""
+    node = Node(PLAIN)
+    first, further = node.arrive(0), node.arrive(0, again=True)
+    late = node.arrive(0, again=True, waited=450 * MS, hint=400 * MS)
+    wants = [node.rpcs[index]["handle"].want - node.now for index in (first, further)]
+    assert wants == [1000 * MS, 500 * MS] and node.rpcs[late]["state"] == "over"
+
+
 def test_nothing_is_cut_while_a_core_is_free_and_nothing_waits():
     """Guards against two-core nodes that turn RPCs away beside an idle core."""
     node = Node(PLAIN)
