--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -236,8 +236,9 @@
         rpc.control, rpc.index, rpc.method, rpc.kb, rpc.hint, rpc.place = self, index, m, kb, hint, place
         rpc.reached = now - waited
         rpc.due = expires or rpc.reached + m.deadline
-        # How old a further try is, is not told. Guards against runs that end too late for anyone.
-        rpc.want = min(rpc.due, rpc.reached + m.target // (2 if again else 1))
+        # Guards against runs that end too late for anyone: the more further tries, the older each (not told).
+        lost = min(0.5, 4 * self.further) if again else 0
+        rpc.want = min(rpc.due, rpc.reached + int(m.target * (1 - lost)))
         rpc.expect = m.expect(hint)
         rpc.state, rpc.answered, rpc.ran, rpc.is_gone, rpc.failed = HELD, False, False, False, False
         rpc.started = rpc.call_time = rpc.call_from = rpc.calls = rpc.kept_until = 0
@@ -277,8 +278,8 @@
         full = self.kb + self.entry * m.tokened > 0.9 * self.memory
         if self.sealed or after_grace or full or self.too_late(now, rpc):
             return True
-        if self.on_core < self.cores and not self.held and (
-                rpc.expect < 1.2 * (rpc.want - now) or not rpc.hint or self.random() < 0.1):
+        fits = rpc.expect < (1.2 if self.on_core * 2 < self.cores else 0.8) * (rpc.want - now)
+        if self.on_core < self.cores and not self.held and (fits or not rpc.hint or self.random() < 0.1):
             return False  # a free core, nothing waits: else a node once slow would never learn that it is not
         return self.place_in_band(rpc) < 1 - m.share or now + wait + rpc.expect * self.slow > rpc.want
 
@@ -304,7 +305,7 @@
         # What is too large or too much for this node may fit on another: only what fits nowhere is told not
         # to try elsewhere. Guards against a full fleet that reads the same RPCs over and over: further tries,
         # while this node cuts too, mean that others do.
-        full = rpc.method.share < 1 and self.further > 0.05 and self.kill_at is None
+        full = rpc.method.share < 1 and self.further > 0.1 and self.kill_at is None
         last = full or rpc.expect * 0.4 > rpc.want - now
         # Advice keeps a caller away from this node; where none comes again soon it only delays the client.
         heard = wait > 50 * MS and self.returns > 0.6
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -189,6 +189,7 @@
 def test_a_further_try_has_less_time_left():
     """Guards against runs for RPCs whose latency target passed while other nodes pushed them back."""
     node = Node(PLAIN)
+    node.control.further = 0.5
     first, further = node.arrive(0), node.arrive(0, again=True)
     late = node.arrive(0, again=True, waited=450 * MS, hint=400 * MS)
     wants = [node.rpcs[index]["handle"].want - node.now for index in (first, further)]
