--- a/tests/harness.py
+++ b/tests/harness.py
@@ -180,9 +180,9 @@
         """Time passes; timers due are rung, unless the process stands still."""
         on_core, calling = len(self.of("running")), len(self.of("calling"))
         self.now += dt
-        fade = min(1.0, dt / self.get("crowd_window", 1))
+        fade = min(1.0, dt / max(1, self.get("crowd_window", 1)))
         self.crowd_sum += (on_core - self.crowd_sum) * fade
-        fade = min(1.0, dt / self.get("calls_window", 1))
+        fade = min(1.0, dt / max(1, self.get("calls_window", 1)))
         self.calls_sum += (calling - self.calls_sum) * fade
         if stalled:
             for r in self.open.values():
@@ -205,7 +205,7 @@
         assert kb <= self.settings["memory_kb"], "fall-over: memory"
         warmth = 1.0
         if self.settings["fresh_start"]:
-            warmth = min(1.0, 0.2 + 0.8 * (self.now - 10_000_000) / self.settings["cold"])
+            warmth = min(1.0, 0.2 + 0.8 * (self.now - 10_000_000) / max(1, self.settings["cold"]))
         assert self.crowd_sum <= (1 + (self.settings["crowd"] - 1) * warmth) * self.settings["cores"], "crowd"
         assert self.calls_sum <= self.get("calls_limit", 1e9), "fall-over: calls"
         if self.kill is not None and self.now >= self.kill:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -216,3 +216,16 @@
             node.arrive(0, caller=step % callers)
             node.end_older(300 * MS)
         assert any(waits[-50:]) is advised
+
+
+@pytest.mark.parametrize("odd", [
+    {"cores": 1}, {"calls_limit": 0.3}, {"calls_window": 0}, {"crowd_window": 0}, {"crowd": 1}, {"grace": 0},
+    {"fresh_start": True, "cold": 0}, {"advice_max": 0}, {"entry_kb": 0}, {"methods.0.criticality": 0},
+])
+def test_small_and_odd_settings_keep_the_rules(odd):
+    node, rng = Node({**PLAIN, **odd}), random.Random(5)
+    for step in range(400):
+        node.step(10 * MS)
+        node.check()
+        one_step(node, rng, 3)
+    assert any(r["ran"] for r in node.rpcs.values())
