--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -229,8 +229,8 @@
         """An RPC has been read. `waited`: since it reached the machine; `repeats`: the index of what it
         repeats, or -1 where that one is no longer known here."""
         before, self.seen[caller] = self.seen.get(caller), now
-        if before or now - self.began > IDLE[1]:
-            self.returns += ((before or 0) + IDLE[1] > now) / 16 - self.returns / 16
+        if before is not None or now - self.began > IDLE[1]:
+            self.returns += ((before is not None and now - before < IDLE[1]) - self.returns) / 16
         rpc = Rpc()
         m = self.names[method]
         rpc.control, rpc.index, rpc.method, rpc.kb, rpc.hint, rpc.place = self, index, m, kb, hint, place
@@ -483,16 +483,16 @@
     def loop(self, now):
         """The response-time loop, the running limit, the level and the idle limit."""
         busy = max(self.core_use, min(1.0, self.on_core / self.cores))
-        for m in self.methods:
+        worths = [(self.worth(m), m) for m in self.methods]
+        for mine, m in worths:
             # Guards against a line before the hold: where reading is dear, RPCs lose their time unread, out
             # of its order; only the level and advice keep them away, so the loop must see that wait.
-            latency = self.unread + self.ahead((-self.worth(m), now + m.target)) / self.limit
+            latency = self.unread + self.ahead((-mine, now + m.target)) / self.limit
             m.over = (latency + m.run_time.mean * self.slow) / (0.6 * m.target)
-        for m in self.methods:
+        for mine, m in worths:
             # The less critical are cut first, also for the others' sake; the more critical after those.
-            mine = self.worth(m)
-            above = max((o.over for o in self.methods if self.worth(o) > mine), default=0)
-            below = max((o.share for o in self.methods if self.worth(o) < mine), default=0)
+            above = max((o.over for worth, o in worths if worth > mine), default=0)
+            below = max((o.share for worth, o in worths if worth < mine), default=0)
             over = max(m.over, above)
             if busy > CUT_ABOVE and over > 1 and below < 0.1:
                 m.share = max(0.05, m.share * max(0.95, 1 / over))
