--- /dev/null
+++ b/finchcart/net/buffers.py
@@ -0,0 +1,30 @@
+"""Buffers of one size, taken from a pool and given back.
+
+Owns the memory that links read into. A buffer is held only while it holds bytes; it must never be used after
+it was given back, nor handed to the reducer: codecs copy out what they keep.
+"""
+
+from collections import deque
+
+
+class Buffers:
+    """Safe to use from many threads: a deque's append and pop are atomic."""
+
+    def __init__(self, limits):
+        self.size = limits.buffer
+        self.spare = deque(maxlen=limits.spare_buffers)
+        self.out = set()  # the ids of those in use
+
+    def take(self):
+        try:
+            buffer = self.spare.pop()
+        except IndexError:
+            buffer = bytearray(self.size)
+        self.out.add(id(buffer))
+        return buffer
+
+    def give_back(self, buffer):
+        if id(buffer) not in self.out:
+            raise ValueError("a buffer was given back twice")
+        self.out.discard(id(buffer))
+        self.spare.append(buffer)
--- /dev/null
+++ b/finchcart/net/limits.py
@@ -0,0 +1,44 @@
+"""All sizes, counts and times of the real node, in one type.
+
+Owns the figures by which the node bounds itself; filled once at start from the configuration and handed down.
+It must never hold a figure that decides about RPCs: those live in finchcart/control.py alone.
+"""
+
+from dataclasses import dataclass
+
+MS, SECOND = 1_000, 1_000_000
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Times are whole microseconds."""
+
+    memory: int  # bytes that the node may take
+    descriptors: int  # open files and sockets
+    stop: int  # from the notice to leave until the kill
+
+    stack: int = 128 * 1024  # of each thread
+    buffer: int = 16 * 1024  # the one size of buffers: the longest message that is read
+    spare_buffers: int = 64  # kept for reuse; more are let go
+    backlog: int = 1024  # connections that wait to be accepted
+    reserve: int = 64  # descriptors kept from dispatchers: listener, pool, store, roster, files
+
+    open_rpcs: int = 32  # on one connection
+    body: int = 2 * 1024  # of an RPC
+    unsent: int = 64  # messages queued on a link; reading from it waits while there are more
+    kept_results: int = 16 * 1024 * 1024  # bytes of results that may still be shared
+
+    figures: int = 25 * MS  # a timer waits this long for the gauges
+    pool_again: int = 100 * MS  # between tries to reach the worker pool
+    store_idle: int = 5 * SECOND  # the store closes idle connections after 10 s; the node does so before
+    report: int = 700 * MS  # between reports to the roster
+    unused: int = 30 * SECOND  # a connection that never carried an RPC is closed after this
+    closing: int = 2 * SECOND  # a dispatcher told of a close is given this long
+    linger: int = 1 * SECOND  # the far side's end is awaited this long after the last byte
+    send: int = 30 * SECOND  # a write that makes no headway for this long breaks the link
+    accept_pause: int = 50 * MS  # when descriptors run out
+    quiet: int = 1 * SECOND  # without any connection after the grace: the node may end
+
+    @property
+    def connections(self):
+        return max(1, self.descriptors - self.reserve)
--- /dev/null
+++ b/finchcart/net/lines.py
@@ -0,0 +1,128 @@
+"""Lines of the worker pool, the store and the roster, read and written.
+
+Owns the bytes on those links. It does no I/O, keeps nothing between calls and must never raise anything but
+`Malformed` on what it reads, whatever the bytes.
+
+Messages read are plain tuples. From the pool: `("bound", fresh, lasted)`, `("finished", cursor, id, outcome,
+spent, result)`, `("blocked", cursor, id, body)`, `("polled", ticket, figures)`, `("unknown", command, id)`,
+`("chatter", cursor)`, `("other",)`. From the store: `("reply", id, outcome, body)`.
+"""
+
+import json
+from base64 import b64decode, b64encode
+from binascii import Error
+
+from finchcart.interface import Outcome
+from finchcart.net.thrift import Malformed
+
+ENDS = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.STOPPED, "gone": Outcome.MOOT}
+REPLIES = {b"OK": Outcome.OK, b"BUSY": Outcome.FULL, b"ERR": Outcome.ERROR, b"LATE": Outcome.TIMEOUT,
+           b"VOID": Outcome.MOOT}
+
+
+def take_pool(data, longest):
+    """The first whole line from the pool as (message, bytes used), or None until there is one."""
+    line = _line(data, b"\n")
+    if line is None:
+        return None
+    # Guards against a thread's small stack: the library's parser goes down with each bracket.
+    if line.count(b"[") + line.count(b"{") > 100:
+        raise Malformed("too many brackets in a line")
+    try:
+        return notice(json.loads(line)), len(line) + 1
+    except (ValueError, TypeError, KeyError, AttributeError, OverflowError, Error, RecursionError) as error:
+        raise Malformed(f"a line from the pool: {type(error).__name__}: {error}"[:120]) from None
+
+
+def notice(said):
+    event = said["event"]
+    if event == "finished":
+        result = b64decode(said.get("arg") or "", validate=True)
+        return event, _whole(said["cursor"]), said["handle"], ENDS[said["fate"]], _us(said["lasted"]), result
+    if event == "blocked":
+        return event, _whole(said["cursor"]), said["handle"], b64decode(said.get("arg") or "", validate=True)
+    if event == "polled":
+        return event, str(said["ticket"]), tuple(float(figure) for figure in said["figures"])
+    if event == "bound":
+        return event, {"new": True, "old": False}[said["fate"]], _us(said["lasted"])
+    if event == "unknown":
+        return event, said.get("fate"), said.get("handle")
+    if event == "chatter":
+        return event, _whole(said["cursor"])
+    return ("other",)
+
+
+def _whole(value):
+    if not isinstance(value, int):
+        raise ValueError(f"{value!r}: expected a whole number")
+    return value
+
+
+def _us(ms):
+    return max(0, int(ms * 1000))
+
+
+def _line(data, end):
+    """A view's first line, without its end."""
+    at = bytes(data).find(end)
+    return None if at < 0 else bytes(data[:at])
+
+
+def take_store(data, longest):
+    """The first whole reply of the store as (message, bytes used), or None until there is one."""
+    line = _line(data, b"\r\n")
+    if line is None:
+        return None
+    words, used = line.split(b" "), len(line) + 2
+    outcome = REPLIES.get(words[1]) if len(words) > 1 else None
+    if outcome is None or len(words) != (3 if outcome is Outcome.OK else 2):
+        raise Malformed(f"a reply from the store: {line[:60]!r}")
+    body = b""
+    if outcome is Outcome.OK:
+        if not words[2].isdigit() or int(words[2]) + used + 2 > longest:
+            raise Malformed(f"a reply from the store: {line[:60]!r}")
+        length = int(words[2])
+        if len(data) < used + length + 2:
+            return None
+        body = bytes(data[used:used + length])
+        used += length + 2
+        if data[used - 2:used] != b"\r\n":
+            raise Malformed("a reply from the store does not end where it says")
+    return ("reply", words[0].decode("ascii", "replace"), outcome, body), used
+
+
+def _say(event, **fields):
+    return json.dumps({"event": event, **fields}, separators=(",", ":")).encode() + b"\n"
+
+
+def bind(cursor):
+    return _say("bind", cursor=cursor)
+
+
+def spawn(name, method, body):
+    return _say("spawn", handle=name, entry=method, arg=b64encode(body).decode())
+
+
+def supply(name, body):
+    return _say("supply", handle=name, arg=b64encode(body).decode())
+
+
+def leave_out(name, cursor):
+    return _say("pass", handle=name, cursor=cursor)
+
+
+def poll(ticket):
+    return _say("poll", ticket=ticket)
+
+
+def call(name, limit, body):
+    """Milliseconds are rounded up: the node's own time limit comes first."""
+    return b"CALL %s %d %d\r\n%s\r\n" % (name.encode(), -(-limit // 1000), len(body), body)
+
+
+def drop(name):
+    return b"DROP %s\r\n" % name.encode()
+
+
+def report(name, good):
+    return f"HERE {name} {'on' if good else 'off'}".encode()
--- /dev/null
+++ b/finchcart/net/links.py
@@ -0,0 +1,244 @@
+"""Sockets and their threads.
+
+Owns every socket of the node. Each link has a reader and a writer thread with small stacks on a blocking
+socket: the reader delivers one message and reads on only when asked, the writer writes what it is handed. They
+must never touch the node's state: what they see goes to the one queue as an input of the reducer.
+"""
+
+import errno
+import socket
+import struct
+import threading
+from queue import Empty, SimpleQueue
+from time import sleep
+
+from loguru import logger
+
+from finchcart.net import lines, thrift
+
+TAKE = {"front": thrift.take, "pool": lines.take_pool, "store": lines.take_store}
+
+
+def timeval(us):
+    return struct.pack("ll", *divmod(us, 1_000_000))
+
+
+def start_thread(act, name):
+    threading.Thread(target=act, name=name, daemon=True).start()
+
+
+class Link:
+    """One connection. `order` and `send` never block."""
+
+    def __init__(self, number, kind, inputs, buffers, limits, sock=None, address=None):
+        self.number, self.kind, self.take = number, kind, TAKE[kind]
+        self.inputs, self.buffers, self.limits = inputs, buffers, limits
+        self.sock, self.address = sock, address
+        self.asked, self.out = SimpleQueue(), SimpleQueue()
+        self.read_over = threading.Event()
+        start_thread(self.read, f"read {number}")
+
+    def ask(self):
+        self.asked.put(True)
+
+    def send(self, data):
+        self.out.put(data)
+
+    def close(self):
+        """Once all that was handed over is written."""
+        self.asked.put(False)
+        self.out.put(None)
+
+    # ---- the reader, which also owns the end of the socket
+
+    def read(self):
+        try:
+            if self.sock is None:
+                self.sock = socket.create_connection(self.address)
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self.limits.send))
+        except OSError as error:
+            self.inputs.put(("refused" if self.address else "ended", self.number, f"{error.strerror}"))
+            if self.sock:
+                self.sock.close()
+            while self.asked.get():
+                pass
+            self.inputs.put(("closed", self.number))
+            return
+        writer = threading.Thread(target=self.write, name=f"write {self.number}", daemon=True)
+        writer.start()
+        why = ""
+        try:
+            why, told = self.read_messages()
+        except Exception as error:  # a fault of ours: said, and this link alone is lost
+            logger.exception("reader of link {}", self.number)
+            why, told = f"{type(error).__name__}: {error}", False
+        if not told:
+            self.inputs.put(("ended", self.number, why))
+            while self.asked.get():
+                pass
+        if why or told:
+            self.discard()
+        self.read_over.set()
+        writer.join()
+        self.sock.close()
+        self.inputs.put(("closed", self.number))
+
+    def read_messages(self):
+        """Until the far side closes, sends what can't be read (which is returned), or the close is ordered."""
+        buffer, start, end = None, 0, 0
+        first = bytearray(1)
+        try:
+            while self.asked.get():
+                while True:
+                    got = None
+                    if buffer is not None:
+                        got = self.take(memoryview(buffer)[start:end], len(buffer))
+                    if got is not None:
+                        message, used = got
+                        start += used
+                        if start == end:
+                            self.buffers.give_back(buffer)
+                            buffer, start, end = None, 0, 0
+                        self.inputs.put(("got", self.number, message))
+                        break
+                    if buffer is None:
+                        # A link that idles holds no buffer: the first byte is only looked at.
+                        if not self.sock.recv_into(first, 1, socket.MSG_PEEK):
+                            return "", False
+                        buffer = self.buffers.take()
+                    if start:
+                        buffer[:end - start] = buffer[start:end]
+                        start, end = 0, end - start
+                    if end == len(buffer):
+                        return f"a message of over {end} bytes", False
+                    with memoryview(buffer) as view:
+                        count = self.sock.recv_into(view[end:])
+                    if not count:
+                        return "", False
+                    end += count
+            return "", True
+        except OSError:
+            return "", False
+        except thrift.Malformed as error:
+            return str(error), False
+        finally:
+            if buffer is not None:
+                self.buffers.give_back(buffer)
+
+    def discard(self):
+        """Reads on without a look until the far side closes: closing over unread bytes would reset the
+        connection, and with it answers on their way."""
+        scrap = bytearray(2048)
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeval(self.limits.linger))
+            while self.sock.recv_into(scrap):
+                pass
+        except OSError:
+            pass
+
+    # ---- the writer
+
+    def write(self):
+        out, more = self.out, True
+        while more:
+            parts = [out.get()]
+            try:
+                while parts[-1] is not None and len(parts) < 64:
+                    parts.append(out.get_nowait())
+            except Empty:
+                pass
+            more = parts[-1] is not None
+            data = b"".join(parts if more else parts[:-1])
+            try:
+                if data:
+                    self.sock.sendall(data)
+                    if more:
+                        self.inputs.put(("sent", self.number, len(parts)))
+            except OSError:
+                # Broken, or no headway: the reader learns of it and tells.
+                self.end(socket.SHUT_RDWR)
+                while more:
+                    more = out.get() is not None
+        self.end(socket.SHUT_WR)
+        if not self.read_over.wait(self.limits.linger / 1_000_000):
+            self.end(socket.SHUT_RDWR)
+
+    def end(self, how):
+        try:
+            self.sock.shutdown(how)
+        except OSError:
+            pass
+
+
+class Listener:
+    """Accepts dispatchers' connections and numbers them from 1 up."""
+
+    def __init__(self, address, limits):
+        self.limits = limits
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
+        self.sock.listen(limits.backlog)
+
+    def accept(self, opened):
+        """`opened(number, socket)` for each, for as long as the process lives."""
+        number, short = 0, False
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError as error:
+                if error.errno == errno.EBADF:
+                    return
+                # Guards against a spin where descriptors or memory run out: what waits is accepted later.
+                if not short:
+                    logger.warning("accept: {}; {} accepted so far", error.strerror, number)
+                short = True
+                sleep(self.limits.accept_pause / 1_000_000)
+                continue
+            short, number = False, number + 1
+            opened(number, sock)
+
+
+class Links:
+    """Carries out the reducer's effects. Called by one thread, and by the listener's for new connections."""
+
+    def __init__(self, inputs, buffers, limits, places, roster):
+        self.inputs, self.buffers, self.limits = inputs, buffers, limits
+        self.places, self.links = places, {}
+        self.reports = SimpleQueue()
+        self.roster = socket.socket(socket.AF_INET, socket.SOCK_DGRAM), roster
+        start_thread(self.send_reports, "reports")
+
+    def opened(self, number, sock):
+        self.links[number] = Link(number, "front", self.inputs, self.buffers, self.limits, sock=sock)
+        self.inputs.put(("opened", number))
+
+    def connect(self, number, kind):
+        self.links[number] = Link(number, kind, self.inputs, self.buffers, self.limits,
+                                  address=self.places[kind])
+
+    def read(self, number):
+        if number in self.links:
+            self.links[number].ask()
+
+    def send(self, number, data):
+        if number in self.links:
+            self.links[number].send(data)
+
+    def close(self, number):
+        link = self.links.pop(number, None)
+        if link:
+            link.close()
+
+    def report(self, data):
+        self.reports.put(data)
+
+    def send_reports(self):
+        sock, address = self.roster
+        while True:
+            data = self.reports.get()
+            try:
+                sock.sendto(data, address)
+            except OSError:
+                pass  # the roster is down: the next report is due soon
--- /dev/null
+++ b/finchcart/net/reducer.py
@@ -0,0 +1,706 @@
+"""All state of a real node, and every change of it.
+
+Owns connections, open RPCs, the table of tokens with the results that repeats may share, the pool's cursor,
+calls, timers and the roster duty; implements `Port` and calls `Control`. `reduce(now, what)` takes one input
+and returns the effects that it asks for. It must never do I/O, take a lock, read a clock or decide about an
+RPC: decisions come from finchcart/control.py through the port.
+
+Inputs and effects are small plain tuples. Inputs: `("start",)`, `("opened", link)`, `("got", link, message)`,
+`("sent", link, count)`, `("refused", link, why)` (never connected), `("ended", link, why)` (nothing more will
+be read; `why` is empty where the far side closed), `("closed", link)`, `("shared", index)`, `("drain",)`,
+`("time",)`. Effects: `("read", link)` (deliver one more message), `("send", link, bytes)`, `("close", link)`
+(once all is written), `("connect", link, place)`, `("report", bytes)`, `("later", input)`, `("log", text)`,
+`("end",)`.
+
+Links of dispatchers have numbers from 1 up, those that the node makes from -1 down.
+"""
+
+from heapq import heappop, heappush
+
+from finchcart.control import Control
+from finchcart.interface import Outcome
+from finchcart.net import lines, thrift
+
+PENDING, FAILED = "pending", "failed"  # a kept result that is not there yet, or came to nothing
+
+
+class Connection:
+    """One link of a dispatcher."""
+
+    __slots__ = ("link", "open", "last_seq", "unsent", "waiting", "idle_from", "checks", "told", "bad", "ended")
+
+    def __init__(self, link, now):
+        self.link, self.open, self.last_seq = link, {}, 0
+        self.unsent, self.waiting = 0, False  # waiting: the next read is asked once less is unsent
+        self.idle_from, self.checks = None, False
+        self.told, self.bad, self.ended = False, False, False  # told: `closing` was sent
+
+
+class Rpc:
+    """What the node itself needs of one RPC."""
+
+    __slots__ = ("index", "conn", "seq", "name", "method", "body", "entry", "handle", "reached", "owed", "spawned",
+                 "over", "blocked", "call_link", "calls", "call_from", "share_from", "unconfirmed")
+
+    def __init__(self, index, conn, seq, name, method, body, reached):
+        self.index, self.conn, self.seq, self.name = index, conn, seq, name
+        self.method, self.body, self.reached = method, body, reached
+        self.entry = self.handle = None
+        self.owed, self.spawned, self.over = True, False, False
+        self.blocked = None  # (cursor, body) of the call that the run stands at
+        self.call_link, self.calls, self.call_from, self.share_from = None, 0, 0, None
+        self.unconfirmed = None  # (ticket, line): the pool may not have read it
+
+
+class Entry:
+    """A token's place in the table: the try that holds it, and what that came to."""
+
+    __slots__ = ("key", "index", "until", "result", "waiting", "ran")
+
+    def __init__(self, key, index):
+        self.key, self.index, self.until, self.result, self.waiting = key, index, 0, PENDING, []
+        self.ran = False
+
+
+class Store:
+    """One link to the store."""
+
+    __slots__ = ("link", "calls", "dropped", "idle_from", "sent")
+
+    def __init__(self, link, now):
+        self.link, self.calls, self.dropped, self.idle_from, self.sent = link, {}, set(), now, 0
+
+
+class Reducer:
+    """The node's state; see the top of this file."""
+
+    def __init__(self, settings, limits, seed, name):
+        # This pool's protocol has no word for stopping work, whatever the settings allow.
+        self.settings, self.limits, self.seed, self.name = {**settings, "can_stop": False}, limits, seed, name
+        gauges = settings.get("gauges", ())
+        self.gauges = gauges if isinstance(gauges, tuple) else (gauges,)
+        count = range(settings.get("methods.count", 0))
+        method = lambda n, item: settings.get(f"methods.{n}.{item}")
+        self.kinds = {method(n, "name"): method(n, "kind") for n in count}
+        # A try that reached the machine while an entry lived may be read as late as its deadline.
+        self.stays = max((method(n, "deadline") or 0 for n in count), default=0) + 1_000_000
+        self.now, self.effects = 0, []
+        self.control = None  # from the worker pool's start on
+        self.timers, self.made = [], 0  # heap of (when, number, what)
+        self.conns, self.rpcs, self.by_name, self.next_index = {}, {}, {}, 0
+        self.table, self.results, self.result_bytes = {}, [], 0
+        self.next_link = 0
+        self.pool, self.pool_up, self.cursor, self.ticket = None, False, 0, 0
+        self.pool_unsent, self.settle, self.wakes = 0, None, {}
+        self.pool_fault, self.bound_at = "", 0
+        self.stores, self.store = {}, None
+        self.good, self.said_level, self.keep = True, None, None
+        self.drained, self.grace_end, self.quiet_from, self.reports = False, None, None, 0
+
+    # ---- in and out
+
+    def reduce(self, now, what):
+        """One input, after all timers that are due."""
+        self.now = now = max(now, self.now)
+        self.effects = effects = []
+        while self.timers and self.timers[0][0] <= now:
+            _, _, (act, *args) = heappop(self.timers)
+            act(*args)
+        getattr(self, "on_" + what[0])(*what[1:])
+        return effects
+
+    def due(self):
+        """When the next timer is due, or None."""
+        return self.timers[0][0] if self.timers else None
+
+    def ask(self, *effect):
+        self.effects.append(effect)
+
+    def at(self, when, act, *args):
+        self.made += 1
+        heappush(self.timers, (when, self.made, (act, *args)))
+
+    def connect(self, place):
+        self.next_link -= 1
+        self.ask("connect", self.next_link, place)
+        return self.next_link
+
+    def on_start(self):
+        self.reach_pool()
+        self.report()
+
+    def on_time(self):
+        """Nothing but the timers."""
+
+    # ---- dispatchers
+
+    def on_opened(self, link):
+        conn = self.conns[link] = Connection(link, self.now)
+        if len(self.conns) > self.limits.connections:
+            # Guards against running out of descriptors: told at once, so that its RPCs go elsewhere.
+            self.tell_close(conn)
+        self.ask("read", link)
+        self.at(self.now + self.limits.unused, self.close_unused, conn)
+
+    def on_got(self, link, message):
+        if link == self.pool:
+            getattr(self, "pool_" + message[0])(*message[1:])
+            self.ask("read", link)
+        elif link in self.stores:
+            self.reply(self.stores[link], *message[1:])
+            self.ask("read", link)
+        elif link in self.conns and not self.conns[link].ended:
+            conn = self.conns[link]
+            getattr(self, "front_" + message[0])(conn, *message[1:])
+            if not conn.bad:
+                if conn.unsent > self.limits.unsent:
+                    conn.waiting = True  # guards against one that sends and never reads
+                else:
+                    self.ask("read", link)
+
+    def on_sent(self, link, count):
+        conn = self.conns.get(link)
+        if conn:
+            conn.unsent -= count
+            if conn.waiting and conn.unsent <= self.limits.unsent:
+                conn.waiting = False
+                self.ask("read", link)
+            self.finish_bad(conn)
+        elif link == self.pool:
+            self.pool_unsent -= count
+
+    def on_ended(self, link, why):
+        conn = self.conns.get(link)
+        if link == self.pool:
+            self.pool_lost(why)
+        elif link in self.stores:
+            self.store_lost(self.stores[link], Outcome.BROKEN_OFF, why)
+        elif conn and not conn.ended:
+            if why:
+                # Not readable: what was read before is answered, then this connection alone is closed.
+                self.ask("log", f"connection {link}: {why}; closed once {len(conn.open)} answers are out")
+                conn.bad = True
+                self.finish_bad(conn)
+                return
+            conn.ended = True
+            for index in list(conn.open.values()):
+                self.leave(self.rpcs[index])
+            self.ask("close", link)
+
+    def on_refused(self, link, why):
+        if link == self.pool:
+            self.pool_lost(why)
+        elif link in self.stores:
+            self.store_lost(self.stores[link], Outcome.UNREACHED, why)
+
+    def on_closed(self, link):
+        conn = self.conns.pop(link, None)
+        if conn:
+            conn.ended = True
+            for index in list(conn.open.values()):
+                self.leave(self.rpcs[index])
+
+    def send(self, conn, data):
+        if not conn.ended:
+            conn.unsent += 1
+            self.ask("send", conn.link, data)
+
+    def finish_bad(self, conn):
+        if conn.bad and not conn.ended and not conn.open and not conn.unsent:
+            conn.ended = True
+            self.ask("close", conn.link)
+
+    def front_unheard(self, conn, seq, name):
+        if seq is not None:
+            text = f"method {name!r}: not served here"
+            self.send(conn, thrift.not_served(seq, name, thrift.UNKNOWN_METHOD, text))
+
+    def front_heartbeat(self, conn, seq):
+        conn.checks = True
+        self.send(conn, thrift.health(seq, self.good, self.riding()))
+
+    def front_revoke(self, conn, seq, which):
+        index = conn.open.get(which)
+        if index is not None:
+            self.leave(self.rpcs[index])
+
+    def front_submit(self, conn, seq, fields, body):
+        conn.last_seq = seq
+        if seq in conn.open:
+            self.ask("log", f"connection {conn.link}: sequence number {seq} is in use; to be closed")
+            conn.bad = True
+            return
+        told = None
+        if fields is None or body is None:
+            told = "the call carries no fields or no body"
+        elif len(body) > self.limits.body:
+            told = f"body: {len(body)} bytes, {self.limits.body} at most"
+        else:
+            try:
+                told = self.read_fields(fields)
+            except (ValueError, OverflowError) as error:
+                told = str(error)
+        if isinstance(told, str):
+            self.send(conn, thrift.not_served(seq, "submit", thrift.PROTOCOL_ERROR, told))
+        elif len(conn.open) >= self.limits.open_rpcs or self.control is None:
+            # Past what the protocol allows, or before the worker pool is there: it never ran.
+            self.send(conn, thrift.pushed_back(seq, self.riding()))
+        else:
+            self.take(conn, seq, body, *told)
+
+    def read_fields(self, fields):
+        """The fields of an RPC as arguments of `take`; a text says what is wrong."""
+        def number(name, low, high, default=None):
+            text = fields.get(name)
+            if text is None and default is not None:
+                return default
+            try:
+                value = float(text)
+            except (TypeError, ValueError):
+                raise ValueError(f"field {name}={str(text)[:40]!r}: expected a number") from None
+            if not low <= value <= high:
+                raise ValueError(f"field {name}={text[:40]!r}: expected {low} to {high}")
+            return value
+
+        method, name, key = fields.get("c"), fields.get("i", ""), fields.get("k")
+        if method not in self.kinds:
+            return f"field c={str(method)[:40]!r}: no such method"
+        if len(name) != 16 or not set(name) <= set("0123456789abcdef") or name in self.by_name:
+            return f"field i={name[:40]!r}: expected 16 hex digits, new with every try"
+        if self.kinds[method] == "tokened" and not key:
+            return "field k is missing"
+        if not fields.get("s", "").isdigit():
+            return f"field s={fields.get('s', '')[:40]!r}: expected Unix milliseconds"
+        reached = min(self.now, int(number("s", 0, 1e14)) * 1000)
+        place = number("p", 0, 1, -1)
+        return (method, name, key if self.kinds[method] == "tokened" else None, reached, fields.get("f"),
+                "r" in fields, int(number("h", 0, 1e9, 0) * 1000), number("m", 0, 1e9),
+                None if place < 0 else place)
+
+    def take(self, conn, seq, body, method, name, key, reached, caller, again, hint, kb, place):
+        index, self.next_index = self.next_index, self.next_index + 1
+        rpc = self.rpcs[index] = Rpc(index, conn, seq, name, method, body, reached)
+        conn.open[seq] = index
+        conn.idle_from = None
+        self.by_name[name] = index
+        repeats = None
+        if key is not None:
+            # By the time that it reached the machine, not by when it is read.
+            entry = self.table.get((method, key))
+            if entry and entry.until > reached and (entry.ran or entry.until > self.now):
+                rpc.entry = entry
+                repeats = entry.index if entry.index in self.rpcs else -1
+            else:
+                rpc.entry = Entry((method, key), index)
+        handle = self.control.arrive(
+            self.now, index, method, kb, waited=self.now - reached, place=place, hint=hint, again=again,
+            repeats=repeats, caller=caller)
+        rpc.handle = handle
+
+    def leave(self, rpc):
+        """The caller has gone: nothing is owed, nor sent."""
+        rpc.owed = False
+        self.drop_call(rpc)
+        self.off_connection(rpc)
+        if rpc.handle:
+            rpc.handle.gone(self.now)
+
+    def off_connection(self, rpc):
+        conn = rpc.conn
+        if conn.open.get(rpc.seq) == rpc.index:
+            del conn.open[rpc.seq]
+            if not conn.open:
+                conn.idle_from = self.now
+                self.look_at_idle(conn)
+            self.finish_bad(conn)
+
+    def answer(self, rpc, data):
+        if rpc.owed:
+            rpc.owed = False
+            self.send(rpc.conn, data)
+            self.off_connection(rpc)
+
+    def riding(self):
+        """The fields that ride on all answers."""
+        return {} if self.said_level is None else {"v": f"{self.said_level:.4f}"}
+
+    # ---- idle connections
+
+    def look_at_idle(self, conn):
+        """Closes a connection that idles for longer than the module allows, or asks for a later look."""
+        if conn.idle_from is None or conn.told or conn.ended or self.keep is None:
+            return
+        if self.now - conn.idle_from >= self.keep:
+            self.tell_close(conn)
+        else:
+            self.at(conn.idle_from + self.keep, self.look_at_idle, conn)
+
+    def tell_close(self, conn):
+        """No RPC may cross the close: the dispatcher is told, and closes once all is answered."""
+        if not conn.told and not conn.ended:
+            conn.told = True
+            self.send(conn, thrift.closing())
+            self.at(self.now + self.limits.closing, self.close_told, conn)
+
+    def close_told(self, conn):
+        if conn.ended:
+            return
+        if conn.open or conn.unsent:
+            self.at(self.now + self.limits.closing, self.close_told, conn)
+        else:
+            conn.ended = True
+            self.ask("close", conn.link)
+
+    def close_unused(self, conn):
+        if not conn.ended and conn.last_seq == 0 and not conn.checks and not conn.open and conn.idle_from is None:
+            self.tell_close(conn)
+
+    # ---- the worker pool
+
+    def say_pool(self, data):
+        """Written where there is a link; what is lost with one is settled after the next is bound."""
+        if self.pool is not None:
+            self.pool_unsent += 1
+            self.ask("send", self.pool, data)
+
+    def command(self, rpc, data):
+        rpc.unconfirmed = self.ticket, data
+        if self.pool_up:
+            self.say_pool(data)
+
+    def pool_lost(self, why):
+        link, self.pool = self.pool, None
+        self.pool_up, self.settle, self.pool_unsent = False, None, 0
+        self.ask("close", link)
+        if why != self.pool_fault:
+            self.pool_fault = why
+            self.ask("log", f"worker pool: link lost ({why or 'closed'}), cursor {self.cursor}")
+        self.at(self.now + self.limits.pool_again, self.reach_pool)
+
+    def reach_pool(self):
+        self.pool = self.connect("pool")
+        self.ask("read", self.pool)
+        self.say_pool(lines.bind(self.cursor))
+
+    def pool_bound(self, fresh, lasted):
+        self.ask("log", f"worker pool: bound, {'cold' if fresh else 'warm'}, up {lasted // 1000} ms")
+        self.pool_fault, self.pool_up = "", True
+        if self.control is None:
+            # The ramp of a cold start counts from the worker pool's: a later start is the slower reckoning.
+            self.control = Control(self, {**self.settings, "fresh_start": fresh}, self.seed)
+            self.control.start(self.now)
+        else:
+            # Guards against commands lost with the old link: they are written again, but only once all notices
+            # since then are read, so that nothing that ended is started again.
+            self.ticket += 1
+            self.settle = str(self.ticket)
+            self.say_pool(lines.poll(self.settle))
+            if lasted < self.now - self.bound_at:
+                self.pool_anew()
+        self.bound_at = self.now - lasted
+
+    def pool_anew(self):
+        """A worker pool that started anew has lost its runs: each is answered, none is run again."""
+        self.cursor = 0
+        lost = [rpc for rpc in self.rpcs.values() if rpc.spawned and not rpc.over]
+        self.ask("log", f"worker pool: started anew, {len(lost)} runs lost")
+        for rpc in lost:
+            self.end_run(rpc, Outcome.STOPPED, 0, b"")
+
+    def new_notice(self, cursor):
+        """Each notice is taken once."""
+        new, self.cursor = cursor > self.cursor, max(cursor, self.cursor)
+        return new
+
+    def pool_finished(self, cursor, name, outcome, spent, result):
+        rpc = self.rpcs.get(self.by_name.get(name))
+        if self.new_notice(cursor) and rpc and rpc.spawned and not rpc.over:
+            self.end_run(rpc, outcome, spent, result)
+
+    def end_run(self, rpc, outcome, spent, result):
+        rpc.over, rpc.unconfirmed, rpc.blocked = True, None, None
+        self.by_name.pop(rpc.name, None)
+        self.drop_call(rpc)
+        if outcome is Outcome.OK:
+            self.answer(rpc, thrift.ok(rpc.seq, result, self.riding()))
+        elif outcome is Outcome.ERROR:
+            self.answer(rpc, thrift.aborted(rpc.seq, self.riding()))
+        if rpc.entry and rpc.entry.index == rpc.index:
+            self.settle_entry(rpc.entry, result if outcome is Outcome.OK else FAILED)
+        rpc.handle.ended(self.now, outcome, spent)
+
+    def pool_blocked(self, cursor, name, body):
+        rpc = self.rpcs.get(self.by_name.get(name))
+        if self.new_notice(cursor) and rpc and rpc.spawned and not rpc.over:
+            rpc.blocked, rpc.unconfirmed = (cursor, body), None
+            rpc.handle.at_call(self.now)
+
+    def pool_polled(self, ticket, figures):
+        if ticket == self.settle:
+            self.settle = None
+            for rpc in list(self.rpcs.values()):
+                if rpc.unconfirmed and rpc.unconfirmed[0] < int(ticket) and not rpc.over:
+                    self.command(rpc, rpc.unconfirmed[1])
+        if ticket in self.wakes:
+            seen = int(ticket)
+            for rpc in self.rpcs.values():
+                if rpc.unconfirmed and rpc.unconfirmed[0] < seen:
+                    rpc.unconfirmed = None  # the pool read the poll, so what was written before it too
+            self.wake(ticket, dict(zip(self.gauges, figures)))
+
+    def pool_unknown(self, command, name):
+        rpc = self.rpcs.get(self.by_name.get(name))
+        if rpc and rpc.spawned and not rpc.over:
+            self.ask("log", f"worker pool: {command} not carried out")
+            self.end_run(rpc, Outcome.MOOT if command == "spawn" else Outcome.STOPPED, 0, b"")
+
+    def pool_chatter(self, cursor):
+        self.new_notice(cursor)
+
+    def pool_other(self):
+        """An event of a later protocol."""
+
+    # ---- timers of the module, with gauges
+
+    def ring(self, control, name):
+        """A timer is due: the gauges are asked for, and waited for a little."""
+        self.ticket += 1
+        ticket = str(self.ticket)
+        self.wakes[ticket] = name
+        if self.pool_up and self.pool_unsent <= self.limits.unsent:
+            self.say_pool(lines.poll(ticket))
+            self.at(self.now + self.limits.figures, self.wake, ticket, {})
+        else:
+            self.wake(ticket, {})
+
+    def wake(self, ticket, gauges):
+        name = self.wakes.pop(ticket, None)
+        if name is not None:
+            self.control.wake(self.now, name, gauges)
+            self.look_at_end()
+
+    # ---- the store
+
+    def reply(self, store, name, outcome, body):
+        index = store.calls.pop(name, None)
+        if not store.calls:
+            store.idle_from = self.now
+            self.at(self.now + self.limits.store_idle, self.close_store, store, self.now)
+        rpc = self.rpcs.get(index)
+        if rpc is None or rpc.call_link != store.link:
+            store.dropped.discard(name)  # the late reply to a call that was given up
+            return
+        rpc.call_link = None
+        if outcome is Outcome.OK and rpc.blocked:
+            rpc.blocked = None
+            self.command(rpc, lines.supply(rpc.name, body))
+        rpc.handle.call_ended(self.now, outcome, self.now - rpc.call_from)
+
+    def store_lost(self, store, outcome, why):
+        del self.stores[store.link]
+        if self.store is store:
+            self.store = None
+        self.ask("close", store.link)
+        if why and store.calls:
+            self.ask("log", f"store: {outcome.value}, {len(store.calls)} calls ({why})")
+        for index in list(store.calls.values()):
+            rpc = self.rpcs.get(index)
+            if rpc and rpc.call_link == store.link:
+                rpc.call_link = None
+                rpc.handle.call_ended(self.now, outcome, self.now - rpc.call_from)
+
+    def close_store(self, store, idle_from):
+        """Before the store does, so that no call crosses its close."""
+        if store.link in self.stores and not store.calls and store.idle_from == idle_from:
+            del self.stores[store.link]
+            if self.store is store:
+                self.store = None
+            self.ask("close", store.link)
+
+    def drop_call(self, rpc):
+        """Gives up a call in the store's hands."""
+        store = self.stores.get(rpc.call_link)
+        rpc.call_link = None
+        if store and store.calls.pop(rpc.name, None) is not None:
+            store.dropped.add(rpc.name)
+            if len(store.dropped) > self.limits.unsent and self.store is store:
+                self.store = None  # takes no new calls, and is closed once it idles
+            self.ask("send", store.link, lines.drop(rpc.name))
+            if not store.calls:
+                store.idle_from = self.now
+                self.at(self.now + self.limits.store_idle, self.close_store, store, self.now)
+
+    def call_due(self, rpc, number):
+        if rpc.call_link is not None and rpc.calls == number:
+            self.drop_call(rpc)
+            rpc.handle.call_ended(self.now, Outcome.TIMEOUT, self.now - rpc.call_from)
+
+    # ---- results that repeats share
+
+    def settle_entry(self, entry, result):
+        """The try that holds the entry is over."""
+        entry.result = result
+        if result is not FAILED:
+            self.results.append(entry)
+            self.result_bytes += len(result)
+            while self.result_bytes > self.limits.kept_results:
+                self.drop_result(self.results[0])
+        self.ready(entry)
+
+    def drop_result(self, entry):
+        if entry in self.results:
+            self.results.remove(entry)
+            self.result_bytes -= len(entry.result)
+            entry.result = FAILED
+
+    def ready(self, entry):
+        waiting, entry.waiting = entry.waiting, []
+        for index in waiting:
+            self.ask("later", ("shared", index))
+
+    def on_shared(self, index):
+        rpc = self.rpcs.get(index)
+        if rpc is None or rpc.over or rpc.share_from is None:
+            return
+        rpc.over = True
+        self.by_name.pop(rpc.name, None)
+        result, spent = rpc.entry.result, self.now - rpc.share_from
+        if isinstance(result, bytes):
+            self.answer(rpc, thrift.ok(rpc.seq, result, self.riding()))
+            rpc.handle.ended(self.now, Outcome.OK, spent)
+        else:
+            self.answer(rpc, thrift.aborted(rpc.seq, self.riding()))
+            rpc.handle.ended(self.now, Outcome.ERROR, spent)
+
+    def expire(self, entry):
+        """Out of the table once nothing that reached the machine in its time can still be read."""
+        if self.table.get(entry.key) is entry:
+            if self.now < entry.until + self.stays:
+                self.at(entry.until + self.stays, self.expire, entry)
+                return
+            del self.table[entry.key]
+        self.drop_result(entry)
+
+    # ---- the port
+
+    def run(self, index):
+        rpc = self.rpcs[index]
+        rpc.spawned = True
+        if rpc.entry:
+            rpc.entry.ran = True
+        self.command(rpc, lines.spawn(rpc.name, rpc.method, rpc.body))
+
+    def stop(self, index):
+        raise NotImplementedError("this worker pool stops nothing")
+
+    def push_back(self, index, wait, last):
+        rpc, fields = self.rpcs[index], self.riding()
+        if wait:
+            fields["w"] = str(max(1, wait // 1000))
+        if last:
+            fields["l"] = "1"
+        self.answer(rpc, thrift.pushed_back(rpc.seq, fields))
+
+    def abort(self, index):
+        rpc = self.rpcs[index]
+        self.drop_call(rpc)
+        self.answer(rpc, thrift.aborted(rpc.seq, self.riding()))
+
+    def call(self, index, limit):
+        rpc = self.rpcs[index]
+        # Guards against a late reply that passes for this call's: not on a link where one may come.
+        if self.store is None or rpc.name in self.store.dropped:
+            link = self.connect("store")
+            self.store = self.stores[link] = Store(link, self.now)
+            self.ask("read", link)
+        rpc.call_link, rpc.call_from, rpc.calls = self.store.link, self.now, rpc.calls + 1
+        self.store.calls[rpc.name] = index
+        self.ask("send", self.store.link, lines.call(rpc.name, limit, rpc.blocked[1]))
+        self.at(self.now + limit, self.call_due, rpc, rpc.calls)
+
+    def skip(self, index):
+        rpc = self.rpcs[index]
+        (cursor, _), rpc.blocked = rpc.blocked, None
+        self.command(rpc, lines.leave_out(rpc.name, cursor))
+
+    def share(self, index):
+        rpc = self.rpcs[index]
+        rpc.share_from = self.now
+        if rpc.entry.result is PENDING:
+            rpc.entry.waiting.append(index)
+        else:
+            self.ask("later", ("shared", index))
+
+    def remember(self, index, keep):
+        rpc = self.rpcs[index]
+        if rpc.entry.index != index:
+            rpc.entry = Entry(rpc.entry.key, index)
+        entry, before = rpc.entry, self.table.get(rpc.entry.key)
+        if before is not None and before is not entry:
+            self.drop_result(before)
+        entry.until = self.now + keep
+        self.table[entry.key] = entry
+        self.at(entry.until + self.stays, self.expire, entry)
+
+    def forget(self, index):
+        entry = self.rpcs[index].entry
+        if self.table.get(entry.key) is entry:
+            del self.table[entry.key]
+        entry.result = FAILED
+        self.ready(entry)
+
+    def health(self, good, stored):
+        if good != self.good:
+            self.good = good
+            self.report()
+
+    def level(self, value):
+        self.said_level = value
+
+    def idle_limit(self, keep):
+        self.keep = keep
+        for conn in list(self.conns.values()):
+            self.look_at_idle(conn)
+
+    def wake_in(self, delay, name):
+        self.at(self.now + delay, self.ring, self.control, name)
+
+    def log(self, text):
+        self.ask("log", text)
+
+    def release(self, index):
+        rpc = self.rpcs.pop(index)
+        if self.by_name.get(rpc.name) == index:
+            del self.by_name[rpc.name]
+
+    # ---- roster, drain and end
+
+    def report(self):
+        self.ask("report", lines.report(self.name, self.good))
+        self.reports += 1
+        self.at(self.now + self.limits.report, self.report_again, self.reports)
+
+    def report_again(self, number):
+        if number == self.reports:
+            self.report()
+
+    def on_drain(self):
+        if not self.drained:
+            self.drained = True
+            self.grace_end = self.now + self.settings.get("grace", 0)
+            self.at(self.now + self.limits.stop, self.ask, "end")
+            if self.control:
+                self.control.drain(self.now, self.now + self.limits.stop)
+            else:
+                self.ask("end",)
+
+    def look_at_end(self):
+        """The node may end once its grace is over and nothing is open, nor has been for a while."""
+        if not self.drained or self.now < self.grace_end:
+            return
+        if self.conns or any(rpc.owed for rpc in self.rpcs.values()):
+            self.quiet_from = None
+        elif self.quiet_from is None:
+            self.quiet_from = self.now
+        elif self.now - self.quiet_from >= self.limits.quiet:
+            self.ask("end",)
--- /dev/null
+++ b/finchcart/net/thrift.py
@@ -0,0 +1,165 @@
+"""The dispatchers' speech: framed Thrift in the strict binary protocol, read and written.
+
+Owns the bytes on dispatchers' connections. It does no I/O, keeps nothing between calls and must never raise
+anything but `Malformed` on what it reads, whatever the bytes.
+
+A message read is a plain tuple: `("submit", seq, fields, body)`, `("revoke", seq, which)`,
+`("heartbeat", seq)`, or `("unheard", seq, name)` for a method that is not served; `fields` or `body` are None
+where the call did not carry them as it should.
+"""
+
+import struct
+
+CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
+VERSION = 0x80010000
+STOP, BOOL, BYTE, DOUBLE, I16, I32, I64, STRING, STRUCT, MAP, SET, LIST = 0, 2, 3, 4, 6, 8, 10, 11, 12, 13, 14, 15
+FIXED = {BYTE: struct.Struct(">b"), DOUBLE: struct.Struct(">d"), I16: struct.Struct(">h"),
+         I32: struct.Struct(">i"), I64: struct.Struct(">q")}
+LENGTH, FIELD, HEAD = struct.Struct(">i"), struct.Struct(">bh"), struct.Struct(">bbi")
+UNKNOWN_METHOD, PROTOCOL_ERROR = 1, 7  # kinds of an application exception
+DEPTH = 16  # of structures within structures
+
+
+class Malformed(Exception):
+    """Bytes that are no message of this protocol."""
+
+
+class _Reader:
+    def __init__(self, data):
+        self.data, self.at = data, 0
+
+    def take(self, count):
+        start, self.at = self.at, self.at + count
+        if count < 0 or self.at > len(self.data):
+            raise Malformed(f"cut off: {count} bytes wanted at {start} of {len(self.data)}")
+        return self.data[start:self.at]
+
+    def number(self, kind):
+        shape = FIXED[kind]
+        return shape.unpack(self.take(shape.size))[0]
+
+    def count(self):
+        """Of elements: each takes a byte at least, so a count past the end is a lie."""
+        count = self.number(I32)
+        if not 0 <= count <= len(self.data) - self.at:
+            raise Malformed(f"a count of {count} with {len(self.data) - self.at} bytes left")
+        return count
+
+    def value(self, kind, depth=DEPTH):
+        if depth == 0:
+            raise Malformed("nested too deep")
+        if kind == STRING:
+            return bytes(self.take(self.number(I32)))
+        if kind == BOOL:
+            return self.take(1)[0] != 0
+        if kind in FIXED:
+            return self.number(kind)
+        if kind == STRUCT:
+            fields = {}
+            while True:
+                kind = self.take(1)[0]
+                if kind == STOP:
+                    return fields
+                number = self.number(I16)
+                fields[number, kind] = self.value(kind, depth - 1)
+        if kind == MAP:
+            keys, values, count = HEAD.unpack(self.take(HEAD.size))
+            if not 0 <= count <= len(self.data) - self.at:
+                raise Malformed(f"a count of {count} with {len(self.data) - self.at} bytes left")
+            return [(self.value(keys, depth - 1), self.value(values, depth - 1)) for _ in range(count)]
+        if kind in (SET, LIST):
+            kind = self.take(1)[0]
+            return [self.value(kind, depth - 1) for _ in range(self.count())]
+        raise Malformed(f"no such type: {kind}")
+
+
+def take(data, longest):
+    """The first whole frame of `data` as (message, bytes used), or None until there is one."""
+    if len(data) < 4:
+        return None
+    length = LENGTH.unpack(data[:4])[0]
+    if not 0 < length <= longest - 4:
+        raise Malformed(f"a frame of {length} bytes")
+    if len(data) < 4 + length:
+        return None
+    return message(data[4:4 + length]), 4 + length
+
+
+def message(data):
+    reader = _Reader(data)
+    head = reader.number(I32) & 0xFFFFFFFF
+    kind = head & 0xFF
+    if head & 0xFFFFFF00 != VERSION or kind not in (CALL, ONEWAY):
+        raise Malformed(f"not a call: {head:#010x}")
+    name, seq, args = reader.value(STRING), reader.number(I32), reader.value(STRUCT)
+    if reader.at != len(data):
+        raise Malformed(f"{len(data) - reader.at} bytes after the message")
+    if name == b"submit" and kind == CALL:
+        return "submit", seq, _texts(args.get((1, MAP))), args.get((2, STRING))
+    if name == b"revoke" and (1, I32) in args:
+        return "revoke", seq, args[1, I32]
+    if name == b"heartbeat" and kind == CALL:
+        return "heartbeat", seq
+    if kind == ONEWAY:
+        return "unheard", None, ""
+    return "unheard", seq, name.decode("utf-8", "replace")[:60]
+
+
+def _texts(pairs):
+    try:
+        return {key.decode(): value.decode() for key, value in pairs}
+    except (TypeError, AttributeError, UnicodeDecodeError):
+        return None
+
+
+def _string(data):
+    return LENGTH.pack(len(data)) + data
+
+
+def _map(fields):
+    parts = [HEAD.pack(STRING, STRING, len(fields))]
+    for name, text in fields.items():
+        parts += _string(name.encode()), _string(text.encode())
+    return b"".join(parts)
+
+
+def _frame(kind, name, seq, args):
+    data = LENGTH.pack((VERSION | kind) - (1 << 32)) + _string(name) + LENGTH.pack(seq) + args
+    return _string(data)
+
+
+def _answer(name, seq, body, fields, good):
+    inner = (FIELD.pack(STRING, 1) + _string(body) + FIELD.pack(MAP, 2) + _map(fields)
+             + FIELD.pack(BOOL, 3) + (b"\1" if good else b"\0") + b"\0")
+    return _frame(REPLY, name, seq, FIELD.pack(STRUCT, 0) + inner + b"\0")
+
+
+def _thrown(seq, number, fields):
+    inner = FIELD.pack(MAP, 1) + _map(fields) + b"\0"
+    return _frame(REPLY, b"submit", seq, FIELD.pack(STRUCT, number) + inner + b"\0")
+
+
+def ok(seq, body, fields):
+    return _answer(b"submit", seq, body, fields, True)
+
+
+def pushed_back(seq, fields):
+    return _thrown(seq, 1, fields)
+
+
+def aborted(seq, fields):
+    return _thrown(seq, 2, fields)
+
+
+def health(seq, good, fields):
+    return _answer(b"heartbeat", seq, b"", fields, good)
+
+
+def not_served(seq, name, kind, text):
+    """An application exception: the call itself was wrong."""
+    args = FIELD.pack(STRING, 1) + _string(text.encode()) + FIELD.pack(I32, 2) + LENGTH.pack(kind) + b"\0"
+    return _frame(EXCEPTION, name.encode(), seq, args)
+
+
+def closing():
+    return _frame(ONEWAY, b"closing", 0, b"\0")
--- /dev/null
+++ b/finchcart/settings.py
@@ -0,0 +1,86 @@
+"""Outside names of settings, turned into the one plain map that the module reads.
+
+Owns the table of names, for the simulator's wire and for a real node's configuration alike, so that both give
+the module the same map. It must never choose a value: what is not told stays out of the map, and the module
+picks its own default.
+"""
+
+KINDS = {"read_like": "idempotent", "idempotency_key": "tokened", "non_idempotent": "non_idempotent"}
+
+# The outside names of settings, in the module's words; others are passed over.
+SETTINGS = {
+    "round": "tick", "servers": "servers", "worthBy": "worth_by", "overShareWorth": "over_share_worth",
+    "contract.answerSlack": "slack", "contract.cold": "cold", "contract.fall": "crowd_window",
+    "contract.overloadFactor": "crowd", "contract.startCapacity": "cold_start",
+    "contract.stopSendingWithin": "grace", "familyInfo.callerIdle": "idle_max",
+    "familyInfo.callsOut": "calls_limit", "familyInfo.callsOver": "calls_window",
+    "familyInfo.classCalls": "method_calls", "familyInfo.cores": "cores", "familyInfo.fresh": "fresh",
+    "familyInfo.gauges": "gauges",
+    "familyInfo.freshStart": "fresh_start", "familyInfo.kbPerKey": "entry_kb",
+    "familyInfo.linger": "calls_linger",
+    "familyInfo.memoryKb": "memory_kb", "familyInfo.passesDeadline": "tells_deadline",
+    "familyInfo.preemption": "can_stop", "familyInfo.runFactor": "run_factor", "familyInfo.say": "told",
+    "familyInfo.worthWithout": "method_poorer", "limits.maxRetryAfter": "advice_max",
+    "services.count": "methods.count", "tenants.count": "tenants.count",
+}
+ITEMS = {
+    "services": ("methods", {"name": "name", "deadline": "deadline", "effect": "kind",
+                             "target": "latency_target", "lateWorth": "late_worth",
+                             "window": "window", "worth": "criticality"}),
+    "tenants": ("tenants", {"name": "name", "quotaPerS": "quota", "portion": "portion"}),
+}
+
+
+def from_pairs(raw):
+    """From the wire's pairs of path and text."""
+    return _named((path, text if path.endswith(".name") else _value(text)) for path, text in raw.items())
+
+
+def from_json(tree):
+    """From the nested object of a configuration: lists of objects as counts and items, plain lists as tuples."""
+    return _named(_flat("", tree))
+
+
+def _named(pairs):
+    out = {}
+    for path, value in pairs:
+        name = SETTINGS.get(path)
+        if name is None:
+            group, _, rest = path.partition(".")
+            number, _, item = rest.partition(".")
+            prefix, names = ITEMS.get(group, ("", {}))
+            if item not in names:
+                continue
+            name = f"{prefix}.{number}.{names[item]}"
+        out[name] = KINDS.get(value, "non_idempotent") if name.endswith(".kind") else value
+    if "can_stop" in out:
+        out["can_stop"] = out["can_stop"] in ("drop", "pause")
+    return out
+
+
+def _flat(path, value):
+    if isinstance(value, dict):
+        for name, part in value.items():
+            yield from _flat(f"{path}.{name}" if path else name, part)
+    elif isinstance(value, list) and value and all(isinstance(part, dict) for part in value):
+        yield f"{path}.count", len(value)
+        for n, part in enumerate(value):
+            yield from _flat(f"{path}.{n}", part)
+    elif isinstance(value, list):
+        # As on the wire, where a list of one can't be told from its only value, nor an empty one from no text.
+        yield path, tuple(value) if len(value) > 1 else value[0] if value else ""
+    else:
+        yield path, value
+
+
+def _value(text):
+    if "," in text:
+        return tuple(_value(part) for part in text.split(","))
+    if text in ("true", "false"):
+        return text == "true"
+    for read in (int, float):
+        try:
+            return read(text)
+        except ValueError:
+            pass
+    return text
--- a/finchcart/wire.py
+++ b/finchcart/wire.py
@@ -1,35 +1,12 @@
 """Lines of the simulator's wire: read into fields, and written from values. No decisions."""
 
+from finchcart import settings
 from finchcart.interface import Outcome
 
 OUTCOMES = {
     200: Outcome.OK, 502: Outcome.ERROR, 429: Outcome.FULL, 408: Outcome.TIMEOUT,
     521: Outcome.UNREACHED, 520: Outcome.BROKEN_OFF, 444: Outcome.STOPPED, 409: Outcome.MOOT,
 }
-KINDS = {"read_like": "idempotent", "idempotency_key": "tokened", "non_idempotent": "non_idempotent"}
-
-# The wire's names of settings, in the module's words; others are passed over.
-SETTINGS = {
-    "round": "tick", "servers": "servers", "worthBy": "worth_by", "overShareWorth": "over_share_worth",
-    "contract.answerSlack": "slack", "contract.cold": "cold", "contract.fall": "crowd_window",
-    "contract.overloadFactor": "crowd", "contract.startCapacity": "cold_start",
-    "contract.stopSendingWithin": "grace", "familyInfo.callerIdle": "idle_max",
-    "familyInfo.callsOut": "calls_limit", "familyInfo.callsOver": "calls_window",
-    "familyInfo.classCalls": "method_calls", "familyInfo.cores": "cores", "familyInfo.fresh": "fresh",
-    "familyInfo.freshStart": "fresh_start", "familyInfo.kbPerKey": "entry_kb",
-    "familyInfo.linger": "calls_linger",
-    "familyInfo.memoryKb": "memory_kb", "familyInfo.passesDeadline": "tells_deadline",
-    "familyInfo.preemption": "can_stop", "familyInfo.runFactor": "run_factor", "familyInfo.say": "told",
-    "familyInfo.worthWithout": "method_poorer", "limits.maxRetryAfter": "advice_max",
-    "services.count": "methods.count", "tenants.count": "tenants.count",
-}
-ITEMS = {
-    "services": ("methods", {"name": "name", "deadline": "deadline", "effect": "kind",
-                             "target": "latency_target", "lateWorth": "late_worth",
-                             "window": "window", "worth": "criticality"}),
-    "tenants": ("tenants", {"name": "name", "quotaPerS": "quota", "portion": "portion"}),
-}
-
 
 class WireError(Exception):
     """A line that can't be read: names the message, the field and what was expected."""
@@ -115,43 +92,10 @@
             except (ValueError, KeyError):
                 raise WireError(f"{message}: field {name}={value[:40]!r}: expected {expected}") from None
     if message == "CREATE":
-        fields["setup"] = settings(raw)
+        fields["setup"] = settings.from_pairs(raw)
     return message, fields
 
 
-def _value(text):
-    if "," in text:
-        return tuple(_value(part) for part in text.split(","))
-    if text in ("true", "false"):
-        return text == "true"
-    for read in (_whole, float):
-        try:
-            return read(text)
-        except ValueError:
-            pass
-    return text
-
-
-def settings(raw):
-    """The start-up settings under the module's names, as one plain map."""
-    out = {}
-    for path, text in raw.items():
-        name = SETTINGS.get(path)
-        if name is None:
-            group, _, rest = path.partition(".")
-            number, _, item = rest.partition(".")
-            prefix, names = ITEMS.get(group, ("", {}))
-            if item not in names:
-                continue
-            name = f"{prefix}.{number}.{names[item]}"
-        out[name] = text if name.endswith(".name") else _value(text)
-        if name.endswith(".kind"):
-            out[name] = KINDS.get(text, "non_idempotent")
-    if "can_stop" in out:
-        out["can_stop"] = out["can_stop"] in ("drop", "pause")
-    return out
-
-
 def write(message, who, **fields):
     """One line of an answer; fields that are None are left out."""
     parts = [message, f"who={who}"]
