--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -30,6 +30,8 @@
 
     figures: int = 25 * MS  # a timer waits this long for the gauges
     pool_again: int = 100 * MS  # between tries to reach the worker pool
+    same_start: int = 1 * SECOND  # starts told of the worker pool that lie this close are one
+    log_again: int = 10 * SECOND  # between lines on faults of one party
     store_idle: int = 5 * SECOND  # the store closes idle connections after 10 s; the node does so before
     report: int = 700 * MS  # between reports to the roster
     unused: int = 30 * SECOND  # a connection that never carried an RPC is closed after this
--- a/finchcart/net/reducer.py
+++ b/finchcart/net/reducer.py
@@ -92,7 +92,7 @@
         self.next_link = 0
         self.pool, self.pool_up, self.cursor, self.ticket = None, False, 0, 0
         self.pool_unsent, self.settle, self.wakes = 0, None, {}
-        self.pool_fault, self.bound_at = "", 0
+        self.pool_start, self.faults = 0, {}
         self.stores, self.store = {}, None
         self.good, self.said_level, self.keep = True, None, None
         self.drained, self.grace_end, self.quiet_from, self.reports = False, None, None, 0
@@ -132,6 +132,15 @@
     def on_time(self):
         """Nothing but the timers."""
 
+    def fault(self, whose, text):
+        """One line for many faults of the same party: the count of those not told comes with the next line."""
+        told, missed = self.faults.get(whose, (None, 0))
+        if told is not None and self.now - told < self.limits.log_again:
+            self.faults[whose] = told, missed + 1
+        else:
+            self.faults[whose] = self.now, 0
+            self.ask("log", f"{whose}: {text}" + (f"; {missed} more since the last line" if missed else ""))
+
     # ---- dispatchers
 
     def on_opened(self, link):
@@ -178,7 +187,7 @@
         elif conn and not conn.ended:
             if why:
                 # Not readable: what was read before is answered, then this connection alone is closed.
-                self.ask("log", f"connection {link}: {why}; closed once {len(conn.open)} answers are out")
+                self.fault("dispatchers", f"connection {link}: {why}; closed once {len(conn.open)} answers are out")
                 conn.bad = True
                 self.finish_bad(conn)
                 return
@@ -227,7 +236,7 @@
     def front_submit(self, conn, seq, fields, body):
         conn.last_seq = seq
         if seq in conn.open:
-            self.ask("log", f"connection {conn.link}: sequence number {seq} is in use; to be closed")
+            self.fault("dispatchers", f"connection {conn.link}: sequence number {seq} is in use; to be closed")
             conn.bad = True
             return
         told = None
@@ -372,9 +381,7 @@
         link, self.pool = self.pool, None
         self.pool_up, self.settle, self.pool_unsent = False, None, 0
         self.ask("close", link)
-        if why != self.pool_fault:
-            self.pool_fault = why
-            self.ask("log", f"worker pool: link lost ({why or 'closed'}), cursor {self.cursor}")
+        self.fault("worker pool", f"link lost ({why or 'closed'}), cursor {self.cursor}")
         self.at(self.now + self.limits.pool_again, self.reach_pool)
 
     def reach_pool(self):
@@ -384,7 +391,7 @@
 
     def pool_bound(self, fresh, lasted):
         self.ask("log", f"worker pool: bound, {'cold' if fresh else 'warm'}, up {lasted // 1000} ms")
-        self.pool_fault, self.pool_up = "", True
+        self.pool_up = True
         if self.control is None:
             # The ramp of a cold start counts from the worker pool's: a later start is the slower reckoning.
             self.control = Control(self, {**self.settings, "fresh_start": fresh}, self.seed)
@@ -395,13 +402,13 @@
             self.ticket += 1
             self.settle = str(self.ticket)
             self.say_pool(lines.poll(self.settle))
-            if lasted < self.now - self.bound_at:
-                self.pool_anew()
-        self.bound_at = self.now - lasted
+            if self.now - lasted > self.pool_start + self.limits.same_start:
+                self.pool_anew(fresh)
+        self.pool_start = self.now - lasted
 
-    def pool_anew(self):
+    def pool_anew(self, fresh):
         """A worker pool that started anew has lost its runs: each is answered, none is run again."""
-        self.cursor = 0
+        self.cursor, self.control.cold, self.control.began = 0, fresh, self.now
         lost = [rpc for rpc in self.rpcs.values() if rpc.spawned and not rpc.over]
         self.ask("log", f"worker pool: started anew, {len(lost)} runs lost")
         for rpc in lost:
@@ -451,7 +458,7 @@
     def pool_unknown(self, command, name):
         rpc = self.rpcs.get(self.by_name.get(name))
         if rpc and rpc.spawned and not rpc.over:
-            self.ask("log", f"worker pool: {command} not carried out")
+            self.fault("worker pool", f"{command} not carried out")
             self.end_run(rpc, Outcome.MOOT if command == "spawn" else Outcome.STOPPED, 0, b"")
 
     def pool_chatter(self, cursor):
@@ -501,8 +508,8 @@
         if self.store is store:
             self.store = None
         self.ask("close", store.link)
-        if why and store.calls:
-            self.ask("log", f"store: {outcome.value}, {len(store.calls)} calls ({why})")
+        if why:
+            self.fault("store", f"{outcome.value}, {len(store.calls)} calls ({why})")
         for index in list(store.calls.values()):
             rpc = self.rpcs.get(index)
             if rpc and rpc.call_link == store.link:
