The whole program tested over loopback; example: toy world and client

Repeats, hostile bytes after which the answers owed still come, a broken pool link, drain and early end, descriptors run out, starts that can't be; buffers all come back.

--- /dev/null
+++ b/example/world.py
@@ -0,0 +1,154 @@
+"""A toy world for one node: a worker pool, a store and a roster, on the addresses of a configuration.
+
+    python example/world.py example/config.json
+
+Written from the protocol's pages, for trying the node out by hand and for the loopback test. The pool's work is
+to sleep and to turn the body into capitals; methods marked in `classCalls` make one call to the store first.
+"""
+
+import json
+import socket
+import sys
+import threading
+import time
+from base64 import b64decode, b64encode
+
+
+def address(text):
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def thread(act, *args):
+    threading.Thread(target=act, args=args, daemon=True).start()
+
+
+class Pool:
+    """The worker pool. Notices are numbered from 1; a link that binds gets those after its cursor."""
+
+    def __init__(self, where, methods, work=0.05, cores=4):
+        self.methods, self.work, self.cores = methods, work, cores  # methods: name -> whether it calls
+        self.lock, self.link, self.notices = threading.Lock(), None, []
+        self.runs, self.ended, self.started = {}, set(), time.monotonic()
+        self.spawned = []  # (id, method, body) of every run
+        self.listener = socket.create_server(where)
+        thread(self.accept)
+
+    def accept(self):
+        while True:
+            link, _ = self.listener.accept()
+            thread(self.serve, link)
+
+    def write(self, link, **said):
+        try:
+            link.sendall(json.dumps(said).encode() + b"\n")
+        except (OSError, AttributeError):
+            pass  # no link: the notice is kept
+
+    def notice(self, event, **said):
+        with self.lock:
+            said = {"event": event, "cursor": len(self.notices) + 1, **said}
+            self.notices.append(said)
+            self.write(self.link, **said)
+
+    def serve(self, link):
+        for line in link.makefile("rb"):
+            said = json.loads(line)
+            event, name = said["event"], said.get("handle")
+            if event == "bind":
+                with self.lock:
+                    self.link = link
+                    age = int((time.monotonic() - self.started) * 1000)
+                    self.write(link, event="bound", fate="old", lasted=age)
+                    for notice in self.notices[said["cursor"]:]:
+                        self.write(link, **notice)
+            elif event == "poll":
+                busy = sum(not run["waits"] for run in list(self.runs.values()))
+                with self.lock:
+                    self.write(link, event="polled", ticket=said["ticket"],
+                               figures=[min(1.0, busy / self.cores), busy, 0.0, 0])
+            elif event == "spawn" and said["entry"] in self.methods:
+                if name not in self.runs and name not in self.ended:
+                    self.runs[name] = {"waits": False, "go": threading.Event(), "reply": None}
+                    thread(self.run, name, said["entry"], b64decode(said["arg"]))
+            elif event in ("supply", "pass") and name in self.runs:
+                self.runs[name]["reply"] = b64decode(said.get("arg", ""))
+                self.runs[name]["go"].set()
+            else:
+                self.write(link, event="unknown", fate=event, handle=name)
+
+    def run(self, name, method, body):
+        began, run = time.monotonic(), self.runs[name]
+        self.spawned.append((name, method, body))
+        fate, result = "good", body.upper()
+        time.sleep(self.work / 2)
+        if self.methods[method]:
+            run["waits"] = True
+            self.notice("blocked", handle=name, arg=b64encode(b"about " + body).decode())
+            if run["go"].wait(10):
+                result += b" " + run["reply"]
+            else:
+                fate = "cut"
+            run["waits"] = False
+        time.sleep(self.work / 2)
+        del self.runs[name]
+        self.ended.add(name)
+        self.notice("finished", handle=name, fate=fate, lasted=(time.monotonic() - began) * 1000,
+                    arg=b64encode(result if fate == "good" else b"").decode())
+
+
+class Store:
+    """The store: answers each call with its body, backwards."""
+
+    def __init__(self, where):
+        self.listener = socket.create_server(where)
+        thread(self.accept)
+
+    def accept(self):
+        while True:
+            link, _ = self.listener.accept()
+            thread(self.serve, link)
+
+    def serve(self, link):
+        lines = link.makefile("rb")
+        for line in lines:
+            words = line.split()
+            if words[0] == b"CALL":
+                body = lines.read(int(words[3]) + 2)[:-2]
+                link.sendall(b"%s OK %d\r\n%s\r\n" % (words[1], len(body), body[::-1]))
+
+
+class Roster:
+    """The roster: keeps what was reported last, and prints changes."""
+
+    def __init__(self, where, tell=print):
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(where)
+        self.duty, self.tell = {}, tell
+        thread(self.listen)
+
+    def listen(self):
+        while True:
+            _, name, duty = self.sock.recv(200).decode().split()
+            if self.duty.get(name) != duty:
+                self.tell(f"roster: {name} is {duty}")
+            self.duty[name] = duty
+
+
+def main():
+    with open(sys.argv[1], encoding="utf-8") as file:
+        config = json.load(file)
+    settings = config["settings"]
+    calls = settings["familyInfo"]["classCalls"]
+    Pool(address(config["pool"]), {m["name"]: c for m, c in zip(settings["services"], calls)})
+    Store(address(config["store"]))
+    Roster(address(config["roster"]))
+    print("worker pool, store and roster are up; Ctrl-C ends them")
+    try:
+        threading.Event().wait()
+    except KeyboardInterrupt:
+        pass
+
+
+if __name__ == "__main__":
+    main()
--- a/finchcart/net/thrift.py
+++ b/finchcart/net/thrift.py
@@ -24,7 +24,7 @@
     """Bytes that are no message of this protocol."""
 
 
-class _Reader:
+class Reader:
     def __init__(self, data):
         self.data, self.at = data, 0
 
@@ -86,7 +86,7 @@
 
 
 def message(data):
-    reader = _Reader(data)
+    reader = Reader(data)
     head = reader.number(I32) & 0xFFFFFFFF
     kind = head & 0xFF
     if head & 0xFFFFFF00 != VERSION or kind not in (CALL, ONEWAY):
@@ -112,31 +112,31 @@
         return None
 
 
-def _string(data):
+def string(data):
     return LENGTH.pack(len(data)) + data
 
 
-def _map(fields):
+def text_map(fields):
     parts = [HEAD.pack(STRING, STRING, len(fields))]
     for name, text in fields.items():
-        parts += _string(name.encode()), _string(text.encode())
+        parts += string(name.encode()), string(text.encode())
     return b"".join(parts)
 
 
-def _frame(kind, name, seq, args):
-    data = LENGTH.pack((VERSION | kind) - (1 << 32)) + _string(name) + LENGTH.pack(seq) + args
-    return _string(data)
+def frame(kind, name, seq, args):
+    data = LENGTH.pack((VERSION | kind) - (1 << 32)) + string(name) + LENGTH.pack(seq) + args
+    return string(data)
 
 
 def _answer(name, seq, body, fields, good):
-    inner = (FIELD.pack(STRING, 1) + _string(body) + FIELD.pack(MAP, 2) + _map(fields)
+    inner = (FIELD.pack(STRING, 1) + string(body) + FIELD.pack(MAP, 2) + text_map(fields)
              + FIELD.pack(BOOL, 3) + (b"\1" if good else b"\0") + b"\0")
-    return _frame(REPLY, name, seq, FIELD.pack(STRUCT, 0) + inner + b"\0")
+    return frame(REPLY, name, seq, FIELD.pack(STRUCT, 0) + inner + b"\0")
 
 
 def _thrown(seq, number, fields):
-    inner = FIELD.pack(MAP, 1) + _map(fields) + b"\0"
-    return _frame(REPLY, b"submit", seq, FIELD.pack(STRUCT, number) + inner + b"\0")
+    inner = FIELD.pack(MAP, 1) + text_map(fields) + b"\0"
+    return frame(REPLY, b"submit", seq, FIELD.pack(STRUCT, number) + inner + b"\0")
 
 
 def ok(seq, body, fields):
@@ -157,9 +157,9 @@
 
 def not_served(seq, name, kind, text):
     """An application exception: the call itself was wrong."""
-    args = FIELD.pack(STRING, 1) + _string(text.encode()) + FIELD.pack(I32, 2) + LENGTH.pack(kind) + b"\0"
-    return _frame(EXCEPTION, name.encode(), seq, args)
+    args = FIELD.pack(STRING, 1) + string(text.encode()) + FIELD.pack(I32, 2) + LENGTH.pack(kind) + b"\0"
+    return frame(EXCEPTION, name.encode(), seq, args)
 
 
 def closing():
-    return _frame(ONEWAY, b"closing", 0, b"\0")
+    return frame(ONEWAY, b"closing", 0, b"\0")
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -485,6 +485,6 @@
 
 
 def read_answer(data):
-    reader = thrift._Reader(data[4:])
+    reader = thrift.Reader(data[4:])
     head = reader.number(thrift.I32) & 0xFF
     return head, reader.value(STRING), reader.number(thrift.I32), reader.value(STRUCT)
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,197 @@
+"""The whole program over loopback against small stand-ins, and starts that can't be."""
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from queue import SimpleQueue
+
+import pytest
+
+from example.client import Client
+from example.world import Pool, Roster, Store
+from finchcart.net.buffers import Buffers
+from finchcart.net.limits import Limits
+from finchcart.net.links import Link
+
+METHODS = {"look-up": True, "book": False}
+
+
+def free(kind=socket.SOCK_STREAM):
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()
+
+
+def until(true, within=20):
+    """Waits for what must come; the bound only ends a run that failed."""
+    end = time.monotonic() + within
+    while not true():
+        assert time.monotonic() < end, "it never came"
+        time.sleep(0.01)
+
+
+class World:
+    def __init__(self, folder, sockets=1024):
+        self.places = {name: free() for name in ("listen", "pool", "store")}
+        self.places["roster"] = free(socket.SOCK_DGRAM)
+        self.roster = Roster(self.places["roster"], tell=lambda text: None)
+        with open("example/config.json", encoding="utf-8") as file:
+            config = json.load(file)
+        config.update({name: "%s:%d" % place for name, place in self.places.items()}, stop_ms=2500)
+        config["settings"]["contract"]["stopSendingWithin"] = 200_000
+        config["limits"]["sockets"] = sockets
+        self.path = folder / "config.json"
+        self.path.write_text(json.dumps(config))
+
+    def start(self, shell="exec"):
+        command = f"{shell} {sys.executable} -m finchcart"
+        self.process = subprocess.Popen(["/bin/sh", "-c", command], env={**os.environ, "ROUTER_CONFIG": str(self.path)},
+                                        stderr=subprocess.PIPE, text=True)
+        until(self.listens)
+
+    def up(self):
+        self.pool, self.store = Pool(self.places["pool"], METHODS), Store(self.places["store"])
+
+    def listens(self):
+        try:
+            client = Client(self.places["listen"])
+            client.heartbeat()
+            return client.answer()[2] == "ok"
+        except OSError:
+            return False
+
+    def client(self):
+        return Client(self.places["listen"])
+
+    def serves(self):
+        client = self.client()
+        client.submit("look-up", b"?")
+        return client.answer()[2] == "ok"
+
+    def cpu(self):
+        with open(f"/proc/{self.process.pid}/stat", encoding="ascii") as file:
+            return sum(map(int, file.read().split()[13:15])) / os.sysconf("SC_CLK_TCK")
+
+    def end(self):
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(10), self.process.stderr.read()
+
+
+@pytest.fixture
+def world(tmp_path):
+    made = World(tmp_path)
+    yield made
+    if getattr(made, "process", None) and made.process.poll() is None:
+        made.process.kill()
+        made.process.wait()
+
+
+def answers(client, count):
+    """By sequence number, whatever the order; word of a close left out."""
+    got = {}
+    while len(got) < count:
+        name, seq, what, body, _ = client.answer()
+        if name != "closing":
+            got[seq] = what, body
+    return got
+
+
+def test_it_serves_repeats_closes_and_drains_over_loopback(world):
+    world.start()  # the worker pool comes later
+    world.up()
+    until(world.serves)
+    client = world.client()
+    look, first, second, odd = (client.submit("look-up", b"bird"), client.submit("book", b"seat", "a" * 32),
+                                client.submit("book", b"seat", "a" * 32), client.submit("shout", b""))
+    got = answers(client, 4)
+    assert got[look] == ("ok", b"BIRD drib tuoba") and got[first] == got[second] == ("ok", b"SEAT")
+    assert got[odd][0] == "exception" and b"no such method" in got[odd][1]
+    assert sorted(run[1:] for run in world.pool.spawned if run[2] != b"?") == [
+        ("book", b"seat"), ("look-up", b"bird")]
+    # hostile bytes cost one connection, after the answers that it is owed
+    bad = world.client()
+    owed = bad.submit("book", b"owed", "b" * 32)
+    bad.sock.sendall(b"\xff\xff\xff\xffrubbish")
+    assert answers(bad, 1) == {owed: ("ok", b"OWED")}
+    with pytest.raises((EOFError, ConnectionError)):
+        bad.answer()
+    # a slow writer and a broken link to the pool bother no one
+    slow = world.client()
+    slow.sock.sendall(b"\0\0")
+    world.pool.link.shutdown(socket.SHUT_RDWR)
+    until(world.serves)
+    until(lambda: world.roster.duty.get("n1") == "on")
+    last = world.client()
+    seq = last.submit("book", b"last", "c" * 32)
+    world.process.send_signal(signal.SIGTERM)
+    assert answers(last, 1) == {seq: ("ok", b"LAST")}
+    for client in (client, slow, last, bad):
+        client.sock.close()
+    assert world.process.wait(10) == 0
+    assert world.roster.duty["n1"] == "off"
+    log = world.process.stderr.read()
+    assert "drain" in log and "ended" in log and "Traceback" not in log and "ERROR" not in log
+
+
+def test_running_out_of_descriptors_neither_kills_nor_spins_it(world):
+    world.up()
+    world.start("ulimit -n 40; exec")
+    until(world.serves)
+    crowd = [socket.create_connection(world.places["listen"]) for _ in range(60)]
+    before = world.cpu()
+    time.sleep(0.6)
+    assert world.cpu() - before < 0.3
+    for sock in crowd:
+        sock.close()
+    until(world.serves)
+    status, log = world.end()
+    assert status == 0 and 1 <= log.count("accept:") <= 3
+
+
+def test_buffers_all_come_back_after_cut_whole_and_hostile_bytes():
+    rng, limits = random.Random(9), Limits(memory=1, descriptors=1, stop=1, linger=50_000)
+    buffers, inputs = Buffers(limits), SimpleQueue()
+    server = socket.create_server(("127.0.0.1", 0))
+    for number in range(60):
+        far = socket.create_connection(server.getsockname())
+        near, _ = server.accept()
+        link = Link(number, "front", inputs, buffers, limits, sock=near)
+        whole = (29).to_bytes(4, "big") + bytes.fromhex("80010001" "00000009") + b"heartbeat" + bytes.fromhex(
+            "00000001" "020001" "01" "00") + b"\0" * 4
+        far.sendall(rng.choice((whole[:29] * 3, whole[:rng.randrange(40)], rng.randbytes(rng.randrange(200)))))
+        for _ in range(rng.randrange(4)):
+            link.ask()
+        if rng.random() < 0.8:
+            far.shutdown(socket.SHUT_WR)
+        link.close()
+        while inputs.get()[0] != "closed":
+            pass
+        far.close()
+    server.close()
+    assert not buffers.out
+
+
+@pytest.mark.parametrize("spoil, words", [
+    (None, "No such file"), ("{", "Expecting"), ("{}", "is missing"), ("bad port", "invalid literal"),
+    ("taken", "Address already in use")])
+def test_a_start_that_can_not_be_is_one_plain_line_and_status_2(tmp_path, spoil, words):
+    world = World(tmp_path)
+    path = world.path
+    if spoil in ("{", "{}"):
+        path.write_text(spoil)
+    elif spoil == "bad port":
+        path.write_text(path.read_text().replace(":%d" % world.places["listen"][1], ":port", 1))
+    elif spoil == "taken":
+        holder = socket.create_server(world.places["listen"])
+    else:
+        path = tmp_path / "none.json"
+    done = subprocess.run([sys.executable, "-m", "finchcart"], env={**os.environ, "ROUTER_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=20)
+    if spoil == "taken":
+        holder.close()
+    assert done.returncode == 2 and words in done.stderr and done.stderr.count("\n") == 1
