--- a/example/client.py
+++ b/example/client.py
@@ -1,7 +1,7 @@
 """A toy dispatcher: sends a few RPCs to a node and prints the answers.
 
-    python example/client.py example/config.json look-up "which bird is that"
-    python example/client.py example/config.json book "seat 12" "seat 12"
+    .venv/bin/python -m example.client example/config.json look-up "which bird is that"
+    .venv/bin/python -m example.client example/config.json book "seat 12" "seat 12"
 
 Each text is one RPC; of a tokened method, equal texts are tries of the same RPC and carry the same token.
 """
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -77,6 +77,10 @@
         with open(f"/proc/{self.process.pid}/stat", encoding="ascii") as file:
             return sum(map(int, file.read().split()[13:15])) / os.sysconf("SC_CLK_TCK")
 
+    def peak_mb(self):
+        with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
+            return next(int(line.split()[1]) for line in file if line.startswith("VmHWM")) / 1024
+
     def end(self):
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(10), self.process.stderr.read()
@@ -153,6 +157,22 @@
     assert status == 0 and 1 <= log.count("accept:") <= 3
 
 
+def test_five_hundred_connections_take_a_third_of_the_memory(world):
+    world.up()
+    world.start("exec env MALLOC_ARENA_MAX=2")
+    until(world.serves)
+    crowd = [world.client() for _ in range(500)]
+    for client in crowd:
+        client.submit("look-up", b"x" * 2000)
+    for client in crowd:
+        assert len(answers(client, 1)) == 1
+        client.sock.sendall(b"\0\0\3\0\x80")  # and now holds a buffer
+    until(world.serves)
+    assert world.peak_mb() < 64
+    for client in crowd:
+        client.sock.close()
+
+
 def test_buffers_all_come_back_after_cut_whole_and_hostile_bytes():
     rng, limits = random.Random(9), Limits(memory=1, descriptors=1, stop=1, linger=50_000)
     buffers, inputs = Buffers(limits), SimpleQueue()
