--- a/example/world.py
+++ b/example/world.py
@@ -2,8 +2,8 @@
 
     python example/world.py example/config.json
 
-Written from the protocol's pages, for trying the node out by hand and for the loopback test. The pool's work is
-to sleep and to turn the body into capitals; methods marked in `classCalls` make one call to the store first.
+Written from the protocol's pages, for trying the node out by hand and for the loopback test. The pool's work
+is to sleep and to turn the body into capitals; methods marked in `classCalls` make one call first.
 """
 
 import json
--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -18,7 +18,7 @@
 from finchcart import settings
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
-from finchcart.net.links import Links, Listener, start_thread
+from finchcart.net.links import Links, Listener
 from finchcart.net.reducer import Reducer
 
 
@@ -41,8 +41,9 @@
             "name": str(config["name"]), "listen": address(config["listen"]), "pool": address(config["pool"]),
             "store": address(config["store"]), "roster": address(config["roster"]),
             "seed": int(str(config.get("seed", "0")), 16), "settings": settings.from_json(config["settings"]),
-            "limits": Limits(memory=int(config["limits"]["memory_mb"] * 2**20),
-                             descriptors=int(config["limits"]["sockets"]), stop=int(config["stop_ms"] * 1000)),
+            "limits": Limits(
+                memory=int(config["limits"]["memory_mb"] * 2**20),
+                descriptors=int(config["limits"]["sockets"]), stop=int(config["stop_ms"] * 1000)),
         }
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
@@ -52,10 +53,17 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
-def serve(reducer, links, listener, inputs):
+def fault_in_thread(inputs, fault):
+    """No thread dies in silence: the node ends rather than lose what its link was owed."""
+    fault_in = fault.exc_type, fault.exc_value, fault.exc_traceback
+    logger.opt(exception=fault_in).error("thread {} died", fault.thread.name)
+    inputs.put(("fault", fault.thread.name))
+
+
+def serve(reducer, links, inputs):
     """One input after the other, until the reducer asks for the end."""
     pending = deque([("start",)])
-    started = False
+    links.listen()
     while True:
         if pending:
             what = pending.popleft()
@@ -74,9 +82,6 @@
                 return
             else:
                 getattr(links, act)(*args)
-        if not started:
-            started = True
-            start_thread(lambda: listener.accept(links.opened), "accept")
 
 
 def main():
@@ -90,15 +95,16 @@
         print(f"finchcart: {error}", file=sys.stderr)
         return 2
     threading.stack_size(limits.stack)
+    threading.excepthook = lambda fault: fault_in_thread(inputs, fault)
     inputs = SimpleQueue()  # its put may be called from a signal handler
     signal.signal(signal.SIGTERM, lambda *_: inputs.put(("drain",)))
     signal.signal(signal.SIGINT, lambda *_: inputs.put(("drain",)))
     reducer = Reducer(config["settings"], limits, config["seed"], config["name"])
     links = Links(inputs, Buffers(limits), limits, {"pool": config["pool"], "store": config["store"]},
-                  config["roster"])
+                  config["roster"], listener)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
     try:
-        serve(reducer, links, listener, inputs)
+        serve(reducer, links, inputs)
     except Exception:
         # Guards against serving wrongly: state that an exception went through is not trusted any more.
         logger.exception("the node's state can't be trusted, ending")
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -39,6 +39,7 @@
     linger: int = 1 * SECOND  # the far side's end is awaited this long after the last byte
     send: int = 30 * SECOND  # a write that makes no headway for this long breaks the link
     accept_pause: int = 50 * MS  # when descriptors run out
+    last_look: int = 100 * MS  # between the end of listening and the end
     quiet: int = 1 * SECOND  # without any connection after the grace: the node may end
 
     @property
--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -3,9 +3,9 @@
 Owns the bytes on those links. It does no I/O, keeps nothing between calls and must never raise anything but
 `Malformed` on what it reads, whatever the bytes.
 
-Messages read are plain tuples. From the pool: `("bound", fresh, lasted)`, `("finished", cursor, id, outcome,
-spent, result)`, `("blocked", cursor, id, body)`, `("polled", ticket, figures)`, `("unknown", command, id)`,
-`("chatter", cursor)`, `("other",)`. From the store: `("reply", id, outcome, body)`.
+Messages read are plain tuples. From the pool: `("up", cold, age)`, `("run_ended", cursor, id, outcome, spent,
+result)`, `("at_call", cursor, id, body)`, `("gauges", ticket, figures)`, `("undone", was_run, id)` (a command
+that was not carried out), `("remark", cursor)`, `("other",)`. From the store: `("reply", id, outcome, body)`.
 """
 
 import json
@@ -38,17 +38,19 @@
     event = said["event"]
     if event == "finished":
         result = b64decode(said.get("arg") or "", validate=True)
-        return event, _whole(said["cursor"]), said["handle"], ENDS[said["fate"]], _us(said["lasted"]), result
+        spent = _us(said["lasted"])
+        return "run_ended", _whole(said["cursor"]), said["handle"], ENDS[said["fate"]], spent, result
     if event == "blocked":
-        return event, _whole(said["cursor"]), said["handle"], b64decode(said.get("arg") or "", validate=True)
+        body = b64decode(said.get("arg") or "", validate=True)
+        return "at_call", _whole(said["cursor"]), said["handle"], body
     if event == "polled":
-        return event, str(said["ticket"]), tuple(float(figure) for figure in said["figures"])
+        return "gauges", str(said["ticket"]), tuple(float(figure) for figure in said["figures"])
     if event == "bound":
-        return event, {"new": True, "old": False}[said["fate"]], _us(said["lasted"])
+        return "up", {"new": True, "old": False}[said["fate"]], _us(said["lasted"])
     if event == "unknown":
-        return event, said.get("fate"), said.get("handle")
+        return "undone", said.get("fate") == "spawn", said.get("handle")
     if event == "chatter":
-        return event, _whole(said["cursor"])
+        return "remark", _whole(said["cursor"])
     return ("other",)
 
 
@@ -95,23 +97,23 @@
     return json.dumps({"event": event, **fields}, separators=(",", ":")).encode() + b"\n"
 
 
-def bind(cursor):
+def join(cursor):
     return _say("bind", cursor=cursor)
 
 
-def spawn(name, method, body):
+def run(name, method, body):
     return _say("spawn", handle=name, entry=method, arg=b64encode(body).decode())
 
 
-def supply(name, body):
+def reply(name, body):
     return _say("supply", handle=name, arg=b64encode(body).decode())
 
 
-def leave_out(name, cursor):
+def skip(name, cursor):
     return _say("pass", handle=name, cursor=cursor)
 
 
-def poll(ticket):
+def ask_gauges(ticket):
     return _say("poll", ticket=ticket)
 
 
@@ -120,7 +122,7 @@
     return b"CALL %s %d %d\r\n%s\r\n" % (name.encode(), -(-limit // 1000), len(body), body)
 
 
-def drop(name):
+def give_up(name):
     return b"DROP %s\r\n" % name.encode()
 
 
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -1,8 +1,8 @@
 """Sockets and their threads.
 
 Owns every socket of the node. Each link has a reader and a writer thread with small stacks on a blocking
-socket: the reader delivers one message and reads on only when asked, the writer writes what it is handed. They
-must never touch the node's state: what they see goes to the one queue as an input of the reducer.
+socket: the reader delivers one message and reads on only when asked, the writer writes what it is handed.
+They must never touch the node's state: what they see goes to the one queue as an input of the reducer.
 """
 
 import errno
@@ -24,7 +24,13 @@
 
 
 def start_thread(act, name):
-    threading.Thread(target=act, name=name, daemon=True).start()
+    """A thread that can't be started is a shortage like that of descriptors."""
+    thread = threading.Thread(target=act, name=name, daemon=True)
+    try:
+        thread.start()
+    except RuntimeError as error:
+        raise OSError(errno.EAGAIN, str(error)) from None
+    return thread
 
 
 class Link:
@@ -52,40 +58,40 @@
     # ---- the reader, which also owns the end of the socket
 
     def read(self):
+        why, told = "", False
         try:
-            if self.sock is None:
-                self.sock = socket.create_connection(self.address)
-            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self.limits.send))
+            writer = self.begin()
         except OSError as error:
-            self.inputs.put(("refused" if self.address else "ended", self.number, f"{error.strerror}"))
-            if self.sock:
-                self.sock.close()
-            while self.asked.get():
-                pass
-            self.inputs.put(("closed", self.number))
-            return
-        writer = threading.Thread(target=self.write, name=f"write {self.number}", daemon=True)
-        writer.start()
-        why = ""
-        try:
+            what, why = ("refused", error.strerror or str(error)) if self.address else ("ended", "")
+            self.inputs.put((what, self.number, why))
+            why = ""
+            writer = None
+        else:
             why, told = self.read_messages()
-        except Exception as error:  # a fault of ours: said, and this link alone is lost
-            logger.exception("reader of link {}", self.number)
-            why, told = f"{type(error).__name__}: {error}", False
-        if not told:
-            self.inputs.put(("ended", self.number, why))
-            while self.asked.get():
-                pass
+            if not told:
+                self.inputs.put(("ended", self.number, why))
+        while not told and self.asked.get():
+            pass  # until the close is ordered
         if why or told:
             self.discard()
         self.read_over.set()
-        writer.join()
-        self.sock.close()
+        if writer:
+            writer.join()
+        if self.sock:
+            self.sock.close()
         self.inputs.put(("closed", self.number))
 
+    def begin(self):
+        """Connects where that is still to be done, and starts the writer."""
+        if self.sock is None:
+            self.sock = socket.create_connection(self.address)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self.limits.send))
+        return start_thread(self.write, f"write {self.number}")
+
     def read_messages(self):
-        """Until the far side closes, sends what can't be read (which is returned), or the close is ordered."""
+        """Until the far side closes, sends what can't be read, or the close is ordered. Returns what can't be
+        read, and whether the close was ordered."""
         buffer, start, end = None, 0, 0
         first = bytearray(1)
         try:
@@ -122,6 +128,9 @@
             return "", False
         except thrift.Malformed as error:
             return str(error), False
+        except Exception as error:  # a fault of a codec costs this link alone
+            logger.exception("reading link {}", self.number)
+            return f"{type(error).__name__}: {error}", False
         finally:
             if buffer is not None:
                 self.buffers.give_back(buffer)
@@ -185,11 +194,15 @@
         """`opened(number, socket)` for each, for as long as the process lives."""
         number, short = 0, False
         while True:
+            sock = None
             try:
                 sock, _ = self.sock.accept()
+                opened(number + 1, sock)
             except OSError as error:
-                if error.errno == errno.EBADF:
-                    return
+                if sock:
+                    sock.close()
+                elif error.errno == errno.EINVAL:
+                    return  # told to stop
                 # Guards against a spin where descriptors or memory run out: what waits is accepted later.
                 if not short:
                     logger.warning("accept: {}; {} accepted so far", error.strerror, number)
@@ -197,19 +210,30 @@
                 sleep(self.limits.accept_pause / 1_000_000)
                 continue
             short, number = False, number + 1
-            opened(number, sock)
+
+    def stop(self):
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
 
 
 class Links:
     """Carries out the reducer's effects. Called by one thread, and by the listener's for new connections."""
 
-    def __init__(self, inputs, buffers, limits, places, roster):
-        self.inputs, self.buffers, self.limits = inputs, buffers, limits
+    def __init__(self, inputs, buffers, limits, places, roster, listener):
+        self.inputs, self.buffers, self.limits, self.listener = inputs, buffers, limits, listener
         self.places, self.links = places, {}
         self.reports = SimpleQueue()
         self.roster = socket.socket(socket.AF_INET, socket.SOCK_DGRAM), roster
         start_thread(self.send_reports, "reports")
 
+    def listen(self):
+        start_thread(lambda: self.listener.accept(self.opened), "accept")
+
+    def unlisten(self):
+        self.listener.stop()
+
     def opened(self, number, sock):
         self.links[number] = Link(number, "front", self.inputs, self.buffers, self.limits, sock=sock)
         self.inputs.put(("opened", number))
@@ -235,6 +259,7 @@
         self.reports.put(data)
 
     def send_reports(self):
+        """Waits for nobody: a datagram goes out or is lost."""
         sock, address = self.roster
         while True:
             data = self.reports.get()
--- a/finchcart/net/reducer.py
+++ b/finchcart/net/reducer.py
@@ -8,9 +8,9 @@
 Inputs and effects are small plain tuples. Inputs: `("start",)`, `("opened", link)`, `("got", link, message)`,
 `("sent", link, count)`, `("refused", link, why)` (never connected), `("ended", link, why)` (nothing more will
 be read; `why` is empty where the far side closed), `("closed", link)`, `("shared", index)`, `("drain",)`,
-`("time",)`. Effects: `("read", link)` (deliver one more message), `("send", link, bytes)`, `("close", link)`
-(once all is written), `("connect", link, place)`, `("report", bytes)`, `("later", input)`, `("log", text)`,
-`("end",)`.
+`("fault", thread)`, `("time",)`. Effects: `("read", link)` (deliver one more message),
+`("send", link, bytes)`, `("close", link)` (once all is written), `("connect", link, place)`,
+`("report", bytes)`, `("later", input)`, `("log", text)`, `("unlisten",)` (no new connections), `("end",)`.
 
 Links of dispatchers have numbers from 1 up, those that the node makes from -1 down.
 """
@@ -27,7 +27,8 @@
 class Connection:
     """One link of a dispatcher."""
 
-    __slots__ = ("link", "open", "last_seq", "unsent", "waiting", "idle_from", "checks", "told", "bad", "ended")
+    __slots__ = ("link", "open", "last_seq", "unsent", "waiting", "idle_from", "checks", "told", "bad",
+                 "ended")
 
     def __init__(self, link, now):
         self.link, self.open, self.last_seq = link, {}, 0
@@ -39,15 +40,16 @@
 class Rpc:
     """What the node itself needs of one RPC."""
 
-    __slots__ = ("index", "conn", "seq", "name", "method", "body", "entry", "handle", "reached", "owed", "spawned",
-                 "over", "blocked", "call_link", "calls", "call_from", "share_from", "unconfirmed")
+    __slots__ = ("index", "conn", "seq", "name", "method", "body", "entry", "handle", "reached", "owed",
+                 "started", "over", "stands_at", "call_link", "calls", "call_from", "share_from",
+                 "unconfirmed")
 
     def __init__(self, index, conn, seq, name, method, body, reached):
         self.index, self.conn, self.seq, self.name = index, conn, seq, name
         self.method, self.body, self.reached = method, body, reached
         self.entry = self.handle = None
-        self.owed, self.spawned, self.over = True, False, False
-        self.blocked = None  # (cursor, body) of the call that the run stands at
+        self.owed, self.started, self.over = True, False, False
+        self.stands_at = None  # (cursor, body) of the call that the run stands at
         self.call_link, self.calls, self.call_from, self.share_from = None, 0, 0, None
         self.unconfirmed = None  # (ticket, line, harmless if read twice): the pool may not have read it
 
@@ -90,12 +92,13 @@
         self.conns, self.rpcs, self.by_name, self.next_index = {}, {}, {}, 0
         self.table, self.results, self.result_bytes = {}, [], 0
         self.next_link = 0
-        self.pool, self.pool_up, self.cursor, self.ticket = None, False, 0, 0
+        self.pool, self.pool_ready, self.cursor, self.ticket = None, False, 0, 0
         self.pool_unsent, self.settle, self.wakes = 0, None, {}
         self.pool_start, self.faults = 0, {}
         self.stores, self.store = {}, None
         self.good, self.said_level, self.keep = True, None, None
         self.drained, self.grace_end, self.quiet_from, self.reports = False, None, None, 0
+        self.unlistened = False
 
     # ---- in and out
 
@@ -129,11 +132,14 @@
         self.reach_pool()
         self.report()
 
+    def on_fault(self, thread):
+        raise RuntimeError(f"thread {thread} died")
+
     def on_time(self):
         """Nothing but the timers."""
 
     def fault(self, whose, text):
-        """One line for many faults of the same party: the count of those not told comes with the next line."""
+        """One line for many faults of the same party: the next line has the count of those not told."""
         told, missed = self.faults.get(whose, (None, 0))
         if told is not None and self.now - told < self.limits.log_again:
             self.faults[whose] = told, missed + 1
@@ -187,7 +193,8 @@
         elif conn and not conn.ended:
             if why:
                 # Not readable: what was read before is answered, then this connection alone is closed.
-                self.fault("dispatchers", f"connection {link}: {why}; closed once {len(conn.open)} answers are out")
+                left = len(conn.open)
+                self.fault("dispatchers", f"connection {link}: {why}; closed once {left} answers are out")
                 conn.bad = True
                 self.finish_bad(conn)
                 return
@@ -224,19 +231,19 @@
             text = f"method {name!r}: not served here"
             self.send(conn, thrift.not_served(seq, name, thrift.UNKNOWN_METHOD, text))
 
-    def front_heartbeat(self, conn, seq):
+    def front_check(self, conn, seq):
         conn.checks = True
         self.send(conn, thrift.health(seq, self.good, self.riding()))
 
-    def front_revoke(self, conn, seq, which):
+    def front_left(self, conn, which):
         index = conn.open.get(which)
         if index is not None:
             self.leave(self.rpcs[index])
 
-    def front_submit(self, conn, seq, fields, body):
+    def front_rpc(self, conn, seq, fields, body):
         conn.last_seq = seq
         if seq in conn.open:
-            self.fault("dispatchers", f"connection {conn.link}: sequence number {seq} is in use; to be closed")
+            self.fault("dispatchers", f"connection {conn.link}: sequence number {seq} is in use; closed")
             conn.bad = True
             return
         told = None
@@ -271,36 +278,36 @@
                 raise ValueError(f"field {name}={text[:40]!r}: expected {low} to {high}")
             return value
 
-        method, name, key = fields.get("c"), fields.get("i", ""), fields.get("k")
+        method, name, token = fields.get("c"), fields.get("i", ""), fields.get("k")
         if method not in self.kinds:
             return f"field c={str(method)[:40]!r}: no such method"
         if len(name) != 16 or not set(name) <= set("0123456789abcdef") or name in self.by_name:
             return f"field i={name[:40]!r}: expected 16 hex digits, new with every try"
-        if self.kinds[method] == "tokened" and not key:
+        if self.kinds[method] == "tokened" and not token:
             return "field k is missing"
         if not fields.get("s", "").isdigit():
             return f"field s={fields.get('s', '')[:40]!r}: expected Unix milliseconds"
         reached = min(self.now, int(number("s", 0, 1e14)) * 1000)
         place = number("p", 0, 1, -1)
-        return (method, name, key if self.kinds[method] == "tokened" else None, reached, fields.get("f"),
+        return (method, name, token if self.kinds[method] == "tokened" else None, reached, fields.get("f"),
                 "r" in fields, int(number("h", 0, 1e9, 0) * 1000), number("m", 0, 1e9),
                 None if place < 0 else place)
 
-    def take(self, conn, seq, body, method, name, key, reached, caller, again, hint, kb, place):
+    def take(self, conn, seq, body, method, name, token, reached, caller, again, hint, kb, place):
         index, self.next_index = self.next_index, self.next_index + 1
         rpc = self.rpcs[index] = Rpc(index, conn, seq, name, method, body, reached)
         conn.open[seq] = index
         conn.idle_from = None
         self.by_name[name] = index
         repeats = None
-        if key is not None:
+        if token is not None:
             # By the time that it reached the machine, not by when it is read.
-            entry = self.table.get((method, key))
+            entry = self.table.get((method, token))
             if entry and entry.until > reached and (entry.ran or entry.until > self.now):
                 rpc.entry = entry
                 repeats = entry.index if entry.index in self.rpcs else -1
             else:
-                rpc.entry = Entry((method, key), index)
+                rpc.entry = Entry((method, token), index)
         handle = self.control.arrive(
             self.now, index, method, kb, waited=self.now - reached, place=place, hint=hint, again=again,
             repeats=repeats, caller=caller)
@@ -361,7 +368,7 @@
             self.ask("close", conn.link)
 
     def close_unused(self, conn):
-        if not conn.ended and conn.last_seq == 0 and not conn.checks and not conn.open and conn.idle_from is None:
+        if not conn.last_seq and not conn.checks:
             self.tell_close(conn)
 
     # ---- the worker pool
@@ -374,12 +381,12 @@
 
     def command(self, rpc, data, harmless):
         rpc.unconfirmed = self.ticket, data, harmless
-        if self.pool_up:
+        if self.pool_ready:
             self.say_pool(data)
 
     def pool_lost(self, why):
         link, self.pool = self.pool, None
-        self.pool_up, self.settle, self.pool_unsent = False, None, 0
+        self.pool_ready, self.settle, self.pool_unsent = False, None, 0
         self.ask("close", link)
         self.fault("worker pool", f"link lost ({why or 'closed'}), cursor {self.cursor}")
         self.at(self.now + self.limits.pool_again, self.reach_pool)
@@ -387,29 +394,29 @@
     def reach_pool(self):
         self.pool = self.connect("pool")
         self.ask("read", self.pool)
-        self.say_pool(lines.bind(self.cursor))
+        self.say_pool(lines.join(self.cursor))
 
-    def pool_bound(self, fresh, lasted):
-        self.ask("log", f"worker pool: bound, {'cold' if fresh else 'warm'}, up {lasted // 1000} ms")
-        self.pool_up = True
+    def pool_up(self, cold, age):
+        self.ask("log", f"worker pool: up, {'cold' if cold else 'warm'}, for {age // 1000} ms")
+        self.pool_ready = True
         if self.control is None:
             # The ramp of a cold start counts from the worker pool's: a later start is the slower reckoning.
-            self.control = Control(self, {**self.settings, "fresh_start": fresh}, self.seed)
+            self.control = Control(self, {**self.settings, "fresh_start": cold}, self.seed)
             self.control.start(self.now)
         else:
-            # Guards against commands lost with the old link: they are written again, but only once all notices
-            # since then are read, so that nothing that ended is started again.
+            # Guards against commands lost with the old link: they are seen to once all notices since then
+            # are read, so that nothing that ended is started again.
             self.ticket += 1
             self.settle = str(self.ticket)
-            self.say_pool(lines.poll(self.settle))
-            if self.now - lasted > self.pool_start + self.limits.same_start:
-                self.pool_anew(fresh)
-        self.pool_start = self.now - lasted
+            self.say_pool(lines.ask_gauges(self.settle))
+            if self.now - age > self.pool_start + self.limits.same_start:
+                self.pool_anew(cold)
+        self.pool_start = self.now - age
 
-    def pool_anew(self, fresh):
+    def pool_anew(self, cold):
         """A worker pool that started anew has lost its runs: each is answered, none is run again."""
-        self.cursor, self.control.cold, self.control.began = 0, fresh, self.now
-        lost = [rpc for rpc in self.rpcs.values() if rpc.spawned and not rpc.over]
+        self.cursor, self.control.cold, self.control.began = 0, cold, self.now
+        lost = [rpc for rpc in self.rpcs.values() if rpc.started and not rpc.over]
         self.ask("log", f"worker pool: started anew, {len(lost)} runs lost")
         for rpc in lost:
             self.end_run(rpc, Outcome.STOPPED, 0, b"")
@@ -419,13 +426,13 @@
         new, self.cursor = cursor > self.cursor, max(cursor, self.cursor)
         return new
 
-    def pool_finished(self, cursor, name, outcome, spent, result):
+    def pool_run_ended(self, cursor, name, outcome, spent, result):
         rpc = self.rpcs.get(self.by_name.get(name))
-        if self.new_notice(cursor) and rpc and rpc.spawned and not rpc.over:
+        if self.new_notice(cursor) and rpc and rpc.started and not rpc.over:
             self.end_run(rpc, outcome, spent, result)
 
     def end_run(self, rpc, outcome, spent, result):
-        rpc.over, rpc.unconfirmed, rpc.blocked = True, None, None
+        rpc.over, rpc.unconfirmed, rpc.stands_at = True, None, None
         self.by_name.pop(rpc.name, None)
         self.drop_call(rpc)
         if outcome is Outcome.OK:
@@ -436,20 +443,20 @@
             self.settle_entry(rpc.entry, result if outcome is Outcome.OK else FAILED)
         rpc.handle.ended(self.now, outcome, spent)
 
-    def pool_blocked(self, cursor, name, body):
+    def pool_at_call(self, cursor, name, body):
         rpc = self.rpcs.get(self.by_name.get(name))
-        if self.new_notice(cursor) and rpc and rpc.spawned and not rpc.over:
-            rpc.blocked, rpc.unconfirmed = (cursor, body), None
+        if self.new_notice(cursor) and rpc and rpc.started and not rpc.over:
+            rpc.stands_at, rpc.unconfirmed = (cursor, body), None
             rpc.handle.at_call(self.now)
 
-    def pool_polled(self, ticket, figures):
+    def pool_gauges(self, ticket, figures):
         if ticket == self.settle:
             self.settle = None
             for rpc in list(self.rpcs.values()):
                 if rpc.unconfirmed and rpc.unconfirmed[0] < int(ticket) and not rpc.over:
                     _, data, harmless = rpc.unconfirmed
-                    # Guards against a second effect, and a reply that meets a later call: what the pool did read
-                    # may have gone on since the poll, so only what does no harm twice is written again.
+                    # Guards against a second effect, and a reply that meets a later call: what the pool did
+                    # read may have gone on since, so only what does no harm twice is written again.
                     if harmless:
                         self.command(rpc, data, harmless)
                     else:
@@ -461,13 +468,13 @@
                     rpc.unconfirmed = None  # the pool read the poll, so what was written before it too
             self.wake(ticket, dict(zip(self.gauges, figures)))
 
-    def pool_unknown(self, command, name):
+    def pool_undone(self, was_run, name):
         rpc = self.rpcs.get(self.by_name.get(name))
-        if rpc and rpc.spawned and not rpc.over:
-            self.fault("worker pool", f"{command} not carried out")
-            self.end_run(rpc, Outcome.MOOT if command == "spawn" else Outcome.STOPPED, 0, b"")
+        if rpc and rpc.started and not rpc.over:
+            self.fault("worker pool", f"{'run' if was_run else 'command'} not carried out")
+            self.end_run(rpc, Outcome.MOOT if was_run else Outcome.STOPPED, 0, b"")
 
-    def pool_chatter(self, cursor):
+    def pool_remark(self, cursor):
         self.new_notice(cursor)
 
     def pool_other(self):
@@ -480,8 +487,8 @@
         self.ticket += 1
         ticket = str(self.ticket)
         self.wakes[ticket] = name
-        if self.pool_up and self.pool_unsent <= self.limits.unsent:
-            self.say_pool(lines.poll(ticket))
+        if self.pool_ready and self.pool_unsent <= self.limits.unsent:
+            self.say_pool(lines.ask_gauges(ticket))
             self.at(self.now + self.limits.figures, self.wake, ticket, {})
         else:
             self.wake(ticket, {})
@@ -504,9 +511,9 @@
             store.dropped.discard(name)  # the late reply to a call that was given up
             return
         rpc.call_link = None
-        if outcome is Outcome.OK and rpc.blocked:
-            rpc.blocked = None
-            self.command(rpc, lines.supply(rpc.name, body), False)
+        if outcome is Outcome.OK and rpc.stands_at:
+            rpc.stands_at = None
+            self.command(rpc, lines.reply(rpc.name, body), False)
         rpc.handle.call_ended(self.now, outcome, self.now - rpc.call_from)
 
     def store_lost(self, store, outcome, why):
@@ -538,7 +545,7 @@
             store.dropped.add(rpc.name)
             if len(store.dropped) > self.limits.unsent and self.store is store:
                 self.store = None  # takes no new calls, and is closed once it idles
-            self.ask("send", store.link, lines.drop(rpc.name))
+            self.ask("send", store.link, lines.give_up(rpc.name))
             if not store.calls:
                 store.idle_from = self.now
                 self.at(self.now + self.limits.store_idle, self.close_store, store, self.now)
@@ -598,11 +605,11 @@
 
     def run(self, index):
         rpc = self.rpcs[index]
-        rpc.spawned = True
+        rpc.started = True
         if rpc.entry:
             rpc.entry.ran = True
         again = self.kinds[rpc.method] == "idempotent"
-        self.command(rpc, lines.spawn(rpc.name, rpc.method, rpc.body), again)
+        self.command(rpc, lines.run(rpc.name, rpc.method, rpc.body), again)
 
     def stop(self, index):
         raise NotImplementedError("this worker pool stops nothing")
@@ -629,13 +636,13 @@
             self.ask("read", link)
         rpc.call_link, rpc.call_from, rpc.calls = self.store.link, self.now, rpc.calls + 1
         self.store.calls[rpc.name] = index
-        self.ask("send", self.store.link, lines.call(rpc.name, limit, rpc.blocked[1]))
+        self.ask("send", self.store.link, lines.call(rpc.name, limit, rpc.stands_at[1]))
         self.at(self.now + limit, self.call_due, rpc, rpc.calls)
 
     def skip(self, index):
         rpc = self.rpcs[index]
-        (cursor, _), rpc.blocked = rpc.blocked, None
-        self.command(rpc, lines.leave_out(rpc.name, cursor), True)
+        (cursor, _), rpc.stands_at = rpc.stands_at, None
+        self.command(rpc, lines.skip(rpc.name, cursor), True)
 
     def share(self, index):
         rpc = self.rpcs[index]
@@ -717,4 +724,6 @@
         elif self.quiet_from is None:
             self.quiet_from = self.now
         elif self.now - self.quiet_from >= self.limits.quiet:
-            self.ask("end",)
+            # Guards against an RPC on a connection that is being accepted: first no new ones, then the end.
+            self.ask("end" if self.unlistened else "unlisten")
+            self.unlistened, self.quiet_from = True, self.now - self.limits.quiet + self.limits.last_look
--- a/finchcart/net/thrift.py
+++ b/finchcart/net/thrift.py
@@ -3,16 +3,17 @@
 Owns the bytes on dispatchers' connections. It does no I/O, keeps nothing between calls and must never raise
 anything but `Malformed` on what it reads, whatever the bytes.
 
-A message read is a plain tuple: `("submit", seq, fields, body)`, `("revoke", seq, which)`,
-`("heartbeat", seq)`, or `("unheard", seq, name)` for a method that is not served; `fields` or `body` are None
-where the call did not carry them as it should.
+A message read is a plain tuple: `("rpc", seq, fields, body)`, `("left", seq)` (the caller of that RPC has
+gone), `("check", seq)`, or `("unheard", seq, name)` for a call that is not served; `fields` or `body` are
+None where an RPC did not carry them as it should.
 """
 
 import struct
 
 CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
 VERSION = 0x80010000
-STOP, BOOL, BYTE, DOUBLE, I16, I32, I64, STRING, STRUCT, MAP, SET, LIST = 0, 2, 3, 4, 6, 8, 10, 11, 12, 13, 14, 15
+STOP, BOOL, BYTE, DOUBLE, I16, I32, I64 = 0, 2, 3, 4, 6, 8, 10
+STRING, STRUCT, MAP, SET, LIST = 11, 12, 13, 14, 15
 FIXED = {BYTE: struct.Struct(">b"), DOUBLE: struct.Struct(">d"), I16: struct.Struct(">h"),
          I32: struct.Struct(">i"), I64: struct.Struct(">q")}
 LENGTH, FIELD, HEAD = struct.Struct(">i"), struct.Struct(">bh"), struct.Struct(">bbi")
@@ -95,11 +96,11 @@
     if reader.at != len(data):
         raise Malformed(f"{len(data) - reader.at} bytes after the message")
     if name == b"submit" and kind == CALL:
-        return "submit", seq, _texts(args.get((1, MAP))), args.get((2, STRING))
+        return "rpc", seq, _texts(args.get((1, MAP))), args.get((2, STRING))
     if name == b"revoke" and (1, I32) in args:
-        return "revoke", seq, args[1, I32]
+        return "left", args[1, I32]
     if name == b"heartbeat" and kind == CALL:
-        return "heartbeat", seq
+        return "check", seq
     if kind == ONEWAY:
         return "unheard", None, ""
     return "unheard", seq, name.decode("utf-8", "replace")[:60]
--- a/finchcart/settings.py
+++ b/finchcart/settings.py
@@ -37,7 +37,7 @@
 
 
 def from_json(tree):
-    """From the nested object of a configuration: lists of objects as counts and items, plain lists as tuples."""
+    """From a configuration's nested object: lists of objects as counts and items, plain lists as tuples."""
     return _named(_flat("", tree))
 
 
@@ -67,7 +67,7 @@
         for n, part in enumerate(value):
             yield from _flat(f"{path}.{n}", part)
     elif isinstance(value, list):
-        # As on the wire, where a list of one can't be told from its only value, nor an empty one from no text.
+        # As on the wire: a list of one can't be told from its only value, nor an empty one from no text.
         yield path, tuple(value) if len(value) > 1 else value[0] if value else ""
     else:
         yield path, value
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -222,7 +222,7 @@
 
 
 class Far:
-    """Dispatchers, worker pool, store and roster round one reducer, without sockets; checks the rules as it goes."""
+    """Dispatchers, worker pool, store and roster round one reducer, without sockets; checks the rules."""
 
     def __init__(self, settings, seed=1, **limits):
         self.settings, self.now, self.rng = settings, 1_700_000_000_000_000, random.Random(seed)
@@ -233,7 +233,7 @@
         self.pool = self.drained = self.ended = None
         self.numbered, self.waiting, self.active, self.by_seq = 0, {}, {}, {}
         self.pool_up, self.store_up, self.cold, self.pool_start = True, True, False, self.now
-        self.runs, self.notices, self.commands, self.calls, self.replies, self.supplied = {}, [], [], {}, {}, {}
+        self.runs, self.notices, self.commands, self.calls, self.supplied = {}, [], [], {}, {}
         self.feed("start")
 
     def feed(self, *what):
@@ -304,6 +304,9 @@
     def do_log(self, text):
         self.lines.append(text)
 
+    def do_unlisten(self):
+        assert not any(r["owed"] and not r["answers"] for r in self.waiting.values())
+
     def do_end(self):
         assert self.drained is not None
         self.ended = True
@@ -331,26 +334,27 @@
         n = first["n"] if first else n
         kind = self.settings[f"methods.{n}.kind"]
         reached = (self.now - waited) // 1000 * 1000
-        said = {"c": f"m{n}", "i": name, "s": str(reached // 1000), "f": "3", "h": "100.00", "m": "20.0", "p": "0.5"}
+        said = {"c": f"m{n}", "i": name, "s": str(reached // 1000), "f": "3", "h": "100.00", "m": "20.0",
+                "p": "0.5"}
         said.update({"r": "1"} if first else {})
         said.update({"k": key} if kind == "tokened" else {}, **fields)
         body = first["body"] if first else self.rng.randbytes(8)
-        self.tries[name] = dict(n=n, key=key, kind=kind, reached=reached, link=link, seq=seq, body=body, answers=0,
-                                due=max(self.now, reached + self.settings[f"methods.{n}.deadline"]), ran=False,
-                                owed=True)
+        due = max(self.now, reached + self.settings[f"methods.{n}.deadline"])
+        self.tries[name] = dict(n=n, key=key, kind=kind, reached=reached, link=link, seq=seq, body=body,
+                                answers=0, due=due, ran=False, owed=True)
         self.waiting[name] = self.by_seq[link, seq] = self.tries[name]
-        self.give(link, ("submit", seq, said, body))
+        self.give(link, ("rpc", seq, said, body))
         return name
 
     def revoke(self, name):
         r = self.tries[name]
         r["owed"] = False
-        self.give(r["link"], ("revoke", 0, r["seq"]))
+        self.give(r["link"], ("left", r["seq"]))
 
     def cut(self, link, why=""):
         """The far side closes, or sends what can't be read; nothing in its inbox is read any more."""
         for r in self.waiting.values():
-            unread = any(m[1] == r["seq"] for m in self.inbox.get(link, ()) if m[0] == "submit")
+            unread = any(m[1] == r["seq"] for m in self.inbox.get(link, ()) if m[0] == "rpc")
             if r["link"] == link and (not why or unread):
                 r["owed"] = False
         self.inbox.pop(link, None)
@@ -382,11 +386,11 @@
         run = self.runs.get(name)
         if event == "bind":
             assert said["cursor"] <= self.numbered
-            self.give(link, ("bound", self.cold, self.now - self.pool_start))
+            self.give(link, ("up", self.cold, self.now - self.pool_start))
             for notice in self.notices[said["cursor"]:]:
                 self.give(link, notice)
         elif event == "poll":
-            self.give(link, ("polled", said["ticket"], (0.5, 1.0)))
+            self.give(link, ("gauges", said["ticket"], (0.5, 1.0)))
         elif event == "spawn":
             r = self.tries[name]
             assert (said["entry"], b64decode(said["arg"])) == (f"m{r['n']}", r["body"])
@@ -394,13 +398,15 @@
                 return
             assert run is None or r["kind"] == "idempotent", "run again"
             if r["answers"] or not r["owed"]:
-                self.notice("finished", name, Outcome.MOOT, 0, b"")
+                self.notice("run_ended", name, Outcome.MOOT, 0, b"")
                 self.runs[name] = dict(state="over", key=r["key"], result=None, calls=0)
                 return
             others = [t for t in self.tries.values() if t["key"] == r["key"] and t["ran"]]
             window = self.settings[f"methods.{r['n']}.window"]
-            assert r["kind"] != "tokened" or all(t["reached"] + window < r["reached"] for t in others), "twice"
-            assert self.drained is None or r["reached"] <= self.drained + self.settings["grace"], "past the grace"
+            if r["kind"] == "tokened":
+                assert all(t["reached"] + window < r["reached"] for t in others), "effect twice"
+            if self.drained is not None:
+                assert r["reached"] <= self.drained + self.settings["grace"], "ran what came past the grace"
             r["ran"] = True
             self.runs[name] = dict(state="running", key=r["key"], result=None, calls=0, never_ran=True)
             self.active[name] = self.runs[name]
@@ -422,12 +428,12 @@
         run["state"] = "over"
         self.active.pop(name, None)
         run["result"] = self.rng.randbytes(6) if outcome is Outcome.OK else None
-        self.notice("finished", name, outcome, 50 * MS, run["result"] or b"")
+        self.notice("run_ended", name, outcome, 50 * MS, run["result"] or b"")
 
     def block(self, name):
         run = self.runs[name]
         run.update(state="blocked", cursor=len(self.notices) + 1, never_ran=True, calls=run["calls"] + 1)
-        self.notice("blocked", name, b"call %d" % run["calls"])
+        self.notice("at_call", name, b"call %d" % run["calls"])
 
     def cut_pool(self):
         """The link breaks: what was on its way in both directions is lost."""
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -17,14 +17,24 @@
 
 # Written out by hand from the specification of the strict binary protocol: version 1, type, name, sequence
 # number; each field as type, id, value; a zero byte ends a structure; the frame's length comes first.
-SUBMIT = bytes.fromhex(
-    "80010001" "00000006") + b"submit" + bytes.fromhex(
-    "00000007" "0d0001" "0b0b" "00000002" "00000001") + b"c" + bytes.fromhex("00000002") + b"go" + bytes.fromhex(
-    "00000001") + b"p" + bytes.fromhex("00000003") + b"0.5" + bytes.fromhex(
-    "0b0002" "00000003" "ff0041" "00")
-REVOKE = bytes.fromhex("80010004" "00000006") + b"revoke" + bytes.fromhex("00000009" "080001" "00000007" "00")
-HEARTBEAT = bytes.fromhex("80010001" "00000009") + b"heartbeat" + bytes.fromhex("00000001" "020001" "01" "00")
-FINISHED = b'{"event":"finished","cursor":4,"handle":"9b1f03aa5c7e2d41","fate":"good","lasted":1.5,"arg":"/wBB"}\n'
+SUBMIT = (
+    bytes.fromhex("8001000100000006")
+    + b"submit"
+    + bytes.fromhex("000000070d00010b0b0000000200000001")
+    + b"c"
+    + bytes.fromhex("00000002")
+    + b"go"
+    + bytes.fromhex("00000001")
+    + b"p"
+    + bytes.fromhex("00000003")
+    + b"0.5"
+    + bytes.fromhex("0b000200000003ff004100")
+)
+REVOKE = bytes.fromhex("8001000400000006") + b"revoke" + bytes.fromhex("000000090800010000000700")
+HEARTBEAT = bytes.fromhex("8001000100000009") + b"heartbeat" + bytes.fromhex("000000010200010100")
+FINISHED = (
+    b'{"event":"finished","cursor":4,"handle":"9b1f03aa5c7e2d41","fate":"good","lasted":1.5,"arg":"/wBB"}\n'
+)
 POLLED = b'{"event":"polled","ticket":"9","figures":[0.5,3,0.25,17]}\n'
 STORED = b"9b1f03aa5c7e2d41 OK 5\r\na\r\nb\0\r\n"
 
@@ -34,55 +44,116 @@
 
 
 def test_calls_written_by_hand_are_read():
-    assert thrift.message(SUBMIT) == ("submit", 7, {"c": "go", "p": "0.5"}, b"\xff\0A")
-    assert thrift.message(REVOKE) == ("revoke", 9, 7)
-    assert thrift.message(HEARTBEAT) == ("heartbeat", 1)
+    assert thrift.message(SUBMIT) == ("rpc", 7, {"c": "go", "p": "0.5"}, b"\xff\0A")
+    assert thrift.message(REVOKE) == ("left", 7)
+    assert thrift.message(HEARTBEAT) == ("check", 1)
     assert thrift.message(HEARTBEAT.replace(b"heartbeat", b"headcount")) == ("unheard", 1, "headcount")
-    assert thrift.take(framed(REVOKE) + b"more", LONGEST) == (("revoke", 9, 7), len(REVOKE) + 4)
+    assert thrift.take(framed(REVOKE) + b"more", LONGEST) == (("left", 7), len(REVOKE) + 4)
 
 
 def test_unknown_fields_of_all_types_are_passed_over():
     # bool, byte, double, i16, i64, a string, a struct, a map of bytes to lists of i16, a set of bools, a list
-    odd = ("02000a" "01" "03000b" "7f" "04000c" "3ff0000000000000" "06000d" "0102" "0a000e" "0000000000000001"
-           "0b000f" "00000001" "41" "0c0010" "080001" "00000001" "00" "0d0011" "030f" "00000001" "05" "06" "00000001"
-           "0002" "0e0012" "02" "00000002" "0100" "0f0013" "0c" "00000001" "00")
+    odd = (
+        "02000a"
+        "01"
+        "03000b"
+        "7f"
+        "04000c"
+        "3ff0000000000000"
+        "06000d"
+        "0102"
+        "0a000e"
+        "0000000000000001"
+        "0b000f"
+        "00000001"
+        "41"
+        "0c0010"
+        "080001"
+        "00000001"
+        "00"
+        "0d0011"
+        "030f"
+        "00000001"
+        "05"
+        "06"
+        "00000001"
+        "0002"
+        "0e0012"
+        "02"
+        "00000002"
+        "0100"
+        "0f0013"
+        "0c"
+        "00000001"
+        "00"
+    )
     at = SUBMIT.index(bytes.fromhex("0b0002"))
     assert thrift.message(SUBMIT[:at] + bytes.fromhex(odd) + SUBMIT[at:]) == thrift.message(SUBMIT)
 
 
 def test_a_call_without_what_it_needs_is_read_as_lacking_it():
     none = SUBMIT[:18] + b"\0"
-    assert thrift.message(none) == ("submit", 7, None, None)
+    assert thrift.message(none) == ("rpc", 7, None, None)
     assert thrift.message(SUBMIT.replace(b"go", b"\xff\xfe"))[2] is None
-    assert thrift.message(SUBMIT.replace(b"\x0b\x0b\0", b"\x0b\x08\0", 1).replace(b"\0\0\0\2go", b"\0\0\0\2")
-                          .replace(b"\0\0\0\3" b"0.5", b"\0\0\0\3"))[2] is None
+    assert (
+        thrift.message(
+            SUBMIT.replace(b"\x0b\x0b\0", b"\x0b\x08\0", 1)
+            .replace(b"\0\0\0\2go", b"\0\0\0\2")
+            .replace(b"\0\0\0\x030.5", b"\0\0\0\x03")
+        )[2]
+        is None
+    )
 
 
 def test_answers_are_the_bytes_of_the_specification():
-    riding = bytes.fromhex("0d0002" "0b0b" "00000001" "00000001") + b"v" + bytes.fromhex("00000006") + b"0.2500"
+    riding = bytes.fromhex("0d00020b0b0000000100000001") + b"v" + bytes.fromhex("00000006") + b"0.2500"
     assert thrift.ok(7, b"\xff\0A", {"v": "0.2500"}) == framed(
-        bytes.fromhex("80010002" "00000006") + b"submit" + bytes.fromhex(
-            "00000007" "0c0000" "0b0001" "00000003" "ff0041") + riding + bytes.fromhex("020003" "01" "00" "00"))
+        bytes.fromhex("8001000200000006")
+        + b"submit"
+        + bytes.fromhex("000000070c00000b000100000003ff0041")
+        + riding
+        + bytes.fromhex("020003010000")
+    )
     assert thrift.pushed_back(7, {"l": "1"}) == framed(
-        bytes.fromhex("80010002" "00000006") + b"submit" + bytes.fromhex(
-            "00000007" "0c0001" "0d0001" "0b0b" "00000001" "00000001") + b"l" + bytes.fromhex("00000001")
-        + b"1" + b"\0\0")
+        bytes.fromhex("8001000200000006")
+        + b"submit"
+        + bytes.fromhex("000000070c00010d00010b0b0000000100000001")
+        + b"l"
+        + bytes.fromhex("00000001")
+        + b"1"
+        + b"\0\0"
+    )
     assert thrift.aborted(7, {}) == framed(
-        bytes.fromhex("80010002" "00000006") + b"submit" + bytes.fromhex(
-            "00000007" "0c0002" "0d0001" "0b0b" "00000000" "00" "00"))
+        bytes.fromhex("8001000200000006") + b"submit" + bytes.fromhex("000000070c00020d00010b0b000000000000")
+    )
     assert thrift.health(1, False, {}) == framed(
-        bytes.fromhex("80010002" "00000009") + b"heartbeat" + bytes.fromhex(
-            "00000001" "0c0000" "0b0001" "00000000" "0d0002" "0b0b" "00000000" "020003" "00" "00" "00"))
+        bytes.fromhex("8001000200000009")
+        + b"heartbeat"
+        + bytes.fromhex("000000010c00000b0001000000000d00020b0b00000000020003000000")
+    )
     assert thrift.not_served(3, "x", thrift.UNKNOWN_METHOD, "no") == framed(
-        bytes.fromhex("80010003" "00000001") + b"x" + bytes.fromhex("00000003" "0b0001" "00000002") + b"no"
-        + bytes.fromhex("080002" "00000001" "00"))
+        bytes.fromhex("8001000300000001")
+        + b"x"
+        + bytes.fromhex("000000030b000100000002")
+        + b"no"
+        + bytes.fromhex("0800020000000100")
+    )
     assert thrift.closing() == framed(
-        bytes.fromhex("80010004" "00000007") + b"closing" + bytes.fromhex("00000000" "00"))
+        bytes.fromhex("8001000400000007") + b"closing" + bytes.fromhex("0000000000")
+    )
 
 
-@pytest.mark.parametrize("take, whole", [
-    (thrift.take, framed(SUBMIT)), (thrift.take, framed(REVOKE)), (thrift.take, framed(HEARTBEAT)),
-    (lines.take_pool, FINISHED), (lines.take_pool, POLLED), (lines.take_store, STORED)])
+@pytest.mark.parametrize(
+    "take, whole",
+    [
+        (thrift.take, framed(SUBMIT)),
+        (thrift.take, framed(REVOKE)),
+        (thrift.take, framed(HEARTBEAT)),
+        (lines.take_pool, FINISHED),
+        (lines.take_pool, POLLED),
+        (lines.take_store, STORED),
+    ],
+)
 def test_every_cut_waits_for_more_and_every_flip_reads_or_is_malformed(take, whole):
     for cut in range(len(whole)):
         assert take(memoryview(whole)[:cut], LONGEST) is None
@@ -110,11 +181,20 @@
             pass
 
 
-@pytest.mark.parametrize("data", [
-    framed(SUBMIT[:-2]), framed(SUBMIT + b"\0"), b"\xff\xff\xff\xff", b"\0\0\0\0", b"\x7f\0\0\0",
-    framed(SUBMIT.replace(b"\x80\1\0\1", b"\x80\2\0\1")), framed(SUBMIT.replace(b"\x80\1\0\1", b"\x80\1\0\2")),
-    framed(HEARTBEAT[:21] + bytes.fromhex("0f0001" "08" "7fffffff")),
-    framed(HEARTBEAT[:21] + bytes.fromhex("0c0001") * 200)])
+@pytest.mark.parametrize(
+    "data",
+    [
+        framed(SUBMIT[:-2]),
+        framed(SUBMIT + b"\0"),
+        b"\xff\xff\xff\xff",
+        b"\0\0\0\0",
+        b"\x7f\0\0\0",
+        framed(SUBMIT.replace(b"\x80\1\0\1", b"\x80\2\0\1")),
+        framed(SUBMIT.replace(b"\x80\1\0\1", b"\x80\1\0\2")),
+        framed(HEARTBEAT[:21] + bytes.fromhex("0f0001087fffffff")),
+        framed(HEARTBEAT[:21] + bytes.fromhex("0c0001") * 200),
+    ],
+)
 def test_what_is_no_call_is_malformed(data):
     with pytest.raises(Malformed):
         thrift.take(data, LONGEST)
@@ -122,29 +202,48 @@
 
 def test_lines_of_the_pool():
     name = "9b1f03aa5c7e2d41"
-    assert lines.take_pool(FINISHED, LONGEST)[0] == ("finished", 4, name, Outcome.OK, 1500, b"\xff\0A")
-    assert lines.take_pool(POLLED, LONGEST)[0] == ("polled", "9", (0.5, 3.0, 0.25, 17.0))
+    assert lines.take_pool(FINISHED, LONGEST)[0] == ("run_ended", 4, name, Outcome.OK, 1500, b"\xff\0A")
+    assert lines.take_pool(POLLED, LONGEST)[0] == ("gauges", "9", (0.5, 3.0, 0.25, 17.0))
     read = lambda text: lines.take_pool(text + b"\n", LONGEST)[0]
-    assert read(b'{"event":"bound","fate":"new","lasted":20}') == ("bound", True, 20_000)
-    assert read(b'{"event":"blocked","cursor":5,"handle":"x","arg":"AA=="}') == ("blocked", 5, "x", b"\0")
-    assert read(b'{"event":"unknown","fate":"spawn","handle":"x"}') == ("unknown", "spawn", "x")
+    assert read(b'{"event":"bound","fate":"new","lasted":20}') == ("up", True, 20_000)
+    assert read(b'{"event":"blocked","cursor":5,"handle":"x","arg":"AA=="}') == ("at_call", 5, "x", b"\0")
+    assert read(b'{"event":"unknown","fate":"spawn","handle":"x"}') == ("undone", True, "x")
     assert read(b'{"event":"of a later day"}') == ("other",)
-    for bad in (b"[]", b"{}", b"7", b'{"event":"finished","cursor":4}', b"[" * 5000, b'{"event":["a"]}' * 2,
-                FINISHED[:-1].replace(b"good", b"fine"), FINISHED[:-1].replace(b"/wBB", b"/w!B"),
-                FINISHED[:-1].replace(b"1.5", b"1e999")):
+    for bad in (
+        b"[]",
+        b"{}",
+        b"7",
+        b'{"event":"finished","cursor":4}',
+        b"[" * 5000,
+        b'{"event":["a"]}' * 2,
+        FINISHED[:-1].replace(b"good", b"fine"),
+        FINISHED[:-1].replace(b"/wBB", b"/w!B"),
+        FINISHED[:-1].replace(b"1.5", b"1e999"),
+    ):
         with pytest.raises(Malformed):
             read(bad)
-    said = [lines.bind(3), lines.spawn("x", "m", b"\xff\0A"), lines.supply("x", b"A"), lines.leave_out("x", 5),
-            lines.poll("7")]
+    said = [
+        lines.join(3),
+        lines.run("x", "m", b"\xff\0A"),
+        lines.reply("x", b"A"),
+        lines.skip("x", 5),
+        lines.ask_gauges("7"),
+    ]
     assert all(line.count(b"\n") == 1 and line.endswith(b"\n") for line in said)
     assert [json.loads(line) for line in said] == [
-        {"event": "bind", "cursor": 3}, {"event": "spawn", "handle": "x", "entry": "m", "arg": "/wBB"},
-        {"event": "supply", "handle": "x", "arg": "QQ=="}, {"event": "pass", "handle": "x", "cursor": 5},
-        {"event": "poll", "ticket": "7"}]
+        {"event": "bind", "cursor": 3},
+        {"event": "spawn", "handle": "x", "entry": "m", "arg": "/wBB"},
+        {"event": "supply", "handle": "x", "arg": "QQ=="},
+        {"event": "pass", "handle": "x", "cursor": 5},
+        {"event": "poll", "ticket": "7"},
+    ]
 
 
 def test_lines_of_the_store_and_the_roster():
-    assert lines.take_store(STORED, LONGEST) == (("reply", "9b1f03aa5c7e2d41", Outcome.OK, b"a\r\nb\0"), len(STORED))
+    assert lines.take_store(STORED, LONGEST) == (
+        ("reply", "9b1f03aa5c7e2d41", Outcome.OK, b"a\r\nb\0"),
+        len(STORED),
+    )
     proofs = {b"BUSY": True, b"ERR": False, b"LATE": False, b"VOID": True}
     for word, proof in proofs.items():
         (_, name, outcome, body), _ = lines.take_store(b"x " + word + b"\r\n", LONGEST)
@@ -153,24 +252,41 @@
         with pytest.raises(Malformed):
             lines.take_store(bad, LONGEST)
     assert lines.call("x", 250_001, b"a\r\nb") == b"CALL x 251 4\r\na\r\nb\r\n"
-    assert lines.drop("x") == b"DROP x\r\n"
+    assert lines.give_up("x") == b"DROP x\r\n"
     assert (lines.report("n3", True), lines.report("n3", False)) == (b"HERE n3 on", b"HERE n3 off")
 
 
 def test_the_wire_and_the_configuration_give_the_same_settings():
     tree = {
-        "contract": {"overloadFactor": 8.0, "cold": 18_000_000}, "me": 5, "tenants": [], "tier": 0,
-        "familyInfo": {"cores": 6, "freshStart": False, "gauges": ["core_use", "on_cores"], "preemption": "silent",
-                       "worthWithout": [0.6, 0.0], "classCalls": [True], "calls_out": 3},
-        "services": [{"name": "7", "effect": "read_like", "worth": 1.0, "deadline": 4_600_000},
-                     {"name": "submit-answer", "effect": "idempotency_key", "worth": 3.0, "odd": {"x": 1}}]}
-    pairs = dict(part.split("=") for part in (
-        "contract.overloadFactor=8.0 contract.cold=18000000 me=5 tenants= tier=0 familyInfo.cores=6 "
-        "familyInfo.freshStart=false familyInfo.gauges=core_use,on_cores familyInfo.preemption=silent "
-        "familyInfo.worthWithout=0.6,0.0 familyInfo.classCalls=true familyInfo.calls_out=3 services.count=2 "
-        "services.0.name=7 services.0.effect=read_like services.0.worth=1.0 services.0.deadline=4600000 "
-        "services.1.name=submit-answer services.1.effect=idempotency_key services.1.worth=3.0 services.1.odd.x=1"
-    ).split())
+        "contract": {"overloadFactor": 8.0, "cold": 18_000_000},
+        "me": 5,
+        "tenants": [],
+        "tier": 0,
+        "familyInfo": {
+            "cores": 6,
+            "freshStart": False,
+            "gauges": ["core_use", "on_cores"],
+            "preemption": "silent",
+            "worthWithout": [0.6, 0.0],
+            "classCalls": [True],
+            "calls_out": 3,
+        },
+        "services": [
+            {"name": "7", "effect": "read_like", "worth": 1.0, "deadline": 4_600_000},
+            {"name": "submit-answer", "effect": "idempotency_key", "worth": 3.0, "odd": {"x": 1}},
+        ],
+    }
+    pairs = dict(
+        part.split("=")
+        for part in (
+            "contract.overloadFactor=8.0 contract.cold=18000000 me=5 tenants= tier=0 familyInfo.cores=6 "
+            "familyInfo.freshStart=false familyInfo.gauges=core_use,on_cores familyInfo.preemption=silent "
+            "familyInfo.worthWithout=0.6,0.0 familyInfo.classCalls=true familyInfo.calls_out=3 "
+            "services.count=2 services.0.name=7 services.0.effect=read_like services.0.worth=1.0 services.0.deadline=4600000 "
+            "services.1.name=submit-answer services.1.effect=idempotency_key services.1.worth=3.0 "
+            "services.1.odd.x=1"
+        ).split()
+    )
     told = settings.from_json(tree)
     assert told == settings.from_pairs(pairs)
     assert told["methods.0.name"] == "7" and told["methods.1.kind"] == "tokened" and told["can_stop"] is False
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -50,8 +50,12 @@
 
     def start(self, shell="exec"):
         command = f"{shell} {sys.executable} -m finchcart"
-        self.process = subprocess.Popen(["/bin/sh", "-c", command], env={**os.environ, "ROUTER_CONFIG": str(self.path)},
-                                        stderr=subprocess.PIPE, text=True)
+        self.process = subprocess.Popen(
+            ["/bin/sh", "-c", command],
+            env={**os.environ, "ROUTER_CONFIG": str(self.path)},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         until(self.listens)
 
     def up(self):
@@ -110,13 +114,19 @@
     world.up()
     until(world.serves)
     client = world.client()
-    look, first, second, odd = (client.submit("look-up", b"bird"), client.submit("book", b"seat", "a" * 32),
-                                client.submit("book", b"seat", "a" * 32), client.submit("shout", b""))
+    look, first, second, odd = (
+        client.submit("look-up", b"bird"),
+        client.submit("book", b"seat", "a" * 32),
+        client.submit("book", b"seat", "a" * 32),
+        client.submit("shout", b""),
+    )
     got = answers(client, 4)
     assert got[look] == ("ok", b"BIRD drib tuoba") and got[first] == got[second] == ("ok", b"SEAT")
     assert got[odd][0] == "exception" and b"no such method" in got[odd][1]
     assert sorted(run[1:] for run in world.pool.spawned if run[2] != b"?") == [
-        ("book", b"seat"), ("look-up", b"bird")]
+        ("book", b"seat"),
+        ("look-up", b"bird"),
+    ]
     # hostile bytes cost one connection, after the answers that it is owed
     bad = world.client()
     owed = bad.submit("book", b"owed", "b" * 32)
@@ -134,8 +144,8 @@
     seq = last.submit("book", b"last", "c" * 32)
     world.process.send_signal(signal.SIGTERM)
     assert answers(last, 1) == {seq: ("ok", b"LAST")}
-    for client in (client, slow, last, bad):
-        client.sock.close()
+    for each in (client, slow, last, bad):
+        each.sock.close()
     assert world.process.wait(10) == 0
     assert world.roster.duty["n1"] == "off"
     log = world.process.stderr.read()
@@ -181,9 +191,16 @@
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
         link = Link(number, "front", inputs, buffers, limits, sock=near)
-        whole = (29).to_bytes(4, "big") + bytes.fromhex("80010001" "00000009") + b"heartbeat" + bytes.fromhex(
-            "00000001" "020001" "01" "00") + b"\0" * 4
-        far.sendall(rng.choice((whole[:29] * 3, whole[:rng.randrange(40)], rng.randbytes(rng.randrange(200)))))
+        whole = (
+            (29).to_bytes(4, "big")
+            + bytes.fromhex("8001000100000009")
+            + b"heartbeat"
+            + bytes.fromhex("000000010200010100")
+            + b"\0" * 4
+        )
+        far.sendall(
+            rng.choice((whole[:29] * 3, whole[: rng.randrange(40)], rng.randbytes(rng.randrange(200))))
+        )
         for _ in range(rng.randrange(4)):
             link.ask()
         if rng.random() < 0.8:
@@ -196,9 +213,16 @@
     assert not buffers.out
 
 
-@pytest.mark.parametrize("spoil, words", [
-    (None, "No such file"), ("{", "Expecting"), ("{}", "is missing"), ("bad port", "invalid literal"),
-    ("taken", "Address already in use")])
+@pytest.mark.parametrize(
+    "spoil, words",
+    [
+        (None, "No such file"),
+        ("{", "Expecting"),
+        ("{}", "is missing"),
+        ("bad port", "invalid literal"),
+        ("taken", "Address already in use"),
+    ],
+)
 def test_a_start_that_can_not_be_is_one_plain_line_and_status_2(tmp_path, spoil, words):
     world = World(tmp_path)
     path = world.path
@@ -210,8 +234,13 @@
         holder = socket.create_server(world.places["listen"])
     else:
         path = tmp_path / "none.json"
-    done = subprocess.run([sys.executable, "-m", "finchcart"], env={**os.environ, "ROUTER_CONFIG": str(path)},
-                          capture_output=True, text=True, timeout=20)
+    done = subprocess.run(
+        [sys.executable, "-m", "finchcart"],
+        env={**os.environ, "ROUTER_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
     if spoil == "taken":
         holder.close()
     assert done.returncode == 2 and words in done.stderr and done.stderr.count("\n") == 1
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -1,4 +1,4 @@
-"""The reducer without sockets: seeded random runs with the rules checked after every step, and plain cases."""
+"""The reducer without sockets: seeded random runs, the rules checked after every step, and plain cases."""
 
 import random
 
@@ -213,7 +213,7 @@
     link = far.open()
     far.unsent[link] = -10**9  # nothing is ever reported as sent
     for _ in range(500):
-        far.give(link, ("heartbeat", 1))
+        far.give(link, ("check", 1))
     for _ in range(50):
         far.now += MS
         while link in far.asked and far.inbox[link]:
@@ -242,7 +242,7 @@
     for _ in range(33):
         far.submit(link)
     far.answered = lambda link, data: told.append(read_answer(data))
-    far.give(link, ("submit", 40, {"c": "m0"}, b"x" * 2049))
+    far.give(link, ("rpc", 40, {"c": "m0"}, b"x" * 2049))
     far.give(link, ("unheard", 41, "shout"))
     for _ in range(3):
         far.step(0)
@@ -254,7 +254,7 @@
     link = far.open()
     name = far.submit(link)
     far.step(MS)
-    far.give(link, ("submit", 1, {}, b""))
+    far.give(link, ("rpc", 1, {}, b""))
     far.step(MS)
     assert link in far.reducer.conns and far.links[link] == "open"
     far.finish(name, Outcome.OK)
