--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -282,7 +282,8 @@
             "contract.overloadFactor=8.0 contract.cold=18000000 me=5 tenants= tier=0 familyInfo.cores=6 "
             "familyInfo.freshStart=false familyInfo.gauges=core_use,on_cores familyInfo.preemption=silent "
             "familyInfo.worthWithout=0.6,0.0 familyInfo.classCalls=true familyInfo.calls_out=3 "
-            "services.count=2 services.0.name=7 services.0.effect=read_like services.0.worth=1.0 services.0.deadline=4600000 "
+            "services.count=2 services.0.name=7 "
+            "services.0.effect=read_like services.0.worth=1.0 services.0.deadline=4600000 "
             "services.1.name=submit-answer services.1.effect=idempotency_key services.1.worth=3.0 "
             "services.1.odd.x=1"
         ).split()
