--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -44,4 +44,4 @@
 
     @property
     def connections(self):
-        return max(1, self.descriptors - self.reserve)
+        return max(self.descriptors // 2, self.descriptors - self.reserve)
--- a/finchcart/net/reducer.py
+++ b/finchcart/net/reducer.py
@@ -27,13 +27,13 @@
 class Connection:
     """One link of a dispatcher."""
 
-    __slots__ = ("link", "open", "last_seq", "unsent", "waiting", "idle_from", "checks", "told", "bad",
-                 "ended")
+    __slots__ = ("link", "open", "last_seq", "unsent", "waiting", "idle_from", "look", "checks",
+                 "told", "bad", "ended")
 
     def __init__(self, link, now):
         self.link, self.open, self.last_seq = link, {}, 0
         self.unsent, self.waiting = 0, False  # waiting: the next read is asked once less is unsent
-        self.idle_from, self.checks = None, False
+        self.idle_from, self.look, self.checks = None, None, False  # look: when it is next looked at
         self.told, self.bad, self.ended = False, False, False  # told: `closing` was sent
 
 
@@ -90,7 +90,7 @@
         self.control = None  # from the worker pool's start on
         self.timers, self.made = [], 0  # heap of (when, number, what)
         self.conns, self.rpcs, self.by_name, self.next_index = {}, {}, {}, 0
-        self.table, self.results, self.result_bytes = {}, [], 0
+        self.table, self.results, self.result_bytes = {}, {}, 0  # results: entries, the oldest first
         self.next_link = 0
         self.pool, self.pool_ready, self.cursor, self.ticket = None, False, 0, 0
         self.pool_unsent, self.settle, self.wakes = 0, None, {}
@@ -346,10 +346,18 @@
         """Closes a connection that idles for longer than the module allows, or asks for a later look."""
         if conn.idle_from is None or conn.told or conn.ended or self.keep is None:
             return
-        if self.now - conn.idle_from >= self.keep:
+        due = conn.idle_from + self.keep
+        if self.now >= due:
             self.tell_close(conn)
-        else:
-            self.at(conn.idle_from + self.keep, self.look_at_idle, conn)
+        elif conn.look is None or conn.look > due:
+            # Guards against timers that pile up on a busy connection: only its next look counts.
+            conn.look = due
+            self.at(due, self.idle_due, conn, due)
+
+    def idle_due(self, conn, due):
+        if conn.look == due:
+            conn.look = None
+            self.look_at_idle(conn)
 
     def tell_close(self, conn):
         """No RPC may cross the close: the dispatcher is told, and closes once all is answered."""
@@ -432,7 +440,7 @@
             self.end_run(rpc, outcome, spent, result)
 
     def end_run(self, rpc, outcome, spent, result):
-        rpc.over, rpc.unconfirmed, rpc.stands_at = True, None, None
+        rpc.over, rpc.unconfirmed, rpc.stands_at, rpc.body = True, None, None, b""
         self.by_name.pop(rpc.name, None)
         self.drop_call(rpc)
         if outcome is Outcome.OK:
@@ -561,15 +569,15 @@
         """The try that holds the entry is over."""
         entry.result = result
         if result is not FAILED:
-            self.results.append(entry)
+            self.results[entry] = None
             self.result_bytes += len(result)
             while self.result_bytes > self.limits.kept_results:
-                self.drop_result(self.results[0])
+                self.drop_result(next(iter(self.results)))
         self.ready(entry)
 
     def drop_result(self, entry):
         if entry in self.results:
-            self.results.remove(entry)
+            del self.results[entry]
             self.result_bytes -= len(entry.result)
             entry.result = FAILED
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -286,6 +286,20 @@
     assert far.links[link] == "closed"
 
 
+def test_timers_do_not_pile_up_on_a_busy_connection():
+    far = far_plain()
+    link, most = far.open(), 0
+    far.reducer.idle_limit(8_000 * MS)
+    for _ in range(300):
+        name = far.submit(link)
+        far.step(20 * MS)
+        far.step(MS)
+        far.finish(name, Outcome.OK)
+        far.step(MS)
+        most = max(most, len(far.reducer.timers))
+    assert how(far, name) == "ok" and most < 12
+
+
 def test_a_fresh_connection_is_not_idle_before_its_first_rpc():
     far = far_plain()
     link = far.open()
