--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -328,16 +328,16 @@
 
 def test_nothing_is_kept_once_all_windows_are_over():
     far, rng = far_plain(), random.Random(4)
-    for step in range(400):
+    for _ in range(400):
         far.step(10 * MS)
         one_step(far, rng, 2)
     far.pool_up = far.store_up = True
-    for step in range(3000):
+    for _ in range(3000):
         far.step(10 * MS)
         for name in list(far.active):
             far.finish(name, Outcome.OK)
     reducer = far.reducer
     assert len(far.tries) > 100
-    for kept in (reducer.rpcs, reducer.by_name, reducer.table, reducer.results, reducer.stores, reducer.wakes):
-        assert not kept
+    for kept in ("rpcs", "by_name", "table", "results", "stores", "wakes"):
+        assert not getattr(reducer, kept), kept
     assert not reducer.control.live and len(reducer.timers) < 12 + 2 * len(reducer.conns)
