--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -41,9 +41,7 @@
             "name": str(config["name"]), "listen": address(config["listen"]), "pool": address(config["pool"]),
             "store": address(config["store"]), "roster": address(config["roster"]),
             "seed": int(str(config.get("seed", "0")), 16), "settings": settings.from_json(config["settings"]),
-            "limits": Limits(
-                memory=int(config["limits"]["memory_mb"] * 2**20),
-                descriptors=int(config["limits"]["sockets"]), stop=int(config["stop_ms"] * 1000)),
+            "limits": Limits.of(config["limits"], config["stop_ms"]),
         }
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -17,6 +17,8 @@
     descriptors: int  # open files and sockets
     stop: int  # from the notice to leave until the kill
 
+    base: int = 48 * 2**20  # what the process takes besides connections, with room to spare
+    connection: int = 96 * 1024  # what one takes at most: two threads, a buffer, queued answers
     stack: int = 128 * 1024  # of each thread
     buffer: int = 16 * 1024  # the one size of buffers: the longest message that is read
     spare_buffers: int = 64  # kept for reuse; more are let go
@@ -42,6 +44,15 @@
     last_look: int = 100 * MS  # between the end of listening and the end
     quiet: int = 1 * SECOND  # without any connection after the grace: the node may end
 
+    @classmethod
+    def of(cls, told, stop_ms):
+        """From the configuration's `limits` and `stop_ms`."""
+        memory = int(told["memory_mb"] * 2**20)
+        return cls(memory=memory, descriptors=int(told["sockets"]), stop=int(stop_ms * 1000),
+                   kept_results=min(cls.kept_results, memory // 8))
+
     @property
     def connections(self):
-        return max(self.descriptors // 2, self.descriptors - self.reserve)
+        """Of dispatchers, as descriptors and memory allow."""
+        room = (self.memory - self.base) // self.connection
+        return min(max(self.descriptors // 2, self.descriptors - self.reserve), max(8, room))
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -6,6 +6,7 @@
 
 from finchcart.interface import Outcome
 from finchcart.net import thrift
+from finchcart.net.limits import Limits
 from tests.harness import MS, Far, draw_settings, read_answer
 from tests.test_control import PLAIN
 
@@ -300,6 +301,24 @@
     assert how(far, name) == "ok" and most < 12
 
 
+def test_connections_past_the_limit_are_told_to_close_and_still_answered():
+    far = far_plain()
+    links = [far.open() for _ in range(far.limits.connections + 1)]
+    told = []
+    answered = far.answered
+    far.answered = lambda link, data: (told.append((link, read_answer(data)[1])), answered(link, data))
+    extra = far.open()
+    name = far.submit(extra)
+    far.step(MS)
+    far.step(MS)
+    far.finish(name, Outcome.OK)
+    far.step(MS)
+    assert told[0] == (extra, b"closing") and how(far, name) == "ok" and len(links) == 137
+    assert Limits.of({"memory_mb": 64, "sockets": 1024}, 3200).connections == 170
+    assert Limits.of({"memory_mb": 192, "sockets": 1024}, 3200).connections == 960
+    assert Limits.of({"memory_mb": 192, "sockets": 100}, 3200).connections == 50
+
+
 def test_a_fresh_connection_is_not_idle_before_its_first_rpc():
     far = far_plain()
     link = far.open()
