--- a/example/world.py
+++ b/example/world.py
@@ -58,6 +58,8 @@
             if event == "bind":
                 with self.lock:
                     self.link = link
+                    if said["cursor"] == 0:
+                        self.notices.clear()  # the node has started: numbers begin anew
                     age = int((time.monotonic() - self.started) * 1000)
                     self.write(link, event="bound", fate="old", lasted=age)
                     for notice in self.notices[said["cursor"]:]:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -152,6 +152,24 @@
     assert "drain" in log and "ended" in log and "Traceback" not in log and "ERROR" not in log
 
 
+def test_killed_and_started_again_it_serves_with_empty_hands(world):
+    world.up()
+    world.start()
+    until(world.serves)
+    client = world.client()
+    client.submit("book", b"seat", "a" * 32)
+    world.process.kill()
+    world.process.wait()
+    with pytest.raises((EOFError, ConnectionError)):
+        while True:
+            client.answer()
+    world.start()
+    until(world.serves)
+    again = world.client()
+    seq = again.submit("book", b"seat", "a" * 32)
+    assert answers(again, 1) == {seq: ("ok", b"SEAT")}
+
+
 def test_running_out_of_descriptors_neither_kills_nor_spins_it(world):
     world.up()
     world.start("ulimit -n 40; exec")
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -209,6 +209,50 @@
     assert far.runs[name]["state"] == "running"
 
 
+def test_an_idle_link_to_the_store_is_closed_before_the_store_does_it():
+    far = far_plain()
+    name = far.submit(far.open())
+    far.step(MS)
+    far.step(MS)
+    far.block(name)
+    for _ in range(3):
+        far.step(MS)
+    (link, _), = [(link, calls) for link, calls in far.calls.items() if calls]
+    far.store_reply(link, name, Outcome.OK)
+    for _ in range(490):
+        far.step(10 * MS)
+    assert far.links[link] == "open"
+    for _ in range(20):
+        far.step(10 * MS)
+    assert far.links[link] == "closed" and not far.reducer.stores
+
+
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.TIMEOUT])
+def test_a_call_of_an_effect_is_not_repeated_without_proof(outcome):
+    far = far_plain()
+    name = far.submit(far.open(), 1)
+    far.step(MS)
+    far.step(MS)
+    far.block(name)
+    for _ in range(3):
+        far.step(MS)
+    (link, _), = [(link, calls) for link, calls in far.calls.items() if calls]
+    far.store_reply(link, name, outcome)
+    for _ in range(5):
+        far.step(MS)
+    assert how(far, name) == "aborted" and not any(far.calls.values())
+
+
+def test_a_try_stamped_by_a_clock_that_is_ahead_is_taken_as_new():
+    far = far_plain()
+    name = far.submit(far.open(), waited=-80 * MS)
+    far.step(MS)
+    far.step(MS)
+    far.finish(name, Outcome.OK)
+    far.step(MS)
+    assert how(far, name) == "ok"
+
+
 def test_a_dispatcher_that_never_reads_is_read_no_further():
     far = far_plain(unheard=1)
     link = far.open()
