Review: ids and gauges from the pool are checked in the codec; unused state dropped

A handle that is no text reached a dictionary of the reducer and would have ended the node with a TypeError (lines.notice); NaN gauges reached the module. Both make the line unreadable now, so that the link is made anew.

--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -11,6 +11,7 @@
 import json
 from base64 import b64decode, b64encode
 from binascii import Error
+from math import isfinite
 
 from finchcart.interface import Outcome
 from finchcart.net.thrift import Malformed
@@ -39,16 +40,16 @@
     if event == "finished":
         result = b64decode(said.get("arg") or "", validate=True)
         spent = _us(said["lasted"])
-        return "run_ended", _whole(said["cursor"]), said["handle"], ENDS[said["fate"]], spent, result
+        return "run_ended", _whole(said["cursor"]), _text(said["handle"]), ENDS[said["fate"]], spent, result
     if event == "blocked":
         body = b64decode(said.get("arg") or "", validate=True)
-        return "at_call", _whole(said["cursor"]), said["handle"], body
+        return "at_call", _whole(said["cursor"]), _text(said["handle"]), body
     if event == "polled":
-        return "gauges", str(said["ticket"]), tuple(float(figure) for figure in said["figures"])
+        return "gauges", str(said["ticket"]), tuple(_finite(figure) for figure in said["figures"])
     if event == "bound":
         return "up", {"new": True, "old": False}[said["fate"]], _us(said["lasted"])
     if event == "unknown":
-        return "undone", said.get("fate") == "spawn", said.get("handle")
+        return "undone", said.get("fate") == "spawn", _text(said.get("handle") or "")
     if event == "chatter":
         return "remark", _whole(said["cursor"])
     return ("other",)
@@ -60,6 +61,18 @@
     return value
 
 
+def _text(value):
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r}: expected text")
+    return value
+
+
+def _finite(value):
+    if not isfinite(value):
+        raise ValueError(f"{value!r}: expected a number")
+    return float(value)
+
+
 def _us(ms):
     return max(0, int(ms * 1000))
 
--- a/finchcart/net/reducer.py
+++ b/finchcart/net/reducer.py
@@ -30,7 +30,7 @@
     __slots__ = ("link", "open", "last_seq", "unsent", "waiting", "idle_from", "look", "checks",
                  "told", "bad", "ended")
 
-    def __init__(self, link, now):
+    def __init__(self, link):
         self.link, self.open, self.last_seq = link, {}, 0
         self.unsent, self.waiting = 0, False  # waiting: the next read is asked once less is unsent
         self.idle_from, self.look, self.checks = None, None, False  # look: when it is next looked at
@@ -40,13 +40,12 @@
 class Rpc:
     """What the node itself needs of one RPC."""
 
-    __slots__ = ("index", "conn", "seq", "name", "method", "body", "entry", "handle", "reached", "owed",
-                 "started", "over", "stands_at", "call_link", "calls", "call_from", "share_from",
-                 "unconfirmed")
+    __slots__ = ("index", "conn", "seq", "name", "method", "body", "entry", "handle", "owed", "started",
+                 "over", "stands_at", "call_link", "calls", "call_from", "share_from", "unconfirmed")
 
-    def __init__(self, index, conn, seq, name, method, body, reached):
+    def __init__(self, index, conn, seq, name, method, body):
         self.index, self.conn, self.seq, self.name = index, conn, seq, name
-        self.method, self.body, self.reached = method, body, reached
+        self.method, self.body = method, body
         self.entry = self.handle = None
         self.owed, self.started, self.over = True, False, False
         self.stands_at = None  # (cursor, body) of the call that the run stands at
@@ -67,10 +66,10 @@
 class Store:
     """One link to the store."""
 
-    __slots__ = ("link", "calls", "dropped", "idle_from", "sent")
+    __slots__ = ("link", "calls", "dropped", "idle_from")
 
     def __init__(self, link, now):
-        self.link, self.calls, self.dropped, self.idle_from, self.sent = link, {}, set(), now, 0
+        self.link, self.calls, self.dropped, self.idle_from = link, {}, set(), now
 
 
 class Reducer:
@@ -150,7 +149,7 @@
     # ---- dispatchers
 
     def on_opened(self, link):
-        conn = self.conns[link] = Connection(link, self.now)
+        conn = self.conns[link] = Connection(link)
         if len(self.conns) > self.limits.connections:
             # Guards against running out of descriptors: told at once, so that its RPCs go elsewhere.
             self.tell_close(conn)
@@ -198,9 +197,7 @@
                 conn.bad = True
                 self.finish_bad(conn)
                 return
-            conn.ended = True
-            for index in list(conn.open.values()):
-                self.leave(self.rpcs[index])
+            self.leave_all(conn)
             self.ask("close", link)
 
     def on_refused(self, link, why):
@@ -212,9 +209,12 @@
     def on_closed(self, link):
         conn = self.conns.pop(link, None)
         if conn:
-            conn.ended = True
-            for index in list(conn.open.values()):
-                self.leave(self.rpcs[index])
+            self.leave_all(conn)
+
+    def leave_all(self, conn):
+        conn.ended = True
+        while conn.open:
+            self.leave(self.rpcs[next(iter(conn.open.values()))])
 
     def send(self, conn, data):
         if not conn.ended:
@@ -295,7 +295,7 @@
 
     def take(self, conn, seq, body, method, name, token, reached, caller, again, hint, kb, place):
         index, self.next_index = self.next_index, self.next_index + 1
-        rpc = self.rpcs[index] = Rpc(index, conn, seq, name, method, body, reached)
+        rpc = self.rpcs[index] = Rpc(index, conn, seq, name, method, body)
         conn.open[seq] = index
         conn.idle_from = None
         self.by_name[name] = index
@@ -308,10 +308,9 @@
                 repeats = entry.index if entry.index in self.rpcs else -1
             else:
                 rpc.entry = Entry((method, token), index)
-        handle = self.control.arrive(
+        rpc.handle = self.control.arrive(
             self.now, index, method, kb, waited=self.now - reached, place=place, hint=hint, again=again,
             repeats=repeats, caller=caller)
-        rpc.handle = handle
 
     def leave(self, rpc):
         """The caller has gone: nothing is owed, nor sent."""
@@ -490,7 +489,7 @@
 
     # ---- timers of the module, with gauges
 
-    def ring(self, control, name):
+    def ring(self, name):
         """A timer is due: the gauges are asked for, and waited for a little."""
         self.ticket += 1
         ticket = str(self.ticket)
@@ -692,7 +691,7 @@
             self.look_at_idle(conn)
 
     def wake_in(self, delay, name):
-        self.at(self.now + delay, self.ring, self.control, name)
+        self.at(self.now + delay, self.ring, name)
 
     def log(self, text):
         self.ask("log", text)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -219,6 +219,10 @@
         FINISHED[:-1].replace(b"good", b"fine"),
         FINISHED[:-1].replace(b"/wBB", b"/w!B"),
         FINISHED[:-1].replace(b"1.5", b"1e999"),
+        FINISHED[:-1].replace(b'"9b1f03aa5c7e2d41"', b"[]"),
+        POLLED[:-1].replace(b"0.25", b"NaN"),
+        POLLED[:-1].replace(b"0.25", b'"x"'),
+        b'{"event":"unknown","fate":"spawn","handle":[1]}',
     ):
         with pytest.raises(Malformed):
             read(bad)
