--- a/example/world.py
+++ b/example/world.py
@@ -23,14 +23,10 @@
     threading.Thread(target=act, args=args, daemon=True).start()
 
 
-class Pool:
-    """The worker pool. Notices are numbered from 1; a link that binds gets those after its cursor."""
+class Server:
+    """Accepts connections; `serve(link)` has a thread for each."""
 
-    def __init__(self, where, methods, work=0.05, cores=4):
-        self.methods, self.work, self.cores = methods, work, cores  # methods: name -> whether it calls
-        self.lock, self.link, self.notices = threading.Lock(), None, []
-        self.runs, self.ended, self.started = {}, set(), time.monotonic()
-        self.spawned = []  # (id, method, body) of every run
+    def __init__(self, where):
         self.listener = socket.create_server(where)
         thread(self.accept)
 
@@ -39,6 +35,17 @@
             link, _ = self.listener.accept()
             thread(self.serve, link)
 
+
+class Pool(Server):
+    """The worker pool. Notices are numbered from 1; a link that binds gets those after its cursor."""
+
+    def __init__(self, where, methods, work=0.05, cores=4):
+        self.methods, self.work, self.cores = methods, work, cores  # methods: name -> whether it calls
+        self.lock, self.link, self.notices = threading.Lock(), None, []
+        self.runs, self.ended, self.started = {}, set(), time.monotonic()
+        self.spawned = []  # (id, method, body) of every run
+        super().__init__(where)
+
     def write(self, link, **said):
         try:
             link.sendall(json.dumps(said).encode() + b"\n")
@@ -99,18 +106,9 @@
                     arg=b64encode(result if fate == "good" else b"").decode())
 
 
-class Store:
+class Store(Server):
     """The store: answers each call with its body, backwards."""
 
-    def __init__(self, where):
-        self.listener = socket.create_server(where)
-        thread(self.accept)
-
-    def accept(self):
-        while True:
-            link, _ = self.listener.accept()
-            thread(self.serve, link)
-
     def serve(self, link):
         lines = link.makefile("rb")
         for line in lines:
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -77,6 +77,31 @@
     return far
 
 
+def running(far, n=0):
+    """A try that runs."""
+    name = far.submit(far.open(), n)
+    far.step(MS)
+    far.step(MS)
+    assert far.runs[name]["state"] == "running"
+    return name
+
+
+def ends_well(far, name):
+    far.finish(name, Outcome.OK)
+    far.step(MS)
+    assert how(far, name) == "ok"
+
+
+def calling(far, n=0):
+    """A try at a call, and the link that the call is on."""
+    name = running(far, n)
+    far.block(name)
+    for _ in range(3):
+        far.step(MS)
+    (link, _), = [(link, calls) for link, calls in far.calls.items() if calls]
+    return name, link
+
+
 def how(far, name):
     return far.tries[name].get("how")
 
@@ -108,9 +133,7 @@
 
 def test_a_try_that_came_in_the_window_is_known_when_it_is_read_after_it():
     far = far_plain()
-    first = far.submit(far.open(), 1)
-    far.step(MS)
-    far.step(MS)
+    first = running(far, 1)
     far.finish(first, Outcome.OK)
     far.step(MS)
     far.step(5_100 * MS)
@@ -165,19 +188,13 @@
     for _ in range(30):
         far.step(10 * MS)
     assert [how(far, name) for name in names] == ["aborted"] * 2
-    after = far.submit(far.open())
-    far.step(MS)
-    far.step(MS)
-    far.finish(after, Outcome.OK)
-    far.step(MS)
-    assert how(far, after) == "ok"
+    after = running(far)
+    ends_well(far, after)
 
 
 def test_a_bind_to_the_same_pool_is_no_new_start_though_its_age_is_told_in_rough():
     far = far_plain()
-    name = far.submit(far.open())
-    far.step(MS)
-    far.step(MS)
+    name = running(far)
     far.cut_pool()
     far.pool_start += 900  # told in whole milliseconds
     for _ in range(30):
@@ -187,9 +204,7 @@
 
 def test_a_call_made_after_one_given_up_goes_where_no_late_reply_can_pass_for_its_own():
     far = far_plain(**{"methods.0.kind": "idempotent", "method_poorer": (0.0, 0.0)})
-    name = far.submit(far.open())
-    far.step(MS)
-    far.step(MS)
+    name = running(far)
     far.block(name)
     far.step(MS)
     far.step(MS)
@@ -211,13 +226,7 @@
 
 def test_an_idle_link_to_the_store_is_closed_before_the_store_does_it():
     far = far_plain()
-    name = far.submit(far.open())
-    far.step(MS)
-    far.step(MS)
-    far.block(name)
-    for _ in range(3):
-        far.step(MS)
-    (link, _), = [(link, calls) for link, calls in far.calls.items() if calls]
+    name, link = calling(far)
     far.store_reply(link, name, Outcome.OK)
     for _ in range(490):
         far.step(10 * MS)
@@ -230,13 +239,7 @@
 @pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.TIMEOUT])
 def test_a_call_of_an_effect_is_not_repeated_without_proof(outcome):
     far = far_plain()
-    name = far.submit(far.open(), 1)
-    far.step(MS)
-    far.step(MS)
-    far.block(name)
-    for _ in range(3):
-        far.step(MS)
-    (link, _), = [(link, calls) for link, calls in far.calls.items() if calls]
+    name, link = calling(far, 1)
     far.store_reply(link, name, outcome)
     for _ in range(5):
         far.step(MS)
@@ -248,9 +251,7 @@
     name = far.submit(far.open(), waited=-80 * MS)
     far.step(MS)
     far.step(MS)
-    far.finish(name, Outcome.OK)
-    far.step(MS)
-    assert how(far, name) == "ok"
+    ends_well(far, name)
 
 
 def test_a_dispatcher_that_never_reads_is_read_no_further():
@@ -376,9 +377,7 @@
 
 def test_draining_tells_the_roster_at_once_and_ends_when_nothing_is_left():
     far = far_plain()
-    name = far.submit(far.open(), 1)
-    far.step(MS)
-    far.step(MS)
+    name = running(far, 1)
     far.drained = far.now
     far.feed("drain")
     assert far.reports[-1] == (far.now, b"HERE n1 off")
