--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -85,6 +85,9 @@
         """Connects where that is still to be done, and starts the writer."""
         if self.sock is None:
             self.sock = socket.create_connection(self.address)
+            if self.sock.getsockname() == self.sock.getpeername():
+                # Guards against a connection to itself, where nobody listens on a port that was due by chance.
+                raise ConnectionRefusedError(errno.ECONNREFUSED, "connected to itself")
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self.limits.send))
         return start_thread(self.write, f"write {self.number}")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,9 +22,14 @@
 
 
 def free(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
+    """A port that nobody is given by chance: one of those could be connected to itself before anyone listens."""
+    while True:
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", random.SystemRandom().randrange(10_000, 32_000)))
+                return sock.getsockname()
+            except OSError:
+                pass
 
 
 def until(true, within=20):
