--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -86,7 +86,7 @@
         if self.sock is None:
             self.sock = socket.create_connection(self.address)
             if self.sock.getsockname() == self.sock.getpeername():
-                # Guards against a connection to itself, where nobody listens on a port that was due by chance.
+                # Guards against a connection to itself, where nobody listens on a port given by chance.
                 raise ConnectionRefusedError(errno.ECONNREFUSED, "connected to itself")
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self.limits.send))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,7 +22,7 @@
 
 
 def free(kind=socket.SOCK_STREAM):
-    """A port that nobody is given by chance: one of those could be connected to itself before anyone listens."""
+    """A port that nobody is given by chance: one of those could be connected to itself."""
     while True:
         with socket.socket(socket.AF_INET, kind) as sock:
             try:
