Count 32 MB, not 48, as the process's own when memory bounds connections

Not the core: 0.13 s in the busiest second. Limits.connections came to 8 where 9 or 10 are open, so that new ones were told to close at once.

--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -17,7 +17,7 @@
     descriptors: int  # open files and sockets
     stop: int  # from the notice to leave until the kill
 
-    base: int = 48 * 2**20  # what the process takes besides connections, with room to spare
+    base: int = 32 * 2**20  # what the process takes besides connections, with room to spare
     connection: int = 96 * 1024  # what one takes at most: two threads, a buffer, queued answers
     stack: int = 128 * 1024  # of each thread
     buffer: int = 16 * 1024  # the one size of buffers: the longest message that is read
