A link of the node's own that gets no thread counts as refused

Read again (Links.connect): start_thread tells a lack of threads as an OSError, which the listener met but connect did not, so that it came up in the thread that reduces and ended the node with status 1. Test fails at the old text.

--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -242,8 +242,12 @@
         self.inputs.put(("opened", number))
 
     def connect(self, number, kind):
-        self.links[number] = Link(number, kind, self.inputs, self.buffers, self.limits,
-                                  address=self.places[kind])
+        try:
+            self.links[number] = Link(number, kind, self.inputs, self.buffers, self.limits,
+                                      address=self.places[kind])
+        except OSError as error:
+            # Guards against an end of the node where threads run out: nothing was sent, so it is tried again.
+            self.inputs.put(("refused", number, error.strerror))
 
     def read(self, number):
         if number in self.links:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,7 +16,7 @@
 from example.world import Pool, Roster, Store
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
-from finchcart.net.links import Link
+from finchcart.net.links import Link, Links
 
 METHODS = {"look-up": True, "book": False}
 
@@ -205,6 +205,17 @@
         client.sock.close()
 
 
+def test_a_link_whose_thread_can_not_be_started_counts_as_refused(monkeypatch):
+    def none(thread):
+        raise RuntimeError("can't start new thread")
+
+    inputs, limits = SimpleQueue(), Limits(memory=1, descriptors=1, stop=1)
+    links = Links(inputs, Buffers(limits), limits, {"store": ("127.0.0.1", 9)}, ("127.0.0.1", 9), None)
+    monkeypatch.setattr("threading.Thread.start", none)
+    links.connect(-1, "store")
+    assert inputs.get_nowait() == ("refused", -1, "can't start new thread")
+
+
 def test_buffers_all_come_back_after_cut_whole_and_hostile_bytes():
     rng, limits = random.Random(9), Limits(memory=1, descriptors=1, stop=1, linger=50_000)
     buffers, inputs = Buffers(limits), SimpleQueue()
