Answers are written without a writer thread; one call a store link; crowds make room

Seen: once one node reached its share of a core it stayed there for ten seconds with few RPCs, and answers were late. Watched from outside: 900 threads, 0.65 s of each second in the kernel, 120,000 switches a second, the main thread at 0.05. A process held to its share is stopped and goes on 25 to 30 times a second, and each time all threads wake: the threads themselves kept it at its share. Ruled out: the module's turn (0.1 s a second), parsing (a sampling profile), reading past spoilt bytes (bounded now; it alone changed nothing). Where they came from: two threads a link, and hundreds of connections that sent one health check and stayed, which were kept for ever (reducer.close_unused passed over them).

Changed: what the kernel takes at once is written by the reducer's thread with MSG_DONTWAIT; a writer thread is there only while a far side does not read. Connections that carried at most one call make room, the longest silent first, once a third of the limit is open; those of health checks close after 5 s of silence. The store's links carry one call at a time, are dropped at the first odd sign and after a second's idling. Reports to the roster every 0.3 s. What one sends after it was refused is read past for 256 KB only.

--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -27,7 +27,6 @@
 
     open_rpcs: int = 32  # on one connection
     body: int = 2 * 1024  # of an RPC
-    unsent: int = 64  # messages queued on a link; reading from it waits while there are more
     kept_results: int = 16 * 1024 * 1024  # bytes of results that may still be shared
 
     figures: int = 25 * MS  # a timer waits this long for the gauges
@@ -36,14 +35,18 @@
     pool_moves: int = 250 * MS  # the old link to a worker pool that moves is left after this at the latest
     same_start: int = 1 * SECOND  # starts told of the worker pool that lie this close are one
     log_again: int = 10 * SECOND  # between lines on faults of one party
-    store_idle: int = 5 * SECOND  # the store closes idle connections after 10 s; the node does so before
-    report: int = 700 * MS  # between reports to the roster
+    store_idle: int = 1 * SECOND  # the store closes idle connections after 10 s; the node does so before
+    store_calls: int = 200  # made on one link to the store, one after the other
+    report: int = 300 * MS  # between reports to the roster: it forgets after 3 s, and some are lost
     late_read: int = 1 * SECOND  # an RPC read this long past its deadline is still known as a repeat
     hint: int = 600 * SECOND  # the longest run that an RPC may tell to expect
     ahead: int = 1 * SECOND  # an RPC stamped further ahead of the clock than this is no RPC
+    check_idle: int = 5 * SECOND  # a connection that carried health checks is closed after this silence
+    silent: int = 500 * MS  # where connections are many, those silent for this long make room for new ones
     unused: int = 1500 * MS  # a connection that carried no message is told to close after this
     unused_closing: int = 250 * MS  # and closed after this: what crosses is sent once more elsewhere
     closing: int = 2 * SECOND  # a dispatcher told of a close is given this long
+    discard: int = 256 * 1024  # bytes read past, to let answers out before a close, from one that goes on
     linger: int = 1 * SECOND  # the far side's end is awaited this long after the last byte
     send: int = 30 * SECOND  # a write that makes no headway for this long breaks the link
     accept_pause: int = 50 * MS  # when descriptors run out
--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -136,9 +136,5 @@
     return b"CALL %s %d %d\r\n%s\r\n" % (name.encode(), -(-limit // 1000), len(body), body)
 
 
-def give_up(name):
-    return b"DROP %s\r\n" % name.encode()
-
-
 def report(name, good):
     return f"HERE {name} {'on' if good else 'off'}".encode()
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -1,15 +1,16 @@
 """Sockets and their threads.
 
-Owns every socket of the node. Each link has a reader and a writer thread with small stacks on a blocking
-socket: the reader delivers one message and reads on only when asked, the writer writes what it is handed.
-They must never touch the node's state: what they see goes to the one queue as an input of the reducer.
+Owns every socket of the node. Each link has a reader thread with a small stack on a blocking socket, which
+delivers one message and reads on only when asked. What the kernel takes at once is written without a further
+thread; a link that the far side doesn't read gets a writer thread until all is written. Threads must never
+touch the node's state: what they see goes to the one queue as an input of the reducer.
 """
 
 import errno
 import socket
 import struct
 import threading
-from queue import Empty, SimpleQueue
+from queue import SimpleQueue
 from time import sleep
 
 from loguru import logger
@@ -47,35 +48,53 @@
         self.number, self.take = number, TAKE[kind]
         self.inputs, self.buffers, self.limits = inputs, buffers, limits
         self.sock, self.address = sock, address
-        self.asked, self.out = SimpleQueue(), SimpleQueue()
-        self.dropped = False
-        self.read_over = threading.Event()
+        self.asked = SimpleQueue()
+        self.lock = threading.Lock()  # never held over a wait
+        self.pending, self.writer = [], None
+        self.up = self.closing = self.dropped = False
         start_thread(self.read, f"read {number}")
 
     def ask(self):
         self.asked.put(True)
 
     def send(self, data):
-        self.out.put(data)
+        with self.lock:
+            if self.up and not self.pending and not self.writer:
+                try:
+                    data = data[self.sock.send(data, socket.MSG_DONTWAIT):]
+                except BlockingIOError:
+                    pass  # the far side does not read
+                except OSError:
+                    shut(self.sock, socket.SHUT_RDWR)  # broken: the reader learns of it and tells
+                    return
+                if not data:
+                    return
+                self.inputs.put(("behind", self.number))
+            self.pending.append(data)
+            self.write_on()
 
     def close(self):
         """Once all that was handed over is written."""
+        with self.lock:
+            self.closing = True
+            if self.up and not self.writer:
+                shut(self.sock, socket.SHUT_WR)
         self.asked.put(False)
-        self.out.put(None)
 
     def drop(self):
         """At once, whatever is on its way."""
-        self.dropped = True
-        if self.sock:
-            shut(self.sock, socket.SHUT_RDWR)
-        self.close()
+        with self.lock:
+            self.dropped = self.closing = True
+            if self.sock:
+                shut(self.sock, socket.SHUT_RDWR)
+        self.asked.put(False)
 
     # ---- the reader, which also owns the end of the socket
 
     def read(self):
-        writer, why, told = None, "", False
+        why, told = "", False
         try:
-            writer = self.begin()
+            self.begin()
         except OSError as error:
             if self.address:
                 self.inputs.put(("refused", self.number, error.strerror or str(error)))
@@ -89,7 +108,11 @@
             pass  # until the close is ordered
         if (why or told) and not self.dropped:
             self.discard()
-        self.read_over.set()
+        with self.lock:
+            self.up = False
+            writer = self.writer
+            if self.sock and (self.dropped or not (why or told)):
+                shut(self.sock, socket.SHUT_RDWR)
         if writer:
             writer.join()
         if self.sock:
@@ -97,7 +120,7 @@
         self.inputs.put(("closed", self.number))
 
     def begin(self):
-        """Connects where that is still to be done, and starts the writer."""
+        """Connects where that is still to be done, and writes what waited for it."""
         if self.sock is None:
             self.sock = socket.create_connection(self.address, self.limits.connect / 1_000_000)
             self.sock.settimeout(None)
@@ -108,7 +131,12 @@
                 raise ConnectionRefusedError(errno.ECONNREFUSED, "connected to itself")
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self.limits.send))
-        return start_thread(self.write, f"write {self.number}")
+        with self.lock:
+            self.up = True
+            if self.pending:
+                self.write_on()
+            elif self.closing:
+                shut(self.sock, socket.SHUT_WR)
 
     def read_messages(self):
         """Until the far side closes, sends what can't be read, or the close is ordered. Returns what can't be
@@ -158,43 +186,42 @@
 
     def discard(self):
         """Reads on without a look until the far side closes: closing over unread bytes would reset the
-        connection, and with it answers on their way."""
+        connection, and with it answers on their way. Guards against one that never stops: not for long."""
         buffer = self.buffers.take()
         try:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeval(self.limits.linger))
-            while self.sock.recv_into(buffer):
-                pass
+            for _ in range(self.limits.discard // len(buffer)):
+                if not self.sock.recv_into(buffer):
+                    break
         except OSError:
             pass
         finally:
             self.buffers.give_back(buffer)
 
-    # ---- the writer
+    # ---- the writer, which is there while the far side is behind
 
-    def write(self):
-        out, more = self.out, True
-        while more:
-            parts = [out.get()]
-            try:
-                while parts[-1] is not None and len(parts) < self.limits.unsent:
-                    parts.append(out.get_nowait())
-            except Empty:
-                pass
-            more = parts[-1] is not None
-            data = b"".join(parts if more else parts[:-1])
+    def write_on(self):
+        """Called with the lock: sees to a writer for what is pending."""
+        if self.up and not self.writer:
             try:
-                if data:
-                    self.sock.sendall(data)
-                    if more:
-                        self.inputs.put(("sent", self.number, len(parts)))
+                self.writer = start_thread(self.write, f"write {self.number}")
             except OSError:
-                # Broken, or no headway: the reader learns of it and tells.
                 shut(self.sock, socket.SHUT_RDWR)
-                while more:
-                    more = out.get() is not None
-        shut(self.sock, socket.SHUT_WR)
-        if not self.read_over.wait(self.limits.linger / 1_000_000):
-            shut(self.sock, socket.SHUT_RDWR)
+
+    def write(self):
+        while True:
+            with self.lock:
+                data, self.pending = b"".join(self.pending), []
+                if not data:
+                    self.writer = None
+                    if self.closing:
+                        shut(self.sock, socket.SHUT_WR)
+                    self.inputs.put(("caught_up", self.number))
+                    return
+            try:
+                self.sock.sendall(data)
+            except OSError:
+                shut(self.sock, socket.SHUT_RDWR)  # broken, or no headway
 
 
 class Listener:
@@ -267,9 +294,8 @@
             self.links[number].send(data)
 
     def close(self, number):
-        link = self.links.pop(number, None)
-        if link:
-            link.close()
+        if number in self.links:
+            self.links[number].close()
 
     def drop(self, number):
         link = self.links.pop(number, None)
--- a/finchcart/net/reducer.py
+++ b/finchcart/net/reducer.py
@@ -6,7 +6,8 @@
 RPC: decisions come from finchcart/control.py through the port.
 
 Inputs and effects are small plain tuples. Inputs: `("start",)`, `("opened", link)`, `("got", link, message)`,
-`("sent", link, count)`, `("refused", link, why)` (never connected), `("ended", link, why)` (nothing more will
+`("behind", link)` (the far side does not read), `("caught_up", link)` (all is written),
+`("refused", link, why)` (never connected), `("ended", link, why)` (nothing more will
 be read; `why` is empty where the far side closed), `("closed", link)`, `("shared", index)`, `("drain",)`,
 `("moved", places)` (the others' addresses, read again), `("fault", thread)`, `("time",)`. Effects:
 `("read", link)` (deliver one more message), `("send", link, bytes)`, `("close", link)` (once all is written),
@@ -18,6 +19,7 @@
 
 from hashlib import blake2b
 from heapq import heappop, heappush
+from itertools import filterfalse
 
 from finchcart.control import Control
 from finchcart.interface import Outcome
@@ -30,12 +32,12 @@
 class Connection:
     """One link of a dispatcher."""
 
-    __slots__ = ("link", "open", "used", "unsent", "waiting", "idle_from", "look", "checks",
+    __slots__ = ("link", "open", "calls", "heard", "behind", "waiting", "idle_from", "look", "checks",
                  "told", "bad", "ended")
 
     def __init__(self, link):
-        self.link, self.open, self.used = link, {}, False  # used: it carried a whole call
-        self.unsent, self.waiting = 0, False  # waiting: the next read is asked once less is unsent
+        self.link, self.open, self.calls, self.heard = link, {}, 0, 0  # calls: whole ones that it carried
+        self.behind = self.waiting = False  # waiting: the next read is asked once it is not behind any more
         self.idle_from, self.look, self.checks = None, None, False  # look: when it is next looked at
         self.told, self.bad, self.ended = False, False, False  # told: `closing` was sent
 
@@ -68,12 +70,13 @@
 
 
 class Store:
-    """One link to the store."""
+    """One link to the store, which carries one call at a time: a spoilt reply costs no other call."""
 
-    __slots__ = ("link", "calls", "dropped", "idle_from")
+    __slots__ = ("link", "name", "index", "used", "retired", "idle_from")
 
-    def __init__(self, link, now):
-        self.link, self.calls, self.dropped, self.idle_from = link, {}, set(), now
+    def __init__(self, link):
+        self.link, self.name, self.index = link, None, None  # name and index of the RPC whose call it carries
+        self.used, self.retired, self.idle_from = set(), False, None  # used: all names it carried calls for
 
 
 class Reducer:
@@ -96,13 +99,14 @@
         self.now, self.effects = 0, []
         self.control = None  # from the worker pool's start on
         self.timers, self.made = [], 0  # heap of (when, number, what)
+        self.most = limits.connections
         self.conns, self.rpcs, self.by_name, self.next_index = {}, {}, {}, 0
         self.table, self.results, self.result_bytes = {}, {}, 0  # results: entries, the oldest first
         self.next_link = 0
         self.pool, self.pool_ready, self.cursor, self.ticket = None, False, 0, 0
-        self.pool_unsent, self.settle, self.leaving, self.wakes = 0, None, None, {}
+        self.pool_behind, self.settle, self.leaving, self.wakes = 0, None, None, {}
         self.pool_start, self.faults = 0, {}
-        self.stores, self.store = {}, None
+        self.stores, self.idle_stores = {}, []  # idle ones: the one used last is taken first
         self.good, self.said_level, self.keep = True, None, None
         self.drained, self.grace_end, self.quiet_from, self.reports = False, None, None, 0
         self.unlistened = False
@@ -147,9 +151,8 @@
         if "pool" in moved and self.pool is not None:
             self.move_pool()
         if "store" in moved:
-            self.store = None
             for store in list(self.stores.values()):
-                self.look_at_store(store)
+                self.retire(store)
         if "roster" in moved:
             self.report()
 
@@ -172,18 +175,29 @@
 
     def on_opened(self, link):
         conn = self.conns[link] = Connection(link)
-        if len(self.conns) > self.limits.connections:
-            # Guards against running out of descriptors and memory: what carried nothing so far goes first,
-            # the oldest of it; else the new one, so that its RPCs go elsewhere.
-            self.fault("dispatchers", f"{len(self.conns)} connections, {self.limits.connections} at most")
-            conn = next(each for each in self.conns.values() if not (each.used or each.ended))
-            conn.ended = True
-            self.ask("drop", conn.link)
-            if conn.link == link:
-                return
+        conn.heard = self.now
+        if len(self.conns) > self.most:
+            # Guards against running out of descriptors and memory: the oldest that carried no call goes,
+            # which may be the new one itself. Nothing of it ran.
+            self.fault("dispatchers", f"{len(self.conns)} connections, {self.most} at most")
+            unused = next(each for each in self.conns.values() if not (each.calls or each.ended))
+            self.end(unused, "drop")
+        elif len(self.conns) > self.most // 3:
+            self.make_room()
+        if conn.ended:
+            return
         self.ask("read", link)
         self.at(self.now + self.limits.unused, self.close_unused, conn)
 
+    def make_room(self):
+        """Guards against a crowd of connections whose threads cost more than their RPCs: one that carried no
+        call, or one call and stayed, is told to close, the longest silent first."""
+        since = self.now - self.limits.silent
+        busy = lambda conn: conn.calls > 1 or conn.heard > since or conn.open or conn.told or conn.ended
+        conn = min(filterfalse(busy, self.conns.values()), key=lambda conn: conn.heard, default=None)
+        if conn:
+            self.tell_close(conn, self.limits.unused_closing)
+
     def on_got(self, link, message):
         if link == self.pool:
             getattr(self, "pool_" + message[0])(*message[1:])
@@ -194,26 +208,34 @@
             self.ask("read", link)
         elif link in self.conns and not self.conns[link].ended:
             conn = self.conns[link]
+            conn.calls += message[0] != "left"
+            conn.heard = self.now
             getattr(self, "front_" + message[0])(conn, *message[1:])
             if conn.idle_from is None and not (conn.open or conn.checks):
                 conn.idle_from = self.now
                 self.look_at_idle(conn)
             if not conn.bad:
-                if conn.unsent > self.limits.unsent:
+                if conn.behind:
                     conn.waiting = True  # guards against one that sends and never reads
                 else:
                     self.ask("read", link)
 
-    def on_sent(self, link, count):
+    def on_behind(self, link):
         conn = self.conns.get(link)
         if conn:
-            conn.unsent -= count
-            if conn.waiting and conn.unsent <= self.limits.unsent:
+            conn.behind = True
+        elif link == self.pool:
+            self.pool_behind = True
+
+    def on_caught_up(self, link):
+        conn = self.conns.get(link)
+        if conn:
+            conn.behind = False
+            if conn.waiting and not conn.bad:
                 conn.waiting = False
                 self.ask("read", link)
-            self.finish_bad(conn)
         elif link == self.pool:
-            self.pool_unsent -= count
+            self.pool_behind = False
 
     def on_ended(self, link, why):
         conn = self.conns.get(link)
@@ -230,7 +252,7 @@
                 self.finish_bad(conn)
                 return
             self.leave_all(conn)
-            self.ask("close", link)
+            self.end(conn)
 
     def on_refused(self, link, why):
         if link == self.pool:
@@ -239,6 +261,7 @@
             self.store_lost(self.stores[link], Outcome.UNREACHED, why)
 
     def on_closed(self, link):
+        self.ask("drop", link)
         conn = self.conns.pop(link, None)
         if conn:
             self.leave_all(conn)
@@ -250,22 +273,27 @@
 
     def send(self, conn, data):
         if not conn.ended:
-            conn.unsent += 1
             self.ask("send", conn.link, data)
 
+    def end(self, conn, act="close"):
+        """Nothing more is read or sent; a far side that does not close in its turn is not waited for long."""
+        conn.ended = True
+        self.ask(act, conn.link)
+        self.at(self.now + self.limits.linger, self.ask, "drop", conn.link)
+
     def finish_bad(self, conn):
-        if conn.bad and not conn.ended and not conn.open and not conn.unsent:
-            conn.ended = True
-            self.ask("close", conn.link)
+        if conn.bad and not conn.ended and not conn.open:
+            self.end(conn)
 
     def front_unheard(self, conn, seq, name):
-        conn.used = True
         if seq is not None:
             text = f"method {name!r}: not served here"
             self.send(conn, thrift.not_served(seq, name, thrift.UNKNOWN_METHOD, text))
 
     def front_check(self, conn, seq):
-        conn.checks = conn.used = True
+        if not conn.checks:
+            conn.checks = True
+            self.look_at_checks(conn)
         self.send(conn, thrift.health(seq, self.good, self.riding()))
 
     def front_left(self, conn, which):
@@ -274,7 +302,6 @@
             self.leave(self.rpcs[index])
 
     def front_rpc(self, conn, seq, fields, body):
-        conn.used = True
         if seq in conn.open:
             self.fault("dispatchers", f"connection {conn.link}: sequence number {seq} is in use; closed")
             conn.bad = True
@@ -413,15 +440,23 @@
     def close_told(self, conn):
         if conn.ended:
             return
-        if conn.open or conn.unsent:
+        if conn.open:
             self.at(self.now + self.limits.closing, self.close_told, conn)
         else:
-            conn.ended = True
-            self.ask("close", conn.link)
+            self.end(conn)
+
+    def look_at_checks(self, conn):
+        """Guards against those that ask once and stay for ever."""
+        if not conn.ended and not conn.told:
+            due = conn.heard + self.limits.check_idle
+            if self.now < due:
+                self.at(due, self.look_at_checks, conn)
+            elif not conn.open:
+                self.tell_close(conn)
 
     def close_unused(self, conn):
         """Guards against those that stay silent, or never end what they send."""
-        if not conn.used and not conn.told:
+        if not conn.calls and not conn.told:
             self.tell_close(conn, self.limits.unused_closing)
 
     # ---- the worker pool
@@ -429,7 +464,6 @@
     def say_pool(self, data):
         """Written where there is a link; what is lost with one is settled after the next is bound."""
         if self.pool is not None:
-            self.pool_unsent += 1
             self.ask("send", self.pool, data)
 
     def command(self, rpc, data, again):
@@ -446,7 +480,7 @@
 
     def leave_pool(self):
         link, self.pool = self.pool, None
-        self.pool_ready, self.settle, self.leaving, self.pool_unsent = False, None, None, 0
+        self.pool_ready, self.settle, self.leaving, self.pool_behind = False, None, None, False
         self.ask("drop", link)
 
     def move_pool(self):
@@ -572,7 +606,7 @@
         self.ticket += 1
         ticket = str(self.ticket)
         self.wakes[ticket] = name
-        if self.pool_ready and self.pool_unsent <= self.limits.unsent:
+        if self.pool_ready and not self.pool_behind:
             self.say_pool(lines.ask_gauges(ticket))
             self.at(self.now + self.limits.figures, self.wake, ticket, {})
         else:
@@ -587,13 +621,17 @@
     # ---- the store
 
     def reply(self, store, name, outcome, body):
-        index = store.calls.pop(name, None)
-        self.look_at_store(store)
-        rpc = self.rpcs.get(index)
-        if rpc is None or rpc.call_link != store.link:
-            store.dropped.discard(name)  # the late reply to a call that was given up
+        if name != store.name:
+            # Guards against a copy, or another's reply, that passes for a call's: none is made here again.
+            self.retire(store)
             return
-        rpc.call_link = None
+        rpc = self.rpcs[store.index]
+        rpc.call_link = store.name = None
+        if store.retired or len(store.used) >= self.limits.store_calls:
+            self.leave_store(store)
+        else:
+            store.idle_from = self.now
+            self.idle_stores.append(store)
         if outcome is Outcome.OK and rpc.stands_at:
             (cursor, _), rpc.stands_at = rpc.stands_at, None
             # A reply that may have been lost can't be written again, but the call can be left out.
@@ -604,39 +642,39 @@
     def store_lost(self, store, outcome, why):
         self.leave_store(store)
         if why:
-            self.fault("store", f"{outcome.value}, {len(store.calls)} calls ({why})")
-        for index in list(store.calls.values()):
-            rpc = self.rpcs.get(index)
-            if rpc and rpc.call_link == store.link:
-                rpc.call_link = None
-                rpc.handle.call_ended(self.now, outcome, self.now - rpc.call_from)
+            self.fault("store", f"{outcome.value}, {len(self.stores)} links left ({why})")
+        if store.name:
+            rpc = self.rpcs[store.index]
+            rpc.call_link = None
+            rpc.handle.call_ended(self.now, outcome, self.now - rpc.call_from)
+
+    def retire(self, store):
+        """It takes no further call, and is left once it has none."""
+        store.retired = True
+        if store.name is None:
+            self.leave_store(store)
 
     def leave_store(self, store):
         del self.stores[store.link]
-        if self.store is store:
-            self.store = None
-        self.ask("close", store.link)
+        if store in self.idle_stores:
+            self.idle_stores.remove(store)
+        self.ask("drop", store.link)
 
     def look_at_store(self, store):
-        """A link that idles is closed before the store does it, so that no call crosses its close."""
-        if not store.calls:
-            store.idle_from = self.now
-            self.at(self.now + self.limits.store_idle, self.close_store, store, self.now)
-
-    def close_store(self, store, idle_from):
-        if store.link in self.stores and not store.calls and store.idle_from == idle_from:
-            self.leave_store(store)
+        """A link that idles is closed long before the store does it, so that no call crosses its close."""
+        if store.link in self.stores:
+            due = (self.now if store.name else store.idle_from) + self.limits.store_idle
+            if self.now >= due:
+                self.leave_store(store)
+            else:
+                self.at(due, self.look_at_store, store)
 
     def drop_call(self, rpc):
-        """Gives up a call in the store's hands."""
+        """Gives up a call in the store's hands, and the link with it: a late reply may still come there."""
         store = self.stores.get(rpc.call_link)
         rpc.call_link = None
-        if store and store.calls.pop(rpc.name, None) is not None:
-            store.dropped.add(rpc.name)
-            if len(store.dropped) > self.limits.unsent and self.store is store:
-                self.store = None  # takes no new calls, and is closed once it idles
-            self.ask("send", store.link, lines.give_up(rpc.name))
-            self.look_at_store(store)
+        if store:
+            self.leave_store(store)
 
     def call_due(self, rpc, number):
         if rpc.call_link is not None and rpc.calls == number:
@@ -711,14 +749,19 @@
 
     def call(self, index, limit):
         rpc = self.rpcs[index]
-        # Guards against a late reply that passes for this call's: not on a link where one may come.
-        if self.store is None or rpc.name in self.store.dropped:
+        # Guards against a copy of a reply that passes for this call's: not on a link where one may come.
+        store = next((each for each in reversed(self.idle_stores) if rpc.name not in each.used), None)
+        if store:
+            self.idle_stores.remove(store)
+        else:
             link = self.connect("store")
-            self.store = self.stores[link] = Store(link, self.now)
+            store = self.stores[link] = Store(link)
             self.ask("read", link)
-        rpc.call_link, rpc.call_from, rpc.calls = self.store.link, self.now, rpc.calls + 1
-        self.store.calls[rpc.name] = index
-        self.ask("send", self.store.link, lines.call(rpc.name, limit, rpc.stands_at[1]))
+            self.at(self.now + self.limits.store_idle, self.look_at_store, store)
+        store.name, store.index = rpc.name, index
+        store.used.add(rpc.name)
+        rpc.call_link, rpc.call_from, rpc.calls = store.link, self.now, rpc.calls + 1
+        self.ask("send", store.link, lines.call(rpc.name, limit, rpc.stands_at[1]))
         self.at(self.now + limit, self.call_due, rpc, rpc.calls)
 
     def skip(self, index):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from queue import SimpleQueue
 
@@ -260,6 +261,30 @@
     assert inputs.get_nowait() == ("refused", -1, "can't start new thread")
 
 
+def test_only_a_link_whose_far_side_does_not_read_takes_a_writer_thread():
+    limits, inputs = Limits(memory=1, descriptors=1, stop=1), SimpleQueue()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        far = socket.create_connection(server.getsockname())
+        near, _ = server.accept()
+    link = Link(1, "front", inputs, Buffers(limits), limits, sock=near)
+    until(lambda: link.up)
+    before = threading.active_count()
+    link.send(b"first")
+    assert threading.active_count() == before and inputs.empty()
+    sent = [random.Random(n).randbytes(1_000_000) for n in range(20)]
+    for part in sent:
+        link.send(part)
+    assert threading.active_count() == before + 1 and inputs.get() == ("behind", 1)
+    link.close()
+    got = b""
+    while part := far.recv(1 << 20):
+        got += part
+    assert got == b"first" + b"".join(sent) and inputs.get() == ("caught_up", 1)
+    far.close()
+    while inputs.get()[0] != "closed":
+        pass
+
+
 def test_buffers_all_come_back_after_cut_whole_and_hostile_bytes():
     rng, limits = random.Random(9), Limits(memory=1, descriptors=1, stop=1, linger=50_000)
     buffers, inputs = Buffers(limits), SimpleQueue()
@@ -282,7 +307,9 @@
             link.ask()
         if rng.random() < 0.8:
             far.shutdown(socket.SHUT_WR)
-        link.close()
+            link.close()
+        else:
+            link.drop()
         while inputs.get()[0] != "closed":
             pass
         far.close()
