Health is bad while reads take a node's cores and no full fleet shows

Level and pushbacks were used to the full, advice moved nothing. The one lever left is health (control.loop), bad so far only in a drain.

--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -158,7 +158,6 @@
 
 
 class Control:
-    """The decisions of one node."""
 
     def __init__(self, port: Port, settings, seed):
         get = settings.get
@@ -188,7 +187,7 @@
         self.seen, self.returns, self.keeping = {}, 0.0, False  # when callers came; part that soon come again
         self.spent, self.done = 0.0, 0.0  # core time and expected work of the last second or two
         self.core_use, self.wanting, self.now_level = 0.0, 0, 0.0
-        self.kill_at, self.grace_end, self.sealed, self.swept = None, None, False, 0
+        self.kill_at, self.grace_end, self.sealed, self.swept, self.good = None, None, False, 0, True
 
     def start(self, now):
         self.began = self.swept = self.credit_at = now
@@ -351,9 +350,8 @@
                 break
             del held[0]
             rpc.state, rpc.ran, rpc.started = RUNNING, True, now
-            self.kb += rpc.run_kb
             self.on(rpc, 1)
-            self.running += 1
+            self.kb, self.running = self.kb + rpc.run_kb, self.running + 1
             self.port.run(rpc.index)
 
     def out_of_time(self, now, rpc):
@@ -364,10 +362,8 @@
         self.held.remove((rpc.key, rpc.index, rpc))
 
     def finish(self, now, rpc):
-        """The RPC's run or wait is over; its memory is free."""
         if rpc.state in (RUNNING, STANDING, CALLING):
-            self.running -= 1
-            self.kb -= rpc.run_kb
+            self.kb, self.running = self.kb - rpc.run_kb, self.running - 1
             if rpc.state == RUNNING:
                 self.on(rpc, -1)
             elif rpc.state == CALLING:
@@ -416,9 +412,8 @@
                 self.standing.append(rpc)
 
     def end_call(self, now, rpc, outcome):
-        self.in_call -= 1
+        self.in_call, rpc.state = self.in_call - 1, STANDING
         self.credit -= now - rpc.called
-        rpc.state = STANDING
         if outcome in (Outcome.TIMEOUT, Outcome.BROKEN_OFF):
             linger = self.settings.get("calls_linger", 200 * MS)
             self.lingering.append(now + linger)
@@ -496,8 +491,7 @@
                 m.share = max(0.05, m.share * max(0.95, 1 / over))
             else:
                 m.share = min(1.0, m.share + 0.015 / max(0.2, over))
-        # Guards against a crowd that the averaged gauge brings on: it tells of half a second ago, so the
-        # limit follows what wants a core at this moment.
+        # Guards against a crowd that the averaged gauge brings on: it follows what wants a core now.
         if self.held and self.wanting < self.cores and self.on_core >= self.limit - 1:
             self.limit = min(self.limit + self.cores / 4, 2 * self.cores, 0.4 * self.crowd(now))
         elif self.wanting > self.cores:
@@ -511,6 +505,13 @@
         # Guards against full tables: callers that seldom come again cost more by idle connections than by new
         # ones. But where RPCs lose their time unread, a full table turns away at the least cost.
         lost = self.unread / min((m.target for m in self.methods), default=SECOND)
+        # Guards against a slow node that is chosen on and on, whose reads take its cores: left out until
+        # reads are fewer. Not where further tries tell of a full fleet: all would be left out at once.
+        alone = self.further < 0.1 and self.wanting - self.on_core > self.cores / 2
+        if self.kill_at is None and self.good == (alone and lost > (0.5 if self.good else 0.1)):
+            self.good = not self.good
+            self.port.health(self.good, True)
+            self.port.log(f"health {'good' if self.good else 'bad'}: {lost:.2f} of the target unread")
         keep = self.returns > 0.75 or lost > 0.2 or self.keeping and (self.returns > 0.6 or lost > 0.04)
         if not self.sealed and keep != self.keeping:
             self.keeping = keep
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -50,6 +50,7 @@
         self.settings, self.now, self.get = settings, now, settings.get
         self.rpcs, self.open, self.timers, self.lines, self.entries = {}, {}, [], [], {}
         self.drained = self.kill = None
+        self.wanting = 0  # reads that want a core besides the runs
         self.count, self.released = 0, set()
         self.crowd_sum = self.calls_sum = 0.0
         self.control = Control(self, settings, seed)
@@ -125,6 +126,7 @@
 
     def health(self, good, stored):
         assert stored and not (good and self.drained is not None), "health good while draining"
+        self.good = good
 
     def level(self, value):
         assert self.settings["told"] == "level" and 0 <= value <= 1
@@ -200,7 +202,8 @@
         due = [t for t in self.timers if t[0] <= self.now]
         self.timers = [t for t in self.timers if t[0] > self.now]
         for _, name in due:
-            self.control.wake(self.now, name, {"core_use": min(1.0, on_core / self.settings["cores"])})
+            self.control.wake(self.now, name, {
+                "core_use": min(1.0, on_core / self.settings["cores"]), "on_cores": on_core + self.wanting})
         self.entries = {f: e for f, e in self.entries.items() if e[0] > self.now}
 
     def check(self):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -112,6 +112,19 @@
         assert r["state"] == state
 
 
+def test_health_is_bad_while_rpcs_lose_their_time_unread_and_good_again_after():
+    node = Node(PLAIN)
+    target = PLAIN["methods.0.latency_target"]
+    node.step = lambda dt, wanting=9, step=node.step: (setattr(node, "wanting", wanting), step(dt))
+    for _ in range(30):
+        node.arrive(waited=target * 4 // 5)
+        node.step(40 * MS)
+    assert not node.good
+    for _ in range(150):
+        node.step(40 * MS, 0)
+    assert node.good
+
+
 def test_callers_that_are_new_ones_for_ever_are_forgotten():
     node = Node({**PLAIN, "cores": 40, "memory_kb": 1e9})
     for caller in range(5000):
