--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -43,7 +43,7 @@
             config = json.load(file)
         return {
             "name": str(config["name"]), "listen": address(config["listen"]),
-            **{place: address(config[place]) for place in PLACES},
+            "places": {place: address(config[place]) for place in PLACES},
             "seed": int(str(config.get("seed", "0")), 16), "settings": settings.from_json(config["settings"]),
             "limits": Limits.of(config["limits"], config["stop_ms"]),
         }
@@ -73,7 +73,7 @@
     fixed = [name for name in ("name", "listen", "settings", "limits") if config[name] != used[name]]
     if fixed:
         logger.warning("configuration: new {} wait for the next start", ", ".join(fixed))
-    return "moved", {place: config[place] for place in PLACES}
+    return "moved", config["places"]
 
 
 def serve(reducer, links, inputs, reread):
@@ -118,8 +118,7 @@
         return 2
     threading.stack_size(limits.stack)
     threading.excepthook = lambda fault: fault_in_thread(inputs, fault)
-    places = {place: config[place] for place in PLACES}
-    reducer = Reducer(config["settings"], limits, config["seed"], config["name"], places)
+    reducer = Reducer(config["settings"], limits, config["seed"], config["name"], config["places"])
     links = Links(inputs, Buffers(limits), limits, listener)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
     try:
--- a/finchcart/net/reducer.py
+++ b/finchcart/net/reducer.py
@@ -46,7 +46,7 @@
     """What the node itself needs of one RPC."""
 
     __slots__ = ("index", "conn", "seq", "name", "method", "body", "entry", "handle", "owed", "started",
-                 "over", "stands_at", "call_link", "calls", "call_from", "share_from", "unconfirmed")
+                 "over", "stands_at", "call_link", "calls", "call_from", "share_from")
 
     def __init__(self, index, conn, seq, name, method, body):
         self.index, self.conn, self.seq, self.name = index, conn, seq, name
@@ -55,8 +55,6 @@
         self.owed, self.started, self.over = True, False, False
         self.stands_at = None  # (cursor, body) of the call that the run stands at
         self.call_link, self.calls, self.call_from, self.share_from = None, 0, 0, None
-        # What the pool may not have read: (ticket, line, what does no harm where it was read, was written).
-        self.unconfirmed = None
 
 
 class Entry:
@@ -100,7 +98,8 @@
         self.control = None  # from the worker pool's start on
         self.timers, self.made = [], 0  # heap of (when, number, what)
         self.most = limits.connections
-        self.unconfirmed = {}  # by index: the RPCs with a command that the pool may not have read
+        # What the pool may not have read, by index: (ticket, line, what does no harm if it did, was written).
+        self.unconfirmed = {}
         self.conns, self.rpcs, self.by_name, self.next_index = {}, {}, {}, 0
         self.table, self.results, self.result_bytes = {}, {}, 0  # results: entries, the oldest first
         self.next_link = 0
@@ -462,7 +461,7 @@
 
     def close_unused(self, conn):
         """Guards against those that stay silent, or never end what they send."""
-        if not conn.calls and not conn.told:
+        if not conn.calls:
             self.tell_close(conn, self.limits.unused_closing)
 
     # ---- the worker pool
@@ -474,8 +473,7 @@
 
     def command(self, rpc, data, again):
         """`again`: what may be written where `data` may have been read; None where nothing may."""
-        rpc.unconfirmed = self.ticket, data, again, self.pool_ready
-        self.unconfirmed[rpc.index] = rpc
+        self.unconfirmed[rpc.index] = self.ticket, data, again, self.pool_ready
         if self.pool_ready:
             self.say_pool(data)
 
@@ -555,7 +553,8 @@
 
     def end_run(self, rpc, outcome, spent, result):
         """A run or a share is over: what there is to answer is answered, then the module hears of it."""
-        rpc.over, rpc.unconfirmed, rpc.stands_at, rpc.body = True, None, None, b""
+        rpc.over, rpc.stands_at, rpc.body = True, None, b""
+        self.unconfirmed.pop(rpc.index, None)
         self.by_name.pop(rpc.name, None)
         self.drop_call(rpc)
         if outcome is Outcome.OK:
@@ -569,15 +568,17 @@
     def pool_at_call(self, cursor, name, body):
         rpc = self.running(name)
         if self.new_notice(cursor) and rpc:
-            rpc.stands_at, rpc.unconfirmed = (cursor, body), None
+            rpc.stands_at = cursor, body
+            self.unconfirmed.pop(rpc.index, None)
             rpc.handle.at_call(self.now)
 
     def pool_gauges(self, ticket, figures):
         if ticket == self.settle:
             self.settle = None
-            for rpc in list(self.unconfirmed.values()):
-                if rpc.unconfirmed and rpc.unconfirmed[0] < int(ticket) and not rpc.over:
-                    _, data, again, written = rpc.unconfirmed
+            for index in list(self.unconfirmed):
+                asked, data, again, written = self.unconfirmed.get(index, (self.ticket, b"", None, False))
+                if asked < int(ticket):  # neither ended nor sent another since, by the end of one before it
+                    rpc = self.rpcs[index]
                     # Guards against a second effect, and a reply that meets a later call: what the pool did
                     # read may have gone on since, so only what does no harm twice is written again.
                     line = again if written else data
@@ -586,10 +587,9 @@
                     else:
                         self.end_run(rpc, Outcome.STOPPED, 0, b"")
         elif ticket == self.leaving or ticket in self.wakes:
-            for rpc in list(self.unconfirmed.values()):
-                if not rpc.unconfirmed or rpc.unconfirmed[0] < int(ticket):
-                    rpc.unconfirmed = None  # the pool read the poll, so what was written before it too
-                    del self.unconfirmed[rpc.index]
+            # The pool read the poll, so what was written before it too.
+            self.unconfirmed = {
+                index: line for index, line in self.unconfirmed.items() if line[0] >= int(ticket)}
             if ticket == self.leaving:
                 self.pool_moved(self.pool)
             else:
@@ -825,7 +825,6 @@
 
     def release(self, index):
         rpc = self.rpcs.pop(index)
-        self.unconfirmed.pop(index, None)
         if self.by_name.get(rpc.name) == index:
             del self.by_name[rpc.name]
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -474,7 +474,8 @@
 
     # the store
     def store_command(self, link, data):
-        name, run = data.split()[1].decode(), self.runs[data.split()[1].decode()]
+        name = data.split()[1].decode()
+        run = self.runs[name]
         assert run["state"] != "running", "a call where none is waited for"
         assert run["never_ran"] or self.tries[name]["kind"] == "idempotent", "call repeated without proof"
         assert not self.calls[link], "two calls on a link"
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -115,13 +115,14 @@
 def test_health_is_bad_while_rpcs_lose_their_time_unread_and_good_again_after():
     node = Node(PLAIN)
     target = PLAIN["methods.0.latency_target"]
-    node.step = lambda dt, wanting=9, step=node.step: (setattr(node, "wanting", wanting), step(dt))
+    node.wanting = 9
     for _ in range(30):
         node.arrive(waited=target * 4 // 5)
         node.step(40 * MS)
     assert not node.good
+    node.wanting = 0
     for _ in range(150):
-        node.step(40 * MS, 0)
+        node.step(40 * MS)
     assert node.good
 
 
