The core comes apart: node/ by concern, Thrift a front of its own, cheaper turns

Change: finchcart/node/ has the core, worker pool, store, tokens and duty, each a state machine on one Turn; the front's contract is node/front.py; Thrift is finchcart/thrift/ (codec, fields, front).

--- a/example/client.py
+++ b/example/client.py
@@ -14,8 +14,8 @@
 import time
 
 from example.world import address
-from finchcart.net import thrift
-from finchcart.net.thrift import BOOL, FIELD, I32, LENGTH, MAP, STRING, STRUCT
+from finchcart.thrift import codec as thrift
+from finchcart.thrift.codec import BOOL, FIELD, I32, LENGTH, MAP, STRING, STRUCT
 
 
 class Client:
--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -1,7 +1,7 @@
 """One real node: `python -m finchcart`.
 
 Owns the start and the end of the process: configuration, limits, logging, signals, and the one thread that
-feeds the reducer and carries out what it asks. It must never hold state of RPCs or decide anything.
+feeds the core and carries out what it asks. It must never hold state of RPCs or decide anything.
 """
 
 import json
@@ -19,7 +19,9 @@
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Links, Listener
-from finchcart.net.reducer import Reducer
+from finchcart.node.core import Core
+from finchcart.thrift import codec
+from finchcart.thrift.front import ThriftFront
 
 PLACES = "pool", "store", "roster"  # where the other parties are: these may change while the node runs
 
@@ -76,30 +78,48 @@
     return "moved", config["places"]
 
 
-def serve(reducer, links, inputs, reread):
-    """One input after the other, until the reducer asks for the end."""
-    pending = deque([("start",)])
+def serve(core, links, inputs, reread, limits):
+    """Turn after turn, until the core asks for the end. A turn takes all inputs that wait, up to a bound;
+    what it sends on one link is one write."""
+    clock, later = lambda: time.time_ns() // 1000, deque([("start",)])
+    acts = {"read": links.read, "send": links.send, "close": links.close, "drop": links.drop,
+            "connect": links.connect, "report": links.report, "unlisten": links.unlisten,
+            "later": later.append, "log": logger.info}
     links.listen()
+    told, idle = clock(), 0  # when the load was told last, and how long nothing was to be done since
     while True:
-        if pending:
-            what = pending.popleft()
-        else:
-            due = reducer.due()
-            try:
-                what = inputs.get(timeout=None if due is None else max(0, due - time.time_ns() // 1000) / 1e6)
-            except Empty:
-                what = ("time",)
-        if what == ("reread",):
-            what = reread() or ("time",)
-        for act, *args in reducer.reduce(time.time_ns() // 1000, what):
-            if act == "later":
-                pending.append(args[0])
-            elif act == "log":
-                logger.info(args[0])
-            elif act == "end":
-                return
+        for _ in range(limits.turn):
+            now = clock()
+            if later:
+                what = later.popleft()
+            elif now - told >= limits.load_span:
+                what, told, idle = ("load", now - told - idle, now - told), now, 0
             else:
-                getattr(links, act)(*args)
+                try:
+                    what = inputs.get_nowait()
+                except Empty:
+                    due = core.due()
+                    if due is None or due > now:
+                        break
+                    what = ("time",)
+            if what == ("reread",):
+                what = reread() or ("time",)
+            for effect in core.reduce(now, what):
+                if effect[0] == "end":
+                    links.flush()
+                    return
+                acts[effect[0]](*effect[1:])
+        else:
+            links.flush()
+            continue
+        links.flush()
+        due, before = core.due(), clock()
+        try:
+            # Put back as the next turn's first: the wait itself is not an input.
+            later.append(inputs.get(timeout=None if due is None else max(0, due - before) / 1e6))
+        except Empty:
+            pass
+        idle += clock() - before
 
 
 def main():
@@ -118,11 +138,12 @@
         return 2
     threading.stack_size(limits.stack)
     threading.excepthook = lambda fault: fault_in_thread(inputs, fault)
-    reducer = Reducer(config["settings"], limits, config["seed"], config["name"], config["places"])
-    links = Links(inputs, Buffers(limits), limits, listener)
+    core = Core(config["settings"], limits, config["seed"], config["name"], config["places"],
+                lambda core: {"thrift": ThriftFront(core, limits)})
+    links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.take)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
     try:
-        serve(reducer, links, inputs, lambda: reread(path, config))
+        serve(core, links, inputs, lambda: reread(path, config), limits)
     except Exception:
         # Guards against serving wrongly: state that an exception went through is not trusted any more.
         logger.exception("the node's state can't be trusted, ending")
--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -26,19 +26,25 @@
 class Histogram:
     """Sixteen coarse bins, two to the octave from `low` up; halved when full, so that old samples fade."""
 
+    WEIGHTS = [2 ** (k / 2) for k in range(16)]
+
     def __init__(self, low, prior, full=120):
         self.low, self.full, self.bins = low, full, [0.0] * 16
+        self.count = self.weighed = 0.0
         self.add(prior)
 
     def add(self, value):
-        self.bins[max(0, min(15, int(2 * log2(max(value, 1e-9) / self.low))))] += 1
-        if sum(self.bins) >= self.full:
+        k = max(0, min(15, int(2 * log2(max(value, 1e-9) / self.low))))
+        self.bins[k] += 1
+        self.count, self.weighed = self.count + 1, self.weighed + self.WEIGHTS[k]
+        if self.count >= self.full:
             self.bins = [count / 2 for count in self.bins]
-        weighed = sum(count * 2 ** (k / 2) for k, count in enumerate(self.bins))
-        self.mean = 1.19 * self.low * weighed / sum(self.bins)
+            self.count = sum(self.bins)
+            self.weighed = sum(count * weight for count, weight in zip(self.bins, self.WEIGHTS))
+        self.mean = 1.19 * self.low * self.weighed / self.count
 
     def quantile(self, part):
-        left = part * sum(self.bins)
+        left = part * self.count
         for k, count in enumerate(self.bins):
             left -= count
             if left <= 0:
@@ -339,7 +345,10 @@
 
     def fill(self, now):
         """Runs what is held, in order, while there is room."""
-        held, room = self.held, min(0.8 * self.crowd(now), 4 * self.cores)
+        held = self.held
+        if not held:
+            return
+        room = min(0.8 * self.crowd(now), 4 * self.cores)
         while held and self.on_core < self.limit and self.running < room:
             rpc = held[0][2]
             if self.out_of_time(now, rpc) and self.on_core * 2 >= self.cores:
--- a/finchcart/net/__init__.py
+++ b/finchcart/net/__init__.py
@@ -1,1 +1,1 @@
-"""The real node round the decision module: codecs, the reducer, sockets and threads."""
+"""Sockets, threads, buffers and limits of the real node, and the lines of worker pool, store and roster."""
--- a/finchcart/net/buffers.py
+++ b/finchcart/net/buffers.py
@@ -23,6 +23,10 @@
         self.out.add(id(buffer))
         return buffer
 
+    def may_stay(self):
+        """Whether a link may hold its empty buffer while it waits: as many as would be kept for reuse."""
+        return len(self.out) <= self.spare.maxlen
+
     def give_back(self, buffer):
         if id(buffer) not in self.out:
             raise ValueError("a buffer was given back twice")
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -25,6 +25,11 @@
     backlog: int = 1024  # connections that wait to be accepted
     reserve: int = 64  # descriptors kept from dispatchers: listener, pool, store, roster, files
 
+    read_ahead: int = 2  # batches asked of a link at once: its reader is not woken for each
+    batch: int = 8  # messages that a link hands over at once, at most
+    turn: int = 16  # inputs taken in one turn where so many wait: their effects on a link are one write
+    load_span: int = 40 * MS  # the share of time that inputs take is told anew after this
+
     open_rpcs: int = 32  # on one connection
     body: int = 2 * 1024  # of an RPC
     kept_results: int = 16 * 1024 * 1024  # bytes of results that may still be shared
--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -1,7 +1,7 @@
 """Lines of the worker pool, the store and the roster, read and written.
 
-Owns the bytes on those links. It does no I/O, keeps nothing between calls and must never raise anything but
-`Malformed` on what it reads, whatever the bytes.
+Owns the bytes on those links. Codecs as frames.py has them: no I/O, nothing kept between calls, and nothing
+raised but `Malformed` on what they read, whatever the bytes.
 
 Messages read are plain tuples. From the pool: `("up", cold, age)`, `("run_ended", cursor, id, outcome, spent,
 result)`, `("at_call", cursor, id, body)`, `("gauges", ticket, figures)`, `("undone", was_run, id)` (a command
@@ -13,23 +13,23 @@
 from math import isfinite
 
 from finchcart.interface import Outcome
-from finchcart.net.thrift import Malformed
+from finchcart.net.frames import Malformed
 
 ENDS = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.STOPPED, "gone": Outcome.MOOT}
 REPLIES = {b"OK": Outcome.OK, b"BUSY": Outcome.FULL, b"ERR": Outcome.ERROR, b"LATE": Outcome.TIMEOUT,
            b"VOID": Outcome.MOOT}
 
 
-def take_pool(data, longest):
-    """The first whole line from the pool as (message, bytes used), or None until there is one."""
-    line = _line(data, b"\n")
-    if line is None:
+def take_pool(data, at, longest):
+    """The first whole line from the pool as (message, where the next begins), or None until there is one."""
+    end = data.find(b"\n", at)
+    if end < 0:
         return None
     # Guards against a thread's small stack: the library's parser goes down with each bracket.
-    if line.count(b"[") + line.count(b"{") > 100:
+    if data.count(b"[", at, end) + data.count(b"{", at, end) > 100:
         raise Malformed("too many brackets in a line")
     try:
-        return notice(json.loads(line)), len(line) + 1
+        return notice(json.loads(data[at:end])), end + 1
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError) as error:
         raise Malformed(f"a line from the pool: {type(error).__name__}: {error}"[:120]) from None
 
@@ -78,57 +78,54 @@
     return max(0, int(ms * 1000))
 
 
-def _line(data, end):
-    """A view's first line, without its end."""
-    line, found, _ = bytes(data).partition(end)
-    return line if found else None
-
-
-def take_store(data, longest):
-    """The first whole reply of the store as (message, bytes used), or None until there is one."""
-    line = _line(data, b"\r\n")
-    if line is None:
+def take_store(data, at, longest):
+    """The first whole reply of the store as (message, where the next begins), or None until there is one."""
+    end = data.find(b"\r\n", at)
+    if end < 0:
         return None
-    words, used = line.split(b" "), len(line) + 2
+    line, end = data[at:end], end + 2
+    words = line.split(b" ")
     outcome = REPLIES.get(words[1]) if len(words) > 1 else None
     if outcome is None or len(words) != (3 if outcome is Outcome.OK else 2):
         raise Malformed(f"a reply from the store: {line[:60]!r}")
     body = b""
     if outcome is Outcome.OK:
-        if not words[2].isdigit() or int(words[2]) + used + 2 > longest:
+        if not words[2].isdigit() or int(words[2]) + end - at + 2 > longest:
             raise Malformed(f"a reply from the store: {line[:60]!r}")
         length = int(words[2])
-        if len(data) < used + length + 2:
+        if len(data) < end + length + 2:
             return None
-        body = bytes(data[used:used + length])
-        used += length + 2
-        if data[used - 2:used] != b"\r\n":
+        body = data[end:end + length]
+        end += length + 2
+        if data[end - 2:end] != b"\r\n":
             raise Malformed("a reply from the store does not end where it says")
-    return ("reply", words[0].decode("ascii", "replace"), outcome, body), used
+    return ("reply", words[0].decode("ascii", "replace"), outcome, body), end
 
 
-def _say(event, **fields):
-    return json.dumps({"event": event, **fields}, separators=(",", ":")).encode() + b"\n"
+def _text_of(value):
+    """As JSON text. Guards against a name that would end its quotes; names come from settings or are hex."""
+    return json.dumps(value).encode() if not value.isalnum() else b'"%s"' % value.encode()
 
 
 def join(cursor):
-    return _say("bind", cursor=cursor)
+    return b'{"event":"bind","cursor":%d}\n' % cursor
 
 
 def run(name, method, body):
-    return _say("spawn", handle=name, entry=method, arg=b64encode(body).decode())
+    return (b'{"event":"spawn","handle":%s,"entry":%s,"arg":"%s"}\n'
+            % (_text_of(name), _text_of(method), b64encode(body)))
 
 
 def reply(name, body):
-    return _say("supply", handle=name, arg=b64encode(body).decode())
+    return b'{"event":"supply","handle":%s,"arg":"%s"}\n' % (_text_of(name), b64encode(body))
 
 
 def skip(name, cursor):
-    return _say("pass", handle=name, cursor=cursor)
+    return b'{"event":"pass","handle":%s,"cursor":%d}\n' % (_text_of(name), cursor)
 
 
 def ask_gauges(ticket):
-    return _say("poll", ticket=ticket)
+    return b'{"event":"poll","ticket":%s}\n' % _text_of(ticket)
 
 
 def call(name, limit, body):
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -1,9 +1,9 @@
 """Sockets and their threads.
 
 Owns every socket of the node. Each link has a reader thread with a small stack on a blocking socket, which
-delivers one message and reads on only when asked. What the kernel takes at once is written without a further
-thread; a link that the far side doesn't read gets a writer thread until all is written. Threads must never
-touch the node's state: what they see goes to the one queue as an input of the reducer.
+delivers one batch of messages for each time that it is asked. What the kernel takes at once is written
+without a further thread; a link that the far side doesn't read gets a writer thread until all is written.
+Threads must never touch the node's state: what they see goes to the one queue as an input of the core.
 """
 
 import errno
@@ -11,13 +11,14 @@
 import struct
 import threading
 from queue import SimpleQueue
-from time import sleep
+from time import sleep, time_ns
 
 from loguru import logger
 
-from finchcart.net import lines, thrift
+from finchcart.net import lines
+from finchcart.net.frames import Malformed
 
-TAKE = {"front": thrift.take, "pool": lines.take_pool, "store": lines.take_store}
+TAKE = {"pool": lines.take_pool, "store": lines.take_store}  # fronts bring their own
 
 
 def timeval(us):
@@ -44,8 +45,8 @@
 class Link:
     """One connection. `ask`, `send` and `close` never block."""
 
-    def __init__(self, number, kind, inputs, buffers, limits, sock=None, address=None):
-        self.number, self.take = number, TAKE[kind]
+    def __init__(self, number, take, inputs, buffers, limits, sock=None, address=None):
+        self.number, self.take = number, take
         self.inputs, self.buffers, self.limits = inputs, buffers, limits
         self.sock, self.address = sock, address
         self.asked = SimpleQueue()
@@ -141,42 +142,54 @@
     def read_messages(self):
         """Until the far side closes, sends what can't be read, or the close is ordered. Returns what can't be
         read, and whether the close was ordered."""
-        buffer, start, end = None, 0, 0
-        first = bytearray(1)
+        buffer, end, size, most = None, 0, self.buffers.size, self.limits.batch
+        data, at = b"", 0  # what is read and not handed over begins at `at`
+        first, take, sock = bytearray(1), self.take, self.sock
         try:
             while self.asked.get():
+                messages, fault = [], None
                 while True:
-                    got = None
-                    if buffer is not None:
-                        got = self.take(memoryview(buffer)[start:end], len(buffer))
-                    if got is not None:
-                        message, used = got
-                        start += used
-                        if start == end:
-                            self.buffers.give_back(buffer)
-                            buffer, start, end = None, 0, 0
-                        self.inputs.put(("got", self.number, message))
+                    try:
+                        while len(messages) < most:
+                            got = take(data, at, size)
+                            if got is None:
+                                break
+                            message, at = got
+                            messages.append(message)
+                    except Malformed as error:
+                        fault = error
+                    if messages:
+                        # What was whole before a fault is handed over first.
+                        self.inputs.put(("got", self.number, messages, time_ns() // 1000))
+                    if fault:
+                        return str(fault), False
+                    if messages:
                         break
-                    if buffer is None:
-                        # A link that idles holds no buffer: the first byte is only looked at.
-                        if not self.sock.recv_into(first, 1, socket.MSG_PEEK):
-                            return "", False
-                        buffer = self.buffers.take()
-                    if start:
-                        buffer[:end - start] = buffer[start:end]
-                        start, end = 0, end - start
-                    if end == len(buffer):
+                    if at == len(data):
+                        data, at, end = b"", 0, 0
+                        if buffer is None or not self.buffers.may_stay():
+                            # One of many links that idle holds no buffer: the first byte is only looked at.
+                            if buffer is not None:
+                                self.buffers.give_back(buffer)
+                                buffer = None
+                            if not sock.recv_into(first, 1, socket.MSG_PEEK):
+                                return "", False
+                            buffer = self.buffers.take()
+                    elif at or end == 0:
+                        data, at = data[at:], 0
+                        end = len(data)
+                        buffer[:end] = data
+                    if end == size:
                         return f"a message of over {end} bytes", False
                     with memoryview(buffer) as view:
-                        count = self.sock.recv_into(view[end:])
-                    if not count:
-                        return "", False
-                    end += count
+                        count = sock.recv_into(view[end:])
+                        if not count:
+                            return "", False
+                        end += count
+                        data = bytes(view[:end])
             return "", True
         except OSError:
             return "", False
-        except thrift.Malformed as error:
-            return str(error), False
         except Exception as error:  # a fault of a codec costs this link alone
             logger.exception("reading link {}", self.number)
             return f"{type(error).__name__}: {error}", False
@@ -260,10 +273,12 @@
 
 
 class Links:
-    """Carries out the reducer's effects. Called by one thread, and by the listener's for new connections."""
+    """Carries out the core's effects. Called by one thread, and by the listener's for new connections."""
 
-    def __init__(self, inputs, buffers, limits, listener):
+    def __init__(self, inputs, buffers, limits, listener, front, take):
+        """`front`: the kind of link that the listener's are, read with `take`."""
         self.inputs, self.buffers, self.limits, self.listener = inputs, buffers, limits, listener
+        self.front, self.take, self.held = front, {**TAKE, front: take}, {}
         self.links, self.reports = {}, SimpleQueue()
         self.roster = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         start_thread(self.send_reports, "reports")
@@ -275,12 +290,14 @@
         self.listener.stop()
 
     def opened(self, number, sock):
-        self.links[number] = Link(number, "front", self.inputs, self.buffers, self.limits, sock=sock)
-        self.inputs.put(("opened", number))
+        self.links[number] = Link(
+            number, self.take[self.front], self.inputs, self.buffers, self.limits, sock=sock)
+        self.inputs.put(("opened", number, self.front))
 
     def connect(self, number, kind, address):
         try:
-            self.links[number] = Link(number, kind, self.inputs, self.buffers, self.limits, address=address)
+            self.links[number] = Link(
+                number, self.take[kind], self.inputs, self.buffers, self.limits, address=address)
         except OSError as error:
             # Guards against an end of the node where threads run out: nothing was sent, so it is tried again.
             self.inputs.put(("refused", number, error.strerror))
@@ -290,14 +307,32 @@
             self.links[number].ask()
 
     def send(self, number, data):
-        if number in self.links:
-            self.links[number].send(data)
+        """Held until the turn's end: what goes out on one link then is one write."""
+        held = self.held.get(number)
+        if held is None:
+            self.held[number] = [data]
+        else:
+            held.append(data)
+
+    def flush(self):
+        """The end of a turn."""
+        held, self.held = self.held, {}
+        for number, parts in held.items():
+            if number in self.links:
+                self.links[number].send(parts[0] if len(parts) == 1 else b"".join(parts))
+
+    def write_held(self, number):
+        parts = self.held.pop(number, None)
+        if parts and number in self.links:
+            self.links[number].send(b"".join(parts))
 
     def close(self, number):
+        self.write_held(number)
         if number in self.links:
             self.links[number].close()
 
     def drop(self, number):
+        self.write_held(number)
         link = self.links.pop(number, None)
         if link:
             link.drop()
--- /dev/null
+++ b/finchcart/node/core.py
@@ -0,0 +1,306 @@
+"""The core: open RPCs of all fronts, and every change of them.
+
+Owns the open RPCs, joins the pieces (worker pool, store, tokens, duty, fronts) and implements `Port` for
+`Control`. `reduce(now, what)` takes one input and returns the effects that it asks for. It must never do I/O,
+take a lock, read a clock, know a front's protocol or decide about an RPC: decisions come from
+finchcart/control.py through the port.
+
+Inputs are small plain tuples: `("start",)`, `("opened", link, kind)` (kind: of the front), `("got", link,
+messages, read_at)` (a batch, and when it was read), `("behind", link)` (the far side does not read),
+`("caught_up", link)` (all is written), `("refused", link, why)` (never connected), `("ended", link, why)`
+(nothing more will be read; `why` is empty where the far side closed), `("closed", link)`, `("shared",
+index)`, `("drain",)`, `("moved", places)` (the others' addresses, read again), `("fault", thread)`,
+`("time",)`, `("load", busy, span)` (the time of the last span in which inputs were worked on or waited).
+Effects: turn.py. Links that others make have numbers from 1 up.
+"""
+
+from finchcart.control import Control
+from finchcart.interface import Outcome
+from finchcart.net import lines
+from finchcart.node.duty import Duty
+from finchcart.node.front import ABORTED, OK, PUSHED_BACK, Unfit
+from finchcart.node.pool import Pool
+from finchcart.node.store import Store
+from finchcart.node.tokens import FAILED, Tokens, digest_of
+from finchcart.node.turn import Turn
+
+
+class Core:
+    """The state of one node. `make_fronts(core)`: kind -> front."""
+
+    def __init__(self, settings, limits, seed, name, places, make_fronts):
+        # This pool's protocol has no word for stopping work, whatever the settings allow.
+        self.settings, self.limits, self.seed = {**settings, "can_stop": False}, limits, seed
+        gauges = settings.get("gauges", ())
+        count = range(settings.get("methods.count", 0))
+        method = lambda n, item: settings.get(f"methods.{n}.{item}")
+        poorer = settings.get("method_poorer", 0)
+        self.poorer = {method(n, "name"): poorer[n] if isinstance(poorer, tuple) else poorer for n in count}
+        self.kinds = {method(n, "name"): method(n, "kind") for n in count}
+        # A try that reached the machine while an entry lived may be read as late as its deadline.
+        self.late = {method(n, "name"): (method(n, "deadline") or 0) + limits.late_read for n in count}
+        self.turn = Turn(limits.log_again)
+        self.pool = Pool(self.turn, limits, places["pool"],
+                         gauges if isinstance(gauges, tuple) else (gauges,), self)
+        self.store = Store(self.turn, limits, places["store"], self.call_ended)
+        self.tokens = Tokens(self.turn, max(self.late.values(), default=0), limits.kept_results)
+        self.duty = Duty(self.turn, limits, name, places["roster"], settings.get("grace", 0), self.busy)
+        self.control = None  # from the worker pool's start on
+        self.rpcs, self.by_name, self.next_index = {}, {}, 0
+        self.said_level, self.keep = None, None
+        self.oldest, self.use = 0, 0.0  # of the inputs: the longest wait since the last look; busy part
+        self.fronts = make_fronts(self)
+        self.inputs = {
+            "start": self.on_start, "opened": self.on_opened, "got": self.on_got, "shared": self.on_shared,
+            "drain": self.on_drain, "moved": self.on_moved, "fault": self.on_fault, "time": self.on_time,
+            "load": self.on_load, "closed": self.on_closed,
+            **{word: lambda link, *more, word=word: self.on_link(word, link, *more)
+               for word in ("behind", "caught_up", "refused", "ended")}}
+
+    # ---- in and out
+
+    def reduce(self, now, what):
+        """One input, after all timers that are due."""
+        effects = self.turn.begin(now)
+        self.inputs[what[0]](*what[1:])
+        return effects
+
+    def due(self):
+        """When the next timer is due, or None."""
+        return self.turn.due()
+
+    @property
+    def now(self):
+        return self.turn.now
+
+    @property
+    def ready(self):
+        """Whether RPCs can be taken: the worker pool was there."""
+        return self.control is not None
+
+    def on_start(self):
+        self.pool.reach()
+        self.duty.report()
+
+    def on_moved(self, places):
+        """The others have new places. What is under way at the old ones ends there where it can."""
+        pieces = {"pool": self.pool, "store": self.store, "roster": self.duty}
+        moved = [kind for kind, piece in pieces.items() if places[kind] != piece.place]
+        self.turn.ask("log", f"configuration: {', '.join(moved) or 'nothing'} moved")
+        for kind in moved:
+            pieces[kind].move(places[kind])
+
+    def on_fault(self, thread):
+        raise RuntimeError(f"thread {thread} died")
+
+    def on_time(self):
+        """Nothing but the timers."""
+
+    def on_load(self, busy, span):
+        self.use = busy / max(1, span)
+
+    def on_opened(self, link, kind):
+        self.turn.owners[link] = self.fronts[kind]
+        self.fronts[kind].opened(link)
+
+    def on_got(self, link, messages, read_at):
+        self.oldest = max(self.oldest, self.turn.now - read_at)
+        owner = self.turn.owners.get(link)
+        if owner:
+            for message in messages:
+                owner.got(link, message)
+            owner.batch_over(link)
+
+    def on_link(self, word, link, *more):
+        owner = self.turn.owners.get(link)
+        if owner:
+            getattr(owner, word)(link, *more)
+
+    def on_closed(self, link):
+        self.turn.ask("drop", link)
+        owner = self.turn.owners.pop(link, None)
+        if owner:
+            owner.closed(link)
+
+    # ---- what fronts hand over: see front.py
+
+    def take(self, rpc, token=None, *, reached, caller, again=False, hint=0, kb=1.0, place=None, expires=0):
+        """An RPC was read whole. `Unfit` says what is wrong with it; nothing of it is kept then."""
+        digest = None
+        if rpc.name in self.by_name:
+            raise Unfit(f"name {rpc.name!r}: in use by an open RPC")
+        if token is not None:
+            digest = digest_of(rpc.body)
+            if self.tokens.other_body((rpc.method, token), digest):
+                # Guards against a result that is shared with what is no try of the same RPC.
+                raise Unfit("body: not that of the other tries with this key")
+        index, self.next_index = self.next_index, self.next_index + 1
+        rpc.index = index
+        self.rpcs[index] = rpc
+        self.by_name[rpc.name] = index
+        repeats = None
+        if token is not None:
+            rpc.entry, again_known = self.tokens.entry((rpc.method, token), index, digest, reached)
+            if again_known:
+                repeats = rpc.entry.index if rpc.entry.index in self.rpcs else -1
+        now = self.turn.now
+        rpc.handle = self.control.arrive(
+            now, index, rpc.method, kb, expires=expires, waited=now - reached, place=place, hint=hint,
+            again=again, repeats=repeats, caller=caller)
+
+    def leave(self, rpc):
+        """The caller has gone: nothing is owed, nor told to the front."""
+        rpc.owed = False
+        self.store.drop(rpc)
+        if rpc.handle:
+            rpc.handle.gone(self.turn.now)
+
+    def final(self, rpc, outcome, result=b"", wait=0, last=False):
+        if rpc.owed:
+            rpc.owed = False
+            rpc.front.final(rpc, outcome, result, wait, last)
+
+    # ---- the worker pool's word
+
+    def pool_up(self, cold):
+        # The ramp of a cold start counts from the worker pool's: a later start is the slower reckoning.
+        self.control = Control(self, {**self.settings, "fresh_start": cold}, self.seed)
+        self.control.start(self.turn.now)
+
+    def pool_anew(self, cold):
+        """A worker pool that started anew has lost its runs: each is answered, none is run again."""
+        self.control.cold, self.control.began = cold, self.turn.now
+        lost = [rpc for rpc in self.rpcs.values() if rpc.started and not rpc.over]
+        self.turn.ask("log", f"worker pool: started anew, {len(lost)} runs lost")
+        for rpc in lost:
+            self.run_ended(rpc, Outcome.STOPPED, 0, b"")
+
+    def running(self, name):
+        """The RPC of that name whose run is not over, or None."""
+        rpc = self.rpcs.get(self.by_name.get(name))
+        return rpc if rpc and rpc.started and not rpc.over else None
+
+    def run_ended(self, rpc, outcome, spent, result):
+        """A run or a share is over: what there is to answer is answered, then the module hears of it."""
+        rpc.over, rpc.stands_at, rpc.body = True, None, b""
+        self.pool.confirmed(rpc)
+        self.by_name.pop(rpc.name, None)
+        if rpc.call_link is not None:
+            self.store.drop(rpc)
+        if outcome is Outcome.OK:
+            self.final(rpc, OK, result)
+        elif outcome is Outcome.ERROR:
+            self.final(rpc, ABORTED)
+        if rpc.entry and rpc.entry.index == rpc.index:
+            self.tokens.settle(rpc.entry, result if outcome is Outcome.OK else FAILED)
+        rpc.handle.ended(self.turn.now, outcome, spent)
+
+    def run_at_call(self, rpc, cursor, body):
+        rpc.stands_at = cursor, body
+        rpc.handle.at_call(self.turn.now)
+
+    def woken(self, name, gauges):
+        gauges["intake_age"], gauges["intake_use"], self.oldest = self.oldest, self.use, 0
+        self.control.wake(self.turn.now, name, gauges)
+        self.duty.look()
+
+    # ---- calls and shares that are over
+
+    def call_ended(self, rpc, outcome, body, spent):
+        if outcome is Outcome.OK and rpc.stands_at:
+            (cursor, _), rpc.stands_at = rpc.stands_at, None
+            # A reply that may have been lost can't be written again, but the call can be left out.
+            again = lines.skip(rpc.name, cursor) if self.poorer[rpc.method] > 0 else None
+            self.pool.command(rpc, lines.reply(rpc.name, body), again)
+        rpc.handle.call_ended(self.turn.now, outcome, spent)
+
+    def on_shared(self, index):
+        rpc = self.rpcs.get(index)
+        if rpc is None or rpc.over or rpc.share_from is None:
+            return
+        result = rpc.entry.result
+        outcome = Outcome.OK if isinstance(result, bytes) else Outcome.ERROR
+        self.run_ended(rpc, outcome, self.turn.now - rpc.share_from, result)
+
+    # ---- the port
+
+    def run(self, index):
+        rpc = self.rpcs[index]
+        rpc.started = True
+        if rpc.entry:
+            rpc.entry.ran = True
+        line = lines.run(rpc.name, rpc.method, rpc.body)
+        self.pool.command(rpc, line, line if self.kinds[rpc.method] == "idempotent" else None)
+
+    def stop(self, index):
+        raise NotImplementedError("this worker pool stops nothing")
+
+    def push_back(self, index, wait, last):
+        self.final(self.rpcs[index], PUSHED_BACK, b"", wait, last)
+
+    def abort(self, index):
+        rpc = self.rpcs[index]
+        self.store.drop(rpc)
+        self.final(rpc, ABORTED)
+
+    def call(self, index, limit):
+        rpc = self.rpcs[index]
+        self.store.call(rpc, limit, rpc.stands_at[1])
+
+    def skip(self, index):
+        rpc = self.rpcs[index]
+        (cursor, _), rpc.stands_at = rpc.stands_at, None
+        line = lines.skip(rpc.name, cursor)
+        self.pool.command(rpc, line, line)
+
+    def share(self, index):
+        rpc = self.rpcs[index]
+        rpc.share_from = self.turn.now
+        self.tokens.share(rpc)
+
+    def remember(self, index, keep):
+        self.tokens.remember(self.rpcs[index], keep)
+
+    def forget(self, index):
+        self.tokens.forget(self.rpcs[index].entry)
+
+    def health(self, good, stored):
+        self.duty.health(good)
+        for front in self.fronts.values():
+            front.health(good)
+
+    def level(self, value):
+        self.said_level = value
+
+    def idle_limit(self, keep):
+        self.keep = keep
+        for front in self.fronts.values():
+            front.idle_limit(keep)
+
+    def wake_in(self, delay, name):
+        self.turn.at(self.turn.now + delay, self.pool.ring, name)
+
+    def log(self, text):
+        self.turn.ask("log", text)
+
+    def release(self, index):
+        rpc = self.rpcs.pop(index)
+        if self.by_name.get(rpc.name) == index:
+            del self.by_name[rpc.name]
+
+    # ---- drain and end
+
+    def on_drain(self):
+        if self.duty.drain():
+            if self.control:
+                kill_at = self.turn.now + self.limits.stop
+                self.control.drain(self.turn.now, kill_at)
+                for front in self.fronts.values():
+                    front.drain(kill_at)
+            else:
+                self.turn.ask("end")
+
+    def busy(self):
+        """Whether anything is open or owed."""
+        return (not all(front.quiet() for front in self.fronts.values())
+                or any(rpc.owed for rpc in self.rpcs.values()))
--- /dev/null
+++ b/finchcart/node/duty.py
@@ -0,0 +1,58 @@
+"""The roster duty, the drain and the end.
+
+Owns when the roster is told of the node, the notice to leave and the moment at which the process may end. It
+must never end a node that owes an answer, nor listen again once it stopped.
+"""
+
+from finchcart.net import lines
+
+
+class Duty:
+    """`busy()`: whether anything is open or owed."""
+
+    def __init__(self, turn, limits, name, place, grace, busy):
+        self.turn, self.limits, self.name, self.place, self.grace = turn, limits, name, place, grace
+        self.busy = busy
+        self.good, self.reports = True, 0
+        self.drained, self.grace_end, self.quiet_from, self.unlistened = False, None, None, False
+
+    def health(self, good):
+        if good != self.good:
+            self.good = good
+            self.report()
+
+    def report(self):
+        turn = self.turn
+        turn.ask("report", self.place, lines.report(self.name, self.good))
+        self.reports += 1
+        turn.at(turn.now + self.limits.report, self.report_again, self.reports)
+
+    def report_again(self, number):
+        if number == self.reports:
+            self.report()
+
+    def drain(self):
+        """The notice to leave; False where it came before."""
+        if self.drained:
+            return False
+        self.drained, self.grace_end = True, self.turn.now + self.grace
+        self.turn.at(self.turn.now + self.limits.stop, self.turn.ask, "end")
+        return True
+
+    def look(self):
+        """The node may end once its grace is over and nothing is open, nor has been for a while."""
+        turn = self.turn
+        if not self.drained or turn.now < self.grace_end:
+            return
+        if self.busy():
+            self.quiet_from = None
+        elif self.quiet_from is None:
+            self.quiet_from = turn.now
+        elif turn.now - self.quiet_from >= self.limits.quiet:
+            # Guards against an RPC on a connection that is being accepted: first no new ones, then the end.
+            turn.ask("end" if self.unlistened else "unlisten")
+            self.unlistened, self.quiet_from = True, turn.now - self.limits.quiet + self.limits.last_look
+
+    def move(self, place):
+        self.place = place
+        self.report()
--- a/finchcart/net/thrift.py
+++ b/finchcart/thrift/codec.py
@@ -1,7 +1,7 @@
 """The dispatchers' speech: framed Thrift in the strict binary protocol, read and written.
 
-Owns the bytes on dispatchers' connections. It does no I/O, keeps nothing between calls and must never raise
-anything but `Malformed` on what it reads, whatever the bytes.
+Owns the bytes on dispatchers' connections. A codec as net/frames.py has it: no I/O, nothing kept between
+calls, and nothing raised but `Malformed` on what it reads, whatever the bytes.
 
 A message read is a plain tuple: `("rpc", seq, fields, body)`, `("left", seq)` (the caller of that RPC has
 gone), `("check", seq)`, or `("unheard", seq, name)` for a call that is not served; `fields` or `body` are
@@ -10,6 +10,8 @@
 
 import struct
 
+from finchcart.net.frames import Malformed
+
 CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
 VERSION = 0x80010000
 STOP, BOOL, BYTE, DOUBLE, I16, I32, I64 = 0, 2, 3, 4, 6, 8, 10
@@ -21,22 +23,18 @@
 DEPTH = 16  # of structures within structures
 
 
-class Malformed(Exception):
-    """Bytes that are no message of this protocol."""
-
-
 class Reader:
     def __init__(self, data):
         self.data, self.at = data, 0
 
     def strings(self, count):
         """So many texts, the quick way: an RPC's fields are the most that is read here."""
-        data, at, out = self.data, self.at, []
+        data, at, size, out, length = self.data, self.at, len(self.data), [], LENGTH.unpack_from
         for _ in range(count):
             start = at + 4
-            at = start + LENGTH.unpack(data[at:start])[0]
-            if not start <= at <= len(data):
-                raise Malformed(f"cut off: a string from {start} to {at} of {len(data)} bytes")
+            at = start + length(data, at)[0]
+            if not start <= at <= size:
+                raise Malformed(f"cut off: a string from {start} to {at} of {size} bytes")
             out.append(data[start:at])
         self.at = at
         return out
@@ -87,22 +85,52 @@
         raise Malformed(f"no such type: {kind}")
 
 
-def take(data, longest):
-    """The first whole frame of `data` as (message, bytes used), or None until there is one."""
-    if len(data) < 4:
+def take(data, at, longest):
+    """The first whole frame from `at` on as (message, where the next begins), or None until there is one."""
+    if len(data) < at + 4:
         return None
-    length = LENGTH.unpack(data[:4])[0]
+    length, = LENGTH.unpack_from(data, at)
     if not 0 < length <= longest - 4:
         raise Malformed(f"a frame of {length} bytes")
-    if len(data) < 4 + length:
+    end = at + 4 + length
+    if len(data) < end:
         return None
     try:
-        return message(bytes(data[4:4 + length])), 4 + length
+        return message(data[at + 4:end]), end
     except struct.error as error:
         raise Malformed(f"cut off: {error}") from None
 
 
+SUBMIT = b"\x80\x01\x00\x01\x00\x00\x00\x06submit"
+FIELDS = b"\x0d\x00\x01\x0b\x0b"  # a map of texts as the first field
+BODY = b"\x0b\x00\x02"  # then a string as the second
+
+
+def plain_rpc(data):
+    """A `submit` in the order that dispatchers write it, read without a look at each type; None where it is
+    another message, or in another order: then `message` reads it and tells what is wrong."""
+    if data[:14] != SUBMIT or data[18:23] != FIELDS:
+        return None
+    reader = Reader(data)
+    reader.at = 23
+    texts = reader.strings(2 * reader.count())
+    if data[reader.at:reader.at + 3] != BODY:
+        return None
+    reader.at += 3
+    body, = reader.strings(1)
+    if data[reader.at:] != b"\0":
+        return None
+    try:
+        texts = [text.decode() for text in texts]
+    except UnicodeDecodeError:
+        return None
+    return "rpc", LENGTH.unpack_from(data, 14)[0], dict(zip(texts[::2], texts[1::2])), body
+
+
 def message(data):
+    rpc = plain_rpc(data)
+    if rpc:
+        return rpc
     reader = Reader(data)
     head = reader.number(I32) & 0xFFFFFFFF
     kind = head & 0xFF
@@ -145,10 +173,16 @@
     return string(data)
 
 
+# What an answer to `submit` opens with, after the frame's length: head, name; then the sequence number.
+REPLY_TO = {name: LENGTH.pack((VERSION | REPLY) - (1 << 32)) + string(name)
+            for name in (b"submit", b"heartbeat")}
+OK_BODY = FIELD.pack(STRUCT, 0) + FIELD.pack(STRING, 1)
+
+
 def _answer(name, seq, body, fields, good):
-    inner = (FIELD.pack(STRING, 1) + string(body) + FIELD.pack(MAP, 2) + text_map(fields)
-             + FIELD.pack(BOOL, 3) + (b"\1" if good else b"\0") + b"\0")
-    return frame(REPLY, name, seq, FIELD.pack(STRUCT, 0) + inner + b"\0")
+    return string(b"".join((
+        REPLY_TO[name], LENGTH.pack(seq), OK_BODY, LENGTH.pack(len(body)), body, FIELD.pack(MAP, 2),
+        text_map(fields), FIELD.pack(BOOL, 3), b"\1\0\0" if good else b"\0\0\0")))
 
 
 def _thrown(seq, number, fields):
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -1,16 +1,17 @@
-"""Far sides of the module and of the reducer, which check the four rules as they go."""
+"""Far sides of the module and of the core, which check the four rules as they go."""
 
 import json
 import random
 from base64 import b64decode
-from collections import deque
+from collections import Counter, deque
 
 from finchcart.control import Control
 from finchcart.interface import Outcome
-from finchcart.net import thrift
 from finchcart.net.limits import Limits
-from finchcart.net.reducer import Reducer
-from finchcart.net.thrift import STRING, STRUCT
+from finchcart.node.core import Core
+from finchcart.thrift import codec as thrift
+from finchcart.thrift.codec import STRING, STRUCT
+from finchcart.thrift.front import ThriftFront
 
 KINDS = ("idempotent", "tokened", "non_idempotent")
 MS = 1000
@@ -228,27 +229,30 @@
 
 
 class Far:
-    """Dispatchers, worker pool, store and roster round one reducer, without sockets; checks the rules."""
+    """Dispatchers, worker pool, store and roster round one core, without sockets; checks the rules."""
 
     def __init__(self, settings, seed=1, **limits):
         self.settings, self.now, self.rng = settings, 1_700_000_000_000_000, random.Random(seed)
         self.limits = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS, **limits)
         self.places = {"pool": ("pool", 1), "store": ("store", 1), "roster": ("roster", 1)}
-        self.reducer = Reducer(settings, self.limits, seed, "n1", self.places)
-        self.asked, self.inbox, self.links, self.behind, self.closing = set(), {}, {}, set(), set()
+        self.core = Core(settings, self.limits, seed, "n1", self.places,
+                         lambda core: {"thrift": ThriftFront(core, self.limits)})
+        self.front = self.core.fronts["thrift"]
+        self.asked, self.inbox, self.links, self.behind, self.closing = Counter(), {}, {}, set(), set()
         self.tries, self.seqs, self.count, self.reports, self.lines = {}, {}, 0, [], []
         self.pool = self.drained = self.ended = None
         self.numbered, self.waiting, self.active, self.by_seq = 0, {}, {}, {}
         self.pool_up, self.store_up, self.cold, self.pool_start = True, True, False, self.now
         self.runs, self.notices, self.commands, self.calls, self.supplied = {}, [], [], {}, {}
         self.made = set()  # (key, result) of all runs that ended well, also of those started once more
+        self.slow = 0.01  # how often a far side does not read what is sent
         self.feed("start")
 
     def feed(self, *what):
         inputs = deque([what])
         while inputs:
             what = inputs.popleft()
-            for act, *args in self.reducer.reduce(self.now, what):
+            for act, *args in self.core.reduce(self.now, what):
                 if act == "later":
                     inputs.append(args[0])
                 else:
@@ -260,11 +264,11 @@
     def step(self, dt):
         """Time passes, timers ring, commands are read, and what readers were asked for is delivered."""
         self.now += dt
-        while not self.ended and self.reducer.due() is not None and self.reducer.due() <= self.now:
+        while not self.ended and self.core.due() is not None and self.core.due() <= self.now:
             self.feed("time")
         for link, kind in list(self.links.items()):
             if kind == "connecting":
-                up = self.pool_up if link == self.reducer.pool else self.store_up
+                up = self.pool_up if link == self.core.pool.link else self.store_up
                 self.links[link] = "open" if up else "refused"
                 if not up:
                     self.feed("refused", link, "Connection refused")
@@ -280,8 +284,11 @@
                 self.feed("caught_up", link)
         while any(self.inbox.get(link) for link in self.asked):
             link = next(link for link in self.asked if self.inbox.get(link))
-            self.asked.discard(link)
-            self.feed("got", link, self.inbox[link].popleft())
+            self.asked[link] -= 1
+            self.asked += Counter()  # what is asked no more
+            count = self.rng.choice((1, 1, 2, self.limits.batch))
+            batch = [self.inbox[link].popleft() for _ in range(min(count, len(self.inbox[link])))]
+            self.feed("got", link, batch, self.now)
         for link in list(self.closing):
             self.closing.discard(link)
             self.links[link] = "closed"
@@ -289,11 +296,11 @@
             self.feed("closed", link)
         self.check()
 
-    # what the reducer asks
+    # what the core asks
     def do_read(self, link):
-        assert link not in self.asked, "asked twice"
         if self.links.get(link) in ("open", "connecting"):
-            self.asked.add(link)
+            self.asked[link] += 1
+            assert self.asked[link] <= self.limits.read_ahead, "asked too often"
 
     def do_connect(self, link, kind, address):
         assert address == self.places[kind], "not its place"
@@ -306,7 +313,7 @@
     def do_close(self, link):
         if self.links.get(link, "closed") != "closed":
             self.closing.add(link)
-        self.asked.discard(link)
+        del self.asked[link]
 
     def do_drop(self, link):
         """At once: what was written and not read yet is lost."""
@@ -333,7 +340,7 @@
             self.commands.append((link, data))
         elif self.links.get(link) in ("open", "unread"):
             self.answered(link, data)
-        if link not in self.behind and self.links.get(link) == "open" and self.rng.random() < 0.01:
+        if link not in self.behind and self.links.get(link) == "open" and self.rng.random() < self.slow:
             self.behind.add(link)
             self.feed("behind", link)
 
@@ -341,7 +348,7 @@
     def open(self):
         self.count += 1
         self.links[self.count] = "open"
-        self.feed("opened", self.count)
+        self.feed("opened", self.count, "thrift")
         return self.count
 
     def submit(self, link, n=0, again=None, waited=0, **fields):
@@ -382,7 +389,7 @@
         """The link ends: what was on its way in both directions is lost."""
         self.links[link] = "unread" if why else "cut"
         self.inbox.pop(link, None)
-        self.asked.discard(link)
+        del self.asked[link]
         self.commands = [command for command in self.commands if command[0] != link]
         self.feed("ended", link, why)
 
@@ -502,8 +509,9 @@
         self.waiting = {name: r for name, r in self.waiting.items() if r["owed"] and not r["answers"]}
         for name, r in self.waiting.items():
             assert self.now <= r["due"] + 120 * MS, f"lost: {name} {r}"
-        assert self.reducer.result_bytes == sum(len(entry.result) for entry in self.reducer.results)
-        assert self.reducer.result_bytes <= self.limits.kept_results
+        tokens = self.core.tokens
+        assert tokens.result_bytes == sum(len(entry.result) for entry in tokens.results)
+        assert tokens.result_bytes <= self.limits.kept_results
         assert not self.reports or self.now - self.reports[-1][0] < 2_000 * MS or self.ended
 
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -7,10 +7,11 @@
 
 from finchcart import settings
 from finchcart.interface import Outcome
-from finchcart.net import lines, thrift
+from finchcart.net import lines
 from finchcart.net.buffers import Buffers
+from finchcart.net.frames import Malformed
 from finchcart.net.limits import Limits
-from finchcart.net.thrift import Malformed
+from finchcart.thrift import codec as thrift
 
 LIMITS = Limits(memory=192 * 2**20, descriptors=1024, stop=3_000_000)
 LONGEST = LIMITS.buffer
@@ -48,7 +49,7 @@
     assert thrift.message(REVOKE) == ("left", 7)
     assert thrift.message(HEARTBEAT) == ("check", 1)
     assert thrift.message(HEARTBEAT.replace(b"heartbeat", b"headcount")) == ("unheard", 1, "headcount")
-    assert thrift.take(framed(REVOKE) + b"more", LONGEST) == (("left", 7), len(REVOKE) + 4)
+    assert thrift.take(framed(REVOKE) + b"more", 0, LONGEST) == (("left", 7), len(REVOKE) + 4)
 
 
 def test_unknown_fields_of_all_types_are_passed_over():
@@ -156,15 +157,15 @@
 )
 def test_every_cut_waits_for_more_and_every_flip_reads_or_is_malformed(take, whole):
     for cut in range(len(whole)):
-        assert take(memoryview(whole)[:cut], LONGEST) is None
-    assert take(memoryview(whole), LONGEST)[1] == len(whole)
+        assert take(whole[:cut], 0, LONGEST) is None
+    assert take(whole, 0, LONGEST)[1] == len(whole)
     rng = random.Random(len(whole))
     for _ in range(4000):
         bad = bytearray(whole)
         for _ in range(rng.randint(1, 6)):
             bad[rng.randrange(len(bad))] = rng.choice((0, 1, 11, 13, 127, 128, 255, rng.randrange(256)))
         try:
-            got = take(memoryview(bad), LONGEST)
+            got = take(bytes(bad), 0, LONGEST)
             assert got is None or 0 < got[1] <= len(bad)
         except Malformed:
             pass
@@ -176,7 +177,7 @@
     for _ in range(2000):
         data = rng.randbytes(rng.randint(1, 60)) + rng.choice((b"", b"\n", b"\r\n"))
         try:
-            take(memoryview(data), LONGEST)
+            take(data, 0, LONGEST)
         except Malformed:
             pass
 
@@ -197,14 +198,14 @@
 )
 def test_what_is_no_call_is_malformed(data):
     with pytest.raises(Malformed):
-        thrift.take(data, LONGEST)
+        thrift.take(data, 0, LONGEST)
 
 
 def test_lines_of_the_pool():
     name = "9b1f03aa5c7e2d41"
-    assert lines.take_pool(FINISHED, LONGEST)[0] == ("run_ended", 4, name, Outcome.OK, 1500, b"\xff\0A")
-    assert lines.take_pool(POLLED, LONGEST)[0] == ("gauges", "9", (0.5, 3.0, 0.25, 17.0))
-    read = lambda text: lines.take_pool(text + b"\n", LONGEST)[0]
+    assert lines.take_pool(FINISHED, 0, LONGEST)[0] == ("run_ended", 4, name, Outcome.OK, 1500, b"\xff\0A")
+    assert lines.take_pool(POLLED, 0, LONGEST)[0] == ("gauges", "9", (0.5, 3.0, 0.25, 17.0))
+    read = lambda text: lines.take_pool(text + b"\n", 0, LONGEST)[0]
     assert read(b'{"event":"bound","fate":"new","lasted":20}') == ("up", True, 20_000)
     assert read(b'{"event":"blocked","cursor":5,"handle":"x","arg":"AA=="}') == ("at_call", 5, "x", b"\0")
     assert read(b'{"event":"unknown","fate":"spawn","handle":"x"}') == ("undone", True, "x")
@@ -244,17 +245,17 @@
 
 
 def test_lines_of_the_store_and_the_roster():
-    assert lines.take_store(STORED, LONGEST) == (
+    assert lines.take_store(STORED, 0, LONGEST) == (
         ("reply", "9b1f03aa5c7e2d41", Outcome.OK, b"a\r\nb\0"),
         len(STORED),
     )
     proofs = {b"BUSY": True, b"ERR": False, b"LATE": False, b"VOID": True}
     for word, proof in proofs.items():
-        (_, name, outcome, body), _ = lines.take_store(b"x " + word + b"\r\n", LONGEST)
+        (_, name, outcome, body), _ = lines.take_store(b"x " + word + b"\r\n", 0, LONGEST)
         assert (name, outcome.never_ran, body) == ("x", proof, b"")
     for bad in (b"x\r\n", b"x OK\r\n", b"x OK -1\r\n", b"x OK 99999\r\n", b"x OK 1\r\nabc", b"x WHAT\r\n"):
         with pytest.raises(Malformed):
-            lines.take_store(bad, LONGEST)
+            lines.take_store(bad, 0, LONGEST)
     assert lines.call("x", 250_001, b"a\r\nb") == b"CALL x 251 4\r\na\r\nb\r\n"
     assert (lines.report("n3", True), lines.report("n3", False)) == (b"HERE n3 on", b"HERE n3 off")
 
--- a/tests/test_reducer.py
+++ b/tests/test_core.py
@@ -1,12 +1,12 @@
-"""The reducer without sockets: seeded random runs, the rules checked after every step, and plain cases."""
+"""The core and its front without sockets: seeded random runs, rules checked at every step; plain cases."""
 
 import random
 
 import pytest
 
 from finchcart.interface import Outcome
-from finchcart.net import thrift
 from finchcart.net.limits import Limits
+from finchcart.thrift import codec as thrift
 from tests.harness import MS, Far, draw_settings, read_answer
 from tests.test_control import PLAIN
 
@@ -73,7 +73,7 @@
     far = Far({**PLAIN, **GAUGES, **settings})
     far.step(MS)
     far.step(MS)
-    assert far.reducer.control is not None
+    assert far.core.control is not None
     return far
 
 
@@ -243,12 +243,12 @@
     far.finish(first, Outcome.OK)
     far.step(MS)
     assert [r.get("how") for r in far.tries.values() if r["body"] == b"other"][1:] == ["aborted"] * 2
-    odd, done = far.submit(far.open(), 1), far.reducer.control.done
+    odd, done = far.submit(far.open(), 1), far.core.control.done
     far.step(0)
     far.commands.clear()
     far.give(far.pool, ("undone", True, odd))
     far.step(0)
-    assert how(far, odd) == "aborted" and far.reducer.control.done == done
+    assert how(far, odd) == "aborted" and far.core.control.done == done
     true = far.submit(far.open(), 1, odd)
     far.step(MS)
     far.step(MS)
@@ -286,7 +286,7 @@
     far.step(MS)
     (first, calls), = [(link, calls) for link, calls in far.calls.items() if calls]
     body = calls[name]
-    far.reducer.at(far.now, far.reducer.call_due, far.reducer.rpcs[0], 1)  # its time limit comes early
+    far.core.turn.at(far.now, far.core.store.due, far.core.rpcs[0], 1)  # its time limit comes early
     for _ in range(3):
         far.step(MS)
     (second, calls), = [(link, calls) for link, calls in far.calls.items() if calls]
@@ -339,7 +339,7 @@
     assert far.links[link] == "open"
     for _ in range(20):
         far.step(10 * MS)
-    assert far.links[link] == "closed" and not far.reducer.stores
+    assert far.links[link] == "closed" and not far.core.store.links
 
 
 @pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.TIMEOUT])
@@ -387,7 +387,7 @@
     far.step(MS)
     (kind, _, _, args), = told
     assert kind == thrift.EXCEPTION and words in args[1, thrift.STRING].decode() and not far.runs
-    assert not far.reducer.control.unread and not far.reducer.control.seen
+    assert not far.core.control.unread and not far.core.control.seen
 
 
 def test_a_body_over_the_limit_an_unknown_method_and_the_33rd_open_rpc_are_answered():
@@ -410,7 +410,7 @@
     far.step(MS)
     far.give(link, ("rpc", 1, {}, b""))
     far.step(MS)
-    assert link in far.reducer.conns and far.links[link] == "open"
+    assert link in far.front.conns and far.links[link] == "open"
     far.finish(name, Outcome.OK)
     for _ in range(3):
         far.step(MS)
@@ -442,15 +442,15 @@
 
 def test_timers_do_not_pile_up_on_a_busy_connection():
     far = far_plain()
-    link, most = far.open(), 0
-    far.reducer.idle_limit(8_000 * MS)
+    far.slow, link, most = 0, far.open(), 0
+    far.core.idle_limit(8_000 * MS)
     for _ in range(300):
         name = far.submit(link)
         far.step(20 * MS)
         far.step(MS)
         far.finish(name, Outcome.OK)
         far.step(MS)
-        most = max(most, len(far.reducer.timers))
+        most = max(most, len(far.core.turn.timers))
     assert how(far, name) == "ok" and most < 12
 
 
@@ -470,7 +470,7 @@
     names.append(far.submit(far.open()))
     far.step(MS)
     assert far.links[links[4]] == "closed" and far.links[links[3]] == far.links[links[5]] == "open"
-    assert len(far.reducer.conns) == far.limits.connections == 136
+    assert len(far.front.conns) == far.limits.connections == 136
     for each in names:
         far.step(MS)
         ends_well(far, each)
@@ -498,7 +498,7 @@
     link = far.open()
     for _ in range(20):
         far.step(10 * MS)
-    assert not far.reducer.conns[link].told
+    assert not far.front.conns[link].told
     for _ in range(16):
         far.step(100 * MS)
     assert far.links[link] == "closed"  # well before a client that stays silent is owed a close
@@ -527,8 +527,10 @@
         far.step(10 * MS)
         for name in list(far.active):
             far.finish(name, Outcome.OK)
-    reducer = far.reducer
+    core = far.core
     assert len(far.tries) > 100
-    for kept in ("rpcs", "by_name", "table", "results", "stores", "wakes"):
-        assert not getattr(reducer, kept), kept
-    assert not reducer.control.live and len(reducer.timers) < 12 + 2 * len(reducer.conns)
+    for piece, kept in ((core, ("rpcs", "by_name")), (core.tokens, ("table", "results")),
+                        (core.store, ("links",)), (core.pool, ("wakes", "unconfirmed"))):
+        for name in kept:
+            assert not getattr(piece, name), name
+    assert not core.control.live and len(core.turn.timers) < 12 + 2 * len(far.front.conns)
