--- a/benchmarks/rpc.py
+++ b/benchmarks/rpc.py
@@ -24,7 +24,7 @@
 SETTINGS = {
     "contract": {"cold": 0, "overloadFactor": 8.0, "startCapacity": 1.0, "stopSendingWithin": 100_000},
     "familyInfo": {
-        "callerIdle": 30_000_000, "callsOut": 200.0, "callsOver": 5_000_000, "classCalls": [True, False],
+        "callerIdle": 30_000_000, "callsOut": 200.0, "callsOver": 5_000_000, "classCalls": [True, True],
         "cores": 64, "freshStart": False, "gauges": ["core_use", "on_cores", "heap_share", "links"],
         "kbPerKey": 1.0, "linger": 200_000, "memoryKb": 4_000_000.0, "preemption": "silent", "runFactor": 2.0,
         "say": "level", "worthWithout": [0.6, 0.0]},
@@ -62,7 +62,7 @@
             **{name: "%s:%d" % place for name, place in places.items()}}))
         spawn = multiprocessing.get_context("spawn")
         os.sched_setaffinity(0, cpus[1:])
-        self.world = spawn.Process(target=far.world, args=(places, {"read"}, work), daemon=True)
+        self.world = spawn.Process(target=far.world, args=(places, {"read", "write"}, work), daemon=True)
         self.world.start()
         self.pipe, theirs = spawn.Pipe()
         self.callers = spawn.Process(
--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -80,46 +80,58 @@
 
 def serve(core, links, inputs, reread, limits):
     """Turn after turn, until the core asks for the end. A turn takes all inputs that wait, up to a bound;
-    what it sends on one link is one write."""
-    clock, later = lambda: time.time_ns() // 1000, deque([("start",)])
+    what
+    it sends on one link is one write. Where inputs take much of the time, the thread rests between turns:
+    then
+    no reader has to wake it for each message, and what comes meanwhile is one turn."""
+    clock, take = time.time_ns, inputs.get_nowait
     acts = {"read": links.read, "send": links.send, "close": links.close, "drop": links.drop,
-            "connect": links.connect, "report": links.report, "unlisten": links.unlisten,
-            "later": later.append, "log": logger.info}
+            "connect": links.connect, "report": links.report, "unlisten": links.unlisten, "log": logger.info}
     links.listen()
-    told, idle = clock(), 0  # when the load was told last, and how long nothing was to be done since
+    waiting = deque([("start",)])
+    told, idle = clock() // 1000, 0  # when the load was told last, and how long nothing was to be done since
+    rest = 0.0
     while True:
-        for _ in range(limits.turn):
-            now = clock()
-            if later:
-                what = later.popleft()
-            elif now - told >= limits.load_span:
-                what, told, idle = ("load", now - told - idle, now - told), now, 0
-            else:
-                try:
-                    what = inputs.get_nowait()
-                except Empty:
-                    due = core.due()
-                    if due is None or due > now:
-                        break
-                    what = ("time",)
-            if what == ("reread",):
+        # What is under way goes first: words of worker pool and store, then of those who want more.
+        new = []
+        try:
+            for _ in range(limits.turn):
+                what = take()
+                (new if what[0] == "got" and what[1] > 0 else waiting).append(what)
+        except Empty:
+            pass
+        waiting.extend(new)
+        now = clock() // 1000
+        if now - told >= limits.load_span:
+            span = now - told
+            waiting.append(("load", span - idle, span))
+            rest = limits.rest / 1e6 if idle < (1 - limits.rest_from) * span else 0.0
+            told, idle = now, 0
+        if not waiting:
+            waiting.append(("time",))
+        while waiting:
+            what = waiting.popleft()
+            if what[0] == "reread":
                 what = reread() or ("time",)
-            for effect in core.reduce(now, what):
-                if effect[0] == "end":
+            for act, *args in core.reduce(clock() // 1000, what):
+                if act == "later":
+                    waiting.append(args[0])
+                elif act == "end":
                     links.flush()
                     return
-                acts[effect[0]](*effect[1:])
-        else:
-            links.flush()
-            continue
+                else:
+                    acts[act](*args)
         links.flush()
         due, before = core.due(), clock()
-        try:
-            # Put back as the next turn's first: the wait itself is not an input.
-            later.append(inputs.get(timeout=None if due is None else max(0, due - before) / 1e6))
-        except Empty:
-            pass
-        idle += clock() - before
+        wait = None if due is None else max(0.0, due / 1e6 - before / 1e9)
+        if rest:
+            time.sleep(rest if wait is None else min(rest, wait))
+        elif wait is None or wait:
+            try:
+                waiting.append(inputs.get(timeout=wait))
+            except Empty:
+                pass
+        idle += (clock() - before) // 1000
 
 
 def main():
--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -404,7 +404,12 @@
         self.credit_at = now
         while self.lingering and self.lingering[0] <= now:
             self.lingering.pop(0)
-        cap = max(1, int(0.5 * self.calls_limit))
+        if not self.standing:
+            return
+        # Guards against a share that is used up at once where calls last long: all of what is safe in hand
+        # only while the credit tells that they are short.
+        ample = self.credit > 0.1 * self.calls_limit * self.calls_window
+        cap = max(1, int((0.8 if ample else 0.5) * self.calls_limit))
         waiting, self.standing = [r for r in self.standing if not (r.answered or r.is_gone)], []
         for rpc in waiting:
             left = rpc.want - now
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -279,6 +279,7 @@
         """`front`: the kind of link that the listener's are, read with `take`."""
         self.inputs, self.buffers, self.limits, self.listener = inputs, buffers, limits, listener
         self.front, self.take, self.held = front, {**TAKE, front: take}, {}
+        self.prompt = set()  # links whose messages are not worth waiting for company
         self.links, self.reports = {}, SimpleQueue()
         self.roster = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         start_thread(self.send_reports, "reports")
@@ -295,6 +296,8 @@
         self.inputs.put(("opened", number, self.front))
 
     def connect(self, number, kind, address):
+        if kind == "store":
+            self.prompt.add(number)
         try:
             self.links[number] = Link(
                 number, self.take[kind], self.inputs, self.buffers, self.limits, address=address)
@@ -307,9 +310,13 @@
             self.links[number].ask()
 
     def send(self, number, data):
-        """Held until the turn's end: what goes out on one link then is one write."""
+        """Held until the turn's end: what goes out on one link then is one write. A call to the store is not:
+        its link carries no other."""
         held = self.held.get(number)
-        if held is None:
+        if number in self.prompt:
+            if number in self.links:
+                self.links[number].send(data)
+        elif held is None:
             self.held[number] = [data]
         else:
             held.append(data)
@@ -333,6 +340,7 @@
 
     def drop(self, number):
         self.write_held(number)
+        self.prompt.discard(number)
         link = self.links.pop(number, None)
         if link:
             link.drop()
