--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -34,9 +34,10 @@
         self.add(prior)
 
     def add(self, value):
-        k = max(0, min(15, int(2 * log2(max(value, 1e-9) / self.low))))
+        k = 0 if value <= self.low else min(15, int(2 * log2(value / self.low)))
         self.bins[k] += 1
-        self.count, self.weighed = self.count + 1, self.weighed + self.WEIGHTS[k]
+        self.count += 1
+        self.weighed += self.WEIGHTS[k]
         if self.count >= self.full:
             self.bins = [count / 2 for count in self.bins]
             self.count = sum(self.bins)
@@ -182,6 +183,7 @@
         self.bands = len(worths)
         self.by_work = get("worth_by", "request") == "work"
         self.memory, self.factor = get("memory_kb", 1e12), get("run_factor", 1)
+        self.beside = get("crowd", 4) - 1  # running RPCs that a core survives beside one
         self.entry, self.tick = get("entry_kb", 0), get("tick", MS)
         self.calls_limit, self.calls_window = get("calls_limit", 1e9), get("calls_window", 5 * SECOND)
         self.call_times = Histogram(2 * MS, 30 * MS)
@@ -193,6 +195,8 @@
         self.seen, self.returns, self.keeping = {}, 0.0, False  # when callers came; part that soon come again
         self.spent, self.done = 0.0, 0.0  # core time and expected work of the last second or two
         self.core_use, self.wanting, self.now_level = 0.0, 0, 0.0
+        self.own_use, self.own_wait = 0.0, 0  # of the node itself: busy part, age of the oldest unread input
+        self.spare = 2 * self.tick + SWEEP + 20 * MS
         self.kill_at, self.grace_end, self.sealed, self.swept, self.good = None, None, False, 0, True
 
     def start(self, now):
@@ -206,12 +210,12 @@
 
     def margin(self):
         """How long before it is due an RPC is answered: a few ticks, and twice what stalls lately cost."""
-        return 2 * self.tick + SWEEP + 20 * MS + min(2 * self.late, SECOND)
+        return self.spare + min(2 * self.late, SECOND)
 
     def too_late(self, now, rpc):
         """Whether its answer is owed before the next sweep: what it is due, or the kill."""
         end = rpc.due if self.kill_at is None else min(rpc.due, self.kill_at - 50 * MS)
-        return now >= end - self.margin()
+        return now >= end - self.spare - min(2 * self.late, SECOND)
 
     def warmth(self, now):
         """Fraction of the full speed, on the slowest ramp that is allowed."""
@@ -222,7 +226,7 @@
 
     def crowd(self, now):
         """The running RPCs that the node survives; those at calls may come back at any time and count."""
-        return self.cores * (1 + (self.settings.get("crowd", 4) - 1) * self.warmth(now))
+        return self.cores * (1 + self.beside * (self.warmth(now) if self.cold else 1.0))
 
     def on(self, rpc, sign):
         """One more run on the cores, or one less. Guards against sums over all RPCs at each arrival."""
@@ -449,6 +453,7 @@
         self.late = max(now - self.next_wake - 2 * self.tick, self.late * 63 // 64, 0)
         self.core_use = gauges.get("core_use", min(1.0, self.on_core / self.cores))
         self.wanting = gauges.get("on_cores", self.on_core)
+        self.own_use, self.own_wait = gauges.get("intake_use", 0.0), gauges.get("intake_age", 0)
         if len(self.seen) > 999:  # guards against callers that are new ones for ever
             self.seen = {caller: at for caller, at in self.seen.items() if now - at < IDLE[1]}
         while self.table and self.table[0][0] <= now:
@@ -489,12 +494,15 @@
 
     def loop(self, now):
         """The response-time loop, the running limit, the level and the idle limit."""
-        busy = max(self.core_use, min(1.0, self.on_core / self.cores))
+        busy = max(self.core_use, min(1.0, self.on_core / self.cores), self.own_use)
+        # Guards against a node that is slower than its worker pool: the end of a run, and what comes of its
+        # call, wait as long again as the oldest input that is not taken yet.
+        unread = max(self.unread, self.own_wait) + self.own_wait
         worths = [(self.worth(m), m) for m in self.methods]
         for mine, m in worths:
             # Guards against a line before the hold: where reading is dear, RPCs lose their time unread, out
             # of its order; only the level and advice keep them away, so the loop must see that wait.
-            latency = self.unread + self.ahead((-mine, now + m.target)) / self.limit
+            latency = unread + self.ahead((-mine, now + m.target)) / self.limit
             m.over = (latency + m.run_time.mean * self.slow) / (0.6 * m.target)
         for mine, m in worths:
             # The less critical are cut first, also for the others' sake; the more critical after those.
@@ -518,10 +526,11 @@
             self.port.log(f"drain: grace over, {self.running} running {len(self.held)} held")
         # Guards against full tables: callers that seldom come again cost more by idle connections than by new
         # ones. But where RPCs lose their time unread, a full table turns away at the least cost.
-        lost = self.unread / min((m.target for m in self.methods), default=SECOND)
+        lost = unread / min((m.target for m in self.methods), default=SECOND)
         # Guards against a slow node that is chosen on and on, whose reads take its cores: left out until
         # reads are fewer. Not where further tries tell of a full fleet: all would be left out at once.
-        alone = self.further < 0.1 and self.wanting - self.on_core > self.cores / 2
+        crowded = self.wanting - self.on_core > self.cores / 2 or self.own_use > CUT_ABOVE
+        alone = self.further < 0.1 and crowded
         if self.kill_at is None and self.good == (alone and lost > (0.5 if self.good else 0.1)):
             self.good = not self.good
             self.port.health(self.good, True)
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -30,7 +30,7 @@
     turn: int = 32  # inputs taken in one turn where so many wait: their effects on a link are one write
     load_span: int = 40 * MS  # the share of time that inputs take is told anew after this
     rest_from: float = 0.2  # where they take more of the time than this, the thread rests between turns
-    rest: int = MS // 2  # for so long: what comes meanwhile is taken in one turn
+    rest: int = 2 * MS  # for so long: what comes meanwhile is taken in one turn
 
     open_rpcs: int = 32  # on one connection
     body: int = 2 * 1024  # of an RPC
--- a/finchcart/node/pool.py
+++ b/finchcart/node/pool.py
@@ -30,8 +30,7 @@
         if self.link is not None:
             return
         self.link = self.turn.connect("pool", self.place, self)
-        for _ in range(self.limits.read_ahead):
-            self.turn.ask("read", self.link)
+        self.turn.ask("read", self.link)
         self.say(lines.join(self.cursor))
 
     def say(self, data):
--- a/finchcart/node/tokens.py
+++ b/finchcart/node/tokens.py
@@ -17,11 +17,12 @@
 class Entry:
     """A token's place in the table: the try that holds it, and what that came to."""
 
-    __slots__ = ("key", "index", "digest", "until", "result", "waiting", "ran")
+    __slots__ = ("key", "index", "digest", "until", "result", "waiting", "ran", "before")
 
     def __init__(self, key, index, digest):
         self.key, self.index, self.digest = key, index, digest  # digest: of the body, the same for all tries
         self.until, self.result, self.waiting, self.ran = 0, PENDING, [], False
+        self.before = None  # the last of the key that ran, while this one has not
 
 
 class Tokens:
@@ -49,13 +50,20 @@
         entry, before = rpc.entry, self.table.get(rpc.entry.key)
         if before is not None and before is not entry:
             self.drop_result(before)
+            # Guards against a try that is read late, after this one was forgotten: it may be a repeat of what
+            # ran in the window before.
+            entry.before, before.before = before if before.ran else before.before, None
         entry.until = self.turn.now + keep
         self.table[entry.key] = entry
         self.turn.at(entry.until + self.stays, self.expire, entry)
 
     def forget(self, entry):
         if self.table.get(entry.key) is entry:
-            del self.table[entry.key]
+            before, entry.before = entry.before, None
+            if before and self.turn.now < before.until + self.stays:
+                self.table[entry.key] = before
+            else:
+                del self.table[entry.key]
         entry.result = FAILED
         self.ready(entry)
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -231,13 +231,13 @@
 class Far:
     """Dispatchers, worker pool, store and roster round one core, without sockets; checks the rules."""
 
-    def __init__(self, settings, seed=1, **limits):
+    def __init__(self, settings, seed=1, front=ThriftFront, **limits):
         self.settings, self.now, self.rng = settings, 1_700_000_000_000_000, random.Random(seed)
         self.limits = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS, **limits)
         self.places = {"pool": ("pool", 1), "store": ("store", 1), "roster": ("roster", 1)}
         self.core = Core(settings, self.limits, seed, "n1", self.places,
-                         lambda core: {"thrift": ThriftFront(core, self.limits)})
-        self.front = self.core.fronts["thrift"]
+                         lambda core: {"front": front(core, self.limits)})
+        self.front = self.core.fronts["front"]
         self.asked, self.inbox, self.links, self.behind, self.closing = Counter(), {}, {}, set(), set()
         self.tries, self.seqs, self.count, self.reports, self.lines = {}, {}, 0, [], []
         self.pool = self.drained = self.ended = None
@@ -348,7 +348,7 @@
     def open(self):
         self.count += 1
         self.links[self.count] = "open"
-        self.feed("opened", self.count, "thrift")
+        self.feed("opened", self.count, "front")
         return self.count
 
     def submit(self, link, n=0, again=None, waited=0, **fields):
@@ -395,20 +395,23 @@
 
     def answered(self, link, data):
         head, name, seq, args = read_answer(data)
-        if name == b"closing":
-            return
+        if name == b"submit":
+            how = "ok" if (0, STRUCT) in args else "pushed back" if (1, STRUCT) in args else "aborted"
+            self.judge(link, seq, how, args[0, STRUCT][1, STRING] if how == "ok" else b"")
+
+    def judge(self, link, seq, how, body):
+        """A final answer has gone out."""
         r = self.by_seq.get((link, seq))
-        if r is None or name != b"submit":
+        if r is None:
             return
         r["answers"] += 1
         assert r["answers"] == 1, "two answers"
         assert self.now <= r["due"] + 60 * MS or not r["owed"], "late"
-        if (0, STRUCT) in args:
-            body = args[0, STRUCT][1, STRING]
+        if how == "ok":
             assert (r["key"], body) in self.made, "served what no run made"
-        elif (1, STRUCT) in args:
+        elif how == "pushed back":
             assert not r["ran"], "pushed back after it ran"
-        r["how"] = "ok" if (0, STRUCT) in args else "pushed back" if (1, STRUCT) in args else "aborted"
+        r["how"] = how
 
     # the worker pool
     def command(self, link, said):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -253,3 +253,36 @@
         node.check()
         one_step(node, rng, 3)
     assert any(r["ran"] for r in node.rpcs.values())
+
+
+def own(node, use, age, turns=20):
+    """The node itself is busy for this part of the time, and its oldest unread input waits so long."""
+    for _ in range(turns):
+        node.now += 40 * MS
+        node.timers = []
+        node.control.wake(node.now, "sweep", {
+            "core_use": 0.2, "on_cores": 0, "intake_use": use, "intake_age": age})
+
+
+def test_a_node_slower_than_its_worker_pool_cuts_intake_by_the_same_loop_and_recovers():
+    node = Node(dict(PLAIN))
+    shares = lambda: [m.share for m in node.control.methods]
+    own(node, 0.95, 5 * MS)
+    assert shares() == [1.0, 1.0]  # busy, but nothing waits
+    own(node, 0.4, 400 * MS)
+    assert shares() == [1.0, 1.0]  # one stall of a node with time to spare
+    own(node, 0.97, 400 * MS)
+    assert min(shares()) < 0.7 and max(shares()) <= 1.0
+    own(node, 0.3, 0, turns=200)
+    assert shares() == [1.0, 1.0]
+
+
+def test_health_tells_of_a_node_that_has_no_time_to_read_and_of_its_end():
+    node = Node(dict(PLAIN))
+    target = min(m.target for m in node.control.methods)
+    own(node, 0.97, target // 3)
+    assert not node.good
+    own(node, 0.97, target // 8, turns=40)
+    assert not node.good  # not before a tenth of the target
+    own(node, 0.3, 0, turns=40)
+    assert node.good
