Frames are read into messages in the turn, where the code is warm, not by readers

Readers parsed one message each time they woke.

Change: a codec is two functions now, frame and message (net/frames.py). A reader only finds where frames end; the one thread that feeds the core reads all frames of a turn. What can't be read costs its own link after what was whole before it, as before.

--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -111,7 +111,13 @@
             waiting.append(("time",))
         while waiting:
             what = waiting.popleft()
-            if what[0] == "reread":
+            if what[0] == "got":
+                _, link, frames, read_at = what
+                messages, fault = links.messages(link, frames)
+                what = "got", link, messages, read_at
+                if fault is not None:
+                    waiting.appendleft(("ended", link, fault))
+            elif what[0] == "reread":
                 what = reread() or ("time",)
             for act, *args in core.reduce(clock() // 1000, what):
                 if act == "later":
@@ -152,7 +158,7 @@
     threading.excepthook = lambda fault: fault_in_thread(inputs, fault)
     core = Core(config["settings"], limits, config["seed"], config["name"], config["places"],
                 lambda core: {"thrift": ThriftFront(core, limits)})
-    links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.take)
+    links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.FRONT)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
     try:
         serve(core, links, inputs, lambda: reread(path, config), limits)
--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -13,23 +13,24 @@
 from math import isfinite
 
 from finchcart.interface import Outcome
-from finchcart.net.frames import Malformed
+from finchcart.net.frames import Codec, Malformed
 
 ENDS = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.STOPPED, "gone": Outcome.MOOT}
 REPLIES = {b"OK": Outcome.OK, b"BUSY": Outcome.FULL, b"ERR": Outcome.ERROR, b"LATE": Outcome.TIMEOUT,
            b"VOID": Outcome.MOOT}
 
 
-def take_pool(data, at, longest):
-    """The first whole line from the pool as (message, where the next begins), or None until there is one."""
-    end = data.find(b"\n", at)
-    if end < 0:
-        return None
-    # Guards against a thread's small stack: the library's parser goes down with each bracket.
-    if data.count(b"[", at, end) + data.count(b"{", at, end) > 100:
+def line(data, at, longest):
+    """Where the first line ends."""
+    return data.find(b"\n", at) + 1 or None
+
+
+def pool_message(data, longest):
+    # Guards against the stack: the library's parser goes down with each bracket.
+    if data.count(b"[") + data.count(b"{") > 100:
         raise Malformed("too many brackets in a line")
     try:
-        return notice(json.loads(data[at:end])), end + 1
+        return notice(json.loads(data))
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError) as error:
         raise Malformed(f"a line from the pool: {type(error).__name__}: {error}"[:120]) from None
 
@@ -78,28 +79,32 @@
     return max(0, int(ms * 1000))
 
 
-def take_store(data, at, longest):
-    """The first whole reply of the store as (message, where the next begins), or None until there is one."""
+def store_frame(data, at, longest):
+    """Where the first reply ends: after its line, or after the body that the line tells of."""
     end = data.find(b"\r\n", at)
     if end < 0:
         return None
-    line, end = data[at:end], end + 2
+    words = data[at:end].split(b" ")
+    if len(words) != 3 or words[1] != b"OK":
+        return end + 2
+    if not words[2].isdigit() or int(words[2]) + end - at + 4 > longest:
+        raise Malformed(f"a reply from the store: {data[at:end][:60]!r}")
+    end += int(words[2]) + 4
+    return end if len(data) >= end else None
+
+
+def store_message(data, longest):
+    line, _, body = data.partition(b"\r\n")
     words = line.split(b" ")
     outcome = REPLIES.get(words[1]) if len(words) > 1 else None
     if outcome is None or len(words) != (3 if outcome is Outcome.OK else 2):
         raise Malformed(f"a reply from the store: {line[:60]!r}")
-    body = b""
-    if outcome is Outcome.OK:
-        if not words[2].isdigit() or int(words[2]) + end - at + 2 > longest:
-            raise Malformed(f"a reply from the store: {line[:60]!r}")
-        length = int(words[2])
-        if len(data) < end + length + 2:
-            return None
-        body = data[end:end + length]
-        end += length + 2
-        if data[end - 2:end] != b"\r\n":
-            raise Malformed("a reply from the store does not end where it says")
-    return ("reply", words[0].decode("ascii", "replace"), outcome, body), end
+    if outcome is Outcome.OK and body[-2:] != b"\r\n":
+        raise Malformed("a reply from the store does not end where it says")
+    return "reply", words[0].decode("ascii", "replace"), outcome, body[:-2]
+
+
+POOL, STORE = Codec(line, pool_message), Codec(store_frame, store_message)
 
 
 def _text_of(value):
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -18,7 +18,7 @@
 from finchcart.net import lines
 from finchcart.net.frames import Malformed
 
-TAKE = {"pool": lines.take_pool, "store": lines.take_store}  # fronts bring their own
+CODECS = {"pool": lines.POOL, "store": lines.STORE}  # fronts bring their own
 
 
 def timeval(us):
@@ -45,8 +45,8 @@
 class Link:
     """One connection. `ask`, `send` and `close` never block."""
 
-    def __init__(self, number, take, inputs, buffers, limits, sock=None, address=None):
-        self.number, self.take = number, take
+    def __init__(self, number, codec, inputs, buffers, limits, sock=None, address=None):
+        self.number, self.codec = number, codec
         self.inputs, self.buffers, self.limits = inputs, buffers, limits
         self.sock, self.address = sock, address
         self.asked = SimpleQueue()
@@ -144,26 +144,26 @@
         read, and whether the close was ordered."""
         buffer, end, size, most = None, 0, self.buffers.size, self.limits.batch
         data, at = b"", 0  # what is read and not handed over begins at `at`
-        first, take, sock = bytearray(1), self.take, self.sock
+        first, frame, sock = bytearray(1), self.codec.frame, self.sock
         try:
             while self.asked.get():
-                messages, fault = [], None
+                frames, fault = [], None
                 while True:
                     try:
-                        while len(messages) < most:
-                            got = take(data, at, size)
-                            if got is None:
+                        while len(frames) < most:
+                            ends = frame(data, at, size)
+                            if ends is None:
                                 break
-                            message, at = got
-                            messages.append(message)
+                            frames.append(data[at:ends])
+                            at = ends
                     except Malformed as error:
                         fault = error
-                    if messages:
+                    if frames:
                         # What was whole before a fault is handed over first.
-                        self.inputs.put(("got", self.number, messages, time_ns() // 1000))
+                        self.inputs.put(("got", self.number, frames, time_ns() // 1000))
                     if fault:
                         return str(fault), False
-                    if messages:
+                    if frames:
                         break
                     if at == len(data):
                         data, at, end = b"", 0, 0
@@ -190,9 +190,6 @@
             return "", True
         except OSError:
             return "", False
-        except Exception as error:  # a fault of a codec costs this link alone
-            logger.exception("reading link {}", self.number)
-            return f"{type(error).__name__}: {error}", False
         finally:
             if buffer is not None:
                 self.buffers.give_back(buffer)
@@ -275,10 +272,10 @@
 class Links:
     """Carries out the core's effects. Called by one thread, and by the listener's for new connections."""
 
-    def __init__(self, inputs, buffers, limits, listener, front, take):
-        """`front`: the kind of link that the listener's are, read with `take`."""
+    def __init__(self, inputs, buffers, limits, listener, front, codec):
+        """`front`: the kind of link that the listener's are, read with `codec`."""
         self.inputs, self.buffers, self.limits, self.listener = inputs, buffers, limits, listener
-        self.front, self.take, self.held = front, {**TAKE, front: take}, {}
+        self.front, self.codecs, self.held = front, {**CODECS, front: codec}, {}
         self.prompt = set()  # links whose messages are not worth waiting for company
         self.links, self.reports = {}, SimpleQueue()
         self.roster = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -292,7 +289,7 @@
 
     def opened(self, number, sock):
         self.links[number] = Link(
-            number, self.take[self.front], self.inputs, self.buffers, self.limits, sock=sock)
+            number, self.codecs[self.front], self.inputs, self.buffers, self.limits, sock=sock)
         self.inputs.put(("opened", number, self.front))
 
     def connect(self, number, kind, address):
@@ -300,11 +297,25 @@
             self.prompt.add(number)
         try:
             self.links[number] = Link(
-                number, self.take[kind], self.inputs, self.buffers, self.limits, address=address)
+                number, self.codecs[kind], self.inputs, self.buffers, self.limits, address=address)
         except OSError as error:
             # Guards against an end of the node where threads run out: nothing was sent, so it is tried again.
             self.inputs.put(("refused", number, error.strerror))
 
+    def messages(self, number, frames):
+        """What the frames say, and what is wrong with the first that can't be read (None: nothing)."""
+        link, said = self.links.get(number), []
+        if link:
+            try:
+                for frame in frames:
+                    said.append(link.codec.message(frame, self.buffers.size))
+            except Malformed as error:
+                return said, str(error)
+            except Exception as error:  # a fault of a codec costs this link alone
+                logger.exception("reading link {}", number)
+                return said, f"{type(error).__name__}: {error}"
+        return said, None
+
     def read(self, number):
         if number in self.links:
             self.links[number].ask()
--- a/finchcart/thrift/codec.py
+++ b/finchcart/thrift/codec.py
@@ -10,7 +10,7 @@
 
 import struct
 
-from finchcart.net.frames import Malformed
+from finchcart.net.frames import Codec, Malformed
 
 CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
 VERSION = 0x80010000
@@ -85,18 +85,20 @@
         raise Malformed(f"no such type: {kind}")
 
 
-def take(data, at, longest):
-    """The first whole frame from `at` on as (message, where the next begins), or None until there is one."""
+def whole_frame(data, at, longest):
+    """Where the first frame ends."""
     if len(data) < at + 4:
         return None
     length, = LENGTH.unpack_from(data, at)
     if not 0 < length <= longest - 4:
         raise Malformed(f"a frame of {length} bytes")
     end = at + 4 + length
-    if len(data) < end:
-        return None
+    return end if len(data) >= end else None
+
+
+def framed_message(data, longest):
     try:
-        return message(data[at + 4:end]), end
+        return message(data[4:])
     except struct.error as error:
         raise Malformed(f"cut off: {error}") from None
 
@@ -150,6 +152,9 @@
     return "unheard", seq, name.decode("utf-8", "replace")[:60]
 
 
+FRONT = Codec(whole_frame, framed_message)
+
+
 def _texts(pairs):
     try:
         return {key.decode(): value.decode() for key, value in pairs}
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -106,8 +106,8 @@
 
     def ended(self, link, why):
         conn = self.conns.get(link)
-        if conn is None or conn.ended:
-            return
+        if conn is None or conn.ended or conn.bad:
+            return  # one that sent what can't be read may end after that, and is owed its answers still
         if why:
             # Not readable: what was read before is answered, then this connection alone is closed.
             left = len(conn.open)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -49,7 +49,7 @@
     assert thrift.message(REVOKE) == ("left", 7)
     assert thrift.message(HEARTBEAT) == ("check", 1)
     assert thrift.message(HEARTBEAT.replace(b"heartbeat", b"headcount")) == ("unheard", 1, "headcount")
-    assert thrift.take(framed(REVOKE) + b"more", 0, LONGEST) == (("left", 7), len(REVOKE) + 4)
+    assert thrift.FRONT.take(framed(REVOKE) + b"more", 0, LONGEST) == (("left", 7), len(REVOKE) + 4)
 
 
 def test_unknown_fields_of_all_types_are_passed_over():
@@ -147,12 +147,12 @@
 @pytest.mark.parametrize(
     "take, whole",
     [
-        (thrift.take, framed(SUBMIT)),
-        (thrift.take, framed(REVOKE)),
-        (thrift.take, framed(HEARTBEAT)),
-        (lines.take_pool, FINISHED),
-        (lines.take_pool, POLLED),
-        (lines.take_store, STORED),
+        (thrift.FRONT.take, framed(SUBMIT)),
+        (thrift.FRONT.take, framed(REVOKE)),
+        (thrift.FRONT.take, framed(HEARTBEAT)),
+        (lines.POOL.take, FINISHED),
+        (lines.POOL.take, POLLED),
+        (lines.STORE.take, STORED),
     ],
 )
 def test_every_cut_waits_for_more_and_every_flip_reads_or_is_malformed(take, whole):
@@ -171,7 +171,7 @@
             pass
 
 
-@pytest.mark.parametrize("take", [thrift.take, lines.take_pool, lines.take_store])
+@pytest.mark.parametrize("take", [thrift.FRONT.take, lines.POOL.take, lines.STORE.take])
 def test_random_bytes_are_no_harm(take):
     rng = random.Random(5)
     for _ in range(2000):
@@ -198,14 +198,14 @@
 )
 def test_what_is_no_call_is_malformed(data):
     with pytest.raises(Malformed):
-        thrift.take(data, 0, LONGEST)
+        thrift.FRONT.take(data, 0, LONGEST)
 
 
 def test_lines_of_the_pool():
     name = "9b1f03aa5c7e2d41"
-    assert lines.take_pool(FINISHED, 0, LONGEST)[0] == ("run_ended", 4, name, Outcome.OK, 1500, b"\xff\0A")
-    assert lines.take_pool(POLLED, 0, LONGEST)[0] == ("gauges", "9", (0.5, 3.0, 0.25, 17.0))
-    read = lambda text: lines.take_pool(text + b"\n", 0, LONGEST)[0]
+    assert lines.POOL.take(FINISHED, 0, LONGEST)[0] == ("run_ended", 4, name, Outcome.OK, 1500, b"\xff\0A")
+    assert lines.POOL.take(POLLED, 0, LONGEST)[0] == ("gauges", "9", (0.5, 3.0, 0.25, 17.0))
+    read = lambda text: lines.POOL.take(text + b"\n", 0, LONGEST)[0]
     assert read(b'{"event":"bound","fate":"new","lasted":20}') == ("up", True, 20_000)
     assert read(b'{"event":"blocked","cursor":5,"handle":"x","arg":"AA=="}') == ("at_call", 5, "x", b"\0")
     assert read(b'{"event":"unknown","fate":"spawn","handle":"x"}') == ("undone", True, "x")
@@ -245,17 +245,17 @@
 
 
 def test_lines_of_the_store_and_the_roster():
-    assert lines.take_store(STORED, 0, LONGEST) == (
+    assert lines.STORE.take(STORED, 0, LONGEST) == (
         ("reply", "9b1f03aa5c7e2d41", Outcome.OK, b"a\r\nb\0"),
         len(STORED),
     )
     proofs = {b"BUSY": True, b"ERR": False, b"LATE": False, b"VOID": True}
     for word, proof in proofs.items():
-        (_, name, outcome, body), _ = lines.take_store(b"x " + word + b"\r\n", 0, LONGEST)
+        (_, name, outcome, body), _ = lines.STORE.take(b"x " + word + b"\r\n", 0, LONGEST)
         assert (name, outcome.never_ran, body) == ("x", proof, b"")
     for bad in (b"x\r\n", b"x OK\r\n", b"x OK -1\r\n", b"x OK 99999\r\n", b"x OK 1\r\nabc", b"x WHAT\r\n"):
         with pytest.raises(Malformed):
-            lines.take_store(bad, 0, LONGEST)
+            lines.STORE.take(bad, 0, LONGEST)
     assert lines.call("x", 250_001, b"a\r\nb") == b"CALL x 251 4\r\na\r\nb\r\n"
     assert (lines.report("n3", True), lines.report("n3", False)) == (b"HERE n3 on", b"HERE n3 off")
 
