--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -9,7 +9,8 @@
 """
 
 import json
-from base64 import b64decode, b64encode
+from base64 import b64encode
+from binascii import a2b_base64
 from math import isfinite
 
 from finchcart.interface import Outcome
@@ -54,7 +55,7 @@
 
 
 def _body(said):
-    return b64decode(said.get("arg") or "", validate=True)
+    return a2b_base64(said.get("arg") or "", strict_mode=True)
 
 
 def _whole(value):
