--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -93,13 +93,13 @@
     rest = 0.0
     while True:
         # What is under way goes first: words of worker pool and store, then of those who want more.
-        new = []
+        new, more = [], True  # more: as many waited as a turn takes, and perhaps others
         try:
             for _ in range(limits.turn):
                 what = take()
                 (new if what[0] == "got" and what[1] > 0 else waiting).append(what)
         except Empty:
-            pass
+            more = False
         waiting.extend(new)
         now = clock() // 1000
         if now - told >= limits.load_span:
@@ -128,6 +128,8 @@
                 else:
                     acts[act](*args)
         links.flush()
+        if more:
+            continue  # guards against rests of a thread that is behind
         due, before = core.due(), clock()
         wait = None if due is None else max(0.0, due / 1e6 - before / 1e9)
         if rest:
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -26,7 +26,8 @@
     reserve: int = 64  # descriptors kept from dispatchers: listener, pool, store, roster, files
 
     read_ahead: int = 2  # batches asked of a link at once: its reader is not woken for each
-    batch: int = 8  # messages that a link hands over at once, at most
+    batch: int = 8  # messages that a dispatcher's link hands over at once, at most
+    own_batch: int = 64  # and a link that the node made: all runs speak on the one to the worker pool
     turn: int = 32  # inputs taken in one turn where so many wait: their effects on a link are one write
     load_span: int = 40 * MS  # the share of time that inputs take is told anew after this
     rest_from: float = 0.2  # where they take more of the time than this, the thread rests between turns
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -49,6 +49,7 @@
         self.number, self.codec = number, codec
         self.inputs, self.buffers, self.limits = inputs, buffers, limits
         self.sock, self.address = sock, address
+        self.batch = limits.own_batch if address else limits.batch
         self.asked = SimpleQueue()
         self.lock = threading.Lock()  # never held over a wait
         self.pending, self.writer = [], None
@@ -142,7 +143,7 @@
     def read_messages(self):
         """Until the far side closes, sends what can't be read, or the close is ordered. Returns what can't be
         read, and whether the close was ordered."""
-        buffer, end, size, most = None, 0, self.buffers.size, self.limits.batch
+        buffer, end, size, most = None, 0, self.buffers.size, self.batch
         data, at = b"", 0  # what is read and not handed over begins at `at`
         first, frame, sock = bytearray(1), self.codec.frame, self.sock
         try:
