--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -410,9 +410,10 @@
             self.lingering.pop(0)
         if not self.standing:
             return
-        # Guards against a share that is used up at once where calls last long: all of what is safe in hand
-        # only while the credit tells that they are short.
-        ample = self.credit > 0.1 * self.calls_limit * self.calls_window
+        # Guards against pressing a dependency that is slow: more than half of the share in hand only while
+        # calls are short beside what they are for, none was given up lately, and the credit is there.
+        ample = (self.credit > 0.1 * self.calls_limit * self.calls_window and not self.lingering
+                 and 32 * self.call_times.mean < min(m.target for m in self.methods))
         cap = max(1, int((0.8 if ample else 0.5) * self.calls_limit))
         waiting, self.standing = [r for r in self.standing if not (r.answered or r.is_gone)], []
         for rpc in waiting:
