--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -185,7 +185,10 @@
         self.memory, self.factor = get("memory_kb", 1e12), get("run_factor", 1)
         self.beside = get("crowd", 4) - 1  # running RPCs that a core survives beside one
         self.entry, self.tick = get("entry_kb", 0), get("tick", MS)
-        self.calls_limit, self.calls_window = get("calls_limit", 1e9), get("calls_window", 5 * SECOND)
+        # Only a dependency that all nodes share has a limit to be cut into shares; a tier decides for itself,
+        # and no share of it is told (the wire writes 0).
+        shared = get("below", "shared") == "shared"
+        self.calls_limit, self.calls_window = get("calls_limit", 1e9) if shared else 1e9, get("calls_window", 5 * SECOND)
         self.call_times = Histogram(2 * MS, 30 * MS)
         self.live, self.kept, self.held, self.standing, self.table = {}, {}, [], [], []  # kept: what is over
         self.kb, self.on_core, self.work, self.running, self.in_call = 0.0, 0, 0.0, 0, 0  # work: on cores
--- a/finchcart/settings.py
+++ b/finchcart/settings.py
@@ -13,7 +13,7 @@
     "contract.answerSlack": "slack", "contract.cold": "cold", "contract.fall": "crowd_window",
     "contract.overloadFactor": "crowd", "contract.startCapacity": "cold_start",
     "contract.stopSendingWithin": "grace", "familyInfo.callerIdle": "idle_max",
-    "familyInfo.callsOut": "calls_limit", "familyInfo.callsOver": "calls_window",
+    "familyInfo.below": "below", "familyInfo.callsOut": "calls_limit", "familyInfo.callsOver": "calls_window",
     "familyInfo.classCalls": "method_calls", "familyInfo.cores": "cores", "familyInfo.fresh": "fresh",
     "familyInfo.gauges": "gauges",
     "familyInfo.freshStart": "fresh_start", "familyInfo.kbPerKey": "entry_kb",
