--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -181,7 +181,7 @@
         for m in self.methods:
             m.band = worths.index(m.criticality)
         self.bands = len(worths)
-        self.by_work = get("worth_by", "request") == "work"
+        self.by_work, self.marked = get("worth_by", "request") == "work", get("marks_further", True)
         self.memory, self.factor = get("memory_kb", 1e12), get("run_factor", 1)
         self.beside = get("crowd", 4) - 1  # running RPCs that a core survives beside one
         self.entry, self.tick = get("entry_kb", 0), get("tick", MS)
@@ -315,7 +315,9 @@
         # What is too large or too much for this node may fit on another: only what fits nowhere is told not
         # to try elsewhere. Guards against a full fleet that reads the same RPCs over and over: further tries,
         # while this node cuts too, mean that others do.
-        full = rpc.method.share < 1 and self.further > 0.1 and self.kill_at is None
+        # Where no mark tells further tries, a deep cut of its own stands in.
+        full = self.kill_at is None and (
+            rpc.method.share < 1 and self.further > 0.1 if self.marked else rpc.method.share < 0.6)
         last = full or rpc.expect * 0.4 > rpc.want - now
         # Advice keeps a caller away from this node; where none comes again soon it only delays the client.
         heard = wait > 50 * MS and self.returns > 0.6
--- a/finchcart/settings.py
+++ b/finchcart/settings.py
@@ -9,7 +9,7 @@
 
 # The outside names of settings, in the module's words; others are passed over.
 SETTINGS = {
-    "round": "tick", "servers": "servers", "worthBy": "worth_by", "overShareWorth": "over_share_worth",
+    "round": "tick", "servers": "servers", "worthBy": "worth_by", "overShareWorth": "over_share_worth", "callers.marksRetry": "marks_further",
     "contract.answerSlack": "slack", "contract.cold": "cold", "contract.fall": "crowd_window",
     "contract.overloadFactor": "crowd", "contract.startCapacity": "cold_start",
     "contract.stopSendingWithin": "grace", "familyInfo.callerIdle": "idle_max",
