--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -18,7 +18,7 @@
 
 MS, SECOND = 1_000, 1_000_000
 SWEEP = 40 * MS  # between looks at what is due, at the gauges and at the loop
-HELD, RUNNING, STANDING, CALLING, SHARING, OVER = range(6)  # STANDING: at a call not made yet
+HELD, RUNNING, STANDING, CALLING, SHARING, PAUSED, OVER = range(7)  # STANDING: at a call not made yet
 CUT_ABOVE = 0.9  # the loop cuts while more of the cores than this are busy
 IDLE = 10 * MS, 8 * SECOND  # least and longest that an idle connection is kept
 
@@ -96,7 +96,7 @@
 
     __slots__ = ("control", "index", "method", "kb", "run_kb", "hint", "place", "reached", "due", "want",
                  "expect", "key", "state", "started", "answered", "ran", "is_gone", "call_time", "call_from",
-                 "calls", "called", "kept_until", "failed")
+                 "calls", "called", "kept_until", "failed", "before", "pausing")
 
     def ended(self, now, outcome, spent):
         """A run or a share is over; where it was ok or an error, its answer has gone out."""
@@ -104,8 +104,13 @@
         if self.state == OVER:
             return
         if self.state != SHARING:
+            owed = not (self.answered or self.is_gone)
+            if outcome is Outcome.STOPPED and control.pauses and owed and self.state == RUNNING:
+                control.paused(now, self, spent)
+                return
             self.ran = outcome is not Outcome.MOOT  # nothing started: nothing is learned or kept of it
             control.done += self.expect * self.ran
+            spent += self.before
             if outcome is Outcome.OK:
                 self.method.learn(self.hint, max(1, spent - self.call_time))
                 self.method.whole.add(max(1, spent))
@@ -122,8 +127,8 @@
             return
         self.is_gone = True
         control = self.control
-        if self.state in (HELD, SHARING):
-            if self.state == HELD:
+        if self.state in (HELD, SHARING, PAUSED):
+            if self.state != SHARING:
                 control.unhold(self)
             control.finish(now, self)
         elif self.state == RUNNING and self.method.stoppable and not self.answered:
@@ -181,17 +186,20 @@
         for m in self.methods:
             m.band = worths.index(m.criticality)
         self.bands = len(worths)
-        self.by_work, self.marked = get("worth_by", "request") == "work", get("marks_further", True)
+        self.marked = get("marks_further", True)
         self.memory, self.factor = get("memory_kb", 1e12), get("run_factor", 1)
+        self.pauses, self.levels = get("can_pause", False), get("told", "level") == "level"
         self.beside = get("crowd", 4) - 1  # running RPCs that a core survives beside one
         self.entry, self.tick = get("entry_kb", 0), get("tick", MS)
         # Only a dependency that all nodes share has a limit to be cut into shares; a tier decides for itself,
         # and no share of it is told (the wire writes 0).
         shared = get("below", "shared") == "shared"
-        self.calls_limit, self.calls_window = get("calls_limit", 1e9) if shared else 1e9, get("calls_window", 5 * SECOND)
+        self.calls_limit = get("calls_limit", 1e9) if shared else 1e9
+        self.calls_window = get("calls_window", 5 * SECOND)
         self.call_times = Histogram(2 * MS, 30 * MS)
         self.live, self.kept, self.held, self.standing, self.table = {}, {}, [], [], []  # kept: what is over
         self.kb, self.on_core, self.work, self.running, self.in_call = 0.0, 0, 0.0, 0, 0  # work: on cores
+        self.pausing = 0  # runs that were told to pause and have not said that they did
         self.lingering, self.credit, self.credit_at = [], 0.2 * self.calls_limit * self.calls_window, 0
         self.limit, self.slow, self.late = float(self.cores), 1.0, 0
         self.unread, self.further = 0.0, 0.0  # time lately lost before reading; part of further tries
@@ -234,6 +242,8 @@
     def on(self, rpc, sign):
         """One more run on the cores, or one less. Guards against sums over all RPCs at each arrival."""
         self.on_core += sign
+        if rpc.pausing and sign < 0:
+            rpc.pausing, self.pausing = False, self.pausing - 1
         self.work = (self.work + sign * rpc.expect) * (self.on_core > 0)
 
     # ---- intake
@@ -255,7 +265,8 @@
         rpc.want = min(rpc.due, rpc.reached + int(m.target * (1 - lost)))
         rpc.expect = m.expect(hint)
         rpc.state, rpc.answered, rpc.ran, rpc.is_gone, rpc.failed = HELD, False, False, False, False
-        rpc.started = rpc.call_time = rpc.call_from = rpc.calls = rpc.kept_until = 0
+        rpc.started = rpc.call_time = rpc.call_from = rpc.calls = rpc.kept_until = rpc.before = 0
+        rpc.pausing = False
         rpc.key = (-self.worth(m), rpc.want - rpc.expect)
         self.live[index] = rpc
         self.kb += kb
@@ -282,8 +293,9 @@
         return rpc
 
     def worth(self, m):
-        """Criticality for the work it takes: the order of the hold and of the cuts."""
-        return m.criticality if self.by_work else m.criticality / m.run_time.mean
+        """The order of the hold and of the cuts. Not for the work it takes: of two alike, the one that takes
+        a little longer would be starved."""
+        return m.criticality
 
     def refuses(self, now, rpc, wait):
         """Whether an arrival is pushed back."""
@@ -297,11 +309,14 @@
             return False  # a free core, nothing waits: else a node once slow would never learn that it is not
         # Where it stands among its like: by user where told, the same on every node; else by chance.
         place = self.random() if rpc.place is None else rpc.place * self.bands - m.band
-        return place < 1 - m.share or now + wait + rpc.expect * self.slow > rpc.want
+        part = 0.6 if self.pauses else 1  # where runs yield, the expected one, learnt in a crowd, is too long
+        return place < 1 - m.share or now + wait + part * rpc.expect * self.slow > rpc.want
 
     def ahead(self, key):
         """Work on cores that comes before an RPC with this key."""
-        work = self.work * self.slow / 2
+        work = self.work if not self.pauses else sum(
+            rpc.expect for rpc in self.live.values() if rpc.state == RUNNING and not self.yields(rpc, key))
+        work *= self.slow / 2
         if self.on_core < self.limit:
             work *= self.on_core / self.limit / 2
         for other, _, rpc in self.held:
@@ -330,8 +345,8 @@
         if not rpc.answered and not rpc.is_gone:
             self.port.abort(rpc.index)
         rpc.answered = True
-        if rpc.state in (HELD, SHARING):
-            self.over(now, rpc)
+        if rpc.state in (HELD, SHARING, PAUSED):
+            self.finish(now, rpc)
         elif rpc.state == RUNNING and rpc.method.stoppable:
             self.port.stop(rpc.index)
 
@@ -358,20 +373,51 @@
         if not held:
             return
         room = min(0.8 * self.crowd(now), 4 * self.cores)
-        while held and self.on_core < self.limit and self.running < room:
-            rpc = held[0][2]
+        while held and self.running < room:
+            key, _, rpc = held[0]
             if self.out_of_time(now, rpc) and self.on_core * 2 >= self.cores:
                 del held[0]
-                self.push_back(now, rpc)
+                if rpc.ran:
+                    self.give_up(now, rpc)
+                else:
+                    self.push_back(now, rpc)
                 continue
-            if self.kb + rpc.run_kb > 0.85 * self.memory:
+            if self.kb + rpc.run_kb * (not rpc.ran) > 0.85 * self.memory:
+                break
+            if self.on_core - self.pausing >= self.limit and not self.make_room(key):
                 break
             del held[0]
-            rpc.state, rpc.ran, rpc.started = RUNNING, True, now
+            if not rpc.ran:
+                self.kb, rpc.started = self.kb + rpc.run_kb, now
+            rpc.state, rpc.ran = RUNNING, True
             self.on(rpc, 1)
-            self.kb, self.running = self.kb + rpc.run_kb, self.running + 1
+            self.running += 1
             self.port.run(rpc.index)
 
+    def yields(self, rpc, key):
+        """Whether a run may be paused for an RPC with this key: one worth less than half as much."""
+        return self.pauses and -self.worth(rpc.method) > 0.5 * key[0]
+
+    def make_room(self, key):
+        """Pauses the run that is worth least, the one that began last among its like."""
+        least = min((r for r in self.live.values() if r.state == RUNNING and not r.pausing
+                     and not r.answered and self.yields(r, key)),
+                    key=lambda r: (self.worth(r.method), -r.started), default=None)
+        if least is not None:
+            least.pausing, self.pausing = True, self.pausing + 1
+            self.port.stop(least.index)
+        return least is not None
+
+    def paused(self, now, rpc, spent):
+        """It keeps its memory and what was done, and waits among the held ones until it goes on."""
+        self.on(rpc, -1)
+        rpc.state, rpc.before, self.running = PAUSED, rpc.before + spent, self.running - 1
+        left = max(rpc.expect / 4, rpc.expect - spent / self.slow)
+        self.done += rpc.expect - left
+        rpc.expect = left
+        insort(self.held, (rpc.key, rpc.index, rpc))
+        self.fill(now)
+
     def out_of_time(self, now, rpc):
         """Whether a held RPC can't be in time any more."""
         return now + rpc.expect * self.slow * 0.6 > rpc.want
@@ -380,8 +426,8 @@
         self.held.remove((rpc.key, rpc.index, rpc))
 
     def finish(self, now, rpc):
-        if rpc.state in (RUNNING, STANDING, CALLING):
-            self.kb, self.running = self.kb - rpc.run_kb, self.running - 1
+        if rpc.state in (RUNNING, STANDING, CALLING, PAUSED):
+            self.kb, self.running = self.kb - rpc.run_kb, self.running - (rpc.state != PAUSED)
             if rpc.state == RUNNING:
                 self.on(rpc, -1)
             elif rpc.state == CALLING:
@@ -478,6 +524,8 @@
 
     def sweep(self, now):
         for rpc in list(self.live.values()):
+            if rpc.pausing:  # guards against stalls, in which nothing is paused: it counts as a run again
+                rpc.pausing, self.pausing = False, self.pausing - 1
             if rpc.answered:
                 continue
             begun = max(self.grace_end or 0, rpc.started)
@@ -487,7 +535,9 @@
                 if ends or self.out_of_time(now, rpc):
                     self.unhold(rpc)
                     self.push_back(now, rpc)
-            elif ends:
+            elif ends or rpc.state == PAUSED and self.out_of_time(now, rpc):
+                if rpc.state == PAUSED:
+                    self.unhold(rpc)
                 self.give_up(now, rpc)
             elif rpc.state in (RUNNING, STANDING) and now > rpc.want and rpc.method.lost_when_late:
                 self.give_up(now, rpc)  # worth nothing any more: its core is free for others
@@ -515,7 +565,9 @@
             above = max((o.over for worth, o in worths if worth > mine), default=0)
             below = max((o.share for worth, o in worths if worth < mine), default=0)
             over = max(m.over, above)
-            if busy > CUT_ABOVE and over > 1 and below < 0.1:
+            # Guards against pushbacks of what matters most while others, which yield to it, hold the cores.
+            first = self.pauses and any(worth < 0.5 * mine for worth, _ in worths)
+            if busy > CUT_ABOVE and over > 1 and below < 0.1 and not first:
                 m.share = max(0.05, m.share * max(0.95, 1 / over))
             else:
                 m.share = min(1.0, m.share + 0.015 / max(0.2, over))
@@ -524,7 +576,7 @@
             self.limit = min(self.limit + self.cores / 4, 2 * self.cores, 0.4 * self.crowd(now))
         elif self.wanting > self.cores:
             self.limit = max(self.cores, self.limit * 0.9)
-        if self.settings.get("told") == "level":
+        if self.levels:
             self.set_level()
         if self.grace_end is not None and not self.sealed and now >= self.grace_end:
             self.sealed = True
@@ -541,7 +593,9 @@
             self.good = not self.good
             self.port.health(self.good, True)
             self.port.log(f"health {'good' if self.good else 'bad'}: {lost:.2f} of the target unread")
-        keep = self.returns > 0.75 or lost > 0.2 or self.keeping and (self.returns > 0.6 or lost > 0.04)
+        deep = 1 if self.levels else min((m.share for m in self.methods), default=1)
+        keep = self.returns > 0.75 or lost > 0.2 or deep < 0.6 or self.keeping and (
+            self.returns > 0.6 or lost > 0.04 or deep < 0.9)
         if not self.sealed and keep != self.keeping:
             self.keeping = keep
             self.port.idle_limit(min(self.settings.get("idle_max", IDLE[1]), IDLE[keep]))
--- a/finchcart/settings.py
+++ b/finchcart/settings.py
@@ -9,7 +9,8 @@
 
 # The outside names of settings, in the module's words; others are passed over.
 SETTINGS = {
-    "round": "tick", "servers": "servers", "worthBy": "worth_by", "overShareWorth": "over_share_worth", "callers.marksRetry": "marks_further",
+    "round": "tick", "servers": "servers", "worthBy": "worth_by", "overShareWorth": "over_share_worth",
+    "callers.marksRetry": "marks_further",
     "contract.answerSlack": "slack", "contract.cold": "cold", "contract.fall": "crowd_window",
     "contract.overloadFactor": "crowd", "contract.startCapacity": "cold_start",
     "contract.stopSendingWithin": "grace", "familyInfo.callerIdle": "idle_max",
@@ -54,6 +55,7 @@
             name = f"{prefix}.{number}.{names[item]}"
         out[name] = KINDS.get(value, "non_idempotent") if name.endswith(".kind") else value
     if "can_stop" in out:
+        out["can_pause"] = out["can_stop"] == "pause"
         out["can_stop"] = out["can_stop"] in ("drop", "pause")
     return out
 
