--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -578,6 +578,8 @@
             self.limit = max(self.cores, self.limit * 0.9)
         if self.levels:
             self.set_level()
+        elif self.settings.get("told") == "credit":
+            self.set_credit(now)
         if self.grace_end is not None and not self.sealed and now >= self.grace_end:
             self.sealed = True
             self.port.idle_limit(IDLE[0])
@@ -613,6 +615,19 @@
             self.port.level(level)
             self.now_level = level
 
+    def set_credit(self, now):
+        """Tells callers how many RPCs each may have out here: four times what ends within the loop's part of
+        the latency target (a credit knows no criticality: the hold needs some to choose from), shared by the
+        callers that heard it lately and mind it still."""
+        heeded = self.settings.get("told_heeded", SECOND)
+        callers = sum(now - at < heeded for at in self.seen.values())
+        run = max(m.run_time.mean for m in self.methods) * self.slow
+        room = self.limit * max(1.0, 0.6 * min(m.target for m in self.methods) / run)
+        credit = 4 * room / max(1, callers)
+        if not 0.8 < credit / max(0.001, self.now_level) < 1.25:
+            self.port.credit(credit)
+            self.now_level = credit
+
     # ---- drain
 
     def drain(self, now, kill_at):
--- a/finchcart/interface.py
+++ b/finchcart/interface.py
@@ -76,6 +76,9 @@
     def level(self, value: float) -> None:
         """The value that rides on all answers."""
 
+    def credit(self, value: float) -> None:
+        """How many RPCs each caller may have out here, told with all answers; a fraction counts by chance."""
+
     def idle_limit(self, keep: int) -> None:
         """Close connections that idle for `keep`."""
 
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -28,8 +28,11 @@
     """The state of one node. `make_fronts(core)`: kind -> front."""
 
     def __init__(self, settings, limits, seed, name, places, make_fronts):
-        # This pool's protocol has no word for stopping work, whatever the settings allow.
-        self.settings, self.limits, self.seed = {**settings, "can_stop": False}, limits, seed
+        # Told as absent, whatever the settings allow: this pool's protocol has no word for stopping or pausing
+        # work, and dispatchers' answers carry a level alone.
+        told = settings.get("told", "level")
+        absent = {"can_stop": False, "can_pause": False, "told": told if told == "level" else "none"}
+        self.settings, self.limits, self.seed = {**settings, **absent}, limits, seed
         gauges = settings.get("gauges", ())
         count = range(settings.get("methods.count", 0))
         method = lambda n, item: settings.get(f"methods.{n}.{item}")
@@ -263,6 +266,9 @@
     def level(self, value):
         self.said_level = value
 
+    def credit(self, value):
+        raise NotImplementedError("dispatchers' answers carry no credit")
+
     def idle_limit(self, keep):
         for front in self.fronts.values():
             front.idle_limit(keep)
--- a/finchcart/settings.py
+++ b/finchcart/settings.py
@@ -18,7 +18,7 @@
     "familyInfo.classCalls": "method_calls", "familyInfo.cores": "cores", "familyInfo.fresh": "fresh",
     "familyInfo.gauges": "gauges",
     "familyInfo.freshStart": "fresh_start", "familyInfo.kbPerKey": "entry_kb",
-    "familyInfo.linger": "calls_linger",
+    "familyInfo.linger": "calls_linger", "familyInfo.heeded": "told_heeded",
     "familyInfo.memoryKb": "memory_kb", "familyInfo.passesDeadline": "tells_deadline",
     "familyInfo.preemption": "can_stop", "familyInfo.runFactor": "run_factor", "familyInfo.say": "told",
     "familyInfo.worthWithout": "method_poorer", "limits.maxRetryAfter": "advice_max",
--- a/finchcart/wirehost.py
+++ b/finchcart/wirehost.py
@@ -62,6 +62,9 @@
     def level(self, value):
         self.say("HINT_OUT", x=round(value, 4))
 
+    def credit(self, value):
+        self.say("HINT_OUT", x=round(value, 4))
+
     def idle_limit(self, keep):
         self.say("IDLE_LIMIT", keepFor=keep)
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -134,6 +134,10 @@
     def level(self, value):
         assert self.settings["told"] == "level" and 0 <= value <= 1
 
+    def credit(self, value):
+        assert self.settings["told"] == "credit" and value > 0
+        self.said_credit = value
+
     def idle_limit(self, keep):
         assert keep >= 10 * MS
         self.idle = keep
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -226,6 +226,18 @@
         assert min(m.share for m in node.control.methods) < 0.6 and node.idle == keep
 
 
+def test_a_credit_is_what_ends_in_time_shared_by_the_callers_that_come():
+    said = []
+    for callers in (2, 20):
+        node = Node({**PLAIN, "told": "credit", "told_heeded": 1000 * MS})
+        for step in range(400):
+            node.step(10 * MS)
+            node.arrive(0, caller=step % callers)
+            node.end_older(200 * MS)
+        said.append(node.said_credit)
+    assert said[0] > 5 * said[1] > 0
+
+
 def test_callers_that_are_new_ones_for_ever_are_forgotten():
     node = Node({**PLAIN, "cores": 40, "memory_kb": 1e9})
     for caller in range(5000):
