Watch mode: counts where settings of another shape would decide otherwise; settings checked

Off unless the configuration has watch. What the module reads of a configuration is checked with field, value and what is expected.

--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -38,6 +38,18 @@
     return host, int(port)
 
 
+def watching(told):
+    """The settings to watch, over those in force, and the period of the lines; None: nothing is watched."""
+    if told is None:
+        return None
+    if not isinstance(told, dict) or not isinstance(told.get("settings"), dict):
+        raise ValueError(f"watch: {told!r:.60}: expected an object with settings and period_ms")
+    period = told.get("period_ms", 10_000)
+    if isinstance(period, bool) or not isinstance(period, int) or not 100 <= period <= 86_400_000:
+        raise ValueError(f"watch.period_ms: {period!r}: expected a whole number from 100 to 86400000")
+    return {"settings": settings.from_json(told["settings"]), "period": period * 1000}
+
+
 def read_config(path):
     if not path:
         raise ConfigError("ROUTER_CONFIG is not set: expected the path of the configuration")
@@ -49,6 +61,7 @@
             "places": {place: address(config[place]) for place in PLACES},
             "seed": int(str(config.get("seed", "0")), 16), "settings": settings.from_json(config["settings"]),
             "limits": Limits.of(config["limits"], config["stop_ms"]),
+            "watch": watching(config.get("watch")),
         }
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
@@ -73,7 +86,7 @@
         # Guards against a file that is wrong or half written: the node goes on with what it has.
         logger.error("configuration not taken: {}", error)
         return None
-    fixed = [name for name in ("name", "listen", "settings", "limits") if config[name] != used[name]]
+    fixed = [name for name in ("name", "listen", "settings", "limits", "watch") if config[name] != used[name]]
     if fixed:
         logger.warning("configuration: new {} wait for the next start", ", ".join(fixed))
     return "moved", config["places"]
@@ -156,7 +169,7 @@
     threading.stack_size(limits.stack)
     threading.excepthook = lambda fault: fault_in_thread(inputs, fault)
     core = Core(config["settings"], limits, config["seed"], config["name"], config["places"],
-                lambda core: {"thrift": ThriftFront(core, limits)})
+                lambda core: {"thrift": ThriftFront(core, limits)}, config["watch"])
     links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.FRONT)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
     try:
--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -217,6 +217,10 @@
         self.port.wake_in(SWEEP, "sweep")
         self.next_wake = now + SWEEP
 
+    def anew(self, now, cold):
+        """What runs the RPCs started anew, cold or warm; the ends of its runs are told one by one."""
+        self.cold, self.began = cold, now
+
     # ---- room: memory, the crowd on the cores
 
     def margin(self):
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -22,17 +22,19 @@
 from finchcart.node.store import Store
 from finchcart.node.tokens import FAILED, Tokens, digest_of
 from finchcart.node.turn import Turn
+from finchcart.node.watch import Watch
 
 
 class Core:
     """The state of one node. `make_fronts(core)`: kind -> front."""
 
-    def __init__(self, settings, limits, seed, name, places, make_fronts):
-        # Told as absent, whatever the settings allow: this pool's protocol has no word for stopping or pausing
-        # work, and dispatchers' answers carry a level alone.
+    def __init__(self, settings, limits, seed, name, places, make_fronts, watch=None):
+        # Told as absent, whatever the settings allow: this pool's protocol has no word for stopping or
+        # pausing work, and dispatchers' answers carry a level alone.
         told = settings.get("told", "level")
         absent = {"can_stop": False, "can_pause": False, "told": told if told == "level" else "none"}
         self.settings, self.limits, self.seed = {**settings, **absent}, limits, seed
+        self.watch = watch  # None, or the `settings` to watch and the `period` between lines
         gauges = settings.get("gauges", ())
         count = range(settings.get("methods.count", 0))
         method = lambda n, item: settings.get(f"methods.{n}.{item}")
@@ -162,12 +164,17 @@
 
     def pool_up(self, cold):
         # The ramp of a cold start counts from the worker pool's: a later start is the slower reckoning.
-        self.control = Control(self, {**self.settings, "fresh_start": cold}, self.seed)
+        settings = {**self.settings, "fresh_start": cold}
+        if self.watch:
+            watched = {**settings, **self.watch["settings"]}
+            self.control = Watch(self, settings, watched, self.seed, self.watch["period"], self.log)
+        else:
+            self.control = Control(self, settings, self.seed)
         self.control.start(self.turn.now)
 
     def pool_anew(self, cold):
         """A worker pool that started anew has lost its runs: each is answered, none is run again."""
-        self.control.cold, self.control.began = cold, self.turn.now
+        self.control.anew(self.turn.now, cold)
         lost = [rpc for rpc in self.rpcs.values() if rpc.started and not rpc.over]
         self.turn.ask("log", f"worker pool: started anew, {len(lost)} runs lost")
         for rpc in lost:
--- a/finchcart/settings.py
+++ b/finchcart/settings.py
@@ -32,14 +32,49 @@
 }
 
 
+def _number(low, high=float("inf")):
+    told = f"a number from {low}" + (f" to {high}" if high < float("inf") else " up")
+    return lambda v: isinstance(v, (int, float)) and not isinstance(v, bool) and low <= v <= high, told
+
+
+def _word(*words):
+    return lambda v: isinstance(v, str) and v in words, "one of " + ", ".join(words)
+
+
+_FLAG = (lambda v: isinstance(v, bool), "true or false")
+_TIME = _number(0, 10**12)
+# What a configuration may tell of what the module reads; on the simulator's wire it is the wire's own.
+CHECKS = {
+    "round": _TIME, "callers.marksRetry": _FLAG, "contract.answerSlack": _TIME, "contract.cold": _TIME,
+    "contract.fall": _TIME, "contract.overloadFactor": _number(1), "contract.startCapacity": _number(0, 1),
+    "contract.stopSendingWithin": _TIME, "familyInfo.below": _word("shared", "tier", "silent"),
+    "familyInfo.callerIdle": _TIME, "familyInfo.callsOut": _number(0), "familyInfo.callsOver": _TIME,
+    "familyInfo.cores": _number(1), "familyInfo.freshStart": _FLAG, "familyInfo.heeded": _TIME,
+    "familyInfo.kbPerKey": _number(0), "familyInfo.linger": _TIME, "familyInfo.memoryKb": _number(0),
+    "familyInfo.passesDeadline": _FLAG, "familyInfo.preemption": _word("silent", "drop", "pause"),
+    "familyInfo.runFactor": _number(1), "familyInfo.say": _word("level", "credit", "weight", "silent"),
+    "limits.maxRetryAfter": _TIME, "services[].deadline": _TIME, "services[].target": _TIME,
+    "services[].effect": _word(*KINDS), "services[].lateWorth": _number(0, 1), "services[].window": _TIME,
+    "services[].worth": _number(0), "worthBy": _word("request", "work"),
+}
+
+
 def from_pairs(raw):
     """From the wire's pairs of path and text."""
     return _named((path, text if path.endswith(".name") else _value(text)) for path, text in raw.items())
 
 
 def from_json(tree):
-    """From a configuration's nested object: lists of objects as counts and items, plain lists as tuples."""
-    return _named(_flat("", tree))
+    """From a configuration's nested object: lists of objects as counts and items, plain lists as tuples. What
+    the module reads is checked; a ValueError names the field, its value and what is expected."""
+    pairs = [(path, value) for path, value in _flat("", tree) if value is not None]
+    for path, value in pairs:
+        group, _, rest = path.partition(".")
+        number, _, item = rest.partition(".")
+        check = CHECKS.get(path) or (CHECKS.get(f"{group}[].{item}") if number.isdigit() else None)
+        if check and not check[0](value):
+            raise ValueError(f"{path}: {value!r}: expected {check[1]}")
+    return _named(pairs)
 
 
 def _named(pairs):
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -247,12 +247,12 @@
 class Far:
     """Dispatchers, worker pool, store and roster round one core, without sockets; checks the rules."""
 
-    def __init__(self, settings, seed=1, front=ThriftFront, **limits):
+    def __init__(self, settings, seed=1, front=ThriftFront, watch=None, **limits):
         self.settings, self.now, self.rng = settings, 1_700_000_000_000_000, random.Random(seed)
         self.limits = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS, **limits)
         self.places = {"pool": ("pool", 1), "store": ("store", 1), "roster": ("roster", 1)}
         self.core = Core(settings, self.limits, seed, "n1", self.places,
-                         lambda core: {"front": front(core, self.limits)})
+                         lambda core: {"front": front(core, self.limits)}, watch)
         self.front = self.core.fronts["front"]
         self.asked, self.inbox, self.links, self.behind, self.closing = Counter(), {}, {}, set(), set()
         self.tries, self.seqs, self.count, self.reports, self.lines = {}, {}, 0, [], []
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -131,7 +131,7 @@
 
 
 def test_calls_to_a_tier_are_not_held_to_a_share_that_is_not_told():
-    """Guards against a share of nought, as it is written where what lies below is a tier: no call was made."""
+    """Guards against a share of nought, as is written where a tier lies below: no call was made."""
     node = Node({**PLAIN, "below": "tier", "calls_limit": 0.0})
     index = node.arrive(1)
     node.rpcs[index]["state"] = "standing"
