--- a/finchcart/interface.py
+++ b/finchcart/interface.py
@@ -8,11 +8,15 @@
 
 - `methods.count`, `methods.N.name`, `.kind` (`idempotent`, `tokened`, `non_idempotent`), `.criticality`,
   `.latency_target`, `.deadline`, `.window`, `.late_worth`; `method_poorer` (worth of an answer without calls)
-- `cores`, `memory_kb`, `run_factor`, `entry_kb`, `tick`, `can_stop` (running work can be stopped)
+- `cores`, `memory_kb`, `run_factor`, `entry_kb`, `tick`, `can_stop` (running work can be stopped),
+  `can_pause` (with it: what is stopped while it owes its answer is paused, keeps its memory, goes on by
+  `Port.run`)
 - `grace` (served after the drain notice), `crowd` (running RPCs a core survives), `fresh_start`,
   `cold_start`, `cold` (a fresh start begins at this part of its speed and is warm after this time)
-- `calls_limit`, `calls_window`, `calls_linger` (the node's share of the shared dependency)
-- `told` (`level`, or another: not used), `advice_max`, `idle_max`, `worth_by` (`work` or `request`)
+- `below` (`shared`, the default, or `tier`), `calls_limit`, `calls_window`, `calls_linger` (the node's share
+  of the dependency, where it is shared)
+- `told` (`level`, `credit`, or another: not used), `told_heeded` (for so long callers mind it), `advice_max`,
+  `idle_max`, `marks_further` (false: further tries carry no mark)
 
 Gauges that `Control.wake` looks for, all optional: `core_use` (busy part of the cores, averaged),
 `on_cores` (what wants a core now), and of the node itself `intake_use` (part of the time in which
@@ -44,10 +48,11 @@
     """What the module can do. `index` is the small index of an RPC. Calls take effect in the order made."""
 
     def run(self, index: int) -> None:
-        """Start a held RPC."""
+        """Start a held RPC, or let a paused one go on."""
 
     def stop(self, index: int) -> None:
-        """Stop running work; what was done is lost. Not an answer."""
+        """Stop work on a core; not an answer. What was done is lost, or kept where `can_pause` is told and an
+        answer is owed. `Rpc.ended` with `STOPPED` tells that it took effect; it may not (a stall, a call)."""
 
     def push_back(self, index: int, wait: int, last: bool) -> None:
         """Final answer: it never ran here. Come back after `wait`; `last`: don't try elsewhere."""
--- a/finchcart/settings.py
+++ b/finchcart/settings.py
@@ -9,26 +9,24 @@
 
 # The outside names of settings, in the module's words; others are passed over.
 SETTINGS = {
-    "round": "tick", "servers": "servers", "worthBy": "worth_by", "overShareWorth": "over_share_worth",
-    "callers.marksRetry": "marks_further",
+    "round": "tick", "callers.marksRetry": "marks_further",
     "contract.answerSlack": "slack", "contract.cold": "cold", "contract.fall": "crowd_window",
     "contract.overloadFactor": "crowd", "contract.startCapacity": "cold_start",
     "contract.stopSendingWithin": "grace", "familyInfo.callerIdle": "idle_max",
     "familyInfo.below": "below", "familyInfo.callsOut": "calls_limit", "familyInfo.callsOver": "calls_window",
-    "familyInfo.classCalls": "method_calls", "familyInfo.cores": "cores", "familyInfo.fresh": "fresh",
+    "familyInfo.classCalls": "method_calls", "familyInfo.cores": "cores",
     "familyInfo.gauges": "gauges",
     "familyInfo.freshStart": "fresh_start", "familyInfo.kbPerKey": "entry_kb",
     "familyInfo.linger": "calls_linger", "familyInfo.heeded": "told_heeded",
     "familyInfo.memoryKb": "memory_kb", "familyInfo.passesDeadline": "tells_deadline",
     "familyInfo.preemption": "can_stop", "familyInfo.runFactor": "run_factor", "familyInfo.say": "told",
     "familyInfo.worthWithout": "method_poorer", "limits.maxRetryAfter": "advice_max",
-    "services.count": "methods.count", "tenants.count": "tenants.count",
+    "services.count": "methods.count",
 }
 ITEMS = {
     "services": ("methods", {"name": "name", "deadline": "deadline", "effect": "kind",
                              "target": "latency_target", "lateWorth": "late_worth",
                              "window": "window", "worth": "criticality"}),
-    "tenants": ("tenants", {"name": "name", "quotaPerS": "quota", "portion": "portion"}),
 }
 
 
@@ -55,7 +53,7 @@
     "familyInfo.runFactor": _number(1), "familyInfo.say": _word("level", "credit", "weight", "silent"),
     "limits.maxRetryAfter": _TIME, "services[].deadline": _TIME, "services[].target": _TIME,
     "services[].effect": _word(*KINDS), "services[].lateWorth": _number(0, 1), "services[].window": _TIME,
-    "services[].worth": _number(0), "worthBy": _word("request", "work"),
+    "services[].worth": _number(0),
 }
 
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -28,7 +28,7 @@
         "crowd": rng.choice((3, 6, 8)), "crowd_window": 2000 * MS, "fresh_start": rng.random() < 0.4,
         "cold_start": 0.2, "cold": 9000 * MS, "can_stop": rng.random() < 0.5,
         "told": rng.choice(("level", "credit", "weight", "silent")),
-        "worth_by": rng.choice(("work", "request")), "marks_further": rng.random() < 0.5,
+        "marks_further": rng.random() < 0.5,
         "advice_max": 1000 * MS, "methods.count": rng.randint(1, 4), "tells_deadline": rng.random() < 0.5,
     }
     out["can_pause"] = out["can_stop"] and rng.random() < 0.5
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -11,7 +11,7 @@
     "cores": 2, "tick": 2 * MS, "grace": 1000 * MS, "slack": 60 * MS, "memory_kb": 20_000, "run_factor": 4,
     "entry_kb": 1, "crowd": 6, "crowd_window": 2000 * MS, "fresh_start": False, "can_stop": False,
     "told": "level",
-    "worth_by": "work", "advice_max": 1000 * MS, "tells_deadline": False, "calls_limit": 4.0,
+    "advice_max": 1000 * MS, "tells_deadline": False, "calls_limit": 4.0,
     "calls_window": 5000 * MS, "method_calls": (True, True), "method_poorer": (0.5, 0.0), "methods.count": 2,
     "methods.0.name": "m0", "methods.0.kind": "idempotent", "methods.0.criticality": 1,
     "methods.0.latency_target": 1000 * MS, "methods.0.deadline": 3000 * MS, "methods.0.window": 0,
