--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -398,9 +398,10 @@
         return self.pauses and lesser < 0.5 * criticality
 
     def make_room(self, criticality):
-        """Pauses the run that is worth least, the one that began last among its like."""
+        """Pauses the run that is worth least, the one that began last among its like. Guards against effects
+        left half done: where no answer is owed any more, a stop would end the run for good."""
         least = min((r for r in self.live.values() if r.state == RUNNING and r not in self.pausing
-                     and not r.answered and self.yields(r.method.criticality, criticality)),
+                     and not (r.answered or r.is_gone) and self.yields(r.method.criticality, criticality)),
                     key=lambda r: (r.method.criticality, -r.started), default=None)
         if least is not None:
             self.pausing.add(least)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -90,6 +90,8 @@
             more = max((worth(other) for other in self.open.values() if other["state"] == "held"), default=0)
             assert self.get("can_pause") and worth(r) < more / 2, "paused for what is worth no more"
             self.pauses += 1
+        else:
+            assert r["kind"] == "idempotent", "what may have an effect was ended half done"
         r["stopped"] = True
 
     def answer(self, r, by_hand=True):
