Membership between nodes: rows, verdict, member, and a trial on processes or a virtual clock

Need: limits and verdicts for the whole fleet rest on who lives; nodes did not talk. Change: finchcart/members (pure state machine and verdict), net/datagrams.py (its thread), cli (serve, check, fleet members, trial), trial (fabric, relay, processes, scripts, checker), stand-ins moved to finchcart/world. Off without a settings file; python -m finchcart imports none of it.

--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -151,17 +151,28 @@
         idle += (clock() - before) // 1000
 
 
-def main():
-    inputs = SimpleQueue()  # its put may be called from a signal handler
-    for number, what in ((signal.SIGTERM, "drain"), (signal.SIGINT, "drain"), (signal.SIGHUP, "reread")):
-        signal.signal(number, lambda *_, what=what: inputs.put((what,)))
+def plain_log():
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
+
+
+def main(log=plain_log, join=None):
+    """Status of the process. `join(inputs)`: takes part in a fleet, see finchcart/cli/serve.py; its `heard(what)`
+    is told of signals, its `end()` of the end."""
+    inputs = SimpleQueue()  # its put may be called from a signal handler
+    hears = [inputs.put]
+    for number, what in ((signal.SIGTERM, "drain"), (signal.SIGINT, "drain"), (signal.SIGHUP, "reread")):
+        signal.signal(number, lambda *_, what=what: [hear((what,)) for hear in hears])
+    log()
+    fleet = None
     try:
         path = os.environ.get("ROUTER_CONFIG")
         config = read_config(path)
         limits = config["limits"]
         listener = Listener(config["listen"], limits)
+        if join:
+            fleet = join(inputs)
+            hears.append(fleet.heard)
     except (ConfigError, OSError, OverflowError) as error:
         print(f"finchcart: {error}", file=sys.stderr)
         return 2
@@ -171,18 +182,30 @@
                 lambda core: {"thrift": ThriftFront(core, limits)}, config["watch"])
     links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.FRONT)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
+    if fleet:
+        fleet.start()
     try:
         serve(core, links, inputs, lambda: reread(path, config), limits)
     except Exception:
         # Guards against serving wrongly: state that an exception went through is not trusted any more.
         logger.exception("the node's state can't be trusted, ending")
         return 1
+    if fleet:
+        fleet.end()
     logger.info("ended")
     return 0
 
 
-if __name__ == "__main__":
+def start():
+    """With arguments, the command line; without, one node and nothing else."""
+    if len(sys.argv) > 1:
+        from finchcart.cli.commands import commands
+        commands(prog_name="finchcart")
     status = main()
     sys.stdout.flush()
     sys.stderr.flush()
     os._exit(status)  # threads that still wait on a socket are not waited for
+
+
+if __name__ == "__main__":
+    start()
--- /dev/null
+++ b/finchcart/cli/commands.py
@@ -0,0 +1,108 @@
+"""The command line: `finchcart serve | check | fleet | trial`.
+
+Owns arguments and what is printed. It must never be imported by `python -m finchcart` without arguments.
+"""
+
+import sys
+
+import click
+import msgspec
+
+SETTINGS = click.option("--settings", envvar="FINCHCART_SETTINGS", type=click.Path(), help="the JSON5 settings file")
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def commands():
+    """One node of a fleet, and tools for the whole of it."""
+
+
+@commands.command()
+@SETTINGS
+@click.option("--log", type=click.Choice(["text", "json"]), default="text", show_default=True)
+def serve(settings, log):
+    """Serve as one node; its configuration is named by ROUTER_CONFIG."""
+    import os
+
+    from finchcart.cli.serve import serve as run
+    status = run(settings, log)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)  # threads that still wait on a socket are not waited for
+
+
+@commands.command()
+@SETTINGS
+def check(settings):
+    """Read a settings file; tell all its mistakes, or the bounds that follow from it."""
+    from finchcart.cli.file import Wrong, figures, read
+    if not settings:
+        raise click.UsageError("--settings or FINCHCART_SETTINGS has to name a file")
+    try:
+        fleet = read(settings).fleet
+    except Wrong as wrong:
+        click.echo(str(wrong), err=True)
+        sys.exit(2)
+    if fleet is msgspec.UNSET:
+        click.echo(f"{settings}: good; no fleet is asked for")
+        return
+    told = figures(fleet)
+    click.echo(f"{settings}: good; fleet {fleet.name}")
+    for count in (3, 24, 200):
+        calm, lossy = (told.stale(count, loss) / 1e6 for loss in (0.0, 0.3))
+        click.echo(f"  {count} members: a view is at most {calm:.1f} s old, {lossy:.1f} s at 30 % loss")
+
+
+@commands.group()
+def fleet():
+    """Ask a running process what it holds of the fleet."""
+
+
+@fleet.command()
+@click.argument("where")
+@click.option("--json", "as_json", is_flag=True)
+def members(where, as_json):
+    """The members as the process at HOST:PORT (its `fleet.listen`) sees them."""
+    from finchcart.cli.serve import ask
+    from finchcart.members.wire import Unfit, place_of
+    try:
+        view = ask(place_of(where))
+    except Unfit as error:
+        raise click.UsageError(f"{where}: {error}") from None
+    except TimeoutError as error:
+        click.echo(str(error), err=True)
+        sys.exit(1)
+    if as_json:
+        click.echo(msgspec.json.encode(view))
+        return
+    alone = ", isolated" if view["isolated"] else ""
+    click.echo(f"{view['name']}, incarnation {view['incarnation']}{alone}; "
+               f"at most {view['age_ms']} ms old")
+    wide = max(len(member["name"]) for member in view["members"])
+    for member in view["members"]:
+        click.echo(f"  {member['name']:{wide}}  {member['state']:8} {member['age_ms']:>7} ms  "
+                   f"{member['address']:21} {member['incarnation']}")
+
+
+@commands.group()
+def trial():
+    """Many processes with faults between them."""
+
+
+@trial.command("list")
+def list_scripts():
+    """The scripts that come with the program."""
+    from finchcart.trial.script import shipped
+    for name, script in shipped():
+        click.echo(f"{name:20} {script.about}")
+
+
+@trial.command()
+@click.argument("script")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--nodes", type=int, help="instead of the script's")
+@click.option("--out", type=click.Path(), help="keeps logs, events, table and chart here")
+@click.option("--virtual", is_flag=True, help="on the virtual clock instead of processes")
+def run(script, seed, nodes, out, virtual):
+    """Play a script: a table, a chart, and status 1 with the first breach."""
+    from finchcart.trial.run import play
+    sys.exit(play(script, seed, nodes, out, virtual))
--- /dev/null
+++ b/finchcart/cli/file.py
@@ -0,0 +1,155 @@
+"""The settings file: JSON5, read by a library, checked against typed structs.
+
+Owns the names, units and ranges of what users set, and how mistakes are told: all at once, each as
+`FILE: path.to.field: reason`. It must never hold a default that decides: those are in members/figures.py.
+"""
+
+from difflib import get_close_matches
+from typing import Annotated, get_args, get_origin
+
+import json5
+import msgspec
+from msgspec import UNSET, Meta, Struct, UnsetType
+
+from finchcart.members.figures import MS, SECOND, Figures
+from finchcart.members.wire import Unfit, place_of
+
+Text = Annotated[str, Meta(min_length=1, max_length=64)]
+Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+
+
+def whole(low, high):
+    return Annotated[int, Meta(ge=low, le=high)] | UnsetType
+
+
+class Fleet(Struct, forbid_unknown_fields=True):
+    """How the nodes talk. Times in milliseconds or seconds, as the name ends."""
+
+    name: Text
+    listen: Address
+    advertise: Address | UnsetType = UNSET
+    seeds: list[Address] = []
+    period_ms: whole(100, 60_000) = UNSET
+    patience: whole(2, 50) = UNSET
+    patience_most: whole(2, 100) = UNSET
+    suspect_ms: whole(0, 600_000) = UNSET
+    rise_ms: whole(0, 600_000) = UNSET
+    watch: whole(2, 96) = UNSET
+    remember_s: whole(10, 7 * 86_400) = UNSET
+    revive: whole(1, 64) = UNSET
+    members: whole(2, 100_000) = UNSET
+    news: whole(16, 65_536) = UNSET
+    datagrams: whole(20, 100_000) = UNSET
+
+
+class Settings(Struct, forbid_unknown_fields=True):
+    fleet: Fleet | UnsetType = UNSET
+
+
+UNITS = {"_ms": MS, "_s": SECOND}
+
+
+def figures(fleet):
+    """The file's figures over the defaults, in whole microseconds."""
+    told = {}
+    for name in fleet.__struct_fields__:
+        value = getattr(fleet, name)
+        if name in ("name", "listen", "advertise", "seeds") or value is UNSET:
+            continue
+        for end, unit in UNITS.items():
+            if name.endswith(end):
+                name, value = name.removesuffix(end), value * unit
+        told[name] = value
+    return Figures(**told)
+
+
+class Wrong(Exception):
+    """The settings can't be used; `mistakes` has a line for each reason."""
+
+    def __init__(self, mistakes):
+        super().__init__("\n".join(mistakes))
+        self.mistakes = mistakes
+
+
+def _struct_of(kind):
+    for one in (kind, *get_args(kind)):
+        if isinstance(one, type) and issubclass(one, Struct):
+            return one
+    return None
+
+
+def _mistakes(struct, tree, path):
+    """(path, reason) of everything in the tree that the struct does not allow."""
+    if not isinstance(tree, dict):
+        yield path, f"expected an object, got {tree!r:.40}"
+        return
+    fields = {field.name: field for field in msgspec.structs.fields(struct)}
+    for name in tree:
+        if name not in fields:
+            near = get_close_matches(str(name), fields, 1, 0.5)
+            yield f"{path}{name}", "no such setting" + (f"; the nearest is {near[0]}" if near else "")
+    for name, field in fields.items():
+        if name not in tree:
+            if field.required:
+                yield f"{path}{name}", "is missing"
+            continue
+        inner = _struct_of(field.type) if get_origin(field.type) is not list else None
+        if inner:
+            yield from _mistakes(inner, tree[name], f"{path}{name}.")
+            continue
+        try:
+            msgspec.convert(tree[name], field.type)
+        except msgspec.ValidationError as error:
+            yield f"{path}{name}", f"{tree[name]!r:.60}: {error}"
+
+
+def _together(settings):
+    """What is wrong with fields that are each allowed."""
+    fleet = settings.fleet
+    if fleet is UNSET:
+        return
+    for name in ("listen", "advertise"):
+        value = getattr(fleet, name)
+        try:
+            if value is not UNSET:
+                place_of(value)
+        except Unfit:
+            yield f"fleet.{name}", f"{value!r}: no such address or port"
+    if fleet.advertise is UNSET and fleet.listen.startswith("0.0.0.0:"):
+        yield "fleet.advertise", "is missing: others can't reach 0.0.0.0, which fleet.listen names"
+    for n, seed in enumerate(fleet.seeds):
+        try:
+            place_of(seed)
+        except Unfit:
+            yield f"fleet.seeds.{n}", f"{seed!r}: no such address or port"
+    told = figures(fleet)
+    if told.patience_most < told.patience:
+        yield "fleet.patience_most", f"{told.patience_most} is less than fleet.patience, {told.patience}"
+    if told.remember <= told.stale(told.members, 0.5):
+        yield ("fleet.remember_s", f"{told.remember / SECOND:g} s is less than the oldest that a view may be at "
+               f"half of the messages lost, {told.stale(told.members, 0.5) / SECOND:g} s")
+    need = 2 * told.watch + told.revive + 8
+    if told.datagrams < need:
+        yield "fleet.datagrams", f"{told.datagrams} is less than 2 x watch + revive + 8 = {need}"
+
+
+def read(path):
+    """The checked settings of a file."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            tree = json5.load(file)
+    except OSError as error:
+        raise Wrong([f"{path}: {error.strerror}"]) from None
+    except ValueError as error:
+        raise Wrong([f"{path}: {error}"]) from None
+    return checked(tree, path)
+
+
+def checked(tree, path):
+    mistakes = list(_mistakes(Settings, tree, ""))
+    if not mistakes:
+        settings = msgspec.convert(tree, Settings)
+        mistakes = list(_together(settings))
+    if mistakes:
+        raise Wrong([f"{path}: {where}: {reason}" if where else f"{path}: {reason}" for where, reason in mistakes])
+    return settings
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -10,6 +10,7 @@
 `("caught_up", link)` (all is written), `("refused", link, why)` (never connected), `("ended", link, why)`
 (nothing more will be read; `why` is empty where the far side closed), `("closed", link)`, `("shared",
 index)`, `("drain",)`, `("moved", places)` (the others' addresses, read again), `("fault", thread)`,
+`("fleet", change)` (of the members, see finchcart/members/member.py),
 `("time",)`, `("load", busy, span)` (the time of the last span in which inputs were worked on or waited).
 Effects: turn.py. Links that others make have numbers from 1 up.
 """
@@ -52,12 +53,13 @@
         self.control = None  # from the worker pool's start on
         self.rpcs, self.by_name, self.next_index = {}, {}, 0
         self.said_level = None
+        self.members, self.isolated = {}, False  # name -> (state, incarnation), where nodes may talk
         self.oldest, self.use = 0, 0.0  # of the inputs: the longest wait since the last look; busy part
         self.fronts = make_fronts(self)
         self.inputs = {
             "start": self.on_start, "opened": self.on_opened, "got": self.on_got, "shared": self.on_shared,
             "drain": self.on_drain, "moved": self.on_moved, "fault": self.on_fault, "time": self.on_time,
-            "load": self.on_load, "closed": self.on_closed,
+            "load": self.on_load, "fleet": self.on_fleet, "closed": self.on_closed,
             **{word: lambda link, *more, word=word: self.on_link(word, link, *more)
                for word in ("behind", "caught_up", "refused", "ended")}}
 
@@ -99,6 +101,16 @@
     def on_load(self, busy, span):
         self.use = busy / max(1, span)
 
+    def on_fleet(self, change):
+        """One change of the view of the fleet. What is left or failed is kept by the members alone."""
+        what, *rest = change
+        if what == "isolated":
+            self.isolated = rest[0]
+        elif rest[1] in ("failed", "left"):
+            self.members.pop(rest[0], None)
+        else:
+            self.members[rest[0]] = rest[1], rest[2]
+
     def on_opened(self, link, kind):
         self.turn.owners[link] = self.fronts[kind]
         self.fronts[kind].opened(link)
--- /dev/null
+++ b/finchcart/trial/processes.py
@@ -0,0 +1,182 @@
+"""A fleet of real processes of the program on loopback.
+
+Owns the folder of a run, its addresses and every process of it: nodes, relay, outside parties, load. It must
+end all of them by their own ids whatever happens, and never touch a process that it did not start.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import json5
+
+from finchcart.trial.relay import clock
+
+EXAMPLE = {
+    "seed": "1", "stop_ms": 2500, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+    "settings": {
+        "contract": {"cold": 0, "overloadFactor": 8.0, "startCapacity": 1.0, "stopSendingWithin": 400_000},
+        "familyInfo": {
+            "callerIdle": 30_000_000, "callsOut": 6.0, "callsOver": 5_000_000, "classCalls": [True, False],
+            "cores": 4, "freshStart": False, "gauges": ["core_use", "on_cores", "heap_share", "links"],
+            "kbPerKey": 130.0, "linger": 200_000, "memoryKb": 46000.0, "preemption": "silent", "runFactor": 8.0,
+            "say": "level", "worthWithout": [0.6, 0.0]},
+        "limits": {"maxRetryAfter": 1_000_000, "retryAfter": True}, "round": 2000,
+        "services": [
+            {"name": "look-up", "effect": "read_like", "worth": 1.0, "target": 1_800_000, "deadline": 4_600_000,
+             "window": 5_000_000, "lateWorth": 0.0},
+            {"name": "book", "effect": "idempotency_key", "worth": 3.0, "target": 1_800_000,
+             "deadline": 4_600_000, "window": 13_000_000, "lateWorth": 0.0}],
+        "worthBy": "work"}}
+
+
+class Processes:
+    """`names`: of all nodes that may run; each has a loopback address of its own."""
+
+    def __init__(self, folder, names, seed, fleet, load=None, talk=True):
+        self.folder, self.names, self.load, self.talk = Path(folder), names, load, talk
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.net = self.free_net()
+        self.children, self.nodes, self.lives = [], {}, {}
+        self.began = {}  # (name, life) -> boot clock at its start
+        self.env = {**os.environ, "MALLOC_ARENA_MAX": "2",
+                    "PYTHONPATH": str(Path(__file__).parents[2])}
+        self.env.pop("FINCHCART_SETTINGS", None)
+        seeds = [f"{self.relayed(name)}:7400" for name in names[:3]]
+        for name in names:
+            host = self.own(name)
+            self.write(f"{name}.json", {**EXAMPLE, "name": name, "listen": f"{host}:7001",
+                                        "pool": f"{host}:9300", "store": f"{self.net}.3.1:8900",
+                                        "roster": f"{self.net}.3.1:2379"})
+            asked = {"name": f"trial-{seed}", "listen": f"{host}:7400",
+                     "advertise": f"{self.relayed(name)}:7400", "seeds": seeds, **fleet}
+            (self.folder / f"{name}.json5").write_text(json5.dumps({"fleet": asked} if talk else {}, indent=1))
+        try:
+            self.relay = self.spawn("relay", [sys.executable, "-m", "finchcart.trial.relay"],
+                                    stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+            self.order({"seed": seed, "members": [[name, [self.own(name), 7400], [self.relayed(name), 7400]]
+                                                  for name in names]})
+            assert self.relay.stdout.readline() == "up\n"
+            if load:
+                self.world(load)
+        except BaseException:
+            self.end()
+            raise
+
+    # ---- addresses
+
+    def free_net(self):
+        """The first two parts of the run's loopback addresses: runs side by side don't meet."""
+        for n in range(200):
+            net = f"127.{20 + (os.getpid() + n) % 200}"
+            self.lock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                self.lock.bind((f"{net}.3.2", 7399))
+                return net
+            except OSError:
+                self.lock.close()
+        raise OSError("no loopback addresses are free")
+
+    def own(self, name):
+        return f"{self.net}.1.{self.names.index(name) + 1}"
+
+    def relayed(self, name):
+        return f"{self.net}.2.{self.names.index(name) + 1}"
+
+    # ---- processes
+
+    def write(self, name, tree):
+        (self.folder / name).write_text(json.dumps(tree))
+
+    def spawn(self, name, command, **more):
+        log = open(self.folder / f"{name}.log", "ab")
+        child = subprocess.Popen(command, stderr=log, env={**self.env, **more.pop("env", {})},
+                                 start_new_session=True, **more)
+        log.close()
+        self.children.append(child)
+        return child
+
+    def world(self, load):
+        """Store and roster in one process, worker pools in some."""
+        paths = [str(self.folder / f"{name}.json") for name in self.names]
+        base = [sys.executable, "-m", "finchcart.world.outside", "--work-ms", str(load.work_ms)]
+        spin = ["--spin"] if load.spin else []
+        for n in range(load.processes):
+            mine = paths[n::load.processes]
+            more = ["--pools-only"] if n else []
+            child = self.spawn(f"world{n}", [*base, *spin, *more, *mine], stdout=subprocess.PIPE)
+            child.stdout.readline()
+
+    def callers(self, seconds):
+        """The load, on all nodes; its figures are in load.json at the end."""
+        where = [f"{self.own(name)}:7001" for name in self.names]
+        return self.spawn("load", [
+            sys.executable, "-m", "finchcart.world.load", "--rate", str(self.load.rate), "--seconds", str(seconds),
+            "--links", str(self.load.links), "--out", str(self.folder / "load.json"), *where])
+
+    def start(self, name):
+        life = self.lives[name] = self.lives.get(name, 0) + 1
+        self.began[name, life] = clock()
+        self.nodes[name] = self.spawn(
+            f"{name}.{life}",
+            [sys.executable, "-m", "finchcart", "serve", "--log", "json",
+             "--settings", str(self.folder / f"{name}.json5")],
+            env={"ROUTER_CONFIG": str(self.folder / f"{name}.json")})
+
+    def signal(self, name, number):
+        node = self.nodes.get(name)
+        if node and node.poll() is None:
+            node.send_signal(number)
+
+    def kill(self, name):
+        self.signal(name, signal.SIGKILL)
+        self.nodes[name].wait()
+
+    def stop(self, name):
+        self.signal(name, signal.SIGSTOP)
+
+    def go_on(self, name):
+        self.signal(name, signal.SIGCONT)
+
+    def term(self, name):
+        self.signal(name, signal.SIGTERM)
+
+    def hang_up(self, name):
+        self.signal(name, signal.SIGHUP)
+
+    def order(self, order):
+        self.relay.stdin.write(json.dumps(order) + "\n")
+        self.relay.stdin.flush()
+
+    def counts(self):
+        self.order({"do": "counts"})
+        return json.loads(self.relay.stdout.readline())
+
+    def running(self):
+        return [name for name, node in self.nodes.items() if node.poll() is None]
+
+    def usage(self, name):
+        """CPU seconds and peak MB of a node."""
+        pid = self.nodes[name].pid
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        peak = next(line for line in Path(f"/proc/{pid}/status").read_text().splitlines()
+                    if line.startswith("VmHWM"))
+        return sum(map(int, fields[11:13])) / os.sysconf("SC_CLK_TCK"), int(peak.split()[1]) / 1024
+
+    def end(self):
+        for child in self.children:
+            if child.poll() is None:
+                child.send_signal(signal.SIGCONT)
+                child.kill()
+        end = time.monotonic() + 10
+        for child in self.children:
+            try:
+                child.wait(max(0.1, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                pass
+        self.lock.close()
--- a/example/client.py
+++ b/finchcart/world/client.py
@@ -1,7 +1,7 @@
 """A toy dispatcher: sends a few RPCs to a node and prints the answers.
 
-    .venv/bin/python -m example.client example/config.json look-up "which bird is that"
-    .venv/bin/python -m example.client example/config.json book "seat 12" "seat 12"
+    .venv/bin/python -m finchcart.world.client example/config.json look-up "which bird is that"
+    .venv/bin/python -m finchcart.world.client example/config.json book "seat 12" "seat 12"
 
 Each text is one RPC; of a tokened method, equal texts are tries of the same RPC and carry the same token.
 """
@@ -13,7 +13,7 @@
 import sys
 import time
 
-from example.world import address
+from finchcart.world.outside import address
 from finchcart.thrift import codec as thrift
 from finchcart.thrift.codec import BOOL, FIELD, I32, LENGTH, MAP, STRING, STRUCT
 
--- /dev/null
+++ b/finchcart/world/load.py
@@ -0,0 +1,110 @@
+"""Dispatchers with a steady load on many nodes: `python -m finchcart.world.load ADDRESS ... --rate R --seconds S`.
+
+Owns the connections and what became of each RPC. Open loop: RPCs go out at seeded random times, whatever comes
+back. It must never judge: it writes figures.
+"""
+
+import argparse
+import json
+import random
+import secrets
+import threading
+import time
+
+from finchcart.world.client import Client
+from finchcart.world.outside import address
+
+AGAIN = 0.2  # seconds between tries to reach a node
+
+
+class Caller:
+    """A connection to one node: opened again when it ends."""
+
+    def __init__(self, where, load):
+        self.where, self.load = where, load
+        self.lock, self.client, self.sent = threading.Lock(), None, {}
+        threading.Thread(target=self.keep, daemon=True).start()
+
+    def keep(self):
+        while True:
+            try:
+                client = Client(self.where)
+                client.sock.settimeout(None)
+                self.client = client
+                while True:
+                    name, seq, what, _, _ = client.answer()
+                    if name == "submit":
+                        with self.lock:
+                            began = self.sent.pop((client, seq), None)
+                        if began is not None:
+                            self.load.done(what, time.monotonic() - began)
+                    elif name == "closing":
+                        self.client = None  # nothing new goes here; answers still come
+            except (OSError, EOFError, ValueError):
+                pass
+            finally:
+                self.client = None
+                with self.lock:
+                    lost, self.sent = len(self.sent), {}
+                for _ in range(lost):
+                    self.load.done("no answer", 0.0)
+            time.sleep(AGAIN)
+
+    def send(self, method, body, token):
+        client = self.client
+        if client is None:
+            return self.load.done("no connection", 0.0)
+        with self.lock:
+            self.sent[client, client.seq + 1] = time.monotonic()
+            try:
+                client.submit(method, body, token)
+            except OSError:
+                pass  # the reader counts it
+        return None
+
+
+class Load:
+    def __init__(self, places, links, seed):
+        self.random, self.lock = random.Random(seed), threading.Lock()
+        self.how, self.took = {}, []
+        self.callers = [Caller(place, self) for place in places for _ in range(links)]
+
+    def done(self, how, took):
+        with self.lock:
+            self.how[how] = self.how.get(how, 0) + 1
+            if how == "ok":
+                self.took.append(took)
+
+    def run(self, rate, seconds):
+        due = time.monotonic()
+        end = due + seconds
+        while due < end:
+            time.sleep(max(0.0, due - time.monotonic()))
+            tokened = self.random.random() < 0.3
+            self.random.choice(self.callers).send("book" if tokened else "look-up", b"x" * 100,
+                                                  secrets.token_hex(16) if tokened else None)
+            due += self.random.expovariate(rate)
+
+    def figures(self):
+        with self.lock:
+            took = sorted(self.took) or [0.0]
+            return {**self.how, "median_ms": 1000 * took[len(took) // 2], "p99_ms": 1000 * took[len(took) * 99 // 100]}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("where", nargs="+")
+    parser.add_argument("--rate", type=float, required=True, help="RPCs a second, all nodes together")
+    parser.add_argument("--seconds", type=float, required=True)
+    parser.add_argument("--links", type=int, default=1, help="connections to each node")
+    parser.add_argument("--out", required=True)
+    told = parser.parse_args()
+    load = Load([address(text) for text in told.where], told.links, 1)
+    load.run(told.rate, told.seconds)
+    time.sleep(5.0)  # the longest deadline, and more
+    with open(told.out, "w", encoding="utf-8") as file:
+        json.dump(load.figures(), file)
+
+
+if __name__ == "__main__":
+    main()
--- a/example/world.py
+++ b/finchcart/world/outside.py
@@ -1,11 +1,14 @@
-"""A toy world for one node: a worker pool, a store and a roster, on the addresses of a configuration.
+"""A toy world: worker pools, a store and a roster, on the addresses of one or more configurations.
 
-    python example/world.py example/config.json
+    python -m finchcart.world.outside example/config.json
 
-Written from the protocol's pages, for trying the node out by hand and for the loopback test. The pool's work
-is to sleep and to turn the body into capitals; methods marked in `classCalls` make one call first.
+Written from the protocol's pages, for trying nodes out by hand, for loopback tests and for trials. A pool's work
+is to sleep, or with `spin` to keep a core busy, and to turn the body into capitals; methods marked in
+`classCalls` make one call first. The store counts the calls in hand at each moment: the truth that limits are
+held against.
 """
 
+import argparse
 import json
 import socket
 import sys
@@ -45,8 +48,9 @@
 class Pool(Server):
     """The worker pool. Notices are numbered from 1; a link that binds gets those after its cursor."""
 
-    def __init__(self, where, methods, work=0.05, cores=4):
+    def __init__(self, where, methods, work=0.05, cores=4, spin=False):
         self.methods, self.work, self.cores = methods, work, cores  # methods: name -> whether it calls
+        self.spin = spin
         self.lock, self.link, self.notices = threading.Lock(), None, []
         self.runs, self.ended, self.started = {}, set(), time.monotonic()
         self.spawned = []  # (id, method, body) of every run
@@ -92,11 +96,20 @@
             else:
                 self.write(link, event="unknown", fate=event, handle=name)
 
+    def toil(self):
+        """Half of a run. Spinning, it counts what this thread itself was given of a core."""
+        if not self.spin:
+            time.sleep(self.work / 2)
+            return
+        end = time.thread_time() + self.work / 2
+        while time.thread_time() < end:
+            pass
+
     def run(self, name, method, body):
         began, run = time.monotonic(), self.runs[name]
         self.spawned.append((name, method, body))
         fate, result = "good", body.upper()
-        time.sleep(self.work / 2)
+        self.toil()
         if self.methods[method]:
             run["waits"] = True
             self.notice("blocked", handle=name, arg=b64encode(b"about " + body).decode())
@@ -105,7 +118,7 @@
             else:
                 fate = "cut"
             run["waits"] = False
-        time.sleep(self.work / 2)
+        self.toil()
         del self.runs[name]
         self.ended.add(name)
         self.notice("finished", handle=name, fate=fate, lasted=(time.monotonic() - began) * 1000,
@@ -113,15 +126,31 @@
 
 
 class Store(Server):
-    """The store: answers each call with its body, backwards."""
+    """The store: answers each call with its body, backwards, after `work` seconds."""
+
+    def __init__(self, where, work=0.0):
+        self.work, self.lock = work, threading.Lock()
+        self.in_hand, self.most, self.calls = 0, 0, 0  # calls at this moment; the most at once; all
+        super().__init__(where)
 
     def serve(self, link):
         lines = link.makefile("rb")
         for line in lines:
             words = line.split()
             if words[0] == b"CALL":
-                body = lines.read(int(words[3]) + 2)[:-2]
-                link.sendall(b"%s OK %d\r\n%s\r\n" % (words[1], len(body), body[::-1]))
+                with self.lock:
+                    self.calls, self.in_hand = self.calls + 1, self.in_hand + 1
+                    self.most = max(self.most, self.in_hand)
+                try:
+                    body = lines.read(int(words[3]) + 2)[:-2]
+                    if self.work:
+                        time.sleep(self.work)
+                    link.sendall(b"%s OK %d\r\n%s\r\n" % (words[1], len(body), body[::-1]))
+                except OSError:
+                    return  # the node gave the call up
+                finally:
+                    with self.lock:
+                        self.in_hand -= 1
 
 
 class Roster:
@@ -142,14 +171,25 @@
 
 
 def main():
-    with open(sys.argv[1], encoding="utf-8") as file:
-        config = json.load(file)
-    settings = config["settings"]
-    calls = settings["familyInfo"]["classCalls"]
-    Pool(address(config["pool"]), {m["name"]: c for m, c in zip(settings["services"], calls)})
-    Store(address(config["store"]))
-    Roster(address(config["roster"]))
-    print("worker pool, store and roster are up; Ctrl-C ends them")
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("config", nargs="+", help="configurations of nodes: a worker pool for each")
+    parser.add_argument("--work-ms", type=float, default=50.0, help="of a run")
+    parser.add_argument("--spin", action="store_true", help="runs keep a core busy instead of sleeping")
+    parser.add_argument("--pools-only", action="store_true", help="store and roster are elsewhere")
+    told = parser.parse_args()
+    others = set()
+    for path in told.config:
+        with open(path, encoding="utf-8") as file:
+            config = json.load(file)
+        settings = config["settings"]
+        calls = settings["familyInfo"]["classCalls"]
+        Pool(address(config["pool"]), {m["name"]: c for m, c in zip(settings["services"], calls)},
+             told.work_ms / 1000, settings["familyInfo"]["cores"], told.spin)
+        for kind, place in ((Store, config["store"]), (Roster, config["roster"])):
+            if not told.pools_only and (kind, place) not in others:
+                others.add((kind, place))
+                kind(address(place))
+    print("worker pools, store and roster are up; Ctrl-C ends them", flush=True)
     try:
         threading.Event().wait()
     except KeyboardInterrupt:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,8 +14,8 @@
 import pytest
 
 from benchmarks.rpc import free
-from example.client import Client
-from example.world import Pool, Roster, Store
+from finchcart.world.client import Client
+from finchcart.world.outside import Pool, Roster, Store
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Link, Links
