--- a/finchcart/members/member.py
+++ b/finchcart/members/member.py
@@ -507,7 +507,8 @@
         else:
             if self.alone_since is None:
                 self.alone_since = now
-            if now - self.alone_since >= self.figures.suspect + (self.figures.period if touch else 0):
+            if now - self.alone_since >= self.figures.suspect + (
+                    self.figures.period if touch or self.me not in self.inside else 0):
                 self.set_isolated(True, "no contact" if not touch else "others hold it to be out")
 
     def send_beats(self, now):
--- a/finchcart/trial/script.py
+++ b/finchcart/trial/script.py
@@ -5,7 +5,8 @@
 
 A script has `rounds`; each is played `count` times, `every` so many seconds, its times relative to its start.
 Sets of members: a name saved with `as`, `"all"` (those that run), a list of names, `{chance: k}`, `{part: 0.2}`,
-`{zone: 1}`, `{rest: set}` (those that run and are not in it), `{half: 0}`.
+`{zone: 1}`, `{rest: set}` (those that run and are not in it), `{half: 0}`. Of `chance` and `part`, `of` names the
+set to draw from.
 """
 
 from pathlib import Path
@@ -155,6 +156,8 @@
             return list(self.saved[told])
         if isinstance(told, list):
             return list(told)
+        told = dict(told)
+        runs = self.members(told.pop("of", "all"))
         (word, value), = told.items()
         if word == "rest":
             out = set(self.members(value))
@@ -163,8 +166,8 @@
             return [name for name in self.runs if int(name[1:]) % self.script.zones == value]
         if word == "half":
             return [name for name in self.runs if int(name[1:]) % 2 == value]
-        count = value if word == "chance" else max(1, round(value * len(self.runs)))
-        return sorted(self.random.sample(self.runs, count))
+        count = value if word == "chance" else max(1, round(value * len(runs)))
+        return sorted(self.random.sample(runs, count))
 
     def lay(self, turn, at, name):
         expects = list(turn.expect)
