--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -106,3 +106,19 @@
     """Play a script: a table, a chart, and status 1 with the first breach."""
     from finchcart.trial.run import play
     sys.exit(play(script, seed, nodes, out, virtual))
+
+
+@trial.command()
+@click.option("--first", default=0, show_default=True)
+@click.option("--count", default=100, show_default=True)
+@click.option("--jobs", default=4, show_default=True, help="processes")
+def seeds(first, count, jobs):
+    """Seeded runs of 12 members with all kinds of faults on the virtual clock."""
+    from finchcart.trial.seeds import many
+    broken = 0
+    for seed, _, breach in many(first, count, jobs):
+        if breach:
+            broken += 1
+            click.echo(breach)
+    click.echo(f"{count} seeds from {first}, {broken} with a breach")
+    sys.exit(1 if broken else 0)
--- a/finchcart/members/member.py
+++ b/finchcart/members/member.py
@@ -66,7 +66,7 @@
         self.last, self.last_tick, self.late = now, now, 0
         self.quiet_until = 0  # accuses nobody before
         self.waking = False
-        self.isolated, self.alone_since = bool(self.seeds), now
+        self.isolated, self.alone_since, self.touch_since = bool(self.seeds), now, None
         self.yielded, self.contests = False, 0
         self.missed, self.got, self.loss = 0.0, 0.0, 0.0
         self.sent_now, self.synced, self.paged = 0, 0, 0
@@ -145,7 +145,7 @@
         figures = self.figures
         self.count("gaps")
         self.quiet_until = now + figures.link(self.loss) + figures.period
-        self.waking, self.alone_since = True, now
+        self.waking, self.alone_since, self.touch_since = True, now, None
         self.late = 0
         for peer in self.peers.values():
             peer.began, peer.confirmed, peer.down, peer.due = now, None, False, now
@@ -308,9 +308,10 @@
             return
         known, peer = self.known[one], self.peers.get(one)
         if known.row.session != said.row.session:
-            # Guards against one that slept while its name was started anew: it would never hear of that.
-            if peer and peer.confirmed and now - peer.confirmed < self.figures.link(self.loss):
-                self.send(wire.place_of(said.row.address), Taken(known.row))
+            # Guards against one that slept while its name was started anew, and against one that was started
+            # with its clock set back: neither would hear of the other row from anybody.
+            lives = peer and peer.confirmed and now - peer.confirmed < self.figures.link(self.loss)
+            self.send(wire.place_of(said.row.address), Taken(known.row) if lives else Rows([known.row]))
             return
         if isinstance(said, Beat):
             self.on_beat(now, one, said)
@@ -351,20 +352,21 @@
             count = 1
             while count < 64 and count * 16 < len(self.known):
                 count *= 2
-            digests = [0] * count
-            for other, known in self.known.items():
-                if known.state not in ("failed", "left"):
-                    digests[other % count] ^= known.hash
-            self.send(wire.place_of(said.row.address), Sync(self.row, digests))
+            self.send(wire.place_of(said.row.address), Sync(self.row, self.buckets(count)[0]))
 
-    def on_sync(self, said):
-        """Pages of two buckets that differ, chosen by chance."""
-        count = len(said.buckets)
+    def buckets(self, count):
+        """Digest and ids of each bucket, of those in the fleet."""
         digests, inside = [0] * count, [[] for _ in range(count)]
         for one, known in self.known.items():
             if known.state not in ("failed", "left"):
                 digests[one % count] ^= known.hash
                 inside[one % count].append(one)
+        return digests, inside
+
+    def on_sync(self, said):
+        """Pages of two buckets that differ, chosen by chance."""
+        count = len(said.buckets)
+        digests, inside = self.buckets(count)
         unlike = [n for n in range(count) if digests[n] != said.buckets[n]]
         for bucket in self.random.sample(unlike, min(2, len(unlike))):
             self.page(said.row, count, bucket, sorted(inside[bucket]), False)
@@ -503,8 +505,13 @@
             self.set_isolated(False, "alone by its settings")
         elif self.me in self.inside and touch and not self.waking:
             self.alone_since = None
-            self.set_isolated(False, "contact")
+            if self.touch_since is None:
+                self.touch_since = now
+            # Others take as long to hold it to be alive again.
+            if now - self.touch_since >= self.figures.rise:
+                self.set_isolated(False, "contact")
         else:
+            self.touch_since = None
             if self.alone_since is None:
                 self.alone_since = now
             if now - self.alone_since >= self.figures.suspect + (
--- a/finchcart/trial/run.py
+++ b/finchcart/trial/run.py
@@ -6,6 +6,8 @@
 
 import json
 import math
+import signal
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -188,6 +190,9 @@
 
 def play(script, seed, nodes, out, virtual):
     """Status: 0, or 1 with the first breach printed."""
+    # Guards against processes that outlive a run that was told to end: the clean-up runs then too.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(3))
     plan = lay_out(read(script), seed, nodes)
     with tempfile.TemporaryDirectory() as scratch:
         folder = Path(out or scratch)
--- a/finchcart/trial/virtual.py
+++ b/finchcart/trial/virtual.py
@@ -53,12 +53,13 @@
 
     # ---- what happens to processes
 
-    def start(self, name, wall_off=0):
+    def start(self, name, wall_off=0, as_name=None):
+        """`wall_off`: milliseconds that its wall clock is off; `as_name`: of the member, where not the place's."""
         place = self.places[name]
         place.life += 1
         place.stopped, place.waiting = False, []
         seeds = [other.address for other in list(self.places.values())[:self.seeds]]
-        place.member = self.make(name, "virtual", place.address, seeds, self.figures,
+        place.member = self.make(as_name or name, "virtual", place.address, seeds, self.figures,
                                  Random(f"{self.seed} {name} {place.life}"),
                                  self.wall + self.now // 1000 + wall_off, self.now)
         self.put(self.now + self.random.randrange(self.figures.tick), self.tick, name, place.life)
