A failed member comes back by a sign of its own, not by what others forgot

Seen: with a short memory, n4 held the dead n5 to be alive again at 13.7 s. The others had forgotten n5 a second before, and with it that their links to it were down (look_at_members took part as enough). Checked: no row of n5 came to n4; tombstones had done their work. Now its row must be newer than at its failure, or contact proven since.

--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -157,8 +157,8 @@
 
 
 def main(log=plain_log, join=None):
-    """Status of the process. `join(inputs)`: takes part in a fleet, see finchcart/cli/serve.py; its `heard(what)`
-    is told of signals, its `end()` of the end."""
+    """Status of the process. `join(inputs)`: takes part in a fleet, see finchcart/cli/serve.py; its
+    `heard(what)` is told of signals, its `end()` of the end."""
     inputs = SimpleQueue()  # its put may be called from a signal handler
     hears = [inputs.put]
     for number, what in ((signal.SIGTERM, "drain"), (signal.SIGINT, "drain"), (signal.SIGHUP, "reread")):
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -8,7 +8,7 @@
 import click
 import msgspec
 
-SETTINGS = click.option("--settings", envvar="FINCHCART_SETTINGS", type=click.Path(), help="the JSON5 settings file")
+SETTINGS = click.option("--settings", envvar="FINCHCART_SETTINGS", type=click.Path(), help="the JSON5 file")
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -81,7 +81,7 @@
 def _mistakes(struct, tree, path):
     """(path, reason) of everything in the tree that the struct does not allow."""
     if not isinstance(tree, dict):
-        yield path, f"expected an object, got {tree!r:.40}"
+        yield path.rstrip(".") or "the whole", f"expected an object, got {tree!r:.40}"
         return
     fields = {field.name: field for field in msgspec.structs.fields(struct)}
     for name in tree:
@@ -125,9 +125,10 @@
     told = figures(fleet)
     if told.patience_most < told.patience:
         yield "fleet.patience_most", f"{told.patience_most} is less than fleet.patience, {told.patience}"
-    if told.remember <= told.stale(told.members, 0.5):
-        yield ("fleet.remember_s", f"{told.remember / SECOND:g} s is less than the oldest that a view may be at "
-               f"half of the messages lost, {told.stale(told.members, 0.5) / SECOND:g} s")
+    oldest = told.stale(told.members, 0.5)
+    if told.remember <= oldest:
+        yield "fleet.remember_s", (f"{told.remember / SECOND:g} s is less than the oldest that a view may be "
+                                   f"at half of the messages lost, {oldest / SECOND:g} s")
     need = 2 * told.watch + told.revive + 8
     if told.datagrams < need:
         yield "fleet.datagrams", f"{told.datagrams} is less than 2 x watch + revive + 8 = {need}"
@@ -151,5 +152,5 @@
         settings = msgspec.convert(tree, Settings)
         mistakes = list(_together(settings))
     if mistakes:
-        raise Wrong([f"{path}: {where}: {reason}" if where else f"{path}: {reason}" for where, reason in mistakes])
+        raise Wrong([f"{path}: {where}: {reason}" for where, reason in mistakes])
     return settings
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -1,7 +1,7 @@
 """One node that takes part in a fleet: joins finchcart/__main__.py with the members' thread.
 
-Owns the start of what a settings file asks for, and how a file read again is taken: whole or not at all. It must
-never be imported where no settings file is named.
+Owns the start of what a settings file asks for, and how a file read again is taken: whole or not at all. It
+must never be imported where no settings file is named.
 """
 
 import json
@@ -119,7 +119,8 @@
     """The whole view of a running process, page by page; a page that is lost is asked for again."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.connect(where)
-        end, parts, pages, number = time.monotonic() + timeout, {}, None, random.SystemRandom().getrandbits(32)
+        end, parts, pages = time.monotonic() + timeout, {}, None
+        number = random.SystemRandom().getrandbits(32)
         sock.settimeout(timeout / 8)
         while pages is None or len(parts) < pages:
             page = next(n for n in range(len(parts) + 1) if n not in parts)
--- a/finchcart/members/figures.py
+++ b/finchcart/members/figures.py
@@ -1,7 +1,7 @@
 """All figures of membership, in one type, and the bounds that follow from them.
 
-Owns the times and sizes by which a member acts; filled once from the settings file. It must never hold what is
-learnt while running. Times are whole microseconds.
+Owns the times and sizes by which a member acts; filled once from the settings file. It must never hold what
+is learnt while running. Times are whole microseconds.
 """
 
 from dataclasses import dataclass
@@ -25,7 +25,7 @@
     members: int = 4096  # rows kept; when full, failed ones go first, then new ones are refused
     news: int = 256  # changed rows that wait to be passed on; the rest is left to the comparing of digests
     datagrams: int = 400  # sent in one period at most; what is over waits for the next tick
-    ahead: int = 24 * 3600 * 1000  # milliseconds: an incarnation further past the own wall clock is impossible
+    ahead: int = 24 * 3600 * 1000  # milliseconds past the own wall clock: a later incarnation is impossible
     starved_most: int = 5 * SECOND  # a late member's patience grows by no more
 
     @property
--- a/finchcart/members/member.py
+++ b/finchcart/members/member.py
@@ -1,16 +1,18 @@
 """One member: spreads rows, measures its links, hands out changes of its view.
 
-Owns the rows of all members, the links to those it watches, and its own row. `reduce(now, what)` takes one input
-and returns effects; it must never do I/O, read a clock or take a lock. Whether a member is in is decided by
-view.py; the time a verdict must stand before it counts is kept here.
+Owns the rows of all members, the links to those it watches, and its own row. `reduce(now, what)` takes one
+input and returns effects; it must never do I/O, read a clock or take a lock. Whether a member is in is
+decided by view.py; the time a verdict must stand before it counts is kept here.
 
-Inputs: `("tick",)` (once a tick), `("got", address, datagram)`, `("leave",)` (the notice to drain), `("end",)`,
+Inputs: `("tick",)` (once a tick), `("got", address, datagram)`, `("leave",)` (the notice to drain),
+`("end",)`,
 `("figures", Figures)`. Effects: `("send", (host, port), datagram)`, `("change", name, state, incarnation)`,
-`("isolated", bool, why)`, `("log", text, fields)`. A driver logs changes too. `now` is the boot clock in whole microseconds, which counts
-suspension: a gap between two inputs is a pause of this process, and is an input by itself.
+`("isolated", bool, why)`, `("log", text, fields)`. A driver logs changes too. `now` is the boot clock in
+whole microseconds, which counts suspension: a gap between two inputs is a pause of this process, and is an
+input by itself.
 
-Bounds: rows `figures.members`, tombstones and contests as many, links as many as rows, news `figures.news`, sent
-datagrams `figures.datagrams` a period, 32 send times a link. All age out with `figures.remember`.
+Bounds: rows `figures.members`, tombstones and contests as many, links as many as rows, news `figures.news`,
+sent datagrams `figures.datagrams` a period, 32 send times a link. All age out with `figures.remember`.
 """
 
 from collections import OrderedDict, deque
@@ -46,7 +48,7 @@
 
     def __init__(self, row, now):
         self.row, self.state, self.since, self.turning = row, "alive", now, None  # since when it differs
-        self.hash = wire.digest_of(row)
+        self.hash, self.failed_age = wire.digest_of(row), None
         self.news = 0  # times to pass it on yet
 
 
@@ -180,8 +182,8 @@
 
     @property
     def digest(self):
-        """Of the rows of those in the fleet. Failed and left ones are no news for newcomers, who would pass them
-        on for ever: their rows are told only to those who hold an older one."""
+        """Of the rows of those in the fleet. Failed and left ones are no news for newcomers, who would pass
+        them on for ever: their rows are told only to those who hold an older one."""
         if self.summed is None:
             self.summed = 0
             for known in self.known.values():
@@ -344,6 +346,7 @@
                 if seq <= said.echo:
                     if peer.confirmed is None or when > peer.confirmed:
                         peer.confirmed = when
+                        self.dirty = self.dirty or self.known[one].state == "failed"
                     break
         for row in said.rows:
             self.learn(now, row)
@@ -463,7 +466,7 @@
             usual = "leaving" if known.row.duty == LEAVING else "alive"
             if known.state == "failed":
                 out.add(one)
-            if one in part:
+            if one in part and (known.state != "failed" or self.shows(one, known)):
                 if known.state == "suspect":
                     self.set_state(now, known, usual)
                 elif known.state == "failed":
@@ -490,6 +493,13 @@
         if out != self.out:
             self.out, self.dirty = frozenset(out), True
 
+    def shows(self, one, known):
+        """Whether a failed member gave a sign since. Guards against links that look up because those who told
+        that they are down have forgotten the member already."""
+        peer = self.peers.get(one)
+        return known.row.age > known.failed_age or bool(
+            peer and peer.confirmed is not None and peer.confirmed > known.since)
+
     def look_at_self(self, now):
         """Isolated: nobody is known to be connected both ways, or the connected ones hold this one to be out.
         After a pause too, until half of the watched ones were heard both ways."""
@@ -529,7 +539,8 @@
             if known.state == "failed" and not heard:
                 continue  # sought below, by chance
             if peer.due <= now and self.beat(now, one, peer):
-                # A tick early at times: beats to all would go out in one tick else, whenever all began at once.
+                # A tick early at times: beats to all would go out in one tick else, whenever all began at
+                # once.
                 peer.due = max(peer.due, now - figures.period) + figures.period
                 if peer.seq <= 2:
                     peer.due -= self.random.randrange(figures.parts) * figures.tick
@@ -575,6 +586,8 @@
     def set_state(self, now, known, state):
         if known.state != state:
             known.state, known.since, known.turning = state, now, None
+            if state == "failed":
+                known.failed_age = known.row.age
             self.dirty, self.summed = True, None
             self.effects.append(("change", known.row.name, state, known.row.incarnation))
 
--- a/finchcart/net/datagrams.py
+++ b/finchcart/net/datagrams.py
@@ -1,12 +1,12 @@
 """The member's socket and thread: datagrams between members.
 
 Owns one UDP socket, the boot clock and the thread that feeds `Member`. It must never block on the core or be
-blocked by it: changes go to the core's queue, and signals come through a queue of its own. A fault here isolates
-the node and ends the thread; RPCs are served on.
+blocked by it: changes go to the core's queue, and signals come through a queue of its own. A fault here
+isolates the node and ends the thread; RPCs are served on.
 
-Ticks hold their time beside a busy reducer because the thread sleeps in the kernel between them and asks for the
-interpreter only when it is due: it waits one switch interval (5 ms) for each busy thread before it, out of a
-tick of 100 ms.
+Ticks hold their time beside a busy reducer because the thread sleeps in the kernel between them and asks for
+the interpreter only when it is due: it waits one switch interval (5 ms) for each busy thread before it, out
+of a tick of 100 ms.
 """
 
 import threading
@@ -29,7 +29,8 @@
 
 
 class Datagrams:
-    """`make(now)` gives the member; `hand_out(change)` takes its changes; `reread()` gives an input or None."""
+    """`make(now)` gives the member; `hand_out(change)` takes its changes; `reread()` gives an input or
+    None."""
 
     def __init__(self, listen, make, hand_out, reread):
         self.sock = socket(AF_INET, SOCK_DGRAM)
--- a/finchcart/trial/virtual.py
+++ b/finchcart/trial/virtual.py
@@ -54,7 +54,8 @@
     # ---- what happens to processes
 
     def start(self, name, wall_off=0, as_name=None):
-        """`wall_off`: milliseconds that its wall clock is off; `as_name`: of the member, where not the place's."""
+        """`wall_off`: milliseconds that its wall clock is off; `as_name`: of the member, where not the
+        place's."""
         place = self.places[name]
         place.life += 1
         place.stopped, place.waiting = False, []
--- a/finchcart/world/client.py
+++ b/finchcart/world/client.py
@@ -13,9 +13,9 @@
 import sys
 import time
 
-from finchcart.world.outside import address
 from finchcart.thrift import codec as thrift
 from finchcart.thrift.codec import BOOL, FIELD, I32, LENGTH, MAP, STRING, STRUCT
+from finchcart.world.outside import address
 
 
 class Client:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,12 +14,12 @@
 import pytest
 
 from benchmarks.rpc import free
-from finchcart.world.client import Client
-from finchcart.world.outside import Pool, Roster, Store
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Link, Links
 from finchcart.thrift import codec
+from finchcart.world.client import Client
+from finchcart.world.outside import Pool, Roster, Store
 
 METHODS = {"look-up": True, "book": False}
 
