--- a/finchcart/members/wire.py
+++ b/finchcart/members/wire.py
@@ -7,6 +7,7 @@
 encryption: the digest guards against accidents alone, and the address must not be reachable by others.
 """
 
+from functools import lru_cache
 from typing import Annotated
 
 import msgspec
@@ -142,6 +143,7 @@
     return envelope.said
 
 
+@lru_cache(8192)
 def place_of(text):
     """(host, port) of an advertised address."""
     host, _, port = text.rpartition(":")
--- a/finchcart/trial/virtual.py
+++ b/finchcart/trial/virtual.py
@@ -36,7 +36,7 @@
         self.seeds = seeds
         self.watch = watch or (lambda now, name, effect: None)
         self.wall = 1_700_000_000_000
-        self.steps = 0
+        self.steps, self.fed = 0, None  # the place that acted last
         for name in names:
             self.add(name)
 
@@ -104,6 +104,7 @@
             if what[0] == "got" and len(place.waiting) < BUFFER:
                 place.waiting.append(what)
             return
+        self.fed = name
         for effect in place.member.reduce(self.now, what):
             if effect[0] == "send":
                 to = self.at.get(f"{effect[1][0]}:{effect[1][1]}")
