--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -104,7 +104,11 @@
 @click.option("--virtual", is_flag=True, help="on the virtual clock instead of processes")
 def run(script, seed, nodes, out, virtual):
     """Play a script: a table, a chart, and status 1 with the first breach."""
-    from finchcart.trial.run import play
+    import signal
+
+    from finchcart.trial.run import play, told_to_end
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, told_to_end)
     sys.exit(play(script, seed, nodes, out, virtual))
 
 
--- a/finchcart/trial/run.py
+++ b/finchcart/trial/run.py
@@ -189,17 +189,16 @@
     return [check.check(history, hold, start) for hold in plan.holds]
 
 
+def told_to_end(*_):
+    """Guards against processes that outlive a run that was told to end: the clean-up runs then too, and a
+    second word does not break it off."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
+    sys.exit(3)
+
+
 def play(script, seed, nodes, out, virtual):
     """Status: 0, or 1 with the first breach printed."""
-    # Guards against processes that outlive a run that was told to end: the clean-up runs then too.
-    def told_to_end(*_):
-        for number in ends:
-            signal.signal(number, signal.SIG_IGN)  # a second word must not break off the clean-up
-        sys.exit(3)
-
-    ends = signal.SIGTERM, signal.SIGINT
-    for number in ends:
-        signal.signal(number, told_to_end)
     plan = lay_out(read(script), seed, nodes)
     with tempfile.TemporaryDirectory() as scratch:
         folder = Path(out or scratch)
