--- a/finchcart/trial/chart.py
+++ b/finchcart/trial/chart.py
@@ -41,7 +41,7 @@
 
 def timeline(plan, events, start, path):
     seen = spans(events, start, plan.seconds)
-    names = plan.names
+    names = [*plan.names, *(f"p{n}" for n in range(plan.script.planners))]
     figure, axes = plt.subplots(figsize=(14, 1.2 + 0.22 * len(names)))
     for n, name in enumerate(names):
         for since, until, state in seen.get(name, ()):
--- a/finchcart/trial/processes.py
+++ b/finchcart/trial/processes.py
@@ -38,8 +38,12 @@
 class Processes:
     """`names`: of all nodes that may run; each has a loopback address of its own."""
 
-    def __init__(self, folder, names, seed, fleet, load=None, talk=True):
-        self.folder, self.names, self.load, self.talk = Path(folder), names, load, talk
+    def __init__(self, folder, names, seed, fleet, load=None, talk=True, planners=0, limits=(), quota=None,
+                 static=False):
+        self.folder, self.load, self.talk = Path(folder), load, talk
+        self.count, self.limits = len(names), limits
+        self.planners = [f"p{n}" for n in range(planners)]
+        self.names = names = [*names, *self.planners]
         self.folder.mkdir(parents=True, exist_ok=True)
         self.net = self.free_net()
         self.children, self.nodes, self.lives = [], {}, {}
@@ -48,15 +52,21 @@
                     "PYTHONPATH": str(Path(__file__).parents[2])}
         self.env.pop("FINCHCART_SETTINGS", None)
         seeds = [f"{self.relayed(name)}:7400" for name in names[:3]]
+        shared = {} if not planners else {"limits": list(limits), "quota": {
+            "planners": [f"{self.relayed(name)}:7400" for name in self.planners], **(quota or {})}}
         for name in names:
             host = self.own(name)
-            self.write(f"{name}.json", {**EXAMPLE, "name": name, "listen": f"{host}:7001",
+            settings = json.loads(json.dumps(EXAMPLE))
+            if limits:
+                share = limits[0]["in_hand"] / self.count if static else limits[0]["in_hand"]
+                settings["settings"]["familyInfo"]["callsOut"] = share
+            self.write(f"{name}.json", {**settings, "name": name, "listen": f"{host}:7001",
                                         "pool": f"{host}:9300", "store": f"{self.net}.3.1:8900",
                                         "roster": f"{self.net}.3.1:2379"})
             asked = {"name": f"trial-{seed}", "listen": f"{host}:7400",
                      "advertise": f"{self.relayed(name)}:7400", "seeds": seeds, **fleet}
             (self.folder / f"{name}.json5").write_text(
-                json5.dumps({"fleet": asked} if talk else {}, indent=1))
+                json5.dumps({"fleet": asked, **shared} if talk else {}, indent=1))
         try:
             self.relay = self.spawn("relay", [sys.executable, "-m", "finchcart.trial.relay"],
                                     stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
@@ -104,8 +114,11 @@
 
     def world(self, load):
         """Store and roster in one process, worker pools in some."""
-        paths = [str(self.folder / f"{name}.json") for name in self.names]
-        base = [sys.executable, "-m", "finchcart.world.outside", "--work-ms", str(load.work_ms)]
+        paths = [str(self.folder / f"{name}.json") for name in self.names[:self.count]]
+        base = [sys.executable, "-m", "finchcart.world.outside", "--work-ms", str(load.work_ms),
+                "--store-work-ms", str(load.store_ms), "--truth", str(self.folder / "truth.jsonl")]
+        if self.limits:
+            base += ["--limit", str(self.limits[0]["in_hand"])]
         spin = ["--spin"] if load.spin else []
         for n in range(load.processes):
             mine = paths[n::load.processes]
@@ -115,7 +128,7 @@
 
     def callers(self, seconds):
         """The load, on all nodes; its figures are in load.json at the end."""
-        where = [f"{self.own(name)}:7001" for name in self.names]
+        where = [f"{self.own(name)}:7001" for name in self.names[:self.count]]
         return self.spawn("load", [
             sys.executable, "-m", "finchcart.world.load", "--rate", str(self.load.rate),
             "--seconds", str(seconds), "--links", str(self.load.links),
@@ -124,12 +137,21 @@
     def start(self, name):
         life = self.lives[name] = self.lives.get(name, 0) + 1
         self.began[name, life] = clock()
+        words = ["serve"]
+        if name in self.planners:
+            words = ["plan", "--place", f"{self.relayed(name)}:7400", "--listen", f"{self.own(name)}:7400"]
         self.nodes[name] = self.spawn(
             f"{name}.{life}",
-            [sys.executable, "-m", "finchcart", "serve", "--log", "json",
+            [sys.executable, "-m", "finchcart", *words, "--log", "json",
              "--settings", str(self.folder / f"{name}.json5")],
             env={"ROUTER_CONFIG": str(self.folder / f"{name}.json")})
 
+    def truth(self):
+        """The store's own count, a line about every 0.2 s."""
+        path = self.folder / "truth.jsonl"
+        lines = path.read_text().splitlines() if path.exists() else []
+        return [json.loads(line) for line in lines]
+
     def signal(self, name, number):
         node = self.nodes.get(name)
         if node and node.poll() is None:
--- a/finchcart/trial/run.py
+++ b/finchcart/trial/run.py
@@ -37,10 +37,12 @@
 
 def on_processes(plan, folder, talk=True):
     """(events, start, facts) of a run on real processes."""
-    fleet = Processes(folder, plan.names, plan.seed, plan.script.fleet, plan.script.load, talk)
+    script = plan.script
+    fleet = Processes(folder, plan.names, plan.seed, script.fleet, script.load, talk,
+                      0 if script.static else script.planners, script.limits, script.quota, script.static)
     late, facts = 0.0, {"driver": "processes", "stats": {}}
     try:
-        for name in plan.first:
+        for name in fleet.planners + plan.first:
             fleet.start(name)
             time.sleep(UP)
         start = clock()
@@ -57,6 +59,8 @@
         if plan.script.load:
             callers.wait(20)
             facts["load"] = json.loads((folder / "load.json").read_text())
+            time.sleep(0.5)
+            facts["truth"] = fleet.truth()
         facts["links"] = fleet.counts()
     finally:
         fleet.end()
@@ -68,7 +72,7 @@
     from finchcart.cli.serve import ask
     cpu, mb = fleet.usage(name)
     try:
-        view = ask((fleet.own(name), 7400), 1.0) if fleet.talk else {}
+        view = ask((fleet.own(name), 7400), 1.0) if fleet.talk and name not in fleet.planners else {}
     except TimeoutError:
         view = {}
     return {"cpu_s": cpu, "mb": mb, "late_ms": view.get("late_ms"), "loss": view.get("loss"),
@@ -181,9 +185,21 @@
              f"views by their own word at most {worst('stale_ms')} ms old; links: {facts['links']}"]
     if facts.get("load"):
         lines.append(f"RPCs: {facts['load']}")
+    if facts.get("truth") and facts["truth"][-1]["calls"]:
+        lines.append(truth(facts))
     return "\n".join(lines)
 
 
+def truth(facts):
+    """What the store counted: most at once, use, and the moments beyond the limit."""
+    first, last = facts["truth"][0], facts["truth"][-1]
+    over = [(until - since) / 1000 for since, until, _ in last["over"]]
+    span = (last["t_us"] - first["t_us"]) / 1e6
+    return (f"store: {last['calls']} calls, {last['most']} at once at most, {last['late']} late, "
+            f"{(last['used'] - first['used']) / span:.1f} in hand on average; moments beyond the limit: "
+            f"{len(over)}, together {sum(over):.1f} ms, the longest {max(over, default=0):.1f} ms")
+
+
 def judge(plan, events, start):
     history = check.History(events)
     return [check.check(history, hold, start) for hold in plan.holds]
@@ -219,6 +235,11 @@
             from finchcart.trial.chart import timeline
             timeline(plan, events, start, folder / "timeline.png")
     broken = next((result for result in results if result.breach), None)
+    if plan.script.planners and facts.get("truth") and facts["truth"][-1]["over"]:
+        since, until, most = facts["truth"][-1]["over"][0]
+        text = f"{most} calls in hand at the store for {(until - since) / 1000:.1f} ms"
+        broken = broken or check.Result(
+            "limit", "strict", [], 0, f"{text}, at {(since - start) / 1e6:.2f} s")
     if broken:
         click.echo(f"BREACH {broken.name} ({broken.what}): {broken.breach}")
     return 1 if broken else 0
--- a/finchcart/trial/script.py
+++ b/finchcart/trial/script.py
@@ -64,6 +64,7 @@
 
 class Load(Struct, forbid_unknown_fields=True):
     rate: float  # RPCs a second, all nodes together
+    store_ms: float = 0.0  # of a call to the store
     work_ms: float = 50.0
     spin: bool = False
     processes: int = 1  # of worker pools
@@ -78,6 +79,10 @@
     zones: int = 3
     fleet: dict = {}
     load: Load | None = None
+    planners: int = 0  # named p0, p1, ...: in no set but by name
+    limits: list[dict] = field(default_factory=list)  # as in the settings file
+    quota: dict = {}
+    static: bool = False  # each node is told its share of the limit instead: a baseline
     settle: float = 6.0  # before the first round
 
 
@@ -107,7 +112,7 @@
 class Plan(Struct):
     script: Script
     seed: int
-    names: list[str]  # all that ever run
+    names: list[str]  # all nodes that ever run
     first: list[str]  # that run from the start
     acts: list[Act]
     holds: list[Held]
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -118,7 +118,9 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         for _ in range(20):
             sock.sendto(b"rubbish", (fleet.own("n0"), 7400))
+            sock.sendto(b"Mrubbish", (fleet.own("n0"), 7400))
     until(lambda: view("n0")["counts"].get("spoilt") == 20)
+    until(lambda: view("n0")["counts"].get("of an unknown channel") == 20)
     said = subprocess.run([sys.executable, "-m", "finchcart", "fleet", "members", f"{fleet.own('n0')}:7400",
                            "--json"], capture_output=True, text=True, check=True)
     told = json.loads(said.stdout)
