--- a/finchcart/quota/limits.py
+++ b/finchcart/quota/limits.py
@@ -8,6 +8,7 @@
 from math import ceil
 
 MS, SECOND = 1_000, 1_000_000
+TICK = 100 * MS  # between looks at the clock, of holders and planners
 
 
 @dataclass(frozen=True)
@@ -66,8 +67,9 @@
         return self.lease // 6
 
     def alone_within(self):
-        """From the loss of all planners until a node is down to its floor."""
-        return self.life
+        """From the loss of all planners until a node is down to its floor: what it holds ends, and is seen
+        to."""
+        return self.wide(self.life) + TICK
 
     def back_within(self):
         """From contact with a majority of planners, all started anew, until what is shared is given again:
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,321 @@
+"""Strict limits of the fleet on a virtual clock: seeded runs of all faults, and planted defects."""
+
+import random
+
+import pytest
+
+from finchcart.cli.file import Wrong, checked
+from finchcart.members import wire as base
+from finchcart.node.meter import Meter
+from finchcart.quota import wire
+from finchcart.quota.division import divide
+from finchcart.quota.holder import Holder
+from finchcart.quota.limits import SECOND, Limit, Quota, mistakes
+from finchcart.quota.planner import Planner
+from finchcart.trial.shares import Breach, Run, Shares
+
+
+def test_division_is_max_min_and_never_more_than_there_is():
+    assert divide(10, {"a": 2, "b": 9, "c": 9}) == {"a": 2, "b": 4, "c": 4}
+    assert divide(10, {"a": 9, "b": 9, "c": 9}) == {"a": 4, "b": 3, "c": 3}
+    assert divide(9, {"a": 9, "b": 9}, {"a": 2.0}) == {"a": 6, "b": 3}
+    assert divide(0, {"a": 1}) == {"a": 0} and divide(5, {}) == {}
+    chance = random.Random(3)
+    for _ in range(500):
+        amount = chance.randrange(60)
+        wants = {n: chance.randrange(30) for n in range(chance.randrange(1, 12))}
+        parts = divide(amount, wants)
+        assert sum(parts.values()) == min(amount, sum(wants.values()))
+        assert all(parts[n] <= wants[n] for n in wants)
+        short = [parts[n] for n in wants if parts[n] < wants[n]]
+        assert not short or max(parts.values()) <= min(short) + 1, "nobody has more than one who goes short"
+
+
+def test_settings_that_cannot_hold_their_bound_are_refused_with_the_arithmetic():
+    good = {"fleet": {"name": "x", "listen": "127.0.0.1:7400"},
+            "limits": [{"name": "store", "in_hand": 40, "floor": 1}],
+            "quota": {"planners": ["127.0.0.2:7400"], "most": 20}}
+    assert checked(good, "F").limits[0].in_hand == 40
+    for quota, limit, said in [
+            ({"most": 41}, {}, "1 x 41 (most) = 41 is more than the limit of 40"),
+            ({"life_ms": 1000}, {}, "1000 ms is less than 3 x round_ms = 1500 ms"),
+            ({"planners": ["127.0.0.2:1", "127.0.0.3:1"]}, {}, "a majority of 1, 3 or 5 is needed"),
+            ({"planners": ["127.0.0.2:1"] * 3}, {}, "its vote would count double"),
+            ({"lease_ms": 300}, {}, "at least 500 ms"),
+            ({"slack_ms": 2000}, {}, "more than a quarter of life_ms"),
+            ({}, {"in_hnd": 3}, "limits.0.in_hnd: no such setting; the nearest is in_hand")]:
+        wrong = {**good, "quota": {**good["quota"], **quota}, "limits": [{**good["limits"][0], **limit}]}
+        with pytest.raises(Wrong) as raised:
+            checked(wrong, "F")
+        assert said in str(raised.value)
+    assert not list(mistakes(Quota(limits=(Limit("a", 64, 1),), planners=("a",))))
+
+
+def test_a_meter_never_gives_more_than_was_granted_nor_for_longer():
+    class Store:
+        hands = {False: 0, True: 0}
+
+        def in_hand(self, leased):
+            return self.hands[leased]
+    meter, store = Meter("store", 1, 20_000), Store()
+    meter.now = 1_000_000
+    assert meter.room() == 1 and meter.take(store) == (False, None)
+    store.hands[False] = 1
+    assert meter.take(store) is None and meter.refused == 1
+    meter.allow(1, 2, 2_000_000)
+    assert meter.room() == 3 and meter.take(store) == (True, 978_000)
+    store.hands[True] = 2
+    assert meter.take(store) is None
+    store.hands[True], meter.now = 1, 1_970_000
+    assert meter.take(store) is None and meter.room() == 1, "what is left is less than a call may be late by"
+    meter.allow(None, 0, 0)
+    assert meter.room() is None and meter.take(store) == (False, None)
+
+
+def test_seeded_runs_are_never_over_and_replay_identically():
+    traces = [Run(seed).play(30) for seed in (1, 1, 2, 3, 4, 5, 6, 7)]
+    assert traces[0] == traces[1] != traces[2]
+
+
+def test_what_is_shared_follows_demand_and_comes_back_within_its_bounds():
+    fleet = Shares(1, holders=6, quota=Quota(limits=(Limit("store", 60, 1),), most=8))
+    for name in fleet.processes:
+        fleet.start(name)
+    fleet.run(fleet.now + fleet.quota.back_within(), fleet.after_step)
+    want = lambda **wants: [setattr(fleet.processes[name], "wants", count) for name, count in wants.items()]
+    want(n0=60)
+    fleet.run(fleet.now + fleet.quota.jump_within(), fleet.after_step)
+    assert fleet.processes["n0"].amount >= 0.9 * 52
+    want(n0=0, n1=30, n2=30, n3=30)
+    fleet.run(fleet.now + fleet.quota.jump_within(), fleet.after_step)
+    assert all(fleet.processes[name].amount >= 14 for name in ("n1", "n2", "n3"))
+    for name in ("p0", "p1", "p2"):
+        fleet.kill(name)
+    fleet.run(fleet.now + fleet.quota.alone_within() + 100_000, fleet.after_step)
+    assert all(fleet.processes[f"n{n}"].amount == 0 for n in range(6))
+    assert fleet.count() <= 6, "floors alone"
+    for name in ("p0", "p1", "p2"):
+        fleet.start(name)
+    fleet.run(fleet.now + fleet.quota.back_within(), fleet.after_step)
+    assert sum(fleet.processes[f"n{n}"].amount for n in range(6)) > 10
+
+
+# ---- planted defects
+
+def planner(**methods):
+    return {"planner": type("Planted", (Planner,), methods)}
+
+
+def holder(**methods):
+    return {"holder": type("Planted", (Holder,), methods)}
+
+
+def no_silence(self, *args):
+    Planner.__init__(self, *args)
+    self.votes_from = self.next_try = self.now
+
+
+def gives_at_once(self, now, until):
+    Planner.own(self, now, until)
+    self.owned_since = min(self.owned_since, now - self.quota.wait)
+
+
+def lease_for_ever(self, now, why):
+    pass
+
+
+def lease_from_the_end(self, now, address, said):
+    self.asked_at = now
+    Planner.on_accept(self, now, address, said)
+
+
+def any_ballot(self, now, address, said):
+    self.promised = (0, 0)
+    Planner.on_prepare(self, now, address, said)
+
+
+def says_free(self, now, address, said):
+    """Votes for one, and does not say so to the next."""
+    self.held = None
+    Planner.on_prepare(self, now, address, said)
+
+
+def by_name(self, now, address, said):
+    """A process started anew is taken for the one before."""
+    for key in [key for key in self.holders if key[0] == said.name and key[1] != said.session]:
+        self.holders[said.name, said.session] = self.holders.pop(key)
+        self.holders[said.name, said.session].seq = 0
+    Planner.on_want(self, now, address, said)
+
+
+def least(self, holder, limit):
+    """Counts the grant given last, not the greatest that may still be used."""
+    out = holder.out.get(limit, ())
+    return out[-1].amount if out else 0
+
+
+def from_the_answer(self, now, said):
+    self.asks = {seq: (now, then) for seq, (_, then) in self.asks.items()}
+    Holder.on_grant(self, now, said)
+
+
+def any_term(self, now, said):
+    for held in self.held.values():
+        if said.term != held.term:
+            held.term, held.number = 0, 0
+            self.asks = {seq: (when, dict.fromkeys(then, (0, 0)))
+                         for seq, (when, then) in self.asks.items()}
+    Holder.on_grant(self, now, said)
+
+
+def any_number(self, now, said):
+    for held in self.held.values():
+        if said.term == held.term:
+            held.number = 0
+    Holder.on_grant(self, now, said)
+
+
+def late_ask(self, now, said):
+    for when, then in self.asks.values():
+        then.update({name: (held.term, held.number) for name, held in self.held.items()})
+    Holder.on_grant(self, now, said)
+
+
+def no_end(self, now, held):
+    held.until = now + self.quota.life if held.amount else held.until
+    Holder.allow(self, now, held)
+
+
+# Scenarios of messages by hand, where chance alone seldom comes by.
+
+PLACES = ("10.0.0.1:7401", "10.0.0.2:7401", "10.0.0.3:7401")
+TWO, THREE, NODE = (base.place_of(PLACES[1]), base.place_of(PLACES[2]), ("10.0.0.9", 7400))
+SHARED = Quota(limits=(Limit("store", 40),), planners=PLACES, most=4, step=1.0, room=0.0)
+got = lambda said, address=TWO: ("got", address, base.sealed(wire.CHANNEL, "f", said))
+sent = lambda effects: [wire.unpack("f", effect[2]) for effect in effects if effect[0] == "send"]
+
+
+def elected(make, accept_late=0):
+    """A planner that shares out, and when it proposed."""
+    one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
+    now = SHARED.silence + 2 * SHARED.retry
+    one.reduce(now, ("tick",))
+    one.reduce(now + 1, got(wire.Promise(one.ballot, None)))
+    one.reduce(now + 2 + accept_late, got(wire.Accept(one.ballot)))
+    return one, now + 1
+
+
+def ask(one, now, name, session, seq, term=0, number=0, amount=0, wants=40, oldest=0):
+    said = one.reduce(now, got(wire.Want(name, session, seq, oldest, False, [
+        wire.Line("store", term, number, amount, wants, 0)]), NODE))
+    return next((each.parts[0] for each in sent(said) if isinstance(each, wire.Grant)), None)
+
+
+def accept_comes_late(make):
+    one, proposed = elected(make, SHARED.lease // 2)
+    return [one.owns_until] if one.owns_until > proposed + SHARED.lease else []
+
+
+def started_anew(make):
+    """The process before may still use its grant: another gets none of that."""
+    one, now = elected(make)
+    now += SHARED.wait + 1
+    one.owns_until = now + 9 * SECOND
+    first = ask(one, now, "n1", 1, 1).amount
+    ask(one, now + 100_000, "n1", 2, 1)
+    second = ask(one, now + 200_000, "n1", 2, 2, wants=0, oldest=2)
+    other = ask(one, now + 300_000, "n2", 3, 1).amount
+    return [(first, second, other)] if first + other > 40 else []
+
+
+def holding(make):
+    one = make.get("holder", Holder)("n1", "f", SHARED, random.Random(1), 0)
+    one.reduce(0, ("tick",))
+    return one
+
+
+def grant(one, now, term, seq, number, amount):
+    part = wire.Part("store", number, amount, SHARED.life, 40)
+    one.reduce(now, got(wire.Grant(term, one.session, seq, [part])))
+    return one.held["store"].amount
+
+
+def earlier_term(make):
+    one = holding(make)
+    grant(one, 1000, 5, 1, 1, 10)
+    return ["taken"] if grant(one, 2000, 4, 1, 7, 30) != 10 else []
+
+
+def earlier_number(make):
+    """A grant that was less was taken, and said so: the one before, come late, is void."""
+    one = holding(make)
+    one.reduce(500_000, ("tick",))
+    grant(one, 501_000, 5, 2, 8, 10)
+    return ["taken"] if grant(one, 502_000, 5, 1, 7, 30) != 10 else []
+
+
+def renewed_late(make):
+    """An ask that said 30 reaches a new planner late; meanwhile 20 of it were given up."""
+    one = holding(make)
+    grant(one, 1000, 5, 1, 1, 30)
+    one.reduce(500_000, ("tick",))  # says 30
+    one.reduce(1_000_000, ("tick",))
+    grant(one, 1_001_000, 5, 3, 2, 10)
+    return ["taken"] if grant(one, 1_002_000, 6, 2, 1, 30) != 10 else []
+
+
+def counted_late(make):
+    """An answer that took 2 s leaves 1 s of a life of 3."""
+    one = holding(make)
+    grant(one, 2 * SECOND, 5, 1, 1, 10)
+    return ["longer"] if one.held["store"].until > SHARED.life else []
+
+
+def seeds(count):
+    def play(make):
+        for seed in range(count):
+            try:
+                Run(seed, make).play(40)
+            except Breach as breach:
+                return [breach]
+        return []
+    return play
+
+
+def starts_and_votes(make):
+    """A voter that starts anew says nothing while a lease that it voted for may last."""
+    one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
+    said = sent(one.reduce(SHARED.lease - 1, got(wire.Prepare((1, 7), one.times))))
+    return said if any(isinstance(each, wire.Promise) for each in said) else []
+
+
+def lesser_ballot(make):
+    one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
+    now = SHARED.silence + 1
+    one.reduce(now, got(wire.Prepare((9, 7), one.times)))
+    said = sent(one.reduce(now, got(wire.Prepare((8, 8), one.times), THREE)))
+    return said if any(isinstance(each, wire.Promise) for each in said) else []
+
+
+DEFECTS = {
+    "no silence after a start": (starts_and_votes, planner(__init__=no_silence)),
+    "no wait before giving": (seeds(20), planner(own=gives_at_once)),
+    "an owner whose lease is over goes on": (seeds(20), planner(lose=lease_for_ever)),
+    "a lease counted from its end": (accept_comes_late, planner(on_accept=lease_from_the_end)),
+    "any ballot is promised": (lesser_ballot, planner(on_prepare=any_ballot)),
+    "a voter does not tell its vote": (seeds(4), planner(on_prepare=says_free)),
+    "a holder known by its name alone": (started_anew, planner(on_want=by_name)),
+    "the last grant counts, not the greatest": (seeds(4), planner(committed=least)),
+    "a grant counted from its answer": (counted_late, holder(on_grant=from_the_answer)),
+    "any term is taken": (earlier_term, holder(on_grant=any_term)),
+    "any number is taken": (earlier_number, holder(on_grant=any_number)),
+    "a late ask is renewed as it was": (renewed_late, holder(on_grant=late_ask)),
+    "a grant does not end": (seeds(2), holder(allow=no_end)),
+}
+
+
+@pytest.mark.parametrize("name", DEFECTS)
+def test_a_planted_defect_is_found(name):
+    play, make = DEFECTS[name]
+    assert not play({})
+    assert play(make)
