--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -1,8 +1,8 @@
 """Membership by size, on the virtual clock: detection, wrong verdicts, messages and bytes a member-second.
 
-    .venv/bin/python -m benchmarks.members --json docs/results/members-size.json --chart
-    docs/results/members-size.svg .venv/bin/python -m benchmarks.members --cost    # 24 processes that serve
-    RPCs, with and without membership
+    .venv/bin/python -m benchmarks.members --json docs/results/members-size.json
+    .venv/bin/python -m benchmarks.members --cost    # 24 processes that serve RPCs, with and without it
+    .venv/bin/python -m benchmarks.members --rules   # other verdict rules on the same rows, one-sided cuts
 
 Owns the measurement. It must never judge: it reports. Virtual figures are of the true state machines in one
 thread; the cost is of real processes on loopback.
@@ -110,16 +110,66 @@
     return rows
 
 
+def own_links(me, down, graph, out=frozenset()):
+    """Each by its own links alone: all-to-all heartbeats."""
+    return set(graph) - set(down[me])
+
+
+def no_way_round(me, down, graph, out=frozenset()):
+    """Out where any one in reach finds no way to it, not over three others either: probes as SWIM's."""
+    cut = lambda a, b: b in down.get(a, ()) or a in down.get(b, ())
+    ids, part = sorted(graph), {me}
+    for n, one in enumerate(ids):
+        reach = [a for a in ids if a not in (one, me) and not cut(me, a)] + [me]
+        ways = lambda a: [ids[(ids.index(a) + n + k) % len(ids)] for k in (1, 2, 3)]
+        if not any(cut(a, one) and all(w in (a, one) or cut(a, w) or cut(w, one) for w in ways(a))
+                   for a in reach if a != one):
+            part.add(one)
+    return part
+
+
+def rules(nodes):
+    """Changes of verdict on those that are to stay, and after the verdict on those that are out, by rule,
+    over the script `cuts`; and failed verdicts at 30 % loss."""
+    from finchcart.members import member, view
+    from finchcart.trial.check import History, check
+    from finchcart.trial.run import on_virtual
+    from finchcart.trial.script import lay_out, read
+    rows = []
+    for name, rule in (("own links", own_links), ("any observer without a way round", no_way_round),
+                       ("half of the links", view.judge)):
+        member.judge = rule
+        plan = lay_out(read("cuts"), 1, nodes)
+        events, start, _ = on_virtual(plan)
+        results = [check(History(events), hold, start) for hold in plan.holds]
+        script = read("loss")
+        script.seconds = 120
+        events, start, _ = on_virtual(lay_out(script, 1, nodes))
+        rows.append({"rule": name, "wrong": sum(r.changes for r in results if r.what == "never"),
+                     "flaps": sum(r.changes for r in results if r.what == "agree"),
+                     "breaches": f"{sum(r.breach is not None for r in results)} of {len(results)}",
+                     "lossy": sum(event.kind == "state" and event.value == "failed" for event in events)})
+        print(json.dumps(rows[-1]), flush=True)
+    member.judge = view.judge
+    return rows
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--sizes", type=int, nargs="*", default=[10, 24, 100, 300, 1000, 2000])
     parser.add_argument("--json")
     parser.add_argument("--chart")
     parser.add_argument("--cost", action="store_true")
+    parser.add_argument("--rules", action="store_true")
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--rate", type=float, default=240.0)
     told = parser.parse_args()
-    if told.cost:
+    if told.rules:
+        rows = rules(24)
+        print(table(rows, {"rule": "rule", "wrong": "wrong verdicts on those that stay",
+                           "flaps": "changes after a verdict", "breaches": "expectations broken",
+                           "lossy": "failed at 30 % loss, 2 minutes"}))
+    elif told.cost:
         rows = cost(told.seconds, told.rate)
         print(table(rows, {"talk": "membership", "cpu": "CPU of a node, % of a core", "mb": "peak MB",
                            "ok": "ok", "median_ms": "median ms", "p99_ms": "p99 ms"}))
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -102,12 +102,22 @@
 
 # ---- planted defects
 
+def planted(of, methods):
+    """A class that can be pickled: the exhaustive check copies states so."""
+    made = type(f"Planted{len(PLANTED)}", (of,), {**methods, "__module__": __name__})
+    PLANTED[made.__name__] = globals()[made.__name__] = made
+    return made
+
+
+PLANTED = {}
+
+
 def planner(**methods):
-    return {"planner": type("Planted", (Planner,), methods)}
+    return {"planner": planted(Planner, methods)}
 
 
 def holder(**methods):
-    return {"holder": type("Planted", (Holder,), methods)}
+    return {"holder": planted(Holder, methods)}
 
 
 def no_silence(self, *args):
