--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -12,6 +12,7 @@
 from finchcart.quota.holder import Holder
 from finchcart.quota.limits import SECOND, Limit, Quota, mistakes
 from finchcart.quota.planner import Planner
+from finchcart.trial.explore import explore
 from finchcart.trial.shares import Breach, Run, Shares
 
 
@@ -329,3 +330,9 @@
     play, make = DEFECTS[name]
     assert not play({})
     assert play(make)
+
+
+def test_every_placing_of_one_fault_keeps_the_limit_and_the_search_can_fail():
+    states, breach = explore(7, 1)
+    assert breach is None and states > 700
+    assert explore(7, 1, DEFECTS["no wait before giving"][1])[1]
