--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -144,14 +144,15 @@
 @click.option("--nodes", type=int, help="instead of the script's")
 @click.option("--out", type=click.Path(), help="keeps logs, events, table and chart here")
 @click.option("--virtual", is_flag=True, help="on the virtual clock instead of processes")
-def run(script, seed, nodes, out, virtual):
+@click.option("--apart", is_flag=True, help="the nodes don't talk: for comparing their RPCs")
+def run(script, seed, nodes, out, virtual, apart):
     """Play a script: a table, a chart, and status 1 with the first breach."""
     import signal
 
     from finchcart.trial.run import play, told_to_end
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, told_to_end)
-    sys.exit(play(script, seed, nodes, out, virtual))
+    sys.exit(play(script, seed, nodes, out, virtual, apart))
 
 
 @trial.command()
