--- a/finchcart/trial/run.py
+++ b/finchcart/trial/run.py
@@ -214,7 +214,8 @@
 
 
 def play(script, seed, nodes, out, virtual, apart=False):
-    """Status: 0, or 1 with the first breach printed. `apart`: the nodes don't talk, nothing is held of them."""
+    """Status: 0, or 1 with the first breach printed. `apart`: the nodes don't talk, nothing is held of
+    them."""
     plan = lay_out(read(script), seed, nodes)
     with tempfile.TemporaryDirectory() as scratch:
         folder = Path(out or scratch)
