--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -60,6 +60,20 @@
         checked(json5.load(file), "deploy/finchcart.json5")
 
 
+def test_a_full_table_lets_failed_ones_go_first_and_then_refuses():
+    fleet = Fleet([f"n{n}" for n in range(5)], 1, Figures(members=4))
+    for name in list(fleet.places)[:4]:
+        fleet.start(name)
+    fleet.run(3 * SECOND)
+    fleet.start("n4")
+    fleet.run(fleet.now + 2 * SECOND)
+    member = fleet.places["n0"].member
+    assert len(member.known) == 4 and member.counts["no room"] > 0 and fleet.state("n0", "n4") is None
+    fleet.kill("n3")
+    fleet.run(fleet.now + 5 * SECOND)
+    assert fleet.state("n0", "n4") == "alive" and fleet.state("n0", "n3") is None and len(member.known) == 4
+
+
 # ---- the verdict
 
 def test_judge_gives_the_same_to_all_that_are_connected():
