--- a/finchcart/members/member.py
+++ b/finchcart/members/member.py
@@ -421,7 +421,7 @@
         self.sent_now = max(0, self.sent_now - figures.datagrams // figures.parts)
         if self.ended or self.yielded:
             return
-        if self.missed + self.got > 200:
+        if self.missed + self.got > 64:
             self.missed, self.got = self.missed / 2, self.got / 2
         self.loss = self.missed / (self.missed + self.got) if self.got > 20 else 0.0
         if self.graph_of is None:
--- a/finchcart/trial/seeds.py
+++ b/finchcart/trial/seeds.py
@@ -162,7 +162,8 @@
         chance = self.random
         a, b = chance.sample(up, 2) if len(up) > 1 else (None, None)
         rest = lambda ones: [name for name in NAMES if name not in ones]
-        zone = [name for name in NAMES if int(name[1:]) % 4 == chance.randrange(4)]
+        of = chance.randrange(4)
+        zone = [name for name in NAMES if int(name[1:]) % 4 == of]
         if a is None or hurt > 1 and kind in ("star", "deaf", "mute", "zone", "zone mute", "zone deaf"):
             return
         ones = zone if kind.startswith("zone") else [a]
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -106,6 +106,24 @@
     assert traces[0] == traces[1] != traces[2]
 
 
+def test_patience_follows_a_loss_that_comes_at_once():
+    """Links wrongly down 4 to 8 s after 30 % of the messages begin to be lost: 2.6 %, and 6 % with a window of
+    200 messages, as it was; four of seven of them put a member out (seed 310 of the seeded runs)."""
+    wrong = 0
+    for seed in range(3):
+        fleet = Fleet([f"n{n}" for n in range(12)], seed)
+        for name in fleet.places:
+            fleet.start(name)
+        fleet.run(8 * SECOND)
+        fleet.fabric.reduce(fleet.now, ("rule", None, None, {"lose": 0.3}))
+        fleet.run(12 * SECOND)
+        for _ in range(40):
+            fleet.run(fleet.now + SECOND // 10)
+            wrong += len({frozenset((place.member.me, one)) for place in fleet.places.values()
+                          for one in place.member.row.down})
+    assert wrong / (3 * 40 * 66) < 0.04
+
+
 def test_a_large_fleet_with_few_links_agrees_on_a_death_and_a_newcomer():
     fleet = Fleet([f"n{n}" for n in range(80)], 1, Figures(watch=10))
     for name in fleet.places:
