--- a/benchmarks/quota.py
+++ b/benchmarks/quota.py
@@ -1,4 +1,5 @@
-"""Strict limits of the fleet on the virtual clock: seeded runs of all faults, and the bounded exhaustive check.
+"""Strict limits of the fleet on the virtual clock: seeded runs of all faults, and the bounded exhaustive
+check.
 
     .venv/bin/python -m benchmarks.quota --seeds 1000 --jobs 8
     .venv/bin/python -m benchmarks.quota --explore --depth 8 --faults 2 --jobs 8
@@ -34,7 +35,7 @@
     over = [breach for breach, worst, limit, _ in out if worst > limit]
     idle = [breach for breach, worst, limit, _ in out if breach and worst <= limit]
     print(f"{count} seeds, {sum(steps for *_, steps in out)} steps: {len(over)} over the limit, most in hand "
-          f"{max(worst for _, worst, _, _ in out)} of {out[0][2]}; {len(idle)} with less than half in use at the end")
+          f"{max(worst for _, worst, _, _ in out)} of {out[0][2]}; {len(idle)} with less than half in use")
     for breach in (over + idle)[:10]:
         print(breach)
     return bool(over)
@@ -49,8 +50,8 @@
     with ProcessPoolExecutor(jobs) as pool:
         out = list(pool.map(partial(searched, depth, faults, parts), range(parts)))
     breaches = [breach for _, breach in out if breach]
-    print(f"3 planners, 2 holders, {depth} steps, every placing of {faults} faults: {sum(n for n, _ in out)} states, "
-          f"{len(breaches)} breaches, {time.monotonic() - began:.0f} s")
+    print(f"3 planners, 2 holders, {depth} steps, every placing of {faults} faults: "
+          f"{sum(n for n, _ in out)} states, {len(breaches)} breaches, {time.monotonic() - began:.0f} s")
     for breach in breaches[:5]:
         print(breach)
     return bool(breaches)
@@ -58,7 +59,7 @@
 
 def sizes():
     """Messages of planners and holders, and time of this machine, by the number of nodes."""
-    print("| nodes | messages a second: the planner that shares out | a node | bytes a second: planner | node |")
+    print("| nodes | messages a second: the planner that shares out | a node | bytes: planner | node |")
     print("| --- | --- | --- | --- | --- |")
     for count in (16, 100, 500):
         quota = Quota(limits=(Limit("store", 4 * count, 1),), most=count + 10, holders=2 * count)
@@ -81,7 +82,8 @@
         first = max((name for name in size if name[0] == "p"), key=lambda name: size[name][0])
         nodes = [size[name] for name in size if name[0] == "n"]
         mean = lambda n: sum(each[n] for each in nodes) / len(nodes) / 10
-        print(f"| {count} | {size[first][0] / 10:.0f} | {mean(0):.1f} | {size[first][1] / 10:.0f} | {mean(1):.0f} |")
+        print(f"| {count} | {size[first][0] / 10:.0f} | {mean(0):.1f} | {size[first][1] / 10:.0f} "
+              f"| {mean(1):.0f} |")
 
 
 def main():
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -107,8 +107,8 @@
 
 
 def test_patience_follows_a_loss_that_comes_at_once():
-    """Links wrongly down 4 to 8 s after 30 % of the messages begin to be lost: 2.6 %, and 6 % with a window of
-    200 messages, as it was; four of seven of them put a member out (seed 310 of the seeded runs)."""
+    """Links wrongly down 4 to 8 s after 30 % of the messages begin to be lost: 2.6 %, and 6 % with a window
+    of 200 messages, as it was; four of seven of them put a member out (seed 310 of the seeded runs)."""
     wrong = 0
     for seed in range(3):
         fleet = Fleet([f"n{n}" for n in range(12)], seed)
