--- a/finchcart/trial/shares.py
+++ b/finchcart/trial/shares.py
@@ -198,6 +198,7 @@
         self.run(end, self.after_step)
         self.fabric.reduce(self.now, ("clear",))
         self.run(end + 30 * SECOND, self.after_step)  # all stops are over
+        self.fabric.reduce(self.now, ("clear",))  # a rule of a pair may have kept what then held for all
         # Then all is shared again: the wants of all are met as far as the limit goes.
         for name in self.holders:
             self.processes[name].wants = self.limit.amount
