--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -76,12 +76,8 @@
     """Ask a running process what it holds of the fleet."""
 
 
-@fleet.command()
-@click.argument("where")
-@click.option("--json", "as_json", is_flag=True)
-def members(where, as_json):
-    """The members as the process at HOST:PORT (its `fleet.listen`) sees them."""
-    from finchcart.cli.serve import ask
+def answer(ask, where, as_json):
+    """What the process at HOST:PORT answers to `ask`; with `as_json` it is printed, and that is all."""
     from finchcart.members.wire import Unfit, place_of
     try:
         view = ask(place_of(where))
@@ -92,7 +88,17 @@
         sys.exit(1)
     if as_json:
         click.echo(msgspec.json.encode(view))
-        return
+        sys.exit(0)
+    return view
+
+
+@fleet.command()
+@click.argument("where")
+@click.option("--json", "as_json", is_flag=True)
+def members(where, as_json):
+    """The members as the process at HOST:PORT (its `fleet.listen`) sees them."""
+    from finchcart.cli.serve import ask
+    view = answer(ask, where, as_json)
     alone = ", isolated" if view["isolated"] else ""
     click.echo(f"{view['name']}, incarnation {view['incarnation']}{alone}; "
                f"at most {view['age_ms']} ms old")
@@ -108,17 +114,7 @@
 def limits(where, as_json):
     """The limits as the node (its `fleet.listen`) or planner at HOST:PORT holds them."""
     from finchcart.cli.serve import ask_limits
-    from finchcart.members.wire import Unfit, place_of
-    try:
-        view = ask_limits(place_of(where))
-    except Unfit as error:
-        raise click.UsageError(f"{where}: {error}") from None
-    except TimeoutError as error:
-        click.echo(str(error), err=True)
-        sys.exit(1)
-    if as_json:
-        click.echo(msgspec.json.encode(view))
-        return
+    view = answer(ask_limits, where, as_json)
     told = {name: value for name, value in view.items() if name not in ("limits", "counts")}
     click.echo(", ".join(f"{name} {value}" for name, value in told.items()))
     for limit in view["limits"]:
--- a/finchcart/quota/holder.py
+++ b/finchcart/quota/holder.py
@@ -15,7 +15,8 @@
 
 from finchcart.members import wire as base
 from finchcart.quota import wire
-from finchcart.quota.wire import Elsewhere, Grant, Line, Unfit, Want
+from finchcart.quota.talker import Talker
+from finchcart.quota.wire import Elsewhere, Grant, Line, Want
 
 ASKS = 8  # whose answers are still taken
 SOON = 100_000  # least time between two asks
@@ -30,7 +31,7 @@
         self.whole, self.fallen = limit.amount, True
 
 
-class Holder:
+class Holder(Talker):
     def __init__(self, name, fleet, quota, random, now):
         self.name, self.fleet, self.quota, self.random = name, fleet, quota, random
         self.session = random.getrandbits(64)
@@ -39,7 +40,8 @@
         self.seq, self.asks, self.next_ask, self.last_ask, self.answered = 0, {}, now, now, now
         self.held = {limit.name: Held(limit) for limit in quota.limits}
         self.leaving, self.ended = False, False
-        self.counts, self.effects, self.now = {}, [], now
+        super().__init__()
+        self.now = now
 
     # ---- in and out
 
@@ -61,21 +63,10 @@
             self.on_quota(now, what[1])
         return effects
 
-    def count(self, reason):
-        self.counts[reason] = self.counts.get(reason, 0) + 1
-
-    def send(self, address, said):
-        data = base.sealed(wire.CHANNEL, self.fleet, said)
-        if len(data) <= base.MOST:
-            self.count("sent")
-            self.effects.append(("send", address, data))
-
     def on_got(self, now, address, data):
-        self.count("received")
-        try:
-            said = wire.unpack(self.fleet, data)
-        except Unfit as error:
-            return self.count(str(error))
+        said = self.read(data)
+        if said is None:
+            return
         if isinstance(said, Grant):
             self.on_grant(now, said)
         elif isinstance(said, Elsewhere):
--- a/finchcart/quota/planner.py
+++ b/finchcart/quota/planner.py
@@ -17,7 +17,8 @@
 from finchcart.members import wire as base
 from finchcart.quota import wire
 from finchcart.quota.division import divide
-from finchcart.quota.wire import Accept, Elsewhere, Grant, Part, Prepare, Promise, Propose, Refuse, Unfit
+from finchcart.quota.talker import Talker
+from finchcart.quota.wire import Accept, Elsewhere, Grant, Part, Prepare, Promise, Propose, Refuse
 
 AGAIN = 50_000  # microseconds that targets are used for
 MOST_OUT = 8  # grants of one limit out at one holder: no more are given until it says which it holds
@@ -41,7 +42,7 @@
         self.heard, self.seq, self.leaving = 0, 0, False
 
 
-class Planner:
+class Planner(Talker):
     """`place`: its own address as the settings name it; `address`es of others are (host, port)."""
 
     def __init__(self, place, fleet, quota, random, now):
@@ -57,7 +58,8 @@
         self.holders, self.number = {}, 0
         self.parts, self.parts_at = {}, 0  # targets by limit, and when they were worked out
         self.times = base.id_of(quota.times())
-        self.counts, self.effects, self.now = {}, [], now
+        super().__init__()
+        self.now = now
         self.ended = False
 
     # ---- in and out
@@ -78,24 +80,13 @@
             self.ended = True
         return effects
 
-    def count(self, reason):
-        self.counts[reason] = self.counts.get(reason, 0) + 1
-
-    def send(self, address, said):
-        data = base.sealed(wire.CHANNEL, self.fleet, said)
-        if len(data) <= base.MOST:
-            self.count("sent")
-            self.effects.append(("send", address, data))
-
     def log(self, text, **fields):
         self.effects.append(("log", text, fields))
 
     def on_got(self, now, address, data):
-        self.count("received")
-        try:
-            said = wire.unpack(self.fleet, data)
-        except Unfit as error:
-            return self.count(str(error))
+        said = self.read(data)
+        if said is None:
+            return
         act = {Prepare: self.on_prepare, Promise: self.on_promise, Propose: self.on_propose,
                Accept: self.on_accept, Refuse: self.on_refuse, wire.Want: self.on_want,
                wire.Ask: self.on_ask}.get(type(said))
--- /dev/null
+++ b/finchcart/quota/talker.py
@@ -0,0 +1,33 @@
+"""What holders and planners have alike: counters by reason, and messages out and in.
+
+Owns the counters and the effects of one turn; it must never act on a message.
+"""
+
+from finchcart.members import wire as base
+from finchcart.quota import wire
+
+
+class Talker:
+    """Needs `fleet`; bounded by the reasons there are."""
+
+    def __init__(self):
+        self.counts, self.effects = {}, []
+
+    def count(self, reason):
+        self.counts[reason] = self.counts.get(reason, 0) + 1
+
+    def send(self, address, said):
+        data = base.sealed(wire.CHANNEL, self.fleet, said)
+        if len(data) > base.MOST:
+            return self.count("too long to send")
+        self.count("sent")
+        self.effects.append(("send", address, data))
+
+    def read(self, data):
+        """What a datagram says; None where it can't be read, which is counted by reason."""
+        self.count("received")
+        try:
+            return wire.unpack(self.fleet, data)
+        except wire.Unfit as error:
+            self.count(str(error))
+            return None
