--- a/finchcart/members/member.py
+++ b/finchcart/members/member.py
@@ -51,6 +51,11 @@
         self.hash, self.failed_age = wire.digest_of(row), None
         self.news = 0  # times to pass it on yet
 
+    @property
+    def shown(self):
+        """Whether the digest of all rows has it."""
+        return self.state not in ("failed", "left")
+
 
 class Member:
     """`wall`: the wall clock at start, milliseconds; `random`: of this member alone."""
@@ -64,7 +69,10 @@
         self.peers, self.news = {}, OrderedDict()
         self.tombs = OrderedDict()  # id -> age of the last row of a forgotten member
         self.graph, self.graph_of, self.out = {self.me: frozenset()}, None, frozenset()
-        self.dirty, self.inside, self.summed = True, {self.me}, None
+        self.dirty, self.inside = True, {self.me}
+        # Of the rows of those in the fleet. Failed and left ones are no news for newcomers, who would pass
+        # them on for ever: their rows are told only to those who hold an older one.
+        self.digest = self.known[self.me].hash
         self.last, self.last_tick, self.late = now, now, 0
         self.quiet_until = 0  # accuses nobody before
         self.waking = False
@@ -170,13 +178,15 @@
         known = self.known.get(one)
         if known is None:
             known = self.known[one] = Known(row, self.last)
+            self.digest ^= known.hash
             self.effects.append(("change", row.name, "alive", row.incarnation))
             self.graph_of = None
         else:
             if known.row.duty != row.duty:
                 self.graph_of = None
-            known.row, known.hash = row, wire.digest_of(row)
-        self.summed = None
+            before, known.row, known.hash = known.hash, row, wire.digest_of(row)
+            if known.shown:
+                self.digest ^= before ^ known.hash
         known.news = self.figures.known(len(self.known))
         self.news[one] = True
         self.news.move_to_end(one, last=False)
@@ -184,17 +194,6 @@
             self.known[self.news.popitem()[0]].news = 0  # the comparing of digests brings it
         self.dirty = True
 
-    @property
-    def digest(self):
-        """Of the rows of those in the fleet. Failed and left ones are no news for newcomers, who would pass
-        them on for ever: their rows are told only to those who hold an older one."""
-        if self.summed is None:
-            self.summed = 0
-            for known in self.known.values():
-                if known.state not in ("failed", "left"):
-                    self.summed ^= known.hash
-        return self.summed
-
     def learn(self, now, row, direct=False):
         """A row that came from others; `direct`: from the one of whom it tells, which so is no old news.
         Returns whether it was news, or None where it can't be used."""
@@ -273,7 +272,8 @@
 
     def forget(self, one):
         known = self.known.pop(one)
-        self.summed = None
+        if known.shown:
+            self.digest ^= known.hash
         self.news.pop(one, None)
         self.peers.pop(one, None)
         # Guards against rows that others still pass on: a forgotten member would be alive once more.
@@ -589,10 +589,13 @@
 
     def set_state(self, now, known, state):
         if known.state != state:
+            shown = known.shown
             known.state, known.since, known.turning = state, now, None
+            if known.shown != shown:
+                self.digest ^= known.hash
             if state == "failed":
                 known.failed_age = known.row.age
-            self.dirty, self.summed = True, None
+            self.dirty = True
             self.effects.append(("change", known.row.name, state, known.row.incarnation))
 
     def set_isolated(self, isolated, why):
--- a/finchcart/trial/seeds.py
+++ b/finchcart/trial/seeds.py
@@ -70,6 +70,11 @@
             self.breach(f"{name} holds more than its bounds")
         if member.sent_now > figures.datagrams or len(member.peers) > len(member.known) + 1:
             self.breach(f"{name} sends or links more than its bounds")
+        digest = 0
+        for known in member.known.values():
+            digest ^= known.hash if known.state not in ("failed", "left") else 0
+        if member.digest != digest:
+            self.breach(f"{name} keeps a digest that is not of its rows")
         rows = self.rows.setdefault((name, fleet.places[name].life), {})
         for other, known in member.known.items():
             before, row = rows.get(other), known.row
