--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -49,7 +49,7 @@
     fleet.run(4 * SECOND)
     while not all(len(seen) == count for seen in fleet.views().values()) and fleet.now < 30 * SECOND:
         fleet.run(fleet.now + SECOND)
-    joined = fleet.now / SECOND if count <= together else math.nan
+    joined = fleet.now / SECOND if count <= together else None
     if loss:
         fleet.fabric.reduce(fleet.now, ("rule", None, None, {"lose": loss}))
         fleet.run(fleet.now + 6 * SECOND)
@@ -85,7 +85,7 @@
 
 
 def table(rows, columns):
-    cell = lambda value: f"{value:.2f}" if isinstance(value, float) else str(value)
+    cell = lambda value: f"{value:.2f}" if isinstance(value, float) else "-" if value is None else str(value)
     return "\n".join(["| " + " | ".join(columns.values()) + " |", "| --- " * len(columns) + "|"] + [
         "| " + " | ".join(cell(row[name]) for name in columns) + " |" for row in rows])
 
--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -255,7 +255,8 @@
     def arrive(self, now, index, method, kb, *, expires=0, waited=0, place=None, hint=0, again=False,
                repeats=None, caller=None, room=None):
         """An RPC has been read. `waited`: since it reached the machine; `repeats`: the index of what it
-        repeats, or -1 where that one is no longer known here; `room`: of the fleet's limits, see Port."""
+        repeats, or -1 where that one is no longer known here; `room`: (left, of, back) of the fleet's
+        limits on RPCs, as this node has them: how many may be taken, of how many, when there may be more."""
         before, self.seen[caller] = self.seen.get(caller), now
         if before is not None or now - self.began > IDLE[1]:
             self.returns += ((before is not None and now - before < IDLE[1]) - self.returns) / 16
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -10,7 +10,7 @@
 from finchcart.members import wire as base
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota import loose, wire
-from finchcart.quota.division import divide
+from finchcart.quota.division import divide, shared_out
 from finchcart.quota.holder import Holder
 from finchcart.quota.limits import SECOND, Limit, Quota, mistakes
 from finchcart.quota.loose import Loose
@@ -47,12 +47,100 @@
             ({"planners": ["127.0.0.2:1"] * 3}, {}, "its vote would count double"),
             ({"lease_ms": 300}, {}, "at least 500 ms"),
             ({"slack_ms": 2000}, {}, "more than a quarter of life_ms"),
+            ({}, {"counts": "rpcs"}, "an RPC in hand can't be ended with a grant"),
+            ({}, {"rate": 3, "burst": 30}, "in_hand or rate has to be told, and not both"),
+            ({}, {"in_hand": 0}, "limits.0.in_hand: 0:"),
+            ({}, {"method": "x"}, "method and dispatcher are of RPCs"),
             ({}, {"in_hnd": 3}, "limits.0.in_hnd: no such setting; the nearest is in_hand")]:
         wrong = {**good, "quota": {**good["quota"], **quota}, "limits": [{**good["limits"][0], **limit}]}
         with pytest.raises(Wrong) as raised:
             checked(wrong, "F")
         assert said in str(raised.value)
     assert not list(mistakes(Quota(limits=(Limit("a", 64, 1),), planners=("a",))))
+    rate = Limit("a", 64, per="rate", burst=63)
+    told = dict(mistakes(Quota(limits=(rate,), planners=("a",))))
+    assert "63 is less than most = 64" in told["limits.0.burst"]
+    loose = Limit("a", 64, mode="loose")
+    assert not list(mistakes(Quota(limits=(loose,)))), "a loose limit needs no planners"
+
+
+def test_bounds_are_formulas_of_the_settings():
+    quota, limit = Quota(over=0.5, drift=0.01), Limit("a", 100, mode="loose")
+    assert quota.part_of(limit, 5, 10) == 75 and quota.part_of(limit, 9, 10) == 100
+    chance = random.Random(1)
+    for _ in range(300):
+        known = chance.randrange(2, 40)
+        sides, left = [], known
+        while left:
+            sides.append(chance.randint(1, left))
+            left -= sides[-1]
+        assert sum(quota.part_of(limit, side, known) for side in sides) <= 150
+    assert quota.loose_over_at_most(limit, 10) == 50 + 9
+    assert quota.loose_over_at_most(limit, 10, 5) == 100 + 14
+    rate = Limit("r", 100, per="rate", burst=80, mode="loose")
+    assert quota.loose_over_at_most(rate, 10) == 50
+    assert quota.in_window(Limit("r", 100, per="rate", burst=80), SECOND) == 80 + 104
+    assert quota.back_within() == quota.silence + 4 * quota.retry + quota.wait + quota.round
+
+
+def test_what_matters_more_is_met_first_and_weights_count():
+    assert shared_out(10, {"a": 10, "b": 10}, {"a": 2, "b": 8}) == {"a": 2, "b": 8}
+    assert shared_out(12, {"a": 10, "b": 10}, {"b": 4}) == {"a": 4, "b": 8}
+    assert shared_out(9, {"a": 9, "b": 9}, {}, {"a": 2.0}) == {"a": 6, "b": 3}
+    chance = random.Random(4)
+    for _ in range(300):
+        wants = {n: chance.randrange(30) for n in range(chance.randrange(1, 9))}
+        first = {n: chance.randrange(40) for n in wants}
+        parts = shared_out(40, wants, first)
+        assert sum(parts.values()) == min(40, sum(wants.values()))
+        assert all(parts[n] <= wants[n] for n in wants)
+
+
+def test_demand_that_alternates_between_two_moves_little():
+    """The greater of the last two words of each counts."""
+    one, now = elected({})
+    now += SHARED.wait + 1
+    one.owns_until = now + 99 * SECOND
+    held, moves, before = {1: (0, 0), 2: (0, 0)}, 0, None
+    for turn in range(20):
+        for n in (1, 2):
+            now += 250_000
+            part = ask(one, now, f"n{n}", n, turn + 1, one.term, held[n][0], held[n][1],
+                       wants=40 if turn % 2 == n % 2 else 0, oldest=turn + 1)
+            held[n] = part.number, part.amount
+        parts = [held[n][1] for n in (1, 2)]
+        if turn > 6:
+            moves += abs(parts[0] - before[0])
+        before = parts
+    assert moves <= 2 and min(before) >= 18
+
+
+def test_a_liar_about_its_demand_gets_no_more_than_its_max_min_part():
+    fleet = Shares(2, holders=4)
+    for name in fleet.processes:
+        fleet.start(name)
+        fleet.processes[name].wants = 20 if name[0] == "n" else 0
+    fleet.processes["n1"].lies = True
+    fleet.run(12 * SECOND, fleet.after_step)
+    assert fleet.processes["n1"].amount <= 34 // 4 + 1
+    assert min(fleet.processes[f"n{n}"].amount for n in (0, 2, 3)) >= 34 // 4 - 1
+
+
+def test_another_fleet_on_the_same_address_is_not_heard():
+    one, now = elected({})
+    before = dict(one.holders)
+    said = one.reduce(now + 1, ("got", NODE, base.sealed(wire.CHANNEL, "g", wire.Want(
+        "n1", 1, 1, 1, False, [wire.Line("store", 0, 0, 0, 9, 0)]))))
+    assert not said and one.holders == before and one.counts["another fleet"] == 1
+
+
+def test_a_limit_that_the_planners_lack_stays_at_its_floor():
+    one, now = elected({})
+    now += SHARED.wait + 1
+    one.owns_until = now + 9 * SECOND
+    line = wire.Line("other", 0, 0, 0, 9, 0)
+    said = sent(one.reduce(now, got(wire.Want("n1", 1, 1, 1, False, [line]), NODE)))
+    assert said[0].parts == [] and one.counts["a holder knows no limit store"] == 1
 
 
 def test_a_meter_never_gives_more_than_was_granted_nor_for_longer():
