--- a/finchcart/node/meter.py
+++ b/finchcart/node/meter.py
@@ -88,7 +88,7 @@
         self.asked, self.looked, self.demand = 0, None, 0.0  # demand: lately, a second
 
     def allow(self, floor, amount, until):
-        if not self.off and self.filled is not None:
+        if not self.off:
             self.fill()  # at the old part until now
         super().allow(floor, amount, until)
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -162,11 +162,11 @@
                 "methods.1.deadline": 3000 * MS, "method_calls": (False, False), "method_poorer": (0.0, 0.0),
                 "cores": 64}
     far = far_plain(meters=meters, **settings)
-    link = far.open()
+    links = [far.open() for _ in range(3)]
     far.feed("fleet", ("allow", "in hand", 0, 40, far.now + 10**9))
-    names = [far.submit(link) for _ in range(45)]
+    names = [far.submit(links[n % 2]) for n in range(45)]
     far.step(MS)
-    names += [far.submit(link, 1) for _ in range(5)]
+    names += [far.submit(links[2], 1) for _ in range(5)]
     far.step(MS)
     lesser, more = ([far.tries[name].get("how") for name in part].count("pushed back")
                     for part in (names[:45], names[45:]))
