Read again: what a node wants is kept for a while only, one signature of meters, one id

Found in reading: a node that met nobody kept each word of what it wants for ever (600 after a minute; a test holds it under 40). Meters are asked in one way, a bucket's room stands once, a limit's id is the members' function, sums of use are kept once.

--- a/finchcart/members/member.py
+++ b/finchcart/members/member.py
@@ -404,7 +404,7 @@
         """Digest and ids of each bucket, of those in the fleet."""
         digests, inside = [0] * count, [[] for _ in range(count)]
         for one, known in self.known.items():
-            if known.state not in ("failed", "left"):
+            if known.shown:
                 digests[one % count] ^= known.hash
                 inside[one % count].append(one)
         return digests, inside
@@ -432,7 +432,7 @@
         theirs = {one: (incarnation, version) for one, incarnation, version in said.entries}
         ids = sorted(one for one in self.known
                      if one % said.buckets == said.bucket and said.low <= one <= said.high)
-        gone = {one for one in ids if self.known[one].state in ("failed", "left")}
+        gone = {one for one in ids if not self.known[one].shown}
         newer = [self.known[one].row for one in ids
                  if (one not in theirs and one not in gone)
                  or one in theirs and self.known[one].row.age[:2] > theirs[one]]
--- a/finchcart/node/meter.py
+++ b/finchcart/node/meter.py
@@ -97,21 +97,22 @@
 
     def fill(self):
         """What came since the last look: the grant may have ended meanwhile."""
-        limit = self.limit
         if self.filled is None:
             self.filled = self.now
         granted = max(0, min(self.now, self.until) - self.filled) * self.amount
         gained = ((self.now - self.filled) * self.floor + granted) / SECOND
-        room = 1 + max(0, limit.burst - self.most) * self.per_second() / limit.amount
-        self.tokens, self.filled = min(room, self.tokens + max(0.0, gained)), self.now
+        self.tokens, self.filled = min(self.room(), self.tokens + max(0.0, gained)), self.now
+
+    def room(self):
+        """Of the bucket."""
+        return 1 + max(0, self.limit.burst - self.most) * self.per_second() / self.limit.amount
 
     def left(self):
         """(how many may be taken now, of how many at most); None where the limit is gone."""
         if self.off:
             return None
         self.fill()
-        return int(self.tokens), int(1 + max(0, self.limit.burst - self.most) * self.per_second()
-                                     / self.limit.amount)
+        return int(self.tokens), int(self.room())
 
     def ask(self):
         """One more is wanted, whatever comes of it."""
@@ -133,9 +134,11 @@
         rate = self.per_second()
         return int((1 - min(1.0, self.tokens)) / rate * SECOND) if rate else SECOND
 
-    def use(self, waiting=0):
-        """(0, wanted a second): a little over what was asked for lately, so that a part can grow. The part
-        of what waits is worked off within a second."""
+    def use(self, store, standing, first=0):
+        """(0, wanted a second): a little over what was asked for lately, so that a part can grow. Calls that
+        wait are worked off within a second."""
+        waits = self.limit.counts == "calls"
+        waiting = max(0, standing - store.in_hand(False) - store.in_hand(True)) if waits else 0
         if self.looked is None:
             self.looked = self.now
         if self.now - self.looked >= SPAN:
@@ -172,7 +175,7 @@
     def back(self):
         return 0  # nobody knows when one is over
 
-    def use(self):
+    def use(self, store, standing, first=0):
         """(in hand, wanted): those that were turned away in the last span are wanted too."""
         if self.now - self.looked >= SPAN:
             self.before, self.asked, self.looked = self.asked, 0, self.now
@@ -257,9 +260,7 @@
         """(name, in hand, wanted, first) of each that has news."""
         out = []
         for meter in self.all:
-            said = (meter.use(store, standing, first) if meter is self.calls else
-                    meter.use(max(0, standing - store.in_hand(False) - store.in_hand(True)))
-                    if meter is self.calls_rate else meter.use())
+            said = meter.use(store, standing, first)
             if said:
                 out.append((meter.name, *said))
         return out
--- a/finchcart/quota/loose.py
+++ b/finchcart/quota/loose.py
@@ -5,8 +5,7 @@
 hear. `now` is the boot clock in whole microseconds.
 
 Inputs: `("use", name, used, wants, first)` (of a limit: in hand, and wanted in all), `("quota", Quota)`;
-`turn(now, member)` with each tick of the member. Effects: `("allow", name, floor, amount, until)`, `("log",
-text, fields)`.
+`turn(now, member)` with each tick of the member. Effects: `("allow", name, floor, amount, until)`.
 
 How the overshoot is bounded. Where all hear each other: a part is the max-min share of what all want; the own
 want counts only when the others have heard of it, and theirs as soon as it is heard, so nobody takes what
@@ -18,18 +17,13 @@
 
 from collections import deque
 
-from xxhash import xxh3_64_intdigest
-
+from finchcart.members.wire import id_of
 from finchcart.quota.division import divide
 
 KEEP = 2_000_000  # what is handed out is good for so long: a node whose members' part ends has its floor
 AGAIN = 500_000  # it is handed out anew after this
 
 
-def limit_id(name):
-    return xxh3_64_intdigest(name.encode())
-
-
 def fresh(figures, count, loss):
     """How old the word of a heard member can be, and how long a new word takes to all."""
     return figures.spread(count, loss) + 2 * figures.period
@@ -39,21 +33,25 @@
     """The part of one limit."""
 
     def __init__(self, limit):
-        self.limit, self.id = limit, limit_id(limit.name)
+        self.limit, self.id = limit, id_of(limit.name)
         self.used, self.wants = 0, 0
         self.said = deque()  # (when, wants), the youngest last
         self.part, self.told, self.told_at = limit.floor, None, None
 
-    def settled(self, now, back):
-        """The least that it said it wants in the time `back`: what all others know of."""
+    def say(self, now, back):
+        """Kept for the time `back`, whether it is asked for or not."""
+        self.said.append((now, self.wants))
         while len(self.said) > 1 and self.said[1][0] <= now - back:
             self.said.popleft()
-        return min(wants for _, wants in self.said) if self.said else 0
+
+    def settled(self):
+        """The least that it said it wants lately: what all others know of."""
+        return min(wants for _, wants in self.said)
 
 
 class Loose:
     def __init__(self, quota, now):
-        self.quota, self.now = quota, now
+        self.quota = quota
         self.held = {limit.name: Held(limit) for limit in quota.loose}
         self.since = None  # when it first knew of others
         self.seen, self.knows, self.age = 1, 1, 0
@@ -81,14 +79,13 @@
         return [("allow", name, None, 0, 0) for name in gone]
 
     def turn(self, now, member):
-        self.now = now
         self.look(now, member)
-        member.write_note([(held.id, held.used, held.wants) for held in self.held.values()][:16])
+        member.write_note([(held.id, held.used, held.wants) for held in self.held.values()])
         effects = []
         for held in self.held.values():
-            held.said.append((now, held.wants))
-            part = self.part(now, member, held)
-            held.part = part
+            # Twice in hand: others must have heard of the want, and this one of what they had by then.
+            held.say(now, 2 * self.age if held.limit.per == "in_hand" else self.age)
+            part = held.part = self.part(now, member, held)
             if part != held.told or now - held.told_at >= AGAIN:
                 held.told, held.told_at = part, now
                 floor = min(part, held.limit.floor)
@@ -130,9 +127,7 @@
         if self.since is None or now - self.since < self.age:
             return limit.floor  # others don't know of it yet
         whole = self.quota.part_of(limit, self.seen, self.knows)
-        # Twice: others must have heard of the want, and this one of what they had in hand by then.
-        back = 2 * self.age if limit.per == "in_hand" else self.age
-        demands, used = {member.me: held.settled(now, back)}, {}
+        demands, used = {member.me: held.settled()}, {}
         for one in self.unheard:
             demands[one] = whole
         for one in self.heard:
