--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -101,7 +101,7 @@
             "send_by": links.send_by}
     reduce = core.reduce
     if fleet:
-        reduce, acts["use"] = fleet.reducer(core), fleet.use
+        reduce, acts["use"], acts["evidence"] = fleet.reducer(core), fleet.use, fleet.saw
     links.listen()
     waiting = deque([("start",)])
     told, idle = clock() // 1000, 0  # when the load was told last, and how long nothing was to be done since
@@ -163,7 +163,7 @@
 def main(log=plain_log, join=None):
     """Status of the process. `join(inputs)`: takes part in a fleet, see finchcart/cli/serve.py; its
     `heard(what)` is told of signals, its `end()` of the end; `meters()` and `reducer(core)` hold
-    calls and RPCs to the fleet's limits."""
+    calls and RPCs to the fleet's limits, `witness()` and `saw` are for its verdicts."""
     inputs = SimpleQueue()  # its put may be called from a signal handler
     hears = [inputs.put]
     for number, what in ((signal.SIGTERM, "drain"), (signal.SIGINT, "drain"), (signal.SIGHUP, "reread")):
@@ -185,7 +185,7 @@
     threading.excepthook = lambda fault: fault_in_thread(inputs, fault)
     core = Core(config["settings"], limits, config["seed"], config["name"], config["places"],
                 lambda core: {"thrift": ThriftFront(core, limits)}, config["watch"],
-                fleet.meters() if fleet else None)
+                *((fleet.meters(), fleet.witness()) if fleet else ()))
     links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.FRONT)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
     if fleet:
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -34,7 +34,7 @@
 @SETTINGS
 def check(settings):
     """Read a settings file; tell all its mistakes, or the bounds that follow from it."""
-    from finchcart.cli.file import Wrong, figures, quota, read
+    from finchcart.cli.file import Wrong, figures, quota, read, verdicts
     if not settings:
         raise click.UsageError("--settings or FINCHCART_SETTINGS has to name a file")
     try:
@@ -69,6 +69,22 @@
                    f"{shared.back_within() / 1e6:.1f} s of their return")
 
 
+    held = verdicts(whole)
+    if held:
+        from finchcart.verdicts.decide import least_liars
+        from finchcart.verdicts.figures import warnings
+        for count in (3, 24, 200):
+            calm, lossy = (held.acts_within(told, count, loss) / 1e6 for loss in (0.0, 0.3))
+            liars = least_liars(held, count)
+            click.echo(f"  verdicts at {count} members: all act {calm:.1f} s after enough have the evidence, "
+                       f"{lossy:.1f} s at 30 % loss;")
+            click.echo(f"    {liars['store']} that are wrong or lie move store, {liars['source']} a source, "
+                       f"{liars['level']} level")
+        click.echo(f"  verdicts: an opinion is at most {held.stale() / 1e6:.1f} s old, then it is void")
+        for name, reason in warnings(held):
+            click.echo(f"  warning: verdicts.{name}: {reason}")
+
+
 @commands.command()
 @SETTINGS
 @click.option("--place", required=True, help="its address as quota.planners names it")
@@ -130,6 +146,85 @@
         click.echo("  " + ", ".join(f"{name} {value}" for name, value in limit.items()))
 
 
+@fleet.command()
+@click.argument("where")
+@click.option("--json", "as_json", is_flag=True)
+def verdicts(where, as_json):
+    """What the node at HOST:PORT (its `fleet.listen`) takes the fleet to hold, and how old that can be."""
+    from finchcart.cli.serve import ask_verdicts
+    view = answer(ask_verdicts, where, as_json)
+    click.echo(", ".join(f"{name} {value}" for name, value in view.items()
+                         if name not in ("verdicts", "counts", "pages")))
+    for row in view["verdicts"]:
+        click.echo("  " + ", ".join(f"{name} {value}" for name, value in row.items()))
+
+
+AT = click.option("--at", help="HOST:PORT of a node; else fleet.listen of the settings file")
+
+
+def word(settings, at, kind, name, value, seconds, why):
+    """Tells an operator's word to one node, which tells all."""
+    from finchcart.cli.file import Wrong, read
+    from finchcart.cli.serve import say as tell
+    from finchcart.members.wire import Unfit, place_of
+    from finchcart.verdicts import subjects
+    try:
+        subject = subjects.read(kind, name)
+        told = subjects.read_value(kind, value) if value else 0
+        if not at:
+            if not settings:
+                raise click.UsageError("--at, or --settings or FINCHCART_SETTINGS, has to tell which node")
+            at = read(settings).fleet.listen
+        view = tell(place_of(at), subject, told, seconds, why)
+    except (ValueError, Unfit, AttributeError) as error:
+        raise click.UsageError(str(error)) from None
+    except (Wrong, TimeoutError) as error:
+        click.echo(str(error), err=True)
+        sys.exit(1)
+    if not view["taken"]:
+        click.echo(f"not taken: {view['why']}", err=True)
+        sys.exit(1)
+    click.echo(f"taken by {at}; all connected nodes act within {view['acts_within_ms']} ms")
+
+
+def seconds_of(text):
+    """Of "90s", "10m", "2h"."""
+    units = {"s": 1, "m": 60, "h": 3600}
+    seconds = int(text[:-1]) * units.get(text[-1], 0) if text[:-1].isdecimal() else 0
+    if not 0 < seconds <= 604_800:
+        raise click.UsageError(f"--for {text!r}: a whole number with s, m or h, a week at most")
+    return seconds
+
+
+KINDS = click.Choice(["source", "store", "node", "level"])
+
+
+@fleet.command()
+@click.argument("kind", type=KINDS)
+@click.argument("words", nargs=-1, required=True)
+@click.option("--for", "span", default="10m", show_default=True, help="90s, 10m, 2h")
+@click.option("--why", default="", help="60 characters at most")
+@AT
+@SETTINGS
+def say(kind, words, span, why, at, settings):
+    """An operator's word for a time, over all opinions: source 10.0.0.7 out | slowed | in, node NAME out |
+    in, store down | slow | working, level 0.25."""
+    *name, value = words
+    if len(name) != (kind in ("source", "node")) or len(why) > 60:
+        raise click.UsageError("source and node take a name and a value, store and level a value")
+    word(settings, at, kind, name[0] if name else "", value, seconds_of(span), why)
+
+
+@fleet.command()
+@click.argument("kind", type=KINDS)
+@click.argument("name", default="")
+@AT
+@SETTINGS
+def unsay(kind, name, at, settings):
+    """Takes an operator's word back."""
+    word(settings, at, kind, name, "", 0, "")
+
+
 @commands.group()
 def trial():
     """Many processes with faults between them."""
--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -14,6 +14,7 @@
 from finchcart.members.figures import MS, SECOND, Figures
 from finchcart.members.wire import Unfit, place_of
 from finchcart.quota import limits as limits_of
+from finchcart.verdicts import figures as verdicts_of
 
 Text = Annotated[str, Meta(min_length=1, max_length=64)]
 Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
@@ -74,8 +75,45 @@
     over: Annotated[float, Meta(ge=0.0, le=10.0)] | UnsetType = UNSET
 
 
+class Verdicts(Struct, forbid_unknown_fields=True):
+    """What the fleet holds to be so, from what its nodes saw: see verdicts/figures.py."""
+
+    zone: Text | UnsetType = UNSET
+    zones: whole(1, 64) = UNSET
+    look_ms: whole(50, 10_000) = UNSET
+    span_ms: whole(200, 600_000) = UNSET
+    pace_ms: whole(50, 60_000) = UNSET
+    life_ms: whole(1_000, 600_000) = UNSET
+    quiet_ms: whole(0, 600_000) = UNSET
+    count: whole(1, 1_000) = UNSET
+    part: Annotated[float, Meta(gt=0.0, le=1.0)] | UnsetType = UNSET
+    hold_ms: whole(0, 600_000) = UNSET
+    hold_most_ms: whole(0, 600_000) = UNSET
+    again_ms: whole(0, 3_600_000) = UNSET
+    calls: whole(1, 100_000) = UNSET
+    failed: Annotated[float, Meta(gt=0.0, le=1.0)] | UnsetType = UNSET
+    slower: Annotated[float, Meta(ge=1.1, le=1000.0)] | UnsetType = UNSET
+    trials: whole(1, 100_000) = UNSET
+    trial_ms: whole(10, 60_000) = UNSET
+    rise_ms: whole(50, 60_000) = UNSET
+    bad: whole(1, 1_000_000) = UNSET
+    bad_span_ms: whole(1_000, 600_000) = UNSET
+    source_part: Annotated[float, Meta(ge=0.0, le=1.0)] | UnsetType = UNSET
+    shut_ms: whole(1_000, 86_400_000) = UNSET
+    slowed: whole(1, 1_000_000) = UNSET
+    most_out: Annotated[float, Meta(ge=0.0, le=1.0)] | UnsetType = UNSET
+    runs: whole(1, 1_000_000) = UNSET
+    out_part: Annotated[float, Meta(ge=0.0, le=1.0)] | UnsetType = UNSET
+    node_hold_ms: whole(1_000, 3_600_000) = UNSET
+    level_step: Annotated[float, Meta(ge=0.0, le=1.0)] | UnsetType = UNSET
+    opinions: whole(1, 24) = UNSET
+    subjects: whole(1, 65_536) = UNSET
+    words: whole(1, 256) = UNSET
+
+
 class Settings(Struct, forbid_unknown_fields=True):
     fleet: Fleet | UnsetType = UNSET
+    verdicts: Verdicts | UnsetType = UNSET
     limits: list[Limit] = []
     quota: Quota | UnsetType = UNSET
 
@@ -115,6 +153,13 @@
                            **_in_microseconds(settings.quota, ("planners",)))
 
 
+def verdicts(settings):
+    """Their figures; None where none are asked for."""
+    if settings.verdicts is UNSET:
+        return None
+    return verdicts_of.Figures(**_in_microseconds(settings.verdicts, ()))
+
+
 class Wrong(Exception):
     """The settings can't be used; `mistakes` has a line for each reason."""
 
@@ -181,6 +226,12 @@
                 yield f"quota.planners.{n}", f"{place!r}: no such address or port"
         for path, reason in limits_of.mistakes(shared):
             yield path if path.startswith("limits") else f"quota.{path}", reason
+    held = verdicts(settings)
+    if held:
+        if fleet is UNSET:
+            yield "fleet", "is missing: opinions ride on its messages"
+        for path, reason in verdicts_of.mistakes(held):
+            yield f"verdicts.{path}", reason
     if fleet is UNSET:
         return
     for name in ("listen", "advertise"):
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -12,6 +12,7 @@
 import socket
 import sys
 import time
+from dataclasses import replace
 from datetime import UTC
 
 import msgspec
@@ -19,17 +20,22 @@
 from msgspec import UNSET
 
 from finchcart.__main__ import ConfigError, main, plain_log
-from finchcart.cli.file import Wrong, figures, quota, read
+from finchcart.cli.file import Wrong, figures, quota, read, verdicts
 from finchcart.members import wire as base
 from finchcart.members.member import Member
 from finchcart.members.wire import place_of
 from finchcart.net.datagrams import Datagrams, boot_clock
 from finchcart.node.meter import Meters
+from finchcart.node.witness import Witness
 from finchcart.quota import wire as shares
 from finchcart.quota.holder import Holder
+from finchcart.quota.limits import Limit, Quota
 from finchcart.quota.loose import Loose
 from finchcart.quota.planner import Planner
+from finchcart.verdicts import wire as sayings
+from finchcart.verdicts.board import Board
 
+TRIAL = "store, trial calls"  # the limit by which the fleet shares the calls to a store that is down
 FIXED = "name", "listen", "advertise", "seeds"  # for as long as the process lives
 
 
@@ -50,6 +56,16 @@
     logger.add(write, format="{message}", backtrace=False, diagnose=False)
 
 
+def shared(settings):
+    """The limits, and with verdicts the one on trial calls; None where there are neither."""
+    asked, held = quota(settings), verdicts(settings)
+    if not held:
+        return asked
+    trial = Limit(TRIAL, held.trials, counts="trial", mode="loose")
+    asked = asked or Quota()
+    return replace(asked, limits=(*asked.limits, trial))
+
+
 class Fleet:
     """The members' part of a node. `name`: of the node, which is its name in the fleet."""
 
@@ -59,7 +75,7 @@
         advertise = asked.listen if asked.advertise is UNSET else asked.advertise
         wall = time.time_ns() // 1_000_000
         seed = random.SystemRandom().getrandbits(64)
-        self.shares = quota(settings)
+        self.shares = shared(settings)
         self.datagrams = Datagrams(
             place_of(asked.listen),
             lambda now: self.machines(now, name, advertise, random.Random(seed), wall),
@@ -72,13 +88,32 @@
                                     now)}
         if self.shares:
             holder = out[shares.CHANNEL] = Holder(name, asked.name, self.shares, chance, now)
-            out[base.CHANNEL].rider = loose = Loose(self.shares, now)
+            loose = Loose(self.shares, now)
+            out[base.CHANNEL].riders.append(loose)
             holder.loose = loose.status
+        held = verdicts(self.settings)
+        if held:
+            board = out[sayings.CHANNEL] = Board(name, asked.name, held, now)
+            out[base.CHANNEL].riders.append(board)
         return out
 
     def meters(self):
         """Of all limits of the fleet that this node is held to; new ones wait for the next start."""
-        return self.shares and Meters(self.shares.limits, self.shares.slack, self.shares.most)
+        if not self.shares:
+            return None
+        meters = Meters(self.shares.limits, self.shares.slack, self.shares.most)
+        held = verdicts(self.settings)
+        if held:
+            meters.rise, meters.longest = held.rise, held.trial
+        return meters
+
+    def witness(self):
+        """What sees for the fleet's verdicts, where there are any."""
+        held = verdicts(self.settings)
+        return held and Witness(held)
+
+    def saw(self, evidence):
+        self.datagrams.tell(sayings.CHANNEL, "evidence", evidence)
 
     def reducer(self, core):
         """The core's `reduce`, with the boot clock told before each turn."""
@@ -115,8 +150,10 @@
             new = read(self.path)
             fixed = [name for name in FIXED
                      if new.fleet is UNSET or getattr(new.fleet, name) != getattr(self.settings.fleet, name)]
-            if not fixed and bool(quota(new)) != bool(self.shares):
+            if not fixed and bool(quota(new)) != bool(quota(self.settings)):
                 fixed = ["planners"]
+            if not fixed and bool(verdicts(new)) != bool(verdicts(self.settings)):
+                fixed = ["verdicts"]
             if fixed:
                 raise Wrong([f"{self.path}: fleet.{name}: waits for the next start" for name in fixed])
         except Wrong as wrong:
@@ -126,8 +163,10 @@
         self.settings = new
         logger.info("settings taken from {}", self.path)
         said = [(base.CHANNEL, ("figures", figures(new.fleet)))]
+        if verdicts(new):
+            said.append((sayings.CHANNEL, ("figures", verdicts(new))))
         if self.shares:
-            self.shares = quota(new)
+            self.shares = shared(new)
             said += [(shares.CHANNEL, ("quota", self.shares)),
                      (base.CHANNEL, ("rider", "quota", self.shares))]
         return said
@@ -155,7 +194,7 @@
 class Nothing:
     """No fleet is asked for."""
 
-    start = heard = end = use = meters = lambda self, *_: None
+    start = heard = end = use = saw = meters = witness = lambda self, *_: None
 
     def reducer(self, core):
         return core.reduce
@@ -206,23 +245,42 @@
     return 0
 
 
-def ask_limits(where, timeout=2.0):
-    """What a node or planner says of the limits."""
-    number = random.SystemRandom().getrandbits(32)
+def ask_once(where, words, question, timeout=2.0):
+    """The view that answers `question`, of the messages of `words`; a lost one is asked again."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.connect(where)
         sock.settimeout(timeout / 8)
         for _ in range(8):
             try:
-                sock.send(base.sealed(shares.CHANNEL, "", shares.Ask(number)))
-                said = shares.unpack(None, sock.recv(65536))
+                sock.send(base.sealed(words.CHANNEL, "", question))
+                said = words.unpack(None, sock.recv(65536))
             except (OSError, base.Unfit):
                 continue
-            if isinstance(said, shares.Told) and said.number == number:
+            if isinstance(said, words.Told) and said.number == question.number:
                 return said.view
     raise TimeoutError(f"no answer from {where[0]}:{where[1]}")
 
 
+def ask_limits(where, timeout=2.0):
+    """What a node or planner says of the limits."""
+    return ask_once(where, shares, shares.Ask(random.SystemRandom().getrandbits(32)), timeout)
+
+
+def ask_verdicts(where, timeout=2.0):
+    """What a node holds of the fleet's verdicts, all pages."""
+    number = random.SystemRandom().getrandbits(32)
+    view = ask_once(where, sayings, sayings.Ask(number), timeout)
+    for page in range(1, view["pages"]):
+        view["verdicts"] += ask_once(where, sayings, sayings.Ask(number + page, page), timeout)["verdicts"]
+    return view
+
+
+def say(where, subject, value, seconds, why, timeout=2.0):
+    """An operator's word, told to one node."""
+    number = random.SystemRandom().getrandbits(32)
+    return ask_once(where, sayings, sayings.Say(number, subject, value, int(seconds * 1e6), why), timeout)
+
+
 def ask(where, timeout=2.0):
     """The whole view of a running process, page by page; a page that is lost is asked for again."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -63,6 +63,8 @@
         self.deadline = get("deadline", 5 * SECOND)
         self.target, self.window = get("latency_target", self.deadline), get("window", 0)
         self.poorer = poorer[n] if isinstance(poorer, tuple) else poorer
+        calls = settings.get("method_calls", False)
+        self.needs_call = not self.poorer and bool(calls[n] if isinstance(calls, tuple) else calls)
         self.tokened, self.repeatable = kind == "tokened", kind == "idempotent"
         self.stoppable = self.repeatable and settings.get("can_stop", False)
         self.lost_when_late = self.stoppable and not get("late_worth", 0)
@@ -201,6 +203,8 @@
         self.kb, self.on_core, self.work, self.running, self.in_call = 0.0, 0, 0.0, 0, 0  # work: on cores
         self.pausing = set()  # runs that were told to pause and have not said that they did
         self.room = None  # calls that may be in hand here, where the fleet shares its limit out
+        # What the fleet holds: of this node, the least level, of the dependency.
+        self.told_out, self.told_level, self.below_down, self.own_level = False, 0.0, False, 0.0
         self.lingering, self.credit, self.credit_at = [], 0.2 * self.calls_limit * self.calls_window, 0
         self.limit, self.slow, self.late = float(self.cores), 1.0, 0
         self.unread, self.further = 0.0, 0.0  # time lately lost before reading; part of further tries
@@ -309,11 +313,20 @@
         full = self.kb + self.entry * m.tokened > 0.9 * self.memory
         if self.sealed or after_grace or full or self.too_late(now, rpc):
             return True
+        if self.below_down and m.needs_call and self.room is not None and self.room <= sum(
+                other.method.needs_call for other in self.live.values()) - 1:
+            return True  # it would run half and fail: only so many are taken as may try the dependency
+        place = None
+        if self.told_level:
+            place = self.random() if rpc.place is None else rpc.place * self.bands - m.band
+            if place < self.told_level * self.bands - m.band:
+                return True  # what the whole fleet turns away
         fits = rpc.expect < (1.2 if self.on_core * 2 < self.cores else 0.8) * (rpc.want - now)
         if self.on_core < self.cores and not self.held and (fits or not rpc.hint or self.random() < 0.1):
             return False  # a free core, nothing waits: else a node once slow would never learn that it is not
         # Where it stands among its like: by user where told, the same on every node; else by chance.
-        place = self.random() if rpc.place is None else rpc.place * self.bands - m.band
+        if place is None:
+            place = self.random() if rpc.place is None else rpc.place * self.bands - m.band
         if place < 1 - m.share:
             return True
         # Where runs yield, what is expected, learnt in a crowd, is too long: as for what is held.
@@ -487,7 +500,9 @@
             waiting.sort(key=lambda r: r.key)
         for rpc in waiting:
             left = rpc.want - now
-            if rpc.method.poorer > 0 and left < 1.5 * self.call_times.mean + 0.6 * rpc.expect * self.slow:
+            gone = self.below_down and self.in_call + len(self.lingering) >= cap
+            if rpc.method.poorer > 0 and (
+                    gone or left < 1.5 * self.call_times.mean + 0.6 * rpc.expect * self.slow):
                 self.skip(now, rpc)
             elif self.credit > 0 and self.in_call + len(self.lingering) < cap:
                 worst = self.calls_limit * self.calls_window / cap
@@ -524,7 +539,8 @@
         self.core_use = gauges.get("core_use", min(1.0, self.on_core / self.cores))
         self.wanting = gauges.get("on_cores", self.on_core)
         self.own_use, self.own_wait = gauges.get("intake_use", 0.0), gauges.get("intake_age", 0)
-        self.room = gauges.get("calls_room")
+        self.room, self.told_out = gauges.get("calls_room"), gauges.get("told_out", False)
+        self.told_level, self.below_down = gauges.get("told_level", 0.0), gauges.get("below_down", False)
         if len(self.seen) > 999:  # guards against callers that are new ones for ever
             self.seen = {caller: at for caller, at in self.seen.items() if now - at < IDLE[1]}
         while self.table and self.table[0][0] <= now:
@@ -605,10 +621,12 @@
         # reads are fewer. Not where further tries tell of a full fleet: all would be left out at once.
         crowded = self.wanting - self.on_core > self.cores / 2 or self.own_use > CUT_ABOVE
         alone = self.further < 0.1 and crowded
-        if self.kill_at is None and self.good == (alone and lost > (0.5 if self.good else 0.1)):
+        bad = self.told_out or alone and lost > (0.5 if self.good else 0.1)
+        if self.kill_at is None and self.good == bad:
             self.good = not self.good
             self.port.health(self.good, True)
-            self.port.log(f"health {'good' if self.good else 'bad'}: {lost:.2f} of the target unread")
+            why = "held to be bad by the fleet" if self.told_out else f"{lost:.2f} of the target unread"
+            self.port.log(f"health {'good' if self.good else 'bad'}: {why}")
         deep = 1 if self.levels else min((m.share for m in self.methods), default=1)
         keep = self.returns > 0.75 or lost > 0.2 or deep < 0.6 or self.keeping and (
             self.returns > 0.6 or lost > 0.04 or deep < 0.9)
@@ -625,6 +643,8 @@
             level = (band + 1 - share) / self.bands
             if share > 0.06:
                 break
+        self.own_level = level
+        level = max(level, self.told_level)
         if abs(level - self.now_level) > 0.02 or (level == 0) != (self.now_level == 0):
             self.port.level(level)
             self.now_level = level
--- a/finchcart/interface.py
+++ b/finchcart/interface.py
@@ -7,7 +7,8 @@
 Settings are one plain map. Names that the module looks for, all optional but `cores` and the methods:
 
 - `methods.count`, `methods.N.name`, `.kind` (`idempotent`, `tokened`, `non_idempotent`), `.criticality`,
-  `.latency_target`, `.deadline`, `.window`, `.late_worth`; `method_poorer` (worth of an answer without calls)
+  `.latency_target`, `.deadline`, `.window`, `.late_worth`; `method_poorer` (worth of an answer without
+  calls), `method_calls` (whether a run makes a call)
 - `cores`, `memory_kb`, `run_factor`, `entry_kb`, `tick`, `can_stop` (running work can be stopped),
   `can_pause` (with it: what is stopped while it owes its answer is paused, keeps its memory, goes on by
   `Port.run`)
@@ -20,7 +21,9 @@
 
 Gauges that `Control.wake` looks for, all optional: `core_use` (busy part of the cores, averaged),
 `on_cores` (what wants a core now), `calls_room` (calls that may be in hand, where a
-fleet shares a limit out: all of it may be used), and of the node itself `intake_use` (part of the time in
+fleet shares a limit out: all of it may be used), of the fleet's verdicts `told_out` (this node is to tell bad
+health), `told_level` (the least that it may tell and keep to) and `below_down` (the dependency is held to be
+down: `calls_room` are trial calls), and of the node itself `intake_use` (part of the time in
 which inputs were worked on) and `intake_age` (the longest that an input lately waited).
 """
 
--- a/finchcart/members/member.py
+++ b/finchcart/members/member.py
@@ -13,7 +13,8 @@
 input by itself.
 
 Bounds: rows `figures.members`, tombstones and contests as many, links as many as rows, news `figures.news`,
-sent datagrams `figures.datagrams` a period, 32 send times a link. All age out with `figures.remember`.
+sent datagrams `figures.datagrams` a period, 32 send times a link, one note a topic and row. All age out with
+`figures.remember`.
 """
 
 from collections import OrderedDict, deque
@@ -45,6 +46,13 @@
         return self.began if self.confirmed is None else max(self.began, self.confirmed)
 
 
+class Heard:
+    """A note, and when it was written at the earliest (None: not known)."""
+
+    def __init__(self, note, born):
+        self.note, self.born = note, born
+
+
 class Known:
     """What is held of one member: its row and the state it has here."""
 
@@ -85,8 +93,9 @@
         self.counts = {}
         self.effects = []
         self.ended = False
-        self.rider, self.note = None, None  # note: its own, or None
-        self.notes, self.to_pass = {}, OrderedDict()  # id -> the newest note; id -> times to pass it on yet
+        self.riders, self.own_notes = [], {}  # own_notes: topic -> its own
+        # (id, topic) -> the newest note; times to pass it on yet
+        self.notes, self.to_pass = {}, OrderedDict()
 
     # ---- in and out
 
@@ -110,8 +119,9 @@
             self.on_end(now)
         elif kind == "figures":
             self.figures, self.graph_of = what[1], None
-        elif kind == "rider" and self.rider:
-            self.effects += self.rider.reduce(now, what[1:])
+        elif kind == "rider":
+            for rider in self.riders:
+                self.effects += rider.reduce(now, what[1:])
         return effects
 
     def count(self, reason, by=1):
@@ -282,8 +292,9 @@
             self.digest ^= known.hash
         self.news.pop(one, None)
         self.peers.pop(one, None)
-        self.notes.pop(one, None)
-        self.to_pass.pop(one, None)
+        for key in [key for key in self.notes if key[0] == one]:
+            self.notes.pop(key)
+            self.to_pass.pop(key, None)
         # Guards against rows that others still pass on: a forgotten member would be alive once more.
         self.tombs[one] = known.row.age
         while len(self.tombs) > self.figures.members:
@@ -353,9 +364,11 @@
             if peer.heard_at is None or now - peer.heard_at > 2 * self.figures.period:
                 peer.due = min(peer.due, now)  # it speaks again: answered with the next tick
             peer.heard_at = now
+        way = None  # the longest that this beat can have been under way
         if said.echo_session == self.row.session:
             for seq, when in reversed(peer.sent):
                 if seq <= said.echo:
+                    way = now - when
                     if peer.confirmed is None or when > peer.confirmed:
                         peer.confirmed = when
                         self.dirty = self.dirty or self.known[one].state == "failed"
@@ -363,7 +376,7 @@
         for row in said.rows:
             self.learn(now, row)
         for note in said.notes:
-            self.hear_note(note)
+            self.hear_note(now, note, way)
         if said.digest != self.digest and now - self.synced >= self.figures.period // 2:
             self.synced = now
             count = 1
@@ -371,33 +384,49 @@
                 count *= 2
             self.send(wire.place_of(said.row.address), Sync(self.row, self.buckets(count)[0]))
 
-    def write_note(self, values):
-        """What goes with each beat from now on; nothing new where it is the same."""
-        if self.note is None or self.note.values != values or self.note.incarnation != self.row.incarnation:
-            number = self.note.number + 1 if self.note else 0
-            self.note = wire.Note(self.me, self.row.incarnation, number, values)
-
-    def hear_note(self, note):
+    def write_note(self, now, topic, values, data=b"", urgent=False):
+        """What goes with each beat from now on; nothing new where it is the same. `urgent`: to all watched
+        ones with this tick."""
+        held = self.own_notes.get(topic)
+        old = held and held.note
+        if (old and old.values == values and old.data == data and old.incarnation == self.row.incarnation
+                and not data):
+            return
+        number = old.number + 1 if old else 0
+        self.own_notes[topic] = Heard(
+            wire.Note(self.me, topic, self.row.incarnation, number, 0, values, data), now)
+        if urgent:
+            for one in self.graph.get(self.me, ()):
+                if one in self.peers and self.known[one].state != "failed":
+                    self.peers[one].due = now
+
+    def hear_note(self, now, note, way):
+        """`way`: how long it can have been under way here, None where nothing tells: then its age is not
+        known."""
         if note.who == self.me or note.who not in self.known:
             return
-        held = self.notes.get(note.who)
-        if held is None or note.age > held.age:
-            self.notes[note.who] = note
-            self.to_pass[note.who] = PASSES
-            self.to_pass.move_to_end(note.who)
-
-    def take_notes(self, to):
-        """The own note, and some that are to be passed on."""
-        if self.note is None:
-            return []
-        notes = [self.note]
-        for one in list(self.to_pass)[:NOTES]:
-            if one != to:
-                notes.append(self.notes[one])
-                self.to_pass[one] -= 1
-                self.to_pass.move_to_end(one)
-                if self.to_pass[one] <= 0:
-                    del self.to_pass[one]
+        key = note.who, note.topic
+        held = self.notes.get(key)
+        born = None if way is None else now - way - note.since
+        if held is None or note.age > held.note.age:
+            self.notes[key] = Heard(note, born)
+            self.to_pass[key] = PASSES
+            self.to_pass.move_to_end(key)
+        elif note.age == held.note.age and born is not None and (held.born is None or born > held.born):
+            held.born = born  # both bounds hold: the younger is the better
+
+    def take_notes(self, now, to):
+        """The own notes, and some that are to be passed on."""
+        told = lambda held: msgspec.structs.replace(held.note, since=max(0, now - held.born))
+        notes = [told(held) for _, held in sorted(self.own_notes.items())]
+        for key in list(self.to_pass)[:NOTES]:
+            held = self.notes[key]
+            if key[0] != to and held.born is not None:
+                notes.append(told(held))
+                self.to_pass[key] -= 1
+                self.to_pass.move_to_end(key)
+                if self.to_pass[key] <= 0:
+                    del self.to_pass[key]
         return notes
 
     def buckets(self, count):
@@ -471,8 +500,8 @@
         if self.dirty or any(known.turning is not None for known in self.known.values()):
             self.look_at_members(now)
         self.look_at_self(now)
-        if self.rider:
-            self.effects += self.rider.turn(now, self)
+        for rider in self.riders:
+            self.effects += rider.turn(now, self)
         self.send_beats(now)
 
     def look_at_links(self, now):
@@ -612,7 +641,7 @@
             known = self.known[other]
             if other != one and other != self.me:
                 rows.append(known.row)
-        notes = wire.fill(self.take_notes(one), ROOM - len(wire.encoded(self.row)))
+        notes = wire.fill(self.take_notes(now, one), ROOM - len(wire.encoded(self.row)))
         rows = wire.fill(rows, ROOM - len(wire.encoded(self.row)) - len(wire.encoded(notes)))
         for row in rows:
             other = wire.id_of(row.name)
--- a/finchcart/members/wire.py
+++ b/finchcart/members/wire.py
@@ -15,7 +15,7 @@
 from msgspec import Meta, Struct
 from xxhash import xxh3_64_intdigest, xxh64_digest
 
-VERSION, MOST, DIGEST, CHANNEL = 1, 1200, 8, b"M"
+VERSION, MOST, DIGEST, CHANNEL = 2, 1200, 8, b"M"
 
 Word = Annotated[int, Meta(ge=0)]  # 64 bits: the most that the format carries
 Count = Annotated[int, Meta(ge=0, lt=2**53)]
@@ -48,12 +48,16 @@
 
 class Note(Struct, array_like=True, frozen=True):
     """What a member says for another part of the program, not looked into here; newer is the higher
-    (incarnation, number)."""
+    (incarnation, number) of one topic. `since`: microseconds since it was written, as the sender knows at
+    most."""
 
     who: Word  # id of the member
+    topic: Annotated[int, Meta(ge=0, lt=4)]  # which part
     incarnation: Count
     number: Count
+    since: Count
     values: Annotated[list[tuple[Word, Count, Count]], Meta(max_length=16)]
+    data: Annotated[bytes, Meta(max_length=600)] = b""
 
     @property
     def age(self):
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -261,13 +261,13 @@
         self.sock.listen(limits.backlog)
 
     def accept(self, opened):
-        """`opened(number, socket)` for each, for as long as the process lives."""
+        """`opened(number, socket, host)` for each, for as long as the process lives."""
         number, short = 0, False
         while True:
             sock = None
             try:
-                sock, _ = self.sock.accept()
-                opened(number + 1, sock)
+                sock, place = self.sock.accept()
+                opened(number + 1, sock, place and place[0])
             except OSError as error:
                 if sock:
                     sock.close()
@@ -303,10 +303,10 @@
     def unlisten(self):
         self.listener.stop()
 
-    def opened(self, number, sock):
+    def opened(self, number, sock, host):
         self.links[number] = Link(
             number, self.codecs[self.front], self.inputs, self.buffers, self.limits, sock=sock)
-        self.inputs.put(("opened", number, self.front))
+        self.inputs.put(("opened", number, self.front, host))
 
     def connect(self, number, kind, address):
         if kind == "store":
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -5,12 +5,12 @@
 take a lock, read a clock, know a front's protocol or decide about an RPC: decisions come from
 finchcart/control.py through the port.
 
-Inputs are small plain tuples: `("start",)`, `("opened", link, kind)` (kind: of the front), `("got", link,
-messages, read_at)` (a batch, and when it was read), `("behind", link)` (the far side does not read),
-`("caught_up", link)` (all is written), `("refused", link, why)` (never connected), `("ended", link, why)`
-(nothing more will be read; `why` is empty where the far side closed), `("closed", link)`, `("shared",
-index)`, `("drain",)`, `("moved", places)` (the others' addresses, read again), `("fault", thread)`,
-`("fleet", change)` (of the members, see finchcart/members/member.py),
+Inputs are small plain tuples: `("start",)`, `("opened", link, kind[, host])` (kind: of the front; where it
+comes from), `("got", link, messages, read_at)` (a batch, and when it was read), `("behind", link)` (the far
+side does not read), `("caught_up", link)` (all is written), `("refused", link, why)` (never connected),
+`("ended", link, why)` (nothing more will be read; `why` is empty where the far side closed), `("closed",
+link)`, `("shared", index)`, `("drain",)`, `("moved", places)` (the others' addresses, read again), `("fault",
+thread)`, `("fleet", change)` (of the members, see finchcart/members/member.py; of verdicts, see witness.py),
 `("full", index)` (no room for a call, see meter.py), `("time",)`, `("load", busy, span)` (the time of the
 last span in which inputs were worked on or waited). Effects: turn.py. Links that others make have numbers
 from 1 up.
@@ -30,7 +30,8 @@
 class Core:
     """The state of one node. `make_fronts(core)`: kind -> front."""
 
-    def __init__(self, settings, limits, seed, name, places, make_fronts, watch=None, meters=None):
+    def __init__(self, settings, limits, seed, name, places, make_fronts, watch=None, meters=None,
+                 witness=None):
         # Told as absent, whatever the settings allow: this pool's protocol has no word for stopping or
         # pausing work, and dispatchers' answers carry a level alone.
         told = settings.get("told", "level")
@@ -49,6 +50,8 @@
         self.pool = Pool(self.turn, limits, places["pool"],
                          gauges if isinstance(gauges, tuple) else (gauges,), self)
         self.meters = meters  # of the fleet's limits, or None; see meter.py
+        self.witness = witness  # for the fleet's verdicts, or None; see witness.py
+        self.origins = {}  # link -> host that it comes from, where there is a witness
         worths = {method(n, "name"): method(n, "criticality") or 0 for n in count}
         self.first = {name for name, worth in worths.items() if worth > min(worths.values())}
         self.store = Store(self.turn, limits, places["store"], self.call_ended,
@@ -112,6 +115,9 @@
         if what == "allow":
             if self.meters:
                 self.meters.allow(*rest)
+        elif what == "verdicts":
+            self.witness.hold(*rest)
+            self.meters.hold(self.witness.store_down)
         elif what == "isolated":
             self.isolated = rest[0]
         elif rest[1] in ("failed", "left"):
@@ -119,8 +125,10 @@
         else:
             self.members[rest[0]] = rest[1], rest[2]
 
-    def on_opened(self, link, kind):
+    def on_opened(self, link, kind, host=None):
         self.turn.owners[link] = self.fronts[kind]
+        if self.witness:
+            self.origins[link] = host
         self.fronts[kind].opened(link)
 
     def on_got(self, link, messages, read_at):
@@ -138,13 +146,24 @@
 
     def on_closed(self, link):
         self.turn.ask("drop", link)
+        self.origins.pop(link, None)
         owner = self.turn.owners.pop(link, None)
         if owner:
             owner.closed(link)
 
     # ---- what fronts hand over: see front.py
 
-    def take(self, rpc, token=None, *, reached, caller, again=False, hint=0, kb=1.0, place=None, expires=0):
+    def bad_from(self, link):
+        """A message that can't be read came on that link, or none at all."""
+        if self.witness:
+            self.witness.bad(self.origins.get(link))
+
+    def is_out(self, link):
+        """Whether the fleet shuts out where that link comes from."""
+        return self.witness is not None and self.witness.is_out(self.origins.get(link))
+
+    def take(self, rpc, token=None, *, reached, caller, again=False, hint=0, kb=1.0, place=None, expires=0,
+             link=None):
         """An RPC was read whole. `Unfit` says what is wrong with it; nothing of it is kept then."""
         digest = None
         if rpc.name in self.by_name:
@@ -164,15 +183,21 @@
             if again_known:
                 repeats = rpc.entry.index if rpc.entry.index in self.rpcs else -1
         now = self.turn.now
-        told = {}
+        told, meters = {}, []
         if self.meters and repeats is None:
             meters = self.meters.of(rpc.method, caller)
             if meters:
                 told["room"] = self.meters.rpc_room(meters)
+                if self.witness and told["room"][0] <= 0 and any(m.limit.dispatcher for m in meters):
+                    self.witness.over(caller)
+        if self.witness and repeats is None:
+            room = self.witness.room(now, self.origins.get(link), caller)
+            if room and (not told or room < told["room"]):
+                told["room"] = room
         rpc.handle = self.control.arrive(
             now, index, rpc.method, kb, expires=expires, waited=now - reached, place=place, hint=hint,
             again=again, repeats=repeats, caller=caller, **told)
-        if told and rpc.owed:
+        if rpc.owed:
             for meter in meters:
                 meter.take(rpc)
 
@@ -234,6 +259,8 @@
             self.final(rpc, OK, result)
         elif outcome is Outcome.ERROR:
             self.final(rpc, ABORTED)
+        if self.witness:
+            self.witness.run_ended(outcome, spent)
         if rpc.entry and rpc.entry.index == rpc.index:
             self.tokens.settle(rpc.entry, result if outcome is Outcome.OK else FAILED)
         rpc.handle.ended(self.turn.now, outcome, spent)
@@ -251,6 +278,13 @@
             standing = [rpc.method in self.first for rpc in self.rpcs.values() if rpc.stands_at is not None]
             for said in self.meters.use(self.store, len(standing), sum(standing)):
                 self.turn.ask("use", *said)
+        if self.witness:
+            gauges |= {"told_out": self.witness.out, "told_level": self.witness.level,
+                       "below_down": self.witness.store_down}
+            control = getattr(self.control, "first", self.control)
+            seen = self.witness.look(self.turn.now, control.own_level)
+            if seen:
+                self.turn.ask("evidence", seen)
         self.control.wake(self.turn.now, name, gauges)
         self.duty.look()
 
@@ -260,6 +294,8 @@
         if outcome is Outcome.OK and rpc.stands_at:
             (cursor, _), rpc.stands_at = rpc.stands_at, None
             self.pool.reply(rpc, cursor, body, self.poorer[rpc.method] > 0)
+        if self.witness:
+            self.witness.call_ended(outcome, spent, rpc.cut)
         rpc.handle.call_ended(self.turn.now, outcome, spent)
 
     def on_shared(self, index):
@@ -300,6 +336,7 @@
             self.turn.ask("later", ("full", index))  # the module is in the midst of its calls
             return
         leased, longest, by = given
+        rpc.cut = longest is not None and longest < limit and not self.meters.trying
         self.store.call(rpc, limit if longest is None else min(limit, longest), rpc.stands_at[1], leased, by)
 
     def on_full(self, index):
--- a/finchcart/node/front.py
+++ b/finchcart/node/front.py
@@ -33,7 +33,7 @@
     for the run; `ref`: the front's own, never looked at by the core."""
 
     __slots__ = ("front", "ref", "name", "method", "body", "index", "entry", "handle", "owed", "started",
-                 "over", "stands_at", "call_link", "calls", "call_from", "share_from", "counted")
+                 "over", "stands_at", "call_link", "calls", "call_from", "share_from", "counted", "cut")
 
     def __init__(self, front, ref, name, method, body):
         self.front, self.ref, self.name, self.method, self.body = front, ref, name, method, body
@@ -41,6 +41,7 @@
         self.owed, self.started, self.over = True, False, False
         self.stands_at = None  # (cursor, body) of the call that the run stands at
         self.call_link, self.calls, self.call_from, self.share_from = None, 0, 0, None
+        self.cut = False  # the time of its call was cut short by this node's own grant
         self.counted = None  # by these meters of the fleet's limits, until it is over
 
 
--- a/finchcart/node/meter.py
+++ b/finchcart/node/meter.py
@@ -11,6 +11,7 @@
 from math import ceil
 
 MS, SECOND = 1_000, 1_000_000
+LATELY = 10 * SECOND  # who called the store since takes part in trying it
 SPAN = 250 * MS  # between two looks at how much is asked for
 
 
@@ -77,6 +78,22 @@
         return self.news(store.in_hand(True), max(0, standing - self.floor), max(0, first - self.floor))
 
 
+class Trial(Calls):
+    """This node's part of the few calls that the whole fleet tries while the store is held to be down. Wanted
+    by who called it lately, so that the parts are there when they are needed."""
+
+    def __init__(self, limit, slack, most=1):
+        super().__init__(limit, slack, most)
+        self.called, self.trying = None, False
+
+    def use(self, store, standing, first=0):
+        in_hand = store.in_hand(False) + store.in_hand(True)
+        if standing or in_hand:
+            self.called = self.now
+        wants = int(self.called is not None and self.now - self.called < LATELY)
+        return self.news(in_hand if self.trying else 0, wants, 0)
+
+
 class Rate(Meter):
     """So many a second, and at once no more than this node's part of the burst: each of `most` processes has
     one of it, the rest goes with the parts of the rate. A part that grows begins empty. So all nodes together
@@ -187,14 +204,17 @@
 
     def __init__(self, limits, slack, most):
         self.slack, self.all, self.now = slack, [], 0
-        self.calls = self.calls_rate = None
-        self.rpcs = []
+        self.calls = self.calls_rate = self.trial = None
+        self.rpcs, self.back_since, self.rise, self.longest = [], None, 0, 0
         for limit in limits:
-            kind = Rate if limit.per == "rate" else Calls if limit.counts == "calls" else Rpcs
+            kind = Trial if limit.counts == "trial" else Rate if limit.per == "rate" else (
+                Calls if limit.counts == "calls" else Rpcs)
             meter = kind(limit, slack, most)
             self.all.append(meter)
             if limit.counts == "rpcs":
                 self.rpcs.append(meter)
+            elif limit.counts == "trial":
+                self.trial = meter
             elif limit.per == "rate":
                 self.calls_rate = meter
             else:
@@ -211,11 +231,36 @@
         if name in self.by_name:
             self.by_name[name].allow(*what)
 
+    # ---- a store that is held to be down, and comes back
+
+    @property
+    def trying(self):
+        return self.trial is not None and self.trial.trying
+
+    def hold(self, down):
+        """The fleet's verdict. `rise`, `longest`: see verdicts/figures.py."""
+        if self.trial and self.trial.trying != down:
+            self.trial.trying = down
+            self.back_since = None if down else self.now
+
+    def least_room(self, store):
+        """Calls that may be in hand as far as the verdict goes: this node's part of the trials, then twice as
+        many after each step; None: no bound. Guards against a rush of all nodes on a store that came back."""
+        if self.trying:
+            return self.trial.room(store)
+        if self.back_since is None:
+            return None
+        steps = (self.now - self.back_since) // self.rise
+        if steps > 12:
+            self.back_since = None
+            return None
+        return 1 << steps
+
     # ---- calls
 
     def calls_room(self, store):
         """Calls that may be in hand until the next look; None: as many as the module likes."""
-        rooms = []
+        rooms = [self.least_room(store)]
         if self.calls:
             rooms.append(self.calls.room(store))
         if self.calls_rate and not self.calls_rate.off:
@@ -226,6 +271,9 @@
         """(leased, longest, written by) of one more call, or None where there is no room; `written by`: on
         the boot clock, None for any time."""
         leased, longest = False, None
+        least = self.least_room(store)
+        if least is not None and store.in_hand(False) + store.in_hand(True) >= least:
+            return None
         rate = self.calls_rate
         if rate and not rate.off and rate.left()[0] < 1:
             rate.refused += 1
@@ -235,6 +283,8 @@
             if given is None:
                 return None
             leased, longest = given
+        if self.trying:
+            longest = min(longest or self.longest, self.longest)
         if rate:
             rate.take()
         strict = leased or bool(rate) and rate.limit.strict
--- a/finchcart/quota/loose.py
+++ b/finchcart/quota/loose.py
@@ -21,6 +21,7 @@
 from finchcart.quota.division import divide
 
 KEEP = 2_000_000  # what is handed out is good for so long: a node whose members' part ends has its floor
+TOPIC = 0  # of its notes
 AGAIN = 500_000  # it is handed out anew after this
 
 
@@ -80,7 +81,7 @@
 
     def turn(self, now, member):
         self.look(now, member)
-        member.write_note([(held.id, held.used, held.wants) for held in self.held.values()])
+        member.write_note(now, TOPIC, [(held.id, held.used, held.wants) for held in self.held.values()])
         effects = []
         for held in self.held.values():
             # Twice in hand: others must have heard of the want, and this one of what they had by then.
@@ -131,8 +132,8 @@
         for one in self.unheard:
             demands[one] = whole
         for one in self.heard:
-            note = member.notes.get(one)
-            for ident, uses, wants in note.values if note else ():
+            held_note = member.notes.get((one, TOPIC))
+            for ident, uses, wants in held_note.note.values if held_note else ():
                 if ident == held.id:
                     demands[one], used[one] = wants, uses
         wanted = sum(demands.values())
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -50,6 +50,8 @@
             self.make_room()
         if conn.ended:
             return
+        if self.core.is_out(link):
+            self.tell_close(conn, self.limits.unused_closing)  # what it sent already is read and pushed back
         turn.ask("read", link)
         turn.at(turn.now + self.limits.unused, self.close_unused, conn)
 
@@ -113,8 +115,11 @@
             left = len(conn.open)
             self.turn.fault("dispatchers", f"connection {link}: {why}; closed once {left} answers are out")
             conn.bad = True
+            self.core.bad_from(link)
             self.finish_bad(conn)
         else:
+            if not (conn.calls or conn.told):
+                self.core.bad_from(link)
             self.leave_all(conn)
             self.end(conn)
 
@@ -186,11 +191,12 @@
             rpc = conn.open[seq] = Rpc(self, (conn, seq), name, method, body)
             conn.idle_from = None
             try:
-                core.take(rpc, token, **told)
+                core.take(rpc, token, link=conn.link, **told)
             except Unfit as error:
                 why = str(error)
                 del conn.open[seq]
         if why:
+            core.bad_from(conn.link)
             self.send(conn, codec.not_served(seq, "submit", codec.PROTOCOL_ERROR, why))
 
     def final(self, rpc, outcome, result, wait, last):
@@ -274,7 +280,8 @@
 
     def close_unused(self, conn):
         """Guards against those that stay silent, or never end what they send."""
-        if not conn.calls:
+        if not conn.calls and not conn.told:
+            self.core.bad_from(conn.link)
             self.tell_close(conn, self.limits.unused_closing)
 
     # ---- the module's word
--- a/finchcart/trial/shares.py
+++ b/finchcart/trial/shares.py
@@ -107,7 +107,7 @@
             seeds = [other.address for other in self.processes.values() if other.name[0] == "n"][:3]
             member = Member(name, "virtual", process.address, seeds, self.figures, chance,
                             1_700_000_000_000 + self.now // 1000, own)
-            member.rider = self.make.get("loose", Loose)(self.quota, own)
+            member.riders.append(self.make.get("loose", Loose)(self.quota, own))
             return member
         if self.mode == "strict":
             return self.make.get("holder", Holder)(name, "virtual", self.quota, chance, own)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -8,6 +8,7 @@
 
 from finchcart.cli.file import Wrong, checked
 from finchcart.members import wire as base
+from finchcart.members.member import Heard
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota import loose, wire
 from finchcart.quota.division import divide, shared_out
@@ -274,7 +275,7 @@
     fleet = Shares(1, 0, 3, mode="loose")
     fleet.start("n2")  # n0 and n1, its seeds, never are there
     fleet.run(60 * SECOND)
-    held = fleet.processes["n2"].machine.rider.held["store"]
+    held = fleet.processes["n2"].machine.riders[0].held["store"]
     assert held.part == 0 and len(held.said) < 40
 
 
@@ -303,8 +304,9 @@
 
 def in_hand_ignored(self, now, member, held):
     notes, member.notes = member.notes, {
-        one: msgspec.structs.replace(note, values=[(ident, 0, wants) for ident, _, wants in note.values])
-        for one, note in member.notes.items()}
+        key: Heard(msgspec.structs.replace(held.note, values=[
+            (ident, 0, wants) for ident, _, wants in held.note.values]), held.born)
+        for key, held in member.notes.items()}
     part = Loose.part(self, now, member, held)
     member.notes = notes
     return part
