--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -247,14 +247,16 @@
 @click.option("--apart", is_flag=True, help="the nodes don't talk: for comparing their RPCs")
 @click.option("--share", type=click.Choice(["strict", "loose", "static"]), default="strict",
               show_default=True, help="how the script's limit is held")
-def run(script, seed, nodes, out, virtual, apart, share):
+@click.option("--verdicts", type=click.Choice(["on", "off", "oracle"]), default="on", show_default=True,
+              help="oracle: every node is told of the store at once")
+def run(script, seed, nodes, out, virtual, apart, share, verdicts):
     """Play a script: a table, a chart, and status 1 with the first breach."""
     import signal
 
     from finchcart.trial.run import play, told_to_end
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, told_to_end)
-    sys.exit(play(script, seed, nodes, out, virtual, apart, share))
+    sys.exit(play(script, seed, nodes, out, virtual, apart, share, verdicts))
 
 
 @trial.command()
--- a/finchcart/trial/check.py
+++ b/finchcart/trial/check.py
@@ -22,8 +22,8 @@
     line: str = ""
 
 
-def from_logs(folder, names, began):
-    """Events of all logs of a run, in order."""
+def from_logs(folder, names, began, alias=str):
+    """Events of all logs of a run, in order. A verdict is the state of its subject; `alias`: of a source."""
     events = [Event(when, name, "began") for (name, _), when in began.items()]
     for name in names:
         for path in sorted(folder.glob(f"{name}.*.log")):
@@ -35,6 +35,9 @@
                     continue  # not a line of the program's log: a start that failed is seen by its silence
                 if "state" in said and "member" in said:
                     events.append(Event(when, name, "state", said["member"], said["state"], line))
+                elif "votes" in said and "kind" in said:
+                    of = f"{said['kind']} {alias(said['subject'])}".strip()
+                    events.append(Event(when, name, "state", of, said["value"], line))
                 elif "isolated" in said:
                     events.append(Event(when, name, "isolated", "", said["isolated"], line))
                 elif "gap_ms" in said:
@@ -118,7 +121,7 @@
                 settle(result, breach, history.states[at, of], at, lambda value: value in hold.states,
                        history, after, limit, until,
                        f"{at} does not hold {of} to be {' or '.join(hold.states)}",
-                       default="left" in hold.states)
+                       default=bool({"left", "working", "in"} & set(hold.states)))
     return result
 
 
--- a/finchcart/verdicts/board.py
+++ b/finchcart/verdicts/board.py
@@ -62,7 +62,7 @@
         self.words, self.telling, self.words_written = {}, 0, 0
         self.held, self.past = {}, {}  # past: subject -> (when it ended, how often it came back)
         self.voices = {}  # who -> (since, number then, muted until): how often it changes its note
-        self.told, self.level = None, 0.0
+        self.told, self.level, self.apart_since = None, 0.0, None
         self.oldest, self.heard, self.count_in = 0, 0, 1
         self.counts, self.effects, self.ended = {}, [], False
 
@@ -205,10 +205,17 @@
         """What is bad stands for a while once it is held; what is worse is held at once."""
         figures, held = self.figures, self.held
         self.level = verdicts.pop(LEVEL_ITSELF, (0, 0, 0))[0] / 1000
+        if self.me not in verdicts:
+            self.apart_since = None
         for subject, (value, votes, of) in verdicts.items():
             now_held = held.get(subject)
             if value == WORKING:
                 continue
+            if subject == self.me and now_held is None:
+                # Guards against more out at once than may be: the others' figures must have had time to come.
+                self.apart_since = self.apart_since or now
+                if now - self.apart_since < self.acts_within():
+                    continue
             if now_held is None:
                 ended, again = self.past.pop(subject, (0, -1))
                 again = again + 1 if now - ended <= figures.again else 0
--- a/finchcart/verdicts/opinions.py
+++ b/finchcart/verdicts/opinions.py
@@ -107,14 +107,22 @@
     def see_source(self, now, one, item):
         source = self.sources.get(one)
         if source is None:
-            if len(self.sources) >= self.figures.subjects:
-                # Guards against memory that sources without end take: the one that did least goes.
-                least = min(self.sources, key=lambda each: (self.sources[each].said or 0,
-                                                            self.sources[each].sums.sum[:2]))
-                del self.sources[least]
+            if len(self.sources) >= self.figures.subjects and not self.make_room():
+                return
             source = self.sources[one] = Source(self.figures)
         source.sums.add(now, item)
 
+    def make_room(self):
+        """Guards against memory and time that sources without end take: of a few that are there longest, the
+        first of which nothing is said goes. False where something is said of each."""
+        for _ in range(8):
+            one = next(iter(self.sources))
+            source = self.sources.pop(one)
+            if not source.said:
+                return True
+            self.sources[one] = source
+        return False
+
     def look_at_sources(self, now):
         for one, source in list(self.sources.items()):
             source.sums.fade(now)
--- a/finchcart/world/client.py
+++ b/finchcart/world/client.py
@@ -21,8 +21,8 @@
 class Client:
     """One connection to a node."""
 
-    def __init__(self, where):
-        self.sock = socket.create_connection(where, timeout=10)
+    def __init__(self, where, source=None):
+        self.sock = socket.create_connection(where, timeout=10, source_address=source)
         self.seq = 0
 
     def send(self, kind, name, args):
