--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -158,10 +158,6 @@
         if self.witness:
             self.witness.bad(self.origins.get(link))
 
-    def is_out(self, link):
-        """Whether the fleet shuts out where that link comes from."""
-        return self.witness is not None and self.witness.is_out(self.origins.get(link))
-
     def take(self, rpc, token=None, *, reached, caller, again=False, hint=0, kb=1.0, place=None, expires=0,
              link=None):
         """An RPC was read whole. `Unfit` says what is wrong with it; nothing of it is kept then."""
--- a/finchcart/node/witness.py
+++ b/finchcart/node/witness.py
@@ -76,9 +76,6 @@
     def store_down(self):
         return self.store == DOWN
 
-    def is_out(self, host):
-        return bool(self.against and host) and self.against.get(source(host)) == OUT
-
     def room(self, now, host, caller):
         """(left, of, back) for an RPC of this source, as `Control.arrive` has it; None: no verdict on it."""
         self.rpcs += 1
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -50,8 +50,6 @@
             self.make_room()
         if conn.ended:
             return
-        if self.core.is_out(link):
-            self.tell_close(conn, self.limits.unused_closing)  # what it sent already is read and pushed back
         turn.ask("read", link)
         turn.at(turn.now + self.limits.unused, self.close_unused, conn)
 
--- a/finchcart/verdicts/decide.py
+++ b/finchcart/verdicts/decide.py
@@ -59,8 +59,8 @@
         if enough(who, zones, figures) and len(who) >= figures.part * len(fresh):
             out[STORE_ITSELF] = least, len(who), len(fresh)
             return
-    if len(fresh) >= figures.count:
-        good = sum(value == WORKING for value in fresh.values())
+    good = sum(value == WORKING for value in fresh.values())
+    if good >= figures.count:
         out[STORE_ITSELF] = WORKING, good, len(fresh)
 
 
