--- /dev/null
+++ b/benchmarks/verdicts.py
@@ -0,0 +1,143 @@
+"""Verdicts of the fleet on the virtual clock: seeded rounds held against their bounds, cost by size, and what
+they earn; and one table and chart of runs on processes.
+
+    .venv/bin/python -m benchmarks.verdicts --seeds 1000 --jobs 8
+    .venv/bin/python -m benchmarks.verdicts --sizes 16 100 500
+    .venv/bin/python -m benchmarks.verdicts --earned DIR ... --chart docs/results/verdicts.svg
+
+Owns the measurement; it reports, and ends with status 1 where a bound was not kept.
+"""
+
+import argparse
+import json
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from pathlib import Path
+
+from finchcart.members.figures import SECOND
+from finchcart.trial.beliefs import Beliefs, is_down, one
+
+
+def seeds(first, count, jobs, rounds):
+    """Time of each kind against its bound: median and worst, and the most of the bound that was used."""
+    with ProcessPoolExecutor(jobs) as pool:
+        out = list(pool.map(partial(one, rounds=rounds), range(first, first + count), chunksize=2))
+    broken = [row["breach"] for row in out if row["breach"]]
+    print(f"{count} seeds from {first}, {sum(row['steps'] for row in out)} steps, {len(broken)} breaches; "
+          f"most changes of verdict in 24 s of flaps: {max(row['flaps'] for row in out)}")
+    kinds = {}
+    for row in out:
+        for kind, what, took, bound in row["times"]:
+            kinds.setdefault((kind, what), []).append((took / SECOND, took / bound))
+    print("| round | what | times | median s | worst s | of its bound, at most |\n" + "| --- " * 6 + "|")
+    for (kind, what), times in sorted(kinds.items()):
+        took = sorted(each for each, _ in times)
+        print(f"| {kind} | {what} | {len(took)} | {took[len(took) // 2]:.2f} | {took[-1]:.2f} | "
+              f"{max(part for _, part in times):.2f} |")
+    for breach in broken[:10]:
+        print(breach)
+    return bool(broken)
+
+
+def size(count):
+    """The store goes down for all: time to the verdict, bytes and messages a node-second with verdicts and
+    without, while nothing happens."""
+    told = {}
+    for on in (True, False):
+        fleet = Beliefs(count, 1, on=on)
+        fleet.start_all()
+        if not on:
+            for place in fleet.places.values():
+                place.member.riders.clear()
+        fleet.run(8 * SECOND)
+        sums = lambda fleet=fleet: [sum(place.member.counts.get(word, 0) for place in fleet.places.values())
+                                    for word in ("sent", "bytes sent")]
+        before = sums()
+        fleet.run(fleet.now + 6 * SECOND)
+        told[on] = [(b - a) / 6 / count for a, b in zip(before, sums())]
+        if on:
+            fleet.store = dict.fromkeys(fleet.store, "down")
+            began = fleet.now
+            while not all(is_down(seen) for seen in fleet.seen.values()) and fleet.now < began + 60 * SECOND:
+                fleet.run(fleet.now + 20_000)
+            bound = fleet.beliefs.store_within(fleet.figures, count)
+            took = (fleet.now - began) / SECOND
+    cells = [count, *(f"{told[on][n]:.0f}" for n in (0, 1) for on in (True, False))]
+    return "| " + " | ".join(map(str, [*cells, f"{took:.2f}", f"{bound / SECOND:.2f}"])) + " |"
+
+
+def sizes(counts, jobs):
+    print("| nodes | messages a node-second | without verdicts | bytes | without | all hold it down, s | "
+          "bound |\n" + "| --- " * 7 + "|")
+    with ProcessPoolExecutor(jobs) as pool:
+        for row in pool.map(size, counts):
+            print(row, flush=True)
+
+
+def earned(folders, chart):
+    """Calls wasted and the most in hand by round, with verdicts off, on, and known at once; served RPCs."""
+    ways, names = {}, []
+    for folder in folders:
+        told = json.loads((Path(folder) / "results.json").read_text())
+        way = Path(folder).name.split("-")[1]
+        for row in told["calls"]:
+            if row["round"] not in names:
+                names.append(row["round"])
+            ways.setdefault(way, {}).setdefault(row["round"], []).append(row)
+        load = told["facts"]["load"]
+        served = {how: load.get(f"book {how}", 0) for how in ("ok", "pushed back", "aborted")}
+        less = {how: load.get(f"look-up {how}", 0) for how in ("ok", "pushed back", "aborted")}
+        print(f"{Path(folder).name}: of more critical RPCs {served}, of less {less}; "
+              f"p99 {load['p99_ms']:.0f} ms")
+    print("| round | " + " | ".join(f"{way}: played, calls, wasted, most in hand" for way in ways) + " |\n"
+          + "| --- " * (1 + len(ways)) + "|")
+    total = lambda rows, word: sum(row[word] for row in rows)
+    for name in names:
+        cells = []
+        for rows in ways.values():
+            sums = [total(rows[name], word) for word in ("rounds", "calls", "wasted")] if name in rows else []
+            most = [max(row["most"] for row in rows[name])] if sums else ["-"]
+            cells.append(", ".join(map(str, sums + most)))
+        print(f"| {name} | " + " | ".join(cells) + " |")
+    if chart:
+        import matplotlib
+        matplotlib.use("Agg")
+        import matplotlib.pyplot as plt
+        bad = [name for name in names if any(
+            total(rows.get(name, ()), "wasted") for rows in ways.values())]
+        figure, axes = plt.subplots(figsize=(9, 0.42 * len(bad) + 1.2))
+        for k, (way, rows) in enumerate(ways.items()):
+            part = [total(rows[name], "wasted") / max(1, total(rows[name], "rounds")) if name in rows else 0
+                    for name in bad]
+            axes.barh([n + 0.26 * (k - 1) for n in range(len(bad))], part, 0.24, label=f"verdicts {way}")
+        axes.set_yticks(range(len(bad)), bad, fontsize=8)
+        axes.invert_yaxis()
+        axes.set_xlabel("calls to a store that is down, a round")
+        axes.legend(fontsize=8)
+        figure.tight_layout()
+        figure.savefig(chart)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--seeds", type=int)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--rounds", type=int, default=2)
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--sizes", type=int, nargs="*")
+    parser.add_argument("--earned", nargs="*", help="folders of `trial run verdicts`, named v-WAY-SEED")
+    parser.add_argument("--chart")
+    told = parser.parse_args()
+    broken = False
+    if told.seeds:
+        broken = seeds(told.first, told.seeds, told.jobs, told.rounds)
+    if told.sizes:
+        sizes(told.sizes, told.jobs)
+    if told.earned:
+        earned(told.earned, told.chart)
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/finchcart/verdicts/board.py
+++ b/finchcart/verdicts/board.py
@@ -62,6 +62,7 @@
         self.words, self.telling, self.words_written = {}, 0, 0
         self.held, self.past = {}, {}  # past: subject -> (when it ended, how often it came back)
         self.voices = {}  # who -> (since, number then, muted until): how often it changes its note
+        self.notes_read = {}  # who -> (age of the note, opinions in it); no more than there are members
         self.told, self.level, self.apart_since = None, 0.0, None
         self.oldest, self.heard, self.count_in = 0, 0, 1
         self.counts, self.effects, self.ended = {}, [], False
@@ -146,6 +147,9 @@
         if now >= self.quiet_until:
             voices[member.me] = self.state.opinions(now)
         self.oldest, self.heard, self.count_in = 0, 0, 1
+        if len(self.notes_read) > len(member.known):
+            self.notes_read = {one: read for one, read in self.notes_read.items() if one in member.known}
+            self.voices = {one: voice for one, voice in self.voices.items() if one in member.known}
         for one, known in () if alone else member.known.items():
             if one == member.me or known.state not in IN:
                 continue
@@ -155,17 +159,26 @@
                 continue
             if self.too_often(now, one, note.note.age):
                 continue
-            said = wire.opinions(note.note.data)
+            said = self.read_once(one, note.note, known.row.name)
             if said is None:
-                self.count("opinions not valid")
                 continue
-            # A node speaks for itself alone where it tells its own figures.
-            itself = node(known.row.name)
-            voices[one] = [each for each in said if kind_of(each[0]) != NODE or each[0] == itself]
+            voices[one] = said
             self.heard += 1
             self.oldest = max(self.oldest, now - note.born)
         return voices
 
+    def read_once(self, one, note, name):
+        """The opinions in a note. A node speaks for itself alone where it tells its own figures."""
+        age, said = self.notes_read.get(one, (None, None))
+        if age != note.age:
+            said, itself = wire.opinions(note.data), node(name)
+            if said is None:
+                self.count("opinions not valid")
+            else:
+                said = [each for each in said if kind_of(each[0]) != NODE or each[0] == itself]
+            self.notes_read[one] = note.age, said
+        return said
+
     def too_often(self, now, one, age):
         since, first, muted = self.voices.get(one, (now, age, 0))
         if age[0] != first[0] or now - since > WATCHED:
--- a/finchcart/verdicts/decide.py
+++ b/finchcart/verdicts/decide.py
@@ -7,6 +7,7 @@
 `voices`: id of a member -> its opinions, (subject, value, weight), see `State.opinions`.
 """
 
+from bisect import bisect_left
 from math import ceil
 from statistics import median, median_low
 
@@ -86,21 +87,28 @@
             out[one] = SLOWED, len(by), members
 
 
+def median_without(values, value):
+    """The median of the sorted `values` but for one that is `value`. Guards against a sort for each node."""
+    at, left = bisect_left(values, value), len(values) - 1
+    pick = lambda n: values[n + (n >= at)]
+    return pick(left // 2) if left % 2 else (pick(left // 2 - 1) + pick(left // 2)) / 2
+
+
 def of_nodes(out, voices, figures, members):
     """Each node tells its own figures; out is who stands apart from the median of the others."""
     said = {who: (one, value, weight) for who, opinions in voices.items()
             for one, value, weight in opinions if kind_of(one) == NODE}
     if len(said) <= figures.count:
         return
-    apart = []
-    for who, (one, failed, time) in said.items():
-        others = [each for other, each in said.items() if other != who]
-        usual_failed, usual = median(each[1] for each in others), median(each[2] for each in others)
+    all_failed, all_times = (sorted(each[n] for each in said.values()) for n in (1, 2))
+    apart, others = [], len(said) - 1
+    for one, failed, time in said.values():
+        usual_failed, usual = median_without(all_failed, failed), median_without(all_times, time)
         if failed >= 100 * figures.failed and usual_failed < 50 * figures.failed:
-            apart.append((-failed, one, len(others)))
+            apart.append((-failed, one))
         elif usual and time >= figures.slower * usual:
-            apart.append((-time / usual, one, len(others)))
-    for _, one, others in sorted(apart)[:int(figures.out_part * members)]:
+            apart.append((-time / usual, one))
+    for _, one in sorted(apart)[:int(figures.out_part * members)]:
         out[one] = OUT, others, others
 
 
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -1,8 +1,11 @@
 """Verdicts of the fleet: the rule, notes that merge, rounds on a virtual clock, the core; planted defects."""
 
 import random
+import re
 from dataclasses import replace
+from statistics import median
 
+import json5
 import msgspec
 import pytest
 
@@ -18,7 +21,7 @@
 from finchcart.verdicts import board as boards
 from finchcart.verdicts import subjects, wire
 from finchcart.verdicts.board import Board
-from finchcart.verdicts.decide import decide
+from finchcart.verdicts.decide import decide, median_without
 from finchcart.verdicts.figures import SECOND, Figures, mistakes, warnings
 from finchcart.verdicts.opinions import MILLION, State
 from finchcart.verdicts.subjects import (
@@ -429,6 +432,23 @@
     assert "opinions ride" in str(wrong.value) and "3 x span_ms" in str(wrong.value)
 
 
+def test_the_example_of_the_settings_shows_the_defaults():
+    with open("deploy/finchcart.json5", encoding="utf-8") as file:
+        head, _, tail = file.read().partition("  // verdicts: {\n")
+    tree = json5.loads(head + "  verdicts: {\n" + re.sub(r"(?m)^  // ", "  ", tail))
+    assert verdicts(checked(tree, "example")) == replace(FIGURES, zone="a")
+
+
+def test_a_median_without_one_is_that_of_the_others():
+    rng = random.Random(2)
+    for _ in range(300):
+        values = sorted(rng.randrange(9) for _ in range(rng.randrange(2, 12)))
+        value = rng.choice(values)
+        others = list(values)
+        others.remove(value)
+        assert median_without(values, value) == median(others)
+
+
 def test_verdicts_of_many_sources_are_told_page_by_page():
     fleet = Beliefs(3, 1)
     fleet.start_all()
