--- a/finchcart/trial/run.py
+++ b/finchcart/trial/run.py
@@ -320,18 +320,35 @@
     return script
 
 
-def most_over(script):
-    """By how much the limit may be exceeded, whatever fails; None where nothing holds it."""
+def quota_of(script):
+    """The limits of a script as its processes have them; None where nothing holds them."""
     from finchcart.cli.file import checked, quota
     if script.static or not script.limits:
         return None
     planners = [f"127.0.0.1:{n + 2}" for n in range(script.planners)]
-    shared = quota(checked({"fleet": {"name": "x", "listen": "127.0.0.1:1"}, "limits": script.limits,
-                            "quota": {"planners": planners, **script.quota}}, "script"))
+    return quota(checked({"fleet": {"name": "x", "listen": "127.0.0.1:1"}, "limits": script.limits,
+                          "quota": {"planners": planners, **script.quota}}, "script"))
+
+
+def most_over(script):
+    """By how much the limit may be exceeded, whatever fails; None where nothing holds it."""
+    shared = quota_of(script)
+    if shared is None:
+        return None
     limit = shared.limits[0]
     return 0 if limit.strict else shared.loose_over_at_most(limit, script.nodes)
 
 
+def fullest_at_most(script):
+    """Of a bucket at the store that empties at the strict rate which the first limit is; None where it is
+    none. Calls that were counted are written up to the slack later, so that so many may come in one
+    moment."""
+    shared = quota_of(script)
+    if shared is None or shared.limits[0].per != "rate" or not shared.limits[0].strict:
+        return None
+    return shared.in_window(shared.limits[0], 0)
+
+
 def play(script, seed, nodes, out, virtual, apart=False, way="strict", verdicts="on"):
     """Status: 0, or 1 with the first breach printed. `apart`: the nodes don't talk, nothing is held of
     them; `way`: see `shared_as`; `verdicts`: "on", "off", or "oracle": all are told of the store at once."""
@@ -371,6 +388,10 @@
         if most > whole + over and not broken:
             text = f"{most} calls in hand at the store for {(until - since) / 1000:.1f} ms"
             broken = check.Result("limit", way, [], 0, f"{text}, at {(since - start) / 1e6:.2f} s")
+    most = fullest_at_most(plan.script)
+    if most is not None and facts.get("truth") and facts["truth"][-1]["fullest"] > most and not broken:
+        text = f"the store's bucket held {facts['truth'][-1]['fullest']:.1f}, {most} at most"
+        broken = check.Result("limit", "rate", [], 0, text)
     for row in used if over is not None else ():
         if row["over"] > over and not broken:
             broken = check.Result("limit", row["round"], [], 0, f"over by {row['over']}")
