--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,7 +1,13 @@
 """Strict limits of the fleet on a virtual clock: seeded runs of all faults, and planted defects."""
 
 import dataclasses
+import os
 import random
+import signal
+import socket
+import subprocess
+import sys
+import time
 
 import msgspec
 import pytest
@@ -9,6 +15,7 @@
 from finchcart.cli.file import Wrong, checked
 from finchcart.members import wire as base
 from finchcart.members.member import Heard
+from finchcart.net.links import boot_clock
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota import loose, wire
 from finchcart.quota.division import divide, shared_out
@@ -631,3 +638,55 @@
     states, breach = explore(7, 1)
     assert breach is None and states > 700
     assert explore(7, 1, DEFECTS["no wait before giving"][1])[1]
+
+
+AT_THE_WRITE = """
+import os, signal, sys, time
+from queue import SimpleQueue
+from finchcart.net.buffers import Buffers
+from finchcart.net.limits import Limits
+from finchcart.net.links import CODECS, Link, boot_clock
+class Stops:
+    def __init__(self, sock):
+        self.sock = sock
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+    def send(self, *what):
+        os.kill(os.getpid(), signal.SIGSTOP)  # after the last look at the clock, before the write
+        return self.sock.send(*what)
+limits = Limits(memory=10**8, descriptors=100, stop=10**6)
+place = "127.0.0.1", int(sys.argv[1])
+link = Link(-1, CODECS["store"], SimpleQueue(), Buffers(limits), limits, address=place)
+while not link.up:
+    time.sleep(0.001)
+link.sock = Stops(link.sock)
+by = boot_clock() + 20_000
+print(by, flush=True)
+link.send(b"CALL one 300 2\\r\\nab\\r\\n", by)
+link.send(b"CALL two 300 2\\r\\nab\\r\\n", by)
+print("over", flush=True)
+sys.stdin.read()
+"""
+
+
+def test_a_process_stopped_at_the_write_sends_one_call_too_late_and_the_store_ends_it():
+    """The stated remainder, on a real process: one call, with the time limit that the store ends it by."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        child = subprocess.Popen([sys.executable, "-c", AT_THE_WRITE, str(listener.getsockname()[1])],
+                                 stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        try:
+            link, _ = listener.accept()
+            link.settimeout(10)
+            by = int(child.stdout.readline())
+            assert os.WIFSTOPPED(os.waitpid(child.pid, os.WUNTRACED)[1])
+            while boot_clock() <= by:
+                time.sleep(0.005)
+            child.send_signal(signal.SIGCONT)
+            said, late = link.recv(1000), boot_clock() - by
+            assert child.stdout.readline() == "over\n"
+            while part := link.recv(1000):
+                said += part
+        finally:
+            child.kill()
+            child.wait()
+    assert late > 0 and said == b"CALL one 300 2\r\nab\r\n", "one, with its limit; the next breaks the link"
