--- a/finchcart/verdicts/board.py
+++ b/finchcart/verdicts/board.py
@@ -62,6 +62,7 @@
         self.words, self.telling, self.words_written = {}, 0, 0
         self.held, self.past = {}, {}  # past: subject -> (when it ended, how often it came back)
         self.voices = {}  # who -> (since, number then, muted until): how often it changes its note
+        self.words_read = {}  # who -> age of the note with words that was read last
         self.notes_read = {}  # who -> (age of the note, opinions in it); no more than there are members
         self.told, self.level, self.apart_since = None, 0.0, None
         self.oldest, self.heard, self.count_in = 0, 0, 1
@@ -107,6 +108,7 @@
         self.quiet_until = now + self.figures.quiet
         self.held.clear()
         self.voices.clear()
+        self.words_read.clear()
         self.mine = None
 
     # ---- what this node says
@@ -149,6 +151,7 @@
         self.oldest, self.heard, self.count_in = 0, 0, 1
         if len(self.notes_read) > len(member.known):
             self.notes_read = {one: read for one, read in self.notes_read.items() if one in member.known}
+            self.words_read = {one: age for one, age in self.words_read.items() if one in member.known}
             self.voices = {one: voice for one, voice in self.voices.items() if one in member.known}
         for one, known in () if alone else member.known.items():
             if one == member.me or known.state not in IN:
@@ -191,7 +194,9 @@
 
     def hear_words(self, now):
         for (one, topic), note in self.member.notes.items():
-            if topic == wire.WORDS and note.born is not None and one in self.member.known:
+            if (topic == wire.WORDS and note.born is not None and one in self.member.known
+                    and self.words_read.get(one) != note.note.age):
+                self.words_read[one] = note.note.age
                 for said in wire.words(note.note.data) or ():
                     self.take(now, said, note.born + said.left, self.member.known[one].row.name)
         for subject in [subject for subject, word in self.words.items() if word.ends <= now]:
