--- a/finchcart/verdicts/board.py
+++ b/finchcart/verdicts/board.py
@@ -62,6 +62,7 @@
         self.words, self.telling, self.words_written = {}, 0, 0
         self.held, self.past = {}, {}  # past: subject -> (when it ended, how often it came back)
         self.voices = {}  # who -> (since, number then, muted until): how often it changes its note
+        self.decided = None, {}  # by what was decided last, and what
         self.words_read = {}  # who -> age of the note with words that was read last
         self.notes_read = {}  # who -> (age of the note, opinions in it); no more than there are members
         self.told, self.level, self.apart_since = None, 0.0, None
@@ -96,8 +97,12 @@
         self.say(now)
         alone = member.isolated or member.yielded
         voices = self.gather(now, alone)
-        figures = replace(self.figures, count=1, zones=1, source_part=0.0) if alone else self.figures
-        self.hold(now, decide(voices, figures, self.count_in))
+        by = voices, self.count_in, alone, self.figures
+        if by != self.decided[0]:
+            # Without contact the own opinion is enough, and the only one.
+            figures = replace(self.figures, count=1, zones=1, source_part=0.0) if alone else self.figures
+            self.decided = by, decide(voices, figures, self.count_in)
+        self.hold(now, dict(self.decided[1]))
         self.hand_out(now)
         return effects
 
