Claims wired to the core and to planners' processes; seeded runs of the core with claims

Found by the seeded runs: an RPC left in the turn that asked for its claim was claimed after it was given up; RPCs that wait for a claim were not answered before the kill, as the module does not know of them yet.

--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -101,7 +101,8 @@
             "send_by": links.send_by}
     reduce = core.reduce
     if fleet:
-        reduce, acts["use"], acts["evidence"] = fleet.reducer(core), fleet.use, fleet.saw
+        reduce = fleet.reducer(core)
+        acts |= {"use": fleet.use, "evidence": fleet.saw, "claim": fleet.claim}
     links.listen()
     waiting = deque([("start",)])
     told, idle = clock() // 1000, 0  # when the load was told last, and how long nothing was to be done since
@@ -185,7 +186,7 @@
     threading.excepthook = lambda fault: fault_in_thread(inputs, fault)
     core = Core(config["settings"], limits, config["seed"], config["name"], config["places"],
                 lambda core: {"thrift": ThriftFront(core, limits)}, config["watch"],
-                *((fleet.meters(), fleet.witness()) if fleet else ()))
+                *((fleet.meters(), fleet.witness(), fleet.claims()) if fleet else ()))
     links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.FRONT)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
     if fleet:
--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import UNSET, Meta, Struct, UnsetType
 
+from finchcart.claims import figures as claims_of
 from finchcart.members.figures import MS, SECOND, Figures
 from finchcart.members.wire import Unfit, place_of
 from finchcart.quota import limits as limits_of
@@ -111,9 +112,26 @@
     words: whole(1, 256) = UNSET
 
 
+class Claims(Struct, forbid_unknown_fields=True):
+    """One run of a key in the whole fleet: see claims/figures.py."""
+
+    keepers: list[Address] = []
+    life_ms: whole(1_000, 3_600_000) = UNSET
+    command_ms: whole(50, 60_000) = UNSET
+    answer_ms: whole(20, 10_000) = UNSET
+    again_ms: whole(10, 10_000) = UNSET
+    wait_ms: whole(0, 60_000) = UNSET
+    ask_ms: whole(20, 10_000) = UNSET
+    drift: Annotated[float, Meta(ge=0.0, le=0.1)] | UnsetType = UNSET
+    result: whole(0, 256) = UNSET
+    entries: whole(16, 10_000_000) = UNSET
+    batch: whole(1, 16) = UNSET
+
+
 class Settings(Struct, forbid_unknown_fields=True):
     fleet: Fleet | UnsetType = UNSET
     verdicts: Verdicts | UnsetType = UNSET
+    claims: Claims | UnsetType = UNSET
     limits: list[Limit] = []
     quota: Quota | UnsetType = UNSET
 
@@ -160,6 +178,14 @@
     return verdicts_of.Figures(**_in_microseconds(settings.verdicts, ()))
 
 
+def claims(settings):
+    """Their figures; None where none are asked for."""
+    if settings.claims is UNSET:
+        return None
+    return claims_of.Figures(keepers=tuple(settings.claims.keepers),
+                             **_in_microseconds(settings.claims, ("keepers",)))
+
+
 class Wrong(Exception):
     """The settings can't be used; `mistakes` has a line for each reason."""
 
@@ -226,6 +252,17 @@
                 yield f"quota.planners.{n}", f"{place!r}: no such address or port"
         for path, reason in limits_of.mistakes(shared):
             yield path if path.startswith("limits") else f"quota.{path}", reason
+    claimed = claims(settings)
+    if claimed:
+        if fleet is UNSET:
+            yield "fleet", "is missing: claims are asked for by its address"
+        for n, place in enumerate(claimed.keepers):
+            try:
+                place_of(place)
+            except Unfit:
+                yield f"claims.keepers.{n}", f"{place!r}: no such address or port"
+        for path, reason in claims_of.mistakes(claimed):
+            yield f"claims.{path}", reason
     held = verdicts(settings)
     if held:
         if fleet is UNSET:
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -20,11 +20,15 @@
 from msgspec import UNSET
 
 from finchcart.__main__ import ConfigError, main, plain_log
-from finchcart.cli.file import Wrong, figures, quota, read, verdicts
+from finchcart.claims import wire as claiming
+from finchcart.claims.holder import Claims
+from finchcart.claims.keeper import Keeper
+from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
 from finchcart.members import wire as base
 from finchcart.members.member import Member
 from finchcart.members.wire import place_of
 from finchcart.net.datagrams import Datagrams, boot_clock
+from finchcart.node.claimer import Claimer
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
 from finchcart.quota import wire as shares
@@ -95,6 +99,9 @@
         if held:
             board = out[sayings.CHANNEL] = Board(name, asked.name, held, now)
             out[base.CHANNEL].riders.append(board)
+        claimed = claims(self.settings)
+        if claimed:
+            out[claiming.CHANNEL] = Claims(name, asked.name, claimed, chance, now)
         return out
 
     def meters(self):
@@ -115,14 +122,26 @@
     def saw(self, evidence):
         self.datagrams.tell(sayings.CHANNEL, "evidence", evidence)
 
+    def claims(self):
+        """Makes what holds tokened RPCs to claims, where there are any."""
+        claimed = claims(self.settings)
+        return claimed and (lambda turn: Claimer(turn, claimed.life))
+
+    def claim(self, what):
+        self.datagrams.tell_now(claiming.CHANNEL, *what)
+
     def reducer(self, core):
         """The core's `reduce`, with the boot clock told before each turn."""
-        meters = core.meters
-        if meters is None:
+        meters, claimer = core.meters, core.claimer
+        if meters is None and claimer is None:
             return core.reduce
 
         def reduce(now, what):
-            meters.at(boot_clock())
+            boot = boot_clock()
+            if meters:
+                meters.at(boot)
+            if claimer:
+                claimer.boot = boot
             return core.reduce(now, what)
         return reduce
 
@@ -154,6 +173,8 @@
                 fixed = ["planners"]
             if not fixed and bool(verdicts(new)) != bool(verdicts(self.settings)):
                 fixed = ["verdicts"]
+            if not fixed and claims(new) != claims(self.settings):
+                fixed = ["claims"]
             if fixed:
                 raise Wrong([f"{self.path}: fleet.{name}: waits for the next start" for name in fixed])
         except Wrong as wrong:
@@ -194,7 +215,7 @@
 class Nothing:
     """No fleet is asked for."""
 
-    start = heard = end = use = saw = meters = witness = lambda self, *_: None
+    start = heard = end = use = saw = claim = meters = witness = claims = lambda self, *_: None
 
     def reducer(self, core):
         return core.reduce
@@ -206,8 +227,10 @@
     {"json": json_log, "text": plain_log}[log]()
     try:
         settings = read(path)
-        if not quota(settings) or place not in settings.quota.planners:
-            raise Wrong([f"{path}: quota.planners: {place} is not among them"])
+        shared_out = quota(settings) if quota(settings) and place in settings.quota.planners else None
+        claimed = claims(settings) if claims(settings) and place in settings.claims.keepers else None
+        if not shared_out and not claimed:
+            raise Wrong([f"{path}: quota.planners, claims.keepers: {place} is not among them"])
     except Wrong as wrong:
         print(f"finchcart: {wrong}", file=sys.stderr)
         return 2
@@ -219,20 +242,30 @@
     def again():
         try:
             new = read(path)
-            if not quota(new) or quota(new).planners != quota(settings).planners:
+            if shared_out and (not quota(new) or quota(new).planners != shared_out.planners):
                 raise Wrong([f"{path}: quota.planners: waits for the next start"])
+            if claims(new) != claims(settings):
+                raise Wrong([f"{path}: claims: waits for the next start"])
         except Wrong as wrong:
             for line in wrong.mistakes:
                 logger.error("settings not taken: {}", line)
             return []
         logger.info("settings taken from {}", path)
-        return [(shares.CHANNEL, ("quota", quota(new)))]
+        return [(shares.CHANNEL, ("quota", quota(new)))] if shared_out else []
+
+    def machines(now):
+        """By channel: the planner of limits, the keeper of claims."""
+        out = {}
+        if shared_out:
+            out[shares.CHANNEL] = Planner(place, settings.fleet.name, shared_out, chance, now)
+        if claimed:
+            out[claiming.CHANNEL] = Keeper(settings.fleet.name, claimed, now)
+        return out
 
     try:
         datagrams = Datagrams(
             place_of(listen or place),
-            lambda now: {shares.CHANNEL: Planner(place, settings.fleet.name, quota(settings), chance, now)},
-            lambda change: None, again)
+            machines, lambda change: None, again)
     except OSError as error:
         print(f"finchcart: {listen or place}: {error.strerror}", file=sys.stderr)
         return 2
--- a/finchcart/net/datagrams.py
+++ b/finchcart/net/datagrams.py
@@ -48,6 +48,14 @@
         signal handler."""
         self.told.put((channel, what))
 
+    def tell_now(self, channel, *what):
+        """The same, taken up at once: an empty datagram to itself ends the wait."""
+        self.told.put((channel, what))
+        try:
+            self.sock.sendto(b"", MSG_DONTWAIT, self.sock.getsockname())
+        except OSError:
+            pass  # the next tick is soon
+
     def end(self, within=1.0):
         self.tell(None, "end")
         self.over.wait(within)
@@ -106,6 +114,9 @@
             return False
         except OSError:
             return True  # an earlier datagram met nobody: the kernel tells it here
+        if not data:
+            self.take_told()
+            return True
         machine = self.machines.get(data[:1])
         if machine:
             self.carry_out(machine, machine.reduce(boot_clock(), ("got", address, data)))
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -26,12 +26,17 @@
 from finchcart.node.turn import Turn
 from finchcart.node.watch import Watch
 
+# Of claims, see claims/wire.py, which is not imported where there are none.
+CLAIM_MINE, CLAIM_ENDED, CLAIM_FULL = 1, 3, 6
+CLAIM_MARGIN = 200_000  # before an RPC is due its claim is waited for no longer
+CLAIM_AGAIN = 200_000  # when to come back where no majority answers
+
 
 class Core:
     """The state of one node. `make_fronts(core)`: kind -> front."""
 
     def __init__(self, settings, limits, seed, name, places, make_fronts, watch=None, meters=None,
-                 witness=None):
+                 witness=None, claims=None):
         # Told as absent, whatever the settings allow: this pool's protocol has no word for stopping or
         # pausing work, and dispatchers' answers carry a level alone.
         told = settings.get("told", "level")
@@ -46,11 +51,13 @@
         self.kinds = {method(n, "name"): method(n, "kind") for n in count}
         # A try that reached the machine while an entry lived may be read as late as its deadline.
         self.late = {method(n, "name"): (method(n, "deadline") or 0) + limits.late_read for n in count}
+        self.deadlines = {method(n, "name"): method(n, "deadline") or 5_000_000 for n in count}
         self.turn = Turn(limits.log_again)
         self.pool = Pool(self.turn, limits, places["pool"],
                          gauges if isinstance(gauges, tuple) else (gauges,), self)
         self.meters = meters  # of the fleet's limits, or None; see meter.py
         self.witness = witness  # for the fleet's verdicts, or None; see witness.py
+        self.claimer = claims and claims(self.turn)  # of runs in the whole fleet, or None; see claimer.py
         self.origins = {}  # link -> host that it comes from, where there is a witness
         worths = {method(n, "name"): method(n, "criticality") or 0 for n in count}
         self.first = {name for name, worth in worths.items() if worth > min(worths.values())}
@@ -67,7 +74,8 @@
         self.inputs = {
             "start": self.on_start, "opened": self.on_opened, "got": self.on_got, "shared": self.on_shared,
             "drain": self.on_drain, "moved": self.on_moved, "fault": self.on_fault, "time": self.on_time,
-            "load": self.on_load, "fleet": self.on_fleet, "full": self.on_full, "closed": self.on_closed,
+            "load": self.on_load, "claims": self.on_claims, "moot": self.on_moot,
+            "fleet": self.on_fleet, "full": self.on_full, "closed": self.on_closed,
             **{word: lambda link, *more, word=word: self.on_link(word, link, *more)
                for word in ("behind", "caught_up", "refused", "ended")}}
 
@@ -118,6 +126,8 @@
         elif what == "verdicts":
             self.witness.hold(*rest)
             self.meters.hold(self.witness.store_down)
+        elif what == "claimed":
+            self.claimer.answered(*rest)
         elif what == "isolated":
             self.isolated = rest[0]
         elif rest[1] in ("failed", "left"):
@@ -178,7 +188,29 @@
             rpc.entry, again_known = self.tokens.entry((rpc.method, token), index, digest, reached)
             if again_known:
                 repeats = rpc.entry.index if rpc.entry.index in self.rpcs else -1
-        now = self.turn.now
+        how = dict(expires=expires, place=place, hint=hint, again=again, caller=caller)
+        if self.claimer and token is not None and repeats is None:
+            due = max(self.turn.now, reached + self.deadlines[rpc.method] - CLAIM_MARGIN)
+            self.claimer.ask(rpc, token, due, again, lambda rpc, kind, result: self.claimed(
+                rpc, kind, result, reached, kb, link, how))
+        else:
+            self.arrive(rpc, reached, kb, link, repeats, how)
+
+    def claimed(self, rpc, kind, result, reached, kb, link, how):
+        """A claim is answered: the RPC goes to the module, or ended elsewhere."""
+        if kind == CLAIM_MINE:
+            self.arrive(rpc, reached, kb, link, None, how)
+        elif kind == CLAIM_FULL and rpc.owed:
+            self.arrive(rpc, reached, kb, link, None, how, (0, 0, CLAIM_AGAIN))  # it never ran: pushed back
+        else:
+            good = kind == CLAIM_ENDED
+            rpc.over, rpc.body = True, b""
+            self.final(rpc, OK if good else ABORTED, result if good else b"")
+            self.release(rpc.index)
+
+    def arrive(self, rpc, reached, kb, link, repeats, how, room=None):
+        """To the module."""
+        now, index, caller = self.turn.now, rpc.index, how["caller"]
         told, meters = {}, []
         if self.meters and repeats is None:
             meters = self.meters.of(rpc.method, caller)
@@ -187,12 +219,13 @@
                 if self.witness and told["room"][0] <= 0 and any(m.limit.dispatcher for m in meters):
                     self.witness.over(caller)
         if self.witness and repeats is None:
-            room = self.witness.room(now, self.origins.get(link), caller)
-            if room and (not told or room < told["room"]):
-                told["room"] = room
+            held = self.witness.room(now, self.origins.get(link), caller)
+            if held and (not told or held < told["room"]):
+                told["room"] = held
+        if room:
+            told["room"] = room
         rpc.handle = self.control.arrive(
-            now, index, rpc.method, kb, expires=expires, waited=now - reached, place=place, hint=hint,
-            again=again, repeats=repeats, caller=caller, **told)
+            now, index, rpc.method, kb, waited=now - reached, repeats=repeats, **how, **told)
         if rpc.owed:
             for meter in meters:
                 meter.take(rpc)
@@ -204,6 +237,8 @@
         self.uncount(rpc)
         if rpc.handle:
             rpc.handle.gone(self.turn.now)
+        elif self.claimer and self.claimer.left(rpc):
+            self.release(rpc.index)
 
     def final(self, rpc, outcome, result=b"", wait=0, last=False):
         if rpc.owed:
@@ -257,6 +292,10 @@
             self.final(rpc, ABORTED)
         if self.witness:
             self.witness.run_ended(outcome, spent)
+        if self.claimer and outcome is Outcome.MOOT:
+            self.claimer.never(rpc.index)
+        elif self.claimer:
+            self.claimer.ended(rpc.index, outcome is Outcome.OK, result)
         if rpc.entry and rpc.entry.index == rpc.index:
             self.tokens.settle(rpc.entry, result if outcome is Outcome.OK else FAILED)
         rpc.handle.ended(self.turn.now, outcome, spent)
@@ -304,9 +343,21 @@
 
     # ---- the port
 
+    def on_claims(self):
+        self.claimer.send()
+
+    def on_moot(self, index):
+        """A run that was not commanded, as its claim was over: it never ran."""
+        rpc = self.rpcs.get(index)
+        if rpc and rpc.started and not rpc.over:
+            self.run_ended(rpc, Outcome.MOOT, 0, b"")
+
     def run(self, index):
         rpc = self.rpcs[index]
         rpc.started = True
+        if self.claimer and not self.claimer.may_run(index):
+            self.turn.ask("later", ("moot", index))
+            return
         if rpc.entry:
             rpc.entry.ran = True
         self.pool.run(rpc, self.kinds[rpc.method] == "idempotent")
@@ -380,6 +431,8 @@
 
     def release(self, index):
         rpc = self.rpcs.pop(index)
+        if self.claimer:
+            self.claimer.never(index)  # where it ran, that was told
         if self.by_name.get(rpc.name) == index:
             del self.by_name[rpc.name]
 
@@ -390,6 +443,8 @@
             if self.control:
                 kill_at = self.turn.now + self.limits.stop
                 self.control.drain(self.turn.now, kill_at)
+                if self.claimer:
+                    self.claimer.end_by(kill_at - CLAIM_MARGIN)
                 for front in self.fronts.values():
                     front.drain(kill_at)
             else:
--- a/finchcart/node/turn.py
+++ b/finchcart/node/turn.py
@@ -6,6 +6,7 @@
 Effects are plain tuples: `("read", link)` (deliver one batch more), `("send", link, bytes)`,
 `("send_by", link, bytes, by)` (until then on the boot clock, or the link breaks), `("use", name, leased,
 wants)` (of a limit of the fleet, see meter.py), `("evidence", map)` (for its verdicts, see witness.py),
+`("claim", input)` (see claims/holder.py),
 `("close", link)` (once all is written), `("drop", link)` (at once), `("connect", link, kind, address)`,
 `("report", address, bytes)`, `("later", input)`, `("log", text)`, `("unlisten",)` (no new connections),
 `("end",)`.
--- a/finchcart/trial/processes.py
+++ b/finchcart/trial/processes.py
@@ -39,7 +39,7 @@
     """`names`: of all nodes that may run; each has a loopback address of its own."""
 
     def __init__(self, folder, names, seed, fleet, load=None, talk=True, planners=0, limits=(), quota=None,
-                 static=False, spares=0, verdicts=None):
+                 static=False, spares=0, verdicts=None, claims=None):
         self.folder, self.load, self.talk = Path(folder), load, talk
         self.count, self.limits = len(names), limits
         self.planners, self.spares = [f"p{n}" for n in range(planners)], [f"x{n}" for n in range(spares)]
@@ -57,6 +57,8 @@
             "planners": [f"{self.relayed(name)}:7400" for name in self.planners], **(quota or {})}}
         if verdicts is not None and talk:
             shared["verdicts"] = verdicts
+        if claims is not None and talk:
+            shared["claims"] = {"keepers": [f"{self.relayed(name)}:7400" for name in self.planners], **claims}
         self.faults = {}  # place of the store -> its state
         self.told = {}  # name -> its settings, to be changed in a run
         for name in names:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -268,12 +268,13 @@
     """Dispatchers, worker pool, store and roster round one core, without sockets; checks the rules."""
 
     def __init__(self, settings, seed=1, front=ThriftFront, watch=None, meters=None, witness=None,
-                 **limits):
+                 claims=None, **limits):
         self.settings, self.now, self.rng = settings, 1_700_000_000_000_000, random.Random(seed)
         self.limits = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS, **limits)
         self.places = {"pool": ("pool", 1), "store": ("store", 1), "roster": ("roster", 1)}
         self.core = Core(settings, self.limits, seed, "n1", self.places,
-                         lambda core: {"front": front(core, self.limits)}, watch, meters, witness)
+                         lambda core: {"front": front(core, self.limits)}, watch, meters, witness, claims)
+        self.claims = []  # what was told of claims
         self.seen = []  # evidence that was told
         self.meters, self.used = meters, []  # used: what was told of the fleet's limits
         self.front = self.core.fronts["front"]
@@ -293,6 +294,8 @@
             what = inputs.popleft()
             if self.meters:
                 self.meters.at(self.now)
+            if self.core.claimer:
+                self.core.claimer.boot = self.now
             for act, *args in self.core.reduce(self.now, what):
                 if act == "later":
                     inputs.append(args[0])
@@ -392,6 +395,9 @@
             self.behind.add(link)
             self.feed("behind", link)
 
+    def do_claim(self, what):
+        self.claims.append(what)
+
     def do_evidence(self, seen):
         self.seen.append(seen)
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,7 +9,10 @@
 from finchcart.claims.holder import Claims
 from finchcart.claims.keeper import Keeper
 from finchcart.claims.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, YES
+from finchcart.node.claimer import Claimer
 from finchcart.trial.claiming import KEY, TICK, Breach, Run, World, act, explore
+from tests.harness import draw_settings, read_answer
+from tests.test_core import GAUGES, Far, far_plain, play
 
 
 def settle(world, rounds=40):
@@ -140,6 +143,102 @@
     assert breach is None and states > 500
 
 
+# ---- the core
+
+
+class Kept:
+    """Keepers by chance round a far: what was claimed, and whose it is. `kinds`: of the answers."""
+
+    def __init__(self, far, rng, kinds):
+        self.far, self.rng, self.kinds = far, rng, kinds
+        self.asked, self.mine, self.told = {}, set(), []
+        far.do_claim = self.take
+        step = far.step
+
+        def stepped(dt):
+            step(dt)
+            for key in [key for key in self.asked if rng.random() < 0.2]:
+                del self.asked[key]
+                kind = rng.choice(kinds)
+                if kind == YES:
+                    self.mine.add(key)
+                if not far.ended:
+                    far.feed("fleet", ("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS))
+        far.step = stepped
+
+    def take(self, what):
+        kind, *rest = what
+        if kind == "claim":
+            for key, _, _ in rest[0]:
+                assert key not in self.asked and key not in self.mine, "claimed twice"
+                self.asked[key] = True
+        elif kind == "ended":
+            self.mine.remove(rest[0])
+            self.told.append(rest[1])
+        else:
+            self.mine.discard(rest[0])
+            self.asked.pop(rest[0], None)
+
+
+def runs_are_claimed(far, kept):
+    run = far.core.pool.run
+
+    def claimed_run(rpc, repeatable):
+        if rpc.entry:
+            key, by = far.core.claimer.mine[rpc.index]
+            assert key in kept.mine and far.now < by, "commanded without a claim"
+        run(rpc, repeatable)
+    far.core.pool.run = claimed_run
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rules_hold_with_claims_and_none_is_left_behind(seed):
+    rng = random.Random(seed)
+    far = Far({**draw_settings(rng), **GAUGES}, seed, claims=lambda turn: Claimer(turn, 20 * SECOND))
+    kept = Kept(far, rng, (YES, YES, YES, YES, HELD, FULL, FAILED, OTHER_BODY))
+    runs_are_claimed(far, kept)
+    play(far, rng)
+    assert not kept.mine and not far.core.claimer.waiting and not far.core.claimer.mine
+
+
+def one_tokened(kind, again=False, by=1000, result=b"there"):
+    """How a tokened RPC is answered whose claim comes to `kind`, and whether it ran."""
+    far = far_plain(claims=lambda turn: Claimer(turn, 20 * SECOND))
+    name = far.submit(far.open(), 1, **({"r": "1"} if again else {}))
+    far.step(MS)
+    (_, asks), = far.claims
+    assert not far.runs, "not before its claim"
+    if kind is not None:
+        far.feed("fleet", ("claimed", asks[0][0], kind, result, far.now + by * MS))
+    far.step(MS)
+    ran = name in far.runs
+    for _ in range(200):
+        if far.tries[name].get("how") or ran:
+            break
+        far.step(20 * MS)
+    return far.tries[name].get("how"), ran, far.now - far.tries[name]["due"]
+
+
+def test_what_a_claim_comes_to_is_what_the_caller_hears():
+    assert one_tokened(YES)[:2] == (None, True)
+    assert one_tokened(HELD)[:2] == ("aborted", False) and one_tokened(FAILED)[0] == "aborted"
+    assert one_tokened(FULL)[0] == "pushed back", "a first try never ran"
+    assert one_tokened(FULL, again=True)[0] == "aborted", "an earlier one may have, elsewhere"
+    assert one_tokened(YES, by=0)[:2] == ("pushed back", False), "the claim is over when it comes"
+    how, ran, late = one_tokened(None)
+    assert how == "pushed back" and not ran and late <= 0, "no keeper answers: by its due time"
+
+
+def test_a_run_elsewhere_gives_its_result():
+    far = far_plain(claims=lambda turn: Claimer(turn, 20 * SECOND))
+    told = []
+    far.answered = lambda link, data: told.append(read_answer(data))
+    far.submit(far.open(), 1)
+    far.step(MS)
+    far.feed("fleet", ("claimed", far.claims[0][1][0][0], ENDED, b"there", 0))
+    assert b"there" in str(told).encode() and not far.runs
+
+
 # ---- planted defects
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -173,8 +173,8 @@
     assert (lesser, more) == (7, 3), "two of forty are kept free of the lesser ones"
 
 
-def far_plain(meters=None, witness=None, **settings):
-    far = Far({**PLAIN, **GAUGES, **settings}, meters=meters, witness=witness)
+def far_plain(meters=None, witness=None, claims=None, **settings):
+    far = Far({**PLAIN, **GAUGES, **settings}, meters=meters, witness=witness, claims=claims)
     far.step(MS)
     far.step(MS)
     assert far.core.control is not None
