--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -34,7 +34,7 @@
 @SETTINGS
 def check(settings):
     """Read a settings file; tell all its mistakes, or the bounds that follow from it."""
-    from finchcart.cli.file import Wrong, figures, quota, read, verdicts
+    from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
     if not settings:
         raise click.UsageError("--settings or FINCHCART_SETTINGS has to name a file")
     try:
@@ -69,6 +69,12 @@
                    f"{shared.back_within() / 1e6:.1f} s of their return")
 
 
+    claimed = claims(whole)
+    if claimed:
+        click.echo(f"  claims: two runs of one key are commanded at least {claimed.apart() / 1e6:.1f} s apart, "
+                   f"whoever fails;")
+        click.echo(f"    a keeper that starts is silent for {claimed.silence / 1e6:.1f} s; it holds "
+                   f"{claimed.bytes_at_most() / 2**20:.0f} MB at most")
     held = verdicts(whole)
     if held:
         from finchcart.verdicts.decide import least_liars
--- a/finchcart/trial/processes.py
+++ b/finchcart/trial/processes.py
@@ -137,6 +137,8 @@
             if self.limits and word in self.limits[0]:
                 base += ["--limit" if word == "in_hand" else f"--{word}", str(self.limits[0][word])]
         spin = ["--spin"] if load.spin else []
+        if load.keyed:
+            base += ["--effects", str(self.folder / "effects.txt")]
         for n in range(load.processes):
             mine = paths[n::load.processes]
             more = ["--pools-only"] if n else [word for name in self.names[:self.count]
@@ -151,6 +153,7 @@
             sys.executable, "-m", "finchcart.world.load", "--rate", str(self.load.rate),
             "--seconds", str(seconds), "--links", str(self.load.links),
             "--out", str(self.folder / "load.json"), "--seed", str(self.seed),
+            *(["--keyed"] if self.load.keyed else []),
             "--focus", str(self.folder / "focus.json"), *where])
 
     def put(self, name, tree):
--- a/finchcart/trial/run.py
+++ b/finchcart/trial/run.py
@@ -41,7 +41,8 @@
     script = plan.script
     fleet = Processes(folder, plan.names, plan.seed, script.fleet, script.load, talk,
                       0 if script.static else script.planners, script.limits, script.quota, script.static,
-                      script.spares, script.verdicts)
+                      script.spares, script.verdicts,
+                      None if script.claims_off else script.claims)
     fleet.knows_all = oracle
     late, facts = 0.0, {"driver": "processes", "stats": {}}
     try:
@@ -66,6 +67,8 @@
             facts["load"] = json.loads((folder / "load.json").read_text())
             time.sleep(0.5)
             facts["truth"] = fleet.truth()
+            if plan.script.load.keyed:
+                facts["effects"] = effects(folder, facts["load"].pop("answered"), apart_of(plan.script))
             if any(act.what in ("store", "flood") for act in plan.acts):
                 facts["flood"] = fleet.truth("flood.jsonl")
         facts["links"] = fleet.counts()
@@ -77,6 +80,28 @@
     return check.from_logs(folder, plan.names, fleet.began, alias), start, facts
 
 
+def apart_of(script):
+    """Microseconds within which a key may run once."""
+    from finchcart.claims.figures import Figures
+    told = {name: script.claims[f"{name}_ms"] * MS for name in ("life", "command")
+            if f"{name}_ms" in (script.claims or {})}
+    return Figures(**told).apart()
+
+
+def effects(folder, answered, apart):
+    """What the worker pools' own record says: runs, keys that ran twice within `apart`, and keys that were
+    answered ok and never ran."""
+    times = {}
+    for line in (folder / "effects.txt").read_text().splitlines():
+        when, key = line.split(" ", 1)
+        times.setdefault(key, []).append(int(when))
+    twice = [key for key, whens in times.items()
+             if any(b - a < apart for a, b in zip(sorted(whens), sorted(whens)[1:]))]
+    return {"runs": sum(map(len, times.values())), "keys that ran": len(times),
+            "keys that ran twice": len(twice),
+            "ok without a run": sum(key not in times for key in answered), "first twice": twice[:1]}
+
+
 def stats(fleet, name):
     from finchcart.cli.serve import ask
     cpu, mb = fleet.usage(name)
@@ -218,6 +243,8 @@
              f"views by their own word at most {worst('stale_ms')} ms old; links: {facts['links']}"]
     if facts.get("load"):
         lines.append(f"RPCs: {facts['load']}")
+    if facts.get("effects"):
+        lines.append(f"effects: {facts['effects']}")
     if facts.get("truth") and facts["truth"][-1]["calls"]:
         lines.append(truth(facts))
     return "\n".join(lines)
@@ -353,6 +380,8 @@
     """Status: 0, or 1 with the first breach printed. `apart`: the nodes don't talk, nothing is held of
     them; `way`: see `shared_as`; `verdicts`: "on", "off", or "oracle": all are told of the store at once."""
     plan = lay_out(shared_as(read(script), way), seed, nodes)
+    if verdicts == "off":
+        plan.script.claims_off = True
     if verdicts != "on":
         plan.holds = []
         plan.script.verdicts = plan.script.verdicts if verdicts == "oracle" else None
@@ -392,6 +421,10 @@
     if most is not None and facts.get("truth") and facts["truth"][-1]["fullest"] > most and not broken:
         text = f"the store's bucket held {facts['truth'][-1]['fullest']:.1f}, {most} at most"
         broken = check.Result("limit", "rate", [], 0, text)
+    made = facts.get("effects")
+    twice = made and made["keys that ran twice"] and not plan.script.claims_off
+    if made and (twice or made["ok without a run"]) and not broken:
+        broken = check.Result("claims", "effects", [], 0, str(made))
     for row in used if over is not None else ():
         if row["over"] > over and not broken:
             broken = check.Result("limit", row["round"], [], 0, f"over by {row['over']}")
--- a/finchcart/trial/script.py
+++ b/finchcart/trial/script.py
@@ -77,6 +77,7 @@
     spin: bool = False
     processes: int = 1  # of worker pools
     links: int = 1  # connections to each node
+    keyed: bool = False  # keys alone, sent again to other nodes; effects are counted by key
 
 
 class Script(Struct, forbid_unknown_fields=True):
@@ -92,6 +93,8 @@
     limits: list[dict] = field(default_factory=list)  # as in the settings file
     quota: dict = {}
     verdicts: dict | None = None  # as in the settings file
+    claims: dict | None = None  # the same; the planners are the keepers
+    claims_off: bool = False  # a baseline: effects are counted, and nothing is claimed
     static: bool = False  # each node is told its share of the limit instead: a baseline
     settle: float = 6.0  # before the first round
 
--- a/finchcart/world/outside.py
+++ b/finchcart/world/outside.py
@@ -50,7 +50,8 @@
 class Pool(Server):
     """The worker pool. Notices are numbered from 1; a link that binds gets those after its cursor."""
 
-    def __init__(self, where, methods, work=0.05, cores=4, spin=False, failing=lambda: False):
+    def __init__(self, where, methods, work=0.05, cores=4, spin=False, failing=lambda: False, effect=None):
+        self.effect = effect  # told the body of each run at the moment of its effect
         self.failing = failing  # whether runs fail at once
         self.methods, self.work, self.cores = methods, work, cores  # methods: name -> whether it calls
         self.spin = spin
@@ -126,6 +127,8 @@
                 fate = "cut"
             run["waits"] = False
         if not failing:
+            if self.effect:
+                self.effect(body)
             self.toil()
         del self.runs[name]
         self.ended.add(name)
@@ -269,10 +272,19 @@
     parser.add_argument("--limit", type=int, help="calls in hand that the store bears")
     parser.add_argument("--rate", type=float, help="calls a second that the store bears")
     parser.add_argument("--burst", type=int, default=0, help="calls at once beside the rate")
+    parser.add_argument("--effects", help="bodies of all runs are written here, line by line")
     parser.add_argument("--place", action="append", default=[], help="one more place of the store")
     parser.add_argument("--faults", help="a file with the states of the store's places")
     parser.add_argument("--truth", help="the store's own count is written here, line by line")
     told = parser.parse_args()
+    effects = open(told.effects, "a", encoding="utf-8") if told.effects else None
+    lock = threading.Lock()
+
+    def effect(body):
+        with lock:
+            effects.write(f"{boot_clock()} {body.decode(errors='replace')}\n")
+            effects.flush()
+
     others, store, faults = set(), None, Faults(told.faults)
     for path in told.config:
         with open(path, encoding="utf-8") as file:
@@ -282,7 +294,7 @@
         where = address(config["pool"])
         Pool(where, {m["name"]: c for m, c in zip(settings["services"], calls)},
              told.work_ms / 1000, settings["familyInfo"]["cores"], told.spin,
-             lambda host=where[0]: faults.state(host) == "failing")
+             lambda host=where[0]: faults.state(host) == "failing", effect if effects else None)
         for kind, place in ((Store, config["store"]), (Roster, config["roster"])):
             if not told.pools_only and (kind, place) not in others:
                 others.add((kind, place))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,7 +1,9 @@
 """Claims: seeded runs of keepers and holders, a bounded search, plain cases and planted defects."""
 
 import random
+import re
 
+import json5
 import pytest
 
 from finchcart.claims import wire
@@ -9,6 +11,7 @@
 from finchcart.claims.holder import Claims
 from finchcart.claims.keeper import Keeper
 from finchcart.claims.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, YES
+from finchcart.cli.file import checked, claims
 from finchcart.node.claimer import Claimer
 from finchcart.trial.claiming import KEY, TICK, Breach, Run, World, act, explore
 from tests.harness import draw_settings, read_answer
@@ -125,6 +128,10 @@
     wrong = mistakes(Figures(keepers=places, command=15 * SECOND))
     assert [name for name, _ in wrong] == ["keepers", "command_ms"]
     assert not list(mistakes(Figures(keepers=(*places, "10.0.0.3:1"))))
+    with open("deploy/finchcart.json5", encoding="utf-8") as file:
+        head, _, tail = file.read().partition("  // claims: {\n")
+    told = claims(checked(json5.loads(head + "  claims: {\n" + re.sub(r"(?m)^  // ", "  ", tail)), "example"))
+    assert told == Figures(keepers=told.keepers) and len(told.keepers) == 3, "the example shows the defaults"
 
 
 @pytest.mark.parametrize("seed", range(12))
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -435,7 +435,8 @@
 def test_the_example_of_the_settings_shows_the_defaults():
     with open("deploy/finchcart.json5", encoding="utf-8") as file:
         head, _, tail = file.read().partition("  // verdicts: {\n")
-    tree = json5.loads(head + "  verdicts: {\n" + re.sub(r"(?m)^  // ", "  ", tail))
+    body, _, rest = tail.partition("  // },\n")
+    tree = json5.loads(head + "  verdicts: {\n" + re.sub(r"(?m)^  // ", "  ", body) + "  },\n" + rest)
     assert verdicts(checked(tree, "example")) == replace(FIGURES, zone="a")
 
 
