--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -253,7 +253,7 @@
 @click.option("--apart", is_flag=True, help="the nodes don't talk: for comparing their RPCs")
 @click.option("--share", type=click.Choice(["strict", "loose", "static"]), default="strict",
               show_default=True, help="how the script's limit is held")
-@click.option("--times", type=int, help="each kind of round is played so often, instead of the script's count")
+@click.option("--times", type=int, help="how often each kind of round is played")
 @click.option("--verdicts", type=click.Choice(["on", "off", "oracle"]), default="on", show_default=True,
               help="oracle: every node is told of the store at once")
 def run(script, seed, nodes, out, virtual, apart, share, times, verdicts):
--- a/finchcart/members/member.py
+++ b/finchcart/members/member.py
@@ -27,7 +27,7 @@
 
 STATES = "alive", "suspect", "failed", "leaving", "left"
 ROOM = wire.MOST - 120  # for rows in a datagram, besides what is always there
-NOTES, PASSES = 8, 2  # notes of others in a beat; times that each is passed on
+NOTES, PASSES = 12, 2  # notes of others in a beat; times that each is passed on where all hear all
 CONTESTS = 3  # of an incarnation by another process of the own name, before the younger stands
 
 
@@ -410,23 +410,31 @@
         born = None if way is None else now - way - note.since
         if held is None or note.age > held.note.age:
             self.notes[key] = Heard(note, born)
-            self.to_pass[key] = PASSES
+            # Where all exchange beats all hear it at once; else so often that few are left out by chance.
+            self.to_pass[key] = (PASSES if len(self.known) <= self.figures.watch + 1
+                                 else len(self.known).bit_length() + 1)
             self.to_pass.move_to_end(key)
         elif note.age == held.note.age and born is not None and (held.born is None or born > held.born):
             held.born = born  # both bounds hold: the younger is the better
 
-    def take_notes(self, now, to):
-        """The own notes, and some that are to be passed on."""
+    def take_notes(self, now, to, room):
+        """The own notes, and some that are to be passed on, as many as there is room for."""
         told = lambda held: msgspec.structs.replace(held.note, since=max(0, now - held.born))
         notes = [told(held) for _, held in sorted(self.own_notes.items())]
+        room -= len(wire.encoded(notes))
         for key in list(self.to_pass)[:NOTES]:
             held = self.notes[key]
-            if key[0] != to and held.born is not None:
-                notes.append(told(held))
-                self.to_pass[key] -= 1
-                self.to_pass.move_to_end(key)
-                if self.to_pass[key] <= 0:
-                    del self.to_pass[key]
+            if key[0] == to or held.born is None:
+                continue
+            note = told(held)
+            room -= len(wire.encoded(note))
+            if room < 0:
+                break
+            notes.append(note)
+            self.to_pass[key] -= 1
+            self.to_pass.move_to_end(key)
+            if self.to_pass[key] <= 0:
+                del self.to_pass[key]
         return notes
 
     def buckets(self, count):
@@ -641,7 +649,8 @@
             known = self.known[other]
             if other != one and other != self.me:
                 rows.append(known.row)
-        notes = wire.fill(self.take_notes(now, one), ROOM - len(wire.encoded(self.row)))
+        room = ROOM - len(wire.encoded(self.row))
+        notes = wire.fill(self.take_notes(now, one, room), room)  # a row that tells many links leaves none
         rows = wire.fill(rows, ROOM - len(wire.encoded(self.row)) - len(wire.encoded(notes)))
         for row in rows:
             other = wire.id_of(row.name)
