--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -151,6 +151,19 @@
     assert all(each == held[0] for each in held) and len(held[0]) == 9
 
 
+def test_a_note_that_finds_no_room_is_passed_on_later_and_more_often_in_a_large_fleet():
+    one = a_member()
+    for name in "bcd":
+        one.hear_note(0, base.Note(base.id_of(name), 1, 10**12, 1, 0, [], b"x" * 300), 0)
+    before = dict(one.to_pass)
+    told = one.take_notes(0, 1, 700)
+    assert len(told) == 2 and sum(before.values()) - sum(one.to_pass.values()) == 2
+    for n in range(60):
+        one.learn(0, base.Row(f"m{n}", f"10.0.1.{n}:1", 1, 10**12, 10**12, 0, base.ALIVE, []))
+    one.hear_note(0, base.Note(base.id_of("m5"), 1, 10**12, 1, 0, [], b"x"), 0)
+    assert one.to_pass[base.id_of("m5"), 1] > 2
+
+
 def test_words_merge_alike_in_any_order_and_the_newer_stands():
     rng = random.Random(6)
     said = [(wire.Said(rng.choice((BAD, GOOD)), rng.choice((0, SLOWED, OUT)), n // 3, 7, n, 10**9, "w"),
