A node of the last tier starts: its configuration names no store

Two tiers: nodes of the first are told a store, those of the last are not (settings: below silent, no class calls). Ruled out: wrong words, since first-tier nodes start from the same site. Lines at fault: read_config, PLACES all required. A store is now optional; a run that stands at a call all the same is told that its call never ran. Test: test_a_node_of_the_last_tier_starts... fails without it (status 2 at the start).

--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import threading
 import time
@@ -32,9 +33,11 @@
 
 
 def address(text):
+    """Host and port. Names are not looked up: a host is an IPv4 address, so that no thread fails on it later."""
     host, _, port = text.rpartition(":")
     if not 0 < int(port) < 65536:
         raise ValueError(f"{text}: no such port")
+    socket.inet_pton(socket.AF_INET, host)
     return host, int(port)
 
 
@@ -57,17 +60,20 @@
             config = json.load(file)
         return {
             "name": str(config["name"]), "listen": address(config["listen"]),
-            "places": {place: address(config[place]) for place in PLACES},
+            # A node of the last tier has nothing below: no store is named there.
+            "places": {place: address(config[place]) if place != "store" or place in config else None
+                       for place in PLACES},
             "seed": int(str(config.get("seed", "0")), 16), "settings": settings.from_json(config["settings"]),
             "limits": Limits.of(config["limits"], config["stop_ms"]),
             "watch": watching(config.get("watch")),
         }
     except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
+        raise ConfigError(f"{path}: {error.strerror or error}") from None
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from None
-    except (ValueError, TypeError, AttributeError) as error:
-        raise ConfigError(f"{path}: {error}") from None
+    except Exception as error:
+        # Whatever the file holds, nested or sized as it may be, it is refused in words and ends no node.
+        raise ConfigError(f"{path}: {type(error).__name__}: {str(error)[:200]}") from None
 
 
 def fault_in_thread(inputs, fault):
@@ -136,6 +142,9 @@
             for act, *args in reduce(clock() // 1000, what):
                 if act == "later":
                     waiting.append(args[0])
+                elif act == "finish":
+                    # Next, before anything that the link has read: what was read by then has no answer.
+                    waiting.appendleft(("finished", args[0], links.finish(args[0])))
                 elif act == "end":
                     links.flush()
                     return
@@ -168,7 +177,8 @@
     inputs = SimpleQueue()  # its put may be called from a signal handler
     hears = [inputs.put]
     for number, what in ((signal.SIGTERM, "drain"), (signal.SIGINT, "drain"), (signal.SIGHUP, "reread")):
-        signal.signal(number, lambda *_, what=what: [hear((what,)) for hear in hears])
+        # With the moment: the turn that takes it may come late, and the grace counts from the notice.
+        signal.signal(number, lambda *_, what=what: [hear((what, time.time_ns() // 1000)) for hear in hears])
     log()
     fleet = None
     try:
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -158,9 +158,9 @@
 
     def heard(self, what):
         """Of a signal, in its handler."""
-        if what == ("drain",):
+        if what[0] == "drain":
             self.datagrams.tell(None, "leave")
-        elif what == ("reread",):
+        elif what[0] == "reread":
             self.datagrams.tell(None, "reread")  # a handler may not log
 
     def reread(self):
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -54,10 +54,13 @@
     unused: int = 1500 * MS  # a connection that carried no message is told to close after this
     unused_closing: int = 250 * MS  # and closed after this: what crosses is sent once more elsewhere
     closing: int = 2 * SECOND  # a dispatcher told of a close is given this long
+    finish_again: int = 20 * MS  # between tries to close where something was on its way
+    half: int = 1 * SECOND  # one that holds back the rest of a message is given this long more
     discard: int = 256 * 1024  # bytes read past, to let answers out before a close, from one that goes on
     linger: int = 1 * SECOND  # the far side's end is awaited this long after the last byte
     send: int = 30 * SECOND  # a write that makes no headway for this long breaks the link
     accept_pause: int = 50 * MS  # when descriptors run out
+    unready_look: int = 40 * MS  # between looks at the end, without a worker pool to run anything
     last_look: int = 100 * MS  # between the end of listening and the end
     quiet: int = 1 * SECOND  # without any connection after the grace: the node may end
 
@@ -73,3 +76,9 @@
         """Of dispatchers, as descriptors and memory allow."""
         room = (self.memory - self.base) // self.connection
         return min(max(self.descriptors // 2, self.descriptors - self.reserve), max(8, room))
+
+    @property
+    def accepted(self):
+        """Connections that may be open at a moment: those, and a few that are on their way out. The rest is the
+        node's own: three quarters of the descriptors that dispatchers don't get."""
+        return self.connections + max(1, min((self.descriptors - self.connections) // 4, self.connections // 8))
--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -88,7 +88,8 @@
     words = data[at:end].split(b" ")
     if len(words) != 3 or words[1] != b"OK":
         return end + 2
-    if not words[2].isdigit() or int(words[2]) + end - at + 4 > longest:
+    # Guards against a length of thousands of digits, which is not even read as a number.
+    if not words[2].isdigit() or len(words[2]) > 9 or int(words[2]) + end - at + 4 > longest:
         raise Malformed(f"a reply from the store: {data[at:end][:60]!r}")
     end += int(words[2]) + 4
     return end if len(data) >= end else None
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 import threading
+from itertools import count
 from queue import SimpleQueue
 from time import CLOCK_BOOTTIME, clock_gettime_ns, sleep, time_ns
 
@@ -50,8 +51,9 @@
 class Link:
     """One connection. `ask`, `send` and `close` never block."""
 
-    def __init__(self, number, codec, inputs, buffers, limits, sock=None, address=None):
-        self.number, self.codec = number, codec
+    def __init__(self, number, codec, inputs, buffers, limits, sock=None, address=None, over=None):
+        """`over()`: once its descriptor is free again."""
+        self.number, self.codec, self.over = number, codec, over
         self.inputs, self.buffers, self.limits = inputs, buffers, limits
         self.sock, self.address = sock, address
         self.batch = limits.own_batch if address else limits.batch
@@ -59,6 +61,9 @@
         self.lock = threading.Lock()  # never held over a wait
         self.pending, self.writer, self.by = [], None, None
         self.up = self.closing = self.dropped = False
+        # Batches that the reader handed over, and those that the one thread took; whether the reader holds
+        # bytes that are not handed over.
+        self.handed, self.taken, self.left = 0, 0, False
         start_thread(self.read, f"read {number}")
 
     def ask(self):
@@ -95,6 +100,27 @@
                 shut(self.sock, socket.SHUT_WR)
         self.asked.put(False)
 
+    def finish(self):
+        """Closes where nothing is on its way in either direction, and tells whether it did. Guards against a
+        close that overtakes what was sent before it: a request that is in the system's buffer, in the
+        reader's hands, or read and not yet seen by the core; an answer that is not written."""
+        with self.lock:
+            if self.pending or self.writer or not self.up:
+                return False
+            # The system's buffer before the reader's marks: the reader takes bytes out of the one and sets the
+            # others after, so that what was there is seen in one of the two places.
+            try:
+                if self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                    return False
+            except OSError:
+                pass  # nothing waits, or it is broken
+            if self.left or self.handed != self.taken:
+                return False
+            self.closing = True
+            shut(self.sock, socket.SHUT_WR)
+        self.asked.put(False)
+        return True
+
     def drop(self):
         """At once, whatever is on its way."""
         with self.lock:
@@ -131,6 +157,8 @@
             writer.join()
         if self.sock:
             self.sock.close()
+        if self.over:
+            self.over()
         self.inputs.put(("closed", self.number))
 
     def begin(self):
@@ -174,8 +202,14 @@
                             at = ends
                     except Malformed as error:
                         fault = error
+                    except Exception as error:
+                        # Guards the node against a fault of a codec: it costs this link alone.
+                        logger.exception("reading link {}", self.number)
+                        fault = error
+                    self.left = at < len(data)
                     if frames:
                         # What was whole before a fault is handed over first.
+                        self.handed += 1
                         self.inputs.put(("got", self.number, frames, time_ns() // 1000))
                     if fault:
                         return str(fault), False
@@ -201,6 +235,7 @@
                         count = sock.recv_into(view[end:])
                         if not count:
                             return "", False
+                        self.left = True
                         end += count
                         data = bytes(view[:end])
             return "", True
@@ -212,13 +247,22 @@
 
     def discard(self):
         """Reads on without a look until the far side closes: closing over unread bytes would reset the
-        connection, and with it answers on their way. Guards against one that never stops: not for long."""
-        buffer = self.buffers.take()
+        connection, and with it answers on their way. Guards against one that never stops: not for long. While
+        answers are still being written, which ends by itself, silence is no reason to stop."""
+        buffer, left = self.buffers.take(), self.limits.discard
         try:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeval(self.limits.linger))
-            for _ in range(self.limits.discard // len(buffer)):
-                if not self.sock.recv_into(buffer):
+            while left > 0:
+                writing = self.writer
+                try:
+                    count = self.sock.recv_into(buffer)
+                except BlockingIOError:
+                    if not writing:
+                        break
+                    continue
+                if not count:
                     break
+                left -= count
         except OSError:
             pass
         finally:
@@ -251,37 +295,55 @@
 
 
 class Listener:
-    """Accepts dispatchers' connections and numbers them from 1 up."""
+    """Accepts dispatchers' connections and numbers them from 1 up. Bounded by `limits.accepted`: what is over
+    that waits in the system's backlog until one closes, so that descriptors for the node's own links and files
+    are always left."""
 
     def __init__(self, address, limits):
-        self.limits = limits
+        self.limits, self.numbers = limits, count(1)
+        self.room, self.stopped, self.opened = threading.Semaphore(limits.accepted), False, None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
         self.sock.listen(limits.backlog)
 
-    def accept(self, opened):
-        """`opened(number, socket, host)` for each, for as long as the process lives."""
-        number, short = 0, False
-        while True:
-            sock = None
+    def accept(self):
+        """Hands each to `opened(number, socket, host, over)`, until told to stop; `over()` makes room again."""
+        short = False
+        while not self.stopped:
+            self.room.acquire()
             try:
-                sock, place = self.sock.accept()
-                opened(number + 1, sock, place and place[0])
+                self.accept_one()
             except OSError as error:
-                if sock:
-                    sock.close()
-                elif error.errno == errno.EINVAL:
-                    return  # told to stop
+                self.room.release()
+                if error.errno == errno.EINVAL or self.stopped:
+                    return
                 # Guards against a spin where descriptors or memory run out: what waits is accepted later.
                 if not short:
-                    logger.warning("accept: {}; {} accepted so far", error.strerror, number)
+                    logger.warning("accept: {}", error.strerror)
                 short = True
                 sleep(self.limits.accept_pause / 1_000_000)
                 continue
-            short, number = False, number + 1
+            short = False
+
+    def accept_one(self):
+        sock, place = self.sock.accept()
+        try:
+            self.opened(next(self.numbers), sock, place and place[0], self.room.release)
+        except OSError:
+            sock.close()
+            raise
 
     def stop(self):
+        """Guards against resets of those that the system has accepted already: they are taken first."""
+        self.stopped = True
+        self.sock.setblocking(False)
+        while self.room.acquire(blocking=False):
+            try:
+                self.accept_one()
+            except OSError:
+                self.room.release()
+                break
         shut(self.sock, socket.SHUT_RDWR)
 
 
@@ -298,14 +360,15 @@
         start_thread(self.send_reports, "reports")
 
     def listen(self):
-        start_thread(lambda: self.listener.accept(self.opened), "accept")
+        self.listener.opened = self.opened
+        start_thread(self.listener.accept, "accept")
 
     def unlisten(self):
         self.listener.stop()
 
-    def opened(self, number, sock, host):
+    def opened(self, number, sock, host, over):
         self.links[number] = Link(
-            number, self.codecs[self.front], self.inputs, self.buffers, self.limits, sock=sock)
+            number, self.codecs[self.front], self.inputs, self.buffers, self.limits, sock=sock, over=over)
         self.inputs.put(("opened", number, self.front, host))
 
     def connect(self, number, kind, address):
@@ -323,6 +386,7 @@
         """What the frames say, and what is wrong with the first that can't be read (None: nothing)."""
         link, said = self.links.get(number), []
         if link:
+            link.taken += 1
             try:
                 for frame in frames:
                     said.append(link.codec.message(frame))
@@ -370,6 +434,12 @@
         if number in self.links:
             self.links[number].close()
 
+    def finish(self, number):
+        """See `Link.finish`; a link that is gone is closed."""
+        self.write_held(number)
+        link = self.links.get(number)
+        return link is None or link.finish()
+
     def drop(self, number):
         self.write_held(number)
         self.prompt.discard(number)
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -8,10 +8,12 @@
 Inputs are small plain tuples: `("start",)`, `("opened", link, kind[, host])` (kind: of the front; where it
 comes from), `("got", link, messages, read_at)` (a batch, and when it was read), `("behind", link)` (the far
 side does not read), `("caught_up", link)` (all is written), `("refused", link, why)` (never connected),
-`("ended", link, why)` (nothing more will be read; `why` is empty where the far side closed), `("closed",
-link)`, `("shared", index)`, `("drain",)`, `("moved", places)` (the others' addresses, read again), `("fault",
+`("ended", link, why)` (nothing more will be read; `why` is empty where the far side closed), `("close_due",
+link)` (a front's own, `later`), `("finished", link, shut)` (at once after the effect `finish`: whether
+nothing was on its way, and the link is closing),
+`("closed", link)`, `("shared", index)`, `("drain"[, at])` (the notice to leave, and when it came), `("moved", places)` (the others' addresses, read again), `("fault",
 thread)`, `("fleet", change)` (of the members, see finchcart/members/member.py; of verdicts, see witness.py),
-`("full", index)` (no room for a call, see meter.py), `("time",)`, `("load", busy, span)` (the time of the
+`("full", index)` (no room for a call, see meter.py, or nobody to call), `("time",)`, `("load", busy, span)` (the time of the
 last span in which inputs were worked on or waited). Effects: turn.py. Links that others make have numbers
 from 1 up.
 """
@@ -77,7 +79,7 @@
             "load": self.on_load, "claims": self.on_claims, "moot": self.on_moot,
             "fleet": self.on_fleet, "full": self.on_full, "closed": self.on_closed,
             **{word: lambda link, *more, word=word: self.on_link(word, link, *more)
-               for word in ("behind", "caught_up", "refused", "ended")}}
+               for word in ("behind", "caught_up", "refused", "ended", "close_due", "finished")}}
 
     # ---- in and out
 
@@ -264,6 +266,8 @@
         else:
             self.control = Control(self, settings, self.seed)
         self.control.start(self.turn.now)
+        if self.duty.drained:
+            self.drain_control()  # the notice came before the worker pool
 
     def pool_anew(self, cold):
         """A worker pool that started anew has lost its runs: each is answered, none is run again."""
@@ -375,6 +379,9 @@
 
     def call(self, index, limit):
         rpc = self.rpcs[index]
+        if self.store.place is None:
+            self.turn.ask("later", ("full", index))  # nothing is named that could be called: it never ran
+            return
         if not self.meters:
             self.store.call(rpc, limit, rpc.stands_at[1])
             return
@@ -438,17 +445,30 @@
 
     # ---- drain and end
 
-    def on_drain(self):
-        if self.duty.drain():
-            if self.control:
-                kill_at = self.turn.now + self.limits.stop
-                self.control.drain(self.turn.now, kill_at)
-                if self.claimer:
-                    self.claimer.end_by(kill_at - CLAIM_MARGIN)
-                for front in self.fronts.values():
-                    front.drain(kill_at)
-            else:
-                self.turn.ask("end")
+    def on_drain(self, at=None):
+        """Grace and kill count from when the notice came, not from when its turn has come."""
+        if not self.duty.drain(min(at or self.turn.now, self.turn.now)):
+            return
+        for front in self.fronts.values():
+            front.drain(self.duty.kill_at)
+        if self.claimer:
+            self.claimer.end_by(self.duty.kill_at - CLAIM_MARGIN)
+        if self.control:
+            self.drain_control()
+        else:
+            self.end_unready()
+
+    def drain_control(self):
+        self.control.drain(self.duty.drained, self.duty.kill_at)
+
+    def end_unready(self):
+        """Without a worker pool nothing is run: what comes is pushed back, connections close as they idle, and
+        the end comes as ever."""
+        if not self.control:
+            for front in self.fronts.values():
+                front.idle_limit(0)
+            self.duty.look()
+            self.turn.at(self.turn.now + self.limits.unready_look, self.end_unready)
 
     def busy(self):
         """Whether anything is open or owed."""
--- a/finchcart/node/duty.py
+++ b/finchcart/node/duty.py
@@ -14,7 +14,8 @@
         self.turn, self.limits, self.name, self.place, self.grace = turn, limits, name, place, grace
         self.busy = busy
         self.good, self.reports = True, 0
-        self.drained, self.grace_end, self.quiet_from, self.unlistened = False, None, None, False
+        self.drained, self.kill_at = None, None  # when the notice to leave came, and when the kill comes
+        self.grace_end, self.quiet_from, self.unlistened = None, None, False
 
     def health(self, good):
         if good != self.good:
@@ -31,18 +32,18 @@
         if number == self.reports:
             self.report()
 
-    def drain(self):
-        """The notice to leave; False where it came before."""
-        if self.drained:
+    def drain(self, at):
+        """The notice to leave came then; False where it came before."""
+        if self.drained is not None:
             return False
-        self.drained, self.grace_end = True, self.turn.now + self.grace
-        self.turn.at(self.turn.now + self.limits.stop, self.turn.ask, "end")
+        self.drained, self.grace_end, self.kill_at = at, at + self.grace, at + self.limits.stop
+        self.turn.at(self.kill_at, self.turn.ask, "end")
         return True
 
     def look(self):
         """The node may end once its grace is over and nothing is open, nor has been for a while."""
         turn = self.turn
-        if not self.drained or turn.now < self.grace_end:
+        if self.drained is None or turn.now < self.grace_end:
             return
         if self.busy():
             self.quiet_from = None
--- a/finchcart/node/front.py
+++ b/finchcart/node/front.py
@@ -10,7 +10,7 @@
 2. Where the caller is known gone it says `core.leave(rpc)`, once, instead of waiting for the final answer:
    none comes after that.
 3. It asks for reads on its links (`turn.ask("read", link)`), each of which brings one batch, and hears of
-   them by `opened`, `got`, `behind`, `caught_up`, `refused`, `ended` and `closed`. A front that connects out
+   them by `opened`, `got`, `behind`, `caught_up`, `refused`, `ended`, `finished` and `closed`. A front that connects out
    has `turn.connect(kind, address, self)`.
 4. `core.ready` tells whether RPCs can be taken yet: before the worker pool is there, `take` is not called.
 
@@ -69,6 +69,10 @@
     def ended(self, link: int, why: str) -> None:
         """Nothing more will be read; `why` is empty where the far side closed."""
 
+    def finished(self, link: int, shut: bool) -> None:
+        """What came of the effect `finish`: where `shut`, nothing more is read or sent on it; else something
+        was on its way, and it is as before."""
+
     def closed(self, link: int) -> None:
         """The link is gone."""
 
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -14,7 +14,7 @@
     """One link of a dispatcher."""
 
     __slots__ = ("link", "open", "calls", "heard", "behind", "waiting", "idle_from", "look", "checks",
-                 "told", "bad", "ended", "reads")
+                 "told", "bad", "ended", "reads", "tries")
 
     def __init__(self, link):
         self.link, self.open, self.calls, self.heard = link, {}, 0, 0  # open: by sequence number
@@ -22,6 +22,7 @@
         self.idle_from, self.look, self.checks = None, None, False  # look: when it is next looked at
         self.told, self.bad, self.ended = False, False, False  # told: `closing` was sent
         self.reads = 1  # asked for and not come back
+        self.tries = 0  # to close it, since something last came
 
 
 class ThriftFront:
@@ -31,6 +32,7 @@
         self.core, self.turn, self.limits = core, core.turn, limits
         self.most = limits.connections
         self.conns, self.good, self.keep = {}, True, None
+        self.kill_at = None  # from the notice to leave on
         self.acts = {"rpc": self.on_rpc, "left": self.on_left, "check": self.on_check,
                      "unheard": self.on_unheard}
 
@@ -58,10 +60,14 @@
 
     def make_room(self):
         """Guards against a crowd of connections whose threads cost more than their RPCs: one that carried no
-        call, or one call and stayed, is told to close, the longest silent first."""
+        call, or one call and stayed, is told to close, the longest silent first. Where the table is nearly
+        full, any that idles, those of health checks last: a new caller with an RPC gets in."""
         since = self.turn.now - self.limits.silent
-        busy = lambda conn: conn.calls > 1 or conn.heard > since or conn.open or conn.told or conn.ended
-        conn = min(filterfalse(busy, self.conns.values()), key=lambda conn: conn.heard, default=None)
+        full = len(self.conns) > self.most * 3 // 4
+        busy = lambda conn: (conn.calls > 1 and not full or conn.heard > since or conn.open or conn.told
+                             or conn.ended or conn.behind)
+        conn = min(filterfalse(busy, self.conns.values()), default=None,
+                   key=lambda conn: (conn.checks and conn.calls > 1, conn.heard))
         if conn:
             self.tell_close(conn, self.limits.unused_closing)
 
@@ -70,7 +76,7 @@
         if conn is None or conn.ended or conn.bad:
             return
         conn.calls += message[0] != "left"
-        conn.heard = self.turn.now
+        conn.heard, conn.tries = self.turn.now, 0
         self.acts[message[0]](conn, *message[1:])
         if conn.idle_from is None and not (conn.open or conn.checks):
             conn.idle_from = self.turn.now
@@ -101,7 +107,9 @@
         conn = self.conns.get(link)
         if conn:
             conn.behind = False
-            if not conn.bad:
+            if conn.bad:
+                self.finish_bad(conn)
+            elif not conn.ended:
                 self.ask_reads(conn)
 
     def ended(self, link, why):
@@ -147,10 +155,18 @@
         """Nothing more is read or sent; a far side that does not close in its turn is not waited for long."""
         conn.ended = True
         self.turn.ask(act, conn.link)
-        self.turn.at(self.turn.now + self.limits.linger, self.turn.ask, "drop", conn.link)
+        self.turn.at(self.turn.now + self.limits.linger, self.drop_ended, conn)
+
+    def drop_ended(self, conn):
+        """Guards against answers that are cut off as the far side reads slowly: a write that makes no headway
+        breaks the link by itself."""
+        if conn.behind:
+            self.turn.at(self.turn.now + self.limits.linger, self.drop_ended, conn)
+        else:
+            self.turn.ask("drop", conn.link)
 
     def finish_bad(self, conn):
-        if conn.bad and not conn.ended and not conn.open:
+        if conn.bad and not conn.ended and not conn.open and not conn.behind:
             self.end(conn)
 
     # ---- messages
@@ -255,15 +271,39 @@
         if not conn.told and not conn.ended:
             conn.told = True
             self.send(conn, codec.closing())
-            self.turn.at(self.turn.now + (wait or self.limits.closing), self.close_told, conn)
+            wait = self.patience(wait or self.limits.closing)
+            self.turn.at(self.turn.now + wait, self.close_told, conn)
 
     def close_told(self, conn):
-        if conn.ended:
+        """What came before the close is answered first. Not within another input's turn, which may hand over
+        an RPC of this very connection after the look and before the close."""
+        if not (conn.ended or conn.bad):
+            self.turn.ask("later", ("close_due", conn.link))
+
+    def close_due(self, link):
+        conn = self.conns.get(link)
+        if conn is None or conn.ended or conn.bad:
             return
         if conn.open:
-            self.turn.at(self.turn.now + self.limits.closing, self.close_told, conn)
+            self.turn.at(self.turn.now + self.patience(self.limits.closing), self.close_told, conn)
         else:
-            self.end(conn)
+            self.turn.ask("finish", conn.link)
+
+    def patience(self, wait):
+        """Guards against connections of those that rest, cut by the kill instead of closed by the node."""
+        if self.kill_at is None:
+            return wait
+        return min(wait, max(self.limits.unused_closing, (self.kill_at - self.turn.now) // 3))
+
+    def finished(self, link, shut):
+        conn = self.conns.get(link)
+        if conn is None or conn.ended or conn.bad:
+            return
+        conn.tries += 1
+        if shut or conn.tries * self.limits.finish_again > self.limits.half and not conn.behind:
+            self.end(conn)  # guards against one that never sends the rest of what it began
+        else:
+            self.turn.at(self.turn.now + self.limits.finish_again, self.close_told, conn)
 
     def look_at_checks(self, conn):
         """Guards against those that ask once and stay for ever, above all where many do."""
@@ -289,6 +329,7 @@
 
     def drain(self, kill_at):
         """Connections close as they idle: the module sets that limit to its least."""
+        self.kill_at = kill_at
 
     def quiet(self):
         return not self.conns
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -299,6 +299,8 @@
             for act, *args in self.core.reduce(self.now, what):
                 if act == "later":
                     inputs.append(args[0])
+                elif act == "finish":
+                    inputs.appendleft(("finished", args[0], self.finished(args[0])))
                 else:
                     getattr(self, "do_" + act)(*args)
 
@@ -366,6 +368,14 @@
             self.closing.add(link)
         del self.asked[link]
 
+    def finished(self, link):
+        """Closes a link where nothing is on its way, and tells whether it did."""
+        if self.inbox.get(link) or link in self.behind:
+            return False
+        if self.links.get(link) == "open":
+            self.links[link] = "shut"  # what comes on it from now on crosses the close
+        return True
+
     def do_drop(self, link):
         """At once: what was written and not read yet is lost."""
         self.commands = [command for command in self.commands if command[0] != link]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -154,6 +154,19 @@
     assert "drain" in log and "ended" in log and "Traceback" not in log and "ERROR" not in log
 
 
+def test_a_node_of_the_last_tier_starts_and_serves_with_no_store_named(world):
+    del world.places["store"], world.config["store"]
+    world.write()
+    world.pool = Pool(world.places["pool"], METHODS)
+    world.start()
+    until(world.serves)  # its run stands at a call, which is left out: there is nobody to call
+    client = world.client()
+    seq = client.submit("book", b"seat", "a" * 32)
+    assert answers(client, 1) == {seq: ("ok", b"SEAT")}
+    status, log = world.end()
+    assert status == 0 and "Traceback" not in log and "ERROR" not in log
+
+
 def test_sighup_moves_it_to_new_places_and_what_can_not_be_used_is_left(world):
     world.start()
     world.up()
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -167,7 +167,7 @@
     turn, busy = Turn(1), [True]
     duty = Duty(turn, LIMITS, "n1", ("roster", 1), 100 * MS, lambda: busy[0])
     duty.report()
-    assert duty.drain() and not duty.drain()
+    assert duty.drain(turn.now) and not duty.drain(turn.now)
     duty.health(False)
     assert turn.effects[-1][2] == b"HERE n1 off"
     told = []
