--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -54,6 +54,7 @@
     unused: int = 1500 * MS  # a connection that carried no message is told to close after this
     unused_closing: int = 250 * MS  # and closed after this: what crosses is sent once more elsewhere
     closing: int = 2 * SECOND  # a dispatcher told of a close is given this long
+    crossing: int = 50 * MS  # for so long a request may cross a close: the protocol has it sent once more
     finish_again: int = 20 * MS  # between tries to close where something was on its way
     half: int = 1 * SECOND  # one that holds back the rest of a message is given this long more
     discard: int = 256 * 1024  # bytes read past, to let answers out before a close, from one that goes on
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -33,6 +33,7 @@
         self.most = limits.connections
         self.conns, self.good, self.keep = {}, True, None
         self.kill_at = None  # from the notice to leave on
+        self.looking = False  # the table is nearly full, and looked at now and then
         self.acts = {"rpc": self.on_rpc, "left": self.on_left, "check": self.on_check,
                      "unheard": self.on_unheard}
 
@@ -41,15 +42,22 @@
     def opened(self, link):
         turn, conn = self.turn, Connection(link)
         self.conns[link], conn.heard = conn, turn.now
+        if self.crowded():
+            self.make_room()
+        if self.full() and not self.looking:
+            self.look_at_crowd()
         if len(self.conns) > self.most:
             # Guards against running out of descriptors and memory: the longest silent that made one health
-            # check goes, as no RPC comes on it; else the oldest that carried no call, which may be the new
-            # one itself: nothing of it ran.
+            # check goes, as no RPC comes on it; else the oldest that carried no call: nothing of it ran. One
+            # that may be about to speak is let be; where none else is left, those that come wait to be accepted.
             turn.fault("dispatchers", f"{len(self.conns)} connections, {self.most} at most")
-            spare = (each for each in self.conns.values() if each.calls <= each.checks and not each.ended)
-            self.end(min(spare, key=lambda each: (not each.checks, each.heard)), "drop")
-        elif self.crowded():
-            self.make_room()
+            since = turn.now - self.limits.crossing
+            spare = [each for each in self.conns.values()
+                     if each.calls <= each.checks and each.heard <= since and not each.ended]
+            if spare:
+                least = min(spare, key=lambda each: (not each.checks, each.heard))
+                self.send(least, codec.closing())
+                self.end(least, "drop")
         if conn.ended:
             return
         turn.ask("read", link)
@@ -58,18 +66,30 @@
     def crowded(self):
         return len(self.conns) > self.most // 3
 
+    def full(self):
+        return len(self.conns) > self.most * 3 // 4
+
     def make_room(self):
         """Guards against a crowd of connections whose threads cost more than their RPCs: one that carried no
         call, or one call and stayed, is told to close, the longest silent first. Where the table is nearly
-        full, any that idles, those of health checks last: a new caller with an RPC gets in."""
-        since = self.turn.now - self.limits.silent
-        full = len(self.conns) > self.most * 3 // 4
+        full, any that idles, those of health checks last: a new caller with an RPC gets in. Whether one was."""
+        since, full = self.turn.now - self.limits.silent, self.full()
         busy = lambda conn: (conn.calls > 1 and not full or conn.heard > since or conn.open or conn.told
                              or conn.ended or conn.behind)
         conn = min(filterfalse(busy, self.conns.values()), default=None,
                    key=lambda conn: (conn.checks and conn.calls > 1, conn.heard))
         if conn:
             self.tell_close(conn, self.limits.unused_closing)
+        return conn is not None
+
+    def look_at_crowd(self):
+        """While the table is nearly full: a quarter of it is made free, also while nobody can be accepted."""
+        self.looking = self.full()
+        if self.looking:
+            staying = sum(not (conn.told or conn.ended) for conn in self.conns.values())
+            while staying > self.most * 3 // 4 and self.make_room():
+                staying -= 1
+            self.turn.at(self.turn.now + self.limits.silent // 5, self.look_at_crowd)
 
     def got(self, link, message):
         conn = self.conns.get(link)
@@ -155,7 +175,8 @@
         """Nothing more is read or sent; a far side that does not close in its turn is not waited for long."""
         conn.ended = True
         self.turn.ask(act, conn.link)
-        self.turn.at(self.turn.now + self.limits.linger, self.drop_ended, conn)
+        wait = self.limits.crossing if self.full() else self.limits.linger
+        self.turn.at(self.turn.now + wait, self.drop_ended, conn)
 
     def drop_ended(self, conn):
         """Guards against answers that are cut off as the far side reads slowly: a write that makes no headway
--- a/finchcart/world/outside.py
+++ b/finchcart/world/outside.py
@@ -55,9 +55,11 @@
         self.failing = failing  # whether runs fail at once
         self.methods, self.work, self.cores = methods, work, cores  # methods: name -> whether it calls
         self.spin = spin
-        self.lock, self.link, self.notices = threading.Lock(), None, []
+        self.lock, self.link, self.notices, self.fate = threading.Lock(), None, [], "old"
         self.runs, self.ended, self.started = {}, set(), time.monotonic()
-        self.spawned = []  # (id, method, body) of every run
+        self.spawned, self.polls = [], 0  # (id, method, body) of every run; times it was asked for its gauges
+        self.gate = threading.Event()  # runs go on from their start while it is set
+        self.gate.set()
         super().__init__(where)
 
     def write(self, link, **said):
@@ -72,8 +74,14 @@
             self.notices.append(said)
             self.write(self.link, **said)
 
+    def lines(self, link):
+        try:
+            yield from link.makefile("rb")
+        except OSError:
+            pass  # the node left it
+
     def serve(self, link):
-        for line in link.makefile("rb"):
+        for line in self.lines(link):
             said = json.loads(line)
             event, name = said["event"], said.get("handle")
             if event == "bind":
@@ -82,12 +90,13 @@
                     if said["cursor"] == 0:
                         self.notices.clear()  # the node has started: numbers begin anew
                     age = int((time.monotonic() - self.started) * 1000)
-                    self.write(link, event="bound", fate="old", lasted=age)
+                    self.write(link, event="bound", fate=self.fate, lasted=age)
                     for notice in self.notices[said["cursor"]:]:
                         self.write(link, **notice)
             elif event == "poll":
                 busy = sum(not run["waits"] for run in list(self.runs.values()))
                 with self.lock:
+                    self.polls += 1
                     self.write(link, event="polled", ticket=said["ticket"],
                                figures=[min(1.0, busy / self.cores), busy, 0.0, 0])
             elif event == "spawn" and said["entry"] in self.methods:
@@ -100,6 +109,17 @@
             else:
                 self.write(link, event="unknown", fate=event, handle=name)
 
+    def restart(self):
+        """The process starts anew, cold: its runs are lost, notices are numbered from 1."""
+        with self.lock:
+            self.runs, self.notices, self.started, self.fate = {}, [], time.monotonic(), "new"
+        self.break_link()
+
+    def break_link(self):
+        with self.lock:
+            if self.link:
+                self.link.shutdown(socket.SHUT_RDWR)
+
     def toil(self):
         """Half of a run. Spinning, it counts what this thread itself was given of a core."""
         if not self.spin:
@@ -114,6 +134,7 @@
         self.spawned.append((name, method, body))
         fate, result = "good", body.upper()
         failing = self.failing()
+        self.gate.wait(30)
         if failing:
             fate = "bad"
         else:
@@ -130,6 +151,8 @@
             if self.effect:
                 self.effect(body)
             self.toil()
+        if self.runs.get(name) is not run:
+            return  # lost with the process that it ran in
         del self.runs[name]
         self.ended.add(name)
         self.notice("finished", handle=name, fate=fate, lasted=(time.monotonic() - began) * 1000,
@@ -161,6 +184,7 @@
     def __init__(self, where, work=0.0, limit=None, rate=None, burst=0, faults=None):
         self.work, self.limit, self.lock = work, limit, threading.Lock()
         self.faults = faults or Faults(None)
+        self.spoil = None  # spoil(id, body): the bytes of a reply, None to break the link
         self.wasted, self.slowed = 0, 0  # calls that came while their place was down, or slow
         self.rate, self.burst = rate, burst  # calls a second, and at once
         # Of a bucket that empties at the rate.
@@ -226,9 +250,15 @@
                 if gone:
                     return
                 self.late += late
+                reply = (b"%s LATE\r\n" % words[1] if late else
+                         b"%s OK %d\r\n%s\r\n" % (words[1], len(body), body[::-1]))
+                if self.spoil:
+                    reply = self.spoil(words[1], body)
                 try:
-                    link.sendall(b"%s LATE\r\n" % words[1] if late else
-                                 b"%s OK %d\r\n%s\r\n" % (words[1], len(body), body[::-1]))
+                    if reply is None:
+                        link.shutdown(socket.SHUT_RDWR)
+                        return
+                    link.sendall(reply)
                 except OSError:
                     return  # the node gave the call up
 
