--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -33,7 +33,7 @@
 
 
 def address(text):
-    """Host and port. Names are not looked up: a host is an IPv4 address, so that no thread fails on it later."""
+    """Host and port. Names are not looked up: a host is an IPv4 address, and no thread fails on it later."""
     host, _, port = text.rpartition(":")
     if not 0 < int(port) < 65536:
         raise ValueError(f"{text}: no such port")
--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -153,6 +153,7 @@
             return
         control = self.control
         control.end_call(now, self, outcome)
+        control.below_began = now if outcome is Outcome.UNREACHED else control.below_began
         if outcome is Outcome.OK:
             control.call_times.add(max(1, spent))
             control.resume(now, self)
@@ -201,7 +202,8 @@
         self.call_times = Histogram(2 * MS, 30 * MS)
         self.live, self.kept, self.held, self.standing, self.table = {}, {}, [], [], []  # kept: what is over
         self.kb, self.on_core, self.work, self.running, self.in_call = 0.0, 0, 0.0, 0, 0  # work: on cores
-        self.pausing = set()  # runs that were told to pause and have not said that they did
+        # Runs that were told to pause and have not said that they did; when a call was last unreached.
+        self.pausing, self.below_began = set(), -SECOND * 10**9
         self.room = None  # calls that may be in hand here, where the fleet shares its limit out
         # What the fleet holds: of this node, the least level, of the dependency.
         self.told_out, self.told_level, self.below_down, self.own_level = False, 0.0, False, 0.0
@@ -237,16 +239,14 @@
         end = rpc.due if self.kill_at is None else min(rpc.due, self.kill_at - 50 * MS)
         return now >= end - self.margin()
 
-    def warmth(self, now):
-        """Fraction of the full speed, on the slowest ramp that is allowed."""
-        if not self.cold:
-            return 1.0
+    def warmth(self, now, began):
+        """Fraction of the full speed of what began then, on the slowest ramp that is allowed."""
         start, whole = self.settings.get("cold_start", 1), max(1, self.settings.get("cold", 1))
-        return min(1.0, start + (1 - start) * (now - self.began) / whole)
+        return min(1.0, start + (1 - start) * (now - began) / whole)
 
     def crowd(self, now):
         """The running RPCs that the node survives; those at calls may come back at any time and count."""
-        return self.cores * (1 + self.beside * (self.warmth(now) if self.cold else 1.0))
+        return self.cores * (1 + self.beside * (self.warmth(now, self.began) if self.cold else 1.0))
 
     def on(self, rpc, sign):
         """One more run on the cores, or one less. Guards against sums over all RPCs at each arrival."""
@@ -481,8 +481,11 @@
     def make_calls(self, now):
         """Makes the calls that runs stand at, as far as the node's share of the dependency allows; one that
         can't be made in time is skipped where a poorer answer is worth something."""
-        self.credit = min(self.credit + 0.8 * self.calls_limit * (now - self.credit_at),
-                          0.2 * self.calls_limit * self.calls_window)
+        # Guards against a dependency that comes back cold, pressed by all nodes: each keeps to the part of
+        # its share that the slowest ramp allows, from when it was last not to be reached.
+        allowed = self.calls_limit * self.warmth(now, self.below_began)
+        self.credit = min(self.credit + 0.8 * allowed * (now - self.credit_at),
+                          0.2 * allowed * self.calls_window)
         self.credit_at = now
         while self.lingering and self.lingering[0] <= now:
             self.lingering.pop(0)
@@ -492,11 +495,12 @@
         # calls are short beside what they are for, none was given up lately, and the credit is there.
         ample = (self.credit > 0.1 * self.calls_limit * self.calls_window and not self.lingering
                  and 32 * self.call_times.mean < min(m.target for m in self.methods))
-        cap = max(1, int((0.8 if ample else 0.5) * self.calls_limit))
+        cap = max(1, int((0.8 if ample else 0.5) * allowed))
         waiting, self.standing = [r for r in self.standing if not (r.answered or r.is_gone)], []
         if self.room is not None:
             # The whole of what was given may be used, by what matters most.
-            cap, self.credit = self.room, 0.2 * self.calls_limit * self.calls_window
+            cap = min(self.room, max(1, int(self.room * self.warmth(now, self.below_began))))
+            self.credit = 0.2 * self.calls_limit * self.calls_window
             waiting.sort(key=lambda r: r.key)
         for rpc in waiting:
             left = rpc.want - now
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -80,6 +80,7 @@
 
     @property
     def accepted(self):
-        """Connections that may be open at a moment: those, and a few that are on their way out. The rest is the
-        node's own: three quarters of the descriptors that dispatchers don't get."""
-        return self.connections + max(1, min((self.descriptors - self.connections) // 4, self.connections // 8))
+        """Connections that may be open at a moment: those, and a few that are on their way out. The rest is
+        the node's own: three quarters of the descriptors that dispatchers don't get."""
+        few = min((self.descriptors - self.connections) // 4, self.connections // 8)
+        return self.connections + max(1, few)
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -107,8 +107,8 @@
         with self.lock:
             if self.pending or self.writer or not self.up:
                 return False
-            # The system's buffer before the reader's marks: the reader takes bytes out of the one and sets the
-            # others after, so that what was there is seen in one of the two places.
+            # The system's buffer before the reader's marks: the reader takes bytes out of the one and sets
+            # the others after, so that what was there is seen in one of the two places.
             try:
                 if self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
                     return False
@@ -296,8 +296,8 @@
 
 class Listener:
     """Accepts dispatchers' connections and numbers them from 1 up. Bounded by `limits.accepted`: what is over
-    that waits in the system's backlog until one closes, so that descriptors for the node's own links and files
-    are always left."""
+    that waits in the system's backlog until one closes, so that descriptors for the node's own links and
+    files are always left."""
 
     def __init__(self, address, limits):
         self.limits, self.numbers = limits, count(1)
@@ -308,7 +308,7 @@
         self.sock.listen(limits.backlog)
 
     def accept(self):
-        """Hands each to `opened(number, socket, host, over)`, until told to stop; `over()` makes room again."""
+        """Hands each to `opened(number, socket, host, over)` until told to stop; `over()` makes room."""
         short = False
         while not self.stopped:
             self.room.acquire()
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -11,11 +11,11 @@
 `("ended", link, why)` (nothing more will be read; `why` is empty where the far side closed), `("close_due",
 link)` (a front's own, `later`), `("finished", link, shut)` (at once after the effect `finish`: whether
 nothing was on its way, and the link is closing),
-`("closed", link)`, `("shared", index)`, `("drain"[, at])` (the notice to leave, and when it came), `("moved", places)` (the others' addresses, read again), `("fault",
-thread)`, `("fleet", change)` (of the members, see finchcart/members/member.py; of verdicts, see witness.py),
-`("full", index)` (no room for a call, see meter.py, or nobody to call), `("time",)`, `("load", busy, span)` (the time of the
-last span in which inputs were worked on or waited). Effects: turn.py. Links that others make have numbers
-from 1 up.
+`("closed", link)`, `("shared", index)`, `("drain"[, at])` (the notice to leave, and when it came), `("moved",
+places)` (the others' addresses, read again), `("fault", thread)`, `("fleet", change)` (of the members, see
+finchcart/members/member.py; of verdicts, see witness.py), `("full", index)` (no room for a call, see
+meter.py, or nobody to call), `("time",)`, `("load", busy, span)` (the time of the last span in which inputs
+were worked on or waited). Effects: turn.py. Links that others make have numbers from 1 up.
 """
 
 from finchcart.control import Control
@@ -26,7 +26,6 @@
 from finchcart.node.store import Store
 from finchcart.node.tokens import FAILED, Tokens, digest_of
 from finchcart.node.turn import Turn
-from finchcart.node.watch import Watch
 
 # Of claims, see claims/wire.py, which is not imported where there are none.
 CLAIM_MINE, CLAIM_ENDED, CLAIM_FULL = 1, 3, 6
@@ -261,6 +260,7 @@
         # The ramp of a cold start counts from the worker pool's: a later start is the slower reckoning.
         settings = {**self.settings, "fresh_start": cold}
         if self.watch:
+            from finchcart.node.watch import Watch  # not on the way to ready where nothing is watched
             watched = {**self.settings, **self.watch["settings"], "fresh_start": cold}
             self.control = Watch(self, settings, watched, self.seed, self.watch["period"], self.log)
         else:
@@ -462,8 +462,8 @@
         self.control.drain(self.duty.drained, self.duty.kill_at)
 
     def end_unready(self):
-        """Without a worker pool nothing is run: what comes is pushed back, connections close as they idle, and
-        the end comes as ever."""
+        """Without a worker pool nothing is run: what comes is pushed back, connections close as they idle,
+        and the end comes as ever."""
         if not self.control:
             for front in self.fronts.values():
                 front.idle_limit(0)
--- a/finchcart/node/turn.py
+++ b/finchcart/node/turn.py
@@ -7,7 +7,8 @@
 `("send_by", link, bytes, by)` (until then on the boot clock, or the link breaks), `("use", name, leased,
 wants)` (of a limit of the fleet, see meter.py), `("evidence", map)` (for its verdicts, see witness.py),
 `("claim", input)` (see claims/holder.py),
-`("close", link)` (once all is written), `("finish", link)` (if nothing is on its way there; `finished` tells), `("drop", link)` (at once), `("connect", link, kind, address)`,
+`("close", link)` (once all is written), `("finish", link)` (if nothing is on its way; `finished` tells),
+`("drop", link)` (at once), `("connect", link, kind, address)`,
 `("report", address, bytes)`, `("later", input)`, `("log", text)`, `("unlisten",)` (no new connections),
 `("end",)`.
 """
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -49,11 +49,12 @@
         if len(self.conns) > self.most:
             # Guards against running out of descriptors and memory: the longest silent that made one health
             # check goes, as no RPC comes on it; else the oldest that carried no call: nothing of it ran. One
-            # that may be about to speak is let be; where none else is left, those that come wait to be accepted.
+            # that may be about to speak is let be; where none else is left, those that come wait outside.
             turn.fault("dispatchers", f"{len(self.conns)} connections, {self.most} at most")
             since = turn.now - self.limits.crossing
             spare = [each for each in self.conns.values()
-                     if each.calls <= each.checks and each.heard <= since and not each.ended]
+                     if each.calls <= each.checks and (each.checks or each.heard <= since)
+                     and not each.ended]
             if spare:
                 least = min(spare, key=lambda each: (not each.checks, each.heard))
                 self.send(least, codec.closing())
@@ -72,7 +73,7 @@
     def make_room(self):
         """Guards against a crowd of connections whose threads cost more than their RPCs: one that carried no
         call, or one call and stayed, is told to close, the longest silent first. Where the table is nearly
-        full, any that idles, those of health checks last: a new caller with an RPC gets in. Whether one was."""
+        full, any that idles, those of health checks last: a new caller with an RPC gets in."""
         since, full = self.turn.now - self.limits.silent, self.full()
         busy = lambda conn: (conn.calls > 1 and not full or conn.heard > since or conn.open or conn.told
                              or conn.ended or conn.behind)
--- a/finchcart/world/outside.py
+++ b/finchcart/world/outside.py
@@ -228,6 +228,12 @@
                     "fullest": self.fullest, "wasted": self.wasted, "slowed": self.slowed}
 
     def serve(self, link):
+        try:
+            self.serve_calls(link)
+        except OSError:
+            pass  # the node left it
+
+    def serve_calls(self, link):
         # A place is "ok", "down" (a call breaks off), "hang" (no answer) or "slow" (ten times the time).
         place = link.getsockname()[0]
         lines = link.makefile("rb")
@@ -254,13 +260,10 @@
                          b"%s OK %d\r\n%s\r\n" % (words[1], len(body), body[::-1]))
                 if self.spoil:
                     reply = self.spoil(words[1], body)
-                try:
-                    if reply is None:
-                        link.shutdown(socket.SHUT_RDWR)
-                        return
-                    link.sendall(reply)
-                except OSError:
-                    return  # the node gave the call up
+                if reply is None:
+                    link.shutdown(socket.SHUT_RDWR)
+                    return
+                link.sendall(reply)
 
     def serve_call(self, link, limit, work):
         """(whether the node gave it up, whether its time was over)."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -254,6 +254,15 @@
         client.sock.close()
 
 
+def test_nothing_optional_is_imported_on_the_way_to_ready():
+    code = "import sys, finchcart.__main__; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+    loaded = set(done.stdout.split())
+    optional = ("cli", "members", "quota", "verdicts", "claims", "trial", "world", "node.watch")
+    assert not [name for name in loaded if name.startswith(tuple(f"finchcart.{part}" for part in optional))]
+    assert not loaded & {"msgspec", "xxhash", "json5", "click"}
+
+
 def test_a_link_whose_thread_can_not_be_started_counts_as_refused(monkeypatch):
     def none(thread):
         raise RuntimeError("can't start new thread")
