--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -47,23 +47,25 @@
         if self.full() and not self.looking:
             self.look_at_crowd()
         if len(self.conns) > self.most:
-            # Guards against running out of descriptors and memory: the longest silent that made one health
-            # check goes, as no RPC comes on it; else the oldest that carried no call: nothing of it ran. One
-            # that may be about to speak is let be; where none else is left, those that come wait outside.
             turn.fault("dispatchers", f"{len(self.conns)} connections, {self.most} at most")
-            since = turn.now - self.limits.crossing
-            spare = [each for each in self.conns.values()
-                     if each.calls <= each.checks and (each.checks or each.heard <= since)
-                     and not each.ended]
-            if spare:
-                least = min(spare, key=lambda each: (not each.checks, each.heard))
-                self.send(least, codec.closing())
-                self.end(least, "drop")
+            self.drop_spare()
         if conn.ended:
             return
         turn.ask("read", link)
         turn.at(turn.now + self.limits.unused, self.close_unused, conn)
 
+    def drop_spare(self):
+        """Guards against running out of descriptors and memory: the longest silent that made one health check
+        goes, as no RPC comes on it; else the oldest that carried no call: nothing of it ran. One that may be
+        about to speak is let be; where none else is left, those that come wait outside."""
+        since = self.turn.now - self.limits.crossing
+        spare = (conn for conn in self.conns.values() if not conn.ended and conn.calls <= conn.checks
+                 and (conn.checks or conn.heard <= since))
+        least = min(spare, key=lambda conn: (not conn.checks, conn.heard), default=None)
+        if least:
+            self.send(least, codec.closing())
+            self.end(least, "drop")
+
     def crowded(self):
         return len(self.conns) > self.most // 3
 
@@ -87,10 +89,12 @@
         """While the table is nearly full: a quarter of it is made free, also while nobody can be accepted."""
         self.looking = self.full()
         if self.looking:
+            for _ in range(sum(not conn.ended for conn in self.conns.values()) - self.most):
+                self.drop_spare()
             staying = sum(not (conn.told or conn.ended) for conn in self.conns.values())
             while staying > self.most * 3 // 4 and self.make_room():
                 staying -= 1
-            self.turn.at(self.turn.now + self.limits.silent // 5, self.look_at_crowd)
+            self.turn.at(self.turn.now + self.limits.crossing, self.look_at_crowd)
 
     def got(self, link, message):
         conn = self.conns.get(link)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -551,3 +551,26 @@
         assert world.serves()
     log = world.end()[1]
     assert log.count("not taken") + log.count("wait for the next start") == count and "Traceback" not in log
+
+
+def test_a_thousand_that_connect_and_stay_silent_are_each_closed_in_time(world):
+    """Some wait to be accepted; each is owed a close within 3 s, and who comes with an RPC gets in."""
+    world.config["limits"]["sockets"] = 200
+    serving(world)
+    crowd, began = [], time.monotonic()
+    for _ in range(1000):
+        sock = socket.create_connection(world.places["listen"])
+        crowd.append((sock, time.monotonic()))
+    until(world.serves)
+    for sock, connected in crowd:
+        sock.settimeout(10)
+        try:
+            while sock.recv(100):
+                pass
+        except ConnectionError:
+            pass
+        assert time.monotonic() - connected < 6, "a close came late"
+        sock.close()
+    assert time.monotonic() - began < 6 and world.serves()
+    status, log = world.end()
+    assert status == 0 and "Traceback" not in log and "accept:" not in log
