--- a/benchmarks/far.py
+++ b/benchmarks/far.py
@@ -99,10 +99,10 @@
     """Serves until the process is ended."""
     Pool(places["pool"], calling, work)
     serve(places["store"], store)
-    roster = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    roster.bind(places["roster"])
+    registry = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    registry.bind(places["roster"])
     while True:
-        roster.recv(200)
+        registry.recv(200)
 
 
 def keep_busy(cpu):
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -24,7 +24,7 @@
 
 from benchmarks.rpc import SETTINGS, free
 from finchcart.world.client import Client
-from finchcart.world.outside import Pool, Roster, Store
+from finchcart.world.outside import Pool, Registry, Store
 
 METHODS = {"read": True, "write": False}
 
@@ -32,8 +32,8 @@
 class Node:
     """One node with a worker pool of its own."""
 
-    def __init__(self, number, folder, store, roster):
-        self.places = {"listen": free(), "pool": free(), "store": store, "roster": roster}
+    def __init__(self, number, folder, store, registry):
+        self.places = {"listen": free(), "pool": free(), "store": store, "roster": registry}
         self.path = Path(folder) / f"n{number}.json"
         self.config = {
             "name": f"n{number}", "seed": f"{number:x}", "stop_ms": 1500, "settings": deepcopy(SETTINGS),
@@ -116,8 +116,8 @@
 def play(nodes=20, each=10, rate=20.0):
     rows = []
     with tempfile.TemporaryDirectory() as folder:
-        store, roster = Store(free(), work=0.002), Roster(free(socket.SOCK_DGRAM), tell=lambda text: None)
-        places = store.listener.getsockname(), roster.sock.getsockname()
+        store, registry = Store(free(), work=0.002), Registry(free(socket.SOCK_DGRAM), tell=lambda text: None)
+        places = store.listener.getsockname(), registry.sock.getsockname()
         fleet = [Node(n, folder, *places) for n in range(nodes)]
         try:
             for n, node in enumerate(fleet):
--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -25,7 +25,8 @@
 from finchcart.thrift import codec
 from finchcart.thrift.front import ThriftFront
 
-PLACES = "pool", "store", "roster"  # where the other parties are: these may change while the node runs
+# Where the other parties are, and the configuration's word for it: these may change while the node runs.
+PLACES = {"pool": "pool", "store": "store", "registry": "roster"}
 
 
 class ConfigError(Exception):
@@ -61,8 +62,8 @@
         return {
             "name": str(config["name"]), "listen": address(config["listen"]),
             # A node of the last tier has nothing below: no store is named there.
-            "places": {place: address(config[place]) if place != "store" or place in config else None
-                       for place in PLACES},
+            "places": {place: address(config[word]) if place != "store" or word in config else None
+                       for place, word in PLACES.items()},
             "seed": int(str(config.get("seed", "0")), 16), "settings": settings.from_json(config["settings"]),
             "limits": Limits.of(config["limits"], config["stop_ms"]),
             "watch": watching(config.get("watch")),
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -23,7 +23,7 @@
     buffer: int = 16 * 1024  # the one size of buffers: the longest message that is read
     spare_buffers: int = 64  # kept for reuse; more are let go
     backlog: int = 1024  # connections that wait to be accepted
-    reserve: int = 64  # descriptors kept from dispatchers: listener, pool, store, roster, files
+    reserve: int = 64  # descriptors kept from dispatchers: listener, pool, store, registry, files
 
     read_ahead: int = 2  # batches asked of a link at once: its reader is not woken for each
     batch: int = 8  # messages that a dispatcher's link hands over at once, at most
@@ -45,7 +45,7 @@
     log_again: int = 10 * SECOND  # between lines on faults of one party
     store_idle: int = 1 * SECOND  # the store closes idle connections after 10 s; the node does so before
     store_calls: int = 200  # made on one link to the store, one after the other
-    report: int = 300 * MS  # between reports to the roster: it forgets after 3 s, and some are lost
+    report: int = 300 * MS  # between reports to the registry: it forgets after 3 s, and some are lost
     late_read: int = 1 * SECOND  # an RPC read this long past its deadline is still known as a repeat
     hint: int = 600 * SECOND  # the longest run that an RPC may tell to expect
     ahead: int = 1 * SECOND  # an RPC stamped further ahead of the clock than this is no RPC
--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -1,4 +1,4 @@
-"""Lines of the worker pool, the store and the roster, read and written.
+"""Lines of the worker pool, the store and the registry, read and written.
 
 Owns the bytes on those links. Codecs as frames.py has them: no I/O, nothing kept between calls, and nothing
 raised but `Malformed` on what they read, whatever the bytes.
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -356,7 +356,7 @@
         self.front, self.codecs, self.held = front, {**CODECS, front: codec}, {}
         self.prompt = set()  # links whose messages are not worth waiting for company
         self.links, self.reports = {}, SimpleQueue()
-        self.roster = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.registry = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         start_thread(self.send_reports, "reports")
 
     def listen(self):
@@ -455,6 +455,6 @@
         while True:
             address, data = self.reports.get()
             try:
-                self.roster.sendto(data, address)
+                self.registry.sendto(data, address)
             except OSError:
-                pass  # the roster is down: the next report is due soon
+                pass  # the registry is down: the next report is due soon
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -65,7 +65,7 @@
         self.store = Store(self.turn, limits, places["store"], self.call_ended,
                            settings.get("calls_linger", 0) if meters else 0)
         self.tokens = Tokens(self.turn, max(self.late.values(), default=0), limits.kept_results)
-        self.duty = Duty(self.turn, limits, name, places["roster"], settings.get("grace", 0), self.busy)
+        self.duty = Duty(self.turn, limits, name, places["registry"], settings.get("grace", 0), self.busy)
         self.control = None  # from the worker pool's start on
         self.rpcs, self.by_name, self.next_index = {}, {}, 0
         self.said_level = None
@@ -103,7 +103,7 @@
 
     def on_moved(self, places):
         """The others have new places. What is under way at the old ones ends there where it can."""
-        pieces = {"pool": self.pool, "store": self.store, "roster": self.duty}
+        pieces = {"pool": self.pool, "store": self.store, "registry": self.duty}
         moved = [kind for kind, piece in pieces.items() if places[kind] != piece.place]
         self.turn.ask("log", f"configuration: {', '.join(moved) or 'nothing'} moved")
         for kind in moved:
--- a/finchcart/node/duty.py
+++ b/finchcart/node/duty.py
@@ -1,7 +1,7 @@
-"""The roster duty, the drain and the end.
+"""The registry duty, the drain and the end.
 
-Owns when the roster is told of the node, the notice to leave and the moment at which the process may end. It
-must never end a node that owes an answer, nor listen again once it stopped.
+Owns when the registry is told of the node, the notice to leave and the moment at which the process may end.
+It must never end a node that owes an answer, nor listen again once it stopped.
 """
 
 from finchcart.net import lines
--- a/finchcart/trial/processes.py
+++ b/finchcart/trial/processes.py
@@ -128,7 +128,7 @@
         return child
 
     def world(self, load):
-        """Store and roster in one process, worker pools in some."""
+        """Store and registry in one process, worker pools in some."""
         paths = [str(self.folder / f"{name}.json") for name in self.names[:self.count]]
         base = [sys.executable, "-m", "finchcart.world.outside", "--work-ms", str(load.work_ms),
                 "--store-work-ms", str(load.store_ms), "--truth", str(self.folder / "truth.jsonl"),
--- a/finchcart/world/outside.py
+++ b/finchcart/world/outside.py
@@ -1,4 +1,4 @@
-"""A toy world: worker pools, a store and a roster, on the addresses of one or more configurations.
+"""A toy world: worker pools, a store and a registry, on the addresses of one or more configurations.
 
     python -m finchcart.world.outside example/config.json
 
@@ -278,8 +278,8 @@
         return False, work > limit
 
 
-class Roster:
-    """The roster: keeps what was reported last, and prints changes."""
+class Registry:
+    """The registry: keeps what was reported last, and prints changes."""
 
     def __init__(self, where, tell=print):
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -291,7 +291,7 @@
         while True:
             _, name, duty = self.sock.recv(200).decode().split()
             if self.duty.get(name) != duty:
-                self.tell(f"roster: {name} is {duty}")
+                self.tell(f"registry: {name} is {duty}")
             self.duty[name] = duty
 
 
@@ -300,7 +300,7 @@
     parser.add_argument("config", nargs="+", help="configurations of nodes: a worker pool for each")
     parser.add_argument("--work-ms", type=float, default=50.0, help="of a run")
     parser.add_argument("--spin", action="store_true", help="runs keep a core busy instead of sleeping")
-    parser.add_argument("--pools-only", action="store_true", help="store and roster are elsewhere")
+    parser.add_argument("--pools-only", action="store_true", help="store and registry are elsewhere")
     parser.add_argument("--store-work-ms", type=float, default=0.0, help="of a call")
     parser.add_argument("--limit", type=int, help="calls in hand that the store bears")
     parser.add_argument("--rate", type=float, help="calls a second that the store bears")
@@ -328,7 +328,7 @@
         Pool(where, {m["name"]: c for m, c in zip(settings["services"], calls)},
              told.work_ms / 1000, settings["familyInfo"]["cores"], told.spin,
              lambda host=where[0]: faults.state(host) == "failing", effect if effects else None)
-        for kind, place in ((Store, config["store"]), (Roster, config["roster"])):
+        for kind, place in ((Store, config["store"]), (Registry, config["roster"])):
             if not told.pools_only and (kind, place) not in others:
                 others.add((kind, place))
                 if kind is Store and store:
@@ -337,11 +337,11 @@
                     store = Store(address(place), told.store_work_ms / 1000, told.limit, told.rate,
                                   told.burst, faults)
                 else:
-                    Roster(address(place))
+                    Registry(address(place))
     for place in told.place:
         if store and (Store, place) not in others:
             store.listen(address(place))
-    print("worker pools, store and roster are up; Ctrl-C ends them", flush=True)
+    print("worker pools, store and registry are up; Ctrl-C ends them", flush=True)
     try:
         while told.truth and not told.pools_only:
             time.sleep(0.2)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -265,13 +265,13 @@
 
 
 class Far:
-    """Dispatchers, worker pool, store and roster round one core, without sockets; checks the rules."""
+    """Dispatchers, worker pool, store and registry round one core, without sockets; checks the rules."""
 
     def __init__(self, settings, seed=1, front=ThriftFront, watch=None, meters=None, witness=None,
                  claims=None, **limits):
         self.settings, self.now, self.rng = settings, 1_700_000_000_000_000, random.Random(seed)
         self.limits = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS, **limits)
-        self.places = {"pool": ("pool", 1), "store": ("store", 1), "roster": ("roster", 1)}
+        self.places = {"pool": ("pool", 1), "store": ("store", 1), "registry": ("registry", 1)}
         self.core = Core(settings, self.limits, seed, "n1", self.places,
                          lambda core: {"front": front(core, self.limits)}, watch, meters, witness, claims)
         self.claims = []  # what was told of claims
@@ -383,7 +383,7 @@
         self.do_close(link)
 
     def do_report(self, address, data):
-        assert address == self.places["roster"]
+        assert address == self.places["registry"]
         self.reports.append((self.now, data))
 
     def do_log(self, text):
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -251,7 +251,7 @@
     ]
 
 
-def test_lines_of_the_store_and_the_roster():
+def test_lines_of_the_store_and_the_registry():
     assert take(lines.STORE, STORED, 0, LONGEST) == (
         ("reply", "9b1f03aa5c7e2d41", Outcome.OK, b"a\r\nb\0"),
         len(STORED),
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -618,7 +618,7 @@
     assert far.links[link] == "closed"  # well before a client that stays silent is owed a close
 
 
-def test_draining_tells_the_roster_at_once_and_ends_when_nothing_is_left():
+def test_draining_tells_the_registry_at_once_and_ends_when_nothing_is_left():
     far = far_plain()
     name = running(far, 1)
     far.drained = far.now
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,7 +18,7 @@
 from finchcart.net.links import Link, Listener
 from finchcart.thrift import codec
 from finchcart.thrift.codec import BOOL, CALL, FIELD
-from finchcart.world.outside import Roster
+from finchcart.world.outside import Registry
 from tests.test_node import World, answers, until
 
 LIMITS = Limits(memory=1 << 28, descriptors=64, stop=1_000_000, linger=20_000)
@@ -207,7 +207,7 @@
 
 
 def told_off(world):
-    until(lambda: world.roster.duty.get("n1") == "off")
+    until(lambda: world.registry.duty.get("n1") == "off")
 
 
 def confirmed(world):
@@ -235,7 +235,7 @@
     seqs = [client.submit("book", b"early", KEYS[0])]
     assert answers(client, 1)[seqs[0]][0] == "pushed back"
     tell(world, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
-    until(lambda: "n1" in world.roster.duty)
+    until(lambda: "n1" in world.registry.duty)
     seqs = [client.submit("book", b"late", KEYS[n]) for n in range(10)]
     got = read_till_closed(client)
     assert {seq: what for seq, (what, _) in got.items()} == dict.fromkeys(seqs, "pushed back")
@@ -318,8 +318,8 @@
     world.places["roster"] = free(socket.SOCK_DGRAM)  # nobody there: each report is refused
     serving(world)
     until(world.serves)
-    world.roster = Roster(world.places["roster"], tell=lambda text: None)
-    until(lambda: world.roster.duty.get("n1") == "on")
+    world.registry = Registry(world.places["roster"], tell=lambda text: None)
+    until(lambda: world.registry.duty.get("n1") == "on")
     assert world.serves()
     world.end()
 
@@ -527,8 +527,8 @@
     world.pool.listen(world.places["pool"])
     world.write()
     tell(world, signal.SIGHUP)
-    world.roster = Roster(world.places["roster"], tell=lambda text: None)
-    until(lambda: world.roster.duty.get("n1") == "on")  # read again with the descriptors full
+    world.registry = Registry(world.places["roster"], tell=lambda text: None)
+    until(lambda: world.registry.duty.get("n1") == "on")  # read again with the descriptors full
     spent = (world.cpu() - before) / (time.monotonic() - began)
     crowd.end()
     until(world.serves)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,7 +19,7 @@
 from finchcart.net.links import Link, Links
 from finchcart.thrift import codec
 from finchcart.world.client import Client
-from finchcart.world.outside import Pool, Roster, Store
+from finchcart.world.outside import Pool, Registry, Store
 
 METHODS = {"look-up": True, "book": False}
 
@@ -36,7 +36,7 @@
     def __init__(self, folder):
         self.places = {name: free() for name in ("listen", "pool", "store")}
         self.places["roster"] = free(socket.SOCK_DGRAM)
-        self.roster = Roster(self.places["roster"], tell=lambda text: None)
+        self.registry = Registry(self.places["roster"], tell=lambda text: None)
         with open("example/config.json", encoding="utf-8") as file:
             self.config = json.load(file)
         self.config["settings"]["contract"]["stopSendingWithin"] = 200_000
@@ -141,7 +141,7 @@
     slow.sock.sendall(b"\0\0")
     world.pool.link.shutdown(socket.SHUT_RDWR)
     until(world.serves)
-    until(lambda: world.roster.duty.get("n1") == "on")
+    until(lambda: world.registry.duty.get("n1") == "on")
     last = world.client()
     seq = last.submit("book", b"last", "c" * 32)
     world.process.send_signal(signal.SIGTERM)
@@ -149,7 +149,7 @@
     for each in (client, slow, last, bad):
         each.sock.close()
     assert world.process.wait(10) == 0
-    assert world.roster.duty["n1"] == "off"
+    assert world.registry.duty["n1"] == "off"
     log = world.process.stderr.read()
     assert "drain" in log and "ended" in log and "Traceback" not in log and "ERROR" not in log
 
@@ -177,18 +177,18 @@
     world.hang_up()
     assert world.serves()
     world.places.update(pool=free(), store=free(), roster=free(socket.SOCK_DGRAM))
-    world.roster = Roster(world.places["roster"], tell=lambda text: None)
+    world.registry = Registry(world.places["roster"], tell=lambda text: None)
     before = world.store.accepted
     for party in (world.pool, world.store):
         party.listen(world.places["pool" if party is world.pool else "store"])
     world.write()
     for _ in range(3):
         world.hang_up()
-    until(lambda: world.roster.duty.get("n1") == "on")
+    until(lambda: world.registry.duty.get("n1") == "on")
     assert answers(client, 1) == {during: ("ok", b"SEAT")}
     until(lambda: world.serves() and world.store.accepted > before)
     status, log = world.end()
-    assert status == 0 and "not taken" in log and "pool, store, roster moved" in log
+    assert status == 0 and "not taken" in log and "pool, store, registry moved" in log
 
 
 @pytest.mark.parametrize(
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -165,7 +165,7 @@
 
 def test_the_end_waits_for_what_is_open_and_listens_no_more_before():
     turn, busy = Turn(1), [True]
-    duty = Duty(turn, LIMITS, "n1", ("roster", 1), 100 * MS, lambda: busy[0])
+    duty = Duty(turn, LIMITS, "n1", ("registry", 1), 100 * MS, lambda: busy[0])
     duty.report()
     assert duty.drain(turn.now) and not duty.drain(turn.now)
     duty.health(False)
