--- a/finchcart/node/pool.py
+++ b/finchcart/node/pool.py
@@ -114,7 +114,7 @@
             return
         if why and self.ready:
             # Guards against a notice that can't be read and comes again right after each bind: it may have
-            # been spoilt on its way once; then it is passed over, and its run is answered in time all the same.
+            # been spoilt on its way once; then it is passed over, and its run is answered in time even so.
             if self.unreadable == self.cursor and self.settle is not None:
                 self.cursor += 1
             self.unreadable = self.cursor
