--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -64,6 +64,11 @@
         # Batches that the reader handed over, and those that the one thread took; whether the reader holds
         # bytes that are not handed over.
         self.handed, self.taken, self.left = 0, 0, False
+        if sock:
+            try:
+                self.opened()  # before the reader runs, which may be late: what is sent until then goes out
+            except OSError:
+                pass  # it has ended already: the reader learns of it and tells
         start_thread(self.read, f"read {number}")
 
     def ask(self):
@@ -174,15 +179,20 @@
         if self.by is not None and boot_clock() > self.by:
             # Guards against a call that outlives the grant that it was made under.
             raise ConnectionAbortedError(errno.ECONNABORTED, "too late for its grant")
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self.limits.send))
         with self.lock:
-            self.up = True
+            if not self.up:
+                self.opened()
             if self.pending:
                 self.write_on()
             elif self.closing:
                 shut(self.sock, socket.SHUT_WR)
 
+    def opened(self):
+        """Small writes are not held back, and one that makes no headway ends."""
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self.limits.send))
+        self.up = True
+
     def read_messages(self):
         """Until the far side closes, sends what can't be read, or the close is ordered. Returns what can't be
         read, and whether the close was ordered."""
@@ -316,7 +326,7 @@
                 self.accept_one()
             except OSError as error:
                 self.room.release()
-                if error.errno == errno.EINVAL or self.stopped:
+                if self.stopped:
                     return
                 # Guards against a spin where descriptors or memory run out: what waits is accepted later.
                 if not short:
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -75,8 +75,10 @@
     def make_room(self):
         """Guards against a crowd of connections whose threads cost more than their RPCs: one that carried no
         call, or one call and stayed, is told to close, the longest silent first. Where the table is nearly
-        full, any that idles, those of health checks last: a new caller with an RPC gets in."""
-        since, full = self.turn.now - self.limits.silent, self.full()
+        full, any that idles, those of health checks last, and at the limit after a shorter silence: a new
+        caller with an RPC gets in."""
+        full, over = self.full(), len(self.conns) >= self.most
+        since = self.turn.now - (self.limits.crossing if over else self.limits.silent)
         busy = lambda conn: (conn.calls > 1 and not full or conn.heard > since or conn.open or conn.told
                              or conn.ended or conn.behind)
         conn = min(filterfalse(busy, self.conns.values()), default=None,
