--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -287,6 +287,8 @@
                 self.writer = start_thread(self.write, f"write {self.number}")
             except OSError:
                 shut(self.sock, socket.SHUT_RDWR)
+                self.pending = []
+                self.inputs.put(("caught_up", self.number))  # or its close would wait for a write for ever
 
     def write(self):
         while True:
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -266,7 +266,7 @@
         else:
             self.control = Control(self, settings, self.seed)
         self.control.start(self.turn.now)
-        if self.duty.drained:
+        if self.duty.drained is not None:
             self.drain_control()  # the notice came before the worker pool
 
     def pool_anew(self, cold):
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -188,7 +188,7 @@
     def drop_ended(self, conn):
         """Guards against answers that are cut off as the far side reads slowly: a write that makes no headway
         breaks the link by itself."""
-        if conn.behind:
+        if conn.behind and conn.link in self.conns:
             self.turn.at(self.turn.now + self.limits.linger, self.drop_ended, conn)
         else:
             self.turn.ask("drop", conn.link)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -109,6 +109,20 @@
     assert read_all(far) == sent
 
 
+def test_a_writer_that_can_not_be_started_breaks_the_link_and_leaves_nothing_waiting(monkeypatch):
+    link, far, inputs = pair()
+
+    def none(act, name):
+        raise OSError("can't start new thread")
+    monkeypatch.setattr("finchcart.net.links.start_thread", none)
+    link.send(b"x" * 30_000_000)
+    assert [inputs.get()[0] for _ in range(2)] == ["behind", "caught_up"]
+    link.close()
+    assert len(read_all(far)) < 30_000_000
+    while inputs.get()[0] != "closed":
+        pass
+
+
 def test_a_close_leaves_unread_bytes_to_nobody_who_would_be_reset():
     link, far, inputs = pair()
     far.sendall(CHECK * 500)  # more than is read before the close
