--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -554,6 +554,50 @@
     assert far.links[link] == "closed"
 
 
+def at_its_close(far):
+    """A connection told to close, an instant before it is."""
+    link = far.open()
+    name = far.submit(link)
+    far.step(MS)
+    far.step(MS)
+    far.finish(name, Outcome.OK)
+    far.step(MS)
+    while not far.front.conns[link].told:
+        far.step(MS)
+    far.step(far.limits.closing - MS)
+    assert far.links[link] == "open"
+    return link
+
+
+def test_a_request_that_lies_unread_as_its_connection_is_due_to_close_is_answered():
+    far = far_plain()
+    far.slow, link = 0, at_its_close(far)
+    far.asked[link] = 0  # its reader has not been asked: the request lies in the system's buffer
+    name = far.submit(link)
+    far.step(2 * MS)
+    assert far.links[link] == "open" and how(far, name) is None
+    far.asked[link] = 1
+    far.step(MS)
+    far.step(MS)
+    ends_well(far, name)
+    for _ in range(300):
+        far.step(10 * MS)
+    assert far.links[link] == "closed"
+
+
+def test_a_planted_defect_is_found_a_close_that_looks_at_nothing():
+    far = far_plain()
+    far.slow, link = 0, at_its_close(far)
+    far.asked[link] = 0
+    far.finished = lambda link: True
+    name = far.submit(link)
+    far.step(2 * MS)
+    assert far.links[link] == "closed" and how(far, name) is None
+    with pytest.raises(AssertionError, match="lost"):
+        for _ in range(1000):
+            far.step(10 * MS)
+
+
 def test_timers_do_not_pile_up_on_a_busy_connection():
     far = far_plain()
     far.slow, link, most = 0, far.open(), 0
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -461,6 +461,24 @@
     assert "Traceback" not in world.end()[1]
 
 
+def test_a_window_that_ends_under_its_run_gives_the_next_try_a_run_of_its_own(world):
+    world.config["settings"]["services"][1]["window"] = 300_000
+    serving(world)
+    client, other = world.client(), world.client()
+    world.pool.gate.clear()
+    ago = str(time.time_ns() // 1_000_000 - 1200)  # it came so long ago: its window is over, its run goes on
+    first = client.submit("book", b"seat", KEYS[0], s=ago)
+    until(lambda: world.pool.spawned[-1][2] == b"seat")
+    second = other.submit("book", b"seat", KEYS[0], r="1")
+    until(lambda: [run[2] for run in world.pool.spawned].count(b"seat") == 2)
+    third = other.submit("book", b"seat", KEYS[0], r="1")  # within the window of the second
+    world.pool.gate.set()
+    assert answers(client, 1) == {first: ("ok", b"SEAT")}
+    assert answers(other, 2) == dict.fromkeys((second, third), ("ok", b"SEAT"))
+    assert [run[2] for run in world.pool.spawned].count(b"seat") == 2
+    assert "Traceback" not in world.end()[1]
+
+
 def test_a_node_that_restarts_while_its_old_runs_go_on_takes_none_of_their_ends_for_its_own(world):
     serving(world)
     client = world.client()
