--- a/benchmarks/by_round.py
+++ b/benchmarks/by_round.py
@@ -31,12 +31,18 @@
 def bars(path, ways, names, value, label, line=None):
     """A chart: `value(rows)` by kind of round, a colour each way; `line`: drawn there for comparing."""
     import matplotlib
+
     matplotlib.use("Agg")
     import matplotlib.pyplot as plt
+
     figure, axes = plt.subplots(figsize=(9, 0.42 * len(names) + 1.2))
     for k, (way, rows) in enumerate(ways.items()):
-        axes.barh([n + 0.26 * (k - 1) for n in range(len(names))],
-                  [value(rows[name]) if name in rows else 0 for name in names], 0.24, label=way)
+        axes.barh(
+            [n + 0.26 * (k - 1) for n in range(len(names))],
+            [value(rows[name]) if name in rows else 0 for name in names],
+            0.24,
+            label=way,
+        )
     if line is not None:
         axes.axvline(line, color="#999999", linewidth=0.8)
     axes.set_yticks(range(len(names)), names, fontsize=8)
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -32,8 +32,10 @@
         for kind, times in row["kinds"].items():
             kinds[KINDS.get(kind, str(kind))] = kinds.get(KINDS.get(kind, str(kind)), 0) + times
     total = lambda word: sum(row[word] for row in out)
-    print(f"{count} seeds from {first}, {total('steps')} steps, {total('keys')} "
-          f"keys, {total('runs')} runs, {len(broken)} with a key that ran twice; answers {kinds}")
+    print(
+        f"{count} seeds from {first}, {total('steps')} steps, {total('keys')} "
+        f"keys, {total('runs')} runs, {len(broken)} with a key that ran twice; answers {kinds}"
+    )
     for breach in broken[:5]:
         print(breach)
     return bool(broken)
@@ -48,8 +50,10 @@
     with ProcessPoolExecutor(jobs) as pool:
         out = list(pool.map(partial(searched, depth, faults, parts), range(parts)))
     breaches = [breach for _, breach in out if breach]
-    print(f"3 keepers, 2 holders, one key, depth {depth}, {faults} faults: {sum(n for n, _ in out)} states, "
-          f"{len(breaches)} breaches, {time.monotonic() - began:.0f} s")
+    print(
+        f"3 keepers, 2 holders, one key, depth {depth}, {faults} faults: {sum(n for n, _ in out)} states, "
+        f"{len(breaches)} breaches, {time.monotonic() - began:.0f} s"
+    )
     for breach in breaches[:3]:
         print(breach)
     return bool(breaches)
@@ -57,7 +61,7 @@
 
 def state_bytes(count=20_000):
     """Of a keeper that holds so many claims with results of 100 bytes."""
-    keeper = Keeper("f", Figures(keepers=("10.0.0.1:1",)), -10**9)
+    keeper = Keeper("f", Figures(keepers=("10.0.0.1:1",)), -(10**9))
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     for n in range(0, count, 16):
@@ -74,8 +78,10 @@
         keeper.reduce(0, ("got", ("10.0.0.9", 1), base.sealed(wire.CHANNEL, "f", wire.Claim("a", 5, asks))))
     rate = 16 * turns / (time.perf_counter() - began)
     size, held = 1000 * (after - before) / count / 1024, len(keeper.entries)
-    print(f"{held} claims, {size:.0f} kB a 1,000 with results of 30 bytes; {rate:.0f} claims a "
-          "second in batches of 16, one core, sealing of the asks counted")
+    print(
+        f"{held} claims, {size:.0f} kB a 1,000 with results of 30 bytes; {rate:.0f} claims a "
+        "second in batches of 16, one core, sealing of the asks counted"
+    )
 
 
 def main():
--- a/benchmarks/cold_ramp.py
+++ b/benchmarks/cold_ramp.py
@@ -93,24 +93,41 @@
         settings["familyInfo"].update(callsOut=share, callsOver=int(WINDOW * 1e6))
         self.processes, self.places = [], []
         for n in range(nodes):
-            places = {"listen": free(), "pool": free(), "store": self.store.place,
-                      "roster": free(socket.SOCK_DGRAM)}
+            places = {
+                "listen": free(),
+                "pool": free(),
+                "store": self.store.place,
+                "roster": free(socket.SOCK_DGRAM),
+            }
             path = Path(folder) / f"n{n}.json"
-            path.write_text(json.dumps({
-                "name": f"n{n}", "seed": f"{n:x}", "stop_ms": 1000, "settings": settings,
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                **{name: "%s:%d" % place for name, place in places.items()}}))
+            path.write_text(
+                json.dumps(
+                    {
+                        "name": f"n{n}",
+                        "seed": f"{n:x}",
+                        "stop_ms": 1000,
+                        "settings": settings,
+                        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                        **{name: "%s:%d" % place for name, place in places.items()},
+                    }
+                )
+            )
             Pool(places["pool"], {"read": True, "write": True}, work=0.004, cores=512)
             self.places.append(places["listen"])
-            self.processes.append(subprocess.Popen(
-                [sys.executable, "-m", "finchcart"], stderr=subprocess.DEVNULL,
-                env={**os.environ, "ROUTER_CONFIG": str(path), "MALLOC_ARENA_MAX": "2"}))
+            self.processes.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "finchcart"],
+                    stderr=subprocess.DEVNULL,
+                    env={**os.environ, "ROUTER_CONFIG": str(path), "MALLOC_ARENA_MAX": "2"},
+                )
+            )
 
     def call(self, rate, seed):
         """From here on each node's caller asks, on an open loop."""
         for n, place in enumerate(self.places):
-            threading.Thread(target=self.caller, args=(place, rate, random.Random(seed * 1000 + n)),
-                             daemon=True).start()
+            threading.Thread(
+                target=self.caller, args=(place, rate, random.Random(seed * 1000 + n)), daemon=True
+            ).start()
 
     def caller(self, place, rate, rng):
         client = None
@@ -138,7 +155,7 @@
         for n, begin in enumerate(calls):
             count = bisect_left(calls, begin + WINDOW) - n
             allowed = self.nodes * SHARE / CALL * ramp(begin - returned, WINDOW)
-            chance = 2 * allowed ** 0.5 + 2
+            chance = 2 * allowed**0.5 + 2
             if worst is None or count - allowed - chance > worst[0] - worst[2]:
                 worst = count - allowed, allowed, chance
         return *worst, len(calls)
@@ -175,8 +192,17 @@
             time.sleep(2)
             for seed in seeds:
                 excess, allowed, chance, calls = fleet.round(random.Random(seed))
-                rows.append({"nodes": nodes, "seed": seed, "excess": round(excess, 1), "N": round(allowed, 1),
-                             "chance": round(chance, 1), "calls": calls, "held": excess <= chance})
+                rows.append(
+                    {
+                        "nodes": nodes,
+                        "seed": seed,
+                        "excess": round(excess, 1),
+                        "N": round(allowed, 1),
+                        "chance": round(chance, 1),
+                        "calls": calls,
+                        "held": excess <= chance,
+                    }
+                )
         finally:
             fleet.end()
     return rows
@@ -195,8 +221,10 @@
         print(row)
     worst = max(rows, key=lambda row: row["excess"] - row["chance"])
     over = sum(not row["held"] for row in rows)
-    print(f"{told.nodes} nodes, {len(rows)} seeds: {over} over; worst excess over N {worst['excess']} at "
-          f"N {worst['N']}, where {worst['chance']} are put down to chance")
+    print(
+        f"{told.nodes} nodes, {len(rows)} seeds: {over} over; worst excess over N {worst['excess']} at "
+        f"N {worst['N']}, where {worst['chance']} are put down to chance"
+    )
     if told.json:
         Path(told.json).write_text(json.dumps(rows, indent=1) + "\n")
 
--- a/benchmarks/far.py
+++ b/benchmarks/far.py
@@ -36,6 +36,7 @@
             link, _ = listener.accept()
             link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=act, args=(link,), daemon=True).start()
+
     threading.Thread(target=accept, daemon=True).start()
 
 
@@ -91,8 +92,14 @@
                     self.say(event="blocked", cursor=0, handle=name, arg=b64encode(b"about it").decode())
                 else:
                     del self.runs[name]
-                    self.say(event="finished", cursor=0, handle=name, fate="good", lasted=self.work * 1000,
-                             arg=run[1])
+                    self.say(
+                        event="finished",
+                        cursor=0,
+                        handle=name,
+                        fate="good",
+                        lasted=self.work * 1000,
+                        arg=run[1],
+                    )
 
 
 def store(link):
@@ -149,8 +156,8 @@
             if kind == 4:
                 self.told = True  # no further RPC goes out here
             else:
-                field = struct.unpack(">h", data[at + 5:at + 7])[0] if kind == 2 else 9
-                began = self.sent.pop(LENGTH.unpack(data[at:at + 4])[0])
+                field = struct.unpack(">h", data[at + 5 : at + 7])[0] if kind == 2 else 9
+                began = self.sent.pop(LENGTH.unpack(data[at : at + 4])[0])
                 self.done({0: "ok", 1: "pushed back", 2: "aborted"}.get(field, "other"), now - began)
             if self.told and not self.sent:
                 self.sock.shutdown(socket.SHUT_RDWR)
@@ -183,9 +190,15 @@
                 self.old.append(self.links[n])
                 self.links[n] = Caller(self.where, self.done)
             method, tokened = self.methods[self.random.random() < 0.5]
-            fields = {"c": method, "i": f"{self.random.getrandbits(64):016x}",
-                      "s": str(time.time_ns() // 1_000_000),
-                      "f": str(n), "h": "20.00", "m": "24.5", "p": f"{self.random.random():.4f}"}
+            fields = {
+                "c": method,
+                "i": f"{self.random.getrandbits(64):016x}",
+                "s": str(time.time_ns() // 1_000_000),
+                "f": str(n),
+                "h": "20.00",
+                "m": "24.5",
+                "p": f"{self.random.random():.4f}",
+            }
             if tokened:
                 fields["k"] = f"{self.random.getrandbits(128):032x}"
             self.links[n].send(fields, b"x" * 200)
@@ -214,5 +227,10 @@
         pipe.send("begin")
         callers.run(seconds)
         lost = callers.settle()
-        pipe.send({"latencies": sorted(callers.latencies), "unanswered": lost,
-                   "how": {how: count - counts[how] for how, count in callers.how.items()}})
+        pipe.send(
+            {
+                "latencies": sorted(callers.latencies),
+                "unanswered": lost,
+                "how": {how: count - counts[how] for how, count in callers.how.items()},
+            }
+        )
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -40,8 +40,12 @@
     once = functools.lru_cache(maxsize=64)(view.watched)
     member.watched = lambda ids, watch: once(frozenset(ids), watch)
     events, began = [], time.monotonic()
-    fleet = Fleet([f"n{n:04d}" for n in range(count)], f"size {count}", Figures(),
-                  watch=lambda now, name, effect: events.append((now, name, effect)))
+    fleet = Fleet(
+        [f"n{n:04d}" for n in range(count)],
+        f"size {count}",
+        Figures(),
+        watch=lambda now, name, effect: events.append((now, name, effect)),
+    )
     for name in fleet.places:
         fleet.start(name)
     if count > together:
@@ -64,42 +68,71 @@
         fleet.kill(name)
         dead.add(name)
         fleet.run(killed + int(1.1 * fleet.figures.failed_within(count, loss)) + SECOND)
-        times = [(now - killed) / SECOND for now, at, effect in events
-                 if now > killed and effect[0] == "change" and effect[1:3] == (name, "failed")]
+        times = [
+            (now - killed) / SECOND
+            for now, at, effect in events
+            if now > killed and effect[0] == "change" and effect[1:3] == (name, "failed")
+        ]
         took += times
         all_took.append(max(times) if len(times) == len(fleet.live()) else math.nan)
-    wrong = [effect for now, at, effect in events if effect[0] == "change" and effect[2] == "failed"
-             and effect[1] not in dead]
+    wrong = [
+        effect
+        for now, at, effect in events
+        if effect[0] == "change" and effect[2] == "failed" and effect[1] not in dead
+    ]
     hours = count * (fleet.now - start) / SECOND / 3600
-    return {"members": count, "loss": loss, "all_know_all_s": joined, "median_s": statistics.median(took),
-            "p99_s": sorted(took)[math.ceil(0.99 * len(took)) - 1], "last_s": max(all_took),
-            "bound_s": fleet.figures.failed_within(count, loss) / SECOND, "wrong_an_hour": len(wrong) / hours,
-            "member_hours": hours, "messages": rates[0], "bytes": rates[1],
-            "real_s": time.monotonic() - began}
+    return {
+        "members": count,
+        "loss": loss,
+        "all_know_all_s": joined,
+        "median_s": statistics.median(took),
+        "p99_s": sorted(took)[math.ceil(0.99 * len(took)) - 1],
+        "last_s": max(all_took),
+        "bound_s": fleet.figures.failed_within(count, loss) / SECOND,
+        "wrong_an_hour": len(wrong) / hours,
+        "member_hours": hours,
+        "messages": rates[0],
+        "bytes": rates[1],
+        "real_s": time.monotonic() - began,
+    }
 
 
-COLUMNS = {"members": "members", "loss": "loss", "all_know_all_s": "start: all know all by s",
-           "median_s": "failed, median s", "p99_s": "p99 s", "last_s": "the last s", "bound_s": "bound s",
-           "wrong_an_hour": "wrong verdicts a member-hour", "member_hours": "member-hours",
-           "messages": "messages sent a member-second", "bytes": "bytes"}
+COLUMNS = {
+    "members": "members",
+    "loss": "loss",
+    "all_know_all_s": "start: all know all by s",
+    "median_s": "failed, median s",
+    "p99_s": "p99 s",
+    "last_s": "the last s",
+    "bound_s": "bound s",
+    "wrong_an_hour": "wrong verdicts a member-hour",
+    "member_hours": "member-hours",
+    "messages": "messages sent a member-second",
+    "bytes": "bytes",
+}
 
 
 def table(rows, columns):
     cell = lambda value: f"{value:.2f}" if isinstance(value, float) else "-" if value is None else str(value)
-    return "\n".join(["| " + " | ".join(columns.values()) + " |", "| --- " * len(columns) + "|"] + [
-        "| " + " | ".join(cell(row[name]) for name in columns) + " |" for row in rows])
+    return "\n".join(
+        ["| " + " | ".join(columns.values()) + " |", "| --- " * len(columns) + "|"]
+        + ["| " + " | ".join(cell(row[name]) for name in columns) + " |" for row in rows]
+    )
 
 
 def chart(rows, path):
     import matplotlib
+
     matplotlib.use("Agg")
     import matplotlib.pyplot as plt
+
     figure, (left, right) = plt.subplots(1, 2, figsize=(10, 4))
     for loss, colour in ((0.0, "#2e6f95"), (0.3, "#c8553d")):
         mine = [row for row in rows if row["loss"] == loss]
         count = [row["members"] for row in mine]
-        left.plot(count, [row["last_s"] for row in mine], "o-", color=colour,
-                  label=f"last to know, loss {loss:.0%}")
+        left.plot(
+            count, [row["last_s"] for row in mine], "o-", color=colour, label=f"last to know, loss {loss:.0%}"
+        )
         left.plot(count, [row["bound_s"] for row in mine], "--", color=colour, label="bound by formula")
         right.plot(count, [row["bytes"] / 1000 for row in mine], "o-", color=colour, label=f"loss {loss:.0%}")
     for axes, name in ((left, "seconds from the death"), (right, "kB sent a member-second")):
@@ -115,6 +148,7 @@
 def cost(seconds, rate):
     """Rows with and without membership: CPU and memory of 24 nodes, latency of their RPCs."""
     from finchcart.trial.run import on_processes
+
     rows = []
     for talk in (True, False, True, False):
         script = Script("cost", 24, seconds, [], load=Load(rate=rate, work_ms=20.0, processes=4))
@@ -123,8 +157,14 @@
         with tempfile.TemporaryDirectory() as folder:
             _, _, facts = on_processes(plan, Path(folder), talk)
         stats, load = list(facts["stats"].values()), facts["load"]
-        rows.append({"talk": talk, "cpu": 100 * statistics.mean(s["cpu_s"] for s in stats) / seconds,
-                     "mb": statistics.mean(s["mb"] for s in stats), **load})
+        rows.append(
+            {
+                "talk": talk,
+                "cpu": 100 * statistics.mean(s["cpu_s"] for s in stats) / seconds,
+                "mb": statistics.mean(s["mb"] for s in stats),
+                **load,
+            }
+        )
     return rows
 
 
@@ -140,8 +180,11 @@
     for n, one in enumerate(ids):
         reach = [a for a in ids if a not in (one, me) and not cut(me, a)] + [me]
         ways = lambda a: [ids[(ids.index(a) + n + k) % len(ids)] for k in (1, 2, 3)]
-        if not any(cut(a, one) and all(w in (a, one) or cut(a, w) or cut(w, one) for w in ways(a))
-                   for a in reach if a != one):
+        if not any(
+            cut(a, one) and all(w in (a, one) or cut(a, w) or cut(w, one) for w in ways(a))
+            for a in reach
+            if a != one
+        ):
             part.add(one)
     return part
 
@@ -152,9 +195,13 @@
     from finchcart.trial.check import History, check
     from finchcart.trial.run import on_virtual
     from finchcart.trial.script import lay_out, read
+
     rows = []
-    for name, rule in (("own links", own_links), ("any observer without a way round", no_way_round),
-                       ("half of the links", view.judge)):
+    for name, rule in (
+        ("own links", own_links),
+        ("any observer without a way round", no_way_round),
+        ("half of the links", view.judge),
+    ):
         member.judge = rule
         plan = lay_out(read("cuts"), 1, nodes)
         events, start, _ = on_virtual(plan)
@@ -162,10 +209,15 @@
         script = read("loss")
         script.seconds = 120
         events, start, _ = on_virtual(lay_out(script, 1, nodes))
-        rows.append({"rule": name, "wrong": sum(r.changes for r in results if r.what == "never"),
-                     "flaps": sum(r.changes for r in results if r.what == "agree"),
-                     "breaches": f"{sum(r.breach is not None for r in results)} of {len(results)}",
-                     "lossy": sum(event.kind == "state" and event.value == "failed" for event in events)})
+        rows.append(
+            {
+                "rule": name,
+                "wrong": sum(r.changes for r in results if r.what == "never"),
+                "flaps": sum(r.changes for r in results if r.what == "agree"),
+                "breaches": f"{sum(r.breach is not None for r in results)} of {len(results)}",
+                "lossy": sum(event.kind == "state" and event.value == "failed" for event in events),
+            }
+        )
         print(json.dumps(rows[-1]), flush=True)
     member.judge = view.judge
     return rows
@@ -185,13 +237,33 @@
     told = parser.parse_args()
     if told.rules:
         rows = rules(24)
-        print(table(rows, {"rule": "rule", "wrong": "wrong verdicts on those that stay",
-                           "flaps": "changes after a verdict", "breaches": "expectations broken",
-                           "lossy": "failed at 30 % loss, 2 minutes"}))
+        print(
+            table(
+                rows,
+                {
+                    "rule": "rule",
+                    "wrong": "wrong verdicts on those that stay",
+                    "flaps": "changes after a verdict",
+                    "breaches": "expectations broken",
+                    "lossy": "failed at 30 % loss, 2 minutes",
+                },
+            )
+        )
     elif told.cost:
         rows = cost(told.seconds, told.rate)
-        print(table(rows, {"talk": "membership", "cpu": "CPU of a node, % of a core", "mb": "peak MB",
-                           "ok": "ok", "median_ms": "median ms", "p99_ms": "p99 ms"}))
+        print(
+            table(
+                rows,
+                {
+                    "talk": "membership",
+                    "cpu": "CPU of a node, % of a core",
+                    "mb": "peak MB",
+                    "ok": "ok",
+                    "median_ms": "median ms",
+                    "p99_ms": "p99 ms",
+                },
+            )
+        )
     else:
         rows = [row for path in told.join or () for row in json.loads(Path(path).read_text())]
         for count in told.sizes:
--- a/benchmarks/quota.py
+++ b/benchmarks/quota.py
@@ -34,9 +34,11 @@
             sums = uses.setdefault(phase, [0.0, 0.0])
             sums[0], sums[1] = sums[0] + used, sums[1] + wanted
     told = ", ".join(f"{phase} {used / max(1.0, wanted):.2f}" for phase, (used, wanted) in uses.items())
-    print(f"{mode}, {per}: {count} seeds, {sum(row['steps'] for row in out)} steps, {len(broken)} breaches; "
-          f"worst {max(row['worst'] for row in out):.1f} of {out[0]['limit']}, besides at most "
-          f"{max(row['remainder'] for row in out)} written late by a stopped process; use: {told}")
+    print(
+        f"{mode}, {per}: {count} seeds, {sum(row['steps'] for row in out)} steps, {len(broken)} breaches; "
+        f"worst {max(row['worst'] for row in out):.1f} of {out[0]['limit']}, besides at most "
+        f"{max(row['remainder'] for row in out)} written late by a stopped process; use: {told}"
+    )
     for breach in broken[:10]:
         print(breach)
     return bool(broken)
@@ -50,12 +52,18 @@
 def search(depth, faults, jobs):
     began, parts = time.monotonic(), 4 * jobs
     with ProcessPoolExecutor(jobs) as pool:
-        out = list(pool.map(partial(searched, depth, faults, parts),
-                            [(part, drift) for drift in range(len(DRIFTS)) for part in range(parts)]))
+        out = list(
+            pool.map(
+                partial(searched, depth, faults, parts),
+                [(part, drift) for drift in range(len(DRIFTS)) for part in range(parts)],
+            )
+        )
     breaches = [breach for _, breach in out if breach]
-    print(f"3 planners, 2 holders, {depth} steps, every placing of {faults} faults, "
-          f"{len(DRIFTS)} ways to drift: "
-          f"{sum(n for n, _ in out)} states, {len(breaches)} breaches, {time.monotonic() - began:.0f} s")
+    print(
+        f"3 planners, 2 holders, {depth} steps, every placing of {faults} faults, "
+        f"{len(DRIFTS)} ways to drift: "
+        f"{sum(n for n, _ in out)} states, {len(breaches)} breaches, {time.monotonic() - began:.0f} s"
+    )
     for breach in breaches[:5]:
         print(breach)
     return bool(breaches)
@@ -81,13 +89,16 @@
                 said = size.setdefault(what[1], [0, 0])
                 said[0], said[1] = said[0] + 1, said[1] + len(what[3])
             feed(what)
+
         fleet.carry = carry
         fleet.run(fleet.now + 10 * SECOND)
         first = max((name for name in size if name[0] == "p"), key=lambda name: size[name][0])
         nodes = [size[name] for name in size if name[0] == "n"]
         mean = lambda n: sum(each[n] for each in nodes) / len(nodes) / 10
-        print(f"| {count} | {size[first][0] / 10:.0f} | {mean(0):.1f} | {size[first][1] / 10:.0f} "
-              f"| {mean(1):.0f} |")
+        print(
+            f"| {count} | {size[first][0] / 10:.0f} | {mean(0):.1f} | {size[first][1] / 10:.0f} "
+            f"| {mean(1):.0f} |"
+        )
 
 
 def rounds(folders, chart):
@@ -95,8 +106,14 @@
     ways, names = beside(folders, "uses", lambda name: name.rpartition("-")[0])
     total = lambda rows: sum(row["rounds"] for row in rows)
     mean = lambda rows: sum(row["use"] * row["rounds"] for row in rows) / total(rows)
-    print(table(ways, names, "played, use, most in hand", lambda rows: (
-        f"{total(rows)}, {mean(rows):.2f}, {max(row['most'] for row in rows)}")))
+    print(
+        table(
+            ways,
+            names,
+            "played, use, most in hand",
+            lambda rows: f"{total(rows)}, {mean(rows):.2f}, {max(row['most'] for row in rows)}",
+        )
+    )
     if chart:
         bars(chart, ways, names, mean, "calls in hand, of the limit (48), where demand is always above it", 1)
 
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -37,8 +37,12 @@
         self.places = {"listen": free(), "pool": free(), "store": store, "roster": registry}
         self.path = Path(folder) / f"n{number}.json"
         self.config = {
-            "name": f"n{number}", "seed": f"{number:x}", "stop_ms": 1500, "settings": deepcopy(SETTINGS),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}}
+            "name": f"n{number}",
+            "seed": f"{number:x}",
+            "stop_ms": 1500,
+            "settings": deepcopy(SETTINGS),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        }
         self.pool = Pool(self.places["pool"], METHODS, work=0.01, cores=512)
         self.start()
 
@@ -50,8 +54,10 @@
         self.write(**places)
         self.began = time.monotonic()
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "finchcart"], stderr=subprocess.DEVNULL,
-            env={**os.environ, "ROUTER_CONFIG": str(self.path), "MALLOC_ARENA_MAX": "2"})
+            [sys.executable, "-m", "finchcart"],
+            stderr=subprocess.DEVNULL,
+            env={**os.environ, "ROUTER_CONFIG": str(self.path), "MALLOC_ARENA_MAX": "2"},
+        )
 
     def stop(self, how):
         self.process.send_signal(how)
@@ -105,8 +111,14 @@
         node.start(**({down: gone} if down else {}))
         listens = node.until("listens")
     ready = node.until("ready")
-    rows.append({"kind": kind, "listens": round(listens, 3), "ready": round(ready, 3),
-                 **({"after_pool": round(ready - late, 3)} if late else {})})
+    rows.append(
+        {
+            "kind": kind,
+            "listens": round(listens, 3),
+            "ready": round(ready, 3),
+            **({"after_pool": round(ready - late, 3)} if late else {}),
+        }
+    )
 
 
 def play(nodes=20, each=10, rate=20.0):
@@ -122,8 +134,10 @@
             for kind in ("killed", "told to leave", "worker pool late", "store down", "registry down"):
                 for n in range(each):
                     restart(fleet[n % nodes], kind, free(), rows)
-            together = [threading.Thread(target=restart, args=(node, f"{nodes} at once", None, rows))
-                        for node in fleet]
+            together = [
+                threading.Thread(target=restart, args=(node, f"{nodes} at once", None, rows))
+                for node in fleet
+            ]
             for thread in together:
                 thread.start()
             for thread in together:
@@ -141,8 +155,11 @@
 
 def imports():
     """Milliseconds of the largest imports on the way to ready."""
-    done = subprocess.run([sys.executable, "-X", "importtime", "-c", "import finchcart.__main__"],
-                          capture_output=True, text=True)
+    done = subprocess.run(
+        [sys.executable, "-X", "importtime", "-c", "import finchcart.__main__"],
+        capture_output=True,
+        text=True,
+    )
     took = {}
     for line in done.stderr.splitlines()[1:]:
         _, total, name = line.removeprefix("import time:").split("|")
@@ -162,8 +179,10 @@
     for kind in [*dict.fromkeys(row["kind"] for row in rows), "all"]:
         mine = [row for row in rows if kind in ("all", row["kind"])]
         ready = [row.get("after_pool", row["ready"]) for row in mine]
-        print(f"| {kind} | {len(mine)} | {quantile([row['listens'] for row in mine], 0.5):.2f} s | "
-              f"{quantile(ready, 0.5):.2f} s | {quantile(ready, 0.9):.2f} s | {max(ready):.2f} s |")
+        print(
+            f"| {kind} | {len(mine)} | {quantile([row['listens'] for row in mine], 0.5):.2f} s | "
+            f"{quantile(ready, 0.5):.2f} s | {quantile(ready, 0.9):.2f} s | {max(ready):.2f} s |"
+        )
     print("imports, ms:", imports())
     if told.json:
         Path(told.json).write_text(json.dumps(rows, indent=1) + "\n")
--- a/benchmarks/rpc.py
+++ b/benchmarks/rpc.py
@@ -24,17 +24,45 @@
 SETTINGS = {
     "contract": {"cold": 0, "overloadFactor": 8.0, "startCapacity": 1.0, "stopSendingWithin": 100_000},
     "familyInfo": {
-        "callerIdle": 30_000_000, "callsOut": 200.0, "callsOver": 5_000_000, "classCalls": [True, True],
-        "cores": 512, "freshStart": False, "gauges": ["core_use", "on_cores", "heap_share", "links"],
-        "kbPerKey": 1.0, "linger": 200_000, "memoryKb": 4_000_000.0, "preemption": "silent", "runFactor": 2.0,
-        "say": "level", "worthWithout": [0.6, 0.0]},
-    "limits": {"maxRetryAfter": 1_000_000, "retryAfter": True}, "round": 2000,
+        "callerIdle": 30_000_000,
+        "callsOut": 200.0,
+        "callsOver": 5_000_000,
+        "classCalls": [True, True],
+        "cores": 512,
+        "freshStart": False,
+        "gauges": ["core_use", "on_cores", "heap_share", "links"],
+        "kbPerKey": 1.0,
+        "linger": 200_000,
+        "memoryKb": 4_000_000.0,
+        "preemption": "silent",
+        "runFactor": 2.0,
+        "say": "level",
+        "worthWithout": [0.6, 0.0],
+    },
+    "limits": {"maxRetryAfter": 1_000_000, "retryAfter": True},
+    "round": 2000,
     "services": [
-        {"name": "read", "effect": "read_like", "worth": 1.0, "target": 1_800_000, "deadline": 4_600_000,
-         "window": 5_000_000, "lateWorth": 0.0},
-        {"name": "write", "effect": "idempotency_key", "worth": 3.0, "target": 1_800_000,
-         "deadline": 4_600_000, "window": 13_000_000, "lateWorth": 0.0}],
-    "worthBy": "work"}
+        {
+            "name": "read",
+            "effect": "read_like",
+            "worth": 1.0,
+            "target": 1_800_000,
+            "deadline": 4_600_000,
+            "window": 5_000_000,
+            "lateWorth": 0.0,
+        },
+        {
+            "name": "write",
+            "effect": "idempotency_key",
+            "worth": 3.0,
+            "target": 1_800_000,
+            "deadline": 4_600_000,
+            "window": 13_000_000,
+            "lateWorth": 0.0,
+        },
+    ],
+    "worthBy": "work",
+}
 METHODS = [("read", False), ("write", True)]
 TICK = os.sysconf("SC_CLK_TCK")
 
@@ -57,25 +85,41 @@
         self.tree = Path(tree).resolve()
         places = {"listen": free(), "pool": free(), "store": free(), "roster": free(socket.SOCK_DGRAM)}
         path = Path(folder) / f"{places['listen'][1]}.json"
-        path.write_text(json.dumps({
-            "name": "b1", "seed": "1", "stop_ms": 3000, "settings": SETTINGS,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            **{name: "%s:%d" % place for name, place in places.items()}}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "b1",
+                    "seed": "1",
+                    "stop_ms": 3000,
+                    "settings": SETTINGS,
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                    **{name: "%s:%d" % place for name, place in places.items()},
+                }
+            )
+        )
         spawn = multiprocessing.get_context("spawn")
         os.sched_setaffinity(0, cpus[1:])
         self.world = spawn.Process(target=far.world, args=(places, {"read", "write"}, work), daemon=True)
         self.world.start()
         self.pipe, theirs = spawn.Pipe()
         self.callers = spawn.Process(
-            target=far.call, args=(theirs, places["listen"], links, METHODS, 1), daemon=True)
+            target=far.call, args=(theirs, places["listen"], links, METHODS, 1), daemon=True
+        )
         self.callers.start()
         self.filler = spawn.Process(target=far.keep_busy, args=(cpus[0],), daemon=True)
         self.filler.start()
         os.sched_setaffinity(0, cpus[:1])
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "finchcart"], cwd=self.tree, stderr=subprocess.DEVNULL,
-            env={**os.environ, "ROUTER_CONFIG": str(path), "MALLOC_ARENA_MAX": "2",
-                 "PYTHONPATH": str(self.tree)})
+            [sys.executable, "-m", "finchcart"],
+            cwd=self.tree,
+            stderr=subprocess.DEVNULL,
+            env={
+                **os.environ,
+                "ROUTER_CONFIG": str(path),
+                "MALLOC_ARENA_MAX": "2",
+                "PYTHONPATH": str(self.tree),
+            },
+        )
         os.sched_setaffinity(0, cpus)
         self.wait(places["listen"])
 
@@ -112,12 +156,20 @@
         after, took = self.cpu(), min(time.monotonic() - began, seconds)
         count, latencies = max(1, sum(got["how"].values())), got["latencies"] or [0.0]
         user, system = ((b - a) * 1000 / count for a, b in zip(before, after))
-        return {"rate": rate, "answered": count, "user_ms": user, "system_ms": system,
-                "cpu_ms": user + system, "reducer_ms": reduced * 1000 / count,
-                "core": (user + system) * count / 1000 / took,
-                "median_ms": latencies[len(latencies) // 2] * 1000,
-                "p99_ms": latencies[len(latencies) * 99 // 100] * 1000, "mb": self.mb(),
-                "unanswered": got["unanswered"], **got["how"]}
+        return {
+            "rate": rate,
+            "answered": count,
+            "user_ms": user,
+            "system_ms": system,
+            "cpu_ms": user + system,
+            "reducer_ms": reduced * 1000 / count,
+            "core": (user + system) * count / 1000 / took,
+            "median_ms": latencies[len(latencies) // 2] * 1000,
+            "p99_ms": latencies[len(latencies) * 99 // 100] * 1000,
+            "mb": self.mb(),
+            "unanswered": got["unanswered"],
+            **got["how"],
+        }
 
     def end(self):
         self.process.terminate()
@@ -131,15 +183,28 @@
 
 
 def commit(tree):
-    said = subprocess.run(["git", "-C", str(tree), "describe", "--always", "--dirty"], capture_output=True,
-                          text=True)
+    said = subprocess.run(
+        ["git", "-C", str(tree), "describe", "--always", "--dirty"], capture_output=True, text=True
+    )
     return said.stdout.strip() or "?"
 
 
 COLUMNS = {
-    "text": "text", "rate": "RPCs/s", "cpu_ms": "CPU ms an RPC", "user_ms": "user", "system_ms": "system",
-    "reducer_ms": "of it reducing", "core": "of a core", "median_ms": "median ms", "p99_ms": "99 % ms",
-    "ok": "ok", "pushed back": "pushed back", "aborted": "aborted", "unanswered": "unanswered", "mb": "MB"}
+    "text": "text",
+    "rate": "RPCs/s",
+    "cpu_ms": "CPU ms an RPC",
+    "user_ms": "user",
+    "system_ms": "system",
+    "reducer_ms": "of it reducing",
+    "core": "of a core",
+    "median_ms": "median ms",
+    "p99_ms": "99 % ms",
+    "ok": "ok",
+    "pushed back": "pushed back",
+    "aborted": "aborted",
+    "unanswered": "unanswered",
+    "mb": "MB",
+}
 HEAD = "| " + " | ".join(COLUMNS.values()) + " |\n" + "| --- " * len(COLUMNS) + "|"
 
 
--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -25,8 +25,10 @@
     with ProcessPoolExecutor(jobs) as pool:
         out = list(pool.map(partial(one, rounds=rounds), range(first, first + count), chunksize=2))
     broken = [row["breach"] for row in out if row["breach"]]
-    print(f"{count} seeds from {first}, {sum(row['steps'] for row in out)} steps, {len(broken)} breaches; "
-          f"most changes of verdict in 24 s of flaps: {max(row['flaps'] for row in out)}")
+    print(
+        f"{count} seeds from {first}, {sum(row['steps'] for row in out)} steps, {len(broken)} breaches; "
+        f"most changes of verdict in 24 s of flaps: {max(row['flaps'] for row in out)}"
+    )
     kinds = {}
     for row in out:
         for kind, what, took, bound in row["times"]:
@@ -34,8 +36,10 @@
     print("| round | what | times | median s | worst s | of its bound, at most |\n" + "| --- " * 6 + "|")
     for (kind, what), times in sorted(kinds.items()):
         took = sorted(each for each, _ in times)
-        print(f"| {kind} | {what} | {len(took)} | {took[len(took) // 2]:.2f} | {took[-1]:.2f} | "
-              f"{max(part for _, part in times):.2f} |")
+        print(
+            f"| {kind} | {what} | {len(took)} | {took[len(took) // 2]:.2f} | {took[-1]:.2f} | "
+            f"{max(part for _, part in times):.2f} |"
+        )
     for breach in broken[:10]:
         print(breach)
     return bool(broken)
@@ -52,8 +56,10 @@
             for place in fleet.places.values():
                 place.member.riders.clear()
         fleet.run(8 * SECOND)
-        sums = lambda fleet=fleet: [sum(place.member.counts.get(word, 0) for place in fleet.places.values())
-                                    for word in ("sent", "bytes sent")]
+        sums = lambda fleet=fleet: [
+            sum(place.member.counts.get(word, 0) for place in fleet.places.values())
+            for word in ("sent", "bytes sent")
+        ]
         before = sums()
         fleet.run(fleet.now + 6 * SECOND)
         told[on] = [(b - a) / 6 / count for a, b in zip(before, sums())]
@@ -69,8 +75,10 @@
 
 
 def sizes(counts, jobs):
-    print("| nodes | messages a node-second | without verdicts | bytes | without | all hold it down, s | "
-          "bound |\n" + "| --- " * 7 + "|")
+    print(
+        "| nodes | messages a node-second | without verdicts | bytes | without | all hold it down, s | "
+        "bound |\n" + "| --- " * 7 + "|"
+    )
     with ProcessPoolExecutor(jobs) as pool:
         for row in pool.map(size, counts):
             print(row, flush=True)
@@ -80,18 +88,38 @@
     """Calls wasted and the most in hand by round, with verdicts off, on, and known at once; served RPCs."""
     for folder in map(Path, folders):
         load = json.loads((folder / "results.json").read_text())["facts"]["load"]
-        served, less = ({how: load.get(f"{method} {how}", 0) for how in ("ok", "pushed back", "aborted")}
-                        for method in ("book", "look-up"))
+        served, less = (
+            {how: load.get(f"{method} {how}", 0) for how in ("ok", "pushed back", "aborted")}
+            for method in ("book", "look-up")
+        )
         print(f"{folder.name}: of more critical RPCs {served}, of less {less}; p99 {load['p99_ms']:.0f} ms")
     ways, names = beside(folders, "calls", lambda name: name.split("-")[1])
     total = lambda rows, word: sum(row[word] for row in rows)
-    print(table(ways, names, "played, calls, wasted, most in hand", lambda rows: ", ".join(map(str, (
-        *(total(rows, word) for word in ("rounds", "calls", "wasted")), max(row["most"] for row in rows))))))
+    print(
+        table(
+            ways,
+            names,
+            "played, calls, wasted, most in hand",
+            lambda rows: ", ".join(
+                map(
+                    str,
+                    (
+                        *(total(rows, word) for word in ("rounds", "calls", "wasted")),
+                        max(row["most"] for row in rows),
+                    ),
+                )
+            ),
+        )
+    )
     if chart:
         bad = [name for name in names if any(total(rows.get(name, ()), "wasted") for rows in ways.values())]
-        bars(chart, {f"verdicts {way}": rows for way, rows in ways.items()}, bad,
-             lambda rows: total(rows, "wasted") / total(rows, "rounds"),
-             "calls to a store that is down, a round")
+        bars(
+            chart,
+            {f"verdicts {way}": rows for way, rows in ways.items()},
+            bad,
+            lambda rows: total(rows, "wasted") / total(rows, "rounds"),
+            "calls to a store that is down, a round",
+        )
 
 
 def main():
--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -46,8 +46,14 @@
     """The settings to watch, over those in force, and the period of the lines; None: nothing is watched."""
     if told is None:
         return None
-    settings.check("watch", told, (lambda v: isinstance(v, dict) and isinstance(v.get("settings"), dict),
-                                   "an object with settings and period_ms"))
+    settings.check(
+        "watch",
+        told,
+        (
+            lambda v: isinstance(v, dict) and isinstance(v.get("settings"), dict),
+            "an object with settings and period_ms",
+        ),
+    )
     period = told.get("period_ms", 10_000)
     settings.check("watch.period_ms", period, settings.number(100, 86_400_000))
     return {"settings": settings.from_json(told["settings"]), "period": int(period * 1000)}
@@ -60,11 +66,15 @@
         with open(path, encoding="utf-8") as file:
             config = json.load(file)
         return {
-            "name": str(config["name"]), "listen": address(config["listen"]),
+            "name": str(config["name"]),
+            "listen": address(config["listen"]),
             # A node of the last tier has nothing below: no store is named there.
-            "places": {place: address(config[word]) if place != "store" or word in config else None
-                       for place, word in PLACES.items()},
-            "seed": int(str(config.get("seed", "0")), 16), "settings": settings.from_json(config["settings"]),
+            "places": {
+                place: address(config[word]) if place != "store" or word in config else None
+                for place, word in PLACES.items()
+            },
+            "seed": int(str(config.get("seed", "0")), 16),
+            "settings": settings.from_json(config["settings"]),
             "limits": Limits.of(config["limits"], config["stop_ms"]),
             "watch": watching(config.get("watch")),
         }
@@ -103,9 +113,17 @@
     what it sends on one link is one write. Where inputs take much of the time, the thread rests between
     turns: then no reader has to wake it for each message, and what comes meanwhile is one turn."""
     clock, take = time.time_ns, inputs.get_nowait
-    acts = {"read": links.read, "send": links.send, "close": links.close, "drop": links.drop,
-            "connect": links.connect, "report": links.report, "unlisten": links.unlisten, "log": logger.info,
-            "send_by": links.send_by}
+    acts = {
+        "read": links.read,
+        "send": links.send,
+        "close": links.close,
+        "drop": links.drop,
+        "connect": links.connect,
+        "report": links.report,
+        "unlisten": links.unlisten,
+        "log": logger.info,
+        "send_by": links.send_by,
+    }
     reduce = core.reduce
     if fleet:
         reduce = fleet.reducer(core)
@@ -195,9 +213,16 @@
         return 2
     threading.stack_size(limits.stack)
     threading.excepthook = lambda fault: fault_in_thread(inputs, fault)
-    core = Core(config["settings"], limits, config["seed"], config["name"], config["places"],
-                lambda core: {"thrift": ThriftFront(core, limits)}, config["watch"],
-                *((fleet.meters(), fleet.witness(), fleet.claims()) if fleet else ()))
+    core = Core(
+        config["settings"],
+        limits,
+        config["seed"],
+        config["name"],
+        config["places"],
+        lambda core: {"thrift": ThriftFront(core, limits)},
+        config["watch"],
+        *((fleet.meters(), fleet.witness(), fleet.claims()) if fleet else ()),
+    )
     links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.FRONT)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
     if fleet:
@@ -218,6 +243,7 @@
     """With arguments, the command line; without, one node and nothing else."""
     if len(sys.argv) > 1:
         from finchcart.cli.commands import commands
+
         commands(prog_name="finchcart")
     status = main()
     sys.stdout.flush()
--- a/finchcart/claims/figures.py
+++ b/finchcart/claims/figures.py
@@ -53,5 +53,10 @@
     if len(set(figures.keepers)) < len(figures.keepers):
         yield "keepers", "one is named twice: its vote would count double"
     if figures.command + 2 * figures.answer > figures.life // 2:
-        yield "command_ms", (f"{figures.command // MS} ms and the answer leave less than half of life_ms, "
-                             f"{figures.life // MS} ms, between two runs")
+        yield (
+            "command_ms",
+            (
+                f"{figures.command // MS} ms and the answer leave less than half of life_ms, "
+                f"{figures.life // MS} ms, between two runs"
+            ),
+        )
--- a/finchcart/claims/holder.py
+++ b/finchcart/claims/holder.py
@@ -205,11 +205,11 @@
                 del self.telling[which]
         for keeper, place in enumerate(self.places):
             for n in range(0, len(asks[keeper]), figures.batch):
-                self.send(place, Claim(self.name, self.session, asks[keeper][n:n + figures.batch]))
+                self.send(place, Claim(self.name, self.session, asks[keeper][n : n + figures.batch]))
             rest = lines[keeper]
             while rest:
-                some = base.fill(rest[:figures.batch], base.MOST - 160)
-                rest = rest[len(some):]
+                some = base.fill(rest[: figures.batch], base.MOST - 160)
+                rest = rest[len(some) :]
                 self.send(place, Say(self.name, self.session, some))
 
     def send(self, place, said):
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -24,6 +24,7 @@
     import os
 
     from finchcart.cli.serve import serve as run
+
     status = run(settings, log)
     sys.stdout.flush()
     sys.stderr.flush()
@@ -35,6 +36,7 @@
 def check(settings):
     """Read a settings file; tell all its mistakes, or the bounds that follow from it."""
     from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
+
     if not settings:
         raise click.UsageError("--settings or FINCHCART_SETTINGS has to name a file")
     try:
@@ -58,34 +60,50 @@
         click.echo(f"    at most {over} at 24 members, {more} with 4 that join meanwhile")
     for limit in shared.strict if shared else ():
         if limit.per == "rate":
-            click.echo(f"  limit {limit.name}: at most {shared.in_window(limit, 1_000_000)} in any second, "
-                       f"{shared.in_window(limit, 10_000_000)} in ten")
+            click.echo(
+                f"  limit {limit.name}: at most {shared.in_window(limit, 1_000_000)} in any second, "
+                f"{shared.in_window(limit, 10_000_000)} in ten"
+            )
             continue
-        click.echo(f"  limit {limit.name}: {limit.amount} in hand, {limit.floor} each node's own, "
-                   f"{limit.shared(shared.most)} shared among at most {shared.most};")
-        click.echo(f"    over by one call for each process stopped at the write, for "
-                   f"{shared.over_for() / 1e6:.1f} s at most; without planners at the floor")
-        click.echo(f"    within {shared.alone_within() / 1e6:.1f} s, shared again within "
-                   f"{shared.back_within() / 1e6:.1f} s of their return")
-
+        click.echo(
+            f"  limit {limit.name}: {limit.amount} in hand, {limit.floor} each node's own, "
+            f"{limit.shared(shared.most)} shared among at most {shared.most};"
+        )
+        click.echo(
+            f"    over by one call for each process stopped at the write, for "
+            f"{shared.over_for() / 1e6:.1f} s at most; without planners at the floor"
+        )
+        click.echo(
+            f"    within {shared.alone_within() / 1e6:.1f} s, shared again within "
+            f"{shared.back_within() / 1e6:.1f} s of their return"
+        )
 
     claimed = claims(whole)
     if claimed:
-        click.echo(f"  claims: two runs of one key are commanded at least {claimed.apart() / 1e6:.1f} s "
-                   "apart, whoever fails;")
-        click.echo(f"    a keeper that starts is silent for {claimed.silence / 1e6:.1f} s; it holds "
-                   f"{claimed.bytes_at_most() / 2**20:.0f} MB at most")
+        click.echo(
+            f"  claims: two runs of one key are commanded at least {claimed.apart() / 1e6:.1f} s "
+            "apart, whoever fails;"
+        )
+        click.echo(
+            f"    a keeper that starts is silent for {claimed.silence / 1e6:.1f} s; it holds "
+            f"{claimed.bytes_at_most() / 2**20:.0f} MB at most"
+        )
     held = verdicts(whole)
     if held:
         from finchcart.verdicts.decide import least_liars
         from finchcart.verdicts.figures import warnings
+
         for count in (3, 24, 200):
             calm, lossy = (held.acts_within(told, count, loss) / 1e6 for loss in (0.0, 0.3))
             liars = least_liars(held, count)
-            click.echo(f"  verdicts at {count} members: all act {calm:.1f} s after enough have the evidence, "
-                       f"{lossy:.1f} s at 30 % loss;")
-            click.echo(f"    {liars['store']} that are wrong or lie move store, {liars['source']} a source, "
-                       f"{liars['level']} level")
+            click.echo(
+                f"  verdicts at {count} members: all act {calm:.1f} s after enough have the evidence, "
+                f"{lossy:.1f} s at 30 % loss;"
+            )
+            click.echo(
+                f"    {liars['store']} that are wrong or lie move store, {liars['source']} a source, "
+                f"{liars['level']} level"
+            )
         click.echo(f"  verdicts: an opinion is at most {held.stale() / 1e6:.1f} s old, then it is void")
         for name, reason in warnings(held):
             click.echo(f"  warning: verdicts.{name}: {reason}")
@@ -99,6 +117,7 @@
 def plan(settings, place, listen, log):
     """Be one of the planners that share the fleet's limits out."""
     from finchcart.cli.serve import plan as run
+
     sys.exit(run(settings, place, listen, log))
 
 
@@ -110,6 +129,7 @@
 def answer(ask, where, as_json):
     """What the process at HOST:PORT answers to `ask`; with `as_json` it is printed, and that is all."""
     from finchcart.members.wire import Unfit, place_of
+
     try:
         view = ask(place_of(where))
     except Unfit as error:
@@ -129,14 +149,16 @@
 def members(where, as_json):
     """The members as the process at HOST:PORT (its `fleet.listen`) sees them."""
     from finchcart.cli.serve import ask
+
     view = answer(ask, where, as_json)
     alone = ", isolated" if view["isolated"] else ""
-    click.echo(f"{view['name']}, incarnation {view['incarnation']}{alone}; "
-               f"at most {view['age_ms']} ms old")
+    click.echo(f"{view['name']}, incarnation {view['incarnation']}{alone}; at most {view['age_ms']} ms old")
     wide = max(len(member["name"]) for member in view["members"])
     for member in view["members"]:
-        click.echo(f"  {member['name']:{wide}}  {member['state']:8} {member['age_ms']:>7} ms  "
-                   f"{member['address']:21} {member['incarnation']}")
+        click.echo(
+            f"  {member['name']:{wide}}  {member['state']:8} {member['age_ms']:>7} ms  "
+            f"{member['address']:21} {member['incarnation']}"
+        )
 
 
 @fleet.command()
@@ -145,6 +167,7 @@
 def limits(where, as_json):
     """The limits as the node (its `fleet.listen`) or planner at HOST:PORT holds them."""
     from finchcart.cli.serve import ask_limits
+
     view = answer(ask_limits, where, as_json)
     told = {name: value for name, value in view.items() if name not in ("limits", "counts")}
     click.echo(", ".join(f"{name} {value}" for name, value in told.items()))
@@ -158,9 +181,13 @@
 def verdicts(where, as_json):
     """What the node at HOST:PORT (its `fleet.listen`) takes the fleet to hold, and how old that can be."""
     from finchcart.cli.serve import ask_verdicts
+
     view = answer(ask_verdicts, where, as_json)
-    click.echo(", ".join(f"{name} {value}" for name, value in view.items()
-                         if name not in ("verdicts", "counts", "pages")))
+    click.echo(
+        ", ".join(
+            f"{name} {value}" for name, value in view.items() if name not in ("verdicts", "counts", "pages")
+        )
+    )
     for row in view["verdicts"]:
         click.echo("  " + ", ".join(f"{name} {value}" for name, value in row.items()))
 
@@ -174,6 +201,7 @@
     from finchcart.cli.serve import say as tell
     from finchcart.members.wire import Unfit, place_of
     from finchcart.verdicts import subjects
+
     try:
         subject = subjects.read(kind, name)
         told = subjects.read_value(kind, value) if value else 0
@@ -240,6 +268,7 @@
 def list_scripts():
     """The scripts that come with the program."""
     from finchcart.trial.script import shipped
+
     for name, script in shipped():
         click.echo(f"{name:20} {script.about}")
 
@@ -251,16 +280,27 @@
 @click.option("--out", type=click.Path(), help="keeps logs, events, table and chart here")
 @click.option("--virtual", is_flag=True, help="on the virtual clock instead of processes")
 @click.option("--apart", is_flag=True, help="the nodes don't talk: for comparing their RPCs")
-@click.option("--share", type=click.Choice(["strict", "loose", "static"]), default="strict",
-              show_default=True, help="how the script's limit is held")
+@click.option(
+    "--share",
+    type=click.Choice(["strict", "loose", "static"]),
+    default="strict",
+    show_default=True,
+    help="how the script's limit is held",
+)
 @click.option("--times", type=int, help="how often each kind of round is played")
-@click.option("--verdicts", type=click.Choice(["on", "off", "oracle"]), default="on", show_default=True,
-              help="oracle: every node is told of the store at once")
+@click.option(
+    "--verdicts",
+    type=click.Choice(["on", "off", "oracle"]),
+    default="on",
+    show_default=True,
+    help="oracle: every node is told of the store at once",
+)
 def run(script, seed, nodes, out, virtual, apart, share, times, verdicts):
     """Play a script: a table, a chart, and status 1 with the first breach."""
     import signal
 
     from finchcart.trial.run import play, told_to_end
+
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, told_to_end)
     sys.exit(play(script, seed, nodes, out, virtual, apart, share, verdicts, times))
@@ -273,6 +313,7 @@
 def seeds(first, count, jobs):
     """Seeded runs of 12 members with all kinds of faults on the virtual clock."""
     from finchcart.trial.seeds import many
+
     broken = 0
     for seed, _, breach in many(first, count, jobs):
         if breach:
--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -163,12 +163,26 @@
     if settings.quota is UNSET or not settings.limits:
         return None
     given = lambda value, default: default if value is UNSET else value
-    limits = tuple(limits_of.Limit(
-        limit.name, given(limit.in_hand, 0) or given(limit.rate, 0), limit.floor, limit.counts,
-        "in_hand" if limit.rate is UNSET else "rate", given(limit.burst, 0), limit.mode,
-        given(limit.method, ""), given(limit.dispatcher, ""), limit.weight) for limit in settings.limits)
-    return limits_of.Quota(limits=limits, planners=tuple(settings.quota.planners),
-                           **_in_microseconds(settings.quota, ("planners",)))
+    limits = tuple(
+        limits_of.Limit(
+            limit.name,
+            given(limit.in_hand, 0) or given(limit.rate, 0),
+            limit.floor,
+            limit.counts,
+            "in_hand" if limit.rate is UNSET else "rate",
+            given(limit.burst, 0),
+            limit.mode,
+            given(limit.method, ""),
+            given(limit.dispatcher, ""),
+            limit.weight,
+        )
+        for limit in settings.limits
+    )
+    return limits_of.Quota(
+        limits=limits,
+        planners=tuple(settings.quota.planners),
+        **_in_microseconds(settings.quota, ("planners",)),
+    )
 
 
 def verdicts(settings):
@@ -182,8 +196,9 @@
     """Their figures; None where none are asked for."""
     if settings.claims is UNSET:
         return None
-    return claims_of.Figures(keepers=tuple(settings.claims.keepers),
-                             **_in_microseconds(settings.claims, ("keepers",)))
+    return claims_of.Figures(
+        keepers=tuple(settings.claims.keepers), **_in_microseconds(settings.claims, ("keepers",))
+    )
 
 
 class Wrong(Exception):
@@ -290,8 +305,13 @@
         yield "fleet.patience_most", f"{told.patience_most} is less than fleet.patience, {told.patience}"
     oldest = told.stale(told.members, 0.5)
     if told.remember <= oldest:
-        yield "fleet.remember_s", (f"{told.remember / SECOND:g} s is less than the oldest that a view may be "
-                                   f"at half of the messages lost, {oldest / SECOND:g} s")
+        yield (
+            "fleet.remember_s",
+            (
+                f"{told.remember / SECOND:g} s is less than the oldest that a view may be "
+                f"at half of the messages lost, {oldest / SECOND:g} s"
+            ),
+        )
     need = 2 * told.watch + told.revive + 8
     if told.datagrams < need:
         yield "fleet.datagrams", f"{told.datagrams} is less than 2 x watch + revive + 8 = {need}"
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -49,8 +49,13 @@
 
     def write(message):
         record = message.record
-        line = {"t_us": boot_clock(), "time": record["time"].astimezone(UTC).isoformat(),
-                "level": record["level"].name, "message": record["message"], **record["extra"]}
+        line = {
+            "t_us": boot_clock(),
+            "time": record["time"].astimezone(UTC).isoformat(),
+            "level": record["level"].name,
+            "message": record["message"],
+            **record["extra"],
+        }
         if record["exception"]:
             line["exception"] = str(message)
         sys.stderr.buffer.write(encode(line) + b"\n")
@@ -83,13 +88,16 @@
         self.datagrams = Datagrams(
             place_of(asked.listen),
             lambda now: self.machines(now, name, advertise, random.Random(seed), wall),
-            lambda change: inputs.put(("fleet", change)), self.reread)
+            lambda change: inputs.put(("fleet", change)),
+            self.reread,
+        )
 
     def machines(self, now, name, advertise, chance, wall):
         """By channel: the member, and the holder where limits are shared."""
         asked = self.settings.fleet
-        out = {base.CHANNEL: Member(name, asked.name, advertise, asked.seeds, figures(asked), chance, wall,
-                                    now)}
+        out = {
+            base.CHANNEL: Member(name, asked.name, advertise, asked.seeds, figures(asked), chance, wall, now)
+        }
         if self.shares:
             holder = out[shares.CHANNEL] = Holder(name, asked.name, self.shares, chance, now)
             loose = Loose(self.shares, now)
@@ -143,6 +151,7 @@
             if claimer:
                 claimer.boot = boot
             return core.reduce(now, what)
+
         return reduce
 
     def use(self, name, *said):
@@ -167,8 +176,11 @@
         """The settings file once more, as inputs by channel; none where it can't be used."""
         try:
             new = read(self.path)
-            fixed = [name for name in FIXED
-                     if new.fleet is UNSET or getattr(new.fleet, name) != getattr(self.settings.fleet, name)]
+            fixed = [
+                name
+                for name in FIXED
+                if new.fleet is UNSET or getattr(new.fleet, name) != getattr(self.settings.fleet, name)
+            ]
             if not fixed and bool(quota(new)) != bool(quota(self.settings)):
                 fixed = ["planners"]
             if not fixed and bool(verdicts(new)) != bool(verdicts(self.settings)):
@@ -188,8 +200,10 @@
             said.append((sayings.CHANNEL, ("figures", verdicts(new))))
         if self.shares:
             self.shares = shared(new)
-            said += [(shares.CHANNEL, ("quota", self.shares)),
-                     (base.CHANNEL, ("rider", "quota", self.shares))]
+            said += [
+                (shares.CHANNEL, ("quota", self.shares)),
+                (base.CHANNEL, ("rider", "quota", self.shares)),
+            ]
         return said
 
     def end(self):
@@ -198,6 +212,7 @@
 
 def serve(path, log):
     """Status of the process."""
+
     def join(inputs):
         try:
             settings = read(path)
@@ -263,9 +278,7 @@
         return out
 
     try:
-        datagrams = Datagrams(
-            place_of(listen or place),
-            machines, lambda change: None, again)
+        datagrams = Datagrams(place_of(listen or place), machines, lambda change: None, again)
     except OSError as error:
         print(f"finchcart: {listen or place}: {error.strerror}", file=sys.stderr)
         return 2
--- a/finchcart/members/figures.py
+++ b/finchcart/members/figures.py
@@ -41,7 +41,7 @@
         """Patience at a measured part of messages lost on the way. A link of `n` periods has n tries there
         and back, taken in turn: all fail by chance with (n (1 - p) + 1) p^n or less."""
         for n in range(self.patience, self.patience_most):
-            if loss <= 0 or (n * (1 - loss) + 1) * loss ** n <= self.link_wrong:
+            if loss <= 0 or (n * (1 - loss) + 1) * loss**n <= self.link_wrong:
                 return n
         return self.patience_most
 
--- a/finchcart/members/member.py
+++ b/finchcart/members/member.py
@@ -389,12 +389,18 @@
         ones with this tick."""
         held = self.own_notes.get(topic)
         old = held and held.note
-        if (old and old.values == values and old.data == data and old.incarnation == self.row.incarnation
-                and not data):
+        if (
+            old
+            and old.values == values
+            and old.data == data
+            and old.incarnation == self.row.incarnation
+            and not data
+        ):
             return
         number = old.number + 1 if old else 0
         self.own_notes[topic] = Heard(
-            wire.Note(self.me, topic, self.row.incarnation, number, 0, values, data), now)
+            wire.Note(self.me, topic, self.row.incarnation, number, 0, values, data), now
+        )
         if urgent:
             for one in self.graph.get(self.me, ()):
                 if one in self.peers and self.known[one].state != "failed":
@@ -411,8 +417,9 @@
         if held is None or note.age > held.note.age:
             self.notes[key] = Heard(note, born)
             # Where all exchange beats all hear it at once; else so often that few are left out by chance.
-            self.to_pass[key] = (PASSES if len(self.known) <= self.figures.watch + 1
-                                 else len(self.known).bit_length() + 1)
+            self.to_pass[key] = (
+                PASSES if len(self.known) <= self.figures.watch + 1 else len(self.known).bit_length() + 1
+            )
             self.to_pass.move_to_end(key)
         elif note.age == held.note.age and born is not None and (held.born is None or born > held.born):
             held.born = born  # both bounds hold: the younger is the better
@@ -460,29 +467,37 @@
             first = self.random.randrange(len(ids) - most + 1)
             low = ids[first - 1] + 1 if first else low
             high = ids[first + most] - 1 if first + most < len(ids) else high
-            ids = ids[first:first + most]
+            ids = ids[first : first + most]
         entries = [(one, *self.known[one].row.age[:2]) for one in ids]
         self.send(wire.place_of(to.address), Page(self.row, count, bucket, low, high, entries, answer))
 
     def on_page(self, said):
         """Sends what is newer here, and asks with a page of its own for what is newer there."""
         theirs = {one: (incarnation, version) for one, incarnation, version in said.entries}
-        ids = sorted(one for one in self.known
-                     if one % said.buckets == said.bucket and said.low <= one <= said.high)
+        ids = sorted(
+            one for one in self.known if one % said.buckets == said.bucket and said.low <= one <= said.high
+        )
         gone = {one for one in ids if not self.known[one].shown}
-        newer = [self.known[one].row for one in ids
-                 if (one not in theirs and one not in gone)
-                 or one in theirs and self.known[one].row.age[:2] > theirs[one]]
+        newer = [
+            self.known[one].row
+            for one in ids
+            if (one not in theirs and one not in gone)
+            or one in theirs
+            and self.known[one].row.age[:2] > theirs[one]
+        ]
         place = wire.place_of(said.row.address)
         for _ in range(4):
             part = wire.fill(newer, ROOM)
             if not part or not self.send(place, Rows(part)):
                 break
-            newer = newer[len(part):]
-        if not said.answer and any(one not in self.known and (one not in self.tombs
-                                                              or age > self.tombs[one][:2])
-                                   or one in self.known and age > self.known[one].row.age[:2]
-                                   for one, age in theirs.items()):
+            newer = newer[len(part) :]
+        if not said.answer and any(
+            one not in self.known
+            and (one not in self.tombs or age > self.tombs[one][:2])
+            or one in self.known
+            and age > self.known[one].row.age[:2]
+            for one, age in theirs.items()
+        ):
             ids = [one for one in ids if one not in gone or one in theirs]
             self.page(said.row, said.buckets, said.bucket, ids, True, said.low, said.high)
 
@@ -580,15 +595,19 @@
         that they are down have forgotten the member already."""
         peer = self.peers.get(one)
         return known.row.age > known.failed_age or bool(
-            peer and peer.confirmed is not None and peer.confirmed > known.since)
+            peer and peer.confirmed is not None and peer.confirmed > known.since
+        )
 
     def look_at_self(self, now):
         """Isolated: nobody is known to be connected both ways, or the connected ones hold this one to be out.
         After a pause too, until half of the watched ones were heard both ways."""
         mine = self.graph[self.me]
         others = [one for one in mine if self.known[one].state in ("alive", "leaving", "suspect")]
-        touch = [one for one in others if one in self.inside and not self.peers[one].down
-                 and self.peers[one].confirmed is not None]
+        touch = [
+            one
+            for one in others
+            if one in self.inside and not self.peers[one].down and self.peers[one].confirmed is not None
+        ]
         if self.waking and now >= self.quiet_until:
             self.waking = False
         if self.waking and mine and 2 * len(touch) >= len(others) and touch:
@@ -607,7 +626,8 @@
             if self.alone_since is None:
                 self.alone_since = now
             if now - self.alone_since >= self.figures.suspect + (
-                    self.figures.period if touch or self.me not in self.inside else 0):
+                self.figures.period if touch or self.me not in self.inside else 0
+            ):
                 self.set_isolated(True, "no contact" if not touch else "others hold it to be out")
 
     def send_beats(self, now):
@@ -639,8 +659,11 @@
         for place in self.random.sample(self.seeds, min(2, len(self.seeds))):
             if place not in taken or len(self.known) == 1:
                 self.send(wire.place_of(place), Beat(self.row, 0, 0, 0, self.digest, []))
-        for one in [one for one, known in self.known.items()
-                    if known.state in ("failed", "left") and now - known.since > figures.remember]:
+        for one in [
+            one
+            for one, known in self.known.items()
+            if known.state in ("failed", "left") and now - known.since > figures.remember
+        ]:
             self.forget(one)
 
     def beat(self, now, one, peer):
@@ -662,8 +685,10 @@
         self.news.pop(self.me, None)  # the own row goes with every beat
         peer.seq += 1
         peer.sent.append((peer.seq, now))
-        return self.send(wire.place_of(self.known[one].row.address),
-                         Beat(self.row, peer.seq, peer.session, peer.heard_seq, self.digest, rows, notes))
+        return self.send(
+            wire.place_of(self.known[one].row.address),
+            Beat(self.row, peer.seq, peer.session, peer.heard_seq, self.digest, rows, notes),
+        )
 
     # ---- what is handed out
 
@@ -700,21 +725,38 @@
         return self.figures.stale(len(self.graph), self.loss, self.late)
 
     def members(self, now):
-        return [{"name": known.row.name, "address": known.row.address, "state": known.state,
-                 "incarnation": known.row.incarnation, "age_ms": self.age(now, one) // 1000}
-                for one, known in sorted(self.known.items(), key=lambda item: item[1].row.name)]
+        return [
+            {
+                "name": known.row.name,
+                "address": known.row.address,
+                "state": known.state,
+                "incarnation": known.row.incarnation,
+                "age_ms": self.age(now, one) // 1000,
+            }
+            for one, known in sorted(self.known.items(), key=lambda item: item[1].row.name)
+        ]
 
     def status(self, now):
-        return {"name": self.name, "incarnation": self.row.incarnation, "isolated": self.isolated,
-                "age_ms": self.stale() // 1000}
+        return {
+            "name": self.name,
+            "incarnation": self.row.incarnation,
+            "isolated": self.isolated,
+            "age_ms": self.stale() // 1000,
+        }
 
     def on_ask(self, now, address, ask):
         """Answered to where it came from: pages of the view, and with the first the counters."""
         size, pages = 8, self.members(now)
-        parts = [pages[n:n + size] for n in range(0, len(pages), size)]
+        parts = [pages[n : n + size] for n in range(0, len(pages), size)]
         if ask.page > len(parts):
             return self.count("no such page")
-        view = {**self.status(now), "members": parts[ask.page - 1] if ask.page else [],
-                **({} if ask.page else {"counts": self.counts, "loss": round(self.loss, 3),
-                                        "late_ms": self.late // 1000})}
+        view = {
+            **self.status(now),
+            "members": parts[ask.page - 1] if ask.page else [],
+            **(
+                {}
+                if ask.page
+                else {"counts": self.counts, "loss": round(self.loss, 3), "late_ms": self.late // 1000}
+            ),
+        }
         self.send(address, wire.Told(ask.number, ask.page, len(parts) + 1, view))
--- a/finchcart/members/wire.py
+++ b/finchcart/members/wire.py
@@ -148,10 +148,10 @@
     """What a datagram says; `fleet`: None for any. A `question` need not name the fleet."""
     if len(data) > MOST:
         raise Unfit("too long")
-    if data[:1] != channel or xxh64_digest(data[1 + DIGEST:]) != data[1:1 + DIGEST]:
+    if data[:1] != channel or xxh64_digest(data[1 + DIGEST :]) != data[1 : 1 + DIGEST]:
         raise Unfit("spoilt")
     try:
-        envelope = decoder.decode(data[1 + DIGEST:])
+        envelope = decoder.decode(data[1 + DIGEST :])
     except msgspec.ValidationError:
         raise Unfit("not valid") from None
     except msgspec.DecodeError:
@@ -159,7 +159,8 @@
     if envelope.version != VERSION:
         raise Unfit("another version")
     if fleet not in (None, envelope.fleet) and not (
-            envelope.fleet == "" and isinstance(envelope.said, question)):
+        envelope.fleet == "" and isinstance(envelope.said, question)
+    ):
         raise Unfit("another fleet")
     return envelope.said
 
@@ -177,8 +178,13 @@
     """(host, port) of an advertised address."""
     host, _, port = text.rpartition(":")
     parts = host.split(".")
-    if (len(parts) != 4 or not all(p.isdecimal() and len(p) < 4 and int(p) < 256 for p in parts)
-            or not port.isdecimal() or len(port) > 5 or not 0 < int(port) < 65536):
+    if (
+        len(parts) != 4
+        or not all(p.isdecimal() and len(p) < 4 and int(p) < 256 for p in parts)
+        or not port.isdecimal()
+        or len(port) > 5
+        or not 0 < int(port) < 65536
+    ):
         raise Unfit("impossible address")
     return host, int(port)
 
--- a/finchcart/net/datagrams.py
+++ b/finchcart/net/datagrams.py
@@ -138,7 +138,9 @@
                 if act == "change":
                     name, state, incarnation = args
                     logger.bind(member=name, state=state, incarnation=incarnation).info(
-                        "members: {} is {}", name, state)
+                        "members: {} is {}", name, state
+                    )
                 elif act == "isolated":
                     logger.bind(isolated=args[0], why=args[1]).info(
-                        "members: {}: {}", "isolated" if args[0] else "connected", args[1])
+                        "members: {}: {}", "isolated" if args[0] else "connected", args[1]
+                    )
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -69,8 +69,12 @@
     def of(cls, told, stop_ms):
         """From the configuration's `limits` and `stop_ms`."""
         memory = int(told["memory_mb"] * 2**20)
-        return cls(memory=memory, descriptors=int(told["sockets"]), stop=int(stop_ms * 1000),
-                   kept_results=min(cls.kept_results, memory // 8))
+        return cls(
+            memory=memory,
+            descriptors=int(told["sockets"]),
+            stop=int(stop_ms * 1000),
+            kept_results=min(cls.kept_results, memory // 8),
+        )
 
     @property
     def connections(self):
--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -17,8 +17,13 @@
 from finchcart.net.frames import Codec, Malformed
 
 ENDS = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.STOPPED, "gone": Outcome.MOOT}
-REPLIES = {b"OK": Outcome.OK, b"BUSY": Outcome.FULL, b"ERR": Outcome.ERROR, b"LATE": Outcome.TIMEOUT,
-           b"VOID": Outcome.MOOT}
+REPLIES = {
+    b"OK": Outcome.OK,
+    b"BUSY": Outcome.FULL,
+    b"ERR": Outcome.ERROR,
+    b"LATE": Outcome.TIMEOUT,
+    b"VOID": Outcome.MOOT,
+}
 
 
 def line(data, at, longest):
@@ -119,8 +124,11 @@
 
 
 def run(name, method, body):
-    return (b'{"event":"spawn","handle":%s,"entry":%s,"arg":"%s"}\n'
-            % (_text_of(name), _text_of(method), b64encode(body)))
+    return b'{"event":"spawn","handle":%s,"entry":%s,"arg":"%s"}\n' % (
+        _text_of(name),
+        _text_of(method),
+        b64encode(body),
+    )
 
 
 def reply(name, body):
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -85,7 +85,7 @@
                 return
             if self.up and not self.pending and not self.writer:
                 try:
-                    data = data[self.sock.send(data, socket.MSG_DONTWAIT):]
+                    data = data[self.sock.send(data, socket.MSG_DONTWAIT) :]
                 except BlockingIOError:
                     pass  # the far side does not read
                 except OSError:
@@ -380,7 +380,8 @@
 
     def opened(self, number, sock, host, over):
         self.links[number] = Link(
-            number, self.codecs[self.front], self.inputs, self.buffers, self.limits, sock=sock, over=over)
+            number, self.codecs[self.front], self.inputs, self.buffers, self.limits, sock=sock, over=over
+        )
         self.inputs.put(("opened", number, self.front, host))
 
     def connect(self, number, kind, address):
@@ -388,7 +389,8 @@
             self.prompt.add(number)
         try:
             self.links[number] = Link(
-                number, self.codecs[kind], self.inputs, self.buffers, self.limits, address=address)
+                number, self.codecs[kind], self.inputs, self.buffers, self.limits, address=address
+            )
         except OSError as error:
             # Guards against an end of the node where threads run out: nothing was sent, so it is tried again.
             self.inputs.put(("refused", number, error.strerror))
--- a/finchcart/node/claimer.py
+++ b/finchcart/node/claimer.py
@@ -91,8 +91,14 @@
         if kind == YES and (not waiting.rpc.owed or self.boot >= by):
             self.turn.ask("claim", ("never", key))
             kind = FULL
-        self.count({YES: "mine", ENDED: "result of a run elsewhere", FULL: "no majority",
-                    OTHER_BODY: "another body"}.get(kind, "failed, or not to be known"))
+        self.count(
+            {
+                YES: "mine",
+                ENDED: "result of a run elsewhere",
+                FULL: "no majority",
+                OTHER_BODY: "another body",
+            }.get(kind, "failed, or not to be known")
+        )
         if kind == YES:
             self.mine[waiting.rpc.index] = key, by
         if kind == FULL and waiting.again:
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -36,8 +36,19 @@
 class Core:
     """The state of one node. `make_fronts(core)`: kind -> front."""
 
-    def __init__(self, settings, limits, seed, name, places, make_fronts, watch=None, meters=None,
-                 witness=None, claims=None):
+    def __init__(
+        self,
+        settings,
+        limits,
+        seed,
+        name,
+        places,
+        make_fronts,
+        watch=None,
+        meters=None,
+        witness=None,
+        claims=None,
+    ):
         # Told as absent, whatever the settings allow: this pool's protocol has no word for stopping or
         # pausing work, and dispatchers' answers carry a level alone.
         told = settings.get("told", "level")
@@ -54,16 +65,22 @@
         self.late = {method(n, "name"): (method(n, "deadline") or 0) + limits.late_read for n in count}
         self.deadlines = {method(n, "name"): method(n, "deadline") or 5_000_000 for n in count}
         self.turn = Turn(limits.log_again)
-        self.pool = Pool(self.turn, limits, places["pool"],
-                         gauges if isinstance(gauges, tuple) else (gauges,), self)
+        self.pool = Pool(
+            self.turn, limits, places["pool"], gauges if isinstance(gauges, tuple) else (gauges,), self
+        )
         self.meters = meters  # of the fleet's limits, or None; see meter.py
         self.witness = witness  # for the fleet's verdicts, or None; see witness.py
         self.claimer = claims and claims(self.turn)  # of runs in the whole fleet, or None; see claimer.py
         self.origins = {}  # link -> host that it comes from, where there is a witness
         worths = {method(n, "name"): method(n, "criticality") or 0 for n in count}
         self.first = {name for name, worth in worths.items() if worth > min(worths.values())}
-        self.store = Store(self.turn, limits, places["store"], self.call_ended,
-                           settings.get("calls_linger", 0) if meters else 0)
+        self.store = Store(
+            self.turn,
+            limits,
+            places["store"],
+            self.call_ended,
+            settings.get("calls_linger", 0) if meters else 0,
+        )
         self.tokens = Tokens(self.turn, max(self.late.values(), default=0), limits.kept_results)
         self.duty = Duty(self.turn, limits, name, places["registry"], settings.get("grace", 0), self.busy)
         self.control = None  # from the worker pool's start on
@@ -73,12 +90,25 @@
         self.oldest, self.use = 0, 0.0  # of the inputs: the longest wait since the last look; busy part
         self.fronts = make_fronts(self)
         self.inputs = {
-            "start": self.on_start, "opened": self.on_opened, "got": self.on_got, "shared": self.on_shared,
-            "drain": self.on_drain, "moved": self.on_moved, "fault": self.on_fault, "time": self.on_time,
-            "load": self.on_load, "claims": self.on_claims, "moot": self.on_moot,
-            "fleet": self.on_fleet, "full": self.on_full, "closed": self.on_closed,
-            **{word: lambda link, *more, word=word: self.on_link(word, link, *more)
-               for word in ("behind", "caught_up", "refused", "ended", "close_due", "finished")}}
+            "start": self.on_start,
+            "opened": self.on_opened,
+            "got": self.on_got,
+            "shared": self.on_shared,
+            "drain": self.on_drain,
+            "moved": self.on_moved,
+            "fault": self.on_fault,
+            "time": self.on_time,
+            "load": self.on_load,
+            "claims": self.on_claims,
+            "moot": self.on_moot,
+            "fleet": self.on_fleet,
+            "full": self.on_full,
+            "closed": self.on_closed,
+            **{
+                word: lambda link, *more, word=word: self.on_link(word, link, *more)
+                for word in ("behind", "caught_up", "refused", "ended", "close_due", "finished")
+            },
+        }
 
     # ---- in and out
 
@@ -169,8 +199,20 @@
         if self.witness:
             self.witness.bad(self.origins.get(link))
 
-    def take(self, rpc, token=None, *, reached, caller, again=False, hint=0, kb=1.0, place=None, expires=0,
-             link=None):
+    def take(
+        self,
+        rpc,
+        token=None,
+        *,
+        reached,
+        caller,
+        again=False,
+        hint=0,
+        kb=1.0,
+        place=None,
+        expires=0,
+        link=None,
+    ):
         """An RPC was read whole. `Unfit` says what is wrong with it; nothing of it is kept then."""
         digest = None
         if rpc.name in self.by_name:
@@ -192,8 +234,13 @@
         how = dict(expires=expires, place=place, hint=hint, again=again, caller=caller)
         if self.claimer and token is not None and repeats is None:
             due = max(self.turn.now, reached + self.deadlines[rpc.method] - CLAIM_MARGIN)
-            self.claimer.ask(rpc, token, due, again, lambda rpc, kind, result: self.claimed(
-                rpc, kind, result, reached, kb, link, how))
+            self.claimer.ask(
+                rpc,
+                token,
+                due,
+                again,
+                lambda rpc, kind, result: self.claimed(rpc, kind, result, reached, kb, link, how),
+            )
         else:
             self.arrive(rpc, reached, kb, link, repeats, how)
 
@@ -226,7 +273,8 @@
         if room:
             told["room"] = room
         rpc.handle = self.control.arrive(
-            now, index, rpc.method, kb, waited=now - reached, repeats=repeats, **how, **told)
+            now, index, rpc.method, kb, waited=now - reached, repeats=repeats, **how, **told
+        )
         if rpc.owed:
             for meter in meters:
                 meter.take(rpc)
@@ -261,6 +309,7 @@
         settings = {**self.settings, "fresh_start": cold}
         if self.watch:
             from finchcart.node.watch import Watch  # not on the way to ready where nothing is watched
+
             watched = {**self.settings, **self.watch["settings"], "fresh_start": cold}
             self.control = Watch(self, settings, watched, self.seed, self.watch["period"], self.log)
         else:
@@ -318,8 +367,11 @@
             for said in self.meters.use(self.store, len(standing), sum(standing)):
                 self.turn.ask("use", *said)
         if self.witness:
-            gauges |= {"told_out": self.witness.out, "told_level": self.witness.level,
-                       "below_down": self.witness.store_down}
+            gauges |= {
+                "told_out": self.witness.out,
+                "told_level": self.witness.level,
+                "below_down": self.witness.store_down,
+            }
             control = getattr(self.control, "first", self.control)
             seen = self.witness.look(self.turn.now, control.own_level)
             if seen:
@@ -473,5 +525,6 @@
 
     def busy(self):
         """Whether anything is open or owed."""
-        return (not all(front.quiet() for front in self.fronts.values())
-                or any(rpc.owed for rpc in self.rpcs.values()))
+        return not all(front.quiet() for front in self.fronts.values()) or any(
+            rpc.owed for rpc in self.rpcs.values()
+        )
--- a/finchcart/node/front.py
+++ b/finchcart/node/front.py
@@ -32,8 +32,26 @@
     """One RPC, as the core and its front hold it. `name`: unique among the open ones, the worker pool's name
     for the run; `ref`: the front's own, never looked at by the core."""
 
-    __slots__ = ("front", "ref", "name", "method", "body", "index", "entry", "handle", "owed", "started",
-                 "over", "stands_at", "call_link", "calls", "call_from", "share_from", "counted", "cut")
+    __slots__ = (
+        "front",
+        "ref",
+        "name",
+        "method",
+        "body",
+        "index",
+        "entry",
+        "handle",
+        "owed",
+        "started",
+        "over",
+        "stands_at",
+        "call_link",
+        "calls",
+        "call_from",
+        "share_from",
+        "counted",
+        "cut",
+    )
 
     def __init__(self, front, ref, name, method, body):
         self.front, self.ref, self.name, self.method, self.body = front, ref, name, method, body
--- a/finchcart/node/meter.py
+++ b/finchcart/node/meter.py
@@ -207,8 +207,13 @@
         self.calls = self.calls_rate = self.trial = None
         self.rpcs, self.back_since, self.rise, self.longest = [], None, 0, 0
         for limit in limits:
-            kind = Trial if limit.counts == "trial" else Rate if limit.per == "rate" else (
-                Calls if limit.counts == "calls" else Rpcs)
+            kind = (
+                Trial
+                if limit.counts == "trial"
+                else Rate
+                if limit.per == "rate"
+                else (Calls if limit.counts == "calls" else Rpcs)
+            )
             meter = kind(limit, slack, most)
             self.all.append(meter)
             if limit.counts == "rpcs":
@@ -293,8 +298,13 @@
     # ---- RPCs
 
     def of(self, method, caller):
-        return [meter for meter in self.rpcs if not meter.off and meter.limit.method in ("", method)
-                and meter.limit.dispatcher in ("", str(caller))]
+        return [
+            meter
+            for meter in self.rpcs
+            if not meter.off
+            and meter.limit.method in ("", method)
+            and meter.limit.dispatcher in ("", str(caller))
+        ]
 
     def rpc_room(self, meters):
         """(left, of, back): RPCs that may be taken, of how many at most, and when there may be more; of the
--- a/finchcart/node/pool.py
+++ b/finchcart/node/pool.py
@@ -23,9 +23,15 @@
         # What the pool may not have read, by index: (rpc, ticket, line, what does no harm if it did, whether
         # it was written).
         self.unconfirmed = {}
-        self.acts = {"up": self.on_up, "run_ended": self.on_run_ended, "at_call": self.on_at_call,
-                     "gauges": self.on_gauges, "undone": self.on_undone, "remark": self.on_remark,
-                     "other": self.on_other}
+        self.acts = {
+            "up": self.on_up,
+            "run_ended": self.on_run_ended,
+            "at_call": self.on_at_call,
+            "gauges": self.on_gauges,
+            "undone": self.on_undone,
+            "remark": self.on_remark,
+            "other": self.on_other,
+        }
 
     def reach(self):
         if self.link is not None:
@@ -181,7 +187,8 @@
         elif ticket == self.leaving or ticket in self.wakes:
             # The pool read the poll, so what was written before it too.
             self.unconfirmed = {
-                index: line for index, line in self.unconfirmed.items() if line[1] >= int(ticket)}
+                index: line for index, line in self.unconfirmed.items() if line[1] >= int(ticket)
+            }
             if ticket == self.leaving:
                 self.moved(self.link)
             else:
--- a/finchcart/node/store.py
+++ b/finchcart/node/store.py
@@ -33,8 +33,9 @@
         """Calls that the store may have in hand, beyond the floor of the fleet's limit or not."""
         now = self.turn.now
         self.given_up = [call for call in self.given_up if call[0] > now]
-        return (sum(link.rpc is not None and link.leased is leased for link in self.links.values())
-                + sum(call[1] is leased for call in self.given_up))
+        return sum(link.rpc is not None and link.leased is leased for link in self.links.values()) + sum(
+            call[1] is leased for call in self.given_up
+        )
 
     def call(self, rpc, limit, body, leased=False, by=None):
         """`by`: on the boot clock; written until then or not at all, see `Meter`."""
--- a/finchcart/node/watch.py
+++ b/finchcart/node/watch.py
@@ -34,10 +34,12 @@
 
     def __getattr__(self, verb):
         """Any verb of a port."""
+
         def act(*args):
             self.note(verb, args)
             if self.port:
                 getattr(self.port, verb)(*args)
+
         return act
 
     def note(self, verb, args):
@@ -112,8 +114,10 @@
         self.counts[HEALTH] += self.notes.good != self.second_notes.good
         if self.second and now - self.told_at >= self.period:
             self.told_at = now
-            self.log(f"watching: of {self.seen} RPCs, would differ: "
-                     + ", ".join(f"{kind} {self.counts[kind]}" for kind in KINDS))
+            self.log(
+                f"watching: of {self.seen} RPCs, would differ: "
+                + ", ".join(f"{kind} {self.counts[kind]}" for kind in KINDS)
+            )
             self.counts, self.seen = Counter(), 0
 
     def arrive(self, now, index, *args, **more):
--- a/finchcart/node/witness.py
+++ b/finchcart/node/witness.py
@@ -28,8 +28,13 @@
         """The evidence since the last look, or None where it is too soon."""
         if self.looked is not None and now - self.looked < self.figures.look:
             return None
-        out = {"calls": tuple(self.calls), "runs": tuple(self.runs), "rpcs": self.rpcs,
-               "sources": {one: tuple(item) for one, item in self.sources.items()}, "level": level}
+        out = {
+            "calls": tuple(self.calls),
+            "runs": tuple(self.runs),
+            "rpcs": self.rpcs,
+            "sources": {one: tuple(item) for one, item in self.sources.items()},
+            "level": level,
+        }
         self.looked = now
         self.calls, self.runs, self.rpcs, self.sources = [0, 0, 0], [0, 0, 0], 0, {}
         return out
@@ -84,8 +89,10 @@
             self.note(one, 2)
         if not self.against:
             return None
-        stands = max(((self.against.get(one, WORKING), one) for one in subjects if one is not None),
-                     default=(WORKING, None))
+        stands = max(
+            ((self.against.get(one, WORKING), one) for one in subjects if one is not None),
+            default=(WORKING, None),
+        )
         if stands[0] == OUT:
             self.turned_away += 1
             return 0, 0, self.figures.shut
--- a/finchcart/quota/division.py
+++ b/finchcart/quota/division.py
@@ -32,6 +32,7 @@
 def shared_out(amount, demands, first, weights=None):
     """As `divide`; what of the demands comes `first` is met before any of the rest."""
     parts = divide(amount, {name: min(first.get(name, 0), want) for name, want in demands.items()}, weights)
-    rest = divide(amount - sum(parts.values()),
-                  {name: want - parts[name] for name, want in demands.items()}, weights)
+    rest = divide(
+        amount - sum(parts.values()), {name: want - parts[name] for name, want in demands.items()}, weights
+    )
     return {name: parts[name] + rest[name] for name in demands}
--- a/finchcart/quota/holder.py
+++ b/finchcart/quota/holder.py
@@ -101,11 +101,22 @@
         lines = []
         for held in self.held.values():
             live = now < held.until
-            lines.append(Line(held.limit.name, held.term, held.number if live else 0,
-                              max(held.amount, held.leased) if live else 0, held.wants, held.limit.floor,
-                              min(held.first, held.wants), max(1, round(100 * held.limit.weight))))
-        self.send(self.planners[self.leader],
-                  Want(self.name, self.session, self.seq, min(self.asks), self.leaving, lines))
+            lines.append(
+                Line(
+                    held.limit.name,
+                    held.term,
+                    held.number if live else 0,
+                    max(held.amount, held.leased) if live else 0,
+                    held.wants,
+                    held.limit.floor,
+                    min(held.first, held.wants),
+                    max(1, round(100 * held.limit.weight)),
+                )
+            )
+        self.send(
+            self.planners[self.leader],
+            Want(self.name, self.session, self.seq, min(self.asks), self.leaving, lines),
+        )
 
     def on_use(self, now, name, leased, wants, first=0):
         held = self.held.get(name)
@@ -143,15 +154,23 @@
                 self.count("of an earlier number")
             elif now >= asked + part.life:
                 self.count("over when it came")
-            elif (said.term > held.term and part.amount > (held.amount if now < held.until else 0)
-                    and then.get(part.limit) != (held.term, held.number)):
+            elif (
+                said.term > held.term
+                and part.amount > (held.amount if now < held.until else 0)
+                and then.get(part.limit) != (held.term, held.number)
+            ):
                 # Guards against a late ask that a new planner took for what is held now: meanwhile the old
                 # one may have given the difference to another.
                 self.count("of what was held before")
             else:
                 if said.term > held.term:
-                    self.effects.append(("log", f"limit {part.limit}: term {said.term}",
-                                         {"limit": part.limit, "term": said.term}))
+                    self.effects.append(
+                        (
+                            "log",
+                            f"limit {part.limit}: term {said.term}",
+                            {"limit": part.limit, "term": said.term},
+                        )
+                    )
                 held.term, held.number, held.amount = said.term, part.number, part.amount
                 held.until, held.asked_at, held.whole = asked + part.life, asked, part.whole
                 if held.told is not None and held.amount < held.told[1]:
@@ -172,8 +191,13 @@
             held.fallen = fallen
             limit = held.limit
             text = "down to the floor, no grant" if fallen else "shared again"
-            self.effects.append(("log", f"limit {limit.name}: {text}", {
-                "limit": limit.name, "fallen": fallen, "floor": limit.floor, "amount": held.amount}))
+            self.effects.append(
+                (
+                    "log",
+                    f"limit {limit.name}: {text}",
+                    {"limit": limit.name, "fallen": fallen, "floor": limit.floor, "amount": held.amount},
+                )
+            )
 
     def on_end(self, now):
         """Gives all back: no answer to an earlier ask is taken any more."""
@@ -203,13 +227,26 @@
     # ---- what is told
 
     def status(self, now):
-        return {"name": self.name, "limits": [{
-            "name": held.limit.name, "limit": held.whole, "mode": "strict",
-            "mine": held.limit.floor + (held.amount if now < held.until else 0),
-            "used": held.leased, "wants": held.wants, "granted": held.amount, "term": held.term,
-            "leader": self.quota.planners[self.leader],
-            "stale_ms": (now - held.asked_at) // 1000 if now < held.until else None,
-            "left_ms": max(0, held.until - now) // 1000,
-            "over_at_most": self.quota.over_at_most(0),
-            "over_at_most_a_stopped_process": self.quota.over_at_most(1)}
-            for held in self.held.values()] + self.loose(now), "counts": self.counts}
+        return {
+            "name": self.name,
+            "limits": [
+                {
+                    "name": held.limit.name,
+                    "limit": held.whole,
+                    "mode": "strict",
+                    "mine": held.limit.floor + (held.amount if now < held.until else 0),
+                    "used": held.leased,
+                    "wants": held.wants,
+                    "granted": held.amount,
+                    "term": held.term,
+                    "leader": self.quota.planners[self.leader],
+                    "stale_ms": (now - held.asked_at) // 1000 if now < held.until else None,
+                    "left_ms": max(0, held.until - now) // 1000,
+                    "over_at_most": self.quota.over_at_most(0),
+                    "over_at_most_a_stopped_process": self.quota.over_at_most(1),
+                }
+                for held in self.held.values()
+            ]
+            + self.loose(now),
+            "counts": self.counts,
+        }
--- a/finchcart/quota/limits.py
+++ b/finchcart/quota/limits.py
@@ -142,16 +142,24 @@
     """(field, reason) of what can't hold its own bounds."""
     for n, limit in enumerate(quota.limits):
         if limit.strict and limit.counts == "rpcs" and limit.per == "in_hand":
-            yield (f"limits.{n}.mode", "an RPC in hand can't be ended with a grant, so this can't be strict: "
-                   "loose, or a rate")
+            yield (
+                f"limits.{n}.mode",
+                "an RPC in hand can't be ended with a grant, so this can't be strict: loose, or a rate",
+            )
         if limit.per == "rate" and limit.burst < quota.most:
-            yield (f"limits.{n}.burst", f"{limit.burst} is less than most = {quota.most}: each process has "
-                   "one of it, or could never use its part")
+            yield (
+                f"limits.{n}.burst",
+                f"{limit.burst} is less than most = {quota.most}: each process has "
+                "one of it, or could never use its part",
+            )
         if limit.counts == "calls" and (limit.method or limit.dispatcher):
             yield f"limits.{n}", "method and dispatcher are of RPCs: counts has to be rpcs"
         if limit.floor * quota.most > limit.amount:
-            yield (f"limits.{n}.floor", f"{limit.floor} x {quota.most} (most) = {limit.floor * quota.most} "
-                   f"is more than the limit of {limit.amount}")
+            yield (
+                f"limits.{n}.floor",
+                f"{limit.floor} x {quota.most} (most) = {limit.floor * quota.most} "
+                f"is more than the limit of {limit.amount}",
+            )
     if len({limit.name for limit in quota.limits}) < len(quota.limits):
         yield "limits", "two have one name"
     if len({limit.what for limit in quota.limits}) < len(quota.limits):
@@ -161,8 +169,13 @@
     if len(set(quota.planners)) < len(quota.planners):
         yield "planners", "one is named twice: its vote would count double"
     if quota.life < 3 * quota.round:
-        yield "life_ms", (f"{quota.life // MS} ms is less than 3 x round_ms = {3 * quota.round // MS} ms: "
-                          "two lost asks would cost a holder its part")
+        yield (
+            "life_ms",
+            (
+                f"{quota.life // MS} ms is less than 3 x round_ms = {3 * quota.round // MS} ms: "
+                "two lost asks would cost a holder its part"
+            ),
+        )
     if quota.lease < SECOND // 2:
         yield "lease_ms", f"{quota.lease // MS} ms is too short to be renewed in time: at least 500 ms"
     if quota.slack * 4 > quota.life:
--- a/finchcart/quota/loose.py
+++ b/finchcart/quota/loose.py
@@ -147,9 +147,22 @@
         return mine
 
     def status(self, now):
-        return [{"name": held.limit.name, "limit": held.limit.amount, "mode": "loose", "mine": held.part,
-                 "used": held.used, "wants": held.wants, "granted": held.part, "term": 0, "leader": "",
-                 "stale_ms": self.age // 1000, "left_ms": KEEP // 1000, "seen": self.seen,
-                 "known": self.knows,
-                 "over_at_most": self.quota.loose_over_at_most(held.limit, self.knows)}
-                for held in self.held.values()]
+        return [
+            {
+                "name": held.limit.name,
+                "limit": held.limit.amount,
+                "mode": "loose",
+                "mine": held.part,
+                "used": held.used,
+                "wants": held.wants,
+                "granted": held.part,
+                "term": 0,
+                "leader": "",
+                "stale_ms": self.age // 1000,
+                "left_ms": KEEP // 1000,
+                "seen": self.seen,
+                "known": self.knows,
+                "over_at_most": self.quota.loose_over_at_most(held.limit, self.knows),
+            }
+            for held in self.held.values()
+        ]
--- a/finchcart/quota/planner.py
+++ b/finchcart/quota/planner.py
@@ -88,9 +88,15 @@
         said = self.read(data)
         if said is None:
             return
-        act = {Prepare: self.on_prepare, Promise: self.on_promise, Propose: self.on_propose,
-               Accept: self.on_accept, Refuse: self.on_refuse, wire.Want: self.on_want,
-               wire.Ask: self.on_ask}.get(type(said))
+        act = {
+            Prepare: self.on_prepare,
+            Promise: self.on_promise,
+            Propose: self.on_propose,
+            Accept: self.on_accept,
+            Refuse: self.on_refuse,
+            wire.Want: self.on_want,
+            wire.Ask: self.on_ask,
+        }.get(type(said))
         if act is None:
             return self.count("not for a planner")
         if act in (self.on_prepare, self.on_promise, self.on_propose, self.on_accept, self.on_refuse):
@@ -138,7 +144,8 @@
         """To itself without a message: one of the voters is here."""
         if address is self:
             {Promise: self.on_promise, Accept: self.on_accept, Refuse: self.on_refuse}[type(said)](
-                now, address, said)
+                now, address, said
+            )
         else:
             self.send(address, said)
 
@@ -257,8 +264,12 @@
         """What the holder says that it holds puts an end to all grants that it can't use any more."""
         out, before = holder.out.setdefault(line.limit, []), self.committed(holder, line.limit)
         if line.term == self.term:
-            out[:] = [each for each in out if each.ends > now and (
-                each.number == line.number or each.number > line.number and each.seq >= said.oldest)]
+            out[:] = [
+                each
+                for each in out
+                if each.ends > now
+                and (each.number == line.number or each.number > line.number and each.seq >= said.oldest)
+            ]
             for each in out:
                 if each.number == line.number:
                     each.amount = min(line.amount, before)  # or what is still in hand of a greater one
@@ -282,12 +293,18 @@
     def targets(self, limit):
         """Parts of all holders by what they want; a part is kept free for those who come."""
         shared = limit.shared(self.quota.most)
-        demands = {key: holder.wants.get(limit.name, 0) for key, holder in self.holders.items()
-                   if holder.wants.get(limit.name) or not holder.leaving}
+        demands = {
+            key: holder.wants.get(limit.name, 0)
+            for key, holder in self.holders.items()
+            if holder.wants.get(limit.name) or not holder.leaving
+        }
         wanted = sum(demands.values())
         free = int(shared * self.quota.room) if wanted >= shared else 0
-        of = lambda what: {key: getattr(holder, what).get(limit.name, 0) for key, holder in
-                           self.holders.items() if key in demands}
+        of = lambda what: {
+            key: getattr(holder, what).get(limit.name, 0)
+            for key, holder in self.holders.items()
+            if key in demands
+        }
         parts = shared_out(shared - free, demands, of("first"), of("weight"))
         if wanted < shared:
             # Nobody goes short: what is over is spread, so that a jump finds something at once.
@@ -308,8 +325,9 @@
             amount = min(line.amount if line.term < self.term else mine, shared)
         else:
             target = self.target(now, limit, key)
-            taken = sum(self.committed(other, name) + other.extra.get(name, 0)
-                        for other in self.holders.values())
+            taken = sum(
+                self.committed(other, name) + other.extra.get(name, 0) for other in self.holders.values()
+            )
             step = max(1, int(shared * quota.step))
             amount = min(target, mine + max(0, min(shared - taken, step)))
         self.number += 1
@@ -320,10 +338,28 @@
 
     def on_ask(self, now, address, said):
         leads = self.owned_since is not None
-        self.send(address, wire.Told(said.number, {
-            "planner": self.place, "term": self.term if leads else 0, "leads": leads,
-            "leader": self.place if leads else self.leader if now < self.leader_until else "",
-            "limits": [{"name": limit.name, "limit": limit.amount, "shared": limit.shared(self.quota.most),
-                        "granted": sum(self.committed(each, limit.name) for each in self.holders.values()),
-                        "holders": sum(limit.name in holder.out for holder in self.holders.values())}
-                       for limit in self.quota.strict], "counts": self.counts}))
+        self.send(
+            address,
+            wire.Told(
+                said.number,
+                {
+                    "planner": self.place,
+                    "term": self.term if leads else 0,
+                    "leads": leads,
+                    "leader": self.place if leads else self.leader if now < self.leader_until else "",
+                    "limits": [
+                        {
+                            "name": limit.name,
+                            "limit": limit.amount,
+                            "shared": limit.shared(self.quota.most),
+                            "granted": sum(
+                                self.committed(each, limit.name) for each in self.holders.values()
+                            ),
+                            "holders": sum(limit.name in holder.out for holder in self.holders.values()),
+                        }
+                        for limit in self.quota.strict
+                    ],
+                    "counts": self.counts,
+                },
+            ),
+        )
--- a/finchcart/settings.py
+++ b/finchcart/settings.py
@@ -8,7 +8,6 @@
 KINDS = {"read_like": "idempotent", "idempotency_key": "tokened", "non_idempotent": "non_idempotent"}
 
 
-
 def number(low, high=float("inf")):
     told = f"a number from {low}" + (f" to {high}" if high < float("inf") else " up")
     return lambda v: isinstance(v, (int, float)) and not isinstance(v, bool) and low <= v <= high, told
@@ -28,17 +27,27 @@
 _TIME = number(0, 10**12)
 # The outside names of settings: the module's word, and what a configuration may tell. Others are passed over.
 SETTINGS = {
-    "round": ("tick", _TIME), "callers.marksRetry": ("marks_further", _FLAG),
-    "contract.answerSlack": ("slack", _TIME), "contract.cold": ("cold", _TIME),
-    "contract.fall": ("crowd_window", _TIME), "contract.overloadFactor": ("crowd", number(1)),
-    "contract.startCapacity": ("cold_start", number(0, 1)), "contract.stopSendingWithin": ("grace", _TIME),
+    "round": ("tick", _TIME),
+    "callers.marksRetry": ("marks_further", _FLAG),
+    "contract.answerSlack": ("slack", _TIME),
+    "contract.cold": ("cold", _TIME),
+    "contract.fall": ("crowd_window", _TIME),
+    "contract.overloadFactor": ("crowd", number(1)),
+    "contract.startCapacity": ("cold_start", number(0, 1)),
+    "contract.stopSendingWithin": ("grace", _TIME),
     "familyInfo.below": ("below", _word("shared", "tier", "silent")),
-    "familyInfo.callerIdle": ("idle_max", _TIME), "familyInfo.callsOut": ("calls_limit", number(0)),
-    "familyInfo.callsOver": ("calls_window", _TIME), "familyInfo.classCalls": ("method_calls", _each(_FLAG)),
-    "familyInfo.cores": ("cores", number(1)), "familyInfo.freshStart": ("fresh_start", _FLAG),
-    "familyInfo.gauges": ("gauges", _each(_TEXT)), "familyInfo.heeded": ("told_heeded", _TIME),
-    "familyInfo.kbPerKey": ("entry_kb", number(0)), "familyInfo.linger": ("calls_linger", _TIME),
-    "familyInfo.memoryKb": ("memory_kb", number(0)), "familyInfo.passesDeadline": ("tells_deadline", _FLAG),
+    "familyInfo.callerIdle": ("idle_max", _TIME),
+    "familyInfo.callsOut": ("calls_limit", number(0)),
+    "familyInfo.callsOver": ("calls_window", _TIME),
+    "familyInfo.classCalls": ("method_calls", _each(_FLAG)),
+    "familyInfo.cores": ("cores", number(1)),
+    "familyInfo.freshStart": ("fresh_start", _FLAG),
+    "familyInfo.gauges": ("gauges", _each(_TEXT)),
+    "familyInfo.heeded": ("told_heeded", _TIME),
+    "familyInfo.kbPerKey": ("entry_kb", number(0)),
+    "familyInfo.linger": ("calls_linger", _TIME),
+    "familyInfo.memoryKb": ("memory_kb", number(0)),
+    "familyInfo.passesDeadline": ("tells_deadline", _FLAG),
     "familyInfo.preemption": ("can_stop", _word("silent", "drop", "pause")),
     "familyInfo.runFactor": ("run_factor", number(1)),
     "familyInfo.say": ("told", _word("level", "credit", "weight", "silent")),
@@ -48,9 +57,13 @@
 _PASSED_OVER = None, (lambda v: True, "")
 # The same for each item of the list of methods.
 METHODS = {
-    "name": ("name", _TEXT), "deadline": ("deadline", _TIME), "effect": ("kind", _word(*KINDS)),
-    "target": ("latency_target", _TIME), "lateWorth": ("late_worth", number(0, 1)),
-    "window": ("window", _TIME), "worth": ("criticality", number(0)),
+    "name": ("name", _TEXT),
+    "deadline": ("deadline", _TIME),
+    "effect": ("kind", _word(*KINDS)),
+    "target": ("latency_target", _TIME),
+    "lateWorth": ("late_worth", number(0, 1)),
+    "window": ("window", _TIME),
+    "worth": ("criticality", number(0)),
 }
 
 
--- a/finchcart/thrift/codec.py
+++ b/finchcart/thrift/codec.py
@@ -16,8 +16,13 @@
 VERSION = 0x80010000
 STOP, BOOL, BYTE, DOUBLE, I16, I32, I64 = 0, 2, 3, 4, 6, 8, 10
 STRING, STRUCT, MAP, SET, LIST = 11, 12, 13, 14, 15
-FIXED = {BYTE: struct.Struct(">b"), DOUBLE: struct.Struct(">d"), I16: struct.Struct(">h"),
-         I32: struct.Struct(">i"), I64: struct.Struct(">q")}
+FIXED = {
+    BYTE: struct.Struct(">b"),
+    DOUBLE: struct.Struct(">d"),
+    I16: struct.Struct(">h"),
+    I32: struct.Struct(">i"),
+    I64: struct.Struct(">q"),
+}
 LENGTH, FIELD, HEAD = struct.Struct(">i"), struct.Struct(">bh"), struct.Struct(">bbi")
 UNKNOWN_METHOD, PROTOCOL_ERROR = 1, 7  # kinds of an application exception
 DEPTH = 16  # of structures within structures
@@ -43,7 +48,7 @@
         start, self.at = self.at, self.at + count
         if count < 0 or self.at > len(self.data):
             raise Malformed(f"cut off: {count} bytes wanted at {start} of {len(self.data)}")
-        return self.data[start:self.at]
+        return self.data[start : self.at]
 
     def number(self, kind):
         shape = FIXED[kind]
@@ -89,7 +94,7 @@
     """Where the first frame ends."""
     if len(data) < at + 4:
         return None
-    length, = LENGTH.unpack_from(data, at)
+    (length,) = LENGTH.unpack_from(data, at)
     if not 0 < length <= longest - 4:
         raise Malformed(f"a frame of {length} bytes")
     end = at + 4 + length
@@ -116,11 +121,11 @@
     reader = Reader(data)
     reader.at = 23
     texts = reader.strings(2 * reader.count())
-    if data[reader.at:reader.at + 3] != BODY:
+    if data[reader.at : reader.at + 3] != BODY:
         return None
     reader.at += 3
-    body, = reader.strings(1)
-    if data[reader.at:] != b"\0":
+    (body,) = reader.strings(1)
+    if data[reader.at :] != b"\0":
         return None
     try:
         texts = [text.decode() for text in texts]
@@ -179,15 +184,28 @@
 
 
 # What an answer to `submit` opens with, after the frame's length: head, name; then the sequence number.
-REPLY_TO = {name: LENGTH.pack((VERSION | REPLY) - (1 << 32)) + string(name)
-            for name in (b"submit", b"heartbeat")}
+REPLY_TO = {
+    name: LENGTH.pack((VERSION | REPLY) - (1 << 32)) + string(name) for name in (b"submit", b"heartbeat")
+}
 OK_BODY = FIELD.pack(STRUCT, 0) + FIELD.pack(STRING, 1)
 
 
 def _answer(name, seq, body, fields, good):
-    return string(b"".join((
-        REPLY_TO[name], LENGTH.pack(seq), OK_BODY, LENGTH.pack(len(body)), body, FIELD.pack(MAP, 2),
-        text_map(fields), FIELD.pack(BOOL, 3), b"\1\0\0" if good else b"\0\0\0")))
+    return string(
+        b"".join(
+            (
+                REPLY_TO[name],
+                LENGTH.pack(seq),
+                OK_BODY,
+                LENGTH.pack(len(body)),
+                body,
+                FIELD.pack(MAP, 2),
+                text_map(fields),
+                FIELD.pack(BOOL, 3),
+                b"\1\0\0" if good else b"\0\0\0",
+            )
+        )
+    )
 
 
 def _thrown(seq, number, fields):
--- a/finchcart/thrift/fields.py
+++ b/finchcart/thrift/fields.py
@@ -46,7 +46,16 @@
     if not (caller.isdigit() and len(caller) < 12):
         raise ValueError(f"field f={caller[:40]!r}: expected the number of a dispatcher")
     place = number(fields, "p", 0, 1, -1)
-    return name, method, token, {
-        "reached": min(reached, now), "caller": caller, "again": "r" in fields,
-        "hint": int(number(fields, "h", 0, limits.hint / 1000, 0) * 1000),
-        "kb": number(fields, "m", 1e-9, 2000), "place": None if place < 0 else place}
+    return (
+        name,
+        method,
+        token,
+        {
+            "reached": min(reached, now),
+            "caller": caller,
+            "again": "r" in fields,
+            "hint": int(number(fields, "h", 0, limits.hint / 1000, 0) * 1000),
+            "kb": number(fields, "m", 1e-9, 2000),
+            "place": None if place < 0 else place,
+        },
+    )
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -13,8 +13,22 @@
 class Connection:
     """One link of a dispatcher."""
 
-    __slots__ = ("link", "open", "calls", "heard", "behind", "waiting", "idle_from", "look", "checks",
-                 "told", "bad", "ended", "reads", "tries")
+    __slots__ = (
+        "link",
+        "open",
+        "calls",
+        "heard",
+        "behind",
+        "waiting",
+        "idle_from",
+        "look",
+        "checks",
+        "told",
+        "bad",
+        "ended",
+        "reads",
+        "tries",
+    )
 
     def __init__(self, link):
         self.link, self.open, self.calls, self.heard = link, {}, 0, 0  # open: by sequence number
@@ -34,8 +48,12 @@
         self.conns, self.good, self.keep = {}, True, None
         self.kill_at = None  # from the notice to leave on
         self.looking = False  # the table is nearly full, and looked at now and then
-        self.acts = {"rpc": self.on_rpc, "left": self.on_left, "check": self.on_check,
-                     "unheard": self.on_unheard}
+        self.acts = {
+            "rpc": self.on_rpc,
+            "left": self.on_left,
+            "check": self.on_check,
+            "unheard": self.on_unheard,
+        }
 
     # ---- links
 
@@ -59,8 +77,11 @@
         goes, as no RPC comes on it; else the oldest that carried no call: nothing of it ran. One that may be
         about to speak is let be; where none else is left, those that come wait outside."""
         since = self.turn.now - self.limits.crossing
-        spare = (conn for conn in self.conns.values() if not conn.ended and conn.calls <= conn.checks
-                 and (conn.checks or conn.heard <= since))
+        spare = (
+            conn
+            for conn in self.conns.values()
+            if not conn.ended and conn.calls <= conn.checks and (conn.checks or conn.heard <= since)
+        )
         least = min(spare, key=lambda conn: (not conn.checks, conn.heard), default=None)
         if least:
             self.send(least, codec.closing())
@@ -79,10 +100,20 @@
         caller with an RPC gets in."""
         full, over = self.full(), len(self.conns) >= self.most
         since = self.turn.now - (self.limits.crossing if over else self.limits.silent)
-        busy = lambda conn: (conn.calls > 1 and not full or conn.heard > since or conn.open or conn.told
-                             or conn.ended or conn.behind)
-        conn = min(filterfalse(busy, self.conns.values()), default=None,
-                   key=lambda conn: (conn.checks and conn.calls > 1, conn.heard))
+        busy = lambda conn: (
+            conn.calls > 1
+            and not full
+            or conn.heard > since
+            or conn.open
+            or conn.told
+            or conn.ended
+            or conn.behind
+        )
+        conn = min(
+            filterfalse(busy, self.conns.values()),
+            default=None,
+            key=lambda conn: (conn.checks and conn.calls > 1, conn.heard),
+        )
         if conn:
             self.tell_close(conn, self.limits.unused_closing)
         return conn is not None
@@ -222,7 +253,8 @@
         core, why = self.core, None
         try:
             name, method, token, told = fields.read(
-                told, body, self.turn.now, self.limits, core.kinds, core.late)
+                told, body, self.turn.now, self.limits, core.kinds, core.late
+            )
         except ValueError as error:
             why = str(error)
         else:
--- a/finchcart/trial/beliefs.py
+++ b/finchcart/trial/beliefs.py
@@ -107,12 +107,19 @@
             bad = rate * self.beliefs.look // SECOND if name in who else 0
             if bad:
                 sources[subject] = (bad, 0, 0)
-        evidence = {"calls": (ok, calls - ok, time), "rpcs": 20, "sources": sources,
-                    "runs": (10, 10 if name in self.failing else 0, 500_000),
-                    "level": self.levels.get(name, 0.0)}
+        evidence = {
+            "calls": (ok, calls - ok, time),
+            "rpcs": 20,
+            "sources": sources,
+            "runs": (10, 10 if name in self.failing else 0, 500_000),
+            "level": self.levels.get(name, 0.0),
+        }
         if name in self.liars:
-            evidence |= {"calls": (0, CALLS, 0), "level": 1.0, "sources": {
-                **sources, self.innocent: (self.beliefs.bad, 0, 0)}}
+            evidence |= {
+                "calls": (0, CALLS, 0),
+                "level": 1.0,
+                "sources": {**sources, self.innocent: (self.beliefs.bad, 0, 0)},
+            }
         self.feed(name, ("rider", "evidence", evidence))
         if calls or self.now - seen.called < LATELY:
             seen.called = self.now if calls else seen.called
@@ -152,8 +159,9 @@
         while not all(what(self.seen[name]) for name in names):
             if self.now - began > within:
                 wrong = [name for name in names if not what(self.seen[name])]
-                self.breach(f"{text}: not within {within / SECOND:.2f} s at {wrong[:4]}: "
-                            f"{self.seen[wrong[0]].held}")
+                self.breach(
+                    f"{text}: not within {within / SECOND:.2f} s at {wrong[:4]}: {self.seen[wrong[0]].held}"
+                )
             self.run(self.now + 20_000, self.after_step)
         return self.now - began
 
@@ -181,8 +189,26 @@
 class Run(Beliefs):
     """One seed: some of the rounds, with links that lose, double and swap."""
 
-    ROUNDS = ("down", "zone", "one", "slow", "flaps", "flood", "many", "few_lie", "third", "woken", "halves",
-              "one_way", "restarted", "replaced", "words", "late", "fail", "one_level")
+    ROUNDS = (
+        "down",
+        "zone",
+        "one",
+        "slow",
+        "flaps",
+        "flood",
+        "many",
+        "few_lie",
+        "third",
+        "woken",
+        "halves",
+        "one_way",
+        "restarted",
+        "replaced",
+        "words",
+        "late",
+        "fail",
+        "one_level",
+    )
 
     def __init__(self, seed, count=8, kinds=None, rounds=3, **more):
         super().__init__(count, seed, **more)
@@ -195,8 +221,9 @@
         self.run(self.now + 10 * SECOND, self.after_step)
         for _ in range(self.rounds):
             self.loss = self.chance.choice([0.0, 0.0, 0.1, 0.3])
-            self.fabric.reduce(self.now, ("rule", None, None, {
-                "lose": self.loss, "double": self.loss, "swap": self.loss}))
+            self.fabric.reduce(
+                self.now, ("rule", None, None, {"lose": self.loss, "double": self.loss, "swap": self.loss})
+            )
             self.kind = self.chance.choice(self.kinds)
             getattr(self, self.kind)(sorted(self.live()))
             self.come_back()
@@ -213,8 +240,12 @@
             elif place.stopped:
                 self.go_on(name)
         within = self.beliefs.shut + 2 * self.beliefs.bad_span + self.beliefs.life + self.beliefs.hold_most
-        self.until(lambda seen: seen.held == NOTHING, self.live(), within + 10 * SECOND,
-                   f"after {self.kind} nothing is held")
+        self.until(
+            lambda seen: seen.held == NOTHING,
+            self.live(),
+            within + 10 * SECOND,
+            f"after {self.kind} nothing is held",
+        )
         self.run(self.now + self.beliefs.again, self.after_step)
         for seen in self.seen.values():
             seen.changes.clear()
@@ -293,16 +324,21 @@
     def many(self, names):
         """5,000 sources at once: bounded, and none of those that did nothing."""
         rates = self.chance.choices([4, 4, 40], k=5000)
-        self.floods = {subjects.source(f"10.2.{n // 250}.{n % 250}"): (rate, set(names))
-                       for n, rate in enumerate(rates)}
+        self.floods = {
+            subjects.source(f"10.2.{n // 250}.{n % 250}"): (rate, set(names)) for n, rate in enumerate(rates)
+        }
         self.never(lambda seen: self.innocent in seen.held["sources"], names, 3 * SECOND, "it did nothing")
         self.floods = {}
 
     def lie(self, names, count):
         self.liars = set(self.chance.sample(names, count))
         honest = [name for name in names if name not in self.liars]
-        self.never(lambda seen: is_down(seen) or seen.held["level"] > 0, honest, 12 * SECOND,
-                   f"{count} of {len(names)} lie")
+        self.never(
+            lambda seen: is_down(seen) or seen.held["level"] > 0,
+            honest,
+            12 * SECOND,
+            f"{count} of {len(names)} lie",
+        )
         return honest
 
     def few_lie(self, names):
@@ -383,7 +419,8 @@
         subject, number = subjects.source("10.5.5.5"), self.chance.randrange(10**6)
         value = lambda seen: seen.held["sources"].get(subject)
         say = lambda name, said, left: self.places[name].member.board.on_say(
-            self.now, wire.Say(number, subject, said, left, "trial"))
+            self.now, wire.Say(number, subject, said, left, "trial")
+        )
         if not say(names[0], OUT, 90 * SECOND)["taken"]:
             self.breach("a word is not taken")
         bound = self.bound(self.loss)
@@ -433,7 +470,7 @@
     def one_level(self, names):
         """Most turn away the less critical: all tell it, but for the step."""
         level = self.chance.choice([0.3, 0.5, 0.8])
-        for name in names[:len(names) // 2 + 2]:
+        for name in names[: len(names) // 2 + 2]:
             self.levels[name] = level
         least = level - self.beliefs.level_step - 0.026
         bound = self.bound(self.loss) + 2 * self.figures.period
--- a/finchcart/trial/chart.py
+++ b/finchcart/trial/chart.py
@@ -10,8 +10,13 @@
 matplotlib.use("Agg")
 import matplotlib.pyplot as plt  # noqa: E402
 
-COLOURS = {"alive": "#7fb77e", "suspect": "#f2c14e", "failed": "#c8553d", "leaving": "#8fb8de",
-           "left": "#d9d9d9"}
+COLOURS = {
+    "alive": "#7fb77e",
+    "suspect": "#f2c14e",
+    "failed": "#c8553d",
+    "leaving": "#8fb8de",
+    "left": "#d9d9d9",
+}
 TRUTH = {"kill": "#000000", "stop": "#5b3a8c", "term": "#4a6fa5"}
 
 
@@ -59,16 +64,27 @@
     for n, name in enumerate(names):
         for event in events:
             if event.kind == "isolated" and event.at == name:
-                axes.plot([(event.when - start) / 1e6], [n + 0.42], "|", markersize=5,
-                          color="#c8553d" if event.value else "#2e8b57")
+                axes.plot(
+                    [(event.when - start) / 1e6],
+                    [n + 0.42],
+                    "|",
+                    markersize=5,
+                    color="#c8553d" if event.value else "#2e8b57",
+                )
     axes.set_yticks(range(len(names)), names, fontsize=7)
     axes.set_xlim(0, plan.seconds)
     axes.set_xlabel("seconds")
     handles = [plt.Rectangle((0, 0), 1, 1, color=colour) for colour in COLOURS.values()]
-    axes.legend(handles, COLOURS, loc="upper center", ncols=5, bbox_to_anchor=(0.5, 1.06), fontsize=8,
-                frameon=False)
-    axes.set_title(f"{plan.script.about} (seed {plan.seed}); v killed, stopped or told to leave, ^ back, "
-                   "| knows itself isolated or connected", fontsize=8, loc="left", pad=22)
+    axes.legend(
+        handles, COLOURS, loc="upper center", ncols=5, bbox_to_anchor=(0.5, 1.06), fontsize=8, frameon=False
+    )
+    axes.set_title(
+        f"{plan.script.about} (seed {plan.seed}); v killed, stopped or told to leave, ^ back, "
+        "| knows itself isolated or connected",
+        fontsize=8,
+        loc="left",
+        pad=22,
+    )
     figure.tight_layout()
     figure.savefig(path, dpi=90)
     plt.close(figure)
--- a/finchcart/trial/check.py
+++ b/finchcart/trial/check.py
@@ -106,22 +106,44 @@
                 for event in ([first] if first else []) + seen:
                     if event.value in hold.states:
                         result.changes += 1
-                        breach(f"{at} holds {of} to be {event.value} at "
-                               f"{(event.when - start) / 1e6:.2f} s", event)
+                        breach(
+                            f"{at} holds {of} to be {event.value} at {(event.when - start) / 1e6:.2f} s",
+                            event,
+                        )
         return result
     if hold.what in ("isolated", "connected"):
         want = hold.what == "isolated"
         for of in hold.of:
-            settle(result, breach, history.isolated[of], of, lambda value: value is want,
-                   history, after, limit, until, f"{of} does not hold itself {hold.what}", default=not want)
+            settle(
+                result,
+                breach,
+                history.isolated[of],
+                of,
+                lambda value: value is want,
+                history,
+                after,
+                limit,
+                until,
+                f"{of} does not hold itself {hold.what}",
+                default=not want,
+            )
         return result
     for at in hold.by:
         for of in hold.of:
             if at != of:
-                settle(result, breach, history.states[at, of], at, lambda value: value in hold.states,
-                       history, after, limit, until,
-                       f"{at} does not hold {of} to be {' or '.join(hold.states)}",
-                       default=bool({"left", "working", "in"} & set(hold.states)))
+                settle(
+                    result,
+                    breach,
+                    history.states[at, of],
+                    at,
+                    lambda value: value in hold.states,
+                    history,
+                    after,
+                    limit,
+                    until,
+                    f"{at} does not hold {of} to be {' or '.join(hold.states)}",
+                    default=bool({"left", "working", "in"} & set(hold.states)),
+                )
     return result
 
 
--- a/finchcart/trial/claiming.py
+++ b/finchcart/trial/claiming.py
@@ -55,8 +55,9 @@
             self.machines[name] = self.make.get("keeper", Keeper)("f", self.figures, begun)
         else:
             chance = Random(self.lives)
-            self.machines[name] = self.make.get("holder", Claims)(name, "f", self.figures, chance,
-                                                                  self.clock(name))
+            self.machines[name] = self.make.get("holder", Claims)(
+                name, "f", self.figures, chance, self.clock(name)
+            )
             for which in [which for which in self.to_command if which[0] == name]:
                 del self.to_command[which]
             self.running = {which: run for which, run in self.running.items() if which[0] != name}
@@ -96,8 +97,10 @@
         for other in self.runs.setdefault(key, []):
             if self.now - other[0] < self.figures.apart():
                 ago = (self.now - other[0]) / SECOND
-                raise Breach(f"{self.now / SECOND:.3f} s: {key.hex()[:4]} runs at {name}, and did at "
-                             f"{other[1]} {ago:.3f} s ago")
+                raise Breach(
+                    f"{self.now / SECOND:.3f} s: {key.hex()[:4]} runs at {name}, and did at "
+                    f"{other[1]} {ago:.3f} s ago"
+                )
         self.runs[key].append(run)
         self.running[name, key] = run
 
@@ -161,11 +164,21 @@
 
 
 def digest(world):
-    parts = [world.now, sorted(world.net), sorted(world.to_command.items()), sorted(world.running),
-             [[run[0], run[1], run[3]] for run in world.runs.get(KEY, ())]]
+    parts = [
+        world.now,
+        sorted(world.net),
+        sorted(world.to_command.items()),
+        sorted(world.running),
+        [[run[0], run[1], run[3]] for run in world.runs.get(KEY, ())],
+    ]
     for name, machine in world.machines.items():
-        parts.append({field: value for field, value in vars(machine).items()
-                      if field not in ("counts", "effects", "figures", "random", "places")})
+        parts.append(
+            {
+                field: value
+                for field, value in vars(machine).items()
+                if field not in ("counts", "effects", "figures", "random", "places")
+            }
+        )
     return xxhash.xxh3_128_digest(pickle.dumps(parts))
 
 
@@ -227,8 +240,9 @@
             if (origin, to) in self.cuts or self.chance.random() < self.loss:
                 continue
             for _ in range(2 if self.chance.random() < self.loss else 1):
-                delay = self.chance.choice((200, 300, 5 * MS, self.chance.randrange(3 * SECOND) if self.loss
-                                            else 400))
+                delay = self.chance.choice(
+                    (200, 300, 5 * MS, self.chance.randrange(3 * SECOND) if self.loss else 400)
+                )
                 self.made += 1
                 self.way.append((self.now + delay, self.made, origin, to, data))
         self.net.clear()
@@ -303,8 +317,9 @@
 
     def do_fault(self, end):
         chance = self.chance
-        kind = chance.choice(("stop", "stop", "kill", "keeper", "all keepers", "one by one", "cut", "one way",
-                              "loss"))
+        kind = chance.choice(
+            ("stop", "stop", "kill", "keeper", "all keepers", "one by one", "cut", "one way", "loss")
+        )
         names = list(self.machines)
         span = chance.randrange(200 * MS, 8 * SECOND)
         if kind == "stop":
@@ -357,5 +372,11 @@
     for said in run.answers.values():
         for kind in said:
             kinds[kind] = kinds.get(kind, 0) + 1
-    return {"breach": breach, "steps": run.steps, "keys": run.keys, "kinds": kinds,
-            "runs": sum(map(len, run.runs.values())), "in_flight": base.MOST}
+    return {
+        "breach": breach,
+        "steps": run.steps,
+        "keys": run.keys,
+        "kinds": kinds,
+        "runs": sum(map(len, run.runs.values())),
+        "in_flight": base.MOST,
+    }
--- a/finchcart/trial/explore.py
+++ b/finchcart/trial/explore.py
@@ -17,9 +17,17 @@
 from finchcart.quota.planner import Planner
 
 STEP = 500_000
-QUOTA = Quota(limits=(Limit("store", 4),), planners=("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"), most=2,
-              drift=0.02, life=5 * STEP, round=STEP, lease=2 * STEP, step=1.0,
-              room=0.0)  # grants outlive a lease
+QUOTA = Quota(
+    limits=(Limit("store", 4),),
+    planners=("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"),
+    most=2,
+    drift=0.02,
+    life=5 * STEP,
+    round=STEP,
+    lease=2 * STEP,
+    step=1.0,
+    room=0.0,
+)  # grants outlive a lease
 LATER = 1, 3, 99  # steps that a message is held back for; the last: for ever
 DRIFTS = ({}, {"p": 1, "n": -1}, {"p": -1, "n": 1}, {"p0": 1, "p1": -1, "p2": -1})  # 1: as fast as allowed
 
@@ -44,8 +52,10 @@
 
     def __init__(self, make, drift):
         self.now, self.step, self.late, self.lives = 10 * STEP, 0, [], 0
-        self.rates = {name: 1 + QUOTA.drift * drift.get(name, drift.get(name[0], 0))
-                      for name in ("p0", "p1", "p2", "n0", "n1")}
+        self.rates = {
+            name: 1 + QUOTA.drift * drift.get(name, drift.get(name[0], 0))
+            for name in ("p0", "p1", "p2", "n0", "n1")
+        }
         self.machines, self.stopped = {}, {}
         self.amounts = {}  # holder -> (amount, until)
         self.make = make
@@ -108,8 +118,7 @@
 
     def check(self):
         """What holders may use together, now."""
-        used = {name: amount for name, (amount, until) in self.amounts.items()
-                if self.clock(name) < until}
+        used = {name: amount for name, (amount, until) in self.amounts.items() if self.clock(name) < until}
         if sum(used.values()) > QUOTA.limits[0].amount:
             raise AssertionError(f"step {self.step}: {used} of {QUOTA.limits[0].amount}")
 
@@ -117,12 +126,21 @@
         """The state, without counters that only tell."""
         parts = []
         for name, machine in self.machines.items():
-            held = {field: value for field, value in vars(machine).items()
-                    if field not in ("counts", "effects", "quota", "random", "others", "planners")}
+            held = {
+                field: value
+                for field, value in vars(machine).items()
+                if field not in ("counts", "effects", "quota", "random", "others", "planners")
+            }
             parts.append((name, pickle.dumps(held)))
-        return hash((self.step, tuple(parts), tuple(self.late), tuple(sorted(
-            (name, tuple(map(str, what))) for name, what in self.stopped.items())),
-            tuple(sorted(self.amounts.items()))))
+        return hash(
+            (
+                self.step,
+                tuple(parts),
+                tuple(self.late),
+                tuple(sorted((name, tuple(map(str, what))) for name, what in self.stopped.items())),
+                tuple(sorted(self.amounts.items())),
+            )
+        )
 
 
 def faults(world):
@@ -193,6 +211,12 @@
             if seen.get(key, -1) >= rest:
                 continue
             seen[key], count = rest, count + 1
-            stack.append((pickle.dumps(new), rest, path + ((f"{new.step}: {name}",) if name else ()),
-                          first and not name))
+            stack.append(
+                (
+                    pickle.dumps(new),
+                    rest,
+                    path + ((f"{new.step}: {name}",) if name else ()),
+                    first and not name,
+                )
+            )
     return count, None
--- a/finchcart/trial/fabric.py
+++ b/finchcart/trial/fabric.py
@@ -32,8 +32,7 @@
 class Pair:
     def __init__(self, seed):
         self.random, self.burst_until = Random(seed), 0
-        self.counts = dict.fromkeys(
-            ("taken", "lost", "cut", "doubled", "swapped", "spoilt", "delivered"), 0)
+        self.counts = dict.fromkeys(("taken", "lost", "cut", "doubled", "swapped", "spoilt", "delivered"), 0)
 
 
 class Fabric:
@@ -97,7 +96,7 @@
             if rule.spoil and chance() < rule.spoil:
                 counts["spoilt"] += 1
                 n = int(chance() * len(data))
-                out = data[:n] + bytes([data[n] ^ 1 + int(chance() * 255)]) + data[n + 1:]
+                out = data[:n] + bytes([data[n] ^ 1 + int(chance() * 255)]) + data[n + 1 :]
             if when <= now:
                 counts["delivered"] += 1
                 effects.append(("deliver", a, b, out))
--- a/finchcart/trial/processes.py
+++ b/finchcart/trial/processes.py
@@ -18,28 +18,73 @@
 from finchcart.trial.relay import clock
 
 EXAMPLE = {
-    "seed": "1", "stop_ms": 2500, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+    "seed": "1",
+    "stop_ms": 2500,
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
     "settings": {
         "contract": {"cold": 0, "overloadFactor": 8.0, "startCapacity": 1.0, "stopSendingWithin": 400_000},
         "familyInfo": {
-            "callerIdle": 30_000_000, "callsOut": 6.0, "callsOver": 5_000_000, "classCalls": [True, False],
-            "cores": 4, "freshStart": False, "gauges": ["core_use", "on_cores", "heap_share", "links"],
-            "kbPerKey": 130.0, "linger": 200_000, "memoryKb": 46000.0, "preemption": "silent",
-            "runFactor": 8.0, "say": "level", "worthWithout": [0.6, 0.0]},
-        "limits": {"maxRetryAfter": 1_000_000, "retryAfter": True}, "round": 2000,
+            "callerIdle": 30_000_000,
+            "callsOut": 6.0,
+            "callsOver": 5_000_000,
+            "classCalls": [True, False],
+            "cores": 4,
+            "freshStart": False,
+            "gauges": ["core_use", "on_cores", "heap_share", "links"],
+            "kbPerKey": 130.0,
+            "linger": 200_000,
+            "memoryKb": 46000.0,
+            "preemption": "silent",
+            "runFactor": 8.0,
+            "say": "level",
+            "worthWithout": [0.6, 0.0],
+        },
+        "limits": {"maxRetryAfter": 1_000_000, "retryAfter": True},
+        "round": 2000,
         "services": [
-            {"name": "look-up", "effect": "read_like", "worth": 1.0, "target": 1_800_000,
-             "deadline": 4_600_000, "window": 5_000_000, "lateWorth": 0.0},
-            {"name": "book", "effect": "idempotency_key", "worth": 3.0, "target": 1_800_000,
-             "deadline": 4_600_000, "window": 13_000_000, "lateWorth": 0.0}],
-        "worthBy": "work"}}
+            {
+                "name": "look-up",
+                "effect": "read_like",
+                "worth": 1.0,
+                "target": 1_800_000,
+                "deadline": 4_600_000,
+                "window": 5_000_000,
+                "lateWorth": 0.0,
+            },
+            {
+                "name": "book",
+                "effect": "idempotency_key",
+                "worth": 3.0,
+                "target": 1_800_000,
+                "deadline": 4_600_000,
+                "window": 13_000_000,
+                "lateWorth": 0.0,
+            },
+        ],
+        "worthBy": "work",
+    },
+}
 
 
 class Processes:
     """`names`: of all nodes that may run; each has a loopback address of its own."""
 
-    def __init__(self, folder, names, seed, fleet, load=None, talk=True, planners=0, limits=(), quota=None,
-                 static=False, spares=0, verdicts=None, claims=None):
+    def __init__(
+        self,
+        folder,
+        names,
+        seed,
+        fleet,
+        load=None,
+        talk=True,
+        planners=0,
+        limits=(),
+        quota=None,
+        static=False,
+        spares=0,
+        verdicts=None,
+        claims=None,
+    ):
         self.folder, self.load, self.talk = Path(folder), load, talk
         self.count, self.limits = len(names), limits
         self.planners, self.spares = [f"p{n}" for n in range(planners)], [f"x{n}" for n in range(spares)]
@@ -49,12 +94,20 @@
         self.net = self.free_net()
         self.children, self.nodes, self.lives = [], {}, {}
         self.began = {}  # (name, life) -> boot clock at its start
-        self.env = {**os.environ, "MALLOC_ARENA_MAX": "2",
-                    "PYTHONPATH": str(Path(__file__).parents[2])}
+        self.env = {**os.environ, "MALLOC_ARENA_MAX": "2", "PYTHONPATH": str(Path(__file__).parents[2])}
         self.env.pop("FINCHCART_SETTINGS", None)
         seeds = [f"{self.relayed(name)}:7400" for name in names[:3]]
-        shared = {} if not limits or static else {"limits": list(limits), "quota": {
-            "planners": [f"{self.relayed(name)}:7400" for name in self.planners], **(quota or {})}}
+        shared = (
+            {}
+            if not limits or static
+            else {
+                "limits": list(limits),
+                "quota": {
+                    "planners": [f"{self.relayed(name)}:7400" for name in self.planners],
+                    **(quota or {}),
+                },
+            }
+        )
         if verdicts is not None and talk:
             shared["verdicts"] = verdicts
         if claims is not None and talk:
@@ -68,18 +121,40 @@
                 whole = limits[0].get("in_hand") or limits[0]["rate"]
                 share = whole / self.count if static else whole
                 settings["settings"]["familyInfo"]["callsOut"] = share
-            self.write(f"{name}.json", {**settings, "name": name, "listen": f"{host}:7001",
-                                        "pool": f"{host}:9300", "store": f"{self.store_of(name)}:8900",
-                                        "roster": f"{self.net}.3.1:2379"})
-            asked = {"name": f"trial-{seed}", "listen": f"{host}:7400",
-                     "advertise": f"{self.relayed(name)}:7400", "seeds": seeds, **fleet}
+            self.write(
+                f"{name}.json",
+                {
+                    **settings,
+                    "name": name,
+                    "listen": f"{host}:7001",
+                    "pool": f"{host}:9300",
+                    "store": f"{self.store_of(name)}:8900",
+                    "roster": f"{self.net}.3.1:2379",
+                },
+            )
+            asked = {
+                "name": f"trial-{seed}",
+                "listen": f"{host}:7400",
+                "advertise": f"{self.relayed(name)}:7400",
+                "seeds": seeds,
+                **fleet,
+            }
             self.told[name] = {"fleet": asked, **shared} if talk else {}
             self.write_settings(name)
         try:
-            self.relay = self.spawn("relay", [sys.executable, "-m", "finchcart.trial.relay"],
-                                    stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
-            self.order({"seed": seed, "members": [[name, [self.own(name), 7400], [self.relayed(name), 7400]]
-                                                  for name in names]})
+            self.relay = self.spawn(
+                "relay",
+                [sys.executable, "-m", "finchcart.trial.relay"],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            self.order(
+                {
+                    "seed": seed,
+                    "members": [[name, [self.own(name), 7400], [self.relayed(name), 7400]] for name in names],
+                }
+            )
             assert self.relay.stdout.readline() == "up\n"
             if load:
                 self.world(load)
@@ -121,18 +196,29 @@
 
     def spawn(self, name, command, **more):
         log = open(self.folder / f"{name}.log", "ab")
-        child = subprocess.Popen(command, stderr=log, env={**self.env, **more.pop("env", {})},
-                                 start_new_session=True, **more)
+        child = subprocess.Popen(
+            command, stderr=log, env={**self.env, **more.pop("env", {})}, start_new_session=True, **more
+        )
         log.close()
         self.children.append(child)
         return child
 
     def world(self, load):
         """Store and registry in one process, worker pools in some."""
-        paths = [str(self.folder / f"{name}.json") for name in self.names[:self.count]]
-        base = [sys.executable, "-m", "finchcart.world.outside", "--work-ms", str(load.work_ms),
-                "--store-work-ms", str(load.store_ms), "--truth", str(self.folder / "truth.jsonl"),
-                "--faults", str(self.folder / "faults.json")]
+        paths = [str(self.folder / f"{name}.json") for name in self.names[: self.count]]
+        base = [
+            sys.executable,
+            "-m",
+            "finchcart.world.outside",
+            "--work-ms",
+            str(load.work_ms),
+            "--store-work-ms",
+            str(load.store_ms),
+            "--truth",
+            str(self.folder / "truth.jsonl"),
+            "--faults",
+            str(self.folder / "faults.json"),
+        ]
         for word in ("in_hand", "rate", "burst"):
             if self.limits and word in self.limits[0]:
                 base += ["--limit" if word == "in_hand" else f"--{word}", str(self.limits[0][word])]
@@ -140,21 +226,44 @@
         if load.keyed:
             base += ["--effects", str(self.folder / "effects.txt")]
         for n in range(load.processes):
-            mine = paths[n::load.processes]
-            more = ["--pools-only"] if n else [word for name in self.names[:self.count]
-                                               for word in ("--place", f"{self.store_of(name)}:8900")]
+            mine = paths[n :: load.processes]
+            more = (
+                ["--pools-only"]
+                if n
+                else [
+                    word
+                    for name in self.names[: self.count]
+                    for word in ("--place", f"{self.store_of(name)}:8900")
+                ]
+            )
             child = self.spawn(f"world{n}", [*base, *spin, *more, *mine], stdout=subprocess.PIPE)
             child.stdout.readline()
 
     def callers(self, seconds):
         """The load, on all nodes; its figures are in load.json at the end."""
-        where = [f"{self.own(name)}:7001" for name in self.names[:self.count]]
-        return self.spawn("load", [
-            sys.executable, "-m", "finchcart.world.load", "--rate", str(self.load.rate),
-            "--seconds", str(seconds), "--links", str(self.load.links),
-            "--out", str(self.folder / "load.json"), "--seed", str(self.seed),
-            *(["--keyed"] if self.load.keyed else []),
-            "--focus", str(self.folder / "focus.json"), *where])
+        where = [f"{self.own(name)}:7001" for name in self.names[: self.count]]
+        return self.spawn(
+            "load",
+            [
+                sys.executable,
+                "-m",
+                "finchcart.world.load",
+                "--rate",
+                str(self.load.rate),
+                "--seconds",
+                str(seconds),
+                "--links",
+                str(self.load.links),
+                "--out",
+                str(self.folder / "load.json"),
+                "--seed",
+                str(self.seed),
+                *(["--keyed"] if self.load.keyed else []),
+                "--focus",
+                str(self.folder / "focus.json"),
+                *where,
+            ],
+        )
 
     def put(self, name, tree):
         """A file that another process looks at now and then: whole or not at all."""
@@ -176,17 +285,35 @@
 
     def flooder(self):
         self.put("flood.json", {"at": []})
-        return self.spawn("flood", [sys.executable, "-m", "finchcart.world.rude", "--net", f"{self.net}.9",
-                                    "--orders", str(self.folder / "flood.json"),
-                                    "--out", str(self.folder / "flood.jsonl")])
+        return self.spawn(
+            "flood",
+            [
+                sys.executable,
+                "-m",
+                "finchcart.world.rude",
+                "--net",
+                f"{self.net}.9",
+                "--orders",
+                str(self.folder / "flood.json"),
+                "--out",
+                str(self.folder / "flood.jsonl"),
+            ],
+        )
 
     def say(self, name, kind, of, value, seconds=600.0):
         """An operator's word, told to that node; without a value it is taken back."""
         from finchcart.cli import serve
         from finchcart.verdicts import subjects
+
         try:
-            serve.say((self.own(name), 7400), subjects.read(kind, of),
-                      subjects.read_value(kind, value) if value else 0, seconds, "trial", 1.0)
+            serve.say(
+                (self.own(name), 7400),
+                subjects.read(kind, of),
+                subjects.read_value(kind, value) if value else 0,
+                seconds,
+                "trial",
+                1.0,
+            )
         except TimeoutError:
             pass  # stopped, or not there
 
@@ -200,8 +327,10 @@
 
     def set_limit(self, name, changes):
         """Other figures of the first limit in the settings of a process, which it is told to read."""
-        self.told[name]["limits"] = [{**self.told[name]["limits"][0], **changes},
-                                     *self.told[name]["limits"][1:]]
+        self.told[name]["limits"] = [
+            {**self.told[name]["limits"][0], **changes},
+            *self.told[name]["limits"][1:],
+        ]
         self.write_settings(name)
         self.hang_up(name)
 
@@ -215,6 +344,7 @@
     def leads(self):
         """The planner that shares out, by its own word; the last one known where none says so."""
         from finchcart.cli.serve import ask_limits
+
         for name in self.planners:
             try:
                 if self.nodes[name].poll() is None and ask_limits((self.own(name), 7400), 0.3)["leads"]:
@@ -231,9 +361,18 @@
             words = ["plan", "--place", f"{self.relayed(name)}:7400", "--listen", f"{self.own(name)}:7400"]
         self.nodes[name] = self.spawn(
             f"{name}.{life}",
-            [sys.executable, "-m", "finchcart", *words, "--log", "json",
-             "--settings", str(self.folder / f"{name}.json5")],
-            env={"ROUTER_CONFIG": str(self.folder / f"{name}.json")})
+            [
+                sys.executable,
+                "-m",
+                "finchcart",
+                *words,
+                "--log",
+                "json",
+                "--settings",
+                str(self.folder / f"{name}.json5"),
+            ],
+            env={"ROUTER_CONFIG": str(self.folder / f"{name}.json")},
+        )
 
     def truth(self, name="truth.jsonl"):
         """The store's own count, a line about every 0.2 s; or what became of the flooding sources' RPCs."""
@@ -277,8 +416,9 @@
         """CPU seconds and peak MB of a node."""
         pid = self.nodes[name].pid
         fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-        peak = next(line for line in Path(f"/proc/{pid}/status").read_text().splitlines()
-                    if line.startswith("VmHWM"))
+        peak = next(
+            line for line in Path(f"/proc/{pid}/status").read_text().splitlines() if line.startswith("VmHWM")
+        )
         return sum(map(int, fields[11:13])) / os.sysconf("SC_CLK_TCK"), int(peak.split()[1]) / 1024
 
     def end(self):
--- a/finchcart/trial/run.py
+++ b/finchcart/trial/run.py
@@ -39,10 +39,21 @@
     """(events, start, facts) of a run on real processes. `oracle`: each node is told of the store's state at
     once."""
     script = plan.script
-    fleet = Processes(folder, plan.names, plan.seed, script.fleet, script.load, talk,
-                      0 if script.static else script.planners, script.limits, script.quota, script.static,
-                      script.spares, script.verdicts,
-                      None if script.claims_off else script.claims)
+    fleet = Processes(
+        folder,
+        plan.names,
+        plan.seed,
+        script.fleet,
+        script.load,
+        talk,
+        0 if script.static else script.planners,
+        script.limits,
+        script.quota,
+        script.static,
+        script.spares,
+        script.verdicts,
+        None if script.claims_off else script.claims,
+    )
     fleet.knows_all = oracle
     if script.verdicts is not None:
         import finchcart.cli.serve  # noqa: F401  (guards against a first word that comes late by this import)
@@ -77,16 +88,21 @@
     finally:
         fleet.end()
     facts["late_s"] = late
-    alias = lambda host: f"flood{int(host.rpartition('.')[2]) - 1}" if host.startswith(
-        f"{fleet.net}.9.") else host
+    alias = lambda host: (
+        f"flood{int(host.rpartition('.')[2]) - 1}" if host.startswith(f"{fleet.net}.9.") else host
+    )
     return check.from_logs(folder, plan.names, fleet.began, alias), start, facts
 
 
 def apart_of(script):
     """Microseconds within which a key may run once."""
     from finchcart.claims.figures import Figures
-    told = {name: script.claims[f"{name}_ms"] * MS for name in ("life", "command")
-            if f"{name}_ms" in (script.claims or {})}
+
+    told = {
+        name: script.claims[f"{name}_ms"] * MS
+        for name in ("life", "command")
+        if f"{name}_ms" in (script.claims or {})
+    }
     return Figures(**told).apart()
 
 
@@ -97,22 +113,36 @@
     for line in (folder / "effects.txt").read_text().splitlines():
         when, key = line.split(" ", 1)
         times.setdefault(key, []).append(int(when))
-    twice = [key for key, whens in times.items()
-             if any(b - a < apart for a, b in zip(sorted(whens), sorted(whens)[1:]))]
-    return {"runs": sum(map(len, times.values())), "keys that ran": len(times),
-            "keys that ran twice": len(twice),
-            "ok without a run": sum(key not in times for key in answered), "first twice": twice[:1]}
+    twice = [
+        key
+        for key, whens in times.items()
+        if any(b - a < apart for a, b in zip(sorted(whens), sorted(whens)[1:]))
+    ]
+    return {
+        "runs": sum(map(len, times.values())),
+        "keys that ran": len(times),
+        "keys that ran twice": len(twice),
+        "ok without a run": sum(key not in times for key in answered),
+        "first twice": twice[:1],
+    }
 
 
 def stats(fleet, name):
     from finchcart.cli.serve import ask
+
     cpu, mb = fleet.usage(name)
     try:
         view = ask((fleet.own(name), 7400), 1.0) if fleet.talk and name not in fleet.planners else {}
     except TimeoutError:
         view = {}
-    return {"cpu_s": cpu, "mb": mb, "late_ms": view.get("late_ms"), "loss": view.get("loss"),
-            "stale_ms": view.get("age_ms"), "counts": view.get("counts", {})}
+    return {
+        "cpu_s": cpu,
+        "mb": mb,
+        "late_ms": view.get("late_ms"),
+        "loss": view.get("loss"),
+        "stale_ms": view.get("age_ms"),
+        "counts": view.get("counts", {}),
+    }
 
 
 def perform(fleet, act):
@@ -153,6 +183,7 @@
     """The same on the virtual clock."""
     from finchcart.members.member import Member
     from finchcart.trial.virtual import Fleet
+
     events = []
 
     def watch(now, name, effect):
@@ -191,10 +222,20 @@
     while ends:
         finish(fleet, ends, min(ends, key=ends.get), after_step)
     fleet.run(start + int(plan.seconds * 1e6), after_step)
-    facts = {"driver": "virtual", "links": fleet.fabric.total(), "late_s": 0.0, "stats": {
-        name: {"late_ms": fleet.places[name].member.late // 1000, "loss": fleet.places[name].member.loss,
-               "stale_ms": fleet.places[name].member.stale() // 1000,
-               "counts": fleet.places[name].member.counts} for name in fleet.live()}}
+    facts = {
+        "driver": "virtual",
+        "links": fleet.fabric.total(),
+        "late_s": 0.0,
+        "stats": {
+            name: {
+                "late_ms": fleet.places[name].member.late // 1000,
+                "loss": fleet.places[name].member.loss,
+                "stale_ms": fleet.places[name].member.stale() // 1000,
+                "counts": fleet.places[name].member.counts,
+            }
+            for name in fleet.live()
+        },
+    }
     return events, start, facts
 
 
@@ -220,29 +261,47 @@
     out = []
     for (name, what), group in groups.items():
         times = [t for result in group for t in result.times]
-        out.append({"name": name, "what": what, "rounds": len(group), "held": len(times),
-                    "median_s": quantile(times, 0.5), "p99_s": quantile(times, 0.99),
-                    "worst_s": max(times, default=math.nan), "changes": sum(r.changes for r in group),
-                    "breaches": sum(r.breach is not None for r in group)})
+        out.append(
+            {
+                "name": name,
+                "what": what,
+                "rounds": len(group),
+                "held": len(times),
+                "median_s": quantile(times, 0.5),
+                "p99_s": quantile(times, 0.99),
+                "worst_s": max(times, default=math.nan),
+                "changes": sum(r.changes for r in group),
+                "breaches": sum(r.breach is not None for r in group),
+            }
+        )
     return out
 
 
 def table(made):
-    head = ("| expectation | what | rounds | held | median s | p99 s | worst s | changes after | breaches |\n"
-            "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    head = (
+        "| expectation | what | rounds | held | median s | p99 s | worst s | changes after | breaches |\n"
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    )
     cell = lambda value: "-" if value != value else f"{value:.2f}"
-    return "\n".join([head] + [
-        f"| {r['name']} | {r['what']} | {r['rounds']} | {r['held']} | {cell(r['median_s'])} | "
-        f"{cell(r['p99_s'])} | {cell(r['worst_s'])} | {r['changes']} | {r['breaches']} |" for r in made])
+    return "\n".join(
+        [head]
+        + [
+            f"| {r['name']} | {r['what']} | {r['rounds']} | {r['held']} | {cell(r['median_s'])} | "
+            f"{cell(r['p99_s'])} | {cell(r['worst_s'])} | {r['changes']} | {r['breaches']} |"
+            for r in made
+        ]
+    )
 
 
 def summary(facts, unexpected):
     """One paragraph of what the processes say of themselves."""
     stats = [s for s in facts["stats"].values() if s.get("late_ms") is not None]
     worst = lambda name: max((s[name] for s in stats), default=math.nan)
-    lines = [f"{facts['driver']}; own ticks late by at most {worst('late_ms')} ms at the end, "
-             f"{unexpected} pauses nobody ordered; measured loss at most {worst('loss')}; "
-             f"views by their own word at most {worst('stale_ms')} ms old; links: {facts['links']}"]
+    lines = [
+        f"{facts['driver']}; own ticks late by at most {worst('late_ms')} ms at the end, "
+        f"{unexpected} pauses nobody ordered; measured loss at most {worst('loss')}; "
+        f"views by their own word at most {worst('stale_ms')} ms old; links: {facts['links']}"
+    ]
     if facts.get("load"):
         lines.append(f"RPCs: {facts['load']}")
     if facts.get("effects"):
@@ -257,10 +316,12 @@
     first, last = facts["truth"][0], facts["truth"][-1]
     over = [(until - since) / 1000 for since, until, _ in last["over"]]
     span = (last["t_us"] - first["t_us"]) / 1e6
-    return (f"store: {last['calls']} calls, {last['most']} at once at most, {last['late']} late, "
-            f"{(last['used'] - first['used']) / span:.1f} in hand on average; moments beyond the limit: "
-            f"{len(over)}, together {sum(over):.1f} ms, the longest {max(over, default=0):.1f} ms; "
-            f"fullest bucket {last['fullest']:.1f}")
+    return (
+        f"store: {last['calls']} calls, {last['most']} at once at most, {last['late']} late, "
+        f"{(last['used'] - first['used']) / span:.1f} in hand on average; moments beyond the limit: "
+        f"{len(over)}, together {sum(over):.1f} ms, the longest {max(over, default=0):.1f} ms; "
+        f"fullest bucket {last['fullest']:.1f}"
+    )
 
 
 def uses(plan, facts, start):
@@ -276,16 +337,31 @@
             use = (last["used"] - first["used"]) / (limit * (last["t_us"] - first["t_us"]) / 1e6)
             most = max(line["lately"] for line in inside)
             groups.setdefault(name, []).append((use, most, max(0, most - limit)))
-    return [{"round": name, "rounds": len(group), "use": sum(use for use, *_ in group) / len(group),
-             "least_use": min(use for use, *_ in group), "most": max(most for _, most, _ in group),
-             "over": max(over for *_, over in group)} for name, group in groups.items()]
+    return [
+        {
+            "round": name,
+            "rounds": len(group),
+            "use": sum(use for use, *_ in group) / len(group),
+            "least_use": min(use for use, *_ in group),
+            "most": max(most for _, most, _ in group),
+            "over": max(over for *_, over in group),
+        }
+        for name, group in groups.items()
+    ]
 
 
 def use_table(made):
-    return "\n".join(["| round | played | use of the limit | least | most in hand | beyond it |",
-                      "| --- | --- | --- | --- | --- | --- |"] + [
-        f"| {row['round']} | {row['rounds']} | {row['use']:.2f} | {row['least_use']:.2f} | {row['most']} | "
-        f"{row['over']} |" for row in made])
+    return "\n".join(
+        [
+            "| round | played | use of the limit | least | most in hand | beyond it |",
+            "| --- | --- | --- | --- | --- | --- |",
+        ]
+        + [
+            f"| {row['round']} | {row['rounds']} | {row['use']:.2f} | {row['least_use']:.2f} | {row['most']} | "
+            f"{row['over']} |"
+            for row in made
+        ]
+    )
 
 
 def calls_by_round(plan, events, facts, start):
@@ -306,22 +382,42 @@
             if since <= event.when <= until:
                 changes[event.at] = changes.get(event.at, 0) + 1
         shut = min((event.when for event in shuts if since <= event.when <= until), default=None)
-        taken = [line["t_us"] for line in facts.get("flood", ())
-                 if since <= line["t_us"] <= until and line["how"] == "ok"]
-        groups.setdefault(name, []).append({
-            "calls": last["calls"] - first["calls"], "wasted": last["wasted"] - first["wasted"],
-            "most": max(line["lately"] for line in inside), "changes": max(changes.values(), default=0),
-            "taken": len(taken), "taken_after": sum(shut is not None and t > shut + 2e6 for t in taken)})
-    return [{"round": name, "rounds": len(group), "most": max(each["most"] for each in group),
-             "changes": max(each["changes"] for each in group),
-             **{word: sum(each[word] for each in group)
-                for word in ("calls", "wasted", "taken", "taken_after")}} for name, group in groups.items()]
+        taken = [
+            line["t_us"]
+            for line in facts.get("flood", ())
+            if since <= line["t_us"] <= until and line["how"] == "ok"
+        ]
+        groups.setdefault(name, []).append(
+            {
+                "calls": last["calls"] - first["calls"],
+                "wasted": last["wasted"] - first["wasted"],
+                "most": max(line["lately"] for line in inside),
+                "changes": max(changes.values(), default=0),
+                "taken": len(taken),
+                "taken_after": sum(shut is not None and t > shut + 2e6 for t in taken),
+            }
+        )
+    return [
+        {
+            "round": name,
+            "rounds": len(group),
+            "most": max(each["most"] for each in group),
+            "changes": max(each["changes"] for each in group),
+            **{
+                word: sum(each[word] for each in group)
+                for word in ("calls", "wasted", "taken", "taken_after")
+            },
+        }
+        for name, group in groups.items()
+    ]
 
 
 def calls_table(made):
     words = "rounds", "calls", "wasted", "most", "changes", "taken", "taken_after"
-    head = ("| round | played | calls | wasted | most in hand | changes of verdict | "
-            "RPCs of floods taken | 2 s after one shut it out |\n" + "| --- " * 8 + "|")
+    head = (
+        "| round | played | calls | wasted | most in hand | changes of verdict | "
+        "RPCs of floods taken | 2 s after one shut it out |\n" + "| --- " * 8 + "|"
+    )
     cells = lambda row: " | ".join(str(row[word]) for word in ("round", *words))
     return "\n".join([head] + [f"| {cells(row)} |" for row in made])
 
@@ -352,11 +448,20 @@
 def quota_of(script):
     """The limits of a script as its processes have them; None where nothing holds them."""
     from finchcart.cli.file import checked, quota
+
     if script.static or not script.limits:
         return None
     planners = [f"127.0.0.1:{n + 2}" for n in range(script.planners)]
-    return quota(checked({"fleet": {"name": "x", "listen": "127.0.0.1:1"}, "limits": script.limits,
-                          "quota": {"planners": planners, **script.quota}}, "script"))
+    return quota(
+        checked(
+            {
+                "fleet": {"name": "x", "listen": "127.0.0.1:1"},
+                "limits": script.limits,
+                "quota": {"planners": planners, **script.quota},
+            },
+            "script",
+        )
+    )
 
 
 def most_over(script):
@@ -399,8 +504,11 @@
     with tempfile.TemporaryDirectory() as scratch:
         folder = Path(out or scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        events, start, facts = on_virtual(plan) if virtual else on_processes(
-            plan, folder / "processes", not apart, verdicts == "oracle")
+        events, start, facts = (
+            on_virtual(plan)
+            if virtual
+            else on_processes(plan, folder / "processes", not apart, verdicts == "oracle")
+        )
         results = [] if apart else judge(plan, events, start)
         made = rows(results)
         ordered = sum(len(act.who) for act in plan.acts if act.what == "stop")
@@ -415,11 +523,23 @@
         click.echo(text)
         if out:
             (folder / "table.md").write_text(
-                f"`{script}`, seed {seed}, {len(plan.first)} members\n\n{text}\n")
-            (folder / "results.json").write_bytes(msgspec.json.encode(
-                {"script": str(script), "seed": seed, "nodes": len(plan.first), "rows": made,
-                 "uses": used, "calls": earned, "facts": facts}))
+                f"`{script}`, seed {seed}, {len(plan.first)} members\n\n{text}\n"
+            )
+            (folder / "results.json").write_bytes(
+                msgspec.json.encode(
+                    {
+                        "script": str(script),
+                        "seed": seed,
+                        "nodes": len(plan.first),
+                        "rows": made,
+                        "uses": used,
+                        "calls": earned,
+                        "facts": facts,
+                    }
+                )
+            )
             from finchcart.trial.chart import timeline
+
             timeline(plan, events, start, folder / "timeline.png")
     broken = next((result for result in results if result.breach), None)
     over = most_over(plan.script)
--- a/finchcart/trial/script.py
+++ b/finchcart/trial/script.py
@@ -163,8 +163,11 @@
     def plan(self):
         for turn in self.script.rounds:
             for n in range(turn.count):
-                self.lay(turn, self.script.settle + turn.at + n * turn.every,
-                         f"{turn.name}#{n + 1}" if turn.count > 1 else turn.name)
+                self.lay(
+                    turn,
+                    self.script.settle + turn.at + n * turn.every,
+                    f"{turn.name}#{n + 1}" if turn.count > 1 else turn.name,
+                )
         self.acts.sort(key=lambda act: act.at)
         end = self.script.settle + self.script.seconds
         return Plan(self.script, self.seed, self.names, self.first, self.acts, self.holds, end, self.spans)
@@ -183,7 +186,7 @@
             return list(told)
         told = dict(told)
         runs = self.members(told.pop("of", "all"))
-        (word, value), = told.items()
+        ((word, value),) = told.items()
         if word == "rest":
             out = set(self.members(value))
             return [name for name in self.runs if name not in out]
@@ -202,8 +205,18 @@
             self.step(step, at + step.at)
         for expect in expects:
             of, by = self.members(expect.of), self.members(expect.by)
-            self.holds.append(Held(f"{name} {expect.name}".strip(), expect.what, of, by, at + expect.after,
-                                   expect.within, at + expect.until, expect.states))
+            self.holds.append(
+                Held(
+                    f"{name} {expect.name}".strip(),
+                    expect.what,
+                    of,
+                    by,
+                    at + expect.after,
+                    expect.within,
+                    at + expect.until,
+                    expect.states,
+                )
+            )
 
     def step(self, step, at):
         who = self.members(step.who) if step.who is not None else []
--- a/finchcart/trial/seeds.py
+++ b/finchcart/trial/seeds.py
@@ -111,8 +111,11 @@
         fleet, chance = self.fleet, self.random
         kinds = self.kinds or KINDS
         kind = chance.choice(kinds)
-        up = [name for name in NAMES if self.steady(name) and fleet.places[name].member
-              and not fleet.places[name].stopped]
+        up = [
+            name
+            for name in NAMES
+            if self.steady(name) and fleet.places[name].member and not fleet.places[name].stopped
+        ]
         now, until = fleet.now, fleet.now + chance.randrange(3, 15) * SECOND
         # At most a third of the members is hurt at once, so that the rest is more than half of everybody's
         # links.
@@ -145,8 +148,17 @@
         elif kind == "loss" and not self.loss:
             self.loss = chance.choice([0.05, 0.1, 0.2, 0.3])
             pairs = [(a, b) for a in NAMES for b in NAMES if a != b]
-            self.rule(pairs, until, lose=self.loss, double=0.1, swap=0.1, spoil=0.02, jitter=30_000,
-                      burst=chance.choice([0.0, 0.01]), burst_length=200_000)
+            self.rule(
+                pairs,
+                until,
+                lose=self.loss,
+                double=0.1,
+                swap=0.1,
+                spoil=0.02,
+                jitter=30_000,
+                burst=chance.choice([0.0, 0.01]),
+                burst_length=200_000,
+            )
             fleet.put(until, self.no_loss)
         elif kind == "forge":
             self.forge()
@@ -190,6 +202,7 @@
     def forge(self):
         """Rubbish, and rows that claim what is impossible."""
         from finchcart.members import wire
+
         chance, fleet = self.random, self.fleet
         to = chance.choice(NAMES)
         row = wire.Row(chance.choice(NAMES), "10.9.9.9:1", 7, 2**52, 2**52, 1, 0, [])
@@ -231,8 +244,9 @@
             member = fleet.places[name].member
             if member.isolated:
                 self.breach(f"{name} holds itself to be isolated, and nothing is wrong any more")
-            states = {known.row.name: known.state for known in member.known.values()
-                      if known.row.duty != LEFT}
+            states = {
+                known.row.name: known.state for known in member.known.values() if known.row.duty != LEFT
+            }
             wrong = {other: states.get(other) for other in NAMES if states.get(other) != "alive"}
             if wrong:
                 self.breach(f"{name} holds {wrong}, and all are well")
@@ -256,6 +270,7 @@
 def many(first, count, jobs):
     """Breaches of the seeds, in order; jobs are processes."""
     from concurrent.futures import ProcessPoolExecutor
+
     with ProcessPoolExecutor(jobs) as pool:
         for seed, digest, breach in pool.map(one, range(first, first + count), chunksize=4):
             yield seed, digest, breach
--- a/finchcart/trial/shares.py
+++ b/finchcart/trial/shares.py
@@ -55,8 +55,18 @@
 class Shares(Clock):
     """`mode`: see above. Raises a `Breach` where more than the bound is in hand."""
 
-    def __init__(self, seed, planners=3, holders=4, quota=None, make=None, latency=300, drift=None,
-                 mode="strict", per="in_hand"):
+    def __init__(
+        self,
+        seed,
+        planners=3,
+        holders=4,
+        quota=None,
+        make=None,
+        latency=300,
+        drift=None,
+        mode="strict",
+        per="in_hand",
+    ):
         super().__init__(seed)
         self.random, self.latency, self.mode = Random(f"shares {seed}"), latency, mode
         self.make = make or {}
@@ -94,7 +104,8 @@
         chance = Random(f"{self.seed} {name} {process.life}")
         if name[0] == "p":
             process.machine = self.make.get("planner", Planner)(
-                process.address, "virtual", self.quota, chance, own)
+                process.address, "virtual", self.quota, chance, own
+            )
         else:
             kind = self.make.get("meter") or (Rate if self.limit.per == "rate" else Calls)
             process.meter = kind(self.limit, self.quota.slack, self.quota.most)
@@ -105,8 +116,16 @@
     def node(self, name, process, chance, own):
         if self.mode == "loose":
             seeds = [other.address for other in self.processes.values() if other.name[0] == "n"][:3]
-            member = Member(name, "virtual", process.address, seeds, self.figures, chance,
-                            1_700_000_000_000 + self.now // 1000, own)
+            member = Member(
+                name,
+                "virtual",
+                process.address,
+                seeds,
+                self.figures,
+                chance,
+                1_700_000_000_000 + self.now // 1000,
+                own,
+            )
             member.riders.append(self.make.get("loose", Loose)(self.quota, own))
             return member
         if self.mode == "strict":
@@ -232,8 +251,9 @@
         if said and lie and rate:
             said = said[0], lie, 0
         if said:
-            self.feed(process.name, (*(("rider",) if self.mode == "loose" else ()), "use", self.limit.name,
-                                     *said))
+            self.feed(
+                process.name, (*(("rider",) if self.mode == "loose" else ()), "use", self.limit.name, *said)
+            )
 
     def count(self):
         """The truth: (calls in hand at the store, those of them that stopped processes wrote too late)."""
@@ -244,8 +264,7 @@
     def bound(self):
         """Beyond the limit, whatever fails."""
         if self.mode == "loose":
-            return self.quota.loose_over_at_most(
-                self.limit, sum(name[0] == "n" for name in self.processes))
+            return self.quota.loose_over_at_most(self.limit, sum(name[0] == "n" for name in self.processes))
         return 0 if self.mode == "strict" else FOR_EVER
 
     def whole(self):
@@ -264,18 +283,27 @@
             self.worst = max(self.worst, self.level)
             most = limit.burst * self.whole() / limit.amount
             if self.mode in ("strict", "loose") and self.level > most + 1e-6:
-                raise Breach(f"seed {self.seed}, {self.now / SECOND:.3f} s: {self.level:.1f} at once of "
-                             f"{most} and {self.whole()} a second")
+                raise Breach(
+                    f"seed {self.seed}, {self.now / SECOND:.3f} s: {self.level:.1f} at once of "
+                    f"{most} and {self.whole()} a second"
+                )
             return
         in_hand, late = self.count()
         use[0] += self.in_hand * span
         self.in_hand = in_hand
         self.worst, self.remainder = max(self.worst, in_hand - late), max(self.remainder, late)
         if in_hand - late > limit.amount + self.bound():
-            raise Breach(f"seed {self.seed}, {self.now / SECOND:.3f} s: {in_hand} calls in hand of "
-                         f"{limit.amount}: " + str({
-                             name: (len(p.calls), p.amount, (p.meter.until - p.clock(self.now)) // 1000)
-                             for name, p in self.processes.items() if p.calls}))
+            raise Breach(
+                f"seed {self.seed}, {self.now / SECOND:.3f} s: {in_hand} calls in hand of "
+                f"{limit.amount}: "
+                + str(
+                    {
+                        name: (len(p.calls), p.amount, (p.meter.until - p.clock(self.now)) // 1000)
+                        for name, p in self.processes.items()
+                        if p.calls
+                    }
+                )
+            )
 
 
 class Idle:
@@ -288,8 +316,25 @@
 class Run(Shares):
     """One seed of faults by chance."""
 
-    KINDS = ("stop", "stop", "kill", "cut", "one way", "loss", "late", "demand", "demand", "all planners",
-             "leader", "two planners", "one by one", "write", "lie", "again elsewhere", "replace")
+    KINDS = (
+        "stop",
+        "stop",
+        "kill",
+        "cut",
+        "one way",
+        "loss",
+        "late",
+        "demand",
+        "demand",
+        "all planners",
+        "leader",
+        "two planners",
+        "one by one",
+        "write",
+        "lie",
+        "again elsewhere",
+        "replace",
+    )
 
     def __init__(self, seed, make=None, kinds=None, drift=None, **more):
         super().__init__(seed, make=make, drift=drift, **more)
@@ -333,8 +378,11 @@
             self.stop(name)
             self.put(now + chance.randrange(1, 30) * SECOND, self.wake, name, self.processes[name].life)
         elif kind == "leader":
-            leads = [name for name in self.planners if name in up
-                     and self.processes[name].machine.owned_since is not None]
+            leads = [
+                name
+                for name in self.planners
+                if name in up and self.processes[name].machine.owned_since is not None
+            ]
             if leads and chance.random() < 0.5:
                 self.kill(leads[0])
                 self.put(until, self.again, leads[0])
@@ -351,8 +399,12 @@
                 self.put(now + chance.randrange(0, 4) * SECOND, self.again, name)
         elif kind in ("two planners", "one by one"):
             for n, name in enumerate(self.planners[:2] if kind == "two planners" else self.planners):
-                self.put(now + n * 700_000 * (kind == "one by one"), self.end_and_again, name,
-                         until - now if kind == "two planners" else 100_000)
+                self.put(
+                    now + n * 700_000 * (kind == "one by one"),
+                    self.end_and_again,
+                    name,
+                    until - now if kind == "two planners" else 100_000,
+                )
         elif kind in ("write", "again elsewhere") and up:
             name = chance.choice([name for name in up if name[0] == "n"] or self.holders)
             process = self.processes[name]
@@ -371,14 +423,19 @@
             some = chance.sample(list(self.processes), chance.randrange(1, len(self.processes)))
             rest = [name for name in self.processes if name not in some]
             pairs = [(a, b) for a in some for b in rest] + (
-                [(b, a) for a in some for b in rest] if kind == "cut" else [])
+                [(b, a) for a in some for b in rest] if kind == "cut" else []
+            )
             self.rule(pairs, until, {"cut": True}, {"cut": False})
         elif kind == "loss":
             bad = {"lose": 0.3, "double": 0.3, "swap": 0.2}
             self.rule(None, until, bad, dict.fromkeys(bad, 0.0))
         elif kind == "late":
-            self.rule(None, until, {"delay": 1000, "jitter": chance.choice([300_000, 3_000_000, 10_000_000])},
-                      {"delay": 0, "jitter": 0})
+            self.rule(
+                None,
+                until,
+                {"delay": 1000, "jitter": chance.choice([300_000, 3_000_000, 10_000_000])},
+                {"delay": 0, "jitter": 0},
+            )
         elif kind == "demand":
             for name in self.holders:
                 self.processes[name].wants = chance.choice([0, 0, 3, 15, 60])
@@ -405,8 +462,9 @@
         new = self.processes.get(name + "b")
         if new is None:
             n = len(self.processes)
-            new = self.processes[name + "b"] = Process(name + "b", f"10.1.0.{n}:7401",
-                                                       1 + self.random.choice([-1, 1]) * self.drift, 77)
+            new = self.processes[name + "b"] = Process(
+                name + "b", f"10.1.0.{n}:7401", 1 + self.random.choice([-1, 1]) * self.drift, 77
+            )
             self.at[new.address] = name + "b"
             new.wants = 5
         running = sum(p.machine is not None for p in self.processes.values() if p.name[0] == "n")
@@ -426,8 +484,14 @@
         run.play(seconds)
     except Breach as error:
         breach = str(error)
-    return {"breach": breach, "worst": run.worst, "remainder": run.remainder, "steps": run.steps,
-            "use": run.use, "limit": run.limit.amount if per == "in_hand" else run.limit.burst}
+    return {
+        "breach": breach,
+        "worst": run.worst,
+        "remainder": run.remainder,
+        "steps": run.steps,
+        "use": run.use,
+        "limit": run.limit.amount if per == "in_hand" else run.limit.burst,
+    }
 
 
 def jump(mode, holders=16):
--- a/finchcart/trial/virtual.py
+++ b/finchcart/trial/virtual.py
@@ -86,10 +86,17 @@
         place = self.places[name]
         place.life += 1
         place.stopped, place.waiting = False, []
-        seeds = [other.address for other in list(self.places.values())[:self.seeds]]
-        place.member = self.make(as_name or name, "virtual", place.address, seeds, self.figures,
-                                 Random(f"{self.seed} {name} {place.life}"),
-                                 self.wall + self.now // 1000 + wall_off, self.now)
+        seeds = [other.address for other in list(self.places.values())[: self.seeds]]
+        place.member = self.make(
+            as_name or name,
+            "virtual",
+            place.address,
+            seeds,
+            self.figures,
+            Random(f"{self.seed} {name} {place.life}"),
+            self.wall + self.now // 1000 + wall_off,
+            self.now,
+        )
         self.put(self.now + self.random.randrange(self.figures.tick), self.tick, name, place.life)
 
     def kill(self, name):
@@ -120,8 +127,12 @@
             return
         if not place.stopped:
             self.feed(name, ("tick",))
-        self.put(self.now + self.figures.tick + (self.random.randrange(place.delay) if place.delay else 0),
-                 self.tick, name, life)
+        self.put(
+            self.now + self.figures.tick + (self.random.randrange(place.delay) if place.delay else 0),
+            self.tick,
+            name,
+            life,
+        )
 
     def feed(self, name, what):
         place = self.places[name]
@@ -156,5 +167,7 @@
 
     def views(self):
         """name of each live member -> {name: state} as it has it."""
-        return {name: {known.row.name: known.state for known in self.places[name].member.known.values()}
-                for name in self.live()}
+        return {
+            name: {known.row.name: known.state for known in self.places[name].member.known.values()}
+            for name in self.live()
+        }
--- a/finchcart/verdicts/board.py
+++ b/finchcart/verdicts/board.py
@@ -121,8 +121,11 @@
     def say(self, now):
         """At once where it matters, else with the usual beats, and anew before others take it for void."""
         said = self.state.opinions(now) if now >= self.quiet_until else []
-        matters = [each[:2] if kind_of(each[0]) in (NUMBER, ADDRESS) else each for each in said
-                   if kind_of(each[0]) not in (LEVEL, NODE)]
+        matters = [
+            each[:2] if kind_of(each[0]) in (NUMBER, ADDRESS) else each
+            for each in said
+            if kind_of(each[0]) not in (LEVEL, NODE)
+        ]
         new = self.mine is None or said != self.mine[0]
         if (new and now - self.written >= self.figures.pace) or now - self.written >= self.figures.life // 3:
             urgent = self.mine is None or matters != self.mine[1]
@@ -199,8 +202,12 @@
 
     def hear_words(self, now):
         for (one, topic), note in self.member.notes.items():
-            if (topic == wire.WORDS and note.born is not None and one in self.member.known
-                    and self.words_read.get(one) != note.note.age):
+            if (
+                topic == wire.WORDS
+                and note.born is not None
+                and one in self.member.known
+                and self.words_read.get(one) != note.note.age
+            ):
                 self.words_read[one] = note.note.age
                 for said in wire.words(note.note.data) or ():
                     self.take(now, said, note.born + said.left, self.member.known[one].row.name)
@@ -273,17 +280,27 @@
         """`store`: its value; `sources`: subject -> (value, until); `out`: whether this node is to tell bad
         health; `level`: the least that it may tell."""
         stands = self.standing()
-        sources = {subject: value for subject, value in stands.items()
-                   if kind_of(subject) in (NUMBER, ADDRESS) and value in (SLOWED, OUT)}
-        new = {"store": stands.get(STORE_ITSELF, WORKING), "sources": sources,
-               "out": stands.get(self.me) == OUT, "level": round(self.least_level(), 3)}
+        sources = {
+            subject: value
+            for subject, value in stands.items()
+            if kind_of(subject) in (NUMBER, ADDRESS) and value in (SLOWED, OUT)
+        }
+        new = {
+            "store": stands.get(STORE_ITSELF, WORKING),
+            "sources": sources,
+            "out": stands.get(self.me) == OUT,
+            "level": round(self.least_level(), 3),
+        }
         if new == self.told:
             return
         before, self.told = self.told, new
         self.effects.append(("verdicts", new))
         was = self.logged if before else {}
-        self.logged = {subject: value for subject, value in stands.items()
-                       if kind_of(subject) != NODE or subject == self.me}
+        self.logged = {
+            subject: value
+            for subject, value in stands.items()
+            if kind_of(subject) != NODE or subject == self.me
+        }
         for subject in {**was, **self.logged}:
             if was.get(subject) != self.logged.get(subject):
                 self.log(subject, self.logged.get(subject))
@@ -292,8 +309,13 @@
         kind, name, word = told(subject, value or WORKING, self.names())
         held = self.held.get(subject)
         votes = f"{held.votes} of {held.of}" if held else ""
-        self.effects.append(("log", f"verdict {kind} {name} {word}".replace("  ", " "), {
-            "kind": kind, "subject": name, "value": word, "votes": votes}))
+        self.effects.append(
+            (
+                "log",
+                f"verdict {kind} {name} {word}".replace("  ", " "),
+                {"kind": kind, "subject": name, "value": word, "votes": votes},
+            )
+        )
 
     def names(self):
         if self.member is None:
@@ -328,8 +350,9 @@
         left = held.ends - now if held and not said.value else said.left
         if not said.value and held is None:
             return {"taken": False, "why": "nothing is said of it"}
-        word = wire.Said(said.subject, said.value, number, self.member.row.incarnation, self.member.me, left,
-                         said.why)
+        word = wire.Said(
+            said.subject, said.value, number, self.member.row.incarnation, self.member.me, left, said.why
+        )
         self.take(now, word, now + left, self.name)
         self.tell_words(now, list(self.words.values()), urgent=True)
         return {"taken": True, "acts_within_ms": self.acts_within() // 1000}
@@ -359,8 +382,12 @@
     def beyond(self, subject):
         """Messages of a shut-out source that can have come between the evidence and the last node that
         acts."""
-        rates = [weight % MILLION for said in self.gather(self.last, False).values()
-                 for one, _, weight in said if one == subject]
+        rates = [
+            weight % MILLION
+            for said in self.gather(self.last, False).values()
+            for one, _, weight in said
+            if one == subject
+        ]
         return self.figures.beyond(max(rates, default=0) or 1, self.count_in, self.acts_within())
 
     def status(self, now, page=0):
@@ -368,16 +395,24 @@
             return {"name": self.name, "verdicts": [], "pages": 1}
         rows, size = self.rows(now), 6
         figures, member = self.figures, self.member
-        view = {"name": self.name, "isolated": member.isolated,
-                "verdicts": rows[size * page:size * (page + 1)],
-                "pages": max(1, -(-len(rows) // size))}
+        view = {
+            "name": self.name,
+            "isolated": member.isolated,
+            "verdicts": rows[size * page : size * (page + 1)],
+            "pages": max(1, -(-len(rows) // size)),
+        }
         if page == 0:
             again = max((held.again for held in self.held.values()), default=0)
             how = member.figures, self.count_in
-            view |= {"members": self.count_in, "heard": self.heard, "oldest_ms": self.oldest // 1000,
-                     "stale_at_most_ms": figures.stale() // 1000,
-                     "acts_within_ms": self.acts_within() // 1000,
-                     "store_within_ms": figures.store_within(*how, member.loss, member.late) // 1000,
-                     "back_within_ms": figures.back_within(*how, again, member.loss, member.late) // 1000,
-                     "level": self.level, "counts": self.counts}
+            view |= {
+                "members": self.count_in,
+                "heard": self.heard,
+                "oldest_ms": self.oldest // 1000,
+                "stale_at_most_ms": figures.stale() // 1000,
+                "acts_within_ms": self.acts_within() // 1000,
+                "store_within_ms": figures.store_within(*how, member.loss, member.late) // 1000,
+                "back_within_ms": figures.back_within(*how, again, member.loss, member.late) // 1000,
+                "level": self.level,
+                "counts": self.counts,
+            }
         return view
--- a/finchcart/verdicts/decide.py
+++ b/finchcart/verdicts/decide.py
@@ -31,8 +31,12 @@
     """subject -> (value, opinions for it, of how many that could know). `members`: how many are in."""
     out = {}
     zones = {who: value for who, said in voices.items() for one, value, _ in said if one == ZONE_ITSELF}
-    store = {who: (value, fresh) for who, said in voices.items()
-             for one, value, fresh in said if one == STORE_ITSELF}
+    store = {
+        who: (value, fresh)
+        for who, said in voices.items()
+        for one, value, fresh in said
+        if one == STORE_ITSELF
+    }
     of_store(out, store, zones, figures)
     of_sources(out, voices, zones, figures, members)
     of_nodes(out, voices, figures, members)
@@ -96,8 +100,12 @@
 
 def of_nodes(out, voices, figures, members):
     """Each node tells its own figures; out is who stands apart from the median of the others."""
-    said = {who: (one, value, weight) for who, opinions in voices.items()
-            for one, value, weight in opinions if kind_of(one) == NODE}
+    said = {
+        who: (one, value, weight)
+        for who, opinions in voices.items()
+        for one, value, weight in opinions
+        if kind_of(one) == NODE
+    }
     if len(said) <= figures.count:
         return
     all_failed, all_times = (sorted(each[n] for each in said.values()) for n in (1, 2))
@@ -108,11 +116,15 @@
             apart.append((-failed, one))
         elif usual and time >= figures.slower * usual:
             apart.append((-time / usual, one))
-    for _, one in sorted(apart)[:int(figures.out_part * members)]:
+    for _, one in sorted(apart)[: int(figures.out_part * members)]:
         out[one] = OUT, others, others
 
 
 def least_liars(figures, members):
     """How many wrong or lying nodes it takes to move each kind, by the rule alone."""
-    return {"store": max(figures.count, int(figures.part * members) + 1), "source": figures.needed(members),
-            "level": members // 2, "node": members // 2}
+    return {
+        "store": max(figures.count, int(figures.part * members) + 1),
+        "source": figures.needed(members),
+        "level": members // 2,
+        "node": members // 2,
+    }
--- a/finchcart/verdicts/figures.py
+++ b/finchcart/verdicts/figures.py
@@ -83,8 +83,13 @@
     if figures.part <= 0:
         yield "part", "0 lets one node alone speak for all"
     if figures.life < 3 * figures.span:
-        yield "life_ms", (f"{figures.life // MS} ms is less than 3 x span_ms = {3 * figures.span // MS} ms: "
-                          "opinions would be void before they are confirmed")
+        yield (
+            "life_ms",
+            (
+                f"{figures.life // MS} ms is less than 3 x span_ms = {3 * figures.span // MS} ms: "
+                "opinions would be void before they are confirmed"
+            ),
+        )
     if figures.hold_most < figures.hold:
         yield "hold_most_ms", f"{figures.hold_most // MS} ms is less than hold_ms, {figures.hold // MS} ms"
 
--- a/finchcart/verdicts/opinions.py
+++ b/finchcart/verdicts/opinions.py
@@ -147,10 +147,12 @@
         if self.node:
             failed, time = self.node
             out.append((self.me, 10 * round(failed / 10), round(2 ** (round(2 * log2(max(1, time))) / 2))))
-        said = sorted((one for one, source in self.sources.items() if source.said),
-                      key=lambda one: (-self.sources[one].worst, one))
+        said = sorted(
+            (one for one, source in self.sources.items() if source.said),
+            key=lambda one: (-self.sources[one].worst, one),
+        )
         whole = max(1, self.rpcs.sum[0])
-        for one in said[:self.figures.opinions]:
+        for one in said[: self.figures.opinions]:
             source = self.sources[one]
             percent = min(100, 100 * source.sums.sum[2] // whole)
             rate = source.worst * MILLION // self.figures.bad_span
--- a/finchcart/verdicts/subjects.py
+++ b/finchcart/verdicts/subjects.py
@@ -11,8 +11,12 @@
 WORKING, SLOW, DOWN = 1, 2, 3  # of the store
 SLOWED, OUT = 2, 3  # of a source; OUT of a node too
 OF_SOURCE = {1: "in", SLOWED: "slowed", OUT: "out"}
-WORDS = {STORE: {WORKING: "working", SLOW: "slow", DOWN: "down"}, NODE: {1: "in", OUT: "out"},
-         NUMBER: OF_SOURCE, ADDRESS: OF_SOURCE}
+WORDS = {
+    STORE: {WORKING: "working", SLOW: "slow", DOWN: "down"},
+    NODE: {1: "in", OUT: "out"},
+    NUMBER: OF_SOURCE,
+    ADDRESS: OF_SOURCE,
+}
 
 
 def subject(kind, rest=0):
@@ -73,6 +77,10 @@
     kind, rest = kind_of(subject), subject & REST
     if kind == LEVEL:
         return "level", "", f"{value / 1000:.2f}"
-    name = {STORE: "", NUMBER: str(rest), NODE: names.get(subject, f"{rest:x}"),
-            ADDRESS: ".".join(map(str, rest.to_bytes(7, "big")[3:]))}[kind]
+    name = {
+        STORE: "",
+        NUMBER: str(rest),
+        NODE: names.get(subject, f"{rest:x}"),
+        ADDRESS: ".".join(map(str, rest.to_bytes(7, "big")[3:])),
+    }[kind]
     return KINDS[kind], name, WORDS[kind].get(value, str(value))
--- a/finchcart/verdicts/wire.py
+++ b/finchcart/verdicts/wire.py
@@ -33,8 +33,10 @@
 
 
 Opinions = Annotated[list[tuple[Word, Count, Count]], Meta(max_length=32)]
-_opinions, _words = msgspec.msgpack.Decoder(Opinions), msgspec.msgpack.Decoder(
-    Annotated[list[Said], Meta(max_length=8)])
+_opinions, _words = (
+    msgspec.msgpack.Decoder(Opinions),
+    msgspec.msgpack.Decoder(Annotated[list[Said], Meta(max_length=8)]),
+)
 encoded = msgspec.msgpack.Encoder().encode
 
 
--- a/finchcart/wire.py
+++ b/finchcart/wire.py
@@ -4,8 +4,14 @@
 from finchcart.interface import Outcome
 
 OUTCOMES = {
-    200: Outcome.OK, 502: Outcome.ERROR, 429: Outcome.FULL, 408: Outcome.TIMEOUT,
-    521: Outcome.UNREACHED, 520: Outcome.BROKEN_OFF, 444: Outcome.STOPPED, 409: Outcome.MOOT,
+    200: Outcome.OK,
+    502: Outcome.ERROR,
+    429: Outcome.FULL,
+    408: Outcome.TIMEOUT,
+    521: Outcome.UNREACHED,
+    520: Outcome.BROKEN_OFF,
+    444: Outcome.STOPPED,
+    409: Outcome.MOOT,
 }
 
 
@@ -47,9 +53,18 @@
     "KILL": ({"who": _WHOLE}, {}),
     "KNOCK": (
         {"who": _WHOLE, "call": _ID, "profile": _TEXT, "footprint": _NUMBER},
-        {"neighbour": _WHOLE, "org": _TEXT, "place": _NUMBER, "isWrite": (_flag, "1 or 0"),
-         "repeats": (_repeats, "16 hex digits or 0"), "estimate": _WHOLE, "expires": _WHOLE,
-         "againByClient": (_flag, "1 or 0"), "item": _TEXT, "backlogTime": _WHOLE},
+        {
+            "neighbour": _WHOLE,
+            "org": _TEXT,
+            "place": _NUMBER,
+            "isWrite": (_flag, "1 or 0"),
+            "repeats": (_repeats, "16 hex digits or 0"),
+            "estimate": _WHOLE,
+            "expires": _WHOLE,
+            "againByClient": (_flag, "1 or 0"),
+            "item": _TEXT,
+            "backlogTime": _WHOLE,
+        },
     ),
     "WOUND_UP": ({"who": _WHOLE, "call": _ID, "how": _OUTCOME}, {"spent": _WHOLE}),
     "LEFT": ({"who": _WHOLE, "call": _ID}, {}),
