--- a/finchcart/wirehost.py
+++ b/finchcart/wirehost.py
@@ -104,10 +104,16 @@
         self.ids[index] = call
         self.rpcs[call] = index, None
         rpc = self.control.arrive(
-            now, index, fields["profile"], fields["footprint"],
-            expires=fields.get("expires", 0), waited=fields.get("backlogTime", 0),
-            place=fields.get("place"), hint=fields.get("estimate", 0),
-            again=fields.get("againByClient", False), caller=fields.get("neighbour"),
+            now,
+            index,
+            fields["profile"],
+            fields["footprint"],
+            expires=fields.get("expires", 0),
+            waited=fields.get("backlogTime", 0),
+            place=fields.get("place"),
+            hint=fields.get("estimate", 0),
+            again=fields.get("againByClient", False),
+            caller=fields.get("neighbour"),
             repeats=None if repeats is None else self.rpcs.get(repeats, (-1, None))[0],
         )
         if call in self.rpcs:
--- a/finchcart/world/client.py
+++ b/finchcart/world/client.py
@@ -31,8 +31,16 @@
         return self.seq
 
     def submit(self, method, body, token=None, **more):
-        fields = {"c": method, "i": secrets.token_hex(8), "s": str(time.time_ns() // 1_000_000), "f": "1",
-                  "h": "50.00", "m": "24.5", "p": "0.5000", **more}
+        fields = {
+            "c": method,
+            "i": secrets.token_hex(8),
+            "s": str(time.time_ns() // 1_000_000),
+            "f": "1",
+            "h": "50.00",
+            "m": "24.5",
+            "p": "0.5000",
+            **more,
+        }
         if token:
             fields["k"] = token
         self.seq += 1
--- a/finchcart/world/load.py
+++ b/finchcart/world/load.py
@@ -108,14 +108,18 @@
 
     def submit(self, up, tokened):
         """One RPC, to one of the callers that are up."""
-        self.random.choice(up).send("book" if tokened else "look-up", b"x" * 100,
-                                    secrets.token_hex(16) if tokened else None)
+        self.random.choice(up).send(
+            "book" if tokened else "look-up", b"x" * 100, secrets.token_hex(16) if tokened else None
+        )
 
     def figures(self):
         with self.lock:
             took = sorted(self.took) or [0.0]
-            return {**self.how, "median_ms": 1000 * took[len(took) // 2],
-                    "p99_ms": 1000 * took[len(took) * 99 // 100]}
+            return {
+                **self.how,
+                "median_ms": 1000 * took[len(took) // 2],
+                "p99_ms": 1000 * took[len(took) * 99 // 100],
+            }
 
 
 class Keyed(Load):
@@ -130,8 +134,10 @@
     def submit(self, up, tokened):
         now = time.monotonic()
         with self.lock:
-            due, self.again = ([each for each in self.again if each[0] <= now],
-                               [each for each in self.again if each[0] > now])
+            due, self.again = (
+                [each for each in self.again if each[0] <= now],
+                [each for each in self.again if each[0] > now],
+            )
         for _, key in due:
             self.send(up, key, r="1")
         key = secrets.token_hex(16)
@@ -157,9 +163,14 @@
         with self.lock:
             first = [how for how in self.answered.values() if how[0] == "ok"]
             later = [how for how in self.answered.values() if how[0] != "ok" and "ok" in how]
-        return {**super().figures(), "keys": len(self.answered), "ok at first": len(first),
-                "ok by a repeat": len(later), "never ok": len(self.answered) - len(first) - len(later),
-                "answered": {key: how for key, how in self.answered.items() if "ok" in how}}
+        return {
+            **super().figures(),
+            "keys": len(self.answered),
+            "ok at first": len(first),
+            "ok by a repeat": len(later),
+            "never ok": len(self.answered) - len(first) - len(later),
+            "answered": {key: how for key, how in self.answered.items() if "ok" in how},
+        }
 
 
 def main():
--- a/finchcart/world/outside.py
+++ b/finchcart/world/outside.py
@@ -96,14 +96,18 @@
                         self.notices.clear()  # the node has started: numbers begin anew
                     age = int((time.monotonic() - self.started) * 1000)
                     self.write(link, event="bound", fate=self.fate, lasted=age)
-                    for notice in self.notices[said["cursor"]:]:
+                    for notice in self.notices[said["cursor"] :]:
                         self.write(link, **notice)
             elif event == "poll":
                 busy = sum(not run["waits"] for run in list(self.runs.values()))
                 with self.lock:
                     self.polls += 1
-                    self.write(link, event="polled", ticket=said["ticket"],
-                               figures=[min(1.0, busy / self.cores), busy, 0.0, 0])
+                    self.write(
+                        link,
+                        event="polled",
+                        ticket=said["ticket"],
+                        figures=[min(1.0, busy / self.cores), busy, 0.0, 0],
+                    )
             elif event == "spawn" and said["entry"] in self.methods:
                 if name not in self.runs and name not in self.ended:
                     self.runs[name] = {"waits": False, "go": threading.Event(), "reply": None}
@@ -160,8 +164,13 @@
             return  # lost with the process that it ran in
         del self.runs[name]
         self.ended.add(name)
-        self.notice("finished", handle=name, fate=fate, lasted=(time.monotonic() - began) * 1000,
-                    arg=b64encode(result if fate == "good" else b"").decode())
+        self.notice(
+            "finished",
+            handle=name,
+            fate=fate,
+            lasted=(time.monotonic() - began) * 1000,
+            arg=b64encode(result if fate == "good" else b"").decode(),
+        )
 
 
 class Faults:
@@ -228,9 +237,19 @@
             now, lately = boot_clock(), self.lately
             self.lately = self.in_hand
             used = self.used + self.in_hand * (now - self.looked) / 1e6
-            return {"t_us": now, "in_hand": self.in_hand, "most": self.most, "lately": lately,
-                    "calls": self.calls, "late": self.late, "used": used, "over": over,
-                    "fullest": self.fullest, "wasted": self.wasted, "slowed": self.slowed}
+            return {
+                "t_us": now,
+                "in_hand": self.in_hand,
+                "most": self.most,
+                "lately": lately,
+                "calls": self.calls,
+                "late": self.late,
+                "used": used,
+                "over": over,
+                "fullest": self.fullest,
+                "wasted": self.wasted,
+                "slowed": self.slowed,
+            }
 
     def serve(self, link):
         try:
@@ -261,8 +280,11 @@
                 if gone:
                     return
                 self.late += late
-                reply = (b"%s LATE\r\n" % words[1] if late else
-                         b"%s OK %d\r\n%s\r\n" % (words[1], len(body), body[::-1]))
+                reply = (
+                    b"%s LATE\r\n" % words[1]
+                    if late
+                    else b"%s OK %d\r\n%s\r\n" % (words[1], len(body), body[::-1])
+                )
                 if self.spoil:
                     reply = self.spoil(words[1], body)
                 if reply is None:
@@ -330,17 +352,24 @@
         settings = config["settings"]
         calls = settings["familyInfo"]["classCalls"]
         where = address(config["pool"])
-        Pool(where, {m["name"]: c for m, c in zip(settings["services"], calls)},
-             told.work_ms / 1000, settings["familyInfo"]["cores"], told.spin,
-             lambda host=where[0]: faults.state(host) == "failing", effect if effects else None)
+        Pool(
+            where,
+            {m["name"]: c for m, c in zip(settings["services"], calls)},
+            told.work_ms / 1000,
+            settings["familyInfo"]["cores"],
+            told.spin,
+            lambda host=where[0]: faults.state(host) == "failing",
+            effect if effects else None,
+        )
         for kind, place in ((Store, config["store"]), (Registry, config["roster"])):
             if not told.pools_only and (kind, place) not in others:
                 others.add((kind, place))
                 if kind is Store and store:
                     store.listen(address(place))  # one store, however many places
                 elif kind is Store:
-                    store = Store(address(place), told.store_work_ms / 1000, told.limit, told.rate,
-                                  told.burst, faults)
+                    store = Store(
+                        address(place), told.store_work_ms / 1000, told.limit, told.rate, told.burst, faults
+                    )
                 else:
                     Registry(address(place))
     for place in told.place:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -22,14 +22,24 @@
     memory = rng.choice((4_000, 20_000, 200_000))
     calls = rng.random() < 0.6
     out = {
-        "cores": rng.randint(1, 8), "tick": rng.choice((1, 2, 5)) * MS, "grace": rng.randint(0, 2500) * MS,
-        "slack": 60 * MS, "memory_kb": memory, "run_factor": rng.choice((1, 4, 16)),
+        "cores": rng.randint(1, 8),
+        "tick": rng.choice((1, 2, 5)) * MS,
+        "grace": rng.randint(0, 2500) * MS,
+        "slack": 60 * MS,
+        "memory_kb": memory,
+        "run_factor": rng.choice((1, 4, 16)),
         "entry_kb": rng.choice((1, 90)),
-        "crowd": rng.choice((3, 6, 8)), "crowd_window": 2000 * MS, "fresh_start": rng.random() < 0.4,
-        "cold_start": 0.2, "cold": 9000 * MS, "can_stop": rng.random() < 0.5,
+        "crowd": rng.choice((3, 6, 8)),
+        "crowd_window": 2000 * MS,
+        "fresh_start": rng.random() < 0.4,
+        "cold_start": 0.2,
+        "cold": 9000 * MS,
+        "can_stop": rng.random() < 0.5,
         "told": rng.choice(("level", "credit", "weight", "silent")),
         "marks_further": rng.random() < 0.5,
-        "advice_max": 1000 * MS, "methods.count": rng.randint(1, 4), "tells_deadline": rng.random() < 0.5,
+        "advice_max": 1000 * MS,
+        "methods.count": rng.randint(1, 4),
+        "tells_deadline": rng.random() < 0.5,
     }
     out["can_pause"] = out["can_stop"] and rng.random() < 0.5
     if calls and rng.random() < 0.3:
@@ -38,9 +48,16 @@
         out.update(calls_limit=rng.choice((0.3, 2.0, 7.0)), calls_window=5000 * MS, calls_linger=200 * MS)
     for n in range(out["methods.count"]):
         target = rng.randint(300, 2000) * MS
-        out.update({f"methods.{n}.name": f"m{n}", f"methods.{n}.kind": rng.choice(KINDS),
-                    f"methods.{n}.criticality": rng.randint(1, 3), f"methods.{n}.latency_target": target,
-                    f"methods.{n}.deadline": target * rng.randint(1, 4), f"methods.{n}.window": 5000 * MS})
+        out.update(
+            {
+                f"methods.{n}.name": f"m{n}",
+                f"methods.{n}.kind": rng.choice(KINDS),
+                f"methods.{n}.criticality": rng.randint(1, 3),
+                f"methods.{n}.latency_target": target,
+                f"methods.{n}.deadline": target * rng.randint(1, 4),
+                f"methods.{n}.window": 5000 * MS,
+            }
+        )
     names = range(out["methods.count"])
     out["method_calls"] = tuple(calls and rng.random() < 0.7 for _ in names)
     out["method_poorer"] = tuple(rng.choice((0.0, 0.4)) for _ in names)
@@ -173,18 +190,34 @@
             kept = self.entries.get(first)
             if kept and kept[0] > reached:
                 repeats = -1 if kept[1] in self.released else kept[1]
-            elif any(r["first"] == first and r["state"] not in ("over", "sharing")
-                     for r in self.open.values()):
+            elif any(
+                r["first"] == first and r["state"] not in ("over", "sharing") for r in self.open.values()
+            ):
                 raise AssertionError("a held or running tokened RPC has no entry")
         self.rpcs[index] = dict(
-            n=n, kind=get("kind"), window=get("window"), first=index if first is None else first,
-            state="held", reached=reached,
+            n=n,
+            kind=get("kind"),
+            window=get("window"),
+            first=index if first is None else first,
+            state="held",
+            reached=reached,
             due=max(self.now, expires or reached + get("deadline")) + self.settings["slack"],
-            ran=False, answers=0, repeat=repeats is not None, calls=0, never_ran=False, kb=kb, gone=False,
-            stopped=False, since=0, limit=0, late=0)
+            ran=False,
+            answers=0,
+            repeat=repeats is not None,
+            calls=0,
+            never_ran=False,
+            kb=kb,
+            gone=False,
+            stopped=False,
+            since=0,
+            limit=0,
+            late=0,
+        )
         self.open[index] = self.rpcs[index]
-        handle = self.control.arrive(self.now, index, f"m{n}", kb, expires=expires, waited=waited,
-                                     repeats=repeats, **more)
+        handle = self.control.arrive(
+            self.now, index, f"m{n}", kb, expires=expires, waited=waited, repeats=repeats, **more
+        )
         self.rpcs[index]["handle"] = handle
         return index
 
@@ -230,9 +263,15 @@
         due = [t for t in self.timers if t[0] <= self.now]
         self.timers = [t for t in self.timers if t[0] > self.now]
         for _, name in due:
-            self.control.wake(self.now, name, {
-                "core_use": min(1.0, on_core / self.settings["cores"]), "on_cores": on_core + self.wanting,
-                **self.told})
+            self.control.wake(
+                self.now,
+                name,
+                {
+                    "core_use": min(1.0, on_core / self.settings["cores"]),
+                    "on_cores": on_core + self.wanting,
+                    **self.told,
+                },
+            )
         self.entries = {f: e for f, e in self.entries.items() if e[0] > self.now}
 
     def check(self):
@@ -267,13 +306,32 @@
 class Far:
     """Dispatchers, worker pool, store and registry round one core, without sockets; checks the rules."""
 
-    def __init__(self, settings, seed=1, front=ThriftFront, watch=None, meters=None, witness=None,
-                 claims=None, **limits):
+    def __init__(
+        self,
+        settings,
+        seed=1,
+        front=ThriftFront,
+        watch=None,
+        meters=None,
+        witness=None,
+        claims=None,
+        **limits,
+    ):
         self.settings, self.now, self.rng = settings, 1_700_000_000_000_000, random.Random(seed)
         self.limits = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS, **limits)
         self.places = {"pool": ("pool", 1), "store": ("store", 1), "registry": ("registry", 1)}
-        self.core = Core(settings, self.limits, seed, "n1", self.places,
-                         lambda core: {"front": front(core, self.limits)}, watch, meters, witness, claims)
+        self.core = Core(
+            settings,
+            self.limits,
+            seed,
+            "n1",
+            self.places,
+            lambda core: {"front": front(core, self.limits)},
+            watch,
+            meters,
+            witness,
+            claims,
+        )
         self.claims = []  # what was told of claims
         self.seen = []  # evidence that was told
         self.meters, self.used = meters, []  # used: what was told of the fleet's limits
@@ -427,14 +485,32 @@
         n = first["n"] if first else n
         kind = self.settings[f"methods.{n}.kind"]
         reached = (self.now - waited) // 1000 * 1000
-        said = {"c": f"m{n}", "i": name, "s": str(reached // 1000), "f": "3", "h": "100.00", "m": "20.0",
-                "p": "0.5"}
+        said = {
+            "c": f"m{n}",
+            "i": name,
+            "s": str(reached // 1000),
+            "f": "3",
+            "h": "100.00",
+            "m": "20.0",
+            "p": "0.5",
+        }
         said.update({"r": "1"} if first else {})
         said.update({"k": key} if kind == "tokened" else {}, **fields)
         body = first["body"] if first else self.rng.randbytes(8)
         due = max(self.now, reached + self.settings[f"methods.{n}.deadline"])
-        self.tries[name] = dict(n=n, key=key, kind=kind, reached=reached, link=link, seq=seq, body=body,
-                                answers=0, due=due, ran=False, owed=True)
+        self.tries[name] = dict(
+            n=n,
+            key=key,
+            kind=kind,
+            reached=reached,
+            link=link,
+            seq=seq,
+            body=body,
+            answers=0,
+            due=due,
+            ran=False,
+            owed=True,
+        )
         self.waiting[name] = self.by_seq[link, seq] = self.tries[name]
         self.give(link, ("rpc", seq, said, body))
         return name
@@ -487,7 +563,7 @@
         if event == "bind":
             assert said["cursor"] <= self.numbered
             self.give(link, ("up", self.cold, self.now - self.pool_start))
-            for notice in self.notices[said["cursor"]:]:
+            for notice in self.notices[said["cursor"] :]:
                 self.give(link, notice)
         elif event == "poll":
             self.give(link, ("gauges", said["ticket"], (0.5, 1.0)))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -171,6 +171,7 @@
                     self.mine.add(key)
                 if not far.ended:
                     far.feed("fleet", ("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS))
+
         far.step = stepped
 
     def take(self, what):
@@ -195,6 +196,7 @@
             key, by = far.core.claimer.mine[rpc.index]
             assert key in kept.mine and far.now < by, "commanded without a claim"
         run(rpc, repeatable)
+
     far.core.pool.run = claimed_run
 
 
@@ -213,7 +215,7 @@
     far = far_plain(claims=lambda turn: Claimer(turn, 20 * SECOND))
     name = far.submit(far.open(), 1, **({"r": "1"} if again else {}))
     far.step(MS)
-    (_, asks), = far.claims
+    ((_, asks),) = far.claims
     assert not far.runs, "not before its claim"
     if kind is not None:
         far.feed("fleet", ("claimed", asks[0][0], kind, result, far.now + by * MS))
@@ -353,6 +355,7 @@
 
 def test_a_planted_defect_is_found_by_hand_a_later_try_takes_over_what_ran():
     """The word that it ended is on its way yet, and its own table has forgotten the key."""
+
     def play(make):
         world = World(make=make)
         claim(world, "h0")
@@ -365,6 +368,7 @@
             world.deliver(0)
         if ("h0", KEY) in world.to_command:
             world.command("h0", KEY)
+
     with pytest.raises(Breach):
         play({"keeper": LaterTakesOver})
     play({})
@@ -372,6 +376,7 @@
 
 def test_a_planted_defect_is_found_by_hand_a_run_is_commanded_however_late():
     """The holder stops between its claim and the command, its repeat runs elsewhere."""
+
     def play(make):
         world = World(make=make)
         claim(world, "h0")
@@ -381,6 +386,7 @@
         settle(world, 2)
         world.command("h1", KEY)
         world.command("h0", KEY)
+
     with pytest.raises(Breach):
         play({"holder": AnyTime})
     play({})
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,15 +8,37 @@
 from tests.harness import MS, Node, draw_settings
 
 PLAIN = {
-    "cores": 2, "tick": 2 * MS, "grace": 1000 * MS, "slack": 60 * MS, "memory_kb": 20_000, "run_factor": 4,
-    "entry_kb": 1, "crowd": 6, "crowd_window": 2000 * MS, "fresh_start": False, "can_stop": False,
+    "cores": 2,
+    "tick": 2 * MS,
+    "grace": 1000 * MS,
+    "slack": 60 * MS,
+    "memory_kb": 20_000,
+    "run_factor": 4,
+    "entry_kb": 1,
+    "crowd": 6,
+    "crowd_window": 2000 * MS,
+    "fresh_start": False,
+    "can_stop": False,
     "told": "level",
-    "advice_max": 1000 * MS, "tells_deadline": False, "calls_limit": 4.0,
-    "calls_window": 5000 * MS, "method_calls": (True, True), "method_poorer": (0.5, 0.0), "methods.count": 2,
-    "methods.0.name": "m0", "methods.0.kind": "idempotent", "methods.0.criticality": 1,
-    "methods.0.latency_target": 1000 * MS, "methods.0.deadline": 3000 * MS, "methods.0.window": 0,
-    "methods.1.name": "m1", "methods.1.kind": "tokened", "methods.1.criticality": 3,
-    "methods.1.latency_target": 1000 * MS, "methods.1.deadline": 3000 * MS, "methods.1.window": 5000 * MS,
+    "advice_max": 1000 * MS,
+    "tells_deadline": False,
+    "calls_limit": 4.0,
+    "calls_window": 5000 * MS,
+    "method_calls": (True, True),
+    "method_poorer": (0.5, 0.0),
+    "methods.count": 2,
+    "methods.0.name": "m0",
+    "methods.0.kind": "idempotent",
+    "methods.0.criticality": 1,
+    "methods.0.latency_target": 1000 * MS,
+    "methods.0.deadline": 3000 * MS,
+    "methods.0.window": 0,
+    "methods.1.name": "m1",
+    "methods.1.kind": "tokened",
+    "methods.1.criticality": 3,
+    "methods.1.latency_target": 1000 * MS,
+    "methods.1.deadline": 3000 * MS,
+    "methods.1.window": 5000 * MS,
 }
 
 
@@ -27,9 +49,15 @@
         first = rng.choice(tokened[-20:]) if tokened and rng.random() < 0.3 else None
         if first is not None:
             n = node.rpcs[first]["n"]
-        node.arrive(n, first, waited=rng.choice((0, 0, 50, 400)) * MS, left=rng.randint(1, 3000) * MS,
-                    kb=rng.uniform(1, 60), place=rng.choice((None, rng.random())),
-                    hint=rng.choice((0, 100 * MS)))
+        node.arrive(
+            n,
+            first,
+            waited=rng.choice((0, 0, 50, 400)) * MS,
+            left=rng.randint(1, 3000) * MS,
+            kb=rng.uniform(1, 60),
+            place=rng.choice((None, rng.random())),
+            hint=rng.choice((0, 100 * MS)),
+        )
     for index in node.of("running"):
         r = node.rpcs[index]
         chance = rng.random()
@@ -48,8 +76,20 @@
         r = node.rpcs[index]
         timed_out = node.now - r["since"] >= r["limit"]
         if timed_out or rng.random() < 0.2:
-            how = Outcome.TIMEOUT if timed_out else rng.choice(
-                (Outcome.OK, Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.UNREACHED, Outcome.BROKEN_OFF))
+            how = (
+                Outcome.TIMEOUT
+                if timed_out
+                else rng.choice(
+                    (
+                        Outcome.OK,
+                        Outcome.OK,
+                        Outcome.ERROR,
+                        Outcome.FULL,
+                        Outcome.UNREACHED,
+                        Outcome.BROKEN_OFF,
+                    )
+                )
+            )
             r.update(state="running" if how is Outcome.OK else "standing", never_ran=how.never_ran)
             r["handle"].call_ended(node.now, how, node.now - r["since"])
     for index in node.of("standing", "calling"):
@@ -210,13 +250,16 @@
     assert low.share < 0.2 and low.share < high.share and (high.share == 1) is pauses
 
 
-@pytest.mark.parametrize("marked, again, last",
-                         [(True, False, False), (True, True, True), (False, False, True)])
+@pytest.mark.parametrize(
+    "marked, again, last", [(True, False, False), (True, True, True), (False, False, True)]
+)
 def test_a_full_fleet_is_told_by_further_tries_or_a_deep_cut_where_these_carry_no_mark(marked, again, last):
     """Guards against a full fleet that reads the same RPCs on one node after another."""
     node, lasts = Node({**PLAIN, "marks_further": marked}), []
     node.push_back = lambda index, wait, last: (
-        lasts.append(last), node.rpcs[index].update(state="over", answers=1))
+        lasts.append(last),
+        node.rpcs[index].update(state="over", answers=1),
+    )
     for _ in range(200):
         node.step(10 * MS)
         node.arrive(0, again=again, waited=500 * MS)
@@ -285,7 +328,9 @@
     for callers, advised in ((3, True), (5000, False)):
         node, waits = Node(PLAIN), []
         node.push_back = lambda index, wait, last: (
-            waits.append(wait), node.rpcs[index].update(state="over", answers=1))
+            waits.append(wait),
+            node.rpcs[index].update(state="over", answers=1),
+        )
         for step in range(2000):
             node.step(10 * MS)
             node.arrive(0, caller=step % callers)
@@ -293,10 +338,21 @@
         assert any(waits[-50:]) is advised
 
 
-@pytest.mark.parametrize("odd", [
-    {"cores": 1}, {"calls_limit": 0.3}, {"calls_window": 0}, {"crowd_window": 0}, {"crowd": 1}, {"grace": 0},
-    {"fresh_start": True, "cold": 0}, {"advice_max": 0}, {"entry_kb": 0}, {"methods.0.criticality": 0},
-])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"cores": 1},
+        {"calls_limit": 0.3},
+        {"calls_window": 0},
+        {"crowd_window": 0},
+        {"crowd": 1},
+        {"grace": 0},
+        {"fresh_start": True, "cold": 0},
+        {"advice_max": 0},
+        {"entry_kb": 0},
+        {"methods.0.criticality": 0},
+    ],
+)
 def test_small_and_odd_settings_keep_the_rules(odd):
     node, rng = Node({**PLAIN, **odd}), random.Random(5)
     for step in range(400):
@@ -311,8 +367,9 @@
     for _ in range(turns):
         node.now += 40 * MS
         node.timers = []
-        node.control.wake(node.now, "sweep", {
-            "core_use": 0.2, "on_cores": 0, "intake_use": use, "intake_age": age})
+        node.control.wake(
+            node.now, "sweep", {"core_use": 0.2, "on_cores": 0, "intake_use": use, "intake_age": age}
+        )
 
 
 def test_a_node_slower_than_its_worker_pool_cuts_intake_by_the_same_loop_and_recovers():
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -22,8 +22,12 @@
     tokened = [name for name, r in far.tries.items() if r["kind"] == "tokened"]
     for _ in range(rng.choice((0, 0, 1, load))):
         again = rng.choice(tokened[-20:]) if tokened and rng.random() < 0.3 else None
-        far.submit(rng.choice(fronts[-6:]), rng.randrange(far.settings["methods.count"]), again,
-                   waited=rng.choice((0, 0, 30, 300)) * MS)
+        far.submit(
+            rng.choice(fronts[-6:]),
+            rng.randrange(far.settings["methods.count"]),
+            again,
+            waited=rng.choice((0, 0, 30, 300)) * MS,
+        )
     if far.waiting and rng.random() < 0.1:
         far.revoke(rng.choice(list(far.waiting)))
     if rng.random() < 0.01:
@@ -39,8 +43,11 @@
     for link, calls in list(far.calls.items()):
         for name in [name for name in calls if name in far.active]:
             if far.links[link] == "open" and far.runs[name]["state"] == "blocked" and rng.random() < 0.2:
-                far.store_reply(link, name, rng.choice(
-                    (Outcome.OK, Outcome.OK, Outcome.FULL, Outcome.ERROR, Outcome.TIMEOUT)))
+                far.store_reply(
+                    link,
+                    name,
+                    rng.choice((Outcome.OK, Outcome.OK, Outcome.FULL, Outcome.ERROR, Outcome.TIMEOUT)),
+                )
         if far.links[link] == "open" and link != far.pool and rng.random() < 0.01:
             far.cut_store(link)
     if rng.random() < 0.01:
@@ -77,10 +84,13 @@
 
 def limits_by_chance(rng):
     """One limit of the fleet of each kind, and what this node is given of each, now and then."""
-    limits = (Limit("calls", 40, 1), Limit("calls a second", 200, 1, per="rate", burst=20),
-              Limit("in hand", 20, counts="rpcs", mode="loose"),
-              Limit("a second", 100, 2, counts="rpcs", per="rate", burst=30, method="m0"),
-              Limit("of one", 60, counts="rpcs", per="rate", burst=30, mode="loose", dispatcher="3"))
+    limits = (
+        Limit("calls", 40, 1),
+        Limit("calls a second", 200, 1, per="rate", burst=20),
+        Limit("in hand", 20, counts="rpcs", mode="loose"),
+        Limit("a second", 100, 2, counts="rpcs", per="rate", burst=30, method="m0"),
+        Limit("of one", 60, counts="rpcs", per="rate", burst=30, mode="loose", dispatcher="3"),
+    )
     meters = Meters(rng.sample(limits, rng.randint(1, 5)), 20 * MS, 10)
     return meters
 
@@ -103,6 +113,7 @@
                 bucket[1] = far.now
                 assert bucket[0] <= limit.burst + 1e-6, "more than the burst and what the rate gives"
             return got
+
         meter.take = took
     step = far.step
 
@@ -111,14 +122,26 @@
         if rng.random() < 0.1 and not far.ended:
             meter = rng.choice(meters.all)
             limit = meter.limit
-            far.feed("fleet", ("allow", limit.name, limit.floor, rng.randint(0, limit.amount - 10),
-                               far.now + rng.randint(0, 3000) * MS))
+            far.feed(
+                "fleet",
+                (
+                    "allow",
+                    limit.name,
+                    limit.floor,
+                    rng.randint(0, limit.amount - 10),
+                    far.now + rng.randint(0, 3000) * MS,
+                ),
+            )
         for meter in meters.rpcs:
             if isinstance(meter, Rpcs):
                 counted = sum(meter in (rpc.counted or ()) for rpc in far.core.rpcs.values())
                 assert meter.count == counted, "counted and not in hand"
-                assert all(not rpc.over and (rpc.owed or rpc.started) for rpc in far.core.rpcs.values()
-                           if rpc.counted)
+                assert all(
+                    not rpc.over and (rpc.owed or rpc.started)
+                    for rpc in far.core.rpcs.values()
+                    if rpc.counted
+                )
+
     far.step = stepped
     play(far, rng)
     for meter in meters.rpcs:
@@ -157,10 +180,17 @@
 
 def test_a_part_of_a_limit_is_kept_for_what_matters_more():
     meters = Meters((Limit("in hand", 50, counts="rpcs", mode="loose"),), 0, 10)
-    settings = {"methods.count": 2, "methods.1.name": "m1", "methods.1.kind": "idempotent",
-                "methods.1.criticality": 9, "methods.1.latency_target": 1000 * MS,
-                "methods.1.deadline": 3000 * MS, "method_calls": (False, False), "method_poorer": (0.0, 0.0),
-                "cores": 64}
+    settings = {
+        "methods.count": 2,
+        "methods.1.name": "m1",
+        "methods.1.kind": "idempotent",
+        "methods.1.criticality": 9,
+        "methods.1.latency_target": 1000 * MS,
+        "methods.1.deadline": 3000 * MS,
+        "method_calls": (False, False),
+        "method_poorer": (0.0, 0.0),
+        "cores": 64,
+    }
     far = far_plain(meters=meters, **settings)
     links = [far.open() for _ in range(3)]
     far.feed("fleet", ("allow", "in hand", 0, 40, far.now + 10**9))
@@ -168,8 +198,10 @@
     far.step(MS)
     names += [far.submit(links[2], 1) for _ in range(5)]
     far.step(MS)
-    lesser, more = ([far.tries[name].get("how") for name in part].count("pushed back")
-                    for part in (names[:45], names[45:]))
+    lesser, more = (
+        [far.tries[name].get("how") for name in part].count("pushed back")
+        for part in (names[:45], names[45:])
+    )
     assert (lesser, more) == (7, 3), "two of forty are kept free of the lesser ones"
 
 
@@ -202,7 +234,7 @@
     far.block(name)
     for _ in range(3):
         far.step(MS)
-    (link, _), = [(link, calls) for link, calls in far.calls.items() if calls]
+    ((link, _),) = [(link, calls) for link, calls in far.calls.items() if calls]
     return name, link
 
 
@@ -388,12 +420,12 @@
     far.block(name)
     far.step(MS)
     far.step(MS)
-    (first, calls), = [(link, calls) for link, calls in far.calls.items() if calls]
+    ((first, calls),) = [(link, calls) for link, calls in far.calls.items() if calls]
     body = calls[name]
     far.core.turn.at(far.now, far.core.store.due, far.core.rpcs[0], 1)  # its time limit comes early
     for _ in range(3):
         far.step(MS)
-    (second, calls), = [(link, calls) for link, calls in far.calls.items() if calls]
+    ((second, calls),) = [(link, calls) for link, calls in far.calls.items() if calls]
     assert second != first
     assert far.links[first] == "closed"
     far.give(first, ("reply", name, Outcome.OK, body))
@@ -477,19 +509,31 @@
     assert not far.inbox[link]
 
 
-@pytest.mark.parametrize("spoil, words", [
-    ({"c": "unheard"}, "no such method"), ({"i": "9"}, "16 hex digits"), ({"m": "much"}, "expected a number"),
-    ({"m": "nan"}, "expected 0"), ({"s": "-5"}, "Unix milliseconds"), ({"p": "1e9"}, "expected 0 to under 1"),
-    ({"m": "0"}, "expected 0"), ({"f": "-3"}, "number of a dispatcher"), ({"s": "0"}, "too far"),
-    ({"s": "9000000000000"}, "too far"), ({"h": "1e9"}, "expected 0"), ({"k": ""}, "k is missing"),
-    ({"h": "inf"}, "expected 0")])
+@pytest.mark.parametrize(
+    "spoil, words",
+    [
+        ({"c": "unheard"}, "no such method"),
+        ({"i": "9"}, "16 hex digits"),
+        ({"m": "much"}, "expected a number"),
+        ({"m": "nan"}, "expected 0"),
+        ({"s": "-5"}, "Unix milliseconds"),
+        ({"p": "1e9"}, "expected 0 to under 1"),
+        ({"m": "0"}, "expected 0"),
+        ({"f": "-3"}, "number of a dispatcher"),
+        ({"s": "0"}, "too far"),
+        ({"s": "9000000000000"}, "too far"),
+        ({"h": "1e9"}, "expected 0"),
+        ({"k": ""}, "k is missing"),
+        ({"h": "inf"}, "expected 0"),
+    ],
+)
 def test_a_call_that_can_not_be_read_gets_one_answer_that_says_so_and_never_runs(spoil, words):
     far, told = far_plain(), []
     far.answered = lambda link, data: told.append(read_answer(data))
     far.submit(far.open(), 1, **spoil)
     far.step(MS)
     far.step(MS)
-    (kind, _, _, args), = told
+    ((kind, _, _, args),) = told
     assert kind == thrift.EXCEPTION and words in args[1, thrift.STRING].decode() and not far.runs
     assert not far.core.control.unread and not far.core.control.seen
 
@@ -687,8 +731,12 @@
             far.finish(name, Outcome.OK)
     core = far.core
     assert len(far.tries) > 100
-    for piece, kept in ((core, ("rpcs", "by_name")), (core.tokens, ("table", "results")),
-                        (core.store, ("links",)), (core.pool, ("wakes", "unconfirmed"))):
+    for piece, kept in (
+        (core, ("rpcs", "by_name")),
+        (core.tokens, ("table", "results")),
+        (core.store, ("links",)),
+        (core.pool, ("wakes", "unconfirmed")),
+    ):
         for name in kept:
             assert not getattr(piece, name), name
     assert all(far.links[link] != "closed" for link in core.turn.owners)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -114,6 +114,7 @@
 
     def none(act, name):
         raise OSError("can't start new thread")
+
     monkeypatch.setattr("finchcart.net.links.start_thread", none)
     link.send(b"x" * 30_000_000)
     assert [inputs.get()[0] for _ in range(2)] == ["behind", "caught_up"]
@@ -276,8 +277,20 @@
     seq = client.submit("book", b"seat", KEYS[0])
     until(lambda: world.pool.spawned[-1][2] == b"seat")  # written, and its end not yet told
     half = world.client()
-    whole = codec.submit(1, {"c": "book", "i": "ab" * 8, "s": str(time.time_ns() // 10**6), "f": "1",
-                             "h": "50", "m": "24.5", "p": "0.5", "k": KEYS[1]}, b"half")
+    whole = codec.submit(
+        1,
+        {
+            "c": "book",
+            "i": "ab" * 8,
+            "s": str(time.time_ns() // 10**6),
+            "f": "1",
+            "h": "50",
+            "m": "24.5",
+            "p": "0.5",
+            "k": KEYS[1],
+        },
+        b"half",
+    )
     half.sock.sendall(whole[:40])
     world.path.write_text("[" * 100_000)
     tell(world, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
@@ -588,11 +601,18 @@
 def test_configurations_of_every_odd_kind_leave_a_running_node_as_it_is(world):
     serving(world)
     good = json.loads(world.path.read_text())
-    odd = [b"", b"\xff\xfe", b"[" * 200_000, b"null", b"[]", json.dumps({**good, "stop_ms": 1e999}).encode(),
-           json.dumps({**good, "pool": "a" * 70 + ".b:1"}).encode(),
-           json.dumps({**good, "store": "127.0.0.1:99999"}).encode(),
-           json.dumps({**good, "limits": 3}).encode(),
-           json.dumps({**good, "settings": {"services": [[]]}}).encode()]
+    odd = [
+        b"",
+        b"\xff\xfe",
+        b"[" * 200_000,
+        b"null",
+        b"[]",
+        json.dumps({**good, "stop_ms": 1e999}).encode(),
+        json.dumps({**good, "pool": "a" * 70 + ".b:1"}).encode(),
+        json.dumps({**good, "store": "127.0.0.1:99999"}).encode(),
+        json.dumps({**good, "limits": 3}).encode(),
+        json.dumps({**good, "settings": {"services": [[]]}}).encode(),
+    ]
     for count, data in enumerate(odd, 1):
         world.path.write_bytes(data)
         tell(world, signal.SIGHUP)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -32,8 +32,15 @@
             self.final(rpc, "pushed back", b"", 0, False)
             return
         try:
-            self.core.take(rpc, told.get("k"), reached=min(self.turn.now, int(told["s"]) * 1000),
-                           caller=link, again="r" in told, hint=100 * MS, kb=20.0)
+            self.core.take(
+                rpc,
+                told.get("k"),
+                reached=min(self.turn.now, int(told["s"]) * 1000),
+                caller=link,
+                again="r" in told,
+                hint=100 * MS,
+                kb=20.0,
+            )
         except Unfit:
             self.final(rpc, "aborted", b"", 0, False)
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -22,6 +22,7 @@
 
 # ---- messages and settings
 
+
 def test_what_cannot_be_read_or_is_impossible_is_counted_by_reason_and_dropped():
     one = Member("me", "f", "127.0.0.1:7400", [], Figures(), random.Random(1), 1000, 0)
     good = wire.pack("f", wire.Beat(ROW, 1, 0, 0, 0, []))
@@ -30,13 +31,16 @@
     placeless = msgspec.structs.replace(ROW, address="127.0.0.2:99999")
     negative = wire.encoded([1, "f", [1, ["a", "1:1", 5, -1, 0, 0, 0, []], 1, 0, 0, 0, []]])
     for data, reason in [
-            (spoilt, "spoilt"), (b"", "spoilt"), (b"x" * 2000, "too long"),
-            (wire.pack("g", wire.Rows([ROW])), "another fleet"),
-            (b"M" + wire.xxh64_digest(negative) + negative, "not valid"),
-            (b"M" + wire.xxh64_digest(b"\xc1") + b"\xc1", "unreadable"),
-            (wire.pack("f", wire.Beat(far, 1, 0, 0, 0, [])), "impossible incarnation"),
-            (wire.pack("f", wire.Rows([placeless])), "impossible address"),
-            (wire.pack("f", wire.Told(1, 0, 1, {})), "not asked for")]:
+        (spoilt, "spoilt"),
+        (b"", "spoilt"),
+        (b"x" * 2000, "too long"),
+        (wire.pack("g", wire.Rows([ROW])), "another fleet"),
+        (b"M" + wire.xxh64_digest(negative) + negative, "not valid"),
+        (b"M" + wire.xxh64_digest(b"\xc1") + b"\xc1", "unreadable"),
+        (wire.pack("f", wire.Beat(far, 1, 0, 0, 0, [])), "impossible incarnation"),
+        (wire.pack("f", wire.Rows([placeless])), "impossible address"),
+        (wire.pack("f", wire.Told(1, 0, 1, {})), "not asked for"),
+    ]:
         before = one.counts.get(reason, 0)
         assert not [e for e in one.reduce(1, ("got", ("127.0.0.2", 7400), data)) if e[0] == "change"]
         assert one.counts[reason] == before + 1, reason
@@ -46,13 +50,19 @@
 
 def test_all_mistakes_of_a_settings_file_are_told_at_once_with_path_and_nearest_name():
     with pytest.raises(Wrong) as wrong:
-        checked({"fleet": {"nam": "x", "listen": "127.0.0.1:7400", "period_ms": 1, "seeds": "y"},
-                 "flet": 1}, "F")
+        checked(
+            {"fleet": {"nam": "x", "listen": "127.0.0.1:7400", "period_ms": 1, "seeds": "y"}, "flet": 1}, "F"
+        )
     lines = wrong.value.mistakes
     assert len(lines) == 5 and all(line.startswith("F: ") for line in lines)
     assert "F: fleet.nam: no such setting; the nearest is name" in lines
-    for field in ({"patience": 9, "patience_most": 5}, {"datagrams": 30}, {"remember_s": 10},
-                  {"listen": "0.0.0.0:1"}, {"seeds": ["127.0.0.1:0"]}):
+    for field in (
+        {"patience": 9, "patience_most": 5},
+        {"datagrams": 30},
+        {"remember_s": 10},
+        {"listen": "0.0.0.0:1"},
+        {"seeds": ["127.0.0.1:0"]},
+    ):
         with pytest.raises(Wrong):
             checked({"fleet": {"name": "x", "listen": "127.0.0.1:7400", **field}}, "F")
     assert checked({"fleet": {"name": "x", "listen": "127.0.0.1:7400"}}, "F").fleet.name == "x"
@@ -76,6 +86,7 @@
 
 # ---- the verdict
 
+
 def test_judge_gives_the_same_to_all_that_are_connected():
     chance = random.Random(7)
     for n in range(300):
@@ -101,6 +112,7 @@
 
 # ---- seeded runs
 
+
 def test_seeded_runs_keep_all_properties_and_replay_identically():
     traces = [Run(seed).play() for seed in (3, 3, 18)]
     assert traces[0] == traces[1] != traces[2]
@@ -119,8 +131,13 @@
         fleet.run(12 * SECOND)
         for _ in range(40):
             fleet.run(fleet.now + SECOND // 10)
-            wrong += len({frozenset((place.member.me, one)) for place in fleet.places.values()
-                          for one in place.member.row.down})
+            wrong += len(
+                {
+                    frozenset((place.member.me, one))
+                    for place in fleet.places.values()
+                    for one in place.member.row.down
+                }
+            )
     assert wrong / (3 * 40 * 66) < 0.04
 
 
@@ -141,6 +158,7 @@
 
 # ---- planted defects: each has a scenario that a sound member passes and the planted one does not
 
+
 def scenario(text, nodes=8, **fleet):
     script = msgspec.convert({"about": "", "nodes": nodes, "fleet": fleet, **json5.loads(text)}, Script)
 
@@ -148,6 +166,7 @@
         plan = lay_out(script, 1)
         events, start, facts = on_virtual(plan, make)
         return [result.breach for result in judge_plan(plan, events, start) if result.breach]
+
     return play
 
 
@@ -163,11 +182,14 @@
 PAIR = scenario("""{seconds: 20, rounds: [{at: 0, steps: [
     {at: 0, do: "rule", from: ["n03"], to: ["n04"], set: {cut: true}}], expect: [
     {what: "never", by: "all", of: "all", states: ["suspect", "failed"], after: 0, until: 20}]}]}""")
-ZONE = scenario("""{seconds: 150, rounds: [{at: 0, count: 4, every: 36, steps: [{at: 0, do: "mark", who:
+ZONE = scenario(
+    """{seconds: 150, rounds: [{at: 0, count: 4, every: 36, steps: [{at: 0, do: "mark", who:
 {zone: 1}, as: "x"},
     {at: 0, do: "rule", from: "x", to: {rest: "x"}, both: true, set: {cut: true}}, {at: 21, do: "clear"}],
     expect: [ {what: "never", by: "x", of: "x", after: 0, until: 20}, {what: "agree", by: "x", of: {rest:
-    "x"}, states: ["failed"], after: 0, within: 4, until: 20}]}]}""", 18)
+    "x"}, states: ["failed"], after: 0, within: 4, until: 20}]}]}""",
+    18,
+)
 HALVES = scenario("""{seconds: 40, rounds: [{at: 0, steps: [{at: 0, do: "mark", who: {half: 1}, as: "x"},
     {at: 0, do: "rule", from: "x", to: {rest: "x"}, both: true, set: {cut: true}}, {at: 20, do: "clear"}],
     expect: [ {what: "agree", by: "all", of: "all", states: ["alive"], after: 20, within: 5, until:
@@ -180,8 +202,13 @@
 def forget(make):
     """A forgotten one does not come back by old rows that are on their way for 10 s and more."""
     changes, names = [], [f"n{n}" for n in range(6)]
-    fleet = Fleet(names, 1, Figures(remember=6 * SECOND), make=make,
-                  watch=lambda now, name, effect: changes.append((now, name, effect)))
+    fleet = Fleet(
+        names,
+        1,
+        Figures(remember=6 * SECOND),
+        make=make,
+        watch=lambda now, name, effect: changes.append((now, name, effect)),
+    )
     for name in names:
         fleet.start(name)
     fleet.run(4 * SECOND)
@@ -274,8 +301,9 @@
     """What a predecessor heard proves no contact with its successor."""
     one = make("me", "f", "127.0.0.1:7400", [], Figures(), random.Random(1), 1000, 0)
     two = msgspec.structs.replace(ROW, session=6, began=2000, incarnation=2000)
-    got = lambda row, seq, session, echo, now: one.reduce(now, (
-        "got", ("127.0.0.2", 7400), wire.pack("f", wire.Beat(row, seq, session, echo, 0, []))))
+    got = lambda row, seq, session, echo, now: one.reduce(
+        now, ("got", ("127.0.0.2", 7400), wire.pack("f", wire.Beat(row, seq, session, echo, 0, [])))
+    )
     got(ROW, 1, 0, 0, 1)
     for n in range(1, 20):
         one.reduce(n * 100_000, ("tick",))
@@ -372,8 +400,7 @@
 DEFECTS = {
     "incarnation not raised over what is remembered": (clock_back, planted(raise_over=no_raise)),
     "two of one name: none yields": (twins, planted(give_way=lambda self, row: None)),
-    "a sleeper is not told that its name is taken": (
-        sleeper, planted(give_way=lambda self, row: None)),
+    "a sleeper is not told that its name is taken": (sleeper, planted(give_way=lambda self, row: None)),
     "trusts what it believed before a pause": (STOP, planted(on_gap=lambda self, now, gap: None)),
     "a clock that does not count suspension": (STOP, planted(reduce=stopped_clock)),
     "isolation is not told": (DEAF, planted(set_isolated=lambda self, isolated, why: None)),
@@ -381,13 +408,18 @@
     "news never age": (bytes_calm, planted(beat=news_for_ever)),
     "a forgotten one comes back": (forget, planted(forget=no_tombs)),
     "any incarnation is taken": (absurd, planted(learn=any_age)),
-    "newcomers are told of the failed": (JOIN, planted(
-        digest=property(sum_of_all, no_keeping), on_sync=tells_all)),
+    "newcomers are told of the failed": (
+        JOIN,
+        planted(digest=property(sum_of_all, no_keeping), on_sync=tells_all),
+    ),
     "no bound on datagrams": (flood, planted(send=no_bound)),
     "an echo of another session counts": (successor, planted(on_beat=any_echo)),
 }
-VERDICTS = {"only the own links count": (PAIR, judge_alone), "one observer is enough": (PAIR, judge_anyone),
-            "who is out accuses": (ZONE, judge_for_me)}
+VERDICTS = {
+    "only the own links count": (PAIR, judge_alone),
+    "one observer is enough": (PAIR, judge_anyone),
+    "who is out accuses": (ZONE, judge_for_me),
+}
 
 
 @pytest.mark.parametrize("name", DEFECTS)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -44,22 +44,25 @@
 
 
 def test_settings_that_cannot_hold_their_bound_are_refused_with_the_arithmetic():
-    good = {"fleet": {"name": "x", "listen": "127.0.0.1:7400"},
-            "limits": [{"name": "store", "in_hand": 40, "floor": 1}],
-            "quota": {"planners": ["127.0.0.2:7400"], "most": 20}}
+    good = {
+        "fleet": {"name": "x", "listen": "127.0.0.1:7400"},
+        "limits": [{"name": "store", "in_hand": 40, "floor": 1}],
+        "quota": {"planners": ["127.0.0.2:7400"], "most": 20},
+    }
     assert checked(good, "F").limits[0].in_hand == 40
     for quota, limit, said in [
-            ({"most": 41}, {}, "1 x 41 (most) = 41 is more than the limit of 40"),
-            ({"life_ms": 1000}, {}, "1000 ms is less than 3 x round_ms = 1500 ms"),
-            ({"planners": ["127.0.0.2:1", "127.0.0.3:1"]}, {}, "a majority of 1, 3 or 5 is needed"),
-            ({"planners": ["127.0.0.2:1"] * 3}, {}, "its vote would count double"),
-            ({"lease_ms": 300}, {}, "at least 500 ms"),
-            ({"slack_ms": 2000}, {}, "more than a quarter of life_ms"),
-            ({}, {"counts": "rpcs"}, "an RPC in hand can't be ended with a grant"),
-            ({}, {"rate": 3, "burst": 30}, "in_hand or rate has to be told, and not both"),
-            ({}, {"in_hand": 0}, "limits.0.in_hand: 0:"),
-            ({}, {"method": "x"}, "method and dispatcher are of RPCs"),
-            ({}, {"in_hnd": 3}, "limits.0.in_hnd: no such setting; the nearest is in_hand")]:
+        ({"most": 41}, {}, "1 x 41 (most) = 41 is more than the limit of 40"),
+        ({"life_ms": 1000}, {}, "1000 ms is less than 3 x round_ms = 1500 ms"),
+        ({"planners": ["127.0.0.2:1", "127.0.0.3:1"]}, {}, "a majority of 1, 3 or 5 is needed"),
+        ({"planners": ["127.0.0.2:1"] * 3}, {}, "its vote would count double"),
+        ({"lease_ms": 300}, {}, "at least 500 ms"),
+        ({"slack_ms": 2000}, {}, "more than a quarter of life_ms"),
+        ({}, {"counts": "rpcs"}, "an RPC in hand can't be ended with a grant"),
+        ({}, {"rate": 3, "burst": 30}, "in_hand or rate has to be told, and not both"),
+        ({}, {"in_hand": 0}, "limits.0.in_hand: 0:"),
+        ({}, {"method": "x"}, "method and dispatcher are of RPCs"),
+        ({}, {"in_hnd": 3}, "limits.0.in_hnd: no such setting; the nearest is in_hand"),
+    ]:
         wrong = {**good, "quota": {**good["quota"], **quota}, "limits": [{**good["limits"][0], **limit}]}
         with pytest.raises(Wrong) as raised:
             checked(wrong, "F")
@@ -113,8 +116,18 @@
     for turn in range(20):
         for n in (1, 2):
             now += 250_000
-            part = ask(one, now, f"n{n}", n, turn + 1, one.term, held[n][0], held[n][1],
-                       wants=40 if turn % 2 == n % 2 else 0, oldest=turn + 1)
+            part = ask(
+                one,
+                now,
+                f"n{n}",
+                n,
+                turn + 1,
+                one.term,
+                held[n][0],
+                held[n][1],
+                wants=40 if turn % 2 == n % 2 else 0,
+                oldest=turn + 1,
+            )
             held[n] = part.number, part.amount
         parts = [held[n][1] for n in (1, 2)]
         if turn > 6:
@@ -137,8 +150,16 @@
 def test_another_fleet_on_the_same_address_is_not_heard():
     one, now = elected({})
     before = dict(one.holders)
-    said = one.reduce(now + 1, ("got", NODE, base.sealed(wire.CHANNEL, "g", wire.Want(
-        "n1", 1, 1, 1, False, [wire.Line("store", 0, 0, 0, 9, 0)]))))
+    said = one.reduce(
+        now + 1,
+        (
+            "got",
+            NODE,
+            base.sealed(
+                wire.CHANNEL, "g", wire.Want("n1", 1, 1, 1, False, [wire.Line("store", 0, 0, 0, 9, 0)])
+            ),
+        ),
+    )
     assert not said and one.holders == before and one.counts["another fleet"] == 1
 
 
@@ -157,6 +178,7 @@
 
         def in_hand(self, leased):
             return self.hands[leased]
+
     meter, store = Calls(Limit("store", 9, 1), 20_000), Store()
     meter.now = 1_000_000
     assert meter.room(store) == 1 and meter.take(store) == (False, None)
@@ -231,13 +253,15 @@
     assert max(greedy(defect, seed) for seed in range(3)) > 40
 
 
-def loose_run(make=None, per="in_hand", cut=(), seconds=30, seed=1, holders=6, over=1.0, start=(),
-              takes=300_000):
+def loose_run(
+    make=None, per="in_hand", cut=(), seconds=30, seed=1, holders=6, over=1.0, start=(), takes=300_000
+):
     """Loose limits with demand that jumps; `cut`: the members of one side, from 10 to 25 s; `start`: those
     that start later; `takes`: a call. Raises where it is beyond the bound."""
     limit = Limit("store", 48, mode="loose", per=per, burst=20 if per == "rate" else 0)
-    fleet = Shares(seed, 0, holders, Quota(limits=(limit,), most=holders + 2, over=over), make, mode="loose",
-                   per=per)
+    fleet = Shares(
+        seed, 0, holders, Quota(limits=(limit,), most=holders + 2, over=over), make, mode="loose", per=per
+    )
     chance, fleet.takes = random.Random(f"demand {seed}"), takes
     for name in fleet.processes:
         if name not in start:
@@ -310,10 +334,18 @@
 
 
 def in_hand_ignored(self, now, member, held):
-    notes, member.notes = member.notes, {
-        key: Heard(msgspec.structs.replace(held.note, values=[
-            (ident, 0, wants) for ident, _, wants in held.note.values]), held.born)
-        for key, held in member.notes.items()}
+    notes, member.notes = (
+        member.notes,
+        {
+            key: Heard(
+                msgspec.structs.replace(
+                    held.note, values=[(ident, 0, wants) for ident, _, wants in held.note.values]
+                ),
+                held.born,
+            )
+            for key, held in member.notes.items()
+        },
+    )
     part = Loose.part(self, now, member, held)
     member.notes = notes
     return part
@@ -326,8 +358,10 @@
 
 def wants_at_once(make, **more):
     """The own want counts before others heard of it."""
+
     class Held(loose.Held):
         settled = wants_count_at_once
+
     before, loose.Held = loose.Held, Held
     try:
         return loose_run(make, **more)
@@ -355,15 +389,30 @@
     "the own want counts at once": (wants_at_once, {}, {}, 50),
     "each side takes the whole": (takes_the_whole, {}, {"cut": (0, 1, 2), "over": 0.0}, 53),
     "each side takes the whole of a rate": (
-        takes_the_whole, {}, {"per": "rate", "cut": (0, 1, 2), "over": 0.0}, 20),
+        takes_the_whole,
+        {},
+        {"per": "rate", "cut": (0, 1, 2), "over": 0.0},
+        20,
+    ),
     "who is not heard is reckoned to want nothing": (
-        loose_run, {"look": unheard_want_nothing}, {"cut": (0, 1, 2), "over": 0.0}, 53),
-    "who starts takes its part at once": (
-        loose_run, {"look": joins_at_once}, {"start": ("n4", "n5")}, 50),
+        loose_run,
+        {"look": unheard_want_nothing},
+        {"cut": (0, 1, 2), "over": 0.0},
+        53,
+    ),
+    "who starts takes its part at once": (loose_run, {"look": joins_at_once}, {"start": ("n4", "n5")}, 50),
     "what others have in hand is not looked at": (
-        loose_run, {"part": in_hand_ignored}, {"takes": 4_000_000}, 53),
+        loose_run,
+        {"part": in_hand_ignored},
+        {"takes": 4_000_000},
+        53,
+    ),
     "what is seen now counts while sides come together": (
-        loose_run, {"look": counts_what_it_sees_now}, {"cut": (0, 1, 2), "over": 0.0}, 53),
+        loose_run,
+        {"look": counts_what_it_sees_now},
+        {"cut": (0, 1, 2), "over": 0.0},
+        53,
+    ),
 }
 
 
@@ -405,6 +454,7 @@
 
 # ---- planted defects
 
+
 def planted(of, methods):
     """A class that can be pickled: the exhaustive check copies states so."""
     made = type(f"Planted{len(PLANTED)}", (of,), {**methods, "__module__": __name__})
@@ -476,8 +526,7 @@
     for held in self.held.values():
         if said.term != held.term:
             held.term, held.number = 0, 0
-            self.asks = {seq: (when, dict.fromkeys(then, (0, 0)))
-                         for seq, (when, then) in self.asks.items()}
+            self.asks = {seq: (when, dict.fromkeys(then, (0, 0))) for seq, (when, then) in self.asks.items()}
     Holder.on_grant(self, now, said)
 
 
@@ -519,8 +568,15 @@
 
 
 def ask(one, now, name, session, seq, term=0, number=0, amount=0, wants=40, oldest=0):
-    said = one.reduce(now, got(wire.Want(name, session, seq, oldest, False, [
-        wire.Line("store", term, number, amount, wants, 0)]), NODE))
+    said = one.reduce(
+        now,
+        got(
+            wire.Want(
+                name, session, seq, oldest, False, [wire.Line("store", term, number, amount, wants, 0)]
+            ),
+            NODE,
+        ),
+    )
     return next((each.parts[0] for each in sent(said) if isinstance(each, wire.Grant)), None)
 
 
@@ -592,6 +648,7 @@
             except Breach as breach:
                 return [breach]
         return []
+
     return play
 
 
@@ -672,8 +729,12 @@
 def test_a_process_stopped_at_the_write_sends_one_call_too_late_and_the_store_ends_it():
     """The stated remainder, on a real process: one call, with the time limit that the store ends it by."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        child = subprocess.Popen([sys.executable, "-c", AT_THE_WRITE, str(listener.getsockname()[1])],
-                                 stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        child = subprocess.Popen(
+            [sys.executable, "-c", AT_THE_WRITE, str(listener.getsockname()[1])],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
         try:
             link, _ = listener.accept()
             link.settimeout(10)
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -38,6 +38,7 @@
         assert len(out) - len(there) == count, "the other direction has no rule"
         assert run.counts.setdefault(str(rule), fabric.total()) == fabric.total()
         return there, fabric.pair("a", "b").counts
+
     run.counts = {}
     for _ in range(2):
         there, counts = run({"lose": 0.3, "double": 0.1})
@@ -55,8 +56,15 @@
 def test_the_checker_finds_what_is_late_changes_or_never_comes():
     def held(events, **changed):
         hold = msgspec.structs.replace(Held("x", "agree", ["b"], ["a"], 1.0, 2.0, 9.0, ["failed"]), **changed)
-        return check(History([Event(0, "a", "began")] + [Event(int(t * 1e6), "a", kind, "b", value)
-                                                        for t, kind, value in events]), hold, 0)
+        return check(
+            History(
+                [Event(0, "a", "began")]
+                + [Event(int(t * 1e6), "a", kind, "b", value) for t, kind, value in events]
+            ),
+            hold,
+            0,
+        )
+
     assert held([(2, "state", "failed")]).breach is None
     assert held([(2, "state", "failed")]).times == [1.0]
     assert held([(4, "state", "failed")]).breach and held([]).breach
@@ -109,9 +117,10 @@
     path, log = tmp_path / "n0.json5", tmp_path / "n0.1.log"
     good = path.read_text()
     for text, line in [
-            (good.replace("200", "2"), "fleet.period_ms: 2: Expected `int` >= 100"),
-            (good.replace(":7400", ":7401"), "fleet.listen: waits for the next start"),
-            (good.replace("200", "300"), "settings taken")]:
+        (good.replace("200", "2"), "fleet.period_ms: 2: Expected `int` >= 100"),
+        (good.replace(":7400", ":7401"), "fleet.listen: waits for the next start"),
+        (good.replace("200", "300"), "settings taken"),
+    ]:
         path.write_text(text)
         fleet.hang_up("n0")
         until(lambda: line in log.read_text())
@@ -121,8 +130,12 @@
             sock.sendto(b"Mrubbish", (fleet.own("n0"), 7400))
     until(lambda: view("n0")["counts"].get("spoilt") == 20)
     until(lambda: view("n0")["counts"].get("of an unknown channel") == 20)
-    said = subprocess.run([sys.executable, "-m", "finchcart", "fleet", "members", f"{fleet.own('n0')}:7400",
-                           "--json"], capture_output=True, text=True, check=True)
+    said = subprocess.run(
+        [sys.executable, "-m", "finchcart", "fleet", "members", f"{fleet.own('n0')}:7400", "--json"],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     told = json.loads(said.stdout)
     assert set(told) >= {"name", "incarnation", "isolated", "age_ms", "members"} and told["name"] == "n0"
     assert set(told["members"][0]) == {"name", "address", "state", "incarnation", "age_ms"}
@@ -139,6 +152,7 @@
             self.got += what[0] == "got"
             self.ended = self.ended or what[0] == "end"
             return []
+
     machine = Machine()
     made = Datagrams(("127.0.0.1", 0), lambda now: {b"x": machine}, lambda change: None, lambda: [])
     made.start()
@@ -152,10 +166,12 @@
 
 
 def test_a_node_without_arguments_imports_none_of_this():
-    code = ("import finchcart.__main__, sys\n"
-            "new = ('finchcart.members', 'finchcart.trial', 'finchcart.cli', 'finchcart.world',\n"
-            "       'finchcart.quota', 'finchcart.verdicts', 'finchcart.claims', 'finchcart.node.witness',\n"
-            "       'finchcart.net.datagrams', 'msgspec', 'click', 'json5', 'xxhash')\n"
-            "print([name for name in sys.modules if name.startswith(new)])")
+    code = (
+        "import finchcart.__main__, sys\n"
+        "new = ('finchcart.members', 'finchcart.trial', 'finchcart.cli', 'finchcart.world',\n"
+        "       'finchcart.quota', 'finchcart.verdicts', 'finchcart.claims', 'finchcart.node.witness',\n"
+        "       'finchcart.net.datagrams', 'msgspec', 'click', 'json5', 'xxhash')\n"
+        "print([name for name in sys.modules if name.startswith(new)])"
+    )
     said = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert said.stdout.strip() == "[]"
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -54,8 +54,9 @@
 
 
 def test_the_store_is_down_where_most_of_those_that_know_say_so_and_never_by_one():
-    held = lambda *said, figures=FIGURES: decide(
-        voices(*said), figures, len(said)).get(STORE_ITSELF, (None,))[0]
+    held = lambda *said, figures=FIGURES: decide(voices(*said), figures, len(said)).get(
+        STORE_ITSELF, (None,)
+    )[0]
     assert held(store(DOWN), store(DOWN), store(WORKING)) == DOWN
     assert held(store(DOWN), store(WORKING), store(WORKING)) == WORKING
     assert held(store(DOWN), [], []) is None, "one alone"
@@ -71,7 +72,8 @@
 def test_a_source_needs_many_voices_and_what_carries_much_is_not_shut_out_by_opinions():
     said = lambda subject, percent=1, value=OUT: [(subject, value, percent * MILLION + 5)]
     held = lambda *each: {
-        one: value for one, (value, *_) in decide(voices(*each), FIGURES, len(each)).items()}
+        one: value for one, (value, *_) in decide(voices(*each), FIGURES, len(each)).items()
+    }
     nobody = [[]] * 9
     assert held(*[said(BAD)] * 3, *nobody) == {BAD: OUT} and held(*[said(BAD)] * 2, *nobody) == {}
     assert held(*[said(BAD, 40)] * 5, *nobody) == {}, "two fifths of all RPCs come from it"
@@ -82,8 +84,9 @@
 
 def test_a_node_stands_apart_from_the_others_and_only_a_part_may_be_out():
     me = lambda n, failed=0, time=1000: [(subjects.node(f"n{n}"), failed, time)]
-    out = lambda *each: {one for one, (value, *_) in decide(voices(*each), FIGURES, len(each)).items()
-                         if value == OUT}
+    out = lambda *each: {
+        one for one, (value, *_) in decide(voices(*each), FIGURES, len(each)).items() if value == OUT
+    }
     assert out(me(0, 100), *map(me, range(1, 8))) == {subjects.node("n0")}
     assert out(me(0, 0, 9000), *map(me, range(1, 8))) == {subjects.node("n0")}
     assert len(out(*(me(n, 100) for n in range(3)), *map(me, range(3, 10)))) == 2, "a fifth at most"
@@ -91,8 +94,9 @@
 
 
 def test_the_level_is_the_lower_median_which_fewer_than_half_can_not_move():
-    level = lambda *each: decide(voices(*([(LEVEL_ITSELF, value, 0)] for value in each)), FIGURES,
-                                 len(each)).get(LEVEL_ITSELF, (0,))[0]
+    level = lambda *each: decide(
+        voices(*([(LEVEL_ITSELF, value, 0)] for value in each)), FIGURES, len(each)
+    ).get(LEVEL_ITSELF, (0,))[0]
     assert level(0, 0, 0, 1000, 1000) == 0 and level(300, 300, 300, 0, 0) == 300
     assert level(200, 400, 600, 800) == 400
 
@@ -138,8 +142,15 @@
 
 def test_notes_merge_alike_in_any_order_and_any_number_of_times():
     rng = random.Random(5)
-    notes = [(base.Note(base.id_of(rng.choice("bcd")), rng.randrange(3), 10**12, n, rng.randrange(1000), [],
-                        b"%d" % n), rng.choice((None, 10, 500))) for n in range(30)]
+    notes = [
+        (
+            base.Note(
+                base.id_of(rng.choice("bcd")), rng.randrange(3), 10**12, n, rng.randrange(1000), [], b"%d" % n
+            ),
+            rng.choice((None, 10, 500)),
+        )
+        for n in range(30)
+    ]
     held = []
     for _ in range(20):
         said = notes + rng.choices(notes, k=20)
@@ -166,8 +177,13 @@
 
 def test_words_merge_alike_in_any_order_and_the_newer_stands():
     rng = random.Random(6)
-    said = [(wire.Said(rng.choice((BAD, GOOD)), rng.choice((0, SLOWED, OUT)), n // 3, 7, n, 10**9, "w"),
-             rng.randrange(10**8, 10**9)) for n in range(20)]
+    said = [
+        (
+            wire.Said(rng.choice((BAD, GOOD)), rng.choice((0, SLOWED, OUT)), n // 3, 7, n, 10**9, "w"),
+            rng.randrange(10**8, 10**9),
+        )
+        for n in range(20)
+    ]
     held = []
     for _ in range(20):
         board = Board("a", "f", FIGURES, 0)
@@ -183,10 +199,12 @@
     one = a_member()
     board = Board("a", "f", FIGURES, 0)
     board.member = one
+
     def hear(number, said, now, name="b"):
         data = wire.encoded(said)
         one.hear_note(now, base.Note(base.id_of(name), wire.OPINIONS, 10**12, number, 0, [], data), 0)
         return board.gather(now, False).get(base.id_of(name))
+
     own = subjects.node("b"), 0, 5
     assert hear(1, [(subjects.node("c"), 100, 5), own], 0) == [own]
     now = 0
@@ -291,21 +309,26 @@
 
 DEFECTS = {
     "a note is dated by its arrival": dict(kinds=("late",), changes=[(Member, "hear_note", not_dated)]),
-    "a note is passed on as new": dict(kinds=("down", "late"), changes=[
-        (Member, "take_notes", passed_on_as_new)]),
-    "a woken node keeps what it held": dict(kinds=("woken",), changes=[
-        (Board, "on_gap", keeps_what_it_held)]),
+    "a note is passed on as new": dict(
+        kinds=("down", "late"), changes=[(Member, "take_notes", passed_on_as_new)]
+    ),
+    "a woken node keeps what it held": dict(
+        kinds=("woken",), changes=[(Board, "on_gap", keeps_what_it_held)]
+    ),
     "a verdict does not stand for a while": dict(kinds=("flaps",), changes=[(boards, "Held", NoHold)]),
     "a few are enough for the store": dict(kinds=("zone",), figures=replace(SHORT, part=0.05)),
-    "one voice is enough for a source": dict(kinds=("few_lie",), figures=replace(
-        SHORT, count=1, source_part=0.0)),
+    "one voice is enough for a source": dict(
+        kinds=("few_lie",), figures=replace(SHORT, count=1, source_part=0.0)
+    ),
     "the strictest level counts": dict(kinds=("few_lie",), changes=[(Rule(), "median_low", max)]),
     "more may be out at once": dict(kinds=("fail",), changes=[(Rule(), "of_nodes", all_are_out)]),
-    "a node is out before others were heard": dict(kinds=("fail",), seeds=range(8), changes=[
-        (Board, "acts_within", lambda self: 0)]),
+    "a node is out before others were heard": dict(
+        kinds=("fail",), seeds=range(8), changes=[(Board, "acts_within", lambda self: 0)]
+    ),
     "the last word heard stands": dict(kinds=("words",), changes=[(Board, "take", the_last_word)]),
-    "a word is no newer than another": dict(kinds=("words",), changes=[
-        (Board, "on_say", word_without_number)]),
+    "a word is no newer than another": dict(
+        kinds=("words",), changes=[(Board, "on_say", word_without_number)]
+    ),
 }
 
 
@@ -369,8 +392,11 @@
 def test_a_source_that_is_out_is_pushed_back_at_once_and_one_that_is_slowed_beyond_its_rate():
     far = witnessed(advice_max=1000 * MS, cores=64, crowd=64)
     holds(far, sources={BAD: OUT, subjects.subject(subjects.NUMBER, 5): OUT, GOOD: SLOWED})
-    tries = [far.submit(far.open("10.0.0.7")), far.submit(far.open("10.0.0.9"), f="5"),
-             far.submit(far.open("10.0.0.9"))]
+    tries = [
+        far.submit(far.open("10.0.0.7")),
+        far.submit(far.open("10.0.0.9"), f="5"),
+        far.submit(far.open("10.0.0.9")),
+    ]
     link = far.open("10.0.0.8")
     tries += [far.submit(link) for _ in range(8)]
     far.step(MS)
@@ -392,11 +418,17 @@
         step(dt)
         if rng.random() < 0.05 and not far.ended:
             here = subjects.source("127.0.0.1")
-            holds(far, store=rng.choice((WORKING, SLOW, DOWN)), level=rng.choice((0.0, 0.0, 0.3, 0.9)),
-                  out=rng.random() < 0.2, sources=rng.choice(({}, {}, {here: SLOWED}, {here: OUT})))
+            holds(
+                far,
+                store=rng.choice((WORKING, SLOW, DOWN)),
+                level=rng.choice((0.0, 0.0, 0.3, 0.9)),
+                out=rng.random() < 0.2,
+                sources=rng.choice(({}, {}, {here: SLOWED}, {here: OUT})),
+            )
         if rng.random() < 0.05 and not far.ended:
             name = rng.choice(("trial", "calls"))
             far.feed("fleet", ("allow", name, 0, rng.randrange(3), far.now + SECOND))
+
     far.step = stepped
     play(far, rng)
     assert far.seen
@@ -409,8 +441,14 @@
     node = Node(settings, seed)
     for step in range(500):
         if rng.random() < 0.05:
-            node.told = rng.choice(({}, {"below_down": True, "calls_room": rng.randrange(3)},
-                                    {"told_level": rng.random()}, {"told_out": True}))
+            node.told = rng.choice(
+                (
+                    {},
+                    {"below_down": True, "calls_room": rng.randrange(3)},
+                    {"told_level": rng.random()},
+                    {"told_out": True},
+                )
+            )
         node.step(node.settings["tick"] * rng.randint(1, 4))
         node.check()
         one_step(node, rng, rng.choice((2, 6)))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -88,30 +88,40 @@
     return {f"methods.{n}.latency_target": ms * MS for n in (0, 1)}
 
 
-@pytest.mark.parametrize("kind, watched, told, waited", [
-    (watch.TAKEN_WOULD_PUSH_BACK, targets(5), {}, 0),
-    (watch.PUSHED_BACK_WOULD_TAKE, targets(1000), targets(5), 0),
-    (watch.GIVEN_UP, {"can_stop": True, "can_pause": True}, {}, 0),
-    (watch.ADVICE, {"marks_further": False}, {}, 0),
-    (watch.TOLD, {"told": "credit"}, {}, 0),
-    (watch.HEALTH, targets(400), {}, 300 * MS),
-])
+@pytest.mark.parametrize(
+    "kind, watched, told, waited",
+    [
+        (watch.TAKEN_WOULD_PUSH_BACK, targets(5), {}, 0),
+        (watch.PUSHED_BACK_WOULD_TAKE, targets(1000), targets(5), 0),
+        (watch.GIVEN_UP, {"can_stop": True, "can_pause": True}, {}, 0),
+        (watch.ADVICE, {"marks_further": False}, {}, 0),
+        (watch.TOLD, {"told": "credit"}, {}, 0),
+        (watch.HEALTH, targets(400), {}, 300 * MS),
+    ],
+)
 def test_each_kind_is_counted_where_settings_must_differ(kind, watched, told, waited):
     assert crowded(watched, {**PLAIN, **told}, waited)[kind] > 0
     assert not any(crowded({}, {**PLAIN, **told}, waited).values())
 
 
-@pytest.mark.parametrize("name, value, words", [
-    ("watch", 5, "watch: 5: expected an object"),
-    ("watch", {"settings": {}, "period_ms": 1}, "watch.period_ms: 1: expected a number from 100 to 86400000"),
-    ("watch", {"settings": {"familyInfo": {"say": "loud"}}}, "familyInfo.say: 'loud': expected one of"),
-    ("settings", {"familyInfo": {"preemption": True}}, "familyInfo.preemption: True: expected one of"),
-    ("settings", {"familyInfo": {"below": "floor"}}, "familyInfo.below: 'floor'"),
-    ("settings", {"familyInfo": {"heeded": -1}}, "familyInfo.heeded: -1: expected a number"),
-    ("settings", {"familyInfo": {"worthWithout": [0.6, "x"]}}, "familyInfo.worthWithout: (0.6, 'x')"),
-    ("settings", {"callers": {"marksRetry": "yes"}}, "callers.marksRetry: 'yes': expected true or false"),
-    ("settings", {"services": [{"effect": "odd"}]}, "services.0.effect: 'odd': expected one of"),
-])
+@pytest.mark.parametrize(
+    "name, value, words",
+    [
+        ("watch", 5, "watch: 5: expected an object"),
+        (
+            "watch",
+            {"settings": {}, "period_ms": 1},
+            "watch.period_ms: 1: expected a number from 100 to 86400000",
+        ),
+        ("watch", {"settings": {"familyInfo": {"say": "loud"}}}, "familyInfo.say: 'loud': expected one of"),
+        ("settings", {"familyInfo": {"preemption": True}}, "familyInfo.preemption: True: expected one of"),
+        ("settings", {"familyInfo": {"below": "floor"}}, "familyInfo.below: 'floor'"),
+        ("settings", {"familyInfo": {"heeded": -1}}, "familyInfo.heeded: -1: expected a number"),
+        ("settings", {"familyInfo": {"worthWithout": [0.6, "x"]}}, "familyInfo.worthWithout: (0.6, 'x')"),
+        ("settings", {"callers": {"marksRetry": "yes"}}, "callers.marksRetry: 'yes': expected true or false"),
+        ("settings", {"services": [{"effect": "odd"}]}, "services.0.effect: 'odd': expected one of"),
+    ],
+)
 def test_a_setting_that_can_not_be_is_named_with_its_value_and_what_is_expected(tmp_path, name, value, words):
     with open("example/config.json", encoding="utf-8") as file:
         config = json.load(file)
@@ -124,7 +134,23 @@
 
 
 def test_settings_of_the_new_shape_reach_the_module_from_a_configuration():
-    told = settings.from_json({"callers": {"marksRetry": False}, "familyInfo": {
-        "below": "tier", "preemption": "pause", "say": "credit", "heeded": 1000000, "tellsGone": None}})
-    assert told == {"marks_further": False, "below": "tier", "can_stop": True, "can_pause": True,
-                    "told": "credit", "told_heeded": 1000000}
+    told = settings.from_json(
+        {
+            "callers": {"marksRetry": False},
+            "familyInfo": {
+                "below": "tier",
+                "preemption": "pause",
+                "say": "credit",
+                "heeded": 1000000,
+                "tellsGone": None,
+            },
+        }
+    )
+    assert told == {
+        "marks_further": False,
+        "below": "tier",
+        "can_stop": True,
+        "can_pause": True,
+        "told": "credit",
+        "told_heeded": 1000000,
+    }
