Name the packages for what they hold: membership, consensus, key_leases and two more

members, verdicts, claims, world and trial become membership, consensus, key_leases, simulated_peers and fault_injection, tree-wide with tests and docs; commands, options, settings and bytes keep their words. The two tests that hold what run must not import name the packages as they are now.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -14,11 +14,11 @@
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 
-from finchcart.claims import wire
-from finchcart.claims.figures import SECOND, Figures
-from finchcart.claims.keeper import Keeper
-from finchcart.members import wire as base
-from finchcart.trial.claiming import explore, one
+from finchcart.fault_injection.claiming import explore, one
+from finchcart.key_leases import wire
+from finchcart.key_leases.figures import SECOND, Figures
+from finchcart.key_leases.keeper import Keeper
+from finchcart.membership import wire as base
 
 KINDS = {1: "mine", 2: "held elsewhere", 3: "result elsewhere", 4: "failed elsewhere", 6: "no majority"}
 
--- a/benchmarks/cold_ramp.py
+++ b/benchmarks/cold_ramp.py
@@ -26,8 +26,8 @@
 
 from benchmarks import far
 from benchmarks.rpc import SETTINGS, free
-from finchcart.world.client import Client
-from finchcart.world.outside import Pool
+from finchcart.simulated_peers.client import Client
+from finchcart.simulated_peers.outside import Pool
 
 # callsOut of each, callsOver, a call's time, cold for so long, from this part of the speed
 SHARE, WINDOW, CALL, COLD, START = 2.0, 1.0, 0.1, 4.0, 0.2
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -17,10 +17,10 @@
 import time
 from pathlib import Path
 
-from finchcart.members import member, view
-from finchcart.members.figures import SECOND, Figures
-from finchcart.trial.script import Act, Load, Plan, Script
-from finchcart.trial.virtual import Fleet
+from finchcart.fault_injection.script import Act, Load, Plan, Script
+from finchcart.fault_injection.virtual import Fleet
+from finchcart.membership import member, view
+from finchcart.membership.figures import SECOND, Figures
 
 
 def know_each_other(fleet):
@@ -147,7 +147,7 @@
 
 def cost(seconds, rate):
     """Rows with and without membership: CPU and memory of 24 nodes, latency of their RPCs."""
-    from finchcart.trial.run import on_processes
+    from finchcart.fault_injection.run import on_processes
 
     rows = []
     for talk in (True, False, True, False):
@@ -192,9 +192,9 @@
 def rules(nodes):
     """Changes of verdict on those that are to stay, and after the verdict on those that are out, by rule,
     over the script `cuts`; and failed verdicts at 30 % loss."""
-    from finchcart.trial.check import History, check
-    from finchcart.trial.run import on_virtual
-    from finchcart.trial.script import lay_out, read
+    from finchcart.fault_injection.check import History, check
+    from finchcart.fault_injection.run import on_virtual
+    from finchcart.fault_injection.script import lay_out, read
 
     rows = []
     for name, rule in (
--- a/benchmarks/quota.py
+++ b/benchmarks/quota.py
@@ -18,9 +18,9 @@
 from functools import partial
 
 from benchmarks.by_round import bars, beside, table
+from finchcart.fault_injection.explore import DRIFTS, explore
+from finchcart.fault_injection.shares import Shares, jump, one
 from finchcart.quota.limits import SECOND, Limit, Quota
-from finchcart.trial.explore import DRIFTS, explore
-from finchcart.trial.shares import Shares, jump, one
 
 
 def seeds(count, jobs, mode, per, drift):
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -24,8 +24,8 @@
 
 from benchmarks import far
 from benchmarks.rpc import SETTINGS, free
-from finchcart.world.client import Client
-from finchcart.world.outside import Pool, Registry, Store
+from finchcart.simulated_peers.client import Client
+from finchcart.simulated_peers.outside import Pool, Registry, Store
 
 METHODS = {"read": True, "write": False}
 
--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -16,8 +16,8 @@
 from pathlib import Path
 
 from benchmarks.by_round import bars, beside, table
-from finchcart.members.figures import SECOND
-from finchcart.trial.beliefs import Beliefs, is_down, one
+from finchcart.fault_injection.beliefs import Beliefs, is_down, one
+from finchcart.membership.figures import SECOND
 
 
 def seeds(first, count, jobs, rounds):
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -90,8 +90,8 @@
         )
     held = verdicts(whole)
     if held:
-        from finchcart.verdicts.decide import least_liars
-        from finchcart.verdicts.figures import warnings
+        from finchcart.consensus.decide import least_liars
+        from finchcart.consensus.figures import warnings
 
         for count in (3, 24, 200):
             calm, lossy = (held.acts_within(told, count, loss) / 1e6 for loss in (0.0, 0.3))
@@ -128,7 +128,7 @@
 
 def answer(ask, where, as_json):
     """What the process at HOST:PORT answers to `ask`; with `as_json` it is printed, and that is all."""
-    from finchcart.members.wire import Unfit, place_of
+    from finchcart.membership.wire import Unfit, place_of
 
     try:
         view = ask(place_of(where))
@@ -199,8 +199,8 @@
     """Tells an operator's word to one node, which tells all."""
     from finchcart.cli.file import Wrong, read
     from finchcart.cli.serve import say as tell
-    from finchcart.members.wire import Unfit, place_of
-    from finchcart.verdicts import subjects
+    from finchcart.consensus import subjects
+    from finchcart.membership.wire import Unfit, place_of
 
     try:
         subject = subjects.read(kind, name)
@@ -267,7 +267,7 @@
 @trial.command("list")
 def list_scripts():
     """The scripts that come with the program."""
-    from finchcart.trial.script import shipped
+    from finchcart.fault_injection.script import shipped
 
     for name, script in shipped():
         click.echo(f"{name:20} {script.about}")
@@ -299,7 +299,7 @@
     """Play a script: a table, a chart, and status 1 with the first breach."""
     import signal
 
-    from finchcart.trial.run import play, told_to_end
+    from finchcart.fault_injection.run import play, told_to_end
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, told_to_end)
@@ -312,7 +312,7 @@
 @click.option("--jobs", default=4, show_default=True, help="processes")
 def seeds(first, count, jobs):
     """Seeded runs of 12 members with all kinds of faults on the virtual clock."""
-    from finchcart.trial.seeds import many
+    from finchcart.fault_injection.seeds import many
 
     broken = 0
     for seed, _, breach in many(first, count, jobs):
--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -11,11 +11,11 @@
 import msgspec
 from msgspec import UNSET, Meta, Struct, UnsetType
 
-from finchcart.claims import figures as claims_of
-from finchcart.members.figures import MS, SECOND, Figures
-from finchcart.members.wire import Unfit, place_of
+from finchcart.consensus import figures as verdicts_of
+from finchcart.key_leases import figures as claims_of
+from finchcart.membership.figures import MS, SECOND, Figures
+from finchcart.membership.wire import Unfit, place_of
 from finchcart.quota import limits as limits_of
-from finchcart.verdicts import figures as verdicts_of
 
 Text = Annotated[str, Meta(min_length=1, max_length=64)]
 Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -20,13 +20,15 @@
 from msgspec import UNSET
 
 from finchcart.__main__ import ConfigError, main, plain_log
-from finchcart.claims import wire as claiming
-from finchcart.claims.holder import Claims
-from finchcart.claims.keeper import Keeper
 from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
-from finchcart.members import wire as base
-from finchcart.members.member import Member
-from finchcart.members.wire import place_of
+from finchcart.consensus import wire as sayings
+from finchcart.consensus.board import Board
+from finchcart.key_leases import wire as claiming
+from finchcart.key_leases.holder import Claims
+from finchcart.key_leases.keeper import Keeper
+from finchcart.membership import wire as base
+from finchcart.membership.member import Member
+from finchcart.membership.wire import place_of
 from finchcart.net.datagrams import Datagrams, boot_clock
 from finchcart.node.claimer import Claimer
 from finchcart.node.meter import Meters
@@ -36,8 +38,6 @@
 from finchcart.quota.limits import Limit, Quota
 from finchcart.quota.loose import Loose
 from finchcart.quota.planner import Planner
-from finchcart.verdicts import wire as sayings
-from finchcart.verdicts.board import Board
 
 TRIAL = "store, trial calls"  # the limit by which the fleet shares the calls to a store that is down
 FIXED = "name", "listen", "advertise", "seeds"  # for as long as the process lives
--- a/finchcart/verdicts/board.py
+++ b/finchcart/consensus/board.py
@@ -16,11 +16,10 @@
 
 import msgspec
 
-from finchcart.members import wire as base
-from finchcart.verdicts import wire
-from finchcart.verdicts.decide import decide
-from finchcart.verdicts.opinions import MILLION, State
-from finchcart.verdicts.subjects import (
+from finchcart.consensus import wire
+from finchcart.consensus.decide import decide
+from finchcart.consensus.opinions import MILLION, State
+from finchcart.consensus.subjects import (
     ADDRESS,
     LEVEL,
     LEVEL_ITSELF,
@@ -34,6 +33,7 @@
     node,
     told,
 )
+from finchcart.membership import wire as base
 
 IN = "alive", "leaving", "suspect"
 WORDS_AT_ONCE = 3
--- a/finchcart/verdicts/decide.py
+++ b/finchcart/consensus/decide.py
@@ -10,8 +10,8 @@
 from bisect import bisect_left
 from statistics import median, median_low
 
-from finchcart.verdicts.opinions import MILLION
-from finchcart.verdicts.subjects import (
+from finchcart.consensus.opinions import MILLION
+from finchcart.consensus.subjects import (
     ADDRESS,
     DOWN,
     LEVEL_ITSELF,
--- a/finchcart/verdicts/opinions.py
+++ b/finchcart/consensus/opinions.py
@@ -11,7 +11,7 @@
 from collections import deque
 from math import log2
 
-from finchcart.verdicts.subjects import (
+from finchcart.consensus.subjects import (
     DOWN,
     LEVEL_ITSELF,
     NUMBER,
--- a/finchcart/verdicts/wire.py
+++ b/finchcart/consensus/wire.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from finchcart.members.wire import Count, Unfit, Word, unsealed
+from finchcart.membership.wire import Count, Unfit, Word, unsealed
 
 CHANNEL = b"V"
 OPINIONS, WORDS = 1, 2  # topics of notes; 0 is the limits'
--- a/finchcart/trial/beliefs.py
+++ b/finchcart/fault_injection/beliefs.py
@@ -9,17 +9,17 @@
 
 import xxhash
 
-from finchcart.members.figures import SECOND
-from finchcart.members.figures import Figures as MemberFigures
-from finchcart.members.member import Member
+from finchcart.consensus import subjects, wire
+from finchcart.consensus.board import Board
+from finchcart.consensus.figures import Figures
+from finchcart.consensus.subjects import DOWN, OUT, SLOW, WORKING
+from finchcart.fault_injection.virtual import Fleet
+from finchcart.membership.figures import SECOND
+from finchcart.membership.figures import Figures as MemberFigures
+from finchcart.membership.member import Member
 from finchcart.node.meter import LATELY
 from finchcart.quota.limits import Limit, Quota
 from finchcart.quota.loose import Loose
-from finchcart.trial.virtual import Fleet
-from finchcart.verdicts import subjects, wire
-from finchcart.verdicts.board import Board
-from finchcart.verdicts.figures import Figures
-from finchcart.verdicts.subjects import DOWN, OUT, SLOW, WORKING
 
 CALLS = 6  # that a node makes in a look, where nothing holds it
 NOTHING = {"store": WORKING, "sources": {}, "out": False, "level": 0.0}
--- a/finchcart/trial/claiming.py
+++ b/finchcart/fault_injection/claiming.py
@@ -11,12 +11,12 @@
 
 import xxhash
 
-from finchcart.claims import wire
-from finchcart.claims.figures import MS, SECOND, Figures
-from finchcart.claims.holder import Claims
-from finchcart.claims.keeper import Keeper
-from finchcart.claims.wire import ENDED, FAILED, YES
-from finchcart.members import wire as base
+from finchcart.key_leases import wire
+from finchcart.key_leases.figures import MS, SECOND, Figures
+from finchcart.key_leases.holder import Claims
+from finchcart.key_leases.keeper import Keeper
+from finchcart.key_leases.wire import ENDED, FAILED, YES
+from finchcart.membership import wire as base
 
 TICK = 50 * MS
 BOOT = 10**12  # microseconds on the boot clocks at the start: keepers are past their silence
--- a/finchcart/trial/processes.py
+++ b/finchcart/fault_injection/processes.py
@@ -15,7 +15,7 @@
 
 import json5
 
-from finchcart.trial.relay import clock
+from finchcart.fault_injection.relay import clock
 
 EXAMPLE = {
     "seed": "1",
@@ -144,7 +144,7 @@
         try:
             self.relay = self.spawn(
                 "relay",
-                [sys.executable, "-m", "finchcart.trial.relay"],
+                [sys.executable, "-m", "finchcart.fault_injection.relay"],
                 stdin=subprocess.PIPE,
                 stdout=subprocess.PIPE,
                 text=True,
@@ -209,7 +209,7 @@
         base = [
             sys.executable,
             "-m",
-            "finchcart.world.outside",
+            "finchcart.simulated_peers.outside",
             "--work-ms",
             str(load.work_ms),
             "--store-work-ms",
@@ -247,7 +247,7 @@
             [
                 sys.executable,
                 "-m",
-                "finchcart.world.load",
+                "finchcart.simulated_peers.load",
                 "--rate",
                 str(self.load.rate),
                 "--seconds",
@@ -290,7 +290,7 @@
             [
                 sys.executable,
                 "-m",
-                "finchcart.world.rude",
+                "finchcart.simulated_peers.rude",
                 "--net",
                 f"{self.net}.9",
                 "--orders",
@@ -303,7 +303,7 @@
     def say(self, name, kind, of, value, seconds=600.0):
         """An operator's word, told to that node; without a value it is taken back."""
         from finchcart.cli import serve
-        from finchcart.verdicts import subjects
+        from finchcart.consensus import subjects
 
         try:
             serve.say(
--- a/finchcart/trial/run.py
+++ b/finchcart/fault_injection/run.py
@@ -16,11 +16,11 @@
 import click
 import msgspec
 
-from finchcart.members.figures import MS, SECOND, Figures
-from finchcart.trial import check
-from finchcart.trial.processes import Processes
-from finchcart.trial.relay import clock
-from finchcart.trial.script import Act, lay_out, read
+from finchcart.fault_injection import check
+from finchcart.fault_injection.processes import Processes
+from finchcart.fault_injection.relay import clock
+from finchcart.fault_injection.script import Act, lay_out, read
+from finchcart.membership.figures import MS, SECOND, Figures
 
 UP = 0.02  # seconds between the starts of the first processes
 
@@ -96,7 +96,7 @@
 
 def apart_of(script):
     """Microseconds within which a key may run once."""
-    from finchcart.claims.figures import Figures
+    from finchcart.key_leases.figures import Figures
 
     told = {
         name: script.claims[f"{name}_ms"] * MS
@@ -181,8 +181,8 @@
 
 def on_virtual(plan, make=None, after_step=None):
     """The same on the virtual clock."""
-    from finchcart.members.member import Member
-    from finchcart.trial.virtual import Fleet
+    from finchcart.fault_injection.virtual import Fleet
+    from finchcart.membership.member import Member
 
     events = []
 
@@ -357,8 +357,8 @@
             "| --- | --- | --- | --- | --- | --- |",
         ]
         + [
-            f"| {row['round']} | {row['rounds']} | {row['use']:.2f} | {row['least_use']:.2f} | {row['most']} | "
-            f"{row['over']} |"
+            f"| {row['round']} | {row['rounds']} | {row['use']:.2f} | {row['least_use']:.2f} "
+            f"| {row['most']} | {row['over']} |"
             for row in made
         ]
     )
@@ -538,7 +538,7 @@
                     }
                 )
             )
-            from finchcart.trial.chart import timeline
+            from finchcart.fault_injection.chart import timeline
 
             timeline(plan, events, start, folder / "timeline.png")
     broken = next((result for result in results if result.breach), None)
--- a/finchcart/trial/seeds.py
+++ b/finchcart/fault_injection/seeds.py
@@ -8,10 +8,10 @@
 
 import xxhash
 
-from finchcart.members.figures import SECOND, Figures
-from finchcart.members.member import Member
-from finchcart.members.wire import LEFT
-from finchcart.trial.virtual import Fleet
+from finchcart.fault_injection.virtual import Fleet
+from finchcart.membership.figures import SECOND, Figures
+from finchcart.membership.member import Member
+from finchcart.membership.wire import LEFT
 
 NAMES = [f"n{n:02d}" for n in range(12)]
 FAULTS, CALM = 40 * SECOND, 12 * SECOND  # faults are made for so long; then all must come together again
@@ -201,7 +201,7 @@
 
     def forge(self):
         """Rubbish, and rows that claim what is impossible."""
-        from finchcart.members import wire
+        from finchcart.membership import wire
 
         chance, fleet = self.random, self.fleet
         to = chance.choice(NAMES)
--- a/finchcart/trial/shares.py
+++ b/finchcart/fault_injection/shares.py
@@ -12,15 +12,15 @@
 
 import xxhash
 
-from finchcart.members import wire as base
-from finchcart.members.figures import Figures
-from finchcart.members.member import Member
+from finchcart.fault_injection.virtual import BUFFER, Clock
+from finchcart.membership import wire as base
+from finchcart.membership.figures import Figures
+from finchcart.membership.member import Member
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota.holder import Holder
 from finchcart.quota.limits import SECOND, Limit, Quota
 from finchcart.quota.loose import Loose
 from finchcart.quota.planner import Planner
-from finchcart.trial.virtual import BUFFER, Clock
 
 TICK = 100_000
 FOR_EVER = 10**15
--- a/finchcart/trial/virtual.py
+++ b/finchcart/fault_injection/virtual.py
@@ -8,9 +8,9 @@
 from heapq import heappop, heappush
 from random import Random
 
-from finchcart.members.figures import Figures
-from finchcart.members.member import Member
-from finchcart.trial.fabric import Fabric
+from finchcart.fault_injection.fabric import Fabric
+from finchcart.membership.figures import Figures
+from finchcart.membership.member import Member
 
 BUFFER = 250  # datagrams that wait for a stopped member
 
--- a/finchcart/claims/holder.py
+++ b/finchcart/key_leases/holder.py
@@ -15,9 +15,21 @@
 Bounds: tries `figures.entries`; each ends with its answer, what is to be told with its life.
 """
 
-from finchcart.claims import wire
-from finchcart.claims.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, RELEASED, YES, Ask, Claim, Say, Vote
-from finchcart.members import wire as base
+from finchcart.key_leases import wire
+from finchcart.key_leases.wire import (
+    ENDED,
+    FAILED,
+    FULL,
+    HELD,
+    OTHER_BODY,
+    RELEASED,
+    YES,
+    Ask,
+    Claim,
+    Say,
+    Vote,
+)
+from finchcart.membership import wire as base
 
 TELLS = 40  # times that an outcome or release is told to a keeper that does not answer
 
--- a/finchcart/claims/keeper.py
+++ b/finchcart/key_leases/keeper.py
@@ -12,9 +12,9 @@
 
 from collections import OrderedDict
 
-from finchcart.claims import wire
-from finchcart.claims.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, RELEASED, YES, Noted, Vote, Votes
-from finchcart.members import wire as base
+from finchcart.key_leases import wire
+from finchcart.key_leases.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, RELEASED, YES, Noted, Vote, Votes
+from finchcart.membership import wire as base
 
 SWEEP = 64  # claims looked at in a tick
 
--- a/finchcart/members/member.py
+++ b/finchcart/membership/member.py
@@ -21,9 +21,9 @@
 
 import msgspec
 
-from finchcart.members import wire
-from finchcart.members.view import judge, watched
-from finchcart.members.wire import ALIVE, LEAVING, LEFT, Beat, Page, Row, Rows, Sync, Taken, Unfit
+from finchcart.membership import wire
+from finchcart.membership.view import judge, watched
+from finchcart.membership.wire import ALIVE, LEAVING, LEFT, Beat, Page, Row, Rows, Sync, Taken, Unfit
 
 STATES = "alive", "suspect", "failed", "leaving", "left"
 ROOM = wire.MOST - 120  # for rows in a datagram, besides what is always there
--- a/finchcart/node/claimer.py
+++ b/finchcart/node/claimer.py
@@ -7,8 +7,8 @@
 `boot` is the boot clock in whole microseconds, set by the driver before each turn.
 """
 
-from finchcart.claims import wire
-from finchcart.claims.wire import ENDED, FAILED, FULL, OTHER_BODY, YES
+from finchcart.key_leases import wire
+from finchcart.key_leases.wire import ENDED, FAILED, FULL, OTHER_BODY, YES
 
 MS, SECOND = 1_000, 1_000_000
 MOST = 2_000  # that wait for an answer; more are pushed back
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -13,7 +13,7 @@
 nothing was on its way, and the link is closing),
 `("closed", link)`, `("shared", index)`, `("drain"[, at])` (the notice to leave, and when it came), `("moved",
 places)` (the others' addresses, read again), `("fault", thread)`, `("fleet", change)` (of the members, see
-finchcart/members/member.py; of verdicts, see witness.py), `("full", index)` (no room for a call, see
+finchcart/membership/member.py; of verdicts, see witness.py), `("full", index)` (no room for a call, see
 meter.py, or nobody to call), `("time",)`, `("load", busy, span)` (the time of the last span in which inputs
 were worked on or waited). Effects: turn.py. Links that others make have numbers from 1 up.
 """
--- a/finchcart/node/witness.py
+++ b/finchcart/node/witness.py
@@ -6,8 +6,8 @@
 another.
 """
 
+from finchcart.consensus.subjects import DOWN, NUMBER, OUT, SLOWED, WORKING, source, subject
 from finchcart.interface import Outcome
-from finchcart.verdicts.subjects import DOWN, NUMBER, OUT, SLOWED, WORKING, source, subject
 
 SECOND = 1_000_000
 
--- a/finchcart/world/client.py
+++ b/finchcart/simulated_peers/client.py
@@ -1,7 +1,7 @@
 """A toy dispatcher: sends a few RPCs to a node and prints the answers.
 
-    .venv/bin/python -m finchcart.world.client example/config.json look-up "which bird is that"
-    .venv/bin/python -m finchcart.world.client example/config.json book "seat 12" "seat 12"
+    .venv/bin/python -m finchcart.simulated_peers.client example/config.json look-up "which bird is that"
+    .venv/bin/python -m finchcart.simulated_peers.client example/config.json book "seat 12" "seat 12"
 
 Each text is one RPC; of a tokened method, equal texts are tries of the same RPC and carry the same token.
 """
@@ -13,9 +13,9 @@
 import sys
 import time
 
+from finchcart.simulated_peers.outside import address
 from finchcart.thrift import codec as thrift
 from finchcart.thrift.codec import BOOL, FIELD, I32, LENGTH, MAP, STRING, STRUCT
-from finchcart.world.outside import address
 
 
 class Client:
--- a/finchcart/world/load.py
+++ b/finchcart/simulated_peers/load.py
@@ -1,5 +1,6 @@
-"""Dispatchers with a steady load on many nodes: `python -m finchcart.world.load ADDRESS ... --rate R
---seconds S`.
+"""Dispatchers with a steady load on many nodes.
+
+    python -m finchcart.simulated_peers.load ADDRESS ... --rate R --seconds S
 
 Owns the connections and what became of each RPC. Open loop: RPCs go out at seeded random times, whatever
 comes back. It must never judge: it writes figures.
@@ -13,8 +14,8 @@
 import threading
 import time
 
-from finchcart.world.client import Client
-from finchcart.world.outside import address
+from finchcart.simulated_peers.client import Client
+from finchcart.simulated_peers.outside import address
 
 AGAIN = 0.2  # seconds between tries to reach a node
 
--- a/finchcart/world/outside.py
+++ b/finchcart/simulated_peers/outside.py
@@ -1,6 +1,6 @@
 """A toy world: worker pools, a store and a registry, on the addresses of one or more configurations.
 
-    python -m finchcart.world.outside example/config.json
+    python -m finchcart.simulated_peers.outside example/config.json
 
 Written from the protocol's pages, for trying nodes out by hand, for loopback tests and for trials. A pool's
 work is to sleep, or with `spin` to keep a core busy, and to turn the body into capitals; methods marked in
--- a/finchcart/world/rude.py
+++ b/finchcart/simulated_peers/rude.py
@@ -1,4 +1,6 @@
-"""Sources that send rubbish: `python -m finchcart.world.rude --net 127.20.9 --orders FILE --out FILE`.
+"""Misbehaving clients: sources that send rubbish.
+
+    python -m finchcart.simulated_peers.rude --net 127.20.9 --orders FILE --out FILE
 
 Owns the sources, each with an address of its own, and what became of the one good RPC that each sends beside
 its rubbish. Orders are a file, looked at now and then: `at` (addresses of nodes), `sources` (how many),
@@ -12,8 +14,8 @@
 import time
 
 from finchcart.net.links import boot_clock
-from finchcart.world.client import Client
-from finchcart.world.outside import address
+from finchcart.simulated_peers.client import Client
+from finchcart.simulated_peers.outside import address
 
 RUBBISH = b"\0\0\0\x08rubbish!"
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,14 +6,14 @@
 import json5
 import pytest
 
-from finchcart.claims import wire
-from finchcart.claims.figures import MS, SECOND, Figures, mistakes
-from finchcart.claims.holder import Claims
-from finchcart.claims.keeper import Keeper
-from finchcart.claims.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, YES
 from finchcart.cli.file import checked, claims
+from finchcart.fault_injection.claiming import KEY, TICK, Breach, Run, World, act, explore
+from finchcart.key_leases import wire
+from finchcart.key_leases.figures import MS, SECOND, Figures, mistakes
+from finchcart.key_leases.holder import Claims
+from finchcart.key_leases.keeper import Keeper
+from finchcart.key_leases.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, YES
 from finchcart.node.claimer import Claimer
-from finchcart.trial.claiming import KEY, TICK, Breach, Run, World, act, explore
 from tests.harness import draw_settings, read_answer
 from tests.test_core import GAUGES, Far, far_plain, play
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,9 +16,9 @@
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Link, Listener
+from finchcart.simulated_peers.outside import Registry
 from finchcart.thrift import codec
 from finchcart.thrift.codec import BOOL, CALL, FIELD
-from finchcart.world.outside import Registry
 from tests.test_node import World, answers, until
 
 LIMITS = Limits(memory=1 << 28, descriptors=64, stop=1_000_000, linger=20_000)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,15 +7,15 @@
 import pytest
 
 from finchcart.cli.file import Wrong, checked
-from finchcart.members import member as module
-from finchcart.members import view, wire
-from finchcart.members.figures import SECOND, Figures
-from finchcart.members.member import Member
-from finchcart.trial.run import judge as judge_plan
-from finchcart.trial.run import on_virtual
-from finchcart.trial.script import Script, lay_out
-from finchcart.trial.seeds import Breach, Run
-from finchcart.trial.virtual import Fleet
+from finchcart.fault_injection.run import judge as judge_plan
+from finchcart.fault_injection.run import on_virtual
+from finchcart.fault_injection.script import Script, lay_out
+from finchcart.fault_injection.seeds import Breach, Run
+from finchcart.fault_injection.virtual import Fleet
+from finchcart.membership import member as module
+from finchcart.membership import view, wire
+from finchcart.membership.figures import SECOND, Figures
+from finchcart.membership.member import Member
 
 ROW = wire.Row("a", "127.0.0.2:7400", 5, 1000, 1000, 0, 0, [])
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,9 +17,9 @@
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Link, Links
+from finchcart.simulated_peers.client import Client
+from finchcart.simulated_peers.outside import Pool, Registry, Store
 from finchcart.thrift import codec
-from finchcart.world.client import Client
-from finchcart.world.outside import Pool, Registry, Store
 
 METHODS = {"look-up": True, "book": False}
 
@@ -264,7 +264,16 @@
     code = "import sys, finchcart.__main__; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
     loaded = set(done.stdout.split())
-    optional = ("cli", "members", "quota", "verdicts", "claims", "trial", "world", "node.watch")
+    optional = (
+        "cli",
+        "membership",
+        "quota",
+        "consensus",
+        "key_leases",
+        "fault_injection",
+        "simulated_peers",
+        "node.watch",
+    )
     assert not [name for name in loaded if name.startswith(tuple(f"finchcart.{part}" for part in optional))]
     assert not loaded & {"msgspec", "xxhash", "json5", "click"}
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -13,8 +13,10 @@
 import pytest
 
 from finchcart.cli.file import Wrong, checked
-from finchcart.members import wire as base
-from finchcart.members.member import Heard
+from finchcart.fault_injection.explore import explore
+from finchcart.fault_injection.shares import Breach, Run, Shares
+from finchcart.membership import wire as base
+from finchcart.membership.member import Heard
 from finchcart.net.links import boot_clock
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota import loose, wire
@@ -23,8 +25,6 @@
 from finchcart.quota.limits import SECOND, Limit, Quota, mistakes
 from finchcart.quota.loose import Loose
 from finchcart.quota.planner import Planner
-from finchcart.trial.explore import explore
-from finchcart.trial.shares import Breach, Run, Shares
 
 
 def test_division_is_max_min_and_never_more_than_there_is():
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -10,12 +10,12 @@
 import pytest
 
 from finchcart.cli.serve import ask
+from finchcart.fault_injection.check import Event, History, check
+from finchcart.fault_injection.fabric import Fabric
+from finchcart.fault_injection.processes import Processes
+from finchcart.fault_injection.run import on_virtual, play
+from finchcart.fault_injection.script import Held, Plan, lay_out, read, shipped
 from finchcart.net.datagrams import Datagrams
-from finchcart.trial.check import Event, History, check
-from finchcart.trial.fabric import Fabric
-from finchcart.trial.processes import Processes
-from finchcart.trial.run import on_virtual, play
-from finchcart.trial.script import Held, Plan, lay_out, read, shipped
 
 
 def until(true, within=20):
@@ -168,8 +168,9 @@
 def test_a_node_without_arguments_imports_none_of_this():
     code = (
         "import finchcart.__main__, sys\n"
-        "new = ('finchcart.members', 'finchcart.trial', 'finchcart.cli', 'finchcart.world',\n"
-        "       'finchcart.quota', 'finchcart.verdicts', 'finchcart.claims', 'finchcart.node.witness',\n"
+        "new = ('finchcart.membership', 'finchcart.fault_injection', 'finchcart.cli',\n"
+        "       'finchcart.simulated_peers',\n"
+        "       'finchcart.quota', 'finchcart.consensus', 'finchcart.key_leases', 'finchcart.node.witness',\n"
         "       'finchcart.net.datagrams', 'msgspec', 'click', 'json5', 'xxhash')\n"
         "print([name for name in sys.modules if name.startswith(new)])"
     )
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -10,21 +10,13 @@
 import pytest
 
 from finchcart.cli.file import Wrong, checked, verdicts
-from finchcart.interface import Outcome
-from finchcart.members import wire as base
-from finchcart.members.figures import Figures as MemberFigures
-from finchcart.members.member import Member
-from finchcart.node.meter import Meters
-from finchcart.node.witness import Witness
-from finchcart.quota.limits import Limit
-from finchcart.trial.beliefs import Beliefs, Breach, Run
-from finchcart.verdicts import board as boards
-from finchcart.verdicts import subjects, wire
-from finchcart.verdicts.board import Board
-from finchcart.verdicts.decide import decide, median_without
-from finchcart.verdicts.figures import SECOND, Figures, mistakes, warnings
-from finchcart.verdicts.opinions import MILLION, State
-from finchcart.verdicts.subjects import (
+from finchcart.consensus import board as boards
+from finchcart.consensus import subjects, wire
+from finchcart.consensus.board import Board
+from finchcart.consensus.decide import decide, median_without
+from finchcart.consensus.figures import SECOND, Figures, mistakes, warnings
+from finchcart.consensus.opinions import MILLION, State
+from finchcart.consensus.subjects import (
     DOWN,
     LEVEL_ITSELF,
     OUT,
@@ -34,6 +26,14 @@
     WORKING,
     ZONE_ITSELF,
 )
+from finchcart.fault_injection.beliefs import Beliefs, Breach, Run
+from finchcart.interface import Outcome
+from finchcart.membership import wire as base
+from finchcart.membership.figures import Figures as MemberFigures
+from finchcart.membership.member import Member
+from finchcart.node.meter import Meters
+from finchcart.node.witness import Witness
+from finchcart.quota.limits import Limit
 from tests.harness import MS, Node, draw_settings
 from tests.test_control import PLAIN, one_step
 from tests.test_core import GAUGES, Far, far_plain, play
