--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -1,10 +1,11 @@
 """All decisions of a node: what it takes, runs and turns away.
 
-How it is called (types and the port: finchcart/interface.py; why: docs/design.md). A front makes one
-`Control(port, settings, seed)` for each node and calls `start(now)`. `arrive(now, ...)` takes an RPC that was
-read and returns its handle; what happens to it later is a call on the handle: `ended`, `gone`, `at_call`,
-`call_ended`. On the control: `wake` (a timer, with gauges) and `drain`. The module answers through the port,
-inside these calls. Times are whole microseconds; the only clock is the `now` that is handed in.
+How it is called (types and port: finchcart/interface.py; why: docs/design.md). A host makes one
+`Control(port, settings, seed)` for each node and calls `start(now)`. `admit(now, ...)` takes an RPC that was
+read and returns its handle; what happens to it later is a call on the handle: `run_ended`, `caller_gone`,
+`awaiting_call`, `call_ended`. On the control: `on_timer` (with gauges) and `drain`. The module answers
+through the port, inside these calls. Times are whole microseconds; the only clock is the `now` that is handed
+in.
 
 Reading order: Histogram, Method, Rpc (one RPC's life), Control (intake, hold, calls, sweep, drain).
 """
@@ -58,16 +59,16 @@
 
     def __init__(self, settings, n, cold):
         get = lambda name, default: settings.get(f"methods.{n}.{name}", default)
-        poorer = settings.get("method_poorer", 0)
+        poorer = settings.get("degraded_value", 0)
         kind, self.criticality = get("kind", "non_idempotent"), get("criticality", 1)
         self.deadline = get("deadline", 5 * SECOND)
         self.target, self.window = get("latency_target", self.deadline), get("window", 0)
         self.poorer = poorer[n] if isinstance(poorer, tuple) else poorer
         calls = settings.get("method_calls", False)
         self.needs_call = not self.poorer and bool(calls[n] if isinstance(calls, tuple) else calls)
-        self.tokened, self.repeatable = kind == "tokened", kind == "idempotent"
+        self.tokened, self.repeatable = kind == "keyed", kind == "idempotent"
         self.stoppable = self.repeatable and settings.get("can_stop", False)
-        self.lost_when_late = self.stoppable and not get("late_worth", 0)
+        self.lost_when_late = self.stoppable and not get("late_value", 0)
         # Before anything is measured: a run takes a sixth of the latency target, and hints are half believed.
         low = self.target / 96
         self.run_time = Histogram(low, self.target / 6 * cold)
@@ -100,7 +101,7 @@
                  "expect", "key", "state", "started", "answered", "ran", "is_gone", "call_time", "call_from",
                  "calls", "called", "kept_until", "failed", "before")
 
-    def ended(self, now, outcome, spent):
+    def run_ended(self, now, outcome, spent):
         """A run or a share is over; where it was ok or an error, its answer has gone out."""
         control = self.control
         if self.state == OVER:
@@ -110,20 +111,20 @@
             control.paused(now, self, spent)
             return
         if self.state != SHARING:
-            self.ran = outcome is not Outcome.MOOT  # nothing started: nothing is learned or kept of it
+            self.ran = outcome is not Outcome.NOT_STARTED  # nothing started: nothing is learned or kept of it
             control.done += self.expect * self.ran
             spent += self.before
             if outcome is Outcome.OK:
                 self.method.learn(self.hint, max(1, spent - self.call_time))
                 self.method.whole.add(max(1, spent))
             self.failed = outcome is not Outcome.OK
-        if outcome in (Outcome.STOPPED, Outcome.MOOT) and not self.answered and not self.is_gone:
-            control.port.abort(self.index)  # it may have run: an answer is owed, and never a pushback
+        if outcome in (Outcome.STOPPED, Outcome.NOT_STARTED) and not self.answered and not self.is_gone:
+            control.port.fail(self.index)  # it may have run: an answer is owed, and never a pushback
         self.answered = True
         control.finish(now, self)
         control.fill(now)
 
-    def gone(self, now):
+    def caller_gone(self, now):
         """The caller gave up: nothing is owed. Held ones are dropped, running ones stopped if allowed."""
         if self.state == OVER or self.is_gone:
             return
@@ -136,7 +137,7 @@
         elif self.state == RUNNING and self.method.stoppable and not self.answered:
             control.port.stop(self.index)
 
-    def at_call(self, now):
+    def awaiting_call(self, now):
         """The run stands at a call."""
         if self.state != RUNNING:
             return
@@ -153,7 +154,7 @@
             return
         control = self.control
         control.end_call(now, self, outcome)
-        control.below_began = now if outcome is Outcome.UNREACHED else control.below_began
+        control.below_began = now if outcome is Outcome.UNREACHABLE else control.below_began
         if outcome is Outcome.OK:
             control.call_times.add(max(1, spent))
             control.resume(now, self)
@@ -180,23 +181,23 @@
         self.random = Random(seed).random
         self.cores = get("cores", 1)
         self.cold = bool(get("fresh_start", False))
-        cold_start = get("cold_start", 1) if self.cold else 1
+        cold_start_speed = get("cold_start_speed", 1) if self.cold else 1
         self.methods, self.names = [], {}
         for n in range(get("methods.count", 0)):
-            self.methods.append(Method(settings, n, 1 / max(cold_start, 0.1)))
+            self.methods.append(Method(settings, n, 1 / max(cold_start_speed, 0.1)))
             self.names[get(f"methods.{n}.name", str(n))] = self.methods[n]
         worths = sorted({m.criticality for m in self.methods})
         for m in self.methods:
             m.band = worths.index(m.criticality)
         self.bands = len(worths)
-        self.marked = get("marks_further", True)
+        self.marked = get("marks_retries", True)
         self.memory, self.factor = get("memory_kb", 1e12), get("run_factor", 1)
-        self.pauses, self.levels = get("can_pause", False), get("told", "level") == "level"
-        self.beside = get("crowd", 4) - 1  # running RPCs that a core survives beside one
-        self.entry, self.tick = get("entry_kb", 0), get("tick", MS)
+        self.pauses, self.levels = get("can_pause", False), get("feedback", "level") == "level"
+        self.beside = get("overload_factor", 4) - 1  # running RPCs that a core survives beside one
+        self.entry, self.tick = get("key_entry_kb", 0), get("tick", MS)
         # Only a dependency that all nodes share has a limit to be cut into shares; a tier decides for itself,
         # and no share of it is told (the wire writes 0).
-        shared = get("below", "shared") == "shared"
+        shared = get("dependency", "shared") == "shared"
         self.calls_limit = get("calls_limit", 1e9) if shared else 1e9
         self.calls_window = get("calls_window", 5 * SECOND)
         self.call_times = Histogram(2 * MS, 30 * MS)
@@ -206,7 +207,7 @@
         self.pausing, self.below_began = set(), -SECOND * 10**9
         self.room = None  # calls that may be in hand here, where the fleet shares its limit out
         # What the fleet holds: of this node, the least level, of the dependency.
-        self.told_out, self.told_level, self.below_down, self.own_level = False, 0.0, False, 0.0
+        self.ejected, self.min_shed_level, self.dependency_down, self.own_level = False, 0.0, False, 0.0
         self.lingering, self.credit, self.credit_at = [], 0.2 * self.calls_limit * self.calls_window, 0
         self.limit, self.slow, self.late = float(self.cores), 1.0, 0
         self.unread, self.further = 0.0, 0.0  # time lately lost before reading; part of further tries
@@ -219,12 +220,12 @@
 
     def start(self, now):
         self.began = self.swept = self.credit_at = now
-        self.port.health(True, True)
-        self.port.idle_limit(IDLE[0])
-        self.port.wake_in(SWEEP, "sweep")
+        self.port.set_health(True, True)
+        self.port.set_idle_timeout(IDLE[0])
+        self.port.set_timer(SWEEP, "sweep")
         self.next_wake = now + SWEEP
 
-    def anew(self, now, cold):
+    def worker_pool_restarted(self, now, cold):
         """What runs the RPCs started anew, cold or warm; the ends of its runs are told one by one."""
         self.cold, self.began = cold, now
 
@@ -241,7 +242,7 @@
 
     def warmth(self, now, began):
         """Fraction of the full speed of what began then, on the slowest ramp that is allowed."""
-        start, whole = self.settings.get("cold_start", 1), max(1, self.settings.get("cold", 1))
+        start, whole = self.settings.get("cold_start_speed", 1), max(1, self.settings.get("warm_up", 1))
         return min(1.0, start + (1 - start) * (now - began) / whole)
 
     def crowd(self, now):
@@ -256,23 +257,22 @@
 
     # ---- intake
 
-    def arrive(self, now, index, method, kb, *, expires=0, waited=0, place=None, hint=0, again=False,
-               repeats=None, caller=None, room=None):
-        """An RPC has been read. `waited`: since it reached the machine; `repeats`: the index of what it
-        repeats, or -1 where that one is no longer known here; `room`: (left, of, back) of the fleet's
-        limits on RPCs, as this node has them: how many may be taken, of how many, when there may be more."""
+    def admit(self, now, index, method, kb, *, expires_at=0, waited=0, shed_rank=None, cost_hint=0,
+              is_retry=False, duplicate_of=None, caller=None, quota=None):
+        """An RPC has been read. `waited`: since it reached the machine; `duplicate_of`: the index of
+        the first RPC of its key, or -1 where that one is no longer known here; `quota`: a `FleetQuota`."""
         before, self.seen[caller] = self.seen.get(caller), now
         if before is not None or now - self.began > IDLE[1]:
             self.returns += ((before is not None and now - before < IDLE[1]) - self.returns) / 16
         rpc = Rpc()
         m = self.names[method]
         rpc.control, rpc.index, rpc.method, rpc.kb, rpc.run_kb = self, index, m, kb, kb * (self.factor - 1)
-        rpc.hint, rpc.place, rpc.reached = hint, place, now - waited
-        rpc.due = expires or rpc.reached + m.deadline
+        rpc.hint, rpc.place, rpc.reached = cost_hint, shed_rank, now - waited
+        rpc.due = expires_at or rpc.reached + m.deadline
         # Guards against runs that end too late for anyone: the more further tries, the older each (not told).
-        lost = min(0.5, 4 * self.further) if again else 0
+        lost = min(0.5, 4 * self.further) if is_retry else 0
         rpc.want = min(rpc.due, rpc.reached + int(m.target * (1 - lost)))
-        rpc.expect = m.expect(hint)
+        rpc.expect = m.expect(cost_hint)
         rpc.state, rpc.answered, rpc.ran, rpc.is_gone, rpc.failed = HELD, False, False, False, False
         rpc.started = rpc.call_time = rpc.call_from = rpc.calls = rpc.kept_until = rpc.before = 0
         # The order of the hold. Not by worth for the work it takes: of two methods alike, the one whose runs
@@ -281,21 +281,21 @@
         self.live[index] = rpc
         self.kb += kb
         self.unread += (waited - self.unread) / 8
-        self.further += (again - self.further) / 32
-        first = self.live.get(repeats) or self.kept.get(repeats)
-        if repeats is not None and not (first and not first.ran and first.state == OVER):
+        self.further += (is_retry - self.further) / 32
+        first = self.live.get(duplicate_of) or self.kept.get(duplicate_of)
+        if duplicate_of is not None and not (first and not first.ran and first.state == OVER):
             # Guards against a second effect: a repeat never runs; it shares what its first try came to.
             full = self.kb > 0.95 * self.memory
             if full or (first and first.state == OVER and first.failed) or self.too_late(now, rpc):
                 self.give_up(now, rpc)
             else:
                 rpc.state = SHARING
-                self.port.share(index)
+                self.port.answer_duplicate(index)
             return rpc
         wait = self.ahead(rpc.key) / self.limit
         # Over a limit of the fleet. A twentieth of a large part is kept for each criticality above its own.
-        if room and room[0] <= int(room[1] / 20 * (self.bands - 1 - m.band)):
-            self.push_back(now, rpc, max(wait, room[2]))
+        if quota and quota.available <= int(quota.capacity / 20 * (self.bands - 1 - m.band)):
+            self.push_back(now, rpc, max(wait, quota.retry_after))
             return rpc
         if self.refuses(now, rpc, wait):
             self.push_back(now, rpc, wait)
@@ -313,13 +313,13 @@
         full = self.kb + self.entry * m.tokened > 0.9 * self.memory
         if self.sealed or after_grace or full or self.too_late(now, rpc):
             return True
-        if self.below_down and m.needs_call and self.room is not None and self.room <= sum(
+        if self.dependency_down and m.needs_call and self.room is not None and self.room <= sum(
                 other.method.needs_call for other in self.live.values()) - 1:
             return True  # it would run half and fail: only so many are taken as may try the dependency
         place = None
-        if self.told_level:
+        if self.min_shed_level:
             place = self.random() if rpc.place is None else rpc.place * self.bands - m.band
-            if place < self.told_level * self.bands - m.band:
+            if place < self.min_shed_level * self.bands - m.band:
                 return True  # what the whole fleet turns away
         fits = rpc.expect < (1.2 if self.on_core * 2 < self.cores else 0.8) * (rpc.want - now)
         if self.on_core < self.cores and not self.held and (fits or not rpc.hint or self.random() < 0.1):
@@ -358,14 +358,14 @@
         last = full or rpc.expect * 0.4 > rpc.want - now
         # Advice keeps a caller away from this node; where none comes again soon it only delays the client.
         heard = wait > 50 * MS and self.returns > 0.6
-        advice = int(min(self.settings.get("advice_max", 0), wait)) if heard else 0
-        self.port.push_back(rpc.index, advice, last)
+        advice = int(min(self.settings.get("retry_after_max", 0), wait)) if heard else 0
+        self.port.reject(rpc.index, advice, last)
         self.over(now, rpc)
 
     def give_up(self, now, rpc):
         """Aborts: the answer goes out; a run goes on to its end, or is stopped where that is allowed."""
         if not rpc.answered and not rpc.is_gone:
-            self.port.abort(rpc.index)
+            self.port.fail(rpc.index)
         rpc.answered = True
         if rpc.state in (HELD, SHARING, PAUSED):
             self.finish(now, rpc)
@@ -377,13 +377,13 @@
     def remember(self, now, rpc):
         """Counted from when it reached the machine, and a little longer than its window."""
         rpc.kept_until = rpc.reached + rpc.method.window + 200 * MS
-        self.port.remember(rpc.index, rpc.kept_until - now)
+        self.port.store_key(rpc.index, rpc.kept_until - now)
         self.kb += self.entry
         heappush(self.table, (rpc.kept_until + 2 * self.tick, rpc.index, rpc))
 
     def forget(self, rpc):
         if rpc.kept_until:
-            self.port.forget(rpc.index)
+            self.port.evict_key(rpc.index)
             self.kb -= self.entry
             rpc.kept_until = 0
 
@@ -504,7 +504,7 @@
             waiting.sort(key=lambda r: r.key)
         for rpc in waiting:
             left = rpc.want - now
-            gone = self.below_down and self.in_call + len(self.lingering) >= cap
+            gone = self.dependency_down and self.in_call + len(self.lingering) >= cap
             if rpc.method.poorer > 0 and (
                     gone or left < 1.5 * self.call_times.mean + 0.6 * rpc.expect * self.slow):
                 self.skip(now, rpc)
@@ -521,13 +521,13 @@
     def end_call(self, now, rpc, outcome):
         self.in_call, rpc.state = self.in_call - 1, STANDING
         self.credit -= now - rpc.called
-        if outcome in (Outcome.TIMEOUT, Outcome.BROKEN_OFF):
+        if outcome in (Outcome.TIMEOUT, Outcome.CONNECTION_LOST):
             linger = self.settings.get("calls_linger", 200 * MS)
             self.lingering.append(now + linger)
             self.credit -= linger
 
     def skip(self, now, rpc):
-        self.port.skip(rpc.index)
+        self.port.degrade(rpc.index)
         self.resume(now, rpc)
 
     def resume(self, now, rpc):
@@ -536,15 +536,16 @@
 
     # ---- the sweep
 
-    def wake(self, now, name, gauges):
+    def on_timer(self, now, name, gauges):
         """Looks at what is due, at the gauges, and turns the loop once."""
         # Guards against stalls: answers are given earlier by twice the lateness that timers lately had.
         self.late = max(now - self.next_wake - 2 * self.tick, self.late * 63 // 64, 0)
-        self.core_use = gauges.get("core_use", min(1.0, self.on_core / self.cores))
-        self.wanting = gauges.get("on_cores", self.on_core)
-        self.own_use, self.own_wait = gauges.get("intake_use", 0.0), gauges.get("intake_age", 0)
-        self.room, self.told_out = gauges.get("calls_room"), gauges.get("told_out", False)
-        self.told_level, self.below_down = gauges.get("told_level", 0.0), gauges.get("below_down", False)
+        on_core_part = min(1.0, self.on_core / self.cores)
+        self.core_use = on_core_part if gauges.core_use is None else gauges.core_use
+        self.wanting = self.on_core if gauges.on_cores is None else gauges.on_cores
+        self.own_use, self.own_wait = gauges.input_busy, gauges.input_age
+        self.room, self.ejected = gauges.call_capacity, gauges.ejected
+        self.min_shed_level, self.dependency_down = gauges.min_shed_level, gauges.dependency_down
         if len(self.seen) > 999:  # guards against callers that are new ones for ever
             self.seen = {caller: at for caller, at in self.seen.items() if now - at < IDLE[1]}
         while self.table and self.table[0][0] <= now:
@@ -558,7 +559,7 @@
         self.loop(now)
         self.make_calls(now)
         self.fill(now)
-        self.port.wake_in(SWEEP, name)
+        self.port.set_timer(SWEEP, name)
         self.next_wake = now + SWEEP
 
     def sweep(self, now):
@@ -612,11 +613,11 @@
             self.limit = max(self.cores, self.limit * 0.9)
         if self.levels:
             self.set_level()
-        elif self.settings.get("told") == "credit":
+        elif self.settings.get("feedback") == "credit":
             self.set_credit(now)
         if self.grace_end is not None and not self.sealed and now >= self.grace_end:
             self.sealed = True
-            self.port.idle_limit(IDLE[0])
+            self.port.set_idle_timeout(IDLE[0])
             self.port.log(f"drain: grace over, {self.running} running {len(self.held)} held")
         # Guards against full tables: callers that seldom come again cost more by idle connections than by new
         # ones. But where RPCs lose their time unread, a full table turns away at the least cost.
@@ -625,18 +626,18 @@
         # reads are fewer. Not where further tries tell of a full fleet: all would be left out at once.
         crowded = self.wanting - self.on_core > self.cores / 2 or self.own_use > CUT_ABOVE
         alone = self.further < 0.1 and crowded
-        bad = self.told_out or alone and lost > (0.5 if self.good else 0.1)
+        bad = self.ejected or alone and lost > (0.5 if self.good else 0.1)
         if self.kill_at is None and self.good == bad:
             self.good = not self.good
-            self.port.health(self.good, True)
-            why = "held to be bad by the fleet" if self.told_out else f"{lost:.2f} of the target unread"
+            self.port.set_health(self.good, True)
+            why = "held to be bad by the fleet" if self.ejected else f"{lost:.2f} of the target unread"
             self.port.log(f"health {'good' if self.good else 'bad'}: {why}")
         deep = 1 if self.levels else min((m.share for m in self.methods), default=1)
         keep = self.returns > 0.75 or lost > 0.2 or deep < 0.6 or self.keeping and (
             self.returns > 0.6 or lost > 0.04 or deep < 0.9)
         if not self.sealed and keep != self.keeping:
             self.keeping = keep
-            self.port.idle_limit(min(self.settings.get("idle_max", IDLE[1]), IDLE[keep]))
+            self.port.set_idle_timeout(min(self.settings.get("idle_timeout_max", IDLE[1]), IDLE[keep]))
             self.port.log(f"idle limit {IDLE[keep] // MS} ms: {self.returns:.2f} return, {lost:.2f} unread")
 
     def set_level(self):
@@ -648,22 +649,22 @@
             if share > 0.06:
                 break
         self.own_level = level
-        level = max(level, self.told_level)
+        level = max(level, self.min_shed_level)
         if abs(level - self.now_level) > 0.02 or (level == 0) != (self.now_level == 0):
-            self.port.level(level)
+            self.port.set_shed_level(level)
             self.now_level = level
 
     def set_credit(self, now):
         """Tells callers how many RPCs each may have out here: four times what ends within the loop's part of
         the latency target (a credit knows no criticality: the hold needs some to choose from), shared by the
         callers that heard it lately and mind it still."""
-        heeded = self.settings.get("told_heeded", SECOND)
+        heeded = self.settings.get("feedback_lifetime", SECOND)
         callers = sum(now - at < heeded for at in self.seen.values())
         run = max((m.run_time.mean for m in self.methods), default=SECOND) * self.slow
         room = self.limit * max(1.0, 0.6 * min((m.target for m in self.methods), default=SECOND) / run)
         credit = 4 * room / max(1, callers)
         if not 0.8 < credit / max(0.001, self.now_level) < 1.25:
-            self.port.credit(credit)
+            self.port.set_credit(credit)
             self.now_level = credit
 
     # ---- drain
@@ -671,7 +672,7 @@
     def drain(self, now, kill_at):
         """The notice to leave. Health is bad from here on; service goes on until the grace ends."""
         if self.kill_at is None:
-            self.grace_end = now + self.settings.get("grace", 0)
-            self.port.health(False, True)
+            self.grace_end = now + self.settings.get("drain_grace", 0)
+            self.port.set_health(False, True)
         self.kill_at = min(kill_at, self.kill_at or kill_at)
         self.port.log(f"drain: {self.running} running {len(self.held)} held, kill in {self.kill_at - now} us")
--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -16,13 +16,13 @@
 from finchcart.interface import Outcome
 from finchcart.net.frames import Codec, Malformed
 
-ENDS = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.STOPPED, "gone": Outcome.MOOT}
+ENDS = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.STOPPED, "gone": Outcome.NOT_STARTED}
 REPLIES = {
     b"OK": Outcome.OK,
-    b"BUSY": Outcome.FULL,
+    b"BUSY": Outcome.REJECTED,
     b"ERR": Outcome.ERROR,
     b"LATE": Outcome.TIMEOUT,
-    b"VOID": Outcome.MOOT,
+    b"VOID": Outcome.NOT_STARTED,
 }
 
 
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -19,7 +19,7 @@
 """
 
 from finchcart.control import Control
-from finchcart.interface import Outcome
+from finchcart.interface import FleetQuota, Gauges, Outcome
 from finchcart.node.duty import Duty
 from finchcart.node.front import ABORTED, OK, PUSHED_BACK, Unfit
 from finchcart.node.pool import Pool
@@ -51,14 +51,14 @@
     ):
         # Told as absent, whatever the settings allow: this pool's protocol has no word for stopping or
         # pausing work, and dispatchers' answers carry a level alone.
-        told = settings.get("told", "level")
-        absent = {"can_stop": False, "can_pause": False, "told": told if told == "level" else "none"}
+        told = settings.get("feedback", "level")
+        absent = {"can_stop": False, "can_pause": False, "feedback": told if told == "level" else "none"}
         self.settings, self.limits, self.seed = {**settings, **absent}, limits, seed
         self.watch = watch  # None, or the `settings` to watch and the `period` between lines
         gauges = settings.get("gauges", ())
         count = range(settings.get("methods.count", 0))
         method = lambda n, item: settings.get(f"methods.{n}.{item}")
-        poorer = settings.get("method_poorer", 0)
+        poorer = settings.get("degraded_value", 0)
         self.poorer = {method(n, "name"): poorer[n] if isinstance(poorer, tuple) else poorer for n in count}
         self.kinds = {method(n, "name"): method(n, "kind") for n in count}
         # A try that reached the machine while an entry lived may be read as late as its deadline.
@@ -82,7 +82,9 @@
             settings.get("calls_linger", 0) if meters else 0,
         )
         self.tokens = Tokens(self.turn, max(self.late.values(), default=0), limits.kept_results)
-        self.duty = Duty(self.turn, limits, name, places["registry"], settings.get("grace", 0), self.busy)
+        self.duty = Duty(
+            self.turn, limits, name, places["registry"], settings.get("drain_grace", 0), self.busy
+        )
         self.control = None  # from the worker pool's start on
         self.rpcs, self.by_name, self.next_index = {}, {}, 0
         self.said_level = None
@@ -231,7 +233,7 @@
             rpc.entry, again_known = self.tokens.entry((rpc.method, token), index, digest, reached)
             if again_known:
                 repeats = rpc.entry.index if rpc.entry.index in self.rpcs else -1
-        how = dict(expires=expires, place=place, hint=hint, again=again, caller=caller)
+        how = dict(expires_at=expires, shed_rank=place, cost_hint=hint, is_retry=again, caller=caller)
         if self.claimer and token is not None and repeats is None:
             due = max(self.turn.now, reached + self.deadlines[rpc.method] - CLAIM_MARGIN)
             self.claimer.ask(
@@ -249,7 +251,9 @@
         if kind == CLAIM_MINE:
             self.arrive(rpc, reached, kb, link, None, how)
         elif kind == CLAIM_FULL and rpc.owed:
-            self.arrive(rpc, reached, kb, link, None, how, (0, 0, CLAIM_AGAIN))  # it never ran: pushed back
+            self.arrive(
+                rpc, reached, kb, link, None, how, FleetQuota(0, 0, CLAIM_AGAIN)
+            )  # it never ran: pushed back
         else:
             good = kind == CLAIM_ENDED
             rpc.over, rpc.body = True, b""
@@ -263,17 +267,17 @@
         if self.meters and repeats is None:
             meters = self.meters.of(rpc.method, caller)
             if meters:
-                told["room"] = self.meters.rpc_room(meters)
-                if self.witness and told["room"][0] <= 0 and any(m.limit.dispatcher for m in meters):
+                told["quota"] = FleetQuota(*self.meters.rpc_room(meters))
+                if self.witness and told["quota"][0] <= 0 and any(m.limit.dispatcher for m in meters):
                     self.witness.over(caller)
         if self.witness and repeats is None:
             held = self.witness.room(now, self.origins.get(link), caller)
-            if held and (not told or held < told["room"]):
-                told["room"] = held
+            if held and (not told or held < told["quota"]):
+                told["quota"] = FleetQuota(*held)
         if room:
-            told["room"] = room
-        rpc.handle = self.control.arrive(
-            now, index, rpc.method, kb, waited=now - reached, repeats=repeats, **how, **told
+            told["quota"] = room
+        rpc.handle = self.control.admit(
+            now, index, rpc.method, kb, waited=now - reached, duplicate_of=repeats, **how, **told
         )
         if rpc.owed:
             for meter in meters:
@@ -285,7 +289,7 @@
         self.store.drop(rpc)
         self.uncount(rpc)
         if rpc.handle:
-            rpc.handle.gone(self.turn.now)
+            rpc.handle.caller_gone(self.turn.now)
         elif self.claimer and self.claimer.left(rpc):
             self.release(rpc.index)
 
@@ -320,7 +324,7 @@
 
     def pool_anew(self, cold):
         """A worker pool that started anew has lost its runs: each is answered, none is run again."""
-        self.control.anew(self.turn.now, cold)
+        self.control.worker_pool_restarted(self.turn.now, cold)
         lost = [rpc for rpc in self.rpcs.values() if rpc.started and not rpc.over]
         self.turn.ask("log", f"worker pool: started anew, {len(lost)} runs lost")
         for rpc in lost:
@@ -345,38 +349,40 @@
             self.final(rpc, ABORTED)
         if self.witness:
             self.witness.run_ended(outcome, spent)
-        if self.claimer and outcome is Outcome.MOOT:
+        if self.claimer and outcome is Outcome.NOT_STARTED:
             self.claimer.never(rpc.index)
         elif self.claimer:
             self.claimer.ended(rpc.index, outcome is Outcome.OK, result)
         if rpc.entry and rpc.entry.index == rpc.index:
             self.tokens.settle(rpc.entry, result if outcome is Outcome.OK else FAILED)
-        rpc.handle.ended(self.turn.now, outcome, spent)
+        rpc.handle.run_ended(self.turn.now, outcome, spent)
 
     def run_at_call(self, rpc, cursor, body):
         rpc.stands_at = cursor, body
         if self.meters and self.meters.calls_rate:
             self.meters.calls_rate.ask()
-        rpc.handle.at_call(self.turn.now)
+        rpc.handle.awaiting_call(self.turn.now)
 
     def woken(self, name, gauges):
-        gauges["intake_age"], gauges["intake_use"], self.oldest = self.oldest, self.use, 0
+        """`gauges`: the worker pool's readings by name."""
+        gauges = Gauges.from_readings(gauges)._replace(input_age=self.oldest, input_busy=self.use)
+        self.oldest = 0
         if self.meters:
-            gauges["calls_room"] = self.meters.calls_room(self.store)
+            gauges = gauges._replace(call_capacity=self.meters.call_capacity(self.store))
             standing = [rpc.method in self.first for rpc in self.rpcs.values() if rpc.stands_at is not None]
             for said in self.meters.use(self.store, len(standing), sum(standing)):
                 self.turn.ask("use", *said)
         if self.witness:
-            gauges |= {
-                "told_out": self.witness.out,
-                "told_level": self.witness.level,
-                "below_down": self.witness.store_down,
-            }
+            gauges = gauges._replace(
+                ejected=self.witness.out,
+                min_shed_level=self.witness.level,
+                dependency_down=self.witness.store_down,
+            )
             control = getattr(self.control, "first", self.control)
             seen = self.witness.look(self.turn.now, control.own_level)
             if seen:
                 self.turn.ask("evidence", seen)
-        self.control.wake(self.turn.now, name, gauges)
+        self.control.on_timer(self.turn.now, name, gauges)
         self.duty.look()
 
     # ---- calls and shares that are over
@@ -406,7 +412,7 @@
         """A run that was not commanded, as its claim was over: it never ran."""
         rpc = self.rpcs.get(index)
         if rpc and rpc.started and not rpc.over:
-            self.run_ended(rpc, Outcome.MOOT, 0, b"")
+            self.run_ended(rpc, Outcome.NOT_STARTED, 0, b"")
 
     def run(self, index):
         rpc = self.rpcs[index]
@@ -421,68 +427,69 @@
     def stop(self, index):
         raise NotImplementedError("this worker pool stops nothing")
 
-    def push_back(self, index, wait, last):
-        self.final(self.rpcs[index], PUSHED_BACK, b"", wait, last)
+    def reject(self, index, retry_after, do_not_retry):
+        self.final(self.rpcs[index], PUSHED_BACK, b"", retry_after, do_not_retry)
 
-    def abort(self, index):
+    def fail(self, index):
         rpc = self.rpcs[index]
         self.store.drop(rpc)
         self.final(rpc, ABORTED)
 
-    def call(self, index, limit):
+    def call(self, index, timeout):
         rpc = self.rpcs[index]
         if self.store.place is None:
             self.turn.ask("later", ("full", index))  # nothing is named that could be called: it never ran
             return
         if not self.meters:
-            self.store.call(rpc, limit, rpc.stands_at[1])
+            self.store.call(rpc, timeout, rpc.stands_at[1])
             return
         given = self.meters.take_call(self.store)
         if given is None:
             self.turn.ask("later", ("full", index))  # the module is in the midst of its calls
             return
         leased, longest, by = given
-        rpc.cut = longest is not None and longest < limit and not self.meters.trying
-        self.store.call(rpc, limit if longest is None else min(limit, longest), rpc.stands_at[1], leased, by)
+        rpc.cut = longest is not None and longest < timeout and not self.meters.trying
+        timeout = timeout if longest is None else min(timeout, longest)
+        self.store.call(rpc, timeout, rpc.stands_at[1], leased, by)
 
     def on_full(self, index):
         """A call that was not made: it never ran."""
         rpc = self.rpcs.get(index)
         if rpc and rpc.stands_at and rpc.call_link is None:
-            rpc.handle.call_ended(self.turn.now, Outcome.FULL, 0)
+            rpc.handle.call_ended(self.turn.now, Outcome.REJECTED, 0)
 
-    def skip(self, index):
+    def degrade(self, index):
         rpc = self.rpcs[index]
         (cursor, _), rpc.stands_at = rpc.stands_at, None
         self.pool.skip(rpc, cursor)
 
-    def share(self, index):
+    def answer_duplicate(self, index):
         rpc = self.rpcs[index]
         rpc.share_from = self.turn.now
         self.tokens.share(rpc)
 
-    def remember(self, index, keep):
-        self.tokens.remember(self.rpcs[index], keep)
+    def store_key(self, index, ttl):
+        self.tokens.remember(self.rpcs[index], ttl)
 
-    def forget(self, index):
+    def evict_key(self, index):
         self.tokens.forget(self.rpcs[index].entry)
 
-    def health(self, good, stored):
-        self.duty.health(good)
+    def set_health(self, healthy, cached):
+        self.duty.health(healthy)
         for front in self.fronts.values():
-            front.health(good)
+            front.health(healthy)
 
-    def level(self, value):
-        self.said_level = value
+    def set_shed_level(self, level):
+        self.said_level = level
 
-    def credit(self, value):
+    def set_credit(self, credit):
         raise NotImplementedError("dispatchers' answers carry no credit")
 
-    def idle_limit(self, keep):
+    def set_idle_timeout(self, timeout):
         for front in self.fronts.values():
-            front.idle_limit(keep)
+            front.idle_limit(timeout)
 
-    def wake_in(self, delay, name):
+    def set_timer(self, delay, name):
         self.turn.at(self.turn.now + delay, self.pool.ring, name)
 
     def log(self, text):
@@ -508,7 +515,7 @@
         if self.control:
             self.drain_control()
         else:
-            self.health(False, True)
+            self.set_health(False, True)
             self.end_unready()
 
     def drain_control(self):
--- a/finchcart/node/meter.py
+++ b/finchcart/node/meter.py
@@ -263,7 +263,7 @@
 
     # ---- calls
 
-    def calls_room(self, store):
+    def call_capacity(self, store):
         """Calls that may be in hand until the next look; None: as many as the module likes."""
         rooms = [self.least_room(store)]
         if self.calls:
--- a/finchcart/node/pool.py
+++ b/finchcart/node/pool.py
@@ -172,7 +172,7 @@
         rpc = self.host.running(name)
         if rpc:
             self.turn.fault("worker pool", f"{'run' if was_run else 'command'} not carried out")
-            self.host.run_ended(rpc, Outcome.MOOT if was_run else Outcome.STOPPED, 0, b"")
+            self.host.run_ended(rpc, Outcome.NOT_STARTED if was_run else Outcome.STOPPED, 0, b"")
 
     def on_remark(self, cursor):
         self.new_notice(cursor)
--- a/finchcart/node/store.py
+++ b/finchcart/node/store.py
@@ -102,10 +102,10 @@
             self.turn.ask("read", number)
 
     def refused(self, number, why):
-        self.lost(number, Outcome.UNREACHED, why)
+        self.lost(number, Outcome.UNREACHABLE, why)
 
     def ended(self, number, why):
-        self.lost(number, Outcome.BROKEN_OFF, why)
+        self.lost(number, Outcome.CONNECTION_LOST, why)
 
     def lost(self, number, outcome, why):
         link = self.links.get(number)
--- a/finchcart/node/watch.py
+++ b/finchcart/node/watch.py
@@ -43,13 +43,13 @@
         return act
 
     def note(self, verb, args):
-        if verb == "push_back":
+        if verb == "reject":
             self.pushed[args[0]] = args[1:]
-        elif verb in ("abort", "stop"):
+        elif verb in ("fail", "stop"):
             self.given_up.add(args[0])
-        elif verb in ("level", "credit"):
+        elif verb in ("set_shed_level", "set_credit"):
             self.told = args[0]
-        elif verb == "health":
+        elif verb == "set_health":
             self.good = args[0]
 
     def take(self, index):
@@ -67,7 +67,9 @@
     """The handle of one RPC: what happens to it is told to both."""
 
     __slots__ = ("watch", "first", "second")
-    ended, gone, at_call, call_ended = map(told_to_both, ("ended", "gone", "at_call", "call_ended"))
+    run_ended, caller_gone, awaiting_call, call_ended = map(
+        told_to_both, ("run_ended", "caller_gone", "awaiting_call", "call_ended")
+    )
 
 
 class Watch:
@@ -102,14 +104,14 @@
         self.told_at = now
         self.both(self.first, self.second, "start", now)
 
-    def anew(self, now, cold):
-        self.both(self.first, self.second, "anew", now, cold)
+    def worker_pool_restarted(self, now, cold):
+        self.both(self.first, self.second, "worker_pool_restarted", now, cold)
 
     def drain(self, now, kill_at):
         self.both(self.first, self.second, "drain", now, kill_at)
 
-    def wake(self, now, name, gauges):
-        self.both(self.first, self.second, "wake", now, name, gauges)
+    def on_timer(self, now, name, gauges):
+        self.both(self.first, self.second, "on_timer", now, name, gauges)
         self.counts[TOLD] += self.notes.told != self.second_notes.told
         self.counts[HEALTH] += self.notes.good != self.second_notes.good
         if self.second and now - self.told_at >= self.period:
@@ -120,10 +122,10 @@
             )
             self.counts, self.seen = Counter(), 0
 
-    def arrive(self, now, index, *args, **more):
+    def admit(self, now, index, *args, **more):
         handle = Handle()
-        handle.watch, handle.first = self, self.first.arrive(now, index, *args, **more)
-        handle.second = self.second and self.second_hears(self.second.arrive, now, index, *args, **more)
+        handle.watch, handle.first = self, self.first.admit(now, index, *args, **more)
+        handle.second = self.second and self.second_hears(self.second.admit, now, index, *args, **more)
         if self.second:
             self.seen += 1
             self.handles[index] = handle
@@ -141,7 +143,7 @@
             self.counts[PUSHED_BACK_WOULD_TAKE] += pushed is not None and would is None
             self.counts[ADVICE] += None not in (pushed, would) and pushed != would
             self.counts[GIVEN_UP] += given_up != would_give_up
-            for act, *more in ((second.gone,), (second.ended, Outcome.MOOT, 0)):
+            for act, *more in ((second.caller_gone,), (second.run_ended, Outcome.NOT_STARTED, 0)):
                 if self.second and second.state != OVER:
                     self.second_hears(act, now, *more)
             self.second_notes.take(index)  # of what ended it
--- a/finchcart/node/witness.py
+++ b/finchcart/node/witness.py
@@ -45,7 +45,7 @@
         if outcome is Outcome.OK:
             self.calls[0] += 1
             self.calls[2] += spent
-        elif outcome is not Outcome.FULL and not (cut and outcome is Outcome.TIMEOUT):
+        elif outcome is not Outcome.REJECTED and not (cut and outcome is Outcome.TIMEOUT):
             self.calls[1] += 1
 
     def run_ended(self, outcome, spent):
--- a/finchcart/settings.py
+++ b/finchcart/settings.py
@@ -5,7 +5,7 @@
 picks its own default.
 """
 
-KINDS = {"read_like": "idempotent", "idempotency_key": "tokened", "non_idempotent": "non_idempotent"}
+KINDS = {"read_like": "idempotent", "idempotency_key": "keyed", "non_idempotent": "non_idempotent"}
 
 
 def number(low, high=float("inf")):
@@ -28,31 +28,31 @@
 # The outside names of settings: the module's word, and what a configuration may tell. Others are passed over.
 SETTINGS = {
     "round": ("tick", _TIME),
-    "callers.marksRetry": ("marks_further", _FLAG),
+    "callers.marksRetry": ("marks_retries", _FLAG),
     "contract.answerSlack": ("slack", _TIME),
-    "contract.cold": ("cold", _TIME),
-    "contract.fall": ("crowd_window", _TIME),
-    "contract.overloadFactor": ("crowd", number(1)),
-    "contract.startCapacity": ("cold_start", number(0, 1)),
-    "contract.stopSendingWithin": ("grace", _TIME),
-    "familyInfo.below": ("below", _word("shared", "tier", "silent")),
-    "familyInfo.callerIdle": ("idle_max", _TIME),
+    "contract.cold": ("warm_up", _TIME),
+    "contract.fall": ("overload_window", _TIME),
+    "contract.overloadFactor": ("overload_factor", number(1)),
+    "contract.startCapacity": ("cold_start_speed", number(0, 1)),
+    "contract.stopSendingWithin": ("drain_grace", _TIME),
+    "familyInfo.below": ("dependency", _word("shared", "tier", "silent")),
+    "familyInfo.callerIdle": ("idle_timeout_max", _TIME),
     "familyInfo.callsOut": ("calls_limit", number(0)),
     "familyInfo.callsOver": ("calls_window", _TIME),
     "familyInfo.classCalls": ("method_calls", _each(_FLAG)),
     "familyInfo.cores": ("cores", number(1)),
     "familyInfo.freshStart": ("fresh_start", _FLAG),
     "familyInfo.gauges": ("gauges", _each(_TEXT)),
-    "familyInfo.heeded": ("told_heeded", _TIME),
-    "familyInfo.kbPerKey": ("entry_kb", number(0)),
+    "familyInfo.heeded": ("feedback_lifetime", _TIME),
+    "familyInfo.kbPerKey": ("key_entry_kb", number(0)),
     "familyInfo.linger": ("calls_linger", _TIME),
     "familyInfo.memoryKb": ("memory_kb", number(0)),
     "familyInfo.passesDeadline": ("tells_deadline", _FLAG),
     "familyInfo.preemption": ("can_stop", _word("silent", "drop", "pause")),
     "familyInfo.runFactor": ("run_factor", number(1)),
-    "familyInfo.say": ("told", _word("level", "credit", "weight", "silent")),
-    "familyInfo.worthWithout": ("method_poorer", _each(number(0, 1))),
-    "limits.maxRetryAfter": ("advice_max", _TIME),
+    "familyInfo.say": ("feedback", _word("level", "credit", "weight", "silent")),
+    "familyInfo.worthWithout": ("degraded_value", _each(number(0, 1))),
+    "limits.maxRetryAfter": ("retry_after_max", _TIME),
 }
 _PASSED_OVER = None, (lambda v: True, "")
 # The same for each item of the list of methods.
@@ -61,7 +61,7 @@
     "deadline": ("deadline", _TIME),
     "effect": ("kind", _word(*KINDS)),
     "target": ("latency_target", _TIME),
-    "lateWorth": ("late_worth", number(0, 1)),
+    "lateWorth": ("late_value", number(0, 1)),
     "window": ("window", _TIME),
     "worth": ("criticality", number(0)),
 }
--- a/finchcart/thrift/fields.py
+++ b/finchcart/thrift/fields.py
@@ -34,7 +34,7 @@
         raise ValueError(f"field c={str(method)[:40]!r}: no such method")
     if len(name) != 16 or not HEX.issuperset(name):
         raise ValueError(f"field i={name[:40]!r}: expected 16 hex digits, new with every try")
-    if kinds[method] != "tokened":
+    if kinds[method] != "keyed":
         token = None
     elif not token or len(token) > 64:
         raise ValueError("field k is missing, or too long")
--- a/finchcart/wire.py
+++ b/finchcart/wire.py
@@ -6,12 +6,12 @@
 OUTCOMES = {
     200: Outcome.OK,
     502: Outcome.ERROR,
-    429: Outcome.FULL,
+    429: Outcome.REJECTED,
     408: Outcome.TIMEOUT,
-    521: Outcome.UNREACHED,
-    520: Outcome.BROKEN_OFF,
+    521: Outcome.UNREACHABLE,
+    520: Outcome.CONNECTION_LOST,
     444: Outcome.STOPPED,
-    409: Outcome.MOOT,
+    409: Outcome.NOT_STARTED,
 }
 
 
--- a/finchcart/wirehost.py
+++ b/finchcart/wirehost.py
@@ -10,6 +10,7 @@
 
 from finchcart import wire
 from finchcart.control import Control
+from finchcart.interface import Gauges
 from finchcart.wire import WireError
 
 
@@ -35,39 +36,39 @@
     def stop(self, index):
         self.say("STOP", call=self.ids[index])
 
-    def push_back(self, index, wait, last):
-        self.say("BUSY", call=self.ids[index], wait=wait or None, last=last or None)
+    def reject(self, index, retry_after, do_not_retry):
+        self.say("BUSY", call=self.ids[index], wait=retry_after or None, last=do_not_retry or None)
 
-    def abort(self, index):
+    def fail(self, index):
         self.say("END_FAILED", call=self.ids[index])
 
-    def call(self, index, limit):
-        self.say("CALL_DEP", call=self.ids[index], limit=limit)
+    def call(self, index, timeout):
+        self.say("CALL_DEP", call=self.ids[index], limit=timeout)
 
-    def skip(self, index):
+    def degrade(self, index):
         self.say("SKIP", call=self.ids[index])
 
-    def share(self, index):
+    def answer_duplicate(self, index):
         self.say("SHARE", call=self.ids[index])
 
-    def remember(self, index, keep):
-        self.say("PIN", call=self.ids[index], keepFor=keep)
+    def store_key(self, index, ttl):
+        self.say("PIN", call=self.ids[index], keepFor=ttl)
 
-    def forget(self, index):
+    def evict_key(self, index):
         self.say("DROP_KEY", call=self.ids[index])
 
-    def health(self, good, stored):
-        self.say("READINESS", want=good, stored=stored)
+    def set_health(self, healthy, cached):
+        self.say("READINESS", want=healthy, stored=cached)
 
-    def level(self, value):
-        self.say("HINT_OUT", x=round(value, 4))
+    def set_shed_level(self, level):
+        self.say("HINT_OUT", x=round(level, 4))
 
-    credit = level  # one value rides on answers, whichever it is
+    set_credit = set_shed_level  # one value rides on answers, whichever it is
 
-    def idle_limit(self, keep):
-        self.say("IDLE_LIMIT", keepFor=keep)
+    def set_idle_timeout(self, timeout):
+        self.say("IDLE_LIMIT", keepFor=timeout)
 
-    def wake_in(self, delay, name):
+    def set_timer(self, delay, name):
         self.say("NOTIFY_ME", fromNow=delay, name=name)
 
     def log(self, text):
@@ -81,7 +82,7 @@
         if message == "KNOCK":
             self.knock(now, fields)
         elif message == "WAKE":
-            self.control.wake(now, fields["name"], fields.get("feedback", {}))
+            self.control.on_timer(now, fields["name"], Gauges.from_readings(fields.get("feedback", {})))
         elif message == "DRAIN":
             self.control.drain(now, fields["expires"])
         else:
@@ -89,11 +90,11 @@
             if rpc is None:
                 return  # over and released
             if message == "WOUND_UP":
-                rpc.ended(now, fields["how"], fields.get("spent", 0))
+                rpc.run_ended(now, fields["how"], fields.get("spent", 0))
             elif message == "LEFT":
-                rpc.gone(now)
+                rpc.caller_gone(now)
             elif message == "WANTS_CALL":
-                rpc.at_call(now)
+                rpc.awaiting_call(now)
             elif message == "DOWNSTREAM":
                 rpc.call_ended(now, fields["how"], fields.get("spent", 0))
 
@@ -103,18 +104,18 @@
         self.next += 1
         self.ids[index] = call
         self.rpcs[call] = index, None
-        rpc = self.control.arrive(
+        rpc = self.control.admit(
             now,
             index,
             fields["profile"],
             fields["footprint"],
-            expires=fields.get("expires", 0),
+            expires_at=fields.get("expires", 0),
             waited=fields.get("backlogTime", 0),
-            place=fields.get("place"),
-            hint=fields.get("estimate", 0),
-            again=fields.get("againByClient", False),
+            shed_rank=fields.get("place"),
+            cost_hint=fields.get("estimate", 0),
+            is_retry=fields.get("againByClient", False),
             caller=fields.get("neighbour"),
-            repeats=None if repeats is None else self.rpcs.get(repeats, (-1, None))[0],
+            duplicate_of=None if repeats is None else self.rpcs.get(repeats, (-1, None))[0],
         )
         if call in self.rpcs:
             self.rpcs[call] = index, rpc
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -6,14 +6,14 @@
 from collections import Counter, deque
 
 from finchcart.control import Control
-from finchcart.interface import Outcome
+from finchcart.interface import Gauges, Outcome
 from finchcart.net.limits import Limits
 from finchcart.node.core import Core
 from finchcart.thrift import codec as thrift
 from finchcart.thrift.codec import STRING, STRUCT
 from finchcart.thrift.front import ThriftFront
 
-KINDS = ("idempotent", "tokened", "non_idempotent")
+KINDS = ("idempotent", "keyed", "non_idempotent")
 MS = 1000
 
 
@@ -24,26 +24,26 @@
     out = {
         "cores": rng.randint(1, 8),
         "tick": rng.choice((1, 2, 5)) * MS,
-        "grace": rng.randint(0, 2500) * MS,
+        "drain_grace": rng.randint(0, 2500) * MS,
         "slack": 60 * MS,
         "memory_kb": memory,
         "run_factor": rng.choice((1, 4, 16)),
-        "entry_kb": rng.choice((1, 90)),
-        "crowd": rng.choice((3, 6, 8)),
-        "crowd_window": 2000 * MS,
+        "key_entry_kb": rng.choice((1, 90)),
+        "overload_factor": rng.choice((3, 6, 8)),
+        "overload_window": 2000 * MS,
         "fresh_start": rng.random() < 0.4,
-        "cold_start": 0.2,
-        "cold": 9000 * MS,
+        "cold_start_speed": 0.2,
+        "warm_up": 9000 * MS,
         "can_stop": rng.random() < 0.5,
-        "told": rng.choice(("level", "credit", "weight", "silent")),
-        "marks_further": rng.random() < 0.5,
-        "advice_max": 1000 * MS,
+        "feedback": rng.choice(("level", "credit", "weight", "silent")),
+        "marks_retries": rng.random() < 0.5,
+        "retry_after_max": 1000 * MS,
         "methods.count": rng.randint(1, 4),
         "tells_deadline": rng.random() < 0.5,
     }
     out["can_pause"] = out["can_stop"] and rng.random() < 0.5
     if calls and rng.random() < 0.3:
-        out.update(below="tier", calls_limit=0.0)  # as is written where no share is told
+        out.update(dependency="tier", calls_limit=0.0)  # as is written where no share is told
     elif calls:
         out.update(calls_limit=rng.choice((0.3, 2.0, 7.0)), calls_window=5000 * MS, calls_linger=200 * MS)
     for n in range(out["methods.count"]):
@@ -60,7 +60,7 @@
         )
     names = range(out["methods.count"])
     out["method_calls"] = tuple(calls and rng.random() < 0.7 for _ in names)
-    out["method_poorer"] = tuple(rng.choice((0.0, 0.4)) for _ in names)
+    out["degraded_value"] = tuple(rng.choice((0.0, 0.4)) for _ in names)
     return out
 
 
@@ -89,9 +89,9 @@
         assert r["state"] == "paused" or r["state"] == "held" and not r["ran"], "run twice"
         self.resumed += r["state"] == "paused"
         if self.drained is not None:
-            in_grace = r["reached"] <= self.drained + self.settings["grace"]
+            in_grace = r["reached"] <= self.drained + self.settings["drain_grace"]
             assert in_grace, "drain: ran what came past the grace"
-        if r["kind"] == "tokened":
+        if r["kind"] == "keyed":
             for other in self.rpcs.values():
                 same = other["first"] == r["first"] and other is not r
                 within = other["reached"] + r["window"] > r["reached"]
@@ -116,61 +116,61 @@
         assert not r["answers"] or not by_hand, "two answers"
         r["answers"] = 1
 
-    def push_back(self, index, wait, last):
+    def reject(self, index, retry_after, do_not_retry):
         r = self.rpc(index)
         assert not r["ran"] and r["state"] == "held", "pushed back after it ran"
-        assert 0 <= wait <= self.settings["advice_max"]
+        assert 0 <= retry_after <= self.settings["retry_after_max"]
         self.answer(r)
         r["state"] = "over"
 
-    def abort(self, index):
+    def fail(self, index):
         r = self.rpc(index)
         self.answer(r)
         if r["state"] in ("held", "sharing", "paused"):
             r["state"] = "over"
 
-    def call(self, index, limit):
+    def call(self, index, timeout):
         r = self.rpc(index)
-        assert r["state"] == "standing" and limit > 0 and not (r["answers"] or r["gone"])
+        assert r["state"] == "standing" and timeout > 0 and not (r["answers"] or r["gone"])
         if r["calls"]:
             assert r["kind"] == "idempotent" or r["never_ran"], "call repeated without proof"
-        r.update(state="calling", calls=r["calls"] + 1, since=self.now, limit=limit)
+        r.update(state="calling", calls=r["calls"] + 1, since=self.now, limit=timeout)
 
-    def skip(self, index):
+    def degrade(self, index):
         r = self.rpc(index)
-        assert r["state"] == "standing" and self.settings["method_poorer"][r["n"]] > 0
+        assert r["state"] == "standing" and self.settings["degraded_value"][r["n"]] > 0
         r["state"] = "running"
 
-    def share(self, index):
+    def answer_duplicate(self, index):
         r = self.rpc(index)
         assert r["state"] == "held" and r["repeat"]
         r["state"] = "sharing"
 
-    def remember(self, index, keep):
+    def store_key(self, index, ttl):
         r = self.rpc(index)
-        assert r["kind"] == "tokened" and keep > 0
-        self.entries[r["first"]] = (self.now + keep, index)
+        assert r["kind"] == "keyed" and ttl > 0
+        self.entries[r["first"]] = (self.now + ttl, index)
 
-    def forget(self, index):
+    def evict_key(self, index):
         assert not self.rpc(index)["ran"], "forgot what ran"
         self.entries.pop(self.rpc(index)["first"], None)
 
-    def health(self, good, stored):
-        assert stored and not (good and self.drained is not None), "health good while draining"
-        self.good = good
+    def set_health(self, healthy, cached):
+        assert cached and not (healthy and self.drained is not None), "health good while draining"
+        self.good = healthy
 
-    def level(self, value):
-        assert self.settings["told"] == "level" and 0 <= value <= 1
+    def set_shed_level(self, level):
+        assert self.settings["feedback"] == "level" and 0 <= level <= 1
 
-    def credit(self, value):
-        assert self.settings["told"] == "credit" and value > 0
-        self.said_credit = value
+    def set_credit(self, credit):
+        assert self.settings["feedback"] == "credit" and credit > 0
+        self.said_credit = credit
 
-    def idle_limit(self, keep):
-        assert keep >= 10 * MS
-        self.idle = keep
+    def set_idle_timeout(self, timeout):
+        assert timeout >= 10 * MS
+        self.idle = timeout
 
-    def wake_in(self, delay, name):
+    def set_timer(self, delay, name):
         self.timers.append((self.now + delay, name))
 
     def log(self, text):
@@ -215,8 +215,8 @@
             late=0,
         )
         self.open[index] = self.rpcs[index]
-        handle = self.control.arrive(
-            self.now, index, f"m{n}", kb, expires=expires, waited=waited, repeats=repeats, **more
+        handle = self.control.admit(
+            self.now, index, f"m{n}", kb, expires_at=expires, waited=waited, duplicate_of=repeats, **more
         )
         self.rpcs[index]["handle"] = handle
         return index
@@ -226,7 +226,7 @@
         state, r["state"] = r["state"], "over"
         if outcome in (Outcome.OK, Outcome.ERROR):
             self.answer(r, by_hand=False)
-        r["handle"].ended(self.now, outcome, self.now - r["since"])
+        r["handle"].run_ended(self.now, outcome, self.now - r["since"])
         assert state in ("running", "sharing", "standing", "calling")
         assert r["answers"] or r["gone"], "lost: ended without an answer"
 
@@ -235,7 +235,7 @@
         r = self.rpcs[index]
         if self.get("can_pause") and not (r["answers"] or r["gone"]):
             r.update(state="paused", stopped=False)
-            r["handle"].ended(self.now, Outcome.STOPPED, self.now - r["since"])
+            r["handle"].run_ended(self.now, Outcome.STOPPED, self.now - r["since"])
             assert (index in self.control.live) != bool(r["answers"]), "neither kept nor answered"
         else:
             self.end(index, Outcome.STOPPED)
@@ -252,7 +252,7 @@
         """Time passes; timers due are rung, unless the process stands still."""
         on_core, calling = len(self.of("running")), len(self.of("calling"))
         self.now += dt
-        fade = min(1.0, dt / max(1, self.get("crowd_window", 1)))
+        fade = min(1.0, dt / max(1, self.get("overload_window", 1)))
         self.crowd_sum += (on_core - self.crowd_sum) * fade
         fade = min(1.0, dt / max(1, self.get("calls_window", 1)))
         self.calls_sum += (calling - self.calls_sum) * fade
@@ -263,20 +263,20 @@
         due = [t for t in self.timers if t[0] <= self.now]
         self.timers = [t for t in self.timers if t[0] > self.now]
         for _, name in due:
-            self.control.wake(
+            self.control.on_timer(
                 self.now,
                 name,
-                {
-                    "core_use": min(1.0, on_core / self.settings["cores"]),
-                    "on_cores": on_core + self.wanting,
+                Gauges(
+                    core_use=min(1.0, on_core / self.settings["cores"]),
+                    on_cores=on_core + self.wanting,
                     **self.told,
-                },
+                ),
             )
         self.entries = {f: e for f, e in self.entries.items() if e[0] > self.now}
 
     def check(self):
         """The rules that are not checked as the module acts."""
-        kb = len(self.entries) * self.settings["entry_kb"]
+        kb = len(self.entries) * self.settings["key_entry_kb"]
         self.open = {index: r for index, r in self.open.items() if r["state"] != "over"}
         for index, r in self.open.items():
             kb += r["kb"] * (1 if r["state"] in ("held", "sharing") else self.settings["run_factor"])
@@ -294,9 +294,11 @@
         assert len(self.control.live) <= len(self.open), "what is over is swept on"
         warmth = 1.0
         if self.settings["fresh_start"]:
-            warmth = min(1.0, 0.2 + 0.8 * (self.now - 10_000_000) / max(1, self.settings["cold"]))
-        assert self.crowd_sum <= (1 + (self.settings["crowd"] - 1) * warmth) * self.settings["cores"], "crowd"
-        shared = self.get("below", "shared") == "shared"
+            warmth = min(1.0, 0.2 + 0.8 * (self.now - 10_000_000) / max(1, self.settings["warm_up"]))
+        assert (
+            self.crowd_sum <= (1 + (self.settings["overload_factor"] - 1) * warmth) * self.settings["cores"]
+        ), "crowd"
+        shared = self.get("dependency", "shared") == "shared"
         assert not shared or self.calls_sum <= self.get("calls_limit", 1e9), "fall-over: calls"
         assert self.control.pausing <= {r["handle"] for r in self.open.values()}, "pausing what is over"
         if self.kill is not None and self.now >= self.kill:
@@ -495,7 +497,7 @@
             "p": "0.5",
         }
         said.update({"r": "1"} if first else {})
-        said.update({"k": key} if kind == "tokened" else {}, **fields)
+        said.update({"k": key} if kind == "keyed" else {}, **fields)
         body = first["body"] if first else self.rng.randbytes(8)
         due = max(self.now, reached + self.settings[f"methods.{n}.deadline"])
         self.tries[name] = dict(
@@ -574,15 +576,17 @@
                 return
             assert run is None or r["kind"] == "idempotent", "run again"
             if r["answers"] or not r["owed"]:
-                self.notice("run_ended", name, Outcome.MOOT, 0, b"")
+                self.notice("run_ended", name, Outcome.NOT_STARTED, 0, b"")
                 self.runs[name] = dict(state="over", key=r["key"], calls=0)
                 return
             others = [t for t in self.tries.values() if t["key"] == r["key"] and t["ran"]]
             window = self.settings[f"methods.{r['n']}.window"]
-            if r["kind"] == "tokened":
+            if r["kind"] == "keyed":
                 assert all(t["reached"] + window < r["reached"] for t in others), "effect twice"
             if self.drained is not None:
-                assert r["reached"] <= self.drained + self.settings["grace"], "ran what came past the grace"
+                assert r["reached"] <= self.drained + self.settings["drain_grace"], (
+                    "ran what came past the grace"
+                )
             r["ran"] = True
             self.runs[name] = dict(state="running", key=r["key"], calls=0, never_ran=True)
             self.active[name] = self.runs[name]
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -301,8 +301,8 @@
     )
     told = settings.from_json(tree)
     assert told == settings.from_pairs(pairs)
-    assert told["methods.0.name"] == "7" and told["methods.1.kind"] == "tokened" and told["can_stop"] is False
-    assert told["method_poorer"] == (0.6, 0.0) and told["gauges"] == ("core_use", "on_cores")
+    assert told["methods.0.name"] == "7" and told["methods.1.kind"] == "keyed" and told["can_stop"] is False
+    assert told["degraded_value"] == (0.6, 0.0) and told["gauges"] == ("core_use", "on_cores")
 
 
 def test_buffers_are_reused_and_never_given_back_twice():
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,28 +4,28 @@
 
 import pytest
 
-from finchcart.interface import Outcome
+from finchcart.interface import Gauges, Outcome
 from tests.harness import MS, Node, draw_settings
 
 PLAIN = {
     "cores": 2,
     "tick": 2 * MS,
-    "grace": 1000 * MS,
+    "drain_grace": 1000 * MS,
     "slack": 60 * MS,
     "memory_kb": 20_000,
     "run_factor": 4,
-    "entry_kb": 1,
-    "crowd": 6,
-    "crowd_window": 2000 * MS,
+    "key_entry_kb": 1,
+    "overload_factor": 6,
+    "overload_window": 2000 * MS,
     "fresh_start": False,
     "can_stop": False,
-    "told": "level",
-    "advice_max": 1000 * MS,
+    "feedback": "level",
+    "retry_after_max": 1000 * MS,
     "tells_deadline": False,
     "calls_limit": 4.0,
     "calls_window": 5000 * MS,
     "method_calls": (True, True),
-    "method_poorer": (0.5, 0.0),
+    "degraded_value": (0.5, 0.0),
     "methods.count": 2,
     "methods.0.name": "m0",
     "methods.0.kind": "idempotent",
@@ -34,7 +34,7 @@
     "methods.0.deadline": 3000 * MS,
     "methods.0.window": 0,
     "methods.1.name": "m1",
-    "methods.1.kind": "tokened",
+    "methods.1.kind": "keyed",
     "methods.1.criticality": 3,
     "methods.1.latency_target": 1000 * MS,
     "methods.1.deadline": 3000 * MS,
@@ -43,7 +43,7 @@
 
 
 def one_step(node, rng, load):
-    tokened = [i for i, r in node.rpcs.items() if r["kind"] == "tokened" and i == r["first"]]
+    tokened = [i for i, r in node.rpcs.items() if r["kind"] == "keyed" and i == r["first"]]
     for _ in range(rng.choice((0, 0, 1, 2, load))):
         n = rng.randrange(node.settings["methods.count"])
         first = rng.choice(tokened[-20:]) if tokened and rng.random() < 0.3 else None
@@ -55,8 +55,8 @@
             waited=rng.choice((0, 0, 50, 400)) * MS,
             left=rng.randint(1, 3000) * MS,
             kb=rng.uniform(1, 60),
-            place=rng.choice((None, rng.random())),
-            hint=rng.choice((0, 100 * MS)),
+            shed_rank=rng.choice((None, rng.random())),
+            cost_hint=rng.choice((0, 100 * MS)),
         )
     for index in node.of("running"):
         r = node.rpcs[index]
@@ -71,7 +71,7 @@
             node.end(index, rng.choice((Outcome.OK, Outcome.OK, Outcome.ERROR)))
         elif chance < 0.12 and node.settings["method_calls"][r["n"]]:
             r.update(state="standing", calls=0, never_ran=False)
-            r["handle"].at_call(node.now)
+            r["handle"].awaiting_call(node.now)
     for index in node.of("calling"):
         r = node.rpcs[index]
         timed_out = node.now - r["since"] >= r["limit"]
@@ -84,9 +84,9 @@
                         Outcome.OK,
                         Outcome.OK,
                         Outcome.ERROR,
-                        Outcome.FULL,
-                        Outcome.UNREACHED,
-                        Outcome.BROKEN_OFF,
+                        Outcome.REJECTED,
+                        Outcome.UNREACHABLE,
+                        Outcome.CONNECTION_LOST,
                     )
                 )
             )
@@ -103,7 +103,7 @@
         if rng.random() < 0.005 and not node.rpcs[index]["gone"]:
             r = node.rpcs[index]
             r.update(gone=True, state=r["state"] if r["state"] == "running" else "over")
-            r["handle"].gone(node.now)
+            r["handle"].caller_gone(node.now)
 
 
 @pytest.mark.parametrize("seed", [*range(40), 41, 44, 47, 50, 51])  # from 41 on runs are paused and go on
@@ -112,7 +112,7 @@
     settings = draw_settings(rng)
     worths = lambda: [settings[f"methods.{n}.criticality"] for n in range(settings["methods.count"])]
     while seed >= 40 and not (settings["can_pause"] and max(worths()) > 2 * min(worths())):
-        settings = {**draw_settings(rng), "memory_kb": 200_000, "cores": 2, "crowd": 8}
+        settings = {**draw_settings(rng), "memory_kb": 200_000, "cores": 2, "overload_factor": 8}
     node = Node(settings, seed)
     load, drain_at = rng.choice((2, 6, 40)) if seed < 40 else 2, rng.randint(150, 650)
     for step in range(700):
@@ -150,11 +150,11 @@
 
 def test_a_failed_call_is_repeated_only_after_proof():
     node = Node(PLAIN)
-    for outcome, state in ((Outcome.UNREACHED, "calling"), (Outcome.BROKEN_OFF, "standing")):
+    for outcome, state in ((Outcome.UNREACHABLE, "calling"), (Outcome.CONNECTION_LOST, "standing")):
         index = node.arrive(1)
         r = node.rpcs[index]
         r["state"] = "standing"
-        r["handle"].at_call(node.now)
+        r["handle"].awaiting_call(node.now)
         r.update(state="standing", never_ran=outcome.never_ran)
         r["handle"].call_ended(node.now, outcome, 1)
         assert r["state"] == state
@@ -176,10 +176,10 @@
 
 def test_calls_to_a_tier_are_not_held_to_a_share_that_is_not_told():
     """Guards against a share of nought, as is written where a tier lies below: no call was made."""
-    node = Node({**PLAIN, "below": "tier", "calls_limit": 0.0})
+    node = Node({**PLAIN, "dependency": "tier", "calls_limit": 0.0})
     index = node.arrive(1)
     node.rpcs[index]["state"] = "standing"
-    node.rpcs[index]["handle"].at_call(node.now)
+    node.rpcs[index]["handle"].awaiting_call(node.now)
     assert node.rpcs[index]["state"] == "calling"
 
 
@@ -194,7 +194,7 @@
 
 def test_a_full_table_turns_away_where_no_level_keeps_callers_off():
     for told, keep in (("level", 10 * MS), ("silent", 8000 * MS)):
-        node = Node({**PLAIN, "told": told})
+        node = Node({**PLAIN, "feedback": told})
         for step in range(600):
             node.step(10 * MS)
             for k in range(3):
@@ -206,7 +206,7 @@
 def test_a_credit_is_what_ends_in_time_shared_by_the_callers_that_come():
     said = []
     for callers in (2, 20):
-        node = Node({**PLAIN, "told": "credit", "told_heeded": 1000 * MS})
+        node = Node({**PLAIN, "feedback": "credit", "feedback_lifetime": 1000 * MS})
         for step in range(400):
             node.step(10 * MS)
             node.arrive(0, caller=step % callers)
@@ -255,14 +255,14 @@
 )
 def test_a_full_fleet_is_told_by_further_tries_or_a_deep_cut_where_these_carry_no_mark(marked, again, last):
     """Guards against a full fleet that reads the same RPCs on one node after another."""
-    node, lasts = Node({**PLAIN, "marks_further": marked}), []
-    node.push_back = lambda index, wait, last: (
+    node, lasts = Node({**PLAIN, "marks_retries": marked}), []
+    node.reject = lambda index, wait, last: (
         lasts.append(last),
         node.rpcs[index].update(state="over", answers=1),
     )
     for _ in range(200):
         node.step(10 * MS)
-        node.arrive(0, again=again, waited=500 * MS)
+        node.arrive(0, is_retry=again, waited=500 * MS)
         node.end_older(300 * MS)
     assert lasts and lasts[-1] is last
 
@@ -273,7 +273,7 @@
     index = node.arrive(0)
     r = node.rpcs[index]
     r["state"] = "standing"
-    r["handle"].at_call(node.now)
+    r["handle"].awaiting_call(node.now)
     assert r["state"] == "calling" and r["limit"] < 900 * MS
     node.step(r["limit"])
     r.update(state="standing", calls=1)
@@ -308,8 +308,8 @@
     """Guards against runs for RPCs whose latency target passed while other nodes pushed them back."""
     node = Node(PLAIN)
     node.control.further = 0.5
-    first, further = node.arrive(0), node.arrive(0, again=True)
-    late = node.arrive(0, again=True, waited=450 * MS, hint=400 * MS)
+    first, further = node.arrive(0), node.arrive(0, is_retry=True)
+    late = node.arrive(0, is_retry=True, waited=450 * MS, cost_hint=400 * MS)
     wants = [node.rpcs[index]["handle"].want - node.now for index in (first, further)]
     assert wants == [1000 * MS, 500 * MS] and node.rpcs[late]["state"] == "over"
 
@@ -327,7 +327,7 @@
     """Guards against advice that reaches no caller in time and only delays the client's next try."""
     for callers, advised in ((3, True), (5000, False)):
         node, waits = Node(PLAIN), []
-        node.push_back = lambda index, wait, last: (
+        node.reject = lambda index, wait, last: (
             waits.append(wait),
             node.rpcs[index].update(state="over", answers=1),
         )
@@ -344,12 +344,12 @@
         {"cores": 1},
         {"calls_limit": 0.3},
         {"calls_window": 0},
-        {"crowd_window": 0},
-        {"crowd": 1},
-        {"grace": 0},
-        {"fresh_start": True, "cold": 0},
-        {"advice_max": 0},
-        {"entry_kb": 0},
+        {"overload_window": 0},
+        {"overload_factor": 1},
+        {"drain_grace": 0},
+        {"fresh_start": True, "warm_up": 0},
+        {"retry_after_max": 0},
+        {"key_entry_kb": 0},
         {"methods.0.criticality": 0},
     ],
 )
@@ -367,8 +367,8 @@
     for _ in range(turns):
         node.now += 40 * MS
         node.timers = []
-        node.control.wake(
-            node.now, "sweep", {"core_use": 0.2, "on_cores": 0, "intake_use": use, "intake_age": age}
+        node.control.on_timer(
+            node.now, "sweep", Gauges(core_use=0.2, on_cores=0, input_busy=use, input_age=age)
         )
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -19,7 +19,7 @@
     fronts = [link for link, kind in far.links.items() if kind == "open" and link > 0]
     if rng.random() < 0.1 or not fronts:
         fronts.append(far.open())
-    tokened = [name for name, r in far.tries.items() if r["kind"] == "tokened"]
+    tokened = [name for name, r in far.tries.items() if r["kind"] == "keyed"]
     for _ in range(rng.choice((0, 0, 1, load))):
         again = rng.choice(tokened[-20:]) if tokened and rng.random() < 0.3 else None
         far.submit(
@@ -46,7 +46,7 @@
                 far.store_reply(
                     link,
                     name,
-                    rng.choice((Outcome.OK, Outcome.OK, Outcome.FULL, Outcome.ERROR, Outcome.TIMEOUT)),
+                    rng.choice((Outcome.OK, Outcome.OK, Outcome.REJECTED, Outcome.ERROR, Outcome.TIMEOUT)),
                 )
         if far.links[link] == "open" and link != far.pool and rng.random() < 0.01:
             far.cut_store(link)
@@ -160,7 +160,7 @@
 
 def test_an_rpc_over_a_limit_of_the_fleet_is_pushed_back_at_once_and_told_when_to_come_back():
     meters = Meters((Limit("a second", 50, 0, counts="rpcs", per="rate", burst=10, dispatcher="3"),), 0, 10)
-    far = far_plain(meters=meters, advice_max=1000 * MS)
+    far = far_plain(meters=meters, retry_after_max=1000 * MS)
     link = far.open()
     far.feed("fleet", ("allow", "a second", 0, 10, far.now + 10**9))
     far.step(MS)
@@ -188,7 +188,7 @@
         "methods.1.latency_target": 1000 * MS,
         "methods.1.deadline": 3000 * MS,
         "method_calls": (False, False),
-        "method_poorer": (0.0, 0.0),
+        "degraded_value": (0.0, 0.0),
         "cores": 64,
     }
     far = far_plain(meters=meters, **settings)
@@ -330,7 +330,7 @@
 
 
 def test_a_reply_that_may_have_been_lost_leaves_the_call_out_where_that_is_allowed():
-    far = far_plain(method_poorer=(0.5, 0.0))
+    far = far_plain(degraded_value=(0.5, 0.0))
     name, link = calling(far)
     far.store_reply(link, name, Outcome.OK)
     far.step(0)
@@ -415,7 +415,7 @@
 
 
 def test_a_call_made_after_one_given_up_goes_where_no_late_reply_can_pass_for_its_own():
-    far = far_plain(**{"methods.0.kind": "idempotent", "method_poorer": (0.0, 0.0)})
+    far = far_plain(**{"methods.0.kind": "idempotent", "degraded_value": (0.0, 0.0)})
     name = running(far)
     far.block(name)
     far.step(MS)
@@ -438,7 +438,7 @@
 
 
 def test_a_spoilt_reply_costs_its_own_call_and_a_link_that_said_too_much_takes_no_further():
-    far = far_plain(cores=8, calls_limit=20, method_poorer=(0.5, 0.0))
+    far = far_plain(cores=8, calls_limit=20, degraded_value=(0.5, 0.0))
     names = [running(far) for _ in range(3)]
     for name in names:
         far.block(name)
@@ -645,7 +645,7 @@
 def test_timers_do_not_pile_up_on_a_busy_connection():
     far = far_plain()
     far.slow, link, most = 0, far.open(), 0
-    far.core.idle_limit(8_000 * MS)
+    far.core.set_idle_timeout(8_000 * MS)
     for _ in range(300):
         name = far.submit(link)
         far.step(20 * MS)
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -354,8 +354,8 @@
 
 
 def test_a_store_that_is_down_gets_this_nodes_trial_calls_alone_and_more_by_steps_once_it_is_back():
-    far = witnessed(cores=64, crowd=64, calls_limit=100.0)
-    room = lambda: far.meters.calls_room(far.core.store)
+    far = witnessed(cores=64, overload_factor=64, calls_limit=100.0)
+    room = lambda: far.meters.call_capacity(far.core.store)
     assert room() is None
     holds(far, store=DOWN)
     assert room() == 1 and far.meters.take_call(far.core.store)[1] == FIGURES.trial
@@ -390,7 +390,7 @@
 
 
 def test_a_source_that_is_out_is_pushed_back_at_once_and_one_that_is_slowed_beyond_its_rate():
-    far = witnessed(advice_max=1000 * MS, cores=64, crowd=64)
+    far = witnessed(retry_after_max=1000 * MS, cores=64, overload_factor=64)
     holds(far, sources={BAD: OUT, subjects.subject(subjects.NUMBER, 5): OUT, GOOD: SLOWED})
     tries = [
         far.submit(far.open("10.0.0.7")),
@@ -444,9 +444,9 @@
             node.told = rng.choice(
                 (
                     {},
-                    {"below_down": True, "calls_room": rng.randrange(3)},
-                    {"told_level": rng.random()},
-                    {"told_out": True},
+                    {"dependency_down": True, "call_capacity": rng.randrange(3)},
+                    {"min_shed_level": rng.random()},
+                    {"ejected": True},
                 )
             )
         node.step(node.settings["tick"] * rng.randint(1, 4))
@@ -456,13 +456,13 @@
 
 
 def test_the_module_turns_away_what_needs_a_store_that_is_down_and_keeps_to_the_fleets_level():
-    node = Node({**PLAIN, "cores": 8, "method_calls": (True, True), "method_poorer": (0.0, 0.5)})
-    node.told = {"below_down": True, "calls_room": 1}
+    node = Node({**PLAIN, "cores": 8, "method_calls": (True, True), "degraded_value": (0.0, 0.5)})
+    node.told = {"dependency_down": True, "call_capacity": 1}
     node.step(40 * MS)
     first, second, poorer = node.arrive(0), node.arrive(0), node.arrive(1)
     states = [node.rpcs[index]["state"] for index in (first, second, poorer)]
     assert states == ["running", "over", "running"], "as many as may try it; others answer poorer"
-    node.told = {"told_level": 1.0, "told_out": True}
+    node.told = {"min_shed_level": 1.0, "ejected": True}
     node.step(40 * MS)
     assert not node.good and node.control.now_level == 1.0
     assert node.rpcs[node.arrive(0)]["state"] == "over", "though cores are free"
@@ -521,6 +521,6 @@
 def test_a_call_cut_short_by_a_grant_says_nothing_of_the_store():
     witness = Witness(FIGURES)
     witness.call_ended(Outcome.TIMEOUT, 5, True)
-    witness.call_ended(Outcome.FULL, 5, False)
-    witness.call_ended(Outcome.BROKEN_OFF, 5, True)
+    witness.call_ended(Outcome.REJECTED, 5, False)
+    witness.call_ended(Outcome.CONNECTION_LOST, 5, True)
     assert witness.look(0, 0.0)["calls"] == (0, 1, 0)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -34,7 +34,7 @@
     told = draw_settings(random.Random(seed))
     plain, ends, counts = day(seed, told)
     assert type(plain.core.control) is Control and not counts
-    other = {"methods.0.latency_target": 1 * MS, "can_stop": True, "can_pause": True, "told": "credit"}
+    other = {"methods.0.latency_target": 1 * MS, "can_stop": True, "can_pause": True, "feedback": "credit"}
     for watched, differs in (({"tick": told["tick"]}, False), (other, True)):
         far, watched_ends, counts = day(seed, told, watched)
         assert (watched_ends, far.reports) == (ends, plain.reports)
@@ -61,7 +61,7 @@
     names = [far.submit(link, 0) for _ in range(6)]
     far.step(MS)
     for handle in far.core.control.handles.values():
-        handle.second = SimpleNamespace(state=None, ended=lambda *_: None, gone=lambda now: 1 / 0)
+        handle.second = SimpleNamespace(state=None, run_ended=lambda *_: None, caller_gone=lambda now: 1 / 0)
     for _ in range(400):
         far.step(10 * MS)
     ended(far)
@@ -94,8 +94,8 @@
         (watch.TAKEN_WOULD_PUSH_BACK, targets(5), {}, 0),
         (watch.PUSHED_BACK_WOULD_TAKE, targets(1000), targets(5), 0),
         (watch.GIVEN_UP, {"can_stop": True, "can_pause": True}, {}, 0),
-        (watch.ADVICE, {"marks_further": False}, {}, 0),
-        (watch.TOLD, {"told": "credit"}, {}, 0),
+        (watch.ADVICE, {"marks_retries": False}, {}, 0),
+        (watch.TOLD, {"feedback": "credit"}, {}, 0),
         (watch.HEALTH, targets(400), {}, 300 * MS),
     ],
 )
@@ -147,10 +147,10 @@
         }
     )
     assert told == {
-        "marks_further": False,
-        "below": "tier",
+        "marks_retries": False,
+        "dependency": "tier",
         "can_stop": True,
         "can_pause": True,
-        "told": "credit",
-        "told_heeded": 1000000,
+        "feedback": "credit",
+        "feedback_lifetime": 1000000,
     }
