--- a/tests/pins/decision_module.py
+++ b/tests/pins/decision_module.py
@@ -4,6 +4,7 @@
 """
 
 from finchcart.control import Control
+from finchcart.interface import FleetQuota, Gauges
 from finchcart.settings import from_pairs
 from finchcart.wire import OUTCOMES
 from tests.pins.adapter import as_text
@@ -12,41 +13,38 @@
 VERBS = {
     "run": ("TAKE", "call"),
     "stop": ("STOP", "call"),
-    "push_back": ("BUSY", "call", "wait", "last"),
-    "abort": ("END_FAILED", "call"),
+    "reject": ("BUSY", "call", "wait", "last"),
+    "fail": ("END_FAILED", "call"),
     "call": ("CALL_DEP", "call", "limit"),
-    "skip": ("SKIP", "call"),
-    "share": ("SHARE", "call"),
-    "remember": ("PIN", "call", "keepFor"),
-    "forget": ("DROP_KEY", "call"),
-    "health": ("READINESS", "want", "stored"),
-    "level": ("HINT_OUT", "x"),
-    "credit": ("CREDIT", "x"),
-    "idle_limit": ("IDLE_LIMIT", "keepFor"),
-    "wake_in": ("NOTIFY_ME", "fromNow", "name"),
+    "degrade": ("SKIP", "call"),
+    "answer_duplicate": ("SHARE", "call"),
+    "store_key": ("PIN", "call", "keepFor"),
+    "evict_key": ("DROP_KEY", "call"),
+    "set_health": ("READINESS", "want", "stored"),
+    "set_shed_level": ("HINT_OUT", "x"),
+    "set_credit": ("CREDIT", "x"),
+    "set_idle_timeout": ("IDLE_LIMIT", "keepFor"),
+    "set_timer": ("NOTIFY_ME", "fromNow", "name"),
     "log": ("TRACE", "what"),
     "release": ("RELEASE", "call"),
 }
-GAUGES = {  # pinned word -> present gauge
+GAUGES = {  # pinned word -> present gauge; those that the decision module does not read are left out
     "core_use": "core_use",
     "on_cores": "on_cores",
-    "heap_share": "heap_share",
-    "links": "links",
-    "callsRoom": "calls_room",
-    "ejected": "told_out",
-    "leastLevel": "told_level",
-    "dependencyDown": "below_down",
-    "intakeUse": "intake_use",
-    "intakeAge": "intake_age",
+    "callsRoom": "call_capacity",
+    "ejected": "ejected",
+    "leastLevel": "min_shed_level",
+    "dependencyDown": "dependency_down",
+    "intakeUse": "input_busy",
+    "intakeAge": "input_age",
 }
 ARRIVAL = {  # pinned field of an arrival -> present keyword
-    "expires": "expires",
+    "expires": "expires_at",
     "backlogTime": "waited",
-    "place": "place",
-    "estimate": "hint",
-    "againByClient": "again",
+    "place": "shed_rank",
+    "estimate": "cost_hint",
+    "againByClient": "is_retry",
     "neighbour": "caller",
-    "room": "room",
 }
 
 
@@ -86,22 +84,23 @@
         elif message == "KNOCK":
             self.arrive(now, fields)
         elif message == "WAKE":
-            gauges = {GAUGES[word]: value for word, value in fields["feedback"].items()}
-            self.control.wake(now, fields["name"], gauges)
+            readings = fields["feedback"].items()
+            gauges = Gauges(**{GAUGES[word]: value for word, value in readings if word in GAUGES})
+            self.control.on_timer(now, fields["name"], gauges)
         elif message == "DRAIN":
             self.control.drain(now, fields["expires"])
         elif message == "RESTARTED":
-            self.control.anew(now, fields["cold"])
+            self.control.worker_pool_restarted(now, fields["cold"])
         elif message != "KILL" and fields["call"] in self.rpcs:
             rpc = self.rpcs[fields["call"]][1]
             if message == "WOUND_UP":
-                rpc.ended(now, OUTCOMES[fields["how"]], fields["spent"])
+                rpc.run_ended(now, OUTCOMES[fields["how"]], fields["spent"])
             elif message == "DOWNSTREAM":
                 rpc.call_ended(now, OUTCOMES[fields["how"]], fields["spent"])
             elif message == "LEFT":
-                rpc.gone(now)
+                rpc.caller_gone(now)
             else:
-                rpc.at_call(now)
+                rpc.awaiting_call(now)
 
     def arrive(self, now, fields):
         identifier, index = fields["call"], fields["number"]
@@ -109,7 +108,9 @@
         self.rpcs[identifier] = index, None
         keywords = {ARRIVAL[word]: value for word, value in fields.items() if word in ARRIVAL}
         if "repeats" in fields:
-            keywords["repeats"] = self.rpcs.get(fields["repeats"], (-1, None))[0]
-        rpc = self.control.arrive(now, index, fields["profile"], fields["footprint"], **keywords)
+            keywords["duplicate_of"] = self.rpcs.get(fields["repeats"], (-1, None))[0]
+        if "room" in fields:
+            keywords["quota"] = FleetQuota(*fields["room"])
+        rpc = self.control.admit(now, index, fields["profile"], fields["footprint"], **keywords)
         if identifier in self.rpcs:
             self.rpcs[identifier] = index, rpc
