--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -20,7 +20,21 @@
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Links, Listener
+from finchcart.node import effects
 from finchcart.node.core import Core
+from finchcart.node.inputs import (
+    AddressesChanged,
+    CloseAttempted,
+    ConnectionEnded,
+    Drain,
+    FramesReceived,
+    LoadMeasured,
+    MessagesReceived,
+    ReloadConfig,
+    Start,
+    ThreadDied,
+    TimersDue,
+)
 from finchcart.node.turn import own_first
 from finchcart.thrift import codec
 from finchcart.thrift.front import ThriftFront
@@ -91,7 +105,7 @@
     """No thread dies in silence: the node ends rather than lose what its link was owed."""
     fault_in = fault.exc_type, fault.exc_value, fault.exc_traceback
     logger.opt(exception=fault_in).error("thread {} died", fault.thread.name)
-    inputs.put(("fault", fault.thread.name))
+    inputs.put(ThreadDied(fault.thread.name))
 
 
 def reread(path, used):
@@ -105,7 +119,7 @@
     fixed = [name for name in ("name", "listen", "settings", "limits", "watch") if config[name] != used[name]]
     if fixed:
         logger.warning("configuration: new {} wait for the next start", ", ".join(fixed))
-    return "moved", config["places"]
+    return AddressesChanged(config["places"])
 
 
 def serve(core, links, inputs, reread, limits, fleet=None):
@@ -114,22 +128,26 @@
     turns: then no reader has to wake it for each message, and what comes meanwhile is one turn."""
     clock, take = time.time_ns, inputs.get_nowait
     acts = {
-        "read": links.read,
-        "send": links.send,
-        "close": links.close,
-        "drop": links.drop,
-        "connect": links.connect,
-        "report": links.report,
-        "unlisten": links.unlisten,
-        "log": logger.info,
-        "send_by": links.send_by,
+        effects.Read: links.read,
+        effects.Send: links.send,
+        effects.SendBefore: links.send_by,
+        effects.Close: links.close,
+        effects.Drop: links.drop,
+        effects.Connect: links.connect,
+        effects.SendReport: links.report,
+        effects.StopListening: links.unlisten,
+        effects.Log: logger.info,
     }
     reduce = core.reduce
     if fleet:
         reduce = fleet.reducer(core)
-        acts |= {"use": fleet.use, "evidence": fleet.saw, "claim": fleet.claim}
+        acts |= {
+            effects.PublishUsage: fleet.use,
+            effects.PublishEvidence: fleet.saw,
+            effects.KeyLeaseCommand: fleet.claim,
+        }
     links.listen()
-    waiting = deque([("start",)])
+    waiting = deque([Start()])
     told, idle = clock() // 1000, 0  # when the load was told last, and how long nothing was to be done since
     rest = 0.0
     while True:
@@ -143,32 +161,34 @@
         now = clock() // 1000
         if now - told >= limits.load_span:
             span = now - told
-            waiting.append(("load", span - idle, span))
+            waiting.append(LoadMeasured(span - idle, span))
             rest = limits.rest / 1e6 if idle < (1 - limits.rest_from) * span else 0.0
             told, idle = now, 0
         if not waiting:
-            waiting.append(("time",))
+            waiting.append(TimersDue())
         while waiting:
             what = waiting.popleft()
-            if what[0] == "got":
-                _, link, frames, read_at = what
-                messages, fault = links.messages(link, frames)
-                what = "got", link, messages, read_at
+            kind = type(what)
+            if kind is FramesReceived:
+                messages, fault = links.messages(what.connection, what.frames)
                 if fault is not None:
-                    waiting.appendleft(("ended", link, fault))
-            elif what[0] == "reread":
-                what = reread() or ("time",)
-            for act, *args in reduce(clock() // 1000, what):
-                if act == "later":
-                    waiting.append(args[0])
-                elif act == "finish":
+                    waiting.appendleft(ConnectionEnded(what.connection, fault))
+                what = MessagesReceived(what.connection, messages, what.received_at)
+            elif kind is ReloadConfig:
+                what = reread() or TimersDue()
+            for effect in reduce(clock() // 1000, what):
+                kind = type(effect)
+                if kind is effects.Defer:
+                    waiting.append(effect.input)
+                elif kind is effects.CloseIfIdle:
                     # Next, before anything that the link has read: what was read by then has no answer.
-                    waiting.appendleft(("finished", args[0], links.finish(args[0])))
-                elif act == "end":
+                    closed = links.finish(effect.connection)
+                    waiting.appendleft(CloseAttempted(effect.connection, closed))
+                elif kind is effects.End:
                     links.flush()
                     return
                 else:
-                    acts[act](*args)
+                    acts[kind](*effect)
         links.flush()
         if more:
             continue  # guards against rests of a thread that is behind
@@ -195,9 +215,9 @@
     calls and RPCs to the fleet's limits, `witness()` and `saw` are for its verdicts."""
     inputs = SimpleQueue()  # its put may be called from a signal handler
     hears = [inputs.put]
-    for number, what in ((signal.SIGTERM, "drain"), (signal.SIGINT, "drain"), (signal.SIGHUP, "reread")):
+    for number, what in ((signal.SIGTERM, Drain), (signal.SIGINT, Drain), (signal.SIGHUP, ReloadConfig)):
         # With the moment: the turn that takes it may come late, and the grace counts from the notice.
-        signal.signal(number, lambda *_, what=what: [hear((what, time.time_ns() // 1000)) for hear in hears])
+        signal.signal(number, lambda *_, what=what: [hear(what(time.time_ns() // 1000)) for hear in hears])
     log()
     fleet = None
     try:
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -31,6 +31,7 @@
 from finchcart.membership.wire import place_of
 from finchcart.net.datagrams import Datagrams, boot_clock
 from finchcart.node.claimer import Claimer
+from finchcart.node.inputs import Drain, FleetChange, ReloadConfig
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
 from finchcart.quota import wire as shares
@@ -88,7 +89,7 @@
         self.datagrams = Datagrams(
             place_of(asked.listen),
             lambda now: self.machines(now, name, advertise, random.Random(seed), wall),
-            lambda change: inputs.put(("fleet", change)),
+            lambda change: inputs.put(FleetChange(change)),
             self.reread,
         )
 
@@ -167,9 +168,9 @@
 
     def heard(self, what):
         """Of a signal, in its handler."""
-        if what[0] == "drain":
+        if isinstance(what, Drain):
             self.datagrams.tell(None, "leave")
-        elif what[0] == "reread":
+        elif isinstance(what, ReloadConfig):
             self.datagrams.tell(None, "reread")  # a handler may not log
 
     def reread(self):
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -18,6 +18,15 @@
 
 from finchcart.net import lines
 from finchcart.net.frames import Malformed
+from finchcart.node.inputs import (
+    ConnectionClosed,
+    ConnectionEnded,
+    ConnectionOpened,
+    ConnectionRefused,
+    FramesReceived,
+    WriteBlocked,
+    WriteResumed,
+)
 
 CODECS = {"pool": lines.POOL, "store": lines.STORE}  # fronts bring their own
 
@@ -93,7 +102,7 @@
                     return
                 if not data:
                     return
-                self.inputs.put(("behind", self.number))
+                self.inputs.put(WriteBlocked(self.number))
             self.pending.append(data)
             self.write_on()
 
@@ -142,13 +151,13 @@
             self.begin()
         except OSError as error:
             if self.address:
-                self.inputs.put(("refused", self.number, error.strerror or str(error)))
+                self.inputs.put(ConnectionRefused(self.number, error.strerror or str(error)))
             else:
-                self.inputs.put(("ended", self.number, ""))
+                self.inputs.put(ConnectionEnded(self.number, ""))
         else:
             why, told = self.read_messages()
             if not told:
-                self.inputs.put(("ended", self.number, why))
+                self.inputs.put(ConnectionEnded(self.number, why))
         while not told and self.asked.get():
             pass  # until the close is ordered
         if (why or told) and not self.dropped:
@@ -164,7 +173,7 @@
             self.sock.close()
         if self.over:
             self.over()
-        self.inputs.put(("closed", self.number))
+        self.inputs.put(ConnectionClosed(self.number))
 
     def begin(self):
         """Connects where that is still to be done, and writes what waited for it."""
@@ -220,7 +229,7 @@
                     if frames:
                         # What was whole before a fault is handed over first.
                         self.handed += 1
-                        self.inputs.put(("got", self.number, frames, time_ns() // 1000))
+                        self.inputs.put(FramesReceived(self.number, frames, time_ns() // 1000))
                     if fault:
                         return str(fault), False
                     if frames:
@@ -288,7 +297,7 @@
             except OSError:
                 shut(self.sock, socket.SHUT_RDWR)
                 self.pending = []
-                self.inputs.put(("caught_up", self.number))  # or its close would wait for a write for ever
+                self.inputs.put(WriteResumed(self.number))  # or its close would wait for a write for ever
 
     def write(self):
         while True:
@@ -298,7 +307,7 @@
                     self.writer = None
                     if self.closing:
                         shut(self.sock, socket.SHUT_WR)
-                    self.inputs.put(("caught_up", self.number))
+                    self.inputs.put(WriteResumed(self.number))
                     return
             try:
                 self.sock.sendall(data)
@@ -382,7 +391,7 @@
         self.links[number] = Link(
             number, self.codecs[self.front], self.inputs, self.buffers, self.limits, sock=sock, over=over
         )
-        self.inputs.put(("opened", number, self.front, host))
+        self.inputs.put(ConnectionOpened(number, self.front, host))
 
     def connect(self, number, kind, address):
         if kind == "store":
@@ -393,8 +402,8 @@
             )
         except OSError as error:
             # Guards against an end of the node where threads run out: nothing was sent, so it is tried again.
-            self.inputs.put(("refused", number, error.strerror))
-            self.inputs.put(("closed", number))
+            self.inputs.put(ConnectionRefused(number, error.strerror))
+            self.inputs.put(ConnectionClosed(number))
 
     def messages(self, number, frames):
         """What the frames say, and what is wrong with the first that can't be read (None: nothing)."""
--- a/finchcart/node/claimer.py
+++ b/finchcart/node/claimer.py
@@ -9,6 +9,8 @@
 
 from finchcart.key_leases import wire
 from finchcart.key_leases.wire import ENDED, FAILED, FULL, OTHER_BODY, YES
+from finchcart.node.effects import Defer, KeyLeaseCommand
+from finchcart.node.inputs import KeyLeasesRequested
 
 MS, SECOND = 1_000, 1_000_000
 MOST = 2_000  # that wait for an answer; more are pushed back
@@ -43,14 +45,14 @@
             return
         self.waiting[key] = Waiting(rpc, key, due, again, go_on)
         if not self.asked:
-            self.turn.ask("later", ("claims",))  # those of one batch go in one message
+            self.turn.emit(Defer(KeyLeasesRequested()))  # those of one batch go in one message
         self.asked.append((key, wire.body_of(rpc.body), self.life))
         self.turn.at(due if self.end is None else min(due, self.end), self.late, key, rpc)
 
     def send(self):
         asked, self.asked = self.asked, []
         if asked:
-            self.turn.ask("claim", ("claim", asked))
+            self.turn.emit(KeyLeaseCommand(("claim", asked)))
 
     def end_by(self, when):
         """Guards against RPCs that the module does not know of yet when it answers all before the kill."""
@@ -64,8 +66,8 @@
         unsent = len(self.asked)
         self.asked = [asked for asked in self.asked if asked[0] != key]
         if len(self.asked) == unsent:
-            self.turn.ask("claim", ("leave_it", key))
-            self.turn.ask("claim", ("never", key))
+            self.turn.emit(KeyLeaseCommand(("leave_it", key)))
+            self.turn.emit(KeyLeaseCommand(("never", key)))
 
     def late(self, key, rpc):
         """No answer, and the caller waits no longer. Never run: but a repeat may have run elsewhere."""
@@ -86,10 +88,10 @@
         waiting = self.waiting.pop(key, None)
         if waiting is None:
             if kind == YES:
-                self.turn.ask("claim", ("never", key))  # nobody waits for it any more
+                self.turn.emit(KeyLeaseCommand(("never", key)))  # nobody waits for it any more
             return
         if kind == YES and (not waiting.rpc.owed or self.boot >= by):
-            self.turn.ask("claim", ("never", key))
+            self.turn.emit(KeyLeaseCommand(("never", key)))
             kind = FULL
         self.count(
             {
@@ -117,10 +119,11 @@
         """Its run is over."""
         claim = self.mine.pop(index, None)
         if claim:
-            self.turn.ask("claim", ("ended", claim[0], ENDED if good else FAILED, result if good else b""))
+            kind = ENDED if good else FAILED
+            self.turn.emit(KeyLeaseCommand(("ended", claim[0], kind, result if good else b"")))
 
     def never(self, index):
         """It won't run."""
         claim = self.mine.pop(index, None)
         if claim:
-            self.turn.ask("claim", ("never", claim[0]))
+            self.turn.emit(KeyLeaseCommand(("never", claim[0])))
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -5,23 +5,18 @@
 take a lock, read a clock, know a front's protocol or decide about an RPC: decisions come from
 finchcart/control.py through the port.
 
-Inputs are small plain tuples: `("start",)`, `("opened", link, kind[, host])` (kind: of the front; where it
-comes from), `("got", link, messages, read_at)` (a batch, and when it was read), `("behind", link)` (the far
-side does not read), `("caught_up", link)` (all is written), `("refused", link, why)` (never connected),
-`("ended", link, why)` (nothing more will be read; `why` is empty where the far side closed), `("close_due",
-link)` (a front's own, `later`), `("finished", link, shut)` (at once after the effect `finish`: whether
-nothing was on its way, and the link is closing),
-`("closed", link)`, `("shared", index)`, `("drain"[, at])` (the notice to leave, and when it came), `("moved",
-places)` (the others' addresses, read again), `("fault", thread)`, `("fleet", change)` (of the members, see
-finchcart/membership/member.py; of verdicts, see witness.py), `("full", index)` (no room for a call, see
-meter.py, or nobody to call), `("time",)`, `("load", busy, span)` (the time of the last span in which inputs
-were worked on or waited). Effects: turn.py. Links that others make have numbers from 1 up.
+Inputs and effects: inputs.py and effects.py.
 """
 
+from functools import partial
+
 from finchcart.control import Control
 from finchcart.interface import FleetQuota, Gauges, Outcome
+from finchcart.node import inputs
 from finchcart.node.duty import Duty
+from finchcart.node.effects import Defer, Drop, Log, PublishEvidence, PublishUsage
 from finchcart.node.front import ABORTED, OK, PUSHED_BACK, Unfit
+from finchcart.node.inputs import CallNotMade, RunNotStarted
 from finchcart.node.pool import Pool
 from finchcart.node.store import Store
 from finchcart.node.tokens import FAILED, Tokens, digest_of
@@ -32,6 +27,16 @@
 CLAIM_MARGIN = 200_000  # before an RPC is due its claim is waited for no longer
 CLAIM_AGAIN = 200_000  # when to come back where no majority answers
 
+# Inputs that concern one connection, and the method of its owner that handles each.
+OWNER_METHODS = {
+    inputs.WriteBlocked: "behind",
+    inputs.WriteResumed: "caught_up",
+    inputs.ConnectionRefused: "refused",
+    inputs.ConnectionEnded: "ended",
+    inputs.CloseDue: "close_due",
+    inputs.CloseAttempted: "finished",
+}
+
 
 class Core:
     """The state of one node. `make_fronts(core)`: kind -> front."""
@@ -91,25 +96,22 @@
         self.members, self.isolated = {}, False  # name -> (state, incarnation), where nodes may talk
         self.oldest, self.use = 0, 0.0  # of the inputs: the longest wait since the last look; busy part
         self.fronts = make_fronts(self)
-        self.inputs = {
-            "start": self.on_start,
-            "opened": self.on_opened,
-            "got": self.on_got,
-            "shared": self.on_shared,
-            "drain": self.on_drain,
-            "moved": self.on_moved,
-            "fault": self.on_fault,
-            "time": self.on_time,
-            "load": self.on_load,
-            "claims": self.on_claims,
-            "moot": self.on_moot,
-            "fleet": self.on_fleet,
-            "full": self.on_full,
-            "closed": self.on_closed,
-            **{
-                word: lambda link, *more, word=word: self.on_link(word, link, *more)
-                for word in ("behind", "caught_up", "refused", "ended", "close_due", "finished")
-            },
+        self.handlers = {
+            inputs.Start: self.on_start,
+            inputs.ConnectionOpened: self.on_opened,
+            inputs.MessagesReceived: self.on_got,
+            inputs.DuplicateReady: self.on_shared,
+            inputs.Drain: self.on_drain,
+            inputs.AddressesChanged: self.on_moved,
+            inputs.ThreadDied: self.on_fault,
+            inputs.TimersDue: self.on_time,
+            inputs.LoadMeasured: self.on_load,
+            inputs.KeyLeasesRequested: self.on_claims,
+            inputs.RunNotStarted: self.on_moot,
+            inputs.FleetChange: self.on_fleet,
+            inputs.CallNotMade: self.on_full,
+            inputs.ConnectionClosed: self.on_closed,
+            **{kind: partial(self.on_link, word) for kind, word in OWNER_METHODS.items()},
         }
 
     # ---- in and out
@@ -117,7 +119,7 @@
     def reduce(self, now, what):
         """One input, after all timers that are due."""
         effects = self.turn.begin(now)
-        self.inputs[what[0]](*what[1:])
+        self.handlers[type(what)](*what)
         return effects
 
     def due(self):
@@ -137,7 +139,7 @@
         """The others have new places. What is under way at the old ones ends there where it can."""
         pieces = {"pool": self.pool, "store": self.store, "registry": self.duty}
         moved = [kind for kind, piece in pieces.items() if places[kind] != piece.place]
-        self.turn.ask("log", f"configuration: {', '.join(moved) or 'nothing'} moved")
+        self.turn.emit(Log(f"configuration: {', '.join(moved) or 'nothing'} moved"))
         for kind in moved:
             pieces[kind].move(places[kind])
 
@@ -188,7 +190,7 @@
             getattr(owner, word)(link, *more)
 
     def on_closed(self, link):
-        self.turn.ask("drop", link)
+        self.turn.emit(Drop(link))
         self.origins.pop(link, None)
         owner = self.turn.owners.pop(link, None)
         if owner:
@@ -326,7 +328,7 @@
         """A worker pool that started anew has lost its runs: each is answered, none is run again."""
         self.control.worker_pool_restarted(self.turn.now, cold)
         lost = [rpc for rpc in self.rpcs.values() if rpc.started and not rpc.over]
-        self.turn.ask("log", f"worker pool: started anew, {len(lost)} runs lost")
+        self.turn.emit(Log(f"worker pool: started anew, {len(lost)} runs lost"))
         for rpc in lost:
             self.run_ended(rpc, Outcome.STOPPED, 0, b"")
 
@@ -371,7 +373,7 @@
             gauges = gauges._replace(call_capacity=self.meters.call_capacity(self.store))
             standing = [rpc.method in self.first for rpc in self.rpcs.values() if rpc.stands_at is not None]
             for said in self.meters.use(self.store, len(standing), sum(standing)):
-                self.turn.ask("use", *said)
+                self.turn.emit(PublishUsage(*said))
         if self.witness:
             gauges = gauges._replace(
                 ejected=self.witness.out,
@@ -381,7 +383,7 @@
             control = getattr(self.control, "first", self.control)
             seen = self.witness.look(self.turn.now, control.own_level)
             if seen:
-                self.turn.ask("evidence", seen)
+                self.turn.emit(PublishEvidence(seen))
         self.control.on_timer(self.turn.now, name, gauges)
         self.duty.look()
 
@@ -418,7 +420,7 @@
         rpc = self.rpcs[index]
         rpc.started = True
         if self.claimer and not self.claimer.may_run(index):
-            self.turn.ask("later", ("moot", index))
+            self.turn.emit(Defer(RunNotStarted(index)))
             return
         if rpc.entry:
             rpc.entry.ran = True
@@ -438,14 +440,14 @@
     def call(self, index, timeout):
         rpc = self.rpcs[index]
         if self.store.place is None:
-            self.turn.ask("later", ("full", index))  # nothing is named that could be called: it never ran
+            self.turn.emit(Defer(CallNotMade(index)))  # nothing is named that could be called: it never ran
             return
         if not self.meters:
             self.store.call(rpc, timeout, rpc.stands_at[1])
             return
         given = self.meters.take_call(self.store)
         if given is None:
-            self.turn.ask("later", ("full", index))  # the module is in the midst of its calls
+            self.turn.emit(Defer(CallNotMade(index)))  # the module is in the midst of its calls
             return
         leased, longest, by = given
         rpc.cut = longest is not None and longest < timeout and not self.meters.trying
@@ -493,7 +495,7 @@
         self.turn.at(self.turn.now + delay, self.pool.ring, name)
 
     def log(self, text):
-        self.turn.ask("log", text)
+        self.turn.emit(Log(text))
 
     def release(self, index):
         rpc = self.rpcs.pop(index)
--- a/finchcart/node/duty.py
+++ b/finchcart/node/duty.py
@@ -5,6 +5,7 @@
 """
 
 from finchcart.net import lines
+from finchcart.node.effects import End, SendReport, StopListening
 
 
 class Duty:
@@ -24,7 +25,7 @@
 
     def report(self):
         turn = self.turn
-        turn.ask("report", self.place, lines.report(self.name, self.good))
+        turn.emit(SendReport(self.place, lines.report(self.name, self.good)))
         self.reports += 1
         turn.at(turn.now + self.limits.report, self.report_again, self.reports)
 
@@ -37,7 +38,7 @@
         if self.drained is not None:
             return False
         self.drained, self.grace_end, self.kill_at = at, at + self.grace, at + self.limits.stop
-        self.turn.at(self.kill_at, self.turn.ask, "end")
+        self.turn.at(self.kill_at, self.turn.emit, End())
         return True
 
     def look(self):
@@ -51,7 +52,7 @@
             self.quiet_from = turn.now
         elif turn.now - self.quiet_from >= self.limits.quiet:
             # Guards against an RPC on a connection that is being accepted: first no new ones, then the end.
-            turn.ask("end" if self.unlistened else "unlisten")
+            turn.emit(End() if self.unlistened else StopListening())
             self.unlistened, self.quiet_from = True, turn.now - self.limits.quiet + self.limits.last_look
 
     def move(self, place):
--- a/finchcart/node/front.py
+++ b/finchcart/node/front.py
@@ -9,7 +9,7 @@
    wrong with the RPC: the core kept nothing, and the front answers in its own words.
 2. Where the caller is known gone it says `core.leave(rpc)`, once, instead of waiting for the final answer:
    none comes after that.
-3. It asks for reads on its links (`turn.ask("read", link)`), each of which brings one batch, and hears of
+3. It asks for reads on its links (`turn.emit(Read(link))`), each of which brings one batch, and hears of
    them by `opened`, `got`, `behind`, `caught_up`, `refused`, `ended`, `finished` and `closed`. A front that
    connects out has `turn.connect(kind, address, self)`.
 4. `core.ready` tells whether RPCs can be taken yet: before the worker pool is there, `take` is not called.
--- /dev/null
+++ b/finchcart/node/inputs.py
@@ -0,0 +1,171 @@
+"""The inputs of the core: everything that can happen to a node, one type each.
+
+Owns no state. Readers, signal handlers and timers create inputs; `Core.reduce` handles one at a time.
+Connections that others open have numbers from 1 up, those that the node opens from -1 down. Times are whole
+microseconds.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
+
+
+class Start(NamedTuple):
+    """The process is up: the first input."""
+
+
+class ConnectionOpened(NamedTuple):
+    """A peer connected to the listener of a frontend."""
+
+    connection: int
+    frontend: str
+    host: str | None = None  # where it comes from
+
+
+class FramesReceived(NamedTuple):
+    """A batch of frames, not decoded yet: becomes `MessagesReceived` before the core sees it."""
+
+    connection: int
+    frames: Sequence[bytes]
+    received_at: int
+
+
+class MessagesReceived(NamedTuple):
+    """A batch of decoded messages."""
+
+    connection: int
+    messages: Sequence[tuple]
+    received_at: int
+
+
+class WriteBlocked(NamedTuple):
+    """The peer does not read what is sent."""
+
+    connection: int
+
+
+class WriteResumed(NamedTuple):
+    """All that was pending is written."""
+
+    connection: int
+
+
+class ConnectionRefused(NamedTuple):
+    """A connection of the node's own was never established."""
+
+    connection: int
+    reason: str
+
+
+class ConnectionEnded(NamedTuple):
+    """Nothing more will be read; `reason` is empty where the peer closed."""
+
+    connection: int
+    reason: str
+
+
+class ConnectionClosed(NamedTuple):
+    """The socket is closed and its number is not used any more."""
+
+    connection: int
+
+
+class CloseDue(NamedTuple):
+    """A frontend's deferred attempt to close a connection, after what was received before it."""
+
+    connection: int
+
+
+class CloseAttempted(NamedTuple):
+    """The result of the effect `CloseIfIdle`, delivered before any other input."""
+
+    connection: int
+    closed: bool  # False: something was under way, and the connection is as before
+
+
+class Drain(NamedTuple):
+    """The notice to leave."""
+
+    received_at: int | None = None  # None: now
+
+
+class ReloadConfig(NamedTuple):
+    """The order to read the configuration again; becomes `AddressesChanged` before the core sees it."""
+
+    received_at: int
+
+
+class AddressesChanged(NamedTuple):
+    """The addresses of worker pool, store and registry, from a configuration that was read again."""
+
+    addresses: Mapping[str, tuple[str, int] | None]
+
+
+class ThreadDied(NamedTuple):
+    """A thread of the node ended by an exception."""
+
+    thread: str
+
+
+class FleetChange(NamedTuple):
+    """A change reported by the fleet's state machines: membership, allocation, consensus or key lease."""
+
+    change: tuple[Any, ...]
+
+
+class TimersDue(NamedTuple):
+    """Nothing but the timers that are due."""
+
+
+class LoadMeasured(NamedTuple):
+    """The part of the last span in which inputs were processed."""
+
+    busy: int
+    span: int
+
+
+class DuplicateReady(NamedTuple):
+    """The first RPC of a duplicate's key has completed."""
+
+    index: int
+
+
+class CallNotMade(NamedTuple):
+    """A call was not made, for want of capacity or of an address: it never ran."""
+
+    index: int
+
+
+class RunNotStarted(NamedTuple):
+    """A run was not commanded, as its key lease had expired: it never ran."""
+
+    index: int
+
+
+class KeyLeasesRequested(NamedTuple):
+    """The key leases requested in one batch are to be sent in one message."""
+
+
+Input = (
+    Start
+    | ConnectionOpened
+    | FramesReceived
+    | MessagesReceived
+    | WriteBlocked
+    | WriteResumed
+    | ConnectionRefused
+    | ConnectionEnded
+    | ConnectionClosed
+    | CloseDue
+    | CloseAttempted
+    | Drain
+    | ReloadConfig
+    | AddressesChanged
+    | ThreadDied
+    | FleetChange
+    | TimersDue
+    | LoadMeasured
+    | DuplicateReady
+    | CallNotMade
+    | RunNotStarted
+    | KeyLeasesRequested
+)
--- a/finchcart/node/pool.py
+++ b/finchcart/node/pool.py
@@ -7,6 +7,7 @@
 
 from finchcart.interface import Outcome
 from finchcart.net import lines
+from finchcart.node.effects import Drop, Log, Read, Send
 
 
 class Pool:
@@ -37,13 +38,13 @@
         if self.link is not None:
             return
         self.link = self.turn.connect("pool", self.place, self)
-        self.turn.ask("read", self.link)
+        self.turn.emit(Read(self.link))
         self.say(lines.join(self.cursor))
 
     def say(self, data):
         """Written where there is a link; what is lost with one is settled after the next is bound."""
         if self.link is not None:
-            self.turn.ask("send", self.link, data)
+            self.turn.emit(Send(self.link, data))
 
     def command(self, rpc, data, again):
         """`again`: what may be written where `data` may have been read; None where nothing may."""
@@ -82,7 +83,7 @@
     def leave(self):
         link, self.link = self.link, None
         self.ready, self.settle, self.leaving, self.is_behind = False, None, None, False
-        self.turn.ask("drop", link)
+        self.turn.emit(Drop(link))
 
     def move(self, place):
         """Guards against commands lost with the old link: it is left once the pool has read them all."""
@@ -109,7 +110,7 @@
 
     def batch_over(self, link):
         if link == self.link:
-            self.turn.ask("read", link)
+            self.turn.emit(Read(link))
 
     def refused(self, link, why):
         if link == self.link:
@@ -139,7 +140,7 @@
 
     def on_up(self, cold, age):
         turn = self.turn
-        turn.ask("log", f"worker pool: up, {'cold' if cold else 'warm'}, for {age // 1000} ms")
+        turn.emit(Log(f"worker pool: up, {'cold' if cold else 'warm'}, for {age // 1000} ms"))
         first, self.ready, begun = self.begun is None, True, turn.now - age
         if not first:
             # Guards against commands lost with the old link: they are seen to once all notices since then
--- a/finchcart/node/store.py
+++ b/finchcart/node/store.py
@@ -7,6 +7,7 @@
 
 from finchcart.interface import Outcome
 from finchcart.net import lines
+from finchcart.node.effects import Drop, Read, Send, SendBefore
 
 
 class Link:
@@ -47,16 +48,16 @@
         else:
             link = Link(turn.connect("store", self.place, self))
             self.links[link.number] = link
-            turn.ask("read", link.number)
+            turn.emit(Read(link.number))
             turn.at(turn.now + self.limits.store_idle, self.look_at_idle, link)
         link.rpc, link.leased = rpc, leased
         link.used.add(rpc.name)
         rpc.call_link, rpc.call_from, rpc.calls = link.number, turn.now, rpc.calls + 1
         data = lines.call(rpc.name, limit, body)
         if by is None:
-            turn.ask("send", link.number, data)
+            turn.emit(Send(link.number, data))
         else:
-            turn.ask("send_by", link.number, data, by)
+            turn.emit(SendBefore(link.number, data, by))
         turn.at(turn.now + limit, self.due, rpc, rpc.calls)
 
     def drop(self, rpc):
@@ -99,7 +100,7 @@
 
     def batch_over(self, number):
         if number in self.links:
-            self.turn.ask("read", number)
+            self.turn.emit(Read(number))
 
     def refused(self, number, why):
         self.lost(number, Outcome.UNREACHABLE, why)
@@ -138,7 +139,7 @@
         del self.links[link.number]
         if link in self.idle:
             self.idle.remove(link)
-        self.turn.ask("drop", link.number)
+        self.turn.emit(Drop(link.number))
 
     def look_at_idle(self, link):
         """A link that idles is closed long before the store does it, so that no call crosses its close."""
--- a/finchcart/node/tokens.py
+++ b/finchcart/node/tokens.py
@@ -7,6 +7,9 @@
 
 from hashlib import blake2b
 
+from finchcart.node.effects import Defer
+from finchcart.node.inputs import DuplicateReady
+
 PENDING, FAILED = "pending", "failed"  # a kept result that is not there yet, or came to nothing
 
 
@@ -72,7 +75,7 @@
         if rpc.entry.result is PENDING:
             rpc.entry.waiting.append(rpc.index)
         else:
-            self.turn.ask("later", ("shared", rpc.index))
+            self.turn.emit(Defer(DuplicateReady(rpc.index)))
 
     def settle(self, entry, result):
         """The try that holds the entry is over: its result, or FAILED."""
@@ -93,7 +96,7 @@
     def ready(self, entry):
         waiting, entry.waiting = entry.waiting, []
         for index in waiting:
-            self.turn.ask("later", ("shared", index))
+            self.turn.emit(Defer(DuplicateReady(index)))
 
     def expire(self, entry):
         if self.table.get(entry.key) is entry:
--- a/finchcart/node/turn.py
+++ b/finchcart/node/turn.py
@@ -3,24 +3,18 @@
 Owns the clock value of the turn, the list of effects, the heap of timers and the numbers of links that the
 node makes. All pieces of a node share one `Turn`; it must never know what they do with it.
 
-Effects are plain tuples: `("read", link)` (deliver one batch more), `("send", link, bytes)`,
-`("send_by", link, bytes, by)` (until then on the boot clock, or the link breaks), `("use", name, leased,
-wants)` (of a limit of the fleet, see meter.py), `("evidence", map)` (for its verdicts, see witness.py),
-`("claim", input)` (see claims/holder.py),
-`("close", link)` (once all is written), `("finish", link)` (if nothing is on its way; `finished` tells),
-`("drop", link)` (at once), `("connect", link, kind, address)`,
-`("report", address, bytes)`, `("later", input)`, `("log", text)`, `("unlisten",)` (no new connections),
-`("end",)`.
+The types of effects: effects.py.
 """
 
 from heapq import heappop, heappush
 
+from finchcart.node.effects import Connect, Log
+
 
 def own_first(inputs):
     """The inputs of one turn with those of the node's own links first: what is under way goes before those
     who want more. Guards against an end that overtakes what was read before it: each link's order is kept."""
-    own = lambda what: len(what) > 1 and isinstance(what[1], int) and what[1] < 0
-    return sorted(inputs, key=lambda what: not own(what))
+    return sorted(inputs, key=lambda what: getattr(what, "connection", 0) >= 0)
 
 
 class Turn:
@@ -47,7 +41,7 @@
         """When the next timer is due, or None."""
         return self.timers[0][0] if self.timers else None
 
-    def ask(self, *effect):
+    def emit(self, effect):
         self.effects.append(effect)
 
     def at(self, when, act, *args):
@@ -58,7 +52,7 @@
         """Asks for a link of that kind; `owner` hears what comes of it. Returns its number."""
         self.links -= 1
         self.owners[self.links] = owner
-        self.ask("connect", self.links, kind, address)
+        self.emit(Connect(self.links, kind, address))
         return self.links
 
     def fault(self, whose, text):
@@ -68,4 +62,4 @@
             self.faults[whose] = told, missed + 1
         else:
             self.faults[whose] = self.now, 0
-            self.ask("log", f"{whose}: {text}" + (f"; {missed} more since the last line" if missed else ""))
+            self.emit(Log(f"{whose}: {text}" + (f"; {missed} more since the last line" if missed else "")))
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -6,7 +6,9 @@
 
 from itertools import filterfalse
 
+from finchcart.node.effects import Close, CloseIfIdle, Defer, Drop, Read, Send
 from finchcart.node.front import OK, PUSHED_BACK, Rpc, Unfit
+from finchcart.node.inputs import CloseDue
 from finchcart.thrift import codec, fields
 
 
@@ -69,7 +71,7 @@
             self.drop_spare()
         if conn.ended:
             return
-        turn.ask("read", link)
+        turn.emit(Read(link))
         turn.at(turn.now + self.limits.unused, self.close_unused, conn)
 
     def drop_spare(self):
@@ -85,7 +87,7 @@
         least = min(spare, key=lambda conn: (not conn.checks, conn.heard), default=None)
         if least:
             self.send(least, codec.closing())
-            self.end(least, "drop")
+            self.end(least, Drop)
 
     def crowded(self):
         return len(self.conns) > self.most // 3
@@ -154,7 +156,7 @@
 
     def ask_reads(self, conn):
         for _ in range(conn.waiting):
-            self.turn.ask("read", conn.link)
+            self.turn.emit(Read(conn.link))
         conn.reads, conn.waiting = conn.reads + conn.waiting, 0
 
     def behind(self, link):
@@ -207,12 +209,12 @@
 
     def send(self, conn, data):
         if not conn.ended:
-            self.turn.ask("send", conn.link, data)
+            self.turn.emit(Send(conn.link, data))
 
-    def end(self, conn, act="close"):
+    def end(self, conn, effect=Close):
         """Nothing more is read or sent; a far side that does not close in its turn is not waited for long."""
         conn.ended = True
-        self.turn.ask(act, conn.link)
+        self.turn.emit(effect(conn.link))
         wait = self.limits.crossing if self.full() else self.limits.linger
         self.turn.at(self.turn.now + wait, self.drop_ended, conn)
 
@@ -222,7 +224,7 @@
         if conn.behind and conn.link in self.conns:
             self.turn.at(self.turn.now + self.limits.linger, self.drop_ended, conn)
         else:
-            self.turn.ask("drop", conn.link)
+            self.turn.emit(Drop(conn.link))
 
     def finish_bad(self, conn):
         if conn.bad and not conn.ended and not conn.open and not conn.behind:
@@ -338,7 +340,7 @@
         """What came before the close is answered first. Not within another input's turn, which may hand over
         an RPC of this very connection after the look and before the close."""
         if not (conn.ended or conn.bad):
-            self.turn.ask("later", ("close_due", conn.link))
+            self.turn.emit(Defer(CloseDue(conn.link)))
 
     def close_due(self, link):
         conn = self.conns.get(link)
@@ -347,7 +349,7 @@
         if conn.open:
             self.turn.at(self.turn.now + self.patience(self.limits.closing), self.close_told, conn)
         else:
-            self.turn.ask("finish", conn.link)
+            self.turn.emit(CloseIfIdle(conn.link))
 
     def patience(self, wait):
         """Guards against connections of those that rest, cut by the kill instead of closed by the node."""
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -8,7 +8,20 @@
 from finchcart.control import Control
 from finchcart.interface import Gauges, Outcome
 from finchcart.net.limits import Limits
+from finchcart.node import effects
 from finchcart.node.core import Core
+from finchcart.node.inputs import (
+    CloseAttempted,
+    ConnectionClosed,
+    ConnectionEnded,
+    ConnectionOpened,
+    ConnectionRefused,
+    MessagesReceived,
+    Start,
+    TimersDue,
+    WriteBlocked,
+    WriteResumed,
+)
 from finchcart.thrift import codec as thrift
 from finchcart.thrift.codec import STRING, STRUCT
 from finchcart.thrift.front import ThriftFront
@@ -305,6 +318,28 @@
             assert all(r["answers"] or r["gone"] for r in self.open.values()), "drain: unanswered at the kill"
 
 
+EFFECT_METHODS = {
+    effects.PublishUsage: "use",
+    effects.SendBefore: "send_by",
+    effects.Read: "read",
+    effects.Connect: "connect",
+    effects.Close: "close",
+    effects.Drop: "drop",
+    effects.SendReport: "report",
+    effects.Log: "log",
+    effects.StopListening: "unlisten",
+    effects.End: "end",
+    effects.Send: "send",
+    effects.KeyLeaseCommand: "claim",
+    effects.PublishEvidence: "evidence",
+}
+
+
+def same_input(found, expected):
+    """Whether these are of one type and equal; tuples of two types may be equal too."""
+    return type(found) is type(expected) and found == expected
+
+
 class Far:
     """Dispatchers, worker pool, store and registry round one core, without sockets; checks the rules."""
 
@@ -346,9 +381,9 @@
         self.runs, self.notices, self.commands, self.calls, self.supplied = {}, [], [], {}, {}
         self.made = set()  # (key, result) of all runs that ended well, also of those started once more
         self.slow = 0.01  # how often a far side does not read what is sent
-        self.feed("start")
+        self.feed(Start())
 
-    def feed(self, *what):
+    def feed(self, what):
         inputs = deque([what])
         while inputs:
             what = inputs.popleft()
@@ -356,13 +391,14 @@
                 self.meters.at(self.now)
             if self.core.claimer:
                 self.core.claimer.boot = self.now
-            for act, *args in self.core.reduce(self.now, what):
-                if act == "later":
-                    inputs.append(args[0])
-                elif act == "finish":
-                    inputs.appendleft(("finished", args[0], self.finished(args[0])))
+            for effect in self.core.reduce(self.now, what):
+                if isinstance(effect, effects.Defer):
+                    inputs.append(effect.input)
+                elif isinstance(effect, effects.CloseIfIdle):
+                    closed = self.finished(effect.connection)
+                    inputs.appendleft(CloseAttempted(effect.connection, closed))
                 else:
-                    getattr(self, "do_" + act)(*args)
+                    getattr(self, "do_" + EFFECT_METHODS[type(effect)])(*effect)
 
     def give(self, link, message):
         self.inbox.setdefault(link, deque()).append(message)
@@ -371,13 +407,13 @@
         """Time passes, timers ring, commands are read, and what readers were asked for is delivered."""
         self.now += dt
         while not self.ended and self.core.due() is not None and self.core.due() <= self.now:
-            self.feed("time")
+            self.feed(TimersDue())
         for link, kind in list(self.links.items()):
             if kind == "connecting":
                 up = self.pool_up if link == self.core.pool.link else self.store_up
                 self.links[link] = "open" if up else "refused"
                 if not up:
-                    self.feed("refused", link, "Connection refused")
+                    self.feed(ConnectionRefused(link, "Connection refused"))
         commands, self.commands = self.commands, []
         for link, data in commands:
             if self.links.get(link) == "open" and link == self.pool:
@@ -387,19 +423,19 @@
         for link in list(self.behind):
             if self.links[link] == "open" and self.rng.random() < 0.2:
                 self.behind.discard(link)
-                self.feed("caught_up", link)
+                self.feed(WriteResumed(link))
         while any(self.inbox.get(link) for link in self.asked):
             link = next(link for link in self.asked if self.inbox.get(link))
             self.asked[link] -= 1
             self.asked += Counter()  # what is asked no more
             count = self.rng.choice((1, 1, 2, self.limits.batch))
             batch = [self.inbox[link].popleft() for _ in range(min(count, len(self.inbox[link])))]
-            self.feed("got", link, batch, self.now)
+            self.feed(MessagesReceived(link, batch, self.now))
         for link in list(self.closing):
             self.closing.discard(link)
             self.links[link] = "closed"
             self.inbox.pop(link, None)
-            self.feed("closed", link)
+            self.feed(ConnectionClosed(link))
         self.check()
 
     # what the core asks
@@ -463,7 +499,7 @@
             self.answered(link, data)
         if link not in self.behind and self.links.get(link) == "open" and self.rng.random() < self.slow:
             self.behind.add(link)
-            self.feed("behind", link)
+            self.feed(WriteBlocked(link))
 
     def do_claim(self, what):
         self.claims.append(what)
@@ -475,7 +511,7 @@
     def open(self, host="127.0.0.1"):
         self.count += 1
         self.links[self.count] = "open"
-        self.feed("opened", self.count, "front", host)
+        self.feed(ConnectionOpened(self.count, "front", host))
         return self.count
 
     def submit(self, link, n=0, again=None, waited=0, **fields):
@@ -536,7 +572,7 @@
         self.inbox.pop(link, None)
         del self.asked[link]
         self.commands = [command for command in self.commands if command[0] != link]
-        self.feed("ended", link, why)
+        self.feed(ConnectionEnded(link, why))
 
     def answered(self, link, data):
         head, name, seq, args = read_answer(data)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -14,6 +14,7 @@
 from finchcart.key_leases.keeper import Keeper
 from finchcart.key_leases.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, YES
 from finchcart.node.claimer import Claimer
+from finchcart.node.inputs import FleetChange
 from tests.harness import draw_settings, read_answer
 from tests.test_core import GAUGES, Far, far_plain, play
 
@@ -170,7 +171,7 @@
                 if kind == YES:
                     self.mine.add(key)
                 if not far.ended:
-                    far.feed("fleet", ("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS))
+                    far.feed(FleetChange(("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS)))
 
         far.step = stepped
 
@@ -218,7 +219,7 @@
     ((_, asks),) = far.claims
     assert not far.runs, "not before its claim"
     if kind is not None:
-        far.feed("fleet", ("claimed", asks[0][0], kind, result, far.now + by * MS))
+        far.feed(FleetChange(("claimed", asks[0][0], kind, result, far.now + by * MS)))
     far.step(MS)
     ran = name in far.runs
     for _ in range(200):
@@ -244,7 +245,7 @@
     far.answered = lambda link, data: told.append(read_answer(data))
     far.submit(far.open(), 1)
     far.step(MS)
-    far.feed("fleet", ("claimed", far.claims[0][1][0][0], ENDED, b"there", 0))
+    far.feed(FleetChange(("claimed", far.claims[0][1][0][0], ENDED, b"there", 0)))
     assert b"there" in str(told).encode() and not far.runs
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,6 +6,14 @@
 
 from finchcart.interface import Outcome
 from finchcart.net.limits import Limits
+from finchcart.node.inputs import (
+    AddressesChanged,
+    ConnectionEnded,
+    Drain,
+    FleetChange,
+    WriteBlocked,
+    WriteResumed,
+)
 from finchcart.node.meter import Meters, Rate, Rpcs
 from finchcart.quota.limits import Limit
 from finchcart.thrift import codec as thrift
@@ -70,7 +78,7 @@
             far.anew()
         if step == drain_at:
             far.drained = far.now
-            far.feed("drain")
+            far.feed(Drain())
     assert far.ended and len(far.tries) > 50
     return [r.get("how") for r in far.tries.values()]
 
@@ -123,14 +131,15 @@
             meter = rng.choice(meters.all)
             limit = meter.limit
             far.feed(
-                "fleet",
-                (
-                    "allow",
-                    limit.name,
-                    limit.floor,
-                    rng.randint(0, limit.amount - 10),
-                    far.now + rng.randint(0, 3000) * MS,
-                ),
+                FleetChange(
+                    (
+                        "allow",
+                        limit.name,
+                        limit.floor,
+                        rng.randint(0, limit.amount - 10),
+                        far.now + rng.randint(0, 3000) * MS,
+                    ),
+                )
             )
         for meter in meters.rpcs:
             if isinstance(meter, Rpcs):
@@ -162,7 +171,7 @@
     meters = Meters((Limit("a second", 50, 0, counts="rpcs", per="rate", burst=10, dispatcher="3"),), 0, 10)
     far = far_plain(meters=meters, retry_after_max=1000 * MS)
     link = far.open()
-    far.feed("fleet", ("allow", "a second", 0, 10, far.now + 10**9))
+    far.feed(FleetChange(("allow", "a second", 0, 10, far.now + 10**9)))
     far.step(MS)
     far.step(100 * MS)
     first = far.submit(link)
@@ -193,7 +202,7 @@
     }
     far = far_plain(meters=meters, **settings)
     links = [far.open() for _ in range(3)]
-    far.feed("fleet", ("allow", "in hand", 0, 40, far.now + 10**9))
+    far.feed(FleetChange(("allow", "in hand", 0, 40, far.now + 10**9)))
     names = [far.submit(links[n % 2]) for n in range(45)]
     far.step(MS)
     names += [far.submit(links[2], 1) for _ in range(5)]
@@ -344,7 +353,7 @@
 
 def move(far):
     far.places = {kind: (place, port + 1) for kind, (place, port) in far.places.items()}
-    far.feed("moved", far.places)
+    far.feed(AddressesChanged(far.places))
 
 
 def test_links_follow_a_new_configuration_and_nothing_is_lost_on_the_way():
@@ -499,12 +508,12 @@
 def test_a_dispatcher_that_never_reads_is_read_no_further():
     far = far_plain()
     link = far.open()
-    far.feed("behind", link)
+    far.feed(WriteBlocked(link))
     for _ in range(3):
         far.give(link, ("check", 1))
         far.step(MS)
     assert len(far.inbox[link]) == 2
-    far.feed("caught_up", link)
+    far.feed(WriteResumed(link))
     far.step(MS)
     assert not far.inbox[link]
 
@@ -570,7 +579,7 @@
     name = running(far)
     link = far.tries[name]["link"]
     far.cut(link, "rubbish")
-    far.feed("ended", link, "")  # the reader sees the end of what it goes on to read
+    far.feed(ConnectionEnded(link, ""))  # the reader sees the end of what it goes on to read
     ends_well(far, name)
     assert far.links[link] == "closed"
 
@@ -710,7 +719,7 @@
     far = far_plain()
     name = running(far, 1)
     far.drained = far.now
-    far.feed("drain")
+    far.feed(Drain())
     assert far.reports[-1] == (far.now, b"HERE n1 off")
     far.finish(name, Outcome.OK)
     for _ in range(400):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,9 +16,11 @@
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Link, Listener
+from finchcart.node.inputs import ConnectionClosed, FramesReceived, WriteBlocked, WriteResumed
 from finchcart.simulated_peers.outside import Registry
 from finchcart.thrift import codec
 from finchcart.thrift.codec import BOOL, CALL, FIELD
+from tests.harness import same_input
 from tests.test_node import World, answers, until
 
 LIMITS = Limits(memory=1 << 28, descriptors=64, stop=1_000_000, linger=20_000)
@@ -77,18 +79,20 @@
     until(lambda: unread(link))
     assert not link.finish()  # in the system's buffer
     link.ask()
-    assert inputs.get()[0] == "got" and not link.finish()  # read, and not yet seen by the core
+    assert (
+        isinstance(inputs.get(), FramesReceived) and not link.finish()
+    )  # read, and not yet seen by the core
     link.taken += 1
     link.ask()
     far.sendall(CHECK[:7])
     until(lambda: link.left and not unread(link))
     assert not link.finish()  # half a message
     far.sendall(CHECK[7:])
-    assert inputs.get()[0] == "got"
+    assert isinstance(inputs.get(), FramesReceived)
     link.taken += 1
     sent = random.Random(1).randbytes(30_000_000)
     link.send(sent)
-    assert inputs.get() == ("behind", 1) and not link.finish()  # an answer that is not written
+    assert same_input(inputs.get(), WriteBlocked(1)) and not link.finish()  # an answer that is not written
     got = b""
     while len(got) < len(sent):
         got += far.recv(1 << 20)
@@ -96,7 +100,7 @@
     assert got == sent and far.recv(1) == b""  # closed in one direction, nothing was reset
     far.sendall(CHECK)  # after the close: read past, never handed over as the first is
     far.close()
-    while inputs.get()[0] != "closed":
+    while not isinstance(inputs.get(), ConnectionClosed):
         pass
 
 
@@ -117,10 +121,10 @@
 
     monkeypatch.setattr("finchcart.net.links.start_thread", none)
     link.send(b"x" * 30_000_000)
-    assert [inputs.get()[0] for _ in range(2)] == ["behind", "caught_up"]
+    assert [type(inputs.get()) for _ in range(2)] == [WriteBlocked, WriteResumed]
     link.close()
     assert len(read_all(far)) < 30_000_000
-    while inputs.get()[0] != "closed":
+    while not isinstance(inputs.get(), ConnectionClosed):
         pass
 
 
@@ -131,7 +135,7 @@
     link.close()
     assert read_all(far) == b"the answer"
     far.close()
-    while inputs.get()[0] != "closed":
+    while not isinstance(inputs.get(), ConnectionClosed):
         pass
 
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from finchcart.node.effects import Drop, Read, Send
 from finchcart.node.front import Rpc, Unfit
 from tests.harness import MS, Far, draw_settings
 from tests.test_control import PLAIN
@@ -18,7 +19,7 @@
 
     def opened(self, link):
         self.links.add(link)
-        self.turn.ask("read", link)
+        self.turn.emit(Read(link))
 
     def got(self, link, message):
         if message[0] == "left":
@@ -45,18 +46,18 @@
             self.final(rpc, "aborted", b"", 0, False)
 
     def batch_over(self, link):
-        self.turn.ask("read", link)
+        self.turn.emit(Read(link))
 
     def final(self, rpc, outcome, result, wait, last):
         del self.rpcs[rpc.ref]  # a second answer, or one after `leave`, fails here
-        self.turn.ask("send", rpc.ref[0], (rpc.ref[1], outcome, result))
+        self.turn.emit(Send(rpc.ref[0], (rpc.ref[1], outcome, result)))
 
     def ended(self, link, why):
         if why:
             return  # what was read before is answered still
         for ref in [ref for ref in self.rpcs if ref[0] == link]:
             self.core.leave(self.rpcs.pop(ref))
-        self.turn.ask("drop", link)
+        self.turn.emit(Drop(link))
 
     def closed(self, link):
         self.links.discard(link)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,9 +17,11 @@
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Link, Links
+from finchcart.node.inputs import ConnectionClosed, ConnectionRefused, WriteBlocked, WriteResumed
 from finchcart.simulated_peers.client import Client
 from finchcart.simulated_peers.outside import Pool, Registry, Store
 from finchcart.thrift import codec
+from tests.harness import same_input
 
 METHODS = {"look-up": True, "book": False}
 
@@ -286,8 +288,8 @@
     links = Links(inputs, Buffers(limits), limits, None, "thrift", codec.FRONT)
     monkeypatch.setattr("threading.Thread.start", none)
     links.connect(-1, "store", ("127.0.0.1", 9))
-    assert inputs.get_nowait() == ("refused", -1, "can't start new thread")
-    assert inputs.get_nowait() == ("closed", -1)  # or the core would keep its number for ever
+    assert same_input(inputs.get_nowait(), ConnectionRefused(-1, "can't start new thread"))
+    assert same_input(inputs.get_nowait(), ConnectionClosed(-1))  # or the core would keep its number for ever
 
 
 def test_only_a_link_whose_far_side_does_not_read_takes_a_writer_thread():
@@ -303,14 +305,14 @@
     sent = [random.Random(n).randbytes(1_000_000) for n in range(20)]
     for part in sent:
         link.send(part)
-    assert threading.active_count() == before + 1 and inputs.get() == ("behind", 1)
+    assert threading.active_count() == before + 1 and same_input(inputs.get(), WriteBlocked(1))
     link.close()
     got = b""
     while part := far.recv(1 << 20):
         got += part
-    assert got == b"first" + b"".join(sent) and inputs.get() == ("caught_up", 1)
+    assert got == b"first" + b"".join(sent) and same_input(inputs.get(), WriteResumed(1))
     far.close()
-    while inputs.get()[0] != "closed":
+    while not isinstance(inputs.get(), ConnectionClosed):
         pass
 
 
@@ -339,7 +341,7 @@
             link.close()
         else:
             link.drop()
-        while inputs.get()[0] != "closed":
+        while not isinstance(inputs.get(), ConnectionClosed):
             pass
         far.close()
     server.close()
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -7,11 +7,22 @@
 from finchcart.interface import Outcome
 from finchcart.net.limits import Limits
 from finchcart.node.duty import Duty
+from finchcart.node.effects import Defer, End, Send, SendReport, StopListening
 from finchcart.node.front import Rpc
+from finchcart.node.inputs import (
+    CloseAttempted,
+    ConnectionEnded,
+    Drain,
+    DuplicateReady,
+    MessagesReceived,
+    ThreadDied,
+    TimersDue,
+)
 from finchcart.node.pool import Pool
 from finchcart.node.store import Store
 from finchcart.node.tokens import FAILED, Tokens, digest_of
 from finchcart.node.turn import Turn, own_first
+from tests.harness import same_input
 
 MS = 1000
 LIMITS = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS)
@@ -82,7 +93,8 @@
     tokens.share(second)
     assert repeats and not turn.effects
     tokens.settle(first.entry, b"result")
-    assert turn.effects == [("later", ("shared", 1))] and tokens.other_body(("m0", "k"), digest_of(b"x"))
+    assert same_input(turn.effects[0].input, DuplicateReady(1))
+    assert turn.effects == [Defer(DuplicateReady(1))] and tokens.other_body(("m0", "k"), digest_of(b"x"))
 
 
 @pytest.mark.parametrize("seed", range(10))
@@ -155,7 +167,7 @@
     settle = pool.settle
     turn.begin(turn.now)
     pool.got(pool.link, ("gauges", settle, ()))
-    assert ("send", pool.link, b"run safe") in turn.effects
+    assert Send(pool.link, b"run safe") in [e for e in turn.effects if isinstance(e, Send)]
     assert (effect.name, Outcome.STOPPED) in host.told and b"run effect" not in [e[-1] for e in turn.effects]
     assert list(pool.unconfirmed) == [1]  # written once more, and open again
     pool.got(pool.link, ("run_ended", 1, safe.name, Outcome.OK, 5, b""))
@@ -169,27 +181,31 @@
     duty.report()
     assert duty.drain(turn.now) and not duty.drain(turn.now)
     duty.health(False)
-    assert turn.effects[-1][2] == b"HERE n1 off"
+    assert turn.effects[-1].data == b"HERE n1 off"
     told = []
     for _ in range(60):
-        told += [effect[0] for effect in turn.begin(turn.now + 40 * MS)]
+        told += map(type, turn.begin(turn.now + 40 * MS))
         duty.look()
-        told += [effect[0] for effect in turn.effects if effect[0] in ("unlisten", "end")]
+        told += [type(effect) for effect in turn.effects if isinstance(effect, StopListening | End)]
         busy[0] = turn.now < 600 * MS
-    assert [word for word in told if word != "report"][:2] == ["unlisten", "end"]
+    assert [kind for kind in told if kind is not SendReport][:2] == [StopListening, End]
 
 
 @pytest.mark.parametrize("seed", range(5))
 def test_a_turn_takes_own_links_first_and_keeps_the_order_on_each(seed):
     rng = random.Random(seed)
-    words = [("drain",), ("time",), ("fault", "read 3")]
+    words = [Drain(), TimersDue(), ThreadDied("read 3")]
     for n in range(40):
         link = rng.choice((-2, -1, 1, 2))
-        words.append(rng.choice((("got", link, [n], n), ("ended", link, f"{n}"), ("closed", link, n))))
+        words.append(
+            rng.choice(
+                (MessagesReceived(link, [n], n), ConnectionEnded(link, f"{n}"), CloseAttempted(link, n))
+            )
+        )
     rng.shuffle(words)
     taken = own_first(words)
     for link in (-2, -1, 1, 2):
-        mine = lambda order: [what for what in order if what[1:2] == (link,)]
+        mine = lambda order: [what for what in order if getattr(what, "connection", None) == link]
         assert mine(taken) == mine(words)
-    signs = [what[1] < 0 for what in taken if len(what) > 2]
+    signs = [what.connection < 0 for what in taken if hasattr(what, "connection")]
     assert signs == sorted(signs, reverse=True)
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -31,6 +31,7 @@
 from finchcart.membership import wire as base
 from finchcart.membership.figures import Figures as MemberFigures
 from finchcart.membership.member import Member
+from finchcart.node.inputs import FleetChange, MessagesReceived
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
 from finchcart.quota.limits import Limit
@@ -345,12 +346,14 @@
     meters = Meters((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
     meters.rise, meters.longest = FIGURES.rise, FIGURES.trial
     far = far_plain(meters, Witness(FIGURES), **settings)
-    far.feed("fleet", ("allow", "trial", 0, 1, far.now + 10**12))
+    far.feed(FleetChange(("allow", "trial", 0, 1, far.now + 10**12)))
     return far
 
 
 def holds(far, **changed):
-    far.feed("fleet", ("verdicts", {"store": WORKING, "sources": {}, "out": False, "level": 0.0, **changed}))
+    far.feed(
+        FleetChange(("verdicts", {"store": WORKING, "sources": {}, "out": False, "level": 0.0, **changed}))
+    )
 
 
 def test_a_store_that_is_down_gets_this_nodes_trial_calls_alone_and_more_by_steps_once_it_is_back():
@@ -359,7 +362,7 @@
     assert room() is None
     holds(far, store=DOWN)
     assert room() == 1 and far.meters.take_call(far.core.store)[1] == FIGURES.trial
-    far.feed("fleet", ("allow", "trial", 0, 0, far.now + 10**12))
+    far.feed(FleetChange(("allow", "trial", 0, 0, far.now + 10**12)))
     assert room() == 0 and far.meters.take_call(far.core.store) is None
     holds(far)
     rooms = []
@@ -378,7 +381,7 @@
     far.submit(far.open("10.0.0.7"), 1, c="unheard")
     silent, check, ours = far.open("10.0.0.7"), far.open("10.0.0.8"), far.open("10.0.0.9")
     far.give(check, ("check", 1))
-    far.feed("got", ours, [], far.now)
+    far.feed(MessagesReceived(ours, [], far.now))
     far.front.tell_close(far.front.conns[ours])
     for _ in range(60):
         far.step(40 * MS)
@@ -427,7 +430,7 @@
             )
         if rng.random() < 0.05 and not far.ended:
             name = rng.choice(("trial", "calls"))
-            far.feed("fleet", ("allow", name, 0, rng.randrange(3), far.now + SECOND))
+            far.feed(FleetChange(("allow", name, 0, rng.randrange(3), far.now + SECOND)))
 
     far.step = stepped
     play(far, rng)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -12,6 +12,7 @@
 from finchcart.control import Control
 from finchcart.interface import Outcome
 from finchcart.node import watch
+from finchcart.node.inputs import LoadMeasured
 from tests.harness import MS, Far, draw_settings
 from tests.test_control import PLAIN
 from tests.test_core import GAUGES, play
@@ -75,7 +76,7 @@
     links = [far.open() for _ in range(4)]
     for step in range(300):
         far.step(10 * MS)
-        far.feed("load", 19, 20)
+        far.feed(LoadMeasured(19, 20))
         if far.core.ready:
             for n in (0, 0, 1):
                 far.submit(links[step % 4], n, waited=waited, p="0.9" if n else "0.1")
