--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from finchcart import settings
+from finchcart.errors import ConfigError
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Links, Listener
@@ -43,10 +44,6 @@
 PLACES = {"pool": "pool", "store": "store", "registry": "roster"}
 
 
-class ConfigError(Exception):
-    """The configuration can't be used: says what is wrong."""
-
-
 def address(text):
     """Host and port. Names are not looked up: a host is an IPv4 address, and no thread fails on it later."""
     host, _, port = text.rpartition(":")
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -19,10 +19,11 @@
 from loguru import logger
 from msgspec import UNSET
 
-from finchcart.__main__ import ConfigError, main, plain_log
+from finchcart.__main__ import main, plain_log
 from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
 from finchcart.consensus import wire as sayings
 from finchcart.consensus.board import Board
+from finchcart.errors import ConfigError
 from finchcart.key_leases import wire as claiming
 from finchcart.key_leases.holder import Claims
 from finchcart.key_leases.keeper import Keeper
--- /dev/null
+++ b/finchcart/errors.py
@@ -0,0 +1,21 @@
+"""The errors of the program, of one base.
+
+Each message says what was expected, what was found and where. An error that a peer or a configuration causes
+has a type of its own here; anything else is a fault of the program and is not caught.
+"""
+
+
+class FinchcartError(Exception):
+    """Base of all errors that a peer, a caller or a configuration can cause."""
+
+
+class ProtocolError(FinchcartError):
+    """Bytes that are no message of a protocol. The peer is to blame, and its connection is closed."""
+
+
+class ConfigError(FinchcartError):
+    """A configuration that cannot be used."""
+
+
+class InvalidRpcError(FinchcartError, ValueError):
+    """An RPC that cannot be accepted, as one of its fields is not valid."""
--- a/finchcart/net/lines.py
+++ b/finchcart/net/lines.py
@@ -1,7 +1,7 @@
 """Lines of the worker pool, the store and the registry, read and written.
 
 Owns the bytes on those links. Codecs as frames.py has them: no I/O, nothing kept between calls, and nothing
-raised but `Malformed` on what they read, whatever the bytes.
+raised but `ProtocolError` on what they read, whatever the bytes.
 
 Messages read are plain tuples. From the pool: `("up", cold, age)`, `("run_ended", cursor, id, outcome, spent,
 result)`, `("at_call", cursor, id, body)`, `("gauges", ticket, figures)`, `("undone", was_run, id)` (a command
@@ -13,8 +13,9 @@
 from binascii import a2b_base64
 from math import isfinite
 
+from finchcart.errors import ProtocolError
 from finchcart.interface import Outcome
-from finchcart.net.frames import Codec, Malformed
+from finchcart.net.frames import Codec
 
 ENDS = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.STOPPED, "gone": Outcome.NOT_STARTED}
 REPLIES = {
@@ -34,11 +35,11 @@
 def pool_message(data):
     # Guards against the stack: the library's parser goes down with each bracket.
     if data.count(b"[") + data.count(b"{") > 100:
-        raise Malformed("too many brackets in a line")
+        raise ProtocolError("too many brackets in a line")
     try:
         return notice(json.loads(data))
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError) as error:
-        raise Malformed(f"a line from the pool: {type(error).__name__}: {error}"[:120]) from None
+        raise ProtocolError(f"a line from the pool: {type(error).__name__}: {error}"[:120]) from None
 
 
 def notice(said):
@@ -95,7 +96,7 @@
         return end + 2
     # Guards against a length of thousands of digits, which is not even read as a number.
     if not words[2].isdigit() or len(words[2]) > 9 or int(words[2]) + end - at + 4 > longest:
-        raise Malformed(f"a reply from the store: {data[at:end][:60]!r}")
+        raise ProtocolError(f"a reply from the store: {data[at:end][:60]!r}")
     end += int(words[2]) + 4
     return end if len(data) >= end else None
 
@@ -105,9 +106,9 @@
     words = line.split(b" ")
     outcome = REPLIES.get(words[1]) if len(words) > 1 else None
     if outcome is None or len(words) != (3 if outcome is Outcome.OK else 2):
-        raise Malformed(f"a reply from the store: {line[:60]!r}")
+        raise ProtocolError(f"a reply from the store: {line[:60]!r}")
     if outcome is Outcome.OK and body[-2:] != b"\r\n":
-        raise Malformed("a reply from the store does not end where it says")
+        raise ProtocolError("a reply from the store does not end where it says")
     return "reply", words[0].decode("ascii", "replace"), outcome, body[:-2]
 
 
--- a/finchcart/net/links.py
+++ b/finchcart/net/links.py
@@ -16,8 +16,8 @@
 
 from loguru import logger
 
+from finchcart.errors import ProtocolError
 from finchcart.net import lines
-from finchcart.net.frames import Malformed
 from finchcart.node.inputs import (
     ConnectionClosed,
     ConnectionEnded,
@@ -219,7 +219,7 @@
                                 break
                             frames.append(data[at:ends])
                             at = ends
-                    except Malformed as error:
+                    except ProtocolError as error:
                         fault = error
                     except Exception as error:
                         # Guards the node against a fault of a codec: it costs this link alone.
@@ -413,7 +413,7 @@
             try:
                 for frame in frames:
                     said.append(link.codec.message(frame))
-            except Malformed as error:
+            except ProtocolError as error:
                 return said, str(error)
             except Exception as error:  # a fault of a codec costs this link alone
                 logger.exception("reading link {}", number)
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -11,11 +11,12 @@
 from functools import partial
 
 from finchcart.control import Control
+from finchcart.errors import InvalidRpcError
 from finchcart.interface import FleetQuota, Gauges, Outcome
 from finchcart.node import inputs
 from finchcart.node.duty import Duty
 from finchcart.node.effects import Defer, Drop, Log, PublishEvidence, PublishUsage
-from finchcart.node.front import ABORTED, OK, PUSHED_BACK, Unfit
+from finchcart.node.front import ABORTED, OK, PUSHED_BACK
 from finchcart.node.inputs import CallNotMade, RunNotStarted
 from finchcart.node.pool import Pool
 from finchcart.node.store import Store
@@ -217,15 +218,15 @@
         expires=0,
         link=None,
     ):
-        """An RPC was read whole. `Unfit` says what is wrong with it; nothing of it is kept then."""
+        """An RPC was read whole. `InvalidRpcError` says what is wrong with it; nothing of it is kept then."""
         digest = None
         if rpc.name in self.by_name:
-            raise Unfit(f"name {rpc.name!r}: in use by an open RPC")
+            raise InvalidRpcError(f"name {rpc.name!r}: in use by an open RPC")
         if token is not None:
             digest = digest_of(rpc.body)
             if self.tokens.other_body((rpc.method, token), digest):
                 # Guards against a result that is shared with what is no try of the same RPC.
-                raise Unfit("body: not that of the other tries with this key")
+                raise InvalidRpcError("body: not that of the other tries with this key")
         index, self.next_index = self.next_index, self.next_index + 1
         rpc.index = index
         self.rpcs[index] = rpc
--- a/finchcart/node/front.py
+++ b/finchcart/node/front.py
@@ -5,7 +5,7 @@
 
 1. It makes an `Rpc` with whatever `ref` finds its caller again, and hands it over by `core.take(rpc, ...)`
    once it has read it whole. From then on the core owes it exactly one `front.final(rpc, ...)`, which may
-   come inside `take`, so `ref` has to be in the front's tables before. An `Unfit` of `take` says what was
+   come inside `take`, so `ref` has to be in the front's tables before. An `InvalidRpcError` of `take` says what was
    wrong with the RPC: the core kept nothing, and the front answers in its own words.
 2. Where the caller is known gone it says `core.leave(rpc)`, once, instead of waiting for the final answer:
    none comes after that.
@@ -24,10 +24,6 @@
 OK, PUSHED_BACK, ABORTED = "ok", "pushed back", "aborted"
 
 
-class Unfit(ValueError):
-    """An RPC that can't be taken, whoever decides: the text says why."""
-
-
 class Rpc:
     """One RPC, as the core and its front hold it. `name`: unique among the open ones, the worker pool's name
     for the run; `ref`: the front's own, never looked at by the core."""
--- a/finchcart/thrift/codec.py
+++ b/finchcart/thrift/codec.py
@@ -1,7 +1,7 @@
 """The dispatchers' speech: framed Thrift in the strict binary protocol, read and written.
 
 Owns the bytes on dispatchers' connections. A codec as net/frames.py has it: no I/O, nothing kept between
-calls, and nothing raised but `Malformed` on what it reads, whatever the bytes.
+calls, and nothing raised but `ProtocolError` on what it reads, whatever the bytes.
 
 A message read is a plain tuple: `("rpc", seq, fields, body)`, `("left", seq)` (the caller of that RPC has
 gone), `("check", seq)`, or `("unheard", seq, name)` for a call that is not served; `fields` or `body` are
@@ -10,7 +10,8 @@
 
 import struct
 
-from finchcart.net.frames import Codec, Malformed
+from finchcart.errors import ProtocolError
+from finchcart.net.frames import Codec
 
 CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
 VERSION = 0x80010000
@@ -39,7 +40,7 @@
             start = at + 4
             at = start + length(data, at)[0]
             if not start <= at <= size:
-                raise Malformed(f"cut off: a string from {start} to {at} of {size} bytes")
+                raise ProtocolError(f"cut off: a string from {start} to {at} of {size} bytes")
             out.append(data[start:at])
         self.at = at
         return out
@@ -47,7 +48,7 @@
     def take(self, count):
         start, self.at = self.at, self.at + count
         if count < 0 or self.at > len(self.data):
-            raise Malformed(f"cut off: {count} bytes wanted at {start} of {len(self.data)}")
+            raise ProtocolError(f"cut off: {count} bytes wanted at {start} of {len(self.data)}")
         return self.data[start : self.at]
 
     def number(self, kind):
@@ -58,12 +59,12 @@
         """Of elements: each takes a byte at least, so a count past the end is a lie."""
         count = self.number(I32)
         if not 0 <= count <= len(self.data) - self.at:
-            raise Malformed(f"a count of {count} with {len(self.data) - self.at} bytes left")
+            raise ProtocolError(f"a count of {count} with {len(self.data) - self.at} bytes left")
         return count
 
     def value(self, kind, depth=DEPTH):
         if depth == 0:
-            raise Malformed("nested too deep")
+            raise ProtocolError("nested too deep")
         if kind == STRING:
             return self.take(self.number(I32))
         if kind == BOOL:
@@ -87,7 +88,7 @@
         if kind in (SET, LIST):
             kind = self.take(1)[0]
             return [self.value(kind, depth - 1) for _ in range(self.count())]
-        raise Malformed(f"no such type: {kind}")
+        raise ProtocolError(f"no such type: {kind}")
 
 
 def whole_frame(data, at, longest):
@@ -96,7 +97,7 @@
         return None
     (length,) = LENGTH.unpack_from(data, at)
     if not 0 < length <= longest - 4:
-        raise Malformed(f"a frame of {length} bytes")
+        raise ProtocolError(f"a frame of {length} bytes")
     end = at + 4 + length
     return end if len(data) >= end else None
 
@@ -105,7 +106,7 @@
     try:
         return message(data[4:])
     except struct.error as error:
-        raise Malformed(f"cut off: {error}") from None
+        raise ProtocolError(f"cut off: {error}") from None
 
 
 SUBMIT = b"\x80\x01\x00\x01\x00\x00\x00\x06submit"
@@ -142,10 +143,10 @@
     head = reader.number(I32) & 0xFFFFFFFF
     kind = head & 0xFF
     if head & 0xFFFFFF00 != VERSION or kind not in (CALL, ONEWAY):
-        raise Malformed(f"not a call: {head:#010x}")
+        raise ProtocolError(f"not a call: {head:#010x}")
     name, seq, args = reader.value(STRING), reader.number(I32), reader.value(STRUCT)
     if reader.at != len(data):
-        raise Malformed(f"{len(data) - reader.at} bytes after the message")
+        raise ProtocolError(f"{len(data) - reader.at} bytes after the message")
     if name == b"submit" and kind == CALL:
         return "rpc", seq, _texts(args.get((1, MAP))), args.get((2, STRING))
     if name == b"revoke" and (1, I32) in args:
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -6,8 +6,9 @@
 
 from itertools import filterfalse
 
+from finchcart.errors import InvalidRpcError
 from finchcart.node.effects import Close, CloseIfIdle, Defer, Drop, Read, Send
-from finchcart.node.front import OK, PUSHED_BACK, Rpc, Unfit
+from finchcart.node.front import OK, PUSHED_BACK, Rpc
 from finchcart.node.inputs import CloseDue
 from finchcart.thrift import codec, fields
 
@@ -268,7 +269,7 @@
             conn.idle_from = None
             try:
                 core.take(rpc, token, link=conn.link, **told)
-            except Unfit as error:
+            except InvalidRpcError as error:
                 why = str(error)
                 del conn.open[seq]
         if why:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -6,10 +6,10 @@
 import pytest
 
 from finchcart import settings
+from finchcart.errors import ProtocolError
 from finchcart.interface import Outcome
 from finchcart.net import lines
 from finchcart.net.buffers import Buffers
-from finchcart.net.frames import Malformed
 from finchcart.net.limits import Limits
 from finchcart.thrift import codec as thrift
 
@@ -174,7 +174,7 @@
         try:
             got = take(codec, bytes(bad), 0, LONGEST)
             assert got is None or 0 < got[1] <= len(bad)
-        except Malformed:
+        except ProtocolError:
             pass
 
 
@@ -185,7 +185,7 @@
         data = rng.randbytes(rng.randint(1, 60)) + rng.choice((b"", b"\n", b"\r\n"))
         try:
             take(codec, data, 0, LONGEST)
-        except Malformed:
+        except ProtocolError:
             pass
 
 
@@ -204,7 +204,7 @@
     ],
 )
 def test_what_is_no_call_is_malformed(data):
-    with pytest.raises(Malformed):
+    with pytest.raises(ProtocolError):
         take(thrift.FRONT, data, 0, LONGEST)
 
 
@@ -232,7 +232,7 @@
         POLLED[:-1].replace(b"0.25", b'"x"'),
         b'{"event":"unknown","fate":"spawn","handle":[1]}',
     ):
-        with pytest.raises(Malformed):
+        with pytest.raises(ProtocolError):
             read(bad)
     said = [
         lines.join(3),
@@ -261,7 +261,7 @@
         (_, name, outcome, body), _ = take(lines.STORE, b"x " + word + b"\r\n", 0, LONGEST)
         assert (name, outcome.never_ran, body) == ("x", proof, b"")
     for bad in (b"x\r\n", b"x OK\r\n", b"x OK -1\r\n", b"x OK 99999\r\n", b"x OK 1\r\nabc", b"x WHAT\r\n"):
-        with pytest.raises(Malformed):
+        with pytest.raises(ProtocolError):
             take(lines.STORE, bad, 0, LONGEST)
     assert lines.call("x", 250_001, b"a\r\nb") == b"CALL x 251 4\r\na\r\nb\r\n"
     assert (lines.report("n3", True), lines.report("n3", False)) == (b"HERE n3 on", b"HERE n3 off")
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from finchcart.errors import InvalidRpcError
 from finchcart.node.effects import Drop, Read, Send
-from finchcart.node.front import Rpc, Unfit
+from finchcart.node.front import Rpc
 from tests.harness import MS, Far, draw_settings
 from tests.test_control import PLAIN
 from tests.test_core import GAUGES, play, running
@@ -42,7 +43,7 @@
                 hint=100 * MS,
                 kb=20.0,
             )
-        except Unfit:
+        except InvalidRpcError:
             self.final(rpc, "aborted", b"", 0, False)
 
     def batch_over(self, link):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,8 +8,9 @@
 import pytest
 
 from finchcart import settings
-from finchcart.__main__ import ConfigError, read_config, reread
+from finchcart.__main__ import read_config, reread
 from finchcart.control import Control
+from finchcart.errors import ConfigError
 from finchcart.interface import Outcome
 from finchcart.node import watch
 from finchcart.node.inputs import LoadMeasured
