Name the modules of fault injection and simulated peers for what they simulate

Cause: shares, beliefs, claiming, fabric, relay, virtual and rude need explaining to a reader. Change: renamed to quota_simulation, consensus_simulation, key_lease_simulation, simulated_network, fault_injecting_proxy, membership_simulation, misbehaving_clients, and so on; only imports follow.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -14,7 +14,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 
-from finchcart.fault_injection.claiming import explore, one
+from finchcart.fault_injection.key_lease_simulation import explore, one
 from finchcart.key_leases import wire
 from finchcart.key_leases.figures import SECOND, Figures
 from finchcart.key_leases.keeper import Keeper
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -17,8 +17,8 @@
 import time
 from pathlib import Path
 
+from finchcart.fault_injection.membership_simulation import Fleet
 from finchcart.fault_injection.script import Act, Load, Plan, Script
-from finchcart.fault_injection.virtual import Fleet
 from finchcart.membership import member, view
 from finchcart.membership.figures import SECOND, Figures
 
@@ -147,7 +147,7 @@
 
 def cost(seconds, rate):
     """Rows with and without membership: CPU and memory of 24 nodes, latency of their RPCs."""
-    from finchcart.fault_injection.run import on_processes
+    from finchcart.fault_injection.runner import on_processes
 
     rows = []
     for talk in (True, False, True, False):
@@ -192,8 +192,8 @@
 def rules(nodes):
     """Changes of verdict on those that are to stay, and after the verdict on those that are out, by rule,
     over the script `cuts`; and failed verdicts at 30 % loss."""
-    from finchcart.fault_injection.check import History, check
-    from finchcart.fault_injection.run import on_virtual
+    from finchcart.fault_injection.checker import History, check
+    from finchcart.fault_injection.runner import on_virtual
     from finchcart.fault_injection.script import lay_out, read
 
     rows = []
--- a/benchmarks/quota.py
+++ b/benchmarks/quota.py
@@ -18,8 +18,8 @@
 from functools import partial
 
 from benchmarks.by_round import bars, beside, table
-from finchcart.fault_injection.explore import DRIFTS, explore
-from finchcart.fault_injection.shares import Shares, jump, one
+from finchcart.fault_injection.quota_simulation import Shares, jump, one
+from finchcart.fault_injection.state_space import DRIFTS, explore
 from finchcart.quota.limits import SECOND, Limit, Quota
 
 
--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from benchmarks.by_round import bars, beside, table
-from finchcart.fault_injection.beliefs import Beliefs, is_down, one
+from finchcart.fault_injection.consensus_simulation import Beliefs, is_down, one
 from finchcart.membership.figures import SECOND
 
 
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -299,7 +299,7 @@
     """Play a script: a table, a chart, and status 1 with the first breach."""
     import signal
 
-    from finchcart.fault_injection.run import play, told_to_end
+    from finchcart.fault_injection.runner import play, told_to_end
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, told_to_end)
@@ -312,7 +312,7 @@
 @click.option("--jobs", default=4, show_default=True, help="processes")
 def seeds(first, count, jobs):
     """Seeded runs of 12 members with all kinds of faults on the virtual clock."""
-    from finchcart.fault_injection.seeds import many
+    from finchcart.fault_injection.seed_sweep import many
 
     broken = 0
     for seed, _, breach in many(first, count, jobs):
--- a/finchcart/fault_injection/beliefs.py
+++ b/finchcart/fault_injection/consensus_simulation.py
@@ -13,7 +13,7 @@
 from finchcart.consensus.board import Board
 from finchcart.consensus.figures import Figures
 from finchcart.consensus.subjects import DOWN, OUT, SLOW, WORKING
-from finchcart.fault_injection.virtual import Fleet
+from finchcart.fault_injection.membership_simulation import Fleet
 from finchcart.membership.figures import SECOND
 from finchcart.membership.figures import Figures as MemberFigures
 from finchcart.membership.member import Member
--- a/finchcart/fault_injection/relay.py
+++ b/finchcart/fault_injection/fault_injecting_proxy.py
@@ -1,4 +1,6 @@
-"""The fabric on loopback: `python -m finchcart.fault_injection.relay`, one process for all links of a run.
+"""The fabric on loopback: `python -m finchcart.fault_injection.fault_injecting_proxy`.
+
+One process for all links of a run.
 
 Owns one loopback address for each member, which that member advertises. A datagram that arrives there from
 another member's own address goes on, if the fabric lets it, to the member from the other's relayed address.
@@ -12,7 +14,7 @@
 import threading
 from queue import Empty, SimpleQueue
 
-from finchcart.fault_injection.fabric import Fabric
+from finchcart.fault_injection.simulated_network import Fabric
 from finchcart.net.links import boot_clock as clock
 
 BUFFER = 1 << 20
--- a/finchcart/fault_injection/virtual.py
+++ b/finchcart/fault_injection/membership_simulation.py
@@ -8,7 +8,7 @@
 from heapq import heappop, heappush
 from random import Random
 
-from finchcart.fault_injection.fabric import Fabric
+from finchcart.fault_injection.simulated_network import Fabric
 from finchcart.membership.figures import Figures
 from finchcart.membership.member import Member
 
--- a/finchcart/fault_injection/processes.py
+++ b/finchcart/fault_injection/processes.py
@@ -15,7 +15,7 @@
 
 import json5
 
-from finchcart.fault_injection.relay import clock
+from finchcart.fault_injection.fault_injecting_proxy import clock
 
 EXAMPLE = {
     "seed": "1",
@@ -144,7 +144,7 @@
         try:
             self.relay = self.spawn(
                 "relay",
-                [sys.executable, "-m", "finchcart.fault_injection.relay"],
+                [sys.executable, "-m", "finchcart.fault_injection.fault_injecting_proxy"],
                 stdin=subprocess.PIPE,
                 stdout=subprocess.PIPE,
                 text=True,
@@ -247,7 +247,7 @@
             [
                 sys.executable,
                 "-m",
-                "finchcart.simulated_peers.load",
+                "finchcart.simulated_peers.load_generator",
                 "--rate",
                 str(self.load.rate),
                 "--seconds",
@@ -290,7 +290,7 @@
             [
                 sys.executable,
                 "-m",
-                "finchcart.simulated_peers.rude",
+                "finchcart.simulated_peers.misbehaving_clients",
                 "--net",
                 f"{self.net}.9",
                 "--orders",
--- a/finchcart/fault_injection/shares.py
+++ b/finchcart/fault_injection/quota_simulation.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from finchcart.fault_injection.virtual import BUFFER, Clock
+from finchcart.fault_injection.membership_simulation import BUFFER, Clock
 from finchcart.membership import wire as base
 from finchcart.membership.figures import Figures
 from finchcart.membership.member import Member
--- a/finchcart/fault_injection/run.py
+++ b/finchcart/fault_injection/runner.py
@@ -16,9 +16,9 @@
 import click
 import msgspec
 
-from finchcart.fault_injection import check
+from finchcart.fault_injection import checker as check
+from finchcart.fault_injection.fault_injecting_proxy import clock
 from finchcart.fault_injection.processes import Processes
-from finchcart.fault_injection.relay import clock
 from finchcart.fault_injection.script import Act, lay_out, read
 from finchcart.membership.figures import MS, SECOND, Figures
 
@@ -181,7 +181,7 @@
 
 def on_virtual(plan, make=None, after_step=None):
     """The same on the virtual clock."""
-    from finchcart.fault_injection.virtual import Fleet
+    from finchcart.fault_injection.membership_simulation import Fleet
     from finchcart.membership.member import Member
 
     events = []
@@ -538,7 +538,7 @@
                     }
                 )
             )
-            from finchcart.fault_injection.chart import timeline
+            from finchcart.fault_injection.timeline_chart import timeline
 
             timeline(plan, events, start, folder / "timeline.png")
     broken = next((result for result in results if result.breach), None)
--- a/finchcart/fault_injection/seeds.py
+++ b/finchcart/fault_injection/seed_sweep.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from finchcart.fault_injection.virtual import Fleet
+from finchcart.fault_injection.membership_simulation import Fleet
 from finchcart.membership.figures import SECOND, Figures
 from finchcart.membership.member import Member
 from finchcart.membership.wire import LEFT
--- a/finchcart/simulated_peers/load.py
+++ b/finchcart/simulated_peers/load_generator.py
@@ -1,6 +1,6 @@
 """Dispatchers with a steady load on many nodes.
 
-    python -m finchcart.simulated_peers.load ADDRESS ... --rate R --seconds S
+    python -m finchcart.simulated_peers.load_generator ADDRESS ... --rate R --seconds S
 
 Owns the connections and what became of each RPC. Open loop: RPCs go out at seeded random times, whatever
 comes back. It must never judge: it writes figures.
--- a/finchcart/simulated_peers/rude.py
+++ b/finchcart/simulated_peers/misbehaving_clients.py
@@ -1,6 +1,6 @@
 """Misbehaving clients: sources that send rubbish.
 
-    python -m finchcart.simulated_peers.rude --net 127.20.9 --orders FILE --out FILE
+    python -m finchcart.simulated_peers.misbehaving_clients --net 127.20.9 --orders FILE --out FILE
 
 Owns the sources, each with an address of its own, and what became of the one good RPC that each sends beside
 its rubbish. Orders are a file, looked at now and then: `at` (addresses of nodes), `sources` (how many),
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,7 +7,7 @@
 import pytest
 
 from finchcart.cli.file import checked, claims
-from finchcart.fault_injection.claiming import KEY, TICK, Breach, Run, World, act, explore
+from finchcart.fault_injection.key_lease_simulation import KEY, TICK, Breach, Run, World, act, explore
 from finchcart.key_leases import wire
 from finchcart.key_leases.figures import MS, SECOND, Figures, mistakes
 from finchcart.key_leases.holder import Claims
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,11 +7,11 @@
 import pytest
 
 from finchcart.cli.file import Wrong, checked
-from finchcart.fault_injection.run import judge as judge_plan
-from finchcart.fault_injection.run import on_virtual
+from finchcart.fault_injection.membership_simulation import Fleet
+from finchcart.fault_injection.runner import judge as judge_plan
+from finchcart.fault_injection.runner import on_virtual
 from finchcart.fault_injection.script import Script, lay_out
-from finchcart.fault_injection.seeds import Breach, Run
-from finchcart.fault_injection.virtual import Fleet
+from finchcart.fault_injection.seed_sweep import Breach, Run
 from finchcart.membership import member as module
 from finchcart.membership import view, wire
 from finchcart.membership.figures import SECOND, Figures
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -13,8 +13,8 @@
 import pytest
 
 from finchcart.cli.file import Wrong, checked
-from finchcart.fault_injection.explore import explore
-from finchcart.fault_injection.shares import Breach, Run, Shares
+from finchcart.fault_injection.quota_simulation import Breach, Run, Shares
+from finchcart.fault_injection.state_space import explore
 from finchcart.membership import wire as base
 from finchcart.membership.member import Heard
 from finchcart.net.links import boot_clock
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -10,11 +10,11 @@
 import pytest
 
 from finchcart.cli.serve import ask
-from finchcart.fault_injection.check import Event, History, check
-from finchcart.fault_injection.fabric import Fabric
+from finchcart.fault_injection.checker import Event, History, check
 from finchcart.fault_injection.processes import Processes
-from finchcart.fault_injection.run import on_virtual, play
+from finchcart.fault_injection.runner import on_virtual, play
 from finchcart.fault_injection.script import Held, Plan, lay_out, read, shipped
+from finchcart.fault_injection.simulated_network import Fabric
 from finchcart.net.datagrams import Datagrams
 
 
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -26,7 +26,7 @@
     WORKING,
     ZONE_ITSELF,
 )
-from finchcart.fault_injection.beliefs import Beliefs, Breach, Run
+from finchcart.fault_injection.consensus_simulation import Beliefs, Breach, Run
 from finchcart.interface import Outcome
 from finchcart.membership import wire as base
 from finchcart.membership.figures import Figures as MemberFigures
