Simulated peers: one module each, typed, with named outcomes and counts

Cause: outside.py held worker pool, store, registry and command with one-letter fates and bare lists.

--- a/Makefile
+++ b/Makefile
@@ -19,4 +19,4 @@
 	ROUTER_CONFIG=$(CONFIG) $(VENV)/python -m finchcart
 
 world: build
-	$(VENV)/python -m finchcart.simulated_peers.outside $(CONFIG)
+	$(VENV)/python -m finchcart.simulated_peers $(CONFIG)
--- a/benchmarks/cold_ramp.py
+++ b/benchmarks/cold_ramp.py
@@ -27,7 +27,7 @@
 from benchmarks import far
 from benchmarks.rpc import SETTINGS, free
 from finchcart.simulated_peers.client import Client
-from finchcart.simulated_peers.outside import Pool
+from finchcart.simulated_peers.worker_pool import WorkerPool
 
 # callsOut of each, callsOver, a call's time, cold for so long, from this part of the speed
 SHARE, WINDOW, CALL, COLD, START = 2.0, 1.0, 0.1, 4.0, 0.2
@@ -112,7 +112,7 @@
                     }
                 )
             )
-            Pool(places["pool"], {"read": True, "write": True}, work=0.004, cores=512)
+            WorkerPool(places["pool"], {"read": True, "write": True}, work=0.004, cores=512)
             self.places.append(places["listen"])
             self.processes.append(
                 subprocess.Popen(
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -25,7 +25,9 @@
 from benchmarks import far
 from benchmarks.rpc import SETTINGS, free
 from finchcart.simulated_peers.client import Client
-from finchcart.simulated_peers.outside import Pool, Registry, Store
+from finchcart.simulated_peers.registry import Registry
+from finchcart.simulated_peers.store import Store
+from finchcart.simulated_peers.worker_pool import WorkerPool
 
 METHODS = {"read": True, "write": False}
 
@@ -43,7 +45,7 @@
             "settings": deepcopy(SETTINGS),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         }
-        self.pool = Pool(self.places["pool"], METHODS, work=0.01, cores=512)
+        self.pool = WorkerPool(self.places["pool"], METHODS, work=0.01, cores=512)
         self.start()
 
     def write(self, **places):
@@ -124,7 +126,10 @@
 def play(nodes=20, each=10, rate=20.0):
     rows = []
     with tempfile.TemporaryDirectory() as folder:
-        store, registry = Store(free(), work=0.002), Registry(free(socket.SOCK_DGRAM), tell=lambda text: None)
+        store, registry = (
+            Store(free(), work=0.002),
+            Registry(free(socket.SOCK_DGRAM), on_change=lambda text: None),
+        )
         places = store.listener.getsockname(), registry.sock.getsockname()
         fleet = [Node(n, folder, *places) for n in range(nodes)]
         try:
--- a/finchcart/fault_injection/processes.py
+++ b/finchcart/fault_injection/processes.py
@@ -209,7 +209,7 @@
         base = [
             sys.executable,
             "-m",
-            "finchcart.simulated_peers.outside",
+            "finchcart.simulated_peers",
             "--work-ms",
             str(load.work_ms),
             "--store-work-ms",
--- a/finchcart/simulated_peers/__init__.py
+++ b/finchcart/simulated_peers/__init__.py
@@ -1,5 +1,5 @@
-"""Stand-ins for the outside parties of nodes: worker pool, store, registry, dispatchers.
+"""Simulated peers of a node: worker pool, store, registry, clients and a load generator.
 
-Owns models written from the protocol's pages, for examples, tests and trials. It must never be imported by a
-node, nor know how a node decides.
+Owns test doubles written from the protocol's pages, for examples, tests and fault injection. It must never
+be imported by a node, nor know how a node decides.
 """
--- /dev/null
+++ b/finchcart/simulated_peers/__main__.py
@@ -0,0 +1,125 @@
+"""Starts simulated worker pools, a store and a registry at the addresses of nodes' configurations.
+
+    python -m finchcart.simulated_peers example/config.json
+
+For trying nodes out by hand, for loopback tests and for the fault-injection suite.
+"""
+
+import argparse
+import json
+import threading
+from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
+from pathlib import Path
+
+from finchcart.net.links import boot_clock
+from finchcart.simulated_peers.registry import Registry
+from finchcart.simulated_peers.server import parse_address
+from finchcart.simulated_peers.store import Capacity, FaultStates, State, Store, write_truth
+from finchcart.simulated_peers.worker_pool import WorkerPool
+
+TRUTH_INTERVAL_S = 0.2
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("config", nargs="+", help="configurations of nodes: a worker pool for each")
+    parser.add_argument("--work-ms", type=float, default=50.0, help="of a run")
+    parser.add_argument("--spin", action="store_true", help="runs keep a core busy instead of sleeping")
+    parser.add_argument("--pools-only", action="store_true", help="store and registry are elsewhere")
+    parser.add_argument("--store-work-ms", type=float, default=0.0, help="of a call")
+    parser.add_argument("--limit", type=int, help="calls in hand that the store bears")
+    parser.add_argument("--rate", type=float, help="calls a second that the store bears")
+    parser.add_argument("--burst", type=int, default=0, help="calls at once beside the rate")
+    parser.add_argument("--effects", help="bodies of all runs are written here, line by line")
+    parser.add_argument("--place", action="append", default=[], help="one more place of the store")
+    parser.add_argument("--faults", help="a file with the states of the store's places")
+    parser.add_argument("--truth", help="the store's own count is written here, line by line")
+    return parser.parse_args()
+
+
+def effect_writer(path: str) -> Callable[[bytes], None]:
+    """Return a function that appends a run's body and the time of its effect to the file."""
+    file = Path(path).open("a", encoding="utf-8")  # noqa: SIM115  (open for as long as the process lives)
+    lock = threading.Lock()
+
+    def write(body: bytes) -> None:
+        with lock:
+            file.write(f"{boot_clock()} {body.decode(errors='replace')}\n")
+            file.flush()
+
+    return write
+
+
+class SimulatedPeers:
+    """The peers of all configurations; they serve in threads from their making on."""
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        self.arguments = arguments
+        self.faults = FaultStates(arguments.faults)
+        self.on_effect = effect_writer(arguments.effects) if arguments.effects else None
+        self.store: Store | None = None
+        self.store_addresses: set[str] = set()
+        self.registry_addresses: set[str] = set()
+        for path in arguments.config:
+            config = json.loads(Path(path).read_text(encoding="utf-8"))
+            self._start_worker_pool(config)
+            if not arguments.pools_only:
+                self._serve_store(config["store"])
+                self._serve_registry(config["roster"])
+        if self.store:
+            for address in arguments.place:
+                self._serve_store(address)
+
+    def _start_worker_pool(self, config: dict) -> None:
+        settings = config["settings"]
+        family = settings["familyInfo"]
+        names = [service["name"] for service in settings["services"]]
+        address = parse_address(config["pool"])
+        WorkerPool(
+            address,
+            dict(zip(names, family["classCalls"], strict=False)),
+            self.arguments.work_ms / 1000,
+            family["cores"],
+            self.arguments.spin,
+            partial(self._is_failing, address[0]),
+            self.on_effect,
+        )
+
+    def _is_failing(self, host: str) -> bool:
+        return self.faults.state(host) == State.FAILING
+
+    def _serve_store(self, address: str) -> None:
+        """Serve the one store at one more address."""
+        if address in self.store_addresses:
+            return
+        self.store_addresses.add(address)
+        if self.store:
+            self.store.listen(parse_address(address))
+            return
+        arguments = self.arguments
+        capacity = Capacity(arguments.limit, arguments.rate, arguments.burst)
+        work = arguments.store_work_ms / 1000
+        self.store = Store(parse_address(address), work, capacity, self.faults)
+
+    def _serve_registry(self, address: str) -> None:
+        if address not in self.registry_addresses:
+            self.registry_addresses.add(address)
+            Registry(parse_address(address))
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    arguments = parse_arguments()
+    peers = SimulatedPeers(arguments)
+    print("worker pools, store and registry are up; Ctrl-C ends them", flush=True)
+    with suppress(KeyboardInterrupt):
+        if arguments.truth and not arguments.pools_only:
+            write_truth(peers.store, arguments.truth, TRUTH_INTERVAL_S)
+        threading.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
--- a/finchcart/simulated_peers/client.py
+++ b/finchcart/simulated_peers/client.py
@@ -1,9 +1,10 @@
-"""A toy dispatcher: sends a few RPCs to a node and prints the answers.
+"""A simulated client: sends a few RPCs to a node and prints the answers.
 
     .venv/bin/python -m finchcart.simulated_peers.client example/config.json look-up "which bird is that"
     .venv/bin/python -m finchcart.simulated_peers.client example/config.json book "seat 12" "seat 12"
 
-Each text is one RPC; of a tokened method, equal texts are tries of the same RPC and carry the same token.
+Each text is one RPC; of a method with idempotency keys, equal texts are attempts of the same RPC and carry
+the same key.
 """
 
 import hashlib
@@ -12,25 +13,52 @@
 import socket
 import sys
 import time
+from enum import StrEnum
+from pathlib import Path
+from typing import NamedTuple
 
-from finchcart.simulated_peers.outside import address
+from finchcart.simulated_peers.server import Address, parse_address
 from finchcart.thrift import codec as thrift
 from finchcart.thrift.codec import BOOL, FIELD, I32, LENGTH, MAP, STRING, STRUCT
 
+TIMEOUT_S = 10
+
+
+class Outcome(StrEnum):
+    """What became of an RPC; the values stand in result files."""
+
+    OK = "ok"
+    NOT_GOOD = "not good"
+    REJECTED = "pushed back"
+    FAILED = "aborted"
+    EXCEPTION = "exception"
+    ONEWAY = "oneway"  # a message that answers nothing
+    NO_ANSWER = "no answer"
+    NO_CONNECTION = "no connection"
+
+
+class Answer(NamedTuple):
+    """One message of a node."""
+
+    name: str  # of the method, or "closing"
+    sequence: int
+    outcome: Outcome
+    body: bytes  # or the text of an exception
+    fields: dict[str, str]
+
 
 class Client:
     """One connection to a node."""
 
-    def __init__(self, where, source=None):
-        self.sock = socket.create_connection(where, timeout=10, source_address=source)
-        self.seq = 0
+    def __init__(self, address: Address, source: Address | None = None) -> None:
+        self.sock = socket.create_connection(address, timeout=TIMEOUT_S, source_address=source)
+        self.sequence = 0
 
-    def send(self, kind, name, args):
-        self.seq += 1
-        self.sock.sendall(thrift.frame(kind, name, self.seq, args + b"\0"))
-        return self.seq
+    def submit(self, method: str, body: bytes, key: str | None = None, **more: str) -> int:
+        """Send an RPC, with an idempotency key if one is given; return its sequence number.
 
-    def submit(self, method, body, token=None, **more):
+        `more` are further fields of the protocol's header, or other values of the usual ones.
+        """
         fields = {
             "c": method,
             "i": secrets.token_hex(8),
@@ -41,16 +69,40 @@
             "p": "0.5000",
             **more,
         }
-        if token:
-            fields["k"] = token
-        self.seq += 1
-        self.sock.sendall(thrift.submit(self.seq, fields, body))
-        return self.seq
-
-    def heartbeat(self):
-        return self.send(thrift.CALL, b"heartbeat", FIELD.pack(BOOL, 1) + b"\1")
+        if key:
+            fields["k"] = key
+        self.sequence += 1
+        self.sock.sendall(thrift.submit(self.sequence, fields, body))
+        return self.sequence
+
+    def heartbeat(self) -> int:
+        """Send a health check; return its sequence number."""
+        self.sequence += 1
+        arguments = FIELD.pack(BOOL, 1) + b"\1"
+        self.sock.sendall(thrift.frame(thrift.CALL, b"heartbeat", self.sequence, arguments + b"\0"))
+        return self.sequence
+
+    def answer(self) -> Answer:
+        """Return the next message; `EOFError` where the node closed the connection."""
+        reader = thrift.Reader(self._receive(LENGTH.unpack(self._receive(4))[0]))
+        kind = reader.number(I32) & 0xFF
+        name = reader.value(STRING).decode()
+        sequence = reader.number(I32)
+        arguments = reader.value(STRUCT)
+        if kind == thrift.EXCEPTION:
+            return Answer(name, sequence, Outcome.EXCEPTION, arguments[1, STRING], {})
+        if kind == thrift.ONEWAY:
+            return Answer(name, sequence, Outcome.ONEWAY, b"", {})
+        (field_number, _), inner = next(iter(arguments.items()))
+        texts = dict(inner[(2 if field_number == 0 else 1), MAP])
+        fields = {key.decode(): text.decode() for key, text in texts.items()}
+        if field_number == 0:
+            outcome = Outcome.OK if inner[3, BOOL] else Outcome.NOT_GOOD
+            return Answer(name, sequence, outcome, inner[1, STRING], fields)
+        outcome = (Outcome.REJECTED, Outcome.FAILED)[field_number - 1]
+        return Answer(name, sequence, outcome, b"", fields)
 
-    def receive(self, count):
+    def _receive(self, count: int) -> bytes:
         data = b""
         while len(data) < count:
             part = self.sock.recv(count - len(data))
@@ -59,36 +111,24 @@
             data += part
         return data
 
-    def answer(self):
-        """The next message as (name, sequence number, what, body or text, fields)."""
-        reader = thrift.Reader(self.receive(LENGTH.unpack(self.receive(4))[0]))
-        kind = reader.number(I32) & 0xFF
-        name, seq, args = reader.value(STRING).decode(), reader.number(I32), reader.value(STRUCT)
-        if kind == thrift.EXCEPTION:
-            return name, seq, "exception", args[1, STRING], {}
-        if kind == thrift.ONEWAY:
-            return name, seq, "oneway", b"", {}
-        (number, _), inner = next(iter(args.items()))
-        texts = dict(inner[(2 if number == 0 else 1), MAP])
-        fields = {key.decode(): text.decode() for key, text in texts.items()}
-        if number == 0:
-            return name, seq, "ok" if inner[3, BOOL] else "not good", inner[1, STRING], fields
-        return name, seq, ("pushed back", "aborted")[number - 1], b"", fields
-
 
-def main():
+def main() -> None:
+    """Send each text of the command line as one RPC and print the answers."""
     path, method, *texts = sys.argv[1:]
-    with open(path, encoding="utf-8") as file:
-        config = json.load(file)
-    kind = {m["name"]: m["effect"] for m in config["settings"]["services"]}.get(method)
-    client, asked = Client(address(config["listen"])), {}
+    config = json.loads(Path(path).read_text(encoding="utf-8"))
+    effects = {service["name"]: service["effect"] for service in config["settings"]["services"]}
+    keyed = effects.get(method) == "idempotency_key"
+    client = Client(parse_address(config["listen"]))
+    waiting = {}
     for text in texts:
-        token = hashlib.md5(text.encode()).hexdigest() if kind == "idempotency_key" else None
-        asked[client.submit(method, text.encode(), token)] = text
-    while asked:
-        name, seq, what, body, fields = client.answer()
-        if name == "submit":
-            print(f"{asked.pop(seq)!r}: {what} {body.decode(errors='replace')!r} {fields or ''}".rstrip())
+        key = hashlib.md5(text.encode()).hexdigest() if keyed else None
+        waiting[client.submit(method, text.encode(), key)] = text
+    while waiting:
+        answer = client.answer()
+        if answer.name == "submit":
+            text = waiting.pop(answer.sequence)
+            body = answer.body.decode(errors="replace")
+            print(f"{text!r}: {answer.outcome} {body!r} {answer.fields or ''}".rstrip())
 
 
 if __name__ == "__main__":
--- a/finchcart/simulated_peers/load_generator.py
+++ b/finchcart/simulated_peers/load_generator.py
@@ -1,180 +1,242 @@
-"""Dispatchers with a steady load on many nodes.
+"""Clients that put a steady load on many nodes.
 
-    python -m finchcart.simulated_peers.load_generator ADDRESS ... --rate R --seconds S
+    python -m finchcart.simulated_peers.load_generator ADDRESS ... --rate R --seconds S --out FILE
 
-Owns the connections and what became of each RPC. Open loop: RPCs go out at seeded random times, whatever
+Owns the connections and the outcome of each RPC. Open loop: RPCs go out at seeded random times, whatever
 comes back. It must never judge: it writes figures.
 """
 
 import argparse
 import json
-import os
 import random
 import secrets
 import threading
 import time
+from collections import Counter
+from contextlib import suppress
+from pathlib import Path
+from typing import NamedTuple
 
-from finchcart.simulated_peers.client import Client
-from finchcart.simulated_peers.outside import address
+from finchcart.simulated_peers.client import Client, Outcome
+from finchcart.simulated_peers.server import Address, parse_address, start_thread
 
-AGAIN = 0.2  # seconds between tries to reach a node
+RECONNECT_INTERVAL_S = 0.2
+FOCUS_READ_INTERVAL_S = 0.05
+RETRY_DELAY_S = 0.05
+KEYED_PART = 0.3  # of the RPCs that are of the method with idempotency keys
+DUPLICATE_PART = 0.05  # of the keys that go to two nodes at once
+LONGEST_DEADLINE_S = 5.0  # and more
+
+
+class SentRpc(NamedTuple):
+    """An RPC that waits for its answer."""
+
+    began: float
+    method: str
+    key: str | None
 
 
 class Caller:
-    """A connection to one node: opened again when it ends."""
+    """A connection to one node, opened again when it ends."""
 
-    def __init__(self, where, load):
-        self.where, self.load = where, load
-        self.lock, self.client, self.sent = threading.Lock(), None, {}
-        threading.Thread(target=self.keep, daemon=True).start()
+    def __init__(self, address: Address, load: "Load") -> None:
+        self.address = address
+        self.load = load
+        self.lock = threading.Lock()
+        self.client: Client | None = None
+        self.sent: dict[tuple[Client, int], SentRpc] = {}
+        start_thread(self._keep_connected)
 
-    def keep(self):
+    def _keep_connected(self) -> None:
         while True:
-            try:
-                client = Client(self.where)
+            with suppress(OSError, EOFError, ValueError):
+                client = Client(self.address)
                 client.sock.settimeout(None)
                 self.client = client
-                while True:
-                    name, seq, what, _, _ = client.answer()
-                    if name == "submit":
-                        with self.lock:
-                            began, method, key = self.sent.pop((client, seq), (None, "", None))
-                        if began is not None:
-                            self.load.done(what, time.monotonic() - began, method, key)
-                    elif name == "closing":
-                        self.client = None  # nothing new goes here; answers still come
-            except (OSError, EOFError, ValueError):
-                pass
-            finally:
-                self.client = None
-                with self.lock:
-                    lost, self.sent = list(self.sent.values()), {}
-                for _, _, key in lost:
-                    self.load.done("no answer", 0.0, key=key)
-            time.sleep(AGAIN)
-
-    def send(self, method, body, token, **more):
+                self._receive_answers(client)
+            self.client = None
+            with self.lock:
+                lost = list(self.sent.values())
+                self.sent = {}
+            for rpc in lost:
+                self.load.done(Outcome.NO_ANSWER, 0.0, key=rpc.key)
+            time.sleep(RECONNECT_INTERVAL_S)
+
+    def _receive_answers(self, client: Client) -> None:
+        while True:
+            answer = client.answer()
+            if answer.name == "closing":
+                self.client = None  # nothing new goes here; answers still come
+            if answer.name != "submit":
+                continue
+            with self.lock:
+                rpc = self.sent.pop((client, answer.sequence), None)
+            if rpc is not None:
+                self.load.done(answer.outcome, time.monotonic() - rpc.began, rpc.method, rpc.key)
+
+    def send(self, method: str, body: bytes, key: str | None, **more: str) -> None:
+        """Send one RPC, or count it as one without a connection."""
         client = self.client
         if client is None:
-            return self.load.done("no connection", 0.0, key=token)
-        with self.lock:
-            self.sent[client, client.seq + 1] = time.monotonic(), method, token
-            try:
-                client.submit(method, body, token, **more)
-            except OSError:
-                pass  # the reader counts it
-        return None
+            self.load.done(Outcome.NO_CONNECTION, 0.0, key=key)
+            return
+        with self.lock, suppress(OSError):  # a lost connection is counted by the thread that reads
+            self.sent[client, client.sequence + 1] = SentRpc(time.monotonic(), method, key)
+            client.submit(method, body, key, **more)
 
 
 class Load:
-    """`focus`: a file that names the nodes to go to by number, looked at now and then."""
+    """RPCs of two methods to all nodes.
+
+    `connections` is the number to each node; `focus` names a JSON file with the numbers of the nodes that all
+    RPCs go to while it is there.
+    """
 
-    def __init__(self, places, links, seed, focus=None):
-        self.random, self.lock = random.Random(seed), threading.Lock()
-        self.how, self.took, self.links = {}, [], links
-        self.focus, self.looked, self.only = focus, 0.0, None
-        self.callers = [Caller(place, self) for place in places for _ in range(links)]
+    def __init__(
+        self, addresses: list[Address], connections: int, seed: int, focus: str | None = None
+    ) -> None:
+        self.random = random.Random(seed)
+        self.lock = threading.Lock()
+        self.outcomes: Counter[str] = Counter()  # by outcome, and by method and outcome
+        self.latencies: list[float] = []  # of RPCs that were ok, in seconds
+        self.connections = connections
+        self.focus = focus
+        self.focus_read_at = 0.0
+        self.focused_nodes: list[int] | None = None
+        self.callers = [Caller(address, self) for address in addresses for _ in range(connections)]
 
-    def done(self, how, took, method="", key=None):
-        """`key`: the token of the RPC that ended so."""
+    def done(self, outcome: str, latency: float, method: str = "", key: str | None = None) -> None:
+        """Count an RPC that ended; `latency` in seconds."""
         with self.lock:
-            self.how[how] = self.how.get(how, 0) + 1
+            self.outcomes[outcome] += 1
             if method:
-                self.how[f"{method} {how}"] = self.how.get(f"{method} {how}", 0) + 1
-            if how == "ok":
-                self.took.append(took)
+                self.outcomes[f"{method} {outcome}"] += 1
+            if outcome == Outcome.OK:
+                self.latencies.append(latency)
 
-    def in_focus(self):
-        """The callers that RPCs go to."""
+    def callers_in_focus(self) -> list[Caller]:
+        """Return the callers that RPCs go to."""
         now = time.monotonic()
-        if self.focus and now - self.looked > 0.05:
-            self.looked, self.only = now, None
-            if os.path.exists(self.focus):
-                with open(self.focus, encoding="utf-8") as file:
-                    self.only = json.load(file)
-        if not self.only:
+        if self.focus and now - self.focus_read_at > FOCUS_READ_INTERVAL_S:
+            self.focus_read_at = now
+            path = Path(self.focus)
+            self.focused_nodes = json.loads(path.read_text(encoding="utf-8")) if path.exists() else None
+        if not self.focused_nodes:
             return self.callers
-        return [self.callers[n * self.links + k] for n in self.only for k in range(self.links)]
+        return [
+            self.callers[node * self.connections + connection]
+            for node in self.focused_nodes
+            for connection in range(self.connections)
+        ]
 
-    def run(self, rate, seconds):
+    def run(self, rate: float, seconds: float) -> None:
+        """Send `rate` RPCs a second for so many seconds."""
         due = time.monotonic()
         end = due + seconds
         while due < end:
             time.sleep(max(0.0, due - time.monotonic()))
-            tokened = self.random.random() < 0.3
-            there = self.in_focus()
-            up = [caller for caller in there if caller.client is not None] or there
-            self.submit(up, tokened)
+            keyed = self.random.random() < KEYED_PART
+            callers = self.callers_in_focus()
+            connected = [caller for caller in callers if caller.client is not None]
+            self.submit(connected or callers, keyed)
             due += self.random.expovariate(rate)
 
-    def submit(self, up, tokened):
-        """One RPC, to one of the callers that are up."""
-        self.random.choice(up).send(
-            "book" if tokened else "look-up", b"x" * 100, secrets.token_hex(16) if tokened else None
-        )
+    def submit(self, callers: list[Caller], keyed: bool) -> None:
+        """Send one RPC by one of the callers."""
+        method = "book" if keyed else "look-up"
+        key = secrets.token_hex(16) if keyed else None
+        self.random.choice(callers).send(method, b"x" * 100, key)
 
-    def figures(self):
+    def statistics(self) -> dict:
+        """Return counts by outcome and the latencies in milliseconds."""
         with self.lock:
-            took = sorted(self.took) or [0.0]
+            latencies = sorted(self.latencies) or [0.0]
             return {
-                **self.how,
-                "median_ms": 1000 * took[len(took) // 2],
-                "p99_ms": 1000 * took[len(took) * 99 // 100],
+                **self.outcomes,
+                "median_ms": 1000 * latencies[len(latencies) // 2],
+                "p99_ms": 1000 * latencies[len(latencies) * 99 // 100],
             }
 
 
-class Keyed(Load):
-    """All RPCs have keys, which their bodies tell; what was not ok is sent again to another node, `tries`
-    times at most, and some go to two nodes at once."""
+class KeyAttempts:
+    """How often a key was sent, and by which caller last."""
 
-    def __init__(self, *args, tries=3):
-        super().__init__(*args)
-        self.tries, self.again, self.answered = tries, [], {}
-        self.keys = {}  # token -> [tries, the last node]
+    def __init__(self) -> None:
+        self.count = 0
+        self.last_caller: Caller | None = None
 
-    def submit(self, up, tokened):
+
+class KeyedLoad(Load):
+    """RPCs with idempotency keys alone, which their bodies tell.
+
+    What was not ok is sent again to another node, `most_attempts` times at most; some go to two nodes at
+    once.
+    """
+
+    def __init__(
+        self,
+        addresses: list[Address],
+        connections: int,
+        seed: int,
+        focus: str | None = None,
+        most_attempts: int = 3,
+    ) -> None:
+        self.most_attempts = most_attempts
+        self.retries: list[tuple[float, str]] = []  # (when, key)
+        self.answered: dict[str | None, list[str]] = {}  # key -> outcomes
+        self.attempts: dict[str, KeyAttempts] = {}
+        super().__init__(addresses, connections, seed, focus)
+
+    def submit(self, callers: list[Caller], keyed: bool) -> None:
+        """Send the retries that are due, and a new key."""
         now = time.monotonic()
         with self.lock:
-            due, self.again = (
-                [each for each in self.again if each[0] <= now],
-                [each for each in self.again if each[0] > now],
-            )
-        for _, key in due:
-            self.send(up, key, r="1")
+            due = [key for when, key in self.retries if when <= now]
+            self.retries = [retry for retry in self.retries if retry[0] > now]
+        for key in due:
+            self._send(callers, key, r="1")
         key = secrets.token_hex(16)
-        self.keys[key] = [0, None]
-        self.send(up, key)
-        if self.random.random() < 0.05:
-            self.send(up, key)
-
-    def send(self, up, key, **more):
-        known = self.keys[key]
-        others = [caller for caller in up if caller is not known[1]] or up
-        known[0], known[1] = known[0] + 1, self.random.choice(others)
-        known[1].send("book", key.encode(), key, **more)
-
-    def done(self, how, took, method="", key=None):
-        super().done(how, took, method)
+        self.attempts[key] = KeyAttempts()
+        self._send(callers, key)
+        if self.random.random() < DUPLICATE_PART:
+            self._send(callers, key)
+
+    def _send(self, callers: list[Caller], key: str, **more: str) -> None:
+        attempts = self.attempts[key]
+        others = [caller for caller in callers if caller is not attempts.last_caller] or callers
+        attempts.count += 1
+        attempts.last_caller = self.random.choice(others)
+        attempts.last_caller.send("book", key.encode(), key, **more)
+
+    def done(self, outcome: str, latency: float, method: str = "", key: str | None = None) -> None:
+        """Count an RPC that ended, and plan its retry where it was not ok."""
+        super().done(outcome, latency, method)
         with self.lock:
-            self.answered.setdefault(key, []).append(how)
-            if how != "ok" and self.keys[key][0] < self.tries:
-                self.again.append((time.monotonic() + 0.05, key))
+            self.answered.setdefault(key, []).append(outcome)
+            if outcome != Outcome.OK and self.attempts[key].count < self.most_attempts:
+                self.retries.append((time.monotonic() + RETRY_DELAY_S, key))
 
-    def figures(self):
+    def statistics(self) -> dict:
+        """Return the counts of `Load`, those by key, and the keys that were answered ok."""
         with self.lock:
-            first = [how for how in self.answered.values() if how[0] == "ok"]
-            later = [how for how in self.answered.values() if how[0] != "ok" and "ok" in how]
+            first = [outcomes for outcomes in self.answered.values() if outcomes[0] == Outcome.OK]
+            later = [
+                outcomes
+                for outcomes in self.answered.values()
+                if outcomes[0] != Outcome.OK and Outcome.OK in outcomes
+            ]
         return {
-            **super().figures(),
+            **super().statistics(),
             "keys": len(self.answered),
             "ok at first": len(first),
             "ok by a repeat": len(later),
             "never ok": len(self.answered) - len(first) - len(later),
-            "answered": {key: how for key, how in self.answered.items() if "ok" in how},
+            "answered": {key: outcomes for key, outcomes in self.answered.items() if Outcome.OK in outcomes},
         }
 
 
-def main():
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("where", nargs="+")
     parser.add_argument("--rate", type=float, required=True, help="RPCs a second, all nodes together")
@@ -184,13 +246,18 @@
     parser.add_argument("--focus", help="a file with the numbers of the nodes to go to, while it is there")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--keyed", action="store_true", help="keys alone, sent again to other nodes")
-    told = parser.parse_args()
-    kind = Keyed if told.keyed else Load
-    load = kind([address(text) for text in told.where], told.links, told.seed, told.focus)
-    load.run(told.rate, told.seconds)
-    time.sleep(5.0)  # the longest deadline, and more
-    with open(told.out, "w", encoding="utf-8") as file:
-        json.dump(load.figures(), file)
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Play the load and write its figures."""
+    arguments = parse_arguments()
+    load_type = KeyedLoad if arguments.keyed else Load
+    addresses = [parse_address(text) for text in arguments.where]
+    load = load_type(addresses, arguments.links, arguments.seed, arguments.focus)
+    load.run(arguments.rate, arguments.seconds)
+    time.sleep(LONGEST_DEADLINE_S)
+    Path(arguments.out).write_text(json.dumps(load.statistics()), encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/finchcart/simulated_peers/misbehaving_clients.py
+++ b/finchcart/simulated_peers/misbehaving_clients.py
@@ -1,10 +1,11 @@
-"""Misbehaving clients: sources that send rubbish.
+"""Misbehaving clients: sources that send bytes which are no message of the protocol.
 
     python -m finchcart.simulated_peers.misbehaving_clients --net 127.20.9 --orders FILE --out FILE
 
-Owns the sources, each with an address of its own, and what became of the one good RPC that each sends beside
-its rubbish. Orders are a file, looked at now and then: `at` (addresses of nodes), `sources` (how many),
-`rate` (bad messages a second of each source to each node). It must never judge: it writes lines.
+Owns the sources, each with an address of its own, and what became of the one valid RPC that each sends after
+every few invalid messages. Orders are a JSON file that is read again now and then: `at` (addresses of nodes),
+`sources` (how many), `rate` (invalid messages a second of each source to each node). It must never judge: it
+writes lines.
 """
 
 import argparse
@@ -12,92 +13,108 @@
 import socket
 import threading
 import time
+from contextlib import closing, suppress
+from pathlib import Path
 
 from finchcart.net.links import boot_clock
 from finchcart.simulated_peers.client import Client
-from finchcart.simulated_peers.outside import address
+from finchcart.simulated_peers.server import Address, parse_address, start_thread
+
+INVALID_MESSAGE = b"\0\0\0\x08rubbish!"
+ORDERS_READ_INTERVAL_S = 0.05
+CONNECT_TIMEOUT_S = 1
+ANSWER_TIMEOUT_S = 2
+MESSAGES_PER_VALID_RPC = 8
+MOST_SOURCES = 64
+
+
+class MisbehavingClients:
+    """All sources; grows by those that the orders ask for, and writes a line for each valid RPC."""
+
+    def __init__(self, net: str, orders_path: str, out_path: str) -> None:
+        self.net = net  # first three parts of the sources' addresses
+        self.orders_path = Path(orders_path)
+        self.orders: dict = {}
+        self.lock = threading.Lock()
+        self.out = Path(out_path).open("a", encoding="utf-8")  # noqa: SIM115  (open while the process lives)
+        self.sources: list[Source] = []
+
+    def note(self, source: int, node: str, outcome: str) -> None:
+        """Write down what became of a source's valid RPC."""
+        line = {"t_us": boot_clock(), "source": source, "at": node, "how": outcome}
+        with self.lock:
+            self.out.write(json.dumps(line) + "\n")
+            self.out.flush()
 
-RUBBISH = b"\0\0\0\x08rubbish!"
+    def run(self) -> None:
+        """Follow the orders for ever."""
+        while True:
+            with suppress(OSError, ValueError):  # not there yet
+                self.orders = json.loads(self.orders_path.read_text(encoding="utf-8"))
+            while len(self.sources) < min(MOST_SOURCES, self.orders.get("sources", 1)):
+                self.sources.append(Source(len(self.sources), self))
+            time.sleep(ORDERS_READ_INTERVAL_S)
 
 
 class Source:
-    """One source; a thread of its own."""
+    """One source, with an address and a thread of its own."""
 
-    def __init__(self, number, net, sources):
-        self.number, self.host, self.sources = number, f"{net}.{number + 1}", sources
-        threading.Thread(target=self.run, daemon=True).start()
+    def __init__(self, number: int, clients: MisbehavingClients) -> None:
+        self.number = number
+        self.host = f"{clients.net}.{number + 1}"
+        self.clients = clients
+        start_thread(self._run)
 
-    def run(self):
-        due, turn = time.monotonic(), 0
+    def _run(self) -> None:
+        due = time.monotonic()
+        sent = 0
         while True:
-            orders = self.sources.orders
+            orders = self.clients.orders
             if not orders.get("at") or self.number >= orders.get("sources", 1):
-                due = time.monotonic() + 0.05
-                time.sleep(0.05)
+                due = time.monotonic() + ORDERS_READ_INTERVAL_S
+                time.sleep(ORDERS_READ_INTERVAL_S)
                 continue
             due += 1 / (orders["rate"] * len(orders["at"]))
             time.sleep(max(0.0, due - time.monotonic()))
-            place = orders["at"][turn % len(orders["at"])]
-            turn += 1
-            self.rubbish(address(place))
-            if turn % 8 == 0:
-                self.good(place)
-
-    def rubbish(self, where):
-        try:
-            with socket.create_connection(where, timeout=1, source_address=(self.host, 0)) as sock:
-                sock.sendall(RUBBISH)
-                sock.recv(100)
-        except OSError:
-            pass
-
-    def good(self, place):
-        """An RPC like any other: whether it is taken."""
-        how = "none"
-        try:
-            client = Client(address(place), (self.host, 0))
-            client.sock.settimeout(2)
-            client.submit("look-up", b"x")
-            while how == "none":
-                name, _, what, _, _ = client.answer()
-                how = what if name == "submit" else how
-            client.sock.close()
-        except (OSError, EOFError, ValueError):
-            pass
-        self.sources.note(self.number, place, how)
-
-
-class Sources:
-    def __init__(self, net, orders, out, most=64):
-        self.net, self.path, self.orders, self.lock = net, orders, {}, threading.Lock()
-        self.out = open(out, "a", encoding="utf-8")  # for as long as the process lives
-        self.made, self.most = [], most
-
-    def note(self, number, place, how):
-        with self.lock:
-            line = {"t_us": boot_clock(), "source": number, "at": place, "how": how}
-            self.out.write(json.dumps(line) + "\n")
-            self.out.flush()
-
-    def run(self):
-        while True:
-            try:
-                with open(self.path, encoding="utf-8") as file:
-                    self.orders = json.load(file)
-            except (OSError, ValueError):
-                pass  # not there yet
-            while len(self.made) < min(self.most, self.orders.get("sources", 1)):
-                self.made.append(Source(len(self.made), self.net, self))
-            time.sleep(0.05)
-
-
-def main():
+            node = orders["at"][sent % len(orders["at"])]
+            sent += 1
+            self._send_invalid_message(parse_address(node))
+            if sent % MESSAGES_PER_VALID_RPC == 0:
+                self._send_valid_rpc(node)
+
+    def _send_invalid_message(self, address: Address) -> None:
+        with (
+            suppress(OSError),
+            socket.create_connection(
+                address, timeout=CONNECT_TIMEOUT_S, source_address=(self.host, 0)
+            ) as sock,
+        ):
+            sock.sendall(INVALID_MESSAGE)
+            sock.recv(100)
+
+    def _send_valid_rpc(self, node: str) -> None:
+        """Send an RPC like any other client's, and note whether it is admitted."""
+        outcome = "none"
+        with suppress(OSError, EOFError, ValueError):
+            client = Client(parse_address(node), (self.host, 0))
+            with closing(client.sock):
+                client.sock.settimeout(ANSWER_TIMEOUT_S)
+                client.submit("look-up", b"x")
+                while outcome == "none":
+                    answer = client.answer()
+                    if answer.name == "submit":
+                        outcome = answer.outcome
+        self.clients.note(self.number, node, outcome)
+
+
+def main() -> None:
+    """Run until the process is ended."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--net", required=True, help="the first three parts of the sources' addresses")
     parser.add_argument("--orders", required=True)
     parser.add_argument("--out", required=True)
-    told = parser.parse_args()
-    Sources(told.net, told.orders, told.out).run()
+    arguments = parser.parse_args()
+    MisbehavingClients(arguments.net, arguments.orders, arguments.out).run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/finchcart/simulated_peers/worker_pool.py
@@ -0,0 +1,201 @@
+"""A simulated worker pool: runs sleep, or keep a core busy, and answer with their body in capitals."""
+
+import json
+import socket
+import threading
+import time
+from base64 import b64decode, b64encode
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from finchcart.simulated_peers.server import Address, Server, start_thread
+
+GATE_TIMEOUT_S = 30  # longest time that a run waits at a closed gate
+REPLY_TIMEOUT_S = 10  # longest time that a run waits for the answer to its call
+CORRUPT_NOTICE_BYTES = 20  # a corrupt notice is cut off after so many bytes
+MS_PER_S = 1000
+
+
+@dataclass(eq=False)
+class Run:
+    """One run of a method."""
+
+    waits: bool = False  # for the answer to its call
+    reply: bytes | None = None
+    replied: threading.Event = field(default_factory=threading.Event)
+
+
+class WorkerPool(Server):
+    """The worker pool of one node.
+
+    Notices are numbered from 1; a connection that binds is sent those after its cursor.
+
+    `methods` maps each method's name to whether its runs make a call, `work` is the duration of a run in
+    seconds, and with `spin` a run uses that much CPU time in place of sleeping. While `is_failing()` is true
+    runs fail at once. `on_effect(body)` is called at the moment of each run's effect.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        methods: Mapping[str, bool],
+        work: float = 0.05,
+        cores: int = 4,
+        spin: bool = False,
+        is_failing: Callable[[], bool] = lambda: False,
+        on_effect: Callable[[bytes], None] | None = None,
+    ) -> None:
+        self.methods = methods
+        self.work = work
+        self.cores = cores
+        self.spin = spin
+        self.is_failing = is_failing
+        self.on_effect = on_effect
+        self.lock = threading.Lock()
+        self.connection: socket.socket | None = None
+        self.notices: list[dict] = []
+        self.fate = "old"  # whether the process is the one that the node knew: "old" or "new"
+        self.runs: dict[str, Run] = {}
+        self.ended: set[str] = set()
+        self.started = time.monotonic()
+        self.spawned: list[tuple[str, str, bytes]] = []  # (id, method, body) of every run
+        self.polls = 0  # how often the node asked for the gauges
+        self.corrupt_notices: dict[str, int] = {}  # id -> how many more of its notices can't be read
+        self.gate = threading.Event()  # runs start to work while it is set
+        self.gate.set()
+        super().__init__(address)
+
+    # ---- connection
+
+    def serve(self, connection: socket.socket) -> None:
+        """Handle the messages of one connection."""
+        handlers = {"bind": self._bind, "poll": self._poll, "spawn": self._spawn}
+        handlers |= dict.fromkeys(("supply", "pass"), self._resume)
+        for line in self._lines(connection):
+            message = json.loads(line)
+            handler = handlers.get(message["event"])
+            if handler is None or not handler(connection, message):
+                self._write(connection, event="unknown", fate=message["event"], handle=message.get("handle"))
+
+    def _lines(self, connection: socket.socket) -> Iterator[bytes]:
+        with suppress(OSError):  # the node has closed the connection
+            yield from connection.makefile("rb")
+
+    def _write(self, connection: socket.socket | None, **message: object) -> None:
+        line = json.dumps(message).encode()
+        handle = message.get("handle")
+        if handle in self.corrupt_notices:
+            self.corrupt_notices[handle] -= 1
+            if self.corrupt_notices[handle] >= 0:
+                line = line[:CORRUPT_NOTICE_BYTES]
+        if connection is not None:
+            with suppress(OSError):  # the notice is kept for the next connection
+                connection.sendall(line + b"\n")
+
+    def _notify(self, event: str, **message: object) -> None:
+        with self.lock:
+            message = {"event": event, "cursor": len(self.notices) + 1, **message}
+            self.notices.append(message)
+            self._write(self.connection, **message)
+
+    def restart(self) -> None:
+        """Simulate a new, cold process: its runs are lost and notices are numbered from 1."""
+        with self.lock:
+            self.runs = {}
+            self.notices = []
+            self.started = time.monotonic()
+            self.fate = "new"
+        self.break_connection()
+
+    def break_connection(self) -> None:
+        """Close the bound connection, if there is one."""
+        with self.lock:
+            if self.connection:
+                self.connection.shutdown(socket.SHUT_RDWR)
+
+    # ---- messages: each handler returns whether the message was understood
+
+    def _bind(self, connection: socket.socket, message: dict) -> bool:
+        with self.lock:
+            self.connection = connection
+            if message["cursor"] == 0:
+                self.notices.clear()  # the node has restarted: numbers begin at 1 again
+            age_ms = int((time.monotonic() - self.started) * MS_PER_S)
+            self._write(connection, event="bound", fate=self.fate, lasted=age_ms)
+            for notice in self.notices[message["cursor"] :]:
+                self._write(connection, **notice)
+        return True
+
+    def _poll(self, connection: socket.socket, message: dict) -> bool:
+        busy = sum(not run.waits for run in list(self.runs.values()))
+        gauges = [min(1.0, busy / self.cores), busy, 0.0, 0]
+        with self.lock:
+            self.polls += 1
+            self._write(connection, event="polled", ticket=message["ticket"], figures=gauges)
+        return True
+
+    def _spawn(self, connection: socket.socket, message: dict) -> bool:
+        handle = message.get("handle")
+        method = message["entry"]
+        if method not in self.methods:
+            return False
+        if handle not in self.runs and handle not in self.ended:
+            run = self.runs[handle] = Run()
+            start_thread(self._execute, handle, run, method, b64decode(message["arg"]))
+        return True
+
+    def _resume(self, connection: socket.socket, message: dict) -> bool:
+        run = self.runs.get(message.get("handle"))
+        if run is None:
+            return False
+        run.reply = b64decode(message.get("arg", ""))
+        run.replied.set()
+        return True
+
+    # ---- runs
+
+    def _execute(self, handle: str, run: Run, method: str, body: bytes) -> None:
+        began = time.monotonic()
+        self.spawned.append((handle, method, body))
+        failing = self.is_failing()
+        self.gate.wait(GATE_TIMEOUT_S)
+        fate, result = ("bad", b"") if failing else self._work(handle, run, method, body)
+        if self.runs.get(handle) is not run:
+            return  # lost with the process that it ran in
+        del self.runs[handle]
+        self.ended.add(handle)
+        self._notify(
+            "finished",
+            handle=handle,
+            fate=fate,
+            lasted=(time.monotonic() - began) * MS_PER_S,
+            arg=b64encode(result if fate == "good" else b"").decode(),
+        )
+
+    def _work(self, handle: str, run: Run, method: str, body: bytes) -> tuple[str, bytes]:
+        """Do the work of a run; return its fate and its result."""
+        fate = "good"
+        result = body.upper()
+        self._work_half()
+        if self.methods[method]:
+            run.waits = True
+            self._notify("blocked", handle=handle, arg=b64encode(b"about " + body).decode())
+            if run.replied.wait(REPLY_TIMEOUT_S):
+                result += b" " + run.reply
+            else:
+                fate = "cut"
+            run.waits = False
+        if self.on_effect:
+            self.on_effect(body)
+        self._work_half()
+        return fate, result
+
+    def _work_half(self) -> None:
+        """Spend half of a run's time; spinning counts the CPU time of this thread alone."""
+        if not self.spin:
+            time.sleep(self.work / 2)
+            return
+        end = time.thread_time() + self.work / 2
+        while time.thread_time() < end:
+            pass
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,7 +17,7 @@
 from finchcart.net.limits import Limits
 from finchcart.net.links import Link, Listener
 from finchcart.node.inputs import ConnectionClosed, FramesReceived, WriteBlocked, WriteResumed
-from finchcart.simulated_peers.outside import Registry
+from finchcart.simulated_peers.registry import Registry
 from finchcart.thrift import codec
 from finchcart.thrift.codec import BOOL, CALL, FIELD
 from tests.harness import same_input
@@ -225,7 +225,7 @@
 
 
 def told_off(world):
-    until(lambda: world.registry.duty.get("n1") == "off")
+    until(lambda: world.registry.registrations.get("n1") == "off")
 
 
 def confirmed(world):
@@ -267,7 +267,7 @@
     tell(world, signal.SIGTERM)
     client = world.client()
     world.up()
-    until(lambda: world.pool.link)
+    until(lambda: world.pool.connection)
     seq = client.submit("book", b"seat", KEYS[0])
     assert read_till_closed(client)[seq][0] in ("ok", "pushed back")
     client.sock.close()
@@ -348,8 +348,8 @@
     world.places["roster"] = free(socket.SOCK_DGRAM)  # nobody there: each report is refused
     serving(world)
     until(world.serves)
-    world.registry = Registry(world.places["roster"], tell=lambda text: None)
-    until(lambda: world.registry.duty.get("n1") == "on")
+    world.registry = Registry(world.places["roster"], on_change=lambda text: None)
+    until(lambda: world.registry.registrations.get("n1") == "on")
     assert world.serves()
     world.end()
 
@@ -363,7 +363,7 @@
         each.connect_ex(full.getsockname())
     before = world.places["store"]
     hold = threading.Event()
-    world.store.spoil = lambda name, body: hold.wait(20) and b"%s OK 2\r\nno\r\n" % name
+    world.store.override_reply = lambda name, body: hold.wait(20) and b"%s OK 2\r\nno\r\n" % name
     client = world.client()
     seq = client.submit("look-up", b"held")
     until(lambda: world.store.calls and any(run[2] == b"held" for run in world.pool.spawned))
@@ -375,7 +375,7 @@
     hold.set()
     assert answers(client, 1)[seq][0] == "ok" and world.store.calls == calls
     world.places["store"] = before
-    world.store.spoil = None
+    world.store.override_reply = None
     world.write()
     tell(world, signal.SIGHUP)
     until(lambda: world.serves() and world.store.calls > calls)
@@ -399,10 +399,10 @@
     serving(world)
     client = world.client()
     for how, spoil in SPOILT.items():
-        world.store.spoil = spoil
+        world.store.override_reply = spoil
         seq = client.submit("look-up", how.encode())
         assert answers(client, 1)[seq] == ("ok", how.upper().encode() + b" "), how  # without its call
-    world.store.spoil = None
+    world.store.override_reply = None
     until(world.serves)
     status, log = world.end()
     assert status == 0 and "Traceback" not in log and "ERROR" not in log
@@ -415,13 +415,13 @@
     seqs = [client.submit("book", b"%d" % n, KEYS[n]) for n in range(4)]
     until(lambda: len([run for run in world.pool.spawned if run[1] == "book"]) == 4)
     confirmed(world)
-    world.pool.break_link()  # under runs that go on
+    world.pool.break_connection()  # under runs that go on
     world.pool.gate.set()
     assert answers(client, 4) == {seq: ("ok", b"%d" % n) for n, seq in enumerate(seqs)}
     world.pool.gate.clear()
     unsure = client.submit("book", b"unsure", KEYS[6])
     until(lambda: world.pool.spawned[-1][2] == b"unsure")
-    world.pool.break_link()  # where no message has proved yet that the start was read
+    world.pool.break_connection()  # where no message has proved yet that the start was read
     assert answers(client, 1) == {unsure: ("aborted", b"")}  # its run, held by the gate, ends for nobody
     lost = client.submit("book", b"lost", KEYS[5])
     until(lambda: world.pool.spawned[-1][2] == b"lost")
@@ -443,7 +443,7 @@
     until(lambda: len([run for run in world.pool.spawned if run[1] == "book"]) == 3)
     confirmed(world)
     once, ever, _ = [run[0] for run in world.pool.spawned if run[1] == "book"]
-    world.pool.spoilt = {once: 1, ever: 10**9}
+    world.pool.corrupt_notices = {once: 1, ever: 10**9}
     before = world.pool.accepted
     world.pool.gate.set()
     got = answers(client, 3)
@@ -500,9 +500,9 @@
     until(lambda: world.pool.spawned[-1][2] == b"old")
     world.process.kill()
     world.process.wait()
-    link = world.pool.link
+    link = world.pool.connection
     world.start()
-    until(lambda: world.pool.link is not link)
+    until(lambda: world.pool.connection is not link)
     again = world.client()
     until(world.listens)
     seq = again.submit("book", b"new", KEYS[1])
@@ -584,16 +584,16 @@
         if n % 5 == 0:
             until(world.serves)
             calls = world.store.accepted
-            link = world.pool.link
-            world.pool.break_link()
-            until(lambda: world.pool.link is not link)
+            link = world.pool.connection
+            world.pool.break_connection()
+            until(lambda: world.pool.connection is not link)
             until(lambda: world.serves() and world.store.accepted >= calls)
     world.places.update(pool=free(), roster=free(socket.SOCK_DGRAM))
     world.pool.listen(world.places["pool"])
     world.write()
     tell(world, signal.SIGHUP)
-    world.registry = Registry(world.places["roster"], tell=lambda text: None)
-    until(lambda: world.registry.duty.get("n1") == "on")  # read again with the descriptors full
+    world.registry = Registry(world.places["roster"], on_change=lambda text: None)
+    until(lambda: world.registry.registrations.get("n1") == "on")  # read again with the descriptors full
     spent = (world.cpu() - before) / (time.monotonic() - began)
     crowd.end()
     until(world.serves)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,7 +19,9 @@
 from finchcart.net.links import Link, Links
 from finchcart.node.inputs import ConnectionClosed, ConnectionRefused, WriteBlocked, WriteResumed
 from finchcart.simulated_peers.client import Client
-from finchcart.simulated_peers.outside import Pool, Registry, Store
+from finchcart.simulated_peers.registry import Registry
+from finchcart.simulated_peers.store import Store
+from finchcart.simulated_peers.worker_pool import WorkerPool
 from finchcart.thrift import codec
 from tests.harness import same_input
 
@@ -38,7 +40,7 @@
     def __init__(self, folder):
         self.places = {name: free() for name in ("listen", "pool", "store")}
         self.places["roster"] = free(socket.SOCK_DGRAM)
-        self.registry = Registry(self.places["roster"], tell=lambda text: None)
+        self.registry = Registry(self.places["roster"], on_change=lambda text: None)
         with open("example/config.json", encoding="utf-8") as file:
             self.config = json.load(file)
         self.config["settings"]["contract"]["stopSendingWithin"] = 200_000
@@ -63,7 +65,7 @@
         self.process.send_signal(signal.SIGHUP)
 
     def up(self):
-        self.pool, self.store = Pool(self.places["pool"], METHODS), Store(self.places["store"])
+        self.pool, self.store = WorkerPool(self.places["pool"], METHODS), Store(self.places["store"])
 
     def listens(self):
         try:
@@ -141,9 +143,9 @@
     # a slow writer and a broken link to the pool bother no one
     slow = world.client()
     slow.sock.sendall(b"\0\0")
-    world.pool.link.shutdown(socket.SHUT_RDWR)
+    world.pool.connection.shutdown(socket.SHUT_RDWR)
     until(world.serves)
-    until(lambda: world.registry.duty.get("n1") == "on")
+    until(lambda: world.registry.registrations.get("n1") == "on")
     last = world.client()
     seq = last.submit("book", b"last", "c" * 32)
     world.process.send_signal(signal.SIGTERM)
@@ -151,7 +153,7 @@
     for each in (client, slow, last, bad):
         each.sock.close()
     assert world.process.wait(10) == 0
-    assert world.registry.duty["n1"] == "off"
+    assert world.registry.registrations["n1"] == "off"
     log = world.process.stderr.read()
     assert "drain" in log and "ended" in log and "Traceback" not in log and "ERROR" not in log
 
@@ -159,7 +161,7 @@
 def test_a_node_of_the_last_tier_starts_and_serves_with_no_store_named(world):
     del world.places["store"], world.config["store"]
     world.write()
-    world.pool = Pool(world.places["pool"], METHODS)
+    world.pool = WorkerPool(world.places["pool"], METHODS)
     world.start()
     until(world.serves)  # its run stands at a call, which is left out: there is nobody to call
     client = world.client()
@@ -179,14 +181,14 @@
     world.hang_up()
     assert world.serves()
     world.places.update(pool=free(), store=free(), roster=free(socket.SOCK_DGRAM))
-    world.registry = Registry(world.places["roster"], tell=lambda text: None)
+    world.registry = Registry(world.places["roster"], on_change=lambda text: None)
     before = world.store.accepted
     for party in (world.pool, world.store):
         party.listen(world.places["pool" if party is world.pool else "store"])
     world.write()
     for _ in range(3):
         world.hang_up()
-    until(lambda: world.registry.duty.get("n1") == "on")
+    until(lambda: world.registry.registrations.get("n1") == "on")
     assert answers(client, 1) == {during: ("ok", b"SEAT")}
     until(lambda: world.serves() and world.store.accepted > before)
     status, log = world.end()
