--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -1,4 +1,4 @@
-"""Claims on the virtual clock: seeded runs, the bounded search of all orders, and bytes of a keeper's state.
+"""Key leases on the virtual clock: seeded runs, the bounded search, and bytes of a replica's state.
 
     .venv/bin/python -m benchmarks.claims --seeds 1000 --jobs 8
     .venv/bin/python -m benchmarks.claims --explore --depth 7 --faults 1 --jobs 8
@@ -11,80 +11,117 @@
 import sys
 import time
 import tracemalloc
+from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 
-from finchcart.fault_injection.key_lease_simulation import explore, one
+from finchcart.fault_injection.key_lease_fault_run import play_seed
+from finchcart.fault_injection.key_lease_state_space import explore
 from finchcart.key_leases import wire
 from finchcart.key_leases.figures import SECOND, Figures
 from finchcart.key_leases.keeper import Keeper
 from finchcart.membership import wire as base
 
-KINDS = {1: "mine", 2: "held elsewhere", 3: "result elsewhere", 4: "failed elsewhere", 6: "no majority"}
-
-
-def seeds(first, count, jobs):
+ANSWERS = {1: "mine", 2: "held elsewhere", 3: "result elsewhere", 4: "failed elsewhere", 6: "no majority"}
+MOST_PRINTED = 5  # breaches of seeds
+MOST_PRINTED_OF_SEARCH = 3
+PARTS_A_JOB = 4  # of the search
+KEYS_A_MESSAGE = 16
+RESULT = b"r" * 30
+LIFE_US = 20 * SECOND
+STARTED_US = -(10**9)  # a replica that is past its quiet period
+CLIENT_ADDRESS = ("10.0.0.9", 1)
+BYTES_KEYS = 20_000
+BYTES_MESSAGES = 500
+
+
+def play_seeds(first: int, count: int, jobs: int) -> bool:
+    """Play seeds and print what they came to; return whether one has a breach."""
     with ProcessPoolExecutor(jobs) as pool:
-        out = list(pool.map(one, range(first, first + count), chunksize=4))
-    broken = [row["breach"] for row in out if row["breach"]]
-    kinds = {}
-    for row in out:
-        for kind, times in row["kinds"].items():
-            kinds[KINDS.get(kind, str(kind))] = kinds.get(KINDS.get(kind, str(kind)), 0) + times
-    total = lambda word: sum(row[word] for row in out)
+        results = list(pool.map(play_seed, range(first, first + count), chunksize=4))
+    breaches = [result.breach for result in results if result.breach]
+    answers: Counter[str] = Counter()
+    for result in results:
+        for answer, times in result.answers.items():
+            answers[ANSWERS.get(answer, str(answer))] += times
     print(
-        f"{count} seeds from {first}, {total('steps')} steps, {total('keys')} "
-        f"keys, {total('runs')} runs, {len(broken)} with a key that ran twice; answers {kinds}"
+        f"{count} seeds from {first}, {sum(result.steps for result in results)} steps, "
+        f"{sum(result.keys for result in results)} keys, {sum(result.runs for result in results)} runs, "
+        f"{len(breaches)} with a key that ran twice; answers {dict(answers)}"
     )
-    for breach in broken[:5]:
+    for breach in breaches[:MOST_PRINTED]:
         print(breach)
-    return bool(broken)
+    return bool(breaches)
 
 
-def searched(depth, faults, parts, part):
+def explore_part(depth: int, faults: int, parts: int, part: int) -> tuple[int, str | None]:
+    """Search one part of the first choices."""
     return explore(depth, faults, share=(part, parts))
 
 
-def search(depth, faults, jobs):
-    began, parts = time.monotonic(), 4 * jobs
+def search(depth: int, faults: int, jobs: int) -> bool:
+    """Search all orders; return whether one has a breach."""
+    began = time.monotonic()
+    parts = PARTS_A_JOB * jobs
     with ProcessPoolExecutor(jobs) as pool:
-        out = list(pool.map(partial(searched, depth, faults, parts), range(parts)))
-    breaches = [breach for _, breach in out if breach]
+        results = list(pool.map(partial(explore_part, depth, faults, parts), range(parts)))
+    breaches = [breach for _, breach in results if breach]
+    states = sum(count for count, _ in results)
     print(
-        f"3 keepers, 2 holders, one key, depth {depth}, {faults} faults: {sum(n for n, _ in out)} states, "
+        f"3 keepers, 2 holders, one key, depth {depth}, {faults} faults: {states} states, "
         f"{len(breaches)} breaches, {time.monotonic() - began:.0f} s"
     )
-    for breach in breaches[:3]:
+    for breach in breaches[:MOST_PRINTED_OF_SEARCH]:
         print(breach)
     return bool(breaches)
 
 
-def state_bytes(count=20_000):
-    """Of a keeper that holds so many claims with results of 100 bytes."""
-    keeper = Keeper("f", Figures(keepers=("10.0.0.1:1",)), -(10**9))
+def keys_of_message(method: str, first: int) -> list[bytes]:
+    """Return the keys of one message."""
+    return [wire.key_of(method, str(first + number)) for number in range(KEYS_A_MESSAGE)]
+
+
+def claim(replica: Keeper, keys: list[bytes], body_hash: int) -> None:
+    """Let a client ask a replica for these keys."""
+    asks = [wire.Ask(key, body_hash, 1, LIFE_US) for key in keys]
+    feed(replica, wire.Claim("a", 5, asks))
+
+
+def feed(replica: Keeper, message: object) -> None:
+    """Hand a client's message to a replica."""
+    replica.reduce(0, ("got", CLIENT_ADDRESS, base.sealed(wire.CHANNEL, "f", message)))
+
+
+def fill(replica: Keeper, count: int) -> None:
+    """Let a replica hold so many keys with results."""
+    for first in range(0, count, KEYS_A_MESSAGE):
+        keys = keys_of_message("m", first)
+        claim(replica, keys, first)
+        ended = [wire.Vote(key, 1, wire.ENDED, RESULT) for key in keys]
+        feed(replica, wire.Say("a", 5, ended))
+
+
+def print_state_bytes() -> None:
+    """Print the bytes of a replica that holds many keys with results, and the claims it takes a second."""
+    replica = Keeper("f", Figures(keepers=("10.0.0.1:1",)), STARTED_US)
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
-    for n in range(0, count, 16):
-        keys = [wire.key_of("m", str(n + k)) for k in range(16)]
-        asks = [wire.Ask(key, n, 1, 20 * SECOND) for key in keys]
-        ended = [wire.Vote(key, 1, wire.ENDED, b"r" * 30) for key in keys]
-        for said in (wire.Claim("a", 5, asks), wire.Say("a", 5, ended)):
-            keeper.reduce(0, ("got", ("10.0.0.9", 1), base.sealed(wire.CHANNEL, "f", said)))
+    fill(replica, BYTES_KEYS)
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    began, turns = time.perf_counter(), 500
-    for n in range(turns):
-        asks = [wire.Ask(wire.key_of("n", str(16 * n + k)), n, 1, 20 * SECOND) for k in range(16)]
-        keeper.reduce(0, ("got", ("10.0.0.9", 1), base.sealed(wire.CHANNEL, "f", wire.Claim("a", 5, asks))))
-    rate = 16 * turns / (time.perf_counter() - began)
-    size, held = 1000 * (after - before) / count / 1024, len(keeper.entries)
+    began = time.perf_counter()
+    for number in range(BYTES_MESSAGES):
+        claim(replica, keys_of_message("n", KEYS_A_MESSAGE * number), number)
+    rate = KEYS_A_MESSAGE * BYTES_MESSAGES / (time.perf_counter() - began)
+    kilobytes = 1000 * (after - before) / BYTES_KEYS / 1024
     print(
-        f"{held} claims, {size:.0f} kB a 1,000 with results of 30 bytes; {rate:.0f} claims a "
-        "second in batches of 16, one core, sealing of the asks counted"
+        f"{len(replica.entries)} claims, {kilobytes:.0f} kB a 1,000 with results of 30 bytes; {rate:.0f} "
+        "claims a second in batches of 16, one core, sealing of the asks counted"
     )
 
 
-def main():
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--seeds", type=int)
     parser.add_argument("--first", type=int, default=0)
@@ -93,14 +130,19 @@
     parser.add_argument("--faults", type=int, default=1)
     parser.add_argument("--bytes", action="store_true")
     parser.add_argument("--jobs", type=int, default=4)
-    told = parser.parse_args()
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Measure what the command line asks for."""
+    arguments = parse_arguments()
     broken = False
-    if told.seeds:
-        broken |= seeds(told.first, told.seeds, told.jobs)
-    if told.explore:
-        broken |= search(told.depth, told.faults, told.jobs)
-    if told.bytes:
-        state_bytes()
+    if arguments.seeds:
+        broken |= play_seeds(arguments.first, arguments.seeds, arguments.jobs)
+    if arguments.explore:
+        broken |= search(arguments.depth, arguments.faults, arguments.jobs)
+    if arguments.bytes:
+        print_state_bytes()
     sys.exit(1 if broken else 0)
 
 
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -15,89 +15,31 @@
 import statistics
 import tempfile
 import time
+from collections.abc import Collection, Iterable, Mapping
 from pathlib import Path
 
-from finchcart.fault_injection.membership_simulation import Fleet
-from finchcart.fault_injection.script import Act, Load, Plan, Script
+from finchcart.fault_injection.checker import check_plan
+from finchcart.fault_injection.membership_simulation import MembershipSimulation
+from finchcart.fault_injection.plan import Plan, PlannedAction, make_plan
+from finchcart.fault_injection.process_run import play_on_processes
+from finchcart.fault_injection.script import Load, Script, StepKind, read_script
+from finchcart.fault_injection.virtual_run import play_on_virtual_clock
 from finchcart.membership import member, view
 from finchcart.membership.figures import SECOND, Figures
 
+MOST_STARTED_TOGETHER = 300  # members that start in one moment, knowing the seeds alone
+JOIN_US = 4 * SECOND
+LONGEST_JOIN_US = 30 * SECOND
+LOSS_MEASURED_US = 6 * SECOND
+COUNTED_S = 6
+COST_NODES = 24
+LOSSY_S = 120
+RULES_NODES = 24
+WAYS_ROUND = 3
 
-def know_each_other(fleet):
-    """Rows of all at everybody, as after a start that was spread over minutes: thousands that start in one
-    moment, with nobody to ask, are no installation, and take hours of one thread."""
-    rows = [place.member.row for place in fleet.places.values()]
-    for place in fleet.places.values():
-        for row in rows:
-            place.member.learn(fleet.now, row)
-        place.member.news.clear()
-
-
-def size(count, loss, kills, together=300):
-    """One row: a fleet of `count`, calm for a while, then `kills` members killed at a time apart. Up to
-    `together` members start in one moment, knowing the seeds alone."""
-    # Pure, and the same at all members here: worked out once in this thread, by each process in a fleet.
-    once = functools.lru_cache(maxsize=64)(view.watched)
-    member.watched = lambda ids, watch: once(frozenset(ids), watch)
-    events, began = [], time.monotonic()
-    fleet = Fleet(
-        [f"n{n:04d}" for n in range(count)],
-        f"size {count}",
-        Figures(),
-        watch=lambda now, name, effect: events.append((now, name, effect)),
-    )
-    for name in fleet.places:
-        fleet.start(name)
-    if count > together:
-        know_each_other(fleet)
-    fleet.run(4 * SECOND)
-    while not all(len(seen) == count for seen in fleet.views().values()) and fleet.now < 30 * SECOND:
-        fleet.run(fleet.now + SECOND)
-    joined = fleet.now / SECOND if count <= together else None
-    if loss:
-        fleet.fabric.reduce(fleet.now, ("rule", None, None, {"lose": loss}))
-        fleet.run(fleet.now + 6 * SECOND)
-    sums = lambda what: sum(fleet.places[name].member.counts.get(what, 0) for name in fleet.live())
-    events.clear()
-    sent, size_, start = sums("sent"), sums("bytes sent"), fleet.now
-    fleet.run(start + 6 * SECOND)
-    rates = [(sums(what) - before) / count / 6 for what, before in (("sent", sent), ("bytes sent", size_))]
-    took, all_took, dead = [], [], set()
-    for n in range(kills):
-        name, killed = f"n{(n + 1) * count // (kills + 2):04d}", fleet.now
-        fleet.kill(name)
-        dead.add(name)
-        fleet.run(killed + int(1.1 * fleet.figures.failed_within(count, loss)) + SECOND)
-        times = [
-            (now - killed) / SECOND
-            for now, at, effect in events
-            if now > killed and effect[0] == "change" and effect[1:3] == (name, "failed")
-        ]
-        took += times
-        all_took.append(max(times) if len(times) == len(fleet.live()) else math.nan)
-    wrong = [
-        effect
-        for now, at, effect in events
-        if effect[0] == "change" and effect[2] == "failed" and effect[1] not in dead
-    ]
-    hours = count * (fleet.now - start) / SECOND / 3600
-    return {
-        "members": count,
-        "loss": loss,
-        "all_know_all_s": joined,
-        "median_s": statistics.median(took),
-        "p99_s": sorted(took)[math.ceil(0.99 * len(took)) - 1],
-        "last_s": max(all_took),
-        "bound_s": fleet.figures.failed_within(count, loss) / SECOND,
-        "wrong_an_hour": len(wrong) / hours,
-        "member_hours": hours,
-        "messages": rates[0],
-        "bytes": rates[1],
-        "real_s": time.monotonic() - began,
-    }
+Graph = Mapping[int, Collection[int]]
 
-
-COLUMNS = {
+SIZE_COLUMNS = {
     "members": "members",
     "loss": "loss",
     "all_know_all_s": "start: all know all by s",
@@ -110,120 +52,303 @@
     "messages": "messages sent a member-second",
     "bytes": "bytes",
 }
+COST_COLUMNS = {
+    "talk": "membership",
+    "cpu": "CPU of a node, % of a core",
+    "mb": "peak MB",
+    "ok": "ok",
+    "median_ms": "median ms",
+    "p99_ms": "p99 ms",
+}
+RULES_COLUMNS = {
+    "rule": "rule",
+    "wrong": "wrong verdicts on those that stay",
+    "flaps": "changes after a verdict",
+    "breaches": "expectations broken",
+    "lossy": "failed at 30 % loss, 2 minutes",
+}
 
 
-def table(rows, columns):
-    cell = lambda value: f"{value:.2f}" if isinstance(value, float) else "-" if value is None else str(value)
-    return "\n".join(
-        ["| " + " | ".join(columns.values()) + " |", "| --- " * len(columns) + "|"]
-        + ["| " + " | ".join(cell(row[name]) for name in columns) + " |" for row in rows]
-    )
+# ---- by size
 
 
-def chart(rows, path):
-    import matplotlib
+class SizeRun:
+    """A fleet of `count` members: it joins, is calm for a while, and loses members one after the other."""
 
-    matplotlib.use("Agg")
-    import matplotlib.pyplot as plt
+    def __init__(self, count: int, loss: float) -> None:
+        self.count = count
+        self.loss = loss
+        self.changes: list[tuple[int, str, str, str]] = []  # (when, observer, member, state)
+        self.dead: set[str] = set()
+        names = [f"n{number:04d}" for number in range(count)]
+        self.fleet = MembershipSimulation(names, f"size {count}", Figures(), watch=self._watch)
+        self.took: list[float] = []  # from each death to each failed verdict, in seconds
+        self.all_took: list[float] = []  # to the last verdict; not a number where one is lacking
 
-    figure, (left, right) = plt.subplots(1, 2, figsize=(10, 4))
-    for loss, colour in ((0.0, "#2e6f95"), (0.3, "#c8553d")):
-        mine = [row for row in rows if row["loss"] == loss]
-        count = [row["members"] for row in mine]
-        left.plot(
-            count, [row["last_s"] for row in mine], "o-", color=colour, label=f"last to know, loss {loss:.0%}"
-        )
-        left.plot(count, [row["bound_s"] for row in mine], "--", color=colour, label="bound by formula")
-        right.plot(count, [row["bytes"] / 1000 for row in mine], "o-", color=colour, label=f"loss {loss:.0%}")
-    for axes, name in ((left, "seconds from the death"), (right, "kB sent a member-second")):
-        axes.set_xscale("log")
-        axes.set_xlabel("members")
-        axes.set_ylabel(name)
-        axes.set_ylim(0)
-        axes.legend(fontsize=8)
-    figure.tight_layout()
-    figure.savefig(path)
+    def _watch(self, now: int, name: str, effect: tuple) -> None:
+        if effect[0] == "change":
+            self.changes.append((now, name, effect[1], effect[2]))
+
+    def join(self) -> float | None:
+        """Start all; return the seconds in which all know all, None where they are told."""
+        fleet = self.fleet
+        for name in fleet.processes:
+            fleet.start(name)
+        if self.count > MOST_STARTED_TOGETHER:
+            introduce_all(fleet)
+        fleet.run(JOIN_US)
+        while not self._all_know_all() and fleet.now < LONGEST_JOIN_US:
+            fleet.run(fleet.now + SECOND)
+        return fleet.now / SECOND if self.count <= MOST_STARTED_TOGETHER else None
+
+    def _all_know_all(self) -> bool:
+        return all(len(seen) == self.count for seen in self.fleet.views().values())
+
+    def lose_messages(self) -> None:
+        """Let all links lose messages, until members have measured that."""
+        if self.loss:
+            self.fleet.network.set_rule(self.fleet.now, None, None, {"lose": self.loss})
+            self.fleet.run(self.fleet.now + LOSS_MEASURED_US)
+
+    def rates(self) -> list[float]:
+        """Return messages and bytes a member-second while nothing happens."""
+        columns = ("sent", "bytes sent")
+        before = [self._sum(column) for column in columns]
+        self.fleet.run(self.fleet.now + COUNTED_S * SECOND)
+        after = [self._sum(column) for column in columns]
+        return [(after[n] - before[n]) / self.count / COUNTED_S for n in range(len(columns))]
+
+    def _sum(self, column: str) -> int:
+        running = self.fleet.running()
+        return sum(self.fleet.processes[name].machine.counts.get(column, 0) for name in running)
+
+    def kill(self, name: str) -> None:
+        """Kill a member, and wait for all verdicts on it."""
+        fleet = self.fleet
+        killed = fleet.now
+        fleet.kill(name)
+        self.dead.add(name)
+        bound = fleet.config.failed_within(self.count, self.loss)
+        fleet.run(killed + int(1.1 * bound) + SECOND)
+        times = [
+            (when - killed) / SECOND
+            for when, _, subject, state in self.changes
+            if when > killed and (subject, state) == (name, "failed")
+        ]
+        self.took += times
+        self.all_took.append(max(times) if len(times) == len(fleet.running()) else math.nan)
+
+    def wrong_verdicts(self) -> int:
+        """Return how often a member that lives was held to be failed."""
+        return sum(state == "failed" and subject not in self.dead for _, _, subject, state in self.changes)
+
+
+def introduce_all(fleet: MembershipSimulation) -> None:
+    """Give everybody the rows of all, as after a start that was spread over minutes.
+
+    Thousands that start in one moment, with nobody to ask, are no installation, and take hours of one thread.
+    """
+    members = [process.machine for process in fleet.processes.values()]
+    rows = [each.row for each in members]
+    for each in members:
+        for row in rows:
+            each.learn(fleet.now, row)
+        each.news.clear()
+
+
+def share_watch_graph() -> None:
+    """Work the watch graph out once in this thread.
+
+    It is pure, and the same at all members here; in a fleet each process works it out.
+    """
+    cached = functools.lru_cache(maxsize=64)(view.watched)
+    member.watched = lambda ids, watch: cached(frozenset(ids), watch)
+
+
+def size_row(count: int, loss: float, kills: int) -> dict:
+    """Return the row of a fleet of `count`, of which `kills` members are killed at a time apart."""
+    share_watch_graph()
+    began = time.monotonic()
+    run = SizeRun(count, loss)
+    joined = run.join()
+    run.lose_messages()
+    run.changes.clear()
+    start = run.fleet.now
+    messages, size = run.rates()
+    for number in range(kills):
+        run.kill(f"n{(number + 1) * count // (kills + 2):04d}")
+    hours = count * (run.fleet.now - start) / SECOND / 3600
+    return {
+        "members": count,
+        "loss": loss,
+        "all_know_all_s": joined,
+        "median_s": statistics.median(run.took),
+        "p99_s": sorted(run.took)[math.ceil(0.99 * len(run.took)) - 1],
+        "last_s": max(run.all_took),
+        "bound_s": run.fleet.config.failed_within(count, loss) / SECOND,
+        "wrong_an_hour": run.wrong_verdicts() / hours,
+        "member_hours": hours,
+        "messages": messages,
+        "bytes": size,
+        "real_s": time.monotonic() - began,
+    }
+
+
+def kills_at(count: int) -> int:
+    """Return how many members of a fleet of that size are killed."""
+    if count <= 100:
+        return 5
+    return 2 if count < 1000 else 1
 
 
-def cost(seconds, rate):
-    """Rows with and without membership: CPU and memory of 24 nodes, latency of their RPCs."""
-    from finchcart.fault_injection.runner import on_processes
+# ---- cost
 
+
+def cost_rows(seconds: float, rate: float) -> list[dict]:
+    """Return rows with and without membership: CPU and memory of nodes, latency of their RPCs."""
     rows = []
     for talk in (True, False, True, False):
-        script = Script("cost", 24, seconds, [], load=Load(rate=rate, work_ms=20.0, processes=4))
-        names = [f"n{n:02d}" for n in range(24)]
-        plan = Plan(script, 1, names, names, [Act(1.0, "clear")], [], seconds)
+        load = Load(rate=rate, work_ms=20.0, processes=4)
+        script = Script("cost", COST_NODES, seconds, [], load=load)
+        names = [f"n{number:02d}" for number in range(COST_NODES)]
+        plan = Plan(script, 1, names, names, [PlannedAction(1.0, StepKind.CLEAR)], [], seconds)
         with tempfile.TemporaryDirectory() as folder:
-            _, _, facts = on_processes(plan, Path(folder), talk)
-        stats, load = list(facts["stats"].values()), facts["load"]
+            facts = play_on_processes(plan, Path(folder), talk).facts
+        figures = facts["stats"].values()
         rows.append(
             {
                 "talk": talk,
-                "cpu": 100 * statistics.mean(s["cpu_s"] for s in stats) / seconds,
-                "mb": statistics.mean(s["mb"] for s in stats),
-                **load,
+                "cpu": 100 * statistics.mean(each["cpu_s"] for each in figures) / seconds,
+                "mb": statistics.mean(each["mb"] for each in figures),
+                **facts["load"],
             }
         )
     return rows
 
 
-def own_links(me, down, graph, out=frozenset()):
-    """Each by its own links alone: all-to-all heartbeats."""
+# ---- other rules
+
+
+def own_links(me: int, down: Graph, graph: Graph, out: frozenset = frozenset()) -> set[int]:
+    """Hold each by the own links alone: all-to-all heartbeats."""
     return set(graph) - set(down[me])
 
 
-def no_way_round(me, down, graph, out=frozenset()):
-    """Out where any one in reach finds no way to it, not over three others either: probes as SWIM's."""
-    cut = lambda a, b: b in down.get(a, ()) or a in down.get(b, ())
-    ids, part = sorted(graph), {me}
-    for n, one in enumerate(ids):
-        reach = [a for a in ids if a not in (one, me) and not cut(me, a)] + [me]
-        ways = lambda a: [ids[(ids.index(a) + n + k) % len(ids)] for k in (1, 2, 3)]
-        if not any(
-            cut(a, one) and all(w in (a, one) or cut(a, w) or cut(w, one) for w in ways(a))
-            for a in reach
-            if a != one
-        ):
-            part.add(one)
-    return part
-
-
-def rules(nodes):
-    """Changes of verdict on those that are to stay, and after the verdict on those that are out, by rule,
-    over the script `cuts`; and failed verdicts at 30 % loss."""
-    from finchcart.fault_injection.checker import History, check
-    from finchcart.fault_injection.runner import on_virtual
-    from finchcart.fault_injection.script import lay_out, read
+def no_way_round(me: int, down: Graph, graph: Graph, out: frozenset = frozenset()) -> set[int]:
+    """Hold out where any one in reach finds no way, not over three others either: probes as SWIM's."""
 
+    def is_cut(a: int, b: int) -> bool:
+        return b in down.get(a, ()) or a in down.get(b, ())
+
+    def finds_no_way(observer: int, subject: int, number: int) -> bool:
+        first = ids.index(observer) + number
+        others = [ids[(first + offset) % len(ids)] for offset in range(1, WAYS_ROUND + 1)]
+        return is_cut(observer, subject) and all(
+            other in (observer, subject) or is_cut(observer, other) or is_cut(other, subject)
+            for other in others
+        )
+
+    ids = sorted(graph)
+    connected = {me}
+    for number, subject in enumerate(ids):
+        reach = [other for other in ids if other not in (subject, me) and not is_cut(me, other)] + [me]
+        if not any(finds_no_way(observer, subject, number) for observer in reach if observer != subject):
+            connected.add(subject)
+    return connected
+
+
+def rule_rows(nodes: int) -> list[dict]:
+    """Return a row for each rule, over the scripts `cuts` and `loss`.
+
+    Counted are changes of verdict on those that are to stay, and after the verdict on those that are out, and
+    failed verdicts at 30 % loss.
+    """
+    rules = {
+        "own links": own_links,
+        "any observer without a way round": no_way_round,
+        "half of the links": view.judge,
+    }
     rows = []
-    for name, rule in (
-        ("own links", own_links),
-        ("any observer without a way round", no_way_round),
-        ("half of the links", view.judge),
-    ):
+    for name, rule in rules.items():
         member.judge = rule
-        plan = lay_out(read("cuts"), 1, nodes)
-        events, start, _ = on_virtual(plan)
-        results = [check(History(events), hold, start) for hold in plan.holds]
-        script = read("loss")
-        script.seconds = 120
-        events, start, _ = on_virtual(lay_out(script, 1, nodes))
-        rows.append(
-            {
-                "rule": name,
-                "wrong": sum(r.changes for r in results if r.what == "never"),
-                "flaps": sum(r.changes for r in results if r.what == "agree"),
-                "breaches": f"{sum(r.breach is not None for r in results)} of {len(results)}",
-                "lossy": sum(event.kind == "state" and event.value == "failed" for event in events),
-            }
-        )
+        rows.append(rule_row(name, nodes))
         print(json.dumps(rows[-1]), flush=True)
     member.judge = view.judge
     return rows
 
 
-def main():
+def rule_row(name: str, nodes: int) -> dict:
+    """Return the row of the rule that members follow now."""
+    plan = make_plan(read_script("cuts"), 1, nodes)
+    record = play_on_virtual_clock(plan)
+    results = check_plan(plan, record.events, record.start)
+    lossy = read_script("loss")
+    lossy.seconds = LOSSY_S
+    events = play_on_virtual_clock(make_plan(lossy, 1, nodes)).events
+    return {
+        "rule": name,
+        "wrong": sum(result.changes for result in results if result.what == "never"),
+        "flaps": sum(result.changes for result in results if result.what == "agree"),
+        "breaches": f"{sum(result.breach is not None for result in results)} of {len(results)}",
+        "lossy": sum(event.kind == "state" and event.value == "failed" for event in events),
+    }
+
+
+# ---- table, chart and command
+
+
+def cell(value: object) -> str:
+    """Return the text of a value."""
+    if isinstance(value, float):
+        return f"{value:.2f}"
+    return "-" if value is None else str(value)
+
+
+def table(rows: Iterable[dict], columns: dict[str, str]) -> str:
+    """Return a table of these columns."""
+    lines = ["| " + " | ".join(columns.values()) + " |", "| --- " * len(columns) + "|"]
+    lines += ["| " + " | ".join(cell(row[name]) for name in columns) + " |" for row in rows]
+    return "\n".join(lines)
+
+
+def save_chart(rows: list[dict], path: str) -> None:
+    """Draw detection and bytes by size into a file."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    figure, (left, right) = plt.subplots(1, 2, figsize=(10, 4))
+    for loss, colour in ((0.0, "#2e6f95"), (0.3, "#c8553d")):
+        mine = [row for row in rows if row["loss"] == loss]
+        count = [row["members"] for row in mine]
+        last = [row["last_s"] for row in mine]
+        left.plot(count, last, "o-", color=colour, label=f"last to know, loss {loss:.0%}")
+        left.plot(count, [row["bound_s"] for row in mine], "--", color=colour, label="bound by formula")
+        right.plot(count, [row["bytes"] / 1000 for row in mine], "o-", color=colour, label=f"loss {loss:.0%}")
+    for axes, name in ((left, "seconds from the death"), (right, "kB sent a member-second")):
+        axes.set_xscale("log")
+        axes.set_xlabel("members")
+        axes.set_ylabel(name)
+        axes.set_ylim(0)
+        axes.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def size_rows(arguments: argparse.Namespace) -> list[dict]:
+    """Return the rows of earlier runs and of all sizes asked for, printed as they come."""
+    rows = [row for path in arguments.join or () for row in json.loads(Path(path).read_text())]
+    for count in arguments.sizes:
+        for loss in arguments.losses:
+            rows.append(size_row(count, loss, kills_at(count)))
+            print(json.dumps(rows[-1]), flush=True)
+    rows.sort(key=lambda row: (row["members"], row["loss"]))
+    return rows
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--sizes", type=int, nargs="*", default=[10, 24, 100, 300, 1000, 2000])
     parser.add_argument("--losses", type=float, nargs="*", default=[0.0, 0.3])
@@ -234,48 +359,25 @@
     parser.add_argument("--rules", action="store_true")
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--rate", type=float, default=240.0)
-    told = parser.parse_args()
-    if told.rules:
-        rows = rules(24)
-        print(
-            table(
-                rows,
-                {
-                    "rule": "rule",
-                    "wrong": "wrong verdicts on those that stay",
-                    "flaps": "changes after a verdict",
-                    "breaches": "expectations broken",
-                    "lossy": "failed at 30 % loss, 2 minutes",
-                },
-            )
-        )
-    elif told.cost:
-        rows = cost(told.seconds, told.rate)
-        print(
-            table(
-                rows,
-                {
-                    "talk": "membership",
-                    "cpu": "CPU of a node, % of a core",
-                    "mb": "peak MB",
-                    "ok": "ok",
-                    "median_ms": "median ms",
-                    "p99_ms": "p99 ms",
-                },
-            )
-        )
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Measure what the command line asks for."""
+    arguments = parse_arguments()
+    if arguments.rules:
+        rows = rule_rows(RULES_NODES)
+        print(table(rows, RULES_COLUMNS))
+    elif arguments.cost:
+        rows = cost_rows(arguments.seconds, arguments.rate)
+        print(table(rows, COST_COLUMNS))
     else:
-        rows = [row for path in told.join or () for row in json.loads(Path(path).read_text())]
-        for count in told.sizes:
-            for loss in told.losses:
-                rows.append(size(count, loss, 5 if count <= 100 else 2 if count < 1000 else 1))
-                print(json.dumps(rows[-1]), flush=True)
-        rows.sort(key=lambda row: (row["members"], row["loss"]))
-        print(table(rows, COLUMNS))
-        if told.chart:
-            chart(rows, told.chart)
-    if told.json:
-        Path(told.json).write_text(json.dumps(rows, indent=1))
+        rows = size_rows(arguments)
+        print(table(rows, SIZE_COLUMNS))
+        if arguments.chart:
+            save_chart(rows, arguments.chart)
+    if arguments.json:
+        Path(arguments.json).write_text(json.dumps(rows, indent=1))
 
 
 if __name__ == "__main__":
--- a/benchmarks/quota.py
+++ b/benchmarks/quota.py
@@ -1,5 +1,4 @@
-"""Limits of the fleet on the virtual clock: seeded runs of all faults held against their bounds, the bounded
-exhaustive check, cost by size; and one table and chart of the rounds played on processes.
+"""Limits of the fleet on the virtual clock: seeded runs, the bounded search, cost by size; and charts.
 
     .venv/bin/python -m benchmarks.quota --seeds 1000 --jobs 8 --mode strict --per in_hand
     .venv/bin/python -m benchmarks.quota --seeds 500 --drift 2      # clocks off by twice the stated drift
@@ -8,117 +7,156 @@
     .venv/bin/python -m benchmarks.quota --sizes
     .venv/bin/python -m benchmarks.quota --rounds DIR ... --chart docs/results/quota-rounds.svg
 
-Owns the measurement; it reports, and ends with status 1 where a limit was not kept.
+Seeded runs make all faults and hold the limits against their bounds; `--rounds` puts the rounds that were
+played on processes into one table and chart. Owns the measurement; it reports, and ends with status 1 where
+a limit was not kept.
 """
 
 import argparse
 import sys
 import time
+from collections.abc import Iterable
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
+from statistics import fmean
 
-from benchmarks.by_round import bars, beside, table
-from finchcart.fault_injection.quota_simulation import Shares, jump, one
-from finchcart.fault_injection.state_space import DRIFTS, explore
+from benchmarks.by_round import Rows, read_side_by_side, save_bars, side_by_side_table, total
+from finchcart.fault_injection.quota_fault_run import SeedResult, play_seed, seconds_to_follow_demand
+from finchcart.fault_injection.quota_simulation import QuotaSimulation
+from finchcart.fault_injection.quota_state_space import DRIFTS, explore
 from finchcart.quota.limits import SECOND, Limit, Quota
 
+MOST_PRINTED = 10  # breaches of seeds
+MOST_PRINTED_OF_SEARCH = 5
+PARTS_A_JOB = 4  # of the search
+SIZES = (16, 100, 500)
+CALLS_A_NODE = 4
+ELECTION_US = 12 * SECOND
+COUNTED_S = 10
 
-def seeds(count, jobs, mode, per, drift):
-    play = partial(one, mode=mode, per=per, drift=drift and drift * Quota().drift)
+
+def play_seeds(count: int, jobs: int, mode: str, per: str, drift: float | None) -> bool:
+    """Play seeds and print what they came to; return whether one has a breach."""
+    play = partial(play_seed, mode=mode, per=per, drift=drift and drift * Quota().drift)
     with ProcessPoolExecutor(jobs) as pool:
-        out = list(pool.map(play, range(count), chunksize=5))
-    broken = [row["breach"] for row in out if row["breach"]]
-    uses = {}
-    for row in out:
-        for phase, (used, wanted) in row["use"].items():
-            sums = uses.setdefault(phase, [0.0, 0.0])
-            sums[0], sums[1] = sums[0] + used, sums[1] + wanted
-    told = ", ".join(f"{phase} {used / max(1.0, wanted):.2f}" for phase, (used, wanted) in uses.items())
+        results = list(pool.map(play, range(count), chunksize=5))
+    breaches = [result.breach for result in results if result.breach]
+    steps = sum(result.steps for result in results)
     print(
-        f"{mode}, {per}: {count} seeds, {sum(row['steps'] for row in out)} steps, {len(broken)} breaches; "
-        f"worst {max(row['worst'] for row in out):.1f} of {out[0]['limit']}, besides at most "
-        f"{max(row['remainder'] for row in out)} written late by a stopped process; use: {told}"
+        f"{mode}, {per}: {count} seeds, {steps} steps, {len(breaches)} breaches; "
+        f"worst {max(result.worst for result in results):.1f} of {results[0].limit}, besides at most "
+        f"{max(result.remainder for result in results)} written late by a stopped process; "
+        f"use: {use_by_phase(results)}"
     )
-    for breach in broken[:10]:
+    for breach in breaches[:MOST_PRINTED]:
         print(breach)
-    return bool(broken)
+    return bool(breaches)
+
 
+def use_by_phase(results: Iterable[SeedResult]) -> str:
+    """Return the part of what was wanted that was used, by phase."""
+    sums: dict[str, list[float]] = {}
+    for result in results:
+        for phase, (used, wanted) in result.use.items():
+            phase_sums = sums.setdefault(phase, [0.0, 0.0])
+            phase_sums[0] += used
+            phase_sums[1] += wanted
+    return ", ".join(f"{phase} {used / max(1.0, wanted):.2f}" for phase, (used, wanted) in sums.items())
 
-def searched(depth, faults, parts, which):
-    part, drift = which
+
+def explore_part(depth: int, faults: int, parts: int, choice: tuple[int, int]) -> tuple[int, str | None]:
+    """Search one part of the first choices, with one way to drift."""
+    part, drift = choice
     return explore(depth, faults, share=(part, parts), drift=drift)
 
 
-def search(depth, faults, jobs):
-    began, parts = time.monotonic(), 4 * jobs
+def search(depth: int, faults: int, jobs: int) -> bool:
+    """Search all placings of faults; return whether one has a breach."""
+    began = time.monotonic()
+    parts = PARTS_A_JOB * jobs
+    choices = [(part, drift) for drift in range(len(DRIFTS)) for part in range(parts)]
     with ProcessPoolExecutor(jobs) as pool:
-        out = list(
-            pool.map(
-                partial(searched, depth, faults, parts),
-                [(part, drift) for drift in range(len(DRIFTS)) for part in range(parts)],
-            )
-        )
-    breaches = [breach for _, breach in out if breach]
+        results = list(pool.map(partial(explore_part, depth, faults, parts), choices))
+    breaches = [breach for _, breach in results if breach]
     print(
         f"3 planners, 2 holders, {depth} steps, every placing of {faults} faults, "
         f"{len(DRIFTS)} ways to drift: "
-        f"{sum(n for n, _ in out)} states, {len(breaches)} breaches, {time.monotonic() - began:.0f} s"
+        f"{sum(states for states, _ in results)} states, {len(breaches)} breaches, "
+        f"{time.monotonic() - began:.0f} s"
     )
-    for breach in breaches[:5]:
+    for breach in breaches[:MOST_PRINTED_OF_SEARCH]:
         print(breach)
     return bool(breaches)
 
 
-def sizes():
-    """Messages of planners and holders, and time of this machine, by the number of nodes."""
+class CountingSimulation(QuotaSimulation):
+    """Counts messages and bytes by the process that sends them."""
+
+    def __init__(self, *args: object, **more: object) -> None:
+        super().__init__(*args, **more)
+        self.messages: dict[str, int] = {}
+        self.bytes: dict[str, int] = {}
+
+    def transmit(self, origin: str, target: str, data: bytes) -> None:
+        """Count a datagram and send it."""
+        self.messages[origin] = self.messages.get(origin, 0) + 1
+        self.bytes[origin] = self.bytes.get(origin, 0) + len(data)
+        super().transmit(origin, target, data)
+
+
+def size_row(count: int) -> str:
+    """Return the row of a fleet of so many nodes."""
+    limit = Limit("store", CALLS_A_NODE * count, 1)
+    quota = Quota(limits=(limit,), most=count + 10, holders=2 * count)
+    fleet = CountingSimulation(1, holders=count, quota=quota)
+    for name in fleet.processes:
+        fleet.start(name)
+    for node in fleet.nodes:
+        node.demand = CALLS_A_NODE
+    fleet.run(ELECTION_US)
+    fleet.messages.clear()
+    fleet.bytes.clear()
+    fleet.run(fleet.now + COUNTED_S * SECOND)
+    leader = max((name for name in fleet.messages if name[0] == "p"), key=fleet.messages.get)
+    nodes = [name for name in fleet.messages if name[0] == "n"]
+    messages = fmean(fleet.messages[name] for name in nodes) / COUNTED_S
+    size = fmean(fleet.bytes[name] for name in nodes) / COUNTED_S
+    return (
+        f"| {count} | {fleet.messages[leader] / COUNTED_S:.0f} | {messages:.1f} "
+        f"| {fleet.bytes[leader] / COUNTED_S:.0f} | {size:.0f} |"
+    )
+
+
+def print_sizes() -> None:
+    """Print the messages of planners and nodes by the number of nodes."""
     print("| nodes | messages a second: the planner that shares out | a node | bytes: planner | node |")
     print("| --- | --- | --- | --- | --- |")
-    for count in (16, 100, 500):
-        quota = Quota(limits=(Limit("store", 4 * count, 1),), most=count + 10, holders=2 * count)
-        fleet = Shares(1, holders=count, quota=quota)
-        for name in fleet.processes:
-            fleet.start(name)
-        for name, process in fleet.processes.items():
-            process.wants = 4 if name[0] == "n" else 0
-        fleet.run(12 * SECOND)
-        size = {}
-        feed = fleet.carry
-
-        def carry(what, feed=feed, size=size):
-            if what[0] == "datagram":
-                said = size.setdefault(what[1], [0, 0])
-                said[0], said[1] = said[0] + 1, said[1] + len(what[3])
-            feed(what)
-
-        fleet.carry = carry
-        fleet.run(fleet.now + 10 * SECOND)
-        first = max((name for name in size if name[0] == "p"), key=lambda name: size[name][0])
-        nodes = [size[name] for name in size if name[0] == "n"]
-        mean = lambda n: sum(each[n] for each in nodes) / len(nodes) / 10
-        print(
-            f"| {count} | {size[first][0] / 10:.0f} | {mean(0):.1f} | {size[first][1] / 10:.0f} "
-            f"| {mean(1):.0f} |"
-        )
-
-
-def rounds(folders, chart):
-    """Use of the limit by kind of round and way of sharing, from the results of `trial run rounds`."""
-    ways, names = beside(folders, "uses", lambda name: name.rpartition("-")[0])
-    total = lambda rows: sum(row["rounds"] for row in rows)
-    mean = lambda rows: sum(row["use"] * row["rounds"] for row in rows) / total(rows)
-    print(
-        table(
-            ways,
-            names,
-            "played, use, most in hand",
-            lambda rows: f"{total(rows)}, {mean(rows):.2f}, {max(row['most'] for row in rows)}",
-        )
-    )
+    for count in SIZES:
+        print(size_row(count))
+
+
+def mean_use(rows: Rows) -> float:
+    """Return the mean use of the limit in a kind of round."""
+    return sum(row["use"] * row["rounds"] for row in rows) / total(rows, "rounds")
+
+
+def use_cell(rows: Rows) -> str:
+    """Return the text of a kind of round played in one way."""
+    most = max(row["most"] for row in rows)
+    return f"{total(rows, 'rounds')}, {mean_use(rows):.2f}, {most}"
+
+
+def print_rounds(folders: list[str], chart: str | None) -> None:
+    """Print use of the limit by kind of round and way of sharing, from the results of `trial run rounds`."""
+    ways, rounds = read_side_by_side(folders, "uses", lambda name: name.rpartition("-")[0])
+    print(side_by_side_table(ways, rounds, "played, use, most in hand", use_cell))
     if chart:
-        bars(chart, ways, names, mean, "calls in hand, of the limit (48), where demand is always above it", 1)
+        label = "calls in hand, of the limit (48), where demand is always above it"
+        save_bars(chart, ways, rounds, mean_use, label, 1)
 
 
-def main():
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--seeds", type=int)
     parser.add_argument("--explore", action="store_true")
@@ -132,19 +170,25 @@
     parser.add_argument("--jumps", action="store_true")
     parser.add_argument("--rounds", nargs="*", help="folders of `trial run rounds`, named WAY-SEED")
     parser.add_argument("--chart")
-    told = parser.parse_args()
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Measure what the command line asks for."""
+    arguments = parse_arguments()
     broken = False
-    if told.seeds:
-        broken |= seeds(told.seeds, told.jobs, told.mode, told.per, told.drift)
-    if told.explore:
-        broken |= search(told.depth, told.faults, told.jobs)
-    if told.jumps:
+    if arguments.seeds:
+        broken |= play_seeds(arguments.seeds, arguments.jobs, arguments.mode, arguments.per, arguments.drift)
+    if arguments.explore:
+        broken |= search(arguments.depth, arguments.faults, arguments.jobs)
+    if arguments.jumps:
         for mode in ("strict", "loose", "static"):
-            print(f"{mode}: demand jumps from 16 nodes to one: nine tenths of its part after {jump(mode)} s")
-    if told.rounds:
-        rounds(told.rounds, told.chart)
-    if told.sizes:
-        sizes()
+            seconds = seconds_to_follow_demand(mode)
+            print(f"{mode}: demand jumps from 16 nodes to one: nine tenths of its part after {seconds} s")
+    if arguments.rounds:
+        print_rounds(arguments.rounds, arguments.chart)
+    if arguments.sizes:
+        print_sizes()
     sys.exit(1 if broken else 0)
 
 
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -267,9 +267,9 @@
 @trial.command("list")
 def list_scripts():
     """The scripts that come with the program."""
-    from finchcart.fault_injection.script import shipped
+    from finchcart.fault_injection.script import shipped_scripts
 
-    for name, script in shipped():
+    for name, script in shipped_scripts():
         click.echo(f"{name:20} {script.about}")
 
 
@@ -299,11 +299,11 @@
     """Play a script: a table, a chart, and status 1 with the first breach."""
     import signal
 
-    from finchcart.fault_injection.runner import play, told_to_end
+    from finchcart.fault_injection.runner import RunOptions, end_run, play
 
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, told_to_end)
-    sys.exit(play(script, seed, nodes, out, virtual, apart, share, verdicts, times))
+        signal.signal(number, end_run)
+    sys.exit(play(RunOptions(script, seed, nodes, out, virtual, apart, share, verdicts, times)))
 
 
 @trial.command()
@@ -312,10 +312,10 @@
 @click.option("--jobs", default=4, show_default=True, help="processes")
 def seeds(first, count, jobs):
     """Seeded runs of 12 members with all kinds of faults on the virtual clock."""
-    from finchcart.fault_injection.seed_sweep import many
+    from finchcart.fault_injection.seed_sweep import play_seeds
 
     broken = 0
-    for seed, _, breach in many(first, count, jobs):
+    for seed, _, breach in play_seeds(first, count, jobs):
         if breach:
             broken += 1
             click.echo(breach)
--- a/finchcart/fault_injection/checker.py
+++ b/finchcart/fault_injection/checker.py
@@ -1,53 +1,92 @@
-"""The checker: what the members said, held against what was done to them.
+"""The checker: what the members reported, held against what was done to them.
 
-Owns the events of a run and the verdict on it. It knows nothing of the program but its log lines, and must
-never be told by a member what is true. Times are whole microseconds on the machine's one boot clock, or the
-virtual.
+Owns the events of a run and the judgement of it. It knows nothing of the program but its log lines, and
+must never be told by a member what is true. Times are whole microseconds on the machine's one boot clock,
+or the virtual.
 """
 
 import json
+from bisect import bisect_right
 from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping
+from enum import StrEnum
+from pathlib import Path
 
 from msgspec import Struct
 
+from finchcart.fault_injection.plan import Plan, PlannedExpectation
+from finchcart.fault_injection.script import ExpectationKind
+
+US_PER_S = 1e6
+INITIAL_STATES = {"left", "working", "in"}  # held of a subject that nothing was heard of
+
+
+class EventKind(StrEnum):
+    """What happened."""
+
+    BEGAN = "began"  # the process
+    STATE = "state"  # `of` is `value` at `at`
+    ISOLATED = "isolated"  # `at` holds itself to be, or not, by `value`
+    WOKE = "woke"
+
 
 class Event(Struct):
-    """`kind`: began (the process), state (`of` is `value` at `at`), isolated (`value`), woke."""
+    """One thing that a member reported; `at` is the member."""
 
     when: int
     at: str
-    kind: str
+    kind: EventKind
     of: str = ""
     value: str | bool = ""
     line: str = ""
 
 
-def from_logs(folder, names, began, alias=str):
-    """Events of all logs of a run, in order. A verdict is the state of its subject; `alias`: of a source."""
-    events = [Event(when, name, "began") for (name, _), when in began.items()]
+def events_from_logs(
+    folder: Path,
+    names: Iterable[str],
+    began: Mapping[tuple[str, int], int],
+    alias: Callable[[str], str] = str,
+) -> list[Event]:
+    """Return the events of all logs of a run, in order.
+
+    A health verdict is the state of its subject; `began` is when each life of each process began, `alias` the
+    name of a source by its address.
+    """
+    events = [Event(when, name, EventKind.BEGAN) for (name, _), when in began.items()]
     for name in names:
         for path in sorted(folder.glob(f"{name}.*.log")):
             for line in path.read_text(errors="replace").splitlines():
-                try:
-                    said = json.loads(line)
-                    when = said["t_us"]
-                except (ValueError, KeyError):
-                    continue  # not a line of the program's log: a start that failed is seen by its silence
-                if "state" in said and "member" in said:
-                    events.append(Event(when, name, "state", said["member"], said["state"], line))
-                elif "votes" in said and "kind" in said:
-                    of = f"{said['kind']} {alias(said['subject'])}".strip()
-                    events.append(Event(when, name, "state", of, said["value"], line))
-                elif "isolated" in said:
-                    events.append(Event(when, name, "isolated", "", said["isolated"], line))
-                elif "gap_ms" in said:
-                    events.append(Event(when, name, "woke", "", str(said["gap_ms"]), line))
+                event = event_from_line(name, line, alias)
+                if event is not None:
+                    events.append(event)
     events.sort(key=lambda event: event.when)
     return events
 
 
+def event_from_line(name: str, line: str, alias: Callable[[str], str]) -> Event | None:
+    """Return the event of a log line; None where it tells none.
+
+    A line that is not of the program's log tells none: a start that failed is seen by its silence.
+    """
+    try:
+        fields = json.loads(line)
+        when = fields["t_us"]
+    except (ValueError, KeyError):
+        return None
+    if "state" in fields and "member" in fields:
+        return Event(when, name, EventKind.STATE, fields["member"], fields["state"], line)
+    if "votes" in fields and "kind" in fields:
+        subject = f"{fields['kind']} {alias(fields['subject'])}".strip()
+        return Event(when, name, EventKind.STATE, subject, fields["value"], line)
+    if "isolated" in fields:
+        return Event(when, name, EventKind.ISOLATED, "", fields["isolated"], line)
+    if "gap_ms" in fields:
+        return Event(when, name, EventKind.WOKE, "", str(fields["gap_ms"]), line)
+    return None
+
+
 class Result(Struct):
-    """Of one expectation: seconds until it held, changes after, and the first breach."""
+    """What became of one expectation: seconds until it held, changes after, and the first breach."""
 
     name: str
     what: str
@@ -59,115 +98,136 @@
 class History:
     """States by (at, of), isolation by member, from events."""
 
-    def __init__(self, events):
-        self.states, self.isolated, self.lives = defaultdict(list), defaultdict(list), defaultdict(list)
+    def __init__(self, events: Iterable[Event]) -> None:
+        self.states: dict[tuple[str, str], list[Event]] = defaultdict(list)
+        self.isolated: dict[str, list[Event]] = defaultdict(list)
+        self.lives: dict[str, list[int]] = defaultdict(list)  # when the member's processes began
         for event in events:
-            if event.kind == "began":
+            if event.kind == EventKind.BEGAN:
                 self.lives[event.at].append(event.when)
-            elif event.kind == "state":
+            elif event.kind == EventKind.STATE:
                 self.states[event.at, event.of].append(event)
-            elif event.kind == "isolated":
+            elif event.kind == EventKind.ISOLATED:
                 self.isolated[event.at].append(event)
 
-    def began(self, at, when):
+    def began(self, at: str, when: int) -> int:
+        """Return when the process began that ran at that time."""
         return max((life for life in self.lives[at] if life <= when), default=0)
 
-    def value(self, events, at, when):
-        """The last event at that time, of the process that ran then."""
-        began, last = self.began(at, when), None
+    def last(self, events: list[Event], at: str, when: int) -> Event | None:
+        """Return the last of the events at that time, of the process that ran then."""
+        count = bisect_right(events, when, key=lambda event: event.when)
+        if count and events[count - 1].when >= self.began(at, when):
+            return events[count - 1]
+        return None
+
+    def state(self, at: str, of: str, when: int) -> Event | None:
+        """Return the event by which one member held another to be in a state at that time."""
+        return self.last(self.states[at, of], at, when)
+
+
+def check(history: History, expectation: PlannedExpectation, start: int) -> Result:
+    """Check one expectation; `start` is the run's zero on the clock."""
+    return ExpectationCheck(history, expectation, start).check()
+
+
+def check_plan(plan: Plan, events: Iterable[Event], start: int) -> list[Result]:
+    """Check all expectations of a plan."""
+    history = History(events)
+    return [check(history, expectation, start) for expectation in plan.expectations]
+
+
+class ExpectationCheck:
+    """One expectation, held against a history."""
+
+    def __init__(self, history: History, expectation: PlannedExpectation, start: int) -> None:
+        self.history = history
+        self.expectation = expectation
+        self.start = start
+        self.after = start + int(expectation.after * US_PER_S)
+        self.until = start + int(expectation.until * US_PER_S)
+        self.limit = self.after + int(expectation.within * US_PER_S)
+        self.result = Result(expectation.name, expectation.what, [], 0, None)
+
+    def check(self) -> Result:
+        """Return what became of it."""
+        kind = self.expectation.what
+        if kind in (ExpectationKind.ISOLATED, ExpectationKind.CONNECTED):
+            self._check_isolation(kind == ExpectationKind.ISOLATED)
+        else:
+            check_pair = self._check_never if kind == ExpectationKind.NEVER else self._check_agreement
+            for at in self.expectation.by:
+                for of in self.expectation.of:
+                    if at != of:
+                        check_pair(at, of)
+        return self.result
+
+    def _breach(self, text: str, event: Event | None = None) -> None:
+        if self.result.breach is None:
+            line = f"\n    {event.line}" if event is not None and event.line else ""
+            self.result.breach = text + line
+
+    def _seconds_after(self, when: int) -> float:
+        return (when - self.after) / US_PER_S
+
+    def _check_never(self, at: str, of: str) -> None:
+        before = self.history.state(at, of, self.after)
+        events = [before] if before else []
+        events += [event for event in self.history.states[at, of] if self.after < event.when <= self.until]
         for event in events:
-            if event.when > when:
-                break
-            if event.when >= began:
-                last = event
-        return last
-
-    def state(self, at, of, when):
-        return self.value(self.states[at, of], at, when)
-
-
-def check(history, hold, start):
-    """One `Held` expectation; `start`: the run's zero on the clock."""
-    after, until = start + int(hold.after * 1e6), start + int(hold.until * 1e6)
-    limit = after + int(hold.within * 1e6)
-    result = Result(hold.name, hold.what, [], 0, None)
-
-    def breach(text, event=None):
-        if result.breach is None:
-            result.breach = text + (f"\n    {event.line}" if event is not None and event.line else "")
-
-    if hold.what == "never":
-        for at in hold.by:
-            for of in hold.of:
-                if at == of:
-                    continue
-                first = history.state(at, of, after)
-                seen = [event for event in history.states[at, of] if after < event.when <= until]
-                for event in ([first] if first else []) + seen:
-                    if event.value in hold.states:
-                        result.changes += 1
-                        breach(
-                            f"{at} holds {of} to be {event.value} at {(event.when - start) / 1e6:.2f} s",
-                            event,
-                        )
-        return result
-    if hold.what in ("isolated", "connected"):
-        want = hold.what == "isolated"
-        for of in hold.of:
-            settle(
-                result,
-                breach,
-                history.isolated[of],
-                of,
-                lambda value: value is want,
-                history,
-                after,
-                limit,
-                until,
-                f"{of} does not hold itself {hold.what}",
-                default=not want,
+            if event.value in self.expectation.states:
+                self.result.changes += 1
+                seconds = (event.when - self.start) / US_PER_S
+                self._breach(f"{at} holds {of} to be {event.value} at {seconds:.2f} s", event)
+
+    def _check_isolation(self, expected: bool) -> None:
+        for name in self.expectation.of:
+            self._check_settled(
+                self.history.isolated[name],
+                name,
+                lambda value: value is expected,
+                f"{name} does not hold itself {self.expectation.what}",
+                default=not expected,
             )
-        return result
-    for at in hold.by:
-        for of in hold.of:
-            if at != of:
-                settle(
-                    result,
-                    breach,
-                    history.states[at, of],
-                    at,
-                    lambda value: value in hold.states,
-                    history,
-                    after,
-                    limit,
-                    until,
-                    f"{at} does not hold {of} to be {' or '.join(hold.states)}",
-                    default=bool({"left", "working", "in"} & set(hold.states)),
-                )
-    return result
-
-
-def settle(result, breach, events, at, good, history, after, limit, until, text, default):
-    """When the value became good for the first time, and how often it changed after."""
-    now = history.value(events, at, after)
-    began = history.began(at, until)
-    value = good(now.value) if now is not None else default
-    since, first = after if value else None, after if value else None
-    last = now
-    for event in events:
-        if not after < event.when <= until or event.when < began <= limit:
-            continue  # of an earlier process of that name, too
-        new = good(event.value)
-        if new and not value:
-            since = event.when
-            first = event.when if first is None else first
-        elif value and not new and event.when > limit:
-            result.changes += 1
-            breach(f"{text}: it changed at {(event.when - after) / 1e6:.2f} s after", event)
-        value, last = new, event
-    if not value:
-        breach(f"{text}: not {(until - after) / 1e6:.1f} s after", last)
-        return
-    result.times.append((since - after) / 1e6)
-    if since > limit:
-        breach(f"{text} until {(since - after) / 1e6:.2f} s after, {(limit - after) / 1e6:.2f} allowed", last)
+
+    def _check_agreement(self, at: str, of: str) -> None:
+        states = self.expectation.states
+        self._check_settled(
+            self.history.states[at, of],
+            at,
+            lambda value: value in states,
+            f"{at} does not hold {of} to be {' or '.join(states)}",
+            default=bool(INITIAL_STATES & set(states)),
+        )
+
+    def _check_settled(
+        self,
+        events: list[Event],
+        at: str,
+        is_expected: Callable[[str | bool], bool],
+        text: str,
+        default: bool,
+    ) -> None:
+        """Note when the value became the expected one, and how often it changed after."""
+        last = self.history.last(events, at, self.after)
+        began = self.history.began(at, self.until)
+        holds = is_expected(last.value) if last is not None else default
+        since = self.after
+        for event in events:
+            if not self.after < event.when <= self.until or event.when < began <= self.limit:
+                continue  # of an earlier process of that name, too
+            held = holds
+            holds = is_expected(event.value)
+            last = event
+            if holds and not held:
+                since = event.when
+            elif held and not holds and event.when > self.limit:
+                self.result.changes += 1
+                self._breach(f"{text}: it changed at {self._seconds_after(event.when):.2f} s after", event)
+        if not holds:
+            self._breach(f"{text}: not {self._seconds_after(self.until):.1f} s after", last)
+            return
+        self.result.times.append(self._seconds_after(since))
+        if since > self.limit:
+            allowed = f"{self._seconds_after(self.limit):.2f} allowed"
+            self._breach(f"{text} until {self._seconds_after(since):.2f} s after, {allowed}", last)
--- /dev/null
+++ b/finchcart/fault_injection/key_lease_fault_run.py
@@ -0,0 +1,255 @@
+"""Seeded runs of key leases: keys that are claimed, some at several nodes at once, under faults.
+
+Owns the choice of faults: links that lose, double, delay and cut, stops, restarts of all kinds. A retry
+goes to another node. A seed that fails replays identically.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from heapq import heappop, heappush
+from random import Random
+
+import xxhash
+
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.fault_injection.key_lease_simulation import (
+    TICK_US,
+    Datagram,
+    Key,
+    KeyLeaseSimulation,
+    is_replica,
+)
+from finchcart.key_leases import wire
+from finchcart.key_leases.figures import MS, SECOND, Figures
+from finchcart.key_leases.wire import ENDED, FAILED, YES
+
+LIFE_US = 6 * SECOND
+BODY_HASH = 7
+POLL_US = 50 * MS  # in which a stopped client is looked at again
+LOSS = 0.3
+REJECTED_PART = 0.1  # of the granted keys that are rejected by the node
+LONGEST_DELAY_US = 3 * SECOND
+
+
+class FaultKind(StrEnum):
+    """What a fault does."""
+
+    STOP = "stop"
+    RESTART_CLIENT = "kill"
+    RESTART_REPLICA = "keeper"
+    RESTART_ALL_REPLICAS = "all keepers"
+    ROLLING_RESTART = "one by one"
+    CUT = "cut"
+    ONE_WAY_CUT = "one way"
+    LOSS = "loss"
+
+
+KINDS = (
+    FaultKind.STOP,
+    FaultKind.STOP,
+    FaultKind.RESTART_CLIENT,
+    FaultKind.RESTART_REPLICA,
+    FaultKind.RESTART_ALL_REPLICAS,
+    FaultKind.ROLLING_RESTART,
+    FaultKind.CUT,
+    FaultKind.ONE_WAY_CUT,
+    FaultKind.LOSS,
+)
+
+
+class SeededRun(KeyLeaseSimulation):
+    """One seed."""
+
+    def __init__(
+        self,
+        seed: int,
+        clients: int = 4,
+        replicas: int = 3,
+        make: dict | None = None,
+        config: Figures | None = None,
+    ) -> None:
+        self.chance = Random(f"claims {seed}")
+        self.seed = seed
+        config = config or Figures(life=LIFE_US)
+        names = [f"k{number}" for number in range(replicas)] + [f"h{number}" for number in range(clients)]
+        clock_rates = {name: 1 + self.chance.choice((-1, 0, 1)) * config.drift for name in names}
+        super().__init__(replicas, clients, config, make, clock_rates)
+        self.steps = 0
+        self.key_count = 0
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.buffered: dict[str, list[Datagram]] = {}  # stopped process -> what came meanwhile
+        self.trace = xxhash.xxh3_64()
+        self._queue: list[tuple[int, int, Callable[..., None], tuple]] = []
+        self._sequence = 0
+
+    def play(self, seconds: int = 30) -> str:
+        """Return the digest of all that was sent; `InvariantError` where a key ran twice."""
+        for name in self.machines:
+            self._schedule(self.chance.randrange(TICK_US), self._tick, name)
+        self._schedule(0, self._new_key)
+        self._schedule(SECOND, self._inject_fault)
+        end = self.now + seconds * SECOND
+        while True:
+            self._send()
+            when, _, action, arguments = heappop(self._queue)
+            if when > end:
+                return self.trace.hexdigest()
+            self.now = max(self.now, when)
+            self.steps += 1
+            action(*arguments)
+
+    def _schedule(self, span: int, action: Callable[..., None], *arguments: object) -> None:
+        self._sequence += 1
+        heappush(self._queue, (self.now + span, self._sequence, action, arguments))
+
+    # ---- messages
+
+    def _send(self) -> None:
+        """Put what the machines sent on its way."""
+        for datagram in self.in_flight:
+            origin, target, data = datagram
+            self.trace.update(f"{self.now} {origin} {target}".encode() + data)
+            if (origin, target) in self.cuts or self.chance.random() < self.loss:
+                continue
+            for _ in range(2 if self.chance.random() < self.loss else 1):
+                longest = self.chance.randrange(LONGEST_DELAY_US) if self.loss else 400
+                delay = self.chance.choice((200, 300, 5 * MS, longest))
+                self._schedule(delay, self._receive, datagram)
+        self.in_flight.clear()
+
+    def _receive(self, datagram: Datagram) -> None:
+        if datagram.target in self.stopped:
+            self.buffered.setdefault(datagram.target, []).append(datagram)
+        else:
+            self.feed(datagram.target, "got", self.address(datagram.origin), datagram.data)
+
+    # ---- clients and keys
+
+    def _tick(self, name: str) -> None:
+        self.feed(name, "tick")
+        self._schedule(TICK_US, self._tick, name)
+
+    def _new_key(self) -> None:
+        """Claim a new key at one or more clients at once, and again later elsewhere."""
+        self.key_count += 1
+        key = wire.key_of("m", str(self.key_count))
+        clients = [name for name in self.machines if not is_replica(name)]
+        for name in self.chance.sample(clients, self.chance.choice((1, 1, 2, 3))):
+            self._claim(name, key)
+        for _ in range(self.chance.choice((0, 1, 2))):
+            delay = self.chance.randrange(4 * SECOND)
+            self._schedule(delay, self._claim, self.chance.choice(clients), key)
+        self._schedule(self.chance.randrange(10 * MS, 400 * MS), self._new_key)
+
+    def _claim(self, name: str, key: Key) -> None:
+        self.feed(name, "claim", [(key, BODY_HASH, self.config.life)])
+
+    def on_answer(self, name: str, key: Key, answer: int, result: bytes, by: int) -> None:
+        """Note what a client answers for a key, and command a granted one after a while."""
+        super().on_answer(name, key, answer, result, by)
+        if answer == YES:
+            session = self.machines[name].session
+            delay = self.chance.choice((0, 100, 50 * MS))
+            self._schedule(delay, self._command_granted, name, key, session)
+
+    def _command_granted(self, name: str, key: Key, session: int) -> None:
+        if name in self.stopped:  # before its last look at the clock
+            self._schedule(POLL_US, self._command_granted, name, key, session)
+            return
+        if (name, key) not in self.granted or self.machines[name].session != session:
+            return
+        if self.chance.random() < REJECTED_PART:
+            del self.granted[name, key]
+            self.feed(name, "never", key)
+            return
+        self.command(name, key)
+        if (name, key) in self.running:
+            duration = self.chance.choice((10 * MS, 200 * MS, 2 * SECOND))
+            self._schedule(duration, self._end_run, name, key, session)
+
+    def _end_run(self, name: str, key: Key, session: int) -> None:
+        if name in self.stopped:
+            self._schedule(POLL_US, self._end_run, name, key, session)
+        elif (name, key) in self.running and self.machines[name].session == session:
+            self.end(name, key, self.chance.choice((ENDED, ENDED, FAILED)))
+
+    # ---- faults
+
+    def _inject_fault(self) -> None:
+        kind = self.chance.choice(KINDS)
+        names = list(self.machines)
+        span = self.chance.randrange(200 * MS, 8 * SECOND)
+        if kind == FaultKind.STOP:
+            name = self.chance.choice(names)
+            self.stopped.add(name)
+            self._schedule(span, self._resume, name)
+        elif kind in (FaultKind.CUT, FaultKind.ONE_WAY_CUT):
+            self._cut(kind, names, span)
+        elif kind == FaultKind.LOSS:
+            self.loss = LOSS
+            self._schedule(span, self._end_loss)
+        else:
+            self._restart_some(kind, names)
+        self._schedule(self.chance.randrange(500 * MS, 4 * SECOND), self._inject_fault)
+
+    def _restart_some(self, kind: FaultKind, names: list[str]) -> None:
+        replicas = [name for name in names if is_replica(name)]
+        if kind == FaultKind.RESTART_CLIENT:
+            self.start(self.chance.choice([name for name in names if not is_replica(name)]))
+        elif kind == FaultKind.RESTART_REPLICA:
+            self.start(self.chance.choice(replicas))
+        else:
+            interval = SECOND if kind == FaultKind.ROLLING_RESTART else 0
+            for number, name in enumerate(replicas):
+                self._schedule(number * interval, self._restart, name)
+
+    def _cut(self, kind: FaultKind, names: list[str], span: int) -> None:
+        some = set(self.chance.sample(names, self.chance.randrange(1, len(names))))
+        pairs = {(origin, target) for origin in some for target in names if target not in some}
+        if kind == FaultKind.CUT:
+            pairs |= {(target, origin) for origin, target in pairs}
+        self.cuts |= pairs
+        self._schedule(span, self._heal, pairs)
+
+    def _resume(self, name: str) -> None:
+        if name in self.stopped:
+            self.stopped.discard(name)
+            for datagram in self.buffered.pop(name, ()):
+                self.feed(name, "got", self.address(datagram.origin), datagram.data)
+
+    def _restart(self, name: str) -> None:
+        self.start(name)
+        self.buffered.pop(name, None)
+
+    def _heal(self, pairs: set[tuple[str, str]]) -> None:
+        self.cuts -= pairs
+
+    def _end_loss(self) -> None:
+        self.loss = 0.0
+
+
+@dataclass(frozen=True)
+class SeedResult:
+    """What a seed came to."""
+
+    breach: str | None  # what did not hold
+    steps: int
+    keys: int
+    answers: dict[int, int]  # how often each answer was given
+    runs: int
+
+
+def play_seed(seed: int, seconds: int = 30, make: dict | None = None) -> SeedResult:
+    """Play one seed."""
+    run = SeededRun(seed, make=make)
+    breach = None
+    try:
+        run.play(seconds)
+    except InvariantError as error:
+        breach = f"seed {seed}: {error}"
+    answers = Counter(answer for answers in run.answers.values() for answer in answers)
+    run_count = sum(len(runs) for runs in run.runs.values())
+    return SeedResult(breach, run.steps, run.key_count, dict(answers), run_count)
--- a/finchcart/fault_injection/membership_simulation.py
+++ b/finchcart/fault_injection/membership_simulation.py
@@ -1,173 +1,104 @@
-"""Members on a virtual clock: the true state machines by the hundred, in one thread.
+"""Members on the virtual clock: the true state machines by the hundred, in one thread."""
 
-Owns the clock, the queue of what is due, and the truth of who runs. It must never change what a member does:
-the same objects run on sockets. A stopped member keeps what comes to it, as a socket's buffer does, up to a
-bound; it is handed over when it goes on.
-"""
-
-from heapq import heappop, heappush
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from random import Random
+from typing import Any
 
-from finchcart.fault_injection.simulated_network import Fabric
+from finchcart.fault_injection.virtual_time import ProcessSimulation, SimulatedProcess
 from finchcart.membership.figures import Figures
 from finchcart.membership.member import Member
 
-BUFFER = 250  # datagrams that wait for a stopped member
-
-
-class Place:
-    """One name: its process, if any, and its address."""
+LATENCY_US = 200
+FLEET_NAME = "virtual"
+WALL_CLOCK_MS = 1_700_000_000_000  # wall clocks' reading when the virtual clock's is 0
 
-    def __init__(self, name, address):
-        self.name, self.address = name, address
-        self.member, self.stopped, self.waiting = None, False, []
-        self.life = 0  # raised by each start: ticks of an earlier process are void
-        self.delay = 0  # of each tick: a process starved of its core
+Watcher = Callable[[int, str, tuple], None]
+MemberFactory = Callable[..., Any]
 
 
-class Clock:
-    """What is due, in order. Times are whole microseconds."""
+def ignore(now: int, name: str, effect: tuple) -> None:
+    """Watch nothing."""
 
-    def __init__(self, seed):
-        self.now, self.seed, self.queue, self.made, self.steps = 1_000_000, seed, [], 0, 0
-        self.fabric, self.looks = Fabric(seed), None
 
-    def put(self, when, act, *args):
-        self.made += 1
-        heappush(self.queue, (when, self.made, act, args))
+@dataclass(eq=False)
+class MemberProcess(SimulatedProcess):
+    """A process that is one member of the fleet."""
 
-    def run(self, until, after_step=None):
-        """Up to that time; `after_step(self)` after each step."""
-        while self.queue and self.queue[0][0] <= until:
-            self.now, _, act, args = heappop(self.queue)
-            self.steps += 1
-            act(*args)
-            if after_step:
-                after_step(self)
-        self.now = max(self.now, until)
+    tick_delay: int = 0  # at most, of each tick: a process starved of its core
 
-    def carry(self, what):
-        """An input of the fabric; what it delivers arrives after the latency."""
-        for _, a, b, data in self.fabric.reduce(self.now, what):
-            self.put(self.now + self.latency, self.arrive, a, b, data)
-        due = self.fabric.due()
-        if due is not None and due > self.now and self.looks != due:
-            self.looks = due
-            self.put(due, self.carry, ("time",))
 
+class MembershipSimulation(ProcessSimulation[MemberProcess]):
+    """A fleet of members.
 
-class Fleet(Clock):
-    """`watch(now, name, effect)` hears of all effects but datagrams."""
+    `seed_members` is the number of members that each is told at its start, `watch(now, name, effect)` is
+    called with all effects but datagrams, and `make` makes a member, so that a planted defect can be played.
+    """
 
-    def __init__(self, names, seed, figures=None, seeds=3, latency=200, watch=None, make=Member):
-        super().__init__(seed)
+    def __init__(
+        self,
+        names: Iterable[str],
+        seed: int | str,
+        config: Figures | None = None,
+        seed_members: int = 3,
+        watch: Watcher = ignore,
+        make: MemberFactory = Member,
+    ) -> None:
+        super().__init__(seed, LATENCY_US)
         self.random = Random(f"fleet {seed}")
-        self.figures, self.latency, self.make = figures or Figures(), latency, make
-        self.places, self.at = {}, {}
-        self.seeds = seeds
-        self.watch = watch or (lambda now, name, effect: None)
-        self.wall = 1_700_000_000_000
-        self.fed = None  # the place that acted last
+        self.config = config or Figures()
+        self.seed_members = seed_members
+        self.watch = watch
+        self.make = make
         for name in names:
             self.add(name)
 
-    def add(self, name):
-        n = len(self.places)
-        address = f"10.{n // 65536}.{n // 256 % 256}.{n % 256}:7400"
-        self.places[name] = Place(name, address)
-        self.at[address] = name
-        return self.places[name]
-
-    # ---- what happens to processes
-
-    def start(self, name, wall_off=0, as_name=None):
-        """`wall_off`: milliseconds that its wall clock is off; `as_name`: of the member, where not the
-        place's."""
-        place = self.places[name]
-        place.life += 1
-        place.stopped, place.waiting = False, []
-        seeds = [other.address for other in list(self.places.values())[: self.seeds]]
-        place.member = self.make(
-            as_name or name,
-            "virtual",
-            place.address,
+    def add(self, name: str) -> None:
+        """Take in a name that does not run yet, with the next address."""
+        number = len(self.processes)
+        address = f"10.{number // 65536}.{number // 256 % 256}.{number % 256}:7400"
+        self.add_process(MemberProcess(name, address))
+
+    def start(self, name: str, wall_clock_offset_ms: int = 0, member_name: str | None = None) -> None:
+        """Start a process, under another member's name if one is given."""
+        process = self.begin_life(name)
+        seeds = [other.address for other in list(self.processes.values())[: self.seed_members]]
+        process.machine = self.make(
+            member_name or name,
+            FLEET_NAME,
+            process.address,
             seeds,
-            self.figures,
-            Random(f"{self.seed} {name} {place.life}"),
-            self.wall + self.now // 1000 + wall_off,
+            self.config,
+            Random(f"{self.seed} {name} {process.life}"),
+            WALL_CLOCK_MS + self.now // 1000 + wall_clock_offset_ms,
             self.now,
         )
-        self.put(self.now + self.random.randrange(self.figures.tick), self.tick, name, place.life)
-
-    def kill(self, name):
-        place = self.places[name]
-        place.member, place.stopped, place.waiting = None, False, []
-        place.life += 1
-
-    def stop(self, name):
-        self.places[name].stopped = True
-
-    def go_on(self, name):
-        place = self.places[name]
-        place.stopped = False
-        waiting, place.waiting = place.waiting, []
-        for what in waiting:
-            self.feed(name, what)
-        if place.member:
-            self.feed(name, ("tick",))
-
-    def tell(self, name, *what):
-        self.feed(name, what)
-
-    # ---- the run
-
-    def tick(self, name, life):
-        place = self.places[name]
-        if place.life != life:
-            return
-        if not place.stopped:
-            self.feed(name, ("tick",))
-        self.put(
-            self.now + self.figures.tick + (self.random.randrange(place.delay) if place.delay else 0),
-            self.tick,
-            name,
-            life,
-        )
+        first_tick = self.now + self.random.randrange(self.config.tick)
+        self.schedule(first_tick, self.tick, name, process.life)
+
+    def tick_interval(self, process: MemberProcess) -> int:
+        """Return the time to the next tick: longer by chance for a starved process."""
+        delay = self.random.randrange(process.tick_delay) if process.tick_delay else 0
+        return self.config.tick + delay
+
+    def handle_effect(self, process: MemberProcess, effect: tuple) -> None:
+        """Pass the effect on to the watcher."""
+        self.watch(self.now, process.name, effect)
+
+    # ---- what members know
+
+    def running(self) -> list[str]:
+        """Return the names that run and are not stopped."""
+        return [name for name, process in self.processes.items() if process.machine and not process.stopped]
+
+    def state_seen(self, observer: str, subject: str) -> str | None:
+        """Return the state that one member holds another to be in."""
+        return self._states_seen(observer).get(subject)
+
+    def views(self) -> dict[str, dict[str, str]]:
+        """Return for each running member the states by name as it sees them."""
+        return {name: self._states_seen(name) for name in self.running()}
 
-    def feed(self, name, what):
-        place = self.places[name]
-        if place.member is None:
-            return
-        if place.stopped:
-            if what[0] == "got" and len(place.waiting) < BUFFER:
-                place.waiting.append(what)
-            return
-        self.fed = name
-        for effect in place.member.reduce(self.now, what):
-            if effect[0] == "send":
-                to = self.at.get(f"{effect[1][0]}:{effect[1][1]}")
-                if to is not None:
-                    self.carry(("datagram", name, to, effect[2]))
-            else:
-                self.watch(self.now, name, effect)
-
-    def arrive(self, a, b, data):
-        host, _, port = self.places[a].address.rpartition(":")
-        self.feed(b, ("got", (host, int(port)), data))
-
-    def live(self):
-        return [name for name, place in self.places.items() if place.member and not place.stopped]
-
-    def state(self, at, of):
-        member = self.places[at].member
-        for known in member.known.values():
-            if known.row.name == of:
-                return known.state
-        return None
-
-    def views(self):
-        """name of each live member -> {name: state} as it has it."""
-        return {
-            name: {known.row.name: known.state for known in self.places[name].member.known.values()}
-            for name in self.live()
-        }
+    def _states_seen(self, observer: str) -> dict[str, str]:
+        known_members = self.processes[observer].machine.known.values()
+        return {known.row.name: known.state for known in known_members}
--- a/finchcart/fault_injection/processes.py
+++ b/finchcart/fault_injection/processes.py
@@ -1,435 +1,347 @@
 """A fleet of real processes of the program on loopback.
 
-Owns the folder of a run, its addresses and every process of it: nodes, relay, outside parties, load. It must
-end all of them by their own ids whatever happens, and never touch a process that it did not start.
+Owns the folder of a run and every process of it: nodes, planners, proxy, simulated peers, load. It must end
+all of them by their own ids whatever happens, and never touch a process that it did not start.
 """
 
 import json
-import os
 import signal
-import socket
 import subprocess
 import sys
-import time
+from collections.abc import Iterable, Sequence
+from contextlib import suppress
 from pathlib import Path
 
 import json5
 
-from finchcart.fault_injection.fault_injecting_proxy import clock
-
-EXAMPLE = {
-    "seed": "1",
-    "stop_ms": 2500,
-    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
-    "settings": {
-        "contract": {"cold": 0, "overloadFactor": 8.0, "startCapacity": 1.0, "stopSendingWithin": 400_000},
-        "familyInfo": {
-            "callerIdle": 30_000_000,
-            "callsOut": 6.0,
-            "callsOver": 5_000_000,
-            "classCalls": [True, False],
-            "cores": 4,
-            "freshStart": False,
-            "gauges": ["core_use", "on_cores", "heap_share", "links"],
-            "kbPerKey": 130.0,
-            "linger": 200_000,
-            "memoryKb": 46000.0,
-            "preemption": "silent",
-            "runFactor": 8.0,
-            "say": "level",
-            "worthWithout": [0.6, 0.0],
-        },
-        "limits": {"maxRetryAfter": 1_000_000, "retryAfter": True},
-        "round": 2000,
-        "services": [
-            {
-                "name": "look-up",
-                "effect": "read_like",
-                "worth": 1.0,
-                "target": 1_800_000,
-                "deadline": 4_600_000,
-                "window": 5_000_000,
-                "lateWorth": 0.0,
-            },
-            {
-                "name": "book",
-                "effect": "idempotency_key",
-                "worth": 3.0,
-                "target": 1_800_000,
-                "deadline": 4_600_000,
-                "window": 13_000_000,
-                "lateWorth": 0.0,
-            },
-        ],
-        "worthBy": "work",
-    },
-}
-
-
-class Processes:
-    """`names`: of all nodes that may run; each has a loopback address of its own."""
+from finchcart.fault_injection.child_processes import ChildProcesses, cpu_and_peak_memory
+from finchcart.fault_injection.fault_injecting_proxy import UP_LINE
+from finchcart.fault_injection.fleet_options import FleetOptions
+from finchcart.fault_injection.loopback_addresses import MEMBER_PORT, LoopbackAddresses
+from finchcart.fault_injection.node_configuration import fleet_settings, node_configuration, store_share
+from finchcart.fault_injection.script import Load
+from finchcart.net.links import boot_clock
+from finchcart.simulated_peers.store import StoreState
+
+SEED_MEMBERS = 3
+OVERRIDE_S = 600.0
+OVERRIDE_REASON = "trial"
+OVERRIDE_TIMEOUT_S = 1.0
+LEADER_TIMEOUT_S = 0.3
+FAULTS_FILE = "faults.json"
+FLOOD_ORDERS_FILE = "flood.json"
+FLOOD_FILE = "flood.jsonl"
+FOCUS_FILE = "focus.json"
+LOAD_FILE = "load.json"
+TRUTH_FILE = "truth.jsonl"
+EFFECTS_FILE = "effects.txt"
+
+
+class ProcessFleet:
+    """The processes of one run.
+
+    `names` are of all nodes that may run, `fleet` is the `fleet` block of their settings. The proxy and the
+    simulated peers are started at once, nodes and planners by `start`.
+    """
 
     def __init__(
         self,
-        folder,
-        names,
-        seed,
-        fleet,
-        load=None,
-        talk=True,
-        planners=0,
-        limits=(),
-        quota=None,
-        static=False,
-        spares=0,
-        verdicts=None,
-        claims=None,
-    ):
-        self.folder, self.load, self.talk = Path(folder), load, talk
-        self.count, self.limits = len(names), limits
-        self.planners, self.spares = [f"p{n}" for n in range(planners)], [f"x{n}" for n in range(spares)]
-        self.names = names = [*names, *self.planners, *self.spares]
-        self.seed, self.leader = seed, None  # leader: who was taken for it last
+        folder: Path | str,
+        names: Sequence[str],
+        seed: int,
+        fleet: dict,
+        options: FleetOptions | None = None,
+    ) -> None:
+        self.folder = Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
-        self.net = self.free_net()
-        self.children, self.nodes, self.lives = [], {}, {}
-        self.began = {}  # (name, life) -> boot clock at its start
-        self.env = {**os.environ, "MALLOC_ARENA_MAX": "2", "PYTHONPATH": str(Path(__file__).parents[2])}
-        self.env.pop("FINCHCART_SETTINGS", None)
-        seeds = [f"{self.relayed(name)}:7400" for name in names[:3]]
-        shared = (
-            {}
-            if not limits or static
-            else {
-                "limits": list(limits),
-                "quota": {
-                    "planners": [f"{self.relayed(name)}:7400" for name in self.planners],
-                    **(quota or {}),
-                },
-            }
-        )
-        if verdicts is not None and talk:
-            shared["verdicts"] = verdicts
-        if claims is not None and talk:
-            shared["claims"] = {"keepers": [f"{self.relayed(name)}:7400" for name in self.planners], **claims}
-        self.faults = {}  # place of the store -> its state
-        self.told = {}  # name -> its settings, to be changed in a run
-        for name in names:
-            host = self.own(name)
-            settings = json.loads(json.dumps(EXAMPLE))
-            if limits:
-                whole = limits[0].get("in_hand") or limits[0]["rate"]
-                share = whole / self.count if static else whole
-                settings["settings"]["familyInfo"]["callsOut"] = share
-            self.write(
-                f"{name}.json",
-                {
-                    **settings,
-                    "name": name,
-                    "listen": f"{host}:7001",
-                    "pool": f"{host}:9300",
-                    "store": f"{self.store_of(name)}:8900",
-                    "roster": f"{self.net}.3.1:2379",
-                },
-            )
-            asked = {
-                "name": f"trial-{seed}",
-                "listen": f"{host}:7400",
-                "advertise": f"{self.relayed(name)}:7400",
-                "seeds": seeds,
-                **fleet,
-            }
-            self.told[name] = {"fleet": asked, **shared} if talk else {}
-            self.write_settings(name)
+        self.seed = seed
+        self.options = options or FleetOptions()
+        self.node_names = list(names)
+        self.planners = [f"p{number}" for number in range(self.options.planners)]
+        self.spares = [f"x{number}" for number in range(self.options.spares)]
+        self.names = [*names, *self.planners, *self.spares]
+        self.addresses = LoopbackAddresses(self.names)
+        self.child_processes = ChildProcesses(self.folder)
+        self.processes: dict[str, subprocess.Popen] = {}  # of nodes and planners, the last of each name
+        self.lives: dict[str, int] = {}
+        self.began: dict[tuple[str, int], int] = {}  # (name, life) -> boot clock at its start
+        self.leader: str | None = None  # who was taken for it last
+        self.faults: dict[str, str] = {}  # host -> its state
+        self.settings: dict[str, dict] = {}  # name -> its settings file, which may change in a run
+        self._write_files(fleet)
         try:
-            self.relay = self.spawn(
-                "relay",
-                [sys.executable, "-m", "finchcart.fault_injection.fault_injecting_proxy"],
-                stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE,
-                text=True,
-            )
-            self.order(
-                {
-                    "seed": seed,
-                    "members": [[name, [self.own(name), 7400], [self.relayed(name), 7400]] for name in names],
-                }
-            )
-            assert self.relay.stdout.readline() == "up\n"
-            if load:
-                self.world(load)
+            self._start_proxy()
+            if self.options.load:
+                self._start_simulated_peers(self.options.load)
         except BaseException:
             self.end()
             raise
 
-    # ---- addresses
-
-    def free_net(self):
-        """The first two parts of the run's loopback addresses: runs side by side don't meet."""
-        for n in range(200):
-            net = f"127.{20 + (os.getpid() + n) % 200}"
-            self.lock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            try:
-                self.lock.bind((f"{net}.3.2", 7399))
-                return net
-            except OSError:
-                self.lock.close()
-        raise OSError("no loopback addresses are free")
+    @property
+    def children(self) -> list[subprocess.Popen]:
+        """All processes that were started."""
+        return self.child_processes.children
+
+    # ---- files
+
+    def _write_files(self, fleet: dict) -> None:
+        options = self.options
+        share = store_share(options.limits, len(self.node_names), options.static)
+        seeds = [self.addresses.advertised(name) for name in self.node_names[:SEED_MEMBERS]]
+        planners = [self.addresses.advertised(name) for name in self.planners]
+        shared = options.shared_settings(planners)
+        for name in self.names:
+            self._write(f"{name}.json", node_configuration(name, self.addresses, share))
+            own = fleet_settings(name, f"trial-{self.seed}", self.addresses, seeds, fleet)
+            self.settings[name] = {"fleet": own, **shared} if options.talk else {}
+            self._write_settings(name)
+
+    def _write(self, name: str, tree: object) -> None:
+        (self.folder / name).write_text(json.dumps(tree))
 
-    def own(self, name):
-        return f"{self.net}.1.{self.names.index(name) + 1}"
+    def _write_settings(self, name: str) -> None:
+        (self.folder / f"{name}.json5").write_text(json5.dumps(self.settings[name], indent=1))
 
-    def store_of(self, name):
-        """Each node has a place of its own at the one store, so that it can fail for some."""
-        return f"{self.net}.4.{self.names.index(name) + 1}"
+    def _replace(self, name: str, tree: object) -> None:
+        """Write a file that another process reads now and then: it sees all of it or nothing."""
+        path = self.folder / name
+        path.with_suffix(".new").write_text(json.dumps(tree))
+        path.with_suffix(".new").rename(path)
 
-    def relayed(self, name):
-        return f"{self.net}.2.{self.names.index(name) + 1}"
+    def _path(self, name: str) -> str:
+        return str(self.folder / name)
 
-    # ---- processes
+    def read_lines(self, name: str) -> list[dict]:
+        """Return the lines of a JSON-lines file of the run; none where it is not there."""
+        path = self.folder / name
+        lines = path.read_text().splitlines() if path.exists() else []
+        return [json.loads(line) for line in lines]
 
-    def write(self, name, tree):
-        (self.folder / name).write_text(json.dumps(tree))
+    # ---- proxy and simulated peers
 
-    def write_settings(self, name):
-        (self.folder / f"{name}.json5").write_text(json5.dumps(self.told[name], indent=1))
+    def _spawn_module(self, name: str, module: str, *arguments: str, **more: object) -> subprocess.Popen:
+        return self.child_processes.spawn(name, [sys.executable, "-m", module, *arguments], **more)
 
-    def spawn(self, name, command, **more):
-        log = open(self.folder / f"{name}.log", "ab")
-        child = subprocess.Popen(
-            command, stderr=log, env={**self.env, **more.pop("env", {})}, start_new_session=True, **more
+    def _start_proxy(self) -> None:
+        self.proxy = self._spawn_module(
+            "relay",
+            "finchcart.fault_injection.fault_injecting_proxy",
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
         )
-        log.close()
-        self.children.append(child)
-        return child
-
-    def world(self, load):
-        """Store and registry in one process, worker pools in some."""
-        paths = [str(self.folder / f"{name}.json") for name in self.names[: self.count]]
-        base = [
-            sys.executable,
-            "-m",
-            "finchcart.simulated_peers",
-            "--work-ms",
-            str(load.work_ms),
-            "--store-work-ms",
-            str(load.store_ms),
-            "--truth",
-            str(self.folder / "truth.jsonl"),
-            "--faults",
-            str(self.folder / "faults.json"),
+        members = [
+            [name, self.addresses.member(name), [self.addresses.proxied_host(name), MEMBER_PORT]]
+            for name in self.names
         ]
-        for word in ("in_hand", "rate", "burst"):
-            if self.limits and word in self.limits[0]:
-                base += ["--limit" if word == "in_hand" else f"--{word}", str(self.limits[0][word])]
-        spin = ["--spin"] if load.spin else []
+        self.order({"seed": self.seed, "members": members})
+        line = self.proxy.stdout.readline()
+        if line.strip() != UP_LINE:
+            raise RuntimeError(f"the proxy said {line!r} instead of {UP_LINE!r}; see relay.log")
+
+    def order(self, order: dict) -> None:
+        """Hand the proxy an order."""
+        self.proxy.stdin.write(json.dumps(order) + "\n")
+        self.proxy.stdin.flush()
+
+    def link_counts(self) -> dict[str, int]:
+        """Return what became of datagrams, of all links together."""
+        self.order({"do": "counts"})
+        return json.loads(self.proxy.stdout.readline())
+
+    def _start_simulated_peers(self, load: Load) -> None:
+        """Start store and registry in one process, worker pools in some."""
+        paths = [self._path(f"{name}.json") for name in self.node_names]
+        arguments = ["--work-ms", str(load.work_ms), "--store-work-ms", str(load.store_ms)]
+        arguments += ["--truth", self._path(TRUTH_FILE), "--faults", self._path(FAULTS_FILE)]
+        limit = self.options.limits[0] if self.options.limits else {}
+        for key, option in (("in_hand", "--limit"), ("rate", "--rate"), ("burst", "--burst")):
+            if key in limit:
+                arguments += [option, str(limit[key])]
         if load.keyed:
-            base += ["--effects", str(self.folder / "effects.txt")]
-        for n in range(load.processes):
-            mine = paths[n :: load.processes]
-            more = (
-                ["--pools-only"]
-                if n
-                else [
-                    word
-                    for name in self.names[: self.count]
-                    for word in ("--place", f"{self.store_of(name)}:8900")
-                ]
+            arguments += ["--effects", self._path(EFFECTS_FILE)]
+        if load.spin:
+            arguments.append("--spin")
+        for number in range(load.processes):
+            more = ["--pools-only"] if number else self._store_arguments()
+            configurations = paths[number :: load.processes]
+            child = self._spawn_module(
+                f"world{number}",
+                "finchcart.simulated_peers",
+                *arguments,
+                *more,
+                *configurations,
+                stdout=subprocess.PIPE,
             )
-            child = self.spawn(f"world{n}", [*base, *spin, *more, *mine], stdout=subprocess.PIPE)
             child.stdout.readline()
 
-    def callers(self, seconds):
-        """The load, on all nodes; its figures are in load.json at the end."""
-        where = [f"{self.own(name)}:7001" for name in self.names[: self.count]]
-        return self.spawn(
+    def _store_arguments(self) -> list[str]:
+        return [word for name in self.node_names for word in ("--place", self.addresses.store(name))]
+
+    def start_load(self, seconds: float) -> subprocess.Popen:
+        """Start the load on all nodes; its figures are in load.json at the end."""
+        load = self.options.load
+        return self._spawn_module(
             "load",
-            [
-                sys.executable,
-                "-m",
-                "finchcart.simulated_peers.load_generator",
-                "--rate",
-                str(self.load.rate),
-                "--seconds",
-                str(seconds),
-                "--links",
-                str(self.load.links),
-                "--out",
-                str(self.folder / "load.json"),
-                "--seed",
-                str(self.seed),
-                *(["--keyed"] if self.load.keyed else []),
-                "--focus",
-                str(self.folder / "focus.json"),
-                *where,
-            ],
+            "finchcart.simulated_peers.load_generator",
+            "--rate",
+            str(load.rate),
+            "--seconds",
+            str(seconds),
+            "--links",
+            str(load.links),
+            "--out",
+            self._path(LOAD_FILE),
+            "--seed",
+            str(self.seed),
+            *(["--keyed"] if load.keyed else []),
+            "--focus",
+            self._path(FOCUS_FILE),
+            *(self.addresses.node(name) for name in self.node_names),
         )
 
-    def put(self, name, tree):
-        """A file that another process looks at now and then: whole or not at all."""
-        path = self.folder / name
-        path.with_suffix(".new").write_text(json.dumps(tree))
-        path.with_suffix(".new").rename(path)
-
-    def store(self, names, state):
-        """The store's state for these nodes."""
-        at = self.own if state == "failing" else self.store_of
-        self.faults |= {at(name): state for name in names}
-        if state == "ok":
-            self.faults |= {self.own(name): state for name in names}
-        self.put("faults.json", self.faults)
-
-    def flood(self, names, how):
-        """Sources that send rubbish to these nodes, if any. `how`: see world/rude.py."""
-        self.put("flood.json", {**how, "at": [f"{self.own(name)}:7001" for name in names]})
-
-    def flooder(self):
-        self.put("flood.json", {"at": []})
-        return self.spawn(
+    def start_misbehaving_clients(self) -> subprocess.Popen:
+        """Start the sources that flood nodes when they are ordered to."""
+        self._replace(FLOOD_ORDERS_FILE, {"at": []})
+        return self._spawn_module(
             "flood",
-            [
-                sys.executable,
-                "-m",
-                "finchcart.simulated_peers.misbehaving_clients",
-                "--net",
-                f"{self.net}.9",
-                "--orders",
-                str(self.folder / "flood.json"),
-                "--out",
-                str(self.folder / "flood.jsonl"),
-            ],
+            "finchcart.simulated_peers.misbehaving_clients",
+            "--net",
+            self.addresses.sources_net,
+            "--orders",
+            self._path(FLOOD_ORDERS_FILE),
+            "--out",
+            self._path(FLOOD_FILE),
         )
 
-    def say(self, name, kind, of, value, seconds=600.0):
-        """An operator's word, told to that node; without a value it is taken back."""
+    def set_store_state(self, names: Iterable[str], state: str) -> None:
+        """Set the store's state for these nodes, or let their worker pools fail."""
+        failing = state == StoreState.FAILING
+        host = self.addresses.own_host if failing else self.addresses.store_host
+        self.faults |= {host(name): state for name in names}
+        if state == StoreState.OK:
+            self.faults |= {self.addresses.own_host(name): state for name in names}
+        self._replace(FAULTS_FILE, self.faults)
+
+    def flood(self, names: Iterable[str], orders: dict) -> None:
+        """Let sources flood these nodes, if any; see misbehaving_clients.py for the orders."""
+        addresses = [self.addresses.node(name) for name in names]
+        self._replace(FLOOD_ORDERS_FILE, {**orders, "at": addresses})
+
+    def focus(self, names: Sequence[str]) -> None:
+        """Let the load go to these nodes alone; to all where there are none."""
+        if names:
+            self._replace(FOCUS_FILE, [self.names.index(name) for name in names])
+        else:
+            (self.folder / FOCUS_FILE).unlink(missing_ok=True)
+
+    # ---- orders to nodes
+
+    def override(self, name: str, kind: str, subject: str, value: str) -> None:
+        """Issue an operator's override at that node; without a value it is withdrawn."""
         from finchcart.cli import serve
         from finchcart.consensus import subjects
 
-        try:
+        with suppress(TimeoutError):  # stopped, or not there
             serve.say(
-                (self.own(name), 7400),
-                subjects.read(kind, of),
+                self.addresses.member(name),
+                subjects.read(kind, subject),
                 subjects.read_value(kind, value) if value else 0,
-                seconds,
-                "trial",
-                1.0,
+                OVERRIDE_S,
+                OVERRIDE_REASON,
+                OVERRIDE_TIMEOUT_S,
             )
-        except TimeoutError:
-            pass  # stopped, or not there
 
-    def focus(self, names):
-        """The load goes to these alone; to all where there are none."""
-        path = self.folder / "focus.json"
-        if names:
-            self.put("focus.json", [self.names.index(name) for name in names])
-        else:
-            path.unlink(missing_ok=True)
-
-    def set_limit(self, name, changes):
-        """Other figures of the first limit in the settings of a process, which it is told to read."""
-        self.told[name]["limits"] = [
-            {**self.told[name]["limits"][0], **changes},
-            *self.told[name]["limits"][1:],
-        ]
-        self.write_settings(name)
-        self.hang_up(name)
-
-    def elsewhere(self, name):
-        """The name is started once more at the place of a spare, while the first may still be there."""
-        spare = self.spares[0]
-        path = self.folder / f"{spare}.json"
-        self.write(f"{spare}.json", {**json.loads(path.read_text()), "name": name})
-        self.start(spare)
+    def set_limit(self, name: str, changes: dict) -> None:
+        """Change the first limit in the settings of a process, and let it read them."""
+        first, *others = self.settings[name]["limits"]
+        self.settings[name]["limits"] = [{**first, **changes}, *others]
+        self._write_settings(name)
+        self.reload_settings(name)
 
-    def leads(self):
-        """The planner that shares out, by its own word; the last one known where none says so."""
+    def find_leader(self) -> str | None:
+        """Return the planner that leads, by its own word; the last one known where none says so."""
         from finchcart.cli.serve import ask_limits
 
         for name in self.planners:
-            try:
-                if self.nodes[name].poll() is None and ask_limits((self.own(name), 7400), 0.3)["leads"]:
+            with suppress(TimeoutError):
+                if (
+                    self.is_running(name)
+                    and ask_limits(self.addresses.member(name), LEADER_TIMEOUT_S)["leads"]
+                ):
                     self.leader = name
-            except TimeoutError:
-                pass
         return self.leader or next(iter(self.planners), None)
 
-    def start(self, name):
+    # ---- processes of the program
+
+    def start(self, name: str) -> None:
+        """Start a node or planner."""
         life = self.lives[name] = self.lives.get(name, 0) + 1
-        self.began[name, life] = clock()
+        self.began[name, life] = boot_clock()
         words = ["serve"]
         if name in self.planners:
-            words = ["plan", "--place", f"{self.relayed(name)}:7400", "--listen", f"{self.own(name)}:7400"]
-        self.nodes[name] = self.spawn(
+            host, port = self.addresses.member(name)
+            words = ["plan", "--place", self.addresses.advertised(name), "--listen", f"{host}:{port}"]
+        self.processes[name] = self._spawn_module(
             f"{name}.{life}",
-            [
-                sys.executable,
-                "-m",
-                "finchcart",
-                *words,
-                "--log",
-                "json",
-                "--settings",
-                str(self.folder / f"{name}.json5"),
-            ],
-            env={"ROUTER_CONFIG": str(self.folder / f"{name}.json")},
+            "finchcart",
+            *words,
+            "--log",
+            "json",
+            "--settings",
+            self._path(f"{name}.json5"),
+            env={"ROUTER_CONFIG": self._path(f"{name}.json")},
         )
 
-    def truth(self, name="truth.jsonl"):
-        """The store's own count, a line about every 0.2 s; or what became of the flooding sources' RPCs."""
-        path = self.folder / name
-        lines = path.read_text().splitlines() if path.exists() else []
-        return [json.loads(line) for line in lines]
+    def start_elsewhere(self, name: str) -> None:
+        """Start the name once more at a spare's address, while the first may still be there."""
+        spare = self.spares[0]
+        path = self.folder / f"{spare}.json"
+        self._write(path.name, {**json.loads(path.read_text()), "name": name})
+        self.start(spare)
 
-    def signal(self, name, number):
-        node = self.nodes.get(name)
-        if node and node.poll() is None:
-            node.send_signal(number)
+    def end_elsewhere(self) -> None:
+        """End what was started at the spare's address."""
+        self.kill(self.spares[0])
 
-    def kill(self, name):
-        self.signal(name, signal.SIGKILL)
-        self.nodes[name].wait()
+    def is_running(self, name: str) -> bool:
+        """Whether the process runs, stopped or not."""
+        return self.processes[name].poll() is None
 
-    def stop(self, name):
-        self.signal(name, signal.SIGSTOP)
+    def running(self) -> list[str]:
+        """Return the names of the nodes and planners that run."""
+        return [name for name in self.processes if self.is_running(name)]
 
-    def go_on(self, name):
-        self.signal(name, signal.SIGCONT)
+    def usage(self, name: str) -> tuple[float, float]:
+        """Return CPU seconds and peak MB of a process."""
+        return cpu_and_peak_memory(self.processes[name].pid)
 
-    def term(self, name):
-        self.signal(name, signal.SIGTERM)
+    def _signal(self, name: str, number: signal.Signals) -> None:
+        if name in self.processes and self.is_running(name):
+            self.processes[name].send_signal(number)
 
-    def hang_up(self, name):
-        self.signal(name, signal.SIGHUP)
+    def kill(self, name: str) -> None:
+        """End the process at once."""
+        self._signal(name, signal.SIGKILL)
+        self.processes[name].wait()
 
-    def order(self, order):
-        self.relay.stdin.write(json.dumps(order) + "\n")
-        self.relay.stdin.flush()
+    def stop(self, name: str) -> None:
+        """Stop the process until `resume`."""
+        self._signal(name, signal.SIGSTOP)
 
-    def counts(self):
-        self.order({"do": "counts"})
-        return json.loads(self.relay.stdout.readline())
+    def resume(self, name: str) -> None:
+        """Let a stopped process go on."""
+        self._signal(name, signal.SIGCONT)
 
-    def running(self):
-        return [name for name, node in self.nodes.items() if node.poll() is None]
+    def terminate(self, name: str) -> None:
+        """Ask the process to drain and end."""
+        self._signal(name, signal.SIGTERM)
 
-    def usage(self, name):
-        """CPU seconds and peak MB of a node."""
-        pid = self.nodes[name].pid
-        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-        peak = next(
-            line for line in Path(f"/proc/{pid}/status").read_text().splitlines() if line.startswith("VmHWM")
-        )
-        return sum(map(int, fields[11:13])) / os.sysconf("SC_CLK_TCK"), int(peak.split()[1]) / 1024
-
-    def end(self):
-        for child in self.children:
-            if child.poll() is None:
-                child.send_signal(signal.SIGCONT)
-                child.kill()
-        end = time.monotonic() + 10
-        for child in self.children:
-            try:
-                child.wait(max(0.1, end - time.monotonic()))
-            except subprocess.TimeoutExpired:
-                pass
-        self.lock.close()
+    def reload_settings(self, name: str) -> None:
+        """Let the process read its settings again."""
+        self._signal(name, signal.SIGHUP)
+
+    def end(self) -> None:
+        """End all processes, and let other runs have the addresses."""
+        self.child_processes.end()
+        self.addresses.release()
--- /dev/null
+++ b/finchcart/fault_injection/quota_fault_run.py
@@ -0,0 +1,311 @@
+"""Seeded runs of nodes that share a limit: faults of all kinds by chance, the bound checked at every step.
+
+Owns the choice of faults and what must hold once they are over. A seed that fails replays identically.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.fault_injection.quota_process import QuotaProcess, SharingMode
+from finchcart.fault_injection.quota_simulation import QuotaSimulation
+from finchcart.quota.limits import SECOND, Limit, Quota
+
+ELECTION_US = 12 * SECOND  # by then a planner shares out
+STOPS_OVER_US = 30 * SECOND
+CALM_US = 5 * SECOND
+LEAST_USE = 0.5  # of the limit, where all want it
+ELSEWHERE_DEMAND = 5
+ELSEWHERE_US = 20 * SECOND
+MOST_DEMAND = 40
+
+Pairs = list[tuple[str | None, str | None]]
+
+
+class FaultKind(StrEnum):
+    """What a fault does."""
+
+    STOP = "stop"
+    KILL = "kill"
+    CUT = "cut"
+    ONE_WAY_CUT = "one way"
+    LOSS = "loss"
+    DELAY = "late"
+    DEMAND = "demand"
+    ALL_PLANNERS = "all planners"
+    LEADER = "leader"
+    TWO_PLANNERS = "two planners"
+    ONE_BY_ONE = "one by one"
+    STOP_BEFORE_WRITE = "write"
+    OVERSTATED_DEMAND = "lie"
+    NAME_ELSEWHERE = "again elsewhere"
+    REPLACE = "replace"
+
+
+KINDS = (
+    FaultKind.STOP,
+    FaultKind.STOP,
+    FaultKind.KILL,
+    FaultKind.CUT,
+    FaultKind.ONE_WAY_CUT,
+    FaultKind.LOSS,
+    FaultKind.DELAY,
+    FaultKind.DEMAND,
+    FaultKind.DEMAND,
+    FaultKind.ALL_PLANNERS,
+    FaultKind.LEADER,
+    FaultKind.TWO_PLANNERS,
+    FaultKind.ONE_BY_ONE,
+    FaultKind.STOP_BEFORE_WRITE,
+    FaultKind.OVERSTATED_DEMAND,
+    FaultKind.NAME_ELSEWHERE,
+    FaultKind.REPLACE,
+)
+
+
+class SeededRun(QuotaSimulation):
+    """One seed of faults by chance."""
+
+    def __init__(
+        self,
+        seed: int,
+        make: dict | None = None,
+        kinds: Sequence[FaultKind] = KINDS,
+        drift: float | None = None,
+        **more: object,
+    ) -> None:
+        super().__init__(seed, make=make, drift=drift, **more)
+        self.kinds = kinds
+        self.planner_names = [name for name, process in self.processes.items() if not process.is_node]
+        self.node_names = [process.name for process in self.nodes]
+
+    def play(self, seconds: int = 60) -> str:
+        """Make faults for so long; return the digest of all that happened."""
+        for name in self.processes:
+            self.start(name)
+        for name in self.node_names:
+            self.processes[name].demand = self.random.randrange(0, MOST_DEMAND)
+        self.run(ELECTION_US, self.after_step)
+        self.phase = "faults"
+        end = self.now + seconds * SECOND
+        self.schedule(self.now, self._inject_fault, end)
+        self.run(end, self.after_step)
+        self.network.clear_rules(self.now)
+        self.phase = "coming back"
+        self.run(end + STOPS_OVER_US, self.after_step)
+        self.network.clear_rules(self.now)  # a rule of a pair may have kept what then held for all
+        # Then all is shared again: the demand of all is met as far as the limit goes.
+        for name in self.node_names:
+            self.processes[name].demand = self.limit.amount
+            self.processes[name].overstates_demand = False
+        self.run(self.now + self.quota.back_within() + self.quota.jump_within(), self.after_step)
+        self.phase = "calm"
+        self.run(self.now + CALM_US, self.after_step)
+        self._check_use()
+        return self.trace.hexdigest()
+
+    def _check_use(self) -> None:
+        used, wanted = self.use["calm"]
+        use = used / max(1, wanted)
+        if use < LEAST_USE and self.mode != SharingMode.STATIC:
+            raise InvariantError(f"seed {self.seed}: only {use:.2f} of the limit is used where all want it")
+
+    # ---- faults
+
+    def _inject_fault(self, end: int) -> None:
+        until = self.now + self.random.randrange(1, 12) * SECOND
+        kind = self.random.choice(self.kinds)
+        if kind in (FaultKind.STOP, FaultKind.KILL, FaultKind.STOP_BEFORE_WRITE, FaultKind.NAME_ELSEWHERE):
+            running = self._running()
+            if running:
+                self._hurt_process(kind, running)
+        elif kind in (FaultKind.CUT, FaultKind.ONE_WAY_CUT, FaultKind.LOSS, FaultKind.DELAY):
+            self._hurt_network(kind, until)
+        elif kind in (FaultKind.DEMAND, FaultKind.OVERSTATED_DEMAND, FaultKind.REPLACE):
+            self._change_nodes(kind)
+        else:
+            self._hurt_planners(kind, until)
+        if self.now < end:
+            self.schedule(self.now + self.random.randrange(200, 4000) * 1000, self._inject_fault, end)
+
+    def _running(self) -> list[str]:
+        return [name for name, process in self.processes.items() if process.machine and not process.stopped]
+
+    def _seconds_from_now(self, low: int, high: int) -> int:
+        return self.now + self.random.randrange(low, high) * SECOND
+
+    def _hurt_process(self, kind: FaultKind, running: list[str]) -> None:
+        if kind == FaultKind.STOP:
+            name = self.random.choice(running)
+            self.stop(name)
+            self.schedule(self._seconds_from_now(1, 30), self._wake, name, self.processes[name].life)
+        elif kind == FaultKind.KILL:
+            name = self.random.choice(running)
+            self.kill(name)
+            self.schedule(self._seconds_from_now(0, 8), self._start_again, name)
+        else:
+            self._stop_before_write(kind, running)
+
+    def _stop_before_write(self, kind: FaultKind, running: list[str]) -> None:
+        running_nodes = [name for name in running if self.processes[name].is_node]
+        name = self.random.choice(running_nodes or self.node_names)
+        process = self.processes[name]
+        if not process.machine or process.stopped:
+            return
+        self.stop_before_write(name)
+        self.schedule(self._seconds_from_now(1, 30), self._wake, name, process.life)
+        if kind == FaultKind.NAME_ELSEWHERE:
+            self.schedule(self.now + SECOND, self._start_elsewhere, name)
+
+    def _hurt_planners(self, kind: FaultKind, until: int) -> None:
+        if kind == FaultKind.LEADER:
+            self._hurt_leader(until)
+        elif kind == FaultKind.ALL_PLANNERS:
+            for name in self.planner_names:
+                self.kill(name)
+                self.schedule(self._seconds_from_now(0, 4), self._start_again, name)
+        elif kind == FaultKind.TWO_PLANNERS:
+            for name in self.planner_names[:2]:
+                self.schedule(self.now, self._restart, name, until - self.now)
+        else:
+            for number, name in enumerate(self.planner_names):
+                self.schedule(self.now + number * 700_000, self._restart, name, 100_000)
+
+    def _hurt_leader(self, until: int) -> None:
+        running = self._running()
+        leaders = [
+            name
+            for name in self.planner_names
+            if name in running and self.processes[name].machine.owned_since is not None
+        ]
+        if not leaders:
+            return
+        leader = leaders[0]
+        if self.random.random() < 0.5:
+            self.kill(leader)
+            self.schedule(until, self._start_again, leader)
+        else:
+            self.stop(leader)
+            self.schedule(until, self._wake, leader, self.processes[leader].life)
+
+    def _change_nodes(self, kind: FaultKind) -> None:
+        if kind == FaultKind.DEMAND:
+            for name in self.node_names:
+                self.processes[name].demand = self.random.choice([0, 0, 3, 15, 60])
+        elif kind == FaultKind.OVERSTATED_DEMAND:
+            process = self.processes[self.random.choice(self.node_names)]
+            process.overstates_demand = not process.overstates_demand
+        else:
+            for name in self.node_names[:-1]:
+                self.schedule(self._seconds_from_now(0, 4), self._restart, name, 200_000)
+
+    def _hurt_network(self, kind: FaultKind, until: int) -> None:
+        if kind == FaultKind.LOSS:
+            rule = {"lose": 0.3, "double": 0.3, "swap": 0.2}
+            self._set_rule([(None, None)], until, rule, dict.fromkeys(rule, 0.0))
+        elif kind == FaultKind.DELAY:
+            rule = {"delay": 1000, "jitter": self.random.choice([300_000, 3_000_000, 10_000_000])}
+            self._set_rule([(None, None)], until, rule, dict.fromkeys(rule, 0))
+        else:
+            some = self.random.sample(list(self.processes), self.random.randrange(1, len(self.processes)))
+            rest = [name for name in self.processes if name not in some]
+            pairs = [(origin, target) for origin in some for target in rest]
+            if kind == FaultKind.CUT:
+                pairs += [(target, origin) for origin in some for target in rest]
+            self._set_rule(pairs, until, {"cut": True}, {"cut": False})
+
+    def _set_rule(self, pairs: Pairs, until: int, rule: dict, reset: dict | None) -> None:
+        """Change the rules of these links, and change them to `reset` then."""
+        for origin, target in pairs:
+            self.network.set_rule(self.now, origin, target, rule)
+        if reset:
+            self.schedule(until, self._set_rule, pairs, 0, reset, None)
+
+    def _wake(self, name: str, life: int) -> None:
+        process = self.processes[name]
+        if process.life == life and process.stopped:
+            self.resume(name)
+
+    def _restart(self, name: str, after: int) -> None:
+        self.kill(name)
+        self.schedule(self.now + after, self._start_again, name)
+
+    def _start_again(self, name: str) -> None:
+        if self.processes[name].machine is None:
+            self.start(name)
+
+    def _start_elsewhere(self, name: str) -> None:
+        """Start a node's name at another address, with another clock, for a while."""
+        other_name = name + "b"
+        other = self.processes.get(other_name)
+        if other is None:
+            address = f"10.1.0.{len(self.processes)}:7401"
+            clock_rate = 1 + self.random.choice([-1, 1]) * self.drift
+            other = QuotaProcess(other_name, address, clock_rate=clock_rate, clock_origin=77)
+            other.demand = ELSEWHERE_DEMAND
+            self.add_process(other)
+        running = sum(node.machine is not None for node in self.nodes)
+        if other.machine is None and running < self.quota.most:
+            self.start(other_name)
+            self.schedule(self.now + ELSEWHERE_US, self.kill, other_name)
+
+
+@dataclass(frozen=True)
+class SeedResult:
+    """What a seed came to."""
+
+    breach: str | None  # what did not hold
+    worst: float  # most in hand, or the fullest bucket
+    remainder: int  # most that stopped processes wrote too late
+    steps: int
+    use: dict[str, list[float]]  # phase -> [used, wanted]
+    limit: int
+
+
+def play_seed(
+    seed: int,
+    mode: str = SharingMode.STRICT,
+    per: str = "in_hand",
+    seconds: int = 60,
+    drift: float | None = None,
+) -> SeedResult:
+    """Play one seed."""
+    run = SeededRun(seed, mode=mode, per=per, drift=drift)
+    breach = None
+    try:
+        run.play(seconds)
+    except InvariantError as error:
+        breach = str(error)
+    limit = run.limit.amount if per == "in_hand" else run.limit.burst
+    return SeedResult(breach, run.worst, run.remainder, run.steps, run.use, limit)
+
+
+def seconds_to_follow_demand(mode: str, holders: int = 16) -> float | None:
+    """Return how long a jump of demand, from all nodes to one, takes to be followed.
+
+    Counted are seconds until nine tenths of what an oracle would give that node are in hand; None: not within
+    20 s.
+    """
+    loose = mode == SharingMode.LOOSE
+    kind = SharingMode.LOOSE if loose else SharingMode.STRICT
+    limit = Limit("store", 48, 0 if loose else 1, mode=str(kind))
+    quota = Quota(limits=(limit,), most=holders + 4)
+    fleet = QuotaSimulation(1, holders=holders, mode=mode, quota=quota)
+    for name in fleet.processes:
+        fleet.start(name)
+    nodes = fleet.nodes
+    for node in nodes:
+        node.demand = 6
+    fleet.run(14 * SECOND, fleet.after_step)
+    for node in nodes:
+        node.demand = 0
+    node = nodes[3]
+    node.demand = fleet.limit.amount
+    began = fleet.now
+    enough = 0.9 * min(node.demand, fleet.limit.shared(fleet.quota.most))
+    while fleet.now < began + 20 * SECOND:
+        fleet.run(fleet.now + 50_000, fleet.after_step)
+        if len(node.calls) >= enough:
+            return (fleet.now - began) / SECOND
+    return None
--- /dev/null
+++ b/finchcart/fault_injection/quota_state_space.py
@@ -0,0 +1,326 @@
+"""A bounded exhaustive search of elections and grants: every placing of a few faults.
+
+Owns the search. Time goes in steps; in each, all processes tick and all messages arrive, until none is
+under way. Before each step any one fault may happen: a process is restarted, stops or goes on; what goes
+from one to another is delayed by some steps, or arrives now and once more later, or is lost; a holder's
+demand changes. Clocks drift apart by the stated part, each way that `DRIFTS` names. All placings of a
+bounded number of faults within a bounded number of steps are tried; a state met before with as many faults
+left is not entered again. It must never cut a branch for any other reason.
+"""
+
+import pickle
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.membership import wire as base
+from finchcart.quota.holder import Holder
+from finchcart.quota.limits import Limit, Quota
+from finchcart.quota.planner import Planner
+
+STEP_US = 500_000
+QUOTA = Quota(
+    limits=(Limit("store", 4),),
+    planners=("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"),
+    most=2,
+    drift=0.02,
+    life=5 * STEP_US,
+    round=STEP_US,
+    lease=2 * STEP_US,
+    step=1.0,
+    room=0.0,
+)  # grants outlive a lease
+PLANNERS = ("p0", "p1", "p2")
+HOLDERS = ("n0", "n1")
+NAMES = PLANNERS + HOLDERS
+FIRST_DEMAND = {"n0": 4, "n1": 2}
+DEMANDS = (0, 4)
+FOREVER_STEPS = 99
+DELAYS = (1, 3, FOREVER_STEPS)  # steps that a message is delayed by
+TWICE_DELAY = 2  # steps after which a message arrives once more
+ELECTION_STEPS = 9  # a planner leads by then
+MOST_INPUTS_A_STEP = 400
+NOT_STATE = ("counts", "effects", "quota", "random", "others", "planners")  # don't change what a machine does
+# By process, or by all of its kind; 1: as fast as allowed.
+DRIFTS: tuple[dict[str, int], ...] = (
+    {},
+    {"p": 1, "n": -1},
+    {"p": -1, "n": 1},
+    {"p0": 1, "p1": -1, "p2": -1},
+)
+
+
+class NoChance:
+    """In place of `Random`: the least that may be drawn, and sessions one after the other."""
+
+    def __init__(self, first: int) -> None:
+        self.first = first
+
+    def randrange(self, low: int, high: int | None = None) -> int:
+        """Return the least of the range."""
+        return 0 if high is None else low
+
+    def getrandbits(self, bits: int) -> int:
+        """Return the next number."""
+        self.first += 1
+        return self.first
+
+
+class Delay(NamedTuple):
+    """Messages from one process to another that come `steps` later; `twice`: now as well."""
+
+    origin: str
+    target: str
+    steps: int
+    twice: bool = False
+
+
+class Fault(NamedTuple):
+    """A fault that may happen before a step: see `inject` for its action."""
+
+    name: str
+    action: tuple | None = None
+    delay: Delay | None = None
+
+
+class DelayedMessage(NamedTuple):
+    """A message under way until a step."""
+
+    step: int
+    origin: str
+    target: str
+    data: bytes
+
+
+class QuotaState:
+    """Everything that a state is; `make` has factories by "planner" and "holder"."""
+
+    def __init__(self, make: dict, drift: dict[str, int]) -> None:
+        self.now = 10 * STEP_US
+        self.step = 0
+        self.lives = 0
+        self.make = make
+        self.delayed: list[DelayedMessage] = []
+        self.clock_rates = {name: 1 + QUOTA.drift * drift.get(name, drift.get(name[0], 0)) for name in NAMES}
+        self.machines: dict[str, Any] = {}
+        self.stopped: dict[str, list[tuple]] = {}  # name -> the inputs that wait
+        self.allowances: dict[str, tuple[int, int]] = {}  # holder -> (amount, until)
+        for name in NAMES:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start a process; nothing is left of an earlier one."""
+        self.lives += 1
+        chance = NoChance(self.lives * 100)
+        if name in PLANNERS:
+            make = self.make.get("planner", Planner)
+            address = QUOTA.planners[PLANNERS.index(name)]
+            self.machines[name] = make(address, "f", QUOTA, chance, self.clock(name))
+        else:
+            make = self.make.get("holder", Holder)
+            self.machines[name] = make(name, "f", QUOTA, chance, self.clock(name))
+            self.allowances[name] = 0, 0
+            self.report_demand(name, FIRST_DEMAND[name])
+        self.stopped.pop(name, None)
+
+    def report_demand(self, name: str, demand: int) -> None:
+        """Tell a holder its node's demand."""
+        self.machines[name].reduce(self.clock(name), ("use", "store", 0, demand))
+
+    def clock(self, name: str, count: int = 0) -> int:
+        """Return what the process's own clock reads, after so many inputs of the step."""
+        return int((self.now + count) * self.clock_rates[name])
+
+    def address(self, name: str) -> tuple[str, int]:
+        """Return the address of a process."""
+        number = int(name[1])
+        return base.place_of(QUOTA.planners[number]) if name in PLANNERS else ("10.0.0.9", 7 + number)
+
+    def name_at(self, address: tuple[str, int]) -> str | None:
+        """Return the name of the process at that address."""
+        return next((name for name in self.machines if self.address(name) == address), None)
+
+    def play_step(self, delay: Delay | None) -> None:
+        """Play one step; messages of the delayed link come later."""
+        self.step += 1
+        self.now += STEP_US
+        todo = [(name, ("tick",)) for name in self.machines]
+        for message in [message for message in self.delayed if message.step <= self.step]:
+            todo.append((message.target, ("got", self.address(message.origin), message.data)))
+        self.delayed = [message for message in self.delayed if message.step > self.step]
+        for count in range(MOST_INPUTS_A_STEP):
+            if count >= len(todo):
+                break
+            name, machine_input = todo[count]
+            if name not in self.stopped:
+                todo += self._feed(name, machine_input, count, delay)
+            elif machine_input[0] == "got":
+                self.stopped[name].append(machine_input)
+
+    def _feed(
+        self, name: str, machine_input: tuple, count: int, delay: Delay | None
+    ) -> list[tuple[str, tuple]]:
+        """Hand an input to a process; return the inputs of others that come of it in this step."""
+        following = []
+        for effect in self.machines[name].reduce(self.clock(name, count), machine_input):
+            if effect[0] == "allow":
+                self.allowances[name] = effect[3], effect[4]
+                self.check()
+            elif effect[0] == "send":
+                target = self.name_at(effect[1])
+                if self._arrives_now(name, target, effect[2], delay):
+                    following.append((target, ("got", self.address(name), effect[2])))
+        return following
+
+    def _arrives_now(self, origin: str, target: str | None, data: bytes, delay: Delay | None) -> bool:
+        """Whether a message arrives in this step; what is delayed is put under way."""
+        if delay is None or (origin, target) != (delay.origin, delay.target):
+            return True
+        if delay.steps < FOREVER_STEPS:
+            self.delayed.append(DelayedMessage(self.step + delay.steps, origin, target, data))
+        return delay.twice
+
+    def resume(self, name: str) -> None:
+        """Let a stopped process go on: it gets what waited."""
+        for waiting in self.stopped.pop(name):
+            for effect in self.machines[name].reduce(self.clock(name), waiting):
+                if effect[0] == "allow":
+                    self.allowances[name] = effect[3], effect[4]
+
+    def check(self) -> None:
+        """Check what holders may use together, now."""
+        used = {name: amount for name, (amount, until) in self.allowances.items() if self.clock(name) < until}
+        if sum(used.values()) > QUOTA.limits[0].amount:
+            raise InvariantError(f"step {self.step}: {used} of {QUOTA.limits[0].amount}")
+
+    def key(self) -> int:
+        """Return a hash of the state, without counters that only tell."""
+        parts = []
+        for name, machine in self.machines.items():
+            fields = {field: value for field, value in vars(machine).items() if field not in NOT_STATE}
+            parts.append((name, pickle.dumps(fields)))
+        stopped = sorted((name, tuple(map(str, inputs))) for name, inputs in self.stopped.items())
+        allowances = sorted(self.allowances.items())
+        return hash((self.step, tuple(parts), tuple(self.delayed), tuple(stopped), tuple(allowances)))
+
+
+def faults(state: QuotaState) -> Iterator[Fault]:
+    """Yield each fault that may happen before the next step."""
+    for name in NAMES:
+        if name in state.stopped:
+            yield Fault(f"{name} goes on", ("go on", name))
+        else:
+            yield Fault(f"{name} started anew", ("start", name))
+            yield Fault(f"{name} stops", ("stop", name))
+    for name in HOLDERS:
+        for demand in DEMANDS:
+            yield Fault(f"{name} wants {demand}", ("want", name, demand))
+    for origin in NAMES:
+        for target in NAMES:
+            if origin != target and (origin in PLANNERS or target in PLANNERS):
+                yield from message_faults(origin, target)
+
+
+def message_faults(origin: str, target: str) -> Iterator[Fault]:
+    """Yield the faults of the messages from one process to another."""
+    for steps in DELAYS:
+        what = "lost" if steps == FOREVER_STEPS else f"{steps} later"
+        yield Fault(f"{origin} to {target} {what}", delay=Delay(origin, target, steps))
+    yield Fault(f"{origin} to {target} twice", delay=Delay(origin, target, TWICE_DELAY, twice=True))
+
+
+def inject(state: QuotaState, action: tuple | None) -> None:
+    """Carry out a fault's action: its word, a name, and for a demand its amount."""
+    if action is None:
+        return
+    word, name, *amount = action
+    if word == "start":
+        state.start(name)
+    elif word == "stop":
+        state.stopped[name] = []
+    elif word == "go on":
+        state.resume(name)
+    elif name not in state.stopped:
+        state.report_demand(name, *amount)
+
+
+class Branch(NamedTuple):
+    """A state that is to be entered, and the faults that led to it."""
+
+    state: bytes  # pickled
+    faults_left: int
+    path: tuple[str, ...]
+
+    @property
+    def is_first(self) -> bool:
+        """Whether no fault was made yet."""
+        return not self.path
+
+
+class Search:
+    """The states met so far, with the faults that were left."""
+
+    def __init__(self, last_step: int, share: tuple[int, int]) -> None:
+        self.last_step = last_step
+        self.share = share
+        self.stack: list[Branch] = []
+        self.met: dict[int, int] = {}
+        self.count = 0
+
+    def enter(self, branch: Branch) -> str | None:
+        """Try all faults before the next step; return the first breach with what led to it."""
+        state = pickle.loads(branch.state)
+        if state.step >= self.last_step:
+            return None
+        choices = [Fault("")]
+        if branch.faults_left:
+            choices += faults(state)
+        part, parts = self.share
+        for number, fault in enumerate(choices):
+            if branch.is_first and number and number % parts != part:
+                continue
+            following = pickle.loads(branch.state)
+            try:
+                inject(following, fault.action)
+                following.play_step(fault.delay)
+                following.check()
+            except AssertionError as error:
+                return f"{'; '.join([*branch.path, f'{following.step}: {fault.name}'])}: {error}"
+            self._push(following, branch, fault)
+        return None
+
+    def _push(self, state: QuotaState, branch: Branch, fault: Fault) -> None:
+        faults_left = branch.faults_left - bool(fault.name)
+        key = state.key()
+        if self.met.get(key, -1) >= faults_left:
+            return
+        self.met[key] = faults_left
+        self.count += 1
+        path = (*branch.path, f"{state.step}: {fault.name}") if fault.name else branch.path
+        self.stack.append(Branch(pickle.dumps(state), faults_left, path))
+
+
+def explore(
+    depth: int,
+    most: int,
+    make: dict | None = None,
+    begin: int = ELECTION_STEPS,
+    share: tuple[int, int] = (0, 1),
+    drift: int = 0,
+) -> tuple[int, str | None]:
+    """Return the number of states, and the first breach with the faults that led to it, or None.
+
+    The first `begin` steps are without faults: a planner leads by then. At most `most` faults are placed in
+    the `depth` steps after. `share` (k, n) plays the k-th of n parts of the first choices; `drift` is an
+    index into `DRIFTS`.
+    """
+    state = QuotaState(make or {}, DRIFTS[drift])
+    for _ in range(begin):
+        state.play_step(None)
+    search = Search(begin + depth, share)
+    search.stack.append(Branch(pickle.dumps(state), most, ()))
+    while search.stack:
+        breach = search.enter(search.stack.pop())
+        if breach:
+            return search.count, breach
+    return search.count, None
--- /dev/null
+++ b/finchcart/fault_injection/run_record.py
@@ -0,0 +1,15 @@
+"""What a run came to: events, and facts for the report."""
+
+from typing import NamedTuple
+
+from finchcart.fault_injection.checker import Event
+
+Facts = dict  # written into results.json as it is
+
+
+class RunRecord(NamedTuple):
+    """The record of one run, on processes or on the virtual clock."""
+
+    events: list[Event]
+    start: int  # the run's zero on the clock, microseconds
+    facts: Facts
--- a/finchcart/fault_injection/timeline_chart.py
+++ b/finchcart/fault_injection/timeline_chart.py
@@ -4,79 +4,116 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+from typing import NamedTuple
 
 import matplotlib
 
 matplotlib.use("Agg")
-import matplotlib.pyplot as plt  # noqa: E402
+import matplotlib.pyplot as plt  # noqa: E402  (the backend is chosen before)
 
-COLOURS = {
+from finchcart.fault_injection.checker import Event, EventKind  # noqa: E402
+from finchcart.fault_injection.plan import Plan, PlannedAction  # noqa: E402
+from finchcart.fault_injection.script import StepKind  # noqa: E402
+
+STATE_COLOURS = {
     "alive": "#7fb77e",
     "suspect": "#f2c14e",
     "failed": "#c8553d",
     "leaving": "#8fb8de",
     "left": "#d9d9d9",
 }
-TRUTH = {"kill": "#000000", "stop": "#5b3a8c", "term": "#4a6fa5"}
+ENDING_COLOURS = {
+    StepKind.KILL: "#000000",
+    StepKind.STOP: "#5b3a8c",
+    StepKind.TERMINATE: "#4a6fa5",
+}
+BACK_COLOUR = "#2e8b57"
+RULE_COLOUR = "#999999"
+SHORTEST_SPAN_S = 0.05
+US_PER_S = 1e6
+
+
+class StateSpan(NamedTuple):
+    """A time, in seconds, in which most others hold a member to be in a state."""
+
+    since: float
+    until: float
+    state: str
 
 
-def spans(events, start, end):
-    """member -> (from, until, state most others hold it to be), in seconds."""
-    held, out, open_at = {}, {}, {}
+def state_spans(events: Iterable[Event], start: int, end: float) -> dict[str, list[StateSpan]]:
+    """Return for each member the states that most others held it to be in."""
+    held: dict[str, dict[str, str]] = {}  # member -> observer -> state
+    spans: dict[str, list[StateSpan]] = {}
+    open_spans: dict[str, tuple[float, str]] = {}  # member -> (since, state)
     for event in events:
-        if event.kind == "began":
-            for of, seen in held.items():
-                seen.pop(event.at, None)
-        if event.kind != "state" or event.at == event.of:
+        if event.kind == EventKind.BEGAN:
+            for observers in held.values():
+                observers.pop(event.at, None)
+        if event.kind != EventKind.STATE or event.at == event.of:
             continue
-        seen = held.setdefault(event.of, {})
-        seen[event.at] = event.value
-        state = Counter(seen.values()).most_common(1)[0][0]
-        when = (event.when - start) / 1e6
-        if event.of not in open_at:
-            open_at[event.of] = when, state
-        elif open_at[event.of][1] != state:
-            since, before = open_at[event.of]
-            out.setdefault(event.of, []).append((since, when, before))
-            open_at[event.of] = when, state
-    for of, (since, state) in open_at.items():
-        out.setdefault(of, []).append((since, end, state))
-    return out
-
-
-def timeline(plan, events, start, path):
-    seen = spans(events, start, plan.seconds)
-    names = [*plan.names, *(f"p{n}" for n in range(plan.script.planners))]
-    figure, axes = plt.subplots(figsize=(14, 1.2 + 0.22 * len(names)))
-    for n, name in enumerate(names):
-        for since, until, state in seen.get(name, ()):
-            axes.broken_barh([(since, max(0.05, until - since))], (n - 0.4, 0.55), facecolors=COLOURS[state])
-    for act in plan.acts:
-        for name in act.who:
+        observers = held.setdefault(event.of, {})
+        observers[event.at] = event.value
+        state = Counter(observers.values()).most_common(1)[0][0]
+        when = (event.when - start) / US_PER_S
+        since, before = open_spans.setdefault(event.of, (when, state))
+        if before != state:
+            spans.setdefault(event.of, []).append(StateSpan(since, when, before))
+            open_spans[event.of] = when, state
+    for member, (since, state) in open_spans.items():
+        spans.setdefault(member, []).append(StateSpan(since, end, state))
+    return spans
+
+
+def draw_states(axes: plt.Axes, names: list[str], spans: dict[str, list[StateSpan]]) -> None:
+    """Draw a bar for each state of each member."""
+    for row, name in enumerate(names):
+        for since, until, state in spans.get(name, ()):
+            bar = (since, max(SHORTEST_SPAN_S, until - since))
+            axes.broken_barh([bar], (row - 0.4, 0.55), facecolors=STATE_COLOURS[state])
+
+
+def draw_actions(axes: plt.Axes, names: list[str], actions: Iterable[PlannedAction]) -> None:
+    """Mark what was done to each member, and changes of the network."""
+    for action in actions:
+        for name in action.names:
             if name not in names:
                 continue  # the leader, whoever it was
-            if act.what in TRUTH:
-                axes.plot([act.at], [names.index(name) + 0.3], "v", color=TRUTH[act.what], markersize=4)
-            elif act.what in ("start", "go_on"):
-                axes.plot([act.at], [names.index(name) + 0.3], "^", color="#2e8b57", markersize=4)
-        if act.what in ("rule", "clear"):
-            axes.axvline(act.at, color="#999999", linewidth=0.5, linestyle="-" if act.what == "rule" else ":")
-    for n, name in enumerate(names):
-        for event in events:
-            if event.kind == "isolated" and event.at == name:
-                axes.plot(
-                    [(event.when - start) / 1e6],
-                    [n + 0.42],
-                    "|",
-                    markersize=5,
-                    color="#c8553d" if event.value else "#2e8b57",
-                )
+            at = [action.at], [names.index(name) + 0.3]
+            if action.kind in ENDING_COLOURS:
+                axes.plot(*at, "v", color=ENDING_COLOURS[action.kind], markersize=4)
+            elif action.kind in (StepKind.START, StepKind.RESUME):
+                axes.plot(*at, "^", color=BACK_COLOUR, markersize=4)
+        if action.kind in (StepKind.RULE, StepKind.CLEAR):
+            style = "-" if action.kind == StepKind.RULE else ":"
+            axes.axvline(action.at, color=RULE_COLOUR, linewidth=0.5, linestyle=style)
+
+
+def draw_isolation(axes: plt.Axes, names: list[str], events: Iterable[Event], start: int) -> None:
+    """Mark when a member knew itself to be isolated or connected."""
+    for event in events:
+        if event.kind == EventKind.ISOLATED and event.at in names:
+            colour = STATE_COLOURS["failed"] if event.value else BACK_COLOUR
+            at = [(event.when - start) / US_PER_S], [names.index(event.at) + 0.42]
+            axes.plot(*at, "|", markersize=5, color=colour)
+
+
+def draw_legend(axes: plt.Axes, plan: Plan, names: list[str]) -> None:
+    """Label the axes and the colours."""
     axes.set_yticks(range(len(names)), names, fontsize=7)
     axes.set_xlim(0, plan.seconds)
     axes.set_xlabel("seconds")
-    handles = [plt.Rectangle((0, 0), 1, 1, color=colour) for colour in COLOURS.values()]
+    handles = [plt.Rectangle((0, 0), 1, 1, color=colour) for colour in STATE_COLOURS.values()]
     axes.legend(
-        handles, COLOURS, loc="upper center", ncols=5, bbox_to_anchor=(0.5, 1.06), fontsize=8, frameon=False
+        handles,
+        STATE_COLOURS,
+        loc="upper center",
+        ncols=5,
+        bbox_to_anchor=(0.5, 1.06),
+        fontsize=8,
+        frameon=False,
     )
     axes.set_title(
         f"{plan.script.about} (seed {plan.seed}); v killed, stopped or told to leave, ^ back, "
@@ -85,6 +122,16 @@
         loc="left",
         pad=22,
     )
+
+
+def save_timeline(plan: Plan, events: list[Event], start: int, path: Path) -> None:
+    """Draw the timeline of a run into a file."""
+    names = [*plan.names, *plan.script.planner_names]
+    figure, axes = plt.subplots(figsize=(14, 1.2 + 0.22 * len(names)))
+    draw_states(axes, names, state_spans(events, start, plan.seconds))
+    draw_actions(axes, names, plan.actions)
+    draw_isolation(axes, names, events, start)
+    draw_legend(axes, plan, names)
     figure.tight_layout()
     figure.savefig(path, dpi=90)
     plt.close(figure)
--- /dev/null
+++ b/finchcart/fault_injection/virtual_run.py
@@ -0,0 +1,124 @@
+"""Plays a plan on the virtual clock."""
+
+from collections.abc import Callable
+from random import Random
+
+from finchcart.fault_injection.checker import Event, EventKind
+from finchcart.fault_injection.membership_simulation import MemberFactory, MembershipSimulation
+from finchcart.fault_injection.plan import Plan, PlannedAction
+from finchcart.fault_injection.run_record import Facts, RunRecord
+from finchcart.fault_injection.script import StepKind
+from finchcart.membership.figures import MS, SECOND, Figures
+from finchcart.membership.member import Member
+
+US_PER_S = 1e6
+DRAIN_US = 400_000  # a drain takes so long,
+DRAIN_MORE_US = 1_500_000  # and by chance up to so much more
+
+AfterStep = Callable[[MembershipSimulation], None]
+
+
+def membership_config(fleet: dict) -> Figures:
+    """Return the configuration of a script's `fleet`: the same names and units as in the settings file."""
+    units = {"_ms": MS, "_s": SECOND}
+    fields = {}
+    for name, value in fleet.items():
+        unit = next((unit for suffix, unit in units.items() if name.endswith(suffix)), 1)
+        fields[name.removesuffix("_ms").removesuffix("_s")] = value * unit
+    return Figures(**fields)
+
+
+def play_on_virtual_clock(
+    plan: Plan, make: MemberFactory = Member, after_step: AfterStep | None = None
+) -> RunRecord:
+    """Play a plan; `make` makes a member, so that a planted defect can be played."""
+    return VirtualRun(plan, make, after_step).play()
+
+
+class VirtualRun:
+    """A plan on the virtual clock, and the drains under way."""
+
+    def __init__(self, plan: Plan, make: MemberFactory, after_step: AfterStep | None) -> None:
+        self.plan = plan
+        self.after_step = after_step
+        self.events: list[Event] = []
+        config = membership_config(plan.script.fleet)
+        self.fleet = MembershipSimulation(plan.names, plan.seed, config, watch=self._watch, make=make)
+        self.start = self.fleet.now
+        self.random = Random(f"drain {plan.seed}")
+        self.drain_ends: dict[str, int] = {}  # name -> when its drain is over
+
+    def play(self) -> RunRecord:
+        """Play all actions in order of their times."""
+        for name in self.plan.first:
+            self._start(name)
+        for action in sorted(self.plan.actions, key=lambda action: action.at):
+            when = self.start + int(action.at * US_PER_S)
+            while self.drain_ends and min(self.drain_ends.values()) <= when:
+                self._end_next_drain()
+            self.fleet.run(when, self.after_step)
+            self._perform(action)
+        while self.drain_ends:
+            self._end_next_drain()
+        self.fleet.run(self.start + int(self.plan.seconds * US_PER_S), self.after_step)
+        return RunRecord(self.events, self.start, self._facts())
+
+    def _watch(self, now: int, name: str, effect: tuple) -> None:
+        if effect[0] == "change":
+            subject, state = effect[1:3]
+            line = f"{now} {name}: {effect}"
+            self.events.append(Event(now, name, EventKind.STATE, subject, state, line))
+        elif effect[0] == "isolated":
+            line = f"{now} {name}: {effect}"
+            self.events.append(Event(now, name, EventKind.ISOLATED, "", effect[1], line))
+        elif "gap_ms" in effect[2]:
+            self.events.append(Event(now, name, EventKind.WOKE, "", str(effect[2]["gap_ms"])))
+
+    def _start(self, name: str) -> None:
+        self.events.append(Event(self.fleet.now, name, EventKind.BEGAN))
+        self.fleet.start(name)
+
+    def _perform(self, action: PlannedAction) -> None:
+        fleet = self.fleet
+        if action.kind == StepKind.RULE:
+            for origin, target in action.pairs or [(None, None)]:
+                fleet.network.set_rule(fleet.now, origin, target, action.settings)
+        elif action.kind == StepKind.CLEAR:
+            fleet.network.clear_rules(fleet.now)
+        handlers = {
+            StepKind.START: self._start,
+            StepKind.KILL: fleet.kill,
+            StepKind.STOP: fleet.stop,
+            StepKind.RESUME: fleet.resume,
+            StepKind.TERMINATE: self._drain,
+        }
+        for name in action.names:
+            handlers[action.kind](name)
+
+    def _drain(self, name: str) -> None:
+        self.fleet.feed(name, ("leave",))
+        self.drain_ends[name] = self.fleet.now + DRAIN_US + self.random.randrange(DRAIN_MORE_US)
+
+    def _end_next_drain(self) -> None:
+        """Play on to the end of the next drain: the last messages, then nothing."""
+        name = min(self.drain_ends, key=self.drain_ends.get)
+        self.fleet.run(self.drain_ends.pop(name), self.after_step)
+        self.fleet.feed(name, ("end",))
+        self.fleet.kill(name)
+
+    def _facts(self) -> Facts:
+        return {
+            "driver": "virtual",
+            "links": self.fleet.network.total_counts(),
+            "late_s": 0.0,
+            "stats": {name: self._statistics(name) for name in self.fleet.running()},
+        }
+
+    def _statistics(self, name: str) -> dict:
+        member = self.fleet.processes[name].machine
+        return {
+            "late_ms": member.late // 1000,
+            "loss": member.loss,
+            "stale_ms": member.stale() // 1000,
+            "counts": member.counts,
+        }
--- a/finchcart/simulated_peers/__main__.py
+++ b/finchcart/simulated_peers/__main__.py
@@ -16,7 +16,7 @@
 from finchcart.net.links import boot_clock
 from finchcart.simulated_peers.registry import Registry
 from finchcart.simulated_peers.server import parse_address
-from finchcart.simulated_peers.store import Capacity, FaultStates, State, Store, write_truth
+from finchcart.simulated_peers.store import Capacity, FaultStates, StoreState, Store, write_truth
 from finchcart.simulated_peers.worker_pool import WorkerPool
 
 TRUTH_INTERVAL_S = 0.2
@@ -89,7 +89,7 @@
         )
 
     def _is_failing(self, host: str) -> bool:
-        return self.faults.state(host) == State.FAILING
+        return self.faults.state(host) == StoreState.FAILING
 
     def _serve_store(self, address: str) -> None:
         """Serve the one store at one more address."""
--- a/finchcart/simulated_peers/store.py
+++ b/finchcart/simulated_peers/store.py
@@ -21,8 +21,8 @@
 HANG_S = 3600.0
 
 
-class State(StrEnum):
-    """State of the store at one of its addresses, as the file of faults names it."""
+class StoreState(StrEnum):
+    """StoreState of the store at one of its addresses, as the file of faults names it."""
 
     OK = "ok"
     DOWN = "down"  # a call breaks the connection
@@ -46,7 +46,7 @@
             self.read_at = now
             with suppress(OSError, ValueError):  # not there yet
                 self.states = json.loads(Path(self.path).read_text(encoding="utf-8"))
-        return self.states.get(host, State.OK)
+        return self.states.get(host, StoreState.OK)
 
 
 @dataclass(frozen=True)
@@ -184,9 +184,9 @@
     ) -> bool:
         """Answer one call within `limit` seconds; return whether the connection is still of use."""
         state = self.faults.state(host)
-        self.account.wasted += state in (State.DOWN, State.HANG)
-        self.account.slowed += state == State.SLOW
-        if state == State.DOWN:
+        self.account.wasted += state in (StoreState.DOWN, StoreState.HANG)
+        self.account.slowed += state == StoreState.SLOW
+        if state == StoreState.DOWN:
             self.account.calls += 1
             return False
         self._count(+1)
@@ -209,9 +209,9 @@
             self.account.change(change)
 
     def _work_time(self, state: str) -> float:
-        if state == State.SLOW:
+        if state == StoreState.SLOW:
             return max(SLOW_LEAST_S, SLOW_FACTOR * self.work)
-        return HANG_S if state == State.HANG else self.work
+        return HANG_S if state == StoreState.HANG else self.work
 
     def _reply(self, call_id: bytes, body: bytes, late: bool) -> bytes | None:
         if self.override_reply:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,7 +7,10 @@
 import pytest
 
 from finchcart.cli.file import checked, claims
-from finchcart.fault_injection.key_lease_simulation import KEY, TICK, Breach, Run, World, act, explore
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.fault_injection.key_lease_fault_run import SeededRun
+from finchcart.fault_injection.key_lease_simulation import TICK_US, KeyLeaseSimulation
+from finchcart.fault_injection.key_lease_state_space import KEY, explore, perform
 from finchcart.key_leases import wire
 from finchcart.key_leases.figures import MS, SECOND, Figures, mistakes
 from finchcart.key_leases.holder import Claims
@@ -22,9 +25,9 @@
 def settle(world, rounds=40):
     """All messages arrive, in order, and time passes."""
     for _ in range(rounds):
-        while world.net:
+        while world.in_flight:
             world.deliver(0)
-        world.pass_time(TICK)
+        world.pass_time(TICK_US)
 
 
 def claim(world, name, body=7, key=KEY):
@@ -32,7 +35,7 @@
 
 
 def test_one_of_two_gets_the_key_and_the_other_its_result():
-    world = World()
+    world = KeyLeaseSimulation()
     claim(world, "h0")
     settle(world, 1)
     assert world.answers == {("h0", KEY): [YES]}
@@ -49,46 +52,46 @@
 
 
 def test_what_did_not_end_in_time_is_told_as_held_and_what_never_ran_is_free_again():
-    world = World()
+    world = KeyLeaseSimulation()
     claim(world, "h0")
     settle(world, 1)
     claim(world, "h1")
-    settle(world, world.figures.wait // TICK + 4)
+    settle(world, world.config.wait // TICK_US + 4)
     assert world.answers["h1", KEY] == [HELD]
     world.feed("h0", "never", KEY)
-    del world.to_command["h0", KEY]
+    del world.granted["h0", KEY]
     claim(world, "h1")
     settle(world, 6)
     assert world.answers["h1", KEY] == [HELD, YES]
 
 
 def test_a_claim_outlives_its_holder_and_a_restart_of_its_name():
-    world = World()
+    world = KeyLeaseSimulation()
     claim(world, "h0")
     settle(world, 1)
     world.command("h0", KEY)
     world.start("h0")
     claim(world, "h0")
     claim(world, "h1")
-    settle(world, world.figures.wait // TICK + 4)
+    settle(world, world.config.wait // TICK_US + 4)
     assert world.answers["h1", KEY] == [HELD] and world.answers["h0", KEY] == [YES, HELD]
 
 
 def test_without_a_majority_nothing_runs_and_a_keeper_that_started_is_silent():
-    world = World()
+    world = KeyLeaseSimulation()
     world.start("k0")
     world.start("k1")
     claim(world, "h0")
     settle(world, 8)
     assert world.answers["h0", KEY] == [FULL]
-    world.pass_time(world.figures.silence)
+    world.pass_time(world.config.silence)
     claim(world, "h0")
     settle(world, 8)
     assert world.answers["h0", KEY] == [FULL, YES]
 
 
 def test_a_keeper_is_bounded_and_when_full_refuses_new_claims_and_answers_repeats():
-    world = World(figures=Figures(entries=5))
+    world = KeyLeaseSimulation(config=Figures(entries=5))
     keys = [wire.key_of("m", str(n)) for n in range(8)]
     for key in keys[:4]:
         claim(world, "h0", key=key)
@@ -104,20 +107,20 @@
     kinds = [world.answers["h0", key][-1] for key in keys]
     assert kinds[:4] == [YES] * 4 and kinds.count(FULL) == 3 and world.answers["h1", keys[0]] == [ENDED]
     assert all(len(world.machines[f"k{n}"].entries) <= 5 for n in range(3))
-    world.pass_time(2 * world.figures.life)
+    world.pass_time(2 * world.config.life)
     assert not any(world.machines[f"k{n}"].entries for n in range(3))
 
 
 def test_many_claims_go_in_one_message_and_a_result_too_large_is_told_as_lost():
-    world = World()
+    world = KeyLeaseSimulation()
     keys = [wire.key_of("m", str(n)) for n in range(20)]
     world.feed("h0", "claim", [(key, 7, 12 * SECOND) for key in keys])
-    assert len(world.net) == 6, "sixteen to a message, three keepers"
+    assert len(world.in_flight) == 6, "sixteen to a message, three keepers"
     settle(world, 1)
     for key in keys:
         world.command("h0", key)
     world.feed("h0", "ended", keys[0], ENDED, b"x" * 300)
-    world.runs[keys[0]][0][3] = ENDED
+    world.runs[keys[0]][0].outcome = ENDED
     settle(world, 2)
     claim(world, "h1", key=keys[0])
     settle(world, 4)
@@ -137,13 +140,13 @@
 
 @pytest.mark.parametrize("seed", range(12))
 def test_no_key_runs_twice_in_seeded_runs(seed):
-    run = Run(seed)
+    run = SeededRun(seed)
     run.play(20)
-    assert run.keys > 50 and sum(map(len, run.runs.values())) > 10
+    assert run.key_count > 50 and sum(map(len, run.runs.values())) > 10
 
 
 def test_a_seed_replays_identically():
-    assert Run(5).play(10) == Run(5).play(10)
+    assert SeededRun(5).play(10) == SeededRun(5).play(10)
 
 
 def test_the_bounded_search_of_all_orders_finds_nothing():
@@ -348,8 +351,8 @@
 def test_a_planted_defect_is_found(name):
     for seed in range(30):
         try:
-            Run(seed, make=DEFECTS[name]).play(20)
-        except Breach:
+            SeededRun(seed, make=DEFECTS[name]).play(20)
+        except InvariantError:
             return
     raise AssertionError("not found in 30 seeds")
 
@@ -358,19 +361,19 @@
     """The word that it ended is on its way yet, and its own table has forgotten the key."""
 
     def play(make):
-        world = World(make=make)
+        world = KeyLeaseSimulation(make=make)
         claim(world, "h0")
         settle(world, 1)
         world.command("h0", KEY)
         world.end("h0", KEY)
-        world.net.clear()  # lost, all three
+        world.in_flight.clear()  # lost, all three
         claim(world, "h0")
-        while world.net:
+        while world.in_flight:
             world.deliver(0)
-        if ("h0", KEY) in world.to_command:
+        if ("h0", KEY) in world.granted:
             world.command("h0", KEY)
 
-    with pytest.raises(Breach):
+    with pytest.raises(InvariantError):
         play({"keeper": LaterTakesOver})
     play({})
 
@@ -379,25 +382,25 @@
     """The holder stops between its claim and the command, its repeat runs elsewhere."""
 
     def play(make):
-        world = World(make=make)
+        world = KeyLeaseSimulation(make=make)
         claim(world, "h0")
         settle(world, 1)
-        world.pass_time(2 * world.figures.life)
+        world.pass_time(2 * world.config.life)
         claim(world, "h1")
         settle(world, 2)
         world.command("h1", KEY)
         world.command("h0", KEY)
 
-    with pytest.raises(Breach):
+    with pytest.raises(InvariantError):
         play({"holder": AnyTime})
     play({})
 
 
 def test_choices_of_the_search_are_carried_out():
-    world, rng = World(), random.Random(3)
-    act(world, ("claim", "h0"))
+    world, rng = KeyLeaseSimulation(), random.Random(3)
+    perform(world, ("claim", "h0"))
     for _ in range(30):
-        if world.net:
-            act(world, ("deliver", rng.randrange(len(world.net))))
-        act(world, ("time", 10 * MS))
+        if world.in_flight:
+            perform(world, ("deliver", rng.randrange(len(world.in_flight))))
+        perform(world, ("time", 10 * MS))
     assert world.answers["h0", KEY] == [YES]
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,11 +7,13 @@
 import pytest
 
 from finchcart.cli.file import Wrong, checked
-from finchcart.fault_injection.membership_simulation import Fleet
-from finchcart.fault_injection.runner import judge as judge_plan
-from finchcart.fault_injection.runner import on_virtual
-from finchcart.fault_injection.script import Script, lay_out
-from finchcart.fault_injection.seed_sweep import Breach, Run
+from finchcart.fault_injection.checker import check_plan
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.fault_injection.membership_fault_run import SeededRun
+from finchcart.fault_injection.membership_simulation import MembershipSimulation
+from finchcart.fault_injection.plan import make_plan
+from finchcart.fault_injection.script import Script
+from finchcart.fault_injection.virtual_run import play_on_virtual_clock
 from finchcart.membership import member as module
 from finchcart.membership import view, wire
 from finchcart.membership.figures import SECOND, Figures
@@ -71,17 +73,21 @@
 
 
 def test_a_full_table_lets_failed_ones_go_first_and_then_refuses():
-    fleet = Fleet([f"n{n}" for n in range(5)], 1, Figures(members=4))
-    for name in list(fleet.places)[:4]:
+    fleet = MembershipSimulation([f"n{n}" for n in range(5)], 1, Figures(members=4))
+    for name in list(fleet.processes)[:4]:
         fleet.start(name)
     fleet.run(3 * SECOND)
     fleet.start("n4")
     fleet.run(fleet.now + 2 * SECOND)
-    member = fleet.places["n0"].member
-    assert len(member.known) == 4 and member.counts["no room"] > 0 and fleet.state("n0", "n4") is None
+    member = fleet.processes["n0"].machine
+    assert len(member.known) == 4 and member.counts["no room"] > 0 and fleet.state_seen("n0", "n4") is None
     fleet.kill("n3")
     fleet.run(fleet.now + 5 * SECOND)
-    assert fleet.state("n0", "n4") == "alive" and fleet.state("n0", "n3") is None and len(member.known) == 4
+    assert (
+        fleet.state_seen("n0", "n4") == "alive"
+        and fleet.state_seen("n0", "n3") is None
+        and len(member.known) == 4
+    )
 
 
 # ---- the verdict
@@ -114,7 +120,7 @@
 
 
 def test_seeded_runs_keep_all_properties_and_replay_identically():
-    traces = [Run(seed).play() for seed in (3, 3, 18)]
+    traces = [SeededRun(seed).play() for seed in (3, 3, 18)]
     assert traces[0] == traces[1] != traces[2]
 
 
@@ -123,31 +129,31 @@
     of 200 messages, as it was; four of seven of them put a member out (seed 310 of the seeded runs)."""
     wrong = 0
     for seed in range(3):
-        fleet = Fleet([f"n{n}" for n in range(12)], seed)
-        for name in fleet.places:
+        fleet = MembershipSimulation([f"n{n}" for n in range(12)], seed)
+        for name in fleet.processes:
             fleet.start(name)
         fleet.run(8 * SECOND)
-        fleet.fabric.reduce(fleet.now, ("rule", None, None, {"lose": 0.3}))
+        fleet.network.set_rule(fleet.now, None, None, {"lose": 0.3})
         fleet.run(12 * SECOND)
         for _ in range(40):
             fleet.run(fleet.now + SECOND // 10)
             wrong += len(
                 {
-                    frozenset((place.member.me, one))
-                    for place in fleet.places.values()
-                    for one in place.member.row.down
+                    frozenset((process.machine.me, one))
+                    for process in fleet.processes.values()
+                    for one in process.machine.row.down
                 }
             )
     assert wrong / (3 * 40 * 66) < 0.04
 
 
 def test_a_large_fleet_with_few_links_agrees_on_a_death_and_a_newcomer():
-    fleet = Fleet([f"n{n}" for n in range(80)], 1, Figures(watch=10))
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(80)], 1, Figures(watch=10))
+    for name in fleet.processes:
         fleet.start(name)
     fleet.run(12 * SECOND)
     assert all(set(seen.values()) == {"alive"} and len(seen) == 80 for seen in fleet.views().values())
-    bound = fleet.figures.failed_within(80)
+    bound = fleet.config.failed_within(80)
     fleet.kill("n40")
     fleet.run(fleet.now + bound)
     assert all(seen["n40"] == "failed" for seen in fleet.views().values())
@@ -163,9 +169,9 @@
     script = msgspec.convert({"about": "", "nodes": nodes, "fleet": fleet, **json5.loads(text)}, Script)
 
     def play(make):
-        plan = lay_out(script, 1)
-        events, start, facts = on_virtual(plan, make)
-        return [result.breach for result in judge_plan(plan, events, start) if result.breach]
+        plan = make_plan(script, 1)
+        events, start, facts = play_on_virtual_clock(plan, make)
+        return [result.breach for result in check_plan(plan, events, start) if result.breach]
 
     return play
 
@@ -202,7 +208,7 @@
 def forget(make):
     """A forgotten one does not come back by old rows that are on their way for 10 s and more."""
     changes, names = [], [f"n{n}" for n in range(6)]
-    fleet = Fleet(
+    fleet = MembershipSimulation(
         names,
         1,
         Figures(remember=6 * SECOND),
@@ -212,7 +218,7 @@
     for name in names:
         fleet.start(name)
     fleet.run(4 * SECOND)
-    old = wire.pack("virtual", wire.Rows([fleet.places["n5"].member.row]))
+    old = wire.pack("virtual", wire.Rows([fleet.processes["n5"].machine.row]))
     fleet.kill("n5")
     fleet.run(fleet.now + 14 * SECOND)
     fleet.feed("n1", ("got", ("10.0.0.3", 7400), old))
@@ -222,54 +228,54 @@
 
 def clock_back(make):
     """Started again with its clock an hour back, it is known again within 4 s."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1, make=make)
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(6)], 1, make=make)
+    for name in fleet.processes:
         fleet.start(name)
     fleet.run(4 * SECOND)
     fleet.kill("n2")
     fleet.run(fleet.now + 6 * SECOND)
-    fleet.start("n2", wall_off=-3_600_000)
+    fleet.start("n2", wall_clock_offset_ms=-3_600_000)
     fleet.run(fleet.now + 4 * SECOND)
     return [name for name, seen in fleet.views().items() if seen["n2"] != "alive"]
 
 
 def twins(make):
     """Of two processes of one name the younger stands and the elder knows it is not in the fleet."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1, make=make)
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(6)], 1, make=make)
+    for name in fleet.processes:
         fleet.start(name)
     fleet.add("twin")
     fleet.run(4 * SECOND)
-    fleet.start("twin", as_name="n2")
+    fleet.start("twin", member_name="n2")
     fleet.run(fleet.now + 5 * SECOND)
-    old, new = fleet.places["n2"].member, fleet.places["twin"].member
+    old, new = fleet.processes["n2"].machine, fleet.processes["twin"].machine
     return [] if old.yielded and old.isolated and not new.yielded else ["both stand"]
 
 
 def sleeper(make):
     """One that slept while its name was started elsewhere yields within 2 s of waking."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1, make=make)
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(6)], 1, make=make)
+    for name in fleet.processes:
         fleet.start(name)
     fleet.add("twin")
     fleet.run(4 * SECOND)
     fleet.stop("n2")
     fleet.run(fleet.now + 5 * SECOND)
-    fleet.start("twin", as_name="n2")
+    fleet.start("twin", member_name="n2")
     fleet.run(fleet.now + 15 * SECOND)
-    fleet.go_on("n2")
+    fleet.resume("n2")
     fleet.run(fleet.now + 2 * SECOND)
-    old, new = fleet.places["n2"].member, fleet.places["twin"].member
+    old, new = fleet.processes["n2"].machine, fleet.processes["twin"].machine
     return [] if old.yielded and not new.yielded else ["it stands"]
 
 
 def absurd(make):
     """A forged row with an absurd incarnation does not put its name out of reach."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1, make=make)
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(6)], 1, make=make)
+    for name in fleet.processes:
         fleet.start(name)
     fleet.run(4 * SECOND)
-    row = msgspec.structs.replace(fleet.places["n2"].member.row, incarnation=2**53 - 1, duty=wire.LEFT)
+    row = msgspec.structs.replace(fleet.processes["n2"].machine.row, incarnation=2**53 - 1, duty=wire.LEFT)
     for name in ("n0", "n1", "n3"):
         fleet.feed(name, ("got", ("10.0.0.9", 1), wire.pack("virtual", wire.Rows([row]))))
     fleet.run(fleet.now + 4 * SECOND)
@@ -278,23 +284,25 @@
 
 def bytes_calm(make):
     """Long after the last change a member sends little: news age."""
-    fleet = Fleet([f"n{n}" for n in range(8)], 1, make=make)
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(8)], 1, make=make)
+    for name in fleet.processes:
         fleet.start(name)
     fleet.run(20 * SECOND)
-    before = sum(place.member.counts["bytes sent"] for place in fleet.places.values())
+    before = sum(process.machine.counts["bytes sent"] for process in fleet.processes.values())
     fleet.run(fleet.now + 10 * SECOND)
-    each = (sum(place.member.counts["bytes sent"] for place in fleet.places.values()) - before) / 80
+    each = (sum(process.machine.counts["bytes sent"] for process in fleet.processes.values()) - before) / 80
     return [each] if each > 14 * 150 else []  # 14 beats a second
 
 
 def flood(make):
     """One that is asked without end sends no more than its bound."""
-    fleet = Fleet(["n0"], 1, Figures(datagrams=100), make=make)
+    fleet = MembershipSimulation(["n0"], 1, Figures(datagrams=100), make=make)
     fleet.start("n0")
     for n in range(2000):
         fleet.feed("n0", ("got", ("10.0.0.9", 1), wire.pack("", wire.Ask(n, 0))))
-    return [fleet.places["n0"].member.counts] if fleet.places["n0"].member.counts["sent"] > 100 else []
+    return (
+        [fleet.processes["n0"].machine.counts] if fleet.processes["n0"].machine.counts["sent"] > 100 else []
+    )
 
 
 def successor(make):
@@ -438,6 +446,6 @@
 
 
 def test_seeded_runs_find_an_older_row_taken():
-    with pytest.raises(Breach):
+    with pytest.raises(InvariantError):
         for seed in range(4):
-            Run(seed, planted(learn=takes_any)).play()
+            SeededRun(seed, planted(learn=takes_any)).play()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -13,8 +13,10 @@
 import pytest
 
 from finchcart.cli.file import Wrong, checked
-from finchcart.fault_injection.quota_simulation import Breach, Run, Shares
-from finchcart.fault_injection.state_space import explore
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.fault_injection.quota_fault_run import SeededRun
+from finchcart.fault_injection.quota_simulation import QuotaSimulation
+from finchcart.fault_injection.quota_state_space import explore
 from finchcart.membership import wire as base
 from finchcart.membership.member import Heard
 from finchcart.net.links import boot_clock
@@ -137,11 +139,11 @@
 
 
 def test_a_liar_about_its_demand_gets_no_more_than_its_max_min_part():
-    fleet = Shares(2, holders=4)
+    fleet = QuotaSimulation(2, holders=4)
     for name in fleet.processes:
         fleet.start(name)
-        fleet.processes[name].wants = 20 if name[0] == "n" else 0
-    fleet.processes["n1"].lies = True
+        fleet.processes[name].demand = 20 if name[0] == "n" else 0
+    fleet.processes["n1"].overstates_demand = True
     fleet.run(12 * SECOND, fleet.after_step)
     assert fleet.processes["n1"].amount <= 34 // 4 + 1
     assert min(fleet.processes[f"n{n}"].amount for n in (0, 2, 3)) >= 34 // 4 - 1
@@ -259,10 +261,10 @@
     """Loose limits with demand that jumps; `cut`: the members of one side, from 10 to 25 s; `start`: those
     that start later; `takes`: a call. Raises where it is beyond the bound."""
     limit = Limit("store", 48, mode="loose", per=per, burst=20 if per == "rate" else 0)
-    fleet = Shares(
+    fleet = QuotaSimulation(
         seed, 0, holders, Quota(limits=(limit,), most=holders + 2, over=over), make, mode="loose", per=per
     )
-    chance, fleet.takes = random.Random(f"demand {seed}"), takes
+    chance, fleet.call_us = random.Random(f"demand {seed}"), takes
     for name in fleet.processes:
         if name not in start:
             fleet.start(name)
@@ -271,16 +273,16 @@
             for a in cut:
                 for b in fleet.processes:
                     if b not in cut:
-                        fleet.fabric.reduce(fleet.now, ("rule", f"n{a}", b, {"cut": True}))
-                        fleet.fabric.reduce(fleet.now, ("rule", b, f"n{a}", {"cut": True}))
+                        fleet.network.set_rule(fleet.now, f"n{a}", b, {"cut": True})
+                        fleet.network.set_rule(fleet.now, b, f"n{a}", {"cut": True})
         if second == 12:
             for name in start:
                 fleet.start(name)
         if second == 25:
-            fleet.fabric.reduce(fleet.now, ("clear",))
+            fleet.network.clear_rules(fleet.now)
         if second % 3 == 2:
             for process in fleet.processes.values():
-                process.wants = chance.choice([0, 0, 5, 60])
+                process.demand = chance.choice([0, 0, 5, 60])
         fleet.run(fleet.now + SECOND, fleet.after_step)
     return fleet
 
@@ -303,7 +305,7 @@
 
 
 def test_what_a_node_said_it_wants_is_not_kept_for_ever_where_it_meets_nobody():
-    fleet = Shares(1, 0, 3, mode="loose")
+    fleet = QuotaSimulation(1, 0, 3, mode="loose")
     fleet.start("n2")  # n0 and n1, its seeds, never are there
     fleet.run(60 * SECOND)
     held = fleet.processes["n2"].machine.riders[0].held["store"]
@@ -381,7 +383,7 @@
     """The most in hand; more than any limit where the bound was broken."""
     try:
         return max(play(seed=seed, **more).worst for seed in seeds)
-    except Breach:
+    except InvariantError:
         return 10**6
 
 
@@ -425,16 +427,16 @@
 
 
 def test_seeded_runs_are_never_over_and_replay_identically():
-    traces = [Run(seed).play(30) for seed in (1, 1, 2, 3, 4, 5, 6, 7)]
+    traces = [SeededRun(seed).play(30) for seed in (1, 1, 2, 3, 4, 5, 6, 7)]
     assert traces[0] == traces[1] != traces[2]
 
 
 def test_what_is_shared_follows_demand_and_comes_back_within_its_bounds():
-    fleet = Shares(1, holders=6, quota=Quota(limits=(Limit("store", 60, 1),), most=8))
+    fleet = QuotaSimulation(1, holders=6, quota=Quota(limits=(Limit("store", 60, 1),), most=8))
     for name in fleet.processes:
         fleet.start(name)
     fleet.run(fleet.now + fleet.quota.back_within(), fleet.after_step)
-    want = lambda **wants: [setattr(fleet.processes[name], "wants", count) for name, count in wants.items()]
+    want = lambda **wants: [setattr(fleet.processes[name], "demand", count) for name, count in wants.items()]
     want(n0=60)
     fleet.run(fleet.now + fleet.quota.jump_within(), fleet.after_step)
     assert fleet.processes["n0"].amount >= 0.9 * 52
@@ -644,8 +646,8 @@
     def play(make):
         for seed in range(count):
             try:
-                Run(seed, make).play(40)
-            except Breach as breach:
+                SeededRun(seed, make).play(40)
+            except InvariantError as breach:
                 return [breach]
         return []
 
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -1,4 +1,4 @@
-"""The trial itself: fabric, checker, and a short script on real processes."""
+"""Fault injection itself: simulated network, checker, and a short script on real processes."""
 
 import json
 import socket
@@ -10,11 +10,13 @@
 import pytest
 
 from finchcart.cli.serve import ask
-from finchcart.fault_injection.checker import Event, History, check
-from finchcart.fault_injection.processes import Processes
-from finchcart.fault_injection.runner import on_virtual, play
-from finchcart.fault_injection.script import Held, Plan, lay_out, read, shipped
-from finchcart.fault_injection.simulated_network import Fabric
+from finchcart.fault_injection.checker import Event, EventKind, History, check
+from finchcart.fault_injection.plan import Plan, PlannedExpectation, make_plan
+from finchcart.fault_injection.processes import ProcessFleet
+from finchcart.fault_injection.runner import RunOptions, play
+from finchcart.fault_injection.script import read_script, shipped_scripts
+from finchcart.fault_injection.simulated_network import SimulatedNetwork
+from finchcart.fault_injection.virtual_run import play_on_virtual_clock
 from finchcart.net.datagrams import Datagrams
 
 
@@ -26,63 +28,65 @@
         time.sleep(0.02)
 
 
-def test_the_fabric_does_to_each_directed_pair_what_its_rule_says_and_replays():
+def test_the_network_does_to_each_directed_link_what_its_rule_says_and_replays():
+    first_counts = {}
+
     def run(rule, count=2000):
-        fabric, out = Fabric(5), []
-        fabric.reduce(0, ("rule", "a", "b", rule))
-        for n in range(count):
-            out += fabric.reduce(n * 1000, ("datagram", "a", "b", b"%08d" % n))
-            out += fabric.reduce(n * 1000, ("datagram", "b", "a", b"back"))
-        out += fabric.reduce(10**9, ("time",))
-        there = [data for _, a, _, data in out if a == "a"]
-        assert len(out) - len(there) == count, "the other direction has no rule"
-        assert run.counts.setdefault(str(rule), fabric.total()) == fabric.total()
-        return there, fabric.pair("a", "b").counts
-
-    run.counts = {}
+        network = SimulatedNetwork(5)
+        delivered = network.set_rule(0, "a", "b", rule)
+        for number in range(count):
+            delivered += network.send(number * 1000, "a", "b", b"%08d" % number)
+            delivered += network.send(number * 1000, "b", "a", b"back")
+        delivered += network.advance(10**9)
+        from_a = [datagram.data for datagram in delivered if datagram.origin == "a"]
+        assert len(delivered) - len(from_a) == count, "the other direction has no rule"
+        assert first_counts.setdefault(str(rule), network.total_counts()) == network.total_counts()
+        return from_a, network.link("a", "b").counts
+
     for _ in range(2):
-        there, counts = run({"lose": 0.3, "double": 0.1})
-        assert 500 < counts["lost"] < 700 and len(there) == 2000 - counts["lost"] + counts["doubled"]
-        there, counts = run({"burst": 0.02, "burst_length": 20_000})
+        from_a, counts = run({"lose": 0.3, "double": 0.1})
+        assert 500 < counts["lost"] < 700 and len(from_a) == 2000 - counts["lost"] + counts["doubled"]
+        from_a, counts = run({"burst": 0.02, "burst_length": 20_000})
         assert counts["lost"] > 400
-        there, counts = run({"swap": 0.2, "swap_by": 5000, "delay": 2000, "jitter": 3000})
-        assert len(there) == 2000 and there != sorted(there) and counts["swapped"] > 300
-        there, counts = run({"spoil": 0.5})
-        wrong = sum(not data.isdigit() or int(data) != n for n, data in enumerate(there))
+        from_a, counts = run({"swap": 0.2, "swap_by": 5000, "delay": 2000, "jitter": 3000})
+        assert len(from_a) == 2000 and from_a != sorted(from_a) and counts["swapped"] > 300
+        from_a, counts = run({"spoil": 0.5})
+        wrong = sum(not data.isdigit() or int(data) != number for number, data in enumerate(from_a))
         assert 900 < wrong <= counts["spoilt"]
         assert run({"cut": True})[0] == [] and len(run({"flap": 700_000})[0]) in range(900, 1301)
 
 
+AGREEMENT = PlannedExpectation("x", "agree", ["b"], ["a"], 1.0, 2.0, 9.0, ["failed"])
+
+
+def judged(events, **changed):
+    """What becomes of an expectation, by events of member `a` as (second, kind, value)."""
+    history = [Event(0, "a", EventKind.BEGAN)]
+    history += [Event(int(second * 1e6), "a", EventKind(kind), "b", value) for second, kind, value in events]
+    return check(History(history), msgspec.structs.replace(AGREEMENT, **changed), 0)
+
+
 def test_the_checker_finds_what_is_late_changes_or_never_comes():
-    def held(events, **changed):
-        hold = msgspec.structs.replace(Held("x", "agree", ["b"], ["a"], 1.0, 2.0, 9.0, ["failed"]), **changed)
-        return check(
-            History(
-                [Event(0, "a", "began")]
-                + [Event(int(t * 1e6), "a", kind, "b", value) for t, kind, value in events]
-            ),
-            hold,
-            0,
-        )
-
-    assert held([(2, "state", "failed")]).breach is None
-    assert held([(2, "state", "failed")]).times == [1.0]
-    assert held([(4, "state", "failed")]).breach and held([]).breach
-    flaps = held([(2, "state", "failed"), (5, "state", "alive"), (6, "state", "failed")])
+    assert judged([(2, "state", "failed")]).breach is None
+    assert judged([(2, "state", "failed")]).times == [1.0]
+    assert judged([(4, "state", "failed")]).breach and judged([]).breach
+    flaps = judged([(2, "state", "failed"), (5, "state", "alive"), (6, "state", "failed")])
     assert flaps.breach and flaps.changes == 1
-    assert held([(0.5, "state", "failed")]).times == [0.0]
-    assert held([(5, "state", "failed")], what="never").breach
-    assert held([(0.5, "state", "failed")], what="never").breach, "it holds already"
-    assert held([(9.5, "state", "failed")], what="never").breach is None
-    assert held([(2, "isolated", True)], what="isolated", of=["a"]).breach is None
-    assert held([(2, "isolated", True)], what="connected", of=["a"]).breach
+    assert judged([(0.5, "state", "failed")]).times == [0.0]
+    assert judged([(5, "state", "failed")], what="never").breach
+    assert judged([(0.5, "state", "failed")], what="never").breach, "it holds already"
+    assert judged([(9.5, "state", "failed")], what="never").breach is None
+    assert judged([(2, "isolated", True)], what="isolated", of=["a"]).breach is None
+    assert judged([(2, "isolated", True)], what="connected", of=["a"]).breach
 
 
 def test_all_shipped_scripts_lay_out_the_same_for_a_seed():
-    for name, script in shipped():
-        one, two = lay_out(script, 4), lay_out(read(name), 4)
-        assert isinstance(one, Plan) and one == two and (one.holds or script.limits or script.claims), name
-        assert one != lay_out(script, 5) or name in ("cuts", "halves", "loss", "half-lost", "replace")
+    for name, script in shipped_scripts():
+        one = make_plan(script, 4)
+        two = make_plan(read_script(name), 4)
+        assert isinstance(one, Plan) and one == two, name
+        assert one.expectations or script.limits or script.claims, name
+        assert one != make_plan(script, 5) or name in ("cuts", "halves", "loss", "half-lost", "replace")
 
 
 def test_a_breach_gives_status_1_with_its_lines(tmp_path, capsys):
@@ -90,20 +94,21 @@
     script.write_text("""{about: "", nodes: 4, seconds: 8, rounds: [{at: 0, name: "r", steps: [
         {at: 0, do: "kill", who: ["n02"], as: "x"}], expect: [
         {what: "never", by: "all", of: "x", after: 0, until: 7}]}]}""")
-    assert play(str(script), 1, None, str(tmp_path / "out"), True) == 1
+    assert play(RunOptions(str(script), out=str(tmp_path / "out"), virtual=True)) == 1
     said = capsys.readouterr().out
     assert "BREACH r (never): n0" in said and "'n02', 'failed'" in said
     assert (tmp_path / "out" / "timeline.png").stat().st_size > 1000
-    assert on_virtual(lay_out(read(str(script)), 1))[0] == on_virtual(lay_out(read(str(script)), 1))[0]
+    one, two = (play_on_virtual_clock(make_plan(read_script(script), 1)) for _ in range(2))
+    assert one.events == two.events
 
 
 def test_a_short_script_on_real_processes(tmp_path):
-    assert play("short", 1, None, str(tmp_path), False) == 0
+    assert play(RunOptions("short", out=str(tmp_path))) == 0
 
 
 @pytest.fixture
 def fleet(tmp_path):
-    made = Processes(tmp_path, ["n0", "n1"], 1, {"period_ms": 200})
+    made = ProcessFleet(tmp_path, ["n0", "n1"], 1, {"period_ms": 200})
     yield made
     made.end()
     assert all(child.poll() is not None for child in made.children)
@@ -112,7 +117,10 @@
 def test_settings_are_taken_whole_or_not_at_all_and_rubbish_is_counted(fleet, tmp_path):
     for name in fleet.names:
         fleet.start(name)
-    view = lambda name: ask((fleet.own(name), 7400), 5.0)
+
+    def view(name):
+        return ask(fleet.addresses.member(name), 5.0)
+
     until(lambda: [m["state"] for m in view("n0")["members"]] == ["alive"] * 2 and not view("n0")["isolated"])
     path, log = tmp_path / "n0.json5", tmp_path / "n0.1.log"
     good = path.read_text()
@@ -122,16 +130,24 @@
         (good.replace("200", "300"), "settings taken"),
     ]:
         path.write_text(text)
-        fleet.hang_up("n0")
+        fleet.reload_settings("n0")
         until(lambda: line in log.read_text())
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         for _ in range(20):
-            sock.sendto(b"rubbish", (fleet.own("n0"), 7400))
-            sock.sendto(b"Mrubbish", (fleet.own("n0"), 7400))
+            sock.sendto(b"rubbish", fleet.addresses.member("n0"))
+            sock.sendto(b"Mrubbish", fleet.addresses.member("n0"))
     until(lambda: view("n0")["counts"].get("spoilt") == 20)
     until(lambda: view("n0")["counts"].get("of an unknown channel") == 20)
     said = subprocess.run(
-        [sys.executable, "-m", "finchcart", "fleet", "members", f"{fleet.own('n0')}:7400", "--json"],
+        [
+            sys.executable,
+            "-m",
+            "finchcart",
+            "fleet",
+            "members",
+            f"{fleet.addresses.own_host('n0')}:7400",
+            "--json",
+        ],
         capture_output=True,
         text=True,
         check=True,
@@ -139,7 +155,7 @@
     told = json.loads(said.stdout)
     assert set(told) >= {"name", "incarnation", "isolated", "age_ms", "members"} and told["name"] == "n0"
     assert set(told["members"][0]) == {"name", "address", "state", "incarnation", "age_ms"}
-    fleet.term("n1")
+    fleet.terminate("n1")
     until(lambda: {m["name"]: m["state"] for m in view("n0")["members"]}["n1"] == "left")
 
 
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -26,7 +26,9 @@
     WORKING,
     ZONE_ITSELF,
 )
-from finchcart.fault_injection.consensus_simulation import Beliefs, Breach, Run
+from finchcart.fault_injection.consensus_fault_run import SeededRun
+from finchcart.fault_injection.consensus_simulation import ConsensusSimulation
+from finchcart.fault_injection.invariants import InvariantError
 from finchcart.interface import Outcome
 from finchcart.membership import wire as base
 from finchcart.membership.figures import Figures as MemberFigures
@@ -230,15 +232,15 @@
 # ---- rounds on the virtual clock
 
 
-@pytest.mark.parametrize("kind", Run.ROUNDS)
+@pytest.mark.parametrize("kind", SeededRun.KINDS)
 def test_a_round_of_each_kind_holds_its_bounds(kind):
-    run = Run(1, 6, (kind,), 1, verdicts=SHORT)
+    run = SeededRun(1, 6, (kind,), 1, consensus_config=SHORT)
     run.play()
-    assert all(took <= bound for _, _, took, bound in run.times)
+    assert all(took <= bound for _, _, took, bound in run.timings)
 
 
 def test_a_seed_replays_identically():
-    assert len({Run(3, 5, ("flood",), 1, verdicts=SHORT).play() for _ in range(2)}) == 1
+    assert len({SeededRun(3, 5, ("flood",), 1, consensus_config=SHORT).play() for _ in range(2)}) == 1
 
 
 def planted(kinds, seeds=range(3), count=8, changes=(), figures=SHORT, **more):
@@ -249,8 +251,8 @@
             setattr(where, name, new)
         for seed in seeds:
             try:
-                Run(seed, count, kinds, 2, verdicts=figures, **more).play()
-            except Breach:
+                SeededRun(seed, count, kinds, 2, consensus_config=figures, **more).play()
+            except InvariantError:
                 return True
         return False
     finally:
@@ -507,10 +509,10 @@
 
 
 def test_verdicts_of_many_sources_are_told_page_by_page():
-    fleet = Beliefs(3, 1)
+    fleet = ConsensusSimulation(3, 1)
     fleet.start_all()
     fleet.run(6 * SECOND)
-    board = fleet.places["n000"].member.board
+    board = fleet.processes["n000"].machine.board
     for n in range(14):
         board.on_say(fleet.now, wire.Say(n, subjects.source(f"10.0.1.{n}"), OUT, 60 * SECOND, "w" * 60))
     view = board.status(fleet.now)
