quota, key_leases: modules and outer classes named lease_holder, replica, client, messages

Cause: holder, keeper, talker, division, loose and wire are words of our own. Change: names alone: modules, and LeaseHolder, LocalLimits, KeyLeaseClient, KeyLeaseReplica, KeyLeaseConfig, MessageEndpoint, max_min_shares, prioritized_shares; the endpoint moves to finchcart/message_endpoint.py, as both packages are to use it.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -15,9 +15,9 @@
 from functools import partial
 
 from finchcart.fault_injection.claiming import explore, one
-from finchcart.key_leases import wire
-from finchcart.key_leases.figures import SECOND, Figures
-from finchcart.key_leases.keeper import Keeper
+from finchcart.key_leases import messages
+from finchcart.key_leases.config import SECOND, KeyLeaseConfig
+from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.membership import wire as base
 
 KINDS = {1: "mine", 2: "held elsewhere", 3: "result elsewhere", 4: "failed elsewhere", 6: "no majority"}
@@ -61,21 +61,23 @@
 
 def state_bytes(count=20_000):
     """Of a keeper that holds so many claims with results of 100 bytes."""
-    keeper = Keeper("f", Figures(keepers=("10.0.0.1:1",)), -(10**9))
+    keeper = KeyLeaseReplica("f", KeyLeaseConfig(keepers=("10.0.0.1:1",)), -(10**9))
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     for n in range(0, count, 16):
-        keys = [wire.key_of("m", str(n + k)) for k in range(16)]
-        asks = [wire.Ask(key, n, 1, 20 * SECOND) for key in keys]
-        ended = [wire.Vote(key, 1, wire.ENDED, b"r" * 30) for key in keys]
-        for said in (wire.Claim("a", 5, asks), wire.Say("a", 5, ended)):
-            keeper.reduce(0, ("got", ("10.0.0.9", 1), base.sealed(wire.CHANNEL, "f", said)))
+        keys = [messages.key_of("m", str(n + k)) for k in range(16)]
+        asks = [messages.Ask(key, n, 1, 20 * SECOND) for key in keys]
+        ended = [messages.Vote(key, 1, messages.ENDED, b"r" * 30) for key in keys]
+        for said in (messages.Claim("a", 5, asks), messages.Say("a", 5, ended)):
+            keeper.reduce(0, ("got", ("10.0.0.9", 1), base.sealed(messages.CHANNEL, "f", said)))
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     began, turns = time.perf_counter(), 500
     for n in range(turns):
-        asks = [wire.Ask(wire.key_of("n", str(16 * n + k)), n, 1, 20 * SECOND) for k in range(16)]
-        keeper.reduce(0, ("got", ("10.0.0.9", 1), base.sealed(wire.CHANNEL, "f", wire.Claim("a", 5, asks))))
+        asks = [messages.Ask(messages.key_of("n", str(16 * n + k)), n, 1, 20 * SECOND) for k in range(16)]
+        keeper.reduce(
+            0, ("got", ("10.0.0.9", 1), base.sealed(messages.CHANNEL, "f", messages.Claim("a", 5, asks)))
+        )
     rate = 16 * turns / (time.perf_counter() - began)
     size, held = 1000 * (after - before) / count / 1024, len(keeper.entries)
     print(
--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -12,7 +12,7 @@
 from msgspec import UNSET, Meta, Struct, UnsetType
 
 from finchcart.consensus import figures as verdicts_of
-from finchcart.key_leases import figures as claims_of
+from finchcart.key_leases import config as claims_of
 from finchcart.membership.figures import MS, SECOND, Figures
 from finchcart.membership.wire import Unfit, place_of
 from finchcart.quota import limits as limits_of
@@ -196,7 +196,7 @@
     """Their figures; None where none are asked for."""
     if settings.claims is UNSET:
         return None
-    return claims_of.Figures(
+    return claims_of.KeyLeaseConfig(
         keepers=tuple(settings.claims.keepers), **_in_microseconds(settings.claims, ("keepers",))
     )
 
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -23,9 +23,9 @@
 from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
 from finchcart.consensus import wire as sayings
 from finchcart.consensus.board import Board
-from finchcart.key_leases import wire as claiming
-from finchcart.key_leases.holder import Claims
-from finchcart.key_leases.keeper import Keeper
+from finchcart.key_leases import messages as claiming
+from finchcart.key_leases.client import KeyLeaseClient
+from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.membership import wire as base
 from finchcart.membership.member import Member
 from finchcart.membership.wire import place_of
@@ -33,10 +33,10 @@
 from finchcart.node.claimer import Claimer
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
-from finchcart.quota import wire as shares
-from finchcart.quota.holder import Holder
+from finchcart.quota import messages as shares
+from finchcart.quota.lease_holder import LeaseHolder
 from finchcart.quota.limits import Limit, Quota
-from finchcart.quota.loose import Loose
+from finchcart.quota.local_limits import LocalLimits
 from finchcart.quota.planner import Planner
 
 TRIAL = "store, trial calls"  # the limit by which the fleet shares the calls to a store that is down
@@ -99,8 +99,8 @@
             base.CHANNEL: Member(name, asked.name, advertise, asked.seeds, figures(asked), chance, wall, now)
         }
         if self.shares:
-            holder = out[shares.CHANNEL] = Holder(name, asked.name, self.shares, chance, now)
-            loose = Loose(self.shares, now)
+            holder = out[shares.CHANNEL] = LeaseHolder(name, asked.name, self.shares, chance, now)
+            loose = LocalLimits(self.shares, now)
             out[base.CHANNEL].riders.append(loose)
             holder.loose = loose.status
         held = verdicts(self.settings)
@@ -109,7 +109,7 @@
             out[base.CHANNEL].riders.append(board)
         claimed = claims(self.settings)
         if claimed:
-            out[claiming.CHANNEL] = Claims(name, asked.name, claimed, chance, now)
+            out[claiming.CHANNEL] = KeyLeaseClient(name, asked.name, claimed, chance, now)
         return out
 
     def meters(self):
@@ -274,7 +274,7 @@
         if shared_out:
             out[shares.CHANNEL] = Planner(place, settings.fleet.name, shared_out, chance, now)
         if claimed:
-            out[claiming.CHANNEL] = Keeper(settings.fleet.name, claimed, now)
+            out[claiming.CHANNEL] = KeyLeaseReplica(settings.fleet.name, claimed, now)
         return out
 
     try:
--- a/finchcart/fault_injection/beliefs.py
+++ b/finchcart/fault_injection/beliefs.py
@@ -19,7 +19,7 @@
 from finchcart.membership.member import Member
 from finchcart.node.meter import LATELY
 from finchcart.quota.limits import Limit, Quota
-from finchcart.quota.loose import Loose
+from finchcart.quota.local_limits import LocalLimits
 
 CALLS = 6  # that a node makes in a look, where nothing holds it
 NOTHING = {"store": WORKING, "sources": {}, "out": False, "level": 0.0}
@@ -60,7 +60,7 @@
         member = self.member(name, fleet, address, seeds, figures, chance, wall, now)
         zone = int(name[1:]) % 3
         board = self.board(name, fleet, Figures(**{**self.beliefs.__dict__, "zone": f"z{zone}"}), now)
-        member.riders += [Loose(self.quota, now), board]
+        member.riders += [LocalLimits(self.quota, now), board]
         member.board = board
         self.seen[name] = Seen()
         return member
--- a/finchcart/fault_injection/claiming.py
+++ b/finchcart/fault_injection/claiming.py
@@ -11,11 +11,11 @@
 
 import xxhash
 
-from finchcart.key_leases import wire
-from finchcart.key_leases.figures import MS, SECOND, Figures
-from finchcart.key_leases.holder import Claims
-from finchcart.key_leases.keeper import Keeper
-from finchcart.key_leases.wire import ENDED, FAILED, YES
+from finchcart.key_leases import messages
+from finchcart.key_leases.client import KeyLeaseClient
+from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig
+from finchcart.key_leases.messages import ENDED, FAILED, YES
+from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.membership import wire as base
 
 TICK = 50 * MS
@@ -31,7 +31,7 @@
 
     def __init__(self, keepers=3, holders=2, figures=None, make=None, rates=None):
         places = tuple(f"10.0.0.{n + 1}:1" for n in range(keepers))
-        self.figures = Figures(**{**(figures or Figures()).__dict__, "keepers": places})
+        self.figures = KeyLeaseConfig(**{**(figures or KeyLeaseConfig()).__dict__, "keepers": places})
         self.make, self.now, self.lives = make or {}, 0, 0
         self.rates = rates or {}
         self.machines, self.stopped, self.net = {}, set(), []
@@ -52,10 +52,10 @@
         self.stopped.discard(name)
         if name[0] == "k":
             begun = self.clock(name) - before
-            self.machines[name] = self.make.get("keeper", Keeper)("f", self.figures, begun)
+            self.machines[name] = self.make.get("keeper", KeyLeaseReplica)("f", self.figures, begun)
         else:
             chance = Random(self.lives)
-            self.machines[name] = self.make.get("holder", Claims)(
+            self.machines[name] = self.make.get("holder", KeyLeaseClient)(
                 name, "f", self.figures, chance, self.clock(name)
             )
             for which in [which for which in self.to_command if which[0] == name]:
@@ -119,7 +119,7 @@
             self.feed(name, "tick")
 
 
-KEY = wire.key_of("m", "t")
+KEY = messages.key_of("m", "t")
 
 
 def choices(world, faults):
@@ -218,7 +218,7 @@
 
     def __init__(self, seed, holders=4, keepers=3, make=None, figures=None, loose=False):
         chance = Random(f"claims {seed}")
-        figures = figures or Figures(life=6 * SECOND)
+        figures = figures or KeyLeaseConfig(life=6 * SECOND)
         names = [f"k{n}" for n in range(keepers)] + [f"h{n}" for n in range(holders)]
         rates = {name: 1 + chance.choice((-1, 0, 1)) * figures.drift for name in names}
         super().__init__(keepers, holders, figures, make, rates)
@@ -287,7 +287,7 @@
     def do_new_key(self, end):
         """A key, claimed at one or two nodes at once, and again later elsewhere."""
         self.keys += 1
-        key, names = wire.key_of("m", str(self.keys)), [n for n in self.machines if n[0] == "h"]
+        key, names = messages.key_of("m", str(self.keys)), [n for n in self.machines if n[0] == "h"]
         for name in self.chance.sample(names, self.chance.choice((1, 1, 2, 3))):
             self.do_claim(name, key, end)
         for _ in range(self.chance.choice((0, 1, 2))):
--- a/finchcart/fault_injection/explore.py
+++ b/finchcart/fault_injection/explore.py
@@ -12,7 +12,7 @@
 import pickle
 
 from finchcart.membership import wire as base
-from finchcart.quota.holder import Holder
+from finchcart.quota.lease_holder import LeaseHolder
 from finchcart.quota.limits import Limit, Quota
 from finchcart.quota.planner import Planner
 
@@ -69,7 +69,7 @@
             make = self.make.get("planner", Planner)
             self.machines[name] = make(QUOTA.planners[int(name[1])], "f", QUOTA, chance, self.clock(name))
         else:
-            make = self.make.get("holder", Holder)
+            make = self.make.get("holder", LeaseHolder)
             self.machines[name] = make(name, "f", QUOTA, chance, self.clock(name))
             self.amounts[name] = 0, 0
             self.machines[name].reduce(self.clock(name), ("use", "store", 0, 4 if name == "n0" else 2))
--- a/finchcart/fault_injection/run.py
+++ b/finchcart/fault_injection/run.py
@@ -96,14 +96,14 @@
 
 def apart_of(script):
     """Microseconds within which a key may run once."""
-    from finchcart.key_leases.figures import Figures
+    from finchcart.key_leases.config import KeyLeaseConfig
 
     told = {
         name: script.claims[f"{name}_ms"] * MS
         for name in ("life", "command")
         if f"{name}_ms" in (script.claims or {})
     }
-    return Figures(**told).apart()
+    return KeyLeaseConfig(**told).apart()
 
 
 def effects(folder, answered, apart):
--- a/finchcart/fault_injection/shares.py
+++ b/finchcart/fault_injection/shares.py
@@ -17,9 +17,9 @@
 from finchcart.membership.figures import Figures
 from finchcart.membership.member import Member
 from finchcart.node.meter import Calls, Rate
-from finchcart.quota.holder import Holder
+from finchcart.quota.lease_holder import LeaseHolder
 from finchcart.quota.limits import SECOND, Limit, Quota
-from finchcart.quota.loose import Loose
+from finchcart.quota.local_limits import LocalLimits
 from finchcart.quota.planner import Planner
 
 TICK = 100_000
@@ -126,10 +126,10 @@
                 1_700_000_000_000 + self.now // 1000,
                 own,
             )
-            member.riders.append(self.make.get("loose", Loose)(self.quota, own))
+            member.riders.append(self.make.get("loose", LocalLimits)(self.quota, own))
             return member
         if self.mode == "strict":
-            return self.make.get("holder", Holder)(name, "virtual", self.quota, chance, own)
+            return self.make.get("holder", LeaseHolder)(name, "virtual", self.quota, chance, own)
         parts = sum(each[0] == "n" for each in self.processes) if self.mode == "static" else 1
         process.meter.allow(self.limit.amount // parts, 0, FOR_EVER)
         return Idle()
--- a/finchcart/key_leases/holder.py
+++ b/finchcart/key_leases/client.py
@@ -15,8 +15,8 @@
 Bounds: tries `figures.entries`; each ends with its answer, what is to be told with its life.
 """
 
-from finchcart.key_leases import wire
-from finchcart.key_leases.wire import (
+from finchcart.key_leases import messages
+from finchcart.key_leases.messages import (
     ENDED,
     FAILED,
     FULL,
@@ -51,7 +51,7 @@
         self.line, self.left, self.due, self.times = line, set(range(keepers)), now, 0
 
 
-class Claims:
+class KeyLeaseClient:
     """`random`: of this process alone."""
 
     def __init__(self, name, fleet, figures, random, now):
@@ -171,16 +171,16 @@
 
     def on_got(self, now, address, data):
         try:
-            said = wire.unpack(self.fleet, data)
+            said = messages.unpack(self.fleet, data)
         except base.Unfit as error:
             return self.count(str(error))
         if address not in self.places or getattr(said, "session", None) != self.session:
             return self.count("not for this process")
         keeper = self.places.index(address)
-        if isinstance(said, wire.Votes):
+        if isinstance(said, messages.Votes):
             for vote in said.votes:
                 self.on_votes(now, keeper, vote)
-        elif isinstance(said, wire.Noted):
+        elif isinstance(said, messages.Noted):
             for key, attempt, kind in said.keys:
                 telling = self.telling.get((key, attempt))
                 if telling and telling.line.kind == kind:
@@ -226,4 +226,4 @@
 
     def send(self, place, said):
         self.count("sent")
-        self.effects.append(("send", place, base.sealed(wire.CHANNEL, self.fleet, said)))
+        self.effects.append(("send", place, base.sealed(messages.CHANNEL, self.fleet, said)))
--- a/finchcart/key_leases/figures.py
+++ b/finchcart/key_leases/config.py
@@ -11,7 +11,7 @@
 
 
 @dataclass(frozen=True)
-class Figures:
+class KeyLeaseConfig:
     keepers: tuple = ()  # their addresses: 1, 3 or 5, the same everywhere
     life: int = 20 * SECOND  # the longest that a claim is kept: the longest window and what a try may be late
     command: int = 1 * SECOND  # a run is commanded so soon after its claim was asked for, or not at all
--- a/finchcart/key_leases/keeper.py
+++ b/finchcart/key_leases/replica.py
@@ -12,8 +12,19 @@
 
 from collections import OrderedDict
 
-from finchcart.key_leases import wire
-from finchcart.key_leases.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, RELEASED, YES, Noted, Vote, Votes
+from finchcart.key_leases import messages
+from finchcart.key_leases.messages import (
+    ENDED,
+    FAILED,
+    FULL,
+    HELD,
+    OTHER_BODY,
+    RELEASED,
+    YES,
+    Noted,
+    Vote,
+    Votes,
+)
 from finchcart.membership import wire as base
 
 SWEEP = 64  # claims looked at in a tick
@@ -29,7 +40,7 @@
         self.state, self.result = HELD, b""
 
 
-class Keeper:
+class KeyLeaseReplica:
     def __init__(self, fleet, figures, now):
         self.fleet, self.figures = fleet, figures
         self.silent_until = now + figures.silence
@@ -53,17 +64,17 @@
 
     def on_got(self, now, address, data):
         try:
-            said = wire.unpack(self.fleet, data)
+            said = messages.unpack(self.fleet, data)
         except base.Unfit as error:
             return self.count(str(error))
         if now < self.silent_until:
             return self.count("silent after the start")
-        if isinstance(said, wire.Claim):
+        if isinstance(said, messages.Claim):
             votes = [Vote(ask.key, ask.attempt, *self.vote(now, said.session, ask)) for ask in said.asks]
             # What has no room in one datagram is asked for again.
             votes = base.fill(votes, base.MOST - 120)
             self.send(address, Votes(said.session, votes))
-        elif isinstance(said, wire.Say):
+        elif isinstance(said, messages.Say):
             for line in said.lines:
                 self.note(now, said.session, line)
             noted = [(line.key, line.attempt, line.kind) for line in said.lines]
@@ -72,7 +83,7 @@
             self.count("not for a keeper")
 
     def send(self, address, said):
-        self.effects.append(("send", address, base.sealed(wire.CHANNEL, self.fleet, said)))
+        self.effects.append(("send", address, base.sealed(messages.CHANNEL, self.fleet, said)))
 
     # ---- claims
 
--- a/finchcart/quota/talker.py
+++ b/finchcart/message_endpoint.py
@@ -4,10 +4,10 @@
 """
 
 from finchcart.membership import wire as base
-from finchcart.quota import wire
+from finchcart.quota import messages
 
 
-class Talker:
+class MessageEndpoint:
     """Needs `fleet`; bounded by the reasons there are."""
 
     def __init__(self):
@@ -17,7 +17,7 @@
         self.counts[reason] = self.counts.get(reason, 0) + 1
 
     def send(self, address, said):
-        data = base.sealed(wire.CHANNEL, self.fleet, said)
+        data = base.sealed(messages.CHANNEL, self.fleet, said)
         if len(data) > base.MOST:
             return self.count("too long to send")
         self.count("sent")
@@ -27,7 +27,7 @@
         """What a datagram says; None where it can't be read, which is counted by reason."""
         self.count("received")
         try:
-            return wire.unpack(self.fleet, data)
-        except wire.Unfit as error:
+            return messages.unpack(self.fleet, data)
+        except messages.Unfit as error:
             self.count(str(error))
             return None
--- a/finchcart/node/claimer.py
+++ b/finchcart/node/claimer.py
@@ -7,8 +7,8 @@
 `boot` is the boot clock in whole microseconds, set by the driver before each turn.
 """
 
-from finchcart.key_leases import wire
-from finchcart.key_leases.wire import ENDED, FAILED, FULL, OTHER_BODY, YES
+from finchcart.key_leases import messages
+from finchcart.key_leases.messages import ENDED, FAILED, FULL, OTHER_BODY, YES
 
 MS, SECOND = 1_000, 1_000_000
 MOST = 2_000  # that wait for an answer; more are pushed back
@@ -36,7 +36,7 @@
 
     def ask(self, rpc, token, due, again, go_on):
         """Asks for the claim of an RPC that is not known here. `due`: when it has to be answered at last."""
-        key = wire.key_of(rpc.method, token)
+        key = messages.key_of(rpc.method, token)
         if key in self.waiting or len(self.waiting) >= MOST:
             self.count("no room")
             go_on(rpc, FULL, b"")
@@ -44,7 +44,7 @@
         self.waiting[key] = Waiting(rpc, key, due, again, go_on)
         if not self.asked:
             self.turn.ask("later", ("claims",))  # those of one batch go in one message
-        self.asked.append((key, wire.body_of(rpc.body), self.life))
+        self.asked.append((key, messages.body_of(rpc.body), self.life))
         self.turn.at(due if self.end is None else min(due, self.end), self.late, key, rpc)
 
     def send(self):
--- a/finchcart/quota/division.py
+++ b/finchcart/quota/fair_share.py
@@ -4,7 +4,7 @@
 """
 
 
-def divide(amount, demands, weights=None):
+def max_min_shares(amount, demands, weights=None):
     """name -> whole part of `amount`: nobody more than its demand, and nobody less than another with more,
     for its weight. What can't be split is given in the order of names."""
     parts = dict.fromkeys(demands, 0)
@@ -29,10 +29,12 @@
     return parts
 
 
-def shared_out(amount, demands, first, weights=None):
+def prioritized_shares(amount, demands, first, weights=None):
     """As `divide`; what of the demands comes `first` is met before any of the rest."""
-    parts = divide(amount, {name: min(first.get(name, 0), want) for name, want in demands.items()}, weights)
-    rest = divide(
+    parts = max_min_shares(
+        amount, {name: min(first.get(name, 0), want) for name, want in demands.items()}, weights
+    )
+    rest = max_min_shares(
         amount - sum(parts.values()), {name: want - parts[name] for name, want in demands.items()}, weights
     )
     return {name: parts[name] + rest[name] for name in demands}
--- a/finchcart/quota/holder.py
+++ b/finchcart/quota/lease_holder.py
@@ -14,9 +14,9 @@
 """
 
 from finchcart.membership import wire as base
-from finchcart.quota import wire
-from finchcart.quota.talker import Talker
-from finchcart.quota.wire import Elsewhere, Grant, Line, Want
+from finchcart.message_endpoint import MessageEndpoint
+from finchcart.quota import messages
+from finchcart.quota.messages import Elsewhere, Grant, Line, Want
 
 ASKS = 8  # whose answers are still taken
 SOON = 100_000  # least time between two asks
@@ -35,7 +35,7 @@
         self.whole, self.fallen = limit.amount, True
 
 
-class Holder(Talker):
+class LeaseHolder(MessageEndpoint):
     def __init__(self, name, fleet, quota, random, now):
         self.name, self.fleet, self.quota, self.random = name, fleet, quota, random
         self.session = random.getrandbits(64)
@@ -76,8 +76,8 @@
             self.on_grant(now, said)
         elif isinstance(said, Elsewhere):
             self.on_elsewhere(now, said)
-        elif isinstance(said, wire.Ask):
-            self.send(address, wire.Told(said.number, self.status(now)))
+        elif isinstance(said, messages.Ask):
+            self.send(address, messages.Told(said.number, self.status(now)))
         else:
             self.count("not for a holder")
 
--- a/finchcart/quota/loose.py
+++ b/finchcart/quota/local_limits.py
@@ -18,7 +18,7 @@
 from collections import deque
 
 from finchcart.membership.wire import id_of
-from finchcart.quota.division import divide
+from finchcart.quota.fair_share import max_min_shares
 
 KEEP = 2_000_000  # what is handed out is good for so long: a node whose members' part ends has its floor
 TOPIC = 0  # of its notes
@@ -50,7 +50,7 @@
         return min(wants for _, wants in self.said)
 
 
-class Loose:
+class LocalLimits:
     def __init__(self, quota, now):
         self.quota = quota
         self.held = {limit.name: Held(limit) for limit in quota.loose}
@@ -137,10 +137,10 @@
                 if ident == held.id:
                     demands[one], used[one] = wants, uses
         wanted = sum(demands.values())
-        parts = divide(whole, demands)
+        parts = max_min_shares(whole, demands)
         # Calls that outlast a part that fell are left to their node, and the rest is divided.
         beyond = sum(max(0, uses - parts[one]) for one, uses in used.items()) if limit.per == "in_hand" else 0
-        mine = divide(whole - beyond, demands)[member.me] if beyond else parts[member.me]
+        mine = max_min_shares(whole - beyond, demands)[member.me] if beyond else parts[member.me]
         if wanted < whole and not beyond:
             # Nobody goes short: a jump finds something at once.
             mine += (whole - wanted) // (1 + len(self.heard) + len(self.unheard))
--- a/finchcart/quota/wire.py
+++ b/finchcart/quota/messages.py
@@ -1,4 +1,5 @@
-"""What rides between holders and planners: typed structs, in the datagrams of finchcart/membership/wire.py.
+"""What rides between holders and planners: typed structs, in the datagrams of
+finchcart/membership/wire.py.
 
 Owns the messages alone; see planner.py and holder.py for what they mean.
 """
--- a/finchcart/quota/planner.py
+++ b/finchcart/quota/planner.py
@@ -15,10 +15,10 @@
 """
 
 from finchcart.membership import wire as base
-from finchcart.quota import wire
-from finchcart.quota.division import shared_out
-from finchcart.quota.talker import Talker
-from finchcart.quota.wire import Accept, Elsewhere, Grant, Part, Prepare, Promise, Propose, Refuse
+from finchcart.message_endpoint import MessageEndpoint
+from finchcart.quota import messages
+from finchcart.quota.fair_share import prioritized_shares
+from finchcart.quota.messages import Accept, Elsewhere, Grant, Part, Prepare, Promise, Propose, Refuse
 
 AGAIN = 50_000  # microseconds that targets are used for
 MOST_OUT = 8  # grants of one limit out at one holder: no more are given until it says which it holds
@@ -33,7 +33,7 @@
         self.number, self.seq, self.amount, self.ends = number, seq, amount, ends
 
 
-class Holder:
+class HolderRecord:
     """What is known of one process of a node; gone when its last grant is over and it asked no more."""
 
     def __init__(self):
@@ -43,7 +43,7 @@
         self.heard, self.seq, self.leaving = 0, 0, False
 
 
-class Planner(Talker):
+class Planner(MessageEndpoint):
     """`place`: its own address as the settings name it; `address`es of others are (host, port)."""
 
     def __init__(self, place, fleet, quota, random, now):
@@ -94,8 +94,8 @@
             Propose: self.on_propose,
             Accept: self.on_accept,
             Refuse: self.on_refuse,
-            wire.Want: self.on_want,
-            wire.Ask: self.on_ask,
+            messages.Want: self.on_want,
+            messages.Ask: self.on_ask,
         }.get(type(said))
         if act is None:
             return self.count("not for a planner")
@@ -243,7 +243,7 @@
         if holder is None:
             if len(self.holders) >= self.quota.holders:
                 return self.count("no room for a holder")
-            holder = self.holders[key] = Holder()
+            holder = self.holders[key] = HolderRecord()
         if said.seq <= holder.seq:
             return self.count("asked before")  # doubled or overtaken: its answer went out
         holder.seq, holder.heard, holder.leaving = said.seq, now, said.leaving
@@ -305,7 +305,7 @@
             for key, holder in self.holders.items()
             if key in demands
         }
-        parts = shared_out(shared - free, demands, of("first"), of("weight"))
+        parts = prioritized_shares(shared - free, demands, of("first"), of("weight"))
         if wanted < shared:
             # Nobody goes short: what is over is spread, so that a jump finds something at once.
             spare = (shared - wanted) // (2 * max(1, len(demands)))
@@ -340,7 +340,7 @@
         leads = self.owned_since is not None
         self.send(
             address,
-            wire.Told(
+            messages.Told(
                 said.number,
                 {
                     "planner": self.place,
--- a/tests/test_claims.py
+++ b/tests/test_key_leases.py
@@ -8,11 +8,11 @@
 
 from finchcart.cli.file import checked, claims
 from finchcart.fault_injection.claiming import KEY, TICK, Breach, Run, World, act, explore
-from finchcart.key_leases import wire
-from finchcart.key_leases.figures import MS, SECOND, Figures, mistakes
-from finchcart.key_leases.holder import Claims
-from finchcart.key_leases.keeper import Keeper
-from finchcart.key_leases.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, YES
+from finchcart.key_leases import messages
+from finchcart.key_leases.client import KeyLeaseClient
+from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig, mistakes
+from finchcart.key_leases.messages import ENDED, FAILED, FULL, HELD, OTHER_BODY, YES
+from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.node.claimer import Claimer
 from tests.harness import draw_settings, read_answer
 from tests.test_core import GAUGES, Far, far_plain, play
@@ -87,8 +87,8 @@
 
 
 def test_a_keeper_is_bounded_and_when_full_refuses_new_claims_and_answers_repeats():
-    world = World(figures=Figures(entries=5))
-    keys = [wire.key_of("m", str(n)) for n in range(8)]
+    world = World(figures=KeyLeaseConfig(entries=5))
+    keys = [messages.key_of("m", str(n)) for n in range(8)]
     for key in keys[:4]:
         claim(world, "h0", key=key)
     settle(world, 1)
@@ -109,7 +109,7 @@
 
 def test_many_claims_go_in_one_message_and_a_result_too_large_is_told_as_lost():
     world = World()
-    keys = [wire.key_of("m", str(n)) for n in range(20)]
+    keys = [messages.key_of("m", str(n)) for n in range(20)]
     world.feed("h0", "claim", [(key, 7, 12 * SECOND) for key in keys])
     assert len(world.net) == 6, "sixteen to a message, three keepers"
     settle(world, 1)
@@ -125,13 +125,15 @@
 
 def test_settings_that_can_not_hold_are_told():
     places = ("10.0.0.1:1", "10.0.0.2:1")
-    wrong = mistakes(Figures(keepers=places, command=15 * SECOND))
+    wrong = mistakes(KeyLeaseConfig(keepers=places, command=15 * SECOND))
     assert [name for name, _ in wrong] == ["keepers", "command_ms"]
-    assert not list(mistakes(Figures(keepers=(*places, "10.0.0.3:1"))))
+    assert not list(mistakes(KeyLeaseConfig(keepers=(*places, "10.0.0.3:1"))))
     with open("deploy/finchcart.json5", encoding="utf-8") as file:
         head, _, tail = file.read().partition("  // claims: {\n")
     told = claims(checked(json5.loads(head + "  claims: {\n" + re.sub(r"(?m)^  // ", "  ", tail)), "example"))
-    assert told == Figures(keepers=told.keepers) and len(told.keepers) == 3, "the example shows the defaults"
+    assert told == KeyLeaseConfig(keepers=told.keepers) and len(told.keepers) == 3, (
+        "the example shows the defaults"
+    )
 
 
 @pytest.mark.parametrize("seed", range(12))
@@ -251,13 +253,13 @@
 # ---- planted defects
 
 
-class NoSilence(Keeper):
+class NoSilence(KeyLeaseReplica):
     def __init__(self, *args):
         super().__init__(*args)
         self.silent_until = 0
 
 
-class Newest(Keeper):
+class Newest(KeyLeaseReplica):
     def vote(self, now, session, ask):
         entry = self.entries.get(ask.key)
         if entry is not None and entry.session != session:
@@ -265,14 +267,14 @@
         return super().vote(now, session, ask)
 
 
-class AnyonesRelease(Keeper):
+class AnyonesRelease(KeyLeaseReplica):
     def note(self, now, session, line):
         super().note(now, session, line)
-        if line.kind == wire.RELEASED:
+        if line.kind == messages.RELEASED:
             self.entries.pop(line.key, None)
 
 
-class ShortLife(Keeper):
+class ShortLife(KeyLeaseReplica):
     def vote(self, now, session, ask):
         out = super().vote(now, session, ask)
         entry = self.entries.get(ask.key)
@@ -281,7 +283,7 @@
         return out
 
 
-class LaterTakesOver(Keeper):
+class LaterTakesOver(KeyLeaseReplica):
     """A later try of the same process counts as its release of the earlier."""
 
     def vote(self, now, session, ask):
@@ -291,7 +293,7 @@
         return super().vote(now, session, ask)
 
 
-class OneVote(Claims):
+class OneVote(KeyLeaseClient):
     def on_votes(self, now, keeper, vote):
         if vote.kind == YES:
             for n in range(len(self.places)):
@@ -300,7 +302,7 @@
             super().on_votes(now, keeper, vote)
 
 
-class OldVotesCount(Claims):
+class OldVotesCount(KeyLeaseClient):
     def lost(self, now, trying):
         votes = {keeper: kind for keeper, kind in trying.votes.items() if kind == YES}
         super().lost(now, trying)
@@ -308,22 +310,22 @@
             self.tries[trying.key].votes.update(votes)
 
 
-class AnyTime(Claims):
+class AnyTime(KeyLeaseClient):
     def answer(self, now, key, kind, result=b"", by=None):
         super().answer(now, key, kind, result, by and by + 10**12)
 
 
-class GivesBackWhatRan(Claims):
+class GivesBackWhatRan(KeyLeaseClient):
     def on_ended(self, now, key, kind, result=b""):
         self.on_never(now, key)
 
 
-class AlwaysWell(Claims):
+class AlwaysWell(KeyLeaseClient):
     def on_ended(self, now, key, kind, result=b""):
         super().on_ended(now, key, ENDED, result)
 
 
-class ForgetsItRuns(Claims):
+class ForgetsItRuns(KeyLeaseClient):
     def on_claim(self, now, asks):
         for key, _, _ in asks:
             self.on_never(now, key)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -19,24 +19,24 @@
 from finchcart.membership.member import Heard
 from finchcart.net.links import boot_clock
 from finchcart.node.meter import Calls, Rate
-from finchcart.quota import loose, wire
-from finchcart.quota.division import divide, shared_out
-from finchcart.quota.holder import Holder
+from finchcart.quota import local_limits, messages
+from finchcart.quota.fair_share import max_min_shares, prioritized_shares
+from finchcart.quota.lease_holder import LeaseHolder
 from finchcart.quota.limits import SECOND, Limit, Quota, mistakes
-from finchcart.quota.loose import Loose
+from finchcart.quota.local_limits import LocalLimits
 from finchcart.quota.planner import Planner
 
 
 def test_division_is_max_min_and_never_more_than_there_is():
-    assert divide(10, {"a": 2, "b": 9, "c": 9}) == {"a": 2, "b": 4, "c": 4}
-    assert divide(10, {"a": 9, "b": 9, "c": 9}) == {"a": 4, "b": 3, "c": 3}
-    assert divide(9, {"a": 9, "b": 9}, {"a": 2.0}) == {"a": 6, "b": 3}
-    assert divide(0, {"a": 1}) == {"a": 0} and divide(5, {}) == {}
+    assert max_min_shares(10, {"a": 2, "b": 9, "c": 9}) == {"a": 2, "b": 4, "c": 4}
+    assert max_min_shares(10, {"a": 9, "b": 9, "c": 9}) == {"a": 4, "b": 3, "c": 3}
+    assert max_min_shares(9, {"a": 9, "b": 9}, {"a": 2.0}) == {"a": 6, "b": 3}
+    assert max_min_shares(0, {"a": 1}) == {"a": 0} and max_min_shares(5, {}) == {}
     chance = random.Random(3)
     for _ in range(500):
         amount = chance.randrange(60)
         wants = {n: chance.randrange(30) for n in range(chance.randrange(1, 12))}
-        parts = divide(amount, wants)
+        parts = max_min_shares(amount, wants)
         assert sum(parts.values()) == min(amount, sum(wants.values()))
         assert all(parts[n] <= wants[n] for n in wants)
         short = [parts[n] for n in wants if parts[n] < wants[n]]
@@ -95,14 +95,14 @@
 
 
 def test_what_matters_more_is_met_first_and_weights_count():
-    assert shared_out(10, {"a": 10, "b": 10}, {"a": 2, "b": 8}) == {"a": 2, "b": 8}
-    assert shared_out(12, {"a": 10, "b": 10}, {"b": 4}) == {"a": 4, "b": 8}
-    assert shared_out(9, {"a": 9, "b": 9}, {}, {"a": 2.0}) == {"a": 6, "b": 3}
+    assert prioritized_shares(10, {"a": 10, "b": 10}, {"a": 2, "b": 8}) == {"a": 2, "b": 8}
+    assert prioritized_shares(12, {"a": 10, "b": 10}, {"b": 4}) == {"a": 4, "b": 8}
+    assert prioritized_shares(9, {"a": 9, "b": 9}, {}, {"a": 2.0}) == {"a": 6, "b": 3}
     chance = random.Random(4)
     for _ in range(300):
         wants = {n: chance.randrange(30) for n in range(chance.randrange(1, 9))}
         first = {n: chance.randrange(40) for n in wants}
-        parts = shared_out(40, wants, first)
+        parts = prioritized_shares(40, wants, first)
         assert sum(parts.values()) == min(40, sum(wants.values()))
         assert all(parts[n] <= wants[n] for n in wants)
 
@@ -156,7 +156,9 @@
             "got",
             NODE,
             base.sealed(
-                wire.CHANNEL, "g", wire.Want("n1", 1, 1, 1, False, [wire.Line("store", 0, 0, 0, 9, 0)])
+                messages.CHANNEL,
+                "g",
+                messages.Want("n1", 1, 1, 1, False, [messages.Line("store", 0, 0, 0, 9, 0)]),
             ),
         ),
     )
@@ -167,8 +169,8 @@
     one, now = elected({})
     now += SHARED.wait + 1
     one.owns_until = now + 9 * SECOND
-    line = wire.Line("other", 0, 0, 0, 9, 0)
-    said = sent(one.reduce(now, got(wire.Want("n1", 1, 1, 1, False, [line]), NODE)))
+    line = messages.Line("other", 0, 0, 0, 9, 0)
+    said = sent(one.reduce(now, got(messages.Want("n1", 1, 1, 1, False, [line]), NODE)))
     assert said[0].parts == [] and one.counts["a holder knows no limit store"] == 1
 
 
@@ -324,12 +326,12 @@
 
 
 def unheard_want_nothing(self, now, member):
-    Loose.look(self, now, member)
+    LocalLimits.look(self, now, member)
     self.unheard = []
 
 
 def joins_at_once(self, now, member):
-    Loose.look(self, now, member)
+    LocalLimits.look(self, now, member)
     self.since = 0
 
 
@@ -346,27 +348,27 @@
             for key, held in member.notes.items()
         },
     )
-    part = Loose.part(self, now, member, held)
+    part = LocalLimits.part(self, now, member, held)
     member.notes = notes
     return part
 
 
 def counts_what_it_sees_now(self, now, member):
-    Loose.look(self, now, member)
+    LocalLimits.look(self, now, member)
     self.lately.clear()
 
 
 def wants_at_once(make, **more):
     """The own want counts before others heard of it."""
 
-    class Held(loose.Held):
+    class Held(local_limits.Held):
         settled = wants_count_at_once
 
-    before, loose.Held = loose.Held, Held
+    before, local_limits.Held = local_limits.Held, Held
     try:
         return loose_run(make, **more)
     finally:
-        loose.Held = before
+        local_limits.Held = before
 
 
 def takes_the_whole(make, **more):
@@ -419,7 +421,7 @@
 @pytest.mark.parametrize("name", LOOSE)
 def test_a_planted_defect_of_loose_limits_is_found(name):
     play, methods, more, bound = LOOSE[name]
-    make = {"loose": type("Planted", (Loose,), methods)}
+    make = {"loose": type("Planted", (LocalLimits,), methods)}
     assert most(loose_run, make=None, **more) <= bound
     assert most(play, make=make, **more) > bound
 
@@ -470,7 +472,7 @@
 
 
 def holder(**methods):
-    return {"holder": planted(Holder, methods)}
+    return {"holder": planted(LeaseHolder, methods)}
 
 
 def no_silence(self, *args):
@@ -519,7 +521,7 @@
 
 def from_the_answer(self, now, said):
     self.asks = {seq: (now, then) for seq, (_, then) in self.asks.items()}
-    Holder.on_grant(self, now, said)
+    LeaseHolder.on_grant(self, now, said)
 
 
 def any_term(self, now, said):
@@ -527,25 +529,25 @@
         if said.term != held.term:
             held.term, held.number = 0, 0
             self.asks = {seq: (when, dict.fromkeys(then, (0, 0))) for seq, (when, then) in self.asks.items()}
-    Holder.on_grant(self, now, said)
+    LeaseHolder.on_grant(self, now, said)
 
 
 def any_number(self, now, said):
     for held in self.held.values():
         if said.term == held.term:
             held.number = 0
-    Holder.on_grant(self, now, said)
+    LeaseHolder.on_grant(self, now, said)
 
 
 def late_ask(self, now, said):
     for when, then in self.asks.values():
         then.update({name: (held.term, held.number) for name, held in self.held.items()})
-    Holder.on_grant(self, now, said)
+    LeaseHolder.on_grant(self, now, said)
 
 
 def no_end(self, now, held):
     held.until = now + self.quota.life if held.amount else held.until
-    Holder.allow(self, now, held)
+    LeaseHolder.allow(self, now, held)
 
 
 # Scenarios of messages by hand, where chance alone seldom comes by.
@@ -553,8 +555,8 @@
 PLACES = ("10.0.0.1:7401", "10.0.0.2:7401", "10.0.0.3:7401")
 TWO, THREE, NODE = (base.place_of(PLACES[1]), base.place_of(PLACES[2]), ("10.0.0.9", 7400))
 SHARED = Quota(limits=(Limit("store", 40),), planners=PLACES, most=4, step=1.0, room=0.0)
-got = lambda said, address=TWO: ("got", address, base.sealed(wire.CHANNEL, "f", said))
-sent = lambda effects: [wire.unpack("f", effect[2]) for effect in effects if effect[0] == "send"]
+got = lambda said, address=TWO: ("got", address, base.sealed(messages.CHANNEL, "f", said))
+sent = lambda effects: [messages.unpack("f", effect[2]) for effect in effects if effect[0] == "send"]
 
 
 def elected(make, accept_late=0):
@@ -562,8 +564,8 @@
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
     now = SHARED.silence + 2 * SHARED.retry
     one.reduce(now, ("tick",))
-    one.reduce(now + 1, got(wire.Promise(one.ballot, None)))
-    one.reduce(now + 2 + accept_late, got(wire.Accept(one.ballot)))
+    one.reduce(now + 1, got(messages.Promise(one.ballot, None)))
+    one.reduce(now + 2 + accept_late, got(messages.Accept(one.ballot)))
     return one, now + 1
 
 
@@ -571,13 +573,13 @@
     said = one.reduce(
         now,
         got(
-            wire.Want(
-                name, session, seq, oldest, False, [wire.Line("store", term, number, amount, wants, 0)]
+            messages.Want(
+                name, session, seq, oldest, False, [messages.Line("store", term, number, amount, wants, 0)]
             ),
             NODE,
         ),
     )
-    return next((each.parts[0] for each in sent(said) if isinstance(each, wire.Grant)), None)
+    return next((each.parts[0] for each in sent(said) if isinstance(each, messages.Grant)), None)
 
 
 def accept_comes_late(make):
@@ -598,14 +600,14 @@
 
 
 def holding(make):
-    one = make.get("holder", Holder)("n1", "f", SHARED, random.Random(1), 0)
+    one = make.get("holder", LeaseHolder)("n1", "f", SHARED, random.Random(1), 0)
     one.reduce(0, ("tick",))
     return one
 
 
 def grant(one, now, term, seq, number, amount):
-    part = wire.Part("store", number, amount, SHARED.life, 40)
-    one.reduce(now, got(wire.Grant(term, one.session, seq, [part])))
+    part = messages.Part("store", number, amount, SHARED.life, 40)
+    one.reduce(now, got(messages.Grant(term, one.session, seq, [part])))
     return one.held["store"].amount
 
 
@@ -655,16 +657,16 @@
 def starts_and_votes(make):
     """A voter that starts anew says nothing while a lease that it voted for may last."""
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
-    said = sent(one.reduce(SHARED.lease - 1, got(wire.Prepare((1, 7), one.times))))
-    return said if any(isinstance(each, wire.Promise) for each in said) else []
+    said = sent(one.reduce(SHARED.lease - 1, got(messages.Prepare((1, 7), one.times))))
+    return said if any(isinstance(each, messages.Promise) for each in said) else []
 
 
 def lesser_ballot(make):
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
     now = SHARED.silence + 1
-    one.reduce(now, got(wire.Prepare((9, 7), one.times)))
-    said = sent(one.reduce(now, got(wire.Prepare((8, 8), one.times), THREE)))
-    return said if any(isinstance(each, wire.Promise) for each in said) else []
+    one.reduce(now, got(messages.Prepare((9, 7), one.times)))
+    said = sent(one.reduce(now, got(messages.Prepare((8, 8), one.times), THREE)))
+    return said if any(isinstance(each, messages.Promise) for each in said) else []
 
 
 DEFECTS = {
