--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -65,16 +65,16 @@
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     for n in range(0, count, 16):
-        keys = [messages.key_of("m", str(n + k)) for k in range(16)]
+        keys = [messages.key_digest("m", str(n + k)) for k in range(16)]
         asks = [messages.Ask(key, n, 1, 20 * SECOND) for key in keys]
-        ended = [messages.Vote(key, 1, messages.ENDED, b"r" * 30) for key in keys]
+        ended = [messages.Vote(key, 1, messages.LeaseStatus.COMPLETED, b"r" * 30) for key in keys]
         for said in (messages.Claim("a", 5, asks), messages.Say("a", 5, ended)):
             keeper.reduce(0, ("got", ("10.0.0.9", 1), base.sealed(messages.CHANNEL, "f", said)))
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     began, turns = time.perf_counter(), 500
     for n in range(turns):
-        asks = [messages.Ask(messages.key_of("n", str(16 * n + k)), n, 1, 20 * SECOND) for k in range(16)]
+        asks = [messages.Ask(messages.key_digest("n", str(16 * n + k)), n, 1, 20 * SECOND) for k in range(16)]
         keeper.reduce(
             0, ("got", ("10.0.0.9", 1), base.sealed(messages.CHANNEL, "f", messages.Claim("a", 5, asks)))
         )
--- a/benchmarks/quota.py
+++ b/benchmarks/quota.py
@@ -20,11 +20,11 @@
 from benchmarks.by_round import bars, beside, table
 from finchcart.fault_injection.explore import DRIFTS, explore
 from finchcart.fault_injection.shares import Shares, jump, one
-from finchcart.quota.limits import SECOND, Limit, Quota
+from finchcart.quota.limits import SECOND, Limit, QuotaConfig
 
 
 def seeds(count, jobs, mode, per, drift):
-    play = partial(one, mode=mode, per=per, drift=drift and drift * Quota().drift)
+    play = partial(one, mode=mode, per=per, drift=drift and drift * QuotaConfig().drift)
     with ProcessPoolExecutor(jobs) as pool:
         out = list(pool.map(play, range(count), chunksize=5))
     broken = [row["breach"] for row in out if row["breach"]]
@@ -74,7 +74,7 @@
     print("| nodes | messages a second: the planner that shares out | a node | bytes: planner | node |")
     print("| --- | --- | --- | --- | --- |")
     for count in (16, 100, 500):
-        quota = Quota(limits=(Limit("store", 4 * count, 1),), most=count + 10, holders=2 * count)
+        quota = QuotaConfig(limits=(Limit("store", 4 * count, 1),), most=count + 10, holders=2 * count)
         fleet = Shares(1, holders=count, quota=quota)
         for name in fleet.processes:
             fleet.start(name)
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -55,38 +55,38 @@
         click.echo(f"  {count} members: a view is at most {calm:.1f} s old, {lossy:.1f} s at 30 % loss")
     for limit in shared.loose if shared else ():
         unit = "in hand" if limit.per == "in_hand" else f"a second, {limit.burst} at once"
-        over, more = (shared.loose_over_at_most(limit, 24, joined) for joined in (0, 4))
+        over, more = (shared.loose_overshoot_bound(limit, 24, joined) for joined in (0, 4))
         click.echo(f"  limit {limit.name}, loose: {limit.amount} {unit}; however the fleet is cut, over by")
         click.echo(f"    at most {over} at 24 members, {more} with 4 that join meanwhile")
     for limit in shared.strict if shared else ():
         if limit.per == "rate":
             click.echo(
-                f"  limit {limit.name}: at most {shared.in_window(limit, 1_000_000)} in any second, "
-                f"{shared.in_window(limit, 10_000_000)} in ten"
+                f"  limit {limit.name}: at most {shared.window_bound(limit, 1_000_000)} in any second, "
+                f"{shared.window_bound(limit, 10_000_000)} in ten"
             )
             continue
         click.echo(
             f"  limit {limit.name}: {limit.amount} in hand, {limit.floor} each node's own, "
-            f"{limit.shared(shared.most)} shared among at most {shared.most};"
+            f"{limit.shareable(shared.most)} shared among at most {shared.most};"
         )
         click.echo(
             f"    over by one call for each process stopped at the write, for "
-            f"{shared.over_for() / 1e6:.1f} s at most; without planners at the floor"
+            f"{shared.overshoot_duration_bound() / 1e6:.1f} s at most; without planners at the floor"
         )
         click.echo(
-            f"    within {shared.alone_within() / 1e6:.1f} s, shared again within "
-            f"{shared.back_within() / 1e6:.1f} s of their return"
+            f"    within {shared.fallback_bound() / 1e6:.1f} s, shared again within "
+            f"{shared.recovery_bound() / 1e6:.1f} s of their return"
         )
 
     claimed = claims(whole)
     if claimed:
         click.echo(
-            f"  claims: two runs of one key are commanded at least {claimed.apart() / 1e6:.1f} s "
+            f"  claims: two runs of one key are commanded at least {claimed.run_spacing_bound() / 1e6:.1f} s "
             "apart, whoever fails;"
         )
         click.echo(
-            f"    a keeper that starts is silent for {claimed.silence / 1e6:.1f} s; it holds "
-            f"{claimed.bytes_at_most() / 2**20:.0f} MB at most"
+            f"    a keeper that starts is silent for {claimed.startup_quiet_period / 1e6:.1f} s; it holds "
+            f"{claimed.state_bytes_bound() / 2**20:.0f} MB at most"
         )
     held = verdicts(whole)
     if held:
--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -178,7 +178,7 @@
         )
         for limit in settings.limits
     )
-    return limits_of.Quota(
+    return limits_of.QuotaConfig(
         limits=limits,
         planners=tuple(settings.quota.planners),
         **_in_microseconds(settings.quota, ("planners",)),
@@ -265,7 +265,7 @@
                 place_of(place)
             except Unfit:
                 yield f"quota.planners.{n}", f"{place!r}: no such address or port"
-        for path, reason in limits_of.mistakes(shared):
+        for path, reason in limits_of.validation_errors(shared):
             yield path if path.startswith("limits") else f"quota.{path}", reason
     claimed = claims(settings)
     if claimed:
@@ -276,7 +276,7 @@
                 place_of(place)
             except Unfit:
                 yield f"claims.keepers.{n}", f"{place!r}: no such address or port"
-        for path, reason in claims_of.mistakes(claimed):
+        for path, reason in claims_of.validation_errors(claimed):
             yield f"claims.{path}", reason
     held = verdicts(settings)
     if held:
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -35,7 +35,7 @@
 from finchcart.node.witness import Witness
 from finchcart.quota import messages as shares
 from finchcart.quota.lease_holder import LeaseHolder
-from finchcart.quota.limits import Limit, Quota
+from finchcart.quota.limits import Limit, QuotaConfig
 from finchcart.quota.local_limits import LocalLimits
 from finchcart.quota.planner import Planner
 
@@ -71,7 +71,7 @@
     if not held:
         return asked
     trial = Limit(TRIAL, held.trials, counts="trial", mode="loose")
-    asked = asked or Quota()
+    asked = asked or QuotaConfig()
     return replace(asked, limits=(*asked.limits, trial))
 
 
--- a/finchcart/fault_injection/beliefs.py
+++ b/finchcart/fault_injection/beliefs.py
@@ -18,7 +18,7 @@
 from finchcart.membership.figures import Figures as MemberFigures
 from finchcart.membership.member import Member
 from finchcart.node.meter import LATELY
-from finchcart.quota.limits import Limit, Quota
+from finchcart.quota.limits import Limit, QuotaConfig
 from finchcart.quota.local_limits import LocalLimits
 
 CALLS = 6  # that a node makes in a look, where nothing holds it
@@ -54,7 +54,7 @@
         self.written, self.trace = {}, xxhash.xxh3_64()
         self.calls = self.wasted = self.trials = 0
         self.worst_lie = 0  # by how much a note was ever taken to be younger than it is
-        self.quota = Quota(limits=(Limit("trial", self.beliefs.trials, counts="trial", mode="loose"),))
+        self.quota = QuotaConfig(limits=(Limit("trial", self.beliefs.trials, counts="trial", mode="loose"),))
 
     def node(self, name, fleet, address, seeds, figures, chance, wall, now):
         member = self.member(name, fleet, address, seeds, figures, chance, wall, now)
--- a/finchcart/fault_injection/claiming.py
+++ b/finchcart/fault_injection/claiming.py
@@ -14,7 +14,7 @@
 from finchcart.key_leases import messages
 from finchcart.key_leases.client import KeyLeaseClient
 from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig
-from finchcart.key_leases.messages import ENDED, FAILED, YES
+from finchcart.key_leases.messages import LeaseStatus
 from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.membership import wire as base
 
@@ -39,7 +39,7 @@
         self.to_command, self.running = {}, {}  # (holder, key) -> by; -> its run
         self.answers = {}  # (holder, key) -> kinds
         for n in range(keepers):
-            self.start(f"k{n}", self.figures.silence + SECOND)
+            self.start(f"k{n}", self.figures.startup_quiet_period + SECOND)
         for n in range(holders):
             self.start(f"h{n}")
 
@@ -80,10 +80,10 @@
 
     def claimed(self, name, key, kind, result, by):
         self.answers.setdefault((name, key), []).append(kind)
-        if kind == YES:
+        if kind == LeaseStatus.GRANTED:
             self.to_command[name, key] = by
-        elif kind == ENDED:
-            ok = [run for run in self.runs.get(key, ()) if run[3] == ENDED]
+        elif kind == LeaseStatus.COMPLETED:
+            ok = [run for run in self.runs.get(key, ()) if run[3] == LeaseStatus.COMPLETED]
             if not ok:
                 raise Breach(f"{self.now / SECOND:.3f} s: {name} is told a result that no run made")
 
@@ -95,7 +95,7 @@
             return
         run = [self.now, name, self.machines[name].session, None]
         for other in self.runs.setdefault(key, []):
-            if self.now - other[0] < self.figures.apart():
+            if self.now - other[0] < self.figures.run_spacing_bound():
                 ago = (self.now - other[0]) / SECOND
                 raise Breach(
                     f"{self.now / SECOND:.3f} s: {key.hex()[:4]} runs at {name}, and did at "
@@ -104,10 +104,10 @@
         self.runs[key].append(run)
         self.running[name, key] = run
 
-    def end(self, name, key, kind=ENDED):
+    def end(self, name, key, kind=LeaseStatus.COMPLETED):
         run = self.running.pop((name, key))
         run[3] = kind
-        self.feed(name, "ended", key, kind, b"ok" if kind == ENDED else b"")
+        self.feed(name, "ended", key, kind, b"ok" if kind == LeaseStatus.COMPLETED else b"")
 
     def deliver(self, n, keep=False):
         origin, to, data = self.net[n] if keep else self.net.pop(n)
@@ -119,7 +119,7 @@
             self.feed(name, "tick")
 
 
-KEY = messages.key_of("m", "t")
+KEY = messages.key_digest("m", "t")
 
 
 def choices(world, faults):
@@ -273,7 +273,7 @@
 
     def claimed(self, name, key, kind, result, by):
         super().claimed(name, key, kind, result, by)
-        if kind == YES:
+        if kind == LeaseStatus.GRANTED:
             session = self.machines[name].session
             self.later(self.chance.choice((0, 100, 50 * MS)), "command", name, key, session)
 
@@ -287,7 +287,7 @@
     def do_new_key(self, end):
         """A key, claimed at one or two nodes at once, and again later elsewhere."""
         self.keys += 1
-        key, names = messages.key_of("m", str(self.keys)), [n for n in self.machines if n[0] == "h"]
+        key, names = messages.key_digest("m", str(self.keys)), [n for n in self.machines if n[0] == "h"]
         for name in self.chance.sample(names, self.chance.choice((1, 1, 2, 3))):
             self.do_claim(name, key, end)
         for _ in range(self.chance.choice((0, 1, 2))):
@@ -313,7 +313,11 @@
         if name in self.stopped:
             self.later(50 * MS, "ended", name, key, session)
         elif (name, key) in self.running and self.machines[name].session == session:
-            self.end(name, key, self.chance.choice((ENDED, ENDED, FAILED)))
+            self.end(
+                name,
+                key,
+                self.chance.choice((LeaseStatus.COMPLETED, LeaseStatus.COMPLETED, LeaseStatus.FAILED)),
+            )
 
     def do_fault(self, end):
         chance = self.chance
--- a/finchcart/fault_injection/explore.py
+++ b/finchcart/fault_injection/explore.py
@@ -13,11 +13,11 @@
 
 from finchcart.membership import wire as base
 from finchcart.quota.lease_holder import LeaseHolder
-from finchcart.quota.limits import Limit, Quota
+from finchcart.quota.limits import Limit, QuotaConfig
 from finchcart.quota.planner import Planner
 
 STEP = 500_000
-QUOTA = Quota(
+QUOTA = QuotaConfig(
     limits=(Limit("store", 4),),
     planners=("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"),
     most=2,
--- a/finchcart/fault_injection/run.py
+++ b/finchcart/fault_injection/run.py
@@ -103,7 +103,7 @@
         for name in ("life", "command")
         if f"{name}_ms" in (script.claims or {})
     }
-    return KeyLeaseConfig(**told).apart()
+    return KeyLeaseConfig(**told).run_spacing_bound()
 
 
 def effects(folder, answered, apart):
@@ -470,7 +470,7 @@
     if shared is None:
         return None
     limit = shared.limits[0]
-    return 0 if limit.strict else shared.loose_over_at_most(limit, script.nodes)
+    return 0 if limit.strict else shared.loose_overshoot_bound(limit, script.nodes)
 
 
 def fullest_at_most(script):
@@ -480,7 +480,7 @@
     shared = quota_of(script)
     if shared is None or shared.limits[0].per != "rate" or not shared.limits[0].strict:
         return None
-    return shared.in_window(shared.limits[0], 0)
+    return shared.window_bound(shared.limits[0], 0)
 
 
 def shortened(script, times):
--- a/finchcart/fault_injection/shares.py
+++ b/finchcart/fault_injection/shares.py
@@ -18,7 +18,7 @@
 from finchcart.membership.member import Member
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota.lease_holder import LeaseHolder
-from finchcart.quota.limits import SECOND, Limit, Quota
+from finchcart.quota.limits import SECOND, Limit, QuotaConfig
 from finchcart.quota.local_limits import LocalLimits
 from finchcart.quota.planner import Planner
 
@@ -76,8 +76,8 @@
         burst = 0 if per == "in_hand" else 20
         floor = 1 if mode == "strict" else 40 // holders if mode == "static" else 0
         limit = Limit("store", 40, floor, per=per, burst=burst, mode="loose" if mode == "loose" else "strict")
-        base_ = quota or Quota(limits=(limit,), most=holders + 2)
-        self.quota = Quota(**{**base_.__dict__, "planners": places})
+        base_ = quota or QuotaConfig(limits=(limit,), most=holders + 2)
+        self.quota = QuotaConfig(**{**base_.__dict__, "planners": places})
         self.drift = self.quota.drift if drift is None else drift
         self.figures = Figures()
         self.processes, self.at = {}, {}
@@ -264,7 +264,9 @@
     def bound(self):
         """Beyond the limit, whatever fails."""
         if self.mode == "loose":
-            return self.quota.loose_over_at_most(self.limit, sum(name[0] == "n" for name in self.processes))
+            return self.quota.loose_overshoot_bound(
+                self.limit, sum(name[0] == "n" for name in self.processes)
+            )
         return 0 if self.mode == "strict" else FOR_EVER
 
     def whole(self):
@@ -359,7 +361,7 @@
         # Then all is shared again: the wants of all are met as far as the limit goes.
         for name in self.holders:
             self.processes[name].wants, self.processes[name].lies = self.limit.amount, False
-        self.run(self.now + self.quota.back_within() + self.quota.jump_within(), self.after_step)
+        self.run(self.now + self.quota.recovery_bound() + self.quota.rebalancing_bound(), self.after_step)
         self.phase = "calm"
         self.run(self.now + 5 * SECOND, self.after_step)
         used, wanted = self.use["calm"]
@@ -498,7 +500,7 @@
     """Seconds from a jump of demand, from all to one node, until nine tenths of what an oracle gives it are
     in hand; None: not within 20 s."""
     limit = Limit("store", 48, 0 if mode == "loose" else 1, mode="loose" if mode == "loose" else "strict")
-    fleet = Shares(1, holders=holders, mode=mode, quota=Quota(limits=(limit,), most=holders + 4))
+    fleet = Shares(1, holders=holders, mode=mode, quota=QuotaConfig(limits=(limit,), most=holders + 4))
     for name in fleet.processes:
         fleet.start(name)
     nodes = [process for process in fleet.processes.values() if process.name[0] == "n"]
@@ -509,7 +511,7 @@
         process.wants = 0
     first, began = nodes[3], fleet.now
     first.wants = fleet.limit.amount
-    reach = 0.9 * min(first.wants, fleet.limit.shared(fleet.quota.most))
+    reach = 0.9 * min(first.wants, fleet.limit.shareable(fleet.quota.most))
     while fleet.now < began + 20 * SECOND:
         fleet.run(fleet.now + 50_000, fleet.after_step)
         if len(first.calls) >= reach:
--- a/finchcart/key_leases/client.py
+++ b/finchcart/key_leases/client.py
@@ -6,29 +6,18 @@
 nor try a key again before it gave the earlier try back.
 
 Inputs: `("claim", [(key, body, life), ...])`, `("ended", key, kind, result)` (of a run that was commanded:
-ENDED or FAILED), `("never", key)` (it won't be commanded), `("leave_it", key)` (nobody waits any more),
+COMPLETED or FAILED), `("never", key)` (it won't be commanded), `("leave_it", key)` (nobody waits any more),
 `("got", address, datagram)`, `("tick",)`, `("end",)`. Effects: `("send", address, datagram)`, `("claimed",
-key, kind, result, by)`: YES (command it until `by` on the boot clock or not at all), ENDED with the result,
-FAILED, HELD (it runs elsewhere, and did not end in time), FULL (no majority, or no room: it never ran here),
-OTHER_BODY.
+key, kind, result, by)`: GRANTED (command it until `by` on the boot clock or not at all), COMPLETED with the
+result, FAILED, HELD (it runs elsewhere, and did not end in time), UNAVAILABLE (no majority, or no room: it
+never ran here),
+PAYLOAD_MISMATCH.
 
 Bounds: tries `figures.entries`; each ends with its answer, what is to be told with its life.
 """
 
 from finchcart.key_leases import messages
-from finchcart.key_leases.messages import (
-    ENDED,
-    FAILED,
-    FULL,
-    HELD,
-    OTHER_BODY,
-    RELEASED,
-    YES,
-    Ask,
-    Claim,
-    Say,
-    Vote,
-)
+from finchcart.key_leases.messages import Ask, Claim, LeaseStatus, Say, Vote
 from finchcart.membership import wire as base
 
 TELLS = 40  # times that an outcome or release is told to a keeper that does not answer
@@ -92,7 +81,7 @@
             if key in self.tries or key in self.mine:
                 self.count("claimed already")
             elif len(self.tries) + len(self.mine) >= self.figures.entries:
-                self.answer(now, key, FULL)
+                self.answer(now, key, LeaseStatus.UNAVAILABLE)
             else:
                 self.attempts += 1
                 self.tries[key] = Try(now, key, body, life, self.attempts)
@@ -103,7 +92,7 @@
 
     def give_back(self, now, trying):
         """It never ran and never will, under this attempt."""
-        line = Vote(trying.key, trying.attempt, RELEASED)
+        line = Vote(trying.key, trying.attempt, LeaseStatus.RELEASED)
         self.telling[trying.key, trying.attempt] = Telling(now, line, len(self.places))
 
     def on_votes(self, now, keeper, vote):
@@ -111,26 +100,26 @@
         if trying is None or vote.attempt != trying.attempt:
             return
         trying.votes[keeper] = vote.kind
-        if vote.kind in (ENDED, FAILED):
+        if vote.kind in (LeaseStatus.COMPLETED, LeaseStatus.FAILED):
             # Only a holder with a majority runs, and only it says so: one keeper's word is enough.
             self.leave_with(now, trying, vote.kind, vote.result)
-        elif vote.kind == OTHER_BODY:
-            self.leave_with(now, trying, OTHER_BODY)
-        elif sum(kind == YES for kind in trying.votes.values()) >= self.figures.majority:
+        elif vote.kind == LeaseStatus.PAYLOAD_MISMATCH:
+            self.leave_with(now, trying, LeaseStatus.PAYLOAD_MISMATCH)
+        elif sum(kind == LeaseStatus.GRANTED for kind in trying.votes.values()) >= self.figures.quorum:
             by = trying.asked + self.figures.command
             if now >= by:
-                self.leave_with(now, trying, FULL)
+                self.leave_with(now, trying, LeaseStatus.UNAVAILABLE)
                 return
             del self.tries[vote.key]
             self.mine[vote.key] = trying.attempt, trying.body, now + self.figures.wide(trying.life)
-            self.answer(now, vote.key, YES, b"", by)
+            self.answer(now, vote.key, LeaseStatus.GRANTED, b"", by)
         elif len(trying.votes) == len(self.places) or self.hopeless(trying):
             self.lost(now, trying)
 
     def hopeless(self, trying):
         """Whether no majority can come any more."""
-        no = sum(kind != YES for kind in trying.votes.values())
-        return no > len(self.places) - self.figures.majority
+        no = sum(kind != LeaseStatus.GRANTED for kind in trying.votes.values())
+        return no > len(self.places) - self.figures.quorum
 
     def leave_with(self, now, trying, kind, result=b""):
         del self.tries[trying.key]
@@ -139,9 +128,9 @@
 
     def lost(self, now, trying):
         """Another has it, or it is split between several. Given back, and asked for again as a new try."""
-        held = any(kind == HELD for kind in trying.votes.values())
+        held = any(kind == LeaseStatus.HELD for kind in trying.votes.values())
         if now - trying.since >= (self.figures.wait if held else self.figures.answer):
-            self.leave_with(now, trying, HELD if held else FULL)
+            self.leave_with(now, trying, LeaseStatus.HELD if held else LeaseStatus.UNAVAILABLE)
             return
         self.give_back(now, trying)
         self.attempts += 1
@@ -157,15 +146,17 @@
         attempt, body, _ = self.mine.pop(key, (None, 0, 0))
         if attempt is None:
             return self.count("not its own")
-        if kind == ENDED and len(result) > self.figures.result:
-            kind, result = FAILED, b""
-        line = Vote(key, attempt, kind, result if kind == ENDED else b"", body)
+        if kind == LeaseStatus.COMPLETED and len(result) > self.figures.result:
+            kind, result = LeaseStatus.FAILED, b""
+        line = Vote(key, attempt, kind, result if kind == LeaseStatus.COMPLETED else b"", body)
         self.telling[key, attempt] = Telling(now, line, len(self.places))
 
     def on_never(self, now, key):
         attempt, _, _ = self.mine.pop(key, (None, 0, 0))
         if attempt is not None:
-            self.telling[key, attempt] = Telling(now, Vote(key, attempt, RELEASED), len(self.places))
+            self.telling[key, attempt] = Telling(
+                now, Vote(key, attempt, LeaseStatus.RELEASED), len(self.places)
+            )
 
     # ---- messages
 
--- a/finchcart/key_leases/config.py
+++ b/finchcart/key_leases/config.py
@@ -29,24 +29,24 @@
         return ceil(time * (1 + self.drift) / (1 - self.drift)) + 1
 
     @property
-    def silence(self):
+    def startup_quiet_period(self):
         """A keeper that starts answers nobody before all claims that it may have voted for are over."""
         return self.wide(self.life)
 
     @property
-    def majority(self):
+    def quorum(self):
         return len(self.keepers) // 2 + 1
 
-    def apart(self):
+    def run_spacing_bound(self):
         """Two runs of one key are commanded at least so far apart."""
         return self.life - self.command
 
-    def bytes_at_most(self):
+    def state_bytes_bound(self):
         """What a keeper holds when it is full: 500 bytes an entry measured, and its result."""
         return self.entries * (500 + self.result)
 
 
-def mistakes(figures):
+def validation_errors(figures):
     """(field, reason) of what can't hold."""
     if len(figures.keepers) not in (1, 3, 5):
         yield "keepers", f"{len(figures.keepers)} are named: a majority of 1, 3 or 5 is needed"
--- a/finchcart/key_leases/messages.py
+++ b/finchcart/key_leases/messages.py
@@ -5,6 +5,7 @@
 and token, `body` the digest of what it carries.
 """
 
+from enum import IntEnum
 from typing import Annotated
 
 import msgspec
@@ -15,8 +16,21 @@
 
 CHANNEL = b"C"
 Key = Annotated[bytes, Meta(min_length=16, max_length=16)]
-YES, HELD, ENDED, FAILED, RELEASED, FULL, OTHER_BODY = range(1, 8)
-Kind = Annotated[int, Meta(ge=YES, le=OTHER_BODY)]
+
+
+class LeaseStatus(IntEnum):
+    """What a vote, an outcome or the answer to an attempt says of a key."""
+
+    GRANTED = 1  # the lease is the asker's
+    HELD = 2  # another attempt holds it, and its run has not ended
+    COMPLETED = 3  # a run succeeded
+    FAILED = 4  # a run failed, or its result was not kept
+    RELEASED = 5  # given back: it never ran
+    UNAVAILABLE = 6  # no quorum, or no room for another lease: it never ran here
+    PAYLOAD_MISMATCH = 7  # the same key with another payload
+
+
+Kind = LeaseStatus
 Result = Annotated[bytes, Meta(max_length=256)]
 
 
@@ -76,11 +90,11 @@
     return unsealed(CHANNEL, fleet, data, _decoder, ())
 
 
-def key_of(method, token):
+def key_digest(method, token):
     return xxh3_128_digest(f"{len(method)} {method} {token}".encode())
 
 
-def body_of(body):
+def payload_digest(body):
     return xxh3_64_intdigest(body)
 
 
--- a/finchcart/key_leases/replica.py
+++ b/finchcart/key_leases/replica.py
@@ -13,18 +13,7 @@
 from collections import OrderedDict
 
 from finchcart.key_leases import messages
-from finchcart.key_leases.messages import (
-    ENDED,
-    FAILED,
-    FULL,
-    HELD,
-    OTHER_BODY,
-    RELEASED,
-    YES,
-    Noted,
-    Vote,
-    Votes,
-)
+from finchcart.key_leases.messages import LeaseStatus, Noted, Vote, Votes
 from finchcart.membership import wire as base
 
 SWEEP = 64  # claims looked at in a tick
@@ -37,13 +26,13 @@
 
     def __init__(self, session, attempt, body, until):
         self.session, self.attempt, self.body, self.until = session, attempt, body, until
-        self.state, self.result = HELD, b""
+        self.state, self.result = LeaseStatus.HELD, b""
 
 
 class KeyLeaseReplica:
     def __init__(self, fleet, figures, now):
         self.fleet, self.figures = fleet, figures
-        self.silent_until = now + figures.silence
+        self.silent_until = now + figures.startup_quiet_period
         # released: (key, session) -> (attempt, until)
         self.entries, self.released = OrderedDict(), OrderedDict()
         self.now, self.counts, self.effects, self.ended = now, {}, [], False
@@ -98,22 +87,22 @@
         """(kind, result) of one try."""
         attempt, until = self.released.get((ask.key, session), (-1, 0))
         if ask.attempt <= attempt and now < until:
-            return (RELEASED,)  # guards against a late copy of a claim that was given back
+            return (LeaseStatus.RELEASED,)  # guards against a late copy of a claim that was given back
         if ask.life > self.figures.life:
             self.count("a life longer than kept")
-            return (FULL,)
+            return (LeaseStatus.UNAVAILABLE,)
         entry = self.entry(now, ask.key)
         if entry is None:
             if len(self.entries) >= self.figures.entries:
                 self.count("full")
-                return (FULL,)
+                return (LeaseStatus.UNAVAILABLE,)
             self.entries[ask.key] = Entry(session, ask.attempt, ask.body, now + self.figures.wide(ask.life))
-            return (YES,)
+            return (LeaseStatus.GRANTED,)
         if entry.body != ask.body:
             self.count("another body")
-            return (OTHER_BODY,)
-        if entry.session == session and entry.attempt == ask.attempt and entry.state == HELD:
-            return (YES,)
+            return (LeaseStatus.PAYLOAD_MISMATCH,)
+        if entry.session == session and entry.attempt == ask.attempt and entry.state == LeaseStatus.HELD:
+            return (LeaseStatus.GRANTED,)
         # Also for a later try of the same process, until it said of the earlier one that it never ran: it may
         # have ended, and the word of that is on its way.
         return entry.state, entry.result
@@ -130,11 +119,11 @@
         """How the run of a claim ended, by its holder alone."""
         entry = self.entry(now, line.key)
         mine = entry is not None and entry.session == session and entry.attempt == line.attempt
-        if line.kind == RELEASED:
+        if line.kind == LeaseStatus.RELEASED:
             self.release(now, line.key, session, line.attempt, now)
-            if mine and entry.state == HELD:
+            if mine and entry.state == LeaseStatus.HELD:
                 del self.entries[line.key]
-        elif line.kind in (ENDED, FAILED):
+        elif line.kind in (LeaseStatus.COMPLETED, LeaseStatus.FAILED):
             if mine:
                 entry.state, entry.result = line.kind, line.result
             elif entry is None:
--- a/finchcart/node/claimer.py
+++ b/finchcart/node/claimer.py
@@ -8,7 +8,7 @@
 """
 
 from finchcart.key_leases import messages
-from finchcart.key_leases.messages import ENDED, FAILED, FULL, OTHER_BODY, YES
+from finchcart.key_leases.messages import LeaseStatus
 
 MS, SECOND = 1_000, 1_000_000
 MOST = 2_000  # that wait for an answer; more are pushed back
@@ -36,15 +36,15 @@
 
     def ask(self, rpc, token, due, again, go_on):
         """Asks for the claim of an RPC that is not known here. `due`: when it has to be answered at last."""
-        key = messages.key_of(rpc.method, token)
+        key = messages.key_digest(rpc.method, token)
         if key in self.waiting or len(self.waiting) >= MOST:
             self.count("no room")
-            go_on(rpc, FULL, b"")
+            go_on(rpc, LeaseStatus.UNAVAILABLE, b"")
             return
         self.waiting[key] = Waiting(rpc, key, due, again, go_on)
         if not self.asked:
             self.turn.ask("later", ("claims",))  # those of one batch go in one message
-        self.asked.append((key, messages.body_of(rpc.body), self.life))
+        self.asked.append((key, messages.payload_digest(rpc.body), self.life))
         self.turn.at(due if self.end is None else min(due, self.end), self.late, key, rpc)
 
     def send(self):
@@ -73,7 +73,7 @@
         if waiting and waiting.rpc is rpc:
             self.give_up(key)
             self.count("no answer")
-            waiting.go_on(rpc, FULL if not waiting.again else FAILED, b"")
+            waiting.go_on(rpc, LeaseStatus.UNAVAILABLE if not waiting.again else LeaseStatus.FAILED, b"")
 
     def left(self, rpc):
         """Its caller has gone. True where it waited for its claim: then nothing more is to come of it."""
@@ -85,24 +85,24 @@
     def answered(self, key, kind, result, by):
         waiting = self.waiting.pop(key, None)
         if waiting is None:
-            if kind == YES:
+            if kind == LeaseStatus.GRANTED:
                 self.turn.ask("claim", ("never", key))  # nobody waits for it any more
             return
-        if kind == YES and (not waiting.rpc.owed or self.boot >= by):
+        if kind == LeaseStatus.GRANTED and (not waiting.rpc.owed or self.boot >= by):
             self.turn.ask("claim", ("never", key))
-            kind = FULL
+            kind = LeaseStatus.UNAVAILABLE
         self.count(
             {
-                YES: "mine",
-                ENDED: "result of a run elsewhere",
-                FULL: "no majority",
-                OTHER_BODY: "another body",
+                LeaseStatus.GRANTED: "mine",
+                LeaseStatus.COMPLETED: "result of a run elsewhere",
+                LeaseStatus.UNAVAILABLE: "no majority",
+                LeaseStatus.PAYLOAD_MISMATCH: "another body",
             }.get(kind, "failed, or not to be known")
         )
-        if kind == YES:
+        if kind == LeaseStatus.GRANTED:
             self.mine[waiting.rpc.index] = key, by
-        if kind == FULL and waiting.again:
-            kind = FAILED  # an earlier try may have run elsewhere: not told as never run
+        if kind == LeaseStatus.UNAVAILABLE and waiting.again:
+            kind = LeaseStatus.FAILED  # an earlier try may have run elsewhere: not told as never run
         waiting.go_on(waiting.rpc, kind, result)
 
     def may_run(self, index):
@@ -117,7 +117,15 @@
         """Its run is over."""
         claim = self.mine.pop(index, None)
         if claim:
-            self.turn.ask("claim", ("ended", claim[0], ENDED if good else FAILED, result if good else b""))
+            self.turn.ask(
+                "claim",
+                (
+                    "ended",
+                    claim[0],
+                    LeaseStatus.COMPLETED if good else LeaseStatus.FAILED,
+                    result if good else b"",
+                ),
+            )
 
     def never(self, index):
         """It won't run."""
--- a/finchcart/quota/lease_holder.py
+++ b/finchcart/quota/lease_holder.py
@@ -242,8 +242,8 @@
                     "leader": self.quota.planners[self.leader],
                     "stale_ms": (now - held.asked_at) // 1000 if now < held.until else None,
                     "left_ms": max(0, held.until - now) // 1000,
-                    "over_at_most": self.quota.over_at_most(0),
-                    "over_at_most_a_stopped_process": self.quota.over_at_most(1),
+                    "over_at_most": self.quota.strict_overshoot_bound(0),
+                    "over_at_most_a_stopped_process": self.quota.strict_overshoot_bound(1),
                 }
                 for held in self.held.values()
             ]
--- a/finchcart/quota/limits.py
+++ b/finchcart/quota/limits.py
@@ -35,13 +35,13 @@
     def what(self):
         return self.counts, self.per, self.method, self.dispatcher
 
-    def shared(self, most):
+    def shareable(self, most):
         """What is left to share out besides the floors of `most` processes."""
         return self.amount - self.floor * most
 
 
 @dataclass(frozen=True)
-class Quota:
+class QuotaConfig:
     limits: tuple = ()
     planners: tuple = ()  # their addresses; which of them is which is told by place
     most: int = 64  # processes of nodes at once, those that are stopped counted
@@ -77,31 +77,31 @@
         return int(time * (1 - self.drift) / (1 + self.drift)) - 1
 
     @property
-    def silence(self):
+    def startup_quiet_period(self):
         """A planner that starts votes for nobody before any lease that it may have voted for is over."""
         return self.wide(self.lease)
 
     @property
-    def wait(self):
+    def takeover_wait(self):
         """A planner that begins to share out gives nothing new before any earlier grant is over."""
         return self.wide(self.life)
 
     @property
-    def retry(self):
+    def election_retry(self):
         """Between tries to be elected, at least."""
         return self.lease // 10
 
-    def alone_within(self):
+    def fallback_bound(self):
         """From the loss of all planners until a node is down to its floor: what it holds ends, and is seen
         to."""
         return self.wide(self.life) + TICK
 
-    def back_within(self):
+    def recovery_bound(self):
         """From contact with a majority of planners, all started anew, until what is shared is given again:
         their silence, an election in a few tries, and the wait; then a part more in each round."""
-        return self.silence + 4 * self.retry + self.wait + self.round
+        return self.startup_quiet_period + 4 * self.election_retry + self.takeover_wait + self.round
 
-    def jump_within(self):
+    def rebalancing_bound(self):
         """From a jump of demand at one holder to its whole part, where all answer: the others are asked to
         give way at their next ask, and say that they did; then it rises step by step."""
         return 3 * self.round + ceil(1 / self.step) * self.round
@@ -110,35 +110,35 @@
         """The oldest word that a holder acts on."""
         return self.life
 
-    def over_at_most(self, stopped):
+    def strict_overshoot_bound(self, stopped):
         """Calls beyond a strict limit: one for each process that is stopped between its last look at the
         clock and the write, and none without that."""
         return stopped
 
-    def in_window(self, limit, window):
+    def window_bound(self, limit, window):
         """The most of a strict rate in any `window`: calls are written up to `slack` after they were counted,
         by clocks that may be fast by the drift."""
         return limit.burst + ceil(limit.amount * (window + self.slack) * (1 + self.drift) / SECOND)
 
-    def part_of(self, limit, seen, known):
+    def partition_allowance(self, limit, seen, known):
         """What a side of a cut may use of a loose limit, where it sees so many of those that it knows to be
         in the fleet, or lately failed. However the fleet is cut, the parts of all sides together are no more
         than (1 + over) of the limit."""
         return int(limit.amount * min(1.0, (1 + self.over) * seen / max(1, known)))
 
-    def loose_over_at_most(self, limit, known, joined=0):
+    def loose_overshoot_bound(self, limit, known, joined=0):
         """Beyond a loose limit, all sides of any cut together: `known` members before it, `joined` on one
         side since, whom the others don't know; parts are whole numbers, which may be rounded up at each."""
         new = (1 + self.over) * joined / max(1, known + joined)
         rounded = 0 if limit.per == "rate" else min(known + joined - 1, limit.amount)
         return ceil(limit.amount * (self.over + new)) + rounded
 
-    def over_for(self):
+    def overshoot_duration_bound(self):
         """How long such a call can be in hand, once written: its time limit is never longer."""
         return self.life
 
 
-def mistakes(quota):
+def validation_errors(quota):
     """(field, reason) of what can't hold its own bounds."""
     for n, limit in enumerate(quota.limits):
         if limit.strict and limit.counts == "rpcs" and limit.per == "in_hand":
--- a/finchcart/quota/local_limits.py
+++ b/finchcart/quota/local_limits.py
@@ -12,7 +12,7 @@
 another may still use; and what others have in hand is left to them. A member that was not heard both ways for
 `fresh` may not know of others' wants: it is reckoned to want all, so nobody takes its even part. A side that
 sees a part of the known members, the others failed, uses (1 + over) times that part of the limit, all of it
-at most: see `Quota.part_of`.
+at most: see `QuotaConfig.part_of`.
 """
 
 from collections import deque
@@ -127,7 +127,7 @@
         limit = held.limit
         if self.since is None or now - self.since < self.age:
             return limit.floor  # others don't know of it yet
-        whole = self.quota.part_of(limit, self.seen, self.knows)
+        whole = self.quota.partition_allowance(limit, self.seen, self.knows)
         demands, used = {member.me: held.settled()}, {}
         for one in self.unheard:
             demands[one] = whole
@@ -162,7 +162,7 @@
                 "left_ms": KEEP // 1000,
                 "seen": self.seen,
                 "known": self.knows,
-                "over_at_most": self.quota.loose_over_at_most(held.limit, self.knows),
+                "over_at_most": self.quota.loose_overshoot_bound(held.limit, self.knows),
             }
             for held in self.held.values()
         ]
--- a/finchcart/quota/planner.py
+++ b/finchcart/quota/planner.py
@@ -50,11 +50,11 @@
         self.place, self.fleet, self.quota, self.random = place, fleet, quota, random
         self.session = random.getrandbits(64)
         self.others = [base.place_of(each) for each in quota.planners if each != place]
-        self.votes_from = now + quota.silence
+        self.votes_from = now + quota.startup_quiet_period
         self.promised, self.held = (0, 0), None  # held: (ballot, owner, until) of the lease voted for
         self.ballot, self.phase, self.voted, self.asked_at = None, None, set(), 0
         self.owns_until, self.owned_since, self.term = 0, None, 0
-        self.next_try, self.top = now + quota.silence + random.randrange(quota.retry), 0
+        self.next_try, self.top = now + quota.startup_quiet_period + random.randrange(quota.election_retry), 0
         self.leader, self.leader_until = "", 0
         self.holders, self.number = {}, 0
         self.parts, self.parts_at = {}, 0  # targets by limit, and when they were worked out
@@ -194,22 +194,22 @@
         if self.owned_since is None:
             self.owned_since, self.term = now, self.ballot[0]
             self.holders, self.number = {}, 0
-            self.log("shares out", term=self.term, wait_ms=self.quota.wait // 1000)
+            self.log("shares out", term=self.term, wait_ms=self.quota.takeover_wait // 1000)
 
     def lose(self, now, why):
         self.log("shares out no more", term=self.term, why=why)
         self.owned_since, self.holders, self.phase = None, {}, None
-        self.next_try = now + self.random.randrange(self.quota.retry, 2 * self.quota.retry)
+        self.next_try = now + self.random.randrange(self.quota.election_retry, 2 * self.quota.election_retry)
 
     def on_tick(self, now):
         quota = self.quota
         if self.owned_since is not None:
             if now >= self.owns_until - quota.lease // 2 and now >= self.next_try:
-                self.next_try = now + quota.retry
+                self.next_try = now + quota.election_retry
                 self.campaign(now)
             self.forget(now)
         elif self.voter(now) and now >= self.next_try:
-            self.next_try = now + self.random.randrange(quota.retry, 2 * quota.retry)
+            self.next_try = now + self.random.randrange(quota.election_retry, 2 * quota.election_retry)
             if self.held is None:
                 self.campaign(now)
 
@@ -292,7 +292,7 @@
 
     def targets(self, limit):
         """Parts of all holders by what they want; a part is kept free for those who come."""
-        shared = limit.shared(self.quota.most)
+        shared = limit.shareable(self.quota.most)
         demands = {
             key: holder.wants.get(limit.name, 0)
             for key, holder in self.holders.items()
@@ -318,8 +318,8 @@
         if len(out) >= MOST_OUT:
             return None
         mine = self.committed(holder, name)
-        shared = limit.shared(quota.most)
-        if now < self.owned_since + quota.wait:
+        shared = limit.shareable(quota.most)
+        if now < self.owned_since + quota.takeover_wait:
             # Another may hold all the rest, from an earlier term: what this one holds is renewed, and no
             # more.
             amount = min(line.amount if line.term < self.term else mine, shared)
@@ -331,7 +331,7 @@
             step = max(1, int(shared * quota.step))
             amount = min(target, mine + max(0, min(shared - taken, step)))
         self.number += 1
-        out.append(Out(self.number, seq, amount, now + quota.wait))
+        out.append(Out(self.number, seq, amount, now + quota.takeover_wait))
         return Part(name, self.number, amount, quota.life, limit.amount)
 
     # ---- what is told
@@ -351,7 +351,7 @@
                         {
                             "name": limit.name,
                             "limit": limit.amount,
-                            "shared": limit.shared(self.quota.most),
+                            "shared": limit.shareable(self.quota.most),
                             "granted": sum(
                                 self.committed(each, limit.name) for each in self.holders.values()
                             ),
--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -10,8 +10,8 @@
 from finchcart.fault_injection.claiming import KEY, TICK, Breach, Run, World, act, explore
 from finchcart.key_leases import messages
 from finchcart.key_leases.client import KeyLeaseClient
-from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig, mistakes
-from finchcart.key_leases.messages import ENDED, FAILED, FULL, HELD, OTHER_BODY, YES
+from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig, validation_errors
+from finchcart.key_leases.messages import LeaseStatus
 from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.node.claimer import Claimer
 from tests.harness import draw_settings, read_answer
@@ -34,17 +34,19 @@
     world = World()
     claim(world, "h0")
     settle(world, 1)
-    assert world.answers == {("h0", KEY): [YES]}
+    assert world.answers == {("h0", KEY): [LeaseStatus.GRANTED]}
     world.command("h0", KEY)
     claim(world, "h1")
     settle(world, 4)
     assert ("h1", KEY) not in world.answers, "it waits for the run elsewhere"
     world.end("h0", KEY)
     settle(world, 8)
-    assert world.answers["h1", KEY] == [ENDED]
+    assert world.answers["h1", KEY] == [LeaseStatus.COMPLETED]
     claim(world, "h1", 8, KEY)
     settle(world, 4)
-    assert world.answers["h1", KEY] == [ENDED, OTHER_BODY], "the same key with another body"
+    assert world.answers["h1", KEY] == [LeaseStatus.COMPLETED, LeaseStatus.PAYLOAD_MISMATCH], (
+        "the same key with another body"
+    )
 
 
 def test_what_did_not_end_in_time_is_told_as_held_and_what_never_ran_is_free_again():
@@ -53,12 +55,12 @@
     settle(world, 1)
     claim(world, "h1")
     settle(world, world.figures.wait // TICK + 4)
-    assert world.answers["h1", KEY] == [HELD]
+    assert world.answers["h1", KEY] == [LeaseStatus.HELD]
     world.feed("h0", "never", KEY)
     del world.to_command["h0", KEY]
     claim(world, "h1")
     settle(world, 6)
-    assert world.answers["h1", KEY] == [HELD, YES]
+    assert world.answers["h1", KEY] == [LeaseStatus.HELD, LeaseStatus.GRANTED]
 
 
 def test_a_claim_outlives_its_holder_and_a_restart_of_its_name():
@@ -70,7 +72,10 @@
     claim(world, "h0")
     claim(world, "h1")
     settle(world, world.figures.wait // TICK + 4)
-    assert world.answers["h1", KEY] == [HELD] and world.answers["h0", KEY] == [YES, HELD]
+    assert world.answers["h1", KEY] == [LeaseStatus.HELD] and world.answers["h0", KEY] == [
+        LeaseStatus.GRANTED,
+        LeaseStatus.HELD,
+    ]
 
 
 def test_without_a_majority_nothing_runs_and_a_keeper_that_started_is_silent():
@@ -79,16 +84,16 @@
     world.start("k1")
     claim(world, "h0")
     settle(world, 8)
-    assert world.answers["h0", KEY] == [FULL]
-    world.pass_time(world.figures.silence)
+    assert world.answers["h0", KEY] == [LeaseStatus.UNAVAILABLE]
+    world.pass_time(world.figures.startup_quiet_period)
     claim(world, "h0")
     settle(world, 8)
-    assert world.answers["h0", KEY] == [FULL, YES]
+    assert world.answers["h0", KEY] == [LeaseStatus.UNAVAILABLE, LeaseStatus.GRANTED]
 
 
 def test_a_keeper_is_bounded_and_when_full_refuses_new_claims_and_answers_repeats():
     world = World(figures=KeyLeaseConfig(entries=5))
-    keys = [messages.key_of("m", str(n)) for n in range(8)]
+    keys = [messages.key_digest("m", str(n)) for n in range(8)]
     for key in keys[:4]:
         claim(world, "h0", key=key)
     settle(world, 1)
@@ -101,7 +106,11 @@
     claim(world, "h1", key=keys[0])
     settle(world, 8)
     kinds = [world.answers["h0", key][-1] for key in keys]
-    assert kinds[:4] == [YES] * 4 and kinds.count(FULL) == 3 and world.answers["h1", keys[0]] == [ENDED]
+    assert (
+        kinds[:4] == [LeaseStatus.GRANTED] * 4
+        and kinds.count(LeaseStatus.UNAVAILABLE) == 3
+        and world.answers["h1", keys[0]] == [LeaseStatus.COMPLETED]
+    )
     assert all(len(world.machines[f"k{n}"].entries) <= 5 for n in range(3))
     world.pass_time(2 * world.figures.life)
     assert not any(world.machines[f"k{n}"].entries for n in range(3))
@@ -109,25 +118,25 @@
 
 def test_many_claims_go_in_one_message_and_a_result_too_large_is_told_as_lost():
     world = World()
-    keys = [messages.key_of("m", str(n)) for n in range(20)]
+    keys = [messages.key_digest("m", str(n)) for n in range(20)]
     world.feed("h0", "claim", [(key, 7, 12 * SECOND) for key in keys])
     assert len(world.net) == 6, "sixteen to a message, three keepers"
     settle(world, 1)
     for key in keys:
         world.command("h0", key)
-    world.feed("h0", "ended", keys[0], ENDED, b"x" * 300)
-    world.runs[keys[0]][0][3] = ENDED
+    world.feed("h0", "ended", keys[0], LeaseStatus.COMPLETED, b"x" * 300)
+    world.runs[keys[0]][0][3] = LeaseStatus.COMPLETED
     settle(world, 2)
     claim(world, "h1", key=keys[0])
     settle(world, 4)
-    assert world.answers["h1", keys[0]] == [FAILED]
+    assert world.answers["h1", keys[0]] == [LeaseStatus.FAILED]
 
 
 def test_settings_that_can_not_hold_are_told():
     places = ("10.0.0.1:1", "10.0.0.2:1")
-    wrong = mistakes(KeyLeaseConfig(keepers=places, command=15 * SECOND))
+    wrong = validation_errors(KeyLeaseConfig(keepers=places, command=15 * SECOND))
     assert [name for name, _ in wrong] == ["keepers", "command_ms"]
-    assert not list(mistakes(KeyLeaseConfig(keepers=(*places, "10.0.0.3:1"))))
+    assert not list(validation_errors(KeyLeaseConfig(keepers=(*places, "10.0.0.3:1"))))
     with open("deploy/finchcart.json5", encoding="utf-8") as file:
         head, _, tail = file.read().partition("  // claims: {\n")
     told = claims(checked(json5.loads(head + "  claims: {\n" + re.sub(r"(?m)^  // ", "  ", tail)), "example"))
@@ -169,7 +178,7 @@
             for key in [key for key in self.asked if rng.random() < 0.2]:
                 del self.asked[key]
                 kind = rng.choice(kinds)
-                if kind == YES:
+                if kind == LeaseStatus.GRANTED:
                     self.mine.add(key)
                 if not far.ended:
                     far.feed("fleet", ("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS))
@@ -206,7 +215,20 @@
 def test_rules_hold_with_claims_and_none_is_left_behind(seed):
     rng = random.Random(seed)
     far = Far({**draw_settings(rng), **GAUGES}, seed, claims=lambda turn: Claimer(turn, 20 * SECOND))
-    kept = Kept(far, rng, (YES, YES, YES, YES, HELD, FULL, FAILED, OTHER_BODY))
+    kept = Kept(
+        far,
+        rng,
+        (
+            LeaseStatus.GRANTED,
+            LeaseStatus.GRANTED,
+            LeaseStatus.GRANTED,
+            LeaseStatus.GRANTED,
+            LeaseStatus.HELD,
+            LeaseStatus.UNAVAILABLE,
+            LeaseStatus.FAILED,
+            LeaseStatus.PAYLOAD_MISMATCH,
+        ),
+    )
     runs_are_claimed(far, kept)
     play(far, rng)
     assert not kept.mine and not far.core.claimer.waiting and not far.core.claimer.mine
@@ -231,11 +253,18 @@
 
 
 def test_what_a_claim_comes_to_is_what_the_caller_hears():
-    assert one_tokened(YES)[:2] == (None, True)
-    assert one_tokened(HELD)[:2] == ("aborted", False) and one_tokened(FAILED)[0] == "aborted"
-    assert one_tokened(FULL)[0] == "pushed back", "a first try never ran"
-    assert one_tokened(FULL, again=True)[0] == "aborted", "an earlier one may have, elsewhere"
-    assert one_tokened(YES, by=0)[:2] == ("pushed back", False), "the claim is over when it comes"
+    assert one_tokened(LeaseStatus.GRANTED)[:2] == (None, True)
+    assert (
+        one_tokened(LeaseStatus.HELD)[:2] == ("aborted", False)
+        and one_tokened(LeaseStatus.FAILED)[0] == "aborted"
+    )
+    assert one_tokened(LeaseStatus.UNAVAILABLE)[0] == "pushed back", "a first try never ran"
+    assert one_tokened(LeaseStatus.UNAVAILABLE, again=True)[0] == "aborted", (
+        "an earlier one may have, elsewhere"
+    )
+    assert one_tokened(LeaseStatus.GRANTED, by=0)[:2] == ("pushed back", False), (
+        "the claim is over when it comes"
+    )
     how, ran, late = one_tokened(None)
     assert how == "pushed back" and not ran and late <= 0, "no keeper answers: by its due time"
 
@@ -246,7 +275,7 @@
     far.answered = lambda link, data: told.append(read_answer(data))
     far.submit(far.open(), 1)
     far.step(MS)
-    far.feed("fleet", ("claimed", far.claims[0][1][0][0], ENDED, b"there", 0))
+    far.feed("fleet", ("claimed", far.claims[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0))
     assert b"there" in str(told).encode() and not far.runs
 
 
@@ -270,7 +299,7 @@
 class AnyonesRelease(KeyLeaseReplica):
     def note(self, now, session, line):
         super().note(now, session, line)
-        if line.kind == messages.RELEASED:
+        if line.kind == LeaseStatus.RELEASED:
             self.entries.pop(line.key, None)
 
 
@@ -288,14 +317,14 @@
 
     def vote(self, now, session, ask):
         entry = self.entries.get(ask.key)
-        if entry is not None and entry.session == session and entry.state == HELD:
+        if entry is not None and entry.session == session and entry.state == LeaseStatus.HELD:
             entry.attempt = max(entry.attempt, ask.attempt)
         return super().vote(now, session, ask)
 
 
 class OneVote(KeyLeaseClient):
     def on_votes(self, now, keeper, vote):
-        if vote.kind == YES:
+        if vote.kind == LeaseStatus.GRANTED:
             for n in range(len(self.places)):
                 super().on_votes(now, n, vote)
         else:
@@ -304,7 +333,7 @@
 
 class OldVotesCount(KeyLeaseClient):
     def lost(self, now, trying):
-        votes = {keeper: kind for keeper, kind in trying.votes.items() if kind == YES}
+        votes = {keeper: kind for keeper, kind in trying.votes.items() if kind == LeaseStatus.GRANTED}
         super().lost(now, trying)
         if trying.key in self.tries:
             self.tries[trying.key].votes.update(votes)
@@ -322,7 +351,7 @@
 
 class AlwaysWell(KeyLeaseClient):
     def on_ended(self, now, key, kind, result=b""):
-        super().on_ended(now, key, ENDED, result)
+        super().on_ended(now, key, LeaseStatus.COMPLETED, result)
 
 
 class ForgetsItRuns(KeyLeaseClient):
@@ -401,4 +430,4 @@
         if world.net:
             act(world, ("deliver", rng.randrange(len(world.net))))
         act(world, ("time", 10 * MS))
-    assert world.answers["h0", KEY] == [YES]
+    assert world.answers["h0", KEY] == [LeaseStatus.GRANTED]
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -22,7 +22,7 @@
 from finchcart.quota import local_limits, messages
 from finchcart.quota.fair_share import max_min_shares, prioritized_shares
 from finchcart.quota.lease_holder import LeaseHolder
-from finchcart.quota.limits import SECOND, Limit, Quota, mistakes
+from finchcart.quota.limits import SECOND, Limit, QuotaConfig, validation_errors
 from finchcart.quota.local_limits import LocalLimits
 from finchcart.quota.planner import Planner
 
@@ -67,17 +67,17 @@
         with pytest.raises(Wrong) as raised:
             checked(wrong, "F")
         assert said in str(raised.value)
-    assert not list(mistakes(Quota(limits=(Limit("a", 64, 1),), planners=("a",))))
+    assert not list(validation_errors(QuotaConfig(limits=(Limit("a", 64, 1),), planners=("a",))))
     rate = Limit("a", 64, per="rate", burst=63)
-    told = dict(mistakes(Quota(limits=(rate,), planners=("a",))))
+    told = dict(validation_errors(QuotaConfig(limits=(rate,), planners=("a",))))
     assert "63 is less than most = 64" in told["limits.0.burst"]
     loose = Limit("a", 64, mode="loose")
-    assert not list(mistakes(Quota(limits=(loose,)))), "a loose limit needs no planners"
+    assert not list(validation_errors(QuotaConfig(limits=(loose,)))), "a loose limit needs no planners"
 
 
 def test_bounds_are_formulas_of_the_settings():
-    quota, limit = Quota(over=0.5, drift=0.01), Limit("a", 100, mode="loose")
-    assert quota.part_of(limit, 5, 10) == 75 and quota.part_of(limit, 9, 10) == 100
+    quota, limit = QuotaConfig(over=0.5, drift=0.01), Limit("a", 100, mode="loose")
+    assert quota.partition_allowance(limit, 5, 10) == 75 and quota.partition_allowance(limit, 9, 10) == 100
     chance = random.Random(1)
     for _ in range(300):
         known = chance.randrange(2, 40)
@@ -85,13 +85,16 @@
         while left:
             sides.append(chance.randint(1, left))
             left -= sides[-1]
-        assert sum(quota.part_of(limit, side, known) for side in sides) <= 150
-    assert quota.loose_over_at_most(limit, 10) == 50 + 9
-    assert quota.loose_over_at_most(limit, 10, 5) == 100 + 14
+        assert sum(quota.partition_allowance(limit, side, known) for side in sides) <= 150
+    assert quota.loose_overshoot_bound(limit, 10) == 50 + 9
+    assert quota.loose_overshoot_bound(limit, 10, 5) == 100 + 14
     rate = Limit("r", 100, per="rate", burst=80, mode="loose")
-    assert quota.loose_over_at_most(rate, 10) == 50
-    assert quota.in_window(Limit("r", 100, per="rate", burst=80), SECOND) == 80 + 104
-    assert quota.back_within() == quota.silence + 4 * quota.retry + quota.wait + quota.round
+    assert quota.loose_overshoot_bound(rate, 10) == 50
+    assert quota.window_bound(Limit("r", 100, per="rate", burst=80), SECOND) == 80 + 104
+    assert (
+        quota.recovery_bound()
+        == quota.startup_quiet_period + 4 * quota.election_retry + quota.takeover_wait + quota.round
+    )
 
 
 def test_what_matters_more_is_met_first_and_weights_count():
@@ -110,7 +113,7 @@
 def test_demand_that_alternates_between_two_moves_little():
     """The greater of the last two words of each counts."""
     one, now = elected({})
-    now += SHARED.wait + 1
+    now += SHARED.takeover_wait + 1
     one.owns_until = now + 99 * SECOND
     held, moves, before = {1: (0, 0), 2: (0, 0)}, 0, None
     for turn in range(20):
@@ -167,7 +170,7 @@
 
 def test_a_limit_that_the_planners_lack_stays_at_its_floor():
     one, now = elected({})
-    now += SHARED.wait + 1
+    now += SHARED.takeover_wait + 1
     one.owns_until = now + 9 * SECOND
     line = messages.Line("other", 0, 0, 0, 9, 0)
     said = sent(one.reduce(now, got(messages.Want("n1", 1, 1, 1, False, [line]), NODE)))
@@ -262,7 +265,13 @@
     that start later; `takes`: a call. Raises where it is beyond the bound."""
     limit = Limit("store", 48, mode="loose", per=per, burst=20 if per == "rate" else 0)
     fleet = Shares(
-        seed, 0, holders, Quota(limits=(limit,), most=holders + 2, over=over), make, mode="loose", per=per
+        seed,
+        0,
+        holders,
+        QuotaConfig(limits=(limit,), most=holders + 2, over=over),
+        make,
+        mode="loose",
+        per=per,
     )
     chance, fleet.takes = random.Random(f"demand {seed}"), takes
     for name in fleet.processes:
@@ -372,11 +381,11 @@
 
 
 def takes_the_whole(make, **more):
-    before, Quota.part_of = Quota.part_of, takes_all
+    before, QuotaConfig.partition_allowance = QuotaConfig.partition_allowance, takes_all
     try:
         return loose_run(make, **more)
     finally:
-        Quota.part_of = before
+        QuotaConfig.partition_allowance = before
 
 
 def most(play, seeds=(1, 2), **more):
@@ -432,25 +441,25 @@
 
 
 def test_what_is_shared_follows_demand_and_comes_back_within_its_bounds():
-    fleet = Shares(1, holders=6, quota=Quota(limits=(Limit("store", 60, 1),), most=8))
+    fleet = Shares(1, holders=6, quota=QuotaConfig(limits=(Limit("store", 60, 1),), most=8))
     for name in fleet.processes:
         fleet.start(name)
-    fleet.run(fleet.now + fleet.quota.back_within(), fleet.after_step)
+    fleet.run(fleet.now + fleet.quota.recovery_bound(), fleet.after_step)
     want = lambda **wants: [setattr(fleet.processes[name], "wants", count) for name, count in wants.items()]
     want(n0=60)
-    fleet.run(fleet.now + fleet.quota.jump_within(), fleet.after_step)
+    fleet.run(fleet.now + fleet.quota.rebalancing_bound(), fleet.after_step)
     assert fleet.processes["n0"].amount >= 0.9 * 52
     want(n0=0, n1=30, n2=30, n3=30)
-    fleet.run(fleet.now + fleet.quota.jump_within(), fleet.after_step)
+    fleet.run(fleet.now + fleet.quota.rebalancing_bound(), fleet.after_step)
     assert all(fleet.processes[name].amount >= 14 for name in ("n1", "n2", "n3"))
     for name in ("p0", "p1", "p2"):
         fleet.kill(name)
-    fleet.run(fleet.now + fleet.quota.alone_within() + 100_000, fleet.after_step)
+    fleet.run(fleet.now + fleet.quota.fallback_bound() + 100_000, fleet.after_step)
     assert all(fleet.processes[f"n{n}"].amount == 0 for n in range(6))
     assert fleet.count()[0] <= 6, "floors alone"
     for name in ("p0", "p1", "p2"):
         fleet.start(name)
-    fleet.run(fleet.now + fleet.quota.back_within(), fleet.after_step)
+    fleet.run(fleet.now + fleet.quota.recovery_bound(), fleet.after_step)
     assert sum(fleet.processes[f"n{n}"].amount for n in range(6)) > 10
 
 
@@ -482,7 +491,7 @@
 
 def gives_at_once(self, now, until):
     Planner.own(self, now, until)
-    self.owned_since = min(self.owned_since, now - self.quota.wait)
+    self.owned_since = min(self.owned_since, now - self.quota.takeover_wait)
 
 
 def lease_for_ever(self, now, why):
@@ -554,7 +563,7 @@
 
 PLACES = ("10.0.0.1:7401", "10.0.0.2:7401", "10.0.0.3:7401")
 TWO, THREE, NODE = (base.place_of(PLACES[1]), base.place_of(PLACES[2]), ("10.0.0.9", 7400))
-SHARED = Quota(limits=(Limit("store", 40),), planners=PLACES, most=4, step=1.0, room=0.0)
+SHARED = QuotaConfig(limits=(Limit("store", 40),), planners=PLACES, most=4, step=1.0, room=0.0)
 got = lambda said, address=TWO: ("got", address, base.sealed(messages.CHANNEL, "f", said))
 sent = lambda effects: [messages.unpack("f", effect[2]) for effect in effects if effect[0] == "send"]
 
@@ -562,7 +571,7 @@
 def elected(make, accept_late=0):
     """A planner that shares out, and when it proposed."""
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
-    now = SHARED.silence + 2 * SHARED.retry
+    now = SHARED.startup_quiet_period + 2 * SHARED.election_retry
     one.reduce(now, ("tick",))
     one.reduce(now + 1, got(messages.Promise(one.ballot, None)))
     one.reduce(now + 2 + accept_late, got(messages.Accept(one.ballot)))
@@ -590,7 +599,7 @@
 def started_anew(make):
     """The process before may still use its grant: another gets none of that."""
     one, now = elected(make)
-    now += SHARED.wait + 1
+    now += SHARED.takeover_wait + 1
     one.owns_until = now + 9 * SECOND
     first = ask(one, now, "n1", 1, 1).amount
     ask(one, now + 100_000, "n1", 2, 1, wants=0)
@@ -663,7 +672,7 @@
 
 def lesser_ballot(make):
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
-    now = SHARED.silence + 1
+    now = SHARED.startup_quiet_period + 1
     one.reduce(now, got(messages.Prepare((9, 7), one.times)))
     said = sent(one.reduce(now, got(messages.Prepare((8, 8), one.times), THREE)))
     return said if any(isinstance(each, messages.Promise) for each in said) else []
