--- /dev/null
+++ b/tests/pins/decision_module.py
@@ -0,0 +1,116 @@
+"""Present names of the decision module and its port; a rename changes this file and no hash.
+
+Pinned words are those of the adapter's wire, and a few more for what the wire does not carry.
+"""
+
+from finchcart.control import Control
+from finchcart.interface import FleetQuota, Gauges
+from finchcart.settings import from_pairs
+from finchcart.wire import OUTCOMES
+from tests.pins.adapter import as_text
+
+# Verb of the port -> pinned action, and the names of its values; "call" is the index of an RPC.
+VERBS = {
+    "run": ("TAKE", "call"),
+    "stop": ("STOP", "call"),
+    "reject": ("BUSY", "call", "wait", "last"),
+    "fail": ("END_FAILED", "call"),
+    "call": ("CALL_DEP", "call", "limit"),
+    "degrade": ("SKIP", "call"),
+    "answer_duplicate": ("SHARE", "call"),
+    "store_key": ("PIN", "call", "keepFor"),
+    "evict_key": ("DROP_KEY", "call"),
+    "set_health": ("READINESS", "want", "stored"),
+    "set_shed_level": ("HINT_OUT", "x"),
+    "set_credit": ("CREDIT", "x"),
+    "set_idle_timeout": ("IDLE_LIMIT", "keepFor"),
+    "set_timer": ("NOTIFY_ME", "fromNow", "name"),
+    "log": ("TRACE", "what"),
+    "release": ("RELEASE", "call"),
+}
+GAUGES = {  # pinned word -> present gauge; those that the decision module does not read are left out
+    "core_use": "core_use",
+    "on_cores": "on_cores",
+    "callsRoom": "call_capacity",
+    "ejected": "ejected",
+    "leastLevel": "min_shed_level",
+    "dependencyDown": "dependency_down",
+    "intakeUse": "input_busy",
+    "intakeAge": "input_age",
+}
+ARRIVAL = {  # pinned field of an arrival -> present keyword
+    "expires": "expires_at",
+    "backlogTime": "waited",
+    "place": "shed_rank",
+    "estimate": "cost_hint",
+    "againByClient": "is_retry",
+    "neighbour": "caller",
+}
+
+
+class DirectLink:
+    """Calls the decision module in this process; also the port, whose every verb is recorded."""
+
+    def __init__(self):
+        self.actions = []
+        self.identifiers = {}  # index -> identifier
+        self.rpcs = {}  # identifier -> (index, handle)
+
+    def __getattr__(self, verb):
+        name, *value_names = VERBS[verb]
+
+        def record(*values):
+            fields = {key: as_text(value) for key, value in zip(value_names, values, strict=True)}
+            if "call" in fields:
+                fields["call"] = self.identifiers[values[0]]
+            if name == "RELEASE":
+                self.rpcs.pop(self.identifiers.pop(values[0]))
+            self.actions.append((name, fields))
+
+        return record
+
+    def exchange(self, now, events):
+        self.actions = []
+        for message, fields in events:
+            self.handle(now, message, fields)
+        return self.actions
+
+    def handle(self, now, message, fields):
+        if message == "CREATE":
+            self.identifiers, self.rpcs = {}, {}
+            settings = from_pairs({name: as_text(value) for name, value in fields.items()})
+            self.control = Control(self, settings, fields["randomSeed"])
+            self.control.start(now)
+        elif message == "KNOCK":
+            self.arrive(now, fields)
+        elif message == "WAKE":
+            readings = fields["feedback"].items()
+            gauges = Gauges(**{GAUGES[word]: value for word, value in readings if word in GAUGES})
+            self.control.on_timer(now, fields["name"], gauges)
+        elif message == "DRAIN":
+            self.control.drain(now, fields["expires"])
+        elif message == "RESTARTED":
+            self.control.worker_pool_restarted(now, fields["cold"])
+        elif message != "KILL" and fields["call"] in self.rpcs:
+            rpc = self.rpcs[fields["call"]][1]
+            if message == "WOUND_UP":
+                rpc.run_ended(now, OUTCOMES[fields["how"]], fields["spent"])
+            elif message == "DOWNSTREAM":
+                rpc.call_ended(now, OUTCOMES[fields["how"]], fields["spent"])
+            elif message == "LEFT":
+                rpc.caller_gone(now)
+            else:
+                rpc.awaiting_call(now)
+
+    def arrive(self, now, fields):
+        identifier, index = fields["call"], fields["number"]
+        self.identifiers[index] = identifier
+        self.rpcs[identifier] = index, None
+        keywords = {ARRIVAL[word]: value for word, value in fields.items() if word in ARRIVAL}
+        if "repeats" in fields:
+            keywords["duplicate_of"] = self.rpcs.get(fields["repeats"], (-1, None))[0]
+        if "room" in fields:
+            keywords["quota"] = FleetQuota(*fields["room"])
+        rpc = self.control.admit(now, index, fields["profile"], fields["footprint"], **keywords)
+        if identifier in self.rpcs:
+            self.rpcs[identifier] = index, rpc
