--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -18,7 +18,7 @@
 from finchcart.key_leases import wire
 from finchcart.key_leases.figures import SECOND, Figures
 from finchcart.key_leases.keeper import Keeper
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 
 KINDS = {1: "mine", 2: "held elsewhere", 3: "result elsewhere", 4: "failed elsewhere", 6: "no majority"}
 
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -20,7 +20,7 @@
 from finchcart.fault_injection.script import Act, Load, Plan, Script
 from finchcart.fault_injection.virtual import Fleet
 from finchcart.membership import member, view
-from finchcart.membership.figures import SECOND, Figures
+from finchcart.membership.config import SECOND, Figures
 
 
 def know_each_other(fleet):
--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -17,7 +17,7 @@
 
 from benchmarks.by_round import bars, beside, table
 from finchcart.fault_injection.beliefs import Beliefs, is_down, one
-from finchcart.membership.figures import SECOND
+from finchcart.membership.config import SECOND
 
 
 def seeds(first, count, jobs, rounds):
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -90,8 +90,8 @@
         )
     held = verdicts(whole)
     if held:
-        from finchcart.consensus.decide import least_liars
-        from finchcart.consensus.figures import warnings
+        from finchcart.consensus.config import warnings
+        from finchcart.consensus.decision import least_liars
 
         for count in (3, 24, 200):
             calm, lossy = (held.acts_within(told, count, loss) / 1e6 for loss in (0.0, 0.3))
@@ -128,7 +128,7 @@
 
 def answer(ask, where, as_json):
     """What the process at HOST:PORT answers to `ask`; with `as_json` it is printed, and that is all."""
-    from finchcart.membership.wire import Unfit, place_of
+    from finchcart.membership.messages import Unfit, place_of
 
     try:
         view = ask(place_of(where))
@@ -200,7 +200,7 @@
     from finchcart.cli.file import Wrong, read
     from finchcart.cli.serve import say as tell
     from finchcart.consensus import subjects
-    from finchcart.membership.wire import Unfit, place_of
+    from finchcart.membership.messages import Unfit, place_of
 
     try:
         subject = subjects.read(kind, name)
--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -11,10 +11,10 @@
 import msgspec
 from msgspec import UNSET, Meta, Struct, UnsetType
 
-from finchcart.consensus import figures as verdicts_of
+from finchcart.consensus import config as verdicts_of
 from finchcart.key_leases import figures as claims_of
-from finchcart.membership.figures import MS, SECOND, Figures
-from finchcart.membership.wire import Unfit, place_of
+from finchcart.membership.config import MS, SECOND, Figures
+from finchcart.membership.messages import Unfit, place_of
 from finchcart.quota import limits as limits_of
 
 Text = Annotated[str, Meta(min_length=1, max_length=64)]
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -21,14 +21,14 @@
 
 from finchcart.__main__ import ConfigError, main, plain_log
 from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
-from finchcart.consensus import wire as sayings
-from finchcart.consensus.board import Board
+from finchcart.consensus import messages as sayings
+from finchcart.consensus.store import Board
 from finchcart.key_leases import wire as claiming
 from finchcart.key_leases.holder import Claims
 from finchcart.key_leases.keeper import Keeper
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 from finchcart.membership.member import Member
-from finchcart.membership.wire import place_of
+from finchcart.membership.messages import place_of
 from finchcart.net.datagrams import Datagrams, boot_clock
 from finchcart.node.claimer import Claimer
 from finchcart.node.meter import Meters
--- a/finchcart/consensus/decide.py
+++ b/finchcart/consensus/decision.py
@@ -2,7 +2,7 @@
 
 Pure, without memory: the same opinions give the same verdicts at everybody, whatever was held before. So
 after a cut heals there is nothing to settle but which opinions are there. What must stand for a while is kept
-by board.py.
+by store.py.
 
 `voices`: id of a member -> its opinions, (subject, value, weight), see `State.opinions`.
 """
@@ -10,7 +10,7 @@
 from bisect import bisect_left
 from statistics import median, median_low
 
-from finchcart.consensus.opinions import MILLION
+from finchcart.consensus.observations import MILLION
 from finchcart.consensus.subjects import (
     ADDRESS,
     DOWN,
--- a/finchcart/consensus/wire.py
+++ b/finchcart/consensus/messages.py
@@ -1,6 +1,6 @@
 """What a member says of its opinions, in a note on its beats, and what the command line asks.
 
-Owns the messages alone; see board.py for what they mean.
+Owns the messages alone; see store.py for what they mean.
 """
 
 from typing import Annotated
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from finchcart.membership.wire import Count, Unfit, Word, unsealed
+from finchcart.membership.messages import Count, Unfit, Word, unsealed
 
 CHANNEL = b"V"
 OPINIONS, WORDS = 1, 2  # topics of notes; 0 is the limits'
--- a/finchcart/consensus/board.py
+++ b/finchcart/consensus/store.py
@@ -5,7 +5,7 @@
 clock in whole microseconds. It must never act on a verdict, nor take an opinion for younger than it can be: a
 note is dated by the echo of the own beat that came back with it.
 
-Inputs: `("evidence", map)` (see opinions.py), `("got", address, datagram)`, `("tick",)`, `("leave",)`,
+Inputs: `("evidence", map)` (see observations.py), `("got", address, datagram)`, `("tick",)`, `("leave",)`,
 `("end",)`, `("figures", Figures)`. Effects: `("verdicts", map)` (all that holds, where it changed: see
 `hand_out`), `("send", address, datagram)`, `("log", text, fields)`.
 
@@ -16,9 +16,9 @@
 
 import msgspec
 
-from finchcart.consensus import wire
-from finchcart.consensus.decide import decide
-from finchcart.consensus.opinions import MILLION, State
+from finchcart.consensus import messages
+from finchcart.consensus.decision import decide
+from finchcart.consensus.observations import MILLION, State
 from finchcart.consensus.subjects import (
     ADDRESS,
     LEVEL,
@@ -33,7 +33,7 @@
     node,
     told,
 )
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 
 IN = "alive", "leaving", "suspect"
 WORDS_AT_ONCE = 3
@@ -130,7 +130,7 @@
         if (new and now - self.written >= self.figures.pace) or now - self.written >= self.figures.life // 3:
             urgent = self.mine is None or matters != self.mine[1]
             self.mine, self.written = (said, matters), now
-            self.member.write_note(now, wire.OPINIONS, [], wire.encoded(said), urgent)
+            self.member.write_note(now, messages.OPINIONS, [], messages.encoded(said), urgent)
         words = list(self.words.values())
         if words and now - self.words_written >= self.figures.pace:
             self.tell_words(now, words)
@@ -146,7 +146,7 @@
             return
         self.words_written = now
         out = [msgspec.structs.replace(word.said, left=max(0, word.ends - now)) for word in some]
-        self.member.write_note(now, wire.WORDS, [], wire.encoded(out), urgent)
+        self.member.write_note(now, messages.WORDS, [], messages.encoded(out), urgent)
 
     # ---- what others say
 
@@ -165,7 +165,7 @@
             if one == member.me or known.state not in IN:
                 continue
             self.count_in += 1
-            note = member.notes.get((one, wire.OPINIONS))
+            note = member.notes.get((one, messages.OPINIONS))
             if note is None or note.born is None or now - note.born > life:
                 continue
             if self.too_often(now, one, note.note.age):
@@ -182,7 +182,7 @@
         """The opinions in a note. A node speaks for itself alone where it tells its own figures."""
         age, said = self.notes_read.get(one, (None, None))
         if age != note.age:
-            said, itself = wire.opinions(note.data), node(name)
+            said, itself = messages.opinions(note.data), node(name)
             if said is None:
                 self.count("opinions not valid")
             else:
@@ -203,13 +203,13 @@
     def hear_words(self, now):
         for (one, topic), note in self.member.notes.items():
             if (
-                topic == wire.WORDS
+                topic == messages.WORDS
                 and note.born is not None
                 and one in self.member.known
                 and self.words_read.get(one) != note.note.age
             ):
                 self.words_read[one] = note.note.age
-                for said in wire.words(note.note.data) or ():
+                for said in messages.words(note.note.data) or ():
                     self.take(now, said, note.born + said.left, self.member.known[one].row.name)
         for subject in [subject for subject, word in self.words.items() if word.ends <= now]:
             del self.words[subject]
@@ -327,16 +327,16 @@
     def on_got(self, now, address, data):
         self.count("received")
         try:
-            said = wire.unpack(self.fleet, data)
+            said = messages.unpack(self.fleet, data)
         except base.Unfit as error:
             return self.count(str(error))
-        if isinstance(said, wire.Say):
+        if isinstance(said, messages.Say):
             view = self.on_say(now, said)
-        elif isinstance(said, wire.Ask):
+        elif isinstance(said, messages.Ask):
             view = self.status(now, said.page)
         else:
             return self.count("not asked for")
-        data = base.sealed(wire.CHANNEL, self.fleet, wire.Told(said.number, view))
+        data = base.sealed(messages.CHANNEL, self.fleet, messages.Told(said.number, view))
         if len(data) > base.MOST:
             return self.count("too long to send")
         self.effects.append(("send", address, data))
@@ -350,7 +350,7 @@
         left = held.ends - now if held and not said.value else said.left
         if not said.value and held is None:
             return {"taken": False, "why": "nothing is said of it"}
-        word = wire.Said(
+        word = messages.Said(
             said.subject, said.value, number, self.member.row.incarnation, self.member.me, left, said.why
         )
         self.take(now, word, now + left, self.name)
--- a/finchcart/consensus/subjects.py
+++ b/finchcart/consensus/subjects.py
@@ -3,7 +3,7 @@
 Owns the coding. A subject is its kind and 56 bits more: the address or number of a source, the id of a node.
 """
 
-from finchcart.membership.wire import id_of
+from finchcart.membership.messages import id_of
 
 STORE, NUMBER, ADDRESS, NODE, LEVEL, ZONE = range(1, 7)
 KINDS = {STORE: "store", NUMBER: "source", ADDRESS: "source", NODE: "node", LEVEL: "level", ZONE: "zone"}
--- a/finchcart/fault_injection/beliefs.py
+++ b/finchcart/fault_injection/beliefs.py
@@ -9,13 +9,13 @@
 
 import xxhash
 
-from finchcart.consensus import subjects, wire
-from finchcart.consensus.board import Board
-from finchcart.consensus.figures import Figures
+from finchcart.consensus import messages, subjects
+from finchcart.consensus.config import Figures
+from finchcart.consensus.store import Board
 from finchcart.consensus.subjects import DOWN, OUT, SLOW, WORKING
 from finchcart.fault_injection.virtual import Fleet
-from finchcart.membership.figures import SECOND
-from finchcart.membership.figures import Figures as MemberFigures
+from finchcart.membership.config import SECOND
+from finchcart.membership.config import Figures as MemberFigures
 from finchcart.membership.member import Member
 from finchcart.node.meter import LATELY
 from finchcart.quota.limits import Limit, Quota
@@ -419,7 +419,7 @@
         subject, number = subjects.source("10.5.5.5"), self.chance.randrange(10**6)
         value = lambda seen: seen.held["sources"].get(subject)
         say = lambda name, said, left: self.places[name].member.board.on_say(
-            self.now, wire.Say(number, subject, said, left, "trial")
+            self.now, messages.Say(number, subject, said, left, "trial")
         )
         if not say(names[0], OUT, 90 * SECOND)["taken"]:
             self.breach("a word is not taken")
--- a/finchcart/fault_injection/claiming.py
+++ b/finchcart/fault_injection/claiming.py
@@ -16,7 +16,7 @@
 from finchcart.key_leases.holder import Claims
 from finchcart.key_leases.keeper import Keeper
 from finchcart.key_leases.wire import ENDED, FAILED, YES
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 
 TICK = 50 * MS
 BOOT = 10**12  # microseconds on the boot clocks at the start: keepers are past their silence
--- a/finchcart/fault_injection/explore.py
+++ b/finchcart/fault_injection/explore.py
@@ -11,7 +11,7 @@
 
 import pickle
 
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 from finchcart.quota.holder import Holder
 from finchcart.quota.limits import Limit, Quota
 from finchcart.quota.planner import Planner
--- a/finchcart/fault_injection/run.py
+++ b/finchcart/fault_injection/run.py
@@ -20,7 +20,7 @@
 from finchcart.fault_injection.processes import Processes
 from finchcart.fault_injection.relay import clock
 from finchcart.fault_injection.script import Act, lay_out, read
-from finchcart.membership.figures import MS, SECOND, Figures
+from finchcart.membership.config import MS, SECOND, Figures
 
 UP = 0.02  # seconds between the starts of the first processes
 
--- a/finchcart/fault_injection/seeds.py
+++ b/finchcart/fault_injection/seeds.py
@@ -9,9 +9,9 @@
 import xxhash
 
 from finchcart.fault_injection.virtual import Fleet
-from finchcart.membership.figures import SECOND, Figures
+from finchcart.membership.config import SECOND, Figures
 from finchcart.membership.member import Member
-from finchcart.membership.wire import LEFT
+from finchcart.membership.messages import LEFT
 
 NAMES = [f"n{n:02d}" for n in range(12)]
 FAULTS, CALM = 40 * SECOND, 12 * SECOND  # faults are made for so long; then all must come together again
@@ -201,13 +201,13 @@
 
     def forge(self):
         """Rubbish, and rows that claim what is impossible."""
-        from finchcart.membership import wire
+        from finchcart.membership import messages
 
         chance, fleet = self.random, self.fleet
         to = chance.choice(NAMES)
-        row = wire.Row(chance.choice(NAMES), "10.9.9.9:1", 7, 2**52, 2**52, 1, 0, [])
-        odd = wire.Row("odd", "10.0.0.999:1", 7, 1, 1, 1, 0, [])
-        packed = lambda fleet, row: wire.pack(fleet, wire.Rows([row]))
+        row = messages.Row(chance.choice(NAMES), "10.9.9.9:1", 7, 2**52, 2**52, 1, 0, [])
+        odd = messages.Row("odd", "10.0.0.999:1", 7, 1, 1, 1, 0, [])
+        packed = lambda fleet, row: messages.pack(fleet, messages.Rows([row]))
         rubbish = chance.randbytes(40)
         for data in (rubbish, packed("virtual", row), packed("other", row), packed("virtual", odd)):
             fleet.feed(to, ("got", ("10.9.9.9", 1), data))
--- a/finchcart/fault_injection/shares.py
+++ b/finchcart/fault_injection/shares.py
@@ -13,8 +13,8 @@
 import xxhash
 
 from finchcart.fault_injection.virtual import BUFFER, Clock
-from finchcart.membership import wire as base
-from finchcart.membership.figures import Figures
+from finchcart.membership import messages as base
+from finchcart.membership.config import Figures
 from finchcart.membership.member import Member
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota.holder import Holder
--- a/finchcart/fault_injection/virtual.py
+++ b/finchcart/fault_injection/virtual.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from finchcart.fault_injection.fabric import Fabric
-from finchcart.membership.figures import Figures
+from finchcart.membership.config import Figures
 from finchcart.membership.member import Member
 
 BUFFER = 250  # datagrams that wait for a stopped member
--- a/finchcart/key_leases/holder.py
+++ b/finchcart/key_leases/holder.py
@@ -29,7 +29,7 @@
     Say,
     Vote,
 )
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 
 TELLS = 40  # times that an outcome or release is told to a keeper that does not answer
 
--- a/finchcart/key_leases/keeper.py
+++ b/finchcart/key_leases/keeper.py
@@ -14,7 +14,7 @@
 
 from finchcart.key_leases import wire
 from finchcart.key_leases.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, RELEASED, YES, Noted, Vote, Votes
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 
 SWEEP = 64  # claims looked at in a tick
 
--- a/finchcart/key_leases/wire.py
+++ b/finchcart/key_leases/wire.py
@@ -1,5 +1,5 @@
 """What rides between holders of claims and keepers: typed structs, in the datagrams of
-finchcart/membership/wire.py.
+finchcart/membership/messages.py.
 
 Owns the messages alone; see keeper.py and holder.py for what they mean. A key is the 16-byte digest of method
 and token, `body` the digest of what it carries.
@@ -11,7 +11,7 @@
 from msgspec import Meta, Struct
 from xxhash import xxh3_64_intdigest, xxh3_128_digest
 
-from finchcart.membership.wire import Count, Name, Unfit, Word, unsealed
+from finchcart.membership.messages import Count, Name, Unfit, Word, unsealed
 
 CHANNEL = b"C"
 Key = Annotated[bytes, Meta(min_length=16, max_length=16)]
--- a/finchcart/membership/member.py
+++ b/finchcart/membership/member.py
@@ -21,12 +21,12 @@
 
 import msgspec
 
-from finchcart.membership import wire
+from finchcart.membership import messages
+from finchcart.membership.messages import ALIVE, LEAVING, LEFT, Beat, Page, Row, Rows, Sync, Taken, Unfit
 from finchcart.membership.view import judge, watched
-from finchcart.membership.wire import ALIVE, LEAVING, LEFT, Beat, Page, Row, Rows, Sync, Taken, Unfit
 
 STATES = "alive", "suspect", "failed", "leaving", "left"
-ROOM = wire.MOST - 120  # for rows in a datagram, besides what is always there
+ROOM = messages.MOST - 120  # for rows in a datagram, besides what is always there
 NOTES, PASSES = 12, 2  # notes of others in a beat; times that each is passed on where all hear all
 CONTESTS = 3  # of an incarnation by another process of the own name, before the younger stands
 
@@ -58,7 +58,7 @@
 
     def __init__(self, row, now):
         self.row, self.state, self.since, self.turning = row, "alive", now, None  # since when it differs
-        self.hash, self.failed_age = wire.digest_of(row), None
+        self.hash, self.failed_age = messages.digest_of(row), None
         self.news = 0  # times to pass it on yet
 
     @property
@@ -71,7 +71,7 @@
     """`wall`: the wall clock at start, milliseconds; `random`: of this member alone."""
 
     def __init__(self, name, fleet, advertise, seeds, figures, random, wall, now):
-        self.name, self.fleet, self.me, self.figures = name, fleet, wire.id_of(name), figures
+        self.name, self.fleet, self.me, self.figures = name, fleet, messages.id_of(name), figures
         self.seeds = [place for place in seeds if place != advertise]
         self.random, self.wall, self.start = random, wall, now
         self.row = Row(name, advertise, random.getrandbits(64), wall, wall, 0, ALIVE, [])
@@ -133,8 +133,8 @@
             self.count("over the bound of datagrams")
             return False
         self.sent_now += 1
-        data = wire.pack(self.fleet, said)
-        if len(data) > wire.MOST:
+        data = messages.pack(self.fleet, said)
+        if len(data) > messages.MOST:
             self.count("too long to send")
             return False
         self.count("sent")
@@ -200,7 +200,7 @@
         else:
             if known.row.duty != row.duty:
                 self.graph_of = None
-            before, known.row, known.hash = known.hash, row, wire.digest_of(row)
+            before, known.row, known.hash = known.hash, row, messages.digest_of(row)
             if known.shown:
                 self.digest ^= before ^ known.hash
         known.news = self.figures.known(len(self.known))
@@ -214,11 +214,11 @@
         """A row that came from others; `direct`: from the one of whom it tells, which so is no old news.
         Returns whether it was news, or None where it can't be used."""
         figures = self.figures
-        one = wire.id_of(row.name)
+        one = messages.id_of(row.name)
         if one == self.me:
             return self.learn_of_self(now, row)
         try:
-            wire.place_of(row.address)
+            messages.place_of(row.address)
         except Unfit as error:
             return self.count(str(error))
         if row.incarnation > self.wall + (now - self.start) // 1000 + figures.ahead:
@@ -306,12 +306,12 @@
     def on_got(self, now, address, data):
         self.count("received")
         try:
-            said = wire.unpack(self.fleet, data)
+            said = messages.unpack(self.fleet, data)
         except Unfit as error:
             return self.count(str(error))
-        if isinstance(said, wire.Ask):
+        if isinstance(said, messages.Ask):
             return self.on_ask(now, address, said)
-        if isinstance(said, wire.Told):
+        if isinstance(said, messages.Told):
             return self.count("not asked for")
         if self.yielded:
             return
@@ -319,7 +319,7 @@
             for row in said.rows:
                 self.learn(now, row)
             return
-        one = wire.id_of(said.row.name)
+        one = messages.id_of(said.row.name)
         if isinstance(said, Taken):
             if one == self.me and said.row.session != self.row.session:
                 if (said.row.began, said.row.session) > (self.row.began, self.row.session):
@@ -336,7 +336,7 @@
             # Guards against one that slept while its name was started anew, and against one that was started
             # with its clock set back: neither would hear of the other row from anybody.
             lives = peer and peer.confirmed and now - peer.confirmed < self.figures.link(self.loss)
-            self.send(wire.place_of(said.row.address), Taken(known.row) if lives else Rows([known.row]))
+            self.send(messages.place_of(said.row.address), Taken(known.row) if lives else Rows([known.row]))
             return
         if isinstance(said, Beat):
             self.on_beat(now, one, said)
@@ -382,7 +382,7 @@
             count = 1
             while count < 64 and count * 16 < len(self.known):
                 count *= 2
-            self.send(wire.place_of(said.row.address), Sync(self.row, self.buckets(count)[0]))
+            self.send(messages.place_of(said.row.address), Sync(self.row, self.buckets(count)[0]))
 
     def write_note(self, now, topic, values, data=b"", urgent=False):
         """What goes with each beat from now on; nothing new where it is the same. `urgent`: to all watched
@@ -399,7 +399,7 @@
             return
         number = old.number + 1 if old else 0
         self.own_notes[topic] = Heard(
-            wire.Note(self.me, topic, self.row.incarnation, number, 0, values, data), now
+            messages.Note(self.me, topic, self.row.incarnation, number, 0, values, data), now
         )
         if urgent:
             for one in self.graph.get(self.me, ()):
@@ -428,13 +428,13 @@
         """The own notes, and some that are to be passed on, as many as there is room for."""
         told = lambda held: msgspec.structs.replace(held.note, since=max(0, now - held.born))
         notes = [told(held) for _, held in sorted(self.own_notes.items())]
-        room -= len(wire.encoded(notes))
+        room -= len(messages.encoded(notes))
         for key in list(self.to_pass)[:NOTES]:
             held = self.notes[key]
             if key[0] == to or held.born is None:
                 continue
             note = told(held)
-            room -= len(wire.encoded(note))
+            room -= len(messages.encoded(note))
             if room < 0:
                 break
             notes.append(note)
@@ -469,7 +469,7 @@
             high = ids[first + most] - 1 if first + most < len(ids) else high
             ids = ids[first : first + most]
         entries = [(one, *self.known[one].row.age[:2]) for one in ids]
-        self.send(wire.place_of(to.address), Page(self.row, count, bucket, low, high, entries, answer))
+        self.send(messages.place_of(to.address), Page(self.row, count, bucket, low, high, entries, answer))
 
     def on_page(self, said):
         """Sends what is newer here, and asks with a page of its own for what is newer there."""
@@ -485,9 +485,9 @@
             or one in theirs
             and self.known[one].row.age[:2] > theirs[one]
         ]
-        place = wire.place_of(said.row.address)
+        place = messages.place_of(said.row.address)
         for _ in range(4):
-            part = wire.fill(newer, ROOM)
+            part = messages.fill(newer, ROOM)
             if not part or not self.send(place, Rows(part)):
                 break
             newer = newer[len(part) :]
@@ -658,7 +658,7 @@
         taken = {known.row.address for known in self.known.values() if known.row.duty != LEFT}
         for place in self.random.sample(self.seeds, min(2, len(self.seeds))):
             if place not in taken or len(self.known) == 1:
-                self.send(wire.place_of(place), Beat(self.row, 0, 0, 0, self.digest, []))
+                self.send(messages.place_of(place), Beat(self.row, 0, 0, 0, self.digest, []))
         for one in [
             one
             for one, known in self.known.items()
@@ -672,11 +672,13 @@
             known = self.known[other]
             if other != one and other != self.me:
                 rows.append(known.row)
-        room = ROOM - len(wire.encoded(self.row))
-        notes = wire.fill(self.take_notes(now, one, room), room)  # a row that tells many links leaves none
-        rows = wire.fill(rows, ROOM - len(wire.encoded(self.row)) - len(wire.encoded(notes)))
+        room = ROOM - len(messages.encoded(self.row))
+        notes = messages.fill(
+            self.take_notes(now, one, room), room
+        )  # a row that tells many links leaves none
+        rows = messages.fill(rows, ROOM - len(messages.encoded(self.row)) - len(messages.encoded(notes)))
         for row in rows:
-            other = wire.id_of(row.name)
+            other = messages.id_of(row.name)
             known = self.known[other]
             known.news -= 1
             self.news.move_to_end(other)
@@ -686,7 +688,7 @@
         peer.seq += 1
         peer.sent.append((peer.seq, now))
         return self.send(
-            wire.place_of(self.known[one].row.address),
+            messages.place_of(self.known[one].row.address),
             Beat(self.row, peer.seq, peer.session, peer.heard_seq, self.digest, rows, notes),
         )
 
@@ -759,4 +761,4 @@
                 else {"counts": self.counts, "loss": round(self.loss, 3), "late_ms": self.late // 1000}
             ),
         }
-        self.send(address, wire.Told(ask.number, ask.page, len(parts) + 1, view))
+        self.send(address, messages.Told(ask.number, ask.page, len(parts) + 1, view))
--- a/finchcart/net/datagrams.py
+++ b/finchcart/net/datagrams.py
@@ -16,7 +16,7 @@
 
 from loguru import logger
 
-from finchcart.membership.wire import MOST
+from finchcart.membership.messages import MOST
 from finchcart.net.links import boot_clock
 
 TICK = 100_000  # microseconds, where no machine names its own
--- a/finchcart/quota/holder.py
+++ b/finchcart/quota/holder.py
@@ -13,7 +13,7 @@
 calls; until the old ones are over, the holder says that it uses what they need.
 """
 
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 from finchcart.quota import wire
 from finchcart.quota.talker import Talker
 from finchcart.quota.wire import Elsewhere, Grant, Line, Want
--- a/finchcart/quota/loose.py
+++ b/finchcart/quota/loose.py
@@ -17,7 +17,7 @@
 
 from collections import deque
 
-from finchcart.membership.wire import id_of
+from finchcart.membership.messages import id_of
 from finchcart.quota.division import divide
 
 KEEP = 2_000_000  # what is handed out is good for so long: a node whose members' part ends has its floor
--- a/finchcart/quota/planner.py
+++ b/finchcart/quota/planner.py
@@ -14,7 +14,7 @@
 `("log", text, fields)`. Bounds: `quota.holders` holders, a few grants each; planners as named.
 """
 
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 from finchcart.quota import wire
 from finchcart.quota.division import shared_out
 from finchcart.quota.talker import Talker
--- a/finchcart/quota/talker.py
+++ b/finchcart/quota/talker.py
@@ -3,7 +3,7 @@
 Owns the counters and the effects of one turn; it must never act on a message.
 """
 
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 from finchcart.quota import wire
 
 
--- a/finchcart/quota/wire.py
+++ b/finchcart/quota/wire.py
@@ -1,4 +1,4 @@
-"""What rides between holders and planners: typed structs, in the datagrams of finchcart/membership/wire.py.
+"""What rides between holders and planners: typed structs, in datagrams of finchcart/membership/messages.py.
 
 Owns the messages alone; see planner.py and holder.py for what they mean.
 """
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from finchcart.membership.wire import Count, Name, Place, Unfit, Word, unsealed
+from finchcart.membership.messages import Count, Name, Place, Unfit, Word, unsealed
 
 CHANNEL = b"Q"
 Few = Annotated[int, Meta(ge=0, le=2**31)]
--- a/tests/test_verdicts.py
+++ b/tests/test_consensus.py
@@ -10,12 +10,12 @@
 import pytest
 
 from finchcart.cli.file import Wrong, checked, verdicts
-from finchcart.consensus import board as boards
-from finchcart.consensus import subjects, wire
-from finchcart.consensus.board import Board
-from finchcart.consensus.decide import decide, median_without
-from finchcart.consensus.figures import SECOND, Figures, mistakes, warnings
-from finchcart.consensus.opinions import MILLION, State
+from finchcart.consensus import messages, subjects
+from finchcart.consensus import store as boards
+from finchcart.consensus.config import SECOND, Figures, mistakes, warnings
+from finchcart.consensus.decision import decide, median_without
+from finchcart.consensus.observations import MILLION, State
+from finchcart.consensus.store import Board
 from finchcart.consensus.subjects import (
     DOWN,
     LEVEL_ITSELF,
@@ -28,8 +28,8 @@
 )
 from finchcart.fault_injection.beliefs import Beliefs, Breach, Run
 from finchcart.interface import Outcome
-from finchcart.membership import wire as base
-from finchcart.membership.figures import Figures as MemberFigures
+from finchcart.membership import messages as base
+from finchcart.membership.config import Figures as MemberFigures
 from finchcart.membership.member import Member
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
@@ -179,7 +179,7 @@
     rng = random.Random(6)
     said = [
         (
-            wire.Said(rng.choice((BAD, GOOD)), rng.choice((0, SLOWED, OUT)), n // 3, 7, n, 10**9, "w"),
+            messages.Said(rng.choice((BAD, GOOD)), rng.choice((0, SLOWED, OUT)), n // 3, 7, n, 10**9, "w"),
             rng.randrange(10**8, 10**9),
         )
         for n in range(20)
@@ -201,8 +201,8 @@
     board.member = one
 
     def hear(number, said, now, name="b"):
-        data = wire.encoded(said)
-        one.hear_note(now, base.Note(base.id_of(name), wire.OPINIONS, 10**12, number, 0, [], data), 0)
+        data = messages.encoded(said)
+        one.hear_note(now, base.Note(base.id_of(name), messages.OPINIONS, 10**12, number, 0, [], data), 0)
         return board.gather(now, False).get(base.id_of(name))
 
     own = subjects.node("b"), 0, 5
@@ -284,7 +284,7 @@
 
 
 def word_without_number(self, now, said):
-    word = wire.Said(said.subject, said.value, 1, 1, self.member.me, said.left or 60 * SECOND, said.why)
+    word = messages.Said(said.subject, said.value, 1, 1, self.member.me, said.left or 60 * SECOND, said.why)
     self.words[said.subject] = boards.Word(word, now + 60 * SECOND, self.name)
     return {"taken": True}
 
@@ -298,7 +298,7 @@
 
 
 class Rule:
-    """The names of decide.py, to be changed by name."""
+    """The names of decision.py, to be changed by name."""
 
     def __getattr__(self, name):
         return RULE[name]
@@ -509,13 +509,13 @@
     fleet.run(6 * SECOND)
     board = fleet.places["n000"].member.board
     for n in range(14):
-        board.on_say(fleet.now, wire.Say(n, subjects.source(f"10.0.1.{n}"), OUT, 60 * SECOND, "w" * 60))
+        board.on_say(fleet.now, messages.Say(n, subjects.source(f"10.0.1.{n}"), OUT, 60 * SECOND, "w" * 60))
     view = board.status(fleet.now)
     rows = [row for page in range(view["pages"]) for row in board.status(fleet.now, page)["verdicts"]]
     assert len(rows) == 14 and len({row["name"] for row in rows}) == 14
     for page in range(view["pages"]):
-        said = wire.Told(1, board.status(fleet.now, page))
-        assert len(base.sealed(wire.CHANNEL, "f", said)) <= base.MOST
+        said = messages.Told(1, board.status(fleet.now, page))
+        assert len(base.sealed(messages.CHANNEL, "f", said)) <= base.MOST
 
 
 def test_a_call_cut_short_by_a_grant_says_nothing_of_the_store():
--- a/tests/test_members.py
+++ b/tests/test_membership.py
@@ -13,11 +13,11 @@
 from finchcart.fault_injection.seeds import Breach, Run
 from finchcart.fault_injection.virtual import Fleet
 from finchcart.membership import member as module
-from finchcart.membership import view, wire
-from finchcart.membership.figures import SECOND, Figures
+from finchcart.membership import messages, view
+from finchcart.membership.config import SECOND, Figures
 from finchcart.membership.member import Member
 
-ROW = wire.Row("a", "127.0.0.2:7400", 5, 1000, 1000, 0, 0, [])
+ROW = messages.Row("a", "127.0.0.2:7400", 5, 1000, 1000, 0, 0, [])
 
 
 # ---- messages and settings
@@ -25,21 +25,21 @@
 
 def test_what_cannot_be_read_or_is_impossible_is_counted_by_reason_and_dropped():
     one = Member("me", "f", "127.0.0.1:7400", [], Figures(), random.Random(1), 1000, 0)
-    good = wire.pack("f", wire.Beat(ROW, 1, 0, 0, 0, []))
+    good = messages.pack("f", messages.Beat(ROW, 1, 0, 0, 0, []))
     spoilt = good[:1] + bytes([good[1] ^ 1]) + good[2:]
     far = msgspec.structs.replace(ROW, incarnation=2**50)
     placeless = msgspec.structs.replace(ROW, address="127.0.0.2:99999")
-    negative = wire.encoded([1, "f", [1, ["a", "1:1", 5, -1, 0, 0, 0, []], 1, 0, 0, 0, []]])
+    negative = messages.encoded([1, "f", [1, ["a", "1:1", 5, -1, 0, 0, 0, []], 1, 0, 0, 0, []]])
     for data, reason in [
         (spoilt, "spoilt"),
         (b"", "spoilt"),
         (b"x" * 2000, "too long"),
-        (wire.pack("g", wire.Rows([ROW])), "another fleet"),
-        (b"M" + wire.xxh64_digest(negative) + negative, "not valid"),
-        (b"M" + wire.xxh64_digest(b"\xc1") + b"\xc1", "unreadable"),
-        (wire.pack("f", wire.Beat(far, 1, 0, 0, 0, [])), "impossible incarnation"),
-        (wire.pack("f", wire.Rows([placeless])), "impossible address"),
-        (wire.pack("f", wire.Told(1, 0, 1, {})), "not asked for"),
+        (messages.pack("g", messages.Rows([ROW])), "another fleet"),
+        (b"M" + messages.xxh64_digest(negative) + negative, "not valid"),
+        (b"M" + messages.xxh64_digest(b"\xc1") + b"\xc1", "unreadable"),
+        (messages.pack("f", messages.Beat(far, 1, 0, 0, 0, [])), "impossible incarnation"),
+        (messages.pack("f", messages.Rows([placeless])), "impossible address"),
+        (messages.pack("f", messages.Told(1, 0, 1, {})), "not asked for"),
     ]:
         before = one.counts.get(reason, 0)
         assert not [e for e in one.reduce(1, ("got", ("127.0.0.2", 7400), data)) if e[0] == "change"]
@@ -212,7 +212,7 @@
     for name in names:
         fleet.start(name)
     fleet.run(4 * SECOND)
-    old = wire.pack("virtual", wire.Rows([fleet.places["n5"].member.row]))
+    old = messages.pack("virtual", messages.Rows([fleet.places["n5"].member.row]))
     fleet.kill("n5")
     fleet.run(fleet.now + 14 * SECOND)
     fleet.feed("n1", ("got", ("10.0.0.3", 7400), old))
@@ -269,9 +269,9 @@
     for name in fleet.places:
         fleet.start(name)
     fleet.run(4 * SECOND)
-    row = msgspec.structs.replace(fleet.places["n2"].member.row, incarnation=2**53 - 1, duty=wire.LEFT)
+    row = msgspec.structs.replace(fleet.places["n2"].member.row, incarnation=2**53 - 1, duty=messages.LEFT)
     for name in ("n0", "n1", "n3"):
-        fleet.feed(name, ("got", ("10.0.0.9", 1), wire.pack("virtual", wire.Rows([row]))))
+        fleet.feed(name, ("got", ("10.0.0.9", 1), messages.pack("virtual", messages.Rows([row]))))
     fleet.run(fleet.now + 4 * SECOND)
     return [name for name, seen in fleet.views().items() if seen["n2"] != "alive"]
 
@@ -293,7 +293,7 @@
     fleet = Fleet(["n0"], 1, Figures(datagrams=100), make=make)
     fleet.start("n0")
     for n in range(2000):
-        fleet.feed("n0", ("got", ("10.0.0.9", 1), wire.pack("", wire.Ask(n, 0))))
+        fleet.feed("n0", ("got", ("10.0.0.9", 1), messages.pack("", messages.Ask(n, 0))))
     return [fleet.places["n0"].member.counts] if fleet.places["n0"].member.counts["sent"] > 100 else []
 
 
@@ -302,7 +302,7 @@
     one = make("me", "f", "127.0.0.1:7400", [], Figures(), random.Random(1), 1000, 0)
     two = msgspec.structs.replace(ROW, session=6, began=2000, incarnation=2000)
     got = lambda row, seq, session, echo, now: one.reduce(
-        now, ("got", ("127.0.0.2", 7400), wire.pack("f", wire.Beat(row, seq, session, echo, 0, [])))
+        now, ("got", ("127.0.0.2", 7400), messages.pack("f", messages.Beat(row, seq, session, echo, 0, [])))
     )
     got(ROW, 1, 0, 0, 1)
     for n in range(1, 20):
@@ -311,7 +311,7 @@
     for n in range(21, 30):
         one.reduce(n * 100_000, ("tick",))
     got(two, 2, 12345, 99, 3_000_000)  # echoes what another process sent
-    return ["contact"] if one.peers[wire.id_of("a")].confirmed is not None else []
+    return ["contact"] if one.peers[messages.id_of("a")].confirmed is not None else []
 
 
 def planted(**methods):
@@ -331,9 +331,9 @@
 
 
 def takes_any(self, now, row, direct=False):
-    known = self.known.get(wire.id_of(row.name))
+    known = self.known.get(messages.id_of(row.name))
     if known is not None and row.name != self.name and row.age < known.row.age:
-        self.keep(wire.id_of(row.name), row)
+        self.keep(messages.id_of(row.name), row)
     return Member.learn(self, now, row, direct)
 
 
@@ -361,7 +361,7 @@
 
 def tells_all(self, said):
     for known in self.known.values():
-        self.send(wire.place_of(said.row.address), wire.Rows([known.row]))
+        self.send(messages.place_of(said.row.address), messages.Rows([known.row]))
 
 
 def no_bound(self, place, said):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -15,7 +15,7 @@
 from finchcart.cli.file import Wrong, checked
 from finchcart.fault_injection.explore import explore
 from finchcart.fault_injection.shares import Breach, Run, Shares
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 from finchcart.membership.member import Heard
 from finchcart.net.links import boot_clock
 from finchcart.node.meter import Calls, Rate
