--- a/finchcart/fault_injection/claiming.py
+++ b/finchcart/fault_injection/claiming.py
@@ -16,7 +16,7 @@
 from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig
 from finchcart.key_leases.messages import LeaseStatus
 from finchcart.key_leases.replica import KeyLeaseReplica
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 
 TICK = 50 * MS
 BOOT = 10**12  # microseconds on the boot clocks at the start: keepers are past their silence
--- a/finchcart/fault_injection/explore.py
+++ b/finchcart/fault_injection/explore.py
@@ -11,7 +11,7 @@
 
 import pickle
 
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 from finchcart.quota.lease_holder import LeaseHolder
 from finchcart.quota.limits import Limit, QuotaConfig
 from finchcart.quota.planner import Planner
--- a/finchcart/key_leases/client.py
+++ b/finchcart/key_leases/client.py
@@ -18,7 +18,7 @@
 
 from finchcart.key_leases import messages
 from finchcart.key_leases.messages import Ask, Claim, LeaseStatus, Say, Vote
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 
 TELLS = 40  # times that an outcome or release is told to a keeper that does not answer
 
--- a/finchcart/key_leases/replica.py
+++ b/finchcart/key_leases/replica.py
@@ -14,7 +14,7 @@
 
 from finchcart.key_leases import messages
 from finchcart.key_leases.messages import LeaseStatus, Noted, Vote, Votes
-from finchcart.membership import wire as base
+from finchcart.membership import messages as base
 
 SWEEP = 64  # claims looked at in a tick
 
