--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -18,7 +18,6 @@
 from finchcart.key_leases import messages
 from finchcart.key_leases.config import SECOND, KeyLeaseConfig
 from finchcart.key_leases.replica import KeyLeaseReplica
-from finchcart.membership import messages as base
 
 KINDS = {1: "mine", 2: "held elsewhere", 3: "result elsewhere", 4: "failed elsewhere", 6: "no majority"}
 
@@ -66,20 +65,23 @@
     before, _ = tracemalloc.get_traced_memory()
     for n in range(0, count, 16):
         keys = [messages.key_digest("m", str(n + k)) for k in range(16)]
-        asks = [messages.Ask(key, n, 1, 20 * SECOND) for key in keys]
-        ended = [messages.Vote(key, 1, messages.LeaseStatus.COMPLETED, b"r" * 30) for key in keys]
-        for said in (messages.Claim("a", 5, asks), messages.Say("a", 5, ended)):
-            keeper.reduce(0, ("got", ("10.0.0.9", 1), base.sealed(messages.CHANNEL, "f", said)))
+        asks = [messages.LeaseRequest(key, n, 1, 20 * SECOND) for key in keys]
+        ended = [messages.LeaseReport(key, 1, messages.LeaseStatus.COMPLETED, b"r" * 30) for key in keys]
+        for said in (messages.AcquireLeases("a", 5, asks), messages.ReportOutcomes("a", 5, ended)):
+            keeper.reduce(0, ("got", ("10.0.0.9", 1), messages.CODEC.encode("f", said)))
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     began, turns = time.perf_counter(), 500
     for n in range(turns):
-        asks = [messages.Ask(messages.key_digest("n", str(16 * n + k)), n, 1, 20 * SECOND) for k in range(16)]
+        asks = [
+            messages.LeaseRequest(messages.key_digest("n", str(16 * n + k)), n, 1, 20 * SECOND)
+            for k in range(16)
+        ]
         keeper.reduce(
-            0, ("got", ("10.0.0.9", 1), base.sealed(messages.CHANNEL, "f", messages.Claim("a", 5, asks)))
+            0, ("got", ("10.0.0.9", 1), messages.CODEC.encode("f", messages.AcquireLeases("a", 5, asks)))
         )
     rate = 16 * turns / (time.perf_counter() - began)
-    size, held = 1000 * (after - before) / count / 1024, len(keeper.entries)
+    size, held = 1000 * (after - before) / count / 1024, len(keeper.leases)
     print(
         f"{held} claims, {size:.0f} kB a 1,000 with results of 30 bytes; {rate:.0f} claims a "
         "second in batches of 16, one core, sealing of the asks counted"
--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -265,7 +265,7 @@
                 place_of(place)
             except Unfit:
                 yield f"quota.planners.{n}", f"{place!r}: no such address or port"
-        for path, reason in limits_of.validation_errors(shared):
+        for path, reason in limits_of.config_errors(shared):
             yield path if path.startswith("limits") else f"quota.{path}", reason
     claimed = claims(settings)
     if claimed:
@@ -276,7 +276,7 @@
                 place_of(place)
             except Unfit:
                 yield f"claims.keepers.{n}", f"{place!r}: no such address or port"
-        for path, reason in claims_of.validation_errors(claimed):
+        for path, reason in claims_of.config_errors(claimed):
             yield f"claims.{path}", reason
     held = verdicts(settings)
     if held:
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -102,7 +102,7 @@
             holder = out[shares.CHANNEL] = LeaseHolder(name, asked.name, self.shares, chance, now)
             loose = LocalLimits(self.shares, now)
             out[base.CHANNEL].riders.append(loose)
-            holder.loose = loose.status
+            holder.local_status = loose.status
         held = verdicts(self.settings)
         if held:
             board = out[sayings.CHANNEL] = Board(name, asked.name, held, now)
--- a/finchcart/fault_injection/claiming.py
+++ b/finchcart/fault_injection/claiming.py
@@ -176,7 +176,7 @@
             {
                 field: value
                 for field, value in vars(machine).items()
-                if field not in ("counts", "effects", "figures", "random", "places")
+                if field not in ("counts", "effects", "config", "random", "replicas")
             }
         )
     return xxhash.xxh3_128_digest(pickle.dumps(parts))
--- a/finchcart/fault_injection/shares.py
+++ b/finchcart/fault_injection/shares.py
@@ -383,7 +383,7 @@
             leads = [
                 name
                 for name in self.planners
-                if name in up and self.processes[name].machine.owned_since is not None
+                if name in up and self.processes[name].machine.election.is_leader
             ]
             if leads and chance.random() < 0.5:
                 self.kill(leads[0])
--- a/finchcart/key_leases/client.py
+++ b/finchcart/key_leases/client.py
@@ -1,220 +1,332 @@
-"""A node's side of claims: asks a majority of the keepers before a run is commanded, tells them how it ended.
-
-Owns the tries of this process and what was not yet heard of by the keepers. `reduce(now, what)` takes one
-input and returns effects; no I/O, clock or lock. `now` is the boot clock in whole microseconds. It must never
-say that a key is its own without the votes of a majority for one try, all asked for less than `command` ago,
-nor try a key again before it gave the earlier try back.
-
-Inputs: `("claim", [(key, body, life), ...])`, `("ended", key, kind, result)` (of a run that was commanded:
-COMPLETED or FAILED), `("never", key)` (it won't be commanded), `("leave_it", key)` (nobody waits any more),
-`("got", address, datagram)`, `("tick",)`, `("end",)`. Effects: `("send", address, datagram)`, `("claimed",
-key, kind, result, by)`: GRANTED (command it until `by` on the boot clock or not at all), COMPLETED with the
-result, FAILED, HELD (it runs elsewhere, and did not end in time), UNAVAILABLE (no majority, or no room: it
-never ran here),
-PAYLOAD_MISMATCH.
-
-Bounds: tries `figures.entries`; each ends with its answer, what is to be told with its life.
+"""A node's side of key leases: acquires a lease before a run is commanded, and reports how the run ended.
+
+Owns the attempts of this process and the outcomes that not all replicas have acknowledged. It must never
+answer that a key is its own without the votes of a quorum for one attempt, all asked for less than `command`
+ago, nor try a key again before it gave the earlier attempt back.
+
+Bounds: attempts and held leases together `entries`; an attempt ends with its answer, a delivery with the last
+acknowledgement or after `MAX_TRANSMISSIONS`.
 """
 
-from finchcart.key_leases import messages
-from finchcart.key_leases.messages import Ask, Claim, LeaseStatus, Say, Vote
-from finchcart.membership import messages as base
+from collections.abc import Iterable
+from enum import StrEnum
+from random import Random
+from typing import Literal, NamedTuple
+
+from finchcart.key_leases.config import KeyLeaseConfig
+from finchcart.key_leases.messages import (
+    CODEC,
+    AcquireLeases,
+    LeaseReport,
+    LeaseRequest,
+    LeaseStatus,
+    Message,
+    OutcomesAcknowledged,
+    ReportOutcomes,
+    Votes,
+)
+from finchcart.membership.codec import MAX_DATAGRAM_BYTES, parse_address, take_fitting
+from finchcart.membership.effects import HostPort
+from finchcart.message_endpoint import MessageEndpoint, MessageRejectedError
+
+MAX_TRANSMISSIONS = 40  # of one outcome to replicas that do not acknowledge it
+MAX_BACKOFF = 8  # retransmission intervals between two transmissions of one outcome
+OUTCOMES_OVERHEAD_BYTES = 160  # of a datagram, for all but the outcomes in it
+
+ANSWER_COUNTERS = {
+    LeaseStatus.GRANTED: "mine",
+    LeaseStatus.HELD: "elsewhere",
+    LeaseStatus.COMPLETED: "ended",
+    LeaseStatus.FAILED: "failed",
+    LeaseStatus.UNAVAILABLE: "no majority",
+    LeaseStatus.PAYLOAD_MISMATCH: "another body",
+}
+
+
+class ClientInput(StrEnum):
+    """The first field of an input that is this client's own."""
+
+    ACQUIRE = "claim"  # a list of (key, payload digest, lease duration in microseconds)
+    ENDED = "ended"  # key, `COMPLETED` or `FAILED`, result: of a run that was commanded
+    NEVER_RAN = "never"  # key: its run will not be commanded
+    ABANDON = "leave_it"  # key: nobody waits for the answer any more
+
+
+class LeaseAnswer(NamedTuple):
+    """The effect that answers an attempt.
 
-TELLS = 40  # times that an outcome or release is told to a keeper that does not answer
+    `GRANTED`: command the run before `run_before` on the boot clock, or not at all. `COMPLETED`: `result` is
+    of a run elsewhere. `HELD`: it runs elsewhere and did not end in time. `UNAVAILABLE`: no quorum, or no
+    room: it never ran here. `FAILED` and `PAYLOAD_MISMATCH` as in `LeaseStatus`.
+    """
 
+    kind: Literal["claimed"]
+    key: bytes
+    status: LeaseStatus
+    result: bytes
+    run_before: int | None
 
-class Try:
-    """One try to claim a key."""
 
-    def __init__(self, now, key, body, life, attempt):
-        self.key, self.body, self.life, self.attempt = key, body, life, attempt
-        self.asked, self.due = now, now
-        self.since, self.next = now, 0  # since: when the first try of this claim began
-        self.votes, self.waiting = {}, False  # votes: keeper -> kind; waiting: for a run elsewhere
+class Attempt:
+    """One attempt to acquire the lease of a key. Times are microseconds on the boot clock."""
 
+    def __init__(self, number: int, key: bytes, payload_digest: int, duration_us: int, now: int) -> None:
+        self.number = number
+        self.key = key
+        self.payload_digest = payload_digest
+        self.duration_us = duration_us
+        self.started_at = now  # of the first attempt in a row for this key
+        self.asked_at = now
+        self.transmit_at = now
+        self.votes: dict[int, LeaseStatus] = {}  # by index of the replica
 
-class Telling:
-    """What keepers are to hear of a claim."""
+    def request(self) -> LeaseRequest:
+        """What is asked of the replicas."""
+        return LeaseRequest(self.key, self.payload_digest, self.number, self.duration_us)
 
-    def __init__(self, now, line, keepers):
-        self.line, self.left, self.due, self.times = line, set(range(keepers)), now, 0
+    def granted_votes(self) -> int:
+        """Replicas that voted for it."""
+        return sum(status == LeaseStatus.GRANTED for status in self.votes.values())
 
 
-class KeyLeaseClient:
-    """`random`: of this process alone."""
+class HeldKey(NamedTuple):
+    """A lease that this process holds, until its run has ended or the lease has expired everywhere."""
 
-    def __init__(self, name, fleet, figures, random, now):
-        self.name, self.fleet, self.figures, self.random = name, fleet, figures, random
+    attempt: int
+    payload_digest: int
+    expires_at: int
+
+
+class OutcomeDelivery:
+    """An outcome, and the replicas that have not acknowledged it."""
+
+    def __init__(self, outcome: LeaseReport, replica_count: int, now: int) -> None:
+        self.outcome = outcome
+        self.unacknowledged = set(range(replica_count))
+        self.transmit_at = now
+        self.transmissions = 0
+
+
+class KeyLeaseClient(MessageEndpoint):
+    """A holder's state machine; see `MessageEndpoint` and `ClientInput` for its inputs, `LeaseAnswer` for its
+    own effect.
+
+    Arguments:
+        name: of this node.
+        fleet: the name of the fleet.
+        config: the same at all replicas and holders.
+        random: of this process alone.
+        now: microseconds on the boot clock.
+    """
+
+    codec = CODEC
+
+    def __init__(self, name: str, fleet: str, config: KeyLeaseConfig, random: Random, now: int) -> None:
+        super().__init__(fleet, now)
+        self.name = name
+        self.config = config
+        self.random = random
         self.session = random.getrandbits(64)
-        self.places = [base.place_of(place) for place in figures.keepers]
-        self.tries, self.mine, self.attempts = {}, {}, 0  # mine: key -> (attempt, body, until)
-        self.telling = {}  # (key, attempt) -> Telling
-        self.now, self.counts, self.effects, self.ended = now, {}, [], False
-
-    def reduce(self, now, what):
-        self.effects = effects = []
-        self.now = now = max(now, self.now)
-        if what[0] == "claim":
-            self.on_claim(now, what[1])
-        elif what[0] == "got":
-            self.on_got(now, what[1], what[2])
-        elif what[0] == "ended":
-            self.on_ended(now, *what[1:])
-        elif what[0] == "never":
-            self.on_never(now, what[1])
-        elif what[0] == "leave_it":
-            trying = self.tries.pop(what[1], None)
-            if trying:
-                self.give_back(now, trying)
-        elif what[0] == "end":
-            self.ended = True
-        self.send_due(now)
-        return effects
-
-    def count(self, reason):
-        self.counts[reason] = self.counts.get(reason, 0) + 1
-
-    # ---- tries
-
-    def on_claim(self, now, asks):
-        for key, body, life in asks:
-            if key in self.tries or key in self.mine:
+        self.replicas = [parse_address(address) for address in config.keepers]
+        self.attempts: dict[bytes, Attempt] = {}
+        self.held: dict[bytes, HeldKey] = {}
+        self.last_attempt = 0
+        self.deliveries: dict[tuple[bytes, int], OutcomeDelivery] = {}  # by key and attempt
+
+    def on_input(self, event: tuple) -> None:
+        """Take an input of the core's."""
+        match event:
+            case (ClientInput.ACQUIRE, requests):
+                self.on_acquire(requests)
+            case (ClientInput.ENDED, key, status, result):
+                self.on_ended(key, status, result)
+            case (ClientInput.NEVER_RAN, key):
+                self.on_never_ran(key)
+            case (ClientInput.ABANDON, key):
+                attempt = self.attempts.pop(key, None)
+                if attempt is not None:
+                    self.release(key, attempt.number)
+
+    def after_input(self) -> None:
+        """Send all that is due, many to a message."""
+        self._drop_expired()
+        requests = self._due_requests()
+        outcomes = self._due_outcomes()
+        for replica, address in enumerate(self.replicas):
+            self._send_requests(address, requests[replica])
+            self._send_outcomes(address, outcomes[replica])
+
+    # ---- attempts
+
+    def on_acquire(self, requests: Iterable[tuple[bytes, int, int]]) -> None:
+        """Begin to acquire leases; each is (key, payload digest, duration in microseconds)."""
+        for key, payload_digest, duration_us in requests:
+            if key in self.attempts or key in self.held:
                 self.count("claimed already")
-            elif len(self.tries) + len(self.mine) >= self.figures.entries:
-                self.answer(now, key, LeaseStatus.UNAVAILABLE)
+            elif len(self.attempts) + len(self.held) >= self.config.entries:
+                self.answer(key, LeaseStatus.UNAVAILABLE)
             else:
-                self.attempts += 1
-                self.tries[key] = Try(now, key, body, life, self.attempts)
+                self._begin_attempt(key, payload_digest, duration_us)
+
+    def on_vote(self, replica: int, vote: LeaseReport) -> None:
+        """Count the vote of a replica, given by its index."""
+        attempt = self.attempts.get(vote.key)
+        if attempt is None or vote.attempt != attempt.number:
+            return
+        attempt.votes[replica] = vote.status
+        if vote.status in (LeaseStatus.COMPLETED, LeaseStatus.FAILED):
+            # Only a holder with a quorum runs, and only it reports outcomes: one replica's word is enough.
+            self._conclude(attempt, vote.status, vote.result)
+        elif vote.status == LeaseStatus.PAYLOAD_MISMATCH:
+            self._conclude(attempt, LeaseStatus.PAYLOAD_MISMATCH)
+        elif attempt.granted_votes() >= self.config.quorum:
+            self._on_quorum(attempt)
+        elif not self._quorum_is_possible(attempt):
+            self.on_no_quorum(attempt)
+
+    def answer(
+        self, key: bytes, status: LeaseStatus, result: bytes = b"", run_before: int | None = None
+    ) -> None:
+        """Answer an attempt, see `LeaseAnswer`."""
+        self.count(ANSWER_COUNTERS[status])
+        self.effects.append(LeaseAnswer("claimed", key, status, result, run_before))
 
-    def answer(self, now, key, kind, result=b"", by=None):
-        self.count(("", "mine", "elsewhere", "ended", "failed", "", "no majority", "another body")[kind])
-        self.effects.append(("claimed", key, kind, result, by))
+    def release(self, key: bytes, attempt: int) -> None:
+        """Give an attempt back: it never ran and never will."""
+        self._report(LeaseReport(key, attempt, LeaseStatus.RELEASED))
 
-    def give_back(self, now, trying):
-        """It never ran and never will, under this attempt."""
-        line = Vote(trying.key, trying.attempt, LeaseStatus.RELEASED)
-        self.telling[trying.key, trying.attempt] = Telling(now, line, len(self.places))
+    def on_no_quorum(self, attempt: Attempt) -> None:
+        """Give the attempt back and begin another, unless it has taken too long: another holds the lease, or
+        the votes are split between several."""
+        is_held = LeaseStatus.HELD in attempt.votes.values()
+        patience = self.config.wait if is_held else self.config.answer
+        if self.now - attempt.started_at >= patience:
+            self._conclude(attempt, LeaseStatus.HELD if is_held else LeaseStatus.UNAVAILABLE)
+            return
+        self.release(attempt.key, attempt.number)
+        retry = self._begin_attempt(attempt.key, attempt.payload_digest, attempt.duration_us)
+        retry.started_at = attempt.started_at
+        pause = self.config.ask if is_held else self.config.again
+        retry.asked_at = self.now + pause // 2 + self.random.randrange(pause)
+        retry.transmit_at = retry.asked_at
+
+    def _begin_attempt(self, key: bytes, payload_digest: int, duration_us: int) -> Attempt:
+        self.last_attempt += 1
+        attempt = Attempt(self.last_attempt, key, payload_digest, duration_us, self.now)
+        self.attempts[key] = attempt
+        return attempt
 
-    def on_votes(self, now, keeper, vote):
-        trying = self.tries.get(vote.key)
-        if trying is None or vote.attempt != trying.attempt:
+    def _on_quorum(self, attempt: Attempt) -> None:
+        run_before = attempt.asked_at + self.config.command
+        if self.now >= run_before:
+            self._conclude(attempt, LeaseStatus.UNAVAILABLE)
             return
-        trying.votes[keeper] = vote.kind
-        if vote.kind in (LeaseStatus.COMPLETED, LeaseStatus.FAILED):
-            # Only a holder with a majority runs, and only it says so: one keeper's word is enough.
-            self.leave_with(now, trying, vote.kind, vote.result)
-        elif vote.kind == LeaseStatus.PAYLOAD_MISMATCH:
-            self.leave_with(now, trying, LeaseStatus.PAYLOAD_MISMATCH)
-        elif sum(kind == LeaseStatus.GRANTED for kind in trying.votes.values()) >= self.figures.quorum:
-            by = trying.asked + self.figures.command
-            if now >= by:
-                self.leave_with(now, trying, LeaseStatus.UNAVAILABLE)
-                return
-            del self.tries[vote.key]
-            self.mine[vote.key] = trying.attempt, trying.body, now + self.figures.wide(trying.life)
-            self.answer(now, vote.key, LeaseStatus.GRANTED, b"", by)
-        elif len(trying.votes) == len(self.places) or self.hopeless(trying):
-            self.lost(now, trying)
-
-    def hopeless(self, trying):
-        """Whether no majority can come any more."""
-        no = sum(kind != LeaseStatus.GRANTED for kind in trying.votes.values())
-        return no > len(self.places) - self.figures.quorum
-
-    def leave_with(self, now, trying, kind, result=b""):
-        del self.tries[trying.key]
-        self.give_back(now, trying)
-        self.answer(now, trying.key, kind, result)
-
-    def lost(self, now, trying):
-        """Another has it, or it is split between several. Given back, and asked for again as a new try."""
-        held = any(kind == LeaseStatus.HELD for kind in trying.votes.values())
-        if now - trying.since >= (self.figures.wait if held else self.figures.answer):
-            self.leave_with(now, trying, LeaseStatus.HELD if held else LeaseStatus.UNAVAILABLE)
+        del self.attempts[attempt.key]
+        expires_at = self.now + self.config.widened(attempt.duration_us)
+        self.held[attempt.key] = HeldKey(attempt.number, attempt.payload_digest, expires_at)
+        self.answer(attempt.key, LeaseStatus.GRANTED, run_before=run_before)
+
+    def _quorum_is_possible(self, attempt: Attempt) -> bool:
+        refusals = len(attempt.votes) - attempt.granted_votes()
+        return len(self.replicas) - refusals >= self.config.quorum
+
+    def _conclude(self, attempt: Attempt, status: LeaseStatus, result: bytes = b"") -> None:
+        del self.attempts[attempt.key]
+        self.release(attempt.key, attempt.number)
+        self.answer(attempt.key, status, result)
+
+    # ---- runs that were commanded, or will not be
+
+    def on_ended(self, key: bytes, status: LeaseStatus, result: bytes = b"") -> None:
+        """Report how the run of a held key ended; a result that is too long is reported as lost."""
+        held = self.held.pop(key, None)
+        if held is None:
+            self.count("not its own")
             return
-        self.give_back(now, trying)
-        self.attempts += 1
-        new = self.tries[trying.key] = Try(now, trying.key, trying.body, trying.life, self.attempts)
-        new.since, new.waiting = trying.since, held
-        pause = self.figures.ask if held else self.figures.again
-        new.due = new.asked = now + pause // 2 + self.random.randrange(pause)
-
-    # ---- runs that were commanded, or won't be
-
-    def on_ended(self, now, key, kind, result=b""):
-        """How the run ended; a result that is too large is told as lost."""
-        attempt, body, _ = self.mine.pop(key, (None, 0, 0))
-        if attempt is None:
-            return self.count("not its own")
-        if kind == LeaseStatus.COMPLETED and len(result) > self.figures.result:
-            kind, result = LeaseStatus.FAILED, b""
-        line = Vote(key, attempt, kind, result if kind == LeaseStatus.COMPLETED else b"", body)
-        self.telling[key, attempt] = Telling(now, line, len(self.places))
-
-    def on_never(self, now, key):
-        attempt, _, _ = self.mine.pop(key, (None, 0, 0))
-        if attempt is not None:
-            self.telling[key, attempt] = Telling(
-                now, Vote(key, attempt, LeaseStatus.RELEASED), len(self.places)
-            )
+        if status == LeaseStatus.COMPLETED and len(result) > self.config.result:
+            status = LeaseStatus.FAILED
+        if status != LeaseStatus.COMPLETED:
+            result = b""
+        self._report(LeaseReport(key, held.attempt, status, result, held.payload_digest))
+
+    def on_never_ran(self, key: bytes) -> None:
+        """Give a held key back whose run was not commanded."""
+        held = self.held.pop(key, None)
+        if held is not None:
+            self.release(key, held.attempt)
+
+    def _report(self, outcome: LeaseReport) -> None:
+        delivery = OutcomeDelivery(outcome, len(self.replicas), self.now)
+        self.deliveries[outcome.key, outcome.attempt] = delivery
 
     # ---- messages
 
-    def on_got(self, now, address, data):
-        try:
-            said = messages.unpack(self.fleet, data)
-        except base.Unfit as error:
-            return self.count(str(error))
-        if address not in self.places or getattr(said, "session", None) != self.session:
-            return self.count("not for this process")
-        keeper = self.places.index(address)
-        if isinstance(said, messages.Votes):
-            for vote in said.votes:
-                self.on_votes(now, keeper, vote)
-        elif isinstance(said, messages.Noted):
-            for key, attempt, kind in said.keys:
-                telling = self.telling.get((key, attempt))
-                if telling and telling.line.kind == kind:
-                    telling.left.discard(keeper)
-                    if not telling.left:
-                        del self.telling[key, attempt]
-        else:
-            self.count("not for a holder")
-
-    def send_due(self, now):
-        """All that is due, many to a message."""
-        figures = self.figures
-        for key in [key for key, (_, _, until) in self.mine.items() if until <= now]:
-            del self.mine[key]  # its claim is over: nothing to be told of it
+    def on_message(self, address: HostPort, message: Message) -> None:
+        """Take a replica's answer to this process."""
+        if address not in self.replicas or getattr(message, "session", None) != self.session:
+            raise MessageRejectedError("not for this process")
+        replica = self.replicas.index(address)
+        match message:
+            case Votes():
+                for vote in message.votes:
+                    self.on_vote(replica, vote)
+            case OutcomesAcknowledged():
+                for key, attempt, status in message.outcomes:
+                    self._on_acknowledged(replica, (key, attempt), status)
+            case _:
+                raise MessageRejectedError("not for a holder")
+
+    def _on_acknowledged(self, replica: int, which: tuple[bytes, int], status: LeaseStatus) -> None:
+        delivery = self.deliveries.get(which)
+        if delivery is None or delivery.outcome.status != status:
+            return
+        delivery.unacknowledged.discard(replica)
+        if not delivery.unacknowledged:
+            del self.deliveries[which]
+
+    def _drop_expired(self) -> None:
+        for key in [key for key, held in self.held.items() if held.expires_at <= self.now]:
+            del self.held[key]
             self.count("never told how it ended")
-        asks, lines = [[] for _ in self.places], [[] for _ in self.places]
-        for trying in list(self.tries.values()):
-            if now < trying.due:
+
+    def _due_requests(self) -> list[list[LeaseRequest]]:
+        """By replica."""
+        requests: list[list[LeaseRequest]] = [[] for _ in self.replicas]
+        for attempt in list(self.attempts.values()):
+            if self.now < attempt.transmit_at:
                 continue
-            if now - trying.asked >= figures.answer:
-                self.lost(now, trying)
+            if self.now - attempt.asked_at >= self.config.answer:
+                self.on_no_quorum(attempt)
                 continue
-            trying.due = now + figures.again
-            for keeper in range(len(self.places)):
-                if keeper not in trying.votes:
-                    asks[keeper].append(Ask(trying.key, trying.body, trying.attempt, trying.life))
-        for which, telling in list(self.telling.items()):
-            if now < telling.due:
+            attempt.transmit_at = self.now + self.config.again
+            for replica in range(len(self.replicas)):
+                if replica not in attempt.votes:
+                    requests[replica].append(attempt.request())
+        return requests
+
+    def _due_outcomes(self) -> list[list[LeaseReport]]:
+        """By replica."""
+        outcomes: list[list[LeaseReport]] = [[] for _ in self.replicas]
+        for which, delivery in list(self.deliveries.items()):
+            if self.now < delivery.transmit_at:
                 continue
-            telling.due, telling.times = now + figures.again * min(8, 1 + telling.times), telling.times + 1
-            for keeper in telling.left:
-                lines[keeper].append(telling.line)
-            if telling.times >= TELLS:
-                del self.telling[which]
-        for keeper, place in enumerate(self.places):
-            for n in range(0, len(asks[keeper]), figures.batch):
-                self.send(place, Claim(self.name, self.session, asks[keeper][n : n + figures.batch]))
-            rest = lines[keeper]
-            while rest:
-                some = base.fill(rest[: figures.batch], base.MOST - 160)
-                rest = rest[len(some) :]
-                self.send(place, Say(self.name, self.session, some))
-
-    def send(self, place, said):
-        self.count("sent")
-        self.effects.append(("send", place, base.sealed(messages.CHANNEL, self.fleet, said)))
+            delivery.transmissions += 1
+            backoff = min(MAX_BACKOFF, delivery.transmissions)
+            delivery.transmit_at = self.now + self.config.again * backoff
+            for replica in delivery.unacknowledged:
+                outcomes[replica].append(delivery.outcome)
+            if delivery.transmissions >= MAX_TRANSMISSIONS:
+                del self.deliveries[which]
+        return outcomes
+
+    def _send_requests(self, address: HostPort, requests: list[LeaseRequest]) -> None:
+        batch = self.config.batch
+        for first in range(0, len(requests), batch):
+            self.send(address, AcquireLeases(self.name, self.session, requests[first : first + batch]))
+
+    def _send_outcomes(self, address: HostPort, outcomes: list[LeaseReport]) -> None:
+        while outcomes:
+            batch = outcomes[: self.config.batch]
+            fitting = take_fitting(batch, MAX_DATAGRAM_BYTES - OUTCOMES_OVERHEAD_BYTES)
+            outcomes = outcomes[len(fitting) :]
+            self.send(address, ReportOutcomes(self.name, self.session, fitting))
--- a/finchcart/key_leases/messages.py
+++ b/finchcart/key_leases/messages.py
@@ -1,21 +1,24 @@
-"""What rides between holders of claims and keepers: typed structs, in the datagrams of
-finchcart/membership/messages.py.
+"""The messages between the holders of key leases and the replicas.
 
-Owns the messages alone; see keeper.py and holder.py for what they mean. A key is the 16-byte digest of method
-and token, `body` the digest of what it carries.
+Owns their fields and limits, and the digests by which keys and payloads are named. It must never act on a
+message. The order of the fields and the tags are the wire format: they stay, whatever the fields are called.
 """
 
 from enum import IntEnum
-from typing import Annotated
+from typing import Annotated, NamedTuple
 
-import msgspec
 from msgspec import Meta, Struct
 from xxhash import xxh3_64_intdigest, xxh3_128_digest
 
-from finchcart.membership.messages import Count, Name, Unfit, Word, unsealed
+from finchcart.membership.codec import MessageCodec, NodeName, Unsigned53, Unsigned64
 
 CHANNEL = b"C"
-Key = Annotated[bytes, Meta(min_length=16, max_length=16)]
+KEY_BYTES = 16
+MAX_BATCH = 16
+MAX_RESULT_BYTES = 256
+
+Key = Annotated[bytes, Meta(min_length=KEY_BYTES, max_length=KEY_BYTES)]
+Result = Annotated[bytes, Meta(max_length=MAX_RESULT_BYTES)]
 
 
 class LeaseStatus(IntEnum):
@@ -30,72 +33,72 @@
     PAYLOAD_MISMATCH = 7  # the same key with another payload
 
 
-Kind = LeaseStatus
-Result = Annotated[bytes, Meta(max_length=256)]
-
-
-class Ask(Struct, array_like=True, frozen=True):
-    """One try to claim a key: of a holder the higher `attempt` is the newer. `life`: how long it is kept."""
+class LeaseRequest(Struct, array_like=True, frozen=True):
+    """One attempt to acquire the lease of a key; of one holder the higher `attempt` is the newer."""
 
     key: Key
-    body: Word
-    attempt: Count
-    life: Count
+    payload_digest: Unsigned64
+    attempt: Unsigned53
+    duration_us: Unsigned53
 
 
-class Claim(Struct, array_like=True, frozen=True, tag=60):
-    holder: Name
-    session: Word
-    asks: Annotated[list[Ask], Meta(max_length=16)]
+class AcquireLeases(Struct, array_like=True, frozen=True, tag=60):
+    """A holder's requests, to one replica."""
 
+    node: NodeName
+    session: Unsigned64  # drawn at the holder's start: tells two processes of one name apart
+    requests: Annotated[list[LeaseRequest], Meta(max_length=MAX_BATCH)]
 
-class Vote(Struct, array_like=True, frozen=True):
-    """`result` with ENDED alone; `body` where a holder says how its run ended."""
+
+class LeaseReport(Struct, array_like=True, frozen=True):
+    """What one side says of a lease: a replica's vote on an attempt, or the outcome of its holder's run."""
 
     key: Key
-    attempt: Count
-    kind: Kind
-    result: Result = b""
-    body: Word = 0
+    attempt: Unsigned53
+    status: LeaseStatus
+    result: Result = b""  # with `COMPLETED` alone
+    payload_digest: Unsigned64 = 0  # in outcomes alone
 
 
 class Votes(Struct, array_like=True, frozen=True, tag=61):
-    session: Word
-    votes: Annotated[list[Vote], Meta(max_length=16)]
-
+    """A replica's votes on the requests of the holder's process `session`."""
 
-class Say(Struct, array_like=True, frozen=True, tag=62):
-    """By the holder of a claim: how its run ended (`kind` ENDED or FAILED), or RELEASED: it never ran."""
+    session: Unsigned64
+    votes: Annotated[list[LeaseReport], Meta(max_length=MAX_BATCH)]
 
-    holder: Name
-    session: Word
-    lines: Annotated[list[Vote], Meta(max_length=16)]
 
+class ReportOutcomes(Struct, array_like=True, frozen=True, tag=62):
+    """By the holder: how its runs ended (`COMPLETED`, `FAILED`), or that they never began (`RELEASED`)."""
 
-class Noted(Struct, array_like=True, frozen=True, tag=63):
-    session: Word
-    keys: Annotated[list[tuple[Key, Count, Kind]], Meta(max_length=16)]
+    node: NodeName
+    session: Unsigned64
+    outcomes: Annotated[list[LeaseReport], Meta(max_length=MAX_BATCH)]
 
 
-class Envelope(Struct, array_like=True, frozen=True):
-    version: int
-    fleet: str
-    said: Claim | Votes | Say | Noted
+class OutcomeId(NamedTuple):
+    """Names a reported outcome."""
 
+    key: Key
+    attempt: Unsigned53
+    status: LeaseStatus
 
-_decoder = msgspec.msgpack.Decoder(Envelope)
 
+class OutcomesAcknowledged(Struct, array_like=True, frozen=True, tag=63):
+    """A replica has recorded these outcomes of the process `session`."""
 
-def unpack(fleet, data):
-    return unsealed(CHANNEL, fleet, data, _decoder, ())
+    session: Unsigned64
+    outcomes: Annotated[list[OutcomeId], Meta(max_length=MAX_BATCH)]
 
 
-def key_digest(method, token):
-    return xxh3_128_digest(f"{len(method)} {method} {token}".encode())
+Message = AcquireLeases | Votes | ReportOutcomes | OutcomesAcknowledged
+CODEC: MessageCodec[Message] = MessageCodec(CHANNEL, Message)
 
 
-def payload_digest(body):
-    return xxh3_64_intdigest(body)
+def key_digest(method: str, idempotency_key: str) -> bytes:
+    """The key of a lease: the digest of a method's name and the caller's idempotency key."""
+    return xxh3_128_digest(f"{len(method)} {method} {idempotency_key}".encode())
 
 
-__all__ = ["Unfit"]
+def payload_digest(payload: bytes) -> int:
+    """Tells the payloads of two requests with one key apart."""
+    return xxh3_64_intdigest(payload)
--- a/finchcart/key_leases/replica.py
+++ b/finchcart/key_leases/replica.py
@@ -1,144 +1,188 @@
-"""One keeper: votes for one holder of each key, and keeps how its run ended.
+"""One replica (the acceptor): votes for one holder of each key, and records how the holder's run ended.
 
-Owns the claims that it voted for, until their life is over. `reduce(now, what)` takes one input and returns
-effects; no I/O, clock or lock. `now` is the boot clock in whole microseconds. It must never vote for two
-holders of one key while a claim on it lives, nor answer before all claims that an earlier process of its name
-may have voted for are over: it has no disk.
+Owns the leases that it voted for, until they expire. It must never vote for two holders of one key while a
+lease of it lasts, nor answer before all leases that an earlier process of its place may have voted for are
+over: it has no disk (see finchcart/leases.py).
 
-Inputs: `("tick",)`, `("got", address, datagram)`, `("end",)`. Effects: `("send", address, datagram)`.
-
-Bounds: `figures.entries` claims, and as many released attempts; both age out with the claim's life.
+Bounds: `entries` leases and as many released attempts; both expire with the longest lease.
 """
 
 from collections import OrderedDict
+from typing import NamedTuple
+
+from finchcart.key_leases.config import KeyLeaseConfig
+from finchcart.key_leases.messages import (
+    CODEC,
+    AcquireLeases,
+    LeaseReport,
+    LeaseRequest,
+    LeaseStatus,
+    Message,
+    OutcomeId,
+    OutcomesAcknowledged,
+    ReportOutcomes,
+    Votes,
+)
+from finchcart.membership.codec import MAX_DATAGRAM_BYTES, take_fitting
+from finchcart.membership.effects import HostPort
+from finchcart.message_endpoint import MessageEndpoint, MessageRejectedError
+
+EXPIRED_PER_TICK = 64  # of each table: bounds the work of one tick
+VOTES_OVERHEAD_BYTES = 120  # of a datagram, for all but the votes in it
+
+
+class KeyLease:
+    """The lease of one key: whose it is, and how its run ended, if it has."""
+
+    __slots__ = ("session", "attempt", "payload_digest", "status", "result", "expires_at")
+
+    def __init__(self, session: int, attempt: int, payload_digest: int, expires_at: int) -> None:
+        self.session = session
+        self.attempt = attempt
+        self.payload_digest = payload_digest
+        self.expires_at = expires_at
+        self.status = LeaseStatus.HELD
+        self.result = b""
+
+    def is_of(self, session: int, attempt: int) -> bool:
+        """Whether this attempt of this process holds it."""
+        return self.session == session and self.attempt == attempt
+
+
+class ReleasedAttempt(NamedTuple):
+    """The newest attempt that a process gave back of a key, remembered for the longest lease."""
+
+    attempt: int
+    expires_at: int
+
+
+class KeyLeaseReplica(MessageEndpoint):
+    """A replica's state machine; see `MessageEndpoint` for its inputs and effects.
+
+    Arguments:
+        fleet: the name of the fleet.
+        config: the same at all replicas and holders.
+        now: microseconds on the boot clock.
+    """
+
+    codec = CODEC
+
+    def __init__(self, fleet: str, config: KeyLeaseConfig, now: int) -> None:
+        super().__init__(fleet, now)
+        self.config = config
+        self.quiet_until = now + config.startup_quiet_period
+        self.leases: OrderedDict[bytes, KeyLease] = OrderedDict()
+        self.released: OrderedDict[tuple[bytes, int], ReleasedAttempt] = OrderedDict()
+
+    def on_tick(self) -> None:
+        """Drop some of the oldest that expired: they were made in about the order in which they expire."""
+        for table in (self.leases, self.released):
+            for _ in range(min(EXPIRED_PER_TICK, len(table))):
+                key, oldest = next(iter(table.items()))
+                if oldest.expires_at > self.now:
+                    break
+                del table[key]
 
-from finchcart.key_leases import messages
-from finchcart.key_leases.messages import LeaseStatus, Noted, Vote, Votes
-from finchcart.membership import messages as base
-
-SWEEP = 64  # claims looked at in a tick
-
-
-class Entry:
-    """A claim: whose it is, and how its run ended, if it has."""
-
-    __slots__ = ("session", "attempt", "body", "state", "result", "until")
-
-    def __init__(self, session, attempt, body, until):
-        self.session, self.attempt, self.body, self.until = session, attempt, body, until
-        self.state, self.result = LeaseStatus.HELD, b""
-
-
-class KeyLeaseReplica:
-    def __init__(self, fleet, figures, now):
-        self.fleet, self.figures = fleet, figures
-        self.silent_until = now + figures.startup_quiet_period
-        # released: (key, session) -> (attempt, until)
-        self.entries, self.released = OrderedDict(), OrderedDict()
-        self.now, self.counts, self.effects, self.ended = now, {}, [], False
-
-    def reduce(self, now, what):
-        self.effects = effects = []
-        self.now = now = max(now, self.now)
-        if what[0] == "got":
-            self.on_got(now, what[1], what[2])
-        elif what[0] == "tick":
-            self.sweep(now)
-        elif what[0] == "end":
-            self.ended = True
-        return effects
-
-    def count(self, reason):
-        self.counts[reason] = self.counts.get(reason, 0) + 1
-
-    def on_got(self, now, address, data):
-        try:
-            said = messages.unpack(self.fleet, data)
-        except base.Unfit as error:
-            return self.count(str(error))
-        if now < self.silent_until:
-            return self.count("silent after the start")
-        if isinstance(said, messages.Claim):
-            votes = [Vote(ask.key, ask.attempt, *self.vote(now, said.session, ask)) for ask in said.asks]
-            # What has no room in one datagram is asked for again.
-            votes = base.fill(votes, base.MOST - 120)
-            self.send(address, Votes(said.session, votes))
-        elif isinstance(said, messages.Say):
-            for line in said.lines:
-                self.note(now, said.session, line)
-            noted = [(line.key, line.attempt, line.kind) for line in said.lines]
-            self.send(address, Noted(said.session, noted))
-        else:
-            self.count("not for a keeper")
-
-    def send(self, address, said):
-        self.effects.append(("send", address, base.sealed(messages.CHANNEL, self.fleet, said)))
-
-    # ---- claims
-
-    def entry(self, now, key):
-        entry = self.entries.get(key)
-        if entry is not None and entry.until <= now:
-            del self.entries[key]
-            return None
-        return entry
-
-    def vote(self, now, session, ask):
-        """(kind, result) of one try."""
-        attempt, until = self.released.get((ask.key, session), (-1, 0))
-        if ask.attempt <= attempt and now < until:
-            return (LeaseStatus.RELEASED,)  # guards against a late copy of a claim that was given back
-        if ask.life > self.figures.life:
+    def on_message(self, address: HostPort, message: Message) -> None:
+        """Answer a holder."""
+        if self.now < self.quiet_until:
+            raise MessageRejectedError("silent after the start")
+        match message:
+            case AcquireLeases():
+                votes = [self.vote(message.session, request) for request in message.requests]
+                # What does not fit into one datagram is asked for again.
+                votes = take_fitting(votes, MAX_DATAGRAM_BYTES - VOTES_OVERHEAD_BYTES)
+                self.send(address, Votes(message.session, votes))
+            case ReportOutcomes():
+                for outcome in message.outcomes:
+                    self.record(message.session, outcome)
+                ids = [OutcomeId(each.key, each.attempt, each.status) for each in message.outcomes]
+                self.send(address, OutcomesAcknowledged(message.session, ids))
+            case _:
+                raise MessageRejectedError("not for a keeper")
+
+    # ---- votes
+
+    def vote(self, session: int, request: LeaseRequest) -> LeaseReport:
+        """Vote on an attempt of the process `session`.
+
+        Returns:
+            The vote: `GRANTED`, or why not, with the result where a run of the key has completed.
+        """
+        if self._is_released(session, request):
+            # A late copy of an attempt that was given back must not take the key again.
+            return self._report(request, LeaseStatus.RELEASED)
+        if request.duration_us > self.config.life:
             self.count("a life longer than kept")
-            return (LeaseStatus.UNAVAILABLE,)
-        entry = self.entry(now, ask.key)
-        if entry is None:
-            if len(self.entries) >= self.figures.entries:
-                self.count("full")
-                return (LeaseStatus.UNAVAILABLE,)
-            self.entries[ask.key] = Entry(session, ask.attempt, ask.body, now + self.figures.wide(ask.life))
-            return (LeaseStatus.GRANTED,)
-        if entry.body != ask.body:
+            return self._report(request, LeaseStatus.UNAVAILABLE)
+        lease = self._active_lease(request.key)
+        if lease is None:
+            return self._grant(session, request)
+        if lease.payload_digest != request.payload_digest:
             self.count("another body")
-            return (LeaseStatus.PAYLOAD_MISMATCH,)
-        if entry.session == session and entry.attempt == ask.attempt and entry.state == LeaseStatus.HELD:
-            return (LeaseStatus.GRANTED,)
-        # Also for a later try of the same process, until it said of the earlier one that it never ran: it may
-        # have ended, and the word of that is on its way.
-        return entry.state, entry.result
-
-    def release(self, now, key, session, attempt, until):
-        before, _ = self.released.get((key, session), (-1, 0))
-        until = max(until, now + self.figures.wide(self.figures.life))
-        self.released[key, session] = max(before, attempt), until
-        self.released.move_to_end((key, session))
-        while len(self.released) > self.figures.entries:
-            self.released.popitem(last=False)
-
-    def note(self, now, session, line):
-        """How the run of a claim ended, by its holder alone."""
-        entry = self.entry(now, line.key)
-        mine = entry is not None and entry.session == session and entry.attempt == line.attempt
-        if line.kind == LeaseStatus.RELEASED:
-            self.release(now, line.key, session, line.attempt, now)
-            if mine and entry.state == LeaseStatus.HELD:
-                del self.entries[line.key]
-        elif line.kind in (LeaseStatus.COMPLETED, LeaseStatus.FAILED):
-            if mine:
-                entry.state, entry.result = line.kind, line.result
-            elif entry is None:
-                # It voted for nobody: it was not reached when the claim was made, or is new since.
-                until = now + self.figures.wide(self.figures.life)
-                new = self.entries[line.key] = Entry(session, line.attempt, line.body, until)
-                new.state, new.result = line.kind, line.result
+            return self._report(request, LeaseStatus.PAYLOAD_MISMATCH)
+        if lease.is_of(session, request.attempt) and lease.status == LeaseStatus.HELD:
+            return self._report(request, LeaseStatus.GRANTED)
+        # A later attempt of the same process too is refused until the process has said that the earlier one
+        # never ran: its run may have ended, with the report of that still on its way.
+        return self._report(request, lease.status, lease.result)
+
+    def _grant(self, session: int, request: LeaseRequest) -> LeaseReport:
+        if len(self.leases) >= self.config.entries:
+            self.count("full")
+            return self._report(request, LeaseStatus.UNAVAILABLE)
+        expires_at = self.now + self.config.widened(request.duration_us)
+        self.leases[request.key] = KeyLease(session, request.attempt, request.payload_digest, expires_at)
+        return self._report(request, LeaseStatus.GRANTED)
+
+    def _report(self, request: LeaseRequest, status: LeaseStatus, result: bytes = b"") -> LeaseReport:
+        return LeaseReport(request.key, request.attempt, status, result)
+
+    def _active_lease(self, key: bytes) -> KeyLease | None:
+        lease = self.leases.get(key)
+        if lease is not None and lease.expires_at <= self.now:
+            del self.leases[key]
+            return None
+        return lease
+
+    def _is_released(self, session: int, request: LeaseRequest) -> bool:
+        released = self.released.get((request.key, session))
+        if released is None:
+            return False
+        return request.attempt <= released.attempt and self.now < released.expires_at
+
+    # ---- outcomes
+
+    def record(self, session: int, outcome: LeaseReport) -> None:
+        """Record how the run of a lease ended, as its holder alone may report it."""
+        lease = self._active_lease(outcome.key)
+        is_holder = lease is not None and lease.is_of(session, outcome.attempt)
+        if outcome.status == LeaseStatus.RELEASED:
+            self._remember_released(session, outcome)
+            if is_holder and lease.status == LeaseStatus.HELD:
+                del self.leases[outcome.key]
+        elif outcome.status in (LeaseStatus.COMPLETED, LeaseStatus.FAILED):
+            if lease is None:
+                # This replica did not vote: the request was lost, or it started since.
                 self.count("an outcome without a claim")
-
-    def sweep(self, now):
-        """Some of the oldest each tick: claims are made in about the order in which they end."""
-        tables = (self.entries, lambda entry: entry.until), (self.released, lambda held: held[1])
-        for table, until in tables:
-            for _ in range(min(SWEEP, len(table))):
-                key, value = next(iter(table.items()))
-                if until(value) > now:
-                    break
-                del table[key]
+                lease = self._lease_of_outcome(session, outcome)
+                is_holder = True
+            if is_holder:
+                lease.status = outcome.status
+                lease.result = outcome.result
+
+    def _lease_of_outcome(self, session: int, outcome: LeaseReport) -> KeyLease:
+        expires_at = self.now + self.config.widened(self.config.life)
+        lease = KeyLease(session, outcome.attempt, outcome.payload_digest, expires_at)
+        self.leases[outcome.key] = lease
+        return lease
+
+    def _remember_released(self, session: int, outcome: LeaseReport) -> None:
+        attempt_id = (outcome.key, session)
+        earlier = self.released.get(attempt_id)
+        newest = outcome.attempt if earlier is None else max(earlier.attempt, outcome.attempt)
+        expires_at = self.now + self.config.widened(self.config.life)
+        self.released[attempt_id] = ReleasedAttempt(newest, expires_at)
+        self.released.move_to_end(attempt_id)
+        while len(self.released) > self.config.entries:
+            self.released.popitem(last=False)
--- a/finchcart/message_endpoint.py
+++ b/finchcart/message_endpoint.py
@@ -1,33 +1,113 @@
-"""What holders and planners have alike: counters by reason, and messages out and in.
+"""What the state machines of quota and key leases have in common: inputs, datagrams in and out, counters.
 
-Owns the counters and the effects of one turn; it must never act on a message.
+Owns the counters by reason and the effects of one turn. It must never act on a message: that is the
+subclass's. No I/O, no clock, no lock: `now` is the boot clock in whole microseconds, handed in.
 """
 
-from finchcart.membership import messages as base
-from finchcart.quota import messages
+from typing import Any, ClassVar
+
+from msgspec import Struct
+
+from finchcart.membership.codec import DatagramError, MessageCodec
+from finchcart.membership.effects import HostPort, InputKind, LogLine, SendDatagram
+
+
+class MessageRejectedError(Exception):
+    """A message that was read and is not acted on; its text is the reason used for the counters."""
 
 
 class MessageEndpoint:
-    """Needs `fleet`; bounded by the reasons there are."""
+    """A state machine that exchanges the messages of one codec.
+
+    Bounded by the number of reasons there are for the counters.
+
+    Attributes:
+        codec: reads and writes the messages of the endpoint's channel.
+        counts: reason -> how often; told to operators.
+        effects: of the present turn.
+        ended: whether this process has said its last word and may be left alone.
+
+    Arguments:
+        fleet: the name of the fleet; messages of others are counted and dropped.
+        now: microseconds on the boot clock.
+    """
+
+    codec: ClassVar[MessageCodec[Any]]
+
+    def __init__(self, fleet: str, now: int) -> None:
+        self.fleet = fleet
+        self.now = now
+        self.counts: dict[str, int] = {}
+        self.effects: list[tuple] = []
+        self.ended = False
+
+    def reduce(self, now: int, event: tuple) -> list[tuple]:
+        """Take one input.
 
-    def __init__(self):
-        self.counts, self.effects = {}, []
+        Arguments:
+            now: microseconds on the boot clock; an earlier time than the last counts as the last.
+            event: `(InputKind.TICK,)`, `(InputKind.DATAGRAM, address, data)`, `(InputKind.END,)`, or one of
+                the subclass's own; others are ignored.
 
-    def count(self, reason):
+        Returns:
+            The effects, in the order in which they are to be carried out.
+        """
+        effects = self.effects = []
+        self.now = max(now, self.now)
+        self.before_input()
+        match event:
+            case (InputKind.TICK,):
+                self.on_tick()
+            case (InputKind.DATAGRAM, address, data):
+                self._on_datagram(address, data)
+            case (InputKind.END,):
+                self.on_end()
+            case _:
+                self.on_input(event)
+        self.after_input()
+        return effects
+
+    def before_input(self) -> None:
+        """Called first in each turn, for what the time alone brings."""
+
+    def after_input(self) -> None:
+        """Called last in each turn."""
+
+    def on_tick(self) -> None:
+        """Take the regular input of time."""
+
+    def on_end(self) -> None:
+        """Take the input that this process ends."""
+        self.ended = True
+
+    def on_input(self, event: tuple) -> None:
+        """Take an input of the subclass's own."""
+
+    def on_message(self, address: HostPort, message: Struct) -> None:
+        """Act on a message that was read; may raise `MessageRejectedError`."""
+        raise NotImplementedError
+
+    def count(self, reason: str) -> None:
+        """Count one event."""
         self.counts[reason] = self.counts.get(reason, 0) + 1
 
-    def send(self, address, said):
-        data = base.sealed(messages.CHANNEL, self.fleet, said)
-        if len(data) > base.MOST:
-            return self.count("too long to send")
+    def send(self, address: HostPort, message: Struct) -> None:
+        """Send a message, unless it would be too long for a datagram, which is counted."""
+        try:
+            data = self.codec.encode_bounded(self.fleet, message)
+        except DatagramError as error:
+            self.count(str(error))
+            return
         self.count("sent")
-        self.effects.append(("send", address, data))
+        self.effects.append(SendDatagram.of(address, data))
+
+    def log(self, text: str, **fields: object) -> None:
+        """Write one line for the operators, with structured fields."""
+        self.effects.append(LogLine.of(text, fields))
 
-    def read(self, data):
-        """What a datagram says; None where it can't be read, which is counted by reason."""
+    def _on_datagram(self, address: HostPort, data: bytes) -> None:
         self.count("received")
         try:
-            return messages.unpack(self.fleet, data)
-        except messages.Unfit as error:
+            self.on_message(address, self.codec.decode(self.fleet, data))
+        except (DatagramError, MessageRejectedError) as error:
             self.count(str(error))
-            return None
--- a/finchcart/quota/__init__.py
+++ b/finchcart/quota/__init__.py
@@ -1,7 +1,8 @@
-"""Limits that hold for the whole fleet: what is shared out, by whom, and until when.
+"""Limits that hold for the whole fleet: how they are shared, by whom, and until when.
 
-Owns the limits and their bounds (limits.py), the division among those that want (division.py), the planners
-who elect one of them to share out (planner.py) and the part that a node holds (holder.py). State machines and
-pure functions: it must never hold a socket, a clock or a lock, nor count calls: that is
-finchcart/node/meter.py's.
+Owns the limits and their bounds (limits.py), the fair shares of those that want them (fair_share.py), the
+planners, who elect a leader (leader_election.py) that allocates strict limits (allocator.py, planner.py), the
+leases that a node holds (lease_holder.py), and the limits that each node takes by its own view of the
+members (local_limits.py). State machines and pure functions: it must never hold a socket, a clock or a lock,
+nor count calls: that is the node's.
 """
--- a/finchcart/quota/fair_share.py
+++ b/finchcart/quota/fair_share.py
@@ -1,40 +1,78 @@
-"""How a limit is divided: max-min by demand, what matters more first.
+"""How a limit is divided: max-min fair by demand, what matters more first.
 
-Pure. It must never know leases or time: planner.py says who asks and what may be moved.
+Pure functions. It must never know leases or time: allocator.py and local_limits.py say who asks.
 """
 
+from collections.abc import Hashable, Mapping
+from typing import TypeVar
 
-def max_min_shares(amount, demands, weights=None):
-    """name -> whole part of `amount`: nobody more than its demand, and nobody less than another with more,
-    for its weight. What can't be split is given in the order of names."""
-    parts = dict.fromkeys(demands, 0)
-    open_, left = {name: want for name, want in demands.items() if want > 0}, max(0, amount)
-    weight = (lambda name: weights.get(name, 1.0)) if weights else (lambda name: 1.0)
-    while open_ and left > 0:
-        whole = sum(weight(name) for name in open_)
-        met = [name for name, want in open_.items() if want <= left * weight(name) / whole]
-        if met:
-            # Those whose demand is met in full leave their rest to the others.
-            for name in met:
-                parts[name] = open_.pop(name)
-                left -= parts[name]
-            continue
-        shares = {name: left * weight(name) / whole for name in open_}
-        for name, share in shares.items():
-            parts[name] = int(share)
-        rest = left - sum(int(share) for share in shares.values())
-        for name in sorted(open_, key=lambda name: (int(shares[name]) - shares[name], name))[:rest]:
-            parts[name] += 1
-        break
-    return parts
-
-
-def prioritized_shares(amount, demands, first, weights=None):
-    """As `divide`; what of the demands comes `first` is met before any of the rest."""
-    parts = max_min_shares(
-        amount, {name: min(first.get(name, 0), want) for name, want in demands.items()}, weights
-    )
-    rest = max_min_shares(
-        amount - sum(parts.values()), {name: want - parts[name] for name, want in demands.items()}, weights
-    )
-    return {name: parts[name] + rest[name] for name in demands}
+Name = TypeVar("Name", bound=Hashable)
+
+
+def max_min_shares(
+    amount: int, demands: Mapping[Name, int], weights: Mapping[Name, float] | None = None
+) -> dict[Name, int]:
+    """Divide `amount` max-min fairly.
+
+    Nobody gets more than its demand, and nobody less than another with more, in proportion to its weight; the
+    method is progressive filling (Bertsekas and Gallager, Data Networks, section 6.5). What is left over by
+    rounding goes to the greatest fractions, in the order of names where these are alike.
+
+    Arguments:
+        amount: to divide; a negative one counts as 0.
+        demands: name -> what it wants.
+        weights: name -> its weight, 1 where there is none.
+
+    Returns:
+        name -> a whole part, for each name of `demands`.
+    """
+    weights = weights or {}
+    shares = dict.fromkeys(demands, 0)
+    unmet = {name: demand for name, demand in demands.items() if demand > 0}
+    remaining = max(0, amount)
+    while unmet and remaining > 0:
+        total_weight = sum(weights.get(name, 1.0) for name in unmet)
+        quotas = {name: remaining * weights.get(name, 1.0) / total_weight for name in unmet}
+        met = [name for name, demand in unmet.items() if demand <= quotas[name]]
+        if not met:
+            shares.update(_rounded(remaining, quotas))
+            break
+        # Those whose demand is met in full leave the rest of their quota to the others.
+        for name in met:
+            shares[name] = unmet.pop(name)
+            remaining -= shares[name]
+    return shares
+
+
+def _rounded(amount: int, quotas: Mapping[Name, float]) -> dict[Name, int]:
+    """Whole parts of `amount` by the largest remainder."""
+    shares = {name: int(quota) for name, quota in quotas.items()}
+    remainder = amount - sum(shares.values())
+    by_fraction = sorted(quotas, key=lambda name: (shares[name] - quotas[name], name))
+    for name in by_fraction[:remainder]:
+        shares[name] += 1
+    return shares
+
+
+def prioritized_shares(
+    amount: int,
+    demands: Mapping[Name, int],
+    priority_demands: Mapping[Name, int],
+    weights: Mapping[Name, float] | None = None,
+) -> dict[Name, int]:
+    """Divide `amount` as `max_min_shares` does, what matters more before any of the rest.
+
+    Arguments:
+        amount: to divide.
+        demands: name -> what it wants in all.
+        priority_demands: name -> the part of that which matters more.
+        weights: name -> its weight, 1 where there is none.
+
+    Returns:
+        name -> a whole part, for each name of `demands`.
+    """
+    first = {name: min(priority_demands.get(name, 0), demand) for name, demand in demands.items()}
+    shares = max_min_shares(amount, first, weights)
+    left = amount - sum(shares.values())
+    rest = max_min_shares(left, {name: demands[name] - shares[name] for name in demands}, weights)
+    return {name: shares[name] + rest[name] for name in demands}
--- /dev/null
+++ b/finchcart/quota/leader_election.py
@@ -0,0 +1,284 @@
+"""The election of the leading planner: leases by majority, without a disk.
+
+Owns this planner's votes (`Acceptor`) and its candidature (`LeaderElection`). It must never send anything
+itself: messages are collected in `outbox`. `now` is the boot clock in whole microseconds.
+
+The protocol is PaxosLease (M. Trencseni, A. Gazso and H. Reinhardt, "PaxosLease: Diskless Paxos for Leases",
+2012): a proposer prepares a ballot at the acceptors, and where a majority promises it and knows of no other
+owner's lease, proposes the lease to them; it owns the lease once a majority accepted. Why no two planners
+lead at the same time: an acceptor counts the lease from after its vote, widened, the owner from before it
+proposed (see finchcart/leases.py); two majorities share an acceptor; and an acceptor that starts is quiet
+until any lease that it may have voted for is over.
+
+Bounds: a vote for each planner.
+"""
+
+from random import Random
+from typing import NamedTuple
+
+from finchcart import leases
+from finchcart.membership.codec import name_hash, parse_address
+from finchcart.membership.effects import HostPort
+from finchcart.message_endpoint import MessageRejectedError
+from finchcart.quota.limits import QuotaConfig
+from finchcart.quota.messages import (
+    Accept,
+    AcceptedLease,
+    Ballot,
+    ElectionMessage,
+    Prepare,
+    Promise,
+    Propose,
+    Reject,
+)
+
+NO_BALLOT = Ballot(0, 0)
+
+
+class Outgoing(NamedTuple):
+    """A message to another planner."""
+
+    address: HostPort
+    message: ElectionMessage
+
+
+class Acceptor:
+    """One vote of the election.
+
+    Arguments:
+        quota: the configuration.
+        now: microseconds on the boot clock.
+    """
+
+    def __init__(self, quota: QuotaConfig, now: int) -> None:
+        self.quota = quota
+        self.votes_from = now + quota.startup_quiet_period
+        self.promised = NO_BALLOT
+        self.accepted: AcceptedLease | None = None
+        self.accepted_until = 0
+
+    def may_vote(self, now: int) -> bool:
+        """Whether any lease that an earlier process of this place voted for is over."""
+        return now >= self.votes_from
+
+    def current_lease(self, now: int) -> AcceptedLease | None:
+        """The lease that it voted for, unless it is over."""
+        if self.accepted is not None and now >= self.accepted_until:
+            self.accepted = None
+        return self.accepted
+
+    def on_prepare(self, now: int, ballot: Ballot) -> Promise | Reject:
+        """Promise a ballot, unless a greater one was promised."""
+        if ballot < self.promised:
+            return Reject(ballot, self.promised)
+        self.promised = ballot
+        return Promise(ballot, self.current_lease(now))
+
+    def on_propose(self, now: int, proposal: Propose) -> Accept | Reject:
+        """Vote for a lease, unless a greater ballot was promised."""
+        if proposal.ballot < self.promised:
+            return Reject(proposal.ballot, self.promised)
+        self.promised = proposal.ballot
+        # Counted from after the vote, and widened: for longer than the owner counts it.
+        self.accepted = AcceptedLease(proposal.ballot, proposal.owner)
+        self.accepted_until = now + self.quota.widened(self.quota.lease)
+        return Accept(proposal.ballot)
+
+
+class Candidature:
+    """A proposer's attempt to be elected: first promises are counted, then votes."""
+
+    def __init__(self, ballot: Ballot) -> None:
+        self.ballot = ballot
+        self.proposed_at: int | None = None  # None: promises are counted
+        self.voters: set[HostPort] = set()
+
+    def propose(self, now: int) -> None:
+        """Count votes from here on; the lease counts from before it is proposed."""
+        self.proposed_at = now
+        self.voters = set()
+
+
+class LeaderElection:
+    """A planner's part in the election: proposer and acceptor.
+
+    Arguments:
+        address: this planner's, as the configuration names it.
+        quota: the configuration.
+        random: of this process alone.
+        now: microseconds on the boot clock.
+
+    Attributes:
+        is_leader: whether this planner has the lease; looked at after each step.
+        term: the number of the ballot by which it was elected.
+        outbox: messages to be sent, taken by `drain`.
+    """
+
+    def __init__(self, address: str, quota: QuotaConfig, random: Random, now: int) -> None:
+        self.address = address
+        self.own_address = parse_address(address)
+        self.others = [parse_address(other) for other in quota.planners if other != address]
+        self.quota = quota
+        self.random = random
+        self.session = random.getrandbits(64)
+        self.acceptor = Acceptor(quota, now)
+        self.candidature: Candidature | None = None
+        self.next_candidature_at = now + quota.startup_quiet_period + random.randrange(quota.election_retry)
+        self.highest_term = 0  # that was heard of
+        self.is_leader = False
+        self.term = 0
+        self.leads_until = 0
+        self.other_leader = ""
+        self.other_leader_until = 0
+        self.timing_digest = name_hash(quota.timing_text())
+        self.outbox: list[Outgoing] = []
+
+    def set_config(self, quota: QuotaConfig) -> None:
+        """Take a new configuration; the planners are those of the start."""
+        self.quota = quota
+        self.acceptor.quota = quota
+        self.timing_digest = name_hash(quota.timing_text())
+
+    def drain(self) -> list[Outgoing]:
+        """The messages collected since the last call."""
+        outgoing = self.outbox
+        self.outbox = []
+        return outgoing
+
+    def leader(self, now: int) -> str:
+        """The address of the planner that leads, as far as known, or empty."""
+        if self.is_leader:
+            return self.address
+        return self.other_leader if now < self.other_leader_until else ""
+
+    def observe_term(self, term: int) -> None:
+        """Let terms go on from one that was heard of: all planners may have been restarted."""
+        self.highest_term = max(self.highest_term, term)
+
+    # ---- time
+
+    def has_expired(self, now: int) -> bool:
+        """Whether this planner leads by a lease that is over."""
+        return self.is_leader and now >= self.leads_until
+
+    def on_tick(self, now: int) -> None:
+        """Stand for election, or renew the own lease."""
+        if now < self.next_candidature_at:
+            return
+        if self.is_leader:
+            if now >= self.leads_until - self.quota.lease // 2:
+                self.next_candidature_at = now + self.quota.election_retry
+                self.campaign(now)
+        elif self.acceptor.may_vote(now):
+            self._delay_candidature(now)
+            if self.acceptor.current_lease(now) is None:
+                self.campaign(now)
+
+    def step_down(self, now: int) -> None:
+        """Lead no more."""
+        self.is_leader = False
+        self.candidature = None
+        self._delay_candidature(now)
+
+    def _delay_candidature(self, now: int) -> None:
+        retry = self.quota.election_retry
+        self.next_candidature_at = now + self.random.randrange(retry, 2 * retry)
+
+    # ---- proposer
+
+    @property
+    def quorum(self) -> int:
+        """Promises or votes that a candidature needs, the own counted."""
+        return leases.quorum(len(self.others) + 1)
+
+    def campaign(self, now: int) -> None:
+        """Prepare a ballot greater than any heard of."""
+        self.highest_term += 1
+        ballot = Ballot(self.highest_term, self.session)
+        self.candidature = Candidature(ballot)
+        prepare = Prepare(ballot, self.timing_digest)
+        self._broadcast(prepare)
+        self.on_prepare(now, self.own_address, prepare)
+
+    def on_promise(self, now: int, sender: HostPort, promise: Promise) -> None:
+        """Count a promise; with a majority of them the lease is proposed."""
+        candidature = self.candidature
+        if candidature is None or promise.ballot != candidature.ballot or candidature.proposed_at is not None:
+            return
+        if promise.accepted is not None and promise.accepted.owner != self.session:
+            return  # the lease of another is not over at that acceptor: its vote is not free
+        candidature.voters.add(sender)
+        if len(candidature.voters) >= self.quorum:
+            candidature.propose(now)
+            propose = Propose(candidature.ballot, self.session)
+            self._broadcast(propose)
+            self.on_propose(now, self.own_address, propose)
+
+    def on_accept(self, now: int, sender: HostPort, accept: Accept) -> None:
+        """Count a vote; with a majority of them the lease is owned."""
+        candidature = self.candidature
+        if candidature is None or accept.ballot != candidature.ballot or candidature.proposed_at is None:
+            return
+        candidature.voters.add(sender)
+        if len(candidature.voters) >= self.quorum:
+            self.candidature = None
+            until = candidature.proposed_at + self.quota.lease
+            if now < until:
+                self.lead(candidature.ballot, until)
+
+    def on_reject(self, now: int, sender: HostPort, reject: Reject) -> None:
+        """Give the candidature up: a greater ballot is known."""
+        self.observe_term(reject.promised.number)
+        if self.candidature is not None and reject.ballot == self.candidature.ballot:
+            self.candidature = None
+
+    def lead(self, ballot: Ballot, until: int) -> None:
+        """Own the lease; a renewal keeps the term."""
+        self.leads_until = until
+        if not self.is_leader:
+            self.is_leader = True
+            self.term = ballot.number
+
+    # ---- acceptor
+
+    def on_prepare(self, now: int, sender: HostPort, prepare: Prepare) -> None:
+        """Answer a proposer; raises `MessageRejectedError` where its durations differ."""
+        if prepare.timing_digest != self.timing_digest:
+            raise MessageRejectedError("other times in its settings")
+        if not self.acceptor.may_vote(now):
+            return
+        self.observe_term(prepare.ballot.number)
+        self._reply(now, sender, self.acceptor.on_prepare(now, prepare.ballot))
+
+    def on_propose(self, now: int, sender: HostPort, proposal: Propose) -> None:
+        """Answer a proposer, and note who leads where it got the vote."""
+        if not self.acceptor.may_vote(now):
+            return
+        reply = self.acceptor.on_propose(now, proposal)
+        if isinstance(reply, Accept) and proposal.owner != self.session:
+            self.other_leader = f"{sender[0]}:{sender[1]}"
+            self.other_leader_until = self.acceptor.accepted_until
+        self._reply(now, sender, reply)
+
+    def on_message(self, now: int, sender: HostPort, message: ElectionMessage) -> None:
+        """Take a message of another planner, or of this one to itself; may raise `MessageRejectedError`."""
+        match message:
+            case Prepare():
+                self.on_prepare(now, sender, message)
+            case Promise():
+                self.on_promise(now, sender, message)
+            case Propose():
+                self.on_propose(now, sender, message)
+            case Accept():
+                self.on_accept(now, sender, message)
+            case Reject():
+                self.on_reject(now, sender, message)
+
+    def _reply(self, now: int, address: HostPort, message: ElectionMessage) -> None:
+        if address == self.own_address:
+            self.on_message(now, address, message)  # one of the acceptors is here
+        else:
+            self.outbox.append(Outgoing(address, message))
+
+    def _broadcast(self, message: ElectionMessage) -> None:
+        self.outbox += [Outgoing(address, message) for address in self.others]
--- a/finchcart/quota/lease_holder.py
+++ b/finchcart/quota/lease_holder.py
@@ -1,252 +1,359 @@
-"""A node's part of the fleet's limits: asks for it, knows until when it may use it.
+"""A node's leases of the strict limits: requests them from the leading planner and knows when each expires.
 
-Owns the grants that this process holds. `reduce(now, what)` takes one input and returns effects; no I/O,
-clock or lock. `now` is the boot clock in whole microseconds. It must never count calls: what is in hand and
-wanted is told to it, and what may be used is handed out.
+Owns the leases that this process holds. It must never count calls: what is in use and wanted is told to it,
+and what may be used is handed out as `LimitAllowance`.
 
-Inputs: `("tick",)`, `("got", address, datagram)`, `("use", name, leased, wants, first)` (of a limit: in
-hand beyond the floor, and wanted beyond it; `first`: what of that matters more than the rest), `("leave",)`,
-`("quota", Quota)`. Effects: `("send", address, datagram)`, `("allow", name, floor, amount, until)` (beyond
-the floor, `until` on the boot clock), `("log", text, fields)`.
+A lease counts from before it was requested (see finchcart/leases.py). One that is for less than what is in
+use binds new calls at once; until the old ones have ended, the holder reports as in use what they need.
 
-A grant counts from before it was asked for. One that is less than what is in hand is taken at once for new
-calls; until the old ones are over, the holder says that it uses what they need.
+Bounds: one lease for each strict limit, `MAX_PENDING_REQUESTS` requests.
 """
 
-from finchcart.membership import messages as base
-from finchcart.message_endpoint import MessageEndpoint
-from finchcart.quota import messages
-from finchcart.quota.messages import Elsewhere, Grant, Line, Want
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
 
-ASKS = 8  # whose answers are still taken
-SOON = 100_000  # least time between two asks
+from finchcart.membership.codec import parse_address
+from finchcart.membership.effects import HostPort, InputKind
+from finchcart.message_endpoint import MessageEndpoint, MessageRejectedError
+from finchcart.quota.effects import LimitAllowance, QuotaInput
+from finchcart.quota.limits import MS, Limit, QuotaConfig
+from finchcart.quota.messages import (
+    CODEC,
+    WEIGHT_SCALE,
+    LeaseGrant,
+    LeaseRequest,
+    LimitDemand,
+    LimitLease,
+    Message,
+    Redirect,
+    StatusRequest,
+    StatusResponse,
+)
 
+MAX_PENDING_REQUESTS = 8  # whose answers are still taken
+MIN_REQUEST_INTERVAL_US = 100 * MS
+SILENT_ROUNDS = 2  # without an answer, after which another planner is asked
 
-def none(now):
-    return []
+
+class LeaseId(NamedTuple):
+    """Orders the leases of one limit: the higher is the newer."""
+
+    term: int
+    number: int
+
+
+NO_LEASE = LeaseId(0, 0)
+
+
+class PendingRequest(NamedTuple):
+    """A request whose answer is still taken."""
+
+    sent_at: int
+    held: dict[str, LeaseId]  # limit -> the lease that was held when it was sent
 
 
-class Held:
-    """The grant of one limit that is used."""
+class Allowance(NamedTuple):
+    """What of a limit was handed out last."""
 
-    def __init__(self, limit):
-        self.limit, self.term, self.number, self.amount, self.until = limit, 0, 0, 0, 0
-        self.leased, self.wants, self.first, self.told, self.asked_at = 0, 0, 0, None, 0
-        self.whole, self.fallen = limit.amount, True
+    floor: int
+    amount: int
+    until: int
+
+
+class HeldLease:
+    """The lease of one limit; times are microseconds on the boot clock."""
+
+    def __init__(self, limit: Limit) -> None:
+        self.limit = limit
+        self.id = NO_LEASE
+        self.amount = 0
+        self.expires_at = 0
+        self.requested_at = 0
+        self.in_use = 0  # beyond the floor
+        self.demand = 0  # beyond the floor
+        self.priority_demand = 0
+        self.fleet_amount = limit.amount  # as the planner has it
+        self.handed_out: Allowance | None = None
+        self.is_at_floor = True
+
+    def is_active(self, now: int) -> bool:
+        """Whether it may be used."""
+        return now < self.expires_at
+
+    def active_amount(self, now: int) -> int:
+        """What may be used of it beyond the floor."""
+        return self.amount if self.is_active(now) else 0
+
+    def take(self, lease_id: LeaseId, lease: LimitLease, requested_at: int) -> None:
+        """Hold a newer lease."""
+        self.id = lease_id
+        self.amount = lease.amount
+        self.expires_at = requested_at + lease.duration_us
+        self.requested_at = requested_at
+        self.fleet_amount = lease.fleet_amount
+
+    def give_back(self) -> None:
+        """Use nothing and want nothing any more."""
+        self.amount = 0
+        self.expires_at = 0
+        self.in_use = 0
+        self.demand = 0
+
+    def report(self, now: int) -> LimitDemand:
+        """What the planner is told."""
+        is_active = self.is_active(now)
+        return LimitDemand(
+            limit=self.limit.name,
+            term=self.id.term,
+            number=self.id.number if is_active else 0,
+            in_use=max(self.amount, self.in_use) if is_active else 0,
+            demand=self.demand,
+            floor=self.limit.floor,
+            priority_demand=min(self.priority_demand, self.demand),
+            weight=max(1, round(WEIGHT_SCALE * self.limit.weight)),
+        )
+
+
+def _no_local_limits(now: int) -> list[dict[str, Any]]:
+    return []
 
 
 class LeaseHolder(MessageEndpoint):
-    def __init__(self, name, fleet, quota, random, now):
-        self.name, self.fleet, self.quota, self.random = name, fleet, quota, random
+    """The holder's state machine; see `MessageEndpoint` and `QuotaInput` for its inputs.
+
+    Arguments:
+        name: of this node.
+        fleet: the name of the fleet.
+        quota: the configuration.
+        random: of this process alone.
+        now: microseconds on the boot clock.
+
+    Attributes:
+        local_status: gives the status of the loose limits, see `LocalLimits.status`.
+    """
+
+    codec = CODEC
+
+    def __init__(self, name: str, fleet: str, quota: QuotaConfig, random: Random, now: int) -> None:
+        super().__init__(fleet, now)
+        self.name = name
+        self.quota = quota
+        self.random = random
         self.session = random.getrandbits(64)
-        self.planners = [base.place_of(place) for place in quota.planners]
-        self.leader = random.randrange(max(1, len(self.planners)))
-        self.seq, self.asks, self.next_ask, self.last_ask, self.answered = 0, {}, now, now, now
-        self.held = {limit.name: Held(limit) for limit in quota.strict}
-        self.loose = none  # what is told of the loose ones, see loose.py
-        self.leaving, self.ended = False, False
-        super().__init__()
-        self.now = now
-
-    # ---- in and out
-
-    def reduce(self, now, what):
-        self.effects = effects = []
-        self.now = now = max(now, self.now)
-        if what[0] == "got":
-            self.on_got(now, what[1], what[2])
-        elif what[0] == "tick":
-            self.on_tick(now)
-        elif what[0] == "use":
-            self.on_use(now, *what[1:])
-        elif what[0] == "leave":
-            self.leaving = True
-            self.next_ask = now
-        elif what[0] == "end":
-            self.on_end(now)
-        elif what[0] == "quota":
-            self.on_quota(now, what[1])
-        return effects
-
-    def on_got(self, now, address, data):
-        said = self.read(data)
-        if said is None:
-            return
-        if isinstance(said, Grant):
-            self.on_grant(now, said)
-        elif isinstance(said, Elsewhere):
-            self.on_elsewhere(now, said)
-        elif isinstance(said, messages.Ask):
-            self.send(address, messages.Told(said.number, self.status(now)))
-        else:
-            self.count("not for a holder")
+        self.planners = [parse_address(address) for address in quota.planners]
+        self.leader = random.randrange(max(1, len(self.planners)))  # index of the planner that is asked
+        self.sequence = 0
+        self.pending: dict[int, PendingRequest] = {}  # by sequence
+        self.next_request_at = now
+        self.last_request_at = now
+        self.answered_at = now
+        self.held = {limit.name: HeldLease(limit) for limit in quota.strict}
+        self.local_status: Callable[[int], list[dict[str, Any]]] = _no_local_limits
+        self.is_leaving = False
 
-    # ---- asking
+    # ---- inputs
 
-    def on_tick(self, now):
+    def on_tick(self) -> None:
+        """Hand out what changed by time alone, and request leases once a round."""
         for held in self.held.values():
-            self.allow(now, held)
-        if self.held and now >= self.next_ask and not self.ended:
-            self.ask(now)
+            self.update_allowance(held)
+        if self.held and self.now >= self.next_request_at and not self.ended:
+            self._request()
 
-    def ask(self, now):
-        if self.asks and now - self.answered > 2 * self.quota.round:
-            # No answer from that one for a while: the next.
-            self.leader = (self.leader + 1) % len(self.planners)
-        self.seq += 1
-        self.asks[self.seq] = now, {name: (held.term, held.number) for name, held in self.held.items()}
-        while len(self.asks) > ASKS:
-            del self.asks[min(self.asks)]
-        self.last_ask, self.next_ask = now, now + self.quota.round
-        lines = []
-        for held in self.held.values():
-            live = now < held.until
-            lines.append(
-                Line(
-                    held.limit.name,
-                    held.term,
-                    held.number if live else 0,
-                    max(held.amount, held.leased) if live else 0,
-                    held.wants,
-                    held.limit.floor,
-                    min(held.first, held.wants),
-                    max(1, round(100 * held.limit.weight)),
-                )
-            )
-        self.send(
-            self.planners[self.leader],
-            Want(self.name, self.session, self.seq, min(self.asks), self.leaving, lines),
-        )
+    def on_input(self, event: tuple) -> None:
+        """Take an input of the node's."""
+        match event:
+            case (QuotaInput.USAGE, limit, in_use, demand, *priority_demand):
+                self.on_usage(limit, in_use, demand, *priority_demand)
+            case (QuotaInput.CONFIG, quota):
+                self.on_config(quota)
+            case (InputKind.LEAVE,):
+                self.is_leaving = True
+                self.next_request_at = self.now
+
+    def on_message(self, address: HostPort, message: Message) -> None:
+        """Take a planner's answer, or answer the command line."""
+        match message:
+            case LeaseGrant():
+                self.on_grant(message)
+            case Redirect():
+                self.on_redirect(message)
+            case StatusRequest():
+                self.send(address, StatusResponse(message.number, self.status()))
+            case _:
+                raise MessageRejectedError("not for a holder")
 
-    def on_use(self, now, name, leased, wants, first=0):
-        held = self.held.get(name)
+    def on_usage(self, limit: str, in_use: int, demand: int, priority_demand: int = 0) -> None:
+        """Take what is in use and wanted of a limit beyond its floor."""
+        held = self.held.get(limit)
         if held is None:
             return
-        jumped = wants > held.amount and wants > held.wants
-        freed = held.leased > held.amount >= leased
-        held.leased, held.wants, held.first = leased, wants, first
-        if jumped or freed:
-            self.next_ask = min(self.next_ask, max(now, self.last_ask + SOON))
-
-    def on_elsewhere(self, now, said):
-        if said.session != self.session or said.seq != self.seq:
-            return
-        places = list(self.quota.planners)
-        new = places.index(said.leader) if said.leader in places else (self.leader + 1) % len(places)
-        if new != self.leader:
-            self.leader, self.answered = new, now
-            self.next_ask = min(self.next_ask, now + SOON)
-
-    def on_grant(self, now, said):
-        if said.session != self.session:
-            return self.count("of another process")
-        if said.seq not in self.asks:
-            return self.count("not asked for any more")
-        self.answered = now
-        asked, then = self.asks[said.seq]
-        for part in said.parts:
-            held = self.held.get(part.limit)
-            if held is None:
-                self.count("of an unknown limit")
-            elif said.term < held.term:
-                self.count("of an earlier term")
-            elif (said.term, part.number) <= (held.term, held.number):
-                self.count("of an earlier number")
-            elif now >= asked + part.life:
-                self.count("over when it came")
-            elif (
-                said.term > held.term
-                and part.amount > (held.amount if now < held.until else 0)
-                and then.get(part.limit) != (held.term, held.number)
-            ):
-                # Guards against a late ask that a new planner took for what is held now: meanwhile the old
-                # one may have given the difference to another.
-                self.count("of what was held before")
-            else:
-                if said.term > held.term:
-                    self.effects.append(
-                        (
-                            "log",
-                            f"limit {part.limit}: term {said.term}",
-                            {"limit": part.limit, "term": said.term},
-                        )
-                    )
-                held.term, held.number, held.amount = said.term, part.number, part.amount
-                held.until, held.asked_at, held.whole = asked + part.life, asked, part.whole
-                if held.told is not None and held.amount < held.told[1]:
-                    # Says at once what it holds now, so that another may have the rest.
-                    self.next_ask = min(self.next_ask, max(now, self.last_ask + SOON))
-                self.allow(now, held)
-
-    def allow(self, now, held):
-        """Hands out what may be used, where it is not what was handed out last."""
-        if now >= held.until and held.amount:
-            held.amount = 0
-        fallen = now >= held.until
-        new = held.limit.floor, held.amount, held.until
-        if new != held.told:
-            held.told = new
-            self.effects.append(("allow", held.limit.name, *new))
-        if fallen != held.fallen:
-            held.fallen = fallen
-            limit = held.limit
-            text = "down to the floor, no grant" if fallen else "shared again"
-            self.effects.append(
-                (
-                    "log",
-                    f"limit {limit.name}: {text}",
-                    {"limit": limit.name, "fallen": fallen, "floor": limit.floor, "amount": held.amount},
-                )
-            )
-
-    def on_end(self, now):
-        """Gives all back: no answer to an earlier ask is taken any more."""
-        self.leaving = True
-        for held in self.held.values():
-            held.amount, held.until, held.leased, held.wants = 0, 0, 0, 0
-            self.allow(now, held)
-        self.asks.clear()
-        if self.held:
-            self.ask(now)
-        self.asks.clear()
-        self.ended = True
+        has_jumped = demand > held.amount and demand > held.demand
+        has_given_way = held.in_use > held.amount >= in_use
+        held.in_use = in_use
+        held.demand = demand
+        held.priority_demand = priority_demand
+        if has_jumped or has_given_way:
+            self._request_soon()
 
-    def on_quota(self, now, quota):
-        """Other figures: limits that are new begin at their floor; those that are gone are handed out as
-        such."""
-        for name in [name for name in self.held if name not in {limit.name for limit in quota.strict}]:
+    def on_config(self, quota: QuotaConfig) -> None:
+        """Take a new configuration: new limits begin at their floor, removed ones are handed out as such."""
+        kept = {limit.name for limit in quota.strict}
+        for name in [name for name in self.held if name not in kept]:
             del self.held[name]
-            self.effects.append(("allow", name, None, 0, 0))
+            self.effects.append(LimitAllowance.removed(name))
         for limit in quota.strict:
             if limit.name in self.held:
                 self.held[limit.name].limit = limit
             else:
-                self.held[limit.name] = Held(limit)
+                self.held[limit.name] = HeldLease(limit)
         self.quota = quota
 
-    # ---- what is told
+    def on_end(self) -> None:
+        """Give all leases back: no answer to an earlier request is taken any more."""
+        self.is_leaving = True
+        for held in self.held.values():
+            held.give_back()
+            self.update_allowance(held)
+        self.pending.clear()
+        if self.held:
+            self._request()
+        self.pending.clear()
+        self.ended = True
+
+    # ---- requests
+
+    def _request(self) -> None:
+        if self.pending and self.now - self.answered_at > SILENT_ROUNDS * self.quota.round:
+            self.leader = (self.leader + 1) % len(self.planners)
+        self.sequence += 1
+        held_now = {name: held.id for name, held in self.held.items()}
+        self.pending[self.sequence] = PendingRequest(self.now, held_now)
+        while len(self.pending) > MAX_PENDING_REQUESTS:
+            del self.pending[min(self.pending)]
+        self.last_request_at = self.now
+        self.next_request_at = self.now + self.quota.round
+        request = LeaseRequest(
+            node=self.name,
+            session=self.session,
+            sequence=self.sequence,
+            oldest_sequence=min(self.pending),
+            is_leaving=self.is_leaving,
+            limits=[held.report(self.now) for held in self.held.values()],
+        )
+        self.send(self.planners[self.leader], request)
+
+    def _request_soon(self) -> None:
+        soon = max(self.now, self.last_request_at + MIN_REQUEST_INTERVAL_US)
+        self.next_request_at = min(self.next_request_at, soon)
 
-    def status(self, now):
+    def on_redirect(self, redirect: Redirect) -> None:
+        """Ask the planner that leads, or the next one where none is known."""
+        if redirect.session != self.session or redirect.sequence != self.sequence:
+            return
+        planners = list(self.quota.planners)
+        if redirect.leader in planners:
+            leader = planners.index(redirect.leader)
+        else:
+            leader = (self.leader + 1) % len(planners)
+        if leader != self.leader:
+            self.leader = leader
+            self.answered_at = self.now
+            self.next_request_at = min(self.next_request_at, self.now + MIN_REQUEST_INTERVAL_US)
+
+    # ---- grants
+
+    def on_grant(self, grant: LeaseGrant) -> None:
+        """Take the leases of an answer, as far as each is newer than the one held."""
+        if grant.session != self.session:
+            raise MessageRejectedError("of another process")
+        request = self.pending.get(grant.sequence)
+        if request is None:
+            raise MessageRejectedError("not asked for any more")
+        self.answered_at = self.now
+        for lease in grant.leases:
+            reason = self._refusal(LeaseId(grant.term, lease.number), lease, request)
+            if reason:
+                self.count(reason)
+            else:
+                self._take(LeaseId(grant.term, lease.number), lease, request)
+
+    def _refusal(self, lease_id: LeaseId, lease: LimitLease, request: PendingRequest) -> str | None:
+        """Why a lease is not taken; None where it is."""
+        held = self.held.get(lease.limit)
+        if held is None:
+            return "of an unknown limit"
+        if lease_id.term < held.id.term:
+            return "of an earlier term"
+        if lease_id <= held.id:
+            return "of an earlier number"
+        if self.now >= request.sent_at + lease.duration_us:
+            return "over when it came"
+        has_grown = lease.amount > held.active_amount(self.now)
+        if lease_id.term > held.id.term and has_grown and request.held.get(lease.limit) != held.id:
+            # A new leader took a late request for what is held now: meanwhile the earlier leader may have
+            # given the difference to another.
+            return "of what was held before"
+        return None
+
+    def _take(self, lease_id: LeaseId, lease: LimitLease, request: PendingRequest) -> None:
+        held = self.held[lease.limit]
+        if lease_id.term > held.id.term:
+            self.log(f"limit {lease.limit}: term {lease_id.term}", limit=lease.limit, term=lease_id.term)
+        held.take(lease_id, lease, request.sent_at)
+        if held.handed_out is not None and held.amount < held.handed_out.amount:
+            # Reports at once what it holds now, so that another may have the rest.
+            self._request_soon()
+        self.update_allowance(held)
+
+    def update_allowance(self, held: HeldLease) -> None:
+        """Hand out what may be used, where that differs from what was handed out last."""
+        if not held.is_active(self.now):
+            held.amount = 0
+        allowance = Allowance(held.limit.floor, held.amount, held.expires_at)
+        if allowance != held.handed_out:
+            held.handed_out = allowance
+            self.effects.append(LimitAllowance.of(held.limit.name, *allowance))
+        is_at_floor = not held.is_active(self.now)
+        if is_at_floor != held.is_at_floor:
+            held.is_at_floor = is_at_floor
+            self._log_state(held)
+
+    def _log_state(self, held: HeldLease) -> None:
+        name = held.limit.name
+        self.log(
+            f"limit {name}: {'down to the floor, no grant' if held.is_at_floor else 'shared again'}",
+            limit=name,
+            fallen=held.is_at_floor,
+            floor=held.limit.floor,
+            amount=held.amount,
+        )
+
+    # ---- status
+
+    def status(self) -> dict[str, Any]:
+        """What operators are told; the keys are those of docs/operate/quota.md."""
         return {
             "name": self.name,
-            "limits": [
-                {
-                    "name": held.limit.name,
-                    "limit": held.whole,
-                    "mode": "strict",
-                    "mine": held.limit.floor + (held.amount if now < held.until else 0),
-                    "used": held.leased,
-                    "wants": held.wants,
-                    "granted": held.amount,
-                    "term": held.term,
-                    "leader": self.quota.planners[self.leader],
-                    "stale_ms": (now - held.asked_at) // 1000 if now < held.until else None,
-                    "left_ms": max(0, held.until - now) // 1000,
-                    "over_at_most": self.quota.strict_overshoot_bound(0),
-                    "over_at_most_a_stopped_process": self.quota.strict_overshoot_bound(1),
-                }
-                for held in self.held.values()
-            ]
-            + self.loose(now),
+            "limits": [self._limit_status(held) for held in self.held.values()] + self.local_status(self.now),
             "counts": self.counts,
         }
+
+    def _limit_status(self, held: HeldLease) -> dict[str, Any]:
+        is_active = held.is_active(self.now)
+        return {
+            "name": held.limit.name,
+            "limit": held.fleet_amount,
+            "mode": "strict",
+            "mine": held.limit.floor + held.active_amount(self.now),
+            "used": held.in_use,
+            "wants": held.demand,
+            "granted": held.amount,
+            "term": held.id.term,
+            "leader": self.quota.planners[self.leader],
+            "stale_ms": (self.now - held.requested_at) // MS if is_active else None,
+            "left_ms": max(0, held.expires_at - self.now) // MS,
+            "over_at_most": self.quota.strict_overshoot_bound(0),
+            "over_at_most_a_stopped_process": self.quota.strict_overshoot_bound(1),
+        }
--- a/finchcart/quota/local_limits.py
+++ b/finchcart/quota/local_limits.py
@@ -1,168 +1,267 @@
-"""Limits that are there on every side of a cut: each node takes its part by its own view of the members.
+"""Loose limits: there on every side of a partition, as each node takes its part by its own view of the fleet.
 
-Owns the loose limits of this process: what it uses and wants of them, which rides on the members' beats, and
-its part of each. It must never count calls, send anything itself, or take more for a member that it can't
-hear. `now` is the boot clock in whole microseconds.
+Owns the loose limits of this process: what it uses and wants of them, which is piggybacked on the members'
+heartbeats, and its allocation of each. It must never count calls, send anything itself, or take more on
+behalf of a member that it can't hear. `now` is the boot clock in whole microseconds.
 
-Inputs: `("use", name, used, wants, first)` (of a limit: in hand, and wanted in all), `("quota", Quota)`;
-`turn(now, member)` with each tick of the member. Effects: `("allow", name, floor, amount, until)`.
+How the overshoot is bounded:
 
-How the overshoot is bounded. Where all hear each other: a part is the max-min share of what all want; the own
-want counts only when the others have heard of it, and theirs as soon as it is heard, so nobody takes what
-another may still use; and what others have in hand is left to them. A member that was not heard both ways for
-`fresh` may not know of others' wants: it is reckoned to want all, so nobody takes its even part. A side that
-sees a part of the known members, the others failed, uses (1 + over) times that part of the limit, all of it
-at most: see `QuotaConfig.part_of`.
+- Where all hear each other, an allocation is the max-min share of what all want. The own demand counts only
+  when the others have heard of it, and theirs as soon as it is heard, so nobody takes what another may still
+  use; and what others have in use is left to them.
+- A member that was not heard both ways lately may not know of the others' demand. It is taken to want
+  everything, so nobody takes its even share.
+- A side of a partition that sees only a part of the known members uses that part of the limit, (1 + `over`)
+  times: see `QuotaConfig.partition_allowance`.
 """
 
 from collections import deque
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any, NamedTuple
 
-from finchcart.membership.messages import id_of
+from finchcart.leases import MS, SECOND
+from finchcart.membership.codec import name_hash
+from finchcart.quota.effects import LimitAllowance, QuotaInput
 from finchcart.quota.fair_share import max_min_shares
+from finchcart.quota.limits import Limit, QuotaConfig
 
-KEEP = 2_000_000  # what is handed out is good for so long: a node whose members' part ends has its floor
-TOPIC = 0  # of its notes
-AGAIN = 500_000  # it is handed out anew after this
+if TYPE_CHECKING:
+    from finchcart.membership.config import Figures
+    from finchcart.membership.member import Member
 
+ALLOWANCE_DURATION_US = 2 * SECOND  # a node whose members' thread ends falls back to its floor after this
+RENEWAL_INTERVAL_US = SECOND // 2  # of an allowance that did not change
+GOSSIP_TOPIC = 0  # of the gossip entries in which demand is published
+IN_USE_PUBLICATIONS = 2  # there and back: others hear of the demand, and this node of what they had by then
 
-def fresh(figures, count, loss):
-    """How old the word of a heard member can be, and how long a new word takes to all."""
-    return figures.spread(count, loss) + 2 * figures.period
 
+def freshness_bound(membership: "Figures", member_count: int, loss: float) -> int:
+    """Microseconds that the word of a heard member can be old, and that new demand takes to reach all.
 
-class Held:
-    """The part of one limit."""
+    Arguments:
+        membership: the configuration of membership.
+        member_count: of the fleet.
+        loss: the part of datagrams lost, from 0 to 1.
+    """
+    return membership.spread(member_count, loss) + 2 * membership.period
 
-    def __init__(self, limit):
-        self.limit, self.id = limit, id_of(limit.name)
-        self.used, self.wants = 0, 0
-        self.said = deque()  # (when, wants), the youngest last
-        self.part, self.told, self.told_at = limit.floor, None, None
 
-    def say(self, now, back):
-        """Kept for the time `back`, whether it is asked for or not."""
-        self.said.append((now, self.wants))
-        while len(self.said) > 1 and self.said[1][0] <= now - back:
-            self.said.popleft()
+class PublishedDemand(NamedTuple):
+    """A demand, and when it was published."""
 
-    def settled(self):
-        """The least that it said it wants lately: what all others know of."""
-        return min(wants for _, wants in self.said)
+    at: int
+    demand: int
+
+
+class PartitionView(NamedTuple):
+    """How much of the fleet this side of a partition was at a time."""
+
+    at: int
+    seen: int  # members on this side, this node counted
+    known: int  # members in all, those lately failed counted
+
+    @property
+    def fraction(self) -> float:
+        """The part of the fleet that is seen."""
+        return self.seen / self.known
+
+
+class LocalAllocation:
+    """This node's part of one limit. The published demands are bounded by the time they are kept for."""
+
+    def __init__(self, limit: Limit) -> None:
+        self.limit = limit
+        self.id = name_hash(limit.name)
+        self.in_use = 0
+        self.demand = 0
+        self.published: deque[PublishedDemand] = deque()  # the youngest last
+        self.amount = limit.floor
+        self.handed_out: int | None = None
+        self.handed_out_at = 0
+
+    def publish(self, now: int, keep_for: int) -> None:
+        """Note that the present demand is published; forget what is older than `keep_for` microseconds."""
+        self.published.append(PublishedDemand(now, self.demand))
+        while len(self.published) > 1 and self.published[1].at <= now - keep_for:
+            self.published.popleft()
+
+    def settled_demand(self) -> int:
+        """The least demand published lately: what all others know of."""
+        return min(published.demand for published in self.published)
 
 
 class LocalLimits:
-    def __init__(self, quota, now):
+    """The state machine of the loose limits; a client of the members' piggybacked gossip.
+
+    Arguments:
+        quota: the configuration.
+        now: microseconds on the boot clock.
+    """
+
+    def __init__(self, quota: QuotaConfig, now: int) -> None:
         self.quota = quota
-        self.held = {limit.name: Held(limit) for limit in quota.loose}
-        self.since = None  # when it first knew of others
-        self.seen, self.knows, self.age = 1, 1, 0
-        self.lately = deque()  # (when, seen, knows)
-
-    def reduce(self, now, what):
-        if what[0] == "use":
-            held = self.held.get(what[1])
-            if held:
-                held.used, held.wants = what[2], max(what[2], what[3])
-        elif what[0] == "quota":
-            return self.on_quota(what[1])
+        self.allocations = {limit.name: LocalAllocation(limit) for limit in quota.loose}
+        self.joined_at: int | None = None  # when it first knew of others
+        self.age = 0  # how old the word of a heard member can be
+        self.view = PartitionView(now, 1, 1)
+        self.recent_views: deque[PartitionView] = deque()  # as far back as `_view_memory`
+        self.heard: list[int] = []  # ids of members heard both ways lately
+        self.unheard: list[int] = []  # ids of members alive to others, but not heard
+
+    def reduce(self, now: int, event: tuple) -> list[LimitAllowance]:
+        """Take an input, see `QuotaInput`; returns effects."""
+        match event:
+            case (QuotaInput.USAGE, limit, in_use, demand, *_):
+                self.on_usage(limit, in_use, demand)
+            case (QuotaInput.CONFIG, quota):
+                return self.on_config(quota)
         return []
 
-    def on_quota(self, quota):
-        gone = [name for name in self.held if name not in {limit.name for limit in quota.loose}]
+    def turn(self, now: int, member: "Member") -> list[LimitAllowance]:
+        """Publish the demand and work out the allocations, with each tick of the member; returns effects."""
+        self.observe(now, member)
+        counters = [(each.id, each.in_use, each.demand) for each in self.allocations.values()]
+        member.write_note(now, GOSSIP_TOPIC, counters)
+        effects = []
+        for allocation in self.allocations.values():
+            trips = IN_USE_PUBLICATIONS if allocation.limit.per == "in_hand" else 1
+            allocation.publish(now, trips * self.age)
+            allocation.amount = self.share(now, member, allocation)
+            effects += self._allowances(now, allocation)
+        return effects
+
+    def on_usage(self, limit: str, in_use: int, demand: int) -> None:
+        """Take what is in use and wanted of a limit in all."""
+        allocation = self.allocations.get(limit)
+        if allocation is not None:
+            allocation.in_use = in_use
+            allocation.demand = max(in_use, demand)
+
+    def on_config(self, quota: QuotaConfig) -> list[LimitAllowance]:
+        """Take a new configuration: new limits begin at their floor, removed ones are handed out as such."""
+        kept = {limit.name for limit in quota.loose}
+        removed = [name for name in self.allocations if name not in kept]
         for limit in quota.loose:
-            if limit.name in self.held:
-                self.held[limit.name].limit = limit
+            if limit.name in self.allocations:
+                self.allocations[limit.name].limit = limit
             else:
-                self.held[limit.name] = Held(limit)
-        for name in gone:
-            del self.held[name]
+                self.allocations[limit.name] = LocalAllocation(limit)
+        for name in removed:
+            del self.allocations[name]
         self.quota = quota
-        return [("allow", name, None, 0, 0) for name in gone]
+        return [LimitAllowance.removed(name) for name in removed]
 
-    def turn(self, now, member):
-        self.look(now, member)
-        member.write_note(now, TOPIC, [(held.id, held.used, held.wants) for held in self.held.values()])
-        effects = []
-        for held in self.held.values():
-            # Twice in hand: others must have heard of the want, and this one of what they had by then.
-            held.say(now, 2 * self.age if held.limit.per == "in_hand" else self.age)
-            part = held.part = self.part(now, member, held)
-            if part != held.told or now - held.told_at >= AGAIN:
-                held.told, held.told_at = part, now
-                floor = min(part, held.limit.floor)
-                effects.append(("allow", held.limit.name, floor, part - floor, now + KEEP))
-        return effects
+    def _allowances(self, now: int, allocation: LocalAllocation) -> Iterable[LimitAllowance]:
+        """The allowance, where it is new or has to be renewed."""
+        amount = allocation.amount
+        if amount == allocation.handed_out and now - allocation.handed_out_at < RENEWAL_INTERVAL_US:
+            return
+        allocation.handed_out = amount
+        allocation.handed_out_at = now
+        floor = min(amount, allocation.limit.floor)
+        until = now + ALLOWANCE_DURATION_US
+        yield LimitAllowance.of(allocation.limit.name, floor, amount - floor, until)
+
+    # ---- the view of the fleet
+
+    def observe(self, now: int, member: "Member") -> None:
+        """Sort the members into heard, unheard and failed, and work out which part of the fleet is seen."""
+        self.age = freshness_bound(member.figures, len(member.known), member.loss)
+        failed = self._sort_members(now, member)
+        if member.isolated or member.waking:
+            # What it knows of others is of before: it is a side of its own.
+            failed += len(self.heard) + len(self.unheard)
+            self.heard = []
+            self.unheard = []
+        elif self.joined_at is None:
+            self.joined_at = now
+        seen = 1 + len(self.heard) + len(self.unheard)
+        # While two sides come together, both may count the same member: the least part that was seen lately
+        # counts, until all see alike.
+        self.recent_views.append(PartitionView(now, seen, seen + failed))
+        oldest = now - self.age - member.figures.rise
+        while self.recent_views[0].at < oldest:
+            self.recent_views.popleft()
+        self.view = min(self.recent_views, key=lambda view: view.fraction)
 
-    def look(self, now, member):
-        """Who is seen, who is known, and who is not heard."""
-        figures, count = member.figures, len(member.known)
-        self.age = fresh(figures, count, member.loss)
-        self.heard, self.unheard, gone = [], [], 0
-        mine = member.graph.get(member.me, ())
-        for one, known in member.known.items():
-            if one == member.me or known.state == "left":
+    def _sort_members(self, now: int, member: "Member") -> int:
+        """Set `heard` and `unheard`; returns how many have failed."""
+        self.heard = []
+        self.unheard = []
+        failed = 0
+        reachable = member.graph.get(member.me, ())
+        for member_id, known in member.known.items():
+            if member_id == member.me or known.state == "left":
                 continue
             if known.state == "failed":
-                gone += 1
-            elif one in mine and (one not in member.peers or member.age(now, one) > self.age):
-                self.unheard.append(one)
+                failed += 1
+            elif member_id in reachable and (
+                member_id not in member.peers or member.age(now, member_id) > self.age
+            ):
+                self.unheard.append(member_id)
             else:
-                self.heard.append(one)
-        if member.isolated or member.waking:
-            # What it knows of others is of before: it is a side of its own.
-            gone, self.heard, self.unheard = gone + len(self.heard) + len(self.unheard), [], []
-        elif self.since is None:
-            self.since = now
-        self.seen = 1 + len(self.heard) + len(self.unheard)
-        self.knows = self.seen + gone
-        # Guards against a member that both sides of a cut count while they come together: the least that was
-        # seen lately counts, until all see alike.
-        back = now - self.age - figures.rise
-        self.lately.append((now, self.seen, self.knows))
-        while self.lately[0][0] < back:
-            self.lately.popleft()
-        _, self.seen, self.knows = min(self.lately, key=lambda each: each[1] / each[2])
-
-    def part(self, now, member, held):
-        limit = held.limit
-        if self.since is None or now - self.since < self.age:
-            return limit.floor  # others don't know of it yet
-        whole = self.quota.partition_allowance(limit, self.seen, self.knows)
-        demands, used = {member.me: held.settled()}, {}
-        for one in self.unheard:
-            demands[one] = whole
-        for one in self.heard:
-            held_note = member.notes.get((one, TOPIC))
-            for ident, uses, wants in held_note.note.values if held_note else ():
-                if ident == held.id:
-                    demands[one], used[one] = wants, uses
-        wanted = sum(demands.values())
-        parts = max_min_shares(whole, demands)
-        # Calls that outlast a part that fell are left to their node, and the rest is divided.
-        beyond = sum(max(0, uses - parts[one]) for one, uses in used.items()) if limit.per == "in_hand" else 0
-        mine = max_min_shares(whole - beyond, demands)[member.me] if beyond else parts[member.me]
-        if wanted < whole and not beyond:
-            # Nobody goes short: a jump finds something at once.
-            mine += (whole - wanted) // (1 + len(self.heard) + len(self.unheard))
-        return mine
-
-    def status(self, now):
-        return [
-            {
-                "name": held.limit.name,
-                "limit": held.limit.amount,
-                "mode": "loose",
-                "mine": held.part,
-                "used": held.used,
-                "wants": held.wants,
-                "granted": held.part,
-                "term": 0,
-                "leader": "",
-                "stale_ms": self.age // 1000,
-                "left_ms": KEEP // 1000,
-                "seen": self.seen,
-                "known": self.knows,
-                "over_at_most": self.quota.loose_overshoot_bound(held.limit, self.knows),
-            }
-            for held in self.held.values()
-        ]
+                self.heard.append(member_id)
+        return failed
+
+    # ---- the allocation
+
+    def share(self, now: int, member: "Member", allocation: LocalAllocation) -> int:
+        """What this node may use of a limit."""
+        limit = allocation.limit
+        if self.joined_at is None or now - self.joined_at < self.age:
+            return limit.floor  # the others don't know of it yet
+        allowance = self.quota.partition_allowance(limit, self.view.seen, self.view.known)
+        demands = {member.me: allocation.settled_demand()}
+        demands |= dict.fromkeys(self.unheard, allowance)
+        in_use: dict[int, int] = {}
+        for member_id, used, demand in self.heard_demands(member, allocation):
+            demands[member_id] = demand
+            in_use[member_id] = used
+        shares = max_min_shares(allowance, demands)
+        share = shares[member.me]
+        # Calls that outlast a share that fell are left to their node, and the rest is divided.
+        excess = 0
+        if limit.per == "in_hand":
+            excess = sum(max(0, used - shares[member_id]) for member_id, used in in_use.items())
+        if excess:
+            return max_min_shares(allowance - excess, demands)[member.me]
+        demanded = sum(demands.values())
+        if demanded < allowance:
+            # Nobody goes short: the rest is spread, so that a jump of demand finds something at once.
+            share += (allowance - demanded) // (1 + len(self.heard) + len(self.unheard))
+        return share
+
+    def heard_demands(self, member: "Member", allocation: LocalAllocation) -> Iterable[tuple[int, int, int]]:
+        """(id of a heard member, in use, demand) of a limit."""
+        for member_id in self.heard:
+            published = member.notes.get((member_id, GOSSIP_TOPIC))
+            if published is None:
+                continue
+            for limit_id, in_use, demand in published.note.values:
+                if limit_id == allocation.id:
+                    yield member_id, in_use, demand
+
+    # ---- status
+
+    def status(self, now: int) -> list[dict[str, Any]]:
+        """What operators are told; the keys are those of docs/operate/quota.md."""
+        return [self._limit_status(allocation) for allocation in self.allocations.values()]
+
+    def _limit_status(self, allocation: LocalAllocation) -> dict[str, Any]:
+        limit = allocation.limit
+        return {
+            "name": limit.name,
+            "limit": limit.amount,
+            "mode": "loose",
+            "mine": allocation.amount,
+            "used": allocation.in_use,
+            "wants": allocation.demand,
+            "granted": allocation.amount,
+            "term": 0,
+            "leader": "",
+            "stale_ms": self.age // MS,
+            "left_ms": ALLOWANCE_DURATION_US // MS,
+            "seen": self.view.seen,
+            "known": self.view.known,
+            "over_at_most": self.quota.loose_overshoot_bound(limit, self.view.known),
+        }
--- a/finchcart/quota/messages.py
+++ b/finchcart/quota/messages.py
@@ -1,124 +1,150 @@
-"""What rides between holders and planners: typed structs, in the datagrams of
-finchcart/membership/messages.py.
+"""The messages between lease holders and planners, and between planners.
 
-Owns the messages alone; see planner.py and holder.py for what they mean.
-"""
+Owns their fields and limits. It must never act on a message. The order of the fields and the tags are the
+wire format: they stay, whatever the fields are called."""
 
-from typing import Annotated
+from typing import Annotated, Any, NamedTuple
 
-import msgspec
 from msgspec import Meta, Struct
 
-from finchcart.membership.messages import Count, Name, Place, Unfit, Word, unsealed
+from finchcart.membership.codec import MessageCodec, NodeName, Unsigned53, Unsigned64
 
 CHANNEL = b"Q"
-Few = Annotated[int, Meta(ge=0, le=2**31)]
-Ballot = tuple[Count, Word]  # a count, and the session of the planner who counts: no two are alike
+MAX_LIMITS = 16  # in one message
+WEIGHT_SCALE = 100  # weights are sent as whole hundredths
+
+Amount = Annotated[int, Meta(ge=0, le=2**31)]
+Weight = Annotated[int, Meta(ge=1, le=10_000)]
+LeaderAddress = Annotated[str, Meta(max_length=64)]  # empty where none is known
+
+
+class Ballot(NamedTuple):
+    """Orders the candidatures of planners: no two are alike. The number of an elected ballot is the term."""
+
+    number: Unsigned53
+    session: Unsigned64  # of the proposer's process
+
+
+class AcceptedLease(NamedTuple):
+    """A lease that an acceptor voted for and that is not over."""
+
+    ballot: Ballot
+    owner: Unsigned64  # session of the proposer
 
 
 class Prepare(Struct, array_like=True, frozen=True, tag=20):
-    """Asks for a promise to take no lesser ballot. `times`: digest of the lives and waits of its settings.
-    No bound holds where they differ: planners of other times do not vote for each other."""
+    """Ask for a promise to accept no lesser ballot.
+
+    `timing_digest`: of the durations in the proposer's configuration. No bound holds where they differ, so
+    planners with others do not vote for each other.
+    """
 
     ballot: Ballot
-    times: Word
+    timing_digest: Unsigned64
 
 
 class Promise(Struct, array_like=True, frozen=True, tag=21):
-    """`holds`: (ballot, session of its owner) of the lease that was voted for and is not over, or None."""
+    """Accept no lesser ballot; with the lease that the acceptor voted for, if it is not over."""
 
     ballot: Ballot
-    holds: tuple[Ballot, Word] | None
+    accepted: AcceptedLease | None
 
 
 class Propose(Struct, array_like=True, frozen=True, tag=22):
+    """Ask for a vote for the lease of `owner`."""
+
     ballot: Ballot
-    owner: Word
+    owner: Unsigned64
 
 
 class Accept(Struct, array_like=True, frozen=True, tag=23):
+    """A vote for the lease proposed with that ballot."""
+
     ballot: Ballot
 
 
-class Refuse(Struct, array_like=True, frozen=True, tag=24):
+class Reject(Struct, array_like=True, frozen=True, tag=24):
     """A greater ballot was promised."""
 
     ballot: Ballot
     promised: Ballot
 
 
-class Line(Struct, array_like=True, frozen=True):
-    """What a holder says of one limit: the grant it uses, what it still uses of it, and what it wants in
-    all."""
-
-    limit: Name
-    term: Count
-    number: Count
-    amount: Few
-    wants: Few
-    floor: Few
-    first: Few = 0  # of `wants`, what matters more than the rest
-    weight: Annotated[int, Meta(ge=1, le=10_000)] = 100
-
-
-class Want(Struct, array_like=True, frozen=True, tag=25):
-    """A holder's ask. `oldest`: the least of its asks whose answer it would still take."""
-
-    name: Name
-    session: Word
-    seq: Count
-    oldest: Count
-    leaving: bool
-    lines: Annotated[list[Line], Meta(max_length=16)]
+class LimitDemand(Struct, array_like=True, frozen=True):
+    """What a lease holder says of one limit; amounts are beyond its floor."""
 
+    limit: NodeName
+    term: Unsigned53  # of the lease that it holds
+    number: Unsigned53  # of that lease; 0 for none
+    in_use: Amount  # of that lease, or what is still in hand of an earlier one
+    demand: Amount
+    floor: Amount
+    priority_demand: Amount = 0  # the part of `demand` that matters more than the rest
+    weight: Weight = WEIGHT_SCALE
 
-class Part(Struct, array_like=True, frozen=True):
-    """`life`: microseconds, counted by the holder from before its ask."""
 
-    limit: Name
-    number: Count
-    amount: Few
-    life: Count
-    whole: Few  # the limit as the planner has it
+class LeaseRequest(Struct, array_like=True, frozen=True, tag=25):
+    """A holder's request for leases of all its limits."""
 
+    node: NodeName
+    session: Unsigned64  # drawn at the holder's start: tells two processes of one name apart
+    sequence: Unsigned53
+    oldest_sequence: Unsigned53  # of the requests whose answer the holder would still take
+    is_leaving: bool
+    limits: Annotated[list[LimitDemand], Meta(max_length=MAX_LIMITS)]
 
-class Grant(Struct, array_like=True, frozen=True, tag=26):
-    """The answer to the ask `seq` of the process `session`."""
 
-    term: Count
-    session: Word
-    seq: Count
-    parts: Annotated[list[Part], Meta(max_length=16)]
+class LimitLease(Struct, array_like=True, frozen=True):
+    """The lease of a part of one limit."""
 
+    limit: NodeName
+    number: Unsigned53  # within the term: the higher is the newer
+    amount: Amount  # beyond the holder's floor
+    duration_us: Unsigned53  # counted by the holder from before its request
+    fleet_amount: Amount  # the whole limit as the planner has it
 
-class Elsewhere(Struct, array_like=True, frozen=True, tag=27):
-    """Not the one that shares out; `leader`: its address as far as known, or empty."""
 
-    session: Word
-    seq: Count
-    leader: Annotated[str, Meta(max_length=64)]
+class LeaseGrant(Struct, array_like=True, frozen=True, tag=26):
+    """The answer to the request `sequence` of the process `session`; the term is the fencing token."""
 
+    term: Unsigned53
+    session: Unsigned64
+    sequence: Unsigned53
+    leases: Annotated[list[LimitLease], Meta(max_length=MAX_LIMITS)]
 
-class Ask(Struct, array_like=True, frozen=True, tag=28):
-    number: Count
 
+class Redirect(Struct, array_like=True, frozen=True, tag=27):
+    """The answer of a planner that does not lead."""
 
-class Told(Struct, array_like=True, frozen=True, tag=29):
-    number: Count
-    view: dict
+    session: Unsigned64
+    sequence: Unsigned53
+    leader: LeaderAddress
 
 
-class Envelope(Struct, array_like=True, frozen=True):
-    version: int
-    fleet: str
-    said: Prepare | Promise | Propose | Accept | Refuse | Want | Grant | Elsewhere | Ask | Told
+class StatusRequest(Struct, array_like=True, frozen=True, tag=28):
+    """A question of the command line."""
 
+    number: Unsigned53
 
-_decoder = msgspec.msgpack.Decoder(Envelope)
 
+class StatusResponse(Struct, array_like=True, frozen=True, tag=29):
+    """The answer to a question of that number."""
 
-def unpack(fleet, data):
-    return unsealed(CHANNEL, fleet, data, _decoder, Ask)
+    number: Unsigned53
+    view: dict[str, Any]
 
 
-__all__ = ["Place", "Unfit"]
+ElectionMessage = Prepare | Promise | Propose | Accept | Reject
+Message = (
+    Prepare
+    | Promise
+    | Propose
+    | Accept
+    | Reject
+    | LeaseRequest
+    | LeaseGrant
+    | Redirect
+    | StatusRequest
+    | StatusResponse
+)
+CODEC: MessageCodec[Message] = MessageCodec(CHANNEL, Message, (StatusRequest,))
--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -10,7 +10,7 @@
 from finchcart.fault_injection.claiming import KEY, TICK, Breach, Run, World, act, explore
 from finchcart.key_leases import messages
 from finchcart.key_leases.client import KeyLeaseClient
-from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig, validation_errors
+from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig, config_errors
 from finchcart.key_leases.messages import LeaseStatus
 from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.node.claimer import Claimer
@@ -111,9 +111,9 @@
         and kinds.count(LeaseStatus.UNAVAILABLE) == 3
         and world.answers["h1", keys[0]] == [LeaseStatus.COMPLETED]
     )
-    assert all(len(world.machines[f"k{n}"].entries) <= 5 for n in range(3))
+    assert all(len(world.machines[f"k{n}"].leases) <= 5 for n in range(3))
     world.pass_time(2 * world.figures.life)
-    assert not any(world.machines[f"k{n}"].entries for n in range(3))
+    assert not any(world.machines[f"k{n}"].leases for n in range(3))
 
 
 def test_many_claims_go_in_one_message_and_a_result_too_large_is_told_as_lost():
@@ -134,9 +134,9 @@
 
 def test_settings_that_can_not_hold_are_told():
     places = ("10.0.0.1:1", "10.0.0.2:1")
-    wrong = validation_errors(KeyLeaseConfig(keepers=places, command=15 * SECOND))
+    wrong = config_errors(KeyLeaseConfig(keepers=places, command=15 * SECOND))
     assert [name for name, _ in wrong] == ["keepers", "command_ms"]
-    assert not list(validation_errors(KeyLeaseConfig(keepers=(*places, "10.0.0.3:1"))))
+    assert not list(config_errors(KeyLeaseConfig(keepers=(*places, "10.0.0.3:1"))))
     with open("deploy/finchcart.json5", encoding="utf-8") as file:
         head, _, tail = file.read().partition("  // claims: {\n")
     told = claims(checked(json5.loads(head + "  claims: {\n" + re.sub(r"(?m)^  // ", "  ", tail)), "example"))
@@ -282,95 +282,97 @@
 # ---- planted defects
 
 
-class NoSilence(KeyLeaseReplica):
+class AnswersAtOnceAfterItsStart(KeyLeaseReplica):
     def __init__(self, *args):
         super().__init__(*args)
-        self.silent_until = 0
+        self.quiet_until = 0
 
 
-class Newest(KeyLeaseReplica):
-    def vote(self, now, session, ask):
-        entry = self.entries.get(ask.key)
-        if entry is not None and entry.session != session:
-            del self.entries[ask.key]
-        return super().vote(now, session, ask)
+class VotesForTheNewest(KeyLeaseReplica):
+    def vote(self, session, request):
+        lease = self.leases.get(request.key)
+        if lease is not None and lease.session != session:
+            del self.leases[request.key]
+        return super().vote(session, request)
 
 
-class AnyonesRelease(KeyLeaseReplica):
-    def note(self, now, session, line):
-        super().note(now, session, line)
-        if line.kind == LeaseStatus.RELEASED:
-            self.entries.pop(line.key, None)
+class AnyoneReleases(KeyLeaseReplica):
+    def record(self, session, outcome):
+        super().record(session, outcome)
+        if outcome.status == LeaseStatus.RELEASED:
+            self.leases.pop(outcome.key, None)
 
 
-class ShortLife(KeyLeaseReplica):
-    def vote(self, now, session, ask):
-        out = super().vote(now, session, ask)
-        entry = self.entries.get(ask.key)
-        if entry is not None:
-            entry.until = min(entry.until, now + SECOND // 2)
-        return out
+class LeaseIsTooShort(KeyLeaseReplica):
+    def vote(self, session, request):
+        vote = super().vote(session, request)
+        lease = self.leases.get(request.key)
+        if lease is not None:
+            lease.expires_at = min(lease.expires_at, self.now + SECOND // 2)
+        return vote
 
 
-class LaterTakesOver(KeyLeaseReplica):
-    """A later try of the same process counts as its release of the earlier."""
+class LaterAttemptTakesOver(KeyLeaseReplica):
+    """A later attempt of the same process counts as its release of the earlier."""
 
-    def vote(self, now, session, ask):
-        entry = self.entries.get(ask.key)
-        if entry is not None and entry.session == session and entry.state == LeaseStatus.HELD:
-            entry.attempt = max(entry.attempt, ask.attempt)
-        return super().vote(now, session, ask)
+    def vote(self, session, request):
+        lease = self.leases.get(request.key)
+        if lease is not None and lease.session == session and lease.status == LeaseStatus.HELD:
+            lease.attempt = max(lease.attempt, request.attempt)
+        return super().vote(session, request)
 
 
-class OneVote(KeyLeaseClient):
-    def on_votes(self, now, keeper, vote):
-        if vote.kind == LeaseStatus.GRANTED:
-            for n in range(len(self.places)):
-                super().on_votes(now, n, vote)
+class OneVoteIsAQuorum(KeyLeaseClient):
+    def on_vote(self, replica, vote):
+        if vote.status == LeaseStatus.GRANTED:
+            for other in range(len(self.replicas)):
+                super().on_vote(other, vote)
         else:
-            super().on_votes(now, keeper, vote)
+            super().on_vote(replica, vote)
 
 
-class OldVotesCount(KeyLeaseClient):
-    def lost(self, now, trying):
-        votes = {keeper: kind for keeper, kind in trying.votes.items() if kind == LeaseStatus.GRANTED}
-        super().lost(now, trying)
-        if trying.key in self.tries:
-            self.tries[trying.key].votes.update(votes)
+class EarlierVotesCount(KeyLeaseClient):
+    def on_no_quorum(self, attempt):
+        granted = {
+            replica: status for replica, status in attempt.votes.items() if status == LeaseStatus.GRANTED
+        }
+        super().on_no_quorum(attempt)
+        if attempt.key in self.attempts:
+            self.attempts[attempt.key].votes.update(granted)
 
 
-class AnyTime(KeyLeaseClient):
-    def answer(self, now, key, kind, result=b"", by=None):
-        super().answer(now, key, kind, result, by and by + 10**12)
+class CommandsHoweverLate(KeyLeaseClient):
+    def answer(self, key, status, result=b"", run_before=None):
+        super().answer(key, status, result, run_before and run_before + 10**12)
 
 
-class GivesBackWhatRan(KeyLeaseClient):
-    def on_ended(self, now, key, kind, result=b""):
-        self.on_never(now, key)
+class ReleasesWhatRan(KeyLeaseClient):
+    def on_ended(self, key, status, result=b""):
+        self.on_never_ran(key)
 
 
-class AlwaysWell(KeyLeaseClient):
-    def on_ended(self, now, key, kind, result=b""):
-        super().on_ended(now, key, LeaseStatus.COMPLETED, result)
+class ReportsEveryRunAsCompleted(KeyLeaseClient):
+    def on_ended(self, key, status, result=b""):
+        super().on_ended(key, LeaseStatus.COMPLETED, result)
 
 
-class ForgetsItRuns(KeyLeaseClient):
-    def on_claim(self, now, asks):
-        for key, _, _ in asks:
-            self.on_never(now, key)
-        super().on_claim(now, asks)
+class ForgetsThatItRuns(KeyLeaseClient):
+    def on_acquire(self, requests):
+        for key, _, _ in requests:
+            self.on_never_ran(key)
+        super().on_acquire(requests)
 
 
 DEFECTS = {
-    "a keeper answers at once after its start": {"keeper": NoSilence},
-    "a keeper votes for the newest": {"keeper": Newest},
-    "a release by anyone frees a claim": {"keeper": AnyonesRelease},
-    "a claim is kept too short": {"keeper": ShortLife},
-    "one vote is a majority": {"holder": OneVote},
-    "votes for an earlier try count": {"holder": OldVotesCount},
-    "what ran is given back": {"holder": GivesBackWhatRan},
-    "a failed run is told as a good one": {"holder": AlwaysWell},
-    "a key that runs here is claimed once more": {"holder": ForgetsItRuns},
+    "a keeper answers at once after its start": {"keeper": AnswersAtOnceAfterItsStart},
+    "a keeper votes for the newest": {"keeper": VotesForTheNewest},
+    "a release by anyone frees a claim": {"keeper": AnyoneReleases},
+    "a claim is kept too short": {"keeper": LeaseIsTooShort},
+    "one vote is a majority": {"holder": OneVoteIsAQuorum},
+    "votes for an earlier try count": {"holder": EarlierVotesCount},
+    "what ran is given back": {"holder": ReleasesWhatRan},
+    "a failed run is told as a good one": {"holder": ReportsEveryRunAsCompleted},
+    "a key that runs here is claimed once more": {"holder": ForgetsThatItRuns},
 }
 
 
@@ -401,7 +403,7 @@
             world.command("h0", KEY)
 
     with pytest.raises(Breach):
-        play({"keeper": LaterTakesOver})
+        play({"keeper": LaterAttemptTakesOver})
     play({})
 
 
@@ -419,7 +421,7 @@
         world.command("h0", KEY)
 
     with pytest.raises(Breach):
-        play({"holder": AnyTime})
+        play({"holder": CommandsHoweverLate})
     play({})
 
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -9,21 +9,22 @@
 import sys
 import time
 
-import msgspec
 import pytest
 
 from finchcart.cli.file import Wrong, checked
 from finchcart.fault_injection.explore import explore
 from finchcart.fault_injection.shares import Breach, Run, Shares
-from finchcart.membership import messages as base
-from finchcart.membership.member import Heard
+from finchcart.membership.codec import parse_address
 from finchcart.net.links import boot_clock
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota import local_limits, messages
+from finchcart.quota.allocator import Allocator, HolderKey
 from finchcart.quota.fair_share import max_min_shares, prioritized_shares
-from finchcart.quota.lease_holder import LeaseHolder
-from finchcart.quota.limits import SECOND, Limit, QuotaConfig, validation_errors
+from finchcart.quota.leader_election import LeaderElection
+from finchcart.quota.lease_holder import NO_LEASE, LeaseHolder, LeaseId, PendingRequest
+from finchcart.quota.limits import SECOND, Limit, QuotaConfig, config_errors
 from finchcart.quota.local_limits import LocalLimits
+from finchcart.quota.messages import Ballot
 from finchcart.quota.planner import Planner
 
 
@@ -67,12 +68,12 @@
         with pytest.raises(Wrong) as raised:
             checked(wrong, "F")
         assert said in str(raised.value)
-    assert not list(validation_errors(QuotaConfig(limits=(Limit("a", 64, 1),), planners=("a",))))
+    assert not list(config_errors(QuotaConfig(limits=(Limit("a", 64, 1),), planners=("a",))))
     rate = Limit("a", 64, per="rate", burst=63)
-    told = dict(validation_errors(QuotaConfig(limits=(rate,), planners=("a",))))
+    told = dict(config_errors(QuotaConfig(limits=(rate,), planners=("a",))))
     assert "63 is less than most = 64" in told["limits.0.burst"]
     loose = Limit("a", 64, mode="loose")
-    assert not list(validation_errors(QuotaConfig(limits=(loose,)))), "a loose limit needs no planners"
+    assert not list(config_errors(QuotaConfig(limits=(loose,)))), "a loose limit needs no planners"
 
 
 def test_bounds_are_formulas_of_the_settings():
@@ -114,7 +115,7 @@
     """The greater of the last two words of each counts."""
     one, now = elected({})
     now += SHARED.takeover_wait + 1
-    one.owns_until = now + 99 * SECOND
+    one.election.leads_until = now + 99 * SECOND
     held, moves, before = {1: (0, 0), 2: (0, 0)}, 0, None
     for turn in range(20):
         for n in (1, 2):
@@ -125,7 +126,7 @@
                 f"n{n}",
                 n,
                 turn + 1,
-                one.term,
+                one.election.term,
                 held[n][0],
                 held[n][1],
                 wants=40 if turn % 2 == n % 2 else 0,
@@ -152,29 +153,28 @@
 
 def test_another_fleet_on_the_same_address_is_not_heard():
     one, now = elected({})
-    before = dict(one.holders)
+    before = dict(one.allocator.holders)
     said = one.reduce(
         now + 1,
         (
             "got",
             NODE,
-            base.sealed(
-                messages.CHANNEL,
+            messages.CODEC.encode(
                 "g",
-                messages.Want("n1", 1, 1, 1, False, [messages.Line("store", 0, 0, 0, 9, 0)]),
+                messages.LeaseRequest("n1", 1, 1, 1, False, [messages.LimitDemand("store", 0, 0, 0, 9, 0)]),
             ),
         ),
     )
-    assert not said and one.holders == before and one.counts["another fleet"] == 1
+    assert not said and one.allocator.holders == before and one.counts["another fleet"] == 1
 
 
 def test_a_limit_that_the_planners_lack_stays_at_its_floor():
     one, now = elected({})
     now += SHARED.takeover_wait + 1
-    one.owns_until = now + 9 * SECOND
-    line = messages.Line("other", 0, 0, 0, 9, 0)
-    said = sent(one.reduce(now, got(messages.Want("n1", 1, 1, 1, False, [line]), NODE)))
-    assert said[0].parts == [] and one.counts["a holder knows no limit store"] == 1
+    one.election.leads_until = now + 9 * SECOND
+    line = messages.LimitDemand("other", 0, 0, 0, 9, 0)
+    said = sent(one.reduce(now, got(messages.LeaseRequest("n1", 1, 1, 1, False, [line]), NODE)))
+    assert said[0].leases == [] and one.counts["a holder knows no limit store"] == 1
 
 
 def test_a_meter_never_gives_more_than_was_granted_nor_for_longer():
@@ -317,8 +317,8 @@
     fleet = Shares(1, 0, 3, mode="loose")
     fleet.start("n2")  # n0 and n1, its seeds, never are there
     fleet.run(60 * SECOND)
-    held = fleet.processes["n2"].machine.riders[0].held["store"]
-    assert held.part == 0 and len(held.said) < 40
+    held = fleet.processes["n2"].machine.riders[0].allocations["store"]
+    assert held.amount == 0 and len(held.published) < 40
 
 
 def test_a_loose_rate_keeps_its_bound():
@@ -327,7 +327,7 @@
 
 
 def wants_count_at_once(self):
-    return self.wants
+    return self.demand
 
 
 def takes_all(self, limit, seen, known):
@@ -335,49 +335,37 @@
 
 
 def unheard_want_nothing(self, now, member):
-    LocalLimits.look(self, now, member)
+    LocalLimits.observe(self, now, member)
     self.unheard = []
 
 
 def joins_at_once(self, now, member):
-    LocalLimits.look(self, now, member)
-    self.since = 0
-
-
-def in_hand_ignored(self, now, member, held):
-    notes, member.notes = (
-        member.notes,
-        {
-            key: Heard(
-                msgspec.structs.replace(
-                    held.note, values=[(ident, 0, wants) for ident, _, wants in held.note.values]
-                ),
-                held.born,
-            )
-            for key, held in member.notes.items()
-        },
-    )
-    part = LocalLimits.part(self, now, member, held)
-    member.notes = notes
-    return part
+    LocalLimits.observe(self, now, member)
+    self.joined_at = 0
+
+
+def in_hand_ignored(self, member, allocation):
+    for member_id, _, demand in LocalLimits.heard_demands(self, member, allocation):
+        yield member_id, 0, demand
 
 
 def counts_what_it_sees_now(self, now, member):
-    LocalLimits.look(self, now, member)
-    self.lately.clear()
+    LocalLimits.observe(self, now, member)
+    self.recent_views.clear()
 
 
 def wants_at_once(make, **more):
     """The own want counts before others heard of it."""
 
-    class Held(local_limits.Held):
-        settled = wants_count_at_once
+    class Allocation(local_limits.LocalAllocation):
+        settled_demand = wants_count_at_once
 
-    before, local_limits.Held = local_limits.Held, Held
+    before = local_limits.LocalAllocation
+    local_limits.LocalAllocation = Allocation
     try:
         return loose_run(make, **more)
     finally:
-        local_limits.Held = before
+        local_limits.LocalAllocation = before
 
 
 def takes_the_whole(make, **more):
@@ -407,20 +395,20 @@
     ),
     "who is not heard is reckoned to want nothing": (
         loose_run,
-        {"look": unheard_want_nothing},
+        {"observe": unheard_want_nothing},
         {"cut": (0, 1, 2), "over": 0.0},
         53,
     ),
-    "who starts takes its part at once": (loose_run, {"look": joins_at_once}, {"start": ("n4", "n5")}, 50),
+    "who starts takes its part at once": (loose_run, {"observe": joins_at_once}, {"start": ("n4", "n5")}, 50),
     "what others have in hand is not looked at": (
         loose_run,
-        {"part": in_hand_ignored},
+        {"heard_demands": in_hand_ignored},
         {"takes": 4_000_000},
         53,
     ),
     "what is seen now counts while sides come together": (
         loose_run,
-        {"look": counts_what_it_sees_now},
+        {"observe": counts_what_it_sees_now},
         {"cut": (0, 1, 2), "over": 0.0},
         53,
     ),
@@ -480,92 +468,115 @@
     return {"planner": planted(Planner, methods)}
 
 
+def election(**methods):
+    return planner(election_type=planted(LeaderElection, methods))
+
+
+def allocator(**methods):
+    return planner(allocator_type=planted(Allocator, methods))
+
+
 def holder(**methods):
     return {"holder": planted(LeaseHolder, methods)}
 
 
-def no_silence(self, *args):
-    Planner.__init__(self, *args)
-    self.votes_from = self.next_try = self.now
+def votes_at_once_after_its_start(self, address, quota, random, now):
+    LeaderElection.__init__(self, address, quota, random, now)
+    self.acceptor.votes_from = self.next_candidature_at = now
 
 
-def gives_at_once(self, now, until):
-    Planner.own(self, now, until)
-    self.owned_since = min(self.owned_since, now - self.quota.takeover_wait)
+def grants_at_once(self, term, now):
+    Allocator.begin_term(self, term, now - self.quota.takeover_wait)
 
 
-def lease_for_ever(self, now, why):
+def leads_for_ever(self, reason):
     pass
 
 
-def lease_from_the_end(self, now, address, said):
-    self.asked_at = now
-    Planner.on_accept(self, now, address, said)
+def lease_counts_from_its_last_vote(self, now, sender, accept):
+    if self.candidature is not None:
+        self.candidature.proposed_at = now
+    LeaderElection.on_accept(self, now, sender, accept)
 
 
-def any_ballot(self, now, address, said):
-    self.promised = (0, 0)
-    Planner.on_prepare(self, now, address, said)
+def promises_any_ballot(self, now, sender, prepare):
+    self.acceptor.promised = Ballot(0, 0)
+    LeaderElection.on_prepare(self, now, sender, prepare)
 
 
-def says_free(self, now, address, said):
+def hides_its_vote(self, now, sender, prepare):
     """Votes for one, and does not say so to the next."""
-    self.held = None
-    Planner.on_prepare(self, now, address, said)
+    self.acceptor.accepted = None
+    LeaderElection.on_prepare(self, now, sender, prepare)
 
 
-def by_name(self, now, address, said):
-    """A process started anew is taken for the one before."""
-    for key in [key for key in self.holders if key[0] == said.name and key[1] != said.session]:
-        self.holders[said.name, said.session] = self.holders.pop(key)
-        self.holders[said.name, said.session].seq = 0
-    Planner.on_want(self, now, address, said)
+def knows_holders_by_name_alone(self, address, request):
+    """A restarted process is taken for the one before."""
+    holders = self.allocator.holders
+    for key in [key for key in holders if key.node == request.node and key.session != request.session]:
+        record = holders.pop(key)
+        record.sequence = 0
+        holders[HolderKey(request.node, request.session)] = record
+    Planner.on_request(self, address, request)
 
 
-def least(self, holder, limit):
-    """Counts the grant given last, not the greatest that may still be used."""
-    out = holder.out.get(limit, ())
-    return out[-1].amount if out else 0
+def counts_the_last_lease(self, holder, limit):
+    """Counts the lease granted last, not the greatest that may still be used."""
+    record = holder.limits.get(limit)
+    return record.granted[-1].amount if record and record.granted else 0
 
 
-def from_the_answer(self, now, said):
-    self.asks = {seq: (now, then) for seq, (_, then) in self.asks.items()}
-    LeaseHolder.on_grant(self, now, said)
+def counts_from_the_answer(self, grant):
+    self.pending = {
+        sequence: PendingRequest(self.now, request.held) for sequence, request in self.pending.items()
+    }
+    LeaseHolder.on_grant(self, grant)
 
 
-def any_term(self, now, said):
+def takes_any_term(self, grant):
     for held in self.held.values():
-        if said.term != held.term:
-            held.term, held.number = 0, 0
-            self.asks = {seq: (when, dict.fromkeys(then, (0, 0))) for seq, (when, then) in self.asks.items()}
-    LeaseHolder.on_grant(self, now, said)
+        if grant.term != held.id.term:
+            held.id = NO_LEASE
+            self.pending = {
+                sequence: PendingRequest(request.sent_at, dict.fromkeys(request.held, NO_LEASE))
+                for sequence, request in self.pending.items()
+            }
+    LeaseHolder.on_grant(self, grant)
 
 
-def any_number(self, now, said):
+def takes_any_number(self, grant):
     for held in self.held.values():
-        if said.term == held.term:
-            held.number = 0
-    LeaseHolder.on_grant(self, now, said)
+        if grant.term == held.id.term:
+            held.id = LeaseId(held.id.term, 0)
+    LeaseHolder.on_grant(self, grant)
 
 
-def late_ask(self, now, said):
-    for when, then in self.asks.values():
-        then.update({name: (held.term, held.number) for name, held in self.held.items()})
-    LeaseHolder.on_grant(self, now, said)
+def takes_answers_to_late_requests(self, grant):
+    for request in self.pending.values():
+        request.held.update({name: held.id for name, held in self.held.items()})
+    LeaseHolder.on_grant(self, grant)
 
 
-def no_end(self, now, held):
-    held.until = now + self.quota.life if held.amount else held.until
-    LeaseHolder.allow(self, now, held)
+def holds_without_end(self, held):
+    held.expires_at = self.now + self.quota.life if held.amount else held.expires_at
+    LeaseHolder.update_allowance(self, held)
 
 
 # Scenarios of messages by hand, where chance alone seldom comes by.
 
 PLACES = ("10.0.0.1:7401", "10.0.0.2:7401", "10.0.0.3:7401")
-TWO, THREE, NODE = (base.place_of(PLACES[1]), base.place_of(PLACES[2]), ("10.0.0.9", 7400))
+TWO, THREE, NODE = (parse_address(PLACES[1]), parse_address(PLACES[2]), ("10.0.0.9", 7400))
 SHARED = QuotaConfig(limits=(Limit("store", 40),), planners=PLACES, most=4, step=1.0, room=0.0)
-got = lambda said, address=TWO: ("got", address, base.sealed(messages.CHANNEL, "f", said))
-sent = lambda effects: [messages.unpack("f", effect[2]) for effect in effects if effect[0] == "send"]
+
+
+def got(message, address=TWO):
+    """The input of a datagram with this message."""
+    return ("got", address, messages.CODEC.encode("f", message))
+
+
+def sent(effects):
+    """The messages that were sent."""
+    return [messages.CODEC.decode("f", effect[2]) for effect in effects if effect[0] == "send"]
 
 
 def elected(make, accept_late=0):
@@ -573,8 +584,9 @@
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
     now = SHARED.startup_quiet_period + 2 * SHARED.election_retry
     one.reduce(now, ("tick",))
-    one.reduce(now + 1, got(messages.Promise(one.ballot, None)))
-    one.reduce(now + 2 + accept_late, got(messages.Accept(one.ballot)))
+    ballot = one.election.candidature.ballot
+    one.reduce(now + 1, got(messages.Promise(ballot, None)))
+    one.reduce(now + 2 + accept_late, got(messages.Accept(ballot)))
     return one, now + 1
 
 
@@ -582,25 +594,30 @@
     said = one.reduce(
         now,
         got(
-            messages.Want(
-                name, session, seq, oldest, False, [messages.Line("store", term, number, amount, wants, 0)]
+            messages.LeaseRequest(
+                name,
+                session,
+                seq,
+                oldest,
+                False,
+                [messages.LimitDemand("store", term, number, amount, wants, 0)],
             ),
             NODE,
         ),
     )
-    return next((each.parts[0] for each in sent(said) if isinstance(each, messages.Grant)), None)
+    return next((each.leases[0] for each in sent(said) if isinstance(each, messages.LeaseGrant)), None)
 
 
 def accept_comes_late(make):
     one, proposed = elected(make, SHARED.lease // 2)
-    return [one.owns_until] if one.owns_until > proposed + SHARED.lease else []
+    return [one.election.leads_until] if one.election.leads_until > proposed + SHARED.lease else []
 
 
 def started_anew(make):
     """The process before may still use its grant: another gets none of that."""
     one, now = elected(make)
     now += SHARED.takeover_wait + 1
-    one.owns_until = now + 9 * SECOND
+    one.election.leads_until = now + 9 * SECOND
     first = ask(one, now, "n1", 1, 1).amount
     ask(one, now + 100_000, "n1", 2, 1, wants=0)
     second = ask(one, now + 200_000, "n1", 2, 2, wants=0, oldest=2)
@@ -615,8 +632,8 @@
 
 
 def grant(one, now, term, seq, number, amount):
-    part = messages.Part("store", number, amount, SHARED.life, 40)
-    one.reduce(now, got(messages.Grant(term, one.session, seq, [part])))
+    part = messages.LimitLease("store", number, amount, SHARED.life, 40)
+    one.reduce(now, got(messages.LeaseGrant(term, one.session, seq, [part])))
     return one.held["store"].amount
 
 
@@ -648,7 +665,7 @@
     """An answer that took 2 s leaves 1 s of a life of 3."""
     one = holding(make)
     grant(one, 2 * SECOND, 5, 1, 1, 10)
-    return ["longer"] if one.held["store"].until > SHARED.life else []
+    return ["longer"] if one.held["store"].expires_at > SHARED.life else []
 
 
 def seeds(count):
@@ -666,32 +683,32 @@
 def starts_and_votes(make):
     """A voter that starts anew says nothing while a lease that it voted for may last."""
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
-    said = sent(one.reduce(SHARED.lease - 1, got(messages.Prepare((1, 7), one.times))))
+    said = sent(one.reduce(SHARED.lease - 1, got(messages.Prepare((1, 7), one.election.timing_digest))))
     return said if any(isinstance(each, messages.Promise) for each in said) else []
 
 
 def lesser_ballot(make):
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
     now = SHARED.startup_quiet_period + 1
-    one.reduce(now, got(messages.Prepare((9, 7), one.times)))
-    said = sent(one.reduce(now, got(messages.Prepare((8, 8), one.times), THREE)))
+    one.reduce(now, got(messages.Prepare((9, 7), one.election.timing_digest)))
+    said = sent(one.reduce(now, got(messages.Prepare((8, 8), one.election.timing_digest), THREE)))
     return said if any(isinstance(each, messages.Promise) for each in said) else []
 
 
 DEFECTS = {
-    "no silence after a start": (starts_and_votes, planner(__init__=no_silence)),
-    "no wait before giving": (seeds(20), planner(own=gives_at_once)),
-    "an owner whose lease is over goes on": (seeds(20), planner(lose=lease_for_ever)),
-    "a lease counted from its end": (accept_comes_late, planner(on_accept=lease_from_the_end)),
-    "any ballot is promised": (lesser_ballot, planner(on_prepare=any_ballot)),
-    "a voter does not tell its vote": (seeds(4), planner(on_prepare=says_free)),
-    "a holder known by its name alone": (started_anew, planner(on_want=by_name)),
-    "the last grant counts, not the greatest": (seeds(4), planner(committed=least)),
-    "a grant counted from its answer": (counted_late, holder(on_grant=from_the_answer)),
-    "any term is taken": (earlier_term, holder(on_grant=any_term)),
-    "any number is taken": (earlier_number, holder(on_grant=any_number)),
-    "a late ask is renewed as it was": (renewed_late, holder(on_grant=late_ask)),
-    "a grant does not end": (seeds(12), holder(allow=no_end)),
+    "no silence after a start": (starts_and_votes, election(__init__=votes_at_once_after_its_start)),
+    "no wait before giving": (seeds(20), allocator(begin_term=grants_at_once)),
+    "an owner whose lease is over goes on": (seeds(20), planner(step_down=leads_for_ever)),
+    "a lease counted from its end": (accept_comes_late, election(on_accept=lease_counts_from_its_last_vote)),
+    "any ballot is promised": (lesser_ballot, election(on_prepare=promises_any_ballot)),
+    "a voter does not tell its vote": (seeds(4), election(on_prepare=hides_its_vote)),
+    "a holder known by its name alone": (started_anew, planner(on_request=knows_holders_by_name_alone)),
+    "the last grant counts, not the greatest": (seeds(4), allocator(committed=counts_the_last_lease)),
+    "a grant counted from its answer": (counted_late, holder(on_grant=counts_from_the_answer)),
+    "any term is taken": (earlier_term, holder(on_grant=takes_any_term)),
+    "any number is taken": (earlier_number, holder(on_grant=takes_any_number)),
+    "a late ask is renewed as it was": (renewed_late, holder(on_grant=takes_answers_to_late_requests)),
+    "a grant does not end": (seeds(12), holder(update_allowance=holds_without_end)),
 }
 
 
