--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -18,7 +18,6 @@
 from finchcart.key_leases import wire
 from finchcart.key_leases.figures import SECOND, Figures
 from finchcart.key_leases.keeper import Keeper
-from finchcart.membership import messages as base
 
 KINDS = {1: "mine", 2: "held elsewhere", 3: "result elsewhere", 4: "failed elsewhere", 6: "no majority"}
 
@@ -69,13 +68,13 @@
         asks = [wire.Ask(key, n, 1, 20 * SECOND) for key in keys]
         ended = [wire.Vote(key, 1, wire.ENDED, b"r" * 30) for key in keys]
         for said in (wire.Claim("a", 5, asks), wire.Say("a", 5, ended)):
-            keeper.reduce(0, ("got", ("10.0.0.9", 1), base.sealed(wire.CHANNEL, "f", said)))
+            keeper.reduce(0, ("got", ("10.0.0.9", 1), wire.CODEC.encode("f", said)))
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     began, turns = time.perf_counter(), 500
     for n in range(turns):
         asks = [wire.Ask(wire.key_of("n", str(16 * n + k)), n, 1, 20 * SECOND) for k in range(16)]
-        keeper.reduce(0, ("got", ("10.0.0.9", 1), base.sealed(wire.CHANNEL, "f", wire.Claim("a", 5, asks))))
+        keeper.reduce(0, ("got", ("10.0.0.9", 1), wire.CODEC.encode("f", wire.Claim("a", 5, asks))))
     rate = 16 * turns / (time.perf_counter() - began)
     size, held = 1000 * (after - before) / count / 1024, len(keeper.entries)
     print(
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -19,31 +19,31 @@
 
 from finchcart.fault_injection.script import Act, Load, Plan, Script
 from finchcart.fault_injection.virtual import Fleet
-from finchcart.membership import member, view
-from finchcart.membership.config import SECOND, Figures
+from finchcart.membership import failure_detection, view
+from finchcart.membership.config import SECOND, MembershipConfig
 
 
 def know_each_other(fleet):
     """Rows of all at everybody, as after a start that was spread over minutes: thousands that start in one
     moment, with nobody to ask, are no installation, and take hours of one thread."""
-    rows = [place.member.row for place in fleet.places.values()]
+    rows = [place.member.record for place in fleet.places.values()]
     for place in fleet.places.values():
         for row in rows:
             place.member.learn(fleet.now, row)
-        place.member.news.clear()
+        place.member.table.updates.clear()
 
 
 def size(count, loss, kills, together=300):
     """One row: a fleet of `count`, calm for a while, then `kills` members killed at a time apart. Up to
     `together` members start in one moment, knowing the seeds alone."""
     # Pure, and the same at all members here: worked out once in this thread, by each process in a fleet.
-    once = functools.lru_cache(maxsize=64)(view.watched)
-    member.watched = lambda ids, watch: once(frozenset(ids), watch)
+    once = functools.lru_cache(maxsize=64)(view.watch_graph)
+    failure_detection.watch_graph = lambda ids, watch: once(frozenset(ids), watch)
     events, began = [], time.monotonic()
     fleet = Fleet(
         [f"n{n:04d}" for n in range(count)],
         f"size {count}",
-        Figures(),
+        MembershipConfig(),
         watch=lambda now, name, effect: events.append((now, name, effect)),
     )
     for name in fleet.places:
@@ -67,7 +67,7 @@
         name, killed = f"n{(n + 1) * count // (kills + 2):04d}", fleet.now
         fleet.kill(name)
         dead.add(name)
-        fleet.run(killed + int(1.1 * fleet.figures.failed_within(count, loss)) + SECOND)
+        fleet.run(killed + int(1.1 * fleet.figures.detection_bound(count, loss)) + SECOND)
         times = [
             (now - killed) / SECOND
             for now, at, effect in events
@@ -88,7 +88,7 @@
         "median_s": statistics.median(took),
         "p99_s": sorted(took)[math.ceil(0.99 * len(took)) - 1],
         "last_s": max(all_took),
-        "bound_s": fleet.figures.failed_within(count, loss) / SECOND,
+        "bound_s": fleet.figures.detection_bound(count, loss) / SECOND,
         "wrong_an_hour": len(wrong) / hours,
         "member_hours": hours,
         "messages": rates[0],
@@ -200,9 +200,9 @@
     for name, rule in (
         ("own links", own_links),
         ("any observer without a way round", no_way_round),
-        ("half of the links", view.judge),
+        ("half of the links", view.connected_members),
     ):
-        member.judge = rule
+        failure_detection.connected_members = rule
         plan = lay_out(read("cuts"), 1, nodes)
         events, start, _ = on_virtual(plan)
         results = [check(History(events), hold, start) for hold in plan.holds]
@@ -219,7 +219,7 @@
             }
         )
         print(json.dumps(rows[-1]), flush=True)
-    member.judge = view.judge
+    failure_detection.connected_members = view.connected_members
     return rows
 
 
--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -54,7 +54,7 @@
         fleet.start_all()
         if not on:
             for place in fleet.places.values():
-                place.member.riders.clear()
+                place.member.piggyback_clients.clear()
         fleet.run(8 * SECOND)
         sums = lambda fleet=fleet: [
             sum(place.member.counts.get(word, 0) for place in fleet.places.values())
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -51,7 +51,7 @@
     told, shared = figures(fleet), quota(whole)
     click.echo(f"{settings}: good; fleet {fleet.name}")
     for count in (3, 24, 200):
-        calm, lossy = (told.stale(count, loss) / 1e6 for loss in (0.0, 0.3))
+        calm, lossy = (told.staleness_bound(count, loss) / 1e6 for loss in (0.0, 0.3))
         click.echo(f"  {count} members: a view is at most {calm:.1f} s old, {lossy:.1f} s at 30 % loss")
     for limit in shared.loose if shared else ():
         unit = "in hand" if limit.per == "in_hand" else f"a second, {limit.burst} at once"
@@ -90,22 +90,24 @@
         )
     held = verdicts(whole)
     if held:
-        from finchcart.consensus.config import warnings
-        from finchcart.consensus.decision import least_liars
+        from finchcart.consensus.config import config_warnings
+        from finchcart.consensus.decision import fault_thresholds
 
         for count in (3, 24, 200):
             calm, lossy = (held.acts_within(told, count, loss) / 1e6 for loss in (0.0, 0.3))
-            liars = least_liars(held, count)
+            liars = fault_thresholds(held, count)
             click.echo(
                 f"  verdicts at {count} members: all act {calm:.1f} s after enough have the evidence, "
                 f"{lossy:.1f} s at 30 % loss;"
             )
             click.echo(
-                f"    {liars['store']} that are wrong or lie move store, {liars['source']} a source, "
-                f"{liars['level']} level"
+                f"    {liars.store} that are wrong or lie move store, {liars.source} a source, "
+                f"{liars.level} level"
             )
-        click.echo(f"  verdicts: an opinion is at most {held.stale() / 1e6:.1f} s old, then it is void")
-        for name, reason in warnings(held):
+        click.echo(
+            f"  verdicts: an opinion is at most {held.staleness_bound() / 1e6:.1f} s old, then it is void"
+        )
+        for name, reason in config_warnings(held):
             click.echo(f"  warning: verdicts.{name}: {reason}")
 
 
@@ -128,11 +130,11 @@
 
 def answer(ask, where, as_json):
     """What the process at HOST:PORT answers to `ask`; with `as_json` it is printed, and that is all."""
-    from finchcart.membership.messages import Unfit, place_of
+    from finchcart.membership.codec import DatagramError, parse_address
 
     try:
-        view = ask(place_of(where))
-    except Unfit as error:
+        view = ask(parse_address(where))
+    except DatagramError as error:
         raise click.UsageError(f"{where}: {error}") from None
     except TimeoutError as error:
         click.echo(str(error), err=True)
@@ -200,17 +202,17 @@
     from finchcart.cli.file import Wrong, read
     from finchcart.cli.serve import say as tell
     from finchcart.consensus import subjects
-    from finchcart.membership.messages import Unfit, place_of
+    from finchcart.membership.codec import DatagramError, parse_address
 
     try:
-        subject = subjects.read(kind, name)
-        told = subjects.read_value(kind, value) if value else 0
+        subject = subjects.parse_subject(kind, name)
+        told = subjects.parse_value(kind, value) if value else 0
         if not at:
             if not settings:
                 raise click.UsageError("--at, or --settings or FINCHCART_SETTINGS, has to tell which node")
             at = read(settings).fleet.listen
-        view = tell(place_of(at), subject, told, seconds, why)
-    except (ValueError, Unfit, AttributeError) as error:
+        view = tell(parse_address(at), subject, told, seconds, why)
+    except (ValueError, DatagramError, AttributeError) as error:
         raise click.UsageError(str(error)) from None
     except (Wrong, TimeoutError) as error:
         click.echo(str(error), err=True)
--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -1,7 +1,7 @@
 """The settings file: JSON5, read by a library, checked against typed structs.
 
 Owns the names, units and ranges of what users set, and how mistakes are told: all at once, each as
-`FILE: path.to.field: reason`. It must never hold a default that decides: those are in members/figures.py.
+`FILE: path.to.field: reason`. It must never hold a default that decides: those are in membership/config.py.
 """
 
 from difflib import get_close_matches
@@ -13,8 +13,8 @@
 
 from finchcart.consensus import config as verdicts_of
 from finchcart.key_leases import figures as claims_of
-from finchcart.membership.config import MS, SECOND, Figures
-from finchcart.membership.messages import Unfit, place_of
+from finchcart.membership.codec import DatagramError, parse_address
+from finchcart.membership.config import MS, SECOND, MembershipConfig
 from finchcart.quota import limits as limits_of
 
 Text = Annotated[str, Meta(min_length=1, max_length=64)]
@@ -77,7 +77,7 @@
 
 
 class Verdicts(Struct, forbid_unknown_fields=True):
-    """What the fleet holds to be so, from what its nodes saw: see verdicts/figures.py."""
+    """What the fleet holds to be so, from what its nodes saw: see consensus/config.py."""
 
     zone: Text | UnsetType = UNSET
     zones: whole(1, 64) = UNSET
@@ -155,7 +155,7 @@
 
 def figures(fleet):
     """The file's figures over the defaults, in whole microseconds."""
-    return Figures(**_in_microseconds(fleet, ("name", "listen", "advertise", "seeds")))
+    return MembershipConfig(**_in_microseconds(fleet, ("name", "listen", "advertise", "seeds")))
 
 
 def quota(settings):
@@ -189,7 +189,7 @@
     """Their figures; None where none are asked for."""
     if settings.verdicts is UNSET:
         return None
-    return verdicts_of.Figures(**_in_microseconds(settings.verdicts, ()))
+    return verdicts_of.ConsensusConfig(**_in_microseconds(settings.verdicts, ()))
 
 
 def claims(settings):
@@ -262,8 +262,8 @@
             yield "fleet", "is missing: limits are shared by its address"
         for n, place in enumerate(shared.planners):
             try:
-                place_of(place)
-            except Unfit:
+                parse_address(place)
+            except DatagramError:
                 yield f"quota.planners.{n}", f"{place!r}: no such address or port"
         for path, reason in limits_of.mistakes(shared):
             yield path if path.startswith("limits") else f"quota.{path}", reason
@@ -273,8 +273,8 @@
             yield "fleet", "is missing: claims are asked for by its address"
         for n, place in enumerate(claimed.keepers):
             try:
-                place_of(place)
-            except Unfit:
+                parse_address(place)
+            except DatagramError:
                 yield f"claims.keepers.{n}", f"{place!r}: no such address or port"
         for path, reason in claims_of.mistakes(claimed):
             yield f"claims.{path}", reason
@@ -282,7 +282,7 @@
     if held:
         if fleet is UNSET:
             yield "fleet", "is missing: opinions ride on its messages"
-        for path, reason in verdicts_of.mistakes(held):
+        for path, reason in verdicts_of.config_errors(held):
             yield f"verdicts.{path}", reason
     if fleet is UNSET:
         return
@@ -290,20 +290,20 @@
         value = getattr(fleet, name)
         try:
             if value is not UNSET:
-                place_of(value)
-        except Unfit:
+                parse_address(value)
+        except DatagramError:
             yield f"fleet.{name}", f"{value!r}: no such address or port"
     if fleet.advertise is UNSET and fleet.listen.startswith("0.0.0.0:"):
         yield "fleet.advertise", "is missing: others can't reach 0.0.0.0, which fleet.listen names"
     for n, seed in enumerate(fleet.seeds):
         try:
-            place_of(seed)
-        except Unfit:
+            parse_address(seed)
+        except DatagramError:
             yield f"fleet.seeds.{n}", f"{seed!r}: no such address or port"
     told = figures(fleet)
     if told.patience_most < told.patience:
         yield "fleet.patience_most", f"{told.patience_most} is less than fleet.patience, {told.patience}"
-    oldest = told.stale(told.members, 0.5)
+    oldest = told.staleness_bound(told.members, 0.5)
     if told.remember <= oldest:
         yield (
             "fleet.remember_s",
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -22,13 +22,14 @@
 from finchcart.__main__ import ConfigError, main, plain_log
 from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
 from finchcart.consensus import messages as sayings
-from finchcart.consensus.store import Board
+from finchcart.consensus.store import ConsensusStore
 from finchcart.key_leases import wire as claiming
 from finchcart.key_leases.holder import Claims
 from finchcart.key_leases.keeper import Keeper
+from finchcart.membership import codec
 from finchcart.membership import messages as base
+from finchcart.membership.codec import parse_address
 from finchcart.membership.member import Member
-from finchcart.membership.messages import place_of
 from finchcart.net.datagrams import Datagrams, boot_clock
 from finchcart.node.claimer import Claimer
 from finchcart.node.meter import Meters
@@ -86,7 +87,7 @@
         seed = random.SystemRandom().getrandbits(64)
         self.shares = shared(settings)
         self.datagrams = Datagrams(
-            place_of(asked.listen),
+            parse_address(asked.listen),
             lambda now: self.machines(now, name, advertise, random.Random(seed), wall),
             lambda change: inputs.put(("fleet", change)),
             self.reread,
@@ -101,12 +102,12 @@
         if self.shares:
             holder = out[shares.CHANNEL] = Holder(name, asked.name, self.shares, chance, now)
             loose = Loose(self.shares, now)
-            out[base.CHANNEL].riders.append(loose)
+            out[base.CHANNEL].piggyback_clients.append(loose)
             holder.loose = loose.status
         held = verdicts(self.settings)
         if held:
-            board = out[sayings.CHANNEL] = Board(name, asked.name, held, now)
-            out[base.CHANNEL].riders.append(board)
+            board = out[sayings.CHANNEL] = ConsensusStore(name, asked.name, held, now)
+            out[base.CHANNEL].piggyback_clients.append(board)
         claimed = claims(self.settings)
         if claimed:
             out[claiming.CHANNEL] = Claims(name, asked.name, claimed, chance, now)
@@ -278,7 +279,7 @@
         return out
 
     try:
-        datagrams = Datagrams(place_of(listen or place), machines, lambda change: None, again)
+        datagrams = Datagrams(parse_address(listen or place), machines, lambda change: None, again)
     except OSError as error:
         print(f"finchcart: {listen or place}: {error.strerror}", file=sys.stderr)
         return 2
@@ -298,33 +299,37 @@
         sock.settimeout(timeout / 8)
         for _ in range(8):
             try:
-                sock.send(base.sealed(words.CHANNEL, "", question))
-                said = words.unpack(None, sock.recv(65536))
-            except (OSError, base.Unfit):
+                sock.send(words.CODEC.encode("", question))
+                said = words.CODEC.decode(None, sock.recv(65536))
+            except (OSError, codec.DatagramError):
                 continue
-            if isinstance(said, words.Told) and said.number == question.number:
+            if isinstance(said, words.StatusResponse) and said.number == question.number:
                 return said.view
     raise TimeoutError(f"no answer from {where[0]}:{where[1]}")
 
 
 def ask_limits(where, timeout=2.0):
     """What a node or planner says of the limits."""
-    return ask_once(where, shares, shares.Ask(random.SystemRandom().getrandbits(32)), timeout)
+    return ask_once(where, shares, shares.StatusRequest(random.SystemRandom().getrandbits(32)), timeout)
 
 
 def ask_verdicts(where, timeout=2.0):
     """What a node holds of the fleet's verdicts, all pages."""
     number = random.SystemRandom().getrandbits(32)
-    view = ask_once(where, sayings, sayings.Ask(number), timeout)
+    view = ask_once(where, sayings, sayings.StatusRequest(number), timeout)
     for page in range(1, view["pages"]):
-        view["verdicts"] += ask_once(where, sayings, sayings.Ask(number + page, page), timeout)["verdicts"]
+        view["verdicts"] += ask_once(where, sayings, sayings.StatusRequest(number + page, page), timeout)[
+            "verdicts"
+        ]
     return view
 
 
 def say(where, subject, value, seconds, why, timeout=2.0):
     """An operator's word, told to one node."""
     number = random.SystemRandom().getrandbits(32)
-    return ask_once(where, sayings, sayings.Say(number, subject, value, int(seconds * 1e6), why), timeout)
+    return ask_once(
+        where, sayings, sayings.OverrideRequest(number, subject, value, int(seconds * 1e6), why), timeout
+    )
 
 
 def ask(where, timeout=2.0):
@@ -337,16 +342,16 @@
         while pages is None or len(parts) < pages:
             page = next(n for n in range(len(parts) + 1) if n not in parts)
             try:
-                sock.send(base.pack("", base.Ask(number, page)))
+                sock.send(base.CODEC.encode("", base.ViewRequest(number, page)))
                 while True:
-                    said = base.unpack(None, sock.recv(65536))
-                    if isinstance(said, base.Told) and said.number == number:
+                    said = base.CODEC.decode(None, sock.recv(65536))
+                    if isinstance(said, base.ViewPage) and said.number == number:
                         break
-            except (TimeoutError, OSError, base.Unfit):
+            except (TimeoutError, OSError, codec.DatagramError):
                 if time.monotonic() > end:
                     raise TimeoutError(f"no answer from {where[0]}:{where[1]}") from None
                 continue
-            pages, parts[said.page] = said.pages, said.view
+            pages, parts[said.page] = said.page_count, said.view
         view = dict(parts[0])
         view["members"] = [member for n in range(1, pages) for member in parts[n]["members"]]
         return view
--- a/finchcart/consensus/config.py
+++ b/finchcart/consensus/config.py
@@ -1,29 +1,36 @@
-"""All figures of verdicts, in one type, and the bounds that follow from them.
+"""The configuration of consensus, in one type, and the bounds that follow from it.
 
-Owns what operators set; filled once from the settings file. It must never hold what is learnt while running.
-Times are whole microseconds, parts are from 0 to 1.
+Owns what operators set; filled once from the settings file, whose keys the fields are named after (without
+the unit). It must never hold what is learnt while running. Times are whole microseconds, parts are from 0 to
+1.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from math import ceil
+from typing import NamedTuple
+
+from finchcart.membership.config import MembershipConfig
 
 MS, SECOND = 1_000, 1_000_000
 
 
 @dataclass(frozen=True)
-class Figures:
-    zone: str = ""  # where this node stands; opinions from `zones` of them are needed
+class ConsensusConfig:
+    """Spans, thresholds and bounds; see docs/operate/verdicts.md for how to choose them."""
+
+    zone: str = ""  # where this node stands; reports from `zones` of them are needed
     zones: int = 1
-    look: int = 250 * MS  # the core tells what it saw so often
-    span: int = 2 * SECOND  # of calls and runs that an opinion rests on
-    pace: int = 300 * MS  # between two changes of the own opinions
-    life: int = 15 * SECOND  # an opinion that is not confirmed for so long is void
-    quiet: int = 3 * SECOND  # after a pause this node says nothing for so long
-    count: int = 2  # opinions that a verdict needs at least
+    look: int = 250 * MS  # the core hands on what it saw so often
+    span: int = 2 * SECOND  # of calls and runs that a report rests on
+    pace: int = 300 * MS  # between two changes of the own reports
+    life: int = 15 * SECOND  # a report that is not confirmed for so long is void
+    quiet: int = 3 * SECOND  # after a suspension this node reports nothing for so long
+    count: int = 2  # reports that a decision needs at least
     part: float = 0.5  # of those that could know, and more: store
-    hold: int = 2 * SECOND  # a verdict stands so long at least; twice as long each time it comes back soon
+    hold: int = 2 * SECOND  # a decision stands so long at least; twice as long each time it comes back soon
     hold_most: int = 16 * SECOND
-    calls: int = 4  # in a span, for an opinion of the store
+    calls: int = 4  # in a span, for a report of the store
     failed: float = 0.5  # of calls, or of runs, that failed: down, or failing
     slower: float = 4.0  # times the usual time of calls, or the median of other nodes' runs: slow
     trials: int = 4  # calls of the whole fleet to a store that is down
@@ -31,72 +38,107 @@
     rise: int = 500 * MS  # each so long twice as many calls, once it is back
     bad: int = 20  # messages that can't be read and connections without an RPC, in `bad_span`
     bad_span: int = 10 * SECOND
-    source_part: float = 0.25  # of the members that have to say so of a source, and at least `count`
-    shut: int = 30 * SECOND  # an opinion on a source stands so long after the last that was seen
-    slowed: int = 5  # RPCs a second that each node takes of a source that is slowed
-    most_out: float = 0.2  # of all RPCs: what comes from sources shut out by opinions together
-    runs: int = 20  # in a span, for an opinion of a node
-    out_part: float = 0.2  # of the members that may be out at once
-    node_hold: int = 30 * SECOND  # a node that is out and runs nothing keeps its figures for so long
+    source_part: float = 0.25  # of the members that have to report a source, and at least `count`
+    shut: int = 30 * SECOND  # a source is reported for so long after the last that was seen
+    slowed: int = 5  # RPCs a second that each node admits of a source that is throttled
+    most_out: float = 0.2  # of all RPCs: what comes from sources blocked by reports together
+    runs: int = 20  # in a span, for a report of a node
+    out_part: float = 0.2  # of the members that may be ejected at once
+    node_hold: int = 30 * SECOND  # an ejected node that runs nothing keeps its numbers for so long
     level_step: float = 0.2  # a node may be laxer than the fleet's level by this
-    opinions: int = 12  # on sources, of one node: the worst
+    opinions: int = 12  # reports of sources, by one node: the worst
     subjects: int = 512  # sources looked at by a node; the one that did least goes when full
-    words: int = 16  # of operators; the one that ends first goes when full
-    again: int = 30 * SECOND  # a verdict that comes back within this stands for longer each time
-
-    def acts_within(self, members, count, loss=0.0, late=0):
-        """From the moment that enough nodes have the evidence until all connected nodes act: the core's look,
-        the fleet's thread, the pace of changes, the way, the thread at the other end, the core's next wake.
-        `members`: figures of membership; `count`: of members."""
-        if count <= members.watch + 1:
-            way = members.spread(count, loss)
-        else:
-            # Passed on with the usual beats, to two each: a period a step.
-            steps = (count // members.watch).bit_length() + 2
-            way = members.spread(count, loss) + steps * members.period
-        return self.look + self.pace + way + 3 * members.tick + 3 * late
-
-    def store_within(self, members, count, loss=0.0, late=0):
-        """From a fault of the store until all connected nodes act: the span has to fill with it first."""
-        return self.span + self.trial + self.acts_within(members, count, loss, late)
-
-    def back_within(self, members, count, again=0, loss=0.0, late=0):
-        """From the store's return until calls rise again everywhere: `again`: how often it fell lately."""
-        hold = min(self.hold << again, self.hold_most)
-        return 2 * self.span + hold + self.acts_within(members, count, loss, late)
-
-    def stale(self):
-        """The oldest opinion that a verdict can rest on."""
+    words: int = 16  # overrides of operators; the one that ends first goes when full
+    again: int = 30 * SECOND  # a decision that comes back within this stands for longer each time
+
+    def acts_within(
+        self, membership: MembershipConfig, count: int, loss: float = 0.0, lateness: int = 0
+    ) -> int:
+        """Microseconds from the moment that enough nodes have the evidence until all connected nodes act.
+
+        The sum of the core's look, the fleet's thread, the pace of changes, dissemination, the thread at the
+        other end and the core's next timer.
+
+        Arguments:
+            membership: the configuration of membership.
+            count: of members.
+            loss: part of messages lost, 0 to 1.
+            lateness: microseconds by which ticks run late.
+        """
+        dissemination = membership.dissemination_time(count, loss)
+        if count > membership.watch + 1:
+            # Passed on with the usual heartbeats, to two each: a period a step.
+            steps = (count // membership.watch).bit_length() + 2
+            dissemination += steps * membership.period
+        return self.look + self.pace + dissemination + 3 * membership.tick + 3 * lateness
+
+    def store_within(
+        self, membership: MembershipConfig, count: int, loss: float = 0.0, lateness: int = 0
+    ) -> int:
+        """Microseconds from a fault of the store until all connected nodes act: the span has to fill
+        first."""
+        return self.span + self.trial + self.acts_within(membership, count, loss, lateness)
+
+    def back_within(
+        self,
+        membership: MembershipConfig,
+        count: int,
+        recurrences: int = 0,
+        loss: float = 0.0,
+        lateness: int = 0,
+    ) -> int:
+        """Microseconds from the store's return until calls rise again everywhere; `recurrences`: how often it
+        fell lately."""
+        return (
+            2 * self.span + self.hold_time(recurrences) + self.acts_within(membership, count, loss, lateness)
+        )
+
+    def hold_time(self, recurrences: int) -> int:
+        """Microseconds that a decision stands at least, where it came back so often lately."""
+        return min(self.hold << recurrences, self.hold_most)
+
+    def staleness_bound(self) -> int:
+        """Microseconds: the oldest report that a decision can rest on."""
         return self.life
 
-    def needed(self, members):
-        """Opinions that a verdict on a source needs, of so many members."""
-        return max(self.count, ceil(self.source_part * members))
+    def required_reports(self, member_count: int) -> int:
+        """Reports that a decision on a source needs, of so many members."""
+        return max(self.count, ceil(self.source_part * member_count))
+
+    def excess_messages(self, per_second: int, member_count: int, within: int) -> int:
+        """What a source can have sent to all nodes in the microseconds between the evidence and the last node
+        that acts."""
+        return ceil(per_second * member_count * within / SECOND)
+
 
-    def beyond(self, per_second, members, within):
-        """What a source can have sent to all nodes between the evidence and the last node that acts."""
-        return ceil(per_second * members * within / SECOND)
+class FieldProblem(NamedTuple):
+    """What is wrong with a field of the configuration, or seldom meant."""
 
+    field: str  # its key in the settings file
+    reason: str
 
-def mistakes(figures):
-    """(field, reason) of what can't be held."""
-    if figures.part <= 0:
-        yield "part", "0 lets one node alone speak for all"
-    if figures.life < 3 * figures.span:
-        yield (
+
+def config_errors(config: ConsensusConfig) -> Iterator[FieldProblem]:
+    """What cannot be used."""
+    if config.part <= 0:
+        yield FieldProblem("part", "0 lets one node alone speak for all")
+    if config.life < 3 * config.span:
+        yield FieldProblem(
             "life_ms",
-            (
-                f"{figures.life // MS} ms is less than 3 x span_ms = {3 * figures.span // MS} ms: "
-                "opinions would be void before they are confirmed"
-            ),
+            f"{config.life // MS} ms is less than 3 x span_ms = {3 * config.span // MS} ms: "
+            "opinions would be void before they are confirmed",
+        )
+    if config.hold_most < config.hold:
+        yield FieldProblem(
+            "hold_most_ms", f"{config.hold_most // MS} ms is less than hold_ms, {config.hold // MS} ms"
         )
-    if figures.hold_most < figures.hold:
-        yield "hold_most_ms", f"{figures.hold_most // MS} ms is less than hold_ms, {figures.hold // MS} ms"
 
 
-def warnings(figures):
-    """What can be held, but is seldom meant."""
-    if figures.count < 2:
-        yield "count", "1: one node that is wrong, or lies, shuts a source out for all"
-    if figures.most_out > 0.5:
-        yield "most_out", f"{figures.most_out}: opinions may turn away more than half of all RPCs"
+def config_warnings(config: ConsensusConfig) -> Iterator[FieldProblem]:
+    """What can be used, but is seldom meant."""
+    if config.count < 2:
+        yield FieldProblem("count", "1: one node that is wrong, or lies, shuts a source out for all")
+    if config.most_out > 0.5:
+        yield FieldProblem(
+            "most_out", f"{config.most_out}: opinions may turn away more than half of all RPCs"
+        )
--- a/finchcart/consensus/decision.py
+++ b/finchcart/consensus/decision.py
@@ -1,130 +1,174 @@
-"""The rule that makes verdicts of opinions.
+"""The rule that makes decisions of reports.
 
-Pure, without memory: the same opinions give the same verdicts at everybody, whatever was held before. So
-after a cut heals there is nothing to settle but which opinions are there. What must stand for a while is kept
-by store.py.
-
-`voices`: id of a member -> its opinions, (subject, value, weight), see `State.opinions`.
+Pure, without memory: the same reports give the same decisions at everybody, whatever was decided before. So
+after a cut heals there is nothing to settle but which reports are there. What must stand for a while is kept
+by standing.py.
 """
 
 from bisect import bisect_left
+from collections.abc import Collection, Mapping, Sequence
 from statistics import median, median_low
+from typing import NamedTuple
 
+from finchcart.consensus.config import ConsensusConfig
+from finchcart.consensus.messages import Report
 from finchcart.consensus.observations import MILLION
 from finchcart.consensus.subjects import (
-    ADDRESS,
-    DOWN,
-    LEVEL_ITSELF,
-    NODE,
-    NUMBER,
-    OUT,
-    SLOW,
-    SLOWED,
-    STORE_ITSELF,
-    WORKING,
-    ZONE_ITSELF,
+    EJECTED,
+    LEVEL_SUBJECT,
+    STORE_SUBJECT,
+    ZONE_SUBJECT,
+    Restriction,
+    StoreHealth,
+    SubjectKind,
+    is_source,
     kind_of,
 )
 
+Reports = Mapping[int, Sequence[Report]]  # id of a member -> what it reports
+Zones = Mapping[int, int]  # id of a member -> hash of its zone
 
-def decide(voices, figures, members):
-    """subject -> (value, opinions for it, of how many that could know). `members`: how many are in."""
-    out = {}
-    zones = {who: value for who, said in voices.items() for one, value, _ in said if one == ZONE_ITSELF}
-    store = {
-        who: (value, fresh)
-        for who, said in voices.items()
-        for one, value, fresh in said
-        if one == STORE_ITSELF
-    }
-    of_store(out, store, zones, figures)
-    of_sources(out, voices, zones, figures, members)
-    of_nodes(out, voices, figures, members)
-    levels = [value for said in voices.values() for one, value, _ in said if one == LEVEL_ITSELF]
-    if len(levels) >= figures.count:
-        # The lower median: so many are as strict or stricter, and fewer than half can't move it.
-        level = median_low(levels)
-        if level:
-            out[LEVEL_ITSELF] = level, sum(each >= level for each in levels), len(levels)
-    return out
-
-
-def enough(who, zones, figures):
-    return len(who) >= figures.count and len({zones.get(one) for one in who}) >= figures.zones
-
-
-def of_store(out, store, zones, figures):
-    """Those who called it lately know; where too few did, all who ever said something speak."""
-    fresh = {who: value for who, (value, fresh) in store.items() if fresh}
-    if len(fresh) < figures.count:
-        fresh = {who: value for who, (value, _) in store.items()}
-    for least in (DOWN, SLOW):
-        who = [one for one, value in fresh.items() if value >= least]
+
+class Decision(NamedTuple):
+    """What the fleet decides of one subject."""
+
+    value: int
+    votes: int  # reports for it
+    voters: int  # of how many that could know
+
+
+def decide(reports: Reports, config: ConsensusConfig, member_count: int) -> dict[int, Decision]:
+    """subject -> decision, from the reports of `member_count` members of the fleet."""
+    zones = {who: report.value for who, report in _reports_of(reports, ZONE_SUBJECT)}
+    decisions: dict[int, Decision] = {}
+    store = decide_store(reports, zones, config)
+    if store:
+        decisions[STORE_SUBJECT] = store
+    decisions.update(decide_sources(reports, zones, config, member_count))
+    decisions.update(decide_nodes(reports, config, member_count))
+    level = decide_level(reports, config)
+    if level:
+        decisions[LEVEL_SUBJECT] = level
+    return decisions
+
+
+def _reports_of(reports: Reports, subject: int) -> list[tuple[int, Report]]:
+    return [
+        (who, report) for who, of_one in reports.items() for report in of_one if report.subject == subject
+    ]
+
+
+def _are_enough(voters: Collection[int], zones: Zones, config: ConsensusConfig) -> bool:
+    return len(voters) >= config.count and len({zones.get(who) for who in voters}) >= config.zones
+
+
+def decide_store(reports: Reports, zones: Zones, config: ConsensusConfig) -> Decision | None:
+    """Those who called it lately know; where too few did, all who ever reported something vote."""
+    of_store = dict(_reports_of(reports, STORE_SUBJECT))
+    votes = {who: value for who, (_, value, is_fresh) in of_store.items() if is_fresh}
+    if len(votes) < config.count:
+        votes = {who: value for who, (_, value, _) in of_store.items()}
+    for health in (StoreHealth.DOWN, StoreHealth.SLOW):
+        voters = [who for who, value in votes.items() if value >= health]
         # More than that part: where two halves differ, neither speaks for all.
-        if enough(who, zones, figures) and len(who) > figures.part * len(fresh):
-            out[STORE_ITSELF] = least, len(who), len(fresh)
-            return
-    good = sum(value == WORKING for value in fresh.values())
-    if good >= figures.count:
-        out[STORE_ITSELF] = WORKING, good, len(fresh)
-
-
-def of_sources(out, voices, zones, figures, members):
-    said = {}
-    for who, opinions in voices.items():
-        for one, value, weight in opinions:
-            if kind_of(one) in (NUMBER, ADDRESS):
-                said.setdefault(one, {})[who] = value, weight
-    need, left = figures.needed(members), 100 * figures.most_out
-    ranked = sorted(said.items(), key=lambda item: (-len(item[1]), item[0]))
-    for one, by in ranked:
-        if len(by) < need or not enough(by, zones, figures):
+        if _are_enough(voters, zones, config) and len(voters) > config.part * len(votes):
+            return Decision(health, len(voters), len(votes))
+    working = sum(value == StoreHealth.WORKING for value in votes.values())
+    if working >= config.count:
+        return Decision(StoreHealth.WORKING, working, len(votes))
+    return None
+
+
+def decide_sources(
+    reports: Reports, zones: Zones, config: ConsensusConfig, member_count: int
+) -> dict[int, Decision]:
+    """Restrictions of sources, of those reported by most first."""
+    by_source: dict[int, dict[int, Report]] = {}
+    for who, of_one in reports.items():
+        for report in of_one:
+            if is_source(report.subject):
+                by_source.setdefault(report.subject, {})[who] = report
+    required = config.required_reports(member_count)
+    percent_left = 100 * config.most_out
+    decisions = {}
+    for source, by_member in sorted(by_source.items(), key=lambda item: (-len(item[1]), item[0])):
+        if len(by_member) < required or not _are_enough(by_member, zones, config):
             continue
-        # Guards against turning away much of all RPCs: what this source carries counts as the median of
-        # those who say so have it.
-        percent = median(weight // MILLION for _, weight in by.values())
-        out_too = [who for who, (value, _) in by.items() if value == OUT]
-        if len(out_too) >= need and percent <= left:
-            left -= percent
-            out[one] = OUT, len(out_too), members
-        elif percent <= 100 * figures.most_out:
-            out[one] = SLOWED, len(by), members
-
-
-def median_without(values, value):
-    """The median of the sorted `values` but for one that is `value`. Guards against a sort for each node."""
-    at, left = bisect_left(values, value), len(values) - 1
-    pick = lambda n: values[n + (n >= at)]
-    return pick(left // 2) if left % 2 else (pick(left // 2 - 1) + pick(left // 2)) / 2
-
-
-def of_nodes(out, voices, figures, members):
-    """Each node tells its own figures; out is who stands apart from the median of the others."""
-    said = {
-        who: (one, value, weight)
-        for who, opinions in voices.items()
-        for one, value, weight in opinions
-        if kind_of(one) == NODE
-    }
-    if len(said) <= figures.count:
-        return
-    all_failed, all_times = (sorted(each[n] for each in said.values()) for n in (1, 2))
-    apart, others = [], len(said) - 1
-    for one, failed, time in said.values():
-        usual_failed, usual = median_without(all_failed, failed), median_without(all_times, time)
-        if failed >= 100 * figures.failed and usual_failed < 50 * figures.failed:
-            apart.append((-failed, one))
-        elif usual and time >= figures.slower * usual:
-            apart.append((-time / usual, one))
-    for _, one in sorted(apart)[: int(figures.out_part * members)]:
-        out[one] = OUT, others, others
-
-
-def least_liars(figures, members):
-    """How many wrong or lying nodes it takes to move each kind, by the rule alone."""
-    return {
-        "store": max(figures.count, int(figures.part * members) + 1),
-        "source": figures.needed(members),
-        "level": members // 2,
-        "node": members // 2,
+        # Guards against rejecting much of all RPCs: what this source carries counts as the median of those
+        # who report it have it.
+        percent = median(weight // MILLION for _, _, weight in by_member.values())
+        blocking = sum(value == Restriction.BLOCKED for _, value, _ in by_member.values())
+        if blocking >= required and percent <= percent_left:
+            percent_left -= percent
+            decisions[source] = Decision(Restriction.BLOCKED, blocking, member_count)
+        elif percent <= 100 * config.most_out:
+            decisions[source] = Decision(Restriction.THROTTLED, len(by_member), member_count)
+    return decisions
+
+
+def median_without(values: Sequence[float], value: float) -> float:
+    """The median of the sorted `values` but for one that is `value`; spares a sort for each node."""
+    removed = bisect_left(values, value)
+    count = len(values) - 1
+
+    def pick(index: int) -> float:
+        return values[index + (index >= removed)]
+
+    middle = count // 2
+    return pick(middle) if count % 2 else (pick(middle - 1) + pick(middle)) / 2
+
+
+def decide_nodes(reports: Reports, config: ConsensusConfig, member_count: int) -> dict[int, Decision]:
+    """Outliers: each node reports its own numbers; ejected is who stands apart from the median of the
+    others."""
+    by_member = {
+        who: report
+        for who, of_one in reports.items()
+        for report in of_one
+        if kind_of(report.subject) == SubjectKind.NODE
     }
+    of_nodes = list(by_member.values())
+    if len(of_nodes) <= config.count:
+        return {}
+    all_failed = sorted(percent_failed for _, percent_failed, _ in of_nodes)
+    all_times = sorted(time for _, _, time in of_nodes)
+    outliers = []
+    for node, percent_failed, time in of_nodes:
+        usual_failed = median_without(all_failed, percent_failed)
+        usual_time = median_without(all_times, time)
+        if percent_failed >= 100 * config.failed and usual_failed < 50 * config.failed:
+            outliers.append((-percent_failed, node))
+        elif usual_time and time >= config.slower * usual_time:
+            outliers.append((-time / usual_time, node))
+    others = len(of_nodes) - 1
+    most = int(config.out_part * member_count)
+    return {node: Decision(EJECTED, others, others) for _, node in sorted(outliers)[:most]}
+
+
+def decide_level(reports: Reports, config: ConsensusConfig) -> Decision | None:
+    """The lower median: so many are as strict or stricter, and fewer than half can't move it."""
+    levels = [report.value for _, report in _reports_of(reports, LEVEL_SUBJECT)]
+    if len(levels) < config.count:
+        return None
+    level = median_low(levels)
+    return Decision(level, sum(each >= level for each in levels), len(levels)) if level else None
+
+
+class FaultThresholds(NamedTuple):
+    """How many wrong or lying nodes it takes to move a decision of each kind."""
+
+    store: int
+    source: int
+    level: int
+    node: int
+
+
+def fault_thresholds(config: ConsensusConfig, member_count: int) -> FaultThresholds:
+    """How many wrong or lying nodes of `member_count` it takes, by the rule alone."""
+    half = member_count // 2
+    return FaultThresholds(
+        store=max(config.count, int(config.part * member_count) + 1),
+        source=config.required_reports(member_count),
+        level=half,
+        node=half,
+    )
--- a/finchcart/consensus/messages.py
+++ b/finchcart/consensus/messages.py
@@ -1,92 +1,96 @@
-"""What a member says of its opinions, in a note on its beats, and what the command line asks.
+"""What a member publishes of its observations in a gossip entry, and what the command line asks and says.
 
-Owns the messages alone; see store.py for what they mean.
+Owns the messages alone; see store.py for what they mean. The order of the fields and the tags are the wire
+format: they stay, whatever the fields are called here.
 """
 
-from typing import Annotated
+from typing import Annotated, NamedTuple
 
 import msgspec
 from msgspec import Meta, Struct
 
-from finchcart.membership.messages import Count, Unfit, Word, unsealed
+from finchcart.membership.codec import MessageCodec, Unsigned53, Unsigned64
 
 CHANNEL = b"V"
-OPINIONS, WORDS = 1, 2  # topics of notes; 0 is the limits'
-Why = Annotated[str, Meta(max_length=60)]
+MAX_REPORTS = 32  # in one gossip entry
+MAX_OVERRIDES = 8  # in one gossip entry
+MAX_REASON_LENGTH = 60
+MAX_OVERRIDE_US = 7 * 86_400 * 1_000_000
 
+Reason = Annotated[str, Meta(max_length=MAX_REASON_LENGTH)]
+OverrideValue = Annotated[int, Meta(ge=0, le=1000)]
 
-class Said(Struct, array_like=True, frozen=True):
-    """An operator's word. Newer is the higher `age`; `value` 0 takes it back. `left`: microseconds, from when
-    the note that carries it was written."""
 
-    subject: Word
-    value: Annotated[int, Meta(ge=0, le=1000)]
-    number: Count
-    incarnation: Count
-    who: Word
-    left: Count
-    why: Why
+class Report(NamedTuple):
+    """What one node reports of one subject; what value and weight are is said at `Observer.reports`."""
 
-    @property
-    def age(self):
-        return self.number, self.incarnation, self.who
+    subject: Unsigned64
+    value: Unsigned53
+    weight: Unsigned53
 
 
-Opinions = Annotated[list[tuple[Word, Count, Count]], Meta(max_length=32)]
-_opinions, _words = (
-    msgspec.msgpack.Decoder(Opinions),
-    msgspec.msgpack.Decoder(Annotated[list[Said], Meta(max_length=8)]),
-)
-encoded = msgspec.msgpack.Encoder().encode
+class OperatorOverride(Struct, array_like=True, frozen=True):
+    """An operator's override of a decision, as it is gossiped; `value` 0 revokes it."""
 
+    subject: Unsigned64
+    value: OverrideValue
+    number: Unsigned53
+    incarnation: Unsigned53
+    issuer: Unsigned64
+    remaining_us: Unsigned53  # from when the gossip entry that carries it was written
+    reason: Reason
 
-def read(decoder, data):
-    """What a note carries, or None where it can't be read."""
-    try:
-        return decoder.decode(data)
-    except msgspec.DecodeError:
-        return None
-
-
-def opinions(data):
-    return read(_opinions, data)
-
+    @property
+    def precedence(self) -> tuple[int, int, int]:
+        """Orders the overrides of one subject: the higher is the newer."""
+        return self.number, self.incarnation, self.issuer
 
-def words(data):
-    return read(_words, data)
 
+class StatusRequest(Struct, array_like=True, frozen=True, tag=40):
+    """A question of the command line for one page of the decisions."""
 
-class Ask(Struct, array_like=True, frozen=True, tag=40):
-    number: Count
+    number: Unsigned53
     page: Annotated[int, Meta(ge=0, lt=256)] = 0
 
 
-class Say(Struct, array_like=True, frozen=True, tag=41):
-    """An operator's word for `left` microseconds; `value` 0 takes it back."""
+class OverrideRequest(Struct, array_like=True, frozen=True, tag=41):
+    """An operator's override for a time; `value` 0 revokes it."""
 
-    number: Count
-    subject: Word
-    value: Annotated[int, Meta(ge=0, le=1000)]
-    left: Annotated[int, Meta(ge=0, le=7 * 86_400 * 1_000_000)]
-    why: Why
+    number: Unsigned53
+    subject: Unsigned64
+    value: OverrideValue
+    duration_us: Annotated[int, Meta(ge=0, le=MAX_OVERRIDE_US)]
+    reason: Reason
 
 
-class Told(Struct, array_like=True, frozen=True, tag=42):
-    number: Count
+class StatusResponse(Struct, array_like=True, frozen=True, tag=42):
+    """The answer to a request of that number."""
+
+    number: Unsigned53
     view: dict
 
 
-class Envelope(Struct, array_like=True, frozen=True):
-    version: int
-    fleet: str
-    said: Ask | Say | Told
+Message = StatusRequest | OverrideRequest | StatusResponse
 
+CODEC: MessageCodec[Message] = MessageCodec(CHANNEL, Message, (StatusRequest, OverrideRequest))
 
-_decoder = msgspec.msgpack.Decoder(Envelope)
+_reports_decoder = msgspec.msgpack.Decoder(Annotated[list[Report], Meta(max_length=MAX_REPORTS)])
+_overrides_decoder = msgspec.msgpack.Decoder(
+    Annotated[list[OperatorOverride], Meta(max_length=MAX_OVERRIDES)]
+)
 
 
-def unpack(fleet, data):
-    return unsealed(CHANNEL, fleet, data, _decoder, (Ask, Say))
+def decode_reports(payload: bytes) -> list[Report] | None:
+    """The reports in a gossip entry, or None where they cannot be read."""
+    try:
+        return _reports_decoder.decode(payload)
+    except msgspec.DecodeError:
+        return None
 
 
-__all__ = ["Unfit"]
+def decode_overrides(payload: bytes) -> list[OperatorOverride] | None:
+    """The overrides in a gossip entry, or None where they cannot be read."""
+    try:
+        return _overrides_decoder.decode(payload)
+    except msgspec.DecodeError:
+        return None
--- a/finchcart/consensus/observations.py
+++ b/finchcart/consensus/observations.py
@@ -1,160 +1,226 @@
-"""One node's opinions, from what its core saw.
+"""One node's observer: what it reports, from what its core saw.
 
-Owns the evidence of the last spans and its bounds; it must never hear of other nodes' opinions. Pure but for
-what it remembers: the same evidence at the same times gives the same opinions. Times are whole microseconds.
-
-Evidence is a map, told once a look: `calls`: (ok, failed, time of the ok ones together), `runs`: (ended,
-failed, time together), `rpcs`: taken, `sources`: subject -> (bad, over, rpcs), `level`: 0 to 1. An opinion is
-(subject, value, weight), see `State.opinions`.
+Owns the evidence of the last spans and its bounds; it must never hear of other nodes' reports. Pure but for
+what it remembers: the same evidence at the same times gives the same reports. Times are whole microseconds.
 """
 
 from collections import deque
+from collections.abc import Sequence
 from math import log2
+from typing import TypedDict
 
+from finchcart.consensus.config import ConsensusConfig
+from finchcart.consensus.messages import Report
 from finchcart.consensus.subjects import (
-    DOWN,
-    LEVEL_ITSELF,
-    NUMBER,
-    OUT,
-    SLOW,
-    SLOWED,
-    STORE_ITSELF,
-    WORKING,
-    ZONE_ITSELF,
+    LEVEL_SUBJECT,
+    STORE_SUBJECT,
+    ZONE_SUBJECT,
+    Restriction,
+    StoreHealth,
+    SubjectKind,
     kind_of,
 )
 
-MILLION = 10**6
+MILLION = 10**6  # by which the percentage stands above the rate in the weight of a source
+LEVEL_STEPS = 20  # of a level, as it is reported
+LEVEL_STEP_THOUSANDTHS = 50
+EVICTION_ATTEMPTS = 8
+CALL_TIME_SMOOTHING = 64  # a new mean counts for one part in so many
+NOTHING_SEEN = (0, 0, 0)
+
+
+class Evidence(TypedDict, total=False):
+    """What a core saw since it was looked at last."""
+
+    calls: tuple[int, int, int]  # (succeeded, failed, microseconds of the successful ones together)
+    runs: tuple[int, int, int]  # (ended, failed, microseconds together)
+    rpcs: int  # admitted
+    sources: dict[int, tuple[int, int, int]]  # subject -> (bad messages, RPCs over a rate, RPCs)
+    level: float  # of load shedding, 0 to 1
+
 
+class SlidingSums:
+    """Sums of tuples of `width` numbers over the last `span` microseconds; bounded by the looks in it."""
 
-class Sums:
-    """Sums of tuples over a sliding time; bounded by the looks in it."""
+    def __init__(self, span: int, width: int) -> None:
+        self.span = span
+        self.sums = [0] * width
+        self._items: deque[tuple[int, Sequence[int]]] = deque()
 
-    def __init__(self, span, width):
-        self.span, self.items, self.sum = span, deque(), [0] * width
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is left in the span."""
+        return not self._items
 
-    def add(self, now, item):
+    def add(self, now: int, item: Sequence[int]) -> None:
+        """Adds one look's numbers."""
         if any(item):
-            self.items.append((now, item))
-            self.sum = [a + b for a, b in zip(self.sum, item)]
-        self.fade(now)
-
-    def fade(self, now):
-        while self.items and self.items[0][0] <= now - self.span:
-            _, item = self.items.popleft()
-            self.sum = [a - b for a, b in zip(self.sum, item)]
-
-
-class Source:
-    """What one source did."""
-
-    def __init__(self, figures):
-        self.sums = Sums(figures.bad_span, 3)  # bad, over a rate, RPCs
-        self.said, self.until, self.worst = None, 0, 0
-
-
-class State:
-    """`opinions(now)` are those of this moment."""
-
-    def __init__(self, me, figures, zone=0):
-        self.me, self.figures, self.zone = me, figures, zone
-        self.calls, self.runs = Sums(figures.span, 3), Sums(figures.span, 3)
-        self.rpcs = Sums(figures.bad_span, 1)
-        self.sources = {}
-        self.usual = None  # time of a call, as it was while the store worked
-        self.store, self.store_at = None, 0  # value, and when there was evidence last
-        self.node, self.node_at = None, 0
-        self.level = 0.0
-
-    def forget(self):
-        """After a pause: what was seen is of before."""
-        usual = self.usual
-        self.__init__(self.me, self.figures, self.zone)
-        self.usual = usual
-
-    def see(self, now, evidence):
-        figures = self.figures
-        self.calls.add(now, evidence.get("calls", (0, 0, 0)))
-        self.runs.add(now, evidence.get("runs", (0, 0, 0)))
+            self._items.append((now, item))
+            self.sums = [total + number for total, number in zip(self.sums, item, strict=True)]
+        self.expire(now)
+
+    def expire(self, now: int) -> None:
+        """Takes out what is older than the span."""
+        while self._items and self._items[0][0] <= now - self.span:
+            _, item = self._items.popleft()
+            self.sums = [total - number for total, number in zip(self.sums, item, strict=True)]
+
+
+class ObservedSource:
+    """What one source did, and what is reported of it."""
+
+    def __init__(self, config: ConsensusConfig) -> None:
+        self.sums = SlidingSums(config.bad_span, 3)  # bad messages, RPCs over a rate, RPCs
+        self.restriction: Restriction | None = None
+        self.restricted_until = 0
+        self.worst_count = 0
+
+    def restrict(self, restriction: Restriction, until: int, count: int) -> None:
+        """Reports a restriction until then, for a count of messages."""
+        self.restriction = restriction
+        self.restricted_until = until
+        self.worst_count = count
+
+
+class Observer:
+    """Bounded by `config.subjects` sources.
+
+    Arguments:
+        own_subject: of this node.
+        config: spans and thresholds.
+        zone: the hash of the zone it stands in, 0 for none.
+    """
+
+    def __init__(self, own_subject: int, config: ConsensusConfig, zone: int = 0) -> None:
+        self.own_subject = own_subject
+        self.config = config
+        self.zone = zone
+        self._usual_call_time: float | None = None  # as it was while the store worked
+        self._clear()
+
+    def _clear(self) -> None:
+        config = self.config
+        self.calls = SlidingSums(config.span, 3)
+        self.runs = SlidingSums(config.span, 3)
+        self.rpcs = SlidingSums(config.bad_span, 1)
+        self.sources: dict[int, ObservedSource] = {}
+        self._store: StoreHealth | None = None
+        self._store_seen_at = 0
+        self._runs_summary: tuple[int, int] | None = None  # percent that failed, mean microseconds
+        self._runs_seen_at = 0
+        self._level = 0.0
+
+    def forget(self) -> None:
+        """After a suspension: what was seen is of before."""
+        self._clear()
+
+    # ---- what is seen
+
+    def observe(self, now: int, evidence: Evidence) -> None:
+        """Takes what the core saw since the last look."""
+        calls = evidence.get("calls", NOTHING_SEEN)
+        self.calls.add(now, calls)
+        self.runs.add(now, evidence.get("runs", NOTHING_SEEN))
         self.rpcs.add(now, (evidence.get("rpcs", 0),))
-        self.level = evidence.get("level", 0.0)
-        self.see_store(now, any(evidence.get("calls", ())[:2]))
-        ended, failed, time = self.runs.sum
-        if ended >= figures.runs:
-            self.node, self.node_at = (round(100 * failed / ended), time // ended), now
-        elif self.node and now - self.node_at > figures.node_hold:
-            self.node = None
-        for one, item in evidence.get("sources", {}).items():
-            self.see_source(now, one, item)
-        self.look_at_sources(now)
-
-    def see_store(self, now, fresh):
-        ok, failed, time = self.calls.sum
-        few = self.store != DOWN  # of a store that is down one trial call tells
-        if fresh and ok + failed >= (self.figures.calls if few else 1):
-            mean = time / ok if ok else 0
-            if failed >= self.figures.failed * (ok + failed):
-                value = DOWN
-            elif self.usual and mean > self.figures.slower * self.usual:
-                value = SLOW
-            else:
-                value = WORKING
-                self.usual = mean if self.usual is None else self.usual + (mean - self.usual) / 64
-            self.store, self.store_at = value, now
-        elif self.store and now - self.store_at > self.figures.life:
-            self.store = None
-
-    def see_source(self, now, one, item):
-        source = self.sources.get(one)
+        self._level = evidence.get("level", 0.0)
+        self._observe_store(now, any(calls[:2]))
+        self._observe_runs(now)
+        for subject, item in evidence.get("sources", {}).items():
+            self._observe_source(now, subject, item)
+        self._review_sources(now)
+
+    def _observe_store(self, now: int, was_called: bool) -> None:
+        succeeded, failed, time = self.calls.sums
+        # Of a store that is down one probe call tells.
+        required = 1 if self._store == StoreHealth.DOWN else self.config.calls
+        if was_called and succeeded + failed >= required:
+            self._store = self._judge_store(succeeded, failed, time)
+            self._store_seen_at = now
+        elif self._store and now - self._store_seen_at > self.config.life:
+            self._store = None
+
+    def _judge_store(self, succeeded: int, failed: int, time: int) -> StoreHealth:
+        mean = time / succeeded if succeeded else 0
+        usual = self._usual_call_time
+        if failed >= self.config.failed * (succeeded + failed):
+            return StoreHealth.DOWN
+        if usual and mean > self.config.slower * usual:
+            return StoreHealth.SLOW
+        self._usual_call_time = mean if usual is None else usual + (mean - usual) / CALL_TIME_SMOOTHING
+        return StoreHealth.WORKING
+
+    def _observe_runs(self, now: int) -> None:
+        ended, failed, time = self.runs.sums
+        if ended >= self.config.runs:
+            self._runs_summary = round(100 * failed / ended), time // ended
+            self._runs_seen_at = now
+        elif self._runs_summary and now - self._runs_seen_at > self.config.node_hold:
+            self._runs_summary = None
+
+    def _observe_source(self, now: int, subject: int, item: Sequence[int]) -> None:
+        source = self.sources.get(subject)
         if source is None:
-            if len(self.sources) >= self.figures.subjects and not self.make_room():
+            if len(self.sources) >= self.config.subjects and not self._make_room():
                 return
-            source = self.sources[one] = Source(self.figures)
+            source = self.sources[subject] = ObservedSource(self.config)
         source.sums.add(now, item)
 
-    def make_room(self):
+    def _make_room(self) -> bool:
         """Guards against memory and time that sources without end take: of a few that are there longest, the
-        first of which nothing is said goes. False where something is said of each."""
-        for _ in range(8):
-            one = next(iter(self.sources))
-            source = self.sources.pop(one)
-            if not source.said:
+        first of which nothing is reported goes. False where something is reported of each."""
+        for _ in range(EVICTION_ATTEMPTS):
+            subject = next(iter(self.sources))
+            source = self.sources.pop(subject)
+            if not source.restriction:
                 return True
-            self.sources[one] = source
+            self.sources[subject] = source
         return False
 
-    def look_at_sources(self, now):
-        for one, source in list(self.sources.items()):
-            source.sums.fade(now)
-            bad, over, _ = source.sums.sum
-            if bad >= self.figures.bad:
-                source.said, source.until, source.worst = OUT, now + self.figures.shut, bad
-            elif over >= self.figures.bad and kind_of(one) == NUMBER and source.said != OUT:
-                source.said, source.until, source.worst = SLOWED, now + self.figures.shut, over
-            if source.said and now >= source.until:
-                source.said = None
-            if not source.said and not source.sums.items:
-                del self.sources[one]
-
-    def opinions(self, now):
-        """(subject, value, weight): of the store the weight is 1 where there is evidence of the last span; of
-        a source its percent of the well-formed RPCs times a million, and what it does a second; of the node
-        itself the value is its failed runs in percent, the weight the mean time of a run; of the level
-        thousandths. Coarse, so that a node that is well says the same for long."""
-        out = [(ZONE_ITSELF, self.zone, 0), (LEVEL_ITSELF, 50 * round(20 * self.level), 0)]
-        if self.store:
-            out.append((STORE_ITSELF, self.store, int(now - self.store_at <= self.figures.span)))
-        if self.node:
-            failed, time = self.node
-            out.append((self.me, 10 * round(failed / 10), round(2 ** (round(2 * log2(max(1, time))) / 2))))
-        said = sorted(
-            (one for one, source in self.sources.items() if source.said),
-            key=lambda one: (-self.sources[one].worst, one),
-        )
-        whole = max(1, self.rpcs.sum[0])
-        for one in said[: self.figures.opinions]:
-            source = self.sources[one]
-            percent = min(100, 100 * source.sums.sum[2] // whole)
-            rate = source.worst * MILLION // self.figures.bad_span
-            out.append((one, source.said, percent * MILLION + min(MILLION - 1, rate)))
-        return out
+    def _review_sources(self, now: int) -> None:
+        until = now + self.config.shut
+        for subject, source in list(self.sources.items()):
+            source.sums.expire(now)
+            bad, over_rate, _ = source.sums.sums
+            is_dispatcher = kind_of(subject) == SubjectKind.DISPATCHER
+            if bad >= self.config.bad:
+                source.restrict(Restriction.BLOCKED, until, bad)
+            elif over_rate >= self.config.bad and is_dispatcher and source.restriction != Restriction.BLOCKED:
+                source.restrict(Restriction.THROTTLED, until, over_rate)
+            if source.restriction and now >= source.restricted_until:
+                source.restriction = None
+            if not source.restriction and source.sums.is_empty:
+                del self.sources[subject]
+
+    # ---- what is reported
+
+    def reports(self, now: int) -> list[Report]:
+        """What this node reports at this moment, coarse, so that a node that is well reports the same for
+        long.
+
+        Of the store the weight is 1 where there is evidence of the last span; of a source its percentage of
+        the well-formed RPCs times a million, and what it does a second; of the node itself the value is its
+        failed runs in percent, the weight the mean time of a run; of the level the value is in thousandths.
+        """
+        level = LEVEL_STEP_THOUSANDTHS * round(LEVEL_STEPS * self._level)
+        reports = [Report(ZONE_SUBJECT, self.zone, 0), Report(LEVEL_SUBJECT, level, 0)]
+        if self._store:
+            is_fresh = now - self._store_seen_at <= self.config.span
+            reports.append(Report(STORE_SUBJECT, self._store, int(is_fresh)))
+        if self._runs_summary:
+            percent_failed, time = self._runs_summary
+            coarse_time = round(2 ** (round(2 * log2(max(1, time))) / 2))
+            reports.append(Report(self.own_subject, 10 * round(percent_failed / 10), coarse_time))
+        reports += map(self._report_source, self._worst_sources())
+        return reports
+
+    def _worst_sources(self) -> list[int]:
+        restricted = [subject for subject, source in self.sources.items() if source.restriction]
+        restricted.sort(key=lambda subject: (-self.sources[subject].worst_count, subject))
+        return restricted[: self.config.opinions]
+
+    def _report_source(self, subject: int) -> Report:
+        source = self.sources[subject]
+        all_rpcs = max(1, self.rpcs.sums[0])
+        percent = min(100, 100 * source.sums.sums[2] // all_rpcs)
+        rate = min(MILLION - 1, source.worst_count * MILLION // self.config.bad_span)
+        return Report(subject, source.restriction, percent * MILLION + rate)
--- a/finchcart/consensus/subjects.py
+++ b/finchcart/consensus/subjects.py
@@ -1,86 +1,159 @@
-"""What opinions are of: kinds, and how a subject is written in one word of 64 bits.
+"""What observations and decisions are about, and how a subject is written in one word of 64 bits.
 
-Owns the coding. A subject is its kind and 56 bits more: the address or number of a source, the id of a node.
+Owns the coding, and the words by which an operator names subjects and values. A subject is its kind in the
+highest byte and an identifier of 56 bits: the address or number of a source, the hash of a node's name.
 """
 
-from finchcart.membership.messages import id_of
-
-STORE, NUMBER, ADDRESS, NODE, LEVEL, ZONE = range(1, 7)
-KINDS = {STORE: "store", NUMBER: "source", ADDRESS: "source", NODE: "node", LEVEL: "level", ZONE: "zone"}
-REST = (1 << 56) - 1
-WORKING, SLOW, DOWN = 1, 2, 3  # of the store
-SLOWED, OUT = 2, 3  # of a source; OUT of a node too
-OF_SOURCE = {1: "in", SLOWED: "slowed", OUT: "out"}
-WORDS = {
-    STORE: {WORKING: "working", SLOW: "slow", DOWN: "down"},
-    NODE: {1: "in", OUT: "out"},
-    NUMBER: OF_SOURCE,
-    ADDRESS: OF_SOURCE,
+from collections.abc import Mapping
+from enum import IntEnum
+from typing import NamedTuple
+
+from finchcart.membership.codec import name_hash
+
+IDENTIFIER_BITS = 56
+IDENTIFIER_MASK = (1 << IDENTIFIER_BITS) - 1
+LEVEL_SCALE = 1000  # a level travels as whole thousandths
+
+
+class SubjectKind(IntEnum):
+    """The highest byte of a subject."""
+
+    STORE = 1
+    DISPATCHER = 2  # a source by the number that it gives of itself
+    ADDRESS = 3  # a source by the address that its connections come from
+    NODE = 4
+    LEVEL = 5
+    ZONE = 6
+
+
+SOURCE_KINDS = frozenset({SubjectKind.DISPATCHER, SubjectKind.ADDRESS})
+
+
+class StoreHealth(IntEnum):
+    """Values of the store, from good to bad."""
+
+    WORKING = 1
+    SLOW = 2
+    DOWN = 3
+
+
+class Restriction(IntEnum):
+    """Values of a source or a node, from good to bad."""
+
+    NONE = 1
+    THROTTLED = 2  # of a source: so many RPCs a second
+    BLOCKED = 3  # of a source; of a node: ejected
+
+
+EJECTED = Restriction.BLOCKED
+
+GOOD = 1  # the value of a subject of any kind that nothing is wrong with
+
+SOURCE_WORDS = {Restriction.NONE: "in", Restriction.THROTTLED: "slowed", Restriction.BLOCKED: "out"}
+VALUE_WORDS: dict[SubjectKind, dict[int, str]] = {
+    SubjectKind.STORE: {StoreHealth.WORKING: "working", StoreHealth.SLOW: "slow", StoreHealth.DOWN: "down"},
+    SubjectKind.NODE: {Restriction.NONE: "in", EJECTED: "out"},
+    SubjectKind.DISPATCHER: SOURCE_WORDS,
+    SubjectKind.ADDRESS: SOURCE_WORDS,
+}
+KIND_WORDS = {
+    SubjectKind.STORE: "store",
+    SubjectKind.DISPATCHER: "source",
+    SubjectKind.ADDRESS: "source",
+    SubjectKind.NODE: "node",
+    SubjectKind.LEVEL: "level",
+    SubjectKind.ZONE: "zone",
 }
+KINDS_OF_OPERATORS = {
+    "store": SubjectKind.STORE,
+    "source": SubjectKind.ADDRESS,
+    "node": SubjectKind.NODE,
+}
+
+
+def make_subject(kind: SubjectKind, identifier: int = 0) -> int:
+    """The subject of a kind with the lowest 56 bits of an identifier."""
+    return kind << IDENTIFIER_BITS | identifier & IDENTIFIER_MASK
 
 
-def subject(kind, rest=0):
-    return kind << 56 | rest & REST
+def kind_of(subject: int) -> int:
+    """Its kind: a `SubjectKind`, or another number where a newer version sent it."""
+    return subject >> IDENTIFIER_BITS
 
 
-def kind_of(subject):
-    return subject >> 56
+STORE_SUBJECT = make_subject(SubjectKind.STORE)
+LEVEL_SUBJECT = make_subject(SubjectKind.LEVEL)
+ZONE_SUBJECT = make_subject(SubjectKind.ZONE)
 
 
-STORE_ITSELF, LEVEL_ITSELF, ZONE_ITSELF = subject(STORE), subject(LEVEL), subject(ZONE)
+def is_source(subject: int) -> bool:
+    """Whether the subject is a source, by address or by number."""
+    return kind_of(subject) in SOURCE_KINDS
 
 
-def node(name):
-    return subject(NODE, id_of(name))
+def node_subject(name: str) -> int:
+    """The subject of a node."""
+    return make_subject(SubjectKind.NODE, name_hash(name))
 
 
-def source(text):
-    """Of an address or the number of a dispatcher; None where it is neither."""
-    parts = text.split(".")
-    if len(parts) == 4 and all(part.isdecimal() and len(part) < 4 and int(part) < 256 for part in parts):
-        return subject(ADDRESS, int.from_bytes(bytes(map(int, parts)), "big"))
+def source_subject(text: str) -> int | None:
+    """The subject of an IPv4 address or the number of a dispatcher; None where the text is neither."""
+    octets = text.split(".")
+    if len(octets) == 4 and all(
+        octet.isdecimal() and len(octet) < 4 and int(octet) < 256 for octet in octets
+    ):
+        return make_subject(SubjectKind.ADDRESS, int.from_bytes(bytes(map(int, octets)), "big"))
     if text.isdecimal() and len(text) < 16:
-        return subject(NUMBER, int(text))
+        return make_subject(SubjectKind.DISPATCHER, int(text))
     return None
 
 
-def read(kind, name):
-    """The subject that an operator names; a ValueError tells what is wrong."""
+def parse_subject(kind: str, name: str) -> int:
+    """The subject that an operator names; a ValueError says what is wrong."""
     if kind == "store":
-        return STORE_ITSELF
+        return STORE_SUBJECT
     if kind == "level":
-        return LEVEL_ITSELF
+        return LEVEL_SUBJECT
     if kind == "node":
-        return node(name)
-    out = source(name)
-    if out is None:
+        return node_subject(name)
+    subject = source_subject(name)
+    if subject is None:
         raise ValueError(f"{name!r}: neither an address nor the number of a dispatcher")
-    return out
+    return subject
 
 
-def read_value(kind, text):
-    """The value of a word; a ValueError tells what may be said."""
+def parse_value(kind: str, text: str) -> int:
+    """The value of an operator's override; a ValueError says what is allowed."""
     if kind == "level":
         try:
-            return round(1000 * min(1.0, max(0.0, float(text))))
+            return round(LEVEL_SCALE * min(1.0, max(0.0, float(text))))
         except ValueError:
             raise ValueError(f"{text!r}: a level is a number from 0 to 1") from None
-    words = WORDS[{"store": STORE, "source": ADDRESS, "node": NODE}[kind]]
+    words = VALUE_WORDS[KINDS_OF_OPERATORS[kind]]
     for value, word in words.items():
         if word == text:
             return value
     raise ValueError(f"{text!r}: one of {', '.join(words.values())}")
 
 
-def told(subject, value, names):
-    """(kind, name, value) in words; `names`: node subject -> name."""
-    kind, rest = kind_of(subject), subject & REST
-    if kind == LEVEL:
-        return "level", "", f"{value / 1000:.2f}"
-    name = {
-        STORE: "",
-        NUMBER: str(rest),
-        NODE: names.get(subject, f"{rest:x}"),
-        ADDRESS: ".".join(map(str, rest.to_bytes(7, "big")[3:])),
-    }[kind]
-    return KINDS[kind], name, WORDS[kind].get(value, str(value))
+class Description(NamedTuple):
+    """A subject and a value in an operator's words."""
+
+    kind: str
+    name: str
+    value: str
+
+
+def describe(subject: int, value: int, node_names: Mapping[int, str]) -> Description:
+    """A subject and a value in words; `node_names`: subject of a node -> its name."""
+    kind = kind_of(subject)
+    identifier = subject & IDENTIFIER_MASK
+    if kind == SubjectKind.LEVEL:
+        return Description("level", "", f"{value / LEVEL_SCALE:.2f}")
+    names = {
+        SubjectKind.STORE: "",
+        SubjectKind.DISPATCHER: str(identifier),
+        SubjectKind.NODE: node_names.get(subject, f"{identifier:x}"),
+        SubjectKind.ADDRESS: ".".join(map(str, identifier.to_bytes(7, "big")[3:])),
+    }
+    return Description(KIND_WORDS[kind], names[kind], VALUE_WORDS[kind].get(value, str(value)))
--- a/finchcart/fault_injection/beliefs.py
+++ b/finchcart/fault_injection/beliefs.py
@@ -10,19 +10,18 @@
 import xxhash
 
 from finchcart.consensus import messages, subjects
-from finchcart.consensus.config import Figures
-from finchcart.consensus.store import Board
-from finchcart.consensus.subjects import DOWN, OUT, SLOW, WORKING
+from finchcart.consensus.config import ConsensusConfig
+from finchcart.consensus.store import ConsensusStore
+from finchcart.consensus.subjects import Restriction, StoreHealth
 from finchcart.fault_injection.virtual import Fleet
-from finchcart.membership.config import SECOND
-from finchcart.membership.config import Figures as MemberFigures
+from finchcart.membership.config import SECOND, MembershipConfig
 from finchcart.membership.member import Member
 from finchcart.node.meter import LATELY
 from finchcart.quota.limits import Limit, Quota
 from finchcart.quota.loose import Loose
 
 CALLS = 6  # that a node makes in a look, where nothing holds it
-NOTHING = {"store": WORKING, "sources": {}, "out": False, "level": 0.0}
+NOTHING = {"store": StoreHealth.WORKING, "sources": {}, "out": False, "level": 0.0}
 
 
 class Breach(AssertionError):
@@ -41,15 +40,15 @@
 class Beliefs(Fleet):
     """`make`: of a board, so that a planted defect can be played; `on`: whether verdicts hold the calls."""
 
-    def __init__(self, count, seed, verdicts=None, make=Board, member=Member, on=True):
-        self.beliefs, self.board = verdicts or Figures(), make
+    def __init__(self, count, seed, verdicts=None, make=ConsensusStore, member=Member, on=True):
+        self.beliefs, self.board = verdicts or ConsensusConfig(), make
         names = [f"n{n:03d}" for n in range(count)]
-        super().__init__(names, seed, MemberFigures(), watch=self.hear, make=self.node)
+        super().__init__(names, seed, MembershipConfig(), watch=self.hear, make=self.node)
         self.member, self.on = member, on
         self.chance = Random(f"beliefs {seed}")
         self.store = dict.fromkeys(names, "ok")
         self.floods, self.failing, self.levels, self.liars = {}, set(), {}, set()
-        self.innocent = subjects.source("10.9.9.9")
+        self.innocent = subjects.source_subject("10.9.9.9")
         self.seen = {name: Seen() for name in names}
         self.written, self.trace = {}, xxhash.xxh3_64()
         self.calls = self.wasted = self.trials = 0
@@ -59,8 +58,8 @@
     def node(self, name, fleet, address, seeds, figures, chance, wall, now):
         member = self.member(name, fleet, address, seeds, figures, chance, wall, now)
         zone = int(name[1:]) % 3
-        board = self.board(name, fleet, Figures(**{**self.beliefs.__dict__, "zone": f"z{zone}"}), now)
-        member.riders += [Loose(self.quota, now), board]
+        board = self.board(name, fleet, ConsensusConfig(**{**self.beliefs.__dict__, "zone": f"z{zone}"}), now)
+        member.piggyback_clients += [Loose(self.quota, now), board]
         member.board = board
         self.seen[name] = Seen()
         return member
@@ -80,7 +79,7 @@
             before, seen.held = seen.held, effect[1]
             if before["store"] != effect[1]["store"]:
                 seen.changes.append((now, effect[1]["store"]))
-                seen.back = now if before["store"] == DOWN else None
+                seen.back = now if before["store"] == StoreHealth.DOWN else None
         elif effect[0] == "allow":
             seen.part, seen.until = effect[3], effect[4]
 
@@ -91,7 +90,7 @@
             return
         seen, state = self.seen[name], self.store[name]
         calls = CALLS
-        if self.on and seen.held["store"] == DOWN:
+        if self.on and seen.held["store"] == StoreHealth.DOWN:
             calls = min(1, seen.part if self.now < seen.until else 0)
             self.trials += calls
         elif self.on and seen.back is not None:
@@ -133,16 +132,20 @@
         member = self.places[name].member if name else None
         if member is None:
             return
-        for held in member.own_notes.values():
-            self.written.setdefault((held.note.who, held.note.topic, held.note.age), held.born)
-        for held in member.notes.values():
-            truth = self.written.get((held.note.who, held.note.topic, held.note.age))
-            if held.born is not None and truth is not None and held.born > truth:
-                self.breach(f"{name} takes a note for {(held.born - truth) // 1000} ms younger than it is")
+        for held in member.gossip.own.values():
+            self.written.setdefault(
+                (held.entry.member_id, held.entry.topic, held.entry.precedence), held.written_at
+            )
+        for held in member.gossip.received.values():
+            truth = self.written.get((held.entry.member_id, held.entry.topic, held.entry.precedence))
+            if held.written_at is not None and truth is not None and held.written_at > truth:
+                self.breach(
+                    f"{name} takes a note for {(held.written_at - truth) // 1000} ms younger than it is"
+                )
         board, figures = member.board, self.beliefs
-        if len(board.state.sources) > figures.subjects or len(board.words) > figures.words:
+        if len(board.observer.sources) > figures.subjects or len(board.overrides) > figures.words:
             self.breach(f"{name} holds more than its bounds")
-        if any(len(held.note.data) > 600 for held in member.own_notes.values()):
+        if any(len(held.entry.payload) > 600 for held in member.gossip.own.values()):
             self.breach(f"{name} writes a note that is too long")
 
     def breach(self, text):
@@ -182,8 +185,8 @@
                     self.fabric.reduce(self.now, ("rule", b, a, {"cut": cut}))
 
 
-is_down = lambda seen: seen.held["store"] == DOWN
-is_working = lambda seen: seen.held["store"] == WORKING
+is_down = lambda seen: seen.held["store"] == StoreHealth.DOWN
+is_working = lambda seen: seen.held["store"] == StoreHealth.WORKING
 
 
 class Run(Beliefs):
@@ -276,7 +279,10 @@
         if self.loss < 0.3:
             for name in names:
                 changes = [value for _, value in self.seen[name].changes]
-                if changes not in ([DOWN, WORKING], [SLOW, DOWN, WORKING]):
+                if changes not in (
+                    [StoreHealth.DOWN, StoreHealth.WORKING],
+                    [StoreHealth.SLOW, StoreHealth.DOWN, StoreHealth.WORKING],
+                ):
                     self.breach(f"{name} changed its mind: {self.seen[name].changes}")
 
     def zone(self, names):
@@ -307,9 +313,9 @@
 
     def flood(self, names):
         """It goes from node to node; in time before enough have seen it nobody shuts it out."""
-        subject, rate = subjects.source("10.1.2.3"), 40
-        shut = lambda seen: seen.held["sources"].get(subject) == OUT
-        need = self.beliefs.needed(len(names))
+        subject, rate = subjects.source_subject("10.1.2.3"), 40
+        shut = lambda seen: seen.held["sources"].get(subject) == Restriction.BLOCKED
+        need = self.beliefs.required_reports(len(names))
         some = self.chance.sample(names, need)
         for n, name in enumerate(some):
             self.floods = {subject: (rate, {name})}
@@ -325,7 +331,8 @@
         """5,000 sources at once: bounded, and none of those that did nothing."""
         rates = self.chance.choices([4, 4, 40], k=5000)
         self.floods = {
-            subjects.source(f"10.2.{n // 250}.{n % 250}"): (rate, set(names)) for n, rate in enumerate(rates)
+            subjects.source_subject(f"10.2.{n // 250}.{n % 250}"): (rate, set(names))
+            for n, rate in enumerate(rates)
         }
         self.never(lambda seen: self.innocent in seen.held["sources"], names, 3 * SECOND, "it did nothing")
         self.floods = {}
@@ -342,7 +349,7 @@
         return honest
 
     def few_lie(self, names):
-        honest = self.lie(names, self.chance.randrange(1, max(2, self.beliefs.needed(len(names)))))
+        honest = self.lie(names, self.chance.randrange(1, max(2, self.beliefs.required_reports(len(names)))))
         if any(self.innocent in self.seen[name].held["sources"] for name in honest):
             self.breach("liars shut a source out")
 
@@ -370,7 +377,7 @@
         self.cut(a, b)
         for name in a:
             self.store[name] = "down"
-        apart = self.figures.failed_within(len(names), self.loss) + 4 * SECOND
+        apart = self.figures.detection_bound(len(names), self.loss) + 4 * SECOND
         bound = apart + self.beliefs.store_within(self.figures, len(names), self.loss)
         self.until(is_down, a, bound, "the half for which it is down")
         self.never(is_down, b, 3 * SECOND, "the half for which it works")
@@ -416,21 +423,23 @@
 
     def words(self, names):
         """Said on one side of a cut, said otherwise or taken back on the other."""
-        subject, number = subjects.source("10.5.5.5"), self.chance.randrange(10**6)
+        subject, number = subjects.source_subject("10.5.5.5"), self.chance.randrange(10**6)
         value = lambda seen: seen.held["sources"].get(subject)
-        say = lambda name, said, left: self.places[name].member.board.on_say(
-            self.now, messages.Say(number, subject, said, left, "trial")
+        say = lambda name, said, left: self.places[name].member.board.issue_override(
+            self.now, messages.OverrideRequest(number, subject, said, left, "trial")
         )
-        if not say(names[0], OUT, 90 * SECOND)["taken"]:
+        if not say(names[0], Restriction.BLOCKED, 90 * SECOND)["taken"]:
             self.breach("a word is not taken")
         bound = self.bound(self.loss)
-        self.took("said", self.until(lambda seen: value(seen) == OUT, names, bound, "a word"), bound)
+        self.took(
+            "said", self.until(lambda seen: value(seen) == Restriction.BLOCKED, names, bound, "a word"), bound
+        )
         a, b = names[::2], names[1::2]
         self.cut(a, b)
         self.run(self.now + 5 * SECOND, self.after_step)
         say(a[0], 0, 0)
         for _ in range(self.chance.randrange(1, 3)):
-            say(b[0], OUT, 60 * SECOND)
+            say(b[0], Restriction.BLOCKED, 60 * SECOND)
             self.run(self.now + SECOND, self.after_step)
         self.run(self.now + 3 * SECOND + bound, self.after_step)
         self.cut(a, b, cut=False)
--- a/finchcart/fault_injection/claiming.py
+++ b/finchcart/fault_injection/claiming.py
@@ -16,7 +16,7 @@
 from finchcart.key_leases.holder import Claims
 from finchcart.key_leases.keeper import Keeper
 from finchcart.key_leases.wire import ENDED, FAILED, YES
-from finchcart.membership import messages as base
+from finchcart.membership import codec
 
 TICK = 50 * MS
 BOOT = 10**12  # microseconds on the boot clocks at the start: keepers are past their silence
@@ -378,5 +378,5 @@
         "keys": run.keys,
         "kinds": kinds,
         "runs": sum(map(len, run.runs.values())),
-        "in_flight": base.MOST,
+        "in_flight": codec.MAX_DATAGRAM_BYTES,
     }
--- a/finchcart/fault_injection/explore.py
+++ b/finchcart/fault_injection/explore.py
@@ -11,7 +11,7 @@
 
 import pickle
 
-from finchcart.membership import messages as base
+from finchcart.membership import codec
 from finchcart.quota.holder import Holder
 from finchcart.quota.limits import Limit, Quota
 from finchcart.quota.planner import Planner
@@ -80,7 +80,7 @@
 
     def address(self, name):
         number = int(name[1])
-        return base.place_of(QUOTA.planners[number]) if name[0] == "p" else ("10.0.0.9", 7 + number)
+        return codec.parse_address(QUOTA.planners[number]) if name[0] == "p" else ("10.0.0.9", 7 + number)
 
     def name(self, address):
         for name in self.machines:
--- a/finchcart/fault_injection/processes.py
+++ b/finchcart/fault_injection/processes.py
@@ -308,8 +308,8 @@
         try:
             serve.say(
                 (self.own(name), 7400),
-                subjects.read(kind, of),
-                subjects.read_value(kind, value) if value else 0,
+                subjects.parse_subject(kind, of),
+                subjects.parse_value(kind, value) if value else 0,
                 seconds,
                 "trial",
                 1.0,
--- a/finchcart/fault_injection/run.py
+++ b/finchcart/fault_injection/run.py
@@ -20,7 +20,7 @@
 from finchcart.fault_injection.processes import Processes
 from finchcart.fault_injection.relay import clock
 from finchcart.fault_injection.script import Act, lay_out, read
-from finchcart.membership.config import MS, SECOND, Figures
+from finchcart.membership.config import MS, SECOND, MembershipConfig
 
 UP = 0.02  # seconds between the starts of the first processes
 
@@ -32,7 +32,7 @@
     for name, value in fleet.items():
         unit = next((unit for end, unit in units.items() if name.endswith(end)), 1)
         told[name.removesuffix("_ms").removesuffix("_s")] = value * unit
-    return Figures(**told)
+    return MembershipConfig(**told)
 
 
 def on_processes(plan, folder, talk=True, oracle=False):
@@ -228,9 +228,9 @@
         "late_s": 0.0,
         "stats": {
             name: {
-                "late_ms": fleet.places[name].member.late // 1000,
+                "late_ms": fleet.places[name].member.lateness // 1000,
                 "loss": fleet.places[name].member.loss,
-                "stale_ms": fleet.places[name].member.stale() // 1000,
+                "stale_ms": fleet.places[name].member.staleness_bound() // 1000,
                 "counts": fleet.places[name].member.counts,
             }
             for name in fleet.live()
--- a/finchcart/fault_injection/seeds.py
+++ b/finchcart/fault_injection/seeds.py
@@ -9,9 +9,9 @@
 import xxhash
 
 from finchcart.fault_injection.virtual import Fleet
-from finchcart.membership.config import SECOND, Figures
+from finchcart.membership.config import SECOND, MembershipConfig
 from finchcart.membership.member import Member
-from finchcart.membership.messages import LEFT
+from finchcart.membership.messages import DeclaredStatus
 
 NAMES = [f"n{n:02d}" for n in range(12)]
 FAULTS, CALM = 40 * SECOND, 12 * SECOND  # faults are made for so long; then all must come together again
@@ -29,7 +29,7 @@
 
     def __init__(self, seed, make=Member, kinds=None):
         self.seed, self.random = seed, Random(f"faults {seed}")
-        self.figures = Figures(remember=600 * SECOND)
+        self.figures = MembershipConfig(remember=600 * SECOND)
         self.fleet = Fleet(NAMES, seed, self.figures, watch=self.watch, make=make)
         self.fleet.add("twin")
         self.trace = xxhash.xxh3_64()
@@ -65,34 +65,37 @@
         member = fleet.places[name].member if name in NAMES else None
         if member is None:
             return
-        figures = member.figures
-        if len(member.known) > figures.members or len(member.news) > figures.news:
+        config = member.config
+        if len(member.known_members) > config.members or len(member.table.updates) > config.news:
             self.breach(f"{name} holds more than its bounds")
-        if member.sent_now > figures.datagrams or len(member.peers) > len(member.known) + 1:
+        if (
+            member.outbox.sent_in_period > config.datagrams
+            or len(member.links) > len(member.known_members) + 1
+        ):
             self.breach(f"{name} sends or links more than its bounds")
         digest = 0
-        for known in member.known.values():
-            digest ^= known.hash if known.state not in ("failed", "left") else 0
-        if member.digest != digest:
+        for known in member.known_members.values():
+            digest ^= known.digest if known.state not in ("failed", "left") else 0
+        if member.table.digest != digest:
             self.breach(f"{name} keeps a digest that is not of its rows")
         rows = self.rows.setdefault((name, fleet.places[name].life), {})
-        for other, known in member.known.items():
-            before, row = rows.get(other), known.row
+        for other, known in member.known_members.items():
+            before, row = rows.get(other), known.record
             if before is row:
                 continue
             rows[other] = row
-            if before is not None and row.age < before.age:
+            if before is not None and row.precedence < before.precedence:
                 self.breach(f"{name} took an older row of {row.name}")
             place = fleet.places.get(row.name)
             truth = place and place.member
-            if truth and truth.row.session == row.session and truth.row.age < row.age:
+            if truth and truth.record.session == row.session and truth.record.precedence < row.precedence:
                 self.breach(f"{name} holds a row of {row.name} that it never wrote")
 
     # ---- faults
 
     def disturb(self, names, until):
         """Until then, and for as long after as others may take to come back to them."""
-        until += self.figures.stale(len(NAMES), max(self.loss, 0.4)) + 2 * SECOND
+        until += self.figures.staleness_bound(len(NAMES), max(self.loss, 0.4)) + 2 * SECOND
         for name in names:
             self.disturbed[name] = max(self.disturbed.get(name, 0), until)
 
@@ -205,9 +208,9 @@
 
         chance, fleet = self.random, self.fleet
         to = chance.choice(NAMES)
-        row = messages.Row(chance.choice(NAMES), "10.9.9.9:1", 7, 2**52, 2**52, 1, 0, [])
-        odd = messages.Row("odd", "10.0.0.999:1", 7, 1, 1, 1, 0, [])
-        packed = lambda fleet, row: messages.pack(fleet, messages.Rows([row]))
+        row = messages.MemberRecord(chance.choice(NAMES), "10.9.9.9:1", 7, 2**52, 2**52, 1, 0, [])
+        odd = messages.MemberRecord("odd", "10.0.0.999:1", 7, 1, 1, 1, 0, [])
+        packed = lambda fleet, row: messages.CODEC.encode(fleet, messages.MemberRecords([row]))
         rubbish = chance.randbytes(40)
         for data in (rubbish, packed("virtual", row), packed("other", row), packed("virtual", odd)):
             fleet.feed(to, ("got", ("10.9.9.9", 1), data))
@@ -245,7 +248,9 @@
             if member.isolated:
                 self.breach(f"{name} holds itself to be isolated, and nothing is wrong any more")
             states = {
-                known.row.name: known.state for known in member.known.values() if known.row.duty != LEFT
+                known.record.name: known.state
+                for known in member.known_members.values()
+                if known.record.status != DeclaredStatus.LEFT
             }
             wrong = {other: states.get(other) for other in NAMES if states.get(other) != "alive"}
             if wrong:
@@ -255,7 +260,7 @@
             still = [member for member in pair if not member.yielded]
             if len(still) != 1:
                 self.breach(f"{len(still)} of two processes stand under the name {self.twins}")
-            if (still[0].row.began, still[0].row.session) != max((m.row.began, m.row.session) for m in pair):
+            if still[0].record.seniority != max(m.record.seniority for m in pair):
                 self.breach(f"the elder stands under the name {self.twins}")
 
 
--- a/finchcart/fault_injection/shares.py
+++ b/finchcart/fault_injection/shares.py
@@ -13,8 +13,8 @@
 import xxhash
 
 from finchcart.fault_injection.virtual import BUFFER, Clock
-from finchcart.membership import messages as base
-from finchcart.membership.config import Figures
+from finchcart.membership import codec
+from finchcart.membership.config import MembershipConfig
 from finchcart.membership.member import Member
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota.holder import Holder
@@ -79,7 +79,7 @@
         base_ = quota or Quota(limits=(limit,), most=holders + 2)
         self.quota = Quota(**{**base_.__dict__, "planners": places})
         self.drift = self.quota.drift if drift is None else drift
-        self.figures = Figures()
+        self.figures = MembershipConfig()
         self.processes, self.at = {}, {}
         for n, name in enumerate(names):
             rate = 1 + self.random.choice([-1, 0, 1]) * self.drift
@@ -126,7 +126,7 @@
                 1_700_000_000_000 + self.now // 1000,
                 own,
             )
-            member.riders.append(self.make.get("loose", Loose)(self.quota, own))
+            member.piggyback_clients.append(self.make.get("loose", Loose)(self.quota, own))
             return member
         if self.mode == "strict":
             return self.make.get("holder", Holder)(name, "virtual", self.quota, chance, own)
@@ -198,7 +198,7 @@
                 self.logs.append((self.now, name, effect[1], effect[2]))
 
     def arrive(self, a, b, data):
-        self.feed(b, ("got", base.place_of(self.processes[a].address), data))
+        self.feed(b, ("got", codec.parse_address(self.processes[a].address), data))
 
     # ---- calls, by the node's own meter
 
--- a/finchcart/fault_injection/virtual.py
+++ b/finchcart/fault_injection/virtual.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from finchcart.fault_injection.fabric import Fabric
-from finchcart.membership.config import Figures
+from finchcart.membership.config import MembershipConfig
 from finchcart.membership.member import Member
 
 BUFFER = 250  # datagrams that wait for a stopped member
@@ -62,7 +62,7 @@
     def __init__(self, names, seed, figures=None, seeds=3, latency=200, watch=None, make=Member):
         super().__init__(seed)
         self.random = Random(f"fleet {seed}")
-        self.figures, self.latency, self.make = figures or Figures(), latency, make
+        self.figures, self.latency, self.make = figures or MembershipConfig(), latency, make
         self.places, self.at = {}, {}
         self.seeds = seeds
         self.watch = watch or (lambda now, name, effect: None)
@@ -160,14 +160,16 @@
 
     def state(self, at, of):
         member = self.places[at].member
-        for known in member.known.values():
-            if known.row.name == of:
+        for known in member.known_members.values():
+            if known.record.name == of:
                 return known.state
         return None
 
     def views(self):
         """name of each live member -> {name: state} as it has it."""
         return {
-            name: {known.row.name: known.state for known in self.places[name].member.known.values()}
+            name: {
+                known.record.name: known.state for known in self.places[name].member.known_members.values()
+            }
             for name in self.live()
         }
--- a/finchcart/key_leases/holder.py
+++ b/finchcart/key_leases/holder.py
@@ -29,7 +29,7 @@
     Say,
     Vote,
 )
-from finchcart.membership import messages as base
+from finchcart.membership import codec
 
 TELLS = 40  # times that an outcome or release is told to a keeper that does not answer
 
@@ -57,7 +57,7 @@
     def __init__(self, name, fleet, figures, random, now):
         self.name, self.fleet, self.figures, self.random = name, fleet, figures, random
         self.session = random.getrandbits(64)
-        self.places = [base.place_of(place) for place in figures.keepers]
+        self.places = [codec.parse_address(place) for place in figures.keepers]
         self.tries, self.mine, self.attempts = {}, {}, 0  # mine: key -> (attempt, body, until)
         self.telling = {}  # (key, attempt) -> Telling
         self.now, self.counts, self.effects, self.ended = now, {}, [], False
@@ -171,8 +171,8 @@
 
     def on_got(self, now, address, data):
         try:
-            said = wire.unpack(self.fleet, data)
-        except base.Unfit as error:
+            said = wire.CODEC.decode(self.fleet, data)
+        except codec.DatagramError as error:
             return self.count(str(error))
         if address not in self.places or getattr(said, "session", None) != self.session:
             return self.count("not for this process")
@@ -220,10 +220,10 @@
                 self.send(place, Claim(self.name, self.session, asks[keeper][n : n + figures.batch]))
             rest = lines[keeper]
             while rest:
-                some = base.fill(rest[: figures.batch], base.MOST - 160)
+                some = codec.take_fitting(rest[: figures.batch], codec.MAX_DATAGRAM_BYTES - 160)
                 rest = rest[len(some) :]
                 self.send(place, Say(self.name, self.session, some))
 
     def send(self, place, said):
         self.count("sent")
-        self.effects.append(("send", place, base.sealed(wire.CHANNEL, self.fleet, said)))
+        self.effects.append(("send", place, wire.CODEC.encode(self.fleet, said)))
--- a/finchcart/key_leases/keeper.py
+++ b/finchcart/key_leases/keeper.py
@@ -14,7 +14,7 @@
 
 from finchcart.key_leases import wire
 from finchcart.key_leases.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, RELEASED, YES, Noted, Vote, Votes
-from finchcart.membership import messages as base
+from finchcart.membership import codec
 
 SWEEP = 64  # claims looked at in a tick
 
@@ -53,15 +53,15 @@
 
     def on_got(self, now, address, data):
         try:
-            said = wire.unpack(self.fleet, data)
-        except base.Unfit as error:
+            said = wire.CODEC.decode(self.fleet, data)
+        except codec.DatagramError as error:
             return self.count(str(error))
         if now < self.silent_until:
             return self.count("silent after the start")
         if isinstance(said, wire.Claim):
             votes = [Vote(ask.key, ask.attempt, *self.vote(now, said.session, ask)) for ask in said.asks]
             # What has no room in one datagram is asked for again.
-            votes = base.fill(votes, base.MOST - 120)
+            votes = codec.take_fitting(votes, codec.MAX_DATAGRAM_BYTES - 120)
             self.send(address, Votes(said.session, votes))
         elif isinstance(said, wire.Say):
             for line in said.lines:
@@ -72,7 +72,7 @@
             self.count("not for a keeper")
 
     def send(self, address, said):
-        self.effects.append(("send", address, base.sealed(wire.CHANNEL, self.fleet, said)))
+        self.effects.append(("send", address, wire.CODEC.encode(self.fleet, said)))
 
     # ---- claims
 
--- a/finchcart/key_leases/wire.py
+++ b/finchcart/key_leases/wire.py
@@ -1,5 +1,5 @@
 """What rides between holders of claims and keepers: typed structs, in the datagrams of
-finchcart/membership/messages.py.
+finchcart/membership/codec.py.
 
 Owns the messages alone; see keeper.py and holder.py for what they mean. A key is the 16-byte digest of method
 and token, `body` the digest of what it carries.
@@ -7,11 +7,10 @@
 
 from typing import Annotated
 
-import msgspec
 from msgspec import Meta, Struct
 from xxhash import xxh3_64_intdigest, xxh3_128_digest
 
-from finchcart.membership.messages import Count, Name, Unfit, Word, unsealed
+from finchcart.membership.codec import MessageCodec, NodeName, Unsigned53, Unsigned64
 
 CHANNEL = b"C"
 Key = Annotated[bytes, Meta(min_length=16, max_length=16)]
@@ -24,14 +23,14 @@
     """One try to claim a key: of a holder the higher `attempt` is the newer. `life`: how long it is kept."""
 
     key: Key
-    body: Word
-    attempt: Count
-    life: Count
+    body: Unsigned64
+    attempt: Unsigned53
+    life: Unsigned53
 
 
 class Claim(Struct, array_like=True, frozen=True, tag=60):
-    holder: Name
-    session: Word
+    holder: NodeName
+    session: Unsigned64
     asks: Annotated[list[Ask], Meta(max_length=16)]
 
 
@@ -39,41 +38,31 @@
     """`result` with ENDED alone; `body` where a holder says how its run ended."""
 
     key: Key
-    attempt: Count
+    attempt: Unsigned53
     kind: Kind
     result: Result = b""
-    body: Word = 0
+    body: Unsigned64 = 0
 
 
 class Votes(Struct, array_like=True, frozen=True, tag=61):
-    session: Word
+    session: Unsigned64
     votes: Annotated[list[Vote], Meta(max_length=16)]
 
 
 class Say(Struct, array_like=True, frozen=True, tag=62):
     """By the holder of a claim: how its run ended (`kind` ENDED or FAILED), or RELEASED: it never ran."""
 
-    holder: Name
-    session: Word
+    holder: NodeName
+    session: Unsigned64
     lines: Annotated[list[Vote], Meta(max_length=16)]
 
 
 class Noted(Struct, array_like=True, frozen=True, tag=63):
-    session: Word
-    keys: Annotated[list[tuple[Key, Count, Kind]], Meta(max_length=16)]
+    session: Unsigned64
+    keys: Annotated[list[tuple[Key, Unsigned53, Kind]], Meta(max_length=16)]
 
 
-class Envelope(Struct, array_like=True, frozen=True):
-    version: int
-    fleet: str
-    said: Claim | Votes | Say | Noted
-
-
-_decoder = msgspec.msgpack.Decoder(Envelope)
-
-
-def unpack(fleet, data):
-    return unsealed(CHANNEL, fleet, data, _decoder, ())
+CODEC = MessageCodec(CHANNEL, Claim | Votes | Say | Noted)
 
 
 def key_of(method, token):
@@ -82,6 +71,3 @@
 
 def body_of(body):
     return xxh3_64_intdigest(body)
-
-
-__all__ = ["Unfit"]
--- a/finchcart/membership/config.py
+++ b/finchcart/membership/config.py
@@ -1,69 +1,88 @@
-"""All figures of membership, in one type, and the bounds that follow from them.
+"""The configuration of membership, in one type, and the bounds that follow from it.
 
-Owns the times and sizes by which a member acts; filled once from the settings file. It must never hold what
-is learnt while running. Times are whole microseconds.
+Owns the times and sizes by which a member acts; filled once from the settings file, whose keys the fields are
+named after (without the unit). It must never hold what is learnt while running. Times are whole microseconds.
 """
 
 from dataclasses import dataclass
 from math import ceil, log, log2
 
 MS, SECOND = 1_000, 1_000_000
+UNINFORMED_PROBABILITY = 0.01  # that one member of a fleet still lacks an update after the stated bound
 
 
 @dataclass(frozen=True)
-class Figures:
-    period: int = 500 * MS  # between beats to one member
-    parts: int = 5  # a period has so many ticks: its beats are spread over them
+class MembershipConfig:
+    """Times and sizes by which a member acts; see docs/operate/members.md for how to choose them."""
+
+    period: int = 500 * MS  # between heartbeats to one member
+    ticks_per_period: int = 5  # the heartbeats of a period are spread over its ticks
     patience: int = 4  # periods without two-way contact after which a link is down, where nothing is lost
     patience_most: int = 10  # the same where much is lost
-    link_wrong: float = 0.01  # patience is chosen so that loss alone takes a link for down this seldom
-    suspect: int = 500 * MS  # who is out for so long is failed
-    rise: int = 500 * MS  # a failed member is alive again after it was in for so long
-    watch: int = 24  # members that each exchanges beats with, at most, rounded down to even
+    link_error_rate: float = 0.01  # patience is chosen so that loss alone takes a link down this seldom
+    suspect: int = 500 * MS  # a member suspected for so long is failed
+    rise: int = 500 * MS  # a failed member is alive again after it was connected for so long
+    watch: int = 24  # members that each exchanges heartbeats with, at most, rounded down to even
     remember: int = 600 * SECOND  # a failed or left member is forgotten after this
-    revive: int = 8  # failed members and seeds sent a beat in a period
-    members: int = 4096  # rows kept; when full, failed ones go first, then new ones are refused
-    news: int = 256  # changed rows that wait to be passed on; the rest is left to the comparing of digests
+    revive: int = 8  # failed members and seeds sent a heartbeat in a period
+    members: int = 4096  # records kept; when full, failed ones go first, then new ones are refused
+    news: int = 256  # changed records that wait to be gossiped; the rest is left to anti-entropy
     datagrams: int = 400  # sent in one period at most; what is over waits for the next tick
-    ahead: int = 24 * 3600 * 1000  # milliseconds past the own wall clock: a later incarnation is impossible
-    starved_most: int = 5 * SECOND  # a late member's patience grows by no more
+    max_clock_ahead_ms: int = 24 * 3600 * 1000  # past the own wall clock: a later incarnation is impossible
+    max_lateness_allowance: int = 5 * SECOND  # a late member's patience grows by no more
 
     @property
-    def tick(self):
-        return self.period // self.parts
+    def tick(self) -> int:
+        """Microseconds between two ticks."""
+        return self.period // self.ticks_per_period
 
     @property
-    def gap(self):
-        """A tick later than this is a pause: nothing believed before it counts."""
+    def clock_gap(self) -> int:
+        """Microseconds without an input that mean a suspension: nothing believed before it counts."""
         return self.period + self.tick
 
-    def periods(self, loss):
-        """Patience at a measured part of messages lost on the way. A link of `n` periods has n tries there
-        and back, taken in turn: all fail by chance with (n (1 - p) + 1) p^n or less."""
-        for n in range(self.patience, self.patience_most):
-            if loss <= 0 or (n * (1 - loss) + 1) * loss**n <= self.link_wrong:
-                return n
+    def patience_periods(self, loss: float) -> int:
+        """Patience in periods where the part `loss` (0 to 1) of messages is lost.
+
+        A link of `n` periods has n tries there and back, taken in turn: all fail by chance with a probability
+        of (n (1 - p) + 1) p^n or less.
+        """
+        for periods in range(self.patience, self.patience_most):
+            if loss <= 0 or (periods * (1 - loss) + 1) * loss**periods <= self.link_error_rate:
+                return periods
         return self.patience_most
 
-    def link(self, loss=0.0, late=0):
-        """Without two-way contact for so long a link is down; `late`: by so much the own ticks run late."""
-        return self.periods(loss) * self.period + min(4 * late, self.starved_most)
+    def link_timeout(self, loss: float = 0.0, lateness: int = 0) -> int:
+        """Microseconds without two-way contact after which a link is down.
+
+        Arguments:
+            loss: part of messages lost, 0 to 1.
+            lateness: microseconds by which the own ticks run late.
+        """
+        allowance = min(4 * lateness, self.max_lateness_allowance)
+        return self.patience_periods(loss) * self.period + allowance
+
+    def dissemination_time(self, count: int, loss: float = 0.0) -> int:
+        """Microseconds until an update is known to all of `count` connected members.
 
-    def spread(self, count, loss=0.0):
-        """News at all of `count` connected members: each step takes a tick to go out, and a period more where
-        it was lost, so often that at most one member in a hundred fleets lacks it."""
+        Each step takes a tick to go out, and a period more for each retransmission, of which there are so
+        many that at most one member in a hundred fleets lacks it.
+        """
         steps = 1 if count <= self.watch + 1 else ceil(log(count) / log(self.watch)) + 1
-        again = 0 if loss <= 0 else ceil(log(0.01 / max(1, count)) / log(loss)) - 1
-        return steps * 2 * self.tick + again * self.period
+        retransmissions = 0
+        if loss > 0:
+            retransmissions = ceil(log(UNINFORMED_PROBABILITY / max(1, count)) / log(loss)) - 1
+        return steps * 2 * self.tick + retransmissions * self.period
 
-    def failed_within(self, count, loss=0.0, late=0):
-        """From a death until all others have it as failed."""
-        return self.link(loss, late) + 2 * self.tick + self.spread(count, loss) + self.suspect + 2 * late
+    def detection_bound(self, count: int, loss: float = 0.0, lateness: int = 0) -> int:
+        """Microseconds from a member's death until all of `count` members hold it to be failed."""
+        timeout = self.link_timeout(loss, lateness)
+        return timeout + 2 * self.tick + self.dissemination_time(count, loss) + self.suspect + 2 * lateness
 
-    def stale(self, count, loss=0.0, late=0):
-        """How old what a view says of a member can be, whatever failed between them."""
-        return self.failed_within(count, loss, late) + self.period
+    def staleness_bound(self, count: int, loss: float = 0.0, lateness: int = 0) -> int:
+        """Microseconds that what a view says of a member can be old, whatever failed between them."""
+        return self.detection_bound(count, loss, lateness) + self.period
 
-    def known(self, count):
-        """How often a changed row is passed on by each member that has it."""
+    def retransmissions(self, count: int) -> int:
+        """How often each member that has a changed record gossips it, in a fleet of `count`."""
         return 3 * max(1, ceil(log2(count + 1)))
--- /dev/null
+++ b/finchcart/membership/failure_detection.py
@@ -0,0 +1,214 @@
+"""Failure detection: from links that are down to members that are suspected, failed and alive again.
+
+Owns the links to the members that this one watches, the graph of who watches whom and the times for which a
+verdict must stand before it counts, as in SWIM with Lifeguard's doubt of itself first: who runs late is more
+patient, and who was suspended accuses nobody until there was time for contact. Who is connected is worked out
+by view.py, the states are kept in records.py.
+"""
+
+from finchcart.membership.config import MembershipConfig
+from finchcart.membership.links import LossEstimate, PeerLink, record_heartbeat
+from finchcart.membership.messages import DeclaredStatus, Heartbeat
+from finchcart.membership.records import GONE, KnownMember, MemberState, MemberTable, state_in_contact
+from finchcart.membership.view import Graph, connected_members, watch_graph
+
+QUIET_LINK_PERIODS = 10  # a link beside the graph is dropped once nothing came for so long
+LATENESS_DECAY = 16  # the part of the lateness that goes with each tick is one in so many
+
+
+class FailureDetector:
+    """Bounded by one link a member, and by `config.watch` links that are watched.
+
+    Arguments:
+        table: the records and states of all members.
+        config: periods and patience.
+        now: boot clock, microseconds.
+    """
+
+    def __init__(self, table: MemberTable, config: MembershipConfig, now: int) -> None:
+        self.table = table
+        self.config = config
+        self.links: dict[int, PeerLink] = {}
+        self.graph: Graph = {table.own_id: frozenset()}
+        self.connected = {table.own_id}
+        self.excluded: frozenset[int] = frozenset()
+        self.loss = LossEstimate()
+        self.lateness = 0  # microseconds by which the own ticks run late
+        self.quiet_until = 0  # accuses nobody before
+        self._last_tick_at = now
+        table.on_forget.append(lambda member_id: self.links.pop(member_id, None))
+
+    @property
+    def own_neighbours(self) -> frozenset[int] | set[int]:
+        """ids of the members that this one watches."""
+        return self.graph[self.table.own_id]
+
+    def link_to(self, now: int, member_id: int) -> PeerLink:
+        """The link to a member, opened where there is none."""
+        if member_id not in self.links:
+            self.links[member_id] = PeerLink(now)
+        return self.links[member_id]
+
+    def link_timeout(self) -> int:
+        """Microseconds without contact after which a link is down, at the measured loss."""
+        return self.config.link_timeout(self.loss.value)
+
+    # ---- inputs
+
+    def on_clock_gap(self, now: int) -> None:
+        """This process was suspended: contact has to be proven anew, and there is time for it."""
+        self.quiet_until = now + self.link_timeout() + self.config.period
+        self.lateness = 0
+        self._last_tick_at = now
+        for link in self.links.values():
+            link.reset(now)
+            link.is_down = False
+            link.heartbeat_due = now
+        for known in self.table.members.values():
+            known.turning_since = None
+
+    def on_heartbeat(self, now: int, member_id: int, heartbeat: Heartbeat) -> int | None:
+        """Takes a heartbeat into its link; the longest that it can have been under way, None: not known."""
+        link = self.link_to(now, member_id)
+        link.follow_session(now, heartbeat.record.session)
+        record_heartbeat(link, self.loss, now, heartbeat, self.config.period)
+        if heartbeat.echo_session != self.table.own_record.session:
+            return None
+        echoed_at, is_later = link.record_echo(heartbeat.echo_sequence)
+        if is_later and self.table.members[member_id].state == MemberState.FAILED:
+            self.table.is_changed = True
+        return None if echoed_at is None else now - echoed_at
+
+    def on_tick(self, now: int) -> None:
+        """Measures how late the own ticks run."""
+        late = max(0, now - self._last_tick_at - self.config.tick)
+        self.lateness = max(late, self.lateness - self.lateness // LATENESS_DECAY)
+        self._last_tick_at = now
+
+    # ---- once a tick
+
+    def review(self, now: int) -> None:
+        """Draws the view from links and records, and sets the states that follow."""
+        table = self.table
+        self.loss.update()
+        if table.is_graph_outdated:
+            self._update_graph()
+        self._review_links(now)
+        if table.is_changed or any(known.turning_since is not None for known in table.members.values()):
+            self._review_members(now)
+
+    def _update_graph(self) -> None:
+        table = self.table
+        ids = [one for one, known in table.members.items() if known.record.status != DeclaredStatus.LEFT]
+        self.graph = watch_graph(ids, self.config.watch)
+        table.is_graph_outdated = False
+        table.is_changed = True
+
+    def _review_links(self, now: int) -> None:
+        """The own record declares which links are down."""
+        timeout = self.config.link_timeout(self.loss.value, self.lateness)
+        unreachable = []
+        for member_id in self.own_neighbours:
+            link = self.link_to(now, member_id)
+            if now >= self.quiet_until:
+                limit = timeout - self.config.period if link.is_down else timeout
+                link.is_down = now - link.contact_since() > limit
+            if link.is_down:
+                unreachable.append(member_id)
+        self._drop_quiet_links(now)
+        unreachable.sort()
+        if unreachable != self.table.own_record.unreachable:
+            self.table.update_own_record(unreachable=unreachable)
+
+    def _drop_quiet_links(self, now: int) -> None:
+        span = QUIET_LINK_PERIODS * self.config.period
+        for member_id in [one for one in self.links if one not in self.own_neighbours]:
+            known = self.table.members.get(member_id)
+            is_failed = known is not None and known.state == MemberState.FAILED
+            if not is_failed and not self.links[member_id].was_heard_within(now, span):
+                del self.links[member_id]
+
+    def _review_members(self, now: int) -> None:
+        table = self.table
+        unreachable = {member_id: table.members[member_id].record.unreachable for member_id in self.graph}
+        self.connected = connected_members(table.own_id, unreachable, self.graph, self.excluded)
+        table.is_changed = False
+        # Who is excluded itself accuses nobody: while a cut is being noticed link by link, a member of the
+        # smaller part would exclude its like, who are still its fleet when all links across are down.
+        may_accuse = table.own_id in self.connected and now >= self.quiet_until
+        excluded = set()
+        for member_id in self.graph:
+            if member_id != table.own_id and self._review_member(now, member_id, may_accuse):
+                excluded.add(member_id)
+        if excluded != self.excluded:
+            self.excluded = frozenset(excluded)
+            table.is_changed = True
+
+    def _review_member(self, now: int, member_id: int, may_accuse: bool) -> bool:
+        """Whether the member is excluded from now on."""
+        known = self.table.members[member_id]
+        is_failed = known.state == MemberState.FAILED
+        if member_id in self.connected and (not is_failed or self._gave_a_sign(member_id, known)):
+            return self._recover(now, known)
+        if is_failed:
+            known.turning_since = None
+            return True
+        if may_accuse:
+            return self._accuse(now, known)
+        known.turning_since = None
+        if now < self.quiet_until:
+            self.table.is_changed = True  # was suspended lately: looks again
+        return False
+
+    def _recover(self, now: int, known: KnownMember) -> bool:
+        """The member is connected; whether it is still excluded."""
+        if known.state == MemberState.FAILED:
+            if known.turning_since is None:
+                known.turning_since = now
+            if now - known.turning_since < self.config.rise:
+                return True
+            self.table.set_state(now, known, state_in_contact(known.record))
+        elif known.state == MemberState.SUSPECT:
+            self.table.set_state(now, known, state_in_contact(known.record))
+        else:
+            known.turning_since = None
+        return False
+
+    def _accuse(self, now: int, known: KnownMember) -> bool:
+        """The member is not connected; whether it has been so for long enough to have failed."""
+        if known.state != MemberState.SUSPECT:
+            self.table.set_state(now, known, MemberState.SUSPECT)
+            known.turning_since = now
+        elif known.turning_since is None:
+            known.turning_since = now
+        elif now - known.turning_since >= self.config.suspect:
+            self.table.set_state(now, known, MemberState.FAILED)
+            return True
+        return False
+
+    def _gave_a_sign(self, member_id: int, known: KnownMember) -> bool:
+        """Whether a failed member gave a sign of life since. Guards against links that look up because those
+        who declared them down have forgotten the member already."""
+        if known.record.precedence > known.failed_precedence:
+            return True
+        link = self.links.get(member_id)
+        return link is not None and link.confirmed_at is not None and link.confirmed_at > known.since
+
+    # ---- bounds as things are
+
+    def staleness_bound(self) -> int:
+        """Microseconds that what the view says of a member can be old, at the measured loss and lateness."""
+        return self.config.staleness_bound(len(self.graph), self.loss.value, self.lateness)
+
+    def view_age(self, now: int, member_id: int) -> int:
+        """Microseconds that what is known of a member can be old. Of a watched one: since the last contact
+        that is proven. Of others: what their watchers would have told by now."""
+        if member_id == self.table.own_id:
+            return 0
+        link = self.links.get(member_id)
+        if link is not None and link.confirmed_at is not None and member_id in self.own_neighbours:
+            return now - link.confirmed_at
+        known = self.table.members[member_id]
+        if known.state in GONE:
+            return now - known.since + self.staleness_bound()
+        return self.staleness_bound()
--- /dev/null
+++ b/finchcart/membership/gossip.py
@@ -0,0 +1,116 @@
+"""Gossip entries: what other parts of the program publish to all members, piggybacked on heartbeats.
+
+Owns the newest entry of each member and topic, with a bound on its age. It must never look into an entry's
+payload, nor take an entry for younger than it can be: each is dated by the echo of the own heartbeat that
+came back with it.
+"""
+
+from collections import OrderedDict
+
+import msgspec
+
+from finchcart.membership.codec import encode_value
+from finchcart.membership.messages import GossipEntry
+from finchcart.membership.records import MemberTable
+
+MAX_RELAYED_IN_HEARTBEAT = 12  # entries of others
+RELAYS_WHERE_ALL_HEAR_ALL = 2  # times that an entry is passed on where all exchange heartbeats
+
+EntryKey = tuple[int, int]  # (member id, topic)
+Counters = list[tuple[int, int, int]]
+
+
+class DatedEntry:
+    """An entry, and when it was written at the earliest (None: not known)."""
+
+    __slots__ = ("entry", "written_at")
+
+    def __init__(self, entry: GossipEntry, written_at: int | None) -> None:
+        self.entry = entry
+        self.written_at = written_at
+
+    def raise_written_at(self, written_at: int | None) -> None:
+        """Takes another bound on its age where it is the better: of two that hold, the younger is."""
+        if written_at is not None and (self.written_at is None or written_at > self.written_at):
+            self.written_at = written_at
+
+    def as_sent(self, now: int) -> GossipEntry:
+        """The entry with its age at `now`; of an entry whose age is known."""
+        return msgspec.structs.replace(self.entry, age_us=max(0, now - self.written_at))
+
+
+class GossipEntryStore:
+    """Bounded by one entry a member and topic; entries go with their member."""
+
+    def __init__(self, table: MemberTable) -> None:
+        self.table = table
+        self.own: dict[int, DatedEntry] = {}  # topic -> the own entry
+        self.received: dict[EntryKey, DatedEntry] = {}
+        self.relays_left: OrderedDict[EntryKey, int] = OrderedDict()
+        table.on_forget.append(self._forget)
+
+    def publish(self, now: int, topic: int, counters: Counters, payload: bytes = b"") -> bool:
+        """Sets what goes with each heartbeat from now on; False where counters alone say the same again."""
+        held = self.own.get(topic)
+        previous = held.entry if held else None
+        incarnation = self.table.own_record.incarnation
+        is_same = previous and previous.counters == counters and previous.incarnation == incarnation
+        if is_same and not payload and not previous.payload:
+            return False
+        sequence = previous.sequence + 1 if previous else 0
+        entry = GossipEntry(self.table.own_id, topic, incarnation, sequence, 0, counters, payload)
+        self.own[topic] = DatedEntry(entry, now)
+        return True
+
+    def receive(self, now: int, entry: GossipEntry, transit_us: int | None) -> None:
+        """Takes an entry where it is newer than what is held, or its age where that is better known.
+
+        Arguments:
+            now: boot clock, microseconds. entry: of any member. transit_us: how long it can have been under
+            way here; None: nothing tells, so its age is not known.
+        """
+        if entry.member_id == self.table.own_id or entry.member_id not in self.table.members:
+            return
+        key = entry.member_id, entry.topic
+        held = self.received.get(key)
+        written_at = None if transit_us is None else now - transit_us - entry.age_us
+        if held is None or entry.precedence > held.entry.precedence:
+            self.received[key] = DatedEntry(entry, written_at)
+            self.relays_left[key] = self._relays()
+            self.relays_left.move_to_end(key)
+        elif entry.precedence == held.entry.precedence:
+            held.raise_written_at(written_at)
+
+    def _relays(self) -> int:
+        """So often that few are left out by chance, where not all exchange heartbeats."""
+        count = len(self.table.members)
+        if count <= self.table.config.watch + 1:
+            return RELAYS_WHERE_ALL_HEAR_ALL
+        return count.bit_length() + 1
+
+    def take(self, now: int, receiver_id: int, max_bytes: int) -> list[GossipEntry]:
+        """The own entries, and some that are to be passed on, as many as there is room for."""
+        entries = [held.as_sent(now) for _, held in sorted(self.own.items())]
+        max_bytes -= len(encode_value(entries))
+        for key in list(self.relays_left)[:MAX_RELAYED_IN_HEARTBEAT]:
+            held = self.received[key]
+            if key[0] == receiver_id or held.written_at is None:
+                continue
+            entry = held.as_sent(now)
+            max_bytes -= len(encode_value(entry))
+            if max_bytes < 0:
+                break
+            entries.append(entry)
+            self._count_relay(key)
+        return entries
+
+    def _count_relay(self, key: EntryKey) -> None:
+        self.relays_left[key] -= 1
+        self.relays_left.move_to_end(key)
+        if self.relays_left[key] <= 0:
+            del self.relays_left[key]
+
+    def _forget(self, member_id: int) -> None:
+        for key in [key for key in self.received if key[0] == member_id]:
+            del self.received[key]
+            self.relays_left.pop(key, None)
--- a/finchcart/membership/messages.py
+++ b/finchcart/membership/messages.py
@@ -1,200 +1,151 @@
-"""What rides between members: typed structs as MessagePack, in datagrams of 1,200 bytes at most.
+"""The messages between members: member records, heartbeats, gossip entries and anti-entropy.
 
-Owns the messages, their limits and the digest by which a spoilt one is known. It must never act on a message:
-what can't be read is an `Unfit` with a reason that is counted.
-
-A datagram is a byte for the channel (`M` here), the 8-byte xxh64 of the rest, then `[version, fleet,
-message]`. There is no sign-in and no encryption: the digest guards against accidents alone, and the address
-must not be reachable by others.
+Owns their fields and limits. It must never act on a message; the codec is codec.py. The order of the fields
+and the tags are the wire format: they stay, whatever the fields are called here.
 """
 
-from functools import lru_cache
+from enum import IntEnum
 from typing import Annotated
 
-import msgspec
 from msgspec import Meta, Struct
-from xxhash import xxh3_64_intdigest, xxh64_digest
-
-VERSION, MOST, DIGEST, CHANNEL = 2, 1200, 8, b"M"
-
-Word = Annotated[int, Meta(ge=0)]  # 64 bits: the most that the format carries
-Count = Annotated[int, Meta(ge=0, lt=2**53)]
-Name = Annotated[str, Meta(min_length=1, max_length=64)]
-Place = Annotated[str, Meta(min_length=3, max_length=64)]
-ALIVE, LEAVING, LEFT = 0, 1, 2
-
-
-class Unfit(Exception):
-    """A datagram or row that can't be used; its text is a reason for the counters."""
+from xxhash import xxh3_64_intdigest
 
+from finchcart.membership.codec import Address, MessageCodec, NodeName, Unsigned53, Unsigned64
 
-class Row(Struct, array_like=True, frozen=True):
-    """What a member says of itself; nobody else writes it. Newer is the higher (incarnation, version)."""
+CHANNEL = b"M"
+MAX_BUCKETS = 64
+MAX_PAGE_ENTRIES = 64
+MAX_GOSSIP_ENTRIES = 16  # in one heartbeat
+MAX_PAYLOAD_BYTES = 600  # of one gossip entry
 
-    name: Name
-    address: Place
-    session: Word  # drawn at start: tells two processes of one name apart
-    began: Count  # wall clock at start, milliseconds: of two processes of one name the younger stands
-    incarnation: Count  # the same at first; raised over what is remembered, and on waking from a pause
-    version: Count
-    duty: Annotated[int, Meta(ge=ALIVE, le=LEFT)]
-    down: Annotated[list[Word], Meta(max_length=96)]  # ids of those it has no two-way contact with
-
-    @property
-    def age(self):
-        """What orders rows of one name."""
-        return self.incarnation, self.version, self.session
 
+class DeclaredStatus(IntEnum):
+    """What a member declares of itself; it only ever rises within one process."""
 
-class Note(Struct, array_like=True, frozen=True):
-    """What a member says for another part of the program, not looked into here; newer is the higher
-    (incarnation, number) of one topic. `since`: microseconds since it was written, as the sender knows at
-    most."""
+    ALIVE = 0
+    LEAVING = 1
+    LEFT = 2
 
-    who: Word  # id of the member
-    topic: Annotated[int, Meta(ge=0, lt=4)]  # which part
-    incarnation: Count
-    number: Count
-    since: Count
-    values: Annotated[list[tuple[Word, Count, Count]], Meta(max_length=16)]
-    data: Annotated[bytes, Meta(max_length=600)] = b""
-
-    @property
-    def age(self):
-        return self.incarnation, self.number
 
+class GossipTopic(IntEnum):
+    """Which part of the program a gossip entry belongs to."""
 
-class Beat(Struct, array_like=True, frozen=True, tag=1):
-    """Sent to each watched member once a period. `echo` is the highest `seq` heard of the receiver's
-    `echo_session`: it proves that the way there and back is open since that was sent."""
+    QUOTA = 0
+    OBSERVATIONS = 1
+    OVERRIDES = 2
 
-    row: Row  # the sender's own
-    seq: Count
-    echo_session: Word
-    echo: Count
-    digest: Word  # of all rows
-    rows: list[Row]  # news
-    notes: Annotated[list[Note], Meta(max_length=16)] = []  # the sender's own first, then some of others
 
+Version = tuple[int, int, int]  # (incarnation, version, session), see MemberRecord.precedence
 
-class Sync(Struct, array_like=True, frozen=True, tag=2):
-    """Digests of all rows by bucket (id modulo their count): those that differ are compared next."""
 
-    row: Row
-    buckets: Annotated[list[Word], Meta(min_length=1, max_length=64)]
+class MemberRecord(Struct, array_like=True, frozen=True):
+    """What a member declares of itself; nobody else writes it."""
 
+    name: NodeName
+    address: Address
+    session: Unsigned64  # drawn at start: tells two processes of one name apart
+    started_ms: Unsigned53  # wall clock at start: of two processes of one name the younger stands
+    incarnation: Unsigned53  # equal at first; raised over what others remember, and after a suspension
+    version: Unsigned53
+    status: Annotated[int, Meta(ge=DeclaredStatus.ALIVE.value, le=DeclaredStatus.LEFT.value)]
+    unreachable: Annotated[list[Unsigned64], Meta(max_length=96)]  # ids it has no two-way contact with
 
-class Page(Struct, array_like=True, frozen=True, tag=3):
-    """(id, incarnation, version) of all rows of a bucket with ids from `low` to `high`."""
+    @property
+    def precedence(self) -> Version:
+        """Orders the records of one name: the higher is the newer."""
+        return self.incarnation, self.version, self.session
 
-    row: Row
-    buckets: Annotated[int, Meta(ge=1, le=64)]
-    bucket: Annotated[int, Meta(ge=0, le=63)]
-    low: Word
-    high: Word
-    entries: Annotated[list[tuple[Word, Count, Count]], Meta(max_length=64)]
-    answer: bool  # sent for a page: not answered by another
+    @property
+    def seniority(self) -> tuple[int, int]:
+        """Orders two processes of one name: the higher started later."""
+        return self.started_ms, self.session
 
+    def digest(self) -> int:
+        """One record's part in the digest of many, which is their exclusive or."""
+        text = f"{self.name} {self.incarnation} {self.version} {self.session}"
+        return xxh3_64_intdigest(text.encode())
 
-class Rows(Struct, array_like=True, frozen=True, tag=4):
-    rows: list[Row]
 
+class GossipEntry(Struct, array_like=True, frozen=True):
+    """What a member publishes for another part of the program, opaque to membership."""
 
-class Ask(Struct, array_like=True, frozen=True, tag=5):
-    """A question of the command line: one page of the view."""
+    member_id: Unsigned64
+    topic: Annotated[int, Meta(ge=0, lt=4)]
+    incarnation: Unsigned53
+    sequence: Unsigned53
+    age_us: Unsigned53  # since it was written, at most, as far as the sender knows
+    counters: Annotated[list[tuple[Unsigned64, Unsigned53, Unsigned53]], Meta(max_length=16)]
+    payload: Annotated[bytes, Meta(max_length=MAX_PAYLOAD_BYTES)] = b""
 
-    number: Count
-    page: Annotated[int, Meta(ge=0, lt=4096)]
+    @property
+    def precedence(self) -> tuple[int, int]:
+        """Orders the entries of one member and topic: the higher is the newer."""
+        return self.incarnation, self.sequence
 
 
-class Told(Struct, array_like=True, frozen=True, tag=6):
-    number: Count
-    page: int
-    pages: int
-    view: dict  # see Member.status
+class Heartbeat(Struct, array_like=True, frozen=True, tag=1):
+    """Sent to each watched member once a period.
 
+    `echo_sequence` is the highest sequence received from the receiver's session `echo_session`: it proves
+    that the link was open both ways since the receiver sent that one.
+    """
 
-class Taken(Struct, array_like=True, frozen=True, tag=7):
-    """To one that uses a name: another process has it, and the sender is in two-way contact with that one."""
+    record: MemberRecord  # the sender's own
+    sequence: Unsigned53
+    echo_session: Unsigned64
+    echo_sequence: Unsigned53
+    digest: Unsigned64  # of all records of members in the fleet
+    updates: list[MemberRecord]  # gossip: records that changed lately
+    entries: Annotated[list[GossipEntry], Meta(max_length=MAX_GOSSIP_ENTRIES)] = []  # the sender's own first
 
-    row: Row
 
+class BucketDigests(Struct, array_like=True, frozen=True, tag=2):
+    """Anti-entropy, first step: digests of all records by bucket (id modulo the number of buckets)."""
 
-class Envelope(Struct, array_like=True, frozen=True):
-    version: int
-    fleet: str
-    said: Beat | Sync | Page | Rows | Ask | Told | Taken
+    record: MemberRecord
+    digests: Annotated[list[Unsigned64], Meta(min_length=1, max_length=MAX_BUCKETS)]
 
 
-_encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Envelope)
-encoded = _encoder.encode
+class BucketPage(Struct, array_like=True, frozen=True, tag=3):
+    """Anti-entropy, second step: (id, incarnation, version) of the records of a bucket in a range of ids."""
 
+    record: MemberRecord
+    bucket_count: Annotated[int, Meta(ge=1, le=MAX_BUCKETS)]
+    bucket: Annotated[int, Meta(ge=0, lt=MAX_BUCKETS)]
+    first_id: Unsigned64
+    last_id: Unsigned64
+    versions: Annotated[list[tuple[Unsigned64, Unsigned53, Unsigned53]], Meta(max_length=MAX_PAGE_ENTRIES)]
+    is_reply: bool  # sent for a page: not answered by another
 
-def id_of(name):
-    return xxh3_64_intdigest(name.encode())
 
+class MemberRecords(Struct, array_like=True, frozen=True, tag=4):
+    """Anti-entropy, last step: whole records that the receiver lacks."""
 
-def digest_of(row):
-    """For digests of many rows: their exclusive or."""
-    return xxh3_64_intdigest(f"{row.name} {row.incarnation} {row.version} {row.session}".encode())
+    records: list[MemberRecord]
 
 
-def sealed(channel, fleet, said):
-    data = _encoder.encode((VERSION, fleet, said))
-    return channel + xxh64_digest(data) + data
+class ViewRequest(Struct, array_like=True, frozen=True, tag=5):
+    """A question of the command line for one page of the view."""
 
+    number: Unsigned53
+    page: Annotated[int, Meta(ge=0, lt=4096)]
 
-def unsealed(channel, fleet, data, decoder, question):
-    """What a datagram says; `fleet`: None for any. A `question` need not name the fleet."""
-    if len(data) > MOST:
-        raise Unfit("too long")
-    if data[:1] != channel or xxh64_digest(data[1 + DIGEST :]) != data[1 : 1 + DIGEST]:
-        raise Unfit("spoilt")
-    try:
-        envelope = decoder.decode(data[1 + DIGEST :])
-    except msgspec.ValidationError:
-        raise Unfit("not valid") from None
-    except msgspec.DecodeError:
-        raise Unfit("unreadable") from None
-    if envelope.version != VERSION:
-        raise Unfit("another version")
-    if fleet not in (None, envelope.fleet) and not (
-        envelope.fleet == "" and isinstance(envelope.said, question)
-    ):
-        raise Unfit("another fleet")
-    return envelope.said
 
+class ViewPage(Struct, array_like=True, frozen=True, tag=6):
+    """The answer to a `ViewRequest`; page 0 has the counters, the others have members."""
 
-def pack(fleet, said):
-    return sealed(CHANNEL, fleet, said)
+    number: Unsigned53
+    page: int
+    page_count: int
+    view: dict
 
 
-def unpack(fleet, data):
-    return unsealed(CHANNEL, fleet, data, _decoder, Ask)
+class NameTaken(Struct, array_like=True, frozen=True, tag=7):
+    """To one that uses a name: another process has it, and the sender is in two-way contact with that one."""
 
+    record: MemberRecord
 
-@lru_cache(8192)
-def place_of(text):
-    """(host, port) of an advertised address."""
-    host, _, port = text.rpartition(":")
-    parts = host.split(".")
-    if (
-        len(parts) != 4
-        or not all(p.isdecimal() and len(p) < 4 and int(p) < 256 for p in parts)
-        or not port.isdecimal()
-        or len(port) > 5
-        or not 0 < int(port) < 65536
-    ):
-        raise Unfit("impossible address")
-    return host, int(port)
 
+Message = Heartbeat | BucketDigests | BucketPage | MemberRecords | ViewRequest | ViewPage | NameTaken
 
-def fill(rows, room):
-    """As many of the rows as fit into `room` bytes."""
-    taken = []
-    for row in rows:
-        room -= len(encoded(row))
-        if room < 0:
-            break
-        taken.append(row)
-    return taken
+CODEC: MessageCodec[Message] = MessageCodec(CHANNEL, Message, (ViewRequest,))
--- a/finchcart/net/datagrams.py
+++ b/finchcart/net/datagrams.py
@@ -16,7 +16,7 @@
 
 from loguru import logger
 
-from finchcart.membership.messages import MOST
+from finchcart.membership.codec import MAX_DATAGRAM_BYTES
 from finchcart.net.links import boot_clock
 
 TICK = 100_000  # microseconds, where no machine names its own
@@ -109,7 +109,7 @@
     def receive(self):
         """One datagram; False where there was none in the time that is set."""
         try:
-            data, address = self.sock.recvfrom(MOST + 1)
+            data, address = self.sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
         except (BlockingIOError, TimeoutError):
             return False
         except OSError:
--- a/finchcart/node/witness.py
+++ b/finchcart/node/witness.py
@@ -6,7 +6,7 @@
 another.
 """
 
-from finchcart.consensus.subjects import DOWN, NUMBER, OUT, SLOWED, WORKING, source, subject
+from finchcart.consensus.subjects import Restriction, StoreHealth, SubjectKind, make_subject, source_subject
 from finchcart.interface import Outcome
 
 SECOND = 1_000_000
@@ -18,7 +18,7 @@
     def __init__(self, figures):
         self.figures, self.looked = figures, None
         self.calls, self.runs, self.rpcs, self.sources = [0, 0, 0], [0, 0, 0], 0, {}
-        self.store, self.out, self.level, self.against = WORKING, False, 0.0, {}
+        self.store, self.out, self.level, self.against = StoreHealth.WORKING, False, 0.0, {}
         self.tokens = {}  # subject -> (how many, when): RPCs that may be taken of a source that is slowed
         self.turned_away = 0
 
@@ -61,14 +61,14 @@
     def bad(self, host):
         """A message that can't be read, or a connection without an RPC."""
         if host:
-            self.note(source(host), 0)
+            self.note(source_subject(host), 0)
 
     def over(self, caller):
         """An RPC beyond a limit of its dispatcher."""
         self.note(self.number(caller), 1)
 
     def number(self, caller):
-        return subject(NUMBER, int(caller)) if caller and caller.isdecimal() else None
+        return make_subject(SubjectKind.DISPATCHER, int(caller)) if caller and caller.isdecimal() else None
 
     # ---- what holds
 
@@ -79,24 +79,24 @@
 
     @property
     def store_down(self):
-        return self.store == DOWN
+        return self.store == StoreHealth.DOWN
 
     def room(self, now, host, caller):
         """(left, of, back) for an RPC of this source, as `Control.arrive` has it; None: no verdict on it."""
         self.rpcs += 1
-        subjects = source(host) if host else None, self.number(caller)
+        subjects = source_subject(host) if host else None, self.number(caller)
         for one in subjects:
             self.note(one, 2)
         if not self.against:
             return None
         stands = max(
-            ((self.against.get(one, WORKING), one) for one in subjects if one is not None),
-            default=(WORKING, None),
+            ((self.against.get(one, Restriction.NONE), one) for one in subjects if one is not None),
+            default=(Restriction.NONE, None),
         )
-        if stands[0] == OUT:
+        if stands[0] == Restriction.BLOCKED:
             self.turned_away += 1
             return 0, 0, self.figures.shut
-        if stands[0] != SLOWED:
+        if stands[0] != Restriction.THROTTLED:
             return None
         most = self.figures.slowed
         left, at = self.tokens.get(stands[1], (most, now))
--- a/finchcart/quota/holder.py
+++ b/finchcart/quota/holder.py
@@ -13,7 +13,7 @@
 calls; until the old ones are over, the holder says that it uses what they need.
 """
 
-from finchcart.membership import messages as base
+from finchcart.membership import codec
 from finchcart.quota import wire
 from finchcart.quota.talker import Talker
 from finchcart.quota.wire import Elsewhere, Grant, Line, Want
@@ -39,7 +39,7 @@
     def __init__(self, name, fleet, quota, random, now):
         self.name, self.fleet, self.quota, self.random = name, fleet, quota, random
         self.session = random.getrandbits(64)
-        self.planners = [base.place_of(place) for place in quota.planners]
+        self.planners = [codec.parse_address(place) for place in quota.planners]
         self.leader = random.randrange(max(1, len(self.planners)))
         self.seq, self.asks, self.next_ask, self.last_ask, self.answered = 0, {}, now, now, now
         self.held = {limit.name: Held(limit) for limit in quota.strict}
@@ -76,8 +76,8 @@
             self.on_grant(now, said)
         elif isinstance(said, Elsewhere):
             self.on_elsewhere(now, said)
-        elif isinstance(said, wire.Ask):
-            self.send(address, wire.Told(said.number, self.status(now)))
+        elif isinstance(said, wire.StatusRequest):
+            self.send(address, wire.StatusResponse(said.number, self.status(now)))
         else:
             self.count("not for a holder")
 
--- a/finchcart/quota/loose.py
+++ b/finchcart/quota/loose.py
@@ -17,7 +17,7 @@
 
 from collections import deque
 
-from finchcart.membership.messages import id_of
+from finchcart.membership.codec import name_hash
 from finchcart.quota.division import divide
 
 KEEP = 2_000_000  # what is handed out is good for so long: a node whose members' part ends has its floor
@@ -27,14 +27,14 @@
 
 def fresh(figures, count, loss):
     """How old the word of a heard member can be, and how long a new word takes to all."""
-    return figures.spread(count, loss) + 2 * figures.period
+    return figures.dissemination_time(count, loss) + 2 * figures.period
 
 
 class Held:
     """The part of one limit."""
 
     def __init__(self, limit):
-        self.limit, self.id = limit, id_of(limit.name)
+        self.limit, self.id = limit, name_hash(limit.name)
         self.used, self.wants = 0, 0
         self.said = deque()  # (when, wants), the youngest last
         self.part, self.told, self.told_at = limit.floor, None, None
@@ -81,7 +81,7 @@
 
     def turn(self, now, member):
         self.look(now, member)
-        member.write_note(now, TOPIC, [(held.id, held.used, held.wants) for held in self.held.values()])
+        member.publish(now, TOPIC, [(held.id, held.used, held.wants) for held in self.held.values()])
         effects = []
         for held in self.held.values():
             # Twice in hand: others must have heard of the want, and this one of what they had by then.
@@ -95,20 +95,20 @@
 
     def look(self, now, member):
         """Who is seen, who is known, and who is not heard."""
-        figures, count = member.figures, len(member.known)
+        figures, count = member.config, len(member.known_members)
         self.age = fresh(figures, count, member.loss)
         self.heard, self.unheard, gone = [], [], 0
-        mine = member.graph.get(member.me, ())
-        for one, known in member.known.items():
-            if one == member.me or known.state == "left":
+        mine = member.graph.get(member.own_id, ())
+        for one, known in member.known_members.items():
+            if one == member.own_id or known.state == "left":
                 continue
             if known.state == "failed":
                 gone += 1
-            elif one in mine and (one not in member.peers or member.age(now, one) > self.age):
+            elif one in mine and (one not in member.links or member.view_age(now, one) > self.age):
                 self.unheard.append(one)
             else:
                 self.heard.append(one)
-        if member.isolated or member.waking:
+        if member.isolated or member.is_resuming:
             # What it knows of others is of before: it is a side of its own.
             gone, self.heard, self.unheard = gone + len(self.heard) + len(self.unheard), [], []
         elif self.since is None:
@@ -128,19 +128,19 @@
         if self.since is None or now - self.since < self.age:
             return limit.floor  # others don't know of it yet
         whole = self.quota.part_of(limit, self.seen, self.knows)
-        demands, used = {member.me: held.settled()}, {}
+        demands, used = {member.own_id: held.settled()}, {}
         for one in self.unheard:
             demands[one] = whole
         for one in self.heard:
-            held_note = member.notes.get((one, TOPIC))
-            for ident, uses, wants in held_note.note.values if held_note else ():
+            held_note = member.gossip.received.get((one, TOPIC))
+            for ident, uses, wants in held_note.entry.counters if held_note else ():
                 if ident == held.id:
                     demands[one], used[one] = wants, uses
         wanted = sum(demands.values())
         parts = divide(whole, demands)
         # Calls that outlast a part that fell are left to their node, and the rest is divided.
         beyond = sum(max(0, uses - parts[one]) for one, uses in used.items()) if limit.per == "in_hand" else 0
-        mine = divide(whole - beyond, demands)[member.me] if beyond else parts[member.me]
+        mine = divide(whole - beyond, demands)[member.own_id] if beyond else parts[member.own_id]
         if wanted < whole and not beyond:
             # Nobody goes short: a jump finds something at once.
             mine += (whole - wanted) // (1 + len(self.heard) + len(self.unheard))
--- a/finchcart/quota/planner.py
+++ b/finchcart/quota/planner.py
@@ -14,7 +14,7 @@
 `("log", text, fields)`. Bounds: `quota.holders` holders, a few grants each; planners as named.
 """
 
-from finchcart.membership import messages as base
+from finchcart.membership import codec
 from finchcart.quota import wire
 from finchcart.quota.division import shared_out
 from finchcart.quota.talker import Talker
@@ -49,7 +49,7 @@
     def __init__(self, place, fleet, quota, random, now):
         self.place, self.fleet, self.quota, self.random = place, fleet, quota, random
         self.session = random.getrandbits(64)
-        self.others = [base.place_of(each) for each in quota.planners if each != place]
+        self.others = [codec.parse_address(each) for each in quota.planners if each != place]
         self.votes_from = now + quota.silence
         self.promised, self.held = (0, 0), None  # held: (ballot, owner, until) of the lease voted for
         self.ballot, self.phase, self.voted, self.asked_at = None, None, set(), 0
@@ -58,7 +58,7 @@
         self.leader, self.leader_until = "", 0
         self.holders, self.number = {}, 0
         self.parts, self.parts_at = {}, 0  # targets by limit, and when they were worked out
-        self.times = base.id_of(quota.times())
+        self.times = codec.name_hash(quota.times())
         super().__init__()
         self.now = now
         self.ended = False
@@ -76,7 +76,7 @@
             self.on_tick(now)
         elif what[0] == "quota":
             self.quota, self.parts_at = what[1], 0
-            self.times = base.id_of(self.quota.times())
+            self.times = codec.name_hash(self.quota.times())
         elif what[0] == "end":
             self.ended = True
         return effects
@@ -95,7 +95,7 @@
             Accept: self.on_accept,
             Refuse: self.on_refuse,
             wire.Want: self.on_want,
-            wire.Ask: self.on_ask,
+            wire.StatusRequest: self.on_ask,
         }.get(type(said))
         if act is None:
             return self.count("not for a planner")
@@ -340,7 +340,7 @@
         leads = self.owned_since is not None
         self.send(
             address,
-            wire.Told(
+            wire.StatusResponse(
                 said.number,
                 {
                     "planner": self.place,
--- a/finchcart/quota/talker.py
+++ b/finchcart/quota/talker.py
@@ -3,7 +3,7 @@
 Owns the counters and the effects of one turn; it must never act on a message.
 """
 
-from finchcart.membership import messages as base
+from finchcart.membership import codec
 from finchcart.quota import wire
 
 
@@ -17,8 +17,8 @@
         self.counts[reason] = self.counts.get(reason, 0) + 1
 
     def send(self, address, said):
-        data = base.sealed(wire.CHANNEL, self.fleet, said)
-        if len(data) > base.MOST:
+        data = wire.CODEC.encode(self.fleet, said)
+        if len(data) > codec.MAX_DATAGRAM_BYTES:
             return self.count("too long to send")
         self.count("sent")
         self.effects.append(("send", address, data))
@@ -27,7 +27,7 @@
         """What a datagram says; None where it can't be read, which is counted by reason."""
         self.count("received")
         try:
-            return wire.unpack(self.fleet, data)
-        except wire.Unfit as error:
+            return wire.CODEC.decode(self.fleet, data)
+        except codec.DatagramError as error:
             self.count(str(error))
             return None
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,39 +12,48 @@
 from finchcart.fault_injection.script import Script, lay_out
 from finchcart.fault_injection.seeds import Breach, Run
 from finchcart.fault_injection.virtual import Fleet
-from finchcart.membership import member as module
-from finchcart.membership import messages, view
-from finchcart.membership.config import SECOND, Figures
+from finchcart.membership import failure_detection, messages, view
+from finchcart.membership.anti_entropy import AntiEntropy
+from finchcart.membership.codec import encode_value, name_hash, parse_address, xxh64_digest
+from finchcart.membership.config import SECOND, MembershipConfig
+from finchcart.membership.failure_detection import FailureDetector
+from finchcart.membership.heartbeats import HeartbeatSender
+from finchcart.membership.isolation import IsolationMonitor
 from finchcart.membership.member import Member
+from finchcart.membership.messages import CODEC, DeclaredStatus, Heartbeat, MemberRecord, MemberRecords
+from finchcart.membership.name_contest import NameContest
+from finchcart.membership.outbox import Outbox
+from finchcart.membership.records import MemberTable
+from finchcart.membership.update_queue import UpdateQueue
 
-ROW = messages.Row("a", "127.0.0.2:7400", 5, 1000, 1000, 0, 0, [])
+RECORD = MemberRecord("a", "127.0.0.2:7400", 5, 1000, 1000, 0, 0, [])
 
 
 # ---- messages and settings
 
 
 def test_what_cannot_be_read_or_is_impossible_is_counted_by_reason_and_dropped():
-    one = Member("me", "f", "127.0.0.1:7400", [], Figures(), random.Random(1), 1000, 0)
-    good = messages.pack("f", messages.Beat(ROW, 1, 0, 0, 0, []))
+    one = Member("me", "f", "127.0.0.1:7400", [], MembershipConfig(), random.Random(1), 1000, 0)
+    good = CODEC.encode("f", Heartbeat(RECORD, 1, 0, 0, 0, []))
     spoilt = good[:1] + bytes([good[1] ^ 1]) + good[2:]
-    far = msgspec.structs.replace(ROW, incarnation=2**50)
-    placeless = msgspec.structs.replace(ROW, address="127.0.0.2:99999")
-    negative = messages.encoded([1, "f", [1, ["a", "1:1", 5, -1, 0, 0, 0, []], 1, 0, 0, 0, []]])
+    far = msgspec.structs.replace(RECORD, incarnation=2**50)
+    placeless = msgspec.structs.replace(RECORD, address="127.0.0.2:99999")
+    negative = encode_value([1, "f", [1, ["a", "1:1", 5, -1, 0, 0, 0, []], 1, 0, 0, 0, []]])
     for data, reason in [
         (spoilt, "spoilt"),
         (b"", "spoilt"),
         (b"x" * 2000, "too long"),
-        (messages.pack("g", messages.Rows([ROW])), "another fleet"),
-        (b"M" + messages.xxh64_digest(negative) + negative, "not valid"),
-        (b"M" + messages.xxh64_digest(b"\xc1") + b"\xc1", "unreadable"),
-        (messages.pack("f", messages.Beat(far, 1, 0, 0, 0, [])), "impossible incarnation"),
-        (messages.pack("f", messages.Rows([placeless])), "impossible address"),
-        (messages.pack("f", messages.Told(1, 0, 1, {})), "not asked for"),
+        (CODEC.encode("g", MemberRecords([RECORD])), "another fleet"),
+        (b"M" + xxh64_digest(negative) + negative, "not valid"),
+        (b"M" + xxh64_digest(b"\xc1") + b"\xc1", "unreadable"),
+        (CODEC.encode("f", Heartbeat(far, 1, 0, 0, 0, [])), "impossible incarnation"),
+        (CODEC.encode("f", MemberRecords([placeless])), "impossible address"),
+        (CODEC.encode("f", messages.ViewPage(1, 0, 1, {})), "not asked for"),
     ]:
         before = one.counts.get(reason, 0)
         assert not [e for e in one.reduce(1, ("got", ("127.0.0.2", 7400), data)) if e[0] == "change"]
         assert one.counts[reason] == before + 1, reason
-    assert list(one.known) == [one.me]
+    assert list(one.known_members) == [one.own_id]
     assert ("change", "a", "alive", 1000) in one.reduce(2, ("got", ("127.0.0.2", 7400), good))
 
 
@@ -71,43 +80,49 @@
 
 
 def test_a_full_table_lets_failed_ones_go_first_and_then_refuses():
-    fleet = Fleet([f"n{n}" for n in range(5)], 1, Figures(members=4))
+    fleet = Fleet([f"n{n}" for n in range(5)], 1, MembershipConfig(members=4))
     for name in list(fleet.places)[:4]:
         fleet.start(name)
     fleet.run(3 * SECOND)
     fleet.start("n4")
     fleet.run(fleet.now + 2 * SECOND)
     member = fleet.places["n0"].member
-    assert len(member.known) == 4 and member.counts["no room"] > 0 and fleet.state("n0", "n4") is None
+    assert len(member.known_members) == 4 and member.counts["no room"] > 0 and fleet.state("n0", "n4") is None
     fleet.kill("n3")
     fleet.run(fleet.now + 5 * SECOND)
-    assert fleet.state("n0", "n4") == "alive" and fleet.state("n0", "n3") is None and len(member.known) == 4
+    assert (
+        fleet.state("n0", "n4") == "alive"
+        and fleet.state("n0", "n3") is None
+        and len(member.known_members) == 4
+    )
 
 
 # ---- the verdict
 
 
-def test_judge_gives_the_same_to_all_that_are_connected():
+def test_connected_members_are_the_same_for_all_of_them():
     chance = random.Random(7)
     for n in range(300):
         ids = list(range(chance.randrange(2, 40)))
-        graph = view.watched(ids, chance.choice([4, 8, 48]))
+        graph = view.watch_graph(ids, chance.choice([4, 8, 48]))
         assert all(a in graph[b] for a in ids for b in graph[a])
         down = {a: [b for b in graph[a] if chance.random() < chance.choice([0.0, 0.1, 0.4])] for a in ids}
-        parts = {a: view.judge(a, down, graph) for a in ids}
+        parts = {a: view.connected_members(a, down, graph) for a in ids}
         for a in ids:
             for b in parts[a]:
                 assert parts[b] == parts[a], (n, a, b)
 
 
-def test_judge_plain_cases():
+def test_connected_members_in_plain_cases():
     ids = range(9)
-    graph = view.watched(ids, 24)
-    assert view.judge(0, {1: [2]}, graph) == set(ids)  # one link
-    assert view.judge(0, {n: [8] for n in range(5)}, graph) == set(range(8))  # most links of one
-    assert view.judge(8, {n: [8] for n in range(5)}, graph) == set(range(8))  # and it knows
+    graph = view.watch_graph(ids, 24)
+    assert view.connected_members(0, {1: [2]}, graph) == set(ids)  # one link
+    assert view.connected_members(0, {n: [8] for n in range(5)}, graph) == set(range(8))  # most links of one
+    assert view.connected_members(8, {n: [8] for n in range(5)}, graph) == set(range(8))  # and it knows
     halves = {a: [b for b in ids if a % 2 != b % 2] for a in (0, 2, 4, 6, 8)}  # told by one side alone
-    assert view.judge(0, halves, graph) == {0, 2, 4, 6, 8} and view.judge(1, halves, graph) == {1, 3, 5, 7}
+    assert view.connected_members(0, halves, graph) == {0, 2, 4, 6, 8} and view.connected_members(
+        1, halves, graph
+    ) == {1, 3, 5, 7}
 
 
 # ---- seeded runs
@@ -133,21 +148,21 @@
             fleet.run(fleet.now + SECOND // 10)
             wrong += len(
                 {
-                    frozenset((place.member.me, one))
+                    frozenset((place.member.own_id, one))
                     for place in fleet.places.values()
-                    for one in place.member.row.down
+                    for one in place.member.record.unreachable
                 }
             )
     assert wrong / (3 * 40 * 66) < 0.04
 
 
 def test_a_large_fleet_with_few_links_agrees_on_a_death_and_a_newcomer():
-    fleet = Fleet([f"n{n}" for n in range(80)], 1, Figures(watch=10))
+    fleet = Fleet([f"n{n}" for n in range(80)], 1, MembershipConfig(watch=10))
     for name in fleet.places:
         fleet.start(name)
     fleet.run(12 * SECOND)
     assert all(set(seen.values()) == {"alive"} and len(seen) == 80 for seen in fleet.views().values())
-    bound = fleet.figures.failed_within(80)
+    bound = fleet.figures.detection_bound(80)
     fleet.kill("n40")
     fleet.run(fleet.now + bound)
     assert all(seen["n40"] == "failed" for seen in fleet.views().values())
@@ -205,14 +220,14 @@
     fleet = Fleet(
         names,
         1,
-        Figures(remember=6 * SECOND),
+        MembershipConfig(remember=6 * SECOND),
         make=make,
         watch=lambda now, name, effect: changes.append((now, name, effect)),
     )
     for name in names:
         fleet.start(name)
     fleet.run(4 * SECOND)
-    old = messages.pack("virtual", messages.Rows([fleet.places["n5"].member.row]))
+    old = CODEC.encode("virtual", MemberRecords([fleet.places["n5"].member.record]))
     fleet.kill("n5")
     fleet.run(fleet.now + 14 * SECOND)
     fleet.feed("n1", ("got", ("10.0.0.3", 7400), old))
@@ -269,9 +284,11 @@
     for name in fleet.places:
         fleet.start(name)
     fleet.run(4 * SECOND)
-    row = msgspec.structs.replace(fleet.places["n2"].member.row, incarnation=2**53 - 1, duty=messages.LEFT)
+    row = msgspec.structs.replace(
+        fleet.places["n2"].member.record, incarnation=2**53 - 1, status=DeclaredStatus.LEFT
+    )
     for name in ("n0", "n1", "n3"):
-        fleet.feed(name, ("got", ("10.0.0.9", 1), messages.pack("virtual", messages.Rows([row]))))
+        fleet.feed(name, ("got", ("10.0.0.9", 1), CODEC.encode("virtual", MemberRecords([row]))))
     fleet.run(fleet.now + 4 * SECOND)
     return [name for name, seen in fleet.views().items() if seen["n2"] != "alive"]
 
@@ -290,154 +307,172 @@
 
 def flood(make):
     """One that is asked without end sends no more than its bound."""
-    fleet = Fleet(["n0"], 1, Figures(datagrams=100), make=make)
+    fleet = Fleet(["n0"], 1, MembershipConfig(datagrams=100), make=make)
     fleet.start("n0")
     for n in range(2000):
-        fleet.feed("n0", ("got", ("10.0.0.9", 1), messages.pack("", messages.Ask(n, 0))))
+        fleet.feed("n0", ("got", ("10.0.0.9", 1), CODEC.encode("", messages.ViewRequest(n, 0))))
     return [fleet.places["n0"].member.counts] if fleet.places["n0"].member.counts["sent"] > 100 else []
 
 
 def successor(make):
     """What a predecessor heard proves no contact with its successor."""
-    one = make("me", "f", "127.0.0.1:7400", [], Figures(), random.Random(1), 1000, 0)
-    two = msgspec.structs.replace(ROW, session=6, began=2000, incarnation=2000)
+    one = make("me", "f", "127.0.0.1:7400", [], MembershipConfig(), random.Random(1), 1000, 0)
+    two = msgspec.structs.replace(RECORD, session=6, started_ms=2000, incarnation=2000)
     got = lambda row, seq, session, echo, now: one.reduce(
-        now, ("got", ("127.0.0.2", 7400), messages.pack("f", messages.Beat(row, seq, session, echo, 0, [])))
+        now, ("got", ("127.0.0.2", 7400), CODEC.encode("f", Heartbeat(row, seq, session, echo, 0, [])))
     )
-    got(ROW, 1, 0, 0, 1)
+    got(RECORD, 1, 0, 0, 1)
     for n in range(1, 20):
         one.reduce(n * 100_000, ("tick",))
     got(two, 1, 0, 0, 2_000_000)
     for n in range(21, 30):
         one.reduce(n * 100_000, ("tick",))
     got(two, 2, 12345, 99, 3_000_000)  # echoes what another process sent
-    return ["contact"] if one.peers[messages.id_of("a")].confirmed is not None else []
+    return ["contact"] if one.links[name_hash("a")].confirmed_at is not None else []
 
 
-def planted(**methods):
-    return type("Planted", (Member,), methods)
+update_queue_take = UpdateQueue.take
+table_receive = MemberTable.receive
+table_forget = MemberTable.forget
+outbox_send = Outbox.send
+detector_on_heartbeat = FailureDetector.on_heartbeat
+member_reduce = Member.reduce
 
 
-def no_raise(self, incarnation):
+def do_nothing(self, *arguments, **keywords):
     pass
 
 
-def news_for_ever(self, now, one, peer):
-    Member.beat(self, now, one, peer)
-    for known in self.known.values():
-        known.news = 9
-    self.news.update(dict.fromkeys((other for other in self.known if other != self.me), True))
-    return True
-
+def updates_never_age(self, excluded, record_of, max_bytes):
+    taken = update_queue_take(self, excluded, record_of, max_bytes)
+    self._remaining.update(dict.fromkeys(self.all_ids, 9))
+    return taken
 
-def takes_any(self, now, row, direct=False):
-    known = self.known.get(messages.id_of(row.name))
-    if known is not None and row.name != self.name and row.age < known.row.age:
-        self.keep(messages.id_of(row.name), row)
-    return Member.learn(self, now, row, direct)
 
+def push_and_remember_id(self, member_id, member_count, push=UpdateQueue.push):
+    push(self, member_id, member_count)
+    self.all_ids = getattr(self, "all_ids", set()) | {member_id}
 
-def no_tombs(self, one):
-    Member.forget(self, one)
-    self.tombs.clear()
 
+def receive_older_too(self, now, record, is_direct=False):
+    known = self.members.get(name_hash(record.name))
+    if known is not None and record.precedence < known.record.precedence:
+        self.put(name_hash(record.name), record, now)
+    return table_receive(self, now, record, is_direct)
 
-def any_age(self, now, row, direct=False):
-    self.wall = 2**53
-    return Member.learn(self, now, row, direct)
 
-
-def no_keeping(self, digest):
-    pass
+def forget_without_tombstone(self, member_id):
+    table_forget(self, member_id)
+    self.tombstones.clear()
 
 
-def sum_of_all(self):
-    """Failed ones are news for newcomers."""
-    out = 0
-    for known in self.known.values():
-        out ^= known.hash
-    return out
+def digest_of_failed_too(self):
+    digest = 0
+    for known in self.members.values():
+        digest ^= known.digest
+    return digest
 
 
-def tells_all(self, said):
-    for known in self.known.values():
-        self.send(messages.place_of(said.row.address), messages.Rows([known.row]))
+def send_all_records(self, message):
+    for known in self.table.members.values():
+        self.outbox.send(parse_address(message.record.address), MemberRecords([known.record]))
 
 
-def no_bound(self, place, said):
-    self.sent_now = 0
-    return Member.send(self, place, said)
+def send_without_bound(self, address, message):
+    self.sent_in_period = 0
+    return outbox_send(self, address, message)
 
 
-def any_echo(self, now, one, said):
-    Member.on_beat(self, now, one, msgspec.structs.replace(said, echo_session=self.row.session))
+def accept_any_echo(self, now, member_id, heartbeat):
+    echoed = msgspec.structs.replace(heartbeat, echo_session=self.table.own_record.session)
+    return detector_on_heartbeat(self, now, member_id, echoed)
 
 
-def stopped_clock(self, now, what):
+def reduce_without_suspended_time(self, now, event):
     """A clock that does not count suspension."""
-    self.slept = getattr(self, "slept", 0)
-    if now - self.slept - self.last > self.figures.gap:
-        self.slept = now - self.last - self.figures.tick
-    return Member.reduce(self, now - self.slept, what)
+    self.suspended = getattr(self, "suspended", 0)
+    if now - self.suspended - self.last_input_at > self.config.clock_gap:
+        self.suspended = now - self.last_input_at - self.config.tick
+    return member_reduce(self, now - self.suspended, event)
 
 
-def judge_anyone(me, down, graph, out=frozenset()):
-    """Any one link that is down puts out."""
-    hurt = {b for ones in down.values() for b in ones}
-    return {one for one in graph if one not in hurt} | {me}
+def exclude_by_any_link(own_id, unreachable, graph, excluded=frozenset()):
+    """Any one link that is down excludes."""
+    accused = {other for others in unreachable.values() for other in others}
+    return {one for one in graph if one not in accused} | {own_id}
 
 
-def judge_alone(me, down, graph, out=frozenset()):
+def exclude_by_own_links(own_id, unreachable, graph, excluded=frozenset()):
     """What others see of it is not asked."""
-    return set(graph) - set(down[me])
+    return set(graph) - set(unreachable[own_id])
 
 
-def judge_for_me(me, down, graph, out=frozenset()):
-    """Who is out itself accuses all the same."""
-    return view.judge(me, down, graph, out) | {me}
+def never_exclude_oneself(own_id, unreachable, graph, excluded=frozenset()):
+    """Who is excluded itself accuses all the same."""
+    return view.connected_members(own_id, unreachable, graph, excluded) | {own_id}
 
 
+# name -> (scenario, what is replaced: (owner, attribute, by what))
 DEFECTS = {
-    "incarnation not raised over what is remembered": (clock_back, planted(raise_over=no_raise)),
-    "two of one name: none yields": (twins, planted(give_way=lambda self, row: None)),
-    "a sleeper is not told that its name is taken": (sleeper, planted(give_way=lambda self, row: None)),
-    "trusts what it believed before a pause": (STOP, planted(on_gap=lambda self, now, gap: None)),
-    "a clock that does not count suspension": (STOP, planted(reduce=stopped_clock)),
-    "isolation is not told": (DEAF, planted(set_isolated=lambda self, isolated, why: None)),
-    "failed ones are not sought": (HALVES, planted(seek=lambda self, now: None)),
-    "news never age": (bytes_calm, planted(beat=news_for_ever)),
-    "a forgotten one comes back": (forget, planted(forget=no_tombs)),
-    "any incarnation is taken": (absurd, planted(learn=any_age)),
+    "incarnation not raised over what is remembered": (
+        clock_back,
+        [(MemberTable, "raise_incarnation_over", do_nothing)],
+    ),
+    "two of one name: none yields": (twins, [(NameContest, "give_way", do_nothing)]),
+    "one that was suspended is not told that its name is taken": (
+        sleeper,
+        [(NameContest, "give_way", do_nothing)],
+    ),
+    "trusts what it believed before a suspension": (STOP, [(Member, "_on_clock_gap", do_nothing)]),
+    "a clock that does not count suspension": (STOP, [(Member, "reduce", reduce_without_suspended_time)]),
+    "isolation is not reported": (DEAF, [(IsolationMonitor, "set_isolated", do_nothing)]),
+    "failed ones are not looked for": (HALVES, [(HeartbeatSender, "look_for_lost", do_nothing)]),
+    "updates never age": (
+        bytes_calm,
+        [(UpdateQueue, "take", updates_never_age), (UpdateQueue, "push", push_and_remember_id)],
+    ),
+    "a forgotten one comes back": (forget, [(MemberTable, "forget", forget_without_tombstone)]),
+    "any incarnation is accepted": (absurd, [(MemberTable, "is_impossible", do_nothing)]),
     "newcomers are told of the failed": (
         JOIN,
-        planted(digest=property(sum_of_all, no_keeping), on_sync=tells_all),
+        [
+            (MemberTable, "digest", property(digest_of_failed_too, do_nothing)),
+            (AntiEntropy, "on_digests", send_all_records),
+        ],
+    ),
+    "no bound on datagrams": (flood, [(Outbox, "send", send_without_bound)]),
+    "an echo of another session counts": (
+        successor,
+        [(FailureDetector, "on_heartbeat", accept_any_echo)],
     ),
-    "no bound on datagrams": (flood, planted(send=no_bound)),
-    "an echo of another session counts": (successor, planted(on_beat=any_echo)),
 }
-VERDICTS = {
-    "only the own links count": (PAIR, judge_alone),
-    "one observer is enough": (PAIR, judge_anyone),
-    "who is out accuses": (ZONE, judge_for_me),
+# name -> (scenario, what takes the place of `connected_members`)
+VIEW_DEFECTS = {
+    "only the own links count": (PAIR, exclude_by_own_links),
+    "one observer is enough": (PAIR, exclude_by_any_link),
+    "who is excluded accuses": (ZONE, never_exclude_oneself),
 }
 
 
 @pytest.mark.parametrize("name", DEFECTS)
-def test_a_planted_defect_is_found(name):
-    play, make = DEFECTS[name]
+def test_a_planted_defect_is_found(name, monkeypatch):
+    play, replacements = DEFECTS[name]
     assert not play(Member)
-    assert play(make)
+    for owner, attribute, replacement in replacements:
+        monkeypatch.setattr(owner, attribute, replacement, raising=attribute != "digest")
+    assert play(Member)
 
 
-@pytest.mark.parametrize("name", VERDICTS)
-def test_a_planted_verdict_is_found(name, monkeypatch):
-    play, judge = VERDICTS[name]
+@pytest.mark.parametrize("name", VIEW_DEFECTS)
+def test_a_planted_rule_of_the_view_is_found(name, monkeypatch):
+    play, rule = VIEW_DEFECTS[name]
     assert not play(Member)
-    monkeypatch.setattr(module, "judge", judge)
+    monkeypatch.setattr(failure_detection, "connected_members", rule)
     assert play(Member)
 
 
-def test_seeded_runs_find_an_older_row_taken():
+def test_seeded_runs_find_an_older_record_accepted(monkeypatch):
+    monkeypatch.setattr(MemberTable, "receive", receive_older_too)
     with pytest.raises(Breach):
         for seed in range(4):
-            Run(seed, planted(learn=takes_any)).play()
+            Run(seed).play()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -15,8 +15,8 @@
 from finchcart.cli.file import Wrong, checked
 from finchcart.fault_injection.explore import explore
 from finchcart.fault_injection.shares import Breach, Run, Shares
-from finchcart.membership import messages as base
-from finchcart.membership.member import Heard
+from finchcart.membership import codec
+from finchcart.membership.gossip import DatedEntry
 from finchcart.net.links import boot_clock
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota import loose, wire
@@ -155,9 +155,7 @@
         (
             "got",
             NODE,
-            base.sealed(
-                wire.CHANNEL, "g", wire.Want("n1", 1, 1, 1, False, [wire.Line("store", 0, 0, 0, 9, 0)])
-            ),
+            wire.CODEC.encode("g", wire.Want("n1", 1, 1, 1, False, [wire.Line("store", 0, 0, 0, 9, 0)])),
         ),
     )
     assert not said and one.holders == before and one.counts["another fleet"] == 1
@@ -306,7 +304,7 @@
     fleet = Shares(1, 0, 3, mode="loose")
     fleet.start("n2")  # n0 and n1, its seeds, never are there
     fleet.run(60 * SECOND)
-    held = fleet.processes["n2"].machine.riders[0].held["store"]
+    held = fleet.processes["n2"].machine.piggyback_clients[0].held["store"]
     assert held.part == 0 and len(held.said) < 40
 
 
@@ -334,20 +332,20 @@
 
 
 def in_hand_ignored(self, now, member, held):
-    notes, member.notes = (
-        member.notes,
+    received, member.gossip.received = (
+        member.gossip.received,
         {
-            key: Heard(
+            key: DatedEntry(
                 msgspec.structs.replace(
-                    held.note, values=[(ident, 0, wants) for ident, _, wants in held.note.values]
+                    held.entry, counters=[(ident, 0, wants) for ident, _, wants in held.entry.counters]
                 ),
-                held.born,
+                held.written_at,
             )
-            for key, held in member.notes.items()
+            for key, held in member.gossip.received.items()
         },
     )
     part = Loose.part(self, now, member, held)
-    member.notes = notes
+    member.gossip.received = received
     return part
 
 
@@ -551,10 +549,10 @@
 # Scenarios of messages by hand, where chance alone seldom comes by.
 
 PLACES = ("10.0.0.1:7401", "10.0.0.2:7401", "10.0.0.3:7401")
-TWO, THREE, NODE = (base.place_of(PLACES[1]), base.place_of(PLACES[2]), ("10.0.0.9", 7400))
+TWO, THREE, NODE = (codec.parse_address(PLACES[1]), codec.parse_address(PLACES[2]), ("10.0.0.9", 7400))
 SHARED = Quota(limits=(Limit("store", 40),), planners=PLACES, most=4, step=1.0, room=0.0)
-got = lambda said, address=TWO: ("got", address, base.sealed(wire.CHANNEL, "f", said))
-sent = lambda effects: [wire.unpack("f", effect[2]) for effect in effects if effect[0] == "send"]
+got = lambda said, address=TWO: ("got", address, wire.CODEC.encode("f", said))
+sent = lambda effects: [wire.CODEC.decode("f", effect[2]) for effect in effects if effect[0] == "send"]
 
 
 def elected(make, accept_late=0):
