--- a/finchcart/fault_injection/claiming.py
+++ b/finchcart/fault_injection/claiming.py
@@ -16,7 +16,7 @@
 from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig
 from finchcart.key_leases.messages import LeaseStatus
 from finchcart.key_leases.replica import KeyLeaseReplica
-from finchcart.membership import messages as base
+from finchcart.membership import codec
 
 TICK = 50 * MS
 BOOT = 10**12  # microseconds on the boot clocks at the start: keepers are past their silence
@@ -382,5 +382,5 @@
         "keys": run.keys,
         "kinds": kinds,
         "runs": sum(map(len, run.runs.values())),
-        "in_flight": base.MOST,
+        "in_flight": codec.MAX_DATAGRAM_BYTES,
     }
--- a/finchcart/quota/allocator.py
+++ b/finchcart/quota/allocator.py
@@ -111,8 +111,8 @@
         """The record of a request's holder.
 
         Raises:
-            MessageRejectedError: there is no room for another holder, or the request was overtaken or is a copy,
-                and its answer went out.
+            MessageRejectedError: there is no room for another holder, or the request was overtaken or is a
+                copy, and its answer went out.
         """
         key = HolderKey(request.node, request.session)
         holder = self.holders.get(key)
--- a/finchcart/quota/limits.py
+++ b/finchcart/quota/limits.py
@@ -218,8 +218,8 @@
     if config.life < MIN_ROUNDS_PER_LEASE * config.round:
         yield FieldProblem(
             "life_ms",
-            f"{life_ms} ms is less than 3 x round_ms = {3 * config.round // MS} ms: two lost asks would cost a "
-            "holder its part",
+            f"{life_ms} ms is less than 3 x round_ms = {3 * config.round // MS} ms: two lost asks would cost "
+            "a holder its part",
         )
     if config.lease < MIN_LEADER_LEASE_US:
         yield FieldProblem(
--- a/finchcart/quota/local_limits.py
+++ b/finchcart/quota/local_limits.py
@@ -21,21 +21,22 @@
 
 from finchcart.leases import MS, SECOND
 from finchcart.membership.codec import name_hash
+from finchcart.membership.messages import GossipTopic
+from finchcart.membership.records import MemberState
 from finchcart.quota.effects import LimitAllowance, QuotaInput
 from finchcart.quota.fair_share import max_min_shares
 from finchcart.quota.limits import Limit, QuotaConfig
 
 if TYPE_CHECKING:
-    from finchcart.membership.config import Figures
+    from finchcart.membership.config import MembershipConfig
     from finchcart.membership.member import Member
 
 ALLOWANCE_DURATION_US = 2 * SECOND  # a node whose members' thread ends falls back to its floor after this
 RENEWAL_INTERVAL_US = SECOND // 2  # of an allowance that did not change
-GOSSIP_TOPIC = 0  # of the gossip entries in which demand is published
 IN_USE_PUBLICATIONS = 2  # there and back: others hear of the demand, and this node of what they had by then
 
 
-def freshness_bound(membership: "Figures", member_count: int, loss: float) -> int:
+def freshness_bound(membership: "MembershipConfig", member_count: int, loss: float) -> int:
     """Microseconds that the word of a heard member can be old, and that new demand takes to reach all.
 
     Arguments:
@@ -43,7 +44,7 @@
         member_count: of the fleet.
         loss: the part of datagrams lost, from 0 to 1.
     """
-    return membership.spread(member_count, loss) + 2 * membership.period
+    return membership.dissemination_time(member_count, loss) + 2 * membership.period
 
 
 class PublishedDemand(NamedTuple):
@@ -121,7 +122,7 @@
         """Publish the demand and work out the allocations, with each tick of the member; returns effects."""
         self.observe(now, member)
         counters = [(each.id, each.in_use, each.demand) for each in self.allocations.values()]
-        member.write_note(now, GOSSIP_TOPIC, counters)
+        member.publish(now, GossipTopic.QUOTA, counters)
         effects = []
         for allocation in self.allocations.values():
             trips = IN_USE_PUBLICATIONS if allocation.limit.per == "in_hand" else 1
@@ -166,9 +167,9 @@
 
     def observe(self, now: int, member: "Member") -> None:
         """Sort the members into heard, unheard and failed, and work out which part of the fleet is seen."""
-        self.age = freshness_bound(member.figures, len(member.known), member.loss)
+        self.age = freshness_bound(member.config, len(member.known_members), member.loss)
         failed = self._sort_members(now, member)
-        if member.isolated or member.waking:
+        if member.isolated or member.is_resuming:
             # What it knows of others is of before: it is a side of its own.
             failed += len(self.heard) + len(self.unheard)
             self.heard = []
@@ -179,7 +180,7 @@
         # While two sides come together, both may count the same member: the least part that was seen lately
         # counts, until all see alike.
         self.recent_views.append(PartitionView(now, seen, seen + failed))
-        oldest = now - self.age - member.figures.rise
+        oldest = now - self.age - member.config.rise
         while self.recent_views[0].at < oldest:
             self.recent_views.popleft()
         self.view = min(self.recent_views, key=lambda view: view.fraction)
@@ -189,14 +190,14 @@
         self.heard = []
         self.unheard = []
         failed = 0
-        reachable = member.graph.get(member.me, ())
-        for member_id, known in member.known.items():
-            if member_id == member.me or known.state == "left":
+        reachable = member.graph.get(member.own_id, ())
+        for member_id, known in member.known_members.items():
+            if member_id == member.own_id or known.state == MemberState.LEFT:
                 continue
-            if known.state == "failed":
+            if known.state == MemberState.FAILED:
                 failed += 1
             elif member_id in reachable and (
-                member_id not in member.peers or member.age(now, member_id) > self.age
+                member_id not in member.links or member.view_age(now, member_id) > self.age
             ):
                 self.unheard.append(member_id)
             else:
@@ -211,20 +212,20 @@
         if self.joined_at is None or now - self.joined_at < self.age:
             return limit.floor  # the others don't know of it yet
         allowance = self.quota.partition_allowance(limit, self.view.seen, self.view.known)
-        demands = {member.me: allocation.settled_demand()}
+        demands = {member.own_id: allocation.settled_demand()}
         demands |= dict.fromkeys(self.unheard, allowance)
         in_use: dict[int, int] = {}
         for member_id, used, demand in self.heard_demands(member, allocation):
             demands[member_id] = demand
             in_use[member_id] = used
         shares = max_min_shares(allowance, demands)
-        share = shares[member.me]
+        share = shares[member.own_id]
         # Calls that outlast a share that fell are left to their node, and the rest is divided.
         excess = 0
         if limit.per == "in_hand":
             excess = sum(max(0, used - shares[member_id]) for member_id, used in in_use.items())
         if excess:
-            return max_min_shares(allowance - excess, demands)[member.me]
+            return max_min_shares(allowance - excess, demands)[member.own_id]
         demanded = sum(demands.values())
         if demanded < allowance:
             # Nobody goes short: the rest is spread, so that a jump of demand finds something at once.
@@ -234,10 +235,10 @@
     def heard_demands(self, member: "Member", allocation: LocalAllocation) -> Iterable[tuple[int, int, int]]:
         """(id of a heard member, in use, demand) of a limit."""
         for member_id in self.heard:
-            published = member.notes.get((member_id, GOSSIP_TOPIC))
+            published = member.gossip.received.get((member_id, GossipTopic.QUOTA))
             if published is None:
                 continue
-            for limit_id, in_use, demand in published.note.values:
+            for limit_id, in_use, demand in published.entry.counters:
                 if limit_id == allocation.id:
                     yield member_id, in_use, demand
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -317,7 +317,7 @@
     fleet = Shares(1, 0, 3, mode="loose")
     fleet.start("n2")  # n0 and n1, its seeds, never are there
     fleet.run(60 * SECOND)
-    held = fleet.processes["n2"].machine.riders[0].allocations["store"]
+    held = fleet.processes["n2"].machine.piggyback_clients[0].allocations["store"]
     assert held.amount == 0 and len(held.published) < 40
 
 
