--- a/finchcart/membership/codec.py
+++ b/finchcart/membership/codec.py
@@ -18,6 +18,8 @@
 from msgspec import Meta, Struct
 from xxhash import xxh3_64_intdigest, xxh64_digest
 
+from finchcart.errors import ProtocolError
+
 PROTOCOL_VERSION = 2
 MAX_DATAGRAM_BYTES = 1200
 CHECKSUM_BYTES = 8
@@ -32,7 +34,7 @@
 S = TypeVar("S")
 
 
-class DatagramError(Exception):
+class DatagramError(ProtocolError):
     """A datagram, or a record in one, that cannot be used; its text is the reason used for the counters."""
 
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -33,6 +33,7 @@
 from finchcart.membership.gossip import GossipEntryStore
 from finchcart.membership.member import Member
 from finchcart.membership.messages import DeclaredStatus, GossipEntry, GossipTopic, MemberRecord
+from finchcart.node.inputs import FleetChange, MessagesReceived
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
 from finchcart.quota.limits import Limit
@@ -410,15 +411,13 @@
     meters = Meters((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
     meters.rise, meters.longest = CONFIG.rise, CONFIG.trial
     far = far_plain(meters, Witness(CONFIG), **settings)
-    far.feed("fleet", ("allow", "trial", 0, 1, far.now + 10**12))
+    far.feed(FleetChange(("allow", "trial", 0, 1, far.now + 10**12)))
     return far
 
 
 def holds(far, **changed):
-    far.feed(
-        "fleet",
-        ("verdicts", {"store": StoreHealth.WORKING, "sources": {}, "out": False, "level": 0.0, **changed}),
-    )
+    good = {"store": StoreHealth.WORKING, "sources": {}, "out": False, "level": 0.0}
+    far.feed(FleetChange(("verdicts", {**good, **changed})))
 
 
 def test_a_store_that_is_down_gets_this_nodes_probe_calls_alone_and_more_by_steps_once_it_is_back():
@@ -427,7 +426,7 @@
     assert room() is None
     holds(far, store=StoreHealth.DOWN)
     assert room() == 1 and far.meters.take_call(far.core.store)[1] == CONFIG.trial
-    far.feed("fleet", ("allow", "trial", 0, 0, far.now + 10**12))
+    far.feed(FleetChange(("allow", "trial", 0, 0, far.now + 10**12)))
     assert room() == 0 and far.meters.take_call(far.core.store) is None
     holds(far)
     rooms = []
@@ -446,7 +445,7 @@
     far.submit(far.open("10.0.0.7"), 1, c="unheard")
     silent, check, ours = far.open("10.0.0.7"), far.open("10.0.0.8"), far.open("10.0.0.9")
     far.give(check, ("check", 1))
-    far.feed("got", ours, [], far.now)
+    far.feed(MessagesReceived(ours, [], far.now))
     far.front.tell_close(far.front.conns[ours])
     for _ in range(60):
         far.step(40 * MS)
@@ -502,7 +501,7 @@
             )
         if rng.random() < 0.05 and not far.ended:
             name = rng.choice(("trial", "calls"))
-            far.feed("fleet", ("allow", name, 0, rng.randrange(3), far.now + SECOND))
+            far.feed(FleetChange(("allow", name, 0, rng.randrange(3), far.now + SECOND)))
 
     far.step = stepped
     play(far, rng)
