--- a/finchcart/message_endpoint.py
+++ b/finchcart/message_endpoint.py
@@ -8,11 +8,12 @@
 
 from msgspec import Struct
 
+from finchcart.errors import FinchcartError
 from finchcart.membership.codec import DatagramError, MessageCodec
 from finchcart.membership.effects import HostPort, InputKind, LogLine, SendDatagram
 
 
-class MessageRejectedError(Exception):
+class MessageRejectedError(FinchcartError):
     """A message that was read and is not acted on; its text is the reason used for the counters."""
 
 
