quota: held_lease.py, apart from the state machine that holds it

Change: HeldLease, LeaseId and Allowance moved; the view of a status message is typed as a plain dict, as before, so that a spoilt one is rejected for the same reason by the old text and the new.

--- a/finchcart/quota/messages.py
+++ b/finchcart/quota/messages.py
@@ -3,7 +3,7 @@
 Owns their fields and limits. It must never act on a message. The order of the fields and the tags are the
 wire format: they stay, whatever the fields are called."""
 
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated, NamedTuple
 
 from msgspec import Meta, Struct
 
@@ -131,7 +131,7 @@
     """The answer to a question of that number."""
 
     number: Unsigned53
-    view: dict[str, Any]
+    view: dict  # of keys and values as the command line prints them
 
 
 ElectionMessage = Prepare | Promise | Propose | Accept | Reject
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -20,8 +20,9 @@
 from finchcart.quota import local_limits, messages
 from finchcart.quota.allocator import Allocator, HolderKey
 from finchcart.quota.fair_share import max_min_shares, prioritized_shares
+from finchcart.quota.held_lease import NO_LEASE, LeaseId
 from finchcart.quota.leader_election import LeaderElection
-from finchcart.quota.lease_holder import NO_LEASE, LeaseHolder, LeaseId, PendingRequest
+from finchcart.quota.lease_holder import LeaseHolder, PendingRequest
 from finchcart.quota.limits import SECOND, Limit, QuotaConfig, config_errors
 from finchcart.quota.local_limits import LocalLimits
 from finchcart.quota.messages import Ballot
