quota, key_leases: usage, demand and contact in the texts, in place of told, wanted and heard

Cause: words of the house style were left in docstrings and two attributes of LocalLimits. Change: names and texts alone.

--- a/finchcart/key_leases/client.py
+++ b/finchcart/key_leases/client.py
@@ -2,7 +2,7 @@
 
 Owns the attempts of this process and the outcomes that not all replicas have acknowledged. It must never
 answer that a key is its own without the votes of a quorum for one attempt, all asked for less than `command`
-ago, nor try a key again before it gave the earlier attempt back.
+ago, nor begin another attempt for a key before it released the earlier one.
 
 Bounds: attempts and held leases together `entries`; an attempt ends with its answer, a delivery with the last
 acknowledgement or after `MAX_TRANSMISSIONS`.
@@ -175,7 +175,7 @@
             return
         attempt.votes[replica] = vote.status
         if vote.status in (LeaseStatus.COMPLETED, LeaseStatus.FAILED):
-            # Only a holder with a quorum runs, and only it reports outcomes: one replica's word is enough.
+            # Only a holder with a quorum runs, and only it reports outcomes: one replica's report is enough.
             self._conclude(attempt, vote.status, vote.result)
         elif vote.status == LeaseStatus.PAYLOAD_MISMATCH:
             self._conclude(attempt, LeaseStatus.PAYLOAD_MISMATCH)
--- a/finchcart/key_leases/replica.py
+++ b/finchcart/key_leases/replica.py
@@ -90,7 +90,7 @@
         match message:
             case AcquireLeases():
                 votes = [self.vote(message.session, request) for request in message.requests]
-                # What does not fit into one datagram is asked for again.
+                # What does not fit into one datagram is requested again by its holder.
                 votes = take_fitting(votes, MAX_DATAGRAM_BYTES - VOTES_OVERHEAD_BYTES)
                 self.send(address, Votes(message.session, votes))
             case ReportOutcomes():
--- a/finchcart/message_endpoint.py
+++ b/finchcart/message_endpoint.py
@@ -24,9 +24,9 @@
 
     Attributes:
         codec: reads and writes the messages of the endpoint's channel.
-        counts: reason -> how often; told to operators.
+        counts: reason -> how often; shown to operators.
         effects: of the present turn.
-        ended: whether this process has said its last word and may be left alone.
+        ended: whether this process has sent its last message and needs no more inputs.
 
     Arguments:
         fleet: the name of the fleet; messages of others are counted and dropped.
--- a/finchcart/quota/allocator.py
+++ b/finchcart/quota/allocator.py
@@ -68,7 +68,7 @@
 
     def __init__(self) -> None:
         self.limits: dict[str, LimitRecord] = {}
-        self.heard_at = 0
+        self.requested_at = 0
         self.sequence = 0
         self.is_leaving = False
 
@@ -123,7 +123,7 @@
         if request.sequence <= holder.sequence:
             raise MessageRejectedError("asked before")
         holder.sequence = request.sequence
-        holder.heard_at = now
+        holder.requested_at = now
         holder.is_leaving = request.is_leaving
         return holder
 
@@ -133,7 +133,7 @@
             for record in holder.limits.values():
                 record.expire(now)
             has_lease = any(record.granted for record in holder.limits.values())
-            if not has_lease and now - holder.heard_at > self.quota.life:
+            if not has_lease and now - holder.requested_at > self.quota.life:
                 del self.holders[key]
 
     def committed(self, holder: HolderRecord, limit: str) -> int:
--- a/finchcart/quota/held_lease.py
+++ b/finchcart/quota/held_lease.py
@@ -1,6 +1,6 @@
-"""The lease of a part of one limit, as its holder keeps it.
+"""The lease of one limit, as its holder keeps it.
 
-Owns what is held, used and wanted of the limit. It must never decide whether a lease is taken: that is
+Owns what is held, in use and demanded of the limit. It must never decide whether a lease is taken: that is
 lease_holder.py's. Times are microseconds on the boot clock.
 """
 
@@ -61,14 +61,14 @@
         self.fleet_amount = lease.fleet_amount
 
     def give_back(self) -> None:
-        """Use nothing and want nothing any more."""
+        """Hold nothing and demand nothing any more."""
         self.amount = 0
         self.expires_at = 0
         self.in_use = 0
         self.demand = 0
 
     def report(self, now: int) -> LimitDemand:
-        """What the planner is told."""
+        """What is reported to the planner."""
         is_active = self.is_active(now)
         return LimitDemand(
             limit=self.limit.name,
--- a/finchcart/quota/leader_election.py
+++ b/finchcart/quota/leader_election.py
@@ -124,7 +124,7 @@
         self.acceptor = Acceptor(quota, now)
         self.candidature: Candidature | None = None
         self.next_candidature_at = now + quota.startup_quiet_period + random.randrange(quota.election_retry)
-        self.highest_term = 0  # that was heard of
+        self.highest_term = 0  # that was observed
         self.is_leader = False
         self.term = 0
         self.leads_until = 0
@@ -152,7 +152,7 @@
         return self.other_leader if now < self.other_leader_until else ""
 
     def observe_term(self, term: int) -> None:
-        """Let terms go on from one that was heard of: all planners may have been restarted."""
+        """Continue from a term that a message names: all planners may have been restarted."""
         self.highest_term = max(self.highest_term, term)
 
     # ---- time
@@ -192,7 +192,7 @@
         return leases.quorum(len(self.others) + 1)
 
     def campaign(self, now: int) -> None:
-        """Prepare a ballot greater than any heard of."""
+        """Prepare a ballot greater than any observed."""
         self.highest_term += 1
         ballot = Ballot(self.highest_term, self.session)
         self.candidature = Candidature(ballot)
--- a/finchcart/quota/lease_holder.py
+++ b/finchcart/quota/lease_holder.py
@@ -1,7 +1,7 @@
 """A node's leases of the strict limits: requests them from the leading planner and knows when each expires.
 
-Owns the leases that this process holds. It must never count calls: what is in use and wanted is told to it,
-and what may be used is handed out as `LimitAllowance`.
+Owns the leases that this process holds. It must never count calls: usage and demand are reported to it, and
+what may be used is handed out as `LimitAllowance`.
 
 A lease counts from before it was requested (see finchcart/leases.py). One that is for less than what is in
 use binds new calls at once; until the old ones have ended, the holder reports as in use what they need.
@@ -112,7 +112,7 @@
                 raise MessageRejectedError("not for a holder")
 
     def on_usage(self, limit: str, in_use: int, demand: int, priority_demand: int = 0) -> None:
-        """Take what is in use and wanted of a limit beyond its floor."""
+        """Take usage and demand of a limit beyond its floor."""
         held = self.held.get(limit)
         if held is None:
             return
@@ -260,7 +260,7 @@
     # ---- status
 
     def status(self) -> dict[str, Any]:
-        """What operators are told; the keys are those of docs/operate/quota.md."""
+        """What operators see; the keys are those of docs/operate/quota.md."""
         return {
             "name": self.name,
             "limits": [self._limit_status(held) for held in self.held.values()] + self.local_status(self.now),
--- a/finchcart/quota/limits.py
+++ b/finchcart/quota/limits.py
@@ -18,7 +18,7 @@
 MIN_SLACKS_PER_LEASE = 4
 ELECTION_RETRIES = 10  # of one leader lease
 EXPECTED_ELECTION_RETRIES = 4  # until one is elected, where a majority answers
-REBALANCING_ROUNDS = 3  # until the others have given way and said so
+REBALANCING_ROUNDS = 3  # until the others have given way and confirmed it
 
 Counted = Literal["calls", "rpcs", "trial"]  # "trial": calls to a store that is held to be down
 Unit = Literal["in_hand", "rate"]
@@ -122,8 +122,8 @@
     def rebalancing_bound(self) -> int:
         """Microseconds from a jump of demand at one holder to its whole allocation, where all answer.
 
-        The others are told to give way with their next request, and say that they did; then the allocation
-        rises step by step.
+        The others learn that they have to give way with their next request and confirm it with the one after;
+        then the allocation rises step by step.
         """
         return REBALANCING_ROUNDS * self.round + ceil(1 / self.step) * self.round
 
--- a/finchcart/quota/local_limits.py
+++ b/finchcart/quota/local_limits.py
@@ -1,15 +1,15 @@
 """Loose limits: there on every side of a partition, as each node takes its part by its own view of the fleet.
 
-Owns the loose limits of this process: what it uses and wants of them, which is piggybacked on the members'
-heartbeats, and its allocation of each. It must never count calls, send anything itself, or take more on
-behalf of a member that it can't hear. `now` is the boot clock in whole microseconds.
+Owns the loose limits of this process: usage and demand, which are piggybacked on the members' heartbeats, and
+its allocation of each. It must never count calls, send anything itself, or take more at the cost of a member
+that is not in contact. `now` is the boot clock in whole microseconds.
 
 How the overshoot is bounded:
 
-- Where all hear each other, an allocation is the max-min share of what all want. The own demand counts only
-  when the others have heard of it, and theirs as soon as it is heard, so nobody takes what another may still
-  use; and what others have in use is left to them.
-- A member that was not heard both ways lately may not know of the others' demand. It is taken to want
+- Where all are in contact, an allocation is the max-min share of what all demand. The own demand counts only
+  when the others have received it, and theirs as soon as it is received, so nobody takes what another may
+  still use; and what others have in use is left to them.
+- A member without recent two-way contact may not know of the others' demand. It is assumed to demand
   everything, so nobody takes its even share.
 - A side of a partition that sees only a part of the known members uses that part of the limit, (1 + `over`)
   times: see `QuotaConfig.partition_allowance`.
@@ -33,11 +33,11 @@
 
 ALLOWANCE_DURATION_US = 2 * SECOND  # a node whose members' thread ends falls back to its floor after this
 RENEWAL_INTERVAL_US = SECOND // 2  # of an allowance that did not change
-IN_USE_PUBLICATIONS = 2  # there and back: others hear of the demand, and this node of what they had by then
+IN_USE_PUBLICATIONS = 2  # there and back: others receive the demand, and this node what they had by then
 
 
 def freshness_bound(membership: "MembershipConfig", member_count: int, loss: float) -> int:
-    """Microseconds that the word of a heard member can be old, and that new demand takes to reach all.
+    """Microseconds that the report of a member in contact can be old, and that new demand takes to reach all.
 
     Arguments:
         membership: the configuration of membership.
@@ -103,11 +103,11 @@
         self.quota = quota
         self.allocations = {limit.name: LocalAllocation(limit) for limit in quota.loose}
         self.joined_at: int | None = None  # when it first knew of others
-        self.age = 0  # how old the word of a heard member can be
+        self.age = 0  # how old the report of a member in contact can be
         self.view = PartitionView(now, 1, 1)
         self.recent_views: deque[PartitionView] = deque()  # as far back as `_view_memory`
-        self.heard: list[int] = []  # ids of members heard both ways lately
-        self.unheard: list[int] = []  # ids of members alive to others, but not heard
+        self.connected: list[int] = []  # ids of members with recent two-way contact
+        self.unconfirmed: list[int] = []  # ids of members that are alive, without recent two-way contact
 
     def reduce(self, now: int, event: tuple) -> list[LimitAllowance]:
         """Take an input, see `QuotaInput`; returns effects."""
@@ -132,7 +132,7 @@
         return effects
 
     def on_usage(self, limit: str, in_use: int, demand: int) -> None:
-        """Take what is in use and wanted of a limit in all."""
+        """Take usage and demand of a limit in all."""
         allocation = self.allocations.get(limit)
         if allocation is not None:
             allocation.in_use = in_use
@@ -166,17 +166,17 @@
     # ---- the view of the fleet
 
     def observe(self, now: int, member: "Member") -> None:
-        """Sort the members into heard, unheard and failed, and work out which part of the fleet is seen."""
+        """Sort the members by contact, and work out which part of the fleet is seen."""
         self.age = freshness_bound(member.config, len(member.known_members), member.loss)
         failed = self._sort_members(now, member)
         if member.isolated or member.is_resuming:
             # What it knows of others is of before: it is a side of its own.
-            failed += len(self.heard) + len(self.unheard)
-            self.heard = []
-            self.unheard = []
+            failed += len(self.connected) + len(self.unconfirmed)
+            self.connected = []
+            self.unconfirmed = []
         elif self.joined_at is None:
             self.joined_at = now
-        seen = 1 + len(self.heard) + len(self.unheard)
+        seen = 1 + len(self.connected) + len(self.unconfirmed)
         # While two sides come together, both may count the same member: the least part that was seen lately
         # counts, until all see alike.
         self.recent_views.append(PartitionView(now, seen, seen + failed))
@@ -186,9 +186,9 @@
         self.view = min(self.recent_views, key=lambda view: view.fraction)
 
     def _sort_members(self, now: int, member: "Member") -> int:
-        """Set `heard` and `unheard`; returns how many have failed."""
-        self.heard = []
-        self.unheard = []
+        """Set `connected` and `unconfirmed`; returns how many have failed."""
+        self.connected = []
+        self.unconfirmed = []
         failed = 0
         reachable = member.graph.get(member.own_id, ())
         for member_id, known in member.known_members.items():
@@ -199,9 +199,9 @@
             elif member_id in reachable and (
                 member_id not in member.links or member.view_age(now, member_id) > self.age
             ):
-                self.unheard.append(member_id)
+                self.unconfirmed.append(member_id)
             else:
-                self.heard.append(member_id)
+                self.connected.append(member_id)
         return failed
 
     # ---- the allocation
@@ -213,9 +213,9 @@
             return limit.floor  # the others don't know of it yet
         allowance = self.quota.partition_allowance(limit, self.view.seen, self.view.known)
         demands = {member.own_id: allocation.settled_demand()}
-        demands |= dict.fromkeys(self.unheard, allowance)
+        demands |= dict.fromkeys(self.unconfirmed, allowance)
         in_use: dict[int, int] = {}
-        for member_id, used, demand in self.heard_demands(member, allocation):
+        for member_id, used, demand in self.connected_demands(member, allocation):
             demands[member_id] = demand
             in_use[member_id] = used
         shares = max_min_shares(allowance, demands)
@@ -229,12 +229,14 @@
         demanded = sum(demands.values())
         if demanded < allowance:
             # Nobody goes short: the rest is spread, so that a jump of demand finds something at once.
-            share += (allowance - demanded) // (1 + len(self.heard) + len(self.unheard))
+            share += (allowance - demanded) // (1 + len(self.connected) + len(self.unconfirmed))
         return share
 
-    def heard_demands(self, member: "Member", allocation: LocalAllocation) -> Iterable[tuple[int, int, int]]:
-        """(id of a heard member, in use, demand) of a limit."""
-        for member_id in self.heard:
+    def received_demands(
+        self, member: "Member", allocation: LocalAllocation
+    ) -> Iterable[tuple[int, int, int]]:
+        """(id of a member in contact, in use, demand) of a limit."""
+        for member_id in self.connected:
             published = member.gossip.received.get((member_id, GossipTopic.QUOTA))
             if published is None:
                 continue
@@ -245,7 +247,7 @@
     # ---- status
 
     def status(self, now: int) -> list[dict[str, Any]]:
-        """What operators are told; the keys are those of docs/operate/quota.md."""
+        """What operators see; the keys are those of docs/operate/quota.md."""
         return [self._limit_status(allocation) for allocation in self.allocations.values()]
 
     def _limit_status(self, allocation: LocalAllocation) -> dict[str, Any]:
--- a/finchcart/quota/planner.py
+++ b/finchcart/quota/planner.py
@@ -146,7 +146,7 @@
     # ---- status
 
     def status(self) -> dict[str, Any]:
-        """What operators are told; the keys are those of docs/operate/quota.md."""
+        """What operators see; the keys are those of docs/operate/quota.md."""
         is_leader = self.election.is_leader
         return {
             "planner": self.address,
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -335,9 +335,9 @@
     return limit.amount
 
 
-def unheard_want_nothing(self, now, member):
+def unconfirmed_want_nothing(self, now, member):
     LocalLimits.observe(self, now, member)
-    self.unheard = []
+    self.unconfirmed = []
 
 
 def joins_at_once(self, now, member):
@@ -346,7 +346,7 @@
 
 
 def in_hand_ignored(self, member, allocation):
-    for member_id, _, demand in LocalLimits.heard_demands(self, member, allocation):
+    for member_id, _, demand in LocalLimits.received_demands(self, member, allocation):
         yield member_id, 0, demand
 
 
@@ -396,14 +396,14 @@
     ),
     "who is not heard is reckoned to want nothing": (
         loose_run,
-        {"observe": unheard_want_nothing},
+        {"observe": unconfirmed_want_nothing},
         {"cut": (0, 1, 2), "over": 0.0},
         53,
     ),
     "who starts takes its part at once": (loose_run, {"observe": joins_at_once}, {"start": ("n4", "n5")}, 50),
     "what others have in hand is not looked at": (
         loose_run,
-        {"heard_demands": in_hand_ignored},
+        {"received_demands": in_hand_ignored},
         {"takes": 4_000_000},
         53,
     ),
