--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -19,10 +19,11 @@
 from loguru import logger
 from msgspec import UNSET
 
-from finchcart.__main__ import ConfigError, main, plain_log
+from finchcart.__main__ import main, plain_log
 from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
 from finchcart.consensus import messages as sayings
 from finchcart.consensus.store import ConsensusStore
+from finchcart.errors import ConfigError
 from finchcart.key_leases import messages as claiming
 from finchcart.key_leases.client import KeyLeaseClient
 from finchcart.key_leases.replica import KeyLeaseReplica
@@ -32,6 +33,7 @@
 from finchcart.membership.member import Member
 from finchcart.net.datagrams import Datagrams, boot_clock
 from finchcart.node.claimer import Claimer
+from finchcart.node.inputs import Drain, FleetChange, ReloadConfig
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
 from finchcart.quota import messages as shares
@@ -89,7 +91,7 @@
         self.datagrams = Datagrams(
             parse_address(asked.listen),
             lambda now: self.machines(now, name, advertise, random.Random(seed), wall),
-            lambda change: inputs.put(("fleet", change)),
+            lambda change: inputs.put(FleetChange(change)),
             self.reread,
         )
 
@@ -168,9 +170,9 @@
 
     def heard(self, what):
         """Of a signal, in its handler."""
-        if what[0] == "drain":
+        if isinstance(what, Drain):
             self.datagrams.tell(None, "leave")
-        elif what[0] == "reread":
+        elif isinstance(what, ReloadConfig):
             self.datagrams.tell(None, "reread")  # a handler may not log
 
     def reread(self):
--- a/tests/pins/scenarios.py
+++ b/tests/pins/scenarios.py
@@ -46,6 +46,10 @@
     "runs once": Scenario(effects=(ONCE,), load=1.2, calling=0.7),
     "drain": Scenario(effects=THREE, drain=True, load=1.3),
     "small memory": Scenario({"familyInfo.memoryKb": 2500.0}, effects=THREE, load=1.5),
+    "small memory, keyed": Scenario(
+        {"familyInfo.memoryKb": 1100.0, "familyInfo.kbPerKey": 40.0}, effects=(KEYED,), load=2.5
+    ),
+    "pause under overload": Scenario(PAUSE, effects=(READS, KEYED, ONCE, READS), load=3.0, calling=0.1),
     "no marks": Scenario({"callers.marksRetry": False}, load=2.0),
     "killed": Scenario({"familyInfo.freshStart": True}, effects=THREE, kill=True),
     "stalls": Scenario(effects=THREE, stalls=True),
@@ -61,7 +65,7 @@
     "busy node": Scenario(effects=THREE, fleet=("intakeUse", "intakeAge")),
     "worker pool restarted": Scenario(effects=THREE, load=1.5, fleet=("restarted",)),
 }
-SEEDS = 3  # of each scenario
+SEEDS = 5  # of each scenario
 
 
 def settings_of(scenario, random):
--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -14,6 +14,7 @@
 from finchcart.key_leases.messages import LeaseStatus
 from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.node.claimer import Claimer
+from finchcart.node.inputs import FleetChange
 from tests.harness import draw_settings, read_answer
 from tests.test_core import GAUGES, Far, far_plain, play
 
@@ -181,7 +182,7 @@
                 if kind == LeaseStatus.GRANTED:
                     self.mine.add(key)
                 if not far.ended:
-                    far.feed("fleet", ("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS))
+                    far.feed(FleetChange(("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS)))
 
         far.step = stepped
 
@@ -242,7 +243,7 @@
     ((_, asks),) = far.claims
     assert not far.runs, "not before its claim"
     if kind is not None:
-        far.feed("fleet", ("claimed", asks[0][0], kind, result, far.now + by * MS))
+        far.feed(FleetChange(("claimed", asks[0][0], kind, result, far.now + by * MS)))
     far.step(MS)
     ran = name in far.runs
     for _ in range(200):
@@ -275,7 +276,7 @@
     far.answered = lambda link, data: told.append(read_answer(data))
     far.submit(far.open(), 1)
     far.step(MS)
-    far.feed("fleet", ("claimed", far.claims[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0))
+    far.feed(FleetChange(("claimed", far.claims[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0)))
     assert b"there" in str(told).encode() and not far.runs
 
 
