--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -1,678 +1,724 @@
-"""All decisions of a node: what it takes, runs and turns away.
+"""All decisions of a node: which RPCs it admits, runs, rejects and fails.
 
 How it is called (types and port: finchcart/interface.py; why: docs/design.md). A host makes one
 `Control(port, settings, seed)` for each node and calls `start(now)`. `admit(now, ...)` takes an RPC that was
 read and returns its handle; what happens to it later is a call on the handle: `run_ended`, `caller_gone`,
-`awaiting_call`, `call_ended`. On the control: `on_timer` (with gauges) and `drain`. The module answers
-through the port, inside these calls. Times are whole microseconds; the only clock is the `now` that is handed
-in.
+`awaiting_call`, `call_ended`. On the control: `on_timer` (with gauges), `drain`, `worker_pool_restarted`. The
+module answers through the port, inside these calls. Times are whole microseconds; the only clock is `now`.
 
-Reading order: Histogram, Method, Rpc (one RPC's life), Control (intake, hold, calls, sweep, drain).
+States: an RPC is QUEUED, then RUNNING, then COMPLETED. A run that needs the dependency is AWAITING_CALL, then
+CALLING, and RUNNING again; one that yields its core is PAUSED and queued again. A duplicate never runs, it is
+SHARING. Fields and what they mean: rpc_record.py (an RPC), node_record.py (the node), node_settings.py.
+
+Reading order: constants, Method, Rpc (one RPC's way), Control (intake, queue, calls, control loop, drain).
 """
 
-from bisect import insort
-from heapq import heappop, heappush
+from collections.abc import Mapping
 from math import log2
 from random import Random
 
-from finchcart.interface import Outcome, Port
-
-MS, SECOND = 1_000, 1_000_000
-SWEEP = 40 * MS  # between looks at what is due, at the gauges and at the loop
-HELD, RUNNING, STANDING, CALLING, SHARING, PAUSED, OVER = range(7)  # STANDING: at a call not made yet
-CUT_ABOVE = 0.9  # the loop cuts while more of the cores than this are busy
-IDLE = 10 * MS, 8 * SECOND  # least and longest that an idle connection is kept
-
-
-class Histogram:
-    """Sixteen coarse bins, two to the octave from `low` up; halved when full, so that old samples fade."""
-
-    WEIGHTS = [2 ** (k / 2) for k in range(16)]
-
-    def __init__(self, low, prior, full=120):
-        self.low, self.full, self.bins = low, full, [0.0] * 16
-        self.count = self.weighed = 0.0
-        self.add(prior)
-
-    def add(self, value):
-        k = 0 if value <= self.low else min(15, int(2 * log2(value / self.low)))
-        self.bins[k] += 1
-        self.count += 1
-        self.weighed += self.WEIGHTS[k]
-        if self.count >= self.full:
-            self.bins = [count / 2 for count in self.bins]
-            self.count = sum(self.bins)
-            self.weighed = sum(count * weight for count, weight in zip(self.bins, self.WEIGHTS))
-        self.mean = 1.19 * self.low * self.weighed / self.count
-
-    def quantile(self, part):
-        left = part * self.count
-        for k, count in enumerate(self.bins):
-            left -= count
-            if left <= 0:
-                break
-        return self.low * 2 ** ((k + 1) / 2)
-
-
-class Method:
-    """What is told and learned of one method. Run times leave calls out."""
-
-    def __init__(self, settings, n, cold):
-        get = lambda name, default: settings.get(f"methods.{n}.{name}", default)
-        poorer = settings.get("degraded_value", 0)
-        kind, self.criticality = get("kind", "non_idempotent"), get("criticality", 1)
-        self.deadline = get("deadline", 5 * SECOND)
-        self.target, self.window = get("latency_target", self.deadline), get("window", 0)
-        self.poorer = poorer[n] if isinstance(poorer, tuple) else poorer
-        calls = settings.get("method_calls", False)
-        self.needs_call = not self.poorer and bool(calls[n] if isinstance(calls, tuple) else calls)
-        self.tokened, self.repeatable = kind == "keyed", kind == "idempotent"
-        self.stoppable = self.repeatable and settings.get("can_stop", False)
-        self.lost_when_late = self.stoppable and not get("late_value", 0)
-        # Before anything is measured: a run takes a sixth of the latency target, and hints are half believed.
-        low = self.target / 96
-        self.run_time = Histogram(low, self.target / 6 * cold)
-        self.hinted = [[Histogram(low, self.target / 24), Histogram(low, self.target / 12 * cold)],  # small
-                       [Histogram(low, self.target / 3), Histogram(low, self.target / 4 * cold)]]  # large
-        self.whole = Histogram(self.target / 32, self.target / 4 * cold)  # start to end, calls included
-        self.share, self.band, self.over = 1.0, 0, 0.0
-
-    def expect(self, hint):
-        """Time on a core that a run is expected to need here. Hints may be rough: what runs with small and
-        with large ones took lately tells how far they can be believed: a power through these two."""
+from finchcart.histogram import Histogram
+from finchcart.interface import Gauges, Outcome, Port
+from finchcart.node_record import NodeRecord
+from finchcart.node_settings import MethodSettings, NodeSettings, rank_by_criticality
+from finchcart.rpc_record import RpcRecord, RpcState
+
+# Names of their own: a member that is looked up in its Enum costs a call on Python 3.11.
+QUEUED, RUNNING, AWAITING_CALL, CALLING, SHARING, PAUSED, COMPLETED = RpcState
+
+# Times are microseconds; numbers without a unit are parts of a whole, or factors.
+MS = 1_000
+SECOND = 1_000_000
+MAINTENANCE_INTERVAL = 40 * MS  # between looks at what is due, at the gauges and at the control loop
+MIN_IDLE_TIMEOUT = 10 * MS  # of connections
+MAX_IDLE_TIMEOUT = 8 * SECOND
+HISTOGRAM_SAMPLES = 120  # histograms are halved when they reach it, so that old samples fade
+DEFAULT_DEADLINE = 5 * SECOND  # this and the next: for settings that are not told
+DEFAULTS = {"overload_factor": 4, "calls_window": 5 * SECOND, "calls_linger": 200 * MS, "tick": MS}
+DEFAULTS |= {"feedback": "level", "feedback_lifetime": SECOND, "idle_timeout_max": MAX_IDLE_TIMEOUT}
+
+# When answers are due.
+ANSWER_MARGIN = 20 * MS  # an RPC is answered so long before it is due, besides ticks and an interval
+KILL_MARGIN = 50 * MS  # all are answered so long before the kill
+MAX_LATENESS_MARGIN = SECOND  # answers are given earlier where timers are late, by this at most
+RUN_AFTER_GRACE = 2  # times the 90th percentile of its method that a run may last after the grace
+KEY_EXTRA_TIME = 200 * MS  # keys are stored so much longer than their window
+
+# Intake. Memory: parts of what there is; a run takes more than a queued RPC, duplicates are the last to go.
+START_BELOW_MEMORY = 0.85
+REJECT_ABOVE_MEMORY = 0.9
+FAIL_DUPLICATES_ABOVE_MEMORY = 0.95
+READ_DELAY_SAMPLES = 8  # arrivals that the average follows
+RETURNING_SAMPLES = 16
+RETRY_SAMPLES = 32
+RETRY_TIME_LOST = 4  # the age of a retry is not told: its objective is shorter by this times the retry ratio
+MAX_RETRY_TIME_LOST = 0.5
+QUOTA_RESERVE = 20  # a twentieth of a fleet quota is reserved for each more critical rank
+FREE_CORE_FIT = 0.8  # part of the time left that a run on a free core may be expected to take
+IDLE_NODE_FIT = 1.2  # the same where less than half of the cores are in use
+MISFIT_TRIES = 0.1  # part of the others that run all the same: else a slow node never learns it is well again
+HOPELESS_FIT = 0.4  # an RPC that would be late at this part of its cost fits nowhere
+FULL_FLEET_RETRIES = 0.1  # a retry ratio above this shows that the fleet is full, not this node alone
+FULL_FLEET_SHARE = 0.6  # where retries carry no mark, an admitted share below this shows it
+MIN_ADVISED_WAIT = 50 * MS  # shorter waits are not worth advice
+RETURNING_FOR_ADVICE = 0.6  # advice reaches callers where more than this part soon comes again
+
+# Queue and cores.
+CONCURRENCY_PART = 0.8  # of the runs that the node survives
+MAX_RUNS_PER_CORE = 4  # calls included
+YIELD_BELOW = 0.5  # runs yield to what is more than twice as critical
+MIN_COST_LEFT = 4  # a paused run has a quarter of its expected cost left at least
+OPTIMISM = 0.6  # run times vary: what waits may still be in time at this part of its expected cost
+
+# Calls to the dependency; parts of the node's share of it.
+REFILL_PART = 0.8  # of call time: the mean over the window stays under the share
+MAX_CREDIT_PART = 0.2  # of the share over its window
+AMPLE_CREDIT_PART = 0.1  # above it, more calls may be in flight
+AMPLE_CALL_PART = 0.8
+CAUTIOUS_CALL_PART = 0.5
+SHORT_CALLS = 32  # calls are short where so many fit in the shortest latency objective
+CALL_MARGIN = 1.5  # times the mean call that must fit in the time left, else the call is left out
+
+# Control loop. Pairs of bounds: to begin, to go on.
+BUSY_THRESHOLD = 0.9  # part of the cores in use above which admission is cut
+OBJECTIVE_PART = 0.6  # of the latency objective, that the loop aims at
+MIN_SHARE = 0.05  # what is admitted at the deepest cut
+MAX_CUT = 0.95  # a share falls to no less than this of itself in an interval
+SHARE_GROWTH = 0.015  # in an interval at the bound; the faster the further the latency is below it
+MIN_GROWTH_BASE = 0.2
+NEXT_RANK_SHARE = 0.1  # a method is cut once those less critical admit less than this
+CLOSED_SHARE = 0.06  # the published level reaches the next rank once one admits no more than this
+RUN_LIMIT_PER_CORE = 2
+RUN_LIMIT_PART = 0.4  # of the runs that the node survives
+RUN_LIMIT_CUT = 0.9
+WORK_FADE = 0.975  # of sums, in an interval: they hold the last second or two
+READ_DELAY_FADE = 0.98
+SLOWNESS_RANGE = 0.3, 16.0
+LEVEL_STEP = 0.02  # smaller changes of the level are not published
+CREDIT_FACTOR = 4  # a credit knows no criticality: the queue needs some RPCs to choose from
+CREDIT_STEP = 0.8, 1.25  # smaller changes of the credit are not published
+UNHEALTHY_LOSS = 0.5, 0.1  # part of the objective lost before reading, above which a node is unhealthy
+KEEP_IDLE_LOSS = 0.2, 0.04  # the same, above which idle connections are kept
+KEEP_IDLE_RETURNING = 0.75, 0.6  # part of the arrivals whose caller was seen shortly before; above
+KEEP_IDLE_SHARE = 0.6, 0.9  # admitted share where no level is published; below
+MAX_CALLERS_SEEN = 999  # then those are removed that were not seen for the longest idle timeout
+
+
+class Method(MethodSettings):
+    """One method: its settings, and what is learned of it. Run times leave out the time at calls."""
+
+    def __init__(self, settings: Mapping[str, object], number: int, cold_factor: float) -> None:
+        super().__init__(settings, number, DEFAULT_DEADLINE)
+        self.admitted_share = 1.0
+        self.overshoot = 0.0  # expected latency over the part of the objective that the loop aims at
+        # Before anything is measured: a run takes a sixth of the objective, and hints are half believed.
+        objective = self.latency_objective
+        lowest = objective / 96
+        self.run_time = Histogram(lowest, objective / 6 * cold_factor, HISTOGRAM_SAMPLES)
+        self.small_hint = Histogram(lowest, objective / 24, HISTOGRAM_SAMPLES)
+        self.small_run = Histogram(lowest, objective / 12 * cold_factor, HISTOGRAM_SAMPLES)
+        self.large_hint = Histogram(lowest, objective / 3, HISTOGRAM_SAMPLES)
+        self.large_run = Histogram(lowest, objective / 4 * cold_factor, HISTOGRAM_SAMPLES)
+        self.total_time = Histogram(objective / 32, objective / 4 * cold_factor, HISTOGRAM_SAMPLES)
+
+    def expected_cost(self, hint: int) -> float:
+        """Core time that a run is expected to need. What runs with small and with large hints took lately
+        tells how far hints can be believed: a power through these two."""
         if not hint:
             return self.run_time.mean
-        (hint_1, time_1), (hint_2, time_2) = ((hints.mean, times.mean) for hints, times in self.hinted)
-        power = max(0.0, min(1.0, log2(time_2 / time_1) / max(0.5, log2(hint_2 / hint_1))))
-        return time_1 * (hint / hint_1) ** power
-
-    def learn(self, hint, time):
-        self.run_time.add(time)
+        hint_ratio = self.large_hint.mean / self.small_hint.mean
+        power = log2(self.large_run.mean / self.small_run.mean) / max(0.5, log2(hint_ratio))
+        return self.small_run.mean * (hint / self.small_hint.mean) ** max(0.0, min(1.0, power))
+
+    def learn(self, hint: int, run_time: int, total_time: int) -> None:
+        """A run ended well."""
+        self.run_time.add(run_time)
+        self.total_time.add(total_time)
         if hint:
-            (hints_1, _), (hints_2, _) = self.hinted
-            for learned, value in zip(self.hinted[hint * hint > hints_1.mean * hints_2.mean], (hint, time)):
-                learned.add(value)
+            is_large = hint * hint > self.small_hint.mean * self.large_hint.mean
+            (self.large_hint if is_large else self.small_hint).add(hint)
+            (self.large_run if is_large else self.small_run).add(run_time)
 
 
-class Rpc:
-    """The handle of one RPC."""
+class Rpc(RpcRecord):
+    """The handle of one RPC: the host reports here what happens to it."""
 
-    __slots__ = ("control", "index", "method", "kb", "run_kb", "hint", "place", "reached", "due", "want",
-                 "expect", "key", "state", "started", "answered", "ran", "is_gone", "call_time", "call_from",
-                 "calls", "called", "kept_until", "failed", "before")
+    __slots__ = ()
 
-    def run_ended(self, now, outcome, spent):
-        """A run or a share is over; where it was ok or an error, its answer has gone out."""
-        control = self.control
-        if self.state == OVER:
+    def run_ended(self, now: int, outcome: Outcome, spent: int) -> None:
+        """A run, or the wait of a duplicate, ended; with OK and ERROR its answer has gone out."""
+        if self.state is COMPLETED:
             return
-        owed = not (self.answered or self.is_gone)
-        if outcome is Outcome.STOPPED and control.pauses and owed and self.state == RUNNING:
-            control.paused(now, self, spent)
+        control = self.control
+        unanswered = self.is_owed and outcome in (Outcome.STOPPED, Outcome.NOT_STARTED)
+        if unanswered and outcome is Outcome.STOPPED and self.state is RUNNING and control.settings.can_pause:
+            control.requeue_paused(now, self, spent)
             return
-        if self.state != SHARING:
-            self.ran = outcome is not Outcome.NOT_STARTED  # nothing started: nothing is learned or kept of it
-            control.done += self.expect * self.ran
-            spent += self.before
-            if outcome is Outcome.OK:
-                self.method.learn(self.hint, max(1, spent - self.call_time))
-                self.method.whole.add(max(1, spent))
-            self.failed = outcome is not Outcome.OK
-        if outcome in (Outcome.STOPPED, Outcome.NOT_STARTED) and not self.answered and not self.is_gone:
-            control.port.fail(self.index)  # it may have run: an answer is owed, and never a pushback
-        self.answered = True
+        if self.state is not SHARING:
+            self._account_run(outcome, spent)
+        if unanswered:
+            control.port.fail(self.index)  # it may have run: an answer is owed, and never a rejection
         control.finish(now, self)
-        control.fill(now)
+        control.start_queued(now)
 
-    def caller_gone(self, now):
-        """The caller gave up: nothing is owed. Held ones are dropped, running ones stopped if allowed."""
-        if self.state == OVER or self.is_gone:
+    def caller_gone(self, now: int) -> None:
+        """Nothing is owed any more: it leaves the queue, or is stopped where that is allowed."""
+        if self.state is COMPLETED or self.caller_is_gone:
             return
-        self.is_gone = True
-        control = self.control
-        if self.state in (HELD, SHARING, PAUSED):
-            if self.state != SHARING:
-                control.unhold(self)
-            control.finish(now, self)
-        elif self.state == RUNNING and self.method.stoppable and not self.answered:
-            control.port.stop(self.index)
-
-    def awaiting_call(self, now):
-        """The run stands at a call."""
-        if self.state != RUNNING:
+        self.caller_is_gone = True
+        if self.state in (QUEUED, PAUSED):
+            self.control.dequeue(self)
+        if self.state in (QUEUED, PAUSED, SHARING):
+            self.control.finish(now, self)
+        elif self.state is RUNNING and self.method.stoppable and not self.answered:
+            self.control.port.stop(self.index)
+
+    def awaiting_call(self, now: int) -> None:
+        """The run needs its call to the dependency to go on."""
+        if self.state is not RUNNING:
             return
-        self.state, self.call_from = STANDING, now
-        self.control.on(self, -1)
-        if not (self.answered or self.is_gone):
-            self.control.standing.append(self)
+        self.control.suspend_run(now, self)
+        if self.is_owed:
+            self.control.awaiting_calls.append(self)
             self.control.make_calls(now)
-        self.control.fill(now)
+        self.control.start_queued(now)
 
-    def call_ended(self, now, outcome, spent):
-        """The call came back: after ok the run goes on by itself, else it stands where it stood."""
-        if self.state != CALLING:
+    def call_ended(self, now: int, outcome: Outcome, spent: int) -> None:
+        """The call returned: with OK the run goes on by itself, else it awaits a call again."""
+        if self.state is not CALLING:
             return
         control = self.control
         control.end_call(now, self, outcome)
-        control.below_began = now if outcome is Outcome.UNREACHABLE else control.below_began
         if outcome is Outcome.OK:
-            control.call_times.add(max(1, spent))
-            control.resume(now, self)
-        elif not (self.answered or self.is_gone):
-            # Guards against a second effect: a call is repeated only where the method may run again, or where
-            # the outcome proves that it never ran. One repeat; a dependency that fails is not pressed harder.
-            self.calls += 1
-            timed_out = outcome is Outcome.TIMEOUT and self.method.poorer > 0
-            if self.calls < 2 and (self.method.repeatable or outcome.never_ran) and not timed_out:
-                control.standing.append(self)
-            elif self.method.poorer > 0:
-                control.skip(now, self)
-            else:
-                control.give_up(now, self)
+            control.call_time.add(max(1, spent))
+            control.resume_run(now, self)
+        elif self.is_owed:
+            self._call_failed(now, outcome)
         control.make_calls(now)
-        control.fill(now)
+        control.start_queued(now)
+
+    def _account_run(self, outcome: Outcome, spent: int) -> None:
+        self.failed = outcome is not Outcome.OK
+        self.has_run = outcome is not Outcome.NOT_STARTED  # else nothing is learned of it, nor its key kept
+        if self.has_run:
+            self.control.work_completed += self.expected_cost
+        if not self.failed:
+            total_time = spent + self.spent_before_pause
+            self.method.learn(self.cost_hint, max(1, total_time - self.time_at_calls), max(1, total_time))
+
+    def _call_failed(self, now: int, outcome: Outcome) -> None:
+        """Repeats the call, leaves it out or fails the RPC. A call must not take effect twice, nor a failing
+        dependency be pressed: it is repeated once, where the method may run again or the call never ran."""
+        self.failed_calls += 1
+        can_degrade = self.method.degraded_value > 0
+        may_repeat = self.method.idempotent or outcome.never_ran
+        if self.failed_calls < 2 and may_repeat and not (outcome is Outcome.TIMEOUT and can_degrade):
+            self.control.awaiting_calls.append(self)
+        elif can_degrade:
+            self.control.degrade(now, self)
+        else:
+            self.control.fail(now, self)
 
 
-class Control:
+class Control(NodeRecord):
+    """The decisions of one node. `settings`: see finchcart/interface.py; `seed`: of all left to chance."""
 
-    def __init__(self, port: Port, settings, seed):
-        get = settings.get
-        self.port, self.settings = port, settings
+    def __init__(self, port: Port, settings: Mapping[str, object], seed: int) -> None:
+        super().__init__(NodeSettings.pick(settings, DEFAULTS))
+        self.port = port
         self.random = Random(seed).random
-        self.cores = get("cores", 1)
-        self.cold = bool(get("fresh_start", False))
-        cold_start_speed = get("cold_start_speed", 1) if self.cold else 1
-        self.methods, self.names = [], {}
-        for n in range(get("methods.count", 0)):
-            self.methods.append(Method(settings, n, 1 / max(cold_start_speed, 0.1)))
-            self.names[get(f"methods.{n}.name", str(n))] = self.methods[n]
-        worths = sorted({m.criticality for m in self.methods})
-        for m in self.methods:
-            m.band = worths.index(m.criticality)
-        self.bands = len(worths)
-        self.marked = get("marks_retries", True)
-        self.memory, self.factor = get("memory_kb", 1e12), get("run_factor", 1)
-        self.pauses, self.levels = get("can_pause", False), get("feedback", "level") == "level"
-        self.beside = get("overload_factor", 4) - 1  # running RPCs that a core survives beside one
-        self.entry, self.tick = get("key_entry_kb", 0), get("tick", MS)
-        # Only a dependency that all nodes share has a limit to be cut into shares; a tier decides for itself,
-        # and no share of it is told (the wire writes 0).
-        shared = get("dependency", "shared") == "shared"
-        self.calls_limit = get("calls_limit", 1e9) if shared else 1e9
-        self.calls_window = get("calls_window", 5 * SECOND)
-        self.call_times = Histogram(2 * MS, 30 * MS)
-        self.live, self.kept, self.held, self.standing, self.table = {}, {}, [], [], []  # kept: what is over
-        self.kb, self.on_core, self.work, self.running, self.in_call = 0.0, 0, 0.0, 0, 0  # work: on cores
-        # Runs that were told to pause and have not said that they did; when a call was last unreached.
-        self.pausing, self.below_began = set(), -SECOND * 10**9
-        self.room = None  # calls that may be in hand here, where the fleet shares its limit out
-        # What the fleet holds: of this node, the least level, of the dependency.
-        self.ejected, self.min_shed_level, self.dependency_down, self.own_level = False, 0.0, False, 0.0
-        self.lingering, self.credit, self.credit_at = [], 0.2 * self.calls_limit * self.calls_window, 0
-        self.limit, self.slow, self.late = float(self.cores), 1.0, 0
-        self.unread, self.further = 0.0, 0.0  # time lately lost before reading; part of further tries
-        self.seen, self.returns, self.keeping = {}, 0.0, False  # when callers came; part that soon come again
-        self.spent, self.done = 0.0, 0.0  # core time and expected work of the last second or two
-        self.core_use, self.wanting, self.now_level = 0.0, 0, 0.0
-        self.own_use, self.own_wait = 0.0, 0  # of the node itself: busy part, age of the oldest unread input
-        self.spare = 2 * self.tick + SWEEP + 20 * MS
-        self.kill_at, self.grace_end, self.sealed, self.swept, self.good = None, None, False, 0, True
-
-    def start(self, now):
-        self.began = self.swept = self.credit_at = now
+        cold_factor = 1 / max(self.settings.cold_start_speed if self.is_cold else 1, 0.1)
+        self.methods = [Method(settings, n, cold_factor) for n in range(settings.get("methods.count", 0))]
+        self.methods_by_name = {method.name: method for method in self.methods}
+        self.rank_count = rank_by_criticality(self.methods)
+        self.shortest_objective = min((m.latency_objective for m in self.methods), default=SECOND)
+        self.call_time = Histogram(2 * MS, 30 * MS, HISTOGRAM_SAMPLES)
+        self.max_call_credit = MAX_CREDIT_PART * self.settings.calls_limit * self.settings.calls_window
+        self.call_credit = self.max_call_credit
+        self._set_timer_lateness(0)
+
+    def start(self, now: int) -> None:
+        """The node begins to serve."""
+        self.warm_up_began = now
+        self.last_maintenance = now
+        self.call_credit_at = now
         self.port.set_health(True, True)
-        self.port.set_idle_timeout(IDLE[0])
-        self.port.set_timer(SWEEP, "sweep")
-        self.next_wake = now + SWEEP
-
-    def worker_pool_restarted(self, now, cold):
-        """What runs the RPCs started anew, cold or warm; the ends of its runs are told one by one."""
-        self.cold, self.began = cold, now
-
-    # ---- room: memory, the crowd on the cores
-
-    def margin(self):
-        """How long before it is due an RPC is answered: a few ticks, and twice what stalls lately cost."""
-        return self.spare + min(2 * self.late, SECOND)
-
-    def too_late(self, now, rpc):
-        """Whether its answer is owed before the next sweep: what it is due, or the kill."""
-        end = rpc.due if self.kill_at is None else min(rpc.due, self.kill_at - 50 * MS)
-        return now >= end - self.margin()
-
-    def warmth(self, now, began):
-        """Fraction of the full speed of what began then, on the slowest ramp that is allowed."""
-        start, whole = self.settings.get("cold_start_speed", 1), max(1, self.settings.get("warm_up", 1))
-        return min(1.0, start + (1 - start) * (now - began) / whole)
-
-    def crowd(self, now):
-        """The running RPCs that the node survives; those at calls may come back at any time and count."""
-        return self.cores * (1 + self.beside * (self.warmth(now, self.began) if self.cold else 1.0))
-
-    def on(self, rpc, sign):
-        """One more run on the cores, or one less. Guards against sums over all RPCs at each arrival."""
-        self.on_core += sign
-        self.pausing.discard(rpc)
-        self.work = (self.work + sign * rpc.expect) * (self.on_core > 0)
-
-    # ---- intake
-
-    def admit(self, now, index, method, kb, *, expires_at=0, waited=0, shed_rank=None, cost_hint=0,
-              is_retry=False, duplicate_of=None, caller=None, quota=None):
-        """An RPC has been read. `waited`: since it reached the machine; `duplicate_of`: the index of
-        the first RPC of its key, or -1 where that one is no longer known here; `quota`: a `FleetQuota`."""
-        before, self.seen[caller] = self.seen.get(caller), now
-        if before is not None or now - self.began > IDLE[1]:
-            self.returns += ((before is not None and now - before < IDLE[1]) - self.returns) / 16
-        rpc = Rpc()
-        m = self.names[method]
-        rpc.control, rpc.index, rpc.method, rpc.kb, rpc.run_kb = self, index, m, kb, kb * (self.factor - 1)
-        rpc.hint, rpc.place, rpc.reached = cost_hint, shed_rank, now - waited
-        rpc.due = expires_at or rpc.reached + m.deadline
-        # Guards against runs that end too late for anyone: the more further tries, the older each (not told).
-        lost = min(0.5, 4 * self.further) if is_retry else 0
-        rpc.want = min(rpc.due, rpc.reached + int(m.target * (1 - lost)))
-        rpc.expect = m.expect(cost_hint)
-        rpc.state, rpc.answered, rpc.ran, rpc.is_gone, rpc.failed = HELD, False, False, False, False
-        rpc.started = rpc.call_time = rpc.call_from = rpc.calls = rpc.kept_until = rpc.before = 0
-        # The order of the hold. Not by worth for the work it takes: of two methods alike, the one whose runs
-        # take a little longer would be starved.
-        rpc.key = (-m.criticality, rpc.want - rpc.expect)
-        self.live[index] = rpc
-        self.kb += kb
-        self.unread += (waited - self.unread) / 8
-        self.further += (is_retry - self.further) / 32
-        first = self.live.get(duplicate_of) or self.kept.get(duplicate_of)
-        if duplicate_of is not None and not (first and not first.ran and first.state == OVER):
-            # Guards against a second effect: a repeat never runs; it shares what its first try came to.
-            full = self.kb > 0.95 * self.memory
-            if full or (first and first.state == OVER and first.failed) or self.too_late(now, rpc):
-                self.give_up(now, rpc)
-            else:
-                rpc.state = SHARING
-                self.port.answer_duplicate(index)
-            return rpc
-        wait = self.ahead(rpc.key) / self.limit
-        # Over a limit of the fleet. A twentieth of a large part is kept for each criticality above its own.
-        if quota and quota.available <= int(quota.capacity / 20 * (self.bands - 1 - m.band)):
-            self.push_back(now, rpc, max(wait, quota.retry_after))
-            return rpc
-        if self.refuses(now, rpc, wait):
-            self.push_back(now, rpc, wait)
-            return rpc
-        if m.tokened:
-            self.remember(now, rpc)
-        insort(self.held, (rpc.key, index, rpc))
-        self.fill(now)
+        self.port.set_idle_timeout(MIN_IDLE_TIMEOUT)
+        self.port.set_timer(MAINTENANCE_INTERVAL, "sweep")
+
+    def worker_pool_restarted(self, now: int, cold: bool) -> None:
+        """What runs the RPCs restarted, cold or warm; the ends of its runs are reported one by one."""
+        self.is_cold = cold
+        self.warm_up_began = now
+
+    # ---- Intake
+
+    def admit(
+        self, now: int, index: int, method: str, memory_kb: float, *, caller: object = None, **told: object
+    ) -> Rpc:
+        """An RPC has been read: queues it, rejects it, or shares a result. `told`: see `RpcRecord`."""
+        self.note_caller(now, caller, MAX_IDLE_TIMEOUT, RETURNING_SAMPLES)
+        rpc = Rpc(self, now, index, self.methods_by_name[method], memory_kb, **told)
+        self._forecast(now, rpc)
+        self.active[index] = rpc
+        self.memory_used_kb += memory_kb
+        if rpc.duplicate_of is not None:
+            first = self.active.get(rpc.duplicate_of) or self.completed.get(rpc.duplicate_of)
+            if not (first and not first.has_run and first.state is COMPLETED):
+                self._share_result(now, rpc, first)
+                return rpc
+        expected_wait = self._work_ahead(rpc.priority) / self.run_limit
+        ranks_above = self.rank_count - 1 - rpc.method.criticality_rank
+        if rpc.quota and rpc.quota.available <= int(rpc.quota.capacity / QUOTA_RESERVE * ranks_above):
+            self.reject(now, rpc, max(expected_wait, rpc.quota.retry_after))
+        elif self._must_reject(now, rpc, expected_wait):
+            self.reject(now, rpc, expected_wait)
+        else:
+            self._store_key(now, rpc)
+            self.enqueue(rpc)
+            self.start_queued(now)
         return rpc
 
-    def refuses(self, now, rpc, wait):
-        """Whether an arrival is pushed back."""
-        m = rpc.method
-        after_grace = self.grace_end is not None and rpc.reached > self.grace_end
-        full = self.kb + self.entry * m.tokened > 0.9 * self.memory
-        if self.sealed or after_grace or full or self.too_late(now, rpc):
+    def _forecast(self, now: int, rpc: Rpc) -> None:
+        method = rpc.method
+        lost = min(MAX_RETRY_TIME_LOST, RETRY_TIME_LOST * self.retry_ratio) if rpc.is_retry else 0
+        rpc.objective_at = min(rpc.due_at, rpc.reached_at + int(method.latency_objective * (1 - lost)))
+        rpc.expected_cost = method.expected_cost(rpc.cost_hint)
+        # Not by criticality for the cost: of two equal methods, the one with longer runs would be starved.
+        rpc.priority = (-method.criticality, rpc.objective_at - rpc.expected_cost)
+        self.read_delay += (now - rpc.reached_at - self.read_delay) / READ_DELAY_SAMPLES
+        self.retry_ratio += (rpc.is_retry - self.retry_ratio) / RETRY_SAMPLES
+
+    def _share_result(self, now: int, rpc: Rpc, first: Rpc | None) -> None:
+        """A duplicate never runs, lest it take effect twice: it shares the result of the first of its key."""
+        no_memory = self.memory_used_kb > FAIL_DUPLICATES_ABOVE_MEMORY * self.settings.memory_kb
+        if no_memory or (first and first.state is COMPLETED and first.failed) or self._is_due(now, rpc):
+            self.fail(now, rpc)
+        else:
+            rpc.state = SHARING
+            self.port.answer_duplicate(rpc.index)
+
+    def _must_reject(self, now: int, rpc: Rpc, expected_wait: float) -> bool:
+        method = rpc.method
+        if self._cannot_serve(now, rpc) or self._lacks_dependency(method):
             return True
-        if self.dependency_down and m.needs_call and self.room is not None and self.room <= sum(
-                other.method.needs_call for other in self.live.values()) - 1:
-            return True  # it would run half and fail: only so many are taken as may try the dependency
-        place = None
-        if self.min_shed_level:
-            place = self.random() if rpc.place is None else rpc.place * self.bands - m.band
-            if place < self.min_shed_level * self.bands - m.band:
-                return True  # what the whole fleet turns away
-        fits = rpc.expect < (1.2 if self.on_core * 2 < self.cores else 0.8) * (rpc.want - now)
-        if self.on_core < self.cores and not self.held and (fits or not rpc.hint or self.random() < 0.1):
-            return False  # a free core, nothing waits: else a node once slow would never learn that it is not
-        # Where it stands among its like: by user where told, the same on every node; else by chance.
-        if place is None:
-            place = self.random() if rpc.place is None else rpc.place * self.bands - m.band
-        if place < 1 - m.share:
+        shed_rank = None
+        if self.gauges.min_shed_level:
+            shed_rank = self._relative_rank(rpc)
+            if shed_rank < self.gauges.min_shed_level * self.rank_count - method.criticality_rank:
+                return True  # the whole fleet sheds it
+        if self._has_free_core(now, rpc):
+            return False
+        if shed_rank is None:
+            shed_rank = self._relative_rank(rpc)
+        if shed_rank < 1 - method.admitted_share:
             return True
-        # Where runs yield, what is expected, learnt in a crowd, is too long: as for what is held.
-        return (self.out_of_time(now + wait, rpc) if self.pauses
-                else now + wait + rpc.expect * self.slow > rpc.want)
-
-    def ahead(self, key):
-        """Work on cores that comes before an RPC with this key."""
-        work = self.work if not self.pauses else sum(
-            rpc.expect for rpc in self.live.values()
-            if rpc.state == RUNNING and not self.yields(rpc.method.criticality, -key[0]))
-        work *= self.slow / 2
-        if self.on_core < self.limit:
-            work *= self.on_core / self.limit / 2
-        for other, _, rpc in self.held:
-            if other > key:
+        if self.settings.can_pause:  # the cost learned in a crowd of runs that yield is too long
+            return self._is_too_late(now + expected_wait, rpc)
+        return now + expected_wait + rpc.expected_cost * self.slowness > rpc.objective_at
+
+    def _cannot_serve(self, now: int, rpc: Rpc) -> bool:
+        after_grace = self.grace_end is not None and rpc.reached_at > self.grace_end
+        needed_kb = self.memory_used_kb + self.settings.key_entry_kb * rpc.method.keyed
+        no_memory = needed_kb > REJECT_ABOVE_MEMORY * self.settings.memory_kb
+        return self.draining_past_grace or after_grace or no_memory or self._is_due(now, rpc)
+
+    def _lacks_dependency(self, method: Method) -> bool:
+        """Whether it would run half and fail: only as many are admitted as may probe a failed dependency."""
+        capacity = self.gauges.call_capacity
+        if not (self.gauges.dependency_down and method.needs_call and capacity is not None):
+            return False
+        return capacity <= sum(other.method.needs_call for other in self.active.values()) - 1
+
+    def _relative_rank(self, rpc: Rpc) -> float:
+        """Rank among its like (0 to 1): by user where told, the same on all nodes; else by chance."""
+        if rpc.shed_rank is None:
+            return self.random()
+        return rpc.shed_rank * self.rank_count - rpc.method.criticality_rank
+
+    def _has_free_core(self, now: int, rpc: Rpc) -> bool:
+        if self.runs_on_cores >= self.cores or self.queue:
+            return False
+        part = IDLE_NODE_FIT if self.runs_on_cores * 2 < self.cores else FREE_CORE_FIT
+        fits = rpc.expected_cost < part * (rpc.objective_at - now)
+        return fits or not rpc.cost_hint or self.random() < MISFIT_TRIES
+
+    def _work_ahead(self, priority: tuple[float, float]) -> float:
+        """Core time of the runs and queued RPCs that come before this priority."""
+        work = self._work_not_yielding(-priority[0]) if self.settings.can_pause else self.work_on_cores
+        work *= self.slowness / 2  # on average, half of a run is over
+        if self.runs_on_cores < self.run_limit:
+            work *= self.runs_on_cores / self.run_limit / 2
+        for queued_priority, _, rpc in self.queue:
+            if queued_priority > priority:
                 break
-            work += rpc.expect * self.slow
+            work += rpc.expected_cost * self.slowness
         return work
 
-    def push_back(self, now, rpc, wait=0):
-        """It never ran: say so at once, and when to come back."""
-        # What is too large or too much for this node may fit on another: only what fits nowhere is told not
-        # to try elsewhere. Guards against a full fleet that reads the same RPCs over and over: further tries,
-        # while this node cuts too, mean that others do.
-        # Where no mark tells further tries, a deep cut of its own stands in.
-        full = self.kill_at is None and (
-            rpc.method.share < 1 and self.further > 0.1 if self.marked else rpc.method.share < 0.6)
-        last = full or rpc.expect * 0.4 > rpc.want - now
+    def _work_not_yielding(self, criticality: float) -> float:
+        running = (rpc for rpc in self.active.values() if rpc.state is RUNNING)
+        return sum(r.expected_cost for r in running if not self._yields(r.method.criticality, criticality))
+
+    def reject(self, now: int, rpc: Rpc, expected_wait: float = 0) -> None:
+        """It never ran: says so at once, and when to come back."""
+        # Only what fits nowhere is told not to try elsewhere, lest a full fleet read the same RPCs for ever.
+        if self.settings.marks_retries:
+            fleet_is_full = rpc.method.admitted_share < 1 and self.retry_ratio > FULL_FLEET_RETRIES
+        else:
+            fleet_is_full = rpc.method.admitted_share < FULL_FLEET_SHARE
+        fits_nowhere = rpc.expected_cost * HOPELESS_FIT > rpc.objective_at - now
+        do_not_retry = fits_nowhere or (self.kill_at is None and fleet_is_full)
         # Advice keeps a caller away from this node; where none comes again soon it only delays the client.
-        heard = wait > 50 * MS and self.returns > 0.6
-        advice = int(min(self.settings.get("retry_after_max", 0), wait)) if heard else 0
-        self.port.reject(rpc.index, advice, last)
-        self.over(now, rpc)
-
-    def give_up(self, now, rpc):
-        """Aborts: the answer goes out; a run goes on to its end, or is stopped where that is allowed."""
-        if not rpc.answered and not rpc.is_gone:
+        is_heeded = expected_wait > MIN_ADVISED_WAIT and self.returning_ratio > RETURNING_FOR_ADVICE
+        retry_after = int(min(self.settings.retry_after_max, expected_wait)) if is_heeded else 0
+        self.port.reject(rpc.index, retry_after, do_not_retry)
+        self._complete(rpc)
+
+    def fail(self, now: int, rpc: Rpc) -> None:
+        """Answers; a run goes on to its end, or is stopped where that is allowed."""
+        if rpc.is_owed:
             self.port.fail(rpc.index)
         rpc.answered = True
-        if rpc.state in (HELD, SHARING, PAUSED):
+        if rpc.state in (QUEUED, SHARING, PAUSED):
             self.finish(now, rpc)
-        elif rpc.state == RUNNING and rpc.method.stoppable:
+        elif rpc.state is RUNNING and rpc.method.stoppable:
             self.port.stop(rpc.index)
 
-    # ---- the table
-
-    def remember(self, now, rpc):
-        """Counted from when it reached the machine, and a little longer than its window."""
-        rpc.kept_until = rpc.reached + rpc.method.window + 200 * MS
-        self.port.store_key(rpc.index, rpc.kept_until - now)
-        self.kb += self.entry
-        heappush(self.table, (rpc.kept_until + 2 * self.tick, rpc.index, rpc))
+    # ---- Queue and cores
 
-    def forget(self, rpc):
-        if rpc.kept_until:
-            self.port.evict_key(rpc.index)
-            self.kb -= self.entry
-            rpc.kept_until = 0
-
-    # ---- the hold and the cores
-
-    def fill(self, now):
-        """Runs what is held, in order, while there is room."""
-        held = self.held
-        if not held:
+    def start_queued(self, now: int) -> None:
+        """Starts queued RPCs, in order, as far as the limits allow."""
+        queue = self.queue
+        if not queue:
             return
-        room = min(0.8 * self.crowd(now), 4 * self.cores)
-        while held and self.running < room:
-            key, _, rpc = held[0]
-            if self.out_of_time(now, rpc) and self.on_core * 2 >= self.cores:
-                self.turn_away(now, rpc)
-                continue
-            if self.kb + rpc.run_kb * (not rpc.ran) > 0.85 * self.memory:
-                break
-            if self.on_core - len(self.pausing) >= self.limit and not self.make_room(-key[0]):
+        limit = min(CONCURRENCY_PART * self.survivable_runs(now), MAX_RUNS_PER_CORE * self.cores)
+        while queue and self.runs_in_progress < limit:
+            rpc = queue[0][2]
+            if self._is_too_late(now, rpc) and self.runs_on_cores * 2 >= self.cores:
+                self._drop_queued(now, rpc)
+            elif self._may_start(rpc):
+                del queue[0]
+                self.begin_run(now, rpc)
+                self.port.run(rpc.index)
+            else:
                 break
-            del held[0]
-            if not rpc.ran:
-                self.kb, rpc.started = self.kb + rpc.run_kb, now
-            rpc.state, rpc.ran = RUNNING, True
-            self.on(rpc, 1)
-            self.running += 1
-            self.port.run(rpc.index)
-
-    def yields(self, lesser, criticality):
+
+    def _may_start(self, rpc: Rpc) -> bool:
+        needed_kb = self.memory_used_kb + rpc.extra_run_kb * (not rpc.has_run)
+        if needed_kb > START_BELOW_MEMORY * self.settings.memory_kb:
+            return False
+        has_core = self.runs_on_cores - len(self.pausing) < self.run_limit
+        return has_core or self._pause_least_critical(rpc.method.criticality)
+
+    def _yields(self, lesser: float, criticality: float) -> bool:
         """Whether a run of the `lesser` criticality may be paused for an RPC of the other."""
-        return self.pauses and lesser < 0.5 * criticality
-
-    def make_room(self, criticality):
-        """Pauses the run that is worth least, the one that began last among its like. Guards against effects
-        left half done: where no answer is owed any more, a stop would end the run for good."""
-        least = min((r for r in self.live.values() if r.state == RUNNING and r not in self.pausing
-                     and not (r.answered or r.is_gone) and self.yields(r.method.criticality, criticality)),
-                    key=lambda r: (r.method.criticality, -r.started), default=None)
-        if least is not None:
-            self.pausing.add(least)
-            self.port.stop(least.index)
-        return least is not None
-
-    def paused(self, now, rpc, spent):
-        """It keeps its memory and what was done, and waits among the held ones until it goes on."""
-        self.on(rpc, -1)
-        rpc.state, rpc.before, self.running = PAUSED, rpc.before + spent, self.running - 1
-        left = max(rpc.expect / 4, rpc.expect - spent / self.slow)
-        self.done += rpc.expect - left
-        rpc.expect = left
-        insort(self.held, (rpc.key, rpc.index, rpc))
-        self.fill(now)
-
-    def out_of_time(self, now, rpc):
-        """Whether a held RPC can't be in time any more."""
-        return now + rpc.expect * self.slow * 0.6 > rpc.want
-
-    def unhold(self, rpc):
-        self.held.remove((rpc.key, rpc.index, rpc))
-
-    def turn_away(self, now, rpc):
-        """Out of the hold for good. Guards against pushbacks of what has run and is paused."""
-        self.unhold(rpc)
-        if rpc.ran:
-            self.give_up(now, rpc)
-        else:
-            self.push_back(now, rpc)
-
-    def finish(self, now, rpc):
-        if rpc.state in (RUNNING, STANDING, CALLING, PAUSED):
-            self.kb, self.running = self.kb - rpc.run_kb, self.running - (rpc.state != PAUSED)
-            if rpc.state == RUNNING:
-                self.on(rpc, -1)
-            elif rpc.state == CALLING:
-                self.end_call(now, rpc, Outcome.TIMEOUT)
-            elif rpc in self.standing:
-                self.standing.remove(rpc)
-        self.over(now, rpc)
-
-    def over(self, now, rpc):
-        rpc.state, rpc.answered = OVER, True
-        self.kb -= rpc.kb
-        if not rpc.ran:
-            self.forget(rpc)
-        self.kept[rpc.index] = self.live.pop(rpc.index)
-        if not rpc.kept_until:
-            self.let_go(rpc)
-
-    def let_go(self, rpc):
-        del self.kept[rpc.index]
+        return self.settings.can_pause and lesser < YIELD_BELOW * criticality
+
+    def _pause_least_critical(self, criticality: float) -> bool:
+        """Pauses the least critical run that yields, the last started of its like; false where none does."""
+        # Not one that owes no answer: a stop would end it for good, with effects half done.
+        running = (rpc for rpc in self.active.values() if rpc.state is RUNNING and rpc.is_owed)
+        free = (rpc for rpc in running if rpc not in self.pausing)
+        yielding = (rpc for rpc in free if self._yields(rpc.method.criticality, criticality))
+        least = min(yielding, key=lambda rpc: (rpc.method.criticality, -rpc.started_at), default=None)
+        if least is None:
+            return False
+        self.pausing.add(least)
+        self.port.stop(least.index)
+        return True
+
+    def requeue_paused(self, now: int, rpc: Rpc, spent: int) -> None:
+        """A paused run keeps its memory and what was done, and is queued until it goes on."""
+        cost_left = max(rpc.expected_cost / MIN_COST_LEFT, rpc.expected_cost - spent / self.slowness)
+        self.work_completed += rpc.expected_cost - cost_left
+        self.pause_run(rpc, spent, cost_left)
+        self.start_queued(now)
+
+    def _is_too_late(self, now: float, rpc: Rpc) -> bool:
+        """Whether a queued RPC can't meet its objective any more."""
+        return now + rpc.expected_cost * self.slowness * OPTIMISM > rpc.objective_at
+
+    def _drop_queued(self, now: int, rpc: Rpc) -> None:
+        """Out of the queue for good. What is paused has run, and is never rejected."""
+        self.dequeue(rpc)
+        answer = self.fail if rpc.has_run else self.reject
+        answer(now, rpc)
+
+    def finish(self, now: int, rpc: Rpc) -> None:
+        """Completes an RPC and frees what its run held."""
+        if rpc.state is CALLING:
+            self.end_call(now, rpc, Outcome.TIMEOUT)
+        if rpc.state not in (QUEUED, SHARING):
+            self.end_run(rpc)
+        self._complete(rpc)
+
+    def _complete(self, rpc: Rpc) -> None:
+        self.count_out(rpc)
+        if rpc.key_expires_at and not rpc.has_run:
+            self.port.evict_key(rpc.index)
+            self.uncount_key(rpc)
+        if not rpc.key_expires_at:
+            self._release(rpc)
+
+    def _release(self, rpc: Rpc) -> None:
+        del self.completed[rpc.index]
         self.port.release(rpc.index)
 
-    # ---- calls to the shared dependency
-
-    def make_calls(self, now):
-        """Makes the calls that runs stand at, as far as the node's share of the dependency allows; one that
-        can't be made in time is skipped where a poorer answer is worth something."""
-        # Guards against a dependency that comes back cold, pressed by all nodes: each keeps to the part of
-        # its share that the slowest ramp allows, from when it was last not to be reached.
-        allowed = self.calls_limit * self.warmth(now, self.below_began)
-        self.credit = min(self.credit + 0.8 * allowed * (now - self.credit_at),
-                          0.2 * allowed * self.calls_window)
-        self.credit_at = now
-        while self.lingering and self.lingering[0] <= now:
-            self.lingering.pop(0)
-        if not self.standing:
+    def _store_key(self, now: int, rpc: Rpc) -> None:
+        if rpc.method.keyed:
+            expires_at = rpc.reached_at + rpc.method.key_window + KEY_EXTRA_TIME
+            self.port.store_key(rpc.index, expires_at - now)
+            self.count_key(rpc, expires_at, expires_at + 2 * self.settings.tick)
+
+    # ---- Calls to the dependency
+
+    def make_calls(self, now: int) -> None:
+        """Makes or leaves out the calls that runs await, as far as the share of the dependency allows."""
+        # A dependency may come back cold: each node's share grows from when it was last unreachable.
+        progress = self.settings.warm_up_progress(now - self.unreachable_at)
+        share = self.settings.calls_limit * progress
+        self._refill_call_credit(now, share)
+        self.forget_abandoned_calls(now)
+        if not self.awaiting_calls:
             return
-        # Guards against pressing a dependency that is slow: more than half of the share in hand only while
-        # calls are short beside what they are for, none was given up lately, and the credit is there.
-        ample = (self.credit > 0.1 * self.calls_limit * self.calls_window and not self.lingering
-                 and 32 * self.call_times.mean < min(m.target for m in self.methods))
-        cap = max(1, int((0.8 if ample else 0.5) * allowed))
-        waiting, self.standing = [r for r in self.standing if not (r.answered or r.is_gone)], []
-        if self.room is not None:
-            # The whole of what was given may be used, by what matters most.
-            cap = min(self.room, max(1, int(self.room * self.warmth(now, self.below_began))))
-            self.credit = 0.2 * self.calls_limit * self.calls_window
-            waiting.sort(key=lambda r: r.key)
-        for rpc in waiting:
-            left = rpc.want - now
-            gone = self.dependency_down and self.in_call + len(self.lingering) >= cap
-            if rpc.method.poorer > 0 and (
-                    gone or left < 1.5 * self.call_times.mean + 0.6 * rpc.expect * self.slow):
-                self.skip(now, rpc)
-            elif self.credit > 0 and self.in_call + len(self.lingering) < cap:
-                worst = self.calls_limit * self.calls_window / cap
-                limit = rpc.due - now - self.margin()
-                if rpc.method.poorer > 0:
-                    limit = min(limit, max(left - rpc.expect * self.slow, self.call_times.quantile(0.95)))
-                rpc.state, rpc.called, self.in_call = CALLING, now, self.in_call + 1
-                self.port.call(rpc.index, max(self.tick, int(min(limit, worst))))
-            else:
-                self.standing.append(rpc)
-
-    def end_call(self, now, rpc, outcome):
-        self.in_call, rpc.state = self.in_call - 1, STANDING
-        self.credit -= now - rpc.called
+        awaiting = [rpc for rpc in self.awaiting_calls if rpc.is_owed]
+        self.awaiting_calls = []
+        limit = self._call_limit(share)
+        if self.gauges.call_capacity is not None:
+            capacity = self.gauges.call_capacity  # given by the fleet: all of it may be used
+            limit = min(capacity, max(1, int(capacity * progress)))
+            self.call_credit = self.max_call_credit
+            awaiting.sort(key=lambda rpc: rpc.priority)
+        for rpc in awaiting:
+            self._make_call(now, rpc, limit)
+
+    def _refill_call_credit(self, now: int, share: float) -> None:
+        refilled = self.call_credit + REFILL_PART * share * (now - self.call_credit_at)
+        self.call_credit = min(refilled, MAX_CREDIT_PART * share * self.settings.calls_window)
+        self.call_credit_at = now
+
+    def _call_limit(self, share: float) -> int:
+        """Calls in flight at once: a slow dependency, or one that used up its credit, is not pressed."""
+        ample_credit = AMPLE_CREDIT_PART * self.settings.calls_limit * self.settings.calls_window
+        is_quick = SHORT_CALLS * self.call_time.mean < self.shortest_objective and not self.abandoned_calls
+        part = AMPLE_CALL_PART if is_quick and self.call_credit > ample_credit else CAUTIOUS_CALL_PART
+        return max(1, int(part * share))
+
+    def _make_call(self, now: int, rpc: Rpc, limit: int) -> None:
+        time_left = rpc.objective_at - now
+        run_time = rpc.expected_cost * self.slowness
+        is_full = self.calls_in_flight + len(self.abandoned_calls) >= limit
+        can_degrade = rpc.method.degraded_value > 0
+        no_time = time_left < CALL_MARGIN * self.call_time.mean + OPTIMISM * rpc.expected_cost * self.slowness
+        if can_degrade and (no_time or (self.gauges.dependency_down and is_full)):
+            self.degrade(now, rpc)
+            return
+        if self.call_credit <= 0 or is_full:
+            self.awaiting_calls.append(rpc)
+            return
+        timeout = rpc.due_at - now - self.answer_margin
+        if can_degrade:
+            timeout = min(timeout, max(time_left - run_time, self.call_time.quantile(0.95)))
+        longest = self.settings.calls_limit * self.settings.calls_window / limit
+        self.begin_call(now, rpc)
+        self.port.call(rpc.index, max(self.settings.tick, int(min(timeout, longest))))
+
+    def end_call(self, now: int, rpc: Rpc, outcome: Outcome) -> None:
+        """A call ended; one that was abandoned goes on downstream for a while."""
+        rpc.state = AWAITING_CALL
+        self.calls_in_flight -= 1
+        self.call_credit -= now - rpc.called_at
         if outcome in (Outcome.TIMEOUT, Outcome.CONNECTION_LOST):
-            linger = self.settings.get("calls_linger", 200 * MS)
-            self.lingering.append(now + linger)
-            self.credit -= linger
+            self.abandoned_calls.append(now + self.settings.calls_linger)
+            self.call_credit -= self.settings.calls_linger
+        elif outcome is Outcome.UNREACHABLE:
+            self.unreachable_at = now
 
-    def skip(self, now, rpc):
+    def degrade(self, now: int, rpc: Rpc) -> None:
+        """Leaves out the call that a run awaits."""
         self.port.degrade(rpc.index)
-        self.resume(now, rpc)
-
-    def resume(self, now, rpc):
-        rpc.state, rpc.call_time = RUNNING, rpc.call_time + now - rpc.call_from
-        self.on(rpc, 1)
-
-    # ---- the sweep
-
-    def on_timer(self, now, name, gauges):
-        """Looks at what is due, at the gauges, and turns the loop once."""
-        # Guards against stalls: answers are given earlier by twice the lateness that timers lately had.
-        self.late = max(now - self.next_wake - 2 * self.tick, self.late * 63 // 64, 0)
-        on_core_part = min(1.0, self.on_core / self.cores)
-        self.core_use = on_core_part if gauges.core_use is None else gauges.core_use
-        self.wanting = self.on_core if gauges.on_cores is None else gauges.on_cores
-        self.own_use, self.own_wait = gauges.input_busy, gauges.input_age
-        self.room, self.ejected = gauges.call_capacity, gauges.ejected
-        self.min_shed_level, self.dependency_down = gauges.min_shed_level, gauges.dependency_down
-        if len(self.seen) > 999:  # guards against callers that are new ones for ever
-            self.seen = {caller: at for caller, at in self.seen.items() if now - at < IDLE[1]}
-        while self.table and self.table[0][0] <= now:
-            rpc = heappop(self.table)[2]
-            if rpc.kept_until:
-                rpc.kept_until = 0
-                self.kb -= self.entry
-                if rpc.state == OVER:
-                    self.let_go(rpc)
-        self.sweep(now)
-        self.loop(now)
+        self.resume_run(now, rpc)
+
+    # ---- Maintenance: gauges, what is due, slowness
+
+    def on_timer(self, now: int, name: str, gauges: Gauges) -> None:
+        """Looks at the gauges and at what is due, and turns the control loop once."""
+        late = now - self.last_maintenance - MAINTENANCE_INTERVAL - 2 * self.settings.tick
+        self._set_timer_lateness(max(late, self.timer_lateness * 63 // 64, 0))
+        self.read_gauges(gauges)
+        self.forget_callers(now - MAX_IDLE_TIMEOUT, MAX_CALLERS_SEEN)
+        for rpc in self.expire_keys(now):
+            if rpc.state is COMPLETED:
+                self._release(rpc)
+        self._settle_due(now)
+        self._update_slowness(now)
+        self._run_control_loop(now)
         self.make_calls(now)
-        self.fill(now)
-        self.port.set_timer(SWEEP, name)
-        self.next_wake = now + SWEEP
-
-    def sweep(self, now):
-        self.pausing.clear()  # guards against stalls, in which nothing is paused: these count as runs again
-        for rpc in list(self.live.values()):
+        self.start_queued(now)
+        self.port.set_timer(MAINTENANCE_INTERVAL, name)
+
+    def _set_timer_lateness(self, lateness: int) -> None:
+        """RPCs are answered a few ticks before they are due, and twice what stalls lately cost."""
+        self.timer_lateness = lateness
+        margin = 2 * self.settings.tick + MAINTENANCE_INTERVAL + ANSWER_MARGIN
+        self.answer_margin = margin + min(2 * lateness, MAX_LATENESS_MARGIN)
+
+    def _is_due(self, now: int, rpc: Rpc) -> bool:
+        """Whether its answer is owed before the next timer: by its deadline, or by the kill."""
+        due_at = rpc.due_at if self.kill_at is None else min(rpc.due_at, self.kill_at - KILL_MARGIN)
+        return now >= due_at - self.answer_margin
+
+    def _settle_due(self, now: int) -> None:
+        self.pausing.clear()  # nothing pauses in a stall: what did not by now counts as a run again
+        for rpc in list(self.active.values()):
             if rpc.answered:
                 continue
-            begun = max(self.grace_end or 0, rpc.started)
-            ends = self.too_late(now, rpc) or (
-                self.sealed and now > begun + 2 * rpc.method.whole.quantile(0.9))
-            if rpc.state in (HELD, PAUSED):
-                if ends or self.out_of_time(now, rpc):
-                    self.turn_away(now, rpc)
-            elif ends:
-                self.give_up(now, rpc)
-            elif rpc.state in (RUNNING, STANDING) and now > rpc.want and rpc.method.lost_when_late:
-                self.give_up(now, rpc)  # worth nothing any more: its core is free for others
-        # Guards against slowed machines, whatever slows them: core time spent over the expected work that
-        # ended lately. Sums: one long run is no sign. Idle nodes stay near 1.
-        self.spent = self.spent * 0.975 + self.on_core * (now - self.swept)
-        self.done, self.unread, self.swept = self.done * 0.975, self.unread * 0.98, now
-        usual = self.cores * sum(m.run_time.mean for m in self.methods) / max(1, len(self.methods))
-        self.slow = max(0.3, min(16.0, (self.spent + usual) / (self.done + usual)))
-
-    def loop(self, now):
-        """The response-time loop, the running limit, the level and the idle limit."""
-        busy = max(self.core_use, min(1.0, self.on_core / self.cores), self.own_use)
-        # Guards against a node that is slower than its worker pool: the end of a run, and what comes of its
-        # call, wait as long again as the oldest input that is not taken yet.
-        unread = max(self.unread, self.own_wait) + self.own_wait
-        for m in self.methods:
-            # Guards against a line before the hold: where reading is dear, RPCs lose their time unread, out
-            # of its order; only the level and advice keep them away, so the loop must see that wait.
-            latency = unread + self.ahead((-m.criticality, now + m.target)) / self.limit
-            m.over = (latency + m.run_time.mean * self.slow) / (0.6 * m.target)
-        for m in self.methods:
-            # The less critical are cut first, also for the others' sake; the more critical after those.
-            above = max((o.over for o in self.methods if o.criticality > m.criticality), default=0)
-            below = max((o.share for o in self.methods if o.criticality < m.criticality), default=0)
-            over = max(m.over, above)
-            # Guards against pushbacks of what matters most while others, which yield to it, hold the cores.
-            first = any(self.yields(o.criticality, m.criticality) for o in self.methods)
-            if busy > CUT_ABOVE and over > 1 and below < 0.1 and not first:
-                m.share = max(0.05, m.share * max(0.95, 1 / over))
+            must_end = self._is_due(now, rpc) or self.draining_past_grace and self._outlasts_grace(now, rpc)
+            if rpc.state is QUEUED or rpc.state is PAUSED:
+                if must_end or self._is_too_late(now, rpc):
+                    self._drop_queued(now, rpc)
+            elif must_end or now > rpc.objective_at and self._is_worthless(rpc):
+                self.fail(now, rpc)
+
+    def _outlasts_grace(self, now: int, rpc: Rpc) -> bool:
+        began = max(self.grace_end, rpc.started_at)
+        return now > began + RUN_AFTER_GRACE * rpc.method.total_time.quantile(0.9)
+
+    def _is_worthless(self, rpc: Rpc) -> bool:
+        return (rpc.state is RUNNING or rpc.state is AWAITING_CALL) and rpc.method.worthless_when_late
+
+    def _update_slowness(self, now: int) -> None:
+        """Core time spent over the expected cost of what ended shows a slowed machine, whatever slows it."""
+        spent = self.runs_on_cores * (now - self.last_maintenance)
+        self.last_maintenance = now
+        self.core_time_spent = self.core_time_spent * WORK_FADE + spent
+        self.work_completed *= WORK_FADE
+        self.read_delay *= READ_DELAY_FADE
+        run_times = sum(method.run_time.mean for method in self.methods)
+        usual = self.cores * run_times / max(1, len(self.methods))  # keeps an idle node near 1
+        slowness = (self.core_time_spent + usual) / (self.work_completed + usual)
+        self.slowness = max(SLOWNESS_RANGE[0], min(SLOWNESS_RANGE[1], slowness))
+
+    # ---- Control loop
+
+    def _run_control_loop(self, now: int) -> None:
+        # The end of a run, and what comes of its call, wait as long again as the oldest input not taken yet.
+        unread_wait = max(self.read_delay, self.gauges.input_age) + self.gauges.input_age
+        self._measure_overshoot(now, unread_wait)
+        self._adjust_shares()
+        self._adjust_run_limit(now)
+        if self.settings.feedback == "level":
+            self._publish_level()
+        elif self.settings.feedback == "credit":
+            self._publish_credit(now)
+        self._end_grace(now)
+        lost = unread_wait / self.shortest_objective
+        self._update_health(lost)
+        self._update_idle_timeout(lost)
+
+    def _measure_overshoot(self, now: int, unread_wait: float) -> None:
+        """By the latency that an RPC arriving now would meet; the wait before reading is part of it."""
+        for method in self.methods:
+            priority = (-method.criticality, now + method.latency_objective)
+            latency = unread_wait + self._work_ahead(priority) / self.run_limit
+            latency += method.run_time.mean * self.slowness
+            method.overshoot = latency / (OBJECTIVE_PART * method.latency_objective)
+
+    def _adjust_shares(self) -> None:
+        """Cuts the less critical methods first, also for others' sake, and none that others yield to."""
+        busy = max(self.gauges.core_use, min(1.0, self.runs_on_cores / self.cores), self.gauges.input_busy)
+        for method in self.methods:
+            criticality = method.criticality
+            above = max((o.overshoot for o in self.methods if o.criticality > criticality), default=0)
+            below = max((o.admitted_share for o in self.methods if o.criticality < criticality), default=0)
+            overshoot = max(method.overshoot, above)
+            is_next = below < NEXT_RANK_SHARE
+            share = method.admitted_share
+            if busy > BUSY_THRESHOLD and overshoot > 1 and is_next and not self._preempts(criticality):
+                method.admitted_share = max(MIN_SHARE, share * max(MAX_CUT, 1 / overshoot))
             else:
-                m.share = min(1.0, m.share + 0.015 / max(0.2, over))
-        # Guards against a crowd that the averaged gauge brings on: it follows what wants a core now.
-        if self.held and self.wanting < self.cores and self.on_core >= self.limit - 1:
-            self.limit = min(self.limit + self.cores / 4, 2 * self.cores, 0.4 * self.crowd(now))
-        elif self.wanting > self.cores:
-            self.limit = max(self.cores, self.limit * 0.9)
-        if self.levels:
-            self.set_level()
-        elif self.settings.get("feedback") == "credit":
-            self.set_credit(now)
-        if self.grace_end is not None and not self.sealed and now >= self.grace_end:
-            self.sealed = True
-            self.port.set_idle_timeout(IDLE[0])
-            self.port.log(f"drain: grace over, {self.running} running {len(self.held)} held")
-        # Guards against full tables: callers that seldom come again cost more by idle connections than by new
-        # ones. But where RPCs lose their time unread, a full table turns away at the least cost.
-        lost = unread / min((m.target for m in self.methods), default=SECOND)
-        # Guards against a slow node that is chosen on and on, whose reads take its cores: left out until
-        # reads are fewer. Not where further tries tell of a full fleet: all would be left out at once.
-        crowded = self.wanting - self.on_core > self.cores / 2 or self.own_use > CUT_ABOVE
-        alone = self.further < 0.1 and crowded
-        bad = self.ejected or alone and lost > (0.5 if self.good else 0.1)
-        if self.kill_at is None and self.good == bad:
-            self.good = not self.good
-            self.port.set_health(self.good, True)
-            why = "held to be bad by the fleet" if self.ejected else f"{lost:.2f} of the target unread"
-            self.port.log(f"health {'good' if self.good else 'bad'}: {why}")
-        deep = 1 if self.levels else min((m.share for m in self.methods), default=1)
-        keep = self.returns > 0.75 or lost > 0.2 or deep < 0.6 or self.keeping and (
-            self.returns > 0.6 or lost > 0.04 or deep < 0.9)
-        if not self.sealed and keep != self.keeping:
-            self.keeping = keep
-            self.port.set_idle_timeout(min(self.settings.get("idle_timeout_max", IDLE[1]), IDLE[keep]))
-            self.port.log(f"idle limit {IDLE[keep] // MS} ms: {self.returns:.2f} return, {lost:.2f} unread")
-
-    def set_level(self):
-        """Tells callers what is cut here: of the lowest band, and of the next one up when that is shut."""
+                method.admitted_share = min(1.0, share + SHARE_GROWTH / max(MIN_GROWTH_BASE, overshoot))
+
+    def _preempts(self, criticality: float) -> bool:
+        return any(self._yields(other.criticality, criticality) for other in self.methods)
+
+    def _adjust_run_limit(self, now: int) -> None:
+        """Follows what wants a core now: the averaged gauge would bring on a crowd."""
+        if self.queue and self.gauges.on_cores < self.cores and self.runs_on_cores >= self.run_limit - 1:
+            ceiling = min(RUN_LIMIT_PER_CORE * self.cores, RUN_LIMIT_PART * self.survivable_runs(now))
+            self.run_limit = min(self.run_limit + self.cores / 4, ceiling)
+        elif self.gauges.on_cores > self.cores:
+            self.run_limit = max(self.cores, self.run_limit * RUN_LIMIT_CUT)
+
+    def _publish_level(self) -> None:
+        """Publishes what is cut here: of the lowest rank, and of the next one up when that is closed."""
         level = 0.0
-        for band in range(self.bands):
-            share = max(m.share for m in self.methods if m.band == band)
-            level = (band + 1 - share) / self.bands
-            if share > 0.06:
+        for rank in range(self.rank_count):
+            share = max(method.admitted_share for method in self.methods if method.criticality_rank == rank)
+            level = (rank + 1 - share) / self.rank_count
+            if share > CLOSED_SHARE:
                 break
         self.own_level = level
-        level = max(level, self.min_shed_level)
-        if abs(level - self.now_level) > 0.02 or (level == 0) != (self.now_level == 0):
+        level = max(level, self.gauges.min_shed_level)
+        published = self.published_feedback
+        if abs(level - published) > LEVEL_STEP or (level == 0) != (published == 0):
             self.port.set_shed_level(level)
-            self.now_level = level
-
-    def set_credit(self, now):
-        """Tells callers how many RPCs each may have out here: four times what ends within the loop's part of
-        the latency target (a credit knows no criticality: the hold needs some to choose from), shared by the
-        callers that heard it lately and mind it still."""
-        heeded = self.settings.get("feedback_lifetime", SECOND)
-        callers = sum(now - at < heeded for at in self.seen.values())
-        run = max((m.run_time.mean for m in self.methods), default=SECOND) * self.slow
-        room = self.limit * max(1.0, 0.6 * min((m.target for m in self.methods), default=SECOND) / run)
-        credit = 4 * room / max(1, callers)
-        if not 0.8 < credit / max(0.001, self.now_level) < 1.25:
+            self.published_feedback = level
+
+    def _publish_credit(self, now: int) -> None:
+        """Publishes how many RPCs a caller may have open: of what ends in time, shared by those that heed it."""
+        callers = sum(now - at < self.settings.feedback_lifetime for at in self.callers_seen.values())
+        run_time = max((method.run_time.mean for method in self.methods), default=SECOND) * self.slowness
+        capacity = self.run_limit * max(1.0, OBJECTIVE_PART * self.shortest_objective / run_time)
+        credit = CREDIT_FACTOR * capacity / max(1, callers)
+        if not CREDIT_STEP[0] < credit / max(0.001, self.published_feedback) < CREDIT_STEP[1]:
             self.port.set_credit(credit)
-            self.now_level = credit
+            self.published_feedback = credit
+
+    def _update_health(self, lost: float) -> None:
+        """Unhealthy while the fleet ejects the node, or while reads take its cores and RPCs lose their time
+        unread; not where retries show a full fleet, as all nodes would leave at once."""
+        reads = self.gauges.on_cores - self.runs_on_cores
+        crowded = reads > self.cores / 2 or self.gauges.input_busy > BUSY_THRESHOLD
+        alone = crowded and self.retry_ratio < FULL_FLEET_RETRIES
+        unhealthy = self.gauges.ejected or alone and lost > UNHEALTHY_LOSS[not self.healthy]
+        if self.kill_at is not None or self.healthy != unhealthy:
+            return
+        self.healthy = not self.healthy
+        self.port.set_health(self.healthy, True)
+        why = "ejected by the fleet" if self.gauges.ejected else f"{lost:.2f} of the objective lost unread"
+        self.port.log(f"{'healthy' if self.healthy else 'unhealthy'}: {why}")
+
+    def _update_idle_timeout(self, lost: float) -> None:
+        """Keeps idle connections where callers soon come again: else they cost more than new ones. Also where
+        RPCs lose their time unread or no level keeps callers off: a full table rejects at the least cost."""
+        kept = self.keeps_idle_connections
+        keep = self.returning_ratio > KEEP_IDLE_RETURNING[kept] or lost > KEEP_IDLE_LOSS[kept]
+        if self.settings.feedback != "level":
+            share = min((method.admitted_share for method in self.methods), default=1)
+            keep = keep or share < KEEP_IDLE_SHARE[kept]
+        if self.draining_past_grace or keep == kept:
+            return
+        self.keeps_idle_connections = keep
+        timeout = MAX_IDLE_TIMEOUT if keep else MIN_IDLE_TIMEOUT
+        self.port.set_idle_timeout(min(self.settings.idle_timeout_max, timeout))
+        why = f"{self.returning_ratio:.2f} returning, {lost:.2f} lost unread"
+        self.port.log(f"idle timeout {timeout // MS} ms: {why}")
 
-    # ---- drain
+    # ---- Drain
 
-    def drain(self, now, kill_at):
-        """The notice to leave. Health is bad from here on; service goes on until the grace ends."""
+    def drain(self, now: int, kill_at: int) -> None:
+        """The notice to leave. The node is unhealthy from here on, and serves until the grace ends."""
         if self.kill_at is None:
-            self.grace_end = now + self.settings.get("drain_grace", 0)
+            self.grace_end = now + self.settings.drain_grace
             self.port.set_health(False, True)
         self.kill_at = min(kill_at, self.kill_at or kill_at)
-        self.port.log(f"drain: {self.running} running {len(self.held)} held, kill in {self.kill_at - now} us")
+        in_hand = f"{self.runs_in_progress} running {len(self.queue)} queued"
+        self.port.log(f"drain: {in_hand}, kill in {self.kill_at - now} us")
+
+    def _end_grace(self, now: int) -> None:
+        if self.grace_end is None or self.draining_past_grace or now < self.grace_end:
+            return
+        self.draining_past_grace = True
+        self.port.set_idle_timeout(MIN_IDLE_TIMEOUT)
+        self.port.log(f"drain: grace over, {self.runs_in_progress} running {len(self.queue)} queued")
--- a/finchcart/node/watch.py
+++ b/finchcart/node/watch.py
@@ -15,8 +15,9 @@
 
 from collections import Counter
 
-from finchcart.control import OVER, Control
+from finchcart.control import Control
 from finchcart.interface import Outcome
+from finchcart.rpc_record import RpcState
 
 TAKEN_WOULD_PUSH_BACK = "taken, would be pushed back"
 PUSHED_BACK_WOULD_TAKE = "pushed back, would be taken"
@@ -134,7 +135,7 @@
 
     def settle(self, now):
         """What is over for the first: counts how the second differed, and ends it there too."""
-        for index in [index for index, handle in self.handles.items() if handle.first.state == OVER]:
+        for index in [index for index, handle in self.handles.items() if handle.first.state is RpcState.COMPLETED]:
             if not self.second:
                 return  # one of those before it was the second's end
             second = self.handles.pop(index).second
@@ -144,6 +145,6 @@
             self.counts[ADVICE] += None not in (pushed, would) and pushed != would
             self.counts[GIVEN_UP] += given_up != would_give_up
             for act, *more in ((second.caller_gone,), (second.run_ended, Outcome.NOT_STARTED, 0)):
-                if self.second and second.state != OVER:
+                if self.second and second.state is not RpcState.COMPLETED:
                     self.second_hears(act, now, *more)
             self.second_notes.take(index)  # of what ended it
--- /dev/null
+++ b/finchcart/node_settings.py
@@ -0,0 +1,88 @@
+"""Settings of a node and of its methods, as named fields. Names and units: finchcart/interface.py.
+
+What stands in for a setting that is not told is chosen here only where it means "none" or "no limit"; what
+would be a decision is given by finchcart/control.py.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, fields
+
+UNLIMITED_CALLS = 1e9
+UNLIMITED_MEMORY_KB = 1e12
+DEPENDENCY_OF_ALL = "shared"  # it has one limit, and each node a share of that
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Settings of the node."""
+
+    overload_factor: float
+    calls_window: int
+    calls_linger: int
+    feedback: str
+    feedback_lifetime: int
+    idle_timeout_max: int
+    tick: int
+    cores: float = 1
+    memory_kb: float = UNLIMITED_MEMORY_KB
+    run_factor: float = 1
+    key_entry_kb: float = 0
+    can_pause: bool = False
+    drain_grace: int = 0
+    fresh_start: bool = False
+    cold_start_speed: float = 1
+    warm_up: int = 1
+    dependency: str = DEPENDENCY_OF_ALL
+    calls_limit: float = UNLIMITED_CALLS
+    retry_after_max: int = 0
+    marks_retries: bool = True
+
+    @classmethod
+    def pick(cls, settings: Mapping[str, object], defaults: Mapping[str, object]) -> "NodeSettings":
+        """The node's part of all settings."""
+        told = {**defaults, **settings}
+        picked = {field.name: told[field.name] for field in fields(cls) if field.name in told}
+        if picked.get("dependency", DEPENDENCY_OF_ALL) != DEPENDENCY_OF_ALL:
+            picked["calls_limit"] = UNLIMITED_CALLS  # a tier decides for itself; no share of it is told
+        return cls(**picked)
+
+    def warm_up_progress(self, elapsed: int) -> float:
+        """Part of its full speed that what began to warm up has reached, on the slowest ramp allowed."""
+        start = self.cold_start_speed
+        return min(1.0, start + (1 - start) * elapsed / max(1, self.warm_up))
+
+
+class MethodSettings:
+    """Settings of one method."""
+
+    def __init__(self, settings: Mapping[str, object], number: int, default_deadline: int) -> None:
+        """`number`: of the method in the settings, from 0."""
+
+        def setting(name: str, default: object) -> object:
+            return settings.get(f"methods.{number}.{name}", default)
+
+        def item(name: str) -> object:
+            values = settings.get(name, 0)
+            return values[number] if isinstance(values, tuple) else values
+
+        kind = setting("kind", "non_idempotent")
+        self.name = setting("name", str(number))
+        self.keyed = kind == "keyed"
+        self.idempotent = kind == "idempotent"
+        self.criticality = setting("criticality", 1)
+        self.criticality_rank = 0  # among those of the node; 0: the least critical
+        self.deadline = setting("deadline", default_deadline)
+        self.latency_objective = setting("latency_target", self.deadline)
+        self.key_window = setting("window", 0)
+        self.degraded_value = item("degraded_value")  # of an answer without its call; 0: not optional
+        self.needs_call = not self.degraded_value and bool(item("method_calls"))
+        self.stoppable = self.idempotent and settings.get("can_stop", False)
+        self.worthless_when_late = self.stoppable and not setting("late_value", 0)
+
+
+def rank_by_criticality(methods: Iterable[MethodSettings]) -> int:
+    """Give each method the rank of its criticality; returns the number of ranks."""
+    criticalities = sorted({method.criticality for method in methods})
+    for method in methods:
+        method.criticality_rank = criticalities.index(method.criticality)
+    return len(criticalities)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -236,7 +236,7 @@
         if self.get("can_pause") and not (r["answers"] or r["gone"]):
             r.update(state="paused", stopped=False)
             r["handle"].run_ended(self.now, Outcome.STOPPED, self.now - r["since"])
-            assert (index in self.control.live) != bool(r["answers"]), "neither kept nor answered"
+            assert (index in self.control.active) != bool(r["answers"]), "neither kept nor answered"
         else:
             self.end(index, Outcome.STOPPED)
 
@@ -284,14 +284,14 @@
                 assert self.now <= max(r["due"], r["late"] + 60 * MS), f"lost: {index} {r}"
         assert kb <= self.settings["memory_kb"], "fall-over: memory"
         control = self.control
-        known = [*control.live.values(), *control.kept.values()]
-        entries = sum(bool(rpc.kept_until) for rpc in known)
-        counted = control.kb - control.entry * entries
-        assert abs(counted - (kb - len(self.entries) * control.entry)) < 0.1, "memory is counted wrongly"
-        assert control.running == len(self.of("running", "standing", "calling")), "runs are counted wrongly"
-        on_cores = sum(r["handle"].expect for r in self.open.values() if r["state"] == "running")
-        assert abs(self.control.work - on_cores) <= 1, "the work on cores is counted wrongly"
-        assert len(self.control.live) <= len(self.open), "what is over is swept on"
+        known = [*control.active.values(), *control.completed.values()]
+        entries = sum(bool(rpc.key_expires_at) for rpc in known)
+        counted = control.memory_used_kb - self.settings["key_entry_kb"] * entries
+        assert abs(counted - (kb - len(self.entries) * self.settings["key_entry_kb"])) < 0.1, "memory is counted wrongly"
+        assert control.runs_in_progress == len(self.of("running", "standing", "calling")), "runs are counted wrongly"
+        on_cores = sum(r["handle"].expected_cost for r in self.open.values() if r["state"] == "running")
+        assert abs(self.control.work_on_cores - on_cores) <= 1, "the work on cores is counted wrongly"
+        assert len(self.control.active) <= len(self.open), "what is over is swept on"
         warmth = 1.0
         if self.settings["fresh_start"]:
             warmth = min(1.0, 0.2 + 0.8 * (self.now - 10_000_000) / max(1, self.settings["warm_up"]))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -189,7 +189,7 @@
         node.arrive(n)
     assert len(node.control.pausing) == 1
     node.step(50 * MS)
-    assert not node.control.pausing and node.control.on_core == 3
+    assert not node.control.pausing and node.control.runs_on_cores == 3
 
 
 def test_a_full_table_turns_away_where_no_level_keeps_callers_off():
@@ -200,7 +200,7 @@
             for k in range(3):
                 node.arrive(0, caller=step * 3 + k)
             node.end_older(300 * MS)
-        assert min(m.share for m in node.control.methods) < 0.6 and node.idle == keep
+        assert min(m.admitted_share for m in node.control.methods) < 0.6 and node.idle == keep
 
 
 def test_a_credit_is_what_ends_in_time_shared_by_the_callers_that_come():
@@ -222,7 +222,7 @@
         node.step(20 * MS)
         for index in node.of("running"):
             node.end(index)
-    assert len(node.control.seen) < 1100 and not node.control.live
+    assert len(node.control.callers_seen) < 1100 and not node.control.active
 
 
 def test_one_long_run_does_not_make_a_node_slow():
@@ -234,7 +234,7 @@
         if step % 8 == 0:
             node.arrive(0)
         node.end_older(150 * MS, skip=1)
-    assert node.control.slow < 2
+    assert node.control.slowness < 2
 
 
 @pytest.mark.parametrize("pauses", [False, True])
@@ -247,7 +247,7 @@
             node.arrive(n, waited=800 * MS)
         node.end_older(150 * MS)
     low, high = node.control.methods
-    assert low.share < 0.2 and low.share < high.share and (high.share == 1) is pauses
+    assert low.admitted_share < 0.2 and low.admitted_share < high.admitted_share and (high.admitted_share == 1) is pauses
 
 
 @pytest.mark.parametrize(
@@ -307,10 +307,10 @@
 def test_a_further_try_has_less_time_left():
     """Guards against runs for RPCs whose latency target passed while other nodes pushed them back."""
     node = Node(PLAIN)
-    node.control.further = 0.5
+    node.control.retry_ratio = 0.5
     first, further = node.arrive(0), node.arrive(0, is_retry=True)
     late = node.arrive(0, is_retry=True, waited=450 * MS, cost_hint=400 * MS)
-    wants = [node.rpcs[index]["handle"].want - node.now for index in (first, further)]
+    wants = [node.rpcs[index]["handle"].objective_at - node.now for index in (first, further)]
     assert wants == [1000 * MS, 500 * MS] and node.rpcs[late]["state"] == "over"
 
 
@@ -318,7 +318,7 @@
     """Guards against two-core nodes that turn RPCs away beside an idle core."""
     node = Node(PLAIN)
     for method in node.control.methods:
-        method.share = 0.0
+        method.admitted_share = 0.0
     states = [node.rpcs[node.arrive(0)]["state"] for _ in range(3)]
     assert states == ["running", "running", "over"]
 
@@ -374,7 +374,7 @@
 
 def test_a_node_slower_than_its_worker_pool_cuts_intake_by_the_same_loop_and_recovers():
     node = Node(dict(PLAIN))
-    shares = lambda: [m.share for m in node.control.methods]
+    shares = lambda: [m.admitted_share for m in node.control.methods]
     own(node, 0.95, 5 * MS)
     assert shares() == [1.0, 1.0]  # busy, but nothing waits
     own(node, 0.4, 400 * MS)
@@ -387,7 +387,7 @@
 
 def test_health_tells_of_a_node_that_has_no_time_to_read_and_of_its_end():
     node = Node(dict(PLAIN))
-    target = min(m.target for m in node.control.methods)
+    target = min(m.latency_objective for m in node.control.methods)
     own(node, 0.97, target // 3)
     assert not node.good
     own(node, 0.97, target // 8, turns=40)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -379,12 +379,12 @@
     far.finish(first, Outcome.OK)
     far.step(MS)
     assert [r.get("how") for r in far.tries.values() if r["body"] == b"other"][1:] == ["aborted"] * 2
-    odd, done = far.submit(far.open(), 1), far.core.control.done
+    odd, done = far.submit(far.open(), 1), far.core.control.work_completed
     far.step(0)
     far.commands.clear()
     far.give(far.pool, ("undone", True, odd))
     far.step(0)
-    assert how(far, odd) == "aborted" and far.core.control.done == done
+    assert how(far, odd) == "aborted" and far.core.control.work_completed == done
     true = far.submit(far.open(), 1, odd)
     far.step(MS)
     far.step(MS)
@@ -535,7 +535,7 @@
     far.step(MS)
     ((kind, _, _, args),) = told
     assert kind == thrift.EXCEPTION and words in args[1, thrift.STRING].decode() and not far.runs
-    assert not far.core.control.unread and not far.core.control.seen
+    assert not far.core.control.read_delay and not far.core.control.callers_seen
 
 
 def test_a_body_over_the_limit_an_unknown_method_and_the_33rd_open_rpc_are_answered():
@@ -740,4 +740,4 @@
         for name in kept:
             assert not getattr(piece, name), name
     assert all(far.links[link] != "closed" for link in core.turn.owners)
-    assert not core.control.live and len(core.turn.timers) < 12 + 2 * len(far.front.conns)
+    assert not core.control.active and len(core.turn.timers) < 12 + 2 * len(far.front.conns)
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -464,11 +464,11 @@
     assert states == ["running", "over", "running"], "as many as may try it; others answer poorer"
     node.told = {"min_shed_level": 1.0, "ejected": True}
     node.step(40 * MS)
-    assert not node.good and node.control.now_level == 1.0
+    assert not node.good and node.control.published_feedback == 1.0
     assert node.rpcs[node.arrive(0)]["state"] == "over", "though cores are free"
     node.told = {}
     node.step(40 * MS)
-    assert node.good and node.control.now_level == 0.0
+    assert node.good and node.control.published_feedback == 0.0
 
 
 def test_settings_are_checked_and_the_check_warns_of_one_voice():
