--- a/tests/pins/simulated_host.py
+++ b/tests/pins/simulated_host.py
@@ -32,7 +32,9 @@
 
 def told_twice(message, fields):
     """Whether an event may come twice without a change of what it tells."""
-    return message in ("WOUND_UP", "LEFT", "WANTS_CALL") or fields.get("how") == 200
+    if message in ("WOUND_UP", "DOWNSTREAM"):
+        return fields["how"] == 200
+    return message in ("LEFT", "WANTS_CALL")
 
 
 class SimulatedHost:
