--- a/finchcart/quota/local_limits.py
+++ b/finchcart/quota/local_limits.py
@@ -215,7 +215,7 @@
         demands = {member.own_id: allocation.settled_demand()}
         demands |= dict.fromkeys(self.unconfirmed, allowance)
         in_use: dict[int, int] = {}
-        for member_id, used, demand in self.connected_demands(member, allocation):
+        for member_id, used, demand in self.received_demands(member, allocation):
             demands[member_id] = demand
             in_use[member_id] = used
         shares = max_min_shares(allowance, demands)
