Pin the bytes of each message of each codec and what they read back as

Types of messages, their fields and the tuples that codecs give are about to be renamed; others read these bytes.

An example of each message of members, quota, verdicts, claims, worker pool, store, registry and Thrift is kept as hex with its reading in plain values, and the digests by which keys, members and subjects are known; what the fields of an RPC give, or the text of what is wrong. Present names stand in tests/pins/codec_examples.py alone.

--- /dev/null
+++ b/tests/pins/codec_examples.py
@@ -0,0 +1,227 @@
+"""Present names of the codecs; a rename changes this file and no pinned byte.
+
+Pinned are an example of each message that the program writes or reads, what it reads back as in plain values,
+and the digests and numbers by which keys, members and subjects are known to others.
+"""
+
+from functools import partial
+
+import msgspec
+
+from finchcart.claims import wire as key_leases
+from finchcart.interface import Outcome
+from finchcart.members import wire as membership
+from finchcart.net import lines
+from finchcart.net.limits import Limits
+from finchcart.quota import wire as quota
+from finchcart.thrift import codec as thrift
+from finchcart.thrift import fields as thrift_fields
+from finchcart.verdicts import subjects
+from finchcart.verdicts import wire as consensus
+from finchcart.wire import OUTCOMES
+
+FLEET = "example"
+PLAIN_OUTCOME = {outcome: code for code, outcome in OUTCOMES.items()}
+
+# ---- Datagrams: the fields of all are told by their order, as on the wire
+
+ROW = membership.Row(
+    "n1", "10.0.0.7:7400", 2**63 + 5, 1_700_000_000_123, 1_700_000_000_456, 7, 1, [11, 2**64 - 1]
+)
+NOTE = membership.Note(2**40, 1, 9, 4, 2500, [(3, 4, 5)], b"\x00\xffdata")
+BALLOT = 5, 2**50
+LIMIT_LINE = quota.Line("store", 3, 4, 5, 9, 1, 2, 250)
+KEY = bytes(range(16))
+VOTE = key_leases.Vote(KEY, 3, key_leases.ENDED, b"done\xff", 2**61)
+OPERATOR = consensus.Said(2**58 + 1, 700, 12, 99, 2**45, 60_000_000, "too hot")
+DATAGRAMS = {
+    "membership beat": (membership, membership.Beat(ROW, 8, 21, 6, 2**60, [ROW], [NOTE])),
+    "membership sync": (membership, membership.Sync(ROW, [1, 2**64 - 1])),
+    "membership page": (membership, membership.Page(ROW, 64, 63, 1, 2**62, [(1, 2, 3)], True)),
+    "membership rows": (membership, membership.Rows([ROW, ROW])),
+    "membership ask": (membership, membership.Ask(17, 2)),
+    "membership told": (membership, membership.Told(17, 2, 3, {"name": "n1", "age_ms": 5})),
+    "membership taken": (membership, membership.Taken(ROW)),
+    "quota prepare": (quota, quota.Prepare(BALLOT, 2**33)),
+    "quota promise": (quota, quota.Promise(BALLOT, (BALLOT, 7))),
+    "quota promise of none": (quota, quota.Promise(BALLOT, None)),
+    "quota propose": (quota, quota.Propose(BALLOT, 7)),
+    "quota accept": (quota, quota.Accept(BALLOT)),
+    "quota refuse": (quota, quota.Refuse(BALLOT, (6, 1))),
+    "quota want": (quota, quota.Want("n1", 2**63, 8, 6, True, [LIMIT_LINE])),
+    "quota grant": (quota, quota.Grant(3, 2**63, 8, [quota.Part("store", 4, 5, 3_000_000, 200)])),
+    "quota elsewhere": (quota, quota.Elsewhere(2**63, 8, "10.0.0.9:7400")),
+    "quota ask": (quota, quota.Ask(4)),
+    "quota told": (quota, quota.Told(4, {"limits": []})),
+    "consensus ask": (consensus, consensus.Ask(4, 1)),
+    "consensus say": (consensus, consensus.Say(4, 2**58 + 1, 1000, 60_000_000, "too hot")),
+    "consensus told": (consensus, consensus.Told(4, {"taken": True})),
+    "key lease claim": (key_leases, key_leases.Claim("n1", 2**63, [key_leases.Ask(KEY, 5, 3, 20_000_000)])),
+    "key lease votes": (key_leases, key_leases.Votes(2**63, [VOTE])),
+    "key lease say": (key_leases, key_leases.Say("n1", 2**63, [VOTE])),
+    "key lease noted": (key_leases, key_leases.Noted(2**63, [(KEY, 3, key_leases.OTHER_BODY)])),
+}
+
+
+def write_datagram(codec, message):
+    return membership.sealed(codec.CHANNEL, FLEET, message)
+
+
+def read_datagram(codec, data):
+    return msgspec.to_builtins(codec.unpack(FLEET, data))
+
+
+# ---- Streams: worker pool, store, registry, and the dispatchers' Thrift
+
+NAME, BODY = "9b1f03aa5c7e2d41", b"\xff\x00A\r\n"
+RIDING = {"v": "0.2500", "l": "1"}
+WRITTEN = {
+    **{name: partial(write_datagram, *example) for name, example in DATAGRAMS.items()},
+    "opinions in a note": lambda: consensus.encoded([(2**58, 2, 9)]),
+    "operators' words in a note": lambda: consensus.encoded([OPERATOR]),
+    "worker pool join": lambda: lines.join(3),
+    "worker pool run": lambda: lines.run(NAME, "look-up", BODY),
+    "worker pool run, name in need of quotes": lambda: lines.run('x"y', "look-up", b""),
+    "worker pool reply": lambda: lines.reply(NAME, BODY),
+    "worker pool skip": lambda: lines.skip(NAME, 5),
+    "worker pool gauges": lambda: lines.ask_gauges("7"),
+    "store call": lambda: lines.call(NAME, 250_001, BODY),
+    "registry good": lambda: lines.report("n3", True),
+    "registry bad": lambda: lines.report("n3", False),
+    "thrift submit": lambda: thrift.submit(7, {"c": "look-up", "p": "0.5"}, BODY),
+    "thrift ok": lambda: thrift.ok(7, BODY, RIDING),
+    "thrift rejected": lambda: thrift.pushed_back(7, RIDING),
+    "thrift failed": lambda: thrift.aborted(7, {}),
+    "thrift health good": lambda: thrift.health(1, True, RIDING),
+    "thrift health bad": lambda: thrift.health(1, False, {}),
+    "thrift unknown method": lambda: thrift.not_served(3, "x", thrift.UNKNOWN_METHOD, "no"),
+    "thrift protocol error": lambda: thrift.not_served(3, "submit", thrift.PROTOCOL_ERROR, "no"),
+    "thrift closing": lambda: thrift.closing(),
+    "thrift heartbeat": lambda: thrift.frame(thrift.CALL, b"heartbeat", 2, b"\0"),
+    "thrift other call": lambda: thrift.frame(thrift.CALL, b"headcount", 2, b"\0"),
+    "thrift other one-way call": lambda: thrift.frame(thrift.ONEWAY, b"headcount", 2, b"\0"),
+    "thrift revoke": lambda: thrift.frame(
+        thrift.ONEWAY, b"revoke", 0, thrift.FIELD.pack(thrift.I32, 1) + thrift.LENGTH.pack(7) + b"\0"
+    ),
+    # What others know keys, members and subjects by.
+    "member id": lambda: number(membership.id_of("n1")),
+    "member row digest": lambda: number(membership.digest_of(ROW)),
+    "key digest": lambda: key_leases.key_of("book", "token-1"),
+    "body digest": lambda: number(key_leases.body_of(BODY)),
+    "subject store": lambda: number(subjects.STORE_ITSELF),
+    "subject level": lambda: number(subjects.LEVEL_ITSELF),
+    "subject zone": lambda: number(subjects.ZONE_ITSELF),
+    "subject node": lambda: number(subjects.node("n1")),
+    "subject address": lambda: number(subjects.source("10.0.0.7")),
+    "subject dispatcher": lambda: number(subjects.source("17")),
+}
+FINISHED = b'{"event":"finished","cursor":4,"handle":"x",'
+RECEIVED = {
+    "worker pool end, good": FINISHED + b'"fate":"good","lasted":1.5,"arg":"/wBB"}\n',
+    "worker pool end, bad": FINISHED + b'"fate":"bad","lasted":1,"arg":""}\n',
+    "worker pool end, cut": FINISHED + b'"fate":"cut","lasted":0}\n',
+    "worker pool end, gone": FINISHED + b'"fate":"gone","lasted":0}\n',
+    "worker pool at a call": b'{"event":"blocked","cursor":5,"handle":"x","arg":"AA=="}\n',
+    "worker pool gauges told": b'{"event":"polled","ticket":"9","figures":[0.5,3,0.25,17]}\n',
+    "worker pool up, new": b'{"event":"bound","fate":"new","lasted":20}\n',
+    "worker pool up, old": b'{"event":"bound","fate":"old","lasted":2000}\n',
+    "worker pool not carried out": b'{"event":"unknown","fate":"spawn","handle":"x"}\n',
+    "worker pool not carried out, no run": b'{"event":"unknown","fate":"pass","handle":null}\n',
+    "worker pool remark": b'{"event":"chatter","cursor":6,"arg":"aGk="}\n',
+    "worker pool other": b'{"event":"of a later day"}\n',
+    "store ok": b"x OK 5\r\na\r\nb\0\r\n",
+    "store full": b"x BUSY\r\n",
+    "store error": b"x ERR\r\n",
+    "store late": b"x LATE\r\n",
+    "store moot": b"x VOID\r\n",
+}
+# First word of a message read -> pinned word.
+READ_WORDS = {
+    "up": "up",
+    "run_ended": "run ended",
+    "at_call": "at call",
+    "gauges": "gauges",
+    "undone": "not carried out",
+    "remark": "remark",
+    "other": "other",
+    "reply": "reply",
+    "rpc": "rpc",
+    "left": "left",
+    "check": "check",
+    "unheard": "not served",
+}
+LONGEST = 16 * 1024  # of a message
+THRIFT_CALLS = ("submit", "heartbeat", "other call", "other one-way call", "revoke")
+
+
+def number(value):
+    return value.to_bytes(8, "big")
+
+
+def plain(value):
+    """As JSON would have it."""
+    if isinstance(value, Outcome):
+        return PLAIN_OUTCOME[value]
+    if isinstance(value, bytes):
+        return value.hex()
+    if isinstance(value, (tuple, list)):
+        return [plain(item) for item in value]
+    if isinstance(value, dict):
+        return [[plain(key), plain(item)] for key, item in value.items()]
+    return value
+
+
+def read_stream(codec, data):
+    """The one message that the bytes are, with its end found as the links find it."""
+    assert codec.frame(data[:-1], 0, LONGEST) is None
+    assert codec.frame(data, 0, LONGEST) == len(data)
+    word, *values = codec.message(data)
+    return [READ_WORDS[word], *plain(values)]
+
+
+def read_thrift_answer(data):
+    """Of the protocol's own reader, whatever the message is."""
+    reader = thrift.Reader(data[4:])
+    values = [reader.number(thrift.I32), reader.value(thrift.STRING), reader.number(thrift.I32)]
+    return plain([*values, reader.value(thrift.STRUCT)])
+
+
+def read_back(name, data):
+    """The message of that name in plain values; None where the program never reads it."""
+    kind, _, rest = name.partition(" ")
+    if name in DATAGRAMS:
+        return plain(read_datagram(DATAGRAMS[name][0], data))
+    if name.endswith("in a note"):
+        read = consensus.opinions if kind == "opinions" else consensus.words
+        return plain(msgspec.to_builtins(read(data)))
+    if kind == "thrift":
+        return read_stream(thrift.FRONT, data) if rest in THRIFT_CALLS else read_thrift_answer(data)
+    if name in RECEIVED:
+        return read_stream(lines.STORE if kind == "store" else lines.POOL, data)
+    return None
+
+
+# ---- What the fields of an RPC say
+
+LIMITS = Limits(memory=192 * 2**20, descriptors=1024, stop=3_000_000)
+NOW = 1_700_000_000_000_000
+KINDS = {"look-up": "idempotent", "book": "tokened"}
+READ_FIELDS = {  # present name of what is read -> pinned word
+    "reached": "arrived",
+    "caller": "caller",
+    "again": "retry",
+    "hint": "estimate",
+    "kb": "footprint",
+    "place": "rank",
+}
+
+
+def read_rpc_fields(fields, body):
+    """What an RPC's fields give, or the text of what is wrong with them."""
+    try:
+        name, method, key, told = thrift_fields.read(
+            fields, body, NOW, LIMITS, KINDS, {method: 5_000_000 for method in KINDS}
+        )
+    except ValueError as error:
+        return str(error)
+    return [name, method, key, {READ_FIELDS[word]: value for word, value in told.items()}]
--- a/tests/test_pins.py
+++ b/tests/test_pins.py
@@ -6,7 +6,7 @@
 the code stand in pins/decision_module.py and pins/codec_examples.py alone.
 
 `python -m tests.test_pins transcript SCENARIO SEED` prints what a hash was made of, to be compared with the
-same of an older commit; `python -m tests.test_pins record` writes the hashes anew. They were recorded with
+same of an older commit; `python -m tests.test_pins record` writes the data anew. The hashes hold for
 Python 3.11; from 3.12 on the interpreter adds floats up in another way.
 """
 
@@ -18,6 +18,7 @@
 import pytest
 
 from tests.pins.adapter import WireLink, start_adapter
+from tests.pins.codec_examples import RECEIVED, WRITTEN, read_back, read_rpc_fields
 from tests.pins.decision_module import DirectLink
 from tests.pins.scenarios import SCENARIOS, SEEDS
 from tests.pins.simulated_host import SimulatedHost
@@ -51,11 +52,70 @@
     assert hashes_of(name, adapter) == pinned("decisions.json")[name]
 
 
+# ---- Bytes
+
+
+def example_bytes(name):
+    return RECEIVED[name] if name in RECEIVED else WRITTEN[name]()
+
+
+def bytes_and_reading(name):
+    data = example_bytes(name)
+    return {"bytes": data.hex(), "read": read_back(name, data)}
+
+
+@pytest.mark.parametrize("name", [*WRITTEN, *RECEIVED])
+def test_a_message_has_the_same_bytes_and_is_read_back(name):
+    assert bytes_and_reading(name) == pinned("bytes.json")[name]
+
+
+RPC_FIELDS = {"c": "book", "k": "key-1", "i": "9b1f03aa5c7e2d41", "f": "17", "s": "1699999999990"}
+RPC_FIELDS |= {"r": "1", "h": "12.5", "m": "24.5", "p": "0.625"}
+CHANGED_FIELDS = {
+    "all told": {},
+    "a read": {"c": "look-up"},
+    "no rank, no estimate, no mark": {"p": None, "h": None, "r": None},
+    "ahead of the clock": {"s": "1700000000900"},
+    "no such method": {"c": "x" * 60},
+    "no method": {"c": None},
+    "name too short": {"i": "9b1f"},
+    "name not hex": {"i": "X" * 16},
+    "no key": {"k": None},
+    "key too long": {"k": "k" * 65},
+    "arrival not a number": {"s": "soon"},
+    "arrival too old": {"s": "1699999994000"},
+    "arrival too far ahead": {"s": "1700000001001"},
+    "dispatcher not a number": {"f": "a"},
+    "rank too high": {"p": "1"},
+    "rank not a number": {"p": "x"},
+    "estimate too long": {"h": "600000"},
+    "footprint missing": {"m": None},
+    "footprint nothing": {"m": "0"},
+}
+
+
+def read_changed_fields(name):
+    fields = RPC_FIELDS | CHANGED_FIELDS[name]
+    return read_rpc_fields({word: text for word, text in fields.items() if text is not None}, b"body")
+
+
+@pytest.mark.parametrize("name", CHANGED_FIELDS)
+def test_the_fields_of_an_rpc_say_the_same(name):
+    assert read_changed_fields(name) == pinned("rpc_fields.json")[name]
+
+
+def test_an_rpc_without_fields_or_body_or_with_too_large_a_one_is_refused_in_the_same_words():
+    refusals = [read_rpc_fields(None, b""), read_rpc_fields(RPC_FIELDS, None)]
+    refusals.append(read_rpc_fields(RPC_FIELDS, b"x" * 2049))
+    missing = "the call carries no fields or no body"
+    assert refusals == [missing, missing, "body: 2049 bytes, 2048 at most"]
+
+
 # ---- Writing the data files
 
 
 def write(file, values):
-    (DATA / file).write_text(json.dumps(values, indent=1) + "\n", encoding="utf-8")
+    (DATA / file).write_text(json.dumps(values, indent=1, ensure_ascii=False) + "\n", encoding="utf-8")
 
 
 def main(command, *arguments):
@@ -65,6 +125,8 @@
         elif command == "record":
             DATA.mkdir(exist_ok=True)
             write("decisions.json", {name: hashes_of(name, process) for name in SCENARIOS})
+            write("bytes.json", {name: bytes_and_reading(name) for name in [*WRITTEN, *RECEIVED]})
+            write("rpc_fields.json", {name: read_changed_fields(name) for name in CHANGED_FIELDS})
         process.stdin.close()
 
 
