Pins: the present names of messages and subjects; bytes as they were

The pinned bytes were made from the text before the messages were renamed. tests/pins/codec_examples.py names them as they are called now; no data file is changed.

--- a/tests/pins/codec_examples.py
+++ b/tests/pins/codec_examples.py
@@ -8,16 +8,17 @@
 
 import msgspec
 
-from finchcart.claims import wire as key_leases
+from finchcart.consensus import messages as consensus
+from finchcart.consensus import subjects
 from finchcart.interface import Outcome
-from finchcart.members import wire as membership
+from finchcart.key_leases import messages as key_leases
+from finchcart.membership import codec
+from finchcart.membership import messages as membership
 from finchcart.net import lines
 from finchcart.net.limits import Limits
-from finchcart.quota import wire as quota
+from finchcart.quota import messages as quota
 from finchcart.thrift import codec as thrift
 from finchcart.thrift import fields as thrift_fields
-from finchcart.verdicts import subjects
-from finchcart.verdicts import wire as consensus
 from finchcart.wire import OUTCOMES
 
 FLEET = "example"
@@ -25,50 +26,56 @@
 
 # ---- Datagrams: the fields of all are told by their order, as on the wire
 
-ROW = membership.Row(
+ROW = membership.MemberRecord(
     "n1", "10.0.0.7:7400", 2**63 + 5, 1_700_000_000_123, 1_700_000_000_456, 7, 1, [11, 2**64 - 1]
 )
-NOTE = membership.Note(2**40, 1, 9, 4, 2500, [(3, 4, 5)], b"\x00\xffdata")
+NOTE = membership.GossipEntry(2**40, 1, 9, 4, 2500, [(3, 4, 5)], b"\x00\xffdata")
 BALLOT = 5, 2**50
-LIMIT_LINE = quota.Line("store", 3, 4, 5, 9, 1, 2, 250)
+LIMIT_LINE = quota.LimitDemand("store", 3, 4, 5, 9, 1, 2, 250)
 KEY = bytes(range(16))
-VOTE = key_leases.Vote(KEY, 3, key_leases.ENDED, b"done\xff", 2**61)
-OPERATOR = consensus.Said(2**58 + 1, 700, 12, 99, 2**45, 60_000_000, "too hot")
+VOTE = key_leases.LeaseReport(KEY, 3, key_leases.LeaseStatus.COMPLETED, b"done\xff", 2**61)
+OPERATOR = consensus.OperatorOverride(2**58 + 1, 700, 12, 99, 2**45, 60_000_000, "too hot")
 DATAGRAMS = {
-    "membership beat": (membership, membership.Beat(ROW, 8, 21, 6, 2**60, [ROW], [NOTE])),
-    "membership sync": (membership, membership.Sync(ROW, [1, 2**64 - 1])),
-    "membership page": (membership, membership.Page(ROW, 64, 63, 1, 2**62, [(1, 2, 3)], True)),
-    "membership rows": (membership, membership.Rows([ROW, ROW])),
-    "membership ask": (membership, membership.Ask(17, 2)),
-    "membership told": (membership, membership.Told(17, 2, 3, {"name": "n1", "age_ms": 5})),
-    "membership taken": (membership, membership.Taken(ROW)),
+    "membership beat": (membership, membership.Heartbeat(ROW, 8, 21, 6, 2**60, [ROW], [NOTE])),
+    "membership sync": (membership, membership.BucketDigests(ROW, [1, 2**64 - 1])),
+    "membership page": (membership, membership.BucketPage(ROW, 64, 63, 1, 2**62, [(1, 2, 3)], True)),
+    "membership rows": (membership, membership.MemberRecords([ROW, ROW])),
+    "membership ask": (membership, membership.ViewRequest(17, 2)),
+    "membership told": (membership, membership.ViewPage(17, 2, 3, {"name": "n1", "age_ms": 5})),
+    "membership taken": (membership, membership.NameTaken(ROW)),
     "quota prepare": (quota, quota.Prepare(BALLOT, 2**33)),
     "quota promise": (quota, quota.Promise(BALLOT, (BALLOT, 7))),
     "quota promise of none": (quota, quota.Promise(BALLOT, None)),
     "quota propose": (quota, quota.Propose(BALLOT, 7)),
     "quota accept": (quota, quota.Accept(BALLOT)),
-    "quota refuse": (quota, quota.Refuse(BALLOT, (6, 1))),
-    "quota want": (quota, quota.Want("n1", 2**63, 8, 6, True, [LIMIT_LINE])),
-    "quota grant": (quota, quota.Grant(3, 2**63, 8, [quota.Part("store", 4, 5, 3_000_000, 200)])),
-    "quota elsewhere": (quota, quota.Elsewhere(2**63, 8, "10.0.0.9:7400")),
-    "quota ask": (quota, quota.Ask(4)),
-    "quota told": (quota, quota.Told(4, {"limits": []})),
-    "consensus ask": (consensus, consensus.Ask(4, 1)),
-    "consensus say": (consensus, consensus.Say(4, 2**58 + 1, 1000, 60_000_000, "too hot")),
-    "consensus told": (consensus, consensus.Told(4, {"taken": True})),
-    "key lease claim": (key_leases, key_leases.Claim("n1", 2**63, [key_leases.Ask(KEY, 5, 3, 20_000_000)])),
+    "quota refuse": (quota, quota.Reject(BALLOT, (6, 1))),
+    "quota want": (quota, quota.LeaseRequest("n1", 2**63, 8, 6, True, [LIMIT_LINE])),
+    "quota grant": (quota, quota.LeaseGrant(3, 2**63, 8, [quota.LimitLease("store", 4, 5, 3_000_000, 200)])),
+    "quota elsewhere": (quota, quota.Redirect(2**63, 8, "10.0.0.9:7400")),
+    "quota ask": (quota, quota.StatusRequest(4)),
+    "quota told": (quota, quota.StatusResponse(4, {"limits": []})),
+    "consensus ask": (consensus, consensus.StatusRequest(4, 1)),
+    "consensus say": (consensus, consensus.OverrideRequest(4, 2**58 + 1, 1000, 60_000_000, "too hot")),
+    "consensus told": (consensus, consensus.StatusResponse(4, {"taken": True})),
+    "key lease claim": (
+        key_leases,
+        key_leases.AcquireLeases("n1", 2**63, [key_leases.LeaseRequest(KEY, 5, 3, 20_000_000)]),
+    ),
     "key lease votes": (key_leases, key_leases.Votes(2**63, [VOTE])),
-    "key lease say": (key_leases, key_leases.Say("n1", 2**63, [VOTE])),
-    "key lease noted": (key_leases, key_leases.Noted(2**63, [(KEY, 3, key_leases.OTHER_BODY)])),
+    "key lease say": (key_leases, key_leases.ReportOutcomes("n1", 2**63, [VOTE])),
+    "key lease noted": (
+        key_leases,
+        key_leases.OutcomesAcknowledged(2**63, [(KEY, 3, key_leases.LeaseStatus.PAYLOAD_MISMATCH)]),
+    ),
 }
 
 
-def write_datagram(codec, message):
-    return membership.sealed(codec.CHANNEL, FLEET, message)
+def write_datagram(package, message):
+    return package.CODEC.encode(FLEET, message)
 
 
-def read_datagram(codec, data):
-    return msgspec.to_builtins(codec.unpack(FLEET, data))
+def read_datagram(package, data):
+    return msgspec.to_builtins(package.CODEC.decode(FLEET, data))
 
 
 # ---- Streams: worker pool, store, registry, and the dispatchers' Thrift
@@ -77,8 +84,8 @@
 RIDING = {"v": "0.2500", "l": "1"}
 WRITTEN = {
     **{name: partial(write_datagram, *example) for name, example in DATAGRAMS.items()},
-    "opinions in a note": lambda: consensus.encoded([(2**58, 2, 9)]),
-    "operators' words in a note": lambda: consensus.encoded([OPERATOR]),
+    "opinions in a note": lambda: codec.encode_value([(2**58, 2, 9)]),
+    "operators' words in a note": lambda: codec.encode_value([OPERATOR]),
     "worker pool join": lambda: lines.join(3),
     "worker pool run": lambda: lines.run(NAME, "look-up", BODY),
     "worker pool run, name in need of quotes": lambda: lines.run('x"y', "look-up", b""),
@@ -104,16 +111,16 @@
         thrift.ONEWAY, b"revoke", 0, thrift.FIELD.pack(thrift.I32, 1) + thrift.LENGTH.pack(7) + b"\0"
     ),
     # What others know keys, members and subjects by.
-    "member id": lambda: number(membership.id_of("n1")),
-    "member row digest": lambda: number(membership.digest_of(ROW)),
-    "key digest": lambda: key_leases.key_of("book", "token-1"),
-    "body digest": lambda: number(key_leases.body_of(BODY)),
-    "subject store": lambda: number(subjects.STORE_ITSELF),
-    "subject level": lambda: number(subjects.LEVEL_ITSELF),
-    "subject zone": lambda: number(subjects.ZONE_ITSELF),
-    "subject node": lambda: number(subjects.node("n1")),
-    "subject address": lambda: number(subjects.source("10.0.0.7")),
-    "subject dispatcher": lambda: number(subjects.source("17")),
+    "member id": lambda: number(codec.name_hash("n1")),
+    "member row digest": lambda: number(ROW.digest()),
+    "key digest": lambda: key_leases.key_digest("book", "token-1"),
+    "body digest": lambda: number(key_leases.payload_digest(BODY)),
+    "subject store": lambda: number(subjects.make_subject(subjects.SubjectKind.STORE)),
+    "subject level": lambda: number(subjects.make_subject(subjects.SubjectKind.LEVEL)),
+    "subject zone": lambda: number(subjects.make_subject(subjects.SubjectKind.ZONE)),
+    "subject node": lambda: number(subjects.node_subject("n1")),
+    "subject address": lambda: number(subjects.source_subject("10.0.0.7")),
+    "subject dispatcher": lambda: number(subjects.source_subject("17")),
 }
 FINISHED = b'{"event":"finished","cursor":4,"handle":"x",'
 RECEIVED = {
@@ -192,7 +199,7 @@
     if name in DATAGRAMS:
         return plain(read_datagram(DATAGRAMS[name][0], data))
     if name.endswith("in a note"):
-        read = consensus.opinions if kind == "opinions" else consensus.words
+        read = consensus.decode_reports if kind == "opinions" else consensus.decode_overrides
         return plain(msgspec.to_builtins(read(data)))
     if kind == "thrift":
         return read_stream(thrift.FRONT, data) if rest in THRIFT_CALLS else read_thrift_answer(data)
@@ -205,7 +212,7 @@
 
 LIMITS = Limits(memory=192 * 2**20, descriptors=1024, stop=3_000_000)
 NOW = 1_700_000_000_000_000
-KINDS = {"look-up": "idempotent", "book": "tokened"}
+KINDS = {"look-up": "idempotent", "book": "keyed"}
 READ_FIELDS = {  # present name of what is read -> pinned word
     "reached": "arrived",
     "caller": "caller",
@@ -220,7 +227,7 @@
     """What an RPC's fields give, or the text of what is wrong with them."""
     try:
         name, method, key, told = thrift_fields.read(
-            fields, body, NOW, LIMITS, KINDS, {method: 5_000_000 for method in KINDS}
+            fields, body, NOW, LIMITS, KINDS, dict.fromkeys(KINDS, 5_000_000)
         )
     except ValueError as error:
         return str(error)
