--- a/finchcart/consensus/subjects.py
+++ b/finchcart/consensus/subjects.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from finchcart.membership.codec import name_hash
+from finchcart.membership.plain_enums import PlainIntEnum
 
 IDENTIFIER_BITS = 56
 IDENTIFIER_MASK = (1 << IDENTIFIER_BITS) - 1
@@ -29,7 +30,7 @@
 SOURCE_KINDS = frozenset({SubjectKind.DISPATCHER, SubjectKind.ADDRESS})
 
 
-class StoreHealth(IntEnum):
+class StoreHealth(PlainIntEnum):
     """Values of the store, from good to bad."""
 
     WORKING = 1
@@ -37,7 +38,7 @@
     DOWN = 3
 
 
-class Restriction(IntEnum):
+class Restriction(PlainIntEnum):
     """Values of a source or a node, from good to bad."""
 
     NONE = 1
--- a/finchcart/membership/effects.py
+++ b/finchcart/membership/effects.py
@@ -2,16 +2,17 @@
 
 Owns the words by which a driver tells an input from another and carries out an effect. Inputs are tuples
 that begin with an `InputKind`; effects are named tuples that begin with an `EffectKind`, so that a driver
-can match either the type or the first field.
+can match either the type or the first field; they print as plain tuples.
 """
 
-from enum import StrEnum
 from typing import Any, Literal, NamedTuple
 
+from finchcart.membership.plain_enums import PlainStrEnum
+
 HostPort = tuple[str, int]
 
 
-class InputKind(StrEnum):
+class InputKind(PlainStrEnum):
     """The first field of an input."""
 
     TICK = "tick"
@@ -23,7 +24,7 @@
     EVIDENCE = "evidence"  # what a node's core saw, see finchcart/consensus/observations.py
 
 
-class EffectKind(StrEnum):
+class EffectKind(PlainStrEnum):
     """The first field of an effect."""
 
     SEND = "send"
@@ -40,6 +41,8 @@
     address: HostPort
     data: bytes
 
+    __repr__ = tuple.__repr__
+
     @classmethod
     def of(cls, address: HostPort, data: bytes) -> "SendDatagram":
         """The effect with these fields."""
@@ -54,6 +57,8 @@
     state: str
     incarnation: int
 
+    __repr__ = tuple.__repr__
+
     @classmethod
     def of(cls, name: str, state: str, incarnation: int) -> "MemberChanged":
         """The effect with these fields."""
@@ -67,6 +72,8 @@
     is_isolated: bool
     reason: str
 
+    __repr__ = tuple.__repr__
+
     @classmethod
     def of(cls, is_isolated: bool, reason: str) -> "IsolationChanged":
         """The effect with these fields."""
@@ -80,6 +87,8 @@
     text: str
     fields: dict[str, Any]
 
+    __repr__ = tuple.__repr__
+
     @classmethod
     def of(cls, text: str, fields: dict[str, Any]) -> "LogLine":
         """The effect with these fields."""
@@ -92,6 +101,8 @@
     kind: Literal[EffectKind.DECISIONS]
     decisions: dict[str, Any]
 
+    __repr__ = tuple.__repr__
+
     @classmethod
     def of(cls, decisions: dict[str, Any]) -> "DecisionsChanged":
         """The effect with these fields."""
--- a/finchcart/membership/records.py
+++ b/finchcart/membership/records.py
@@ -6,7 +6,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from enum import Enum, StrEnum, auto
+from enum import Enum, auto
 
 import msgspec
 
@@ -15,10 +15,11 @@
 from finchcart.membership.effects import MemberChanged
 from finchcart.membership.messages import DeclaredStatus, MemberRecord, Version
 from finchcart.membership.outbox import Outbox
+from finchcart.membership.plain_enums import PlainStrEnum
 from finchcart.membership.update_queue import UpdateQueue
 
 
-class MemberState(StrEnum):
+class MemberState(PlainStrEnum):
     """What a process holds a member to be."""
 
     ALIVE = "alive"
