--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -12,7 +12,7 @@
 from msgspec import UNSET, Meta, Struct, UnsetType
 
 from finchcart.consensus import config as verdicts_of
-from finchcart.key_leases import figures as claims_of
+from finchcart.key_leases import config as claims_of
 from finchcart.membership.codec import DatagramError, parse_address
 from finchcart.membership.config import MS, SECOND, MembershipConfig
 from finchcart.quota import limits as limits_of
@@ -178,7 +178,7 @@
         )
         for limit in settings.limits
     )
-    return limits_of.Quota(
+    return limits_of.QuotaConfig(
         limits=limits,
         planners=tuple(settings.quota.planners),
         **_in_microseconds(settings.quota, ("planners",)),
@@ -196,7 +196,7 @@
     """Their figures; None where none are asked for."""
     if settings.claims is UNSET:
         return None
-    return claims_of.Figures(
+    return claims_of.KeyLeaseConfig(
         keepers=tuple(settings.claims.keepers), **_in_microseconds(settings.claims, ("keepers",))
     )
 
@@ -265,7 +265,7 @@
                 parse_address(place)
             except DatagramError:
                 yield f"quota.planners.{n}", f"{place!r}: no such address or port"
-        for path, reason in limits_of.mistakes(shared):
+        for path, reason in limits_of.config_errors(shared):
             yield path if path.startswith("limits") else f"quota.{path}", reason
     claimed = claims(settings)
     if claimed:
@@ -276,7 +276,7 @@
                 parse_address(place)
             except DatagramError:
                 yield f"claims.keepers.{n}", f"{place!r}: no such address or port"
-        for path, reason in claims_of.mistakes(claimed):
+        for path, reason in claims_of.config_errors(claimed):
             yield f"claims.{path}", reason
     held = verdicts(settings)
     if held:
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -24,9 +24,9 @@
 from finchcart.consensus import messages as sayings
 from finchcart.consensus.store import ConsensusStore
 from finchcart.errors import ConfigError
-from finchcart.key_leases import wire as claiming
-from finchcart.key_leases.holder import Claims
-from finchcart.key_leases.keeper import Keeper
+from finchcart.key_leases import messages as claiming
+from finchcart.key_leases.client import KeyLeaseClient
+from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.membership import codec
 from finchcart.membership import messages as base
 from finchcart.membership.codec import parse_address
@@ -36,10 +36,10 @@
 from finchcart.node.inputs import Drain, FleetChange, ReloadConfig
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
-from finchcart.quota import wire as shares
-from finchcart.quota.holder import Holder
-from finchcart.quota.limits import Limit, Quota
-from finchcart.quota.loose import Loose
+from finchcart.quota import messages as shares
+from finchcart.quota.lease_holder import LeaseHolder
+from finchcart.quota.limits import Limit, QuotaConfig
+from finchcart.quota.local_limits import LocalLimits
 from finchcart.quota.planner import Planner
 
 TRIAL = "store, trial calls"  # the limit by which the fleet shares the calls to a store that is down
@@ -74,7 +74,7 @@
     if not held:
         return asked
     trial = Limit(TRIAL, held.trials, counts="trial", mode="loose")
-    asked = asked or Quota()
+    asked = asked or QuotaConfig()
     return replace(asked, limits=(*asked.limits, trial))
 
 
@@ -102,17 +102,17 @@
             base.CHANNEL: Member(name, asked.name, advertise, asked.seeds, figures(asked), chance, wall, now)
         }
         if self.shares:
-            holder = out[shares.CHANNEL] = Holder(name, asked.name, self.shares, chance, now)
-            loose = Loose(self.shares, now)
+            holder = out[shares.CHANNEL] = LeaseHolder(name, asked.name, self.shares, chance, now)
+            loose = LocalLimits(self.shares, now)
             out[base.CHANNEL].piggyback_clients.append(loose)
-            holder.loose = loose.status
+            holder.local_status = loose.status
         held = verdicts(self.settings)
         if held:
             board = out[sayings.CHANNEL] = ConsensusStore(name, asked.name, held, now)
             out[base.CHANNEL].piggyback_clients.append(board)
         claimed = claims(self.settings)
         if claimed:
-            out[claiming.CHANNEL] = Claims(name, asked.name, claimed, chance, now)
+            out[claiming.CHANNEL] = KeyLeaseClient(name, asked.name, claimed, chance, now)
         return out
 
     def meters(self):
@@ -277,7 +277,7 @@
         if shared_out:
             out[shares.CHANNEL] = Planner(place, settings.fleet.name, shared_out, chance, now)
         if claimed:
-            out[claiming.CHANNEL] = Keeper(settings.fleet.name, claimed, now)
+            out[claiming.CHANNEL] = KeyLeaseReplica(settings.fleet.name, claimed, now)
         return out
 
     try:
--- a/finchcart/fault_injection/beliefs.py
+++ b/finchcart/fault_injection/beliefs.py
@@ -17,8 +17,8 @@
 from finchcart.membership.config import SECOND, MembershipConfig
 from finchcart.membership.member import Member
 from finchcart.node.meter import LATELY
-from finchcart.quota.limits import Limit, Quota
-from finchcart.quota.loose import Loose
+from finchcart.quota.limits import Limit, QuotaConfig
+from finchcart.quota.local_limits import LocalLimits
 
 CALLS = 6  # that a node makes in a look, where nothing holds it
 NOTHING = {"store": StoreHealth.WORKING, "sources": {}, "out": False, "level": 0.0}
@@ -53,13 +53,13 @@
         self.written, self.trace = {}, xxhash.xxh3_64()
         self.calls = self.wasted = self.trials = 0
         self.worst_lie = 0  # by how much a note was ever taken to be younger than it is
-        self.quota = Quota(limits=(Limit("trial", self.beliefs.trials, counts="trial", mode="loose"),))
+        self.quota = QuotaConfig(limits=(Limit("trial", self.beliefs.trials, counts="trial", mode="loose"),))
 
     def node(self, name, fleet, address, seeds, figures, chance, wall, now):
         member = self.member(name, fleet, address, seeds, figures, chance, wall, now)
         zone = int(name[1:]) % 3
         board = self.board(name, fleet, ConsensusConfig(**{**self.beliefs.__dict__, "zone": f"z{zone}"}), now)
-        member.piggyback_clients += [Loose(self.quota, now), board]
+        member.piggyback_clients += [LocalLimits(self.quota, now), board]
         member.board = board
         self.seen[name] = Seen()
         return member
--- a/finchcart/fault_injection/explore.py
+++ b/finchcart/fault_injection/explore.py
@@ -12,12 +12,12 @@
 import pickle
 
 from finchcart.membership import codec
-from finchcart.quota.holder import Holder
-from finchcart.quota.limits import Limit, Quota
+from finchcart.quota.lease_holder import LeaseHolder
+from finchcart.quota.limits import Limit, QuotaConfig
 from finchcart.quota.planner import Planner
 
 STEP = 500_000
-QUOTA = Quota(
+QUOTA = QuotaConfig(
     limits=(Limit("store", 4),),
     planners=("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"),
     most=2,
@@ -69,7 +69,7 @@
             make = self.make.get("planner", Planner)
             self.machines[name] = make(QUOTA.planners[int(name[1])], "f", QUOTA, chance, self.clock(name))
         else:
-            make = self.make.get("holder", Holder)
+            make = self.make.get("holder", LeaseHolder)
             self.machines[name] = make(name, "f", QUOTA, chance, self.clock(name))
             self.amounts[name] = 0, 0
             self.machines[name].reduce(self.clock(name), ("use", "store", 0, 4 if name == "n0" else 2))
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -9,34 +9,35 @@
 import sys
 import time
 
-import msgspec
 import pytest
 
 from finchcart.cli.file import Wrong, checked
 from finchcart.fault_injection.explore import explore
 from finchcart.fault_injection.shares import Breach, Run, Shares
-from finchcart.membership import codec
-from finchcart.membership.gossip import DatedEntry
+from finchcart.membership.codec import parse_address
 from finchcart.net.links import boot_clock
 from finchcart.node.meter import Calls, Rate
-from finchcart.quota import loose, wire
-from finchcart.quota.division import divide, shared_out
-from finchcart.quota.holder import Holder
-from finchcart.quota.limits import SECOND, Limit, Quota, mistakes
-from finchcart.quota.loose import Loose
+from finchcart.quota import local_limits, messages
+from finchcart.quota.allocator import Allocator, HolderKey
+from finchcart.quota.fair_share import max_min_shares, prioritized_shares
+from finchcart.quota.leader_election import LeaderElection
+from finchcart.quota.lease_holder import NO_LEASE, LeaseHolder, LeaseId, PendingRequest
+from finchcart.quota.limits import SECOND, Limit, QuotaConfig, config_errors
+from finchcart.quota.local_limits import LocalLimits
+from finchcart.quota.messages import Ballot
 from finchcart.quota.planner import Planner
 
 
 def test_division_is_max_min_and_never_more_than_there_is():
-    assert divide(10, {"a": 2, "b": 9, "c": 9}) == {"a": 2, "b": 4, "c": 4}
-    assert divide(10, {"a": 9, "b": 9, "c": 9}) == {"a": 4, "b": 3, "c": 3}
-    assert divide(9, {"a": 9, "b": 9}, {"a": 2.0}) == {"a": 6, "b": 3}
-    assert divide(0, {"a": 1}) == {"a": 0} and divide(5, {}) == {}
+    assert max_min_shares(10, {"a": 2, "b": 9, "c": 9}) == {"a": 2, "b": 4, "c": 4}
+    assert max_min_shares(10, {"a": 9, "b": 9, "c": 9}) == {"a": 4, "b": 3, "c": 3}
+    assert max_min_shares(9, {"a": 9, "b": 9}, {"a": 2.0}) == {"a": 6, "b": 3}
+    assert max_min_shares(0, {"a": 1}) == {"a": 0} and max_min_shares(5, {}) == {}
     chance = random.Random(3)
     for _ in range(500):
         amount = chance.randrange(60)
         wants = {n: chance.randrange(30) for n in range(chance.randrange(1, 12))}
-        parts = divide(amount, wants)
+        parts = max_min_shares(amount, wants)
         assert sum(parts.values()) == min(amount, sum(wants.values()))
         assert all(parts[n] <= wants[n] for n in wants)
         short = [parts[n] for n in wants if parts[n] < wants[n]]
@@ -67,17 +68,17 @@
         with pytest.raises(Wrong) as raised:
             checked(wrong, "F")
         assert said in str(raised.value)
-    assert not list(mistakes(Quota(limits=(Limit("a", 64, 1),), planners=("a",))))
+    assert not list(config_errors(QuotaConfig(limits=(Limit("a", 64, 1),), planners=("a",))))
     rate = Limit("a", 64, per="rate", burst=63)
-    told = dict(mistakes(Quota(limits=(rate,), planners=("a",))))
+    told = dict(config_errors(QuotaConfig(limits=(rate,), planners=("a",))))
     assert "63 is less than most = 64" in told["limits.0.burst"]
     loose = Limit("a", 64, mode="loose")
-    assert not list(mistakes(Quota(limits=(loose,)))), "a loose limit needs no planners"
+    assert not list(config_errors(QuotaConfig(limits=(loose,)))), "a loose limit needs no planners"
 
 
 def test_bounds_are_formulas_of_the_settings():
-    quota, limit = Quota(over=0.5, drift=0.01), Limit("a", 100, mode="loose")
-    assert quota.part_of(limit, 5, 10) == 75 and quota.part_of(limit, 9, 10) == 100
+    quota, limit = QuotaConfig(over=0.5, drift=0.01), Limit("a", 100, mode="loose")
+    assert quota.partition_allowance(limit, 5, 10) == 75 and quota.partition_allowance(limit, 9, 10) == 100
     chance = random.Random(1)
     for _ in range(300):
         known = chance.randrange(2, 40)
@@ -85,24 +86,27 @@
         while left:
             sides.append(chance.randint(1, left))
             left -= sides[-1]
-        assert sum(quota.part_of(limit, side, known) for side in sides) <= 150
-    assert quota.loose_over_at_most(limit, 10) == 50 + 9
-    assert quota.loose_over_at_most(limit, 10, 5) == 100 + 14
+        assert sum(quota.partition_allowance(limit, side, known) for side in sides) <= 150
+    assert quota.loose_overshoot_bound(limit, 10) == 50 + 9
+    assert quota.loose_overshoot_bound(limit, 10, 5) == 100 + 14
     rate = Limit("r", 100, per="rate", burst=80, mode="loose")
-    assert quota.loose_over_at_most(rate, 10) == 50
-    assert quota.in_window(Limit("r", 100, per="rate", burst=80), SECOND) == 80 + 104
-    assert quota.back_within() == quota.silence + 4 * quota.retry + quota.wait + quota.round
+    assert quota.loose_overshoot_bound(rate, 10) == 50
+    assert quota.window_bound(Limit("r", 100, per="rate", burst=80), SECOND) == 80 + 104
+    assert (
+        quota.recovery_bound()
+        == quota.startup_quiet_period + 4 * quota.election_retry + quota.takeover_wait + quota.round
+    )
 
 
 def test_what_matters_more_is_met_first_and_weights_count():
-    assert shared_out(10, {"a": 10, "b": 10}, {"a": 2, "b": 8}) == {"a": 2, "b": 8}
-    assert shared_out(12, {"a": 10, "b": 10}, {"b": 4}) == {"a": 4, "b": 8}
-    assert shared_out(9, {"a": 9, "b": 9}, {}, {"a": 2.0}) == {"a": 6, "b": 3}
+    assert prioritized_shares(10, {"a": 10, "b": 10}, {"a": 2, "b": 8}) == {"a": 2, "b": 8}
+    assert prioritized_shares(12, {"a": 10, "b": 10}, {"b": 4}) == {"a": 4, "b": 8}
+    assert prioritized_shares(9, {"a": 9, "b": 9}, {}, {"a": 2.0}) == {"a": 6, "b": 3}
     chance = random.Random(4)
     for _ in range(300):
         wants = {n: chance.randrange(30) for n in range(chance.randrange(1, 9))}
         first = {n: chance.randrange(40) for n in wants}
-        parts = shared_out(40, wants, first)
+        parts = prioritized_shares(40, wants, first)
         assert sum(parts.values()) == min(40, sum(wants.values()))
         assert all(parts[n] <= wants[n] for n in wants)
 
@@ -110,8 +114,8 @@
 def test_demand_that_alternates_between_two_moves_little():
     """The greater of the last two words of each counts."""
     one, now = elected({})
-    now += SHARED.wait + 1
-    one.owns_until = now + 99 * SECOND
+    now += SHARED.takeover_wait + 1
+    one.election.leads_until = now + 99 * SECOND
     held, moves, before = {1: (0, 0), 2: (0, 0)}, 0, None
     for turn in range(20):
         for n in (1, 2):
@@ -122,7 +126,7 @@
                 f"n{n}",
                 n,
                 turn + 1,
-                one.term,
+                one.election.term,
                 held[n][0],
                 held[n][1],
                 wants=40 if turn % 2 == n % 2 else 0,
@@ -149,25 +153,28 @@
 
 def test_another_fleet_on_the_same_address_is_not_heard():
     one, now = elected({})
-    before = dict(one.holders)
+    before = dict(one.allocator.holders)
     said = one.reduce(
         now + 1,
         (
             "got",
             NODE,
-            wire.CODEC.encode("g", wire.Want("n1", 1, 1, 1, False, [wire.Line("store", 0, 0, 0, 9, 0)])),
+            messages.CODEC.encode(
+                "g",
+                messages.LeaseRequest("n1", 1, 1, 1, False, [messages.LimitDemand("store", 0, 0, 0, 9, 0)]),
+            ),
         ),
     )
-    assert not said and one.holders == before and one.counts["another fleet"] == 1
+    assert not said and one.allocator.holders == before and one.counts["another fleet"] == 1
 
 
 def test_a_limit_that_the_planners_lack_stays_at_its_floor():
     one, now = elected({})
-    now += SHARED.wait + 1
-    one.owns_until = now + 9 * SECOND
-    line = wire.Line("other", 0, 0, 0, 9, 0)
-    said = sent(one.reduce(now, got(wire.Want("n1", 1, 1, 1, False, [line]), NODE)))
-    assert said[0].parts == [] and one.counts["a holder knows no limit store"] == 1
+    now += SHARED.takeover_wait + 1
+    one.election.leads_until = now + 9 * SECOND
+    line = messages.LimitDemand("other", 0, 0, 0, 9, 0)
+    said = sent(one.reduce(now, got(messages.LeaseRequest("n1", 1, 1, 1, False, [line]), NODE)))
+    assert said[0].leases == [] and one.counts["a holder knows no limit store"] == 1
 
 
 def test_a_meter_never_gives_more_than_was_granted_nor_for_longer():
@@ -258,7 +265,13 @@
     that start later; `takes`: a call. Raises where it is beyond the bound."""
     limit = Limit("store", 48, mode="loose", per=per, burst=20 if per == "rate" else 0)
     fleet = Shares(
-        seed, 0, holders, Quota(limits=(limit,), most=holders + 2, over=over), make, mode="loose", per=per
+        seed,
+        0,
+        holders,
+        QuotaConfig(limits=(limit,), most=holders + 2, over=over),
+        make,
+        mode="loose",
+        per=per,
     )
     chance, fleet.takes = random.Random(f"demand {seed}"), takes
     for name in fleet.processes:
@@ -304,8 +317,8 @@
     fleet = Shares(1, 0, 3, mode="loose")
     fleet.start("n2")  # n0 and n1, its seeds, never are there
     fleet.run(60 * SECOND)
-    held = fleet.processes["n2"].machine.piggyback_clients[0].held["store"]
-    assert held.part == 0 and len(held.said) < 40
+    held = fleet.processes["n2"].machine.piggyback_clients[0].allocations["store"]
+    assert held.amount == 0 and len(held.published) < 40
 
 
 def test_a_loose_rate_keeps_its_bound():
@@ -314,7 +327,7 @@
 
 
 def wants_count_at_once(self):
-    return self.wants
+    return self.demand
 
 
 def takes_all(self, limit, seen, known):
@@ -322,57 +335,45 @@
 
 
 def unheard_want_nothing(self, now, member):
-    Loose.look(self, now, member)
+    LocalLimits.observe(self, now, member)
     self.unheard = []
 
 
 def joins_at_once(self, now, member):
-    Loose.look(self, now, member)
-    self.since = 0
-
-
-def in_hand_ignored(self, now, member, held):
-    received, member.gossip.received = (
-        member.gossip.received,
-        {
-            key: DatedEntry(
-                msgspec.structs.replace(
-                    held.entry, counters=[(ident, 0, wants) for ident, _, wants in held.entry.counters]
-                ),
-                held.written_at,
-            )
-            for key, held in member.gossip.received.items()
-        },
-    )
-    part = Loose.part(self, now, member, held)
-    member.gossip.received = received
-    return part
+    LocalLimits.observe(self, now, member)
+    self.joined_at = 0
+
+
+def in_hand_ignored(self, member, allocation):
+    for member_id, _, demand in LocalLimits.heard_demands(self, member, allocation):
+        yield member_id, 0, demand
 
 
 def counts_what_it_sees_now(self, now, member):
-    Loose.look(self, now, member)
-    self.lately.clear()
+    LocalLimits.observe(self, now, member)
+    self.recent_views.clear()
 
 
 def wants_at_once(make, **more):
     """The own want counts before others heard of it."""
 
-    class Held(loose.Held):
-        settled = wants_count_at_once
+    class Allocation(local_limits.LocalAllocation):
+        settled_demand = wants_count_at_once
 
-    before, loose.Held = loose.Held, Held
+    before = local_limits.LocalAllocation
+    local_limits.LocalAllocation = Allocation
     try:
         return loose_run(make, **more)
     finally:
-        loose.Held = before
+        local_limits.LocalAllocation = before
 
 
 def takes_the_whole(make, **more):
-    before, Quota.part_of = Quota.part_of, takes_all
+    before, QuotaConfig.partition_allowance = QuotaConfig.partition_allowance, takes_all
     try:
         return loose_run(make, **more)
     finally:
-        Quota.part_of = before
+        QuotaConfig.partition_allowance = before
 
 
 def most(play, seeds=(1, 2), **more):
@@ -394,20 +395,20 @@
     ),
     "who is not heard is reckoned to want nothing": (
         loose_run,
-        {"look": unheard_want_nothing},
+        {"observe": unheard_want_nothing},
         {"cut": (0, 1, 2), "over": 0.0},
         53,
     ),
-    "who starts takes its part at once": (loose_run, {"look": joins_at_once}, {"start": ("n4", "n5")}, 50),
+    "who starts takes its part at once": (loose_run, {"observe": joins_at_once}, {"start": ("n4", "n5")}, 50),
     "what others have in hand is not looked at": (
         loose_run,
-        {"part": in_hand_ignored},
+        {"heard_demands": in_hand_ignored},
         {"takes": 4_000_000},
         53,
     ),
     "what is seen now counts while sides come together": (
         loose_run,
-        {"look": counts_what_it_sees_now},
+        {"observe": counts_what_it_sees_now},
         {"cut": (0, 1, 2), "over": 0.0},
         53,
     ),
@@ -417,7 +418,7 @@
 @pytest.mark.parametrize("name", LOOSE)
 def test_a_planted_defect_of_loose_limits_is_found(name):
     play, methods, more, bound = LOOSE[name]
-    make = {"loose": type("Planted", (Loose,), methods)}
+    make = {"loose": type("Planted", (LocalLimits,), methods)}
     assert most(loose_run, make=None, **more) <= bound
     assert most(play, make=make, **more) > bound
 
@@ -428,25 +429,25 @@
 
 
 def test_what_is_shared_follows_demand_and_comes_back_within_its_bounds():
-    fleet = Shares(1, holders=6, quota=Quota(limits=(Limit("store", 60, 1),), most=8))
+    fleet = Shares(1, holders=6, quota=QuotaConfig(limits=(Limit("store", 60, 1),), most=8))
     for name in fleet.processes:
         fleet.start(name)
-    fleet.run(fleet.now + fleet.quota.back_within(), fleet.after_step)
+    fleet.run(fleet.now + fleet.quota.recovery_bound(), fleet.after_step)
     want = lambda **wants: [setattr(fleet.processes[name], "wants", count) for name, count in wants.items()]
     want(n0=60)
-    fleet.run(fleet.now + fleet.quota.jump_within(), fleet.after_step)
+    fleet.run(fleet.now + fleet.quota.rebalancing_bound(), fleet.after_step)
     assert fleet.processes["n0"].amount >= 0.9 * 52
     want(n0=0, n1=30, n2=30, n3=30)
-    fleet.run(fleet.now + fleet.quota.jump_within(), fleet.after_step)
+    fleet.run(fleet.now + fleet.quota.rebalancing_bound(), fleet.after_step)
     assert all(fleet.processes[name].amount >= 14 for name in ("n1", "n2", "n3"))
     for name in ("p0", "p1", "p2"):
         fleet.kill(name)
-    fleet.run(fleet.now + fleet.quota.alone_within() + 100_000, fleet.after_step)
+    fleet.run(fleet.now + fleet.quota.fallback_bound() + 100_000, fleet.after_step)
     assert all(fleet.processes[f"n{n}"].amount == 0 for n in range(6))
     assert fleet.count()[0] <= 6, "floors alone"
     for name in ("p0", "p1", "p2"):
         fleet.start(name)
-    fleet.run(fleet.now + fleet.quota.back_within(), fleet.after_step)
+    fleet.run(fleet.now + fleet.quota.recovery_bound(), fleet.after_step)
     assert sum(fleet.processes[f"n{n}"].amount for n in range(6)) > 10
 
 
@@ -467,101 +468,125 @@
     return {"planner": planted(Planner, methods)}
 
 
+def election(**methods):
+    return planner(election_type=planted(LeaderElection, methods))
+
+
+def allocator(**methods):
+    return planner(allocator_type=planted(Allocator, methods))
+
+
 def holder(**methods):
-    return {"holder": planted(Holder, methods)}
+    return {"holder": planted(LeaseHolder, methods)}
 
 
-def no_silence(self, *args):
-    Planner.__init__(self, *args)
-    self.votes_from = self.next_try = self.now
+def votes_at_once_after_its_start(self, address, quota, random, now):
+    LeaderElection.__init__(self, address, quota, random, now)
+    self.acceptor.votes_from = self.next_candidature_at = now
 
 
-def gives_at_once(self, now, until):
-    Planner.own(self, now, until)
-    self.owned_since = min(self.owned_since, now - self.quota.wait)
+def grants_at_once(self, term, now):
+    Allocator.begin_term(self, term, now - self.quota.takeover_wait)
 
 
-def lease_for_ever(self, now, why):
+def leads_for_ever(self, reason):
     pass
 
 
-def lease_from_the_end(self, now, address, said):
-    self.asked_at = now
-    Planner.on_accept(self, now, address, said)
+def lease_counts_from_its_last_vote(self, now, sender, accept):
+    if self.candidature is not None:
+        self.candidature.proposed_at = now
+    LeaderElection.on_accept(self, now, sender, accept)
 
 
-def any_ballot(self, now, address, said):
-    self.promised = (0, 0)
-    Planner.on_prepare(self, now, address, said)
+def promises_any_ballot(self, now, sender, prepare):
+    self.acceptor.promised = Ballot(0, 0)
+    LeaderElection.on_prepare(self, now, sender, prepare)
 
 
-def says_free(self, now, address, said):
+def hides_its_vote(self, now, sender, prepare):
     """Votes for one, and does not say so to the next."""
-    self.held = None
-    Planner.on_prepare(self, now, address, said)
+    self.acceptor.accepted = None
+    LeaderElection.on_prepare(self, now, sender, prepare)
 
 
-def by_name(self, now, address, said):
-    """A process started anew is taken for the one before."""
-    for key in [key for key in self.holders if key[0] == said.name and key[1] != said.session]:
-        self.holders[said.name, said.session] = self.holders.pop(key)
-        self.holders[said.name, said.session].seq = 0
-    Planner.on_want(self, now, address, said)
+def knows_holders_by_name_alone(self, address, request):
+    """A restarted process is taken for the one before."""
+    holders = self.allocator.holders
+    for key in [key for key in holders if key.node == request.node and key.session != request.session]:
+        record = holders.pop(key)
+        record.sequence = 0
+        holders[HolderKey(request.node, request.session)] = record
+    Planner.on_request(self, address, request)
 
 
-def least(self, holder, limit):
-    """Counts the grant given last, not the greatest that may still be used."""
-    out = holder.out.get(limit, ())
-    return out[-1].amount if out else 0
+def counts_the_last_lease(self, holder, limit):
+    """Counts the lease granted last, not the greatest that may still be used."""
+    record = holder.limits.get(limit)
+    return record.granted[-1].amount if record and record.granted else 0
 
 
-def from_the_answer(self, now, said):
-    self.asks = {seq: (now, then) for seq, (_, then) in self.asks.items()}
-    Holder.on_grant(self, now, said)
+def counts_from_the_answer(self, grant):
+    self.pending = {
+        sequence: PendingRequest(self.now, request.held) for sequence, request in self.pending.items()
+    }
+    LeaseHolder.on_grant(self, grant)
 
 
-def any_term(self, now, said):
+def takes_any_term(self, grant):
     for held in self.held.values():
-        if said.term != held.term:
-            held.term, held.number = 0, 0
-            self.asks = {seq: (when, dict.fromkeys(then, (0, 0))) for seq, (when, then) in self.asks.items()}
-    Holder.on_grant(self, now, said)
+        if grant.term != held.id.term:
+            held.id = NO_LEASE
+            self.pending = {
+                sequence: PendingRequest(request.sent_at, dict.fromkeys(request.held, NO_LEASE))
+                for sequence, request in self.pending.items()
+            }
+    LeaseHolder.on_grant(self, grant)
 
 
-def any_number(self, now, said):
+def takes_any_number(self, grant):
     for held in self.held.values():
-        if said.term == held.term:
-            held.number = 0
-    Holder.on_grant(self, now, said)
+        if grant.term == held.id.term:
+            held.id = LeaseId(held.id.term, 0)
+    LeaseHolder.on_grant(self, grant)
 
 
-def late_ask(self, now, said):
-    for when, then in self.asks.values():
-        then.update({name: (held.term, held.number) for name, held in self.held.items()})
-    Holder.on_grant(self, now, said)
+def takes_answers_to_late_requests(self, grant):
+    for request in self.pending.values():
+        request.held.update({name: held.id for name, held in self.held.items()})
+    LeaseHolder.on_grant(self, grant)
 
 
-def no_end(self, now, held):
-    held.until = now + self.quota.life if held.amount else held.until
-    Holder.allow(self, now, held)
+def holds_without_end(self, held):
+    held.expires_at = self.now + self.quota.life if held.amount else held.expires_at
+    LeaseHolder.update_allowance(self, held)
 
 
 # Scenarios of messages by hand, where chance alone seldom comes by.
 
 PLACES = ("10.0.0.1:7401", "10.0.0.2:7401", "10.0.0.3:7401")
-TWO, THREE, NODE = (codec.parse_address(PLACES[1]), codec.parse_address(PLACES[2]), ("10.0.0.9", 7400))
-SHARED = Quota(limits=(Limit("store", 40),), planners=PLACES, most=4, step=1.0, room=0.0)
-got = lambda said, address=TWO: ("got", address, wire.CODEC.encode("f", said))
-sent = lambda effects: [wire.CODEC.decode("f", effect[2]) for effect in effects if effect[0] == "send"]
+TWO, THREE, NODE = (parse_address(PLACES[1]), parse_address(PLACES[2]), ("10.0.0.9", 7400))
+SHARED = QuotaConfig(limits=(Limit("store", 40),), planners=PLACES, most=4, step=1.0, room=0.0)
+
+
+def got(message, address=TWO):
+    """The input of a datagram with this message."""
+    return ("got", address, messages.CODEC.encode("f", message))
+
+
+def sent(effects):
+    """The messages that were sent."""
+    return [messages.CODEC.decode("f", effect[2]) for effect in effects if effect[0] == "send"]
 
 
 def elected(make, accept_late=0):
     """A planner that shares out, and when it proposed."""
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
-    now = SHARED.silence + 2 * SHARED.retry
+    now = SHARED.startup_quiet_period + 2 * SHARED.election_retry
     one.reduce(now, ("tick",))
-    one.reduce(now + 1, got(wire.Promise(one.ballot, None)))
-    one.reduce(now + 2 + accept_late, got(wire.Accept(one.ballot)))
+    ballot = one.election.candidature.ballot
+    one.reduce(now + 1, got(messages.Promise(ballot, None)))
+    one.reduce(now + 2 + accept_late, got(messages.Accept(ballot)))
     return one, now + 1
 
 
@@ -569,25 +594,30 @@
     said = one.reduce(
         now,
         got(
-            wire.Want(
-                name, session, seq, oldest, False, [wire.Line("store", term, number, amount, wants, 0)]
+            messages.LeaseRequest(
+                name,
+                session,
+                seq,
+                oldest,
+                False,
+                [messages.LimitDemand("store", term, number, amount, wants, 0)],
             ),
             NODE,
         ),
     )
-    return next((each.parts[0] for each in sent(said) if isinstance(each, wire.Grant)), None)
+    return next((each.leases[0] for each in sent(said) if isinstance(each, messages.LeaseGrant)), None)
 
 
 def accept_comes_late(make):
     one, proposed = elected(make, SHARED.lease // 2)
-    return [one.owns_until] if one.owns_until > proposed + SHARED.lease else []
+    return [one.election.leads_until] if one.election.leads_until > proposed + SHARED.lease else []
 
 
 def started_anew(make):
     """The process before may still use its grant: another gets none of that."""
     one, now = elected(make)
-    now += SHARED.wait + 1
-    one.owns_until = now + 9 * SECOND
+    now += SHARED.takeover_wait + 1
+    one.election.leads_until = now + 9 * SECOND
     first = ask(one, now, "n1", 1, 1).amount
     ask(one, now + 100_000, "n1", 2, 1, wants=0)
     second = ask(one, now + 200_000, "n1", 2, 2, wants=0, oldest=2)
@@ -596,14 +626,14 @@
 
 
 def holding(make):
-    one = make.get("holder", Holder)("n1", "f", SHARED, random.Random(1), 0)
+    one = make.get("holder", LeaseHolder)("n1", "f", SHARED, random.Random(1), 0)
     one.reduce(0, ("tick",))
     return one
 
 
 def grant(one, now, term, seq, number, amount):
-    part = wire.Part("store", number, amount, SHARED.life, 40)
-    one.reduce(now, got(wire.Grant(term, one.session, seq, [part])))
+    part = messages.LimitLease("store", number, amount, SHARED.life, 40)
+    one.reduce(now, got(messages.LeaseGrant(term, one.session, seq, [part])))
     return one.held["store"].amount
 
 
@@ -635,7 +665,7 @@
     """An answer that took 2 s leaves 1 s of a life of 3."""
     one = holding(make)
     grant(one, 2 * SECOND, 5, 1, 1, 10)
-    return ["longer"] if one.held["store"].until > SHARED.life else []
+    return ["longer"] if one.held["store"].expires_at > SHARED.life else []
 
 
 def seeds(count):
@@ -653,32 +683,32 @@
 def starts_and_votes(make):
     """A voter that starts anew says nothing while a lease that it voted for may last."""
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
-    said = sent(one.reduce(SHARED.lease - 1, got(wire.Prepare((1, 7), one.times))))
-    return said if any(isinstance(each, wire.Promise) for each in said) else []
+    said = sent(one.reduce(SHARED.lease - 1, got(messages.Prepare((1, 7), one.election.timing_digest))))
+    return said if any(isinstance(each, messages.Promise) for each in said) else []
 
 
 def lesser_ballot(make):
     one = make.get("planner", Planner)(PLACES[0], "f", SHARED, random.Random(1), 0)
-    now = SHARED.silence + 1
-    one.reduce(now, got(wire.Prepare((9, 7), one.times)))
-    said = sent(one.reduce(now, got(wire.Prepare((8, 8), one.times), THREE)))
-    return said if any(isinstance(each, wire.Promise) for each in said) else []
+    now = SHARED.startup_quiet_period + 1
+    one.reduce(now, got(messages.Prepare((9, 7), one.election.timing_digest)))
+    said = sent(one.reduce(now, got(messages.Prepare((8, 8), one.election.timing_digest), THREE)))
+    return said if any(isinstance(each, messages.Promise) for each in said) else []
 
 
 DEFECTS = {
-    "no silence after a start": (starts_and_votes, planner(__init__=no_silence)),
-    "no wait before giving": (seeds(20), planner(own=gives_at_once)),
-    "an owner whose lease is over goes on": (seeds(20), planner(lose=lease_for_ever)),
-    "a lease counted from its end": (accept_comes_late, planner(on_accept=lease_from_the_end)),
-    "any ballot is promised": (lesser_ballot, planner(on_prepare=any_ballot)),
-    "a voter does not tell its vote": (seeds(4), planner(on_prepare=says_free)),
-    "a holder known by its name alone": (started_anew, planner(on_want=by_name)),
-    "the last grant counts, not the greatest": (seeds(4), planner(committed=least)),
-    "a grant counted from its answer": (counted_late, holder(on_grant=from_the_answer)),
-    "any term is taken": (earlier_term, holder(on_grant=any_term)),
-    "any number is taken": (earlier_number, holder(on_grant=any_number)),
-    "a late ask is renewed as it was": (renewed_late, holder(on_grant=late_ask)),
-    "a grant does not end": (seeds(12), holder(allow=no_end)),
+    "no silence after a start": (starts_and_votes, election(__init__=votes_at_once_after_its_start)),
+    "no wait before giving": (seeds(20), allocator(begin_term=grants_at_once)),
+    "an owner whose lease is over goes on": (seeds(20), planner(step_down=leads_for_ever)),
+    "a lease counted from its end": (accept_comes_late, election(on_accept=lease_counts_from_its_last_vote)),
+    "any ballot is promised": (lesser_ballot, election(on_prepare=promises_any_ballot)),
+    "a voter does not tell its vote": (seeds(4), election(on_prepare=hides_its_vote)),
+    "a holder known by its name alone": (started_anew, planner(on_request=knows_holders_by_name_alone)),
+    "the last grant counts, not the greatest": (seeds(4), allocator(committed=counts_the_last_lease)),
+    "a grant counted from its answer": (counted_late, holder(on_grant=counts_from_the_answer)),
+    "any term is taken": (earlier_term, holder(on_grant=takes_any_term)),
+    "any number is taken": (earlier_number, holder(on_grant=takes_any_number)),
+    "a late ask is renewed as it was": (renewed_late, holder(on_grant=takes_answers_to_late_requests)),
+    "a grant does not end": (seeds(12), holder(update_allowance=holds_without_end)),
 }
 
 
