--- a/finchcart/membership/anti_entropy.py
+++ b/finchcart/membership/anti_entropy.py
@@ -11,13 +11,13 @@
 from finchcart.membership.config import MembershipConfig
 from finchcart.membership.messages import (
     MAX_BUCKETS,
+    MAX_RECORD_BYTES,
     BucketDigests,
     BucketPage,
     Heartbeat,
     MemberRecord,
     MemberRecords,
 )
-from finchcart.membership.outbox import Outbox
 from finchcart.membership.records import MemberTable
 
 MEMBERS_PER_BUCKET = 16
@@ -33,26 +33,16 @@
     """Keeps no state but the time of the last comparison.
 
     Arguments:
-        table: the records of all members.
+        table: the records of all members, and the outbox.
         config: the period.
-        outbox: where messages go.
         random: chooses among buckets and ranges of ids.
-        max_record_bytes: what records may take of a datagram.
     """
 
-    def __init__(
-        self,
-        table: MemberTable,
-        config: MembershipConfig,
-        outbox: Outbox,
-        random: Random,
-        max_record_bytes: int,
-    ) -> None:
+    def __init__(self, table: MemberTable, config: MembershipConfig, random: Random) -> None:
         self.table = table
         self.config = config
-        self.outbox = outbox
+        self.outbox = table.outbox
         self.random = random
-        self.max_record_bytes = max_record_bytes
         self._started_at = 0
 
     def on_heartbeat(self, now: int, heartbeat: Heartbeat) -> None:
@@ -136,7 +126,7 @@
         ]
         address = parse_address(receiver.address)
         for _ in range(RECORD_DATAGRAMS_AT_ONCE):
-            part = take_fitting(newer, self.max_record_bytes)
+            part = take_fitting(newer, MAX_RECORD_BYTES)
             if not part or not self.outbox.send(address, MemberRecords(part)):
                 break
             newer = newer[len(part) :]
--- a/finchcart/membership/heartbeats.py
+++ b/finchcart/membership/heartbeats.py
@@ -10,8 +10,7 @@
 from finchcart.membership.failure_detection import QUIET_LINK_PERIODS, FailureDetector
 from finchcart.membership.gossip import GossipEntryStore
 from finchcart.membership.links import PeerLink
-from finchcart.membership.messages import DeclaredStatus, Heartbeat
-from finchcart.membership.outbox import Outbox
+from finchcart.membership.messages import MAX_RECORD_BYTES, DeclaredStatus, Heartbeat
 from finchcart.membership.records import IN_FLEET, MemberState, MemberTable
 
 SEEDS_AT_ONCE = 2
@@ -22,11 +21,10 @@
     """Keeps no state of its own: what is due stands in the links.
 
     Arguments:
-        table, detector, gossip, outbox: of the same member.
+        table, detector, gossip: of the same member.
         config: the period and its ticks.
         seeds: addresses from the settings, without the own.
         random: spreads heartbeats and chooses whom to look for.
-        max_record_bytes: what records and entries may take of a datagram.
     """
 
     def __init__(
@@ -34,20 +32,17 @@
         table: MemberTable,
         detector: FailureDetector,
         gossip: GossipEntryStore,
-        outbox: Outbox,
         config: MembershipConfig,
         seeds: list[str],
         random: Random,
-        max_record_bytes: int,
     ) -> None:
         self.table = table
         self.detector = detector
         self.gossip = gossip
-        self.outbox = outbox
+        self.outbox = table.outbox
         self.config = config
         self.seeds = seeds
         self.random = random
-        self.max_record_bytes = max_record_bytes
 
     def on_tick(self, now: int) -> None:
         """Sends what is due."""
@@ -103,7 +98,7 @@
     def send(self, now: int, member_id: int, link: PeerLink) -> bool:
         """One heartbeat with what is piggybacked; False where the bound on datagrams is reached."""
         table = self.table
-        max_bytes = self.max_record_bytes - len(encode_value(table.own_record))
+        max_bytes = MAX_RECORD_BYTES - len(encode_value(table.own_record))
         # An own record that declares many links down leaves no room for entries.
         entries = take_fitting(self.gossip.take(now, member_id, max_bytes), max_bytes)
         updates = table.updates.take(
--- a/finchcart/membership/member.py
+++ b/finchcart/membership/member.py
@@ -18,7 +18,7 @@
 from typing import Protocol
 
 from finchcart.membership.anti_entropy import AntiEntropy
-from finchcart.membership.codec import MAX_DATAGRAM_BYTES, DatagramError, name_hash, parse_address
+from finchcart.membership.codec import DatagramError, name_hash, parse_address
 from finchcart.membership.config import MembershipConfig
 from finchcart.membership.effects import Effect, HostPort, InputKind
 from finchcart.membership.failure_detection import FailureDetector
@@ -45,9 +45,6 @@
 from finchcart.membership.view import Graph
 from finchcart.membership.view_report import ViewReport
 
-HEARTBEAT_OVERHEAD_BYTES = 120  # of a datagram, besides the records and entries in it
-MAX_RECORD_BYTES = MAX_DATAGRAM_BYTES - HEARTBEAT_OVERHEAD_BYTES
-
 
 class PiggybackClient(Protocol):
     """A state machine whose gossip entries are piggybacked on a member's heartbeats."""
@@ -100,17 +97,8 @@
         self.isolation = IsolationMonitor(self.table, self.detector, config, bool(other_seeds), now)
         self.contest = NameContest(self.table, self.isolation)
         self.gossip = GossipEntryStore(self.table)
-        self.anti_entropy = AntiEntropy(self.table, config, self.outbox, random, MAX_RECORD_BYTES)
-        self.heartbeats = HeartbeatSender(
-            self.table,
-            self.detector,
-            self.gossip,
-            self.outbox,
-            config,
-            other_seeds,
-            random,
-            MAX_RECORD_BYTES,
-        )
+        self.anti_entropy = AntiEntropy(self.table, config, random)
+        self.heartbeats = HeartbeatSender(self.table, self.detector, self.gossip, config, other_seeds, random)
         self.report = ViewReport(self.table, self.detector, self.isolation)
         self._handlers = {
             InputKind.TICK: self._on_tick,
--- a/finchcart/membership/messages.py
+++ b/finchcart/membership/messages.py
@@ -10,13 +10,22 @@
 from msgspec import Meta, Struct
 from xxhash import xxh3_64_intdigest
 
-from finchcart.membership.codec import Address, MessageCodec, NodeName, Unsigned53, Unsigned64
+from finchcart.membership.codec import (
+    MAX_DATAGRAM_BYTES,
+    Address,
+    MessageCodec,
+    NodeName,
+    Unsigned53,
+    Unsigned64,
+)
 
 CHANNEL = b"M"
 MAX_BUCKETS = 64
 MAX_PAGE_ENTRIES = 64
 MAX_GOSSIP_ENTRIES = 16  # in one heartbeat
 MAX_PAYLOAD_BYTES = 600  # of one gossip entry
+MESSAGE_OVERHEAD_BYTES = 120  # of a datagram, besides the records and entries in it
+MAX_RECORD_BYTES = MAX_DATAGRAM_BYTES - MESSAGE_OVERHEAD_BYTES  # of the records and entries in one datagram
 
 
 class DeclaredStatus(IntEnum):
