membership, consensus: settings' words stand in one table, fields have full names

part, count, bad, shut and the like named fields of a configuration by the settings' keys. FIELDS_BY_SETTING maps a key to its field, keys stay.

--- a/finchcart/cli/file.py
+++ b/finchcart/cli/file.py
@@ -155,7 +155,7 @@
 
 def figures(fleet):
     """The file's figures over the defaults, in whole microseconds."""
-    return MembershipConfig(**_in_microseconds(fleet, ("name", "listen", "advertise", "seeds")))
+    return MembershipConfig.from_settings(_in_microseconds(fleet, ("name", "listen", "advertise", "seeds")))
 
 
 def quota(settings):
@@ -189,7 +189,7 @@
     """Their figures; None where none are asked for."""
     if settings.verdicts is UNSET:
         return None
-    return verdicts_of.ConsensusConfig(**_in_microseconds(settings.verdicts, ()))
+    return verdicts_of.ConsensusConfig.from_settings(_in_microseconds(settings.verdicts, ()))
 
 
 def claims(settings):
@@ -303,18 +303,18 @@
     told = figures(fleet)
     if told.patience_most < told.patience:
         yield "fleet.patience_most", f"{told.patience_most} is less than fleet.patience, {told.patience}"
-    oldest = told.staleness_bound(told.members, 0.5)
-    if told.remember <= oldest:
+    oldest = told.staleness_bound(told.max_members, 0.5)
+    if told.forget_after <= oldest:
         yield (
             "fleet.remember_s",
             (
-                f"{told.remember / SECOND:g} s is less than the oldest that a view may be "
+                f"{told.forget_after / SECOND:g} s is less than the oldest that a view may be "
                 f"at half of the messages lost, {oldest / SECOND:g} s"
             ),
         )
     need = 2 * told.watch + told.revive + 8
-    if told.datagrams < need:
-        yield "fleet.datagrams", f"{told.datagrams} is less than 2 x watch + revive + 8 = {need}"
+    if told.max_datagrams < need:
+        yield "fleet.datagrams", f"{told.max_datagrams} is less than 2 x watch + revive + 8 = {need}"
 
 
 def read(path):
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -73,7 +73,7 @@
     asked, held = quota(settings), verdicts(settings)
     if not held:
         return asked
-    trial = Limit(TRIAL, held.trials, counts="trial", mode="loose")
+    trial = Limit(TRIAL, held.probe_calls, counts="trial", mode="loose")
     asked = asked or QuotaConfig()
     return replace(asked, limits=(*asked.limits, trial))
 
@@ -122,7 +122,7 @@
         meters = Meters(self.shares.limits, self.shares.slack, self.shares.most)
         held = verdicts(self.settings)
         if held:
-            meters.rise, meters.longest = held.rise, held.trial
+            meters.rise, meters.longest = held.recovery_step, held.probe_timeout
         return meters
 
     def witness(self):
--- a/finchcart/consensus/collector.py
+++ b/finchcart/consensus/collector.py
@@ -107,7 +107,7 @@
     def _reports_that_count(
         self, now: int, member_id: int, held: DatedEntry | None, name: str
     ) -> list[Report] | None:
-        if held is None or held.written_at is None or now - held.written_at > self.config.life:
+        if held is None or held.written_at is None or now - held.written_at > self.config.report_lifetime:
             return None
         if self._changes_too_often(now, member_id, held.entry.precedence):
             return None
@@ -134,7 +134,7 @@
         rate = self._change_rates.get(member_id)
         if rate is None:
             rate = self._change_rates[member_id] = ChangeRate(now, precedence)
-        allowed = 2 * RATE_WINDOW // self.config.pace
+        allowed = 2 * RATE_WINDOW // self.config.min_publish_interval
         if rate.changes(now, precedence) > allowed and now >= rate.muted_until:
             rate.muted_until = now + RATE_WINDOW
             self._count("speaks too often")
--- a/finchcart/consensus/config.py
+++ b/finchcart/consensus/config.py
@@ -1,55 +1,90 @@
 """The configuration of consensus, in one type, and the bounds that follow from it.
 
-Owns what operators set; filled once from the settings file, whose keys the fields are named after (without
-the unit). It must never hold what is learnt while running. Times are whole microseconds, parts are from 0 to
-1.
+Owns what operators set, by the names of the code; `FIELDS_BY_SETTING` has the words of the settings file. It
+must never hold what is learnt while running. Times are whole microseconds, fractions are from 0 to 1.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from math import ceil
-from typing import NamedTuple
-
-from finchcart.membership.config import MembershipConfig
-
-MS, SECOND = 1_000, 1_000_000
+from typing import Any, NamedTuple
+
+from finchcart.membership.config import MS, SECOND, MembershipConfig
+
+# Key of a setting (without its unit) -> the field, where they differ.
+FIELDS_BY_SETTING = {
+    "zones": "min_zones",
+    "look": "look_interval",
+    "span": "observation_span",
+    "pace": "min_publish_interval",
+    "life": "report_lifetime",
+    "quiet": "quiet_period",
+    "count": "min_reports",
+    "part": "store_quorum",
+    "hold": "min_standing",
+    "hold_most": "max_standing",
+    "calls": "min_calls",
+    "failed": "failed_fraction",
+    "slower": "slow_factor",
+    "trials": "probe_calls",
+    "trial": "probe_timeout",
+    "rise": "recovery_step",
+    "bad": "max_bad_messages",
+    "bad_span": "source_span",
+    "source_part": "source_quorum",
+    "shut": "restriction_time",
+    "slowed": "throttled_rate",
+    "most_out": "max_blocked_fraction",
+    "runs": "min_runs",
+    "out_part": "max_ejected_fraction",
+    "node_hold": "runs_report_lifetime",
+    "opinions": "max_source_reports",
+    "subjects": "max_sources",
+    "words": "max_overrides",
+    "again": "recurrence_window",
+}
 
 
 @dataclass(frozen=True)
 class ConsensusConfig:
     """Spans, thresholds and bounds; see docs/operate/verdicts.md for how to choose them."""
 
-    zone: str = ""  # where this node stands; reports from `zones` of them are needed
-    zones: int = 1
-    look: int = 250 * MS  # the core hands on what it saw so often
-    span: int = 2 * SECOND  # of calls and runs that a report rests on
-    pace: int = 300 * MS  # between two changes of the own reports
-    life: int = 15 * SECOND  # a report that is not confirmed for so long is void
-    quiet: int = 3 * SECOND  # after a suspension this node reports nothing for so long
-    count: int = 2  # reports that a decision needs at least
-    part: float = 0.5  # of those that could know, and more: store
-    hold: int = 2 * SECOND  # a decision stands so long at least; twice as long each time it comes back soon
-    hold_most: int = 16 * SECOND
-    calls: int = 4  # in a span, for a report of the store
-    failed: float = 0.5  # of calls, or of runs, that failed: down, or failing
-    slower: float = 4.0  # times the usual time of calls, or the median of other nodes' runs: slow
-    trials: int = 4  # calls of the whole fleet to a store that is down
-    trial: int = 1 * SECOND  # the longest of these
-    rise: int = 500 * MS  # each so long twice as many calls, once it is back
-    bad: int = 20  # messages that can't be read and connections without an RPC, in `bad_span`
-    bad_span: int = 10 * SECOND
-    source_part: float = 0.25  # of the members that have to report a source, and at least `count`
-    shut: int = 30 * SECOND  # a source is reported for so long after the last that was seen
-    slowed: int = 5  # RPCs a second that each node admits of a source that is throttled
-    most_out: float = 0.2  # of all RPCs: what comes from sources blocked by reports together
-    runs: int = 20  # in a span, for a report of a node
-    out_part: float = 0.2  # of the members that may be ejected at once
-    node_hold: int = 30 * SECOND  # an ejected node that runs nothing keeps its numbers for so long
+    zone: str = ""  # where this node stands; reports from `min_zones` of them are needed
+    min_zones: int = 1
+    look_interval: int = 250 * MS  # the core hands on what it saw so often
+    observation_span: int = 2 * SECOND  # of calls and runs that a report rests on
+    min_publish_interval: int = 300 * MS  # between two changes of the own reports
+    report_lifetime: int = 15 * SECOND  # a report that is not confirmed for so long is void
+    quiet_period: int = 3 * SECOND  # after a suspension this node reports nothing for so long
+    min_reports: int = 2  # reports that a decision needs at least
+    store_quorum: float = 0.5  # of those that could know, and more: store
+    min_standing: int = 2 * SECOND  # of a decision; twice as long each time it comes back soon
+    max_standing: int = 16 * SECOND
+    min_calls: int = 4  # in a span, for a report of the store
+    failed_fraction: float = 0.5  # of calls, or of runs, that failed: down, or failing
+    slow_factor: float = 4.0  # times the usual time of calls, or the median of other nodes' runs: slow
+    probe_calls: int = 4  # calls of the whole fleet to a store that is down
+    probe_timeout: int = 1 * SECOND  # the longest of these
+    recovery_step: int = 500 * MS  # each so long twice as many calls, once it is back
+    max_bad_messages: int = 20  # messages that can't be read and connections without an RPC, in `source_span`
+    source_span: int = 10 * SECOND
+    source_quorum: float = 0.25  # of the members that have to report a source, and at least `min_reports`
+    restriction_time: int = 30 * SECOND  # a source is reported for so long after the last that was seen
+    throttled_rate: int = 5  # RPCs a second that each node admits of a source that is throttled
+    max_blocked_fraction: float = 0.2  # of all RPCs: what comes from sources blocked by reports together
+    min_runs: int = 20  # in a span, for a report of a node
+    max_ejected_fraction: float = 0.2  # of the members that may be ejected at once
+    runs_report_lifetime: int = 30 * SECOND  # an ejected node that runs nothing keeps its numbers for so long
     level_step: float = 0.2  # a node may be laxer than the fleet's level by this
-    opinions: int = 12  # reports of sources, by one node: the worst
-    subjects: int = 512  # sources looked at by a node; the one that did least goes when full
-    words: int = 16  # overrides of operators; the one that ends first goes when full
-    again: int = 30 * SECOND  # a decision that comes back within this stands for longer each time
+    max_source_reports: int = 12  # reports of sources, by one node: the worst
+    max_sources: int = 512  # sources looked at by a node; the one that did least goes when full
+    max_overrides: int = 16  # overrides of operators; the one that ends first goes when full
+    recurrence_window: int = 30 * SECOND  # a decision that comes back within this stands for longer each time
+
+    @classmethod
+    def from_settings(cls, settings: Mapping[str, Any]) -> "ConsensusConfig":
+        """The configuration of settings by key (without its unit); times are microseconds."""
+        return cls(**{FIELDS_BY_SETTING.get(key, key): value for key, value in settings.items()})
 
     def acts_within(
         self, membership: MembershipConfig, count: int, loss: float = 0.0, lateness: int = 0
@@ -70,14 +105,22 @@
             # Passed on with the usual heartbeats, to two each: a period a step.
             steps = (count // membership.watch).bit_length() + 2
             dissemination += steps * membership.period
-        return self.look + self.pace + dissemination + 3 * membership.tick + 3 * lateness
+        return (
+            self.look_interval
+            + self.min_publish_interval
+            + dissemination
+            + 3 * membership.tick
+            + 3 * lateness
+        )
 
     def store_within(
         self, membership: MembershipConfig, count: int, loss: float = 0.0, lateness: int = 0
     ) -> int:
         """Microseconds from a fault of the store until all connected nodes act: the span has to fill
         first."""
-        return self.span + self.trial + self.acts_within(membership, count, loss, lateness)
+        return (
+            self.observation_span + self.probe_timeout + self.acts_within(membership, count, loss, lateness)
+        )
 
     def back_within(
         self,
@@ -90,20 +133,22 @@
         """Microseconds from the store's return until calls rise again everywhere; `recurrences`: how often it
         fell lately."""
         return (
-            2 * self.span + self.hold_time(recurrences) + self.acts_within(membership, count, loss, lateness)
+            2 * self.observation_span
+            + self.hold_time(recurrences)
+            + self.acts_within(membership, count, loss, lateness)
         )
 
     def hold_time(self, recurrences: int) -> int:
         """Microseconds that a decision stands at least, where it came back so often lately."""
-        return min(self.hold << recurrences, self.hold_most)
+        return min(self.min_standing << recurrences, self.max_standing)
 
     def staleness_bound(self) -> int:
         """Microseconds: the oldest report that a decision can rest on."""
-        return self.life
+        return self.report_lifetime
 
     def required_reports(self, member_count: int) -> int:
         """Reports that a decision on a source needs, of so many members."""
-        return max(self.count, ceil(self.source_part * member_count))
+        return max(self.min_reports, ceil(self.source_quorum * member_count))
 
     def excess_messages(self, per_second: int, member_count: int, within: int) -> int:
         """What a source can have sent to all nodes in the microseconds between the evidence and the last node
@@ -120,25 +165,27 @@
 
 def config_errors(config: ConsensusConfig) -> Iterator[FieldProblem]:
     """What cannot be used."""
-    if config.part <= 0:
+    if config.store_quorum <= 0:
         yield FieldProblem("part", "0 lets one node alone speak for all")
-    if config.life < 3 * config.span:
+    if config.report_lifetime < 3 * config.observation_span:
         yield FieldProblem(
             "life_ms",
-            f"{config.life // MS} ms is less than 3 x span_ms = {3 * config.span // MS} ms: "
+            f"{config.report_lifetime // MS} ms is less than "
+            f"3 x span_ms = {3 * config.observation_span // MS} ms: "
             "opinions would be void before they are confirmed",
         )
-    if config.hold_most < config.hold:
+    if config.max_standing < config.min_standing:
         yield FieldProblem(
-            "hold_most_ms", f"{config.hold_most // MS} ms is less than hold_ms, {config.hold // MS} ms"
+            "hold_most_ms",
+            f"{config.max_standing // MS} ms is less than hold_ms, {config.min_standing // MS} ms",
         )
 
 
 def config_warnings(config: ConsensusConfig) -> Iterator[FieldProblem]:
     """What can be used, but is seldom meant."""
-    if config.count < 2:
+    if config.min_reports < 2:
         yield FieldProblem("count", "1: one node that is wrong, or lies, shuts a source out for all")
-    if config.most_out > 0.5:
+    if config.max_blocked_fraction > 0.5:
         yield FieldProblem(
-            "most_out", f"{config.most_out}: opinions may turn away more than half of all RPCs"
+            "most_out", f"{config.max_blocked_fraction}: opinions may turn away more than half of all RPCs"
         )
--- a/finchcart/consensus/decision.py
+++ b/finchcart/consensus/decision.py
@@ -59,22 +59,22 @@
 
 
 def _are_enough(voters: Collection[int], zones: Zones, config: ConsensusConfig) -> bool:
-    return len(voters) >= config.count and len({zones.get(who) for who in voters}) >= config.zones
+    return len(voters) >= config.min_reports and len({zones.get(who) for who in voters}) >= config.min_zones
 
 
 def decide_store(reports: Reports, zones: Zones, config: ConsensusConfig) -> Decision | None:
     """Those who called it lately know; where too few did, all who ever reported something vote."""
     of_store = dict(_reports_of(reports, STORE_SUBJECT))
     votes = {who: value for who, (_, value, is_fresh) in of_store.items() if is_fresh}
-    if len(votes) < config.count:
+    if len(votes) < config.min_reports:
         votes = {who: value for who, (_, value, _) in of_store.items()}
     for health in (StoreHealth.DOWN, StoreHealth.SLOW):
         voters = [who for who, value in votes.items() if value >= health]
         # More than that part: where two halves differ, neither speaks for all.
-        if _are_enough(voters, zones, config) and len(voters) > config.part * len(votes):
+        if _are_enough(voters, zones, config) and len(voters) > config.store_quorum * len(votes):
             return Decision(health, len(voters), len(votes))
     working = sum(value == StoreHealth.WORKING for value in votes.values())
-    if working >= config.count:
+    if working >= config.min_reports:
         return Decision(StoreHealth.WORKING, working, len(votes))
     return None
 
@@ -89,7 +89,7 @@
             if is_source(report.subject):
                 by_source.setdefault(report.subject, {})[who] = report
     required = config.required_reports(member_count)
-    percent_left = 100 * config.most_out
+    percent_left = 100 * config.max_blocked_fraction
     decisions = {}
     for source, by_member in sorted(by_source.items(), key=lambda item: (-len(item[1]), item[0])):
         if len(by_member) < required or not _are_enough(by_member, zones, config):
@@ -101,7 +101,7 @@
         if blocking >= required and percent <= percent_left:
             percent_left -= percent
             decisions[source] = Decision(Restriction.BLOCKED, blocking, member_count)
-        elif percent <= 100 * config.most_out:
+        elif percent <= 100 * config.max_blocked_fraction:
             decisions[source] = Decision(Restriction.THROTTLED, len(by_member), member_count)
     return decisions
 
@@ -128,7 +128,7 @@
         if kind_of(report.subject) == SubjectKind.NODE
     }
     of_nodes = list(by_member.values())
-    if len(of_nodes) <= config.count:
+    if len(of_nodes) <= config.min_reports:
         return {}
     all_failed = sorted(percent_failed for _, percent_failed, _ in of_nodes)
     all_times = sorted(time for _, _, time in of_nodes)
@@ -136,19 +136,19 @@
     for node, percent_failed, time in of_nodes:
         usual_failed = median_without(all_failed, percent_failed)
         usual_time = median_without(all_times, time)
-        if percent_failed >= 100 * config.failed and usual_failed < 50 * config.failed:
+        if percent_failed >= 100 * config.failed_fraction and usual_failed < 50 * config.failed_fraction:
             outliers.append((-percent_failed, node))
-        elif usual_time and time >= config.slower * usual_time:
+        elif usual_time and time >= config.slow_factor * usual_time:
             outliers.append((-time / usual_time, node))
     others = len(of_nodes) - 1
-    most = int(config.out_part * member_count)
+    most = int(config.max_ejected_fraction * member_count)
     return {node: Decision(EJECTED, others, others) for _, node in sorted(outliers)[:most]}
 
 
 def decide_level(reports: Reports, config: ConsensusConfig) -> Decision | None:
     """The lower median: so many are as strict or stricter, and fewer than half can't move it."""
     levels = [report.value for _, report in _reports_of(reports, LEVEL_SUBJECT)]
-    if len(levels) < config.count:
+    if len(levels) < config.min_reports:
         return None
     level = median_low(levels)
     return Decision(level, sum(each >= level for each in levels), len(levels)) if level else None
@@ -167,7 +167,7 @@
     """How many wrong or lying nodes of `member_count` it takes, by the rule alone."""
     half = member_count // 2
     return FaultThresholds(
-        store=max(config.count, int(config.part * member_count) + 1),
+        store=max(config.min_reports, int(config.store_quorum * member_count) + 1),
         source=config.required_reports(member_count),
         level=half,
         node=half,
--- a/finchcart/consensus/observations.py
+++ b/finchcart/consensus/observations.py
@@ -70,7 +70,7 @@
     """What one source did, and what is reported of it."""
 
     def __init__(self, config: ConsensusConfig) -> None:
-        self.sums = SlidingSums(config.bad_span, 3)  # bad messages, RPCs over a rate, RPCs
+        self.sums = SlidingSums(config.source_span, 3)  # bad messages, RPCs over a rate, RPCs
         self.restriction: Restriction | None = None
         self.restricted_until = 0
         self.worst_count = 0
@@ -83,7 +83,7 @@
 
 
 class Observer:
-    """Bounded by `config.subjects` sources.
+    """Bounded by `config.max_sources` sources.
 
     Arguments:
         own_subject: of this node.
@@ -100,9 +100,9 @@
 
     def _clear(self) -> None:
         config = self.config
-        self.calls = SlidingSums(config.span, 3)
-        self.runs = SlidingSums(config.span, 3)
-        self.rpcs = SlidingSums(config.bad_span, 1)
+        self.calls = SlidingSums(config.observation_span, 3)
+        self.runs = SlidingSums(config.observation_span, 3)
+        self.rpcs = SlidingSums(config.source_span, 1)
         self.sources: dict[int, ObservedSource] = {}
         self._store: StoreHealth | None = None
         self._store_seen_at = 0
@@ -132,35 +132,35 @@
     def _observe_store(self, now: int, was_called: bool) -> None:
         succeeded, failed, time = self.calls.sums
         # Of a store that is down one probe call tells.
-        required = 1 if self._store == StoreHealth.DOWN else self.config.calls
+        required = 1 if self._store == StoreHealth.DOWN else self.config.min_calls
         if was_called and succeeded + failed >= required:
             self._store = self._judge_store(succeeded, failed, time)
             self._store_seen_at = now
-        elif self._store and now - self._store_seen_at > self.config.life:
+        elif self._store and now - self._store_seen_at > self.config.report_lifetime:
             self._store = None
 
     def _judge_store(self, succeeded: int, failed: int, time: int) -> StoreHealth:
         mean = time / succeeded if succeeded else 0
         usual = self._usual_call_time
-        if failed >= self.config.failed * (succeeded + failed):
+        if failed >= self.config.failed_fraction * (succeeded + failed):
             return StoreHealth.DOWN
-        if usual and mean > self.config.slower * usual:
+        if usual and mean > self.config.slow_factor * usual:
             return StoreHealth.SLOW
         self._usual_call_time = mean if usual is None else usual + (mean - usual) / CALL_TIME_SMOOTHING
         return StoreHealth.WORKING
 
     def _observe_runs(self, now: int) -> None:
         ended, failed, time = self.runs.sums
-        if ended >= self.config.runs:
+        if ended >= self.config.min_runs:
             self._runs_summary = round(100 * failed / ended), time // ended
             self._runs_seen_at = now
-        elif self._runs_summary and now - self._runs_seen_at > self.config.node_hold:
+        elif self._runs_summary and now - self._runs_seen_at > self.config.runs_report_lifetime:
             self._runs_summary = None
 
     def _observe_source(self, now: int, subject: int, item: Sequence[int]) -> None:
         source = self.sources.get(subject)
         if source is None:
-            if len(self.sources) >= self.config.subjects and not self._make_room():
+            if len(self.sources) >= self.config.max_sources and not self._make_room():
                 return
             source = self.sources[subject] = ObservedSource(self.config)
         source.sums.add(now, item)
@@ -177,14 +177,18 @@
         return False
 
     def _review_sources(self, now: int) -> None:
-        until = now + self.config.shut
+        until = now + self.config.restriction_time
         for subject, source in list(self.sources.items()):
             source.sums.expire(now)
             bad, over_rate, _ = source.sums.sums
             is_dispatcher = kind_of(subject) == SubjectKind.DISPATCHER
-            if bad >= self.config.bad:
+            if bad >= self.config.max_bad_messages:
                 source.restrict(Restriction.BLOCKED, until, bad)
-            elif over_rate >= self.config.bad and is_dispatcher and source.restriction != Restriction.BLOCKED:
+            elif (
+                over_rate >= self.config.max_bad_messages
+                and is_dispatcher
+                and source.restriction != Restriction.BLOCKED
+            ):
                 source.restrict(Restriction.THROTTLED, until, over_rate)
             if source.restriction and now >= source.restricted_until:
                 source.restriction = None
@@ -204,7 +208,7 @@
         level = LEVEL_STEP_THOUSANDTHS * round(LEVEL_STEPS * self._level)
         reports = [Report(ZONE_SUBJECT, self.zone, 0), Report(LEVEL_SUBJECT, level, 0)]
         if self._store:
-            is_fresh = now - self._store_seen_at <= self.config.span
+            is_fresh = now - self._store_seen_at <= self.config.observation_span
             reports.append(Report(STORE_SUBJECT, self._store, int(is_fresh)))
         if self._runs_summary:
             percent_failed, time = self._runs_summary
@@ -216,11 +220,11 @@
     def _worst_sources(self) -> list[int]:
         restricted = [subject for subject, source in self.sources.items() if source.restriction]
         restricted.sort(key=lambda subject: (-self.sources[subject].worst_count, subject))
-        return restricted[: self.config.opinions]
+        return restricted[: self.config.max_source_reports]
 
     def _report_source(self, subject: int) -> Report:
         source = self.sources[subject]
         all_rpcs = max(1, self.rpcs.sums[0])
         percent = min(100, 100 * source.sums.sums[2] // all_rpcs)
-        rate = min(MILLION - 1, source.worst_count * MILLION // self.config.bad_span)
+        rate = min(MILLION - 1, source.worst_count * MILLION // self.config.source_span)
         return Report(subject, source.restriction, percent * MILLION + rate)
--- a/finchcart/consensus/standing.py
+++ b/finchcart/consensus/standing.py
@@ -100,7 +100,7 @@
 
     def _recurrences(self, now: int, subject: int) -> int:
         ended = self._ended.pop(subject, None)
-        if ended is None or now - ended.ended_at > self.config.again:
+        if ended is None or now - ended.ended_at > self.config.recurrence_window:
             return 0
         return min(ended.recurrences + 1, MAX_RECURRENCES)
 
@@ -112,6 +112,6 @@
 
     def _forget_ended(self, now: int) -> None:
         for subject in [
-            one for one, ended in self._ended.items() if now - ended.ended_at > self.config.again
+            one for one, ended in self._ended.items() if now - ended.ended_at > self.config.recurrence_window
         ]:
             del self._ended[subject]
--- a/finchcart/consensus/store.py
+++ b/finchcart/consensus/store.py
@@ -8,7 +8,8 @@
 `("leave",)`, `("end",)`, `("figures", ConsensusConfig)`. Effects: `("verdicts", map)` (all that stands,
 where it changed: see `_standing_for_core`), `("send", address, datagram)`, `("log", text, fields)`.
 
-Bounds: reports one gossip entry a member, overrides `config.words`, decisions by what reports there are.
+Bounds: reports one gossip entry a member, overrides `config.max_overrides`, decisions by what reports
+there are.
 """
 
 from dataclasses import replace
@@ -76,7 +77,7 @@
         zone = name_hash(config.zone) >> 32 if config.zone else 0
         self.observer = Observer(self.own_subject, config, zone)
         self.collector = ReportCollector(config, self.count)
-        self.overrides = OverrideTable(config.words)
+        self.overrides = OverrideTable(config.max_overrides)
         self.standing = StandingDecisions(self.own_subject, config)
         self.member: Member | None = None
         self.level = 0.0  # of load shedding, as the fleet decides it
@@ -122,7 +123,7 @@
         self.config = config
         for owner in (self.observer, self.collector, self.standing):
             owner.config = config
-        self.overrides.max_overrides = config.words
+        self.overrides.max_overrides = config.max_overrides
 
     def _on_end(self, now: int) -> None:
         self.ended = True
@@ -148,7 +149,7 @@
         """What was seen and decided is of before; others may have seen otherwise meanwhile."""
         self.count("gaps")
         self.observer.forget()
-        self._quiet_until = now + self.config.quiet
+        self._quiet_until = now + self.config.quiet_period
         self.standing.clear()
         self.collector.on_clock_gap()
         self._published = None
@@ -161,18 +162,18 @@
         reports = self.observer.reports(now) if now >= self._quiet_until else []
         age = now - self._published_at
         is_new = self._published is None or reports != self._published
-        if (is_new and age >= self.config.pace) or age >= self.config.life // 3:
+        if (is_new and age >= self.config.min_publish_interval) or age >= self.config.report_lifetime // 3:
             is_urgent = self._published is None or _urgent_part(reports) != _urgent_part(self._published)
             self._published = reports
             self._published_at = now
             payload = encode_value(reports)
             self.member.publish(now, GossipTopic.OBSERVATIONS, [], payload, is_urgent=is_urgent)
-        if len(self.overrides) and now - self._overrides_published_at >= self.config.pace:
+        if len(self.overrides) and now - self._overrides_published_at >= self.config.min_publish_interval:
             self._publish_overrides_in_turn(now)
 
     def _publish_overrides_in_turn(self, now: int) -> None:
         chosen = self.overrides.next_in_turn()
-        is_recent = now - self._overrides_published_at < self.config.life // 3
+        is_recent = now - self._overrides_published_at < self.config.report_lifetime // 3
         if len(chosen) < len(self.overrides) or not is_recent:
             self._publish_overrides(now, chosen)
 
@@ -207,7 +208,11 @@
         decided_from = reports, self.collector.member_count, is_alone, self.config
         if decided_from != self._decided_from:
             # Without contact the own reports are enough, and the only ones.
-            config = replace(self.config, count=1, zones=1, source_part=0.0) if is_alone else self.config
+            config = (
+                replace(self.config, min_reports=1, min_zones=1, source_quorum=0.0)
+                if is_alone
+                else self.config
+            )
             self._decided_from = decided_from
             self._decisions = decide(reports, config, self.collector.member_count)
         decisions = dict(self._decisions)
--- a/finchcart/fault_injection/beliefs.py
+++ b/finchcart/fault_injection/beliefs.py
@@ -53,7 +53,9 @@
         self.written, self.trace = {}, xxhash.xxh3_64()
         self.calls = self.wasted = self.trials = 0
         self.worst_lie = 0  # by how much a note was ever taken to be younger than it is
-        self.quota = QuotaConfig(limits=(Limit("trial", self.beliefs.trials, counts="trial", mode="loose"),))
+        self.quota = QuotaConfig(
+            limits=(Limit("trial", self.beliefs.probe_calls, counts="trial", mode="loose"),)
+        )
 
     def node(self, name, fleet, address, seeds, figures, chance, wall, now):
         member = self.member(name, fleet, address, seeds, figures, chance, wall, now)
@@ -68,7 +70,7 @@
         for name in list(self.places):
             self.start(name)
         for name in list(self.places):
-            self.put(self.now + self.chance.randrange(self.beliefs.look), self.look, name)
+            self.put(self.now + self.chance.randrange(self.beliefs.look_interval), self.look, name)
 
     # ---- what a core would see
 
@@ -85,7 +87,7 @@
 
     def look(self, name):
         place = self.places[name]
-        self.put(self.now + self.beliefs.look, self.look, name)
+        self.put(self.now + self.beliefs.look_interval, self.look, name)
         if place.member is None or place.stopped:
             return
         seen, state = self.seen[name], self.store[name]
@@ -94,16 +96,16 @@
             calls = min(1, seen.part if self.now < seen.until else 0)
             self.trials += calls
         elif self.on and seen.back is not None:
-            calls = min(CALLS, 1 << min(8, (self.now - seen.back) // self.beliefs.rise))
+            calls = min(CALLS, 1 << min(8, (self.now - seen.back) // self.beliefs.recovery_step))
         self.calls += calls
         ok = calls if state in ("ok", "slow") else 0
         self.wasted += calls - ok
         time = {"ok": 20_000, "slow": 400_000, "down": 0}[state] * ok
         sources = {}
         for subject, (rate, who) in self.floods.items():
-            if len(sources) >= self.beliefs.subjects:
+            if len(sources) >= self.beliefs.max_sources:
                 break  # as the core's own table of a look
-            bad = rate * self.beliefs.look // SECOND if name in who else 0
+            bad = rate * self.beliefs.look_interval // SECOND if name in who else 0
             if bad:
                 sources[subject] = (bad, 0, 0)
         evidence = {
@@ -117,7 +119,7 @@
             evidence |= {
                 "calls": (0, CALLS, 0),
                 "level": 1.0,
-                "sources": {**sources, self.innocent: (self.beliefs.bad, 0, 0)},
+                "sources": {**sources, self.innocent: (self.beliefs.max_bad_messages, 0, 0)},
             }
         self.feed(name, ("rider", "evidence", evidence))
         if calls or self.now - seen.called < LATELY:
@@ -143,7 +145,7 @@
                     f"{name} takes a note for {(held.written_at - truth) // 1000} ms younger than it is"
                 )
         board, figures = member.board, self.beliefs
-        if len(board.observer.sources) > figures.subjects or len(board.overrides) > figures.words:
+        if len(board.observer.sources) > figures.max_sources or len(board.overrides) > figures.max_overrides:
             self.breach(f"{name} holds more than its bounds")
         if any(len(held.entry.payload) > 600 for held in member.gossip.own.values()):
             self.breach(f"{name} writes a note that is too long")
@@ -242,14 +244,19 @@
                 self.start(name)
             elif place.stopped:
                 self.go_on(name)
-        within = self.beliefs.shut + 2 * self.beliefs.bad_span + self.beliefs.life + self.beliefs.hold_most
+        within = (
+            self.beliefs.restriction_time
+            + 2 * self.beliefs.source_span
+            + self.beliefs.report_lifetime
+            + self.beliefs.max_standing
+        )
         self.until(
             lambda seen: seen.held == NOTHING,
             self.live(),
             within + 10 * SECOND,
             f"after {self.kind} nothing is held",
         )
-        self.run(self.now + self.beliefs.again, self.after_step)
+        self.run(self.now + self.beliefs.recurrence_window, self.after_step)
         for seen in self.seen.values():
             seen.changes.clear()
 
@@ -272,8 +279,8 @@
         self.all_down(names)
         before, began = self.trials, self.now
         self.run(self.now + self.chance.randrange(3, 15) * SECOND, self.after_step)
-        looks = (self.now - began) / self.beliefs.look + 2
-        if self.loss == 0 and self.trials - before > self.beliefs.trials * looks:
+        looks = (self.now - began) / self.beliefs.look_interval + 2
+        if self.loss == 0 and self.trials - before > self.beliefs.probe_calls * looks:
             self.breach(f"{self.trials - before} trial calls in {looks:.0f} looks")
         self.all_back(names)
         if self.loss < 0.3:
@@ -321,7 +328,7 @@
             self.floods = {subject: (rate, {name})}
             if n < need - 1:
                 self.never(shut, names, SECOND, "too few saw it")
-        bound = self.beliefs.bad * SECOND // rate + self.bound(self.loss)
+        bound = self.beliefs.max_bad_messages * SECOND // rate + self.bound(self.loss)
         self.took("out", self.until(shut, names, bound, "a source floods"), bound)
         self.floods = {}
         if any(self.innocent in self.seen[name].held["sources"] for name in names):
@@ -461,10 +468,10 @@
 
     def fail(self, names):
         """Some nodes fail their runs: they tell it of themselves, and no more at once than a part."""
-        most = int(self.beliefs.out_part * len(names))
+        most = int(self.beliefs.max_ejected_fraction * len(names))
         count = self.chance.randrange(1, max(2, len(names) // 2))
         self.failing = set(self.chance.sample(names, count))
-        bound = self.beliefs.span + 2 * self.bound(self.loss) + self.figures.period * 2
+        bound = self.beliefs.observation_span + 2 * self.bound(self.loss) + self.figures.period * 2
         if count <= most:
             took = self.until(lambda seen: seen.held["out"], self.failing, bound, "it fails its runs")
             self.took("in", took, bound)
--- a/finchcart/fault_injection/run.py
+++ b/finchcart/fault_injection/run.py
@@ -32,7 +32,7 @@
     for name, value in fleet.items():
         unit = next((unit for end, unit in units.items() if name.endswith(end)), 1)
         told[name.removesuffix("_ms").removesuffix("_s")] = value * unit
-    return MembershipConfig(**told)
+    return MembershipConfig.from_settings(told)
 
 
 def on_processes(plan, folder, talk=True, oracle=False):
--- a/finchcart/fault_injection/seeds.py
+++ b/finchcart/fault_injection/seeds.py
@@ -29,7 +29,7 @@
 
     def __init__(self, seed, make=Member, kinds=None):
         self.seed, self.random = seed, Random(f"faults {seed}")
-        self.figures = MembershipConfig(remember=600 * SECOND)
+        self.figures = MembershipConfig(forget_after=600 * SECOND)
         self.fleet = Fleet(NAMES, seed, self.figures, watch=self.watch, make=make)
         self.fleet.add("twin")
         self.trace = xxhash.xxh3_64()
@@ -66,10 +66,13 @@
         if member is None:
             return
         config = member.config
-        if len(member.known_members) > config.members or len(member.table.updates) > config.news:
+        if (
+            len(member.known_members) > config.max_members
+            or len(member.table.updates) > config.max_pending_updates
+        ):
             self.breach(f"{name} holds more than its bounds")
         if (
-            member.outbox.sent_in_period > config.datagrams
+            member.outbox.sent_in_period > config.max_datagrams
             or len(member.links) > len(member.known_members) + 1
         ):
             self.breach(f"{name} sends or links more than its bounds")
--- a/finchcart/membership/config.py
+++ b/finchcart/membership/config.py
@@ -1,15 +1,26 @@
 """The configuration of membership, in one type, and the bounds that follow from it.
 
-Owns the times and sizes by which a member acts; filled once from the settings file, whose keys the fields are
-named after (without the unit). It must never hold what is learnt while running. Times are whole microseconds.
+Owns the times and sizes by which a member acts, by the names of the code; `FIELDS_BY_SETTING` has the words
+of the settings file. It must never hold what is learnt while running. Times are whole microseconds.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from math import ceil, log, log2
+from typing import Any
 
-MS, SECOND = 1_000, 1_000_000
+MS = 1_000  # microseconds in a millisecond
+SECOND = 1_000_000  # microseconds in a second
 UNINFORMED_PROBABILITY = 0.01  # that one member of a fleet still lacks an update after the stated bound
 
+# Key of a setting (without its unit) -> the field, where they differ.
+FIELDS_BY_SETTING = {
+    "members": "max_members",
+    "news": "max_pending_updates",
+    "datagrams": "max_datagrams",
+    "remember": "forget_after",
+}
+
 
 @dataclass(frozen=True)
 class MembershipConfig:
@@ -23,14 +34,21 @@
     suspect: int = 500 * MS  # a member suspected for so long is failed
     rise: int = 500 * MS  # a failed member is alive again after it was connected for so long
     watch: int = 24  # members that each exchanges heartbeats with, at most, rounded down to even
-    remember: int = 600 * SECOND  # a failed or left member is forgotten after this
+    forget_after: int = 600 * SECOND  # a failed or left member is forgotten after this
     revive: int = 8  # failed members and seeds sent a heartbeat in a period
-    members: int = 4096  # records kept; when full, failed ones go first, then new ones are refused
-    news: int = 256  # changed records that wait to be gossiped; the rest is left to anti-entropy
-    datagrams: int = 400  # sent in one period at most; what is over waits for the next tick
+    max_members: int = 4096  # records kept; when full, failed ones go first, then new ones are refused
+    max_pending_updates: int = (
+        256  # changed records that wait to be gossiped; the rest is left to anti-entropy
+    )
+    max_datagrams: int = 400  # sent in one period at most; what is over waits for the next tick
     max_clock_ahead_ms: int = 24 * 3600 * 1000  # past the own wall clock: a later incarnation is impossible
     max_lateness_allowance: int = 5 * SECOND  # a late member's patience grows by no more
 
+    @classmethod
+    def from_settings(cls, settings: Mapping[str, Any]) -> "MembershipConfig":
+        """The configuration of settings by key (without its unit); times are microseconds."""
+        return cls(**{FIELDS_BY_SETTING.get(key, key): value for key, value in settings.items()})
+
     @property
     def tick(self) -> int:
         """Microseconds between two ticks."""
--- a/finchcart/membership/member.py
+++ b/finchcart/membership/member.py
@@ -9,9 +9,9 @@
 finchcart/consensus/store.py). A driver logs changes too. `now` is the boot clock in whole microseconds,
 which counts suspension: a gap between two inputs is a suspension of this process, and is an input by itself.
 
-Bounds: records `config.members`, tombstones and contests as many, links as many as records, updates
-`config.news`, sent datagrams `config.datagrams` a period, 32 send times a link, one gossip entry a topic and
-record. All age out with `config.remember`.
+Bounds: records `config.max_members`, tombstones and contests as many, links as many as records, updates
+`config.max_pending_updates`, sent datagrams `config.max_datagrams` a period, 32 send times a link, one gossip
+entry a topic and record. All age out with `config.forget_after`.
 """
 
 from random import Random
--- a/finchcart/membership/outbox.py
+++ b/finchcart/membership/outbox.py
@@ -10,7 +10,7 @@
 
 
 class Outbox:
-    """Bounded by the reasons there are, and by `config.datagrams` a period.
+    """Bounded by the reasons there are, and by `config.max_datagrams` a period.
 
     Arguments:
         fleet: the name of the fleet, which each datagram carries.
@@ -31,7 +31,7 @@
 
     def on_tick(self) -> None:
         """A tick later, a tick's part of the period's datagrams may be sent again."""
-        freed = self.config.datagrams // self.config.ticks_per_period
+        freed = self.config.max_datagrams // self.config.ticks_per_period
         self.sent_in_period = max(0, self.sent_in_period - freed)
 
     def count(self, reason: str, by: int = 1) -> None:
@@ -48,7 +48,7 @@
 
     def send(self, address: HostPort, message: Message) -> bool:
         """Sends a message; False where this period's datagrams are used up or the message is too long."""
-        if self.sent_in_period >= self.config.datagrams:
+        if self.sent_in_period >= self.config.max_datagrams:
             self.count("over the bound of datagrams")
             return False
         self.sent_in_period += 1
--- a/finchcart/membership/records.py
+++ b/finchcart/membership/records.py
@@ -78,7 +78,7 @@
 
 
 class MemberTable:
-    """Bounded by `config.members`, with as many tombstones; failed and left members go first when full.
+    """Bounded by `config.max_members`, with as many tombstones; failed and left members go first when full.
 
     Failed and left members are no news for newcomers, who would pass them on for ever: the digest leaves them
     out, and their records go only to those who hold an older one.
@@ -158,7 +158,7 @@
         tombstone = self.tombstones.get(member_id)
         if tombstone is not None and record.precedence <= tombstone and not is_direct:
             return "of a forgotten member"
-        if len(self.members) >= self.config.members and not self._make_room():
+        if len(self.members) >= self.config.max_members and not self._make_room():
             return "no room"
         return None
 
@@ -231,7 +231,7 @@
             listener(member_id)
         # Guards against records that others still pass on: a forgotten member would be alive once more.
         self.tombstones[member_id] = known.record.precedence
-        while len(self.tombstones) > self.config.members:
+        while len(self.tombstones) > self.config.max_members:
             self.tombstones.popitem(last=False)
         self.is_graph_outdated = True
         self.is_changed = True
@@ -244,11 +244,11 @@
         return bool(gone)
 
     def forget_expired(self, now: int) -> None:
-        """Forgets the members that have been failed or left for longer than `config.remember`."""
+        """Forgets the members that have been failed or left for longer than `config.forget_after`."""
         expired = [
             member_id
             for member_id, known in self.members.items()
-            if known.state in GONE and now - known.since > self.config.remember
+            if known.state in GONE and now - known.since > self.config.forget_after
         ]
         for member_id in expired:
             self.forget(member_id)
--- a/finchcart/membership/update_queue.py
+++ b/finchcart/membership/update_queue.py
@@ -15,7 +15,7 @@
 
 
 class UpdateQueue:
-    """Bounded by `config.news`: when full the one gossiped last goes, and is left to anti-entropy."""
+    """Bounded by `config.max_pending_updates`: when full the one gossiped last goes, left to anti-entropy."""
 
     def __init__(self, config: MembershipConfig) -> None:
         self.config = config
@@ -32,7 +32,7 @@
         """A record changed, in a fleet of `member_count`: it goes first."""
         self._remaining[member_id] = self.config.retransmissions(member_count)
         self._remaining.move_to_end(member_id, last=False)
-        while len(self._remaining) > self.config.news:
+        while len(self._remaining) > self.config.max_pending_updates:
             self._remaining.popitem()
 
     def discard(self, member_id: int) -> None:
--- a/finchcart/node/witness.py
+++ b/finchcart/node/witness.py
@@ -13,7 +13,7 @@
 
 
 class Witness:
-    """Bounded by `figures.subjects` sources a look, and by the verdicts in force."""
+    """Bounded by `figures.max_sources` sources a look, and by the verdicts in force."""
 
     def __init__(self, figures):
         self.figures, self.looked = figures, None
@@ -26,7 +26,7 @@
 
     def look(self, now, level):
         """The evidence since the last look, or None where it is too soon."""
-        if self.looked is not None and now - self.looked < self.figures.look:
+        if self.looked is not None and now - self.looked < self.figures.look_interval:
             return None
         out = {
             "calls": tuple(self.calls),
@@ -55,7 +55,7 @@
             self.runs[2] += spent
 
     def note(self, one, item, by=1):
-        if one is not None and (one in self.sources or len(self.sources) < self.figures.subjects):
+        if one is not None and (one in self.sources or len(self.sources) < self.figures.max_sources):
             self.sources.setdefault(one, [0, 0, 0])[item] += by
 
     def bad(self, host):
@@ -95,10 +95,10 @@
         )
         if stands[0] == Restriction.BLOCKED:
             self.turned_away += 1
-            return 0, 0, self.figures.shut
+            return 0, 0, self.figures.restriction_time
         if stands[0] != Restriction.THROTTLED:
             return None
-        most = self.figures.slowed
+        most = self.figures.throttled_rate
         left, at = self.tokens.get(stands[1], (most, now))
         left = min(most, left + (now - at) * most / SECOND)
         self.tokens[stands[1]] = max(0.0, left - 1), now
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -41,7 +41,9 @@
 from tests.test_control import PLAIN, one_step
 from tests.test_core import GAUGES, Far, far_plain, play
 
-SHORT = ConsensusConfig(shut=6 * SECOND, bad_span=4 * SECOND, again=6 * SECOND)  # rounds end sooner
+SHORT = ConsensusConfig(
+    restriction_time=6 * SECOND, source_span=4 * SECOND, recurrence_window=6 * SECOND
+)  # rounds end sooner
 CONFIG, BAD, GOOD = (
     ConsensusConfig(),
     subjects.source_subject("10.0.0.7"),
@@ -103,7 +105,7 @@
             [],
             [],
             store_report(StoreHealth.DOWN),
-            figures=replace(CONFIG, zones=2),
+            figures=replace(CONFIG, min_zones=2),
         )
         is None
     ), "of one zone"
@@ -174,8 +176,8 @@
             70 * SECOND,
             sources={subjects.source_subject(f"10.{n // 250}.0.{n % 250}"): (30 if n % 2 else 1, 0, 0)},
         )
-    assert len(observer.sources) == CONFIG.subjects
-    assert len(observer.reports(70 * SECOND)) <= CONFIG.opinions + 4
+    assert len(observer.sources) == CONFIG.max_sources
+    assert len(observer.reports(70 * SECOND)) <= CONFIG.max_source_reports + 4
     see(150 * SECOND)
     assert not observer.sources
 
@@ -248,7 +250,7 @@
     ]
     held = []
     for _ in range(20):
-        table = OverrideTable(CONFIG.words)
+        table = OverrideTable(CONFIG.max_overrides)
         some = overrides + rng.choices(overrides, k=10)
         rng.shuffle(some)
         for message, ends_at in some:
@@ -280,9 +282,10 @@
     one.known_members[name_hash("c")].state = "failed"
     assert consensus.collect_reports(now, is_alone=False).get(name_hash("c")) is None, "of a failed member"
     one.known_members[name_hash("c")].state = "alive"
-    assert consensus.collect_reports(now + CONFIG.life + 1, is_alone=False).get(name_hash("c")) is None, (
-        "void after its life"
-    )
+    assert (
+        consensus.collect_reports(now + CONFIG.report_lifetime + 1, is_alone=False).get(name_hash("c"))
+        is None
+    ), "void after its life"
 
 
 def test_a_bound_of_every_number_of_members_and_loss_grows_with_both():
@@ -362,7 +365,7 @@
 
 
 def eject_all_outliers(reports, config, member_count):
-    return decide_nodes(reports, replace(config, out_part=1.0), member_count)
+    return decide_nodes(reports, replace(config, max_ejected_fraction=1.0), member_count)
 
 
 DEFECTS = {
@@ -378,9 +381,9 @@
     "a decision does not stand for a while": dict(
         kinds=("flaps",), changes=[(standing, "StandingDecision", DecisionWithoutHold)]
     ),
-    "a few are enough for the store": dict(kinds=("zone",), figures=replace(SHORT, part=0.05)),
+    "a few are enough for the store": dict(kinds=("zone",), figures=replace(SHORT, store_quorum=0.05)),
     "one report is enough for a source": dict(
-        kinds=("few_lie",), figures=replace(SHORT, count=1, source_part=0.0)
+        kinds=("few_lie",), figures=replace(SHORT, min_reports=1, source_quorum=0.0)
     ),
     "the strictest level counts": dict(kinds=("few_lie",), changes=[(decision, "median_low", max)]),
     "more may be ejected at once": dict(
@@ -409,7 +412,7 @@
 def witnessed(**settings):
     """A far with verdicts: the trial limit gives this node one call, for ever."""
     meters = Meters((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
-    meters.rise, meters.longest = CONFIG.rise, CONFIG.trial
+    meters.rise, meters.longest = CONFIG.recovery_step, CONFIG.probe_timeout
     far = far_plain(meters, Witness(CONFIG), **settings)
     far.feed(FleetChange(("allow", "trial", 0, 1, far.now + 10**12)))
     return far
@@ -425,7 +428,7 @@
     room = lambda: far.meters.call_capacity(far.core.store)
     assert room() is None
     holds(far, store=StoreHealth.DOWN)
-    assert room() == 1 and far.meters.take_call(far.core.store)[1] == CONFIG.trial
+    assert room() == 1 and far.meters.take_call(far.core.store)[1] == CONFIG.probe_timeout
     far.feed(FleetChange(("allow", "trial", 0, 0, far.now + 10**12)))
     assert room() == 0 and far.meters.take_call(far.core.store) is None
     holds(far)
@@ -433,9 +436,9 @@
     for _ in range(4):
         far.meters.at(far.now)
         rooms.append(room())
-        far.now += CONFIG.rise
+        far.now += CONFIG.recovery_step
     assert rooms == [1, 2, 4, 8], "no rush of all at once"
-    far.now += 20 * CONFIG.rise
+    far.now += 20 * CONFIG.recovery_step
     far.meters.at(far.now)
     assert room() is None
 
@@ -476,7 +479,7 @@
     far.step(MS)
     how = [far.tries[name].get("how") for name in tries]
     assert how[:3] == ["pushed back", "pushed back", None]
-    assert how[3:].count("pushed back") == 8 - CONFIG.slowed
+    assert how[3:].count("pushed back") == 8 - CONFIG.throttled_rate
     assert not far.runs.keys() & {tries[0], tries[1]}, "it never ran"
 
 
@@ -484,7 +487,7 @@
 def test_rules_hold_with_decisions_that_come_and_go(seed):
     rng = random.Random(seed)
     meters = Meters((Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10)
-    meters.rise, meters.longest = CONFIG.rise, CONFIG.trial
+    meters.rise, meters.longest = CONFIG.recovery_step, CONFIG.probe_timeout
     far = Far({**draw_settings(rng), **GAUGES}, seed, meters=meters, witness=Witness(CONFIG))
     step = far.step
 
@@ -548,8 +551,8 @@
 def test_settings_are_checked_and_the_check_warns_of_a_single_report():
     tree = {"fleet": {"name": "x", "listen": "127.0.0.1:1"}, "verdicts": {"count": 1, "life_ms": 20_000}}
     told = verdicts(checked(tree, "f"))
-    assert told.life == 20 * SECOND and [name for name, _ in config_warnings(told)] == ["count"]
-    wrong = config_errors(replace(told, life=SECOND, hold_most=1))
+    assert told.report_lifetime == 20 * SECOND and [name for name, _ in config_warnings(told)] == ["count"]
+    wrong = config_errors(replace(told, report_lifetime=SECOND, max_standing=1))
     assert [name for name, _ in wrong] == ["life_ms", "hold_most_ms"]
     with pytest.raises(Wrong) as wrong:
         checked({"verdicts": {"life_ms": 3000, "cuont": 2}}, "f")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -80,7 +80,7 @@
 
 
 def test_a_full_table_lets_failed_ones_go_first_and_then_refuses():
-    fleet = Fleet([f"n{n}" for n in range(5)], 1, MembershipConfig(members=4))
+    fleet = Fleet([f"n{n}" for n in range(5)], 1, MembershipConfig(max_members=4))
     for name in list(fleet.places)[:4]:
         fleet.start(name)
     fleet.run(3 * SECOND)
@@ -220,7 +220,7 @@
     fleet = Fleet(
         names,
         1,
-        MembershipConfig(remember=6 * SECOND),
+        MembershipConfig(forget_after=6 * SECOND),
         make=make,
         watch=lambda now, name, effect: changes.append((now, name, effect)),
     )
@@ -307,7 +307,7 @@
 
 def flood(make):
     """One that is asked without end sends no more than its bound."""
-    fleet = Fleet(["n0"], 1, MembershipConfig(datagrams=100), make=make)
+    fleet = Fleet(["n0"], 1, MembershipConfig(max_datagrams=100), make=make)
     fleet.start("n0")
     for n in range(2000):
         fleet.feed("n0", ("got", ("10.0.0.9", 1), CODEC.encode("", messages.ViewRequest(n, 0))))
