--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -20,8 +20,9 @@
 from finchcart.quota import local_limits, messages
 from finchcart.quota.allocator import Allocator, HolderKey
 from finchcart.quota.fair_share import max_min_shares, prioritized_shares
+from finchcart.quota.held_lease import NO_LEASE, LeaseId
 from finchcart.quota.leader_election import LeaderElection
-from finchcart.quota.lease_holder import NO_LEASE, LeaseHolder, LeaseId, PendingRequest
+from finchcart.quota.lease_holder import LeaseHolder, PendingRequest
 from finchcart.quota.limits import SECOND, Limit, QuotaConfig, config_errors
 from finchcart.quota.local_limits import LocalLimits
 from finchcart.quota.messages import Ballot
@@ -334,9 +335,9 @@
     return limit.amount
 
 
-def unheard_want_nothing(self, now, member):
+def unconfirmed_want_nothing(self, now, member):
     LocalLimits.observe(self, now, member)
-    self.unheard = []
+    self.unconfirmed = []
 
 
 def joins_at_once(self, now, member):
@@ -345,7 +346,7 @@
 
 
 def in_hand_ignored(self, member, allocation):
-    for member_id, _, demand in LocalLimits.heard_demands(self, member, allocation):
+    for member_id, _, demand in LocalLimits.received_demands(self, member, allocation):
         yield member_id, 0, demand
 
 
@@ -395,14 +396,14 @@
     ),
     "who is not heard is reckoned to want nothing": (
         loose_run,
-        {"observe": unheard_want_nothing},
+        {"observe": unconfirmed_want_nothing},
         {"cut": (0, 1, 2), "over": 0.0},
         53,
     ),
     "who starts takes its part at once": (loose_run, {"observe": joins_at_once}, {"start": ("n4", "n5")}, 50),
     "what others have in hand is not looked at": (
         loose_run,
-        {"heard_demands": in_hand_ignored},
+        {"received_demands": in_hand_ignored},
         {"takes": 4_000_000},
         53,
     ),
