--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -666,7 +666,7 @@
             self.published_feedback = level
 
     def _publish_credit(self, now: int) -> None:
-        """Publishes how many RPCs a caller may have open: of what ends in time, shared by those that heed it."""
+        """Publishes how many RPCs a caller may have open: its part of what ends within the objective."""
         callers = sum(now - at < self.settings.feedback_lifetime for at in self.callers_seen.values())
         run_time = max((method.run_time.mean for method in self.methods), default=SECOND) * self.slowness
         capacity = self.run_limit * max(1.0, OBJECTIVE_PART * self.shortest_objective / run_time)
--- a/finchcart/settings.py
+++ b/finchcart/settings.py
@@ -1,139 +1,177 @@
-"""Outside names of settings, turned into the one plain map that the module reads.
+"""Outside names of settings, turned into the one flat mapping that the decision module reads.
 
-Owns the table of names, for the simulator's wire and for a real node's configuration alike, so that both give
-the module the same map. It must never choose a value: what is not told stays out of the map, and the module
-picks its own default.
+Owns the table of names, for the simulator's protocol and for a real node's configuration alike, so that both
+give the module the same mapping. Never chooses a value: what is not told stays out of the mapping, and the
+module has its own default.
 """
 
-KINDS = {"read_like": "idempotent", "idempotency_key": "keyed", "non_idempotent": "non_idempotent"}
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import NamedTuple
 
+METHOD_KINDS = {
+    "read_like": "idempotent",
+    "idempotency_key": "keyed",
+    "non_idempotent": "non_idempotent",
+}
+MAX_TIME = 10**12  # microseconds
+
+
+class Expectation(NamedTuple):
+    """What a value can be: a test, and the words of an error."""
+
+    holds: Callable[[object], bool]
+    text: str
+
+
+class Setting(NamedTuple):
+    """A setting as the decision module names it; no name: it is not read."""
+
+    name: str | None
+    expectation: Expectation
+
+
+def number(low: float, high: float = float("inf")) -> Expectation:
+    """A number within these bounds, which belong to them."""
+
+    def holds(value: object) -> bool:
+        return isinstance(value, int | float) and not isinstance(value, bool) and low <= value <= high
+
+    bounds = f"from {low} to {high}" if high < float("inf") else f"from {low} up"
+    return Expectation(holds, f"a number {bounds}")
 
-def number(low, high=float("inf")):
-    told = f"a number from {low}" + (f" to {high}" if high < float("inf") else " up")
-    return lambda v: isinstance(v, (int, float)) and not isinstance(v, bool) and low <= v <= high, told
 
+def _one_of(*words: str) -> Expectation:
+    return Expectation(lambda value: isinstance(value, str) and value in words, "one of " + ", ".join(words))
 
-def _word(*words):
-    return lambda v: isinstance(v, str) and v in words, "one of " + ", ".join(words)
 
+def _each(expectation: Expectation) -> Expectation:
+    """One value for all methods, or a tuple with one for each."""
 
-def _each(check):
-    holds, told = check
-    return lambda v: v == "" or all(map(holds, v if isinstance(v, tuple) else (v,))), f"{told}, for each"
+    def holds(value: object) -> bool:
+        values = value if isinstance(value, tuple) else (value,)
+        return value == "" or all(map(expectation.holds, values))
 
+    return Expectation(holds, f"{expectation.text}, for each")
 
-_FLAG = (lambda v: isinstance(v, bool), "true or false")
-_TEXT = (lambda v: isinstance(v, str), "text")
-_TIME = number(0, 10**12)
-# The outside names of settings: the module's word, and what a configuration may tell. Others are passed over.
+
+ANYTHING = Expectation(lambda value: True, "")
+FLAG = Expectation(lambda value: isinstance(value, bool), "true or false")
+TEXT = Expectation(lambda value: isinstance(value, str), "text")
+TIME = number(0, MAX_TIME)
+NOT_READ = Setting(None, ANYTHING)
+
+# By their outside names; others are not read.
 SETTINGS = {
-    "round": ("tick", _TIME),
-    "callers.marksRetry": ("marks_retries", _FLAG),
-    "contract.answerSlack": ("slack", _TIME),
-    "contract.cold": ("warm_up", _TIME),
-    "contract.fall": ("overload_window", _TIME),
-    "contract.overloadFactor": ("overload_factor", number(1)),
-    "contract.startCapacity": ("cold_start_speed", number(0, 1)),
-    "contract.stopSendingWithin": ("drain_grace", _TIME),
-    "familyInfo.below": ("dependency", _word("shared", "tier", "silent")),
-    "familyInfo.callerIdle": ("idle_timeout_max", _TIME),
-    "familyInfo.callsOut": ("calls_limit", number(0)),
-    "familyInfo.callsOver": ("calls_window", _TIME),
-    "familyInfo.classCalls": ("method_calls", _each(_FLAG)),
-    "familyInfo.cores": ("cores", number(1)),
-    "familyInfo.freshStart": ("fresh_start", _FLAG),
-    "familyInfo.gauges": ("gauges", _each(_TEXT)),
-    "familyInfo.heeded": ("feedback_lifetime", _TIME),
-    "familyInfo.kbPerKey": ("key_entry_kb", number(0)),
-    "familyInfo.linger": ("calls_linger", _TIME),
-    "familyInfo.memoryKb": ("memory_kb", number(0)),
-    "familyInfo.passesDeadline": ("tells_deadline", _FLAG),
-    "familyInfo.preemption": ("can_stop", _word("silent", "drop", "pause")),
-    "familyInfo.runFactor": ("run_factor", number(1)),
-    "familyInfo.say": ("feedback", _word("level", "credit", "weight", "silent")),
-    "familyInfo.worthWithout": ("degraded_value", _each(number(0, 1))),
-    "limits.maxRetryAfter": ("retry_after_max", _TIME),
+    "round": Setting("tick", TIME),
+    "callers.marksRetry": Setting("marks_retries", FLAG),
+    "contract.answerSlack": Setting("slack", TIME),
+    "contract.cold": Setting("warm_up", TIME),
+    "contract.fall": Setting("overload_window", TIME),
+    "contract.overloadFactor": Setting("overload_factor", number(1)),
+    "contract.startCapacity": Setting("cold_start_speed", number(0, 1)),
+    "contract.stopSendingWithin": Setting("drain_grace", TIME),
+    "familyInfo.below": Setting("dependency", _one_of("shared", "tier", "silent")),
+    "familyInfo.callerIdle": Setting("idle_timeout_max", TIME),
+    "familyInfo.callsOut": Setting("calls_limit", number(0)),
+    "familyInfo.callsOver": Setting("calls_window", TIME),
+    "familyInfo.classCalls": Setting("method_calls", _each(FLAG)),
+    "familyInfo.cores": Setting("cores", number(1)),
+    "familyInfo.freshStart": Setting("fresh_start", FLAG),
+    "familyInfo.gauges": Setting("gauges", _each(TEXT)),
+    "familyInfo.heeded": Setting("feedback_lifetime", TIME),
+    "familyInfo.kbPerKey": Setting("key_entry_kb", number(0)),
+    "familyInfo.linger": Setting("calls_linger", TIME),
+    "familyInfo.memoryKb": Setting("memory_kb", number(0)),
+    "familyInfo.passesDeadline": Setting("tells_deadline", FLAG),
+    "familyInfo.preemption": Setting("can_stop", _one_of("silent", "drop", "pause")),
+    "familyInfo.runFactor": Setting("run_factor", number(1)),
+    "familyInfo.say": Setting("feedback", _one_of("level", "credit", "weight", "silent")),
+    "familyInfo.worthWithout": Setting("degraded_value", _each(number(0, 1))),
+    "limits.maxRetryAfter": Setting("retry_after_max", TIME),
 }
-_PASSED_OVER = None, (lambda v: True, "")
-# The same for each item of the list of methods.
-METHODS = {
-    "name": ("name", _TEXT),
-    "deadline": ("deadline", _TIME),
-    "effect": ("kind", _word(*KINDS)),
-    "target": ("latency_target", _TIME),
-    "lateWorth": ("late_value", number(0, 1)),
-    "window": ("window", _TIME),
-    "worth": ("criticality", number(0)),
+# The same for each item of the list of methods, which is called `services` outside.
+METHOD_SETTINGS = {
+    "name": Setting("name", TEXT),
+    "deadline": Setting("deadline", TIME),
+    "effect": Setting("kind", _one_of(*METHOD_KINDS)),
+    "target": Setting("latency_target", TIME),
+    "lateWorth": Setting("late_value", number(0, 1)),
+    "window": Setting("window", TIME),
+    "worth": Setting("criticality", number(0)),
 }
 
 
-def from_pairs(raw):
-    """From the wire's pairs of path and text."""
+def from_pairs(raw: Mapping[str, str]) -> dict[str, object]:
+    """From the protocol's pairs of path and text."""
     return _named((path, text if path.endswith(".name") else _value(text)) for path, text in raw.items())
 
 
-def from_json(tree):
-    """From a configuration's nested object: lists of objects as counts and items, plain lists as tuples. What
-    is told is checked, see `check`."""
+def from_json(tree: Mapping[str, object]) -> dict[str, object]:
+    """From a configuration's nested object: lists of objects as counts and items, plain lists as tuples.
+
+    Each value is checked, see `check`.
+    """
     pairs = [(path, value) for path, value in _flat("", tree) if value is not None]
     for path, value in pairs:
-        check(path, value, _look_up(path)[1])
+        check(path, value, _look_up(path).expectation)
     return _named(pairs)
 
 
-def check(path, value, expected):
-    """A ValueError with the field, its value and what is expected, where the value can't be."""
-    holds, told = expected
+def check(path: str, value: object, expectation: Expectation) -> None:
+    """Raise a ValueError with the field, its value and what is expected, where the value can't be."""
+    holds, text = expectation
     if not holds(value):
-        raise ValueError(f"{path}: {value!r:.60}: expected {told}")
+        raise ValueError(f"{path}: {value!r:.60}: expected {text}")
 
 
-def _look_up(path):
-    """The module's name of a setting, or None, and what may be told."""
+def whole(text: str) -> int:
+    """A whole number; raises ValueError for any other text."""
+    if not text.isascii() or not text.lstrip("-").isdigit():
+        raise ValueError(text)
+    return int(text)
+
+
+def _look_up(path: str) -> Setting:
     group, _, rest = path.partition(".")
-    number, _, item = rest.partition(".")
     if group != "services":
-        return SETTINGS.get(path, _PASSED_OVER)
+        return SETTINGS.get(path, NOT_READ)
     if rest == "count":
-        return "methods.count", _PASSED_OVER[1]
-    name, expected = METHODS.get(item, _PASSED_OVER)
-    return name and f"methods.{number}.{name}", expected
+        return Setting("methods.count", ANYTHING)
+    method, _, item = rest.partition(".")
+    setting = METHOD_SETTINGS.get(item, NOT_READ)
+    return setting._replace(name=setting.name and f"methods.{method}.{setting.name}")
 
 
-def _named(pairs):
-    out = {}
+def _named(pairs: Iterable[tuple[str, object]]) -> dict[str, object]:
+    """The mapping by the module's names, with its words for kinds of methods and for preemption."""
+    named = {}
     for path, value in pairs:
-        name, _ = _look_up(path)
+        name = _look_up(path).name
         if name:
-            out[name] = KINDS.get(value, "non_idempotent") if name.endswith(".kind") else value
-    if "can_stop" in out:
-        out["can_pause"] = out["can_stop"] == "pause"
-        out["can_stop"] = out["can_stop"] in ("drop", "pause")
-    return out
+            named[name] = METHOD_KINDS.get(value, "non_idempotent") if name.endswith(".kind") else value
+    if "can_stop" in named:
+        preemption = named["can_stop"]
+        named["can_stop"] = preemption in ("drop", "pause")
+        named["can_pause"] = preemption == "pause"
+    return named
 
 
-def _flat(path, value):
+def _flat(path: str, value: object) -> Iterator[tuple[str, object]]:
     if isinstance(value, dict):
         for name, part in value.items():
             yield from _flat(f"{path}.{name}" if path else name, part)
     elif isinstance(value, list) and value and all(isinstance(part, dict) for part in value):
         yield f"{path}.count", len(value)
-        for n, part in enumerate(value):
-            yield from _flat(f"{path}.{n}", part)
+        for position, part in enumerate(value):
+            yield from _flat(f"{path}.{position}", part)
     elif isinstance(value, list):
-        # As on the wire: a list of one can't be told from its only value, nor an empty one from no text.
+        # As in the protocol: a list of one can't be told from its only value, nor an empty one from no text.
         yield path, tuple(value) if len(value) > 1 else value[0] if value else ""
     else:
         yield path, value
 
 
-def whole(text):
-    if not text.isascii() or not text.lstrip("-").isdigit():
-        raise ValueError
-    return int(text)
-
-
-def _value(text):
+def _value(text: str) -> object:
     if "," in text:
         return tuple(_value(part) for part in text.split(","))
     if text in ("true", "false"):
@@ -142,5 +180,5 @@
         try:
             return read(text)
         except ValueError:
-            pass
+            continue
     return text
