--- /dev/null
+++ b/finchcart/consensus/observations.py
@@ -0,0 +1,226 @@
+"""One node's observer: what it reports, from what its core saw.
+
+Owns the evidence of the last spans and its bounds; it must never hear of other nodes' reports. Pure but for
+what it remembers: the same evidence at the same times gives the same reports. Times are whole microseconds.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+from math import log2
+from typing import TypedDict
+
+from finchcart.consensus.config import ConsensusConfig
+from finchcart.consensus.messages import Report
+from finchcart.consensus.subjects import (
+    LEVEL_SUBJECT,
+    STORE_SUBJECT,
+    ZONE_SUBJECT,
+    Restriction,
+    StoreHealth,
+    SubjectKind,
+    kind_of,
+)
+
+MILLION = 10**6  # by which the percentage stands above the rate in the weight of a source
+LEVEL_STEPS = 20  # of a level, as it is reported
+LEVEL_STEP_THOUSANDTHS = 50
+EVICTION_ATTEMPTS = 8
+CALL_TIME_SMOOTHING = 64  # a new mean counts for one part in so many
+NOTHING_SEEN = (0, 0, 0)
+
+
+class Evidence(TypedDict, total=False):
+    """What a core saw since it was looked at last."""
+
+    calls: tuple[int, int, int]  # (succeeded, failed, microseconds of the successful ones together)
+    runs: tuple[int, int, int]  # (ended, failed, microseconds together)
+    rpcs: int  # admitted
+    sources: dict[int, tuple[int, int, int]]  # subject -> (bad messages, RPCs over a rate, RPCs)
+    level: float  # of load shedding, 0 to 1
+
+
+class SlidingSums:
+    """Sums of tuples of `width` numbers over the last `span` microseconds; bounded by the looks in it."""
+
+    def __init__(self, span: int, width: int) -> None:
+        self.span = span
+        self.sums = [0] * width
+        self._items: deque[tuple[int, Sequence[int]]] = deque()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is left in the span."""
+        return not self._items
+
+    def add(self, now: int, item: Sequence[int]) -> None:
+        """Adds one look's numbers."""
+        if any(item):
+            self._items.append((now, item))
+            self.sums = [total + number for total, number in zip(self.sums, item, strict=True)]
+        self.expire(now)
+
+    def expire(self, now: int) -> None:
+        """Takes out what is older than the span."""
+        while self._items and self._items[0][0] <= now - self.span:
+            _, item = self._items.popleft()
+            self.sums = [total - number for total, number in zip(self.sums, item, strict=True)]
+
+
+class ObservedSource:
+    """What one source did, and what is reported of it."""
+
+    def __init__(self, config: ConsensusConfig) -> None:
+        self.sums = SlidingSums(config.bad_span, 3)  # bad messages, RPCs over a rate, RPCs
+        self.restriction: Restriction | None = None
+        self.restricted_until = 0
+        self.worst_count = 0
+
+    def restrict(self, restriction: Restriction, until: int, count: int) -> None:
+        """Reports a restriction until then, for a count of messages."""
+        self.restriction = restriction
+        self.restricted_until = until
+        self.worst_count = count
+
+
+class Observer:
+    """Bounded by `config.subjects` sources.
+
+    Arguments:
+        own_subject: of this node.
+        config: spans and thresholds.
+        zone: the hash of the zone it stands in, 0 for none.
+    """
+
+    def __init__(self, own_subject: int, config: ConsensusConfig, zone: int = 0) -> None:
+        self.own_subject = own_subject
+        self.config = config
+        self.zone = zone
+        self._usual_call_time: float | None = None  # as it was while the store worked
+        self._clear()
+
+    def _clear(self) -> None:
+        config = self.config
+        self.calls = SlidingSums(config.span, 3)
+        self.runs = SlidingSums(config.span, 3)
+        self.rpcs = SlidingSums(config.bad_span, 1)
+        self.sources: dict[int, ObservedSource] = {}
+        self._store: StoreHealth | None = None
+        self._store_seen_at = 0
+        self._runs_summary: tuple[int, int] | None = None  # percent that failed, mean microseconds
+        self._runs_seen_at = 0
+        self._level = 0.0
+
+    def forget(self) -> None:
+        """After a suspension: what was seen is of before."""
+        self._clear()
+
+    # ---- what is seen
+
+    def observe(self, now: int, evidence: Evidence) -> None:
+        """Takes what the core saw since the last look."""
+        calls = evidence.get("calls", NOTHING_SEEN)
+        self.calls.add(now, calls)
+        self.runs.add(now, evidence.get("runs", NOTHING_SEEN))
+        self.rpcs.add(now, (evidence.get("rpcs", 0),))
+        self._level = evidence.get("level", 0.0)
+        self._observe_store(now, any(calls[:2]))
+        self._observe_runs(now)
+        for subject, item in evidence.get("sources", {}).items():
+            self._observe_source(now, subject, item)
+        self._review_sources(now)
+
+    def _observe_store(self, now: int, was_called: bool) -> None:
+        succeeded, failed, time = self.calls.sums
+        # Of a store that is down one probe call tells.
+        required = 1 if self._store == StoreHealth.DOWN else self.config.calls
+        if was_called and succeeded + failed >= required:
+            self._store = self._judge_store(succeeded, failed, time)
+            self._store_seen_at = now
+        elif self._store and now - self._store_seen_at > self.config.life:
+            self._store = None
+
+    def _judge_store(self, succeeded: int, failed: int, time: int) -> StoreHealth:
+        mean = time / succeeded if succeeded else 0
+        usual = self._usual_call_time
+        if failed >= self.config.failed * (succeeded + failed):
+            return StoreHealth.DOWN
+        if usual and mean > self.config.slower * usual:
+            return StoreHealth.SLOW
+        self._usual_call_time = mean if usual is None else usual + (mean - usual) / CALL_TIME_SMOOTHING
+        return StoreHealth.WORKING
+
+    def _observe_runs(self, now: int) -> None:
+        ended, failed, time = self.runs.sums
+        if ended >= self.config.runs:
+            self._runs_summary = round(100 * failed / ended), time // ended
+            self._runs_seen_at = now
+        elif self._runs_summary and now - self._runs_seen_at > self.config.node_hold:
+            self._runs_summary = None
+
+    def _observe_source(self, now: int, subject: int, item: Sequence[int]) -> None:
+        source = self.sources.get(subject)
+        if source is None:
+            if len(self.sources) >= self.config.subjects and not self._make_room():
+                return
+            source = self.sources[subject] = ObservedSource(self.config)
+        source.sums.add(now, item)
+
+    def _make_room(self) -> bool:
+        """Guards against memory and time that sources without end take: of a few that are there longest, the
+        first of which nothing is reported goes. False where something is reported of each."""
+        for _ in range(EVICTION_ATTEMPTS):
+            subject = next(iter(self.sources))
+            source = self.sources.pop(subject)
+            if not source.restriction:
+                return True
+            self.sources[subject] = source
+        return False
+
+    def _review_sources(self, now: int) -> None:
+        until = now + self.config.shut
+        for subject, source in list(self.sources.items()):
+            source.sums.expire(now)
+            bad, over_rate, _ = source.sums.sums
+            is_dispatcher = kind_of(subject) == SubjectKind.DISPATCHER
+            if bad >= self.config.bad:
+                source.restrict(Restriction.BLOCKED, until, bad)
+            elif over_rate >= self.config.bad and is_dispatcher and source.restriction != Restriction.BLOCKED:
+                source.restrict(Restriction.THROTTLED, until, over_rate)
+            if source.restriction and now >= source.restricted_until:
+                source.restriction = None
+            if not source.restriction and source.sums.is_empty:
+                del self.sources[subject]
+
+    # ---- what is reported
+
+    def reports(self, now: int) -> list[Report]:
+        """What this node reports at this moment, coarse, so that a node that is well reports the same for
+        long.
+
+        Of the store the weight is 1 where there is evidence of the last span; of a source its percentage of
+        the well-formed RPCs times a million, and what it does a second; of the node itself the value is its
+        failed runs in percent, the weight the mean time of a run; of the level the value is in thousandths.
+        """
+        level = LEVEL_STEP_THOUSANDTHS * round(LEVEL_STEPS * self._level)
+        reports = [Report(ZONE_SUBJECT, self.zone, 0), Report(LEVEL_SUBJECT, level, 0)]
+        if self._store:
+            is_fresh = now - self._store_seen_at <= self.config.span
+            reports.append(Report(STORE_SUBJECT, self._store, int(is_fresh)))
+        if self._runs_summary:
+            percent_failed, time = self._runs_summary
+            coarse_time = round(2 ** (round(2 * log2(max(1, time))) / 2))
+            reports.append(Report(self.own_subject, 10 * round(percent_failed / 10), coarse_time))
+        reports += map(self._report_source, self._worst_sources())
+        return reports
+
+    def _worst_sources(self) -> list[int]:
+        restricted = [subject for subject, source in self.sources.items() if source.restriction]
+        restricted.sort(key=lambda subject: (-self.sources[subject].worst_count, subject))
+        return restricted[: self.config.opinions]
+
+    def _report_source(self, subject: int) -> Report:
+        source = self.sources[subject]
+        all_rpcs = max(1, self.rpcs.sums[0])
+        percent = min(100, 100 * source.sums.sums[2] // all_rpcs)
+        rate = min(MILLION - 1, source.worst_count * MILLION // self.config.bad_span)
+        return Report(subject, source.restriction, percent * MILLION + rate)
--- a/finchcart/node/claimer.py
+++ b/finchcart/node/claimer.py
@@ -7,8 +7,8 @@
 `boot` is the boot clock in whole microseconds, set by the driver before each turn.
 """
 
-from finchcart.key_leases import wire
-from finchcart.key_leases.wire import ENDED, FAILED, FULL, OTHER_BODY, YES
+from finchcart.key_leases import messages
+from finchcart.key_leases.messages import LeaseStatus
 from finchcart.node.effects import Defer, KeyLeaseCommand
 from finchcart.node.inputs import KeyLeasesRequested
 
@@ -38,15 +38,15 @@
 
     def ask(self, rpc, token, due, again, go_on):
         """Asks for the claim of an RPC that is not known here. `due`: when it has to be answered at last."""
-        key = wire.key_of(rpc.method, token)
+        key = messages.key_digest(rpc.method, token)
         if key in self.waiting or len(self.waiting) >= MOST:
             self.count("no room")
-            go_on(rpc, FULL, b"")
+            go_on(rpc, LeaseStatus.UNAVAILABLE, b"")
             return
         self.waiting[key] = Waiting(rpc, key, due, again, go_on)
         if not self.asked:
             self.turn.emit(Defer(KeyLeasesRequested()))  # those of one batch go in one message
-        self.asked.append((key, wire.body_of(rpc.body), self.life))
+        self.asked.append((key, messages.payload_digest(rpc.body), self.life))
         self.turn.at(due if self.end is None else min(due, self.end), self.late, key, rpc)
 
     def send(self):
@@ -75,7 +75,7 @@
         if waiting and waiting.rpc is rpc:
             self.give_up(key)
             self.count("no answer")
-            waiting.go_on(rpc, FULL if not waiting.again else FAILED, b"")
+            waiting.go_on(rpc, LeaseStatus.UNAVAILABLE if not waiting.again else LeaseStatus.FAILED, b"")
 
     def left(self, rpc):
         """Its caller has gone. True where it waited for its claim: then nothing more is to come of it."""
@@ -87,24 +87,24 @@
     def answered(self, key, kind, result, by):
         waiting = self.waiting.pop(key, None)
         if waiting is None:
-            if kind == YES:
+            if kind == LeaseStatus.GRANTED:
                 self.turn.emit(KeyLeaseCommand(("never", key)))  # nobody waits for it any more
             return
-        if kind == YES and (not waiting.rpc.owed or self.boot >= by):
+        if kind == LeaseStatus.GRANTED and (not waiting.rpc.owed or self.boot >= by):
             self.turn.emit(KeyLeaseCommand(("never", key)))
-            kind = FULL
+            kind = LeaseStatus.UNAVAILABLE
         self.count(
             {
-                YES: "mine",
-                ENDED: "result of a run elsewhere",
-                FULL: "no majority",
-                OTHER_BODY: "another body",
+                LeaseStatus.GRANTED: "mine",
+                LeaseStatus.COMPLETED: "result of a run elsewhere",
+                LeaseStatus.UNAVAILABLE: "no majority",
+                LeaseStatus.PAYLOAD_MISMATCH: "another body",
             }.get(kind, "failed, or not to be known")
         )
-        if kind == YES:
+        if kind == LeaseStatus.GRANTED:
             self.mine[waiting.rpc.index] = key, by
-        if kind == FULL and waiting.again:
-            kind = FAILED  # an earlier try may have run elsewhere: not told as never run
+        if kind == LeaseStatus.UNAVAILABLE and waiting.again:
+            kind = LeaseStatus.FAILED  # an earlier try may have run elsewhere: not told as never run
         waiting.go_on(waiting.rpc, kind, result)
 
     def may_run(self, index):
@@ -119,7 +119,7 @@
         """Its run is over."""
         claim = self.mine.pop(index, None)
         if claim:
-            kind = ENDED if good else FAILED
+            kind = LeaseStatus.COMPLETED if good else LeaseStatus.FAILED
             self.turn.emit(KeyLeaseCommand(("ended", claim[0], kind, result if good else b"")))
 
     def never(self, index):
