Tests of key leases: names of the field

Cause: claim, kept, told, one_tokened and the planted defects' names were of the house style. Change: names and shape alone.

--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -1,7 +1,8 @@
-"""Claims: seeded runs of keepers and holders, a bounded search, plain cases and planted defects."""
+"""Key leases: seeded runs of replicas and holders, a bounded search, plain cases and planted defects."""
 
 import random
 import re
+from pathlib import Path
 
 import json5
 import pytest
@@ -27,51 +28,52 @@
         world.pass_time(TICK)
 
 
-def claim(world, name, body=7, key=KEY):
-    world.feed(name, "claim", [(key, body, 12 * SECOND)])
+def acquire(world, name, payload_digest=7, key=KEY):
+    """A holder begins to acquire the lease of a key."""
+    world.feed(name, "claim", [(key, payload_digest, 12 * SECOND)])
 
 
 def test_one_of_two_gets_the_key_and_the_other_its_result():
     world = World()
-    claim(world, "h0")
+    acquire(world, "h0")
     settle(world, 1)
     assert world.answers == {("h0", KEY): [LeaseStatus.GRANTED]}
     world.command("h0", KEY)
-    claim(world, "h1")
+    acquire(world, "h1")
     settle(world, 4)
     assert ("h1", KEY) not in world.answers, "it waits for the run elsewhere"
     world.end("h0", KEY)
     settle(world, 8)
     assert world.answers["h1", KEY] == [LeaseStatus.COMPLETED]
-    claim(world, "h1", 8, KEY)
+    acquire(world, "h1", 8, KEY)
     settle(world, 4)
     assert world.answers["h1", KEY] == [LeaseStatus.COMPLETED, LeaseStatus.PAYLOAD_MISMATCH], (
-        "the same key with another body"
+        "the same key with another payload"
     )
 
 
-def test_what_did_not_end_in_time_is_told_as_held_and_what_never_ran_is_free_again():
+def test_a_run_that_did_not_end_in_time_is_answered_as_held_and_what_never_ran_is_free_again():
     world = World()
-    claim(world, "h0")
+    acquire(world, "h0")
     settle(world, 1)
-    claim(world, "h1")
+    acquire(world, "h1")
     settle(world, world.figures.wait // TICK + 4)
     assert world.answers["h1", KEY] == [LeaseStatus.HELD]
     world.feed("h0", "never", KEY)
     del world.to_command["h0", KEY]
-    claim(world, "h1")
+    acquire(world, "h1")
     settle(world, 6)
     assert world.answers["h1", KEY] == [LeaseStatus.HELD, LeaseStatus.GRANTED]
 
 
-def test_a_claim_outlives_its_holder_and_a_restart_of_its_name():
+def test_a_lease_outlives_its_holder_and_a_restart_of_its_name():
     world = World()
-    claim(world, "h0")
+    acquire(world, "h0")
     settle(world, 1)
     world.command("h0", KEY)
     world.start("h0")
-    claim(world, "h0")
-    claim(world, "h1")
+    acquire(world, "h0")
+    acquire(world, "h1")
     settle(world, world.figures.wait // TICK + 4)
     assert world.answers["h1", KEY] == [LeaseStatus.HELD] and world.answers["h0", KEY] == [
         LeaseStatus.GRANTED,
@@ -79,37 +81,37 @@
     ]
 
 
-def test_without_a_majority_nothing_runs_and_a_keeper_that_started_is_silent():
+def test_without_a_quorum_nothing_runs_and_a_replica_that_started_is_quiet():
     world = World()
     world.start("k0")
     world.start("k1")
-    claim(world, "h0")
+    acquire(world, "h0")
     settle(world, 8)
     assert world.answers["h0", KEY] == [LeaseStatus.UNAVAILABLE]
     world.pass_time(world.figures.startup_quiet_period)
-    claim(world, "h0")
+    acquire(world, "h0")
     settle(world, 8)
     assert world.answers["h0", KEY] == [LeaseStatus.UNAVAILABLE, LeaseStatus.GRANTED]
 
 
-def test_a_keeper_is_bounded_and_when_full_refuses_new_claims_and_answers_repeats():
+def test_a_replica_is_bounded_and_when_full_refuses_new_leases_and_answers_duplicates():
     world = World(figures=KeyLeaseConfig(entries=5))
     keys = [messages.key_digest("m", str(n)) for n in range(8)]
     for key in keys[:4]:
-        claim(world, "h0", key=key)
+        acquire(world, "h0", key=key)
     settle(world, 1)
     for key in keys[:4]:
         world.command("h0", key)
         world.end("h0", key)
     for key in keys[4:]:
-        claim(world, "h0", key=key)
+        acquire(world, "h0", key=key)
     settle(world, 1)
-    claim(world, "h1", key=keys[0])
+    acquire(world, "h1", key=keys[0])
     settle(world, 8)
-    kinds = [world.answers["h0", key][-1] for key in keys]
+    statuses = [world.answers["h0", key][-1] for key in keys]
     assert (
-        kinds[:4] == [LeaseStatus.GRANTED] * 4
-        and kinds.count(LeaseStatus.UNAVAILABLE) == 3
+        statuses[:4] == [LeaseStatus.GRANTED] * 4
+        and statuses.count(LeaseStatus.UNAVAILABLE) == 3
         and world.answers["h1", keys[0]] == [LeaseStatus.COMPLETED]
     )
     assert all(len(world.machines[f"k{n}"].leases) <= 5 for n in range(3))
@@ -117,31 +119,32 @@
     assert not any(world.machines[f"k{n}"].leases for n in range(3))
 
 
-def test_many_claims_go_in_one_message_and_a_result_too_large_is_told_as_lost():
+def test_many_requests_go_in_one_message_and_a_result_too_long_is_reported_as_lost():
     world = World()
     keys = [messages.key_digest("m", str(n)) for n in range(20)]
     world.feed("h0", "claim", [(key, 7, 12 * SECOND) for key in keys])
-    assert len(world.net) == 6, "sixteen to a message, three keepers"
+    assert len(world.net) == 6, "sixteen to a message, three replicas"
     settle(world, 1)
     for key in keys:
         world.command("h0", key)
     world.feed("h0", "ended", keys[0], LeaseStatus.COMPLETED, b"x" * 300)
     world.runs[keys[0]][0][3] = LeaseStatus.COMPLETED
     settle(world, 2)
-    claim(world, "h1", key=keys[0])
+    acquire(world, "h1", key=keys[0])
     settle(world, 4)
     assert world.answers["h1", keys[0]] == [LeaseStatus.FAILED]
 
 
-def test_settings_that_can_not_hold_are_told():
-    places = ("10.0.0.1:1", "10.0.0.2:1")
-    wrong = config_errors(KeyLeaseConfig(keepers=places, command=15 * SECOND))
-    assert [name for name, _ in wrong] == ["keepers", "command_ms"]
-    assert not list(config_errors(KeyLeaseConfig(keepers=(*places, "10.0.0.3:1"))))
-    with open("deploy/finchcart.json5", encoding="utf-8") as file:
-        head, _, tail = file.read().partition("  // claims: {\n")
-    told = claims(checked(json5.loads(head + "  claims: {\n" + re.sub(r"(?m)^  // ", "  ", tail)), "example"))
-    assert told == KeyLeaseConfig(keepers=told.keepers) and len(told.keepers) == 3, (
+def test_settings_that_cannot_hold_are_reported():
+    addresses = ("10.0.0.1:1", "10.0.0.2:1")
+    errors = config_errors(KeyLeaseConfig(keepers=addresses, command=15 * SECOND))
+    assert [error.field for error in errors] == ["keepers", "command_ms"]
+    assert not list(config_errors(KeyLeaseConfig(keepers=(*addresses, "10.0.0.3:1"))))
+    text = Path("deploy/finchcart.json5").read_text(encoding="utf-8")
+    head, _, tail = text.partition("  // claims: {\n")
+    example = json5.loads(head + "  claims: {\n" + re.sub(r"(?m)^  // ", "  ", tail))
+    config = claims(checked(example, "example"))
+    assert config == KeyLeaseConfig(keepers=config.keepers) and len(config.keepers) == 3, (
         "the example shows the defaults"
     )
 
@@ -165,83 +168,85 @@
 # ---- the core
 
 
-class Kept:
-    """Keepers by chance round a far: what was claimed, and whose it is. `kinds`: of the answers."""
+class SimulatedReplicas:
+    """Answers the attempts of a simulated core by chance; `statuses`: those that are drawn from.
 
-    def __init__(self, far, rng, kinds):
-        self.far, self.rng, self.kinds = far, rng, kinds
-        self.asked, self.mine, self.told = {}, set(), []
+    Knows which keys are asked for and which are the core's.
+    """
+
+    def __init__(self, far, rng, statuses):
+        self.far = far
+        self.rng = rng
+        self.statuses = statuses
+        self.asked, self.held, self.outcomes = {}, set(), []
         far.do_claim = self.take
         step = far.step
 
-        def stepped(dt):
+        def step_and_answer(dt):
             step(dt)
             for key in [key for key in self.asked if rng.random() < 0.2]:
-                del self.asked[key]
-                kind = rng.choice(kinds)
-                if kind == LeaseStatus.GRANTED:
-                    self.mine.add(key)
-                if not far.ended:
-                    far.feed(FleetChange(("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS)))
+                self.answer(key)
+
+        far.step = step_and_answer
 
-        far.step = stepped
+    def answer(self, key):
+        del self.asked[key]
+        status = self.rng.choice(self.statuses)
+        if status == LeaseStatus.GRANTED:
+            self.held.add(key)
+        if not self.far.ended:
+            run_before = self.far.now + self.rng.choice((5, 1000)) * MS
+            self.far.feed(FleetChange(("claimed", key, status, b"", run_before)))
 
-    def take(self, what):
-        kind, *rest = what
+    def take(self, command):
+        kind, *rest = command
         if kind == "claim":
             for key, _, _ in rest[0]:
-                assert key not in self.asked and key not in self.mine, "claimed twice"
+                assert key not in self.asked and key not in self.held, "asked for twice"
                 self.asked[key] = True
         elif kind == "ended":
-            self.mine.remove(rest[0])
-            self.told.append(rest[1])
+            self.held.remove(rest[0])
+            self.outcomes.append(rest[1])
         else:
-            self.mine.discard(rest[0])
+            self.held.discard(rest[0])
             self.asked.pop(rest[0], None)
 
 
-def runs_are_claimed(far, kept):
+def check_runs_hold_leases(far, replicas):
     run = far.core.pool.run
 
-    def claimed_run(rpc, repeatable):
+    def checked_run(rpc, repeatable):
         if rpc.entry:
             key, by = far.core.claimer.mine[rpc.index]
-            assert key in kept.mine and far.now < by, "commanded without a claim"
+            assert key in replicas.held and far.now < by, "commanded without a lease"
         run(rpc, repeatable)
 
-    far.core.pool.run = claimed_run
+    far.core.pool.run = checked_run
 
 
 @pytest.mark.parametrize("seed", range(12))
-def test_rules_hold_with_claims_and_none_is_left_behind(seed):
+def test_rules_hold_with_key_leases_and_none_is_left_behind(seed):
     rng = random.Random(seed)
     far = Far({**draw_settings(rng), **GAUGES}, seed, claims=lambda turn: Claimer(turn, 20 * SECOND))
-    kept = Kept(
-        far,
-        rng,
-        (
-            LeaseStatus.GRANTED,
-            LeaseStatus.GRANTED,
-            LeaseStatus.GRANTED,
-            LeaseStatus.GRANTED,
-            LeaseStatus.HELD,
-            LeaseStatus.UNAVAILABLE,
-            LeaseStatus.FAILED,
-            LeaseStatus.PAYLOAD_MISMATCH,
-        ),
-    )
-    runs_are_claimed(far, kept)
+    statuses = [LeaseStatus.GRANTED] * 4 + [
+        LeaseStatus.HELD,
+        LeaseStatus.UNAVAILABLE,
+        LeaseStatus.FAILED,
+        LeaseStatus.PAYLOAD_MISMATCH,
+    ]
+    replicas = SimulatedReplicas(far, rng, statuses)
+    check_runs_hold_leases(far, replicas)
     play(far, rng)
-    assert not kept.mine and not far.core.claimer.waiting and not far.core.claimer.mine
+    assert not replicas.held and not far.core.claimer.waiting and not far.core.claimer.mine
 
 
-def one_tokened(kind, again=False, by=1000, result=b"there"):
-    """How a tokened RPC is answered whose claim comes to `kind`, and whether it ran."""
+def one_keyed(kind, again=False, by=1000, result=b"there"):
+    """How a keyed RPC is answered whose lease comes to `kind`, whether it ran, and how late it was."""
     far = far_plain(claims=lambda turn: Claimer(turn, 20 * SECOND))
     name = far.submit(far.open(), 1, **({"r": "1"} if again else {}))
     far.step(MS)
     ((_, asks),) = far.claims
-    assert not far.runs, "not before its claim"
+    assert not far.runs, "not before its lease"
     if kind is not None:
         far.feed(FleetChange(("claimed", asks[0][0], kind, result, far.now + by * MS)))
     far.step(MS)
@@ -253,21 +258,21 @@
     return far.tries[name].get("how"), ran, far.now - far.tries[name]["due"]
 
 
-def test_what_a_claim_comes_to_is_what_the_caller_hears():
-    assert one_tokened(LeaseStatus.GRANTED)[:2] == (None, True)
+def test_the_answer_to_an_attempt_decides_what_the_caller_receives():
+    assert one_keyed(LeaseStatus.GRANTED)[:2] == (None, True)
     assert (
-        one_tokened(LeaseStatus.HELD)[:2] == ("aborted", False)
-        and one_tokened(LeaseStatus.FAILED)[0] == "aborted"
+        one_keyed(LeaseStatus.HELD)[:2] == ("aborted", False)
+        and one_keyed(LeaseStatus.FAILED)[0] == "aborted"
     )
-    assert one_tokened(LeaseStatus.UNAVAILABLE)[0] == "pushed back", "a first try never ran"
-    assert one_tokened(LeaseStatus.UNAVAILABLE, again=True)[0] == "aborted", (
+    assert one_keyed(LeaseStatus.UNAVAILABLE)[0] == "pushed back", "a first try never ran"
+    assert one_keyed(LeaseStatus.UNAVAILABLE, again=True)[0] == "aborted", (
         "an earlier one may have, elsewhere"
     )
-    assert one_tokened(LeaseStatus.GRANTED, by=0)[:2] == ("pushed back", False), (
-        "the claim is over when it comes"
+    assert one_keyed(LeaseStatus.GRANTED, by=0)[:2] == ("pushed back", False), (
+        "the lease is over when it comes"
     )
-    how, ran, late = one_tokened(None)
-    assert how == "pushed back" and not ran and late <= 0, "no keeper answers: by its due time"
+    how, ran, late = one_keyed(None)
+    assert how == "pushed back" and not ran and late <= 0, "no replica answers: by its due time"
 
 
 def test_a_run_elsewhere_gives_its_result():
@@ -365,15 +370,15 @@
 
 
 DEFECTS = {
-    "a keeper answers at once after its start": {"keeper": AnswersAtOnceAfterItsStart},
-    "a keeper votes for the newest": {"keeper": VotesForTheNewest},
-    "a release by anyone frees a claim": {"keeper": AnyoneReleases},
-    "a claim is kept too short": {"keeper": LeaseIsTooShort},
-    "one vote is a majority": {"holder": OneVoteIsAQuorum},
-    "votes for an earlier try count": {"holder": EarlierVotesCount},
-    "what ran is given back": {"holder": ReleasesWhatRan},
-    "a failed run is told as a good one": {"holder": ReportsEveryRunAsCompleted},
-    "a key that runs here is claimed once more": {"holder": ForgetsThatItRuns},
+    "a replica answers at once after its start": {"keeper": AnswersAtOnceAfterItsStart},
+    "a replica votes for the newest": {"keeper": VotesForTheNewest},
+    "a release by anyone frees a lease": {"keeper": AnyoneReleases},
+    "a lease is too short": {"keeper": LeaseIsTooShort},
+    "one vote is a quorum": {"holder": OneVoteIsAQuorum},
+    "votes for an earlier attempt count": {"holder": EarlierVotesCount},
+    "what ran is released": {"holder": ReleasesWhatRan},
+    "a failed run is reported as completed": {"holder": ReportsEveryRunAsCompleted},
+    "a key that runs here is asked for once more": {"holder": ForgetsThatItRuns},
 }
 
 
@@ -387,17 +392,17 @@
     raise AssertionError("not found in 30 seeds")
 
 
-def test_a_planted_defect_is_found_by_hand_a_later_try_takes_over_what_ran():
-    """The word that it ended is on its way yet, and its own table has forgotten the key."""
+def test_a_planted_defect_is_found_by_hand_a_later_attempt_takes_over_what_ran():
+    """The report of its end is still on its way, and its own table has forgotten the key."""
 
     def play(make):
         world = World(make=make)
-        claim(world, "h0")
+        acquire(world, "h0")
         settle(world, 1)
         world.command("h0", KEY)
         world.end("h0", KEY)
         world.net.clear()  # lost, all three
-        claim(world, "h0")
+        acquire(world, "h0")
         while world.net:
             world.deliver(0)
         if ("h0", KEY) in world.to_command:
@@ -409,14 +414,14 @@
 
 
 def test_a_planted_defect_is_found_by_hand_a_run_is_commanded_however_late():
-    """The holder stops between its claim and the command, its repeat runs elsewhere."""
+    """The holder is suspended between its lease and the command, the duplicate runs elsewhere."""
 
     def play(make):
         world = World(make=make)
-        claim(world, "h0")
+        acquire(world, "h0")
         settle(world, 1)
         world.pass_time(2 * world.figures.life)
-        claim(world, "h1")
+        acquire(world, "h1")
         settle(world, 2)
         world.command("h1", KEY)
         world.command("h0", KEY)
@@ -426,7 +431,7 @@
     play({})
 
 
-def test_choices_of_the_search_are_carried_out():
+def test_choices_of_the_search_are_executed():
     world, rng = World(), random.Random(3)
     act(world, ("claim", "h0"))
     for _ in range(30):
