--- a/finchcart/key_leases/client.py
+++ b/finchcart/key_leases/client.py
@@ -16,6 +16,7 @@
 from finchcart.key_leases.config import KeyLeaseConfig
 from finchcart.key_leases.messages import (
     CODEC,
+    RUN_ENDED,
     AcquireLeases,
     LeaseReport,
     LeaseRequest,
@@ -86,7 +87,7 @@
 
     def granted_votes(self) -> int:
         """Replicas that voted for it."""
-        return sum(status == LeaseStatus.GRANTED for status in self.votes.values())
+        return list(self.votes.values()).count(LeaseStatus.GRANTED)
 
 
 class HeldKey(NamedTuple):
@@ -152,9 +153,11 @@
         self._drop_expired()
         requests = self._due_requests()
         outcomes = self._due_outcomes()
+        if not requests and not outcomes:
+            return
         for replica, address in enumerate(self.replicas):
-            self._send_requests(address, requests[replica])
-            self._send_outcomes(address, outcomes[replica])
+            self._send_requests(address, requests.get(replica, []))
+            self._send_outcomes(address, outcomes.get(replica, []))
 
     # ---- attempts
 
@@ -174,7 +177,7 @@
         if attempt is None or vote.attempt != attempt.number:
             return
         attempt.votes[replica] = vote.status
-        if vote.status in (LeaseStatus.COMPLETED, LeaseStatus.FAILED):
+        if vote.status in RUN_ENDED:
             # Only a holder with a quorum runs, and only it reports outcomes: one replica's report is enough.
             self._conclude(attempt, vote.status, vote.result)
         elif vote.status == LeaseStatus.PAYLOAD_MISMATCH:
@@ -289,9 +292,9 @@
             del self.held[key]
             self.count("never told how it ended")
 
-    def _due_requests(self) -> list[list[LeaseRequest]]:
-        """By replica."""
-        requests: list[list[LeaseRequest]] = [[] for _ in self.replicas]
+    def _due_requests(self) -> dict[int, list[LeaseRequest]]:
+        """By index of the replica."""
+        requests: dict[int, list[LeaseRequest]] = {}
         for attempt in list(self.attempts.values()):
             if self.now < attempt.transmit_at:
                 continue
@@ -301,12 +304,12 @@
             attempt.transmit_at = self.now + self.config.again
             for replica in range(len(self.replicas)):
                 if replica not in attempt.votes:
-                    requests[replica].append(attempt.request())
+                    requests.setdefault(replica, []).append(attempt.request())
         return requests
 
-    def _due_outcomes(self) -> list[list[LeaseReport]]:
-        """By replica."""
-        outcomes: list[list[LeaseReport]] = [[] for _ in self.replicas]
+    def _due_outcomes(self) -> dict[int, list[LeaseReport]]:
+        """By index of the replica."""
+        outcomes: dict[int, list[LeaseReport]] = {}
         for which, delivery in list(self.deliveries.items()):
             if self.now < delivery.transmit_at:
                 continue
@@ -314,7 +317,7 @@
             backoff = min(MAX_BACKOFF, delivery.transmissions)
             delivery.transmit_at = self.now + self.config.again * backoff
             for replica in delivery.unacknowledged:
-                outcomes[replica].append(delivery.outcome)
+                outcomes.setdefault(replica, []).append(delivery.outcome)
             if delivery.transmissions >= MAX_TRANSMISSIONS:
                 del self.deliveries[which]
         return outcomes
--- a/finchcart/key_leases/messages.py
+++ b/finchcart/key_leases/messages.py
@@ -33,6 +33,9 @@
     PAYLOAD_MISMATCH = 7  # the same key with another payload
 
 
+RUN_ENDED = frozenset({LeaseStatus.COMPLETED, LeaseStatus.FAILED})  # statuses of a run that is over
+
+
 class LeaseRequest(Struct, array_like=True, frozen=True):
     """One attempt to acquire the lease of a key; of one holder the higher `attempt` is the newer."""
 
--- a/finchcart/key_leases/replica.py
+++ b/finchcart/key_leases/replica.py
@@ -13,6 +13,7 @@
 from finchcart.key_leases.config import KeyLeaseConfig
 from finchcart.key_leases.messages import (
     CODEC,
+    RUN_ENDED,
     AcquireLeases,
     LeaseReport,
     LeaseRequest,
@@ -161,7 +162,7 @@
             self._remember_released(session, outcome)
             if is_holder and lease.status == LeaseStatus.HELD:
                 del self.leases[outcome.key]
-        elif outcome.status in (LeaseStatus.COMPLETED, LeaseStatus.FAILED):
+        elif outcome.status in RUN_ENDED:
             if lease is None:
                 # This replica did not vote: the request was lost, or it started since.
                 self.count("an outcome without a claim")
--- a/finchcart/message_endpoint.py
+++ b/finchcart/message_endpoint.py
@@ -57,10 +57,10 @@
         self.now = max(now, self.now)
         self.before_input()
         match event:
-            case (InputKind.TICK,):
-                self.on_tick()
             case (InputKind.DATAGRAM, address, data):
                 self._on_datagram(address, data)
+            case (InputKind.TICK,):
+                self.on_tick()
             case (InputKind.END,):
                 self.on_end()
             case _:
