quota: one way to take the limits of a new configuration, in limit_table.py

Cause: lease holders and local limits each had the same dozen lines for limits that come, stay and go. Change: reconcile(), used by both, and a test of it, as no test gave a new configuration.

--- a/finchcart/quota/lease_holder.py
+++ b/finchcart/quota/lease_holder.py
@@ -18,6 +18,7 @@
 from finchcart.message_endpoint import MessageEndpoint, MessageRejectedError
 from finchcart.quota.effects import LimitAllowance, QuotaInput
 from finchcart.quota.held_lease import Allowance, HeldLease, LeaseId
+from finchcart.quota.limit_table import reconcile
 from finchcart.quota.limits import MS, QuotaConfig
 from finchcart.quota.messages import (
     CODEC,
@@ -126,15 +127,7 @@
 
     def on_config(self, quota: QuotaConfig) -> None:
         """Take a new configuration: new limits begin at their floor, removed ones are handed out as such."""
-        kept = {limit.name for limit in quota.strict}
-        for name in [name for name in self.held if name not in kept]:
-            del self.held[name]
-            self.effects.append(LimitAllowance.removed(name))
-        for limit in quota.strict:
-            if limit.name in self.held:
-                self.held[limit.name].limit = limit
-            else:
-                self.held[limit.name] = HeldLease(limit)
+        self.effects += reconcile(self.held, quota.strict, HeldLease)
         self.quota = quota
 
     def on_end(self) -> None:
--- a/finchcart/quota/local_limits.py
+++ b/finchcart/quota/local_limits.py
@@ -25,6 +25,7 @@
 from finchcart.membership.records import MemberState
 from finchcart.quota.effects import LimitAllowance, QuotaInput
 from finchcart.quota.fair_share import max_min_shares
+from finchcart.quota.limit_table import reconcile
 from finchcart.quota.limits import Limit, QuotaConfig
 
 if TYPE_CHECKING:
@@ -140,17 +141,8 @@
 
     def on_config(self, quota: QuotaConfig) -> list[LimitAllowance]:
         """Take a new configuration: new limits begin at their floor, removed ones are handed out as such."""
-        kept = {limit.name for limit in quota.loose}
-        removed = [name for name in self.allocations if name not in kept]
-        for limit in quota.loose:
-            if limit.name in self.allocations:
-                self.allocations[limit.name].limit = limit
-            else:
-                self.allocations[limit.name] = LocalAllocation(limit)
-        for name in removed:
-            del self.allocations[name]
         self.quota = quota
-        return [LimitAllowance.removed(name) for name in removed]
+        return reconcile(self.allocations, quota.loose, LocalAllocation)
 
     def _allowances(self, now: int, allocation: LocalAllocation) -> Iterable[LimitAllowance]:
         """The allowance, where it is new or has to be renewed."""
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -438,6 +438,20 @@
     assert traces[0] == traces[1] != traces[2]
 
 
+def test_a_new_configuration_removes_and_adds_limits_and_keeps_what_is_held_of_the_others():
+    lease_holder = holding({})
+    grant(lease_holder, 1000, 5, 1, 1, 10)
+    store, other = Limit("store", 50), Limit("other", 9, floor=2)
+    assert not lease_holder.reduce(2000, ("quota", dataclasses.replace(SHARED, limits=(store, other))))
+    assert lease_holder.held["store"].amount == 10 and lease_holder.held["store"].limit is store
+    effects = lease_holder.reduce(3000, ("quota", dataclasses.replace(SHARED, limits=(other,))))
+    assert effects == [("allow", "store", None, 0, 0)] and list(lease_holder.held) == ["other"]
+    loose = [Limit(name, 9, mode="loose") for name in ("a", "b")]
+    local = LocalLimits(QuotaConfig(limits=(loose[0],)), 0)
+    assert local.reduce(0, ("quota", QuotaConfig(limits=(loose[1],)))) == [("allow", "a", None, 0, 0)]
+    assert list(local.allocations) == ["b"]
+
+
 def set_demand(fleet, **demands):
     """Let the nodes want these amounts from now on."""
     for name, demand in demands.items():
