--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -23,6 +23,7 @@
 from finchcart.net.links import Links, Listener
 from finchcart.node import effects
 from finchcart.node.core import Core
+from finchcart.node.effect_buffer import own_connections_first
 from finchcart.node.inputs import (
     AddressesChanged,
     CloseAttempted,
@@ -36,9 +37,8 @@
     ThreadDied,
     TimersDue,
 )
-from finchcart.node.turn import own_first
 from finchcart.thrift import codec
-from finchcart.thrift.front import ThriftFront
+from finchcart.thrift.frontend import ThriftFrontend
 
 # Where the other parties are, and the configuration's word for it: these may change while the node runs.
 PLACES = {"pool": "pool", "store": "store", "registry": "roster"}
@@ -154,7 +154,7 @@
                 waiting.append(take())
         except Empty:
             more = False
-        waiting = deque(own_first(waiting))
+        waiting = deque(own_connections_first(waiting))
         now = clock() // 1000
         if now - told >= limits.load_span:
             span = now - told
@@ -236,7 +236,7 @@
         config["seed"],
         config["name"],
         config["places"],
-        lambda core: {"thrift": ThriftFront(core, limits)},
+        lambda core: {"thrift": ThriftFrontend(core, limits)},
         config["watch"],
         *((fleet.meters(), fleet.witness(), fleet.claims()) if fleet else ()),
     )
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -31,10 +31,10 @@
 from finchcart.membership.member import Member
 from finchcart.membership.wire import place_of
 from finchcart.net.datagrams import Datagrams, boot_clock
-from finchcart.node.claimer import Claimer
 from finchcart.node.inputs import Drain, FleetChange, ReloadConfig
-from finchcart.node.meter import Meters
-from finchcart.node.witness import Witness
+from finchcart.node.key_leases import KeyLeaseGate
+from finchcart.node.limiters import LimiterSet
+from finchcart.node.observer import Observer
 from finchcart.quota import wire as shares
 from finchcart.quota.holder import Holder
 from finchcart.quota.limits import Limit, Quota
@@ -118,7 +118,7 @@
         """Of all limits of the fleet that this node is held to; new ones wait for the next start."""
         if not self.shares:
             return None
-        meters = Meters(self.shares.limits, self.shares.slack, self.shares.most)
+        meters = LimiterSet(self.shares.limits, self.shares.slack, self.shares.most)
         held = verdicts(self.settings)
         if held:
             meters.rise, meters.longest = held.rise, held.trial
@@ -127,7 +127,7 @@
     def witness(self):
         """What sees for the fleet's verdicts, where there are any."""
         held = verdicts(self.settings)
-        return held and Witness(held)
+        return held and Observer(held)
 
     def saw(self, evidence):
         self.datagrams.tell(sayings.CHANNEL, "evidence", evidence)
@@ -135,7 +135,7 @@
     def claims(self):
         """Makes what holds tokened RPCs to claims, where there are any."""
         claimed = claims(self.settings)
-        return claimed and (lambda turn: Claimer(turn, claimed.life))
+        return claimed and (lambda turn: KeyLeaseGate(turn, claimed.life))
 
     def claim(self, what):
         self.datagrams.tell_now(claiming.CHANNEL, *what)
--- a/finchcart/fault_injection/beliefs.py
+++ b/finchcart/fault_injection/beliefs.py
@@ -17,7 +17,7 @@
 from finchcart.membership.figures import SECOND
 from finchcart.membership.figures import Figures as MemberFigures
 from finchcart.membership.member import Member
-from finchcart.node.meter import LATELY
+from finchcart.node.limiters import PROBE_DEMAND_PERIOD_US
 from finchcart.quota.limits import Limit, Quota
 from finchcart.quota.loose import Loose
 
@@ -121,7 +121,7 @@
                 "sources": {**sources, self.innocent: (self.beliefs.bad, 0, 0)},
             }
         self.feed(name, ("rider", "evidence", evidence))
-        if calls or self.now - seen.called < LATELY:
+        if calls or self.now - seen.called < PROBE_DEMAND_PERIOD_US:
             seen.called = self.now if calls else seen.called
             self.feed(name, ("rider", "use", "trial", 0, 1, 0))
 
--- a/finchcart/fault_injection/shares.py
+++ b/finchcart/fault_injection/shares.py
@@ -16,7 +16,7 @@
 from finchcart.membership import wire as base
 from finchcart.membership.figures import Figures
 from finchcart.membership.member import Member
-from finchcart.node.meter import Calls, Rate
+from finchcart.node.limiters import CallConcurrencyLimiter, RateLimiter
 from finchcart.quota.holder import Holder
 from finchcart.quota.limits import SECOND, Limit, Quota
 from finchcart.quota.loose import Loose
@@ -107,7 +107,9 @@
                 process.address, "virtual", self.quota, chance, own
             )
         else:
-            kind = self.make.get("meter") or (Rate if self.limit.per == "rate" else Calls)
+            kind = self.make.get("meter") or (
+                RateLimiter if self.limit.per == "rate" else CallConcurrencyLimiter
+            )
             process.meter = kind(self.limit, self.quota.slack, self.quota.most)
             process.meter.now = own
             process.machine = self.node(name, process, chance, own)
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -14,14 +14,14 @@
 from finchcart.errors import InvalidRpcError
 from finchcart.interface import FleetQuota, Gauges, Outcome
 from finchcart.node import inputs
-from finchcart.node.duty import Duty
+from finchcart.node.effect_buffer import EffectBuffer
 from finchcart.node.effects import Defer, Drop, Log, PublishEvidence, PublishUsage
-from finchcart.node.front import ABORTED, OK, PUSHED_BACK
+from finchcart.node.frontend import ABORTED, OK, PUSHED_BACK
+from finchcart.node.idempotency import FAILED, IdempotencyCache, digest_of
 from finchcart.node.inputs import CallNotMade, RunNotStarted
-from finchcart.node.pool import Pool
+from finchcart.node.registration import Registration
 from finchcart.node.store import Store
-from finchcart.node.tokens import FAILED, Tokens, digest_of
-from finchcart.node.turn import Turn
+from finchcart.node.worker_pool import WorkerPool
 
 # Of claims, see claims/wire.py, which is not imported where there are none.
 CLAIM_MINE, CLAIM_ENDED, CLAIM_FULL = 1, 3, 6
@@ -70,8 +70,8 @@
         # A try that reached the machine while an entry lived may be read as late as its deadline.
         self.late = {method(n, "name"): (method(n, "deadline") or 0) + limits.late_read for n in count}
         self.deadlines = {method(n, "name"): method(n, "deadline") or 5_000_000 for n in count}
-        self.turn = Turn(limits.log_again)
-        self.pool = Pool(
+        self.turn = EffectBuffer(limits.log_again)
+        self.pool = WorkerPool(
             self.turn, limits, places["pool"], gauges if isinstance(gauges, tuple) else (gauges,), self
         )
         self.meters = meters  # of the fleet's limits, or None; see meter.py
@@ -87,8 +87,8 @@
             self.call_ended,
             settings.get("calls_linger", 0) if meters else 0,
         )
-        self.tokens = Tokens(self.turn, max(self.late.values(), default=0), limits.kept_results)
-        self.duty = Duty(
+        self.tokens = IdempotencyCache(self.turn, max(self.late.values(), default=0), limits.kept_results)
+        self.duty = Registration(
             self.turn, limits, name, places["registry"], settings.get("drain_grace", 0), self.busy
         )
         self.control = None  # from the worker pool's start on
@@ -315,10 +315,12 @@
         # The ramp of a cold start counts from the worker pool's: a later start is the slower reckoning.
         settings = {**self.settings, "fresh_start": cold}
         if self.watch:
-            from finchcart.node.watch import Watch  # not on the way to ready where nothing is watched
+            from finchcart.node.shadow import (
+                ShadowControl,  # not on the way to ready where nothing is watched
+            )
 
             watched = {**self.settings, **self.watch["settings"], "fresh_start": cold}
-            self.control = Watch(self, settings, watched, self.seed, self.watch["period"], self.log)
+            self.control = ShadowControl(self, settings, watched, self.seed, self.watch["period"], self.log)
         else:
             self.control = Control(self, settings, self.seed)
         self.control.start(self.turn.now)
--- a/finchcart/node/turn.py
+++ b/finchcart/node/effect_buffer.py
@@ -11,13 +11,13 @@
 from finchcart.node.effects import Connect, Log
 
 
-def own_first(inputs):
+def own_connections_first(inputs):
     """The inputs of one turn with those of the node's own links first: what is under way goes before those
     who want more. Guards against an end that overtakes what was read before it: each link's order is kept."""
     return sorted(inputs, key=lambda what: getattr(what, "connection", 0) >= 0)
 
 
-class Turn:
+class EffectBuffer:
     """Times are whole microseconds. Links that the node makes have numbers from -1 down."""
 
     def __init__(self, log_again):
--- a/finchcart/node/tokens.py
+++ b/finchcart/node/idempotency.py
@@ -28,7 +28,7 @@
         self.before = None  # the last of the key that ran, while this one has not
 
 
-class Tokens:
+class IdempotencyCache:
     """`stays`: how long after its window an entry may still be asked for; `most`: bytes of kept results."""
 
     def __init__(self, turn, stays, most):
--- a/finchcart/node/claimer.py
+++ b/finchcart/node/key_leases.py
@@ -23,7 +23,7 @@
         self.rpc, self.key, self.due, self.again, self.go_on = rpc, key, due, again, go_on
 
 
-class Claimer:
+class KeyLeaseGate:
     """`turn`: of the core."""
 
     def __init__(self, turn, life, strict=True):
--- a/finchcart/node/meter.py
+++ b/finchcart/node/limiters.py
@@ -11,11 +11,11 @@
 from math import ceil
 
 MS, SECOND = 1_000, 1_000_000
-LATELY = 10 * SECOND  # who called the store since takes part in trying it
+PROBE_DEMAND_PERIOD_US = 10 * SECOND  # who called the store since takes part in trying it
 SPAN = 250 * MS  # between two looks at how much is asked for
 
 
-class Meter:
+class Limiter:
     """What all kinds have alike. `limit`: see quota/limits.py; `slack`: a call is written so long after this
     turn began, or not at all."""
 
@@ -40,7 +40,7 @@
         return said
 
 
-class Calls(Meter):
+class CallConcurrencyLimiter(Limiter):
     """Calls in hand. What is left of a strict grant is told to the store less the slack, so that the store
     ends the call itself however late this process is then."""
 
@@ -78,7 +78,7 @@
         return self.news(store.in_hand(True), max(0, standing - self.floor), max(0, first - self.floor))
 
 
-class Trial(Calls):
+class ProbeLimiter(CallConcurrencyLimiter):
     """This node's part of the few calls that the whole fleet tries while the store is held to be down. Wanted
     by who called it lately, so that the parts are there when they are needed."""
 
@@ -90,11 +90,11 @@
         in_hand = store.in_hand(False) + store.in_hand(True)
         if standing or in_hand:
             self.called = self.now
-        wants = int(self.called is not None and self.now - self.called < LATELY)
+        wants = int(self.called is not None and self.now - self.called < PROBE_DEMAND_PERIOD_US)
         return self.news(in_hand if self.trying else 0, wants, 0)
 
 
-class Rate(Meter):
+class RateLimiter(Limiter):
     """So many a second, and at once no more than this node's part of the burst: each of `most` processes has
     one of it, the rest goes with the parts of the rate. A part that grows begins empty. So all nodes together
     never take more than the burst and what the rate gives, in any time."""
@@ -165,7 +165,7 @@
         return self.news(0, max(0, wanted - (self.floor if self.limit.strict else 0)), 0)
 
 
-class Rpcs(Meter):
+class RpcConcurrencyLimiter(Limiter):
     """RPCs in hand, from being taken until they are over. A loose limit alone: an RPC can't be ended with a
     grant."""
 
@@ -199,7 +199,7 @@
         return self.news(self.count, max(self.count, self.before, self.asked), 0)
 
 
-class Meters:
+class LimiterSet:
     """All limits of the fleet that this node is held to. `slack`, `most`: see quota/limits.py."""
 
     def __init__(self, limits, slack, most):
@@ -208,11 +208,11 @@
         self.rpcs, self.back_since, self.rise, self.longest = [], None, 0, 0
         for limit in limits:
             kind = (
-                Trial
+                ProbeLimiter
                 if limit.counts == "trial"
-                else Rate
+                else RateLimiter
                 if limit.per == "rate"
-                else (Calls if limit.counts == "calls" else Rpcs)
+                else (CallConcurrencyLimiter if limit.counts == "calls" else RpcConcurrencyLimiter)
             )
             meter = kind(limit, slack, most)
             self.all.append(meter)
--- a/finchcart/node/witness.py
+++ b/finchcart/node/observer.py
@@ -12,7 +12,7 @@
 SECOND = 1_000_000
 
 
-class Witness:
+class Observer:
     """Bounded by `figures.subjects` sources a look, and by the verdicts in force."""
 
     def __init__(self, figures):
--- a/finchcart/node/duty.py
+++ b/finchcart/node/registration.py
@@ -8,7 +8,7 @@
 from finchcart.node.effects import End, SendReport, StopListening
 
 
-class Duty:
+class Registration:
     """`busy()`: whether anything is open or owed."""
 
     def __init__(self, turn, limits, name, place, grace, busy):
--- a/finchcart/node/watch.py
+++ b/finchcart/node/shadow.py
@@ -72,7 +72,7 @@
     )
 
 
-class Watch:
+class ShadowControl:
     """Called like a `Control`. `period`: between lines, in microseconds; `log(text)`: one line."""
 
     def __init__(self, port, settings, watched, seed, period, log):
--- a/finchcart/node/pool.py
+++ b/finchcart/node/worker_pool.py
@@ -10,7 +10,7 @@
 from finchcart.node.effects import Drop, Log, Read, Send
 
 
-class Pool:
+class WorkerPool:
     """`host` is the core: `pool_up(cold, age, first)`, `running(name)`, `run_ended(rpc, outcome, spent,
     result)`, `run_at_call(rpc, cursor, body)`, `pool_anew(cold)` and `woken(name, gauges)`."""
 
--- a/finchcart/thrift/__init__.py
+++ b/finchcart/thrift/__init__.py
@@ -2,5 +2,5 @@
 
 Owns the dispatchers' connections: codec.py their bytes, fields.py what an RPC's fields may say, front.py
 their state. It must never decide about an RPC, nor touch the core's state but through
-finchcart/node/front.py.
+finchcart/node/frontend.py.
 """
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/frontend.py
@@ -8,7 +8,7 @@
 
 from finchcart.errors import InvalidRpcError
 from finchcart.node.effects import Close, CloseIfIdle, Defer, Drop, Read, Send
-from finchcart.node.front import OK, PUSHED_BACK, Rpc
+from finchcart.node.frontend import OK, PUSHED_BACK, Rpc
 from finchcart.node.inputs import CloseDue
 from finchcart.thrift import codec, fields
 
@@ -42,7 +42,7 @@
         self.tries = 0  # to close it, since something last came
 
 
-class ThriftFront:
+class ThriftFrontend:
     """A `Front`; see the top of this file."""
 
     def __init__(self, core, limits):
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -24,7 +24,7 @@
 )
 from finchcart.thrift import codec as thrift
 from finchcart.thrift.codec import STRING, STRUCT
-from finchcart.thrift.front import ThriftFront
+from finchcart.thrift.frontend import ThriftFrontend
 
 KINDS = ("idempotent", "keyed", "non_idempotent")
 MS = 1000
@@ -347,7 +347,7 @@
         self,
         settings,
         seed=1,
-        front=ThriftFront,
+        front=ThriftFrontend,
         watch=None,
         meters=None,
         witness=None,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -13,8 +13,8 @@
 from finchcart.key_leases.holder import Claims
 from finchcart.key_leases.keeper import Keeper
 from finchcart.key_leases.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, YES
-from finchcart.node.claimer import Claimer
 from finchcart.node.inputs import FleetChange
+from finchcart.node.key_leases import KeyLeaseGate
 from tests.harness import draw_settings, read_answer
 from tests.test_core import GAUGES, Far, far_plain, play
 
@@ -204,7 +204,7 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_rules_hold_with_claims_and_none_is_left_behind(seed):
     rng = random.Random(seed)
-    far = Far({**draw_settings(rng), **GAUGES}, seed, claims=lambda turn: Claimer(turn, 20 * SECOND))
+    far = Far({**draw_settings(rng), **GAUGES}, seed, claims=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     kept = Kept(far, rng, (YES, YES, YES, YES, HELD, FULL, FAILED, OTHER_BODY))
     runs_are_claimed(far, kept)
     play(far, rng)
@@ -213,7 +213,7 @@
 
 def one_tokened(kind, again=False, by=1000, result=b"there"):
     """How a tokened RPC is answered whose claim comes to `kind`, and whether it ran."""
-    far = far_plain(claims=lambda turn: Claimer(turn, 20 * SECOND))
+    far = far_plain(claims=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     name = far.submit(far.open(), 1, **({"r": "1"} if again else {}))
     far.step(MS)
     ((_, asks),) = far.claims
@@ -240,7 +240,7 @@
 
 
 def test_a_run_elsewhere_gives_its_result():
-    far = far_plain(claims=lambda turn: Claimer(turn, 20 * SECOND))
+    far = far_plain(claims=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     told = []
     far.answered = lambda link, data: told.append(read_answer(data))
     far.submit(far.open(), 1)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -14,7 +14,7 @@
     WriteBlocked,
     WriteResumed,
 )
-from finchcart.node.meter import Meters, Rate, Rpcs
+from finchcart.node.limiters import LimiterSet, RateLimiter, RpcConcurrencyLimiter
 from finchcart.quota.limits import Limit
 from finchcart.thrift import codec as thrift
 from tests.harness import MS, Far, draw_settings, read_answer
@@ -99,7 +99,7 @@
         Limit("a second", 100, 2, counts="rpcs", per="rate", burst=30, method="m0"),
         Limit("of one", 60, counts="rpcs", per="rate", burst=30, mode="loose", dispatcher="3"),
     )
-    meters = Meters(rng.sample(limits, rng.randint(1, 5)), 20 * MS, 10)
+    meters = LimiterSet(rng.sample(limits, rng.randint(1, 5)), 20 * MS, 10)
     return meters
 
 
@@ -109,7 +109,9 @@
     meters = limits_by_chance(rng)
     far = Far({**draw_settings(rng), **GAUGES}, seed, meters=meters)
     meddle(meters, far)
-    taken = {meter: [0.0, far.now] for meter in meters.all if isinstance(meter, Rate)}  # its bucket's level
+    taken = {
+        meter: [0.0, far.now] for meter in meters.all if isinstance(meter, RateLimiter)
+    }  # its bucket's level
     for meter, bucket in taken.items():
         take = meter.take
 
@@ -142,7 +144,7 @@
                 )
             )
         for meter in meters.rpcs:
-            if isinstance(meter, Rpcs):
+            if isinstance(meter, RpcConcurrencyLimiter):
                 counted = sum(meter in (rpc.counted or ()) for rpc in far.core.rpcs.values())
                 assert meter.count == counted, "counted and not in hand"
                 assert all(
@@ -154,7 +156,7 @@
     far.step = stepped
     play(far, rng)
     for meter in meters.rpcs:
-        assert not isinstance(meter, Rpcs) or meter.count == 0
+        assert not isinstance(meter, RpcConcurrencyLimiter) or meter.count == 0
 
 
 def not_counted_out(meters, far):
@@ -168,7 +170,9 @@
 
 
 def test_an_rpc_over_a_limit_of_the_fleet_is_pushed_back_at_once_and_told_when_to_come_back():
-    meters = Meters((Limit("a second", 50, 0, counts="rpcs", per="rate", burst=10, dispatcher="3"),), 0, 10)
+    meters = LimiterSet(
+        (Limit("a second", 50, 0, counts="rpcs", per="rate", burst=10, dispatcher="3"),), 0, 10
+    )
     far = far_plain(meters=meters, retry_after_max=1000 * MS)
     link = far.open()
     far.feed(FleetChange(("allow", "a second", 0, 10, far.now + 10**9)))
@@ -188,7 +192,7 @@
 
 
 def test_a_part_of_a_limit_is_kept_for_what_matters_more():
-    meters = Meters((Limit("in hand", 50, counts="rpcs", mode="loose"),), 0, 10)
+    meters = LimiterSet((Limit("in hand", 50, counts="rpcs", mode="loose"),), 0, 10)
     settings = {
         "methods.count": 2,
         "methods.1.name": "m1",
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -6,7 +6,7 @@
 
 from finchcart.errors import InvalidRpcError
 from finchcart.node.effects import Drop, Read, Send
-from finchcart.node.front import Rpc
+from finchcart.node.frontend import Rpc
 from tests.harness import MS, Far, draw_settings
 from tests.test_control import PLAIN
 from tests.test_core import GAUGES, play, running
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -274,7 +274,7 @@
         "key_leases",
         "fault_injection",
         "simulated_peers",
-        "node.watch",
+        "node.shadow",
     )
     assert not [name for name in loaded if name.startswith(tuple(f"finchcart.{part}" for part in optional))]
     assert not loaded & {"msgspec", "xxhash", "json5", "click"}
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -6,9 +6,10 @@
 
 from finchcart.interface import Outcome
 from finchcart.net.limits import Limits
-from finchcart.node.duty import Duty
+from finchcart.node.effect_buffer import EffectBuffer, own_connections_first
 from finchcart.node.effects import Defer, End, Send, SendReport, StopListening
-from finchcart.node.front import Rpc
+from finchcart.node.frontend import Rpc
+from finchcart.node.idempotency import FAILED, IdempotencyCache, digest_of
 from finchcart.node.inputs import (
     CloseAttempted,
     ConnectionEnded,
@@ -18,10 +19,9 @@
     ThreadDied,
     TimersDue,
 )
-from finchcart.node.pool import Pool
+from finchcart.node.registration import Registration
 from finchcart.node.store import Store
-from finchcart.node.tokens import FAILED, Tokens, digest_of
-from finchcart.node.turn import Turn, own_first
+from finchcart.node.worker_pool import WorkerPool
 from tests.harness import same_input
 
 MS = 1000
@@ -36,8 +36,8 @@
 
 @pytest.mark.parametrize("seed", range(10))
 def test_tokens_hold_one_entry_a_key_and_bound_results(seed):
-    rng, turn = random.Random(seed), Turn(1)
-    tokens, live, windows = Tokens(turn, 500 * MS, 40), [], {}
+    rng, turn = random.Random(seed), EffectBuffer(1)
+    tokens, live, windows = IdempotencyCache(turn, 500 * MS, 40), [], {}
     for index in range(400):
         turn.begin(turn.now + rng.randrange(60) * MS)
         key = ("m0", rng.randrange(12))
@@ -65,8 +65,8 @@
 
 
 def test_a_late_repeat_of_what_ran_is_known_though_a_later_try_of_the_key_was_forgotten():
-    turn = Turn(1)
-    tokens = Tokens(turn, 500 * MS, 100)
+    turn = EffectBuffer(1)
+    tokens = IdempotencyCache(turn, 500 * MS, 100)
     turn.begin(1_000 * MS)
     ran, later = rpc_of(0), rpc_of(1)
     ran.entry, _ = tokens.entry(("m0", "k"), 0, digest_of(b"body"), turn.now)
@@ -83,8 +83,8 @@
 
 
 def test_waiting_shares_are_told_once_the_first_try_is_over():
-    turn = Turn(1)
-    tokens = Tokens(turn, 0, 100)
+    turn = EffectBuffer(1)
+    tokens = IdempotencyCache(turn, 0, 100)
     first, second = rpc_of(0), rpc_of(1)
     first.entry, _ = tokens.entry(("m0", "k"), 0, digest_of(b"body"), 0)
     tokens.remember(first, 10)
@@ -99,7 +99,7 @@
 
 @pytest.mark.parametrize("seed", range(10))
 def test_each_call_ends_once_and_no_link_serves_a_name_twice(seed):
-    rng, turn, ended = random.Random(seed), Turn(1), []
+    rng, turn, ended = random.Random(seed), EffectBuffer(1), []
     store = Store(turn, LIMITS, ("store", 1), lambda rpc, outcome, body, spent: ended.append(rpc.index))
     under_way, made, used = {}, 0, {}
     for step in range(600):
@@ -153,8 +153,8 @@
 
 
 def test_the_pool_settles_what_a_lost_link_may_have_lost():
-    turn, host = Turn(1), Host()
-    pool = host.pool = Pool(turn, LIMITS, ("pool", 1), ("core_use",), host)
+    turn, host = EffectBuffer(1), Host()
+    pool = host.pool = WorkerPool(turn, LIMITS, ("pool", 1), ("core_use",), host)
     pool.reach()
     pool.got(pool.link, ("up", False, 5_000))
     safe, effect = rpc_of(1), rpc_of(2)
@@ -176,8 +176,8 @@
 
 
 def test_the_end_waits_for_what_is_open_and_listens_no_more_before():
-    turn, busy = Turn(1), [True]
-    duty = Duty(turn, LIMITS, "n1", ("registry", 1), 100 * MS, lambda: busy[0])
+    turn, busy = EffectBuffer(1), [True]
+    duty = Registration(turn, LIMITS, "n1", ("registry", 1), 100 * MS, lambda: busy[0])
     duty.report()
     assert duty.drain(turn.now) and not duty.drain(turn.now)
     duty.health(False)
@@ -203,7 +203,7 @@
             )
         )
     rng.shuffle(words)
-    taken = own_first(words)
+    taken = own_connections_first(words)
     for link in (-2, -1, 1, 2):
         mine = lambda order: [what for what in order if getattr(what, "connection", None) == link]
         assert mine(taken) == mine(words)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -18,7 +18,7 @@
 from finchcart.membership import wire as base
 from finchcart.membership.member import Heard
 from finchcart.net.links import boot_clock
-from finchcart.node.meter import Calls, Rate
+from finchcart.node.limiters import CallConcurrencyLimiter, RateLimiter
 from finchcart.quota import loose, wire
 from finchcart.quota.division import divide, shared_out
 from finchcart.quota.holder import Holder
@@ -179,7 +179,7 @@
         def in_hand(self, leased):
             return self.hands[leased]
 
-    meter, store = Calls(Limit("store", 9, 1), 20_000), Store()
+    meter, store = CallConcurrencyLimiter(Limit("store", 9, 1), 20_000), Store()
     meter.now = 1_000_000
     assert meter.room(store) == 1 and meter.take(store) == (False, None)
     store.hands[False] = 1
@@ -194,7 +194,7 @@
     assert meter.room(store) is None and meter.take(store) == (False, None)
 
 
-def greedy(make=Rate, seed=1):
+def greedy(make=RateLimiter, seed=1):
     """The most that a bucket held, which empties at a limit's rate: nodes take all that their parts allow,
     and parts move between them as planners move them: given anew when the last holder's is over."""
     chance, limit = random.Random(seed), Limit("store", 100, 2, per="rate", burst=40)
@@ -226,7 +226,7 @@
     assert greedy() > 20, "more than half of the bound is used"
 
 
-class FullAtOnce(Rate):
+class FullAtOnce(RateLimiter):
     """A part that grows has its burst at once."""
 
     def allow(self, *what):
@@ -234,12 +234,12 @@
         self.tokens += self.limit.burst / 4
 
 
-class BurstForEach(Rate):
+class BurstForEach(RateLimiter):
     def __init__(self, limit, slack, most=1):
         super().__init__(dataclasses.replace(limit, burst=8 * limit.burst), slack, most)
 
 
-class NeverEnds(Rate):
+class NeverEnds(RateLimiter):
     def per_second(self):
         return self.floor + self.amount
 
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -170,7 +170,9 @@
         "import finchcart.__main__, sys\n"
         "new = ('finchcart.membership', 'finchcart.fault_injection', 'finchcart.cli',\n"
         "       'finchcart.simulated_peers',\n"
-        "       'finchcart.quota', 'finchcart.consensus', 'finchcart.key_leases', 'finchcart.node.witness',\n"
+        "       'finchcart.quota', 'finchcart.consensus', 'finchcart.key_leases',\n"
+        "       'finchcart.node.observer', 'finchcart.node.limiters', 'finchcart.node.key_leases',\n"
+        "       'finchcart.node.fleet_inputs',\n"
         "       'finchcart.net.datagrams', 'msgspec', 'click', 'json5', 'xxhash')\n"
         "print([name for name in sys.modules if name.startswith(new)])"
     )
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -32,8 +32,8 @@
 from finchcart.membership.figures import Figures as MemberFigures
 from finchcart.membership.member import Member
 from finchcart.node.inputs import FleetChange, MessagesReceived
-from finchcart.node.meter import Meters
-from finchcart.node.witness import Witness
+from finchcart.node.limiters import LimiterSet
+from finchcart.node.observer import Observer
 from finchcart.quota.limits import Limit
 from tests.harness import MS, Node, draw_settings
 from tests.test_control import PLAIN, one_step
@@ -343,9 +343,9 @@
 
 def witnessed(**settings):
     """A far with verdicts: the trial limit gives this node one call, for ever."""
-    meters = Meters((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
+    meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
     meters.rise, meters.longest = FIGURES.rise, FIGURES.trial
-    far = far_plain(meters, Witness(FIGURES), **settings)
+    far = far_plain(meters, Observer(FIGURES), **settings)
     far.feed(FleetChange(("allow", "trial", 0, 1, far.now + 10**12)))
     return far
 
@@ -412,9 +412,9 @@
 @pytest.mark.parametrize("seed", range(10))
 def test_rules_hold_with_verdicts_that_come_and_go(seed):
     rng = random.Random(seed)
-    meters = Meters((Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10)
+    meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10)
     meters.rise, meters.longest = FIGURES.rise, FIGURES.trial
-    far = Far({**draw_settings(rng), **GAUGES}, seed, meters=meters, witness=Witness(FIGURES))
+    far = Far({**draw_settings(rng), **GAUGES}, seed, meters=meters, witness=Observer(FIGURES))
     step = far.step
 
     def stepped(dt):
@@ -522,7 +522,7 @@
 
 
 def test_a_call_cut_short_by_a_grant_says_nothing_of_the_store():
-    witness = Witness(FIGURES)
+    witness = Observer(FIGURES)
     witness.call_ended(Outcome.TIMEOUT, 5, True)
     witness.call_ended(Outcome.REJECTED, 5, False)
     witness.call_ended(Outcome.CONNECTION_LOST, 5, True)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -12,7 +12,7 @@
 from finchcart.control import Control
 from finchcart.errors import ConfigError
 from finchcart.interface import Outcome
-from finchcart.node import watch
+from finchcart.node import shadow
 from finchcart.node.inputs import LoadMeasured
 from tests.harness import MS, Far, draw_settings
 from tests.test_control import PLAIN
@@ -93,12 +93,12 @@
 @pytest.mark.parametrize(
     "kind, watched, told, waited",
     [
-        (watch.TAKEN_WOULD_PUSH_BACK, targets(5), {}, 0),
-        (watch.PUSHED_BACK_WOULD_TAKE, targets(1000), targets(5), 0),
-        (watch.GIVEN_UP, {"can_stop": True, "can_pause": True}, {}, 0),
-        (watch.ADVICE, {"marks_retries": False}, {}, 0),
-        (watch.TOLD, {"feedback": "credit"}, {}, 0),
-        (watch.HEALTH, targets(400), {}, 300 * MS),
+        (shadow.TAKEN_WOULD_PUSH_BACK, targets(5), {}, 0),
+        (shadow.PUSHED_BACK_WOULD_TAKE, targets(1000), targets(5), 0),
+        (shadow.GIVEN_UP, {"can_stop": True, "can_pause": True}, {}, 0),
+        (shadow.ADVICE, {"marks_retries": False}, {}, 0),
+        (shadow.TOLD, {"feedback": "credit"}, {}, 0),
+        (shadow.HEALTH, targets(400), {}, 300 * MS),
     ],
 )
 def test_each_kind_is_counted_where_settings_must_differ(kind, watched, told, waited):
