--- a/benchmarks/far.py
+++ b/benchmarks/far.py
@@ -142,7 +142,7 @@
     def send(self, fields, body):
         self.seq += 1
         self.sent[self.seq] = time.monotonic()
-        self.sock.sendall(codec.submit(self.seq, fields, body))
+        self.sock.sendall(codec.submit_call(self.seq, fields, body))
 
     def read(self):
         stream = self.sock.makefile("rb")
--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -240,7 +240,7 @@
         config["watch"],
         *((fleet.meters(), fleet.witness(), fleet.claims()) if fleet else ()),
     )
-    links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.FRONT)
+    links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.THRIFT_CODEC)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
     if fleet:
         fleet.start()
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -121,7 +121,7 @@
         meters = LimiterSet(self.shares.limits, self.shares.slack, self.shares.most)
         held = verdicts(self.settings)
         if held:
-            meters.rise, meters.longest = held.rise, held.trial
+            meters.recovery_step_us, meters.probe_timeout_us = held.rise, held.trial
         return meters
 
     def witness(self):
@@ -142,16 +142,16 @@
 
     def reducer(self, core):
         """The core's `reduce`, with the boot clock told before each turn."""
-        meters, claimer = core.meters, core.claimer
+        meters, claimer = core.limiters, core.key_leases
         if meters is None and claimer is None:
             return core.reduce
 
         def reduce(now, what):
             boot = boot_clock()
             if meters:
-                meters.at(boot)
+                meters.set_clock(boot)
             if claimer:
-                claimer.boot = boot
+                claimer.now_us = boot
             return core.reduce(now, what)
 
         return reduce
--- a/finchcart/fault_injection/shares.py
+++ b/finchcart/fault_injection/shares.py
@@ -48,7 +48,7 @@
     def amount(self):
         return self.meter.amount if self.meter else 0
 
-    def in_hand(self, leased):
+    def in_flight(self, leased):
         return sum(call[1] is leased for call in self.calls)
 
 
@@ -111,7 +111,7 @@
                 RateLimiter if self.limit.per == "rate" else CallConcurrencyLimiter
             )
             process.meter = kind(self.limit, self.quota.slack, self.quota.most)
-            process.meter.now = own
+            process.meter.now_us = own
             process.machine = self.node(name, process, chance, own)
         self.put(self.now + self.random.randrange(TICK), self.tick, name, process.life)
 
@@ -133,7 +133,7 @@
         if self.mode == "strict":
             return self.make.get("holder", Holder)(name, "virtual", self.quota, chance, own)
         parts = sum(each[0] == "n" for each in self.processes) if self.mode == "static" else 1
-        process.meter.allow(self.limit.amount // parts, 0, FOR_EVER)
+        process.meter.set_allowance(self.limit.amount // parts, 0, FOR_EVER)
         return Idle()
 
     def kill(self, name):
@@ -150,8 +150,8 @@
         """Stopped after the last look at the clock, before a call that was allowed is written."""
         process = self.processes[name]
         if self.limit.per == "in_hand" and self.mode == "strict" and process.wants > 0:
-            process.meter.now = process.clock(self.now)
-            given = process.meter.take(process)
+            process.meter.now_us = process.clock(self.now)
+            given = process.meter.try_acquire(process)
             if given and given[0]:
                 takes = int(self.random.expovariate(1 / self.takes)) + 1000
                 process.pending = min(takes, int(given[1] / process.rate))
@@ -193,8 +193,8 @@
                 continue
             self.trace.update(f"{self.now} {name} {effect}".encode())
             if effect[0] == "allow":
-                process.meter.now = process.clock(self.now)
-                process.meter.allow(*effect[2:])
+                process.meter.now_us = process.clock(self.now)
+                process.meter.set_allowance(*effect[2:])
                 self.make_calls(process)
             elif effect[0] == "log":
                 self.logs.append((self.now, name, effect[1], effect[2]))
@@ -206,7 +206,7 @@
 
     def make_calls(self, process):
         now, meter = self.now, process.meter
-        meter.now = process.clock(now)
+        meter.now_us = process.clock(now)
         if process.stopped or process.machine is None:
             return
         if self.limit.per == "rate":
@@ -214,7 +214,7 @@
         else:
             process.calls = [call for call in process.calls if call[0] > now]
             for _ in range(max(0, process.wants - len(process.calls))):
-                given = meter.take(process)
+                given = meter.try_acquire(process)
                 if given is None:
                     break
                 leased, longest = given
@@ -238,8 +238,8 @@
         process.owed = min(process.owed + process.wants * (self.now - before) / SECOND, process.wants)
         while process.owed >= 1:
             process.owed -= 1
-            process.meter.ask()
-            if process.meter.take():
+            process.meter.record_demand()
+            if process.meter.try_acquire():
                 rate = self.whole() * (1 + self.drift) / SECOND
                 self.level = max(0.0, self.level - (self.now - self.level_at) * rate) + 1
                 self.level_at, self.taken = self.now, self.taken + 1
@@ -249,7 +249,7 @@
             return
         lie = 10**6 if process.lies else 0
         rate = self.limit.per == "rate"
-        said = process.meter.use(process, 0 if rate else max(process.wants, lie))
+        said = process.meter.usage(process, 0 if rate else max(process.wants, lie))
         if said and lie and rate:
             said = said[0], lie, 0
         if said:
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -50,17 +50,17 @@
         name,
         places,
         make_fronts,
-        watch=None,
-        meters=None,
-        witness=None,
-        claims=None,
+        shadow=None,
+        limiters=None,
+        observer=None,
+        make_key_leases=None,
     ):
         # Told as absent, whatever the settings allow: this pool's protocol has no word for stopping or
         # pausing work, and dispatchers' answers carry a level alone.
         told = settings.get("feedback", "level")
         absent = {"can_stop": False, "can_pause": False, "feedback": told if told == "level" else "none"}
         self.settings, self.limits, self.seed = {**settings, **absent}, limits, seed
-        self.watch = watch  # None, or the `settings` to watch and the `period` between lines
+        self.shadow = shadow  # None, or the `settings` to watch and the `period` between lines
         gauges = settings.get("gauges", ())
         count = range(settings.get("methods.count", 0))
         method = lambda n, item: settings.get(f"methods.{n}.{item}")
@@ -74,9 +74,11 @@
         self.pool = WorkerPool(
             self.turn, limits, places["pool"], gauges if isinstance(gauges, tuple) else (gauges,), self
         )
-        self.meters = meters  # of the fleet's limits, or None; see meter.py
-        self.witness = witness  # for the fleet's verdicts, or None; see witness.py
-        self.claimer = claims and claims(self.turn)  # of runs in the whole fleet, or None; see claimer.py
+        self.limiters = limiters  # of the fleet's limits, or None; see meter.py
+        self.observer = observer  # for the fleet's verdicts, or None; see witness.py
+        self.key_leases = make_key_leases and make_key_leases(
+            self.turn
+        )  # of runs in the whole fleet, or None; see claimer.py
         self.origins = {}  # link -> host that it comes from, where there is a witness
         worths = {method(n, "name"): method(n, "criticality") or 0 for n in count}
         self.first = {name for name, worth in worths.items() if worth > min(worths.values())}
@@ -85,7 +87,7 @@
             limits,
             places["store"],
             self.call_ended,
-            settings.get("calls_linger", 0) if meters else 0,
+            settings.get("calls_linger", 0) if limiters else 0,
         )
         self.tokens = IdempotencyCache(self.turn, max(self.late.values(), default=0), limits.kept_results)
         self.duty = Registration(
@@ -157,13 +159,13 @@
         """One change of the view of the fleet. What is left or failed is kept by the members alone."""
         what, *rest = change
         if what == "allow":
-            if self.meters:
-                self.meters.allow(*rest)
+            if self.limiters:
+                self.limiters.set_allowance(*rest)
         elif what == "verdicts":
-            self.witness.hold(*rest)
-            self.meters.hold(self.witness.store_down)
+            self.observer.hold(*rest)
+            self.limiters.set_dependency_down(self.observer.store_down)
         elif what == "claimed":
-            self.claimer.answered(*rest)
+            self.key_leases.answered(*rest)
         elif what == "isolated":
             self.isolated = rest[0]
         elif rest[1] in ("failed", "left"):
@@ -173,7 +175,7 @@
 
     def on_opened(self, link, kind, host=None):
         self.turn.owners[link] = self.fronts[kind]
-        if self.witness:
+        if self.observer:
             self.origins[link] = host
         self.fronts[kind].opened(link)
 
@@ -201,8 +203,8 @@
 
     def bad_from(self, link):
         """A message that can't be read came on that link, or none at all."""
-        if self.witness:
-            self.witness.bad(self.origins.get(link))
+        if self.observer:
+            self.observer.bad(self.origins.get(link))
 
     def take(
         self,
@@ -237,9 +239,9 @@
             if again_known:
                 repeats = rpc.entry.index if rpc.entry.index in self.rpcs else -1
         how = dict(expires_at=expires, shed_rank=place, cost_hint=hint, is_retry=again, caller=caller)
-        if self.claimer and token is not None and repeats is None:
+        if self.key_leases and token is not None and repeats is None:
             due = max(self.turn.now, reached + self.deadlines[rpc.method] - CLAIM_MARGIN)
-            self.claimer.ask(
+            self.key_leases.ask(
                 rpc,
                 token,
                 due,
@@ -267,14 +269,14 @@
         """To the module."""
         now, index, caller = self.turn.now, rpc.index, how["caller"]
         told, meters = {}, []
-        if self.meters and repeats is None:
-            meters = self.meters.of(rpc.method, caller)
+        if self.limiters and repeats is None:
+            meters = self.limiters.limiters_of(rpc.method, caller)
             if meters:
-                told["quota"] = FleetQuota(*self.meters.rpc_room(meters))
-                if self.witness and told["quota"][0] <= 0 and any(m.limit.dispatcher for m in meters):
-                    self.witness.over(caller)
-        if self.witness and repeats is None:
-            held = self.witness.room(now, self.origins.get(link), caller)
+                told["quota"] = FleetQuota(*self.limiters.quota(meters))
+                if self.observer and told["quota"][0] <= 0 and any(m.limit.dispatcher for m in meters):
+                    self.observer.over(caller)
+        if self.observer and repeats is None:
+            held = self.observer.room(now, self.origins.get(link), caller)
             if held and (not told or held < told["quota"]):
                 told["quota"] = FleetQuota(*held)
         if room:
@@ -284,7 +286,7 @@
         )
         if rpc.owed:
             for meter in meters:
-                meter.take(rpc)
+                meter.try_acquire(rpc)
 
     def leave(self, rpc):
         """The caller has gone: nothing is owed, nor told to the front."""
@@ -293,7 +295,7 @@
         self.uncount(rpc)
         if rpc.handle:
             rpc.handle.caller_gone(self.turn.now)
-        elif self.claimer and self.claimer.left(rpc):
+        elif self.key_leases and self.key_leases.left(rpc):
             self.release(rpc.index)
 
     def final(self, rpc, outcome, result=b"", wait=0, last=False):
@@ -314,13 +316,13 @@
     def pool_up(self, cold):
         # The ramp of a cold start counts from the worker pool's: a later start is the slower reckoning.
         settings = {**self.settings, "fresh_start": cold}
-        if self.watch:
+        if self.shadow:
             from finchcart.node.shadow import (
                 ShadowControl,  # not on the way to ready where nothing is watched
             )
 
-            watched = {**self.settings, **self.watch["settings"], "fresh_start": cold}
-            self.control = ShadowControl(self, settings, watched, self.seed, self.watch["period"], self.log)
+            watched = {**self.settings, **self.shadow["settings"], "fresh_start": cold}
+            self.control = ShadowControl(self, settings, watched, self.seed, self.shadow["period"], self.log)
         else:
             self.control = Control(self, settings, self.seed)
         self.control.start(self.turn.now)
@@ -352,39 +354,39 @@
             self.final(rpc, OK, result)
         elif outcome is Outcome.ERROR:
             self.final(rpc, ABORTED)
-        if self.witness:
-            self.witness.run_ended(outcome, spent)
-        if self.claimer and outcome is Outcome.NOT_STARTED:
-            self.claimer.never(rpc.index)
-        elif self.claimer:
-            self.claimer.ended(rpc.index, outcome is Outcome.OK, result)
+        if self.observer:
+            self.observer.run_ended(outcome, spent)
+        if self.key_leases and outcome is Outcome.NOT_STARTED:
+            self.key_leases.never(rpc.index)
+        elif self.key_leases:
+            self.key_leases.ended(rpc.index, outcome is Outcome.OK, result)
         if rpc.entry and rpc.entry.index == rpc.index:
             self.tokens.settle(rpc.entry, result if outcome is Outcome.OK else FAILED)
         rpc.handle.run_ended(self.turn.now, outcome, spent)
 
     def run_at_call(self, rpc, cursor, body):
         rpc.stands_at = cursor, body
-        if self.meters and self.meters.calls_rate:
-            self.meters.calls_rate.ask()
+        if self.limiters and self.limiters.calls_rate:
+            self.limiters.calls_rate.record_demand()
         rpc.handle.awaiting_call(self.turn.now)
 
     def woken(self, name, gauges):
         """`gauges`: the worker pool's readings by name."""
         gauges = Gauges.from_readings(gauges)._replace(input_age=self.oldest, input_busy=self.use)
         self.oldest = 0
-        if self.meters:
-            gauges = gauges._replace(call_capacity=self.meters.call_capacity(self.store))
+        if self.limiters:
+            gauges = gauges._replace(call_capacity=self.limiters.call_capacity(self.store))
             standing = [rpc.method in self.first for rpc in self.rpcs.values() if rpc.stands_at is not None]
-            for said in self.meters.use(self.store, len(standing), sum(standing)):
+            for said in self.limiters.usage(self.store, len(standing), sum(standing)):
                 self.turn.emit(PublishUsage(*said))
-        if self.witness:
+        if self.observer:
             gauges = gauges._replace(
-                ejected=self.witness.out,
-                min_shed_level=self.witness.level,
-                dependency_down=self.witness.store_down,
+                ejected=self.observer.out,
+                min_shed_level=self.observer.level,
+                dependency_down=self.observer.store_down,
             )
             control = getattr(self.control, "first", self.control)
-            seen = self.witness.look(self.turn.now, control.own_level)
+            seen = self.observer.look(self.turn.now, control.own_level)
             if seen:
                 self.turn.emit(PublishEvidence(seen))
         self.control.on_timer(self.turn.now, name, gauges)
@@ -396,8 +398,8 @@
         if outcome is Outcome.OK and rpc.stands_at:
             (cursor, _), rpc.stands_at = rpc.stands_at, None
             self.pool.reply(rpc, cursor, body, self.poorer[rpc.method] > 0)
-        if self.witness:
-            self.witness.call_ended(outcome, spent, rpc.cut)
+        if self.observer:
+            self.observer.call_ended(outcome, spent, rpc.cut)
         rpc.handle.call_ended(self.turn.now, outcome, spent)
 
     def on_shared(self, index):
@@ -411,7 +413,7 @@
     # ---- the port
 
     def on_claims(self):
-        self.claimer.send()
+        self.key_leases.send()
 
     def on_moot(self, index):
         """A run that was not commanded, as its claim was over: it never ran."""
@@ -422,7 +424,7 @@
     def run(self, index):
         rpc = self.rpcs[index]
         rpc.started = True
-        if self.claimer and not self.claimer.may_run(index):
+        if self.key_leases and not self.key_leases.may_run(index):
             self.turn.emit(Defer(RunNotStarted(index)))
             return
         if rpc.entry:
@@ -445,15 +447,15 @@
         if self.store.place is None:
             self.turn.emit(Defer(CallNotMade(index)))  # nothing is named that could be called: it never ran
             return
-        if not self.meters:
+        if not self.limiters:
             self.store.call(rpc, timeout, rpc.stands_at[1])
             return
-        given = self.meters.take_call(self.store)
+        given = self.limiters.acquire_call(self.store)
         if given is None:
             self.turn.emit(Defer(CallNotMade(index)))  # the module is in the midst of its calls
             return
         leased, longest, by = given
-        rpc.cut = longest is not None and longest < timeout and not self.meters.trying
+        rpc.cut = longest is not None and longest < timeout and not self.limiters.probing
         timeout = timeout if longest is None else min(timeout, longest)
         self.store.call(rpc, timeout, rpc.stands_at[1], leased, by)
 
@@ -502,8 +504,8 @@
 
     def release(self, index):
         rpc = self.rpcs.pop(index)
-        if self.claimer:
-            self.claimer.never(index)  # where it ran, that was told
+        if self.key_leases:
+            self.key_leases.never(index)  # where it ran, that was told
         if self.by_name.get(rpc.name) == index:
             del self.by_name[rpc.name]
 
@@ -515,8 +517,8 @@
             return
         for front in self.fronts.values():
             front.drain(self.duty.kill_at)
-        if self.claimer:
-            self.claimer.end_by(self.duty.kill_at - CLAIM_MARGIN)
+        if self.key_leases:
+            self.key_leases.end_by(self.duty.kill_at - CLAIM_MARGIN)
         if self.control:
             self.drain_control()
         else:
--- a/finchcart/node/key_leases.py
+++ b/finchcart/node/key_leases.py
@@ -4,7 +4,7 @@
 run be commanded without its claim, nor past the time until which the claim allows it; nor decide: what was
 claimed goes to the module as any RPC, the rest is answered by what a claim's answer means.
 
-`boot` is the boot clock in whole microseconds, set by the driver before each turn.
+`now_us` is the boot clock in whole microseconds, set by the driver before each turn.
 """
 
 from finchcart.key_leases import wire
@@ -27,7 +27,7 @@
     """`turn`: of the core."""
 
     def __init__(self, turn, life, strict=True):
-        self.turn, self.life, self.strict, self.boot = turn, life, strict, 0
+        self.turn, self.life, self.strict, self.now_us = turn, life, strict, 0
         self.waiting, self.mine = {}, {}  # key -> Waiting; RPC index -> (key, by)
         self.asked = []  # of this turn
         self.end = None  # all is answered by then: the process is killed
@@ -90,7 +90,7 @@
             if kind == YES:
                 self.turn.emit(KeyLeaseCommand(("never", key)))  # nobody waits for it any more
             return
-        if kind == YES and (not waiting.rpc.owed or self.boot >= by):
+        if kind == YES and (not waiting.rpc.owed or self.now_us >= by):
             self.turn.emit(KeyLeaseCommand(("never", key)))
             kind = FULL
         self.count(
@@ -110,7 +110,7 @@
     def may_run(self, index):
         """The last look at the clock before the command. RPCs that need no claim may always."""
         claim = self.mine.get(index)
-        if claim is None or self.boot < claim[1]:
+        if claim is None or self.now_us < claim[1]:
             return True
         self.count("commanded too late")
         return False
--- a/finchcart/node/limiters.py
+++ b/finchcart/node/limiters.py
@@ -21,12 +21,12 @@
 
     def __init__(self, limit, slack, most=1):
         self.limit, self.name, self.slack, self.most = limit, limit.name, slack, most
-        self.now, self.off = 0, False  # off: the limit is in the settings no more
+        self.now_us, self.off = 0, False  # off: the limit is in the settings no more
         self.floor = limit.floor if limit.strict else 0
         self.amount, self.until = 0, 0
-        self.told, self.refused = None, 0
+        self.told, self.refusals = None, 0
 
-    def allow(self, floor, amount, until):
+    def set_allowance(self, floor, amount, until):
         if floor is None:
             self.off = True
         else:
@@ -46,36 +46,36 @@
 
     def left(self):
         """Microseconds that a call beyond the floor may take from here on."""
-        return self.until - self.now - self.slack - 2 * MS
+        return self.until - self.now_us - self.slack - 2 * MS
 
-    def room(self, store):
+    def capacity(self, store):
         """Calls that may be in hand now; None: as many as the module likes."""
         if self.off:
             return None
         return self.floor + (self.amount if self.left() > self.slack else 0)
 
-    def take(self, store):
+    def try_acquire(self, store):
         """(leased, longest) for one more call: whether it is beyond the floor, and how long it may take there
         (None: as long as the module likes). None where there is no room."""
         if self.off:
             return False, None
         if not self.limit.strict:
-            if store.in_hand(False) < self.room(store):
+            if store.in_flight(False) < self.capacity(store):
                 return False, None
         else:
-            if store.in_hand(False) < self.floor:
+            if store.in_flight(False) < self.floor:
                 return False, None
             left = self.left()
-            if left > self.slack and store.in_hand(True) < self.amount:
+            if left > self.slack and store.in_flight(True) < self.amount:
                 return True, left
-        self.refused += 1
+        self.refusals += 1
         return None
 
-    def use(self, store, standing, first=0):
+    def usage(self, store, standing, first=0):
         """(in hand, wanted, first) beyond the floor where it is strict, else in all."""
         if not self.limit.strict:
-            return self.news(store.in_hand(False), max(store.in_hand(False), standing), first)
-        return self.news(store.in_hand(True), max(0, standing - self.floor), max(0, first - self.floor))
+            return self.news(store.in_flight(False), max(store.in_flight(False), standing), first)
+        return self.news(store.in_flight(True), max(0, standing - self.floor), max(0, first - self.floor))
 
 
 class ProbeLimiter(CallConcurrencyLimiter):
@@ -84,14 +84,14 @@
 
     def __init__(self, limit, slack, most=1):
         super().__init__(limit, slack, most)
-        self.called, self.trying = None, False
+        self.called, self.probing = None, False
 
-    def use(self, store, standing, first=0):
-        in_hand = store.in_hand(False) + store.in_hand(True)
+    def usage(self, store, standing, first=0):
+        in_hand = store.in_flight(False) + store.in_flight(True)
         if standing or in_hand:
-            self.called = self.now
-        wants = int(self.called is not None and self.now - self.called < PROBE_DEMAND_PERIOD_US)
-        return self.news(in_hand if self.trying else 0, wants, 0)
+            self.called = self.now_us
+        wants = int(self.called is not None and self.now_us - self.called < PROBE_DEMAND_PERIOD_US)
+        return self.news(in_hand if self.probing else 0, wants, 0)
 
 
 class RateLimiter(Limiter):
@@ -104,23 +104,23 @@
         self.tokens, self.filled, self.waits = 0.0, None, 0
         self.asked, self.looked, self.demand = 0, None, 0.0  # demand: lately, a second
 
-    def allow(self, floor, amount, until):
+    def set_allowance(self, floor, amount, until):
         if not self.off:
             self.fill()  # at the old part until now
-        super().allow(floor, amount, until)
+        super().set_allowance(floor, amount, until)
 
     def per_second(self):
-        return self.floor + (self.amount if self.now < self.until else 0)
+        return self.floor + (self.amount if self.now_us < self.until else 0)
 
     def fill(self):
         """What came since the last look: the grant may have ended meanwhile."""
         if self.filled is None:
-            self.filled = self.now
-        granted = max(0, min(self.now, self.until) - self.filled) * self.amount
-        gained = ((self.now - self.filled) * self.floor + granted) / SECOND
-        self.tokens, self.filled = min(self.room(), self.tokens + max(0.0, gained)), self.now
+            self.filled = self.now_us
+        granted = max(0, min(self.now_us, self.until) - self.filled) * self.amount
+        gained = ((self.now_us - self.filled) * self.floor + granted) / SECOND
+        self.tokens, self.filled = min(self.capacity(), self.tokens + max(0.0, gained)), self.now_us
 
-    def room(self):
+    def capacity(self):
         """Of the bucket."""
         return 1 + max(0, self.limit.burst - self.most) * self.per_second() / self.limit.amount
 
@@ -129,19 +129,19 @@
         if self.off:
             return None
         self.fill()
-        return int(self.tokens), int(self.room())
+        return int(self.tokens), int(self.capacity())
 
-    def ask(self):
+    def record_demand(self):
         """One more is wanted, whatever comes of it."""
         self.asked += 1
 
-    def take(self, rpc=None):
+    def try_acquire(self, rpc=None):
         """Whether one more was taken."""
         if self.off:
             return True
         self.fill()
         if self.tokens < 1:
-            self.refused += 1
+            self.refusals += 1
             return False
         self.tokens -= 1
         return True
@@ -151,16 +151,16 @@
         rate = self.per_second()
         return int((1 - min(1.0, self.tokens)) / rate * SECOND) if rate else SECOND
 
-    def use(self, store, standing, first=0):
+    def usage(self, store, standing, first=0):
         """(0, wanted a second): a little over what was asked for lately, so that a part can grow. Calls that
         wait are worked off within a second."""
         waits = self.limit.counts == "calls"
-        waiting = max(0, standing - store.in_hand(False) - store.in_hand(True)) if waits else 0
+        waiting = max(0, standing - store.in_flight(False) - store.in_flight(True)) if waits else 0
         if self.looked is None:
-            self.looked = self.now
-        if self.now - self.looked >= SPAN:
-            self.demand = (self.demand + self.asked * SECOND / (self.now - self.looked)) / 2
-            self.asked, self.looked = 0, self.now
+            self.looked = self.now_us
+        if self.now_us - self.looked >= SPAN:
+            self.demand = (self.demand + self.asked * SECOND / (self.now_us - self.looked)) / 2
+            self.asked, self.looked = 0, self.now_us
         wanted = ceil(1.1 * self.demand) + waiting if self.demand + waiting > 0.5 else 0
         return self.news(0, max(0, wanted - (self.floor if self.limit.strict else 0)), 0)
 
@@ -173,18 +173,18 @@
         super().__init__(limit, slack, most)
         self.count, self.asked, self.before, self.looked = 0, 0, 0, 0
 
-    def room(self):
-        return self.floor + (self.amount if self.now < self.until else 0)
+    def capacity(self):
+        return self.floor + (self.amount if self.now_us < self.until else 0)
 
     def left(self):
         if self.off:
             return None
-        return self.room() - self.count, self.room()
+        return self.capacity() - self.count, self.capacity()
 
-    def ask(self):
+    def record_demand(self):
         self.asked += 1
 
-    def take(self, rpc):
+    def try_acquire(self, rpc):
         self.count += 1
         rpc.counted = (*(rpc.counted or ()), self)
         return True
@@ -192,10 +192,10 @@
     def back(self):
         return 0  # nobody knows when one is over
 
-    def use(self, store, standing, first=0):
+    def usage(self, store, standing, first=0):
         """(in hand, wanted): those that were turned away in the last span are wanted too."""
-        if self.now - self.looked >= SPAN:
-            self.before, self.asked, self.looked = self.asked, 0, self.now
+        if self.now_us - self.looked >= SPAN:
+            self.before, self.asked, self.looked = self.asked, 0, self.now_us
         return self.news(self.count, max(self.count, self.before, self.asked), 0)
 
 
@@ -203,9 +203,9 @@
     """All limits of the fleet that this node is held to. `slack`, `most`: see quota/limits.py."""
 
     def __init__(self, limits, slack, most):
-        self.slack, self.all, self.now = slack, [], 0
+        self.slack, self.all, self.now_us = slack, [], 0
         self.calls = self.calls_rate = self.trial = None
-        self.rpcs, self.back_since, self.rise, self.longest = [], None, 0, 0
+        self.rpcs, self.back_since, self.recovery_step_us, self.probe_timeout_us = [], None, 0, 0
         for limit in limits:
             kind = (
                 ProbeLimiter
@@ -226,36 +226,36 @@
                 self.calls = meter
         self.by_name = {meter.name: meter for meter in self.all}
 
-    def at(self, now):
+    def set_clock(self, now):
         """The boot clock of this turn."""
-        self.now = now
+        self.now_us = now
         for meter in self.all:
-            meter.now = now
+            meter.now_us = now
 
-    def allow(self, name, *what):
+    def set_allowance(self, name, *what):
         if name in self.by_name:
-            self.by_name[name].allow(*what)
+            self.by_name[name].set_allowance(*what)
 
     # ---- a store that is held to be down, and comes back
 
     @property
-    def trying(self):
-        return self.trial is not None and self.trial.trying
+    def probing(self):
+        return self.trial is not None and self.trial.probing
 
-    def hold(self, down):
-        """The fleet's verdict. `rise`, `longest`: see verdicts/figures.py."""
-        if self.trial and self.trial.trying != down:
-            self.trial.trying = down
-            self.back_since = None if down else self.now
+    def set_dependency_down(self, down):
+        """The fleet's verdict. `recovery_step_us`, `probe_timeout_us`: see verdicts/figures.py."""
+        if self.trial and self.trial.probing != down:
+            self.trial.probing = down
+            self.back_since = None if down else self.now_us
 
     def least_room(self, store):
         """Calls that may be in hand as far as the verdict goes: this node's part of the trials, then twice as
         many after each step; None: no bound. Guards against a rush of all nodes on a store that came back."""
-        if self.trying:
-            return self.trial.room(store)
+        if self.probing:
+            return self.trial.capacity(store)
         if self.back_since is None:
             return None
-        steps = (self.now - self.back_since) // self.rise
+        steps = (self.now_us - self.back_since) // self.recovery_step_us
         if steps > 12:
             self.back_since = None
             return None
@@ -267,37 +267,37 @@
         """Calls that may be in hand until the next look; None: as many as the module likes."""
         rooms = [self.least_room(store)]
         if self.calls:
-            rooms.append(self.calls.room(store))
+            rooms.append(self.calls.capacity(store))
         if self.calls_rate and not self.calls_rate.off:
-            rooms.append(store.in_hand(False) + store.in_hand(True) + self.calls_rate.left()[0])
+            rooms.append(store.in_flight(False) + store.in_flight(True) + self.calls_rate.left()[0])
         return min((room for room in rooms if room is not None), default=None)
 
-    def take_call(self, store):
+    def acquire_call(self, store):
         """(leased, longest, written by) of one more call, or None where there is no room; `written by`: on
         the boot clock, None for any time."""
         leased, longest = False, None
         least = self.least_room(store)
-        if least is not None and store.in_hand(False) + store.in_hand(True) >= least:
+        if least is not None and store.in_flight(False) + store.in_flight(True) >= least:
             return None
         rate = self.calls_rate
         if rate and not rate.off and rate.left()[0] < 1:
-            rate.refused += 1
+            rate.refusals += 1
             return None
         if self.calls:
-            given = self.calls.take(store)
+            given = self.calls.try_acquire(store)
             if given is None:
                 return None
             leased, longest = given
-        if self.trying:
-            longest = min(longest or self.longest, self.longest)
+        if self.probing:
+            longest = min(longest or self.probe_timeout_us, self.probe_timeout_us)
         if rate:
-            rate.take()
+            rate.try_acquire()
         strict = leased or bool(rate) and rate.limit.strict
-        return leased, longest, self.now + self.slack if strict else None
+        return leased, longest, self.now_us + self.slack if strict else None
 
     # ---- RPCs
 
-    def of(self, method, caller):
+    def limiters_of(self, method, caller):
         return [
             meter
             for meter in self.rpcs
@@ -306,21 +306,21 @@
             and meter.limit.dispatcher in ("", str(caller))
         ]
 
-    def rpc_room(self, meters):
+    def quota(self, meters):
         """(left, of, back): RPCs that may be taken, of how many at most, and when there may be more; of the
         limit that has the least left."""
         for meter in meters:
-            meter.ask()
+            meter.record_demand()
         if not meters:
             return None
         left, of, back = min((*meter.left(), meter.back()) for meter in meters)
         return left, of, back
 
-    def use(self, store, standing, first):
+    def usage(self, store, standing, first):
         """(name, in hand, wanted, first) of each that has news."""
         out = []
         for meter in self.all:
-            said = meter.use(store, standing, first)
+            said = meter.usage(store, standing, first)
             if said:
                 out.append((meter.name, *said))
         return out
--- a/finchcart/node/store.py
+++ b/finchcart/node/store.py
@@ -30,7 +30,7 @@
         self.links, self.idle = {}, []  # idle ones: the one used last is taken first
         self.given_up = []  # (until, leased): calls that the store may not know yet to be given up
 
-    def in_hand(self, leased):
+    def in_flight(self, leased):
         """Calls that the store may have in hand, beyond the floor of the fleet's limit or not."""
         now = self.turn.now
         self.given_up = [call for call in self.given_up if call[0] > now]
--- a/finchcart/simulated_peers/client.py
+++ b/finchcart/simulated_peers/client.py
@@ -27,7 +27,7 @@
 
     def send(self, kind, name, args):
         self.seq += 1
-        self.sock.sendall(thrift.frame(kind, name, self.seq, args + b"\0"))
+        self.sock.sendall(thrift.encode_message(kind, name, self.seq, args + b"\0"))
         return self.seq
 
     def submit(self, method, body, token=None, **more):
@@ -44,7 +44,7 @@
         if token:
             fields["k"] = token
         self.seq += 1
-        self.sock.sendall(thrift.submit(self.seq, fields, body))
+        self.sock.sendall(thrift.submit_call(self.seq, fields, body))
         return self.seq
 
     def heartbeat(self):
--- a/finchcart/thrift/codec.py
+++ b/finchcart/thrift/codec.py
@@ -91,7 +91,7 @@
         raise ProtocolError(f"no such type: {kind}")
 
 
-def whole_frame(data, at, longest):
+def find_frame_end(data, at, longest):
     """Where the first frame ends."""
     if len(data) < at + 4:
         return None
@@ -102,9 +102,9 @@
     return end if len(data) >= end else None
 
 
-def framed_message(data):
+def decode_frame(data):
     try:
-        return message(data[4:])
+        return decode_message(data[4:])
     except struct.error as error:
         raise ProtocolError(f"cut off: {error}") from None
 
@@ -116,7 +116,7 @@
 
 def plain_rpc(data):
     """A `submit` in the order that dispatchers write it, read without a look at each type; None where it is
-    another message, or in another order: then `message` reads it and tells what is wrong."""
+    another message, or in another order: then `decode_message` reads it and tells what is wrong."""
     if data[:14] != SUBMIT or data[18:23] != FIELDS:
         return None
     reader = Reader(data)
@@ -135,7 +135,7 @@
     return "rpc", LENGTH.unpack_from(data, 14)[0], dict(zip(texts[::2], texts[1::2])), body
 
 
-def message(data):
+def decode_message(data):
     rpc = plain_rpc(data)
     if rpc:
         return rpc
@@ -158,7 +158,7 @@
     return "unheard", seq, name.decode("utf-8", "replace")[:60]
 
 
-FRONT = Codec(whole_frame, framed_message)
+THRIFT_CODEC = Codec(find_frame_end, decode_frame)
 
 
 def _texts(pairs):
@@ -179,7 +179,7 @@
     return b"".join(parts)
 
 
-def frame(kind, name, seq, args):
+def encode_message(kind, name, seq, args):
     data = LENGTH.pack((VERSION | kind) - (1 << 32)) + string(name) + LENGTH.pack(seq) + args
     return string(data)
 
@@ -211,36 +211,36 @@
 
 def _thrown(seq, number, fields):
     inner = FIELD.pack(MAP, 1) + text_map(fields) + b"\0"
-    return frame(REPLY, b"submit", seq, FIELD.pack(STRUCT, number) + inner + b"\0")
+    return encode_message(REPLY, b"submit", seq, FIELD.pack(STRUCT, number) + inner + b"\0")
 
 
-def ok(seq, body, fields):
+def ok_reply(seq, body, fields):
     return _answer(b"submit", seq, body, fields, True)
 
 
-def pushed_back(seq, fields):
+def rejected_reply(seq, fields):
     return _thrown(seq, 1, fields)
 
 
-def aborted(seq, fields):
+def failed_reply(seq, fields):
     return _thrown(seq, 2, fields)
 
 
-def health(seq, good, fields):
+def health_reply(seq, good, fields):
     return _answer(b"heartbeat", seq, b"", fields, good)
 
 
-def not_served(seq, name, kind, text):
+def application_exception(seq, name, kind, text):
     """An application exception: the call itself was wrong."""
     args = FIELD.pack(STRING, 1) + string(text.encode()) + FIELD.pack(I32, 2) + LENGTH.pack(kind) + b"\0"
-    return frame(EXCEPTION, name.encode(), seq, args)
+    return encode_message(EXCEPTION, name.encode(), seq, args)
 
 
-def submit(seq, fields, body):
+def submit_call(seq, fields, body):
     """The caller's side: one call of `submit`; fields: name -> text."""
     args = FIELD.pack(MAP, 1) + text_map(fields) + FIELD.pack(STRING, 2) + string(body) + b"\0"
-    return frame(CALL, b"submit", seq, args)
+    return encode_message(CALL, b"submit", seq, args)
 
 
-def closing():
-    return frame(ONEWAY, b"closing", 0, b"\0")
+def closing_notice():
+    return encode_message(ONEWAY, b"closing", 0, b"\0")
--- a/finchcart/thrift/frontend.py
+++ b/finchcart/thrift/frontend.py
@@ -87,7 +87,7 @@
         )
         least = min(spare, key=lambda conn: (not conn.checks, conn.heard), default=None)
         if least:
-            self.send(least, codec.closing())
+            self.send(least, codec.closing_notice())
             self.end(least, Drop)
 
     def crowded(self):
@@ -236,13 +236,13 @@
     def on_unheard(self, conn, seq, name):
         if seq is not None:
             text = f"method {name!r}: not served here"
-            self.send(conn, codec.not_served(seq, name, codec.UNKNOWN_METHOD, text))
+            self.send(conn, codec.application_exception(seq, name, codec.UNKNOWN_METHOD, text))
 
     def on_check(self, conn, seq):
         if not conn.checks:
             conn.checks = True
             self.look_at_checks(conn)
-        self.send(conn, codec.health(seq, self.good, self.riding()))
+        self.send(conn, codec.health_reply(seq, self.good, self.riding()))
 
     def on_left(self, conn, seq):
         if seq in conn.open:
@@ -263,7 +263,7 @@
         else:
             if len(conn.open) >= self.limits.open_rpcs or not core.ready:
                 # Past what the protocol allows, or before the worker pool is there: it never ran.
-                self.send(conn, codec.pushed_back(seq, self.riding()))
+                self.send(conn, codec.rejected_reply(seq, self.riding()))
                 return
             rpc = conn.open[seq] = Rpc(self, (conn, seq), name, method, body)
             conn.idle_from = None
@@ -274,21 +274,21 @@
                 del conn.open[seq]
         if why:
             core.bad_from(conn.link)
-            self.send(conn, codec.not_served(seq, "submit", codec.PROTOCOL_ERROR, why))
+            self.send(conn, codec.application_exception(seq, "submit", codec.PROTOCOL_ERROR, why))
 
     def final(self, rpc, outcome, result, wait, last):
         conn, seq = rpc.ref
         told = self.riding()
         if outcome is OK:
-            data = codec.ok(seq, result, told)
+            data = codec.ok_reply(seq, result, told)
         elif outcome is PUSHED_BACK:
             if wait:
                 told["w"] = str(max(1, wait // 1000))
             if last:
                 told["l"] = "1"
-            data = codec.pushed_back(seq, told)
+            data = codec.rejected_reply(seq, told)
         else:
-            data = codec.aborted(seq, told)
+            data = codec.failed_reply(seq, told)
         del conn.open[seq]
         self.send(conn, data)
         self.off(conn)
@@ -333,7 +333,7 @@
         """No RPC may cross the close: the dispatcher is told, and closes once all is answered."""
         if not conn.told and not conn.ended:
             conn.told = True
-            self.send(conn, codec.closing())
+            self.send(conn, codec.closing_notice())
             wait = self.patience(wait or self.limits.closing)
             self.turn.at(self.turn.now + wait, self.close_told, conn)
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -348,10 +348,10 @@
         settings,
         seed=1,
         front=ThriftFrontend,
-        watch=None,
-        meters=None,
-        witness=None,
-        claims=None,
+        shadow=None,
+        limiters=None,
+        observer=None,
+        key_leases=None,
         **limits,
     ):
         self.settings, self.now, self.rng = settings, 1_700_000_000_000_000, random.Random(seed)
@@ -364,14 +364,14 @@
             "n1",
             self.places,
             lambda core: {"front": front(core, self.limits)},
-            watch,
-            meters,
-            witness,
-            claims,
+            shadow,
+            limiters,
+            observer,
+            key_leases,
         )
         self.claims = []  # what was told of claims
         self.seen = []  # evidence that was told
-        self.meters, self.used = meters, []  # used: what was told of the fleet's limits
+        self.limiters, self.used = limiters, []  # used: what was told of the fleet's limits
         self.front = self.core.fronts["front"]
         self.asked, self.inbox, self.links, self.behind, self.closing = Counter(), {}, {}, set(), set()
         self.tries, self.seqs, self.count, self.reports, self.lines = {}, {}, 0, [], []
@@ -387,10 +387,10 @@
         inputs = deque([what])
         while inputs:
             what = inputs.popleft()
-            if self.meters:
-                self.meters.at(self.now)
-            if self.core.claimer:
-                self.core.claimer.boot = self.now
+            if self.limiters:
+                self.limiters.set_clock(self.now)
+            if self.core.key_leases:
+                self.core.key_leases.now_us = self.now
             for effect in self.core.reduce(self.now, what):
                 if isinstance(effect, effects.Defer):
                     inputs.append(effect.input)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -194,7 +194,7 @@
 
     def claimed_run(rpc, repeatable):
         if rpc.entry:
-            key, by = far.core.claimer.mine[rpc.index]
+            key, by = far.core.key_leases.mine[rpc.index]
             assert key in kept.mine and far.now < by, "commanded without a claim"
         run(rpc, repeatable)
 
@@ -204,16 +204,16 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_rules_hold_with_claims_and_none_is_left_behind(seed):
     rng = random.Random(seed)
-    far = Far({**draw_settings(rng), **GAUGES}, seed, claims=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
+    far = Far({**draw_settings(rng), **GAUGES}, seed, key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     kept = Kept(far, rng, (YES, YES, YES, YES, HELD, FULL, FAILED, OTHER_BODY))
     runs_are_claimed(far, kept)
     play(far, rng)
-    assert not kept.mine and not far.core.claimer.waiting and not far.core.claimer.mine
+    assert not kept.mine and not far.core.key_leases.waiting and not far.core.key_leases.mine
 
 
 def one_tokened(kind, again=False, by=1000, result=b"there"):
     """How a tokened RPC is answered whose claim comes to `kind`, and whether it ran."""
-    far = far_plain(claims=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
+    far = far_plain(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     name = far.submit(far.open(), 1, **({"r": "1"} if again else {}))
     far.step(MS)
     ((_, asks),) = far.claims
@@ -240,7 +240,7 @@
 
 
 def test_a_run_elsewhere_gives_its_result():
-    far = far_plain(claims=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
+    far = far_plain(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     told = []
     far.answered = lambda link, data: told.append(read_answer(data))
     far.submit(far.open(), 1)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -52,11 +52,11 @@
 
 
 def test_calls_written_by_hand_are_read():
-    assert thrift.message(SUBMIT) == ("rpc", 7, {"c": "go", "p": "0.5"}, b"\xff\0A")
-    assert thrift.message(REVOKE) == ("left", 7)
-    assert thrift.message(HEARTBEAT) == ("check", 1)
-    assert thrift.message(HEARTBEAT.replace(b"heartbeat", b"headcount")) == ("unheard", 1, "headcount")
-    assert take(thrift.FRONT, framed(REVOKE) + b"more", 0, LONGEST) == (("left", 7), len(REVOKE) + 4)
+    assert thrift.decode_message(SUBMIT) == ("rpc", 7, {"c": "go", "p": "0.5"}, b"\xff\0A")
+    assert thrift.decode_message(REVOKE) == ("left", 7)
+    assert thrift.decode_message(HEARTBEAT) == ("check", 1)
+    assert thrift.decode_message(HEARTBEAT.replace(b"heartbeat", b"headcount")) == ("unheard", 1, "headcount")
+    assert take(thrift.THRIFT_CODEC, framed(REVOKE) + b"more", 0, LONGEST) == (("left", 7), len(REVOKE) + 4)
 
 
 def test_unknown_fields_of_all_types_are_passed_over():
@@ -96,15 +96,17 @@
         "00"
     )
     at = SUBMIT.index(bytes.fromhex("0b0002"))
-    assert thrift.message(SUBMIT[:at] + bytes.fromhex(odd) + SUBMIT[at:]) == thrift.message(SUBMIT)
+    assert thrift.decode_message(SUBMIT[:at] + bytes.fromhex(odd) + SUBMIT[at:]) == thrift.decode_message(
+        SUBMIT
+    )
 
 
 def test_a_call_without_what_it_needs_is_read_as_lacking_it():
     none = SUBMIT[:18] + b"\0"
-    assert thrift.message(none) == ("rpc", 7, None, None)
-    assert thrift.message(SUBMIT.replace(b"go", b"\xff\xfe"))[2] is None
+    assert thrift.decode_message(none) == ("rpc", 7, None, None)
+    assert thrift.decode_message(SUBMIT.replace(b"go", b"\xff\xfe"))[2] is None
     assert (
-        thrift.message(
+        thrift.decode_message(
             SUBMIT.replace(b"\x0b\x0b\0", b"\x0b\x08\0", 1)
             .replace(b"\0\0\0\2go", b"\0\0\0\2")
             .replace(b"\0\0\0\x030.5", b"\0\0\0\x03")
@@ -115,14 +117,14 @@
 
 def test_answers_are_the_bytes_of_the_specification():
     riding = bytes.fromhex("0d00020b0b0000000100000001") + b"v" + bytes.fromhex("00000006") + b"0.2500"
-    assert thrift.ok(7, b"\xff\0A", {"v": "0.2500"}) == framed(
+    assert thrift.ok_reply(7, b"\xff\0A", {"v": "0.2500"}) == framed(
         bytes.fromhex("8001000200000006")
         + b"submit"
         + bytes.fromhex("000000070c00000b000100000003ff0041")
         + riding
         + bytes.fromhex("020003010000")
     )
-    assert thrift.pushed_back(7, {"l": "1"}) == framed(
+    assert thrift.rejected_reply(7, {"l": "1"}) == framed(
         bytes.fromhex("8001000200000006")
         + b"submit"
         + bytes.fromhex("000000070c00010d00010b0b0000000100000001")
@@ -131,22 +133,22 @@
         + b"1"
         + b"\0\0"
     )
-    assert thrift.aborted(7, {}) == framed(
+    assert thrift.failed_reply(7, {}) == framed(
         bytes.fromhex("8001000200000006") + b"submit" + bytes.fromhex("000000070c00020d00010b0b000000000000")
     )
-    assert thrift.health(1, False, {}) == framed(
+    assert thrift.health_reply(1, False, {}) == framed(
         bytes.fromhex("8001000200000009")
         + b"heartbeat"
         + bytes.fromhex("000000010c00000b0001000000000d00020b0b00000000020003000000")
     )
-    assert thrift.not_served(3, "x", thrift.UNKNOWN_METHOD, "no") == framed(
+    assert thrift.application_exception(3, "x", thrift.UNKNOWN_METHOD, "no") == framed(
         bytes.fromhex("8001000300000001")
         + b"x"
         + bytes.fromhex("000000030b000100000002")
         + b"no"
         + bytes.fromhex("0800020000000100")
     )
-    assert thrift.closing() == framed(
+    assert thrift.closing_notice() == framed(
         bytes.fromhex("8001000400000007") + b"closing" + bytes.fromhex("0000000000")
     )
 
@@ -154,9 +156,9 @@
 @pytest.mark.parametrize(
     "codec, whole",
     [
-        (thrift.FRONT, framed(SUBMIT)),
-        (thrift.FRONT, framed(REVOKE)),
-        (thrift.FRONT, framed(HEARTBEAT)),
+        (thrift.THRIFT_CODEC, framed(SUBMIT)),
+        (thrift.THRIFT_CODEC, framed(REVOKE)),
+        (thrift.THRIFT_CODEC, framed(HEARTBEAT)),
         (lines.POOL, FINISHED),
         (lines.POOL, POLLED),
         (lines.STORE, STORED),
@@ -178,7 +180,7 @@
             pass
 
 
-@pytest.mark.parametrize("codec", [thrift.FRONT, lines.POOL, lines.STORE])
+@pytest.mark.parametrize("codec", [thrift.THRIFT_CODEC, lines.POOL, lines.STORE])
 def test_random_bytes_are_no_harm(codec):
     rng = random.Random(5)
     for _ in range(2000):
@@ -205,7 +207,7 @@
 )
 def test_what_is_no_call_is_malformed(data):
     with pytest.raises(ProtocolError):
-        take(thrift.FRONT, data, 0, LONGEST)
+        take(thrift.THRIFT_CODEC, data, 0, LONGEST)
 
 
 def test_lines_of_the_pool():
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -107,13 +107,13 @@
 def test_rules_hold_with_limits_of_the_fleet(seed, meddle=lambda meters, far: None):
     rng = random.Random(seed)
     meters = limits_by_chance(rng)
-    far = Far({**draw_settings(rng), **GAUGES}, seed, meters=meters)
+    far = Far({**draw_settings(rng), **GAUGES}, seed, limiters=meters)
     meddle(meters, far)
     taken = {
         meter: [0.0, far.now] for meter in meters.all if isinstance(meter, RateLimiter)
     }  # its bucket's level
     for meter, bucket in taken.items():
-        take = meter.take
+        take = meter.try_acquire
 
         def took(rpc=None, take=take, meter=meter, bucket=bucket):
             got = take(rpc)
@@ -124,7 +124,7 @@
                 assert bucket[0] <= limit.burst + 1e-6, "more than the burst and what the rate gives"
             return got
 
-        meter.take = took
+        meter.try_acquire = took
     step = far.step
 
     def stepped(dt):
@@ -173,7 +173,7 @@
     meters = LimiterSet(
         (Limit("a second", 50, 0, counts="rpcs", per="rate", burst=10, dispatcher="3"),), 0, 10
     )
-    far = far_plain(meters=meters, retry_after_max=1000 * MS)
+    far = far_plain(limiters=meters, retry_after_max=1000 * MS)
     link = far.open()
     far.feed(FleetChange(("allow", "a second", 0, 10, far.now + 10**9)))
     far.step(MS)
@@ -204,7 +204,7 @@
         "degraded_value": (0.0, 0.0),
         "cores": 64,
     }
-    far = far_plain(meters=meters, **settings)
+    far = far_plain(limiters=meters, **settings)
     links = [far.open() for _ in range(3)]
     far.feed(FleetChange(("allow", "in hand", 0, 40, far.now + 10**9)))
     names = [far.submit(links[n % 2]) for n in range(45)]
@@ -218,8 +218,8 @@
     assert (lesser, more) == (7, 3), "two of forty are kept free of the lesser ones"
 
 
-def far_plain(meters=None, witness=None, claims=None, **settings):
-    far = Far({**PLAIN, **GAUGES, **settings}, meters=meters, witness=witness, claims=claims)
+def far_plain(limiters=None, observer=None, key_leases=None, **settings):
+    far = Far({**PLAIN, **GAUGES, **settings}, limiters=limiters, observer=observer, key_leases=key_leases)
     far.step(MS)
     far.step(MS)
     assert far.core.control is not None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,7 +24,7 @@
 from tests.test_node import World, answers, until
 
 LIMITS = Limits(memory=1 << 28, descriptors=64, stop=1_000_000, linger=20_000)
-CHECK = codec.frame(CALL, b"heartbeat", 1, FIELD.pack(BOOL, 1) + b"\1\0")
+CHECK = codec.encode_message(CALL, b"heartbeat", 1, FIELD.pack(BOOL, 1) + b"\1\0")
 KEYS = [f"{n:032x}" for n in range(1, 20)]
 
 
@@ -51,7 +51,7 @@
     with socket.create_server(("127.0.0.1", 0)) as server:
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-    link = Link(1, codec.FRONT, inputs, Buffers(limits), limits, sock=wrap(near))
+    link = Link(1, codec.THRIFT_CODEC, inputs, Buffers(limits), limits, sock=wrap(near))
     until(lambda: link.up)
     return link, far, inputs
 
@@ -281,7 +281,7 @@
     seq = client.submit("book", b"seat", KEYS[0])
     until(lambda: world.pool.spawned[-1][2] == b"seat")  # written, and its end not yet told
     half = world.client()
-    whole = codec.submit(
+    whole = codec.submit_call(
         1,
         {
             "c": "book",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -285,7 +285,7 @@
         raise RuntimeError("can't start new thread")
 
     inputs, limits = SimpleQueue(), Limits(memory=1, descriptors=1, stop=1)
-    links = Links(inputs, Buffers(limits), limits, None, "thrift", codec.FRONT)
+    links = Links(inputs, Buffers(limits), limits, None, "thrift", codec.THRIFT_CODEC)
     monkeypatch.setattr("threading.Thread.start", none)
     links.connect(-1, "store", ("127.0.0.1", 9))
     assert same_input(inputs.get_nowait(), ConnectionRefused(-1, "can't start new thread"))
@@ -297,7 +297,7 @@
     with socket.create_server(("127.0.0.1", 0)) as server:
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-    link = Link(1, codec.FRONT, inputs, Buffers(limits), limits, sock=near)
+    link = Link(1, codec.THRIFT_CODEC, inputs, Buffers(limits), limits, sock=near)
     until(lambda: link.up)
     before = threading.active_count()
     link.send(b"first")
@@ -323,7 +323,7 @@
     for number in range(60):
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-        link = Link(number, codec.FRONT, inputs, buffers, limits, sock=near)
+        link = Link(number, codec.THRIFT_CODEC, inputs, buffers, limits, sock=near)
         whole = (
             (29).to_bytes(4, "big")
             + bytes.fromhex("8001000100000009")
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -176,22 +176,24 @@
     class Store:
         hands = {False: 0, True: 0}
 
-        def in_hand(self, leased):
+        def in_flight(self, leased):
             return self.hands[leased]
 
     meter, store = CallConcurrencyLimiter(Limit("store", 9, 1), 20_000), Store()
-    meter.now = 1_000_000
-    assert meter.room(store) == 1 and meter.take(store) == (False, None)
+    meter.now_us = 1_000_000
+    assert meter.capacity(store) == 1 and meter.try_acquire(store) == (False, None)
     store.hands[False] = 1
-    assert meter.take(store) is None and meter.refused == 1
-    meter.allow(1, 2, 2_000_000)
-    assert meter.room(store) == 3 and meter.take(store) == (True, 978_000)
+    assert meter.try_acquire(store) is None and meter.refusals == 1
+    meter.set_allowance(1, 2, 2_000_000)
+    assert meter.capacity(store) == 3 and meter.try_acquire(store) == (True, 978_000)
     store.hands[True] = 2
-    assert meter.take(store) is None
-    store.hands[True], meter.now = 1, 1_970_000
-    assert meter.take(store) is None and meter.room(store) == 1, "less is left than a call may be late by"
-    meter.allow(None, 0, 0)
-    assert meter.room(store) is None and meter.take(store) == (False, None)
+    assert meter.try_acquire(store) is None
+    store.hands[True], meter.now_us = 1, 1_970_000
+    assert meter.try_acquire(store) is None and meter.capacity(store) == 1, (
+        "less is left than a call may be late by"
+    )
+    meter.set_allowance(None, 0, 0)
+    assert meter.capacity(store) is None and meter.try_acquire(store) == (False, None)
 
 
 def greedy(make=RateLimiter, seed=1):
@@ -202,8 +204,8 @@
     now, level, fullest = 10**6, 0.0, 0.0
     out = [[0, 0] for _ in nodes]  # amount and end of each one's grant, as the planner counts them
     for meter in nodes:
-        meter.now = now
-        meter.allow(2, 0, 0)
+        meter.now_us = now
+        meter.set_allowance(2, 0, 0)
     while now < 60 * SECOND:
         now += 5_000
         level = max(0.0, level - 5_000 * limit.amount / SECOND)
@@ -211,11 +213,11 @@
         if now >= out[n][1] and chance.random() < 0.03:
             left = 84 - sum(amount for amount, until in out if now < until)
             out[n] = [chance.randint(0, left), now + chance.randrange(200_000, 3 * SECOND)]
-            nodes[n].now = now
-            nodes[n].allow(2, *out[n])
+            nodes[n].now_us = now
+            nodes[n].set_allowance(2, *out[n])
         for meter in nodes if now // 700_000 % 2 else ():  # all wait, and then take all there is
-            meter.now = now
-            while meter.take():
+            meter.now_us = now
+            while meter.try_acquire():
                 level += 1
         fullest = max(fullest, level)
     return fullest
@@ -229,8 +231,8 @@
 class FullAtOnce(RateLimiter):
     """A part that grows has its burst at once."""
 
-    def allow(self, *what):
-        super().allow(*what)
+    def set_allowance(self, *what):
+        super().set_allowance(*what)
         self.tokens += self.limit.burst / 4
 
 
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -344,7 +344,7 @@
 def witnessed(**settings):
     """A far with verdicts: the trial limit gives this node one call, for ever."""
     meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
-    meters.rise, meters.longest = FIGURES.rise, FIGURES.trial
+    meters.recovery_step_us, meters.probe_timeout_us = FIGURES.rise, FIGURES.trial
     far = far_plain(meters, Observer(FIGURES), **settings)
     far.feed(FleetChange(("allow", "trial", 0, 1, far.now + 10**12)))
     return far
@@ -358,21 +358,21 @@
 
 def test_a_store_that_is_down_gets_this_nodes_trial_calls_alone_and_more_by_steps_once_it_is_back():
     far = witnessed(cores=64, overload_factor=64, calls_limit=100.0)
-    room = lambda: far.meters.call_capacity(far.core.store)
+    room = lambda: far.limiters.call_capacity(far.core.store)
     assert room() is None
     holds(far, store=DOWN)
-    assert room() == 1 and far.meters.take_call(far.core.store)[1] == FIGURES.trial
+    assert room() == 1 and far.limiters.acquire_call(far.core.store)[1] == FIGURES.trial
     far.feed(FleetChange(("allow", "trial", 0, 0, far.now + 10**12)))
-    assert room() == 0 and far.meters.take_call(far.core.store) is None
+    assert room() == 0 and far.limiters.acquire_call(far.core.store) is None
     holds(far)
     rooms = []
     for _ in range(4):
-        far.meters.at(far.now)
+        far.limiters.set_clock(far.now)
         rooms.append(room())
         far.now += FIGURES.rise
     assert rooms == [1, 2, 4, 8], "no rush of all at once"
     far.now += 20 * FIGURES.rise
-    far.meters.at(far.now)
+    far.limiters.set_clock(far.now)
     assert room() is None
 
 
@@ -413,8 +413,8 @@
 def test_rules_hold_with_verdicts_that_come_and_go(seed):
     rng = random.Random(seed)
     meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10)
-    meters.rise, meters.longest = FIGURES.rise, FIGURES.trial
-    far = Far({**draw_settings(rng), **GAUGES}, seed, meters=meters, witness=Observer(FIGURES))
+    meters.recovery_step_us, meters.probe_timeout_us = FIGURES.rise, FIGURES.trial
+    far = Far({**draw_settings(rng), **GAUGES}, seed, limiters=meters, observer=Observer(FIGURES))
     step = far.step
 
     def stepped(dt):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -23,7 +23,7 @@
 
 def day(seed, told, watched=None):
     """A random day. Returns the far side, how each try ended, and the counts of all lines."""
-    far = Far({**told, **GAUGES}, seed, watch=watched and {"settings": watched, "period": PERIOD})
+    far = Far({**told, **GAUGES}, seed, shadow=watched and {"settings": watched, "period": PERIOD})
     started = far.now
     ends = play(far, random.Random(seed))
     lines = [line for line in far.lines if line.startswith("watching: ")]
@@ -55,7 +55,7 @@
 
 
 def test_a_fault_as_one_of_many_ends_for_the_watched_too_ends_the_watching_alone():
-    far = Far({**PLAIN, **GAUGES}, watch={"settings": {}, "period": PERIOD})
+    far = Far({**PLAIN, **GAUGES}, shadow={"settings": {}, "period": PERIOD})
     far.slow = 0
     far.step(MS)
     far.step(MS)
@@ -72,7 +72,7 @@
 
 def crowded(watched, told=PLAIN, waited=0):
     """More than two cores can do, for a while, on a node that is busy itself."""
-    far = Far({**told, **GAUGES}, watch={"settings": watched, "period": 10**12})
+    far = Far({**told, **GAUGES}, shadow={"settings": watched, "period": 10**12})
     far.slow = 0
     links = [far.open() for _ in range(4)]
     for step in range(300):
