--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -189,7 +189,7 @@
         links.flush()
         if more:
             continue  # guards against rests of a thread that is behind
-        due, before = core.due(), clock()
+        due, before = core.next_timer(), clock()
         wait = None if due is None else max(0.0, due / 1e6 - before / 1e9)
         if rest:
             time.sleep(rest if wait is None else min(rest, wait))
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -31,9 +31,10 @@
 from finchcart.membership.member import Member
 from finchcart.membership.wire import place_of
 from finchcart.net.datagrams import Datagrams, boot_clock
-from finchcart.node.inputs import Drain, FleetChange, ReloadConfig
+from finchcart.node.fleet_inputs import fleet_input, key_lease_client_input
+from finchcart.node.inputs import Drain, ReloadConfig
 from finchcart.node.key_leases import KeyLeaseGate
-from finchcart.node.limiters import LimiterSet
+from finchcart.node.limiter_set import LimiterSet
 from finchcart.node.observer import Observer
 from finchcart.quota import wire as shares
 from finchcart.quota.holder import Holder
@@ -90,7 +91,7 @@
         self.datagrams = Datagrams(
             place_of(asked.listen),
             lambda now: self.machines(now, name, advertise, random.Random(seed), wall),
-            lambda change: inputs.put(FleetChange(change)),
+            lambda change: inputs.put(fleet_input(change)),
             self.reread,
         )
 
@@ -138,7 +139,7 @@
         return claimed and (lambda turn: KeyLeaseGate(turn, claimed.life))
 
     def claim(self, what):
-        self.datagrams.tell_now(claiming.CHANNEL, *what)
+        self.datagrams.tell_now(claiming.CHANNEL, *key_lease_client_input(what))
 
     def reducer(self, core):
         """The core's `reduce`, with the boot clock told before each turn."""
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -1,544 +1,319 @@
-"""The core: open RPCs of all fronts, and every change of them.
+"""The core of a node: joins its parts, and hands each input to the part that it concerns.
 
-Owns the open RPCs, joins the pieces (worker pool, store, tokens, duty, fronts) and implements `Port` for
-`Control`. `reduce(now, what)` takes one input and returns the effects that it asks for. It must never do I/O,
-take a lock, read a clock, know a front's protocol or decide about an RPC: decisions come from
-finchcart/control.py through the port.
+Owns the order of what happens: `reduce(now, what)` takes one input and returns the effects that it asks for.
+It must never do I/O, take a lock, read a clock, know a frontend's protocol or decide about an RPC: decisions
+come from finchcart/control.py through the port.
 
-Inputs and effects: inputs.py and effects.py.
+An RPC's life: rpc_lifecycle.py. What the decision module can do: port.py. The fleet: fleet.py. Inputs and
+effects: inputs.py and effects.py.
 """
 
-from functools import partial
+from collections.abc import Callable, Mapping, Sequence
+from typing import TYPE_CHECKING, Any
 
 from finchcart.control import Control
-from finchcart.errors import InvalidRpcError
-from finchcart.interface import FleetQuota, Gauges, Outcome
+from finchcart.interface import Gauges
+from finchcart.net.limits import Limits
 from finchcart.node import inputs
 from finchcart.node.effect_buffer import EffectBuffer
-from finchcart.node.effects import Defer, Drop, Log, PublishEvidence, PublishUsage
-from finchcart.node.frontend import ABORTED, OK, PUSHED_BACK
-from finchcart.node.idempotency import FAILED, IdempotencyCache, digest_of
-from finchcart.node.inputs import CallNotMade, RunNotStarted
+from finchcart.node.effects import Drop, Effect, Log
+from finchcart.node.fleet import FleetView
+from finchcart.node.frontend import Frontend, FrontendHost
+from finchcart.node.idempotency import IdempotencyCache
+from finchcart.node.methods import read_methods
+from finchcart.node.port import CorePort
 from finchcart.node.registration import Registration
-from finchcart.node.store import Store
+from finchcart.node.rpc import Rpc, RpcAttributes
+from finchcart.node.rpc_lifecycle import KEY_LEASE_MARGIN_US, RpcLifecycle
+from finchcart.node.store import StoreClient
 from finchcart.node.worker_pool import WorkerPool
 
-# Of claims, see claims/wire.py, which is not imported where there are none.
-CLAIM_MINE, CLAIM_ENDED, CLAIM_FULL = 1, 3, 6
-CLAIM_MARGIN = 200_000  # before an RPC is due its claim is waited for no longer
-CLAIM_AGAIN = 200_000  # when to come back where no majority answers
+if TYPE_CHECKING:  # none is imported where it is not asked for
+    from finchcart.node.key_leases import KeyLeaseGate
+    from finchcart.node.limiter_set import LimiterSet
+    from finchcart.node.observer import Observer
+    from finchcart.node.shadow import ShadowControl
 
-# Inputs that concern one connection, and the method of its owner that handles each.
-OWNER_METHODS = {
-    inputs.WriteBlocked: "behind",
-    inputs.WriteResumed: "caught_up",
-    inputs.ConnectionRefused: "refused",
-    inputs.ConnectionEnded: "ended",
-    inputs.CloseDue: "close_due",
-    inputs.CloseAttempted: "finished",
-}
+Address = tuple[str, int]
+
+
+def available_settings(settings: Mapping[str, Any]) -> dict[str, Any]:
+    """The settings without what a node can't do, whatever they allow.
+
+    This worker pool's protocol has no word for stopping or pausing work, and dispatchers' answers carry a
+    shed level alone.
+    """
+    feedback = settings.get("feedback", "level")
+    unavailable = {
+        "can_stop": False,
+        "can_pause": False,
+        "feedback": feedback if feedback == "level" else "none",
+    }
+    return {**settings, **unavailable}
 
 
 class Core:
-    """The state of one node. `make_fronts(core)`: kind -> front."""
+    """The state of one node. Times are whole microseconds.
+
+    Arguments:
+        settings: of the decision module, see finchcart/interface.py; `gauges` names the worker pool's
+        readings. limits: sizes and times of the node. seed: of the decision module. name: by which the
+        registry knows the node. addresses: of "pool", "store" (None: there is none) and "registry".
+        make_frontends: from the core to its frontends by name. shadow: None, or the `settings` to watch and
+        the `period` between lines, see shadow.py. limiters: of the fleet's limits, or None. observer: for the
+        fleet's consensus, or None. make_key_leases: from the turn to what gets key leases for runs, or None.
+    """
 
     def __init__(
         self,
-        settings,
-        limits,
-        seed,
-        name,
-        places,
-        make_fronts,
-        shadow=None,
-        limiters=None,
-        observer=None,
-        make_key_leases=None,
-    ):
-        # Told as absent, whatever the settings allow: this pool's protocol has no word for stopping or
-        # pausing work, and dispatchers' answers carry a level alone.
-        told = settings.get("feedback", "level")
-        absent = {"can_stop": False, "can_pause": False, "feedback": told if told == "level" else "none"}
-        self.settings, self.limits, self.seed = {**settings, **absent}, limits, seed
-        self.shadow = shadow  # None, or the `settings` to watch and the `period` between lines
+        settings: Mapping[str, Any],
+        limits: Limits,
+        seed: int,
+        name: str,
+        addresses: Mapping[str, Address | None],
+        make_frontends: Callable[[FrontendHost], Mapping[str, Frontend]],
+        shadow: Mapping[str, Any] | None = None,
+        limiters: "LimiterSet | None" = None,
+        observer: "Observer | None" = None,
+        make_key_leases: "Callable[[EffectBuffer], KeyLeaseGate] | None" = None,
+    ) -> None:
+        self.settings = available_settings(settings)
+        self.limits = limits
+        self.seed = seed
+        self.shadow = shadow
+        self.turn = turn = EffectBuffer(limits.log_again)
+        self.methods = read_methods(settings, limits.late_read)
+        self.control: Control | ShadowControl | None = None  # from the worker pool's start on
+        self.limiters = limiters
+        self.key_leases = make_key_leases(turn) if make_key_leases else None
+        self.fleet = FleetView(turn, self.methods, limiters, observer)
+        late_read_us = max((method.late_read_us for method in self.methods.values()), default=0)
+        self.idempotency = IdempotencyCache(turn, late_read_us, limits.kept_results)
+        self.lifecycle = RpcLifecycle(turn, self.methods, self.idempotency, self.fleet, self.key_leases)
         gauges = settings.get("gauges", ())
-        count = range(settings.get("methods.count", 0))
-        method = lambda n, item: settings.get(f"methods.{n}.{item}")
-        poorer = settings.get("degraded_value", 0)
-        self.poorer = {method(n, "name"): poorer[n] if isinstance(poorer, tuple) else poorer for n in count}
-        self.kinds = {method(n, "name"): method(n, "kind") for n in count}
-        # A try that reached the machine while an entry lived may be read as late as its deadline.
-        self.late = {method(n, "name"): (method(n, "deadline") or 0) + limits.late_read for n in count}
-        self.deadlines = {method(n, "name"): method(n, "deadline") or 5_000_000 for n in count}
-        self.turn = EffectBuffer(limits.log_again)
-        self.pool = WorkerPool(
-            self.turn, limits, places["pool"], gauges if isinstance(gauges, tuple) else (gauges,), self
+        gauge_names = gauges if isinstance(gauges, tuple) else (gauges,)
+        self.pool = WorkerPool(turn, limits, addresses["pool"], gauge_names, self.lifecycle, self)
+        linger_us = settings.get("calls_linger", 0) if limiters else 0
+        self.store = StoreClient(turn, limits, addresses["store"], self.lifecycle.call_ended, linger_us)
+        self.lifecycle.connect(self.pool, self.store)
+        self.registration = Registration(
+            turn, limits, name, addresses["registry"], settings.get("drain_grace", 0), self.is_busy
         )
-        self.limiters = limiters  # of the fleet's limits, or None; see meter.py
-        self.observer = observer  # for the fleet's verdicts, or None; see witness.py
-        self.key_leases = make_key_leases and make_key_leases(
-            self.turn
-        )  # of runs in the whole fleet, or None; see claimer.py
-        self.origins = {}  # link -> host that it comes from, where there is a witness
-        worths = {method(n, "name"): method(n, "criticality") or 0 for n in count}
-        self.first = {name for name, worth in worths.items() if worth > min(worths.values())}
-        self.store = Store(
-            self.turn,
-            limits,
-            places["store"],
-            self.call_ended,
-            settings.get("calls_linger", 0) if limiters else 0,
+        self.frontends: Mapping[str, Frontend] = make_frontends(self)
+        self.port = CorePort(
+            turn,
+            self.lifecycle,
+            self.pool,
+            self.store,
+            self.registration,
+            self.frontends,
+            limiters,
+            self.key_leases,
         )
-        self.tokens = IdempotencyCache(self.turn, max(self.late.values(), default=0), limits.kept_results)
-        self.duty = Registration(
-            self.turn, limits, name, places["registry"], settings.get("drain_grace", 0), self.busy
-        )
-        self.control = None  # from the worker pool's start on
-        self.rpcs, self.by_name, self.next_index = {}, {}, 0
-        self.said_level = None
-        self.members, self.isolated = {}, False  # name -> (state, incarnation), where nodes may talk
-        self.oldest, self.use = 0, 0.0  # of the inputs: the longest wait since the last look; busy part
-        self.fronts = make_fronts(self)
-        self.handlers = {
-            inputs.Start: self.on_start,
-            inputs.ConnectionOpened: self.on_opened,
-            inputs.MessagesReceived: self.on_got,
-            inputs.DuplicateReady: self.on_shared,
-            inputs.Drain: self.on_drain,
-            inputs.AddressesChanged: self.on_moved,
-            inputs.ThreadDied: self.on_fault,
-            inputs.TimersDue: self.on_time,
-            inputs.LoadMeasured: self.on_load,
-            inputs.KeyLeasesRequested: self.on_claims,
-            inputs.RunNotStarted: self.on_moot,
-            inputs.FleetChange: self.on_fleet,
-            inputs.CallNotMade: self.on_full,
-            inputs.ConnectionClosed: self.on_closed,
-            **{kind: partial(self.on_link, word) for kind, word in OWNER_METHODS.items()},
+        self._longest_wait_us = 0  # of the inputs since the last timer of the decision module
+        self._input_busy = 0.0  # part of the time in which inputs were processed
+        self._handlers = self._input_handlers()
+
+    def _input_handlers(self) -> dict[type, Callable[..., None]]:
+        """What handles each type of input; called with the input's fields."""
+        return {
+            inputs.MessagesReceived: self._on_messages,
+            inputs.ConnectionOpened: self._on_connection_opened,
+            inputs.ConnectionClosed: self._on_connection_closed,
+            inputs.ConnectionRefused: self._tell_owner("connection_refused"),
+            inputs.ConnectionEnded: self._tell_owner("connection_ended"),
+            inputs.WriteBlocked: self._tell_owner("write_blocked"),
+            inputs.WriteResumed: self._tell_owner("write_resumed"),
+            inputs.CloseDue: self._tell_owner("close_due"),
+            inputs.CloseAttempted: self._tell_owner("close_attempted"),
+            inputs.DuplicateReady: self.lifecycle.duplicate_ready,
+            inputs.CallNotMade: self.lifecycle.call_not_made,
+            inputs.RunNotStarted: self.lifecycle.run_not_started,
+            inputs.KeyLeasesRequested: self._on_key_leases_requested,
+            inputs.KeyLeaseAnswered: self._on_key_lease_answered,
+            inputs.MemberChanged: self.fleet.member_changed,
+            inputs.IsolationChanged: self.fleet.isolation_changed,
+            inputs.AllocationGranted: self.fleet.allocation_granted,
+            inputs.ConsensusChanged: self.fleet.consensus_changed,
+            inputs.Start: self._on_start,
+            inputs.TimersDue: self._on_timers_due,
+            inputs.LoadMeasured: self._on_load_measured,
+            inputs.AddressesChanged: self._on_addresses_changed,
+            inputs.ThreadDied: self._on_thread_died,
+            inputs.Drain: self._on_drain,
         }
 
-    # ---- in and out
+    # ---- In and out
 
-    def reduce(self, now, what):
-        """One input, after all timers that are due."""
+    def reduce(self, now: int, what: inputs.Input) -> list[Effect]:
+        """Handles one input, after all timers that are due; returns what is to be carried out, in order."""
         effects = self.turn.begin(now)
-        self.handlers[type(what)](*what)
+        self._handlers[type(what)](*what)
         return effects
 
-    def due(self):
+    def next_timer(self) -> int | None:
         """When the next timer is due, or None."""
-        return self.turn.due()
-
-    @property
-    def ready(self):
-        """Whether RPCs can be taken: the worker pool was there."""
-        return self.control is not None
+        return self.turn.next_timer()
 
-    def on_start(self):
-        self.pool.reach()
-        self.duty.report()
+    def is_busy(self) -> bool:
+        """Whether anything is open or owed."""
+        return not all(frontend.is_idle() for frontend in self.frontends.values()) or (
+            self.lifecycle.any_answer_owed()
+        )
 
-    def on_moved(self, places):
-        """The others have new places. What is under way at the old ones ends there where it can."""
-        pieces = {"pool": self.pool, "store": self.store, "registry": self.duty}
-        moved = [kind for kind, piece in pieces.items() if places[kind] != piece.place]
-        self.turn.emit(Log(f"configuration: {', '.join(moved) or 'nothing'} moved"))
-        for kind in moved:
-            pieces[kind].move(places[kind])
+    def _on_start(self) -> None:
+        self.pool.connect()
+        self.registration.report()
 
-    def on_fault(self, thread):
-        raise RuntimeError(f"thread {thread} died")
-
-    def on_time(self):
+    def _on_timers_due(self) -> None:
         """Nothing but the timers."""
 
-    def on_load(self, busy, span):
-        self.use = busy / max(1, span)
-
-    def on_fleet(self, change):
-        """One change of the view of the fleet. What is left or failed is kept by the members alone."""
-        what, *rest = change
-        if what == "allow":
-            if self.limiters:
-                self.limiters.set_allowance(*rest)
-        elif what == "verdicts":
-            self.observer.hold(*rest)
-            self.limiters.set_dependency_down(self.observer.store_down)
-        elif what == "claimed":
-            self.key_leases.answered(*rest)
-        elif what == "isolated":
-            self.isolated = rest[0]
-        elif rest[1] in ("failed", "left"):
-            self.members.pop(rest[0], None)
-        else:
-            self.members[rest[0]] = rest[1], rest[2]
-
-    def on_opened(self, link, kind, host=None):
-        self.turn.owners[link] = self.fronts[kind]
-        if self.observer:
-            self.origins[link] = host
-        self.fronts[kind].opened(link)
+    def _on_load_measured(self, busy_us: int, span_us: int) -> None:
+        self._input_busy = busy_us / max(1, span_us)
 
-    def on_got(self, link, messages, read_at):
-        self.oldest = max(self.oldest, self.turn.now - read_at)
-        owner = self.turn.owners.get(link)
-        if owner:
-            for message in messages:
-                owner.got(link, message)
-            owner.batch_over(link)
-
-    def on_link(self, word, link, *more):
-        owner = self.turn.owners.get(link)
-        if owner:
-            getattr(owner, word)(link, *more)
-
-    def on_closed(self, link):
-        self.turn.emit(Drop(link))
-        self.origins.pop(link, None)
-        owner = self.turn.owners.pop(link, None)
-        if owner:
-            owner.closed(link)
-
-    # ---- what fronts hand over: see front.py
+    def _on_addresses_changed(self, addresses: Mapping[str, Address | None]) -> None:
+        """What is under way at the old addresses ends there where it can."""
+        parts = {"pool": self.pool, "store": self.store, "registry": self.registration}
+        changed = [kind for kind, part in parts.items() if addresses[kind] != part.address]
+        self.turn.emit(Log(f"configuration: {', '.join(changed) or 'nothing'} readdressed"))
+        for kind in changed:
+            parts[kind].change_address(addresses[kind])
 
-    def bad_from(self, link):
-        """A message that can't be read came on that link, or none at all."""
-        if self.observer:
-            self.observer.bad(self.origins.get(link))
-
-    def take(
-        self,
-        rpc,
-        token=None,
-        *,
-        reached,
-        caller,
-        again=False,
-        hint=0,
-        kb=1.0,
-        place=None,
-        expires=0,
-        link=None,
-    ):
-        """An RPC was read whole. `InvalidRpcError` says what is wrong with it; nothing of it is kept then."""
-        digest = None
-        if rpc.name in self.by_name:
-            raise InvalidRpcError(f"name {rpc.name!r}: in use by an open RPC")
-        if token is not None:
-            digest = digest_of(rpc.body)
-            if self.tokens.other_body((rpc.method, token), digest):
-                # Guards against a result that is shared with what is no try of the same RPC.
-                raise InvalidRpcError("body: not that of the other tries with this key")
-        index, self.next_index = self.next_index, self.next_index + 1
-        rpc.index = index
-        self.rpcs[index] = rpc
-        self.by_name[rpc.name] = index
-        repeats = None
-        if token is not None:
-            rpc.entry, again_known = self.tokens.entry((rpc.method, token), index, digest, reached)
-            if again_known:
-                repeats = rpc.entry.index if rpc.entry.index in self.rpcs else -1
-        how = dict(expires_at=expires, shed_rank=place, cost_hint=hint, is_retry=again, caller=caller)
-        if self.key_leases and token is not None and repeats is None:
-            due = max(self.turn.now, reached + self.deadlines[rpc.method] - CLAIM_MARGIN)
-            self.key_leases.ask(
-                rpc,
-                token,
-                due,
-                again,
-                lambda rpc, kind, result: self.claimed(rpc, kind, result, reached, kb, link, how),
-            )
-        else:
-            self.arrive(rpc, reached, kb, link, repeats, how)
-
-    def claimed(self, rpc, kind, result, reached, kb, link, how):
-        """A claim is answered: the RPC goes to the module, or ended elsewhere."""
-        if kind == CLAIM_MINE:
-            self.arrive(rpc, reached, kb, link, None, how)
-        elif kind == CLAIM_FULL and rpc.owed:
-            self.arrive(
-                rpc, reached, kb, link, None, how, FleetQuota(0, 0, CLAIM_AGAIN)
-            )  # it never ran: pushed back
-        else:
-            good = kind == CLAIM_ENDED
-            rpc.over, rpc.body = True, b""
-            self.final(rpc, OK if good else ABORTED, result if good else b"")
-            self.release(rpc.index)
-
-    def arrive(self, rpc, reached, kb, link, repeats, how, room=None):
-        """To the module."""
-        now, index, caller = self.turn.now, rpc.index, how["caller"]
-        told, meters = {}, []
-        if self.limiters and repeats is None:
-            meters = self.limiters.limiters_of(rpc.method, caller)
-            if meters:
-                told["quota"] = FleetQuota(*self.limiters.quota(meters))
-                if self.observer and told["quota"][0] <= 0 and any(m.limit.dispatcher for m in meters):
-                    self.observer.over(caller)
-        if self.observer and repeats is None:
-            held = self.observer.room(now, self.origins.get(link), caller)
-            if held and (not told or held < told["quota"]):
-                told["quota"] = FleetQuota(*held)
-        if room:
-            told["quota"] = room
-        rpc.handle = self.control.admit(
-            now, index, rpc.method, kb, waited=now - reached, duplicate_of=repeats, **how, **told
-        )
-        if rpc.owed:
-            for meter in meters:
-                meter.try_acquire(rpc)
-
-    def leave(self, rpc):
-        """The caller has gone: nothing is owed, nor told to the front."""
-        rpc.owed = False
-        self.store.drop(rpc)
-        self.uncount(rpc)
-        if rpc.handle:
-            rpc.handle.caller_gone(self.turn.now)
-        elif self.key_leases and self.key_leases.left(rpc):
-            self.release(rpc.index)
-
-    def final(self, rpc, outcome, result=b"", wait=0, last=False):
-        if rpc.owed:
-            rpc.owed = False
-            self.uncount(rpc)
-            rpc.front.final(rpc, outcome, result, wait, last)
-
-    def uncount(self, rpc):
-        """Nothing of it is in hand any more, where nothing of it runs."""
-        if rpc.counted and not (rpc.started and not rpc.over):
-            for meter in rpc.counted:
-                meter.count -= 1
-            rpc.counted = None
-
-    # ---- the worker pool's word
-
-    def pool_up(self, cold):
-        # The ramp of a cold start counts from the worker pool's: a later start is the slower reckoning.
-        settings = {**self.settings, "fresh_start": cold}
-        if self.shadow:
-            from finchcart.node.shadow import (
-                ShadowControl,  # not on the way to ready where nothing is watched
-            )
+    def _on_thread_died(self, thread: str) -> None:
+        raise RuntimeError(f"thread {thread} died")
 
-            watched = {**self.settings, **self.shadow["settings"], "fresh_start": cold}
-            self.control = ShadowControl(self, settings, watched, self.seed, self.shadow["period"], self.log)
-        else:
-            self.control = Control(self, settings, self.seed)
-        self.control.start(self.turn.now)
-        if self.duty.drained is not None:
-            self.drain_control()  # the notice came before the worker pool
+    def _on_key_leases_requested(self) -> None:
+        self.key_leases.send_requests()
 
-    def pool_anew(self, cold):
-        """A worker pool that started anew has lost its runs: each is answered, none is run again."""
-        self.control.worker_pool_restarted(self.turn.now, cold)
-        lost = [rpc for rpc in self.rpcs.values() if rpc.started and not rpc.over]
-        self.turn.emit(Log(f"worker pool: started anew, {len(lost)} runs lost"))
-        for rpc in lost:
-            self.run_ended(rpc, Outcome.STOPPED, 0, b"")
-
-    def running(self, name):
-        """The RPC of that name whose run is not over, or None."""
-        rpc = self.rpcs.get(self.by_name.get(name))
-        return rpc if rpc and rpc.started and not rpc.over else None
-
-    def run_ended(self, rpc, outcome, spent, result):
-        """A run or a share is over: what there is to answer is answered, then the module hears of it."""
-        rpc.over, rpc.stands_at, rpc.body = True, None, b""
-        self.uncount(rpc)
-        self.pool.confirmed(rpc)
-        self.by_name.pop(rpc.name, None)
-        if rpc.call_link is not None:
-            self.store.drop(rpc)
-        if outcome is Outcome.OK:
-            self.final(rpc, OK, result)
-        elif outcome is Outcome.ERROR:
-            self.final(rpc, ABORTED)
-        if self.observer:
-            self.observer.run_ended(outcome, spent)
-        if self.key_leases and outcome is Outcome.NOT_STARTED:
-            self.key_leases.never(rpc.index)
-        elif self.key_leases:
-            self.key_leases.ended(rpc.index, outcome is Outcome.OK, result)
-        if rpc.entry and rpc.entry.index == rpc.index:
-            self.tokens.settle(rpc.entry, result if outcome is Outcome.OK else FAILED)
-        rpc.handle.run_ended(self.turn.now, outcome, spent)
-
-    def run_at_call(self, rpc, cursor, body):
-        rpc.stands_at = cursor, body
-        if self.limiters and self.limiters.calls_rate:
-            self.limiters.calls_rate.record_demand()
-        rpc.handle.awaiting_call(self.turn.now)
-
-    def woken(self, name, gauges):
-        """`gauges`: the worker pool's readings by name."""
-        gauges = Gauges.from_readings(gauges)._replace(input_age=self.oldest, input_busy=self.use)
-        self.oldest = 0
-        if self.limiters:
-            gauges = gauges._replace(call_capacity=self.limiters.call_capacity(self.store))
-            standing = [rpc.method in self.first for rpc in self.rpcs.values() if rpc.stands_at is not None]
-            for said in self.limiters.usage(self.store, len(standing), sum(standing)):
-                self.turn.emit(PublishUsage(*said))
-        if self.observer:
-            gauges = gauges._replace(
-                ejected=self.observer.out,
-                min_shed_level=self.observer.level,
-                dependency_down=self.observer.store_down,
-            )
-            control = getattr(self.control, "first", self.control)
-            seen = self.observer.look(self.turn.now, control.own_level)
-            if seen:
-                self.turn.emit(PublishEvidence(seen))
-        self.control.on_timer(self.turn.now, name, gauges)
-        self.duty.look()
+    def _on_key_lease_answered(
+        self, key: bytes, outcome: inputs.KeyLeaseOutcome, result: bytes, run_by: int | None
+    ) -> None:
+        self.key_leases.answered(key, outcome, result, run_by)
 
-    # ---- calls and shares that are over
+    # ---- Connections
 
-    def call_ended(self, rpc, outcome, body, spent):
-        if outcome is Outcome.OK and rpc.stands_at:
-            (cursor, _), rpc.stands_at = rpc.stands_at, None
-            self.pool.reply(rpc, cursor, body, self.poorer[rpc.method] > 0)
-        if self.observer:
-            self.observer.call_ended(outcome, spent, rpc.cut)
-        rpc.handle.call_ended(self.turn.now, outcome, spent)
+    def _on_connection_opened(self, connection: int, frontend: str, host: str | None = None) -> None:
+        owner = self.frontends[frontend]
+        self.turn.connection_owners[connection] = owner
+        self.fleet.connection_opened(connection, host)
+        owner.connection_opened(connection)
 
-    def on_shared(self, index):
-        rpc = self.rpcs.get(index)
-        if rpc is None or rpc.over or rpc.share_from is None:
-            return
-        result = rpc.entry.result
-        outcome = Outcome.OK if isinstance(result, bytes) else Outcome.ERROR
-        self.run_ended(rpc, outcome, self.turn.now - rpc.share_from, result)
-
-    # ---- the port
-
-    def on_claims(self):
-        self.key_leases.send()
-
-    def on_moot(self, index):
-        """A run that was not commanded, as its claim was over: it never ran."""
-        rpc = self.rpcs.get(index)
-        if rpc and rpc.started and not rpc.over:
-            self.run_ended(rpc, Outcome.NOT_STARTED, 0, b"")
-
-    def run(self, index):
-        rpc = self.rpcs[index]
-        rpc.started = True
-        if self.key_leases and not self.key_leases.may_run(index):
-            self.turn.emit(Defer(RunNotStarted(index)))
-            return
-        if rpc.entry:
-            rpc.entry.ran = True
-        self.pool.run(rpc, self.kinds[rpc.method] == "idempotent")
+    def _on_messages(self, connection: int, messages: Sequence[tuple], received_at: int) -> None:
+        self._longest_wait_us = max(self._longest_wait_us, self.turn.now - received_at)
+        owner = self.turn.connection_owners.get(connection)
+        if owner:
+            for message in messages:
+                owner.message_received(connection, message)
+            owner.batch_completed(connection)
 
-    def stop(self, index):
-        raise NotImplementedError("this worker pool stops nothing")
+    def _tell_owner(self, method: str) -> Callable[..., None]:
+        """Handles an input of one connection by that method of its owner, while it has one."""
+        owners = self.turn.connection_owners
 
-    def reject(self, index, retry_after, do_not_retry):
-        self.final(self.rpcs[index], PUSHED_BACK, b"", retry_after, do_not_retry)
+        def handle(connection: int, *fields: object) -> None:
+            owner = owners.get(connection)
+            if owner:
+                getattr(owner, method)(connection, *fields)
 
-    def fail(self, index):
-        rpc = self.rpcs[index]
-        self.store.drop(rpc)
-        self.final(rpc, ABORTED)
+        return handle
 
-    def call(self, index, timeout):
-        rpc = self.rpcs[index]
-        if self.store.place is None:
-            self.turn.emit(Defer(CallNotMade(index)))  # nothing is named that could be called: it never ran
-            return
-        if not self.limiters:
-            self.store.call(rpc, timeout, rpc.stands_at[1])
-            return
-        given = self.limiters.acquire_call(self.store)
-        if given is None:
-            self.turn.emit(Defer(CallNotMade(index)))  # the module is in the midst of its calls
-            return
-        leased, longest, by = given
-        rpc.cut = longest is not None and longest < timeout and not self.limiters.probing
-        timeout = timeout if longest is None else min(timeout, longest)
-        self.store.call(rpc, timeout, rpc.stands_at[1], leased, by)
+    def _on_connection_closed(self, connection: int) -> None:
+        self.turn.emit(Drop(connection))
+        self.fleet.connection_closed(connection)
+        owner = self.turn.connection_owners.pop(connection, None)
+        if owner:
+            owner.connection_closed(connection)
 
-    def on_full(self, index):
-        """A call that was not made: it never ran."""
-        rpc = self.rpcs.get(index)
-        if rpc and rpc.stands_at and rpc.call_link is None:
-            rpc.handle.call_ended(self.turn.now, Outcome.REJECTED, 0)
+    # ---- What frontends use: see FrontendHost
 
-    def degrade(self, index):
-        rpc = self.rpcs[index]
-        (cursor, _), rpc.stands_at = rpc.stands_at, None
-        self.pool.skip(rpc, cursor)
+    @property
+    def ready(self) -> bool:
+        """Whether RPCs can be accepted: the worker pool was there."""
+        return self.control is not None
 
-    def answer_duplicate(self, index):
-        rpc = self.rpcs[index]
-        rpc.share_from = self.turn.now
-        self.tokens.share(rpc)
+    @property
+    def shed_level(self) -> float | None:
+        """The shed level that is published with all answers; None: not known yet."""
+        return self.port.shed_level
 
-    def store_key(self, index, ttl):
-        self.tokens.remember(self.rpcs[index], ttl)
+    def accept(self, rpc: Rpc, attributes: RpcAttributes) -> None:
+        """Takes over an RPC that was read to the end, see `FrontendHost`."""
+        self.lifecycle.accept(rpc, attributes)
 
-    def evict_key(self, index):
-        self.tokens.forget(self.rpcs[index].entry)
+    def abandon(self, rpc: Rpc) -> None:
+        """The caller of an accepted RPC has gone."""
+        self.lifecycle.abandon(rpc)
 
-    def set_health(self, healthy, cached):
-        self.duty.health(healthy)
-        for front in self.fronts.values():
-            front.health(healthy)
+    def record_invalid_traffic(self, connection: int) -> None:
+        """A message that can't be read came on the connection, or none at all."""
+        self.fleet.record_invalid_traffic(connection)
 
-    def set_shed_level(self, level):
-        self.said_level = level
+    # ---- What the worker pool tells: see PoolListener
 
-    def set_credit(self, credit):
-        raise NotImplementedError("dispatchers' answers carry no credit")
+    def worker_pool_up(self, cold: bool) -> None:
+        """It is there for the first time: the decision module starts."""
+        # The ramp of a cold start counts from the worker pool's: a later start is the slower reckoning.
+        settings = {**self.settings, "fresh_start": cold}
+        self.control = self._make_control(settings)
+        self.lifecycle.control = self.control
+        self.registration.worker_pool_up()
+        self.control.start(self.turn.now)
+        if self.registration.drain_notice_at is not None:
+            self._drain_control()  # the notice came before the worker pool
 
-    def set_idle_timeout(self, timeout):
-        for front in self.fronts.values():
-            front.idle_limit(timeout)
+    def _make_control(self, settings: dict[str, Any]) -> "Control | ShadowControl":
+        if not self.shadow:
+            return Control(self.port, settings, self.seed)
+        from finchcart.node.shadow import ShadowControl  # not imported where nothing is watched
 
-    def set_timer(self, delay, name):
-        self.turn.at(self.turn.now + delay, self.pool.ring, name)
+        watched = {**settings, **self.shadow["settings"], "fresh_start": settings["fresh_start"]}
+        return ShadowControl(self.port, settings, watched, self.seed, self.shadow["period"], self.port.log)
 
-    def log(self, text):
-        self.turn.emit(Log(text))
+    def worker_pool_restarted(self, cold: bool) -> None:
+        """It has lost its runs: each is answered, none is run again."""
+        self.control.worker_pool_restarted(self.turn.now, cold)
+        lost = self.lifecycle.running_rpcs()
+        self.turn.emit(Log(f"worker pool: restarted, {len(lost)} runs lost"))
+        for rpc in lost:
+            self.lifecycle.run_lost(rpc)
 
-    def release(self, index):
-        rpc = self.rpcs.pop(index)
-        if self.key_leases:
-            self.key_leases.never(index)  # where it ran, that was told
-        if self.by_name.get(rpc.name) == index:
-            del self.by_name[rpc.name]
+    def timer_due(self, name: str, readings: Mapping[str, float]) -> None:
+        """A timer of the decision module is due; `readings`: the worker pool's gauges by name."""
+        gauges = Gauges.from_readings(readings)._replace(
+            input_age=self._longest_wait_us, input_busy=self._input_busy
+        )
+        self._longest_wait_us = 0
+        gauges = self.fleet.add_gauges(gauges, self.store)
+        self.fleet.publish_usage(self.lifecycle.rpcs.values(), self.store)
+        self.fleet.publish_evidence(self.control.own_level)
+        self.control.on_timer(self.turn.now, name, gauges)
+        self.registration.end_if_idle()
 
-    # ---- drain and end
+    # ---- Drain and end
 
-    def on_drain(self, at=None):
+    def _on_drain(self, received_at: int | None = None) -> None:
         """Grace and kill count from when the notice came, not from when its turn has come."""
-        if not self.duty.drain(min(at or self.turn.now, self.turn.now)):
+        now = self.turn.now
+        if not self.registration.drain(min(received_at or now, now)):
             return
-        for front in self.fronts.values():
-            front.drain(self.duty.kill_at)
+        kill_at = self.registration.kill_at
+        for frontend in self.frontends.values():
+            frontend.drain(kill_at)
         if self.key_leases:
-            self.key_leases.end_by(self.duty.kill_at - CLAIM_MARGIN)
-        if self.control:
-            self.drain_control()
+            self.key_leases.end_by(kill_at - KEY_LEASE_MARGIN_US)
+        if self.ready:
+            self._drain_control()
         else:
-            self.set_health(False, True)
-            self.end_unready()
-
-    def drain_control(self):
-        self.control.drain(self.duty.drained, self.duty.kill_at)
-
-    def end_unready(self):
-        """Without a worker pool nothing is run: what comes is pushed back, connections close as they idle,
-        and the end comes as ever."""
-        if not self.control:
-            for front in self.fronts.values():
-                front.idle_limit(0)
-            self.duty.look()
-            self.turn.at(self.turn.now + self.limits.unready_look, self.end_unready)
-
-    def busy(self):
-        """Whether anything is open or owed."""
-        return not all(front.quiet() for front in self.fronts.values()) or any(
-            rpc.owed for rpc in self.rpcs.values()
-        )
+            self.port.set_health(False, True)
+            self._end_without_worker_pool()
+
+    def _drain_control(self) -> None:
+        self.control.drain(self.registration.drain_notice_at, self.registration.kill_at)
+
+    def _end_without_worker_pool(self) -> None:
+        """What comes is rejected, connections close as they idle, and the end comes as ever."""
+        if not self.ready:
+            for frontend in self.frontends.values():
+                frontend.set_idle_timeout(0)
+            self.registration.end_if_idle()
+            self.turn.schedule(self.turn.now + self.limits.unready_look, self._end_without_worker_pool)
--- a/finchcart/node/effect_buffer.py
+++ b/finchcart/node/effect_buffer.py
@@ -1,65 +1,108 @@
-"""One turn of a node's state: its time, the effects asked for, timers and log lines.
+"""One event-loop turn of a node: its time, the effects emitted in it, timers and connection numbers.
 
-Owns the clock value of the turn, the list of effects, the heap of timers and the numbers of links that the
-node makes. All pieces of a node share one `Turn`; it must never know what they do with it.
+Owns the clock value of the turn, the list of effects, the heap of timers, the numbers of connections that the
+node opens and who is told what happens on each connection. All parts of a node share one `EffectBuffer`; it
+must never know what they do with it.
 
 The types of effects: effects.py.
 """
 
+from collections.abc import Callable, Iterable
 from heapq import heappop, heappush
+from typing import Protocol
 
-from finchcart.node.effects import Connect, Log
+from finchcart.node.effects import Connect, Effect, Log
+from finchcart.node.inputs import Input
 
 
-def own_connections_first(inputs):
-    """The inputs of one turn with those of the node's own links first: what is under way goes before those
-    who want more. Guards against an end that overtakes what was read before it: each link's order is kept."""
+class ConnectionOwner(Protocol):
+    """What is told of a connection. Connections are named by number."""
+
+    def message_received(self, connection: int, message: tuple) -> None:
+        """One message of the connection's codec; `batch_completed` follows after the last of a batch."""
+
+    def batch_completed(self, connection: int) -> None:
+        """All of a batch was handed over: the next read may be asked for."""
+
+    def write_blocked(self, connection: int) -> None:
+        """The peer does not read what is sent."""
+
+    def write_resumed(self, connection: int) -> None:
+        """All that was pending is written."""
+
+    def connection_refused(self, connection: int, reason: str) -> None:
+        """A connection of the node's own was never established."""
+
+    def connection_ended(self, connection: int, reason: str) -> None:
+        """Nothing more will be read; `reason` is empty where the peer closed."""
+
+    def connection_closed(self, connection: int) -> None:
+        """The connection is gone."""
+
+
+def own_connections_first(inputs: Iterable[Input]) -> list[Input]:
+    """The inputs of one turn with those of the node's own connections first: work under way before new work.
+
+    Guards against an end that overtakes what was read before it: the order on each connection is kept.
+    """
     return sorted(inputs, key=lambda what: getattr(what, "connection", 0) >= 0)
 
 
 class EffectBuffer:
-    """Times are whole microseconds. Links that the node makes have numbers from -1 down."""
+    """The turn under way. Times are whole microseconds; `log_interval_us`: between lines on one party's
+    faults.
 
-    def __init__(self, log_again):
-        self.now, self.effects = 0, []
-        self.log_again = log_again  # between lines on faults of one party
-        self.timers, self.made = [], 0  # heap of (when, number, what)
-        self.faults, self.links = {}, 0
-        self.owners = {}  # link -> the piece that hears of it, until it is closed
+    Bounds: the timers are what the parts of a node schedule, each of which bounds its own; one fault record a
+    party; one owner a connection, until that is closed.
+    """
 
-    def begin(self, now):
-        """All timers that are due ring; returns the list that this turn's effects are added to."""
+    def __init__(self, log_interval_us: int) -> None:
+        self.now = 0
+        self.effects: list[Effect] = []
+        self.log_interval_us = log_interval_us
+        self.timers: list[tuple] = []  # heap of (when, number, callback, arguments)
+        self.connection_owners: dict[int, ConnectionOwner] = {}
+        self._timers_made = 0
+        self._connections_made = 0
+        self._faults: dict[str, tuple[int | None, int]] = {}  # party -> (last line at, faults since)
+
+    def begin(self, now: int) -> list[Effect]:
+        """Begins a turn: runs all timers that are due, and returns the list that effects are added to."""
         self.now = now = max(now, self.now)
         self.effects = effects = []
         timers = self.timers
         while timers and timers[0][0] <= now:
-            _, _, act, args = heappop(timers)
-            act(*args)
+            _, _, callback, arguments = heappop(timers)
+            callback(*arguments)
         return effects
 
-    def due(self):
+    def next_timer(self) -> int | None:
         """When the next timer is due, or None."""
         return self.timers[0][0] if self.timers else None
 
-    def emit(self, effect):
+    def emit(self, effect: Effect) -> None:
+        """Adds an effect to those of this turn."""
         self.effects.append(effect)
 
-    def at(self, when, act, *args):
-        self.made += 1
-        heappush(self.timers, (when, self.made, act, args))
-
-    def connect(self, kind, address, owner):
-        """Asks for a link of that kind; `owner` hears what comes of it. Returns its number."""
-        self.links -= 1
-        self.owners[self.links] = owner
-        self.emit(Connect(self.links, kind, address))
-        return self.links
-
-    def fault(self, whose, text):
-        """One line for many faults of the same party: the next line has the count of those not told."""
-        told, missed = self.faults.get(whose, (None, 0))
-        if told is not None and self.now - told < self.log_again:
-            self.faults[whose] = told, missed + 1
-        else:
-            self.faults[whose] = self.now, 0
-            self.emit(Log(f"{whose}: {text}" + (f"; {missed} more since the last line" if missed else "")))
+    def schedule(self, when: int, callback: Callable[..., None], *arguments: object) -> None:
+        """Has `callback(*arguments)` called at the beginning of the first turn from `when` on."""
+        self._timers_made += 1
+        heappush(self.timers, (when, self._timers_made, callback, arguments))
+
+    def connect(self, kind: str, address: tuple[str, int], owner: ConnectionOwner) -> int:
+        """Opens a connection that `kind` names the codec of; `owner` is told of it. Returns its number."""
+        self._connections_made += 1
+        connection = -self._connections_made
+        self.connection_owners[connection] = owner
+        self.emit(Connect(connection, kind, address))
+        return connection
+
+    def log_fault(self, party: str, text: str) -> None:
+        """One line for many faults of one party: the next line has the count of those left out."""
+        logged_at, left_out = self._faults.get(party, (None, 0))
+        if logged_at is not None and self.now - logged_at < self.log_interval_us:
+            self._faults[party] = logged_at, left_out + 1
+            return
+        self._faults[party] = self.now, 0
+        suffix = f"; {left_out} more since the last line" if left_out else ""
+        self.emit(Log(f"{party}: {text}{suffix}"))
--- a/finchcart/node/effects.py
+++ b/finchcart/node/effects.py
@@ -4,6 +4,7 @@
 out and never decides. Connections are named by number; times are whole microseconds.
 """
 
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from finchcart.node.inputs import Input
@@ -98,10 +99,47 @@
     evidence: dict[str, Any]
 
 
+class KeyLeaseRequest(NamedTuple):
+    """One key to be leased; see `RequestKeyLeases`."""
+
+    key: bytes
+    body_digest: int  # requests of one key with two digests are a payload mismatch
+    lifetime_us: int
+
+
+class RequestKeyLeases(NamedTuple):
+    """Ask a majority of the fleet's acceptors for these keys."""
+
+    requests: Sequence[KeyLeaseRequest]
+
+
+class ReportRunEnded(NamedTuple):
+    """The run of a leased key is over."""
+
+    key: bytes
+    succeeded: bool
+    result: bytes  # empty where it did not succeed
+
+
+class ReleaseKeyLease(NamedTuple):
+    """A leased key won't be run."""
+
+    key: bytes
+
+
+class AbandonKeyLeaseRequest(NamedTuple):
+    """Nobody waits for the key lease any more."""
+
+    key: bytes
+
+
+KeyLeaseAction = RequestKeyLeases | ReportRunEnded | ReleaseKeyLease | AbandonKeyLeaseRequest
+
+
 class KeyLeaseCommand(NamedTuple):
-    """An input of the key lease client."""
+    """A command to the key lease client."""
 
-    command: tuple[Any, ...]
+    command: KeyLeaseAction
 
 
 Effect = (
--- /dev/null
+++ b/finchcart/node/fleet.py
@@ -0,0 +1,159 @@
+"""The fleet as one node's core sees it: what it may use, what it holds to be so, who is a member.
+
+Owns the joint of the core with limiters and observer, where each may be absent. It must never decide about an
+RPC: the decision module does, told the quota and the gauges.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import TYPE_CHECKING
+
+from finchcart.interface import FleetQuota, Gauges, Outcome
+from finchcart.node.effect_buffer import EffectBuffer
+from finchcart.node.effects import PublishEvidence, PublishUsage
+from finchcart.node.methods import MethodInfo
+from finchcart.node.rpc import Rpc, RpcAttributes
+
+if TYPE_CHECKING:  # neither is imported where no fleet is asked for
+    from finchcart.node.limiter_set import LimiterSet, RpcLimiter
+    from finchcart.node.limiters import CallsInFlight
+    from finchcart.node.observer import Observer
+
+GONE_STATES = ("failed", "left")  # of members
+
+
+class FleetView:
+    """Limiters and observer, where there are any. Times are whole microseconds.
+
+    Bounds: members by what the membership keeps, which alone remembers those that are gone; one host a
+    connection, until that is closed.
+    """
+
+    def __init__(
+        self,
+        turn: EffectBuffer,
+        methods: Mapping[str, MethodInfo],
+        limiters: "LimiterSet | None" = None,
+        observer: "Observer | None" = None,
+    ) -> None:
+        self.turn = turn
+        self.methods = methods
+        self.limiters = limiters
+        self.observer = observer
+        self.limits_rpcs = limiters is not None or observer is not None
+        self.members: dict[str, tuple[str, int]] = {}  # name -> (state, incarnation)
+        self.isolated = False
+        self._hosts: dict[int, str | None] = {}  # by connection, where there is an observer
+
+    # ---- Inputs of the fleet
+
+    def member_changed(self, name: str, state: str, incarnation: int) -> None:
+        """See `MemberChanged`."""
+        if state in GONE_STATES:
+            self.members.pop(name, None)
+        else:
+            self.members[name] = state, incarnation
+
+    def isolation_changed(self, isolated: bool) -> None:
+        """See `IsolationChanged`."""
+        self.isolated = isolated
+
+    def allocation_granted(self, limit: str, floor: int | None, amount: int, until: int) -> None:
+        """See `AllocationGranted`."""
+        if self.limiters:
+            self.limiters.set_allowance(limit, floor, amount, until)
+
+    def consensus_changed(
+        self,
+        dependency_state: int,
+        ejected: bool,
+        min_shed_level: float,
+        source_states: Mapping[int, int],
+    ) -> None:
+        """See `ConsensusChanged`."""
+        self.observer.apply_consensus(dependency_state, ejected, min_shed_level, source_states)
+        self.limiters.set_dependency_down(self.observer.dependency_down)
+
+    # ---- Connections
+
+    def connection_opened(self, connection: int, host: str | None) -> None:
+        """A peer connected from that host."""
+        if self.observer:
+            self._hosts[connection] = host
+
+    def connection_closed(self, connection: int) -> None:
+        """The connection is gone."""
+        self._hosts.pop(connection, None)
+
+    def record_invalid_traffic(self, connection: int) -> None:
+        """A message that can't be read came on the connection, or none at all."""
+        if self.observer:
+            self.observer.record_invalid_traffic(self._hosts.get(connection))
+
+    # ---- RPCs
+
+    def quota_for(
+        self, method: str, attributes: RpcAttributes
+    ) -> "tuple[FleetQuota | None, Sequence[RpcLimiter]]":
+        """What an RPC may use, None for no bound, and the limiters that count it where it is admitted."""
+        quota = None
+        limiters = ()
+        caller = attributes.caller
+        if self.limiters:
+            limiters = self.limiters.limiters_of(method, caller)
+            quota = self.limiters.quota(limiters)
+            if self.observer and quota and quota.available <= 0 and _counts_dispatcher(limiters):
+                self.observer.record_over_limit(caller)
+        if self.observer:
+            host = self._hosts.get(attributes.connection)
+            source_quota = self.observer.quota_for(self.turn.now, host, caller)
+            if source_quota and (quota is None or source_quota < quota):
+                quota = source_quota
+        return quota, limiters
+
+    def run_ended(self, outcome: Outcome, spent_us: int) -> None:
+        """A run is over."""
+        if self.observer:
+            self.observer.run_ended(outcome, spent_us)
+
+    def call_awaited(self) -> None:
+        """A run awaits a call."""
+        if self.limiters and self.limiters.calls_rate:
+            self.limiters.calls_rate.record_demand()
+
+    def call_ended(self, outcome: Outcome, spent_us: int, time_cut: bool) -> None:
+        """A call is over; `time_cut`: see `Observer.call_ended`."""
+        if self.observer:
+            self.observer.call_ended(outcome, spent_us, time_cut)
+
+    # ---- The control loop
+
+    def add_gauges(self, gauges: Gauges, calls: "CallsInFlight") -> Gauges:
+        """The gauges with what the fleet allows and holds."""
+        if self.limiters:
+            gauges = gauges._replace(call_capacity=self.limiters.call_capacity(calls))
+        if self.observer:
+            gauges = gauges._replace(
+                ejected=self.observer.ejected,
+                min_shed_level=self.observer.min_shed_level,
+                dependency_down=self.observer.dependency_down,
+            )
+        return gauges
+
+    def publish_usage(self, rpcs: Iterable[Rpc], calls: "CallsInFlight") -> None:
+        """Publishes what is used and wanted of the limits of which something changed."""
+        if not self.limiters:
+            return
+        waiting = [self.methods[rpc.method].has_priority for rpc in rpcs if rpc.awaited_call is not None]
+        for limit, usage in self.limiters.usage(calls, len(waiting), sum(waiting)):
+            self.turn.emit(PublishUsage(limit, *usage))
+
+    def publish_evidence(self, shed_level: float) -> None:
+        """Publishes what was seen since the last time, where that is due."""
+        if self.observer:
+            evidence = self.observer.collect_evidence(self.turn.now, shed_level)
+            if evidence:
+                self.turn.emit(PublishEvidence(evidence))
+
+
+def _counts_dispatcher(limiters: "Sequence[RpcLimiter]") -> bool:
+    return any(limiter.limit.dispatcher for limiter in limiters)
--- a/finchcart/node/idempotency.py
+++ b/finchcart/node/idempotency.py
@@ -1,107 +1,142 @@
-"""The table of tokens, and the results that repeats may share.
+"""The idempotency cache: which key was seen when, and the results that duplicates may share.
 
-Owns which token was seen when, which RPC holds it and what that came to. Bounded: an entry leaves once
-nothing that reached the machine in its window can still be read; results by bytes, the oldest first. It must
-never let a result go to an RPC with another body, nor lose an entry whose RPC may have run.
+Owns the entry of each idempotency key, which RPC holds it and what that came to. It must never let a result
+go to an RPC with another body, nor lose an entry whose RPC may have run.
 """
 
+from enum import Enum
 from hashlib import blake2b
 
+from finchcart.node.effect_buffer import EffectBuffer
 from finchcart.node.effects import Defer
 from finchcart.node.inputs import DuplicateReady
+from finchcart.node.rpc import Rpc
 
-PENDING, FAILED = "pending", "failed"  # a kept result that is not there yet, or came to nothing
+DIGEST_BYTES = 16
 
+Key = tuple[str, str]  # method and idempotency key
 
-def digest_of(body):
-    return blake2b(body, digest_size=16).digest()
 
+class NoResult(Enum):
+    """Why an entry has no result."""
 
-class Entry:
-    """A token's place in the table: the try that holds it, and what that came to."""
+    PENDING = "pending"  # not there yet
+    FAILED = "failed"  # the run came to nothing, or its result is kept no more
 
-    __slots__ = ("key", "index", "digest", "until", "result", "waiting", "ran", "before")
 
-    def __init__(self, key, index, digest):
-        self.key, self.index, self.digest = key, index, digest  # digest: of the body, the same for all tries
-        self.until, self.result, self.waiting, self.ran = 0, PENDING, [], False
-        self.before = None  # the last of the key that ran, while this one has not
+def digest_of(body: bytes) -> bytes:
+    """By which two bodies are compared."""
+    return blake2b(body, digest_size=DIGEST_BYTES).digest()
 
 
-class IdempotencyCache:
-    """`stays`: how long after its window an entry may still be asked for; `most`: bytes of kept results."""
+class KeyEntry:
+    """One idempotency key: the RPC that holds it, and what that came to."""
+
+    __slots__ = ("digest", "expires_at", "index", "key", "previous", "ran", "result", "waiting")
+
+    def __init__(self, key: Key, index: int, digest: bytes) -> None:
+        self.key = key
+        self.index = index  # of the RPC that holds it
+        self.digest = digest  # of the body, the same for all RPCs of the key
+        self.expires_at = 0
+        self.result: bytes | NoResult = NoResult.PENDING
+        self.waiting: list[int] = []  # indices of the duplicates that wait for the result
+        self.ran = False
+        self.previous: KeyEntry | None = None  # the last of the key that ran, while this one has not
 
-    def __init__(self, turn, stays, most):
-        self.turn, self.stays, self.most = turn, stays, most
-        self.table, self.results, self.result_bytes = {}, {}, 0  # results: entries, the oldest first
 
-    def other_body(self, key, digest):
-        entry = self.table.get(key)
+class IdempotencyCache:
+    """Entries by key, and the results kept.
+
+    Bounds: entries by the decision module's memory, and each leaves once nothing that reached the machine in
+    its window can still be read: `late_read_us` after it; results by `max_result_bytes`, the oldest first.
+    """
+
+    def __init__(self, turn: EffectBuffer, late_read_us: int, max_result_bytes: int) -> None:
+        self.turn = turn
+        self.late_read_us = late_read_us
+        self.max_result_bytes = max_result_bytes
+        self.entries: dict[Key, KeyEntry] = {}
+        self.with_result: dict[KeyEntry, None] = {}  # entries whose results are kept, the oldest first
+        self.result_bytes = 0
+
+    def is_payload_mismatch(self, key: Key, digest: bytes) -> bool:
+        """Whether the key is held by an RPC with another body."""
+        entry = self.entries.get(key)
         return entry is not None and entry.digest != digest
 
-    def entry(self, key, index, digest, reached):
-        """The entry that a try which reached the machine at `reached` belongs to, and whether it repeats.
-        By the time that it reached the machine, not by when it is read."""
-        entry = self.table.get(key)
-        if entry and entry.until > reached and (entry.ran or entry.until > self.turn.now):
+    def entry_for(self, key: Key, index: int, digest: bytes, arrived_at: int) -> tuple[KeyEntry, bool]:
+        """The entry that an RPC belongs to, and whether it is a duplicate.
+
+        By when it reached the machine (`arrived_at`), not by when it is read.
+        """
+        entry = self.entries.get(key)
+        if entry and entry.expires_at > arrived_at and (entry.ran or entry.expires_at > self.turn.now):
             return entry, True
-        return Entry(key, index, digest), False
-
-    def remember(self, rpc, keep):
-        if rpc.entry.index != rpc.index:
-            rpc.entry = Entry(rpc.entry.key, rpc.index, rpc.entry.digest)
-        entry, before = rpc.entry, self.table.get(rpc.entry.key)
-        if before is not None and before is not entry:
-            self.drop_result(before)
-            # Guards against a try that is read late, after this one was forgotten: it may be a repeat of what
-            # ran in the window before.
-            entry.before, before.before = before if before.ran else before.before, None
-        entry.until = self.turn.now + keep
-        self.table[entry.key] = entry
-        self.turn.at(entry.until + self.stays, self.expire, entry)
-
-    def forget(self, entry):
-        if self.table.get(entry.key) is entry:
-            before, entry.before = entry.before, None
-            if before and self.turn.now < before.until + self.stays:
-                self.table[entry.key] = before
+        return KeyEntry(key, index, digest), False
+
+    def store(self, rpc: Rpc, ttl_us: int) -> None:
+        """Keeps the RPC's key for `ttl_us`."""
+        if rpc.key_entry.index != rpc.index:
+            rpc.key_entry = KeyEntry(rpc.key_entry.key, rpc.index, rpc.key_entry.digest)
+        entry = rpc.key_entry
+        previous = self.entries.get(entry.key)
+        if previous is not None and previous is not entry:
+            self._drop_result(previous)
+            # Guards against an RPC that is read late, after this one was evicted: it may be a duplicate of
+            # what ran in the window before.
+            entry.previous = previous if previous.ran else previous.previous
+            previous.previous = None
+        entry.expires_at = self.turn.now + ttl_us
+        self.entries[entry.key] = entry
+        self.turn.schedule(entry.expires_at + self.late_read_us, self._expire, entry)
+
+    def evict(self, entry: KeyEntry) -> None:
+        """Removes a key whose RPC never ran; its duplicates fail."""
+        if self.entries.get(entry.key) is entry:
+            previous = entry.previous
+            entry.previous = None
+            if previous and self.turn.now < previous.expires_at + self.late_read_us:
+                self.entries[entry.key] = previous
             else:
-                del self.table[entry.key]
-        entry.result = FAILED
-        self.ready(entry)
-
-    def share(self, rpc):
-        """The RPC gets what its first try came to: `shared` follows, now or once that is known."""
-        if rpc.entry.result is PENDING:
-            rpc.entry.waiting.append(rpc.index)
+                del self.entries[entry.key]
+        entry.result = NoResult.FAILED
+        self._notify_waiting(entry)
+
+    def join_in_flight(self, rpc: Rpc) -> None:
+        """Has a duplicate wait for what the first RPC of its key comes to: `DuplicateReady` follows."""
+        if rpc.key_entry.result is NoResult.PENDING:
+            rpc.key_entry.waiting.append(rpc.index)
         else:
             self.turn.emit(Defer(DuplicateReady(rpc.index)))
 
-    def settle(self, entry, result):
-        """The try that holds the entry is over: its result, or FAILED."""
+    def complete(self, entry: KeyEntry, result: bytes | NoResult) -> None:
+        """The RPC that holds the entry is completed: with its result, or `NoResult.FAILED`."""
         entry.result = result
-        if result is not FAILED:
-            self.results[entry] = None
+        if result is not NoResult.FAILED:
+            self.with_result[entry] = None
             self.result_bytes += len(result)
-            while self.result_bytes > self.most:
-                self.drop_result(next(iter(self.results)))
-        self.ready(entry)
+            while self.result_bytes > self.max_result_bytes:
+                self._drop_result(next(iter(self.with_result)))
+        self._notify_waiting(entry)
 
-    def drop_result(self, entry):
-        if entry in self.results:
-            del self.results[entry]
+    def _drop_result(self, entry: KeyEntry) -> None:
+        if entry in self.with_result:
+            del self.with_result[entry]
             self.result_bytes -= len(entry.result)
-            entry.result = FAILED
+            entry.result = NoResult.FAILED
 
-    def ready(self, entry):
-        waiting, entry.waiting = entry.waiting, []
+    def _notify_waiting(self, entry: KeyEntry) -> None:
+        waiting = entry.waiting
+        entry.waiting = []
         for index in waiting:
             self.turn.emit(Defer(DuplicateReady(index)))
 
-    def expire(self, entry):
-        if self.table.get(entry.key) is entry:
-            if self.turn.now < entry.until + self.stays:
-                self.turn.at(entry.until + self.stays, self.expire, entry)
+    def _expire(self, entry: KeyEntry) -> None:
+        if self.entries.get(entry.key) is entry:
+            expires_at = entry.expires_at + self.late_read_us
+            if self.turn.now < expires_at:
+                self.turn.schedule(expires_at, self._expire, entry)
                 return
-            del self.table[entry.key]
-        self.drop_result(entry)
+            del self.entries[entry.key]
+        self._drop_result(entry)
--- a/finchcart/node/inputs.py
+++ b/finchcart/node/inputs.py
@@ -6,7 +6,8 @@
 """
 
 from collections.abc import Mapping, Sequence
-from typing import Any, NamedTuple
+from enum import Enum
+from typing import NamedTuple
 
 
 class Start(NamedTuple):
@@ -106,10 +107,56 @@
     thread: str
 
 
-class FleetChange(NamedTuple):
-    """A change reported by the fleet's state machines: membership, allocation, consensus or key lease."""
+class MemberChanged(NamedTuple):
+    """The state of a member of the fleet changed."""
 
-    change: tuple[Any, ...]
+    name: str
+    state: str  # "alive", "suspect", "failed" or "left"
+    incarnation: int
+
+
+class IsolationChanged(NamedTuple):
+    """Whether this node is cut off from most of the fleet."""
+
+    isolated: bool
+
+
+class AllocationGranted(NamedTuple):
+    """What this node may use of one of the fleet's limits."""
+
+    limit: str
+    floor: int | None  # None: the limit is removed
+    amount: int  # beyond the floor
+    until: int  # on the boot clock
+
+
+class ConsensusChanged(NamedTuple):
+    """What the fleet holds to be so, all of it; numbers of states: finchcart/consensus/subjects.py."""
+
+    dependency_state: int
+    ejected: bool  # this node is to report itself unhealthy
+    min_shed_level: float
+    source_states: Mapping[int, int]  # by subject
+
+
+class KeyLeaseOutcome(Enum):
+    """What the request for a key lease came to."""
+
+    GRANTED = "granted"  # this node may run the RPC
+    HELD_ELSEWHERE = "held elsewhere"  # it runs elsewhere, and did not end in time
+    ENDED = "ended"  # it ran elsewhere, with this result
+    FAILED = "failed"  # it may have run elsewhere, and came to nothing
+    NO_MAJORITY = "no majority"  # it never ran here
+    PAYLOAD_MISMATCH = "payload mismatch"  # the key is in use for another body
+
+
+class KeyLeaseAnswered(NamedTuple):
+    """The request for a key lease is answered."""
+
+    key: bytes
+    outcome: KeyLeaseOutcome
+    result: bytes  # of a run elsewhere
+    run_by: int | None  # with GRANTED, on the boot clock: the run is commanded until then or not at all
 
 
 class TimersDue(NamedTuple):
@@ -145,6 +192,8 @@
     """The key leases requested in one batch are to be sent in one message."""
 
 
+FleetInput = MemberChanged | IsolationChanged | AllocationGranted | ConsensusChanged | KeyLeaseAnswered
+
 Input = (
     Start
     | ConnectionOpened
@@ -161,7 +210,7 @@
     | ReloadConfig
     | AddressesChanged
     | ThreadDied
-    | FleetChange
+    | FleetInput
     | TimersDue
     | LoadMeasured
     | DuplicateReady
--- a/finchcart/node/key_leases.py
+++ b/finchcart/node/key_leases.py
@@ -1,129 +1,174 @@
-"""RPCs whose run has to be claimed in the whole fleet first.
+"""RPCs whose run needs a key lease of the whole fleet first.
 
-Owns the RPCs that wait for the answer of a claim, and the claims that are this node's. It must never let a
-run be commanded without its claim, nor past the time until which the claim allows it; nor decide: what was
-claimed goes to the module as any RPC, the rest is answered by what a claim's answer means.
+Owns the RPCs that wait for the answer of a key lease, and the key leases that are this node's. It must never
+let a run be commanded without its key lease, nor past the time until which that allows it; nor decide: an RPC
+that holds its key lease goes to the decision module as any RPC, the rest is answered by what the outcome
+means.
 
-`now_us` is the boot clock in whole microseconds, set by the driver before each turn.
+`now_us` is the boot clock in whole microseconds, set by the host before each turn.
 """
 
-from finchcart.key_leases import wire
-from finchcart.key_leases.wire import ENDED, FAILED, FULL, OTHER_BODY, YES
-from finchcart.node.effects import Defer, KeyLeaseCommand
-from finchcart.node.inputs import KeyLeasesRequested
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
 
-MS, SECOND = 1_000, 1_000_000
-MOST = 2_000  # that wait for an answer; more are pushed back
+from finchcart.key_leases.wire import body_of, key_of
+from finchcart.node.effect_buffer import EffectBuffer
+from finchcart.node.effects import (
+    AbandonKeyLeaseRequest,
+    Defer,
+    KeyLeaseCommand,
+    KeyLeaseRequest,
+    ReleaseKeyLease,
+    ReportRunEnded,
+    RequestKeyLeases,
+)
+from finchcart.node.inputs import KeyLeaseOutcome, KeyLeasesRequested
+from finchcart.node.rpc import Rpc, RpcAttributes
 
+MAX_WAITING = 2_000  # that wait for an answer; more are rejected
+COUNTED_AS = {
+    KeyLeaseOutcome.GRANTED: "granted",
+    KeyLeaseOutcome.ENDED: "result of a run elsewhere",
+    KeyLeaseOutcome.NO_MAJORITY: "no majority",
+    KeyLeaseOutcome.PAYLOAD_MISMATCH: "payload mismatch",
+    KeyLeaseOutcome.FAILED: "failed, or not to be known",
+    KeyLeaseOutcome.HELD_ELSEWHERE: "failed, or not to be known",
+}
 
-class Waiting:
-    """One RPC, and how it goes on once its claim is answered: `go_on(rpc, kind, result)`."""
+OnResolved = Callable[[Rpc, RpcAttributes, KeyLeaseOutcome, bytes], None]
 
-    def __init__(self, rpc, key, due, again, go_on):
-        self.rpc, self.key, self.due, self.again, self.go_on = rpc, key, due, again, go_on
+
+class WaitingRpc(NamedTuple):
+    """One RPC that waits, and what is called once its key lease is resolved."""
+
+    rpc: Rpc
+    attributes: RpcAttributes
+    on_resolved: OnResolved
+
+
+class HeldKeyLease(NamedTuple):
+    """A key lease of this node."""
+
+    key: bytes
+    run_by: int  # on the boot clock: the run is commanded until then or not at all
 
 
 class KeyLeaseGate:
-    """`turn`: of the core."""
-
-    def __init__(self, turn, life, strict=True):
-        self.turn, self.life, self.strict, self.now_us = turn, life, strict, 0
-        self.waiting, self.mine = {}, {}  # key -> Waiting; RPC index -> (key, by)
-        self.asked = []  # of this turn
-        self.end = None  # all is answered by then: the process is killed
-        self.counts = {}
-
-    def count(self, what):
-        self.counts[what] = self.counts.get(what, 0) + 1
-
-    def ask(self, rpc, token, due, again, go_on):
-        """Asks for the claim of an RPC that is not known here. `due`: when it has to be answered at last."""
-        key = wire.key_of(rpc.method, token)
-        if key in self.waiting or len(self.waiting) >= MOST:
-            self.count("no room")
-            go_on(rpc, FULL, b"")
+    """The RPCs that wait and the key leases held. `lifetime_us`: how long a key lease is asked for.
+
+    Bounds: `MAX_WAITING` that wait, each until its due time; a key lease for each open RPC that was granted
+    one.
+    """
+
+    def __init__(self, turn: EffectBuffer, lifetime_us: int) -> None:
+        self.turn = turn
+        self.lifetime_us = lifetime_us
+        self.now_us = 0
+        self.waiting: dict[bytes, WaitingRpc] = {}
+        self.held: dict[int, HeldKeyLease] = {}  # by index of the RPC
+        self.counts: Counter[str] = Counter()
+        self._unsent: list[KeyLeaseRequest] = []  # of this turn
+        self._end: int | None = None  # all is answered by then: the process is killed
+
+    def request(self, rpc: Rpc, attributes: RpcAttributes, due: int, on_resolved: OnResolved) -> None:
+        """Asks for the key lease of an RPC that is not known here.
+
+        Arguments:
+            rpc: which is to run.
+            attributes: as they came with it; it has an idempotency key.
+            due: when it has to be answered at the latest.
+            on_resolved: is called once with the outcome, perhaps inside this call.
+        """
+        key = key_of(rpc.method, attributes.idempotency_key)
+        if key in self.waiting or len(self.waiting) >= MAX_WAITING:
+            self.counts["no capacity"] += 1
+            on_resolved(rpc, attributes, KeyLeaseOutcome.NO_MAJORITY, b"")
             return
-        self.waiting[key] = Waiting(rpc, key, due, again, go_on)
-        if not self.asked:
+        self.waiting[key] = WaitingRpc(rpc, attributes, on_resolved)
+        if not self._unsent:
             self.turn.emit(Defer(KeyLeasesRequested()))  # those of one batch go in one message
-        self.asked.append((key, wire.body_of(rpc.body), self.life))
-        self.turn.at(due if self.end is None else min(due, self.end), self.late, key, rpc)
-
-    def send(self):
-        asked, self.asked = self.asked, []
-        if asked:
-            self.turn.emit(KeyLeaseCommand(("claim", asked)))
-
-    def end_by(self, when):
-        """Guards against RPCs that the module does not know of yet when it answers all before the kill."""
-        self.end = when
+        self._unsent.append(KeyLeaseRequest(key, body_of(rpc.body), self.lifetime_us))
+        self.turn.schedule(due if self._end is None else min(due, self._end), self._time_out, key, rpc)
+
+    def send_requests(self) -> None:
+        """Sends the requests of this turn in one message."""
+        unsent = self._unsent
+        self._unsent = []
+        if unsent:
+            self.turn.emit(KeyLeaseCommand(RequestKeyLeases(unsent)))
+
+    def end_by(self, when: int) -> None:
+        """Guards against RPCs that the decision module does not know of yet when the kill is due."""
+        self._end = when
         for key, waiting in self.waiting.items():
-            self.turn.at(when, self.late, key, waiting.rpc)
+            self.turn.schedule(when, self._time_out, key, waiting.rpc)
 
-    def give_up(self, key):
-        """Nobody waits for it any more."""
-        del self.waiting[key]
-        unsent = len(self.asked)
-        self.asked = [asked for asked in self.asked if asked[0] != key]
-        if len(self.asked) == unsent:
-            self.turn.emit(KeyLeaseCommand(("leave_it", key)))
-            self.turn.emit(KeyLeaseCommand(("never", key)))
-
-    def late(self, key, rpc):
-        """No answer, and the caller waits no longer. Never run: but a repeat may have run elsewhere."""
-        waiting = self.waiting.get(key)
-        if waiting and waiting.rpc is rpc:
-            self.give_up(key)
-            self.count("no answer")
-            waiting.go_on(rpc, FULL if not waiting.again else FAILED, b"")
-
-    def left(self, rpc):
-        """Its caller has gone. True where it waited for its claim: then nothing more is to come of it."""
+    def abandon(self, rpc: Rpc) -> bool:
+        """Its caller has gone. True where it waited for its key lease: then nothing more is to come of it."""
         key = next((key for key, waiting in self.waiting.items() if waiting.rpc is rpc), None)
         if key is not None:
-            self.give_up(key)
+            self._abandon_request(key)
         return key is not None
 
-    def answered(self, key, kind, result, by):
+    def answered(self, key: bytes, outcome: KeyLeaseOutcome, result: bytes, run_by: int | None) -> None:
+        """What the request for a key came to; see `KeyLeaseAnswered`."""
         waiting = self.waiting.pop(key, None)
         if waiting is None:
-            if kind == YES:
-                self.turn.emit(KeyLeaseCommand(("never", key)))  # nobody waits for it any more
+            if outcome is KeyLeaseOutcome.GRANTED:
+                self._release(key)  # nobody waits for it any more
             return
-        if kind == YES and (not waiting.rpc.owed or self.now_us >= by):
-            self.turn.emit(KeyLeaseCommand(("never", key)))
-            kind = FULL
-        self.count(
-            {
-                YES: "mine",
-                ENDED: "result of a run elsewhere",
-                FULL: "no majority",
-                OTHER_BODY: "another body",
-            }.get(kind, "failed, or not to be known")
-        )
-        if kind == YES:
-            self.mine[waiting.rpc.index] = key, by
-        if kind == FULL and waiting.again:
-            kind = FAILED  # an earlier try may have run elsewhere: not told as never run
-        waiting.go_on(waiting.rpc, kind, result)
-
-    def may_run(self, index):
-        """The last look at the clock before the command. RPCs that need no claim may always."""
-        claim = self.mine.get(index)
-        if claim is None or self.now_us < claim[1]:
+        rpc = waiting.rpc
+        if outcome is KeyLeaseOutcome.GRANTED and (not rpc.answer_owed or self.now_us >= run_by):
+            self._release(key)
+            outcome = KeyLeaseOutcome.NO_MAJORITY
+        self.counts[COUNTED_AS[outcome]] += 1
+        if outcome is KeyLeaseOutcome.GRANTED:
+            self.held[rpc.index] = HeldKeyLease(key, run_by)
+        if outcome is KeyLeaseOutcome.NO_MAJORITY and waiting.attributes.is_retry:
+            outcome = KeyLeaseOutcome.FAILED  # an earlier attempt may have run elsewhere
+        waiting.on_resolved(rpc, waiting.attributes, outcome, result)
+
+    def may_run(self, index: int) -> bool:
+        """The last look at the clock before the command. RPCs that need no key lease may always run."""
+        lease = self.held.get(index)
+        if lease is None or self.now_us < lease.run_by:
             return True
-        self.count("commanded too late")
+        self.counts["commanded too late"] += 1
         return False
 
-    def ended(self, index, good, result):
-        """Its run is over."""
-        claim = self.mine.pop(index, None)
-        if claim:
-            kind = ENDED if good else FAILED
-            self.turn.emit(KeyLeaseCommand(("ended", claim[0], kind, result if good else b"")))
-
-    def never(self, index):
-        """It won't run."""
-        claim = self.mine.pop(index, None)
-        if claim:
-            self.turn.emit(KeyLeaseCommand(("never", claim[0])))
+    def run_ended(self, index: int, succeeded: bool, result: bytes) -> None:
+        """The run of an RPC is over."""
+        lease = self.held.pop(index, None)
+        if lease:
+            self.turn.emit(
+                KeyLeaseCommand(ReportRunEnded(lease.key, succeeded, result if succeeded else b""))
+            )
+
+    def release(self, index: int) -> None:
+        """The RPC won't run, where it has not."""
+        lease = self.held.pop(index, None)
+        if lease:
+            self._release(lease.key)
+
+    def _release(self, key: bytes) -> None:
+        self.turn.emit(KeyLeaseCommand(ReleaseKeyLease(key)))
+
+    def _abandon_request(self, key: bytes) -> None:
+        """Nobody waits for it any more."""
+        del self.waiting[key]
+        unsent = len(self._unsent)
+        self._unsent = [request for request in self._unsent if request.key != key]
+        if len(self._unsent) == unsent:
+            self.turn.emit(KeyLeaseCommand(AbandonKeyLeaseRequest(key)))
+            self._release(key)
+
+    def _time_out(self, key: bytes, rpc: Rpc) -> None:
+        """No answer in time. The RPC never ran here, but a duplicate may have, elsewhere."""
+        waiting = self.waiting.get(key)
+        if waiting and waiting.rpc is rpc:
+            self._abandon_request(key)
+            self.counts["no answer"] += 1
+            is_retry = waiting.attributes.is_retry
+            outcome = KeyLeaseOutcome.FAILED if is_retry else KeyLeaseOutcome.NO_MAJORITY
+            waiting.on_resolved(rpc, waiting.attributes, outcome, b"")
--- /dev/null
+++ b/finchcart/node/limiter_set.py
@@ -0,0 +1,176 @@
+"""All limiters of a node, and the recovery of a store that was held to be down.
+
+Owns which limiter counts what. It must never decide which call is made or which RPC gives way: the decision
+module does, told how much there is.
+"""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from finchcart.interface import FleetQuota
+from finchcart.node.limiters import (
+    CallConcurrencyLimiter,
+    CallPermit,
+    CallsInFlight,
+    Limiter,
+    ProbeLimiter,
+    RateLimiter,
+    RpcConcurrencyLimiter,
+    Usage,
+)
+from finchcart.quota.limits import Limit
+
+RECOVERY_STEPS = 12  # after so many doublings a store that came back has no bound any more
+
+RpcLimiter = RateLimiter | RpcConcurrencyLimiter
+
+
+class LimitedCall(NamedTuple):
+    """The permission of all limiters for one more call."""
+
+    leased: bool  # it is beyond the floor of the fleet's limit
+    time_limit_us: int | None  # how long it may take; None: as long as the decision module likes
+    write_by: int | None  # on the boot clock; None: at any time
+
+
+class LimiterSet:
+    """The limiters by what they count.
+
+    `slack_us`, `processes`: see `Limiter`. Bounds: one limiter a limit of the settings at the start of the
+    process; new limits wait for the next start.
+    """
+
+    def __init__(self, limits: Iterable[Limit], slack_us: int, processes: int) -> None:
+        self.slack_us = slack_us
+        self.now_us = 0
+        self.all: list[Limiter] = []
+        self.calls: CallConcurrencyLimiter | None = None
+        self.calls_rate: RateLimiter | None = None
+        self.probe: ProbeLimiter | None = None
+        self.rpcs: list[RpcLimiter] = []
+        # See finchcart/consensus: a store that comes back gets twice as many calls after each step, and a
+        # probe call takes so long at most.
+        self.recovery_step_us = 0
+        self.probe_timeout_us = 0
+        self._recovering_since: int | None = None
+        for limit in limits:
+            self._add(limit, slack_us, processes)
+        self.by_name = {limiter.name: limiter for limiter in self.all}
+
+    def _add(self, limit: Limit, slack_us: int, processes: int) -> None:
+        is_rate = limit.per == "rate"
+        if limit.counts == "trial":
+            limiter = self.probe = ProbeLimiter(limit, slack_us, processes)
+        elif limit.counts == "rpcs":
+            limiter = (RateLimiter if is_rate else RpcConcurrencyLimiter)(limit, slack_us, processes)
+            self.rpcs.append(limiter)
+        elif is_rate:
+            limiter = self.calls_rate = RateLimiter(limit, slack_us, processes)
+        else:
+            limiter = self.calls = CallConcurrencyLimiter(limit, slack_us, processes)
+        self.all.append(limiter)
+
+    def set_clock(self, now_us: int) -> None:
+        """The boot clock of this turn."""
+        self.now_us = now_us
+        for limiter in self.all:
+            limiter.now_us = now_us
+
+    def set_allowance(self, name: str, floor: int | None, amount: int, until: int) -> None:
+        """What the node may use of the limit of that name, see `Limiter`; an unknown one is ignored."""
+        if name in self.by_name:
+            self.by_name[name].set_allowance(floor, amount, until)
+
+    # ---- A store that is held to be down, and comes back
+
+    @property
+    def probing(self) -> bool:
+        """Whether the store is held to be down, and only probe calls are made."""
+        return self.probe is not None and self.probe.probing
+
+    def set_dependency_down(self, down: bool) -> None:
+        """The fleet's consensus on the store."""
+        if self.probe and self.probe.probing != down:
+            self.probe.probing = down
+            self._recovering_since = None if down else self.now_us
+
+    def _recovery_capacity(self, calls: CallsInFlight) -> int | None:
+        """Calls that may be in flight as far as the consensus goes; None: no bound.
+
+        This node's part of the probe calls, then twice as many after each step. Guards against a rush of all
+        nodes on a store that came back.
+        """
+        if self.probing:
+            return self.probe.capacity(calls)
+        if self._recovering_since is None:
+            return None
+        steps = (self.now_us - self._recovering_since) // self.recovery_step_us
+        if steps > RECOVERY_STEPS:
+            self._recovering_since = None
+            return None
+        return 1 << steps
+
+    # ---- Calls
+
+    def call_capacity(self, calls: CallsInFlight) -> int | None:
+        """Calls that may be in flight until the next look; None: as many as the decision module likes."""
+        capacities = [self._recovery_capacity(calls)]
+        if self.calls:
+            capacities.append(self.calls.capacity(calls))
+        if self.calls_rate and not self.calls_rate.removed:
+            in_flight = calls.in_flight(False) + calls.in_flight(True)
+            capacities.append(in_flight + self.calls_rate.availability().available)
+        return min((capacity for capacity in capacities if capacity is not None), default=None)
+
+    def acquire_call(self, calls: CallsInFlight) -> LimitedCall | None:
+        """The permission for one more call, or None where there is no capacity."""
+        recovery_capacity = self._recovery_capacity(calls)
+        if recovery_capacity is not None:
+            in_flight = calls.in_flight(False) + calls.in_flight(True)
+            if in_flight >= recovery_capacity:
+                return None
+        rate = self.calls_rate
+        if rate and not rate.removed and rate.availability().available < 1:
+            rate.refusals += 1
+            return None
+        permit = self.calls.try_acquire(calls) if self.calls else CallPermit(False, None)
+        if permit is None:
+            return None
+        time_limit_us = permit.time_limit_us
+        if self.probing:
+            time_limit_us = min(time_limit_us or self.probe_timeout_us, self.probe_timeout_us)
+        if rate:
+            rate.try_acquire()
+        strict = permit.leased or (rate is not None and rate.limit.strict)
+        return LimitedCall(permit.leased, time_limit_us, self.now_us + self.slack_us if strict else None)
+
+    # ---- RPCs
+
+    def limiters_of(self, method: str, caller: str | int) -> list[RpcLimiter]:
+        """Those that an RPC is counted by."""
+        return [
+            limiter
+            for limiter in self.rpcs
+            if not limiter.removed
+            and limiter.limit.method in ("", method)
+            and limiter.limit.dispatcher in ("", str(caller))
+        ]
+
+    def quota(self, limiters: Sequence[RpcLimiter]) -> FleetQuota | None:
+        """What is left for one more RPC, of the limit that has the least left; None without any."""
+        for limiter in limiters:
+            limiter.record_demand()
+        if not limiters:
+            return None
+        return min(FleetQuota(*limiter.availability(), limiter.retry_after_us()) for limiter in limiters)
+
+    def usage(
+        self, calls: CallsInFlight, waiting: int, waiting_with_priority: int
+    ) -> list[tuple[str, Usage]]:
+        """The limits of which something changed, by name; `waiting`: runs that await a call."""
+        changed = []
+        for limiter in self.all:
+            usage = limiter.usage(calls, waiting, waiting_with_priority)
+            if usage:
+                changed.append((limiter.name, usage))
+        return changed
--- a/finchcart/node/observer.py
+++ b/finchcart/node/observer.py
@@ -1,105 +1,147 @@
-"""What the core saw of others lately, for the fleet's verdicts, and what the fleet holds of them.
+"""What the core saw of others lately, for the fleet's consensus, and what that consensus is.
 
-Owns counts since the last look, and the verdicts in force here. It must never make a verdict, nor turn an RPC
-away: the module does, told how much room there is. Sources are told apart by where a connection comes from;
-the number that a dispatcher gives of itself counts where a whole RPC carries it, so that no rubbish accuses
-another.
+Owns counts since the last look, and the consensus in force here. It must never decide what the consensus is,
+nor reject an RPC: the decision module does, told how much quota there is. Sources are told apart by where a
+connection comes from; the number that a dispatcher gives of itself counts where a whole RPC carries it, so
+that no random bytes accuse another.
 """
 
+from collections.abc import Mapping
+from typing import Any
+
+from finchcart.consensus.figures import Figures
 from finchcart.consensus.subjects import DOWN, NUMBER, OUT, SLOWED, WORKING, source, subject
-from finchcart.interface import Outcome
+from finchcart.interface import FleetQuota, Outcome
 
 SECOND = 1_000_000
+INVALID, OVER_LIMIT, RPCS = range(3)  # what is counted of a source, in the order in which it is published
+SUCCEEDED, FAILED, TIME = range(3)  # what is counted of calls
+ENDED, ENDED_IN_ERROR = range(2)  # what is counted of runs; then TIME
 
 
 class Observer:
-    """Bounded by `figures.subjects` sources a look, and by the verdicts in force."""
-
-    def __init__(self, figures):
-        self.figures, self.looked = figures, None
-        self.calls, self.runs, self.rpcs, self.sources = [0, 0, 0], [0, 0, 0], 0, {}
-        self.store, self.out, self.level, self.against = WORKING, False, 0.0, {}
-        self.tokens = {}  # subject -> (how many, when): RPCs that may be taken of a source that is slowed
-        self.turned_away = 0
-
-    # ---- what was seen
-
-    def look(self, now, level):
+    """The counts, and the consensus on each subject. Times are whole microseconds.
+
+    Bounds: counts by `config.subjects` sources a look; the consensus by what the fleet holds of sources at
+    once.
+    """
+
+    def __init__(self, config: Figures) -> None:
+        self.config = config
+        self.ejected = False
+        self.min_shed_level = 0.0
+        self.blocked_rpcs = 0
+        self._dependency_state = WORKING
+        self._source_states: Mapping[int, int] = {}
+        self._throttles: dict[int, tuple[float, int]] = {}  # subject -> (tokens, filled at)
+        self._looked_at: int | None = None
+        self._reset_counts()
+
+    def _reset_counts(self) -> None:
+        self._calls = [0, 0, 0]
+        self._runs = [0, 0, 0]
+        self._rpcs = 0
+        self._sources: dict[int, list[int]] = {}
+
+    # ---- What was seen
+
+    def collect_evidence(self, now: int, shed_level: float) -> dict[str, Any] | None:
         """The evidence since the last look, or None where it is too soon."""
-        if self.looked is not None and now - self.looked < self.figures.look:
+        if self._looked_at is not None and now - self._looked_at < self.config.look:
             return None
-        out = {
-            "calls": tuple(self.calls),
-            "runs": tuple(self.runs),
-            "rpcs": self.rpcs,
-            "sources": {one: tuple(item) for one, item in self.sources.items()},
-            "level": level,
+        evidence = {
+            "calls": tuple(self._calls),
+            "runs": tuple(self._runs),
+            "rpcs": self._rpcs,
+            "sources": {name: tuple(counts) for name, counts in self._sources.items()},
+            "level": shed_level,
         }
-        self.looked = now
-        self.calls, self.runs, self.rpcs, self.sources = [0, 0, 0], [0, 0, 0], 0, {}
-        return out
+        self._looked_at = now
+        self._reset_counts()
+        return evidence
+
+    def call_ended(self, outcome: Outcome, spent_us: int, time_cut: bool) -> None:
+        """Counts a call.
 
-    def call_ended(self, outcome, spent, cut):
-        """`cut`: its time was cut short by this node's own grant, so a time-out tells nothing of the
-        store."""
+        `time_cut`: its time was cut short by this node's own allowance, so that a timeout tells nothing of
+        the store.
+        """
         if outcome is Outcome.OK:
-            self.calls[0] += 1
-            self.calls[2] += spent
-        elif outcome is not Outcome.REJECTED and not (cut and outcome is Outcome.TIMEOUT):
-            self.calls[1] += 1
+            self._calls[SUCCEEDED] += 1
+            self._calls[TIME] += spent_us
+        elif outcome is not Outcome.REJECTED and not (time_cut and outcome is Outcome.TIMEOUT):
+            self._calls[FAILED] += 1
 
-    def run_ended(self, outcome, spent):
+    def run_ended(self, outcome: Outcome, spent_us: int) -> None:
+        """Counts a run that ended by itself."""
         if outcome in (Outcome.OK, Outcome.ERROR):
-            self.runs[0] += 1
-            self.runs[1] += outcome is Outcome.ERROR
-            self.runs[2] += spent
+            self._runs[ENDED] += 1
+            self._runs[ENDED_IN_ERROR] += outcome is Outcome.ERROR
+            self._runs[TIME] += spent_us
 
-    def note(self, one, item, by=1):
-        if one is not None and (one in self.sources or len(self.sources) < self.figures.subjects):
-            self.sources.setdefault(one, [0, 0, 0])[item] += by
-
-    def bad(self, host):
+    def record_invalid_traffic(self, host: str | None) -> None:
         """A message that can't be read, or a connection without an RPC."""
         if host:
-            self.note(source(host), 0)
+            self._count(source(host), INVALID)
 
-    def over(self, caller):
+    def record_over_limit(self, caller: str | int) -> None:
         """An RPC beyond a limit of its dispatcher."""
-        self.note(self.number(caller), 1)
+        self._count(self._number_of(caller), OVER_LIMIT)
 
-    def number(self, caller):
-        return subject(NUMBER, int(caller)) if caller and caller.isdecimal() else None
+    def _count(self, name: int | None, item: int) -> None:
+        if name is not None and (name in self._sources or len(self._sources) < self.config.subjects):
+            self._sources.setdefault(name, [0, 0, 0])[item] += 1
 
-    # ---- what holds
+    @staticmethod
+    def _number_of(caller: str | int) -> int | None:
+        return subject(NUMBER, int(caller)) if caller and caller.isdecimal() else None
 
-    def hold(self, verdicts):
-        self.store, self.out, self.level = verdicts["store"], verdicts["out"], verdicts["level"]
-        self.against = verdicts["sources"]
-        self.tokens = {one: held for one, held in self.tokens.items() if one in self.against}
+    # ---- The consensus
+
+    def apply_consensus(
+        self,
+        dependency_state: int,
+        ejected: bool,
+        min_shed_level: float,
+        source_states: Mapping[int, int],
+    ) -> None:
+        """What the fleet holds from now on, see `ConsensusChanged`."""
+        self._dependency_state = dependency_state
+        self.ejected = ejected
+        self.min_shed_level = min_shed_level
+        self._source_states = source_states
+        self._throttles = {
+            name: bucket for name, bucket in self._throttles.items() if name in self._source_states
+        }
 
     @property
-    def store_down(self):
-        return self.store == DOWN
-
-    def room(self, now, host, caller):
-        """(left, of, back) for an RPC of this source, as `Control.arrive` has it; None: no verdict on it."""
-        self.rpcs += 1
-        subjects = source(host) if host else None, self.number(caller)
-        for one in subjects:
-            self.note(one, 2)
-        if not self.against:
+    def dependency_down(self) -> bool:
+        """Whether the store is held to be down."""
+        return self._dependency_state == DOWN
+
+    def quota_for(self, now: int, host: str | None, caller: str | int) -> FleetQuota | None:
+        """What an RPC of this source may use; None: the fleet holds nothing of it."""
+        self._rpcs += 1
+        names = source(host) if host else None, self._number_of(caller)
+        for name in names:
+            self._count(name, RPCS)
+        if not self._source_states:
             return None
-        stands = max(
-            ((self.against.get(one, WORKING), one) for one in subjects if one is not None),
+        state, name = max(
+            ((self._source_states.get(name, WORKING), name) for name in names if name is not None),
             default=(WORKING, None),
         )
-        if stands[0] == OUT:
-            self.turned_away += 1
-            return 0, 0, self.figures.shut
-        if stands[0] != SLOWED:
+        if state == OUT:
+            self.blocked_rpcs += 1
+            return FleetQuota(0, 0, self.config.shut)
+        if state != SLOWED:
             return None
-        most = self.figures.slowed
-        left, at = self.tokens.get(stands[1], (most, now))
-        left = min(most, left + (now - at) * most / SECOND)
-        self.tokens[stands[1]] = max(0.0, left - 1), now
-        return int(left), 1, SECOND // most
+        return self._throttled(now, name)
+
+    def _throttled(self, now: int, name: int) -> FleetQuota:
+        """Of a source that is throttled to so many RPCs a second."""
+        rate = self.config.slowed
+        tokens, filled_at = self._throttles.get(name, (rate, now))
+        tokens = min(rate, tokens + (now - filled_at) * rate / SECOND)
+        self._throttles[name] = max(0.0, tokens - 1), now
+        return FleetQuota(int(tokens), 1, SECOND // rate)
--- /dev/null
+++ b/finchcart/node/port.py
@@ -0,0 +1,160 @@
+"""What the decision module can do in a node: the implementation of `finchcart.interface.Port`.
+
+Owns no state. Each verb is carried out at once, in the order in which it is called; it must never decide.
+"""
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from finchcart.node.effect_buffer import EffectBuffer
+from finchcart.node.effects import Defer, Log
+from finchcart.node.inputs import CallNotMade, RunNotStarted
+from finchcart.node.methods import IDEMPOTENT
+from finchcart.node.registration import Registration
+from finchcart.node.rpc import FinalOutcome, Rpc
+from finchcart.node.rpc_lifecycle import RpcLifecycle
+from finchcart.node.store import StoreClient
+from finchcart.node.worker_pool import WorkerPool
+
+if TYPE_CHECKING:
+    from finchcart.node.frontend import Frontend
+    from finchcart.node.key_leases import KeyLeaseGate
+    from finchcart.node.limiter_set import LimiterSet
+
+
+class CorePort:
+    """The port of one node, see `finchcart.interface.Port`. Times are whole microseconds."""
+
+    def __init__(
+        self,
+        turn: EffectBuffer,
+        lifecycle: RpcLifecycle,
+        pool: WorkerPool,
+        store: StoreClient,
+        registration: Registration,
+        frontends: "Mapping[str, Frontend]",
+        limiters: "LimiterSet | None",
+        key_leases: "KeyLeaseGate | None",
+    ) -> None:
+        self.turn = turn
+        self.lifecycle = lifecycle
+        self.rpcs = lifecycle.rpcs
+        self.pool = pool
+        self.store = store
+        self.registration = registration
+        self.frontends = frontends
+        self.limiters = limiters
+        self.key_leases = key_leases
+        self.shed_level: float | None = None  # published with all answers
+
+    # ---- Runs
+
+    def run(self, index: int) -> None:
+        """Starts a queued RPC, where its key lease still allows it."""
+        rpc = self.rpcs[index]
+        rpc.started = True
+        if self.key_leases and not self.key_leases.may_run(index):
+            self.turn.emit(Defer(RunNotStarted(index)))
+            return
+        if rpc.key_entry:
+            rpc.key_entry.ran = True
+        self.pool.run(rpc, self.lifecycle.methods[rpc.method].kind == IDEMPOTENT)
+
+    def stop(self, index: int) -> None:
+        """Never called: the core told the decision module that this worker pool stops nothing."""
+        raise NotImplementedError("this worker pool stops nothing")
+
+    # ---- Final answers
+
+    def reject(self, index: int, retry_after: int, do_not_retry: bool) -> None:
+        """Final answer: it never ran here."""
+        rpc = self.rpcs[index]
+        self.lifecycle.answer(rpc, FinalOutcome.REJECTED, b"", retry_after, do_not_retry)
+
+    def fail(self, index: int) -> None:
+        """Final answer: failed, without saying whether it ran."""
+        rpc = self.rpcs[index]
+        self.store.drop(rpc)
+        self.lifecycle.answer(rpc, FinalOutcome.FAILED)
+
+    # ---- Calls
+
+    def call(self, index: int, timeout: int) -> None:
+        """Makes the call that a run awaits, where there is an address and capacity for it."""
+        rpc = self.rpcs[index]
+        if self.store.address is None:
+            self.turn.emit(Defer(CallNotMade(index)))
+        elif self.limiters:
+            self._call_within_limits(rpc, timeout)
+        else:
+            self.store.call(rpc, timeout, rpc.awaited_call.body)
+
+    def _call_within_limits(self, rpc: Rpc, timeout_us: int) -> None:
+        permit = self.limiters.acquire_call(self.store)
+        if permit is None:
+            # Deferred, as the decision module is in the midst of its calls.
+            self.turn.emit(Defer(CallNotMade(rpc.index)))
+            return
+        limit_us = permit.time_limit_us
+        rpc.call_time_cut = limit_us is not None and limit_us < timeout_us and not self.limiters.probing
+        if limit_us is not None:
+            timeout_us = min(timeout_us, limit_us)
+        self.store.call(rpc, timeout_us, rpc.awaited_call.body, permit.leased, permit.write_by)
+
+    def degrade(self, index: int) -> None:
+        """Leaves out the call that a run awaits, for a degraded answer."""
+        rpc = self.rpcs[index]
+        cursor = rpc.awaited_call.cursor
+        rpc.awaited_call = None
+        self.pool.degrade(rpc, cursor)
+
+    # ---- Idempotency keys
+
+    def answer_duplicate(self, index: int) -> None:
+        """Answers a duplicate from the result of the first RPC of its key, once that is known."""
+        rpc = self.rpcs[index]
+        rpc.joined_at = self.turn.now
+        self.lifecycle.idempotency.join_in_flight(rpc)
+
+    def store_key(self, index: int, ttl: int) -> None:
+        """Keeps the RPC's idempotency key, so that duplicates are recognized."""
+        self.lifecycle.idempotency.store(self.rpcs[index], ttl)
+
+    def evict_key(self, index: int) -> None:
+        """Removes the RPC's idempotency key."""
+        self.lifecycle.idempotency.evict(self.rpcs[index].key_entry)
+
+    # ---- What is published
+
+    def set_health(self, healthy: bool, cached: bool) -> None:
+        """How health checks and the registry are told from now on."""
+        self.registration.set_health(healthy)
+        for frontend in self.frontends.values():
+            frontend.set_health(healthy)
+
+    def set_shed_level(self, level: float) -> None:
+        """The shed level that is published with all answers."""
+        self.shed_level = level
+
+    def set_credit(self, credit: float) -> None:
+        """Never called: the core told the decision module that answers carry no credit."""
+        raise NotImplementedError("dispatchers' answers carry no credit")
+
+    def set_idle_timeout(self, timeout: int) -> None:
+        """Connections that are idle for so long are closed."""
+        for frontend in self.frontends.values():
+            frontend.set_idle_timeout(timeout)
+
+    # ---- Timers, log lines, the end of an RPC
+
+    def set_timer(self, delay: int, name: str) -> None:
+        """Has the decision module's `on_timer` called with gauges after `delay`."""
+        self.turn.schedule(self.turn.now + delay, self.pool.request_gauges, name)
+
+    def log(self, text: str) -> None:
+        """One line for the operators."""
+        self.turn.emit(Log(text))
+
+    def release(self, index: int) -> None:
+        """The decision module won't name this index again."""
+        self.lifecycle.release(index)
--- a/finchcart/node/registration.py
+++ b/finchcart/node/registration.py
@@ -1,60 +1,121 @@
-"""The registry duty, the drain and the end.
+"""The registration with the registry, the drain and the end.
 
-Owns when the registry is told of the node, the notice to leave and the moment at which the process may end.
-It must never end a node that owes an answer, nor listen again once it stopped.
+Owns the phase of the node's life: when the registry is told of it, the notice to leave and the moment at
+which the process may end. It must never end a node that owes an answer, nor listen again once it stopped.
 """
 
+from collections.abc import Callable
+from enum import Enum
+
 from finchcart.net import lines
+from finchcart.net.limits import Limits
+from finchcart.node.effect_buffer import EffectBuffer
 from finchcart.node.effects import End, SendReport, StopListening
 
 
+class NodePhase(Enum):
+    """The phases of a node's life, in order; one may be left out.
+
+    Whether RPCs are accepted is `Core.ready`: the worker pool may come up as late as while draining.
+    """
+
+    STARTING = "starting"  # the worker pool was not there yet
+    SERVING = "serving"
+    DRAINING = "draining"  # the notice to leave has come
+    NOT_LISTENING = "not listening"  # nothing is open or owed, and no further connection is accepted
+    ENDED = "ended"
+
+
 class Registration:
-    """`busy()`: whether anything is open or owed."""
-
-    def __init__(self, turn, limits, name, place, grace, busy):
-        self.turn, self.limits, self.name, self.place, self.grace = turn, limits, name, place, grace
-        self.busy = busy
-        self.good, self.reports = True, 0
-        self.drained, self.kill_at = None, None  # when the notice to leave came, and when the kill comes
-        self.grace_end, self.quiet_from, self.unlistened = None, None, False
-
-    def health(self, good):
-        if good != self.good:
-            self.good = good
+    """The node's record at the registry, and its phase. Times are whole microseconds.
+
+    `is_busy()` tells whether anything is open or owed. Bounds: one timer for the next report that counts, one
+    for the kill.
+    """
+
+    def __init__(
+        self,
+        turn: EffectBuffer,
+        limits: Limits,
+        name: str,
+        address: tuple[str, int],
+        drain_grace_us: int,
+        is_busy: Callable[[], bool],
+    ) -> None:
+        self.turn = turn
+        self.limits = limits
+        self.name = name
+        self.address = address
+        self.drain_grace_us = drain_grace_us
+        self.is_busy = is_busy
+        self.phase = NodePhase.STARTING
+        self.healthy = True
+        self.drain_notice_at: int | None = None
+        self.kill_at: int | None = None
+        self._reports_sent = 0
+        self._grace_ends_at: int | None = None
+        self._idle_since: int | None = None
+
+    def worker_pool_up(self) -> None:
+        """The worker pool is there for the first time."""
+        if self.phase is NodePhase.STARTING:
+            self.phase = NodePhase.SERVING
+
+    # ---- The registry
+
+    def set_health(self, healthy: bool) -> None:
+        """Reports a change of health at once."""
+        if healthy != self.healthy:
+            self.healthy = healthy
             self.report()
 
-    def report(self):
+    def report(self) -> None:
+        """Reports to the registry, now and then again and again."""
         turn = self.turn
-        turn.emit(SendReport(self.place, lines.report(self.name, self.good)))
-        self.reports += 1
-        turn.at(turn.now + self.limits.report, self.report_again, self.reports)
+        turn.emit(SendReport(self.address, lines.report(self.name, self.healthy)))
+        self._reports_sent += 1
+        turn.schedule(turn.now + self.limits.report, self._report_again, self._reports_sent)
 
-    def report_again(self, number):
-        if number == self.reports:
+    def _report_again(self, report_number: int) -> None:
+        if report_number == self._reports_sent:  # else another report was sent meanwhile
             self.report()
 
-    def drain(self, at):
-        """The notice to leave came then; False where it came before."""
-        if self.drained is not None:
+    def change_address(self, address: tuple[str, int]) -> None:
+        """The registry is at another address now."""
+        self.address = address
+        self.report()
+
+    # ---- Drain and end
+
+    def drain(self, notice_at: int) -> bool:
+        """The notice to leave came at `notice_at`; False where it had come before."""
+        if self.drain_notice_at is not None:
             return False
-        self.drained, self.grace_end, self.kill_at = at, at + self.grace, at + self.limits.stop
-        self.turn.at(self.kill_at, self.turn.emit, End())
+        self.phase = NodePhase.DRAINING
+        self.drain_notice_at = notice_at
+        self._grace_ends_at = notice_at + self.drain_grace_us
+        self.kill_at = notice_at + self.limits.stop
+        self.turn.schedule(self.kill_at, self._end)
         return True
 
-    def look(self):
-        """The node may end once its grace is over and nothing is open, nor has been for a while."""
-        turn = self.turn
-        if self.drained is None or turn.now < self.grace_end:
+    def end_if_idle(self) -> None:
+        """Ends the node once its grace is over and nothing is open, nor has been for a while."""
+        now = self.turn.now
+        if self.drain_notice_at is None or now < self._grace_ends_at:
             return
-        if self.busy():
-            self.quiet_from = None
-        elif self.quiet_from is None:
-            self.quiet_from = turn.now
-        elif turn.now - self.quiet_from >= self.limits.quiet:
+        if self.is_busy():
+            self._idle_since = None
+        elif self._idle_since is None:
+            self._idle_since = now
+        elif now - self._idle_since >= self.limits.quiet:
             # Guards against an RPC on a connection that is being accepted: first no new ones, then the end.
-            turn.emit(End() if self.unlistened else StopListening())
-            self.unlistened, self.quiet_from = True, turn.now - self.limits.quiet + self.limits.last_look
+            if self.phase is NodePhase.DRAINING:
+                self.phase = NodePhase.NOT_LISTENING
+                self.turn.emit(StopListening())
+            else:
+                self._end()
+            self._idle_since = now - self.limits.quiet + self.limits.last_look
 
-    def move(self, place):
-        self.place = place
-        self.report()
+    def _end(self) -> None:
+        self.phase = NodePhase.ENDED
+        self.turn.emit(End())
--- /dev/null
+++ b/finchcart/node/rpc.py
@@ -0,0 +1,96 @@
+"""The types of one RPC: what a frontend hands over, what the core keeps of it, and how it is answered.
+
+Owns types alone; it must never hold a table of RPCs nor decide about one.
+"""
+
+from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from finchcart.control import Rpc as RpcHandle
+    from finchcart.node.frontend import Frontend
+    from finchcart.node.idempotency import KeyEntry
+    from finchcart.node.limiters import RpcConcurrencyLimiter
+
+
+class FinalOutcome(Enum):
+    """The three kinds of final answer."""
+
+    OK = "ok"  # with the run's result, unchanged
+    REJECTED = "rejected"  # it never ran here
+    FAILED = "failed"  # with no word on whether it ran
+
+
+class RpcAttributes(NamedTuple):
+    """What a frontend read of an RPC besides its name, method and body. Times are whole microseconds."""
+
+    arrived_at: int  # when it reached this machine
+    caller: str | int  # who is admitted and limited by it: a dispatcher's number
+    idempotency_key: str | None = None
+    is_retry: bool = False
+    cost_hint_us: int = 0  # how long its run may take; 0: no hint
+    memory_kb: float = 1.0
+    shed_rank: float | None = None  # 0 to 1, where its user stands among those that may be shed
+    expires_at: int = 0  # 0: by its method's deadline
+    connection: int | None = None
+
+
+class AwaitedCall(NamedTuple):
+    """The call that a run awaits."""
+
+    cursor: int  # of the worker pool's notice
+    body: bytes
+
+
+class Rpc:
+    """One RPC, as the core and its frontend hold it.
+
+    `name` is unique among the open ones and the worker pool's name for the run; `reference` is the frontend's
+    own and never looked at by the core.
+    """
+
+    __slots__ = (
+        "answer_owed",
+        "awaited_call",
+        "body",
+        "call_connection",
+        "call_started_at",
+        "call_time_cut",
+        "calls_made",
+        "completed",
+        "counted_by",
+        "frontend",
+        "handle",
+        "index",
+        "joined_at",
+        "key_entry",
+        "method",
+        "name",
+        "reference",
+        "started",
+    )
+
+    def __init__(self, frontend: "Frontend", reference: object, name: str, method: str, body: bytes) -> None:
+        self.frontend = frontend
+        self.reference = reference
+        self.name = name
+        self.method = method
+        self.body = body
+        self.index: int | None = None  # set once it is accepted
+        self.key_entry: KeyEntry | None = None  # of its idempotency key
+        self.handle: RpcHandle | None = None  # of the decision module; None until it is admitted there
+        self.answer_owed = True
+        self.started = False  # the decision module had it run
+        self.completed = False  # its run or its wait is over
+        self.awaited_call: AwaitedCall | None = None
+        self.call_connection: int | None = None  # that carries its call
+        self.calls_made = 0
+        self.call_started_at = 0
+        self.joined_at: int | None = None  # since when it waits for the first RPC of its key
+        self.call_time_cut = False  # the time of its call was cut short by this node's own allowance
+        self.counted_by: tuple[RpcConcurrencyLimiter, ...] | None = None  # until it is completed
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it was started and is not completed."""
+        return self.started and not self.completed
--- a/finchcart/node/shadow.py
+++ b/finchcart/node/shadow.py
@@ -1,149 +1,239 @@
-"""Watching: what the settings of another shape would have decided, beside what is decided.
-
-Owns a second `Control` with the watched settings and a chance of its own, on a port that only notes, and the
-counts of where it decided otherwise. `Watch` is called like a `Control` and hands everything to the one that
-decides first; nothing of the second reaches a wire. It must never change what the first does: a fault in the
-second is logged and ends the watching alone. What it holds is bounded by what the first has open, and by the
-second's own memory of tokens.
-
-What the counts can't show: the course that was not taken is not played. The second hears how the first's runs
-end, so the work it would have spared or added, what callers would have done after another answer (further
-tries, connections) and the health of others under it are missing; an RPC that it would have run and the first
-pushed back ends for it at once, one that it paused goes on running. Read the counts as a rate of differing
-decisions under today's traffic, not as the traffic after the move.
+"""Watch mode: what other settings would have decided, beside what is decided.
+
+Owns a second `Control` with the watched settings and random numbers of its own, on a port that only records,
+and the counts of where it decided otherwise. `ShadowControl` is called like a `Control` and hands everything
+to the active one first; nothing of the shadow reaches a wire. It must never change what the active one does:
+a fault in the shadow is logged and ends the watching alone.
+
+What the counts can't show: the course that was not taken is not played. The shadow is told how the active
+one's runs end, so the work it would have saved or added, what callers would have done after another answer
+(retries, connections) and the health of others under it are missing; an RPC that it would have run and the
+active one rejected ends for it at once, one that it paused goes on running. Read the counts as a rate of
+differing decisions under today's traffic, not as the traffic after the move.
 """
 
 from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, TypeVar
 
-from finchcart.control import OVER, Control
-from finchcart.interface import Outcome
+from finchcart.control import OVER, Control, Rpc
+from finchcart.interface import Gauges, Outcome, Port
 
-TAKEN_WOULD_PUSH_BACK = "taken, would be pushed back"
-PUSHED_BACK_WOULD_TAKE = "pushed back, would be taken"
-GIVEN_UP = "given up or paused"
-ADVICE, TOLD, HEALTH = "advice", "told value", "health"
-KINDS = TAKEN_WOULD_PUSH_BACK, PUSHED_BACK_WOULD_TAKE, GIVEN_UP, ADVICE, TOLD, HEALTH
+# What is counted, in the words of the log line.
+ADMITTED_WOULD_REJECT = "taken, would be pushed back"
+REJECTED_WOULD_ADMIT = "pushed back, would be taken"
+FAILED_OR_PAUSED = "given up or paused"
+ADVICE = "advice"
+FEEDBACK = "told value"
+HEALTH = "health"
+KINDS = (ADMITTED_WOULD_REJECT, REJECTED_WOULD_ADMIT, FAILED_OR_PAUSED, ADVICE, FEEDBACK, HEALTH)
 
+T = TypeVar("T")
 
-class Notes:
-    """A port that notes what is answered and told, and passes it all on to `port` where there is one."""
+MAX_FAULT_CHARACTERS = 200  # of a fault in its log line
 
-    def __init__(self, port=None):
+
+class Decisions(NamedTuple):
+    """What was decided of one RPC."""
+
+    rejection: tuple | None  # what its rejection advised; None: it was not rejected
+    failed_or_paused: bool
+
+
+class RecordingPort:
+    """A port that records what is answered and published, and passes it all on to `port` where there is one.
+
+    Bounds: what is recorded of an RPC is taken away as that is over.
+    """
+
+    def __init__(self, port: Port | None = None) -> None:
         self.port = port
-        self.pushed, self.given_up, self.told, self.good = {}, set(), None, True  # by index, but what is told
+        self.enabled = True
+        self.rejections: dict[int, tuple] = {}  # by index
+        self.failed_or_paused: set[int] = set()  # indices
+        self.feedback: float | None = None  # the shed level or credit that was published last
+        self.healthy = True
 
-    def __getattr__(self, verb):
+    def __getattr__(self, verb: str) -> Callable[..., None]:
         """Any verb of a port."""
 
-        def act(*args):
-            self.note(verb, args)
+        def act(*arguments: object) -> None:
+            if self.enabled:
+                self._record(verb, arguments)
             if self.port:
-                getattr(self.port, verb)(*args)
+                getattr(self.port, verb)(*arguments)
 
         return act
 
-    def note(self, verb, args):
+    def _record(self, verb: str, arguments: tuple) -> None:
         if verb == "reject":
-            self.pushed[args[0]] = args[1:]
+            self.rejections[arguments[0]] = arguments[1:]
         elif verb in ("fail", "stop"):
-            self.given_up.add(args[0])
+            self.failed_or_paused.add(arguments[0])
         elif verb in ("set_shed_level", "set_credit"):
-            self.told = args[0]
+            self.feedback = arguments[0]
         elif verb == "set_health":
-            self.good = args[0]
+            self.healthy = arguments[0]
+
+    def take(self, index: int) -> Decisions:
+        """What was recorded of an RPC, and is no longer."""
+        failed_or_paused = index in self.failed_or_paused
+        self.failed_or_paused.discard(index)
+        return Decisions(self.rejections.pop(index, None), failed_or_paused)
+
+    def disable(self) -> None:
+        """Records nothing from here on: nobody would take it away."""
+        self.enabled = False
+        self.rejections = {}
+        self.failed_or_paused = set()
+
+
+class ShadowedHandle:
+    """The handle of one RPC: what happens to it is told to both instances."""
 
-    def take(self, index):
-        """What was noted of an RPC, and no longer is: (pushed back how, or None; given up)."""
-        given_up = index in self.given_up
-        self.given_up.discard(index)
-        return self.pushed.pop(index, None), given_up
+    __slots__ = ("active", "owner", "shadow")
 
+    def __init__(self, owner: "ShadowControl", active: Rpc) -> None:
+        self.owner = owner
+        self.active = active
+        self.shadow: Rpc | None = None
 
-def told_to_both(what):
-    return lambda handle, now, *args: handle.watch.both(handle.first, handle.second, what, now, *args)
+    def run_ended(self, now: int, outcome: Outcome, spent_us: int) -> None:
+        """Its run, or its wait as a duplicate, is over."""
+        self.owner.tell_both(self.active, self.shadow, "run_ended", now, outcome, spent_us)
 
+    def caller_gone(self, now: int) -> None:
+        """Its caller has gone."""
+        self.owner.tell_both(self.active, self.shadow, "caller_gone", now)
 
-class Handle:
-    """The handle of one RPC: what happens to it is told to both."""
+    def awaiting_call(self, now: int) -> None:
+        """Its run awaits a call."""
+        self.owner.tell_both(self.active, self.shadow, "awaiting_call", now)
 
-    __slots__ = ("watch", "first", "second")
-    run_ended, caller_gone, awaiting_call, call_ended = map(
-        told_to_both, ("run_ended", "caller_gone", "awaiting_call", "call_ended")
-    )
+    def call_ended(self, now: int, outcome: Outcome, spent_us: int) -> None:
+        """Its call is over."""
+        self.owner.tell_both(self.active, self.shadow, "call_ended", now, outcome, spent_us)
 
 
 class ShadowControl:
-    """Called like a `Control`. `period`: between lines, in microseconds; `log(text)`: one line."""
-
-    def __init__(self, port, settings, watched, seed, period, log):
-        self.notes, self.second_notes = Notes(port), Notes()
-        self.first, self.period, self.log = Control(self.notes, settings, seed), period, log
-        self.told_at = 0
-        self.counts, self.seen = Counter(), 0
-        self.handles = {}  # index -> handle, of what the first has open
-        self.second = self.second_hears(Control, self.second_notes, watched, seed)  # None: watching is over
-
-    def second_hears(self, act, *args, **more):
-        """Guards the first against faults of the second: they end the watching alone."""
+    """Called like a `Control`. `period_us`: between log lines; `log(text)`: one line.
+
+    Bounds: handles by what the active instance has open, and the shadow's own memory of idempotency keys.
+    """
+
+    def __init__(
+        self,
+        port: Port,
+        settings: Mapping[str, Any],
+        watched_settings: Mapping[str, Any],
+        seed: int,
+        period_us: int,
+        log: Callable[[str], None],
+    ) -> None:
+        self.port = RecordingPort(port)
+        self.shadow_port = RecordingPort()
+        self.active = Control(self.port, settings, seed)
+        self.period_us = period_us
+        self.log = log
+        self.logged_at = 0
+        self.counts: Counter[str] = Counter()
+        self.rpcs_seen = 0
+        self.handles: dict[int, ShadowedHandle] = {}  # by index, of what the active instance has open
+        # None: the watching is over.
+        self.shadow: Control | None = self._guarded(Control, self.shadow_port, watched_settings, seed)
+
+    def _guarded(self, act: Callable[..., T], *arguments: object, **keywords: object) -> T | None:
+        """Guards the active instance against faults of the shadow: they end the watching alone."""
         try:
-            return act(*args, **more)
+            return act(*arguments, **keywords)
         except Exception as error:
-            self.second = None
+            self.shadow = None
             self.handles.clear()
-            # Nobody would take further notes away: none are made from here on.
-            self.notes.pushed, self.notes.given_up, self.notes.note = {}, set(), lambda verb, args: None
-            self.log(f"watching ended by a fault: {type(error).__name__}: {error}"[:200])
-
-    def both(self, first, second, what, now, *args):
-        getattr(first, what)(now, *args)
-        if self.second:
-            self.second_hears(getattr(second, what), now, *args)
-        self.settle(now)
-
-    def start(self, now):
-        self.told_at = now
-        self.both(self.first, self.second, "start", now)
-
-    def worker_pool_restarted(self, now, cold):
-        self.both(self.first, self.second, "worker_pool_restarted", now, cold)
-
-    def drain(self, now, kill_at):
-        self.both(self.first, self.second, "drain", now, kill_at)
-
-    def on_timer(self, now, name, gauges):
-        self.both(self.first, self.second, "on_timer", now, name, gauges)
-        self.counts[TOLD] += self.notes.told != self.second_notes.told
-        self.counts[HEALTH] += self.notes.good != self.second_notes.good
-        if self.second and now - self.told_at >= self.period:
-            self.told_at = now
-            self.log(
-                f"watching: of {self.seen} RPCs, would differ: "
-                + ", ".join(f"{kind} {self.counts[kind]}" for kind in KINDS)
-            )
-            self.counts, self.seen = Counter(), 0
-
-    def admit(self, now, index, *args, **more):
-        handle = Handle()
-        handle.watch, handle.first = self, self.first.admit(now, index, *args, **more)
-        handle.second = self.second and self.second_hears(self.second.admit, now, index, *args, **more)
-        if self.second:
-            self.seen += 1
+            self.port.disable()
+            text = f"watching ended by a fault: {type(error).__name__}: {error}"
+            self.log(text[:MAX_FAULT_CHARACTERS])
+            return None
+
+    def tell_both(
+        self,
+        active: Control | Rpc,
+        shadow: Control | Rpc | None,
+        method: str,
+        now: int,
+        *arguments: object,
+    ) -> None:
+        """Calls the method of both, the active one's first."""
+        getattr(active, method)(now, *arguments)
+        if self.shadow:
+            self._guarded(getattr(shadow, method), now, *arguments)
+        self._settle(now)
+
+    # ---- As Control has it
+
+    @property
+    def own_level(self) -> float:
+        """Of the active instance."""
+        return self.active.own_level
+
+    def start(self, now: int) -> None:
+        """See `Control`."""
+        self.logged_at = now
+        self.tell_both(self.active, self.shadow, "start", now)
+
+    def worker_pool_restarted(self, now: int, cold: bool) -> None:
+        """See `Control`."""
+        self.tell_both(self.active, self.shadow, "worker_pool_restarted", now, cold)
+
+    def drain(self, now: int, kill_at: int) -> None:
+        """See `Control`."""
+        self.tell_both(self.active, self.shadow, "drain", now, kill_at)
+
+    def on_timer(self, now: int, name: str, gauges: Gauges) -> None:
+        """See `Control`; also counts what is published otherwise, and logs the counts once a period."""
+        self.tell_both(self.active, self.shadow, "on_timer", now, name, gauges)
+        self.counts[FEEDBACK] += self.port.feedback != self.shadow_port.feedback
+        self.counts[HEALTH] += self.port.healthy != self.shadow_port.healthy
+        if self.shadow and now - self.logged_at >= self.period_us:
+            self.logged_at = now
+            counts = ", ".join(f"{kind} {self.counts[kind]}" for kind in KINDS)
+            self.log(f"watching: of {self.rpcs_seen} RPCs, would differ: {counts}")
+            self.counts = Counter()
+            self.rpcs_seen = 0
+
+    def admit(self, now: int, index: int, *arguments: object, **keywords: object) -> ShadowedHandle:
+        """See `Control`."""
+        handle = ShadowedHandle(self, self.active.admit(now, index, *arguments, **keywords))
+        if self.shadow:
+            handle.shadow = self._guarded(self.shadow.admit, now, index, *arguments, **keywords)
+        if self.shadow:
+            self.rpcs_seen += 1
             self.handles[index] = handle
-        self.settle(now)  # an arrival may push others out of the hold
+        self._settle(now)  # an arrival may push others out of the queue
         return handle
 
-    def settle(self, now):
-        """What is over for the first: counts how the second differed, and ends it there too."""
-        for index in [index for index, handle in self.handles.items() if handle.first.state == OVER]:
-            if not self.second:
-                return  # one of those before it was the second's end
-            second = self.handles.pop(index).second
-            (pushed, given_up), (would, would_give_up) = self.notes.take(index), self.second_notes.take(index)
-            self.counts[TAKEN_WOULD_PUSH_BACK] += pushed is None and would is not None
-            self.counts[PUSHED_BACK_WOULD_TAKE] += pushed is not None and would is None
-            self.counts[ADVICE] += None not in (pushed, would) and pushed != would
-            self.counts[GIVEN_UP] += given_up != would_give_up
-            for act, *more in ((second.caller_gone,), (second.run_ended, Outcome.NOT_STARTED, 0)):
-                if self.second and second.state != OVER:
-                    self.second_hears(act, now, *more)
-            self.second_notes.take(index)  # of what ended it
+    # ---- The comparison
+
+    def _settle(self, now: int) -> None:
+        """Compares what is over for the active instance, and ends it for the shadow too."""
+        over = [index for index, handle in self.handles.items() if handle.active.state == OVER]
+        for index in over:
+            if not self.shadow:
+                return  # one of those before it was the shadow's end
+            handle = self.handles.pop(index).shadow
+            self._compare(self.port.take(index), self.shadow_port.take(index))
+            self._end_in_shadow(handle, now)
+            self.shadow_port.take(index)  # of what ended it
+
+    def _compare(self, active: Decisions, shadow: Decisions) -> None:
+        rejected = active.rejection is not None
+        would_reject = shadow.rejection is not None
+        self.counts[ADMITTED_WOULD_REJECT] += would_reject and not rejected
+        self.counts[REJECTED_WOULD_ADMIT] += rejected and not would_reject
+        self.counts[ADVICE] += rejected and would_reject and active.rejection != shadow.rejection
+        self.counts[FAILED_OR_PAUSED] += active.failed_or_paused != shadow.failed_or_paused
+
+    def _end_in_shadow(self, handle: Rpc, now: int) -> None:
+        if self.shadow and handle.state != OVER:
+            self._guarded(handle.caller_gone, now)
+        if self.shadow and handle.state != OVER:
+            self._guarded(handle.run_ended, now, Outcome.NOT_STARTED, 0)
--- a/finchcart/node/store.py
+++ b/finchcart/node/store.py
@@ -1,151 +1,220 @@
 """Calls to the store that all nodes share.
 
-Owns the links to the store, each with one call at a time, and the time limit of each call. Bounded by the
-calls that the module allows at once. It must never write a call where a late or copied reply to another call
-of the same RPC could pass for its own, nor repeat one: the module decides that.
+Owns the connections to the store, each with one call at a time, and the time limit of each call. It must
+never write a call where a late or copied reply to another call of the same RPC could pass for its own, nor
+retry one: the decision module decides that.
 """
 
+from collections.abc import Callable
+from typing import NamedTuple
+
 from finchcart.interface import Outcome
 from finchcart.net import lines
+from finchcart.net.limits import Limits
+from finchcart.node.effect_buffer import EffectBuffer
 from finchcart.node.effects import Drop, Read, Send, SendBefore
+from finchcart.node.rpc import Rpc
+
+CallEnded = Callable[[Rpc, Outcome, bytes, int], None]
+
+
+class StoreConnection:
+    """One connection to the store, which carries one call at a time: a bad reply costs no other call."""
 
+    __slots__ = ("idle_since", "is_leased", "names_used", "number", "retired", "rpc")
 
-class Link:
-    """One link to the store, which carries one call at a time: a spoilt reply costs no other call."""
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.rpc: Rpc | None = None  # the RPC whose call it carries
+        self.is_leased = False  # that call is beyond the floor of the fleet's limit
+        self.names_used: set[str] = set()  # of all RPCs that it carried calls for
+        self.retired = False  # it takes no further call
+        self.idle_since: int | None = None
 
-    __slots__ = ("number", "rpc", "used", "retired", "idle_from", "leased")
 
-    def __init__(self, number):
-        self.number, self.rpc = number, None  # the RPC whose call it carries
-        self.leased = False  # that call is beyond the floor of the fleet's limit
-        self.used, self.retired, self.idle_from = set(), False, None  # used: all names it carried calls for
+class AbandonedCall(NamedTuple):
+    """A call that the store may not know yet to be abandoned."""
 
+    until: int
+    is_leased: bool
 
-class Store:
-    """`call_ended(rpc, outcome, body, spent)` hears of each call that was not dropped."""
 
-    def __init__(self, turn, limits, place, call_ended, linger=0):
-        self.linger = linger  # a call that is given up counts for so long as still in hand
-        self.turn, self.limits, self.place, self.call_ended = turn, limits, place, call_ended
-        self.links, self.idle = {}, []  # idle ones: the one used last is taken first
-        self.given_up = []  # (until, leased): calls that the store may not know yet to be given up
+class StoreClient:
+    """The calls in flight. Times are whole microseconds.
 
-    def in_flight(self, leased):
-        """Calls that the store may have in hand, beyond the floor of the fleet's limit or not."""
+    `call_ended(rpc, outcome, body, spent_us)` is told of each call that was not dropped. Bounds: connections
+    by the calls that the decision module allows at once, and each is closed once it idles or has carried
+    `limits.store_calls`; abandoned calls by what is abandoned within `linger_us`, for which each counts as in
+    flight still.
+    """
+
+    def __init__(
+        self,
+        turn: EffectBuffer,
+        limits: Limits,
+        address: tuple[str, int] | None,
+        call_ended: CallEnded,
+        linger_us: int = 0,
+    ) -> None:
+        self.turn = turn
+        self.limits = limits
+        self.address = address
+        self.call_ended = call_ended
+        self.linger_us = linger_us
+        self.connections: dict[int, StoreConnection] = {}
+        self.idle: list[StoreConnection] = []  # the one used last is taken first
+        self._abandoned: list[AbandonedCall] = []
+
+    def in_flight(self, leased: bool) -> int:
+        """Calls that the store may be working on: those beyond the floor of the limit, or the others."""
         now = self.turn.now
-        self.given_up = [call for call in self.given_up if call[0] > now]
-        return sum(link.rpc is not None and link.leased is leased for link in self.links.values()) + sum(
-            call[1] is leased for call in self.given_up
+        self._abandoned = [call for call in self._abandoned if call.until > now]
+        carried = sum(
+            connection.rpc is not None and connection.is_leased is leased
+            for connection in self.connections.values()
         )
-
-    def call(self, rpc, limit, body, leased=False, by=None):
-        """`by`: on the boot clock; written until then or not at all, see `Meter`."""
+        return carried + sum(call.is_leased is leased for call in self._abandoned)
+
+    def call(
+        self, rpc: Rpc, timeout_us: int, body: bytes, leased: bool = False, write_by: int | None = None
+    ) -> None:
+        """Makes the call of an RPC.
+
+        Arguments:
+            rpc: whose call it is.
+            timeout_us: it is abandoned after this time.
+            body: what the store is sent.
+            leased: whether it is beyond the floor of the fleet's limit.
+            write_by: on the boot clock; it is written until then or not at all. None: at any time.
+        """
         turn = self.turn
-        # Guards against a copy of a reply that passes for this call's: not on a link where one may come.
-        link = next((each for each in reversed(self.idle) if rpc.name not in each.used), None)
-        if link:
-            self.idle.remove(link)
-        else:
-            link = Link(turn.connect("store", self.place, self))
-            self.links[link.number] = link
-            turn.emit(Read(link.number))
-            turn.at(turn.now + self.limits.store_idle, self.look_at_idle, link)
-        link.rpc, link.leased = rpc, leased
-        link.used.add(rpc.name)
-        rpc.call_link, rpc.call_from, rpc.calls = link.number, turn.now, rpc.calls + 1
-        data = lines.call(rpc.name, limit, body)
-        if by is None:
-            turn.emit(Send(link.number, data))
+        connection = self._connection_for(rpc)
+        connection.rpc = rpc
+        connection.is_leased = leased
+        connection.names_used.add(rpc.name)
+        rpc.call_connection = connection.number
+        rpc.call_started_at = turn.now
+        rpc.calls_made += 1
+        data = lines.call(rpc.name, timeout_us, body)
+        if write_by is None:
+            turn.emit(Send(connection.number, data))
         else:
-            turn.emit(SendBefore(link.number, data, by))
-        turn.at(turn.now + limit, self.due, rpc, rpc.calls)
-
-    def drop(self, rpc):
-        """Gives up a call in the store's hands, and the link with it: a late reply may still come there."""
-        link = self.links.get(rpc.call_link)
-        rpc.call_link = None
-        if link:
-            self.leave(link)
-
-    def due(self, rpc, number):
-        if rpc.call_link is not None and rpc.calls == number:
+            turn.emit(SendBefore(connection.number, data, write_by))
+        turn.schedule(turn.now + timeout_us, self.time_out, rpc, rpc.calls_made)
+
+    def drop(self, rpc: Rpc) -> None:
+        """Abandons a call, and its connection with it: a late reply may still come there."""
+        connection = self.connections.get(rpc.call_connection)
+        rpc.call_connection = None
+        if connection:
+            self._close(connection)
+
+    def time_out(self, rpc: Rpc, call_number: int) -> None:
+        """The time limit of the RPC's call of this number is over."""
+        if rpc.call_connection is not None and rpc.calls_made == call_number:
             self.drop(rpc)
-            self.call_ended(rpc, Outcome.TIMEOUT, b"", self.turn.now - rpc.call_from)
+            self.call_ended(rpc, Outcome.TIMEOUT, b"", self.turn.now - rpc.call_started_at)
 
-    def move(self, place):
-        """Calls under way end at the old place; new ones go to the new."""
-        self.place = place
-        for link in list(self.links.values()):
-            self.retire(link)
+    def change_address(self, address: tuple[str, int] | None) -> None:
+        """Calls in flight end at the old address; new ones go to the new."""
+        self.address = address
+        for connection in list(self.connections.values()):
+            self._retire(connection)
 
-    # ---- what comes on the links
+    # ---- What comes on the connections: see ConnectionOwner
 
-    def got(self, number, message):
-        link = self.links.get(number)
-        if link is None:
+    def message_received(self, number: int, message: tuple) -> None:
+        """A reply."""
+        connection = self.connections.get(number)
+        if connection is None:
             return
         _, name, outcome, body = message
-        rpc = link.rpc
+        rpc = connection.rpc
         if rpc is None or name != rpc.name:
             # Guards against a copy, or another's reply, that passes for a call's: none is made here again.
-            self.retire(link)
+            self._retire(connection)
             return
-        rpc.call_link = link.rpc = None
-        if link.retired or len(link.used) >= self.limits.store_calls:
-            self.leave(link)
+        rpc.call_connection = None
+        connection.rpc = None
+        if connection.retired or len(connection.names_used) >= self.limits.store_calls:
+            self._close(connection)
         else:
-            link.idle_from = self.turn.now
-            self.idle.append(link)
-        self.call_ended(rpc, outcome, body, self.turn.now - rpc.call_from)
+            connection.idle_since = self.turn.now
+            self.idle.append(connection)
+        self.call_ended(rpc, outcome, body, self.turn.now - rpc.call_started_at)
 
-    def batch_over(self, number):
-        if number in self.links:
+    def batch_completed(self, number: int) -> None:
+        """Asks for the next read."""
+        if number in self.connections:
             self.turn.emit(Read(number))
 
-    def refused(self, number, why):
-        self.lost(number, Outcome.UNREACHABLE, why)
+    def connection_refused(self, number: int, reason: str) -> None:
+        """Its call never ran."""
+        self._lose(number, Outcome.UNREACHABLE, reason)
 
-    def ended(self, number, why):
-        self.lost(number, Outcome.CONNECTION_LOST, why)
+    def connection_ended(self, number: int, reason: str) -> None:
+        """Its call may have run."""
+        self._lose(number, Outcome.CONNECTION_LOST, reason)
 
-    def lost(self, number, outcome, why):
-        link = self.links.get(number)
-        if link is None:
+    def write_blocked(self, number: int) -> None:
+        """Nothing: the call's own time limit bounds it."""
+
+    def write_resumed(self, number: int) -> None:
+        """Nothing: the call's own time limit bounds it."""
+
+    def connection_closed(self, number: int) -> None:
+        """Nothing: it was forgotten when it was dropped."""
+
+    # ---- Connections
+
+    def _connection_for(self, rpc: Rpc) -> StoreConnection:
+        # Guards against a copy of a reply that passes for this call's: not where one may come.
+        for connection in reversed(self.idle):
+            if rpc.name not in connection.names_used:
+                self.idle.remove(connection)
+                return connection
+        turn = self.turn
+        connection = StoreConnection(turn.connect("store", self.address, self))
+        self.connections[connection.number] = connection
+        turn.emit(Read(connection.number))
+        turn.schedule(turn.now + self.limits.store_idle, self._close_if_idle, connection)
+        return connection
+
+    def _lose(self, number: int, outcome: Outcome, reason: str) -> None:
+        connection = self.connections.get(number)
+        if connection is None:
             return
-        self.leave(link)
-        if why:
-            self.turn.fault("store", f"{outcome.value}, {len(self.links)} links left ({why})")
-        rpc = link.rpc
+        self._close(connection)
+        if reason:
+            left = len(self.connections)
+            self.turn.log_fault("store", f"{outcome.value}, {left} connections left ({reason})")
+        rpc = connection.rpc
         if rpc:
-            rpc.call_link = None
-            self.call_ended(rpc, outcome, b"", self.turn.now - rpc.call_from)
-
-    def behind(self, number):
-        """The call's own time limit bounds it."""
-
-    caught_up = closed = behind
-
-    # ---- links
-
-    def retire(self, link):
-        """It takes no further call, and is left once it has none."""
-        link.retired = True
-        if link.rpc is None:
-            self.leave(link)
-
-    def leave(self, link):
-        if link.rpc is not None and self.linger:
-            self.given_up.append((self.turn.now + self.linger, link.leased))
-        del self.links[link.number]
-        if link in self.idle:
-            self.idle.remove(link)
-        self.turn.emit(Drop(link.number))
-
-    def look_at_idle(self, link):
-        """A link that idles is closed long before the store does it, so that no call crosses its close."""
-        if link.number in self.links:
-            due = (self.turn.now if link.rpc else link.idle_from) + self.limits.store_idle
-            if self.turn.now >= due:
-                self.leave(link)
-            else:
-                self.turn.at(due, self.look_at_idle, link)
+            rpc.call_connection = None
+            self.call_ended(rpc, outcome, b"", self.turn.now - rpc.call_started_at)
+
+    def _retire(self, connection: StoreConnection) -> None:
+        """It takes no further call, and is closed once it has none."""
+        connection.retired = True
+        if connection.rpc is None:
+            self._close(connection)
+
+    def _close(self, connection: StoreConnection) -> None:
+        if connection.rpc is not None and self.linger_us:
+            until = self.turn.now + self.linger_us
+            self._abandoned.append(AbandonedCall(until, connection.is_leased))
+        del self.connections[connection.number]
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self.turn.emit(Drop(connection.number))
+
+    def _close_if_idle(self, connection: StoreConnection) -> None:
+        """Closes what idles long before the store does it, so that no call crosses the store's close."""
+        if connection.number not in self.connections:
+            return
+        since = self.turn.now if connection.rpc else connection.idle_since
+        due = since + self.limits.store_idle
+        if self.turn.now >= due:
+            self._close(connection)
+        else:
+            self.turn.schedule(due, self._close_if_idle, connection)
--- a/finchcart/node/worker_pool.py
+++ b/finchcart/node/worker_pool.py
@@ -1,225 +1,327 @@
-"""The link to the worker pool: its cursor, what it may not have read, and its gauges.
+"""The connection to the worker pool: its cursor, commands not confirmed yet, and its gauges.
 
-Owns the one link, the number of the last notice, commands that no notice or poll has confirmed yet, and polls
-under way. Bounded by the RPCs that run. It must never write a command again that could do harm if the first
-copy was read, nor take a notice twice.
+Owns the one connection, the number of the last notice, commands that no notice or poll has confirmed yet, and
+polls under way. It must never write a command again that could do harm if the first copy was read, nor take a
+notice twice.
 """
 
+from collections.abc import Mapping, Sequence
+from enum import Enum
+from typing import NamedTuple, Protocol
+
 from finchcart.interface import Outcome
 from finchcart.net import lines
+from finchcart.net.limits import Limits
+from finchcart.node.effect_buffer import EffectBuffer
 from finchcart.node.effects import Drop, Log, Read, Send
+from finchcart.node.rpc import Rpc
+
+PARTY = "worker pool"  # in log lines
+
+
+class RunListener(Protocol):
+    """What is told of runs."""
+
+    def find_running(self, name: str) -> Rpc | None:
+        """The RPC of that name whose run is not completed, or None."""
+
+    def run_ended(self, rpc: Rpc, outcome: Outcome, spent_us: int, result: bytes) -> None:
+        """The run is over."""
+
+    def awaiting_call(self, rpc: Rpc, cursor: int, body: bytes) -> None:
+        """The run awaits a call."""
+
+
+class PoolListener(Protocol):
+    """What is told of the worker pool itself."""
+
+    def worker_pool_up(self, cold: bool) -> None:
+        """It is there for the first time."""
+
+    def worker_pool_restarted(self, cold: bool) -> None:
+        """It has lost all runs."""
+
+    def timer_due(self, name: str, readings: Mapping[str, float]) -> None:
+        """A timer of the decision module, with the worker pool's gauges by name; none where it is late."""
+
+
+class LinkState(Enum):
+    """The states of the connection."""
+
+    DISCONNECTED = "disconnected"
+    BINDING = "binding"  # asked for notices from the cursor on; no command is written
+    BOUND = "bound"
+    MOVING = "moving"  # to another address, once all commands are known to be read
+
+
+class UnconfirmedCommand(NamedTuple):
+    """A command that the worker pool may not have read."""
+
+    rpc: Rpc
+    ticket: int  # of the last poll before it
+    data: bytes
+    safe_data: bytes | None  # what may be written where `data` may have been read; None: nothing may
+    written: bool
 
 
 class WorkerPool:
-    """`host` is the core: `pool_up(cold, age, first)`, `running(name)`, `run_ended(rpc, outcome, spent,
-    result)`, `run_at_call(rpc, cursor, body)`, `pool_anew(cold)` and `woken(name, gauges)`."""
-
-    def __init__(self, turn, limits, place, gauges, host):
-        self.turn, self.limits, self.place, self.host = turn, limits, place, host
-        self.gauges = gauges
-        self.link, self.ready, self.cursor, self.ticket = None, False, 0, 0
-        self.is_behind, self.settle, self.leaving, self.wakes = False, None, None, {}
-        self.begun = None  # when the worker pool started, as it told
-        self.unreadable = None  # the last notice before one that could not be read
-        # What the pool may not have read, by index: (rpc, ticket, line, what does no harm if it did, whether
-        # it was written).
-        self.unconfirmed = {}
-        self.acts = {
-            "up": self.on_up,
-            "run_ended": self.on_run_ended,
-            "at_call": self.on_at_call,
-            "gauges": self.on_gauges,
-            "undone": self.on_undone,
-            "remark": self.on_remark,
-            "other": self.on_other,
+    """The worker pool as the node sees it. Times are whole microseconds.
+
+    Bounds: one unconfirmed command a running RPC, until a notice, a later poll or the settling after a new
+    connection; one poll a timer, answered or given up after `limits.figures`.
+    """
+
+    def __init__(
+        self,
+        turn: EffectBuffer,
+        limits: Limits,
+        address: tuple[str, int],
+        gauge_names: Sequence[str],
+        runs: RunListener,
+        listener: PoolListener,
+    ) -> None:
+        self.turn = turn
+        self.limits = limits
+        self.address = address
+        self.gauge_names = gauge_names
+        self.runs = runs
+        self.listener = listener
+        self.state = LinkState.DISCONNECTED
+        self.connection: int | None = None
+        self.cursor = 0  # number of the last notice
+        self.unconfirmed: dict[int, UnconfirmedCommand] = {}  # by index
+        self.pending_timers: dict[str, str] = {}  # ticket of a poll -> name of the timer that waits for it
+        self.settle_ticket: str | None = None  # of the poll after a new connection
+        self._write_blocked = False
+        self._last_ticket = 0
+        self._move_ticket: str | None = None  # of the poll before the connection is left for another address
+        self._started_at: int | None = None  # when the worker pool started, as far as it said
+        self._unreadable_after: int | None = None  # the last notice before one that could not be read
+        self._handlers = {
+            "up": self._on_bound,
+            "run_ended": self._on_run_ended,
+            "at_call": self._on_awaiting_call,
+            "gauges": self._on_gauges,
+            "undone": self._on_not_carried_out,
+            "remark": self._on_remark,
+            "other": self._on_other,
         }
 
-    def reach(self):
-        if self.link is not None:
-            return
-        self.link = self.turn.connect("pool", self.place, self)
-        self.turn.emit(Read(self.link))
-        self.say(lines.join(self.cursor))
-
-    def say(self, data):
-        """Written where there is a link; what is lost with one is settled after the next is bound."""
-        if self.link is not None:
-            self.turn.emit(Send(self.link, data))
-
-    def command(self, rpc, data, again):
-        """`again`: what may be written where `data` may have been read; None where nothing may."""
-        self.unconfirmed[rpc.index] = rpc, self.ticket, data, again, self.ready
-        if self.ready:
-            self.say(data)
-
-    def run(self, rpc, repeatable):
-        line = lines.run(rpc.name, rpc.method, rpc.body)
-        self.command(rpc, line, line if repeatable else None)
-
-    def reply(self, rpc, cursor, body, skippable):
-        """A reply that may have been lost can't be written again, but its call can be left out."""
-        self.command(rpc, lines.reply(rpc.name, body), lines.skip(rpc.name, cursor) if skippable else None)
-
-    def skip(self, rpc, cursor):
-        line = lines.skip(rpc.name, cursor)
-        self.command(rpc, line, line)
-
-    def confirmed(self, rpc):
-        self.unconfirmed.pop(rpc.index, None)
+    # ---- Commands
 
-    def poll(self):
-        self.ticket += 1
-        self.say(lines.ask_gauges(str(self.ticket)))
-        return str(self.ticket)
+    def run(self, rpc: Rpc, idempotent: bool) -> None:
+        """Starts the run of an RPC."""
+        data = lines.run(rpc.name, rpc.method, rpc.body)
+        self.send_command(rpc, data, data if idempotent else None)
 
-    # ---- the link's life
+    def reply(self, rpc: Rpc, cursor: int, body: bytes, can_degrade: bool) -> None:
+        """Hands a run the reply that it awaits.
 
-    def lost(self, why):
-        again = 0 if self.ready else self.limits.pool_again
-        self.turn.fault("worker pool", f"link lost ({why or 'closed'}), cursor {self.cursor}")
-        self.leave()
-        self.turn.at(self.turn.now + again, self.reach)
+        A reply that may have been lost can't be written again, but its call can be left out.
+        """
+        data = lines.reply(rpc.name, body)
+        self.send_command(rpc, data, lines.skip(rpc.name, cursor) if can_degrade else None)
 
-    def leave(self):
-        link, self.link = self.link, None
-        self.ready, self.settle, self.leaving, self.is_behind = False, None, None, False
-        self.turn.emit(Drop(link))
+    def degrade(self, rpc: Rpc, cursor: int) -> None:
+        """Has a run go on without the call that it awaits."""
+        data = lines.skip(rpc.name, cursor)
+        self.send_command(rpc, data, data)
 
-    def move(self, place):
-        """Guards against commands lost with the old link: it is left once the pool has read them all."""
-        self.place = place
-        if self.link is None:
-            return
-        if self.ready:
-            self.ready = False
-            self.leaving = self.poll()
-            self.turn.at(self.turn.now + self.limits.pool_moves, self.moved, self.link)
-        else:
-            self.moved(self.link)
+    def send_command(self, rpc: Rpc, data: bytes, safe_data: bytes | None) -> None:
+        """Writes a command, or keeps it until it can be written; see `UnconfirmedCommand`."""
+        bound = self.state is LinkState.BOUND
+        self.unconfirmed[rpc.index] = UnconfirmedCommand(rpc, self._last_ticket, data, safe_data, bound)
+        if bound:
+            self._send(data)
 
-    def moved(self, link):
-        if self.link == link and not self.ready:
-            self.leave()
-            self.reach()
+    def confirm(self, rpc: Rpc) -> None:
+        """The worker pool has read the RPC's last command, or need not any more."""
+        self.unconfirmed.pop(rpc.index, None)
 
-    # ---- what comes on the link
+    def request_gauges(self, timer: str) -> None:
+        """A timer of the decision module is due: the gauges are asked for, and waited for a little."""
+        if self.state is LinkState.BOUND and not self._write_blocked:
+            ticket = self._poll()
+            self.pending_timers[ticket] = timer
+            self.turn.schedule(self.turn.now + self.limits.figures, self._complete_timer, ticket, {})
+        else:
+            self.listener.timer_due(timer, {})
 
-    def got(self, link, message):
-        if link == self.link:
-            self.acts[message[0]](*message[1:])
+    def _send(self, data: bytes) -> None:
+        """Written where there is a connection; what is lost with one is settled once the next is bound."""
+        if self.connection is not None:
+            self.turn.emit(Send(self.connection, data))
 
-    def batch_over(self, link):
-        if link == self.link:
-            self.turn.emit(Read(link))
+    def _poll(self) -> str:
+        self._last_ticket += 1
+        ticket = str(self._last_ticket)
+        self._send(lines.ask_gauges(ticket))
+        return ticket
 
-    def refused(self, link, why):
-        if link == self.link:
-            self.lost(why)
+    # ---- The connection's life
 
-    def ended(self, link, why):
-        if link != self.link:
+    def connect(self) -> None:
+        """Opens the connection where there is none."""
+        if self.connection is not None:
             return
-        if why and self.ready:
+        self.connection = self.turn.connect("pool", self.address, self)
+        self.state = LinkState.BINDING
+        self.turn.emit(Read(self.connection))
+        self._send(lines.join(self.cursor))
+
+    def change_address(self, address: tuple[str, int]) -> None:
+        """Guards against commands lost with the old connection: it is left once they are all read."""
+        self.address = address
+        if self.connection is None:
+            return
+        if self.state is LinkState.BOUND:
+            self.state = LinkState.MOVING
+            self._move_ticket = self._poll()
+            self.turn.schedule(self.turn.now + self.limits.pool_moves, self._reconnect, self.connection)
+        else:
+            self._reconnect(self.connection)
+
+    def _reconnect(self, connection: int) -> None:
+        if self.connection == connection and self.state is not LinkState.BOUND:
+            self._disconnect()
+            self.connect()
+
+    def _lose(self, reason: str) -> None:
+        pause = 0 if self.state is LinkState.BOUND else self.limits.pool_again
+        self.turn.log_fault(PARTY, f"connection lost ({reason or 'closed'}), cursor {self.cursor}")
+        self._disconnect()
+        self.turn.schedule(self.turn.now + pause, self.connect)
+
+    def _disconnect(self) -> None:
+        connection = self.connection
+        self.connection = None
+        self.state = LinkState.DISCONNECTED
+        self.settle_ticket = None
+        self._move_ticket = None
+        self._write_blocked = False
+        self.turn.emit(Drop(connection))
+
+    # ---- What comes on the connection: see ConnectionOwner
+
+    def message_received(self, connection: int, message: tuple) -> None:
+        """A notice: its kind, and what it carries."""
+        if connection == self.connection:
+            self._handlers[message[0]](*message[1:])
+
+    def batch_completed(self, connection: int) -> None:
+        """Asks for the next read."""
+        if connection == self.connection:
+            self.turn.emit(Read(connection))
+
+    def connection_refused(self, connection: int, reason: str) -> None:
+        """Tries again after a pause."""
+        if connection == self.connection:
+            self._lose(reason)
+
+    def connection_ended(self, connection: int, reason: str) -> None:
+        """Connects again."""
+        if connection != self.connection:
+            return
+        if reason and self.state is LinkState.BOUND:
             # Guards against a notice that can't be read and comes again right after each bind: it may have
-            # been spoilt on its way once; then it is passed over, and its run is answered in time even so.
-            if self.unreadable == self.cursor and self.settle is not None:
+            # been damaged on its way once; then it is passed over, and its run is answered in time even so.
+            if self._unreadable_after == self.cursor and self.settle_ticket is not None:
                 self.cursor += 1
-            self.unreadable = self.cursor
-        self.lost(why)
+            self._unreadable_after = self.cursor
+        self._lose(reason)
+
+    def connection_closed(self, connection: int) -> None:
+        """Nothing: it was left before."""
 
-    def closed(self, link):
-        """It was left before."""
+    def write_blocked(self, connection: int) -> None:
+        """No gauges are asked for until it reads again."""
+        if connection == self.connection:
+            self._write_blocked = True
 
-    def behind(self, link):
-        if link == self.link:
-            self.is_behind = True
+    def write_resumed(self, connection: int) -> None:
+        """All is written."""
+        if connection == self.connection:
+            self._write_blocked = False
 
-    def caught_up(self, link):
-        if link == self.link:
-            self.is_behind = False
+    # ---- Notices
 
-    def on_up(self, cold, age):
+    def _on_bound(self, cold: bool, age_us: int) -> None:
         turn = self.turn
-        turn.emit(Log(f"worker pool: up, {'cold' if cold else 'warm'}, for {age // 1000} ms"))
-        first, self.ready, begun = self.begun is None, True, turn.now - age
-        if not first:
-            # Guards against commands lost with the old link: they are seen to once all notices since then
-            # are read, so that nothing that ended is started again.
-            self.settle = self.poll()
-            if begun > self.begun + self.limits.same_start:
-                self.cursor = 0
-                self.host.pool_anew(cold)
-        self.begun = begun
-        if first:
-            self.host.pool_up(cold)
-
-    def new_notice(self, cursor):
+        turn.emit(Log(f"{PARTY}: up, {'cold' if cold else 'warm'}, for {age_us // 1000} ms"))
+        self.state = LinkState.BOUND
+        previous_start = self._started_at
+        started_at = turn.now - age_us
+        if previous_start is None:
+            self._started_at = started_at
+            self.listener.worker_pool_up(cold)
+            return
+        # Guards against commands lost with the old connection: they are seen to once all notices since then
+        # are read, so that nothing that ended is started again.
+        self.settle_ticket = self._poll()
+        if started_at > previous_start + self.limits.same_start:
+            self.cursor = 0
+            self.listener.worker_pool_restarted(cold)
+        self._started_at = started_at
+
+    def _is_new_notice(self, cursor: int) -> bool:
         """Each notice is taken once."""
-        new, self.cursor = cursor > self.cursor, max(cursor, self.cursor)
-        return new
-
-    def on_run_ended(self, cursor, name, outcome, spent, result):
-        rpc = self.host.running(name)
-        if self.new_notice(cursor) and rpc:
-            self.host.run_ended(rpc, outcome, spent, result)
-
-    def on_at_call(self, cursor, name, body):
-        rpc = self.host.running(name)
-        if self.new_notice(cursor) and rpc:
-            self.confirmed(rpc)
-            self.host.run_at_call(rpc, cursor, body)
-
-    def on_undone(self, was_run, name):
-        rpc = self.host.running(name)
+        is_new = cursor > self.cursor
+        if is_new:
+            self.cursor = cursor
+        return is_new
+
+    def _on_run_ended(self, cursor: int, name: str, outcome: Outcome, spent_us: int, result: bytes) -> None:
+        rpc = self.runs.find_running(name)
+        if self._is_new_notice(cursor) and rpc:
+            self.runs.run_ended(rpc, outcome, spent_us, result)
+
+    def _on_awaiting_call(self, cursor: int, name: str, body: bytes) -> None:
+        rpc = self.runs.find_running(name)
+        if self._is_new_notice(cursor) and rpc:
+            self.confirm(rpc)
+            self.runs.awaiting_call(rpc, cursor, body)
+
+    def _on_not_carried_out(self, was_run: bool, name: str) -> None:
+        rpc = self.runs.find_running(name)
         if rpc:
-            self.turn.fault("worker pool", f"{'run' if was_run else 'command'} not carried out")
-            self.host.run_ended(rpc, Outcome.NOT_STARTED if was_run else Outcome.STOPPED, 0, b"")
+            self.turn.log_fault(PARTY, f"{'run' if was_run else 'command'} not carried out")
+            self.runs.run_ended(rpc, Outcome.NOT_STARTED if was_run else Outcome.STOPPED, 0, b"")
 
-    def on_remark(self, cursor):
-        self.new_notice(cursor)
+    def _on_remark(self, cursor: int) -> None:
+        self._is_new_notice(cursor)
 
-    def on_other(self):
+    def _on_other(self) -> None:
         """An event of a later protocol."""
 
-    def on_gauges(self, ticket, figures):
-        if ticket == self.settle:
-            self.settle = None
-            self.settle_commands(int(ticket))
-        elif ticket == self.leaving or ticket in self.wakes:
-            # The pool read the poll, so what was written before it too.
+    def _on_gauges(self, ticket: str, values: Sequence[float]) -> None:
+        if ticket == self.settle_ticket:
+            self.settle_ticket = None
+            self._settle_commands(int(ticket))
+        elif ticket == self._move_ticket or ticket in self.pending_timers:
+            # The worker pool read the poll, so what was written before it too.
             self.unconfirmed = {
-                index: line for index, line in self.unconfirmed.items() if line[1] >= int(ticket)
+                index: command for index, command in self.unconfirmed.items() if command.ticket >= int(ticket)
             }
-            if ticket == self.leaving:
-                self.moved(self.link)
+            if ticket == self._move_ticket:
+                self._reconnect(self.connection)
             else:
-                self.wake(ticket, dict(zip(self.gauges, figures)))
+                self._complete_timer(ticket, dict(zip(self.gauge_names, values, strict=False)))
 
-    def settle_commands(self, ticket):
-        """All notices of the last link are read: what was neither confirmed nor written since is settled."""
+    def _settle_commands(self, ticket: int) -> None:
+        """All notices of the last connection are read: settles commands not confirmed since."""
         for index in list(self.unconfirmed):
-            rpc, asked, data, again, written = self.unconfirmed.get(index, (None, ticket, b"", None, False))
-            if asked < ticket:  # neither ended nor sent another since, by the end of one before it
-                # Guards against a second effect, and a reply that meets a later call: what the pool did
-                # read may have gone on since, so only what does no harm twice is written again.
-                line = again if written else data
-                if line is not None:
-                    self.command(rpc, line, again)
-                else:
-                    self.host.run_ended(rpc, Outcome.STOPPED, 0, b"")
-
-    # ---- timers of the module, with gauges
-
-    def ring(self, name):
-        """A timer is due: the gauges are asked for, and waited for a little."""
-        if self.ready and not self.is_behind:
-            ticket = self.poll()
-            self.wakes[ticket] = name
-            self.turn.at(self.turn.now + self.limits.figures, self.wake, ticket, {})
-        else:
-            self.host.woken(name, {})
+            command = self.unconfirmed.get(index)
+            if command is None or command.ticket >= ticket:
+                continue  # ended or sent another since, by the end of one before it
+            # Guards against a second effect, and a reply that meets a later call: what the worker pool did
+            # read may have gone on since, so only what does no harm twice is written again.
+            data = command.safe_data if command.written else command.data
+            if data is not None:
+                self.send_command(command.rpc, data, command.safe_data)
+            else:
+                self.runs.run_ended(command.rpc, Outcome.STOPPED, 0, b"")
 
-    def wake(self, ticket, gauges):
-        name = self.wakes.pop(ticket, None)
-        if name is not None:
-            self.host.woken(name, gauges)
+    def _complete_timer(self, ticket: str, readings: Mapping[str, float]) -> None:
+        timer = self.pending_timers.pop(ticket, None)
+        if timer is not None:
+            self.listener.timer_due(timer, readings)
--- a/finchcart/thrift/codec.py
+++ b/finchcart/thrift/codec.py
@@ -1,246 +1,326 @@
-"""The dispatchers' speech: framed Thrift in the strict binary protocol, read and written.
+"""The dispatchers' protocol: framed Thrift in the strict binary protocol, read and written.
 
 Owns the bytes on dispatchers' connections. A codec as net/frames.py has it: no I/O, nothing kept between
-calls, and nothing raised but `ProtocolError` on what it reads, whatever the bytes.
-
-A message read is a plain tuple: `("rpc", seq, fields, body)`, `("left", seq)` (the caller of that RPC has
-gone), `("check", seq)`, or `("unheard", seq, name)` for a call that is not served; `fields` or `body` are
-None where an RPC did not carry them as it should.
+calls, and nothing raised but `ProtocolError` on what it reads, whatever the bytes. What is read: messages.py.
 """
 
 import struct
+from collections.abc import Mapping
 
 from finchcart.errors import ProtocolError
 from finchcart.net.frames import Codec
-
-CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
+from finchcart.thrift.messages import (
+    DispatcherMessage,
+    HeartbeatCall,
+    RevokeNotice,
+    SubmitCall,
+    UnservedCall,
+)
+
+# Kinds of messages.
+CALL = 1
+REPLY = 2
+EXCEPTION = 3
+ONEWAY = 4
 VERSION = 0x80010000
-STOP, BOOL, BYTE, DOUBLE, I16, I32, I64 = 0, 2, 3, 4, 6, 8, 10
-STRING, STRUCT, MAP, SET, LIST = 11, 12, 13, 14, 15
-FIXED = {
+VERSION_MASK = 0xFFFFFF00
+KIND_MASK = 0xFF
+# Types of values.
+STOP = 0
+BOOL = 2
+BYTE = 3
+DOUBLE = 4
+I16 = 6
+I32 = 8
+I64 = 10
+STRING = 11
+STRUCT = 12
+MAP = 13
+SET = 14
+LIST = 15
+FIXED_SIZE = {
     BYTE: struct.Struct(">b"),
     DOUBLE: struct.Struct(">d"),
     I16: struct.Struct(">h"),
     I32: struct.Struct(">i"),
     I64: struct.Struct(">q"),
 }
-LENGTH, FIELD, HEAD = struct.Struct(">i"), struct.Struct(">bh"), struct.Struct(">bbi")
-UNKNOWN_METHOD, PROTOCOL_ERROR = 1, 7  # kinds of an application exception
-DEPTH = 16  # of structures within structures
+LENGTH = struct.Struct(">i")
+FIELD = struct.Struct(">bh")  # type and number
+HEAD = struct.Struct(">bbi")  # of a map: types of keys and values, and how many
+LENGTH_BYTES = LENGTH.size
+# Kinds of an application exception.
+UNKNOWN_METHOD = 1
+PROTOCOL_ERROR = 7
+# Exceptions that `submit` declares.
+REJECTED_FIELD = 1
+FAILED_FIELD = 2
+MAX_DEPTH = 16  # of structures within structures
+MAX_NAME_CHARACTERS = 60  # of a method that is not served
+
+# What a `submit` opens with in the order in which dispatchers write it.
+SUBMIT_HEAD = b"\x80\x01\x00\x01\x00\x00\x00\x06submit"
+SUBMIT_FIELDS = b"\x0d\x00\x01\x0b\x0b"  # a map of texts as the first field
+SUBMIT_BODY = b"\x0b\x00\x02"  # then a string as the second
+SUBMIT_HEAD_END = len(SUBMIT_HEAD)
+SUBMIT_FIELDS_START = SUBMIT_HEAD_END + LENGTH_BYTES
+SUBMIT_FIELDS_END = SUBMIT_FIELDS_START + len(SUBMIT_FIELDS)
+
+
+ThriftValue = bytes | bool | int | float | dict | list
 
 
 class Reader:
-    def __init__(self, data):
-        self.data, self.at = data, 0
-
-    def strings(self, count):
-        """So many texts, the quick way: an RPC's fields are the most that is read here."""
-        data, at, size, out, length = self.data, self.at, len(self.data), [], LENGTH.unpack_from
+    """Reads values one after the other; `position` is where the next begins."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.position = 0
+
+    def strings(self, count: int) -> list[bytes]:
+        """So many strings, the quick way: an RPC's fields are the most that is read here."""
+        data = self.data
+        size = len(data)
+        end = self.position
+        strings = []
+        length_at = LENGTH.unpack_from
         for _ in range(count):
-            start = at + 4
-            at = start + length(data, at)[0]
-            if not start <= at <= size:
-                raise ProtocolError(f"cut off: a string from {start} to {at} of {size} bytes")
-            out.append(data[start:at])
-        self.at = at
-        return out
-
-    def take(self, count):
-        start, self.at = self.at, self.at + count
-        if count < 0 or self.at > len(self.data):
+            start = end + LENGTH_BYTES
+            end = start + length_at(data, end)[0]
+            if not start <= end <= size:
+                raise ProtocolError(f"cut off: a string from {start} to {end} of {size} bytes")
+            strings.append(data[start:end])
+        self.position = end
+        return strings
+
+    def read_bytes(self, count: int) -> bytes:
+        """The next so many bytes."""
+        start = self.position
+        self.position += count
+        if count < 0 or self.position > len(self.data):
             raise ProtocolError(f"cut off: {count} bytes wanted at {start} of {len(self.data)}")
-        return self.data[start : self.at]
+        return self.data[start : self.position]
 
-    def number(self, kind):
-        shape = FIXED[kind]
-        return shape.unpack(self.take(shape.size))[0]
+    def number(self, kind: int) -> int | float:
+        """A number of that type."""
+        shape = FIXED_SIZE[kind]
+        return shape.unpack(self.read_bytes(shape.size))[0]
 
-    def count(self):
-        """Of elements: each takes a byte at least, so a count past the end is a lie."""
+    def count(self) -> int:
+        """Of elements: each takes a byte at least, so a count past the end can't be true."""
         count = self.number(I32)
-        if not 0 <= count <= len(self.data) - self.at:
-            raise ProtocolError(f"a count of {count} with {len(self.data) - self.at} bytes left")
+        left = len(self.data) - self.position
+        if not 0 <= count <= left:
+            raise ProtocolError(f"a count of {count} with {left} bytes left")
         return count
 
-    def value(self, kind, depth=DEPTH):
+    def value(self, kind: int, depth: int = MAX_DEPTH) -> ThriftValue:
+        """A value of that type; a struct as (number, type) -> value, a map as a list of pairs."""
         if depth == 0:
             raise ProtocolError("nested too deep")
         if kind == STRING:
-            return self.take(self.number(I32))
+            return self.read_bytes(self.number(I32))
         if kind == BOOL:
-            return self.take(1)[0] != 0
-        if kind in FIXED:
+            return self.read_bytes(1)[0] != 0
+        if kind in FIXED_SIZE:
             return self.number(kind)
         if kind == STRUCT:
-            fields = {}
-            while True:
-                kind = self.take(1)[0]
-                if kind == STOP:
-                    return fields
-                number = self.number(I16)
-                fields[number, kind] = self.value(kind, depth - 1)
+            return self._struct(depth)
         if kind == MAP:
-            keys, values = self.take(2)
-            if keys == values == STRING:
-                texts = self.strings(2 * self.count())
-                return list(zip(texts[::2], texts[1::2]))
-            return [(self.value(keys, depth - 1), self.value(values, depth - 1)) for _ in range(self.count())]
+            return self._map(depth)
         if kind in (SET, LIST):
-            kind = self.take(1)[0]
-            return [self.value(kind, depth - 1) for _ in range(self.count())]
+            element = self.read_bytes(1)[0]
+            return [self.value(element, depth - 1) for _ in range(self.count())]
         raise ProtocolError(f"no such type: {kind}")
 
+    def _struct(self, depth: int) -> dict[tuple[int, int], ThriftValue]:
+        fields = {}
+        while True:
+            kind = self.read_bytes(1)[0]
+            if kind == STOP:
+                return fields
+            number = self.number(I16)
+            fields[number, kind] = self.value(kind, depth - 1)
+
+    def _map(self, depth: int) -> list[tuple]:
+        keys, values = self.read_bytes(2)
+        if keys == values == STRING:
+            texts = self.strings(2 * self.count())
+            return list(zip(texts[::2], texts[1::2], strict=True))
+        return [(self.value(keys, depth - 1), self.value(values, depth - 1)) for _ in range(self.count())]
+
 
-def find_frame_end(data, at, longest):
-    """Where the first frame ends."""
-    if len(data) < at + 4:
+# ---- Reading what dispatchers send
+
+
+def find_frame_end(data: bytes, start: int, longest: int) -> int | None:
+    """Where the first frame ends, or None where it is not there yet."""
+    if len(data) < start + LENGTH_BYTES:
         return None
-    (length,) = LENGTH.unpack_from(data, at)
-    if not 0 < length <= longest - 4:
+    (length,) = LENGTH.unpack_from(data, start)
+    if not 0 < length <= longest - LENGTH_BYTES:
         raise ProtocolError(f"a frame of {length} bytes")
-    end = at + 4 + length
+    end = start + LENGTH_BYTES + length
     return end if len(data) >= end else None
 
 
-def decode_frame(data):
+def decode_frame(data: bytes) -> DispatcherMessage:
+    """The message of a whole frame."""
     try:
-        return decode_message(data[4:])
+        return decode_message(data[LENGTH_BYTES:])
     except struct.error as error:
         raise ProtocolError(f"cut off: {error}") from None
 
 
-SUBMIT = b"\x80\x01\x00\x01\x00\x00\x00\x06submit"
-FIELDS = b"\x0d\x00\x01\x0b\x0b"  # a map of texts as the first field
-BODY = b"\x0b\x00\x02"  # then a string as the second
+THRIFT_CODEC = Codec(find_frame_end, decode_frame)
+
+
+def decode_message(data: bytes) -> DispatcherMessage:
+    """A message without its frame's length."""
+    submit = _plain_submit(data)
+    if submit:
+        return submit
+    reader = Reader(data)
+    head = reader.number(I32) & 0xFFFFFFFF
+    kind = head & KIND_MASK
+    if head & VERSION_MASK != VERSION or kind not in (CALL, ONEWAY):
+        raise ProtocolError(f"not a call: {head:#010x}")
+    name = reader.value(STRING)
+    sequence = reader.number(I32)
+    arguments = reader.value(STRUCT)
+    if reader.position != len(data):
+        raise ProtocolError(f"{len(data) - reader.position} bytes after the message")
+    if name == b"submit" and kind == CALL:
+        return SubmitCall(sequence, _texts(arguments.get((1, MAP))), arguments.get((2, STRING)))
+    if name == b"revoke" and (1, I32) in arguments:
+        return RevokeNotice(arguments[1, I32])
+    if name == b"heartbeat" and kind == CALL:
+        return HeartbeatCall(sequence)
+    if kind == ONEWAY:
+        return UnservedCall(None, "")
+    return UnservedCall(sequence, name.decode("utf-8", "replace")[:MAX_NAME_CHARACTERS])
 
 
-def plain_rpc(data):
-    """A `submit` in the order that dispatchers write it, read without a look at each type; None where it is
-    another message, or in another order: then `decode_message` reads it and tells what is wrong."""
-    if data[:14] != SUBMIT or data[18:23] != FIELDS:
+def _plain_submit(data: bytes) -> SubmitCall | None:
+    """A `submit` in the order in which dispatchers write it, read without a look at each type.
+
+    None where it is another message, or in another order: then `decode_message` reads it on, and says what is
+    wrong.
+    """
+    if data[:SUBMIT_HEAD_END] != SUBMIT_HEAD:
+        return None
+    if data[SUBMIT_FIELDS_START:SUBMIT_FIELDS_END] != SUBMIT_FIELDS:
         return None
     reader = Reader(data)
-    reader.at = 23
+    reader.position = SUBMIT_FIELDS_END
     texts = reader.strings(2 * reader.count())
-    if data[reader.at : reader.at + 3] != BODY:
+    if reader.data[reader.position : reader.position + len(SUBMIT_BODY)] != SUBMIT_BODY:
         return None
-    reader.at += 3
+    reader.position += len(SUBMIT_BODY)
     (body,) = reader.strings(1)
-    if data[reader.at :] != b"\0":
+    if data[reader.position :] != b"\0":
         return None
     try:
         texts = [text.decode() for text in texts]
     except UnicodeDecodeError:
         return None
-    return "rpc", LENGTH.unpack_from(data, 14)[0], dict(zip(texts[::2], texts[1::2])), body
+    (sequence,) = LENGTH.unpack_from(data, SUBMIT_HEAD_END)
+    return SubmitCall(sequence, dict(zip(texts[::2], texts[1::2], strict=True)), body)
 
 
-def decode_message(data):
-    rpc = plain_rpc(data)
-    if rpc:
-        return rpc
-    reader = Reader(data)
-    head = reader.number(I32) & 0xFFFFFFFF
-    kind = head & 0xFF
-    if head & 0xFFFFFF00 != VERSION or kind not in (CALL, ONEWAY):
-        raise ProtocolError(f"not a call: {head:#010x}")
-    name, seq, args = reader.value(STRING), reader.number(I32), reader.value(STRUCT)
-    if reader.at != len(data):
-        raise ProtocolError(f"{len(data) - reader.at} bytes after the message")
-    if name == b"submit" and kind == CALL:
-        return "rpc", seq, _texts(args.get((1, MAP))), args.get((2, STRING))
-    if name == b"revoke" and (1, I32) in args:
-        return "left", args[1, I32]
-    if name == b"heartbeat" and kind == CALL:
-        return "check", seq
-    if kind == ONEWAY:
-        return "unheard", None, ""
-    return "unheard", seq, name.decode("utf-8", "replace")[:60]
-
-
-THRIFT_CODEC = Codec(find_frame_end, decode_frame)
-
-
-def _texts(pairs):
+def _texts(pairs: list[tuple] | None) -> dict[str, str] | None:
     try:
         return {key.decode(): value.decode() for key, value in pairs}
     except (TypeError, AttributeError, UnicodeDecodeError):
         return None
 
 
-def string(data):
+# ---- Writing
+
+
+def string(data: bytes) -> bytes:
+    """A string: its length, then its bytes."""
     return LENGTH.pack(len(data)) + data
 
 
-def text_map(fields):
+def text_map(fields: Mapping[str, str]) -> bytes:
+    """A map of texts."""
     parts = [HEAD.pack(STRING, STRING, len(fields))]
     for name, text in fields.items():
         parts += string(name.encode()), string(text.encode())
     return b"".join(parts)
 
 
-def encode_message(kind, name, seq, args):
-    data = LENGTH.pack((VERSION | kind) - (1 << 32)) + string(name) + LENGTH.pack(seq) + args
-    return string(data)
+def _head(kind: int, name: bytes) -> bytes:
+    return LENGTH.pack((VERSION | kind) - (1 << 32)) + string(name)
 
 
-# What an answer to `submit` opens with, after the frame's length: head, name; then the sequence number.
-REPLY_TO = {
-    name: LENGTH.pack((VERSION | REPLY) - (1 << 32)) + string(name) for name in (b"submit", b"heartbeat")
-}
-OK_BODY = FIELD.pack(STRUCT, 0) + FIELD.pack(STRING, 1)
-
-
-def _answer(name, seq, body, fields, good):
-    return string(
-        b"".join(
-            (
-                REPLY_TO[name],
-                LENGTH.pack(seq),
-                OK_BODY,
-                LENGTH.pack(len(body)),
-                body,
-                FIELD.pack(MAP, 2),
-                text_map(fields),
-                FIELD.pack(BOOL, 3),
-                b"\1\0\0" if good else b"\0\0\0",
-            )
-        )
+def encode_message(kind: int, name: bytes, sequence: int, arguments: bytes) -> bytes:
+    """A whole frame; `arguments` is a struct."""
+    return string(_head(kind, name) + LENGTH.pack(sequence) + arguments)
+
+
+# What replies open with, after the frame's length; then the sequence number.
+REPLY_HEADS = {name: _head(REPLY, name) for name in (b"submit", b"heartbeat")}
+REPLY_BODY = FIELD.pack(STRUCT, 0) + FIELD.pack(STRING, 1)
+TRUE_AND_STOPS = b"\1\0\0"
+FALSE_AND_STOPS = b"\0\0\0"
+
+
+def _reply(name: bytes, sequence: int, body: bytes, fields: Mapping[str, str], good: bool) -> bytes:
+    parts = (
+        REPLY_HEADS[name],
+        LENGTH.pack(sequence),
+        REPLY_BODY,
+        LENGTH.pack(len(body)),
+        body,
+        FIELD.pack(MAP, 2),
+        text_map(fields),
+        FIELD.pack(BOOL, 3),
+        TRUE_AND_STOPS if good else FALSE_AND_STOPS,
     )
+    return string(b"".join(parts))
 
 
-def _thrown(seq, number, fields):
+def _declared_exception(sequence: int, field: int, fields: Mapping[str, str]) -> bytes:
     inner = FIELD.pack(MAP, 1) + text_map(fields) + b"\0"
-    return encode_message(REPLY, b"submit", seq, FIELD.pack(STRUCT, number) + inner + b"\0")
+    return encode_message(REPLY, b"submit", sequence, FIELD.pack(STRUCT, field) + inner + b"\0")
 
 
-def ok_reply(seq, body, fields):
-    return _answer(b"submit", seq, body, fields, True)
+def ok_reply(sequence: int, body: bytes, fields: Mapping[str, str]) -> bytes:
+    """The answer to an RPC with its result; `fields` ride on it."""
+    return _reply(b"submit", sequence, body, fields, True)
 
 
-def rejected_reply(seq, fields):
-    return _thrown(seq, 1, fields)
+def rejected_reply(sequence: int, fields: Mapping[str, str]) -> bytes:
+    """The answer to an RPC that never ran here."""
+    return _declared_exception(sequence, REJECTED_FIELD, fields)
 
 
-def failed_reply(seq, fields):
-    return _thrown(seq, 2, fields)
+def failed_reply(sequence: int, fields: Mapping[str, str]) -> bytes:
+    """The answer to an RPC that failed."""
+    return _declared_exception(sequence, FAILED_FIELD, fields)
 
 
-def health_reply(seq, good, fields):
-    return _answer(b"heartbeat", seq, b"", fields, good)
+def health_reply(sequence: int, healthy: bool, fields: Mapping[str, str]) -> bytes:
+    """The answer to a health check."""
+    return _reply(b"heartbeat", sequence, b"", fields, healthy)
 
 
-def application_exception(seq, name, kind, text):
-    """An application exception: the call itself was wrong."""
-    args = FIELD.pack(STRING, 1) + string(text.encode()) + FIELD.pack(I32, 2) + LENGTH.pack(kind) + b"\0"
-    return encode_message(EXCEPTION, name.encode(), seq, args)
+def application_exception(sequence: int, name: str, kind: int, text: str) -> bytes:
+    """An application exception: the call itself was wrong. `kind`: UNKNOWN_METHOD or PROTOCOL_ERROR."""
+    text_field = FIELD.pack(STRING, 1) + string(text.encode())
+    kind_field = FIELD.pack(I32, 2) + LENGTH.pack(kind)
+    return encode_message(EXCEPTION, name.encode(), sequence, text_field + kind_field + b"\0")
 
 
-def submit_call(seq, fields, body):
+def submit_call(sequence: int, fields: Mapping[str, str], body: bytes) -> bytes:
     """The caller's side: one call of `submit`; fields: name -> text."""
-    args = FIELD.pack(MAP, 1) + text_map(fields) + FIELD.pack(STRING, 2) + string(body) + b"\0"
-    return encode_message(CALL, b"submit", seq, args)
+    fields_field = FIELD.pack(MAP, 1) + text_map(fields)
+    body_field = FIELD.pack(STRING, 2) + string(body)
+    return encode_message(CALL, b"submit", sequence, fields_field + body_field + b"\0")
 
 
-def closing_notice():
+def closing_notice() -> bytes:
+    """The notice that the node is about to close the connection."""
     return encode_message(ONEWAY, b"closing", 0, b"\0")
--- /dev/null
+++ b/finchcart/thrift/connection_limiter.py
@@ -0,0 +1,113 @@
+"""Which connections make room for new ones where there are many.
+
+Owns the timer by which a nearly full table is checked. It must never drop a connection that has an RPC open,
+nor one on which one may be about to come.
+"""
+
+from finchcart.net.limits import Limits
+from finchcart.node.effects import Drop
+from finchcart.node.frontend import FrontendHost
+from finchcart.thrift import codec
+from finchcart.thrift.connection_closer import ConnectionCloser
+from finchcart.thrift.connection_table import Connection, ConnectionTable
+
+
+class ConnectionLimiter:
+    """Keeps the table within `limits.connections`. Times are whole microseconds. Bounds: one timer."""
+
+    def __init__(
+        self, host: FrontendHost, limits: Limits, table: ConnectionTable, closer: ConnectionCloser
+    ) -> None:
+        self.turn = host.turn
+        self.limits = limits
+        self.table = table
+        self.closer = closer
+        self._checking = False  # the table is nearly full, and checked now and then
+
+    def connection_added(self) -> None:
+        """A connection was added to the table: others may have to make room."""
+        table = self.table
+        if table.is_crowded:
+            self._close_least_used()
+        if table.is_nearly_full and not self._checking:
+            self._check_nearly_full()
+        count = len(table.connections)
+        if count > table.max_connections:
+            self.turn.log_fault("dispatchers", f"{count} connections, {table.max_connections} at most")
+            self._drop_unused()
+
+    def _drop_unused(self) -> None:
+        """Guards against running out of descriptors and memory.
+
+        The longest silent that made one health check goes, as no RPC comes on it; else the oldest that
+        carried no call: nothing of it ran. One that may be about to speak is let be; where none else is left,
+        those that come wait outside.
+        """
+        since = self.turn.now - self.limits.crossing
+        unused = (
+            connection
+            for connection in self.table.connections.values()
+            if not connection.ended
+            and connection.calls <= connection.health_checked
+            and (connection.health_checked or connection.last_message_at <= since)
+        )
+        least = min(unused, key=_by_health_check_and_silence, default=None)
+        if least:
+            self.table.send(least, codec.closing_notice())
+            self.table.end(least, Drop)
+
+    def _close_least_used(self) -> bool:
+        """Guards against a crowd of connections whose threads cost more than their RPCs.
+
+        One that carried no call, or one call and stayed, is told to close, the longest silent first. Where
+        the table is nearly full, any that idles, those of health checks last, and at the limit after a
+        shorter silence: a new caller with an RPC gets in. Returns whether there was one.
+        """
+        at_limit = len(self.table.connections) >= self.table.max_connections
+        since = self.turn.now - (self.limits.crossing if at_limit else self.limits.silent)
+        most_calls = None if self.table.is_nearly_full else 1
+        least = min(
+            (
+                connection
+                for connection in self.table.connections.values()
+                if _is_closable(connection, since, most_calls)
+            ),
+            key=_by_repeated_checks_and_silence,
+            default=None,
+        )
+        if least is None:
+            return False
+        self.closer.announce(least, self.limits.unused_closing)
+        return True
+
+    def _check_nearly_full(self) -> None:
+        """While the table is nearly full: a quarter of it is made free, also while nobody can be accepted."""
+        table = self.table
+        self._checking = table.is_nearly_full
+        if not self._checking:
+            return
+        connections = table.connections.values()
+        surplus = sum(not connection.ended for connection in connections) - table.max_connections
+        for _ in range(surplus):
+            self._drop_unused()
+        staying = sum(not (connection.closing_announced or connection.ended) for connection in connections)
+        while staying > table.max_connections * 3 // 4 and self._close_least_used():
+            staying -= 1
+        self.turn.schedule(self.turn.now + self.limits.crossing, self._check_nearly_full)
+
+
+def _by_health_check_and_silence(connection: Connection) -> tuple[bool, int]:
+    return not connection.health_checked, connection.last_message_at
+
+
+def _by_repeated_checks_and_silence(connection: Connection) -> tuple[bool, int]:
+    return connection.health_checked and connection.calls > 1, connection.last_message_at
+
+
+def _is_closable(connection: Connection, since: int, most_calls: int | None) -> bool:
+    """Whether it is silent since then with nothing under way, and carried at most so many calls."""
+    if most_calls is not None and connection.calls > most_calls:
+        return False
+    if connection.last_message_at > since or connection.open_rpcs:
+        return False
+    return not (connection.closing_announced or connection.ended or connection.write_blocked)
--- /dev/null
+++ b/finchcart/thrift/connection_table.py
@@ -0,0 +1,158 @@
+"""The dispatchers' connections: what is open on each, and how one is ended.
+
+Owns the state of each connection. It must never close a connection that owes an answer, but where the
+dispatcher has gone or the kill is due.
+"""
+
+from finchcart.net.limits import Limits
+from finchcart.node.effects import Close, Drop, Read, Send
+from finchcart.node.frontend import FrontendHost
+from finchcart.node.rpc import Rpc
+
+
+class Connection:
+    """One connection of a dispatcher."""
+
+    __slots__ = (
+        "calls",
+        "close_attempts",
+        "closing_announced",
+        "ended",
+        "health_checked",
+        "idle_since",
+        "idle_timer_at",
+        "last_message_at",
+        "number",
+        "open_rpcs",
+        "reads_after_resume",
+        "reads_requested",
+        "unreadable",
+        "write_blocked",
+    )
+
+    def __init__(self, number: int, now: int) -> None:
+        self.number = number
+        self.open_rpcs: dict[int, Rpc] = {}  # by sequence number
+        self.calls = 0  # messages that asked for an answer
+        self.last_message_at = now
+        self.write_blocked = False  # the dispatcher does not read what is sent
+        self.reads_requested = 1  # and not come back
+        self.reads_after_resume = 0  # reads that are requested once its writes are not blocked any more
+        self.idle_since: int | None = None
+        self.idle_timer_at: int | None = None  # the one timer that counts
+        self.health_checked = False
+        self.closing_announced = False
+        self.close_attempts = 0  # since something came last
+        self.unreadable = False  # what it sent can't be read: closed once its answers are out
+        self.ended = False  # nothing more is read or sent
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether messages are still taken from it."""
+        return not (self.ended or self.unreadable)
+
+
+class ConnectionTable:
+    """The connections by number. Times are whole microseconds.
+
+    Bounds: `limits.connections`, kept by connection_limiter.py; `limits.open_rpcs` on each, kept by the
+    frontend.
+    """
+
+    def __init__(self, host: FrontendHost, limits: Limits) -> None:
+        self.host = host
+        self.turn = host.turn
+        self.limits = limits
+        self.max_connections = limits.connections
+        self.connections: dict[int, Connection] = {}
+
+    def add(self, number: int) -> Connection:
+        """A connection that a dispatcher made."""
+        connection = self.connections[number] = Connection(number, self.turn.now)
+        return connection
+
+    def usable(self, number: int) -> Connection | None:
+        """The connection of that number, where messages are still taken from it."""
+        connection = self.connections.get(number)
+        return connection if connection and connection.is_usable else None
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether over a third of the table is taken."""
+        return len(self.connections) > self.max_connections // 3
+
+    @property
+    def is_nearly_full(self) -> bool:
+        """Whether over three quarters of the table are taken."""
+        return len(self.connections) > self.max_connections * 3 // 4
+
+    def send(self, connection: Connection, data: bytes) -> None:
+        """Writes on a connection that is not ended."""
+        if not connection.ended:
+            self.turn.emit(Send(connection.number, data))
+
+    # ---- Reads
+
+    def request_more_reads(self, connection: Connection) -> None:
+        """A batch came: requests the next reads.
+
+        A connection that carried RPCs is read ahead: its reader need not be woken for each. One whose peer
+        does not read what it is sent is not: guards against one that sends and never reads.
+        """
+        connection.reads_requested -= 1
+        only_checks = connection.health_checked or connection.calls < 2
+        wanted = 1 if only_checks else self.limits.read_ahead
+        connection.reads_after_resume = max(0, wanted - connection.reads_requested)
+        if not connection.write_blocked:
+            self._request_reads(connection)
+
+    def _request_reads(self, connection: Connection) -> None:
+        for _ in range(connection.reads_after_resume):
+            self.turn.emit(Read(connection.number))
+        connection.reads_requested += connection.reads_after_resume
+        connection.reads_after_resume = 0
+
+    def write_blocked(self, number: int) -> None:
+        """The dispatcher does not read what is sent: no more is read from it."""
+        if number in self.connections:
+            self.connections[number].write_blocked = True
+
+    def write_resumed(self, number: int) -> None:
+        """All is written."""
+        connection = self.connections.get(number)
+        if connection is None:
+            return
+        connection.write_blocked = False
+        if connection.unreadable:
+            self.end_unreadable(connection)
+        elif not connection.ended:
+            self._request_reads(connection)
+
+    # ---- The end of a connection
+
+    def end(self, connection: Connection, effect: type[Close] | type[Drop] = Close) -> None:
+        """Nothing more is read or sent; a peer that does not close in its turn is not waited for long."""
+        connection.ended = True
+        self.turn.emit(effect(connection.number))
+        linger = self.limits.crossing if self.is_nearly_full else self.limits.linger
+        self.turn.schedule(self.turn.now + linger, self._drop_ended, connection)
+
+    def _drop_ended(self, connection: Connection) -> None:
+        """Guards against answers that are cut off as the peer reads slowly.
+
+        A write that makes no headway breaks the connection by itself.
+        """
+        if connection.write_blocked and connection.number in self.connections:
+            self.turn.schedule(self.turn.now + self.limits.linger, self._drop_ended, connection)
+        else:
+            self.turn.emit(Drop(connection.number))
+
+    def end_unreadable(self, connection: Connection) -> None:
+        """Ends a connection that sent what can't be read, once its answers are out."""
+        done = not connection.open_rpcs and not connection.write_blocked
+        if connection.unreadable and not connection.ended and done:
+            self.end(connection)
+
+    def remove(self, number: int) -> Connection | None:
+        """The connection is gone."""
+        return self.connections.pop(number, None)
