--- a/finchcart/thrift/fields.py
+++ b/finchcart/thrift/fields.py
@@ -1,61 +1,136 @@
 """What the fields of an RPC may say.
 
-Owns the ranges that each field is held against before the module hears of it. Pure: it must never keep
-anything, nor let through what no dispatcher would say.
+Owns the ranges that each field is held against before the decision module hears of it. Pure: it must never
+keep anything, nor accept what no dispatcher would say.
+
+The fields, by name: `c` method, `k` idempotency key, `i` name of the attempt, `f` number of the dispatcher,
+`s` when it was sent (Unix milliseconds), `p` shed rank, `r` retry mark, `h` cost hint (milliseconds), `m`
+memory (KB).
 """
 
-HEX = set("0123456789abcdef")
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from finchcart.errors import InvalidRpcError
+from finchcart.net.limits import Limits
+from finchcart.node.methods import KEYED, MethodInfo
+from finchcart.node.rpc import RpcAttributes
+
+HEX_DIGITS = set("0123456789abcdef")
+NAME_LENGTH = 16  # hex digits
+MAX_KEY_LENGTH = 64  # characters
+MAX_CALLER_LENGTH = 11  # digits
+MAX_UNIX_MS = 1e14
+MIN_MEMORY_KB = 1e-9
+MAX_MEMORY_KB = 2000
+QUOTED_CHARACTERS = 40  # of a field in an error
+US_PER_MS = 1000
+
+
+class ReadRpc(NamedTuple):
+    """An RPC's valid fields."""
 
+    name: str
+    method: str
+    attributes: RpcAttributes
 
-def number(fields, name, low, high, default=None):
+
+def number(
+    fields: Mapping[str, str], name: str, low: float, high: float, default: float | None = None
+) -> float:
+    """The number in that field, from `low` to under `high`; `default` where the field is missing.
+
+    Raises:
+        InvalidRpcError: it is no number, out of range, or missing without a default.
+    """
     text = fields.get(name)
     if text is None and default is not None:
         return default
     try:
         value = float(text)
     except (TypeError, ValueError):
-        raise ValueError(f"field {name}={str(text)[:40]!r}: expected a number") from None
+        shown = str(text)[:QUOTED_CHARACTERS]
+        raise InvalidRpcError(f"field {name}={shown!r}: expected a number") from None
     if not low <= value < high:
-        raise ValueError(f"field {name}={text[:40]!r}: expected {low:.0f} to under {high:.0f}")
+        shown = text[:QUOTED_CHARACTERS]
+        raise InvalidRpcError(f"field {name}={shown!r}: expected {low:.0f} to under {high:.0f}")
     return value
 
 
-def read(fields, body, now, limits, kinds, late):
-    """(name, method, token, what `Core.take` is to be told); a ValueError says what is wrong.
+def read_rpc(
+    fields: Mapping[str, str] | None,
+    body: bytes | None,
+    now: int,
+    limits: Limits,
+    methods: Mapping[str, MethodInfo],
+    connection: int,
+) -> ReadRpc:
+    """The RPC that a call carries. `now`: Unix microseconds.
 
-    `kinds`: method -> kind; `late`: method -> how long after its arrival an RPC may still be read, in us."""
+    Raises:
+        InvalidRpcError: with the field, what it says and what was expected.
+    """
     if fields is None or body is None:
-        raise ValueError("the call carries no fields or no body")
+        raise InvalidRpcError("the call carries no fields or no body")
     if len(body) > limits.body:
-        raise ValueError(f"body: {len(body)} bytes, {limits.body} at most")
-    get = fields.get
-    method, token, name, caller, came = get("c"), get("k"), get("i", ""), get("f", ""), get("s", "")
-    if method not in kinds:
-        raise ValueError(f"field c={str(method)[:40]!r}: no such method")
-    if len(name) != 16 or not HEX.issuperset(name):
-        raise ValueError(f"field i={name[:40]!r}: expected 16 hex digits, new with every try")
-    if kinds[method] != "keyed":
-        token = None
-    elif not token or len(token) > 64:
-        raise ValueError("field k is missing, or too long")
-    if not came.isdigit():
-        raise ValueError(f"field s={came[:40]!r}: expected Unix milliseconds")
-    reached = int(number(fields, "s", 0, 1e14)) * 1000
-    if not now - late[method] <= reached <= now + limits.ahead:
-        raise ValueError(f"field s={reached // 1000}: too far from {now // 1000}")
-    if not (caller.isdigit() and len(caller) < 12):
-        raise ValueError(f"field f={caller[:40]!r}: expected the number of a dispatcher")
-    place = number(fields, "p", 0, 1, -1)
-    return (
-        name,
-        method,
-        token,
-        {
-            "reached": min(reached, now),
-            "caller": caller,
-            "again": "r" in fields,
-            "hint": int(number(fields, "h", 0, limits.hint / 1000, 0) * 1000),
-            "kb": number(fields, "m", 1e-9, 2000),
-            "place": None if place < 0 else place,
-        },
+        raise InvalidRpcError(f"body: {len(body)} bytes, {limits.body} at most")
+    method = _read_method(fields, methods)
+    name = _read_name(fields)
+    key = _read_key(fields, methods[method].kind)
+    arrived_at = _read_arrival(fields, now, methods[method].late_read_us, limits.ahead)
+    caller = _read_caller(fields)
+    shed_rank = number(fields, "p", 0, 1, -1)
+    cost_hint_ms = number(fields, "h", 0, limits.hint / US_PER_MS, 0)
+    attributes = RpcAttributes(
+        arrived_at=min(arrived_at, now),
+        caller=caller,
+        idempotency_key=key,
+        is_retry="r" in fields,
+        cost_hint_us=int(cost_hint_ms * US_PER_MS),
+        memory_kb=number(fields, "m", MIN_MEMORY_KB, MAX_MEMORY_KB),
+        shed_rank=None if shed_rank < 0 else shed_rank,
+        connection=connection,
     )
+    return ReadRpc(name, method, attributes)
+
+
+def _read_method(fields: Mapping[str, str], methods: Mapping[str, MethodInfo]) -> str:
+    method = fields.get("c")
+    if method not in methods:
+        raise InvalidRpcError(f"field c={str(method)[:QUOTED_CHARACTERS]!r}: no such method")
+    return method
+
+
+def _read_name(fields: Mapping[str, str]) -> str:
+    name = fields.get("i", "")
+    if len(name) != NAME_LENGTH or not HEX_DIGITS.issuperset(name):
+        shown = name[:QUOTED_CHARACTERS]
+        raise InvalidRpcError(f"field i={shown!r}: expected 16 hex digits, new with every try")
+    return name
+
+
+def _read_key(fields: Mapping[str, str], kind: str | None) -> str | None:
+    if kind != KEYED:
+        return None
+    key = fields.get("k")
+    if not key or len(key) > MAX_KEY_LENGTH:
+        raise InvalidRpcError("field k is missing, or too long")
+    return key
+
+
+def _read_arrival(fields: Mapping[str, str], now: int, late_read_us: int, ahead_us: int) -> int:
+    text = fields.get("s", "")
+    if not text.isdigit():
+        raise InvalidRpcError(f"field s={text[:QUOTED_CHARACTERS]!r}: expected Unix milliseconds")
+    arrived_at = int(number(fields, "s", 0, MAX_UNIX_MS)) * US_PER_MS
+    if not now - late_read_us <= arrived_at <= now + ahead_us:
+        raise InvalidRpcError(f"field s={arrived_at // US_PER_MS}: too far from {now // US_PER_MS}")
+    return arrived_at
+
+
+def _read_caller(fields: Mapping[str, str]) -> str:
+    caller = fields.get("f", "")
+    if not (caller.isdigit() and len(caller) <= MAX_CALLER_LENGTH):
+        shown = caller[:QUOTED_CHARACTERS]
+        raise InvalidRpcError(f"field f={shown!r}: expected the number of a dispatcher")
+    return caller
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -10,6 +10,7 @@
 from finchcart.net.limits import Limits
 from finchcart.node import effects
 from finchcart.node.core import Core
+from finchcart.node.fleet_inputs import key_lease_client_input
 from finchcart.node.inputs import (
     CloseAttempted,
     ConnectionClosed,
@@ -25,6 +26,7 @@
 from finchcart.thrift import codec as thrift
 from finchcart.thrift.codec import STRING, STRUCT
 from finchcart.thrift.frontend import ThriftFrontend
+from finchcart.thrift.messages import RevokeNotice, SubmitCall
 
 KINDS = ("idempotent", "keyed", "non_idempotent")
 MS = 1000
@@ -372,7 +374,7 @@
         self.claims = []  # what was told of claims
         self.seen = []  # evidence that was told
         self.limiters, self.used = limiters, []  # used: what was told of the fleet's limits
-        self.front = self.core.fronts["front"]
+        self.front = self.core.frontends["front"]
         self.asked, self.inbox, self.links, self.behind, self.closing = Counter(), {}, {}, set(), set()
         self.tries, self.seqs, self.count, self.reports, self.lines = {}, {}, 0, [], []
         self.pool = self.drained = self.ended = None
@@ -406,11 +408,11 @@
     def step(self, dt):
         """Time passes, timers ring, commands are read, and what readers were asked for is delivered."""
         self.now += dt
-        while not self.ended and self.core.due() is not None and self.core.due() <= self.now:
+        while not self.ended and self.core.next_timer() is not None and self.core.next_timer() <= self.now:
             self.feed(TimersDue())
         for link, kind in list(self.links.items()):
             if kind == "connecting":
-                up = self.pool_up if link == self.core.pool.link else self.store_up
+                up = self.pool_up if link == self.core.pool.connection else self.store_up
                 self.links[link] = "open" if up else "refused"
                 if not up:
                     self.feed(ConnectionRefused(link, "Connection refused"))
@@ -502,7 +504,7 @@
             self.feed(WriteBlocked(link))
 
     def do_claim(self, what):
-        self.claims.append(what)
+        self.claims.append(key_lease_client_input(what))
 
     def do_evidence(self, seen):
         self.seen.append(seen)
@@ -550,18 +552,20 @@
             owed=True,
         )
         self.waiting[name] = self.by_seq[link, seq] = self.tries[name]
-        self.give(link, ("rpc", seq, said, body))
+        self.give(link, SubmitCall(seq, said, body))
         return name
 
     def revoke(self, name):
         r = self.tries[name]
         r["owed"] = False
-        self.give(r["link"], ("left", r["seq"]))
+        self.give(r["link"], RevokeNotice(r["seq"]))
 
     def cut(self, link, why=""):
         """The far side closes, or sends what can't be read; nothing in its inbox is read any more."""
         for r in self.waiting.values():
-            unread = any(m[1] == r["seq"] for m in self.inbox.get(link, ()) if m[0] == "rpc")
+            unread = any(
+                m.sequence == r["seq"] for m in self.inbox.get(link, ()) if isinstance(m, SubmitCall)
+            )
             if r["link"] == link and (not why or unread):
                 r["owed"] = False
         self.lose(link, why)
@@ -695,9 +699,9 @@
         self.waiting = {name: r for name, r in self.waiting.items() if r["owed"] and not r["answers"]}
         for name, r in self.waiting.items():
             assert self.now <= r["due"] + 120 * MS, f"lost: {name} {r}"
-        tokens = self.core.tokens
-        assert tokens.result_bytes == sum(len(entry.result) for entry in tokens.results)
-        assert tokens.result_bytes <= self.limits.kept_results
+        cache = self.core.idempotency
+        assert cache.result_bytes == sum(len(entry.result) for entry in cache.with_result)
+        assert cache.result_bytes <= self.limits.kept_results
         assert not self.reports or self.now - self.reports[-1][0] < 2_000 * MS or self.ended
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -13,7 +13,7 @@
 from finchcart.key_leases.holder import Claims
 from finchcart.key_leases.keeper import Keeper
 from finchcart.key_leases.wire import ENDED, FAILED, FULL, HELD, OTHER_BODY, YES
-from finchcart.node.inputs import FleetChange
+from finchcart.node.fleet_inputs import fleet_input, key_lease_client_input
 from finchcart.node.key_leases import KeyLeaseGate
 from tests.harness import draw_settings, read_answer
 from tests.test_core import GAUGES, Far, far_plain, play
@@ -160,7 +160,7 @@
     def __init__(self, far, rng, kinds):
         self.far, self.rng, self.kinds = far, rng, kinds
         self.asked, self.mine, self.told = {}, set(), []
-        far.do_claim = self.take
+        far.do_claim = lambda what: self.take(key_lease_client_input(what))
         step = far.step
 
         def stepped(dt):
@@ -171,7 +171,7 @@
                 if kind == YES:
                     self.mine.add(key)
                 if not far.ended:
-                    far.feed(FleetChange(("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS)))
+                    far.feed(fleet_input(("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS)))
 
         far.step = stepped
 
@@ -193,8 +193,8 @@
     run = far.core.pool.run
 
     def claimed_run(rpc, repeatable):
-        if rpc.entry:
-            key, by = far.core.key_leases.mine[rpc.index]
+        if rpc.key_entry:
+            key, by = far.core.key_leases.held[rpc.index]
             assert key in kept.mine and far.now < by, "commanded without a claim"
         run(rpc, repeatable)
 
@@ -208,7 +208,7 @@
     kept = Kept(far, rng, (YES, YES, YES, YES, HELD, FULL, FAILED, OTHER_BODY))
     runs_are_claimed(far, kept)
     play(far, rng)
-    assert not kept.mine and not far.core.key_leases.waiting and not far.core.key_leases.mine
+    assert not kept.mine and not far.core.key_leases.waiting and not far.core.key_leases.held
 
 
 def one_tokened(kind, again=False, by=1000, result=b"there"):
@@ -219,7 +219,7 @@
     ((_, asks),) = far.claims
     assert not far.runs, "not before its claim"
     if kind is not None:
-        far.feed(FleetChange(("claimed", asks[0][0], kind, result, far.now + by * MS)))
+        far.feed(fleet_input(("claimed", asks[0][0], kind, result, far.now + by * MS)))
     far.step(MS)
     ran = name in far.runs
     for _ in range(200):
@@ -245,7 +245,7 @@
     far.answered = lambda link, data: told.append(read_answer(data))
     far.submit(far.open(), 1)
     far.step(MS)
-    far.feed(FleetChange(("claimed", far.claims[0][1][0][0], ENDED, b"there", 0)))
+    far.feed(fleet_input(("claimed", far.claims[0][1][0][0], ENDED, b"there", 0)))
     assert b"there" in str(told).encode() and not far.runs
 
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -52,11 +52,16 @@
 
 
 def test_calls_written_by_hand_are_read():
-    assert thrift.decode_message(SUBMIT) == ("rpc", 7, {"c": "go", "p": "0.5"}, b"\xff\0A")
-    assert thrift.decode_message(REVOKE) == ("left", 7)
-    assert thrift.decode_message(HEARTBEAT) == ("check", 1)
-    assert thrift.decode_message(HEARTBEAT.replace(b"heartbeat", b"headcount")) == ("unheard", 1, "headcount")
-    assert take(thrift.THRIFT_CODEC, framed(REVOKE) + b"more", 0, LONGEST) == (("left", 7), len(REVOKE) + 4)
+    assert thrift.decode_message(SUBMIT) == thrift.SubmitCall(7, {"c": "go", "p": "0.5"}, b"\xff\0A")
+    assert thrift.decode_message(REVOKE) == thrift.RevokeNotice(7)
+    assert thrift.decode_message(HEARTBEAT) == thrift.HeartbeatCall(1)
+    assert thrift.decode_message(HEARTBEAT.replace(b"heartbeat", b"headcount")) == thrift.UnservedCall(
+        1, "headcount"
+    )
+    assert take(thrift.THRIFT_CODEC, framed(REVOKE) + b"more", 0, LONGEST) == (
+        thrift.RevokeNotice(7),
+        len(REVOKE) + 4,
+    )
 
 
 def test_unknown_fields_of_all_types_are_passed_over():
@@ -103,14 +108,14 @@
 
 def test_a_call_without_what_it_needs_is_read_as_lacking_it():
     none = SUBMIT[:18] + b"\0"
-    assert thrift.decode_message(none) == ("rpc", 7, None, None)
-    assert thrift.decode_message(SUBMIT.replace(b"go", b"\xff\xfe"))[2] is None
+    assert thrift.decode_message(none) == thrift.SubmitCall(7, None, None)
+    assert thrift.decode_message(SUBMIT.replace(b"go", b"\xff\xfe")).fields is None
     assert (
         thrift.decode_message(
             SUBMIT.replace(b"\x0b\x0b\0", b"\x0b\x08\0", 1)
             .replace(b"\0\0\0\2go", b"\0\0\0\2")
             .replace(b"\0\0\0\x030.5", b"\0\0\0\x03")
-        )[2]
+        ).fields
         is None
     )
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,15 +8,17 @@
 from finchcart.net.limits import Limits
 from finchcart.node.inputs import (
     AddressesChanged,
+    AllocationGranted,
     ConnectionEnded,
     Drain,
-    FleetChange,
     WriteBlocked,
     WriteResumed,
 )
-from finchcart.node.limiters import LimiterSet, RateLimiter, RpcConcurrencyLimiter
+from finchcart.node.limiter_set import LimiterSet
+from finchcart.node.limiters import RateLimiter, RpcConcurrencyLimiter
 from finchcart.quota.limits import Limit
 from finchcart.thrift import codec as thrift
+from finchcart.thrift.messages import HeartbeatCall, SubmitCall, UnservedCall
 from tests.harness import MS, Far, draw_settings, read_answer
 from tests.test_control import PLAIN
 
@@ -133,24 +135,21 @@
             meter = rng.choice(meters.all)
             limit = meter.limit
             far.feed(
-                FleetChange(
-                    (
-                        "allow",
-                        limit.name,
-                        limit.floor,
-                        rng.randint(0, limit.amount - 10),
-                        far.now + rng.randint(0, 3000) * MS,
-                    ),
+                AllocationGranted(
+                    limit.name,
+                    limit.floor,
+                    rng.randint(0, limit.amount - 10),
+                    far.now + rng.randint(0, 3000) * MS,
                 )
             )
         for meter in meters.rpcs:
             if isinstance(meter, RpcConcurrencyLimiter):
-                counted = sum(meter in (rpc.counted or ()) for rpc in far.core.rpcs.values())
+                counted = sum(meter in (rpc.counted_by or ()) for rpc in far.core.lifecycle.rpcs.values())
                 assert meter.count == counted, "counted and not in hand"
                 assert all(
-                    not rpc.over and (rpc.owed or rpc.started)
-                    for rpc in far.core.rpcs.values()
-                    if rpc.counted
+                    not rpc.completed and (rpc.answer_owed or rpc.started)
+                    for rpc in far.core.lifecycle.rpcs.values()
+                    if rpc.counted_by
                 )
 
     far.step = stepped
@@ -160,7 +159,7 @@
 
 
 def not_counted_out(meters, far):
-    far.core.uncount = lambda rpc: None
+    far.core.lifecycle.release_limits = lambda rpc: None
 
 
 def test_a_planted_defect_is_found_rpcs_that_are_not_counted_out():
@@ -175,7 +174,7 @@
     )
     far = far_plain(limiters=meters, retry_after_max=1000 * MS)
     link = far.open()
-    far.feed(FleetChange(("allow", "a second", 0, 10, far.now + 10**9)))
+    far.feed(AllocationGranted("a second", 0, 10, far.now + 10**9))
     far.step(MS)
     far.step(100 * MS)
     first = far.submit(link)
@@ -206,7 +205,7 @@
     }
     far = far_plain(limiters=meters, **settings)
     links = [far.open() for _ in range(3)]
-    far.feed(FleetChange(("allow", "in hand", 0, 40, far.now + 10**9)))
+    far.feed(AllocationGranted("in hand", 0, 40, far.now + 10**9))
     names = [far.submit(links[n % 2]) for n in range(45)]
     far.step(MS)
     names += [far.submit(links[2], 1) for _ in range(5)]
@@ -435,7 +434,9 @@
     far.step(MS)
     ((first, calls),) = [(link, calls) for link, calls in far.calls.items() if calls]
     body = calls[name]
-    far.core.turn.at(far.now, far.core.store.due, far.core.rpcs[0], 1)  # its time limit comes early
+    far.core.turn.schedule(
+        far.now, far.core.store.time_out, far.core.lifecycle.rpcs[0], 1
+    )  # its time limit comes early
     for _ in range(3):
         far.step(MS)
     ((second, calls),) = [(link, calls) for link, calls in far.calls.items() if calls]
@@ -488,7 +489,7 @@
     assert far.links[link] == "open"
     for _ in range(20):
         far.step(10 * MS)
-    assert far.links[link] == "closed" and not far.core.store.links
+    assert far.links[link] == "closed" and not far.core.store.connections
 
 
 @pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.TIMEOUT])
@@ -514,7 +515,7 @@
     link = far.open()
     far.feed(WriteBlocked(link))
     for _ in range(3):
-        far.give(link, ("check", 1))
+        far.give(link, HeartbeatCall(1))
         far.step(MS)
     assert len(far.inbox[link]) == 2
     far.feed(WriteResumed(link))
@@ -557,8 +558,8 @@
     for _ in range(33):
         far.submit(link)
     far.answered = lambda link, data: told.append(read_answer(data))
-    far.give(link, ("rpc", 40, {"c": "m0"}, b"x" * 2049))
-    far.give(link, ("unheard", 41, "shout"))
+    far.give(link, SubmitCall(40, {"c": "m0"}, b"x" * 2049))
+    far.give(link, UnservedCall(41, "shout"))
     for _ in range(3):
         far.step(0)
     assert [(kind, seq) for kind, _, seq, _ in told] == [(2, 33), (3, 40), (3, 41)]
@@ -569,9 +570,9 @@
     link = far.open()
     name = far.submit(link)
     far.step(MS)
-    far.give(link, ("rpc", 1, {}, b""))
+    far.give(link, SubmitCall(1, {}, b""))
     far.step(MS)
-    assert link in far.front.conns and far.links[link] == "open"
+    assert link in far.front.table.connections and far.links[link] == "open"
     far.finish(name, Outcome.OK)
     for _ in range(3):
         far.step(MS)
@@ -619,7 +620,7 @@
     far.step(MS)
     far.finish(name, Outcome.OK)
     far.step(MS)
-    while not far.front.conns[link].told:
+    while not far.front.table.connections[link].closing_announced:
         far.step(MS)
     far.step(far.limits.closing - MS)
     assert far.links[link] == "open"
@@ -658,7 +659,7 @@
 def test_timers_do_not_pile_up_on_a_busy_connection():
     far = far_plain()
     far.slow, link, most = 0, far.open(), 0
-    far.core.set_idle_timeout(8_000 * MS)
+    far.core.port.set_idle_timeout(8_000 * MS)
     for _ in range(300):
         name = far.submit(link)
         far.step(20 * MS)
@@ -674,18 +675,18 @@
     links = [far.open() for _ in range(far.limits.connections)]
     names = [far.submit(links[0])]
     for link in links[2:]:
-        far.give(link, ("check", 1))
+        far.give(link, HeartbeatCall(1))
     far.step(MS)
     names.append(far.submit(far.open()))
     far.step(MS)
     # what checked once, the longest silent first: no RPC is on its way there
     assert [link for link in links if far.links[link] == "closed"] == [links[2]]
-    far.give(links[3], ("check", 2))
+    far.give(links[3], HeartbeatCall(2))
     far.step(MS)
     names.append(far.submit(far.open()))
     far.step(MS)
     assert far.links[links[4]] == "closed" and far.links[links[3]] == far.links[links[5]] == "open"
-    assert len(far.front.conns) == far.limits.connections == 136
+    assert len(far.front.table.connections) == far.limits.connections == 136
     for each in names:
         far.step(MS)
         ends_well(far, each)
@@ -701,9 +702,9 @@
 def test_one_that_checked_once_and_stays_is_closed_and_one_that_goes_on_is_not():
     far = far_plain()
     once, on = far.open(), far.open()
-    far.give(once, ("check", 1))
+    far.give(once, HeartbeatCall(1))
     for n in range(140):
-        far.give(on, ("check", n + 1)) if n % 10 == 0 else None
+        far.give(on, HeartbeatCall(n + 1)) if n % 10 == 0 else None
         far.step(100 * MS)
     assert far.links[once] == "closed" and far.links[on] == "open"
 
@@ -713,7 +714,7 @@
     link = far.open()
     for _ in range(20):
         far.step(10 * MS)
-    assert not far.front.conns[link].told
+    assert not far.front.table.connections[link].closing_announced
     for _ in range(16):
         far.step(100 * MS)
     assert far.links[link] == "closed"  # well before a client that stays silent is owed a close
@@ -745,12 +746,12 @@
     core = far.core
     assert len(far.tries) > 100
     for piece, kept in (
-        (core, ("rpcs", "by_name")),
-        (core.tokens, ("table", "results")),
-        (core.store, ("links",)),
-        (core.pool, ("wakes", "unconfirmed")),
+        (core.lifecycle, ("rpcs", "index_by_name")),
+        (core.idempotency, ("entries", "with_result")),
+        (core.store, ("connections",)),
+        (core.pool, ("pending_timers", "unconfirmed")),
     ):
         for name in kept:
             assert not getattr(piece, name), name
-    assert all(far.links[link] != "closed" for link in core.turn.owners)
-    assert not core.control.live and len(core.turn.timers) < 12 + 2 * len(far.front.conns)
+    assert all(far.links[link] != "closed" for link in core.turn.connection_owners)
+    assert not core.control.live and len(core.turn.timers) < 12 + 2 * len(far.front.table.connections)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -6,87 +6,97 @@
 
 from finchcart.errors import InvalidRpcError
 from finchcart.node.effects import Drop, Read, Send
-from finchcart.node.frontend import Rpc
+from finchcart.node.rpc import FinalOutcome, Rpc, RpcAttributes
+from finchcart.thrift.messages import RevokeNotice, SubmitCall
 from tests.harness import MS, Far, draw_settings
 from tests.test_control import PLAIN
 from tests.test_core import GAUGES, play, running
 
+HOW = {
+    FinalOutcome.OK: "ok",
+    FinalOutcome.REJECTED: "pushed back",
+    FinalOutcome.FAILED: "aborted",
+}
 
-class MemoryFront:
+
+class MemoryFrontend:
     """No protocol at all: messages are the harness's tuples, answers are tuples too."""
 
     def __init__(self, core, limits):
         self.core, self.turn, self.rpcs, self.said, self.links = core, core.turn, {}, [], set()
 
-    def opened(self, link):
+    def connection_opened(self, link):
         self.links.add(link)
         self.turn.emit(Read(link))
 
-    def got(self, link, message):
-        if message[0] == "left":
-            rpc = self.rpcs.pop((link, message[1]), None)
+    def message_received(self, link, message):
+        if isinstance(message, RevokeNotice):
+            rpc = self.rpcs.pop((link, message.sequence), None)
             if rpc:
-                self.core.leave(rpc)
+                self.core.abandon(rpc)
             return
-        _, seq, told, body = message
+        seq, told, body = message
         rpc = self.rpcs[link, seq] = Rpc(self, (link, seq), told["i"], told["c"], body)
         if not self.core.ready:
-            self.final(rpc, "pushed back", b"", 0, False)
+            self.send_final_answer(rpc, FinalOutcome.REJECTED, b"", 0, False)
             return
         try:
-            self.core.take(
+            self.core.accept(
                 rpc,
-                told.get("k"),
-                reached=min(self.turn.now, int(told["s"]) * 1000),
-                caller=link,
-                again="r" in told,
-                hint=100 * MS,
-                kb=20.0,
+                RpcAttributes(
+                    arrived_at=min(self.turn.now, int(told["s"]) * 1000),
+                    caller=link,
+                    idempotency_key=told.get("k"),
+                    is_retry="r" in told,
+                    cost_hint_us=100 * MS,
+                    memory_kb=20.0,
+                ),
             )
         except InvalidRpcError:
-            self.final(rpc, "aborted", b"", 0, False)
+            self.send_final_answer(rpc, FinalOutcome.FAILED, b"", 0, False)
 
-    def batch_over(self, link):
+    def batch_completed(self, link):
         self.turn.emit(Read(link))
 
-    def final(self, rpc, outcome, result, wait, last):
-        del self.rpcs[rpc.ref]  # a second answer, or one after `leave`, fails here
-        self.turn.emit(Send(rpc.ref[0], (rpc.ref[1], outcome, result)))
+    def send_final_answer(self, rpc, outcome, result, retry_after_us, do_not_retry):
+        del self.rpcs[rpc.reference]  # a second answer, or one after `leave`, fails here
+        self.turn.emit(Send(rpc.reference[0], (rpc.reference[1], outcome, result)))
 
-    def ended(self, link, why):
-        if why:
+    def connection_ended(self, link, reason):
+        if reason:
             return  # what was read before is answered still
         for ref in [ref for ref in self.rpcs if ref[0] == link]:
-            self.core.leave(self.rpcs.pop(ref))
+            self.core.abandon(self.rpcs.pop(ref))
         self.turn.emit(Drop(link))
 
-    def closed(self, link):
+    def connection_closed(self, link):
         self.links.discard(link)
 
-    def behind(self, link):
+    def write_blocked(self, link):
         """Nothing is kept for one that does not read."""
 
-    caught_up = behind
+    write_resumed = write_blocked
 
-    def idle_limit(self, keep):
-        self.said.append(("idle limit", keep))
+    def set_idle_timeout(self, timeout_us):
+        self.said.append(("idle timeout", timeout_us))
 
-    def health(self, good):
-        self.said.append(("health", good))
+    def set_health(self, healthy):
+        self.said.append(("health", healthy))
 
     def drain(self, kill_at):
         self.said.append(("drain", kill_at))
 
-    def quiet(self):
+    def is_idle(self):
         return not self.links
 
 
 class MemoryFar(Far):
     def __init__(self, settings, seed=1, **limits):
-        super().__init__(settings, seed, front=MemoryFront, **limits)
+        super().__init__(settings, seed, front=MemoryFrontend, **limits)
 
     def answered(self, link, data):
-        self.judge(link, *data)
+        sequence, outcome, body = data
+        self.judge(link, sequence, HOW[outcome], body)
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -104,10 +114,10 @@
     name = running(far, 1)
     link = far.open()
     first = far.tries[name]
-    far.give(link, ("rpc", 9, {"i": name, "c": "m0", "s": str(far.now // 1000)}, b""))
+    far.give(link, SubmitCall(9, {"i": name, "c": "m0", "s": str(far.now // 1000)}, b""))
     far.tries["x"] = {**first, "body": b"other"}
     odd = far.submit(link, 1, "x")
     far.step(MS)
     assert far.tries[odd]["how"] == "aborted" and list(far.runs) == [name]
     assert (link, 9) not in far.front.rpcs  # a name in use was unfit, and kept nothing
-    assert far.core.running(name) is far.core.rpcs[0]
+    assert far.core.lifecycle.find_running(name) is far.core.lifecycle.rpcs[0]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -190,7 +190,7 @@
     assert answers(client, 1) == {during: ("ok", b"SEAT")}
     until(lambda: world.serves() and world.store.accepted > before)
     status, log = world.end()
-    assert status == 0 and "not taken" in log and "pool, store, registry moved" in log
+    assert status == 0 and "not taken" in log and "pool, store, registry readdressed" in log
 
 
 @pytest.mark.parametrize(
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -8,8 +8,7 @@
 from finchcart.net.limits import Limits
 from finchcart.node.effect_buffer import EffectBuffer, own_connections_first
 from finchcart.node.effects import Defer, End, Send, SendReport, StopListening
-from finchcart.node.frontend import Rpc
-from finchcart.node.idempotency import FAILED, IdempotencyCache, digest_of
+from finchcart.node.idempotency import IdempotencyCache, NoResult, digest_of
 from finchcart.node.inputs import (
     CloseAttempted,
     ConnectionEnded,
@@ -20,7 +19,8 @@
     TimersDue,
 )
 from finchcart.node.registration import Registration
-from finchcart.node.store import Store
+from finchcart.node.rpc import Rpc
+from finchcart.node.store import StoreClient
 from finchcart.node.worker_pool import WorkerPool
 from tests.harness import same_input
 
@@ -43,25 +43,25 @@
         key = ("m0", rng.randrange(12))
         reached = turn.now - rng.randrange(200) * MS
         rpc = rpc_of(index)
-        rpc.entry, repeats = tokens.entry(key, index, digest_of(rpc.body), reached)
+        rpc.key_entry, repeats = tokens.entry_for(key, index, digest_of(rpc.body), reached)
         assert repeats or not any(until > reached and ran for until, ran in windows.get(key, ())), "forgotten"
         if repeats:
-            tokens.share(rpc)
+            tokens.join_in_flight(rpc)
         else:
-            tokens.remember(rpc, 2_000 * MS)
-            rpc.entry.ran = rng.random() < 0.8
-            windows.setdefault(key, []).append((rpc.entry.until, rpc.entry.ran))
+            tokens.store(rpc, 2_000 * MS)
+            rpc.key_entry.ran = rng.random() < 0.8
+            windows.setdefault(key, []).append((rpc.key_entry.expires_at, rpc.key_entry.ran))
             live.append(rpc)
         if live and rng.random() < 0.7:
             done = live.pop(rng.randrange(len(live)))
-            if done.entry.ran:
-                tokens.settle(done.entry, rng.choice((rng.randbytes(9), FAILED)))
+            if done.key_entry.ran:
+                tokens.complete(done.key_entry, rng.choice((rng.randbytes(9), NoResult.FAILED)))
             else:
-                tokens.forget(done.entry)
-        assert tokens.result_bytes == sum(len(entry.result) for entry in tokens.results) <= 40
+                tokens.evict(done.key_entry)
+        assert tokens.result_bytes == sum(len(entry.result) for entry in tokens.with_result) <= 40
     for _ in range(3):
         turn.begin(turn.now + 4_000 * MS)
-    assert not tokens.table and not tokens.results and not turn.timers
+    assert not tokens.entries and not tokens.with_result and not turn.timers
 
 
 def test_a_late_repeat_of_what_ran_is_known_though_a_later_try_of_the_key_was_forgotten():
@@ -69,38 +69,40 @@
     tokens = IdempotencyCache(turn, 500 * MS, 100)
     turn.begin(1_000 * MS)
     ran, later = rpc_of(0), rpc_of(1)
-    ran.entry, _ = tokens.entry(("m0", "k"), 0, digest_of(b"body"), turn.now)
-    tokens.remember(ran, 100 * MS)
-    ran.entry.ran = True
-    tokens.settle(ran.entry, b"result")
+    ran.key_entry, _ = tokens.entry_for(("m0", "k"), 0, digest_of(b"body"), turn.now)
+    tokens.store(ran, 100 * MS)
+    ran.key_entry.ran = True
+    tokens.complete(ran.key_entry, b"result")
     turn.begin(1_150 * MS)
-    later.entry, repeats = tokens.entry(("m0", "k"), 1, digest_of(b"body"), turn.now)
+    later.key_entry, repeats = tokens.entry_for(("m0", "k"), 1, digest_of(b"body"), turn.now)
     assert not repeats  # the window is over
-    tokens.remember(later, 100 * MS)
-    tokens.forget(later.entry)  # pushed back: it never ran
-    assert tokens.entry(("m0", "k"), 2, digest_of(b"body"), 1_050 * MS) == (ran.entry, True)
-    assert not tokens.entry(("m0", "k"), 2, digest_of(b"body"), 1_160 * MS)[1]
+    tokens.store(later, 100 * MS)
+    tokens.evict(later.key_entry)  # pushed back: it never ran
+    assert tokens.entry_for(("m0", "k"), 2, digest_of(b"body"), 1_050 * MS) == (ran.key_entry, True)
+    assert not tokens.entry_for(("m0", "k"), 2, digest_of(b"body"), 1_160 * MS)[1]
 
 
 def test_waiting_shares_are_told_once_the_first_try_is_over():
     turn = EffectBuffer(1)
     tokens = IdempotencyCache(turn, 0, 100)
     first, second = rpc_of(0), rpc_of(1)
-    first.entry, _ = tokens.entry(("m0", "k"), 0, digest_of(b"body"), 0)
-    tokens.remember(first, 10)
-    first.entry.ran = True
-    second.entry, repeats = tokens.entry(("m0", "k"), 1, digest_of(b"body"), 0)
-    tokens.share(second)
+    first.key_entry, _ = tokens.entry_for(("m0", "k"), 0, digest_of(b"body"), 0)
+    tokens.store(first, 10)
+    first.key_entry.ran = True
+    second.key_entry, repeats = tokens.entry_for(("m0", "k"), 1, digest_of(b"body"), 0)
+    tokens.join_in_flight(second)
     assert repeats and not turn.effects
-    tokens.settle(first.entry, b"result")
+    tokens.complete(first.key_entry, b"result")
     assert same_input(turn.effects[0].input, DuplicateReady(1))
-    assert turn.effects == [Defer(DuplicateReady(1))] and tokens.other_body(("m0", "k"), digest_of(b"x"))
+    assert turn.effects == [Defer(DuplicateReady(1))] and tokens.is_payload_mismatch(
+        ("m0", "k"), digest_of(b"x")
+    )
 
 
 @pytest.mark.parametrize("seed", range(10))
 def test_each_call_ends_once_and_no_link_serves_a_name_twice(seed):
     rng, turn, ended = random.Random(seed), EffectBuffer(1), []
-    store = Store(turn, LIMITS, ("store", 1), lambda rpc, outcome, body, spent: ended.append(rpc.index))
+    store = StoreClient(turn, LIMITS, ("store", 1), lambda rpc, outcome, body, spent: ended.append(rpc.index))
     under_way, made, used = {}, 0, {}
     for step in range(600):
         effects = turn.begin(turn.now + rng.randrange(20) * MS)
@@ -109,44 +111,46 @@
             if rpc.name not in {other.name for other in under_way.values()}:
                 store.call(rpc, 200 * MS, b"?")
                 under_way[made], made = rpc, made + 1
-                assert rpc.name not in used.setdefault(rpc.call_link, set()), "a copy could pass for it"
-                used[rpc.call_link].add(rpc.name)
+                assert rpc.name not in used.setdefault(rpc.call_connection, set()), "a copy could pass for it"
+                used[rpc.call_connection].add(rpc.name)
         for key, rpc in list(under_way.items()):
-            link, chance = rpc.call_link, rng.random()
+            link, chance = rpc.call_connection, rng.random()
             if link is None:
                 del under_way[key]
             elif chance < 0.1:
-                store.got(link, ("reply", rpc.name, Outcome.OK, b"!"))
+                store.message_received(link, ("reply", rpc.name, Outcome.OK, b"!"))
             elif chance < 0.13:
-                store.got(link, ("reply", "another", Outcome.OK, b"!"))  # spoilt: never passes for the call's
-                assert rpc.call_link == link and store.links[link].retired
+                store.message_received(
+                    link, ("reply", "another", Outcome.OK, b"!")
+                )  # spoilt: never passes for the call's
+                assert rpc.call_connection == link and store.connections[link].retired
             elif chance < 0.16:
-                store.ended(link, "cut")
+                store.connection_ended(link, "cut")
             elif chance < 0.18:
                 store.drop(rpc)
                 ended.append(rpc.index)
-        numbers = {link.rpc.name for link in store.links.values() if link.rpc}
-        assert len(numbers) == sum(1 for link in store.links.values() if link.rpc)
+        numbers = {link.rpc.name for link in store.connections.values() if link.rpc}
+        assert len(numbers) == sum(1 for link in store.connections.values() if link.rpc)
         if rng.random() < 0.01:
-            store.move(("store", step))
-            assert all(link.rpc for link in store.links.values())
+            store.change_address(("store", step))
+            assert all(link.rpc for link in store.connections.values())
         del effects
     for _ in range(4):
         turn.begin(turn.now + 2_000 * MS)
-    assert len(ended) == made and not store.links and not store.idle
+    assert len(ended) == made and not store.connections and not store.idle
 
 
 class Host:
     def __init__(self):
         self.rpcs, self.told = {}, []
 
-    def running(self, name):
+    def find_running(self, name):
         return self.rpcs.get(name)
 
     def run_ended(self, rpc, outcome, spent, result):
         self.told.append((rpc.name, outcome))
         self.rpcs.pop(rpc.name)
-        self.pool.confirmed(rpc)
+        self.pool.confirm(rpc)
 
     def __getattr__(self, word):
         return lambda *more: self.told.append((word, *more))
@@ -154,24 +158,24 @@
 
 def test_the_pool_settles_what_a_lost_link_may_have_lost():
     turn, host = EffectBuffer(1), Host()
-    pool = host.pool = WorkerPool(turn, LIMITS, ("pool", 1), ("core_use",), host)
-    pool.reach()
-    pool.got(pool.link, ("up", False, 5_000))
+    pool = host.pool = WorkerPool(turn, LIMITS, ("pool", 1), ("core_use",), host, host)
+    pool.connect()
+    pool.message_received(pool.connection, ("up", False, 5_000))
     safe, effect = rpc_of(1), rpc_of(2)
     host.rpcs = {safe.name: safe, effect.name: effect}
-    pool.command(safe, b"run safe", b"run safe")
-    pool.command(effect, b"run effect", None)
-    pool.ended(pool.link, "")
+    pool.send_command(safe, b"run safe", b"run safe")
+    pool.send_command(effect, b"run effect", None)
+    pool.connection_ended(pool.connection, "")
     turn.begin(turn.now + 1_000 * MS)
-    pool.got(pool.link, ("up", False, 1_005_000))
-    settle = pool.settle
+    pool.message_received(pool.connection, ("up", False, 1_005_000))
+    settle = pool.settle_ticket
     turn.begin(turn.now)
-    pool.got(pool.link, ("gauges", settle, ()))
-    assert Send(pool.link, b"run safe") in [e for e in turn.effects if isinstance(e, Send)]
+    pool.message_received(pool.connection, ("gauges", settle, ()))
+    assert Send(pool.connection, b"run safe") in [e for e in turn.effects if isinstance(e, Send)]
     assert (effect.name, Outcome.STOPPED) in host.told and b"run effect" not in [e[-1] for e in turn.effects]
     assert list(pool.unconfirmed) == [1]  # written once more, and open again
-    pool.got(pool.link, ("run_ended", 1, safe.name, Outcome.OK, 5, b""))
-    pool.got(pool.link, ("run_ended", 1, safe.name, Outcome.OK, 5, b""))
+    pool.message_received(pool.connection, ("run_ended", 1, safe.name, Outcome.OK, 5, b""))
+    pool.message_received(pool.connection, ("run_ended", 1, safe.name, Outcome.OK, 5, b""))
     assert host.told.count((safe.name, Outcome.OK)) == 1
 
 
@@ -180,12 +184,12 @@
     duty = Registration(turn, LIMITS, "n1", ("registry", 1), 100 * MS, lambda: busy[0])
     duty.report()
     assert duty.drain(turn.now) and not duty.drain(turn.now)
-    duty.health(False)
+    duty.set_health(False)
     assert turn.effects[-1].data == b"HERE n1 off"
     told = []
     for _ in range(60):
         told += map(type, turn.begin(turn.now + 40 * MS))
-        duty.look()
+        duty.end_if_idle()
         told += [type(effect) for effect in turn.effects if isinstance(effect, StopListening | End)]
         busy[0] = turn.now < 600 * MS
     assert [kind for kind in told if kind is not SendReport][:2] == [StopListening, End]
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -31,10 +31,12 @@
 from finchcart.membership import wire as base
 from finchcart.membership.figures import Figures as MemberFigures
 from finchcart.membership.member import Member
-from finchcart.node.inputs import FleetChange, MessagesReceived
-from finchcart.node.limiters import LimiterSet
+from finchcart.node.fleet_inputs import fleet_input
+from finchcart.node.inputs import MessagesReceived
+from finchcart.node.limiter_set import LimiterSet
 from finchcart.node.observer import Observer
 from finchcart.quota.limits import Limit
+from finchcart.thrift.messages import HeartbeatCall
 from tests.harness import MS, Node, draw_settings
 from tests.test_control import PLAIN, one_step
 from tests.test_core import GAUGES, Far, far_plain, play
@@ -346,13 +348,13 @@
     meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
     meters.recovery_step_us, meters.probe_timeout_us = FIGURES.rise, FIGURES.trial
     far = far_plain(meters, Observer(FIGURES), **settings)
-    far.feed(FleetChange(("allow", "trial", 0, 1, far.now + 10**12)))
+    far.feed(fleet_input(("allow", "trial", 0, 1, far.now + 10**12)))
     return far
 
 
 def holds(far, **changed):
     far.feed(
-        FleetChange(("verdicts", {"store": WORKING, "sources": {}, "out": False, "level": 0.0, **changed}))
+        fleet_input(("verdicts", {"store": WORKING, "sources": {}, "out": False, "level": 0.0, **changed}))
     )
 
 
@@ -362,7 +364,7 @@
     assert room() is None
     holds(far, store=DOWN)
     assert room() == 1 and far.limiters.acquire_call(far.core.store)[1] == FIGURES.trial
-    far.feed(FleetChange(("allow", "trial", 0, 0, far.now + 10**12)))
+    far.feed(fleet_input(("allow", "trial", 0, 0, far.now + 10**12)))
     assert room() == 0 and far.limiters.acquire_call(far.core.store) is None
     holds(far)
     rooms = []
@@ -380,9 +382,9 @@
     far = witnessed()
     far.submit(far.open("10.0.0.7"), 1, c="unheard")
     silent, check, ours = far.open("10.0.0.7"), far.open("10.0.0.8"), far.open("10.0.0.9")
-    far.give(check, ("check", 1))
+    far.give(check, HeartbeatCall(1))
     far.feed(MessagesReceived(ours, [], far.now))
-    far.front.tell_close(far.front.conns[ours])
+    far.front.closer.announce(far.front.table.connections[ours])
     for _ in range(60):
         far.step(40 * MS)
     bad = {}
@@ -430,7 +432,7 @@
             )
         if rng.random() < 0.05 and not far.ended:
             name = rng.choice(("trial", "calls"))
-            far.feed(FleetChange(("allow", name, 0, rng.randrange(3), far.now + SECOND)))
+            far.feed(fleet_input(("allow", name, 0, rng.randrange(3), far.now + SECOND)))
 
     far.step = stepped
     play(far, rng)
@@ -526,4 +528,4 @@
     witness.call_ended(Outcome.TIMEOUT, 5, True)
     witness.call_ended(Outcome.REJECTED, 5, False)
     witness.call_ended(Outcome.CONNECTION_LOST, 5, True)
-    assert witness.look(0, 0.0)["calls"] == (0, 1, 0)
+    assert witness.collect_evidence(0, 0.0)["calls"] == (0, 1, 0)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -51,7 +51,7 @@
     """A fault of the watched has ended the watching alone, with one line."""
     control = far.core.control
     assert sum("watching ended by a fault" in line for line in far.lines) == 1
-    assert not (control.second or control.handles or control.notes.pushed or control.notes.given_up)
+    assert not (control.shadow or control.handles or control.port.rejections or control.port.failed_or_paused)
 
 
 def test_a_fault_as_one_of_many_ends_for_the_watched_too_ends_the_watching_alone():
@@ -63,7 +63,7 @@
     names = [far.submit(link, 0) for _ in range(6)]
     far.step(MS)
     for handle in far.core.control.handles.values():
-        handle.second = SimpleNamespace(state=None, run_ended=lambda *_: None, caller_gone=lambda now: 1 / 0)
+        handle.shadow = SimpleNamespace(state=None, run_ended=lambda *_: None, caller_gone=lambda now: 1 / 0)
     for _ in range(400):
         far.step(10 * MS)
     ended(far)
@@ -93,11 +93,11 @@
 @pytest.mark.parametrize(
     "kind, watched, told, waited",
     [
-        (shadow.TAKEN_WOULD_PUSH_BACK, targets(5), {}, 0),
-        (shadow.PUSHED_BACK_WOULD_TAKE, targets(1000), targets(5), 0),
-        (shadow.GIVEN_UP, {"can_stop": True, "can_pause": True}, {}, 0),
+        (shadow.ADMITTED_WOULD_REJECT, targets(5), {}, 0),
+        (shadow.REJECTED_WOULD_ADMIT, targets(1000), targets(5), 0),
+        (shadow.FAILED_OR_PAUSED, {"can_stop": True, "can_pause": True}, {}, 0),
         (shadow.ADVICE, {"marks_retries": False}, {}, 0),
-        (shadow.TOLD, {"feedback": "credit"}, {}, 0),
+        (shadow.FEEDBACK, {"feedback": "credit"}, {}, 0),
         (shadow.HEALTH, targets(400), {}, 300 * MS),
     ],
 )
