--- /dev/null
+++ b/finchcart/consensus/messages.py
@@ -0,0 +1,96 @@
+"""What a member publishes of its observations in a gossip entry, and what the command line asks and says.
+
+Owns the messages alone; see store.py for what they mean. The order of the fields and the tags are the wire
+format: they stay, whatever the fields are called here.
+"""
+
+from typing import Annotated, NamedTuple
+
+import msgspec
+from msgspec import Meta, Struct
+
+from finchcart.membership.codec import MessageCodec, Unsigned53, Unsigned64
+
+CHANNEL = b"V"
+MAX_REPORTS = 32  # in one gossip entry
+MAX_OVERRIDES = 8  # in one gossip entry
+MAX_REASON_LENGTH = 60
+MAX_OVERRIDE_US = 7 * 86_400 * 1_000_000
+
+Reason = Annotated[str, Meta(max_length=MAX_REASON_LENGTH)]
+OverrideValue = Annotated[int, Meta(ge=0, le=1000)]
+
+
+class Report(NamedTuple):
+    """What one node reports of one subject; what value and weight are is said at `Observer.reports`."""
+
+    subject: Unsigned64
+    value: Unsigned53
+    weight: Unsigned53
+
+
+class OperatorOverride(Struct, array_like=True, frozen=True):
+    """An operator's override of a decision, as it is gossiped; `value` 0 revokes it."""
+
+    subject: Unsigned64
+    value: OverrideValue
+    number: Unsigned53
+    incarnation: Unsigned53
+    issuer: Unsigned64
+    remaining_us: Unsigned53  # from when the gossip entry that carries it was written
+    reason: Reason
+
+    @property
+    def precedence(self) -> tuple[int, int, int]:
+        """Orders the overrides of one subject: the higher is the newer."""
+        return self.number, self.incarnation, self.issuer
+
+
+class StatusRequest(Struct, array_like=True, frozen=True, tag=40):
+    """A question of the command line for one page of the decisions."""
+
+    number: Unsigned53
+    page: Annotated[int, Meta(ge=0, lt=256)] = 0
+
+
+class OverrideRequest(Struct, array_like=True, frozen=True, tag=41):
+    """An operator's override for a time; `value` 0 revokes it."""
+
+    number: Unsigned53
+    subject: Unsigned64
+    value: OverrideValue
+    duration_us: Annotated[int, Meta(ge=0, le=MAX_OVERRIDE_US)]
+    reason: Reason
+
+
+class StatusResponse(Struct, array_like=True, frozen=True, tag=42):
+    """The answer to a request of that number."""
+
+    number: Unsigned53
+    view: dict
+
+
+Message = StatusRequest | OverrideRequest | StatusResponse
+
+CODEC: MessageCodec[Message] = MessageCodec(CHANNEL, Message, (StatusRequest, OverrideRequest))
+
+_reports_decoder = msgspec.msgpack.Decoder(Annotated[list[Report], Meta(max_length=MAX_REPORTS)])
+_overrides_decoder = msgspec.msgpack.Decoder(
+    Annotated[list[OperatorOverride], Meta(max_length=MAX_OVERRIDES)]
+)
+
+
+def decode_reports(payload: bytes) -> list[Report] | None:
+    """The reports in a gossip entry, or None where they cannot be read."""
+    try:
+        return _reports_decoder.decode(payload)
+    except msgspec.DecodeError:
+        return None
+
+
+def decode_overrides(payload: bytes) -> list[OperatorOverride] | None:
+    """The overrides in a gossip entry, or None where they cannot be read."""
+    try:
+        return _overrides_decoder.decode(payload)
+    except msgspec.DecodeError:
+        return None
--- a/finchcart/fault_injection/run.py
+++ b/finchcart/fault_injection/run.py
@@ -20,7 +20,7 @@
 from finchcart.fault_injection.processes import Processes
 from finchcart.fault_injection.relay import clock
 from finchcart.fault_injection.script import Act, lay_out, read
-from finchcart.membership.figures import MS, SECOND, Figures
+from finchcart.membership.config import MS, SECOND, MembershipConfig
 
 UP = 0.02  # seconds between the starts of the first processes
 
@@ -32,7 +32,7 @@
     for name, value in fleet.items():
         unit = next((unit for end, unit in units.items() if name.endswith(end)), 1)
         told[name.removesuffix("_ms").removesuffix("_s")] = value * unit
-    return Figures(**told)
+    return MembershipConfig(**told)
 
 
 def on_processes(plan, folder, talk=True, oracle=False):
@@ -96,14 +96,14 @@
 
 def apart_of(script):
     """Microseconds within which a key may run once."""
-    from finchcart.key_leases.figures import Figures
+    from finchcart.key_leases.config import KeyLeaseConfig
 
     told = {
         name: script.claims[f"{name}_ms"] * MS
         for name in ("life", "command")
         if f"{name}_ms" in (script.claims or {})
     }
-    return Figures(**told).apart()
+    return KeyLeaseConfig(**told).run_spacing_bound()
 
 
 def effects(folder, answered, apart):
@@ -228,9 +228,9 @@
         "late_s": 0.0,
         "stats": {
             name: {
-                "late_ms": fleet.places[name].member.late // 1000,
+                "late_ms": fleet.places[name].member.lateness // 1000,
                 "loss": fleet.places[name].member.loss,
-                "stale_ms": fleet.places[name].member.stale() // 1000,
+                "stale_ms": fleet.places[name].member.staleness_bound() // 1000,
                 "counts": fleet.places[name].member.counts,
             }
             for name in fleet.live()
@@ -470,7 +470,7 @@
     if shared is None:
         return None
     limit = shared.limits[0]
-    return 0 if limit.strict else shared.loose_over_at_most(limit, script.nodes)
+    return 0 if limit.strict else shared.loose_overshoot_bound(limit, script.nodes)
 
 
 def fullest_at_most(script):
@@ -480,7 +480,7 @@
     shared = quota_of(script)
     if shared is None or shared.limits[0].per != "rate" or not shared.limits[0].strict:
         return None
-    return shared.in_window(shared.limits[0], 0)
+    return shared.window_bound(shared.limits[0], 0)
 
 
 def shortened(script, times):
--- /dev/null
+++ b/finchcart/key_leases/client.py
@@ -0,0 +1,332 @@
+"""A node's side of key leases: acquires a lease before a run is commanded, and reports how the run ended.
+
+Owns the attempts of this process and the outcomes that not all replicas have acknowledged. It must never
+answer that a key is its own without the votes of a quorum for one attempt, all asked for less than `command`
+ago, nor try a key again before it gave the earlier attempt back.
+
+Bounds: attempts and held leases together `entries`; an attempt ends with its answer, a delivery with the last
+acknowledgement or after `MAX_TRANSMISSIONS`.
+"""
+
+from collections.abc import Iterable
+from enum import StrEnum
+from random import Random
+from typing import Literal, NamedTuple
+
+from finchcart.key_leases.config import KeyLeaseConfig
+from finchcart.key_leases.messages import (
+    CODEC,
+    AcquireLeases,
+    LeaseReport,
+    LeaseRequest,
+    LeaseStatus,
+    Message,
+    OutcomesAcknowledged,
+    ReportOutcomes,
+    Votes,
+)
+from finchcart.membership.codec import MAX_DATAGRAM_BYTES, parse_address, take_fitting
+from finchcart.membership.effects import HostPort
+from finchcart.message_endpoint import MessageEndpoint, MessageRejectedError
+
+MAX_TRANSMISSIONS = 40  # of one outcome to replicas that do not acknowledge it
+MAX_BACKOFF = 8  # retransmission intervals between two transmissions of one outcome
+OUTCOMES_OVERHEAD_BYTES = 160  # of a datagram, for all but the outcomes in it
+
+ANSWER_COUNTERS = {
+    LeaseStatus.GRANTED: "mine",
+    LeaseStatus.HELD: "elsewhere",
+    LeaseStatus.COMPLETED: "ended",
+    LeaseStatus.FAILED: "failed",
+    LeaseStatus.UNAVAILABLE: "no majority",
+    LeaseStatus.PAYLOAD_MISMATCH: "another body",
+}
+
+
+class ClientInput(StrEnum):
+    """The first field of an input that is this client's own."""
+
+    ACQUIRE = "claim"  # a list of (key, payload digest, lease duration in microseconds)
+    ENDED = "ended"  # key, `COMPLETED` or `FAILED`, result: of a run that was commanded
+    NEVER_RAN = "never"  # key: its run will not be commanded
+    ABANDON = "leave_it"  # key: nobody waits for the answer any more
+
+
+class LeaseAnswer(NamedTuple):
+    """The effect that answers an attempt.
+
+    `GRANTED`: command the run before `run_before` on the boot clock, or not at all. `COMPLETED`: `result` is
+    of a run elsewhere. `HELD`: it runs elsewhere and did not end in time. `UNAVAILABLE`: no quorum, or no
+    room: it never ran here. `FAILED` and `PAYLOAD_MISMATCH` as in `LeaseStatus`.
+    """
+
+    kind: Literal["claimed"]
+    key: bytes
+    status: LeaseStatus
+    result: bytes
+    run_before: int | None
+
+
+class Attempt:
+    """One attempt to acquire the lease of a key. Times are microseconds on the boot clock."""
+
+    def __init__(self, number: int, key: bytes, payload_digest: int, duration_us: int, now: int) -> None:
+        self.number = number
+        self.key = key
+        self.payload_digest = payload_digest
+        self.duration_us = duration_us
+        self.started_at = now  # of the first attempt in a row for this key
+        self.asked_at = now
+        self.transmit_at = now
+        self.votes: dict[int, LeaseStatus] = {}  # by index of the replica
+
+    def request(self) -> LeaseRequest:
+        """What is asked of the replicas."""
+        return LeaseRequest(self.key, self.payload_digest, self.number, self.duration_us)
+
+    def granted_votes(self) -> int:
+        """Replicas that voted for it."""
+        return sum(status == LeaseStatus.GRANTED for status in self.votes.values())
+
+
+class HeldKey(NamedTuple):
+    """A lease that this process holds, until its run has ended or the lease has expired everywhere."""
+
+    attempt: int
+    payload_digest: int
+    expires_at: int
+
+
+class OutcomeDelivery:
+    """An outcome, and the replicas that have not acknowledged it."""
+
+    def __init__(self, outcome: LeaseReport, replica_count: int, now: int) -> None:
+        self.outcome = outcome
+        self.unacknowledged = set(range(replica_count))
+        self.transmit_at = now
+        self.transmissions = 0
+
+
+class KeyLeaseClient(MessageEndpoint):
+    """A holder's state machine; see `MessageEndpoint` and `ClientInput` for its inputs, `LeaseAnswer` for its
+    own effect.
+
+    Arguments:
+        name: of this node.
+        fleet: the name of the fleet.
+        config: the same at all replicas and holders.
+        random: of this process alone.
+        now: microseconds on the boot clock.
+    """
+
+    codec = CODEC
+
+    def __init__(self, name: str, fleet: str, config: KeyLeaseConfig, random: Random, now: int) -> None:
+        super().__init__(fleet, now)
+        self.name = name
+        self.config = config
+        self.random = random
+        self.session = random.getrandbits(64)
+        self.replicas = [parse_address(address) for address in config.keepers]
+        self.attempts: dict[bytes, Attempt] = {}
+        self.held: dict[bytes, HeldKey] = {}
+        self.last_attempt = 0
+        self.deliveries: dict[tuple[bytes, int], OutcomeDelivery] = {}  # by key and attempt
+
+    def on_input(self, event: tuple) -> None:
+        """Take an input of the core's."""
+        match event:
+            case (ClientInput.ACQUIRE, requests):
+                self.on_acquire(requests)
+            case (ClientInput.ENDED, key, status, result):
+                self.on_ended(key, status, result)
+            case (ClientInput.NEVER_RAN, key):
+                self.on_never_ran(key)
+            case (ClientInput.ABANDON, key):
+                attempt = self.attempts.pop(key, None)
+                if attempt is not None:
+                    self.release(key, attempt.number)
+
+    def after_input(self) -> None:
+        """Send all that is due, many to a message."""
+        self._drop_expired()
+        requests = self._due_requests()
+        outcomes = self._due_outcomes()
+        for replica, address in enumerate(self.replicas):
+            self._send_requests(address, requests[replica])
+            self._send_outcomes(address, outcomes[replica])
+
+    # ---- attempts
+
+    def on_acquire(self, requests: Iterable[tuple[bytes, int, int]]) -> None:
+        """Begin to acquire leases; each is (key, payload digest, duration in microseconds)."""
+        for key, payload_digest, duration_us in requests:
+            if key in self.attempts or key in self.held:
+                self.count("claimed already")
+            elif len(self.attempts) + len(self.held) >= self.config.entries:
+                self.answer(key, LeaseStatus.UNAVAILABLE)
+            else:
+                self._begin_attempt(key, payload_digest, duration_us)
+
+    def on_vote(self, replica: int, vote: LeaseReport) -> None:
+        """Count the vote of a replica, given by its index."""
+        attempt = self.attempts.get(vote.key)
+        if attempt is None or vote.attempt != attempt.number:
+            return
+        attempt.votes[replica] = vote.status
+        if vote.status in (LeaseStatus.COMPLETED, LeaseStatus.FAILED):
+            # Only a holder with a quorum runs, and only it reports outcomes: one replica's word is enough.
+            self._conclude(attempt, vote.status, vote.result)
+        elif vote.status == LeaseStatus.PAYLOAD_MISMATCH:
+            self._conclude(attempt, LeaseStatus.PAYLOAD_MISMATCH)
+        elif attempt.granted_votes() >= self.config.quorum:
+            self._on_quorum(attempt)
+        elif not self._quorum_is_possible(attempt):
+            self.on_no_quorum(attempt)
+
+    def answer(
+        self, key: bytes, status: LeaseStatus, result: bytes = b"", run_before: int | None = None
+    ) -> None:
+        """Answer an attempt, see `LeaseAnswer`."""
+        self.count(ANSWER_COUNTERS[status])
+        self.effects.append(LeaseAnswer("claimed", key, status, result, run_before))
+
+    def release(self, key: bytes, attempt: int) -> None:
+        """Give an attempt back: it never ran and never will."""
+        self._report(LeaseReport(key, attempt, LeaseStatus.RELEASED))
+
+    def on_no_quorum(self, attempt: Attempt) -> None:
+        """Give the attempt back and begin another, unless it has taken too long: another holds the lease, or
+        the votes are split between several."""
+        is_held = LeaseStatus.HELD in attempt.votes.values()
+        patience = self.config.wait if is_held else self.config.answer
+        if self.now - attempt.started_at >= patience:
+            self._conclude(attempt, LeaseStatus.HELD if is_held else LeaseStatus.UNAVAILABLE)
+            return
+        self.release(attempt.key, attempt.number)
+        retry = self._begin_attempt(attempt.key, attempt.payload_digest, attempt.duration_us)
+        retry.started_at = attempt.started_at
+        pause = self.config.ask if is_held else self.config.again
+        retry.asked_at = self.now + pause // 2 + self.random.randrange(pause)
+        retry.transmit_at = retry.asked_at
+
+    def _begin_attempt(self, key: bytes, payload_digest: int, duration_us: int) -> Attempt:
+        self.last_attempt += 1
+        attempt = Attempt(self.last_attempt, key, payload_digest, duration_us, self.now)
+        self.attempts[key] = attempt
+        return attempt
+
+    def _on_quorum(self, attempt: Attempt) -> None:
+        run_before = attempt.asked_at + self.config.command
+        if self.now >= run_before:
+            self._conclude(attempt, LeaseStatus.UNAVAILABLE)
+            return
+        del self.attempts[attempt.key]
+        expires_at = self.now + self.config.widened(attempt.duration_us)
+        self.held[attempt.key] = HeldKey(attempt.number, attempt.payload_digest, expires_at)
+        self.answer(attempt.key, LeaseStatus.GRANTED, run_before=run_before)
+
+    def _quorum_is_possible(self, attempt: Attempt) -> bool:
+        refusals = len(attempt.votes) - attempt.granted_votes()
+        return len(self.replicas) - refusals >= self.config.quorum
+
+    def _conclude(self, attempt: Attempt, status: LeaseStatus, result: bytes = b"") -> None:
+        del self.attempts[attempt.key]
+        self.release(attempt.key, attempt.number)
+        self.answer(attempt.key, status, result)
+
+    # ---- runs that were commanded, or will not be
+
+    def on_ended(self, key: bytes, status: LeaseStatus, result: bytes = b"") -> None:
+        """Report how the run of a held key ended; a result that is too long is reported as lost."""
+        held = self.held.pop(key, None)
+        if held is None:
+            self.count("not its own")
+            return
+        if status == LeaseStatus.COMPLETED and len(result) > self.config.result:
+            status = LeaseStatus.FAILED
+        if status != LeaseStatus.COMPLETED:
+            result = b""
+        self._report(LeaseReport(key, held.attempt, status, result, held.payload_digest))
+
+    def on_never_ran(self, key: bytes) -> None:
+        """Give a held key back whose run was not commanded."""
+        held = self.held.pop(key, None)
+        if held is not None:
+            self.release(key, held.attempt)
+
+    def _report(self, outcome: LeaseReport) -> None:
+        delivery = OutcomeDelivery(outcome, len(self.replicas), self.now)
+        self.deliveries[outcome.key, outcome.attempt] = delivery
+
+    # ---- messages
+
+    def on_message(self, address: HostPort, message: Message) -> None:
+        """Take a replica's answer to this process."""
+        if address not in self.replicas or getattr(message, "session", None) != self.session:
+            raise MessageRejectedError("not for this process")
+        replica = self.replicas.index(address)
+        match message:
+            case Votes():
+                for vote in message.votes:
+                    self.on_vote(replica, vote)
+            case OutcomesAcknowledged():
+                for key, attempt, status in message.outcomes:
+                    self._on_acknowledged(replica, (key, attempt), status)
+            case _:
+                raise MessageRejectedError("not for a holder")
+
+    def _on_acknowledged(self, replica: int, which: tuple[bytes, int], status: LeaseStatus) -> None:
+        delivery = self.deliveries.get(which)
+        if delivery is None or delivery.outcome.status != status:
+            return
+        delivery.unacknowledged.discard(replica)
+        if not delivery.unacknowledged:
+            del self.deliveries[which]
+
+    def _drop_expired(self) -> None:
+        for key in [key for key, held in self.held.items() if held.expires_at <= self.now]:
+            del self.held[key]
+            self.count("never told how it ended")
+
+    def _due_requests(self) -> list[list[LeaseRequest]]:
+        """By replica."""
+        requests: list[list[LeaseRequest]] = [[] for _ in self.replicas]
+        for attempt in list(self.attempts.values()):
+            if self.now < attempt.transmit_at:
+                continue
+            if self.now - attempt.asked_at >= self.config.answer:
+                self.on_no_quorum(attempt)
+                continue
+            attempt.transmit_at = self.now + self.config.again
+            for replica in range(len(self.replicas)):
+                if replica not in attempt.votes:
+                    requests[replica].append(attempt.request())
+        return requests
+
+    def _due_outcomes(self) -> list[list[LeaseReport]]:
+        """By replica."""
+        outcomes: list[list[LeaseReport]] = [[] for _ in self.replicas]
+        for which, delivery in list(self.deliveries.items()):
+            if self.now < delivery.transmit_at:
+                continue
+            delivery.transmissions += 1
+            backoff = min(MAX_BACKOFF, delivery.transmissions)
+            delivery.transmit_at = self.now + self.config.again * backoff
+            for replica in delivery.unacknowledged:
+                outcomes[replica].append(delivery.outcome)
+            if delivery.transmissions >= MAX_TRANSMISSIONS:
+                del self.deliveries[which]
+        return outcomes
+
+    def _send_requests(self, address: HostPort, requests: list[LeaseRequest]) -> None:
+        batch = self.config.batch
+        for first in range(0, len(requests), batch):
+            self.send(address, AcquireLeases(self.name, self.session, requests[first : first + batch]))
+
+    def _send_outcomes(self, address: HostPort, outcomes: list[LeaseReport]) -> None:
+        while outcomes:
+            batch = outcomes[: self.config.batch]
+            fitting = take_fitting(batch, MAX_DATAGRAM_BYTES - OUTCOMES_OVERHEAD_BYTES)
+            outcomes = outcomes[len(fitting) :]
+            self.send(address, ReportOutcomes(self.name, self.session, fitting))
--- a/finchcart/node/effects.py
+++ b/finchcart/node/effects.py
@@ -103,7 +103,7 @@
     """One key to be leased; see `RequestKeyLeases`."""
 
     key: bytes
-    body_digest: int  # requests of one key with two digests are a payload mismatch
+    payload_digest: int  # requests of one key with two digests are a payload mismatch
     lifetime_us: int
 
 
--- a/finchcart/node/fleet_inputs.py
+++ b/finchcart/node/fleet_inputs.py
@@ -5,7 +5,7 @@
 for, nor keep anything.
 """
 
-from finchcart.key_leases import wire
+from finchcart.key_leases.messages import LeaseStatus
 from finchcart.node.effects import (
     AbandonKeyLeaseRequest,
     KeyLeaseAction,
@@ -24,12 +24,12 @@
 )
 
 OUTCOMES = {
-    wire.YES: KeyLeaseOutcome.GRANTED,
-    wire.HELD: KeyLeaseOutcome.HELD_ELSEWHERE,
-    wire.ENDED: KeyLeaseOutcome.ENDED,
-    wire.FAILED: KeyLeaseOutcome.FAILED,
-    wire.FULL: KeyLeaseOutcome.NO_MAJORITY,
-    wire.OTHER_BODY: KeyLeaseOutcome.PAYLOAD_MISMATCH,
+    LeaseStatus.GRANTED: KeyLeaseOutcome.GRANTED,
+    LeaseStatus.HELD: KeyLeaseOutcome.HELD_ELSEWHERE,
+    LeaseStatus.COMPLETED: KeyLeaseOutcome.ENDED,
+    LeaseStatus.FAILED: KeyLeaseOutcome.FAILED,
+    LeaseStatus.UNAVAILABLE: KeyLeaseOutcome.NO_MAJORITY,
+    LeaseStatus.PAYLOAD_MISMATCH: KeyLeaseOutcome.PAYLOAD_MISMATCH,
 }
 
 
@@ -59,7 +59,12 @@
     if isinstance(command, RequestKeyLeases):
         return "claim", [tuple(request) for request in command.requests]
     if isinstance(command, ReportRunEnded):
-        return "ended", command.key, wire.ENDED if command.succeeded else wire.FAILED, command.result
+        return (
+            "ended",
+            command.key,
+            LeaseStatus.COMPLETED if command.succeeded else LeaseStatus.FAILED,
+            command.result,
+        )
     if isinstance(command, ReleaseKeyLease):
         return "never", command.key
     if isinstance(command, AbandonKeyLeaseRequest):
--- a/finchcart/node/key_leases.py
+++ b/finchcart/node/key_leases.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from finchcart.key_leases.wire import body_of, key_of
+from finchcart.key_leases.messages import key_digest, payload_digest
 from finchcart.node.effect_buffer import EffectBuffer
 from finchcart.node.effects import (
     AbandonKeyLeaseRequest,
@@ -80,7 +80,7 @@
             due: when it has to be answered at the latest.
             on_resolved: is called once with the outcome, perhaps inside this call.
         """
-        key = key_of(rpc.method, attributes.idempotency_key)
+        key = key_digest(rpc.method, attributes.idempotency_key)
         if key in self.waiting or len(self.waiting) >= MAX_WAITING:
             self.counts["no capacity"] += 1
             on_resolved(rpc, attributes, KeyLeaseOutcome.NO_MAJORITY, b"")
@@ -88,7 +88,7 @@
         self.waiting[key] = WaitingRpc(rpc, attributes, on_resolved)
         if not self._unsent:
             self.turn.emit(Defer(KeyLeasesRequested()))  # those of one batch go in one message
-        self._unsent.append(KeyLeaseRequest(key, body_of(rpc.body), self.lifetime_us))
+        self._unsent.append(KeyLeaseRequest(key, payload_digest(rpc.body), self.lifetime_us))
         self.turn.schedule(due if self._end is None else min(due, self._end), self._time_out, key, rpc)
 
     def send_requests(self) -> None:
--- a/finchcart/node/observer.py
+++ b/finchcart/node/observer.py
@@ -7,12 +7,15 @@
 """
 
 from collections.abc import Mapping
-from typing import Any
+from typing import TYPE_CHECKING
 
-from finchcart.consensus.figures import Figures
-from finchcart.consensus.subjects import DOWN, NUMBER, OUT, SLOWED, WORKING, source, subject
+from finchcart.consensus.config import ConsensusConfig
+from finchcart.consensus.subjects import Restriction, StoreHealth, SubjectKind, make_subject, source_subject
 from finchcart.interface import FleetQuota, Outcome
 
+if TYPE_CHECKING:
+    from finchcart.consensus.observations import Evidence
+
 SECOND = 1_000_000
 INVALID, OVER_LIMIT, RPCS = range(3)  # what is counted of a source, in the order in which it is published
 SUCCEEDED, FAILED, TIME = range(3)  # what is counted of calls
@@ -26,12 +29,12 @@
     once.
     """
 
-    def __init__(self, config: Figures) -> None:
+    def __init__(self, config: ConsensusConfig) -> None:
         self.config = config
         self.ejected = False
         self.min_shed_level = 0.0
         self.blocked_rpcs = 0
-        self._dependency_state = WORKING
+        self._dependency_state = StoreHealth.WORKING
         self._source_states: Mapping[int, int] = {}
         self._throttles: dict[int, tuple[float, int]] = {}  # subject -> (tokens, filled at)
         self._looked_at: int | None = None
@@ -45,11 +48,11 @@
 
     # ---- What was seen
 
-    def collect_evidence(self, now: int, shed_level: float) -> dict[str, Any] | None:
+    def collect_evidence(self, now: int, shed_level: float) -> "Evidence | None":
         """The evidence since the last look, or None where it is too soon."""
         if self._looked_at is not None and now - self._looked_at < self.config.look:
             return None
-        evidence = {
+        evidence: Evidence = {
             "calls": tuple(self._calls),
             "runs": tuple(self._runs),
             "rpcs": self._rpcs,
@@ -82,7 +85,7 @@
     def record_invalid_traffic(self, host: str | None) -> None:
         """A message that can't be read, or a connection without an RPC."""
         if host:
-            self._count(source(host), INVALID)
+            self._count(source_subject(host), INVALID)
 
     def record_over_limit(self, caller: str | int) -> None:
         """An RPC beyond a limit of its dispatcher."""
@@ -94,7 +97,7 @@
 
     @staticmethod
     def _number_of(caller: str | int) -> int | None:
-        return subject(NUMBER, int(caller)) if caller and caller.isdecimal() else None
+        return make_subject(SubjectKind.DISPATCHER, int(caller)) if caller and caller.isdecimal() else None
 
     # ---- The consensus
 
@@ -117,24 +120,24 @@
     @property
     def dependency_down(self) -> bool:
         """Whether the store is held to be down."""
-        return self._dependency_state == DOWN
+        return self._dependency_state == StoreHealth.DOWN
 
     def quota_for(self, now: int, host: str | None, caller: str | int) -> FleetQuota | None:
         """What an RPC of this source may use; None: the fleet holds nothing of it."""
         self._rpcs += 1
-        names = source(host) if host else None, self._number_of(caller)
+        names = source_subject(host) if host else None, self._number_of(caller)
         for name in names:
             self._count(name, RPCS)
         if not self._source_states:
             return None
         state, name = max(
-            ((self._source_states.get(name, WORKING), name) for name in names if name is not None),
-            default=(WORKING, None),
+            ((self._source_states.get(name, Restriction.NONE), name) for name in names if name is not None),
+            default=(Restriction.NONE, None),
         )
-        if state == OUT:
+        if state == Restriction.BLOCKED:
             self.blocked_rpcs += 1
             return FleetQuota(0, 0, self.config.shut)
-        if state != SLOWED:
+        if state != Restriction.THROTTLED:
             return None
         return self._throttled(now, name)
 
--- a/finchcart/node/rpc.py
+++ b/finchcart/node/rpc.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from finchcart.control import Rpc as RpcHandle
     from finchcart.node.frontend import Frontend
     from finchcart.node.idempotency import KeyEntry
     from finchcart.node.limiters import RpcConcurrencyLimiter
+    from finchcart.rpc_record import RpcRecord
 
 
 class FinalOutcome(Enum):
@@ -78,7 +78,7 @@
         self.body = body
         self.index: int | None = None  # set once it is accepted
         self.key_entry: KeyEntry | None = None  # of its idempotency key
-        self.handle: RpcHandle | None = None  # of the decision module; None until it is admitted there
+        self.handle: RpcRecord | None = None  # of the decision module; None until it is admitted there
         self.answer_owed = True
         self.started = False  # the decision module had it run
         self.completed = False  # its run or its wait is over
--- a/finchcart/node/shadow.py
+++ b/finchcart/node/shadow.py
@@ -16,8 +16,9 @@
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple, TypeVar
 
-from finchcart.control import OVER, Control, Rpc
+from finchcart.control import Control
 from finchcart.interface import Gauges, Outcome, Port
+from finchcart.rpc_record import RpcRecord, RpcState
 
 # What is counted, in the words of the log line.
 ADMITTED_WOULD_REJECT = "taken, would be pushed back"
@@ -93,10 +94,10 @@
 
     __slots__ = ("active", "owner", "shadow")
 
-    def __init__(self, owner: "ShadowControl", active: Rpc) -> None:
+    def __init__(self, owner: "ShadowControl", active: RpcRecord) -> None:
         self.owner = owner
         self.active = active
-        self.shadow: Rpc | None = None
+        self.shadow: RpcRecord | None = None
 
     def run_ended(self, now: int, outcome: Outcome, spent_us: int) -> None:
         """Its run, or its wait as a duplicate, is over."""
@@ -156,8 +157,8 @@
 
     def tell_both(
         self,
-        active: Control | Rpc,
-        shadow: Control | Rpc | None,
+        active: Control | RpcRecord,
+        shadow: Control | RpcRecord | None,
         method: str,
         now: int,
         *arguments: object,
@@ -215,7 +216,7 @@
 
     def _settle(self, now: int) -> None:
         """Compares what is over for the active instance, and ends it for the shadow too."""
-        over = [index for index, handle in self.handles.items() if handle.active.state == OVER]
+        over = [index for index, handle in self.handles.items() if handle.active.state is RpcState.COMPLETED]
         for index in over:
             if not self.shadow:
                 return  # one of those before it was the shadow's end
@@ -232,8 +233,8 @@
         self.counts[ADVICE] += rejected and would_reject and active.rejection != shadow.rejection
         self.counts[FAILED_OR_PAUSED] += active.failed_or_paused != shadow.failed_or_paused
 
-    def _end_in_shadow(self, handle: Rpc, now: int) -> None:
-        if self.shadow and handle.state != OVER:
+    def _end_in_shadow(self, handle: RpcRecord, now: int) -> None:
+        if self.shadow and handle.state is not RpcState.COMPLETED:
             self._guarded(handle.caller_gone, now)
-        if self.shadow and handle.state != OVER:
+        if self.shadow and handle.state is not RpcState.COMPLETED:
             self._guarded(handle.run_ended, now, Outcome.NOT_STARTED, 0)
