--- /dev/null
+++ b/finchcart/node/frontend.py
@@ -0,0 +1,93 @@
+"""How a frontend joins the core: the contract of both sides.
+
+Owns the types between the core and its frontends; it must never hold state. A frontend owns connections and a
+protocol; the core owns RPCs. What a frontend does, always within a turn:
+
+1. It makes an `Rpc` with whatever `reference` finds its caller again, and hands it over by
+   `core.accept(rpc, attributes)` once it has read it to the end. From then on the core owes it exactly one
+   `frontend.send_final_answer(rpc, ...)`, which may come inside `accept`, so `reference` has to be in the
+   frontend's tables before. An `InvalidRpcError` of `accept` says what is wrong with the RPC: the core kept
+   nothing, and the frontend answers in its own words.
+2. Where the caller is known to be gone it calls `core.abandon(rpc)`, once, instead of waiting for the final
+   answer: none comes after that.
+3. It asks for reads on its connections (`turn.emit(Read(connection))`), each of which brings one batch. A
+   frontend that connects out has `turn.connect(kind, address, self)`.
+4. `core.ready` tells whether RPCs can be accepted yet: before the worker pool is there, `accept` is not
+called.
+
+What the frontend does with a final answer is its own: the core never asks whether it arrived.
+"""
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from finchcart.node.effect_buffer import ConnectionOwner, EffectBuffer
+from finchcart.node.methods import MethodInfo
+from finchcart.node.rpc import FinalOutcome, Rpc, RpcAttributes
+
+
+class FrontendHost(Protocol):
+    """What a frontend can use of the core."""
+
+    turn: EffectBuffer
+    methods: Mapping[str, MethodInfo]
+    shed_level: float | None  # to be published with all answers; None: not known yet
+
+    @property
+    def ready(self) -> bool:
+        """Whether RPCs can be accepted yet."""
+
+    def accept(self, rpc: Rpc, attributes: RpcAttributes) -> None:
+        """Takes over an RPC that was read to the end.
+
+        Raises:
+            InvalidRpcError: with what is wrong with it; nothing of it is kept then.
+        """
+
+    def abandon(self, rpc: Rpc) -> None:
+        """The caller of an accepted RPC has gone."""
+
+    def record_invalid_traffic(self, connection: int) -> None:
+        """A message that can't be read came on the connection, or none at all."""
+
+
+class Frontend(ConnectionOwner, Protocol):
+    """What the core calls, besides what it tells any owner of connections."""
+
+    def connection_opened(self, connection: int) -> None:
+        """A connection that a peer made."""
+
+    def close_due(self, connection: int) -> None:
+        """The frontend's own deferred `CloseDue`: all that was received before it has been handed over."""
+
+    def close_attempted(self, connection: int, closed: bool) -> None:
+        """The result of the effect `CloseIfIdle`.
+
+        Where `closed`, nothing more is read or sent on the connection; else something was under way, and it
+        is as before.
+        """
+
+    def send_final_answer(
+        self, rpc: Rpc, outcome: FinalOutcome, result: bytes, retry_after_us: int, do_not_retry: bool
+    ) -> None:
+        """The one final answer of an RPC that was accepted and not abandoned.
+
+        Arguments:
+            rpc: as it was handed over.
+            outcome: which kind of answer.
+            result: of the run, unchanged, with `FinalOutcome.OK`.
+            retry_after_us: with `REJECTED`: when the caller may come back, 0 for no advice.
+            do_not_retry: with `REJECTED`: whether it is asked not to try another node either.
+        """
+
+    def set_idle_timeout(self, timeout_us: int) -> None:
+        """Connections that are idle for so long may be closed."""
+
+    def set_health(self, healthy: bool) -> None:
+        """How health checks are answered from now on."""
+
+    def drain(self, kill_at: int) -> None:
+        """The notice to leave; the process is killed at `kill_at`."""
+
+    def is_idle(self) -> bool:
+        """Whether it holds nothing that the end of the node would cut."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -247,7 +247,11 @@
             node.arrive(n, waited=800 * MS)
         node.end_older(150 * MS)
     low, high = node.control.methods
-    assert low.admitted_share < 0.2 and low.admitted_share < high.admitted_share and (high.admitted_share == 1) is pauses
+    assert (
+        low.admitted_share < 0.2
+        and low.admitted_share < high.admitted_share
+        and (high.admitted_share == 1) is pauses
+    )
 
 
 @pytest.mark.parametrize(
