--- /dev/null
+++ b/finchcart/node/idempotency.py
@@ -0,0 +1,142 @@
+"""The idempotency cache: which key was seen when, and the results that duplicates may share.
+
+Owns the entry of each idempotency key, which RPC holds it and what that came to. It must never let a result
+go to an RPC with another body, nor lose an entry whose RPC may have run.
+"""
+
+from enum import Enum
+from hashlib import blake2b
+
+from finchcart.node.effect_buffer import EffectBuffer
+from finchcart.node.effects import Defer
+from finchcart.node.inputs import DuplicateReady
+from finchcart.node.rpc import Rpc
+
+DIGEST_BYTES = 16
+
+Key = tuple[str, str]  # method and idempotency key
+
+
+class NoResult(Enum):
+    """Why an entry has no result."""
+
+    PENDING = "pending"  # not there yet
+    FAILED = "failed"  # the run came to nothing, or its result is kept no more
+
+
+def digest_of(body: bytes) -> bytes:
+    """By which two bodies are compared."""
+    return blake2b(body, digest_size=DIGEST_BYTES).digest()
+
+
+class KeyEntry:
+    """One idempotency key: the RPC that holds it, and what that came to."""
+
+    __slots__ = ("digest", "expires_at", "index", "key", "previous", "ran", "result", "waiting")
+
+    def __init__(self, key: Key, index: int, digest: bytes) -> None:
+        self.key = key
+        self.index = index  # of the RPC that holds it
+        self.digest = digest  # of the body, the same for all RPCs of the key
+        self.expires_at = 0
+        self.result: bytes | NoResult = NoResult.PENDING
+        self.waiting: list[int] = []  # indices of the duplicates that wait for the result
+        self.ran = False
+        self.previous: KeyEntry | None = None  # the last of the key that ran, while this one has not
+
+
+class IdempotencyCache:
+    """Entries by key, and the results kept.
+
+    Bounds: entries by the decision module's memory, and each leaves once nothing that reached the machine in
+    its window can still be read: `late_read_us` after it; results by `max_result_bytes`, the oldest first.
+    """
+
+    def __init__(self, turn: EffectBuffer, late_read_us: int, max_result_bytes: int) -> None:
+        self.turn = turn
+        self.late_read_us = late_read_us
+        self.max_result_bytes = max_result_bytes
+        self.entries: dict[Key, KeyEntry] = {}
+        self.with_result: dict[KeyEntry, None] = {}  # entries whose results are kept, the oldest first
+        self.result_bytes = 0
+
+    def is_payload_mismatch(self, key: Key, digest: bytes) -> bool:
+        """Whether the key is held by an RPC with another body."""
+        entry = self.entries.get(key)
+        return entry is not None and entry.digest != digest
+
+    def entry_for(self, key: Key, index: int, digest: bytes, arrived_at: int) -> tuple[KeyEntry, bool]:
+        """The entry that an RPC belongs to, and whether it is a duplicate.
+
+        By when it reached the machine (`arrived_at`), not by when it is read.
+        """
+        entry = self.entries.get(key)
+        if entry and entry.expires_at > arrived_at and (entry.ran or entry.expires_at > self.turn.now):
+            return entry, True
+        return KeyEntry(key, index, digest), False
+
+    def store(self, rpc: Rpc, ttl_us: int) -> None:
+        """Keeps the RPC's key for `ttl_us`."""
+        if rpc.key_entry.index != rpc.index:
+            rpc.key_entry = KeyEntry(rpc.key_entry.key, rpc.index, rpc.key_entry.digest)
+        entry = rpc.key_entry
+        previous = self.entries.get(entry.key)
+        if previous is not None and previous is not entry:
+            self._drop_result(previous)
+            # Guards against an RPC that is read late, after this one was evicted: it may be a duplicate of
+            # what ran in the window before.
+            entry.previous = previous if previous.ran else previous.previous
+            previous.previous = None
+        entry.expires_at = self.turn.now + ttl_us
+        self.entries[entry.key] = entry
+        self.turn.schedule(entry.expires_at + self.late_read_us, self._expire, entry)
+
+    def evict(self, entry: KeyEntry) -> None:
+        """Removes a key whose RPC never ran; its duplicates fail."""
+        if self.entries.get(entry.key) is entry:
+            previous = entry.previous
+            entry.previous = None
+            if previous and self.turn.now < previous.expires_at + self.late_read_us:
+                self.entries[entry.key] = previous
+            else:
+                del self.entries[entry.key]
+        entry.result = NoResult.FAILED
+        self._notify_waiting(entry)
+
+    def join_in_flight(self, rpc: Rpc) -> None:
+        """Has a duplicate wait for what the first RPC of its key comes to: `DuplicateReady` follows."""
+        if rpc.key_entry.result is NoResult.PENDING:
+            rpc.key_entry.waiting.append(rpc.index)
+        else:
+            self.turn.emit(Defer(DuplicateReady(rpc.index)))
+
+    def complete(self, entry: KeyEntry, result: bytes | NoResult) -> None:
+        """The RPC that holds the entry is completed: with its result, or `NoResult.FAILED`."""
+        entry.result = result
+        if result is not NoResult.FAILED:
+            self.with_result[entry] = None
+            self.result_bytes += len(result)
+            while self.result_bytes > self.max_result_bytes:
+                self._drop_result(next(iter(self.with_result)))
+        self._notify_waiting(entry)
+
+    def _drop_result(self, entry: KeyEntry) -> None:
+        if entry in self.with_result:
+            del self.with_result[entry]
+            self.result_bytes -= len(entry.result)
+            entry.result = NoResult.FAILED
+
+    def _notify_waiting(self, entry: KeyEntry) -> None:
+        waiting = entry.waiting
+        entry.waiting = []
+        for index in waiting:
+            self.turn.emit(Defer(DuplicateReady(index)))
+
+    def _expire(self, entry: KeyEntry) -> None:
+        if self.entries.get(entry.key) is entry:
+            expires_at = entry.expires_at + self.late_read_us
+            if self.turn.now < expires_at:
+                self.turn.schedule(expires_at, self._expire, entry)
+                return
+            del self.entries[entry.key]
+        self._drop_result(entry)
--- a/tests/pins/codec_examples.py
+++ b/tests/pins/codec_examples.py
@@ -16,9 +16,11 @@
 from finchcart.membership import messages as membership
 from finchcart.net import lines
 from finchcart.net.limits import Limits
+from finchcart.node.methods import MethodInfo
 from finchcart.quota import messages as quota
 from finchcart.thrift import codec as thrift
 from finchcart.thrift import fields as thrift_fields
+from finchcart.thrift.messages import HeartbeatCall, RevokeNotice, SubmitCall, UnservedCall
 from finchcart.wire import OUTCOMES
 
 FLEET = "example"
@@ -95,19 +97,19 @@
     "store call": lambda: lines.call(NAME, 250_001, BODY),
     "registry good": lambda: lines.report("n3", True),
     "registry bad": lambda: lines.report("n3", False),
-    "thrift submit": lambda: thrift.submit(7, {"c": "look-up", "p": "0.5"}, BODY),
-    "thrift ok": lambda: thrift.ok(7, BODY, RIDING),
-    "thrift rejected": lambda: thrift.pushed_back(7, RIDING),
-    "thrift failed": lambda: thrift.aborted(7, {}),
-    "thrift health good": lambda: thrift.health(1, True, RIDING),
-    "thrift health bad": lambda: thrift.health(1, False, {}),
-    "thrift unknown method": lambda: thrift.not_served(3, "x", thrift.UNKNOWN_METHOD, "no"),
-    "thrift protocol error": lambda: thrift.not_served(3, "submit", thrift.PROTOCOL_ERROR, "no"),
-    "thrift closing": lambda: thrift.closing(),
-    "thrift heartbeat": lambda: thrift.frame(thrift.CALL, b"heartbeat", 2, b"\0"),
-    "thrift other call": lambda: thrift.frame(thrift.CALL, b"headcount", 2, b"\0"),
-    "thrift other one-way call": lambda: thrift.frame(thrift.ONEWAY, b"headcount", 2, b"\0"),
-    "thrift revoke": lambda: thrift.frame(
+    "thrift submit": lambda: thrift.submit_call(7, {"c": "look-up", "p": "0.5"}, BODY),
+    "thrift ok": lambda: thrift.ok_reply(7, BODY, RIDING),
+    "thrift rejected": lambda: thrift.rejected_reply(7, RIDING),
+    "thrift failed": lambda: thrift.failed_reply(7, {}),
+    "thrift health good": lambda: thrift.health_reply(1, True, RIDING),
+    "thrift health bad": lambda: thrift.health_reply(1, False, {}),
+    "thrift unknown method": lambda: thrift.application_exception(3, "x", thrift.UNKNOWN_METHOD, "no"),
+    "thrift protocol error": lambda: thrift.application_exception(3, "submit", thrift.PROTOCOL_ERROR, "no"),
+    "thrift closing": lambda: thrift.closing_notice(),
+    "thrift heartbeat": lambda: thrift.encode_message(thrift.CALL, b"heartbeat", 2, b"\0"),
+    "thrift other call": lambda: thrift.encode_message(thrift.CALL, b"headcount", 2, b"\0"),
+    "thrift other one-way call": lambda: thrift.encode_message(thrift.ONEWAY, b"headcount", 2, b"\0"),
+    "thrift revoke": lambda: thrift.encode_message(
         thrift.ONEWAY, b"revoke", 0, thrift.FIELD.pack(thrift.I32, 1) + thrift.LENGTH.pack(7) + b"\0"
     ),
     # What others know keys, members and subjects by.
@@ -142,7 +144,7 @@
     "store late": b"x LATE\r\n",
     "store moot": b"x VOID\r\n",
 }
-# First word of a message read -> pinned word.
+# Type of a message read, or its first word -> pinned word.
 READ_WORDS = {
     "up": "up",
     "run_ended": "run ended",
@@ -152,10 +154,10 @@
     "remark": "remark",
     "other": "other",
     "reply": "reply",
-    "rpc": "rpc",
-    "left": "left",
-    "check": "check",
-    "unheard": "not served",
+    SubmitCall: "rpc",
+    RevokeNotice: "left",
+    HeartbeatCall: "check",
+    UnservedCall: "not served",
 }
 LONGEST = 16 * 1024  # of a message
 THRIFT_CALLS = ("submit", "heartbeat", "other call", "other one-way call", "revoke")
@@ -182,7 +184,10 @@
     """The one message that the bytes are, with its end found as the links find it."""
     assert codec.frame(data[:-1], 0, LONGEST) is None
     assert codec.frame(data, 0, LONGEST) == len(data)
-    word, *values = codec.message(data)
+    message = codec.message(data)
+    if type(message) in READ_WORDS:
+        return [READ_WORDS[type(message)], *plain(message)]
+    word, *values = message
     return [READ_WORDS[word], *plain(values)]
 
 
@@ -202,7 +207,7 @@
         read = consensus.decode_reports if kind == "opinions" else consensus.decode_overrides
         return plain(msgspec.to_builtins(read(data)))
     if kind == "thrift":
-        return read_stream(thrift.FRONT, data) if rest in THRIFT_CALLS else read_thrift_answer(data)
+        return read_stream(thrift.THRIFT_CODEC, data) if rest in THRIFT_CALLS else read_thrift_answer(data)
     if name in RECEIVED:
         return read_stream(lines.STORE if kind == "store" else lines.POOL, data)
     return None
@@ -212,23 +217,25 @@
 
 LIMITS = Limits(memory=192 * 2**20, descriptors=1024, stop=3_000_000)
 NOW = 1_700_000_000_000_000
-KINDS = {"look-up": "idempotent", "book": "keyed"}
+METHODS = {
+    name: MethodInfo(kind, 0.0, 0, late_read_us=5_000_000, has_priority=False)
+    for name, kind in {"look-up": "idempotent", "book": "keyed"}.items()
+}
 READ_FIELDS = {  # present name of what is read -> pinned word
-    "reached": "arrived",
+    "arrived_at": "arrived",
     "caller": "caller",
-    "again": "retry",
-    "hint": "estimate",
-    "kb": "footprint",
-    "place": "rank",
+    "is_retry": "retry",
+    "cost_hint_us": "estimate",
+    "memory_kb": "footprint",
+    "shed_rank": "rank",
 }
 
 
 def read_rpc_fields(fields, body):
     """What an RPC's fields give, or the text of what is wrong with them."""
     try:
-        name, method, key, told = thrift_fields.read(
-            fields, body, NOW, LIMITS, KINDS, dict.fromkeys(KINDS, 5_000_000)
-        )
+        rpc = thrift_fields.read_rpc(fields, body, NOW, LIMITS, METHODS, connection=1)
     except ValueError as error:
         return str(error)
-    return [name, method, key, {READ_FIELDS[word]: value for word, value in told.items()}]
+    said = {word: getattr(rpc.attributes, name) for name, word in READ_FIELDS.items()}
+    return [rpc.name, rpc.method, rpc.attributes.idempotency_key, said]
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -33,10 +33,12 @@
 from finchcart.membership.gossip import GossipEntryStore
 from finchcart.membership.member import Member
 from finchcart.membership.messages import DeclaredStatus, GossipEntry, GossipTopic, MemberRecord
-from finchcart.node.inputs import FleetChange, MessagesReceived
-from finchcart.node.meter import Meters
-from finchcart.node.witness import Witness
+from finchcart.node.fleet_inputs import fleet_input
+from finchcart.node.inputs import MessagesReceived
+from finchcart.node.limiter_set import LimiterSet
+from finchcart.node.observer import NodeObserver
 from finchcart.quota.limits import Limit
+from finchcart.thrift.messages import HeartbeatCall
 from tests.harness import MS, Node, draw_settings
 from tests.test_control import PLAIN, one_step
 from tests.test_core import GAUGES, Far, far_plain, play
@@ -411,35 +413,35 @@
 
 def witnessed(**settings):
     """A far with verdicts: the trial limit gives this node one call, for ever."""
-    meters = Meters((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
-    meters.rise, meters.longest = CONFIG.recovery_step, CONFIG.probe_timeout
-    far = far_plain(meters, Witness(CONFIG), **settings)
-    far.feed(FleetChange(("allow", "trial", 0, 1, far.now + 10**12)))
+    meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
+    meters.recovery_step_us, meters.probe_timeout_us = CONFIG.recovery_step, CONFIG.probe_timeout
+    far = far_plain(meters, NodeObserver(CONFIG), **settings)
+    far.feed(fleet_input(("allow", "trial", 0, 1, far.now + 10**12)))
     return far
 
 
 def holds(far, **changed):
     good = {"store": StoreHealth.WORKING, "sources": {}, "out": False, "level": 0.0}
-    far.feed(FleetChange(("verdicts", {**good, **changed})))
+    far.feed(fleet_input(("verdicts", {**good, **changed})))
 
 
 def test_a_store_that_is_down_gets_this_nodes_probe_calls_alone_and_more_by_steps_once_it_is_back():
     far = witnessed(cores=64, overload_factor=64, calls_limit=100.0)
-    room = lambda: far.meters.call_capacity(far.core.store)
+    room = lambda: far.limiters.call_capacity(far.core.store)
     assert room() is None
     holds(far, store=StoreHealth.DOWN)
-    assert room() == 1 and far.meters.take_call(far.core.store)[1] == CONFIG.probe_timeout
-    far.feed(FleetChange(("allow", "trial", 0, 0, far.now + 10**12)))
-    assert room() == 0 and far.meters.take_call(far.core.store) is None
+    assert room() == 1 and far.limiters.acquire_call(far.core.store)[1] == CONFIG.probe_timeout
+    far.feed(fleet_input(("allow", "trial", 0, 0, far.now + 10**12)))
+    assert room() == 0 and far.limiters.acquire_call(far.core.store) is None
     holds(far)
     rooms = []
     for _ in range(4):
-        far.meters.at(far.now)
+        far.limiters.set_clock(far.now)
         rooms.append(room())
         far.now += CONFIG.recovery_step
     assert rooms == [1, 2, 4, 8], "no rush of all at once"
     far.now += 20 * CONFIG.recovery_step
-    far.meters.at(far.now)
+    far.limiters.set_clock(far.now)
     assert room() is None
 
 
@@ -447,9 +449,9 @@
     far = witnessed()
     far.submit(far.open("10.0.0.7"), 1, c="unheard")
     silent, check, ours = far.open("10.0.0.7"), far.open("10.0.0.8"), far.open("10.0.0.9")
-    far.give(check, ("check", 1))
+    far.give(check, HeartbeatCall(1))
     far.feed(MessagesReceived(ours, [], far.now))
-    far.front.tell_close(far.front.conns[ours])
+    far.front.closer.announce(far.front.table.connections[ours])
     for _ in range(60):
         far.step(40 * MS)
     bad = {}
@@ -486,9 +488,9 @@
 @pytest.mark.parametrize("seed", range(10))
 def test_rules_hold_with_decisions_that_come_and_go(seed):
     rng = random.Random(seed)
-    meters = Meters((Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10)
-    meters.rise, meters.longest = CONFIG.recovery_step, CONFIG.probe_timeout
-    far = Far({**draw_settings(rng), **GAUGES}, seed, meters=meters, witness=Witness(CONFIG))
+    meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10)
+    meters.recovery_step_us, meters.probe_timeout_us = CONFIG.recovery_step, CONFIG.probe_timeout
+    far = Far({**draw_settings(rng), **GAUGES}, seed, limiters=meters, observer=NodeObserver(CONFIG))
     step = far.step
 
     def stepped(dt):
@@ -504,7 +506,7 @@
             )
         if rng.random() < 0.05 and not far.ended:
             name = rng.choice(("trial", "calls"))
-            far.feed(FleetChange(("allow", name, 0, rng.randrange(3), far.now + SECOND)))
+            far.feed(fleet_input(("allow", name, 0, rng.randrange(3), far.now + SECOND)))
 
     far.step = stepped
     play(far, rng)
@@ -601,8 +603,8 @@
 
 
 def test_a_call_cut_short_by_a_grant_is_no_evidence_of_the_store():
-    witness = Witness(CONFIG)
+    witness = NodeObserver(CONFIG)
     witness.call_ended(Outcome.TIMEOUT, 5, True)
     witness.call_ended(Outcome.REJECTED, 5, False)
     witness.call_ended(Outcome.CONNECTION_LOST, 5, True)
-    assert witness.look(0, 0.0)["calls"] == (0, 1, 0)
+    assert witness.collect_evidence(0, 0.0)["calls"] == (0, 1, 0)
--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -14,8 +14,8 @@
 from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig, config_errors
 from finchcart.key_leases.messages import LeaseStatus
 from finchcart.key_leases.replica import KeyLeaseReplica
-from finchcart.node.claimer import Claimer
-from finchcart.node.inputs import FleetChange
+from finchcart.node.fleet_inputs import fleet_input, key_lease_client_input
+from finchcart.node.key_leases import KeyLeaseGate
 from tests.harness import draw_settings, read_answer
 from tests.test_core import GAUGES, Far, far_plain, play
 
@@ -179,7 +179,7 @@
         self.rng = rng
         self.statuses = statuses
         self.asked, self.held, self.outcomes = {}, set(), []
-        far.do_claim = self.take
+        far.do_claim = lambda command: self.take(key_lease_client_input(command))
         step = far.step
 
         def step_and_answer(dt):
@@ -196,7 +196,7 @@
             self.held.add(key)
         if not self.far.ended:
             run_before = self.far.now + self.rng.choice((5, 1000)) * MS
-            self.far.feed(FleetChange(("claimed", key, status, b"", run_before)))
+            self.far.feed(fleet_input(("claimed", key, status, b"", run_before)))
 
     def take(self, command):
         kind, *rest = command
@@ -216,8 +216,8 @@
     run = far.core.pool.run
 
     def checked_run(rpc, repeatable):
-        if rpc.entry:
-            key, by = far.core.claimer.mine[rpc.index]
+        if rpc.key_entry:
+            key, by = far.core.key_leases.held[rpc.index]
             assert key in replicas.held and far.now < by, "commanded without a lease"
         run(rpc, repeatable)
 
@@ -227,7 +227,7 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_rules_hold_with_key_leases_and_none_is_left_behind(seed):
     rng = random.Random(seed)
-    far = Far({**draw_settings(rng), **GAUGES}, seed, claims=lambda turn: Claimer(turn, 20 * SECOND))
+    far = Far({**draw_settings(rng), **GAUGES}, seed, key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     statuses = [LeaseStatus.GRANTED] * 4 + [
         LeaseStatus.HELD,
         LeaseStatus.UNAVAILABLE,
@@ -237,18 +237,18 @@
     replicas = SimulatedReplicas(far, rng, statuses)
     check_runs_hold_leases(far, replicas)
     play(far, rng)
-    assert not replicas.held and not far.core.claimer.waiting and not far.core.claimer.mine
+    assert not replicas.held and not far.core.key_leases.waiting and not far.core.key_leases.held
 
 
 def one_keyed(kind, again=False, by=1000, result=b"there"):
     """How a keyed RPC is answered whose lease comes to `kind`, whether it ran, and how late it was."""
-    far = far_plain(claims=lambda turn: Claimer(turn, 20 * SECOND))
+    far = far_plain(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     name = far.submit(far.open(), 1, **({"r": "1"} if again else {}))
     far.step(MS)
     ((_, asks),) = far.claims
     assert not far.runs, "not before its lease"
     if kind is not None:
-        far.feed(FleetChange(("claimed", asks[0][0], kind, result, far.now + by * MS)))
+        far.feed(fleet_input(("claimed", asks[0][0], kind, result, far.now + by * MS)))
     far.step(MS)
     ran = name in far.runs
     for _ in range(200):
@@ -276,12 +276,12 @@
 
 
 def test_a_run_elsewhere_gives_its_result():
-    far = far_plain(claims=lambda turn: Claimer(turn, 20 * SECOND))
+    far = far_plain(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     told = []
     far.answered = lambda link, data: told.append(read_answer(data))
     far.submit(far.open(), 1)
     far.step(MS)
-    far.feed(FleetChange(("claimed", far.claims[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0)))
+    far.feed(fleet_input(("claimed", far.claims[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0)))
     assert b"there" in str(told).encode() and not far.runs
 
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -16,7 +16,7 @@
 from finchcart.fault_injection.shares import Breach, Run, Shares
 from finchcart.membership.codec import parse_address
 from finchcart.net.links import boot_clock
-from finchcart.node.meter import Calls, Rate
+from finchcart.node.limiters import CallConcurrencyLimiter, RateLimiter
 from finchcart.quota import local_limits, messages
 from finchcart.quota.allocator import Allocator, HolderKey
 from finchcart.quota.fair_share import max_min_shares, prioritized_shares
@@ -187,25 +187,27 @@
     class Store:
         hands = {False: 0, True: 0}
 
-        def in_hand(self, leased):
+        def in_flight(self, leased):
             return self.hands[leased]
 
-    meter, store = Calls(Limit("store", 9, 1), 20_000), Store()
-    meter.now = 1_000_000
-    assert meter.room(store) == 1 and meter.take(store) == (False, None)
+    meter, store = CallConcurrencyLimiter(Limit("store", 9, 1), 20_000), Store()
+    meter.now_us = 1_000_000
+    assert meter.capacity(store) == 1 and meter.try_acquire(store) == (False, None)
     store.hands[False] = 1
-    assert meter.take(store) is None and meter.refused == 1
-    meter.allow(1, 2, 2_000_000)
-    assert meter.room(store) == 3 and meter.take(store) == (True, 978_000)
+    assert meter.try_acquire(store) is None and meter.refusals == 1
+    meter.set_allowance(1, 2, 2_000_000)
+    assert meter.capacity(store) == 3 and meter.try_acquire(store) == (True, 978_000)
     store.hands[True] = 2
-    assert meter.take(store) is None
-    store.hands[True], meter.now = 1, 1_970_000
-    assert meter.take(store) is None and meter.room(store) == 1, "less is left than a call may be late by"
-    meter.allow(None, 0, 0)
-    assert meter.room(store) is None and meter.take(store) == (False, None)
+    assert meter.try_acquire(store) is None
+    store.hands[True], meter.now_us = 1, 1_970_000
+    assert meter.try_acquire(store) is None and meter.capacity(store) == 1, (
+        "less is left than a call may be late by"
+    )
+    meter.set_allowance(None, 0, 0)
+    assert meter.capacity(store) is None and meter.try_acquire(store) == (False, None)
 
 
-def fullest_bucket(make=Rate, seed=1):
+def fullest_bucket(make=RateLimiter, seed=1):
     """The most that a bucket held which empties at a limit's rate.
 
     Nodes take all that their allocations allow, and allocations move between them as planners move them:
@@ -217,8 +219,8 @@
     now, level, fullest = 10**6, 0.0, 0.0
     granted = [(0, 0)] * len(nodes)  # amount and end of each one's lease, as the planner counts them
     for meter in nodes:
-        meter.now = now
-        meter.allow(2, 0, 0)
+        meter.now_us = now
+        meter.set_allowance(2, 0, 0)
     while now < 60 * SECOND:
         now += 5_000
         level = max(0.0, level - 5_000 * limit.amount / SECOND)
@@ -226,11 +228,11 @@
         if now >= granted[n][1] and chance.random() < 0.03:
             free = 84 - sum(amount for amount, until in granted if now < until)
             granted[n] = (chance.randint(0, free), now + chance.randrange(200_000, 3 * SECOND))
-            nodes[n].now = now
-            nodes[n].allow(2, *granted[n])
+            nodes[n].now_us = now
+            nodes[n].set_allowance(2, *granted[n])
         for meter in nodes if now // 700_000 % 2 else ():  # all wait, and then take all there is
-            meter.now = now
-            while meter.take():
+            meter.now_us = now
+            while meter.try_acquire():
                 level += 1
         fullest = max(fullest, level)
     return fullest
@@ -241,20 +243,20 @@
     assert fullest_bucket() > 20, "more than half of the bound is used"
 
 
-class FullAtOnce(Rate):
+class FullAtOnce(RateLimiter):
     """A part that grows has its burst at once."""
 
-    def allow(self, *what):
-        super().allow(*what)
+    def set_allowance(self, *what):
+        super().set_allowance(*what)
         self.tokens += self.limit.burst / 4
 
 
-class BurstForEach(Rate):
+class BurstForEach(RateLimiter):
     def __init__(self, limit, slack, most=1):
         super().__init__(dataclasses.replace(limit, burst=8 * limit.burst), slack, most)
 
 
-class NeverEnds(Rate):
+class NeverEnds(RateLimiter):
     def per_second(self):
         return self.floor + self.amount
 
