--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,8 +1,9 @@
-"""Verdicts of the fleet: the rule, notes that merge, rounds on a virtual clock, the core; planted defects."""
+"""Consensus: the rule, entries that merge, rounds on a virtual clock, the core; planted defects."""
 
 import random
 import re
 from dataclasses import replace
+from pathlib import Path
 from statistics import median
 
 import json5
@@ -33,6 +34,7 @@
 from finchcart.membership.gossip import GossipEntryStore
 from finchcart.membership.member import Member
 from finchcart.membership.messages import DeclaredStatus, GossipEntry, GossipTopic, MemberRecord
+from finchcart.membership.records import MemberState
 from finchcart.node.inputs import FleetChange, MessagesReceived
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
@@ -41,213 +43,189 @@
 from tests.test_control import PLAIN, one_step
 from tests.test_core import GAUGES, Far, far_plain, play
 
-SHORT = ConsensusConfig(
-    restriction_time=6 * SECOND, source_span=4 * SECOND, recurrence_window=6 * SECOND
-)  # rounds end sooner
-CONFIG, BAD, GOOD = (
-    ConsensusConfig(),
-    subjects.source_subject("10.0.0.7"),
-    subjects.source_subject("10.0.0.8"),
+CONFIG = ConsensusConfig()
+SHORT = replace(  # rounds end sooner
+    CONFIG, restriction_time=6 * SECOND, source_span=4 * SECOND, recurrence_window=6 * SECOND
 )
+BAD = subjects.source_subject("10.0.0.7")
+GOOD = subjects.source_subject("10.0.0.8")
+WORKING, SLOW, DOWN = StoreHealth.WORKING, StoreHealth.SLOW, StoreHealth.DOWN
+THROTTLED, BLOCKED = Restriction.THROTTLED, Restriction.BLOCKED
 
 
-def voices(*said):
-    return {n: [Report(ZONE_SUBJECT, n % 3, 0), *each] for n, each in enumerate(said)}
+def by_member(*reports):
+    """Each member's reports by its id; members stand in three zones in turn."""
+    return {n: [Report(ZONE_SUBJECT, n % 3, 0), *each] for n, each in enumerate(reports)}
 
 
 def store_report(value, fresh=1):
     return [Report(STORE_SUBJECT, value, fresh)]
 
 
+def source_report(subject, percent=1, value=BLOCKED):
+    return [Report(subject, value, percent * MILLION + 5)]
+
+
+def node_report(n, percent_failed=0, time=1000):
+    return [Report(subjects.node_subject(f"n{n}"), percent_failed, time)]
+
+
+def decided_values(*reports, config=CONFIG):
+    """subject -> value decided from the reports of as many members."""
+    decisions = decide(by_member(*reports), config, len(reports))
+    return {subject: made.value for subject, made in decisions.items()}
+
+
 # ---- the rule
 
 
 def test_the_store_is_down_where_most_of_those_that_know_report_it_and_never_by_one():
-    held = lambda *said, figures=CONFIG: decide(voices(*said), figures, len(said)).get(
-        STORE_SUBJECT, (None,)
-    )[0]
-    assert (
-        held(
-            store_report(StoreHealth.DOWN), store_report(StoreHealth.DOWN), store_report(StoreHealth.WORKING)
-        )
-        == StoreHealth.DOWN
-    )
-    assert (
-        held(
-            store_report(StoreHealth.DOWN),
-            store_report(StoreHealth.WORKING),
-            store_report(StoreHealth.WORKING),
-        )
-        == StoreHealth.WORKING
-    )
-    assert held(store_report(StoreHealth.DOWN), [], []) is None, "one alone"
-    half = [store_report(StoreHealth.DOWN)] * 4 + [store_report(StoreHealth.WORKING)] * 4
-    assert held(*half) == StoreHealth.WORKING, "neither half speaks for all"
-    assert (
-        held(
-            store_report(StoreHealth.DOWN), store_report(StoreHealth.SLOW), store_report(StoreHealth.WORKING)
-        )
-        == StoreHealth.SLOW
-    )
+    def decided(*reports, config=CONFIG):
+        return decided_values(*reports, config=config).get(STORE_SUBJECT)
+
+    down, slow, working = store_report(DOWN), store_report(SLOW), store_report(WORKING)
+    remembered_down = store_report(DOWN, fresh=0)
+    assert decided(down, down, working) == DOWN
+    assert decided(down, working, working) == WORKING
+    assert decided(down, [], []) is None, "one alone"
+    assert decided(*[down] * 4, *[working] * 4) == WORKING, "neither half speaks for all"
+    assert decided(down, slow, working) == SLOW
     # Those who tried lately know better than those who remember.
-    assert (
-        held(
-            store_report(StoreHealth.WORKING),
-            store_report(StoreHealth.WORKING),
-            *[store_report(StoreHealth.DOWN, 0)] * 6,
-        )
-        == StoreHealth.WORKING
-    )
-    assert held(store_report(StoreHealth.DOWN), *[store_report(StoreHealth.DOWN, 0)] * 6) == StoreHealth.DOWN
-    assert (
-        held(
-            store_report(StoreHealth.DOWN),
-            [],
-            [],
-            store_report(StoreHealth.DOWN),
-            figures=replace(CONFIG, min_zones=2),
-        )
-        is None
-    ), "of one zone"
+    assert decided(working, working, *[remembered_down] * 6) == WORKING
+    assert decided(down, *[remembered_down] * 6) == DOWN
+    assert decided(down, [], [], down, config=replace(CONFIG, min_zones=2)) is None, "of one zone"
 
 
 def test_a_source_needs_many_reports_and_what_carries_much_is_not_blocked_by_reports():
-    said = lambda subject, percent=1, value=Restriction.BLOCKED: [
-        Report(subject, value, percent * MILLION + 5)
-    ]
-    held = lambda *each: {one: value for one, (value, *_) in decide(voices(*each), CONFIG, len(each)).items()}
     nobody = [[]] * 9
-    assert (
-        held(*[said(BAD)] * 3, *nobody) == {BAD: Restriction.BLOCKED}
-        and held(*[said(BAD)] * 2, *nobody) == {}
-    )
-    assert held(*[said(BAD, 40)] * 5, *nobody) == {}, "two fifths of all RPCs come from it"
-    both = [[*said(BAD, 12), *said(GOOD, 11)]] * 6
-    assert held(*both, *nobody) == {BAD: Restriction.BLOCKED, GOOD: Restriction.THROTTLED}, (
-        "together more than may be turned away"
+    bad = source_report(BAD)
+    assert decided_values(*[bad] * 3, *nobody) == {BAD: BLOCKED}
+    assert decided_values(*[bad] * 2, *nobody) == {}
+    assert decided_values(*[source_report(BAD, 40)] * 5, *nobody) == {}, "two fifths of all RPCs come from it"
+    both = [*source_report(BAD, 12), *source_report(GOOD, 11)]
+    assert decided_values(*[both] * 6, *nobody) == {BAD: BLOCKED, GOOD: THROTTLED}, (
+        "together more than may be"
     )
-    assert held(*[said(BAD, 1, Restriction.THROTTLED)] * 4, *nobody) == {BAD: Restriction.THROTTLED}
+    throttled = source_report(BAD, 1, THROTTLED)
+    assert decided_values(*[throttled] * 4, *nobody) == {BAD: THROTTLED}
 
 
 def test_an_outlier_is_ejected_and_only_a_part_of_the_nodes_may_be():
-    me = lambda n, failed=0, time=1000: [Report(subjects.node_subject(f"n{n}"), failed, time)]
-    out = lambda *each: {
-        one
-        for one, (value, *_) in decide(voices(*each), CONFIG, len(each)).items()
-        if value == Restriction.BLOCKED
-    }
-    assert out(me(0, 100), *map(me, range(1, 8))) == {subjects.node_subject("n0")}
-    assert out(me(0, 0, 9000), *map(me, range(1, 8))) == {subjects.node_subject("n0")}
-    assert len(out(*(me(n, 100) for n in range(3)), *map(me, range(3, 10)))) == 2, "a fifth at most"
-    assert out(*(me(n, 100) for n in range(8))) == set(), "all fail: it is not the node"
+    def ejected(*reports):
+        return {subject for subject, value in decided_values(*reports).items() if value == subjects.EJECTED}
+
+    first = {subjects.node_subject("n0")}
+    assert ejected(node_report(0, 100), *map(node_report, range(1, 8))) == first
+    assert ejected(node_report(0, 0, 9000), *map(node_report, range(1, 8))) == first
+    three_failing = [node_report(n, 100) for n in range(3)]
+    assert len(ejected(*three_failing, *map(node_report, range(3, 10)))) == 2, "a fifth at most"
+    assert ejected(*(node_report(n, 100) for n in range(8))) == set(), "all fail: it is not the node"
 
 
 def test_the_level_is_the_lower_median_which_fewer_than_half_can_not_move():
-    level = lambda *each: decide(
-        voices(*([Report(LEVEL_SUBJECT, value, 0)] for value in each)), CONFIG, len(each)
-    ).get(LEVEL_SUBJECT, (0,))[0]
-    assert level(0, 0, 0, 1000, 1000) == 0 and level(300, 300, 300, 0, 0) == 300
+    def level(*values):
+        return decided_values(*([Report(LEVEL_SUBJECT, value, 0)] for value in values)).get(LEVEL_SUBJECT, 0)
+
+    assert level(0, 0, 0, 1000, 1000) == 0
+    assert level(300, 300, 300, 0, 0) == 300
     assert level(200, 400, 600, 800) == 400
 
 
 def test_reports_are_of_what_was_observed_and_bounded():
     observer = Observer(subjects.node_subject("n0"), CONFIG)
-    see = lambda now, **seen: observer.observe(now, {"calls": (0, 0, 0), "runs": (0, 0, 0), **seen})
-    value = lambda now: next((each[1:] for each in observer.reports(now) if each[0] == STORE_SUBJECT), None)
+
+    def observe(now, **seen):
+        observer.observe(now, {"calls": (0, 0, 0), "runs": (0, 0, 0), **seen})
+
+    def reported(now):
+        """(value, weight) of the store."""
+        return next((each[1:] for each in observer.reports(now) if each.subject == STORE_SUBJECT), None)
+
     for n in range(8):
-        see(n * 250 * MS, calls=(3, 0, 60_000))
-    assert value(1750 * MS) == (StoreHealth.WORKING, 1)
-    see(2000 * MS, calls=(0, 2, 0))
-    assert value(2000 * MS) == (StoreHealth.WORKING, 1), "a few failed"
+        observe(n * 250 * MS, calls=(3, 0, 60_000))
+    assert reported(1750 * MS) == (WORKING, 1)
+    observe(2000 * MS, calls=(0, 2, 0))
+    assert reported(2000 * MS) == (WORKING, 1), "a few failed"
     for n in range(9, 18):
-        see(n * 250 * MS, calls=(0, 3, 0))
-    assert value(4250 * MS) == (StoreHealth.DOWN, 1)
-    see(9 * SECOND)
-    assert value(9 * SECOND) == (StoreHealth.DOWN, 0), "nothing was tried lately"
-    see(9 * SECOND + 1, calls=(1, 0, 20_000))
-    assert value(9 * SECOND + 1) == (StoreHealth.WORKING, 1), "one trial call tells"
+        observe(n * 250 * MS, calls=(0, 3, 0))
+    assert reported(4250 * MS) == (DOWN, 1)
+    observe(9 * SECOND)
+    assert reported(9 * SECOND) == (DOWN, 0), "nothing was tried lately"
+    observe(9 * SECOND + 1, calls=(1, 0, 20_000))
+    assert reported(9 * SECOND + 1) == (WORKING, 1), "one probe call tells"
     for n in range(18, 26):
-        see(10 * SECOND + n * 250 * MS, calls=(3, 0, 3_000_000))
-    assert value(16 * SECOND + 250 * MS)[0] == StoreHealth.SLOW
-    see(60 * SECOND)
-    assert value(60 * SECOND) is None
+        observe(10 * SECOND + n * 250 * MS, calls=(3, 0, 3_000_000))
+    assert reported(16 * SECOND + 250 * MS)[0] == SLOW
+    observe(60 * SECOND)
+    assert reported(60 * SECOND) is None
     for n in range(3000):
-        see(
-            70 * SECOND,
-            sources={subjects.source_subject(f"10.{n // 250}.0.{n % 250}"): (30 if n % 2 else 1, 0, 0)},
-        )
+        source = subjects.source_subject(f"10.{n // 250}.0.{n % 250}")
+        observe(70 * SECOND, sources={source: (30 if n % 2 else 1, 0, 0)})
     assert len(observer.sources) == CONFIG.max_sources
     assert len(observer.reports(70 * SECOND)) <= CONFIG.max_source_reports + 4
-    see(150 * SECOND)
+    observe(150 * SECOND)
     assert not observer.sources
 
 
-# ---- notes
+# ---- gossip entries and overrides
+
+CLOCK_MS = 10**12  # started_ms and incarnation of all members
+
 
+def record(name, address):
+    return MemberRecord(name, address, 1, CLOCK_MS, CLOCK_MS, 0, DeclaredStatus.ALIVE, [])
 
-def a_member(make=Member):
-    out = make("a", "f", "10.0.0.1:1", [], MembershipConfig(), random.Random(1), 10**12, 0)
+
+def entry(name, topic, sequence, payload, age_us=0):
+    return GossipEntry(name_hash(name), topic, CLOCK_MS, sequence, age_us, [], payload)
+
+
+def make_member():
+    """Member a, which knows b, c and d."""
+    member = Member("a", "f", "10.0.0.1:1", [], MembershipConfig(), random.Random(1), CLOCK_MS, 0)
     for name in "bcd":
-        out.learn(
-            0, MemberRecord(name, f"10.0.0.{ord(name)}:1", 1, 10**12, 10**12, 0, DeclaredStatus.ALIVE, [])
-        )
-    return out
+        member.learn(0, record(name, f"10.0.0.{ord(name)}:1"))
+    return member
 
 
 def test_gossip_entries_merge_alike_in_any_order_and_any_number_of_times():
     rng = random.Random(5)
-    notes = [
-        (
-            GossipEntry(
-                name_hash(rng.choice("bcd")), rng.randrange(3), 10**12, n, rng.randrange(1000), [], b"%d" % n
-            ),
-            rng.choice((None, 10, 500)),
-        )
-        for n in range(30)
-    ]
+    entries = []
+    for n in range(30):
+        name, topic, age_us = rng.choice("bcd"), rng.randrange(3), rng.randrange(1000)
+        entries.append((entry(name, topic, n, b"%d" % n, age_us), rng.choice((None, 10, 500))))
     held = []
     for _ in range(20):
-        said = notes + rng.choices(notes, k=20)
-        rng.shuffle(said)
-        one = a_member()
-        for note, way in said:
-            one.gossip.receive(5000, note, way)
-        held.append(
-            {key: (heard.entry.precedence, heard.written_at) for key, heard in one.gossip.received.items()}
-        )
+        some = entries + rng.choices(entries, k=20)
+        rng.shuffle(some)
+        member = make_member()
+        for each, transit_us in some:
+            member.gossip.receive(5000, each, transit_us)
+        received = member.gossip.received.items()
+        held.append({key: (dated.entry.precedence, dated.written_at) for key, dated in received})
     assert all(each == held[0] for each in held) and len(held[0]) == 9
 
 
 def test_an_entry_that_does_not_fit_is_relayed_later_and_more_often_in_a_large_fleet():
-    one = a_member()
+    member = make_member()
     for name in "bcd":
-        one.gossip.receive(0, GossipEntry(name_hash(name), 1, 10**12, 1, 0, [], b"x" * 300), 0)
-    before = dict(one.gossip.relays_left)
-    told = one.gossip.take(0, 1, 700)
-    assert len(told) == 2 and sum(before.values()) - sum(one.gossip.relays_left.values()) == 2
+        member.gossip.receive(0, entry(name, 1, 1, b"x" * 300), 0)
+    before = dict(member.gossip.relays_left)
+    taken = member.gossip.take(0, 1, 700)
+    assert len(taken) == 2 and sum(before.values()) - sum(member.gossip.relays_left.values()) == 2
     for n in range(60):
-        one.learn(0, MemberRecord(f"m{n}", f"10.0.1.{n}:1", 1, 10**12, 10**12, 0, DeclaredStatus.ALIVE, []))
-    one.gossip.receive(0, GossipEntry(name_hash("m5"), 1, 10**12, 1, 0, [], b"x"), 0)
-    assert one.gossip.relays_left[name_hash("m5"), 1] > 2
+        member.learn(0, record(f"m{n}", f"10.0.1.{n}:1"))
+    member.gossip.receive(0, entry("m5", 1, 1, b"x"), 0)
+    assert member.gossip.relays_left[name_hash("m5"), 1] > 2
 
 
 def test_overrides_merge_alike_in_any_order_and_the_newer_stands():
     rng = random.Random(6)
-    overrides = [
-        (
-            OperatorOverride(
-                rng.choice((BAD, GOOD)),
-                rng.choice((0, Restriction.THROTTLED, Restriction.BLOCKED)),
-                n // 3,
-                7,
-                n,
-                10**9,
-                "w",
-            ),
-            rng.randrange(10**8, 10**9),
-        )
-        for n in range(20)
-    ]
+    overrides = []
+    for n in range(20):
+        subject, value = rng.choice((BAD, GOOD)), rng.choice((0, THROTTLED, BLOCKED))
+        message = OperatorOverride(subject, value, n // 3, 7, n, 10**9, "w")
+        overrides.append((message, rng.randrange(10**8, 10**9)))
     held = []
     for _ in range(20):
         table = OverrideTable(CONFIG.max_overrides)
@@ -255,44 +233,45 @@
         rng.shuffle(some)
         for message, ends_at in some:
             table.receive(0, message, ends_at, "x")
-        held.append({subject: (held.message, held.ends_at) for subject, held in table.by_subject.items()})
+        by_subject = table.by_subject.items()
+        held.append({subject: (override.message, override.ends_at) for subject, override in by_subject})
     assert all(each == held[0] for each in held)
 
 
 def test_a_member_that_reports_for_others_or_too_often_is_ignored():
-    one = a_member()
+    member = make_member()
     consensus = ConsensusStore("a", "f", CONFIG, 0)
-    consensus.member = one
+    consensus.member = member
 
-    def hear(number, said, now, name="b"):
-        data = encode_value(said)
-        one.gossip.receive(
-            now, GossipEntry(name_hash(name), GossipTopic.OBSERVATIONS, 10**12, number, 0, [], data), 0
-        )
+    def collected(now, name):
         return consensus.collect_reports(now, is_alone=False).get(name_hash(name))
 
+    def receive(number, reports, now, name="b"):
+        payload = encode_value(reports)
+        member.gossip.receive(now, entry(name, GossipTopic.OBSERVATIONS, number, payload), 0)
+        return collected(now, name)
+
     own = Report(subjects.node_subject("b"), 0, 5)
-    assert hear(1, [Report(subjects.node_subject("c"), 100, 5), own], 0) == [own]
+    assert receive(1, [Report(subjects.node_subject("c"), 100, 5), own], 0) == [own]
     now = 0
-    while hear(now // 1000 + 2, [], now) is not None:
+    while receive(now // 1000 + 2, [], now) is not None:
         now += 100_000
         assert now < 10 * SECOND, "a change every 100 ms is not noticed"
     assert consensus.counts["speaks too often"]
-    assert hear(1, [Report(BAD, Restriction.BLOCKED, 1)], now, "c") is not None
-    one.known_members[name_hash("c")].state = "failed"
-    assert consensus.collect_reports(now, is_alone=False).get(name_hash("c")) is None, "of a failed member"
-    one.known_members[name_hash("c")].state = "alive"
-    assert (
-        consensus.collect_reports(now + CONFIG.report_lifetime + 1, is_alone=False).get(name_hash("c"))
-        is None
-    ), "void after its life"
+    assert receive(1, [Report(BAD, BLOCKED, 1)], now, "c") is not None
+    known = member.known_members[name_hash("c")]
+    known.state = MemberState.FAILED
+    assert collected(now, "c") is None, "of a failed member"
+    known.state = MemberState.ALIVE
+    assert collected(now + CONFIG.report_lifetime + 1, "c") is None, "void after its lifetime"
 
 
 def test_a_bound_of_every_number_of_members_and_loss_grows_with_both():
-    told = MembershipConfig()
+    membership = MembershipConfig()
     sizes = 3, 16, 24, 200, 2000
-    bounds = [CONFIG.acts_within(told, count, loss) for count in sizes for loss in (0.0, 0.3)]
-    assert all(a < b for a, b in zip(bounds[::2], bounds[1::2])) and bounds[8] > bounds[4]
+    bounds = [CONFIG.acts_within(membership, count, loss) for count in sizes for loss in (0.0, 0.3)]
+    calm, lossy = bounds[::2], bounds[1::2]
+    assert all(less < more for less, more in zip(calm, lossy, strict=True)) and bounds[8] > bounds[4]
 
 
 # ---- rounds on the virtual clock
@@ -309,7 +288,7 @@
     assert len({Run(3, 5, ("flood",), 1, verdicts=SHORT).play() for _ in range(2)}) == 1
 
 
-def planted(kinds, seeds=range(3), count=8, changes=(), figures=SHORT, **more):
+def planted(kinds, seeds=range(3), count=8, changes=(), config=SHORT, **more):
     """Whether a seed of these rounds finds it."""
     before = [(where, name, getattr(where, name)) for where, name, _ in changes]
     try:
@@ -317,7 +296,7 @@
             setattr(where, name, new)
         for seed in seeds:
             try:
-                Run(seed, count, kinds, 2, verdicts=figures, **more).play()
+                Run(seed, count, kinds, 2, verdicts=config, **more).play()
             except Breach:
                 return True
         return False
@@ -369,35 +348,45 @@
 
 
 DEFECTS = {
-    "an entry is dated by its arrival": dict(
-        kinds=("late",), changes=[(GossipEntryStore, "receive", receive_without_transit_time)]
-    ),
-    "an entry is passed on as new": dict(
-        kinds=("down", "late"), changes=[(GossipEntryStore, "take", take_as_new)]
-    ),
-    "a node that was suspended keeps what stood": dict(
-        kinds=("woken",), changes=[(ConsensusStore, "_on_clock_gap", keep_what_stood)]
-    ),
-    "a decision does not stand for a while": dict(
-        kinds=("flaps",), changes=[(standing, "StandingDecision", DecisionWithoutHold)]
-    ),
-    "a few are enough for the store": dict(kinds=("zone",), figures=replace(SHORT, store_quorum=0.05)),
-    "one report is enough for a source": dict(
-        kinds=("few_lie",), figures=replace(SHORT, min_reports=1, source_quorum=0.0)
-    ),
-    "the strictest level counts": dict(kinds=("few_lie",), changes=[(decision, "median_low", max)]),
-    "more may be ejected at once": dict(
-        kinds=("fail",), changes=[(decision, "decide_nodes", eject_all_outliers)]
-    ),
-    "a node is ejected before others were heard": dict(
-        kinds=("fail",), seeds=range(8), changes=[(ConsensusStore, "acts_within", lambda self: 0)]
-    ),
-    "the override received last stands": dict(
-        kinds=("words",), changes=[(OverrideTable, "receive", receive_the_latest)]
-    ),
-    "an override is no newer than another": dict(
-        kinds=("words",), changes=[(ConsensusStore, "issue_override", issue_without_number)]
-    ),
+    "an entry is dated by its arrival": {
+        "kinds": ("late",),
+        "changes": [(GossipEntryStore, "receive", receive_without_transit_time)],
+    },
+    "an entry is passed on as new": {
+        "kinds": ("down", "late"),
+        "changes": [(GossipEntryStore, "take", take_as_new)],
+    },
+    "a node that was suspended keeps what stood": {
+        "kinds": ("woken",),
+        "changes": [(ConsensusStore, "_on_clock_gap", keep_what_stood)],
+    },
+    "a decision does not stand for a while": {
+        "kinds": ("flaps",),
+        "changes": [(standing, "StandingDecision", DecisionWithoutHold)],
+    },
+    "a few are enough for the store": {"kinds": ("zone",), "config": replace(SHORT, store_quorum=0.05)},
+    "one report is enough for a source": {
+        "kinds": ("few_lie",),
+        "config": replace(SHORT, min_reports=1, source_quorum=0.0),
+    },
+    "the strictest level counts": {"kinds": ("few_lie",), "changes": [(decision, "median_low", max)]},
+    "more may be ejected at once": {
+        "kinds": ("fail",),
+        "changes": [(decision, "decide_nodes", eject_all_outliers)],
+    },
+    "a node is ejected before others were heard": {
+        "kinds": ("fail",),
+        "seeds": range(8),
+        "changes": [(ConsensusStore, "acts_within", lambda self: 0)],
+    },
+    "the override received last stands": {
+        "kinds": ("words",),
+        "changes": [(OverrideTable, "receive", receive_the_latest)],
+    },
+    "an override is no newer than another": {
+        "kinds": ("words",),
+        "changes": [(ConsensusStore, "issue_override", issue_without_number)],
+    },
 }
 
 
@@ -419,28 +408,31 @@
 
 
 def holds(far, **changed):
-    good = {"store": StoreHealth.WORKING, "sources": {}, "out": False, "level": 0.0}
+    good = {"store": WORKING, "sources": {}, "out": False, "level": 0.0}
     far.feed(FleetChange(("verdicts", {**good, **changed})))
 
 
 def test_a_store_that_is_down_gets_this_nodes_probe_calls_alone_and_more_by_steps_once_it_is_back():
     far = witnessed(cores=64, overload_factor=64, calls_limit=100.0)
-    room = lambda: far.meters.call_capacity(far.core.store)
-    assert room() is None
-    holds(far, store=StoreHealth.DOWN)
-    assert room() == 1 and far.meters.take_call(far.core.store)[1] == CONFIG.probe_timeout
+
+    def capacity():
+        return far.meters.call_capacity(far.core.store)
+
+    assert capacity() is None
+    holds(far, store=DOWN)
+    assert capacity() == 1 and far.meters.take_call(far.core.store)[1] == CONFIG.probe_timeout
     far.feed(FleetChange(("allow", "trial", 0, 0, far.now + 10**12)))
-    assert room() == 0 and far.meters.take_call(far.core.store) is None
+    assert capacity() == 0 and far.meters.take_call(far.core.store) is None
     holds(far)
-    rooms = []
+    capacities = []
     for _ in range(4):
         far.meters.at(far.now)
-        rooms.append(room())
+        capacities.append(capacity())
         far.now += CONFIG.recovery_step
-    assert rooms == [1, 2, 4, 8], "no rush of all at once"
+    assert capacities == [1, 2, 4, 8], "no rush of all at once"
     far.now += 20 * CONFIG.recovery_step
     far.meters.at(far.now)
-    assert room() is None
+    assert capacity() is None
 
 
 def test_unreadable_and_silent_connections_count_against_the_address_and_never_a_number():
@@ -464,9 +456,9 @@
     holds(
         far,
         sources={
-            BAD: Restriction.BLOCKED,
-            subjects.make_subject(SubjectKind.DISPATCHER, 5): Restriction.BLOCKED,
-            GOOD: Restriction.THROTTLED,
+            BAD: BLOCKED,
+            subjects.make_subject(SubjectKind.DISPATCHER, 5): BLOCKED,
+            GOOD: THROTTLED,
         },
     )
     tries = [
@@ -497,10 +489,10 @@
             here = subjects.source_subject("127.0.0.1")
             holds(
                 far,
-                store=rng.choice((StoreHealth.WORKING, StoreHealth.SLOW, StoreHealth.DOWN)),
+                store=rng.choice((WORKING, SLOW, DOWN)),
                 level=rng.choice((0.0, 0.0, 0.3, 0.9)),
                 out=rng.random() < 0.2,
-                sources=rng.choice(({}, {}, {here: Restriction.THROTTLED}, {here: Restriction.BLOCKED})),
+                sources=rng.choice(({}, {}, {here: THROTTLED}, {here: BLOCKED})),
             )
         if rng.random() < 0.05 and not far.ended:
             name = rng.choice(("trial", "calls"))
@@ -516,7 +508,7 @@
     rng = random.Random(seed)
     settings = {**draw_settings(rng), "memory_kb": 200_000}
     node = Node(settings, seed)
-    for step in range(500):
+    for _ in range(500):
         if rng.random() < 0.05:
             node.told = rng.choice(
                 (
@@ -550,10 +542,11 @@
 
 def test_settings_are_checked_and_the_check_warns_of_a_single_report():
     tree = {"fleet": {"name": "x", "listen": "127.0.0.1:1"}, "verdicts": {"count": 1, "life_ms": 20_000}}
-    told = verdicts(checked(tree, "f"))
-    assert told.report_lifetime == 20 * SECOND and [name for name, _ in config_warnings(told)] == ["count"]
-    wrong = config_errors(replace(told, report_lifetime=SECOND, max_standing=1))
-    assert [name for name, _ in wrong] == ["life_ms", "hold_most_ms"]
+    config = verdicts(checked(tree, "f"))
+    assert config.report_lifetime == 20 * SECOND
+    assert [problem.field for problem in config_warnings(config)] == ["count"]
+    errors = config_errors(replace(config, report_lifetime=SECOND, max_standing=1))
+    assert [error.field for error in errors] == ["life_ms", "hold_most_ms"]
     with pytest.raises(Wrong) as wrong:
         checked({"verdicts": {"life_ms": 3000, "cuont": 2}}, "f")
     assert "the nearest is count" in str(wrong.value)
@@ -563,8 +556,8 @@
 
 
 def test_the_example_of_the_settings_shows_the_defaults():
-    with open("deploy/finchcart.json5", encoding="utf-8") as file:
-        head, _, tail = file.read().partition("  // verdicts: {\n")
+    text = Path("deploy/finchcart.json5").read_text(encoding="utf-8")
+    head, _, tail = text.partition("  // verdicts: {\n")
     body, _, rest = tail.partition("  // },\n")
     tree = json5.loads(head + "  verdicts: {\n" + re.sub(r"(?m)^  // ", "  ", body) + "  },\n" + rest)
     assert verdicts(checked(tree, "example")) == replace(CONFIG, zone="a")
@@ -588,16 +581,14 @@
     for n in range(14):
         consensus.issue_override(
             fleet.now,
-            OverrideRequest(
-                n, subjects.source_subject(f"10.0.1.{n}"), Restriction.BLOCKED, 60 * SECOND, "w" * 60
-            ),
+            OverrideRequest(n, subjects.source_subject(f"10.0.1.{n}"), BLOCKED, 60 * SECOND, "w" * 60),
         )
     view = consensus.status(fleet.now)
     rows = [row for page in range(view["pages"]) for row in consensus.status(fleet.now, page)["verdicts"]]
     assert len(rows) == 14 and len({row["name"] for row in rows}) == 14
     for page in range(view["pages"]):
-        said = StatusResponse(1, consensus.status(fleet.now, page))
-        assert len(CODEC.encode("f", said)) <= MAX_DATAGRAM_BYTES
+        response = StatusResponse(1, consensus.status(fleet.now, page))
+        assert len(CODEC.encode("f", response)) <= MAX_DATAGRAM_BYTES
 
 
 def test_a_call_cut_short_by_a_grant_is_no_evidence_of_the_store():
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Membership on the virtual clock: messages, the verdict, seeded runs, and defects planted one by one."""
 
 import random
+from pathlib import Path
 
 import json5
 import msgspec
@@ -33,7 +34,7 @@
 
 
 def test_what_cannot_be_read_or_is_impossible_is_counted_by_reason_and_dropped():
-    one = Member("me", "f", "127.0.0.1:7400", [], MembershipConfig(), random.Random(1), 1000, 0)
+    member = Member("me", "f", "127.0.0.1:7400", [], MembershipConfig(), random.Random(1), 1000, 0)
     good = CODEC.encode("f", Heartbeat(RECORD, 1, 0, 0, 0, []))
     spoilt = good[:1] + bytes([good[1] ^ 1]) + good[2:]
     far = msgspec.structs.replace(RECORD, incarnation=2**50)
@@ -50,11 +51,11 @@
         (CODEC.encode("f", MemberRecords([placeless])), "impossible address"),
         (CODEC.encode("f", messages.ViewPage(1, 0, 1, {})), "not asked for"),
     ]:
-        before = one.counts.get(reason, 0)
-        assert not [e for e in one.reduce(1, ("got", ("127.0.0.2", 7400), data)) if e[0] == "change"]
-        assert one.counts[reason] == before + 1, reason
-    assert list(one.known_members) == [one.own_id]
-    assert ("change", "a", "alive", 1000) in one.reduce(2, ("got", ("127.0.0.2", 7400), good))
+        before = member.counts.get(reason, 0)
+        assert not [e for e in member.reduce(1, ("got", ("127.0.0.2", 7400), data)) if e[0] == "change"]
+        assert member.counts[reason] == before + 1, reason
+    assert list(member.known_members) == [member.own_id]
+    assert ("change", "a", "alive", 1000) in member.reduce(2, ("got", ("127.0.0.2", 7400), good))
 
 
 def test_all_mistakes_of_a_settings_file_are_told_at_once_with_path_and_nearest_name():
@@ -75,8 +76,8 @@
         with pytest.raises(Wrong):
             checked({"fleet": {"name": "x", "listen": "127.0.0.1:7400", **field}}, "F")
     assert checked({"fleet": {"name": "x", "listen": "127.0.0.1:7400"}}, "F").fleet.name == "x"
-    with open("deploy/finchcart.json5", encoding="utf-8") as file:
-        checked(json5.load(file), "deploy/finchcart.json5")
+    deployed = Path("deploy/finchcart.json5")
+    checked(json5.loads(deployed.read_text(encoding="utf-8")), str(deployed))
 
 
 def test_a_full_table_lets_failed_ones_go_first_and_then_refuses():
@@ -97,7 +98,7 @@
     )
 
 
-# ---- the verdict
+# ---- the view
 
 
 def test_connected_members_are_the_same_for_all_of_them():
@@ -171,15 +172,16 @@
     assert all(seen["n40"] == "alive" for seen in fleet.views().values())
 
 
-# ---- planted defects: each has a scenario that a sound member passes and the planted one does not
+# ---- planted defects: each has a scenario that a sound member passes and a planted one does not.
+# A scenario returns what it found wrong.
 
 
 def scenario(text, nodes=8, **fleet):
     script = msgspec.convert({"about": "", "nodes": nodes, "fleet": fleet, **json5.loads(text)}, Script)
 
-    def play(make):
+    def play():
         plan = lay_out(script, 1)
-        events, start, facts = on_virtual(plan, make)
+        events, start, facts = on_virtual(plan)
         return [result.breach for result in judge_plan(plan, events, start) if result.breach]
 
     return play
@@ -214,14 +216,13 @@
     {what: "never", by: "x", of: "dead", states: ["alive"], after: 12.05, until: 30}]}]}""")
 
 
-def forget(make):
+def forgotten_member_returns():
     """A forgotten one does not come back by old rows that are on their way for 10 s and more."""
     changes, names = [], [f"n{n}" for n in range(6)]
     fleet = Fleet(
         names,
         1,
         MembershipConfig(forget_after=6 * SECOND),
-        make=make,
         watch=lambda now, name, effect: changes.append((now, name, effect)),
     )
     for name in names:
@@ -235,9 +236,9 @@
     return [c for c in changes if c[0] > 5 * SECOND and c[2][:3] == ("change", "n5", "alive")]
 
 
-def clock_back(make):
+def clock_set_back():
     """Started again with its clock an hour back, it is known again within 4 s."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1, make=make)
+    fleet = Fleet([f"n{n}" for n in range(6)], 1)
     for name in fleet.places:
         fleet.start(name)
     fleet.run(4 * SECOND)
@@ -248,9 +249,9 @@
     return [name for name, seen in fleet.views().items() if seen["n2"] != "alive"]
 
 
-def twins(make):
+def two_of_one_name():
     """Of two processes of one name the younger stands and the elder knows it is not in the fleet."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1, make=make)
+    fleet = Fleet([f"n{n}" for n in range(6)], 1)
     for name in fleet.places:
         fleet.start(name)
     fleet.add("twin")
@@ -261,9 +262,9 @@
     return [] if old.yielded and old.isolated and not new.yielded else ["both stand"]
 
 
-def sleeper(make):
+def suspended_while_replaced():
     """One that slept while its name was started elsewhere yields within 2 s of waking."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1, make=make)
+    fleet = Fleet([f"n{n}" for n in range(6)], 1)
     for name in fleet.places:
         fleet.start(name)
     fleet.add("twin")
@@ -278,9 +279,9 @@
     return [] if old.yielded and not new.yielded else ["it stands"]
 
 
-def absurd(make):
+def forged_incarnation():
     """A forged row with an absurd incarnation does not put its name out of reach."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1, make=make)
+    fleet = Fleet([f"n{n}" for n in range(6)], 1)
     for name in fleet.places:
         fleet.start(name)
     fleet.run(4 * SECOND)
@@ -293,9 +294,9 @@
     return [name for name, seen in fleet.views().items() if seen["n2"] != "alive"]
 
 
-def bytes_calm(make):
+def bytes_when_calm():
     """Long after the last change a member sends little: news age."""
-    fleet = Fleet([f"n{n}" for n in range(8)], 1, make=make)
+    fleet = Fleet([f"n{n}" for n in range(8)], 1)
     for name in fleet.places:
         fleet.start(name)
     fleet.run(20 * SECOND)
@@ -305,30 +306,32 @@
     return [each] if each > 14 * 150 else []  # 14 beats a second
 
 
-def flood(make):
+def flood_of_requests():
     """One that is asked without end sends no more than its bound."""
-    fleet = Fleet(["n0"], 1, MembershipConfig(max_datagrams=100), make=make)
+    fleet = Fleet(["n0"], 1, MembershipConfig(max_datagrams=100))
     fleet.start("n0")
     for n in range(2000):
         fleet.feed("n0", ("got", ("10.0.0.9", 1), CODEC.encode("", messages.ViewRequest(n, 0))))
     return [fleet.places["n0"].member.counts] if fleet.places["n0"].member.counts["sent"] > 100 else []
 
 
-def successor(make):
-    """What a predecessor heard proves no contact with its successor."""
-    one = make("me", "f", "127.0.0.1:7400", [], MembershipConfig(), random.Random(1), 1000, 0)
-    two = msgspec.structs.replace(RECORD, session=6, started_ms=2000, incarnation=2000)
-    got = lambda row, seq, session, echo, now: one.reduce(
-        now, ("got", ("127.0.0.2", 7400), CODEC.encode("f", Heartbeat(row, seq, session, echo, 0, [])))
-    )
-    got(RECORD, 1, 0, 0, 1)
+def echo_to_a_predecessor():
+    """What a predecessor received proves no contact with its successor."""
+    member = Member("me", "f", "127.0.0.1:7400", [], MembershipConfig(), random.Random(1), 1000, 0)
+    successor_record = msgspec.structs.replace(RECORD, session=6, started_ms=2000, incarnation=2000)
+
+    def receive(record, sequence, echo_session, echo_sequence, now):
+        heartbeat = Heartbeat(record, sequence, echo_session, echo_sequence, 0, [])
+        member.reduce(now, ("got", ("127.0.0.2", 7400), CODEC.encode("f", heartbeat)))
+
+    receive(RECORD, 1, 0, 0, 1)
     for n in range(1, 20):
-        one.reduce(n * 100_000, ("tick",))
-    got(two, 1, 0, 0, 2_000_000)
+        member.reduce(n * 100_000, ("tick",))
+    receive(successor_record, 1, 0, 0, 2_000_000)
     for n in range(21, 30):
-        one.reduce(n * 100_000, ("tick",))
-    got(two, 2, 12345, 99, 3_000_000)  # echoes what another process sent
-    return ["contact"] if one.links[name_hash("a")].confirmed_at is not None else []
+        member.reduce(n * 100_000, ("tick",))
+    receive(successor_record, 2, 12345, 99, 3_000_000)  # echoes what another process sent
+    return ["contact"] if member.links[name_hash("a")].confirmed_at is not None else []
 
 
 update_queue_take = UpdateQueue.take
@@ -415,12 +418,12 @@
 # name -> (scenario, what is replaced: (owner, attribute, by what))
 DEFECTS = {
     "incarnation not raised over what is remembered": (
-        clock_back,
+        clock_set_back,
         [(MemberTable, "raise_incarnation_over", do_nothing)],
     ),
-    "two of one name: none yields": (twins, [(NameContest, "give_way", do_nothing)]),
+    "two of one name: none yields": (two_of_one_name, [(NameContest, "give_way", do_nothing)]),
     "one that was suspended is not told that its name is taken": (
-        sleeper,
+        suspended_while_replaced,
         [(NameContest, "give_way", do_nothing)],
     ),
     "trusts what it believed before a suspension": (STOP, [(Member, "_on_clock_gap", do_nothing)]),
@@ -428,11 +431,14 @@
     "isolation is not reported": (DEAF, [(IsolationMonitor, "set_isolated", do_nothing)]),
     "failed ones are not looked for": (HALVES, [(HeartbeatSender, "look_for_lost", do_nothing)]),
     "updates never age": (
-        bytes_calm,
+        bytes_when_calm,
         [(UpdateQueue, "take", updates_never_age), (UpdateQueue, "push", push_and_remember_id)],
     ),
-    "a forgotten one comes back": (forget, [(MemberTable, "forget", forget_without_tombstone)]),
-    "any incarnation is accepted": (absurd, [(MemberTable, "is_impossible", do_nothing)]),
+    "a forgotten one comes back": (
+        forgotten_member_returns,
+        [(MemberTable, "forget", forget_without_tombstone)],
+    ),
+    "any incarnation is accepted": (forged_incarnation, [(MemberTable, "is_impossible", do_nothing)]),
     "newcomers are told of the failed": (
         JOIN,
         [
@@ -440,9 +446,9 @@
             (AntiEntropy, "on_digests", send_all_records),
         ],
     ),
-    "no bound on datagrams": (flood, [(Outbox, "send", send_without_bound)]),
+    "no bound on datagrams": (flood_of_requests, [(Outbox, "send", send_without_bound)]),
     "an echo of another session counts": (
-        successor,
+        echo_to_a_predecessor,
         [(FailureDetector, "on_heartbeat", accept_any_echo)],
     ),
 }
@@ -457,18 +463,18 @@
 @pytest.mark.parametrize("name", DEFECTS)
 def test_a_planted_defect_is_found(name, monkeypatch):
     play, replacements = DEFECTS[name]
-    assert not play(Member)
+    assert not play()
     for owner, attribute, replacement in replacements:
         monkeypatch.setattr(owner, attribute, replacement, raising=attribute != "digest")
-    assert play(Member)
+    assert play()
 
 
 @pytest.mark.parametrize("name", VIEW_DEFECTS)
 def test_a_planted_rule_of_the_view_is_found(name, monkeypatch):
     play, rule = VIEW_DEFECTS[name]
-    assert not play(Member)
+    assert not play()
     monkeypatch.setattr(failure_detection, "connected_members", rule)
-    assert play(Member)
+    assert play()
 
 
 def test_seeded_runs_find_an_older_record_accepted(monkeypatch):
