--- a/finchcart/consensus/collector.py
+++ b/finchcart/consensus/collector.py
@@ -133,7 +133,8 @@
     def _changes_too_often(self, now: int, member_id: int, precedence: Precedence) -> bool:
         rate = self._change_rates.get(member_id)
         if rate is None:
-            rate = self._change_rates[member_id] = ChangeRate(now, precedence)
+            rate = ChangeRate(now, precedence)
+            self._change_rates[member_id] = rate
         allowed = 2 * RATE_WINDOW // self.config.min_publish_interval
         if rate.changes(now, precedence) > allowed and now >= rate.muted_until:
             rate.muted_until = now + RATE_WINDOW
--- a/finchcart/consensus/observations.py
+++ b/finchcart/consensus/observations.py
@@ -162,7 +162,8 @@
         if source is None:
             if len(self.sources) >= self.config.max_sources and not self._make_room():
                 return
-            source = self.sources[subject] = ObservedSource(self.config)
+            source = ObservedSource(self.config)
+            self.sources[subject] = source
         source.sums.add(now, item)
 
     def _make_room(self) -> bool:
--- a/finchcart/consensus/status.py
+++ b/finchcart/consensus/status.py
@@ -36,7 +36,9 @@
         return {**view, **self._bounds()} if page == 0 else view
 
     def _bounds(self) -> dict[str, Any]:
-        store, member, config = self.store, self.store.member, self.store.config
+        store = self.store
+        member = store.member
+        config = store.config
         collector = store.collector
         recurrences = store.standing.max_recurrences()
         fleet = member.config, collector.member_count
--- a/finchcart/consensus/store.py
+++ b/finchcart/consensus/store.py
@@ -108,12 +108,12 @@
 
     def reduce(self, now: int, event: tuple) -> list[Effect]:
         """Takes one input; the effects that the driver carries out."""
-        self.effects = effects = []
+        self.effects = []
         kind, *arguments = event
         handler = self._handlers.get(kind)
         if handler is not None:
             handler(now, *arguments)
-        return effects
+        return self.effects
 
     def _on_evidence(self, now: int, evidence: Evidence) -> None:
         if now >= self._quiet_until:
@@ -134,7 +134,7 @@
 
     def turn(self, now: int, member: Member) -> list[Effect]:
         """Once a tick of the member: reports, decides, and hands out what changed."""
-        self.effects = effects = []
+        self.effects = []
         self.member = member
         if now - self.last_turn_at > member.config.clock_gap:
             self._on_clock_gap(now)
@@ -143,7 +143,7 @@
         self._publish(now)
         self._decide(now, is_alone=member.isolated or member.yielded)
         self._hand_out()
-        return effects
+        return self.effects
 
     def _on_clock_gap(self, now: int) -> None:
         """What was seen and decided is of before; others may have seen otherwise meanwhile."""
--- a/finchcart/membership/name_contest.py
+++ b/finchcart/membership/name_contest.py
@@ -23,7 +23,8 @@
 
     def receive(self, now: int, record: MemberRecord) -> Reception:
         """Takes a record of the own name, as others remember it."""
-        own, outbox = self.table.own_record, self.table.outbox
+        own = self.table.own_record
+        outbox = self.table.outbox
         if record.session == own.session:
             if record.precedence > own.precedence:
                 outbox.count("own row altered")
--- a/finchcart/membership/records.py
+++ b/finchcart/membership/records.py
@@ -185,7 +185,8 @@
             self._add(member_id, record, now)
 
     def _add(self, member_id: int, record: MemberRecord, now: int) -> None:
-        known = self.members[member_id] = KnownMember(record, now)
+        known = KnownMember(record, now)
+        self.members[member_id] = known
         self.digest ^= known.digest
         self.outbox.emit(MemberChanged.of(record.name, MemberState.ALIVE, record.incarnation))
         self.is_graph_outdated = True
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -402,9 +402,9 @@
 
 def witnessed(**settings):
     """A far with verdicts: the trial limit gives this node one call, for ever."""
-    meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
-    meters.recovery_step_us, meters.probe_timeout_us = CONFIG.recovery_step, CONFIG.probe_timeout
-    far = far_plain(meters, NodeObserver(CONFIG), **settings)
+    limiters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
+    limiters.recovery_step_us, limiters.probe_timeout_us = CONFIG.recovery_step, CONFIG.probe_timeout
+    far = far_plain(limiters, NodeObserver(CONFIG), **settings)
     far.feed(fleet_input(("allow", "trial", 0, 1, far.now + 10**12)))
     return far
 
@@ -480,9 +480,11 @@
 @pytest.mark.parametrize("seed", range(10))
 def test_rules_hold_with_decisions_that_come_and_go(seed):
     rng = random.Random(seed)
-    meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10)
-    meters.recovery_step_us, meters.probe_timeout_us = CONFIG.recovery_step, CONFIG.probe_timeout
-    far = Far({**draw_settings(rng), **GAUGES}, seed, limiters=meters, observer=NodeObserver(CONFIG))
+    limiters = LimiterSet(
+        (Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10
+    )
+    limiters.recovery_step_us, limiters.probe_timeout_us = CONFIG.recovery_step, CONFIG.probe_timeout
+    far = Far({**draw_settings(rng), **GAUGES}, seed, limiters=limiters, observer=NodeObserver(CONFIG))
     step = far.step
 
     def stepped(dt):
