Tests of decisions: a typed record of each hosted RPC, named steps, the field's words

Cause: the simulated node kept RPCs in bare dictionaries with words of their own, and random steps, named lambdas and repeated notes of rejections stood in long functions.

Renamed tests: a_repeat_shares_and_never_runs -> a_duplicate_shares_and_never_runs late_running_work_is_aborted_before_it_is_due -> late_runs_are_failed_before_they_are_due health_is_bad_while_rpcs_lose_their_time_... -> a_node_is_unhealthy_while_rpcs_lose_their_time_... calls_to_a_tier_are_not_held_to_a_share_... -> calls_to_a_tier_are_not_limited_by_a_share_... a_full_table_turns_away_where_no_level_... -> idle_connections_are_kept_where_no_level_... callers_that_are_new_ones_for_ever_are_forgotten -> callers_that_are_always_new_are_forgotten a_full_fleet_is_told_by_further_tries_or_... -> a_full_fleet_shows_by_retries_or_... a_slow_dependency_leaves_time_for_a_poorer_answer -> ..._for_a_degraded_answer a_full_table_turns_away_what_would_wait_unread -> idle_connections_are_kept_where_rpcs_lose_... a_further_try_has_less_time_left -> a_retry_has_less_time_left an_rpc_is_run_and_its_end_heard -> an_rpc_is_run_and_its_end_reported an_exception_in_the_module_is_told_and_... -> an_exception_in_the_decision_module_is_reported_...

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -4,8 +4,9 @@
 import random
 from base64 import b64decode
 from collections import Counter, deque
+from dataclasses import dataclass
 
-from finchcart.control import Control
+from finchcart.control import Control, Rpc
 from finchcart.interface import Gauges, Outcome
 from finchcart.net.limits import Limits
 from finchcart.node import effects
@@ -22,24 +23,26 @@
     WriteBlocked,
     WriteResumed,
 )
+from finchcart.rpc_record import RpcState
 from finchcart.thrift import codec as thrift
 from finchcart.thrift.codec import STRING, STRUCT
 from finchcart.thrift.front import ThriftFront
 
 KINDS = ("idempotent", "keyed", "non_idempotent")
 MS = 1000
+IN_PROGRESS = (RpcState.RUNNING, RpcState.AWAITING_CALL, RpcState.CALLING)
 
 
 def draw_settings(rng):
     """Settings of a made-up deployment."""
-    memory = rng.choice((4_000, 20_000, 200_000))
-    calls = rng.random() < 0.6
-    out = {
+    memory_kb = rng.choice((4_000, 20_000, 200_000))
+    makes_calls = rng.random() < 0.6
+    settings = {
         "cores": rng.randint(1, 8),
         "tick": rng.choice((1, 2, 5)) * MS,
         "drain_grace": rng.randint(0, 2500) * MS,
         "slack": 60 * MS,
-        "memory_kb": memory,
+        "memory_kb": memory_kb,
         "run_factor": rng.choice((1, 4, 16)),
         "key_entry_kb": rng.choice((1, 90)),
         "overload_factor": rng.choice((3, 6, 8)),
@@ -54,41 +57,92 @@
         "methods.count": rng.randint(1, 4),
         "tells_deadline": rng.random() < 0.5,
     }
-    out["can_pause"] = out["can_stop"] and rng.random() < 0.5
-    if calls and rng.random() < 0.3:
-        out.update(dependency="tier", calls_limit=0.0)  # as is written where no share is told
-    elif calls:
-        out.update(calls_limit=rng.choice((0.3, 2.0, 7.0)), calls_window=5000 * MS, calls_linger=200 * MS)
-    for n in range(out["methods.count"]):
-        target = rng.randint(300, 2000) * MS
-        out.update(
-            {
-                f"methods.{n}.name": f"m{n}",
-                f"methods.{n}.kind": rng.choice(KINDS),
-                f"methods.{n}.criticality": rng.randint(1, 3),
-                f"methods.{n}.latency_target": target,
-                f"methods.{n}.deadline": target * rng.randint(1, 4),
-                f"methods.{n}.window": 5000 * MS,
-            }
-        )
-    names = range(out["methods.count"])
-    out["method_calls"] = tuple(calls and rng.random() < 0.7 for _ in names)
-    out["degraded_value"] = tuple(rng.choice((0.0, 0.4)) for _ in names)
-    return out
+    settings["can_pause"] = settings["can_stop"] and rng.random() < 0.5
+    settings |= draw_dependency(rng) if makes_calls else {}
+    methods = range(settings["methods.count"])
+    for method in methods:
+        settings |= draw_method(rng, method)
+    settings["method_calls"] = tuple(makes_calls and rng.random() < 0.7 for _ in methods)
+    settings["degraded_value"] = tuple(rng.choice((0.0, 0.4)) for _ in methods)
+    return settings
+
+
+def draw_dependency(rng):
+    if rng.random() < 0.3:
+        return {"dependency": "tier", "calls_limit": 0.0}  # as is written where no share is told
+    return {
+        "calls_limit": rng.choice((0.3, 2.0, 7.0)),
+        "calls_window": 5000 * MS,
+        "calls_linger": 200 * MS,
+    }
+
+
+def draw_method(rng, method):
+    objective = rng.randint(300, 2000) * MS
+    return {
+        f"methods.{method}.name": f"m{method}",
+        f"methods.{method}.kind": rng.choice(KINDS),
+        f"methods.{method}.criticality": rng.randint(1, 3),
+        f"methods.{method}.latency_target": objective,
+        f"methods.{method}.deadline": objective * rng.randint(1, 4),
+        f"methods.{method}.window": 5000 * MS,
+    }
+
+
+@dataclass(eq=False)
+class HostedRpc:
+    """What the simulated node knows of one RPC, apart from the decision module. Times are microseconds."""
+
+    method: int
+    kind: str
+    window: int  # of its idempotency key
+    first: int  # index of the first RPC of its key
+    is_duplicate: bool
+    reached_at: int
+    due_at: int
+    memory_kb: float
+    state: RpcState = RpcState.QUEUED
+    has_run: bool = False
+    answered: bool = False
+    caller_is_gone: bool = False
+    stop_requested: bool = False
+    since: int = 0  # when its run or call began
+    calls: int = 0
+    call_timeout: int = 0
+    call_never_ran: bool = False  # its last call has proved that
+    stalled_until: int = 0  # delays of a process that stands still aren't its fault
+    handle: Rpc | None = None
+
+    @property
+    def is_owed(self) -> bool:
+        """Whether its caller still waits for an answer."""
+        return not (self.answered or self.caller_is_gone)
 
 
 class Node:
-    """A node's cores, memory, table and dependency, only as far as the rules need them."""
+    """A node's cores, memory, keys and dependency, as far as the rules need them; the `Port` of its control.
+
+    Checks the rules as the decision module acts; `check` holds the others.
+    """
 
     def __init__(self, settings, seed=1, now=10_000_000):
-        self.settings, self.now, self.get = settings, now, settings.get
-        self.rpcs, self.open, self.timers, self.lines, self.entries = {}, {}, [], [], {}
-        self.drained = self.kill = None
-        self.told = {}  # of the fleet's verdicts, as gauges
-        self.pauses = self.resumed = 0  # how often runs were told to pause, and went on
-        self.wanting = 0  # reads that want a core besides the runs
-        self.count, self.released = 0, set()
-        self.crowd_sum = self.calls_sum = 0.0
+        self.settings = settings
+        self.started_at = self.now = now
+        self.rpcs = {}  # by index
+        self.open = {}  # those that are not completed
+        self.released = set()
+        self.count = 0
+        self.keys = {}  # first index of a key -> (time until which it is stored, index)
+        self.timers = []
+        self.lines = []
+        self.fleet_gauges = {}  # decisions of the fleet
+        self.waiting_reads = 0  # reads that want a core besides the runs
+        self.pauses = 0  # runs that were told to pause
+        self.resumed = 0
+        self.mean_on_cores = 0.0  # over the window of the overload
+        self.mean_calls = 0.0  # over the window of the dependency's limit
+        self.drained_at = None
+        self.kill_at = None
         self.control = Control(self, settings, seed)
         self.control.start(now)
 
@@ -96,92 +150,112 @@
         assert index not in self.released, "a released index was named"
         return self.rpcs[index]
 
-    # the port
+    def criticality(self, rpc):
+        return self.settings[f"methods.{rpc.method}.criticality"]
+
+    def in_state(self, *states):
+        """Indices of the open RPCs in these states, in the order of their arrival."""
+        return [index for index, rpc in self.open.items() if rpc.state in states]
+
+    # ---- The port
+
     def run(self, index):
-        r = self.rpc(index)
-        assert r["state"] == "paused" or r["state"] == "held" and not r["ran"], "run twice"
-        self.resumed += r["state"] == "paused"
-        if self.drained is not None:
-            in_grace = r["reached"] <= self.drained + self.settings["drain_grace"]
-            assert in_grace, "drain: ran what came past the grace"
-        if r["kind"] == "keyed":
-            for other in self.rpcs.values():
-                same = other["first"] == r["first"] and other is not r
-                within = other["reached"] + r["window"] > r["reached"]
-                assert not (same and other["ran"] and within), "effect twice"
-            kept = self.entries.get(r["first"], (0, 0))[0]
-            assert kept >= r["reached"] + r["window"], "not remembered long enough"
-        r.update(state="running", ran=True, since=self.now, stopped=False)
+        rpc = self.rpc(index)
+        is_paused = rpc.state is RpcState.PAUSED
+        assert is_paused or rpc.state is RpcState.QUEUED and not rpc.has_run, "run twice"
+        self.resumed += is_paused
+        if self.drained_at is not None:
+            grace_end = self.drained_at + self.settings["drain_grace"]
+            assert rpc.reached_at <= grace_end, "drain: ran what came past the grace"
+        if rpc.kind == "keyed":
+            self.check_runs_once(rpc)
+        rpc.state = RpcState.RUNNING
+        rpc.has_run = True
+        rpc.since = self.now
+        rpc.stop_requested = False
+
+    def check_runs_once(self, rpc):
+        for other in self.rpcs.values():
+            same_key = other.first == rpc.first and other is not rpc
+            within = other.reached_at + rpc.window > rpc.reached_at
+            assert not (same_key and other.has_run and within), "effect twice"
+        stored_until, _ = self.keys.get(rpc.first, (0, 0))
+        assert stored_until >= rpc.reached_at + rpc.window, "not stored long enough"
 
     def stop(self, index):
-        r = self.rpc(index)
-        assert self.settings["can_stop"] and r["state"] == "running"
-        if not (r["answers"] or r["gone"]):
-            worth = lambda r: self.get(f"methods.{r['n']}.criticality")
-            more = max((worth(other) for other in self.open.values() if other["state"] == "held"), default=0)
-            assert self.get("can_pause") and worth(r) < more / 2, "paused for what is worth no more"
+        rpc = self.rpc(index)
+        assert self.settings["can_stop"] and rpc.state is RpcState.RUNNING
+        if rpc.is_owed:
+            queued = (other for other in self.open.values() if other.state is RpcState.QUEUED)
+            most_critical = max(map(self.criticality, queued), default=0)
+            yields = self.criticality(rpc) < most_critical / 2
+            assert self.settings.get("can_pause") and yields, "paused for what is worth no more"
             self.pauses += 1
         else:
-            assert r["kind"] == "idempotent", "what may have an effect was ended half done"
-        r["stopped"] = True
+            assert rpc.kind == "idempotent", "what may have an effect was ended half done"
+        rpc.stop_requested = True
 
-    def answer(self, r, by_hand=True):
-        assert not r["answers"] or not by_hand, "two answers"
-        r["answers"] = 1
+    def answer(self, rpc):
+        assert not rpc.answered, "two answers"
+        rpc.answered = True
 
     def reject(self, index, retry_after, do_not_retry):
-        r = self.rpc(index)
-        assert not r["ran"] and r["state"] == "held", "pushed back after it ran"
+        rpc = self.rpc(index)
+        assert not rpc.has_run and rpc.state is RpcState.QUEUED, "rejected after it ran"
         assert 0 <= retry_after <= self.settings["retry_after_max"]
-        self.answer(r)
-        r["state"] = "over"
+        self.answer(rpc)
+        rpc.state = RpcState.COMPLETED
 
     def fail(self, index):
-        r = self.rpc(index)
-        self.answer(r)
-        if r["state"] in ("held", "sharing", "paused"):
-            r["state"] = "over"
+        rpc = self.rpc(index)
+        self.answer(rpc)
+        if rpc.state in (RpcState.QUEUED, RpcState.SHARING, RpcState.PAUSED):
+            rpc.state = RpcState.COMPLETED
 
     def call(self, index, timeout):
-        r = self.rpc(index)
-        assert r["state"] == "standing" and timeout > 0 and not (r["answers"] or r["gone"])
-        if r["calls"]:
-            assert r["kind"] == "idempotent" or r["never_ran"], "call repeated without proof"
-        r.update(state="calling", calls=r["calls"] + 1, since=self.now, limit=timeout)
+        rpc = self.rpc(index)
+        assert rpc.state is RpcState.AWAITING_CALL and timeout > 0 and rpc.is_owed
+        if rpc.calls:
+            assert rpc.kind == "idempotent" or rpc.call_never_ran, "call repeated without proof"
+        rpc.state = RpcState.CALLING
+        rpc.calls += 1
+        rpc.since = self.now
+        rpc.call_timeout = timeout
 
     def degrade(self, index):
-        r = self.rpc(index)
-        assert r["state"] == "standing" and self.settings["degraded_value"][r["n"]] > 0
-        r["state"] = "running"
+        rpc = self.rpc(index)
+        assert rpc.state is RpcState.AWAITING_CALL and self.settings["degraded_value"][rpc.method] > 0
+        rpc.state = RpcState.RUNNING
 
     def answer_duplicate(self, index):
-        r = self.rpc(index)
-        assert r["state"] == "held" and r["repeat"]
-        r["state"] = "sharing"
+        rpc = self.rpc(index)
+        assert rpc.state is RpcState.QUEUED and rpc.is_duplicate
+        rpc.state = RpcState.SHARING
 
     def store_key(self, index, ttl):
-        r = self.rpc(index)
-        assert r["kind"] == "keyed" and ttl > 0
-        self.entries[r["first"]] = (self.now + ttl, index)
+        rpc = self.rpc(index)
+        assert rpc.kind == "keyed" and ttl > 0
+        self.keys[rpc.first] = (self.now + ttl, index)
 
     def evict_key(self, index):
-        assert not self.rpc(index)["ran"], "forgot what ran"
-        self.entries.pop(self.rpc(index)["first"], None)
+        rpc = self.rpc(index)
+        assert not rpc.has_run, "evicted the key of what ran"
+        self.keys.pop(rpc.first, None)
 
     def set_health(self, healthy, cached):
-        assert cached and not (healthy and self.drained is not None), "health good while draining"
-        self.good = healthy
+        assert cached and not (healthy and self.drained_at is not None), "healthy while draining"
+        self.healthy = healthy
 
     def set_shed_level(self, level):
         assert self.settings["feedback"] == "level" and 0 <= level <= 1
 
     def set_credit(self, credit):
         assert self.settings["feedback"] == "credit" and credit > 0
-        self.said_credit = credit
+        self.published_credit = credit
 
     def set_idle_timeout(self, timeout):
         assert timeout >= 10 * MS
-        self.idle = timeout
+        self.idle_timeout = timeout
 
     def set_timer(self, delay, name):
         self.timers.append((self.now + delay, name))
@@ -192,130 +266,159 @@
     def release(self, index):
         self.released.add(index)
 
-    # what happens to it
-    def arrive(self, n=0, first=None, waited=0, left=None, kb=20.0, **more):
-        get, index = lambda name: self.settings[f"methods.{n}.{name}"], self.count
+    # ---- What happens to it
+
+    def arrive(self, method=0, first=None, waited=0, time_left=None, memory_kb=20.0, **more):
+        """An RPC is read; `first`: the index of the first RPC of its key. Returns its index."""
+        index = self.count
         self.count += 1
-        reached = self.now - waited
-        expires = max(self.now, reached + (left or get("deadline"))) if self.settings["tells_deadline"] else 0
-        repeats = None
-        if first is not None:
-            kept = self.entries.get(first)
-            if kept and kept[0] > reached:
-                repeats = -1 if kept[1] in self.released else kept[1]
-            elif any(
-                r["first"] == first and r["state"] not in ("over", "sharing") for r in self.open.values()
-            ):
-                raise AssertionError("a held or running tokened RPC has no entry")
-        self.rpcs[index] = dict(
-            n=n,
-            kind=get("kind"),
-            window=get("window"),
+        deadline = self.settings[f"methods.{method}.deadline"]
+        reached_at = self.now - waited
+        expires_at = 0
+        if self.settings["tells_deadline"]:
+            expires_at = max(self.now, reached_at + (time_left or deadline))
+        duplicate_of = None if first is None else self.find_first(first, reached_at)
+        rpc = self.rpcs[index] = self.open[index] = HostedRpc(
+            method=method,
+            kind=self.settings[f"methods.{method}.kind"],
+            window=self.settings[f"methods.{method}.window"],
             first=index if first is None else first,
-            state="held",
-            reached=reached,
-            due=max(self.now, expires or reached + get("deadline")) + self.settings["slack"],
-            ran=False,
-            answers=0,
-            repeat=repeats is not None,
-            calls=0,
-            never_ran=False,
-            kb=kb,
-            gone=False,
-            stopped=False,
-            since=0,
-            limit=0,
-            late=0,
+            is_duplicate=duplicate_of is not None,
+            reached_at=reached_at,
+            due_at=max(self.now, expires_at or reached_at + deadline) + self.settings["slack"],
+            memory_kb=memory_kb,
         )
-        self.open[index] = self.rpcs[index]
-        handle = self.control.admit(
-            self.now, index, f"m{n}", kb, expires_at=expires, waited=waited, duplicate_of=repeats, **more
+        rpc.handle = self.control.admit(
+            self.now,
+            index,
+            f"m{method}",
+            memory_kb,
+            expires_at=expires_at,
+            waited=waited,
+            duplicate_of=duplicate_of,
+            **more,
         )
-        self.rpcs[index]["handle"] = handle
         return index
 
+    def find_first(self, first, reached_at):
+        """By the stored keys: the index of the first RPC; -1 where it is released, None without a key."""
+        stored_until, stored_index = self.keys.get(first, (0, None))
+        if stored_until > reached_at:
+            return -1 if stored_index in self.released else stored_index
+        for rpc in self.open.values():
+            if rpc.first == first and rpc.state not in (RpcState.COMPLETED, RpcState.SHARING):
+                raise AssertionError("a queued or running keyed RPC has no stored key")
+        return None
+
+    def await_call(self, index):
+        """A run needs its call to the dependency."""
+        rpc = self.rpcs[index]
+        rpc.state = RpcState.AWAITING_CALL
+        rpc.calls = 0
+        rpc.call_never_ran = False
+        rpc.handle.awaiting_call(self.now)
+
+    def return_call(self, index, outcome, spent):
+        """The call of a run ends."""
+        rpc = self.rpcs[index]
+        rpc.state = RpcState.RUNNING if outcome is Outcome.OK else RpcState.AWAITING_CALL
+        rpc.call_never_ran = outcome.never_ran
+        rpc.handle.call_ended(self.now, outcome, spent)
+
     def end(self, index, outcome=Outcome.OK):
-        r = self.rpcs[index]
-        state, r["state"] = r["state"], "over"
+        """A run, or the wait of a duplicate, ends."""
+        rpc = self.rpcs[index]
+        state = rpc.state
+        rpc.state = RpcState.COMPLETED
         if outcome in (Outcome.OK, Outcome.ERROR):
-            self.answer(r, by_hand=False)
-        r["handle"].run_ended(self.now, outcome, self.now - r["since"])
-        assert state in ("running", "sharing", "standing", "calling")
-        assert r["answers"] or r["gone"], "lost: ended without an answer"
+            rpc.answered = True
+        rpc.handle.run_ended(self.now, outcome, self.now - rpc.since)
+        assert state in (*IN_PROGRESS, RpcState.SHARING)
+        assert not rpc.is_owed, "lost: ended without an answer"
 
-    def halt(self, index):
+    def take_stop(self, index):
         """A stop takes effect: a run that owes its answer is paused where the deployment pauses."""
-        r = self.rpcs[index]
-        if self.get("can_pause") and not (r["answers"] or r["gone"]):
-            r.update(state="paused", stopped=False)
-            r["handle"].run_ended(self.now, Outcome.STOPPED, self.now - r["since"])
-            assert (index in self.control.active) != bool(r["answers"]), "neither kept nor answered"
-        else:
+        rpc = self.rpcs[index]
+        if not (self.settings.get("can_pause") and rpc.is_owed):
             self.end(index, Outcome.STOPPED)
+            return
+        rpc.state = RpcState.PAUSED
+        rpc.stop_requested = False
+        rpc.handle.run_ended(self.now, Outcome.STOPPED, self.now - rpc.since)
+        assert (index in self.control.active) != rpc.answered, "neither active nor answered"
 
     def end_older(self, age, skip=0):
-        for index in self.of("running")[skip:]:
-            if self.now - self.rpcs[index]["since"] >= age:
+        """End the runs that are older than `age`, but for the first `skip`."""
+        for index in self.in_state(RpcState.RUNNING)[skip:]:
+            if self.now - self.rpcs[index].since >= age:
                 self.end(index)
 
-    def of(self, *states):
-        return [i for i, r in self.open.items() if r["state"] in states]
-
-    def step(self, dt, stalled=False):
-        """Time passes; timers due are rung, unless the process stands still."""
-        on_core, calling = len(self.of("running")), len(self.of("calling"))
-        self.now += dt
-        fade = min(1.0, dt / max(1, self.get("overload_window", 1)))
-        self.crowd_sum += (on_core - self.crowd_sum) * fade
-        fade = min(1.0, dt / max(1, self.get("calls_window", 1)))
-        self.calls_sum += (calling - self.calls_sum) * fade
+    def step(self, elapsed, stalled=False):
+        """Time passes; timers that are due ring, unless the process stands still."""
+        on_cores = len(self.in_state(RpcState.RUNNING))
+        calling = len(self.in_state(RpcState.CALLING))
+        self.now += elapsed
+        fade = min(1.0, elapsed / max(1, self.settings.get("overload_window", 1)))
+        self.mean_on_cores += (on_cores - self.mean_on_cores) * fade
+        fade = min(1.0, elapsed / max(1, self.settings.get("calls_window", 1)))
+        self.mean_calls += (calling - self.mean_calls) * fade
         if stalled:
-            for r in self.open.values():
-                r["late"] = max(r["late"], self.now)  # delays of a process that stands still aren't its fault
+            for rpc in self.open.values():
+                rpc.stalled_until = max(rpc.stalled_until, self.now)
             return
-        due = [t for t in self.timers if t[0] <= self.now]
-        self.timers = [t for t in self.timers if t[0] > self.now]
-        for _, name in due:
-            self.control.on_timer(
-                self.now,
-                name,
-                Gauges(
-                    core_use=min(1.0, on_core / self.settings["cores"]),
-                    on_cores=on_core + self.wanting,
-                    **self.told,
-                ),
-            )
-        self.entries = {f: e for f, e in self.entries.items() if e[0] > self.now}
+        due = [name for ring_at, name in self.timers if ring_at <= self.now]
+        self.timers = [timer for timer in self.timers if timer[0] > self.now]
+        core_use = min(1.0, on_cores / self.settings["cores"])
+        gauges = Gauges(core_use=core_use, on_cores=on_cores + self.waiting_reads, **self.fleet_gauges)
+        for name in due:
+            self.control.on_timer(self.now, name, gauges)
+        self.keys = {first: stored for first, stored in self.keys.items() if stored[0] > self.now}
+
+    # ---- The rules that are not checked as the module acts
 
     def check(self):
-        """The rules that are not checked as the module acts."""
-        kb = len(self.entries) * self.settings["key_entry_kb"]
-        self.open = {index: r for index, r in self.open.items() if r["state"] != "over"}
-        for index, r in self.open.items():
-            kb += r["kb"] * (1 if r["state"] in ("held", "sharing") else self.settings["run_factor"])
-            if not (r["answers"] or r["gone"]):
-                assert self.now <= max(r["due"], r["late"] + 60 * MS), f"lost: {index} {r}"
-        assert kb <= self.settings["memory_kb"], "fall-over: memory"
+        """All of them, at this moment."""
+        completed = RpcState.COMPLETED
+        self.open = {index: rpc for index, rpc in self.open.items() if rpc.state is not completed}
+        for index, rpc in self.open.items():
+            if rpc.is_owed:
+                assert self.now <= max(rpc.due_at, rpc.stalled_until + 60 * MS), f"lost: {index} {rpc}"
+        self.check_memory()
+        self.check_counts()
+        self.check_overload()
+        if self.kill_at is not None and self.now >= self.kill_at:
+            assert not any(rpc.is_owed for rpc in self.open.values()), "drain: unanswered at the kill"
+
+    def check_memory(self):
+        entry_kb = self.settings["key_entry_kb"]
+        rpcs_kb = 0
+        for rpc in self.open.values():
+            has_started = rpc.state not in (RpcState.QUEUED, RpcState.SHARING)
+            rpcs_kb += rpc.memory_kb * (self.settings["run_factor"] if has_started else 1)
+        assert rpcs_kb + len(self.keys) * entry_kb <= self.settings["memory_kb"], "fall-over: memory"
+        known = [*self.control.active.values(), *self.control.completed.values()]
+        counted_keys = sum(bool(rpc.key_expires_at) for rpc in known)
+        counted_kb = self.control.memory_used_kb - entry_kb * counted_keys
+        assert abs(counted_kb - rpcs_kb) < 0.1, "memory is counted wrongly"
+
+    def check_counts(self):
         control = self.control
-        known = [*control.active.values(), *control.completed.values()]
-        entries = sum(bool(rpc.key_expires_at) for rpc in known)
-        counted = control.memory_used_kb - self.settings["key_entry_kb"] * entries
-        assert abs(counted - (kb - len(self.entries) * self.settings["key_entry_kb"])) < 0.1, "memory is counted wrongly"
-        assert control.runs_in_progress == len(self.of("running", "standing", "calling")), "runs are counted wrongly"
-        on_cores = sum(r["handle"].expected_cost for r in self.open.values() if r["state"] == "running")
-        assert abs(self.control.work_on_cores - on_cores) <= 1, "the work on cores is counted wrongly"
-        assert len(self.control.active) <= len(self.open), "what is over is swept on"
-        warmth = 1.0
+        assert control.runs_in_progress == len(self.in_state(*IN_PROGRESS)), "runs are counted wrongly"
+        running = (rpc for rpc in self.open.values() if rpc.state is RpcState.RUNNING)
+        work_on_cores = sum(rpc.handle.expected_cost for rpc in running)
+        assert abs(control.work_on_cores - work_on_cores) <= 1, "the work on cores is counted wrongly"
+        assert len(control.active) <= len(self.open), "what is completed is still looked at"
+        assert control.pausing <= {rpc.handle for rpc in self.open.values()}, "pausing what is completed"
+
+    def check_overload(self):
+        progress = 1.0
         if self.settings["fresh_start"]:
-            warmth = min(1.0, 0.2 + 0.8 * (self.now - 10_000_000) / max(1, self.settings["warm_up"]))
-        assert (
-            self.crowd_sum <= (1 + (self.settings["overload_factor"] - 1) * warmth) * self.settings["cores"]
-        ), "crowd"
-        shared = self.get("dependency", "shared") == "shared"
-        assert not shared or self.calls_sum <= self.get("calls_limit", 1e9), "fall-over: calls"
-        assert self.control.pausing <= {r["handle"] for r in self.open.values()}, "pausing what is over"
-        if self.kill is not None and self.now >= self.kill:
-            assert all(r["answers"] or r["gone"] for r in self.open.values()), "drain: unanswered at the kill"
+            elapsed = self.now - self.started_at
+            progress = min(1.0, 0.2 + 0.8 * elapsed / max(1, self.settings["warm_up"]))
+        survivable = 1 + (self.settings["overload_factor"] - 1) * progress
+        assert self.mean_on_cores <= survivable * self.settings["cores"], "overload"
+        is_shared = self.settings.get("dependency", "shared") == "shared"
+        assert not is_shared or self.mean_calls <= self.settings.get("calls_limit", 1e9), "fall-over: calls"
 
 
 EFFECT_METHODS = {
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -37,6 +37,7 @@
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
 from finchcart.quota.limits import Limit
+from finchcart.rpc_record import RpcState
 from tests.harness import MS, Node, draw_settings
 from tests.test_control import PLAIN, one_step
 from tests.test_core import GAUGES, Far, far_plain, play
@@ -515,7 +516,7 @@
     node = Node(settings, seed)
     for step in range(500):
         if rng.random() < 0.05:
-            node.told = rng.choice(
+            node.fleet_gauges = rng.choice(
                 (
                     {},
                     {"dependency_down": True, "call_capacity": rng.randrange(3)},
@@ -531,18 +532,19 @@
 
 def test_the_module_rejects_what_needs_a_store_that_is_down_and_keeps_to_the_fleets_level():
     node = Node({**PLAIN, "cores": 8, "method_calls": (True, True), "degraded_value": (0.0, 0.5)})
-    node.told = {"dependency_down": True, "call_capacity": 1}
+    node.fleet_gauges = {"dependency_down": True, "call_capacity": 1}
     node.step(40 * MS)
     first, second, poorer = node.arrive(0), node.arrive(0), node.arrive(1)
-    states = [node.rpcs[index]["state"] for index in (first, second, poorer)]
-    assert states == ["running", "over", "running"], "as many as may try it; others answer poorer"
-    node.told = {"min_shed_level": 1.0, "ejected": True}
+    states = [node.rpcs[index].state for index in (first, second, poorer)]
+    expected = [RpcState.RUNNING, RpcState.COMPLETED, RpcState.RUNNING]
+    assert states == expected, "as many as may try it; others answer poorer"
+    node.fleet_gauges = {"min_shed_level": 1.0, "ejected": True}
     node.step(40 * MS)
-    assert not node.good and node.control.published_feedback == 1.0
-    assert node.rpcs[node.arrive(0)]["state"] == "over", "though cores are free"
-    node.told = {}
+    assert not node.healthy and node.control.published_feedback == 1.0
+    assert node.rpcs[node.arrive(0)].state is RpcState.COMPLETED, "though cores are free"
+    node.fleet_gauges = {}
     node.step(40 * MS)
-    assert node.good and node.control.published_feedback == 0.0
+    assert node.healthy and node.control.published_feedback == 0.0
 
 
 def test_settings_are_checked_and_the_check_warns_of_a_single_report():
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,6 +5,7 @@
 import pytest
 
 from finchcart.interface import Gauges, Outcome
+from finchcart.rpc_record import RpcState
 from tests.harness import MS, Node, draw_settings
 
 PLAIN = {
@@ -42,185 +43,218 @@
 }
 
 
+CALL_OUTCOMES = (
+    Outcome.OK,
+    Outcome.OK,
+    Outcome.ERROR,
+    Outcome.REJECTED,
+    Outcome.UNREACHABLE,
+    Outcome.CONNECTION_LOST,
+)
+KEPT = 8000 * MS  # idle timeout where idle connections are kept
+NOT_KEPT = 10 * MS
+
+
 def one_step(node, rng, load):
-    tokened = [i for i, r in node.rpcs.items() if r["kind"] == "keyed" and i == r["first"]]
+    """Whatever may happen at one moment, by chance."""
+    arrivals(node, rng, load)
+    run_ends(node, rng)
+    call_ends(node, rng)
+    for index in node.in_state(RpcState.AWAITING_CALL, RpcState.CALLING):
+        if not node.rpcs[index].is_owed:
+            node.end(index, Outcome.STOPPED)
+    for index in node.in_state(RpcState.SHARING):
+        first = node.rpcs[node.rpcs[index].first]
+        if first.state is RpcState.COMPLETED and rng.random() < 0.5:
+            node.end(index, Outcome.OK if first.has_run else Outcome.ERROR)
+    callers_go(node, rng)
+
+
+def arrivals(node, rng, load):
+    keyed = [index for index, rpc in node.rpcs.items() if rpc.kind == "keyed" and index == rpc.first]
     for _ in range(rng.choice((0, 0, 1, 2, load))):
-        n = rng.randrange(node.settings["methods.count"])
-        first = rng.choice(tokened[-20:]) if tokened and rng.random() < 0.3 else None
+        method = rng.randrange(node.settings["methods.count"])
+        first = rng.choice(keyed[-20:]) if keyed and rng.random() < 0.3 else None
         if first is not None:
-            n = node.rpcs[first]["n"]
+            method = node.rpcs[first].method
         node.arrive(
-            n,
+            method,
             first,
             waited=rng.choice((0, 0, 50, 400)) * MS,
-            left=rng.randint(1, 3000) * MS,
-            kb=rng.uniform(1, 60),
+            time_left=rng.randint(1, 3000) * MS,
+            memory_kb=rng.uniform(1, 60),
             shed_rank=rng.choice((None, rng.random())),
             cost_hint=rng.choice((0, 100 * MS)),
         )
-    for index in node.of("running"):
-        r = node.rpcs[index]
+
+
+def run_ends(node, rng):
+    for index in node.in_state(RpcState.RUNNING):
+        rpc = node.rpcs[index]
         chance = rng.random()
-        if r["state"] != "running":
-            continue  # over or paused meanwhile, by what an earlier one set off
-        if r["stopped"] and chance < 0.9:
-            node.halt(index)
-        elif chance < 0.03 and (r["answers"] or r["gone"]):
+        if rpc.state is not RpcState.RUNNING:
+            continue  # completed or paused meanwhile, by what an earlier one set off
+        if rpc.stop_requested and chance < 0.9:
+            node.take_stop(index)
+        elif chance < 0.03 and not rpc.is_owed:
             node.end(index, Outcome.OK)
         elif chance < 0.05:
             node.end(index, rng.choice((Outcome.OK, Outcome.OK, Outcome.ERROR)))
-        elif chance < 0.12 and node.settings["method_calls"][r["n"]]:
-            r.update(state="standing", calls=0, never_ran=False)
-            r["handle"].awaiting_call(node.now)
-    for index in node.of("calling"):
-        r = node.rpcs[index]
-        timed_out = node.now - r["since"] >= r["limit"]
+        elif chance < 0.12 and node.settings["method_calls"][rpc.method]:
+            node.await_call(index)
+
+
+def call_ends(node, rng):
+    for index in node.in_state(RpcState.CALLING):
+        rpc = node.rpcs[index]
+        spent = node.now - rpc.since
+        timed_out = spent >= rpc.call_timeout
         if timed_out or rng.random() < 0.2:
-            how = (
-                Outcome.TIMEOUT
-                if timed_out
-                else rng.choice(
-                    (
-                        Outcome.OK,
-                        Outcome.OK,
-                        Outcome.ERROR,
-                        Outcome.REJECTED,
-                        Outcome.UNREACHABLE,
-                        Outcome.CONNECTION_LOST,
-                    )
-                )
-            )
-            r.update(state="running" if how is Outcome.OK else "standing", never_ran=how.never_ran)
-            r["handle"].call_ended(node.now, how, node.now - r["since"])
-    for index in node.of("standing", "calling"):
-        if node.rpcs[index]["answers"] or node.rpcs[index]["gone"]:
-            node.end(index, Outcome.STOPPED)
-    for index in node.of("sharing"):
-        first = node.rpcs[node.rpcs[index]["first"]]
-        if first["state"] == "over" and rng.random() < 0.5:
-            node.end(index, Outcome.OK if first["ran"] else Outcome.ERROR)
-    for index in node.of("held", "running", "sharing", "paused"):
-        if rng.random() < 0.005 and not node.rpcs[index]["gone"]:
-            r = node.rpcs[index]
-            r.update(gone=True, state=r["state"] if r["state"] == "running" else "over")
-            r["handle"].caller_gone(node.now)
+            node.return_call(index, Outcome.TIMEOUT if timed_out else rng.choice(CALL_OUTCOMES), spent)
+
+
+def callers_go(node, rng):
+    for index in node.in_state(RpcState.QUEUED, RpcState.RUNNING, RpcState.SHARING, RpcState.PAUSED):
+        rpc = node.rpcs[index]
+        if rng.random() < 0.005 and not rpc.caller_is_gone:
+            rpc.caller_is_gone = True
+            if rpc.state is not RpcState.RUNNING:
+                rpc.state = RpcState.COMPLETED
+            rpc.handle.caller_gone(node.now)
+
+
+def draw_pausing_settings(rng):
+    """Settings of a made-up deployment in which the least critical runs yield to others."""
+    settings = draw_settings(rng)
+    while not may_yield(settings):
+        settings = {**draw_settings(rng), "memory_kb": 200_000, "cores": 2, "overload_factor": 8}
+    return settings
+
+
+def shares_of(node):
+    return [method.admitted_share for method in node.control.methods]
+
+
+def may_yield(settings):
+    numbers = range(settings["methods.count"])
+    criticalities = [settings[f"methods.{number}.criticality"] for number in numbers]
+    return settings["can_pause"] and max(criticalities) > 2 * min(criticalities)
 
 
 @pytest.mark.parametrize("seed", [*range(40), 41, 44, 47, 50, 51])  # from 41 on runs are paused and go on
 def test_rules_hold_in_random_runs(seed):
     rng = random.Random(seed)
-    settings = draw_settings(rng)
-    worths = lambda: [settings[f"methods.{n}.criticality"] for n in range(settings["methods.count"])]
-    while seed >= 40 and not (settings["can_pause"] and max(worths()) > 2 * min(worths())):
-        settings = {**draw_settings(rng), "memory_kb": 200_000, "cores": 2, "overload_factor": 8}
+    pauses = seed >= 40
+    settings = draw_pausing_settings(rng) if pauses else draw_settings(rng)
     node = Node(settings, seed)
-    load, drain_at = rng.choice((2, 6, 40)) if seed < 40 else 2, rng.randint(150, 650)
+    load = 2 if pauses else rng.choice((2, 6, 40))
+    drain_at = rng.randint(150, 650)
     for step in range(700):
         node.step(node.settings["tick"] * rng.randint(1, 4), stalled=rng.random() < 0.01)
         node.check()
-        if node.kill and node.now >= node.kill:
+        if node.kill_at and node.now >= node.kill_at:
             break
         one_step(node, rng, load)
         if step in (drain_at, drain_at + 20):
-            node.kill = node.kill or node.now + rng.randint(300, 5000) * MS
-            node.drained = node.drained or node.now
-            node.control.drain(node.now, node.kill)
-    assert node.count > 100 and (seed < 40 or node.resumed)
+            node.kill_at = node.kill_at or node.now + rng.randint(300, 5000) * MS
+            node.drained_at = node.drained_at or node.now
+            node.control.drain(node.now, node.kill_at)
+    assert node.count > 100 and (not pauses or node.resumed)
 
 
-def test_a_repeat_shares_and_never_runs():
+def test_a_duplicate_shares_and_never_runs():
     node = Node(PLAIN)
     first = node.arrive(1)
-    again = node.arrive(1, first)  # in the same batch
-    assert (node.rpcs[first]["state"], node.rpcs[again]["state"]) == ("running", "sharing")
+    duplicate = node.arrive(1, first)  # in the same batch
+    assert (node.rpcs[first].state, node.rpcs[duplicate].state) == (RpcState.RUNNING, RpcState.SHARING)
     node.step(50 * MS)
     node.end(first, Outcome.ERROR)
     third = node.arrive(1, first)
-    assert node.rpcs[third]["answers"] and not node.rpcs[third]["ran"]
+    assert node.rpcs[third].answered and not node.rpcs[third].has_run
 
 
-def test_late_running_work_is_aborted_before_it_is_due():
+def test_late_runs_are_failed_before_they_are_due():
     node = Node(PLAIN)
     index = node.arrive(0)
     for _ in range(1500):
         node.step(2 * MS)
         node.check()
-    assert node.rpcs[index]["answers"] and node.rpcs[index]["state"] == "running"
+    assert node.rpcs[index].answered and node.rpcs[index].state is RpcState.RUNNING
 
 
 def test_a_failed_call_is_repeated_only_after_proof():
     node = Node(PLAIN)
-    for outcome, state in ((Outcome.UNREACHABLE, "calling"), (Outcome.CONNECTION_LOST, "standing")):
+    for outcome, state in (
+        (Outcome.UNREACHABLE, RpcState.CALLING),
+        (Outcome.CONNECTION_LOST, RpcState.AWAITING_CALL),
+    ):
         index = node.arrive(1)
-        r = node.rpcs[index]
-        r["state"] = "standing"
-        r["handle"].awaiting_call(node.now)
-        r.update(state="standing", never_ran=outcome.never_ran)
-        r["handle"].call_ended(node.now, outcome, 1)
-        assert r["state"] == state
+        node.await_call(index)
+        node.return_call(index, outcome, spent=1)
+        assert node.rpcs[index].state is state
 
 
-def test_health_is_bad_while_rpcs_lose_their_time_unread_and_good_again_after():
+def test_a_node_is_unhealthy_while_rpcs_lose_their_time_unread_and_healthy_again_after():
     node = Node(PLAIN)
-    target = PLAIN["methods.0.latency_target"]
-    node.wanting = 9
+    objective = PLAIN["methods.0.latency_target"]
+    node.waiting_reads = 9
     for _ in range(30):
-        node.arrive(waited=target * 4 // 5)
+        node.arrive(waited=objective * 4 // 5)
         node.step(40 * MS)
-    assert not node.good
-    node.wanting = 0
+    assert not node.healthy
+    node.waiting_reads = 0
     for _ in range(150):
         node.step(40 * MS)
-    assert node.good
+    assert node.healthy
 
 
-def test_calls_to_a_tier_are_not_held_to_a_share_that_is_not_told():
-    """Guards against a share of nought, as is written where a tier lies below: no call was made."""
+def test_calls_to_a_tier_are_not_limited_by_a_share_that_is_not_told():
+    """Where a tier is called, a share of nought is written: with it no call would be made."""
     node = Node({**PLAIN, "dependency": "tier", "calls_limit": 0.0})
     index = node.arrive(1)
-    node.rpcs[index]["state"] = "standing"
-    node.rpcs[index]["handle"].awaiting_call(node.now)
-    assert node.rpcs[index]["state"] == "calling"
+    node.await_call(index)
+    assert node.rpcs[index].state is RpcState.CALLING
 
 
 def test_a_pause_that_a_stall_swallowed_counts_as_a_run_again():
     node = Node({**PLAIN, "can_stop": True, "can_pause": True})
-    for n in (0, 0, 0, 1):
-        node.arrive(n)
+    for method in (0, 0, 0, 1):
+        node.arrive(method)
     assert len(node.control.pausing) == 1
     node.step(50 * MS)
     assert not node.control.pausing and node.control.runs_on_cores == 3
 
 
-def test_a_full_table_turns_away_where_no_level_keeps_callers_off():
-    for told, keep in (("level", 10 * MS), ("silent", 8000 * MS)):
-        node = Node({**PLAIN, "feedback": told})
+def test_idle_connections_are_kept_where_no_level_keeps_callers_off():
+    for feedback, idle_timeout in (("level", NOT_KEPT), ("silent", KEPT)):
+        node = Node({**PLAIN, "feedback": feedback})
         for step in range(600):
             node.step(10 * MS)
-            for k in range(3):
-                node.arrive(0, caller=step * 3 + k)
+            for arrival in range(3):
+                node.arrive(0, caller=step * 3 + arrival)
             node.end_older(300 * MS)
-        assert min(m.admitted_share for m in node.control.methods) < 0.6 and node.idle == keep
+        assert min(shares_of(node)) < 0.6 and node.idle_timeout == idle_timeout
 
 
 def test_a_credit_is_what_ends_in_time_shared_by_the_callers_that_come():
-    said = []
+    credits = []
     for callers in (2, 20):
         node = Node({**PLAIN, "feedback": "credit", "feedback_lifetime": 1000 * MS})
         for step in range(400):
             node.step(10 * MS)
             node.arrive(0, caller=step % callers)
             node.end_older(200 * MS)
-        said.append(node.said_credit)
-    assert said[0] > 5 * said[1] > 0
+        credits.append(node.published_credit)
+    few_callers, many_callers = credits
+    assert few_callers > 5 * many_callers > 0
 
 
-def test_callers_that_are_new_ones_for_ever_are_forgotten():
+def test_callers_that_are_always_new_are_forgotten():
     node = Node({**PLAIN, "cores": 40, "memory_kb": 1e9})
     for caller in range(5000):
         node.arrive(caller=str(caller))
         node.step(20 * MS)
-        for index in node.of("running"):
+        for index in node.in_state(RpcState.RUNNING):
             node.end(index)
     assert len(node.control.callers_seen) < 1100 and not node.control.active
 
@@ -228,7 +262,7 @@
 def test_one_long_run_does_not_make_a_node_slow():
     """Run times vary, and a single long one is no sign."""
     node = Node(PLAIN)
-    node.arrive(0, left=None)
+    node.arrive(0)
     for step in range(60):
         node.step(10 * MS)
         if step % 8 == 0:
@@ -239,103 +273,111 @@
 
 @pytest.mark.parametrize("pauses", [False, True])
 def test_what_waits_unread_cuts_the_less_critical_first(pauses):
-    """Guards also against pushbacks of what others yield to beside cores that run the least critical."""
+    """What others yield to is not rejected beside cores that run the least critical."""
     node = Node({**PLAIN, "can_stop": pauses, "can_pause": pauses})
     for _ in range(300):
         node.step(10 * MS)
-        for n in (0, 1):
-            node.arrive(n, waited=800 * MS)
+        for method in (0, 1):
+            node.arrive(method, waited=800 * MS)
         node.end_older(150 * MS)
-    low, high = node.control.methods
-    assert low.admitted_share < 0.2 and low.admitted_share < high.admitted_share and (high.admitted_share == 1) is pauses
+    low, high = (method.admitted_share for method in node.control.methods)
+    assert low < 0.2 and low < high and (high == 1) is pauses
+
+
+def note_rejections(node):
+    """The (retry_after, do_not_retry) of all that the node rejects from now on, as they come."""
+    rejections = []
+
+    def reject(index, retry_after, do_not_retry):
+        rejections.append((retry_after, do_not_retry))
+        node.rpcs[index].state = RpcState.COMPLETED
+        node.rpcs[index].answered = True
+
+    node.reject = reject
+    return rejections
 
 
 @pytest.mark.parametrize(
-    "marked, again, last", [(True, False, False), (True, True, True), (False, False, True)]
+    "marks_retries, is_retry, do_not_retry",
+    [(True, False, False), (True, True, True), (False, False, True)],
 )
-def test_a_full_fleet_is_told_by_further_tries_or_a_deep_cut_where_these_carry_no_mark(marked, again, last):
-    """Guards against a full fleet that reads the same RPCs on one node after another."""
-    node, lasts = Node({**PLAIN, "marks_retries": marked}), []
-    node.reject = lambda index, wait, last: (
-        lasts.append(last),
-        node.rpcs[index].update(state="over", answers=1),
-    )
+def test_a_full_fleet_shows_by_retries_or_a_deep_cut_where_these_carry_no_mark(
+    marks_retries, is_retry, do_not_retry
+):
+    """Otherwise a full fleet would read the same RPCs on one node after another."""
+    node = Node({**PLAIN, "marks_retries": marks_retries})
+    rejections = note_rejections(node)
     for _ in range(200):
         node.step(10 * MS)
-        node.arrive(0, is_retry=again, waited=500 * MS)
+        node.arrive(0, is_retry=is_retry, waited=500 * MS)
         node.end_older(300 * MS)
-    assert lasts and lasts[-1] is last
+    assert rejections and rejections[-1][1] is do_not_retry
 
 
-def test_a_slow_dependency_leaves_time_for_a_poorer_answer():
-    """Guards against runs that spend all their time at calls: after a time-out it is skipped, in time."""
+def test_a_slow_dependency_leaves_time_for_a_degraded_answer():
+    """Runs must not spend all their time at calls: after a time-out the call is left out, in time."""
     node = Node(PLAIN)
     index = node.arrive(0)
-    r = node.rpcs[index]
-    r["state"] = "standing"
-    r["handle"].awaiting_call(node.now)
-    assert r["state"] == "calling" and r["limit"] < 900 * MS
-    node.step(r["limit"])
-    r.update(state="standing", calls=1)
-    r["handle"].call_ended(node.now, Outcome.TIMEOUT, r["limit"])
-    assert r["state"] == "running" and not r["answers"]
+    rpc = node.rpcs[index]
+    node.await_call(index)
+    assert rpc.state is RpcState.CALLING and rpc.call_timeout < 900 * MS
+    node.step(rpc.call_timeout)
+    node.return_call(index, Outcome.TIMEOUT, spent=rpc.call_timeout)
+    assert rpc.state is RpcState.RUNNING and not rpc.answered
 
 
 def test_idle_connections_are_kept_only_where_callers_soon_come_again():
-    """Guards against full tables among hundreds of callers that each come once a minute."""
-    for callers, keep in ((5, 8000 * MS), (400, 10 * MS), (5, 8000 * MS)):
+    """Hundreds of callers that each come once a minute would fill the table of connections."""
+    for callers, idle_timeout in ((5, KEPT), (400, NOT_KEPT), (5, KEPT)):
         node = Node(PLAIN)
         for step in range(3000):
             node.step(10 * MS)
             if step % 10 == 0:
                 node.arrive(0, caller=step // 10 % callers)
             node.end_older(100 * MS)
-        assert node.idle == keep and len(node.lines) <= 1
+        assert node.idle_timeout == idle_timeout and len(node.lines) <= 1
 
 
-def test_a_full_table_turns_away_what_would_wait_unread():
-    """Guards against storms of new connections and reads that leave no cores for runs."""
+def test_idle_connections_are_kept_where_rpcs_lose_their_time_unread():
+    """A full table rejects at the least cost: storms of reads would leave no cores for runs."""
     node = Node(PLAIN)
-    for waited, keep in ((500, 8000 * MS), (10, 10 * MS)):
+    for waited, idle_timeout in ((500, KEPT), (10, NOT_KEPT)):
         for step in range(600):
             node.step(10 * MS)
             node.arrive(0, caller=step + waited * 1000, waited=waited * MS)
             node.end_older(100 * MS)
-        assert node.idle == keep
+        assert node.idle_timeout == idle_timeout
 
 
-def test_a_further_try_has_less_time_left():
-    """Guards against runs for RPCs whose latency target passed while other nodes pushed them back."""
+def test_a_retry_has_less_time_left():
+    """Its latency objective passes while other nodes reject it."""
     node = Node(PLAIN)
     node.control.retry_ratio = 0.5
-    first, further = node.arrive(0), node.arrive(0, is_retry=True)
+    first, retry = node.arrive(0), node.arrive(0, is_retry=True)
     late = node.arrive(0, is_retry=True, waited=450 * MS, cost_hint=400 * MS)
-    wants = [node.rpcs[index]["handle"].objective_at - node.now for index in (first, further)]
-    assert wants == [1000 * MS, 500 * MS] and node.rpcs[late]["state"] == "over"
+    times_left = [node.rpcs[index].handle.objective_at - node.now for index in (first, retry)]
+    assert times_left == [1000 * MS, 500 * MS] and node.rpcs[late].state is RpcState.COMPLETED
 
 
 def test_nothing_is_cut_while_a_core_is_free_and_nothing_waits():
-    """Guards against two-core nodes that turn RPCs away beside an idle core."""
+    """A node of two cores would otherwise reject RPCs beside an idle core."""
     node = Node(PLAIN)
     for method in node.control.methods:
         method.admitted_share = 0.0
-    states = [node.rpcs[node.arrive(0)]["state"] for _ in range(3)]
-    assert states == ["running", "running", "over"]
+    states = [node.rpcs[node.arrive(0)].state for _ in range(3)]
+    assert states == [RpcState.RUNNING, RpcState.RUNNING, RpcState.COMPLETED]
 
 
 def test_advice_goes_only_to_callers_that_soon_come_again():
-    """Guards against advice that reaches no caller in time and only delays the client's next try."""
+    """Advice that reaches no caller in time would only delay the client's next try."""
     for callers, advised in ((3, True), (5000, False)):
-        node, waits = Node(PLAIN), []
-        node.reject = lambda index, wait, last: (
-            waits.append(wait),
-            node.rpcs[index].update(state="over", answers=1),
-        )
+        node = Node(PLAIN)
+        rejections = note_rejections(node)
         for step in range(2000):
             node.step(10 * MS)
             node.arrive(0, caller=step % callers)
             node.end_older(300 * MS)
-        assert any(waits[-50:]) is advised
+        assert any(retry_after for retry_after, _ in rejections[-50:]) is advised
 
 
 @pytest.mark.parametrize(
@@ -354,43 +396,42 @@
     ],
 )
 def test_small_and_odd_settings_keep_the_rules(odd):
-    node, rng = Node({**PLAIN, **odd}), random.Random(5)
-    for step in range(400):
+    node = Node({**PLAIN, **odd})
+    rng = random.Random(5)
+    for _ in range(400):
         node.step(10 * MS)
         node.check()
         one_step(node, rng, 3)
-    assert any(r["ran"] for r in node.rpcs.values())
+    assert any(rpc.has_run for rpc in node.rpcs.values())
 
 
-def own(node, use, age, turns=20):
-    """The node itself is busy for this part of the time, and its oldest unread input waits so long."""
-    for _ in range(turns):
+def ring_timers(node, input_busy, input_age, times=20):
+    """Timers of a node that is busy itself for this part of the time, its oldest unread input so old."""
+    gauges = Gauges(core_use=0.2, on_cores=0, input_busy=input_busy, input_age=input_age)
+    for _ in range(times):
         node.now += 40 * MS
         node.timers = []
-        node.control.on_timer(
-            node.now, "sweep", Gauges(core_use=0.2, on_cores=0, input_busy=use, input_age=age)
-        )
+        node.control.on_timer(node.now, "sweep", gauges)
 
 
 def test_a_node_slower_than_its_worker_pool_cuts_intake_by_the_same_loop_and_recovers():
     node = Node(dict(PLAIN))
-    shares = lambda: [m.admitted_share for m in node.control.methods]
-    own(node, 0.95, 5 * MS)
-    assert shares() == [1.0, 1.0]  # busy, but nothing waits
-    own(node, 0.4, 400 * MS)
-    assert shares() == [1.0, 1.0]  # one stall of a node with time to spare
-    own(node, 0.97, 400 * MS)
-    assert min(shares()) < 0.7 and max(shares()) <= 1.0
-    own(node, 0.3, 0, turns=200)
-    assert shares() == [1.0, 1.0]
+    ring_timers(node, 0.95, 5 * MS)
+    assert shares_of(node) == [1.0, 1.0]  # busy, but nothing waits
+    ring_timers(node, 0.4, 400 * MS)
+    assert shares_of(node) == [1.0, 1.0]  # one stall of a node with time to spare
+    ring_timers(node, 0.97, 400 * MS)
+    assert min(shares_of(node)) < 0.7 and max(shares_of(node)) <= 1.0
+    ring_timers(node, 0.3, 0, times=200)
+    assert shares_of(node) == [1.0, 1.0]
 
 
 def test_health_tells_of_a_node_that_has_no_time_to_read_and_of_its_end():
     node = Node(dict(PLAIN))
-    target = min(m.latency_objective for m in node.control.methods)
-    own(node, 0.97, target // 3)
-    assert not node.good
-    own(node, 0.97, target // 8, turns=40)
-    assert not node.good  # not before a tenth of the target
-    own(node, 0.3, 0, turns=40)
-    assert node.good
+    objective = min(method.latency_objective for method in node.control.methods)
+    ring_timers(node, 0.97, objective // 3)
+    assert not node.healthy
+    ring_timers(node, 0.97, objective // 8, times=40)
+    assert not node.healthy  # not before a tenth of the objective
+    ring_timers(node, 0.3, 0, times=40)
+    assert node.healthy
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -15,25 +15,26 @@
 KNOCK = "KNOCK\twho=3\tcall=dff354305d3a91c4\tneighbour=1\tfootprint=24.5\tprofile=fetch\n"
 
 
-def host(text):
+def run_adapter(text):
+    """The finished process of an adapter that was given this input."""
     command = [sys.executable, "-m", "finchcart.wirehost"]
     return subprocess.run(command, input=text, capture_output=True, text=True)
 
 
-def test_an_rpc_is_run_and_its_end_heard():
-    done = host(
+def test_an_rpc_is_run_and_its_end_reported():
+    result = run_adapter(
         f"TICK\twall=1000\n{CREATE}END\nTICK\twall=3000\n{KNOCK}END\nTICK\twall=9000\n"
         "WOUND_UP\twho=3\tcall=dff354305d3a91c4\tspent=6000\thow=200\n"
         "LEFT\twho=3\tcall=dff354305d3a91c4\nEND\n"
     )
-    assert (done.returncode, done.stderr) == (0, "")
-    replies = done.stdout.split("FINISHED\n")
+    assert (result.returncode, result.stderr) == (0, "")
+    replies = result.stdout.split("FINISHED\n")
     assert replies[1] == "TAKE\twho=3\tcall=dff354305d3a91c4\n"
     assert replies[2:] == ["", ""]
 
 
 @pytest.mark.parametrize(
-    "batch, words",
+    "batch, expected",
     [
         ("TICK\twall=1\nNEWS\twho=3\nEND\n", "'NEWS'"),
         (f"TICK\twall=1\n{KNOCK}END\n", "who=3"),
@@ -43,16 +44,16 @@
         ("END\n", "expected TICK"),
     ],
 )
-def test_a_line_that_cannot_be_read_ends_it_plainly(batch, words):
-    done = host(batch)
-    assert done.returncode == 2
-    assert words in done.stderr and done.stderr.count("\n") == 1
+def test_a_line_that_cannot_be_read_ends_it_plainly(batch, expected):
+    result = run_adapter(batch)
+    assert result.returncode == 2
+    assert expected in result.stderr and result.stderr.count("\n") == 1
 
 
-def test_an_exception_in_the_module_is_told_and_the_rest_goes_on():
-    odd = KNOCK.replace("profile=fetch", "profile=unheard")
+def test_an_exception_in_the_decision_module_is_reported_and_other_instances_go_on():
+    unknown_method = KNOCK.replace("profile=fetch", "profile=unheard")
     other = (CREATE + KNOCK).replace("who=3", "who=4")
-    done = host(f"TICK\twall=1\n{CREATE}{odd}{other}END\n")
-    assert done.returncode == 0 and "Traceback" in done.stderr
-    assert "BROKEN\twho=3\twhat=KeyError" in done.stdout
-    assert "TAKE\twho=4\tcall=dff354305d3a91c4" in done.stdout
+    result = run_adapter(f"TICK\twall=1\n{CREATE}{unknown_method}{other}END\n")
+    assert result.returncode == 0 and "Traceback" in result.stderr
+    assert "BROKEN\twho=3\twhat=KeyError" in result.stdout
+    assert "TAKE\twho=4\tcall=dff354305d3a91c4" in result.stdout
