--- a/finchcart/membership/records.py
+++ b/finchcart/membership/records.py
@@ -6,7 +6,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from enum import Enum, StrEnum, auto
+from enum import Enum, auto
 
 import msgspec
 
@@ -15,10 +15,11 @@
 from finchcart.membership.effects import MemberChanged
 from finchcart.membership.messages import DeclaredStatus, MemberRecord, Version
 from finchcart.membership.outbox import Outbox
+from finchcart.membership.plain_enums import PlainStrEnum
 from finchcart.membership.update_queue import UpdateQueue
 
 
-class MemberState(StrEnum):
+class MemberState(PlainStrEnum):
     """What a process holds a member to be."""
 
     ALIVE = "alive"
@@ -77,7 +78,7 @@
 
 
 class MemberTable:
-    """Bounded by `config.members`, with as many tombstones; failed and left members go first when full.
+    """Bounded by `config.max_members`, with as many tombstones; failed and left members go first when full.
 
     Failed and left members are no news for newcomers, who would pass them on for ever: the digest leaves them
     out, and their records go only to those who hold an older one.
@@ -157,7 +158,7 @@
         tombstone = self.tombstones.get(member_id)
         if tombstone is not None and record.precedence <= tombstone and not is_direct:
             return "of a forgotten member"
-        if len(self.members) >= self.config.members and not self._make_room():
+        if len(self.members) >= self.config.max_members and not self._make_room():
             return "no room"
         return None
 
@@ -230,7 +231,7 @@
             listener(member_id)
         # Guards against records that others still pass on: a forgotten member would be alive once more.
         self.tombstones[member_id] = known.record.precedence
-        while len(self.tombstones) > self.config.members:
+        while len(self.tombstones) > self.config.max_members:
             self.tombstones.popitem(last=False)
         self.is_graph_outdated = True
         self.is_changed = True
@@ -243,11 +244,11 @@
         return bool(gone)
 
     def forget_expired(self, now: int) -> None:
-        """Forgets the members that have been failed or left for longer than `config.remember`."""
+        """Forgets the members that have been failed or left for longer than `config.forget_after`."""
         expired = [
             member_id
             for member_id, known in self.members.items()
-            if known.state in GONE and now - known.since > self.config.remember
+            if known.state in GONE and now - known.since > self.config.forget_after
         ]
         for member_id in expired:
             self.forget(member_id)
