--- a/finchcart/fault_injection/beliefs.py
+++ b/finchcart/fault_injection/beliefs.py
@@ -16,7 +16,7 @@
 from finchcart.fault_injection.virtual import Fleet
 from finchcart.membership.config import SECOND, MembershipConfig
 from finchcart.membership.member import Member
-from finchcart.node.meter import LATELY
+from finchcart.node.limiters import PROBE_DEMAND_PERIOD_US
 from finchcart.quota.limits import Limit, QuotaConfig
 from finchcart.quota.local_limits import LocalLimits
 
@@ -122,7 +122,7 @@
                 "sources": {**sources, self.innocent: (self.beliefs.max_bad_messages, 0, 0)},
             }
         self.feed(name, ("rider", "evidence", evidence))
-        if calls or self.now - seen.called < LATELY:
+        if calls or self.now - seen.called < PROBE_DEMAND_PERIOD_US:
             seen.called = self.now if calls else seen.called
             self.feed(name, ("rider", "use", "trial", 0, 1, 0))
 
