--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -20,7 +20,7 @@
 from finchcart.histogram import Histogram
 from finchcart.interface import Gauges, Outcome, Port
 from finchcart.node_record import NodeRecord
-from finchcart.node_settings import MethodSettings, NodeSettings, rank_by_criticality
+from finchcart.node_settings import MethodSettings, NodeSettings, order_by_criticality
 from finchcart.rpc_record import RpcRecord, RpcState
 
 # Names of their own: a member that is looked up in its Enum costs a call on Python 3.11.
@@ -41,7 +41,8 @@
 ANSWER_MARGIN = 20 * MS  # an RPC is answered so long before it is due, besides ticks and an interval
 KILL_MARGIN = 50 * MS  # all are answered so long before the kill
 MAX_LATENESS_MARGIN = SECOND  # answers are given earlier where timers are late, by this at most
-RUN_AFTER_GRACE = 2  # times the 90th percentile of its method that a run may last after the grace
+USUAL_RUN = 0.9  # quantile of its method's times that a run usually keeps to
+RUN_AFTER_GRACE = 2  # a run may last so many times that after the grace
 KEY_EXTRA_TIME = 200 * MS  # keys are stored so much longer than their window
 
 # Intake. Memory: parts of what there is; a run takes more than a queued RPC, duplicates are the last to go.
@@ -78,6 +79,7 @@
 CAUTIOUS_CALL_PART = 0.5
 SHORT_CALLS = 32  # calls are short where so many fit in the shortest latency objective
 CALL_MARGIN = 1.5  # times the mean call that must fit in the time left, else the call is left out
+USUAL_CALL = 0.95  # quantile of the calls' times: no call is abandoned before it, whatever time is left
 
 # Control loop. Pairs of bounds: to begin, to go on.
 BUSY_THRESHOLD = 0.9  # part of the cores in use above which admission is cut
@@ -228,10 +230,11 @@
         self.port = port
         self.random = Random(seed).random
         cold_factor = 1 / max(self.settings.cold_start_speed if self.is_cold else 1, 0.1)
-        self.methods = [Method(settings, n, cold_factor) for n in range(settings.get("methods.count", 0))]
+        numbers = range(settings.get("methods.count", 0))
+        self.methods = [Method(settings, number, cold_factor) for number in numbers]
         self.methods_by_name = {method.name: method for method in self.methods}
-        self.rank_count = rank_by_criticality(self.methods)
-        self.shortest_objective = min((m.latency_objective for m in self.methods), default=SECOND)
+        self.rank_count = order_by_criticality(self.methods)
+        self.shortest_objective = min((method.latency_objective for method in self.methods), default=SECOND)
         self.call_time = Histogram(2 * MS, 30 * MS, HISTOGRAM_SAMPLES)
         self.max_call_credit = MAX_CREDIT_PART * self.settings.calls_limit * self.settings.calls_window
         self.call_credit = self.max_call_credit
@@ -356,8 +359,8 @@
         return work
 
     def _work_not_yielding(self, criticality: float) -> float:
-        running = (rpc for rpc in self.active.values() if rpc.state is RUNNING)
-        return sum(r.expected_cost for r in running if not self._yields(r.method.criticality, criticality))
+        running = [rpc for rpc in self.active.values() if rpc.state is RUNNING]
+        return sum(rpc.expected_cost for rpc in running if not self._yields(rpc.method, criticality))
 
     def reject(self, now: int, rpc: Rpc, expected_wait: float = 0) -> None:
         """It never ran: says so at once, and when to come back."""
@@ -372,7 +375,7 @@
         is_heeded = expected_wait > MIN_ADVISED_WAIT and self.returning_ratio > RETURNING_FOR_ADVICE
         retry_after = int(min(self.settings.retry_after_max, expected_wait)) if is_heeded else 0
         self.port.reject(rpc.index, retry_after, do_not_retry)
-        self._complete(rpc)
+        self.finish(now, rpc)
 
     def fail(self, now: int, rpc: Rpc) -> None:
         """Answers; a run goes on to its end, or is stopped where that is allowed."""
@@ -410,17 +413,17 @@
         has_core = self.runs_on_cores - len(self.pausing) < self.run_limit
         return has_core or self._pause_least_critical(rpc.method.criticality)
 
-    def _yields(self, lesser: float, criticality: float) -> bool:
-        """Whether a run of the `lesser` criticality may be paused for an RPC of the other."""
-        return self.settings.can_pause and lesser < YIELD_BELOW * criticality
+    def _yields(self, method: Method, criticality: float) -> bool:
+        """Whether a run of the method may be paused for an RPC of this criticality."""
+        return self.settings.can_pause and method.criticality < YIELD_BELOW * criticality
 
     def _pause_least_critical(self, criticality: float) -> bool:
         """Pauses the least critical run that yields, the last started of its like; false where none does."""
         # Not one that owes no answer: a stop would end it for good, with effects half done.
-        running = (rpc for rpc in self.active.values() if rpc.state is RUNNING and rpc.is_owed)
-        free = (rpc for rpc in running if rpc not in self.pausing)
-        yielding = (rpc for rpc in free if self._yields(rpc.method.criticality, criticality))
-        least = min(yielding, key=lambda rpc: (rpc.method.criticality, -rpc.started_at), default=None)
+        active = self.active.values()
+        yielding = [rpc for rpc in active if rpc.state is RUNNING and self._yields(rpc.method, criticality)]
+        free = [rpc for rpc in yielding if rpc.is_owed and rpc not in self.pausing]
+        least = min(free, key=lambda rpc: (rpc.method.criticality, -rpc.started_at), default=None)
         if least is None:
             return False
         self.pausing.add(least)
@@ -445,14 +448,11 @@
         answer(now, rpc)
 
     def finish(self, now: int, rpc: Rpc) -> None:
-        """Completes an RPC and frees what its run held."""
+        """Completes an RPC and frees what it held; the key of what never ran is of no use."""
         if rpc.state is CALLING:
             self.end_call(now, rpc, Outcome.TIMEOUT)
         if rpc.state not in (QUEUED, SHARING):
             self.end_run(rpc)
-        self._complete(rpc)
-
-    def _complete(self, rpc: Rpc) -> None:
         self.count_out(rpc)
         if rpc.key_expires_at and not rpc.has_run:
             self.port.evict_key(rpc.index)
@@ -518,7 +518,7 @@
             return
         timeout = rpc.due_at - now - self.answer_margin
         if can_degrade:
-            timeout = min(timeout, max(time_left - run_time, self.call_time.quantile(0.95)))
+            timeout = min(timeout, max(time_left - run_time, self.call_time.quantile(USUAL_CALL)))
         longest = self.settings.calls_limit * self.settings.calls_window / limit
         self.begin_call(now, rpc)
         self.port.call(rpc.index, max(self.settings.tick, int(min(timeout, longest))))
@@ -543,8 +543,8 @@
 
     def on_timer(self, now: int, name: str, gauges: Gauges) -> None:
         """Looks at the gauges and at what is due, and turns the control loop once."""
-        late = now - self.last_maintenance - MAINTENANCE_INTERVAL - 2 * self.settings.tick
-        self._set_timer_lateness(max(late, self.timer_lateness * 63 // 64, 0))
+        lateness = now - self.last_maintenance - MAINTENANCE_INTERVAL - 2 * self.settings.tick
+        self._set_timer_lateness(max(lateness, self.timer_lateness * 63 // 64, 0))  # fades in seconds
         self.read_gauges(gauges)
         self.forget_callers(now - MAX_IDLE_TIMEOUT, MAX_CALLERS_SEEN)
         for rpc in self.expire_keys(now):
@@ -582,7 +582,7 @@
 
     def _outlasts_grace(self, now: int, rpc: Rpc) -> bool:
         began = max(self.grace_end, rpc.started_at)
-        return now > began + RUN_AFTER_GRACE * rpc.method.total_time.quantile(0.9)
+        return now > began + RUN_AFTER_GRACE * rpc.method.total_time.quantile(USUAL_RUN)
 
     def _is_worthless(self, rpc: Rpc) -> bool:
         return (rpc.state is RUNNING or rpc.state is AWAITING_CALL) and rpc.method.worthless_when_late
@@ -628,20 +628,16 @@
         """Cuts the less critical methods first, also for others' sake, and none that others yield to."""
         busy = max(self.gauges.core_use, min(1.0, self.runs_on_cores / self.cores), self.gauges.input_busy)
         for method in self.methods:
-            criticality = method.criticality
-            above = max((o.overshoot for o in self.methods if o.criticality > criticality), default=0)
-            below = max((o.admitted_share for o in self.methods if o.criticality < criticality), default=0)
+            above = max((other.overshoot for other in method.more_critical), default=0)
+            below = max((other.admitted_share for other in method.less_critical), default=0)
+            preempts = any(self._yields(other, method.criticality) for other in method.less_critical)
             overshoot = max(method.overshoot, above)
-            is_next = below < NEXT_RANK_SHARE
             share = method.admitted_share
-            if busy > BUSY_THRESHOLD and overshoot > 1 and is_next and not self._preempts(criticality):
+            if busy > BUSY_THRESHOLD and overshoot > 1 and below < NEXT_RANK_SHARE and not preempts:
                 method.admitted_share = max(MIN_SHARE, share * max(MAX_CUT, 1 / overshoot))
             else:
                 method.admitted_share = min(1.0, share + SHARE_GROWTH / max(MIN_GROWTH_BASE, overshoot))
 
-    def _preempts(self, criticality: float) -> bool:
-        return any(self._yields(other.criticality, criticality) for other in self.methods)
-
     def _adjust_run_limit(self, now: int) -> None:
         """Follows what wants a core now: the averaged gauge would bring on a crowd."""
         if self.queue and self.gauges.on_cores < self.cores and self.runs_on_cores >= self.run_limit - 1:
@@ -692,12 +688,12 @@
     def _update_idle_timeout(self, lost: float) -> None:
         """Keeps idle connections where callers soon come again: else they cost more than new ones. Also where
         RPCs lose their time unread or no level keeps callers off: a full table rejects at the least cost."""
-        kept = self.keeps_idle_connections
-        keep = self.returning_ratio > KEEP_IDLE_RETURNING[kept] or lost > KEEP_IDLE_LOSS[kept]
+        was_kept = self.keeps_idle_connections
+        keep = self.returning_ratio > KEEP_IDLE_RETURNING[was_kept] or lost > KEEP_IDLE_LOSS[was_kept]
         if self.settings.feedback != "level":
             share = min((method.admitted_share for method in self.methods), default=1)
-            keep = keep or share < KEEP_IDLE_SHARE[kept]
-        if self.draining_past_grace or keep == kept:
+            keep = keep or share < KEEP_IDLE_SHARE[was_kept]
+        if self.draining_past_grace or keep == was_kept:
             return
         self.keeps_idle_connections = keep
         timeout = MAX_IDLE_TIMEOUT if keep else MIN_IDLE_TIMEOUT
--- a/finchcart/node_settings.py
+++ b/finchcart/node_settings.py
@@ -4,7 +4,7 @@
 would be a decision is given by finchcart/control.py.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, fields
 
 UNLIMITED_CALLS = 1e9
@@ -71,6 +71,8 @@
         self.idempotent = kind == "idempotent"
         self.criticality = setting("criticality", 1)
         self.criticality_rank = 0  # among those of the node; 0: the least critical
+        self.more_critical: list[MethodSettings] = []
+        self.less_critical: list[MethodSettings] = []
         self.deadline = setting("deadline", default_deadline)
         self.latency_objective = setting("latency_target", self.deadline)
         self.key_window = setting("window", 0)
@@ -80,9 +82,11 @@
         self.worthless_when_late = self.stoppable and not setting("late_value", 0)
 
 
-def rank_by_criticality(methods: Iterable[MethodSettings]) -> int:
-    """Give each method the rank of its criticality; returns the number of ranks."""
+def order_by_criticality(methods: Sequence[MethodSettings]) -> int:
+    """Tell each method its rank and those above and below; returns the number of ranks."""
     criticalities = sorted({method.criticality for method in methods})
     for method in methods:
         method.criticality_rank = criticalities.index(method.criticality)
+        method.more_critical = [other for other in methods if other.criticality > method.criticality]
+        method.less_critical = [other for other in methods if other.criticality < method.criticality]
     return len(criticalities)
--- a/finchcart/rpc_record.py
+++ b/finchcart/rpc_record.py
@@ -1,4 +1,4 @@
-"""The record of one RPC and its states. Decides nothing: all transitions are made in finchcart/control.py."""
+"""The record of one RPC and its states. Decides nothing: what becomes of it is up to finchcart/control.py."""
 
 from __future__ import annotations
 
