--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -36,7 +36,7 @@
 from finchcart.node.inputs import Drain, ReloadConfig
 from finchcart.node.key_leases import KeyLeaseGate
 from finchcart.node.limiter_set import LimiterSet
-from finchcart.node.observer import Observer
+from finchcart.node.observer import TrafficObserver
 from finchcart.quota import messages as shares
 from finchcart.quota.lease_holder import LeaseHolder
 from finchcart.quota.limits import Limit, QuotaConfig
@@ -129,7 +129,7 @@
     def witness(self):
         """What sees for the fleet's verdicts, where there are any."""
         held = verdicts(self.settings)
-        return held and Observer(held)
+        return held and TrafficObserver(held)
 
     def saw(self, evidence):
         self.datagrams.tell(sayings.CHANNEL, "evidence", evidence)
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:  # none is imported where it is not asked for
     from finchcart.node.key_leases import KeyLeaseGate
     from finchcart.node.limiter_set import LimiterSet
-    from finchcart.node.observer import Observer
+    from finchcart.node.observer import TrafficObserver
     from finchcart.node.shadow import ShadowControl
 
 Address = tuple[str, int]
@@ -74,7 +74,7 @@
         make_frontends: Callable[[FrontendHost], Mapping[str, Frontend]],
         shadow: Mapping[str, Any] | None = None,
         limiters: "LimiterSet | None" = None,
-        observer: "Observer | None" = None,
+        observer: "TrafficObserver | None" = None,
         make_key_leases: "Callable[[EffectBuffer], KeyLeaseGate] | None" = None,
     ) -> None:
         self.settings = available_settings(settings)
--- a/finchcart/node/fleet.py
+++ b/finchcart/node/fleet.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:  # neither is imported where no fleet is asked for
     from finchcart.node.limiter_set import LimiterSet, RpcLimiter
     from finchcart.node.limiters import CallsInFlight
-    from finchcart.node.observer import Observer
+    from finchcart.node.observer import TrafficObserver
 
 GONE_STATES = ("failed", "left")  # of members
 
@@ -33,7 +33,7 @@
         turn: EffectBuffer,
         methods: Mapping[str, MethodInfo],
         limiters: "LimiterSet | None" = None,
-        observer: "Observer | None" = None,
+        observer: "TrafficObserver | None" = None,
     ) -> None:
         self.turn = turn
         self.methods = methods
@@ -121,7 +121,7 @@
             self.limiters.calls_rate.record_demand()
 
     def call_ended(self, outcome: Outcome, spent_us: int, time_cut: bool) -> None:
-        """A call is over; `time_cut`: see `Observer.call_ended`."""
+        """A call is over; `time_cut`: see `TrafficObserver.call_ended`."""
         if self.observer:
             self.observer.call_ended(outcome, spent_us, time_cut)
 
--- a/finchcart/node/observer.py
+++ b/finchcart/node/observer.py
@@ -22,7 +22,7 @@
 ENDED, ENDED_IN_ERROR = range(2)  # what is counted of runs; then TIME
 
 
-class Observer:
+class TrafficObserver:
     """The counts, and the consensus on each subject. Times are whole microseconds.
 
     Bounds: counts by `config.subjects` sources a look; the consensus by what the fleet holds of sources at
--- a/finchcart/node/rpc_lifecycle.py
+++ b/finchcart/node/rpc_lifecycle.py
@@ -183,7 +183,7 @@
     def find_running(self, name: str) -> Rpc | None:
         """The RPC of that name whose run is not completed, or None."""
         rpc = self.rpcs.get(self.index_by_name.get(name))
-        return rpc if rpc and rpc.is_running else None
+        return rpc if rpc and rpc.started and not rpc.completed else None
 
     def run_ended(self, rpc: Rpc, outcome: Outcome, spent_us: int, result: bytes) -> None:
         """A run, or the wait of a duplicate, is over: answers first, then tells the decision module."""
--- a/finchcart/thrift/fields.py
+++ b/finchcart/thrift/fields.py
@@ -24,6 +24,7 @@
 MIN_MEMORY_KB = 1e-9
 MAX_MEMORY_KB = 2000
 QUOTED_CHARACTERS = 40  # of a field in an error
+NO_SHED_RANK = -1  # where an RPC carries none
 US_PER_MS = 1000
 
 
@@ -49,11 +50,9 @@
     try:
         value = float(text)
     except (TypeError, ValueError):
-        shown = str(text)[:QUOTED_CHARACTERS]
-        raise InvalidRpcError(f"field {name}={shown!r}: expected a number") from None
+        raise InvalidRpcError(f"field {name}={_quoted(text)}: expected a number") from None
     if not low <= value < high:
-        shown = text[:QUOTED_CHARACTERS]
-        raise InvalidRpcError(f"field {name}={shown!r}: expected {low:.0f} to under {high:.0f}")
+        raise InvalidRpcError(f"field {name}={_quoted(text)}: expected {low:.0f} to under {high:.0f}")
     return value
 
 
@@ -74,44 +73,38 @@
         raise InvalidRpcError("the call carries no fields or no body")
     if len(body) > limits.body:
         raise InvalidRpcError(f"body: {len(body)} bytes, {limits.body} at most")
-    method = _read_method(fields, methods)
-    name = _read_name(fields)
-    key = _read_key(fields, methods[method].kind)
-    arrived_at = _read_arrival(fields, now, methods[method].late_read_us, limits.ahead)
-    caller = _read_caller(fields)
-    shed_rank = number(fields, "p", 0, 1, -1)
+    method = fields.get("c")
+    if method not in methods:
+        raise InvalidRpcError(f"field c={_quoted(method)}: no such method")
+    info = methods[method]
+    name = fields.get("i", "")
+    if len(name) != NAME_LENGTH or not HEX_DIGITS.issuperset(name):
+        raise InvalidRpcError(f"field i={_quoted(name)}: expected 16 hex digits, new with every try")
+    key = _read_key(fields) if info.kind == KEYED else None
+    arrived_at = _read_arrival(fields, now, info.late_read_us, limits.ahead)
+    caller = fields.get("f", "")
+    if not (caller.isdigit() and len(caller) <= MAX_CALLER_LENGTH):
+        raise InvalidRpcError(f"field f={_quoted(caller)}: expected the number of a dispatcher")
+    shed_rank = number(fields, "p", 0, 1, NO_SHED_RANK)
     cost_hint_ms = number(fields, "h", 0, limits.hint / US_PER_MS, 0)
     attributes = RpcAttributes(
-        arrived_at=min(arrived_at, now),
-        caller=caller,
-        idempotency_key=key,
+        min(arrived_at, now),
+        caller,
+        key,
         is_retry="r" in fields,
         cost_hint_us=int(cost_hint_ms * US_PER_MS),
         memory_kb=number(fields, "m", MIN_MEMORY_KB, MAX_MEMORY_KB),
-        shed_rank=None if shed_rank < 0 else shed_rank,
+        shed_rank=None if shed_rank == NO_SHED_RANK else shed_rank,
         connection=connection,
     )
     return ReadRpc(name, method, attributes)
 
 
-def _read_method(fields: Mapping[str, str], methods: Mapping[str, MethodInfo]) -> str:
-    method = fields.get("c")
-    if method not in methods:
-        raise InvalidRpcError(f"field c={str(method)[:QUOTED_CHARACTERS]!r}: no such method")
-    return method
-
-
-def _read_name(fields: Mapping[str, str]) -> str:
-    name = fields.get("i", "")
-    if len(name) != NAME_LENGTH or not HEX_DIGITS.issuperset(name):
-        shown = name[:QUOTED_CHARACTERS]
-        raise InvalidRpcError(f"field i={shown!r}: expected 16 hex digits, new with every try")
-    return name
+def _quoted(text: str | None) -> str:
+    return repr(str(text)[:QUOTED_CHARACTERS])
 
 
-def _read_key(fields: Mapping[str, str], kind: str | None) -> str | None:
-    if kind != KEYED:
-        return None
+def _read_key(fields: Mapping[str, str]) -> str:
     key = fields.get("k")
     if not key or len(key) > MAX_KEY_LENGTH:
         raise InvalidRpcError("field k is missing, or too long")
@@ -121,16 +114,8 @@
 def _read_arrival(fields: Mapping[str, str], now: int, late_read_us: int, ahead_us: int) -> int:
     text = fields.get("s", "")
     if not text.isdigit():
-        raise InvalidRpcError(f"field s={text[:QUOTED_CHARACTERS]!r}: expected Unix milliseconds")
+        raise InvalidRpcError(f"field s={_quoted(text)}: expected Unix milliseconds")
     arrived_at = int(number(fields, "s", 0, MAX_UNIX_MS)) * US_PER_MS
     if not now - late_read_us <= arrived_at <= now + ahead_us:
         raise InvalidRpcError(f"field s={arrived_at // US_PER_MS}: too far from {now // US_PER_MS}")
     return arrived_at
-
-
-def _read_caller(fields: Mapping[str, str]) -> str:
-    caller = fields.get("f", "")
-    if not (caller.isdigit() and len(caller) <= MAX_CALLER_LENGTH):
-        shown = caller[:QUOTED_CHARACTERS]
-        raise InvalidRpcError(f"field f={shown!r}: expected the number of a dispatcher")
-    return caller
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -36,7 +36,7 @@
 from finchcart.node.fleet_inputs import fleet_input
 from finchcart.node.inputs import MessagesReceived
 from finchcart.node.limiter_set import LimiterSet
-from finchcart.node.observer import Observer
+from finchcart.node.observer import TrafficObserver
 from finchcart.quota.limits import Limit
 from finchcart.thrift.messages import HeartbeatCall
 from tests.harness import MS, Node, draw_settings
@@ -412,7 +412,7 @@
     """A far with verdicts: the trial limit gives this node one call, for ever."""
     meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
     meters.recovery_step_us, meters.probe_timeout_us = CONFIG.rise, CONFIG.trial
-    far = far_plain(meters, Observer(CONFIG), **settings)
+    far = far_plain(meters, TrafficObserver(CONFIG), **settings)
     far.feed(fleet_input(("allow", "trial", 0, 1, far.now + 10**12)))
     return far
 
@@ -487,7 +487,7 @@
     rng = random.Random(seed)
     meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10)
     meters.recovery_step_us, meters.probe_timeout_us = CONFIG.rise, CONFIG.trial
-    far = Far({**draw_settings(rng), **GAUGES}, seed, limiters=meters, observer=Observer(CONFIG))
+    far = Far({**draw_settings(rng), **GAUGES}, seed, limiters=meters, observer=TrafficObserver(CONFIG))
     step = far.step
 
     def stepped(dt):
@@ -600,7 +600,7 @@
 
 
 def test_a_call_cut_short_by_a_grant_is_no_evidence_of_the_store():
-    witness = Observer(CONFIG)
+    witness = TrafficObserver(CONFIG)
     witness.call_ended(Outcome.TIMEOUT, 5, True)
     witness.call_ended(Outcome.REJECTED, 5, False)
     witness.call_ended(Outcome.CONNECTION_LOST, 5, True)
