--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -36,7 +36,7 @@
 from finchcart.node.inputs import Drain, ReloadConfig
 from finchcart.node.key_leases import KeyLeaseGate
 from finchcart.node.limiter_set import LimiterSet
-from finchcart.node.observer import TrafficObserver
+from finchcart.node.observer import NodeObserver
 from finchcart.quota import messages as shares
 from finchcart.quota.lease_holder import LeaseHolder
 from finchcart.quota.limits import Limit, QuotaConfig
@@ -74,7 +74,7 @@
     asked, held = quota(settings), verdicts(settings)
     if not held:
         return asked
-    trial = Limit(TRIAL, held.trials, counts="trial", mode="loose")
+    trial = Limit(TRIAL, held.probe_calls, counts="trial", mode="loose")
     asked = asked or QuotaConfig()
     return replace(asked, limits=(*asked.limits, trial))
 
@@ -123,13 +123,13 @@
         meters = LimiterSet(self.shares.limits, self.shares.slack, self.shares.most)
         held = verdicts(self.settings)
         if held:
-            meters.recovery_step_us, meters.probe_timeout_us = held.rise, held.trial
+            meters.recovery_step_us, meters.probe_timeout_us = held.recovery_step, held.probe_timeout
         return meters
 
     def witness(self):
         """What sees for the fleet's verdicts, where there are any."""
         held = verdicts(self.settings)
-        return held and TrafficObserver(held)
+        return held and NodeObserver(held)
 
     def saw(self, evidence):
         self.datagrams.tell(sayings.CHANNEL, "evidence", evidence)
--- a/finchcart/node/observer.py
+++ b/finchcart/node/observer.py
@@ -22,10 +22,10 @@
 ENDED, ENDED_IN_ERROR = range(2)  # what is counted of runs; then TIME
 
 
-class TrafficObserver:
+class NodeObserver:
     """The counts, and the consensus on each subject. Times are whole microseconds.
 
-    Bounds: counts by `config.subjects` sources a look; the consensus by what the fleet holds of sources at
+    Bounds: counts by `config.max_sources` sources a look; the consensus by what the fleet holds of sources at
     once.
     """
 
@@ -50,7 +50,7 @@
 
     def collect_evidence(self, now: int, shed_level: float) -> "Evidence | None":
         """The evidence since the last look, or None where it is too soon."""
-        if self._looked_at is not None and now - self._looked_at < self.config.look:
+        if self._looked_at is not None and now - self._looked_at < self.config.look_interval:
             return None
         evidence: Evidence = {
             "calls": tuple(self._calls),
@@ -92,7 +92,7 @@
         self._count(self._number_of(caller), OVER_LIMIT)
 
     def _count(self, name: int | None, item: int) -> None:
-        if name is not None and (name in self._sources or len(self._sources) < self.config.subjects):
+        if name is not None and (name in self._sources or len(self._sources) < self.config.max_sources):
             self._sources.setdefault(name, [0, 0, 0])[item] += 1
 
     @staticmethod
@@ -136,14 +136,14 @@
         )
         if state == Restriction.BLOCKED:
             self.blocked_rpcs += 1
-            return FleetQuota(0, 0, self.config.shut)
+            return FleetQuota(0, 0, self.config.restriction_time)
         if state != Restriction.THROTTLED:
             return None
         return self._throttled(now, name)
 
     def _throttled(self, now: int, name: int) -> FleetQuota:
         """Of a source that is throttled to so many RPCs a second."""
-        rate = self.config.slowed
+        rate = self.config.throttled_rate
         tokens, filled_at = self._throttles.get(name, (rate, now))
         tokens = min(rate, tokens + (now - filled_at) * rate / SECOND)
         self._throttles[name] = max(0.0, tokens - 1), now
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -36,14 +36,16 @@
 from finchcart.node.fleet_inputs import fleet_input
 from finchcart.node.inputs import MessagesReceived
 from finchcart.node.limiter_set import LimiterSet
-from finchcart.node.observer import TrafficObserver
+from finchcart.node.observer import NodeObserver
 from finchcart.quota.limits import Limit
 from finchcart.thrift.messages import HeartbeatCall
 from tests.harness import MS, Node, draw_settings
 from tests.test_control import PLAIN, one_step
 from tests.test_core import GAUGES, Far, far_plain, play
 
-SHORT = ConsensusConfig(shut=6 * SECOND, bad_span=4 * SECOND, again=6 * SECOND)  # rounds end sooner
+SHORT = ConsensusConfig(
+    restriction_time=6 * SECOND, source_span=4 * SECOND, recurrence_window=6 * SECOND
+)  # rounds end sooner
 CONFIG, BAD, GOOD = (
     ConsensusConfig(),
     subjects.source_subject("10.0.0.7"),
@@ -105,7 +107,7 @@
             [],
             [],
             store_report(StoreHealth.DOWN),
-            figures=replace(CONFIG, zones=2),
+            figures=replace(CONFIG, min_zones=2),
         )
         is None
     ), "of one zone"
@@ -176,8 +178,8 @@
             70 * SECOND,
             sources={subjects.source_subject(f"10.{n // 250}.0.{n % 250}"): (30 if n % 2 else 1, 0, 0)},
         )
-    assert len(observer.sources) == CONFIG.subjects
-    assert len(observer.reports(70 * SECOND)) <= CONFIG.opinions + 4
+    assert len(observer.sources) == CONFIG.max_sources
+    assert len(observer.reports(70 * SECOND)) <= CONFIG.max_source_reports + 4
     see(150 * SECOND)
     assert not observer.sources
 
@@ -250,7 +252,7 @@
     ]
     held = []
     for _ in range(20):
-        table = OverrideTable(CONFIG.words)
+        table = OverrideTable(CONFIG.max_overrides)
         some = overrides + rng.choices(overrides, k=10)
         rng.shuffle(some)
         for message, ends_at in some:
@@ -282,9 +284,10 @@
     one.known_members[name_hash("c")].state = "failed"
     assert consensus.collect_reports(now, is_alone=False).get(name_hash("c")) is None, "of a failed member"
     one.known_members[name_hash("c")].state = "alive"
-    assert consensus.collect_reports(now + CONFIG.life + 1, is_alone=False).get(name_hash("c")) is None, (
-        "void after its life"
-    )
+    assert (
+        consensus.collect_reports(now + CONFIG.report_lifetime + 1, is_alone=False).get(name_hash("c"))
+        is None
+    ), "void after its life"
 
 
 def test_a_bound_of_every_number_of_members_and_loss_grows_with_both():
@@ -364,7 +367,7 @@
 
 
 def eject_all_outliers(reports, config, member_count):
-    return decide_nodes(reports, replace(config, out_part=1.0), member_count)
+    return decide_nodes(reports, replace(config, max_ejected_fraction=1.0), member_count)
 
 
 DEFECTS = {
@@ -380,9 +383,9 @@
     "a decision does not stand for a while": dict(
         kinds=("flaps",), changes=[(standing, "StandingDecision", DecisionWithoutHold)]
     ),
-    "a few are enough for the store": dict(kinds=("zone",), figures=replace(SHORT, part=0.05)),
+    "a few are enough for the store": dict(kinds=("zone",), figures=replace(SHORT, store_quorum=0.05)),
     "one report is enough for a source": dict(
-        kinds=("few_lie",), figures=replace(SHORT, count=1, source_part=0.0)
+        kinds=("few_lie",), figures=replace(SHORT, min_reports=1, source_quorum=0.0)
     ),
     "the strictest level counts": dict(kinds=("few_lie",), changes=[(decision, "median_low", max)]),
     "more may be ejected at once": dict(
@@ -411,8 +414,8 @@
 def witnessed(**settings):
     """A far with verdicts: the trial limit gives this node one call, for ever."""
     meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
-    meters.recovery_step_us, meters.probe_timeout_us = CONFIG.rise, CONFIG.trial
-    far = far_plain(meters, TrafficObserver(CONFIG), **settings)
+    meters.recovery_step_us, meters.probe_timeout_us = CONFIG.recovery_step, CONFIG.probe_timeout
+    far = far_plain(meters, NodeObserver(CONFIG), **settings)
     far.feed(fleet_input(("allow", "trial", 0, 1, far.now + 10**12)))
     return far
 
@@ -427,7 +430,7 @@
     room = lambda: far.limiters.call_capacity(far.core.store)
     assert room() is None
     holds(far, store=StoreHealth.DOWN)
-    assert room() == 1 and far.limiters.acquire_call(far.core.store)[1] == CONFIG.trial
+    assert room() == 1 and far.limiters.acquire_call(far.core.store)[1] == CONFIG.probe_timeout
     far.feed(fleet_input(("allow", "trial", 0, 0, far.now + 10**12)))
     assert room() == 0 and far.limiters.acquire_call(far.core.store) is None
     holds(far)
@@ -435,9 +438,9 @@
     for _ in range(4):
         far.limiters.set_clock(far.now)
         rooms.append(room())
-        far.now += CONFIG.rise
+        far.now += CONFIG.recovery_step
     assert rooms == [1, 2, 4, 8], "no rush of all at once"
-    far.now += 20 * CONFIG.rise
+    far.now += 20 * CONFIG.recovery_step
     far.limiters.set_clock(far.now)
     assert room() is None
 
@@ -478,7 +481,7 @@
     far.step(MS)
     how = [far.tries[name].get("how") for name in tries]
     assert how[:3] == ["pushed back", "pushed back", None]
-    assert how[3:].count("pushed back") == 8 - CONFIG.slowed
+    assert how[3:].count("pushed back") == 8 - CONFIG.throttled_rate
     assert not far.runs.keys() & {tries[0], tries[1]}, "it never ran"
 
 
@@ -486,8 +489,8 @@
 def test_rules_hold_with_decisions_that_come_and_go(seed):
     rng = random.Random(seed)
     meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10)
-    meters.recovery_step_us, meters.probe_timeout_us = CONFIG.rise, CONFIG.trial
-    far = Far({**draw_settings(rng), **GAUGES}, seed, limiters=meters, observer=TrafficObserver(CONFIG))
+    meters.recovery_step_us, meters.probe_timeout_us = CONFIG.recovery_step, CONFIG.probe_timeout
+    far = Far({**draw_settings(rng), **GAUGES}, seed, limiters=meters, observer=NodeObserver(CONFIG))
     step = far.step
 
     def stepped(dt):
@@ -550,8 +553,8 @@
 def test_settings_are_checked_and_the_check_warns_of_a_single_report():
     tree = {"fleet": {"name": "x", "listen": "127.0.0.1:1"}, "verdicts": {"count": 1, "life_ms": 20_000}}
     told = verdicts(checked(tree, "f"))
-    assert told.life == 20 * SECOND and [name for name, _ in config_warnings(told)] == ["count"]
-    wrong = config_errors(replace(told, life=SECOND, hold_most=1))
+    assert told.report_lifetime == 20 * SECOND and [name for name, _ in config_warnings(told)] == ["count"]
+    wrong = config_errors(replace(told, report_lifetime=SECOND, max_standing=1))
     assert [name for name, _ in wrong] == ["life_ms", "hold_most_ms"]
     with pytest.raises(Wrong) as wrong:
         checked({"verdicts": {"life_ms": 3000, "cuont": 2}}, "f")
@@ -600,7 +603,7 @@
 
 
 def test_a_call_cut_short_by_a_grant_is_no_evidence_of_the_store():
-    witness = TrafficObserver(CONFIG)
+    witness = NodeObserver(CONFIG)
     witness.call_ended(Outcome.TIMEOUT, 5, True)
     witness.call_ended(Outcome.REJECTED, 5, False)
     witness.call_ended(Outcome.CONNECTION_LOST, 5, True)
