--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -13,8 +13,8 @@
 from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig, config_errors
 from finchcart.key_leases.messages import LeaseStatus
 from finchcart.key_leases.replica import KeyLeaseReplica
-from finchcart.node.claimer import Claimer
-from finchcart.node.inputs import FleetChange
+from finchcart.node.fleet_inputs import fleet_input, key_lease_client_input
+from finchcart.node.key_leases import KeyLeaseGate
 from tests.harness import draw_settings, read_answer
 from tests.test_core import GAUGES, Far, far_plain, play
 
@@ -171,7 +171,7 @@
     def __init__(self, far, rng, kinds):
         self.far, self.rng, self.kinds = far, rng, kinds
         self.asked, self.mine, self.told = {}, set(), []
-        far.do_claim = self.take
+        far.do_claim = lambda what: self.take(key_lease_client_input(what))
         step = far.step
 
         def stepped(dt):
@@ -182,7 +182,7 @@
                 if kind == LeaseStatus.GRANTED:
                     self.mine.add(key)
                 if not far.ended:
-                    far.feed(FleetChange(("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS)))
+                    far.feed(fleet_input(("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS)))
 
         far.step = stepped
 
@@ -204,8 +204,8 @@
     run = far.core.pool.run
 
     def claimed_run(rpc, repeatable):
-        if rpc.entry:
-            key, by = far.core.claimer.mine[rpc.index]
+        if rpc.key_entry:
+            key, by = far.core.key_leases.held[rpc.index]
             assert key in kept.mine and far.now < by, "commanded without a claim"
         run(rpc, repeatable)
 
@@ -215,7 +215,7 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_rules_hold_with_claims_and_none_is_left_behind(seed):
     rng = random.Random(seed)
-    far = Far({**draw_settings(rng), **GAUGES}, seed, claims=lambda turn: Claimer(turn, 20 * SECOND))
+    far = Far({**draw_settings(rng), **GAUGES}, seed, key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     kept = Kept(
         far,
         rng,
@@ -232,18 +232,18 @@
     )
     runs_are_claimed(far, kept)
     play(far, rng)
-    assert not kept.mine and not far.core.claimer.waiting and not far.core.claimer.mine
+    assert not kept.mine and not far.core.key_leases.waiting and not far.core.key_leases.held
 
 
 def one_tokened(kind, again=False, by=1000, result=b"there"):
     """How a tokened RPC is answered whose claim comes to `kind`, and whether it ran."""
-    far = far_plain(claims=lambda turn: Claimer(turn, 20 * SECOND))
+    far = far_plain(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     name = far.submit(far.open(), 1, **({"r": "1"} if again else {}))
     far.step(MS)
     ((_, asks),) = far.claims
     assert not far.runs, "not before its claim"
     if kind is not None:
-        far.feed(FleetChange(("claimed", asks[0][0], kind, result, far.now + by * MS)))
+        far.feed(fleet_input(("claimed", asks[0][0], kind, result, far.now + by * MS)))
     far.step(MS)
     ran = name in far.runs
     for _ in range(200):
@@ -271,12 +271,12 @@
 
 
 def test_a_run_elsewhere_gives_its_result():
-    far = far_plain(claims=lambda turn: Claimer(turn, 20 * SECOND))
+    far = far_plain(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     told = []
     far.answered = lambda link, data: told.append(read_answer(data))
     far.submit(far.open(), 1)
     far.step(MS)
-    far.feed(FleetChange(("claimed", far.claims[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0)))
+    far.feed(fleet_input(("claimed", far.claims[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0)))
     assert b"there" in str(told).encode() and not far.runs
 
 
