Benchmarks: one module for a node's configuration, address and process; typed, in steps

Cause: rpc, cold_ramp and restarts each wrote configurations and started nodes; far.py named no field's term. Change: node_process.py is shared, far.py is lean_peers.py; commands, options and outputs stay.

--- a/benchmarks/cold_ramp.py
+++ b/benchmarks/cold_ramp.py
@@ -6,227 +6,266 @@
 
 Real nodes on loopback that can't talk; the store counts what reached it. N is the nodes' shares together,
 times the slowest ramp that the settings allow since its return, over the time that the settings name
-(`callsOver`), in calls of the store's own time each; beyond N only 2 x root of N + 2 are put down to chance.
-Owns the measurement; a run is held against the bound by tests/test_cold_ramp.py.
+(`callsOver`), in calls of the store's own time each; beyond N only 2 x root of N + 2 are put down to
+chance. Owns the measurement; a run is held against the bound by tests/test_cold_ramp.py.
 """
 
 import argparse
 import json
-import os
 import random
 import socket
-import subprocess
-import sys
 import tempfile
 import threading
 import time
 from bisect import bisect_left
-from copy import deepcopy
+from collections.abc import Iterable, Sequence
+from contextlib import suppress
 from pathlib import Path
+from typing import NamedTuple
 
-from benchmarks import far
-from benchmarks.rpc import SETTINGS, free
+from benchmarks.lean_peers import read_until_closed
+from benchmarks.node_process import (
+    Address,
+    free_address,
+    settings_with,
+    start_node,
+    wait_until_listening,
+    write_configuration,
+)
 from finchcart.simulated_peers.client import Client
+from finchcart.simulated_peers.server import start_thread
 from finchcart.simulated_peers.worker_pool import WorkerPool
 
-# callsOut of each, callsOver, a call's time, cold for so long, from this part of the speed
-SHARE, WINDOW, CALL, COLD, START = 2.0, 1.0, 0.1, 4.0, 0.2
+SHARE = 2.0  # calls in hand that each node is told as its part (`callsOut`)
+WINDOW_S = 1.0  # the time that the settings name (`callsOver`)
+CALL_S = 0.1  # time of a call
+COLD_S = 4.0  # the store is cold for so long,
+START_CAPACITY = 0.2  # from this part of its speed
+US_PER_S = 1e6
+RUN_S = 0.004
+CORES = 512
+STOP_MS = 1000
+LISTEN_INTERVAL_S = 0.05
+STEADY_S = 2  # of load before the store first goes down
+DOWN_S = (0.5, 1.5)
+DEFAULT_RATE = 7.5
+RAMP_STEPS = 50  # of the integral
+BODY = b"x" * 20
 
 
 class ColdStore:
-    """Answers each call after `CALL` seconds; can be down, and keeps when calls reached it."""
+    """Answers each call after `CALL_S` seconds; can be down, and keeps when calls reached it."""
 
-    def __init__(self):
-        self.place, self.lock, self.links, self.calls = free(), threading.Lock(), set(), []
-        self.up()
+    def __init__(self) -> None:
+        self.address = free_address()
+        self.lock = threading.Lock()
+        self.connections: set[socket.socket] = set()
+        self.calls: list[float] = []
+        self.go_up()
 
-    def up(self):
+    def go_up(self) -> None:
+        """Listen; the store is cold from now on."""
         self.returned = time.monotonic()
-        self.listener = socket.create_server(self.place, backlog=512)
-        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+        self.listener = socket.create_server(self.address, backlog=512)
+        start_thread(self._accept_connections, self.listener)
 
-    def down(self):
+    def go_down(self) -> None:
+        """Stop listening, and break all connections."""
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         with self.lock:
-            for link in self.links:
-                try:
-                    link.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    pass  # the node left it
+            for connection in self.connections:
+                with suppress(OSError):  # the node has closed it
+                    connection.shutdown(socket.SHUT_RDWR)
 
-    def accept(self, listener):
+    def calls_so_far(self) -> list[float]:
+        """Return when calls reached the store."""
+        with self.lock:
+            return list(self.calls)
+
+    def _accept_connections(self, listener: socket.socket) -> None:
         while True:
             try:
-                link, _ = listener.accept()
+                connection, _ = listener.accept()
             except OSError:
                 return
             with self.lock:
-                self.links.add(link)
-            threading.Thread(target=self.serve, args=(link,), daemon=True).start()
+                self.connections.add(connection)
+            start_thread(self._serve, connection)
 
-    def serve(self, link):
-        try:
-            lines = link.makefile("rb")
+    def _serve(self, connection: socket.socket) -> None:
+        with suppress(OSError, ValueError):  # abandoned by the node
+            lines = connection.makefile("rb")
             for line in lines:
-                _, name, _, length = line.split()
+                _, call_id, _, length = line.split()
                 with self.lock:
                     self.calls.append(time.monotonic())
                 body = lines.read(int(length) + 2)[:-2]
-                time.sleep(CALL)
-                link.sendall(b"%s OK %d\r\n%s\r\n" % (name, len(body), body))
-        except (OSError, ValueError):
-            pass  # given up by the node
-        finally:
-            with self.lock:
-                self.links.discard(link)
-            link.close()
+                time.sleep(CALL_S)
+                connection.sendall(b"%s OK %d\r\n%s\r\n" % (call_id, len(body), body))
+        with self.lock:
+            self.connections.discard(connection)
+        connection.close()
+
+
+class Window(NamedTuple):
+    """Calls of one window: beyond N, N itself, and what is put down to chance."""
+
+    excess: float
+    allowed: float
+    chance: float
 
 
 class Fleet:
-    """Nodes, each with a worker pool and a caller of its own; `share`: what each is told as its part."""
-
-    def __init__(self, nodes, folder, share=SHARE):
-        self.nodes, self.store, self.over = nodes, ColdStore(), False
-        settings = deepcopy(SETTINGS)
-        settings["contract"].update(cold=int(COLD * 1e6), startCapacity=START)
-        settings["familyInfo"].update(callsOut=share, callsOver=int(WINDOW * 1e6))
-        self.processes, self.places = [], []
-        for n in range(nodes):
-            places = {
-                "listen": free(),
-                "pool": free(),
-                "store": self.store.place,
-                "roster": free(socket.SOCK_DGRAM),
+    """Nodes, each with a worker pool and a caller of its own; `share` is what each is told as its part."""
+
+    def __init__(self, nodes: int, folder: str, share: float = SHARE) -> None:
+        self.nodes = nodes
+        self.store = ColdStore()
+        self.ended = False
+        settings = settings_with(
+            contract={"cold": int(COLD_S * US_PER_S), "startCapacity": START_CAPACITY},
+            family={"callsOut": share, "callsOver": int(WINDOW_S * US_PER_S)},
+        )
+        self.processes = []
+        self.addresses: list[Address] = []
+        for number in range(nodes):
+            addresses = {
+                "listen": free_address(),
+                "pool": free_address(),
+                "store": self.store.address,
+                "roster": free_address(socket.SOCK_DGRAM),
             }
-            path = Path(folder) / f"n{n}.json"
-            path.write_text(
-                json.dumps(
-                    {
-                        "name": f"n{n}",
-                        "seed": f"{n:x}",
-                        "stop_ms": 1000,
-                        "settings": settings,
-                        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                        **{name: "%s:%d" % place for name, place in places.items()},
-                    }
-                )
-            )
-            WorkerPool(places["pool"], {"read": True, "write": True}, work=0.004, cores=512)
-            self.places.append(places["listen"])
-            self.processes.append(
-                subprocess.Popen(
-                    [sys.executable, "-m", "finchcart"],
-                    stderr=subprocess.DEVNULL,
-                    env={**os.environ, "ROUTER_CONFIG": str(path), "MALLOC_ARENA_MAX": "2"},
-                )
-            )
-
-    def call(self, rate, seed):
-        """From here on each node's caller asks, on an open loop."""
-        for n, place in enumerate(self.places):
-            threading.Thread(
-                target=self.caller, args=(place, rate, random.Random(seed * 1000 + n)), daemon=True
-            ).start()
-
-    def caller(self, place, rate, rng):
+            path = Path(folder) / f"n{number}.json"
+            write_configuration(path, f"n{number}", f"{number:x}", STOP_MS, addresses, settings)
+            WorkerPool(addresses["pool"], {"read": True, "write": True}, work=RUN_S, cores=CORES)
+            self.addresses.append(addresses["listen"])
+            self.processes.append(start_node(path))
+
+    def wait_until_listening(self) -> None:
+        """Wait for all nodes."""
+        for address in self.addresses:
+            wait_until_listening(address, LISTEN_INTERVAL_S)
+
+    def start_load(self, rate: float, seed: int) -> None:
+        """Let each node's caller send RPCs from now on, on an open loop."""
+        for number, address in enumerate(self.addresses):
+            start_thread(self._call, address, rate, random.Random(seed * 1000 + number))
+
+    def _call(self, address: Address, rate: float, chance: random.Random) -> None:
         client = None
-        while not self.over:
-            time.sleep(rng.expovariate(rate))
+        while not self.ended:
+            time.sleep(chance.expovariate(rate))
             try:
                 if client is None:
-                    client = Client(place)
-                    threading.Thread(target=far.read_on, args=(client,), daemon=True).start()
-                client.submit("read", b"x" * 20)
+                    client = Client(address)
+                    start_thread(read_until_closed, client)
+                client.submit("read", BODY)
             except OSError:
                 client = None
 
-    def round(self, rng):
-        """The store goes and comes back; (worst excess, N and chance there, calls) of the windows since."""
-        self.store.down()
-        time.sleep(rng.uniform(0.5, 1.5))
+    def play_round(self, chance: random.Random) -> tuple[Window | None, int]:
+        """Let the store go down and come back; return the worst window since, and the number of calls."""
+        self.store.go_down()
+        time.sleep(chance.uniform(*DOWN_S))
         self.store.calls.clear()
-        self.store.up()
+        self.store.go_up()
         returned = self.store.returned
-        time.sleep(COLD + WINDOW)
-        with self.store.lock:
-            calls = list(self.store.calls)
-        worst = None
-        for n, begin in enumerate(calls):
-            count = bisect_left(calls, begin + WINDOW) - n
-            allowed = self.nodes * SHARE / CALL * ramp(begin - returned, WINDOW)
-            chance = 2 * allowed**0.5 + 2
-            if worst is None or count - allowed - chance > worst[0] - worst[2]:
-                worst = count - allowed, allowed, chance
-        return *worst, len(calls)
-
-    def end(self):
-        self.over = True
+        time.sleep(COLD_S + WINDOW_S)
+        calls = self.store.calls_so_far()
+        windows = [self._window(calls, first, returned) for first in range(len(calls))]
+        worst = max(windows, key=lambda window: window.excess - window.chance, default=None)
+        return worst, len(calls)
+
+    def _window(self, calls: Sequence[float], first: int, returned: float) -> Window:
+        """Return the window that begins with a call."""
+        begin = calls[first]
+        count = bisect_left(calls, begin + WINDOW_S) - first
+        allowed = self.nodes * SHARE / CALL_S * ramp_integral(begin - returned, WINDOW_S)
+        return Window(count - allowed, allowed, 2 * allowed**0.5 + 2)
+
+    def end(self) -> None:
+        """End all nodes."""
+        self.ended = True
         for process in self.processes:
             process.kill()
         for process in self.processes:
             process.wait()
 
 
-def ramp(age, span):
-    """The slowest ramp that is allowed, over the span from that age on: its integral."""
-    at = lambda t: min(1.0, START + (1 - START) * max(0.0, t) / COLD)
-    steps = 50
-    return sum(at(age + span * (k + 0.5) / steps) for k in range(steps)) * span / steps
+def ramp(age: float) -> float:
+    """Return the part of its speed that a store is allowed, `age` seconds after its return."""
+    return min(1.0, START_CAPACITY + (1 - START_CAPACITY) * max(0.0, age) / COLD_S)
+
 
+def ramp_integral(age: float, span: float) -> float:
+    """Return the integral of the slowest ramp that is allowed, over the span from that age on."""
+    middles = (age + span * (step + 0.5) / RAMP_STEPS for step in range(RAMP_STEPS))
+    return sum(ramp(middle) for middle in middles) * span / RAMP_STEPS
 
-def play(nodes, seeds, rate=7.5, whole=False):
-    """A row a seed."""
-    rows = []
+
+def play_seeds(
+    nodes: int, seeds: Sequence[int], rate: float = DEFAULT_RATE, whole: bool = False
+) -> list[dict]:
+    """Play a round for each seed; return a row each. With `whole` each node takes the whole budget."""
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(nodes, folder, SHARE * (nodes if whole else 1))
         try:
-            for place in fleet.places:
-                for _ in range(500):
-                    try:
-                        socket.create_connection(place, timeout=1).close()
-                        break
-                    except OSError:
-                        time.sleep(0.05)
-            fleet.call(rate, seeds[0])
-            time.sleep(2)
-            for seed in seeds:
-                excess, allowed, chance, calls = fleet.round(random.Random(seed))
-                rows.append(
-                    {
-                        "nodes": nodes,
-                        "seed": seed,
-                        "excess": round(excess, 1),
-                        "N": round(allowed, 1),
-                        "chance": round(chance, 1),
-                        "calls": calls,
-                        "held": excess <= chance,
-                    }
-                )
+            fleet.wait_until_listening()
+            fleet.start_load(rate, seeds[0])
+            time.sleep(STEADY_S)
+            return [play_seed(fleet, seed) for seed in seeds]
         finally:
             fleet.end()
-    return rows
 
 
-def main():
+def play_seed(fleet: Fleet, seed: int) -> dict:
+    """Play one round; return its row."""
+    worst, calls = fleet.play_round(random.Random(seed))
+    if worst is None:
+        raise RuntimeError(f"seed {seed}: no call reached the store after its return")
+    return {
+        "nodes": fleet.nodes,
+        "seed": seed,
+        "excess": round(worst.excess, 1),
+        "N": round(worst.allowed, 1),
+        "chance": round(worst.chance, 1),
+        "calls": calls,
+        "held": worst.excess <= worst.chance,
+    }
+
+
+def summary(nodes: int, rows: Iterable[dict]) -> str:
+    """Return one line of all rows."""
+    rows = list(rows)
+    worst = max(rows, key=lambda row: row["excess"] - row["chance"])
+    over = sum(not row["held"] for row in rows)
+    return (
+        f"{nodes} nodes, {len(rows)} seeds: {over} over; worst excess over N {worst['excess']} at "
+        f"N {worst['N']}, where {worst['chance']} are put down to chance"
+    )
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--nodes", type=int, default=20)
     parser.add_argument("--seeds", type=int, default=20)
-    parser.add_argument("--rate", type=float, default=7.5, help="RPCs a second to each node")
+    parser.add_argument("--rate", type=float, default=DEFAULT_RATE, help="RPCs a second to each node")
     parser.add_argument("--whole", action="store_true", help="planted defect: each takes the whole budget")
     parser.add_argument("--json", help="the rows are written here")
-    told = parser.parse_args()
-    rows = play(told.nodes, range(1, told.seeds + 1), told.rate, told.whole)
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Measure what the command line asks for."""
+    arguments = parse_arguments()
+    rows = play_seeds(arguments.nodes, range(1, arguments.seeds + 1), arguments.rate, arguments.whole)
     for row in rows:
         print(row)
-    worst = max(rows, key=lambda row: row["excess"] - row["chance"])
-    over = sum(not row["held"] for row in rows)
-    print(
-        f"{told.nodes} nodes, {len(rows)} seeds: {over} over; worst excess over N {worst['excess']} at "
-        f"N {worst['N']}, where {worst['chance']} are put down to chance"
-    )
-    if told.json:
-        Path(told.json).write_text(json.dumps(rows, indent=1) + "\n")
+    print(summary(arguments.nodes, rows))
+    if arguments.json:
+        Path(arguments.json).write_text(json.dumps(rows, indent=1) + "\n")
 
 
 if __name__ == "__main__":
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -10,6 +10,7 @@
 
 import argparse
 import json
+import math
 import os
 import random
 import signal
@@ -19,134 +20,179 @@
 import tempfile
 import threading
 import time
-from copy import deepcopy
+from collections.abc import Callable, Sequence
+from contextlib import closing, suppress
+from enum import StrEnum
 from pathlib import Path
+from typing import NoReturn
 
-from benchmarks import far
-from benchmarks.rpc import SETTINGS, free
-from finchcart.simulated_peers.client import Client
+from benchmarks.lean_peers import read_until_closed
+from benchmarks.node_process import Address, free_address, start_node, write_configuration
+from finchcart.simulated_peers.client import Client, Outcome
 from finchcart.simulated_peers.registry import Registry
+from finchcart.simulated_peers.server import start_thread
 from finchcart.simulated_peers.store import Store
 from finchcart.simulated_peers.worker_pool import WorkerPool
 
-METHODS = {"read": True, "write": False}
+METHODS = {"read": True, "write": False}  # and whether its runs call the store
+RUN_S = 0.01
+CALL_S = 0.002
+CORES = 512
+STOP_MS = 1500
+POOL_LATE_S = 1
+LONGEST_START_S = 60
+PROBE_INTERVAL_S = 0.005
+RECONNECT_INTERVAL_S = 0.02
+BODY = b"y" * 50
+LARGEST_IMPORTS = 8
+US_PER_MS = 1000
+ALL = "all"
 
 
-class Node:
+class Kind(StrEnum):
+    """Kinds of restarts, one after the other."""
+
+    KILLED = "killed"
+    TERMINATED = "told to leave"
+    POOL_LATE = "worker pool late"
+    STORE_DOWN = "store down"
+    REGISTRY_DOWN = "registry down"
+
+
+DOWN_KEYS = {Kind.STORE_DOWN: "store", Kind.REGISTRY_DOWN: "roster"}  # in the node's configuration
+
+
+def random_key() -> str:
+    """Return an idempotency key."""
+    return os.urandom(16).hex()
+
+
+class RestartedNode:
     """One node with a worker pool of its own."""
 
-    def __init__(self, number, folder, store, registry):
-        self.places = {"listen": free(), "pool": free(), "store": store, "roster": registry}
+    def __init__(self, number: int, folder: str, store: Address, registry: Address) -> None:
+        self.number = number
         self.path = Path(folder) / f"n{number}.json"
-        self.config = {
-            "name": f"n{number}",
-            "seed": f"{number:x}",
-            "stop_ms": 1500,
-            "settings": deepcopy(SETTINGS),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        self.addresses = {
+            "listen": free_address(),
+            "pool": free_address(),
+            "store": store,
+            "roster": registry,
         }
-        self.pool = WorkerPool(self.places["pool"], METHODS, work=0.01, cores=512)
+        self.pool = WorkerPool(self.addresses["pool"], METHODS, work=RUN_S, cores=CORES)
         self.start()
 
-    def write(self, **places):
-        told = {name: "%s:%d" % place for name, place in {**self.places, **places}.items()}
-        self.path.write_text(json.dumps({**self.config, **told}))
+    def write_configuration(self, **addresses: Address) -> None:
+        """Write the configuration, with other addresses for some of its keys."""
+        name = f"n{self.number}"
+        write_configuration(self.path, name, f"{self.number:x}", STOP_MS, {**self.addresses, **addresses})
 
-    def start(self, **places):
-        self.write(**places)
+    def start(self, **addresses: Address) -> None:
+        """Start the process, with other addresses for some of the configuration's keys."""
+        self.write_configuration(**addresses)
         self.began = time.monotonic()
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "finchcart"],
-            stderr=subprocess.DEVNULL,
-            env={**os.environ, "ROUTER_CONFIG": str(self.path), "MALLOC_ARENA_MAX": "2"},
-        )
+        self.process = start_node(self.path)
 
-    def stop(self, how):
-        self.process.send_signal(how)
+    def stop(self, number: signal.Signals) -> None:
+        """Send the process a signal that ends it, and wait for the end."""
+        self.process.send_signal(number)
         self.process.wait()
 
-    def until(self, what, within=60):
-        """Seconds from the start until that holds."""
-        while time.monotonic() - self.began < within:
-            try:
-                client = Client(self.places["listen"])
-                if what == "listens":
-                    client.heartbeat()
-                else:
-                    client.submit("write", b"x", os.urandom(16).hex())
-                got = client.answer()
-                client.sock.close()
-                if got[2] == "ok":
-                    return time.monotonic() - self.began
-            except (OSError, EOFError):
-                pass
-            time.sleep(0.005)
-        return float("inf")
-
-    def load(self, rate, rng):
-        """A caller for as long as this program runs."""
+    def seconds_since_start(self) -> float:
+        """Return the seconds since the start of the process."""
+        return time.monotonic() - self.began
+
+    def wait_until_listening(self) -> float:
+        """Return the seconds from the start until a health check is answered."""
+        return self._wait_until_ok(Client.heartbeat)
+
+    def wait_until_ready(self) -> float:
+        """Return the seconds from the start until an RPC is served."""
+        return self._wait_until_ok(lambda client: client.submit("write", b"x", random_key()))
+
+    def _wait_until_ok(self, send: Callable[[Client], int]) -> float:
+        while self.seconds_since_start() < LONGEST_START_S:
+            with suppress(OSError, EOFError):
+                client = Client(self.addresses["listen"])
+                with closing(client.sock):
+                    send(client)
+                    outcome = client.answer().outcome
+                if outcome == Outcome.OK:
+                    return self.seconds_since_start()
+            time.sleep(PROBE_INTERVAL_S)
+        return math.inf
+
+    def keep_loaded(self, rate: float, chance: random.Random) -> NoReturn:
+        """Send RPCs for as long as this program runs."""
         while True:
-            try:
-                client = Client(self.places["listen"])
-                threading.Thread(target=far.read_on, args=(client,), daemon=True).start()
+            with suppress(OSError):
+                client = Client(self.addresses["listen"])
+                start_thread(read_until_closed, client)
                 while True:
-                    time.sleep(rng.expovariate(rate))
-                    client.submit(rng.choice(("read", "write")), b"y" * 50, os.urandom(16).hex())
-            except OSError:
-                time.sleep(0.02)
-
-
-def restart(node, kind, gone, rows):
-    late = None
-    node.stop(signal.SIGTERM if kind == "told to leave" else signal.SIGKILL)
-    if kind == "worker pool late":
-        node.start(pool=gone)
-        node.places["pool"] = free()
-        listens = node.until("listens")
-        time.sleep(max(0.0, 1 - (time.monotonic() - node.began)))
-        node.pool.listen(node.places["pool"])
-        node.write()
-        node.process.send_signal(signal.SIGHUP)
-        late = time.monotonic() - node.began
+                    time.sleep(chance.expovariate(rate))
+                    client.submit(chance.choice(tuple(METHODS)), BODY, random_key())
+            time.sleep(RECONNECT_INTERVAL_S)
+
+
+def restart(node: RestartedNode, kind: str, rows: list[dict]) -> None:
+    """Restart a node and add a row."""
+    node.stop(signal.SIGTERM if kind == Kind.TERMINATED else signal.SIGKILL)
+    row = {"kind": str(kind)}
+    if kind == Kind.POOL_LATE:
+        listens, pool_up = start_before_pool(node)
     else:
-        down = {"store down": "store", "registry down": "roster"}.get(kind)
-        node.start(**({down: gone} if down else {}))
-        listens = node.until("listens")
-    ready = node.until("ready")
-    rows.append(
-        {
-            "kind": kind,
-            "listens": round(listens, 3),
-            "ready": round(ready, 3),
-            **({"after_pool": round(ready - late, 3)} if late else {}),
-        }
-    )
+        down = {DOWN_KEYS[kind]: free_address()} if kind in DOWN_KEYS else {}
+        node.start(**down)
+        listens = node.wait_until_listening()
+        pool_up = None
+    ready = node.wait_until_ready()
+    row |= {"listens": round(listens, 3), "ready": round(ready, 3)}
+    if pool_up is not None:
+        row["after_pool"] = round(ready - pool_up, 3)
+    rows.append(row)
+
+
+def start_before_pool(node: RestartedNode) -> tuple[float, float]:
+    """Start a node, and its worker pool a second later at an address that the node is told then.
+
+    Return the seconds from the start until the node listened, and until the worker pool was up.
+    """
+    node.start(pool=free_address())
+    node.addresses["pool"] = free_address()
+    listens = node.wait_until_listening()
+    time.sleep(max(0.0, POOL_LATE_S - node.seconds_since_start()))
+    node.pool.listen(node.addresses["pool"])
+    node.write_configuration()
+    node.process.send_signal(signal.SIGHUP)
+    return listens, node.seconds_since_start()
+
+
+def restart_together(fleet: Sequence[RestartedNode], rows: list[dict]) -> None:
+    """Restart all nodes at once."""
+    kind = f"{len(fleet)} at once"
+    threads = [threading.Thread(target=restart, args=(node, kind, rows)) for node in fleet]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
 
 
-def play(nodes=20, each=10, rate=20.0):
-    rows = []
+def play(nodes: int = 20, each: int = 10, rate: float = 20.0) -> list[dict]:
+    """Restart loaded nodes, `each` times of each kind and then all at once; return a row for each restart."""
+    rows: list[dict] = []
     with tempfile.TemporaryDirectory() as folder:
-        store, registry = (
-            Store(free(), work=0.002),
-            Registry(free(socket.SOCK_DGRAM), on_change=lambda text: None),
-        )
-        places = store.listener.getsockname(), registry.sock.getsockname()
-        fleet = [Node(n, folder, *places) for n in range(nodes)]
+        store = Store(free_address(), work=CALL_S)
+        registry = Registry(free_address(socket.SOCK_DGRAM), on_change=lambda text: None)
+        addresses = store.listener.getsockname(), registry.sock.getsockname()
+        fleet = [RestartedNode(number, folder, *addresses) for number in range(nodes)]
         try:
-            for n, node in enumerate(fleet):
-                node.until("ready")
-                threading.Thread(target=node.load, args=(rate, random.Random(n)), daemon=True).start()
-            for kind in ("killed", "told to leave", "worker pool late", "store down", "registry down"):
-                for n in range(each):
-                    restart(fleet[n % nodes], kind, free(), rows)
-            together = [
-                threading.Thread(target=restart, args=(node, f"{nodes} at once", None, rows))
-                for node in fleet
-            ]
-            for thread in together:
-                thread.start()
-            for thread in together:
-                thread.join()
+            for number, node in enumerate(fleet):
+                node.wait_until_ready()
+                start_thread(node.keep_loaded, rate, random.Random(number))
+            for kind in Kind:
+                for number in range(each):
+                    restart(fleet[number % nodes], kind, rows)
+            restart_together(fleet, rows)
         finally:
             for node in fleet:
                 node.process.kill()
@@ -154,43 +200,57 @@
     return rows
 
 
-def quantile(values, part):
-    return sorted(values)[min(len(values) - 1, int(part * len(values)))]
+# ---- report
 
 
-def imports():
-    """Milliseconds of the largest imports on the way to ready."""
-    done = subprocess.run(
-        [sys.executable, "-X", "importtime", "-c", "import finchcart.__main__"],
-        capture_output=True,
-        text=True,
-    )
-    took = {}
-    for line in done.stderr.splitlines()[1:]:
-        _, total, name = line.removeprefix("import time:").split("|")
-        took[name.strip()] = int(total) / 1000
-    return {name: round(took[name], 1) for name in sorted(took, key=took.get, reverse=True)[:8]}
+def quantile(values: Sequence[float], part: float) -> float:
+    """Return that quantile of the values."""
+    return sorted(values)[min(len(values) - 1, int(part * len(values)))]
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("--nodes", type=int, default=20)
-    parser.add_argument("--each", type=int, default=10, help="restarts of each kind, one after the other")
-    parser.add_argument("--json", help="the rows are written here")
-    told = parser.parse_args()
-    rows = play(told.nodes, told.each)
+def print_table(rows: Sequence[dict]) -> None:
+    """Print a line for each kind, and one for all."""
     print("| kind | restarts | listens, median | ready, median | nine in ten | worst |")
     print("| --- | --- | --- | --- | --- | --- |")
-    for kind in [*dict.fromkeys(row["kind"] for row in rows), "all"]:
-        mine = [row for row in rows if kind in ("all", row["kind"])]
+    for kind in [*dict.fromkeys(row["kind"] for row in rows), ALL]:
+        mine = [row for row in rows if kind in (ALL, row["kind"])]
+        listens = [row["listens"] for row in mine]
         ready = [row.get("after_pool", row["ready"]) for row in mine]
         print(
-            f"| {kind} | {len(mine)} | {quantile([row['listens'] for row in mine], 0.5):.2f} s | "
+            f"| {kind} | {len(mine)} | {quantile(listens, 0.5):.2f} s | "
             f"{quantile(ready, 0.5):.2f} s | {quantile(ready, 0.9):.2f} s | {max(ready):.2f} s |"
         )
-    print("imports, ms:", imports())
-    if told.json:
-        Path(told.json).write_text(json.dumps(rows, indent=1) + "\n")
+
+
+def import_times() -> dict[str, float]:
+    """Return the milliseconds of the largest imports on the way to ready."""
+    command = [sys.executable, "-X", "importtime", "-c", "import finchcart.__main__"]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    times: dict[str, float] = {}
+    for line in done.stderr.splitlines()[1:]:
+        _, total_us, name = line.removeprefix("import time:").split("|")
+        times[name.strip()] = int(total_us) / US_PER_MS
+    largest = sorted(times, key=times.get, reverse=True)[:LARGEST_IMPORTS]
+    return {name: round(times[name], 1) for name in largest}
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--nodes", type=int, default=20)
+    parser.add_argument("--each", type=int, default=10, help="restarts of each kind, one after the other")
+    parser.add_argument("--json", help="the rows are written here")
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Measure what the command line asks for."""
+    arguments = parse_arguments()
+    rows = play(arguments.nodes, arguments.each)
+    print_table(rows)
+    print("imports, ms:", import_times())
+    if arguments.json:
+        Path(arguments.json).write_text(json.dumps(rows, indent=1) + "\n")
 
 
 if __name__ == "__main__":
--- a/benchmarks/rpc.py
+++ b/benchmarks/rpc.py
@@ -4,217 +4,198 @@
     .venv/bin/python -m benchmarks.rpc --tree . --tree ../old   # two texts in one run, turn by turn
     .venv/bin/python -m benchmarks.rpc --short                  # a second each, as CI does
 
-Owns the measurement; the far sides are benchmarks/far.py's. It must never judge by time: it reports.
+Owns the measurement; the node's peers are benchmarks/lean_peers.py's. It must never judge by time: it
+reports.
 """
 
 import argparse
 import json
 import multiprocessing
 import os
-import random
 import socket
 import subprocess
 import sys
 import tempfile
 import time
 from pathlib import Path
+from typing import NamedTuple
+
+from benchmarks import lean_peers
+from benchmarks.node_process import free_address, start_node, wait_until_listening, write_configuration
+
+METHODS = [("read", False), ("write", True)]  # and whether its RPCs have idempotency keys
+CLOCK_TICKS_A_SECOND = os.sysconf("SC_CLK_TCK")
+CORES = 4  # the node's, and three of its peers
+DEFAULT_RATES = [100, 200, 400, 800, 1200]
+SHORT_RATE = 50
+SHORT_S = 1.0
+STOP_MS = 3000
+STOP_TIMEOUT_S = 5
+LISTEN_INTERVAL_S = 0.02
+POOL_CONNECTED_S = 0.3  # after the node listens; the worker pool's connection is up by then
 
-from benchmarks import far
-
-SETTINGS = {
-    "contract": {"cold": 0, "overloadFactor": 8.0, "startCapacity": 1.0, "stopSendingWithin": 100_000},
-    "familyInfo": {
-        "callerIdle": 30_000_000,
-        "callsOut": 200.0,
-        "callsOver": 5_000_000,
-        "classCalls": [True, True],
-        "cores": 512,
-        "freshStart": False,
-        "gauges": ["core_use", "on_cores", "heap_share", "links"],
-        "kbPerKey": 1.0,
-        "linger": 200_000,
-        "memoryKb": 4_000_000.0,
-        "preemption": "silent",
-        "runFactor": 2.0,
-        "say": "level",
-        "worthWithout": [0.6, 0.0],
-    },
-    "limits": {"maxRetryAfter": 1_000_000, "retryAfter": True},
-    "round": 2000,
-    "services": [
-        {
-            "name": "read",
-            "effect": "read_like",
-            "worth": 1.0,
-            "target": 1_800_000,
-            "deadline": 4_600_000,
-            "window": 5_000_000,
-            "lateWorth": 0.0,
-        },
-        {
-            "name": "write",
-            "effect": "idempotency_key",
-            "worth": 3.0,
-            "target": 1_800_000,
-            "deadline": 4_600_000,
-            "window": 13_000_000,
-            "lateWorth": 0.0,
-        },
-    ],
-    "worthBy": "work",
+COLUMNS = {
+    "text": "text",
+    "rate": "RPCs/s",
+    "cpu_ms": "CPU ms an RPC",
+    "user_ms": "user",
+    "system_ms": "system",
+    "reducer_ms": "of it reducing",
+    "core": "of a core",
+    "median_ms": "median ms",
+    "p99_ms": "99 % ms",
+    "ok": "ok",
+    "pushed back": "pushed back",
+    "aborted": "aborted",
+    "unanswered": "unanswered",
+    "mb": "MB",
 }
-METHODS = [("read", False), ("write", True)]
-TICK = os.sysconf("SC_CLK_TCK")
+DIGITS = {"median_ms": 1, "p99_ms": 1, "mb": 0}  # behind the point; 2 in all other columns
+HEAD = "| " + " | ".join(COLUMNS.values()) + " |\n" + "| --- " * len(COLUMNS) + "|"
+
 
+class CpuTime(NamedTuple):
+    """CPU time in seconds."""
 
-def free(kind=socket.SOCK_STREAM):
-    """A port that nobody is given by chance: one of those could be connected to itself."""
-    while True:
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
-                sock.bind(("127.0.0.1", random.SystemRandom().randrange(10_000, 32_000)))
-                return sock.getsockname()
-            except OSError:
-                pass
+    user: float
+    system: float
 
 
-class Node:
-    """One node of the text in `tree`, on core 0 of those given, with far sides of its own."""
+class MeasuredNode:
+    """One node of the text in `tree`, on the first of the cores, with peers of its own on the others.
 
-    def __init__(self, tree, links, work, cpus, folder):
+    `work` is the time of a run in seconds.
+    """
+
+    def __init__(self, tree: str, connections: int, work: float, cores: list[int], folder: str) -> None:
         self.tree = Path(tree).resolve()
-        places = {"listen": free(), "pool": free(), "store": free(), "roster": free(socket.SOCK_DGRAM)}
-        path = Path(folder) / f"{places['listen'][1]}.json"
-        path.write_text(
-            json.dumps(
-                {
-                    "name": "b1",
-                    "seed": "1",
-                    "stop_ms": 3000,
-                    "settings": SETTINGS,
-                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                    **{name: "%s:%d" % place for name, place in places.items()},
-                }
-            )
-        )
+        addresses = {
+            "listen": free_address(),
+            "pool": free_address(),
+            "store": free_address(),
+            "roster": free_address(socket.SOCK_DGRAM),
+        }
+        path = Path(folder) / f"{addresses['listen'][1]}.json"
+        write_configuration(path, "b1", "1", STOP_MS, addresses)
+        os.sched_setaffinity(0, cores[1:])
+        self._start_peers(addresses, connections, work, cores[0])
+        os.sched_setaffinity(0, cores[:1])
+        self.process = start_node(path, self.tree)
+        os.sched_setaffinity(0, cores)
+        wait_until_listening(addresses["listen"], LISTEN_INTERVAL_S)
+        time.sleep(POOL_CONNECTED_S)
+
+    def _start_peers(
+        self, addresses: dict[str, tuple[str, int]], connections: int, work: float, core: int
+    ) -> None:
         spawn = multiprocessing.get_context("spawn")
-        os.sched_setaffinity(0, cpus[1:])
-        self.world = spawn.Process(target=far.world, args=(places, {"read", "write"}, work), daemon=True)
-        self.world.start()
         self.pipe, theirs = spawn.Pipe()
-        self.callers = spawn.Process(
-            target=far.call, args=(theirs, places["listen"], links, METHODS, 1), daemon=True
-        )
-        self.callers.start()
-        self.filler = spawn.Process(target=far.keep_busy, args=(cpus[0],), daemon=True)
-        self.filler.start()
-        os.sched_setaffinity(0, cpus[:1])
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "finchcart"],
-            cwd=self.tree,
-            stderr=subprocess.DEVNULL,
-            env={
-                **os.environ,
-                "ROUTER_CONFIG": str(path),
-                "MALLOC_ARENA_MAX": "2",
-                "PYTHONPATH": str(self.tree),
-            },
-        )
-        os.sched_setaffinity(0, cpus)
-        self.wait(places["listen"])
-
-    def wait(self, where):
-        for _ in range(500):
-            try:
-                socket.create_connection(where, timeout=1).close()
-                break
-            except OSError:
-                time.sleep(0.02)
-        time.sleep(0.3)  # the worker pool's link is up by then
-
-    def cpu(self, thread=""):
-        """Seconds of user and system time, of the process or of one thread."""
-        fields = Path(f"/proc/{self.process.pid}/{thread}stat").read_text().rpartition(")")[2].split()
-        return int(fields[11]) / TICK, int(fields[12]) / TICK
-
-    def reducing(self):
-        """CPU seconds of the one thread that reduces; the rest is the links' threads."""
+        calling = {name for name, _ in METHODS}
+        processes = {
+            lean_peers.serve_peers: (addresses, calling, work),
+            lean_peers.serve_load: (theirs, addresses["listen"], connections, METHODS, 1),
+            lean_peers.keep_core_busy: (core,),
+        }
+        self.peers = [
+            spawn.Process(target=target, args=args, daemon=True) for target, args in processes.items()
+        ]
+        for peer in self.peers:
+            peer.start()
+
+    def cpu(self, thread: str = "") -> CpuTime:
+        """Return the CPU time of the process, or of one thread by its path under /proc/PID."""
+        text = Path(f"/proc/{self.process.pid}/{thread}stat").read_text()
+        user, system = text.rpartition(")")[2].split()[11:13]
+        return CpuTime(int(user) / CLOCK_TICKS_A_SECOND, int(system) / CLOCK_TICKS_A_SECOND)
+
+    def reducer_cpu(self) -> float:
+        """Return the CPU seconds of the one thread that reduces; the rest is the connections' threads."""
         return sum(self.cpu(f"task/{self.process.pid}/"))
 
-    def mb(self, what="VmHWM"):
-        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith(what):
-                return int(line.split()[1]) / 1024
+    def peak_mb(self) -> float:
+        """Return the peak resident memory."""
+        lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+        return next(int(line.split()[1]) / 1024 for line in lines if line.startswith("VmHWM"))
 
-    def play(self, rate, seconds):
-        """One rate: a row of figures."""
+    def play(self, rate: float, seconds: float) -> dict:
+        """Play one rate; return a row of figures."""
         self.pipe.send((rate, seconds))
-        assert self.pipe.recv() == "begin"
-        before, reduced, began = self.cpu(), self.reducing(), time.monotonic()
-        got = self.pipe.recv()
-        reduced = self.reducing() - reduced
-        after, took = self.cpu(), min(time.monotonic() - began, seconds)
-        count, latencies = max(1, sum(got["how"].values())), got["latencies"] or [0.0]
-        user, system = ((b - a) * 1000 / count for a, b in zip(before, after))
+        began = self.pipe.recv()
+        if began != "begin":
+            raise RuntimeError(f"the callers sent {began!r} instead of 'begin'")
+        cpu_before = self.cpu()
+        reducer_before = self.reducer_cpu()
+        began_at = time.monotonic()
+        figures = self.pipe.recv()
+        reducer_s = self.reducer_cpu() - reducer_before
+        cpu_after = self.cpu()
+        took = min(time.monotonic() - began_at, seconds)
+        answered = max(1, sum(figures["how"].values()))
+        latencies = figures["latencies"] or [0.0]
+        user_ms = (cpu_after.user - cpu_before.user) * 1000 / answered
+        system_ms = (cpu_after.system - cpu_before.system) * 1000 / answered
         return {
             "rate": rate,
-            "answered": count,
-            "user_ms": user,
-            "system_ms": system,
-            "cpu_ms": user + system,
-            "reducer_ms": reduced * 1000 / count,
-            "core": (user + system) * count / 1000 / took,
+            "answered": answered,
+            "user_ms": user_ms,
+            "system_ms": system_ms,
+            "cpu_ms": user_ms + system_ms,
+            "reducer_ms": reducer_s * 1000 / answered,
+            "core": (user_ms + system_ms) * answered / 1000 / took,
             "median_ms": latencies[len(latencies) // 2] * 1000,
             "p99_ms": latencies[len(latencies) * 99 // 100] * 1000,
-            "mb": self.mb(),
-            "unanswered": got["unanswered"],
-            **got["how"],
+            "mb": self.peak_mb(),
+            "unanswered": figures["unanswered"],
+            **figures["how"],
         }
 
-    def end(self):
+    def end(self) -> None:
+        """End the node and its peers."""
         self.process.terminate()
         try:
-            self.process.wait(5)
+            self.process.wait(STOP_TIMEOUT_S)
         except subprocess.TimeoutExpired:
             self.process.kill()
-        self.filler.terminate()
-        self.world.terminate()
-        self.callers.terminate()
+        for peer in self.peers:
+            peer.terminate()
 
 
-def commit(tree):
-    said = subprocess.run(
-        ["git", "-C", str(tree), "describe", "--always", "--dirty"], capture_output=True, text=True
-    )
-    return said.stdout.strip() or "?"
+def commit_of(tree: str) -> str:
+    """Return the commit of a checkout; "?" where it is none."""
+    command = ["git", "-C", tree, "describe", "--always", "--dirty"]
+    return subprocess.run(command, capture_output=True, text=True, check=False).stdout.strip() or "?"
 
 
-COLUMNS = {
-    "text": "text",
-    "rate": "RPCs/s",
-    "cpu_ms": "CPU ms an RPC",
-    "user_ms": "user",
-    "system_ms": "system",
-    "reducer_ms": "of it reducing",
-    "core": "of a core",
-    "median_ms": "median ms",
-    "p99_ms": "99 % ms",
-    "ok": "ok",
-    "pushed back": "pushed back",
-    "aborted": "aborted",
-    "unanswered": "unanswered",
-    "mb": "MB",
-}
-HEAD = "| " + " | ".join(COLUMNS.values()) + " |\n" + "| --- " * len(COLUMNS) + "|"
+def table_row(row: dict) -> str:
+    """Return the line of the table for a row of figures."""
+    cells = [
+        f"{row[name]:.{DIGITS.get(name, 2)}f}" if isinstance(row[name], float) else str(row[name])
+        for name in COLUMNS
+    ]
+    return "| " + " | ".join(cells) + " |"
 
 
-def row(r):
-    digits = {"median_ms": 1, "p99_ms": 1, "mb": 0}
-    cell = lambda name: f"{r[name]:.{digits.get(name, 2)}f}" if isinstance(r[name], float) else str(r[name])
-    return "| " + " | ".join(map(cell, COLUMNS)) + " |"
+def play_all(arguments: argparse.Namespace) -> list[dict]:
+    """Play each rate with each text in turn; print the table's rows as they come."""
+    rates = [SHORT_RATE] if arguments.short else arguments.rate or DEFAULT_RATES
+    seconds = SHORT_S if arguments.short else arguments.seconds
+    cores = sorted(os.sched_getaffinity(0))[:CORES]
+    rows = []
+    with tempfile.TemporaryDirectory() as folder:
+        for rate in rates:
+            for tree in arguments.tree or ["."]:
+                node = MeasuredNode(tree, arguments.links, arguments.work_ms / 1000, cores, folder)
+                try:
+                    figures = node.play(rate, seconds)
+                finally:
+                    node.end()
+                rows.append({"text": commit_of(tree), **figures})
+                print(table_row(rows[-1]), flush=True)
+    return rows
 
 
-def main():
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--tree", action="append", help="a checkout to measure; may be given again")
     parser.add_argument("--rate", type=int, action="append", help="RPCs a second; may be given again")
@@ -223,24 +204,17 @@
     parser.add_argument("--work-ms", type=float, default=20.0, help="of a run")
     parser.add_argument("--short", action="store_true", help="a second of one small rate")
     parser.add_argument("--json", help="keeps the rows in this file")
-    told = parser.parse_args()
-    rates = [50] if told.short else told.rate or [100, 200, 400, 800, 1200]
-    seconds, rows = (1.0 if told.short else told.seconds), []
-    cpus = sorted(os.sched_getaffinity(0))[:4]
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Measure what the command line asks for; fail only where no RPC was answered."""
+    arguments = parse_arguments()
     print(HEAD)
-    with tempfile.TemporaryDirectory() as folder:
-        for rate in rates:
-            for tree in told.tree or ["."]:
-                node = Node(tree, told.links, told.work_ms / 1000, cpus, folder)
-                try:
-                    figures = node.play(rate, seconds)
-                finally:
-                    node.end()
-                rows.append({"text": commit(tree), **figures})
-                print(row(rows[-1]), flush=True)
-    if told.json:
-        Path(told.json).write_text(json.dumps(rows, indent=1))
-    if any(not r["ok"] for r in rows):
+    rows = play_all(arguments)
+    if arguments.json:
+        Path(arguments.json).write_text(json.dumps(rows, indent=1))
+    if any(not row["ok"] for row in rows):
         sys.exit("no RPC was answered ok")  # it does not run; how fast it is does not matter here
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from benchmarks.rpc import free
+from benchmarks.node_process import free_address
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Link, Listener
@@ -24,7 +24,7 @@
 from tests.test_node import World, answers, until
 
 LIMITS = Limits(memory=1 << 28, descriptors=64, stop=1_000_000, linger=20_000)
-CHECK = codec.frame(CALL, b"heartbeat", 1, FIELD.pack(BOOL, 1) + b"\1\0")
+CHECK = codec.encode_message(CALL, b"heartbeat", 1, FIELD.pack(BOOL, 1) + b"\1\0")
 KEYS = [f"{n:032x}" for n in range(1, 20)]
 
 
@@ -51,7 +51,7 @@
     with socket.create_server(("127.0.0.1", 0)) as server:
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-    link = Link(1, codec.FRONT, inputs, Buffers(limits), limits, sock=wrap(near))
+    link = Link(1, codec.THRIFT_CODEC, inputs, Buffers(limits), limits, sock=wrap(near))
     until(lambda: link.up)
     return link, far, inputs
 
@@ -281,7 +281,7 @@
     seq = client.submit("book", b"seat", KEYS[0])
     until(lambda: world.pool.spawned[-1][2] == b"seat")  # written, and its end not yet told
     half = world.client()
-    whole = codec.submit(
+    whole = codec.submit_call(
         1,
         {
             "c": "book",
@@ -345,7 +345,7 @@
 
 
 def test_the_registry_down_gone_and_back_costs_no_one(world):
-    world.places["roster"] = free(socket.SOCK_DGRAM)  # nobody there: each report is refused
+    world.places["roster"] = free_address(socket.SOCK_DGRAM)  # nobody there: each report is refused
     serving(world)
     until(world.serves)
     world.registry = Registry(world.places["roster"], on_change=lambda text: None)
@@ -569,7 +569,7 @@
 
 
 def test_idle_clients_fill_the_descriptors_while_the_registry_is_down(world):
-    world.places["roster"] = free(socket.SOCK_DGRAM)
+    world.places["roster"] = free_address(socket.SOCK_DGRAM)
     world.config["limits"]["sockets"] = 64
     world.write()
     world.up()
@@ -588,7 +588,7 @@
             world.pool.break_connection()
             until(lambda: world.pool.connection is not link)
             until(lambda: world.serves() and world.store.accepted >= calls)
-    world.places.update(pool=free(), roster=free(socket.SOCK_DGRAM))
+    world.places.update(pool=free_address(), roster=free_address(socket.SOCK_DGRAM))
     world.pool.listen(world.places["pool"])
     world.write()
     tell(world, signal.SIGHUP)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from benchmarks.rpc import free
+from benchmarks.node_process import free_address
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.links import Link, Links
@@ -38,8 +38,8 @@
 
 class World:
     def __init__(self, folder):
-        self.places = {name: free() for name in ("listen", "pool", "store")}
-        self.places["roster"] = free(socket.SOCK_DGRAM)
+        self.places = {name: free_address() for name in ("listen", "pool", "store")}
+        self.places["roster"] = free_address(socket.SOCK_DGRAM)
         self.registry = Registry(self.places["roster"], on_change=lambda text: None)
         with open("example/config.json", encoding="utf-8") as file:
             self.config = json.load(file)
@@ -180,7 +180,7 @@
     world.path.write_text("{")
     world.hang_up()
     assert world.serves()
-    world.places.update(pool=free(), store=free(), roster=free(socket.SOCK_DGRAM))
+    world.places.update(pool=free_address(), store=free_address(), roster=free_address(socket.SOCK_DGRAM))
     world.registry = Registry(world.places["roster"], on_change=lambda text: None)
     before = world.store.accepted
     for party in (world.pool, world.store):
@@ -192,7 +192,7 @@
     assert answers(client, 1) == {during: ("ok", b"SEAT")}
     until(lambda: world.serves() and world.store.accepted > before)
     status, log = world.end()
-    assert status == 0 and "not taken" in log and "pool, store, registry moved" in log
+    assert status == 0 and "not taken" in log and "pool, store, registry readdressed" in log
 
 
 @pytest.mark.parametrize(
@@ -276,7 +276,7 @@
         "key_leases",
         "fault_injection",
         "simulated_peers",
-        "node.watch",
+        "node.shadow",
     )
     assert not [name for name in loaded if name.startswith(tuple(f"finchcart.{part}" for part in optional))]
     assert not loaded & {"msgspec", "xxhash", "json5", "click"}
@@ -287,7 +287,7 @@
         raise RuntimeError("can't start new thread")
 
     inputs, limits = SimpleQueue(), Limits(memory=1, descriptors=1, stop=1)
-    links = Links(inputs, Buffers(limits), limits, None, "thrift", codec.FRONT)
+    links = Links(inputs, Buffers(limits), limits, None, "thrift", codec.THRIFT_CODEC)
     monkeypatch.setattr("threading.Thread.start", none)
     links.connect(-1, "store", ("127.0.0.1", 9))
     assert same_input(inputs.get_nowait(), ConnectionRefused(-1, "can't start new thread"))
@@ -299,7 +299,7 @@
     with socket.create_server(("127.0.0.1", 0)) as server:
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-    link = Link(1, codec.FRONT, inputs, Buffers(limits), limits, sock=near)
+    link = Link(1, codec.THRIFT_CODEC, inputs, Buffers(limits), limits, sock=near)
     until(lambda: link.up)
     before = threading.active_count()
     link.send(b"first")
@@ -325,7 +325,7 @@
     for number in range(60):
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-        link = Link(number, codec.FRONT, inputs, buffers, limits, sock=near)
+        link = Link(number, codec.THRIFT_CODEC, inputs, buffers, limits, sock=near)
         whole = (
             (29).to_bytes(4, "big")
             + bytes.fromhex("8001000100000009")
