Fault injection: bounds of a script's limit are worked out before its breaches are looked for

Cause: they were worked out only where no expectation was broken, so that a mistake in a script's limits was not told.

--- a/finchcart/fault_injection/runner.py
+++ b/finchcart/fault_injection/runner.py
@@ -181,13 +181,14 @@
 def breaches(plan: Plan, record: RunRecord, report: Report, options: RunOptions) -> Iterator[Result]:
     """Yield all that did not hold."""
     script = plan.script
-    yield from (result for result in report.results if result.breach)
     overshoot = overshoot_bound(script)
+    bucket = bucket_bound(script)
+    yield from (result for result in report.results if result.breach)
     if record.facts.get("truth"):
         last = record.facts["truth"][-1]
         if overshoot is not None:
             yield from moments_beyond_limit(script, last, record.start, overshoot, options.share)
-        yield from overfull_bucket(script, last)
+        yield from overfull_bucket(bucket, last)
     yield from wrong_effects(script, record)
     for row in report.uses if overshoot is not None else ():
         if row["over"] > overshoot:
@@ -205,9 +206,8 @@
             yield Result("limit", share, [], 0, f"{text}, at {(since - start) / US_PER_S:.2f} s")
 
 
-def overfull_bucket(script: Script, last: dict) -> Iterator[Result]:
+def overfull_bucket(most: float | None, last: dict) -> Iterator[Result]:
     """Yield a breach if the store's bucket held more than its bound."""
-    most = bucket_bound(script)
     if most is not None and last["fullest"] > most:
         text = f"the store's bucket held {last['fullest']:.1f}, {most} at most"
         yield Result("limit", "rate", [], 0, text)
