--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -8,7 +8,10 @@
 import pytest
 
 from finchcart.cli.file import checked, claims
-from finchcart.fault_injection.claiming import KEY, TICK, Breach, Run, World, act, explore
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.fault_injection.key_lease_fault_run import SeededRun
+from finchcart.fault_injection.key_lease_simulation import TICK_US, KeyLeaseSimulation
+from finchcart.fault_injection.key_lease_state_space import KEY, explore, perform
 from finchcart.key_leases import messages
 from finchcart.key_leases.client import KeyLeaseClient
 from finchcart.key_leases.config import MS, SECOND, KeyLeaseConfig, config_errors
@@ -20,119 +23,119 @@
 from tests.test_core import GAUGES, Far, far_plain, play
 
 
-def settle(world, rounds=40):
+def settle(simulation, rounds=40):
     """All messages arrive, in order, and time passes."""
     for _ in range(rounds):
-        while world.net:
-            world.deliver(0)
-        world.pass_time(TICK)
+        while simulation.in_flight:
+            simulation.deliver(0)
+        simulation.pass_time(TICK_US)
 
 
-def acquire(world, name, payload_digest=7, key=KEY):
+def acquire(simulation, name, payload_digest=7, key=KEY):
     """A holder begins to acquire the lease of a key."""
-    world.feed(name, "claim", [(key, payload_digest, 12 * SECOND)])
+    simulation.feed(name, "claim", [(key, payload_digest, 12 * SECOND)])
 
 
 def test_one_of_two_gets_the_key_and_the_other_its_result():
-    world = World()
-    acquire(world, "h0")
-    settle(world, 1)
-    assert world.answers == {("h0", KEY): [LeaseStatus.GRANTED]}
-    world.command("h0", KEY)
-    acquire(world, "h1")
-    settle(world, 4)
-    assert ("h1", KEY) not in world.answers, "it waits for the run elsewhere"
-    world.end("h0", KEY)
-    settle(world, 8)
-    assert world.answers["h1", KEY] == [LeaseStatus.COMPLETED]
-    acquire(world, "h1", 8, KEY)
-    settle(world, 4)
-    assert world.answers["h1", KEY] == [LeaseStatus.COMPLETED, LeaseStatus.PAYLOAD_MISMATCH], (
+    simulation = KeyLeaseSimulation()
+    acquire(simulation, "h0")
+    settle(simulation, 1)
+    assert simulation.answers == {("h0", KEY): [LeaseStatus.GRANTED]}
+    simulation.command("h0", KEY)
+    acquire(simulation, "h1")
+    settle(simulation, 4)
+    assert ("h1", KEY) not in simulation.answers, "it waits for the run elsewhere"
+    simulation.end("h0", KEY)
+    settle(simulation, 8)
+    assert simulation.answers["h1", KEY] == [LeaseStatus.COMPLETED]
+    acquire(simulation, "h1", 8, KEY)
+    settle(simulation, 4)
+    assert simulation.answers["h1", KEY] == [LeaseStatus.COMPLETED, LeaseStatus.PAYLOAD_MISMATCH], (
         "the same key with another payload"
     )
 
 
 def test_a_run_that_did_not_end_in_time_is_answered_as_held_and_what_never_ran_is_free_again():
-    world = World()
-    acquire(world, "h0")
-    settle(world, 1)
-    acquire(world, "h1")
-    settle(world, world.figures.wait // TICK + 4)
-    assert world.answers["h1", KEY] == [LeaseStatus.HELD]
-    world.feed("h0", "never", KEY)
-    del world.to_command["h0", KEY]
-    acquire(world, "h1")
-    settle(world, 6)
-    assert world.answers["h1", KEY] == [LeaseStatus.HELD, LeaseStatus.GRANTED]
+    simulation = KeyLeaseSimulation()
+    acquire(simulation, "h0")
+    settle(simulation, 1)
+    acquire(simulation, "h1")
+    settle(simulation, simulation.config.wait // TICK_US + 4)
+    assert simulation.answers["h1", KEY] == [LeaseStatus.HELD]
+    simulation.feed("h0", "never", KEY)
+    del simulation.granted["h0", KEY]
+    acquire(simulation, "h1")
+    settle(simulation, 6)
+    assert simulation.answers["h1", KEY] == [LeaseStatus.HELD, LeaseStatus.GRANTED]
 
 
 def test_a_lease_outlives_its_holder_and_a_restart_of_its_name():
-    world = World()
-    acquire(world, "h0")
-    settle(world, 1)
-    world.command("h0", KEY)
-    world.start("h0")
-    acquire(world, "h0")
-    acquire(world, "h1")
-    settle(world, world.figures.wait // TICK + 4)
-    assert world.answers["h1", KEY] == [LeaseStatus.HELD] and world.answers["h0", KEY] == [
+    simulation = KeyLeaseSimulation()
+    acquire(simulation, "h0")
+    settle(simulation, 1)
+    simulation.command("h0", KEY)
+    simulation.start("h0")
+    acquire(simulation, "h0")
+    acquire(simulation, "h1")
+    settle(simulation, simulation.config.wait // TICK_US + 4)
+    assert simulation.answers["h1", KEY] == [LeaseStatus.HELD] and simulation.answers["h0", KEY] == [
         LeaseStatus.GRANTED,
         LeaseStatus.HELD,
     ]
 
 
 def test_without_a_quorum_nothing_runs_and_a_replica_that_started_is_quiet():
-    world = World()
-    world.start("k0")
-    world.start("k1")
-    acquire(world, "h0")
-    settle(world, 8)
-    assert world.answers["h0", KEY] == [LeaseStatus.UNAVAILABLE]
-    world.pass_time(world.figures.startup_quiet_period)
-    acquire(world, "h0")
-    settle(world, 8)
-    assert world.answers["h0", KEY] == [LeaseStatus.UNAVAILABLE, LeaseStatus.GRANTED]
+    simulation = KeyLeaseSimulation()
+    simulation.start("k0")
+    simulation.start("k1")
+    acquire(simulation, "h0")
+    settle(simulation, 8)
+    assert simulation.answers["h0", KEY] == [LeaseStatus.UNAVAILABLE]
+    simulation.pass_time(simulation.config.startup_quiet_period)
+    acquire(simulation, "h0")
+    settle(simulation, 8)
+    assert simulation.answers["h0", KEY] == [LeaseStatus.UNAVAILABLE, LeaseStatus.GRANTED]
 
 
 def test_a_replica_is_bounded_and_when_full_refuses_new_leases_and_answers_duplicates():
-    world = World(figures=KeyLeaseConfig(entries=5))
+    simulation = KeyLeaseSimulation(config=KeyLeaseConfig(entries=5))
     keys = [messages.key_digest("m", str(n)) for n in range(8)]
     for key in keys[:4]:
-        acquire(world, "h0", key=key)
-    settle(world, 1)
+        acquire(simulation, "h0", key=key)
+    settle(simulation, 1)
     for key in keys[:4]:
-        world.command("h0", key)
-        world.end("h0", key)
+        simulation.command("h0", key)
+        simulation.end("h0", key)
     for key in keys[4:]:
-        acquire(world, "h0", key=key)
-    settle(world, 1)
-    acquire(world, "h1", key=keys[0])
-    settle(world, 8)
-    statuses = [world.answers["h0", key][-1] for key in keys]
+        acquire(simulation, "h0", key=key)
+    settle(simulation, 1)
+    acquire(simulation, "h1", key=keys[0])
+    settle(simulation, 8)
+    statuses = [simulation.answers["h0", key][-1] for key in keys]
     assert (
         statuses[:4] == [LeaseStatus.GRANTED] * 4
         and statuses.count(LeaseStatus.UNAVAILABLE) == 3
-        and world.answers["h1", keys[0]] == [LeaseStatus.COMPLETED]
+        and simulation.answers["h1", keys[0]] == [LeaseStatus.COMPLETED]
     )
-    assert all(len(world.machines[f"k{n}"].leases) <= 5 for n in range(3))
-    world.pass_time(2 * world.figures.life)
-    assert not any(world.machines[f"k{n}"].leases for n in range(3))
+    assert all(len(simulation.machines[f"k{n}"].leases) <= 5 for n in range(3))
+    simulation.pass_time(2 * simulation.config.life)
+    assert not any(simulation.machines[f"k{n}"].leases for n in range(3))
 
 
 def test_many_requests_go_in_one_message_and_a_result_too_long_is_reported_as_lost():
-    world = World()
+    simulation = KeyLeaseSimulation()
     keys = [messages.key_digest("m", str(n)) for n in range(20)]
-    world.feed("h0", "claim", [(key, 7, 12 * SECOND) for key in keys])
-    assert len(world.net) == 6, "sixteen to a message, three replicas"
-    settle(world, 1)
+    simulation.feed("h0", "claim", [(key, 7, 12 * SECOND) for key in keys])
+    assert len(simulation.in_flight) == 6, "sixteen to a message, three replicas"
+    settle(simulation, 1)
     for key in keys:
-        world.command("h0", key)
-    world.feed("h0", "ended", keys[0], LeaseStatus.COMPLETED, b"x" * 300)
-    world.runs[keys[0]][0][3] = LeaseStatus.COMPLETED
-    settle(world, 2)
-    acquire(world, "h1", key=keys[0])
-    settle(world, 4)
-    assert world.answers["h1", keys[0]] == [LeaseStatus.FAILED]
+        simulation.command("h0", key)
+    simulation.feed("h0", "ended", keys[0], LeaseStatus.COMPLETED, b"x" * 300)
+    simulation.runs[keys[0]][0].outcome = LeaseStatus.COMPLETED
+    settle(simulation, 2)
+    acquire(simulation, "h1", key=keys[0])
+    settle(simulation, 4)
+    assert simulation.answers["h1", keys[0]] == [LeaseStatus.FAILED]
 
 
 def test_settings_that_cannot_hold_are_reported():
@@ -151,13 +154,13 @@
 
 @pytest.mark.parametrize("seed", range(12))
 def test_no_key_runs_twice_in_seeded_runs(seed):
-    run = Run(seed)
+    run = SeededRun(seed)
     run.play(20)
-    assert run.keys > 50 and sum(map(len, run.runs.values())) > 10
+    assert run.key_count > 50 and sum(map(len, run.runs.values())) > 10
 
 
 def test_a_seed_replays_identically():
-    assert Run(5).play(10) == Run(5).play(10)
+    assert SeededRun(5).play(10) == SeededRun(5).play(10)
 
 
 def test_the_bounded_search_of_all_orders_finds_nothing():
@@ -386,8 +389,8 @@
 def test_a_planted_defect_is_found(name):
     for seed in range(30):
         try:
-            Run(seed, make=DEFECTS[name]).play(20)
-        except Breach:
+            SeededRun(seed, make=DEFECTS[name]).play(20)
+        except InvariantError:
             return
     raise AssertionError("not found in 30 seeds")
 
@@ -396,19 +399,19 @@
     """The report of its end is still on its way, and its own table has forgotten the key."""
 
     def play(make):
-        world = World(make=make)
-        acquire(world, "h0")
-        settle(world, 1)
-        world.command("h0", KEY)
-        world.end("h0", KEY)
-        world.net.clear()  # lost, all three
-        acquire(world, "h0")
-        while world.net:
-            world.deliver(0)
-        if ("h0", KEY) in world.to_command:
-            world.command("h0", KEY)
-
-    with pytest.raises(Breach):
+        simulation = KeyLeaseSimulation(make=make)
+        acquire(simulation, "h0")
+        settle(simulation, 1)
+        simulation.command("h0", KEY)
+        simulation.end("h0", KEY)
+        simulation.in_flight.clear()  # lost, all three
+        acquire(simulation, "h0")
+        while simulation.in_flight:
+            simulation.deliver(0)
+        if ("h0", KEY) in simulation.granted:
+            simulation.command("h0", KEY)
+
+    with pytest.raises(InvariantError):
         play({"keeper": LaterAttemptTakesOver})
     play({})
 
@@ -417,25 +420,25 @@
     """The holder is suspended between its lease and the command, the duplicate runs elsewhere."""
 
     def play(make):
-        world = World(make=make)
-        acquire(world, "h0")
-        settle(world, 1)
-        world.pass_time(2 * world.figures.life)
-        acquire(world, "h1")
-        settle(world, 2)
-        world.command("h1", KEY)
-        world.command("h0", KEY)
-
-    with pytest.raises(Breach):
+        simulation = KeyLeaseSimulation(make=make)
+        acquire(simulation, "h0")
+        settle(simulation, 1)
+        simulation.pass_time(2 * simulation.config.life)
+        acquire(simulation, "h1")
+        settle(simulation, 2)
+        simulation.command("h1", KEY)
+        simulation.command("h0", KEY)
+
+    with pytest.raises(InvariantError):
         play({"holder": CommandsHoweverLate})
     play({})
 
 
 def test_choices_of_the_search_are_executed():
-    world, rng = World(), random.Random(3)
-    act(world, ("claim", "h0"))
+    simulation, rng = KeyLeaseSimulation(), random.Random(3)
+    perform(simulation, ("claim", "h0"))
     for _ in range(30):
-        if world.net:
-            act(world, ("deliver", rng.randrange(len(world.net))))
-        act(world, ("time", 10 * MS))
-    assert world.answers["h0", KEY] == [LeaseStatus.GRANTED]
+        if simulation.in_flight:
+            perform(simulation, ("deliver", rng.randrange(len(simulation.in_flight))))
+        perform(simulation, ("time", 10 * MS))
+    assert simulation.answers["h0", KEY] == [LeaseStatus.GRANTED]
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -12,8 +12,10 @@
 import pytest
 
 from finchcart.cli.file import Wrong, checked
-from finchcart.fault_injection.explore import explore
-from finchcart.fault_injection.shares import Breach, Run, Shares
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.fault_injection.quota_fault_run import SeededRun
+from finchcart.fault_injection.quota_simulation import QuotaSimulation
+from finchcart.fault_injection.quota_state_space import explore
 from finchcart.membership.codec import parse_address
 from finchcart.net.links import boot_clock
 from finchcart.node.limiters import CallConcurrencyLimiter, RateLimiter
@@ -155,11 +157,11 @@
 
 
 def test_a_liar_about_its_demand_gets_no_more_than_its_max_min_part():
-    fleet = Shares(2, holders=4)
+    fleet = QuotaSimulation(2, holders=4)
     for name in fleet.processes:
         fleet.start(name)
-        fleet.processes[name].wants = 20 if name[0] == "n" else 0
-    fleet.processes["n1"].lies = True
+        fleet.processes[name].demand = 20 if name[0] == "n" else 0
+    fleet.processes["n1"].overstates_demand = True
     fleet.run(12 * SECOND, fleet.after_step)
     assert fleet.processes["n1"].amount <= 34 // 4 + 1
     assert min(fleet.processes[f"n{n}"].amount for n in (0, 2, 3)) >= 34 // 4 - 1
@@ -276,8 +278,8 @@
     for name in side:
         for other in fleet.processes:
             if other not in side:
-                fleet.fabric.reduce(fleet.now, ("rule", name, other, {"cut": True}))
-                fleet.fabric.reduce(fleet.now, ("rule", other, name, {"cut": True}))
+                fleet.network.set_rule(fleet.now, name, other, {"cut": True})
+                fleet.network.set_rule(fleet.now, other, name, {"cut": True})
 
 
 def loose_run(
@@ -287,8 +289,8 @@
     `start`: those that start later; `takes`: microseconds of a call. Raises where it is beyond the bound."""
     limit = Limit("store", 48, mode="loose", per=per, burst=20 if per == "rate" else 0)
     quota = QuotaConfig(limits=(limit,), most=holders + 2, over=over)
-    fleet = Shares(seed, 0, holders, quota, make, mode="loose", per=per)
-    fleet.takes = takes
+    fleet = QuotaSimulation(seed, 0, holders, quota, make, mode="loose", per=per)
+    fleet.call_us = takes
     chance = random.Random(f"demand {seed}")
     for name in fleet.processes:
         if name not in start:
@@ -300,10 +302,10 @@
             for name in start:
                 fleet.start(name)
         if second == 25:
-            fleet.fabric.reduce(fleet.now, ("clear",))
+            fleet.network.clear_rules(fleet.now)
         if second % 3 == 2:
             for process in fleet.processes.values():
-                process.wants = chance.choice([0, 0, 5, 60])
+                process.demand = chance.choice([0, 0, 5, 60])
         fleet.run(fleet.now + SECOND, fleet.after_step)
     return fleet
 
@@ -326,7 +328,7 @@
 
 
 def test_published_demands_of_a_node_that_meets_nobody_are_bounded():
-    fleet = Shares(1, 0, 3, mode="loose")
+    fleet = QuotaSimulation(1, 0, 3, mode="loose")
     fleet.start("n2")  # n0 and n1, its seeds, never are there
     fleet.run(60 * SECOND)
     allocation = fleet.processes["n2"].machine.piggyback_clients[0].allocations["store"]
@@ -392,7 +394,7 @@
     """The most in hand; more than any limit where the bound was broken."""
     try:
         return max(play(seed=seed, **more).worst for seed in seeds)
-    except Breach:
+    except InvariantError:
         return 10**6
 
 
@@ -436,7 +438,7 @@
 
 
 def test_seeded_runs_are_never_over_and_replay_identically():
-    traces = [Run(seed).play(30) for seed in (1, 1, 2, 3, 4, 5, 6, 7)]
+    traces = [SeededRun(seed).play(30) for seed in (1, 1, 2, 3, 4, 5, 6, 7)]
     assert traces[0] == traces[1] != traces[2]
 
 
@@ -457,11 +459,11 @@
 def set_demand(fleet, **demands):
     """Let the nodes want these amounts from now on."""
     for name, demand in demands.items():
-        fleet.processes[name].wants = demand
+        fleet.processes[name].demand = demand
 
 
 def test_what_is_shared_follows_demand_and_comes_back_within_its_bounds():
-    fleet = Shares(1, holders=6, quota=QuotaConfig(limits=(Limit("store", 60, 1),), most=8))
+    fleet = QuotaSimulation(1, holders=6, quota=QuotaConfig(limits=(Limit("store", 60, 1),), most=8))
     for name in fleet.processes:
         fleet.start(name)
     fleet.run(fleet.now + fleet.quota.recovery_bound(), fleet.after_step)
@@ -703,8 +705,8 @@
     def play(make):
         for seed in range(count):
             try:
-                Run(seed, make).play(40)
-            except Breach as breach:
+                SeededRun(seed, make).play(40)
+            except InvariantError as breach:
                 return [breach]
         return []
 
