--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -19,8 +19,8 @@
 from finchcart import settings
 from finchcart.errors import ConfigError
 from finchcart.net.buffers import Buffers
+from finchcart.net.connections import ConnectionTable, Listener
 from finchcart.net.limits import Limits
-from finchcart.net.links import Links, Listener
 from finchcart.node import effects
 from finchcart.node.core import Core
 from finchcart.node.inputs import (
@@ -150,16 +150,16 @@
     while True:
         more = True  # as many waited as a turn takes, and perhaps others
         try:
-            for _ in range(limits.turn):
+            for _ in range(limits.turn_inputs):
                 waiting.append(take())
         except Empty:
             more = False
         waiting = deque(own_first(waiting))
         now = clock() // 1000
-        if now - told >= limits.load_span:
+        if now - told >= limits.load_interval:
             span = now - told
             waiting.append(LoadMeasured(span - idle, span))
-            rest = limits.rest / 1e6 if idle < (1 - limits.rest_from) * span else 0.0
+            rest = limits.busy_pause / 1e6 if idle < (1 - limits.busy_threshold) * span else 0.0
             told, idle = now, 0
         if not waiting:
             waiting.append(TimersDue())
@@ -228,7 +228,7 @@
     except (ConfigError, OSError, OverflowError) as error:
         print(f"finchcart: {error}", file=sys.stderr)
         return 2
-    threading.stack_size(limits.stack)
+    threading.stack_size(limits.thread_stack)
     threading.excepthook = lambda fault: fault_in_thread(inputs, fault)
     core = Core(
         config["settings"],
@@ -240,7 +240,7 @@
         config["watch"],
         *((fleet.meters(), fleet.witness(), fleet.claims()) if fleet else ()),
     )
-    links = Links(inputs, Buffers(limits), limits, listener, "thrift", codec.FRONT)
+    links = ConnectionTable(inputs, Buffers(limits), limits, listener, "thrift", codec.FRONT)
     logger.info("{} on {}:{}", config["name"], *config["listen"])
     if fleet:
         fleet.start()
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -35,7 +35,7 @@
 @SETTINGS
 def check(settings):
     """Read a settings file; tell all its mistakes, or the bounds that follow from it."""
-    from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
+    from finchcart.cli.settings_file import Wrong, claims, figures, quota, read, verdicts
 
     if not settings:
         raise click.UsageError("--settings or FINCHCART_SETTINGS has to name a file")
@@ -197,8 +197,8 @@
 
 def word(settings, at, kind, name, value, seconds, why):
     """Tells an operator's word to one node, which tells all."""
-    from finchcart.cli.file import Wrong, read
     from finchcart.cli.serve import say as tell
+    from finchcart.cli.settings_file import Wrong, read
     from finchcart.consensus import subjects
     from finchcart.membership.wire import Unfit, place_of
 
--- a/finchcart/cli/serve.py
+++ b/finchcart/cli/serve.py
@@ -20,7 +20,7 @@
 from msgspec import UNSET
 
 from finchcart.__main__ import main, plain_log
-from finchcart.cli.file import Wrong, claims, figures, quota, read, verdicts
+from finchcart.cli.settings_file import Wrong, claims, figures, quota, read, verdicts
 from finchcart.consensus import wire as sayings
 from finchcart.consensus.board import Board
 from finchcart.errors import ConfigError
--- a/finchcart/control.py
+++ b/finchcart/control.py
@@ -72,8 +72,10 @@
         # Before anything is measured: a run takes a sixth of the latency target, and hints are half believed.
         low = self.target / 96
         self.run_time = Histogram(low, self.target / 6 * cold)
-        self.hinted = [[Histogram(low, self.target / 24), Histogram(low, self.target / 12 * cold)],  # small
-                       [Histogram(low, self.target / 3), Histogram(low, self.target / 4 * cold)]]  # large
+        self.hinted = [
+            [Histogram(low, self.target / 24), Histogram(low, self.target / 12 * cold)],  # small
+            [Histogram(low, self.target / 3), Histogram(low, self.target / 4 * cold)],
+        ]  # large
         self.whole = Histogram(self.target / 32, self.target / 4 * cold)  # start to end, calls included
         self.share, self.band, self.over = 1.0, 0, 0.0
 
@@ -97,9 +99,32 @@
 class Rpc:
     """The handle of one RPC."""
 
-    __slots__ = ("control", "index", "method", "kb", "run_kb", "hint", "place", "reached", "due", "want",
-                 "expect", "key", "state", "started", "answered", "ran", "is_gone", "call_time", "call_from",
-                 "calls", "called", "kept_until", "failed", "before")
+    __slots__ = (
+        "control",
+        "index",
+        "method",
+        "kb",
+        "run_kb",
+        "hint",
+        "place",
+        "reached",
+        "due",
+        "want",
+        "expect",
+        "key",
+        "state",
+        "started",
+        "answered",
+        "ran",
+        "is_gone",
+        "call_time",
+        "call_from",
+        "calls",
+        "called",
+        "kept_until",
+        "failed",
+        "before",
+    )
 
     def run_ended(self, now, outcome, spent):
         """A run or a share is over; where it was ok or an error, its answer has gone out."""
@@ -174,7 +199,6 @@
 
 
 class Control:
-
     def __init__(self, port: Port, settings, seed):
         get = settings.get
         self.port, self.settings = port, settings
@@ -257,8 +281,22 @@
 
     # ---- intake
 
-    def admit(self, now, index, method, kb, *, expires_at=0, waited=0, shed_rank=None, cost_hint=0,
-              is_retry=False, duplicate_of=None, caller=None, quota=None):
+    def admit(
+        self,
+        now,
+        index,
+        method,
+        kb,
+        *,
+        expires_at=0,
+        waited=0,
+        shed_rank=None,
+        cost_hint=0,
+        is_retry=False,
+        duplicate_of=None,
+        caller=None,
+        quota=None,
+    ):
         """An RPC has been read. `waited`: since it reached the machine; `duplicate_of`: the index of
         the first RPC of its key, or -1 where that one is no longer known here; `quota`: a `FleetQuota`."""
         before, self.seen[caller] = self.seen.get(caller), now
@@ -313,8 +351,12 @@
         full = self.kb + self.entry * m.tokened > 0.9 * self.memory
         if self.sealed or after_grace or full or self.too_late(now, rpc):
             return True
-        if self.dependency_down and m.needs_call and self.room is not None and self.room <= sum(
-                other.method.needs_call for other in self.live.values()) - 1:
+        if (
+            self.dependency_down
+            and m.needs_call
+            and self.room is not None
+            and self.room <= sum(other.method.needs_call for other in self.live.values()) - 1
+        ):
             return True  # it would run half and fail: only so many are taken as may try the dependency
         place = None
         if self.min_shed_level:
@@ -330,14 +372,23 @@
         if place < 1 - m.share:
             return True
         # Where runs yield, what is expected, learnt in a crowd, is too long: as for what is held.
-        return (self.out_of_time(now + wait, rpc) if self.pauses
-                else now + wait + rpc.expect * self.slow > rpc.want)
+        return (
+            self.out_of_time(now + wait, rpc)
+            if self.pauses
+            else now + wait + rpc.expect * self.slow > rpc.want
+        )
 
     def ahead(self, key):
         """Work on cores that comes before an RPC with this key."""
-        work = self.work if not self.pauses else sum(
-            rpc.expect for rpc in self.live.values()
-            if rpc.state == RUNNING and not self.yields(rpc.method.criticality, -key[0]))
+        work = (
+            self.work
+            if not self.pauses
+            else sum(
+                rpc.expect
+                for rpc in self.live.values()
+                if rpc.state == RUNNING and not self.yields(rpc.method.criticality, -key[0])
+            )
+        )
         work *= self.slow / 2
         if self.on_core < self.limit:
             work *= self.on_core / self.limit / 2
@@ -354,7 +405,8 @@
         # while this node cuts too, mean that others do.
         # Where no mark tells further tries, a deep cut of its own stands in.
         full = self.kill_at is None and (
-            rpc.method.share < 1 and self.further > 0.1 if self.marked else rpc.method.share < 0.6)
+            rpc.method.share < 1 and self.further > 0.1 if self.marked else rpc.method.share < 0.6
+        )
         last = full or rpc.expect * 0.4 > rpc.want - now
         # Advice keeps a caller away from this node; where none comes again soon it only delays the client.
         heard = wait > 50 * MS and self.returns > 0.6
@@ -419,9 +471,18 @@
     def make_room(self, criticality):
         """Pauses the run that is worth least, the one that began last among its like. Guards against effects
         left half done: where no answer is owed any more, a stop would end the run for good."""
-        least = min((r for r in self.live.values() if r.state == RUNNING and r not in self.pausing
-                     and not (r.answered or r.is_gone) and self.yields(r.method.criticality, criticality)),
-                    key=lambda r: (r.method.criticality, -r.started), default=None)
+        least = min(
+            (
+                r
+                for r in self.live.values()
+                if r.state == RUNNING
+                and r not in self.pausing
+                and not (r.answered or r.is_gone)
+                and self.yields(r.method.criticality, criticality)
+            ),
+            key=lambda r: (r.method.criticality, -r.started),
+            default=None,
+        )
         if least is not None:
             self.pausing.add(least)
             self.port.stop(least.index)
@@ -484,8 +545,9 @@
         # Guards against a dependency that comes back cold, pressed by all nodes: each keeps to the part of
         # its share that the slowest ramp allows, from when it was last not to be reached.
         allowed = self.calls_limit * self.warmth(now, self.below_began)
-        self.credit = min(self.credit + 0.8 * allowed * (now - self.credit_at),
-                          0.2 * allowed * self.calls_window)
+        self.credit = min(
+            self.credit + 0.8 * allowed * (now - self.credit_at), 0.2 * allowed * self.calls_window
+        )
         self.credit_at = now
         while self.lingering and self.lingering[0] <= now:
             self.lingering.pop(0)
@@ -493,8 +555,11 @@
             return
         # Guards against pressing a dependency that is slow: more than half of the share in hand only while
         # calls are short beside what they are for, none was given up lately, and the credit is there.
-        ample = (self.credit > 0.1 * self.calls_limit * self.calls_window and not self.lingering
-                 and 32 * self.call_times.mean < min(m.target for m in self.methods))
+        ample = (
+            self.credit > 0.1 * self.calls_limit * self.calls_window
+            and not self.lingering
+            and 32 * self.call_times.mean < min(m.target for m in self.methods)
+        )
         cap = max(1, int((0.8 if ample else 0.5) * allowed))
         waiting, self.standing = [r for r in self.standing if not (r.answered or r.is_gone)], []
         if self.room is not None:
@@ -506,7 +571,8 @@
             left = rpc.want - now
             gone = self.dependency_down and self.in_call + len(self.lingering) >= cap
             if rpc.method.poorer > 0 and (
-                    gone or left < 1.5 * self.call_times.mean + 0.6 * rpc.expect * self.slow):
+                gone or left < 1.5 * self.call_times.mean + 0.6 * rpc.expect * self.slow
+            ):
                 self.skip(now, rpc)
             elif self.credit > 0 and self.in_call + len(self.lingering) < cap:
                 worst = self.calls_limit * self.calls_window / cap
@@ -569,7 +635,8 @@
                 continue
             begun = max(self.grace_end or 0, rpc.started)
             ends = self.too_late(now, rpc) or (
-                self.sealed and now > begun + 2 * rpc.method.whole.quantile(0.9))
+                self.sealed and now > begun + 2 * rpc.method.whole.quantile(0.9)
+            )
             if rpc.state in (HELD, PAUSED):
                 if ends or self.out_of_time(now, rpc):
                     self.turn_away(now, rpc)
@@ -633,8 +700,13 @@
             why = "held to be bad by the fleet" if self.ejected else f"{lost:.2f} of the target unread"
             self.port.log(f"health {'good' if self.good else 'bad'}: {why}")
         deep = 1 if self.levels else min((m.share for m in self.methods), default=1)
-        keep = self.returns > 0.75 or lost > 0.2 or deep < 0.6 or self.keeping and (
-            self.returns > 0.6 or lost > 0.04 or deep < 0.9)
+        keep = (
+            self.returns > 0.75
+            or lost > 0.2
+            or deep < 0.6
+            or self.keeping
+            and (self.returns > 0.6 or lost > 0.04 or deep < 0.9)
+        )
         if not self.sealed and keep != self.keeping:
             self.keeping = keep
             self.port.set_idle_timeout(min(self.settings.get("idle_timeout_max", IDLE[1]), IDLE[keep]))
--- a/finchcart/fault_injection/run.py
+++ b/finchcart/fault_injection/run.py
@@ -447,7 +447,7 @@
 
 def quota_of(script):
     """The limits of a script as its processes have them; None where nothing holds them."""
-    from finchcart.cli.file import checked, quota
+    from finchcart.cli.settings_file import checked, quota
 
     if script.static or not script.limits:
         return None
--- a/finchcart/net/buffers.py
+++ b/finchcart/net/buffers.py
@@ -11,7 +11,7 @@
     """Safe to use from many threads: a deque's append and pop are atomic."""
 
     def __init__(self, limits):
-        self.size = limits.buffer
+        self.size = limits.buffer_size
         self.spare = deque(maxlen=limits.spare_buffers)
         self.out = set()  # the ids of those in use
 
--- a/finchcart/net/links.py
+++ b/finchcart/net/connections.py
@@ -17,7 +17,7 @@
 from loguru import logger
 
 from finchcart.errors import ProtocolError
-from finchcart.net import lines
+from finchcart.net import line_protocol
 from finchcart.node.inputs import (
     ConnectionClosed,
     ConnectionEnded,
@@ -28,7 +28,10 @@
     WriteResumed,
 )
 
-CODECS = {"pool": lines.POOL, "store": lines.STORE}  # fronts bring their own
+CODECS = {
+    "pool": line_protocol.WORKER_POOL_CODEC,
+    "store": line_protocol.STORE_CODEC,
+}  # fronts bring their own
 
 
 def timeval(us):
@@ -57,7 +60,7 @@
     return thread
 
 
-class Link:
+class Connection:
     """One connection. `ask`, `send` and `close` never block."""
 
     def __init__(self, number, codec, inputs, buffers, limits, sock=None, address=None, over=None):
@@ -65,7 +68,7 @@
         self.number, self.codec, self.over = number, codec, over
         self.inputs, self.buffers, self.limits = inputs, buffers, limits
         self.sock, self.address = sock, address
-        self.batch = limits.own_batch if address else limits.batch
+        self.batch = limits.outbound_batch if address else limits.frontend_batch
         self.asked = SimpleQueue()
         self.lock = threading.Lock()  # never held over a wait
         self.pending, self.writer, self.by = [], None, None
@@ -178,7 +181,7 @@
     def begin(self):
         """Connects where that is still to be done, and writes what waited for it."""
         if self.sock is None:
-            self.sock = socket.create_connection(self.address, self.limits.connect / 1_000_000)
+            self.sock = socket.create_connection(self.address, self.limits.connect_timeout / 1_000_000)
             self.sock.settimeout(None)
             if self.dropped:
                 raise ConnectionAbortedError(errno.ECONNABORTED, "given up")
@@ -199,7 +202,7 @@
     def opened(self):
         """Small writes are not held back, and one that makes no headway ends."""
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self.limits.send))
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self.limits.send_timeout))
         self.up = True
 
     def read_messages(self):
@@ -268,9 +271,9 @@
         """Reads on without a look until the far side closes: closing over unread bytes would reset the
         connection, and with it answers on their way. Guards against one that never stops: not for long. While
         answers are still being written, which ends by itself, silence is no reason to stop."""
-        buffer, left = self.buffers.take(), self.limits.discard
+        buffer, left = self.buffers.take(), self.limits.discard_size
         try:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeval(self.limits.linger))
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeval(self.limits.linger_timeout))
             while left > 0:
                 writing = self.writer
                 try:
@@ -316,13 +319,13 @@
 
 
 class Listener:
-    """Accepts dispatchers' connections and numbers them from 1 up. Bounded by `limits.accepted`: what is over
+    """Accepts dispatchers' connections and numbers them from 1 up. Bounded by `limits.max_accepted`: what is over
     that waits in the system's backlog until one closes, so that descriptors for the node's own links and
     files are always left."""
 
     def __init__(self, address, limits):
         self.limits, self.numbers = limits, count(1)
-        self.room, self.stopped, self.opened = threading.Semaphore(limits.accepted), False, None
+        self.room, self.stopped, self.opened = threading.Semaphore(limits.max_accepted), False, None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
@@ -343,7 +346,7 @@
                 if not short:
                     logger.warning("accept: {}", error.strerror)
                 short = True
-                sleep(self.limits.accept_pause / 1_000_000)
+                sleep(self.limits.accept_retry_delay / 1_000_000)
                 continue
             short = False
 
@@ -368,7 +371,7 @@
         shut(self.sock, socket.SHUT_RDWR)
 
 
-class Links:
+class ConnectionTable:
     """Carries out the core's effects. Called by one thread, and by the listener's for new connections."""
 
     def __init__(self, inputs, buffers, limits, listener, front, codec):
@@ -388,7 +391,7 @@
         self.listener.stop()
 
     def opened(self, number, sock, host, over):
-        self.links[number] = Link(
+        self.links[number] = Connection(
             number, self.codecs[self.front], self.inputs, self.buffers, self.limits, sock=sock, over=over
         )
         self.inputs.put(ConnectionOpened(number, self.front, host))
@@ -397,7 +400,7 @@
         if kind == "store":
             self.prompt.add(number)
         try:
-            self.links[number] = Link(
+            self.links[number] = Connection(
                 number, self.codecs[kind], self.inputs, self.buffers, self.limits, address=address
             )
         except OSError as error:
@@ -458,7 +461,7 @@
             self.links[number].close()
 
     def finish(self, number):
-        """See `Link.finish`; a link that is gone is closed."""
+        """See `Connection.finish`; a link that is gone is closed."""
         self.write_held(number)
         link = self.links.get(number)
         return link is None or link.finish()
--- a/finchcart/net/datagrams.py
+++ b/finchcart/net/datagrams.py
@@ -17,7 +17,7 @@
 from loguru import logger
 
 from finchcart.membership.wire import MOST
-from finchcart.net.links import boot_clock
+from finchcart.net.connections import boot_clock
 
 TICK = 100_000  # microseconds, where no machine names its own
 BUFFER = 1 << 20  # bytes that the kernel may keep while this process is stopped or starved
--- a/finchcart/net/lines.py
+++ b/finchcart/net/line_protocol.py
@@ -15,7 +15,7 @@
 
 from finchcart.errors import ProtocolError
 from finchcart.interface import Outcome
-from finchcart.net.frames import Codec
+from finchcart.net.framing import Codec
 
 ENDS = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.STOPPED, "gone": Outcome.NOT_STARTED}
 REPLIES = {
@@ -112,7 +112,7 @@
     return "reply", words[0].decode("ascii", "replace"), outcome, body[:-2]
 
 
-POOL, STORE = Codec(line, pool_message), Codec(store_frame, store_message)
+WORKER_POOL_CODEC, STORE_CODEC = Codec(line, pool_message), Codec(store_frame, store_message)
 
 
 def _text_of(value):
@@ -120,11 +120,11 @@
     return json.dumps(value).encode() if not value.isalnum() else b'"%s"' % value.encode()
 
 
-def join(cursor):
+def subscribe(cursor):
     return b'{"event":"bind","cursor":%d}\n' % cursor
 
 
-def run(name, method, body):
+def start_run(name, method, body):
     return b'{"event":"spawn","handle":%s,"entry":%s,"arg":"%s"}\n' % (
         _text_of(name),
         _text_of(method),
@@ -132,22 +132,22 @@
     )
 
 
-def reply(name, body):
+def answer_call(name, body):
     return b'{"event":"supply","handle":%s,"arg":"%s"}\n' % (_text_of(name), b64encode(body))
 
 
-def skip(name, cursor):
+def skip_call(name, cursor):
     return b'{"event":"pass","handle":%s,"cursor":%d}\n' % (_text_of(name), cursor)
 
 
-def ask_gauges(ticket):
+def request_gauges(ticket):
     return b'{"event":"poll","ticket":%s}\n' % _text_of(ticket)
 
 
-def call(name, limit, body):
+def store_call(name, limit, body):
     """Milliseconds are rounded up: the node's own time limit comes first."""
     return b"CALL %s %d %d\r\n%s\r\n" % (name.encode(), -(-limit // 1000), len(body), body)
 
 
-def report(name, good):
+def registration_report(name, good):
     return f"HERE {name} {'on' if good else 'off'}".encode()
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -68,9 +68,9 @@
         self.poorer = {method(n, "name"): poorer[n] if isinstance(poorer, tuple) else poorer for n in count}
         self.kinds = {method(n, "name"): method(n, "kind") for n in count}
         # A try that reached the machine while an entry lived may be read as late as its deadline.
-        self.late = {method(n, "name"): (method(n, "deadline") or 0) + limits.late_read for n in count}
+        self.late = {method(n, "name"): (method(n, "deadline") or 0) + limits.late_read_grace for n in count}
         self.deadlines = {method(n, "name"): method(n, "deadline") or 5_000_000 for n in count}
-        self.turn = Turn(limits.log_again)
+        self.turn = Turn(limits.log_interval)
         self.pool = Pool(
             self.turn, limits, places["pool"], gauges if isinstance(gauges, tuple) else (gauges,), self
         )
@@ -87,7 +87,7 @@
             self.call_ended,
             settings.get("calls_linger", 0) if meters else 0,
         )
-        self.tokens = Tokens(self.turn, max(self.late.values(), default=0), limits.kept_results)
+        self.tokens = Tokens(self.turn, max(self.late.values(), default=0), limits.cached_results)
         self.duty = Duty(
             self.turn, limits, name, places["registry"], settings.get("drain_grace", 0), self.busy
         )
@@ -531,7 +531,7 @@
             for front in self.fronts.values():
                 front.idle_limit(0)
             self.duty.look()
-            self.turn.at(self.turn.now + self.limits.unready_look, self.end_unready)
+            self.turn.at(self.turn.now + self.limits.unready_check_interval, self.end_unready)
 
     def busy(self):
         """Whether anything is open or owed."""
--- a/finchcart/node/duty.py
+++ b/finchcart/node/duty.py
@@ -4,7 +4,7 @@
 It must never end a node that owes an answer, nor listen again once it stopped.
 """
 
-from finchcart.net import lines
+from finchcart.net import line_protocol
 from finchcart.node.effects import End, SendReport, StopListening
 
 
@@ -25,9 +25,9 @@
 
     def report(self):
         turn = self.turn
-        turn.emit(SendReport(self.place, lines.report(self.name, self.good)))
+        turn.emit(SendReport(self.place, line_protocol.registration_report(self.name, self.good)))
         self.reports += 1
-        turn.at(turn.now + self.limits.report, self.report_again, self.reports)
+        turn.at(turn.now + self.limits.registration_interval, self.report_again, self.reports)
 
     def report_again(self, number):
         if number == self.reports:
@@ -37,7 +37,7 @@
         """The notice to leave came then; False where it came before."""
         if self.drained is not None:
             return False
-        self.drained, self.grace_end, self.kill_at = at, at + self.grace, at + self.limits.stop
+        self.drained, self.grace_end, self.kill_at = at, at + self.grace, at + self.limits.stop_timeout
         self.turn.at(self.kill_at, self.turn.emit, End())
         return True
 
@@ -50,10 +50,13 @@
             self.quiet_from = None
         elif self.quiet_from is None:
             self.quiet_from = turn.now
-        elif turn.now - self.quiet_from >= self.limits.quiet:
+        elif turn.now - self.quiet_from >= self.limits.quiet_period:
             # Guards against an RPC on a connection that is being accepted: first no new ones, then the end.
             turn.emit(End() if self.unlistened else StopListening())
-            self.unlistened, self.quiet_from = True, turn.now - self.limits.quiet + self.limits.last_look
+            self.unlistened, self.quiet_from = (
+                True,
+                turn.now - self.limits.quiet_period + self.limits.final_check_delay,
+            )
 
     def move(self, place):
         self.place = place
--- a/finchcart/node/pool.py
+++ b/finchcart/node/pool.py
@@ -6,7 +6,7 @@
 """
 
 from finchcart.interface import Outcome
-from finchcart.net import lines
+from finchcart.net import line_protocol
 from finchcart.node.effects import Drop, Log, Read, Send
 
 
@@ -39,7 +39,7 @@
             return
         self.link = self.turn.connect("pool", self.place, self)
         self.turn.emit(Read(self.link))
-        self.say(lines.join(self.cursor))
+        self.say(line_protocol.subscribe(self.cursor))
 
     def say(self, data):
         """Written where there is a link; what is lost with one is settled after the next is bound."""
@@ -53,15 +53,19 @@
             self.say(data)
 
     def run(self, rpc, repeatable):
-        line = lines.run(rpc.name, rpc.method, rpc.body)
+        line = line_protocol.start_run(rpc.name, rpc.method, rpc.body)
         self.command(rpc, line, line if repeatable else None)
 
     def reply(self, rpc, cursor, body, skippable):
         """A reply that may have been lost can't be written again, but its call can be left out."""
-        self.command(rpc, lines.reply(rpc.name, body), lines.skip(rpc.name, cursor) if skippable else None)
+        self.command(
+            rpc,
+            line_protocol.answer_call(rpc.name, body),
+            line_protocol.skip_call(rpc.name, cursor) if skippable else None,
+        )
 
     def skip(self, rpc, cursor):
-        line = lines.skip(rpc.name, cursor)
+        line = line_protocol.skip_call(rpc.name, cursor)
         self.command(rpc, line, line)
 
     def confirmed(self, rpc):
@@ -69,13 +73,13 @@
 
     def poll(self):
         self.ticket += 1
-        self.say(lines.ask_gauges(str(self.ticket)))
+        self.say(line_protocol.request_gauges(str(self.ticket)))
         return str(self.ticket)
 
     # ---- the link's life
 
     def lost(self, why):
-        again = 0 if self.ready else self.limits.pool_again
+        again = 0 if self.ready else self.limits.pool_retry_interval
         self.turn.fault("worker pool", f"link lost ({why or 'closed'}), cursor {self.cursor}")
         self.leave()
         self.turn.at(self.turn.now + again, self.reach)
@@ -93,7 +97,7 @@
         if self.ready:
             self.ready = False
             self.leaving = self.poll()
-            self.turn.at(self.turn.now + self.limits.pool_moves, self.moved, self.link)
+            self.turn.at(self.turn.now + self.limits.pool_move_timeout, self.moved, self.link)
         else:
             self.moved(self.link)
 
@@ -146,7 +150,7 @@
             # Guards against commands lost with the old link: they are seen to once all notices since then
             # are read, so that nothing that ended is started again.
             self.settle = self.poll()
-            if begun > self.begun + self.limits.same_start:
+            if begun > self.begun + self.limits.pool_start_tolerance:
                 self.cursor = 0
                 self.host.pool_anew(cold)
         self.begun = begun
@@ -215,7 +219,7 @@
         if self.ready and not self.is_behind:
             ticket = self.poll()
             self.wakes[ticket] = name
-            self.turn.at(self.turn.now + self.limits.figures, self.wake, ticket, {})
+            self.turn.at(self.turn.now + self.limits.gauges_timeout, self.wake, ticket, {})
         else:
             self.host.woken(name, {})
 
--- a/finchcart/node/store.py
+++ b/finchcart/node/store.py
@@ -6,7 +6,7 @@
 """
 
 from finchcart.interface import Outcome
-from finchcart.net import lines
+from finchcart.net import line_protocol
 from finchcart.node.effects import Drop, Read, Send, SendBefore
 
 
@@ -49,11 +49,11 @@
             link = Link(turn.connect("store", self.place, self))
             self.links[link.number] = link
             turn.emit(Read(link.number))
-            turn.at(turn.now + self.limits.store_idle, self.look_at_idle, link)
+            turn.at(turn.now + self.limits.store_idle_timeout, self.look_at_idle, link)
         link.rpc, link.leased = rpc, leased
         link.used.add(rpc.name)
         rpc.call_link, rpc.call_from, rpc.calls = link.number, turn.now, rpc.calls + 1
-        data = lines.call(rpc.name, limit, body)
+        data = line_protocol.store_call(rpc.name, limit, body)
         if by is None:
             turn.emit(Send(link.number, data))
         else:
@@ -91,7 +91,7 @@
             self.retire(link)
             return
         rpc.call_link = link.rpc = None
-        if link.retired or len(link.used) >= self.limits.store_calls:
+        if link.retired or len(link.used) >= self.limits.calls_per_store_connection:
             self.leave(link)
         else:
             link.idle_from = self.turn.now
@@ -144,7 +144,7 @@
     def look_at_idle(self, link):
         """A link that idles is closed long before the store does it, so that no call crosses its close."""
         if link.number in self.links:
-            due = (self.turn.now if link.rpc else link.idle_from) + self.limits.store_idle
+            due = (self.turn.now if link.rpc else link.idle_from) + self.limits.store_idle_timeout
             if self.turn.now >= due:
                 self.leave(link)
             else:
--- a/finchcart/thrift/codec.py
+++ b/finchcart/thrift/codec.py
@@ -1,6 +1,6 @@
 """The dispatchers' speech: framed Thrift in the strict binary protocol, read and written.
 
-Owns the bytes on dispatchers' connections. A codec as net/frames.py has it: no I/O, nothing kept between
+Owns the bytes on dispatchers' connections. A codec as net/framing.py has it: no I/O, nothing kept between
 calls, and nothing raised but `ProtocolError` on what it reads, whatever the bytes.
 
 A message read is a plain tuple: `("rpc", seq, fields, body)`, `("left", seq)` (the caller of that RPC has
@@ -11,7 +11,7 @@
 import struct
 
 from finchcart.errors import ProtocolError
-from finchcart.net.frames import Codec
+from finchcart.net.framing import Codec
 
 CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
 VERSION = 0x80010000
--- a/finchcart/thrift/fields.py
+++ b/finchcart/thrift/fields.py
@@ -26,8 +26,8 @@
     `kinds`: method -> kind; `late`: method -> how long after its arrival an RPC may still be read, in us."""
     if fields is None or body is None:
         raise ValueError("the call carries no fields or no body")
-    if len(body) > limits.body:
-        raise ValueError(f"body: {len(body)} bytes, {limits.body} at most")
+    if len(body) > limits.body_size:
+        raise ValueError(f"body: {len(body)} bytes, {limits.body_size} at most")
     get = fields.get
     method, token, name, caller, came = get("c"), get("k"), get("i", ""), get("f", ""), get("s", "")
     if method not in kinds:
@@ -41,7 +41,7 @@
     if not came.isdigit():
         raise ValueError(f"field s={came[:40]!r}: expected Unix milliseconds")
     reached = int(number(fields, "s", 0, 1e14)) * 1000
-    if not now - late[method] <= reached <= now + limits.ahead:
+    if not now - late[method] <= reached <= now + limits.max_clock_lead:
         raise ValueError(f"field s={reached // 1000}: too far from {now // 1000}")
     if not (caller.isdigit() and len(caller) < 12):
         raise ValueError(f"field f={caller[:40]!r}: expected the number of a dispatcher")
@@ -54,7 +54,7 @@
             "reached": min(reached, now),
             "caller": caller,
             "again": "r" in fields,
-            "hint": int(number(fields, "h", 0, limits.hint / 1000, 0) * 1000),
+            "hint": int(number(fields, "h", 0, limits.max_expected_run / 1000, 0) * 1000),
             "kb": number(fields, "m", 1e-9, 2000),
             "place": None if place < 0 else place,
         },
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -1,6 +1,6 @@
 """The dispatchers' connections: what is open on each, when it is closed, and the words of each answer.
 
-Owns one `Connection` for each link of a dispatcher; bounded by `limits.connections`. It must never answer an
+Owns one `Connection` for each link of a dispatcher; bounded by `limits.max_connections`. It must never answer an
 RPC by itself once the core took it, nor close a connection that owes an answer. Contract: node/front.py.
 """
 
@@ -47,7 +47,7 @@
 
     def __init__(self, core, limits):
         self.core, self.turn, self.limits = core, core.turn, limits
-        self.most = limits.connections
+        self.most = limits.max_connections
         self.conns, self.good, self.keep = {}, True, None
         self.kill_at = None  # from the notice to leave on
         self.looking = False  # the table is nearly full, and looked at now and then
@@ -73,13 +73,13 @@
         if conn.ended:
             return
         turn.emit(Read(link))
-        turn.at(turn.now + self.limits.unused, self.close_unused, conn)
+        turn.at(turn.now + self.limits.unused_timeout, self.close_unused, conn)
 
     def drop_spare(self):
         """Guards against running out of descriptors and memory: the longest silent that made one health check
         goes, as no RPC comes on it; else the oldest that carried no call: nothing of it ran. One that may be
         about to speak is let be; where none else is left, those that come wait outside."""
-        since = self.turn.now - self.limits.crossing
+        since = self.turn.now - self.limits.crossing_window
         spare = (
             conn
             for conn in self.conns.values()
@@ -102,7 +102,7 @@
         full, any that idles, those of health checks last, and at the limit after a shorter silence: a new
         caller with an RPC gets in."""
         full, over = self.full(), len(self.conns) >= self.most
-        since = self.turn.now - (self.limits.crossing if over else self.limits.silent)
+        since = self.turn.now - (self.limits.crossing_window if over else self.limits.silent_timeout)
         busy = lambda conn: (
             conn.calls > 1
             and not full
@@ -118,7 +118,7 @@
             key=lambda conn: (conn.checks and conn.calls > 1, conn.heard),
         )
         if conn:
-            self.tell_close(conn, self.limits.unused_closing)
+            self.tell_close(conn, self.limits.unused_close_delay)
         return conn is not None
 
     def look_at_crowd(self):
@@ -130,7 +130,7 @@
             staying = sum(not (conn.told or conn.ended) for conn in self.conns.values())
             while staying > self.most * 3 // 4 and self.make_room():
                 staying -= 1
-            self.turn.at(self.turn.now + self.limits.crossing, self.look_at_crowd)
+            self.turn.at(self.turn.now + self.limits.crossing_window, self.look_at_crowd)
 
     def got(self, link, message):
         conn = self.conns.get(link)
@@ -216,14 +216,14 @@
         """Nothing more is read or sent; a far side that does not close in its turn is not waited for long."""
         conn.ended = True
         self.turn.emit(effect(conn.link))
-        wait = self.limits.crossing if self.full() else self.limits.linger
+        wait = self.limits.crossing_window if self.full() else self.limits.linger_timeout
         self.turn.at(self.turn.now + wait, self.drop_ended, conn)
 
     def drop_ended(self, conn):
         """Guards against answers that are cut off as the far side reads slowly: a write that makes no headway
         breaks the link by itself."""
         if conn.behind and conn.link in self.conns:
-            self.turn.at(self.turn.now + self.limits.linger, self.drop_ended, conn)
+            self.turn.at(self.turn.now + self.limits.linger_timeout, self.drop_ended, conn)
         else:
             self.turn.emit(Drop(conn.link))
 
@@ -334,7 +334,7 @@
         if not conn.told and not conn.ended:
             conn.told = True
             self.send(conn, codec.closing())
-            wait = self.patience(wait or self.limits.closing)
+            wait = self.patience(wait or self.limits.close_delay)
             self.turn.at(self.turn.now + wait, self.close_told, conn)
 
     def close_told(self, conn):
@@ -348,7 +348,7 @@
         if conn is None or conn.ended or conn.bad:
             return
         if conn.open:
-            self.turn.at(self.turn.now + self.patience(self.limits.closing), self.close_told, conn)
+            self.turn.at(self.turn.now + self.patience(self.limits.close_delay), self.close_told, conn)
         else:
             self.turn.emit(CloseIfIdle(conn.link))
 
@@ -356,34 +356,38 @@
         """Guards against connections of those that rest, cut by the kill instead of closed by the node."""
         if self.kill_at is None:
             return wait
-        return min(wait, max(self.limits.unused_closing, (self.kill_at - self.turn.now) // 3))
+        return min(wait, max(self.limits.unused_close_delay, (self.kill_at - self.turn.now) // 3))
 
     def finished(self, link, shut):
         conn = self.conns.get(link)
         if conn is None or conn.ended or conn.bad:
             return
         conn.tries += 1
-        if shut or conn.tries * self.limits.finish_again > self.limits.half and not conn.behind:
+        if (
+            shut
+            or conn.tries * self.limits.close_retry_interval > self.limits.partial_message_timeout
+            and not conn.behind
+        ):
             self.end(conn)  # guards against one that never sends the rest of what it began
         else:
-            self.turn.at(self.turn.now + self.limits.finish_again, self.close_told, conn)
+            self.turn.at(self.turn.now + self.limits.close_retry_interval, self.close_told, conn)
 
     def look_at_checks(self, conn):
         """Guards against those that ask once and stay for ever, above all where many do."""
         if not conn.ended and not conn.told:
             now = self.turn.now
             once = conn.calls < 2 and self.crowded()
-            due = conn.heard + (self.limits.silent if once else self.limits.check_idle)
+            due = conn.heard + (self.limits.silent_timeout if once else self.limits.health_check_idle_timeout)
             if now < due:
-                self.turn.at(min(due, now + self.limits.silent), self.look_at_checks, conn)
+                self.turn.at(min(due, now + self.limits.silent_timeout), self.look_at_checks, conn)
             elif not conn.open:
-                self.tell_close(conn, self.limits.unused_closing)
+                self.tell_close(conn, self.limits.unused_close_delay)
 
     def close_unused(self, conn):
         """Guards against those that stay silent, or never end what they send."""
         if not conn.calls and not conn.told:
             self.core.bad_from(conn.link)
-            self.tell_close(conn, self.limits.unused_closing)
+            self.tell_close(conn, self.limits.unused_close_delay)
 
     # ---- the module's word
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -355,7 +355,7 @@
         **limits,
     ):
         self.settings, self.now, self.rng = settings, 1_700_000_000_000_000, random.Random(seed)
-        self.limits = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS, **limits)
+        self.limits = Limits(memory=192 * 2**20, descriptors=200, stop_timeout=3_000 * MS, **limits)
         self.places = {"pool": ("pool", 1), "store": ("store", 1), "registry": ("registry", 1)}
         self.core = Core(
             settings,
@@ -428,7 +428,7 @@
             link = next(link for link in self.asked if self.inbox.get(link))
             self.asked[link] -= 1
             self.asked += Counter()  # what is asked no more
-            count = self.rng.choice((1, 1, 2, self.limits.batch))
+            count = self.rng.choice((1, 1, 2, self.limits.frontend_batch))
             batch = [self.inbox[link].popleft() for _ in range(min(count, len(self.inbox[link])))]
             self.feed(MessagesReceived(link, batch, self.now))
         for link in list(self.closing):
@@ -697,7 +697,7 @@
             assert self.now <= r["due"] + 120 * MS, f"lost: {name} {r}"
         tokens = self.core.tokens
         assert tokens.result_bytes == sum(len(entry.result) for entry in tokens.results)
-        assert tokens.result_bytes <= self.limits.kept_results
+        assert tokens.result_bytes <= self.limits.cached_results
         assert not self.reports or self.now - self.reports[-1][0] < 2_000 * MS or self.ended
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,7 +6,7 @@
 import json5
 import pytest
 
-from finchcart.cli.file import checked, claims
+from finchcart.cli.settings_file import checked, claims
 from finchcart.fault_injection.claiming import KEY, TICK, Breach, Run, World, act, explore
 from finchcart.key_leases import wire
 from finchcart.key_leases.figures import MS, SECOND, Figures, mistakes
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -8,13 +8,13 @@
 from finchcart import settings
 from finchcart.errors import ProtocolError
 from finchcart.interface import Outcome
-from finchcart.net import lines
+from finchcart.net import line_protocol
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.thrift import codec as thrift
 
-LIMITS = Limits(memory=192 * 2**20, descriptors=1024, stop=3_000_000)
-LONGEST = LIMITS.buffer
+LIMITS = Limits(memory=192 * 2**20, descriptors=1024, stop_timeout=3_000_000)
+LONGEST = LIMITS.buffer_size
 
 
 def take(codec, data, at, longest):
@@ -157,9 +157,9 @@
         (thrift.FRONT, framed(SUBMIT)),
         (thrift.FRONT, framed(REVOKE)),
         (thrift.FRONT, framed(HEARTBEAT)),
-        (lines.POOL, FINISHED),
-        (lines.POOL, POLLED),
-        (lines.STORE, STORED),
+        (line_protocol.WORKER_POOL_CODEC, FINISHED),
+        (line_protocol.WORKER_POOL_CODEC, POLLED),
+        (line_protocol.STORE_CODEC, STORED),
     ],
 )
 def test_every_cut_waits_for_more_and_every_flip_reads_or_is_malformed(codec, whole):
@@ -178,7 +178,7 @@
             pass
 
 
-@pytest.mark.parametrize("codec", [thrift.FRONT, lines.POOL, lines.STORE])
+@pytest.mark.parametrize("codec", [thrift.FRONT, line_protocol.WORKER_POOL_CODEC, line_protocol.STORE_CODEC])
 def test_random_bytes_are_no_harm(codec):
     rng = random.Random(5)
     for _ in range(2000):
@@ -210,9 +210,20 @@
 
 def test_lines_of_the_pool():
     name = "9b1f03aa5c7e2d41"
-    assert take(lines.POOL, FINISHED, 0, LONGEST)[0] == ("run_ended", 4, name, Outcome.OK, 1500, b"\xff\0A")
-    assert take(lines.POOL, POLLED, 0, LONGEST)[0] == ("gauges", "9", (0.5, 3.0, 0.25, 17.0))
-    read = lambda text: take(lines.POOL, text + b"\n", 0, LONGEST)[0]
+    assert take(line_protocol.WORKER_POOL_CODEC, FINISHED, 0, LONGEST)[0] == (
+        "run_ended",
+        4,
+        name,
+        Outcome.OK,
+        1500,
+        b"\xff\0A",
+    )
+    assert take(line_protocol.WORKER_POOL_CODEC, POLLED, 0, LONGEST)[0] == (
+        "gauges",
+        "9",
+        (0.5, 3.0, 0.25, 17.0),
+    )
+    read = lambda text: take(line_protocol.WORKER_POOL_CODEC, text + b"\n", 0, LONGEST)[0]
     assert read(b'{"event":"bound","fate":"new","lasted":20}') == ("up", True, 20_000)
     assert read(b'{"event":"blocked","cursor":5,"handle":"x","arg":"AA=="}') == ("at_call", 5, "x", b"\0")
     assert read(b'{"event":"unknown","fate":"spawn","handle":"x"}') == ("undone", True, "x")
@@ -235,11 +246,11 @@
         with pytest.raises(ProtocolError):
             read(bad)
     said = [
-        lines.join(3),
-        lines.run("x", "m", b"\xff\0A"),
-        lines.reply("x", b"A"),
-        lines.skip("x", 5),
-        lines.ask_gauges("7"),
+        line_protocol.subscribe(3),
+        line_protocol.start_run("x", "m", b"\xff\0A"),
+        line_protocol.answer_call("x", b"A"),
+        line_protocol.skip_call("x", 5),
+        line_protocol.request_gauges("7"),
     ]
     assert all(line.count(b"\n") == 1 and line.endswith(b"\n") for line in said)
     assert [json.loads(line) for line in said] == [
@@ -252,19 +263,22 @@
 
 
 def test_lines_of_the_store_and_the_registry():
-    assert take(lines.STORE, STORED, 0, LONGEST) == (
+    assert take(line_protocol.STORE_CODEC, STORED, 0, LONGEST) == (
         ("reply", "9b1f03aa5c7e2d41", Outcome.OK, b"a\r\nb\0"),
         len(STORED),
     )
     proofs = {b"BUSY": True, b"ERR": False, b"LATE": False, b"VOID": True}
     for word, proof in proofs.items():
-        (_, name, outcome, body), _ = take(lines.STORE, b"x " + word + b"\r\n", 0, LONGEST)
+        (_, name, outcome, body), _ = take(line_protocol.STORE_CODEC, b"x " + word + b"\r\n", 0, LONGEST)
         assert (name, outcome.never_ran, body) == ("x", proof, b"")
     for bad in (b"x\r\n", b"x OK\r\n", b"x OK -1\r\n", b"x OK 99999\r\n", b"x OK 1\r\nabc", b"x WHAT\r\n"):
         with pytest.raises(ProtocolError):
-            take(lines.STORE, bad, 0, LONGEST)
-    assert lines.call("x", 250_001, b"a\r\nb") == b"CALL x 251 4\r\na\r\nb\r\n"
-    assert (lines.report("n3", True), lines.report("n3", False)) == (b"HERE n3 on", b"HERE n3 off")
+            take(line_protocol.STORE_CODEC, bad, 0, LONGEST)
+    assert line_protocol.store_call("x", 250_001, b"a\r\nb") == b"CALL x 251 4\r\na\r\nb\r\n"
+    assert (
+        line_protocol.registration_report("n3", True),
+        line_protocol.registration_report("n3", False),
+    ) == (b"HERE n3 on", b"HERE n3 off")
 
 
 def test_the_wire_and_the_configuration_give_the_same_settings():
@@ -312,7 +326,7 @@
             buffers.give_back(taken.pop(rng.randrange(len(taken))))
         else:
             taken.append(buffers.take())
-            assert len(taken[-1]) == LIMITS.buffer
+            assert len(taken[-1]) == LIMITS.buffer_size
         assert len(buffers.out) == len(taken) == len({id(buffer) for buffer in taken})
         assert len(buffers.spare) <= LIMITS.spare_buffers
     last = taken.pop()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -86,7 +86,7 @@
 @pytest.mark.parametrize("seed", [*range(20), 2008])  # 2008: an idempotent run starts again as it ends
 def test_rules_hold_in_random_runs(seed):
     rng = random.Random(seed)
-    far = Far({**draw_settings(rng), **GAUGES}, seed, kept_results=rng.choice((60, 10_000)))
+    far = Far({**draw_settings(rng), **GAUGES}, seed, cached_results=rng.choice((60, 10_000)))
     assert "ok" in play(far, rng, rng.choice((None, 320)))
 
 
@@ -617,7 +617,7 @@
     far.step(MS)
     while not far.front.conns[link].told:
         far.step(MS)
-    far.step(far.limits.closing - MS)
+    far.step(far.limits.close_delay - MS)
     assert far.links[link] == "open"
     return link
 
@@ -667,7 +667,7 @@
 
 def test_connections_past_the_limit_cost_first_what_asked_once_and_stayed():
     far = far_plain(cores=9)
-    links = [far.open() for _ in range(far.limits.connections)]
+    links = [far.open() for _ in range(far.limits.max_connections)]
     names = [far.submit(links[0])]
     for link in links[2:]:
         far.give(link, ("check", 1))
@@ -681,7 +681,7 @@
     names.append(far.submit(far.open()))
     far.step(MS)
     assert far.links[links[4]] == "closed" and far.links[links[3]] == far.links[links[5]] == "open"
-    assert len(far.front.conns) == far.limits.connections == 136
+    assert len(far.front.conns) == far.limits.max_connections == 136
     for each in names:
         far.step(MS)
         ends_well(far, each)
@@ -689,9 +689,9 @@
     for _ in range(130):
         far.step(10 * MS)
     assert far.links[links[3]] == "open" and not any(far.links[link] == "open" for link in links[4:])
-    assert Limits.of({"memory_mb": 32, "sockets": 384}, 3200).connections == 192
-    assert Limits.of({"memory_mb": 192, "sockets": 1024}, 3200).connections == 960
-    assert Limits.of({"memory_mb": 192, "sockets": 100}, 3200).connections == 50
+    assert Limits.of({"memory_mb": 32, "sockets": 384}, 3200).max_connections == 192
+    assert Limits.of({"memory_mb": 192, "sockets": 1024}, 3200).max_connections == 960
+    assert Limits.of({"memory_mb": 192, "sockets": 100}, 3200).max_connections == 50
 
 
 def test_one_that_checked_once_and_stays_is_closed_and_one_that_goes_on_is_not():
@@ -725,7 +725,7 @@
     for _ in range(400):
         if not far.ended:
             far.step(10 * MS)
-    assert how(far, name) == "ok" and far.ended and far.now < far.drained + far.limits.stop + 100 * MS
+    assert how(far, name) == "ok" and far.ended and far.now < far.drained + far.limits.stop_timeout + 100 * MS
 
 
 def test_nothing_is_kept_once_all_windows_are_over():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,8 +14,8 @@
 
 from benchmarks.rpc import free
 from finchcart.net.buffers import Buffers
+from finchcart.net.connections import Connection, Listener
 from finchcart.net.limits import Limits
-from finchcart.net.links import Link, Listener
 from finchcart.node.inputs import ConnectionClosed, FramesReceived, WriteBlocked, WriteResumed
 from finchcart.simulated_peers.outside import Registry
 from finchcart.thrift import codec
@@ -23,7 +23,7 @@
 from tests.harness import same_input
 from tests.test_node import World, answers, until
 
-LIMITS = Limits(memory=1 << 28, descriptors=64, stop=1_000_000, linger=20_000)
+LIMITS = Limits(memory=1 << 28, descriptors=64, stop_timeout=1_000_000, linger_timeout=20_000)
 CHECK = codec.frame(CALL, b"heartbeat", 1, FIELD.pack(BOOL, 1) + b"\1\0")
 KEYS = [f"{n:032x}" for n in range(1, 20)]
 
@@ -51,7 +51,7 @@
     with socket.create_server(("127.0.0.1", 0)) as server:
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-    link = Link(1, codec.FRONT, inputs, Buffers(limits), limits, sock=wrap(near))
+    link = Connection(1, codec.FRONT, inputs, Buffers(limits), limits, sock=wrap(near))
     until(lambda: link.up)
     return link, far, inputs
 
@@ -119,7 +119,7 @@
     def none(act, name):
         raise OSError("can't start new thread")
 
-    monkeypatch.setattr("finchcart.net.links.start_thread", none)
+    monkeypatch.setattr("finchcart.net.connections.start_thread", none)
     link.send(b"x" * 30_000_000)
     assert [type(inputs.get()) for _ in range(2)] == [WriteBlocked, WriteResumed]
     link.close()
@@ -164,13 +164,15 @@
 
 
 def test_no_more_are_accepted_than_descriptors_allow_and_the_rest_when_one_closes():
-    limits = Limits(memory=1 << 28, descriptors=20, stop=1)
+    limits = Limits(memory=1 << 28, descriptors=20, stop_timeout=1)
     made, opened, place = listener(limits)
     thread = threading.Thread(target=made.accept, daemon=True)
     thread.start()
     clients = [socket.create_connection(place) for _ in range(limits.descriptors + 5)]
-    first = [opened.get(timeout=10) for _ in range(limits.accepted)]
-    assert limits.accepted < limits.descriptors and not made.room.acquire(blocking=False) and opened.empty()
+    first = [opened.get(timeout=10) for _ in range(limits.max_accepted)]
+    assert (
+        limits.max_accepted < limits.descriptors and not made.room.acquire(blocking=False) and opened.empty()
+    )
     _, sock, _, over = first[0]
     sock.close()
     over()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -92,7 +92,7 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_rules_hold_through_a_front_of_another_kind(seed):
     rng = random.Random(100 + seed)
-    far = MemoryFar({**draw_settings(rng), **GAUGES}, seed, kept_results=rng.choice((60, 10_000)))
+    far = MemoryFar({**draw_settings(rng), **GAUGES}, seed, cached_results=rng.choice((60, 10_000)))
     assert "ok" in play(far, rng) and not far.front.rpcs
     assert ("health", False) in far.front.said and far.front.said[-1][0] != "health"
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from finchcart.cli.file import Wrong, checked
+from finchcart.cli.settings_file import Wrong, checked
 from finchcart.fault_injection.run import judge as judge_plan
 from finchcart.fault_injection.run import on_virtual
 from finchcart.fault_injection.script import Script, lay_out
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,8 +15,8 @@
 
 from benchmarks.rpc import free
 from finchcart.net.buffers import Buffers
+from finchcart.net.connections import Connection, ConnectionTable
 from finchcart.net.limits import Limits
-from finchcart.net.links import Link, Links
 from finchcart.node.inputs import ConnectionClosed, ConnectionRefused, WriteBlocked, WriteResumed
 from finchcart.simulated_peers.client import Client
 from finchcart.simulated_peers.outside import Pool, Registry, Store
@@ -284,8 +284,8 @@
     def none(thread):
         raise RuntimeError("can't start new thread")
 
-    inputs, limits = SimpleQueue(), Limits(memory=1, descriptors=1, stop=1)
-    links = Links(inputs, Buffers(limits), limits, None, "thrift", codec.FRONT)
+    inputs, limits = SimpleQueue(), Limits(memory=1, descriptors=1, stop_timeout=1)
+    links = ConnectionTable(inputs, Buffers(limits), limits, None, "thrift", codec.FRONT)
     monkeypatch.setattr("threading.Thread.start", none)
     links.connect(-1, "store", ("127.0.0.1", 9))
     assert same_input(inputs.get_nowait(), ConnectionRefused(-1, "can't start new thread"))
@@ -293,11 +293,11 @@
 
 
 def test_only_a_link_whose_far_side_does_not_read_takes_a_writer_thread():
-    limits, inputs = Limits(memory=1, descriptors=1, stop=1), SimpleQueue()
+    limits, inputs = Limits(memory=1, descriptors=1, stop_timeout=1), SimpleQueue()
     with socket.create_server(("127.0.0.1", 0)) as server:
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-    link = Link(1, codec.FRONT, inputs, Buffers(limits), limits, sock=near)
+    link = Connection(1, codec.FRONT, inputs, Buffers(limits), limits, sock=near)
     until(lambda: link.up)
     before = threading.active_count()
     link.send(b"first")
@@ -317,13 +317,13 @@
 
 
 def test_buffers_all_come_back_after_cut_whole_and_hostile_bytes():
-    rng, limits = random.Random(9), Limits(memory=1, descriptors=1, stop=1, linger=50_000)
+    rng, limits = random.Random(9), Limits(memory=1, descriptors=1, stop_timeout=1, linger_timeout=50_000)
     buffers, inputs = Buffers(limits), SimpleQueue()
     server = socket.create_server(("127.0.0.1", 0))
     for number in range(60):
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-        link = Link(number, codec.FRONT, inputs, buffers, limits, sock=near)
+        link = Connection(number, codec.FRONT, inputs, buffers, limits, sock=near)
         whole = (
             (29).to_bytes(4, "big")
             + bytes.fromhex("8001000100000009")
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -25,7 +25,7 @@
 from tests.harness import same_input
 
 MS = 1000
-LIMITS = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS)
+LIMITS = Limits(memory=192 * 2**20, descriptors=200, stop_timeout=3_000 * MS)
 
 
 def rpc_of(index, body=b"body"):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -12,12 +12,12 @@
 import msgspec
 import pytest
 
-from finchcart.cli.file import Wrong, checked
+from finchcart.cli.settings_file import Wrong, checked
 from finchcart.fault_injection.explore import explore
 from finchcart.fault_injection.shares import Breach, Run, Shares
 from finchcart.membership import wire as base
 from finchcart.membership.member import Heard
-from finchcart.net.links import boot_clock
+from finchcart.net.connections import boot_clock
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota import loose, wire
 from finchcart.quota.division import divide, shared_out
@@ -702,7 +702,7 @@
 from queue import SimpleQueue
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
-from finchcart.net.links import CODECS, Link, boot_clock
+from finchcart.net.connections import CODECS, Connection, boot_clock
 class Stops:
     def __init__(self, sock):
         self.sock = sock
@@ -711,9 +711,9 @@
     def send(self, *what):
         os.kill(os.getpid(), signal.SIGSTOP)  # after the last look at the clock, before the write
         return self.sock.send(*what)
-limits = Limits(memory=10**8, descriptors=100, stop=10**6)
+limits = Limits(memory=10**8, descriptors=100, stop_timeout=10**6)
 place = "127.0.0.1", int(sys.argv[1])
-link = Link(-1, CODECS["store"], SimpleQueue(), Buffers(limits), limits, address=place)
+link = Connection(-1, CODECS["store"], SimpleQueue(), Buffers(limits), limits, address=place)
 while not link.up:
     time.sleep(0.001)
 link.sock = Stops(link.sock)
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from finchcart.cli.file import Wrong, checked, verdicts
+from finchcart.cli.settings_file import Wrong, checked, verdicts
 from finchcart.consensus import board as boards
 from finchcart.consensus import subjects, wire
 from finchcart.consensus.board import Board
