Rename the settings file's functions, queries and the datagram endpoint; divide cli/serve

Cause: names of our own, and one module with four jobs. Change: load_settings, check_settings, *_config, SettingsError (errors.py), query_*, send_override, DatagramEndpoint, net/clock.py; cli/serve.py is now fleet_node.py, planner_process.py, queries.py and log_output.py, moved as they were.

--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -23,7 +23,7 @@
     """Serve as one node; its configuration is named by ROUTER_CONFIG."""
     import os
 
-    from finchcart.cli.serve import serve as run
+    from finchcart.cli.fleet_node import serve as run
 
     status = run(settings, log)
     sys.stdout.flush()
@@ -35,20 +35,27 @@
 @SETTINGS
 def check(settings):
     """Read a settings file; tell all its mistakes, or the bounds that follow from it."""
-    from finchcart.cli.settings_file import Wrong, claims, figures, quota, read, verdicts
+    from finchcart.cli.settings_file import (
+        consensus_config,
+        key_lease_config,
+        load_settings,
+        membership_config,
+        quota_config,
+    )
+    from finchcart.errors import SettingsError
 
     if not settings:
         raise click.UsageError("--settings or FINCHCART_SETTINGS has to name a file")
     try:
-        whole = read(settings)
-    except Wrong as wrong:
+        whole = load_settings(settings)
+    except SettingsError as wrong:
         click.echo(str(wrong), err=True)
         sys.exit(2)
     fleet = whole.fleet
     if fleet is msgspec.UNSET:
         click.echo(f"{settings}: good; no fleet is asked for")
         return
-    told, shared = figures(fleet), quota(whole)
+    told, shared = membership_config(fleet), quota_config(whole)
     click.echo(f"{settings}: good; fleet {fleet.name}")
     for count in (3, 24, 200):
         calm, lossy = (told.stale(count, loss) / 1e6 for loss in (0.0, 0.3))
@@ -78,7 +85,7 @@
             f"{shared.back_within() / 1e6:.1f} s of their return"
         )
 
-    claimed = claims(whole)
+    claimed = key_lease_config(whole)
     if claimed:
         click.echo(
             f"  claims: two runs of one key are commanded at least {claimed.apart() / 1e6:.1f} s "
@@ -88,7 +95,7 @@
             f"    a keeper that starts is silent for {claimed.silence / 1e6:.1f} s; it holds "
             f"{claimed.bytes_at_most() / 2**20:.0f} MB at most"
         )
-    held = verdicts(whole)
+    held = consensus_config(whole)
     if held:
         from finchcart.consensus.decide import least_liars
         from finchcart.consensus.figures import warnings
@@ -116,7 +123,7 @@
 @click.option("--log", type=click.Choice(["text", "json"]), default="text", show_default=True)
 def plan(settings, place, listen, log):
     """Be one of the planners that share the fleet's limits out."""
-    from finchcart.cli.serve import plan as run
+    from finchcart.cli.planner_process import plan as run
 
     sys.exit(run(settings, place, listen, log))
 
@@ -126,12 +133,12 @@
     """Ask a running process what it holds of the fleet."""
 
 
-def answer(ask, where, as_json):
-    """What the process at HOST:PORT answers to `ask`; with `as_json` it is printed, and that is all."""
+def answer(query, where, as_json):
+    """What the process at HOST:PORT answers to `query`; with `as_json` it is printed, and that is all."""
     from finchcart.membership.wire import Unfit, place_of
 
     try:
-        view = ask(place_of(where))
+        view = query(place_of(where))
     except Unfit as error:
         raise click.UsageError(f"{where}: {error}") from None
     except TimeoutError as error:
@@ -148,9 +155,9 @@
 @click.option("--json", "as_json", is_flag=True)
 def members(where, as_json):
     """The members as the process at HOST:PORT (its `fleet.listen`) sees them."""
-    from finchcart.cli.serve import ask
+    from finchcart.cli.queries import query_members
 
-    view = answer(ask, where, as_json)
+    view = answer(query_members, where, as_json)
     alone = ", isolated" if view["isolated"] else ""
     click.echo(f"{view['name']}, incarnation {view['incarnation']}{alone}; at most {view['age_ms']} ms old")
     wide = max(len(member["name"]) for member in view["members"])
@@ -166,9 +173,9 @@
 @click.option("--json", "as_json", is_flag=True)
 def limits(where, as_json):
     """The limits as the node (its `fleet.listen`) or planner at HOST:PORT holds them."""
-    from finchcart.cli.serve import ask_limits
+    from finchcart.cli.queries import query_limits
 
-    view = answer(ask_limits, where, as_json)
+    view = answer(query_limits, where, as_json)
     told = {name: value for name, value in view.items() if name not in ("limits", "counts")}
     click.echo(", ".join(f"{name} {value}" for name, value in told.items()))
     for limit in view["limits"]:
@@ -180,9 +187,9 @@
 @click.option("--json", "as_json", is_flag=True)
 def verdicts(where, as_json):
     """What the node at HOST:PORT (its `fleet.listen`) takes the fleet to hold, and how old that can be."""
-    from finchcart.cli.serve import ask_verdicts
+    from finchcart.cli.queries import query_consensus
 
-    view = answer(ask_verdicts, where, as_json)
+    view = answer(query_consensus, where, as_json)
     click.echo(
         ", ".join(
             f"{name} {value}" for name, value in view.items() if name not in ("verdicts", "counts", "pages")
@@ -197,9 +204,10 @@
 
 def word(settings, at, kind, name, value, seconds, why):
     """Tells an operator's word to one node, which tells all."""
-    from finchcart.cli.serve import say as tell
-    from finchcart.cli.settings_file import Wrong, read
+    from finchcart.cli.queries import send_override
+    from finchcart.cli.settings_file import load_settings
     from finchcart.consensus import subjects
+    from finchcart.errors import SettingsError
     from finchcart.membership.wire import Unfit, place_of
 
     try:
@@ -208,11 +216,11 @@
         if not at:
             if not settings:
                 raise click.UsageError("--at, or --settings or FINCHCART_SETTINGS, has to tell which node")
-            at = read(settings).fleet.listen
-        view = tell(place_of(at), subject, told, seconds, why)
+            at = load_settings(settings).fleet.listen
+        view = send_override(place_of(at), subject, told, seconds, why)
     except (ValueError, Unfit, AttributeError) as error:
         raise click.UsageError(str(error)) from None
-    except (Wrong, TimeoutError) as error:
+    except (SettingsError, TimeoutError) as error:
         click.echo(str(error), err=True)
         sys.exit(1)
     if not view["taken"]:
--- /dev/null
+++ b/finchcart/cli/fleet_node.py
@@ -0,0 +1,220 @@
+"""One node that takes part in a fleet: joins finchcart/__main__.py with the members' thread.
+
+Owns the start of what a settings file asks for, and how a file read again is taken: whole or not at all. It
+must never be imported where no settings file is named.
+"""
+
+import json
+import os
+import random
+import time
+from dataclasses import replace
+
+from loguru import logger
+from msgspec import UNSET
+
+from finchcart.__main__ import main, plain_log
+from finchcart.cli.log_output import json_log
+from finchcart.cli.settings_file import (
+    consensus_config,
+    key_lease_config,
+    load_settings,
+    membership_config,
+    quota_config,
+)
+from finchcart.consensus import wire as sayings
+from finchcart.consensus.board import Board
+from finchcart.errors import ConfigError, SettingsError
+from finchcart.key_leases import wire as claiming
+from finchcart.key_leases.holder import Claims
+from finchcart.membership import wire as base
+from finchcart.membership.member import Member
+from finchcart.membership.wire import place_of
+from finchcart.net.clock import boot_clock
+from finchcart.net.datagrams import DatagramEndpoint
+from finchcart.node.claimer import Claimer
+from finchcart.node.inputs import Drain, FleetChange, ReloadConfig
+from finchcart.node.meter import Meters
+from finchcart.node.witness import Witness
+from finchcart.quota import wire as shares
+from finchcart.quota.holder import Holder
+from finchcart.quota.limits import Limit, Quota
+from finchcart.quota.loose import Loose
+
+TRIAL = "store, trial calls"  # the limit by which the fleet shares the calls to a store that is down
+FIXED = "name", "listen", "advertise", "seeds"  # for as long as the process lives
+
+
+def shared(settings):
+    """The limits, and with verdicts the one on trial calls; None where there are neither."""
+    asked, held = quota_config(settings), consensus_config(settings)
+    if not held:
+        return asked
+    trial = Limit(TRIAL, held.trials, counts="trial", mode="loose")
+    asked = asked or Quota()
+    return replace(asked, limits=(*asked.limits, trial))
+
+
+class Fleet:
+    """The members' part of a node. `name`: of the node, which is its name in the fleet."""
+
+    def __init__(self, inputs, path, settings, name):
+        self.path, self.settings = path, settings
+        asked = settings.fleet
+        advertise = asked.listen if asked.advertise is UNSET else asked.advertise
+        wall = time.time_ns() // 1_000_000
+        seed = random.SystemRandom().getrandbits(64)
+        self.shares = shared(settings)
+        self.datagrams = DatagramEndpoint(
+            place_of(asked.listen),
+            lambda now: self.machines(now, name, advertise, random.Random(seed), wall),
+            lambda change: inputs.put(FleetChange(change)),
+            self.reread,
+        )
+
+    def machines(self, now, name, advertise, chance, wall):
+        """By channel: the member, and the holder where limits are shared."""
+        asked = self.settings.fleet
+        out = {
+            base.CHANNEL: Member(
+                name, asked.name, advertise, asked.seeds, membership_config(asked), chance, wall, now
+            )
+        }
+        if self.shares:
+            holder = out[shares.CHANNEL] = Holder(name, asked.name, self.shares, chance, now)
+            loose = Loose(self.shares, now)
+            out[base.CHANNEL].riders.append(loose)
+            holder.loose = loose.status
+        held = consensus_config(self.settings)
+        if held:
+            board = out[sayings.CHANNEL] = Board(name, asked.name, held, now)
+            out[base.CHANNEL].riders.append(board)
+        claimed = key_lease_config(self.settings)
+        if claimed:
+            out[claiming.CHANNEL] = Claims(name, asked.name, claimed, chance, now)
+        return out
+
+    def meters(self):
+        """Of all limits of the fleet that this node is held to; new ones wait for the next start."""
+        if not self.shares:
+            return None
+        meters = Meters(self.shares.limits, self.shares.slack, self.shares.most)
+        held = consensus_config(self.settings)
+        if held:
+            meters.rise, meters.longest = held.rise, held.trial
+        return meters
+
+    def witness(self):
+        """What sees for the fleet's verdicts, where there are any."""
+        held = consensus_config(self.settings)
+        return held and Witness(held)
+
+    def saw(self, evidence):
+        self.datagrams.post(sayings.CHANNEL, "evidence", evidence)
+
+    def claims(self):
+        """Makes what holds tokened RPCs to claims, where there are any."""
+        claimed = key_lease_config(self.settings)
+        return claimed and (lambda turn: Claimer(turn, claimed.life))
+
+    def claim(self, what):
+        self.datagrams.post_now(claiming.CHANNEL, *what)
+
+    def reducer(self, core):
+        """The core's `reduce`, with the boot clock told before each turn."""
+        meters, claimer = core.meters, core.claimer
+        if meters is None and claimer is None:
+            return core.reduce
+
+        def reduce(now, what):
+            boot = boot_clock()
+            if meters:
+                meters.at(boot)
+            if claimer:
+                claimer.boot = boot
+            return core.reduce(now, what)
+
+        return reduce
+
+    def use(self, name, *said):
+        if any(limit.name == name for limit in self.shares.strict):
+            self.datagrams.post(shares.CHANNEL, "use", name, *said)
+        else:
+            self.datagrams.post(base.CHANNEL, "rider", "use", name, *said)
+
+    def start(self):
+        self.datagrams.start()
+        asked = self.settings.fleet
+        logger.bind(fleet=asked.name, listen=asked.listen).info("members: {} on {}", asked.name, asked.listen)
+
+    def heard(self, what):
+        """Of a signal, in its handler."""
+        if isinstance(what, Drain):
+            self.datagrams.post(None, "leave")
+        elif isinstance(what, ReloadConfig):
+            self.datagrams.post(None, "reread")  # a handler may not log
+
+    def reread(self):
+        """The settings file once more, as inputs by channel; none where it can't be used."""
+        try:
+            new = load_settings(self.path)
+            fixed = [
+                name
+                for name in FIXED
+                if new.fleet is UNSET or getattr(new.fleet, name) != getattr(self.settings.fleet, name)
+            ]
+            if not fixed and bool(quota_config(new)) != bool(quota_config(self.settings)):
+                fixed = ["planners"]
+            if not fixed and bool(consensus_config(new)) != bool(consensus_config(self.settings)):
+                fixed = ["verdicts"]
+            if not fixed and key_lease_config(new) != key_lease_config(self.settings):
+                fixed = ["claims"]
+            if fixed:
+                raise SettingsError(
+                    [f"{self.path}: fleet.{name}: waits for the next start" for name in fixed]
+                )
+        except SettingsError as wrong:
+            for line in wrong.mistakes:
+                logger.error("settings not taken: {}", line)
+            return []
+        self.settings = new
+        logger.info("settings taken from {}", self.path)
+        said = [(base.CHANNEL, ("figures", membership_config(new.fleet)))]
+        if consensus_config(new):
+            said.append((sayings.CHANNEL, ("figures", consensus_config(new))))
+        if self.shares:
+            self.shares = shared(new)
+            said += [
+                (shares.CHANNEL, ("quota", self.shares)),
+                (base.CHANNEL, ("rider", "quota", self.shares)),
+            ]
+        return said
+
+    def end(self):
+        self.datagrams.stop()
+
+
+class Nothing:
+    """No fleet is asked for."""
+
+    start = heard = end = use = saw = claim = meters = witness = claims = lambda self, *_: None
+
+    def reducer(self, core):
+        return core.reduce
+
+
+def serve(path, log):
+    """Status of the process."""
+
+    def join(inputs):
+        try:
+            settings = load_settings(path)
+        except SettingsError as wrong:
+            raise ConfigError(str(wrong)) from None
+        if settings.fleet is UNSET:
+            return Nothing()
+        with open(os.environ["ROUTER_CONFIG"], encoding="utf-8") as file:
+            name = str(json.load(file)["name"])
+        return Fleet(inputs, path, settings, name)
+
+    return main({"json": json_log, "text": plain_log}[log], join if path else None)
--- /dev/null
+++ b/finchcart/cli/queries.py
@@ -0,0 +1,73 @@
+"""Questions to a running process of a fleet, as one datagram each way.
+
+Owns the socket of one question and its retries. It must never hold a view between questions.
+"""
+
+import random
+import socket
+import time
+
+from finchcart.consensus import wire as sayings
+from finchcart.membership import wire as base
+from finchcart.quota import wire as shares
+
+
+def query(where, words, question, timeout=2.0):
+    """The view that answers `question`, of the messages of `words`; a lost one is asked again."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.connect(where)
+        sock.settimeout(timeout / 8)
+        for _ in range(8):
+            try:
+                sock.send(base.sealed(words.CHANNEL, "", question))
+                said = words.unpack(None, sock.recv(65536))
+            except (OSError, base.Unfit):
+                continue
+            if isinstance(said, words.Told) and said.number == question.number:
+                return said.view
+    raise TimeoutError(f"no answer from {where[0]}:{where[1]}")
+
+
+def query_limits(where, timeout=2.0):
+    """What a node or planner says of the limits."""
+    return query(where, shares, shares.Ask(random.SystemRandom().getrandbits(32)), timeout)
+
+
+def query_consensus(where, timeout=2.0):
+    """What a node holds of the fleet's verdicts, all pages."""
+    number = random.SystemRandom().getrandbits(32)
+    view = query(where, sayings, sayings.Ask(number), timeout)
+    for page in range(1, view["pages"]):
+        view["verdicts"] += query(where, sayings, sayings.Ask(number + page, page), timeout)["verdicts"]
+    return view
+
+
+def send_override(where, subject, value, seconds, why, timeout=2.0):
+    """An operator's word, told to one node."""
+    number = random.SystemRandom().getrandbits(32)
+    return query(where, sayings, sayings.Say(number, subject, value, int(seconds * 1e6), why), timeout)
+
+
+def query_members(where, timeout=2.0):
+    """The whole view of a running process, page by page; a page that is lost is asked for again."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.connect(where)
+        end, parts, pages = time.monotonic() + timeout, {}, None
+        number = random.SystemRandom().getrandbits(32)
+        sock.settimeout(timeout / 8)
+        while pages is None or len(parts) < pages:
+            page = next(n for n in range(len(parts) + 1) if n not in parts)
+            try:
+                sock.send(base.pack("", base.Ask(number, page)))
+                while True:
+                    said = base.unpack(None, sock.recv(65536))
+                    if isinstance(said, base.Told) and said.number == number:
+                        break
+            except (TimeoutError, OSError, base.Unfit):
+                if time.monotonic() > end:
+                    raise TimeoutError(f"no answer from {where[0]}:{where[1]}") from None
+                continue
+            pages, parts[said.page] = said.pages, said.view
+        view = dict(parts[0])
+        view["members"] = [member for n in range(1, pages) for member in parts[n]["members"]]
+        return view
--- a/finchcart/cli/settings_file.py
+++ b/finchcart/cli/settings_file.py
@@ -12,6 +12,7 @@
 from msgspec import UNSET, Meta, Struct, UnsetType
 
 from finchcart.consensus import figures as verdicts_of
+from finchcart.errors import SettingsError
 from finchcart.key_leases import figures as claims_of
 from finchcart.membership.figures import MS, SECOND, Figures
 from finchcart.membership.wire import Unfit, place_of
@@ -153,12 +154,12 @@
     return told
 
 
-def figures(fleet):
+def membership_config(fleet):
     """The file's figures over the defaults, in whole microseconds."""
     return Figures(**_in_microseconds(fleet, ("name", "listen", "advertise", "seeds")))
 
 
-def quota(settings):
+def quota_config(settings):
     """The limits and how they are shared out; None where none is asked for."""
     if settings.quota is UNSET or not settings.limits:
         return None
@@ -185,14 +186,14 @@
     )
 
 
-def verdicts(settings):
+def consensus_config(settings):
     """Their figures; None where none are asked for."""
     if settings.verdicts is UNSET:
         return None
     return verdicts_of.Figures(**_in_microseconds(settings.verdicts, ()))
 
 
-def claims(settings):
+def key_lease_config(settings):
     """Their figures; None where none are asked for."""
     if settings.claims is UNSET:
         return None
@@ -201,14 +202,6 @@
     )
 
 
-class Wrong(Exception):
-    """The settings can't be used; `mistakes` has a line for each reason."""
-
-    def __init__(self, mistakes):
-        super().__init__("\n".join(mistakes))
-        self.mistakes = mistakes
-
-
 def _struct_of(kind):
     for one in (kind, *get_args(kind)):
         if isinstance(one, type) and issubclass(one, Struct):
@@ -247,7 +240,7 @@
 
 def _together(settings):
     """What is wrong with fields that are each allowed."""
-    fleet, shared = settings.fleet, quota(settings)
+    fleet, shared = settings.fleet, quota_config(settings)
     if bool(settings.limits) != (settings.quota is not UNSET):
         yield "limits", "and quota go together: one is missing"
     for n, limit in enumerate(settings.limits):
@@ -267,7 +260,7 @@
                 yield f"quota.planners.{n}", f"{place!r}: no such address or port"
         for path, reason in limits_of.mistakes(shared):
             yield path if path.startswith("limits") else f"quota.{path}", reason
-    claimed = claims(settings)
+    claimed = key_lease_config(settings)
     if claimed:
         if fleet is UNSET:
             yield "fleet", "is missing: claims are asked for by its address"
@@ -278,7 +271,7 @@
                 yield f"claims.keepers.{n}", f"{place!r}: no such address or port"
         for path, reason in claims_of.mistakes(claimed):
             yield f"claims.{path}", reason
-    held = verdicts(settings)
+    held = consensus_config(settings)
     if held:
         if fleet is UNSET:
             yield "fleet", "is missing: opinions ride on its messages"
@@ -300,7 +293,7 @@
             place_of(seed)
         except Unfit:
             yield f"fleet.seeds.{n}", f"{seed!r}: no such address or port"
-    told = figures(fleet)
+    told = membership_config(fleet)
     if told.patience_most < told.patience:
         yield "fleet.patience_most", f"{told.patience_most} is less than fleet.patience, {told.patience}"
     oldest = told.stale(told.members, 0.5)
@@ -317,23 +310,23 @@
         yield "fleet.datagrams", f"{told.datagrams} is less than 2 x watch + revive + 8 = {need}"
 
 
-def read(path):
+def load_settings(path):
     """The checked settings of a file."""
     try:
         with open(path, encoding="utf-8") as file:
             tree = json5.load(file)
     except OSError as error:
-        raise Wrong([f"{path}: {error.strerror}"]) from None
+        raise SettingsError([f"{path}: {error.strerror}"]) from None
     except ValueError as error:
-        raise Wrong([f"{path}: {error}"]) from None
-    return checked(tree, path)
+        raise SettingsError([f"{path}: {error}"]) from None
+    return check_settings(tree, path)
 
 
-def checked(tree, path):
+def check_settings(tree, path):
     mistakes = list(_mistakes(Settings, tree, ""))
     if not mistakes:
         settings = msgspec.convert(tree, Settings)
         mistakes = list(_together(settings))
     if mistakes:
-        raise Wrong([f"{path}: {where}: {reason}" for where, reason in mistakes])
+        raise SettingsError([f"{path}: {where}: {reason}" for where, reason in mistakes])
     return settings
--- a/finchcart/errors.py
+++ b/finchcart/errors.py
@@ -17,5 +17,13 @@
     """A configuration that cannot be used."""
 
 
+class SettingsError(ConfigError):
+    """A settings file that cannot be used. `mistakes` has one line for each reason."""
+
+    def __init__(self, mistakes: list[str]) -> None:
+        super().__init__("\n".join(mistakes))
+        self.mistakes = mistakes
+
+
 class InvalidRpcError(FinchcartError, ValueError):
     """An RPC that cannot be accepted, as one of its fields is not valid."""
--- a/finchcart/fault_injection/processes.py
+++ b/finchcart/fault_injection/processes.py
@@ -302,11 +302,11 @@
 
     def say(self, name, kind, of, value, seconds=600.0):
         """An operator's word, told to that node; without a value it is taken back."""
-        from finchcart.cli import serve
+        from finchcart.cli.queries import send_override
         from finchcart.consensus import subjects
 
         try:
-            serve.say(
+            send_override(
                 (self.own(name), 7400),
                 subjects.read(kind, of),
                 subjects.read_value(kind, value) if value else 0,
@@ -343,11 +343,11 @@
 
     def leads(self):
         """The planner that shares out, by its own word; the last one known where none says so."""
-        from finchcart.cli.serve import ask_limits
+        from finchcart.cli.queries import query_limits
 
         for name in self.planners:
             try:
-                if self.nodes[name].poll() is None and ask_limits((self.own(name), 7400), 0.3)["leads"]:
+                if self.nodes[name].poll() is None and query_limits((self.own(name), 7400), 0.3)["leads"]:
                     self.leader = name
             except TimeoutError:
                 pass
--- a/finchcart/fault_injection/relay.py
+++ b/finchcart/fault_injection/relay.py
@@ -13,7 +13,7 @@
 from queue import Empty, SimpleQueue
 
 from finchcart.fault_injection.fabric import Fabric
-from finchcart.net.connections import boot_clock as clock
+from finchcart.net.clock import boot_clock as clock
 
 BUFFER = 1 << 20
 
--- a/finchcart/fault_injection/run.py
+++ b/finchcart/fault_injection/run.py
@@ -56,7 +56,7 @@
     )
     fleet.knows_all = oracle
     if script.verdicts is not None:
-        import finchcart.cli.serve  # noqa: F401  (guards against a first word that comes late by this import)
+        import finchcart.cli.queries  # noqa: F401  (guards against a first word that comes late by this import)
     late, facts = 0.0, {"driver": "processes", "stats": {}}
     try:
         for name in fleet.planners + plan.first:
@@ -128,11 +128,13 @@
 
 
 def stats(fleet, name):
-    from finchcart.cli.serve import ask
+    from finchcart.cli.queries import query_members
 
     cpu, mb = fleet.usage(name)
     try:
-        view = ask((fleet.own(name), 7400), 1.0) if fleet.talk and name not in fleet.planners else {}
+        view = (
+            query_members((fleet.own(name), 7400), 1.0) if fleet.talk and name not in fleet.planners else {}
+        )
     except TimeoutError:
         view = {}
     return {
@@ -447,13 +449,13 @@
 
 def quota_of(script):
     """The limits of a script as its processes have them; None where nothing holds them."""
-    from finchcart.cli.settings_file import checked, quota
+    from finchcart.cli.settings_file import check_settings, quota_config
 
     if script.static or not script.limits:
         return None
     planners = [f"127.0.0.1:{n + 2}" for n in range(script.planners)]
-    return quota(
-        checked(
+    return quota_config(
+        check_settings(
             {
                 "fleet": {"name": "x", "listen": "127.0.0.1:1"},
                 "limits": script.limits,
--- a/finchcart/net/connections.py
+++ b/finchcart/net/connections.py
@@ -12,12 +12,13 @@
 import threading
 from itertools import count
 from queue import SimpleQueue
-from time import CLOCK_BOOTTIME, clock_gettime_ns, sleep, time_ns
+from time import sleep, time_ns
 
 from loguru import logger
 
 from finchcart.errors import ProtocolError
 from finchcart.net import line_protocol
+from finchcart.net.clock import boot_clock
 from finchcart.node.inputs import (
     ConnectionClosed,
     ConnectionEnded,
@@ -38,11 +39,6 @@
     return struct.pack("ll", *divmod(us, 1_000_000))
 
 
-def boot_clock():
-    """Whole microseconds since the machine started, suspension counted."""
-    return clock_gettime_ns(CLOCK_BOOTTIME) // 1000
-
-
 def shut(sock, how):
     try:
         sock.shutdown(how)
@@ -319,8 +315,8 @@
 
 
 class Listener:
-    """Accepts dispatchers' connections and numbers them from 1 up. Bounded by `limits.max_accepted`: what is over
-    that waits in the system's backlog until one closes, so that descriptors for the node's own links and
+    """Accepts dispatchers' connections and numbers them from 1 up. Bounded by `limits.max_accepted`: what is
+    over that waits in the system's backlog until one closes, so that descriptors for the node's own links and
     files are always left."""
 
     def __init__(self, address, limits):
--- a/finchcart/net/datagrams.py
+++ b/finchcart/net/datagrams.py
@@ -17,7 +17,7 @@
 from loguru import logger
 
 from finchcart.membership.wire import MOST
-from finchcart.net.connections import boot_clock
+from finchcart.net.clock import boot_clock
 
 TICK = 100_000  # microseconds, where no machine names its own
 BUFFER = 1 << 20  # bytes that the kernel may keep while this process is stopped or starved
@@ -25,11 +25,11 @@
 LAST_WORDS = 2  # times that the end is told
 
 
-class Datagrams:
-    """`make(now)` gives the machines by channel; `hand_out(change)` takes their changes; `reread()` gives
+class DatagramEndpoint:
+    """`make(now)` gives the machines by channel; `publish(change)` takes their changes; `reread()` gives
     (channel, input) for each that is to hear of new settings."""
 
-    def __init__(self, listen, make, hand_out, reread):
+    def __init__(self, listen, make, publish, reread):
         self.sock = socket(AF_INET, SOCK_DGRAM)
         try:
             self.sock.bind(listen)
@@ -37,18 +37,18 @@
             self.sock.close()
             raise
         self.sock.setsockopt(SOL_SOCKET, SO_RCVBUF, BUFFER)
-        self.make, self.hand_out, self.reread = make, hand_out, reread
+        self.make, self.publish, self.reread = make, publish, reread
         self.told, self.over = SimpleQueue(), threading.Event()
 
     def start(self):
         threading.Thread(target=self.run, name="fleet", daemon=True).start()
 
-    def tell(self, channel, *what):
+    def post(self, channel, *what):
         """An input for one machine, or for all (None): taken up with the next tick. May be called from a
         signal handler."""
         self.told.put((channel, what))
 
-    def tell_now(self, channel, *what):
+    def post_now(self, channel, *what):
         """The same, taken up at once: an empty datagram to itself ends the wait."""
         self.told.put((channel, what))
         try:
@@ -56,8 +56,8 @@
         except OSError:
             pass  # the next tick is soon
 
-    def end(self, within=1.0):
-        self.tell(None, "end")
+    def stop(self, within=1.0):
+        self.post(None, "end")
         self.over.wait(within)
 
     def run(self):
@@ -67,7 +67,7 @@
         except Exception:
             # Guards against a node that falls with its view of the others: alone is an ordinary state.
             logger.exception("fleet: the state can't be trusted, this process is alone from here on")
-            self.hand_out(("isolated", True, "fault"))
+            self.publish(("isolated", True, "fault"))
         finally:
             self.over.set()
 
@@ -86,23 +86,23 @@
             for _ in range(DRAIN):
                 if not self.receive():
                     break
-            self.take_told()
+            self.drain_mailbox()
             now, tick = clock(), TICK
             for machine in machines.values():
-                self.carry_out(machine, machine.reduce(now, ("tick",)))
+                self.execute(machine, machine.reduce(now, ("tick",)))
                 tick = min(tick, getattr(machine, "tick", TICK))
             due = max(due + tick, now + tick // 2)
         for _ in range(LAST_WORDS - 1):
             for machine in machines.values():
-                self.carry_out(machine, machine.reduce(clock(), ("end",)))
+                self.execute(machine, machine.reduce(clock(), ("end",)))
 
-    def take_told(self):
+    def drain_mailbox(self):
         try:
             while True:
                 told = self.told.get_nowait()
                 for channel, what in self.reread() if told[1] == ("reread",) else [told]:
                     for machine in self.machines.values() if channel is None else [self.machines[channel]]:
-                        self.carry_out(machine, machine.reduce(boot_clock(), what))
+                        self.execute(machine, machine.reduce(boot_clock(), what))
         except Empty:
             pass
 
@@ -115,16 +115,16 @@
         except OSError:
             return True  # an earlier datagram met nobody: the kernel tells it here
         if not data:
-            self.take_told()
+            self.drain_mailbox()
             return True
         machine = self.machines.get(data[:1])
         if machine:
-            self.carry_out(machine, machine.reduce(boot_clock(), ("got", address, data)))
+            self.execute(machine, machine.reduce(boot_clock(), ("got", address, data)))
         else:
             next(iter(self.machines.values())).count("of an unknown channel")
         return True
 
-    def carry_out(self, machine, effects):
+    def execute(self, machine, effects):
         for act, *args in effects:
             if act == "send":
                 try:
@@ -134,7 +134,7 @@
             elif act == "log":
                 logger.bind(**args[1]).info("fleet: {}", args[0])
             else:
-                self.hand_out((act, *args))
+                self.publish((act, *args))
                 if act == "change":
                     name, state, incarnation = args
                     logger.bind(member=name, state=state, incarnation=incarnation).info(
--- a/finchcart/node/front.py
+++ b/finchcart/node/front.py
@@ -5,8 +5,8 @@
 
 1. It makes an `Rpc` with whatever `ref` finds its caller again, and hands it over by `core.take(rpc, ...)`
    once it has read it whole. From then on the core owes it exactly one `front.final(rpc, ...)`, which may
-   come inside `take`, so `ref` has to be in the front's tables before. An `InvalidRpcError` of `take` says what was
-   wrong with the RPC: the core kept nothing, and the front answers in its own words.
+   come inside `take`, so `ref` has to be in the front's tables before. An `InvalidRpcError` of `take` says
+   what was wrong with the RPC: the core kept nothing, and the front answers in its own words.
 2. Where the caller is known gone it says `core.leave(rpc)`, once, instead of waiting for the final answer:
    none comes after that.
 3. It asks for reads on its links (`turn.emit(Read(link))`), each of which brings one batch, and hears of
--- a/finchcart/simulated_peers/outside.py
+++ b/finchcart/simulated_peers/outside.py
@@ -16,7 +16,7 @@
 import time
 from base64 import b64decode, b64encode
 
-from finchcart.net.connections import boot_clock
+from finchcart.net.clock import boot_clock
 
 
 def address(text):
--- a/finchcart/simulated_peers/rude.py
+++ b/finchcart/simulated_peers/rude.py
@@ -13,7 +13,7 @@
 import threading
 import time
 
-from finchcart.net.connections import boot_clock
+from finchcart.net.clock import boot_clock
 from finchcart.simulated_peers.client import Client
 from finchcart.simulated_peers.outside import address
 
--- a/finchcart/thrift/front.py
+++ b/finchcart/thrift/front.py
@@ -1,7 +1,7 @@
 """The dispatchers' connections: what is open on each, when it is closed, and the words of each answer.
 
-Owns one `Connection` for each link of a dispatcher; bounded by `limits.max_connections`. It must never answer an
-RPC by itself once the core took it, nor close a connection that owes an answer. Contract: node/front.py.
+Owns one `Connection` for each link of a dispatcher; bounded by `limits.max_connections`. It must never answer
+an RPC by itself once the core took it, nor close a connection that owes an answer. Contract: node/front.py.
 """
 
 from itertools import filterfalse
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,7 +6,7 @@
 import json5
 import pytest
 
-from finchcart.cli.settings_file import checked, claims
+from finchcart.cli.settings_file import check_settings, key_lease_config
 from finchcart.fault_injection.claiming import KEY, TICK, Breach, Run, World, act, explore
 from finchcart.key_leases import wire
 from finchcart.key_leases.figures import MS, SECOND, Figures, mistakes
@@ -131,7 +131,9 @@
     assert not list(mistakes(Figures(keepers=(*places, "10.0.0.3:1"))))
     with open("deploy/finchcart.json5", encoding="utf-8") as file:
         head, _, tail = file.read().partition("  // claims: {\n")
-    told = claims(checked(json5.loads(head + "  claims: {\n" + re.sub(r"(?m)^  // ", "  ", tail)), "example"))
+    told = key_lease_config(
+        check_settings(json5.loads(head + "  claims: {\n" + re.sub(r"(?m)^  // ", "  ", tail)), "example")
+    )
     assert told == Figures(keepers=told.keepers) and len(told.keepers) == 3, "the example shows the defaults"
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,7 +6,8 @@
 import msgspec
 import pytest
 
-from finchcart.cli.settings_file import Wrong, checked
+from finchcart.cli.settings_file import check_settings
+from finchcart.errors import SettingsError
 from finchcart.fault_injection.run import judge as judge_plan
 from finchcart.fault_injection.run import on_virtual
 from finchcart.fault_injection.script import Script, lay_out
@@ -49,8 +50,8 @@
 
 
 def test_all_mistakes_of_a_settings_file_are_told_at_once_with_path_and_nearest_name():
-    with pytest.raises(Wrong) as wrong:
-        checked(
+    with pytest.raises(SettingsError) as wrong:
+        check_settings(
             {"fleet": {"nam": "x", "listen": "127.0.0.1:7400", "period_ms": 1, "seeds": "y"}, "flet": 1}, "F"
         )
     lines = wrong.value.mistakes
@@ -63,11 +64,11 @@
         {"listen": "0.0.0.0:1"},
         {"seeds": ["127.0.0.1:0"]},
     ):
-        with pytest.raises(Wrong):
-            checked({"fleet": {"name": "x", "listen": "127.0.0.1:7400", **field}}, "F")
-    assert checked({"fleet": {"name": "x", "listen": "127.0.0.1:7400"}}, "F").fleet.name == "x"
+        with pytest.raises(SettingsError):
+            check_settings({"fleet": {"name": "x", "listen": "127.0.0.1:7400", **field}}, "F")
+    assert check_settings({"fleet": {"name": "x", "listen": "127.0.0.1:7400"}}, "F").fleet.name == "x"
     with open("deploy/finchcart.json5", encoding="utf-8") as file:
-        checked(json5.load(file), "deploy/finchcart.json5")
+        check_settings(json5.load(file), "deploy/finchcart.json5")
 
 
 def test_a_full_table_lets_failed_ones_go_first_and_then_refuses():
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -12,12 +12,13 @@
 import msgspec
 import pytest
 
-from finchcart.cli.settings_file import Wrong, checked
+from finchcart.cli.settings_file import check_settings
+from finchcart.errors import SettingsError
 from finchcart.fault_injection.explore import explore
 from finchcart.fault_injection.shares import Breach, Run, Shares
 from finchcart.membership import wire as base
 from finchcart.membership.member import Heard
-from finchcart.net.connections import boot_clock
+from finchcart.net.clock import boot_clock
 from finchcart.node.meter import Calls, Rate
 from finchcart.quota import loose, wire
 from finchcart.quota.division import divide, shared_out
@@ -49,7 +50,7 @@
         "limits": [{"name": "store", "in_hand": 40, "floor": 1}],
         "quota": {"planners": ["127.0.0.2:7400"], "most": 20},
     }
-    assert checked(good, "F").limits[0].in_hand == 40
+    assert check_settings(good, "F").limits[0].in_hand == 40
     for quota, limit, said in [
         ({"most": 41}, {}, "1 x 41 (most) = 41 is more than the limit of 40"),
         ({"life_ms": 1000}, {}, "1000 ms is less than 3 x round_ms = 1500 ms"),
@@ -64,8 +65,8 @@
         ({}, {"in_hnd": 3}, "limits.0.in_hnd: no such setting; the nearest is in_hand"),
     ]:
         wrong = {**good, "quota": {**good["quota"], **quota}, "limits": [{**good["limits"][0], **limit}]}
-        with pytest.raises(Wrong) as raised:
-            checked(wrong, "F")
+        with pytest.raises(SettingsError) as raised:
+            check_settings(wrong, "F")
         assert said in str(raised.value)
     assert not list(mistakes(Quota(limits=(Limit("a", 64, 1),), planners=("a",))))
     rate = Limit("a", 64, per="rate", burst=63)
@@ -702,7 +703,8 @@
 from queue import SimpleQueue
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
-from finchcart.net.connections import CODECS, Connection, boot_clock
+from finchcart.net.clock import boot_clock
+from finchcart.net.connections import CODECS, Connection
 class Stops:
     def __init__(self, sock):
         self.sock = sock
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -9,13 +9,13 @@
 import msgspec
 import pytest
 
-from finchcart.cli.serve import ask
+from finchcart.cli.queries import query_members
 from finchcart.fault_injection.check import Event, History, check
 from finchcart.fault_injection.fabric import Fabric
 from finchcart.fault_injection.processes import Processes
 from finchcart.fault_injection.run import on_virtual, play
 from finchcart.fault_injection.script import Held, Plan, lay_out, read, shipped
-from finchcart.net.datagrams import Datagrams
+from finchcart.net.datagrams import DatagramEndpoint
 
 
 def until(true, within=20):
@@ -105,14 +105,14 @@
 def fleet(tmp_path):
     made = Processes(tmp_path, ["n0", "n1"], 1, {"period_ms": 200})
     yield made
-    made.end()
+    made.stop()
     assert all(child.poll() is not None for child in made.children)
 
 
 def test_settings_are_taken_whole_or_not_at_all_and_rubbish_is_counted(fleet, tmp_path):
     for name in fleet.names:
         fleet.start(name)
-    view = lambda name: ask((fleet.own(name), 7400), 5.0)
+    view = lambda name: query_members((fleet.own(name), 7400), 5.0)
     until(lambda: [m["state"] for m in view("n0")["members"]] == ["alive"] * 2 and not view("n0")["isolated"])
     path, log = tmp_path / "n0.json5", tmp_path / "n0.1.log"
     good = path.read_text()
@@ -154,7 +154,7 @@
             return []
 
     machine = Machine()
-    made = Datagrams(("127.0.0.1", 0), lambda now: {b"x": machine}, lambda change: None, lambda: [])
+    made = DatagramEndpoint(("127.0.0.1", 0), lambda now: {b"x": machine}, lambda change: None, lambda: [])
     made.start()
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         # One every 5 ms, a twentieth of a tick: a tick that waits for a pause between them never comes.
@@ -162,7 +162,7 @@
             sock.sendto(b"x", made.sock.getsockname())
             time.sleep(0.005)
     assert machine.ticks >= 8 and machine.got > 8
-    made.end()
+    made.stop()
 
 
 def test_a_node_without_arguments_imports_none_of_this():
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from finchcart.cli.settings_file import Wrong, checked, verdicts
+from finchcart.cli.settings_file import check_settings, consensus_config
 from finchcart.consensus import board as boards
 from finchcart.consensus import subjects, wire
 from finchcart.consensus.board import Board
@@ -26,6 +26,7 @@
     WORKING,
     ZONE_ITSELF,
 )
+from finchcart.errors import SettingsError
 from finchcart.fault_injection.beliefs import Beliefs, Breach, Run
 from finchcart.interface import Outcome
 from finchcart.membership import wire as base
@@ -476,15 +477,15 @@
 
 def test_settings_are_checked_and_the_check_warns_of_one_voice():
     tree = {"fleet": {"name": "x", "listen": "127.0.0.1:1"}, "verdicts": {"count": 1, "life_ms": 20_000}}
-    told = verdicts(checked(tree, "f"))
+    told = consensus_config(check_settings(tree, "f"))
     assert told.life == 20 * SECOND and [name for name, _ in warnings(told)] == ["count"]
     wrong = mistakes(replace(told, life=SECOND, hold_most=1))
     assert [name for name, _ in wrong] == ["life_ms", "hold_most_ms"]
-    with pytest.raises(Wrong) as wrong:
-        checked({"verdicts": {"life_ms": 3000, "cuont": 2}}, "f")
+    with pytest.raises(SettingsError) as wrong:
+        check_settings({"verdicts": {"life_ms": 3000, "cuont": 2}}, "f")
     assert "the nearest is count" in str(wrong.value)
-    with pytest.raises(Wrong) as wrong:
-        checked({"verdicts": {"life_ms": 3000}}, "f")
+    with pytest.raises(SettingsError) as wrong:
+        check_settings({"verdicts": {"life_ms": 3000}}, "f")
     assert "opinions ride" in str(wrong.value) and "3 x span_ms" in str(wrong.value)
 
 
@@ -493,7 +494,7 @@
         head, _, tail = file.read().partition("  // verdicts: {\n")
     body, _, rest = tail.partition("  // },\n")
     tree = json5.loads(head + "  verdicts: {\n" + re.sub(r"(?m)^  // ", "  ", body) + "  },\n" + rest)
-    assert verdicts(checked(tree, "example")) == replace(FIGURES, zone="a")
+    assert consensus_config(check_settings(tree, "example")) == replace(FIGURES, zone="a")
 
 
 def test_a_median_without_one_is_that_of_the_others():
