--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -105,7 +105,7 @@
 def fleet(tmp_path):
     made = Processes(tmp_path, ["n0", "n1"], 1, {"period_ms": 200})
     yield made
-    made.stop()
+    made.end()
     assert all(child.poll() is not None for child in made.children)
 
 
