--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -17,7 +17,7 @@
 
 from benchmarks.by_round import bars, beside, table
 from finchcart.fault_injection.beliefs import Beliefs, is_down, one
-from finchcart.membership.figures import SECOND
+from finchcart.membership.config import SECOND
 
 
 def seeds(first, count, jobs, rounds):
@@ -54,7 +54,7 @@
         fleet.start_all()
         if not on:
             for place in fleet.places.values():
-                place.member.riders.clear()
+                place.member.piggyback_clients.clear()
         fleet.run(8 * SECOND)
         sums = lambda fleet=fleet: [
             sum(place.member.counts.get(word, 0) for place in fleet.places.values())
--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -58,61 +58,63 @@
     told, shared = membership_config(fleet), quota_config(whole)
     click.echo(f"{settings}: good; fleet {fleet.name}")
     for count in (3, 24, 200):
-        calm, lossy = (told.stale(count, loss) / 1e6 for loss in (0.0, 0.3))
+        calm, lossy = (told.staleness_bound(count, loss) / 1e6 for loss in (0.0, 0.3))
         click.echo(f"  {count} members: a view is at most {calm:.1f} s old, {lossy:.1f} s at 30 % loss")
     for limit in shared.loose if shared else ():
         unit = "in hand" if limit.per == "in_hand" else f"a second, {limit.burst} at once"
-        over, more = (shared.loose_over_at_most(limit, 24, joined) for joined in (0, 4))
+        over, more = (shared.loose_overshoot_bound(limit, 24, joined) for joined in (0, 4))
         click.echo(f"  limit {limit.name}, loose: {limit.amount} {unit}; however the fleet is cut, over by")
         click.echo(f"    at most {over} at 24 members, {more} with 4 that join meanwhile")
     for limit in shared.strict if shared else ():
         if limit.per == "rate":
             click.echo(
-                f"  limit {limit.name}: at most {shared.in_window(limit, 1_000_000)} in any second, "
-                f"{shared.in_window(limit, 10_000_000)} in ten"
+                f"  limit {limit.name}: at most {shared.window_bound(limit, 1_000_000)} in any second, "
+                f"{shared.window_bound(limit, 10_000_000)} in ten"
             )
             continue
         click.echo(
             f"  limit {limit.name}: {limit.amount} in hand, {limit.floor} each node's own, "
-            f"{limit.shared(shared.most)} shared among at most {shared.most};"
+            f"{limit.shareable(shared.most)} shared among at most {shared.most};"
         )
         click.echo(
             f"    over by one call for each process stopped at the write, for "
-            f"{shared.over_for() / 1e6:.1f} s at most; without planners at the floor"
+            f"{shared.overshoot_duration_bound() / 1e6:.1f} s at most; without planners at the floor"
         )
         click.echo(
-            f"    within {shared.alone_within() / 1e6:.1f} s, shared again within "
-            f"{shared.back_within() / 1e6:.1f} s of their return"
+            f"    within {shared.fallback_bound() / 1e6:.1f} s, shared again within "
+            f"{shared.recovery_bound() / 1e6:.1f} s of their return"
         )
 
     claimed = key_lease_config(whole)
     if claimed:
         click.echo(
-            f"  claims: two runs of one key are commanded at least {claimed.apart() / 1e6:.1f} s "
+            f"  claims: two runs of one key are commanded at least {claimed.run_spacing_bound() / 1e6:.1f} s "
             "apart, whoever fails;"
         )
         click.echo(
-            f"    a keeper that starts is silent for {claimed.silence / 1e6:.1f} s; it holds "
-            f"{claimed.bytes_at_most() / 2**20:.0f} MB at most"
+            f"    a keeper that starts is silent for {claimed.startup_quiet_period / 1e6:.1f} s; it holds "
+            f"{claimed.state_bytes_bound() / 2**20:.0f} MB at most"
         )
     held = consensus_config(whole)
     if held:
-        from finchcart.consensus.decide import least_liars
-        from finchcart.consensus.figures import warnings
+        from finchcart.consensus.config import config_warnings
+        from finchcart.consensus.decision import fault_thresholds
 
         for count in (3, 24, 200):
             calm, lossy = (held.acts_within(told, count, loss) / 1e6 for loss in (0.0, 0.3))
-            liars = least_liars(held, count)
+            liars = fault_thresholds(held, count)
             click.echo(
                 f"  verdicts at {count} members: all act {calm:.1f} s after enough have the evidence, "
                 f"{lossy:.1f} s at 30 % loss;"
             )
             click.echo(
-                f"    {liars['store']} that are wrong or lie move store, {liars['source']} a source, "
-                f"{liars['level']} level"
+                f"    {liars.store} that are wrong or lie move store, {liars.source} a source, "
+                f"{liars.level} level"
             )
-        click.echo(f"  verdicts: an opinion is at most {held.stale() / 1e6:.1f} s old, then it is void")
-        for name, reason in warnings(held):
+        click.echo(
+            f"  verdicts: an opinion is at most {held.staleness_bound() / 1e6:.1f} s old, then it is void"
+        )
+        for name, reason in config_warnings(held):
             click.echo(f"  warning: verdicts.{name}: {reason}")
 
 
@@ -135,11 +137,11 @@
 
 def answer(query, where, as_json):
     """What the process at HOST:PORT answers to `query`; with `as_json` it is printed, and that is all."""
-    from finchcart.membership.wire import Unfit, place_of
+    from finchcart.membership.codec import DatagramError, parse_address
 
     try:
-        view = query(place_of(where))
-    except Unfit as error:
+        view = query(parse_address(where))
+    except DatagramError as error:
         raise click.UsageError(f"{where}: {error}") from None
     except TimeoutError as error:
         click.echo(str(error), err=True)
@@ -208,17 +210,17 @@
     from finchcart.cli.settings_file import load_settings
     from finchcart.consensus import subjects
     from finchcart.errors import SettingsError
-    from finchcart.membership.wire import Unfit, place_of
+    from finchcart.membership.codec import DatagramError, parse_address
 
     try:
-        subject = subjects.read(kind, name)
-        told = subjects.read_value(kind, value) if value else 0
+        subject = subjects.parse_subject(kind, name)
+        told = subjects.parse_value(kind, value) if value else 0
         if not at:
             if not settings:
                 raise click.UsageError("--at, or --settings or FINCHCART_SETTINGS, has to tell which node")
             at = load_settings(settings).fleet.listen
-        view = send_override(place_of(at), subject, told, seconds, why)
-    except (ValueError, Unfit, AttributeError) as error:
+        view = send_override(parse_address(at), subject, told, seconds, why)
+    except (ValueError, DatagramError, AttributeError) as error:
         raise click.UsageError(str(error)) from None
     except (SettingsError, TimeoutError) as error:
         click.echo(str(error), err=True)
--- a/finchcart/cli/fleet_node.py
+++ b/finchcart/cli/fleet_node.py
@@ -22,24 +22,24 @@
     membership_config,
     quota_config,
 )
-from finchcart.consensus import wire as sayings
-from finchcart.consensus.board import Board
+from finchcart.consensus import messages as sayings
+from finchcart.consensus.store import ConsensusStore
 from finchcart.errors import ConfigError, SettingsError
-from finchcart.key_leases import wire as claiming
-from finchcart.key_leases.holder import Claims
-from finchcart.membership import wire as base
+from finchcart.key_leases import messages as claiming
+from finchcart.key_leases.client import KeyLeaseClient
+from finchcart.membership import messages as base
+from finchcart.membership.codec import parse_address
 from finchcart.membership.member import Member
-from finchcart.membership.wire import place_of
 from finchcart.net.clock import boot_clock
 from finchcart.net.datagrams import DatagramEndpoint
 from finchcart.node.claimer import Claimer
 from finchcart.node.inputs import Drain, FleetChange, ReloadConfig
 from finchcart.node.meter import Meters
 from finchcart.node.witness import Witness
-from finchcart.quota import wire as shares
-from finchcart.quota.holder import Holder
-from finchcart.quota.limits import Limit, Quota
-from finchcart.quota.loose import Loose
+from finchcart.quota import messages as shares
+from finchcart.quota.lease_holder import LeaseHolder
+from finchcart.quota.limits import Limit, QuotaConfig
+from finchcart.quota.local_limits import LocalLimits
 
 TRIAL = "store, trial calls"  # the limit by which the fleet shares the calls to a store that is down
 FIXED = "name", "listen", "advertise", "seeds"  # for as long as the process lives
@@ -51,7 +51,7 @@
     if not held:
         return asked
     trial = Limit(TRIAL, held.trials, counts="trial", mode="loose")
-    asked = asked or Quota()
+    asked = asked or QuotaConfig()
     return replace(asked, limits=(*asked.limits, trial))
 
 
@@ -66,7 +66,7 @@
         seed = random.SystemRandom().getrandbits(64)
         self.shares = shared(settings)
         self.datagrams = DatagramEndpoint(
-            place_of(asked.listen),
+            parse_address(asked.listen),
             lambda now: self.machines(now, name, advertise, random.Random(seed), wall),
             lambda change: inputs.put(FleetChange(change)),
             self.reread,
@@ -81,17 +81,17 @@
             )
         }
         if self.shares:
-            holder = out[shares.CHANNEL] = Holder(name, asked.name, self.shares, chance, now)
-            loose = Loose(self.shares, now)
-            out[base.CHANNEL].riders.append(loose)
-            holder.loose = loose.status
+            holder = out[shares.CHANNEL] = LeaseHolder(name, asked.name, self.shares, chance, now)
+            loose = LocalLimits(self.shares, now)
+            out[base.CHANNEL].piggyback_clients.append(loose)
+            holder.local_status = loose.status
         held = consensus_config(self.settings)
         if held:
-            board = out[sayings.CHANNEL] = Board(name, asked.name, held, now)
-            out[base.CHANNEL].riders.append(board)
+            board = out[sayings.CHANNEL] = ConsensusStore(name, asked.name, held, now)
+            out[base.CHANNEL].piggyback_clients.append(board)
         claimed = key_lease_config(self.settings)
         if claimed:
-            out[claiming.CHANNEL] = Claims(name, asked.name, claimed, chance, now)
+            out[claiming.CHANNEL] = KeyLeaseClient(name, asked.name, claimed, chance, now)
         return out
 
     def meters(self):
--- a/finchcart/cli/planner_process.py
+++ b/finchcart/cli/planner_process.py
@@ -12,17 +12,13 @@
 
 from finchcart.__main__ import plain_log
 from finchcart.cli.log_output import json_log
-from finchcart.cli.settings_file import (
-    key_lease_config,
-    load_settings,
-    quota_config,
-)
+from finchcart.cli.settings_file import key_lease_config, load_settings, quota_config
 from finchcart.errors import SettingsError
-from finchcart.key_leases import wire as claiming
-from finchcart.key_leases.keeper import Keeper
-from finchcart.membership.wire import place_of
+from finchcart.key_leases import messages as claiming
+from finchcart.key_leases.replica import KeyLeaseReplica
+from finchcart.membership.codec import parse_address
 from finchcart.net.datagrams import DatagramEndpoint
-from finchcart.quota import wire as shares
+from finchcart.quota import messages as shares
 from finchcart.quota.planner import Planner
 
 
@@ -70,11 +66,11 @@
         if shared_out:
             out[shares.CHANNEL] = Planner(place, settings.fleet.name, shared_out, chance, now)
         if claimed:
-            out[claiming.CHANNEL] = Keeper(settings.fleet.name, claimed, now)
+            out[claiming.CHANNEL] = KeyLeaseReplica(settings.fleet.name, claimed, now)
         return out
 
     try:
-        datagrams = DatagramEndpoint(place_of(listen or place), machines, lambda change: None, again)
+        datagrams = DatagramEndpoint(parse_address(listen or place), machines, lambda change: None, again)
     except OSError as error:
         print(f"finchcart: {listen or place}: {error.strerror}", file=sys.stderr)
         return 2
