--- a/finchcart/cli/fleet_node.py
+++ b/finchcart/cli/fleet_node.py
@@ -50,7 +50,7 @@
     asked, held = quota_config(settings), consensus_config(settings)
     if not held:
         return asked
-    trial = Limit(TRIAL, held.trials, counts="trial", mode="loose")
+    trial = Limit(TRIAL, held.probe_calls, counts="trial", mode="loose")
     asked = asked or QuotaConfig()
     return replace(asked, limits=(*asked.limits, trial))
 
@@ -101,7 +101,7 @@
         meters = Meters(self.shares.limits, self.shares.slack, self.shares.most)
         held = consensus_config(self.settings)
         if held:
-            meters.rise, meters.longest = held.rise, held.trial
+            meters.rise, meters.longest = held.recovery_step, held.probe_timeout
         return meters
 
     def witness(self):
