Divide the connections: reader, writer, listener, table and registry reports apart

Cause: one file of 480 lines with reader, writer, listener, half-closing and reports; read_messages of 61 lines and nested loops. Change: connections.py (one connection), connection_table.py, reader.py (FrameReader, in steps, with its buffer as a context manager), writer.py, listener.py, registry_reports.py, sockets.py; messages of worker pool and store are named tuples that begin with the word they began with. The order of lock, flags, shutdowns and queue puts is as it was.

--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -19,7 +19,8 @@
 from finchcart import settings
 from finchcart.errors import ConfigError
 from finchcart.net.buffers import Buffers
-from finchcart.net.connections import ConnectionTable, Listener
+from finchcart.net.connection_table import ConnectionTable
+from finchcart.net.listener import Listener
 from finchcart.net.limits import Limits
 from finchcart.node import effects
 from finchcart.node.core import Core
@@ -86,7 +87,7 @@
             },
             "seed": int(str(config.get("seed", "0")), 16),
             "settings": settings.from_json(config["settings"]),
-            "limits": Limits.of(config["limits"], config["stop_ms"]),
+            "limits": Limits.from_config(config["limits"], config["stop_ms"]),
             "watch": watching(config.get("watch")),
         }
     except OSError as error:
@@ -125,14 +126,14 @@
     turns: then no reader has to wake it for each message, and what comes meanwhile is one turn."""
     clock, take = time.time_ns, inputs.get_nowait
     acts = {
-        effects.Read: links.read,
+        effects.Read: links.request_batch,
         effects.Send: links.send,
-        effects.SendBefore: links.send_by,
+        effects.SendBefore: links.send_before,
         effects.Close: links.close,
         effects.Drop: links.drop,
         effects.Connect: links.connect,
         effects.SendReport: links.report,
-        effects.StopListening: links.unlisten,
+        effects.StopListening: links.stop_listening,
         effects.Log: logger.info,
     }
     reduce = core.reduce
@@ -167,7 +168,7 @@
             what = waiting.popleft()
             kind = type(what)
             if kind is FramesReceived:
-                messages, fault = links.messages(what.connection, what.frames)
+                messages, fault = links.decode(what.connection, what.frames)
                 if fault is not None:
                     waiting.appendleft(ConnectionEnded(what.connection, fault))
                 what = MessagesReceived(what.connection, messages, what.received_at)
@@ -179,7 +180,7 @@
                     waiting.append(effect.input)
                 elif kind is effects.CloseIfIdle:
                     # Next, before anything that the link has read: what was read by then has no answer.
-                    closed = links.finish(effect.connection)
+                    closed = links.close_if_idle(effect.connection)
                     waiting.appendleft(CloseAttempted(effect.connection, closed))
                 elif kind is effects.End:
                     links.flush()
--- a/finchcart/cli/fleet_node.py
+++ b/finchcart/cli/fleet_node.py
@@ -152,7 +152,7 @@
         if isinstance(what, Drain):
             self.datagrams.post(None, "leave")
         elif isinstance(what, ReloadConfig):
-            self.datagrams.post(None, "reread")  # a handler may not log
+            self.datagrams.post_reload()  # a handler may not log
 
     def reread(self):
         """The settings file once more, as inputs by channel; none where it can't be used."""
--- a/finchcart/cli/planner_process.py
+++ b/finchcart/cli/planner_process.py
@@ -77,7 +77,7 @@
     datagrams.start()
     logger.info("planner {} of {}", place, settings.fleet.name)
     while (what := told.get()) != "end":
-        datagrams.post(None, what)
+        datagrams.post_reload()
     datagrams.stop()
     logger.info("ended")
     return 0
--- a/finchcart/net/buffers.py
+++ b/finchcart/net/buffers.py
@@ -1,34 +1,52 @@
 """Buffers of one size, taken from a pool and given back.
 
-Owns the memory that links read into. A buffer is held only while it holds bytes; it must never be used after
-it was given back, nor handed to the reducer: codecs copy out what they keep.
+Owns the memory that connections read into. A buffer is held only while it holds bytes; it must never be used
+after it was given back, nor handed to the reducer: codecs copy out what they keep.
 """
 
 from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from finchcart.net.limits import Limits
 
 
 class Buffers:
-    """Safe to use from many threads: a deque's append and pop are atomic."""
+    """The pool. It keeps `limits.spare_buffers` for reuse; how many are in use is bounded by the connections.
+
+    Safe to use from many threads: a deque's append and pop are atomic.
+    """
 
-    def __init__(self, limits):
+    def __init__(self, limits: Limits) -> None:
         self.size = limits.buffer_size
-        self.spare = deque(maxlen=limits.spare_buffers)
-        self.out = set()  # the ids of those in use
+        self.spare: deque[bytearray] = deque(maxlen=limits.spare_buffers)
+        self.in_use: set[int] = set()  # by id
 
-    def take(self):
+    def acquire(self) -> bytearray:
+        """Take a buffer of `size` bytes; what it holds is not defined."""
         try:
             buffer = self.spare.pop()
         except IndexError:
             buffer = bytearray(self.size)
-        self.out.add(id(buffer))
+        self.in_use.add(id(buffer))
         return buffer
 
-    def may_stay(self):
-        """Whether a link may hold its empty buffer while it waits: as many as would be kept for reuse."""
-        return len(self.out) <= self.spare.maxlen
-
-    def give_back(self, buffer):
-        if id(buffer) not in self.out:
+    def release(self, buffer: bytearray) -> None:
+        """Give a buffer back. Raise ValueError where it is not in use."""
+        if id(buffer) not in self.in_use:
             raise ValueError("a buffer was given back twice")
-        self.out.discard(id(buffer))
+        self.in_use.discard(id(buffer))
         self.spare.append(buffer)
+
+    @contextmanager
+    def borrow(self) -> Iterator[bytearray]:
+        """Hold a buffer for the length of a block."""
+        buffer = self.acquire()
+        try:
+            yield buffer
+        finally:
+            self.release(buffer)
+
+    def may_keep_empty(self) -> bool:
+        """Whether a connection may keep its empty buffer while it waits: as many as are kept for reuse."""
+        return len(self.in_use) <= self.spare.maxlen
--- a/finchcart/net/datagrams.py
+++ b/finchcart/net/datagrams.py
@@ -2,7 +2,7 @@
 
 Owns one UDP socket and the thread that feeds the state machines behind it, one for each channel (the first
 byte of a datagram). It must never block on the core or be blocked by it: changes go to the core's queue, and
-signals come through a queue of its own. A fault here isolates the node and ends the thread; RPCs are served
+signals come through a mailbox of its own. A fault here isolates the node and ends the thread; RPCs are served
 on.
 
 Ticks hold their time beside a busy reducer because the thread sleeps in the kernel between them and asks for
@@ -11,103 +11,166 @@
 """
 
 import threading
+from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
 from queue import Empty, SimpleQueue
 from socket import AF_INET, MSG_DONTWAIT, SO_RCVBUF, SOCK_DGRAM, SOL_SOCKET, socket
+from typing import Any, Protocol
 
 from loguru import logger
 
 from finchcart.membership.codec import MAX_DATAGRAM_BYTES
+from finchcart.membership.effects import EffectKind, InputKind, IsolationChanged
 from finchcart.net.clock import boot_clock
 
-TICK = 100_000  # microseconds, where no machine names its own
-BUFFER = 1 << 20  # bytes that the kernel may keep while this process is stopped or starved
-DRAIN = 512  # datagrams taken between two ticks' looks at the clock
-LAST_WORDS = 2  # times that the end is told
+DEFAULT_TICK_US = 100_000  # where no machine names its own
+RECEIVE_BUFFER_BYTES = 1 << 20  # that the kernel may keep while this process is stopped or starved
+MAX_DATAGRAMS_A_TICK = 512  # received at a tick before it is handled
+END_REPETITIONS = 2  # times that the others are told of the end
+STOP_TIMEOUT_S = 1.0
+MICROSECONDS_PER_SECOND = 1e6
+RELOAD = ("reread",)  # in the mailbox: read the settings file again
 
+Address = tuple[str, int]
+MachineInput = tuple[Any, ...]  # begins with its kind
 
-class DatagramEndpoint:
-    """`make(now)` gives the machines by channel; `publish(change)` takes their changes; `reread()` gives
-    (channel, input) for each that is to hear of new settings."""
 
-    def __init__(self, listen, make, publish, reread):
+class StateMachine(Protocol):
+    """What is behind a channel. Times are microseconds on the boot clock.
+
+    One that is ticked more often than each `DEFAULT_TICK_US` has an attribute `tick`, in microseconds.
+    """
+
+    ended: bool
+
+    def reduce(self, now: int, event: MachineInput) -> Sequence[tuple]:
+        """Process one input; return effects, each a tuple that begins with its kind."""
+
+    def count(self, reason: str) -> None:
+        """Count an event of the channel's traffic."""
+
+
+class DatagramEndpoint:
+    """The socket, its thread and a mailbox. Raises OSError where the socket cannot be bound.
+
+    Arguments:
+        listen: the address of the socket.
+        make_machines: from the boot clock to the machines by channel; called in the thread.
+        publish: takes each change that a machine reports.
+        reload: reads the settings again; gives a channel and an input for each machine that is concerned.
+    """
+
+    def __init__(
+        self,
+        listen: Address,
+        make_machines: Callable[[int], Mapping[bytes, StateMachine]],
+        publish: Callable[[tuple], object],
+        reload: Callable[[], Sequence[tuple[bytes, MachineInput]]],
+    ) -> None:
         self.sock = socket(AF_INET, SOCK_DGRAM)
         try:
             self.sock.bind(listen)
         except OSError:
             self.sock.close()
             raise
-        self.sock.setsockopt(SOL_SOCKET, SO_RCVBUF, BUFFER)
-        self.make, self.publish, self.reread = make, publish, reread
-        self.told, self.over = SimpleQueue(), threading.Event()
+        self.sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._make_machines = make_machines
+        self._publish = publish
+        self._reload = reload
+        self._machines: Mapping[bytes, StateMachine] = {}
+        self._mailbox: SimpleQueue[tuple[bytes | None, MachineInput]] = SimpleQueue()
+        self._has_ended = threading.Event()
+
+    def start(self) -> None:
+        """Start the thread."""
+        threading.Thread(target=self._run, name="fleet", daemon=True).start()
+
+    def post(self, channel: bytes | None, *event: object) -> None:
+        """Queue an input for one machine, or for all (None): it is handled with the next tick.
+
+        May be called from a signal handler.
+        """
+        self._mailbox.put((channel, event))
+
+    def post_now(self, channel: bytes | None, *event: object) -> None:
+        """Queue an input that is handled at once: an empty datagram to itself ends the thread's wait."""
+        self._mailbox.put((channel, event))
+        with suppress(OSError):  # the next tick is soon
+            self.sock.sendto(b"", MSG_DONTWAIT, self.sock.getsockname())
 
-    def start(self):
-        threading.Thread(target=self.run, name="fleet", daemon=True).start()
+    def post_reload(self) -> None:
+        """Have the settings read again; may be called from a signal handler."""
+        self._mailbox.put((None, RELOAD))
 
-    def post(self, channel, *what):
-        """An input for one machine, or for all (None): taken up with the next tick. May be called from a
-        signal handler."""
-        self.told.put((channel, what))
+    def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
+        """End the machines, and wait until the others were told."""
+        self.post(None, InputKind.END)
+        self._has_ended.wait(timeout_s)
 
-    def post_now(self, channel, *what):
-        """The same, taken up at once: an empty datagram to itself ends the wait."""
-        self.told.put((channel, what))
-        try:
-            self.sock.sendto(b"", MSG_DONTWAIT, self.sock.getsockname())
-        except OSError:
-            pass  # the next tick is soon
+    # ---- The thread
 
-    def stop(self, within=1.0):
-        self.post(None, "end")
-        self.over.wait(within)
-
-    def run(self):
+    def _run(self) -> None:
         try:
-            self.machines = self.make(boot_clock())
-            self.turn()
+            self._machines = self._make_machines(boot_clock())
+            self._run_machines()
         except Exception:
             # Guards against a node that falls with its view of the others: alone is an ordinary state.
             logger.exception("fleet: the state can't be trusted, this process is alone from here on")
-            self.publish(("isolated", True, "fault"))
+            self._publish(IsolationChanged.of(True, "fault"))
         finally:
-            self.over.set()
+            self._has_ended.set()
 
-    def turn(self):
-        machines, clock = self.machines, boot_clock
-        due = clock()
-        while not all(machine.ended for machine in machines.values()):
-            now = clock()
+    def _run_machines(self) -> None:
+        machines = self._machines.values()
+        due = boot_clock()
+        while not all(machine.ended for machine in machines):
+            now = boot_clock()
             if now < due:
-                self.sock.settimeout((due - now) / 1e6)
-                self.receive()
+                self.sock.settimeout((due - now) / MICROSECONDS_PER_SECOND)
+                self._receive()
                 continue
-            # All that came before the tick is taken first: who is late doubts itself before others. Guards
-            # against a tick that waits for more: with a timeout set, a read waits whatever its flags say.
-            self.sock.settimeout(0)
-            for _ in range(DRAIN):
-                if not self.receive():
-                    break
-            self.drain_mailbox()
-            now, tick = clock(), TICK
-            for machine in machines.values():
-                self.execute(machine, machine.reduce(now, ("tick",)))
-                tick = min(tick, getattr(machine, "tick", TICK))
-            due = max(due + tick, now + tick // 2)
-        for _ in range(LAST_WORDS - 1):
-            for machine in machines.values():
-                self.execute(machine, machine.reduce(clock(), ("end",)))
-
-    def drain_mailbox(self):
-        try:
+            self._receive_pending()
+            self._drain_mailbox()
+            due = self._tick(due)
+        for _ in range(END_REPETITIONS - 1):
+            for machine in machines:
+                self._feed(machine, (InputKind.END,))
+
+    def _receive_pending(self) -> None:
+        """Process all that came before the tick: who is late doubts itself before others.
+
+        Guards against a tick that waits for more: with a timeout set, a read waits whatever its flags say.
+        """
+        self.sock.settimeout(0)
+        for _ in range(MAX_DATAGRAMS_A_TICK):
+            if not self._receive():
+                break
+
+    def _tick(self, due: int) -> int:
+        """Tick all machines; return when the next tick is due."""
+        now = boot_clock()
+        tick = DEFAULT_TICK_US
+        for machine in self._machines.values():
+            self._execute(machine, machine.reduce(now, (InputKind.TICK,)))
+            tick = min(tick, getattr(machine, "tick", DEFAULT_TICK_US))
+        return max(due + tick, now + tick // 2)
+
+    def _drain_mailbox(self) -> None:
+        with suppress(Empty):
             while True:
-                told = self.told.get_nowait()
-                for channel, what in self.reread() if told[1] == ("reread",) else [told]:
-                    for machine in self.machines.values() if channel is None else [self.machines[channel]]:
-                        self.execute(machine, machine.reduce(boot_clock(), what))
-        except Empty:
-            pass
-
-    def receive(self):
-        """One datagram; False where there was none in the time that is set."""
+                channel, event = self._mailbox.get_nowait()
+                if event == RELOAD:
+                    for concerned, config in self._reload():
+                        self._deliver(concerned, config)
+                else:
+                    self._deliver(channel, event)
+
+    def _deliver(self, channel: bytes | None, event: MachineInput) -> None:
+        for machine in self._machines.values() if channel is None else [self._machines[channel]]:
+            self._feed(machine, event)
+
+    def _receive(self) -> bool:
+        """Process one datagram; return False where there was none in the time that is set."""
         try:
             data, address = self.sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
         except (BlockingIOError, TimeoutError):
@@ -115,32 +178,42 @@
         except OSError:
             return True  # an earlier datagram met nobody: the kernel tells it here
         if not data:
-            self.drain_mailbox()
+            self._drain_mailbox()
             return True
-        machine = self.machines.get(data[:1])
+        machine = self._machines.get(data[:1])
         if machine:
-            self.execute(machine, machine.reduce(boot_clock(), ("got", address, data)))
+            self._feed(machine, (InputKind.DATAGRAM, address, data))
         else:
-            next(iter(self.machines.values())).count("of an unknown channel")
+            next(iter(self._machines.values())).count("of an unknown channel")
         return True
 
-    def execute(self, machine, effects):
-        for act, *args in effects:
-            if act == "send":
+    def _feed(self, machine: StateMachine, event: MachineInput) -> None:
+        self._execute(machine, machine.reduce(boot_clock(), event))
+
+    def _execute(self, machine: StateMachine, effects: Sequence[tuple]) -> None:
+        for effect in effects:
+            kind, *fields = effect
+            if kind == EffectKind.SEND:
+                address, data = fields
                 try:
-                    self.sock.sendto(args[1], MSG_DONTWAIT, args[0])
+                    self.sock.sendto(data, MSG_DONTWAIT, address)
                 except OSError:
                     machine.count("could not be sent")
-            elif act == "log":
-                logger.bind(**args[1]).info("fleet: {}", args[0])
+            elif kind == EffectKind.LOG:
+                text, values = fields
+                logger.bind(**values).info("fleet: {}", text)
             else:
-                self.publish((act, *args))
-                if act == "change":
-                    name, state, incarnation = args
-                    logger.bind(member=name, state=state, incarnation=incarnation).info(
-                        "members: {} is {}", name, state
-                    )
-                elif act == "isolated":
-                    logger.bind(isolated=args[0], why=args[1]).info(
-                        "members: {}: {}", "isolated" if args[0] else "connected", args[1]
-                    )
+                self._publish(effect)
+                _log_change(kind, fields)
+
+
+def _log_change(kind: str, fields: Sequence[Any]) -> None:
+    """Log a change of membership; other changes have lines of their own."""
+    if kind == EffectKind.MEMBER_CHANGED:
+        name, state, incarnation = fields
+        line = logger.bind(member=name, state=state, incarnation=incarnation)
+        line.info("members: {} is {}", name, state)
+    elif kind == EffectKind.ISOLATION_CHANGED:
+        is_isolated, reason = fields
+        line = logger.bind(isolated=is_isolated, why=reason)
+        line.info("members: {}: {}", "isolated" if is_isolated else "connected", reason)
--- a/finchcart/net/framing.py
+++ b/finchcart/net/framing.py
@@ -1,10 +1,7 @@
-"""What a codec is to the links that read with it.
+"""What a codec is to the connections that read with it.
 
-Owns the form of all codecs. A codec is two functions without state, which raise nothing but `ProtocolError`,
-whatever the bytes. `frame(data, at, longest)`: `data` are the bytes read so far, `longest` the most that a
-message may take; it returns where the first whole message from `at` on ends, or None until
-there is one. It is called by the link's reader and looks at no more than it must. `message(data)`
-reads one such message; it is called by the one thread that feeds the core, many in one turn.
+Owns the form of all codecs. A codec is a pair of functions without state, which raise nothing but
+`ProtocolError`, whatever the bytes.
 """
 
 from collections.abc import Callable
@@ -12,7 +9,15 @@
 
 
 class Codec(NamedTuple):
-    """The pair, as above."""
+    """How one protocol's messages are found among the bytes of a connection, and read.
 
-    frame: Callable
-    message: Callable
+    `find_frame_end(data, start, max_size)` returns where the first complete message from `start` on ends, or
+    None until there is one; a message takes `max_size` bytes at most. It is called by the connection's reader
+    thread and looks at no more than it must.
+
+    `decode(frame)` reads one such message. It is called by the one thread that feeds the core, for many
+    messages in one turn.
+    """
+
+    find_frame_end: Callable[[bytes, int, int], int | None]
+    decode: Callable[[bytes], tuple]
--- a/finchcart/net/line_protocol.py
+++ b/finchcart/net/line_protocol.py
@@ -1,24 +1,36 @@
-"""Lines of the worker pool, the store and the registry, read and written.
+"""The lines of the worker pool, the store and the registry, read and written.
 
-Owns the bytes on those links. Codecs as frames.py has them: no I/O, nothing kept between calls, and nothing
-raised but `ProtocolError` on what they read, whatever the bytes.
-
-Messages read are plain tuples. From the pool: `("up", cold, age)`, `("run_ended", cursor, id, outcome, spent,
-result)`, `("at_call", cursor, id, body)`, `("gauges", ticket, figures)`, `("undone", was_run, id)` (a command
-that was not carried out), `("remark", cursor)`, `("other",)`. From the store: `("reply", id, outcome, body)`.
+Owns the bytes on those connections, and the words of those protocols: no other module knows them. The codecs
+are as framing.py has them: no I/O, nothing kept between calls, and nothing raised but `ProtocolError` on what
+they read, whatever the bytes.
 """
 
 import json
 from base64 import b64encode
 from binascii import a2b_base64
+from collections.abc import Mapping
+from enum import StrEnum
 from math import isfinite
+from typing import Any, NamedTuple
 
 from finchcart.errors import ProtocolError
 from finchcart.interface import Outcome
 from finchcart.net.framing import Codec
 
-ENDS = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.STOPPED, "gone": Outcome.NOT_STARTED}
-REPLIES = {
+MAX_BRACKETS = 100  # in a line of the worker pool
+MAX_LENGTH_DIGITS = 9  # of a reply's length
+MAX_QUOTED_BYTES = 60  # of what is told of bytes that can't be read
+MAX_ERROR_LENGTH = 120  # characters
+LINE_END = b"\r\n"
+
+RUN_OUTCOMES = {
+    "good": Outcome.OK,
+    "bad": Outcome.ERROR,
+    "cut": Outcome.STOPPED,
+    "gone": Outcome.NOT_STARTED,
+}
+POOL_STARTS = {"new": True, "old": False}  # whether the pool has just started
+REPLY_OUTCOMES = {
     b"OK": Outcome.OK,
     b"BUSY": Outcome.REJECTED,
     b"ERR": Outcome.ERROR,
@@ -27,127 +39,265 @@
 }
 
 
-def line(data, at, longest):
-    """Where the first line ends."""
-    return data.find(b"\n", at) + 1 or None
+class MessageKind(StrEnum):
+    """The first field of each message read here."""
+
+    BOUND = "up"
+    RUN_ENDED = "run_ended"
+    AWAITING_CALL = "at_call"
+    GAUGES = "gauges"
+    NOT_CARRIED_OUT = "undone"
+    REMARK = "remark"
+    OTHER = "other"
+    REPLY = "reply"
+
+
+class Bound(NamedTuple):
+    """The worker pool sends its notices from now on."""
+
+    kind: MessageKind
+    is_new: bool  # it has just started
+    age_us: int
+
+
+class RunEnded(NamedTuple):
+    """A notice: a run is over."""
+
+    kind: MessageKind
+    cursor: int  # of the notice
+    name: str
+    outcome: Outcome
+    spent_us: int
+    result: bytes
+
+
+class AwaitingCall(NamedTuple):
+    """A notice: a run waits for the answer of a call."""
+
+    kind: MessageKind
+    cursor: int
+    name: str
+    body: bytes  # of the call
+
+
+class GaugesRead(NamedTuple):
+    """The gauges that were requested."""
+
+    kind: MessageKind
+    ticket: str
+    values: tuple[float, ...]
+
+
+class NotCarriedOut(NamedTuple):
+    """A command that was not carried out, as the worker pool knows no such run."""
+
+    kind: MessageKind
+    was_start: bool  # it was to start a run
+    name: str
+
+
+class Remark(NamedTuple):
+    """A notice of which only the number counts."""
 
+    kind: MessageKind
+    cursor: int
 
-def pool_message(data):
+
+class OtherNotice(NamedTuple):
+    """What concerns no node."""
+
+    kind: MessageKind
+
+
+class Reply(NamedTuple):
+    """The store's reply to a call."""
+
+    kind: MessageKind
+    name: str
+    outcome: Outcome
+    body: bytes
+
+
+PoolMessage = Bound | RunEnded | AwaitingCall | GaugesRead | NotCarriedOut | Remark | OtherNotice
+
+
+# ---- The worker pool: a JSON object a line
+
+
+def find_line_end(data: bytes, start: int, max_size: int) -> int | None:
+    """Return where the first line ends, or None; see `Codec.find_frame_end`."""
+    return data.find(b"\n", start) + 1 or None
+
+
+def decode_pool_message(data: bytes) -> PoolMessage:
+    """Read a line of the worker pool."""
     # Guards against the stack: the library's parser goes down with each bracket.
-    if data.count(b"[") + data.count(b"{") > 100:
+    if data.count(b"[") + data.count(b"{") > MAX_BRACKETS:
         raise ProtocolError("too many brackets in a line")
     try:
-        return notice(json.loads(data))
+        return _read_notice(json.loads(data))
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError) as error:
-        raise ProtocolError(f"a line from the pool: {type(error).__name__}: {error}"[:120]) from None
+        text = f"a line from the pool: {type(error).__name__}: {error}"
+        raise ProtocolError(text[:MAX_ERROR_LENGTH]) from None
+
+
+def _read_notice(fields: Mapping[str, Any]) -> PoolMessage:
+    event = fields["event"]
+    read = NOTICE_READERS.get(event) if isinstance(event, str) else None
+    return read(fields) if read else OtherNotice(MessageKind.OTHER)
+
+
+def _read_run_ended(fields: Mapping[str, Any]) -> RunEnded:
+    outcome = RUN_OUTCOMES[fields["fate"]]
+    spent_us = _microseconds(fields["lasted"])
+    cursor = _whole_number(fields["cursor"])
+    return RunEnded(
+        MessageKind.RUN_ENDED, cursor, _text(fields["handle"]), outcome, spent_us, _decode_body(fields)
+    )
+
+
+def _read_awaiting_call(fields: Mapping[str, Any]) -> AwaitingCall:
+    cursor = _whole_number(fields["cursor"])
+    return AwaitingCall(MessageKind.AWAITING_CALL, cursor, _text(fields["handle"]), _decode_body(fields))
 
 
-def notice(said):
-    event = said["event"]
-    if event == "finished":
-        end, spent = ENDS[said["fate"]], _us(said["lasted"])
-        return "run_ended", _whole(said["cursor"]), _text(said["handle"]), end, spent, _body(said)
-    if event == "blocked":
-        return "at_call", _whole(said["cursor"]), _text(said["handle"]), _body(said)
-    if event == "polled":
-        return "gauges", str(said["ticket"]), tuple(_finite(figure) for figure in said["figures"])
-    if event == "bound":
-        return "up", {"new": True, "old": False}[said["fate"]], _us(said["lasted"])
-    if event == "unknown":
-        return "undone", said.get("fate") == "spawn", _text(said.get("handle") or "")
-    if event == "chatter":
-        return "remark", _whole(said["cursor"])
-    return ("other",)
+def _read_gauges(fields: Mapping[str, Any]) -> GaugesRead:
+    ticket = str(fields["ticket"])
+    return GaugesRead(MessageKind.GAUGES, ticket, tuple(_finite_number(value) for value in fields["figures"]))
 
 
-def _body(said):
-    return a2b_base64(said.get("arg") or "", strict_mode=True)
+def _read_bound(fields: Mapping[str, Any]) -> Bound:
+    return Bound(MessageKind.BOUND, POOL_STARTS[fields["fate"]], _microseconds(fields["lasted"]))
 
 
-def _whole(value):
+def _read_not_carried_out(fields: Mapping[str, Any]) -> NotCarriedOut:
+    was_start = fields.get("fate") == "spawn"
+    return NotCarriedOut(MessageKind.NOT_CARRIED_OUT, was_start, _text(fields.get("handle") or ""))
+
+
+def _read_remark(fields: Mapping[str, Any]) -> Remark:
+    return Remark(MessageKind.REMARK, _whole_number(fields["cursor"]))
+
+
+NOTICE_READERS = {
+    "finished": _read_run_ended,
+    "blocked": _read_awaiting_call,
+    "polled": _read_gauges,
+    "bound": _read_bound,
+    "unknown": _read_not_carried_out,
+    "chatter": _read_remark,
+}
+
+
+def _decode_body(fields: Mapping[str, Any]) -> bytes:
+    return a2b_base64(fields.get("arg") or "", strict_mode=True)
+
+
+def _whole_number(value: object) -> int:
     if not isinstance(value, int):
         raise ValueError(f"{value!r}: expected a whole number")
     return value
 
 
-def _text(value):
+def _text(value: object) -> str:
     if not isinstance(value, str):
         raise ValueError(f"{value!r}: expected text")
     return value
 
 
-def _finite(value):
+def _finite_number(value: float) -> float:
     if not isfinite(value):
         raise ValueError(f"{value!r}: expected a number")
     return float(value)
 
 
-def _us(ms):
-    return max(0, int(ms * 1000))
-
-
-def store_frame(data, at, longest):
-    """Where the first reply ends: after its line, or after the body that the line tells of."""
-    end = data.find(b"\r\n", at)
-    if end < 0:
-        return None
-    words = data[at:end].split(b" ")
-    if len(words) != 3 or words[1] != b"OK":
-        return end + 2
-    # Guards against a length of thousands of digits, which is not even read as a number.
-    if not words[2].isdigit() or len(words[2]) > 9 or int(words[2]) + end - at + 4 > longest:
-        raise ProtocolError(f"a reply from the store: {data[at:end][:60]!r}")
-    end += int(words[2]) + 4
-    return end if len(data) >= end else None
-
-
-def store_message(data):
-    line, _, body = data.partition(b"\r\n")
-    words = line.split(b" ")
-    outcome = REPLIES.get(words[1]) if len(words) > 1 else None
-    if outcome is None or len(words) != (3 if outcome is Outcome.OK else 2):
-        raise ProtocolError(f"a reply from the store: {line[:60]!r}")
-    if outcome is Outcome.OK and body[-2:] != b"\r\n":
-        raise ProtocolError("a reply from the store does not end where it says")
-    return "reply", words[0].decode("ascii", "replace"), outcome, body[:-2]
+def _microseconds(milliseconds: float) -> int:
+    return max(0, int(milliseconds * 1000))
 
 
-WORKER_POOL_CODEC, STORE_CODEC = Codec(line, pool_message), Codec(store_frame, store_message)
-
-
-def _text_of(value):
+def _encode_text(value: str) -> bytes:
     """As JSON text. Guards against a name that would end its quotes; names come from settings or are hex."""
     return json.dumps(value).encode() if not value.isalnum() else b'"%s"' % value.encode()
 
 
-def subscribe(cursor):
+def subscribe(cursor: int) -> bytes:
+    """Have the worker pool send its notices from the one after `cursor`."""
     return b'{"event":"bind","cursor":%d}\n' % cursor
 
 
-def start_run(name, method, body):
+def start_run(name: str, method: str, body: bytes) -> bytes:
+    """Have a run started."""
     return b'{"event":"spawn","handle":%s,"entry":%s,"arg":"%s"}\n' % (
-        _text_of(name),
-        _text_of(method),
+        _encode_text(name),
+        _encode_text(method),
         b64encode(body),
     )
 
 
-def answer_call(name, body):
-    return b'{"event":"supply","handle":%s,"arg":"%s"}\n' % (_text_of(name), b64encode(body))
+def answer_call(name: str, body: bytes) -> bytes:
+    """Give a run the answer of its call."""
+    return b'{"event":"supply","handle":%s,"arg":"%s"}\n' % (_encode_text(name), b64encode(body))
+
+
+def skip_call(name: str, cursor: int) -> bytes:
+    """Have a run go on without its call; `cursor`: of the notice that it waits."""
+    return b'{"event":"pass","handle":%s,"cursor":%d}\n' % (_encode_text(name), cursor)
+
+
+def request_gauges(ticket: str) -> bytes:
+    """Ask for the gauges; their message has the same ticket."""
+    return b'{"event":"poll","ticket":%s}\n' % _encode_text(ticket)
+
+
+# ---- The store: a line, and the body that it announces
+
+
+def find_reply_end(data: bytes, start: int, max_size: int) -> int | None:
+    """Return where the first reply ends, or None: after its line or the body that the line announces."""
+    line_end = data.find(LINE_END, start)
+    if line_end < 0:
+        return None
+    words = data[start:line_end].split(b" ")
+    if len(words) != 3 or words[1] != b"OK":
+        return line_end + len(LINE_END)
+    length = words[2]
+    # Guards against a length of thousands of digits, which is not even read as a number.
+    if (
+        not length.isdigit()
+        or len(length) > MAX_LENGTH_DIGITS
+        or int(length) + line_end - start + 2 * len(LINE_END) > max_size
+    ):
+        raise ProtocolError(f"a reply from the store: {data[start:line_end][:MAX_QUOTED_BYTES]!r}")
+    end = line_end + int(length) + 2 * len(LINE_END)
+    return end if len(data) >= end else None
+
+
+def decode_reply(data: bytes) -> Reply:
+    """Read a reply of the store."""
+    line, _, body = data.partition(LINE_END)
+    words = line.split(b" ")
+    outcome = REPLY_OUTCOMES.get(words[1]) if len(words) > 1 else None
+    if outcome is None or len(words) != (3 if outcome is Outcome.OK else 2):
+        raise ProtocolError(f"a reply from the store: {line[:MAX_QUOTED_BYTES]!r}")
+    if outcome is Outcome.OK and body[-len(LINE_END) :] != LINE_END:
+        raise ProtocolError("a reply from the store does not end where it says")
+    name = words[0].decode("ascii", "replace")
+    return Reply(MessageKind.REPLY, name, outcome, body[: -len(LINE_END)])
 
 
-def skip_call(name, cursor):
-    return b'{"event":"pass","handle":%s,"cursor":%d}\n' % (_text_of(name), cursor)
+def store_call(name: str, limit_us: int, body: bytes) -> bytes:
+    """Call the store. Milliseconds are rounded up: the node's own time limit comes first."""
+    limit_ms = -(-limit_us // 1000)
+    return b"CALL %s %d %d\r\n%s\r\n" % (name.encode(), limit_ms, len(body), body)
 
 
-def request_gauges(ticket):
-    return b'{"event":"poll","ticket":%s}\n' % _text_of(ticket)
+# ---- The registry: a datagram
 
 
-def store_call(name, limit, body):
-    """Milliseconds are rounded up: the node's own time limit comes first."""
-    return b"CALL %s %d %d\r\n%s\r\n" % (name.encode(), -(-limit // 1000), len(body), body)
+def registration_report(name: str, is_healthy: bool) -> bytes:
+    """Tell the registry whether the node is to get requests."""
+    return f"HERE {name} {'on' if is_healthy else 'off'}".encode()
 
 
-def registration_report(name, good):
-    return f"HERE {name} {'on' if good else 'off'}".encode()
+WORKER_POOL_CODEC = Codec(find_line_end, decode_pool_message)
+STORE_CODEC = Codec(find_reply_end, decode_reply)
--- /dev/null
+++ b/finchcart/net/registry_reports.py
@@ -0,0 +1,30 @@
+"""The datagrams in which a node tells the registry of its registration.
+
+Owns one UDP socket and the thread that writes on it. It must never wait for the registry or tell anybody of a
+datagram that was lost: the next report is due soon.
+"""
+
+import socket
+from contextlib import suppress
+from queue import SimpleQueue
+
+from finchcart.net.sockets import start_thread
+
+
+class RegistryReporter:
+    """Sends reports in the order in which they are posted, for as long as the process lives."""
+
+    def __init__(self) -> None:
+        self._reports: SimpleQueue[tuple[tuple[str, int], bytes]] = SimpleQueue()
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        start_thread(self._run, "reports")
+
+    def post(self, address: tuple[str, int], data: bytes) -> None:
+        """Queue one report; never blocks."""
+        self._reports.put((address, data))
+
+    def _run(self) -> None:
+        while True:
+            address, data = self._reports.get()
+            with suppress(OSError):  # the registry is down
+                self._sock.sendto(data, address)
--- /dev/null
+++ b/finchcart/net/writer.py
@@ -0,0 +1,60 @@
+"""What one connection has still to write, and the thread that writes it while the peer is behind.
+
+Owns that thread. It must never shut a connection down before all that is pending is written, unless the
+connection broke.
+"""
+
+import socket
+import threading
+from collections.abc import Callable
+from queue import SimpleQueue
+
+from finchcart.net.sockets import shut_down, start_thread
+from finchcart.node.inputs import Input, WriteResumed
+
+
+class PendingWrites:
+    """The bytes that the system did not take at once. Its fields are read and set with `lock` held.
+
+    `on_drained()` is called, with the lock held, once all is written. The lock is the connection's own.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        inputs: SimpleQueue[Input],
+        lock: threading.Lock,
+        on_drained: Callable[[], None],
+    ) -> None:
+        self.parts: list[bytes] = []
+        self.thread: threading.Thread | None = None
+        self._number = number
+        self._inputs = inputs
+        self._lock = lock
+        self._on_drained = on_drained
+
+    def start(self, sock: socket.socket) -> None:
+        """See to a thread that writes what is pending. Called with the lock held."""
+        if self.thread:
+            return
+        try:
+            self.thread = start_thread(lambda: self._run(sock), f"write {self._number}")
+        except OSError:
+            shut_down(sock, socket.SHUT_RDWR)
+            self.parts = []
+            self._inputs.put(WriteResumed(self._number))  # or its close would wait for a write for ever
+
+    def _run(self, sock: socket.socket) -> None:
+        while True:
+            with self._lock:
+                data = b"".join(self.parts)
+                self.parts = []
+                if not data:
+                    self.thread = None
+                    self._on_drained()
+                    self._inputs.put(WriteResumed(self._number))
+                    return
+            try:
+                sock.sendall(data)
+            except OSError:
+                shut_down(sock, socket.SHUT_RDWR)  # broken, or no progress
--- a/tests/pins/codec_examples.py
+++ b/tests/pins/codec_examples.py
@@ -180,9 +180,9 @@
 
 def read_stream(codec, data):
     """The one message that the bytes are, with its end found as the links find it."""
-    assert codec.frame(data[:-1], 0, LONGEST) is None
-    assert codec.frame(data, 0, LONGEST) == len(data)
-    word, *values = codec.message(data)
+    assert codec.find_frame_end(data[:-1], 0, LONGEST) is None
+    assert codec.find_frame_end(data, 0, LONGEST) == len(data)
+    word, *values = codec.decode(data)
     return [READ_WORDS[word], *plain(values)]
 
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -19,8 +19,8 @@
 
 def take(codec, data, at, longest):
     """The first whole message from `at` on with the place where the next begins, or None."""
-    end = codec.frame(data, at, longest)
-    return None if end is None else (codec.message(data[at:end]), end)
+    end = codec.find_frame_end(data, at, longest)
+    return None if end is None else (codec.decode(data[at:end]), end)
 
 
 # Written out by hand from the specification of the strict binary protocol: version 1, type, name, sequence
@@ -323,13 +323,13 @@
     buffers, rng, taken = Buffers(LIMITS), random.Random(3), []
     for _ in range(3000):
         if taken and rng.random() < 0.5:
-            buffers.give_back(taken.pop(rng.randrange(len(taken))))
+            buffers.release(taken.pop(rng.randrange(len(taken))))
         else:
-            taken.append(buffers.take())
+            taken.append(buffers.acquire())
             assert len(taken[-1]) == LIMITS.buffer_size
-        assert len(buffers.out) == len(taken) == len({id(buffer) for buffer in taken})
+        assert len(buffers.in_use) == len(taken) == len({id(buffer) for buffer in taken})
         assert len(buffers.spare) <= LIMITS.spare_buffers
     last = taken.pop()
-    buffers.give_back(last)
+    buffers.release(last)
     with pytest.raises(ValueError):
-        buffers.give_back(last)
+        buffers.release(last)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,8 +14,9 @@
 
 from benchmarks.rpc import free
 from finchcart.net.buffers import Buffers
-from finchcart.net.connections import Connection, Listener
+from finchcart.net.connections import Connection
 from finchcart.net.limits import Limits
+from finchcart.net.listener import Listener
 from finchcart.node.inputs import ConnectionClosed, FramesReceived, WriteBlocked, WriteResumed
 from finchcart.simulated_peers.outside import Registry
 from finchcart.thrift import codec
@@ -52,7 +53,7 @@
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
     link = Connection(1, codec.FRONT, inputs, Buffers(limits), limits, sock=wrap(near))
-    until(lambda: link.up)
+    until(lambda: link.is_open)
     return link, far, inputs
 
 
@@ -77,26 +78,28 @@
     link, far, inputs = pair()
     far.sendall(CHECK)
     until(lambda: unread(link))
-    assert not link.finish()  # in the system's buffer
-    link.ask()
+    assert not link.close_if_idle()  # in the system's buffer
+    link.request_batch()
     assert (
-        isinstance(inputs.get(), FramesReceived) and not link.finish()
+        isinstance(inputs.get(), FramesReceived) and not link.close_if_idle()
     )  # read, and not yet seen by the core
-    link.taken += 1
-    link.ask()
+    link.batches_taken += 1
+    link.request_batch()
     far.sendall(CHECK[:7])
-    until(lambda: link.left and not unread(link))
-    assert not link.finish()  # half a message
+    until(lambda: link.reader.has_undelivered_bytes and not unread(link))
+    assert not link.close_if_idle()  # half a message
     far.sendall(CHECK[7:])
     assert isinstance(inputs.get(), FramesReceived)
-    link.taken += 1
+    link.batches_taken += 1
     sent = random.Random(1).randbytes(30_000_000)
     link.send(sent)
-    assert same_input(inputs.get(), WriteBlocked(1)) and not link.finish()  # an answer that is not written
+    assert (
+        same_input(inputs.get(), WriteBlocked(1)) and not link.close_if_idle()
+    )  # an answer that is not written
     got = b""
     while len(got) < len(sent):
         got += far.recv(1 << 20)
-    until(link.finish)
+    until(link.close_if_idle)
     assert got == sent and far.recv(1) == b""  # closed in one direction, nothing was reset
     far.sendall(CHECK)  # after the close: read past, never handed over as the first is
     far.close()
@@ -119,7 +122,7 @@
     def none(act, name):
         raise OSError("can't start new thread")
 
-    monkeypatch.setattr("finchcart.net.connections.start_thread", none)
+    monkeypatch.setattr("finchcart.net.writer.start_thread", none)
     link.send(b"x" * 30_000_000)
     assert [type(inputs.get()) for _ in range(2)] == [WriteBlocked, WriteResumed]
     link.close()
@@ -145,7 +148,7 @@
 def listener(limits):
     made = Listener(("127.0.0.1", 0), limits)
     opened = SimpleQueue()
-    made.opened = lambda *args: opened.put(args)
+    made.on_accepted = lambda *args: opened.put(args)
     return made, opened, made.sock.getsockname()
 
 
@@ -171,7 +174,9 @@
     clients = [socket.create_connection(place) for _ in range(limits.descriptors + 5)]
     first = [opened.get(timeout=10) for _ in range(limits.max_accepted)]
     assert (
-        limits.max_accepted < limits.descriptors and not made.room.acquire(blocking=False) and opened.empty()
+        limits.max_accepted < limits.descriptors
+        and not made.capacity.acquire(blocking=False)
+        and opened.empty()
     )
     _, sock, _, over = first[0]
     sock.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,8 @@
 
 from benchmarks.rpc import free
 from finchcart.net.buffers import Buffers
-from finchcart.net.connections import Connection, ConnectionTable
+from finchcart.net.connection_table import ConnectionTable
+from finchcart.net.connections import Connection
 from finchcart.net.limits import Limits
 from finchcart.node.inputs import ConnectionClosed, ConnectionRefused, WriteBlocked, WriteResumed
 from finchcart.simulated_peers.client import Client
@@ -298,7 +299,7 @@
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
     link = Connection(1, codec.FRONT, inputs, Buffers(limits), limits, sock=near)
-    until(lambda: link.up)
+    until(lambda: link.is_open)
     before = threading.active_count()
     link.send(b"first")
     assert threading.active_count() == before and inputs.empty()
@@ -335,7 +336,7 @@
             rng.choice((whole[:29] * 3, whole[: rng.randrange(40)], rng.randbytes(rng.randrange(200))))
         )
         for _ in range(rng.randrange(4)):
-            link.ask()
+            link.request_batch()
         if rng.random() < 0.8:
             far.shutdown(socket.SHUT_WR)
             link.close()
@@ -345,7 +346,7 @@
             pass
         far.close()
     server.close()
-    assert not buffers.out
+    assert not buffers.in_use
 
 
 @pytest.mark.parametrize(
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -733,7 +733,8 @@
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
 from finchcart.net.clock import boot_clock
-from finchcart.net.connections import CODECS, Connection
+from finchcart.net.connection_table import CODECS
+from finchcart.net.connections import Connection
 class Stops:
     def __init__(self, sock):
         self.sock = sock
@@ -745,7 +746,7 @@
 limits = Limits(memory=10**8, descriptors=100, stop_timeout=10**6)
 place = "127.0.0.1", int(sys.argv[1])
 link = Connection(-1, CODECS["store"], SimpleQueue(), Buffers(limits), limits, address=place)
-while not link.up:
+while not link.is_open:
     time.sleep(0.001)
 link.sock = Stops(link.sock)
 by = boot_clock() + 800_000
