--- a/finchcart/cli/fleet_node.py
+++ b/finchcart/cli/fleet_node.py
@@ -32,10 +32,11 @@
 from finchcart.membership.member import Member
 from finchcart.net.clock import boot_clock
 from finchcart.net.datagrams import DatagramEndpoint
-from finchcart.node.claimer import Claimer
-from finchcart.node.inputs import Drain, FleetChange, ReloadConfig
-from finchcart.node.meter import Meters
-from finchcart.node.witness import Witness
+from finchcart.node.fleet_inputs import fleet_input, key_lease_client_input
+from finchcart.node.inputs import Drain, ReloadConfig
+from finchcart.node.key_leases import KeyLeaseGate
+from finchcart.node.limiter_set import LimiterSet
+from finchcart.node.observer import NodeObserver
 from finchcart.quota import messages as shares
 from finchcart.quota.lease_holder import LeaseHolder
 from finchcart.quota.limits import Limit, QuotaConfig
@@ -68,7 +69,7 @@
         self.datagrams = DatagramEndpoint(
             parse_address(asked.listen),
             lambda now: self.machines(now, name, advertise, random.Random(seed), wall),
-            lambda change: inputs.put(FleetChange(change)),
+            lambda change: inputs.put(fleet_input(change)),
             self.reread,
         )
 
@@ -98,16 +99,16 @@
         """Of all limits of the fleet that this node is held to; new ones wait for the next start."""
         if not self.shares:
             return None
-        meters = Meters(self.shares.limits, self.shares.slack, self.shares.most)
+        meters = LimiterSet(self.shares.limits, self.shares.slack, self.shares.most)
         held = consensus_config(self.settings)
         if held:
-            meters.rise, meters.longest = held.recovery_step, held.probe_timeout
+            meters.recovery_step_us, meters.probe_timeout_us = held.recovery_step, held.probe_timeout
         return meters
 
     def witness(self):
         """What sees for the fleet's verdicts, where there are any."""
         held = consensus_config(self.settings)
-        return held and Witness(held)
+        return held and NodeObserver(held)
 
     def saw(self, evidence):
         self.datagrams.post(sayings.CHANNEL, "evidence", evidence)
@@ -115,23 +116,23 @@
     def claims(self):
         """Makes what holds tokened RPCs to claims, where there are any."""
         claimed = key_lease_config(self.settings)
-        return claimed and (lambda turn: Claimer(turn, claimed.life))
+        return claimed and (lambda turn: KeyLeaseGate(turn, claimed.life))
 
     def claim(self, what):
-        self.datagrams.post_now(claiming.CHANNEL, *what)
+        self.datagrams.post_now(claiming.CHANNEL, *key_lease_client_input(what))
 
     def reducer(self, core):
         """The core's `reduce`, with the boot clock told before each turn."""
-        meters, claimer = core.meters, core.claimer
+        meters, claimer = core.limiters, core.key_leases
         if meters is None and claimer is None:
             return core.reduce
 
         def reduce(now, what):
             boot = boot_clock()
             if meters:
-                meters.at(boot)
+                meters.set_clock(boot)
             if claimer:
-                claimer.boot = boot
+                claimer.now_us = boot
             return core.reduce(now, what)
 
         return reduce
--- /dev/null
+++ b/finchcart/node/limiters.py
@@ -0,0 +1,284 @@
+"""One limiter for each limit of the fleet that this node is held to.
+
+Owns what the node may have in flight or admit a second: its floor, and beyond it what it was allowed until a
+time on the boot clock. Calls in flight are the store client's, asked each time. It must never give out more
+than was allowed, nor decide which call is made or which RPC gives way: the decision module does, told how
+much there is.
+
+`now_us` is the boot clock in whole microseconds, set by the host before each turn: the turn's own clock may
+be set back, and would lengthen an allowance.
+"""
+
+from math import ceil
+from typing import NamedTuple, Protocol
+
+from finchcart.node.rpc import Rpc
+from finchcart.quota.limits import Limit
+
+MS = 1_000
+SECOND = 1_000_000
+PROBE_DEMAND_PERIOD_US = 10 * SECOND  # who called the store within it takes part in probing it
+DEMAND_PERIOD_US = 250 * MS  # between two looks at how much is asked for
+WRITE_MARGIN_US = 2 * MS  # besides the slack, from the decision on a call to its write
+DEMAND_HEADROOM = 1.1  # demand is published a little over what was asked for, so that an allowance can grow
+
+
+class CallsInFlight(Protocol):
+    """What counts the calls in flight: the store client."""
+
+    def in_flight(self, leased: bool) -> int:
+        """Those beyond the floor of the fleet's limit, or the others."""
+
+
+class Usage(NamedTuple):
+    """What this node uses and wants of one limit; beyond the floor where that is strict, else in all."""
+
+    in_use: int
+    demand: int
+    priority_demand: int
+
+
+class CallPermit(NamedTuple):
+    """The permission for one more call."""
+
+    leased: bool  # it is beyond the floor
+    time_limit_us: int | None  # how long it may take there; None: as long as the decision module likes
+
+
+class Availability(NamedTuple):
+    """How many may be admitted now, of how many at most."""
+
+    available: int
+    capacity: int
+
+
+class Limiter:
+    """What all kinds have in common.
+
+    `limit`: see finchcart/quota/limits.py; `slack_us`: a call is written so long after this turn began, or
+    not at all; `processes`: how many nodes may run at once.
+    """
+
+    def __init__(self, limit: Limit, slack_us: int, processes: int = 1) -> None:
+        self.limit = limit
+        self.name = limit.name
+        self.slack_us = slack_us
+        self.processes = processes
+        self.now_us = 0
+        self.removed = False  # the limit is in the settings no more
+        self.floor = limit.floor if limit.strict else 0
+        self.amount = 0  # allowed beyond the floor
+        self.until = 0  # for so long, on the boot clock
+        self.refusals = 0
+        self._last_usage: Usage | None = None
+
+    def set_allowance(self, floor: int | None, amount: int, until: int) -> None:
+        """What the node may use from now on; a floor of None: the limit is removed."""
+        if floor is None:
+            self.removed = True
+            return
+        self.removed = False
+        self.floor = floor
+        self.amount = amount
+        self.until = until
+
+    def _if_changed(self, usage: Usage) -> Usage | None:
+        """The usage where it is another than the last one published."""
+        if usage == self._last_usage:
+            return None
+        self._last_usage = usage
+        return usage
+
+
+class CallConcurrencyLimiter(Limiter):
+    """Calls in flight.
+
+    The store is told what is left of a strict allowance less the slack, so that it ends the call itself
+    however late this process is then.
+    """
+
+    def leased_time_left_us(self) -> int:
+        """How long a call beyond the floor may take from here on."""
+        return self.until - self.now_us - self.slack_us - WRITE_MARGIN_US
+
+    def capacity(self, calls: CallsInFlight) -> int | None:
+        """Calls that may be in flight now; None: as many as the decision module likes."""
+        if self.removed:
+            return None
+        return self.floor + (self.amount if self.leased_time_left_us() > self.slack_us else 0)
+
+    def try_acquire(self, calls: CallsInFlight) -> CallPermit | None:
+        """The permission for one more call, or None where there is no capacity."""
+        if self.removed:
+            return CallPermit(False, None)
+        if not self.limit.strict:
+            if calls.in_flight(False) < self.capacity(calls):
+                return CallPermit(False, None)
+        else:
+            if calls.in_flight(False) < self.floor:
+                return CallPermit(False, None)
+            time_left_us = self.leased_time_left_us()
+            if time_left_us > self.slack_us and calls.in_flight(True) < self.amount:
+                return CallPermit(True, time_left_us)
+        self.refusals += 1
+        return None
+
+    def usage(self, calls: CallsInFlight, waiting: int, waiting_with_priority: int = 0) -> Usage | None:
+        """What to publish where it changed; `waiting`: runs that await a call."""
+        if not self.limit.strict:
+            in_use = calls.in_flight(False)
+            return self._if_changed(Usage(in_use, max(in_use, waiting), waiting_with_priority))
+        demand = max(0, waiting - self.floor)
+        priority_demand = max(0, waiting_with_priority - self.floor)
+        return self._if_changed(Usage(calls.in_flight(True), demand, priority_demand))
+
+
+class ProbeLimiter(CallConcurrencyLimiter):
+    """This node's part of the few probe calls of the whole fleet while the store is held to be down.
+
+    Wanted by who called it lately, so that the parts are there when they are needed.
+    """
+
+    def __init__(self, limit: Limit, slack_us: int, processes: int = 1) -> None:
+        super().__init__(limit, slack_us, processes)
+        self.probing = False
+        self._called_at: int | None = None
+
+    def usage(self, calls: CallsInFlight, waiting: int, waiting_with_priority: int = 0) -> Usage | None:
+        """What to publish where it changed."""
+        in_flight = calls.in_flight(False) + calls.in_flight(True)
+        if waiting or in_flight:
+            self._called_at = self.now_us
+        called_lately = self._called_at is not None and self.now_us - self._called_at < PROBE_DEMAND_PERIOD_US
+        return self._if_changed(Usage(in_flight if self.probing else 0, int(called_lately), 0))
+
+
+class RateLimiter(Limiter):
+    """So many a second, and at once no more than this node's part of the burst: a token bucket.
+
+    Each of `processes` has one of the burst, the rest goes with the parts of the rate. A part that grows
+    begins empty. So all nodes together never take more than the burst and what the rate gives, in any time.
+    """
+
+    def __init__(self, limit: Limit, slack_us: int, processes: int = 1) -> None:
+        super().__init__(limit, slack_us, processes)
+        self.tokens = 0.0
+        self.demand_per_second = 0.0  # lately
+        self._filled_at: int | None = None
+        self._requests = 0  # since the last look
+        self._looked_at: int | None = None
+
+    def set_allowance(self, floor: int | None, amount: int, until: int) -> None:
+        """What the node may use from now on; a floor of None: the limit is removed."""
+        if not self.removed:
+            self.fill()  # at the old rate until now
+        super().set_allowance(floor, amount, until)
+
+    def per_second(self) -> int:
+        """The rate that is allowed now."""
+        return self.floor + (self.amount if self.now_us < self.until else 0)
+
+    def fill(self) -> None:
+        """Adds what came since the last time: the allowance may have ended meanwhile."""
+        if self._filled_at is None:
+            self._filled_at = self.now_us
+        allowed = max(0, min(self.now_us, self.until) - self._filled_at) * self.amount
+        gained = ((self.now_us - self._filled_at) * self.floor + allowed) / SECOND
+        self.tokens = min(self.capacity(), self.tokens + max(0.0, gained))
+        self._filled_at = self.now_us
+
+    def capacity(self) -> float:
+        """Tokens that the bucket holds at most."""
+        return 1 + max(0, self.limit.burst - self.processes) * self.per_second() / self.limit.amount
+
+    def availability(self) -> Availability | None:
+        """What may be taken now; None where the limit is removed."""
+        if self.removed:
+            return None
+        self.fill()
+        return Availability(int(self.tokens), int(self.capacity()))
+
+    def record_demand(self) -> None:
+        """One more is wanted, whatever comes of it."""
+        self._requests += 1
+
+    def try_acquire(self, rpc: Rpc | None = None) -> bool:
+        """Whether one more was taken."""
+        if self.removed:
+            return True
+        self.fill()
+        if self.tokens < 1:
+            self.refusals += 1
+            return False
+        self.tokens -= 1
+        return True
+
+    def retry_after_us(self) -> int:
+        """Until there is one more, as things are."""
+        rate = self.per_second()
+        return int((1 - min(1.0, self.tokens)) / rate * SECOND) if rate else SECOND
+
+    def usage(self, calls: CallsInFlight, waiting: int, waiting_with_priority: int = 0) -> Usage | None:
+        """What to publish where it changed: calls that wait are to be worked off within a second."""
+        backlog = 0
+        if self.limit.counts == "calls":
+            backlog = max(0, waiting - calls.in_flight(False) - calls.in_flight(True))
+        if self._looked_at is None:
+            self._looked_at = self.now_us
+        elapsed_us = self.now_us - self._looked_at
+        if elapsed_us >= DEMAND_PERIOD_US:
+            self.demand_per_second = (self.demand_per_second + self._requests * SECOND / elapsed_us) / 2
+            self._requests = 0
+            self._looked_at = self.now_us
+        demand = 0
+        if self.demand_per_second + backlog > 0.5:
+            demand = ceil(DEMAND_HEADROOM * self.demand_per_second) + backlog
+        floor = self.floor if self.limit.strict else 0
+        return self._if_changed(Usage(0, max(0, demand - floor), 0))
+
+
+class RpcConcurrencyLimiter(Limiter):
+    """RPCs in flight, from their admission until they are completed.
+
+    A loose limit alone: an RPC can't be ended with an allowance.
+    """
+
+    def __init__(self, limit: Limit, slack_us: int, processes: int = 1) -> None:
+        super().__init__(limit, slack_us, processes)
+        self.count = 0
+        self._requests = 0  # since the last look
+        self._requests_before = 0  # between the two last looks
+        self._looked_at = 0
+
+    def capacity(self) -> int:
+        """RPCs that may be in flight now."""
+        return self.floor + (self.amount if self.now_us < self.until else 0)
+
+    def availability(self) -> Availability | None:
+        """What may be admitted now; None where the limit is removed."""
+        if self.removed:
+            return None
+        return Availability(self.capacity() - self.count, self.capacity())
+
+    def record_demand(self) -> None:
+        """One more is wanted, whatever comes of it."""
+        self._requests += 1
+
+    def try_acquire(self, rpc: Rpc) -> bool:
+        """Counts an admitted RPC until it is completed: the decision module was told the capacity before."""
+        self.count += 1
+        rpc.counted_by = (*(rpc.counted_by or ()), self)
+        return True
+
+    def retry_after_us(self) -> int:
+        """No advice: nobody knows when one is completed."""
+        return 0
+
+    def usage(self, calls: CallsInFlight, waiting: int, waiting_with_priority: int = 0) -> Usage | None:
+        """What to publish where it changed: those that were rejected in the last period are wanted too."""
+        if self.now_us - self._looked_at >= DEMAND_PERIOD_US:
+            self._requests_before = self._requests
+            self._requests = 0
+            self._looked_at = self.now_us
+        demand = max(self.count, self._requests_before, self._requests)
+        return self._if_changed(Usage(self.count, demand, 0))
--- /dev/null
+++ b/finchcart/thrift/frontend.py
@@ -0,0 +1,244 @@
+"""The frontend that dispatchers speak to: their messages as RPCs of the core, and final answers as replies.
+
+Owns what a message means and the words of each answer; connections: connection_table.py, connection_closer.py
+and connection_limiter.py. It must never answer an RPC by itself once the core accepted it. Contract:
+node/frontend.py.
+"""
+
+from collections.abc import Mapping
+
+from finchcart.errors import InvalidRpcError
+from finchcart.net.limits import Limits
+from finchcart.node.effects import Read
+from finchcart.node.frontend import FrontendHost
+from finchcart.node.rpc import FinalOutcome, Rpc
+from finchcart.thrift import codec
+from finchcart.thrift.connection_closer import ConnectionCloser
+from finchcart.thrift.connection_limiter import ConnectionLimiter
+from finchcart.thrift.connection_table import Connection, ConnectionTable
+from finchcart.thrift.fields import read_rpc
+from finchcart.thrift.messages import (
+    DispatcherMessage,
+    HeartbeatCall,
+    RevokeNotice,
+    SubmitCall,
+    UnservedCall,
+)
+
+PARTY = "dispatchers"  # in log lines
+US_PER_MS = 1000
+
+
+class ThriftFrontend:
+    """A `Frontend`. Bounds: see `ConnectionTable`."""
+
+    def __init__(self, core: FrontendHost, limits: Limits) -> None:
+        self.core = core
+        self.turn = core.turn
+        self.limits = limits
+        self.healthy = True
+        self.table = ConnectionTable(core, limits)
+        self.closer = ConnectionCloser(core, limits, self.table)
+        self.limiter = ConnectionLimiter(core, limits, self.table, self.closer)
+        self._handlers = {
+            SubmitCall: self._on_submit,
+            RevokeNotice: self._on_revoke,
+            HeartbeatCall: self._on_heartbeat,
+            UnservedCall: self._on_unserved,
+        }
+
+    # ---- Connections: see ConnectionOwner and Frontend
+
+    def connection_opened(self, number: int) -> None:
+        """A dispatcher connected: others may have to make room for it."""
+        connection = self.table.add(number)
+        self.limiter.connection_added()
+        if connection.ended:
+            return
+        self.turn.emit(Read(number))
+        self.closer.watch_unused(connection)
+
+    def message_received(self, number: int, message: DispatcherMessage) -> None:
+        """One message; those after one that can't be read are passed over."""
+        connection = self.table.usable(number)
+        if connection is None:
+            return
+        kind = type(message)
+        if kind is not RevokeNotice:
+            connection.calls += 1
+        connection.last_message_at = self.turn.now
+        connection.close_attempts = 0
+        self._handlers[kind](connection, *message)
+        if connection.idle_since is None and not (connection.open_rpcs or connection.health_checked):
+            connection.idle_since = self.turn.now
+            self.closer.check_idle(connection)
+
+    def batch_completed(self, number: int) -> None:
+        """Requests the next reads."""
+        connection = self.table.usable(number)
+        if connection:
+            self.table.request_more_reads(connection)
+
+    def write_blocked(self, number: int) -> None:
+        """The dispatcher does not read what is sent."""
+        self.table.write_blocked(number)
+
+    def write_resumed(self, number: int) -> None:
+        """All is written."""
+        self.table.write_resumed(number)
+
+    def connection_ended(self, number: int, reason: str) -> None:
+        """Nothing more will be read; `reason` is empty where the dispatcher closed."""
+        connection = self.table.usable(number)
+        if connection is None:
+            return  # one that sent what can't be read may end after that, and is owed its answers still
+        if reason:
+            # Not readable: what was read before is answered, then this connection alone is closed.
+            owed = len(connection.open_rpcs)
+            self.turn.log_fault(PARTY, f"connection {number}: {reason}; closed once {owed} answers are out")
+            connection.unreadable = True
+            self.core.record_invalid_traffic(number)
+            self.table.end_unreadable(connection)
+        else:
+            if not (connection.calls or connection.closing_announced):
+                self.core.record_invalid_traffic(number)
+            self._abandon_all(connection)
+            self.table.end(connection)
+
+    def connection_refused(self, number: int, reason: str) -> None:
+        """Nothing: dispatchers connect, so that no connection of this frontend is its own."""
+
+    def close_due(self, number: int) -> None:
+        """See `ConnectionCloser`."""
+        self.closer.close_due(number)
+
+    def close_attempted(self, number: int, closed: bool) -> None:
+        """See `ConnectionCloser`."""
+        self.closer.close_attempted(number, closed)
+
+    def connection_closed(self, number: int) -> None:
+        """The connection is gone, and the callers on it."""
+        connection = self.table.remove(number)
+        if connection:
+            self._abandon_all(connection)
+
+    def _abandon_all(self, connection: Connection) -> None:
+        connection.ended = True
+        while connection.open_rpcs:
+            self._abandon(connection, next(iter(connection.open_rpcs)))
+
+    def _abandon(self, connection: Connection, sequence: int) -> None:
+        rpc = connection.open_rpcs.pop(sequence)
+        self._rpc_closed(connection)
+        self.core.abandon(rpc)
+
+    def _rpc_closed(self, connection: Connection) -> None:
+        """An RPC of the connection is open no more."""
+        if not connection.open_rpcs:
+            connection.idle_since = self.turn.now
+            self.closer.check_idle(connection)
+        self.table.end_unreadable(connection)
+
+    # ---- Messages
+
+    def _on_unserved(self, connection: Connection, sequence: int | None, name: str) -> None:
+        if sequence is not None:
+            text = f"method {name!r}: not served here"
+            self.table.send(
+                connection, codec.application_exception(sequence, name, codec.UNKNOWN_METHOD, text)
+            )
+
+    def _on_heartbeat(self, connection: Connection, sequence: int) -> None:
+        if not connection.health_checked:
+            connection.health_checked = True
+            self.closer.check_health_checker(connection)
+        self.table.send(connection, codec.health_reply(sequence, self.healthy, self._feedback_fields()))
+
+    def _on_revoke(self, connection: Connection, sequence: int) -> None:
+        if sequence in connection.open_rpcs:
+            self._abandon(connection, sequence)
+
+    def _on_submit(
+        self,
+        connection: Connection,
+        sequence: int,
+        fields: Mapping[str, str] | None,
+        body: bytes | None,
+    ) -> None:
+        if sequence in connection.open_rpcs:
+            text = f"connection {connection.number}: sequence number {sequence} is in use; closed"
+            self.turn.log_fault(PARTY, text)
+            connection.unreadable = True
+            return
+        try:
+            self._accept(connection, sequence, fields, body)
+        except InvalidRpcError as error:
+            connection.open_rpcs.pop(sequence, None)
+            self.core.record_invalid_traffic(connection.number)
+            self.table.send(
+                connection,
+                codec.application_exception(sequence, "submit", codec.PROTOCOL_ERROR, str(error)),
+            )
+
+    def _accept(
+        self,
+        connection: Connection,
+        sequence: int,
+        fields: Mapping[str, str] | None,
+        body: bytes | None,
+    ) -> None:
+        core = self.core
+        read = read_rpc(fields, body, self.turn.now, self.limits, core.methods, connection.number)
+        if len(connection.open_rpcs) >= self.limits.open_rpcs or not core.ready:
+            # Past what the protocol allows, or before the worker pool is there: it never ran.
+            self.table.send(connection, codec.rejected_reply(sequence, self._feedback_fields()))
+            return
+        rpc = Rpc(self, (connection, sequence), read.name, read.method, body)
+        connection.open_rpcs[sequence] = rpc
+        connection.idle_since = None
+        core.accept(rpc, read.attributes)
+
+    # ---- Answers
+
+    def send_final_answer(
+        self, rpc: Rpc, outcome: FinalOutcome, result: bytes, retry_after_us: int, do_not_retry: bool
+    ) -> None:
+        """The one final answer of an RPC, see `Frontend`."""
+        connection, sequence = rpc.reference
+        fields = self._feedback_fields()
+        if outcome is FinalOutcome.OK:
+            data = codec.ok_reply(sequence, result, fields)
+        elif outcome is FinalOutcome.REJECTED:
+            if retry_after_us:
+                fields["w"] = str(max(1, retry_after_us // US_PER_MS))
+            if do_not_retry:
+                fields["l"] = "1"
+            data = codec.rejected_reply(sequence, fields)
+        else:
+            data = codec.failed_reply(sequence, fields)
+        del connection.open_rpcs[sequence]
+        self.table.send(connection, data)
+        self._rpc_closed(connection)
+
+    def _feedback_fields(self) -> dict[str, str]:
+        """The fields that ride on all answers."""
+        level = self.core.shed_level
+        return {} if level is None else {"v": f"{level:.4f}"}
+
+    # ---- What the core tells: see Frontend
+
+    def set_idle_timeout(self, timeout_us: int) -> None:
+        """Connections that are idle for so long are closed."""
+        self.closer.set_idle_timeout(timeout_us)
+
+    def set_health(self, healthy: bool) -> None:
+        """How health checks are answered from now on."""
+        self.healthy = healthy
+
+    def drain(self, kill_at: int) -> None:
+        """Connections close as they idle: the decision module sets that limit to its least."""
+        self.closer.kill_at = kill_at
+
+    def is_idle(self) -> bool:
+        """Whether no dispatcher is connected."""
+        return not self.table.connections
