--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -1,142 +1,84 @@
-"""The command line: `finchcart serve | check | fleet | trial`.
+"""The command line: `finchcart serve | check | plan | fleet | trial`.
 
 Owns arguments and what is printed. It must never be imported by `python -m finchcart` without arguments.
+Modules that not every command needs are imported by the commands that do.
 """
 
 import sys
+from collections.abc import Callable
+from typing import Any
 
 import click
 import msgspec
 
-SETTINGS = click.option("--settings", envvar="FINCHCART_SETTINGS", type=click.Path(), help="the JSON5 file")
+SECONDS_BY_UNIT = {"s": 1, "m": 60, "h": 3600}
+MAX_OVERRIDE_SECONDS = 604_800
+MAX_REASON_LENGTH = 60
+NAMED_SUBJECTS = ("source", "node")  # kinds of which there are many
+
+settings_option = click.option(
+    "--settings", envvar="FINCHCART_SETTINGS", type=click.Path(), help="the JSON5 file"
+)
+log_option = click.option("--log", type=click.Choice(["text", "json"]), default="text", show_default=True)
+json_option = click.option("--json", "as_json", is_flag=True)
+at_option = click.option("--at", help="HOST:PORT of a node; else fleet.listen of the settings file")
+kind_argument = click.argument("kind", type=click.Choice(["source", "store", "node", "level"]))
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
-def commands():
+def commands() -> None:
     """One node of a fleet, and tools for the whole of it."""
 
 
 @commands.command()
-@SETTINGS
-@click.option("--log", type=click.Choice(["text", "json"]), default="text", show_default=True)
-def serve(settings, log):
+@settings_option
+@log_option
+def serve(settings: str | None, log: str) -> None:
     """Serve as one node; its configuration is named by ROUTER_CONFIG."""
-    import os
+    from finchcart.cli.fleet_node import serve as serve_node
+    from finchcart.node_process import exit_process
 
-    from finchcart.cli.fleet_node import serve as run
-
-    status = run(settings, log)
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(status)  # threads that still wait on a socket are not waited for
+    exit_process(serve_node(settings, log))
 
 
 @commands.command()
-@SETTINGS
-def check(settings):
+@settings_option
+def check(settings: str | None) -> None:
     """Read a settings file; tell all its mistakes, or the bounds that follow from it."""
-    from finchcart.cli.settings_file import (
-        consensus_config,
-        key_lease_config,
-        load_settings,
-        membership_config,
-        quota_config,
-    )
+    from finchcart.cli.check_report import report
+    from finchcart.cli.settings_file import load_settings
     from finchcart.errors import SettingsError
 
     if not settings:
         raise click.UsageError("--settings or FINCHCART_SETTINGS has to name a file")
     try:
-        whole = load_settings(settings)
-    except SettingsError as wrong:
-        click.echo(str(wrong), err=True)
+        checked = load_settings(settings)
+    except SettingsError as error:
+        click.echo(str(error), err=True)
         sys.exit(2)
-    fleet = whole.fleet
-    if fleet is msgspec.UNSET:
-        click.echo(f"{settings}: good; no fleet is asked for")
-        return
-    told, shared = membership_config(fleet), quota_config(whole)
-    click.echo(f"{settings}: good; fleet {fleet.name}")
-    for count in (3, 24, 200):
-        calm, lossy = (told.staleness_bound(count, loss) / 1e6 for loss in (0.0, 0.3))
-        click.echo(f"  {count} members: a view is at most {calm:.1f} s old, {lossy:.1f} s at 30 % loss")
-    for limit in shared.loose if shared else ():
-        unit = "in hand" if limit.per == "in_hand" else f"a second, {limit.burst} at once"
-        over, more = (shared.loose_overshoot_bound(limit, 24, joined) for joined in (0, 4))
-        click.echo(f"  limit {limit.name}, loose: {limit.amount} {unit}; however the fleet is cut, over by")
-        click.echo(f"    at most {over} at 24 members, {more} with 4 that join meanwhile")
-    for limit in shared.strict if shared else ():
-        if limit.per == "rate":
-            click.echo(
-                f"  limit {limit.name}: at most {shared.window_bound(limit, 1_000_000)} in any second, "
-                f"{shared.window_bound(limit, 10_000_000)} in ten"
-            )
-            continue
-        click.echo(
-            f"  limit {limit.name}: {limit.amount} in hand, {limit.floor} each node's own, "
-            f"{limit.shareable(shared.most)} shared among at most {shared.most};"
-        )
-        click.echo(
-            f"    over by one call for each process stopped at the write, for "
-            f"{shared.overshoot_duration_bound() / 1e6:.1f} s at most; without planners at the floor"
-        )
-        click.echo(
-            f"    within {shared.fallback_bound() / 1e6:.1f} s, shared again within "
-            f"{shared.recovery_bound() / 1e6:.1f} s of their return"
-        )
-
-    claimed = key_lease_config(whole)
-    if claimed:
-        click.echo(
-            f"  claims: two runs of one key are commanded at least {claimed.run_spacing_bound() / 1e6:.1f} s "
-            "apart, whoever fails;"
-        )
-        click.echo(
-            f"    a keeper that starts is silent for {claimed.startup_quiet_period / 1e6:.1f} s; it holds "
-            f"{claimed.state_bytes_bound() / 2**20:.0f} MB at most"
-        )
-    held = consensus_config(whole)
-    if held:
-        from finchcart.consensus.config import config_warnings
-        from finchcart.consensus.decision import fault_thresholds
-
-        for count in (3, 24, 200):
-            calm, lossy = (held.acts_within(told, count, loss) / 1e6 for loss in (0.0, 0.3))
-            liars = fault_thresholds(held, count)
-            click.echo(
-                f"  verdicts at {count} members: all act {calm:.1f} s after enough have the evidence, "
-                f"{lossy:.1f} s at 30 % loss;"
-            )
-            click.echo(
-                f"    {liars.store} that are wrong or lie move store, {liars.source} a source, "
-                f"{liars.level} level"
-            )
-        click.echo(
-            f"  verdicts: an opinion is at most {held.staleness_bound() / 1e6:.1f} s old, then it is void"
-        )
-        for name, reason in config_warnings(held):
-            click.echo(f"  warning: verdicts.{name}: {reason}")
+    for line in report(settings, checked):
+        click.echo(line)
 
 
 @commands.command()
-@SETTINGS
+@settings_option
 @click.option("--place", required=True, help="its address as quota.planners names it")
 @click.option("--listen", help="where it listens, if elsewhere")
-@click.option("--log", type=click.Choice(["text", "json"]), default="text", show_default=True)
-def plan(settings, place, listen, log):
+@log_option
+def plan(settings: str | None, place: str, listen: str | None, log: str) -> None:
     """Be one of the planners that share the fleet's limits out."""
-    from finchcart.cli.planner_process import plan as run
+    from finchcart.cli.planner_process import plan as run_planner
 
-    sys.exit(run(settings, place, listen, log))
+    sys.exit(run_planner(settings, place, listen, log))
 
 
 @commands.group()
-def fleet():
+def fleet() -> None:
     """Ask a running process what it holds of the fleet."""
 
 
-def answer(query, where, as_json):
-    """What the process at HOST:PORT answers to `query`; with `as_json` it is printed, and that is all."""
+def _query(query: Callable[[tuple[str, int]], dict[str, Any]], where: str, as_json: bool) -> dict[str, Any]:
+    """Return what the process at HOST:PORT answers; with `as_json` it is printed, and that is all."""
     from finchcart.membership.codec import DatagramError, parse_address
 
     try:
@@ -152,60 +94,60 @@
     return view
 
 
+def _print_fields(fields: dict[str, Any], indent: str = "", without: tuple[str, ...] = ()) -> None:
+    """Print names and values on one line."""
+    shown = (f"{name} {value}" for name, value in fields.items() if name not in without)
+    click.echo(indent + ", ".join(shown))
+
+
 @fleet.command()
 @click.argument("where")
-@click.option("--json", "as_json", is_flag=True)
-def members(where, as_json):
+@json_option
+def members(where: str, as_json: bool) -> None:
     """The members as the process at HOST:PORT (its `fleet.listen`) sees them."""
     from finchcart.cli.queries import query_members
 
-    view = answer(query_members, where, as_json)
+    view = _query(query_members, where, as_json)
     alone = ", isolated" if view["isolated"] else ""
     click.echo(f"{view['name']}, incarnation {view['incarnation']}{alone}; at most {view['age_ms']} ms old")
-    wide = max(len(member["name"]) for member in view["members"])
+    width = max(len(member["name"]) for member in view["members"])
     for member in view["members"]:
         click.echo(
-            f"  {member['name']:{wide}}  {member['state']:8} {member['age_ms']:>7} ms  "
+            f"  {member['name']:{width}}  {member['state']:8} {member['age_ms']:>7} ms  "
             f"{member['address']:21} {member['incarnation']}"
         )
 
 
 @fleet.command()
 @click.argument("where")
-@click.option("--json", "as_json", is_flag=True)
-def limits(where, as_json):
+@json_option
+def limits(where: str, as_json: bool) -> None:
     """The limits as the node (its `fleet.listen`) or planner at HOST:PORT holds them."""
     from finchcart.cli.queries import query_limits
 
-    view = answer(query_limits, where, as_json)
-    told = {name: value for name, value in view.items() if name not in ("limits", "counts")}
-    click.echo(", ".join(f"{name} {value}" for name, value in told.items()))
+    view = _query(query_limits, where, as_json)
+    _print_fields(view, without=("limits", "counts"))
     for limit in view["limits"]:
-        click.echo("  " + ", ".join(f"{name} {value}" for name, value in limit.items()))
+        _print_fields(limit, indent="  ")
 
 
 @fleet.command()
 @click.argument("where")
-@click.option("--json", "as_json", is_flag=True)
-def verdicts(where, as_json):
+@json_option
+def verdicts(where: str, as_json: bool) -> None:
     """What the node at HOST:PORT (its `fleet.listen`) takes the fleet to hold, and how old that can be."""
     from finchcart.cli.queries import query_consensus
 
-    view = answer(query_consensus, where, as_json)
-    click.echo(
-        ", ".join(
-            f"{name} {value}" for name, value in view.items() if name not in ("verdicts", "counts", "pages")
-        )
-    )
-    for row in view["verdicts"]:
-        click.echo("  " + ", ".join(f"{name} {value}" for name, value in row.items()))
-
+    view = _query(query_consensus, where, as_json)
+    _print_fields(view, without=("verdicts", "counts", "pages"))
+    for decision in view["verdicts"]:
+        _print_fields(decision, indent="  ")
 
-AT = click.option("--at", help="HOST:PORT of a node; else fleet.listen of the settings file")
 
-
-def word(settings, at, kind, name, value, seconds, why):
-    """Tells an operator's word to one node, which tells all."""
+def _send_override(
+    settings: str | None, at: str | None, kind: str, name: str, value: str, seconds: int, why: str
+) -> None:
+    """Tell an operator's override to one node, which tells all; without a value it is taken back."""
     from finchcart.cli.queries import send_override
     from finchcart.cli.settings_file import load_settings
     from finchcart.consensus import subjects
@@ -214,68 +156,64 @@
 
     try:
         subject = subjects.parse_subject(kind, name)
-        told = subjects.parse_value(kind, value) if value else 0
+        number = subjects.parse_value(kind, value) if value else 0
         if not at:
             if not settings:
                 raise click.UsageError("--at, or --settings or FINCHCART_SETTINGS, has to tell which node")
             at = load_settings(settings).fleet.listen
-        view = send_override(parse_address(at), subject, told, seconds, why)
-    except (ValueError, DatagramError, AttributeError) as error:
-        raise click.UsageError(str(error)) from None
+        view = send_override(parse_address(at), subject, number, seconds, why)
     except (SettingsError, TimeoutError) as error:
         click.echo(str(error), err=True)
         sys.exit(1)
+    except (ValueError, DatagramError, AttributeError) as error:
+        raise click.UsageError(str(error)) from None
     if not view["taken"]:
         click.echo(f"not taken: {view['why']}", err=True)
         sys.exit(1)
     click.echo(f"taken by {at}; all connected nodes act within {view['acts_within_ms']} ms")
 
 
-def seconds_of(text):
-    """Of "90s", "10m", "2h"."""
-    units = {"s": 1, "m": 60, "h": 3600}
-    seconds = int(text[:-1]) * units.get(text[-1], 0) if text[:-1].isdecimal() else 0
-    if not 0 < seconds <= 604_800:
+def _parse_seconds(text: str) -> int:
+    """Return the seconds of "90s", "10m" or "2h"."""
+    seconds = int(text[:-1]) * SECONDS_BY_UNIT.get(text[-1], 0) if text[:-1].isdecimal() else 0
+    if not 0 < seconds <= MAX_OVERRIDE_SECONDS:
         raise click.UsageError(f"--for {text!r}: a whole number with s, m or h, a week at most")
     return seconds
 
 
-KINDS = click.Choice(["source", "store", "node", "level"])
-
-
 @fleet.command()
-@click.argument("kind", type=KINDS)
+@kind_argument
 @click.argument("words", nargs=-1, required=True)
 @click.option("--for", "span", default="10m", show_default=True, help="90s, 10m, 2h")
 @click.option("--why", default="", help="60 characters at most")
-@AT
-@SETTINGS
-def say(kind, words, span, why, at, settings):
+@at_option
+@settings_option
+def say(kind: str, words: tuple[str, ...], span: str, why: str, at: str | None, settings: str | None) -> None:
     """An operator's word for a time, over all opinions: source 10.0.0.7 out | slowed | in, node NAME out |
     in, store down | slow | working, level 0.25."""
     *name, value = words
-    if len(name) != (kind in ("source", "node")) or len(why) > 60:
+    if len(name) != (kind in NAMED_SUBJECTS) or len(why) > MAX_REASON_LENGTH:
         raise click.UsageError("source and node take a name and a value, store and level a value")
-    word(settings, at, kind, name[0] if name else "", value, seconds_of(span), why)
+    _send_override(settings, at, kind, name[0] if name else "", value, _parse_seconds(span), why)
 
 
 @fleet.command()
-@click.argument("kind", type=KINDS)
+@kind_argument
 @click.argument("name", default="")
-@AT
-@SETTINGS
-def unsay(kind, name, at, settings):
+@at_option
+@settings_option
+def unsay(kind: str, name: str, at: str | None, settings: str | None) -> None:
     """Takes an operator's word back."""
-    word(settings, at, kind, name, "", 0, "")
+    _send_override(settings, at, kind, name, "", 0, "")
 
 
 @commands.group()
-def trial():
+def trial() -> None:
     """Many processes with faults between them."""
 
 
 @trial.command("list")
-def list_scripts():
+def list_scripts() -> None:
     """The scripts that come with the program."""
     from finchcart.fault_injection.script import shipped
 
@@ -305,7 +243,17 @@
     show_default=True,
     help="oracle: every node is told of the store at once",
 )
-def run(script, seed, nodes, out, virtual, apart, share, times, verdicts):
+def run(
+    script: str,
+    seed: int,
+    nodes: int | None,
+    out: str | None,
+    virtual: bool,
+    apart: bool,
+    share: str,
+    times: int | None,
+    verdicts: str,
+) -> None:
     """Play a script: a table, a chart, and status 1 with the first breach."""
     import signal
 
@@ -320,12 +268,12 @@
 @click.option("--first", default=0, show_default=True)
 @click.option("--count", default=100, show_default=True)
 @click.option("--jobs", default=4, show_default=True, help="processes")
-def seeds(first, count, jobs):
+def seeds(first: int, count: int, jobs: int) -> None:
     """Seeded runs of 12 members with all kinds of faults on the virtual clock."""
     from finchcart.fault_injection.seeds import many
 
     broken = 0
-    for seed, _, breach in many(first, count, jobs):
+    for _, _, breach in many(first, count, jobs):
         if breach:
             broken += 1
             click.echo(breach)
--- a/finchcart/cli/fleet_node.py
+++ b/finchcart/cli/fleet_node.py
@@ -1,221 +1,264 @@
-"""One node that takes part in a fleet: joins finchcart/__main__.py with the members' thread.
+"""One node that takes part in a fleet: joins finchcart/node_process.py with the fleet's thread.
 
-Owns the start of what a settings file asks for, and how a file read again is taken: whole or not at all. It
-must never be imported where no settings file is named.
+Owns the start of what a settings file asks for, and how a file that is read again is taken: whole or not at
+all. It must never be imported where no settings file is named.
 """
 
-import json
-import os
 import random
 import time
+from collections.abc import Callable
 from dataclasses import replace
+from queue import SimpleQueue
 
 from loguru import logger
 from msgspec import UNSET
 
-from finchcart.__main__ import main, plain_log
-from finchcart.cli.log_output import json_log
-from finchcart.cli.settings_file import (
+from finchcart.cli.log_output import LOG_FORMATS
+from finchcart.cli.settings_file import load_settings
+from finchcart.cli.settings_schema import (
+    Settings,
     consensus_config,
     key_lease_config,
-    load_settings,
     membership_config,
     quota_config,
 )
-from finchcart.consensus import messages as sayings
+from finchcart.consensus import messages as consensus_messages
 from finchcart.consensus.store import ConsensusStore
-from finchcart.errors import ConfigError, SettingsError
-from finchcart.key_leases import messages as claiming
+from finchcart.errors import SettingsError
+from finchcart.fleet_participant import FleetParticipant, Reduce
+from finchcart.key_leases import messages as key_lease_messages
 from finchcart.key_leases.client import KeyLeaseClient
-from finchcart.membership import messages as base
+from finchcart.membership import messages as membership_messages
 from finchcart.membership.codec import parse_address
+from finchcart.membership.effects import InputKind
 from finchcart.membership.member import Member
 from finchcart.net.clock import boot_clock
-from finchcart.net.datagrams import DatagramEndpoint
+from finchcart.net.datagrams import DatagramEndpoint, MachineInput, StateMachine
+from finchcart.node.core import Core
+from finchcart.node.effect_buffer import EffectBuffer
+from finchcart.node.effects import Effect, KeyLeaseAction
 from finchcart.node.fleet_inputs import fleet_input, key_lease_client_input
-from finchcart.node.inputs import Drain, ReloadConfig
+from finchcart.node.inputs import Drain, Input, ReloadConfig
 from finchcart.node.key_leases import KeyLeaseGate
 from finchcart.node.limiter_set import LimiterSet
 from finchcart.node.observer import NodeObserver
-from finchcart.quota import messages as shares
+from finchcart.node_process import run_node
+from finchcart.quota import messages as quota_messages
+from finchcart.quota.effects import QuotaInput
 from finchcart.quota.lease_holder import LeaseHolder
 from finchcart.quota.limits import Limit, QuotaConfig
 from finchcart.quota.local_limits import LocalLimits
 
-TRIAL = "store, trial calls"  # the limit by which the fleet shares the calls to a store that is down
-FIXED = "name", "listen", "advertise", "seeds"  # for as long as the process lives
-
-
-def shared(settings):
-    """The limits, and with verdicts the one on trial calls; None where there are neither."""
-    asked, held = quota_config(settings), consensus_config(settings)
-    if not held:
-        return asked
-    trial = Limit(TRIAL, held.probe_calls, counts="trial", mode="loose")
-    asked = asked or QuotaConfig()
-    return replace(asked, limits=(*asked.limits, trial))
-
-
-class Fleet:
-    """The members' part of a node. `name`: of the node, which is its name in the fleet."""
-
-    def __init__(self, inputs, path, settings, name):
-        self.path, self.settings = path, settings
-        asked = settings.fleet
-        advertise = asked.listen if asked.advertise is UNSET else asked.advertise
-        wall = time.time_ns() // 1_000_000
-        seed = random.SystemRandom().getrandbits(64)
-        self.shares = shared(settings)
-        self.datagrams = DatagramEndpoint(
-            parse_address(asked.listen),
-            lambda now: self.machines(now, name, advertise, random.Random(seed), wall),
+PROBE_LIMIT = "store, trial calls"  # the limit by which the fleet shares the calls to a store that is down
+FIXED_FIELDS = ("name", "listen", "advertise", "seeds")  # for as long as the process lives
+NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+
+def serve(path: str | None, log_format: str) -> int:
+    """Serve as a node, in a fleet where the settings file configures one; return the status of the process.
+
+    Arguments:
+        path: of the settings file, or None.
+        log_format: one of `LOG_FORMATS`.
+    """
+
+    def join_fleet(inputs: SimpleQueue[Input], name: str) -> FleetParticipant | None:
+        settings = load_settings(path)
+        return None if settings.fleet is UNSET else FleetNode(inputs, path, settings, name)
+
+    return run_node(LOG_FORMATS[log_format], join_fleet if path else None)
+
+
+def limits_with_probes(settings: Settings) -> QuotaConfig | None:
+    """Return the limits, with consensus the one on probe calls among them; None where there are neither."""
+    quota = quota_config(settings)
+    consensus = consensus_config(settings)
+    if not consensus:
+        return quota
+    probe_limit = Limit(PROBE_LIMIT, consensus.probe_calls, counts="trial", mode="loose")
+    quota = quota or QuotaConfig()
+    return replace(quota, limits=(*quota.limits, probe_limit))
+
+
+class FleetNode:
+    """The `FleetParticipant` of a node. `name`: of the node, which is its name in the fleet as well."""
+
+    def __init__(self, inputs: SimpleQueue[Input], path: str, settings: Settings, name: str) -> None:
+        self._path = path
+        self._settings = settings
+        self._name = name
+        self._quota = limits_with_probes(settings)
+        self._wall_ms = time.time_ns() // NANOSECONDS_PER_MILLISECOND
+        self._random = random.Random(random.SystemRandom().getrandbits(64))
+        self._datagrams = DatagramEndpoint(
+            parse_address(settings.fleet.listen),
+            self._make_machines,
             lambda change: inputs.put(fleet_input(change)),
-            self.reread,
+            self._reload,
         )
 
-    def machines(self, now, name, advertise, chance, wall):
-        """By channel: the member, and the holder where limits are shared."""
-        asked = self.settings.fleet
-        out = {
-            base.CHANNEL: Member(
-                name, asked.name, advertise, asked.seeds, membership_config(asked), chance, wall, now
+    def _make_machines(self, now: int) -> dict[bytes, StateMachine]:
+        """By channel: the member, and the state machines of what else is configured."""
+        fleet = self._settings.fleet
+        member = self._make_member(now)
+        machines: dict[bytes, StateMachine] = {membership_messages.CHANNEL: member}
+        if self._quota:
+            holder = LeaseHolder(self._name, fleet.name, self._quota, self._random, now)
+            local_limits = LocalLimits(self._quota, now)
+            member.piggyback_clients.append(local_limits)
+            holder.local_status = local_limits.status
+            machines[quota_messages.CHANNEL] = holder
+        consensus = consensus_config(self._settings)
+        if consensus:
+            store = ConsensusStore(self._name, fleet.name, consensus, now)
+            member.piggyback_clients.append(store)
+            machines[consensus_messages.CHANNEL] = store
+        key_leases = key_lease_config(self._settings)
+        if key_leases:
+            machines[key_lease_messages.CHANNEL] = KeyLeaseClient(
+                self._name, fleet.name, key_leases, self._random, now
             )
-        }
-        if self.shares:
-            holder = out[shares.CHANNEL] = LeaseHolder(name, asked.name, self.shares, chance, now)
-            loose = LocalLimits(self.shares, now)
-            out[base.CHANNEL].piggyback_clients.append(loose)
-            holder.local_status = loose.status
-        held = consensus_config(self.settings)
-        if held:
-            board = out[sayings.CHANNEL] = ConsensusStore(name, asked.name, held, now)
-            out[base.CHANNEL].piggyback_clients.append(board)
-        claimed = key_lease_config(self.settings)
-        if claimed:
-            out[claiming.CHANNEL] = KeyLeaseClient(name, asked.name, claimed, chance, now)
-        return out
-
-    def meters(self):
-        """Of all limits of the fleet that this node is held to; new ones wait for the next start."""
-        if not self.shares:
+        return machines
+
+    def _make_member(self, now: int) -> Member:
+        fleet = self._settings.fleet
+        return Member(
+            self._name,
+            fleet.name,
+            fleet.listen if fleet.advertise is UNSET else fleet.advertise,
+            fleet.seeds,
+            membership_config(fleet),
+            self._random,
+            self._wall_ms,
+            now,
+        )
+
+    # ---- What holds the core to the fleet's decisions
+
+    def limiters(self) -> LimiterSet | None:
+        """Return the limiters of all limits that this node is held to; new ones wait for the next start."""
+        if not self._quota:
             return None
-        meters = LimiterSet(self.shares.limits, self.shares.slack, self.shares.most)
-        held = consensus_config(self.settings)
-        if held:
-            meters.recovery_step_us, meters.probe_timeout_us = held.recovery_step, held.probe_timeout
-        return meters
-
-    def witness(self):
-        """What sees for the fleet's verdicts, where there are any."""
-        held = consensus_config(self.settings)
-        return held and NodeObserver(held)
-
-    def saw(self, evidence):
-        self.datagrams.post(sayings.CHANNEL, "evidence", evidence)
-
-    def claims(self):
-        """Makes what holds tokened RPCs to claims, where there are any."""
-        claimed = key_lease_config(self.settings)
-        return claimed and (lambda turn: KeyLeaseGate(turn, claimed.life))
-
-    def claim(self, what):
-        self.datagrams.post_now(claiming.CHANNEL, *key_lease_client_input(what))
-
-    def reducer(self, core):
-        """The core's `reduce`, with the boot clock told before each turn."""
-        meters, claimer = core.limiters, core.key_leases
-        if meters is None and claimer is None:
+        limiters = LimiterSet(self._quota.limits, self._quota.slack, self._quota.most)
+        consensus = consensus_config(self._settings)
+        if consensus:
+            limiters.recovery_step_us = consensus.recovery_step
+            limiters.probe_timeout_us = consensus.probe_timeout
+        return limiters
+
+    def observer(self) -> NodeObserver | None:
+        """Return what observes for the fleet's consensus, where there is one."""
+        consensus = consensus_config(self._settings)
+        return NodeObserver(consensus) if consensus else None
+
+    def key_lease_factory(self) -> Callable[[EffectBuffer], KeyLeaseGate] | None:
+        """Return what makes the core's part that gets key leases, where there are any."""
+        key_leases = key_lease_config(self._settings)
+        return (lambda turn: KeyLeaseGate(turn, key_leases.life)) if key_leases else None
+
+    def reducer(self, core: Core) -> Reduce:
+        """Return the core's `reduce`, with the boot clock set before each input."""
+        limiters = core.limiters
+        key_leases = core.key_leases
+        if limiters is None and key_leases is None:
             return core.reduce
 
-        def reduce(now, what):
+        def reduce(now: int, received: Input) -> list[Effect]:
             boot = boot_clock()
-            if meters:
-                meters.set_clock(boot)
-            if claimer:
-                claimer.now_us = boot
-            return core.reduce(now, what)
+            if limiters:
+                limiters.set_clock(boot)
+            if key_leases:
+                key_leases.now_us = boot
+            return core.reduce(now, received)
 
         return reduce
 
-    def use(self, name, *said):
-        if any(limit.name == name for limit in self.shares.strict):
-            self.datagrams.post(shares.CHANNEL, "use", name, *said)
+    # ---- Effects of the core
+
+    def publish_usage(self, limit: str, in_use: int, demand: int, priority_demand: int) -> None:
+        """Tell the holder of strict limits, or the members, what this node uses and wants of a limit."""
+        usage = (QuotaInput.USAGE, limit, in_use, demand, priority_demand)
+        if any(strict.name == limit for strict in self._quota.strict):
+            self._datagrams.post(quota_messages.CHANNEL, *usage)
         else:
-            self.datagrams.post(base.CHANNEL, "rider", "use", name, *said)
-
-    def start(self):
-        self.datagrams.start()
-        asked = self.settings.fleet
-        logger.bind(fleet=asked.name, listen=asked.listen).info("members: {} on {}", asked.name, asked.listen)
-
-    def heard(self, what):
-        """Of a signal, in its handler."""
-        if isinstance(what, Drain):
-            self.datagrams.post(None, "leave")
-        elif isinstance(what, ReloadConfig):
-            self.datagrams.post_reload()  # a handler may not log
-
-    def reread(self):
-        """The settings file once more, as inputs by channel; none where it can't be used."""
+            self._datagrams.post(membership_messages.CHANNEL, InputKind.PIGGYBACK, *usage)
+
+    def publish_evidence(self, evidence: object) -> None:
+        """Hand on what the core observed."""
+        self._datagrams.post(consensus_messages.CHANNEL, InputKind.EVIDENCE, evidence)
+
+    def command_key_lease(self, command: KeyLeaseAction) -> None:
+        """Hand a command to the key lease client, at once."""
+        self._datagrams.post_now(key_lease_messages.CHANNEL, *key_lease_client_input(command))
+
+    # ---- The process
+
+    def start(self) -> None:
+        """Start the fleet's thread."""
+        self._datagrams.start()
+        fleet = self._settings.fleet
+        line = logger.bind(fleet=fleet.name, listen=fleet.listen)
+        line.info("members: {} on {}", fleet.name, fleet.listen)
+
+    def stop(self) -> None:
+        """Tell the others of the end, and wait for the thread."""
+        self._datagrams.stop()
+
+    def on_signal(self, notice: Drain | ReloadConfig) -> None:
+        """Pass a signal's notice on; called in its handler, which may not log."""
+        if isinstance(notice, Drain):
+            self._datagrams.post(None, InputKind.LEAVE)
+        elif isinstance(notice, ReloadConfig):
+            self._datagrams.post_reload()
+
+    def _reload(self) -> list[tuple[bytes, MachineInput]]:
+        """Read the settings file once more; return inputs by channel, none where it can't be used."""
         try:
-            new = load_settings(self.path)
-            fixed = [
-                name
-                for name in FIXED
-                if new.fleet is UNSET or getattr(new.fleet, name) != getattr(self.settings.fleet, name)
-            ]
-            if not fixed and bool(quota_config(new)) != bool(quota_config(self.settings)):
-                fixed = ["planners"]
-            if not fixed and bool(consensus_config(new)) != bool(consensus_config(self.settings)):
-                fixed = ["verdicts"]
-            if not fixed and key_lease_config(new) != key_lease_config(self.settings):
-                fixed = ["claims"]
+            settings = load_settings(self._path)
+            fixed = self._changed_fixed_fields(settings)
             if fixed:
                 raise SettingsError(
-                    [f"{self.path}: fleet.{name}: waits for the next start" for name in fixed]
+                    [f"{self._path}: fleet.{name}: waits for the next start" for name in fixed]
                 )
-        except SettingsError as wrong:
-            for line in wrong.mistakes:
-                logger.error("settings not taken: {}", line)
+        except SettingsError as error:
+            for mistake in error.mistakes:
+                logger.error("settings not taken: {}", mistake)
             return []
-        self.settings = new
-        logger.info("settings taken from {}", self.path)
-        said = [(base.CHANNEL, ("figures", membership_config(new.fleet)))]
-        if consensus_config(new):
-            said.append((sayings.CHANNEL, ("figures", consensus_config(new))))
-        if self.shares:
-            self.shares = shared(new)
-            said += [
-                (shares.CHANNEL, ("quota", self.shares)),
-                (base.CHANNEL, ("rider", "quota", self.shares)),
-            ]
-        return said
-
-    def end(self):
-        self.datagrams.stop()
-
-
-class Nothing:
-    """No fleet is asked for."""
-
-    start = heard = end = use = saw = claim = meters = witness = claims = lambda self, *_: None
-
-    def reducer(self, core):
-        return core.reduce
-
-
-def serve(path, log):
-    """Status of the process."""
-
-    def join(inputs):
-        try:
-            settings = load_settings(path)
-        except SettingsError as wrong:
-            raise ConfigError(str(wrong)) from None
-        if settings.fleet is UNSET:
-            return Nothing()
-        with open(os.environ["ROUTER_CONFIG"], encoding="utf-8") as file:
-            name = str(json.load(file)["name"])
-        return Fleet(inputs, path, settings, name)
-
-    return main({"json": json_log, "text": plain_log}[log], join if path else None)
+        self._settings = settings
+        logger.info("settings taken from {}", self._path)
+        return self._config_inputs()
+
+    def _changed_fixed_fields(self, settings: Settings) -> list[str]:
+        """Return what is new that only a start can take; only the first part that has any is looked at."""
+        used = self._settings
+        fixed = [
+            name
+            for name in FIXED_FIELDS
+            if settings.fleet is UNSET or getattr(settings.fleet, name) != getattr(used.fleet, name)
+        ]
+        if fixed:
+            return fixed
+        if bool(quota_config(settings)) != bool(quota_config(used)):
+            return ["planners"]
+        if bool(consensus_config(settings)) != bool(consensus_config(used)):
+            return ["verdicts"]
+        if key_lease_config(settings) != key_lease_config(used):
+            return ["claims"]
+        return []
+
+    def _config_inputs(self) -> list[tuple[bytes, MachineInput]]:
+        """Return the inputs by which the state machines take the settings in force."""
+        settings = self._settings
+        member_config = membership_config(settings.fleet)
+        inputs: list[tuple[bytes, MachineInput]] = [
+            (membership_messages.CHANNEL, (InputKind.CONFIG, member_config))
+        ]
+        consensus = consensus_config(settings)
+        if consensus:
+            inputs.append((consensus_messages.CHANNEL, (InputKind.CONFIG, consensus)))
+        if self._quota:
+            self._quota = limits_with_probes(settings)
+            config = (QuotaInput.CONFIG, self._quota)
+            inputs.append((quota_messages.CHANNEL, config))
+            inputs.append((membership_messages.CHANNEL, (InputKind.PIGGYBACK, *config)))
+        return inputs
--- a/finchcart/cli/planner_process.py
+++ b/finchcart/cli/planner_process.py
@@ -1,83 +1,116 @@
 """One planner process: shares the fleet's limits out, and keeps key leases where it is named for that.
 
-Owns the life of the process, and how a settings file read again is taken: whole or not at all.
+Owns the life of the process, and how a settings file that is read again is taken: whole or not at all.
 """
 
 import queue
 import random
 import signal
 import sys
+from types import FrameType
 
 from loguru import logger
 
-from finchcart.__main__ import plain_log
-from finchcart.cli.log_output import json_log
-from finchcart.cli.settings_file import key_lease_config, load_settings, quota_config
+from finchcart.cli.log_output import LOG_FORMATS
+from finchcart.cli.settings_file import load_settings
+from finchcart.cli.settings_schema import Settings, key_lease_config, quota_config
 from finchcart.errors import SettingsError
-from finchcart.key_leases import messages as claiming
+from finchcart.key_leases import messages as key_lease_messages
 from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.membership.codec import parse_address
-from finchcart.net.datagrams import DatagramEndpoint
-from finchcart.quota import messages as shares
+from finchcart.net.datagrams import DatagramEndpoint, MachineInput, StateMachine
+from finchcart.node_process import EXIT_NOT_STARTED
+from finchcart.quota import messages as quota_messages
+from finchcart.quota.effects import QuotaInput
 from finchcart.quota.planner import Planner
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
-def plan(path, place, listen, log):
-    """One planner, until it is told to end; `place`: its address as the settings name it. Status of the
-    process."""
-    {"json": json_log, "text": plain_log}[log]()
+
+def plan(path: str | None, address: str, listen: str | None, log_format: str) -> int:
+    """Serve as a planner until told to end; return the status of the process.
+
+    Arguments:
+        path: of the settings file.
+        address: of this planner, as the settings name it.
+        listen: where it listens, if elsewhere.
+        log_format: one of `LOG_FORMATS`.
+    """
+    LOG_FORMATS[log_format]()
     try:
-        settings = load_settings(path)
-        shared_out = (
-            quota_config(settings) if quota_config(settings) and place in settings.quota.planners else None
-        )
-        claimed = (
-            key_lease_config(settings)
-            if key_lease_config(settings) and place in settings.claims.keepers
-            else None
-        )
-        if not shared_out and not claimed:
-            raise SettingsError([f"{path}: quota.planners, claims.keepers: {place} is not among them"])
-    except SettingsError as wrong:
-        print(f"finchcart: {wrong}", file=sys.stderr)
-        return 2
-    told = queue.SimpleQueue()
-    for number, what in ((signal.SIGTERM, "end"), (signal.SIGINT, "end"), (signal.SIGHUP, "reread")):
-        signal.signal(number, lambda *_, what=what: told.put(what))
-    chance = random.Random(random.SystemRandom().getrandbits(64))
-
-    def again():
-        try:
-            new = load_settings(path)
-            if shared_out and (not quota_config(new) or quota_config(new).planners != shared_out.planners):
-                raise SettingsError([f"{path}: quota.planners: waits for the next start"])
-            if key_lease_config(new) != key_lease_config(settings):
-                raise SettingsError([f"{path}: claims: waits for the next start"])
-        except SettingsError as wrong:
-            for line in wrong.mistakes:
-                logger.error("settings not taken: {}", line)
-            return []
-        logger.info("settings taken from {}", path)
-        return [(shares.CHANNEL, ("quota", quota_config(new)))] if shared_out else []
-
-    def machines(now):
-        """By channel: the planner of limits, the keeper of claims."""
-        out = {}
-        if shared_out:
-            out[shares.CHANNEL] = Planner(place, settings.fleet.name, shared_out, chance, now)
-        if claimed:
-            out[claiming.CHANNEL] = KeyLeaseReplica(settings.fleet.name, claimed, now)
-        return out
+        planner = PlannerProcess(path, address)
+    except SettingsError as error:
+        print(f"finchcart: {error}", file=sys.stderr)
+        return EXIT_NOT_STARTED
+    signals: queue.SimpleQueue[int] = queue.SimpleQueue()
+
+    def on_signal(number: int, _: FrameType | None) -> None:
+        signals.put(number)
 
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        signal.signal(number, on_signal)
+    bound_to = listen or address
     try:
-        datagrams = DatagramEndpoint(parse_address(listen or place), machines, lambda change: None, again)
+        datagrams = DatagramEndpoint(
+            parse_address(bound_to), planner.make_machines, lambda change: None, planner.reload
+        )
     except OSError as error:
-        print(f"finchcart: {listen or place}: {error.strerror}", file=sys.stderr)
-        return 2
+        print(f"finchcart: {bound_to}: {error.strerror}", file=sys.stderr)
+        return EXIT_NOT_STARTED
     datagrams.start()
-    logger.info("planner {} of {}", place, settings.fleet.name)
-    while (what := told.get()) != "end":
+    logger.info("planner {} of {}", address, planner.fleet_name)
+    while signals.get() not in STOP_SIGNALS:
         datagrams.post_reload()
     datagrams.stop()
     logger.info("ended")
     return 0
+
+
+class PlannerProcess:
+    """What a planner does by its settings. Raises SettingsError where they don't name it."""
+
+    def __init__(self, path: str | None, address: str) -> None:
+        self._path = path
+        self._address = address
+        self._settings = settings = load_settings(path)
+        self.fleet_name = settings.fleet.name if settings.fleet else ""
+        quota = quota_config(settings)
+        key_leases = key_lease_config(settings)
+        self._quota = quota if quota and address in settings.quota.planners else None
+        self._key_leases = key_leases if key_leases and address in settings.claims.keepers else None
+        if not self._quota and not self._key_leases:
+            raise SettingsError([f"{path}: quota.planners, claims.keepers: {address} is not among them"])
+        self._random = random.Random(random.SystemRandom().getrandbits(64))
+
+    def make_machines(self, now: int) -> dict[bytes, StateMachine]:
+        """Return by channel the planner of limits and the replica of key leases."""
+        machines: dict[bytes, StateMachine] = {}
+        if self._quota:
+            machines[quota_messages.CHANNEL] = Planner(
+                self._address, self.fleet_name, self._quota, self._random, now
+            )
+        if self._key_leases:
+            machines[key_lease_messages.CHANNEL] = KeyLeaseReplica(self.fleet_name, self._key_leases, now)
+        return machines
+
+    def reload(self) -> list[tuple[bytes, MachineInput]]:
+        """Read the settings file once more; return inputs by channel, none where it can't be used."""
+        try:
+            settings = load_settings(self._path)
+            self._check_unchanged(settings)
+        except SettingsError as error:
+            for mistake in error.mistakes:
+                logger.error("settings not taken: {}", mistake)
+            return []
+        logger.info("settings taken from {}", self._path)
+        if not self._quota:
+            return []
+        return [(quota_messages.CHANNEL, (QuotaInput.CONFIG, quota_config(settings)))]
+
+    def _check_unchanged(self, settings: Settings) -> None:
+        """Raise SettingsError where something is new that only a start can take."""
+        quota = quota_config(settings)
+        if self._quota and (not quota or quota.planners != self._quota.planners):
+            raise SettingsError([f"{self._path}: quota.planners: waits for the next start"])
+        if key_lease_config(settings) != key_lease_config(self._settings):
+            raise SettingsError([f"{self._path}: claims: waits for the next start"])
--- a/finchcart/cli/queries.py
+++ b/finchcart/cli/queries.py
@@ -1,78 +1,120 @@
 """Questions to a running process of a fleet, as one datagram each way.
 
-Owns the socket of one question and its retries. It must never hold a view between questions.
+Owns the socket of one question and its retries. It must never hold a view between questions. All functions
+raise TimeoutError where the process does not answer in time.
 """
 
 import random
 import socket
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from types import ModuleType
+from typing import Any
 
-from finchcart.consensus import messages as sayings
-from finchcart.membership import codec
-from finchcart.membership import messages as base
-from finchcart.quota import messages as shares
+from finchcart.consensus import messages as consensus
+from finchcart.membership import messages as membership
+from finchcart.membership.codec import DatagramError
+from finchcart.quota import messages as quota
 
+Address = tuple[str, int]
+View = dict[str, Any]
 
-def query(where, words, question, timeout=2.0):
-    """The view that answers `question`, of the messages of `words`; a lost one is asked again."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.connect(where)
-        sock.settimeout(timeout / 8)
-        for _ in range(8):
+TIMEOUT_S = 2.0
+ATTEMPTS = 8  # within the timeout
+MAX_ANSWER_BYTES = 65_536
+MICROSECONDS_PER_SECOND = 1e6
+
+
+def query_members(address: Address, timeout_s: float = TIMEOUT_S) -> View:
+    """Return the members as a process sees them, of all pages; a page that is lost is requested again."""
+    give_up_at = time.monotonic() + timeout_s
+    number = _random_number()
+    pages: dict[int, View] = {}
+    page_count = None
+    with _connected_socket(address, timeout_s) as sock:
+        while page_count is None or len(pages) < page_count:
+            missing = next(page for page in range(len(pages) + 1) if page not in pages)
             try:
-                sock.send(words.CODEC.encode("", question))
-                said = words.CODEC.decode(None, sock.recv(65536))
-            except (OSError, codec.DatagramError):
+                page = _request_page(sock, number, missing)
+            except (OSError, DatagramError):
+                if time.monotonic() > give_up_at:
+                    raise _no_answer(address) from None
                 continue
-            if isinstance(said, words.StatusResponse) and said.number == question.number:
-                return said.view
-    raise TimeoutError(f"no answer from {where[0]}:{where[1]}")
+            page_count = page.page_count
+            pages[page.page] = page.view
+    view = dict(pages[0])
+    view["members"] = [member for page in range(1, page_count) for member in pages[page]["members"]]
+    return view
 
 
-def query_limits(where, timeout=2.0):
-    """What a node or planner says of the limits."""
-    return query(where, shares, shares.StatusRequest(random.SystemRandom().getrandbits(32)), timeout)
+def query_limits(address: Address, timeout_s: float = TIMEOUT_S) -> View:
+    """Return the fleet's limits as a node or planner holds them."""
+    return _query(address, quota, quota.StatusRequest(_random_number()), timeout_s)
 
 
-def query_consensus(where, timeout=2.0):
-    """What a node holds of the fleet's verdicts, all pages."""
-    number = random.SystemRandom().getrandbits(32)
-    view = query(where, sayings, sayings.StatusRequest(number), timeout)
+def query_consensus(address: Address, timeout_s: float = TIMEOUT_S) -> View:
+    """Return the fleet's decisions as a node holds them, of all pages."""
+    number = _random_number()
+    view = _query(address, consensus, consensus.StatusRequest(number), timeout_s)
     for page in range(1, view["pages"]):
-        view["verdicts"] += query(where, sayings, sayings.StatusRequest(number + page, page), timeout)[
-            "verdicts"
-        ]
+        request = consensus.StatusRequest(number + page, page)
+        view["verdicts"] += _query(address, consensus, request, timeout_s)["verdicts"]
     return view
 
 
-def send_override(where, subject, value, seconds, why, timeout=2.0):
-    """An operator's word, told to one node."""
-    number = random.SystemRandom().getrandbits(32)
-    return query(
-        where, sayings, sayings.OverrideRequest(number, subject, value, int(seconds * 1e6), why), timeout
-    )
+def send_override(
+    address: Address,
+    subject: tuple,
+    value: int,
+    lifetime_s: float,
+    reason: str,
+    timeout_s: float = TIMEOUT_S,
+) -> View:
+    """Tell a node an operator's override, which tells all; return whether it took it, and why not.
 
+    A lifetime of 0 takes the override of the subject back.
+    """
+    lifetime_us = int(lifetime_s * MICROSECONDS_PER_SECOND)
+    request = consensus.OverrideRequest(_random_number(), subject, value, lifetime_us, reason)
+    return _query(address, consensus, request, timeout_s)
 
-def query_members(where, timeout=2.0):
-    """The whole view of a running process, page by page; a page that is lost is asked for again."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.connect(where)
-        end, parts, pages = time.monotonic() + timeout, {}, None
-        number = random.SystemRandom().getrandbits(32)
-        sock.settimeout(timeout / 8)
-        while pages is None or len(parts) < pages:
-            page = next(n for n in range(len(parts) + 1) if n not in parts)
+
+def _query(address: Address, messages: ModuleType, request: Any, timeout_s: float) -> View:  # noqa: ANN401
+    """Return the view that answers a request of that module of messages; one that is lost is sent again."""
+    with _connected_socket(address, timeout_s) as sock:
+        for _ in range(ATTEMPTS):
             try:
-                sock.send(base.CODEC.encode("", base.ViewRequest(number, page)))
-                while True:
-                    said = base.CODEC.decode(None, sock.recv(65536))
-                    if isinstance(said, base.ViewPage) and said.number == number:
-                        break
-            except (TimeoutError, OSError, codec.DatagramError):
-                if time.monotonic() > end:
-                    raise TimeoutError(f"no answer from {where[0]}:{where[1]}") from None
+                sock.send(messages.CODEC.encode("", request))
+                response = messages.CODEC.decode(None, sock.recv(MAX_ANSWER_BYTES))
+            except (OSError, DatagramError):
                 continue
-            pages, parts[said.page] = said.page_count, said.view
-        view = dict(parts[0])
-        view["members"] = [member for n in range(1, pages) for member in parts[n]["members"]]
-        return view
+            if isinstance(response, messages.StatusResponse) and response.number == request.number:
+                return response.view
+    raise _no_answer(address)
+
+
+def _request_page(sock: socket.socket, number: int, page: int) -> membership.ViewPage:
+    sock.send(membership.CODEC.encode("", membership.ViewRequest(number, page)))
+    while True:
+        response = membership.CODEC.decode(None, sock.recv(MAX_ANSWER_BYTES))
+        if isinstance(response, membership.ViewPage) and response.number == number:
+            return response
+
+
+@contextmanager
+def _connected_socket(address: Address, timeout_s: float) -> Iterator[socket.socket]:
+    """Hold a socket whose reads give up in time for all attempts."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.connect(address)
+        sock.settimeout(timeout_s / ATTEMPTS)
+        yield sock
+
+
+def _random_number() -> int:
+    return random.SystemRandom().getrandbits(32)
+
+
+def _no_answer(address: Address) -> TimeoutError:
+    host, port = address
+    return TimeoutError(f"no answer from {host}:{port}")
--- /dev/null
+++ b/finchcart/event_loop.py
@@ -0,0 +1,181 @@
+"""The one thread that feeds the core and carries out its effects.
+
+Owns the inputs of the turn at hand, and how busy the thread was. It must never hold state of RPCs or decide
+anything: the core does.
+"""
+
+import time
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from queue import Empty, SimpleQueue
+
+from loguru import logger
+
+from finchcart.fleet_participant import FleetParticipant
+from finchcart.net.connection_table import ConnectionTable
+from finchcart.net.limits import Limits
+from finchcart.node import effects
+from finchcart.node.core import Core
+from finchcart.node.effect_buffer import own_connections_first
+from finchcart.node.inputs import (
+    AddressesChanged,
+    CloseAttempted,
+    ConnectionEnded,
+    FramesReceived,
+    Input,
+    LoadMeasured,
+    MessagesReceived,
+    ReloadConfig,
+    Start,
+    TimersDue,
+)
+
+NANOSECONDS_PER_MICROSECOND = 1_000
+NANOSECONDS_PER_SECOND = 1e9
+MICROSECONDS_PER_SECOND = 1e6
+
+
+class EventLoop:
+    """Turn after turn, until the core asks for the end.
+
+    A turn takes all inputs that wait, up to a bound; what it sends on one connection is one write. Where
+    inputs take much of the time, the thread pauses between turns: then no reader has to wake it for each
+    message, and what comes meanwhile is one turn.
+
+    `reread_config()` gives the input of a configuration that was read again, or None where it can't be used.
+    """
+
+    def __init__(
+        self,
+        core: Core,
+        connections: ConnectionTable,
+        inputs: SimpleQueue[Input],
+        reread_config: Callable[[], AddressesChanged | None],
+        limits: Limits,
+        fleet: FleetParticipant | None = None,
+    ) -> None:
+        self._core = core
+        self._connections = connections
+        self._inputs = inputs
+        self._reread_config = reread_config
+        self._limits = limits
+        self._reduce = fleet.reducer(core) if fleet else core.reduce
+        self._handlers = self._effect_handlers(fleet)
+        self._waiting: deque[Input] = deque([Start()])
+        self._load_measured_at = 0  # microseconds
+        self._idle = 0  # microseconds since then in which nothing was to be done
+        self._pause_s = 0.0  # between turns; 0: wait for the next input
+
+    def _effect_handlers(self, fleet: FleetParticipant | None) -> dict[type, Callable[..., None]]:
+        """What carries out each effect but `End`; called with the effect's fields."""
+        connections = self._connections
+        handlers: dict[type, Callable[..., None]] = {
+            effects.Read: connections.request_batch,
+            effects.Send: connections.send,
+            effects.SendBefore: connections.send_before,
+            effects.Close: connections.close,
+            effects.CloseIfIdle: self._close_if_idle,
+            effects.Drop: connections.drop,
+            effects.Connect: connections.connect,
+            effects.SendReport: connections.report,
+            effects.StopListening: connections.stop_listening,
+            effects.Defer: self._defer,
+            effects.Log: logger.info,
+        }
+        if fleet:
+            handlers |= {
+                effects.PublishUsage: fleet.publish_usage,
+                effects.PublishEvidence: fleet.publish_evidence,
+                effects.KeyLeaseCommand: fleet.command_key_lease,
+            }
+        return handlers
+
+    def run(self) -> None:
+        """Listen, and take turns until the core asks for the end."""
+        self._connections.listen()
+        self._load_measured_at = time.time_ns() // NANOSECONDS_PER_MICROSECOND
+        has_ended = False
+        while not has_ended:
+            is_behind = self._drain_queue()
+            self._waiting = deque(own_connections_first(self._waiting))
+            self._measure_load()
+            if not self._waiting:
+                self._waiting.append(TimersDue())
+            has_ended = self._process_waiting()
+            self._connections.flush()
+            if not has_ended and not is_behind:  # guards against pauses of a thread that is behind
+                self._wait()
+
+    def _drain_queue(self) -> bool:
+        """Take what waits; return whether it was as much as a turn takes, so that there may be more."""
+        take = self._inputs.get_nowait
+        append = self._waiting.append
+        try:
+            for _ in range(self._limits.turn_inputs):
+                append(take())
+        except Empty:
+            return False
+        return True
+
+    def _measure_load(self) -> None:
+        """Tell the core from time to time how busy this thread is, and pause between turns where it is."""
+        now = time.time_ns() // NANOSECONDS_PER_MICROSECOND
+        span = now - self._load_measured_at
+        if span < self._limits.load_interval:
+            return
+        self._waiting.append(LoadMeasured(span - self._idle, span))
+        is_busy = self._idle < (1 - self._limits.busy_threshold) * span
+        self._pause_s = self._limits.busy_pause / MICROSECONDS_PER_SECOND if is_busy else 0.0
+        self._load_measured_at = now
+        self._idle = 0
+
+    def _process_waiting(self) -> bool:
+        """Process the turn's inputs; return whether the core asked for the end."""
+        waiting = self._waiting
+        handlers = self._handlers
+        while waiting:
+            current = self._prepare(waiting.popleft())
+            for effect in self._reduce(time.time_ns() // NANOSECONDS_PER_MICROSECOND, current):
+                kind = type(effect)
+                if kind is effects.End:
+                    return True
+                handlers[kind](*effect)
+        return False
+
+    def _prepare(self, received: Input) -> Input:
+        """Make of an input what the core sees: frames are decoded, and a configuration is read."""
+        kind = type(received)
+        if kind is FramesReceived:
+            return self._decode(received)
+        if kind is ReloadConfig:
+            return self._reread_config() or TimersDue()
+        return received
+
+    def _decode(self, received: FramesReceived) -> MessagesReceived:
+        messages, fault = self._connections.decode(received.connection, received.frames)
+        if fault is not None:
+            self._waiting.appendleft(ConnectionEnded(received.connection, fault))
+        return MessagesReceived(received.connection, messages, received.received_at)
+
+    def _defer(self, deferred: Input) -> None:
+        self._waiting.append(deferred)
+
+    def _close_if_idle(self, connection: int) -> None:
+        """Have the result processed before what was read: what was read by then has no answer."""
+        closed = self._connections.close_if_idle(connection)
+        self._waiting.appendleft(CloseAttempted(connection, closed))
+
+    def _wait(self) -> None:
+        """Wait for an input or for the next timer, or pause."""
+        due = self._core.next_timer()
+        before = time.time_ns()
+        timeout_s = None
+        if due is not None:
+            timeout_s = max(0.0, due / MICROSECONDS_PER_SECOND - before / NANOSECONDS_PER_SECOND)
+        if self._pause_s:
+            time.sleep(self._pause_s if timeout_s is None else min(self._pause_s, timeout_s))
+        elif timeout_s is None or timeout_s:
+            with suppress(Empty):
+                self._waiting.append(self._inputs.get(timeout=timeout_s))
+        self._idle += (time.time_ns() - before) // NANOSECONDS_PER_MICROSECOND
--- a/finchcart/fault_injection/run.py
+++ b/finchcart/fault_injection/run.py
@@ -449,7 +449,8 @@
 
 def quota_of(script):
     """The limits of a script as its processes have them; None where nothing holds them."""
-    from finchcart.cli.settings_file import check_settings, quota_config
+    from finchcart.cli.settings_file import check_settings
+    from finchcart.cli.settings_schema import quota_config
 
     if script.static or not script.limits:
         return None
--- /dev/null
+++ b/finchcart/node_config.py
@@ -0,0 +1,116 @@
+"""The node's configuration: the JSON file that the environment variable ROUTER_CONFIG names.
+
+Owns its keys, and what becomes of them when the file is read again while the node runs: new addresses are
+taken, anything else waits for the next start. It must never hold a value that decides about RPCs.
+"""
+
+import json
+import socket
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from loguru import logger
+
+from finchcart import settings
+from finchcart.errors import ConfigError
+from finchcart.net.limits import MS, Limits
+from finchcart.node.inputs import AddressesChanged
+
+Address = tuple[str, int]
+
+PATH_VARIABLE = "ROUTER_CONFIG"
+MAX_PORT = 65_535
+MAX_ERROR_LENGTH = 200  # characters of a message that others worded
+
+# The parties whose addresses may change while the node runs, by their keys in the configuration.
+ADDRESS_KEYS = {"pool": "pool", "store": "store", "registry": "roster"}
+
+MIN_SHADOW_PERIOD_MS = 100
+MAX_SHADOW_PERIOD_MS = 86_400_000
+DEFAULT_SHADOW_PERIOD_MS = 10_000
+SHADOW_EXPECTATION = settings.Expectation(
+    lambda value: isinstance(value, dict) and isinstance(value.get("settings"), dict),
+    "an object with settings and period_ms",
+)
+
+
+class NodeConfig(NamedTuple):
+    """A configuration that was read and checked."""
+
+    name: str  # by which the registry knows the node
+    listen: Address
+    addresses: Mapping[str, Address | None]  # of worker pool, store (None: there is none) and registry
+    seed: int
+    settings: Mapping[str, Any]  # of the decision module
+    limits: Limits
+    watch: Mapping[str, Any] | None  # settings to watch over those in force, and the `period` of the lines
+
+
+FIXED_FIELDS = ("name", "listen", "settings", "limits", "watch")  # new ones wait for the next start
+
+
+def read_config(path: str | None) -> NodeConfig:
+    """Read a configuration. Raise ConfigError, in one line that names the file, where it cannot be used."""
+    if not path:
+        raise ConfigError(f"{PATH_VARIABLE} is not set: expected the path of the configuration")
+    try:
+        return _parse_config(json.loads(Path(path).read_text(encoding="utf-8")))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror or error}") from None
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from None
+    except Exception as error:
+        # Whatever the file holds, nested or sized as it may be, it is refused in words and ends no node.
+        raise ConfigError(f"{path}: {type(error).__name__}: {str(error)[:MAX_ERROR_LENGTH]}") from None
+
+
+def reread_config(path: str, used: NodeConfig) -> AddressesChanged | None:
+    """Read the configuration once more, as an input; None where it cannot be used, which is logged."""
+    try:
+        config = read_config(path)
+    except ConfigError as error:
+        # Guards against a file that is wrong or half written: the node goes on with what it has.
+        logger.error("configuration not taken: {}", error)
+        return None
+    fixed = [name for name in FIXED_FIELDS if getattr(config, name) != getattr(used, name)]
+    if fixed:
+        logger.warning("configuration: new {} wait for the next start", ", ".join(fixed))
+    return AddressesChanged(config.addresses)
+
+
+def _parse_config(tree: Mapping[str, Any]) -> NodeConfig:
+    return NodeConfig(
+        name=str(tree["name"]),
+        listen=_parse_address(tree["listen"]),
+        addresses={party: _parse_party(tree, party, key) for party, key in ADDRESS_KEYS.items()},
+        seed=int(str(tree.get("seed", "0")), 16),
+        settings=settings.from_json(tree["settings"]),
+        limits=Limits.from_config(tree["limits"], tree["stop_ms"]),
+        watch=_parse_watch(tree.get("watch")),
+    )
+
+
+def _parse_party(tree: Mapping[str, Any], party: str, key: str) -> Address | None:
+    """Return a party's address. A node of the last tier has nothing below: no store is named there."""
+    if party == "store" and key not in tree:
+        return None
+    return _parse_address(tree[key])
+
+
+def _parse_address(text: str) -> Address:
+    """Return host and port. No name is looked up: a host is an IPv4 address."""
+    host, _, port = text.rpartition(":")
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{text}: no such port")
+    socket.inet_pton(socket.AF_INET, host)
+    return host, int(port)
+
+
+def _parse_watch(tree: Mapping[str, Any] | None) -> dict[str, Any] | None:
+    if tree is None:
+        return None
+    settings.check("watch", tree, SHADOW_EXPECTATION)
+    period_ms = tree.get("period_ms", DEFAULT_SHADOW_PERIOD_MS)
+    settings.check("watch.period_ms", period_ms, settings.number(MIN_SHADOW_PERIOD_MS, MAX_SHADOW_PERIOD_MS))
+    return {"settings": settings.from_json(tree["settings"]), "period": int(period_ms * MS)}
--- /dev/null
+++ b/finchcart/node_process.py
@@ -0,0 +1,139 @@
+"""The process of one node, from its start to its end.
+
+Owns signals, logging, threads' settings and the order in which a node is put together; both
+`python -m finchcart` and `finchcart serve` start it here. It must never import anything of a fleet: who takes
+part in one hands its part in.
+"""
+
+import os
+import signal
+import sys
+import threading
+import time
+from collections.abc import Callable
+from functools import partial
+from queue import SimpleQueue
+from types import FrameType
+from typing import NoReturn
+
+from loguru import logger
+
+from finchcart.errors import ConfigError
+from finchcart.event_loop import EventLoop
+from finchcart.fleet_participant import FleetParticipant
+from finchcart.net.buffers import Buffers
+from finchcart.net.connection_table import ConnectionTable
+from finchcart.net.listener import Listener
+from finchcart.node.core import Core
+from finchcart.node.inputs import Drain, Input, ReloadConfig, ThreadDied
+from finchcart.node_config import PATH_VARIABLE, NodeConfig, read_config, reread_config
+from finchcart.thrift import codec
+from finchcart.thrift.frontend import ThriftFrontend
+
+EXIT_FAULT = 1
+EXIT_NOT_STARTED = 2
+FRONTEND = "thrift"
+NOTICES = {signal.SIGTERM: Drain, signal.SIGINT: Drain, signal.SIGHUP: ReloadConfig}
+
+Inputs = SimpleQueue[Input]
+JoinFleet = Callable[[Inputs, str], FleetParticipant | None]
+
+
+def log_as_text() -> None:
+    """Log lines of text on stderr."""
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
+
+
+def run_node(configure_log: Callable[[], None] = log_as_text, join_fleet: JoinFleet | None = None) -> int:
+    """Serve as a node until it is told to leave; return the status of the process.
+
+    `join_fleet(inputs, name)` makes the node's part in a fleet, or None; it raises ConfigError where that
+    cannot be.
+    """
+    inputs: Inputs = SimpleQueue()  # its put may be called from a signal handler
+    listeners: list[Callable[[Drain | ReloadConfig], None]] = [inputs.put]
+    _handle_signals(listeners)
+    configure_log()
+    path = os.environ.get(PATH_VARIABLE)
+    try:
+        config = read_config(path)
+        listener = Listener(config.listen, config.limits)
+        fleet = join_fleet(inputs, config.name) if join_fleet else None
+    except (ConfigError, OSError, OverflowError) as error:
+        print(f"finchcart: {error}", file=sys.stderr)
+        return EXIT_NOT_STARTED
+    if fleet:
+        listeners.append(fleet.on_signal)
+    _configure_threads(inputs, config.limits.thread_stack)
+    core = _make_core(config, fleet)
+    connections = ConnectionTable(
+        inputs, Buffers(config.limits), config.limits, listener, FRONTEND, codec.THRIFT_CODEC
+    )
+    logger.info("{} on {}:{}", config.name, *config.listen)
+    loop = EventLoop(core, connections, inputs, partial(reread_config, path, config), config.limits, fleet)
+    return _run_to_end(loop, fleet)
+
+
+def exit_process(status: int) -> NoReturn:
+    """End the process at once: threads that still wait on a socket are not waited for."""
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)
+
+
+def _handle_signals(listeners: list[Callable[[Drain | ReloadConfig], None]]) -> None:
+    """Have signals make inputs, for the listeners there are when one comes."""
+
+    def handle(number: int, _: FrameType | None) -> None:
+        # With the moment: the turn that takes it may come late, and the grace counts from the notice.
+        notice = NOTICES[number](time.time_ns() // 1000)
+        for notify in listeners:
+            notify(notice)
+
+    for number in NOTICES:
+        signal.signal(number, handle)
+
+
+def _configure_threads(inputs: Inputs, stack_size: int) -> None:
+    """Set the stacks of threads, in bytes, and what happens when one dies.
+
+    No thread dies in silence: the node ends rather than lose what its connection was owed.
+    """
+
+    def on_death(fault: threading.ExceptHookArgs) -> None:
+        exception = fault.exc_type, fault.exc_value, fault.exc_traceback
+        logger.opt(exception=exception).error("thread {} died", fault.thread.name)
+        inputs.put(ThreadDied(fault.thread.name))
+
+    threading.stack_size(stack_size)
+    threading.excepthook = on_death
+
+
+def _make_core(config: NodeConfig, fleet: FleetParticipant | None) -> Core:
+    fleet_parts = (fleet.limiters(), fleet.observer(), fleet.key_lease_factory()) if fleet else ()
+    return Core(
+        config.settings,
+        config.limits,
+        config.seed,
+        config.name,
+        config.addresses,
+        lambda core: {FRONTEND: ThriftFrontend(core, config.limits)},
+        config.watch,
+        *fleet_parts,
+    )
+
+
+def _run_to_end(loop: EventLoop, fleet: FleetParticipant | None) -> int:
+    if fleet:
+        fleet.start()
+    try:
+        loop.run()
+    except Exception:
+        # Guards against serving wrongly: state that an exception went through is not trusted any more.
+        logger.exception("the node's state can't be trusted, ending")
+        return EXIT_FAULT
+    if fleet:
+        fleet.stop()
+    logger.info("ended")
+    return 0
--- a/tests/pins/settings_files.py
+++ b/tests/pins/settings_files.py
@@ -7,7 +7,7 @@
 
 import json5
 
-from finchcart.__main__ import read_config
+from finchcart.node_config import read_config
 from tests.pins.adapter import ROOT
 
 COMMENTED = (ROOT / "deploy" / "finchcart.json5").read_text(encoding="utf-8")
@@ -145,13 +145,13 @@
 def example_config():
     """What the example configuration gives, but for names of settings and limits: their values, sorted."""
     config = read_config(str(EXAMPLE))
-    limits, values = config["limits"], config["settings"].values()
+    limits, values = config.limits, config.settings.values()
     return {
-        "name": config["name"],
-        "listen": list(config["listen"]),
-        "worker pool, store, registry": [list(address) for address in config["places"].values()],
-        "seed": config["seed"],
-        "watch": config["watch"],
+        "name": config.name,
+        "listen": list(config.listen),
+        "worker pool, store, registry": [list(address) for address in config.addresses.values()],
+        "seed": config.seed,
+        "watch": config.watch,
         "limits": sorted(asdict(limits).values()),
         "connections, and those on their way out": [limits.max_connections, limits.max_accepted],
         "settings": sorted(str(value) for value in values if not isinstance(value, str)),
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -9,7 +9,8 @@
 import msgspec
 import pytest
 
-from finchcart.cli.settings_file import check_settings, consensus_config
+from finchcart.cli.settings_file import check_settings
+from finchcart.cli.settings_schema import consensus_config
 from finchcart.consensus import decision, standing, subjects
 from finchcart.consensus.config import SECOND, ConsensusConfig, config_errors, config_warnings
 from finchcart.consensus.decision import decide, median_without
--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -6,7 +6,8 @@
 import json5
 import pytest
 
-from finchcart.cli.settings_file import check_settings, key_lease_config
+from finchcart.cli.settings_file import check_settings
+from finchcart.cli.settings_schema import key_lease_config
 from finchcart.fault_injection.claiming import KEY, TICK, Breach, Run, World, act, explore
 from finchcart.key_leases import messages
 from finchcart.key_leases.client import KeyLeaseClient
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,12 +8,12 @@
 import pytest
 
 from finchcart import settings
-from finchcart.__main__ import read_config, reread
 from finchcart.control import Control
 from finchcart.errors import ConfigError
 from finchcart.interface import Outcome
 from finchcart.node import shadow
 from finchcart.node.inputs import LoadMeasured
+from finchcart.node_config import read_config, reread_config
 from tests.harness import MS, Far, draw_settings
 from tests.test_control import PLAIN
 from tests.test_core import GAUGES, play
@@ -132,7 +132,7 @@
     with pytest.raises(ConfigError) as told:
         read_config(str(path))
     assert words in str(told.value) and "\n" not in str(told.value)
-    assert reread(str(path), {}) is None  # at SIGHUP: logged and left
+    assert reread_config(str(path), {}) is None  # at SIGHUP: logged and left
 
 
 def test_settings_of_the_new_shape_reach_the_module_from_a_configuration():
