--- a/finchcart/cli/queries.py
+++ b/finchcart/cli/queries.py
@@ -12,6 +12,8 @@
 from types import ModuleType
 from typing import Any
 
+from msgspec import Struct
+
 from finchcart.consensus import messages as consensus
 from finchcart.membership import messages as membership
 from finchcart.membership.codec import DatagramError
@@ -80,7 +82,7 @@
     return _query(address, consensus, request, timeout_s)
 
 
-def _query(address: Address, messages: ModuleType, request: Any, timeout_s: float) -> View:  # noqa: ANN401
+def _query(address: Address, messages: ModuleType, request: Struct, timeout_s: float) -> View:
     """Return the view that answers a request of that module of messages; one that is lost is sent again."""
     with _connected_socket(address, timeout_s) as sock:
         for _ in range(ATTEMPTS):
--- a/finchcart/cli/settings_schema.py
+++ b/finchcart/cli/settings_schema.py
@@ -20,12 +20,12 @@
 MICROSECONDS_BY_SUFFIX = {"_ms": MS, "_s": SECOND}
 
 
-def _whole_number(low: int, high: int) -> Any:  # noqa: ANN401
+def _whole_number(low: int, high: int) -> object:
     """The type of an optional whole number within these bounds, which belong to them."""
     return Annotated[int, Meta(ge=low, le=high)] | UnsetType
 
 
-def _optional_number(**bounds: float) -> Any:  # noqa: ANN401
+def _optional_number(**bounds: float) -> object:
     """The type of an optional number; `bounds`: as msgspec's `Meta` has them."""
     return Annotated[float, Meta(**bounds)] | UnsetType
 
