--- a/finchcart/fault_injection/fault_injecting_proxy.py
+++ b/finchcart/fault_injection/fault_injecting_proxy.py
@@ -16,7 +16,7 @@
 from queue import Empty, SimpleQueue
 
 from finchcart.fault_injection.simulated_network import Delivery, SimulatedNetwork
-from finchcart.net.links import boot_clock
+from finchcart.net.clock import boot_clock
 
 RECEIVE_BUFFER_BYTES = 1 << 20
 LONGEST_DATAGRAM = 2048  # bytes
--- a/finchcart/simulated_peers/__main__.py
+++ b/finchcart/simulated_peers/__main__.py
@@ -13,7 +13,7 @@
 from functools import partial
 from pathlib import Path
 
-from finchcart.net.links import boot_clock
+from finchcart.net.clock import boot_clock
 from finchcart.simulated_peers.registry import Registry
 from finchcart.simulated_peers.server import parse_address
 from finchcart.simulated_peers.store import Capacity, FaultStates, Store, StoreState, write_truth
--- a/finchcart/simulated_peers/store.py
+++ b/finchcart/simulated_peers/store.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 from pathlib import Path
 
-from finchcart.net.links import boot_clock
+from finchcart.net.clock import boot_clock
 from finchcart.simulated_peers.server import Address, Server
 
 US_PER_S = 1_000_000
--- a/tests/pins/codec_examples.py
+++ b/tests/pins/codec_examples.py
@@ -14,7 +14,7 @@
 from finchcart.key_leases import messages as key_leases
 from finchcart.membership import codec
 from finchcart.membership import messages as membership
-from finchcart.net import lines
+from finchcart.net import line_protocol
 from finchcart.net.limits import Limits
 from finchcart.node.methods import MethodInfo
 from finchcart.quota import messages as quota
@@ -88,15 +88,15 @@
     **{name: partial(write_datagram, *example) for name, example in DATAGRAMS.items()},
     "opinions in a note": lambda: codec.encode_value([(2**58, 2, 9)]),
     "operators' words in a note": lambda: codec.encode_value([OPERATOR]),
-    "worker pool join": lambda: lines.join(3),
-    "worker pool run": lambda: lines.run(NAME, "look-up", BODY),
-    "worker pool run, name in need of quotes": lambda: lines.run('x"y', "look-up", b""),
-    "worker pool reply": lambda: lines.reply(NAME, BODY),
-    "worker pool skip": lambda: lines.skip(NAME, 5),
-    "worker pool gauges": lambda: lines.ask_gauges("7"),
-    "store call": lambda: lines.call(NAME, 250_001, BODY),
-    "registry good": lambda: lines.report("n3", True),
-    "registry bad": lambda: lines.report("n3", False),
+    "worker pool join": lambda: line_protocol.subscribe(3),
+    "worker pool run": lambda: line_protocol.start_run(NAME, "look-up", BODY),
+    "worker pool run, name in need of quotes": lambda: line_protocol.start_run('x"y', "look-up", b""),
+    "worker pool reply": lambda: line_protocol.answer_call(NAME, BODY),
+    "worker pool skip": lambda: line_protocol.skip_call(NAME, 5),
+    "worker pool gauges": lambda: line_protocol.request_gauges("7"),
+    "store call": lambda: line_protocol.store_call(NAME, 250_001, BODY),
+    "registry good": lambda: line_protocol.registration_report("n3", True),
+    "registry bad": lambda: line_protocol.registration_report("n3", False),
     "thrift submit": lambda: thrift.submit_call(7, {"c": "look-up", "p": "0.5"}, BODY),
     "thrift ok": lambda: thrift.ok_reply(7, BODY, RIDING),
     "thrift rejected": lambda: thrift.rejected_reply(7, RIDING),
@@ -182,9 +182,9 @@
 
 def read_stream(codec, data):
     """The one message that the bytes are, with its end found as the links find it."""
-    assert codec.frame(data[:-1], 0, LONGEST) is None
-    assert codec.frame(data, 0, LONGEST) == len(data)
-    message = codec.message(data)
+    assert codec.find_frame_end(data[:-1], 0, LONGEST) is None
+    assert codec.find_frame_end(data, 0, LONGEST) == len(data)
+    message = codec.decode(data)
     if type(message) in READ_WORDS:
         return [READ_WORDS[type(message)], *plain(message)]
     word, *values = message
@@ -209,13 +209,15 @@
     if kind == "thrift":
         return read_stream(thrift.THRIFT_CODEC, data) if rest in THRIFT_CALLS else read_thrift_answer(data)
     if name in RECEIVED:
-        return read_stream(lines.STORE if kind == "store" else lines.POOL, data)
+        return read_stream(
+            line_protocol.STORE_CODEC if kind == "store" else line_protocol.WORKER_POOL_CODEC, data
+        )
     return None
 
 
 # ---- What the fields of an RPC say
 
-LIMITS = Limits(memory=192 * 2**20, descriptors=1024, stop=3_000_000)
+LIMITS = Limits(memory=192 * 2**20, descriptors=1024, stop_timeout=3_000_000)
 NOW = 1_700_000_000_000_000
 METHODS = {
     name: MethodInfo(kind, 0.0, 0, late_read_us=5_000_000, has_priority=False)
