--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -39,9 +39,10 @@
 from finchcart.node.observer import NodeObserver
 from finchcart.quota.limits import Limit
 from finchcart.thrift.messages import HeartbeatCall
+from tests.core_harness import CoreHarness
 from tests.harness import MS, Node, draw_settings
 from tests.test_control import PLAIN, one_step
-from tests.test_core import GAUGES, Far, far_plain, play
+from tests.test_core import GAUGES, plain_harness, play
 
 SHORT = ConsensusConfig(
     restriction_time=6 * SECOND, source_span=4 * SECOND, recurrence_window=6 * SECOND
@@ -412,59 +413,59 @@
 
 
 def witnessed(**settings):
-    """A far with verdicts: the trial limit gives this node one call, for ever."""
+    """A harness with verdicts: the trial limit gives this node one call, for ever."""
     meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"),), 20 * MS, 10)
     meters.recovery_step_us, meters.probe_timeout_us = CONFIG.recovery_step, CONFIG.probe_timeout
-    far = far_plain(meters, NodeObserver(CONFIG), **settings)
-    far.feed(fleet_input(("allow", "trial", 0, 1, far.now + 10**12)))
-    return far
+    harness = plain_harness(meters, NodeObserver(CONFIG), **settings)
+    harness.feed(fleet_input(("allow", "trial", 0, 1, harness.now + 10**12)))
+    return harness
 
 
-def holds(far, **changed):
+def holds(harness, **changed):
     good = {"store": StoreHealth.WORKING, "sources": {}, "out": False, "level": 0.0}
-    far.feed(fleet_input(("verdicts", {**good, **changed})))
+    harness.feed(fleet_input(("verdicts", {**good, **changed})))
 
 
 def test_a_store_that_is_down_gets_this_nodes_probe_calls_alone_and_more_by_steps_once_it_is_back():
-    far = witnessed(cores=64, overload_factor=64, calls_limit=100.0)
-    room = lambda: far.limiters.call_capacity(far.core.store)
+    harness = witnessed(cores=64, overload_factor=64, calls_limit=100.0)
+    room = lambda: harness.limiters.call_capacity(harness.core.store)
     assert room() is None
-    holds(far, store=StoreHealth.DOWN)
-    assert room() == 1 and far.limiters.acquire_call(far.core.store)[1] == CONFIG.probe_timeout
-    far.feed(fleet_input(("allow", "trial", 0, 0, far.now + 10**12)))
-    assert room() == 0 and far.limiters.acquire_call(far.core.store) is None
-    holds(far)
+    holds(harness, store=StoreHealth.DOWN)
+    assert room() == 1 and harness.limiters.acquire_call(harness.core.store)[1] == CONFIG.probe_timeout
+    harness.feed(fleet_input(("allow", "trial", 0, 0, harness.now + 10**12)))
+    assert room() == 0 and harness.limiters.acquire_call(harness.core.store) is None
+    holds(harness)
     rooms = []
     for _ in range(4):
-        far.limiters.set_clock(far.now)
+        harness.limiters.set_clock(harness.now)
         rooms.append(room())
-        far.now += CONFIG.recovery_step
+        harness.now += CONFIG.recovery_step
     assert rooms == [1, 2, 4, 8], "no rush of all at once"
-    far.now += 20 * CONFIG.recovery_step
-    far.limiters.set_clock(far.now)
+    harness.now += 20 * CONFIG.recovery_step
+    harness.limiters.set_clock(harness.now)
     assert room() is None
 
 
 def test_unreadable_and_silent_connections_count_against_the_address_and_never_a_number():
-    far = witnessed()
-    far.submit(far.open("10.0.0.7"), 1, c="unheard")
-    silent, check, ours = far.open("10.0.0.7"), far.open("10.0.0.8"), far.open("10.0.0.9")
-    far.give(check, HeartbeatCall(1))
-    far.feed(MessagesReceived(ours, [], far.now))
-    far.front.closer.announce(far.front.table.connections[ours])
+    harness = witnessed()
+    harness.submit(harness.open("10.0.0.7"), 1, c="unheard")
+    silent, check, ours = harness.open("10.0.0.7"), harness.open("10.0.0.8"), harness.open("10.0.0.9")
+    harness.deliver(check, HeartbeatCall(1))
+    harness.feed(MessagesReceived(ours, [], harness.now))
+    harness.frontend.closer.announce(harness.frontend.table.connections[ours])
     for _ in range(60):
-        far.step(40 * MS)
+        harness.step(40 * MS)
     bad = {}
-    for seen in far.seen:
+    for seen in harness.evidence:
         for subject, (count, _, _) in seen["sources"].items():
             bad[subject] = bad.get(subject, 0) + count
     assert silent and bad == {BAD: 2}, "no health check, nor a connection that we told to close"
 
 
 def test_a_blocked_source_is_rejected_at_once_and_a_throttled_one_beyond_its_rate():
-    far = witnessed(retry_after_max=1000 * MS, cores=64, overload_factor=64)
+    harness = witnessed(retry_after_max=1000 * MS, cores=64, overload_factor=64)
     holds(
-        far,
+        harness,
         sources={
             BAD: Restriction.BLOCKED,
             subjects.make_subject(SubjectKind.DISPATCHER, 5): Restriction.BLOCKED,
@@ -472,17 +473,17 @@
         },
     )
     tries = [
-        far.submit(far.open("10.0.0.7")),
-        far.submit(far.open("10.0.0.9"), f="5"),
-        far.submit(far.open("10.0.0.9")),
+        harness.submit(harness.open("10.0.0.7")),
+        harness.submit(harness.open("10.0.0.9"), f="5"),
+        harness.submit(harness.open("10.0.0.9")),
     ]
-    link = far.open("10.0.0.8")
-    tries += [far.submit(link) for _ in range(8)]
-    far.step(MS)
-    how = [far.tries[name].get("how") for name in tries]
-    assert how[:3] == ["pushed back", "pushed back", None]
-    assert how[3:].count("pushed back") == 8 - CONFIG.throttled_rate
-    assert not far.runs.keys() & {tries[0], tries[1]}, "it never ran"
+    link = harness.open("10.0.0.8")
+    tries += [harness.submit(link) for _ in range(8)]
+    harness.step(MS)
+    how = [harness.attempts[name].outcome for name in tries]
+    assert how[:3] == ["rejected", "rejected", None]
+    assert how[3:].count("rejected") == 8 - CONFIG.throttled_rate
+    assert not harness.runs.keys() & {tries[0], tries[1]}, "it never ran"
 
 
 @pytest.mark.parametrize("seed", range(10))
@@ -490,27 +491,29 @@
     rng = random.Random(seed)
     meters = LimiterSet((Limit("trial", 4, counts="trial", mode="loose"), Limit("calls", 40, 1)), 20 * MS, 10)
     meters.recovery_step_us, meters.probe_timeout_us = CONFIG.recovery_step, CONFIG.probe_timeout
-    far = Far({**draw_settings(rng), **GAUGES}, seed, limiters=meters, observer=NodeObserver(CONFIG))
-    step = far.step
+    harness = CoreHarness(
+        {**draw_settings(rng), **GAUGES}, seed, limiters=meters, observer=NodeObserver(CONFIG)
+    )
+    step = harness.step
 
     def stepped(dt):
         step(dt)
-        if rng.random() < 0.05 and not far.ended:
+        if rng.random() < 0.05 and not harness.ended:
             here = subjects.source_subject("127.0.0.1")
             holds(
-                far,
+                harness,
                 store=rng.choice((StoreHealth.WORKING, StoreHealth.SLOW, StoreHealth.DOWN)),
                 level=rng.choice((0.0, 0.0, 0.3, 0.9)),
                 out=rng.random() < 0.2,
                 sources=rng.choice(({}, {}, {here: Restriction.THROTTLED}, {here: Restriction.BLOCKED})),
             )
-        if rng.random() < 0.05 and not far.ended:
+        if rng.random() < 0.05 and not harness.ended:
             name = rng.choice(("trial", "calls"))
-            far.feed(fleet_input(("allow", name, 0, rng.randrange(3), far.now + SECOND)))
+            harness.feed(fleet_input(("allow", name, 0, rng.randrange(3), harness.now + SECOND)))
 
-    far.step = stepped
-    play(far, rng)
-    assert far.seen
+    harness.step = stepped
+    play(harness, rng)
+    assert harness.evidence
 
 
 @pytest.mark.parametrize("seed", range(8))
--- a/tests/test_front.py
+++ b/tests/test_frontend.py
@@ -1,6 +1,7 @@
 """The front's contract: a few lines of front in memory run the same seeded rule checks through the core."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -8,16 +9,11 @@
 from finchcart.node.effects import Drop, Read, Send
 from finchcart.node.rpc import FinalOutcome, Rpc, RpcAttributes
 from finchcart.thrift.messages import RevokeNotice, SubmitCall
-from tests.harness import MS, Far, draw_settings
+from tests.core_harness import MS, CoreHarness
+from tests.harness import draw_settings
 from tests.test_control import PLAIN
 from tests.test_core import GAUGES, play, running
 
-HOW = {
-    FinalOutcome.OK: "ok",
-    FinalOutcome.REJECTED: "pushed back",
-    FinalOutcome.FAILED: "aborted",
-}
-
 
 class MemoryFrontend:
     """No protocol at all: messages are the harness's tuples, answers are tuples too."""
@@ -90,34 +86,36 @@
         return not self.links
 
 
-class MemoryFar(Far):
+class MemoryFrontendHarness(CoreHarness):
     def __init__(self, settings, seed=1, **limits):
-        super().__init__(settings, seed, front=MemoryFrontend, **limits)
+        super().__init__(settings, seed, frontend=MemoryFrontend, **limits)
 
-    def answered(self, link, data):
+    def on_reply(self, connection, data):
         sequence, outcome, body = data
-        self.judge(link, sequence, HOW[outcome], body)
+        self.record_answer(connection, sequence, outcome, body)
 
 
 @pytest.mark.parametrize("seed", range(8))
-def test_rules_hold_through_a_front_of_another_kind(seed):
+def test_rules_hold_through_a_frontend_of_another_kind(seed):
     rng = random.Random(100 + seed)
-    far = MemoryFar({**draw_settings(rng), **GAUGES}, seed, kept_results=rng.choice((60, 10_000)))
-    assert "ok" in play(far, rng) and not far.front.rpcs
-    assert ("health", False) in far.front.said and far.front.said[-1][0] != "health"
-
-
-def test_two_fronts_share_tokens_and_one_name_is_one_rpc():
-    far = MemoryFar({**PLAIN, **GAUGES})
-    far.step(MS)
-    far.step(MS)
-    name = running(far, 1)
-    link = far.open()
-    first = far.tries[name]
-    far.give(link, SubmitCall(9, {"i": name, "c": "m0", "s": str(far.now // 1000)}, b""))
-    far.tries["x"] = {**first, "body": b"other"}
-    odd = far.submit(link, 1, "x")
-    far.step(MS)
-    assert far.tries[odd]["how"] == "aborted" and list(far.runs) == [name]
-    assert (link, 9) not in far.front.rpcs  # a name in use was unfit, and kept nothing
-    assert far.core.lifecycle.find_running(name) is far.core.lifecycle.rpcs[0]
+    harness = MemoryFrontendHarness(
+        {**draw_settings(rng), **GAUGES}, seed, kept_results=rng.choice((60, 10_000))
+    )
+    assert "ok" in play(harness, rng) and not harness.frontend.rpcs
+    assert ("health", False) in harness.frontend.said and harness.frontend.said[-1][0] != "health"
+
+
+def test_two_frontends_share_keys_and_one_name_is_one_rpc():
+    harness = MemoryFrontendHarness({**PLAIN, **GAUGES})
+    harness.step(MS)
+    harness.step(MS)
+    name = running(harness, 1)
+    link = harness.open()
+    first = harness.attempts[name]
+    harness.deliver(link, SubmitCall(9, {"i": name, "c": "m0", "s": str(harness.now // 1000)}, b""))
+    harness.attempts["x"] = replace(first, body=b"other")
+    odd = harness.submit(link, 1, "x")
+    harness.step(MS)
+    assert harness.attempts[odd].outcome == "failed" and list(harness.runs) == [name]
+    assert (link, 9) not in harness.frontend.rpcs  # a name in use was unfit, and kept nothing
+    assert harness.core.lifecycle.find_running(name) is harness.core.lifecycle.rpcs[0]
--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -15,8 +15,9 @@
 from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.node.fleet_inputs import fleet_input, key_lease_client_input
 from finchcart.node.key_leases import KeyLeaseGate
-from tests.harness import draw_settings, read_answer
-from tests.test_core import GAUGES, Far, far_plain, play
+from tests.core_harness import CoreHarness, read_answer
+from tests.harness import draw_settings
+from tests.test_core import GAUGES, plain_harness, play
 
 
 def settle(world, rounds=40):
@@ -166,13 +167,13 @@
 
 
 class Kept:
-    """Keepers by chance round a far: what was claimed, and whose it is. `kinds`: of the answers."""
+    """Keepers by chance round a harness: what was claimed, and whose it is. `kinds`: of the answers."""
 
-    def __init__(self, far, rng, kinds):
-        self.far, self.rng, self.kinds = far, rng, kinds
+    def __init__(self, harness, rng, kinds):
+        self.harness, self.rng, self.kinds = harness, rng, kinds
         self.asked, self.mine, self.told = {}, set(), []
-        far.do_claim = lambda what: self.take(key_lease_client_input(what))
-        step = far.step
+        harness.on_key_lease_command = lambda what: self.take(key_lease_client_input(what))
+        step = harness.step
 
         def stepped(dt):
             step(dt)
@@ -181,10 +182,12 @@
                 kind = rng.choice(kinds)
                 if kind == LeaseStatus.GRANTED:
                     self.mine.add(key)
-                if not far.ended:
-                    far.feed(fleet_input(("claimed", key, kind, b"", far.now + rng.choice((5, 1000)) * MS)))
+                if not harness.ended:
+                    harness.feed(
+                        fleet_input(("claimed", key, kind, b"", harness.now + rng.choice((5, 1000)) * MS))
+                    )
 
-        far.step = stepped
+        harness.step = stepped
 
     def take(self, what):
         kind, *rest = what
@@ -200,24 +203,26 @@
             self.asked.pop(rest[0], None)
 
 
-def runs_are_claimed(far, kept):
-    run = far.core.pool.run
+def runs_are_claimed(harness, kept):
+    run = harness.core.pool.run
 
     def claimed_run(rpc, repeatable):
         if rpc.key_entry:
-            key, by = far.core.key_leases.held[rpc.index]
-            assert key in kept.mine and far.now < by, "commanded without a claim"
+            key, by = harness.core.key_leases.held[rpc.index]
+            assert key in kept.mine and harness.now < by, "commanded without a claim"
         run(rpc, repeatable)
 
-    far.core.pool.run = claimed_run
+    harness.core.pool.run = claimed_run
 
 
 @pytest.mark.parametrize("seed", range(12))
 def test_rules_hold_with_claims_and_none_is_left_behind(seed):
     rng = random.Random(seed)
-    far = Far({**draw_settings(rng), **GAUGES}, seed, key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
+    harness = CoreHarness(
+        {**draw_settings(rng), **GAUGES}, seed, key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND)
+    )
     kept = Kept(
-        far,
+        harness,
         rng,
         (
             LeaseStatus.GRANTED,
@@ -230,54 +235,56 @@
             LeaseStatus.PAYLOAD_MISMATCH,
         ),
     )
-    runs_are_claimed(far, kept)
-    play(far, rng)
-    assert not kept.mine and not far.core.key_leases.waiting and not far.core.key_leases.held
+    runs_are_claimed(harness, kept)
+    play(harness, rng)
+    assert not kept.mine and not harness.core.key_leases.waiting and not harness.core.key_leases.held
 
 
 def one_tokened(kind, again=False, by=1000, result=b"there"):
     """How a tokened RPC is answered whose claim comes to `kind`, and whether it ran."""
-    far = far_plain(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
-    name = far.submit(far.open(), 1, **({"r": "1"} if again else {}))
-    far.step(MS)
-    ((_, asks),) = far.claims
-    assert not far.runs, "not before its claim"
+    harness = plain_harness(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
+    name = harness.submit(harness.open(), 1, **({"r": "1"} if again else {}))
+    harness.step(MS)
+    ((_, asks),) = harness.key_lease_inputs
+    assert not harness.runs, "not before its claim"
     if kind is not None:
-        far.feed(fleet_input(("claimed", asks[0][0], kind, result, far.now + by * MS)))
-    far.step(MS)
-    ran = name in far.runs
+        harness.feed(fleet_input(("claimed", asks[0][0], kind, result, harness.now + by * MS)))
+    harness.step(MS)
+    ran = name in harness.runs
     for _ in range(200):
-        if far.tries[name].get("how") or ran:
+        if harness.attempts[name].outcome or ran:
             break
-        far.step(20 * MS)
-    return far.tries[name].get("how"), ran, far.now - far.tries[name]["due"]
+        harness.step(20 * MS)
+    return harness.attempts[name].outcome, ran, harness.now - harness.attempts[name].due
 
 
 def test_what_a_claim_comes_to_is_what_the_caller_hears():
     assert one_tokened(LeaseStatus.GRANTED)[:2] == (None, True)
     assert (
-        one_tokened(LeaseStatus.HELD)[:2] == ("aborted", False)
-        and one_tokened(LeaseStatus.FAILED)[0] == "aborted"
+        one_tokened(LeaseStatus.HELD)[:2] == ("failed", False)
+        and one_tokened(LeaseStatus.FAILED)[0] == "failed"
     )
-    assert one_tokened(LeaseStatus.UNAVAILABLE)[0] == "pushed back", "a first try never ran"
-    assert one_tokened(LeaseStatus.UNAVAILABLE, again=True)[0] == "aborted", (
+    assert one_tokened(LeaseStatus.UNAVAILABLE)[0] == "rejected", "a first try never ran"
+    assert one_tokened(LeaseStatus.UNAVAILABLE, again=True)[0] == "failed", (
         "an earlier one may have, elsewhere"
     )
-    assert one_tokened(LeaseStatus.GRANTED, by=0)[:2] == ("pushed back", False), (
+    assert one_tokened(LeaseStatus.GRANTED, by=0)[:2] == ("rejected", False), (
         "the claim is over when it comes"
     )
     how, ran, late = one_tokened(None)
-    assert how == "pushed back" and not ran and late <= 0, "no keeper answers: by its due time"
+    assert how == "rejected" and not ran and late <= 0, "no keeper answers: by its due time"
 
 
 def test_a_run_elsewhere_gives_its_result():
-    far = far_plain(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
+    harness = plain_harness(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     told = []
-    far.answered = lambda link, data: told.append(read_answer(data))
-    far.submit(far.open(), 1)
-    far.step(MS)
-    far.feed(fleet_input(("claimed", far.claims[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0)))
-    assert b"there" in str(told).encode() and not far.runs
+    harness.on_reply = lambda link, data: told.append(read_answer(data))
+    harness.submit(harness.open(), 1)
+    harness.step(MS)
+    harness.feed(
+        fleet_input(("claimed", harness.key_lease_inputs[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0))
+    )
+    assert b"there" in str(told).encode() and not harness.runs
 
 
 # ---- planted defects
--- /dev/null
+++ b/tests/test_node_parts.py
@@ -0,0 +1,245 @@
+"""Each part of a node alone, on a bare turn: no core, no decision module."""
+
+import random
+
+import pytest
+
+from finchcart.interface import Outcome
+from finchcart.net.limits import Limits
+from finchcart.node.effect_buffer import EffectBuffer, own_connections_first
+from finchcart.node.effects import Defer, End, Send, SendReport, StopListening
+from finchcart.node.idempotency import IdempotencyCache, NoResult, digest_of
+from finchcart.node.inputs import (
+    CloseAttempted,
+    ConnectionEnded,
+    Drain,
+    DuplicateReady,
+    MessagesReceived,
+    ThreadDied,
+    TimersDue,
+)
+from finchcart.node.registration import Registration
+from finchcart.node.rpc import Rpc
+from finchcart.node.store import StoreClient
+from finchcart.node.worker_pool import WorkerPool
+from tests.harness import same_input
+
+MS = 1000
+LIMITS = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS)
+
+
+def rpc_of(index, body=b"body"):
+    rpc = Rpc(None, None, f"n{index}", "m0", body)
+    rpc.index = index
+    return rpc
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_the_idempotency_cache_holds_one_entry_a_key_and_bounds_results(seed):
+    rng, turn = random.Random(seed), EffectBuffer(1)
+    cache, live, windows = IdempotencyCache(turn, 500 * MS, 40), [], {}
+    for index in range(400):
+        turn.begin(turn.now + rng.randrange(60) * MS)
+        key = ("m0", rng.randrange(12))
+        reached = turn.now - rng.randrange(200) * MS
+        rpc = rpc_of(index)
+        rpc.key_entry, repeats = cache.entry_for(key, index, digest_of(rpc.body), reached)
+        assert repeats or not any(until > reached and ran for until, ran in windows.get(key, ())), "forgotten"
+        if repeats:
+            cache.join_in_flight(rpc)
+        else:
+            cache.store(rpc, 2_000 * MS)
+            rpc.key_entry.ran = rng.random() < 0.8
+            windows.setdefault(key, []).append((rpc.key_entry.expires_at, rpc.key_entry.ran))
+            live.append(rpc)
+        if live and rng.random() < 0.7:
+            done = live.pop(rng.randrange(len(live)))
+            if done.key_entry.ran:
+                cache.complete(done.key_entry, rng.choice((rng.randbytes(9), NoResult.FAILED)))
+            else:
+                cache.evict(done.key_entry)
+        assert cache.result_bytes == sum(len(entry.result) for entry in cache.with_result) <= 40
+    for _ in range(3):
+        turn.begin(turn.now + 4_000 * MS)
+    assert not cache.entries and not cache.with_result and not turn.timers
+
+
+def test_a_late_duplicate_of_what_ran_is_known_though_a_later_attempt_was_evicted():
+    turn = EffectBuffer(1)
+    cache = IdempotencyCache(turn, 500 * MS, 100)
+    turn.begin(1_000 * MS)
+    ran, later = rpc_of(0), rpc_of(1)
+    ran.key_entry, _ = cache.entry_for(("m0", "k"), 0, digest_of(b"body"), turn.now)
+    cache.store(ran, 100 * MS)
+    ran.key_entry.ran = True
+    cache.complete(ran.key_entry, b"result")
+    turn.begin(1_150 * MS)
+    later.key_entry, repeats = cache.entry_for(("m0", "k"), 1, digest_of(b"body"), turn.now)
+    assert not repeats  # the window is over
+    cache.store(later, 100 * MS)
+    cache.evict(later.key_entry)  # pushed back: it never ran
+    assert cache.entry_for(("m0", "k"), 2, digest_of(b"body"), 1_050 * MS) == (ran.key_entry, True)
+    assert not cache.entry_for(("m0", "k"), 2, digest_of(b"body"), 1_160 * MS)[1]
+
+
+def test_waiting_duplicates_are_notified_once_the_first_attempt_completes():
+    turn = EffectBuffer(1)
+    cache = IdempotencyCache(turn, 0, 100)
+    first, second = rpc_of(0), rpc_of(1)
+    first.key_entry, _ = cache.entry_for(("m0", "k"), 0, digest_of(b"body"), 0)
+    cache.store(first, 10)
+    first.key_entry.ran = True
+    second.key_entry, repeats = cache.entry_for(("m0", "k"), 1, digest_of(b"body"), 0)
+    cache.join_in_flight(second)
+    assert repeats and not turn.effects
+    cache.complete(first.key_entry, b"result")
+    assert same_input(turn.effects[0].input, DuplicateReady(1))
+    assert turn.effects == [Defer(DuplicateReady(1))] and cache.is_payload_mismatch(
+        ("m0", "k"), digest_of(b"x")
+    )
+
+
+class CallsByChance:
+    """Calls to the store, and how each ends; checks that no copy of a reply can pass for another's."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.turn = EffectBuffer(1)
+        self.ended = []
+        self.store = StoreClient(self.turn, LIMITS, ("store", 1), self.call_ended)
+        self.in_flight = {}  # by number of the call
+        self.calls_made = 0
+        self.names_used = {}  # by connection
+
+    def call_ended(self, rpc, outcome, body, spent_us):
+        self.ended.append(rpc.index)
+
+    def call(self, rpc):
+        if rpc.name in {other.name for other in self.in_flight.values()}:
+            return
+        self.store.call(rpc, 200 * MS, b"?")
+        self.in_flight[self.calls_made] = rpc
+        self.calls_made += 1
+        used = self.names_used.setdefault(rpc.call_connection, set())
+        assert rpc.name not in used, "a copy could pass for it"
+        used.add(rpc.name)
+
+    def end_by_chance(self, number, rpc):
+        store = self.store
+        connection = rpc.call_connection
+        chance = self.rng.random()
+        if connection is None:
+            del self.in_flight[number]
+        elif chance < 0.1:
+            store.message_received(connection, ("reply", rpc.name, Outcome.OK, b"!"))
+        elif chance < 0.13:
+            # Corrupt: it never passes for the call's.
+            store.message_received(connection, ("reply", "another", Outcome.OK, b"!"))
+            assert rpc.call_connection == connection and store.connections[connection].retired
+        elif chance < 0.16:
+            store.connection_ended(connection, "cut")
+        elif chance < 0.18:
+            store.drop(rpc)
+            self.ended.append(rpc.index)
+
+    def step(self, number):
+        rng = self.rng
+        self.turn.begin(self.turn.now + rng.randrange(20) * MS)
+        if rng.random() < 0.4:
+            self.call(rpc_of(rng.randrange(20) if rng.random() < 0.5 else 100 + number))
+        for each, rpc in list(self.in_flight.items()):
+            self.end_by_chance(each, rpc)
+        connections = self.store.connections.values()
+        names = {connection.rpc.name for connection in connections if connection.rpc}
+        assert len(names) == sum(1 for connection in connections if connection.rpc)
+        if rng.random() < 0.01:
+            self.store.change_address(("store", number))
+            assert all(connection.rpc for connection in connections)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_each_call_ends_once_and_no_connection_serves_a_name_twice(seed):
+    calls = CallsByChance(seed)
+    for number in range(600):
+        calls.step(number)
+    for _ in range(4):
+        calls.turn.begin(calls.turn.now + 2_000 * MS)
+    assert len(calls.ended) == calls.calls_made and not calls.store.connections and not calls.store.idle
+
+
+class Host:
+    def __init__(self):
+        self.rpcs, self.told = {}, []
+
+    def find_running(self, name):
+        return self.rpcs.get(name)
+
+    def run_ended(self, rpc, outcome, spent, result):
+        self.told.append((rpc.name, outcome))
+        self.rpcs.pop(rpc.name)
+        self.pool.confirm(rpc)
+
+    def __getattr__(self, word):
+        return lambda *more: self.told.append((word, *more))
+
+
+def test_the_pool_settles_what_a_lost_connection_may_have_lost():
+    turn, host = EffectBuffer(1), Host()
+    pool = host.pool = WorkerPool(turn, LIMITS, ("pool", 1), ("core_use",), host, host)
+    pool.connect()
+    pool.message_received(pool.connection, ("up", False, 5_000))
+    safe, effect = rpc_of(1), rpc_of(2)
+    host.rpcs = {safe.name: safe, effect.name: effect}
+    pool.send_command(safe, b"run safe", b"run safe")
+    pool.send_command(effect, b"run effect", None)
+    pool.connection_ended(pool.connection, "")
+    turn.begin(turn.now + 1_000 * MS)
+    pool.message_received(pool.connection, ("up", False, 1_005_000))
+    settle = pool.settle_ticket
+    turn.begin(turn.now)
+    pool.message_received(pool.connection, ("gauges", settle, ()))
+    assert Send(pool.connection, b"run safe") in [e for e in turn.effects if isinstance(e, Send)]
+    assert (effect.name, Outcome.STOPPED) in host.told and b"run effect" not in [e[-1] for e in turn.effects]
+    assert list(pool.unconfirmed) == [1]  # written once more, and open again
+    pool.message_received(pool.connection, ("run_ended", 1, safe.name, Outcome.OK, 5, b""))
+    pool.message_received(pool.connection, ("run_ended", 1, safe.name, Outcome.OK, 5, b""))
+    assert host.told.count((safe.name, Outcome.OK)) == 1
+
+
+def test_the_end_waits_for_what_is_open_and_listens_no_more_before():
+    turn, busy = EffectBuffer(1), [True]
+    registration = Registration(turn, LIMITS, "n1", ("registry", 1), 100 * MS, lambda: busy[0])
+    registration.report()
+    assert registration.drain(turn.now) and not registration.drain(turn.now)
+    registration.set_health(False)
+    assert turn.effects[-1].data == b"HERE n1 off"
+    told = []
+    for _ in range(60):
+        told += map(type, turn.begin(turn.now + 40 * MS))
+        registration.end_if_idle()
+        told += [type(effect) for effect in turn.effects if isinstance(effect, StopListening | End)]
+        busy[0] = turn.now < 600 * MS
+    assert [kind for kind in told if kind is not SendReport][:2] == [StopListening, End]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_turn_takes_own_connections_first_and_keeps_the_order_on_each(seed):
+    rng = random.Random(seed)
+    words = [Drain(), TimersDue(), ThreadDied("read 3")]
+    for n in range(40):
+        link = rng.choice((-2, -1, 1, 2))
+        words.append(
+            rng.choice(
+                (MessagesReceived(link, [n], n), ConnectionEnded(link, f"{n}"), CloseAttempted(link, n))
+            )
+        )
+    rng.shuffle(words)
+    taken = own_connections_first(words)
+
+    def of_connection(order, connection):
+        return [what for what in order if getattr(what, "connection", None) == connection]
+
+    for connection in (-2, -1, 1, 2):
+        assert of_connection(taken, connection) == of_connection(words, connection)
+    signs = [what.connection < 0 for what in taken if hasattr(what, "connection")]
+    assert signs == sorted(signs, reverse=True)
--- a/tests/test_watch.py
+++ b/tests/test_shadow.py
@@ -3,6 +3,7 @@
 import json
 import random
 import re
+from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
@@ -14,7 +15,8 @@
 from finchcart.interface import Outcome
 from finchcart.node import shadow
 from finchcart.node.inputs import LoadMeasured
-from tests.harness import MS, Far, draw_settings
+from tests.core_harness import MS, CoreHarness
+from tests.harness import draw_settings
 from tests.test_control import PLAIN
 from tests.test_core import GAUGES, play
 
@@ -23,12 +25,14 @@
 
 def day(seed, told, watched=None):
     """A random day. Returns the far side, how each try ended, and the counts of all lines."""
-    far = Far({**told, **GAUGES}, seed, shadow=watched and {"settings": watched, "period": PERIOD})
-    started = far.now
-    ends = play(far, random.Random(seed))
-    lines = [line for line in far.lines if line.startswith("watching: ")]
-    assert len(lines) <= (far.now - started) / PERIOD, "more than one line a period"
-    return far, ends, [int(count) for line in lines for count in re.findall(r" (\d+)(?:,|$)", line)]
+    harness = CoreHarness(
+        {**told, **GAUGES}, seed, shadow=watched and {"settings": watched, "period": PERIOD}
+    )
+    started = harness.now
+    ends = play(harness, random.Random(seed))
+    lines = [line for line in harness.log_lines if line.startswith("watching: ")]
+    assert len(lines) <= (harness.now - started) / PERIOD, "more than one line a period"
+    return harness, ends, [int(count) for line in lines for count in re.findall(r" (\d+)(?:,|$)", line)]
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -38,52 +42,52 @@
     assert type(plain.core.control) is Control and not counts
     other = {"methods.0.latency_target": 1 * MS, "can_stop": True, "can_pause": True, "feedback": "credit"}
     for watched, differs in (({"tick": told["tick"]}, False), (other, True)):
-        far, watched_ends, counts = day(seed, told, watched)
-        assert (watched_ends, far.reports) == (ends, plain.reports)
+        harness, watched_ends, counts = day(seed, told, watched)
+        assert (watched_ends, harness.reports) == (ends, plain.reports)
         assert counts and any(counts) is differs
     for broken in ({"cores": None}, {"memory_kb": None}):  # a fault at its start, and at its first arrival
-        far, watched_ends, _ = day(seed, told, broken)
-        assert (watched_ends, far.reports) == (ends, plain.reports)
-        ended(far)
+        harness, watched_ends, _ = day(seed, told, broken)
+        assert (watched_ends, harness.reports) == (ends, plain.reports)
+        ended(harness)
 
 
-def ended(far):
+def ended(harness):
     """A fault of the watched has ended the watching alone, with one line."""
-    control = far.core.control
-    assert sum("watching ended by a fault" in line for line in far.lines) == 1
+    control = harness.core.control
+    assert sum("watching ended by a fault" in line for line in harness.log_lines) == 1
     assert not (control.shadow or control.handles or control.port.rejections or control.port.failed_or_paused)
 
 
 def test_a_fault_as_one_of_many_ends_for_the_watched_too_ends_the_watching_alone():
-    far = Far({**PLAIN, **GAUGES}, shadow={"settings": {}, "period": PERIOD})
-    far.slow = 0
-    far.step(MS)
-    far.step(MS)
-    link = far.open()
-    names = [far.submit(link, 0) for _ in range(6)]
-    far.step(MS)
-    for handle in far.core.control.handles.values():
+    harness = CoreHarness({**PLAIN, **GAUGES}, shadow={"settings": {}, "period": PERIOD})
+    harness.write_block_probability = 0
+    harness.step(MS)
+    harness.step(MS)
+    link = harness.open()
+    names = [harness.submit(link, 0) for _ in range(6)]
+    harness.step(MS)
+    for handle in harness.core.control.handles.values():
         handle.shadow = SimpleNamespace(state=None, run_ended=lambda *_: None, caller_gone=lambda now: 1 / 0)
     for _ in range(400):
-        far.step(10 * MS)
-    ended(far)
-    assert all(far.tries[name]["answers"] == 1 for name in names)
+        harness.step(10 * MS)
+    ended(harness)
+    assert all(harness.attempts[name].answers == 1 for name in names)
 
 
 def crowded(watched, told=PLAIN, waited=0):
     """More than two cores can do, for a while, on a node that is busy itself."""
-    far = Far({**told, **GAUGES}, shadow={"settings": watched, "period": 10**12})
-    far.slow = 0
-    links = [far.open() for _ in range(4)]
+    harness = CoreHarness({**told, **GAUGES}, shadow={"settings": watched, "period": 10**12})
+    harness.write_block_probability = 0
+    links = [harness.open() for _ in range(4)]
     for step in range(300):
-        far.step(10 * MS)
-        far.feed(LoadMeasured(19, 20))
-        if far.core.ready:
+        harness.step(10 * MS)
+        harness.feed(LoadMeasured(19, 20))
+        if harness.core.ready:
             for n in (0, 0, 1):
-                far.submit(links[step % 4], n, waited=waited, p="0.9" if n else "0.1")
-            for name in list(far.active) if step % 20 == 0 else ():
-                far.finish(name, Outcome.OK)
-    return far.core.control.counts
+                harness.submit(links[step % 4], n, waited=waited, p="0.9" if n else "0.1")
+            for name in list(harness.active_runs) if step % 20 == 0 else ():
+                harness.end_run(name, Outcome.OK)
+    return harness.core.control.counts
 
 
 def targets(ms):
@@ -125,8 +129,7 @@
     ],
 )
 def test_a_setting_that_can_not_be_is_named_with_its_value_and_what_is_expected(tmp_path, name, value, words):
-    with open("example/config.json", encoding="utf-8") as file:
-        config = json.load(file)
+    config = json.loads(Path("example/config.json").read_text(encoding="utf-8"))
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**config, name: value}))
     with pytest.raises(ConfigError) as told:
