--- a/tools/links.py
+++ b/tools/links.py
@@ -1,7 +1,7 @@
 """Check that the relative links of the project's pages lead somewhere.
 
-Reads the Markdown files in the root, `docs/`, `example/` and `benchmarks/`. A link has to name a file or folder
-that exists and, after `#`, a heading of that page. Links with a scheme (`https:`) are left alone.
+Reads the Markdown files in the root, `docs/`, `example/` and `benchmarks/`. A link has to name a file or
+folder that exists and, after `#`, a heading of that page. Links with a scheme (`https:`) are left alone.
 
     python tools/links.py    # status 1, and a line for each, if links are broken
 """
