--- a/finchcart/fault_injection/limit_bounds.py
+++ b/finchcart/fault_injection/limit_bounds.py
@@ -6,7 +6,8 @@
 
 def quota_of(script: Script) -> QuotaConfig | None:
     """Return the limits of a script as its processes have them; None where nothing holds them."""
-    from finchcart.cli.file import checked, quota
+    from finchcart.cli.settings_file import check_settings
+    from finchcart.cli.settings_schema import quota_config
 
     if script.static or not script.limits:
         return None
@@ -16,7 +17,7 @@
         "limits": script.limits,
         "quota": {"planners": planners, **script.quota},
     }
-    return quota(checked(settings, "script"))
+    return quota_config(check_settings(settings, "script"))
 
 
 def overshoot_bound(script: Script) -> int | None:
--- a/finchcart/fault_injection/processes.py
+++ b/finchcart/fault_injection/processes.py
@@ -20,7 +20,7 @@
 from finchcart.fault_injection.loopback_addresses import MEMBER_PORT, LoopbackAddresses
 from finchcart.fault_injection.node_configuration import fleet_settings, node_configuration, store_share
 from finchcart.fault_injection.script import Load
-from finchcart.net.links import boot_clock
+from finchcart.net.clock import boot_clock
 from finchcart.simulated_peers.store import StoreState
 
 SEED_MEMBERS = 3
@@ -239,11 +239,11 @@
 
     def override(self, name: str, kind: str, subject: str, value: str) -> None:
         """Issue an operator's override at that node; without a value it is withdrawn."""
-        from finchcart.cli import serve
+        from finchcart.cli.queries import send_override
         from finchcart.consensus import subjects
 
         with suppress(TimeoutError):  # stopped, or not there
-            serve.say(
+            send_override(
                 self.addresses.member(name),
                 subjects.parse_subject(kind, subject),
                 subjects.parse_value(kind, value) if value else 0,
@@ -261,13 +261,13 @@
 
     def find_leader(self) -> str | None:
         """Return the planner that leads, by its own word; the last one known where none says so."""
-        from finchcart.cli.serve import ask_limits
+        from finchcart.cli.queries import query_limits
 
         for name in self.planners:
             with suppress(TimeoutError):
                 if (
                     self.is_running(name)
-                    and ask_limits(self.addresses.member(name), LEADER_TIMEOUT_S)["leads"]
+                    and query_limits(self.addresses.member(name), LEADER_TIMEOUT_S)["leads"]
                 ):
                     self.leader = name
         return self.leader or next(iter(self.planners), None)
--- a/finchcart/node/store.py
+++ b/finchcart/node/store.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from finchcart.interface import Outcome
-from finchcart.net import lines
+from finchcart.net import line_protocol
 from finchcart.net.limits import Limits
 from finchcart.node.effect_buffer import EffectBuffer
 from finchcart.node.effects import Drop, Read, Send, SendBefore
@@ -44,8 +44,8 @@
 
     `call_ended(rpc, outcome, body, spent_us)` is told of each call that was not dropped. Bounds: connections
     by the calls that the decision module allows at once, and each is closed once it idles or has carried
-    `limits.store_calls`; abandoned calls by what is abandoned within `linger_us`, for which each counts as in
-    flight still.
+    `limits.calls_per_store_connection`; abandoned calls by what is abandoned within `linger_us`, for which
+    each counts as in flight still.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
         rpc.call_connection = connection.number
         rpc.call_started_at = turn.now
         rpc.calls_made += 1
-        data = lines.call(rpc.name, timeout_us, body)
+        data = line_protocol.store_call(rpc.name, timeout_us, body)
         if write_by is None:
             turn.emit(Send(connection.number, data))
         else:
@@ -136,7 +136,7 @@
             return
         rpc.call_connection = None
         connection.rpc = None
-        if connection.retired or len(connection.names_used) >= self.limits.store_calls:
+        if connection.retired or len(connection.names_used) >= self.limits.calls_per_store_connection:
             self._close(connection)
         else:
             connection.idle_since = self.turn.now
@@ -177,7 +177,7 @@
         connection = StoreConnection(turn.connect("store", self.address, self))
         self.connections[connection.number] = connection
         turn.emit(Read(connection.number))
-        turn.schedule(turn.now + self.limits.store_idle, self._close_if_idle, connection)
+        turn.schedule(turn.now + self.limits.store_idle_timeout, self._close_if_idle, connection)
         return connection
 
     def _lose(self, number: int, outcome: Outcome, reason: str) -> None:
@@ -213,7 +213,7 @@
         if connection.number not in self.connections:
             return
         since = self.turn.now if connection.rpc else connection.idle_since
-        due = since + self.limits.store_idle
+        due = since + self.limits.store_idle_timeout
         if self.turn.now >= due:
             self._close(connection)
         else:
--- a/finchcart/node/worker_pool.py
+++ b/finchcart/node/worker_pool.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple, Protocol
 
 from finchcart.interface import Outcome
-from finchcart.net import lines
+from finchcart.net import line_protocol
 from finchcart.net.limits import Limits
 from finchcart.node.effect_buffer import EffectBuffer
 from finchcart.node.effects import Drop, Log, Read, Send
@@ -68,7 +68,7 @@
     """The worker pool as the node sees it. Times are whole microseconds.
 
     Bounds: one unconfirmed command a running RPC, until a notice, a later poll or the settling after a new
-    connection; one poll a timer, answered or given up after `limits.figures`.
+    connection; one poll a timer, answered or given up after `limits.gauges_timeout`.
     """
 
     def __init__(
@@ -111,7 +111,7 @@
 
     def run(self, rpc: Rpc, idempotent: bool) -> None:
         """Starts the run of an RPC."""
-        data = lines.run(rpc.name, rpc.method, rpc.body)
+        data = line_protocol.start_run(rpc.name, rpc.method, rpc.body)
         self.send_command(rpc, data, data if idempotent else None)
 
     def reply(self, rpc: Rpc, cursor: int, body: bytes, can_degrade: bool) -> None:
@@ -119,12 +119,12 @@
 
         A reply that may have been lost can't be written again, but its call can be left out.
         """
-        data = lines.reply(rpc.name, body)
-        self.send_command(rpc, data, lines.skip(rpc.name, cursor) if can_degrade else None)
+        data = line_protocol.answer_call(rpc.name, body)
+        self.send_command(rpc, data, line_protocol.skip_call(rpc.name, cursor) if can_degrade else None)
 
     def degrade(self, rpc: Rpc, cursor: int) -> None:
         """Has a run go on without the call that it awaits."""
-        data = lines.skip(rpc.name, cursor)
+        data = line_protocol.skip_call(rpc.name, cursor)
         self.send_command(rpc, data, data)
 
     def send_command(self, rpc: Rpc, data: bytes, safe_data: bytes | None) -> None:
@@ -143,7 +143,7 @@
         if self.state is LinkState.BOUND and not self._write_blocked:
             ticket = self._poll()
             self.pending_timers[ticket] = timer
-            self.turn.schedule(self.turn.now + self.limits.figures, self._complete_timer, ticket, {})
+            self.turn.schedule(self.turn.now + self.limits.gauges_timeout, self._complete_timer, ticket, {})
         else:
             self.listener.timer_due(timer, {})
 
@@ -155,7 +155,7 @@
     def _poll(self) -> str:
         self._last_ticket += 1
         ticket = str(self._last_ticket)
-        self._send(lines.ask_gauges(ticket))
+        self._send(line_protocol.request_gauges(ticket))
         return ticket
 
     # ---- The connection's life
@@ -167,7 +167,7 @@
         self.connection = self.turn.connect("pool", self.address, self)
         self.state = LinkState.BINDING
         self.turn.emit(Read(self.connection))
-        self._send(lines.join(self.cursor))
+        self._send(line_protocol.subscribe(self.cursor))
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Guards against commands lost with the old connection: it is left once they are all read."""
@@ -177,7 +177,9 @@
         if self.state is LinkState.BOUND:
             self.state = LinkState.MOVING
             self._move_ticket = self._poll()
-            self.turn.schedule(self.turn.now + self.limits.pool_moves, self._reconnect, self.connection)
+            self.turn.schedule(
+                self.turn.now + self.limits.pool_move_timeout, self._reconnect, self.connection
+            )
         else:
             self._reconnect(self.connection)
 
@@ -187,7 +189,7 @@
             self.connect()
 
     def _lose(self, reason: str) -> None:
-        pause = 0 if self.state is LinkState.BOUND else self.limits.pool_again
+        pause = 0 if self.state is LinkState.BOUND else self.limits.pool_retry_interval
         self.turn.log_fault(PARTY, f"connection lost ({reason or 'closed'}), cursor {self.cursor}")
         self._disconnect()
         self.turn.schedule(self.turn.now + pause, self.connect)
@@ -258,7 +260,7 @@
         # Guards against commands lost with the old connection: they are seen to once all notices since then
         # are read, so that nothing that ended is started again.
         self.settle_ticket = self._poll()
-        if started_at > previous_start + self.limits.same_start:
+        if started_at > previous_start + self.limits.pool_start_tolerance:
             self.cursor = 0
             self.listener.worker_pool_restarted(cold)
         self._started_at = started_at
--- a/finchcart/thrift/connection_limiter.py
+++ b/finchcart/thrift/connection_limiter.py
@@ -13,7 +13,7 @@
 
 
 class ConnectionLimiter:
-    """Keeps the table within `limits.connections`. Times are whole microseconds. Bounds: one timer."""
+    """Keeps the table within `limits.max_connections`. Times are whole microseconds. Bounds: one timer."""
 
     def __init__(
         self, host: FrontendHost, limits: Limits, table: ConnectionTable, closer: ConnectionCloser
@@ -43,7 +43,7 @@
         carried no call: nothing of it ran. One that may be about to speak is let be; where none else is left,
         those that come wait outside.
         """
-        since = self.turn.now - self.limits.crossing
+        since = self.turn.now - self.limits.crossing_window
         unused = (
             connection
             for connection in self.table.connections.values()
@@ -64,7 +64,7 @@
         shorter silence: a new caller with an RPC gets in. Returns whether there was one.
         """
         at_limit = len(self.table.connections) >= self.table.max_connections
-        since = self.turn.now - (self.limits.crossing if at_limit else self.limits.silent)
+        since = self.turn.now - (self.limits.crossing_window if at_limit else self.limits.silent_timeout)
         most_calls = None if self.table.is_nearly_full else 1
         least = min(
             (
@@ -77,7 +77,7 @@
         )
         if least is None:
             return False
-        self.closer.announce(least, self.limits.unused_closing)
+        self.closer.announce(least, self.limits.unused_close_delay)
         return True
 
     def _check_nearly_full(self) -> None:
@@ -93,7 +93,7 @@
         staying = sum(not (connection.closing_announced or connection.ended) for connection in connections)
         while staying > table.max_connections * 3 // 4 and self._close_least_used():
             staying -= 1
-        self.turn.schedule(self.turn.now + self.limits.crossing, self._check_nearly_full)
+        self.turn.schedule(self.turn.now + self.limits.crossing_window, self._check_nearly_full)
 
 
 def _by_health_check_and_silence(connection: Connection) -> tuple[bool, int]:
--- a/finchcart/thrift/fields.py
+++ b/finchcart/thrift/fields.py
@@ -71,8 +71,8 @@
     """
     if fields is None or body is None:
         raise InvalidRpcError("the call carries no fields or no body")
-    if len(body) > limits.body:
-        raise InvalidRpcError(f"body: {len(body)} bytes, {limits.body} at most")
+    if len(body) > limits.body_size:
+        raise InvalidRpcError(f"body: {len(body)} bytes, {limits.body_size} at most")
     method = fields.get("c")
     if method not in methods:
         raise InvalidRpcError(f"field c={_quoted(method)}: no such method")
@@ -81,12 +81,12 @@
     if len(name) != NAME_LENGTH or not HEX_DIGITS.issuperset(name):
         raise InvalidRpcError(f"field i={_quoted(name)}: expected 16 hex digits, new with every try")
     key = _read_key(fields) if info.kind == KEYED else None
-    arrived_at = _read_arrival(fields, now, info.late_read_us, limits.ahead)
+    arrived_at = _read_arrival(fields, now, info.late_read_us, limits.max_clock_lead)
     caller = fields.get("f", "")
     if not (caller.isdigit() and len(caller) <= MAX_CALLER_LENGTH):
         raise InvalidRpcError(f"field f={_quoted(caller)}: expected the number of a dispatcher")
     shed_rank = number(fields, "p", 0, 1, NO_SHED_RANK)
-    cost_hint_ms = number(fields, "h", 0, limits.hint / US_PER_MS, 0)
+    cost_hint_ms = number(fields, "h", 0, limits.max_expected_run / US_PER_MS, 0)
     attributes = RpcAttributes(
         min(arrived_at, now),
         caller,
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -10,7 +10,8 @@
 import msgspec
 import pytest
 
-from finchcart.cli.file import Wrong, checked, verdicts
+from finchcart.cli.settings_file import check_settings
+from finchcart.cli.settings_schema import consensus_config
 from finchcart.consensus import decision, standing, subjects
 from finchcart.consensus.config import SECOND, ConsensusConfig, config_errors, config_warnings
 from finchcart.consensus.decision import decide, median_without
@@ -27,6 +28,7 @@
     StoreHealth,
     SubjectKind,
 )
+from finchcart.errors import SettingsError
 from finchcart.fault_injection.consensus_fault_run import SeededRun
 from finchcart.fault_injection.consensus_simulation import ConsensusSimulation
 from finchcart.fault_injection.invariants import InvariantError
@@ -550,16 +552,16 @@
 
 def test_settings_are_checked_and_the_check_warns_of_a_single_report():
     tree = {"fleet": {"name": "x", "listen": "127.0.0.1:1"}, "verdicts": {"count": 1, "life_ms": 20_000}}
-    config = verdicts(checked(tree, "f"))
+    config = consensus_config(check_settings(tree, "f"))
     assert config.report_lifetime == 20 * SECOND
     assert [problem.field for problem in config_warnings(config)] == ["count"]
     errors = config_errors(replace(config, report_lifetime=SECOND, max_standing=1))
     assert [error.field for error in errors] == ["life_ms", "hold_most_ms"]
-    with pytest.raises(Wrong) as wrong:
-        checked({"verdicts": {"life_ms": 3000, "cuont": 2}}, "f")
+    with pytest.raises(SettingsError) as wrong:
+        check_settings({"verdicts": {"life_ms": 3000, "cuont": 2}}, "f")
     assert "the nearest is count" in str(wrong.value)
-    with pytest.raises(Wrong) as wrong:
-        checked({"verdicts": {"life_ms": 3000}}, "f")
+    with pytest.raises(SettingsError) as wrong:
+        check_settings({"verdicts": {"life_ms": 3000}}, "f")
     assert "opinions ride" in str(wrong.value) and "3 x span_ms" in str(wrong.value)
 
 
@@ -568,7 +570,7 @@
     head, _, tail = text.partition("  // verdicts: {\n")
     body, _, rest = tail.partition("  // },\n")
     tree = json5.loads(head + "  verdicts: {\n" + re.sub(r"(?m)^  // ", "  ", body) + "  },\n" + rest)
-    assert verdicts(checked(tree, "example")) == replace(CONFIG, zone="a")
+    assert consensus_config(check_settings(tree, "example")) == replace(CONFIG, zone="a")
 
 
 def test_a_median_without_one_is_that_of_the_others():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,8 +15,9 @@
 
 from benchmarks.node_process import free_address
 from finchcart.net.buffers import Buffers
+from finchcart.net.connection_table import ConnectionTable
+from finchcart.net.connections import Connection
 from finchcart.net.limits import Limits
-from finchcart.net.links import Link, Links
 from finchcart.node.inputs import ConnectionClosed, ConnectionRefused, WriteBlocked, WriteResumed
 from finchcart.simulated_peers.client import Client
 from finchcart.simulated_peers.registry import Registry
@@ -286,8 +287,8 @@
     def none(thread):
         raise RuntimeError("can't start new thread")
 
-    inputs, limits = SimpleQueue(), Limits(memory=1, descriptors=1, stop=1)
-    links = Links(inputs, Buffers(limits), limits, None, "thrift", codec.THRIFT_CODEC)
+    inputs, limits = SimpleQueue(), Limits(memory=1, descriptors=1, stop_timeout=1)
+    links = ConnectionTable(inputs, Buffers(limits), limits, None, "thrift", codec.THRIFT_CODEC)
     monkeypatch.setattr("threading.Thread.start", none)
     links.connect(-1, "store", ("127.0.0.1", 9))
     assert same_input(inputs.get_nowait(), ConnectionRefused(-1, "can't start new thread"))
@@ -295,12 +296,12 @@
 
 
 def test_only_a_link_whose_far_side_does_not_read_takes_a_writer_thread():
-    limits, inputs = Limits(memory=1, descriptors=1, stop=1), SimpleQueue()
+    limits, inputs = Limits(memory=1, descriptors=1, stop_timeout=1), SimpleQueue()
     with socket.create_server(("127.0.0.1", 0)) as server:
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-    link = Link(1, codec.THRIFT_CODEC, inputs, Buffers(limits), limits, sock=near)
-    until(lambda: link.up)
+    link = Connection(1, codec.THRIFT_CODEC, inputs, Buffers(limits), limits, sock=near)
+    until(lambda: link.is_open)
     before = threading.active_count()
     link.send(b"first")
     assert threading.active_count() == before and inputs.empty()
@@ -319,13 +320,13 @@
 
 
 def test_buffers_all_come_back_after_cut_whole_and_hostile_bytes():
-    rng, limits = random.Random(9), Limits(memory=1, descriptors=1, stop=1, linger=50_000)
+    rng, limits = random.Random(9), Limits(memory=1, descriptors=1, stop_timeout=1, linger_timeout=50_000)
     buffers, inputs = Buffers(limits), SimpleQueue()
     server = socket.create_server(("127.0.0.1", 0))
     for number in range(60):
         far = socket.create_connection(server.getsockname())
         near, _ = server.accept()
-        link = Link(number, codec.THRIFT_CODEC, inputs, buffers, limits, sock=near)
+        link = Connection(number, codec.THRIFT_CODEC, inputs, buffers, limits, sock=near)
         whole = (
             (29).to_bytes(4, "big")
             + bytes.fromhex("8001000100000009")
@@ -337,7 +338,7 @@
             rng.choice((whole[:29] * 3, whole[: rng.randrange(40)], rng.randbytes(rng.randrange(200))))
         )
         for _ in range(rng.randrange(4)):
-            link.ask()
+            link.request_batch()
         if rng.random() < 0.8:
             far.shutdown(socket.SHUT_WR)
             link.close()
@@ -347,7 +348,7 @@
             pass
         far.close()
     server.close()
-    assert not buffers.out
+    assert not buffers.in_use
 
 
 @pytest.mark.parametrize(
