Tests of the node by subject: connections, process, races; one testbed for both

Change: tests/test_connections.py, test_node_process.py and test_node_races.py in place of test_node.py and test_crossings.py; node_testbed.py has the node's process and peers, conftest.py the fixture.

--- /dev/null
+++ b/tests/node_testbed.py
@@ -0,0 +1,173 @@
+"""A real node as a process of its own, its configuration, and the peers that are simulated around it."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from benchmarks.rpc import free
+from finchcart.simulated_peers.client import Client
+from finchcart.simulated_peers.outside import Pool, Registry, Store
+
+METHODS = {"look-up": True, "book": False}  # whether their runs make a call
+EXAMPLE_CONFIG = Path("example/config.json")
+NODE_NAME = "n1"
+LONG_AGO_S = 60  # before the node: a worker pool that did not start with it
+WAIT_S = 20  # ends a run that failed, and decides nothing else
+
+
+def wait_until(condition, within=WAIT_S):
+    """Waits for what must come."""
+    end = time.monotonic() + within
+    while not condition():
+        assert time.monotonic() < end, "it never came"
+        time.sleep(0.01)
+
+
+class NodeTestbed:
+    """The node listens on `addresses["listen"]`; worker pool, store and registry have addresses there too."""
+
+    def __init__(self, folder):
+        self.process = self.pool = self.store = None
+        self.addresses = {name: free() for name in ("listen", "pool", "store")}
+        self.addresses["roster"] = free(socket.SOCK_DGRAM)
+        self.start_registry()
+        self.config = json.loads(EXAMPLE_CONFIG.read_text(encoding="utf-8"))
+        self.config["settings"]["contract"]["stopSendingWithin"] = 200_000
+        self.path = folder / "config.json"
+        self.write_config(stop_ms=2500)
+
+    # ---- The configuration and the peers
+
+    def write_config(self, **more):
+        addresses = {name: f"{host}:{port}" for name, (host, port) in self.addresses.items()}
+        self.config.update(addresses, **more)
+        self.path.write_text(json.dumps(self.config))
+
+    def start_registry(self):
+        self.registry = Registry(self.addresses["roster"], tell=lambda text: None)
+
+    def start_peers(self):
+        self.pool = Pool(self.addresses["pool"], METHODS)
+        self.store = Store(self.addresses["store"])
+
+    def registration(self):
+        """What the registry knows of the node: "on", "off" or None."""
+        return self.registry.duty.get(NODE_NAME)
+
+    def started_runs(self):
+        """The bodies of all runs that were started, in their order."""
+        return [body for _, _, body in self.pool.spawned]
+
+    def last_started_run(self):
+        return self.pool.spawned[-1][2]
+
+    def wait_until_commands_are_confirmed(self):
+        """All that was written to the worker pool so far is known to have been read there."""
+        polls = self.pool.polls
+        wait_until(lambda: self.pool.polls >= polls + 3)
+
+    # ---- The node
+
+    def start(self, shell="exec"):
+        command = f"{shell} {sys.executable} -m finchcart"
+        self.process = subprocess.Popen(
+            ["/bin/sh", "-c", command],
+            env={**os.environ, "ROUTER_CONFIG": str(self.path)},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        wait_until(self.is_healthy)
+
+    def start_serving(self, shell="exec", **more_config):
+        """Starts the node beside peers that were there before it."""
+        self.write_config(**more_config)
+        self.start_peers()
+        self.pool.started -= LONG_AGO_S
+        self.start(shell)
+        wait_until(self.serves)
+
+    def send_signals(self, *signals):
+        for each in signals:
+            self.process.send_signal(each)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def client(self):
+        return Client(self.addresses["listen"])
+
+    def is_healthy(self):
+        try:
+            client = self.client()
+            client.heartbeat()
+            return client.answer()[2] == "ok"
+        except OSError:
+            return False
+
+    def serves(self):
+        client = self.client()
+        client.submit("look-up", b"?")
+        return client.answer()[2] == "ok"
+
+    def cpu_seconds(self):
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text(encoding="ascii").split()
+        return sum(map(int, fields[13:15])) / os.sysconf("SC_CLK_TCK")
+
+    def peak_memory_mb(self):
+        lines = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii").splitlines()
+        return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM")) / 1024
+
+    # ---- Its end
+
+    def terminate(self):
+        """Tells it to leave; its status and log."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(10), self.process.stderr.read()
+
+    def wait_for_clean_end(self, status=0):
+        """Waits until it ended by itself, with no fault in its log; returns the log."""
+        assert self.process.wait(10) == status
+        log = self.process.stderr.read()
+        assert "Traceback" not in log and "thread" not in log
+        return log
+
+    def read_log_until(self, word):
+        """What the node has logged, up to the first line with that word."""
+        log = ""
+        while word not in log:
+            line = self.process.stderr.readline()
+            assert line, "the log ended"
+            log += line
+        return log
+
+    def wait_until_deregistered(self):
+        wait_until(lambda: self.registration() == "off")
+
+
+def read_answers(client, count):
+    """By sequence number, whatever the order; announcements of a close left out."""
+    got = {}
+    while len(got) < count:
+        name, seq, what, body, _ = client.answer()
+        if name != "closing":
+            got[seq] = what, body
+    return got
+
+
+def read_until_closed(client):
+    """All answers until the node closes the connection, by sequence number."""
+    got = {}
+    try:
+        while True:
+            name, seq, what, body, _ = client.answer()
+            if name != "closing":
+                assert seq not in got, "two answers"
+                got[seq] = what, body
+    except EOFError:
+        return got
--- /dev/null
+++ b/tests/test_node_races.py
@@ -0,0 +1,428 @@
+"""What may cross a notice, a close, a restart or a break, on a real node; docs/design/crossings.md lists it.
+
+Each is forced: by a gate in a simulated peer, by the order of bytes on one connection, by a full buffer.
+"""
+
+import json
+import select
+import signal
+import socket
+import threading
+import time
+from contextlib import suppress
+
+from benchmarks.rpc import free
+from finchcart.thrift import codec
+from tests.node_testbed import read_answers, read_until_closed, wait_until
+
+KEYS = [f"{n:032x}" for n in range(1, 20)]
+
+
+def test_a_notice_before_the_worker_pool_is_up_leaves_nothing_unanswered(testbed):
+    testbed.start()
+    client = testbed.client()
+    seqs = [client.submit("book", b"early", KEYS[0])]
+    assert read_answers(client, 1)[seqs[0]][0] == "pushed back"
+    testbed.send_signals(signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
+    testbed.wait_until_deregistered()
+    seqs = [client.submit("book", b"late", KEYS[n]) for n in range(10)]
+    got = read_until_closed(client)
+    assert {seq: what for seq, (what, _) in got.items()} == dict.fromkeys(seqs, "pushed back")
+    client.sock.close()
+    testbed.wait_for_clean_end()
+
+
+def test_a_worker_pool_that_comes_up_after_the_notice_changes_nothing(testbed):
+    testbed.start()
+    testbed.write_config(stop_ms=4000)
+    testbed.send_signals(signal.SIGTERM)
+    client = testbed.client()
+    testbed.start_peers()
+    wait_until(lambda: testbed.pool.link)
+    seq = client.submit("book", b"seat", KEYS[0])
+    assert read_until_closed(client)[seq][0] in ("ok", "pushed back")
+    client.sock.close()
+    assert "drain" in testbed.wait_for_clean_end()
+
+
+def test_notices_twice_and_within_a_reload_are_one_and_open_rpcs_are_answered(testbed):
+    testbed.start_serving()
+    client = testbed.client()
+    testbed.pool.gate.clear()
+    seq = client.submit("book", b"seat", KEYS[0])
+    wait_until(lambda: testbed.last_started_run() == b"seat")  # written, and its end not yet told
+    half = testbed.client()
+    whole = codec.submit_call(
+        1,
+        {
+            "c": "book",
+            "i": "ab" * 8,
+            "s": str(time.time_ns() // 10**6),
+            "f": "1",
+            "h": "50",
+            "m": "24.5",
+            "p": "0.5",
+            "k": KEYS[1],
+        },
+        b"half",
+    )
+    half.sock.sendall(whole[:40])
+    testbed.path.write_text("[" * 100_000)
+    testbed.send_signals(signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
+    testbed.wait_until_deregistered()
+    half.sock.sendall(whole[40:])
+    testbed.pool.gate.set()
+    assert read_answers(client, 1) == {seq: ("ok", b"SEAT")}
+    assert read_answers(half, 1)[1][0] in ("ok", "pushed back")
+    log = testbed.read_log_until("grace over")
+    late = testbed.client()
+    seq = late.submit("book", b"past the grace", KEYS[2])
+    assert read_answers(late, 1) == {seq: ("pushed back", b"")}
+    assert b"past the grace" not in testbed.started_runs()
+    for each in (client, half, late):
+        each.sock.close()
+    log += testbed.wait_for_clean_end()
+    assert "not taken" in log and log.count("drain: ") == 2  # the notice, and the grace's end
+
+
+def test_answers_to_one_that_does_not_read_are_whole_at_the_end(testbed):
+    testbed.start_serving(stop_ms=6000)
+    client = testbed.client()
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    seqs = [client.submit("look-up", b"x" * 2000) for _ in range(400)]  # unread ones wait in the buffers
+    testbed.send_signals(signal.SIGTERM)
+    testbed.wait_until_deregistered()
+    got = read_until_closed(client)
+    assert sorted(got) == seqs and {what for what, _ in got.values()} <= {"ok", "pushed back"}
+    assert all(len(body) > 4000 for what, body in got.values() if what == "ok")
+    client.sock.close()
+    testbed.wait_for_clean_end()
+
+
+def test_a_request_on_its_way_when_the_node_closes_is_answered_and_one_after_it_never_runs(testbed):
+    testbed.start_serving()
+    client = testbed.client()
+    client.submit("look-up", b"?")
+    while client.answer()[0] != "closing":
+        pass
+    crossing = client.submit("book", b"crossing", KEYS[0])
+    assert read_answers(client, 1) == {crossing: ("ok", b"CROSSING")}
+    assert read_until_closed(client) == {}  # rests until the node ends it
+    client.submit("book", b"after the close", KEYS[1])
+    wait_until(testbed.serves)
+    testbed.send_signals(signal.SIGTERM)
+    testbed.wait_for_clean_end()
+    assert b"after the close" not in testbed.started_runs()
+
+
+def test_the_registry_down_gone_and_back_costs_no_one(testbed):
+    testbed.addresses["roster"] = free(socket.SOCK_DGRAM)  # nobody there: each report is refused
+    testbed.start_serving()
+    wait_until(testbed.serves)
+    testbed.start_registry()
+    wait_until(lambda: testbed.registration() == "on")
+    assert testbed.serves()
+    testbed.terminate()
+
+
+def test_new_addresses_while_a_call_is_in_flight_and_a_connect_hangs(testbed):
+    testbed.start_serving()
+    full = socket.create_server(("127.0.0.1", 0), backlog=0)  # a dial there never ends
+    fillers = [socket.socket() for _ in range(4)]
+    for each in fillers:
+        each.setblocking(False)
+        each.connect_ex(full.getsockname())
+    before = testbed.addresses["store"]
+    hold = threading.Event()
+    testbed.store.spoil = lambda name, body: hold.wait(20) and b"%s OK 2\r\nno\r\n" % name
+    client = testbed.client()
+    seq = client.submit("look-up", b"held")
+    wait_until(lambda: testbed.store.calls and any(run[2] == b"held" for run in testbed.pool.spawned))
+    calls = testbed.store.calls
+    testbed.addresses["store"] = full.getsockname()
+    testbed.write_config()
+    testbed.send_signals(signal.SIGHUP, signal.SIGHUP)
+    wait_until(testbed.serves)  # an answer without the call is one as well
+    hold.set()
+    assert read_answers(client, 1)[seq][0] == "ok" and testbed.store.calls == calls
+    testbed.addresses["store"] = before
+    testbed.store.spoil = None
+    testbed.write_config()
+    testbed.send_signals(signal.SIGHUP)
+    wait_until(lambda: testbed.serves() and testbed.store.calls > calls)
+    for each in (*fillers, full):
+        each.close()
+    assert "Traceback" not in testbed.terminate()[1]
+
+
+CORRUPT_REPLIES = {
+    "half a line": lambda name, body: name[:9],
+    "no message": lambda name, body: b"\xff\0nonsense\r\n",
+    "another's": lambda name, body: b"0" * 16 + b" OK 2\r\nno\r\n",
+    "thousands of digits": lambda name, body: name + b" OK " + b"9" * 5000 + b"\r\n",
+    "three gigabytes": lambda name, body: name + b" OK 3000000000\r\n" + b"x" * 100_000,
+    "not where it ends": lambda name, body: name + b" OK 2\r\nnoXX",
+    "broken": lambda name, body: None,
+}
+
+
+def test_corrupt_replies_cost_their_call_alone(testbed):
+    testbed.start_serving()
+    client = testbed.client()
+    for how, spoil in CORRUPT_REPLIES.items():
+        testbed.store.spoil = spoil
+        seq = client.submit("look-up", how.encode())
+        assert read_answers(client, 1)[seq] == ("ok", how.upper().encode() + b" "), how  # without its call
+    testbed.store.spoil = None
+    wait_until(testbed.serves)
+    status, log = testbed.terminate()
+    assert status == 0 and "Traceback" not in log and "ERROR" not in log
+
+
+def test_the_worker_pool_s_connection_breaks_under_a_run_and_its_process_restarts(testbed):
+    testbed.start_serving()
+    client = testbed.client()
+    testbed.pool.gate.clear()
+    seqs = [client.submit("book", b"%d" % n, KEYS[n]) for n in range(4)]
+    wait_until(lambda: len([run for run in testbed.pool.spawned if run[1] == "book"]) == 4)
+    testbed.wait_until_commands_are_confirmed()
+    testbed.pool.break_link()  # under runs that go on
+    testbed.pool.gate.set()
+    assert read_answers(client, 4) == {seq: ("ok", b"%d" % n) for n, seq in enumerate(seqs)}
+    testbed.pool.gate.clear()
+    unsure = client.submit("book", b"unsure", KEYS[6])
+    wait_until(lambda: testbed.last_started_run() == b"unsure")
+    testbed.pool.break_link()  # where no message has proved yet that the start was read
+    assert read_answers(client, 1) == {unsure: ("aborted", b"")}  # its run, held by the gate, ends for nobody
+    lost = client.submit("book", b"lost", KEYS[5])
+    wait_until(lambda: testbed.last_started_run() == b"lost")
+    testbed.pool.restart()
+    assert read_answers(client, 1) == {lost: ("aborted", b"")}  # at once, and never run again
+    testbed.pool.gate.set()
+    again = client.submit("book", b"lost", KEYS[5], r="1")
+    assert read_answers(client, 1)[again][0] == "aborted"
+    wait_until(testbed.serves)
+    assert all(testbed.started_runs().count(body) == 1 for body in (b"lost", b"unsure", b"0"))
+    assert "Traceback" not in testbed.terminate()[1]
+
+
+def test_a_notice_that_can_not_be_read_is_asked_for_once_more_and_then_passed_over(testbed):
+    testbed.start_serving()
+    client = testbed.client()
+    testbed.pool.gate.clear()
+    seqs = [client.submit("book", b"%d" % n, KEYS[n]) for n in range(3)]
+    wait_until(lambda: len([run for run in testbed.pool.spawned if run[1] == "book"]) == 3)
+    testbed.wait_until_commands_are_confirmed()
+    once, ever, _ = [run[0] for run in testbed.pool.spawned if run[1] == "book"]
+    testbed.pool.spoilt = {once: 1, ever: 10**9}
+    before = testbed.pool.accepted
+    testbed.pool.gate.set()
+    got = read_answers(client, 3)
+    whole = set(got.values())
+    assert whole <= {("ok", b"%d" % n) for n in range(3)} | {("aborted", b"")}
+    assert [what for what, _ in got.values()].count("ok") == 2 and sorted(got) == seqs
+    assert testbed.pool.accepted - before < 10  # not one connection after the other
+    wait_until(testbed.serves)
+    assert "Traceback" not in testbed.terminate()[1]
+
+
+def test_duplicates_while_the_first_runs_after_its_connection_broke_and_with_another_body(testbed):
+    testbed.start_serving()
+    first = testbed.client()
+    other = testbed.client()
+    testbed.pool.gate.clear()
+    first.submit("book", b"seat", KEYS[0])
+    wait_until(lambda: testbed.last_started_run() == b"seat")
+    same = [other.submit("book", b"seat", KEYS[0], r="1") for _ in range(2)]  # in one write or two
+    first.sock.close()  # the caller of the first is gone, its run goes on
+    odd = other.submit("book", b"another", KEYS[0], r="1")
+    assert read_answers(other, 1)[odd][0] == "exception"
+    later = testbed.client()
+    seq = later.submit("book", b"seat", KEYS[0], r="1")
+    testbed.pool.gate.set()
+    assert read_answers(other, 2) == dict.fromkeys(same, ("ok", b"SEAT"))
+    assert read_answers(later, 1) == {seq: ("ok", b"SEAT")}
+    assert testbed.started_runs().count(b"seat") == 1
+    assert "Traceback" not in testbed.terminate()[1]
+
+
+def test_a_window_that_ends_under_its_run_gives_the_next_attempt_a_run_of_its_own(testbed):
+    testbed.config["settings"]["services"][1]["window"] = 300_000
+    testbed.start_serving()
+    client = testbed.client()
+    other = testbed.client()
+    testbed.pool.gate.clear()
+    ago = str(time.time_ns() // 1_000_000 - 1200)  # it came so long ago: its window is over, its run goes on
+    first = client.submit("book", b"seat", KEYS[0], s=ago)
+    wait_until(lambda: testbed.last_started_run() == b"seat")
+    second = other.submit("book", b"seat", KEYS[0], r="1")
+    wait_until(lambda: testbed.started_runs().count(b"seat") == 2)
+    third = other.submit("book", b"seat", KEYS[0], r="1")  # within the window of the second
+    testbed.pool.gate.set()
+    assert read_answers(client, 1) == {first: ("ok", b"SEAT")}
+    assert read_answers(other, 2) == dict.fromkeys((second, third), ("ok", b"SEAT"))
+    assert testbed.started_runs().count(b"seat") == 2
+    assert "Traceback" not in testbed.terminate()[1]
+
+
+def test_a_node_that_restarts_while_its_old_runs_go_on_takes_none_of_their_ends_for_its_own(testbed):
+    testbed.start_serving()
+    client = testbed.client()
+    testbed.pool.gate.clear()
+    client.submit("book", b"old", KEYS[0])
+    wait_until(lambda: testbed.last_started_run() == b"old")
+    testbed.kill()
+    before_break = testbed.pool.link
+    testbed.start()
+    wait_until(lambda: testbed.pool.link is not before_break)
+    again = testbed.client()
+    wait_until(testbed.is_healthy)
+    seq = again.submit("book", b"new", KEYS[1])
+    wait_until(lambda: testbed.last_started_run() == b"new")
+    testbed.pool.gate.set()  # the old run's end is told first, under an id that this process never had
+    assert read_answers(again, 1) == {seq: ("ok", b"NEW")}
+    assert "Traceback" not in testbed.terminate()[1]
+
+
+class KeepAliveCaller:
+    """Keeps its connection until it is told of the close, and retries once then, as dispatchers do."""
+
+    def __init__(self, testbed):
+        self.testbed = testbed
+        self.client = testbed.client()
+
+    def book(self, number, retries=2):
+        body = b"%d" % number
+        if select.select([self.client.sock], [], [], 0)[0]:
+            self.reconnect_as_told()
+        self.client.submit("book", body, f"{number:032x}")
+        name, _, *answer = self.client.answer()
+        if name == "closing":  # it crossed the close: answered here, or not at all and sent once more
+            crossed = self.client
+            self.client = self.testbed.client()
+            try:
+                _, _, *answer = crossed.answer()
+            except EOFError:
+                assert retries, "sent once more, and closed again"
+                self.book(number, retries - 1)
+                return
+        assert tuple(answer[:2]) == ("ok", body)
+
+    def reconnect_as_told(self):
+        assert self.client.answer()[0] == "closing", "closed without a word"
+        self.client.sock.close()
+        self.client = self.testbed.client()
+
+
+class RestingClients:
+    """Clients that call once, then rest until the node closes their connection, and come again."""
+
+    def __init__(self, testbed, count):
+        self.testbed = testbed
+        self.has_ended = False
+        self.answered = 0
+        for number in range(count):
+            threading.Thread(target=self.run, args=(number,), daemon=True).start()
+
+    def run(self, number):
+        while not self.has_ended:
+            with suppress(OSError, EOFError):
+                self.call_and_rest(calls=number % 2 == 1)
+
+    def call_and_rest(self, calls):
+        client = self.testbed.client()
+        if calls:
+            client.submit("look-up", b"rest")
+        while not self.has_ended and client.answer()[2] != "ok":
+            pass
+        self.answered += 1
+        client.answer()
+        client.sock.recv(1)
+
+    def end(self):
+        self.has_ended = True
+
+
+def break_pool_connection(testbed):
+    """Breaks it, and waits until the node serves on another, calls to the store as well."""
+    wait_until(testbed.serves)
+    calls = testbed.store.accepted
+    before_break = testbed.pool.link
+    testbed.pool.break_link()
+    wait_until(lambda: testbed.pool.link is not before_break)
+    wait_until(lambda: testbed.serves() and testbed.store.accepted >= calls)
+
+
+def test_idle_clients_fill_the_descriptors_while_the_registry_is_down(testbed):
+    testbed.addresses["roster"] = free(socket.SOCK_DGRAM)
+    testbed.config["limits"]["sockets"] = 64
+    testbed.start_serving("ulimit -n 64; exec")
+    live = KeepAliveCaller(testbed)
+    before = testbed.cpu_seconds()
+    began = time.monotonic()
+    crowd = RestingClients(testbed, 100)
+    wait_until(lambda: crowd.answered >= 30)
+    for n in range(20):  # the one with work is served all along, and new callers get in
+        live.book(n)
+        if n % 5 == 0:
+            break_pool_connection(testbed)
+    testbed.addresses.update(pool=free(), roster=free(socket.SOCK_DGRAM))
+    testbed.pool.listen(testbed.addresses["pool"])
+    testbed.write_config()
+    testbed.send_signals(signal.SIGHUP)
+    testbed.start_registry()
+    wait_until(lambda: testbed.registration() == "on")  # read again with the descriptors full
+    spent = (testbed.cpu_seconds() - before) / (time.monotonic() - began)
+    crowd.end()
+    wait_until(testbed.serves)
+    live.client.sock.close()
+    status, log = testbed.terminate()
+    assert status == 0 and "Traceback" not in log and "accept:" not in log and spent < 0.7, (spent, log)
+
+
+def test_configurations_of_every_odd_kind_leave_a_running_node_as_it_is(testbed):
+    testbed.start_serving()
+    good = json.loads(testbed.path.read_text())
+    odd = [
+        b"",
+        b"\xff\xfe",
+        b"[" * 200_000,
+        b"null",
+        b"[]",
+        json.dumps({**good, "stop_ms": 1e999}).encode(),
+        json.dumps({**good, "pool": "a" * 70 + ".b:1"}).encode(),
+        json.dumps({**good, "store": "127.0.0.1:99999"}).encode(),
+        json.dumps({**good, "limits": 3}).encode(),
+        json.dumps({**good, "settings": {"services": [[]]}}).encode(),
+    ]
+    for data in odd:
+        testbed.path.write_bytes(data)
+        testbed.send_signals(signal.SIGHUP)
+        assert testbed.serves()
+    log = testbed.terminate()[1]
+    assert (
+        log.count("not taken") + log.count("wait for the next start") == len(odd) and "Traceback" not in log
+    )
+
+
+def test_a_thousand_that_connect_and_stay_silent_are_each_closed_in_time(testbed):
+    """Some wait to be accepted; each is owed a close within 3 s, and who comes with an RPC gets in."""
+    testbed.config["limits"]["sockets"] = 200
+    testbed.start_serving()
+    crowd = [socket.create_connection(testbed.addresses["listen"], timeout=10) for _ in range(1000)]
+    assert testbed.serves()  # while most of them are there
+    began = time.monotonic()
+    told = 0
+    for sock in crowd:
+        got = b""
+        try:
+            while part := sock.recv(100):
+                got += part
+        except ConnectionError:
+            pass
+        told += b"closing" in got
+        sock.close()
+    print(f"the last of 1,000 was closed after {time.monotonic() - began:.2f} s, {told} were told")
+    assert told == 1000 and testbed.serves()
+    status, log = testbed.terminate()
+    assert status == 0 and "Traceback" not in log and "accept:" not in log
