--- /dev/null
+++ b/finchcart/fault_injection/consensus_simulation.py
@@ -0,0 +1,234 @@
+"""Nodes that share consensus, on the virtual clock: what happens to them, and what each holds to be so.
+
+Owns the truth (the state of the store at each node, which sources flood whom, which nodes lie) and what each
+node sees of it. It must never tell a node more than its core would see, nor read a consensus store to excuse
+what it did.
+"""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import NoReturn
+
+import xxhash
+
+from finchcart.consensus import subjects
+from finchcart.consensus.config import ConsensusConfig
+from finchcart.consensus.store import ConsensusStore
+from finchcart.consensus.subjects import StoreHealth
+from finchcart.fault_injection.consensus_view import NodeView, Predicate, is_down
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.fault_injection.membership_simulation import MemberFactory, MembershipSimulation
+from finchcart.membership.config import SECOND, MembershipConfig
+from finchcart.membership.member import Member
+from finchcart.node.limiters import PROBE_DEMAND_PERIOD_US
+from finchcart.quota.limits import Limit, QuotaConfig
+from finchcart.quota.local_limits import LocalLimits
+from finchcart.simulated_peers.store import StoreState
+
+CALLS_PER_LOOK = 6  # that a node makes in a look, where nothing holds them back
+RPCS_PER_LOOK = 20
+RUNS_PER_LOOK = 10
+RUN_US = 500_000
+CALL_US = {StoreState.OK: 20_000, StoreState.SLOW: 400_000, StoreState.DOWN: 0}
+ZONES = 3
+LONGEST_ENTRY = 600  # bytes
+POLL_US = 20_000
+NEVER_POLL_US = 100_000
+
+
+class ConsensusSimulation(MembershipSimulation):
+    """Members with a consensus store each.
+
+    `make` makes a consensus store and `member` a member, so that planted defects can be played; `on` is
+    whether consensus limits the nodes' calls.
+    """
+
+    def __init__(
+        self,
+        count: int,
+        seed: int,
+        consensus_config: ConsensusConfig | None = None,
+        make: Callable[..., ConsensusStore] = ConsensusStore,
+        member: MemberFactory = Member,
+        on: bool = True,
+    ) -> None:
+        self.consensus_config = consensus_config or ConsensusConfig()
+        self.make_store = make
+        self.make_member = member
+        self.on = on
+        names = [f"n{number:03d}" for number in range(count)]
+        super().__init__(names, seed, MembershipConfig(), watch=self._watch, make=self._make_node)
+        self.chance = Random(f"beliefs {seed}")
+        self.store_states = dict.fromkeys(names, StoreState.OK)
+        self.floods: dict[int, tuple[int, set[str]]] = {}  # source -> (rate a second, the nodes it floods)
+        self.failing: set[str] = set()  # nodes that fail their runs
+        self.levels: dict[str, float] = {}  # node -> shed level
+        self.liars: set[str] = set()
+        self.innocent = subjects.source_subject("10.9.9.9")  # a source that does nothing
+        self.node_views = {name: NodeView() for name in names}
+        self.written_at: dict[tuple, int] = {}  # key of a gossip entry -> when its writer wrote it
+        self.trace = xxhash.xxh3_64()
+        self.wasted_calls = 0
+        self.probe_calls = 0
+        probe_limit = Limit("trial", self.consensus_config.probe_calls, counts="trial", mode="loose")
+        self.quota = QuotaConfig(limits=(probe_limit,))
+
+    def _make_node(
+        self,
+        name: str,
+        fleet: str,
+        address: str,
+        seeds: list[str],
+        config: MembershipConfig,
+        random: Random,
+        wall_clock_ms: int,
+        now: int,
+    ) -> Member:
+        member = self.make_member(name, fleet, address, seeds, config, random, wall_clock_ms, now)
+        zone = int(name[1:]) % ZONES
+        store_config = ConsensusConfig(**{**self.consensus_config.__dict__, "zone": f"z{zone}"})
+        member.board = self.make_store(name, fleet, store_config, now)
+        member.piggyback_clients += [LocalLimits(self.quota, now), member.board]
+        self.node_views[name] = NodeView()
+        return member
+
+    def start_all(self) -> None:
+        """Start all nodes, and their looks at their calls."""
+        for name in list(self.processes):
+            self.start(name)
+        for name in list(self.processes):
+            first = self.now + self.chance.randrange(self.consensus_config.look_interval)
+            self.schedule(first, self._look, name)
+
+    # ---- what a core would see
+
+    def _watch(self, now: int, name: str, effect: tuple) -> None:
+        self.trace.update(f"{now} {name} {effect}".encode())
+        view = self.node_views[name]
+        if effect[0] == "verdicts":
+            before = view.consensus
+            view.consensus = effect[1]
+            if before["store"] != effect[1]["store"]:
+                view.store_changes.append((now, effect[1]["store"]))
+                view.recovered_at = now if before["store"] == StoreHealth.DOWN else None
+        elif effect[0] == "allow":
+            view.probes, view.probes_until = effect[3:5]
+
+    def _look(self, name: str) -> None:
+        """Make a node's calls of one look, and hand what it saw to its consensus store."""
+        process = self.processes[name]
+        self.schedule(self.now + self.consensus_config.look_interval, self._look, name)
+        if process.machine is None or process.stopped:
+            return
+        calls = self._calls_of_look(self.node_views[name])
+        ok = 0 if self.store_states[name] == StoreState.DOWN else calls
+        self.wasted_calls += calls - ok
+        self.feed(name, ("rider", "evidence", self._evidence(name, calls, ok)))
+        self._report_probes(name, calls)
+
+    def _calls_of_look(self, view: NodeView) -> int:
+        if self.on and is_down(view):
+            calls = min(1, view.probes if self.now < view.probes_until else 0)
+            self.probe_calls += calls
+            return calls
+        if self.on and view.recovered_at is not None:
+            steps = min(8, (self.now - view.recovered_at) // self.consensus_config.recovery_step)
+            return min(CALLS_PER_LOOK, 1 << steps)
+        return CALLS_PER_LOOK
+
+    def _evidence(self, name: str, calls: int, ok: int) -> dict:
+        sources = self._flooding_sources(name)
+        evidence = {
+            "calls": (ok, calls - ok, CALL_US[self.store_states[name]] * ok),
+            "rpcs": RPCS_PER_LOOK,
+            "sources": sources,
+            "runs": (RUNS_PER_LOOK, RUNS_PER_LOOK if name in self.failing else 0, RUN_US),
+            "level": self.levels.get(name, 0.0),
+        }
+        if name in self.liars:
+            evidence |= {
+                "calls": (0, CALLS_PER_LOOK, 0),
+                "level": 1.0,
+                "sources": {**sources, self.innocent: (self.consensus_config.max_bad_messages, 0, 0)},
+            }
+        return evidence
+
+    def _flooding_sources(self, name: str) -> dict[int, tuple[int, int, int]]:
+        sources = {}
+        for subject, (rate, nodes) in self.floods.items():
+            if len(sources) >= self.consensus_config.max_sources:
+                break  # as the core's own table of a look
+            bad = rate * self.consensus_config.look_interval // SECOND if name in nodes else 0
+            if bad:
+                sources[subject] = (bad, 0, 0)
+        return sources
+
+    def _report_probes(self, name: str, calls: int) -> None:
+        """Keep the node's demand for probe calls alive for a while after its last call."""
+        view = self.node_views[name]
+        if calls or self.now - view.called_at < PROBE_DEMAND_PERIOD_US:
+            view.called_at = self.now if calls else view.called_at
+            self.feed(name, ("rider", "use", "trial", 0, 1, 0))
+
+    # ---- invariants
+
+    def after_step(self, _: object) -> None:
+        """Check that no gossip entry is taken to be younger than it is, and the bounds of every table."""
+        name = self.last_fed
+        member = self.processes[name].machine if name else None
+        if member is None:
+            return
+        for held in member.gossip.own.values():
+            self.written_at.setdefault(
+                (held.entry.member_id, held.entry.topic, held.entry.precedence), held.written_at
+            )
+        for held in member.gossip.received.values():
+            truth = self.written_at.get((held.entry.member_id, held.entry.topic, held.entry.precedence))
+            if held.written_at is not None and truth is not None and held.written_at > truth:
+                younger_ms = (held.written_at - truth) // 1000
+                self.fail(f"{name} takes a note for {younger_ms} ms younger than it is")
+        board = member.board
+        config = self.consensus_config
+        if len(board.observer.sources) > config.max_sources or len(board.overrides) > config.max_overrides:
+            self.fail(f"{name} holds more than its bounds")
+        if any(len(held.entry.payload) > LONGEST_ENTRY for held in member.gossip.own.values()):
+            self.fail(f"{name} writes a note that is too long")
+
+    def fail(self, text: str) -> NoReturn:
+        """Raise an `InvariantError` with the seed and the time."""
+        raise InvariantError(f"seed {self.seed}, {self.now / SECOND:.3f} s: {text}")
+
+    # ---- expectations
+
+    def bound(self, loss: float = 0.0) -> int:
+        """Return the time within which all act once enough have the evidence."""
+        return self.consensus_config.acts_within(self.config, len(self.running()), loss)
+
+    def wait_until(self, predicate: Predicate, names: Iterable[str], within: int, text: str) -> int:
+        """Run until it is true of all these nodes; return how long that took, and fail if it is too long."""
+        began = self.now
+        while True:
+            wrong = [name for name in names if not predicate(self.node_views[name])]
+            if not wrong:
+                return self.now - began
+            if self.now - began > within:
+                held = self.node_views[wrong[0]].consensus
+                self.fail(f"{text}: not within {within / SECOND:.2f} s at {wrong[:4]}: {held}")
+            self.run(self.now + POLL_US, self.after_step)
+
+    def never(self, predicate: Predicate, names: Iterable[str], span: int, text: str) -> None:
+        """Run for `span`; fail if it becomes true of one of these nodes."""
+        end = self.now + span
+        while self.now < end:
+            self.run(self.now + NEVER_POLL_US, self.after_step)
+            for name in names:
+                if predicate(self.node_views[name]):
+                    self.fail(f"{text}: {name} holds {self.node_views[name].consensus}")
+
+    def set_cut(self, some: Iterable[str], rest: Iterable[str], both: bool = True, cut: bool = True) -> None:
+        """Cut the links from some nodes to the rest, and back where `both`; or let them pass again."""
+        for origin in some:
+            for target in rest:
+                self.network.set_rule(self.now, origin, target, {"cut": cut})
+                if both:
+                    self.network.set_rule(self.now, target, origin, {"cut": cut})
--- /dev/null
+++ b/finchcart/fault_injection/seed_sweep.py
@@ -0,0 +1,32 @@
+"""A sweep over seeds: each is a run of members with faults, in some processes side by side."""
+
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from typing import NamedTuple
+
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.fault_injection.membership_fault_run import SeededRun
+
+SEEDS_AT_ONCE = 4  # that a process is given
+
+
+class SeedResult(NamedTuple):
+    """What a seed came to: the digest of its run, or what did not hold."""
+
+    seed: int
+    digest: str | None
+    breach: str | None
+
+
+def play_seed(seed: int) -> SeedResult:
+    """Play one seed."""
+    try:
+        return SeedResult(seed, SeededRun(seed).play(), None)
+    except InvariantError as error:
+        return SeedResult(seed, None, str(error))
+
+
+def play_seeds(first: int, count: int, jobs: int) -> Iterator[SeedResult]:
+    """Play seeds in `jobs` processes; yield their results in order."""
+    with ProcessPoolExecutor(jobs) as pool:
+        yield from pool.map(play_seed, range(first, first + count), chunksize=SEEDS_AT_ONCE)
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -9,9 +9,11 @@
 import time
 from pathlib import Path
 
-from benchmarks.rpc import free
+from benchmarks.node_process import free_address
 from finchcart.simulated_peers.client import Client
-from finchcart.simulated_peers.outside import Pool, Registry, Store
+from finchcart.simulated_peers.registry import Registry
+from finchcart.simulated_peers.store import Store
+from finchcart.simulated_peers.worker_pool import WorkerPool
 
 METHODS = {"look-up": True, "book": False}  # whether their runs make a call
 EXAMPLE_CONFIG = Path("example/config.json")
@@ -33,8 +35,8 @@
 
     def __init__(self, folder):
         self.process = self.pool = self.store = None
-        self.addresses = {name: free() for name in ("listen", "pool", "store")}
-        self.addresses["roster"] = free(socket.SOCK_DGRAM)
+        self.addresses = {name: free_address() for name in ("listen", "pool", "store")}
+        self.addresses["roster"] = free_address(socket.SOCK_DGRAM)
         self.start_registry()
         self.config = json.loads(EXAMPLE_CONFIG.read_text(encoding="utf-8"))
         self.config["settings"]["contract"]["stopSendingWithin"] = 200_000
@@ -49,15 +51,15 @@
         self.path.write_text(json.dumps(self.config))
 
     def start_registry(self):
-        self.registry = Registry(self.addresses["roster"], tell=lambda text: None)
+        self.registry = Registry(self.addresses["roster"], on_change=lambda text: None)
 
     def start_peers(self):
-        self.pool = Pool(self.addresses["pool"], METHODS)
+        self.pool = WorkerPool(self.addresses["pool"], METHODS)
         self.store = Store(self.addresses["store"])
 
     def registration(self):
         """What the registry knows of the node: "on", "off" or None."""
-        return self.registry.duty.get(NODE_NAME)
+        return self.registry.registrations.get(NODE_NAME)
 
     def started_runs(self):
         """The bodies of all runs that were started, in their order."""
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from benchmarks.rpc import free
-from finchcart.simulated_peers.outside import Pool
+from benchmarks.node_process import free_address
+from finchcart.simulated_peers.worker_pool import WorkerPool
 from tests.node_testbed import METHODS, NodeTestbed, read_answers, wait_until
 
 
@@ -42,7 +42,7 @@
     # a slow writer and a broken connection to the pool bother no one
     slow = testbed.client()
     slow.sock.sendall(b"\0\0")
-    testbed.pool.link.shutdown(socket.SHUT_RDWR)
+    testbed.pool.connection.shutdown(socket.SHUT_RDWR)
     wait_until(testbed.serves)
     wait_until(lambda: testbed.registration() == "on")
     last = testbed.client()
@@ -60,7 +60,7 @@
 def test_a_node_of_the_last_tier_starts_and_serves_with_no_store_named(testbed):
     del testbed.addresses["store"], testbed.config["store"]
     testbed.write_config()
-    testbed.pool = Pool(testbed.addresses["pool"], METHODS)
+    testbed.pool = WorkerPool(testbed.addresses["pool"], METHODS)
     testbed.start()
     wait_until(testbed.serves)  # its run stands at a call, which is left out: there is nobody to call
     client = testbed.client()
@@ -79,7 +79,9 @@
     testbed.path.write_text("{")
     testbed.send_signals(signal.SIGHUP)
     assert testbed.serves()
-    testbed.addresses.update(pool=free(), store=free(), roster=free(socket.SOCK_DGRAM))
+    testbed.addresses.update(
+        pool=free_address(), store=free_address(), roster=free_address(socket.SOCK_DGRAM)
+    )
     testbed.start_registry()
     before = testbed.store.accepted
     for party in (testbed.pool, testbed.store):
--- a/tests/test_node_races.py
+++ b/tests/test_node_races.py
@@ -11,7 +11,7 @@
 import time
 from contextlib import suppress
 
-from benchmarks.rpc import free
+from benchmarks.node_process import free_address
 from finchcart.thrift import codec
 from tests.node_testbed import read_answers, read_until_closed, wait_until
 
@@ -38,7 +38,7 @@
     testbed.send_signals(signal.SIGTERM)
     client = testbed.client()
     testbed.start_peers()
-    wait_until(lambda: testbed.pool.link)
+    wait_until(lambda: testbed.pool.connection)
     seq = client.submit("book", b"seat", KEYS[0])
     assert read_until_closed(client)[seq][0] in ("ok", "pushed back")
     client.sock.close()
@@ -116,7 +116,7 @@
 
 
 def test_the_registry_down_gone_and_back_costs_no_one(testbed):
-    testbed.addresses["roster"] = free(socket.SOCK_DGRAM)  # nobody there: each report is refused
+    testbed.addresses["roster"] = free_address(socket.SOCK_DGRAM)  # nobody there: each report is refused
     testbed.start_serving()
     wait_until(testbed.serves)
     testbed.start_registry()
@@ -134,7 +134,7 @@
         each.connect_ex(full.getsockname())
     before = testbed.addresses["store"]
     hold = threading.Event()
-    testbed.store.spoil = lambda name, body: hold.wait(20) and b"%s OK 2\r\nno\r\n" % name
+    testbed.store.override_reply = lambda name, body: hold.wait(20) and b"%s OK 2\r\nno\r\n" % name
     client = testbed.client()
     seq = client.submit("look-up", b"held")
     wait_until(lambda: testbed.store.calls and any(run[2] == b"held" for run in testbed.pool.spawned))
@@ -146,7 +146,7 @@
     hold.set()
     assert read_answers(client, 1)[seq][0] == "ok" and testbed.store.calls == calls
     testbed.addresses["store"] = before
-    testbed.store.spoil = None
+    testbed.store.override_reply = None
     testbed.write_config()
     testbed.send_signals(signal.SIGHUP)
     wait_until(lambda: testbed.serves() and testbed.store.calls > calls)
@@ -170,10 +170,10 @@
     testbed.start_serving()
     client = testbed.client()
     for how, spoil in CORRUPT_REPLIES.items():
-        testbed.store.spoil = spoil
+        testbed.store.override_reply = spoil
         seq = client.submit("look-up", how.encode())
         assert read_answers(client, 1)[seq] == ("ok", how.upper().encode() + b" "), how  # without its call
-    testbed.store.spoil = None
+    testbed.store.override_reply = None
     wait_until(testbed.serves)
     status, log = testbed.terminate()
     assert status == 0 and "Traceback" not in log and "ERROR" not in log
@@ -186,13 +186,13 @@
     seqs = [client.submit("book", b"%d" % n, KEYS[n]) for n in range(4)]
     wait_until(lambda: len([run for run in testbed.pool.spawned if run[1] == "book"]) == 4)
     testbed.wait_until_commands_are_confirmed()
-    testbed.pool.break_link()  # under runs that go on
+    testbed.pool.break_connection()  # under runs that go on
     testbed.pool.gate.set()
     assert read_answers(client, 4) == {seq: ("ok", b"%d" % n) for n, seq in enumerate(seqs)}
     testbed.pool.gate.clear()
     unsure = client.submit("book", b"unsure", KEYS[6])
     wait_until(lambda: testbed.last_started_run() == b"unsure")
-    testbed.pool.break_link()  # where no message has proved yet that the start was read
+    testbed.pool.break_connection()  # where no message has proved yet that the start was read
     assert read_answers(client, 1) == {unsure: ("aborted", b"")}  # its run, held by the gate, ends for nobody
     lost = client.submit("book", b"lost", KEYS[5])
     wait_until(lambda: testbed.last_started_run() == b"lost")
@@ -214,7 +214,7 @@
     wait_until(lambda: len([run for run in testbed.pool.spawned if run[1] == "book"]) == 3)
     testbed.wait_until_commands_are_confirmed()
     once, ever, _ = [run[0] for run in testbed.pool.spawned if run[1] == "book"]
-    testbed.pool.spoilt = {once: 1, ever: 10**9}
+    testbed.pool.corrupt_notices = {once: 1, ever: 10**9}
     before = testbed.pool.accepted
     testbed.pool.gate.set()
     got = read_answers(client, 3)
@@ -272,9 +272,9 @@
     client.submit("book", b"old", KEYS[0])
     wait_until(lambda: testbed.last_started_run() == b"old")
     testbed.kill()
-    before_break = testbed.pool.link
+    before_break = testbed.pool.connection
     testbed.start()
-    wait_until(lambda: testbed.pool.link is not before_break)
+    wait_until(lambda: testbed.pool.connection is not before_break)
     again = testbed.client()
     wait_until(testbed.is_healthy)
     seq = again.submit("book", b"new", KEYS[1])
@@ -347,14 +347,14 @@
     """Breaks it, and waits until the node serves on another, calls to the store as well."""
     wait_until(testbed.serves)
     calls = testbed.store.accepted
-    before_break = testbed.pool.link
-    testbed.pool.break_link()
-    wait_until(lambda: testbed.pool.link is not before_break)
+    before_break = testbed.pool.connection
+    testbed.pool.break_connection()
+    wait_until(lambda: testbed.pool.connection is not before_break)
     wait_until(lambda: testbed.serves() and testbed.store.accepted >= calls)
 
 
 def test_idle_clients_fill_the_descriptors_while_the_registry_is_down(testbed):
-    testbed.addresses["roster"] = free(socket.SOCK_DGRAM)
+    testbed.addresses["roster"] = free_address(socket.SOCK_DGRAM)
     testbed.config["limits"]["sockets"] = 64
     testbed.start_serving("ulimit -n 64; exec")
     live = KeepAliveCaller(testbed)
@@ -366,7 +366,7 @@
         live.book(n)
         if n % 5 == 0:
             break_pool_connection(testbed)
-    testbed.addresses.update(pool=free(), roster=free(socket.SOCK_DGRAM))
+    testbed.addresses.update(pool=free_address(), roster=free_address(socket.SOCK_DGRAM))
     testbed.pool.listen(testbed.addresses["pool"])
     testbed.write_config()
     testbed.send_signals(signal.SIGHUP)
