--- a/finchcart/fault_injection/process_run.py
+++ b/finchcart/fault_injection/process_run.py
@@ -22,7 +22,7 @@
 from finchcart.fault_injection.script import Script, StepKind
 from finchcart.key_leases.config import KeyLeaseConfig
 from finchcart.membership.config import MS
-from finchcart.net.links import boot_clock
+from finchcart.net.clock import boot_clock
 from finchcart.simulated_peers.store import StoreState
 
 START_INTERVAL_S = 0.02  # between the starts of the first processes
@@ -42,7 +42,7 @@
     script = plan.script
     fleet = ProcessFleet(folder, plan.names, plan.seed, script.fleet, FleetOptions.of_script(script, talk))
     if script.verdicts is not None:
-        import finchcart.cli.serve  # noqa: F401  (else the first override comes late by this import)
+        import finchcart.cli.queries  # noqa: F401  (else the first override comes late by this import)
     facts: Facts = {"driver": "processes", "stats": {}}
     try:
         for name in fleet.planners + plan.first:
@@ -189,13 +189,13 @@
 
 def process_statistics(fleet: ProcessFleet, name: str) -> dict:
     """Return what a process used, and what it tells of itself."""
-    from finchcart.cli.serve import ask
+    from finchcart.cli.queries import query_members
 
     cpu_s, peak_mb = fleet.usage(name)
     view = {}
     if fleet.options.talk and name not in fleet.planners:
         try:
-            view = ask(fleet.addresses.member(name), QUERY_TIMEOUT_S)
+            view = query_members(fleet.addresses.member(name), QUERY_TIMEOUT_S)
         except TimeoutError:
             view = {}
     return {
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -81,14 +81,14 @@
         self.limits = limits
         self.seed = seed
         self.shadow = shadow
-        self.turn = turn = EffectBuffer(limits.log_again)
-        self.methods = read_methods(settings, limits.late_read)
+        self.turn = turn = EffectBuffer(limits.log_interval)
+        self.methods = read_methods(settings, limits.late_read_grace)
         self.control: Control | ShadowControl | None = None  # from the worker pool's start on
         self.limiters = limiters
         self.key_leases = make_key_leases(turn) if make_key_leases else None
         self.fleet = FleetView(turn, self.methods, limiters, observer)
         late_read_us = max((method.late_read_us for method in self.methods.values()), default=0)
-        self.idempotency = IdempotencyCache(turn, late_read_us, limits.kept_results)
+        self.idempotency = IdempotencyCache(turn, late_read_us, limits.cached_results)
         self.lifecycle = RpcLifecycle(turn, self.methods, self.idempotency, self.fleet, self.key_leases)
         gauges = settings.get("gauges", ())
         gauge_names = gauges if isinstance(gauges, tuple) else (gauges,)
@@ -316,4 +316,6 @@
             for frontend in self.frontends.values():
                 frontend.set_idle_timeout(0)
             self.registration.end_if_idle()
-            self.turn.schedule(self.turn.now + self.limits.unready_look, self._end_without_worker_pool)
+            self.turn.schedule(
+                self.turn.now + self.limits.unready_check_interval, self._end_without_worker_pool
+            )
--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -7,7 +7,8 @@
 import json5
 import pytest
 
-from finchcart.cli.file import checked, claims
+from finchcart.cli.settings_file import check_settings
+from finchcart.cli.settings_schema import key_lease_config
 from finchcart.fault_injection.invariants import InvariantError
 from finchcart.fault_injection.key_lease_fault_run import SeededRun
 from finchcart.fault_injection.key_lease_simulation import TICK_US, KeyLeaseSimulation
@@ -19,8 +20,9 @@
 from finchcart.key_leases.replica import KeyLeaseReplica
 from finchcart.node.fleet_inputs import fleet_input, key_lease_client_input
 from finchcart.node.key_leases import KeyLeaseGate
-from tests.harness import draw_settings, read_answer
-from tests.test_core import GAUGES, Far, far_plain, play
+from tests.core_harness import CoreHarness, read_answer
+from tests.harness import draw_settings
+from tests.test_core import GAUGES, plain_harness, play
 
 
 def settle(simulation, rounds=40):
@@ -146,7 +148,7 @@
     text = Path("deploy/finchcart.json5").read_text(encoding="utf-8")
     head, _, tail = text.partition("  // claims: {\n")
     example = json5.loads(head + "  claims: {\n" + re.sub(r"(?m)^  // ", "  ", tail))
-    config = claims(checked(example, "example"))
+    config = key_lease_config(check_settings(example, "example"))
     assert config == KeyLeaseConfig(keepers=config.keepers) and len(config.keepers) == 3, (
         "the example shows the defaults"
     )
@@ -177,29 +179,29 @@
     Knows which keys are asked for and which are the core's.
     """
 
-    def __init__(self, far, rng, statuses):
-        self.far = far
+    def __init__(self, harness, rng, statuses):
+        self.harness = harness
         self.rng = rng
         self.statuses = statuses
         self.asked, self.held, self.outcomes = {}, set(), []
-        far.do_claim = lambda command: self.take(key_lease_client_input(command))
-        step = far.step
+        harness.on_key_lease_command = lambda command: self.take(key_lease_client_input(command))
+        step = harness.step
 
         def step_and_answer(dt):
             step(dt)
             for key in [key for key in self.asked if rng.random() < 0.2]:
                 self.answer(key)
 
-        far.step = step_and_answer
+        harness.step = step_and_answer
 
     def answer(self, key):
         del self.asked[key]
         status = self.rng.choice(self.statuses)
         if status == LeaseStatus.GRANTED:
             self.held.add(key)
-        if not self.far.ended:
-            run_before = self.far.now + self.rng.choice((5, 1000)) * MS
-            self.far.feed(fleet_input(("claimed", key, status, b"", run_before)))
+        if not self.harness.ended:
+            run_before = self.harness.now + self.rng.choice((5, 1000)) * MS
+            self.harness.feed(fleet_input(("claimed", key, status, b"", run_before)))
 
     def take(self, command):
         kind, *rest = command
@@ -215,77 +217,76 @@
             self.asked.pop(rest[0], None)
 
 
-def check_runs_hold_leases(far, replicas):
-    run = far.core.pool.run
+def check_runs_hold_leases(harness, replicas):
+    run = harness.core.pool.run
 
     def checked_run(rpc, repeatable):
         if rpc.key_entry:
-            key, by = far.core.key_leases.held[rpc.index]
-            assert key in replicas.held and far.now < by, "commanded without a lease"
+            key, by = harness.core.key_leases.held[rpc.index]
+            assert key in replicas.held and harness.now < by, "commanded without a lease"
         run(rpc, repeatable)
 
-    far.core.pool.run = checked_run
+    harness.core.pool.run = checked_run
 
 
 @pytest.mark.parametrize("seed", range(12))
 def test_rules_hold_with_key_leases_and_none_is_left_behind(seed):
     rng = random.Random(seed)
-    far = Far({**draw_settings(rng), **GAUGES}, seed, key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
+    harness = CoreHarness(
+        {**draw_settings(rng), **GAUGES}, seed, key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND)
+    )
     statuses = [LeaseStatus.GRANTED] * 4 + [
         LeaseStatus.HELD,
         LeaseStatus.UNAVAILABLE,
         LeaseStatus.FAILED,
         LeaseStatus.PAYLOAD_MISMATCH,
     ]
-    replicas = SimulatedReplicas(far, rng, statuses)
-    check_runs_hold_leases(far, replicas)
-    play(far, rng)
-    assert not replicas.held and not far.core.key_leases.waiting and not far.core.key_leases.held
+    replicas = SimulatedReplicas(harness, rng, statuses)
+    check_runs_hold_leases(harness, replicas)
+    play(harness, rng)
+    assert not replicas.held and not harness.core.key_leases.waiting and not harness.core.key_leases.held
 
 
 def one_keyed(kind, again=False, by=1000, result=b"there"):
     """How a keyed RPC is answered whose lease comes to `kind`, whether it ran, and how late it was."""
-    far = far_plain(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
-    name = far.submit(far.open(), 1, **({"r": "1"} if again else {}))
-    far.step(MS)
-    ((_, asks),) = far.claims
-    assert not far.runs, "not before its lease"
+    harness = plain_harness(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
+    name = harness.submit(harness.open(), 1, **({"r": "1"} if again else {}))
+    harness.step(MS)
+    ((_, asks),) = harness.key_lease_inputs
+    assert not harness.runs, "not before its lease"
     if kind is not None:
-        far.feed(fleet_input(("claimed", asks[0][0], kind, result, far.now + by * MS)))
-    far.step(MS)
-    ran = name in far.runs
+        harness.feed(fleet_input(("claimed", asks[0][0], kind, result, harness.now + by * MS)))
+    harness.step(MS)
+    ran = name in harness.runs
     for _ in range(200):
-        if far.tries[name].get("how") or ran:
+        if harness.attempts[name].outcome or ran:
             break
-        far.step(20 * MS)
-    return far.tries[name].get("how"), ran, far.now - far.tries[name]["due"]
+        harness.step(20 * MS)
+    return harness.attempts[name].outcome, ran, harness.now - harness.attempts[name].due
 
 
 def test_the_answer_to_an_attempt_decides_what_the_caller_receives():
     assert one_keyed(LeaseStatus.GRANTED)[:2] == (None, True)
     assert (
-        one_keyed(LeaseStatus.HELD)[:2] == ("aborted", False)
-        and one_keyed(LeaseStatus.FAILED)[0] == "aborted"
-    )
-    assert one_keyed(LeaseStatus.UNAVAILABLE)[0] == "pushed back", "a first try never ran"
-    assert one_keyed(LeaseStatus.UNAVAILABLE, again=True)[0] == "aborted", (
-        "an earlier one may have, elsewhere"
-    )
-    assert one_keyed(LeaseStatus.GRANTED, by=0)[:2] == ("pushed back", False), (
-        "the lease is over when it comes"
+        one_keyed(LeaseStatus.HELD)[:2] == ("failed", False) and one_keyed(LeaseStatus.FAILED)[0] == "failed"
     )
+    assert one_keyed(LeaseStatus.UNAVAILABLE)[0] == "rejected", "a first try never ran"
+    assert one_keyed(LeaseStatus.UNAVAILABLE, again=True)[0] == "failed", "an earlier one may have, elsewhere"
+    assert one_keyed(LeaseStatus.GRANTED, by=0)[:2] == ("rejected", False), "the lease is over when it comes"
     how, ran, late = one_keyed(None)
-    assert how == "pushed back" and not ran and late <= 0, "no replica answers: by its due time"
+    assert how == "rejected" and not ran and late <= 0, "no replica answers: by its due time"
 
 
 def test_a_run_elsewhere_gives_its_result():
-    far = far_plain(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
+    harness = plain_harness(key_leases=lambda turn: KeyLeaseGate(turn, 20 * SECOND))
     told = []
-    far.answered = lambda link, data: told.append(read_answer(data))
-    far.submit(far.open(), 1)
-    far.step(MS)
-    far.feed(fleet_input(("claimed", far.claims[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0)))
-    assert b"there" in str(told).encode() and not far.runs
+    harness.on_reply = lambda link, data: told.append(read_answer(data))
+    harness.submit(harness.open(), 1)
+    harness.step(MS)
+    harness.feed(
+        fleet_input(("claimed", harness.key_lease_inputs[0][1][0][0], LeaseStatus.COMPLETED, b"there", 0))
+    )
+    assert b"there" in str(told).encode() and not harness.runs
 
 
 # ---- planted defects
