--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -28,7 +28,7 @@
         time.sleep(0.02)
 
 
-def test_the_network_does_to_each_directed_link_what_its_rule_says_and_replays():
+def test_the_simulated_network_does_to_each_directed_link_what_its_rule_says_and_replays():
     first_counts = {}
 
     def run(rule, count=2000):
@@ -95,8 +95,8 @@
         {at: 0, do: "kill", who: ["n02"], as: "x"}], expect: [
         {what: "never", by: "all", of: "x", after: 0, until: 7}]}]}""")
     assert play(RunOptions(str(script), out=str(tmp_path / "out"), virtual=True)) == 1
-    said = capsys.readouterr().out
-    assert "BREACH r (never): n0" in said and "'n02', 'failed'" in said
+    printed = capsys.readouterr().out
+    assert "BREACH r (never): n0" in printed and "'n02', 'failed'" in printed
     assert (tmp_path / "out" / "timeline.png").stat().st_size > 1000
     one, two = (play_on_virtual_clock(make_plan(read_script(script), 1)) for _ in range(2))
     assert one.events == two.events
@@ -138,7 +138,7 @@
             sock.sendto(b"Mrubbish", fleet.addresses.member("n0"))
     until(lambda: view("n0")["counts"].get("spoilt") == 20)
     until(lambda: view("n0")["counts"].get("of an unknown channel") == 20)
-    said = subprocess.run(
+    completed = subprocess.run(
         [
             sys.executable,
             "-m",
@@ -152,9 +152,9 @@
         text=True,
         check=True,
     )
-    told = json.loads(said.stdout)
-    assert set(told) >= {"name", "incarnation", "isolated", "age_ms", "members"} and told["name"] == "n0"
-    assert set(told["members"][0]) == {"name", "address", "state", "incarnation", "age_ms"}
+    answer = json.loads(completed.stdout)
+    assert set(answer) >= {"name", "incarnation", "isolated", "age_ms", "members"} and answer["name"] == "n0"
+    assert set(answer["members"][0]) == {"name", "address", "state", "incarnation", "age_ms"}
     fleet.terminate("n1")
     until(lambda: {m["name"]: m["state"] for m in view("n0")["members"]}["n1"] == "left")
 
@@ -192,5 +192,5 @@
         "       'finchcart.net.datagrams', 'msgspec', 'click', 'json5', 'xxhash')\n"
         "print([name for name in sys.modules if name.startswith(new)])"
     )
-    said = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
-    assert said.stdout.strip() == "[]"
+    completed = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert completed.stdout.strip() == "[]"
