--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,11 +8,13 @@
 import pytest
 
 from finchcart.cli.file import Wrong, checked
-from finchcart.fault_injection.run import judge as judge_plan
-from finchcart.fault_injection.run import on_virtual
-from finchcart.fault_injection.script import Script, lay_out
-from finchcart.fault_injection.seeds import Breach, Run
-from finchcart.fault_injection.virtual import Fleet
+from finchcart.fault_injection.checker import check_plan
+from finchcart.fault_injection.invariants import InvariantError
+from finchcart.fault_injection.membership_fault_run import SeededRun
+from finchcart.fault_injection.membership_simulation import MembershipSimulation
+from finchcart.fault_injection.plan import make_plan
+from finchcart.fault_injection.script import Script
+from finchcart.fault_injection.virtual_run import play_on_virtual_clock
 from finchcart.membership import failure_detection, messages, view
 from finchcart.membership.anti_entropy import AntiEntropy
 from finchcart.membership.codec import encode_value, name_hash, parse_address, xxh64_digest
@@ -81,19 +83,23 @@
 
 
 def test_a_full_table_lets_failed_ones_go_first_and_then_refuses():
-    fleet = Fleet([f"n{n}" for n in range(5)], 1, MembershipConfig(max_members=4))
-    for name in list(fleet.places)[:4]:
+    fleet = MembershipSimulation([f"n{n}" for n in range(5)], 1, MembershipConfig(max_members=4))
+    for name in list(fleet.processes)[:4]:
         fleet.start(name)
     fleet.run(3 * SECOND)
     fleet.start("n4")
     fleet.run(fleet.now + 2 * SECOND)
-    member = fleet.places["n0"].member
-    assert len(member.known_members) == 4 and member.counts["no room"] > 0 and fleet.state("n0", "n4") is None
+    member = fleet.processes["n0"].machine
+    assert (
+        len(member.known_members) == 4
+        and member.counts["no room"] > 0
+        and fleet.state_seen("n0", "n4") is None
+    )
     fleet.kill("n3")
     fleet.run(fleet.now + 5 * SECOND)
     assert (
-        fleet.state("n0", "n4") == "alive"
-        and fleet.state("n0", "n3") is None
+        fleet.state_seen("n0", "n4") == "alive"
+        and fleet.state_seen("n0", "n3") is None
         and len(member.known_members) == 4
     )
 
@@ -130,7 +136,7 @@
 
 
 def test_seeded_runs_keep_all_properties_and_replay_identically():
-    traces = [Run(seed).play() for seed in (3, 3, 18)]
+    traces = [SeededRun(seed).play() for seed in (3, 3, 18)]
     assert traces[0] == traces[1] != traces[2]
 
 
@@ -139,31 +145,31 @@
     of 200 messages, as it was; four of seven of them put a member out (seed 310 of the seeded runs)."""
     wrong = 0
     for seed in range(3):
-        fleet = Fleet([f"n{n}" for n in range(12)], seed)
-        for name in fleet.places:
+        fleet = MembershipSimulation([f"n{n}" for n in range(12)], seed)
+        for name in fleet.processes:
             fleet.start(name)
         fleet.run(8 * SECOND)
-        fleet.fabric.reduce(fleet.now, ("rule", None, None, {"lose": 0.3}))
+        fleet.network.set_rule(fleet.now, None, None, {"lose": 0.3})
         fleet.run(12 * SECOND)
         for _ in range(40):
             fleet.run(fleet.now + SECOND // 10)
             wrong += len(
                 {
-                    frozenset((place.member.own_id, one))
-                    for place in fleet.places.values()
-                    for one in place.member.record.unreachable
+                    frozenset((process.machine.own_id, one))
+                    for process in fleet.processes.values()
+                    for one in process.machine.record.unreachable
                 }
             )
     assert wrong / (3 * 40 * 66) < 0.04
 
 
 def test_a_large_fleet_with_few_links_agrees_on_a_death_and_a_newcomer():
-    fleet = Fleet([f"n{n}" for n in range(80)], 1, MembershipConfig(watch=10))
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(80)], 1, MembershipConfig(watch=10))
+    for name in fleet.processes:
         fleet.start(name)
     fleet.run(12 * SECOND)
     assert all(set(seen.values()) == {"alive"} and len(seen) == 80 for seen in fleet.views().values())
-    bound = fleet.figures.detection_bound(80)
+    bound = fleet.config.detection_bound(80)
     fleet.kill("n40")
     fleet.run(fleet.now + bound)
     assert all(seen["n40"] == "failed" for seen in fleet.views().values())
@@ -180,9 +186,9 @@
     script = msgspec.convert({"about": "", "nodes": nodes, "fleet": fleet, **json5.loads(text)}, Script)
 
     def play():
-        plan = lay_out(script, 1)
-        events, start, facts = on_virtual(plan)
-        return [result.breach for result in judge_plan(plan, events, start) if result.breach]
+        plan = make_plan(script, 1)
+        events, start, facts = play_on_virtual_clock(plan)
+        return [result.breach for result in check_plan(plan, events, start) if result.breach]
 
     return play
 
@@ -219,7 +225,7 @@
 def forgotten_member_returns():
     """A forgotten one does not come back by old rows that are on their way for 10 s and more."""
     changes, names = [], [f"n{n}" for n in range(6)]
-    fleet = Fleet(
+    fleet = MembershipSimulation(
         names,
         1,
         MembershipConfig(forget_after=6 * SECOND),
@@ -228,7 +234,7 @@
     for name in names:
         fleet.start(name)
     fleet.run(4 * SECOND)
-    old = CODEC.encode("virtual", MemberRecords([fleet.places["n5"].member.record]))
+    old = CODEC.encode("virtual", MemberRecords([fleet.processes["n5"].machine.record]))
     fleet.kill("n5")
     fleet.run(fleet.now + 14 * SECOND)
     fleet.feed("n1", ("got", ("10.0.0.3", 7400), old))
@@ -238,55 +244,55 @@
 
 def clock_set_back():
     """Started again with its clock an hour back, it is known again within 4 s."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1)
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(6)], 1)
+    for name in fleet.processes:
         fleet.start(name)
     fleet.run(4 * SECOND)
     fleet.kill("n2")
     fleet.run(fleet.now + 6 * SECOND)
-    fleet.start("n2", wall_off=-3_600_000)
+    fleet.start("n2", wall_clock_offset_ms=-3_600_000)
     fleet.run(fleet.now + 4 * SECOND)
     return [name for name, seen in fleet.views().items() if seen["n2"] != "alive"]
 
 
 def two_of_one_name():
     """Of two processes of one name the younger stands and the elder knows it is not in the fleet."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1)
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(6)], 1)
+    for name in fleet.processes:
         fleet.start(name)
     fleet.add("twin")
     fleet.run(4 * SECOND)
-    fleet.start("twin", as_name="n2")
+    fleet.start("twin", member_name="n2")
     fleet.run(fleet.now + 5 * SECOND)
-    old, new = fleet.places["n2"].member, fleet.places["twin"].member
+    old, new = fleet.processes["n2"].machine, fleet.processes["twin"].machine
     return [] if old.yielded and old.isolated and not new.yielded else ["both stand"]
 
 
 def suspended_while_replaced():
     """One that slept while its name was started elsewhere yields within 2 s of waking."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1)
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(6)], 1)
+    for name in fleet.processes:
         fleet.start(name)
     fleet.add("twin")
     fleet.run(4 * SECOND)
     fleet.stop("n2")
     fleet.run(fleet.now + 5 * SECOND)
-    fleet.start("twin", as_name="n2")
+    fleet.start("twin", member_name="n2")
     fleet.run(fleet.now + 15 * SECOND)
-    fleet.go_on("n2")
+    fleet.resume("n2")
     fleet.run(fleet.now + 2 * SECOND)
-    old, new = fleet.places["n2"].member, fleet.places["twin"].member
+    old, new = fleet.processes["n2"].machine, fleet.processes["twin"].machine
     return [] if old.yielded and not new.yielded else ["it stands"]
 
 
 def forged_incarnation():
     """A forged row with an absurd incarnation does not put its name out of reach."""
-    fleet = Fleet([f"n{n}" for n in range(6)], 1)
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(6)], 1)
+    for name in fleet.processes:
         fleet.start(name)
     fleet.run(4 * SECOND)
     row = msgspec.structs.replace(
-        fleet.places["n2"].member.record, incarnation=2**53 - 1, status=DeclaredStatus.LEFT
+        fleet.processes["n2"].machine.record, incarnation=2**53 - 1, status=DeclaredStatus.LEFT
     )
     for name in ("n0", "n1", "n3"):
         fleet.feed(name, ("got", ("10.0.0.9", 1), CODEC.encode("virtual", MemberRecords([row]))))
@@ -296,23 +302,25 @@
 
 def bytes_when_calm():
     """Long after the last change a member sends little: news age."""
-    fleet = Fleet([f"n{n}" for n in range(8)], 1)
-    for name in fleet.places:
+    fleet = MembershipSimulation([f"n{n}" for n in range(8)], 1)
+    for name in fleet.processes:
         fleet.start(name)
     fleet.run(20 * SECOND)
-    before = sum(place.member.counts["bytes sent"] for place in fleet.places.values())
+    before = sum(process.machine.counts["bytes sent"] for process in fleet.processes.values())
     fleet.run(fleet.now + 10 * SECOND)
-    each = (sum(place.member.counts["bytes sent"] for place in fleet.places.values()) - before) / 80
+    each = (sum(process.machine.counts["bytes sent"] for process in fleet.processes.values()) - before) / 80
     return [each] if each > 14 * 150 else []  # 14 beats a second
 
 
 def flood_of_requests():
     """One that is asked without end sends no more than its bound."""
-    fleet = Fleet(["n0"], 1, MembershipConfig(max_datagrams=100))
+    fleet = MembershipSimulation(["n0"], 1, MembershipConfig(max_datagrams=100))
     fleet.start("n0")
     for n in range(2000):
         fleet.feed("n0", ("got", ("10.0.0.9", 1), CODEC.encode("", messages.ViewRequest(n, 0))))
-    return [fleet.places["n0"].member.counts] if fleet.places["n0"].member.counts["sent"] > 100 else []
+    return (
+        [fleet.processes["n0"].machine.counts] if fleet.processes["n0"].machine.counts["sent"] > 100 else []
+    )
 
 
 def echo_to_a_predecessor():
@@ -479,6 +487,6 @@
 
 def test_seeded_runs_find_an_older_record_accepted(monkeypatch):
     monkeypatch.setattr(MemberTable, "receive", receive_older_too)
-    with pytest.raises(Breach):
+    with pytest.raises(InvariantError):
         for seed in range(4):
-            Run(seed).play()
+            SeededRun(seed).play()
