--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -87,32 +87,43 @@
         self.limiters = limiters
         self.key_leases = make_key_leases(turn) if make_key_leases else None
         self.fleet = FleetView(turn, self.methods, limiters, observer)
-        late_read_us = max((method.late_read_us for method in self.methods.values()), default=0)
-        self.idempotency = IdempotencyCache(turn, late_read_us, limits.kept_results)
+        self.idempotency = self._make_idempotency_cache()
         self.lifecycle = RpcLifecycle(turn, self.methods, self.idempotency, self.fleet, self.key_leases)
-        gauges = settings.get("gauges", ())
-        gauge_names = gauges if isinstance(gauges, tuple) else (gauges,)
-        self.pool = WorkerPool(turn, limits, addresses["pool"], gauge_names, self.lifecycle, self)
-        linger_us = settings.get("calls_linger", 0) if limiters else 0
-        self.store = StoreClient(turn, limits, addresses["store"], self.lifecycle.call_ended, linger_us)
+        self.pool = self._make_worker_pool(addresses["pool"])
+        self.store = self._make_store_client(addresses["store"])
         self.lifecycle.connect(self.pool, self.store)
-        self.registration = Registration(
-            turn, limits, name, addresses["registry"], settings.get("drain_grace", 0), self.is_busy
-        )
+        grace_us = settings.get("drain_grace", 0)
+        self.registration = Registration(turn, limits, name, addresses["registry"], grace_us, self.is_busy)
         self.frontends: Mapping[str, Frontend] = make_frontends(self)
-        self.port = CorePort(
-            turn,
+        self.port = self._make_port()
+        self._longest_wait_us = 0  # of the inputs since the last timer of the decision module
+        self._input_busy = 0.0  # part of the time in which inputs were processed
+        self._handlers = self._input_handlers()
+
+    def _make_idempotency_cache(self) -> IdempotencyCache:
+        late_read_us = max((method.late_read_us for method in self.methods.values()), default=0)
+        return IdempotencyCache(self.turn, late_read_us, self.limits.kept_results)
+
+    def _make_worker_pool(self, address: Address) -> WorkerPool:
+        gauges = self.settings.get("gauges", ())
+        gauge_names = gauges if isinstance(gauges, tuple) else (gauges,)
+        return WorkerPool(self.turn, self.limits, address, gauge_names, self.lifecycle, self)
+
+    def _make_store_client(self, address: Address | None) -> StoreClient:
+        linger_us = self.settings.get("calls_linger", 0) if self.limiters else 0
+        return StoreClient(self.turn, self.limits, address, self.lifecycle.call_ended, linger_us)
+
+    def _make_port(self) -> CorePort:
+        return CorePort(
+            self.turn,
             self.lifecycle,
             self.pool,
             self.store,
             self.registration,
             self.frontends,
-            limiters,
+            self.limiters,
             self.key_leases,
         )
-        self._longest_wait_us = 0  # of the inputs since the last timer of the decision module
-        self._input_busy = 0.0  # part of the time in which inputs were processed
-        self._handlers = self._input_handlers()
 
     def _input_handlers(self) -> dict[type, Callable[..., None]]:
         """What handles each type of input; called with the input's fields."""
--- a/finchcart/node/effect_buffer.py
+++ b/finchcart/node/effect_buffer.py
@@ -1,8 +1,8 @@
 """One event-loop turn of a node: its time, the effects emitted in it, timers and connection numbers.
 
 Owns the clock value of the turn, the list of effects, the heap of timers, the numbers of connections that the
-node opens and who is told what happens on each connection. All parts of a node share one `EffectBuffer`; it
-must never know what they do with it.
+node opens and who is notified of what happens on each connection. All parts of a node share one
+`EffectBuffer`; it must never know what they do with it.
 
 The types of effects: effects.py.
 """
@@ -16,7 +16,7 @@
 
 
 class ConnectionOwner(Protocol):
-    """What is told of a connection. Connections are named by number."""
+    """What is notified of a connection. Connections are named by number."""
 
     def message_received(self, connection: int, message: tuple) -> None:
         """One message of the connection's codec; `batch_completed` follows after the last of a batch."""
@@ -90,7 +90,7 @@
         heappush(self.timers, (when, self._timers_made, callback, arguments))
 
     def connect(self, kind: str, address: tuple[str, int], owner: ConnectionOwner) -> int:
-        """Opens a connection that `kind` names the codec of; `owner` is told of it. Returns its number."""
+        """Opens a connection with the codec of that kind for `owner`. Returns its number."""
         self._connections_made += 1
         connection = -self._connections_made
         self.connection_owners[connection] = owner
--- a/finchcart/node/fleet.py
+++ b/finchcart/node/fleet.py
@@ -1,7 +1,7 @@
 """The fleet as one node's core sees it: what it may use, what it holds to be so, who is a member.
 
 Owns the joint of the core with limiters and observer, where each may be absent. It must never decide about an
-RPC: the decision module does, told the quota and the gauges.
+RPC: the decision module does, by the quota and the gauges.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
--- a/finchcart/node/limiter_set.py
+++ b/finchcart/node/limiter_set.py
@@ -1,7 +1,7 @@
 """All limiters of a node, and the recovery of a store that was held to be down.
 
 Owns which limiter counts what. It must never decide which call is made or which RPC gives way: the decision
-module does, told how much there is.
+module does, by the capacity that it is given.
 """
 
 from collections.abc import Iterable, Sequence
--- a/finchcart/node/limiters.py
+++ b/finchcart/node/limiters.py
@@ -2,8 +2,8 @@
 
 Owns what the node may have in flight or admit a second: its floor, and beyond it what it was allowed until a
 time on the boot clock. Calls in flight are the store client's, asked each time. It must never give out more
-than was allowed, nor decide which call is made or which RPC gives way: the decision module does, told how
-much there is.
+than was allowed, nor decide which call is made or which RPC gives way: the decision module does, by the
+capacity that it is given.
 
 `now_us` is the boot clock in whole microseconds, set by the host before each turn: the turn's own clock may
 be set back, and would lengthen an allowance.
@@ -93,8 +93,8 @@
 class CallConcurrencyLimiter(Limiter):
     """Calls in flight.
 
-    The store is told what is left of a strict allowance less the slack, so that it ends the call itself
-    however late this process is then.
+    The store's time limit is what is left of a strict allowance less the slack, so that it ends the call
+    itself however late this process is then.
     """
 
     def leased_time_left_us(self) -> int:
@@ -192,7 +192,7 @@
         return 1 + max(0, self.limit.burst - self.processes) * self.per_second() / self.limit.amount
 
     def availability(self) -> Availability | None:
-        """What may be taken now; None where the limit is removed."""
+        """What may be acquired now; None where the limit is removed."""
         if self.removed:
             return None
         self.fill()
@@ -203,7 +203,7 @@
         self._requests += 1
 
     def try_acquire(self, rpc: Rpc | None = None) -> bool:
-        """Whether one more was taken."""
+        """Whether one more was acquired."""
         if self.removed:
             return True
         self.fill()
@@ -265,7 +265,7 @@
         self._requests += 1
 
     def try_acquire(self, rpc: Rpc) -> bool:
-        """Counts an admitted RPC until it is completed: the decision module was told the capacity before."""
+        """Counts an admitted RPC until it is completed: the decision module knew the capacity before."""
         self.count += 1
         rpc.counted_by = (*(rpc.counted_by or ()), self)
         return True
--- a/finchcart/node/observer.py
+++ b/finchcart/node/observer.py
@@ -1,7 +1,7 @@
 """What the core saw of others lately, for the fleet's consensus, and what that consensus is.
 
 Owns counts since the last look, and the consensus in force here. It must never decide what the consensus is,
-nor reject an RPC: the decision module does, told how much quota there is. Sources are told apart by where a
+nor reject an RPC: the decision module does, by the quota that it is given. Sources differ by where a
 connection comes from; the number that a dispatcher gives of itself counts where a whole RPC carries it, so
 that no random bytes accuse another.
 """
--- a/finchcart/node/port.py
+++ b/finchcart/node/port.py
@@ -61,7 +61,7 @@
         self.pool.run(rpc, self.lifecycle.methods[rpc.method].kind == IDEMPOTENT)
 
     def stop(self, index: int) -> None:
-        """Never called: the core told the decision module that this worker pool stops nothing."""
+        """Never called: the settings say to the decision module that this worker pool stops nothing."""
         raise NotImplementedError("this worker pool stops nothing")
 
     # ---- Final answers
@@ -127,7 +127,7 @@
     # ---- What is published
 
     def set_health(self, healthy: bool, cached: bool) -> None:
-        """How health checks and the registry are told from now on."""
+        """How health checks and the registry are answered from now on."""
         self.registration.set_health(healthy)
         for frontend in self.frontends.values():
             frontend.set_health(healthy)
@@ -137,7 +137,7 @@
         self.shed_level = level
 
     def set_credit(self, credit: float) -> None:
-        """Never called: the core told the decision module that answers carry no credit."""
+        """Never called: the settings say to the decision module that answers carry no credit."""
         raise NotImplementedError("dispatchers' answers carry no credit")
 
     def set_idle_timeout(self, timeout: int) -> None:
--- a/finchcart/node/registration.py
+++ b/finchcart/node/registration.py
@@ -1,6 +1,6 @@
 """The registration with the registry, the drain and the end.
 
-Owns the phase of the node's life: when the registry is told of it, the notice to leave and the moment at
+Owns the phase of the node's life: when it reports to the registry, the notice to leave and the moment at
 which the process may end. It must never end a node that owes an answer, nor listen again once it stopped.
 """
 
--- a/finchcart/node/rpc_lifecycle.py
+++ b/finchcart/node/rpc_lifecycle.py
@@ -158,7 +158,7 @@
             rpc.frontend.send_final_answer(rpc, outcome, result, retry_after_us, do_not_retry)
 
     def abandon(self, rpc: Rpc) -> None:
-        """The caller has gone: nothing is owed, nor told to the frontend."""
+        """The caller has gone: nothing is owed, and the frontend is not notified."""
         rpc.answer_owed = False
         self.store.drop(rpc)
         self.release_limits(rpc)
--- a/finchcart/node/shadow.py
+++ b/finchcart/node/shadow.py
@@ -5,7 +5,7 @@
 to the active one first; nothing of the shadow reaches a wire. It must never change what the active one does:
 a fault in the shadow is logged and ends the watching alone.
 
-What the counts can't show: the course that was not taken is not played. The shadow is told how the active
+What the counts can't show: the course that was not taken is not played. The shadow is notified how the active
 one's runs end, so the work it would have saved or added, what callers would have done after another answer
 (retries, connections) and the health of others under it are missing; an RPC that it would have run and the
 active one rejected ends for it at once, one that it paused goes on running. Read the counts as a rate of
@@ -90,7 +90,7 @@
 
 
 class ShadowedHandle:
-    """The handle of one RPC: what happens to it is told to both instances."""
+    """The handle of one RPC: both instances are notified of what happens to it."""
 
     __slots__ = ("active", "owner", "shadow")
 
@@ -215,9 +215,11 @@
     # ---- The comparison
 
     def _settle(self, now: int) -> None:
-        """Compares what is over for the active instance, and ends it for the shadow too."""
-        over = [index for index, handle in self.handles.items() if handle.active.state is RpcState.COMPLETED]
-        for index in over:
+        """Compares what is completed for the active instance, and ends it for the shadow too."""
+        completed = [
+            index for index, handle in self.handles.items() if handle.active.state is RpcState.COMPLETED
+        ]
+        for index in completed:
             if not self.shadow:
                 return  # one of those before it was the shadow's end
             handle = self.handles.pop(index).shadow
--- a/finchcart/node/store.py
+++ b/finchcart/node/store.py
@@ -42,10 +42,10 @@
 class StoreClient:
     """The calls in flight. Times are whole microseconds.
 
-    `call_ended(rpc, outcome, body, spent_us)` is told of each call that was not dropped. Bounds: connections
-    by the calls that the decision module allows at once, and each is closed once it idles or has carried
-    `limits.store_calls`; abandoned calls by what is abandoned within `linger_us`, for which each counts as in
-    flight still.
+    `call_ended(rpc, outcome, body, spent_us)` is notified of each call that was not dropped. Bounds:
+    connections by the calls that the decision module allows at once, and each is closed once it idles or has
+    carried `limits.store_calls`; abandoned calls by what is abandoned within `linger_us`, for which each
+    counts as in flight still.
     """
 
     def __init__(
--- a/finchcart/node/worker_pool.py
+++ b/finchcart/node/worker_pool.py
@@ -20,7 +20,7 @@
 
 
 class RunListener(Protocol):
-    """What is told of runs."""
+    """What is notified of runs."""
 
     def find_running(self, name: str) -> Rpc | None:
         """The RPC of that name whose run is not completed, or None."""
@@ -33,7 +33,7 @@
 
 
 class PoolListener(Protocol):
-    """What is told of the worker pool itself."""
+    """What is notified of the worker pool itself."""
 
     def worker_pool_up(self, cold: bool) -> None:
         """It is there for the first time."""
@@ -264,7 +264,7 @@
         self._started_at = started_at
 
     def _is_new_notice(self, cursor: int) -> bool:
-        """Each notice is taken once."""
+        """Each notice is handled once."""
         is_new = cursor > self.cursor
         if is_new:
             self.cursor = cursor
--- a/finchcart/thrift/connection_closer.py
+++ b/finchcart/thrift/connection_closer.py
@@ -86,7 +86,7 @@
     def announce(self, connection: Connection, patience_us: int | None = None) -> None:
         """Begins to close: no RPC may cross the close.
 
-        The dispatcher is told, and given `patience_us` (None: the usual time) before the node closes.
+        The dispatcher is notified, and given `patience_us` (None: the usual time) before the node closes.
         """
         if connection.closing_announced or connection.ended:
             return
--- a/finchcart/thrift/connection_limiter.py
+++ b/finchcart/thrift/connection_limiter.py
@@ -59,7 +59,7 @@
     def _close_least_used(self) -> bool:
         """Guards against a crowd of connections whose threads cost more than their RPCs.
 
-        One that carried no call, or one call and stayed, is told to close, the longest silent first. Where
+        One that carried no call, or one call and stayed, is asked to close, the longest silent first. Where
         the table is nearly full, any that idles, those of health checks last, and at the limit after a
         shorter silence: a new caller with an RPC gets in. Returns whether there was one.
         """
--- a/finchcart/thrift/fields.py
+++ b/finchcart/thrift/fields.py
@@ -77,9 +77,7 @@
     if method not in methods:
         raise InvalidRpcError(f"field c={_quoted(method)}: no such method")
     info = methods[method]
-    name = fields.get("i", "")
-    if len(name) != NAME_LENGTH or not HEX_DIGITS.issuperset(name):
-        raise InvalidRpcError(f"field i={_quoted(name)}: expected 16 hex digits, new with every try")
+    name = _read_name(fields)
     key = _read_key(fields) if info.kind == KEYED else None
     arrived_at = _read_arrival(fields, now, info.late_read_us, limits.ahead)
     caller = fields.get("f", "")
@@ -104,6 +102,13 @@
     return repr(str(text)[:QUOTED_CHARACTERS])
 
 
+def _read_name(fields: Mapping[str, str]) -> str:
+    name = fields.get("i", "")
+    if len(name) != NAME_LENGTH or not HEX_DIGITS.issuperset(name):
+        raise InvalidRpcError(f"field i={_quoted(name)}: expected 16 hex digits, new with every try")
+    return name
+
+
 def _read_key(fields: Mapping[str, str]) -> str:
     key = fields.get("k")
     if not key or len(key) > MAX_KEY_LENGTH:
