--- /dev/null
+++ b/finchcart/cli/queries.py
@@ -0,0 +1,122 @@
+"""Questions to a running process of a fleet, as one datagram each way.
+
+Owns the socket of one question and its retries. It must never hold a view between questions. All functions
+raise TimeoutError where the process does not answer in time.
+"""
+
+import random
+import socket
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from types import ModuleType
+from typing import Any
+
+from msgspec import Struct
+
+from finchcart.consensus import messages as consensus
+from finchcart.membership import messages as membership
+from finchcart.membership.codec import DatagramError
+from finchcart.quota import messages as quota
+
+Address = tuple[str, int]
+View = dict[str, Any]
+
+TIMEOUT_S = 2.0
+ATTEMPTS = 8  # within the timeout
+MAX_ANSWER_BYTES = 65_536
+MICROSECONDS_PER_SECOND = 1e6
+
+
+def query_members(address: Address, timeout_s: float = TIMEOUT_S) -> View:
+    """Return the members as a process sees them, of all pages; a page that is lost is requested again."""
+    give_up_at = time.monotonic() + timeout_s
+    number = _random_number()
+    pages: dict[int, View] = {}
+    page_count = None
+    with _connected_socket(address, timeout_s) as sock:
+        while page_count is None or len(pages) < page_count:
+            missing = next(page for page in range(len(pages) + 1) if page not in pages)
+            try:
+                page = _request_page(sock, number, missing)
+            except (OSError, DatagramError):
+                if time.monotonic() > give_up_at:
+                    raise _no_answer(address) from None
+                continue
+            page_count = page.page_count
+            pages[page.page] = page.view
+    view = dict(pages[0])
+    view["members"] = [member for page in range(1, page_count) for member in pages[page]["members"]]
+    return view
+
+
+def query_limits(address: Address, timeout_s: float = TIMEOUT_S) -> View:
+    """Return the fleet's limits as a node or planner holds them."""
+    return _query(address, quota, quota.StatusRequest(_random_number()), timeout_s)
+
+
+def query_consensus(address: Address, timeout_s: float = TIMEOUT_S) -> View:
+    """Return the fleet's decisions as a node holds them, of all pages."""
+    number = _random_number()
+    view = _query(address, consensus, consensus.StatusRequest(number), timeout_s)
+    for page in range(1, view["pages"]):
+        request = consensus.StatusRequest(number + page, page)
+        view["verdicts"] += _query(address, consensus, request, timeout_s)["verdicts"]
+    return view
+
+
+def send_override(
+    address: Address,
+    subject: tuple,
+    value: int,
+    lifetime_s: float,
+    reason: str,
+    timeout_s: float = TIMEOUT_S,
+) -> View:
+    """Tell a node an operator's override, which tells all; return whether it took it, and why not.
+
+    A lifetime of 0 takes the override of the subject back.
+    """
+    lifetime_us = int(lifetime_s * MICROSECONDS_PER_SECOND)
+    request = consensus.OverrideRequest(_random_number(), subject, value, lifetime_us, reason)
+    return _query(address, consensus, request, timeout_s)
+
+
+def _query(address: Address, messages: ModuleType, request: Struct, timeout_s: float) -> View:
+    """Return the view that answers a request of that module of messages; one that is lost is sent again."""
+    with _connected_socket(address, timeout_s) as sock:
+        for _ in range(ATTEMPTS):
+            try:
+                sock.send(messages.CODEC.encode("", request))
+                response = messages.CODEC.decode(None, sock.recv(MAX_ANSWER_BYTES))
+            except (OSError, DatagramError):
+                continue
+            if isinstance(response, messages.StatusResponse) and response.number == request.number:
+                return response.view
+    raise _no_answer(address)
+
+
+def _request_page(sock: socket.socket, number: int, page: int) -> membership.ViewPage:
+    sock.send(membership.CODEC.encode("", membership.ViewRequest(number, page)))
+    while True:
+        response = membership.CODEC.decode(None, sock.recv(MAX_ANSWER_BYTES))
+        if isinstance(response, membership.ViewPage) and response.number == number:
+            return response
+
+
+@contextmanager
+def _connected_socket(address: Address, timeout_s: float) -> Iterator[socket.socket]:
+    """Hold a socket whose reads give up in time for all attempts."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.connect(address)
+        sock.settimeout(timeout_s / ATTEMPTS)
+        yield sock
+
+
+def _random_number() -> int:
+    return random.SystemRandom().getrandbits(32)
+
+
+def _no_answer(address: Address) -> TimeoutError:
+    host, port = address
+    return TimeoutError(f"no answer from {host}:{port}")
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -81,8 +81,8 @@
         self.limits = limits
         self.seed = seed
         self.shadow = shadow
-        self.turn = turn = EffectBuffer(limits.log_again)
-        self.methods = read_methods(settings, limits.late_read)
+        self.turn = turn = EffectBuffer(limits.log_interval)
+        self.methods = read_methods(settings, limits.late_read_grace)
         self.control: Control | ShadowControl | None = None  # from the worker pool's start on
         self.limiters = limiters
         self.key_leases = make_key_leases(turn) if make_key_leases else None
@@ -102,7 +102,7 @@
 
     def _make_idempotency_cache(self) -> IdempotencyCache:
         late_read_us = max((method.late_read_us for method in self.methods.values()), default=0)
-        return IdempotencyCache(self.turn, late_read_us, self.limits.kept_results)
+        return IdempotencyCache(self.turn, late_read_us, self.limits.cached_results)
 
     def _make_worker_pool(self, address: Address) -> WorkerPool:
         gauges = self.settings.get("gauges", ())
@@ -327,4 +327,6 @@
             for frontend in self.frontends.values():
                 frontend.set_idle_timeout(0)
             self.registration.end_if_idle()
-            self.turn.schedule(self.turn.now + self.limits.unready_look, self._end_without_worker_pool)
+            self.turn.schedule(
+                self.turn.now + self.limits.unready_check_interval, self._end_without_worker_pool
+            )
--- a/finchcart/node/registration.py
+++ b/finchcart/node/registration.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from finchcart.net import lines
+from finchcart.net import line_protocol
 from finchcart.net.limits import Limits
 from finchcart.node.effect_buffer import EffectBuffer
 from finchcart.node.effects import End, SendReport, StopListening
@@ -72,9 +72,9 @@
     def report(self) -> None:
         """Reports to the registry, now and then again and again."""
         turn = self.turn
-        turn.emit(SendReport(self.address, lines.report(self.name, self.healthy)))
+        turn.emit(SendReport(self.address, line_protocol.registration_report(self.name, self.healthy)))
         self._reports_sent += 1
-        turn.schedule(turn.now + self.limits.report, self._report_again, self._reports_sent)
+        turn.schedule(turn.now + self.limits.registration_interval, self._report_again, self._reports_sent)
 
     def _report_again(self, report_number: int) -> None:
         if report_number == self._reports_sent:  # else another report was sent meanwhile
@@ -94,7 +94,7 @@
         self.phase = NodePhase.DRAINING
         self.drain_notice_at = notice_at
         self._grace_ends_at = notice_at + self.drain_grace_us
-        self.kill_at = notice_at + self.limits.stop
+        self.kill_at = notice_at + self.limits.stop_timeout
         self.turn.schedule(self.kill_at, self._end)
         return True
 
@@ -107,14 +107,14 @@
             self._idle_since = None
         elif self._idle_since is None:
             self._idle_since = now
-        elif now - self._idle_since >= self.limits.quiet:
+        elif now - self._idle_since >= self.limits.quiet_period:
             # Guards against an RPC on a connection that is being accepted: first no new ones, then the end.
             if self.phase is NodePhase.DRAINING:
                 self.phase = NodePhase.NOT_LISTENING
                 self.turn.emit(StopListening())
             else:
                 self._end()
-            self._idle_since = now - self.limits.quiet + self.limits.last_look
+            self._idle_since = now - self.limits.quiet_period + self.limits.final_check_delay
 
     def _end(self) -> None:
         self.phase = NodePhase.ENDED
--- a/finchcart/simulated_peers/misbehaving_clients.py
+++ b/finchcart/simulated_peers/misbehaving_clients.py
@@ -16,7 +16,7 @@
 from contextlib import closing, suppress
 from pathlib import Path
 
-from finchcart.net.links import boot_clock
+from finchcart.net.clock import boot_clock
 from finchcart.simulated_peers.client import Client
 from finchcart.simulated_peers.server import Address, parse_address, start_thread
 
--- a/finchcart/thrift/codec.py
+++ b/finchcart/thrift/codec.py
@@ -1,6 +1,6 @@
 """The dispatchers' protocol: framed Thrift in the strict binary protocol, read and written.
 
-Owns the bytes on dispatchers' connections. A codec as net/frames.py has it: no I/O, nothing kept between
+Owns the bytes on dispatchers' connections. A codec as net/framing.py has it: no I/O, nothing kept between
 calls, and nothing raised but `ProtocolError` on what it reads, whatever the bytes. What is read: messages.py.
 """
 
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 
 from finchcart.errors import ProtocolError
-from finchcart.net.frames import Codec
+from finchcart.net.framing import Codec
 from finchcart.thrift.messages import (
     DispatcherMessage,
     HeartbeatCall,
--- a/finchcart/thrift/connection_closer.py
+++ b/finchcart/thrift/connection_closer.py
@@ -63,23 +63,23 @@
             return
         now = self.turn.now
         checked_once = connection.calls < 2 and self.table.is_crowded
-        timeout_us = self.limits.silent if checked_once else self.limits.check_idle
+        timeout_us = self.limits.silent_timeout if checked_once else self.limits.health_check_idle_timeout
         due = connection.last_message_at + timeout_us
         if now < due:
-            when = min(due, now + self.limits.silent)
+            when = min(due, now + self.limits.silent_timeout)
             self.turn.schedule(when, self.check_health_checker, connection)
         elif not connection.open_rpcs:
-            self.announce(connection, self.limits.unused_closing)
+            self.announce(connection, self.limits.unused_close_delay)
 
     def watch_unused(self, connection: Connection) -> None:
         """Closes a new connection that carries no message in time."""
-        self.turn.schedule(self.turn.now + self.limits.unused, self._close_unused, connection)
+        self.turn.schedule(self.turn.now + self.limits.unused_timeout, self._close_unused, connection)
 
     def _close_unused(self, connection: Connection) -> None:
         """Guards against those that stay silent, or never end what they send."""
         if not connection.calls and not connection.closing_announced:
             self.host.record_invalid_traffic(connection.number)
-            self.announce(connection, self.limits.unused_closing)
+            self.announce(connection, self.limits.unused_close_delay)
 
     # ---- The closing handshake
 
@@ -92,7 +92,7 @@
             return
         connection.closing_announced = True
         self.table.send(connection, codec.closing_notice())
-        patience_us = self._patience(patience_us or self.limits.closing)
+        patience_us = self._patience(patience_us or self.limits.close_delay)
         self.turn.schedule(self.turn.now + patience_us, self._defer_close, connection)
 
     def _defer_close(self, connection: Connection) -> None:
@@ -110,7 +110,7 @@
         if connection is None:
             return
         if connection.open_rpcs:
-            patience_us = self._patience(self.limits.closing)
+            patience_us = self._patience(self.limits.close_delay)
             self.turn.schedule(self.turn.now + patience_us, self._defer_close, connection)
         else:
             self.turn.emit(CloseIfIdle(number))
@@ -121,16 +121,18 @@
         if connection is None:
             return
         connection.close_attempts += 1
-        tried_for_us = connection.close_attempts * self.limits.finish_again
-        holds_back = tried_for_us > self.limits.half and not connection.write_blocked
+        tried_for_us = connection.close_attempts * self.limits.close_retry_interval
+        holds_back = tried_for_us > self.limits.partial_message_timeout and not connection.write_blocked
         if closed or holds_back:
             self.table.end(connection)  # guards against one that never sends the rest of what it began
         else:
-            self.turn.schedule(self.turn.now + self.limits.finish_again, self._defer_close, connection)
+            self.turn.schedule(
+                self.turn.now + self.limits.close_retry_interval, self._defer_close, connection
+            )
 
     def _patience(self, patience_us: int) -> int:
         """Guards against connections of slow dispatchers, cut by the kill instead of closed before it."""
         if self.kill_at is None:
             return patience_us
         until_kill_us = self.kill_at - self.turn.now
-        return min(patience_us, max(self.limits.unused_closing, until_kill_us // KILL_TIME_PART))
+        return min(patience_us, max(self.limits.unused_close_delay, until_kill_us // KILL_TIME_PART))
--- a/finchcart/thrift/connection_table.py
+++ b/finchcart/thrift/connection_table.py
@@ -55,7 +55,7 @@
 class ConnectionTable:
     """The connections by number. Times are whole microseconds.
 
-    Bounds: `limits.connections`, kept by connection_limiter.py; `limits.open_rpcs` on each, kept by the
+    Bounds: `limits.max_connections`, kept by connection_limiter.py; `limits.open_rpcs` on each, kept by the
     frontend.
     """
 
@@ -63,7 +63,7 @@
         self.host = host
         self.turn = host.turn
         self.limits = limits
-        self.max_connections = limits.connections
+        self.max_connections = limits.max_connections
         self.connections: dict[int, Connection] = {}
 
     def add(self, number: int) -> Connection:
@@ -134,7 +134,7 @@
         """Nothing more is read or sent; a peer that does not close in its turn is not waited for long."""
         connection.ended = True
         self.turn.emit(effect(connection.number))
-        linger = self.limits.crossing if self.is_nearly_full else self.limits.linger
+        linger = self.limits.crossing_window if self.is_nearly_full else self.limits.linger_timeout
         self.turn.schedule(self.turn.now + linger, self._drop_ended, connection)
 
     def _drop_ended(self, connection: Connection) -> None:
@@ -143,7 +143,7 @@
         A write that makes no headway breaks the connection by itself.
         """
         if connection.write_blocked and connection.number in self.connections:
-            self.turn.schedule(self.turn.now + self.limits.linger, self._drop_ended, connection)
+            self.turn.schedule(self.turn.now + self.limits.linger_timeout, self._drop_ended, connection)
         else:
             self.turn.emit(Drop(connection.number))
 
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -81,7 +81,7 @@
         self.settings = settings
         self.now = NOW
         self.rng = random.Random(seed)
-        self.limits = Limits(memory=192 * 2**20, descriptors=200, stop=3_000 * MS, **limits)
+        self.limits = Limits(memory=192 * 2**20, descriptors=200, stop_timeout=3_000 * MS, **limits)
         self.addresses = {"pool": ("pool", 1), "store": ("store", 1), "registry": ("registry", 1)}
         self.core = Core(
             settings,
@@ -198,7 +198,7 @@
             connection = next(each for each in self.reads_requested if self.inboxes.get(each))
             self.reads_requested[connection] -= 1
             self.reads_requested += Counter()  # drops what is requested no more
-            count = self.rng.choice((1, 1, 2, self.limits.batch))
+            count = self.rng.choice((1, 1, 2, self.limits.frontend_batch))
             inbox = self.inboxes[connection]
             batch = [inbox.popleft() for _ in range(min(count, len(inbox)))]
             self.feed(MessagesReceived(connection, batch, self.now))
@@ -496,7 +496,7 @@
             assert self.now <= attempt.due + 2 * LATE_US, f"lost: {name} {attempt}"
         cache = self.core.idempotency
         assert cache.result_bytes == sum(len(entry.result) for entry in cache.with_result)
-        assert cache.result_bytes <= self.limits.kept_results
+        assert cache.result_bytes <= self.limits.cached_results
         assert not self.reports or self.now - self.reports[-1][0] < 2_000 * MS or self.ended
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -106,7 +106,7 @@
 @pytest.mark.parametrize("seed", [*range(20), 2008])  # 2008: an idempotent run starts again as it ends
 def test_rules_hold_in_random_runs(seed):
     rng = random.Random(seed)
-    harness = CoreHarness({**draw_settings(rng), **GAUGES}, seed, kept_results=rng.choice((60, 10_000)))
+    harness = CoreHarness({**draw_settings(rng), **GAUGES}, seed, cached_results=rng.choice((60, 10_000)))
     assert "ok" in play(harness, rng, rng.choice((None, 320)))
 
 
@@ -641,7 +641,7 @@
     harness.step(MS)
     while not harness.frontend.table.connections[link].closing_announced:
         harness.step(MS)
-    harness.step(harness.limits.closing - MS)
+    harness.step(harness.limits.close_delay - MS)
     assert harness.connections[link] == "open"
     return link
 
@@ -693,7 +693,7 @@
 
 def test_connections_past_the_limit_cost_first_what_asked_once_and_stayed():
     harness = plain_harness(cores=9)
-    links = [harness.open() for _ in range(harness.limits.connections)]
+    links = [harness.open() for _ in range(harness.limits.max_connections)]
     names = [harness.submit(links[0])]
     for link in links[2:]:
         harness.deliver(link, HeartbeatCall(1))
@@ -710,7 +710,7 @@
         harness.connections[links[4]] == "closed"
         and harness.connections[links[3]] == harness.connections[links[5]] == "open"
     )
-    assert len(harness.frontend.table.connections) == harness.limits.connections == 136
+    assert len(harness.frontend.table.connections) == harness.limits.max_connections == 136
     for each in names:
         harness.step(MS)
         ends_well(harness, each)
@@ -720,9 +720,9 @@
     assert harness.connections[links[3]] == "open" and not any(
         harness.connections[link] == "open" for link in links[4:]
     )
-    assert Limits.of({"memory_mb": 32, "sockets": 384}, 3200).connections == 192
-    assert Limits.of({"memory_mb": 192, "sockets": 1024}, 3200).connections == 960
-    assert Limits.of({"memory_mb": 192, "sockets": 100}, 3200).connections == 50
+    assert Limits.from_config({"memory_mb": 32, "sockets": 384}, 3200).max_connections == 192
+    assert Limits.from_config({"memory_mb": 192, "sockets": 1024}, 3200).max_connections == 960
+    assert Limits.from_config({"memory_mb": 192, "sockets": 100}, 3200).max_connections == 50
 
 
 def test_one_that_checked_once_and_stays_is_closed_and_one_that_goes_on_is_not():
@@ -759,7 +759,7 @@
     assert (
         how(harness, name) == "ok"
         and harness.ended
-        and harness.now < harness.drain_notice_at + harness.limits.stop + 100 * MS
+        and harness.now < harness.drain_notice_at + harness.limits.stop_timeout + 100 * MS
     )
 
 
--- a/tests/test_key_leases.py
+++ b/tests/test_key_leases.py
@@ -7,7 +7,8 @@
 import json5
 import pytest
 
-from finchcart.cli.file import checked, claims
+from finchcart.cli.settings_file import check_settings
+from finchcart.cli.settings_schema import key_lease_config
 from finchcart.fault_injection.invariants import InvariantError
 from finchcart.fault_injection.key_lease_fault_run import SeededRun
 from finchcart.fault_injection.key_lease_simulation import TICK_US, KeyLeaseSimulation
@@ -147,7 +148,7 @@
     text = Path("deploy/finchcart.json5").read_text(encoding="utf-8")
     head, _, tail = text.partition("  // claims: {\n")
     example = json5.loads(head + "  claims: {\n" + re.sub(r"(?m)^  // ", "  ", tail))
-    config = claims(checked(example, "example"))
+    config = key_lease_config(check_settings(example, "example"))
     assert config == KeyLeaseConfig(keepers=config.keepers) and len(config.keepers) == 3, (
         "the example shows the defaults"
     )
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -11,13 +11,14 @@
 
 import pytest
 
-from finchcart.cli.file import Wrong, checked
+from finchcart.cli.settings_file import check_settings
+from finchcart.errors import SettingsError
 from finchcart.fault_injection.invariants import InvariantError
 from finchcart.fault_injection.quota_fault_run import SeededRun
 from finchcart.fault_injection.quota_simulation import QuotaSimulation
 from finchcart.fault_injection.quota_state_space import explore
 from finchcart.membership.codec import parse_address
-from finchcart.net.links import boot_clock
+from finchcart.net.clock import boot_clock
 from finchcart.node.limiters import CallConcurrencyLimiter, RateLimiter
 from finchcart.quota import local_limits, messages
 from finchcart.quota.allocator import Allocator, HolderKey
@@ -76,13 +77,13 @@
         "quota": {**GOOD_SETTINGS["quota"], **quota},
         "limits": [{**GOOD_SETTINGS["limits"][0], **limit}],
     }
-    with pytest.raises(Wrong) as raised:
-        checked(settings, "F")
+    with pytest.raises(SettingsError) as raised:
+        check_settings(settings, "F")
     assert reason in str(raised.value)
 
 
 def test_settings_that_hold_their_bounds_are_accepted():
-    assert checked(GOOD_SETTINGS, "F").limits[0].in_hand == 40
+    assert check_settings(GOOD_SETTINGS, "F").limits[0].in_hand == 40
     assert not list(config_errors(QuotaConfig(limits=(Limit("a", 64, 1),), planners=("a",))))
     rate = Limit("a", 64, per="rate", burst=63)
     errors = dict(config_errors(QuotaConfig(limits=(rate,), planners=("a",))))
@@ -771,7 +772,9 @@
 from queue import SimpleQueue
 from finchcart.net.buffers import Buffers
 from finchcart.net.limits import Limits
-from finchcart.net.links import CODECS, Link, boot_clock
+from finchcart.net.clock import boot_clock
+from finchcart.net.connection_table import CODECS
+from finchcart.net.connections import Connection
 class Stops:
     def __init__(self, sock):
         self.sock = sock
@@ -780,10 +783,10 @@
     def send(self, *what):
         os.kill(os.getpid(), signal.SIGSTOP)  # after the last look at the clock, before the write
         return self.sock.send(*what)
-limits = Limits(memory=10**8, descriptors=100, stop=10**6)
+limits = Limits(memory=10**8, descriptors=100, stop_timeout=10**6)
 place = "127.0.0.1", int(sys.argv[1])
-link = Link(-1, CODECS["store"], SimpleQueue(), Buffers(limits), limits, address=place)
-while not link.up:
+link = Connection(-1, CODECS["store"], SimpleQueue(), Buffers(limits), limits, address=place)
+while not link.is_open:
     time.sleep(0.001)
 link.sock = Stops(link.sock)
 by = boot_clock() + 800_000
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from finchcart.cli.serve import ask
+from finchcart.cli.queries import query_members
 from finchcart.fault_injection.checker import Event, EventKind, History, check
 from finchcart.fault_injection.plan import Plan, PlannedExpectation, make_plan
 from finchcart.fault_injection.processes import ProcessFleet
@@ -17,7 +17,7 @@
 from finchcart.fault_injection.script import read_script, shipped_scripts
 from finchcart.fault_injection.simulated_network import SimulatedNetwork
 from finchcart.fault_injection.virtual_run import play_on_virtual_clock
-from finchcart.net.datagrams import Datagrams
+from finchcart.net.datagrams import DatagramEndpoint
 
 
 def until(true, within=20):
@@ -119,7 +119,7 @@
         fleet.start(name)
 
     def view(name):
-        return ask(fleet.addresses.member(name), 5.0)
+        return query_members(fleet.addresses.member(name), 5.0)
 
     until(lambda: [m["state"] for m in view("n0")["members"]] == ["alive"] * 2 and not view("n0")["isolated"])
     path, log = tmp_path / "n0.json5", tmp_path / "n0.1.log"
@@ -170,7 +170,7 @@
             return []
 
     machine = Machine()
-    made = Datagrams(("127.0.0.1", 0), lambda now: {b"x": machine}, lambda change: None, lambda: [])
+    made = DatagramEndpoint(("127.0.0.1", 0), lambda now: {b"x": machine}, lambda change: None, lambda: [])
     made.start()
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         # One every 5 ms, a twentieth of a tick: a tick that waits for a pause between them never comes.
@@ -178,7 +178,7 @@
             sock.sendto(b"x", made.sock.getsockname())
             time.sleep(0.005)
     assert machine.ticks >= 8 and machine.got > 8
-    made.end()
+    made.stop()
 
 
 def test_a_node_without_arguments_imports_none_of_this():
