--- a/finchcart/net/line_protocol.py
+++ b/finchcart/net/line_protocol.py
@@ -9,7 +9,6 @@
 from base64 import b64encode
 from binascii import a2b_base64
 from collections.abc import Mapping
-from enum import StrEnum
 from math import isfinite
 from typing import Any, NamedTuple
 
@@ -39,23 +38,21 @@
 }
 
 
-class MessageKind(StrEnum):
-    """The first field of each message read here."""
-
-    BOUND = "up"
-    RUN_ENDED = "run_ended"
-    AWAITING_CALL = "at_call"
-    GAUGES = "gauges"
-    NOT_CARRIED_OUT = "undone"
-    REMARK = "remark"
-    OTHER = "other"
-    REPLY = "reply"
+# The first field of each message read here; plain text, as several are read for each RPC.
+BOUND = "up"
+RUN_ENDED = "run_ended"
+AWAITING_CALL = "at_call"
+GAUGES = "gauges"
+NOT_CARRIED_OUT = "undone"
+REMARK = "remark"
+OTHER = "other"
+REPLY = "reply"
 
 
 class Bound(NamedTuple):
     """The worker pool sends its notices from now on."""
 
-    kind: MessageKind
+    kind: str
     is_new: bool  # it has just started
     age_us: int
 
@@ -63,7 +60,7 @@
 class RunEnded(NamedTuple):
     """A notice: a run is over."""
 
-    kind: MessageKind
+    kind: str
     cursor: int  # of the notice
     name: str
     outcome: Outcome
@@ -74,7 +71,7 @@
 class AwaitingCall(NamedTuple):
     """A notice: a run waits for the answer of a call."""
 
-    kind: MessageKind
+    kind: str
     cursor: int
     name: str
     body: bytes  # of the call
@@ -83,7 +80,7 @@
 class GaugesRead(NamedTuple):
     """The gauges that were requested."""
 
-    kind: MessageKind
+    kind: str
     ticket: str
     values: tuple[float, ...]
 
@@ -91,7 +88,7 @@
 class NotCarriedOut(NamedTuple):
     """A command that was not carried out, as the worker pool knows no such run."""
 
-    kind: MessageKind
+    kind: str
     was_start: bool  # it was to start a run
     name: str
 
@@ -99,20 +96,20 @@
 class Remark(NamedTuple):
     """A notice of which only the number counts."""
 
-    kind: MessageKind
+    kind: str
     cursor: int
 
 
 class OtherNotice(NamedTuple):
     """What concerns no node."""
 
-    kind: MessageKind
+    kind: str
 
 
 class Reply(NamedTuple):
     """The store's reply to a call."""
 
-    kind: MessageKind
+    kind: str
     name: str
     outcome: Outcome
     body: bytes
@@ -144,39 +141,37 @@
 def _read_notice(fields: Mapping[str, Any]) -> PoolMessage:
     event = fields["event"]
     read = NOTICE_READERS.get(event) if isinstance(event, str) else None
-    return read(fields) if read else OtherNotice(MessageKind.OTHER)
+    return read(fields) if read else OtherNotice(OTHER)
 
 
 def _read_run_ended(fields: Mapping[str, Any]) -> RunEnded:
     outcome = RUN_OUTCOMES[fields["fate"]]
     spent_us = _microseconds(fields["lasted"])
     cursor = _whole_number(fields["cursor"])
-    return RunEnded(
-        MessageKind.RUN_ENDED, cursor, _text(fields["handle"]), outcome, spent_us, _decode_body(fields)
-    )
+    return RunEnded(RUN_ENDED, cursor, _text(fields["handle"]), outcome, spent_us, _decode_body(fields))
 
 
 def _read_awaiting_call(fields: Mapping[str, Any]) -> AwaitingCall:
     cursor = _whole_number(fields["cursor"])
-    return AwaitingCall(MessageKind.AWAITING_CALL, cursor, _text(fields["handle"]), _decode_body(fields))
+    return AwaitingCall(AWAITING_CALL, cursor, _text(fields["handle"]), _decode_body(fields))
 
 
 def _read_gauges(fields: Mapping[str, Any]) -> GaugesRead:
     ticket = str(fields["ticket"])
-    return GaugesRead(MessageKind.GAUGES, ticket, tuple(_finite_number(value) for value in fields["figures"]))
+    return GaugesRead(GAUGES, ticket, tuple(_finite_number(value) for value in fields["figures"]))
 
 
 def _read_bound(fields: Mapping[str, Any]) -> Bound:
-    return Bound(MessageKind.BOUND, POOL_STARTS[fields["fate"]], _microseconds(fields["lasted"]))
+    return Bound(BOUND, POOL_STARTS[fields["fate"]], _microseconds(fields["lasted"]))
 
 
 def _read_not_carried_out(fields: Mapping[str, Any]) -> NotCarriedOut:
     was_start = fields.get("fate") == "spawn"
-    return NotCarriedOut(MessageKind.NOT_CARRIED_OUT, was_start, _text(fields.get("handle") or ""))
+    return NotCarriedOut(NOT_CARRIED_OUT, was_start, _text(fields.get("handle") or ""))
 
 
 def _read_remark(fields: Mapping[str, Any]) -> Remark:
-    return Remark(MessageKind.REMARK, _whole_number(fields["cursor"]))
+    return Remark(REMARK, _whole_number(fields["cursor"]))
 
 
 NOTICE_READERS = {
@@ -282,7 +277,7 @@
     if outcome is Outcome.OK and body[-len(LINE_END) :] != LINE_END:
         raise ProtocolError("a reply from the store does not end where it says")
     name = words[0].decode("ascii", "replace")
-    return Reply(MessageKind.REPLY, name, outcome, body[: -len(LINE_END)])
+    return Reply(REPLY, name, outcome, body[: -len(LINE_END)])
 
 
 def store_call(name: str, limit_us: int, body: bytes) -> bytes:
--- a/finchcart/net/reader.py
+++ b/finchcart/net/reader.py
@@ -59,17 +59,17 @@
         Raises EOFError where the peer closed, OSError where the connection broke.
         """
         while True:
-            batch = self._split()
-            if batch.frames or batch.fault:
-                return batch
+            frames, fault = self._split()
+            if frames or fault:
+                return FrameBatch(frames, fault)
             self._make_room(sock)
             if self._filled == self._max_size:
                 return FrameBatch([], ProtocolError(f"a message of over {self._filled} bytes"))
             self._receive(sock)
 
-    def _split(self) -> FrameBatch:
-        """Cut frames off what is read."""
-        frames: list[bytes] = []
+    def _split(self) -> tuple[list[bytes], Exception | None]:
+        """Cut frames off what is read; return them, and what is wrong with the bytes that follow."""
+        frames = []
         fault = None
         data = self._data
         start = self._start
@@ -88,7 +88,7 @@
             fault = error
         self._start = start
         self.has_undelivered_bytes = start < len(data)
-        return FrameBatch(frames, fault)
+        return frames, fault
 
     def _make_room(self, sock: socket.socket) -> None:
         """See to a buffer with the bytes of an incomplete frame at its beginning."""
