--- /dev/null
+++ b/finchcart/fault_injection/stream_relay.py
@@ -0,0 +1,153 @@
+"""A relay for one TCP link on loopback that does to connections what networks do.
+
+Owns its listening socket and the connections that pass through it. It must never look at what a connection
+carries, but where it is told to put rubbish into it, nor reach beyond loopback.
+"""
+
+import socket
+import struct
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from random import Random
+
+CHUNK_BYTES = 16 * 1024
+CONNECT_TIMEOUT_S = 1.0
+RUBBISH = b"\x00\xff\x13noise noise\r\n"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: unsent bytes are thrown away, the peer sees a reset
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class LinkFaults:
+    """What happens to a link. Times are seconds; 0 or None: it does not happen."""
+
+    cut_every: float | None = None  # mean time between the cuts of all connections, drawn anew for each
+    reset_part: float = 0.5  # of the cuts that reset, so that bytes under way are lost; others close
+    rubbish_part: float = 0.0  # of the cuts that put rubbish before the end, towards who connected
+    delay: float = 0.0  # of each piece towards who connected
+    small_pieces: bool = False  # a few bytes at a time, in both directions
+
+
+class RelayedConnection:
+    """A connection on its way through the relay."""
+
+    def __init__(self, near: socket.socket, far: socket.socket) -> None:
+        self.near = near  # towards who connected
+        self.far = far
+        self.write_lock = threading.Lock()
+
+    def cut(self, reset: bool, rubbish: bool) -> None:
+        """End it in both directions."""
+        with suppress(OSError):
+            if rubbish:
+                with self.write_lock:
+                    self.near.sendall(RUBBISH)
+        for sock in (self.near, self.far):
+            with suppress(OSError):
+                if reset:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                sock.shutdown(socket.SHUT_RDWR)
+
+
+class StreamRelay:
+    """Passes connections at `address` on to `target()`, under `faults`, which may be replaced at any time.
+
+    What is left to chance comes from `seed`. `counts` tells how often each kind of fault happened.
+    """
+
+    def __init__(self, address: Address, target: Callable[[], Address], seed: int) -> None:
+        self.faults = LinkFaults()
+        self.refuses = False  # connections are accepted and closed at once
+        self.is_silent = False  # connections are accepted, and nothing is passed on
+        self.counts: Counter[str] = Counter()
+        self._target = target
+        self._random = Random(seed)
+        self._connections: set[RelayedConnection] = set()
+        self._lock = threading.Lock()
+        self._ended = threading.Event()
+        self._listener = socket.create_server(address)
+        for body in (self._accept_connections, self._cut_now_and_then):
+            threading.Thread(target=body, daemon=True).start()
+
+    def end(self) -> None:
+        """Accept no more, and cut all connections."""
+        self._ended.set()
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self.cut_all(reset=True)
+
+    def cut_all(self, reset: bool, rubbish: bool = False) -> None:
+        """Cut every connection there is."""
+        with self._lock:
+            connections = list(self._connections)
+            self._connections.clear()
+        for connection in connections:
+            self.counts["rubbish" if rubbish else "reset" if reset else "close"] += 1
+            connection.cut(reset, rubbish)
+
+    def _cut_now_and_then(self) -> None:
+        while not self._ended.is_set():
+            mean_s = self.faults.cut_every
+            self._ended.wait(self._random.uniform(0.5, 1.5) * mean_s if mean_s else 0.05)
+            faults = self.faults
+            if faults.cut_every:
+                reset = self._random.random() < faults.reset_part
+                self.cut_all(reset, self._random.random() < faults.rubbish_part)
+
+    def _accept_connections(self) -> None:
+        while not self._ended.is_set():
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._pass_on, args=(near,), daemon=True).start()
+
+    def _pass_on(self, near: socket.socket) -> None:
+        if self.refuses:
+            self.counts["refused"] += 1
+            near.close()
+            return
+        try:
+            far = socket.create_connection(self._target(), CONNECT_TIMEOUT_S)
+            far.settimeout(None)
+        except OSError:
+            near.close()
+            return
+        for sock in (near, far):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = RelayedConnection(near, far)
+        with self._lock:
+            self._connections.add(connection)
+        backwards = threading.Thread(target=self._copy, args=(connection, far, near), daemon=True)
+        backwards.start()
+        self._copy(connection, near, far)
+        backwards.join()
+        with self._lock:
+            self._connections.discard(connection)
+        near.close()
+        far.close()
+
+    def _copy(self, connection: RelayedConnection, source: socket.socket, target: socket.socket) -> None:
+        """Pass bytes on until the source ends; then the target is told that it did."""
+        with suppress(OSError):
+            while data := source.recv(CHUNK_BYTES):
+                self._forward(connection, target, data)
+        with suppress(OSError):
+            target.shutdown(socket.SHUT_WR)
+
+    def _forward(self, connection: RelayedConnection, target: socket.socket, data: bytes) -> None:
+        faults = self.faults
+        while self.is_silent and not self._ended.is_set():
+            time.sleep(0.01)
+        if faults.delay and target is connection.near:
+            time.sleep(faults.delay)
+        size = 7 if faults.small_pieces else len(data)
+        for start in range(0, len(data), size):
+            with connection.write_lock:
+                target.sendall(data[start : start + size])
--- a/finchcart/simulated_peers/worker_pool.py
+++ b/finchcart/simulated_peers/worker_pool.py
@@ -5,9 +5,11 @@
 import threading
 import time
 from base64 import b64decode, b64encode
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import NamedTuple
 
 from finchcart.simulated_peers.server import Address, Server, start_thread
 
@@ -17,6 +19,13 @@
 MS_PER_S = 1000
 
 
+class LoadSample(NamedTuple):
+    """How many runs wanted a core from this moment on."""
+
+    at: float  # on the monotonic clock
+    on_cores: int
+
+
 @dataclass(eq=False)
 class Run:
     """One run of a method."""
@@ -26,6 +35,23 @@
     replied: threading.Event = field(default_factory=threading.Event)
 
 
+def highest_mean(samples: Sequence[LoadSample], window_s: float) -> float:
+    """Return the highest mean of a load over any window of that length that ends at one of the samples."""
+    highest = 0.0
+    area = 0.0  # under the load since the first sample
+    first = 0  # sample that the window begins in
+    areas = [0.0]
+    for before, after in pairwise(samples):
+        area += before.on_cores * (after.at - before.at)
+        areas.append(area)
+        begin = after.at - window_s
+        while samples[first + 1].at <= begin:
+            first += 1
+        outside = areas[first] + samples[first].on_cores * max(0.0, begin - samples[first].at)
+        highest = max(highest, (area - outside) / window_s)
+    return highest
+
+
 class WorkerPool(Server):
     """The worker pool of one node.
 
@@ -57,9 +83,9 @@
         self.notices: list[dict] = []
         self.fate = "old"  # whether the process is the one that the node knew: "old" or "new"
         self.runs: dict[str, Run] = {}
-        self.ended: set[str] = set()
         self.started = time.monotonic()
         self.spawned: list[tuple[str, str, bytes]] = []  # (id, method, body) of every run
+        self.load: list[LoadSample] = [LoadSample(self.started, 0)]  # at each change
         self.polls = 0  # how often the node asked for the gauges
         self.corrupt_notices: dict[str, int] = {}  # id -> how many more of its notices can't be read
         self.gate = threading.Event()  # runs start to work while it is set
@@ -140,7 +166,7 @@
         method = message["entry"]
         if method not in self.methods:
             return False
-        if handle not in self.runs and handle not in self.ended:
+        if handle not in self.runs:  # one that ended is not known any more: it runs again
             run = self.runs[handle] = Run()
             start_thread(self._execute, handle, run, method, b64decode(message["arg"]))
         return True
@@ -153,18 +179,34 @@
         run.replied.set()
         return True
 
+    # ---- load
+
+    def _load_changed(self) -> None:
+        with self.lock:
+            on_cores = sum(not run.waits for run in list(self.runs.values()))
+            self.load.append(LoadSample(time.monotonic(), on_cores))
+
+    def peak_load(self) -> int:
+        """Return the most runs that wanted a core at once."""
+        return max(sample.on_cores for sample in self.load)
+
+    def highest_mean_load(self, window_s: float) -> float:
+        """Return the highest mean of the runs that wanted a core, over any window of that length."""
+        return highest_mean(self.load, window_s)
+
     # ---- runs
 
     def _execute(self, handle: str, run: Run, method: str, body: bytes) -> None:
         began = time.monotonic()
         self.spawned.append((handle, method, body))
+        self._load_changed()
         failing = self.is_failing()
         self.gate.wait(GATE_TIMEOUT_S)
         fate, result = ("bad", b"") if failing else self._work(handle, run, method, body)
         if self.runs.get(handle) is not run:
             return  # lost with the process that it ran in
         del self.runs[handle]
-        self.ended.add(handle)
+        self._load_changed()
         self._notify(
             "finished",
             handle=handle,
@@ -180,12 +222,14 @@
         self._work_half()
         if self.methods[method]:
             run.waits = True
+            self._load_changed()
             self._notify("blocked", handle=handle, arg=b64encode(b"about " + body).decode())
             if run.replied.wait(REPLY_TIMEOUT_S):
                 result += b" " + run.reply
             else:
                 fate = "cut"
             run.waits = False
+            self._load_changed()
         if self.on_effect:
             self.on_effect(body)
         self._work_half()
