--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -93,7 +93,9 @@
         self.store = self._make_store_client(addresses["store"])
         self.lifecycle.connect(self.pool, self.store)
         grace_us = settings.get("drain_grace", 0)
-        self.registration = Registration(turn, limits, name, addresses["registry"], grace_us, self.is_busy)
+        self.registration = Registration(
+            turn, limits, name, addresses["registry"], grace_us, self.is_busy, self._log_end
+        )
         self.frontends: Mapping[str, Frontend] = make_frontends(self)
         self.port = self._make_port()
         self._longest_wait_us = 0  # of the inputs since the last timer of the decision module
@@ -175,6 +177,25 @@
     def _on_start(self) -> None:
         self.pool.connect()
         self.registration.report()
+        self.turn.schedule_after(self.limits.log_interval, self._log_statistics)
+
+    def _log_statistics(self) -> None:
+        self._write_statistics()
+        self.turn.schedule_after(self.limits.log_interval, self._log_statistics)
+
+    def _write_statistics(self) -> None:
+        line = self.turn.statistics.line()
+        if line:
+            self.turn.emit(Log(f"{line}; {len(self.lifecycle.running_rpcs())} runs in progress"))
+
+    def _log_end(self) -> None:
+        """The last lines: what was left out of the log, what was counted, and what is open still."""
+        self.turn.fault_log.summarize_all()
+        self._write_statistics()
+        owed = sum(rpc.answer_owed for rpc in self.lifecycle.rpcs.values())
+        connections = 0 if all(frontend.is_idle() for frontend in self.frontends.values()) else 1
+        open_connections = "open connections" if connections else "no open connection"
+        self.turn.emit(Log(f"end: {owed} answers owed, {open_connections}"))
 
     def _on_timers_due(self) -> None:
         """Nothing but the timers."""
--- a/finchcart/node/effect_buffer.py
+++ b/finchcart/node/effect_buffer.py
@@ -12,7 +12,9 @@
 from typing import Protocol
 
 from finchcart.node.effects import Connect, Effect, Log
+from finchcart.node.fault_log import FaultLog
 from finchcart.node.inputs import Input
+from finchcart.node.statistics import Statistics
 
 
 class ConnectionOwner(Protocol):
@@ -49,22 +51,21 @@
 
 
 class EffectBuffer:
-    """The turn under way. Times are whole microseconds; `log_interval_us`: between lines on one party's
-    faults.
+    """The turn under way. Times are whole microseconds; `log_interval_us`: see `FaultLog`.
 
-    Bounds: the timers are what the parts of a node schedule, each of which bounds its own; one fault record a
-    party; one owner a connection, until that is closed.
+    Bounds: the timers are what the parts of a node schedule, each of which bounds its own; one owner a
+    connection, until that is closed.
     """
 
     def __init__(self, log_interval_us: int) -> None:
         self.now = 0
         self.effects: list[Effect] = []
-        self.log_interval_us = log_interval_us
         self.timers: list[tuple] = []  # heap of (when, number, callback, arguments)
         self.connection_owners: dict[int, ConnectionOwner] = {}
         self._timers_made = 0
         self._connections_made = 0
-        self._faults: dict[str, tuple[int | None, int]] = {}  # party -> (last line at, faults since)
+        self.statistics = Statistics()
+        self.fault_log = FaultLog(log_interval_us, self._log, self.schedule_after)
 
     def begin(self, now: int) -> list[Effect]:
         """Begins a turn: runs all timers that are due, and returns the list that effects are added to."""
@@ -97,12 +98,14 @@
         self.emit(Connect(connection, kind, address))
         return connection
 
-    def log_fault(self, party: str, text: str) -> None:
-        """One line for many faults of one party: the next line has the count of those left out."""
-        logged_at, left_out = self._faults.get(party, (None, 0))
-        if logged_at is not None and self.now - logged_at < self.log_interval_us:
-            self._faults[party] = logged_at, left_out + 1
-            return
-        self._faults[party] = self.now, 0
-        suffix = f"; {left_out} more since the last line" if left_out else ""
-        self.emit(Log(f"{party}: {text}{suffix}"))
+    def schedule_after(self, delay: int, callback: Callable[..., None], *arguments: object) -> None:
+        """Has `callback(*arguments)` called at the beginning of the first turn after `delay`."""
+        self.schedule(self.now + delay, callback, *arguments)
+
+    def log_fault(self, party: str, cause: str, text: str) -> None:
+        """One line on a fault of a party, or its cause counted where there are many; see `FaultLog`."""
+        self.statistics.count(f"{party}: {cause}")
+        self.fault_log.record(party, cause, text)
+
+    def _log(self, text: str) -> None:
+        self.emit(Log(text))
--- a/finchcart/node/registration.py
+++ b/finchcart/node/registration.py
@@ -29,8 +29,8 @@
 class Registration:
     """The node's record at the registry, and its phase. Times are whole microseconds.
 
-    `is_busy()` tells whether anything is open or owed. Bounds: one timer for the next report that counts, one
-    for the kill.
+    `is_busy()` tells whether anything is open or owed; `on_end()` is called before the end. Bounds: one timer
+    for the next report that counts, one for the kill.
     """
 
     def __init__(
@@ -41,6 +41,7 @@
         address: tuple[str, int],
         drain_grace_us: int,
         is_busy: Callable[[], bool],
+        on_end: Callable[[], None],
     ) -> None:
         self.turn = turn
         self.limits = limits
@@ -48,6 +49,7 @@
         self.address = address
         self.drain_grace_us = drain_grace_us
         self.is_busy = is_busy
+        self.on_end = on_end
         self.phase = NodePhase.STARTING
         self.healthy = True
         self.drain_notice_at: int | None = None
@@ -118,4 +120,5 @@
 
     def _end(self) -> None:
         self.phase = NodePhase.ENDED
+        self.on_end()
         self.turn.emit(End())
--- a/finchcart/node/rpc_lifecycle.py
+++ b/finchcart/node/rpc_lifecycle.py
@@ -154,12 +154,14 @@
         """Gives the final answer, where it is still owed; see `Frontend.send_final_answer`."""
         if rpc.answer_owed:
             rpc.answer_owed = False
+            self.turn.statistics.count(f"RPCs {outcome.value}")
             self.release_limits(rpc)
             rpc.frontend.send_final_answer(rpc, outcome, result, retry_after_us, do_not_retry)
 
     def abandon(self, rpc: Rpc) -> None:
         """The caller has gone: nothing is owed, and the frontend is not notified."""
         rpc.answer_owed = False
+        self.turn.statistics.count("RPCs abandoned")
         self.store.drop(rpc)
         self.release_limits(rpc)
         if rpc.handle:
--- a/finchcart/node/store.py
+++ b/finchcart/node/store.py
@@ -15,6 +15,8 @@
 from finchcart.node.effects import Drop, Read, Send, SendBefore
 from finchcart.node.rpc import Rpc
 
+PARTY = "store"  # in log lines
+
 CallEnded = Callable[[Rpc, Outcome, bytes, int], None]
 
 
@@ -185,10 +187,11 @@
         if connection is None:
             return
         self._close(connection)
-        if reason:
-            left = len(self.connections)
-            self.turn.log_fault("store", f"{outcome.value}, {left} connections left ({reason})")
         rpc = connection.rpc
+        if reason or rpc:
+            call = f"call of {rpc.name} after {self.turn.now - rpc.call_started_at} us" if rpc else "no call"
+            text = f"connection {number}: {outcome.value} ({reason or 'closed'}), {call}"
+            self.turn.log_fault(PARTY, outcome.value, f"{text}, {len(self.connections)} connections left")
         if rpc:
             rpc.call_connection = None
             self.call_ended(rpc, outcome, b"", self.turn.now - rpc.call_started_at)
--- a/finchcart/node/worker_pool.py
+++ b/finchcart/node/worker_pool.py
@@ -190,7 +190,9 @@
 
     def _lose(self, reason: str) -> None:
         pause = 0 if self.state is LinkState.BOUND else self.limits.pool_retry_interval
-        self.turn.log_fault(PARTY, f"connection lost ({reason or 'closed'}), cursor {self.cursor}")
+        owed = f"{len(self.unconfirmed)} commands not confirmed, {len(self.pending_timers)} polls open"
+        text = f"connection {self.connection} lost while {self.state.value} ({reason or 'closed'})"
+        self.turn.log_fault(PARTY, self.state.value, f"{text}, cursor {self.cursor}, {owed}")
         self._disconnect()
         self.turn.schedule(self.turn.now + pause, self.connect)
 
@@ -286,7 +288,8 @@
     def _on_not_carried_out(self, was_run: bool, name: str) -> None:
         rpc = self.runs.find_running(name)
         if rpc:
-            self.turn.log_fault(PARTY, f"{'run' if was_run else 'command'} not carried out")
+            text = f"{'start' if was_run else 'command'} of {name} not carried out"
+            self.turn.log_fault(PARTY, "not carried out", text)
             self.runs.run_ended(rpc, Outcome.NOT_STARTED if was_run else Outcome.STOPPED, 0, b"")
 
     def _on_remark(self, cursor: int) -> None:
--- a/finchcart/thrift/connection_limiter.py
+++ b/finchcart/thrift/connection_limiter.py
@@ -33,7 +33,9 @@
             self._check_nearly_full()
         count = len(table.connections)
         if count > table.max_connections:
-            self.turn.log_fault("dispatchers", f"{count} connections, {table.max_connections} at most")
+            self.turn.log_fault(
+                "dispatchers", "table full", f"{count} connections, {table.max_connections} at most"
+            )
             self._drop_unused()
 
     def _drop_unused(self) -> None:
--- a/finchcart/thrift/frontend.py
+++ b/finchcart/thrift/frontend.py
@@ -95,7 +95,8 @@
         if reason:
             # Not readable: what was read before is answered, then this connection alone is closed.
             owed = len(connection.open_rpcs)
-            self.turn.log_fault(PARTY, f"connection {number}: {reason}; closed once {owed} answers are out")
+            text = f"connection {number}: {reason}; closed once {owed} answers are out"
+            self.turn.log_fault(PARTY, "unreadable", text)
             connection.unreadable = True
             self.core.record_invalid_traffic(number)
             self.table.end_unreadable(connection)
@@ -167,7 +168,7 @@
     ) -> None:
         if sequence in connection.open_rpcs:
             text = f"connection {connection.number}: sequence number {sequence} is in use; closed"
-            self.turn.log_fault(PARTY, text)
+            self.turn.log_fault(PARTY, "sequence number in use", text)
             connection.unreadable = True
             return
         try:
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -208,7 +208,7 @@
 
 def test_the_end_waits_for_what_is_open_and_listens_no_more_before():
     turn, busy = EffectBuffer(1), [True]
-    registration = Registration(turn, LIMITS, "n1", ("registry", 1), 100 * MS, lambda: busy[0])
+    registration = Registration(turn, LIMITS, "n1", ("registry", 1), 100 * MS, lambda: busy[0], lambda: None)
     registration.report()
     assert registration.drain(turn.now) and not registration.drain(turn.now)
     registration.set_health(False)
