--- /dev/null
+++ b/tests/test_run_accounting.py
@@ -0,0 +1,114 @@
+"""What runs in the worker pool is counted by the node until something proves that it is over.
+
+The failure. Users saw a node's machine fall over in staging, seconds after its start, with no more traffic
+than before. The connection to the worker pool had been cut four times in two seconds. Each time the node held
+runs whose start it could not prove to have been read, and that it must not start again as they have effects;
+it reported them to the decision module as stopped. The module gave their cores and memory to others, while
+they ran on. Runs without effects were started again, also where the first run ended on the way: the second
+one was in nobody's count.
+
+The evidence. A relay that cuts the connection, and the worker pool's own record: 10 runs at once where 6 were
+without cuts; with answers 30 ms late 8 where 4 were, and 24 of 169 idempotent runs started twice. No cut with
+the same late answers: 4. docs/incidents/2026-12-02-staging-fault-injection.md.
+"""
+
+import random
+import threading
+
+from finchcart.interface import Outcome
+from finchcart.simulated_peers.worker_pool import WorkerPool
+from tests.core_harness import MS, CoreHarness
+from tests.harness import draw_settings
+from tests.node_testbed import METHODS, read_answers, wait_until
+from tests.test_core import GAUGES, how, plain_harness, play
+
+SEEDS = range(24)
+CALLERS = 24
+CORES = 4
+RUN_TIME_S = 0.25
+
+
+class CountingHarness(CoreHarness):
+    """Holds what the node counts against what runs, at every step, with many cuts of its connection."""
+
+    cut_probability = 0.06
+
+    def check(self):
+        super().check()
+        control = self.core.control
+        if control is None:
+            return
+        on_cores = sum(run.state == "running" for run in self.active_runs.values())
+        assert control.runs_in_progress >= len(self.active_runs), "runs that nobody counts"
+        assert control.runs_on_cores >= on_cores, "runs on cores that nobody counts"
+        if self.rng.random() < self.cut_probability:
+            self.lose_pool_connection()
+
+
+def test_every_run_is_counted_through_cuts_of_the_connection():
+    for seed in SEEDS:
+        rng = random.Random(seed)
+        harness = CountingHarness({**draw_settings(rng), **GAUGES}, seed)
+        assert "ok" in play(harness, rng)
+
+
+def test_a_start_written_again_as_its_first_run_ends_is_counted_too():
+    """The end of the first run crosses the second start: the worker pool runs it again."""
+    harness = plain_harness()
+    name = harness.submit(harness.open(), 0)
+    harness.step(0)
+    harness.read_commands()
+    harness.lose_pool_connection()
+    for _ in range(10):
+        harness.step(MS)
+        if any(b"spawn" in data for _, data in harness.commands):
+            break
+    assert any(b"spawn" in data for _, data in harness.commands), "it is not written again"
+    harness.end_run(name, Outcome.OK)  # its notice is on the way as the start is read once more
+    for _ in range(3):
+        harness.step(MS)
+    assert how(harness, name) == "ok" and harness.runs[name].state == "running"
+    assert harness.core.control.runs_on_cores == 1
+    harness.end_run(name, Outcome.OK)
+    for _ in range(3):
+        harness.step(MS)
+    assert harness.core.control.runs_on_cores == 0
+
+
+class BreakingPool(WorkerPool):
+    """Breaks the connection right after every third start: it was read, and nothing told the node so."""
+
+    starts = 0
+
+    def _spawn(self, connection, message):
+        started = super()._spawn(connection, message)
+        self.starts += 1
+        if self.starts % 3 == 0:
+            self.break_connection()
+        return started
+
+
+def test_a_machine_bears_what_a_node_starts_while_its_connection_breaks(testbed):
+    settings = testbed.config["settings"]
+    settings["contract"]["overloadFactor"] = 2.0
+    testbed.write_config()
+    testbed.pool = BreakingPool(testbed.addresses["pool"], dict.fromkeys(METHODS, False), RUN_TIME_S, CORES)
+    testbed.pool.started -= 60
+    testbed.start()
+    wait_until(testbed.serves)
+    answered = []
+
+    def call(number):
+        client = testbed.client()
+        for attempt in range(12):
+            key = f"{number:016x}{attempt:016x}"
+            sequence = client.submit("book", b"seat", key, f=str(number))
+            answered.append(read_answers(client, 1)[sequence][0])
+
+    callers = [threading.Thread(target=call, args=(number,)) for number in range(CALLERS)]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    assert answered.count("ok") > 3 * CORES
+    assert testbed.pool.peak_load() <= CORES, "more runs at once than the node allows itself"
