Worker pool: a run lost sight of counts until a notice proves its end, or for its deadline

Cause: at a new connection, starts that may have been read were reported as stopped, starts written again could run twice, late polls confirmed nothing.

--- a/finchcart/node/rpc_lifecycle.py
+++ b/finchcart/node/rpc_lifecycle.py
@@ -231,6 +231,14 @@
         """The RPCs that were started and are not completed."""
         return [rpc for rpc in self.rpcs.values() if rpc.is_running]
 
+    def longest_run_us(self, rpc: Rpc) -> int:
+        """How long a run that was lost sight of may go on: nobody waits for it longer than its deadline."""
+        return self.methods[rpc.method].deadline_us
+
+    def answer_before_end(self, rpc: Rpc, outcome: Outcome, result: bytes) -> None:
+        """The run is over and may have been started once more: its answer does not wait for that."""
+        self.answer(rpc, FinalOutcome.OK if outcome is Outcome.OK else FinalOutcome.FAILED, result)
+
     def run_lost(self, rpc: Rpc) -> None:
         """The worker pool has lost a run: it is answered."""
         self.run_ended(rpc, Outcome.STOPPED, 0, b"")
