--- /dev/null
+++ b/finchcart/fault_injection/process_shim.c
@@ -0,0 +1,198 @@
+/* A library to be loaded into a process under test (LD_PRELOAD): it moves the process's wall clock and makes
+ * its system calls fail, come back short or be interrupted, as a mapped file says.
+ *
+ * Owns nothing but the counts in that file. It must never touch the monotonic clocks, nor any other process.
+ * Layout of the file: struct shared, see process_shim.py. */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <time.h>
+#include <unistd.h>
+
+enum call { ACCEPT, SOCKET, CONNECT, BIND, LISTEN, RECV, SEND, SENDTO, SETSOCKOPT, WRITE, THREAD, CALLS };
+
+struct rule {
+    int64_t first;      /* the call with this number fails, counted from 1; 0: none does */
+    int64_t count;      /* and so many in all, one after the other */
+    int64_t error;      /* errno; 0: the call is not failed */
+    int64_t per_million; /* chance of each call besides */
+    int64_t seed;       /* of that chance */
+    int64_t most_bytes; /* a read or write that is hit moves no more than these; 0: as many as asked */
+    int64_t calls;      /* counted here: all */
+    int64_t injected;   /* and those that were hit */
+};
+
+struct shared {
+    int64_t clock_offset_ns; /* added to the wall clock */
+    int64_t unused[7];
+    struct rule rules[CALLS];
+};
+
+static struct shared *shared;
+
+__attribute__((constructor)) static void map_file(void) {
+    const char *path = getenv("FINCHCART_SHIM");
+    int file = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
+    if (file < 0)
+        return;
+    void *mapped = mmap(NULL, sizeof(struct shared), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
+    close(file);
+    if (mapped != MAP_FAILED)
+        shared = mapped;
+}
+
+#define REAL(result, name, ...)                                   \
+    static result (*real)(__VA_ARGS__);                           \
+    if (!real)                                                    \
+        real = (result(*)(__VA_ARGS__))dlsym(RTLD_NEXT, #name)
+
+static uint64_t mix(uint64_t x) {
+    x ^= x >> 33, x *= 0xff51afd7ed558ccdULL;
+    x ^= x >> 33, x *= 0xc4ceb9fe1a85ec53ULL;
+    return x ^ (x >> 33);
+}
+
+/* Returns the rule of a call that is to be hit, or NULL. */
+static struct rule *hit(enum call which) {
+    if (!shared)
+        return NULL;
+    struct rule *rule = &shared->rules[which];
+    int64_t number = __atomic_add_fetch(&rule->calls, 1, __ATOMIC_RELAXED);
+    int by_number = rule->first && number >= rule->first && number < rule->first + rule->count;
+    int by_chance = rule->per_million &&
+                    (int64_t)(mix((uint64_t)rule->seed * 1000003 + (uint64_t)number) % 1000000) < rule->per_million;
+    if (!by_number && !by_chance)
+        return NULL;
+    __atomic_add_fetch(&rule->injected, 1, __ATOMIC_RELAXED);
+    return rule;
+}
+
+static int fails(enum call which) {
+    struct rule *rule = hit(which);
+    if (!rule || !rule->error)
+        return 0;
+    errno = (int)rule->error;
+    return 1;
+}
+
+/* ---- Clocks */
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    REAL(int, clock_gettime, clockid_t, struct timespec *);
+    int result = real(clock, now);
+    if (result == 0 && shared && (clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE)) {
+        int64_t ns = (int64_t)now->tv_sec * 1000000000 + now->tv_nsec + shared->clock_offset_ns;
+        now->tv_sec = ns / 1000000000;
+        now->tv_nsec = ns % 1000000000;
+    }
+    return result;
+}
+
+int gettimeofday(struct timeval *restrict now, void *restrict zone) {
+    struct timespec precise;
+    (void)zone;
+    if (clock_gettime(CLOCK_REALTIME, &precise))
+        return -1;
+    now->tv_sec = precise.tv_sec;
+    now->tv_usec = precise.tv_nsec / 1000;
+    return 0;
+}
+
+time_t time(time_t *now) {
+    struct timespec precise;
+    clock_gettime(CLOCK_REALTIME, &precise);
+    if (now)
+        *now = precise.tv_sec;
+    return precise.tv_sec;
+}
+
+/* ---- System calls */
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
+    REAL(int, accept4, int, struct sockaddr *, socklen_t *, int);
+    return fails(ACCEPT) ? -1 : real(fd, address, length, flags);
+}
+
+int accept(int fd, struct sockaddr *address, socklen_t *length) { return accept4(fd, address, length, 0); }
+
+int socket(int domain, int type, int protocol) {
+    REAL(int, socket, int, int, int);
+    return fails(SOCKET) ? -1 : real(domain, type, protocol);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    REAL(int, connect, int, const struct sockaddr *, socklen_t);
+    struct rule *rule = hit(CONNECT);
+    if (rule && rule->error && rule->error != EINTR) {
+        errno = (int)rule->error;
+        return -1;
+    }
+    int result = real(fd, address, length);
+    if (rule && rule->error == EINTR && result < 0 && errno == EINPROGRESS)
+        errno = EINTR; /* the connection goes on being made, as after a real signal */
+    return result;
+}
+
+int bind(int fd, const struct sockaddr *address, socklen_t length) {
+    REAL(int, bind, int, const struct sockaddr *, socklen_t);
+    return fails(BIND) ? -1 : real(fd, address, length);
+}
+
+int listen(int fd, int backlog) {
+    REAL(int, listen, int, int);
+    return fails(LISTEN) ? -1 : real(fd, backlog);
+}
+
+int setsockopt(int fd, int level, int name, const void *value, socklen_t length) {
+    REAL(int, setsockopt, int, int, int, const void *, socklen_t);
+    return fails(SETSOCKOPT) ? -1 : real(fd, level, name, value, length);
+}
+
+/* Cuts a length down where the call is to be short; returns -1 where it is to fail. */
+static int limited(enum call which, size_t *length) {
+    struct rule *rule = hit(which);
+    if (!rule)
+        return 0;
+    if (rule->error) {
+        errno = (int)rule->error;
+        return -1;
+    }
+    if (rule->most_bytes && *length > (size_t)rule->most_bytes)
+        *length = (size_t)rule->most_bytes;
+    return 0;
+}
+
+ssize_t recv(int fd, void *buffer, size_t length, int flags) {
+    REAL(ssize_t, recv, int, void *, size_t, int);
+    return limited(RECV, &length) ? -1 : real(fd, buffer, length, flags);
+}
+
+ssize_t send(int fd, const void *data, size_t length, int flags) {
+    REAL(ssize_t, send, int, const void *, size_t, int);
+    return limited(SEND, &length) ? -1 : real(fd, data, length, flags);
+}
+
+ssize_t sendto(int fd, const void *data, size_t length, int flags, const struct sockaddr *to, socklen_t size) {
+    REAL(ssize_t, sendto, int, const void *, size_t, int, const struct sockaddr *, socklen_t);
+    return limited(SENDTO, &length) ? -1 : real(fd, data, length, flags, to, size);
+}
+
+ssize_t write(int fd, const void *data, size_t length) {
+    REAL(ssize_t, write, int, const void *, size_t);
+    if (fd == STDERR_FILENO && limited(WRITE, &length))
+        return -1;
+    return real(fd, data, length);
+}
+
+int pthread_create(pthread_t *thread, const pthread_attr_t *attributes, void *(*body)(void *), void *argument) {
+    REAL(int, pthread_create, pthread_t *, const pthread_attr_t *, void *(*)(void *), void *);
+    return fails(THREAD) ? errno : real(thread, attributes, body, argument);
+}
--- /dev/null
+++ b/finchcart/fault_injection/process_shim.py
@@ -0,0 +1,117 @@
+"""Faults inside a process: its wall clock steps and its system calls fail, at any time and from outside.
+
+Owns the library that is loaded into the process (process_shim.c) and the mapped file that says what happens.
+It must never be loaded into a process that serves anybody. One library for all calls, and not a seam in
+`finchcart.net`: so the program runs as it ships, and what Python itself makes of an error is played too.
+"""
+
+import errno
+import mmap
+import shutil
+import struct
+import subprocess
+from enum import IntEnum
+from pathlib import Path
+
+SOURCE = Path(__file__).with_suffix(".c")
+FILE_VARIABLE = "FINCHCART_SHIM"
+NANOSECONDS_PER_SECOND = 1_000_000_000
+HEADER = struct.Struct("q7q")
+RULE = struct.Struct("8q")
+COUNTS_OFFSET = 6 * 8  # of `calls` in a rule
+PER_MILLION = 1_000_000
+
+
+class Call(IntEnum):
+    """The calls that can fail; the numbers are those of process_shim.c."""
+
+    ACCEPT = 0
+    SOCKET = 1
+    CONNECT = 2
+    BIND = 3
+    LISTEN = 4
+    RECV = 5
+    SEND = 6
+    SENDTO = 7
+    SETSOCKOPT = 8
+    WRITE = 9  # on standard error
+    THREAD = 10
+
+
+# What Linux documents for each call besides what our own arguments rule out: accept(2), socket(2),
+# connect(2), bind(2), listen(2), recv(2), send(2), write(2), pthread_create(3), tcp(7).
+DOCUMENTED_ERRORS: dict[Call, tuple[int, ...]] = {
+    Call.ACCEPT: (errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EINTR)
+    + (errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.EHOSTUNREACH, errno.ENETUNREACH),
+    Call.SOCKET: (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
+    Call.CONNECT: (errno.ECONNREFUSED, errno.ETIMEDOUT, errno.ENETUNREACH, errno.EADDRNOTAVAIL, errno.EAGAIN)
+    + (errno.EHOSTUNREACH, errno.EINTR, errno.ECONNRESET),
+    Call.BIND: (errno.EADDRINUSE, errno.ENOMEM),
+    Call.LISTEN: (errno.EADDRINUSE, errno.ENOBUFS),
+    Call.RECV: (errno.EINTR, errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENOMEM),
+    Call.SEND: (errno.EINTR, errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.ENOBUFS, errno.ENOMEM),
+    Call.SENDTO: (errno.EINTR, errno.ECONNREFUSED, errno.ENOBUFS, errno.ENOMEM, errno.ENETUNREACH),
+    Call.SETSOCKOPT: (errno.ENOBUFS, errno.ENOMEM),
+    Call.WRITE: (errno.ENOSPC, errno.EPIPE, errno.EIO, errno.EINTR),
+    Call.THREAD: (errno.EAGAIN,),
+}
+
+
+def build_library(folder: Path) -> Path | None:
+    """Compile the library into the folder; None where there is no C compiler."""
+    compiler = shutil.which("cc") or shutil.which("gcc")
+    if compiler is None:
+        return None
+    library = folder / "process_shim.so"
+    command = [compiler, "-O1", "-shared", "-fPIC", "-o", str(library), str(SOURCE), "-ldl", "-lpthread"]
+    subprocess.run(command, check=True, capture_output=True)
+    return library
+
+
+class ProcessShim:
+    """What is done to the processes that are started with `environment`; they share clock and counts."""
+
+    def __init__(self, library: Path, folder: Path, name: str = "shim") -> None:
+        path = folder / f"{name}.bin"
+        path.write_bytes(bytes(mmap.PAGESIZE))
+        self.environment = {"LD_PRELOAD": str(library), FILE_VARIABLE: str(path)}
+        with path.open("r+b") as file:
+            self._map = mmap.mmap(file.fileno(), mmap.PAGESIZE)
+
+    @property
+    def clock_offset_s(self) -> float:
+        """How far the wall clock of the processes is ahead of the machine's, in seconds."""
+        return struct.unpack_from("q", self._map, 0)[0] / NANOSECONDS_PER_SECOND
+
+    def set_clock_offset(self, seconds: float) -> None:
+        """Step the wall clock of the processes to be so far ahead of the machine's."""
+        struct.pack_into("q", self._map, 0, int(seconds * NANOSECONDS_PER_SECOND))
+
+    def fail_at(self, call: Call, first: int, error: int, count: int = 1) -> None:
+        """Fail the call of this number, from 1 on, and `count` in all. Counting begins anew."""
+        RULE.pack_into(self._map, self._offset(call), first, count, error, 0, 0, 0, 0, 0)
+
+    def fail_by_chance(self, call: Call, part: float, error: int, seed: int) -> None:
+        """Fail this part of the calls."""
+        fields = (0, 0, error, int(part * PER_MILLION), seed, 0, 0, 0)
+        RULE.pack_into(self._map, self._offset(call), *fields)
+
+    def shorten_by_chance(self, call: Call, part: float, most_bytes: int, seed: int) -> None:
+        """Let this part of the reads or writes move no more than so many bytes."""
+        fields = (0, 0, 0, int(part * PER_MILLION), seed, most_bytes, 0, 0)
+        RULE.pack_into(self._map, self._offset(call), *fields)
+
+    def stop_failing(self, call: Call) -> None:
+        """The call works again; its counts stay."""
+        struct.pack_into("6q", self._map, self._offset(call), 0, 0, 0, 0, 0, 0)
+
+    def calls(self, call: Call) -> int:
+        """Return how often it was called since the last rule was set."""
+        return struct.unpack_from("q", self._map, self._offset(call) + COUNTS_OFFSET)[0]
+
+    def injected(self, call: Call) -> int:
+        """Return how many of these calls were hit."""
+        return struct.unpack_from("q", self._map, self._offset(call) + COUNTS_OFFSET + 8)[0]
+
+    def _offset(self, call: Call) -> int:
+        return HEADER.size + call * RULE.size
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from benchmarks.node_process import free_address
+from finchcart.fault_injection.process_shim import ProcessShim, build_library
 from finchcart.simulated_peers.client import Client
 from finchcart.simulated_peers.registry import Registry
 from finchcart.simulated_peers.store import Store
@@ -35,6 +36,8 @@
 
     def __init__(self, folder):
         self.process = self.pool = self.store = None
+        self.folder = folder
+        self.environment = {}  # of the node, besides the usual
         self.addresses = {name: free_address() for name in ("listen", "pool", "store")}
         self.addresses["roster"] = free_address(socket.SOCK_DGRAM)
         self.start_registry()
@@ -75,11 +78,19 @@
 
     # ---- The node
 
+    def load_shim(self):
+        """Faults inside the node: its clock and its system calls."""
+        library = build_library(self.folder)
+        assert library, "no C compiler"
+        shim = ProcessShim(library, self.folder)
+        self.environment |= shim.environment
+        return shim
+
     def start(self, shell="exec"):
         command = f"{shell} {sys.executable} -m finchcart"
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", command],
-            env={**os.environ, "ROUTER_CONFIG": str(self.path)},
+            env={**os.environ, **self.environment, "ROUTER_CONFIG": str(self.path)},
             stderr=subprocess.PIPE,
             text=True,
         )
