--- a/finchcart/event_loop.py
+++ b/finchcart/event_loop.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from finchcart.net.clock import boot_clock, read_clocks
 from finchcart.net.connection_table import ConnectionTable
 from finchcart.net.limits import Limits
 from finchcart.node import effects
@@ -29,14 +30,14 @@
     ReloadConfig,
     Start,
     TimersDue,
+    WallClockRead,
 )
 
 if TYPE_CHECKING:  # not imported where no fleet is configured
     from finchcart.fleet_participant import FleetParticipant
 
-NANOSECONDS_PER_MICROSECOND = 1_000
-NANOSECONDS_PER_SECOND = 1e9
 MICROSECONDS_PER_SECOND = 1e6
+CLOCK_CHANGE_US = 1_000  # a smaller change between the two clocks is not worth an input
 
 
 class EventLoop:
@@ -69,6 +70,9 @@
         self._load_measured_at = 0  # microseconds
         self._idle = 0  # microseconds since then in which nothing was to be done
         self._pause_s = 0.0  # between turns; 0: wait for the next input
+        self._clock_offset: int | None = None  # of the wall clock, as the core knows it
+        self._last_turn_at = 0
+        self._awake_since = 0  # the thread took turns from then on, with no gap
 
     def _effect_handlers(self, fleet: "FleetParticipant | None") -> dict[type, Callable[..., None]]:
         """What carries out each effect but `End`; called with the effect's fields."""
@@ -97,10 +101,11 @@
     def run(self) -> None:
         """Listen, and take turns until the core asks for the end."""
         self._connections.listen()
-        self._load_measured_at = time.time_ns() // NANOSECONDS_PER_MICROSECOND
+        self._load_measured_at = self._last_turn_at = self._awake_since = boot_clock()
         has_ended = False
         while not has_ended:
             is_behind = self._drain_queue()
+            self._look_at_clocks()
             self._waiting = deque(own_connections_first(self._waiting))
             self._measure_load()
             if not self._waiting:
@@ -121,9 +126,23 @@
             return False
         return True
 
+    def _look_at_clocks(self) -> None:
+        """Tell the core of a wall clock that stepped, before the messages that may carry its time.
+
+        A thread that took no turn for long was held up, and the readers with it: the process was paused.
+        """
+        reading = read_clocks()
+        if reading.boot - self._last_turn_at > self._limits.turn_gap:
+            self._awake_since = reading.boot
+        self._last_turn_at = reading.boot
+        offset = reading.unix - reading.boot
+        if self._clock_offset is None or abs(offset - self._clock_offset) > CLOCK_CHANGE_US:
+            self._clock_offset = offset
+            self._waiting.appendleft(WallClockRead(reading.unix))
+
     def _measure_load(self) -> None:
         """Tell the core from time to time how busy this thread is, and pause between turns where it is."""
-        now = time.time_ns() // NANOSECONDS_PER_MICROSECOND
+        now = boot_clock()
         span = now - self._load_measured_at
         if span < self._limits.load_interval:
             return
@@ -139,7 +158,7 @@
         handlers = self._handlers
         while waiting:
             current = self._prepare(waiting.popleft())
-            for effect in self._reduce(time.time_ns() // NANOSECONDS_PER_MICROSECOND, current):
+            for effect in self._reduce(boot_clock(), current):
                 kind = type(effect)
                 if kind is effects.End:
                     return True
@@ -159,7 +178,11 @@
         messages, fault = self._connections.decode(received.connection, received.frames)
         if fault is not None:
             self._waiting.appendleft(ConnectionEnded(received.connection, fault))
-        return MessagesReceived(received.connection, messages, received.received_at)
+        not_before = received.empty_at
+        gap = self._limits.turn_gap
+        if received.was_waiting and received.received_at - self._awake_since > gap:
+            not_before = max(not_before, received.received_at - gap)  # no pause held the bytes back
+        return MessagesReceived(received.connection, messages, received.received_at, not_before)
 
     def _defer(self, deferred: Input) -> None:
         self._waiting.append(deferred)
@@ -172,13 +195,19 @@
     def _wait(self) -> None:
         """Wait for an input or for the next timer, or pause."""
         due = self._core.next_timer()
-        before = time.time_ns()
+        before = boot_clock()
         timeout_s = None
         if due is not None:
-            timeout_s = max(0.0, due / MICROSECONDS_PER_SECOND - before / NANOSECONDS_PER_SECOND)
+            timeout_s = max(0, due - before) / MICROSECONDS_PER_SECOND
         if self._pause_s:
             time.sleep(self._pause_s if timeout_s is None else min(self._pause_s, timeout_s))
         elif timeout_s is None or timeout_s:
             with suppress(Empty):
                 self._waiting.append(self._inputs.get(timeout=timeout_s))
-        self._idle += (time.time_ns() - before) // NANOSECONDS_PER_MICROSECOND
+        after = boot_clock()
+        self._idle += after - before
+        if (
+            timeout_s is not None
+            and after - before < timeout_s * MICROSECONDS_PER_SECOND + self._limits.turn_gap
+        ):
+            self._last_turn_at = after  # it waited as long as it meant to
--- a/finchcart/net/connections.py
+++ b/finchcart/net/connections.py
@@ -15,7 +15,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 from queue import SimpleQueue
-from time import time_ns
 from typing import NamedTuple
 
 from finchcart.net.buffers import Buffers
@@ -226,11 +225,12 @@
         try:
             with self.reader as reader:
                 while self._requests.get():
-                    frames, fault = reader.read_batch(sock)
+                    frames, fault, empty_at, was_waiting = reader.read_batch(sock)
                     if frames:
                         # What was complete before a fault is delivered first.
                         self._batches_delivered += 1
-                        self._inputs.put(FramesReceived(self.number, frames, time_ns() // 1000))
+                        received = FramesReceived(self.number, frames, boot_clock(), empty_at, was_waiting)
+                        self._inputs.put(received)
                     if fault:
                         return ReadEnd(fault=str(fault))
                 return ReadEnd(close_ordered=True)
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -35,6 +35,7 @@
     frontend_batch: int = 8  # messages that a dispatcher's connection delivers at once, at most
     outbound_batch: int = 64  # and one that the node opened: all runs share the one to the worker pool
     turn_inputs: int = 32  # processed in one turn where so many wait: what they send is one write
+    turn_gap: int = 500 * MS  # the loop takes turns more often than this, unless the process was held up
     load_interval: int = 40 * MS  # between measurements of the part of time that inputs take
     busy_threshold: float = 0.2  # where they take more of the time than this, the loop pauses between turns
     busy_pause: int = 2 * MS  # for so long: what comes meanwhile is processed in one turn
--- a/finchcart/net/reader.py
+++ b/finchcart/net/reader.py
@@ -12,6 +12,9 @@
 
 from finchcart.errors import ProtocolError
 from finchcart.net.buffers import Buffers
+from finchcart.net.clock import boot_clock
+
+WAITED_US = 2_000  # a read that took so long found nothing there
 
 
 class FrameBatch(NamedTuple):
@@ -19,6 +22,8 @@
 
     frames: list[bytes]
     fault: Exception | None
+    empty_at: int  # the connection was read empty then, on the boot clock in microseconds
+    was_waiting: bool  # for the first byte: it came while the reader waited
 
 
 class FrameReader:
@@ -46,6 +51,9 @@
         self._data = b""  # a copy of them
         self._start = 0  # where in `_data` the first byte is that belongs to no frame yet
         self._first_byte = bytearray(1)
+        self._emptied_at = boot_clock()  # before the last read that took all there was
+        self._empty_at = self._emptied_at  # the same, of the read before the one that brought what is split
+        self._was_waiting = False
 
     def __enter__(self) -> Self:
         return self
@@ -61,11 +69,13 @@
         while True:
             frames, fault = self._split()
             if frames or fault:
-                return FrameBatch(frames, fault)
+                return FrameBatch(frames, fault, self._empty_at, self._was_waiting)
+            asked_at = boot_clock()
             self._make_room(sock)
             if self._filled == self._max_size:
-                return FrameBatch([], ProtocolError(f"a message of over {self._filled} bytes"))
-            self._receive(sock)
+                error = ProtocolError(f"a message of over {self._filled} bytes")
+                return FrameBatch([], error, self._empty_at, self._was_waiting)
+            self._receive(sock, asked_at)
 
     def _split(self) -> tuple[list[bytes], Exception | None]:
         """Cut frames off what is read; return them, and what is wrong with the bytes that follow."""
@@ -111,15 +121,25 @@
             raise EOFError
         self._buffer = self._buffers.acquire()
 
-    def _receive(self, sock: socket.socket) -> None:
+    def _receive(self, sock: socket.socket, asked_at: int) -> None:
         with memoryview(self._buffer) as view:
             count = sock.recv_into(view[self._filled :])
             if not count:
                 raise EOFError
             self.has_undelivered_bytes = True
+            self._note_arrival(asked_at, took_all=count < self._max_size - self._filled)
             self._filled += count
             self._data = bytes(view[: self._filled])
 
+    def _note_arrival(self, asked_at: int, took_all: bool) -> None:
+        """Keep what bounds the age of the bytes that were read: see `FrameBatch`."""
+        is_continued = self._start < len(self._data)  # a frame began with bytes that came before
+        if not is_continued:
+            self._empty_at = self._emptied_at
+            self._was_waiting = boot_clock() - asked_at > WAITED_US
+        if took_all:
+            self._emptied_at = asked_at
+
     def _release_buffer(self) -> None:
         if self._buffer is not None:
             self._buffers.release(self._buffer)
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -26,6 +26,7 @@
 from finchcart.node.rpc import Rpc, RpcAttributes
 from finchcart.node.rpc_lifecycle import KEY_LEASE_MARGIN_US, RpcLifecycle
 from finchcart.node.store import StoreClient
+from finchcart.node.wall_clock import Arrival, WallClock
 from finchcart.node.worker_pool import WorkerPool
 
 if TYPE_CHECKING:  # none is imported where it is not asked for
@@ -99,6 +100,9 @@
         self.frontends: Mapping[str, Frontend] = make_frontends(self)
         self.port = self._make_port()
         self._longest_wait_us = 0  # of the inputs since the last timer of the decision module
+        self.wall_clock = WallClock()
+        self._batch_received_at = 0  # of the messages at hand
+        self._batch_not_before = 0
         self._input_busy = 0.0  # part of the time in which inputs were processed
         self._handlers = self._input_handlers()
 
@@ -150,6 +154,7 @@
             inputs.ConsensusChanged: self.fleet.consensus_changed,
             inputs.Start: self._on_start,
             inputs.TimersDue: self._on_timers_due,
+            inputs.WallClockRead: self._on_wall_clock_read,
             inputs.LoadMeasured: self._on_load_measured,
             inputs.AddressesChanged: self._on_addresses_changed,
             inputs.ThreadDied: self._on_thread_died,
@@ -200,6 +205,11 @@
     def _on_timers_due(self) -> None:
         """Nothing but the timers."""
 
+    def _on_wall_clock_read(self, unix: int) -> None:
+        step_us = self.wall_clock.look(self.turn.now, unix)
+        if step_us:
+            self.turn.log_fault("wall clock", "step", f"stepped by {step_us} us")
+
     def _on_load_measured(self, busy_us: int, span_us: int) -> None:
         self._input_busy = busy_us / max(1, span_us)
 
@@ -230,7 +240,11 @@
         self.fleet.connection_opened(connection, host)
         owner.connection_opened(connection)
 
-    def _on_messages(self, connection: int, messages: Sequence[tuple], received_at: int) -> None:
+    def _on_messages(
+        self, connection: int, messages: Sequence[tuple], received_at: int, not_before: int
+    ) -> None:
+        self._batch_received_at = received_at
+        self._batch_not_before = not_before
         self._longest_wait_us = max(self._longest_wait_us, self.turn.now - received_at)
         owner = self.turn.connection_owners.get(connection)
         if owner:
@@ -268,6 +282,18 @@
         """The shed level that is published with all answers; None: not known yet."""
         return self.port.shed_level
 
+    def read_arrival(self, stamp: int, late_read_us: int) -> Arrival | None:
+        """When an RPC of the batch at hand with that Unix time arrived, see `FrontendHost`."""
+        received_at = min(self._batch_received_at, self.turn.now)
+        oldest = self.turn.now - late_read_us
+        return self.wall_clock.arrival(
+            stamp, self._batch_not_before, received_at, oldest, self.limits.max_clock_lead
+        )
+
+    def unix_now(self) -> int:
+        """The Unix time in microseconds, see `FrontendHost`."""
+        return self.wall_clock.to_unix(self.turn.now)
+
     def accept(self, rpc: Rpc, attributes: RpcAttributes) -> None:
         """Takes over an RPC that was read to the end, see `FrontendHost`."""
         self.lifecycle.accept(rpc, attributes)
--- a/finchcart/node/frontend.py
+++ b/finchcart/node/frontend.py
@@ -24,6 +24,7 @@
 from finchcart.node.effect_buffer import ConnectionOwner, EffectBuffer
 from finchcart.node.methods import MethodInfo
 from finchcart.node.rpc import FinalOutcome, Rpc, RpcAttributes
+from finchcart.node.wall_clock import Arrival
 
 
 class FrontendHost(Protocol):
@@ -37,6 +38,12 @@
     def ready(self) -> bool:
         """Whether RPCs can be accepted yet."""
 
+    def read_arrival(self, stamp: int, late_read_us: int) -> Arrival | None:
+        """When an RPC of the batch at hand with that Unix time arrived; None where it can't have."""
+
+    def unix_now(self) -> int:
+        """The Unix time in microseconds, for texts."""
+
     def accept(self, rpc: Rpc, attributes: RpcAttributes) -> None:
         """Takes over an RPC that was read to the end.
 
--- a/finchcart/node/inputs.py
+++ b/finchcart/node/inputs.py
@@ -28,6 +28,8 @@
     connection: int
     frames: Sequence[bytes]
     received_at: int
+    empty_at: int  # the connection was read empty then: what came is not older
+    was_waiting: bool  # for the first of the bytes, so that they were read as they came
 
 
 class MessagesReceived(NamedTuple):
@@ -36,6 +38,7 @@
     connection: int
     messages: Sequence[tuple]
     received_at: int
+    not_before: int = 0  # the messages reached the machine at this moment at the earliest
 
 
 class WriteBlocked(NamedTuple):
@@ -159,6 +162,12 @@
     run_by: int | None  # with GRANTED, on the boot clock: the run is commanded until then or not at all
 
 
+class WallClockRead(NamedTuple):
+    """What the wall clock says now, where its distance to the node's clock has changed."""
+
+    unix: int
+
+
 class TimersDue(NamedTuple):
     """Nothing but the timers that are due."""
 
@@ -198,6 +207,7 @@
     Start
     | ConnectionOpened
     | FramesReceived
+    | WallClockRead
     | MessagesReceived
     | WriteBlocked
     | WriteResumed
--- a/finchcart/node/port.py
+++ b/finchcart/node/port.py
@@ -118,7 +118,10 @@
 
     def store_key(self, index: int, ttl: int) -> None:
         """Keeps the RPC's idempotency key, so that duplicates are recognized."""
-        self.lifecycle.idempotency.store(self.rpcs[index], ttl)
+        rpc = self.rpcs[index]
+        # The window counts from the arrival of what ran: after a step of the wall clock from the latest that
+        # it can have been, lest it take effect twice.
+        self.lifecycle.idempotency.store(rpc, ttl + rpc.arrival_uncertainty_us)
 
     def evict_key(self, index: int) -> None:
         """Removes the RPC's idempotency key."""
--- a/finchcart/node/rpc.py
+++ b/finchcart/node/rpc.py
@@ -33,6 +33,7 @@
     shed_rank: float | None = None  # 0 to 1, where its user stands among those that may be shed
     expires_at: int = 0  # 0: by its method's deadline
     connection: int | None = None
+    arrival_uncertainty_us: int = 0  # it may have reached the machine later than `arrived_at` by this
 
 
 class AwaitedCall(NamedTuple):
@@ -51,6 +52,7 @@
 
     __slots__ = (
         "answer_owed",
+        "arrival_uncertainty_us",
         "awaited_call",
         "body",
         "call_connection",
@@ -80,6 +82,7 @@
         self.key_entry: KeyEntry | None = None  # of its idempotency key
         self.handle: RpcRecord | None = None  # of the decision module; None until it is admitted there
         self.answer_owed = True
+        self.arrival_uncertainty_us = 0
         self.started = False  # the decision module had it run
         self.completed = False  # its run or its wait is over
         self.awaited_call: AwaitedCall | None = None
--- a/finchcart/node/rpc_lifecycle.py
+++ b/finchcart/node/rpc_lifecycle.py
@@ -63,6 +63,7 @@
     def accept(self, rpc: Rpc, attributes: RpcAttributes) -> None:
         """Takes over an RPC that was read to the end, see `FrontendHost.accept`."""
         key = attributes.idempotency_key
+        rpc.arrival_uncertainty_us = attributes.arrival_uncertainty_us
         if rpc.name in self.index_by_name:
             raise InvalidRpcError(f"name {rpc.name!r}: in use by an open RPC")
         if key is None:
--- a/finchcart/node_process.py
+++ b/finchcart/node_process.py
@@ -9,7 +9,6 @@
 import signal
 import sys
 import threading
-import time
 from collections.abc import Callable
 from functools import partial
 from queue import SimpleQueue
@@ -21,6 +20,7 @@
 from finchcart.errors import ConfigError
 from finchcart.event_loop import EventLoop
 from finchcart.net.buffers import Buffers
+from finchcart.net.clock import boot_clock
 from finchcart.net.connection_table import ConnectionTable
 from finchcart.net.listener import Listener
 from finchcart.node.core import Core
@@ -89,7 +89,7 @@
 
     def handle(number: int, _: FrameType | None) -> None:
         # With the moment: the turn that takes it may come late, and the grace counts from the notice.
-        notice = NOTICES[number](time.time_ns() // 1000)
+        notice = NOTICES[number](boot_clock())
         for notify in listeners:
             notify(notice)
 
--- a/finchcart/simulated_peers/worker_pool.py
+++ b/finchcart/simulated_peers/worker_pool.py
@@ -26,6 +26,17 @@
     on_cores: int
 
 
+@dataclass
+class RunRecord:
+    """When a run went on, on the monotonic clock."""
+
+    handle: str
+    method: str
+    body: bytes
+    began: float
+    ended: float | None = None
+
+
 @dataclass(eq=False)
 class Run:
     """One run of a method."""
@@ -85,6 +96,7 @@
         self.runs: dict[str, Run] = {}
         self.started = time.monotonic()
         self.spawned: list[tuple[str, str, bytes]] = []  # (id, method, body) of every run
+        self.history: list[RunRecord] = []  # the same, with times
         self.load: list[LoadSample] = [LoadSample(self.started, 0)]  # at each change
         self.polls = 0  # how often the node asked for the gauges
         self.corrupt_notices: dict[str, int] = {}  # id -> how many more of its notices can't be read
@@ -199,6 +211,8 @@
     def _execute(self, handle: str, run: Run, method: str, body: bytes) -> None:
         began = time.monotonic()
         self.spawned.append((handle, method, body))
+        record = RunRecord(handle, method, body, began)
+        self.history.append(record)
         self._load_changed()
         failing = self.is_failing()
         self.gate.wait(GATE_TIMEOUT_S)
@@ -206,6 +220,7 @@
         if self.runs.get(handle) is not run:
             return  # lost with the process that it ran in
         del self.runs[handle]
+        record.ended = time.monotonic()
         self._load_changed()
         self._notify(
             "finished",
--- a/finchcart/thrift/fields.py
+++ b/finchcart/thrift/fields.py
@@ -9,12 +9,13 @@
 """
 
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from finchcart.errors import InvalidRpcError
 from finchcart.net.limits import Limits
 from finchcart.node.methods import KEYED, MethodInfo
 from finchcart.node.rpc import RpcAttributes
+from finchcart.node.wall_clock import Arrival
 
 HEX_DIGITS = set("0123456789abcdef")
 NAME_LENGTH = 16  # hex digits
@@ -28,6 +29,16 @@
 US_PER_MS = 1000
 
 
+class ArrivalReader(Protocol):
+    """What turns an RPC's Unix time into the node's own; see node/wall_clock.py."""
+
+    def read_arrival(self, stamp: int, late_read_us: int) -> Arrival | None:
+        """When an RPC with that stamp, of the batch at hand, arrived; None where that can't be."""
+
+    def unix_now(self) -> int:
+        """The Unix time in microseconds."""
+
+
 class ReadRpc(NamedTuple):
     """An RPC's valid fields."""
 
@@ -59,12 +70,12 @@
 def read_rpc(
     fields: Mapping[str, str] | None,
     body: bytes | None,
-    now: int,
+    arrivals: ArrivalReader,
     limits: Limits,
     methods: Mapping[str, MethodInfo],
     connection: int,
 ) -> ReadRpc:
-    """The RPC that a call carries. `now`: Unix microseconds.
+    """The RPC that a call carries.
 
     Raises:
         InvalidRpcError: with the field, what it says and what was expected.
@@ -79,14 +90,14 @@
     info = methods[method]
     name = _read_name(fields)
     key = _read_key(fields) if info.kind == KEYED else None
-    arrived_at = _read_arrival(fields, now, info.late_read_us, limits.max_clock_lead)
+    arrival = _read_arrival(fields, arrivals, info.late_read_us)
     caller = fields.get("f", "")
     if not (caller.isdigit() and len(caller) <= MAX_CALLER_LENGTH):
         raise InvalidRpcError(f"field f={_quoted(caller)}: expected the number of a dispatcher")
     shed_rank = number(fields, "p", 0, 1, NO_SHED_RANK)
     cost_hint_ms = number(fields, "h", 0, limits.max_expected_run / US_PER_MS, 0)
     attributes = RpcAttributes(
-        min(arrived_at, now),
+        arrival.earliest,
         caller,
         key,
         is_retry="r" in fields,
@@ -94,6 +105,7 @@
         memory_kb=number(fields, "m", MIN_MEMORY_KB, MAX_MEMORY_KB),
         shed_rank=None if shed_rank == NO_SHED_RANK else shed_rank,
         connection=connection,
+        arrival_uncertainty_us=arrival.latest - arrival.earliest,
     )
     return ReadRpc(name, method, attributes)
 
@@ -116,11 +128,14 @@
     return key
 
 
-def _read_arrival(fields: Mapping[str, str], now: int, late_read_us: int, ahead_us: int) -> int:
+def _read_arrival(fields: Mapping[str, str], arrivals: ArrivalReader, late_read_us: int) -> Arrival:
     text = fields.get("s", "")
     if not text.isdigit():
         raise InvalidRpcError(f"field s={_quoted(text)}: expected Unix milliseconds")
-    arrived_at = int(number(fields, "s", 0, MAX_UNIX_MS)) * US_PER_MS
-    if not now - late_read_us <= arrived_at <= now + ahead_us:
-        raise InvalidRpcError(f"field s={arrived_at // US_PER_MS}: too far from {now // US_PER_MS}")
-    return arrived_at
+    stamp = int(number(fields, "s", 0, MAX_UNIX_MS)) * US_PER_MS
+    arrival = arrivals.read_arrival(stamp, late_read_us)
+    if arrival is None:
+        raise InvalidRpcError(
+            f"field s={stamp // US_PER_MS}: too far from {arrivals.unix_now() // US_PER_MS}"
+        )
+    return arrival
--- a/finchcart/thrift/frontend.py
+++ b/finchcart/thrift/frontend.py
@@ -189,7 +189,7 @@
         body: bytes | None,
     ) -> None:
         core = self.core
-        read = read_rpc(fields, body, self.turn.now, self.limits, core.methods, connection.number)
+        read = read_rpc(fields, body, core, self.limits, core.methods, connection.number)
         if len(connection.open_rpcs) >= self.limits.open_rpcs or not core.ready:
             # Past what the protocol allows, or before the worker pool is there: it never ran.
             self.table.send(connection, codec.rejected_reply(sequence, self._feedback_fields()))
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 from pathlib import Path
 
 from benchmarks.node_process import free_address
@@ -19,6 +20,10 @@
 METHODS = {"look-up": True, "book": False}  # whether their runs make a call
 EXAMPLE_CONFIG = Path("example/config.json")
 NODE_NAME = "n1"
+# What the deploy file's `run` does before the interpreter, but for the environment of its own.
+RUN_PREFIX = tomllib.loads(Path("deploy/balancer.toml").read_text(encoding="utf-8"))["run"].partition(
+    " .venv"
+)[0]
 LONG_AGO_S = 60  # before the node: a worker pool that did not start with it
 WAIT_S = 20  # ends a run that failed, and decides nothing else
 
@@ -87,6 +92,13 @@
         return shim
 
     def start(self, shell="exec"):
+        self.start_process(shell)
+        self.wait_until_healthy()
+
+    def wait_until_healthy(self):
+        wait_until(self.is_healthy)
+
+    def start_process(self, shell=RUN_PREFIX):
         command = f"{shell} {sys.executable} -m finchcart"
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", command],
@@ -94,7 +106,6 @@
             stderr=subprocess.PIPE,
             text=True,
         )
-        wait_until(self.is_healthy)
 
     def start_serving(self, shell="exec", **more_config):
         """Starts the node beside peers that were there before it."""
--- a/tests/pins/codec_examples.py
+++ b/tests/pins/codec_examples.py
@@ -17,6 +17,7 @@
 from finchcart.net import line_protocol
 from finchcart.net.limits import Limits
 from finchcart.node.methods import MethodInfo
+from finchcart.node.wall_clock import WallClock
 from finchcart.quota import messages as quota
 from finchcart.thrift import codec as thrift
 from finchcart.thrift import fields as thrift_fields
@@ -233,10 +234,20 @@
 }
 
 
+class ArrivalsNow:
+    """Stamps of a wall clock that never stepped, read at `NOW`."""
+
+    def read_arrival(self, stamp, late_read_us):
+        return WallClock().arrival(stamp, 0, NOW, NOW - late_read_us, LIMITS.max_clock_lead)
+
+    def unix_now(self):
+        return NOW
+
+
 def read_rpc_fields(fields, body):
     """What an RPC's fields give, or the text of what is wrong with them."""
     try:
-        rpc = thrift_fields.read_rpc(fields, body, NOW, LIMITS, METHODS, connection=1)
+        rpc = thrift_fields.read_rpc(fields, body, ArrivalsNow(), LIMITS, METHODS, connection=1)
     except ValueError as error:
         return str(error)
     said = {word: getattr(rpc.attributes, name) for name, word in READ_FIELDS.items()}
