--- /dev/null
+++ b/finchcart/fault_injection/recorded_rules.py
@@ -0,0 +1,194 @@
+"""The four rules, held against what clients, worker pool and store recorded, not against the node's word.
+
+Owns what a breach is. It must never ask the node, nor read its log for anything but a crash.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from finchcart.fault_injection.recording_client import RpcRecord
+from finchcart.simulated_peers.client import Outcome
+from finchcart.simulated_peers.worker_pool import LoadSample, RunRecord, highest_mean
+
+SLACK_S = 0.05  # that each time limit of the protocol is longer on sockets
+CROSSING_S = 0.05  # a request that crosses an announced close by this is sent once more
+UNCOUNTED_S = 0.1  # memory counts from so long after a request was written, or from its run
+
+
+@dataclass(frozen=True)
+class Rules:
+    """The figures of the settings that the rules name."""
+
+    grace_s: float
+    overload_factor: float
+    overload_window_s: float
+    cores: int
+    memory_kb: float
+    run_factor: float
+
+
+@dataclass(frozen=True)
+class Pause:
+    """A time in which the node's process was stopped: it is not counted against it."""
+
+    began: float
+    ended: float
+
+
+@dataclass(frozen=True)
+class NodeLife:
+    """One process of a node, as the run knows it. Times are on the monotonic clock."""
+
+    began: float
+    told_at: float | None  # the first notice to leave
+    kill_at: float | None  # the kill, or the earliest that it could have come
+    ended_at: float
+    killed_outright: bool  # with no notice: what it held is no longer its duty
+    pauses: tuple[Pause, ...] = ()
+
+
+def breaches(
+    rules: Rules, lives: Sequence[NodeLife], records: Sequence[RpcRecord], runs: Sequence[RunRecord]
+) -> list[str]:
+    """Return a line for each broken rule of one node."""
+    found = []
+    found += _lost_and_late(lives, records)
+    found += _second_effects(lives, records, runs)
+    found += _wrong_answers(records, runs)
+    found += _runs_past_the_grace(rules, lives, records, runs)
+    found += _overload(rules, records, runs)
+    return found
+
+
+def _life_of(lives: Sequence[NodeLife], at: float) -> NodeLife | None:
+    return next((life for life in reversed(lives) if life.began <= at), None)
+
+
+def _paused_s(life: NodeLife, since: float, until: float) -> float:
+    return sum(max(0.0, min(until, each.ended) - max(since, each.began)) for each in life.pauses)
+
+
+def _lost_and_late(lives: Sequence[NodeLife], records: Iterable[RpcRecord]) -> list[str]:
+    found = []
+    for record in records:
+        life = _life_of(lives, record.written_at)
+        if life is None or (life.kill_at is not None and record.written_at >= life.kill_at):
+            continue
+        connection = record.connection
+        closing_at = connection.closing_at
+        crossed = closing_at is not None and record.written_at >= closing_at - CROSSING_S
+        age = f"{record.name} ({record.method.kind}) written at {record.written_at:.3f}"
+        if len(record.answers) > 1:
+            found.append(f"duplicate: {age} has {len(record.answers)} answers")
+        elif record.answers:
+            due = record.written_at + record.method.deadline_s + SLACK_S
+            due += _paused_s(life, record.written_at, record.answers[0].at)
+            if record.answers[0].at > due and not life.killed_outright:
+                found.append(f"lost: {age} answered {record.answers[0].at - due:.3f} s late")
+        elif not (life.killed_outright or crossed):
+            found.append(
+                f"lost: {age}, connection ended at {connection.ended_at} ({connection.end_reason}), "
+                f"told at {life.told_at}, kill at {life.kill_at}, ended at {life.ended_at:.3f}"
+            )
+    return found
+
+
+def _second_effects(
+    lives: Sequence[NodeLife], records: Iterable[RpcRecord], runs: Sequence[RunRecord]
+) -> list[str]:
+    """What is not idempotent takes effect once in a window and in the life of a process."""
+    found = []
+    by_name = {record.name: record for record in records}
+    ran_by_effect: dict[tuple, list[RpcRecord]] = defaultdict(list)
+    for run in runs:
+        record = by_name.get(run.handle)
+        if record and record.method.kind != "read_like":
+            life = _life_of(lives, record.written_at)
+            ran_by_effect[id(life), record.method.name, record.key or record.name].append(record)
+    for (_, method, key), ran in ran_by_effect.items():
+        first = min(record.written_at for record in ran)
+        again = [each for each in ran if each.written_at <= first + ran[0].method.window_s]
+        if len(again) > 1:
+            found.append(f"duplicate: {method} {key} took effect {len(again)} times")
+    return found
+
+
+def _wrong_answers(records: Sequence[RpcRecord], runs: Sequence[RunRecord]) -> list[str]:
+    """A rejection says that nothing ran; a result is what a run of that request made."""
+    found = []
+    started = {run.handle for run in runs}
+    by_name = {record.name: record for record in records}
+    for run in runs:
+        record = by_name.get(run.handle)  # None: its request was not written whole
+        if record and (run.method, run.body) != (record.method.name, record.body):
+            found.append(f"changed: {run.handle} ran as {run.method} {run.body!r}")
+    for record in records:
+        for answer in record.answers:
+            if answer.outcome is Outcome.REJECTED and record.name in started:
+                found.append(f"duplicate: {record.name} was rejected and ran")
+            if answer.outcome is Outcome.OK and not answer.body.startswith(record.body.upper()):
+                found.append(f"changed: {record.name} was served {answer.body!r}")
+    return found
+
+
+def _runs_past_the_grace(
+    rules: Rules, lives: Sequence[NodeLife], records: Iterable[RpcRecord], runs: Iterable[RunRecord]
+) -> list[str]:
+    began = {run.handle: run.began for run in runs}
+    found = []
+    for record in records:
+        life = _life_of(lives, record.written_at)
+        if life is None or life.told_at is None or record.name not in began:
+            continue
+        sent_at = record.written_at  # after the last byte: the request is at most a little older
+        if sent_at > life.told_at + rules.grace_s + SLACK_S and began[record.name] > life.told_at:
+            found.append(f"drain: {record.name} ran, {sent_at - life.told_at:.3f} s after the notice")
+    return found
+
+
+def _overload(rules: Rules, records: Iterable[RpcRecord], runs: Sequence[RunRecord]) -> list[str]:
+    found = []
+    on_cores = highest_mean(_load_samples((run.began, run.ended) for run in runs), rules.overload_window_s)
+    if on_cores > rules.overload_factor * rules.cores:
+        found.append(f"fall-over: {on_cores:.1f} runs on {rules.cores} cores, factor {rules.overload_factor}")
+    most_kb = highest_memory(rules, records, runs)
+    if most_kb > rules.memory_kb:
+        found.append(f"fall-over: {most_kb:.0f} KB of {rules.memory_kb:.0f}")
+    return found
+
+
+def _load_samples(spans: Iterable[tuple[float, float | None]]) -> list[LoadSample]:
+    changes = []
+    for began, ended in spans:
+        changes.append((began, 1))
+        if ended is not None:
+            changes.append((ended, -1))
+    samples = [LoadSample(0.0, 0)]
+    count = 0
+    for at, change in sorted(changes):
+        count += change
+        samples.append(LoadSample(at, count))
+    return samples
+
+
+def highest_memory(rules: Rules, records: Iterable[RpcRecord], runs: Sequence[RunRecord]) -> float:
+    """Return the most memory that requests took at any moment, in kilobytes."""
+    by_name = {record.name: record for record in records}
+    began = {run.handle: run.began for run in runs}
+    changes = []
+    for record in by_name.values():
+        counted_from = min(record.written_at + UNCOUNTED_S, began.get(record.name, float("inf")))
+        ended = record.answers[0].at if record.answers else record.connection.ended_at
+        if ended is not None and ended > counted_from:
+            changes += [(counted_from, record.memory_kb), (ended, -record.memory_kb)]
+    for run in runs:
+        record = by_name.get(run.handle)
+        if record and run.ended is not None:
+            extra = record.memory_kb * (rules.run_factor - 1)
+            changes += [(run.began, extra), (run.ended, -extra)]
+    most = used = 0.0
+    for _, change in sorted(changes):
+        used += change
+        most = max(most, used)
+    return most
--- /dev/null
+++ b/tests/test_early_kill.py
@@ -0,0 +1,77 @@
+"""The kill may come as early as the longest deadline (3 s at most) and 0.7 s after the notice to leave.
+
+The failure. Users of a deployment with deadlines of 0.5 s lost requests at each release: the node counted on
+`stop_ms` and was killed 1.2 s after its notice, with requests in hand and connections that it had never
+announced to close, since their clients sent without a pause and they never idled.
+
+The evidence. Clients that go on sending on open connections: requests with no answer at the kill, and no end
+of the process before it.
+"""
+
+import signal
+import time
+
+from finchcart.fault_injection.recorded_rules import NodeLife, Rules, breaches
+from finchcart.fault_injection.recording_client import ClientLoad, MethodProfile, RecordingClient
+
+DEADLINE_S = 0.5
+EARLIEST_KILL_S = DEADLINE_S + 0.7
+CLIENTS = 6
+METHODS = [
+    MethodProfile("look-up", "read_like", DEADLINE_S, 0),
+    MethodProfile("book", "idempotency_key", DEADLINE_S, 13.0),
+]
+
+
+def leave_under_load(testbed, signals=(signal.SIGTERM,), grace_s=0.3):
+    """Breaches, the process's status, and how long before the earliest kill it ended."""
+    for service in testbed.config["settings"]["services"]:
+        service |= {"deadline": int(DEADLINE_S * 1e6), "target": int(DEADLINE_S * 4e5)}
+    testbed.config["settings"]["contract"]["stopSendingWithin"] = int(grace_s * 1e6)
+    testbed.start_serving(stop_ms=3200)
+    clients = [
+        RecordingClient("n1", testbed.addresses["listen"], METHODS, ClientLoad(0.004, 8), seed, time.time)
+        for seed in range(CLIENTS)
+    ]
+    began = time.monotonic()
+    for client in clients:
+        client.start()
+    time.sleep(0.5)
+    told_at = time.monotonic()
+    testbed.send_signals(*signals)
+    try:
+        status = testbed.process.wait(EARLIEST_KILL_S)
+    except Exception:
+        testbed.kill()
+        status = None
+    ended_at = time.monotonic()
+    for client in clients:
+        client.stop()
+    for client in clients:
+        client.join(3)
+    records = [record for client in clients for record in client.records]
+    rules = Rules(grace_s, 8.0, 3.0, 4, 1e6, 8.0)
+    life = NodeLife(began, told_at, told_at + EARLIEST_KILL_S, ended_at, killed_outright=False)
+    assert len(records) > 200
+    return breaches(rules, [life], records, testbed.pool.history), status, records, life
+
+
+def test_all_is_answered_and_the_node_has_ended_before_the_earliest_kill(testbed):
+    found, status, _, _ = leave_under_load(testbed)
+    assert found == [] and status == 0
+
+
+def test_signals_in_series_change_nothing_of_that(testbed):
+    series = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)
+    found, status, _, _ = leave_under_load(testbed, series, grace_s=5.0)
+    assert found == [] and status == 0
+
+
+def test_a_reload_before_the_handlers_stand_ends_nobody(testbed):
+    testbed.start_peers()
+    testbed.start_process()
+    for _ in range(60):  # through the first 0.3 s: handlers are not set for a part of them
+        testbed.send_signals(signal.SIGHUP)
+        time.sleep(0.005)
+    assert testbed.process.poll() is None
+    testbed.wait_until_healthy()
