--- a/finchcart/__main__.py
+++ b/finchcart/__main__.py
@@ -4,9 +4,17 @@
 imports no part of the command line or of a fleet.
 """
 
+import os
+import signal
 import sys
 
-from finchcart.node_process import exit_process, run_node
+# Before the other imports, which take a while. A notice to leave that comes meanwhile is followed at once:
+# nothing is held yet. One to read the configuration again changes nothing: it is not read yet.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+for number in (signal.SIGTERM, signal.SIGINT):
+    signal.signal(number, lambda *_: os._exit(0))
+
+from finchcart.node_process import exit_process, run_node  # noqa: E402
 
 
 def start() -> None:
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -11,6 +11,9 @@
 MS = 1_000
 SECOND = 1_000_000
 
+MOST_AWAITED_DEADLINE = 3 * SECOND  # the terms of the platform: how early a kill may follow the notice
+KILL_DELAY = 700 * MS
+
 
 @dataclass(frozen=True)
 class Limits:
@@ -18,7 +21,7 @@
 
     memory: int  # that the node may take
     descriptors: int  # open files and sockets
-    stop_timeout: int  # from the notice to leave until the kill
+    stop_timeout: int  # from the notice to leave until the kill may come
 
     # Memory and descriptors
     base_memory: int = 20 * 2**20  # of the process without connections: 14 MB measured, and cached results
@@ -77,18 +80,27 @@
     accept_retry_delay: int = 50 * MS  # when descriptors run out
 
     # The end of the process
+    kill_margin: int = 100 * MS  # the node has ended so long before the kill may come
+    leave_period: int = 500 * MS  # before its end every connection is announced to close, busy ones too
+    finish_period: int = 150 * MS  # before its end nobody is accepted, and what is open closes between RPCs
+    finish_retry_interval: int = 4 * MS  # between attempts to close then
     unready_check_interval: int = 40 * MS  # between checks for the end without a worker pool
     final_check_delay: int = 100 * MS  # between the end of listening and the end
     quiet_period: int = 1 * SECOND  # without any connection after the grace: the node may end
 
     @classmethod
-    def from_config(cls, limits: Mapping[str, Any], stop_ms: float) -> Self:
-        """Make them of the configuration's `limits` and `stop_ms`. Raise KeyError where one is missing."""
+    def from_config(cls, limits: Mapping[str, Any], stop_ms: float, longest_deadline: int) -> Self:
+        """Make them of the configuration's `limits` and `stop_ms`. Raise KeyError where one is missing.
+
+        The kill may come after `stop_ms`, and as early as the longest deadline of a method, of which no more
+        than `MOST_AWAITED_DEADLINE` counts, and `KILL_DELAY`.
+        """
+        earliest_kill = min(longest_deadline, MOST_AWAITED_DEADLINE) + KILL_DELAY
         memory = int(limits["memory_mb"] * 2**20)
         return cls(
             memory=memory,
             descriptors=int(limits["sockets"]),
-            stop_timeout=int(stop_ms * MS),
+            stop_timeout=min(int(stop_ms * MS), earliest_kill),
             cached_results=min(cls.cached_results, memory // 8),
         )
 
--- a/finchcart/node/core.py
+++ b/finchcart/node/core.py
@@ -94,9 +94,7 @@
         self.store = self._make_store_client(addresses["store"])
         self.lifecycle.connect(self.pool, self.store)
         grace_us = settings.get("drain_grace", 0)
-        self.registration = Registration(
-            turn, limits, name, addresses["registry"], grace_us, self.is_busy, self._log_end
-        )
+        self.registration = Registration(turn, limits, name, addresses["registry"], grace_us, self)
         self.frontends: Mapping[str, Frontend] = make_frontends(self)
         self.port = self._make_port()
         self._longest_wait_us = 0  # of the inputs since the last timer of the decision module
@@ -193,7 +191,7 @@
         if line:
             self.turn.emit(Log(f"{line}; {len(self.lifecycle.running_rpcs())} runs in progress"))
 
-    def _log_end(self) -> None:
+    def before_end(self) -> None:
         """The last lines: what was left out of the log, what was counted, and what is open still."""
         self.turn.fault_log.summarize_all()
         self._write_statistics()
@@ -368,6 +366,16 @@
     def _drain_control(self) -> None:
         self.control.drain(self.registration.drain_notice_at, self.registration.kill_at)
 
+    def announce_close(self) -> None:
+        """Every connection is announced to close, see `DrainHost`."""
+        for frontend in self.frontends.values():
+            frontend.announce_close()
+
+    def close_now(self) -> None:
+        """Every connection is closed as soon as nothing is open on it, see `DrainHost`."""
+        for frontend in self.frontends.values():
+            frontend.close_now()
+
     def _end_without_worker_pool(self) -> None:
         """What comes is rejected, connections close as they idle, and the end comes as ever."""
         if not self.ready:
--- a/finchcart/node/frontend.py
+++ b/finchcart/node/frontend.py
@@ -96,5 +96,11 @@
     def drain(self, kill_at: int) -> None:
         """The notice to leave; the process is killed at `kill_at`."""
 
+    def announce_close(self) -> None:
+        """The node leaves: every connection is announced to close, and each that is still made."""
+
+    def close_now(self) -> None:
+        """The node ends shortly: every connection is closed between two RPCs, as soon as nothing is open."""
+
     def is_idle(self) -> bool:
         """Whether it holds nothing that the end of the node would cut."""
--- a/finchcart/node/registration.py
+++ b/finchcart/node/registration.py
@@ -4,8 +4,8 @@
 which the process may end. It must never end a node that owes an answer, nor listen again once it stopped.
 """
 
-from collections.abc import Callable
 from enum import Enum
+from typing import Protocol
 
 from finchcart.net import line_protocol
 from finchcart.net.limits import Limits
@@ -26,11 +26,27 @@
     ENDED = "ended"
 
 
+class DrainHost(Protocol):
+    """What the drain asks, and tells when it is time."""
+
+    def is_busy(self) -> bool:
+        """Whether anything is open or owed."""
+
+    def announce_close(self) -> None:
+        """All connections are to be announced to close."""
+
+    def close_now(self) -> None:
+        """All connections are to be closed as soon as nothing is open on them."""
+
+    def before_end(self) -> None:
+        """The node ends now."""
+
+
 class Registration:
     """The node's record at the registry, and its phase. Times are whole microseconds.
 
-    `is_busy()` tells whether anything is open or owed; `on_end()` is called before the end. Bounds: one timer
-    for the next report that counts, one for the kill.
+    `kill_at` is earlier than the kill can come by `limits.kill_margin`. Bounds: one timer for the next report
+    that counts, three of a drain.
     """
 
     def __init__(
@@ -40,16 +56,14 @@
         name: str,
         address: tuple[str, int],
         drain_grace_us: int,
-        is_busy: Callable[[], bool],
-        on_end: Callable[[], None],
+        host: DrainHost,
     ) -> None:
         self.turn = turn
         self.limits = limits
         self.name = name
         self.address = address
         self.drain_grace_us = drain_grace_us
-        self.is_busy = is_busy
-        self.on_end = on_end
+        self.host = host
         self.phase = NodePhase.STARTING
         self.healthy = True
         self.drain_notice_at: int | None = None
@@ -96,16 +110,27 @@
         self.phase = NodePhase.DRAINING
         self.drain_notice_at = notice_at
         self._grace_ends_at = notice_at + self.drain_grace_us
-        self.kill_at = notice_at + self.limits.stop_timeout
+        limits = self.limits
+        self.kill_at = notice_at + limits.stop_timeout - limits.kill_margin
+        leave_at = min(self._grace_ends_at, self.kill_at - limits.leave_period)
+        self.turn.schedule(leave_at, self.host.announce_close)
+        self.turn.schedule(self.kill_at - limits.finish_period, self._finish)
         self.turn.schedule(self.kill_at, self._end)
         return True
 
+    def _finish(self) -> None:
+        """The end is near: nobody is accepted any more, and what is open closes as soon as it can."""
+        if self.phase is NodePhase.DRAINING:
+            self.phase = NodePhase.NOT_LISTENING
+            self.turn.emit(StopListening())
+        self.host.close_now()
+
     def end_if_idle(self) -> None:
         """Ends the node once its grace is over and nothing is open, nor has been for a while."""
         now = self.turn.now
         if self.drain_notice_at is None or now < self._grace_ends_at:
             return
-        if self.is_busy():
+        if self.host.is_busy():
             self._idle_since = None
         elif self._idle_since is None:
             self._idle_since = now
@@ -120,5 +145,5 @@
 
     def _end(self) -> None:
         self.phase = NodePhase.ENDED
-        self.on_end()
+        self.host.before_end()
         self.turn.emit(End())
--- a/finchcart/node_config.py
+++ b/finchcart/node_config.py
@@ -15,6 +15,7 @@
 from finchcart.errors import ConfigError
 from finchcart.net.limits import MS, Limits
 from finchcart.node.inputs import AddressesChanged
+from finchcart.node.methods import DEFAULT_DEADLINE_US, read_methods
 
 Address = tuple[str, int]
 
@@ -81,13 +82,16 @@
 
 
 def _parse_config(tree: Mapping[str, Any]) -> NodeConfig:
+    node_settings = settings.from_json(tree["settings"])
+    methods = read_methods(node_settings, late_read_us=0).values()
+    longest_deadline_us = max((method.deadline_us for method in methods), default=DEFAULT_DEADLINE_US)
     return NodeConfig(
         name=str(tree["name"]),
         listen=_parse_address(tree["listen"]),
         addresses={party: _parse_party(tree, party, key) for party, key in ADDRESS_KEYS.items()},
         seed=int(str(tree.get("seed", "0")), 16),
-        settings=settings.from_json(tree["settings"]),
-        limits=Limits.from_config(tree["limits"], tree["stop_ms"]),
+        settings=node_settings,
+        limits=Limits.from_config(tree["limits"], tree["stop_ms"], longest_deadline_us),
         watch=_parse_watch(tree.get("watch")),
     )
 
--- a/finchcart/thrift/connection_closer.py
+++ b/finchcart/thrift/connection_closer.py
@@ -27,6 +27,8 @@
         self.table = table
         self.idle_timeout_us: int | None = None  # None: not known yet
         self.kill_at: int | None = None  # from the notice to leave on
+        self.is_leaving = False  # every connection is announced to close
+        self.is_finishing = False  # and closed as soon as nothing is open on it
 
     # ---- Idle connections
 
@@ -81,6 +83,23 @@
             self.host.record_invalid_traffic(connection.number)
             self.announce(connection, self.limits.unused_close_delay)
 
+    # ---- The end of the node
+
+    def announce_all(self) -> None:
+        """Guards against busy connections, which never idle: a kill would cut them with RPCs on their way."""
+        self.is_leaving = True
+        for connection in list(self.table.connections.values()):
+            self.announce(connection)
+
+    def close_all(self) -> None:
+        """Closes each connection as soon as nothing is open on it or unread."""
+        self.is_leaving = self.is_finishing = True
+        for connection in list(self.table.connections.values()):
+            if connection.closing_announced:
+                self._defer_close(connection)
+            else:
+                self.announce(connection)
+
     # ---- The closing handshake
 
     def announce(self, connection: Connection, patience_us: int | None = None) -> None:
@@ -121,18 +140,20 @@
         if connection is None:
             return
         connection.close_attempts += 1
-        tried_for_us = connection.close_attempts * self.limits.close_retry_interval
-        holds_back = tried_for_us > self.limits.partial_message_timeout and not connection.write_blocked
+        limits = self.limits
+        interval_us = limits.finish_retry_interval if self.is_finishing else limits.close_retry_interval
+        tried_for_us = connection.close_attempts * interval_us
+        holds_back = tried_for_us > limits.partial_message_timeout and not connection.write_blocked
         if closed or holds_back:
             self.table.end(connection)  # guards against one that never sends the rest of what it began
         else:
-            self.turn.schedule(
-                self.turn.now + self.limits.close_retry_interval, self._defer_close, connection
-            )
+            self.turn.schedule(self.turn.now + interval_us, self._defer_close, connection)
 
     def _patience(self, patience_us: int) -> int:
         """Guards against connections of slow dispatchers, cut by the kill instead of closed before it."""
         if self.kill_at is None:
             return patience_us
+        if self.is_finishing:
+            return self.limits.finish_retry_interval
         until_kill_us = self.kill_at - self.turn.now
         return min(patience_us, max(self.limits.unused_close_delay, until_kill_us // KILL_TIME_PART))
--- a/finchcart/thrift/frontend.py
+++ b/finchcart/thrift/frontend.py
@@ -56,7 +56,10 @@
         if connection.ended:
             return
         self.turn.emit(Read(number))
-        self.closer.watch_unused(connection)
+        if self.closer.is_leaving:
+            self.closer.announce(connection)
+        else:
+            self.closer.watch_unused(connection)
 
     def message_received(self, number: int, message: DispatcherMessage) -> None:
         """One message; those after one that can't be read are passed over."""
@@ -240,6 +243,14 @@
         """Connections close as they idle: the decision module sets that limit to its least."""
         self.closer.kill_at = kill_at
 
+    def announce_close(self) -> None:
+        """Every connection is announced to close; see `ConnectionCloser`."""
+        self.closer.announce_all()
+
+    def close_now(self) -> None:
+        """Every connection is closed as soon as nothing is open on it; see `ConnectionCloser`."""
+        self.closer.close_all()
+
     def is_idle(self) -> bool:
         """Whether no dispatcher is connected."""
         return not self.table.connections
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -139,6 +139,9 @@
         client.submit("look-up", b"?")
         return client.answer()[2] == "ok"
 
+    def command_line(self):
+        return Path(f"/proc/{self.process.pid}/cmdline").read_bytes()
+
     def cpu_seconds(self):
         fields = Path(f"/proc/{self.process.pid}/stat").read_text(encoding="ascii").split()
         return sum(map(int, fields[13:15])) / os.sysconf("SC_CLK_TCK")
--- a/tests/test_early_kill.py
+++ b/tests/test_early_kill.py
@@ -8,11 +8,14 @@
 of the process before it.
 """
 
+import os
 import signal
+import sys
 import time
 
 from finchcart.fault_injection.recorded_rules import NodeLife, Rules, breaches
 from finchcart.fault_injection.recording_client import ClientLoad, MethodProfile, RecordingClient
+from tests.node_testbed import wait_until
 
 DEADLINE_S = 0.5
 EARLIEST_KILL_S = DEADLINE_S + 0.7
@@ -70,6 +73,8 @@
 def test_a_reload_before_the_handlers_stand_ends_nobody(testbed):
     testbed.start_peers()
     testbed.start_process()
+    # From the interpreter's start on; the shell before it ignores the signal once its first word is read.
+    wait_until(lambda: testbed.command_line().startswith(os.fsencode(sys.executable)))
     for _ in range(60):  # through the first 0.3 s: handlers are not set for a part of them
         testbed.send_signals(signal.SIGHUP)
         time.sleep(0.005)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -79,6 +79,12 @@
     def set_health(self, healthy):
         self.said.append(("health", healthy))
 
+    def announce_close(self):
+        pass
+
+    def close_now(self):
+        pass
+
     def drain(self, kill_at):
         self.said.append(("drain", kill_at))
 
