--- a/finchcart/net/connection_table.py
+++ b/finchcart/net/connection_table.py
@@ -19,6 +19,7 @@
 from finchcart.net.listener import Listener
 from finchcart.net.registry_reports import RegistryReporter
 from finchcart.net.sockets import start_thread
+from finchcart.net.transient_errors import retry_at_start
 from finchcart.node.inputs import ConnectionClosed, ConnectionOpened, ConnectionRefused, Input
 
 STORE = "store"
@@ -56,7 +57,7 @@
     def listen(self) -> None:
         """Accept connections, in a thread of the listener's."""
         self._listener.on_accepted = self._accepted
-        start_thread(self._listener.accept, "accept")
+        retry_at_start(lambda: start_thread(self._listener.accept, "accept"), "accepting")
 
     def stop_listening(self) -> None:
         """Accept no further connections."""
--- a/finchcart/net/connections.py
+++ b/finchcart/net/connections.py
@@ -23,6 +23,7 @@
 from finchcart.net.limits import Limits
 from finchcart.net.reader import FrameReader
 from finchcart.net.sockets import MICROSECONDS_PER_SECOND, shut_down, start_thread, timeval
+from finchcart.net.transient_errors import is_transient
 from finchcart.net.writer import PendingWrites
 from finchcart.node.inputs import (
     ConnectionClosed,
@@ -86,10 +87,8 @@
         self.reader = FrameReader(number, codec.find_frame_end, buffers, max_frames)
         self._writes = PendingWrites(number, inputs, self._lock, self._half_close_if_closing)
         if sock:
-            # Before the reader runs, which may be late: what is sent until then goes out. After an error it
-            # has ended already: the reader learns of it and tells.
-            with suppress(OSError):
-                self._set_open()
+            # Before the reader runs, which may be late: what is sent until then goes out.
+            self._set_open()
         start_thread(self._run, f"read {number}")
 
     # ---- Called by the one thread that carries out effects
@@ -110,11 +109,11 @@
             if self.is_open and not self._writes.parts and not self._writes.thread:
                 try:
                     data = data[self.sock.send(data, socket.MSG_DONTWAIT) :]
-                except BlockingIOError:
-                    pass  # the peer does not read
-                except OSError:
-                    shut_down(self.sock, socket.SHUT_RDWR)  # broken: the reader learns of it and tells
-                    return
+                except OSError as error:
+                    # The peer does not read, or the system has no memory for it now: a writer goes on.
+                    if not is_transient(error):
+                        shut_down(self.sock, socket.SHUT_RDWR)  # broken: the reader learns of it and tells
+                        return
                 if not data:
                     return
                 self._inputs.put(WriteBlocked(self.number))
@@ -210,8 +209,11 @@
 
     def _set_open(self) -> None:
         """Small writes are not held back, and one that makes no progress ends."""
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self._limits.send_timeout))
+        # An option that can't be set for a moment costs speed, and the connection is served without it.
+        with suppress(OSError):
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(self._limits.send_timeout))
         self.is_open = True
 
     def _half_close_if_closing(self) -> None:
--- a/finchcart/net/listener.py
+++ b/finchcart/net/listener.py
@@ -13,6 +13,9 @@
 
 from finchcart.net.limits import Limits
 from finchcart.net.sockets import MICROSECONDS_PER_SECOND, shut_down
+from finchcart.net.transient_errors import OF_ONE_CONNECTION
+
+MOST_FAILURES_IN_A_ROW = 32  # of accept, that are tried again at once
 
 # A number, its socket, the host that it comes from, and what is to be called once its descriptor is free.
 OnAccepted = Callable[[int, socket.socket, str | None, Callable[[], None]], None]
@@ -31,14 +34,23 @@
         self._limits = limits
         self._numbers = count(1)
         self._is_stopped = False
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(address)
-        self.sock.listen(limits.backlog)
+        self.sock = self._listen(address)
+
+    def _listen(self, address: tuple[str, int]) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+            sock.listen(self._limits.backlog)
+        except OSError:
+            sock.close()
+            raise
+        return sock
 
     def accept(self) -> None:
         """Hand each connection to `on_accepted` until `stop` is called; the body of a thread."""
-        has_warned = False
+        warned_of: int | None = None
+        failures = 0  # one after the other
         while not self._is_stopped:
             self.capacity.acquire()
             try:
@@ -47,31 +59,52 @@
                 self.capacity.release()
                 if self._is_stopped:
                     return
-                # Guards against a spin where descriptors or memory run out: what waits is accepted later.
-                if not has_warned:
+                failures += 1
+                if error.errno != warned_of:
                     logger.warning("accept: {}", error.strerror)
-                has_warned = True
-                sleep(self._limits.accept_retry_delay / MICROSECONDS_PER_SECOND)
+                warned_of = error.errno
+                # Guards against a spin where descriptors or memory run out: what waits is accepted later.
+                # What concerns one connection alone holds the others up only where there is no end of it.
+                if error.errno not in OF_ONE_CONNECTION or failures > MOST_FAILURES_IN_A_ROW:
+                    self._pause()
                 continue
-            has_warned = False
+            warned_of = None
+            failures = 0
+
+    def _pause(self) -> None:
+        sleep(self._limits.accept_retry_delay / MICROSECONDS_PER_SECOND)
 
     def _accept_one(self) -> None:
         sock, address = self.sock.accept()
-        try:
-            host = address and address[0]
-            self.on_accepted(next(self._numbers), sock, host, self.capacity.release)
-        except OSError:
-            sock.close()
-            raise
+        host = address and address[0]
+        number = next(self._numbers)
+        while True:
+            try:
+                self.on_accepted(number, sock, host, self.capacity.release)
+                return
+            except OSError as error:
+                # Guards against a request that is lost with its connection: it waits until there is a thread
+                # for its reader.
+                if self._is_stopped:
+                    sock.close()
+                    raise
+                logger.warning("connection {}: {}; trying again", number, error.strerror)
+                self._pause()
 
     def stop(self) -> None:
         """Accept no more. Those that the system has accepted are taken first: a reset would lose requests."""
         self._is_stopped = True
         self.sock.setblocking(False)
-        while self.capacity.acquire(blocking=False):
+        failures = 0
+        while failures <= MOST_FAILURES_IN_A_ROW and self.capacity.acquire(blocking=False):
             try:
                 self._accept_one()
-            except OSError:
+                failures = 0
+            except BlockingIOError:
+                self.capacity.release()
+                break  # all are taken
+            except OSError as error:
                 self.capacity.release()
-                break
+                failures += 1
+                logger.warning("accept, at the end of listening: {}", error.strerror)
         shut_down(self.sock, socket.SHUT_RDWR)
--- a/finchcart/net/reader.py
+++ b/finchcart/net/reader.py
@@ -4,8 +4,10 @@
 lock or know what its frames are for.
 """
 
+import errno
 import socket
 from collections.abc import Callable
+from time import sleep
 from typing import NamedTuple, Self
 
 from loguru import logger
@@ -13,6 +15,7 @@
 from finchcart.errors import ProtocolError
 from finchcart.net.buffers import Buffers
 from finchcart.net.clock import boot_clock
+from finchcart.net.transient_errors import MOST_SHORTAGES, SHORTAGE_PAUSE_S, is_transient
 
 WAITED_US = 2_000  # a read that took so long found nothing there
 
@@ -117,13 +120,13 @@
     def _wait_without_buffer(self, sock: socket.socket) -> None:
         """Wait for the first byte, which is only looked at: one of many idle connections holds no buffer."""
         self._release_buffer()
-        if not sock.recv_into(self._first_byte, 1, socket.MSG_PEEK):
+        if not self._read(sock, self._first_byte, socket.MSG_PEEK):
             raise EOFError
         self._buffer = self._buffers.acquire()
 
     def _receive(self, sock: socket.socket, asked_at: int) -> None:
         with memoryview(self._buffer) as view:
-            count = sock.recv_into(view[self._filled :])
+            count = self._read(sock, view[self._filled :], 0)
             if not count:
                 raise EOFError
             self.has_undelivered_bytes = True
@@ -131,6 +134,17 @@
             self._filled += count
             self._data = bytes(view[: self._filled])
 
+    def _read(self, sock: socket.socket, target: memoryview | bytearray, flags: int) -> int:
+        """Read, again where the system has no memory for a moment: nothing of the connection is lost."""
+        for _ in range(MOST_SHORTAGES):
+            try:
+                return sock.recv_into(target, 0, flags)
+            except OSError as error:
+                if not is_transient(error):
+                    raise
+            sleep(SHORTAGE_PAUSE_S)
+        raise ConnectionAbortedError(errno.ECONNABORTED, "no memory to read it")
+
     def _note_arrival(self, asked_at: int, took_all: bool) -> None:
         """Keep what bounds the age of the bytes that were read: see `FrameBatch`."""
         is_continued = self._start < len(self._data)  # a frame began with bytes that came before
--- a/finchcart/net/registry_reports.py
+++ b/finchcart/net/registry_reports.py
@@ -9,6 +9,7 @@
 from queue import SimpleQueue
 
 from finchcart.net.sockets import start_thread
+from finchcart.net.transient_errors import retry_at_start
 
 
 class RegistryReporter:
@@ -16,8 +17,8 @@
 
     def __init__(self) -> None:
         self._reports: SimpleQueue[tuple[tuple[str, int], bytes]] = SimpleQueue()
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        start_thread(self._run, "reports")
+        self._sock: socket.socket | None = None  # opened with the first report that finds a descriptor
+        retry_at_start(lambda: start_thread(self._run, "reports"), "registry reports")
 
     def post(self, address: tuple[str, int], data: bytes) -> None:
         """Queue one report; never blocks."""
@@ -26,5 +27,7 @@
     def _run(self) -> None:
         while True:
             address, data = self._reports.get()
-            with suppress(OSError):  # the registry is down
+            with suppress(OSError):  # the registry is down, or there is no descriptor for now
+                if self._sock is None:
+                    self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
                 self._sock.sendto(data, address)
--- a/finchcart/net/writer.py
+++ b/finchcart/net/writer.py
@@ -8,8 +8,10 @@
 import threading
 from collections.abc import Callable
 from queue import SimpleQueue
+from time import sleep
 
 from finchcart.net.sockets import shut_down, start_thread
+from finchcart.net.transient_errors import MOST_SHORTAGES, SHORTAGE_PAUSE_S, is_transient
 from finchcart.node.inputs import Input, WriteResumed
 
 
@@ -55,6 +57,22 @@
                     self._inputs.put(WriteResumed(self._number))
                     return
             try:
-                sock.sendall(data)
+                self._send_all(sock, data)
             except OSError:
                 shut_down(sock, socket.SHUT_RDWR)  # broken, or no progress
+
+    def _send_all(self, sock: socket.socket, data: bytes) -> None:
+        """Write all of it. Raise OSError where the connection is broken or makes no progress."""
+        rest = memoryview(data)
+        failures = 0
+        while rest:
+            try:
+                rest = rest[sock.send(rest) :]
+                failures = 0
+            except BlockingIOError:
+                raise  # the time for a write is over
+            except OSError as error:
+                failures += 1
+                if not is_transient(error) or failures > MOST_SHORTAGES:
+                    raise
+                sleep(SHORTAGE_PAUSE_S)
--- a/finchcart/node_config.py
+++ b/finchcart/node_config.py
@@ -59,7 +59,7 @@
         with open(path, encoding="utf-8") as file:  # noqa: PTH123
             return _parse_config(json.load(file))
     except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror or error}") from None
+        raise ConfigError(f"{path}: {error.strerror or error}") from error
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from None
     except Exception as error:
--- a/finchcart/node_process.py
+++ b/finchcart/node_process.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 from collections.abc import Callable
+from contextlib import suppress
 from functools import partial
 from queue import SimpleQueue
 from types import FrameType
@@ -23,6 +24,7 @@
 from finchcart.net.clock import boot_clock
 from finchcart.net.connection_table import ConnectionTable
 from finchcart.net.listener import Listener
+from finchcart.net.transient_errors import retry_at_start
 from finchcart.node.core import Core
 from finchcart.node.inputs import Drain, Input, ReloadConfig, ThreadDied
 from finchcart.node_config import PATH_VARIABLE, NodeConfig, read_config, reread_config
@@ -59,11 +61,12 @@
     configure_log()
     path = os.environ.get(PATH_VARIABLE)
     try:
-        config = read_config(path)
-        listener = Listener(config.listen, config.limits)
+        config = retry_at_start(lambda: read_config(path), "configuration")
+        listener = retry_at_start(lambda: Listener(config.listen, config.limits), "listening")
         fleet = join_fleet(inputs, config.name) if join_fleet else None
     except (ConfigError, OSError, OverflowError) as error:
-        print(f"finchcart: {error}", file=sys.stderr)
+        with suppress(OSError):  # nobody may be reading
+            print(f"finchcart: {error}", file=sys.stderr)
         return EXIT_NOT_STARTED
     if fleet:
         listeners.append(fleet.on_signal)
@@ -79,8 +82,9 @@
 
 def exit_process(status: int) -> NoReturn:
     """End the process at once: threads that still wait on a socket are not waited for."""
-    sys.stdout.flush()
-    sys.stderr.flush()
+    for stream in (sys.stdout, sys.stderr):
+        with suppress(OSError, ValueError):  # a full disk, or nobody reads: the status tells what matters
+            stream.flush()
     os._exit(status)
 
 
