--- /dev/null
+++ b/finchcart/fault_injection/planted_defects.py
@@ -0,0 +1,103 @@
+"""A node with a defect: `python -m finchcart.fault_injection.planted_defects`, to show that checks see it.
+
+Owns the defects, by the name in the environment variable FINCHCART_PLANT. It must never be started but by a
+run with faults: each defect breaks a rule.
+"""
+
+import os
+import time
+from collections.abc import Callable
+
+from finchcart.control import Control
+from finchcart.node.unknown_runs import UnknownRuns
+from finchcart.node.worker_pool import WorkerPool
+from finchcart.thrift.frontend import ThriftFrontend
+
+VARIABLE = "FINCHCART_PLANT"
+ANSWERS_PER_LOSS = 40
+
+
+def lose_answers() -> None:
+    """Rule 1: some final answers are never sent."""
+    send = ThriftFrontend.send_final_answer
+    sent = [0]
+
+    def send_final_answer(self: ThriftFrontend, rpc: object, *more: object) -> None:
+        sent[0] += 1
+        if sent[0] % ANSWERS_PER_LOSS:
+            send(self, rpc, *more)
+        else:
+            connection, sequence = rpc.reference
+            del connection.open_rpcs[sequence]
+
+    ThriftFrontend.send_final_answer = send_final_answer
+
+
+def start_effects_again() -> None:
+    """Rule 2: every start is written again after a new connection, also of what has an effect."""
+    run = WorkerPool.run
+    WorkerPool.run = lambda self, rpc, idempotent: run(self, rpc, True)
+
+
+def serve_past_the_grace() -> None:
+    """Rule 3: the grace never ends."""
+    Control._end_grace = lambda self, now: None
+    drain = Control.drain
+
+    def drain_without_grace(self: Control, now: int, kill_at: int) -> None:
+        drain(self, now, kill_at)
+        self.grace_end = kill_at
+
+    Control.drain = drain_without_grace
+
+
+def forget_runs() -> None:
+    """Rule 4: a run whose start may have been read counts as stopped."""
+
+    def add(self: UnknownRuns, rpc: object, limit_us: int, first_end: object = None) -> None:
+        self._on_expired(rpc, first_end)
+
+    UnknownRuns.add = add
+    WorkerPool._confirm_before = lambda self, ticket: None
+
+
+def count_on_the_wall_clock() -> None:
+    """Spans: the node's time is the wall clock."""
+    from finchcart import event_loop
+    from finchcart.net import clock, connections, reader
+
+    def wall_clock() -> int:
+        return time.time_ns() // 1000
+
+    for module in (event_loop, clock, connections, reader):
+        module.boot_clock = wall_clock
+    event_loop.read_clocks = lambda: clock.ClockReading(wall_clock(), wall_clock())
+
+
+def count_on_a_late_kill() -> None:
+    """The earliest kill: the node counts on `stop_ms`."""
+    from finchcart.net import limits
+
+    limits.KILL_DELAY = 1000 * limits.SECOND
+
+
+DEFECTS: dict[str, Callable[[], None]] = {
+    "lost": lose_answers,
+    "duplicate": start_effects_again,
+    "drain": serve_past_the_grace,
+    "fall-over": forget_runs,
+    "clock": count_on_the_wall_clock,
+    "early kill": count_on_a_late_kill,
+}
+
+
+def main() -> None:
+    """Plant the defect, and run a node."""
+    DEFECTS[os.environ[VARIABLE]]()
+    from finchcart.__main__ import start
+
+    start()
+
+
+if __name__ == "__main__":
+    main()
--- a/finchcart/fault_injection/recorded_rules.py
+++ b/finchcart/fault_injection/recorded_rules.py
@@ -26,6 +26,7 @@
     cores: int
     memory_kb: float
     run_factor: float
+    lateness_s: float = 0.0  # of the records' own times
 
 
 @dataclass(frozen=True)
@@ -53,11 +54,11 @@
 ) -> list[str]:
     """Return a line for each broken rule of one node."""
     found = []
-    found += _lost_and_late(lives, records)
+    found += _lost_and_late(rules, lives, records)
     found += _second_effects(lives, records, runs)
     found += _wrong_answers(records, runs)
     found += _runs_past_the_grace(rules, lives, records, runs)
-    found += _overload(rules, records, runs)
+    found += _overload(rules, lives, records, runs)
     return found
 
 
@@ -69,7 +70,7 @@
     return sum(max(0.0, min(until, each.ended) - max(since, each.began)) for each in life.pauses)
 
 
-def _lost_and_late(lives: Sequence[NodeLife], records: Iterable[RpcRecord]) -> list[str]:
+def _lost_and_late(rules: Rules, lives: Sequence[NodeLife], records: Iterable[RpcRecord]) -> list[str]:
     found = []
     for record in records:
         life = _life_of(lives, record.written_at)
@@ -82,7 +83,7 @@
         if len(record.answers) > 1:
             found.append(f"duplicate: {age} has {len(record.answers)} answers")
         elif record.answers:
-            due = record.written_at + record.method.deadline_s + SLACK_S
+            due = record.written_at + record.method.deadline_s + SLACK_S + rules.lateness_s
             due += _paused_s(life, record.written_at, record.answers[0].at)
             if record.answers[0].at > due and not life.killed_outright:
                 found.append(f"lost: {age} answered {record.answers[0].at - due:.3f} s late")
@@ -127,6 +128,8 @@
         for answer in record.answers:
             if answer.outcome is Outcome.REJECTED and record.name in started:
                 found.append(f"duplicate: {record.name} was rejected and ran")
+            if answer.outcome is Outcome.EXCEPTION:
+                found.append(f"refused: {record.name}, which is valid, got {answer.body!r}")
             if answer.outcome is Outcome.OK and not answer.body.startswith(record.body.upper()):
                 found.append(f"changed: {record.name} was served {answer.body!r}")
     return found
@@ -147,12 +150,15 @@
     return found
 
 
-def _overload(rules: Rules, records: Iterable[RpcRecord], runs: Sequence[RunRecord]) -> list[str]:
+def _overload(
+    rules: Rules, lives: Sequence[NodeLife], records: Sequence[RpcRecord], runs: Sequence[RunRecord]
+) -> list[str]:
     found = []
     on_cores = highest_mean(_load_samples((run.began, run.ended) for run in runs), rules.overload_window_s)
     if on_cores > rules.overload_factor * rules.cores:
         found.append(f"fall-over: {on_cores:.1f} runs on {rules.cores} cores, factor {rules.overload_factor}")
-    most_kb = highest_memory(rules, records, runs)
+    pauses = [pause for life in lives for pause in life.pauses]
+    most_kb = highest_memory(rules, records, runs, pauses)
     if most_kb > rules.memory_kb:
         found.append(f"fall-over: {most_kb:.0f} KB of {rules.memory_kb:.0f}")
     return found
@@ -172,13 +178,22 @@
     return samples
 
 
-def highest_memory(rules: Rules, records: Iterable[RpcRecord], runs: Sequence[RunRecord]) -> float:
-    """Return the most memory that requests took at any moment, in kilobytes."""
+def highest_memory(
+    rules: Rules, records: Iterable[RpcRecord], runs: Sequence[RunRecord], pauses: Sequence[Pause] = ()
+) -> float:
+    """Return the most memory that requests took at any moment, in kilobytes.
+
+    What is written to a stopped process counts once that goes on: the machine reads nothing then.
+    """
     by_name = {record.name: record for record in records}
     began = {run.handle: run.began for run in runs}
     changes = []
     for record in by_name.values():
-        counted_from = min(record.written_at + UNCOUNTED_S, began.get(record.name, float("inf")))
+        written_at = record.written_at
+        for pause in pauses:
+            if pause.began <= written_at + UNCOUNTED_S and written_at <= pause.ended:
+                written_at = pause.ended
+        counted_from = min(written_at + UNCOUNTED_S, began.get(record.name, float("inf")))
         ended = record.answers[0].at if record.answers else record.connection.ended_at
         if ended is not None and ended > counted_from:
             changes += [(counted_from, record.memory_kb), (ended, -record.memory_kb)]
--- /dev/null
+++ b/finchcart/fault_injection/soak.py
@@ -0,0 +1,461 @@
+"""The soak: real nodes as `run` starts them, faults on all sides, and the four rules held against records.
+
+Owns the processes of one seed, and the peers, relays and clients beside them. It must end every process that
+it started by its own id, whatever happens, and never judge by a node's own word: recorded_rules.py judges by
+records.
+"""
+
+import copy
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from finchcart.fault_injection.call_sweep import free_address
+from finchcart.fault_injection.child_processes import CHILD_ENV, cpu_and_peak_memory
+from finchcart.fault_injection.node_configuration import EXAMPLE
+from finchcart.fault_injection.process_shim import ProcessShim, build_library
+from finchcart.fault_injection.recorded_rules import NodeLife, Pause, Rules, breaches
+from finchcart.fault_injection.recording_client import RecordingClient, RpcRecord
+from finchcart.fault_injection.soak_plan import LEAVE_AT_S, NodeEvent, SoakPlan, draw_plan
+from finchcart.fault_injection.stream_relay import StreamRelay
+from finchcart.simulated_peers.client import Client
+from finchcart.simulated_peers.registry import Registry
+from finchcart.simulated_peers.store import Store
+from finchcart.simulated_peers.worker_pool import WorkerPool
+
+READY_S = 10.0
+WATCH_INTERVAL_S = 0.02
+US_PER_S = 1_000_000
+LONG_AGO_S = 60.0
+RESTART_AFTER_S = 0.2
+CLIENT_END_S = 4.0
+
+
+@dataclass
+class SoakResult:
+    """What came of one seed."""
+
+    seed: int
+    breaches: list[str]
+    counts: Counter = field(default_factory=Counter)
+    last_answer_before_kill_s: float | None = None
+    lateness_s: float = 0.0  # of the run's own timer: how far its times can be off
+
+
+class LatenessWatch:
+    """Measures how late the run's own threads are: by so much its records can be."""
+
+    def __init__(self) -> None:
+        self.worst_s = 0.0
+        self._ended = threading.Event()
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        while not self._ended.is_set():
+            before = time.monotonic()
+            time.sleep(WATCH_INTERVAL_S)
+            self.worst_s = max(self.worst_s, time.monotonic() - before - WATCH_INTERVAL_S)
+
+    def end(self) -> None:
+        """Measure no longer."""
+        self._ended.set()
+
+
+class SoakNode:
+    """One node of a run: its processes, one after the other, its worker pool, links and clients."""
+
+    def __init__(self, plan: SoakPlan, name: str, folder: Path, shim: ProcessShim, store: tuple) -> None:
+        self.plan = plan
+        self.name = name
+        self.shim = shim
+        self.listen = free_address()
+        self.lives: list[NodeLife] = []
+        self.problems: list[str] = []
+        self.log_path = folder / f"{name}.log"
+        self._config_path = folder / f"{name}.json"
+        self._life_began = 0.0
+        self._pauses: list[Pause] = []
+        self._process: subprocess.Popen | None = None
+        self._watched_pid = 0
+        pool_address = free_address()
+        with_call = {method.name: method.name == "look-up" for method in plan.methods}
+        self.pool = WorkerPool(pool_address, with_call, plan.work_s, plan.cores)
+        self.pool.started -= LONG_AGO_S
+        self.pool_relay = StreamRelay(free_address(), lambda: pool_address, plan.seed)
+        self.store_relay = StreamRelay(free_address(), lambda: store, plan.seed + 1)
+        self._write_config()
+        self.clients = [
+            RecordingClient(
+                name, self.listen, plan.methods, plan.load, 1000 * plan.seed + number, self._unix_time
+            )
+            for number in range(plan.clients)
+        ]
+
+    def _unix_time(self) -> float:
+        return time.time() + (self.shim.clock_offset_s if self.plan.stamps_follow else 0.0)
+
+    def _write_config(self) -> None:
+        plan = self.plan
+        tree = copy.deepcopy(EXAMPLE)
+        tree["stop_ms"] = plan.stop_s * 1000
+        tree["limits"] |= {"memory_mb": plan.memory_mb, "sockets": plan.sockets}
+        settings = tree["settings"]
+        settings["contract"] |= {
+            "overloadFactor": plan.overload_factor,
+            "stopSendingWithin": int(plan.grace_s * US_PER_S),
+        }
+        settings["familyInfo"] |= {
+            "cores": plan.cores,
+            "memoryKb": plan.memory_kb,
+            "runFactor": plan.run_factor,
+            "callsOut": plan.calls_out,
+            "classCalls": [method.name == "look-up" for method in plan.methods],
+            "worthWithout": [0.6 if method.name == "look-up" else 0.0 for method in plan.methods],
+        }
+        settings["services"] = [
+            {
+                "name": method.name,
+                "effect": method.kind,
+                "worth": 1.0 + number,
+                "target": int(0.4 * method.deadline_s * US_PER_S),
+                "deadline": int(method.deadline_s * US_PER_S),
+                "window": int(method.window_s * US_PER_S),
+                "lateWorth": 0.0,
+            }
+            for number, method in enumerate(plan.methods)
+        ]
+        registry = free_address()
+        Registry(registry, on_change=lambda text: None)
+        addresses = {
+            "listen": self.listen,
+            "pool": self.pool_relay.address,
+            "store": self.store_relay.address,
+            "roster": registry,
+        }
+        texts = {party: f"{host}:{port}" for party, (host, port) in addresses.items()}
+        self._config_path.write_text(json.dumps({**tree, "name": self.name, **texts}))
+
+    # ---- Its processes
+
+    def start(self, plant: str | None) -> None:
+        """Start a process of the node, and wait until it answers."""
+        module = "finchcart.fault_injection.planted_defects" if plant else "finchcart"
+        environment = {**os.environ, **CHILD_ENV, **self.shim.environment}
+        environment |= {"ROUTER_CONFIG": str(self._config_path), "FINCHCART_PLANT": plant or ""}
+        self._life_began = time.monotonic()
+        self._pauses = []
+        with self.log_path.open("ab") as log:
+            self._process = subprocess.Popen([sys.executable, "-m", module], stderr=log, env=environment)
+        end = time.monotonic() + READY_S
+        while not self._is_healthy():
+            if self._process.poll() is not None or time.monotonic() > end:
+                self.problems.append(f"crash: {self.name} did not start: status {self._process.poll()}")
+                return
+            time.sleep(0.02)
+
+    def _is_healthy(self) -> bool:
+        try:
+            client = Client(self.listen)
+            client.sock.settimeout(1.0)
+            client.heartbeat()
+            return client.answer().outcome == "ok"
+        except (OSError, EOFError):
+            return False
+        finally:
+            with suppress(NameError, UnboundLocalError):
+                client.sock.close()
+
+    @property
+    def pid(self) -> int | None:
+        """The id of the process that runs, or None."""
+        return self._process.pid if self._process and self._process.poll() is None else None
+
+    def watch(self) -> None:
+        """Look at what the process uses."""
+        pid = self.pid
+        if pid is None:
+            return
+        with suppress(OSError, StopIteration):
+            descriptors = sum(1 for _ in Path(f"/proc/{pid}/fd").iterdir())
+            if descriptors > self.plan.sockets:
+                self.problems.append(f"fall-over: {descriptors} descriptors of {self.plan.sockets}")
+            _, peak_mb = cpu_and_peak_memory(pid)
+            if peak_mb > self.plan.memory_mb:
+                self.problems.append(f"fall-over: {peak_mb:.0f} MB of {self.plan.memory_mb}")
+
+    def pause(self, seconds: float) -> None:
+        """Stop the process for a while."""
+        began = time.monotonic()
+        self._process.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self._process.send_signal(signal.SIGCONT)
+        self._pauses.append(Pause(began, time.monotonic()))
+
+    def kill_outright(self) -> None:
+        """Kill the process with no notice."""
+        self._process.kill()
+        self._process.wait()
+        self._end_life(None, None, killed_outright=True)
+
+    def leave(self) -> None:
+        """Tell the node to leave, and kill it at the earliest; it is to have ended before."""
+        told_at = time.monotonic()
+        for number in self.plan.signals:
+            with suppress(ProcessLookupError):
+                self._process.send_signal(number)
+        kill_at = told_at + self.plan.earliest_kill_s
+        try:
+            status = self._process.wait(max(0.0, kill_at - time.monotonic()))
+            if status != 0:
+                self.problems.append(f"crash: {self.name} ended with status {status}")
+        except subprocess.TimeoutExpired:
+            self.problems.append(f"lost: {self.name} had not ended by the kill")
+            self._process.kill()
+            self._process.wait()
+        self._end_life(told_at, kill_at, killed_outright=False)
+
+    def _end_life(self, told_at: float | None, kill_at: float | None, killed_outright: bool) -> None:
+        now = time.monotonic()
+        life = NodeLife(self._life_began, told_at, kill_at, now, killed_outright, tuple(self._pauses))
+        self.lives.append(life)
+
+    def end(self) -> None:
+        """End the process, if one runs, and the relays."""
+        if self.pid is not None:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.kill()
+            self._process.wait()
+        for relay in (self.pool_relay, self.store_relay):
+            relay.end()
+
+    # ---- What came of it
+
+    def records(self) -> list[RpcRecord]:
+        """Return the records of all clients."""
+        return [record for client in self.clients for record in client.records]
+
+    def found(self, slack_s: float) -> list[str]:
+        """Return the broken rules of this node."""
+        plan = self.plan
+        rules = Rules(
+            plan.grace_s,
+            plan.overload_factor,
+            plan.overload_window_s,
+            plan.cores,
+            plan.memory_kb,
+            plan.run_factor,
+            slack_s,
+        )
+        found = [*dict.fromkeys(self.problems)]
+        found += breaches(rules, self.lives, self.records(), self.pool.history)
+        if "Traceback" in self.log_path.read_text(errors="replace"):
+            found.append(f"crash: a traceback in the log of {self.name}")
+        return [f"{self.name}: {line}" for line in found]
+
+
+class SoakRun:
+    """One seed. `plant`: the defect of planted_defects.py that the nodes are started with, or None."""
+
+    def __init__(self, seed: int, folder: Path, library: Path, plant: str | None = None) -> None:
+        self.plan = draw_plan(seed)
+        self._plant = plant
+        self._shim = ProcessShim(library, folder, f"shim{seed}")
+        self._store = Store(free_address(), self.plan.store_work_s)
+        self._store_load: list[tuple[float, float]] = []  # (time, call-seconds used so far)
+        self._nodes: list[SoakNode] = []
+        self._folder = folder
+        self._began = 0.0
+        self._ended = threading.Event()
+        self._counts: Counter[str] = Counter()
+
+    def play(self) -> SoakResult:
+        """Play the seed and return what came of it."""
+        lateness = LatenessWatch()
+        try:
+            self._play()
+        finally:
+            self._ended.set()
+            for node in self._nodes:
+                node.end()
+            lateness.end()
+        return self._result(lateness.worst_s)
+
+    def _play(self) -> None:
+        plan = self.plan
+        store_address = self._store.listener.getsockname()
+        for number in range(plan.nodes):
+            name = f"s{plan.seed}n{number}"
+            self._nodes.append(SoakNode(plan, name, self._folder, self._shim, store_address))
+        self._each_node(lambda node: node.start(self._plant))
+        self._began = time.monotonic()
+        threading.Thread(target=self._watch, daemon=True).start()
+        for node in self._nodes:
+            node.pool_relay.faults = plan.pool_link
+            node.store_relay.faults = plan.store_link
+            for client in node.clients:
+                client.start()
+        for chance in plan.call_chances:
+            if chance.error:
+                self._shim.fail_by_chance(chance.call, chance.part, chance.error, plan.seed)
+            else:
+                self._shim.shorten_by_chance(chance.call, chance.part, chance.most_bytes, plan.seed)
+        threading.Thread(target=self._play_clock, daemon=True).start()
+        self._each_node(self._play_node)
+        for node in self._nodes:
+            for client in node.clients:
+                client.stop()
+        end = time.monotonic() + CLIENT_END_S
+        for node in self._nodes:
+            for client in node.clients:
+                client.join(max(0.0, end - time.monotonic()))
+
+    def _each_node(self, act: object) -> None:
+        threads = [threading.Thread(target=act, args=(node,)) for node in self._nodes]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _wait_until(self, at: float) -> None:
+        self._ended.wait(max(0.0, self._began + at - time.monotonic()))
+
+    def _play_clock(self) -> None:
+        for event in self.plan.events:
+            if event.kind == "clock":
+                self._wait_until(event.at)
+                self._shim.set_clock_offset(event.value)
+                self._counts["clock step"] += 1
+
+    def _play_node(self, node: SoakNode) -> None:
+        for event in self.plan.events:
+            if event.kind != "clock" and node.pid is not None:
+                self._wait_until(event.at)
+                self._play_event(node, event)
+        self._wait_until(LEAVE_AT_S)
+        if node.pid is not None:
+            node.leave()
+
+    def _play_event(self, node: SoakNode, event: NodeEvent) -> None:
+        self._counts[event.kind] += 1
+        if event.kind == "pause":
+            node.pause(event.value)
+        elif event.kind == "pool restart":
+            node.pool.restart()
+        elif event.kind == "node killed":
+            node.kill_outright()
+            time.sleep(RESTART_AFTER_S)
+            node.start(self._plant)
+        elif event.kind == "store refuses":
+            node.store_relay.refuses = True
+            time.sleep(event.value)
+            node.store_relay.refuses = False
+        else:
+            relay = node.store_relay if event.kind == "store silent" else node.pool_relay
+            relay.is_silent = True
+            time.sleep(event.value)
+            relay.is_silent = False
+
+    def _watch(self) -> None:
+        while not self._ended.wait(WATCH_INTERVAL_S):
+            self._store_load.append((time.monotonic(), self._store.truth()["used"]))
+            for node in self._nodes:
+                node.watch()
+
+    # ---- What came of it
+
+    def _result(self, lateness_s: float) -> SoakResult:
+        found = [line for node in self._nodes for line in node.found(lateness_s)]
+        found += self._store_overload()
+        self._count_faults()
+        before_kill = [
+            life.kill_at - max(answers)
+            for node in self._nodes
+            for life in node.lives
+            if life.kill_at is not None
+            and (answers := [a.at for record in node.records() for a in record.answers])
+        ]
+        return SoakResult(
+            self.plan.seed, found, self._counts, min(before_kill, default=None), round(lateness_s, 4)
+        )
+
+    def _store_overload(self) -> list[str]:
+        """The mean of the calls in hand over any second, against what all nodes together may use."""
+        limit = self.plan.calls_out * self.plan.nodes
+        first = 0
+        for at, used in self._store_load:
+            while self._store_load[first][0] < at - 1.0:
+                first += 1
+            begin, used_before = self._store_load[first]
+            if at - begin > 0.9 and (used - used_before) / (at - begin) > limit + 0.5:
+                return [f"fall-over: {(used - used_before) / (at - begin):.1f} calls in hand of {limit}"]
+        return []
+
+    def _count_faults(self) -> None:
+        counts = self._counts
+        for node in self._nodes:
+            for relay, party in ((node.pool_relay, "pool"), (node.store_relay, "store")):
+                for kind, count in relay.counts.items():
+                    counts[f"{party} link {kind}"] += count
+            for record in node.records():
+                counts["RPCs"] += 1
+                counts[f"answered {record.answers[0].outcome}" if record.answers else "no answer"] += 1
+            counts["runs"] += len(node.pool.history)
+        for chance in self.plan.call_chances:
+            counts[f"call {chance.call.name.lower()} hit"] += self._shim.injected(chance.call)
+        counts["signals"] += len(self.plan.signals) * len(self._nodes)
+
+
+def play_seed(seed: int, folder: Path, library: Path, plant: str | None = None) -> SoakResult:
+    """Play one seed in this process."""
+    return SoakRun(seed, folder, library, plant).play()
+
+
+def play_seeds(seeds: Sequence[int], folder: Path, jobs: int, plant: str | None = None) -> list[SoakResult]:
+    """Play seeds, `jobs` at once, each in a process of its own."""
+    library = build_library(folder)
+    if library is None:
+        raise RuntimeError("no C compiler: the library of faults can't be built")
+    waiting = list(seeds)
+    running: dict[int, subprocess.Popen] = {}
+    results = []
+    while waiting or running:
+        while waiting and len(running) < jobs:
+            seed = waiting.pop(0)
+            command = [sys.executable, "-m", "finchcart.fault_injection.soak"]
+            arguments = [str(seed), str(folder), str(library), plant or ""]
+            running[seed] = subprocess.Popen([*command, *arguments], stdout=subprocess.PIPE, text=True)
+        for seed, child in list(running.items()):
+            if child.poll() is not None:
+                del running[seed]
+                results.append(_read_result(seed, child))
+        time.sleep(WATCH_INTERVAL_S)
+    return sorted(results, key=lambda result: result.seed)
+
+
+def _read_result(seed: int, child: subprocess.Popen) -> SoakResult:
+    text = child.stdout.read()
+    if child.returncode != 0:
+        return SoakResult(seed, [f"the run itself failed with status {child.returncode}"])
+    tree = json.loads(text.splitlines()[-1])
+    return SoakResult(**{**tree, "counts": Counter(tree["counts"])})
+
+
+def main() -> None:
+    """Play the seed that the arguments name, and print its result as a line of JSON."""
+    seed, folder, library, plant = sys.argv[1:]
+    result = play_seed(int(seed), Path(folder), Path(library), plant or None)
+    print(json.dumps(vars(result)), flush=True)
+    os._exit(0)  # threads of peers and clients are not waited for
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/finchcart/fault_injection/soak_plan.py
@@ -0,0 +1,173 @@
+"""What one seed of the soak does: settings, load, faults and signals, all drawn before it starts.
+
+Owns the ranges that are drawn from. It must never depend on what happens in a run.
+"""
+
+import errno
+import signal
+from dataclasses import dataclass, replace
+from random import Random
+
+from finchcart.fault_injection.process_shim import Call
+from finchcart.fault_injection.recording_client import ClientLoad, MethodProfile
+from finchcart.fault_injection.stream_relay import LinkFaults
+
+HOUR_S = 3600
+CLOCK_OFFSETS_S = (HOUR_S, -HOUR_S, 2, -2, 0.3, 0)
+FAULTS_BEGIN_S = 0.3
+LEAVE_AT_S = 3.0  # the notice to leave, after the load began
+MOST_DEADLINE_S = 3.0
+KILL_DELAY_S = 0.7
+SIGNAL_SERIES = (
+    (signal.SIGTERM,),
+    (signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP),
+    (signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGTERM),
+)
+
+
+@dataclass(frozen=True)
+class CallChance:
+    """A part of one system call's uses that fails, or comes back short."""
+
+    call: Call
+    part: float
+    error: int = 0
+    most_bytes: int = 0
+
+
+CALL_CHANCES = (
+    CallChance(Call.RECV, 0.05, errno.EINTR),
+    CallChance(Call.RECV, 0.2, most_bytes=3),
+    CallChance(Call.RECV, 0.01, errno.ENOMEM),
+    CallChance(Call.SEND, 0.2, most_bytes=5),
+    CallChance(Call.SEND, 0.02, errno.ENOBUFS),
+    CallChance(Call.SENDTO, 0.3, errno.ENETUNREACH),
+    CallChance(Call.SETSOCKOPT, 0.1, errno.ENOBUFS),
+    CallChance(Call.ACCEPT, 0.2, errno.ECONNABORTED),
+    CallChance(Call.ACCEPT, 0.1, errno.ENFILE),
+    CallChance(Call.SOCKET, 0.1, errno.ENFILE),
+    CallChance(Call.CONNECT, 0.1, errno.ENETUNREACH),
+    CallChance(Call.CONNECT, 0.1, errno.EADDRNOTAVAIL),
+    CallChance(Call.THREAD, 0.05, errno.EAGAIN),
+    CallChance(Call.WRITE, 1.0, errno.ENOSPC),
+)
+
+
+@dataclass(frozen=True)
+class NodeEvent:
+    """Something that is done to a node at a time after the load began, in seconds."""
+
+    at: float
+    kind: str  # one of EVENT_KINDS
+    value: float = 0.0
+
+
+EVENT_KINDS = (
+    "clock",
+    "pause",
+    "pool restart",
+    "node killed",
+    "store silent",
+    "store refuses",
+    "pool silent",
+)
+
+
+@dataclass(frozen=True)
+class SoakPlan:
+    """One run. Times are seconds."""
+
+    seed: int
+    nodes: int
+    methods: tuple[MethodProfile, ...]
+    cores: int
+    work_s: float
+    store_work_s: float
+    overload_factor: float
+    overload_window_s: float
+    memory_kb: float
+    run_factor: float
+    calls_out: float
+    grace_s: float
+    stop_s: float
+    memory_mb: int
+    sockets: int
+    clients: int  # of each node
+    load: ClientLoad
+    pool_link: LinkFaults
+    store_link: LinkFaults
+    call_chances: tuple[CallChance, ...]
+    events: tuple[NodeEvent, ...]
+    stamps_follow: bool  # dispatchers' clocks step with the node's
+    signals: tuple[signal.Signals, ...]
+
+    @property
+    def earliest_kill_s(self) -> float:
+        """How soon after the notice the kill may come."""
+        longest_s = max(method.deadline_s for method in self.methods)
+        return min(self.stop_s, min(longest_s, MOST_DEADLINE_S) + KILL_DELAY_S)
+
+
+def draw_plan(seed: int) -> SoakPlan:
+    """Return the plan of a seed; the same each time."""
+    random = Random(seed)
+    deadline_s = random.choice((0.6, 0.8, 1.2, 2.0))
+    is_crowd = random.random() < 0.3
+    plan = SoakPlan(
+        seed=seed,
+        nodes=random.choice((1, 2)),
+        methods=_methods(deadline_s, random.choice((1.0, 13.0))),
+        cores=random.choice((2, 4)),
+        work_s=random.choice((0.02, 0.05, 0.3 * deadline_s, 0.3 * deadline_s)),
+        store_work_s=random.choice((0.0, 0.01, 0.04)),
+        overload_factor=random.choice((2.0, 3.0, 8.0)),
+        overload_window_s=1.5,
+        memory_kb=random.choice((1_600.0, 6_000.0, 46_000.0)),
+        run_factor=random.choice((4.0, 8.0)),
+        calls_out=random.choice((2.0, 6.0)),
+        grace_s=random.choice((0.2, 0.5, 2.0)),
+        stop_s=3.2,
+        memory_mb=random.choice((64, 96)),
+        sockets=random.choice((128, 256)),
+        clients=30 if is_crowd else random.randint(4, 10),
+        load=ClientLoad(0.02, 8) if is_crowd else ClientLoad(random.choice((0.01, 0.04)), 6, 0.02),
+        pool_link=_link_faults(random),
+        store_link=_link_faults(random),
+        call_chances=tuple(random.sample(CALL_CHANCES, random.randint(0, 4))),
+        events=(),
+        stamps_follow=random.random() < 0.7,
+        signals=random.choice(SIGNAL_SERIES),
+    )
+    return replace(plan, events=_events(random))
+
+
+def _methods(deadline_s: float, window_s: float) -> tuple[MethodProfile, ...]:
+    return (
+        MethodProfile("look-up", "read_like", deadline_s, 0),
+        MethodProfile("book", "idempotency_key", deadline_s, window_s),
+        MethodProfile("order", "non_idempotent", deadline_s * 0.75, window_s),
+    )
+
+
+def _link_faults(random: Random) -> LinkFaults:
+    return LinkFaults(
+        cut_every=random.choice((None, 0.1, 0.5, 0.5)),
+        reset_part=random.choice((0.0, 0.5, 1.0)),
+        rubbish_part=random.choice((0.0, 0.5)),
+        delay=random.choice((0.0, 0.0, 0.03)),
+        small_pieces=random.random() < 0.2,
+    )
+
+
+def _events(random: Random) -> tuple[NodeEvent, ...]:
+    events = []
+    for kind in random.sample(EVENT_KINDS, random.randint(1, 4)):
+        at = random.uniform(FAULTS_BEGIN_S, LEAVE_AT_S - 0.3)
+        if kind == "clock":
+            offsets = random.sample(CLOCK_OFFSETS_S, random.randint(1, 3))
+            begin = random.choice((at, LEAVE_AT_S + 0.1))  # some step in the grace
+            events += [NodeEvent(begin + 0.3 * step, kind, offset) for step, offset in enumerate(offsets)]
+        else:
+            events.append(NodeEvent(at, kind, random.uniform(0.2, 0.8)))
+    return tuple(sorted(events, key=lambda event: event.at))
--- a/finchcart/fault_injection/stream_relay.py
+++ b/finchcart/fault_injection/stream_relay.py
@@ -65,6 +65,7 @@
         self.refuses = False  # connections are accepted and closed at once
         self.is_silent = False  # connections are accepted, and nothing is passed on
         self.counts: Counter[str] = Counter()
+        self.address = address
         self._target = target
         self._random = Random(seed)
         self._connections: set[RelayedConnection] = set()
--- a/finchcart/simulated_peers/worker_pool.py
+++ b/finchcart/simulated_peers/worker_pool.py
@@ -111,7 +111,12 @@
         handlers = {"bind": self._bind, "poll": self._poll, "spawn": self._spawn}
         handlers |= dict.fromkeys(("supply", "pass"), self._resume)
         for line in self._lines(connection):
-            message = json.loads(line)
+            try:
+                message = json.loads(line)
+            except ValueError:  # no command, or half of one
+                with suppress(OSError):
+                    connection.shutdown(socket.SHUT_RDWR)
+                return
             handler = handlers.get(message["event"])
             if handler is None or not handler(connection, message):
                 self._write(connection, event="unknown", fate=message["event"], handle=message.get("handle"))
@@ -143,6 +148,8 @@
             self.runs = {}
             self.notices = []
             self.started = time.monotonic()
+            for record in self.history:
+                record.ended = record.ended or self.started
             self.fate = "new"
         self.break_connection()
 
@@ -150,7 +157,8 @@
         """Close the bound connection, if there is one."""
         with self.lock:
             if self.connection:
-                self.connection.shutdown(socket.SHUT_RDWR)
+                with suppress(OSError):  # it has ended
+                    self.connection.shutdown(socket.SHUT_RDWR)
 
     # ---- messages: each handler returns whether the message was understood
 
