--- a/finchcart/fault_injection/call_sweep.py
+++ b/finchcart/fault_injection/call_sweep.py
@@ -8,7 +8,6 @@
 import errno
 import json
 import os
-import socket
 import subprocess
 import sys
 import time
@@ -18,6 +17,7 @@
 from typing import NamedTuple
 
 from finchcart.fault_injection.child_processes import CHILD_ENV
+from finchcart.fault_injection.loopback_addresses import own_address
 from finchcart.fault_injection.node_configuration import EXAMPLE
 from finchcart.fault_injection.process_shim import (
     DOCUMENTED_ERRORS,
@@ -27,7 +27,6 @@
 )
 from finchcart.simulated_peers.client import Client, Outcome
 from finchcart.simulated_peers.registry import Registry
-from finchcart.simulated_peers.server import Address
 from finchcart.simulated_peers.store import Store
 from finchcart.simulated_peers.worker_pool import WorkerPool
 
@@ -71,13 +70,6 @@
     ]
 
 
-def free_address(kind: int = socket.SOCK_STREAM) -> Address:
-    """Return a loopback address that nobody has."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
-
-
 class CallSweep:
     """Starts nodes with the library loaded, beside peers of their own; lines tell what went wrong."""
 
@@ -140,8 +132,7 @@
         self._log_path = folder / f"{name}.log"
         self._config_path = folder / f"{name}.json"
         self._process: subprocess.Popen | None = None
-        addresses = {"listen": free_address(), "pool": free_address(), "store": free_address()}
-        addresses["roster"] = free_address(socket.SOCK_DGRAM)
+        addresses = {party: own_address() for party in ("listen", "pool", "store", "roster")}
         self._listen = addresses["listen"]
         texts = {party: f"{host}:{port}" for party, (host, port) in addresses.items()}
         self._config_path.write_text(json.dumps({**EXAMPLE, "name": name, **texts}))
--- a/finchcart/fault_injection/loopback_addresses.py
+++ b/finchcart/fault_injection/loopback_addresses.py
@@ -3,10 +3,15 @@
 import os
 import socket
 from collections.abc import Sequence
+from itertools import count
 
 FIRST_NET = 20
 NETS = 200
 LOCK_PORT = 7399
+FIRST_OWN_NET = 221  # beyond those of runs with many processes
+OWN_NETS = 30
+OWN_HOSTS = 250
+FIRST_OWN_PORT = 10_000
 MEMBER_PORT = 7400  # of messages between members
 NODE_PORT = 7001  # of clients' RPCs
 WORKER_POOL_PORT = 9300
@@ -14,6 +19,20 @@
 REGISTRY_PORT = 2379
 
 
+_addresses_given = count()
+
+
+def own_address() -> tuple[str, int]:
+    """Return an address that no other process has, and none is given by chance: each is returned once.
+
+    The host tells the process, by its id, and the port lies below those that connections are given.
+    """
+    number = next(_addresses_given)
+    process = os.getpid()
+    host = f"127.{FIRST_OWN_NET + process // OWN_HOSTS % OWN_NETS}.{process % OWN_HOSTS}.1"
+    return host, FIRST_OWN_PORT + number
+
+
 class LoopbackAddresses:
     """The addresses of the named processes of one run; a bound socket keeps other runs away."""
 
--- a/finchcart/fault_injection/soak.py
+++ b/finchcart/fault_injection/soak.py
@@ -19,8 +19,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from finchcart.fault_injection.call_sweep import free_address
 from finchcart.fault_injection.child_processes import CHILD_ENV, cpu_and_peak_memory
+from finchcart.fault_injection.loopback_addresses import own_address
 from finchcart.fault_injection.node_configuration import EXAMPLE
 from finchcart.fault_injection.process_shim import ProcessShim, build_library
 from finchcart.fault_injection.recorded_rules import NodeLife, Pause, Rules, breaches
@@ -77,7 +77,7 @@
         self.plan = plan
         self.name = name
         self.shim = shim
-        self.listen = free_address()
+        self.listen = own_address()
         self.lives: list[NodeLife] = []
         self.problems: list[str] = []
         self.log_path = folder / f"{name}.log"
@@ -86,12 +86,12 @@
         self._pauses: list[Pause] = []
         self._process: subprocess.Popen | None = None
         self._watched_pid = 0
-        pool_address = free_address()
+        pool_address = own_address()
         with_call = {method.name: method.name == "look-up" for method in plan.methods}
         self.pool = WorkerPool(pool_address, with_call, plan.work_s, plan.cores)
         self.pool.started -= LONG_AGO_S
-        self.pool_relay = StreamRelay(free_address(), lambda: pool_address, plan.seed)
-        self.store_relay = StreamRelay(free_address(), lambda: store, plan.seed + 1)
+        self.pool_relay = StreamRelay(own_address(), lambda: pool_address, plan.seed)
+        self.store_relay = StreamRelay(own_address(), lambda: store, plan.seed + 1)
         self._write_config()
         self.clients = [
             RecordingClient(
@@ -133,7 +133,7 @@
             }
             for number, method in enumerate(plan.methods)
         ]
-        registry = free_address()
+        registry = own_address()
         Registry(registry, on_change=lambda text: None)
         addresses = {
             "listen": self.listen,
@@ -269,7 +269,7 @@
         self.plan = draw_plan(seed)
         self._plant = plant
         self._shim = ProcessShim(library, folder, f"shim{seed}")
-        self._store = Store(free_address(), self.plan.store_work_s)
+        self._store = Store(own_address(), self.plan.store_work_s)
         self._store_load: list[tuple[float, float]] = []  # (time, call-seconds used so far)
         self._nodes: list[SoakNode] = []
         self._folder = folder
