--- a/finchcart/cli/commands.py
+++ b/finchcart/cli/commands.py
@@ -264,6 +264,30 @@
     sys.exit(play(RunOptions(script, seed, nodes, out, virtual, apart, share, verdicts, times)))
 
 
+@trial.command()
+@click.option("--first", default=1, show_default=True)
+@click.option("--count", default=50, show_default=True)
+@click.option("--jobs", default=5, show_default=True, help="seeds at once")
+@click.option("--plant", help="a defect to start the nodes with: the soak is to find it")
+@click.option("--out", type=click.Path(), help="keeps logs and records here")
+def soak(first: int, count: int, jobs: int, plant: str | None, out: str | None) -> None:
+    """Nodes as they ship, under faults of links, clocks, system calls, peers and signals."""
+    from finchcart.fault_injection.soak_report import play_and_report
+
+    sys.exit(play_and_report(range(first, first + count), jobs, plant, out, click.echo))
+
+
+@trial.command()
+@click.option("--start", is_flag=True, help="while the node starts, not in service")
+@click.option("--most", default=20, show_default=True, help="the highest count at which a call fails")
+@click.option("--jobs", default=4, show_default=True, help="nodes at once")
+def calls(start: bool, most: int, jobs: int) -> None:
+    """Each system call of a node, failed in each documented way, at each count in turn."""
+    from finchcart.fault_injection.soak_report import sweep_and_report
+
+    sys.exit(sweep_and_report(start, most, jobs, click.echo))
+
+
 @trial.command()
 @click.option("--first", default=0, show_default=True)
 @click.option("--count", default=100, show_default=True)
--- a/finchcart/fault_injection/recorded_rules.py
+++ b/finchcart/fault_injection/recorded_rules.py
@@ -193,7 +193,7 @@
         for pause in pauses:
             if pause.began <= written_at + UNCOUNTED_S and written_at <= pause.ended:
                 written_at = pause.ended
-        counted_from = min(written_at + UNCOUNTED_S, began.get(record.name, float("inf")))
+        counted_from = min(written_at + UNCOUNTED_S + rules.lateness_s, began.get(record.name, float("inf")))
         ended = record.answers[0].at if record.answers else record.connection.ended_at
         if ended is not None and ended > counted_from:
             changes += [(counted_from, record.memory_kb), (ended, -record.memory_kb)]
--- a/finchcart/fault_injection/soak_plan.py
+++ b/finchcart/fault_injection/soak_plan.py
@@ -15,7 +15,7 @@
 HOUR_S = 3600
 CLOCK_OFFSETS_S = (HOUR_S, -HOUR_S, 2, -2, 0.3, 0)
 FAULTS_BEGIN_S = 0.3
-LEAVE_AT_S = 3.0  # the notice to leave, after the load began
+LEAVE_AT_S = 2.4  # the notice to leave, after the load began
 MOST_DEADLINE_S = 3.0
 KILL_DELAY_S = 0.7
 SIGNAL_SERIES = (
@@ -59,12 +59,12 @@
     """Something that is done to a node at a time after the load began, in seconds."""
 
     at: float
-    kind: str  # one of EVENT_KINDS
+    kind: str  # "clock" or one of NODE_EVENTS
     value: float = 0.0
 
 
-EVENT_KINDS = (
-    "clock",
+# What happens to one node; a clock step is one of the machine, and of all nodes.
+NODE_EVENTS = (
     "pause",
     "pool restart",
     "node killed",
@@ -121,8 +121,8 @@
         cores=random.choice((2, 4)),
         work_s=random.choice((0.02, 0.05, 0.3 * deadline_s, 0.3 * deadline_s)),
         store_work_s=random.choice((0.0, 0.01, 0.04)),
-        overload_factor=random.choice((2.0, 3.0, 8.0)),
-        overload_window_s=1.5,
+        overload_factor=random.choice((1.5, 2.0, 8.0)),
+        overload_window_s=1.0,
         memory_kb=random.choice((1_600.0, 6_000.0, 46_000.0)),
         run_factor=random.choice((4.0, 8.0)),
         calls_out=random.choice((2.0, 6.0)),
@@ -152,7 +152,7 @@
 
 def _link_faults(random: Random) -> LinkFaults:
     return LinkFaults(
-        cut_every=random.choice((None, 0.1, 0.5, 0.5)),
+        cut_every=random.choice((None, 0.1, 0.3, 0.5)),
         reset_part=random.choice((0.0, 0.5, 1.0)),
         rubbish_part=random.choice((0.0, 0.5)),
         delay=random.choice((0.0, 0.0, 0.03)),
@@ -162,12 +162,11 @@
 
 def _events(random: Random) -> tuple[NodeEvent, ...]:
     events = []
-    for kind in random.sample(EVENT_KINDS, random.randint(1, 4)):
+    if random.random() < 0.5:
+        begin = random.choice((FAULTS_BEGIN_S, 1.0, LEAVE_AT_S + 0.1))  # the last: within the grace
+        offsets = random.sample(CLOCK_OFFSETS_S, random.randint(1, 3))
+        events += [NodeEvent(begin + 0.3 * step, "clock", offset) for step, offset in enumerate(offsets)]
+    for kind in random.sample(NODE_EVENTS, random.randint(0, 3)):
         at = random.uniform(FAULTS_BEGIN_S, LEAVE_AT_S - 0.3)
-        if kind == "clock":
-            offsets = random.sample(CLOCK_OFFSETS_S, random.randint(1, 3))
-            begin = random.choice((at, LEAVE_AT_S + 0.1))  # some step in the grace
-            events += [NodeEvent(begin + 0.3 * step, kind, offset) for step, offset in enumerate(offsets)]
-        else:
-            events.append(NodeEvent(at, kind, random.uniform(0.2, 0.8)))
+        events.append(NodeEvent(at, kind, random.uniform(0.2, 0.6)))
     return tuple(sorted(events, key=lambda event: event.at))
--- /dev/null
+++ b/finchcart/fault_injection/soak_report.py
@@ -0,0 +1,70 @@
+"""The soak and the sweep of system calls from the command line: what is played, and what is printed of it.
+
+Owns the text of both reports. It must never judge: a line of a report is a breach that a run found.
+"""
+
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from finchcart.fault_injection.call_sweep import CallFault, CallSweep, all_faults
+from finchcart.fault_injection.soak import SoakResult, play_seeds
+
+Echo = Callable[[str], None]
+
+
+def play_and_report(seeds: Sequence[int], jobs: int, plant: str | None, out: str | None, echo: Echo) -> int:
+    """Play the seeds and print a report; return 1 where a rule broke."""
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(out or temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        results = play_seeds(seeds, folder, jobs, plant)
+    for line in report_lines(results):
+        echo(line)
+    echo(f"{len(results)} seeds in {time.monotonic() - began:.0f} s")
+    return 1 if any(result.breaches for result in results) else 0
+
+
+def report_lines(results: Sequence[SoakResult]) -> list[str]:
+    """Return the lines of a report: breaches, what was injected, and how close to the kill answers came."""
+    lines = [f"seed {result.seed}: {line}" for result in results for line in result.breaches]
+    counts: Counter[str] = Counter()
+    for result in results:
+        counts.update(result.counts)
+    lines += [f"{name}: {count}" for name, count in sorted(counts.items())]
+    before_kill = [result.last_answer_before_kill_s for result in results]
+    times = [time_s for time_s in before_kill if time_s is not None]
+    if times:
+        lines.append(f"last answer before the kill: {min(times):.3f} s at the least, of {len(times)} seeds")
+    lines.append(f"lateness of the run itself: {max(result.lateness_s for result in results):.3f} s")
+    broken = sum(1 for result in results if result.breaches)
+    lines.append(f"seeds with a broken rule: {broken} of {len(results)}")
+    return lines
+
+
+def sweep_and_report(start: bool, most_count: int, jobs: int, echo: Echo) -> int:
+    """Fail each call in each way at each count; print what went wrong, and return 1 where anything did."""
+    faults = all_faults(most_count)
+    with tempfile.TemporaryDirectory() as temporary:
+        parts = [faults[number::jobs] for number in range(jobs)]
+        with ThreadPoolExecutor(jobs) as pool:
+            played = pool.map(lambda part: _play_part(Path(temporary), part, start), enumerate(parts))
+        found = [line for lines in played for line in lines]
+    for line in found:
+        echo(line)
+    echo(f"{len(faults)} faults {'at the start' if start else 'in service'}, {len(found)} with a problem")
+    return 1 if found else 0
+
+
+def _play_part(folder: Path, numbered: tuple[int, Sequence[CallFault]], start: bool) -> list[str]:
+    number, faults = numbered
+    own = folder / str(number)
+    own.mkdir()
+    sweep = CallSweep(own)
+    if not start:
+        return sweep.play_in_service(faults)
+    return [line for fault in faults for line in sweep.play_start(fault)]
--- a/finchcart/net/connection_table.py
+++ b/finchcart/net/connection_table.py
@@ -15,6 +15,7 @@
 from finchcart.net.buffers import Buffers
 from finchcart.net.connections import Address, Connection
 from finchcart.net.framing import Codec
+from finchcart.net.late_threads import LateThreads
 from finchcart.net.limits import Limits
 from finchcart.net.listener import Listener
 from finchcart.net.registry_reports import RegistryReporter
@@ -53,6 +54,7 @@
         self._outgoing: dict[int, list[bytes]] = {}  # what this turn sends, by connection
         self._unbatched: set[int] = set()  # connections whose messages do not wait for the turn's end
         self._reporter = RegistryReporter()
+        self._late_threads = LateThreads()
 
     def listen(self) -> None:
         """Accept connections, in a thread of the listener's."""
@@ -74,6 +76,7 @@
             self._limits,
             sock=sock,
             on_closed=on_closed,
+            late_threads=self._late_threads,
         )
         self._inputs.put(ConnectionOpened(number, self._frontend, host))
 
@@ -83,7 +86,13 @@
             self._unbatched.add(number)
         try:
             self._connections[number] = Connection(
-                number, self._codecs[kind], self._inputs, self._buffers, self._limits, address=address
+                number,
+                self._codecs[kind],
+                self._inputs,
+                self._buffers,
+                self._limits,
+                address=address,
+                late_threads=self._late_threads,
             )
         except OSError as error:
             # Guards against an end of the node where threads run out: nothing was sent, so it is tried again.
--- a/finchcart/net/connections.py
+++ b/finchcart/net/connections.py
@@ -20,6 +20,7 @@
 from finchcart.net.buffers import Buffers
 from finchcart.net.clock import boot_clock
 from finchcart.net.framing import Codec
+from finchcart.net.late_threads import LateThreads
 from finchcart.net.limits import Limits
 from finchcart.net.reader import FrameReader
 from finchcart.net.sockets import MICROSECONDS_PER_SECOND, shut_down, start_thread, timeval
@@ -66,6 +67,7 @@
         sock: socket.socket | None = None,
         address: Address | None = None,
         on_closed: Callable[[], None] | None = None,
+        late_threads: LateThreads | None = None,
     ) -> None:
         self.number = number
         self.codec = codec
@@ -85,7 +87,7 @@
         self._batches_delivered = 0  # by the reader thread
         max_frames = limits.outbound_batch if address else limits.frontend_batch
         self.reader = FrameReader(number, codec.find_frame_end, buffers, max_frames)
-        self._writes = PendingWrites(number, inputs, self._lock, self._half_close_if_closing)
+        self._writes = PendingWrites(number, inputs, self._lock, self._half_close_if_closing, late_threads)
         if sock:
             # Before the reader runs, which may be late: what is sent until then goes out.
             self._set_open()
--- a/finchcart/net/writer.py
+++ b/finchcart/net/writer.py
@@ -10,6 +10,7 @@
 from queue import SimpleQueue
 from time import sleep
 
+from finchcart.net.late_threads import LateThread, LateThreads
 from finchcart.net.sockets import shut_down, start_thread
 from finchcart.net.transient_errors import MOST_SHORTAGES, SHORTAGE_PAUSE_S, is_transient
 from finchcart.node.inputs import Input, WriteResumed
@@ -18,7 +19,8 @@
 class PendingWrites:
     """The bytes that the system did not take at once. Its fields are read and set with `lock` held.
 
-    `on_drained()` is called, with the lock held, once all is written. The lock is the connection's own.
+    `on_drained()` is called, with the lock held, once all is written. The lock is the connection's own. Where
+    no thread can be started, `late_threads` does it later; None: the connection breaks.
     """
 
     def __init__(
@@ -27,9 +29,11 @@
         inputs: SimpleQueue[Input],
         lock: threading.Lock,
         on_drained: Callable[[], None],
+        late_threads: LateThreads | None = None,
     ) -> None:
         self.parts: list[bytes] = []
-        self.thread: threading.Thread | None = None
+        self.thread: threading.Thread | LateThread | None = None
+        self._late_threads = late_threads
         self._number = number
         self._inputs = inputs
         self._lock = lock
@@ -39,12 +43,26 @@
         """See to a thread that writes what is pending. Called with the lock held."""
         if self.thread:
             return
+        name = f"write {self._number}"
         try:
-            self.thread = start_thread(lambda: self._run(sock), f"write {self._number}")
+            self.thread = start_thread(lambda: self._run(sock), name)
         except OSError:
-            shut_down(sock, socket.SHUT_RDWR)
-            self.parts = []
-            self._inputs.put(WriteResumed(self._number))  # or its close would wait for a write for ever
+            if self._late_threads:
+                # Guards against answers that are lost where threads run out for a moment.
+                self.thread = LateThread(lambda: self._run(sock), name, lambda: self._give_up_late(sock))
+                self._late_threads.start(self.thread)
+            else:
+                self._give_up(sock)
+
+    def _give_up_late(self, sock: socket.socket) -> None:
+        with self._lock:
+            self.thread = None
+            self._give_up(sock)
+
+    def _give_up(self, sock: socket.socket) -> None:
+        shut_down(sock, socket.SHUT_RDWR)
+        self.parts = []
+        self._inputs.put(WriteResumed(self._number))  # or its close would wait for a write for ever
 
     def _run(self, sock: socket.socket) -> None:
         while True:
--- a/finchcart/node/frontend.py
+++ b/finchcart/node/frontend.py
@@ -97,10 +97,13 @@
         """The notice to leave; the process is killed at `kill_at`."""
 
     def announce_close(self) -> None:
-        """The node leaves: every connection is announced to close, and each that is still made."""
+        """The node leaves: every connection that is open now is announced to close."""
 
     def close_now(self) -> None:
-        """The node ends shortly: every connection is closed between two RPCs, as soon as nothing is open."""
+        """The node ends shortly: every connection is closed between two RPCs, as soon as nothing is open.
+
+        Those that are still made are announced to close at once.
+        """
 
     def is_idle(self) -> bool:
         """Whether it holds nothing that the end of the node would cut."""
--- a/finchcart/thrift/connection_closer.py
+++ b/finchcart/thrift/connection_closer.py
@@ -27,8 +27,7 @@
         self.table = table
         self.idle_timeout_us: int | None = None  # None: not known yet
         self.kill_at: int | None = None  # from the notice to leave on
-        self.is_leaving = False  # every connection is announced to close
-        self.is_finishing = False  # and closed as soon as nothing is open on it
+        self.is_finishing = False  # every connection is closed as soon as nothing is open on it
 
     # ---- Idle connections
 
@@ -86,14 +85,17 @@
     # ---- The end of the node
 
     def announce_all(self) -> None:
-        """Guards against busy connections, which never idle: a kill would cut them with RPCs on their way."""
-        self.is_leaving = True
+        """Guards against busy connections, which never idle: a kill would cut them with RPCs on their way.
+
+        Not those that are made later, whose callers would come again for each RPC: they are closed as they
+        idle, or at the end.
+        """
         for connection in list(self.table.connections.values()):
             self.announce(connection)
 
     def close_all(self) -> None:
         """Closes each connection as soon as nothing is open on it or unread."""
-        self.is_leaving = self.is_finishing = True
+        self.is_finishing = True
         for connection in list(self.table.connections.values()):
             if connection.closing_announced:
                 self._defer_close(connection)
--- a/finchcart/thrift/frontend.py
+++ b/finchcart/thrift/frontend.py
@@ -56,7 +56,7 @@
         if connection.ended:
             return
         self.turn.emit(Read(number))
-        if self.closer.is_leaving:
+        if self.closer.is_finishing:
             self.closer.announce(connection)
         else:
             self.closer.watch_unused(connection)
