--- a/finchcart/net/connections.py
+++ b/finchcart/net/connections.py
@@ -20,7 +20,7 @@
 from finchcart.net.buffers import Buffers
 from finchcart.net.clock import boot_clock
 from finchcart.net.framing import Codec
-from finchcart.net.late_threads import LateThreads
+from finchcart.net.late_threads import LateThread, LateThreads
 from finchcart.net.limits import Limits
 from finchcart.net.reader import FrameReader
 from finchcart.net.sockets import MICROSECONDS_PER_SECOND, shut_down, start_thread, timeval
@@ -54,7 +54,8 @@
     """One connection; accepted where `sock` is given, else opened to `address`.
 
     `request_batch`, `send`, `close`, `close_if_idle` and `drop` never block. `on_closed()` is called once its
-    descriptor is free again. Raises OSError where its reader thread cannot be started.
+    descriptor is free again. Raises OSError where its reader thread cannot be started; with `late_threads` only
+    for one that is to be opened.
     """
 
     def __init__(
@@ -91,7 +92,22 @@
         if sock:
             # Before the reader runs, which may be late: what is sent until then goes out.
             self._set_open()
-        start_thread(self._run, f"read {number}")
+        self._start_reader(late_threads)
+
+    def _start_reader(self, late_threads: LateThreads | None) -> None:
+        """Start the reader, or have it started later; raise OSError where there is no thread and nobody does."""
+        name = f"read {self.number}"
+        try:
+            start_thread(self._run, name)
+        except OSError:
+            if late_threads is None or self._address:
+                raise  # one that is to be opened counts as refused, and is tried again
+            late_threads.start(LateThread(self._run, name, self._give_up_reader))
+
+    def _give_up_reader(self) -> None:
+        """It was never read: the end is told, and the socket closed."""
+        self._inputs.put(ConnectionEnded(self.number, ""))
+        self._finish(ReadEnd())
 
     # ---- Called by the one thread that carries out effects
 
