--- a/finchcart/net/connections.py
+++ b/finchcart/net/connections.py
@@ -54,8 +54,8 @@
     """One connection; accepted where `sock` is given, else opened to `address`.
 
     `request_batch`, `send`, `close`, `close_if_idle` and `drop` never block. `on_closed()` is called once its
-    descriptor is free again. Raises OSError where its reader thread cannot be started; with `late_threads` only
-    for one that is to be opened.
+    descriptor is free again. Raises OSError where its reader thread cannot be started; with
+    `late_threads` that holds only for a connection that is to be opened.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
         self._start_reader(late_threads)
 
     def _start_reader(self, late_threads: LateThreads | None) -> None:
-        """Start the reader, or have it started later; raise OSError where there is no thread and nobody does."""
+        """Start the reader, or have it started later; raise OSError where nobody does that."""
         name = f"read {self.number}"
         try:
             start_thread(self._run, name)
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -77,7 +77,7 @@
     discard_size: int = 256 * 1024  # read past from one that goes on, to let answers out before a close
     linger_timeout: int = 1 * SECOND  # the peer's end is awaited this long after the last byte
     send_timeout: int = 30 * SECOND  # a write that makes no progress for this long breaks the connection
-    accept_retry_delay: int = 50 * MS  # when descriptors run out
+    accept_retry_delay: int = 50 * MS  # the longest pause when descriptors run out
 
     # The end of the process
     kill_margin: int = 100 * MS  # the node has ended so long before the kill may come
--- a/finchcart/net/listener.py
+++ b/finchcart/net/listener.py
@@ -15,6 +15,8 @@
 from finchcart.net.sockets import MICROSECONDS_PER_SECOND, shut_down
 from finchcart.net.transient_errors import OF_ONE_CONNECTION
 
+FIRST_PAUSE_US = 1_000  # after a failure of accept
+MOST_DOUBLINGS = 10
 MOST_FAILURES_IN_A_ROW = 32  # of accept, that are tried again at once
 
 # A number, its socket, the host that it comes from, and what is to be called once its descriptor is free.
@@ -66,18 +68,21 @@
                 # Guards against a spin where descriptors or memory run out: what waits is accepted later.
                 # What concerns one connection alone holds the others up only where there is no end of it.
                 if error.errno not in OF_ONE_CONNECTION or failures > MOST_FAILURES_IN_A_ROW:
-                    self._pause()
+                    self._pause(failures)
                 continue
             warned_of = None
             failures = 0
 
-    def _pause(self) -> None:
-        sleep(self._limits.accept_retry_delay / MICROSECONDS_PER_SECOND)
+    def _pause(self, failures: int) -> None:
+        """Longer with each failure in a row: a shortage of a moment holds nobody up for long."""
+        pause_us = FIRST_PAUSE_US << min(failures - 1, MOST_DOUBLINGS)
+        sleep(min(pause_us, self._limits.accept_retry_delay) / MICROSECONDS_PER_SECOND)
 
     def _accept_one(self) -> None:
         sock, address = self.sock.accept()
         host = address and address[0]
         number = next(self._numbers)
+        failures = 0
         while True:
             try:
                 self.on_accepted(number, sock, host, self.capacity.release)
@@ -89,7 +94,8 @@
                     sock.close()
                     raise
                 logger.warning("connection {}: {}; trying again", number, error.strerror)
-                self._pause()
+                failures += 1
+                self._pause(failures)
 
     def stop(self) -> None:
         """Accept no more. Those that the system has accepted are taken first: a reset would lose requests."""
