--- a/finchcart/cli/log_output.py
+++ b/finchcart/cli/log_output.py
@@ -1,9 +1,8 @@
 """The forms of the log on stderr: text lines and JSON lines.
 
-Owns how a record is written. It must never drop a record or a field.
+Owns how a record is written. It must never drop a record or a field; a line that can't be written: log_sink.py.
 """
 
-import sys
 from collections.abc import Callable
 from datetime import UTC
 from typing import TYPE_CHECKING
@@ -11,6 +10,7 @@
 import msgspec
 from loguru import logger
 
+from finchcart.log_sink import LogSink
 from finchcart.net.clock import boot_clock
 from finchcart.node_process import log_as_text
 
@@ -21,6 +21,7 @@
 def log_as_json() -> None:
     """Log one object a line: `t_us` on the boot clock, time, level, message, and the fields of the line."""
     encode = msgspec.json.Encoder().encode
+    sink = LogSink()
 
     def write(message: "Message") -> None:
         record = message.record
@@ -33,8 +34,7 @@
         }
         if record["exception"]:
             line["exception"] = str(message)
-        sys.stderr.buffer.write(encode(line) + b"\n")
-        sys.stderr.buffer.flush()
+        sink(encode(line).decode() + "\n")
 
     logger.remove()
     logger.add(write, format="{message}", backtrace=False, diagnose=False)
--- a/finchcart/node_process.py
+++ b/finchcart/node_process.py
@@ -20,6 +20,7 @@
 
 from finchcart.errors import ConfigError
 from finchcart.event_loop import EventLoop
+from finchcart.log_sink import LogSink
 from finchcart.net.buffers import Buffers
 from finchcart.net.clock import boot_clock
 from finchcart.net.connection_table import ConnectionTable
@@ -46,7 +47,8 @@
 def log_as_text() -> None:
     """Log lines of text on stderr."""
     logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
+    text = "{time:HH:mm:ss.SSS} {level} {message}"
+    logger.add(LogSink(), format=text, backtrace=False, diagnose=False)
 
 
 def run_node(configure_log: Callable[[], None] = log_as_text, join_fleet: JoinFleet | None = None) -> int:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -17,6 +17,7 @@
 
 from finchcart.fault_injection.call_sweep import CallFault, CallSweep, all_faults
 from finchcart.fault_injection.process_shim import Call
+from finchcart.log_sink import LogSink
 from finchcart.net.limits import Limits
 from finchcart.net.listener import Listener
 
@@ -31,6 +32,7 @@
     CallFault(Call.SOCKET, errno.ENFILE, 4),
     CallFault(Call.THREAD, errno.EAGAIN, 1),
     CallFault(Call.THREAD, errno.EAGAIN, 2, 3),
+    CallFault(Call.WRITE, errno.ENOSPC, 1, 50),
 )
 
 
@@ -45,6 +47,26 @@
     assert CallSweep(tmp_path).play_in_service(faults) == []
 
 
+def test_log_lines_that_can_not_be_written_are_counted_and_told_once_they_can(monkeypatch):
+    written = []
+    full = [True]
+
+    def write(descriptor, data):
+        if full[0]:
+            raise OSError(errno.ENOSPC, "full")
+        written.append(bytes(data[:7]))  # short writes
+        return len(written[-1])
+
+    monkeypatch.setattr("finchcart.log_sink.os.write", write)
+    sink = LogSink()
+    sink("lost\n")
+    sink("lost too\n")
+    full[0] = False
+    sink("a line\n")
+    sink("another line\n")
+    assert b"".join(written) == b"2 log lines could not be written\na line\nanother line\n"
+
+
 class AbortedAccepts:
     """A listening socket some of whose accepts fail, as where the peer has gone already."""
 
