--- a/finchcart/cli/log_output.py
+++ b/finchcart/cli/log_output.py
@@ -1,6 +1,6 @@
 """The forms of the log on stderr: text lines and JSON lines.
 
-Owns how a record is written. It must never drop a record or a field; a line that can't be written: log_sink.py.
+Owns how a record is written. It must never drop a record or a field but where it can't be written.
 """
 
 from collections.abc import Callable
