--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -54,9 +54,9 @@
     # Worker pool, store and registry
     gauges_timeout: int = 25 * MS  # a timer waits this long for the gauges
     connect_timeout: int = 1 * SECOND
-    pool_retry_interval: int = 10 * MS  # the first pause before the worker pool is connected to again
-    pool_longest_pause: int = 200 * MS  # pauses double up to this while connections don't hold
-    pool_steady_time: int = 100 * MS  # a connection that held for so long is followed by the next at once
+    pool_retry_interval: int = 5 * MS  # the first pause before the worker pool is connected to again
+    pool_longest_pause: int = 50 * MS  # pauses double up to this while connections don't hold
+    pool_steady_time: int = 50 * MS  # a connection that held for so long is followed by the next at once
     pool_move_timeout: int = 250 * MS  # the connection to an old address is left after this at the latest
     pool_start_tolerance: int = 1 * SECOND  # starts reported of the worker pool this close together are one
     store_idle_timeout: int = 1 * SECOND  # the store closes idle connections after 10 s; the node does before
--- a/finchcart/simulated_peers/worker_pool.py
+++ b/finchcart/simulated_peers/worker_pool.py
@@ -92,6 +92,7 @@
         self.lock = threading.Lock()
         self.connection: socket.socket | None = None
         self.notices: list[dict] = []
+        self.highest_cursor = 0  # of the notices that the node said it had read, in its life
         self.fate = "old"  # whether the process is the one that the node knew: "old" or "new"
         self.runs: dict[str, Run] = {}
         self.started = time.monotonic()
@@ -147,6 +148,7 @@
         with self.lock:
             self.runs = {}
             self.notices = []
+            self.highest_cursor = 0
             self.started = time.monotonic()
             for record in self.history:
                 record.ended = record.ended or self.started
@@ -165,8 +167,9 @@
     def _bind(self, connection: socket.socket, message: dict) -> bool:
         with self.lock:
             self.connection = connection
-            if message["cursor"] == 0:
+            if message["cursor"] == 0 and self.highest_cursor:
                 self.notices.clear()  # the node has restarted: numbers begin at 1 again
+            self.highest_cursor = message["cursor"]
             age_ms = int((time.monotonic() - self.started) * MS_PER_S)
             self._write(connection, event="bound", fate=self.fate, lasted=age_ms)
             for notice in self.notices[message["cursor"] :]:
