--- /dev/null
+++ b/finchcart/fault_injection/soak_node.py
@@ -0,0 +1,223 @@
+"""One node of a soak: its processes, one after the other, its worker pool, links and clients.
+
+Owns the processes of the node and what the run knows of each life. It must end every process that it started
+by its own id, whatever happens.
+"""
+
+import copy
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+from finchcart.fault_injection.child_processes import CHILD_ENV, cpu_and_peak_memory
+from finchcart.fault_injection.loopback_addresses import own_address
+from finchcart.fault_injection.node_configuration import EXAMPLE
+from finchcart.fault_injection.process_shim import ProcessShim
+from finchcart.fault_injection.recorded_rules import NodeLife, Pause, Rules, breaches
+from finchcart.fault_injection.recording_client import RecordingClient, RpcRecord
+from finchcart.fault_injection.soak_plan import SoakPlan
+from finchcart.fault_injection.stream_relay import StreamRelay
+from finchcart.simulated_peers.client import Client
+from finchcart.simulated_peers.registry import Registry
+from finchcart.simulated_peers.worker_pool import WorkerPool
+
+READY_S = 10.0
+US_PER_S = 1_000_000
+LONG_AGO_S = 60.0
+
+
+class SoakNode:
+    """One node of a run: its processes, one after the other, its worker pool, links and clients."""
+
+    def __init__(self, plan: SoakPlan, name: str, folder: Path, shim: ProcessShim, store: tuple) -> None:
+        self.plan = plan
+        self.name = name
+        self.shim = shim
+        self.listen = own_address()
+        self.lives: list[NodeLife] = []
+        self.problems: list[str] = []
+        self.log_path = folder / f"{name}.log"
+        self._config_path = folder / f"{name}.json"
+        self._life_began = 0.0
+        self._pauses: list[Pause] = []
+        self._process: subprocess.Popen | None = None
+        self._watched_pid = 0
+        pool_address = own_address()
+        with_call = {method.name: method.name == "look-up" for method in plan.methods}
+        self.pool = WorkerPool(pool_address, with_call, plan.work_s, plan.cores)
+        self.pool.started -= LONG_AGO_S
+        self.pool_relay = StreamRelay(own_address(), lambda: pool_address, plan.seed)
+        self.store_relay = StreamRelay(own_address(), lambda: store, plan.seed + 1)
+        self._write_config()
+        self.clients = [
+            RecordingClient(
+                name, self.listen, plan.methods, plan.load, 1000 * plan.seed + number, self._unix_time
+            )
+            for number in range(plan.clients)
+        ]
+
+    def _unix_time(self) -> float:
+        return time.time() + (self.shim.clock_offset_s if self.plan.stamps_follow else 0.0)
+
+    def _write_config(self) -> None:
+        plan = self.plan
+        tree = copy.deepcopy(EXAMPLE)
+        tree["stop_ms"] = plan.stop_s * 1000
+        tree["limits"] |= {"memory_mb": plan.memory_mb, "sockets": plan.sockets}
+        settings = tree["settings"]
+        settings["contract"] |= {
+            "overloadFactor": plan.overload_factor,
+            "stopSendingWithin": int(plan.grace_s * US_PER_S),
+        }
+        settings["familyInfo"] |= {
+            "cores": plan.cores,
+            "memoryKb": plan.memory_kb,
+            "runFactor": plan.run_factor,
+            "callsOut": plan.calls_out,
+            "classCalls": [method.name == "look-up" for method in plan.methods],
+            "worthWithout": [0.6 if method.name == "look-up" else 0.0 for method in plan.methods],
+        }
+        settings["services"] = [
+            {
+                "name": method.name,
+                "effect": method.kind,
+                "worth": 1.0 + number,
+                "target": int(0.4 * method.deadline_s * US_PER_S),
+                "deadline": int(method.deadline_s * US_PER_S),
+                "window": int(method.window_s * US_PER_S),
+                "lateWorth": 0.0,
+            }
+            for number, method in enumerate(plan.methods)
+        ]
+        registry = own_address()
+        Registry(registry, on_change=lambda text: None)
+        addresses = {
+            "listen": self.listen,
+            "pool": self.pool_relay.address,
+            "store": self.store_relay.address,
+            "roster": registry,
+        }
+        texts = {party: f"{host}:{port}" for party, (host, port) in addresses.items()}
+        self._config_path.write_text(json.dumps({**tree, "name": self.name, **texts}))
+
+    # ---- Its processes
+
+    def start(self, plant: str | None) -> None:
+        """Start a process of the node, and wait until it answers."""
+        module = "finchcart.fault_injection.planted_defects" if plant else "finchcart"
+        environment = {**os.environ, **CHILD_ENV, **self.shim.environment}
+        environment |= {"ROUTER_CONFIG": str(self._config_path), "FINCHCART_PLANT": plant or ""}
+        self._life_began = time.monotonic()
+        self._pauses = []
+        with self.log_path.open("ab") as log:
+            self._process = subprocess.Popen([sys.executable, "-m", module], stderr=log, env=environment)
+        end = time.monotonic() + READY_S
+        while not self._is_healthy():
+            if self._process.poll() is not None or time.monotonic() > end:
+                self.problems.append(f"crash: {self.name} did not start: status {self._process.poll()}")
+                return
+            time.sleep(0.02)
+
+    def _is_healthy(self) -> bool:
+        try:
+            client = Client(self.listen)
+            client.sock.settimeout(1.0)
+            client.heartbeat()
+            return client.answer().outcome == "ok"
+        except (OSError, EOFError):
+            return False
+        finally:
+            with suppress(NameError, UnboundLocalError):
+                client.sock.close()
+
+    @property
+    def pid(self) -> int | None:
+        """The id of the process that runs, or None."""
+        return self._process.pid if self._process and self._process.poll() is None else None
+
+    def watch(self) -> None:
+        """Look at what the process uses."""
+        pid = self.pid
+        if pid is None:
+            return
+        with suppress(OSError, StopIteration):
+            descriptors = sum(1 for _ in Path(f"/proc/{pid}/fd").iterdir())
+            if descriptors > self.plan.sockets:
+                self.problems.append(f"fall-over: {descriptors} descriptors of {self.plan.sockets}")
+            _, peak_mb = cpu_and_peak_memory(pid)
+            if peak_mb > self.plan.memory_mb:
+                self.problems.append(f"fall-over: {peak_mb:.0f} MB of {self.plan.memory_mb}")
+
+    def pause(self, seconds: float) -> None:
+        """Stop the process for a while."""
+        began = time.monotonic()
+        self._process.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self._process.send_signal(signal.SIGCONT)
+        self._pauses.append(Pause(began, time.monotonic()))
+
+    def kill_outright(self) -> None:
+        """Kill the process with no notice."""
+        self._process.kill()
+        self._process.wait()
+        self._end_life(None, None, killed_outright=True)
+
+    def leave(self) -> None:
+        """Tell the node to leave, and kill it at the earliest; it is to have ended before."""
+        told_at = time.monotonic()
+        for number in self.plan.signals:
+            with suppress(ProcessLookupError):
+                self._process.send_signal(number)
+        kill_at = told_at + self.plan.earliest_kill_s
+        try:
+            status = self._process.wait(max(0.0, kill_at - time.monotonic()))
+            if status != 0:
+                self.problems.append(f"crash: {self.name} ended with status {status}")
+        except subprocess.TimeoutExpired:
+            self.problems.append(f"lost: {self.name} had not ended by the kill")
+            self._process.kill()
+            self._process.wait()
+        self._end_life(told_at, kill_at, killed_outright=False)
+
+    def _end_life(self, told_at: float | None, kill_at: float | None, killed_outright: bool) -> None:
+        now = time.monotonic()
+        life = NodeLife(self._life_began, told_at, kill_at, now, killed_outright, tuple(self._pauses))
+        self.lives.append(life)
+
+    def end(self) -> None:
+        """End the process, if one runs, and the relays."""
+        if self.pid is not None:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.kill()
+            self._process.wait()
+        for relay in (self.pool_relay, self.store_relay):
+            relay.end()
+
+    # ---- What came of it
+
+    def records(self) -> list[RpcRecord]:
+        """Return the records of all clients."""
+        return [record for client in self.clients for record in client.records]
+
+    def found(self, slack_s: float) -> list[str]:
+        """Return the broken rules of this node."""
+        plan = self.plan
+        rules = Rules(
+            plan.grace_s,
+            plan.overload_factor,
+            plan.overload_window_s,
+            plan.cores,
+            plan.memory_kb,
+            plan.run_factor,
+            slack_s,
+        )
+        found = [*dict.fromkeys(self.problems)]
+        found += breaches(rules, self.lives, self.records(), self.pool.history)
+        if "Traceback" in self.log_path.read_text(errors="replace"):
+            found.append(f"crash: a traceback in the log of {self.name}")
+        return [f"{self.name}: {line}" for line in found]
--- a/finchcart/net/connections.py
+++ b/finchcart/net/connections.py
@@ -38,6 +38,9 @@
 Address = tuple[str, int]
 
 
+SHORTAGE_COST = 4 * 1024  # bytes of what is read past: a read that fails for want of memory counts so much
+
+
 class ReadEnd(NamedTuple):
     """Why a connection is not read any more. Neither: the peer closed, or the connection broke."""
 
@@ -161,8 +164,11 @@
             try:
                 if self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
                     return False
-            except OSError:
-                pass  # nothing waits, or it is broken
+            except BlockingIOError:
+                pass  # nothing waits
+            except OSError as error:
+                if is_transient(error):
+                    return False  # a look that failed says nothing of what waits
             if self.reader.has_undelivered_bytes or self._batches_delivered != self.batches_taken:
                 return False
             self._is_closing = True
@@ -276,6 +282,11 @@
                         if not is_writing:
                             break
                         continue
+                    except OSError as error:
+                        if not is_transient(error):
+                            break
+                        remaining -= SHORTAGE_COST
+                        continue
                     if not count:
                         break
                     remaining -= count
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -20,6 +20,7 @@
 from finchcart.log_sink import LogSink
 from finchcart.net.limits import Limits
 from finchcart.net.listener import Listener
+from tests.test_connections import HEALTH_CHECK, open_pair
 
 SAMPLE = 36
 PEERS = 3
@@ -47,6 +48,28 @@
     assert CallSweep(tmp_path).play_in_service(faults) == []
 
 
+class FailingPeek:
+    """A socket whose looks at what waits fail for a moment."""
+
+    def __init__(self, sock):
+        self.sock = sock
+
+    def recv(self, size, flags=0):
+        if flags & socket.MSG_PEEK:
+            raise OSError(errno.ENOMEM, "no memory")
+        return self.sock.recv(size, flags)
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+
+def test_a_look_that_fails_closes_no_connection_over_what_waits():
+    connection, peer, _ = open_pair()
+    connection.sock = FailingPeek(connection.sock)
+    peer.sendall(HEALTH_CHECK)
+    assert not connection.close_if_idle()
+
+
 def test_log_lines_that_can_not_be_written_are_counted_and_told_once_they_can(monkeypatch):
     written = []
     full = [True]
