--- a/tests/test_run_accounting.py
+++ b/tests/test_run_accounting.py
@@ -16,11 +16,12 @@
 import threading
 
 from finchcart.interface import Outcome
+from finchcart.node.inputs import TimersDue
 from finchcart.simulated_peers.worker_pool import WorkerPool
 from tests.core_harness import MS, CoreHarness
 from tests.harness import draw_settings
 from tests.node_testbed import METHODS, read_answers, wait_until
-from tests.test_core import GAUGES, how, plain_harness, play
+from tests.test_core import GAUGES, ends_well, how, plain_harness, play, running
 
 SEEDS = range(24)
 CALLERS = 24
@@ -75,6 +76,48 @@
     assert harness.core.control.runs_on_cores == 0
 
 
+def test_a_bound_that_is_read_late_is_no_restart_of_the_worker_pool():
+    harness = plain_harness()
+    name = running(harness, 1)
+    harness.lose_pool_connection()
+    while not harness.commands:
+        harness.now += MS
+        harness.feed(TimersDue())
+        harness.establish_connections()
+    harness.read_commands()  # `bound` is written,
+    harness.step(1_500 * MS)  # and read later than starts of a worker pool lie apart
+    assert how(harness, name) is None and harness.core.control.runs_in_progress == 1
+    ends_well(harness, name)
+
+
+def test_a_command_that_was_not_carried_out_says_nothing_of_its_run():
+    harness = plain_harness()
+    name = running(harness, 1)
+    harness.deliver(harness.pool_connection, ("undone", False, name))
+    harness.step(MS)
+    assert how(harness, name) is None and harness.core.control.runs_in_progress == 1
+    ends_well(harness, name)
+
+
+def test_a_run_whose_end_can_not_be_read_is_counted_for_its_deadline_and_no_longer():
+    harness = plain_harness()
+    name = running(harness, 1)
+    for _ in range(10):
+        harness.step(10 * MS)  # its start is known to be read
+    assert not harness.core.pool.unconfirmed
+    harness.notices_numbered = 1  # the notice of its end, which is never readable
+    for _ in range(2):  # the same notice again right after the next bind: it is passed over
+        harness.lose_connection(harness.pool_connection, "a line that is no message")
+        for _ in range(40):
+            harness.step(MS)
+            if harness.core.pool.settle_ticket:
+                break
+    assert harness.core.pool.cursor == 1 and harness.core.control.runs_in_progress == 1
+    harness.step(harness.settings["methods.1.deadline"])
+    harness.step(MS)
+    assert how(harness, name) == "failed" and harness.core.control.runs_in_progress == 0
+
+
 class BreakingPool(WorkerPool):
     """Breaks the connection right after every third start: it was read, and nothing told the node so."""
 
