--- a/finchcart/fault_injection/soak_node.py
+++ b/finchcart/fault_injection/soak_node.py
@@ -18,7 +18,7 @@
 from finchcart.fault_injection.loopback_addresses import own_address
 from finchcart.fault_injection.node_configuration import EXAMPLE
 from finchcart.fault_injection.process_shim import ProcessShim
-from finchcart.fault_injection.recorded_rules import NodeLife, Pause, Rules, breaches
+from finchcart.fault_injection.recorded_rules import SLACK_S, NodeLife, Pause, Rules, breaches
 from finchcart.fault_injection.recording_client import RecordingClient, RpcRecord
 from finchcart.fault_injection.soak_plan import SoakPlan
 from finchcart.fault_injection.stream_relay import StreamRelay
@@ -175,7 +175,7 @@
                 self._process.send_signal(number)
         kill_at = told_at + self.plan.earliest_kill_s
         try:
-            status = self._process.wait(max(0.0, kill_at - time.monotonic()))
+            status = self._process.wait(max(0.0, kill_at + SLACK_S - time.monotonic()))
             if status != 0:
                 self.problems.append(f"crash: {self.name} ended with status {status}")
         except subprocess.TimeoutExpired:
--- a/finchcart/net/limits.py
+++ b/finchcart/net/limits.py
@@ -81,7 +81,7 @@
 
     # The end of the process
     kill_margin: int = 100 * MS  # the node has ended so long before the kill may come
-    exit_time: int = 30 * MS  # from the decision to end until the process is gone: 5 ms measured
+    exit_time: int = 60 * MS  # from the decision to end until the process is gone: more on a busy machine
     leave_period: int = 600 * MS  # before its end every connection is announced to close, busy ones too
     finish_period: int = 300 * MS  # before its end nobody is accepted, what is open closes between two RPCs
     finish_retry_interval: int = 4 * MS  # between attempts to close then
