--- a/tests/test_node_races.py
+++ b/tests/test_node_races.py
@@ -96,7 +96,7 @@
     got = read_until_closed(client)
     outcomes = Counter(what for what, _ in got.values())
     assert sorted(got) == seqs and set(outcomes) <= {"ok", "pushed back", "aborted"}
-    # What never ran is rejected; a run that does not end before the kill, which counts from 3.7 s on, is failed.
+    # What never ran is rejected; a run that does not end before the kill (3.7 s at its earliest) is failed.
     assert outcomes["ok"] + outcomes["aborted"] <= testbed.started_runs().count(b"x" * 2000)
     assert all(len(body) > 4000 for what, body in got.values() if what == "ok")
     client.sock.close()
