Soak: each lost request is told by how far it came, by a trace of the node's system calls

A lost request was reported with the end of its connection alone, so that a client that is late, a node that never read and a node that closed over what was sent looked the same.

--- a/finchcart/fault_injection/processes/process_shim.c
+++ b/finchcart/fault_injection/processes/process_shim.c
@@ -1,18 +1,22 @@
 /* A library to be loaded into a process under test (LD_PRELOAD): it moves the process's wall clock and makes
  * its system calls fail, come back short or be interrupted, as a mapped file says.
  *
- * Owns nothing but the counts in that file. It must never touch the monotonic clocks, nor any other process.
- * Layout of the file: struct shared, see process_shim.py. */
+ * Where FINCHCART_SOCKET_TRACE names a file, what the process does to accepted sockets is appended to it.
+ *
+ * Owns nothing but the counts in the mapped file. It must never touch the monotonic clocks, nor any other process.
+ * Layout of the files: struct shared, see process_shim.py; struct traced, see socket_trace.py. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <pthread.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <sys/time.h>
 #include <time.h>
 #include <unistd.h>
@@ -38,6 +42,47 @@
 
 static struct shared *shared;
 
+enum traced_event { ACCEPTED = 1, RECEIVED, SENT, HALF_CLOSED, CLOSED };
+
+struct traced {
+    int64_t at_ns; /* on the monotonic clock */
+    int32_t event;
+    int32_t fd;
+    int64_t value; /* the peer's port, or a count of bytes; 0 at an end of the stream */
+};
+
+#define TRACED_DESCRIPTORS 4096 /* higher ones are not traced */
+static int trace_file = -1;
+static char is_accepted[TRACED_DESCRIPTORS];
+
+__attribute__((constructor)) static void open_trace(void) {
+    const char *path = getenv("FINCHCART_SOCKET_TRACE");
+    if (path)
+        trace_file = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+}
+
+static int is_traced(int fd) {
+    return trace_file >= 0 && fd >= 0 && fd < TRACED_DESCRIPTORS && is_accepted[fd];
+}
+
+/* Appends one event of an accepted socket, and leaves errno as it is. */
+static void trace(enum traced_event event, int fd, int64_t value) {
+    struct timespec now;
+    int error = errno;
+    syscall(SYS_clock_gettime, CLOCK_MONOTONIC, &now);
+    struct traced traced = {(int64_t)now.tv_sec * 1000000000 + now.tv_nsec, event, fd, value};
+    if (syscall(SYS_write, trace_file, &traced, sizeof traced) < 0)
+        trace_file = -1; /* the disk is full: what is missing is seen by its end */
+    errno = error;
+}
+
+static void trace_accepted(int fd, const struct sockaddr *address) {
+    if (trace_file < 0 || fd < 0 || fd >= TRACED_DESCRIPTORS || !address || address->sa_family != AF_INET)
+        return;
+    is_accepted[fd] = 1;
+    trace(ACCEPTED, fd, ntohs(((const struct sockaddr_in *)address)->sin_port));
+}
+
 __attribute__((constructor)) static void map_file(void) {
     const char *path = getenv("FINCHCART_SHIM");
     int file = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
@@ -118,7 +163,11 @@
 
 int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
     REAL(int, accept4, int, struct sockaddr *, socklen_t *, int);
-    return fails(ACCEPT) ? -1 : real(fd, address, length, flags);
+    if (fails(ACCEPT))
+        return -1;
+    int accepted = real(fd, address, length, flags);
+    trace_accepted(accepted, address);
+    return accepted;
 }
 
 int accept(int fd, struct sockaddr *address, socklen_t *length) { return accept4(fd, address, length, 0); }
@@ -172,12 +221,38 @@
 
 ssize_t recv(int fd, void *buffer, size_t length, int flags) {
     REAL(ssize_t, recv, int, void *, size_t, int);
-    return limited(RECV, &length) ? -1 : real(fd, buffer, length, flags);
+    if (limited(RECV, &length))
+        return -1;
+    ssize_t count = real(fd, buffer, length, flags);
+    if (count >= 0 && !(flags & MSG_PEEK) && is_traced(fd))
+        trace(RECEIVED, fd, count);
+    return count;
 }
 
 ssize_t send(int fd, const void *data, size_t length, int flags) {
     REAL(ssize_t, send, int, const void *, size_t, int);
-    return limited(SEND, &length) ? -1 : real(fd, data, length, flags);
+    if (limited(SEND, &length))
+        return -1;
+    ssize_t count = real(fd, data, length, flags);
+    if (count >= 0 && is_traced(fd))
+        trace(SENT, fd, count);
+    return count;
+}
+
+int shutdown(int fd, int how) {
+    REAL(int, shutdown, int, int);
+    if (is_traced(fd))
+        trace(HALF_CLOSED, fd, how);
+    return real(fd, how);
+}
+
+int close(int fd) {
+    REAL(int, close, int);
+    if (is_traced(fd)) {
+        trace(CLOSED, fd, 0);
+        is_accepted[fd] = 0;
+    }
+    return real(fd);
 }
 
 ssize_t sendto(int fd, const void *data, size_t length, int flags, const struct sockaddr *to, socklen_t size) {
--- a/finchcart/fault_injection/processes/process_shim.py
+++ b/finchcart/fault_injection/processes/process_shim.py
@@ -1,5 +1,7 @@
 """Faults inside a process: its wall clock steps and its system calls fail, at any time and from outside.
 
+The library also traces accepted sockets where a path is set for that: socket_trace.py reads what it wrote.
+
 Owns the library that is loaded into the process (process_shim.c) and the mapped file that says what happens.
 It must never be loaded into a process that serves anybody. One library for all calls, and not a seam in
 `finchcart.net`: so the program runs as it ships, and what Python itself makes of an error is played too.
--- /dev/null
+++ b/finchcart/fault_injection/processes/socket_trace.py
@@ -0,0 +1,65 @@
+"""What a process did to the sockets that it accepted, as the library of process_shim.c wrote it down.
+
+Owns the format of the trace. It must never judge: it tells when bytes were read and written, and when the
+process closed its direction of a connection.
+"""
+
+import struct
+from collections import defaultdict
+from dataclasses import dataclass, field
+from enum import IntEnum
+from pathlib import Path
+
+TRACE_VARIABLE = "FINCHCART_SOCKET_TRACE"
+RECORD = struct.Struct("qiiq")
+NANOSECONDS_PER_SECOND = 1e9
+
+
+class SocketEvent(IntEnum):
+    """What happened to a socket; the numbers are those of process_shim.c."""
+
+    ACCEPTED = 1
+    RECEIVED = 2
+    SENT = 3
+    HALF_CLOSED = 4
+    CLOSED = 5
+
+
+@dataclass
+class AcceptedSocket:
+    """One accepted connection. Times are on the monotonic clock, in seconds."""
+
+    accepted_at: float
+    reads: list[tuple[float, int]] = field(default_factory=list)  # (when, bytes read so far)
+    sent_bytes: int = 0
+    closed_at: float | None = None  # the process closed its direction, or all of the connection
+
+    def read_at(self, stream_end: int) -> float | None:
+        """Return when so many bytes were read, or None where they never were."""
+        return next((at for at, count in self.reads if count >= stream_end), None)
+
+
+def read_trace(path: Path) -> dict[int, list[AcceptedSocket]]:
+    """Return the accepted connections by the port of their peer, in the order of their making."""
+    by_port: dict[int, list[AcceptedSocket]] = defaultdict(list)
+    by_descriptor: dict[int, AcceptedSocket] = {}
+    data = path.read_bytes() if path.exists() else b""
+    whole = len(data) - len(data) % RECORD.size
+    for at_ns, event, descriptor, value in RECORD.iter_unpack(data[:whole]):
+        at = at_ns / NANOSECONDS_PER_SECOND
+        if event == SocketEvent.ACCEPTED:
+            by_descriptor[descriptor] = AcceptedSocket(at)
+            by_port[value].append(by_descriptor[descriptor])
+        elif descriptor in by_descriptor:
+            _record(by_descriptor[descriptor], SocketEvent(event), at, value)
+    return by_port
+
+
+def _record(accepted: AcceptedSocket, event: SocketEvent, at: float, value: int) -> None:
+    if event is SocketEvent.RECEIVED:
+        read_before = accepted.reads[-1][1] if accepted.reads else 0
+        accepted.reads.append((at, read_before + value))
+    elif event is SocketEvent.SENT:
+        accepted.sent_bytes += value
+    elif accepted.closed_at is None:
+        accepted.closed_at = at
--- a/finchcart/fault_injection/soak/node.py
+++ b/finchcart/fault_injection/soak/node.py
@@ -18,6 +18,7 @@
 from finchcart.fault_injection.processes.loopback_addresses import own_address
 from finchcart.fault_injection.processes.node_configuration import EXAMPLE
 from finchcart.fault_injection.processes.process_shim import ProcessShim
+from finchcart.fault_injection.processes.socket_trace import TRACE_VARIABLE, AcceptedSocket, read_trace
 from finchcart.fault_injection.soak.plan import SoakPlan
 from finchcart.fault_injection.soak.recorded_rules import SLACK_S, NodeLife, Pause, Rules, breaches
 from finchcart.fault_injection.soak.recording_client import ClientRpcRecord, RecordingClient
@@ -42,6 +43,7 @@
         self.lives: list[NodeLife] = []
         self.problems: list[str] = []
         self.log_path = folder / f"{name}.log"
+        self._trace_path = folder / f"{name}.sockets"
         self._config_path = folder / f"{name}.json"
         self._life_began = 0.0
         self._pauses: list[Pause] = []
@@ -112,6 +114,7 @@
         module = "finchcart.fault_injection.soak.planted_defects" if plant else "finchcart"
         environment = {**os.environ, **CHILD_ENV, **self.shim.environment}
         environment |= {"ROUTER_CONFIG": str(self._config_path), "FINCHCART_PLANT": plant or ""}
+        environment[TRACE_VARIABLE] = str(self._trace_path)
         self._life_began = time.monotonic()
         self._pauses = []
         with self.log_path.open("ab") as log:
@@ -204,6 +207,10 @@
         """Return the records of all clients."""
         return [record for client in self.clients for record in client.records]
 
+    def sockets(self) -> dict[int, list[AcceptedSocket]]:
+        """Return the connections that its processes accepted, by the port of the client."""
+        return read_trace(self._trace_path)
+
     def found(self, slack_s: float) -> list[str]:
         """Return the broken rules of this node."""
         plan = self.plan
@@ -217,7 +224,7 @@
             slack_s,
         )
         found = [*dict.fromkeys(self.problems)]
-        found += breaches(rules, self.lives, self.records(), self.pool.history)
+        found += breaches(rules, self.lives, self.records(), self.pool.history, self.sockets())
         if "Traceback" in self.log_path.read_text(errors="replace"):
             found.append(f"crash: a traceback in the log of {self.name}")
         return [f"{self.name}: {line}" for line in found]
--- a/finchcart/fault_injection/soak/recorded_rules.py
+++ b/finchcart/fault_injection/soak/recorded_rules.py
@@ -4,9 +4,11 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
+from finchcart.fault_injection.processes.socket_trace import AcceptedSocket
+from finchcart.fault_injection.soak.lost_requests import trace_lost_request
 from finchcart.fault_injection.soak.recording_client import ClientRpcRecord
 from finchcart.simulated_peers.client import ClientOutcome
 from finchcart.simulated_peers.worker_pool import LoadSample, RunTiming, highest_mean
@@ -50,11 +52,15 @@
 
 
 def breaches(
-    rules: Rules, lives: Sequence[NodeLife], records: Sequence[ClientRpcRecord], runs: Sequence[RunTiming]
+    rules: Rules,
+    lives: Sequence[NodeLife],
+    records: Sequence[ClientRpcRecord],
+    runs: Sequence[RunTiming],
+    sockets: Mapping[int, Sequence[AcceptedSocket]] | None = None,
 ) -> list[str]:
-    """Return a line for each broken rule of one node."""
+    """Return a line for each broken rule of one node; `sockets` is the trace of what it accepted."""
     found = []
-    found += _lost_and_late(rules, lives, records)
+    found += _lost_and_late(rules, lives, records, sockets or {})
     found += _second_effects(lives, records, runs)
     found += _wrong_answers(records, runs)
     found += _runs_past_the_grace(rules, lives, records, runs)
@@ -70,7 +76,12 @@
     return sum(max(0.0, min(until, each.ended) - max(since, each.began)) for each in life.pauses)
 
 
-def _lost_and_late(rules: Rules, lives: Sequence[NodeLife], records: Iterable[ClientRpcRecord]) -> list[str]:
+def _lost_and_late(
+    rules: Rules,
+    lives: Sequence[NodeLife],
+    records: Iterable[ClientRpcRecord],
+    sockets: Mapping[int, Sequence[AcceptedSocket]],
+) -> list[str]:
     found = []
     for record in records:
         life = _life_of(lives, record.written_at)
@@ -88,13 +99,29 @@
             if record.answers[0].at > due and not life.killed_outright:
                 found.append(f"lost: {age} answered {record.answers[0].at - due:.3f} s late")
         elif not (life.killed_outright or crossed):
-            found.append(
-                f"lost: {age}, connection ended at {connection.ended_at} ({connection.end_reason}), "
-                f"told at {life.told_at}, kill at {life.kill_at}, ended at {life.ended_at:.3f}"
-            )
+            found.append(f"lost: {age}: {_loss_details(record, life, sockets)}")
     return found
 
 
+def _loss_details(
+    record: ClientRpcRecord, life: NodeLife, sockets: Mapping[int, Sequence[AcceptedSocket]]
+) -> str:
+    connection = record.connection
+    lost = trace_lost_request(record, sockets)
+    moments = {
+        "opened": connection.opened_at,
+        "read": lost.read_at,
+        "closed by the node": lost.closed_at,
+        "notice of the close read": connection.closing_at,
+        f"ended ({connection.end_reason})": connection.ended_at,
+        "told": life.told_at,
+        "kill": life.kill_at,
+        "process ended": life.ended_at,
+    }
+    known = (f"{name} {at:.3f}" for name, at in moments.items() if at is not None)
+    return f"{lost.cause}: " + ", ".join(known)
+
+
 def _second_effects(
     lives: Sequence[NodeLife], records: Iterable[ClientRpcRecord], runs: Sequence[RunTiming]
 ) -> list[str]:
--- a/finchcart/fault_injection/soak/recording_client.py
+++ b/finchcart/fault_injection/soak/recording_client.py
@@ -43,6 +43,7 @@
 
     node: str
     opened_at: float
+    port: int  # of the client's end
     closing_at: float | None = None  # the node's notice that it will close was read
     ended_at: float | None = None
     end_reason: str = ""
@@ -59,6 +60,7 @@
     memory_kb: float
     written_at: float
     connection: ConnectionRecord
+    stream_end: int = 0  # bytes of the connection up to the end of this RPC
     answers: list[RecordedAnswer] = field(default_factory=list)
 
 
@@ -116,7 +118,7 @@
             except OSError:
                 self._stopped.wait(RECONNECT_S)
                 continue
-            connection = ConnectionRecord(self._node, time.monotonic())
+            connection = ConnectionRecord(self._node, time.monotonic(), client.sock.getsockname()[1])
             self.connections.append(connection)
             self._use(client, connection)
 
@@ -161,6 +163,7 @@
             del open_rpcs[sequence]  # it was not written whole
             return False
         record.written_at = time.monotonic()
+        record.stream_end = client.submitted_bytes
         self.records.append(record)
         return True
 
--- a/finchcart/fault_injection/soak/report.py
+++ b/finchcart/fault_injection/soak/report.py
@@ -3,6 +3,7 @@
 Owns the text of both reports. It must never judge: a line of a report is a breach that a run found.
 """
 
+import os
 import tempfile
 import time
 from collections import Counter
@@ -22,9 +23,12 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = Path(out or temporary)
         folder.mkdir(parents=True, exist_ok=True)
+        load_before = os.getloadavg()[0]
         results = play_seeds(seeds, folder, jobs, plant)
     for line in report_lines(results):
         echo(line)
+    load = f"{load_before:.1f} before, {os.getloadavg()[0]:.1f} after"
+    echo(f"--jobs {jobs} on {os.cpu_count()} cores, load of the machine {load}")
     echo(f"{len(results)} seeds in {time.monotonic() - began:.0f} s")
     return 1 if any(result.breaches for result in results) else 0
 
--- a/finchcart/fault_injection/soak/run.py
+++ b/finchcart/fault_injection/soak/run.py
@@ -18,6 +18,7 @@
 
 from finchcart.fault_injection.processes.loopback_addresses import own_address
 from finchcart.fault_injection.processes.process_shim import ProcessShim, build_library
+from finchcart.fault_injection.soak.lost_requests import LostCause
 from finchcart.fault_injection.soak.node import SoakNode
 from finchcart.fault_injection.soak.plan import LEAVE_AT_S, NodeEvent, SoakPlan, draw_plan
 from finchcart.simulated_peers.store import SimulatedStore
@@ -171,6 +172,8 @@
         found = [line for node in self._nodes for line in node.found(lateness_s)]
         found += self._store_overload()
         self._count_faults()
+        for cause in LostCause:
+            self._counts[f"lost: {cause}"] += sum(f": {cause}: " in line for line in found)
         before_kill = [
             life.kill_at - max(answers)
             for node in self._nodes
--- a/finchcart/simulated_peers/client.py
+++ b/finchcart/simulated_peers/client.py
@@ -68,6 +68,7 @@
     def __init__(self, address: Address, source: Address | None = None) -> None:
         self.sock = socket.create_connection(address, timeout=TIMEOUT_S, source_address=source)
         self.sequence = 0
+        self.submitted_bytes = 0  # written so far, of RPCs that were written whole
 
     def submit(self, method: str, body: bytes, key: str | None = None, **more: str) -> int:
         """Send an RPC, with an idempotency key if one is given; return its sequence number.
@@ -87,7 +88,9 @@
         if key:
             fields["k"] = key
         self.sequence += 1
-        self.sock.sendall(thrift.submit_call(self.sequence, fields, body))
+        call = thrift.submit_call(self.sequence, fields, body)
+        self.sock.sendall(call)
+        self.submitted_bytes += len(call)
         return self.sequence
 
     def heartbeat(self) -> int:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,9 +5,16 @@
 import pytest
 
 from finchcart.fault_injection.processes.process_shim import build_library
+from finchcart.fault_injection.processes.socket_trace import RECORD, read_trace
+from finchcart.fault_injection.soak.lost_requests import LostCause, trace_lost_request
 from finchcart.fault_injection.soak.plan import NodeEvent, draw_plan
 from finchcart.fault_injection.soak.recorded_rules import highest_mean
-from finchcart.fault_injection.soak.recording_client import ClientLoad, MethodProfile
+from finchcart.fault_injection.soak.recording_client import (
+    ClientLoad,
+    ClientRpcRecord,
+    ConnectionRecord,
+    MethodProfile,
+)
 from finchcart.fault_injection.soak.run import SoakRun, play_seeds
 from finchcart.fault_injection.soak.stream_relay import LinkFaults
 from finchcart.simulated_peers.worker_pool import LoadSample
@@ -83,6 +90,28 @@
     assert result.breaches == [] and result.counts["answered ok"] > 5
 
 
+# What the library wrote of one connection: 100 bytes read, then the node's direction closed, then 100 more.
+TRACED = ((1, 4000), (2, 100), (4, 1), (2, 100))
+
+
+@pytest.mark.parametrize(
+    "port, stream_end, cause",
+    [
+        (4000, 100, LostCause.NOT_ANSWERED),
+        (4000, 200, LostCause.CLOSED_OVER),
+        (4000, 300, LostCause.CLOSED_OVER),
+        (4001, 100, LostCause.UNKNOWN),
+    ],
+)
+def test_a_lost_request_is_told_by_how_far_it_came(tmp_path, port, stream_end, cause):
+    path = tmp_path / "sockets"
+    events = [RECORD.pack(at, event, 7, value) for at, (event, value) in enumerate(TRACED)]
+    path.write_bytes(b"".join(events) + b"half of a record"[: RECORD.size // 2])
+    connection = ConnectionRecord("n1", 0.0, port)
+    record = ClientRpcRecord("a", MILD.methods[0], b"", None, 5.0, 0.0, connection, stream_end)
+    assert trace_lost_request(record, read_trace(path)).cause is cause
+
+
 def test_a_seed_always_draws_the_same_plan():
     assert [draw_plan(seed) for seed in SEEDS] == [draw_plan(seed) for seed in SEEDS]
     assert len({draw_plan(seed) for seed in SEEDS}) == len(SEEDS)
