A close looks at the system's count of received bytes, so that no late reader hides a request

What callers saw: a request written up to 0.1 s before the end of its connection, which the node ended with no answer. Cause: close_if_idle looked into the system's buffer and then at marks that the reader thread sets. A reader that has taken bytes and waits for a core or for the GIL has emptied the one and not yet set the others; the same between splitting frames and counting their batch. Forced with a socket that holds the reader between the two: the old code closes every time (AssertionError: not True), now it never does. Why this works: tcpi_bytes_received counts what reached the system, and the thread that feeds the core counts what it took; equal counts mean that nothing is in the buffer, in the reader's hands, half read or queued. The marks are gone.

test_connections counts taken frames where it set the mark; test_system_calls fails the look that there is now.

--- a/finchcart/net/connection_table.py
+++ b/finchcart/net/connection_table.py
@@ -110,7 +110,7 @@
         connection = self._connections.get(number)
         messages: list[Message] = []
         if connection:
-            connection.batches_taken += 1
+            connection.count_taken(frames)
             try:
                 for frame in frames:
                     messages.append(connection.codec.decode(frame))
--- a/finchcart/net/connections.py
+++ b/finchcart/net/connections.py
@@ -12,7 +12,7 @@
 import errno
 import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from queue import SimpleQueue
 from typing import NamedTuple
@@ -24,7 +24,13 @@
 from finchcart.net.deferred_threads import DeferredThread, DeferredThreadStarter
 from finchcart.net.discarding import discard_to_end
 from finchcart.net.reader import FrameReader
-from finchcart.net.sockets import MICROSECONDS_PER_SECOND, shut_down, start_thread, timeval
+from finchcart.net.sockets import (
+    MICROSECONDS_PER_SECOND,
+    received_bytes,
+    shut_down,
+    start_thread,
+    timeval,
+)
 from finchcart.net.transient_errors import is_transient
 from finchcart.net.writer import PendingWrites
 from finchcart.protocol.connection_events import (
@@ -76,7 +82,7 @@
         self.codec = codec
         self.sock = sock
         self.is_open = False
-        self.batches_taken = 0  # by the one thread that feeds the core
+        self._bytes_taken = 0  # by the one thread that feeds the core
         self._inputs = inputs
         self._buffers = buffers
         self._limits = limits
@@ -87,7 +93,6 @@
         self._write_deadline: int | None = None
         self._is_closing = False
         self._is_dropped = False
-        self._batches_delivered = 0  # by the reader thread
         max_frames = limits.outbound_batch if address else limits.frontend_batch
         self.reader = FrameReader(number, codec.find_frame_end, buffers, max_frames)
         self._writes = PendingWrites(number, inputs, self._lock, self._half_close_if_closing, thread_starter)
@@ -117,6 +122,10 @@
         """Have the reader deliver one batch more."""
         self._requests.put(True)
 
+    def count_taken(self, frames: Sequence[bytes]) -> None:
+        """Record that the core is about to see these frames."""
+        self._bytes_taken += sum(map(len, frames))
+
     def send(self, data: bytes, deadline: int | None = None) -> None:
         """Write, by a thread if need be. Data that misses `deadline` (boot clock) breaks the connection."""
         with self._lock:
@@ -155,23 +164,19 @@
 
         Guards against a close that overtakes what was sent before it: a request that is in the system's
         buffer, in the reader's hands, or read and not yet seen by the core; an answer that is not written.
+        What the system received is one count and what the core has seen another, so that no thread which
+        is late between the two can hide a request.
         """
         with self._lock:
             sock = self.sock if self.is_open else None
             if sock is None or self._writes.parts or self._writes.thread:
                 return False
-            # The system's buffer before the reader's marks: the reader takes bytes out of the one and sets
-            # the others after, so that what was there is seen in one of the two places.
             try:
-                if sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                if received_bytes(sock) != self._bytes_taken:
                     return False
-            except BlockingIOError:
-                pass  # nothing waits
             except OSError as error:
                 if is_transient(error):
                     return False  # a look that failed says nothing of what waits
-            if self.reader.has_undelivered_bytes or self._batches_delivered != self.batches_taken:
-                return False
             self._is_closing = True
             shut_down(sock, socket.SHUT_WR)
         self._requests.put(False)
@@ -265,7 +270,6 @@
                     frames, fault, empty_at, was_waiting = reader.read_batch(sock)
                     if frames:
                         # What was complete before a fault is delivered first.
-                        self._batches_delivered += 1
                         received = FramesReceived(self.number, frames, boot_clock(), empty_at, was_waiting)
                         self._inputs.put(received)
                     if fault:
--- a/finchcart/net/reader.py
+++ b/finchcart/net/reader.py
@@ -32,8 +32,7 @@
 class FrameReader:
     """Reads frames from a blocking socket; as a context manager it gives its buffer back at the end.
 
-    All methods are called by the reader thread. `has_undelivered_bytes` is read by other threads as well: it
-    is set after bytes were taken from the system's buffer, and before they are searched for frames.
+    All methods are called by the reader thread.
     """
 
     def __init__(
@@ -43,7 +42,6 @@
         buffers: Buffers,
         max_frames: int,
     ) -> None:
-        self.has_undelivered_bytes = False
         self._number = number
         self._find_frame_end = find_frame_end
         self._buffers = buffers
@@ -102,7 +100,6 @@
             logger.exception("reading connection {}", self._number)
             fault = ProtocolError(str(error))
         self._start = start
-        self.has_undelivered_bytes = start < len(data)
         return frames, fault
 
     def _make_room(self, sock: socket.socket) -> bytearray:
@@ -135,7 +132,6 @@
             count = self._read(sock, view[self._filled :], 0)
             if not count:
                 raise EOFError
-            self.has_undelivered_bytes = True
             self._note_arrival(asked_at, took_all=count < self._max_size - self._filled)
             self._filled += count
             self._data = bytes(view[: self._filled])
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -12,6 +12,7 @@
 from finchcart.net.connection_table import ConnectionTable
 from finchcart.net.connections import Connection
 from finchcart.net.listener import Listener
+from finchcart.net.sockets import received_bytes
 from finchcart.protocol.connection_events import (
     ConnectionClosed,
     ConnectionRefused,
@@ -93,16 +94,17 @@
     assert not connection.close_if_idle()  # in the system's buffer
     connection.request_batch()
     # Read, and not yet seen by the core.
-    assert isinstance(inputs.get(), FramesReceived)
+    received = inputs.get()
+    assert isinstance(received, FramesReceived)
     assert not connection.close_if_idle()
-    connection.batches_taken += 1
+    connection.count_taken(received.frames)
     connection.request_batch()
     peer.sendall(HEALTH_CHECK[:7])
-    wait_until(lambda: connection.reader.has_undelivered_bytes and not unread_bytes(connection))
+    wait_until(lambda: received_bytes(connection.sock) == len(HEALTH_CHECK) + 7)
+    wait_until(lambda: not unread_bytes(connection))
     assert not connection.close_if_idle()  # half a message
     peer.sendall(HEALTH_CHECK[7:])
-    assert isinstance(inputs.get(), FramesReceived)
-    connection.batches_taken += 1
+    connection.count_taken(inputs.get().frames)
     sent = random.Random(1).randbytes(30_000_000)
     connection.send(sent)
     # An answer that is not written.
@@ -119,6 +121,37 @@
     wait_until_closed(inputs)
 
 
+class LateReader:
+    """A socket whose reader is held after it has taken bytes and before it can say so."""
+
+    def __init__(self, sock):
+        self.sock = sock
+        self.has_read = threading.Event()
+        self.goes_on = threading.Event()
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def recv_into(self, buffer, count=0, flags=0):
+        read = self.sock.recv_into(buffer, count, flags)
+        if not flags & socket.MSG_PEEK:
+            self.has_read.set()
+            assert self.goes_on.wait(10)
+        return read
+
+
+def test_a_request_in_the_hands_of_a_reader_that_is_late_is_not_closed_over():
+    # Guards against a request lost at a close, where its reader thread waits for a core or for the GIL.
+    connection, peer, inputs = open_pair(wrap=LateReader)
+    connection.request_batch()
+    peer.sendall(HEALTH_CHECK)
+    assert connection.sock.has_read.wait(10)
+    assert not connection.close_if_idle()
+    connection.sock.goes_on.set()
+    connection.count_taken(inputs.get().frames)
+    assert connection.close_if_idle()
+
+
 def test_a_peer_that_reads_late_gets_all_that_was_sent_before_the_close():
     connection, peer, _ = open_pair(wrap=TimeoutCounter)
     sent = random.Random(2).randbytes(30_000_000)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -48,16 +48,15 @@
     assert CallSweep(tmp_path).play_in_service(faults) == []
 
 
-class FailingPeek:
-    """A socket whose looks at what waits fail for a moment."""
+class FailingLook:
+    """A socket whose looks at what the system received fail for a moment."""
 
     def __init__(self, sock):
         self.sock = sock
 
-    def recv(self, size, flags=0):
-        if flags & socket.MSG_PEEK:
-            raise OSError(errno.ENOMEM, "no memory")
-        return self.sock.recv(size, flags)
+    def getsockopt(self, level, option, size):
+        assert (level, option) == (socket.IPPROTO_TCP, socket.TCP_INFO)
+        raise OSError(errno.ENOMEM, "no memory")
 
     def __getattr__(self, name):
         return getattr(self.sock, name)
@@ -65,7 +64,7 @@
 
 def test_a_look_that_fails_closes_no_connection_over_what_waits():
     connection, peer, _ = open_pair()
-    connection.sock = FailingPeek(connection.sock)
+    connection.sock = FailingLook(connection.sock)
     peer.sendall(HEALTH_CHECK)
     assert not connection.close_if_idle()
 
