Soak: the result of a seed goes through a file, and a play that does not end is reported

A play with thousands of breaches hung for 20 minutes: its result was more than the 64 KB of a pipe that nobody reads before the process has ended (py-spy: the main thread in print). A play of over 90 s is ended and counts as a breach.

--- a/finchcart/fault_injection/soak/run.py
+++ b/finchcart/fault_injection/soak/run.py
@@ -26,6 +26,7 @@
 WATCH_INTERVAL_S = 0.02
 RESTART_AFTER_S = 0.2
 CLIENT_END_S = 4.0
+PLAY_LIMIT_S = 90.0  # of one seed, from its start
 
 
 @dataclass
@@ -212,41 +213,64 @@
         counts["signals"] += len(self.plan.signals) * len(self._nodes)
 
 
+@dataclass
+class RunningSeed:
+    """A seed that is played by a process of its own."""
+
+    process: subprocess.Popen
+    result_path: Path
+    ends_by: float  # on the monotonic clock
+
+    def result(self, seed: int) -> SoakResult | None:
+        """Return what came of it, or None while it is played."""
+        status = self.process.poll()
+        if status is None and time.monotonic() < self.ends_by:
+            return None
+        if status is None:
+            self.process.kill()
+            self.process.wait()
+            return SoakResult(seed, [f"the run itself did not end in {PLAY_LIMIT_S:.0f} s"])
+        if status != 0:
+            return SoakResult(seed, [f"the run itself failed with status {status}"])
+        tree = json.loads(self.result_path.read_text(encoding="utf-8"))
+        return SoakResult(**{**tree, "counts": Counter(tree["counts"])})
+
+
 def play_seeds(seeds: Sequence[int], folder: Path, jobs: int, plant: str | None = None) -> list[SoakResult]:
     """Play seeds, `jobs` at once, each in a process of its own."""
     library = build_library(folder)
     if library is None:
         raise RuntimeError("no C compiler: the library of faults can't be built")
     waiting = list(seeds)
-    running: dict[int, subprocess.Popen] = {}
+    running: dict[int, RunningSeed] = {}
     results = []
     while waiting or running:
         while waiting and len(running) < jobs:
             seed = waiting.pop(0)
-            command = [sys.executable, "-m", "finchcart.fault_injection.soak.run"]
-            arguments = [str(seed), str(folder), str(library), plant or ""]
-            running[seed] = subprocess.Popen([*command, *arguments], stdout=subprocess.PIPE, text=True)
-        for seed, child in list(running.items()):
-            if child.poll() is not None:
+            running[seed] = _start_seed(seed, folder, library, plant)
+        for seed, play in list(running.items()):
+            result = play.result(seed)
+            if result is not None:
                 del running[seed]
-                results.append(_read_result(seed, child))
+                results.append(result)
         time.sleep(WATCH_INTERVAL_S)
     return sorted(results, key=lambda result: result.seed)
 
 
-def _read_result(seed: int, child: subprocess.Popen) -> SoakResult:
-    text = child.stdout.read()
-    if child.returncode != 0:
-        return SoakResult(seed, [f"the run itself failed with status {child.returncode}"])
-    tree = json.loads(text.splitlines()[-1])
-    return SoakResult(**{**tree, "counts": Counter(tree["counts"])})
+def _start_seed(seed: int, folder: Path, library: Path, plant: str | None) -> RunningSeed:
+    # A file and not a pipe: nobody reads while it is played, and many breaches are more than a pipe holds.
+    result_path = folder / f"result{seed}.json"
+    command = [sys.executable, "-m", "finchcart.fault_injection.soak.run"]
+    arguments = [str(seed), str(folder), str(library), str(result_path), plant or ""]
+    process = subprocess.Popen([*command, *arguments])
+    return RunningSeed(process, result_path, time.monotonic() + PLAY_LIMIT_S)
 
 
 def main() -> None:
-    """Play the seed that the arguments name, and print its result as a line of JSON."""
-    seed, folder, library, plant = sys.argv[1:]
+    """Play the seed that the arguments name, and write its result to the file that they name."""
+    seed, folder, library, result_path, plant = sys.argv[1:]
     result = SoakRun(draw_plan(int(seed)), Path(folder), Path(library), plant or None).play()
-    print(json.dumps(vars(result)), flush=True)
+    Path(result_path).write_text(json.dumps(vars(result)), encoding="utf-8")
     os._exit(0)  # threads of peers and clients are not waited for
 
 
