Simulated store: a line that the link cut ends the connection, and no thread dies of it

Seen: ValueError (expected 4, got 1 or 2 words) in simulated_peers/store.py beside load. The relay passes a few bytes at a time and cuts; the line without CR LF is the rest of what was passed.

--- a/finchcart/simulated_peers/store.py
+++ b/finchcart/simulated_peers/store.py
@@ -171,6 +171,8 @@
             host = connection.getsockname()[0]
             lines = connection.makefile("rb")
             for line in lines:
+                if not line.endswith(b"\r\n"):
+                    return  # the link was cut within a line; a whole line that is wrong still fails here
                 words = line.split()
                 if words[0] != b"CALL":
                     continue
