The end of listening resets no connection that the system has made

What callers saw: a connection that was accepted by the system, a request written on it, and a reset 10 ms later. Forced: a listening socket to which a client connects right after the last look; the old code lets it (True is False). Why this works: a filter on the listener drops SYN before the backlog is emptied, so that no connection is made from then on, and those that are being made complete. A peer that tries in these milliseconds is refused at its next attempt.

--- a/finchcart/net/listener.py
+++ b/finchcart/net/listener.py
@@ -6,13 +6,14 @@
 import socket
 import threading
 from collections.abc import Callable
+from contextlib import suppress
 from itertools import count
 from time import sleep
 
 from loguru import logger
 
 from finchcart.limits import Limits
-from finchcart.net.sockets import MICROSECONDS_PER_SECOND, shut_down
+from finchcart.net.sockets import MICROSECONDS_PER_SECOND, ignore_new_connections, shut_down
 from finchcart.net.transient_errors import CONNECTION_ERRORS
 
 FIRST_PAUSE_US = 1_000  # after a failure of accept; it doubles
@@ -98,8 +99,14 @@
                 self._pause(failures)
 
     def stop(self) -> None:
-        """Stop listening, after the backlog is accepted: a reset would lose requests."""
+        """Stop listening, after the backlog is accepted: a reset would lose requests.
+
+        No connection is made from the first look at the backlog on; a peer that tries is refused at its next
+        attempt.
+        """
         self._is_stopped = True
+        with suppress(OSError):  # without it, one that is made before the listener closes may be reset
+            ignore_new_connections(self.sock)
         self.sock.setblocking(False)
         failures = 0
         while failures <= MAX_CONSECUTIVE_FAILURES and self.capacity.acquire(blocking=False):
--- a/finchcart/net/sockets.py
+++ b/finchcart/net/sockets.py
@@ -7,10 +7,22 @@
 import socket
 import struct
 import threading
+from array import array
 from collections.abc import Callable
 from contextlib import suppress
 
 MICROSECONDS_PER_SECOND = 1_000_000
+SO_ATTACH_FILTER = 26  # socket(7), asm-generic/socket.h
+FILTER_INSTRUCTION = struct.Struct("HBBI")  # struct sock_filter of linux/filter.h
+FILTER_PROGRAM = struct.Struct("HP")  # struct sock_fprog, with its padding
+# A classic BPF program on the TCP header: a segment with SYN and without ACK is dropped, others pass.
+DROP_SYN = (
+    (0x30, 0, 0, 13),  # load the byte of the flags
+    (0x54, 0, 0, 0x12),  # keep SYN and ACK
+    (0x15, 0, 1, 0x02),  # SYN alone?
+    (0x06, 0, 0, 0),  # drop
+    (0x06, 0, 0, 0xFFFFFFFF),  # pass whole
+)
 TCP_INFO_RECEIVED = struct.Struct("128xQ")  # tcpi_bytes_received of struct tcp_info: tcp(7), Linux 4.1 on
 
 
@@ -30,6 +42,19 @@
     return count
 
 
+def ignore_new_connections(listener: socket.socket) -> None:
+    """Have the system drop requests to connect (SYN), and complete connections that are being made.
+
+    Raises:
+        OSError: the system has no memory for the filter.
+    """
+    program = b"".join(FILTER_INSTRUCTION.pack(*instruction) for instruction in DROP_SYN)
+    instructions = array("B", program)
+    address, _ = instructions.buffer_info()
+    header = FILTER_PROGRAM.pack(len(DROP_SYN), address)
+    listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, header)
+
+
 def shut_down(sock: socket.socket, how: int) -> None:
     """Shut a connection down in one direction or both; ignore one that has ended already."""
     with suppress(OSError):
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,6 +1,7 @@
 """One connection, its buffers and the listener, on real sockets."""
 
 import random
+import select
 import socket
 import threading
 from queue import SimpleQueue
@@ -276,6 +277,37 @@
         sock.close()
 
 
+class LateComer:
+    """A listening socket to which a client connects right after the last look at the backlog."""
+
+    def __init__(self, sock):
+        self.sock = sock
+        self.client = socket.socket()
+        self.client.setblocking(False)
+        self.was_connected = None
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def accept(self):
+        try:
+            return self.sock.accept()
+        except BlockingIOError:
+            self.client.connect_ex(self.sock.getsockname())
+            self.was_connected = bool(select.select([], [self.client], [], 0)[1])
+            raise
+
+
+def test_one_that_connects_as_listening_ends_is_refused_and_not_reset_with_its_request():
+    # Guards against a request lost on a connection that the system made and the node never accepted.
+    listener, opened, _ = make_listener(SMALL_LIMITS._replace(descriptors=20))
+    listener.sock = late = LateComer(listener.sock)
+    listener.stop()
+    assert late.was_connected is False
+    assert opened.empty()
+    late.client.close()
+
+
 def test_no_more_are_accepted_than_descriptors_allow_and_the_rest_when_one_closes():
     limits = Limits(memory_bytes=1 << 28, descriptors=20, stop_timeout_us=1)
     listener, opened, address = make_listener(limits)
