A stamp of a clock that this process never saw is taken by its connection, not rejected

Cause: WallClockHistory tried the offsets that it had seen, and a new process has seen one. Why this works: the bytes came between the moment at which the connection was read empty and their read, whatever the stamp. The offset so bounded is kept for the next stamps (4 at most) and raised as one is read sooner. Who stamps wrongly gains what a stamp of now gives.

--- a/finchcart/node/arrivals.py
+++ b/finchcart/node/arrivals.py
@@ -7,6 +7,8 @@
 from finchcart.node.effect_buffer import EffectBuffer
 from finchcart.node.wall_clock import Arrival, WallClockHistory
 
+MICROSECONDS_PER_SECOND = 1_000_000
+
 
 class ArrivalClock:
     """Turns the Unix times of one batch into arrivals. Times are whole microseconds."""
@@ -24,13 +26,18 @@
     def read_arrival(self, stamp: int, late_read_us: int) -> Arrival | None:
         """Return when an RPC of the batch at hand with that Unix time arrived, see `FrontendHost`."""
         now = self._effect_buffer.now
-        return self._wall_clock.arrival(
-            stamp,
-            self.not_before,
-            min(self.received_at, now),
-            now - late_read_us,
-            self._max_clock_lead_us,
-        )
+        received_at = min(self.received_at, now)
+        oldest = now - late_read_us
+        clock, lead_us = self._wall_clock, self._max_clock_lead_us
+        arrival = clock.arrival(stamp, self.not_before, received_at, oldest, lead_us)
+        if arrival is not None:
+            return arrival
+        arrival = clock.add_other_clock(stamp, self.not_before, received_at, oldest, lead_us)
+        cause = "stamps of another clock" if arrival else "stamp of no clock"
+        ahead_s = (stamp - self.unix_now()) / MICROSECONDS_PER_SECOND
+        text = f"{cause}: {stamp} where this machine has {self.unix_now()} ({ahead_s:+.3f} s)"
+        self._effect_buffer.log_fault("wall clock", cause, text)
+        return arrival
 
     def unix_now(self) -> int:
         """Return the Unix time."""
--- a/finchcart/node/wall_clock.py
+++ b/finchcart/node/wall_clock.py
@@ -1,7 +1,8 @@
 """Unix times that a protocol carries, turned into the node's own time and nowhere else.
 
 Owns what is known of the machine's wall clock: how far it was ahead of the node's clock, and when that
-changed. It must never set a span or order anything: spans are counted on the node's clock alone.
+changed, and how far other clocks are, by which dispatchers stamp. It must never set a span or order anything:
+spans are counted on the node's clock alone.
 
 An RPC carries in Unix time when it reached the machine. The wall clock may have stepped since; then the same
 stamp can mean two moments, or none. A moment counts if the clock stood so at that moment, as far as the node
@@ -9,6 +10,12 @@
 A moment before the connection was last read empty is not possible, whatever its stamp. What is still
 open is left open: `Arrival` has the earliest and the latest moment.
 
+A stamp that no offset makes possible is of a clock that this process never saw: the machine's was stepped
+before it started, or the dispatcher's is another. The connection alone bounds its arrival then, and the
+offset is kept as one of another clock: taken for the next stamps, and raised as one comes that was read
+sooner. A stamp beyond `MAX_CLOCK_DIFFERENCE_US` is no clock's error. Whoever stamps wrongly gains nothing: a
+stamp of now gives as much.
+
 Error of an age: the time between two readings of the clock, where the step fell between them (a turn of the
 event loop, or the pause of a process); what the clock slewed in that age; 1 ms, the unit of stamps.
 """
@@ -20,6 +27,9 @@
 MAX_PERIODS = 16  # that are remembered, the latest; a stamp older than the deadlines is not valid anyhow
 STAMP_UNIT_US = 1_000  # a stamp is cut off to whole milliseconds
 NEVER = -(1 << 62)
+MAX_OTHER_CLOCKS = 4  # that are remembered, the latest
+OTHER_CLOCK_ERROR_US = 1_000_000  # an RPC whose offset was taken first may have waited so long to be read
+MAX_CLOCK_DIFFERENCE_US = 24 * 3600 * 1_000_000  # wrong time zones and dates stay within a day
 
 
 class Arrival(NamedTuple):
@@ -45,9 +55,13 @@
 
 
 class WallClockHistory:
-    """What was seen of the wall clock. All times are whole microseconds. Bounds: `MAX_PERIODS`."""
+    """What was seen of the wall clock and of others.
+
+    All times are whole microseconds. Bounds: `MAX_PERIODS`, `MAX_OTHER_CLOCKS`.
+    """
 
     def __init__(self) -> None:
+        self.other_clocks: deque[int] = deque([], MAX_OTHER_CLOCKS)  # their offsets from the node's clock
         self._periods: deque[ClockPeriod] = deque([ClockPeriod(NEVER, None, 0)], MAX_PERIODS)
         self._read_at: int | None = None
 
@@ -75,7 +89,7 @@
     def arrival(
         self, stamp: int, not_before: int, received_at: int, oldest: int, lead: int
     ) -> Arrival | None:
-        """Return when an RPC with that stamp arrived; None where the stamp can mean no such moment.
+        """Return when an RPC with that stamp arrived; None where no clock that is known allows it.
 
         Arguments:
             stamp: Unix time.
@@ -84,20 +98,53 @@
             oldest: an arrival before this moment is not valid.
             lead: a stamp may be ahead of the clock by this.
         """
-        moments = [
+        known = [
             (stamp - period.offset, period)
             for period in self._periods
             if oldest <= stamp - period.offset <= received_at + lead
         ]
-        seen = [moment for moment, period in moments if period.includes(moment)]
-        others = [moment for moment, _ in moments]
+        seen = [moment for moment, period in known if period.includes(moment)]
+        others = [moment for moment, _ in known]
         not_before -= STAMP_UNIT_US
         for candidates in (
             [moment for moment in seen if moment >= not_before],
             [moment for moment in others if moment >= not_before],
+            self._by_other_clocks(stamp, max(not_before, oldest), received_at),
             seen,
             others,
         ):
             if candidates:
                 return Arrival(min(*candidates, received_at), min(max(candidates), received_at))
         return None
+
+    def _by_other_clocks(self, stamp: int, not_before: int, received_at: int) -> list[int]:
+        """Return the moment at which the nearest of the other clocks made the stamp, or nothing."""
+        possible = [
+            stamp - offset
+            for offset in self.other_clocks
+            if not_before <= stamp - offset <= received_at + OTHER_CLOCK_ERROR_US
+        ]
+        if not possible:
+            return []
+        moment = max(possible)
+        if moment > received_at:
+            # It was read sooner than those before: the offset is nearer to the clock's own.
+            self.other_clocks[self.other_clocks.index(stamp - moment)] = stamp - received_at
+            moment = received_at
+        return [moment]
+
+    def add_other_clock(
+        self, stamp: int, not_before: int, received_at: int, oldest: int, lead: int
+    ) -> Arrival | None:
+        """Record the clock of a stamp for which `arrival` gave None; return when its RPC arrived.
+
+        Arguments as there. None where the stamp is just too old by a clock that is known, or no clock's.
+        """
+        is_known = any(
+            not_before - STAMP_UNIT_US <= stamp - period.offset <= received_at + lead
+            for period in self._periods
+        )
+        if is_known or abs(stamp - self.to_unix(received_at)) > MAX_CLOCK_DIFFERENCE_US:
+            return None
+        self.other_clocks.append(stamp - received_at)
+        return Arrival(min(max(not_before, oldest), received_at), received_at)
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -52,6 +52,23 @@
     assert outcomes == [ClientOutcome.OK] * 6 * len(STEPS_S)
 
 
+@pytest.mark.parametrize("offset_s", [-HOUR_S, HOUR_S])
+def test_a_node_that_starts_while_its_clock_is_wrong_serves_requests_stamped_by_the_right_one(
+    testbed, offset_s
+):
+    # Guards against a node that rejects each request as invalid: it never saw its callers' offset.
+    shim = testbed.load_shim()
+    shim.set_clock_offset(offset_s)
+    testbed.start_serving(stop_ms=STOP_MS)
+    client = testbed.client()
+    for number in range(4):
+        sequence = submit(client, shim, number, follows=False)
+        assert read_answers(client, 1)[sequence][0] is ClientOutcome.OK
+    follows = submit(client, shim, 4)
+    assert read_answers(client, 1)[follows][0] is ClientOutcome.OK
+    assert "stamps of another clock" in testbed.read_log_until("another clock")
+
+
 @pytest.mark.parametrize("offset_s", [HOUR_S, 2])
 def test_the_drain_ends_in_real_time_whatever_the_clock_does(stepped, offset_s):
     drain_ends_in_time(*stepped, offset_s)
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -61,3 +61,40 @@
             found = clock.arrival(stamp, now - 2 * TURN, now, now - OLDEST, LEAD)
             if follows:
                 assert found.earliest - TURN - MS <= arrived <= found.latest + TURN + MS, seed
+
+
+def read_by_another_clock(clock, stamp, not_before, now):
+    found = clock.arrival(stamp, not_before, now, now - OLDEST, LEAD)
+    return found or clock.add_other_clock(stamp, not_before, now, now - OLDEST, LEAD)
+
+
+def test_stamps_of_a_clock_that_was_never_seen_are_bounded_by_the_connection_and_then_by_each_other():
+    for seed in range(100):
+        rng = random.Random(seed)
+        clock = WallClockHistory()
+        now, unix = 100 * SECOND, 1_700_000_000 * SECOND
+        clock.record(now, unix)
+        ahead = rng.choice((-3600, -20, 20, 3600)) * SECOND
+        shortest = SECOND  # from arrival to read
+        for number in range(50):
+            now += rng.randint(1, 100) * MS
+            arrived = now - rng.randint(0, 300) * MS
+            stamp = (unix - 100 * SECOND + arrived + ahead) // MS * MS
+            not_before = arrived - rng.randint(0, 200) * MS
+            found = read_by_another_clock(clock, stamp, not_before, now)
+            shortest = min(shortest, now - arrived)
+            assert found.earliest <= arrived + shortest + MS, (seed, number)
+            assert found.earliest >= not_before - MS, (seed, number)
+            assert arrived <= found.latest + MS, (seed, number)
+        assert len(clock.other_clocks) == 1
+
+
+def test_a_stamp_too_old_by_the_machine_s_own_clock_or_of_no_clock_stays_invalid():
+    clock = WallClockHistory()
+    now = unix = 100_000 * SECOND
+    clock.record(now, unix)
+    stopped_since = now - 20 * SECOND  # nothing was read since then, so it can be as old as it says
+    assert read_by_another_clock(clock, now - 10 * SECOND, stopped_since, now) is None
+    for days in (-2, 2):
+        assert read_by_another_clock(clock, now + days * 24 * 3600 * SECOND, now, now) is None
+    assert not clock.other_clocks
