A stamp made just before its connection was read empty is not taken for one of a step ago

Cause: where a stamp lies before the moment at which its connection was last read empty, every offset that was ever seen was tried, and the earliest moment taken; after a step of 2 s that is an age of 2 s, over the method's objective. Forced: stamped 10 ms, read empty 4 ms before the read, offsets 0, +2 and -2 s seen; the old code gives an age of 2 s. Why this works: the bytes came after the connection was read empty, so of moments before it the latest is nearest to the truth, and never later. It is not the fault of a node that starts after a step: there no offset fits at all.

--- a/finchcart/node/wall_clock.py
+++ b/finchcart/node/wall_clock.py
@@ -7,8 +7,9 @@
 An RPC carries in Unix time when it reached the machine. The wall clock may have stepped since; then the same
 stamp can mean two moments, or none. A moment counts if the clock stood so at that moment, as far as the node
 saw it; if none does, the stamp is of a clock that did not step, and an offset that was seen before is taken.
-A moment before the connection was last read empty is not possible, whatever its stamp. What is still
-open is left open: `Arrival` has the earliest and the latest moment.
+A moment before the connection was last read empty is not possible, whatever its stamp; where all are before
+it, the stamp was made a little before it was written, and the latest is taken. What is still open is left
+open: `Arrival` has the earliest and the latest moment.
 
 A stamp that no offset makes possible is of a clock that this process never saw: the machine's was stepped
 before it started, or the dispatcher's is another. The connection alone bounds its arrival then, and the
@@ -105,33 +106,26 @@
         ]
         seen = [moment for moment, period in known if period.includes(moment)]
         others = [moment for moment, _ in known]
-        not_before -= STAMP_UNIT_US
-        for candidates in (
-            [moment for moment in seen if moment >= not_before],
-            [moment for moment in others if moment >= not_before],
-            self._by_other_clocks(stamp, max(not_before, oldest), received_at),
-            seen,
-            others,
-        ):
-            if candidates:
-                return Arrival(min(*candidates, received_at), min(max(candidates), received_at))
-        return None
-
-    def _by_other_clocks(self, stamp: int, not_before: int, received_at: int) -> list[int]:
-        """Return the moment at which the nearest of the other clocks made the stamp, or nothing."""
-        possible = [
+        by_other_clocks = [
             stamp - offset
             for offset in self.other_clocks
-            if not_before <= stamp - offset <= received_at + OTHER_CLOCK_ERROR_US
+            if oldest <= stamp - offset <= received_at + OTHER_CLOCK_ERROR_US
         ]
-        if not possible:
-            return []
-        moment = max(possible)
-        if moment > received_at:
-            # It was read sooner than those before: the offset is nearer to the clock's own.
-            self.other_clocks[self.other_clocks.index(stamp - moment)] = stamp - received_at
-            moment = received_at
-        return [moment]
+        not_before -= STAMP_UNIT_US
+        for candidates in (seen, others, by_other_clocks):
+            possible = [moment for moment in candidates if moment >= not_before]
+            if possible:
+                self._correct_other_clock(stamp, max(possible), received_at)
+                return Arrival(min(*possible, received_at), min(max(possible), received_at))
+        # The stamp was made before the connection was read empty and written after it: the latest is nearest.
+        nearest = max((*others, *by_other_clocks), default=None)
+        return None if nearest is None else Arrival(nearest, nearest)
+
+    def _correct_other_clock(self, stamp: int, moment: int, received_at: int) -> None:
+        """Raise the offset of another clock by whose stamp an RPC was read before it was sent."""
+        offset = stamp - moment
+        if moment > received_at and offset in self.other_clocks:
+            self.other_clocks[self.other_clocks.index(offset)] = stamp - received_at
 
     def add_other_clock(
         self, stamp: int, not_before: int, received_at: int, oldest: int, lead: int
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -32,6 +32,20 @@
     assert clock.arrival(stamp, 10 * SECOND, now, now - OLDEST, LEAD) == (now, now)
 
 
+def test_a_stamp_made_just_before_its_connection_was_read_empty_is_not_taken_for_one_of_a_step_ago():
+    # Guards against an RPC that is rejected beside a step of 2 s, as it seems to have waited for so long.
+    clock = WallClockHistory()
+    now = 100 * SECOND
+    for offset in (0, 2, -2):
+        now += 100 * MS
+        clock.record(now, now + (1_000 + offset) * SECOND)
+    now += 50 * MS
+    stamped = now - 10 * MS
+    read_empty_at = now - 4 * MS  # the client was late between its stamp and its write
+    found = clock.arrival(stamped + 1_000 * SECOND, read_empty_at, now, now - OLDEST, LEAD)
+    assert found == (stamped, stamped)
+
+
 def test_a_slewed_clock_is_followed_and_no_step():
     clock = WallClockHistory()
     now = unix = 0
