--- a/finchcart/fault_injection/soak/plan.py
+++ b/finchcart/fault_injection/soak/plan.py
@@ -16,6 +16,7 @@
 CLOCK_OFFSETS_S = (HOUR_S, -HOUR_S, 2, -2, 0.3, 0)
 FAULTS_BEGIN_S = 0.3
 LEAVE_AT_S = 2.4  # the notice to leave, after the load began
+CROWD_CLIENTS = 30  # of one node
 MOST_DEADLINE_S = 3.0
 KILL_DELAY_S = 0.7
 SIGNAL_SERIES = (
@@ -130,7 +131,7 @@
         stop_s=3.2,
         memory_mb=random.choice((64, 96)),
         sockets=random.choice((128, 256)),
-        clients=30 if is_crowd else random.randint(4, 10),
+        clients=CROWD_CLIENTS if is_crowd else random.randint(4, 10),
         load=ClientLoad(0.02, 8) if is_crowd else ClientLoad(random.choice((0.01, 0.04)), 6, 0.02),
         pool_link=_link_faults(random),
         store_link=_link_faults(random),
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -24,6 +24,7 @@
 RUN_PREFIX = tomllib.loads(Path("deploy/balancer.toml").read_text(encoding="utf-8"))["run"].partition(
     " .venv"
 )[0]
+END_TIMEOUT_S = 5.0
 LONG_AGO_S = 60  # before the node: a worker pool that did not start with it
 WAIT_S = 20  # ends a run that failed, and decides nothing else
 
@@ -152,6 +153,18 @@
 
     # ---- Its end
 
+    def end_and_read_log(self):
+        """What the node logged and no test read, with its statistics; it is ended where it still runs."""
+        if self.process is None or self.process.stderr.closed:
+            return ""
+        self.process.send_signal(signal.SIGCONT)
+        self.process.terminate()
+        try:
+            self.process.wait(END_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+        return self.process.stderr.read()
+
     def terminate(self):
         """Tells it to leave; its status and log."""
         self.process.send_signal(signal.SIGTERM)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 from finchcart.fault_injection.processes.process_shim import build_library
 from finchcart.fault_injection.processes.socket_trace import RECORD, read_trace
 from finchcart.fault_injection.soak.lost_requests import LostCause, trace_lost_request
-from finchcart.fault_injection.soak.plan import NodeEvent, draw_plan
+from finchcart.fault_injection.soak.plan import CROWD_CLIENTS, NodeEvent, draw_plan
 from finchcart.fault_injection.soak.recorded_rules import highest_mean
 from finchcart.fault_injection.soak.recording_client import (
     ClientLoad,
@@ -19,7 +19,8 @@
 from finchcart.fault_injection.soak.stream_relay import LinkFaults
 from finchcart.simulated_peers.worker_pool import LoadSample
 
-SEEDS = range(1, 13)
+# The last six are crowds; each broke a rule beside load at texts before.
+SEEDS = (*range(1, 13), 402, 405, 409, 413, 425, 444)
 JOBS = 2
 HOUR_S = 3600
 # By defect: the rule that it breaks. One more, "started again", needs a crossing: in 4 of the first 12 seeds.
@@ -74,6 +75,10 @@
     assert results[seed].breaches == []
 
 
+def test_a_third_of_the_seeds_or_more_are_crowds():
+    assert 3 * sum(draw_plan(seed).clients == CROWD_CLIENTS for seed in SEEDS) >= len(SEEDS)
+
+
 def test_the_seeds_together_answer_many_rpcs(results):
     assert sum(result.counts["answered ok"] for result in results.values()) > 100
 
