Soak: an answer counts from when the node wrote it, by the trace

Found beside load: answers counted as late, and memory as held, until the run's own client had read the answer; beside 18 busy processes its sixty threads read up to 0.2 s late. The trace gives the moment of the write for each answer, by the bytes of the connection up to its end. Bounds and slack stay as they were; the report counts answers that their client read 0.1 s late.

--- a/finchcart/fault_injection/processes/socket_trace.py
+++ b/finchcart/fault_injection/processes/socket_trace.py
@@ -5,9 +5,11 @@
 """
 
 import struct
+from bisect import bisect_left
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import IntEnum
+from operator import itemgetter
 from pathlib import Path
 
 TRACE_VARIABLE = "FINCHCART_SOCKET_TRACE"
@@ -31,12 +33,16 @@
 
     accepted_at: float
     reads: list[tuple[float, int]] = field(default_factory=list)  # (when, bytes read so far)
-    sent_bytes: int = 0
+    writes: list[tuple[float, int]] = field(default_factory=list)  # (when, bytes written so far)
     closed_at: float | None = None  # the process closed its direction, or all of the connection
 
     def read_at(self, stream_end: int) -> float | None:
         """Return when so many bytes were read, or None where they never were."""
-        return next((at for at, count in self.reads if count >= stream_end), None)
+        return _reached_at(self.reads, stream_end)
+
+    def written_at(self, stream_end: int) -> float | None:
+        """Return when so many bytes were written, or None where they never were."""
+        return _reached_at(self.writes, stream_end)
 
 
 def read_trace(path: Path) -> dict[int, list[AcceptedSocket]]:
@@ -57,9 +63,17 @@
 
 def _record(accepted: AcceptedSocket, event: SocketEvent, at: float, value: int) -> None:
     if event is SocketEvent.RECEIVED:
-        read_before = accepted.reads[-1][1] if accepted.reads else 0
-        accepted.reads.append((at, read_before + value))
+        _add(accepted.reads, at, value)
     elif event is SocketEvent.SENT:
-        accepted.sent_bytes += value
+        _add(accepted.writes, at, value)
     elif accepted.closed_at is None:
         accepted.closed_at = at
+
+
+def _add(counts: list[tuple[float, int]], at: float, value: int) -> None:
+    counts.append((at, (counts[-1][1] if counts else 0) + value))
+
+
+def _reached_at(counts: list[tuple[float, int]], stream_end: int) -> float | None:
+    position = bisect_left(counts, stream_end, key=itemgetter(1))
+    return counts[position][0] if position < len(counts) else None
--- a/finchcart/fault_injection/soak/node.py
+++ b/finchcart/fault_injection/soak/node.py
@@ -19,6 +19,7 @@
 from finchcart.fault_injection.processes.node_configuration import EXAMPLE
 from finchcart.fault_injection.processes.process_shim import ProcessShim
 from finchcart.fault_injection.processes.socket_trace import TRACE_VARIABLE, AcceptedSocket, read_trace
+from finchcart.fault_injection.soak.lost_requests import add_times_of_writing
 from finchcart.fault_injection.soak.plan import SoakPlan
 from finchcart.fault_injection.soak.recorded_rules import SLACK_S, NodeLife, Pause, Rules, breaches
 from finchcart.fault_injection.soak.recording_client import ClientRpcRecord, RecordingClient
@@ -224,7 +225,9 @@
             slack_s,
         )
         found = [*dict.fromkeys(self.problems)]
-        found += breaches(rules, self.lives, self.records(), self.pool.history, self.sockets())
+        records, sockets = self.records(), self.sockets()
+        add_times_of_writing(records, sockets)
+        found += breaches(rules, self.lives, records, self.pool.history, sockets)
         if "Traceback" in self.log_path.read_text(errors="replace"):
             found.append(f"crash: a traceback in the log of {self.name}")
         return [f"{self.name}: {line}" for line in found]
--- a/finchcart/fault_injection/soak/recorded_rules.py
+++ b/finchcart/fault_injection/soak/recorded_rules.py
@@ -1,5 +1,7 @@
 """The four rules, held against what clients, worker pool and store recorded, not against the node's word.
 
+An answer counts from when the node wrote it, by the trace of its system calls: a client of the run that is
+short of processor time reads it later, which is not put down to the node.
 Owns what a breach is. It must never ask the node, nor read its log for anything but a crash.
 """
 
@@ -95,9 +97,10 @@
             found.append(f"duplicate: {age} has {len(record.answers)} answers")
         elif record.answers:
             due = record.written_at + record.method.deadline_s + SLACK_S + rules.lateness_s
-            due += _paused_s(life, record.written_at, record.answers[0].at)
-            if record.answers[0].at > due and not life.killed_outright:
-                found.append(f"lost: {age} answered {record.answers[0].at - due:.3f} s late")
+            given_at = record.answers[0].given_at
+            due += _paused_s(life, record.written_at, given_at)
+            if given_at > due and not life.killed_outright:
+                found.append(f"lost: {age} answered {given_at - due:.3f} s late")
         elif not (life.killed_outright or crossed):
             found.append(f"lost: {age}: {_loss_details(record, life, sockets)}")
     return found
@@ -223,7 +226,7 @@
             if pause.began <= written_at + UNCOUNTED_S and written_at <= pause.ended:
                 written_at = pause.ended
         counted_from = min(written_at + UNCOUNTED_S + rules.lateness_s, began.get(record.name, float("inf")))
-        ended = record.answers[0].at if record.answers else record.connection.ended_at
+        ended = record.answers[0].given_at if record.answers else record.connection.ended_at
         if ended is not None and ended > counted_from:
             changes += [(counted_from, record.memory_kb), (ended, -record.memory_kb)]
     for run in runs:
--- a/finchcart/fault_injection/soak/recording_client.py
+++ b/finchcart/fault_injection/soak/recording_client.py
@@ -30,11 +30,18 @@
 
 
 class RecordedAnswer(NamedTuple):
-    """An answer, and when it was read."""
+    """An answer, and when its client read it."""
 
     at: float
     outcome: ClientOutcome
     body: bytes
+    stream_end: int = 0  # bytes of the connection up to the end of this answer
+    written_at: float | None = None  # by the node, as far as it was traced
+
+    @property
+    def given_at(self) -> float:
+        """When the node gave it: a client that is short of processor time reads it later."""
+        return self.at if self.written_at is None else min(self.at, self.written_at)
 
 
 @dataclass
@@ -190,7 +197,8 @@
                 if record is None:
                     connection.end_reason = f"an answer to nothing: {answer.sequence}"
                     continue
-                record.answers.append(RecordedAnswer(now, answer.outcome, answer.body))
+                received = RecordedAnswer(now, answer.outcome, answer.body, client.received_bytes)
+                record.answers.append(received)
         except (OSError, EOFError) as error:
             connection.end_reason = connection.end_reason or type(error).__name__
         except Exception as error:
--- a/finchcart/fault_injection/soak/run.py
+++ b/finchcart/fault_injection/soak/run.py
@@ -26,6 +26,7 @@
 WATCH_INTERVAL_S = 0.02
 RESTART_AFTER_S = 0.2
 CLIENT_END_S = 4.0
+LATE_CLIENT_S = 0.1
 PLAY_LIMIT_S = 90.0  # of one seed, from its start
 
 
@@ -206,6 +207,9 @@
                     counts[f"{party} link {kind}"] += count
             for record in node.records():
                 counts["RPCs"] += 1
+                counts["answers read 0.1 s late by their client"] += any(
+                    answer.at - answer.given_at > LATE_CLIENT_S for answer in record.answers
+                )
                 counts[f"answered {record.answers[0].outcome}" if record.answers else "no answer"] += 1
             counts["runs"] += len(node.pool.history)
         for chance in self.plan.call_chances:
--- a/finchcart/simulated_peers/client.py
+++ b/finchcart/simulated_peers/client.py
@@ -69,6 +69,7 @@
         self.sock = socket.create_connection(address, timeout=TIMEOUT_S, source_address=source)
         self.sequence = 0
         self.submitted_bytes = 0  # written so far, of RPCs that were written whole
+        self.received_bytes = 0
 
     def submit(self, method: str, body: bytes, key: str | None = None, **more: str) -> int:
         """Send an RPC, with an idempotency key if one is given; return its sequence number.
@@ -128,6 +129,7 @@
             if not part:
                 raise EOFError("the node closed the connection")
             data += part
+        self.received_bytes += count
         return data
 
 
