A stamp in a period that includes it keeps its age where its connection was accepted late

Cause: 'A stamp made just before its connection was read empty' took the latest of all moments before the one at which the connection was read empty; a connection that is accepted late claims to be empty from then on, and the clock had stepped back by 4.6 s meanwhile. Now that holds only where no period includes a moment, and the span of those that do is taken as before.

--- a/finchcart/node/wall_clock.py
+++ b/finchcart/node/wall_clock.py
@@ -8,8 +8,8 @@
 stamp can mean two moments, or none. A moment counts if the clock stood so at that moment, as far as the node
 saw it; if none does, the stamp is of a clock that did not step, and an offset that was seen before is taken.
 A moment before the connection was last read empty is not possible, whatever its stamp; where all are before
-it, the stamp was made a little before it was written, and the latest is taken. What is still open is left
-open: `Arrival` has the earliest and the latest moment.
+it and no period includes one, the stamp was made a little before it was written, and the latest is taken.
+What is still open is left open: `Arrival` has the earliest and the latest moment.
 
 A stamp that no offset makes possible is of a clock that this process never saw: the machine's was stepped
 before it started, or the dispatcher's is another. The connection alone bounds its arrival then, and the
@@ -117,8 +117,10 @@
             if possible:
                 self._correct_other_clock(stamp, max(possible), received_at)
                 return Arrival(min(*possible, received_at), min(max(possible), received_at))
-        # The stamp was made before the connection was read empty and written after it: the latest is nearest.
-        nearest = max((*others, *by_other_clocks), default=None)
+        # The connection was accepted late, or the stamp made before it was read empty and written after it.
+        if seen:
+            return Arrival(min(seen), min(max(seen), received_at))
+        nearest = max(others or by_other_clocks, default=None)
         return None if nearest is None else Arrival(nearest, nearest)
 
     def _correct_other_clock(self, stamp: int, moment: int, received_at: int) -> None:
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -46,6 +46,16 @@
     assert found == (stamped, stamped)
 
 
+def test_what_waited_on_a_connection_that_was_accepted_late_is_as_old_as_its_stamp_says():
+    # Guards against a run past its deadline: the clock stepped back while the process was stopped.
+    clock = WallClockHistory()
+    clock.record(100 * SECOND, 1_100 * SECOND)
+    stamped, now = 100 * SECOND + 10 * MS, 105 * SECOND
+    clock.record(now, now + 1_000 * SECOND - 4_600 * MS)
+    found = clock.arrival(stamped + 1_000 * SECOND, now, now, now - OLDEST, LEAD)
+    assert found.earliest == stamped
+
+
 def test_a_slewed_clock_is_followed_and_no_step():
     clock = WallClockHistory()
     now = unix = 0
