--- a/finchcart/thrift/connection_closer.py
+++ b/finchcart/thrift/connection_closer.py
@@ -24,8 +24,8 @@
 from finchcart.node.inputs import CloseDue
 from finchcart.thrift import codec
 from finchcart.thrift.dispatcher_connections import (
-    ConnectionState,
     DispatcherConnection,
+    DispatcherConnectionState,
     DispatcherConnectionTable,
 )
 
@@ -58,7 +58,7 @@
         """Close a connection that has been idle for the timeout, or schedule a later check."""
         if connection.idle_since is None or self.idle_timeout_us is None:
             return
-        if connection.state is not ConnectionState.OPEN:
+        if connection.state is not DispatcherConnectionState.OPEN:
             return
         due = connection.idle_since + self.idle_timeout_us
         if self.effect_buffer.now >= due:
@@ -80,7 +80,7 @@
 
         Guards against those that check once and stay open, above all where there are many.
         """
-        if connection.state is not ConnectionState.OPEN:
+        if connection.state is not DispatcherConnectionState.OPEN:
             return
         now = self.effect_buffer.now
         checked_once = connection.calls < 2 and self.table.is_crowded
@@ -102,7 +102,7 @@
 
     def _close_unused(self, connection: DispatcherConnection) -> None:
         # Guards against those that stay silent, or never complete what they send.
-        if not connection.calls and connection.state is ConnectionState.OPEN:
+        if not connection.calls and connection.state is DispatcherConnectionState.OPEN:
             self.host.record_invalid_traffic(connection.number)
             self.announce(connection, self.limits.unused_close_delay_us)
 
@@ -132,23 +132,23 @@
 
         The dispatcher is notified, and given `patience_us` (None: the usual time) to close it.
         """
-        if connection.state is not ConnectionState.OPEN:
+        if connection.state is not DispatcherConnectionState.OPEN:
             return
-        connection.state = ConnectionState.ANNOUNCED
+        connection.state = DispatcherConnectionState.ANNOUNCED
         self.table.send(connection, codec.closing_notice())
         due = self.effect_buffer.now + (patience_us or self.limits.close_delay_us)
         self.effect_buffer.schedule(due, self._begin_closing, connection)
 
     def all_answered(self, connection: DispatcherConnection) -> None:
         """Go on with the close, or count the idle time, now that no RPC is open on the connection."""
-        if connection.state is ConnectionState.CLOSING:
+        if connection.state is DispatcherConnectionState.CLOSING:
             self._schedule_close(connection)
         else:
             self.check_idle(connection)
 
     def _begin_closing(self, connection: DispatcherConnection) -> None:
-        if connection.state is ConnectionState.ANNOUNCED:
-            connection.state = ConnectionState.CLOSING
+        if connection.state is DispatcherConnectionState.ANNOUNCED:
+            connection.state = DispatcherConnectionState.CLOSING
             self._defer_close(connection)
 
     def _schedule_close(self, connection: DispatcherConnection) -> None:
@@ -170,7 +170,7 @@
         close.
         """
         connection.is_close_scheduled = False
-        if connection.state is ConnectionState.CLOSING:
+        if connection.state is DispatcherConnectionState.CLOSING:
             self.effect_buffer.emit(Defer(CloseDue(connection.number)))
 
     def close_due(self, number: int) -> None:
--- a/finchcart/thrift/connection_limiter.py
+++ b/finchcart/thrift/connection_limiter.py
@@ -10,8 +10,8 @@
 from finchcart.thrift import codec
 from finchcart.thrift.connection_closer import ConnectionCloser
 from finchcart.thrift.dispatcher_connections import (
-    ConnectionState,
     DispatcherConnection,
+    DispatcherConnectionState,
     DispatcherConnectionTable,
 )
 
@@ -98,7 +98,7 @@
         surplus = sum(not connection.ended for connection in connections) - table.max_connections
         for _ in range(surplus):
             self._drop_unused()
-        staying = sum(connection.state is ConnectionState.OPEN for connection in connections)
+        staying = sum(connection.state is DispatcherConnectionState.OPEN for connection in connections)
         while staying > table.max_connections * 3 // 4 and self._close_least_used():
             staying -= 1
         self.effect_buffer.schedule(
@@ -120,4 +120,4 @@
         return False
     if connection.last_message_at > since or connection.open_rpcs:
         return False
-    return connection.state is ConnectionState.OPEN and not connection.write_blocked
+    return connection.state is DispatcherConnectionState.OPEN and not connection.write_blocked
--- a/finchcart/thrift/dispatcher_connections.py
+++ b/finchcart/thrift/dispatcher_connections.py
@@ -12,7 +12,7 @@
 from finchcart.node.rpc import NodeRpc
 
 
-class ConnectionState(Enum):
+class DispatcherConnectionState(Enum):
     """Where a connection stands on its way to its end; connection_closer.py has the table of transitions.
 
     Source: PROTOCOL.md, "Dispatchers to nodes": `closing`, and what crosses a close.
@@ -27,7 +27,11 @@
     @property
     def is_usable(self) -> bool:
         """Return whether messages are still accepted."""
-        return self in (ConnectionState.OPEN, ConnectionState.ANNOUNCED, ConnectionState.CLOSING)
+        return self in (
+            DispatcherConnectionState.OPEN,
+            DispatcherConnectionState.ANNOUNCED,
+            DispatcherConnectionState.CLOSING,
+        )
 
 
 class DispatcherConnection:
@@ -60,14 +64,14 @@
         self.idle_since: int | None = None
         self.idle_timer_at: int | None = None  # the one timer that counts
         self.health_checked = False
-        self.state = ConnectionState.OPEN
+        self.state = DispatcherConnectionState.OPEN
         self.is_close_scheduled = False  # another attempt to close it
         self.close_attempts = 0  # since something came last
 
     @property
     def ended(self) -> bool:
         """Return whether nothing more is read or sent."""
-        return self.state is ConnectionState.ENDED
+        return self.state is DispatcherConnectionState.ENDED
 
 
 class DispatcherConnectionTable:
@@ -150,7 +154,7 @@
 
     def end(self, connection: DispatcherConnection, effect: type[Close] | type[Drop] = Close) -> None:
         """End a connection: nothing more is read or sent, and a peer that does not close is dropped."""
-        connection.state = ConnectionState.ENDED
+        connection.state = DispatcherConnectionState.ENDED
         self.effect_buffer.emit(effect(connection.number))
         linger = self.limits.crossing_window_us if self.is_nearly_full else self.limits.linger_timeout_us
         self.effect_buffer.schedule(self.effect_buffer.now + linger, self._drop_ended, connection)
@@ -171,7 +175,7 @@
     def end_unreadable(self, connection: DispatcherConnection) -> None:
         """End a connection that sent what cannot be read, once its answers are written."""
         is_done = not connection.open_rpcs and not connection.write_blocked
-        if connection.state is ConnectionState.UNREADABLE and is_done:
+        if connection.state is DispatcherConnectionState.UNREADABLE and is_done:
             self.end(connection)
 
     def remove(self, number: int) -> DispatcherConnection | None:
--- a/finchcart/thrift/frontend.py
+++ b/finchcart/thrift/frontend.py
@@ -24,8 +24,8 @@
 from finchcart.thrift.connection_closer import ConnectionCloser
 from finchcart.thrift.connection_limiter import ConnectionLimiter
 from finchcart.thrift.dispatcher_connections import (
-    ConnectionState,
     DispatcherConnection,
+    DispatcherConnectionState,
     DispatcherConnectionTable,
 )
 from finchcart.thrift.fields import read_rpc
@@ -105,11 +105,11 @@
             pending = len(connection.open_rpcs)
             text = f"connection {number}: {fault}; closed once {pending} answers are out"
             self.effect_buffer.log_fault(PARTY, "unreadable", text)
-            connection.state = ConnectionState.UNREADABLE
+            connection.state = DispatcherConnectionState.UNREADABLE
             self.core.record_invalid_traffic(number)
             self.table.end_unreadable(connection)
         else:
-            if not connection.calls and connection.state is ConnectionState.OPEN:
+            if not connection.calls and connection.state is DispatcherConnectionState.OPEN:
                 self.core.record_invalid_traffic(number)
             self._abandon_all(connection)
             self.table.end(connection)
@@ -132,7 +132,7 @@
             self._abandon_all(connection)
 
     def _abandon_all(self, connection: DispatcherConnection) -> None:
-        connection.state = ConnectionState.ENDED
+        connection.state = DispatcherConnectionState.ENDED
         while connection.open_rpcs:
             self._abandon(connection, next(iter(connection.open_rpcs)))
 
@@ -177,7 +177,7 @@
         if sequence in connection.open_rpcs:
             text = f"connection {connection.number}: sequence number {sequence} is in use; closed"
             self.effect_buffer.log_fault(PARTY, "sequence number in use", text)
-            connection.state = ConnectionState.UNREADABLE
+            connection.state = DispatcherConnectionState.UNREADABLE
             return
         try:
             self._accept(connection, sequence, fields, body)
--- a/tests/test_dispatcher_connections.py
+++ b/tests/test_dispatcher_connections.py
@@ -12,7 +12,7 @@
     UnservedCall,
 )
 from finchcart.thrift.binary_protocol import EXCEPTION, STRING
-from finchcart.thrift.dispatcher_connections import ConnectionState
+from finchcart.thrift.dispatcher_connections import DispatcherConnectionState
 from tests.core_cases import ends_well, how, plain_harness, running
 from tests.core_harness import MS
 from tests.dispatchers_double import read_answer
@@ -137,7 +137,7 @@
     harness.step(MS)
     harness.pool.end_run(name, Outcome.OK)
     harness.step(MS)
-    while harness.frontend.table.connections[link].state is ConnectionState.OPEN:
+    while harness.frontend.table.connections[link].state is DispatcherConnectionState.OPEN:
         harness.step(MS)
     harness.step(harness.limits.close_delay_us - MS)
     assert harness.connections[link] == "open"
@@ -239,7 +239,7 @@
     link = harness.dispatchers.open()
     for _ in range(20):
         harness.step(10 * MS)
-    assert harness.frontend.table.connections[link].state is ConnectionState.OPEN
+    assert harness.frontend.table.connections[link].state is DispatcherConnectionState.OPEN
     for _ in range(16):
         harness.step(100 * MS)
     assert harness.connections[link] == "closed"  # well before a client that stays silent is owed a close
