--- a/review/standins.py
+++ b/review/standins.py
@@ -72,13 +72,21 @@
 class Pool:
     """A worker pool: runs each request for `work_s` seconds and returns its body in upper case.
 
-    `is_over(handle)` tells whether a request was answered or given up; such a request is not started.
+    `is_over(handle)` tells whether a request was answered or given up; such a request is not started. `is_new`
+    tells whether the pool is cold at its start.
     """
 
     def __init__(
-        self, name: str, port: int, work_s: float, record: Record, is_over: Callable[[str], bool]
+        self,
+        name: str,
+        port: int,
+        work_s: float,
+        record: Record,
+        is_over: Callable[[str], bool],
+        is_new: bool = False,
     ) -> None:
         self.name = name
+        self._fate = "new" if is_new else "old"
         self.port = port
         self.work_s = work_s
         self.runs: list[RunRecord] = []
@@ -127,7 +135,7 @@
         if cursor == 0:
             self._notices.clear()
         lasted = int((time.monotonic() - self._started) * MS)
-        self._write(link, event="bound", fate="old", lasted=lasted)
+        self._write(link, event="bound", fate=self._fate, lasted=lasted)
         for notice in self._notices[cursor:]:
             self._write(link, **notice)
 
@@ -194,6 +202,7 @@
         self.result = b""
         self.answered = threading.Event()
         self.is_over = False  # answered, or given up
+        self.is_told = False  # the worker pool was told so
 
 
 class Dispatcher:
@@ -202,6 +211,7 @@
     def __init__(self, node: str, port: int, number: int, record: Record) -> None:
         self.node = node
         self.tries: dict[int, Try] = {}
+        self.is_closing = False  # the node sent `closing`, or the connection ended: no new request here
         self._number = number
         self._record = record
         self._client = Client(("127.0.0.1", port))
@@ -235,6 +245,9 @@
         with suppress(OSError, EOFError):
             while True:
                 answer = self._client.answer()
+                if answer.name == "closing":
+                    self.is_closing = True
+                    continue
                 tried = self.tries.get(answer.sequence)
                 if answer.name != "submit" or tried is None:
                     continue
@@ -245,6 +258,7 @@
                 self._record.write(
                     f"from {self.node}: try {tried.handle}: {answer.outcome} {answer.body.decode()!r}"
                 )
+        self.is_closing = True
 
     def close(self) -> None:
         """Close the connection."""
@@ -294,7 +308,7 @@
         self.record = Record(folder / "record.txt")
         self.temporary = tempfile.TemporaryDirectory(prefix="finchcart-review-")
         self.folder = Path(self.temporary.name)
-        self.processes: list[subprocess.Popen[bytes]] = []
+        self.processes: list[subprocess.Popen[Any]] = []
 
     def write(self, name: str, tree: object) -> Path:
         """Write a JSON file into the temporary folder."""
@@ -302,7 +316,7 @@
         path.write_text(json.dumps(tree, indent=1), encoding="utf-8")
         return path
 
-    def start(self, name: str, command: str, **environment: str) -> subprocess.Popen[bytes]:
+    def start(self, name: str, command: str, **environment: str) -> "subprocess.Popen[bytes]":
         """Start a program from the root with /bin/sh -c, as the deploy file's `run` line is started."""
         log = (self.folder / f"{name}.log").open("ab")
         process = subprocess.Popen(
