--- a/review/pool_process.py
+++ b/review/pool_process.py
@@ -1,7 +1,7 @@
 """A worker pool in a process of its own, which a case can kill.
 
-It listens once its standard input says `listen`, as a pool of the platform does at its start. A line `over ID`
-tells it that a request was answered or given up. It writes a line to standard output for each run that begins.
+It listens once its standard input says `listen`, which is its start. A line `over ID` tells it that a request
+was answered or given up. It writes a line to standard output for each run that begins.
 """
 
 import sys
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
-from standins import Pool, Record  # noqa: E402
+from standins import Pool, Record
 
 
 def main() -> None:
--- a/review/standins.py
+++ b/review/standins.py
@@ -72,8 +72,8 @@
 class Pool:
     """A worker pool: runs each request for `work_s` seconds and returns its body in upper case.
 
-    `is_over(handle)` tells whether a request was answered or given up; such a request is not started. `is_new`
-    tells whether the pool is cold at its start.
+    `is_over(handle)` tells whether a request was answered or given up; such a request is not started.
+    `is_new` tells whether the pool is cold at its start.
     """
 
     def __init__(
