--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -496,6 +496,7 @@
 
 def run_case(path: str, play: Callable[[Case], Awaitable[int]]) -> None:
     """Run a case and exit with its status: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # by way of `close`, so that no program stays
     case = Case(Path(path).resolve().parent)
     status = NOT_RUN
     try:
