--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -440,6 +441,20 @@
         raise RuntimeError(f"{self.name} does not answer a health check")
 
 
+async def hold_silent(node: "Node", until: float) -> None:
+    """Hold a connection that says nothing, and open it anew when the node has closed it."""
+    while time.monotonic() < until:
+        try:
+            reader, writer = await asyncio.open_connection(*node.listen)
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(asyncio.get_running_loop().time() + until - time.monotonic()):
+                    while await reader.read(1000):
+                        pass
+            writer.close()
+        except OSError:
+            await asyncio.sleep(0.01)
+
+
 class Case:
     """What one run of a case started, its temporary folder and its record."""
 
